--- /dev/null
+++ b/cmd/quincepath/main.go
@@ -0,0 +1,4 @@
+// Command quincepath routes language-model traffic by service levels and priorities.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/configurer/deps_test.go
@@ -0,0 +1,1 @@
+package configurer
--- /dev/null
+++ b/internal/configurer/snapshot.go
@@ -0,0 +1,95 @@
+// Package configurer holds the settings tree: its branches, inheritance,
+// checks, edits and the distribution of accepted versions to all nodes.
+package configurer
+
+import "time"
+
+// Kind says which protocol the upstreams of a service speak.
+type Kind string
+
+const (
+	// KindEngine marks language-model engines with the OpenAI-compatible API.
+	KindEngine Kind = "engine"
+	// KindPlain marks ordinary HTTP services.
+	KindPlain Kind = "plain"
+)
+
+// Snapshot is the whole settings tree at one revision, resolved for every service.
+// It is immutable once published; readers share it without locks.
+type Snapshot struct {
+	// Revision is the platform's revision; a node never replaces a snapshot by one with a lower revision.
+	Revision int64
+	// Services has one entry for each service, by its name.
+	Services map[string]Service
+}
+
+// Service is one resolved branch that serves requests.
+type Service struct {
+	// Name is unique in the tree; callers send it as the OpenAI model or in the path.
+	Name string
+	// Branch is the path of the branch in the tree, such as "sicilia-est/assistente".
+	Branch string
+	// Kind selects the protocol.
+	Kind Kind
+	// Classes are the request classes, by name; never empty.
+	Classes map[string]Class
+	// DefaultClass names the class of a request that names none; it is a key of Classes.
+	DefaultClass string
+	// Organisations may use the service, by name.
+	Organisations map[string]Organisation
+	// Upstreams are the servers, by name.
+	Upstreams map[string]Upstream
+}
+
+// Class is a kind of request with its own latency target and priority.
+type Class struct {
+	Name string
+	// Tier is the priority: 1 is served first, 5 last.
+	Tier int
+	// Target is the latency target: to the first token for engines, to the whole answer for plain services.
+	Target time.Duration
+	// TokenGap is the target time between tokens; zero for plain services.
+	TokenGap time.Duration
+	// GapLimit is the longest silence of an upstream before its connection counts as dead.
+	GapLimit time.Duration
+	// GuaranteedShare is the part of the pool that the class gets under overload, 0 to 1.
+	// The sum over the classes of a service is at most 1.
+	GuaranteedShare float64
+	// MoveUpAfter is the age in the queue at which a request counts as one tier higher, never as tier 1; zero means never.
+	MoveUpAfter time.Duration
+	// MaxWait is the longest time in the queue; a request that would wait longer is refused at once.
+	MaxWait time.Duration
+	// Repeatable says that a request may run more than once.
+	Repeatable bool
+	// Hedge allows a second copy of a slow request; only with Repeatable.
+	Hedge bool
+	// RetryBudget is the share of extra upstream requests that retries may cause, 0 to 0.1.
+	RetryBudget float64
+}
+
+// Organisation is a customer of the operators with its own keys, weight and limits.
+type Organisation struct {
+	Name string
+	// KeyHashes are the SHA-256 sums of its bearer keys, in lower-case hexadecimal.
+	KeyHashes []string
+	// Weight is its share among organisations of the same tier; at least 1.
+	Weight int
+	// RequestsPerSecond, Concurrency and TokensPerSecond limit it across all nodes; zero means no limit.
+	RequestsPerSecond float64
+	Concurrency       int
+	TokensPerSecond   float64
+}
+
+// Upstream is one server of a service.
+type Upstream struct {
+	Name string
+	// Address is the base URL with an IP number, such as "http://127.0.0.1:8001".
+	Address       string
+	FailureDomain string
+	// Leaving means that it receives no new work.
+	Leaving bool
+	// ChecksFencing says that the engine refuses orders with an old fencing number.
+	ChecksFencing bool
+	// Slots is the first guess of requests at once, before anything is learned; at least 1.
+	Slots int
+}
