--- a/internal/configurer/deps_test.go
+++ /dev/null
@@ -1,1 +0,0 @@
-package configurer
