Add the stand-in engine and the stand-in plain service

engine: tokens are a function of the prompt's hash and the offset, so pieces from several engines join to one known answer. The batching core is apart from HTTP and runs under synctest. service: records each run by its idempotency key. support: what both share (slots, delayed load, runs, gate, listener).

--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,160 @@
+// Package generator is a stand-in for a language-model engine with the
+// OpenAI-compatible API: continuous batching without a model, and switches for faults.
+package generator
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	supporter "quincepath.example/quincepath/internal/standin/support"
+)
+
+// Options are the settings of one engine.
+type Options struct {
+	// Listen is the TCP address; port 0 takes a free one.
+	Listen string
+	// Name shows in the answers' system_fingerprint.
+	Name string
+	// BearerKey is asked for on /v1/ and /orders; empty means no check.
+	BearerKey string
+	// Slots is the largest batch; less than 1 counts as 1.
+	Slots int
+	// TokenStep is the time of a token of a lone answer.
+	TokenStep time.Duration
+	// PrefillPerToken is the time before the first token for each prompt token.
+	PrefillPerToken time.Duration
+	// LoadLag is the age of the figures of /load and /cache_events.
+	LoadLag time.Duration
+	// Seed selects the prefix events that get lost. The answers don't depend on it.
+	Seed uint64
+	// CheckFencing refuses orders with a lower fencing number than the highest seen.
+	CheckFencing bool
+	// Models are loaded at the start; when empty, any model name is served.
+	Models []string
+	// Ready, when set, gets the address in use.
+	Ready func(addr string)
+}
+
+// Record describes one attempt at an answer.
+type Record struct {
+	RequestID string `json:"request_id"`
+	Attempt   string `json:"attempt"`
+	Priority  int    `json:"priority"`
+	Offset    int    `json:"offset"`
+	// Tokens is the number of tokens that this run made, after the offset.
+	Tokens       int `json:"tokens"`
+	PromptTokens int `json:"prompt_tokens"`
+	// State is running (also while it waits), finished, cancelled or crashed.
+	State     string    `json:"state"`
+	BodyHash  string    `json:"body_hash"`
+	StartedAt time.Time `json:"started_at"`
+}
+
+// Engine serves one engine's API.
+type Engine struct {
+	options Options
+	batch   *Batch
+	runs    supporter.Runs[Record]
+	silent  supporter.Gate
+	cache   prefixes
+	orders  *orders
+
+	mu         sync.Mutex
+	crashAfter int
+	refuse     bool
+}
+
+// New returns an idle engine.
+func New(o Options) *Engine {
+	return &Engine{
+		options: o,
+		batch:   NewBatch(o.Slots, o.TokenStep, o.PrefillPerToken, o.LoadLag),
+		cache:   prefixes{lag: o.LoadLag, seed: o.Seed},
+		orders:  newOrders(o.Models, o.CheckFencing),
+	}
+}
+
+// Run serves an engine until the context ends.
+func Run(ctx context.Context, o Options, log zerolog.Logger) error {
+	l := log.With().Str("standin", "engine").Str("name", o.Name).Logger()
+	return supporter.Serve(ctx, o.Listen, New(o).Handler(), o.Ready, l)
+}
+
+// Handler returns the engine's whole HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /v1/chat/completions", e.keyed(e.complete(chatForm)))
+	m.HandleFunc("POST /v1/completions", e.keyed(e.complete(textForm)))
+	m.HandleFunc("GET /v1/models", e.keyed(e.listModels))
+	m.HandleFunc("POST /orders", e.keyed(e.order))
+	m.HandleFunc("GET /state", e.state)
+	m.HandleFunc("GET /load", e.load)
+	m.HandleFunc("GET /cache_events", e.cacheEvents)
+	m.HandleFunc("POST /standin/switches", e.setSwitches)
+	m.HandleFunc("GET /standin/runs", e.listRuns)
+	m.HandleFunc("DELETE /standin/runs", e.clearRuns)
+	return m
+}
+
+func (e *Engine) keyed(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		k := e.options.BearerKey
+		if k != "" && r.Header.Get("Authorization") != "Bearer "+k {
+			refuse(w, http.StatusUnauthorized, "invalid_request_error", "invalid_api_key", "wrong API key")
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	supporter.WriteJSON(w, http.StatusOK, e.batch.Load())
+}
+
+func (e *Engine) listRuns(w http.ResponseWriter, _ *http.Request) {
+	supporter.WriteJSON(w, http.StatusOK, e.runs.List())
+}
+
+func (e *Engine) clearRuns(w http.ResponseWriter, _ *http.Request) {
+	e.runs.Clear()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+type switches struct {
+	Straggle         *float64 `json:"straggle"`
+	CrashAfterTokens *int     `json:"crash_after_tokens"`
+	Silent           *bool    `json:"silent"`
+	Refuse           *bool    `json:"refuse"`
+}
+
+func (e *Engine) setSwitches(w http.ResponseWriter, r *http.Request) {
+	var s switches
+	if !supporter.ReadJSON(w, r, &s) {
+		return
+	}
+	if s.Straggle != nil && *s.Straggle > 0 {
+		e.batch.SetFactor(*s.Straggle)
+	}
+	if s.Silent != nil {
+		e.silent.Set(*s.Silent)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s.CrashAfterTokens != nil {
+		e.crashAfter = *s.CrashAfterTokens
+	}
+	if s.Refuse != nil {
+		e.refuse = *s.Refuse
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) faults() (crashAfter int, refuse bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashAfter, e.refuse
+}
--- /dev/null
+++ b/internal/standin/engine/orders.go
@@ -0,0 +1,188 @@
+package generator
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	supporter "quincepath.example/quincepath/internal/standin/support"
+)
+
+// orders is what the orders to the engine have set. Highest never falls.
+type orders struct {
+	check   bool
+	anyName bool
+
+	mu       sync.Mutex
+	models   map[string]bool
+	adapters map[string]bool
+	role     string
+	highest  int64
+}
+
+func newOrders(models []string, check bool) *orders {
+	o := &orders{
+		check:    check,
+		anyName:  len(models) == 0,
+		models:   make(map[string]bool),
+		adapters: make(map[string]bool),
+	}
+	for _, m := range models {
+		o.models[m] = true
+	}
+	return o
+}
+
+type orderBody struct {
+	Kind    string `json:"kind"`
+	Name    string `json:"name"`
+	Fencing int64  `json:"fencing"`
+}
+
+type stateBody struct {
+	Models         []string `json:"models"`
+	Adapters       []string `json:"adapters"`
+	Role           string   `json:"role"`
+	HighestFencing int64    `json:"highest_fencing"`
+}
+
+// apply returns the status of an order: 200, 400 for an unknown kind, 409 for an old fencing number.
+func (o *orders) apply(b orderBody) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.check && b.Fencing < o.highest {
+		return http.StatusConflict
+	}
+	switch b.Kind {
+	case "load_model":
+		o.models[b.Name] = true
+	case "unload_model":
+		delete(o.models, b.Name)
+	case "load_adapter":
+		o.adapters[b.Name] = true
+	case "set_role":
+		o.role = b.Name
+	default:
+		return http.StatusBadRequest
+	}
+	o.highest = max(o.highest, b.Fencing)
+	return http.StatusOK
+}
+
+func (o *orders) state() stateBody {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return stateBody{
+		Models:         slices.AppendSeq([]string{}, maps.Keys(o.models)),
+		Adapters:       slices.AppendSeq([]string{}, maps.Keys(o.adapters)),
+		Role:           o.role,
+		HighestFencing: o.highest,
+	}
+}
+
+func (o *orders) serves(name string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.anyName || o.models[name] || o.adapters[name]
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var b orderBody
+	if !supporter.ReadJSON(w, r, &b) {
+		return
+	}
+	switch s := e.orders.apply(b); s {
+	case http.StatusOK:
+		e.state(w, r)
+	case http.StatusConflict:
+		refuse(w, s, "conflict_error", "fencing_too_low", "the fencing number is lower than one seen")
+	default:
+		refuse(w, s, "invalid_request_error", "unknown_order", "unknown kind of order")
+	}
+}
+
+func (e *Engine) state(w http.ResponseWriter, _ *http.Request) {
+	s := e.orders.state()
+	slices.Sort(s.Models)
+	slices.Sort(s.Adapters)
+	supporter.WriteJSON(w, http.StatusOK, s)
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (e *Engine) listModels(w http.ResponseWriter, _ *http.Request) {
+	s := e.orders.state()
+	names := append(s.Models, s.Adapters...)
+	slices.Sort(names)
+	list := make([]modelEntry, 0, len(names))
+	for _, n := range names {
+		list = append(list, modelEntry{ID: n, Object: "model", OwnedBy: e.options.Name})
+	}
+	supporter.WriteJSON(w, http.StatusOK, map[string]any{"object": "list", "data": list})
+}
+
+const (
+	prefixBytes  = 256
+	keptPrefixes = 4096
+	lostOneIn    = 8
+)
+
+type prefixEvent struct {
+	Sequence   int       `json:"sequence"`
+	Kind       string    `json:"kind"`
+	PrefixHash string    `json:"prefix_hash"`
+	At         time.Time `json:"at"`
+}
+
+// prefixes lists stored prompt prefixes late, and loses one in eight for good; the sequence numbers show the gaps.
+type prefixes struct {
+	lag  time.Duration
+	seed uint64
+
+	mu     sync.Mutex
+	count  int
+	events []prefixEvent
+}
+
+func (p *prefixes) add(prompt string) {
+	h := strconv.FormatUint(xxhash.Sum64String(prompt[:min(len(prompt), prefixBytes)]), 16)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.count++
+	draw := xxhash.Sum64String(strconv.FormatUint(p.seed, 10) + "/" + strconv.Itoa(p.count))
+	if draw%lostOneIn == 0 {
+		return
+	}
+	if len(p.events) >= keptPrefixes {
+		p.events = p.events[1:]
+	}
+	p.events = append(p.events, prefixEvent{Sequence: p.count, Kind: "stored", PrefixHash: h, At: time.Now()})
+}
+
+func (p *prefixes) after(n int) []prefixEvent {
+	limit := time.Now().Add(-p.lag)
+	out := []prefixEvent{}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, v := range p.events {
+		if v.Sequence > n && !v.At.After(limit) {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	n, _ := strconv.Atoi(r.URL.Query().Get("after"))
+	supporter.WriteJSON(w, http.StatusOK, map[string]any{"events": e.cache.after(n)})
+}
