Test the closed connection and the straggle factor of the stand-in engine

Breaking the code on purpose showed that TestClosedConnectionCancels passed with the request's context cut off from the batch: the streamed answer ended by a failing write. The test now closes the connection of an answer that isn't streamed, and hangs to the timeout with that fault (seen).

--- a/internal/standin/engine/batch_test.go
+++ b/internal/standin/engine/batch_test.go
@@ -68,6 +68,15 @@
 	}
 }
 
+func TestFactorStretchesTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBatch(1, step, 0, 0)
+		b.SetFactor(2.5)
+		got := ends(t.Context(), b, []Job{{Length: 10}}, []time.Duration{0})
+		assert.DeepEqual(t, got, []time.Duration{250 * time.Millisecond})
+	})
+}
+
 // Symptom: an engine stays full although its readers have gone.
 // Events: a reader's connection closes in mid-answer, another request waits.
 // Cause: the slot was only given up at the end of the answer.
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -1,6 +1,7 @@
 package generator
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -155,13 +156,24 @@
 }
 
 // Symptom: the engine goes on with answers that nobody reads.
-// Events: the reader closes its connection after three tokens.
-// Cause: the closed connection did not reach the batch.
+// Events: the reader closes its connection while nothing is written to it, as the answer isn't streamed.
+// Cause: the closed connection did not reach the batch; only a failing write would have ended the run.
 func TestClosedConnectionCancels(t *testing.T) {
 	url := start(t, Options{Slots: 1, TokenStep: time.Millisecond})
-	r := post(t, url+"/v1/chat/completions", `{"model":"m","prompt":"x","max_tokens":1000000,"stream":true}`)
-	read(r.Body, 3)
-	r.Body.Close()
+	ctx, closeConnection := context.WithCancel(t.Context())
+	body := strings.NewReader(`{"model":"m","prompt":"x","max_tokens":1000000}`)
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/completions", body)
+	assert.NilError(t, err)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := http.DefaultClient.Do(q)
+		ended <- err
+	}()
+	for len(runs(t, url)) == 0 || runs(t, url)[0].Tokens == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	closeConnection()
+	assert.ErrorIs(t, <-ended, context.Canceled)
 	for runs(t, url)[0].State == stateRunning {
 		time.Sleep(time.Millisecond)
 	}
