Add the node's first edge: callers, engines, plain services

Cause: the thin path needs a node that takes OpenAI calls and plain calls and carries them to upstreams. Calls that are not repeatable leave on connections that are never reused, since net/http sends a request again by itself on a reused connection that breaks.

--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,255 @@
+// Package dispatcher carries one request through its attempts: it asks for a
+// slot, lets the edge send the request to the granted upstream, and decides
+// from what came back whether to end, to retry or to resume.
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// Ask is what a request tells the holder of its pool to get a slot.
+type Ask struct {
+	RequestID string `json:"request_id"`
+	Service   string `json:"service"`
+	// Class and Organisation are names in the settings snapshot of the service.
+	Class        string `json:"class"`
+	Organisation string `json:"organisation"`
+	// Exclude names upstreams that already failed this request.
+	Exclude []string `json:"exclude,omitempty"`
+	// Waited is the time since the request arrived at its entry node.
+	Waited time.Duration `json:"waited_ns"`
+	// Progress is the number of tokens that the caller already has; above zero for a resume.
+	Progress int `json:"progress,omitempty"`
+}
+
+// Slot is the permission to send one attempt to one upstream.
+type Slot struct {
+	// ID names the grant; it is unique in the life of its holder.
+	ID       string
+	Upstream configurer.Upstream
+	// Priority is what the engine is told: lower is served first.
+	Priority int
+	// Preempted is closed when the holder takes the slot back for a higher tier; nil means never.
+	Preempted <-chan struct{}
+}
+
+// Result says how an attempt ended.
+type Result int
+
+const (
+	// ResultDone means that the whole answer arrived.
+	ResultDone Result = iota
+	// ResultNotSent means that no byte of the request can have left: the upstream did not run it.
+	ResultNotSent
+	// ResultRefused means that the upstream answered that it did not run the request.
+	ResultRefused
+	// ResultRejected means that the upstream answered that the request itself is wrong; it did not run it.
+	ResultRejected
+	// ResultFailed means that the upstream broke off, and may have run the request.
+	ResultFailed
+	// ResultSilent means that no bytes came within the gap limit.
+	ResultSilent
+	// ResultPreempted means that the holder took the slot back.
+	ResultPreempted
+	// ResultCallerGone means that the caller closed its connection.
+	ResultCallerGone
+)
+
+var resultNames = map[Result]string{
+	ResultDone:       "done",
+	ResultNotSent:    "not_sent",
+	ResultRefused:    "refused",
+	ResultRejected:   "rejected",
+	ResultFailed:     "failed",
+	ResultSilent:     "silent",
+	ResultPreempted:  "preempted",
+	ResultCallerGone: "caller_gone",
+}
+
+// String returns the snake-case name that stands in logs and counters.
+func (r Result) String() string {
+	return resultNames[r]
+}
+
+// Outcome is what the edge saw of one attempt.
+type Outcome struct {
+	Result Result
+	// FirstToken is the time from sending to the first token or answer byte; zero if none came.
+	FirstToken time.Duration
+	// Duration is the time from sending to the end.
+	Duration time.Duration
+	// Tokens is the number of tokens that this attempt delivered to the caller's answer.
+	Tokens int
+	// Err is the cause for the log, or nil.
+	Err error
+}
+
+// TokenGap is the mean time between tokens, or zero when fewer than two came.
+func (o Outcome) TokenGap() time.Duration {
+	if o.Tokens < 2 {
+		return 0
+	}
+
+	return (o.Duration - o.FirstToken) / time.Duration(o.Tokens-1)
+}
+
+// Slotter grants slots. Acquire waits for a grant, a refusal with a numbered
+// result, or the end of ctx; every granted slot is released exactly once.
+type Slotter interface {
+	Acquire(ctx context.Context, ask Ask) (Slot, error)
+	Release(slot Slot, ask Ask, outcome Outcome)
+}
+
+// Sender sends one attempt of a request to an upstream and returns when the
+// attempt is over. It appends what arrives to the request's answer.
+type Sender interface {
+	Send(ctx context.Context, attempt Attempt) Outcome
+	// Progress is the number of tokens that the caller's answer holds so far.
+	Progress() int
+}
+
+// Attempt is one try at one upstream.
+type Attempt struct {
+	// Number counts from 1.
+	Number int
+	Slot   Slot
+	// Offset is the number of tokens that the engine is to skip.
+	Offset int
+}
+
+// Next is the decision after an attempt.
+type Next struct {
+	// Again asks for another attempt.
+	Again bool
+	// Exclude keeps the failed upstream out of later attempts.
+	Exclude bool
+	// Reason names the retry in counters and logs, such as "upstream_silent".
+	Reason string
+	// Err ends the request when Again is false; nil means success.
+	Err *classifier.Error
+}
+
+// Judge decides what follows an attempt.
+type Judge interface {
+	Decide(request Request, attempt Attempt, outcome Outcome, progress int) Next
+}
+
+// Request is one request with its resolved settings.
+type Request struct {
+	ID           string
+	Service      configurer.Service
+	Class        configurer.Class
+	Organisation configurer.Organisation
+	// Repeatable is false when a second run would do harm.
+	Repeatable bool
+	Arrived    time.Time
+}
+
+// Observer is told of each attempt, for counters and logs.
+type Observer interface {
+	AttemptEnded(request Request, attempt Attempt, outcome Outcome, next Next)
+}
+
+// Dispatcher runs requests. It is safe for concurrent use.
+type Dispatcher struct {
+	slotter  Slotter
+	judge    Judge
+	observer Observer
+}
+
+// New returns a dispatcher over the given parts.
+func New(slotter Slotter, judge Judge, observer Observer) *Dispatcher {
+	return &Dispatcher{slotter: slotter, judge: judge, observer: observer}
+}
+
+// Run carries the request to its end and returns nil or a numbered result.
+func (d *Dispatcher) Run(ctx context.Context, request Request, sender Sender) *classifier.Error {
+	var exclude []string
+
+	for number := 1; ; number++ {
+		ask := Ask{
+			RequestID:    request.ID,
+			Service:      request.Service.Name,
+			Class:        request.Class.Name,
+			Organisation: request.Organisation.Name,
+			Exclude:      exclude,
+			Waited:       time.Since(request.Arrived),
+			Progress:     sender.Progress(),
+		}
+
+		slot, err := d.slotter.Acquire(ctx, ask)
+		if err != nil {
+			return d.acquireError(ctx, err, number)
+		}
+
+		attempt := Attempt{Number: number, Slot: slot, Offset: sender.Progress()}
+		outcome := d.send(ctx, sender, attempt)
+		d.slotter.Release(slot, ask, outcome)
+
+		next := d.judge.Decide(request, attempt, outcome, sender.Progress())
+		d.observer.AttemptEnded(request, attempt, outcome, next)
+
+		if !next.Again {
+			return next.Err
+		}
+
+		if next.Exclude {
+			exclude = append(exclude, slot.Upstream.Name)
+		}
+	}
+}
+
+// send runs one attempt and ends it early when the holder takes the slot back.
+func (d *Dispatcher) send(ctx context.Context, sender Sender, attempt Attempt) Outcome {
+	if attempt.Slot.Preempted == nil {
+		return sender.Send(ctx, attempt)
+	}
+
+	attemptContext, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	preempted := make(chan bool, 1)
+	stop := make(chan struct{})
+
+	go func() {
+		select {
+		case <-attempt.Slot.Preempted:
+			cancel()
+			preempted <- true
+		case <-stop:
+			preempted <- false
+		}
+	}()
+
+	outcome := sender.Send(attemptContext, attempt)
+
+	close(stop)
+
+	if <-preempted && outcome.Result == ResultCallerGone && ctx.Err() == nil {
+		outcome.Result = ResultPreempted
+	}
+
+	return outcome
+}
+
+// acquireError turns a failed Acquire into the final result. After a first
+// attempt the request may have run, so a refusal can't say "not run" any more.
+func (d *Dispatcher) acquireError(ctx context.Context, err error, number int) *classifier.Error {
+	if ctx.Err() != nil {
+		return classifier.Wrap(err, classifier.CallerGone, "the caller left while the request waited")
+	}
+
+	numbered := classifier.From(err)
+	if number > 1 && numbered.Ran == classifier.RanNo {
+		copied := *numbered
+		copied.Ran = classifier.RanUnknown
+
+		return &copied
+	}
+
+	return numbered
+}
--- /dev/null
+++ b/internal/recorder/answer.go
@@ -0,0 +1,131 @@
+// Package recorder keeps the answers of requests in memory while they arrive,
+// so that callers can follow them from any position and come back to them
+// after a broken connection.
+package recorder
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Event is one piece of an answer.
+type Event struct {
+	// ID is the event id that a caller names to resume after this event; empty for events that can't be resumed after.
+	ID string
+	// Data is the payload; it is not changed after it was appended.
+	Data []byte
+}
+
+// Answer collects the events of one request. One goroutine appends, any number follow.
+type Answer struct {
+	mu sync.Mutex
+	// events only grows; an index once handed out stays valid.
+	events []Event
+	// ended is set once, after the last event.
+	ended bool
+	err   error
+	// endedAt is the time of the end; zero before.
+	endedAt time.Time
+	// grown is closed and replaced whenever events or ended change and somebody waits.
+	grown   chan struct{}
+	waiting bool
+}
+
+// NewAnswer returns an empty answer.
+func NewAnswer() *Answer {
+	return &Answer{grown: make(chan struct{})}
+}
+
+// Append adds events to the answer. It must not be called after End.
+func (a *Answer) Append(events ...Event) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.events = append(a.events, events...)
+	a.wake()
+}
+
+// End marks the answer as complete, or as failed when err is not nil. Only the first call counts.
+func (a *Answer) End(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	if a.ended {
+		return
+	}
+
+	a.ended = true
+	a.err = err
+	a.endedAt = time.Now()
+	a.wake()
+}
+
+// Next returns the events from index from on. It waits until there is at
+// least one, the answer has ended, or ctx ends. The last result is true when
+// no event will follow those returned; the error is then that of End.
+func (a *Answer) Next(ctx context.Context, from int) ([]Event, bool, error) {
+	for {
+		a.mu.Lock()
+		if len(a.events) > from || a.ended {
+			events, ended, err := a.events[min(from, len(a.events)):], a.ended, a.err
+			a.mu.Unlock()
+
+			return events, ended, err
+		}
+
+		a.waiting = true
+		grown := a.grown
+		a.mu.Unlock()
+
+		select {
+		case <-grown:
+		case <-ctx.Done():
+			return nil, false, ctx.Err()
+		}
+	}
+}
+
+// Position returns the index of the first event after the one with the given id.
+func (a *Answer) Position(id string) (int, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	if id == "" {
+		return 0, true
+	}
+
+	for i := range a.events {
+		if a.events[i].ID == id {
+			return i + 1, true
+		}
+	}
+
+	return 0, false
+}
+
+// Len returns the number of events so far.
+func (a *Answer) Len() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return len(a.events)
+}
+
+// EndedAt returns when the answer ended, or the zero time.
+func (a *Answer) EndedAt() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.endedAt
+}
+
+func (a *Answer) wake() {
+	if !a.waiting {
+		return
+	}
+
+	a.waiting = false
+	close(a.grown)
+	a.grown = make(chan struct{})
+}
--- /dev/null
+++ b/internal/server/engine.go
@@ -0,0 +1,281 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tidwall/gjson"
+	"github.com/tidwall/sjson"
+	"github.com/tmaxmax/go-sse"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/dispatcher"
+	"quincepath.example/quincepath/internal/forwarder"
+	"quincepath.example/quincepath/internal/recorder"
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// maxEventBytes is the longest event that is read from an engine.
+const maxEventBytes = 1 << 20
+
+// endOfStream is the payload of the last event of an OpenAI stream.
+const endOfStream = "[DONE]"
+
+// firstSilenceFactor times the class's target is how long an engine may take to the first byte.
+const firstSilenceFactor = 4
+
+func (n *Node) handleEngine(w http.ResponseWriter, r *http.Request) {
+	body, failure := n.readBody(w, r)
+	if failure != nil {
+		writeError(w, "", failure)
+
+		return
+	}
+
+	if !gjson.ValidBytes(body) {
+		writeError(w, "", classifier.New(classifier.InvalidRequest, "the body is not JSON"))
+
+		return
+	}
+
+	taken, failure := n.take(r, gjson.GetBytes(body, "model").String(), configurer.KindEngine)
+	if failure != nil {
+		writeError(w, "", failure)
+
+		return
+	}
+
+	prepared, failure := prepareEngineBody(body)
+	if failure != nil {
+		writeError(w, taken.request.ID, failure)
+
+		return
+	}
+
+	sender := &engineSender{
+		client:  n.upstream,
+		request: taken.request,
+		path:    r.URL.Path,
+		body:    prepared,
+		key:     taken.key,
+		answer:  recorder.NewAnswer(),
+	}
+
+	if failure := n.start(r, taken.request, sender, sender.answer); failure != nil {
+		writeError(w, taken.request.ID, failure)
+
+		return
+	}
+
+	if gjson.GetBytes(body, "stream").Bool() {
+		n.streamAnswer(w, r, taken.request.ID, sender.answer, 0)
+
+		return
+	}
+
+	n.collectAnswer(w, r, taken.request, sender.answer)
+}
+
+// prepareEngineBody makes the engine stream, whatever the caller asked: only a
+// stream shows first-token times and silence, and can be resumed.
+func prepareEngineBody(body []byte) ([]byte, *classifier.Error) {
+	wantsUsage := gjson.GetBytes(body, "stream_options.include_usage").Bool()
+	streams := gjson.GetBytes(body, "stream").Bool()
+
+	prepared, err := sjson.SetBytes(body, "stream", true)
+	if err != nil {
+		return nil, classifier.Wrap(err, classifier.InvalidRequest, "the body is not a JSON object")
+	}
+
+	if streams && !wantsUsage {
+		return prepared, nil
+	}
+
+	prepared, err = sjson.SetBytes(prepared, "stream_options.include_usage", true)
+	if err != nil {
+		return nil, classifier.Wrap(err, classifier.InvalidRequest, "stream_options is not a JSON object")
+	}
+
+	return prepared, nil
+}
+
+// engineSender sends the attempts of one request to engines and gathers the events.
+type engineSender struct {
+	client  *forwarder.Client
+	request dispatcher.Request
+	path    string
+	body    []byte
+	key     string
+	answer  *recorder.Answer
+	// tokens is the number of tokens in the answer; only the sending goroutine uses it.
+	tokens int
+}
+
+// Progress implements dispatcher.Sender.
+func (s *engineSender) Progress() int {
+	return s.tokens
+}
+
+// Send implements dispatcher.Sender.
+func (s *engineSender) Send(ctx context.Context, attempt dispatcher.Attempt) dispatcher.Outcome {
+	started := time.Now()
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	reader := forwarder.NewGapReader(s.firstLimit(), s.request.Class.GapLimit, cancel)
+	defer reader.Stop()
+
+	pump := &eventPump{sender: s, started: started, skip: s.tokens}
+	err := s.exchange(ctx, attempt, reader, pump)
+
+	return dispatcher.Outcome{
+		Result:     sendResult(err, reader, ctx),
+		FirstToken: pump.firstToken,
+		Duration:   time.Since(started),
+		Tokens:     pump.delivered,
+		Err:        err,
+	}
+}
+
+func (s *engineSender) firstLimit() time.Duration {
+	return max(s.request.Class.GapLimit, firstSilenceFactor*s.request.Class.Target)
+}
+
+func (s *engineSender) exchange(ctx context.Context, attempt dispatcher.Attempt, reader *forwarder.GapReader, pump *eventPump) error {
+	body, err := attemptBody(s.body, attempt)
+	if err != nil {
+		return errors.Mark(err, forwarder.ErrNotSent)
+	}
+
+	header := http.Header{"Content-Type": {"application/json"}}
+	if s.key != "" {
+		header.Set(forwarder.HeaderKey, s.key)
+	}
+
+	response, err := s.client.Do(ctx, forwarder.Call{
+		Method:          http.MethodPost,
+		URL:             attempt.Slot.Upstream.Address + s.path,
+		Header:          header,
+		Body:            body,
+		RequestID:       s.request.ID,
+		Attempt:         attempt.Number,
+		Priority:        attempt.Slot.Priority,
+		OnNewConnection: attempt.Number > 1 || !s.request.Repeatable,
+	})
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+
+	if failure := forwarder.CheckStatus(response); failure != nil {
+		return failure
+	}
+
+	reader.Attach(response.Body)
+
+	return pump.run(reader)
+}
+
+func attemptBody(body []byte, attempt dispatcher.Attempt) ([]byte, error) {
+	prepared, err := sjson.SetBytes(body, "priority", attempt.Slot.Priority)
+	if err != nil {
+		return nil, errors.Wrap(err, "set priority")
+	}
+
+	if attempt.Offset == 0 {
+		return prepared, nil
+	}
+
+	prepared, err = sjson.SetBytes(prepared, "resume_offset", attempt.Offset)
+
+	return prepared, errors.Wrap(err, "set resume offset")
+}
+
+// sendResult tells how an attempt ended from its error and the state of its reader.
+func sendResult(err error, reader *forwarder.GapReader, ctx context.Context) dispatcher.Result {
+	switch {
+	case err == nil:
+		return dispatcher.ResultDone
+	case errors.Is(err, forwarder.ErrNotSent) && !reader.Silent() && ctx.Err() == nil:
+		return dispatcher.ResultNotSent
+	case errors.Is(err, forwarder.ErrRefused):
+		return dispatcher.ResultRefused
+	case errors.Is(err, forwarder.ErrRejected):
+		return dispatcher.ResultRejected
+	case reader.Silent():
+		return dispatcher.ResultSilent
+	case ctx.Err() != nil:
+		return dispatcher.ResultCallerGone
+	default:
+		return dispatcher.ResultFailed
+	}
+}
+
+// errStreamIncomplete marks a stream that ended before its last event.
+var errStreamIncomplete = errors.New("the stream ended before its last event")
+
+// eventPump reads one engine stream into the answer.
+type eventPump struct {
+	sender     *engineSender
+	started    time.Time
+	firstToken time.Duration
+	// skip is the number of tokens that the answer had before this attempt.
+	skip      int
+	delivered int
+}
+
+func (p *eventPump) run(reader *forwarder.GapReader) error {
+	var failure error
+
+	done := false
+
+	sse.Read(reader, &sse.ReadConfig{MaxEventSize: maxEventBytes})(func(event sse.Event, err error) bool {
+		if err != nil {
+			failure = err
+
+			return false
+		}
+
+		done = p.take(event)
+
+		return !done
+	})
+
+	if failure != nil {
+		return errors.Wrap(failure, "read stream")
+	}
+
+	if !done {
+		return errStreamIncomplete
+	}
+
+	return nil
+}
+
+// take adds one event to the answer and says whether it was the last.
+func (p *eventPump) take(event sse.Event) bool {
+	if event.Data == endOfStream {
+		p.sender.answer.Append(recorder.Event{Data: []byte(endOfStream)})
+
+		return true
+	}
+
+	id := ""
+
+	if carriesToken(event.Data) {
+		p.sender.tokens++
+		p.delivered++
+		id = eventID(p.sender.tokens)
+
+		if p.delivered == 1 {
+			p.firstToken = time.Since(p.started)
+		}
+	}
+
+	p.sender.answer.Append(recorder.Event{ID: id, Data: []byte(event.Data)})
+
+	return false
+}
--- /dev/null
+++ b/internal/server/engine_answer.go
@@ -0,0 +1,262 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tidwall/gjson"
+	"github.com/tmaxmax/go-sse"
+
+	"quincepath.example/quincepath/internal/dispatcher"
+	"quincepath.example/quincepath/internal/recorder"
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// commentInterval is the time between comments on a stream that waits. Comments
+// keep middle boxes from dropping the connection and show the caller that it lives.
+const commentInterval = 5 * time.Second
+
+func eventID(token int) string {
+	return strconv.Itoa(token)
+}
+
+// carriesToken says whether a chunk holds answer text.
+func carriesToken(data string) bool {
+	return gjson.Get(data, "choices.0.delta.content").String() != "" || gjson.Get(data, "choices.0.text").String() != ""
+}
+
+// streamAnswer follows the answer from the given event on and writes it as server-sent events.
+func (n *Node) streamAnswer(w http.ResponseWriter, r *http.Request, requestID string, answer *recorder.Answer, from int) {
+	events, ended, failure := n.firstEvents(r.Context(), answer, from)
+	if failure != nil {
+		writeError(w, requestID, failure)
+
+		return
+	}
+
+	header := w.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-cache")
+	header.Set(headerRequestID, requestID)
+	w.WriteHeader(http.StatusOK)
+
+	stream := &eventWriter{writer: w, control: http.NewResponseController(w)}
+
+	for {
+		if err := stream.write(events); err != nil || ended {
+			return
+		}
+
+		from += len(events)
+
+		var failed error
+
+		events, ended, failed = nextEvents(r.Context(), answer, from, stream)
+		if r.Context().Err() != nil {
+			return
+		}
+
+		if failed != nil {
+			_ = stream.write(append(events, errorEvent(requestID, classifier.From(failed))))
+
+			return
+		}
+	}
+}
+
+// firstEvents waits for the first events, so that a failure before them still gets its own status.
+func (n *Node) firstEvents(ctx context.Context, answer *recorder.Answer, from int) ([]recorder.Event, bool, *classifier.Error) {
+	events, ended, err := answer.Next(ctx, from)
+	if len(events) > 0 {
+		// A failure after these events is reported behind them.
+		return events, ended && err == nil, nil
+	}
+
+	if ctx.Err() != nil {
+		return nil, true, classifier.New(classifier.CallerGone, "the caller left")
+	}
+
+	return nil, ended, classifier.From(err)
+}
+
+// nextEvents waits for more events and writes a comment whenever none came for a while.
+func nextEvents(ctx context.Context, answer *recorder.Answer, from int, stream *eventWriter) ([]recorder.Event, bool, error) {
+	for {
+		waiting, cancel := context.WithTimeout(ctx, commentInterval)
+		events, ended, err := answer.Next(waiting, from)
+
+		cancel()
+
+		if ended || len(events) > 0 || ctx.Err() != nil {
+			return events, ended, err
+		}
+
+		if err := stream.comment(); err != nil {
+			return nil, true, nil
+		}
+	}
+}
+
+func errorEvent(requestID string, failure *classifier.Error) recorder.Event {
+	data, err := json.Marshal(newErrorAnswer(requestID, failure))
+	if err != nil {
+		data = []byte(`{"error":{}}`)
+	}
+
+	return recorder.Event{Data: data}
+}
+
+// eventWriter writes events to one caller.
+type eventWriter struct {
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	buffer  bytes.Buffer
+}
+
+func (e *eventWriter) write(events []recorder.Event) error {
+	e.buffer.Reset()
+
+	for _, event := range events {
+		message := sse.Message{}
+		if event.ID != "" {
+			message.ID = sse.ID(event.ID)
+		}
+
+		message.AppendData(string(event.Data))
+
+		if _, err := message.WriteTo(&e.buffer); err != nil {
+			return err
+		}
+	}
+
+	return e.flush()
+}
+
+func (e *eventWriter) comment() error {
+	e.buffer.Reset()
+
+	message := sse.Message{}
+	message.AppendComment("waiting")
+
+	if _, err := message.WriteTo(&e.buffer); err != nil {
+		return err
+	}
+
+	return e.flush()
+}
+
+func (e *eventWriter) flush() error {
+	if _, err := e.writer.Write(e.buffer.Bytes()); err != nil {
+		return err
+	}
+
+	return e.control.Flush()
+}
+
+// completion is the OpenAI answer that is not streamed.
+type completion struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+	Usage   json.RawMessage    `json:"usage,omitempty"`
+}
+
+type completionChoice struct {
+	Index        int                `json:"index"`
+	Message      *completionMessage `json:"message,omitempty"`
+	Text         *string            `json:"text,omitempty"`
+	FinishReason string             `json:"finish_reason"`
+	Logprobs     json.RawMessage    `json:"logprobs"`
+}
+
+type completionMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+	Refusal any    `json:"refusal"`
+}
+
+// collectAnswer waits for the whole answer and writes it as one JSON object.
+func (n *Node) collectAnswer(w http.ResponseWriter, r *http.Request, request dispatcher.Request, answer *recorder.Answer) {
+	events, failure := wholeAnswer(r.Context(), answer)
+	if failure != nil {
+		writeError(w, request.ID, failure)
+
+		return
+	}
+
+	w.Header().Set(headerRequestID, request.ID)
+	w.Header().Set(headerResult, classifier.OK.String())
+	writeJSON(w, assemble(events))
+}
+
+func wholeAnswer(ctx context.Context, answer *recorder.Answer) ([]recorder.Event, *classifier.Error) {
+	from := 0
+
+	for {
+		events, ended, err := answer.Next(ctx, from)
+		if err != nil {
+			return nil, classifier.From(err)
+		}
+
+		if ended {
+			all, _, _ := answer.Next(ctx, 0)
+
+			return all, nil
+		}
+
+		from += len(events)
+	}
+}
+
+// assemble joins the chunks of a stream into the object that a call without streaming returns.
+func assemble(events []recorder.Event) completion {
+	var (
+		text   strings.Builder
+		whole  completion
+		choice completionChoice
+		isChat bool
+	)
+
+	for _, event := range events {
+		chunk := gjson.ParseBytes(event.Data)
+		if whole.ID == "" {
+			whole.ID = chunk.Get("id").String()
+			whole.Created = chunk.Get("created").Int()
+			whole.Model = chunk.Get("model").String()
+			isChat = chunk.Get("object").String() == "chat.completion.chunk"
+		}
+
+		text.WriteString(chunk.Get("choices.0.delta.content").String())
+		text.WriteString(chunk.Get("choices.0.text").String())
+
+		if reason := chunk.Get("choices.0.finish_reason").String(); reason != "" {
+			choice.FinishReason = reason
+		}
+
+		if usage := chunk.Get("usage"); usage.IsObject() {
+			whole.Usage = json.RawMessage(usage.Raw)
+		}
+	}
+
+	content := text.String()
+	choice.Logprobs = json.RawMessage("null")
+	whole.Object = "text_completion"
+
+	if isChat {
+		whole.Object = "chat.completion"
+		choice.Message = &completionMessage{Role: "assistant", Content: content}
+	} else {
+		choice.Text = &content
+	}
+
+	whole.Choices = []completionChoice{choice}
+
+	return whole
+}
--- /dev/null
+++ b/internal/server/plain.go
@@ -0,0 +1,187 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/dispatcher"
+	"quincepath.example/quincepath/internal/forwarder"
+	"quincepath.example/quincepath/internal/recorder"
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// maxPlainAnswerBytes is the longest answer of a plain service; it is held whole in memory.
+const maxPlainAnswerBytes = 8 << 20
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Authorization", "Content-Length",
+}
+
+func (n *Node) handlePlain(w http.ResponseWriter, r *http.Request) {
+	body, failure := n.readBody(w, r)
+	if failure != nil {
+		writeError(w, "", failure)
+
+		return
+	}
+
+	taken, failure := n.take(r, r.PathValue("service"), configurer.KindPlain)
+	if failure != nil {
+		writeError(w, "", failure)
+
+		return
+	}
+
+	sender := newPlainSender(n.upstream, taken, r, body)
+	if failure := n.start(r, taken.request, sender, sender.answer); failure != nil {
+		writeError(w, taken.request.ID, failure)
+
+		return
+	}
+
+	if _, failure := wholeAnswer(r.Context(), sender.answer); failure != nil {
+		writeError(w, taken.request.ID, failure)
+
+		return
+	}
+
+	sender.writeTo(w)
+}
+
+// plainSender sends the attempts of one call to a plain service and keeps the whole answer.
+type plainSender struct {
+	client  *forwarder.Client
+	request dispatcher.Request
+	method  string
+	path    string
+	header  http.Header
+	body    []byte
+	answer  *recorder.Answer
+	// status and answered are set once, before the answer ends.
+	status   int
+	answered http.Header
+	payload  []byte
+}
+
+func newPlainSender(client *forwarder.Client, taken intake, r *http.Request, body []byte) *plainSender {
+	path := "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+
+	header := r.Header.Clone()
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+
+	return &plainSender{
+		client:  client,
+		request: taken.request,
+		method:  r.Method,
+		path:    path,
+		header:  header,
+		body:    body,
+		answer:  recorder.NewAnswer(),
+	}
+}
+
+// Progress implements dispatcher.Sender; a plain answer can't be resumed.
+func (s *plainSender) Progress() int {
+	return 0
+}
+
+// Send implements dispatcher.Sender.
+func (s *plainSender) Send(ctx context.Context, attempt dispatcher.Attempt) dispatcher.Outcome {
+	started := time.Now()
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	limit := s.request.Class.GapLimit
+	reader := forwarder.NewGapReader(limit, limit, cancel)
+
+	defer reader.Stop()
+
+	err := s.exchange(ctx, attempt, reader)
+	duration := time.Since(started)
+
+	return dispatcher.Outcome{
+		Result:     sendResult(err, reader, ctx),
+		FirstToken: duration,
+		Duration:   duration,
+		Err:        err,
+	}
+}
+
+func (s *plainSender) exchange(ctx context.Context, attempt dispatcher.Attempt, reader *forwarder.GapReader) error {
+	response, err := s.client.Do(ctx, forwarder.Call{
+		Method:          s.method,
+		URL:             attempt.Slot.Upstream.Address + s.path,
+		Header:          s.header,
+		Body:            s.body,
+		RequestID:       s.request.ID,
+		Attempt:         attempt.Number,
+		Priority:        attempt.Slot.Priority,
+		OnNewConnection: attempt.Number > 1 || !s.request.Repeatable,
+	})
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+
+	if err := s.checkStatus(response); err != nil {
+		return err
+	}
+
+	reader.Attach(response.Body)
+
+	payload, err := io.ReadAll(io.LimitReader(reader, maxPlainAnswerBytes+1))
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+
+	if len(payload) > maxPlainAnswerBytes {
+		return errors.Newf("the answer is longer than %d bytes", maxPlainAnswerBytes)
+	}
+
+	s.status, s.answered, s.payload = response.StatusCode, response.Header, payload
+	s.answer.Append(recorder.Event{Data: payload})
+
+	return nil
+}
+
+// checkStatus lets every answer of the service through to the caller but those that mean "not run, come back".
+func (s *plainSender) checkStatus(response *http.Response) error {
+	err := forwarder.CheckStatus(response)
+	if errors.Is(err, forwarder.ErrRefused) {
+		return err
+	}
+
+	return nil
+}
+
+func (s *plainSender) writeTo(w http.ResponseWriter) {
+	header := w.Header()
+
+	for name, values := range s.answered {
+		header[name] = values
+	}
+
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+
+	header.Set(headerRequestID, s.request.ID)
+	header.Set(headerResult, classifier.OK.String())
+	w.WriteHeader(s.status)
+	// A failed write means that the caller left; its connection ends with the handler.
+	_, _ = io.Copy(w, bytes.NewReader(s.payload))
+}
--- /dev/null
+++ b/internal/server/runs.go
@@ -0,0 +1,179 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"quincepath.example/quincepath/internal/dispatcher"
+	"quincepath.example/quincepath/internal/recorder"
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+const (
+	// fullRetryAfter is when to come back to a node that has too many requests in flight.
+	fullRetryAfter = time.Second
+	// tierReserve is the part of a node's places that each lower tier leaves to the tiers above it.
+	tierReserve = 0.05
+	// resumeWindow is how long an answer is kept, or goes on, for a caller that may come back to it.
+	resumeWindow = 30 * time.Second
+)
+
+// headerResumable marks requests whose caller comes back after a broken connection.
+const headerResumable = "Quincepath-Resumable"
+
+// run is one request in flight, or ended and kept for a caller that comes back.
+type run struct {
+	request dispatcher.Request
+	answer  *recorder.Answer
+	cancel  context.CancelFunc
+}
+
+// runs holds the requests of a node by id. It is safe for concurrent use.
+type runs struct {
+	mu       sync.Mutex
+	byID     map[string]*run
+	inFlight int
+	// limit is the number of requests in flight that the node takes.
+	limit int
+}
+
+func newRuns(limit int) *runs {
+	return &runs{byID: make(map[string]*run), limit: limit}
+}
+
+// add takes a request in, unless the node is too full for its tier.
+func (a *runs) add(entry *run) *classifier.Error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	reserved := int(float64(a.limit) * tierReserve * float64(entry.request.Class.Tier-1))
+	if a.inFlight >= a.limit-reserved {
+		return classifier.New(classifier.NodeFull, "the node has %d requests in flight", a.inFlight).After(fullRetryAfter)
+	}
+
+	a.inFlight++
+	a.byID[entry.request.ID] = entry
+
+	return nil
+}
+
+// finished marks a request as no longer in flight; its answer stays until forget.
+func (a *runs) finished() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.inFlight--
+}
+
+func (a *runs) forget(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	delete(a.byID, id)
+}
+
+func (a *runs) find(id string) (*run, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	entry, ok := a.byID[id]
+
+	return entry, ok
+}
+
+// count returns the number of requests in flight.
+func (a *runs) count() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.inFlight
+}
+
+// start runs a request on the node's workers. It returns at once; the answer tells the rest.
+func (n *Node) start(r *http.Request, request dispatcher.Request, sender dispatcher.Sender, answer *recorder.Answer) *classifier.Error {
+	ctx, cancel := context.WithCancel(n.work)
+	entry := &run{request: request, answer: answer, cancel: cancel}
+
+	if failure := n.runs.add(entry); failure != nil {
+		cancel()
+
+		return failure
+	}
+
+	resumable := strings.EqualFold(r.Header.Get(headerResumable), "true")
+	n.cancelWithCaller(r.Context(), entry, resumable)
+
+	err := n.runners.Go(func() { n.runOne(ctx, entry, sender, resumable) })
+	if err != nil {
+		cancel()
+		n.runs.finished()
+		n.runs.forget(request.ID)
+
+		return classifier.Wrap(err, classifier.NodeFull, "the node's workers are busy").After(fullRetryAfter)
+	}
+
+	return nil
+}
+
+// cancelWithCaller ends a run whose caller left. A request that is not
+// repeatable goes on: cancelled halfway, nobody could tell whether it ran.
+func (n *Node) cancelWithCaller(caller context.Context, entry *run, resumable bool) {
+	if !entry.request.Repeatable {
+		return
+	}
+
+	context.AfterFunc(caller, func() {
+		if !resumable {
+			entry.cancel()
+
+			return
+		}
+
+		time.AfterFunc(resumeWindow, entry.cancel)
+	})
+}
+
+func (n *Node) runOne(ctx context.Context, entry *run, sender dispatcher.Sender, resumable bool) {
+	defer entry.cancel()
+
+	failure := n.dispatch.Run(ctx, entry.request, sender)
+
+	n.runs.finished()
+	n.logEnd(entry.request, failure)
+
+	if failure != nil {
+		entry.answer.End(failure)
+	} else {
+		entry.answer.End(nil)
+	}
+
+	if !resumable {
+		n.runs.forget(entry.request.ID)
+
+		return
+	}
+
+	time.AfterFunc(resumeWindow, func() { n.runs.forget(entry.request.ID) })
+}
+
+func (n *Node) logEnd(request dispatcher.Request, failure *classifier.Error) {
+	event := n.logger.Info()
+	code := classifier.OK
+
+	if failure != nil {
+		event = n.logger.Warn().Str("reason", failure.Reason)
+		code = failure.Code
+	}
+
+	event.Str("request_id", request.ID).
+		Str("service", request.Service.Name).
+		Str("class", request.Class.Name).
+		Str("organisation", request.Organisation.Name).
+		Int("result_code", int(code)).
+		Str("result", code.String()).
+		Dur("duration_ms", time.Since(request.Arrived)).
+		Msg("request_ended")
+}
