--- /dev/null
+++ b/internal/factory/factory.go
@@ -0,0 +1,76 @@
+// Package factory hands commands what they need from outside: streams,
+// loggers, HTTP clients and the long-running parts. Tests put their own in.
+package factory
+
+import (
+	"context"
+	"io"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-resty/resty/v2"
+	"github.com/mattn/go-isatty"
+	"github.com/rs/zerolog"
+
+	"quincepath.example/quincepath/internal/loader"
+)
+
+// Streams are the input and outputs of a command.
+type Streams struct {
+	In  io.Reader
+	Out io.Writer
+	Err io.Writer
+}
+
+// Parent is a kingpin application or command under which commands are registered.
+type Parent interface {
+	Command(name, help string) *kingpin.CmdClause
+}
+
+// Command is one registered command; Run is called when the command line names it.
+type Command struct {
+	Clause *kingpin.CmdClause
+	Run    func(context.Context) error
+}
+
+// Factory builds the dependencies of commands.
+type Factory struct {
+	Streams Streams
+	// Serve runs a node until ctx ends and its drain is over; nil when the program has no node.
+	Serve func(ctx context.Context, settings loader.Settings, logger zerolog.Logger) error
+}
+
+// New returns a factory with the streams of the process.
+func New() *Factory {
+	return &Factory{Streams: Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}}
+}
+
+// IsTerminal says whether the output stream is a terminal.
+func (f *Factory) IsTerminal() bool {
+	file, ok := f.Streams.Out.(*os.File)
+	return ok && isatty.IsTerminal(file.Fd())
+}
+
+// Logger returns a logger that writes one line for each event to the error stream.
+// Level is a zerolog level name, "info" if it is none; format is "keyvalue" or "json".
+func (f *Factory) Logger(level, format string) zerolog.Logger {
+	least, err := zerolog.ParseLevel(level)
+	if err != nil || least == zerolog.NoLevel {
+		least = zerolog.InfoLevel
+	}
+
+	return zerolog.New(newLineWriter(f.Streams.Err, format)).Level(least).With().Timestamp().Logger()
+}
+
+// AdminClient returns a client for the admin server at base, such as
+// "http://127.0.0.1:9000", that shows the operator's key. A call that takes
+// longer than timeout fails; redirects are refused, so that the key stays with base.
+func (f *Factory) AdminClient(base, key string, timeout time.Duration) *resty.Client {
+	return resty.New().
+		SetBaseURL(base).
+		SetAuthToken(key).
+		SetTimeout(timeout).
+		SetDisableWarn(true).
+		SetRedirectPolicy(resty.NoRedirectPolicy())
+}
--- /dev/null
+++ b/internal/loader/settings.go
@@ -0,0 +1,137 @@
+// Package loader reads a node's own settings file.
+//
+// The file is YAML and is read strictly: unknown or repeated keys, values of
+// another type and values out of range are errors that name the file, the
+// line, the value and what would be right. A file with any error yields no
+// settings at all.
+package loader
+
+import "time"
+
+// Settings is the whole content of a settings file, with all defaults filled in.
+type Settings struct {
+	Node      Node               `yaml:"node"`
+	TLS       TLS                `yaml:"tls"`
+	Platform  Platform           `yaml:"platform"`
+	Peers     Peers              `yaml:"peers"`
+	Operators Operators          `yaml:"operators"`
+	Upstreams Upstreams          `yaml:"upstreams"`
+	Routing   Routing            `yaml:"routing"`
+	Services  map[string]Service `yaml:"services" validate:"dive,keys,name,endkeys"`
+	Log       Log                `yaml:"log"`
+}
+
+// Node says who the node is, where it listens and how much it takes.
+type Node struct {
+	// Name is unique among the nodes.
+	Name          string `yaml:"name" validate:"required,name"`
+	Region        string `yaml:"region" validate:"required,name"`
+	FailureDomain string `yaml:"failure_domain" validate:"required,name"`
+	// Listen is the IP:port for callers; port 0 lets the system choose.
+	Listen string `yaml:"listen" validate:"required,ip_port"`
+	// Advertise is the IP:port that callers are told; Listen when left out. Its IP is never 0.0.0.0 or ::.
+	Advertise string `yaml:"advertise" validate:"omitempty,ip_port,reachable"`
+	// AdminListen is the IP:port for operators; empty means that no such server runs.
+	AdminListen string `yaml:"admin_listen" validate:"omitempty,ip_port"`
+	// PeerListen is the IP:port for other nodes; empty means that no such server runs.
+	PeerListen string `yaml:"peer_listen" validate:"omitempty,ip_port"`
+	// MaxInFlight is the largest number of requests that the node holds at once.
+	MaxInFlight int `yaml:"max_in_flight" validate:"min=1,max=1000000"`
+	// MaxBodyBytes is the largest request body.
+	MaxBodyBytes int64 `yaml:"max_body_bytes" validate:"min=1024,max=1073741824"`
+	// HeaderTimeout is the time in which a caller must send its headers.
+	HeaderTimeout time.Duration `yaml:"header_timeout" validate:"min=1ms,max=10m"`
+	// BodyTimeout is the time in which a caller must send its body.
+	BodyTimeout time.Duration `yaml:"body_timeout" validate:"min=1ms,max=1h"`
+	// DrainTimeout is the longest time that a leaving node waits for its requests.
+	DrainTimeout time.Duration `yaml:"drain_timeout" validate:"min=1ms,max=24h"`
+	// EntryLifetime is how long callers may keep the answer of GET /v1/entries.
+	EntryLifetime time.Duration `yaml:"entry_lifetime" validate:"min=1ms,max=1h"`
+}
+
+// TLS names the files for encrypted connections; all empty means plain TCP.
+type TLS struct {
+	// CertificateFile and KeyFile are PEM files and are given together.
+	CertificateFile string `yaml:"certificate_file" validate:"required_with=KeyFile"`
+	KeyFile         string `yaml:"key_file" validate:"required_with=CertificateFile"`
+	// ClientCAFile is a PEM file of the authorities that sign other nodes' certificates.
+	ClientCAFile string `yaml:"client_ca_file"`
+}
+
+// Platform says where the platform's key-value service answers.
+type Platform struct {
+	// Addresses are base URLs with IP numbers; empty means that the node runs without the platform.
+	Addresses []string `yaml:"addresses" validate:"unique,dive,ip_url"`
+	Token     string   `yaml:"token" secret:"true"`
+	// CallTimeout is the time limit of one call.
+	CallTimeout time.Duration `yaml:"call_timeout" validate:"min=1ms,max=1m"`
+}
+
+// Peers lists the other nodes and the credential shared by all.
+type Peers struct {
+	// Credential is never empty when Nodes is not.
+	Credential string `yaml:"credential" validate:"required_with=Nodes" secret:"true"`
+	Nodes      []Peer `yaml:"nodes" validate:"unique=Name,dive"`
+}
+
+// Peer is one other node.
+type Peer struct {
+	Name string `yaml:"name" validate:"required,name"`
+	// PeerAddress is the IP:port of its server for other nodes.
+	PeerAddress string `yaml:"peer_address" validate:"required,ip_port,reachable"`
+	// EntryAddress is the IP:port of its server for callers.
+	EntryAddress  string `yaml:"entry_address" validate:"required,ip_port,reachable"`
+	FailureDomain string `yaml:"failure_domain" validate:"required,name"`
+}
+
+// Operators lists who may call the admin server.
+type Operators struct {
+	// KeyHashes are SHA-256 sums of the operators' keys, in lower-case hexadecimal.
+	KeyHashes []string `yaml:"key_hashes" validate:"unique,dive,sha256_hex"`
+}
+
+// Upstreams holds what the node shows to upstreams.
+type Upstreams struct {
+	// BearerKey is sent to every upstream; empty means that none is sent.
+	BearerKey string `yaml:"bearer_key" secret:"true"`
+}
+
+// Policy names a way to choose the upstream of a request.
+type Policy string
+
+// Routing policies.
+const (
+	PolicyPowerOfTwo      Policy = "power_of_two"
+	PolicyQueuePerRequest Policy = "queue_per_request"
+	PolicyQueueCredits    Policy = "queue_credits"
+	PolicyQueueSteered    Policy = "queue_steered"
+)
+
+// Routing selects the policy of the node.
+type Routing struct {
+	Policy Policy `yaml:"policy" validate:"oneof=power_of_two queue_per_request queue_credits queue_steered"`
+}
+
+// Log selects the least level that is logged and the form of a line.
+type Log struct {
+	Level string `yaml:"level" validate:"oneof=debug info warn error"`
+	// Format is "keyvalue" or "json".
+	Format string `yaml:"format" validate:"oneof=keyvalue json"`
+}
+
+// Defaults returns the settings that hold where a file says nothing.
+func Defaults() Settings {
+	return Settings{
+		Node: Node{
+			MaxInFlight:   2000,
+			MaxBodyBytes:  4 << 20,
+			HeaderTimeout: 5 * time.Second,
+			BodyTimeout:   30 * time.Second,
+			DrainTimeout:  30 * time.Second,
+			EntryLifetime: 10 * time.Second,
+		},
+		Platform: Platform{CallTimeout: time.Second},
+		Routing:  Routing{Policy: PolicyQueuePerRequest},
+		Log:      Log{Level: "info", Format: "keyvalue"},
+	}
+}
