--- /dev/null
+++ b/internal/standin/platform/local.go
@@ -0,0 +1,269 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quincepath.example/quincepath/internal/storer"
+)
+
+var errConnection = errors.New("the connection broke")
+
+// Call is one call of a Local, as shown to its faults.
+type Call struct {
+	// Kind is get, list, put, delete, txn, grant, keepalive, revoke, watch or vms.
+	Kind string
+	// Key is the key or prefix; of a transaction the first key that it compares or writes.
+	Key string
+	// Number counts the calls of this Local from 1.
+	Number int
+	// Write says whether the call can change the store.
+	Write bool
+	// Txn is set for kind txn.
+	Txn storer.Txn
+}
+
+// Verdict is the fault of one call; the zero Verdict is none.
+type Verdict struct {
+	// Refuse ends the call before it leaves; the caller gets it as ErrNotApplied.
+	Refuse error
+	// DelayBefore is the time until the store applies the call. A write that has left takes
+	// effect after that time also when its caller no longer waits (it got ErrUnknown).
+	DelayBefore time.Duration
+	// LoseRequest means that the store never gets the call; the caller can't know.
+	// A watch with it stays open and silent.
+	LoseRequest bool
+	// LoseReply means that the store applies the call; the caller can't know.
+	LoseReply bool
+	// DelayAfter is the time from the effect to the reply or to the loss showing.
+	DelayAfter time.Duration
+}
+
+// Faults judges each call. It may block, on a channel too, to hold a call back at this very place;
+// it runs in the caller's goroutine before anything else.
+type Faults func(ctx context.Context, call Call) Verdict
+
+// Local gives a Store the methods and the errors of storer.Client, without network and with faults.
+type Local struct {
+	store  *Store
+	faults Faults
+
+	mu    sync.Mutex
+	calls int
+}
+
+// NewLocal returns a Local on the store; nil faults mean none. Several Locals may share a store,
+// one for each node of a test.
+func NewLocal(store *Store, faults Faults) *Local {
+	return &Local{store: store, faults: faults}
+}
+
+func (l *Local) judge(ctx context.Context, call Call) Verdict {
+	l.mu.Lock()
+	l.calls++
+	call.Number = l.calls
+	l.mu.Unlock()
+	if l.faults == nil {
+		return Verdict{}
+	}
+
+	return l.faults(ctx, call)
+}
+
+type reply[T any] struct {
+	value T
+	err   error
+}
+
+func perform[T any](ctx context.Context, l *Local, call Call, apply func() (T, error)) (T, error) {
+	var none T
+	verdict := l.judge(ctx, call)
+	if verdict.Refuse != nil {
+		return none, storer.NotApplied(verdict.Refuse)
+	}
+	if err := ctx.Err(); err != nil {
+		return none, storer.NotApplied(err)
+	}
+	if verdict.DelayBefore == 0 && verdict.DelayAfter == 0 {
+		done := carry(verdict, call, apply)
+		return done.value, done.err
+	}
+	replies := make(chan reply[T], 1)
+	go func() {
+		time.Sleep(verdict.DelayBefore)
+		done := carry(verdict, call, apply)
+		time.Sleep(verdict.DelayAfter)
+		replies <- done
+	}()
+	select {
+	case done := <-replies:
+		return done.value, done.err
+	case <-ctx.Done():
+		return none, lost(call, ctx.Err())
+	}
+}
+
+func carry[T any](verdict Verdict, call Call, apply func() (T, error)) reply[T] {
+	var done reply[T]
+	if verdict.LoseRequest {
+		done.err = lost(call, errConnection)
+		return done
+	}
+	value, err := apply()
+	if verdict.LoseReply {
+		done.err = lost(call, errConnection)
+		return done
+	}
+	var status *StatusError
+	if errors.As(err, &status) {
+		err = storer.FromStatus(status.Code, status.Message, call.Write)
+	}
+
+	return reply[T]{value: value, err: err}
+}
+
+func lost(call Call, cause error) error {
+	if call.Write {
+		return storer.Unknown(cause)
+	}
+
+	return storer.NotApplied(cause)
+}
+
+type located struct {
+	found    []storer.KeyValue
+	revision int64
+}
+
+func (l *Local) read(ctx context.Context, call Call, q Query) (located, error) {
+	return perform(ctx, l, call, func() (located, error) {
+		result, revision, err := l.store.Range(q)
+		return located{result.KeyValues, revision}, err
+	})
+}
+
+// Get is storer.Client's Get.
+func (l *Local) Get(ctx context.Context, key string) (storer.KeyValue, int64, error) {
+	got, err := l.read(ctx, Call{Kind: "get", Key: key}, Query{Key: key})
+	if err != nil || len(got.found) == 0 {
+		return storer.KeyValue{}, got.revision, err
+	}
+
+	return got.found[0], got.revision, nil
+}
+
+// List is storer.Client's List.
+func (l *Local) List(ctx context.Context, prefix string) ([]storer.KeyValue, int64, error) {
+	from, end := storer.PrefixRange(prefix)
+	got, err := l.read(ctx, Call{Kind: "list", Key: prefix}, Query{Key: from, RangeEnd: end})
+
+	return got.found, got.revision, err
+}
+
+// Put is storer.Client's Put.
+func (l *Local) Put(ctx context.Context, key string, value []byte, lease int64) (int64, error) {
+	return perform(ctx, l, Call{Kind: "put", Key: key, Write: true}, func() (int64, error) {
+		return l.store.Put(key, value, lease)
+	})
+}
+
+// Delete is storer.Client's Delete.
+func (l *Local) Delete(ctx context.Context, key string) (int64, error) {
+	return perform(ctx, l, Call{Kind: "delete", Key: key, Write: true}, func() (int64, error) {
+		deleted, _, err := l.store.Delete(key, "")
+		return deleted, err
+	})
+}
+
+// Txn is storer.Client's Txn.
+func (l *Local) Txn(ctx context.Context, t storer.Txn) (storer.TxnResult, error) {
+	return perform(ctx, l, Call{Kind: "txn", Key: firstKey(t), Write: true, Txn: t}, func() (storer.TxnResult, error) {
+		return l.store.Txn(t)
+	})
+}
+
+func firstKey(t storer.Txn) string {
+	for _, c := range t.Compares {
+		return c.Key
+	}
+	for _, op := range t.Success {
+		return op.Key
+	}
+
+	return ""
+}
+
+// Grant is storer.Client's Grant.
+func (l *Local) Grant(ctx context.Context, length time.Duration) (int64, error) {
+	return perform(ctx, l, Call{Kind: "grant", Write: true}, func() (int64, error) {
+		return l.store.Grant(0, storer.LeaseSeconds(length))
+	})
+}
+
+// KeepAlive is storer.Client's KeepAlive.
+func (l *Local) KeepAlive(ctx context.Context, lease int64) (time.Duration, error) {
+	return perform(ctx, l, Call{Kind: "keepalive", Write: true}, func() (time.Duration, error) {
+		seconds := l.store.KeepAlive(lease)
+		if seconds == 0 {
+			return 0, refuse(storer.StatusNotFound, "the lease has ended")
+		}
+		return time.Duration(seconds) * time.Second, nil
+	})
+}
+
+// Revoke is storer.Client's Revoke.
+func (l *Local) Revoke(ctx context.Context, lease int64) error {
+	_, err := perform(ctx, l, Call{Kind: "revoke", Write: true}, func() (int64, error) {
+		return l.store.Revoke(lease)
+	})
+
+	return err
+}
+
+// VMs is storer.Client's VMs.
+func (l *Local) VMs(ctx context.Context) (storer.VMList, error) {
+	return perform(ctx, l, Call{Kind: "vms"}, func() (storer.VMList, error) {
+		return l.store.VMs(), nil
+	})
+}
+
+// Watch is storer.Client's Watch.
+func (l *Local) Watch(ctx context.Context, prefix string, from int64) (<-chan storer.WatchEvents, error) {
+	call := Call{Kind: "watch", Key: prefix}
+	verdict := l.judge(ctx, call)
+	if verdict.Refuse != nil {
+		return nil, storer.NotApplied(verdict.Refuse)
+	}
+	key, end := storer.PrefixRange(prefix)
+	w := l.store.Watch(key, end, from)
+	w.silent = w.silent || verdict.LoseRequest
+	messages := make(chan storer.WatchEvents)
+	go deliver(ctx, w, messages)
+
+	return messages, nil
+}
+
+func deliver(ctx context.Context, w *Watcher, messages chan<- storer.WatchEvents) {
+	defer close(messages)
+	defer w.Close()
+	for {
+		message, err := w.Next(ctx)
+		if err != nil {
+			return
+		}
+		if message.CompactRevision > 0 {
+			message.Err = storer.FromStatus(storer.StatusOutOfRange, "the revision is compacted", false)
+		}
+		select {
+		case messages <- message:
+		case <-ctx.Done():
+			return
+		}
+		if message.Err != nil {
+			return
+		}
+	}
+}
