--- a/internal/standin/platform/local.go
+++ b/internal/standin/platform/local.go
@@ -239,7 +239,9 @@
 	}
 	key, end := storer.PrefixRange(prefix)
 	w := l.store.Watch(key, end, from)
-	w.silent = w.silent || verdict.LoseRequest
+	if verdict.LoseRequest {
+		w.silence()
+	}
 	messages := make(chan storer.WatchEvents)
 	go deliver(ctx, w, messages)
 
--- a/internal/standin/platform/watcher.go
+++ b/internal/standin/platform/watcher.go
@@ -72,6 +72,12 @@
 	delete(w.store.watchers, w)
 }
 
+func (w *Watcher) silence() {
+	w.store.mu.Lock()
+	defer w.store.mu.Unlock()
+	w.silent = true
+}
+
 func (w *Watcher) take() (storer.WatchEvents, bool) {
 	s := w.store
 	s.mu.Lock()
--- /dev/null
+++ b/internal/storer/calls.go
@@ -0,0 +1,144 @@
+package storer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	firstBackOff = 200 * time.Millisecond
+	maxBackOff   = 10 * time.Second
+	// listAttempts bounds the fresh starts of a List whose revision was compacted under it.
+	listAttempts = 3
+)
+
+// Get returns a key and the store's revision; an absent key has Version 0.
+func (c *Client) Get(ctx context.Context, key string) (KeyValue, int64, error) {
+	var reply wireRangeReply
+	err := c.call(ctx, request{http.MethodPost, "/v3/kv/range", wireRange{Key: []byte(key)}, false}, &reply)
+	if err != nil || len(reply.KVs) == 0 {
+		return KeyValue{}, reply.Header.Revision, err
+	}
+
+	return reply.KVs[0].keyValue(), reply.Header.Revision, nil
+}
+
+// List returns all keys with a prefix, in order, as they were at the revision returned.
+// It reads page by page at one revision, and starts anew when that revision is compacted.
+func (c *Client) List(ctx context.Context, prefix string) ([]KeyValue, int64, error) {
+	var err error
+	for range listAttempts {
+		var found []KeyValue
+		var revision int64
+		found, revision, err = c.listOnce(ctx, prefix)
+		if !errors.Is(err, ErrCompacted) {
+			return found, revision, err
+		}
+	}
+
+	return nil, 0, err
+}
+
+func (c *Client) listOnce(ctx context.Context, prefix string) ([]KeyValue, int64, error) {
+	from, end := PrefixRange(prefix)
+	query := wireRange{Key: []byte(from), RangeEnd: []byte(end), Limit: c.options.PageSize}
+	var found []KeyValue
+	for {
+		var reply wireRangeReply
+		if err := c.call(ctx, request{http.MethodPost, "/v3/kv/range", query, false}, &reply); err != nil {
+			return nil, 0, err
+		}
+		found = append(found, reply.keyValues()...)
+		if query.Revision == 0 {
+			query.Revision = reply.Header.Revision
+		}
+		if !reply.More || len(reply.KVs) == 0 {
+			return found, query.Revision, nil
+		}
+		query.Key = append(reply.KVs[len(reply.KVs)-1].Key, 0)
+	}
+}
+
+// Put writes a key, with a lease unless that is 0, and returns the store's revision.
+func (c *Client) Put(ctx context.Context, key string, value []byte, lease int64) (int64, error) {
+	var reply wirePutReply
+	body := wirePut{Key: []byte(key), Value: value, Lease: lease}
+	err := c.call(ctx, request{http.MethodPost, "/v3/kv/put", body, true}, &reply)
+
+	return reply.Header.Revision, err
+}
+
+// Delete removes a key and returns the number of keys removed, 0 or 1.
+func (c *Client) Delete(ctx context.Context, key string) (int64, error) {
+	var reply wireDeleteReply
+	err := c.call(ctx, request{http.MethodPost, "/v3/kv/deleterange", wireDelete{Key: []byte(key)}, true}, &reply)
+
+	return reply.Deleted, err
+}
+
+// Txn applies a transaction. A transaction that takes its Failure branch is no error.
+func (c *Client) Txn(ctx context.Context, t Txn) (TxnResult, error) {
+	var reply wireTxnReply
+	err := c.call(ctx, request{http.MethodPost, "/v3/kv/txn", toTxn(t), true}, &reply)
+	if err != nil {
+		return TxnResult{}, err
+	}
+
+	return reply.result(), nil
+}
+
+// Grant starts a lease and returns its id; the length is rounded up to whole seconds.
+// After ErrUnknown a lease without keys may exist; it ends by itself.
+func (c *Client) Grant(ctx context.Context, length time.Duration) (int64, error) {
+	var reply wireLease
+	err := c.call(ctx, request{http.MethodPost, "/v3/lease/grant", wireLease{TTL: LeaseSeconds(length)}, true}, &reply)
+
+	return reply.ID, err
+}
+
+// KeepAlive starts a lease's time anew and returns its length.
+// ErrLeaseNotFound means that it has ended. Measure the time left from before the call.
+func (c *Client) KeepAlive(ctx context.Context, lease int64) (time.Duration, error) {
+	var reply wireKeepAliveReply
+	err := c.call(ctx, request{http.MethodPost, "/v3/lease/keepalive", wireLease{ID: lease}, true}, &reply)
+	if err != nil {
+		return 0, err
+	}
+	if reply.Result.TTL <= 0 {
+		return 0, FromStatus(StatusNotFound, "the lease has ended", true)
+	}
+
+	return time.Duration(reply.Result.TTL) * time.Second, nil
+}
+
+// Revoke ends a lease and deletes its keys.
+func (c *Client) Revoke(ctx context.Context, lease int64) error {
+	var reply wirePutReply
+
+	return c.call(ctx, request{http.MethodPost, "/v3/lease/revoke", wireLease{ID: lease}, true}, &reply)
+}
+
+// VMs returns the platform's list of VMs, which lags behind the truth.
+func (c *Client) VMs(ctx context.Context) (VMList, error) {
+	var list VMList
+	err := c.call(ctx, request{http.MethodGet, "/vms", nil, false}, &list)
+
+	return list, err
+}
+
+// NewBackOff returns the waits between a caller's tries to reach the platform: they double from
+// 0.2 s to 10 s, each spread by half around its value, so that nodes that lost the platform at
+// the same time don't come back to it at the same time. Reset it after a success.
+func NewBackOff() *backoff.ExponentialBackOff {
+	made := backoff.NewExponentialBackOff()
+	made.InitialInterval = firstBackOff
+	made.Multiplier = 2
+	made.MaxInterval = maxBackOff
+	made.RandomizationFactor = 0.5
+
+	return made
+}
--- /dev/null
+++ b/internal/storer/client.go
@@ -0,0 +1,306 @@
+package storer
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-resty/resty/v2"
+	"golang.org/x/time/rate"
+)
+
+const (
+	defaultCallTimeout    = 2 * time.Second
+	defaultConnectTimeout = time.Second
+	defaultWrites         = 100
+	defaultReads          = 200
+	defaultPageSize       = 500
+	maxReplyBytes         = 64 << 20
+)
+
+// Options configure a Client.
+type Options struct {
+	// Addresses are the platform's host:port pairs or base URLs; at least one.
+	Addresses []string
+	// Token is the bearer token; empty means none.
+	Token string
+	// CallTimeout bounds a call on one address, and the opening of a watch; 0 means 2 s.
+	CallTimeout time.Duration
+	// ConnectTimeout bounds a connect; 0 means 1 s.
+	ConnectTimeout time.Duration
+	// WritesPerSecond and ReadsPerSecond are the client's own rates, each with a burst of one
+	// second; 0 means 100 and 200. A call waits for its turn as long as its timeout allows.
+	WritesPerSecond float64
+	ReadsPerSecond  float64
+	// PageSize is the number of keys that List asks for at once; 0 means 500.
+	PageSize int64
+}
+
+func (o Options) withDefaults() Options {
+	if o.CallTimeout == 0 {
+		o.CallTimeout = defaultCallTimeout
+	}
+	if o.ConnectTimeout == 0 {
+		o.ConnectTimeout = defaultConnectTimeout
+	}
+	if o.WritesPerSecond == 0 {
+		o.WritesPerSecond = defaultWrites
+	}
+	if o.ReadsPerSecond == 0 {
+		o.ReadsPerSecond = defaultReads
+	}
+	if o.PageSize == 0 {
+		o.PageSize = defaultPageSize
+	}
+
+	return o
+}
+
+// Client calls the platform. It is safe for concurrent use.
+//
+// A read that fails goes to the next address. A write goes to the next address only when
+// no connection was made; once bytes may have left, it ends with ErrUnknown.
+type Client struct {
+	options  Options
+	bases    []string
+	first    atomic.Uint32
+	resty    *resty.Client
+	writes   *rate.Limiter
+	reads    *rate.Limiter
+	released func()
+}
+
+// New returns a Client; it makes no call. It fails when no address is given.
+func New(options Options) (*Client, error) {
+	if len(options.Addresses) == 0 {
+		return nil, errors.New("no platform address")
+	}
+	options = options.withDefaults()
+	transport := &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: options.ConnectTimeout}).DialContext,
+		ResponseHeaderTimeout: options.CallTimeout,
+		MaxIdleConnsPerHost:   16,
+		IdleConnTimeout:       time.Minute,
+	}
+	c := &Client{
+		options:  options,
+		resty:    newResty(transport, options.Token),
+		writes:   limiter(options.WritesPerSecond),
+		reads:    limiter(options.ReadsPerSecond),
+		released: transport.CloseIdleConnections,
+	}
+	for _, address := range options.Addresses {
+		if !strings.Contains(address, "://") {
+			address = "http://" + address
+		}
+		c.bases = append(c.bases, strings.TrimSuffix(address, "/"))
+	}
+
+	return c, nil
+}
+
+// newResty allows no redirect: following one would send a write a second time.
+func newResty(transport *http.Transport, token string) *resty.Client {
+	made := resty.NewWithClient(&http.Client{Transport: transport})
+	made.SetRedirectPolicy(resty.RedirectPolicyFunc(func(*http.Request, []*http.Request) error {
+		return http.ErrUseLastResponse
+	}))
+	made.SetResponseBodyLimit(maxReplyBytes)
+	if token != "" {
+		made.SetHeader("Authorization", "Bearer "+token)
+	}
+
+	return made
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond), 1))
+}
+
+// Close releases idle connections; calls and watches end with their contexts.
+func (c *Client) Close() {
+	c.released()
+}
+
+type request struct {
+	method string
+	path   string
+	body   any
+	write  bool
+}
+
+// call tries the addresses in turn, beginning with the one that worked last.
+func (c *Client) call(ctx context.Context, q request, reply any) error {
+	limit := c.reads
+	if q.write {
+		limit = c.writes
+	}
+	wait, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	if err := limit.Wait(wait); err != nil {
+		return NotApplied(errors.Mark(errors.Wrap(err, "client rate"), ErrThrottled))
+	}
+
+	return c.each(ctx, func(base string) (bool, error) {
+		return c.try(ctx, base, q, reply)
+	})
+}
+
+// each runs try on one address after another until it says that no other may help.
+func (c *Client) each(ctx context.Context, try func(base string) (next bool, err error)) error {
+	var err error
+	first := c.first.Load()
+	for i := range c.bases {
+		at := (int(first) + i) % len(c.bases)
+		var next bool
+		next, err = try(c.bases[at])
+		if !next {
+			c.first.CompareAndSwap(first, uint32(at))
+			return err
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	c.first.CompareAndSwap(first, (first+1)%uint32(len(c.bases)))
+
+	return err
+}
+
+func (c *Client) try(ctx context.Context, base string, q request, reply any) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	var connected atomic.Bool
+	response, err := c.request(ctx, &connected, q).Execute(q.method, base+q.path)
+	if err != nil {
+		return c.broken(err, q, connected.Load())
+	}
+	if response.StatusCode() != http.StatusOK {
+		err := statusError(response.StatusCode(), response.Body(), q.write)
+		return mayMove(err, q), err
+	}
+	if err := json.Unmarshal(response.Body(), reply); err != nil {
+		return c.broken(errors.Wrap(err, "reply"), q, true)
+	}
+
+	return false, nil
+}
+
+// request notes when a connection is taken: from then on bytes may have left.
+func (c *Client) request(ctx context.Context, connected *atomic.Bool, q request) *resty.Request {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	made := c.resty.R().SetContext(httptrace.WithClientTrace(ctx, trace))
+	if q.body != nil {
+		made.SetHeader("Content-Type", "application/json").SetBody(q.body)
+	}
+
+	return made
+}
+
+func (c *Client) broken(err error, q request, connected bool) (bool, error) {
+	if q.write && connected {
+		return false, Unknown(err)
+	}
+
+	return true, NotApplied(err)
+}
+
+func mayMove(err error, q request) bool {
+	return !q.write && !errors.IsAny(err, ErrRefused, ErrCompacted, ErrThrottled, ErrLeaseNotFound)
+}
+
+// statusError trusts the answer's gRPC code; without one only statuses that refuse a call count as such.
+func statusError(status int, body []byte, write bool) error {
+	var answer wireFailure
+	if json.Unmarshal(body, &answer) == nil && answer.Code > 0 {
+		return FromStatus(answer.Code, answer.Message, write)
+	}
+	code := StatusUnavailable
+	switch status {
+	case http.StatusTooManyRequests:
+		code = StatusResourceExhausted
+	case http.StatusUnauthorized:
+		code = StatusUnauthenticated
+	case http.StatusForbidden:
+		code = StatusPermissionDenied
+	case http.StatusBadRequest:
+		code = StatusInvalidArgument
+	case http.StatusNotFound, http.StatusMethodNotAllowed:
+		code = StatusUnimplemented
+	}
+
+	return FromStatus(code, http.StatusText(status), write)
+}
+
+// Watch reports the changes of all keys with a prefix from a revision on; 0 means from now.
+//
+// It returns once the platform has answered; the channel closes when ctx ends or after a message
+// with Err. The client doesn't reopen it and can't tell an idle watch from one that silently
+// died: a caller reads the prefix anew from time to time, and opens a new watch from the
+// revision read when that shows a change the watch didn't tell. A new watch after an error
+// waits by NewBackOff.
+func (c *Client) Watch(ctx context.Context, prefix string, from int64) (<-chan WatchEvents, error) {
+	wait, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	if err := c.reads.Wait(wait); err != nil {
+		return nil, NotApplied(errors.Mark(errors.Wrap(err, "client rate"), ErrThrottled))
+	}
+	key, end := PrefixRange(prefix)
+	body := wireWatch{Create: wireWatchCreate{Key: []byte(key), RangeEnd: []byte(end), StartRevision: from}}
+	q := request{method: http.MethodPost, path: "/v3/watch", body: body}
+	var stream io.ReadCloser
+	err := c.each(ctx, func(base string) (bool, error) {
+		var connected atomic.Bool
+		response, err := c.request(ctx, &connected, q).SetDoNotParseResponse(true).Execute(q.method, base+q.path)
+		if err != nil {
+			return true, NotApplied(err)
+		}
+		stream = response.RawBody()
+		if response.StatusCode() == http.StatusOK {
+			return false, nil
+		}
+		defer stream.Close()
+		answer, _ := io.ReadAll(io.LimitReader(stream, 64<<10))
+		err = statusError(response.StatusCode(), answer, false)
+		return mayMove(err, q), err
+	})
+	if err != nil {
+		return nil, err
+	}
+	messages := make(chan WatchEvents)
+	go deliver(ctx, stream, messages)
+
+	return messages, nil
+}
+
+func deliver(ctx context.Context, stream io.ReadCloser, messages chan<- WatchEvents) {
+	defer close(messages)
+	defer stream.Close()
+	decoder := json.NewDecoder(stream)
+	for {
+		var reply wireWatchReply
+		err := decoder.Decode(&reply)
+		if ctx.Err() != nil {
+			return
+		}
+		message := reply.message()
+		if err != nil {
+			message = WatchEvents{Err: NotApplied(errors.Wrap(err, "watch"))}
+		}
+		select {
+		case messages <- message:
+		case <-ctx.Done():
+			return
+		}
+		if message.Err != nil {
+			return
+		}
+	}
+}
