--- a/internal/standin/platform/leases.go
+++ b/internal/standin/platform/leases.go
@@ -1,11 +1,16 @@
 package keeper
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"quincepath.example/quincepath/internal/storer"
 )
 
+// maxLeaseSeconds is the published bound, which a time.Duration still holds.
+const maxLeaseSeconds = 9_000_000_000
+
 type lease struct {
 	seconds int64
 	expires time.Time
@@ -17,7 +22,7 @@
 func (s *Store) Grant(id, seconds int64) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	seconds = max(seconds, 1)
+	seconds = min(max(seconds, 1), maxLeaseSeconds)
 	if id == 0 {
 		s.lastLease++
 		id = s.lastLease
@@ -76,10 +81,8 @@
 	l.timer.Stop()
 	delete(s.leases, id)
 	var found []storer.KeyValue
-	for _, key := range s.keys {
-		if _, ok := l.keys[key]; ok {
-			found = append(found, s.values[key])
-		}
+	for _, key := range slices.Sorted(maps.Keys(l.keys)) {
+		found = append(found, s.values[key])
 	}
 	if s.remove(found, s.revision+1) > 0 {
 		s.commit(s.revision + 1)
--- a/internal/standin/platform/local.go
+++ b/internal/standin/platform/local.go
@@ -32,6 +32,7 @@
 	Refuse error
 	// DelayBefore is the time until the store applies the call. A write that has left takes
 	// effect after that time also when its caller no longer waits (it got ErrUnknown).
+	// A test under synctest sleeps past its longest delay before it returns.
 	DelayBefore time.Duration
 	// LoseRequest means that the store never gets the call; the caller can't know.
 	// A watch with it stays open and silent.
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -181,10 +181,8 @@
 	if err != nil {
 		return nil, refuse(storer.StatusInvalidArgument, err.Error())
 	}
-	select {
-	case <-time.After(time.Duration(set.SlowMS) * time.Millisecond):
-	case <-r.Context().Done():
-	}
+	// The whole wait, also when the caller has gone: a late write still takes effect, and late.
+	time.Sleep(time.Duration(set.SlowMS) * time.Millisecond)
 
 	return body, nil
 }
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -53,7 +53,7 @@
 }
 
 func (r record) size() int {
-	return len(r.event.KeyValue.Key) + len(r.event.KeyValue.Value)
+	return len(r.event.KeyValue.Key) + len(r.event.KeyValue.Value) + len(r.previous.Value)
 }
 
 // Store keeps keys with revisions, a bounded history, leases and watches.
@@ -108,6 +108,9 @@
 func (s *Store) Range(q Query) (storer.OpResult, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if q.Key == "" {
+		return storer.OpResult{}, 0, refuse(storer.StatusInvalidArgument, "etcdserver: key is not provided")
+	}
 	if q.Revision > s.revision {
 		return storer.OpResult{}, 0, refuse(storer.StatusOutOfRange, "etcdserver: mvcc: required revision is a future revision")
 	}
--- a/internal/standin/platform/txn.go
+++ b/internal/standin/platform/txn.go
@@ -11,6 +11,9 @@
 func (s *Store) Txn(t storer.Txn) (storer.TxnResult, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := checkCompares(t.Compares); err != nil {
+		return storer.TxnResult{}, err
+	}
 	for _, branch := range [][]storer.Op{t.Success, t.Failure} {
 		if err := checkBranch(branch); err != nil {
 			return storer.TxnResult{}, err
@@ -51,6 +54,26 @@
 	return result.Responses[0].Deleted, result.Revision, nil
 }
 
+func checkCompares(compares []storer.Compare) error {
+	for _, c := range compares {
+		if c.Key == "" {
+			return refuse(storer.StatusInvalidArgument, "etcdserver: key is not provided")
+		}
+		switch c.Target {
+		case "", storer.TargetVersion, storer.TargetCreate, storer.TargetMod, storer.TargetValue:
+		default:
+			return refuse(storer.StatusInvalidArgument, "unknown compare target")
+		}
+		switch c.Relation {
+		case "", storer.RelationEqual, storer.RelationNotEqual, storer.RelationGreater, storer.RelationLess:
+		default:
+			return refuse(storer.StatusInvalidArgument, "unknown compare result")
+		}
+	}
+
+	return nil
+}
+
 func checkBranch(branch []storer.Op) error {
 	put := map[string]bool{}
 	for _, op := range branch {
--- a/internal/standin/platform/wire.go
+++ b/internal/standin/platform/wire.go
@@ -17,6 +17,9 @@
 }
 
 func (n *number) UnmarshalJSON(text []byte) error {
+	if string(text) == "null" {
+		return nil
+	}
 	if len(text) > 1 && text[0] == '"' {
 		text = text[1 : len(text)-1]
 	}
--- a/internal/storer/calls.go
+++ b/internal/storer/calls.go
@@ -108,6 +108,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if reply.Error != nil {
+		return 0, FromStatus(reply.Error.Code, reply.Error.Message, true)
+	}
 	if reply.Result.TTL <= 0 {
 		return 0, FromStatus(StatusNotFound, "the lease has ended", true)
 	}
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -142,10 +142,8 @@
 	if q.write {
 		limit = c.writes
 	}
-	wait, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
-	defer cancel()
-	if err := limit.Wait(wait); err != nil {
-		return NotApplied(errors.Mark(errors.Wrap(err, "client rate"), ErrThrottled))
+	if err := c.turn(ctx, limit); err != nil {
+		return err
 	}
 
 	return c.each(ctx, func(base string) (bool, error) {
@@ -153,6 +151,20 @@
 	})
 }
 
+func (c *Client) turn(ctx context.Context, limit *rate.Limiter) error {
+	wait, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	err := limit.Wait(wait)
+	if err == nil {
+		return nil
+	}
+	if ctx.Err() != nil {
+		return NotApplied(ctx.Err())
+	}
+
+	return notApplied(errors.Wrap(err, "client rate"), ErrThrottled)
+}
+
 // each runs try on one address after another until it says that no other may help.
 func (c *Client) each(ctx context.Context, try func(base string) (next bool, err error)) error {
 	var err error
@@ -247,10 +259,8 @@
 // revision read when that shows a change the watch didn't tell. A new watch after an error
 // waits by NewBackOff.
 func (c *Client) Watch(ctx context.Context, prefix string, from int64) (<-chan WatchEvents, error) {
-	wait, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
-	defer cancel()
-	if err := c.reads.Wait(wait); err != nil {
-		return nil, NotApplied(errors.Mark(errors.Wrap(err, "client rate"), ErrThrottled))
+	if err := c.turn(ctx, c.reads); err != nil {
+		return nil, err
 	}
 	key, end := PrefixRange(prefix)
 	body := wireWatch{Create: wireWatchCreate{Key: []byte(key), RangeEnd: []byte(end), StartRevision: from}}
--- a/internal/storer/errors.go
+++ b/internal/storer/errors.go
@@ -39,15 +39,21 @@
 type Error struct {
 	// Known is ErrNotApplied or ErrUnknown.
 	Known error
-	cause error
+	// Reason is ErrCompacted, ErrLeaseNotFound, ErrRefused, ErrThrottled, or nil when none of them fits.
+	Reason error
+	cause  error
 }
 
 // NotApplied returns an Error for a call that surely changed nothing.
 func NotApplied(cause error) error {
+	return notApplied(cause, nil)
+}
+
+func notApplied(cause, reason error) error {
 	numbered := classifier.Wrap(cause, classifier.PlatformUnavailable, "%s", ErrNotApplied)
 	numbered.Ran = classifier.RanNo
 
-	return &Error{Known: ErrNotApplied, cause: numbered}
+	return &Error{Known: ErrNotApplied, Reason: reason, cause: numbered}
 }
 
 // Unknown returns an Error for a write that may have taken effect.
@@ -64,13 +70,13 @@
 	cause := errors.Newf("status %d: %s", code, message)
 	switch code {
 	case StatusOutOfRange:
-		return NotApplied(errors.Mark(cause, ErrCompacted))
+		return notApplied(cause, ErrCompacted)
 	case StatusNotFound:
-		return NotApplied(errors.Mark(cause, ErrLeaseNotFound))
+		return notApplied(cause, ErrLeaseNotFound)
 	case StatusResourceExhausted:
-		return NotApplied(errors.Mark(cause, ErrThrottled))
+		return notApplied(cause, ErrThrottled)
 	case StatusInvalidArgument, StatusPermissionDenied, StatusFailedPrecondition, StatusUnimplemented, StatusUnauthenticated:
-		return NotApplied(errors.Mark(cause, ErrRefused))
+		return notApplied(cause, ErrRefused)
 	}
 	if write {
 		return Unknown(cause)
@@ -84,9 +90,10 @@
 	return e.cause.Error()
 }
 
-// Is reports whether target is what is known about the call.
+// Is reports whether target is what is known about the call, or its reason.
+// It stands here, not as a mark on the cause, because the standard library's errors.Is sees no marks.
 func (e *Error) Is(target error) bool {
-	return target == e.Known
+	return target == e.Known || (e.Reason != nil && target == e.Reason)
 }
 
 // Unwrap returns the numbered cause.
--- a/internal/storer/wire.go
+++ b/internal/storer/wire.go
@@ -170,7 +170,8 @@
 }
 
 type wireKeepAliveReply struct {
-	Result wireLease `json:"result"`
+	Result wireLease    `json:"result"`
+	Error  *wireFailing `json:"error"`
 }
 
 type wireWatch struct {
@@ -194,10 +195,7 @@
 			KV   wireKeyValue `json:"kv"`
 		} `json:"events"`
 	} `json:"result"`
-	Error *struct {
-		Code    int    `json:"grpc_code"`
-		Message string `json:"message"`
-	} `json:"error"`
+	Error *wireFailing `json:"error"`
 }
 
 func (r wireWatchReply) message() WatchEvents {
@@ -221,6 +219,12 @@
 	return made
 }
 
+// wireFailing is a failure inside a stream, which comes with the HTTP status 200.
+type wireFailing struct {
+	Code    int    `json:"grpc_code"`
+	Message string `json:"message"`
+}
+
 type wireFailure struct {
 	Code    int    `json:"code"`
 	Error   string `json:"error"`
