--- a/internal/standin/platform/handlers.go
+++ b/internal/standin/platform/handlers.go
@@ -7,6 +7,10 @@
 	"quincepath.example/quincepath/internal/storer"
 )
 
+func (s *Server) header() header {
+	return header{number(s.store.Revision())}
+}
+
 func (s *Server) rangeKeys(body []byte) (any, error) {
 	var q rangeRequest
 	if err := decode(body, &q); err != nil {
@@ -59,7 +63,7 @@
 	}
 	id, err := s.store.Grant(int64(q.ID), int64(q.TTL))
 
-	return leaseResponse{ID: number(id), TTL: max(q.TTL, 1)}, err
+	return leaseResponse{Header: s.header(), ID: number(id), TTL: min(max(q.TTL, 1), maxLeaseSeconds)}, err
 }
 
 func (s *Server) keepAlive(body []byte) (any, error) {
@@ -68,7 +72,9 @@
 		return nil, err
 	}
 
-	return streamed{leaseResponse{ID: q.ID, TTL: number(s.store.KeepAlive(int64(q.ID)))}}, nil
+	left := s.store.KeepAlive(int64(q.ID))
+
+	return streamed{leaseResponse{Header: s.header(), ID: q.ID, TTL: number(left)}}, nil
 }
 
 func (s *Server) revoke(body []byte) (any, error) {
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -94,6 +94,14 @@
 	}
 }
 
+// Revision returns the store's present revision.
+func (s *Store) Revision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.revision
+}
+
 // Query is a read of one key or of a range.
 type Query struct {
 	Key      string
--- a/internal/storer/client_test.go
+++ b/internal/storer/client_test.go
@@ -283,3 +283,16 @@
 	_, open := <-messages
 	assert.Equal(t, open, false)
 }
+
+// Symptom: a write is done twice. Sequence: a platform address answers 307 after it passed the
+// write on, and the client sends it again to the place named. Cause: redirects followed.
+func TestClient_FollowsNoRedirect(t *testing.T) {
+	b := start(t, keeper.Options{}, storer.Options{})
+	moved := httptest.NewServer(http.RedirectHandler(b.url+"/v3/kv/put", http.StatusTemporaryRedirect))
+	defer moved.Close()
+	c, err := storer.New(storer.Options{Addresses: []string{moved.URL}})
+	assert.NilError(t, err)
+	_, err = c.Put(t.Context(), "a", nil, 0)
+	assert.ErrorIs(t, err, storer.ErrUnknown)
+	assert.Equal(t, b.counts(t)["put"], int64(0))
+}
