Part the platform's client from its data types

Cause: decision packages name the store's transactions and may import no network code, but the types stood beside the resty client. The client is now package connector; storer keeps plain data and errors. Behaviour is unchanged: the moved tests pass as they were (go test ./internal/connector).

--- a/internal/storer/calls.go
+++ b/internal/connector/calls.go
@@ -1,10 +1,12 @@
-package storer
+package connector
 
 import (
 	"context"
 	"net/http"
 	"time"
 
+	"quincepath.example/quincepath/internal/storer"
+
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 )
@@ -17,11 +19,11 @@
 )
 
 // Get returns a key and the store's revision; an absent key has Version 0.
-func (c *Client) Get(ctx context.Context, key string) (KeyValue, int64, error) {
+func (c *Client) Get(ctx context.Context, key string) (storer.KeyValue, int64, error) {
 	var reply wireRangeReply
 	err := c.call(ctx, request{http.MethodPost, "/v3/kv/range", wireRange{Key: []byte(key)}, false}, &reply)
 	if err != nil || len(reply.KVs) == 0 {
-		return KeyValue{}, reply.Header.Revision, err
+		return storer.KeyValue{}, reply.Header.Revision, err
 	}
 
 	return reply.KVs[0].keyValue(), reply.Header.Revision, nil
@@ -29,13 +31,13 @@
 
 // List returns all keys with a prefix, in order, as they were at the revision returned.
 // It reads page by page at one revision, and starts anew when that revision is compacted.
-func (c *Client) List(ctx context.Context, prefix string) ([]KeyValue, int64, error) {
+func (c *Client) List(ctx context.Context, prefix string) ([]storer.KeyValue, int64, error) {
 	var err error
 	for range listAttempts {
-		var found []KeyValue
+		var found []storer.KeyValue
 		var revision int64
 		found, revision, err = c.listOnce(ctx, prefix)
-		if !errors.Is(err, ErrCompacted) {
+		if !errors.Is(err, storer.ErrCompacted) {
 			return found, revision, err
 		}
 	}
@@ -43,10 +45,10 @@
 	return nil, 0, err
 }
 
-func (c *Client) listOnce(ctx context.Context, prefix string) ([]KeyValue, int64, error) {
-	from, end := PrefixRange(prefix)
+func (c *Client) listOnce(ctx context.Context, prefix string) ([]storer.KeyValue, int64, error) {
+	from, end := storer.PrefixRange(prefix)
 	query := wireRange{Key: []byte(from), RangeEnd: []byte(end), Limit: c.options.PageSize}
-	var found []KeyValue
+	var found []storer.KeyValue
 	for {
 		var reply wireRangeReply
 		if err := c.call(ctx, request{http.MethodPost, "/v3/kv/range", query, false}, &reply); err != nil {
@@ -81,11 +83,11 @@
 }
 
 // Txn applies a transaction. A transaction that takes its Failure branch is no error.
-func (c *Client) Txn(ctx context.Context, t Txn) (TxnResult, error) {
+func (c *Client) Txn(ctx context.Context, t storer.Txn) (storer.TxnResult, error) {
 	var reply wireTxnReply
 	err := c.call(ctx, request{http.MethodPost, "/v3/kv/txn", toTxn(t), true}, &reply)
 	if err != nil {
-		return TxnResult{}, err
+		return storer.TxnResult{}, err
 	}
 
 	return reply.result(), nil
@@ -95,7 +97,7 @@
 // After ErrUnknown a lease without keys may exist; it ends by itself.
 func (c *Client) Grant(ctx context.Context, length time.Duration) (int64, error) {
 	var reply wireLease
-	err := c.call(ctx, request{http.MethodPost, "/v3/lease/grant", wireLease{TTL: LeaseSeconds(length)}, true}, &reply)
+	err := c.call(ctx, request{http.MethodPost, "/v3/lease/grant", wireLease{TTL: storer.LeaseSeconds(length)}, true}, &reply)
 
 	return reply.ID, err
 }
@@ -109,10 +111,10 @@
 		return 0, err
 	}
 	if reply.Error != nil {
-		return 0, FromStatus(reply.Error.Code, reply.Error.Message, true)
+		return 0, storer.FromStatus(reply.Error.Code, reply.Error.Message, true)
 	}
 	if reply.Result.TTL <= 0 {
-		return 0, FromStatus(StatusNotFound, "the lease has ended", true)
+		return 0, storer.FromStatus(storer.StatusNotFound, "the lease has ended", true)
 	}
 
 	return time.Duration(reply.Result.TTL) * time.Second, nil
@@ -126,8 +128,8 @@
 }
 
 // VMs returns the platform's list of VMs, which lags behind the truth.
-func (c *Client) VMs(ctx context.Context) (VMList, error) {
-	var list VMList
+func (c *Client) VMs(ctx context.Context) (storer.VMList, error) {
+	var list storer.VMList
 	err := c.call(ctx, request{http.MethodGet, "/vms", nil, false}, &list)
 
 	return list, err
--- a/internal/storer/client.go
+++ b/internal/connector/client.go
@@ -1,4 +1,4 @@
-package storer
+package connector
 
 import (
 	"context"
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"quincepath.example/quincepath/internal/storer"
+
 	"github.com/cockroachdb/errors"
 	"github.com/go-resty/resty/v2"
 	"golang.org/x/time/rate"
@@ -159,10 +161,10 @@
 		return nil
 	}
 	if ctx.Err() != nil {
-		return NotApplied(ctx.Err())
+		return storer.NotApplied(ctx.Err())
 	}
 
-	return notApplied(errors.Wrap(err, "client rate"), ErrThrottled)
+	return storer.Throttled(errors.Wrap(err, "client rate"))
 }
 
 // each runs try on one address after another until it says that no other may help.
@@ -218,37 +220,37 @@
 
 func (c *Client) broken(err error, q request, connected bool) (bool, error) {
 	if q.write && connected {
-		return false, Unknown(err)
+		return false, storer.Unknown(err)
 	}
 
-	return true, NotApplied(err)
+	return true, storer.NotApplied(err)
 }
 
 func mayMove(err error, q request) bool {
-	return !q.write && !errors.IsAny(err, ErrRefused, ErrCompacted, ErrThrottled, ErrLeaseNotFound)
+	return !q.write && !errors.IsAny(err, storer.ErrRefused, storer.ErrCompacted, storer.ErrThrottled, storer.ErrLeaseNotFound)
 }
 
 // statusError trusts the answer's gRPC code; without one only statuses that refuse a call count as such.
 func statusError(status int, body []byte, write bool) error {
 	var answer wireFailure
 	if json.Unmarshal(body, &answer) == nil && answer.Code > 0 {
-		return FromStatus(answer.Code, answer.Message, write)
+		return storer.FromStatus(answer.Code, answer.Message, write)
 	}
-	code := StatusUnavailable
+	code := storer.StatusUnavailable
 	switch status {
 	case http.StatusTooManyRequests:
-		code = StatusResourceExhausted
+		code = storer.StatusResourceExhausted
 	case http.StatusUnauthorized:
-		code = StatusUnauthenticated
+		code = storer.StatusUnauthenticated
 	case http.StatusForbidden:
-		code = StatusPermissionDenied
+		code = storer.StatusPermissionDenied
 	case http.StatusBadRequest:
-		code = StatusInvalidArgument
+		code = storer.StatusInvalidArgument
 	case http.StatusNotFound, http.StatusMethodNotAllowed:
-		code = StatusUnimplemented
+		code = storer.StatusUnimplemented
 	}
 
-	return FromStatus(code, http.StatusText(status), write)
+	return storer.FromStatus(code, http.StatusText(status), write)
 }
 
 // Watch reports the changes of all keys with a prefix from a revision on; 0 means from now.
@@ -258,11 +260,11 @@
 // died: a caller reads the prefix anew from time to time, and opens a new watch from the
 // revision read when that shows a change the watch didn't tell. A new watch after an error
 // waits by NewBackOff.
-func (c *Client) Watch(ctx context.Context, prefix string, from int64) (<-chan WatchEvents, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, from int64) (<-chan storer.WatchEvents, error) {
 	if err := c.turn(ctx, c.reads); err != nil {
 		return nil, err
 	}
-	key, end := PrefixRange(prefix)
+	key, end := storer.PrefixRange(prefix)
 	body := wireWatch{Create: wireWatchCreate{Key: []byte(key), RangeEnd: []byte(end), StartRevision: from}}
 	q := request{method: http.MethodPost, path: "/v3/watch", body: body}
 	var stream io.ReadCloser
@@ -270,7 +272,7 @@
 		var connected atomic.Bool
 		response, err := c.request(ctx, &connected, q).SetDoNotParseResponse(true).Execute(q.method, base+q.path)
 		if err != nil {
-			return true, NotApplied(err)
+			return true, storer.NotApplied(err)
 		}
 		stream = response.RawBody()
 		if response.StatusCode() == http.StatusOK {
@@ -284,13 +286,13 @@
 	if err != nil {
 		return nil, err
 	}
-	messages := make(chan WatchEvents)
+	messages := make(chan storer.WatchEvents)
 	go deliver(ctx, stream, messages)
 
 	return messages, nil
 }
 
-func deliver(ctx context.Context, stream io.ReadCloser, messages chan<- WatchEvents) {
+func deliver(ctx context.Context, stream io.ReadCloser, messages chan<- storer.WatchEvents) {
 	defer close(messages)
 	defer stream.Close()
 	decoder := json.NewDecoder(stream)
@@ -302,7 +304,7 @@
 		}
 		message := reply.message()
 		if err != nil {
-			message = WatchEvents{Err: NotApplied(errors.Wrap(err, "watch"))}
+			message = storer.WatchEvents{Err: storer.NotApplied(errors.Wrap(err, "watch"))}
 		}
 		select {
 		case messages <- message:
--- a/internal/storer/client_test.go
+++ b/internal/connector/client_test.go
@@ -1,4 +1,4 @@
-package storer_test
+package connector_test
 
 import (
 	"bytes"
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"quincepath.example/quincepath/internal/connector"
 	keeper "quincepath.example/quincepath/internal/standin/platform"
 	"quincepath.example/quincepath/internal/storer"
 )
@@ -34,17 +35,17 @@
 type bench struct {
 	server *keeper.Server
 	url    string
-	client *storer.Client
+	client *connector.Client
 }
 
-func start(t *testing.T, served keeper.Options, options storer.Options) bench {
+func start(t *testing.T, served keeper.Options, options connector.Options) bench {
 	t.Helper()
 	s := keeper.New(served, zerolog.Nop())
 	h := httptest.NewServer(s.Handler())
 	t.Cleanup(h.Close)
 	options.Addresses = append(options.Addresses, h.URL)
 	options.Token = served.Token
-	c, err := storer.New(options)
+	c, err := connector.New(options)
 	assert.NilError(t, err)
 	t.Cleanup(c.Close)
 
@@ -72,7 +73,7 @@
 
 // The client over HTTP and the Local in process answer one script alike.
 func TestPlatforms_AnswerAlike(t *testing.T) {
-	b := start(t, keeper.Options{Token: "secret"}, storer.Options{PageSize: 2})
+	b := start(t, keeper.Options{Token: "secret"}, connector.Options{PageSize: 2})
 	platforms := map[string]platform{
 		"client": b.client,
 		"local":  keeper.NewLocal(keeper.NewStore(keeper.StoreOptions{}), nil),
@@ -174,7 +175,7 @@
 // Symptom: a write is done twice, or given up although done. Sequence: the platform applies the
 // write and the connection breaks before the reply. Cause: a silent retry, or "failed" told for it.
 func TestClient_LostReply(t *testing.T) {
-	b := start(t, keeper.Options{}, storer.Options{})
+	b := start(t, keeper.Options{}, connector.Options{})
 	b.set(t, `{"lose_replies":1}`)
 	_, err := b.client.Put(t.Context(), "a", nil, 0)
 	assert.ErrorIs(t, err, storer.ErrUnknown)
@@ -191,7 +192,7 @@
 	silent := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
 	defer silent.Close()
 	defer close(release)
-	b := start(t, keeper.Options{}, storer.Options{Addresses: []string{silent.URL}, CallTimeout: 200 * time.Millisecond})
+	b := start(t, keeper.Options{}, connector.Options{Addresses: []string{silent.URL}, CallTimeout: 200 * time.Millisecond})
 	_, err := b.client.Put(t.Context(), "a", nil, 0)
 	assert.ErrorIs(t, err, storer.ErrUnknown)
 	_, _, err = b.client.Get(t.Context(), "a")
@@ -200,7 +201,7 @@
 }
 
 func TestClient_Outage(t *testing.T) {
-	b := start(t, keeper.Options{}, storer.Options{})
+	b := start(t, keeper.Options{}, connector.Options{})
 	b.set(t, `{"outage":true}`)
 	_, err := b.client.Put(t.Context(), "a", nil, 0)
 	assert.ErrorIs(t, err, storer.ErrUnknown)
@@ -218,25 +219,25 @@
 	assert.NilError(t, err)
 	closed := listener.Addr().String()
 	assert.NilError(t, listener.Close())
-	alone, err := storer.New(storer.Options{Addresses: []string{closed}})
+	alone, err := connector.New(connector.Options{Addresses: []string{closed}})
 	assert.NilError(t, err)
 	_, err = alone.Put(t.Context(), "a", nil, 0)
 	assert.ErrorIs(t, err, storer.ErrNotApplied)
 
-	b := start(t, keeper.Options{}, storer.Options{Addresses: []string{closed}})
+	b := start(t, keeper.Options{}, connector.Options{Addresses: []string{closed}})
 	_, err = b.client.Put(t.Context(), "a", nil, 0)
 	assert.NilError(t, err)
 }
 
 func TestClient_Throttled(t *testing.T) {
-	b := start(t, keeper.Options{WritesPerSecond: 0.001}, storer.Options{})
+	b := start(t, keeper.Options{WritesPerSecond: 0.001}, connector.Options{})
 	_, err := b.client.Put(t.Context(), "a", nil, 0)
 	assert.NilError(t, err)
 	_, err = b.client.Put(t.Context(), "a", nil, 0)
 	assert.ErrorIs(t, err, storer.ErrThrottled)
 	assert.ErrorIs(t, err, storer.ErrNotApplied)
 
-	own := start(t, keeper.Options{}, storer.Options{WritesPerSecond: 0.001})
+	own := start(t, keeper.Options{}, connector.Options{WritesPerSecond: 0.001})
 	_, err = own.client.Put(t.Context(), "a", nil, 0)
 	assert.NilError(t, err)
 	_, err = own.client.Put(t.Context(), "a", nil, 0)
@@ -247,7 +248,7 @@
 // Symptom: a watch that resumes from a forgotten revision misses changes. Sequence: the watch
 // breaks, the history is compacted, the watch resumes. Cause: compaction not told to the caller.
 func TestClient_WatchCompacted(t *testing.T) {
-	b := start(t, keeper.Options{}, storer.Options{})
+	b := start(t, keeper.Options{}, connector.Options{})
 	for range 3 {
 		_, err := b.client.Put(t.Context(), "a", nil, 0)
 		assert.NilError(t, err)
@@ -274,7 +275,7 @@
 		panic(http.ErrAbortHandler)
 	}))
 	defer breaking.Close()
-	c, err := storer.New(storer.Options{Addresses: []string{breaking.URL}})
+	c, err := connector.New(connector.Options{Addresses: []string{breaking.URL}})
 	assert.NilError(t, err)
 	messages, err := c.Watch(t.Context(), "a", 0)
 	assert.NilError(t, err)
@@ -287,10 +288,10 @@
 // Symptom: a write is done twice. Sequence: a platform address answers 307 after it passed the
 // write on, and the client sends it again to the place named. Cause: redirects followed.
 func TestClient_FollowsNoRedirect(t *testing.T) {
-	b := start(t, keeper.Options{}, storer.Options{})
+	b := start(t, keeper.Options{}, connector.Options{})
 	moved := httptest.NewServer(http.RedirectHandler(b.url+"/v3/kv/put", http.StatusTemporaryRedirect))
 	defer moved.Close()
-	c, err := storer.New(storer.Options{Addresses: []string{moved.URL}})
+	c, err := connector.New(connector.Options{Addresses: []string{moved.URL}})
 	assert.NilError(t, err)
 	_, err = c.Put(t.Context(), "a", nil, 0)
 	assert.ErrorIs(t, err, storer.ErrUnknown)
--- a/internal/storer/wire.go
+++ b/internal/connector/wire.go
@@ -1,4 +1,6 @@
-package storer
+package connector
+
+import "quincepath.example/quincepath/internal/storer"
 
 type wireHeader struct {
 	Revision int64 `json:"revision,string"`
@@ -13,8 +15,8 @@
 	Lease          int64  `json:"lease,string"`
 }
 
-func (k wireKeyValue) keyValue() KeyValue {
-	return KeyValue{
+func (k wireKeyValue) keyValue() storer.KeyValue {
+	return storer.KeyValue{
 		Key:            string(k.Key),
 		Value:          k.Value,
 		CreateRevision: k.CreateRevision,
@@ -43,30 +45,30 @@
 }
 
 type wireCompare struct {
-	Key            []byte   `json:"key"`
-	Target         Target   `json:"target"`
-	Result         Relation `json:"result"`
-	Version        *int64   `json:"version,string,omitempty"`
-	CreateRevision *int64   `json:"create_revision,string,omitempty"`
-	ModRevision    *int64   `json:"mod_revision,string,omitempty"`
-	Value          *[]byte  `json:"value,omitempty"`
+	Key            []byte          `json:"key"`
+	Target         storer.Target   `json:"target"`
+	Result         storer.Relation `json:"result"`
+	Version        *int64          `json:"version,string,omitempty"`
+	CreateRevision *int64          `json:"create_revision,string,omitempty"`
+	ModRevision    *int64          `json:"mod_revision,string,omitempty"`
+	Value          *[]byte         `json:"value,omitempty"`
 }
 
-func toCompare(c Compare) wireCompare {
+func toCompare(c storer.Compare) wireCompare {
 	made := wireCompare{Key: []byte(c.Key), Target: c.Target, Result: c.Relation}
 	if made.Result == "" {
-		made.Result = RelationEqual
+		made.Result = storer.RelationEqual
 	}
 	switch c.Target {
-	case TargetCreate:
+	case storer.TargetCreate:
 		made.CreateRevision = &c.Number
-	case TargetMod:
+	case storer.TargetMod:
 		made.ModRevision = &c.Number
-	case TargetValue:
+	case storer.TargetValue:
 		value := append([]byte{}, c.Value...)
 		made.Value = &value
 	default:
-		made.Target = TargetVersion
+		made.Target = storer.TargetVersion
 		made.Version = &c.Number
 	}
 
@@ -79,14 +81,14 @@
 	Delete *wireDelete `json:"request_delete_range,omitempty"`
 }
 
-func toOps(ops []Op) []wireOp {
+func toOps(ops []storer.Op) []wireOp {
 	made := make([]wireOp, 0, len(ops))
 	for _, o := range ops {
 		var w wireOp
 		switch o.Kind {
-		case OpPut:
+		case storer.OpPut:
 			w.Put = &wirePut{Key: []byte(o.Key), Value: o.Value, Lease: o.Lease}
-		case OpDelete:
+		case storer.OpDelete:
 			w.Delete = &wireDelete{Key: []byte(o.Key), RangeEnd: []byte(o.RangeEnd)}
 		default:
 			w.Range = &wireRange{Key: []byte(o.Key), RangeEnd: []byte(o.RangeEnd), Limit: o.Limit}
@@ -103,7 +105,7 @@
 	Failure []wireOp      `json:"failure,omitempty"`
 }
 
-func toTxn(t Txn) wireTxn {
+func toTxn(t storer.Txn) wireTxn {
 	made := wireTxn{Success: toOps(t.Success), Failure: toOps(t.Failure)}
 	for _, c := range t.Compares {
 		made.Compare = append(made.Compare, toCompare(c))
@@ -119,8 +121,8 @@
 	Count  int64          `json:"count,string"`
 }
 
-func (r wireRangeReply) keyValues() []KeyValue {
-	found := make([]KeyValue, 0, len(r.KVs))
+func (r wireRangeReply) keyValues() []storer.KeyValue {
+	found := make([]storer.KeyValue, 0, len(r.KVs))
 	for _, kv := range r.KVs {
 		found = append(found, kv.keyValue())
 	}
@@ -148,15 +150,15 @@
 	Responses []wireOpReply `json:"responses"`
 }
 
-func (t wireTxnReply) result() TxnResult {
-	made := TxnResult{Succeeded: t.Succeeded, Revision: t.Header.Revision}
+func (t wireTxnReply) result() storer.TxnResult {
+	made := storer.TxnResult{Succeeded: t.Succeeded, Revision: t.Header.Revision}
 	for _, r := range t.Responses {
-		result := OpResult{Kind: OpPut}
+		result := storer.OpResult{Kind: storer.OpPut}
 		switch {
 		case r.Range != nil:
-			result = OpResult{Kind: OpRange, KeyValues: r.Range.keyValues(), Count: r.Range.Count, More: r.Range.More}
+			result = storer.OpResult{Kind: storer.OpRange, KeyValues: r.Range.keyValues(), Count: r.Range.Count, More: r.Range.More}
 		case r.Delete != nil:
-			result = OpResult{Kind: OpDelete, Deleted: r.Delete.Deleted}
+			result = storer.OpResult{Kind: storer.OpDelete, Deleted: r.Delete.Deleted}
 		}
 		made.Responses = append(made.Responses, result)
 	}
@@ -191,29 +193,29 @@
 		Canceled        bool       `json:"canceled"`
 		CompactRevision int64      `json:"compact_revision,string"`
 		Events          []struct {
-			Type EventKind    `json:"type"`
-			KV   wireKeyValue `json:"kv"`
+			Type storer.EventKind `json:"type"`
+			KV   wireKeyValue     `json:"kv"`
 		} `json:"events"`
 	} `json:"result"`
 	Error *wireFailing `json:"error"`
 }
 
-func (r wireWatchReply) message() WatchEvents {
+func (r wireWatchReply) message() storer.WatchEvents {
 	got := r.Result
-	made := WatchEvents{Created: got.Created, Revision: got.Header.Revision, CompactRevision: got.CompactRevision}
+	made := storer.WatchEvents{Created: got.Created, Revision: got.Header.Revision, CompactRevision: got.CompactRevision}
 	for _, e := range got.Events {
 		if e.Type == "" {
-			e.Type = EventPut
+			e.Type = storer.EventPut
 		}
-		made.Events = append(made.Events, Event{Kind: e.Type, KeyValue: e.KV.keyValue()})
+		made.Events = append(made.Events, storer.Event{Kind: e.Type, KeyValue: e.KV.keyValue()})
 	}
 	switch {
 	case r.Error != nil:
-		made.Err = FromStatus(r.Error.Code, r.Error.Message, false)
+		made.Err = storer.FromStatus(r.Error.Code, r.Error.Message, false)
 	case got.CompactRevision > 0:
-		made.Err = FromStatus(StatusOutOfRange, "the revision is compacted", false)
+		made.Err = storer.FromStatus(storer.StatusOutOfRange, "the revision is compacted", false)
 	case got.Canceled:
-		made.Err = FromStatus(StatusUnavailable, "the watch is cancelled", false)
+		made.Err = storer.FromStatus(storer.StatusUnavailable, "the watch is cancelled", false)
 	}
 
 	return made
--- a/internal/storer/errors.go
+++ b/internal/storer/errors.go
@@ -49,6 +49,11 @@
 	return notApplied(cause, nil)
 }
 
+// Throttled returns an Error for a call that a rate held back.
+func Throttled(cause error) error {
+	return notApplied(cause, ErrThrottled)
+}
+
 func notApplied(cause, reason error) error {
 	numbered := classifier.Wrap(cause, classifier.PlatformUnavailable, "%s", ErrNotApplied)
 	numbered.Ran = classifier.RanNo
