--- /dev/null
+++ b/internal/granter/types.go
@@ -0,0 +1,58 @@
+// Package granter carries the decisions of package scheduler between nodes: the
+// Holder runs the pools of this node, and the Router asks the holder of a pool
+// for slots on behalf of this node's requests.
+package granter
+
+import (
+	"context"
+	"time"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/scheduler"
+)
+
+// Policy says how asks and releases travel to a holder.
+type Policy string
+
+const (
+	// PolicyPerRequest sends each ask and each release at once in a message of its own.
+	PolicyPerRequest Policy = "per_request"
+	// PolicyBatched gathers asks and releases for BatchEvery; tier 1 asks flush at once.
+	PolicyBatched Policy = "batched"
+)
+
+// Options of a Holder and a Router. The zero value of a field means its default.
+type Options struct {
+	// Node is this node's name.
+	Node string
+	// Incarnation differs each time the node starts; it makes ask and grant ids unique.
+	Incarnation string
+	// Pool is the policy of the pools that this node holds.
+	Pool scheduler.Options
+	// Policy of the messages. Default PolicyPerRequest.
+	Policy Policy
+	// BatchEvery is the longest time for which PolicyBatched gathers. Default 3 ms.
+	BatchEvery time.Duration
+	// HolderSilence is how long a holder may take to acknowledge an ask. Default 150 ms.
+	HolderSilence time.Duration
+	// ReconcileEvery is the time between comparisons of grants with each entry. Default 1 s.
+	ReconcileEvery time.Duration
+}
+
+// Caller sends messages to other nodes.
+type Caller interface {
+	// Call sends params and decodes the answer into result.
+	Call(ctx context.Context, peer, method string, params, result any) error
+	// Notify sends params without an answer.
+	Notify(ctx context.Context, peer, method string, params any) error
+}
+
+// Members tells which nodes are alive, this one included.
+type Members interface {
+	Live() []string
+}
+
+// Snapshotter gives the settings that are in force.
+type Snapshotter interface {
+	Snapshot() configurer.Snapshot
+}
--- /dev/null
+++ b/internal/scheduler/types.go
@@ -0,0 +1,151 @@
+// Package scheduler is the exact queue of one pool: the servers of one service
+// that are scheduled together. It decides who gets the next slot, who waits,
+// who is told no and who has to give a slot back.
+//
+// It is plain code over events and time: no goroutines, no locks, no timers.
+// A driver calls it with the present time and carries the decisions out.
+package scheduler
+
+import (
+	"time"
+
+	"quincepath.example/quincepath/internal/dispatcher"
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// MaxServers is the largest number of servers in one pool.
+const MaxServers = 32
+
+// Request asks for one slot.
+type Request struct {
+	// ID is unique among the asks of all entries; submitting it again changes nothing.
+	ID string
+	// Entry is the name of the node that asks.
+	Entry string
+	// Class and Organisation are names in the settings of the service.
+	Class        string
+	Organisation string
+	// Exclude names servers that must not be granted.
+	Exclude []string
+	// Waited is the time since the request arrived at its entry.
+	Waited time.Duration
+	// Progress is the number of tokens that earlier attempts delivered.
+	Progress int
+	// PrefixHash breaks ties between equally good servers, so that equal
+	// prompt prefixes meet on one server; zero means no preference.
+	PrefixHash uint64
+}
+
+// Report is what the entry measured of a finished attempt.
+type Report struct {
+	Result dispatcher.Result
+	// FirstToken is the time from sending to the first token or answer byte; zero if none came.
+	FirstToken time.Duration
+	// TokenGap is the mean time between tokens; zero if fewer than two came.
+	TokenGap time.Duration
+	// Tokens is the number of tokens of this attempt.
+	Tokens int
+	// Duration is the time from sending to the end.
+	Duration time.Duration
+}
+
+// Kind says what a decision asks of the driver.
+type Kind int
+
+const (
+	// Grant gives the request a slot.
+	Grant Kind = iota + 1
+	// Refuse ends the request's wait with a code; it has not run.
+	Refuse
+	// Preempt asks the entry to cancel a running attempt and then finish its grant.
+	Preempt
+)
+
+// Decision is one thing for the driver to carry out.
+type Decision struct {
+	Kind Kind
+	// RequestID and Entry name the ask.
+	RequestID string
+	Entry     string
+	// GrantID names the slot of a Grant or Preempt; unique in the life of all holders.
+	GrantID string
+	// Upstream is the name of the granted server.
+	Upstream string
+	// Priority is what the engine is told: lower is served first.
+	Priority int
+	// Code and RetryAfter belong to a Refuse.
+	Code       classifier.Code
+	RetryAfter time.Duration
+}
+
+// InFlight is one running attempt as its entry knows it.
+type InFlight struct {
+	GrantID      string
+	RequestID    string
+	Entry        string
+	Upstream     string
+	Class        string
+	Organisation string
+	// Since is the time at which the attempt began.
+	Since time.Time
+}
+
+// Options select the policy of a pool. The zero value of a field means its default.
+type Options struct {
+	// GrantPrefix starts each grant id; it names the holder and its incarnation.
+	GrantPrefix string
+	// EnginePriority grants tier 1 one slot above the learned limit of a server
+	// that runs a lower tier, and leaves it to the engine to set that aside.
+	// Without it, a running lower tier is preempted.
+	EnginePriority bool
+	// NoPreemption turns preemption off as well.
+	NoPreemption bool
+	// Headroom is the number of slots that only tier 1 may use. Zero means
+	// learned from the bursts of tier 1, below zero means none.
+	Headroom int
+	// HeadroomAbsence is how long after its last request tier 1 keeps the headroom. Default 30 s.
+	HeadroomAbsence time.Duration
+	// MaxQueue is the largest number of waiting requests. Default 4,096.
+	MaxQueue int
+	// GiveUpFactor times its target is the latest estimated first token (plain services: answer)
+	// at which a request is still queued; below zero never gives up on a target. Default 4.
+	GiveUpFactor float64
+	// NoEstimates turns giving up by estimates off: only MaxWait itself and the queue's length refuse.
+	NoEstimates bool
+	// FixedSlots keeps each server at the slots of its settings, with nothing learned.
+	FixedSlots bool
+	// RebuildFor bounds the time after a takeover in which capacity is unknown. Default 1 s.
+	RebuildFor time.Duration
+	// RebuildShare is the part of each server that lower tiers may use during that time. Default 0.5.
+	RebuildShare float64
+	// PreemptLead is the time that a cancel takes until its slot is free. Default 50 ms.
+	PreemptLead time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.HeadroomAbsence == 0 {
+		o.HeadroomAbsence = 30 * time.Second
+	}
+
+	if o.MaxQueue == 0 {
+		o.MaxQueue = 4096
+	}
+
+	if o.GiveUpFactor == 0 {
+		o.GiveUpFactor = 4
+	}
+
+	if o.RebuildFor == 0 {
+		o.RebuildFor = time.Second
+	}
+
+	if o.RebuildShare == 0 {
+		o.RebuildShare = 0.5
+	}
+
+	if o.PreemptLead == 0 {
+		o.PreemptLead = 50 * time.Millisecond
+	}
+
+	return o
+}
