--- /dev/null
+++ b/internal/bencher/choice.go
@@ -0,0 +1,25 @@
+package bencher
+
+import "quincepath.example/quincepath/internal/scheduler"
+
+// Choice is one policy that can be compared.
+type Choice struct {
+	Name  string
+	Build func(World) Policy
+}
+
+// Choices returns the policies in the order of the tables; the baseline comes first.
+func Choices() []Choice {
+	return []Choice{
+		{Name: baselineName, Build: NewBaseline},
+		queueChoice(QueueOptions{Name: "queue"}),
+		queueChoice(QueueOptions{Name: "queue_batched", Batched: true}),
+		queueChoice(QueueOptions{Name: "queue_steered", Steered: true}),
+		queueChoice(QueueOptions{Name: "queue_engine_priority", Pool: scheduler.Options{EnginePriority: true}}),
+		queueChoice(QueueOptions{Name: "queue_no_preemption", Pool: scheduler.Options{NoPreemption: true}}),
+	}
+}
+
+func queueChoice(options QueueOptions) Choice {
+	return Choice{Name: options.Name, Build: NewQueue(options)}
+}
