--- a/internal/bencher/judge.go
+++ b/internal/bencher/judge.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	mostAttempts = 4
+	mostFailures = 4
 	// retryReserve lets a class retry a little before it has sent much.
 	retryReserve = 10
 )
@@ -33,12 +33,14 @@
 		return dispatcher.Next{Again: true, Reason: outcome.Result.String()}
 	}
 
+	q.failures++
+
 	notSent := outcome.Result == dispatcher.ResultNotSent
 	if !notSent && q.Event.NotRepeatable {
 		return dispatcher.Next{Err: classifier.New(classifier.OutcomeUnknown, "the attempt ended as %s", outcome.Result)}
 	}
 
-	if q.number >= mostAttempts || (!notSent && !j.allowed(q.Class.Name, q.Class.RetryBudget)) {
+	if q.failures >= mostFailures || (!notSent && !j.allowed(q.Class.Name, q.Class.RetryBudget)) {
 		return dispatcher.Next{Err: failure(q, notSent)}
 	}
 
--- a/internal/bencher/policy.go
+++ b/internal/bencher/policy.go
@@ -29,6 +29,8 @@
 	caller *caller
 	// number counts the attempts from 1.
 	number int
+	// failures counts the attempts that failed.
+	failures int
 	// queued is true from asking for a slot to its grant or refusal.
 	queued  bool
 	attempt *attempt
