Judge retries under a budget and keep what attempts left behind

The dispatcher turned every refusal after a first attempt into "unknown", also when the first attempt was surely not sent, and a rejection after a failed attempt came out as "not run". A small History (reached, preempted, may have run, ran) now travels with each attempt; the final answer's "ran" is its verdict. A request that is not repeatable is no longer cancelled by preemption: it could neither be answered nor sent again.

The retrier retries what surely did not run, retries or resumes repeatable work, and spends from a budget per service and class: 0.1 at most earned for each request that reached an upstream, 10 saved at most, and a floor of 3 (one more in 20 s) that the node's classes share. A floor of 3 in 10 s for each class, as first thought of, was ruled out by arithmetic: 370 nodes x 22 models x 5 classes x 0.3/s = 12,210 extra attempts a second on 28,000. Attempts that were not sent cost nothing, since no upstream saw them; preempted attempts cost nothing and don't count towards the bound of 4.

Shown to fail first by taking a mechanism out at a time: without Spend TestStormStaysWithinBudget fails; without the check of Repeatable, without Exclude, without the history or its verdict TestOutcomes and TestRequestsKeepTheirInvariants fail; without the spread TestRetryAfterIsSpread fails.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -119,6 +119,8 @@
 	Slot   Slot
 	// Offset is the number of tokens that the engine is to skip.
 	Offset int
+	// History is what the earlier attempts left behind; it doesn't hold this attempt.
+	History History
 }
 
 // Next is the decision after an attempt.
@@ -168,7 +170,10 @@
 
 // Run carries the request to its end and returns nil or a numbered result.
 func (d *Dispatcher) Run(ctx context.Context, request Request, sender Sender) *classifier.Error {
-	var exclude []string
+	var (
+		exclude []string
+		history History
+	)
 
 	for number := 1; ; number++ {
 		ask := Ask{
@@ -183,11 +188,11 @@
 
 		slot, err := d.slotter.Acquire(ctx, ask)
 		if err != nil {
-			return d.acquireError(ctx, err, number)
+			return acquireError(ctx, err, history)
 		}
 
-		attempt := Attempt{Number: number, Slot: slot, Offset: sender.Progress()}
-		outcome := d.send(ctx, sender, attempt)
+		attempt := Attempt{Number: number, Slot: slot, Offset: sender.Progress(), History: history}
+		outcome := d.send(ctx, request, sender, attempt)
 		d.slotter.Release(slot, ask, outcome)
 
 		next := d.judge.Decide(request, attempt, outcome, sender.Progress())
@@ -197,6 +202,8 @@
 			return next.Err
 		}
 
+		history = history.After(outcome)
+
 		if next.Exclude {
 			exclude = append(exclude, slot.Upstream.Name)
 		}
@@ -204,8 +211,10 @@
 }
 
 // send runs one attempt and ends it early when the holder takes the slot back.
-func (d *Dispatcher) send(ctx context.Context, sender Sender, attempt Attempt) Outcome {
-	if attempt.Slot.Preempted == nil {
+// A request that is not repeatable keeps its slot: cancelled halfway it may have
+// run, could not be sent again, and its caller would get no answer at all.
+func (d *Dispatcher) send(ctx context.Context, request Request, sender Sender, attempt Attempt) Outcome {
+	if attempt.Slot.Preempted == nil || !request.Repeatable {
 		return sender.Send(ctx, attempt)
 	}
 
@@ -236,20 +245,18 @@
 	return outcome
 }
 
-// acquireError turns a failed Acquire into the final result. After a first
-// attempt the request may have run, so a refusal can't say "not run" any more.
-func (d *Dispatcher) acquireError(ctx context.Context, err error, number int) *classifier.Error {
+// acquireError turns a failed Acquire into the final result. A slotter runs
+// nothing, so whether the request ran follows from its attempts alone.
+func acquireError(ctx context.Context, err error, history History) *classifier.Error {
 	if ctx.Err() != nil {
-		return classifier.Wrap(err, classifier.CallerGone, "the caller left while the request waited")
-	}
+		gone := classifier.Wrap(err, classifier.CallerGone, "the caller left while the request waited")
+		gone.Ran = history.Verdict()
 
-	numbered := classifier.From(err)
-	if number > 1 && numbered.Ran == classifier.RanNo {
-		copied := *numbered
-		copied.Ran = classifier.RanUnknown
-
-		return &copied
+		return gone
 	}
 
-	return numbered
+	final := *classifier.From(err)
+	final.Ran = history.Verdict()
+
+	return &final
 }
--- /dev/null
+++ b/internal/retrier/budget.go
@@ -0,0 +1,70 @@
+package retrier
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// maxRetryBudget is the highest share that a class may set.
+	maxRetryBudget = 0.1
+	// maxCredit bounds the retries that a quiet time saves up for a class on one node.
+	maxCredit = 10.0
+)
+
+// Pair names a class of a service.
+type Pair struct {
+	Service string
+	Class   string
+}
+
+// Budget bounds the extra attempts that reach upstreams: over any span at most
+// RetryBudget for each first attempt of a class, plus its saved credit, plus
+// the node's floor. It is safe for concurrent use.
+//
+// Without it, a failure that hits all upstreams multiplies the load by the
+// number of attempts just when capacity is lost; it would show as a load that
+// stays up after the fault is over. The floor lets a class with little traffic
+// retry at all. All classes of the node share the floor: a floor for each
+// class would, with many services and many nodes, outgrow the budgets.
+type Budget struct {
+	mu sync.Mutex
+	// credit is in retries and lies in 0 to maxCredit.
+	credit map[Pair]float64
+	floor  *rate.Limiter
+}
+
+func newBudget(floorPerSecond float64, floorBurst int) *Budget {
+	return &Budget{
+		credit: make(map[Pair]float64),
+		floor:  rate.NewLimiter(rate.Limit(floorPerSecond), floorBurst),
+	}
+}
+
+// Earn credits one first attempt; shares outside 0 to 0.1 are cut.
+func (b *Budget) Earn(pair Pair, share float64) {
+	share = min(max(share, 0), maxRetryBudget)
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.credit[pair] = min(b.credit[pair]+share, maxCredit)
+}
+
+// Spend takes one extra attempt from the class's credit, else from the floor.
+// It returns false when neither has one.
+func (b *Budget) Spend(now time.Time, pair Pair) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	// Ten times 0.1 adds up to a hair less than 1.
+	if credit := b.credit[pair]; credit >= 1-1e-9 {
+		b.credit[pair] = max(credit-1, 0)
+
+		return true
+	}
+
+	return b.floor.AllowN(now, 1)
+}
