Judge the bench's retries by the real retrier

internal/retrier replaces the bench's own rule, one per entry node as in the product. Its floor refills by the real clock, so the bench keeps it at its first filling: three retries a node and run.

--- a/internal/bencher/policy.go
+++ b/internal/bencher/policy.go
@@ -29,8 +29,8 @@
 	caller *caller
 	// number counts the attempts from 1.
 	number int
-	// failures counts the attempts that failed.
-	failures int
+	// history is what the ended attempts left behind.
+	history dispatcher.History
 	// queued is true from asking for a slot to its grant or refusal.
 	queued  bool
 	attempt *attempt
@@ -51,6 +51,17 @@
 	}
 }
 
+// dispatched returns what a judge of attempts sees of the request.
+func (r *Request) dispatched() dispatcher.Request {
+	return dispatcher.Request{
+		ID:           r.ID,
+		Service:      r.Service,
+		Class:        r.Class,
+		Organisation: r.Service.Organisations[r.Event.Organisation],
+		Repeatable:   !r.Event.NotRepeatable,
+	}
+}
+
 // Answerer takes the decisions of a policy.
 type Answerer interface {
 	// Grant lets the request run on a server.
--- a/internal/bencher/runner.go
+++ b/internal/bencher/runner.go
@@ -9,10 +9,15 @@
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/dispatcher"
 	"quincepath.example/quincepath/internal/placer"
+	"quincepath.example/quincepath/internal/retrier"
 	"quincepath.example/quincepath/internal/tracer"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
+// noFloor keeps the retrier's floor, which refills by the real clock, at its first filling:
+// the bench's verdicts must not depend on how fast the machine is.
+const noFloor = 1e-9
+
 // World is what a policy gets at its start.
 type World struct {
 	Shop     Shop
@@ -28,8 +33,9 @@
 	shop     Shop
 	scenario Scenario
 	policy   Policy
-	judge    judge
-	random   *rand.Rand
+	// judges holds the retry rule of each entry node.
+	judges [nodes]dispatcher.Judge
+	random *rand.Rand
 	// engines holds the fake servers by upstream name; names lists them by service in order.
 	engines map[string]*engine
 	names   map[string][]string
@@ -56,7 +62,10 @@
 		tally:    newTally(shop, scenario.length()),
 		open:     len(events),
 	}
-	r.judge = newJudge()
+	for i := range r.judges {
+		r.judges[i] = retrier.New(retrier.Options{FloorPerSecond: noFloor})
+	}
+
 	r.addServers()
 	r.policy = build(World{Shop: shop, Seed: seed, Answerer: r, clock: r.clock})
 	r.planFaults()
@@ -193,13 +202,9 @@
 func (r *runner) Refuse(q *Request, reason *classifier.Error) {
 	q.queued = false
 
-	if q.number > 1 || q.Progress > 0 {
-		copied := *reason
-		copied.Ran = classifier.RanUnknown
-		reason = &copied
-	}
-
-	r.final(q, reason)
+	final := *reason
+	final.Ran = q.history.Verdict()
+	r.final(q, &final)
 }
 
 // Preempt implements Answerer.
@@ -209,6 +214,12 @@
 	}
 
 	r.tally.preempted(q)
+
+	if q.Event.NotRepeatable {
+		// The real dispatcher keeps such a slot as well.
+		return
+	}
+
 	q.attempt.stop(dispatcher.ResultPreempted)
 }
 
@@ -221,7 +232,10 @@
 		return
 	}
 
-	next := r.judge.decide(q, outcome)
+	tried := dispatcher.Attempt{Number: q.number, Slot: a.slot, History: q.history}
+	next := r.judges[q.Node].Decide(q.dispatched(), tried, outcome, q.Progress)
+	q.history = q.history.After(outcome)
+
 	if !next.Again {
 		r.final(q, next.Err)
 
--- a/internal/bencher/tally.go
+++ b/internal/bencher/tally.go
@@ -29,7 +29,7 @@
 	// CameBack counts callers that were refused and obeyed Retry-After; GotIn those of them that finished.
 	CameBack int
 	GotIn    int
-	// Preempted counts attempts taken back by the policy; PreemptedOnce those that were not repeatable.
+	// Preempted counts the policy's orders to end an attempt; PreemptedOnce those against work that is not repeatable.
 	Preempted     int
 	PreemptedOnce int
 	// Retried counts further attempts, preempted ones included.
