--- a/internal/bencher/caller.go
+++ b/internal/bencher/caller.go
@@ -13,7 +13,9 @@
 type caller struct {
 	runner *runner
 	event  tracer.Event
-	class  configurer.Class
+	// index is the event's place in the trace.
+	index int
+	class configurer.Class
 	// asked is the time of the first ask; everything that the caller sees is measured from it.
 	asked   time.Duration
 	tries   int
--- a/internal/bencher/runner.go
+++ b/internal/bencher/runner.go
@@ -72,7 +72,7 @@
 	r.planReports()
 
 	for i := range events {
-		c := &caller{runner: r, event: events[i], class: shop.Settings.Services[events[i].Service].Classes[events[i].Class]}
+		c := &caller{runner: r, event: events[i], index: i, class: shop.Settings.Services[events[i].Service].Classes[events[i].Class]}
 		r.clock.after(time.Duration(events[i].AtMS)*time.Millisecond, c.ask)
 	}
 
--- a/internal/bencher/tally.go
+++ b/internal/bencher/tally.go
@@ -36,6 +36,8 @@
 	Retried int
 	// Late counts asks that were granted but missed the target.
 	Late int
+	// LateFirst counts first asks that were granted but missed the target.
+	LateFirst int
 	// MaxWait is the longest time from arrival at the entry node to the first token or last answer.
 	MaxWait time.Duration
 	// MaxRefusal is the longest time to a refusal.
@@ -75,6 +77,9 @@
 	Ended time.Duration
 	// Length is the time in which requests arrived.
 	Length time.Duration
+
+	// firstRefused holds the places in the trace of events whose first ask was refused, by service and class.
+	firstRefused map[string][]int
 }
 
 // WastedShare is the part of the generated tokens that no finished answer holds.
@@ -100,9 +105,11 @@
 // tally counts during a run.
 type tally struct {
 	// length is the time in which requests arrive.
-	length  time.Duration
-	classes map[string]*ClassResult
-	useful  int
+	length time.Duration
+	// firstRefused is handed on to the result.
+	firstRefused map[string][]int
+	classes      map[string]*ClassResult
+	useful       int
 	// inTime is the part of useful that was finished while the trace lasted.
 	inTime       int
 	prefillAgain int
@@ -115,7 +122,7 @@
 }
 
 func newTally(shop Shop, length time.Duration) *tally {
-	t := &tally{length: length, classes: make(map[string]*ClassResult), plain: make(map[string]bool)}
+	t := &tally{length: length, firstRefused: make(map[string][]int), classes: make(map[string]*ClassResult), plain: make(map[string]bool)}
 
 	for name := range shop.Settings.Services {
 		service := shop.Settings.Services[name]
@@ -151,6 +158,10 @@
 
 	if now-q.Arrived > q.Class.Target-2*clientHop {
 		t.of(q).Late++
+
+		if q.caller.tries == 1 {
+			t.of(q).LateFirst++
+		}
 	}
 }
 
@@ -171,6 +182,12 @@
 
 	c := t.of(q)
 	c.Shed++
+
+	if q.caller.tries == 1 {
+		key := c.Service + "/" + c.Class
+		t.firstRefused[key] = append(t.firstRefused[key], q.caller.index)
+	}
+
 	c.MaxRefusal = max(c.MaxRefusal, now-q.Arrived)
 }
 
@@ -261,7 +278,7 @@
 		Shop: shop.Name, Scenario: scenario.Name, Policy: policy,
 		Useful: float64(t.useful), PrefillAgain: t.prefillAgain,
 		Fill: t.fill, LeastFill: t.leastFill,
-		Unanswered: t.unanswered, Traffic: t.traffic, Ended: t.last, Length: t.length,
+		Unanswered: t.unanswered, Traffic: t.traffic, Ended: t.last, Length: t.length, firstRefused: t.firstRefused,
 	}
 
 	for _, key := range sortedKeys(t.classes) {
