Decide the exact queue of a pool

Strict tiers with deficit round robin, guaranteed shares as owed slot time, ageing, headroom for tier 1, learned limits, giving up by estimates, preemption or one request above the limit, and rebuild by adoption.

Found while testing, each by a test that failed first: - A class was charged its target (60 s for notes) before any answer was measured and got 48 of 500 slots at a share of 0.2. Shares now settle by the true slot time and a cold class is guessed at 1 s at most. - The fastest measures drifted up with a slowly growing load, so a limit with a 40 ms gap target grew to 77 at 81 ms. A late answer that isn't slower than the fastest now holds the limit in place of raising it. - A straggler alone in its batch was compared with full batches and not seen. Usual gaps are now kept by fill.

--- /dev/null
+++ b/internal/scheduler/learning_test.go
@@ -0,0 +1,244 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/dispatcher"
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// fakeEngine answers like a batch whose tokens slow down as it fills.
+func fakeEngine(running int, factor float64) Report {
+	gap := time.Duration(factor * float64(20*time.Millisecond) * (1 + 0.04*float64(running-1)))
+
+	return Report{Result: dispatcher.ResultDone, FirstToken: 2 * gap, TokenGap: gap, Tokens: 50, Duration: 50 * gap}
+}
+
+// saturate keeps the pool full of the class for a number of answers, each server with its own factor.
+func saturate(p *Pool, class string, answers int, factors map[string]float64) time.Time {
+	now := epoch
+
+	for i := range answers {
+		for len(p.tiers[p.byClass[class].settings.Tier].lanes) == 0 || p.byClass[class].total < 4 {
+			p.Submit(now, ask(fmt.Sprintf("s%d-%d", i, p.order), class))
+		}
+
+		oldest := oldestGrant(p)
+		now = now.Add(10 * time.Millisecond)
+		factor := max(factors[oldest.server.upstream.Name], 1)
+		p.Finish(now, oldest.id, fakeEngine(oldest.server.inFlight, factor))
+	}
+
+	return now
+}
+
+func oldestGrant(p *Pool) *grant {
+	var oldest *grant
+
+	for _, g := range p.grants {
+		if oldest == nil || g.order < oldest.order {
+			oldest = g
+		}
+	}
+
+	return oldest
+}
+
+func TestLimitSettlesWhereTheTokenGapMeetsItsTarget(t *testing.T) {
+	service := withClass(testService(1, 4), "chat", func(c *configurer.Class) { c.MaxWait = time.Hour })
+	service = withClass(service, "chat", func(c *configurer.Class) { c.TokenGap = 40 * time.Millisecond })
+	p := New(service, Options{Headroom: -1, NoEstimates: true})
+	saturate(p, "chat", 3000, nil)
+
+	// 0.9 of 40 ms is reached at 20 ms x (1 + 0.04 x 20): 21 running.
+	limit := p.Stats().Limit["e01"]
+	assert.Assert(t, limit >= 16 && limit <= 22, "limit %d", limit)
+}
+
+func TestStragglerShrinksAndLosesTierOne(t *testing.T) {
+	service := withClass(testService(3, 4), "chat", func(c *configurer.Class) { c.MaxWait = time.Hour })
+	p := New(service, Options{Headroom: -1, NoEstimates: true})
+	now := saturate(p, "chat", 2000, map[string]float64{"e02": 5})
+
+	limits := p.Stats().Limit
+	assert.Assert(t, limits["e02"] <= 2 && limits["e01"] > 8, "%v", limits)
+	assert.Assert(t, p.server("e02").slowness(now) > stragglerRatio, "%v %v", p.server("e02").slowness(now), p.gaps)
+
+	for _, g := range p.grantsOf("n1") {
+		p.Cancel(now, g.request.ID)
+	}
+
+	for id := range p.waiting {
+		p.Cancel(now, id)
+	}
+
+	for i := range 6 {
+		decisions := p.Submit(now, ask(fmt.Sprintf("c%d", i), "counter"))
+		assert.Assert(t, decisions[0].Upstream != "e02")
+	}
+
+	assert.Assert(t, p.server("e02").slowness(now.Add(5*time.Minute)) < stragglerRatio, "a straggler is tried again later")
+}
+
+// Symptom: after one crash a server got nothing for half a minute. Sequence: twelve
+// answers run, the engine crashes, twelve failures arrive within a millisecond.
+// Cause: each counted as a failure of its own and doubled the time.
+func TestCrashThatBreaksManyAnswersCountsOnce(t *testing.T) {
+	p := New(testService(2, 12), Options{Headroom: -1})
+	held := fill(p, epoch, "chat", 24)
+	crashed := epoch.Add(time.Second)
+
+	for _, id := range held {
+		if g := p.grants[id]; g.server.upstream.Name == "e01" {
+			p.Finish(crashed, id, Report{Result: dispatcher.ResultFailed})
+		}
+	}
+
+	s := p.server("e01")
+	assert.Equal(t, s.closedUntil, crashed.Add(shortestClose))
+	assert.Equal(t, s.slots(), 6)
+	assert.Equal(t, len(p.Submit(crashed, ask("r", "chat"))), 0)
+	assert.DeepEqual(t, kinds(p.Tick(s.closedUntil)), []string{"grant r"})
+}
+
+func TestOneSilenceDoesNotCloseAServer(t *testing.T) {
+	p := New(testService(1, 4), Options{Headroom: -1})
+	held := fill(p, epoch, "chat", 1)
+	p.Finish(epoch.Add(time.Second), held[0], Report{Result: dispatcher.ResultSilent})
+	assert.Assert(t, p.server("e01").open(epoch.Add(time.Second)))
+}
+
+func TestAllServersClosedAreUsedAllTheSame(t *testing.T) {
+	p := New(testService(1, 4), Options{Headroom: -1})
+	held := fill(p, epoch, "chat", 1)
+	now := epoch.Add(time.Second)
+	p.Finish(now, held[0], Report{Result: dispatcher.ResultNotSent})
+	assert.DeepEqual(t, kinds(p.Submit(now, ask("r", "counter"))), []string{"grant r"})
+}
+
+func TestPreemptionTakesTheLowestTierWithTheLeastProgress(t *testing.T) {
+	p := New(testService(1, 3), Options{Headroom: -1, FixedSlots: true})
+	p.Submit(epoch, ask("old", "notes"))
+	p.Submit(epoch.Add(time.Second), ask("young", "notes"))
+	p.Submit(epoch.Add(2*time.Second), ask("chat", "chat"))
+
+	now := epoch.Add(3 * time.Second)
+	assert.Equal(t, len(p.Submit(now, ask("c", "counter"))), 0)
+
+	// The target is 300 ms, of which 150 ms are for the unknown first token and 50 ms for the cancel.
+	due := now.Add(100 * time.Millisecond)
+	assert.Equal(t, p.NextTick(), due)
+	assert.DeepEqual(t, kinds(p.Tick(due)), []string{"preempt young"})
+	assert.Equal(t, len(p.Tick(due.Add(100*time.Millisecond))), 0, "one victim for one request")
+
+	report := Report{Result: dispatcher.ResultPreempted, Tokens: 40}
+	assert.DeepEqual(t, kinds(p.Finish(due.Add(50*time.Millisecond), p.holding["young"].id, report)), []string{"grant c"})
+	assert.Equal(t, p.Stats().TokensLost, 40)
+}
+
+func TestPreemptionSparesTierOneUnrepeatableAndPlain(t *testing.T) {
+	unrepeatable := withClass(testService(1, 1), "notes", func(c *configurer.Class) { c.Repeatable = false })
+	plain := testService(1, 1)
+	plain.Kind = configurer.KindPlain
+
+	for name, test := range map[string]struct {
+		service configurer.Service
+		class   string
+	}{
+		"tier 1":       {testService(1, 1), "counter"},
+		"unrepeatable": {unrepeatable, "notes"},
+		"plain":        {plain, "notes"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := New(test.service, Options{Headroom: -1})
+			fill(p, epoch, test.class, 1)
+			p.Submit(epoch, ask("c", "counter"))
+			assert.Equal(t, len(p.Tick(epoch.Add(time.Second))), 0)
+		})
+	}
+}
+
+func TestEnginePriorityOversubscribesByOne(t *testing.T) {
+	p := New(testService(2, 1), Options{Headroom: -1, EnginePriority: true})
+	fill(p, epoch, "chat", 2)
+
+	for i := range 2 {
+		assert.Equal(t, p.Submit(epoch, ask(fmt.Sprintf("c%d", i), "counter"))[0].Priority, 1)
+	}
+
+	assert.Equal(t, len(p.Submit(epoch, ask("c2", "counter"))), 0)
+	assert.Equal(t, p.Stats().Oversubscribed, 2)
+}
+
+func TestRebuildIsBoundedAndAdoptsOnce(t *testing.T) {
+	p := New(testService(1, 4), Options{Headroom: -1, NoPreemption: true})
+	p.Rebuild(epoch, []string{"n1", "n2"})
+	assert.Equal(t, len(fill(p, epoch, "chat", 4)), 2, "lower tiers use RebuildShare")
+	assert.Equal(t, len(fill(p, epoch, "counter", 6)), 6, "tier 1 does not wait for the rebuild")
+
+	flight := InFlight{GrantID: "g1", RequestID: "x", Upstream: "e01", Class: "chat", Organisation: "a", Since: epoch}
+	p.Adopt(epoch, "n2", []InFlight{flight})
+	p.Adopt(epoch, "n2", []InFlight{flight})
+	assert.Equal(t, p.Stats().InFlight["e01"], 9)
+
+	p.Tick(epoch.Add(time.Second))
+	assert.Assert(t, !p.rebuild.active)
+	assert.Equal(t, len(p.Submit(epoch.Add(time.Second), ask("c", "counter"))), 0)
+}
+
+// Symptom: capacity was lost until the node restarted. Sequence: a grant is sent,
+// the message is lost or the entry ends. Cause: nobody releases the slot.
+func TestGrantUnknownToItsEntryIsReclaimedAfterTwoReports(t *testing.T) {
+	p := New(testService(1, 1), Options{Headroom: -1})
+	fill(p, epoch, "chat", 1)
+	p.Submit(epoch, ask("next", "chat"))
+	assert.Equal(t, len(p.Adopt(epoch.Add(time.Second), "n1", nil)), 0)
+	assert.DeepEqual(t, kinds(p.Adopt(epoch.Add(2*time.Second), "n1", nil)), []string{"grant next"})
+}
+
+// Symptom: a slot stayed taken after its answer ended. Sequence: the release
+// arrives before a report of the entry that was made earlier. Cause: the report brought the grant back.
+func TestLateReportDoesNotBringAGrantBack(t *testing.T) {
+	p := New(testService(1, 1), Options{Headroom: -1})
+	held := fill(p, epoch, "chat", 1)[0]
+	p.Finish(epoch.Add(time.Second), held, done(time.Second))
+	p.Adopt(epoch.Add(time.Second), "n1", []InFlight{{GrantID: held, RequestID: "r", Upstream: "e01", Class: "chat", Since: epoch}})
+	assert.Equal(t, p.Stats().InFlight["e01"], 0)
+}
+
+func TestForgetFreesAllOfAnEntry(t *testing.T) {
+	p := New(testService(1, 1), Options{Headroom: -1})
+	fill(p, epoch, "chat", 2)
+
+	other := ask("other", "chat")
+	other.Entry = "n2"
+	p.Submit(epoch, other)
+	assert.DeepEqual(t, kinds(p.Forget(epoch, "n1")), []string{"grant other"})
+	assert.Equal(t, p.Stats().Queued["chat"], 0)
+}
+
+func TestRetryAfterDiffersButRepeats(t *testing.T) {
+	waits := map[time.Duration]bool{}
+
+	for i := range 8 {
+		var last time.Duration
+
+		for range 2 {
+			p := New(testService(1, 1), Options{MaxQueue: 1, NoPreemption: true})
+			fill(p, epoch, "notes", 2)
+			decision := p.Submit(epoch, ask(fmt.Sprintf("r%d", i), "notes"))[0]
+			assert.Equal(t, decision.Code, classifier.QueueFull)
+			assert.Assert(t, last == 0 || last == decision.RetryAfter)
+			last = decision.RetryAfter
+		}
+
+		waits[last] = true
+	}
+
+	assert.Assert(t, len(waits) > 4)
+}
--- /dev/null
+++ b/internal/scheduler/server.go
@@ -0,0 +1,201 @@
+package scheduler
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/dispatcher"
+)
+
+const (
+	smallestLimit = 1
+	largestLimit  = 256
+	// decreaseFactor shrinks a server's limit when answers come late.
+	decreaseFactor = 0.85
+	// targetMargin times a target is the measure above which a server counts as too full.
+	targetMargin = 0.9
+	// firstExcess and gapExcess times the fastest measures is what a late answer has to
+	// exceed too: a long prompt or a small model is slow without any company.
+	firstExcess = 1.5
+	gapExcess   = 1.2
+	// queueExcess times the fastest first token shows that the engine itself queues:
+	// more requests at once would bring nothing.
+	queueExcess = 3
+	// slowWeight is the weight of a new measure in a server's relative speed, and
+	// slowForget the time over which a server without measures is trusted again.
+	slowWeight = 0.3
+	slowForget = time.Minute
+	// stragglerRatio is the relative token time at the same fill above which a server is kept from tier 1.
+	stragglerRatio = 1.75
+	// shortestClose and longestClose bound how long a failing server gets nothing.
+	shortestClose = 500 * time.Millisecond
+	longestClose  = 30 * time.Second
+	// silencesToClose is how many silent answers running close a server. One
+	// alone tells of a lost connection and not of the server.
+	silencesToClose = 3
+)
+
+// server is one upstream with what was learned about it.
+type server struct {
+	upstream configurer.Upstream
+	// gone means that the settings no longer name it; it is kept until its last grant ends.
+	gone bool
+	// limit is the learned number of requests at once, 1 to 256; its whole part counts.
+	limit    float64
+	inFlight int
+	// lower is the number of grants below tier 1, and preempted that of grants taken back but not yet free.
+	lower     int
+	preempted int
+	// running counts grants by class index.
+	running []int
+
+	lastDecrease time.Time
+	// ratio is the token time relative to what is usual in the pool, 1 when nothing is known.
+	ratio   float64
+	ratioAt time.Time
+	// slow is the slowness at the time of the present call.
+	slow float64
+
+	failures    int
+	lastFailure time.Time
+	closedUntil time.Time
+
+	slotTime  time.Duration
+	countedAt time.Time
+	// affinity orders servers for prefixes.
+	affinity uint64
+}
+
+func newServer(upstream configurer.Upstream) *server {
+	limit := float64(min(max(upstream.Slots, smallestLimit), largestLimit))
+
+	return &server{upstream: upstream, limit: limit, ratio: 1, slow: 1, affinity: hash(upstream.Name)}
+}
+
+func (s *server) slots() int {
+	return int(s.limit)
+}
+
+func (s *server) open(now time.Time) bool {
+	return !s.gone && !s.upstream.Leaving && !now.Before(s.closedUntil)
+}
+
+// slowness is the relative token time; it returns towards 1 while nothing is measured.
+func (s *server) slowness(now time.Time) float64 {
+	if s.ratio <= 1 {
+		return s.ratio
+	}
+
+	return 1 + (s.ratio-1)*math.Exp(-now.Sub(s.ratioAt).Seconds()/slowForget.Seconds())
+}
+
+// count adds the slot time since the last change. It is called before inFlight changes.
+func (s *server) count(now time.Time) {
+	if !s.countedAt.IsZero() && now.After(s.countedAt) {
+		s.slotTime += time.Duration(s.inFlight) * now.Sub(s.countedAt)
+	}
+
+	s.countedAt = now
+}
+
+func (s *server) add(now time.Time, c *class) {
+	s.count(now)
+	s.inFlight++
+
+	for len(s.running) <= c.index {
+		s.running = append(s.running, 0)
+	}
+
+	s.running[c.index]++
+	c.running++
+
+	if c.settings.Tier > topTier {
+		s.lower++
+	}
+}
+
+func (s *server) remove(now time.Time, g *grant) {
+	s.count(now)
+	s.inFlight--
+	s.running[g.class.index]--
+	g.class.running--
+
+	if g.lower {
+		s.lower--
+	}
+
+	if g.preempted {
+		s.preempted--
+	}
+}
+
+// strictestGap is the shortest token gap target among the running classes; zero for none.
+func (s *server) strictestGap(classes []*class) time.Duration {
+	var strictest time.Duration
+
+	for i, count := range s.running {
+		target := classes[i].settings.TokenGap
+		if count > 0 && target > 0 && (strictest == 0 || target < strictest) {
+			strictest = target
+		}
+	}
+
+	return strictest
+}
+
+// learnSpeed takes one measure relative to what is usual in the pool.
+func (s *server) learnSpeed(now time.Time, sample, usual float64) {
+	if sample <= 0 || usual <= 0 {
+		return
+	}
+
+	s.ratio = s.slowness(now)*(1-slowWeight) + slowWeight*sample/usual
+	s.ratioAt = now
+}
+
+// learnFailure shrinks and closes a server that failed. Answers granted before the
+// last failure tell nothing new: a crash breaks all of them at the same time.
+func (s *server) learnFailure(now time.Time, granted time.Time, result dispatcher.Result) {
+	if !s.lastFailure.IsZero() && !granted.After(s.lastFailure) {
+		return
+	}
+
+	s.failures++
+	s.lastFailure = now
+
+	if result == dispatcher.ResultSilent && s.failures < silencesToClose {
+		return
+	}
+
+	s.limit = max(smallestLimit, s.limit/2)
+	s.closedUntil = now.Add(min(longestClose, shortestClose<<min(s.failures-1, 6)))
+}
+
+// verdict is what one answer says about a server's limit.
+type verdict int
+
+const (
+	// The smaller of two verdicts is the more careful one.
+	verdictLess verdict = iota
+	verdictHold
+	verdictMore
+)
+
+// apply moves the limit: additive increase while full and on time,
+// multiplicative decrease once for each set of answers granted before it.
+func (s *server) apply(now, granted time.Time, v verdict) {
+	switch {
+	case v == verdictMore && s.inFlight >= s.slots():
+		s.limit = min(largestLimit, s.limit+1/s.limit)
+	case v == verdictLess && granted.After(s.lastDecrease):
+		s.limit = max(smallestLimit, s.limit*decreaseFactor)
+		s.lastDecrease = now
+	}
+}
+
+// excluded says whether the request must not go to the server.
+func (s *server) excluded(request *Request) bool {
+	return len(request.Exclude) > 0 && slices.Contains(request.Exclude, s.upstream.Name)
+}
--- a/internal/scheduler/stats.go
+++ b/internal/scheduler/stats.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
 	"quincepath.example/quincepath/pkg/classifier"
@@ -33,3 +34,50 @@
 	// LongestWait is the longest time in the queue until a grant, by class.
 	LongestWait map[string]time.Duration
 }
+
+// counters are the parts of Stats that only grow.
+type counters struct {
+	refused        map[classifier.Code]int
+	cancelled      int
+	preempted      int
+	oversubscribed int
+	tokensLost     int
+	reclaimed      int
+}
+
+func newCounters() counters {
+	return counters{refused: make(map[classifier.Code]int)}
+}
+
+// Stats returns a copy of the counters as of the latest call.
+func (p *Pool) Stats() Stats {
+	stats := Stats{
+		Queued:         make(map[string]int, len(p.classes)),
+		InFlight:       make(map[string]int, len(p.servers)),
+		Limit:          make(map[string]int, len(p.servers)),
+		Granted:        make(map[string]int, len(p.classes)),
+		Refused:        maps.Clone(p.counters.refused),
+		Cancelled:      p.counters.cancelled,
+		Preempted:      p.counters.preempted,
+		Oversubscribed: p.counters.oversubscribed,
+		TokensLost:     p.counters.tokensLost,
+		Reclaimed:      p.counters.reclaimed,
+		SlotTime:       make(map[string]time.Duration, len(p.servers)),
+		LongestWait:    make(map[string]time.Duration, len(p.classes)),
+	}
+
+	for _, c := range p.classes {
+		stats.Queued[c.settings.Name] = c.total
+		stats.Granted[c.settings.Name] = c.granted
+		stats.LongestWait[c.settings.Name] = c.longestWait
+	}
+
+	for _, s := range p.servers {
+		s.count(p.last)
+		stats.InFlight[s.upstream.Name] = s.inFlight
+		stats.Limit[s.upstream.Name] = s.slots()
+		stats.SlotTime[s.upstream.Name] = s.slotTime
+	}
+
+	return stats
+}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -27,8 +27,13 @@
 	Organisation string
 	// Exclude names servers that must not be granted.
 	Exclude []string
-	// Waited is the time since the request arrived at its entry.
+	// Waited is the time since the request arrived at its entry; it counts against the target.
 	Waited time.Duration
+	// Queued is the part of Waited that this attempt already spent in the queues of
+	// earlier holders; it counts against MaxWait and towards moving up.
+	Queued time.Duration
+	// NotRepeatable keeps the request from being preempted, whatever its class says.
+	NotRepeatable bool
 	// Progress is the number of tokens that earlier attempts delivered.
 	Progress int
 	// PrefixHash breaks ties between equally good servers, so that equal
