Carry slots between entries and holders

A holder answers each ask at once with granted, queued or refused, so that silence shows after 150 ms whatever the queue. Weighed against a held call with a heartbeat: that needs a second message stream per waiting request and still can't tell a lost answer from a long queue. Asks have ids and may be repeated; grants and entries' flights are compared every second.

Credits (an entry keeps idle grants) are left out whole: they take slots from the exact queue while tier 1 waits. Per-request and batched messages are selectable.

Found by the tests: a node that takes a pool over granted above what it runs itself, because it asked itself like the others; it now adopts its own flights before its first grant.

--- /dev/null
+++ b/internal/granter/network_test.go
@@ -0,0 +1,324 @@
+package granter
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/dispatcher"
+	"quincepath.example/quincepath/internal/scheduler"
+)
+
+const latency = 1500 * time.Microsecond
+
+var errLost = errors.New("the message was lost")
+
+// network joins nodes by fake messages with a latency, in virtual time.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*node
+	// down nodes take no messages; frozen ones answer none until they thaw.
+	down   map[string]bool
+	frozen map[string]chan struct{}
+	// loss is the share of messages that are lost.
+	loss   float64
+	random *rand.Rand
+	// dropped lists methods that are always lost.
+	dropped map[string]bool
+	// messages counts those sent, by method.
+	messages map[string]int
+	// running counts attempts at each upstream, and most the largest number.
+	running, most map[string]int
+}
+
+type handler func(ctx context.Context, from string, params json.RawMessage) (any, error)
+
+type node struct {
+	name   string
+	net    *network
+	holder *Holder
+	router *Router
+}
+
+func service(servers, slots int) configurer.Service {
+	s := configurer.Service{
+		Name: "assistente",
+		Kind: configurer.KindEngine,
+		Classes: map[string]configurer.Class{
+			"counter": {Name: "counter", Tier: 1, Target: 300 * time.Millisecond, MaxWait: 5 * time.Second, Repeatable: true},
+			"chat":    {Name: "chat", Tier: 2, Target: 5 * time.Second, MaxWait: time.Minute, Repeatable: true},
+		},
+		Organisations: map[string]configurer.Organisation{"a": {Weight: 1}},
+		Upstreams:     make(map[string]configurer.Upstream),
+	}
+
+	for i := range servers {
+		name := fmt.Sprintf("e%02d", i+1)
+		s.Upstreams[name] = configurer.Upstream{Name: name, Slots: slots}
+	}
+
+	return s
+}
+
+type settings struct{ snapshot configurer.Snapshot }
+
+func (s settings) Snapshot() configurer.Snapshot { return s.snapshot }
+
+// firstServer stands in place of the baseline policy.
+type firstServer struct{}
+
+func (firstServer) Acquire(context.Context, dispatcher.Ask) (dispatcher.Slot, error) {
+	return dispatcher.Slot{ID: "x", Upstream: configurer.Upstream{Name: "e01"}, Priority: 1}, nil
+}
+
+func (firstServer) Release(dispatcher.Slot, dispatcher.Ask, dispatcher.Outcome) {}
+
+func newNetwork(ctx context.Context, nodes int, s configurer.Service, options Options) *network {
+	n := &network{
+		nodes: map[string]*node{}, down: map[string]bool{}, frozen: map[string]chan struct{}{},
+		random: rand.New(rand.NewPCG(1, 1)), dropped: map[string]bool{}, messages: map[string]int{},
+		running: map[string]int{}, most: map[string]int{},
+	}
+
+	for i := range nodes {
+		n.start(ctx, fmt.Sprintf("n%d", i+1), s, options)
+	}
+
+	return n
+}
+
+func (n *network) start(ctx context.Context, name string, s configurer.Service, options Options) *node {
+	options.Node = name
+	options.Incarnation = "1"
+	tree := settings{configurer.Snapshot{Revision: 1, Services: map[string]configurer.Service{s.Name: s}}}
+	node := &node{name: name, net: n}
+	node.holder = NewHolder(ctx, tree, n, node, options)
+	node.router = NewRouter(ctx, node.holder, firstServer{}, tree, n, node, options)
+	n.nodes[name] = node
+
+	return node
+}
+
+// Live implements Members.
+func (n *network) Live() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	var live []string
+
+	for i := range n.nodes {
+		if !n.down[i] || n.frozen[i] != nil {
+			live = append(live, i)
+		}
+	}
+
+	// The order of a map differs from call to call.
+	for i := range live {
+		for j := i; j > 0 && live[j] < live[j-1]; j-- {
+			live[j], live[j-1] = live[j-1], live[j]
+		}
+	}
+
+	return live
+}
+
+func (n *network) holderNode() *node {
+	return n.nodes[(&placement{}).holder(n.Live(), "assistente")]
+}
+
+// other returns a node that is not the holder.
+func (n *network) other() *node {
+	for _, name := range n.Live() {
+		if name != n.holderNode().name {
+			return n.nodes[name]
+		}
+	}
+
+	return nil
+}
+
+func (n *network) freeze(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.frozen[name] = make(chan struct{})
+}
+
+func (n *network) thaw(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	close(n.frozen[name])
+	delete(n.frozen, name)
+}
+
+func (n *network) lose(share float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.loss = share
+}
+
+func (n *network) setDown(name string, down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.down[name] = down
+}
+
+// pass takes one message from a node to another, and says whether it arrived.
+func (n *network) pass(from, to, method string) (chan struct{}, bool) {
+	time.Sleep(latency)
+
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.messages[method]++
+	lost := n.nodes[to] == nil || n.down[from] || n.down[to] || n.dropped[method] || n.random.Float64() < n.loss
+
+	return n.frozen[to], !lost
+}
+
+func (n *network) handle(ctx context.Context, from, to, method string, params any) (any, error) {
+	frozen, arrived := n.pass(from, to, method)
+	if !arrived {
+		<-ctx.Done()
+
+		return nil, errLost
+	}
+
+	if frozen != nil {
+		<-frozen
+	}
+
+	node := n.nodes[to]
+	handlers := map[string]handler{
+		MethodAsk:      node.holder.HandleAsk,
+		MethodRelease:  node.holder.HandleRelease,
+		MethodDecided:  node.router.HandleDecided,
+		MethodInFlight: node.router.HandleInFlight,
+	}
+
+	encoded, err := json.Marshal(params)
+	if err != nil {
+		return nil, err
+	}
+
+	return handlers[method](ctx, from, encoded)
+}
+
+// Call implements Caller. The message goes on when the caller gives up, as on a real network.
+func (n *node) Call(ctx context.Context, peer, method string, params, result any) error {
+	answered := make(chan error, 1)
+
+	var answer any
+
+	go func() {
+		var err error
+
+		answer, err = n.net.handle(ctx, n.name, peer, method, params)
+		if err == nil {
+			if _, arrived := n.net.pass(peer, n.name, method+" answer"); !arrived {
+				<-ctx.Done()
+
+				err = errLost
+			}
+		}
+
+		answered <- err
+	}()
+
+	select {
+	case err := <-answered:
+		if err != nil {
+			return err
+		}
+
+		encoded, err := json.Marshal(answer)
+		if err != nil {
+			return err
+		}
+
+		return json.Unmarshal(encoded, result)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Notify implements Caller.
+func (n *node) Notify(ctx context.Context, peer, method string, params any) error {
+	_, err := n.net.handle(ctx, n.name, peer, method, params)
+
+	return err
+}
+
+// run carries one request through a node and returns how long it waited for its slot.
+func (n *node) run(ctx context.Context, class string, duration time.Duration) (time.Duration, error) {
+	started := time.Now()
+	ask := dispatcher.Ask{RequestID: "r", Service: "assistente", Class: class, Organisation: "a"}
+
+	slot, err := n.router.Acquire(ctx, ask)
+	waited := time.Since(started)
+
+	if err != nil {
+		return waited, err
+	}
+
+	n.net.occupy(slot.Upstream.Name, 1)
+
+	outcome := dispatcher.Outcome{Result: dispatcher.ResultDone, FirstToken: 10 * time.Millisecond, Duration: duration, Tokens: 10}
+
+	select {
+	case <-time.After(duration):
+	case <-ctx.Done():
+		outcome.Result = dispatcher.ResultCallerGone
+	case <-slot.Preempted:
+		outcome.Result = dispatcher.ResultPreempted
+	}
+
+	n.net.occupy(slot.Upstream.Name, -1)
+	n.router.Release(slot, ask, outcome)
+
+	return waited, nil
+}
+
+func (n *network) occupy(upstream string, change int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.running[upstream] += change
+	n.most[upstream] = max(n.most[upstream], n.running[upstream])
+}
+
+// counts returns copies of the present and the largest numbers of attempts.
+func (n *network) counts() (running, most map[string]int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return maps.Clone(n.running), maps.Clone(n.most)
+}
+
+// inUse sums what the pools of all nodes count as in use.
+func (n *network) inUse() int {
+	sum := 0
+
+	for _, node := range n.nodes {
+		for _, stats := range node.holder.Stats() {
+			for _, count := range stats.InFlight {
+				sum += count
+			}
+		}
+	}
+
+	return sum
+}
+
+func fixed() Options {
+	return Options{Pool: scheduler.Options{FixedSlots: true, Headroom: -1, NoEstimates: true, NoPreemption: true}}
+}
--- /dev/null
+++ b/internal/granter/pending.go
@@ -0,0 +1,289 @@
+package granter
+
+import (
+	"time"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/dispatcher"
+)
+
+// shareWindow is the time over which the share of a pool is remembered, once more at most.
+const shareWindow = 10 * time.Second
+
+// pending is one ask on its way to a decision.
+type pending struct {
+	item  askItem
+	pool  string
+	class configurer.Class
+	// began is when the ask began, arrived when its request arrived at this node.
+	began, arrived time.Time
+	// peer is the holder asked last; Router.mu guards it, and only the asking goroutine writes it.
+	peer string
+	// result takes the decision that ends the ask. Only the one who removes the
+	// ask from Router.pending sends, so that there is one at most.
+	result chan decision
+}
+
+// flight is one running attempt.
+type flight struct {
+	item flightItem
+	pool string
+	// peer is the holder that granted, or empty.
+	peer  string
+	lower bool
+	since time.Time
+	// inner is the fallback's slot, or nil.
+	inner     *dispatcher.Slot
+	preempted chan struct{}
+	// told is true once preempted is closed.
+	told bool
+}
+
+func newFlight(p *pending, grantID, upstream, peer string) *flight {
+	return &flight{
+		item: flightItem{
+			GrantID:      grantID,
+			ID:           p.item.ID,
+			Upstream:     upstream,
+			Class:        p.item.Class,
+			Organisation: p.item.Organisation,
+		},
+		pool:      p.pool,
+		peer:      peer,
+		lower:     p.class.Tier != topTier,
+		since:     time.Now(),
+		preempted: make(chan struct{}),
+	}
+}
+
+func (r *Router) begin(ask dispatcher.Ask, service configurer.Service) *pending {
+	id := askID(r.options.Node, r.options.Incarnation, r.number.Add(1))
+	pool, part := poolOf(service, id)
+	now := time.Now()
+
+	p := &pending{
+		item: askItem{
+			ID:           id,
+			Service:      ask.Service,
+			Part:         part,
+			Class:        ask.Class,
+			Organisation: ask.Organisation,
+			Exclude:      ask.Exclude,
+			Progress:     ask.Progress,
+		},
+		pool:    pool,
+		class:   service.Classes[ask.Class],
+		began:   now,
+		arrived: now.Add(-ask.Waited),
+		result:  make(chan decision, 1),
+	}
+
+	r.mu.Lock()
+	r.pending[id] = p
+	r.mu.Unlock()
+
+	return p
+}
+
+// moveTo notes the holder that is asked next and returns the one asked before.
+func (r *Router) moveTo(p *pending, peer string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	last := p.peer
+	p.peer = peer
+
+	return last
+}
+
+// decided takes a holder's decision, whether as an answer or later.
+//
+// A grant for an ask that is over would hold its slot until the next comparisons;
+// so it is cancelled at once. One that was taken already came twice and changes nothing.
+func (r *Router) decided(peer string, d decision) {
+	r.mu.Lock()
+
+	p := r.pending[d.ID]
+	f := r.flights[d.GrantID]
+	asked := peer
+
+	switch {
+	case d.State == statePreempt && f != nil && !f.told:
+		f.told = true
+		close(f.preempted)
+	case p != nil && (d.State == stateGranted || d.State == stateRefused):
+		asked = p.peer
+		delete(r.pending, d.ID)
+
+		if d.State == stateGranted {
+			r.launch(newFlight(p, d.GrantID, d.Upstream, peer))
+		}
+
+		p.result <- d
+	}
+
+	r.mu.Unlock()
+
+	unwanted := d.State == stateGranted && p == nil && f == nil
+	if unwanted || asked != peer {
+		r.batcher.cancel(asked, cancelItem{Pool: d.Pool, ID: d.ID})
+	}
+}
+
+// launch notes a running attempt. The caller holds r.mu.
+func (r *Router) launch(f *flight) {
+	r.flights[f.item.GrantID] = f
+
+	if !f.lower {
+		return
+	}
+
+	s := r.shares[f.pool]
+	if s == nil {
+		s = &share{}
+		r.shares[f.pool] = s
+	}
+
+	s.note(time.Now(), r.lowerOn(f.pool))
+}
+
+// leave ends an ask that goes without its holder and reserves its flight.
+// It returns nil when a decision is already there to be read, or when a lower
+// tier already runs as many attempts as this node lately had.
+func (r *Router) leave(p *pending) *flight {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if _, open := r.pending[p.item.ID]; !open {
+		return nil
+	}
+
+	f := newFlight(p, p.item.ID+"/fallback", "", "")
+	if f.lower && !r.withinShare(p.pool) {
+		return nil
+	}
+
+	delete(r.pending, p.item.ID)
+	r.flights[f.item.GrantID] = f
+	r.counters.WithoutHolder++
+
+	return f
+}
+
+// withinShare says whether this node runs fewer lower-tier attempts on the pool
+// than it lately did. The caller holds r.mu.
+func (r *Router) withinShare(pool string) bool {
+	s := r.shares[pool]
+
+	return s != nil && r.lowerOn(pool) < s.known(time.Now())
+}
+
+// withdraw ends an ask from this side and tells its holder. It returns false
+// when a decision is already there to be read.
+func (r *Router) withdraw(p *pending) bool {
+	r.mu.Lock()
+	_, open := r.pending[p.item.ID]
+	delete(r.pending, p.item.ID)
+	peer := p.peer
+	r.mu.Unlock()
+
+	if open {
+		r.cancelAt(peer, p)
+	}
+
+	return open
+}
+
+// abandon ends an ask whether it is decided or not.
+func (r *Router) abandon(p *pending) {
+	if r.withdraw(p) {
+		return
+	}
+
+	d := <-p.result
+	if d.State != stateGranted {
+		return
+	}
+
+	r.giveBack(p, d.GrantID)
+}
+
+// giveBack returns a grant that was not used.
+func (r *Router) giveBack(p *pending, grantID string) {
+	r.mu.Lock()
+	f := r.flights[grantID]
+	delete(r.flights, grantID)
+	r.mu.Unlock()
+
+	if f != nil {
+		r.cancelAt(f.peer, p)
+	}
+}
+
+func (r *Router) cancelAt(peer string, p *pending) {
+	if peer != "" {
+		r.batcher.cancel(peer, cancelItem{Pool: p.pool, ID: p.item.ID})
+	}
+}
+
+// lowerOn counts this node's running attempts below tier 1. The caller holds r.mu.
+func (r *Router) lowerOn(pool string) int {
+	count := 0
+
+	for _, f := range r.flights {
+		if f.lower && f.pool == pool {
+			count++
+		}
+	}
+
+	return count
+}
+
+// inFlight answers what this node runs on a pool.
+func (r *Router) inFlight(pool string) inFlightResult {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	var result inFlightResult
+
+	for _, f := range r.flights {
+		if f.pool != pool {
+			continue
+		}
+
+		item := f.item
+		item.Age = time.Since(f.since)
+		result.Flights = append(result.Flights, item)
+	}
+
+	return result
+}
+
+// share remembers the largest number of lower-tier attempts at once in this window and the last.
+type share struct {
+	start         time.Time
+	present, last int
+}
+
+func (s *share) note(now time.Time, count int) {
+	s.turn(now)
+	s.present = max(s.present, count)
+}
+
+func (s *share) known(now time.Time) int {
+	s.turn(now)
+
+	return max(s.present, s.last)
+}
+
+// turn begins a new window when the present one is over. Without new grants
+// the last counts stay: a holder may be silent for longer than a window.
+func (s *share) turn(now time.Time) {
+	if now.Sub(s.start) < shareWindow || s.present == 0 {
+		return
+	}
+
+	s.start = now
+	s.last = s.present
+	s.present = 0
+}
--- /dev/null
+++ b/internal/granter/reconciler.go
@@ -0,0 +1,178 @@
+package granter
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"quincepath.example/quincepath/internal/scheduler"
+)
+
+// silentToForget is the number of unanswered comparisons running after which an
+// entry counts as gone even while the list of live nodes still names it.
+const silentToForget = 5
+
+// claim begins a rebuild when this node has just become the pool's holder, or
+// serves it in another's place after a time without asks: meanwhile others may have granted.
+func (h *Holder) claim(p *heldPool) {
+	live := h.members.Live()
+	mine := h.placement.holder(live, p.name) == h.options.Node
+	now := time.Now()
+
+	p.mu.Lock()
+	lost := (mine && !p.mine) || (!mine && now.Sub(p.lastAsk) > staleAfter)
+	p.mine = mine
+	p.lastAsk = now
+	p.mu.Unlock()
+
+	if !lost {
+		return
+	}
+
+	h.drive(p, func(now time.Time, pool *scheduler.Pool) []scheduler.Decision {
+		return pool.Rebuild(now, live)
+	})
+
+	// What this node itself runs is known at once, before the first grant.
+	if slices.Contains(live, h.options.Node) {
+		h.compareOne(p, h.options.Node)
+	}
+
+	go h.compare(p, live)
+}
+
+// reconcile compares the pool's grants with its entries until the pool is idle and not held here.
+func (h *Holder) reconcile(p *heldPool) {
+	ticker := time.NewTicker(h.options.ReconcileEvery)
+	defer ticker.Stop()
+
+	for {
+		select {
+		case <-ticker.C:
+		case <-h.ctx.Done():
+			return
+		}
+
+		h.refresh(p)
+
+		entries := h.entriesOf(p)
+		h.compare(p, entries)
+
+		if len(entries) == 0 && h.retire(p) {
+			return
+		}
+	}
+}
+
+func (h *Holder) entriesOf(p *heldPool) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.pool.Entries()
+}
+
+// retire drops an idle pool that another node holds, and says whether it did.
+func (h *Holder) retire(p *heldPool) bool {
+	mine := h.placement.holder(h.members.Live(), p.name) == h.options.Node
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.mine = p.mine && mine
+	if mine || time.Since(p.lastAsk) < idlePoolFor || len(p.pool.Entries()) > 0 {
+		return false
+	}
+
+	p.timer.Stop()
+	delete(h.pools, p.name)
+
+	return true
+}
+
+// compare asks the entries at the same time what they have in flight.
+func (h *Holder) compare(p *heldPool, entries []string) {
+	var group sync.WaitGroup
+
+	for _, entry := range entries {
+		group.Go(func() { h.compareOne(p, entry) })
+	}
+
+	group.Wait()
+}
+
+func (h *Holder) compareOne(p *heldPool, entry string) {
+	result, err := h.flightsOf(entry, p.name)
+	if err != nil {
+		h.missed(p, entry)
+
+		return
+	}
+
+	h.drive(p, func(now time.Time, pool *scheduler.Pool) []scheduler.Decision {
+		delete(p.silent, entry)
+
+		return pool.Adopt(now, entry, result.inFlight(now, entry))
+	})
+}
+
+func (h *Holder) flightsOf(entry, pool string) (inFlightResult, error) {
+	if entry == h.options.Node {
+		if h.entry == nil {
+			return inFlightResult{}, nil
+		}
+
+		return h.entry.inFlight(pool), nil
+	}
+
+	ctx, cancel := context.WithTimeout(h.ctx, h.options.ReconcileEvery)
+	defer cancel()
+
+	var result inFlightResult
+
+	err := h.caller.Call(ctx, entry, MethodInFlight, inFlightParams{Pool: pool}, &result)
+
+	return result, err
+}
+
+// missed counts an entry that didn't answer and forgets it when it is gone.
+func (h *Holder) missed(p *heldPool, entry string) {
+	if h.ctx.Err() != nil {
+		return
+	}
+
+	gone := !slices.Contains(h.members.Live(), entry)
+
+	h.drive(p, func(now time.Time, pool *scheduler.Pool) []scheduler.Decision {
+		p.silent[entry]++
+
+		if !gone && p.silent[entry] < silentToForget {
+			return nil
+		}
+
+		delete(p.silent, entry)
+
+		return pool.Forget(now, entry)
+	})
+}
+
+func (r inFlightResult) inFlight(now time.Time, entry string) []scheduler.InFlight {
+	flights := make([]scheduler.InFlight, len(r.Flights))
+
+	for i, f := range r.Flights {
+		flights[i] = scheduler.InFlight{
+			GrantID:      f.GrantID,
+			RequestID:    f.ID,
+			Entry:        entry,
+			Upstream:     f.Upstream,
+			Class:        f.Class,
+			Organisation: f.Organisation,
+			Since:        now.Add(-f.Age),
+		}
+	}
+
+	return flights
+}
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -1,6 +1,21 @@
 // Package granter carries the decisions of package scheduler between nodes: the
 // Holder runs the pools of this node, and the Router asks the holder of a pool
 // for slots on behalf of this node's requests.
+//
+// An ask is answered at once with granted, queued or refused, so that silence
+// shows within a fixed time whatever the queue. A queued ask is decided by a
+// later message. Messages may be lost, doubled or cross each other:
+//
+//   - An ask has an id and may be sent again; the holder answers the same. A lost
+//     answer or decision is made good by the next ask with that id.
+//   - A grant that its entry doesn't want any more is cancelled by the ask's id,
+//     whether the ask still waits or was granted.
+//   - The holder compares its grants with what each entry has in flight; what
+//     the entry doesn't know twice running is free again, and what the holder
+//     doesn't know is taken over.
+//
+// Locks, in the order in which they may be taken: Holder.mu, heldPool.mu,
+// outbox.mu. Router.mu and batcher.mu are taken alone. None is held during a message.
 package granter
 
 import (
@@ -35,10 +50,37 @@
 	BatchEvery time.Duration
 	// HolderSilence is how long a holder may take to acknowledge an ask. Default 150 ms.
 	HolderSilence time.Duration
+	// AskAgainAfter is the time after which a queued ask below tier 1 is sent again;
+	// tier 1 asks again after HolderSilence. Default 5 s.
+	AskAgainAfter time.Duration
 	// ReconcileEvery is the time between comparisons of grants with each entry. Default 1 s.
 	ReconcileEvery time.Duration
 }
 
+func (o Options) withDefaults() Options {
+	if o.Policy == "" {
+		o.Policy = PolicyPerRequest
+	}
+
+	if o.BatchEvery == 0 {
+		o.BatchEvery = 3 * time.Millisecond
+	}
+
+	if o.HolderSilence == 0 {
+		o.HolderSilence = 150 * time.Millisecond
+	}
+
+	if o.AskAgainAfter == 0 {
+		o.AskAgainAfter = 5 * time.Second
+	}
+
+	if o.ReconcileEvery == 0 {
+		o.ReconcileEvery = time.Second
+	}
+
+	return o
+}
+
 // Caller sends messages to other nodes.
 type Caller interface {
 	// Call sends params and decodes the answer into result.
--- /dev/null
+++ b/internal/granter/watcher.go
@@ -0,0 +1,98 @@
+package granter
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+)
+
+// probeEvery is the time between questions to a silent holder.
+const probeEvery = 250 * time.Millisecond
+
+// RouterCounters count since the router was made.
+type RouterCounters struct {
+	// Messages counts messages sent to holders on other nodes.
+	Messages int64
+	// WithoutHolder counts attempts that ran without a holder's grant.
+	WithoutHolder int64
+	// Silences counts the times at which a holder became silent.
+	Silences int64
+}
+
+type routerCounters struct {
+	messages atomic.Int64
+	// WithoutHolder and Silences are guarded by Router.mu.
+	WithoutHolder int64
+	Silences      int64
+}
+
+// Counters returns a copy of the counters.
+func (r *Router) Counters() RouterCounters {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return RouterCounters{
+		Messages:      r.counters.messages.Load(),
+		WithoutHolder: r.counters.WithoutHolder,
+		Silences:      r.counters.Silences,
+	}
+}
+
+// holderOf returns the pool's holder among the live nodes that answer, or "".
+func (r *Router) holderOf(pool string) string {
+	live := r.members.Live()
+
+	r.mu.Lock()
+	if len(r.silent) > 0 {
+		live = slices.DeleteFunc(slices.Clone(live), func(node string) bool { return r.silent[node] })
+	}
+	r.mu.Unlock()
+
+	return r.placement.holder(live, pool)
+}
+
+// suspect keeps a silent holder from being asked until it answers again. The
+// next holder is asked meanwhile; two holders cost some balance and no promise.
+func (r *Router) suspect(peer string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if r.silent[peer] || peer == r.options.Node {
+		return
+	}
+
+	r.silent[peer] = true
+	r.counters.Silences++
+
+	go r.probe(peer)
+}
+
+// probe asks a silent holder until it answers or is no longer among the live nodes.
+func (r *Router) probe(peer string) {
+	ticker := time.NewTicker(probeEvery)
+	defer ticker.Stop()
+
+	for {
+		select {
+		case <-ticker.C:
+		case <-r.ctx.Done():
+			return
+		}
+
+		if r.answers(peer) || !slices.Contains(r.members.Live(), peer) {
+			r.mu.Lock()
+			delete(r.silent, peer)
+			r.mu.Unlock()
+
+			return
+		}
+	}
+}
+
+func (r *Router) answers(peer string) bool {
+	ctx, cancel := context.WithTimeout(r.ctx, r.options.HolderSilence)
+	defer cancel()
+
+	return r.caller.Call(ctx, peer, MethodAsk, askParams{}, &askResult{}) == nil
+}
--- a/internal/scheduler/adopting.go
+++ b/internal/scheduler/adopting.go
@@ -171,3 +171,18 @@
 func (m *idMemory) has(id string) bool {
 	return m.ids.Contains(id)
 }
+
+// Entries lists the nodes that hold grants or wait, in name order.
+func (p *Pool) Entries() []string {
+	entries := make(map[string]bool)
+
+	for _, g := range p.grants {
+		entries[g.request.Entry] = true
+	}
+
+	for _, w := range p.waiting {
+		entries[w.request.Entry] = true
+	}
+
+	return sortedKeys(entries)
+}
