--- a/internal/bencher/caller.go
+++ b/internal/bencher/caller.go
@@ -17,8 +17,9 @@
 	index int
 	class configurer.Class
 	// asked is the time of the first ask; everything that the caller sees is measured from it.
-	asked   time.Duration
-	tries   int
+	asked time.Duration
+	tries int
+	// refused counts the failures after which the caller came back.
 	refused int
 	// firstAt is when the first token reached the caller; zero if none did.
 	firstAt time.Duration
@@ -86,7 +87,7 @@
 		return
 	}
 
-	if failure.Ran != classifier.RanNo {
+	if !c.mayAskAgain(failure) {
 		c.end(failure)
 
 		return
@@ -96,6 +97,16 @@
 	c.again(c.pause(failure), failure)
 }
 
+// mayAskAgain says whether the caller comes back: always when the request was
+// not run; else only with work that may run twice, if it was told when.
+func (c *caller) mayAskAgain(failure *classifier.Error) bool {
+	if failure.Ran == classifier.RanNo {
+		return true
+	}
+
+	return c.event.ComeBack && !c.event.NotRepeatable && failure.RetryAfter > 0
+}
+
 // pause is how long the caller waits after a refusal.
 func (c *caller) pause(failure *classifier.Error) time.Duration {
 	if c.event.ComeBack && failure.RetryAfter > 0 {
--- a/internal/bencher/table.go
+++ b/internal/bencher/table.go
@@ -24,11 +24,11 @@
 	}
 
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "class\ttier\trequests\tattained\tfinished\tfailed\tgiven_up\tshed\tlate\tpreempted\tretried\tcame_back\tgot_in\tmax_wait_s\tmax_refusal_s\t")
+	fmt.Fprintln(table, "class\ttier\trequests\tattained\tfinished\tfailed\tgiven_up\tbroken\tshed\tlate\tpreempted\tretried\tcame_back\tgot_in\tmax_wait_s\tmax_refusal_s\t")
 
 	for _, c := range r.Classes {
-		fmt.Fprintf(table, "%s\t%d\t%d\t%.4f\t%.4f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t\n",
-			c.Class, c.Tier, c.Requests, c.AttainedShare(), c.FinishedShare(), c.Failed, c.GivenUp, c.Shed, c.Late,
+		fmt.Fprintf(table, "%s\t%d\t%d\t%.4f\t%.4f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t\n",
+			c.Class, c.Tier, c.Requests, c.AttainedShare(), c.FinishedShare(), c.Failed, c.GivenUp, c.Broken, c.Shed, c.Late,
 			c.Preempted, c.Retried, c.CameBack, c.GotIn, c.MaxWait.Seconds(), c.MaxRefusal.Seconds())
 	}
 
--- a/internal/bencher/timeline.go
+++ b/internal/bencher/timeline.go
@@ -24,7 +24,7 @@
 // after plans run for delay from now; a negative delay counts as zero.
 func (t *timeline) after(delay time.Duration, run func()) {
 	t.order++
-	heap.Push(&t.events, event{at: t.now + max(delay, 0), order: t.order, run: run})
+	heap.Push(&t.events, &event{at: t.now + max(delay, 0), order: t.order, run: run})
 }
 
 // every plans run for each period until the run returns false.
@@ -39,7 +39,7 @@
 // run handles all events up to and including the end, or until done says so.
 func (t *timeline) run(end time.Duration, done func() bool) {
 	for len(t.events) > 0 && t.events[0].at <= end && !done() {
-		next := heap.Pop(&t.events).(event)
+		next := heap.Pop(&t.events).(*event)
 		t.now = next.at
 		next.run()
 	}
@@ -52,7 +52,7 @@
 }
 
 // eventHeap implements heap.Interface.
-type eventHeap []event
+type eventHeap []*event
 
 // Len implements heap.Interface.
 func (h eventHeap) Len() int { return len(h) }
@@ -70,13 +70,13 @@
 func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
 // Push implements heap.Interface.
-func (h *eventHeap) Push(item any) { *h = append(*h, item.(event)) }
+func (h *eventHeap) Push(item any) { *h = append(*h, item.(*event)) }
 
 // Pop implements heap.Interface.
 func (h *eventHeap) Pop() any {
 	last := len(*h) - 1
 	item := (*h)[last]
-	(*h)[last] = event{}
+	(*h)[last] = nil
 	*h = (*h)[:last]
 
 	return item
