Add the operators' HTTP edge and a YAML editor for single values

Operators had no way to see or change a running node. Unknown JSON fields are refused, since a misspelt base_revision would otherwise overwrite a newer branch, and a missing one is not taken as 0.

Taking an upstream out of service is an ordinary edit of its service's branch (upstreams.NAME.leaving: true), so it has an author, a history and an undo. Package editor makes such single changes on ordered YAML with comments kept; a plain decode and encode was ruled out because it drops the operators' comments.

--- /dev/null
+++ b/internal/administrator/answers.go
@@ -0,0 +1,104 @@
+package administrator
+
+import (
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// errorAnswer is the body of every failure; its shape is that of the callers' side.
+type errorAnswer struct {
+	Error errorBody `json:"error"`
+}
+
+type errorBody struct {
+	Message           string         `json:"message"`
+	Type              string         `json:"type"`
+	Code              string         `json:"code"`
+	ResultCode        int            `json:"result_code"`
+	Ran               classifier.Ran `json:"ran"`
+	RetryAfterSeconds float64        `json:"retry_after_seconds,omitempty"`
+	// Difference shows what an edit conflicts with, line by line; empty for other failures.
+	Difference string `json:"difference,omitempty"`
+}
+
+// differing is an error that can show what an edit conflicts with.
+type differing interface {
+	Difference() string
+}
+
+func (s *Server) writeError(w http.ResponseWriter, r *http.Request, err error) {
+	s.writeStatus(w, r, classifier.Describe(classifier.From(err).Code).Status, err)
+}
+
+func (s *Server) writeStatus(w http.ResponseWriter, r *http.Request, status int, err error) {
+	failure := classifier.From(err)
+	body := errorBody{
+		Message:           failure.Reason,
+		Type:              "quincepath_error",
+		Code:              failure.Code.String(),
+		ResultCode:        int(failure.Code),
+		Ran:               failure.Ran,
+		RetryAfterSeconds: failure.RetryAfter.Seconds(),
+	}
+
+	var conflict differing
+	if errors.As(err, &conflict) {
+		body.Difference = conflict.Difference()
+	}
+
+	if failure.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(failure.RetryAfter.Seconds()))))
+	}
+
+	s.options.Logger.Warn().
+		Str("method", r.Method).
+		Str("path", r.URL.Path).
+		Int("result_code", int(failure.Code)).
+		Str("result", failure.Code.String()).
+		AnErr("cause", failure.Unwrap()).
+		Msg("operator_call_failed")
+
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the operator left; the connection ends with the handler.
+	_ = json.NewEncoder(w).Encode(errorAnswer{Error: body})
+}
+
+func writeJSON(w http.ResponseWriter, answer any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the operator left; the connection ends with the handler.
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// readJSON reads one JSON value and refuses unknown fields: a misspelt
+// base_revision would otherwise overwrite a newer branch.
+func readJSON(w http.ResponseWriter, r *http.Request, into any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+
+	err := decoder.Decode(into)
+	if err == nil {
+		_, err = decoder.Token()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+
+		if err == nil {
+			err = errors.New("more follows the JSON value")
+		}
+	}
+
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return classifier.New(classifier.BodyTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
+	}
+
+	return classifier.New(classifier.InvalidRequest, "the body is not the JSON that this call takes: %v", err)
+}
--- /dev/null
+++ b/internal/administrator/tree.go
@@ -0,0 +1,216 @@
+package administrator
+
+import (
+	"net/http"
+	"strconv"
+
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+const (
+	defaultHistory = 50
+	maxHistory     = 1000
+	maxNameBytes   = 200
+)
+
+type branchesAnswer struct {
+	Branches []Branch `json:"branches"`
+}
+
+type historyAnswer struct {
+	Changes []Change `json:"changes"`
+}
+
+// putRequest is the body of a call that writes a branch.
+type putRequest struct {
+	// BaseRevision is a pointer because 0 says something: that the branch is to be new.
+	BaseRevision *int64 `json:"base_revision"`
+	ChangeID     string `json:"change_id"`
+	Author       string `json:"author"`
+	Content      string `json:"content"`
+}
+
+type undoRequest struct {
+	Undone   string `json:"undone_change_id"`
+	ChangeID string `json:"change_id"`
+	Author   string `json:"author"`
+}
+
+func (s *Server) handleBranches(w http.ResponseWriter, r *http.Request) {
+	branches, err := s.options.Tree.Branches(r.Context())
+	if err != nil {
+		s.writeError(w, r, err)
+		return
+	}
+
+	writeJSON(w, branchesAnswer{Branches: branches})
+}
+
+func (s *Server) handleBranch(w http.ResponseWriter, r *http.Request) {
+	explain, err := explainOf(r)
+	if err != nil {
+		s.writeError(w, r, err)
+		return
+	}
+
+	branch, err := s.options.Tree.Branch(r.Context(), r.PathValue("path"), explain)
+	if err != nil {
+		s.writeError(w, r, err)
+		return
+	}
+
+	writeJSON(w, branch)
+}
+
+func explainOf(r *http.Request) (bool, error) {
+	text := r.URL.Query().Get("explain")
+	if text == "" {
+		return false, nil
+	}
+
+	explain, err := strconv.ParseBool(text)
+	if err != nil {
+		return false, classifier.New(classifier.InvalidRequest, "explain is %q; write true or false", text)
+	}
+
+	return explain, nil
+}
+
+func (s *Server) handlePut(w http.ResponseWriter, r *http.Request) {
+	var body putRequest
+	if err := readJSON(w, r, &body); err != nil {
+		s.writeError(w, r, err)
+		return
+	}
+
+	if body.BaseRevision == nil {
+		s.writeError(w, r, classifier.New(classifier.InvalidRequest, "base_revision is missing; write the revision of the branch that was edited, 0 for a new one"))
+		return
+	}
+
+	s.apply(w, r, Edit{
+		Path:         r.PathValue("path"),
+		BaseRevision: *body.BaseRevision,
+		ChangeID:     body.ChangeID,
+		Author:       body.Author,
+		Content:      body.Content,
+	})
+}
+
+// handleDelete takes its inputs from the query, since proxies and clients drop bodies of DELETE.
+func (s *Server) handleDelete(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+
+	base, err := strconv.ParseInt(query.Get("base_revision"), 10, 64)
+	if err != nil {
+		s.writeError(w, r, classifier.New(classifier.InvalidRequest, "base_revision is %q; write the revision of the branch", query.Get("base_revision")))
+		return
+	}
+
+	s.apply(w, r, Edit{
+		Path:         r.PathValue("path"),
+		BaseRevision: base,
+		ChangeID:     query.Get("change_id"),
+		Author:       query.Get("author"),
+		Delete:       true,
+	})
+}
+
+func (s *Server) apply(w http.ResponseWriter, r *http.Request, edit Edit) {
+	if err := checkNames(edit.ChangeID, edit.Author); err != nil {
+		s.writeError(w, r, err)
+		return
+	}
+
+	if edit.BaseRevision < 0 {
+		s.writeError(w, r, classifier.New(classifier.InvalidRequest, "base_revision is %d; the least is 0", edit.BaseRevision))
+		return
+	}
+
+	change, err := s.options.Tree.Apply(r.Context(), edit)
+	s.answerChange(w, r, change, err)
+}
+
+func (s *Server) handleUndo(w http.ResponseWriter, r *http.Request) {
+	var body undoRequest
+	if err := readJSON(w, r, &body); err != nil {
+		s.writeError(w, r, err)
+		return
+	}
+
+	if err := checkNames(body.ChangeID, body.Author); err != nil {
+		s.writeError(w, r, err)
+		return
+	}
+
+	if body.Undone == "" {
+		s.writeError(w, r, classifier.New(classifier.InvalidRequest, "undone_change_id is missing; name the change that is to be taken back"))
+		return
+	}
+
+	change, err := s.options.Tree.Undo(r.Context(), Undo(body))
+	s.answerChange(w, r, change, err)
+}
+
+// answerChange logs who changed what; a refusal is logged like any failed call.
+func (s *Server) answerChange(w http.ResponseWriter, r *http.Request, change Change, err error) {
+	if err != nil {
+		s.writeError(w, r, err)
+		return
+	}
+
+	s.options.Logger.Info().
+		Str("change_id", change.ID).
+		Str("author", change.Author).
+		Str("branch", change.Path).
+		Str("state", string(change.State)).
+		Int64("revision", change.Revision).
+		Msg("tree_changed")
+	writeJSON(w, change)
+}
+
+// checkNames refuses a change that could neither be asked for again nor be traced to a person.
+func checkNames(changeID, author string) error {
+	if changeID == "" || len(changeID) > maxNameBytes {
+		return classifier.New(classifier.InvalidRequest, "change_id has %d bytes; write 1 to %d, such as a UUID", len(changeID), maxNameBytes)
+	}
+
+	if author == "" || len(author) > maxNameBytes {
+		return classifier.New(classifier.InvalidRequest, "author has %d bytes; write 1 to %d", len(author), maxNameBytes)
+	}
+
+	return nil
+}
+
+func (s *Server) handleHistory(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	limit := defaultHistory
+
+	if text := query.Get("limit"); text != "" {
+		number, err := strconv.Atoi(text)
+		if err != nil || number < 1 || number > maxHistory {
+			s.writeError(w, r, classifier.New(classifier.InvalidRequest, "limit is %q; write a number from 1 to %d", text, maxHistory))
+			return
+		}
+
+		limit = number
+	}
+
+	changes, err := s.options.Tree.History(r.Context(), query.Get("path"), limit)
+	if err != nil {
+		s.writeError(w, r, err)
+		return
+	}
+
+	writeJSON(w, historyAnswer{Changes: changes})
+}
+
+func (s *Server) handleChange(w http.ResponseWriter, r *http.Request) {
+	change, err := s.options.Tree.Change(r.Context(), r.PathValue("id"))
+	if err != nil {
+		s.writeError(w, r, err)
+		return
+	}
+
+	writeJSON(w, change)
+}
--- /dev/null
+++ b/internal/editor/editor_test.go
@@ -0,0 +1,62 @@
+package editor_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/editor"
+)
+
+const branch = `# the counter
+kind: engine
+classes:
+  # groomers wait with a wet dog
+  booking:
+    tier: 1
+    target: 300ms # agreed in May
+  owner_chat:
+    tier: 3
+upstreams: {}
+`
+
+func TestSetKeepsCommentsAndOrder(t *testing.T) {
+	text, err := editor.Set(branch, []string{"classes", "booking", "target"}, "250ms")
+	assert.NilError(t, err)
+	text, err = editor.Set(text, []string{"upstreams", "e.1", "leaving"}, "true")
+	assert.NilError(t, err)
+	text, err = editor.Remove(text, []string{"classes", "owner_chat"})
+	assert.NilError(t, err)
+
+	assert.Equal(t, text, `# the counter
+kind: engine
+classes:
+  # groomers wait with a wet dog
+  booking:
+    tier: 1
+    target: 250ms # agreed in May
+upstreams:
+  e.1:
+    leaving: true
+`)
+}
+
+func TestWrongPathsAndValues(t *testing.T) {
+	_, err := editor.Set(branch, []string{"kind", "tier"}, "1")
+	assert.Error(t, err, "kind has a value; it can't hold the key tier")
+	_, err = editor.Set(branch, []string{"kind"}, "{")
+	assert.ErrorContains(t, err, `the value "{" of kind is no YAML`)
+	_, err = editor.Set("- a", []string{"kind"}, "plain")
+	assert.ErrorContains(t, err, "no YAML mapping")
+	_, err = editor.Remove(branch, []string{"classes", "care_notes"})
+	assert.ErrorIs(t, err, editor.ErrNotFound)
+
+	for _, v := range []string{"", "a..b", ".a", `a."b`} {
+		_, err := editor.SplitPath(v)
+		assert.ErrorContains(t, err, "is no path")
+	}
+
+	keys, err := editor.SplitPath(`organisations."a.b".weight`)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, keys, []string{"organisations", "a.b", "weight"})
+}
