Add the operators' verbs: tree, node, upstream, entry and request

Operators can now drive a node from the command line: tree get, set, edit, diff, history and undo, node status, upstream list and leave, entry list, request show.

--- /dev/null
+++ b/internal/command/upstream/leave/leave.go
@@ -0,0 +1,60 @@
+// Package leave is the command that takes an upstream out of service.
+package leave
+
+import (
+	"context"
+
+	"quincepath.example/quincepath/internal/factory"
+	"quincepath.example/quincepath/internal/operator"
+)
+
+const help = `Take an upstream out of service by a change of the settings tree.
+
+It gets no new work within seconds; what runs on it goes on to its end.
+
+Example:
+  quincepath upstream leave assistente engine-03`
+
+// Options are the flags of the command.
+type Options struct {
+	operator.Flags
+	operator.ChangeFlags
+
+	Service  string
+	Upstream string
+}
+
+// New registers the command under parent.
+func New(f *factory.Factory, parent factory.Parent) factory.Command {
+	options := Options{Flags: operator.Flags{Factory: f}}
+	clause := parent.Command("leave", help)
+	clause.Arg("service", "Name of the service.").Required().StringVar(&options.Service)
+	clause.Arg("upstream", "Name of the upstream.").Required().StringVar(&options.Upstream)
+	options.Flags.Register(clause)
+	options.ChangeFlags.Register(clause)
+
+	return factory.Command{Clause: clause, Run: func(ctx context.Context) error {
+		options.Terminal = f.IsTerminal()
+		return Run(ctx, options)
+	}}
+}
+
+// Run marks the upstream as leaving and prints the change.
+func Run(ctx context.Context, options Options) error {
+	names, err := options.Filled()
+	if err != nil {
+		return err
+	}
+
+	client, err := options.Client()
+	if err != nil {
+		return err
+	}
+
+	made, err := client.Leave(ctx, options.Service, options.Upstream, names.ChangeID, names.Author)
+	if err != nil {
+		return err
+	}
+
+	return options.PrintChange(made)
+}
