Settle a change whose answer was lost, and show changes as differences

The tree keeps a change as the lines that it removed and added, not as two whole texts, so the admin answers carry a difference; history answers stay small that way. Looking a lost change up by GET can't say "not applied" for good, since a copy may still be under way to the store: POST /v1/tree/changes/{id}/settle does, and the command line calls it after a lost answer. Conflicts show their difference in the reason, so the separate field is gone. Paths are shown with a leading slash and taken in either form, which gives the root a name.

--- a/internal/administrator/administrator.go
+++ b/internal/administrator/administrator.go
@@ -70,6 +70,7 @@
 	guarded.HandleFunc("GET /v1/tree/history", s.handleHistory)
 	guarded.HandleFunc("POST /v1/tree/undo", s.handleUndo)
 	guarded.HandleFunc("GET /v1/tree/changes/{id}", s.handleChange)
+	guarded.HandleFunc("POST /v1/tree/changes/{id}/settle", s.handleSettle)
 	guarded.HandleFunc("GET /v1/requests/{id}", s.handleRequest)
 	guarded.Handle("GET /debug/vars", s.options.Variables)
 	guarded.HandleFunc("/", s.handleUnknownRoute)
--- a/internal/administrator/answers.go
+++ b/internal/administrator/answers.go
@@ -24,13 +24,6 @@
 	ResultCode        int            `json:"result_code"`
 	Ran               classifier.Ran `json:"ran"`
 	RetryAfterSeconds float64        `json:"retry_after_seconds,omitempty"`
-	// Difference shows what an edit conflicts with, line by line; empty for other failures.
-	Difference string `json:"difference,omitempty"`
-}
-
-// differing is an error that can show what an edit conflicts with.
-type differing interface {
-	Difference() string
 }
 
 func (s *Server) writeError(w http.ResponseWriter, r *http.Request, err error) {
@@ -48,11 +41,6 @@
 		RetryAfterSeconds: failure.RetryAfter.Seconds(),
 	}
 
-	var conflict differing
-	if errors.As(err, &conflict) {
-		body.Difference = conflict.Difference()
-	}
-
 	if failure.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(failure.RetryAfter.Seconds()))))
 	}
--- a/internal/administrator/tree.go
+++ b/internal/administrator/tree.go
@@ -30,6 +30,11 @@
 	Content      string `json:"content"`
 }
 
+// settleRequest is the body of a call that finds out whether a change was applied.
+type settleRequest struct {
+	Author string `json:"author"`
+}
+
 type undoRequest struct {
 	Undone   string `json:"undone_change_id"`
 	ChangeID string `json:"change_id"`
@@ -214,3 +219,25 @@
 
 	writeJSON(w, change)
 }
+
+func (s *Server) handleSettle(w http.ResponseWriter, r *http.Request) {
+	var body settleRequest
+	if err := readJSON(w, r, &body); err != nil {
+		s.writeError(w, r, err)
+		return
+	}
+
+	id := r.PathValue("id")
+	if err := checkNames(id, body.Author); err != nil {
+		s.writeError(w, r, err)
+		return
+	}
+
+	change, err := s.options.Tree.Settle(r.Context(), id, body.Author)
+	if err != nil {
+		s.writeError(w, r, err)
+		return
+	}
+
+	writeJSON(w, change)
+}
--- a/internal/administrator/types.go
+++ b/internal/administrator/types.go
@@ -9,7 +9,7 @@
 
 // Branch is one branch of the settings tree as it is stored.
 type Branch struct {
-	// Path names the branch, such as "sicilia-est/assistente".
+	// Path names the branch, such as "sicilia-est/assistente"; empty for the root.
 	Path string `json:"path"`
 	// Revision is that of the last change to the branch; an edit names it as its base.
 	Revision int64 `json:"revision"`
@@ -26,6 +26,10 @@
 	Value string `json:"value"`
 	// Branch is the path of the branch that gives the value; empty for the root.
 	Branch string `json:"branch"`
+	// Line is where the value stands in that branch, from 1.
+	Line int `json:"line"`
+	// Level is the service level that the value comes by; empty when it is written in place.
+	Level string `json:"level"`
 }
 
 // Edit is one change that an operator asks for.
@@ -61,9 +65,8 @@
 	Path     string    `json:"path"`
 	Author   string    `json:"author"`
 	At       time.Time `json:"at"`
-	// Before and After are the branch's YAML; empty where the branch did not exist.
-	Before string `json:"before"`
-	After  string `json:"after"`
+	// Difference shows the lines removed and added.
+	Difference string `json:"difference"`
 }
 
 // Undo takes one change back by a new change.
@@ -76,7 +79,8 @@
 }
 
 // Tree reads and changes the settings tree. Its errors carry numbered results:
-// classifier.UnknownBranch, EditConflict, EditUnknown, SettingsInvalid or PlatformUnavailable.
+// classifier.UnknownBranch, EditConflict (the reason shows the difference),
+// EditUnknown, SettingsInvalid, KeyConflict or PlatformUnavailable.
 type Tree interface {
 	// Snapshot returns the settings in force on this node.
 	Snapshot() configurer.Snapshot
@@ -88,10 +92,13 @@
 	Apply(ctx context.Context, edit Edit) (Change, error)
 	// Undo takes one change back if its branch was not changed since.
 	Undo(ctx context.Context, undo Undo) (Change, error)
-	// History returns at most limit changes, the newest first; path "" means all branches.
+	// History returns at most limit changes, the newest first; path "" means all
+	// branches, and one slash before the path is left out, so that "/" means the root.
 	History(ctx context.Context, path string, limit int) ([]Change, error)
 	// Change returns what is known of a change; its state is never wrong, but may be unknown.
 	Change(ctx context.Context, id string) (Change, error)
+	// Settle finds out whether a change was applied, and if not, sees to it that it never will be.
+	Settle(ctx context.Context, id, author string) (Change, error)
 }
 
 // PeerStatus is what a node knows of another node.
--- a/internal/command/upstream/leave/leave.go
+++ b/internal/command/upstream/leave/leave.go
@@ -51,7 +51,7 @@
 		return err
 	}
 
-	made, err := client.Leave(ctx, options.Service, options.Upstream, names.ChangeID, names.Author)
+	made, err := client.Leave(ctx, options.Service, options.Upstream, names)
 	if err != nil {
 		return err
 	}
--- a/internal/operator/changes.go
+++ b/internal/operator/changes.go
@@ -8,7 +8,6 @@
 	"strconv"
 
 	"quincepath.example/quincepath/internal/administrator"
-	"quincepath.example/quincepath/internal/differ"
 	"quincepath.example/quincepath/internal/printer"
 	"quincepath.example/quincepath/pkg/classifier"
 )
@@ -50,13 +49,13 @@
 func (f Flags) PrintChange(change administrator.Change) error {
 	if f.Format() != printer.Terminal {
 		return f.Print(printer.Table{
-			Rows: [][]string{{change.ID, string(change.State), strconv.FormatInt(change.Revision, 10), change.Path}},
+			Rows: [][]string{{change.ID, string(change.State), strconv.FormatInt(change.Revision, 10), Shown(change.Path)}},
 			Data: change,
 		})
 	}
 
 	_, err := fmt.Fprintf(f.Factory.Streams.Out, "%sChanged %s at revision %d; tree undo %s takes it back.\n",
-		differ.Diff(change.Before, change.After), change.Path, change.Revision, change.ID)
+		change.Difference, Shown(change.Path), change.Revision, change.ID)
 
 	return err
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -19,12 +19,6 @@
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
-// A change whose answer was lost is asked for a few times, since the store's answer may lag.
-const (
-	lookups    = 3
-	lookupWait = 300 * time.Millisecond
-)
-
 // Client calls one node. It is safe for concurrent use.
 // Its errors carry the node's result codes, or classifier.NodeUnreachable.
 type Client struct {
@@ -58,6 +52,10 @@
 		Author   string `json:"author"`
 	}
 
+	settleRequest struct {
+		Author string `json:"author"`
+	}
+
 	leaveRequest struct {
 		ChangeID string `json:"change_id"`
 		Author   string `json:"author"`
@@ -69,7 +67,6 @@
 			ResultCode        int            `json:"result_code"`
 			Ran               classifier.Ran `json:"ran"`
 			RetryAfterSeconds float64        `json:"retry_after_seconds"`
-			Difference        string         `json:"difference"`
 		} `json:"error"`
 	}
 )
@@ -116,7 +113,7 @@
 	return answer, err
 }
 
-// History returns the newest changes of a branch, or of all for path "".
+// History returns the newest changes of a branch, or of all for path ""; the root is "/".
 func (c *Client) History(ctx context.Context, path string, limit int) ([]administrator.Change, error) {
 	var answer historyAnswer
 
@@ -139,29 +136,29 @@
 	body := putRequest{BaseRevision: edit.BaseRevision, ChangeID: edit.ChangeID, Author: edit.Author, Content: edit.Content}
 	request := c.rest.R().SetContext(ctx).SetBody(body)
 
-	return c.change(ctx, request, resty.MethodPut, branchPath(edit.Path), edit.ChangeID)
+	return c.change(ctx, request, resty.MethodPut, branchPath(edit.Path), ChangeFlags{Author: edit.Author, ChangeID: edit.ChangeID})
 }
 
 // Undo takes a change back.
 func (c *Client) Undo(ctx context.Context, undo administrator.Undo) (administrator.Change, error) {
 	request := c.rest.R().SetContext(ctx).SetBody(undoRequest(undo))
 
-	return c.change(ctx, request, resty.MethodPost, "/v1/tree/undo", undo.ChangeID)
+	return c.change(ctx, request, resty.MethodPost, "/v1/tree/undo", ChangeFlags{Author: undo.Author, ChangeID: undo.ChangeID})
 }
 
 // Leave takes an upstream out of service.
-func (c *Client) Leave(ctx context.Context, service, upstream, changeID, author string) (administrator.Change, error) {
+func (c *Client) Leave(ctx context.Context, service, upstream string, names ChangeFlags) (administrator.Change, error) {
 	request := c.rest.R().SetContext(ctx).
 		SetPathParams(map[string]string{"service": service, "name": upstream}).
-		SetBody(leaveRequest{ChangeID: changeID, Author: author})
+		SetBody(leaveRequest{ChangeID: names.ChangeID, Author: names.Author})
 
-	return c.change(ctx, request, resty.MethodPost, "/v1/upstreams/{service}/{name}/leave", changeID)
+	return c.change(ctx, request, resty.MethodPost, "/v1/upstreams/{service}/{name}/leave", names)
 }
 
 // change makes a change. When the answer is lost after the request was sent,
 // the change may be in force although the operator sees an error, and a second
-// edit would conflict with the first. So the outcome is looked up by its id.
-func (c *Client) change(ctx context.Context, request *resty.Request, method, path, id string) (administrator.Change, error) {
+// edit would conflict with the first. So the change is settled by its id.
+func (c *Client) change(ctx context.Context, request *resty.Request, method, path string, names ChangeFlags) (administrator.Change, error) {
 	var answer administrator.Change
 
 	err := c.call(request, method, path, &answer)
@@ -169,24 +166,25 @@
 		return answer, err
 	}
 
-	for range lookups {
-		found, lookup := c.Change(ctx, id)
-		if lookup == nil && found.State == administrator.StateApplied {
-			return found, nil
-		}
+	settled, lookup := c.settle(ctx, names)
 
-		if lookup == nil && found.State == administrator.StateNotApplied {
-			return found, classifier.New(classifier.PlatformUnavailable, "change %s was not applied; try it again", id)
-		}
-
-		select {
-		case <-ctx.Done():
-			return answer, ctx.Err()
-		case <-time.After(lookupWait):
-		}
+	switch {
+	case lookup != nil || settled.State == administrator.StateUnknown:
+		return answer, classifier.Wrap(err, classifier.EditUnknown, "it is not known whether the change was applied; run the same command again with --change-id %s", names.ChangeID)
+	case settled.State == administrator.StateNotApplied:
+		return settled, classifier.New(classifier.PlatformUnavailable, "the change was not applied, and will not be; try again")
 	}
 
-	return answer, classifier.Wrap(err, classifier.EditUnknown, "it is not known whether the change was applied; run the same command again with --change-id %s", id)
+	return settled, nil
+}
+
+func (c *Client) settle(ctx context.Context, names ChangeFlags) (administrator.Change, error) {
+	var answer administrator.Change
+
+	request := c.rest.R().SetContext(ctx).SetPathParam("id", names.ChangeID).SetBody(settleRequest{Author: names.Author})
+	err := c.call(request, resty.MethodPost, "/v1/tree/changes/{id}/settle", &answer)
+
+	return answer, err
 }
 
 func (c *Client) call(request *resty.Request, method, path string, answer any) error {
@@ -228,20 +226,22 @@
 		return classifier.New(classifier.InternalError, "the answer is %s and not that of a node's admin address", response.Status())
 	}
 
-	reason := answer.Error.Message
-	if answer.Error.Difference != "" {
-		reason += "; the difference is:\n" + strings.TrimSuffix(answer.Error.Difference, "\n")
-	}
-
+	reason := strings.TrimSuffix(answer.Error.Message, "\n")
 	failure := classifier.New(classifier.Code(answer.Error.ResultCode), "%s", reason)
 	failure.Ran = answer.Error.Ran
 
 	return failure.After(time.Duration(answer.Error.RetryAfterSeconds * float64(time.Second)))
 }
 
+// Shown returns a branch's path with a slash before it, so that the root is seen as well.
+// Paths are taken in either form.
+func Shown(path string) string {
+	return "/" + strings.TrimPrefix(path, "/")
+}
+
 // branchPath escapes each part of a branch's path alone, since the slashes between them are the route's.
 func branchPath(path string) string {
-	parts := strings.Split(path, "/")
+	parts := strings.Split(strings.TrimPrefix(path, "/"), "/")
 	for i, v := range parts {
 		parts[i] = url.PathEscape(v)
 	}
--- a/internal/query/tree/diff/diff.go
+++ b/internal/query/tree/diff/diff.go
@@ -57,40 +57,39 @@
 		return err
 	}
 
-	path, before, after, err := sides(ctx, client, options)
+	found, err := find(ctx, client, options)
 	if err != nil {
 		return err
 	}
 
-	text := differ.Diff(before, after)
 	if options.JSON {
-		return printer.WriteJSON(options.Factory.Streams.Out, difference{Path: path, Difference: text})
+		return printer.WriteJSON(options.Factory.Streams.Out, found)
 	}
 
-	_, err = fmt.Fprint(options.Factory.Streams.Out, text)
+	_, err = fmt.Fprint(options.Factory.Streams.Out, found.Difference)
 
 	return err
 }
 
-func sides(ctx context.Context, client *operator.Client, options Options) (path, before, after string, err error) {
+func find(ctx context.Context, client *operator.Client, options Options) (difference, error) {
 	if options.Change != "" && options.Branch == "" && options.File == "" {
 		change, err := client.Change(ctx, options.Change)
-		return change.Path, change.Before, change.After, err
+		return difference{Path: change.Path, Difference: change.Difference}, err
 	}
 
 	if options.Change != "" || options.Branch == "" || options.File == "" {
-		return "", "", "", classifier.New(classifier.InvalidUsage, "give a branch and --file FILE, or --change ID alone")
+		return difference{}, classifier.New(classifier.InvalidUsage, "give a branch and --file FILE, or --change ID alone")
 	}
 
-	after, err = operator.ReadFile(options.File, options.Factory.Streams.In)
+	after, err := operator.ReadFile(options.File, options.Factory.Streams.In)
 	if err != nil {
-		return "", "", "", err
+		return difference{}, err
 	}
 
 	branch, err := client.Branch(ctx, options.Branch, false)
 	if err != nil {
-		return "", "", "", err
+		return difference{}, err
 	}
 
-	return branch.Path, branch.Content, after, nil
+	return difference{Path: branch.Path, Difference: differ.Diff(branch.Content, after)}, nil
 }
--- a/internal/query/tree/get/get.go
+++ b/internal/query/tree/get/get.go
@@ -15,6 +15,7 @@
 
 Examples:
   quincepath tree get
+  quincepath tree get /
   quincepath tree get sicilia-est/assistente
   quincepath tree get sicilia-est/assistente --explain`
 
@@ -22,7 +23,7 @@
 type Options struct {
 	operator.Flags
 
-	// Branch is the path of a branch; empty means all.
+	// Branch is the path of a branch, "/" for the root; empty means all.
 	Branch string
 	// Explain shows each value in force and the branch that gives it.
 	Explain bool
@@ -32,7 +33,7 @@
 func New(f *factory.Factory, parent factory.Parent) factory.Command {
 	options := Options{Flags: operator.Flags{Factory: f}}
 	clause := parent.Command("get", help)
-	clause.Arg("branch", "Path of the branch.").StringVar(&options.Branch)
+	clause.Arg("branch", "Path of the branch; / for the root.").StringVar(&options.Branch)
 	clause.Flag("explain", "Show each value in force and the branch that gives it.").BoolVar(&options.Explain)
 	options.Register(clause)
 
@@ -63,16 +64,16 @@
 	}
 
 	if options.Explain {
-		t := printer.Table{Columns: []string{"key", "value", "from"}, Empty: "The branch has no values."}
+		t := printer.Table{Columns: []string{"key", "value", "branch", "line", "level"}, Empty: "The branch has no values."}
 		for _, v := range branch.Origins {
-			t.Rows = append(t.Rows, []string{v.Key, v.Value, v.Branch})
+			t.Rows = append(t.Rows, []string{v.Key, v.Value, operator.Shown(v.Branch), strconv.Itoa(v.Line), v.Level})
 		}
 
 		return options.Print(t)
 	}
 
 	if options.Terminal {
-		_, _ = fmt.Fprintf(options.Factory.Streams.Err, "%s is at revision %d; tree edit takes it as --base %d.\n", branch.Path, branch.Revision, branch.Revision)
+		_, _ = fmt.Fprintf(options.Factory.Streams.Err, "%s is at revision %d; tree edit takes it as --base %d.\n", operator.Shown(branch.Path), branch.Revision, branch.Revision)
 	}
 
 	_, err = fmt.Fprint(options.Factory.Streams.Out, branch.Content)
@@ -88,7 +89,7 @@
 
 	t := printer.Table{Columns: []string{"branch", "revision"}, Empty: "The tree has no branches.", Data: branches}
 	for _, v := range branches {
-		t.Rows = append(t.Rows, []string{v.Path, strconv.FormatInt(v.Revision, 10)})
+		t.Rows = append(t.Rows, []string{operator.Shown(v.Path), strconv.FormatInt(v.Revision, 10)})
 	}
 
 	return options.Print(t)
--- a/internal/query/tree/history/history.go
+++ b/internal/query/tree/history/history.go
@@ -60,7 +60,7 @@
 	}
 	for _, v := range changes {
 		at := v.At.UTC().Format(time.RFC3339)
-		t.Rows = append(t.Rows, []string{strconv.FormatInt(v.Revision, 10), at, v.Author, v.Path, string(v.State), v.ID})
+		t.Rows = append(t.Rows, []string{strconv.FormatInt(v.Revision, 10), at, v.Author, operator.Shown(v.Path), string(v.State), v.ID})
 	}
 
 	return options.Print(t)
