Share the settings checks between files and branches

The settings tree needs the checks that the loader has: types by syntax tree, ranges by tags, lines and advice. They move to internal/checker, and the tags move to configurer's types, so that neither stands twice. The loader's golden files pass unchanged.

New for the tree: OverrideTypes takes an explicit null as the removal of an inherited value, while an empty value stays an error.

--- a/internal/loader/lines.go
+++ b/internal/checker/lines.go
@@ -1,4 +1,4 @@
-package loader
+package checker
 
 import (
 	"strconv"
@@ -47,8 +47,8 @@
 	return parts[1:]
 }
 
-// lineAt returns the line of the value at path, or that of its nearest parent in the file.
-func lineAt(body ast.Node, path []string) int {
+// LineAt returns the line of the value at path, or that of its nearest parent in the file.
+func LineAt(body ast.Node, path []string) int {
 	found := 1
 	node := body
 
@@ -72,13 +72,13 @@
 			return nil, 0
 		}
 
-		return list.Values[i], line(list.Values[i])
+		return list.Values[i], Line(list.Values[i])
 	}
 
-	entries, _ := mapping(node)
+	entries, _ := Mapping(node)
 	for _, v := range entries {
-		if keyText(v) == segment {
-			return v.Value, line(v)
+		if KeyText(v) == segment {
+			return v.Value, Line(v)
 		}
 	}
 
--- a/internal/loader/types.go
+++ b/internal/checker/types.go
@@ -1,4 +1,4 @@
-package loader
+package checker
 
 import (
 	"fmt"
@@ -12,29 +12,40 @@
 
 var durationType = reflect.TypeFor[time.Duration]()
 
-// typeChecker compares the nodes of a file with the types of Settings.
+// typeChecker compares the nodes of a document with a type.
 //
 // The YAML decoder alone would take a bare number as nanoseconds, quoted
 // numbers as numbers and so on, and its errors for durations have no line.
 type typeChecker struct {
-	problems []problem
+	problems []Problem
+	nulls    bool
 }
 
-func checkTypes(body ast.Node) []problem {
+// Types compares a document with the fields of a struct type and their yaml tags.
+// No value of a field tagged secret:"true" is shown.
+func Types(body ast.Node, want reflect.Type) []Problem {
 	var c typeChecker
-	c.check(body, reflect.TypeFor[Settings](), "", false)
+	c.check(body, want, "", false)
+
+	return c.problems
+}
+
+// OverrideTypes is Types for a document whose keys may be null to remove an inherited value.
+func OverrideTypes(body ast.Node, want reflect.Type) []Problem {
+	c := typeChecker{nulls: true}
+	c.check(body, want, "", false)
 
 	return c.problems
 }
 
 func (c *typeChecker) add(node ast.Node, format string, args ...any) {
-	c.problems = append(c.problems, problem{line: line(node), text: fmt.Sprintf(format, args...)})
+	c.problems = append(c.problems, Problem{Line: Line(node), Text: fmt.Sprintf(format, args...)})
 }
 
 func (c *typeChecker) check(node ast.Node, want reflect.Type, path string, secret bool) {
 	switch node.Type() {
 	case ast.NullType:
-		c.add(node, "%s has no value; write one or remove the key", title(path))
+		c.checkNull(node, path)
 		return
 	case ast.AnchorType, ast.AliasType, ast.TagType, ast.MergeKeyType:
 		c.add(node, "%s uses a YAML anchor, alias or tag; write the value out", title(path))
@@ -55,6 +66,19 @@
 	}
 }
 
+// checkNull takes an empty value as a mistake even where null is allowed: a key
+// whose lines below it were lost would otherwise remove all that it inherits.
+func (c *typeChecker) checkNull(node ast.Node, path string) {
+	if !c.nulls || path == "" {
+		c.add(node, "%s has no value; write one or remove the key", title(path))
+		return
+	}
+
+	if node.GetToken().Value != "null" {
+		c.add(node, "%s has no value; write one, write null to remove what is inherited, or remove the key", path)
+	}
+}
+
 func (c *typeChecker) checkDuration(node ast.Node, path string) {
 	text := scalarText(node)
 
@@ -72,10 +96,10 @@
 }
 
 func (c *typeChecker) checkStruct(node ast.Node, want reflect.Type, path string) {
-	fields := fieldsByKey(want)
+	fields := Fields(want)
 
 	for _, v := range c.entries(node, path) {
-		key := keyText(v)
+		key := KeyText(v)
 
 		field, ok := fields[key]
 		if !ok {
@@ -89,7 +113,7 @@
 
 func (c *typeChecker) checkMap(node ast.Node, want reflect.Type, path string) {
 	for _, v := range c.entries(node, path) {
-		c.check(v.Value, want.Elem(), join(path, keyText(v)), false)
+		c.check(v.Value, want.Elem(), join(path, KeyText(v)), false)
 	}
 }
 
@@ -136,7 +160,7 @@
 
 // entries returns the entries of a mapping and reports any other node.
 func (c *typeChecker) entries(node ast.Node, path string) []*ast.MappingValueNode {
-	entries, ok := mapping(node)
+	entries, ok := Mapping(node)
 	if !ok {
 		c.add(node, "%s is no mapping; write its keys below it, each as key: value", title(path))
 		return nil
@@ -156,7 +180,8 @@
 	return kept
 }
 
-func mapping(node ast.Node) ([]*ast.MappingValueNode, bool) {
+// Mapping returns the entries of a mapping, and false for any other node.
+func Mapping(node ast.Node) ([]*ast.MappingValueNode, bool) {
 	switch v := node.(type) {
 	case *ast.MappingNode:
 		return v.Values, true
@@ -167,10 +192,13 @@
 	return nil, false
 }
 
-func fieldsByKey(t reflect.Type) map[string]reflect.StructField {
+// Fields returns the fields of a struct type by their keys; a field tagged yaml:"-" has none.
+func Fields(t reflect.Type) map[string]reflect.StructField {
 	fields := make(map[string]reflect.StructField, t.NumField())
 	for i := range t.NumField() {
-		fields[t.Field(i).Tag.Get("yaml")] = t.Field(i)
+		if key := t.Field(i).Tag.Get("yaml"); key != "-" {
+			fields[key] = t.Field(i)
+		}
 	}
 
 	return fields
@@ -187,7 +215,8 @@
 	return strings.Join(keys, ", ")
 }
 
-func keyText(entry *ast.MappingValueNode) string {
+// KeyText returns the key of an entry.
+func KeyText(entry *ast.MappingValueNode) string {
 	return scalarText(entry.Key)
 }
 
@@ -204,7 +233,8 @@
 	return ""
 }
 
-func line(node ast.Node) int {
+// Line returns the line on which a node begins, counted from 1.
+func Line(node ast.Node) int {
 	if node == nil || node.GetToken() == nil || node.GetToken().Position == nil {
 		return 1
 	}
--- a/internal/configurer/snapshot.go
+++ b/internal/configurer/snapshot.go
@@ -43,53 +43,53 @@
 
 // Class is a kind of request with its own latency target and priority.
 type Class struct {
-	Name string
+	Name string `yaml:"-"`
 	// Tier is the priority: 1 is served first, 5 last.
-	Tier int
+	Tier int `yaml:"tier" validate:"min=1,max=5"`
 	// Target is the latency target: to the first token for engines, to the whole answer for plain services.
-	Target time.Duration
+	Target time.Duration `yaml:"target" validate:"min=1ms,max=24h"`
 	// TokenGap is the target time between tokens; zero for plain services.
-	TokenGap time.Duration
+	TokenGap time.Duration `yaml:"token_gap" validate:"min=0s,max=1h"`
 	// GapLimit is the longest silence of an upstream before its connection counts as dead.
-	GapLimit time.Duration
+	GapLimit time.Duration `yaml:"gap_limit" validate:"min=1ms,max=24h"`
 	// GuaranteedShare is the part of the pool that the class gets under overload, 0 to 1.
 	// The sum over the classes of a service is at most 1.
-	GuaranteedShare float64
+	GuaranteedShare float64 `yaml:"guaranteed_share" validate:"min=0,max=1"`
 	// MoveUpAfter is the age in the queue at which a request counts as one tier higher, never as tier 1; zero means never.
-	MoveUpAfter time.Duration
+	MoveUpAfter time.Duration `yaml:"move_up_after" validate:"min=0s,max=24h"`
 	// MaxWait is the longest time in the queue; a request that would wait longer is refused at once.
-	MaxWait time.Duration
+	MaxWait time.Duration `yaml:"max_wait" validate:"min=1ms,max=24h"`
 	// Repeatable says that a request may run more than once.
-	Repeatable bool
+	Repeatable bool `yaml:"repeatable"`
 	// Hedge allows a second copy of a slow request; only with Repeatable.
-	Hedge bool
+	Hedge bool `yaml:"hedge"`
 	// RetryBudget is the share of extra upstream requests that retries may cause, 0 to 0.1.
-	RetryBudget float64
+	RetryBudget float64 `yaml:"retry_budget" validate:"min=0,max=0.1"`
 }
 
 // Organisation is a customer of the operators with its own keys, weight and limits.
 type Organisation struct {
-	Name string
+	Name string `yaml:"-"`
 	// KeyHashes are the SHA-256 sums of its bearer keys, in lower-case hexadecimal.
-	KeyHashes []string
+	KeyHashes []string `yaml:"key_hashes" validate:"unique,dive,sha256_hex"`
 	// Weight is its share among organisations of the same tier; at least 1.
-	Weight int
+	Weight int `yaml:"weight" validate:"min=1,max=1000000"`
 	// RequestsPerSecond, Concurrency and TokensPerSecond limit it across all nodes; zero means no limit.
-	RequestsPerSecond float64
-	Concurrency       int
-	TokensPerSecond   float64
+	RequestsPerSecond float64 `yaml:"requests_per_second" validate:"min=0,max=1000000000"`
+	Concurrency       int     `yaml:"concurrency" validate:"min=0,max=1000000000"`
+	TokensPerSecond   float64 `yaml:"tokens_per_second" validate:"min=0,max=1000000000"`
 }
 
 // Upstream is one server of a service.
 type Upstream struct {
-	Name string
+	Name string `yaml:"-"`
 	// Address is the base URL with an IP number, such as "http://127.0.0.1:8001".
-	Address       string
-	FailureDomain string
+	Address       string `yaml:"address" validate:"required,ip_url"`
+	FailureDomain string `yaml:"failure_domain" validate:"required,name"`
 	// Leaving means that it receives no new work.
-	Leaving bool
+	Leaving bool `yaml:"leaving"`
 	// ChecksFencing says that the engine refuses orders with an old fencing number.
-	ChecksFencing bool
+	ChecksFencing bool `yaml:"checks_fencing"`
 	// Slots is the first guess of requests at once, before anything is learned; at least 1.
-	Slots int
+	Slots int `yaml:"slots" validate:"min=1,max=1000000"`
 }
--- a/internal/loader/parser.go
+++ b/internal/loader/parser.go
@@ -2,28 +2,19 @@
 
 import (
 	"bytes"
-	"fmt"
 	"os"
-	"sort"
+	"reflect"
 	"strings"
 
-	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
-	"github.com/goccy/go-yaml/ast"
-	"github.com/goccy/go-yaml/parser"
 
+	"quincepath.example/quincepath/internal/checker"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
 // maxFileBytes bounds what is read, so that a wrong path such as a device can't fill the memory.
 const maxFileBytes = 16 << 20
 
-// problem is one error in a file.
-type problem struct {
-	line int
-	text string
-}
-
 // Load reads and checks the file at path.
 // Its errors carry classifier.SettingsInvalid and one line for each problem.
 func Load(path string) (Settings, error) {
@@ -50,14 +41,13 @@
 
 // Parse checks data like Load; name stands for the file in errors.
 func Parse(name string, data []byte) (Settings, error) {
-	file, err := parser.ParseBytes(data, 0)
-	if err != nil {
-		return Settings{}, invalid(name, []problem{yamlProblem(err)})
+	body, problems := checker.Document(data)
+	if len(problems) == 0 && body == nil {
+		problems = []checker.Problem{{Line: 1, Text: "the file is empty; it needs at least the part node"}}
 	}
 
-	body, problems := singleBody(file)
 	if len(problems) == 0 {
-		problems = checkTypes(body)
+		problems = checker.Types(body, reflect.TypeFor[Settings]())
 	}
 
 	if len(problems) > 0 {
@@ -66,7 +56,7 @@
 
 	settings := Defaults()
 	if err := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(&settings); err != nil {
-		return Settings{}, invalid(name, []problem{yamlProblem(err)})
+		return Settings{}, invalid(name, []checker.Problem{checker.Located(err)})
 	}
 
 	if settings.Node.Advertise == "" {
@@ -80,57 +70,10 @@
 	return settings, nil
 }
 
-func singleBody(file *ast.File) (ast.Node, []problem) {
-	var bodies []ast.Node
-
-	for _, v := range file.Docs {
-		if v.Body != nil && v.Body.Type() != ast.CommentType {
-			bodies = append(bodies, v.Body)
-		}
-	}
-
-	if len(bodies) == 0 {
-		return nil, []problem{{line: 1, text: "the file is empty; it needs at least the part node"}}
-	}
-
-	if len(bodies) > 1 {
-		return nil, []problem{{line: line(bodies[1]), text: "a second document begins; write all settings in one"}}
-	}
-
-	return bodies[0], nil
-}
-
 func unreadable(path string, err error) error {
 	return classifier.Wrap(err, classifier.SettingsInvalid, "can't read the settings file %s", path)
 }
 
-func yamlProblem(err error) problem {
-	var located yaml.Error
-	if !errors.As(err, &located) || located.GetToken() == nil {
-		return problem{line: 1, text: err.Error()}
-	}
-
-	text := located.GetMessage()
-	if strings.Contains(text, "already defined") {
-		text += "; keep one of the two"
-	}
-
-	return problem{line: located.GetToken().Position.Line, text: text}
-}
-
-func invalid(name string, problems []problem) error {
-	sort.SliceStable(problems, func(i, j int) bool {
-		if problems[i].line != problems[j].line {
-			return problems[i].line < problems[j].line
-		}
-
-		return problems[i].text < problems[j].text
-	})
-
-	lines := make([]string, 0, len(problems))
-	for _, v := range problems {
-		lines = append(lines, fmt.Sprintf("%s:%d: %s", name, v.line, v.text))
-	}
-
-	return classifier.New(classifier.SettingsInvalid, "%s", strings.Join(lines, "\n"))
+func invalid(name string, problems []checker.Problem) error {
+	return classifier.New(classifier.SettingsInvalid, "%s", strings.Join(checker.Lines(name, problems), "\n"))
 }
