Resolve the settings tree with inheritance and strict checks

A branch is a path and its YAML text. An explicit null removes; an empty value or a null that removes nothing is an error, because it is most often a lost line or a mistyped name. Parts shared by inheritance are decoded and checked once. One golden file a kind of error.

--- a/internal/checker/types.go
+++ b/internal/checker/types.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
 )
 
 var durationType = reflect.TypeFor[time.Duration]()
@@ -74,13 +75,13 @@
 		return
 	}
 
-	if node.GetToken().Value != "null" {
+	if node.GetToken().Type == token.ImplicitNullType {
 		c.add(node, "%s has no value; write one, write null to remove what is inherited, or remove the key", path)
 	}
 }
 
 func (c *typeChecker) checkDuration(node ast.Node, path string) {
-	text := scalarText(node)
+	text := ScalarText(node)
 
 	switch node.Type() {
 	case ast.IntegerType, ast.FloatType:
@@ -146,7 +147,7 @@
 		return
 	}
 
-	if wanted == "text" && scalarText(node) != "" {
+	if wanted == "text" && ScalarText(node) != "" {
 		wanted = "text, in quotes if it looks like a number or a truth value"
 	}
 
@@ -155,7 +156,7 @@
 		return
 	}
 
-	c.add(node, "%s is %q; write %s", path, scalarText(node), wanted)
+	c.add(node, "%s is %q; write %s", path, ScalarText(node), wanted)
 }
 
 // entries returns the entries of a mapping and reports any other node.
@@ -192,12 +193,13 @@
 	return nil, false
 }
 
-// Fields returns the fields of a struct type by their keys; a field tagged yaml:"-" has none.
+// Fields returns the fields of a struct type by their keys, those of embedded structs among them.
+// A field tagged yaml:"-" has no key.
 func Fields(t reflect.Type) map[string]reflect.StructField {
 	fields := make(map[string]reflect.StructField, t.NumField())
-	for i := range t.NumField() {
-		if key := t.Field(i).Tag.Get("yaml"); key != "-" {
-			fields[key] = t.Field(i)
+	for _, v := range reflect.VisibleFields(t) {
+		if key := v.Tag.Get("yaml"); key != "-" && !v.Anonymous {
+			fields[key] = v
 		}
 	}
 
@@ -217,10 +219,11 @@
 
 // KeyText returns the key of an entry.
 func KeyText(entry *ast.MappingValueNode) string {
-	return scalarText(entry.Key)
+	return ScalarText(entry.Key)
 }
 
-func scalarText(node ast.Node) string {
+// ScalarText returns the text of a scalar, or nothing for any other node.
+func ScalarText(node ast.Node) string {
 	switch v := node.(type) {
 	case *ast.StringNode:
 		return v.Value
--- a/internal/checker/values.go
+++ b/internal/checker/values.go
@@ -21,11 +21,23 @@
 // mapKey finds the keys of mappings in the validator's paths, where they stand in brackets like indexes.
 var mapKey = regexp.MustCompile(`\[([^\]]*[^0-9\]][^\]]*)\]`)
 
-// Ranges checks a value by its validate tags and finds the lines where its faults stand in the document.
-func Ranges(value any, body ast.Node) []Problem {
+// Fault is a value that breaks the rule in its validate tag.
+type Fault struct {
+	// Path leads from the value checked to the field.
+	Path []string
+	// Shown is Path as readers see it.
+	Shown string
+	// Text says behind Shown what the value is and what would be right.
+	Text string
+	// Advice says only what would be right.
+	Advice string
+}
+
+// Struct checks a struct by its validate tags.
+func Struct(value any) []Fault {
 	var (
-		problems []Problem
-		found    validator.ValidationErrors
+		faults []Fault
+		found  validator.ValidationErrors
 	)
 
 	if !errors.As(sharedValidator().Struct(value), &found) {
@@ -34,8 +46,22 @@
 
 	for _, v := range found {
 		_, namespace, _ := strings.Cut(v.Namespace(), ".")
-		shown := mapKey.ReplaceAllString(namespace, ".$1")
-		problems = append(problems, Problem{Line: LineAt(body, segments(v.Namespace())), Text: shown + fault(v)})
+		faults = append(faults, Fault{
+			Path:   segments(v.Namespace()),
+			Shown:  mapKey.ReplaceAllString(namespace, ".$1"),
+			Text:   fault(v),
+			Advice: advice(v),
+		})
+	}
+
+	return faults
+}
+
+// Ranges is Struct with the lines where the faults stand in the document.
+func Ranges(value any, body ast.Node) []Problem {
+	var problems []Problem
+	for _, v := range Struct(value) {
+		problems = append(problems, Problem{Line: LineAt(body, v.Path), Text: v.Shown + v.Text})
 	}
 
 	return problems
--- /dev/null
+++ b/internal/configurer/resolver_test.go
@@ -0,0 +1,96 @@
+package configurer_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// readTree reads branches from a file in which each begins with a line "== path".
+func readTree(t testing.TB, name string) []configurer.Branch {
+	t.Helper()
+
+	data, err := os.ReadFile(name)
+	assert.NilError(t, err)
+
+	var branches []configurer.Branch
+
+	for i, v := range strings.Split("\n"+string(data), "\n== ")[1:] {
+		path, text, _ := strings.Cut(v, "\n")
+		branches = append(branches, configurer.Branch{Path: path, Value: []byte(text + "\n"), Revision: int64(10 + i)})
+	}
+
+	return branches
+}
+
+func TestResolveInheritsAndOverrides(t *testing.T) {
+	got, err := configurer.Resolve(readTree(t, "testdata/full.tree"))
+	assert.NilError(t, err)
+	assert.Equal(t, got.Revision, int64(13))
+	assert.Equal(t, len(got.Services), 2)
+
+	lookup := configurer.Class{
+		Name: "lookup", Tier: 1, Target: 300 * time.Millisecond, GapLimit: 2 * time.Second,
+		GuaranteedShare: 0.5, MaxWait: 5 * time.Second, Repeatable: true, Hedge: true,
+	}
+	owner := configurer.Organisation{Name: "owner", KeyHashes: []string{strings.Repeat("0", 62) + "bb"}, Weight: 1, Concurrency: 4}
+	assert.DeepEqual(t, got.Services["assistente"], configurer.Service{
+		Name: "assistente", Branch: "sicilia-est/assistente", Kind: configurer.KindEngine, DefaultClass: "chat",
+		Classes: map[string]configurer.Class{
+			"lookup": lookup,
+			"chat":   {Name: "chat", Tier: 4, Target: 20 * time.Second, GapLimit: 10 * time.Second, MaxWait: time.Hour},
+		},
+		Organisations: map[string]configurer.Organisation{"owner": owner},
+		Upstreams: map[string]configurer.Upstream{
+			"e1": {Name: "e1", Address: "http://127.0.0.1:8001", FailureDomain: "catania-sala", Slots: 8},
+		},
+	})
+
+	banco := got.Services["banco-prenotazioni"]
+	assert.Equal(t, banco.Classes["chat"].Tier, 3)
+	assert.Equal(t, len(banco.Organisations), 2)
+	assert.Assert(t, banco.Upstreams["b1"].Leaving)
+}
+
+// Symptom: a node serves with settings that nobody meant, or two nodes read one tree differently.
+// Sequence: an operator writes a wrong name, unit or value; the edit is accepted.
+// Cause: a check that is missing, or that looks at one branch and not at the tree.
+func TestResolveNamesEveryError(t *testing.T) {
+	files, err := filepath.Glob("testdata/wrong/*.tree")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			got, err := configurer.Resolve(readTree(t, f))
+			assert.Equal(t, classifier.From(err).Code, classifier.SettingsInvalid)
+			assert.Equal(t, len(got.Services), 0)
+			assert.Assert(t, !strings.Contains(err.Error(), "my key"), "a bearer key is shown")
+			golden.Assert(t, classifier.From(err).Reason+"\n", strings.TrimSuffix(strings.TrimPrefix(f, "testdata/"), ".tree")+".golden")
+		})
+	}
+}
+
+func TestExplainNamesTheBranchOfEveryValue(t *testing.T) {
+	fields, err := configurer.Explain(readTree(t, "testdata/full.tree"), "sicilia-est/assistente")
+	assert.NilError(t, err)
+
+	var lines strings.Builder
+	for _, v := range fields {
+		fmt.Fprintf(&lines, "%s = %s from /%s:%d level %q\n", v.Key, v.Value, v.Branch, v.Line, v.Level)
+	}
+
+	golden.Assert(t, lines.String(), "explain.golden")
+
+	_, err = configurer.Explain(nil, "nowhere")
+	assert.Equal(t, classifier.From(err).Code, classifier.UnknownBranch)
+}
--- /dev/null
+++ b/internal/configurer/service.go
@@ -0,0 +1,192 @@
+package configurer
+
+import (
+	"iter"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+
+	"quincepath.example/quincepath/internal/checker"
+)
+
+// schemas holds the fields of the types that branches are read into, so that they are found once.
+var schemas = map[reflect.Type]map[string]reflect.StructField{
+	reflect.TypeFor[classFields]():  checker.Fields(reflect.TypeFor[classFields]()),
+	reflect.TypeFor[Class]():        checker.Fields(reflect.TypeFor[Class]()),
+	reflect.TypeFor[Organisation](): checker.Fields(reflect.TypeFor[Organisation]()),
+	reflect.TypeFor[Upstream]():     checker.Fields(reflect.TypeFor[Upstream]()),
+}
+
+func fieldsOf(t reflect.Type) map[string]reflect.StructField {
+	return schemas[t]
+}
+
+func keysOf[V any](from map[string]V) iter.Seq[string] {
+	return maps.Keys(from)
+}
+
+// isService reports whether the branch serves requests: it sets kind itself, and has
+// upstreams, of its own or inherited. A branch that merely inherits a kind is a template or a group.
+func (t *tree) isService(path string) bool {
+	kind := t.own[path].child("kind")
+
+	return kind != nil && !kind.removed && t.merged[path].child("upstreams") != nil
+}
+
+func (t *tree) addService(services map[string]Service, path string) {
+	if !t.isService(path) {
+		return
+	}
+
+	merged := t.merged[path]
+	service := Service{
+		Name:          lastName(path),
+		Branch:        path,
+		Kind:          leafAs[Kind](merged.child("kind")),
+		DefaultClass:  leafAs[string](merged.child("default_class")),
+		Classes:       t.classes(merged),
+		Organisations: decodeAs[map[string]Organisation](&t.decoder, merged.child("organisations")),
+		Upstreams:     decodeAs[map[string]Upstream](&t.decoder, merged.child("upstreams")),
+	}
+
+	if name := leafAs[string](merged.child("service")); name != "" {
+		service.Name = name
+	}
+
+	t.checkName(services, service)
+	t.checkService(service)
+	services[service.Name] = service
+}
+
+func leafAs[T any](from *node) T {
+	var none T
+	if from == nil || !from.value.IsValid() {
+		return none
+	}
+
+	return from.value.Interface().(T)
+}
+
+// classes lays each class over its service level.
+func (t *tree) classes(merged *node) map[string]Class {
+	made := map[string]Class{}
+	for k := range merged.child("classes").all() {
+		class := decodeAs[Class](&t.decoder, t.leveled(merged, k))
+		class.Name = k
+		made[k] = class
+	}
+
+	return made
+}
+
+// leveled returns the fields of a class, those of its service level below its own.
+func (t *tree) leveled(merged *node, name string) *node {
+	class := merged.child("classes").child(name)
+	named := class.child("level")
+	plain := without(class, "level")
+
+	if named == nil {
+		return plain
+	}
+
+	level := merged.child("levels").child(named.text)
+	if level == nil {
+		known := slices.Sorted(keysOf(merged.child("levels").all()))
+		t.addAt(named, "classes.%s.level is %q; name one of the service levels: %s", name, named.text, strings.Join(known, ", "))
+
+		return plain
+	}
+
+	var m merger
+
+	return m.merge(level, plain, "")
+}
+
+func (n *node) all() map[string]*node {
+	if n == nil {
+		return nil
+	}
+
+	return n.children
+}
+
+func (t *tree) checkName(services map[string]Service, service Service) {
+	at := t.merged[service.Branch].nearest([]string{"service"})
+
+	if !checker.IsName(service.Name) {
+		t.addAt(at, "the root serves requests, but has no name; write one as service")
+		return
+	}
+
+	if other, ok := services[service.Name]; ok {
+		t.addAt(at, "the service name %q is taken by branch %s; give one of the two another name as service", service.Name, shown(other.Branch))
+	}
+}
+
+func (t *tree) checkService(service Service) {
+	merged := t.merged[service.Branch]
+
+	if service.DefaultClass == "" {
+		t.addAt(merged, "service %s: default_class is missing; name one of the service's classes", service.Name)
+	}
+
+	if len(service.Classes) == 0 {
+		t.addAt(merged, "service %s: classes are missing; write at least one", service.Name)
+	}
+
+	for k, v := range service.Classes {
+		t.checkMissing(service, t.leveled(merged, k), []string{"classes", k}, v)
+	}
+
+	t.checkOrganisations(service, merged.child("organisations"))
+
+	for k, v := range service.Upstreams {
+		t.checkMissing(service, merged.child("upstreams").child(k), []string{"upstreams", k}, v)
+	}
+
+	for _, v := range service.Faults() {
+		t.addAt(merged.nearest(v.Path), "service %s: %s %s", service.Name, strings.Join(v.Path, "."), v.Text)
+	}
+}
+
+// checkOrganisations looks at a set of organisations once, however many services inherit it.
+func (t *tree) checkOrganisations(service Service, organisations *node) {
+	if organisations == nil || t.checked[organisations] {
+		return
+	}
+
+	t.checked[organisations] = true
+
+	for _, k := range slices.Sorted(keysOf(service.Organisations)) {
+		v := service.Organisations[k]
+		t.checkMissing(service, organisations.child(k), []string{"organisations", k}, v)
+		t.checkHashes(v, organisations.child(k))
+	}
+}
+
+// checkHashes refuses a bearer key that belongs to two organisations: which of them a
+// request is counted for would depend on the order in which they are looked at.
+func (t *tree) checkHashes(organisation Organisation, at *node) {
+	for _, v := range organisation.KeyHashes {
+		known, ok := t.owners[v]
+		if !ok {
+			t.owners[v] = owner{organisation: organisation.Name, at: at}
+			continue
+		}
+
+		if known.organisation != organisation.Name {
+			t.addAt(at.nearest([]string{"key_hashes"}), "organisations.%s.key_hashes has %s, which organisation %s has in branch %s, line %d; keep it in one of the two",
+				organisation.Name, v, known.organisation, shown(known.at.branch), known.at.line)
+		}
+	}
+}
+
+// checkMissing reports rules broken by fields that are nowhere written; written ones were checked in their branch.
+func (t *tree) checkMissing(service Service, from *node, path []string, value any) {
+	for _, v := range checker.Struct(value) {
+		if from.child(v.Path[0]) == nil {
+			t.addAt(from, "service %s: %s.%s is missing; %s", service.Name, strings.Join(path, "."), v.Shown, v.Advice)
+		}
+	}
+}
