--- a/internal/configurer/branch.go
+++ b/internal/configurer/branch.go
@@ -18,9 +18,8 @@
 	sequencePrefix = "/quincepath/tree/sequence/"
 )
 
-// MaxBranchBytes bounds the text of a branch. A change's record holds the text
-// before and after it, and the store refuses values above a megabyte.
-const MaxBranchBytes = 256 << 10
+// MaxBranchBytes bounds the text of a branch. The store refuses values above a megabyte.
+const MaxBranchBytes = 400 << 10
 
 // Branch is one branch of the tree as it is stored.
 type Branch struct {
--- a/internal/configurer/service.go
+++ b/internal/configurer/service.go
@@ -72,7 +72,7 @@
 func (t *tree) classes(merged *node) map[string]Class {
 	made := map[string]Class{}
 	for k := range merged.child("classes").all() {
-		class := decodeAs[Class](&t.decoder, t.leveled(merged, k))
+		class := decodeAs[Class](&t.decoder, t.levelled(merged, k))
 		class.Name = k
 		made[k] = class
 	}
@@ -80,8 +80,8 @@
 	return made
 }
 
-// leveled returns the fields of a class, those of its service level below its own.
-func (t *tree) leveled(merged *node, name string) *node {
+// levelled returns the fields of a class, those of its service level below its own.
+func (t *tree) levelled(merged *node, name string) *node {
 	class := merged.child("classes").child(name)
 	named := class.child("level")
 	plain := without(class, "level")
@@ -136,7 +136,7 @@
 	}
 
 	for k, v := range service.Classes {
-		t.checkMissing(service, t.leveled(merged, k), []string{"classes", k}, v)
+		t.checkMissing(service, t.levelled(merged, k), []string{"classes", k}, v)
 	}
 
 	t.checkOrganisations(service, merged.child("organisations"))
