--- a/internal/administrator/administrator.go
+++ b/internal/administrator/administrator.go
@@ -24,6 +24,9 @@
 	writeTimeout  = 60 * time.Second
 	idleTimeout   = 2 * time.Minute
 	stopTimeout   = 5 * time.Second
+	// callTimeout bounds one call. Changes of the tree try for all of it while the
+	// platform is away. The operator's client waits longer.
+	callTimeout = 8 * time.Second
 )
 
 // Options are the parts that the server shows and changes. None is nil but TLS.
@@ -77,11 +80,22 @@
 
 	routes := http.NewServeMux()
 	routes.HandleFunc("GET /healthz", handleHealth)
-	routes.Handle("/", s.authenticated(guarded))
+	routes.Handle("/", s.authenticated(bounded(guarded)))
 
 	return routes
 }
 
+// bounded ends the context of each call in time: without it a call would wait
+// for the platform as long as its client holds the connection.
+func bounded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+		defer cancel()
+
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
 // Run answers on the listener until ctx ends and the calls in flight are
 // answered, but waits for them at most a few seconds. It closes the listener.
 func (s *Server) Run(ctx context.Context, listener net.Listener) error {
--- a/internal/administrator/administrator_test.go
+++ b/internal/administrator/administrator_test.go
@@ -96,12 +96,18 @@
 func newServer(t *testing.T, f *fakes) *administrator.Server {
 	t.Helper()
 
+	return newServerOver(t, f, f)
+}
+
+func newServerOver(t *testing.T, f *fakes, tree administrator.Tree) *administrator.Server {
+	t.Helper()
+
 	sum := sha256.Sum256([]byte(operatorKey))
 	variables := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, `{"quincepath":{}}`) })
 
 	server, err := administrator.New(administrator.Options{
 		KeyHashes: []string{strings.Repeat("0", 64), hex.EncodeToString(sum[:])},
-		Status:    f, Tree: f, Requests: f,
+		Status:    f, Tree: tree, Requests: f,
 		Variables: variables,
 		Logger:    zerolog.Nop(),
 	})
