Add messages between nodes over kept JSON-RPC connections

Cause: nodes had no way to talk. Calls and notifications go over one connection for each peer, proved on both sides by the shared credential (each signs the other's nonce, so it is never sent). A kept connection that goes silent with calls in flight is replaced: with the limit off, TestSilentConnectionIsReplaced fails (the call waits out its hour), with it on the call ends within 3 s of virtual time and the next one dials anew. Ruled out: the pool's Stop, which starts a task in a global pool outside the test's virtual time; the pool ends by its context instead.

--- /dev/null
+++ b/internal/messenger/link.go
@@ -0,0 +1,279 @@
+package messenger
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"crypto/tls"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+const (
+	dialTimeout  = time.Second
+	helloTimeout = 2 * time.Second
+	// redialWait is how long a peer that could not be dialled counts as unreachable.
+	redialWait = 250 * time.Millisecond
+	// pingInterval is how often a link with calls in flight asks for a sign of life.
+	pingInterval = 500 * time.Millisecond
+	// silenceLimit is how long a link with calls in flight may bring no bytes.
+	silenceLimit = 1500 * time.Millisecond
+)
+
+// link is the outgoing connection to one peer; it is dialled when needed.
+type link struct {
+	messenger *Messenger
+	peer      string
+	address   string
+
+	mu sync.Mutex
+	// current is nil when there is no connection.
+	current *dialled
+	// failedAt is the time of the last dial that failed.
+	failedAt  time.Time
+	failedErr error
+}
+
+func newLink(messenger *Messenger, peer, address string) *link {
+	return &link{messenger: messenger, peer: peer, address: address}
+}
+
+// dialled is one open connection of a link.
+type dialled struct {
+	rpc  *jsonrpc2.Conn
+	conn *countedConn
+	// calls is the number of calls in flight.
+	calls atomic.Int64
+	// silent is set before the connection is closed for silence.
+	silent atomic.Bool
+}
+
+func (l *link) call(ctx context.Context, method string, params, result any) error {
+	connection, err := l.connect(ctx)
+	if err != nil {
+		return err
+	}
+
+	connection.calls.Add(1)
+	defer connection.calls.Add(-1)
+
+	err = connection.rpc.Call(ctx, method, params, result)
+	if err == nil {
+		return nil
+	}
+
+	return l.callError(connection, err)
+}
+
+func (l *link) notify(ctx context.Context, method string, params any) error {
+	connection, err := l.connect(ctx)
+	if err != nil {
+		return err
+	}
+
+	err = connection.rpc.Notify(ctx, method, params)
+	if err == nil {
+		return nil
+	}
+
+	l.drop(connection)
+
+	return errors.Wrapf(err, "notify %s", l.peer)
+}
+
+// callError turns an error of the library into one of ours and drops a connection that is of no more use.
+func (l *link) callError(connection *dialled, err error) error {
+	var answered *jsonrpc2.Error
+	if errors.As(err, &answered) {
+		return decodeError(answered)
+	}
+
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return errors.Wrapf(err, "call %s", l.peer)
+	}
+
+	l.drop(connection)
+
+	if connection.silent.Load() {
+		err = errors.Mark(err, ErrSilent)
+	}
+
+	return classifier.Wrap(err, classifier.NodeUnreachable, "the connection to node %q broke", l.peer)
+}
+
+// connect returns the open connection or dials one. Only one dial runs at a time.
+func (l *link) connect(ctx context.Context) (*dialled, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if l.current != nil {
+		select {
+		case <-l.current.rpc.DisconnectNotify():
+			l.current = nil
+		default:
+			return l.current, nil
+		}
+	}
+
+	if l.failedErr != nil && time.Since(l.failedAt) < redialWait {
+		return nil, l.failedErr
+	}
+
+	connection, err := l.dial(ctx)
+	if err != nil {
+		l.failedAt = time.Now()
+		l.failedErr = errors.Mark(classifier.Wrap(err, classifier.NodeUnreachable, "node %q can't be reached", l.peer), ErrNotSent)
+
+		return nil, l.failedErr
+	}
+
+	l.failedErr = nil
+	l.current = connection
+
+	return connection, nil
+}
+
+// dial opens a connection and proves the credential. It outlives ctx, which only bounds the wait.
+func (l *link) dial(ctx context.Context) (*dialled, error) {
+	raw, err := l.messenger.options.Dial(ctx, l.address)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+
+	if l.messenger.options.ClientTLS != nil {
+		raw = tls.Client(raw, l.messenger.options.ClientTLS)
+	}
+
+	counted := newCountedConn(raw, l.messenger.traffic)
+	stream := jsonrpc2.NewBufferedStream(counted, boundedCodec{limit: maxMessageBytes})
+	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, refuseAll{})
+	connection := &dialled{rpc: rpc, conn: counted}
+
+	hello, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+
+	if err := l.messenger.sayHello(hello, rpc); err != nil {
+		_ = rpc.Close()
+
+		return nil, err
+	}
+
+	go l.watch(connection)
+
+	return connection, nil
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// watch closes a connection that has calls in flight and brings nothing.
+//
+// Open connections can go silent for good while new ones work. Without the
+// watch every call on such a connection would run into its own deadline, one
+// after the other; with it the next call dials a new connection.
+func (l *link) watch(connection *dialled) {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+
+	for {
+		select {
+		case <-connection.rpc.DisconnectNotify():
+			return
+		case <-ticker.C:
+		}
+
+		if connection.calls.Load() == 0 {
+			connection.conn.touch()
+
+			continue
+		}
+
+		if connection.conn.idle() > silenceLimit {
+			connection.silent.Store(true)
+			l.drop(connection)
+
+			return
+		}
+
+		if _, err := connection.rpc.DispatchCall(context.Background(), methodPing, struct{}{}); err != nil {
+			l.drop(connection)
+
+			return
+		}
+	}
+}
+
+func (l *link) drop(connection *dialled) {
+	l.mu.Lock()
+	if l.current == connection {
+		l.current = nil
+	}
+	l.mu.Unlock()
+
+	_ = connection.rpc.Close()
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	connection := l.current
+	l.current = nil
+	l.mu.Unlock()
+
+	if connection != nil {
+		_ = connection.rpc.Close()
+	}
+}
+
+// refuseAll answers requests that come in on an outgoing connection.
+type refuseAll struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (refuseAll) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	if request.Notif {
+		return
+	}
+
+	// The peer's own deadline covers an answer that can't be sent.
+	_ = conn.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no methods here"})
+}
+
+// errorData carries a numbered result over the network.
+type errorData struct {
+	ResultCode   int            `json:"result_code"`
+	Ran          classifier.Ran `json:"ran"`
+	RetryAfterNS int64          `json:"retry_after_ns"`
+}
+
+func encodeError(err error) *jsonrpc2.Error {
+	numbered := classifier.From(err)
+	encoded := &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: numbered.Reason}
+	encoded.SetError(errorData{ResultCode: int(numbered.Code), Ran: numbered.Ran, RetryAfterNS: int64(numbered.RetryAfter)})
+
+	return encoded
+}
+
+func decodeError(answered *jsonrpc2.Error) error {
+	if answered.Data == nil {
+		return errors.Newf("peer answered %d: %s", answered.Code, answered.Message)
+	}
+
+	var data errorData
+	if err := json.Unmarshal(*answered.Data, &data); err != nil {
+		return errors.Wrap(err, "decode the peer's error")
+	}
+
+	numbered := classifier.New(classifier.Code(data.ResultCode), "%s", answered.Message)
+	numbered.Ran = data.Ran
+
+	return numbered.After(time.Duration(data.RetryAfterNS))
+}
--- /dev/null
+++ b/internal/messenger/messenger_test.go
@@ -0,0 +1,188 @@
+package messenger_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/messenger"
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// memoryNetwork joins messengers in one process; a dialled end can be made silent.
+type memoryNetwork struct {
+	mu        sync.Mutex
+	listeners map[string]chan net.Conn
+	silent    []*silentConn
+}
+
+func newMemoryNetwork() *memoryNetwork {
+	return &memoryNetwork{listeners: make(map[string]chan net.Conn)}
+}
+
+func (n *memoryNetwork) dial(_ context.Context, address string) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	accept, ok := n.listeners[address]
+	if !ok {
+		return nil, errors.New("connection refused")
+	}
+
+	near, far := net.Pipe()
+	conn := &silentConn{Conn: near, hushed: make(chan struct{})}
+	n.silent = append(n.silent, conn)
+	accept <- far
+
+	return conn, nil
+}
+
+func (n *memoryNetwork) hush() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	for _, conn := range n.silent {
+		conn.once.Do(func() { close(conn.hushed) })
+	}
+}
+
+// silentConn stays open but brings and takes nothing any more once hushed.
+type silentConn struct {
+	net.Conn
+	once   sync.Once
+	hushed chan struct{}
+}
+
+func (s *silentConn) Write(p []byte) (int, error) {
+	select {
+	case <-s.hushed:
+		return len(p), nil
+	default:
+		return s.Conn.Write(p)
+	}
+}
+
+type memoryListener struct {
+	accept chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accept:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+
+	return nil
+}
+
+func (l *memoryListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (n *memoryNetwork) listen(address string) net.Listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	accept := make(chan net.Conn, 16)
+	n.listeners[address] = accept
+
+	return &memoryListener{accept: accept, closed: make(chan struct{})}
+}
+
+func newPair(ctx context.Context, network *memoryNetwork, credential string) (client, server *messenger.Messenger) {
+	peers := map[string]string{"a": "a", "b": "b"}
+	client = messenger.New(messenger.Options{Self: "a", Credential: credential, Peers: peers, Dial: network.dial})
+	server = messenger.New(messenger.Options{Self: "b", Credential: "secret", Peers: peers, Dial: network.dial})
+	server.Handle("echo", func(_ context.Context, from string, params json.RawMessage) (any, error) {
+		return from + string(params), nil
+	})
+	server.Handle("refuse", func(context.Context, string, json.RawMessage) (any, error) {
+		return nil, classifier.New(classifier.QueueFull, "full").After(3 * time.Second)
+	})
+	server.Handle("hang", func(ctx context.Context, _ string, _ json.RawMessage) (any, error) {
+		<-ctx.Done()
+
+		return nil, ctx.Err()
+	})
+
+	go func() { _ = server.Run(ctx, network.listen("b")) }()
+	go func() { _ = client.Run(ctx, network.listen("a")) }()
+
+	synctest.Wait()
+
+	return client, server
+}
+
+func TestCallCarriesAnswersAndNumberedErrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		client, _ := newPair(ctx, newMemoryNetwork(), "secret")
+
+		var answer string
+
+		assert.NilError(t, client.Call(ctx, "b", "echo", 7, &answer))
+		assert.Equal(t, answer, "a7")
+
+		failure := classifier.From(client.Call(ctx, "b", "refuse", nil, nil))
+		assert.Equal(t, failure.Code, classifier.QueueFull)
+		assert.Equal(t, failure.Ran, classifier.RanNo)
+		assert.Equal(t, failure.RetryAfter, 3*time.Second)
+
+		assert.Assert(t, errors.Is(client.Call(ctx, "c", "echo", 7, &answer), messenger.ErrNotSent))
+
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestWrongCredentialIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		client, _ := newPair(ctx, newMemoryNetwork(), "guess")
+
+		assert.Assert(t, errors.Is(client.Call(ctx, "b", "echo", 7, nil), messenger.ErrNotSent))
+
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+// Symptom: calls to one peer hang until their own deadlines, while new connections work.
+// Events: a kept connection loses its path without a close; a call waits on it.
+// Cause: nothing but the call's deadline would ever end the wait, and the next call would use the same connection.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		network := newMemoryNetwork()
+		client, _ := newPair(ctx, network, "secret")
+
+		assert.NilError(t, client.Call(ctx, "b", "echo", 1, nil))
+		network.hush()
+
+		patient, stop := context.WithTimeout(ctx, time.Hour)
+		started := time.Now()
+		err := client.Call(patient, "b", "hang", 2, nil)
+
+		stop()
+
+		assert.Assert(t, errors.Is(err, messenger.ErrSilent), "%v", err)
+		assert.Assert(t, time.Since(started) < 3*time.Second)
+		assert.NilError(t, client.Call(ctx, "b", "echo", 3, nil))
+
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
