--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -37,6 +37,7 @@
 	routes.HandleFunc("POST /v1/chat/completions", n.handleEngine)
 	routes.HandleFunc("POST /v1/completions", n.handleEngine)
 	routes.HandleFunc("/services/{service}/{path...}", n.handlePlain)
+	routes.HandleFunc("GET /v1/requests/{id}/answer", n.handleResume)
 
 	return routes
 }
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -62,20 +62,30 @@
 		key:     taken.key,
 		answer:  recorder.NewAnswer(),
 	}
+	entry := &run{request: taken.request, sender: sender, answer: sender.answer}
+	entry.deliver = n.engineDelivery(entry, gjson.GetBytes(body, "stream").Bool())
 
-	if failure := n.start(r, taken.request, sender, sender.answer); failure != nil {
-		writeError(w, taken.request.ID, failure)
+	n.serve(w, r, entry)
+}
 
-		return
+// engineDelivery returns how the answer goes to the caller: as events, or as one object.
+func (n *Node) engineDelivery(entry *run, stream bool) func(http.ResponseWriter, *http.Request, string) {
+	if !stream {
+		return func(w http.ResponseWriter, r *http.Request, _ string) {
+			n.collectAnswer(w, r, entry.request, entry.answer)
+		}
 	}
 
-	if gjson.GetBytes(body, "stream").Bool() {
-		n.streamAnswer(w, r, taken.request.ID, sender.answer, 0)
+	return func(w http.ResponseWriter, r *http.Request, lastEvent string) {
+		from, ok := entry.answer.Position(lastEvent)
+		if !ok {
+			writeError(w, entry.request.ID, classifier.New(classifier.InvalidRequest, "the answer has no event %q", lastEvent))
 
-		return
-	}
+			return
+		}
 
-	n.collectAnswer(w, r, taken.request, sender.answer)
+		n.streamAnswer(w, r, entry.request.ID, entry.answer, from)
+	}
 }
 
 // prepareEngineBody makes the engine stream, whatever the caller asked: only a
@@ -111,6 +121,8 @@
 	answer  *recorder.Answer
 	// tokens is the number of tokens in the answer; only the sending goroutine uses it.
 	tokens int
+	// chunkID is the id of the first chunk, which all others get as well.
+	chunkID string
 }
 
 // Progress implements dispatcher.Sender.
@@ -255,6 +267,26 @@
 	return nil
 }
 
+// sameID gives chunks of a resumed stream the id of the first stream. Clients
+// check that all chunks of an answer have one id, and engines may make up a new one.
+func (p *eventPump) sameID(data string) string {
+	id := gjson.Get(data, "id").String()
+	if p.sender.chunkID == "" {
+		p.sender.chunkID = id
+	}
+
+	if id == p.sender.chunkID {
+		return data
+	}
+
+	changed, err := sjson.Set(data, "id", p.sender.chunkID)
+	if err != nil {
+		return data
+	}
+
+	return changed
+}
+
 // take adds one event to the answer and says whether it was the last.
 func (p *eventPump) take(event sse.Event) bool {
 	if event.Data == endOfStream {
@@ -263,6 +295,7 @@
 		return true
 	}
 
+	event.Data = p.sameID(event.Data)
 	id := ""
 
 	if carriesToken(event.Data) {
--- a/internal/server/engine_answer.go
+++ b/internal/server/engine_answer.go
@@ -21,6 +21,9 @@
 // keep middle boxes from dropping the connection and show the caller that it lives.
 const commentInterval = 5 * time.Second
 
+// callerWriteLimit is how long a caller may take no bytes before its connection counts as dead.
+const callerWriteLimit = 20 * time.Second
+
 func eventID(token int) string {
 	return strconv.Itoa(token)
 }
@@ -151,6 +154,11 @@
 }
 
 func (e *eventWriter) flush() error {
+	// A caller that takes no bytes must not hold its handler for good.
+	if err := e.control.SetWriteDeadline(time.Now().Add(callerWriteLimit)); err != nil {
+		return err
+	}
+
 	if _, err := e.writer.Write(e.buffer.Bytes()); err != nil {
 		return err
 	}
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -41,19 +41,18 @@
 	}
 
 	sender := newPlainSender(n.upstream, taken, r, body)
-	if failure := n.start(r, taken.request, sender, sender.answer); failure != nil {
-		writeError(w, taken.request.ID, failure)
+	entry := &run{request: taken.request, sender: sender, answer: sender.answer}
+	entry.deliver = func(w http.ResponseWriter, r *http.Request, _ string) {
+		if _, failure := wholeAnswer(r.Context(), sender.answer); failure != nil {
+			writeError(w, taken.request.ID, failure)
 
-		return
-	}
+			return
+		}
 
-	if _, failure := wholeAnswer(r.Context(), sender.answer); failure != nil {
-		writeError(w, taken.request.ID, failure)
-
-		return
+		sender.writeTo(w)
 	}
 
-	sender.writeTo(w)
+	n.serve(w, r, entry)
 }
 
 // plainSender sends the attempts of one call to a plain service and keeps the whole answer.
--- /dev/null
+++ b/internal/server/resume.go
@@ -0,0 +1,124 @@
+package server
+
+import (
+	"io"
+	"net/http"
+	"slices"
+
+	"quincepath.example/quincepath/internal/loader"
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// headerLastEvent is what callers send to get the events after the last one that they have.
+const headerLastEvent = "Last-Event-ID"
+
+// headerForwarded marks a resume that another node passed on; it is not passed on again.
+const headerForwarded = "Quincepath-Forwarded"
+
+// handleResume gives a caller the rest of an answer, through whichever node it asks.
+func (n *Node) handleResume(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+
+	owner, incarnation, ok := requestOwner(id)
+	if !ok {
+		writeError(w, id, classifier.New(classifier.UnknownRequest, "%q is not a request id", id))
+
+		return
+	}
+
+	if owner != n.identity.node {
+		n.passResume(w, r, id, owner)
+
+		return
+	}
+
+	entry, found := n.runs.find(id)
+	if !found || incarnation != n.identity.incarnation {
+		writeError(w, id, classifier.New(classifier.UnknownRequest, "node %q no longer holds the answer", owner))
+
+		return
+	}
+
+	organisation, failure := authenticate(r, entry.request.Service)
+	if failure == nil && organisation.Name != entry.request.Organisation.Name {
+		failure = classifier.New(classifier.Forbidden, "the request belongs to another organisation")
+	}
+
+	if failure != nil {
+		writeError(w, id, failure)
+
+		return
+	}
+
+	entry.deliver(w, r, r.Header.Get(headerLastEvent))
+}
+
+// passResume copies the answer of the node that holds it.
+func (n *Node) passResume(w http.ResponseWriter, r *http.Request, id, owner string) {
+	holder := slices.IndexFunc(n.settings.Peers.Nodes, func(p loader.Peer) bool { return p.Name == owner })
+	if holder < 0 || r.Header.Get(headerForwarded) != "" {
+		writeError(w, id, classifier.New(classifier.UnknownRequest, "there is no node %q", owner))
+
+		return
+	}
+
+	request, err := http.NewRequestWithContext(r.Context(), http.MethodGet, n.entryURL(n.settings.Peers.Nodes[holder].EntryAddress)+r.URL.Path, http.NoBody)
+	if err != nil {
+		writeError(w, id, classifier.Wrap(err, classifier.InvalidRequest, "the request id can't be passed on"))
+
+		return
+	}
+
+	for _, name := range []string{"Authorization", headerLastEvent} {
+		request.Header.Set(name, r.Header.Get(name))
+	}
+
+	request.Header.Set(headerForwarded, n.identity.node)
+
+	response, err := n.entryClient.Do(request)
+	if err != nil {
+		writeError(w, id, classifier.Wrap(err, classifier.NodeUnreachable, "node %q holds the answer and can't be reached", owner).After(failureRetryAfter))
+
+		return
+	}
+	defer response.Body.Close()
+
+	for name, values := range response.Header {
+		w.Header()[name] = values
+	}
+
+	w.WriteHeader(response.StatusCode)
+	copyFlushing(w, response.Body)
+}
+
+// entryURL returns the base URL of another node's address for callers.
+func (n *Node) entryURL(address string) string {
+	if n.settings.TLS.CertificateFile != "" {
+		return "https://" + address
+	}
+
+	return "http://" + address
+}
+
+// copyFlushing copies a stream and sends each piece on at once.
+func copyFlushing(w http.ResponseWriter, stream io.Reader) {
+	control := http.NewResponseController(w)
+	buffer := make([]byte, 16<<10)
+
+	for {
+		count, err := stream.Read(buffer)
+		if count > 0 {
+			if _, failed := w.Write(buffer[:count]); failed != nil {
+				return
+			}
+
+			if failed := control.Flush(); failed != nil {
+				return
+			}
+		}
+
+		if err != nil {
+			return
+		}
+	}
+}
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -27,8 +27,13 @@
 // run is one request in flight, or ended and kept for a caller that comes back.
 type run struct {
 	request dispatcher.Request
+	sender  dispatcher.Sender
 	answer  *recorder.Answer
-	cancel  context.CancelFunc
+	// deliver writes the answer to a caller from the event after lastEvent on; "" means from the start.
+	deliver func(w http.ResponseWriter, r *http.Request, lastEvent string)
+	// resumable says that the caller comes back after a broken connection.
+	resumable bool
+	cancel    context.CancelFunc
 }
 
 // runs holds the requests of a node by id. It is safe for concurrent use.
@@ -92,10 +97,29 @@
 	return a.inFlight
 }
 
-// start runs a request on the node's workers. It returns at once; the answer tells the rest.
-func (n *Node) start(r *http.Request, request dispatcher.Request, sender dispatcher.Sender, answer *recorder.Answer) *classifier.Error {
+// serve runs a request on the node's workers and writes its answer to the caller.
+func (n *Node) serve(w http.ResponseWriter, r *http.Request, entry *run) {
+	entry.resumable = strings.EqualFold(r.Header.Get(headerResumable), "true")
+
+	if failure := n.start(r.Context(), entry); failure != nil {
+		writeError(w, entry.request.ID, failure)
+
+		return
+	}
+
+	if entry.resumable {
+		// The caller must know the id before the first byte of the answer, or it could not come back for it.
+		w.Header().Set(headerRequestID, entry.request.ID)
+		w.WriteHeader(http.StatusEarlyHints)
+	}
+
+	entry.deliver(w, r, "")
+}
+
+// start hands the request to a worker and returns at once; the answer tells the rest.
+func (n *Node) start(caller context.Context, entry *run) *classifier.Error {
 	ctx, cancel := context.WithCancel(n.work)
-	entry := &run{request: request, answer: answer, cancel: cancel}
+	entry.cancel = cancel
 
 	if failure := n.runs.add(entry); failure != nil {
 		cancel()
@@ -103,14 +127,13 @@
 		return failure
 	}
 
-	resumable := strings.EqualFold(r.Header.Get(headerResumable), "true")
-	n.cancelWithCaller(r.Context(), entry, resumable)
+	n.cancelWithCaller(caller, entry)
 
-	err := n.runners.Go(func() { n.runOne(ctx, entry, sender, resumable) })
+	err := n.runners.Go(func() { n.runOne(ctx, entry) })
 	if err != nil {
 		cancel()
 		n.runs.finished()
-		n.runs.forget(request.ID)
+		n.runs.forget(entry.request.ID)
 
 		return classifier.Wrap(err, classifier.NodeFull, "the node's workers are busy").After(fullRetryAfter)
 	}
@@ -120,13 +143,13 @@
 
 // cancelWithCaller ends a run whose caller left. A request that is not
 // repeatable goes on: cancelled halfway, nobody could tell whether it ran.
-func (n *Node) cancelWithCaller(caller context.Context, entry *run, resumable bool) {
+func (n *Node) cancelWithCaller(caller context.Context, entry *run) {
 	if !entry.request.Repeatable {
 		return
 	}
 
 	context.AfterFunc(caller, func() {
-		if !resumable {
+		if !entry.resumable {
 			entry.cancel()
 
 			return
@@ -136,10 +159,10 @@
 	})
 }
 
-func (n *Node) runOne(ctx context.Context, entry *run, sender dispatcher.Sender, resumable bool) {
+func (n *Node) runOne(ctx context.Context, entry *run) {
 	defer entry.cancel()
 
-	failure := n.dispatch.Run(ctx, entry.request, sender)
+	failure := n.dispatch.Run(ctx, entry.request, entry.sender)
 
 	n.runs.finished()
 	n.logEnd(entry.request, failure)
@@ -150,7 +173,7 @@
 		entry.answer.End(nil)
 	}
 
-	if !resumable {
+	if !entry.resumable {
 		n.runs.forget(entry.request.ID)
 
 		return
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -16,6 +16,7 @@
 	"quincepath.example/quincepath/internal/dispatcher"
 	"quincepath.example/quincepath/internal/forwarder"
 	"quincepath.example/quincepath/internal/loader"
+	"quincepath.example/quincepath/internal/messenger"
 	"quincepath.example/quincepath/internal/placer"
 )
 
@@ -42,7 +43,10 @@
 	upstream   *forwarder.Client
 	placer     *placer.PowerOfTwo
 	dispatch   *dispatcher.Dispatcher
-	runs       *runs
+	messages   *messenger.Messenger
+	// entryClient reaches other nodes at their addresses for callers.
+	entryClient *http.Client
+	runs        *runs
 }
 
 // Run serves until ctx ends and everything in flight is answered.
@@ -56,18 +60,20 @@
 	work, stopWork := context.WithCancel(context.Background())
 
 	node := &Node{
-		settings:   settings,
-		logger:     logger.With().Str("node", settings.Node.Name).Logger(),
-		started:    time.Now(),
-		identity:   identity,
-		tree:       tree,
-		work:       work,
-		stopWork:   stopWork,
-		runners:    pond.NewPool(settings.Node.MaxInFlight, pond.WithNonBlocking(true), pond.WithQueueSize(settings.Node.MaxInFlight)),
-		background: pond.NewPool(backgroundWorkers, pond.WithNonBlocking(true), pond.WithQueueSize(backgroundQueue)),
-		upstream:   forwarder.NewClient(forwarder.Options{BearerKey: settings.Upstreams.BearerKey}),
-		placer:     placer.NewPowerOfTwo(tree, identity.seed()),
-		runs:       newRuns(settings.Node.MaxInFlight),
+		settings:    settings,
+		logger:      logger.With().Str("node", settings.Node.Name).Logger(),
+		started:     time.Now(),
+		identity:    identity,
+		tree:        tree,
+		work:        work,
+		stopWork:    stopWork,
+		runners:     pond.NewPool(settings.Node.MaxInFlight, pond.WithNonBlocking(true), pond.WithQueueSize(settings.Node.MaxInFlight)),
+		background:  pond.NewPool(backgroundWorkers, pond.WithNonBlocking(true), pond.WithQueueSize(backgroundQueue)),
+		upstream:    forwarder.NewClient(forwarder.Options{BearerKey: settings.Upstreams.BearerKey}),
+		placer:      placer.NewPowerOfTwo(tree, identity.seed()),
+		messages:    newMessages(settings, logger),
+		entryClient: &http.Client{},
+		runs:        newRuns(settings.Node.MaxInFlight),
 	}
 
 	node.dispatch = dispatcher.New(node.placer, simpleJudge{}, node)
@@ -89,6 +95,10 @@
 
 	defer n.stopWork()
 
+	if err := n.listenPeers(ctx); err != nil {
+		return err
+	}
+
 	go n.pollLoads(n.work)
 
 	failed := make(chan error, 1)
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -20,6 +20,11 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	// The programs are built by a command that the test cache does not see;
+	// these imports make a change to them count as a change to the tests.
+	_ "quincepath.example/quincepath/internal/command/root"
+	_ "quincepath.example/quincepath/internal/server"
 )
 
 const (
--- a/test/process/path_test.go
+++ b/test/process/path_test.go
@@ -4,11 +4,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
+	"github.com/tidwall/gjson"
+	"github.com/tmaxmax/go-sse"
 	"gotest.tools/v3/assert"
 
 	generator "quincepath.example/quincepath/internal/standin/engine"
@@ -118,3 +122,30 @@
 
 	return whole.Choices[0].Message.Content
 }
+
+// joinStream joins the tokens of a raw event stream and checks that it ended.
+func joinStream(t *testing.T, response *http.Response) string {
+	t.Helper()
+
+	defer response.Body.Close()
+
+	var text strings.Builder
+
+	ended := false
+
+	for event, err := range sse.Read(response.Body, nil) {
+		assert.NilError(t, err)
+
+		if event.Data == "[DONE]" {
+			ended = true
+
+			break
+		}
+
+		text.WriteString(gjson.Get(event.Data, "choices.0.delta.content").String())
+	}
+
+	assert.Assert(t, ended, "the stream did not end")
+
+	return text.String()
+}
