--- a/internal/connector/calls.go
+++ b/internal/connector/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"quincepath.example/quincepath/internal/storer"
@@ -61,7 +62,7 @@
 		if !reply.More || len(reply.KVs) == 0 {
 			return found, query.Revision, nil
 		}
-		query.Key = append(reply.KVs[len(reply.KVs)-1].Key, 0)
+		query.Key = slices.Concat(reply.KVs[len(reply.KVs)-1].Key, []byte{0})
 	}
 }
 
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -102,10 +102,10 @@
 	return &memoryListener{accept: accept, closed: make(chan struct{})}
 }
 
-func newPair(ctx context.Context, network *memoryNetwork, credential string) (client, server *messenger.Messenger) {
+func newPair(ctx context.Context, network *memoryNetwork, credential string) *messenger.Messenger {
 	peers := map[string]string{"a": "a", "b": "b"}
-	client = messenger.New(messenger.Options{Self: "a", Credential: credential, Peers: peers, Dial: network.dial})
-	server = messenger.New(messenger.Options{Self: "b", Credential: "secret", Peers: peers, Dial: network.dial})
+	client := messenger.New(messenger.Options{Self: "a", Credential: credential, Peers: peers, Dial: network.dial})
+	server := messenger.New(messenger.Options{Self: "b", Credential: "secret", Peers: peers, Dial: network.dial})
 	server.Handle("echo", func(_ context.Context, from string, params json.RawMessage) (any, error) {
 		return from + string(params), nil
 	})
@@ -123,13 +123,13 @@
 
 	synctest.Wait()
 
-	return client, server
+	return client
 }
 
 func TestCallCarriesAnswersAndNumberedErrors(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		client, _ := newPair(ctx, newMemoryNetwork(), "secret")
+		client := newPair(ctx, newMemoryNetwork(), "secret")
 
 		var answer string
 
@@ -151,7 +151,7 @@
 func TestWrongCredentialIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		client, _ := newPair(ctx, newMemoryNetwork(), "guess")
+		client := newPair(ctx, newMemoryNetwork(), "guess")
 
 		assert.Assert(t, errors.Is(client.Call(ctx, "b", "echo", 7, nil), messenger.ErrNotSent))
 
@@ -167,7 +167,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		network := newMemoryNetwork()
-		client, _ := newPair(ctx, network, "secret")
+		client := newPair(ctx, network, "secret")
 
 		assert.NilError(t, client.Call(ctx, "b", "echo", 1, nil))
 		network.hush()
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -122,7 +122,7 @@
 
 func (e *Engine) listModels(w http.ResponseWriter, _ *http.Request) {
 	s := e.orders.state()
-	names := append(s.Models, s.Adapters...)
+	names := slices.Concat(s.Models, s.Adapters)
 	slices.Sort(names)
 	list := make([]modelEntry, 0, len(names))
 	for _, n := range names {
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -22,7 +23,10 @@
 		q.Header.Set(headers[i], headers[i+1])
 	}
 	r = httptest.NewRecorder()
-	defer func() { aborted = recover() == http.ErrAbortHandler }()
+	defer func() {
+		err, _ := recover().(error)
+		aborted = errors.Is(err, http.ErrAbortHandler)
+	}()
 	s.Handler().ServeHTTP(r, q)
 	return r, false
 }
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -31,48 +31,55 @@
 }
 
 // newFleet starts three engines with uneven load, one plain service and the given number of nodes.
-func newFleet(t *testing.T, nodes int) *fleet {
-	t.Helper()
+func newFleet(tb testing.TB, nodes int) *fleet {
+	tb.Helper()
 
-	f := &fleet{platform: start(t, "platform", "standin", "platform", "--listen", "127.0.0.1:0", "--vm-lag", "500ms")}
+	f := &fleet{platform: start(tb, "platform", "standin", "platform", "--listen", "127.0.0.1:0", "--vm-lag", "500ms")}
 
 	for i, slots := range []string{"2", "4", "6"} {
 		name := fmt.Sprintf("engine-%d", i+1)
-		f.engines = append(f.engines, start(t, name, "standin", "engine",
+		f.engines = append(f.engines, start(tb, name, "standin", "engine",
 			"--name", name, "--key", engineKey, "--slots", slots, "--token-step", "2ms", "--load-lag", "200ms"))
 	}
 
-	f.service = start(t, "banco", "standin", "service", "--name", "banco", "--slots", "8", "--work", "5ms")
+	f.service = start(tb, "banco", "standin", "service", "--name", "banco", "--slots", "8", "--work", "5ms")
+
+	f.addNodes(tb, nodes)
+
+	return f
+}
+
+// addNodes starts nodes that know each other.
+func (f *fleet) addNodes(tb testing.TB, nodes int) {
+	tb.Helper()
 
 	for i := range nodes {
 		f.nodeSpecs = append(f.nodeSpecs, nodeSpec{
 			name:          fmt.Sprintf("node-%d", i+1),
 			failureDomain: []string{"catania-sala", "siracusa-sala", "acireale-sala"}[i%3],
-			entryAddress:  freeAddress(t),
-			peerAddress:   freeAddress(t),
-			adminAddress:  freeAddress(t),
+			entryAddress:  freeAddress(tb),
+			peerAddress:   freeAddress(tb),
+			adminAddress:  freeAddress(tb),
 		})
 	}
 
 	for i := range f.nodeSpecs {
-		f.writeSettings(t, i)
-		f.nodes = append(f.nodes, f.startNode(t, i))
+		f.writeSettings(tb, i)
+		f.nodes = append(f.nodes, f.startNode(tb, i))
 	}
-
-	return f
 }
 
 // startNode starts the node with the given index, also after it was killed.
-func (f *fleet) startNode(t *testing.T, index int) *process {
-	t.Helper()
+func (f *fleet) startNode(tb testing.TB, index int) *process {
+	tb.Helper()
 
 	spec := f.nodeSpecs[index]
 
-	return start(t, spec.name, "quincepath", "serve", "--settings", spec.file)
+	return start(tb, spec.name, "quincepath", "serve", "--settings", spec.file)
 }
 
-func (f *fleet) writeSettings(t *testing.T, index int) {
-	t.Helper()
+func (f *fleet) writeSettings(tb testing.TB, index int) {
+	tb.Helper()
 
 	spec := &f.nodeSpecs[index]
 
@@ -102,8 +109,8 @@
 	fmt.Fprintf(&text, "operators:\n  key_hashes: [%s]\nupstreams:\n  bearer_key: %s\n", callerHash, engineKey)
 	text.WriteString(f.services())
 
-	spec.file = filepath.Join(t.TempDir(), spec.name+".yaml")
-	assert.NilError(t, os.WriteFile(spec.file, []byte(text.String()), 0o600))
+	spec.file = filepath.Join(tb.TempDir(), spec.name+".yaml")
+	assert.NilError(tb, os.WriteFile(spec.file, []byte(text.String()), 0o600))
 }
 
 func (f *fleet) services() string {
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -75,25 +75,25 @@
 }
 
 // start runs a program and waits until it logs the address that it listens on.
-func start(t *testing.T, name, program string, args ...string) *process {
-	t.Helper()
+func start(tb testing.TB, name, program string, args ...string) *process {
+	tb.Helper()
 
 	p := &process{name: name, command: exec.Command(filepath.Join(programs, program), args...), exited: make(chan struct{})}
 	stderr, err := p.command.StderrPipe()
-	assert.NilError(t, err)
-	assert.NilError(t, p.command.Start())
+	assert.NilError(tb, err)
+	assert.NilError(tb, p.command.Start())
 
 	ready := make(chan string, 1)
 
 	go p.follow(stderr, ready)
-	t.Cleanup(func() { p.end(t) })
+	tb.Cleanup(func() { p.end(tb) })
 
 	select {
 	case p.address = <-ready:
 	case <-p.exited:
-		t.Fatalf("%s ended before it listened:\n%s", name, p.logged())
+		tb.Fatalf("%s ended before it listened:\n%s", name, p.logged())
 	case <-time.After(startLimit):
-		t.Fatalf("%s did not listen:\n%s", name, p.logged())
+		tb.Fatalf("%s did not listen:\n%s", name, p.logged())
 	}
 
 	return p
@@ -142,9 +142,9 @@
 }
 
 // signal sends a signal to the process by its id.
-func (p *process) signal(t *testing.T, signal syscall.Signal) {
-	t.Helper()
-	assert.NilError(t, p.command.Process.Signal(signal))
+func (p *process) signal(tb testing.TB, signal syscall.Signal) {
+	tb.Helper()
+	assert.NilError(tb, p.command.Process.Signal(signal))
 }
 
 // kill ends the process without warning and waits for its end.
@@ -155,18 +155,18 @@
 }
 
 // stop asks the process to end and waits for it.
-func (p *process) stop(t *testing.T) {
-	t.Helper()
-	p.signal(t, syscall.SIGTERM)
+func (p *process) stop(tb testing.TB) {
+	tb.Helper()
+	p.signal(tb, syscall.SIGTERM)
 	<-p.exited
 	_ = p.command.Wait()
 }
 
-func (p *process) end(t *testing.T) {
-	t.Helper()
+func (p *process) end(tb testing.TB) {
+	tb.Helper()
 
-	if t.Failed() {
-		t.Logf("log of %s:\n%s", p.name, tail(p.logged()))
+	if tb.Failed() {
+		tb.Logf("log of %s:\n%s", p.name, tail(p.logged()))
 	}
 
 	select {
@@ -190,37 +190,37 @@
 }
 
 // freeAddress returns a loopback address that nothing listens on at the moment.
-func freeAddress(t *testing.T) string {
-	t.Helper()
+func freeAddress(tb testing.TB) string {
+	tb.Helper()
 
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	assert.NilError(t, listener.Close())
+	assert.NilError(tb, err)
+	assert.NilError(tb, listener.Close())
 
 	return listener.Addr().String()
 }
 
 // call sends a JSON body to a stand-in or a node and decodes the answer.
-func call(t *testing.T, method, url string, body, answer any) {
-	t.Helper()
+func call(tb testing.TB, method, url string, body, answer any) {
+	tb.Helper()
 
 	data, err := json.Marshal(body)
-	assert.NilError(t, err)
+	assert.NilError(tb, err)
 
 	request, err := http.NewRequest(method, url, bytes.NewReader(data))
-	assert.NilError(t, err)
+	assert.NilError(tb, err)
 	request.Header.Set("Authorization", "Bearer "+callerKey)
 
 	response, err := http.DefaultClient.Do(request)
-	assert.NilError(t, err)
+	assert.NilError(tb, err)
 
 	defer response.Body.Close()
 
 	text, err := io.ReadAll(response.Body)
-	assert.NilError(t, err)
-	assert.Assert(t, response.StatusCode < 300, "%s %s: %d %s", method, url, response.StatusCode, text)
+	assert.NilError(tb, err)
+	assert.Assert(tb, response.StatusCode < 300, "%s %s: %d %s", method, url, response.StatusCode, text)
 
 	if answer != nil {
-		assert.NilError(t, json.Unmarshal(text, answer))
+		assert.NilError(tb, json.Unmarshal(text, answer))
 	}
 }
