Write comments from a timer; bound a request's allocations

Cause: each wait for the next event made a context with its own timer. One timer a stream writes the comments now.

--- a/internal/recorder/answer.go
+++ b/internal/recorder/answer.go
@@ -13,8 +13,8 @@
 type Event struct {
 	// ID is the event id that a caller names to resume after this event; empty for events that can't be resumed after.
 	ID string
-	// Data is the payload; it is not changed after it was appended.
-	Data []byte
+	// Data is the payload.
+	Data string
 }
 
 // Answer collects the events of one request. One goroutine appends, any number follow.
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -290,7 +290,7 @@
 // take adds one event to the answer and says whether it was the last.
 func (p *eventPump) take(event sse.Event) bool {
 	if event.Data == endOfStream {
-		p.sender.answer.Append(recorder.Event{Data: []byte(endOfStream)})
+		p.sender.answer.Append(recorder.Event{Data: endOfStream})
 
 		return true
 	}
@@ -308,7 +308,7 @@
 		}
 	}
 
-	p.sender.answer.Append(recorder.Event{ID: id, Data: []byte(event.Data)})
+	p.sender.answer.Append(recorder.Event{ID: id, Data: event.Data})
 
 	return false
 }
--- a/internal/server/engine_answer.go
+++ b/internal/server/engine_answer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -48,7 +49,8 @@
 	header.Set(headerRequestID, requestID)
 	w.WriteHeader(http.StatusOK)
 
-	stream := &eventWriter{writer: w, control: http.NewResponseController(w)}
+	stream := newEventWriter(w)
+	defer stream.stop()
 
 	for {
 		if err := stream.write(events); err != nil || ended {
@@ -59,7 +61,7 @@
 
 		var failed error
 
-		events, ended, failed = nextEvents(r.Context(), answer, from, stream)
+		events, ended, failed = answer.Next(r.Context(), from)
 		if r.Context().Err() != nil {
 			return
 		}
@@ -87,41 +89,48 @@
 	return nil, ended, classifier.From(err)
 }
 
-// nextEvents waits for more events and writes a comment whenever none came for a while.
-func nextEvents(ctx context.Context, answer *recorder.Answer, from int, stream *eventWriter) ([]recorder.Event, bool, error) {
-	for {
-		waiting, cancel := context.WithTimeout(ctx, commentInterval)
-		events, ended, err := answer.Next(waiting, from)
-
-		cancel()
-
-		if ended || len(events) > 0 || ctx.Err() != nil {
-			return events, ended, err
-		}
-
-		if err := stream.comment(); err != nil {
-			return nil, true, nil
-		}
-	}
-}
-
 func errorEvent(requestID string, failure *classifier.Error) recorder.Event {
 	data, err := json.Marshal(newErrorAnswer(requestID, failure))
 	if err != nil {
 		data = []byte(`{"error":{}}`)
 	}
 
-	return recorder.Event{Data: data}
+	return recorder.Event{Data: string(data)}
 }
 
-// eventWriter writes events to one caller.
+// eventWriter writes events to one caller, and a comment whenever none came for a while.
 type eventWriter struct {
 	writer  http.ResponseWriter
 	control *http.ResponseController
-	buffer  bytes.Buffer
+	comment *time.Timer
+
+	// mu guards the fields below and the writer: comments come from a timer.
+	mu     sync.Mutex
+	buffer bytes.Buffer
+	// stopped is set before the handler returns; after it nothing may be written.
+	stopped bool
+}
+
+func newEventWriter(w http.ResponseWriter) *eventWriter {
+	e := &eventWriter{writer: w, control: http.NewResponseController(w)}
+	e.comment = time.AfterFunc(commentInterval, e.writeComment)
+
+	return e
+}
+
+func (e *eventWriter) stop() {
+	e.comment.Stop()
+
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.stopped = true
 }
 
 func (e *eventWriter) write(events []recorder.Event) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
 	e.buffer.Reset()
 
 	for _, event := range events {
@@ -130,27 +139,39 @@
 			message.ID = sse.ID(event.ID)
 		}
 
-		message.AppendData(string(event.Data))
+		message.AppendData(event.Data)
 
 		if _, err := message.WriteTo(&e.buffer); err != nil {
 			return err
 		}
 	}
 
+	e.comment.Reset(commentInterval)
+
 	return e.flush()
 }
 
-func (e *eventWriter) comment() error {
+func (e *eventWriter) writeComment() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	if e.stopped {
+		return
+	}
+
 	e.buffer.Reset()
 
 	message := sse.Message{}
 	message.AppendComment("waiting")
 
 	if _, err := message.WriteTo(&e.buffer); err != nil {
-		return err
+		return
 	}
 
-	return e.flush()
+	// A caller that is gone is noticed by the handler itself.
+	_ = e.flush()
+
+	e.comment.Reset(commentInterval)
 }
 
 func (e *eventWriter) flush() error {
@@ -233,7 +254,7 @@
 	)
 
 	for _, event := range events {
-		chunk := gjson.ParseBytes(event.Data)
+		chunk := gjson.Parse(event.Data)
 		if whole.ID == "" {
 			whole.ID = chunk.Get("id").String()
 			whole.Created = chunk.Get("created").Int()
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -152,7 +152,6 @@
 	}
 
 	s.status, s.answered, s.payload = response.StatusCode, response.Header, payload
-	s.answer.Append(recorder.Event{Data: payload})
 
 	return nil
 }
