--- a/internal/server/authenticator.go
+++ b/internal/server/authenticator.go
@@ -4,54 +4,71 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
-	"slices"
 	"strings"
+	"sync/atomic"
 
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
-// bearerHash returns the SHA-256 sum of the request's bearer key in hexadecimal, or "".
-func bearerHash(r *http.Request) string {
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok || key == "" {
-		return ""
-	}
+// settingsView is one settings snapshot with what requests look up in it. It is immutable.
+type settingsView struct {
+	snapshot configurer.Snapshot
+	// organisations maps the hash of each bearer key to the name of its organisation.
+	organisations map[string]string
+}
 
-	sum := sha256.Sum256([]byte(key))
+// settingsHolder gives the settings in force. It is safe for concurrent use.
+type settingsHolder struct {
+	view atomic.Pointer[settingsView]
+}
+
+func newSettingsHolder(snapshot configurer.Snapshot) *settingsHolder {
+	h := &settingsHolder{}
+	h.set(snapshot)
 
-	return hex.EncodeToString(sum[:])
+	return h
 }
 
-// authenticate finds the organisation that a bearer key belongs to.
-func authenticate(r *http.Request, service configurer.Service) (configurer.Organisation, *classifier.Error) {
-	hash := bearerHash(r)
-	if hash == "" {
-		return configurer.Organisation{}, classifier.New(classifier.Unauthenticated, "send a bearer key in the Authorization header")
-	}
+// set puts a snapshot in force.
+func (h *settingsHolder) set(snapshot configurer.Snapshot) {
+	organisations := make(map[string]string)
 
-	for _, organisation := range service.Organisations {
-		if slices.Contains(organisation.KeyHashes, hash) {
-			return organisation, nil
+	for _, service := range snapshot.Services {
+		for name, organisation := range service.Organisations {
+			for _, hash := range organisation.KeyHashes {
+				organisations[hash] = name
+			}
 		}
 	}
 
-	return configurer.Organisation{}, classifier.New(classifier.Unauthenticated, "the bearer key belongs to no organisation of %q", service.Name)
+	h.view.Store(&settingsView{snapshot: snapshot, organisations: organisations})
 }
 
-// authenticateAny accepts a bearer key of any organisation in the tree.
-func authenticateAny(r *http.Request, snapshot configurer.Snapshot) *classifier.Error {
-	var failure *classifier.Error
+// Snapshot returns the settings in force.
+func (h *settingsHolder) Snapshot() configurer.Snapshot {
+	return h.view.Load().snapshot
+}
 
-	for _, service := range snapshot.Services {
-		if _, failure = authenticate(r, service); failure == nil {
-			return nil
-		}
+// authenticate returns the name of the organisation that the request's bearer key belongs to.
+func (h *settingsHolder) authenticate(r *http.Request) (string, *classifier.Error) {
+	view := h.view.Load()
+	if len(view.snapshot.Services) == 0 {
+		return "", classifier.New(classifier.SettingsUnavailable, "the node has no settings tree yet").After(failureRetryAfter)
 	}
 
-	if failure == nil {
-		failure = classifier.New(classifier.SettingsUnavailable, "the node has no settings tree yet")
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return "", classifier.New(classifier.Unauthenticated, "send a bearer key in the Authorization header")
+	}
+
+	// Only hashes are compared, so the time of the look-up tells nothing about a key.
+	sum := sha256.Sum256([]byte(key))
+
+	name, ok := view.organisations[hex.EncodeToString(sum[:])]
+	if !ok {
+		return "", classifier.New(classifier.Unauthenticated, "the bearer key belongs to no organisation")
 	}
 
-	return failure
+	return name, nil
 }
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -84,16 +84,28 @@
 	return classifier.Wrap(err, classifier.InvalidRequest, "the body broke off")
 }
 
+// admit checks the bearer key, then reads the body: a stranger's body is never read.
+func (n *Node) admit(w http.ResponseWriter, r *http.Request) (organisation string, body []byte, failure *classifier.Error) {
+	organisation, failure = n.tree.authenticate(r)
+	if failure != nil {
+		return "", nil, failure
+	}
+
+	body, failure = n.readBody(w, r)
+
+	return organisation, body, failure
+}
+
 // take resolves service, organisation and class of a request.
-func (n *Node) take(r *http.Request, serviceName string, kind configurer.Kind) (intake, *classifier.Error) {
+func (n *Node) take(r *http.Request, organisationName, serviceName string, kind configurer.Kind) (intake, *classifier.Error) {
 	service, ok := n.tree.Snapshot().Services[serviceName]
 	if !ok || service.Kind != kind {
 		return intake{}, classifier.New(classifier.UnknownService, "there is no %s service %q", kind, serviceName)
 	}
 
-	organisation, failure := authenticate(r, service)
-	if failure != nil {
-		return intake{}, failure
+	organisation, ok := service.Organisations[organisationName]
+	if !ok {
+		return intake{}, classifier.New(classifier.Forbidden, "organisation %q may not use service %q", organisationName, serviceName)
 	}
 
 	class, failure := classOf(r, service)
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -27,7 +27,7 @@
 const firstSilenceFactor = 4
 
 func (n *Node) handleEngine(w http.ResponseWriter, r *http.Request) {
-	body, failure := n.readBody(w, r)
+	organisation, body, failure := n.admit(w, r)
 	if failure != nil {
 		writeError(w, "", failure)
 
@@ -40,7 +40,7 @@
 		return
 	}
 
-	taken, failure := n.take(r, gjson.GetBytes(body, "model").String(), configurer.KindEngine)
+	taken, failure := n.take(r, organisation, gjson.GetBytes(body, "model").String(), configurer.KindEngine)
 	if failure != nil {
 		writeError(w, "", failure)
 
--- a/internal/server/entries.go
+++ b/internal/server/entries.go
@@ -20,7 +20,7 @@
 }
 
 func (n *Node) handleEntries(w http.ResponseWriter, r *http.Request) {
-	if failure := authenticateAny(r, n.tree.Snapshot()); failure != nil {
+	if _, failure := n.tree.authenticate(r); failure != nil {
 		writeError(w, "", failure)
 
 		return
@@ -62,7 +62,9 @@
 
 func (n *Node) handleModels(w http.ResponseWriter, r *http.Request) {
 	snapshot := n.tree.Snapshot()
-	if failure := authenticateAny(r, snapshot); failure != nil {
+
+	organisation, failure := n.tree.authenticate(r)
+	if failure != nil {
 		writeError(w, "", failure)
 
 		return
@@ -71,7 +73,7 @@
 	answer := modelsAnswer{Object: "list", Data: make([]modelItem, 0, len(snapshot.Services))}
 
 	for name, service := range snapshot.Services {
-		if _, failure := authenticate(r, service); failure == nil {
+		if _, ok := service.Organisations[organisation]; ok {
 			answer.Data = append(answer.Data, modelItem{ID: name, Object: "model", Created: n.started.Unix(), OwnedBy: "quincepath"})
 		}
 	}
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -26,14 +26,14 @@
 }
 
 func (n *Node) handlePlain(w http.ResponseWriter, r *http.Request) {
-	body, failure := n.readBody(w, r)
+	organisation, body, failure := n.admit(w, r)
 	if failure != nil {
 		writeError(w, "", failure)
 
 		return
 	}
 
-	taken, failure := n.take(r, r.PathValue("service"), configurer.KindPlain)
+	taken, failure := n.take(r, organisation, r.PathValue("service"), configurer.KindPlain)
 	if failure != nil {
 		writeError(w, "", failure)
 
--- a/internal/server/resume.go
+++ b/internal/server/resume.go
@@ -39,8 +39,8 @@
 		return
 	}
 
-	organisation, failure := authenticate(r, entry.request.Service)
-	if failure == nil && organisation.Name != entry.request.Organisation.Name {
+	organisation, failure := n.tree.authenticate(r)
+	if failure == nil && organisation != entry.request.Organisation.Name {
 		failure = classifier.New(classifier.Forbidden, "the request belongs to another organisation")
 	}
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -12,7 +12,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
-	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/dispatcher"
 	"quincepath.example/quincepath/internal/forwarder"
 	"quincepath.example/quincepath/internal/loader"
@@ -33,7 +32,7 @@
 
 	// identity names requests of this incarnation.
 	identity *identity
-	tree     *treeHolder
+	tree     *settingsHolder
 	// work ends when the node has drained; runs outlive their callers' connections but not the node.
 	work     context.Context
 	stopWork context.CancelFunc
@@ -56,7 +55,7 @@
 
 func newNode(settings loader.Settings, logger zerolog.Logger) *Node {
 	identity := newIdentity(settings.Node.Name)
-	tree := newTreeHolder(settings.Snapshot())
+	tree := newSettingsHolder(settings.Snapshot())
 	work, stopWork := context.WithCancel(context.Background())
 
 	node := &Node{
@@ -149,17 +148,3 @@
 		Str("retry_reason", next.Reason).
 		Msg("attempt_ended")
 }
-
-// treeHolder gives the settings in force.
-type treeHolder struct {
-	snapshot configurer.Snapshot
-}
-
-func newTreeHolder(snapshot configurer.Snapshot) *treeHolder {
-	return &treeHolder{snapshot: snapshot}
-}
-
-// Snapshot returns the settings in force.
-func (t *treeHolder) Snapshot() configurer.Snapshot {
-	return t.snapshot
-}
