Make process tests run again when the programs change

Cause: the tests' cached verdict survived a change to the server: the blank imports were dropped by the linker, so the test binary was the same. The programs' entry points are now linked in. Shown: with the imports alone 'go test ./test/process' said (cached) after a change; now it runs.

--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,10 +22,8 @@
 
 	"gotest.tools/v3/assert"
 
-	// The programs are built by a command that the test cache does not see;
-	// these imports make a change to them count as a change to the tests.
-	_ "quincepath.example/quincepath/internal/command/root"
-	_ "quincepath.example/quincepath/internal/server"
+	"quincepath.example/quincepath/internal/command/root"
+	"quincepath.example/quincepath/internal/server"
 )
 
 const (
@@ -43,6 +42,10 @@
 }
 
 func buildAndRun(m *testing.M) int {
+	// The programs are built by a command that the test cache does not see.
+	// Linked into the tests as well, a change to them makes the tests run again.
+	runtime.KeepAlive([]any{root.Quincepath, root.Standin, server.Run})
+
 	folder, err := os.MkdirTemp("", "quincepath-process")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
