--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -26,14 +26,14 @@
 }
 
 func (n *Node) handlePlain(w http.ResponseWriter, r *http.Request) {
-	body, failure := n.readBody(w, r)
+	organisation, body, failure := n.admit(w, r)
 	if failure != nil {
 		writeError(w, "", failure)
 
 		return
 	}
 
-	taken, failure := n.take(r, r.PathValue("service"), configurer.KindPlain)
+	taken, failure := n.take(r, organisation, r.PathValue("service"), configurer.KindPlain)
 	if failure != nil {
 		writeError(w, "", failure)
 
@@ -41,19 +41,18 @@
 	}
 
 	sender := newPlainSender(n.upstream, taken, r, body)
-	if failure := n.start(r, taken.request, sender, sender.answer); failure != nil {
-		writeError(w, taken.request.ID, failure)
+	entry := &run{request: taken.request, sender: sender, answer: sender.answer}
+	entry.deliver = func(w http.ResponseWriter, r *http.Request, _ string) {
+		if _, failure := wholeAnswer(r.Context(), sender.answer); failure != nil {
+			writeError(w, taken.request.ID, failure)
 
-		return
-	}
+			return
+		}
 
-	if _, failure := wholeAnswer(r.Context(), sender.answer); failure != nil {
-		writeError(w, taken.request.ID, failure)
-
-		return
+		sender.writeTo(w)
 	}
 
-	sender.writeTo(w)
+	n.serve(w, r, entry)
 }
 
 // plainSender sends the attempts of one call to a plain service and keeps the whole answer.
@@ -153,7 +152,6 @@
 	}
 
 	s.status, s.answered, s.payload = response.StatusCode, response.Header, payload
-	s.answer.Append(recorder.Event{Data: payload})
 
 	return nil
 }
