--- /dev/null
+++ b/internal/reporter/plot.go
@@ -0,0 +1,112 @@
+//nolint:misspell // identifiers of the plot library are spelt the American way
+package reporter
+
+import (
+	"image/color"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"quincepath.example/quincepath/internal/replayer"
+)
+
+const (
+	plotWidth  = 26 * vg.Centimeter
+	plotHeight = 15 * vg.Centimeter
+	dotRadius  = vg.Length(1.6)
+	// leastPlotted keeps zero off the logarithmic axis; times are in milliseconds.
+	leastPlotted = 0.1
+)
+
+// WritePlot writes an SVG plot of the latency over the trace's time, with one
+// colour for each class. Crosses are requests that got no whole answer, at the time that their ending took.
+func WritePlot(w io.Writer, result replayer.Result) error {
+	p := plot.New()
+	p.X.Label.Text = "sent (s)"
+	p.Y.Label.Text = "first token or whole plain answer (ms)"
+	p.Y.Scale = plot.LogScale{}
+	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+	p.Legend.Top = true
+	p.Legend.Left = true
+
+	series := map[string]*points{}
+
+	for _, v := range result.Outcomes {
+		name := v.Event.Service + "/" + v.Event.Class
+		if series[name] == nil {
+			series[name] = &points{}
+		}
+
+		series[name].add(v)
+	}
+
+	for i, name := range slices.Sorted(maps.Keys(series)) {
+		if err := series[name].draw(p, name, plotutil.Color(i)); err != nil {
+			return errors.Wrapf(err, "plot %s", name)
+		}
+	}
+
+	// A range of one value has no place on a logarithmic axis.
+	p.Y.Min = math.Min(p.Y.Min, 1)
+	p.Y.Max = math.Max(p.Y.Max, 10)
+
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+
+	_, err := canvas.WriteTo(w)
+
+	return errors.Wrap(err, "write the plot")
+}
+
+// points are the dots and crosses of one class.
+type points struct {
+	whole, other plotter.XYs
+}
+
+func (s *points) add(o replayer.Outcome) {
+	length := o.Duration
+	if o.Ending == replayer.Whole {
+		length = o.Latency()
+	}
+
+	at := plotter.XY{X: o.Due.Seconds(), Y: math.Max(float64(length)/float64(time.Millisecond), leastPlotted)}
+
+	if o.Ending == replayer.Whole {
+		s.whole = append(s.whole, at)
+	} else {
+		s.other = append(s.other, at)
+	}
+}
+
+func (s *points) draw(p *plot.Plot, name string, shade color.Color) error {
+	for _, v := range []struct {
+		dots  plotter.XYs
+		shape draw.GlyphDrawer
+		label string
+	}{{s.whole, draw.CircleGlyph{}, name}, {s.other, draw.CrossGlyph{}, name + ", not whole"}} {
+		if len(v.dots) == 0 {
+			continue
+		}
+
+		scatter, err := plotter.NewScatter(v.dots)
+		if err != nil {
+			return err
+		}
+
+		scatter.GlyphStyle = draw.GlyphStyle{Color: shade, Radius: dotRadius, Shape: v.shape}
+		p.Add(scatter)
+		p.Legend.Add(v.label, scatter)
+	}
+
+	return nil
+}
