--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -12,10 +12,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
-	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/dispatcher"
 	"quincepath.example/quincepath/internal/forwarder"
 	"quincepath.example/quincepath/internal/loader"
+	"quincepath.example/quincepath/internal/messenger"
 	"quincepath.example/quincepath/internal/placer"
 )
 
@@ -32,7 +32,7 @@
 
 	// identity names requests of this incarnation.
 	identity *identity
-	tree     *treeHolder
+	tree     *settingsHolder
 	// work ends when the node has drained; runs outlive their callers' connections but not the node.
 	work     context.Context
 	stopWork context.CancelFunc
@@ -42,7 +42,10 @@
 	upstream   *forwarder.Client
 	placer     *placer.PowerOfTwo
 	dispatch   *dispatcher.Dispatcher
-	runs       *runs
+	messages   *messenger.Messenger
+	// entryClient reaches other nodes at their addresses for callers.
+	entryClient *http.Client
+	runs        *runs
 }
 
 // Run serves until ctx ends and everything in flight is answered.
@@ -52,22 +55,24 @@
 
 func newNode(settings loader.Settings, logger zerolog.Logger) *Node {
 	identity := newIdentity(settings.Node.Name)
-	tree := newTreeHolder(settings.Snapshot())
+	tree := newSettingsHolder(settings.Snapshot())
 	work, stopWork := context.WithCancel(context.Background())
 
 	node := &Node{
-		settings:   settings,
-		logger:     logger.With().Str("node", settings.Node.Name).Logger(),
-		started:    time.Now(),
-		identity:   identity,
-		tree:       tree,
-		work:       work,
-		stopWork:   stopWork,
-		runners:    pond.NewPool(settings.Node.MaxInFlight, pond.WithNonBlocking(true), pond.WithQueueSize(settings.Node.MaxInFlight)),
-		background: pond.NewPool(backgroundWorkers, pond.WithNonBlocking(true), pond.WithQueueSize(backgroundQueue)),
-		upstream:   forwarder.NewClient(forwarder.Options{BearerKey: settings.Upstreams.BearerKey}),
-		placer:     placer.NewPowerOfTwo(tree, identity.seed()),
-		runs:       newRuns(settings.Node.MaxInFlight),
+		settings:    settings,
+		logger:      logger.With().Str("node", settings.Node.Name).Logger(),
+		started:     time.Now(),
+		identity:    identity,
+		tree:        tree,
+		work:        work,
+		stopWork:    stopWork,
+		runners:     pond.NewPool(settings.Node.MaxInFlight, pond.WithNonBlocking(true), pond.WithQueueSize(settings.Node.MaxInFlight)),
+		background:  pond.NewPool(backgroundWorkers, pond.WithNonBlocking(true), pond.WithQueueSize(backgroundQueue)),
+		upstream:    forwarder.NewClient(forwarder.Options{BearerKey: settings.Upstreams.BearerKey}),
+		placer:      placer.NewPowerOfTwo(tree, identity.seed()),
+		messages:    newMessages(settings, logger),
+		entryClient: &http.Client{},
+		runs:        newRuns(settings.Node.MaxInFlight),
 	}
 
 	node.dispatch = dispatcher.New(node.placer, simpleJudge{}, node)
@@ -89,6 +94,10 @@
 
 	defer n.stopWork()
 
+	if err := n.listenPeers(ctx); err != nil {
+		return err
+	}
+
 	go n.pollLoads(n.work)
 
 	failed := make(chan error, 1)
@@ -139,17 +148,3 @@
 		Str("retry_reason", next.Reason).
 		Msg("attempt_ended")
 }
-
-// treeHolder gives the settings in force.
-type treeHolder struct {
-	snapshot configurer.Snapshot
-}
-
-func newTreeHolder(snapshot configurer.Snapshot) *treeHolder {
-	return &treeHolder{snapshot: snapshot}
-}
-
-// Snapshot returns the settings in force.
-func (t *treeHolder) Snapshot() configurer.Snapshot {
-	return t.snapshot
-}
