--- a/internal/command/demo/cluster.go
+++ b/internal/command/demo/cluster.go
@@ -97,7 +97,7 @@
 		}
 
 		c.standIns = append(c.standIns, address)
-		engines.Upstreams[name] = loader.Upstream{Address: "http://" + address, FailureDomain: s.failureDomains[i], Slots: slots}
+		engines.Upstreams[name] = configurer.Upstream{Address: "http://" + address, FailureDomain: s.failureDomains[i], Slots: slots}
 	}
 
 	plain := s.service(s.plain, configurer.KindPlain, names[s.plain])
@@ -113,7 +113,7 @@
 	}
 
 	c.standIns = append(c.standIns, address)
-	plain.Upstreams[name] = loader.Upstream{Address: "http://" + address, FailureDomain: s.failureDomains[0], Slots: plainSlots}
+	plain.Upstreams[name] = configurer.Upstream{Address: "http://" + address, FailureDomain: s.failureDomains[0], Slots: plainSlots}
 	c.settings.Services[s.engine], c.settings.Services[s.plain] = engines, plain
 
 	return nil
--- a/internal/command/demo/tree.go
+++ b/internal/command/demo/tree.go
@@ -18,7 +18,7 @@
 	failureDomains []string
 	// slots are the sizes of the engines; uneven on purpose.
 	slots   []int
-	classes map[string]map[string]loader.Class
+	classes map[string]map[string]configurer.Class
 }
 
 const (
@@ -32,7 +32,7 @@
 		{
 			engine: "assistente", plain: "banco", slots: []int{5, 3},
 			failureDomains: []string{"catania-sala", "siracusa-sala"},
-			classes: map[string]map[string]loader.Class{
+			classes: map[string]map[string]configurer.Class{
 				"assistente": {
 					"counter_lookup": {Tier: 1, Target: 300 * time.Millisecond, MaxWait: 2 * time.Second, Repeatable: true},
 					"owner_chat":     {Tier: 2, Target: 2 * time.Second, MaxWait: 6 * time.Second, Repeatable: true, GuaranteedShare: 0.1},
@@ -47,7 +47,7 @@
 		{
 			engine: "redacteur", plain: "acces-site", slots: []int{4, 2},
 			failureDomains: []string{"brest", "quimper"},
-			classes: map[string]map[string]loader.Class{
+			classes: map[string]map[string]configurer.Class{
 				"redacteur": {
 					"crew_answer":     {Tier: 1, Target: 300 * time.Millisecond, MaxWait: 2 * time.Second, Repeatable: true},
 					"renewal_draft":   {Tier: 3, Target: 4 * time.Second, MaxWait: 8 * time.Second},
@@ -66,9 +66,9 @@
 func (s shop) service(name string, kind configurer.Kind, organisations []string) loader.Service {
 	service := loader.Service{
 		Kind:          string(kind),
-		Classes:       map[string]loader.Class{},
-		Organisations: map[string]loader.Organisation{},
-		Upstreams:     map[string]loader.Upstream{},
+		Classes:       map[string]configurer.Class{},
+		Organisations: map[string]configurer.Organisation{},
+		Upstreams:     map[string]configurer.Upstream{},
 	}
 
 	for k, v := range s.classes[name] {
@@ -85,7 +85,7 @@
 	}
 
 	for _, v := range organisations {
-		service.Organisations[v] = loader.Organisation{Weight: 1, KeyHashes: []string{hash(keyOf(v))}}
+		service.Organisations[v] = configurer.Organisation{Weight: 1, KeyHashes: []string{hash(keyOf(v))}}
 	}
 
 	return service
