--- a/internal/server/request_test.go
+++ b/internal/server/request_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/loader"
 	generator "quincepath.example/quincepath/internal/standin/engine"
 )
@@ -37,11 +38,11 @@
 	settings.Services = map[string]loader.Service{"assistente": {
 		Kind:         "engine",
 		DefaultClass: "counter_lookup",
-		Classes: map[string]loader.Class{"counter_lookup": {
+		Classes: map[string]configurer.Class{"counter_lookup": {
 			Tier: 1, Target: 300 * time.Millisecond, GapLimit: time.Second, MaxWait: 10 * time.Second, Repeatable: true,
 		}},
-		Organisations: map[string]loader.Organisation{"barbagallo": {Weight: 1, KeyHashes: []string{testKeyHash}}},
-		Upstreams:     map[string]loader.Upstream{"engine-1": {Address: engine.URL, FailureDomain: "catania-sala", Slots: 64}},
+		Organisations: map[string]configurer.Organisation{"barbagallo": {Weight: 1, KeyHashes: []string{testKeyHash}}},
+		Upstreams:     map[string]configurer.Upstream{"engine-1": {Address: engine.URL, FailureDomain: "catania-sala", Slots: 64}},
 	}}
 
 	node := newNode(settings, zerolog.Nop())
