Show the counters per node, and answer for a node without a platform

expvar.Publish ends the process by a panic when two nodes of one process publish one name, as in tests and the demo; the meter has its own handler that shows its counters beside the process's variables. A node whose settings name no platform has no tree: FixedTree says so on every tree call.

--- a/internal/administrator/stored_tree_test.go
+++ b/internal/administrator/stored_tree_test.go
@@ -131,3 +131,24 @@
 		assert.Assert(t, strings.Contains(settled.Body.String(), `"state":"applied"`), settled.Body.String())
 	})
 }
+
+func TestNodeWithoutPlatformSaysSo(t *testing.T) {
+	handler := newServerOver(t, &fakes{}, administrator.NewFixedTree(&fakes{})).Handler()
+
+	calls := [][3]string{
+		{"GET", "/v1/tree/branches"},
+		{"GET", "/v1/tree/branches/a"},
+		{"PUT", "/v1/tree/branches/a", `{"base_revision":0,"change_id":"c1","author":"lia","content":""}`},
+		{"GET", "/v1/tree/history"},
+		{"GET", "/v1/tree/changes/c1"},
+		{"POST", "/v1/tree/changes/c1/settle", `{"author":"lia"}`},
+		{"POST", "/v1/tree/undo", `{"undone_change_id":"c1","change_id":"c2","author":"lia"}`},
+		{"POST", "/v1/upstreams/assistente/e1/leave", `{"change_id":"c3","author":"lia"}`},
+	}
+
+	for _, v := range calls {
+		w := ask(handler, operatorKey, v[0], v[1], v[2])
+		assert.Equal(t, w.Code, 503, v[1])
+		assert.Assert(t, strings.Contains(w.Body.String(), "runs without a platform"), w.Body.String())
+	}
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -51,7 +51,7 @@
 	classes map[string]*class
 }
 
-// New returns a meter without classes. Publish it once by expvar.Publish("quincepath", meter).
+// New returns a meter without classes. Handler shows it.
 func New() *Meter {
 	return &Meter{classes: make(map[string]*class)}
 }
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"net/http/httptest"
 	"os"
 	"regexp"
 	"runtime"
@@ -202,3 +203,24 @@
 		}
 	})
 }
+
+// Symptom: a process with two nodes panics, or shows the counters of the wrong node.
+// Sequence: both nodes publish their counters under one name.
+// Cause: names in expvar are unique in the process.
+func TestHandlersOfTwoNodesInOneProcess(t *testing.T) {
+	first, second := meter.New(), meter.New()
+	count(first, whole)
+
+	for m, want := range map[*meter.Meter]int64{first: 1, second: 0} {
+		w := httptest.NewRecorder()
+		meter.Handler(m).ServeHTTP(w, httptest.NewRequest("GET", "/debug/vars", nil))
+
+		var shown struct {
+			Quincepath meter.Snapshot  `json:"quincepath"`
+			Memstats   json.RawMessage `json:"memstats"`
+		}
+		assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &shown))
+		assert.Equal(t, shown.Quincepath.Classes[class].Requests, want)
+		assert.Assert(t, len(shown.Memstats) > 0)
+	}
+}
