--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -147,8 +147,9 @@
 		return nil, errors.Wrap(err, "dial")
 	}
 
-	if l.messenger.options.ClientTLS != nil {
-		raw = tls.Client(raw, l.messenger.options.ClientTLS)
+	raw, err = l.encrypt(raw)
+	if err != nil {
+		return nil, err
 	}
 
 	counted := newCountedConn(raw, l.messenger.traffic)
@@ -170,6 +171,25 @@
 	return connection, nil
 }
 
+// encrypt puts TLS on a connection where the settings ask for it.
+func (l *link) encrypt(raw net.Conn) (net.Conn, error) {
+	if l.messenger.options.ClientTLS == nil {
+		return raw, nil
+	}
+
+	host, _, err := net.SplitHostPort(l.address)
+	if err != nil {
+		_ = raw.Close()
+
+		return nil, errors.Wrap(err, "peer address")
+	}
+
+	config := l.messenger.options.ClientTLS()
+	config.ServerName = host
+
+	return tls.Client(raw, config), nil
+}
+
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -45,7 +45,8 @@
 	Peers map[string]string
 	// ServerTLS and ClientTLS encrypt connections; nil means plain TCP.
 	ServerTLS *tls.Config
-	ClientTLS *tls.Config
+	// ClientTLS is asked for each connection, since the authorities in it can change.
+	ClientTLS func() *tls.Config
 	Logger    zerolog.Logger
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
--- /dev/null
+++ b/internal/server/accounting.go
@@ -0,0 +1,105 @@
+package server
+
+import (
+	"time"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/dispatcher"
+	"quincepath.example/quincepath/internal/meter"
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// counterName is the name that the counters of a class stand under.
+func counterName(request dispatcher.Request) string {
+	return request.Service.Name + "/" + request.Class.Name
+}
+
+// AttemptEnded implements dispatcher.Observer: it counts and logs one attempt.
+func (n *Node) AttemptEnded(request dispatcher.Request, attempt dispatcher.Attempt, outcome dispatcher.Outcome, next dispatcher.Next) {
+	if entry, ok := n.runs.find(request.ID); ok {
+		entry.note(attempt, outcome)
+	}
+
+	if next.Again {
+		n.meter.Retried(counterName(request), next.Reason)
+	}
+
+	event := n.logger.Info()
+	if outcome.Result != dispatcher.ResultDone {
+		event = n.logger.Warn().AnErr("cause", outcome.Err)
+	}
+
+	event.Str("request_id", request.ID).
+		Str("class", request.Class.Name).
+		Str("organisation", request.Organisation.Name).
+		Str("upstream", attempt.Slot.Upstream.Name).
+		Int("attempt", attempt.Number).
+		Str("result", outcome.Result.String()).
+		Int("tokens", outcome.Tokens).
+		Dur("first_token_ms", outcome.FirstToken).
+		Dur("duration_ms", outcome.Duration).
+		Str("retry_reason", next.Reason).
+		Msg("attempt_ended")
+}
+
+// requestEnded counts and logs the end of a request.
+func (n *Node) requestEnded(entry *run, failure *classifier.Error) {
+	request := entry.request
+	sample := entry.sample(failure)
+
+	n.meter.Ended(sample)
+
+	event := n.logger.Info()
+
+	if failure != nil {
+		n.meter.Refused(sample.Class, failure.Code)
+
+		event = n.logger.Warn().Str("reason", failure.Reason).Str("ran", string(failure.Ran))
+	}
+
+	event.Str("request_id", request.ID).
+		Str("service", request.Service.Name).
+		Str("class", request.Class.Name).
+		Str("organisation", request.Organisation.Name).
+		Int("result_code", int(sample.Code)).
+		Str("result", sample.Code.String()).
+		Int("tokens", sample.Tokens).
+		Dur("first_token_ms", sample.FirstToken).
+		Dur("duration_ms", sample.Duration).
+		Msg("request_ended")
+}
+
+// sample sums a request up for the counters.
+func (e *run) sample(failure *classifier.Error) meter.Sample {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	sample := meter.Sample{
+		Class:      counterName(e.request),
+		Code:       classifier.OK,
+		FirstToken: e.firstToken,
+		Duration:   time.Since(e.request.Arrived),
+		Target:     e.request.Class.Target,
+	}
+
+	if failure != nil {
+		sample.Code = failure.Code
+		sample.WastedTokens = e.sender.Progress()
+
+		return sample
+	}
+
+	sample.Tokens = e.sender.Progress()
+	sample.Attained = attainedTime(e.request, sample) <= sample.Target
+
+	return sample
+}
+
+// attainedTime is what a request's target is compared with.
+func attainedTime(request dispatcher.Request, sample meter.Sample) time.Duration {
+	if request.Service.Kind == configurer.KindEngine {
+		return sample.FirstToken
+	}
+
+	return sample.Duration
+}
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -172,6 +172,18 @@
 	}}
 }
 
+// refuse counts, logs and answers a request that doesn't run. Nothing may have been written before.
+func (n *Node) refuse(w http.ResponseWriter, requestID string, failure *classifier.Error) {
+	n.meter.Refused("", failure.Code)
+	n.logger.Info().
+		Str("request_id", requestID).
+		Int("result_code", int(failure.Code)).
+		Str("result", failure.Code.String()).
+		Str("reason", failure.Reason).
+		Msg("request_refused")
+	writeError(w, requestID, failure)
+}
+
 // writeError answers with a numbered result. Nothing may have been written before.
 func writeError(w http.ResponseWriter, requestID string, failure *classifier.Error) {
 	header := w.Header()
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -29,38 +29,39 @@
 func (n *Node) handleEngine(w http.ResponseWriter, r *http.Request) {
 	organisation, body, failure := n.admit(w, r)
 	if failure != nil {
-		writeError(w, "", failure)
+		n.refuse(w, "", failure)
 
 		return
 	}
 
 	if !gjson.ValidBytes(body) {
-		writeError(w, "", classifier.New(classifier.InvalidRequest, "the body is not JSON"))
+		n.refuse(w, "", classifier.New(classifier.InvalidRequest, "the body is not JSON"))
 
 		return
 	}
 
 	taken, failure := n.take(r, organisation, gjson.GetBytes(body, "model").String(), configurer.KindEngine)
 	if failure != nil {
-		writeError(w, "", failure)
+		n.refuse(w, "", failure)
 
 		return
 	}
 
 	prepared, failure := prepareEngineBody(body)
 	if failure != nil {
-		writeError(w, taken.request.ID, failure)
+		n.refuse(w, taken.request.ID, failure)
 
 		return
 	}
 
 	sender := &engineSender{
-		client:  n.upstream,
-		request: taken.request,
-		path:    r.URL.Path,
-		body:    prepared,
-		key:     taken.key,
-		answer:  recorder.NewAnswer(),
+		client:    n.upstream,
+		upstreams: n.upstreams,
+		request:   taken.request,
+		path:      r.URL.Path,
+		body:      prepared,
+		key:       taken.key,
+		answer:    recorder.NewAnswer(),
 	}
 	entry := &run{request: taken.request, sender: sender, answer: sender.answer}
 	entry.deliver = n.engineDelivery(entry, gjson.GetBytes(body, "stream").Bool())
@@ -113,12 +114,13 @@
 
 // engineSender sends the attempts of one request to engines and gathers the events.
 type engineSender struct {
-	client  *forwarder.Client
-	request dispatcher.Request
-	path    string
-	body    []byte
-	key     string
-	answer  *recorder.Answer
+	client    *forwarder.Client
+	upstreams *upstreamTable
+	request   dispatcher.Request
+	path      string
+	body      []byte
+	key       string
+	answer    *recorder.Answer
 	// tokens is the number of tokens in the answer; only the sending goroutine uses it.
 	tokens int
 	// chunkID is the id of the first chunk, which all others get as well.
@@ -134,6 +136,8 @@
 func (s *engineSender) Send(ctx context.Context, attempt dispatcher.Attempt) dispatcher.Outcome {
 	started := time.Now()
 
+	defer s.upstreams.attempt(attempt.Slot.Upstream.Address)()
+
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
--- a/internal/server/entries.go
+++ b/internal/server/entries.go
@@ -21,7 +21,7 @@
 
 func (n *Node) handleEntries(w http.ResponseWriter, r *http.Request) {
 	if _, failure := n.tree.authenticate(r); failure != nil {
-		writeError(w, "", failure)
+		n.refuse(w, "", failure)
 
 		return
 	}
@@ -65,7 +65,7 @@
 
 	organisation, failure := n.tree.authenticate(r)
 	if failure != nil {
-		writeError(w, "", failure)
+		n.refuse(w, "", failure)
 
 		return
 	}
--- /dev/null
+++ b/internal/server/lifecycle.go
@@ -0,0 +1,80 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// idleTimeout is how long a caller's connection may rest between requests.
+const idleTimeout = 2 * time.Minute
+
+func (n *Node) run(ctx context.Context) error {
+	defer n.stopWork()
+
+	listener, err := n.listenCallers(ctx)
+	if err != nil {
+		return err
+	}
+
+	if err := n.listenPeers(ctx); err != nil {
+		return err
+	}
+
+	if err := n.listenOperators(ctx); err != nil {
+		return err
+	}
+
+	go n.pollLoads(n.work)
+
+	server := &http.Server{
+		Handler:           n.callerRoutes(),
+		ReadHeaderTimeout: n.settings.Node.HeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	failed := make(chan error, 1)
+
+	go func() { failed <- server.Serve(listener) }()
+
+	n.logger.Info().Str("address", listener.Addr().String()).Msg("node_started")
+
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve callers")
+	case <-ctx.Done():
+	}
+
+	return n.stop(server)
+}
+
+func (n *Node) listenCallers(ctx context.Context) (net.Listener, error) {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", n.settings.Node.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+
+	if n.certificates != nil {
+		listener = tls.NewListener(listener, n.certificates.ServerConfig())
+	}
+
+	return listener, nil
+}
+
+func (n *Node) stop(server *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Node.DrainTimeout)
+	defer cancel()
+
+	err := server.Shutdown(ctx)
+	n.runners.StopAndWait()
+	n.stopWork()
+	n.background.StopAndWait()
+	n.upstream.Close()
+	n.logger.Info().Msg("node_stopped")
+
+	return errors.Wrap(err, "shut down")
+}
--- a/internal/server/loads.go
+++ b/internal/server/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-resty/resty/v2"
@@ -55,8 +56,70 @@
 
 	response, err := client.R().SetContext(ctx).SetResult(&report).Get(address + "/load")
 	if err != nil || response.IsError() {
+		n.upstreams.pollFailed(address)
+
 		return
 	}
 
+	n.upstreams.reported(address, report.Running+report.Waiting)
 	n.placer.Report(address, placer.Load{Running: report.Running, Waiting: report.Waiting})
 }
+
+// unreachablePolls is how many load reports in a row must fail before operators are told.
+const unreachablePolls = 3
+
+// upstreamRow is what a node knows of one upstream beside the settings.
+type upstreamRow struct {
+	// inFlight counts the attempts that this node has there; never negative.
+	inFlight    int
+	load        int
+	reportedAt  time.Time
+	failedPolls int
+}
+
+// upstreamTable holds a row for each upstream, by address. It is safe for concurrent use.
+type upstreamTable struct {
+	mu   sync.Mutex
+	rows map[string]upstreamRow
+}
+
+func newUpstreamTable() *upstreamTable {
+	return &upstreamTable{rows: make(map[string]upstreamRow)}
+}
+
+func (u *upstreamTable) row(address string) upstreamRow {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	return u.rows[address]
+}
+
+func (u *upstreamTable) change(address string, change func(*upstreamRow)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	row := u.rows[address]
+	change(&row)
+	u.rows[address] = row
+}
+
+func (u *upstreamTable) reported(address string, load int) {
+	u.change(address, func(r *upstreamRow) {
+		r.load = load
+		r.reportedAt = time.Now()
+		r.failedPolls = 0
+	})
+}
+
+func (u *upstreamTable) pollFailed(address string) {
+	u.change(address, func(r *upstreamRow) { r.failedPolls++ })
+}
+
+// attempt counts an attempt as in flight until the returned function is called.
+func (u *upstreamTable) attempt(address string) func() {
+	u.change(address, func(r *upstreamRow) { r.inFlight++ })
+
+	return func() {
+		u.change(address, func(r *upstreamRow) { r.inFlight-- })
+	}
+}
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -5,24 +5,38 @@
 	"net"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
 
-	"quincepath.example/quincepath/internal/loader"
 	"quincepath.example/quincepath/internal/messenger"
 )
 
-func newMessages(settings loader.Settings, logger zerolog.Logger) *messenger.Messenger {
-	peers := make(map[string]string, len(settings.Peers.Nodes))
-	for _, peer := range settings.Peers.Nodes {
+// newMessages joins the node to its peers and names what it answers them.
+func (n *Node) newMessages() (*messenger.Messenger, error) {
+	peers := make(map[string]string, len(n.settings.Peers.Nodes))
+	for _, peer := range n.settings.Peers.Nodes {
 		peers[peer.Name] = peer.PeerAddress
 	}
 
-	return messenger.New(messenger.Options{
-		Self:       settings.Node.Name,
-		Credential: settings.Peers.Credential,
+	options := messenger.Options{
+		Self:       n.settings.Node.Name,
+		Credential: n.settings.Peers.Credential,
 		Peers:      peers,
-		Logger:     logger,
-	})
+		Logger:     n.logger,
+	}
+
+	if n.checksPeers() {
+		server, err := n.certificates.PeerServerConfig()
+		if err != nil {
+			return nil, err
+		}
+
+		options.ServerTLS = server
+		options.ClientTLS = n.certificates.PeerClientConfig
+	}
+
+	messages := messenger.New(options)
+	messages.Handle(methodRequestStatus, n.handleRequestStatus)
+
+	return messages, nil
 }
 
 // listenPeers answers other nodes until the node has drained.
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -28,19 +28,19 @@
 func (n *Node) handlePlain(w http.ResponseWriter, r *http.Request) {
 	organisation, body, failure := n.admit(w, r)
 	if failure != nil {
-		writeError(w, "", failure)
+		n.refuse(w, "", failure)
 
 		return
 	}
 
 	taken, failure := n.take(r, organisation, r.PathValue("service"), configurer.KindPlain)
 	if failure != nil {
-		writeError(w, "", failure)
+		n.refuse(w, "", failure)
 
 		return
 	}
 
-	sender := newPlainSender(n.upstream, taken, r, body)
+	sender := newPlainSender(n, taken, r, body)
 	entry := &run{request: taken.request, sender: sender, answer: sender.answer}
 	entry.deliver = func(w http.ResponseWriter, r *http.Request, _ string) {
 		if _, failure := wholeAnswer(r.Context(), sender.answer); failure != nil {
@@ -57,20 +57,21 @@
 
 // plainSender sends the attempts of one call to a plain service and keeps the whole answer.
 type plainSender struct {
-	client  *forwarder.Client
-	request dispatcher.Request
-	method  string
-	path    string
-	header  http.Header
-	body    []byte
-	answer  *recorder.Answer
+	client    *forwarder.Client
+	upstreams *upstreamTable
+	request   dispatcher.Request
+	method    string
+	path      string
+	header    http.Header
+	body      []byte
+	answer    *recorder.Answer
 	// status and answered are set once, before the answer ends.
 	status   int
 	answered http.Header
 	payload  []byte
 }
 
-func newPlainSender(client *forwarder.Client, taken intake, r *http.Request, body []byte) *plainSender {
+func newPlainSender(n *Node, taken intake, r *http.Request, body []byte) *plainSender {
 	path := "/" + r.PathValue("path")
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
@@ -82,13 +83,14 @@
 	}
 
 	return &plainSender{
-		client:  client,
-		request: taken.request,
-		method:  r.Method,
-		path:    path,
-		header:  header,
-		body:    body,
-		answer:  recorder.NewAnswer(),
+		client:    n.upstream,
+		upstreams: n.upstreams,
+		request:   taken.request,
+		method:    r.Method,
+		path:      path,
+		header:    header,
+		body:      body,
+		answer:    recorder.NewAnswer(),
 	}
 }
 
@@ -101,6 +103,8 @@
 func (s *plainSender) Send(ctx context.Context, attempt dispatcher.Attempt) dispatcher.Outcome {
 	started := time.Now()
 
+	defer s.upstreams.attempt(attempt.Slot.Upstream.Address)()
+
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
--- a/internal/server/request_test.go
+++ b/internal/server/request_test.go
@@ -45,7 +45,9 @@
 		Upstreams:     map[string]configurer.Upstream{"engine-1": {Address: engine.URL, FailureDomain: "catania-sala", Slots: 64}},
 	}}
 
-	node := newNode(settings, zerolog.Nop())
+	node, err := newNode(settings, zerolog.Nop())
+	assert.NilError(tb, err)
+
 	caller := httptest.NewServer(node.callerRoutes())
 
 	tb.Cleanup(func() {
--- a/internal/server/resume.go
+++ b/internal/server/resume.go
@@ -21,7 +21,7 @@
 
 	owner, incarnation, ok := requestOwner(id)
 	if !ok {
-		writeError(w, id, classifier.New(classifier.UnknownRequest, "%q is not a request id", id))
+		n.refuse(w, id, classifier.New(classifier.UnknownRequest, "%q is not a request id", id))
 
 		return
 	}
@@ -34,7 +34,7 @@
 
 	entry, found := n.runs.find(id)
 	if !found || incarnation != n.identity.incarnation {
-		writeError(w, id, classifier.New(classifier.UnknownRequest, "node %q no longer holds the answer", owner))
+		n.refuse(w, id, classifier.New(classifier.UnknownRequest, "node %q no longer holds the answer", owner))
 
 		return
 	}
@@ -45,7 +45,7 @@
 	}
 
 	if failure != nil {
-		writeError(w, id, failure)
+		n.refuse(w, id, failure)
 
 		return
 	}
@@ -57,14 +57,14 @@
 func (n *Node) passResume(w http.ResponseWriter, r *http.Request, id, owner string) {
 	holder := slices.IndexFunc(n.settings.Peers.Nodes, func(p loader.Peer) bool { return p.Name == owner })
 	if holder < 0 || r.Header.Get(headerForwarded) != "" {
-		writeError(w, id, classifier.New(classifier.UnknownRequest, "there is no node %q", owner))
+		n.refuse(w, id, classifier.New(classifier.UnknownRequest, "there is no node %q", owner))
 
 		return
 	}
 
 	request, err := http.NewRequestWithContext(r.Context(), http.MethodGet, n.entryURL(n.settings.Peers.Nodes[holder].EntryAddress)+r.URL.Path, http.NoBody)
 	if err != nil {
-		writeError(w, id, classifier.Wrap(err, classifier.InvalidRequest, "the request id can't be passed on"))
+		n.refuse(w, id, classifier.Wrap(err, classifier.InvalidRequest, "the request id can't be passed on"))
 
 		return
 	}
@@ -77,7 +77,7 @@
 
 	response, err := n.entryClient.Do(request)
 	if err != nil {
-		writeError(w, id, classifier.Wrap(err, classifier.NodeUnreachable, "node %q holds the answer and can't be reached", owner).After(failureRetryAfter))
+		n.refuse(w, id, classifier.Wrap(err, classifier.NodeUnreachable, "node %q holds the answer and can't be reached", owner).After(failureRetryAfter))
 
 		return
 	}
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"quincepath.example/quincepath/internal/administrator"
 	"quincepath.example/quincepath/internal/dispatcher"
 	"quincepath.example/quincepath/internal/recorder"
 	"quincepath.example/quincepath/pkg/classifier"
@@ -34,6 +35,75 @@
 	// resumable says that the caller comes back after a broken connection.
 	resumable bool
 	cancel    context.CancelFunc
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// firstToken is the time from arrival to the first token or answer byte; zero before.
+	firstToken time.Duration
+	attempts   int
+	// upstream is the name of the last attempt's upstream.
+	upstream string
+	// tokens is the number of tokens in the answer after the last attempt.
+	tokens int
+	// ended is set with the final result; failure is nil for a whole answer.
+	ended   bool
+	failure *classifier.Error
+}
+
+// note keeps what an attempt brought.
+func (e *run) note(attempt dispatcher.Attempt, outcome dispatcher.Outcome) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.attempts = attempt.Number
+	e.upstream = attempt.Slot.Upstream.Name
+	e.tokens += outcome.Tokens
+
+	if e.firstToken == 0 && outcome.FirstToken > 0 {
+		e.firstToken = time.Since(e.request.Arrived) - outcome.Duration + outcome.FirstToken
+	}
+}
+
+// finish keeps the final result.
+func (e *run) finish(failure *classifier.Error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.ended = true
+	e.failure = failure
+}
+
+// status describes the request to operators.
+func (e *run) status() administrator.RequestStatus {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	status := administrator.RequestStatus{
+		RequestID:    e.request.ID,
+		Service:      e.request.Service.Name,
+		Class:        e.request.Class.Name,
+		Organisation: e.request.Organisation.Name,
+		State:        "waiting",
+		Upstream:     e.upstream,
+		Attempts:     e.attempts,
+		ArrivedAt:    e.request.Arrived,
+		Tokens:       max(e.tokens, e.answer.Len()),
+	}
+
+	switch {
+	case e.ended && e.failure != nil:
+		status.State = "ended"
+		status.Result = e.failure.Code.String()
+		status.Ran = string(e.failure.Ran)
+	case e.ended:
+		status.State = "ended"
+		status.Result = classifier.OK.String()
+		status.Ran = string(classifier.RanYes)
+	case status.Tokens > 0:
+		status.State = "running"
+	}
+
+	return status
 }
 
 // runs holds the requests of a node by id. It is safe for concurrent use.
@@ -102,7 +172,7 @@
 	entry.resumable = strings.EqualFold(r.Header.Get(headerResumable), "true")
 
 	if failure := n.start(r.Context(), entry); failure != nil {
-		writeError(w, entry.request.ID, failure)
+		n.refuse(w, entry.request.ID, failure)
 
 		return
 	}
@@ -162,10 +232,12 @@
 func (n *Node) runOne(ctx context.Context, entry *run) {
 	defer entry.cancel()
 
+	n.meter.Started(counterName(entry.request))
 	failure := n.dispatch.Run(ctx, entry.request, entry.sender)
 
 	n.runs.finished()
-	n.logEnd(entry.request, failure)
+	entry.finish(failure)
+	n.requestEnded(entry, failure)
 
 	if failure != nil {
 		entry.answer.End(failure)
@@ -181,22 +253,3 @@
 
 	time.AfterFunc(resumeWindow, func() { n.runs.forget(entry.request.ID) })
 }
-
-func (n *Node) logEnd(request dispatcher.Request, failure *classifier.Error) {
-	event := n.logger.Info()
-	code := classifier.OK
-
-	if failure != nil {
-		event = n.logger.Warn().Str("reason", failure.Reason)
-		code = failure.Code
-	}
-
-	event.Str("request_id", request.ID).
-		Str("service", request.Service.Name).
-		Str("class", request.Class.Name).
-		Str("organisation", request.Organisation.Name).
-		Int("result_code", int(code)).
-		Str("result", code.String()).
-		Dur("duration_ms", time.Since(request.Arrived)).
-		Msg("request_ended")
-}
