Bound the writes and the bytes of claims; test each outcome

Cause: a write sent the newest segment whole, 16 KB at worst: 6 to 12 KB a claim.

Segments are now 2 KB, a write may add up to 256 KB, an idle shard may write four times at once, and nodes that lose a shard's head to others slow down. A claim that was given up stays open until its void is recorded. Answers above 256 bytes are read from the store when asked for again.

--- a/internal/claimer/batch.go
+++ b/internal/claimer/batch.go
@@ -6,6 +6,9 @@
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
+// writeBytes bounds what one write adds, and with it a segment's value.
+const writeBytes = 256 << 10
+
 // commit brings a batch one step on: it reads the journal, or writes once, or checks that nothing is to be written.
 func (s *shard) commit(batch []*operation) {
 	if !s.loaded {
@@ -27,12 +30,12 @@
 	s.write(batch, d)
 }
 
-// lines collects what the batch adds to the journal, at most a segment's length of it.
+// lines collects what the batch adds to the journal, at most writeBytes of it.
 func (s *shard) lines(batch []*operation) (lines []byte, forced bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	options := s.claimer.options
-	size := s.journal.size()
+	size := s.journal.size
 	added := map[string]bool{}
 	for _, o := range batch {
 		if o.kind == kindTick {
@@ -43,7 +46,7 @@
 			continue
 		}
 		line := o.record(s.journal)
-		if line == nil || len(lines)+len(line) > options.SegmentBytes && len(lines) > 0 {
+		if line == nil || len(lines)+len(line) > writeBytes {
 			continue
 		}
 		if o.kind == kindClaim && size+len(lines)+len(line) > options.ShardBytes {
--- /dev/null
+++ b/internal/claimer/begin_test.go
@@ -0,0 +1,356 @@
+package claimer_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/claimer"
+	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/storer"
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// world is a store and the nodes of one test, under virtual time.
+type world struct {
+	t     *testing.T
+	store *keeper.Store
+	alive map[string]bool
+}
+
+func inWorld(t *testing.T, test func(t *testing.T, w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		test(t, &world{t: t, store: keeper.NewStore(keeper.StoreOptions{}), alive: map[string]bool{}})
+		time.Sleep(5 * time.Minute)
+	})
+}
+
+func (w *world) Alive(node, _ string) bool { return w.alive[node] }
+
+// node starts a node; cancel ends its process.
+func (w *world) node(name string, faults keeper.Faults, change func(*claimer.Options)) (*claimer.Claimer, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(w.t.Context())
+	options := claimer.Options{Node: name, Incarnation: "1", Makers: w}
+	if change != nil {
+		change(&options)
+	}
+
+	return claimer.New(ctx, keeper.NewLocal(w.store, faults), options), cancel
+}
+
+func claimOf(key, body string) claimer.Claim {
+	return claimer.Claim{
+		Organisation: "salon", Service: "banco", Key: key,
+		BodyHash: sha256.Sum256([]byte(body)), RequestID: "a.1.7",
+	}
+}
+
+func begin(t *testing.T, c *claimer.Claimer, key, body string) (claimer.Decision, classifier.Code) {
+	t.Helper()
+	decision, err := c.Begin(t.Context(), claimOf(key, body))
+	if err != nil {
+		return decision, classifier.From(err).Code
+	}
+
+	return decision, classifier.OK
+}
+
+func mustRun(t *testing.T, c *claimer.Claimer, key string) *claimer.Handle {
+	t.Helper()
+	decision, code := begin(t, c, key, "bath")
+	assert.Equal(t, code, classifier.OK)
+	assert.Assert(t, decision.Handle != nil, "the claim of %s was not granted", key)
+
+	return decision.Handle
+}
+
+var ranOnce = claimer.Result{Ran: classifier.RanYes, Status: 201, ContentType: "text/plain", Body: []byte("booked")}
+
+func TestBegin_AskedAgain(t *testing.T) {
+	long := ranOnce
+	long.Body = make([]byte, 3000)
+	tooLong := ranOnce
+	tooLong.Body = make([]byte, 5000)
+	dropped := ranOnce
+	dropped.Body, dropped.Dropped = nil, true
+	broken := claimer.Result{Code: classifier.UpstreamFailed, Ran: classifier.RanUnknown}
+	tests := map[string]struct {
+		end        func(ctx context.Context, h *claimer.Handle) error
+		makerAlive bool
+		body       string
+		want       classifier.Code
+		replay     *claimer.Result
+		run        bool
+	}{
+		"finished":         {end: finishWith(ranOnce), body: "bath", replay: &ranOnce},
+		"long answer":      {end: finishWith(long), body: "bath", replay: &long},
+		"too long answer":  {end: finishWith(tooLong), body: "bath", replay: &dropped},
+		"broke off":        {end: finishWith(broken), makerAlive: true, body: "bath", want: classifier.OutcomeUnknown},
+		"other body":       {end: finishWith(ranOnce), body: "cut", want: classifier.KeyConflict},
+		"voided":           {end: func(ctx context.Context, h *claimer.Handle) error { return h.Void(ctx) }, body: "bath", run: true},
+		"running":          {makerAlive: true, body: "bath", want: classifier.KeyInProgress},
+		"maker is gone":    {body: "bath", want: classifier.OutcomeUnknown},
+		"other, no result": {body: "cut", want: classifier.KeyConflict},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				first, cancel := w.node("a", nil, nil)
+				defer cancel()
+				second, cancel := w.node("b", nil, nil)
+				defer cancel()
+				w.alive["a"] = tt.makerAlive
+				_, code := begin(t, second, "other key", "bath")
+				assert.Equal(t, code, classifier.OK)
+				handle := mustRun(t, first, "key")
+				if tt.end != nil {
+					assert.NilError(t, tt.end(t.Context(), handle))
+					assert.ErrorContains(t, handle.Void(t.Context()), "already ended")
+				}
+				decision, code := begin(t, second, "key", tt.body)
+				assert.Equal(t, code, tt.want)
+				assert.Equal(t, decision.Handle != nil, tt.run)
+				assert.DeepEqual(t, decision.Replay, tt.replay)
+				if tt.replay != nil {
+					assert.Equal(t, decision.RequestID, "a.1.7")
+				}
+			})
+		})
+	}
+}
+
+func finishWith(r claimer.Result) func(context.Context, *claimer.Handle) error {
+	return func(ctx context.Context, h *claimer.Handle) error { return h.Finish(ctx, r) }
+}
+
+// Symptom: a request is held while the store is down, or told "not run" and run later.
+// Sequence: the store refuses, or takes calls and says nothing; the claim is given up; the store returns.
+// Cause: a wait for the store without a bound, and a claim that outlives its refusal.
+func TestBegin_StoreDown(t *testing.T) {
+	tests := map[string]struct {
+		verdict keeper.Verdict
+		bound   time.Duration
+	}{
+		"refuses":            {keeper.Verdict{Refuse: errors.New("down")}, time.Millisecond},
+		"silent":             {keeper.Verdict{LoseRequest: true, DelayAfter: time.Minute}, 2 * time.Second},
+		"writes, no replies": {keeper.Verdict{DelayAfter: time.Minute}, 2 * time.Second},
+		"writes much later":  {keeper.Verdict{DelayBefore: 10 * time.Second}, 2 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				down := false
+				c, cancel := w.node("a", func(_ context.Context, call keeper.Call) keeper.Verdict {
+					if !down {
+						return keeper.Verdict{}
+					}
+					return tt.verdict
+				}, nil)
+				defer cancel()
+				// The shard is read before; its finished key is answered also in the outage.
+				assert.NilError(t, mustRun(t, c, "key-2").Finish(t.Context(), ranOnce))
+				down = true
+				started := time.Now()
+				_, err := c.Begin(t.Context(), claimOf("key", "bath"))
+				failure := classifier.From(err)
+				assert.Equal(t, failure.Code, classifier.ClaimUnavailable)
+				assert.Equal(t, failure.Ran, classifier.RanNo)
+				assert.Assert(t, failure.RetryAfter > 0)
+				assert.Assert(t, time.Since(started) <= tt.bound)
+				decision, _ := begin(t, c, "key-2", "bath")
+				assert.Assert(t, decision.Replay != nil)
+				time.Sleep(30 * time.Second)
+				down = false
+				time.Sleep(30 * time.Second)
+				mustRun(t, c, "key")
+			})
+		})
+	}
+}
+
+// Symptom: a caller is told "not run" although its claim stands, or is made to wait for nothing.
+// Sequence: the claim's write takes effect and its reply is lost. Cause: no reading back.
+func TestBegin_LostReplyIsSettled(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		lost := 0
+		c, cancel := w.node("a", func(_ context.Context, call keeper.Call) keeper.Verdict {
+			if call.Kind != "txn" || lost > 0 {
+				return keeper.Verdict{}
+			}
+			lost++
+			return keeper.Verdict{LoseReply: true}
+		}, nil)
+		defer cancel()
+		mustRun(t, c, "key")
+		assert.Equal(t, c.Stats().UnknownWrites, int64(1))
+		assert.Equal(t, c.Stats().LostWrites, int64(1))
+		assert.Equal(t, c.Stats().JournalClaims, int64(1))
+	})
+}
+
+// Symptom: a key is free again too early, or never. Sequence: no node lives as long as the window.
+// Cause: expiry by a clock that a node's start sets anew. (A node's wall clock is never read.)
+func TestBegin_WindowUnderRestarts(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		short := func(o *claimer.Options) { o.Window, o.TickInterval = time.Hour, time.Minute }
+		c, cancel := w.node("a", nil, short)
+		assert.NilError(t, mustRun(t, c, "key").Finish(t.Context(), ranOnce))
+		started := time.Now()
+		gone := time.Duration(0)
+		for number := 0; gone == 0 && number < 20; number++ {
+			time.Sleep(10*time.Minute + 30*time.Second)
+			cancel()
+			c, cancel = w.node(fmt.Sprintf("node-%d", number), nil, short)
+			decision, code := begin(t, c, "key", "bath")
+			assert.Equal(t, code, classifier.OK)
+			if decision.Handle != nil {
+				gone = time.Since(started)
+			}
+		}
+		cancel()
+		t.Logf("the key was kept for %s of a window of 1h", gone)
+		assert.Assert(t, gone >= time.Hour)
+		assert.Assert(t, gone <= 90*time.Minute)
+	})
+}
+
+// Symptom: the store fills, or a shard's values outgrow its limit. Sequence: many claims, then none.
+// Cause: segments that are never closed or never removed.
+func TestBegin_SegmentsAreBoundedAndRemoved(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		c, cancel := w.node("a", nil, func(o *claimer.Options) {
+			o.Window, o.TickInterval, o.SegmentBytes = time.Hour, time.Minute, 1000
+		})
+		defer cancel()
+		for i := range 300 {
+			assert.NilError(t, mustRun(t, c, fmt.Sprint(i)).Finish(t.Context(), ranOnce))
+		}
+		stored, largest := w.stored()
+		assert.Assert(t, stored > 300*100 && largest <= 1000, "%d bytes, the largest value %d", stored, largest)
+		time.Sleep(2 * time.Hour)
+		stored, _ = w.stored()
+		assert.Equal(t, c.Stats().JournalClaims, int64(0))
+		assert.Assert(t, stored < 16*4000, "%d bytes are left", stored)
+	})
+}
+
+func (w *world) stored() (total, largest int) {
+	result, _, err := w.store.Range(keeper.Query{Key: "claims/", RangeEnd: storer.PrefixEnd("claims/")})
+	assert.NilError(w.t, err)
+	for _, kv := range result.KeyValues {
+		total += len(kv.Value)
+		largest = max(largest, len(kv.Value))
+	}
+
+	return total, largest
+}
+
+func TestBegin_FullJournalRefusesClaimsOnly(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		c, cancel := w.node("a", nil, func(o *claimer.Options) { o.ShardBytes = 300 })
+		defer cancel()
+		handle := mustRun(t, c, "key")
+		refused := 0
+		for i := range 100 {
+			if _, code := begin(t, c, fmt.Sprint(i), "bath"); code == classifier.ClaimUnavailable {
+				refused++
+			}
+		}
+		assert.Assert(t, refused > 0 && c.Stats().Full == int64(refused))
+		assert.NilError(t, handle.Finish(t.Context(), ranOnce))
+	})
+}
+
+// wire connects nodes of a test; broken says which replies are lost.
+type wire struct {
+	nodes  map[string]*claimer.Claimer
+	from   string
+	broken bool
+}
+
+func (r *wire) Holder(int) string { return "holder" }
+
+func (r *wire) Call(ctx context.Context, peer, _ string, params, result any) error {
+	encoded, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	reply, err := r.nodes[peer].HandleWrite(ctx, r.from, encoded)
+	if err != nil {
+		return err
+	}
+	if r.broken {
+		return errors.New("the reply is lost")
+	}
+	encoded, err = json.Marshal(reply)
+	if err != nil {
+		return err
+	}
+
+	return json.Unmarshal(encoded, result)
+}
+
+// Symptom: a finished request is answered "outcome unknown". Sequence: its claim and its end are
+// written by the shard's holder, with and without a reply. Cause: the end went to another shard.
+func TestBegin_HolderWrites(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		t.Run(fmt.Sprintf("broken_%v", broken), func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				holder, cancel := w.node("holder", nil, nil)
+				defer cancel()
+				r := &wire{nodes: map[string]*claimer.Claimer{"holder": holder}, from: "a", broken: broken}
+				entry, cancel := w.node("a", nil, func(o *claimer.Options) { o.Holders, o.Caller = r, r })
+				defer cancel()
+				assert.NilError(t, mustRun(t, entry, "key").Finish(t.Context(), ranOnce))
+				assert.NilError(t, mustRun(t, entry, "key-2").Void(t.Context()))
+				mustRun(t, entry, "key-2")
+				for _, c := range []*claimer.Claimer{entry, holder} {
+					decision, code := begin(t, c, "key", "bath")
+					assert.Equal(t, code, classifier.OK)
+					assert.DeepEqual(t, decision.Replay, &ranOnce)
+				}
+				assert.Equal(t, entry.Stats().Writes > 0, broken)
+				_, err := holder.HandleWrite(t.Context(), "b", json.RawMessage(`{"kind":"void","id":"a.1.1"}`))
+				assert.Equal(t, classifier.From(err).Code, classifier.Forbidden)
+			})
+		})
+	}
+}
+
+// Symptom: a planned stop leaves claims without a result. Sequence: results wait for a store that is
+// down while the node stops. Cause: an exit before the queue is empty.
+func TestDrain(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		down := false
+		c, cancel := w.node("a", func(context.Context, keeper.Call) keeper.Verdict {
+			if down {
+				return keeper.Verdict{Refuse: errors.New("down")}
+			}
+			return keeper.Verdict{}
+		}, nil)
+		defer cancel()
+		handle := mustRun(t, c, "key")
+		down = true
+		ctx, stop := context.WithTimeout(t.Context(), time.Second)
+		defer stop()
+		assert.ErrorContains(t, handle.Finish(ctx, ranOnce), "still being written")
+		assert.ErrorContains(t, c.Drain(ctx), "1 claims have no recorded end")
+		time.AfterFunc(time.Minute, func() { down = false })
+		assert.NilError(t, c.Drain(t.Context()))
+		cancel()
+		c.Wait()
+		next, cancel := w.node("b", nil, nil)
+		defer cancel()
+		down = false
+		decision, _ := begin(t, next, "key", "bath")
+		assert.Assert(t, decision.Replay != nil)
+	})
+}
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -52,7 +52,7 @@
 // Begin asks for the right to run a request. The error is a *classifier.Error:
 //   - ClaimUnavailable: the claim could not be recorded in time; not run, and it will not be;
 //   - KeyConflict: the key was used for another body;
-//   - KeyInProgress: the key's run is alive; ask again after the time given;
+//   - KeyInProgress: the key's run is alive, or its result can't be read now; ask again after the time given;
 //   - OutcomeUnknown: the key's run may have happened, and its result is not recorded.
 //
 // When ctx ends, the claim is given up as ClaimUnavailable and voided.
@@ -67,19 +67,26 @@
 	a := c.settleClaim(ctx, s, o)
 	if a.run && time.Since(started) > c.options.Window/lateParts {
 		// The process was stopped in between: the key may be forgotten soon, and the request would then run beside another.
-		s.submit(newOperation(kindVoid, o.id))
+		s.giveUp(o)
 		a = answer{failure: classifier.New(classifier.ClaimUnavailable, "the claim is too old").After(defaultRetryAfter)}
 	}
 	if a.run {
 		return Decision{Handle: &Handle{claimer: c, shard: s, id: o.id, key: o.key}}, nil
 	}
-	c.setOpen(o.id, false)
+	if !s.isVoiding(o) {
+		c.setOpen(o.id, false)
+	}
 	if a.failure != nil {
 		return Decision{}, a.failure
 	}
+	result, err := s.fetch(ctx, a.replay)
+	if err != nil {
+		failure := classifier.Wrap(err, classifier.KeyInProgress, "the earlier result can't be read now")
+		return Decision{}, failure.After(defaultRetryAfter)
+	}
 	c.stats.replays.Add(1)
 
-	return Decision{Replay: a.replay, RequestID: a.requestID}, nil
+	return Decision{Replay: result, RequestID: a.replay.requestID}, nil
 }
 
 func (c *Claimer) settleClaim(ctx context.Context, s *shard, o *operation) answer {
@@ -92,12 +99,25 @@
 	a = s.wait(ctx, o)
 	if lost && !a.run {
 		// The holder may yet write the claim, which nobody would run or end.
-		s.submit(newOperation(kindVoid, o.id))
+		s.giveUp(o)
 	}
 
 	return a
 }
 
+func (s *shard) giveUp(o *operation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.void(o)
+}
+
+func (s *shard) isVoiding(o *operation) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return o.voiding
+}
+
 func (c *Claimer) newClaim(claim Claim) *operation {
 	maker := c.options.Node + "." + c.options.Incarnation + "."
 	o := newOperation(kindClaim, maker+strconv.FormatUint(c.last.Add(1), 36))
@@ -121,7 +141,8 @@
 		c.stats.unknownOutcomes.Add(1)
 		return answer{failure: classifier.New(classifier.OutcomeUnknown, "the earlier run broke off")}
 	case e.result != nil:
-		return answer{replay: e.result, requestID: fullRequest(e.request, node+"."+incarnation+".")}
+		requestID := fullRequest(e.request, node+"."+incarnation+".")
+		return answer{replay: &replay{result: e.result, requestID: requestID, id: e.id, stored: e.stored}}
 	case c.alive(e.id, node, incarnation):
 		c.stats.inProgress.Add(1)
 		failure := classifier.New(classifier.KeyInProgress, "the request with this idempotency key is running")
--- a/internal/claimer/handle.go
+++ b/internal/claimer/handle.go
@@ -51,13 +51,6 @@
 		return a.err()
 	}
 	h.shard.submit(o)
-	c.workers.Go(func() {
-		select {
-		case <-o.settled:
-		case <-c.ctx.Done():
-		}
-		c.setOpen(h.id, false)
-	})
 
 	return h.shard.wait(ctx, o).err()
 }
--- a/internal/claimer/journal.go
+++ b/internal/claimer/journal.go
@@ -16,6 +16,9 @@
 // driftParts is the part of the window, one in so many, that is added for monotonic clocks that run too fast.
 const driftParts = 100
 
+// heldBytes is the longest answer that is held in memory; longer ones are read from the store when they are asked for.
+const heldBytes = 256
+
 // record is one line of a segment. Exactly one of Opened, Claim, Done and Void is set.
 type record struct {
 	// Opened is the shard's time in milliseconds at which the segment began; the first line holds it.
@@ -54,9 +57,22 @@
 	key     string
 	body    string
 	request string
-	segment int64
-	// result is nil until the run's result is recorded.
+	// result is nil until the run's result is recorded. Its body is left out
+	// when it is long; it then stands in the segment numbered stored.
 	result *Result
+	stored int64
+}
+
+// end takes in the result that a segment holds.
+func (e *entry) end(result *Result, number int64) {
+	e.result = result
+	if len(result.Body) <= heldBytes {
+		return
+	}
+	held := *result
+	held.Body = nil
+	e.result = &held
+	e.stored = number
 }
 
 // maker returns the node and the incarnation that made the claim.
@@ -76,6 +92,9 @@
 	// opened is the shard's time in milliseconds at which the segment began.
 	opened int64
 	size   int
+	// claims and voids are those that the segment holds.
+	claims []*entry
+	voids  []string
 }
 
 // journal is what a shard's window holds at one revision of its head.
@@ -89,6 +108,8 @@
 	// segments are sorted by number and have no gaps; newest is the value of the last.
 	segments []segment
 	newest   []byte
+	// size is the number of stored bytes of all segments.
+	size int
 	// keys holds the claims that stand, byID the same by id.
 	keys map[string]*entry
 	byID map[string]*entry
@@ -128,16 +149,6 @@
 	return j.head.At + max(moment.Sub(j.seen).Milliseconds(), 0)
 }
 
-// size returns the stored bytes of all segments.
-func (j *journal) size() int {
-	total := 0
-	for _, s := range j.segments {
-		total += s.size
-	}
-
-	return total
-}
-
 // update takes in a snapshot of the head and of all segments from the last known one on.
 func (j *journal) update(found []storer.KeyValue, moment time.Time) error {
 	for _, kv := range found {
@@ -187,6 +198,7 @@
 		}
 		j.apply(r, last)
 	}
+	j.size += len(value) - last.size
 	last.size = len(value)
 	j.newest = value
 
@@ -198,15 +210,17 @@
 	case r.Opened != nil:
 		s.opened = *r.Opened
 	case r.Claim != "":
-		e := &entry{id: r.Claim, key: r.Key, body: r.Body, request: r.Request, segment: s.number}
+		e := &entry{id: r.Claim, key: r.Key, body: r.Body, request: r.Request}
 		j.keys[e.key] = e
 		j.byID[e.id] = e
+		s.claims = append(s.claims, e)
 	case r.Done != "":
-		if e := j.byID[r.Done]; e != nil && e.result == nil {
-			e.result = r.Result
+		if e := j.byID[r.Done]; e != nil && e.result == nil && r.Result != nil {
+			e.end(r.Result, s.number)
 		}
 	case r.Void != "":
 		j.voided[r.Void] = s.number
+		s.voids = append(s.voids, r.Void)
 		if e := j.byID[r.Void]; e != nil {
 			j.drop(e)
 		}
@@ -214,7 +228,9 @@
 }
 
 func (j *journal) drop(e *entry) {
-	delete(j.byID, e.id)
+	if j.byID[e.id] == e {
+		delete(j.byID, e.id)
+	}
 	if j.keys[e.key] == e {
 		delete(j.keys, e.key)
 	}
@@ -222,22 +238,19 @@
 
 // forget removes all segments before first with the keys claimed in them.
 func (j *journal) forget(first int64) {
-	kept := 0
-	for kept < len(j.segments) && j.segments[kept].number < first {
-		kept++
-	}
-	if kept == 0 {
-		return
-	}
-	j.segments = append([]segment(nil), j.segments[kept:]...)
-	for _, e := range j.byID {
-		if e.segment < first {
+	for len(j.segments) > 0 && j.segments[0].number < first {
+		oldest := j.segments[0]
+		// The slot outlives its removal from the slice; the claims must not.
+		j.segments[0] = segment{}
+		j.segments = j.segments[1:]
+		j.size -= oldest.size
+		for _, e := range oldest.claims {
 			j.drop(e)
 		}
-	}
-	for id, number := range j.voided {
-		if number < first {
-			delete(j.voided, id)
+		for _, id := range oldest.voids {
+			if j.voided[id] == oldest.number {
+				delete(j.voided, id)
+			}
 		}
 	}
 }
--- a/internal/claimer/linearizability_test.go
+++ b/internal/claimer/linearizability_test.go
@@ -130,6 +130,14 @@
 	h.operations[p.key] = append(h.operations[p.key], p.op)
 }
 
+func (h *history) count(tally map[string]int) {
+	for _, operations := range h.operations {
+		for _, o := range operations {
+			tally[o.Input.(input).kind+" "+o.Output.(output).result]++
+		}
+	}
+}
+
 func (h *history) check() error {
 	model := porcupine.NondeterministicModel{
 		Init: func() []any { return []any{keyState{}} },
@@ -149,11 +157,19 @@
 // after each call, lost requests and replies, writes with a late effect, two writers of a shard,
 // outages, all at random. Cause: a claim that two nodes believe to hold.
 func TestBegin_FaultSchedules(t *testing.T) {
+	tally := map[string]int{}
 	for seed := range seeds() {
-		if err := play(t, seed, nil); err != nil {
+		if err := play(t, seed, nil, tally); err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
 		}
 	}
+	t.Logf("%d schedules: %v", seeds(), tally)
+	for _, result := range []string{
+		"begin run", "begin replay", "begin unavailable", "begin outcome_unknown", "begin key_in_progress",
+		"done ok", "done open", "void ok", "void open",
+	} {
+		assert.Assert(t, tally[result] > 0, "no schedule brought about %q", result)
+	}
 }
 
 // withoutCompare writes without looking at the head's revision.
@@ -190,7 +206,7 @@
 			broken := 0
 			var first error
 			for seed := range uint64(tries) {
-				if err := play(t, seed, wrap); err != nil {
+				if err := play(t, seed, wrap, map[string]int{}); err != nil {
 					broken++
 					first = errors.CombineErrors(first, err)
 				}
--- a/internal/claimer/operation.go
+++ b/internal/claimer/operation.go
@@ -39,7 +39,9 @@
 	// that an earlier one may still take effect.
 	writing   bool
 	attempted bool
-	answer    answer
+	// voiding says that a void of this claim is queued; the claim is open until it is recorded.
+	voiding bool
+	answer  answer
 }
 
 func newOperation(k kind, id string) *operation {
@@ -48,10 +50,17 @@
 
 // answer is what became of an operation; the zero answer means that it is recorded.
 type answer struct {
-	run       bool
-	replay    *Result
+	run     bool
+	replay  *replay
+	failure *classifier.Error
+}
+
+// replay is an earlier result. A body that is not held in memory stands in the segment numbered stored.
+type replay struct {
+	result    *Result
 	requestID string
-	failure   *classifier.Error
+	id        string
+	stored    int64
 }
 
 // err returns the failure without making a nil pointer a non-nil error.
--- a/internal/claimer/options.go
+++ b/internal/claimer/options.go
@@ -47,7 +47,7 @@
 
 	// Window is how long a key is kept, counted from its claim; 24 h by default.
 	Window time.Duration
-	// SegmentBytes is the size at which a new segment begins; 16 KB by default. Every write sends the newest segment whole.
+	// SegmentBytes is the size at which a new segment begins; 2 KB by default. Every write sends the newest segment whole.
 	SegmentBytes int
 	// SegmentAge is the age at which a new segment begins; a hundredth of the window by default.
 	SegmentAge time.Duration
@@ -55,13 +55,15 @@
 	ShardBytes int
 	// AnswerBytes is the longest answer that is kept; 4 KB by default.
 	AnswerBytes int
-	// WriteInterval is the least time between two writes of a shard by this node; 60 ms by default.
+	// WriteInterval is the mean time between two writes of a shard by this node
+	// under load; 60 ms by default. An idle shard may write a few at once, and
+	// nodes that write the same shard slow down to share it.
 	WriteInterval time.Duration
 	// ClaimTimeout bounds Begin; 2 s by default.
 	ClaimTimeout time.Duration
 	// CallTimeout bounds one call of the store; 1 s by default.
 	CallTimeout time.Duration
-	// ForwardTimeout bounds one call of a shard's holder; 500 ms by default.
+	// ForwardTimeout bounds one call of a shard's holder; 250 ms by default.
 	ForwardTimeout time.Duration
 	// TickInterval is how often an idle shard's time is written and its old segments are removed; 10 min by default.
 	TickInterval time.Duration
@@ -69,14 +71,14 @@
 
 const (
 	defaultWindow         = 24 * time.Hour
-	defaultSegmentBytes   = 16 << 10
+	defaultSegmentBytes   = 2 << 10
 	segmentsPerWindow     = 100
 	defaultShardBytes     = 16 << 20
 	defaultAnswerBytes    = 4 << 10
 	defaultWriteInterval  = 60 * time.Millisecond
 	defaultClaimTimeout   = 2 * time.Second
 	defaultCallTimeout    = time.Second
-	defaultForwardTimeout = 500 * time.Millisecond
+	defaultForwardTimeout = 250 * time.Millisecond
 	defaultTickInterval   = 10 * time.Minute
 )
 
--- a/internal/claimer/reading.go
+++ b/internal/claimer/reading.go
@@ -2,8 +2,12 @@
 
 import (
 	"bytes"
+	"context"
+	"encoding/json"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"quincepath.example/quincepath/internal/storer"
 )
 
@@ -69,6 +73,32 @@
 	return err
 }
 
+// fetch returns an earlier result with its body, which may have to be read from the store.
+func (s *shard) fetch(ctx context.Context, r *replay) (*Result, error) {
+	if r.stored == 0 {
+		return r.result, nil
+	}
+	key := newJournal(s.number).segmentKey(r.stored)
+	s.claimer.stats.reads.Add(1)
+	kv, _, err := s.claimer.store.Get(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	for line := range bytes.Lines(kv.Value) {
+		var found record
+		if err := json.Unmarshal(line, &found); err != nil {
+			return nil, errors.Wrapf(err, "decode segment %d", r.stored)
+		}
+		if found.Done == r.id && found.Result != nil {
+			return found.Result, nil
+		}
+	}
+	dropped := *r.result
+	dropped.Dropped = true
+
+	return &dropped, nil
+}
+
 // found returns what the ranges of a transaction's taken branch found.
 func found(result storer.TxnResult) []storer.KeyValue {
 	var all []storer.KeyValue
--- a/internal/claimer/rpc.go
+++ b/internal/claimer/rpc.go
@@ -34,9 +34,12 @@
 	Settled   bool `json:"settled"`
 	Unsettled bool `json:"unsettled,omitempty"`
 	// Run, Replay with RequestID, and Code exclude each other.
-	Run          bool    `json:"run,omitempty"`
+	Run bool `json:"run,omitempty"`
+	// Replay may lack its body, which then stands in the segment numbered Stored, beside ReplayID.
 	Replay       *Result `json:"replay,omitempty"`
 	RequestID    string  `json:"request_id,omitempty"`
+	ReplayID     string  `json:"replay_id,omitempty"`
+	Stored       int64   `json:"stored,omitempty"`
 	Code         int     `json:"code,omitempty"`
 	Reason       string  `json:"reason,omitempty"`
 	RetryAfterMS int64   `json:"retry_after_ms,omitempty"`
@@ -77,7 +80,12 @@
 
 func (a answer) reply(unsettled bool) WriteReply {
 	if a.failure == nil {
-		return WriteReply{Settled: true, Run: a.run, Replay: a.replay, RequestID: a.requestID}
+		reply := WriteReply{Settled: true, Run: a.run}
+		if r := a.replay; r != nil {
+			reply.Replay, reply.RequestID, reply.ReplayID, reply.Stored = r.result, r.requestID, r.id, r.stored
+		}
+
+		return reply
 	}
 
 	return WriteReply{
@@ -90,8 +98,11 @@
 }
 
 func (r WriteReply) answer() answer {
-	if r.Code == 0 {
-		return answer{run: r.Run, replay: r.Replay, requestID: r.RequestID}
+	switch {
+	case r.Code == 0 && r.Replay != nil:
+		return answer{replay: &replay{result: r.Replay, requestID: r.RequestID, id: r.ReplayID, stored: r.Stored}}
+	case r.Code == 0:
+		return answer{run: r.Run}
 	}
 	failure := classifier.New(classifier.Code(r.Code), "%s", r.Reason)
 
--- a/internal/claimer/shard.go
+++ b/internal/claimer/shard.go
@@ -16,6 +16,9 @@
 const (
 	firstBackOff = 200 * time.Millisecond
 	maxBackOff   = 10 * time.Second
+	// writesAtOnce is how many writes an idle shard may send without waiting between them.
+	writesAtOnce = 4
+	maxRivals    = 12
 	// defaultRetryAfter is when to come back after a refusal for which no better time is known.
 	defaultRetryAfter = time.Second
 )
@@ -40,6 +43,8 @@
 	failures int
 	// losses counts writes in a row that other writers were before.
 	losses int
+	// rivals is a measure of how often that happens, 0 to maxRivals.
+	rivals int
 	// turn is the earliest time of the next write.
 	turn time.Time
 	used time.Time
@@ -102,6 +107,9 @@
 	o.finished = true
 	o.answer = a
 	close(o.settled)
+	if o.kind != kindClaim && !o.foreign {
+		s.claimer.setOpen(o.id, false)
+	}
 }
 
 // refuse answers a claim with "not run". Its caller is told so and will not send,
@@ -115,8 +123,17 @@
 	s.finish(o, answer{failure: failure.After(wait)})
 	s.claimer.stats.refused.Add(1)
 	if !o.foreign && (o.attempted || o.writing) {
-		s.enqueue(newOperation(kindVoid, o.id))
+		s.void(o)
+	}
+}
+
+// void queues the end of a claim that nobody will run.
+func (s *shard) void(o *operation) {
+	if o.voiding {
+		return
 	}
+	o.voiding = true
+	s.enqueue(newOperation(kindVoid, o.id))
 }
 
 // abandon gives up a claim whose caller or deadline doesn't wait any longer.
@@ -193,9 +210,7 @@
 	stats := &s.claimer.stats
 	ctx, cancel := s.claimer.callContext()
 	defer cancel()
-	s.mu.Lock()
-	s.turn = d.moment.Add(s.claimer.options.WriteInterval)
-	s.mu.Unlock()
+	s.setTurn(d.moment)
 	stats.writes.Add(1)
 	stats.bytesSent.Add(int64(len(d.value)))
 	result, err := s.claimer.store.Txn(ctx, d.txn)
@@ -223,18 +238,43 @@
 	s.settle(batch)
 }
 
-// backAway spreads writers that keep losing a shard's head to each other.
+// setTurn makes room after a write. A shard that was idle may write writesAtOnce
+// times before it waits, so that a claim seldom waits for an earlier one's end.
+func (s *shard) setTurn(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	interval := s.claimer.options.WriteInterval
+	if s.rivals > 0 {
+		mean := time.Duration(1+s.rivals) * interval
+		s.turn = now.Add(mean/2 + rand.N(mean))
+		return
+	}
+	earliest := now.Add(-(writesAtOnce - 1) * interval)
+	if s.turn.Before(earliest) {
+		s.turn = earliest
+	}
+	s.turn = s.turn.Add(interval)
+}
+
+// backAway spreads nodes that write the same shard. The first loss only shows a
+// head that moved since it was read, so the next try follows at once; more mean that
+// others write at this very time. Without it nine nodes that write for themselves
+// would send thousands of writes a second, most of them lost.
 func (s *shard) backAway(lost bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !lost {
+		if s.losses == 0 {
+			s.rivals = max(s.rivals-1, 0)
+		}
 		s.losses = 0
 		return
 	}
-	s.losses = min(s.losses+1, 8)
+	s.losses++
+	s.rivals = min(s.rivals+2, maxRivals)
 	s.turn = time.Now()
 	if s.losses > 1 {
-		s.turn = s.turn.Add(rand.N(time.Duration(s.losses) * s.claimer.options.WriteInterval / 4))
+		s.turn = s.turn.Add(rand.N(s.claimer.options.WriteInterval))
 	}
 }
 
--- a/internal/claimer/simulation_test.go
+++ b/internal/claimer/simulation_test.go
@@ -311,8 +311,8 @@
 	begun.end(output{result: "ok"})
 }
 
-// play runs the schedule of a seed and returns what broke, or nil.
-func play(t *testing.T, seed uint64, wrap func(claimer.Store) claimer.Store) error {
+// play runs the schedule of a seed and returns what broke, or nil. It adds what came about to tally.
+func play(t *testing.T, seed uint64, wrap func(claimer.Store) claimer.Store, tally map[string]int) error {
 	t.Helper()
 	var failure error
 	synctest.Test(t, func(t *testing.T) {
@@ -332,6 +332,10 @@
 		s.callAll()
 		s.askAtLast()
 		failure = s.judge()
+		s.history.count(tally)
+		for _, runs := range s.runs {
+			tally["sent"] += runs
+		}
 		time.Sleep(3 * time.Minute)
 		cancel()
 	})
--- a/internal/claimer/stats.go
+++ b/internal/claimer/stats.go
@@ -57,7 +57,7 @@
 	}
 	for _, s := range c.shards {
 		s.mu.Lock()
-		stats.JournalBytes += int64(s.journal.size())
+		stats.JournalBytes += int64(s.journal.size)
 		stats.JournalClaims += int64(len(s.journal.byID))
 		s.mu.Unlock()
 	}
