--- a/internal/command/demo/demo.go
+++ b/internal/command/demo/demo.go
@@ -26,7 +26,9 @@
 	Story   string
 	Seed    uint64
 	Verbose bool
-	Output  replay.Output
+	// Expect is the path of a file with stated outcomes; it may be empty.
+	Expect string
+	Output replay.Output
 }
 
 // New registers the command under parent.
@@ -36,6 +38,7 @@
 	clause.Flag("nodes", "Number of nodes.").Default("2").IntVar(&options.Nodes)
 	clause.Flag("story", "Generated trace to play.").Default("mix").EnumVar(&options.Story, generate.Names()...)
 	clause.Flag("seed", "Seed of the generated trace.").Default("1").Uint64Var(&options.Seed)
+	clause.Flag("expect", "File of stated outcomes; a missed one gives the exit status of expectation_missed.").PlaceHolder("FILE").StringVar(&options.Expect)
 	clause.Flag("plot", "Write an SVG plot of the latencies to this file.").PlaceHolder("FILE").StringVar(&options.Output.Plot)
 	clause.Flag("json", "Print the report as JSON.").BoolVar(&options.Output.JSON)
 	clause.Flag("verbose", "Log all events of the nodes and stand-ins.").BoolVar(&options.Verbose)
@@ -55,6 +58,11 @@
 		return classifier.New(classifier.InvalidUsage, "--nodes is %d; write 1 or more", options.Nodes)
 	}
 
+	expectations, err := replay.Expectations(options.Expect)
+	if err != nil {
+		return err
+	}
+
 	logger := zerolog.Nop()
 	if options.Verbose {
 		logger = options.Factory.Logger("info", "keyvalue")
@@ -62,7 +70,7 @@
 
 	ctx, stop := context.WithCancel(ctx)
 	c := newCluster(options.Factory.Serve, logger)
-	report, err := options.play(ctx, c)
+	report, err := options.play(ctx, c, expectations)
 
 	stop()
 	c.running.Wait()
@@ -75,10 +83,10 @@
 		return classifier.New(classifier.ExpectationMissed, "a promise to callers was broken; see the line that begins with \"wrong\"")
 	}
 
-	return nil
+	return report.Missed()
 }
 
-func (o Options) play(ctx context.Context, c *cluster) (reporter.Report, error) {
+func (o Options) play(ctx context.Context, c *cluster, expectations reporter.Expectations) (reporter.Report, error) {
 	events, err := replay.Events("", o.Story, o.Seed)
 	if err != nil {
 		return reporter.Report{}, err
@@ -110,7 +118,8 @@
 		return reporter.Report{}, errors.Wrap(err, "read the stand-ins' runs")
 	}
 
-	report := reporter.New(reporter.Input{Result: result, Targets: replay.Targets(c.settings), Audit: &audit})
+	report := reporter.New(reporter.Input{Result: result, Targets: expectations.Targets(replay.Targets(c.settings)), Audit: &audit})
+	report.Check(expectations)
 
 	return report, o.Output.Write(o.Factory, report, result)
 }
--- a/internal/command/replay/replay.go
+++ b/internal/command/replay/replay.go
@@ -138,30 +138,28 @@
 
 // stated reads the stated outcomes and the targets.
 func (o Options) stated() (reporter.Expectations, map[replayer.ClassKey]time.Duration, error) {
-	var (
-		expectations reporter.Expectations
-		settings     loader.Settings
-		err          error
-	)
-
-	if o.Expect != "" {
-		data, err := os.ReadFile(o.Expect)
-		if err != nil {
-			return expectations, nil, classifier.Wrap(err, classifier.InvalidUsage, "can't read the stated outcomes: %v", err)
-		}
+	expectations, err := Expectations(o.Expect)
+	if err != nil || o.Settings == "" {
+		return expectations, expectations.Targets(nil), err
+	}
 
-		if expectations, err = reporter.ParseExpectations(o.Expect, data); err != nil {
-			return expectations, nil, err
-		}
+	settings, err := loader.Load(o.Settings)
+
+	return expectations, expectations.Targets(Targets(settings)), err
+}
+
+// Expectations reads a file of stated outcomes; an empty path states nothing.
+func Expectations(path string) (reporter.Expectations, error) {
+	if path == "" {
+		return reporter.Expectations{}, nil
 	}
 
-	if o.Settings != "" {
-		if settings, err = loader.Load(o.Settings); err != nil {
-			return expectations, nil, err
-		}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return reporter.Expectations{}, classifier.Wrap(err, classifier.InvalidUsage, "can't read the stated outcomes: %v", err)
 	}
 
-	return expectations, expectations.Targets(Targets(settings)), nil
+	return reporter.ParseExpectations(path, data)
 }
 
 // Targets returns the classes' latency targets.
--- a/internal/replayer/player.go
+++ b/internal/replayer/player.go
@@ -145,6 +145,8 @@
 		}
 	}
 
+	slices.Sort(unknown)
+
 	if len(unknown) > 0 {
 		return "", classifier.New(classifier.InvalidUsage, "no key is given for the organisations %v of the trace", unknown)
 	}
--- a/internal/reporter/plot.go
+++ b/internal/reporter/plot.go
@@ -11,8 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/palette"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
@@ -26,6 +26,11 @@
 	dotRadius  = vg.Length(1.6)
 	// leastPlotted keeps zero off the logarithmic axis; times are in milliseconds.
 	leastPlotted = 0.1
+	// legendRoom widens the time axis, so that the legend hides no dots.
+	legendRoom = 1.5
+	// legendPlace is where the legend begins, as a part of the width.
+	legendPlace = 0.62
+	brightness  = 0.85
 )
 
 // WritePlot writes an SVG plot of the latency over the trace's time, with one
@@ -36,8 +41,8 @@
 	p.Y.Label.Text = "first token or whole plain answer (ms)"
 	p.Y.Scale = plot.LogScale{}
 	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
-	p.Legend.Top = true
-	p.Legend.Left = true
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Legend.XOffs = plotWidth * legendPlace
 
 	series := map[string]*points{}
 
@@ -50,12 +55,17 @@
 		series[name].add(v)
 	}
 
+	shades := palette.Rainbow(len(series)+1, palette.Red, palette.Magenta, 1, brightness, 1).Colors()
+
 	for i, name := range slices.Sorted(maps.Keys(series)) {
-		if err := series[name].draw(p, name, plotutil.Color(i)); err != nil {
+		if err := series[name].draw(p, name, shades[i]); err != nil {
 			return errors.Wrapf(err, "plot %s", name)
 		}
 	}
 
+	p.X.Min = 0
+	p.X.Max = math.Max(p.X.Max, 1) * legendRoom
+
 	// A range of one value has no place on a logarithmic axis.
 	p.Y.Min = math.Min(p.Y.Min, 1)
 	p.Y.Max = math.Max(p.Y.Max, 10)
