Claim what is not repeatable before it leaves; prove it on processes

An answer is given before its record is written, so the record costs the caller nothing; the worker stays in flight until it is written, so a planned stop waits for it.

--- /dev/null
+++ b/internal/server/claims.go
@@ -0,0 +1,209 @@
+package server
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"quincepath.example/quincepath/internal/claimer"
+	"quincepath.example/quincepath/internal/recorder"
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// headerReplayed marks an answer that is that of an earlier run with the same idempotency key.
+const headerReplayed = "Quincepath-Replayed"
+
+// recordTimeout bounds the wait for the record of a run's end; the writing goes on behind it.
+const recordTimeout = 5 * time.Second
+
+// claimable is a sender whose answer can be recorded and given again.
+type claimable interface {
+	// claimResult returns the whole answer.
+	claimResult() claimer.Result
+	// replay makes a recorded answer this request's own.
+	replay(result claimer.Result) error
+}
+
+// bodyHash covers all that makes a request what it is.
+func bodyHash(method, path string, body []byte) [sha256.Size]byte {
+	hash := sha256.New()
+	// Writes to a hash never fail.
+	_, _ = hash.Write([]byte(method + "\x00" + path + "\x00"))
+	_, _ = hash.Write(body)
+
+	return [sha256.Size]byte(hash.Sum(nil))
+}
+
+// runOnce runs a request that must run at most once. The claim comes before
+// the first byte leaves; whoever finds it later does not run the request again.
+// The returned function records the end; it is nil when there is nothing to record.
+func (n *Node) runOnce(ctx context.Context, entry *run) (failure *classifier.Error, record func()) {
+	if n.claims == nil {
+		unavailable := classifier.New(classifier.ClaimUnavailable, "the node has no platform to record claims in")
+
+		return unavailable.After(failureRetryAfter), nil
+	}
+
+	decision, err := n.claims.Begin(ctx, claimer.Claim{
+		Organisation: entry.request.Organisation.Name,
+		Service:      entry.request.Service.Name,
+		Key:          entry.key,
+		BodyHash:     entry.bodyHash,
+		RequestID:    entry.request.ID,
+	})
+	if err != nil {
+		return classifier.From(err), nil
+	}
+
+	if decision.Handle == nil {
+		return replayed(entry, *decision.Replay), nil
+	}
+
+	failure = n.dispatch.Run(ctx, entry.request, entry.sender)
+
+	return failure, func() { n.recordEnd(entry, decision.Handle, failure) }
+}
+
+// replayed gives the recorded answer, or the recorded failure.
+func replayed(entry *run, result claimer.Result) *classifier.Error {
+	if result.Code != classifier.OK {
+		failure := classifier.New(result.Code, "this is the recorded result of the earlier run")
+		failure.Ran = result.Ran
+
+		return failure
+	}
+
+	if result.Dropped {
+		return classifier.New(classifier.AnswerNotKept, "the request ran once; its answer was too long to keep")
+	}
+
+	if err := entry.sender.(claimable).replay(result); err != nil {
+		return classifier.Wrap(err, classifier.AnswerNotKept, "the recorded answer can't be read")
+	}
+
+	entry.replayed.Store(true)
+
+	return nil
+}
+
+// markReplayed tells the caller that the answer is that of an earlier run.
+func (e *run) markReplayed(header http.Header) {
+	if e.replayed.Load() {
+		header.Set(headerReplayed, "true")
+	}
+}
+
+// recordEnd writes how the run ended, or frees the key when nothing ran.
+func (n *Node) recordEnd(entry *run, handle *claimer.Handle, failure *classifier.Error) {
+	ctx, cancel := context.WithTimeout(n.work, recordTimeout)
+	defer cancel()
+
+	err := finishClaim(ctx, entry, handle, failure)
+	if err != nil {
+		n.logger.Warn().Err(err).Str("request_id", entry.request.ID).Msg("claim_end_not_recorded")
+	}
+}
+
+func finishClaim(ctx context.Context, entry *run, handle *claimer.Handle, failure *classifier.Error) error {
+	switch {
+	case failure == nil:
+		return handle.Finish(ctx, entry.sender.(claimable).claimResult())
+	case failure.Ran == classifier.RanNo:
+		return handle.Void(ctx)
+	default:
+		return handle.Finish(ctx, claimer.Result{Code: failure.Code, Ran: failure.Ran})
+	}
+}
+
+// claimResult implements claimable.
+func (s *plainSender) claimResult() claimer.Result {
+	return claimer.Result{
+		Code:        classifier.OK,
+		Ran:         classifier.RanYes,
+		Status:      s.status,
+		ContentType: s.answered.Get("Content-Type"),
+		Body:        s.payload,
+	}
+}
+
+// replay implements claimable.
+func (s *plainSender) replay(result claimer.Result) error {
+	s.status = result.Status
+	s.payload = result.Body
+	s.answered = http.Header{}
+
+	if result.ContentType != "" {
+		s.answered.Set("Content-Type", result.ContentType)
+	}
+
+	return nil
+}
+
+// claimResult implements claimable.
+func (s *engineSender) claimResult() claimer.Result {
+	events, _, _ := s.answer.Next(context.Background(), 0)
+
+	body, err := json.Marshal(assemble(events))
+	if err != nil {
+		// The parts were JSON when they came; without them the result still says that it ran.
+		return claimer.Result{Code: classifier.OK, Ran: classifier.RanYes, Dropped: true}
+	}
+
+	return claimer.Result{Code: classifier.OK, Ran: classifier.RanYes, Status: http.StatusOK, ContentType: "application/json", Body: body}
+}
+
+// replay implements claimable: the recorded answer becomes one large event.
+func (s *engineSender) replay(result claimer.Result) error {
+	var whole completion
+	if err := json.Unmarshal(result.Body, &whole); err != nil {
+		return err
+	}
+
+	data, err := json.Marshal(asChunk(whole))
+	if err != nil {
+		return err
+	}
+
+	s.answer.Append(recorder.Event{ID: eventID(1), Data: string(data)}, recorder.Event{Data: endOfStream})
+
+	return nil
+}
+
+// chunk is one event of a stream.
+type chunk struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Created int64           `json:"created"`
+	Model   string          `json:"model"`
+	Choices []chunkChoice   `json:"choices"`
+	Usage   json.RawMessage `json:"usage,omitempty"`
+}
+
+type chunkChoice struct {
+	Index        int                `json:"index"`
+	Delta        *completionMessage `json:"delta,omitempty"`
+	Text         *string            `json:"text,omitempty"`
+	FinishReason string             `json:"finish_reason"`
+}
+
+// asChunk turns a whole answer into one event of a stream.
+func asChunk(whole completion) chunk {
+	single := chunk{ID: whole.ID, Object: "text_completion", Created: whole.Created, Model: whole.Model, Usage: whole.Usage}
+
+	for _, choice := range whole.Choices {
+		single.Choices = append(single.Choices, chunkChoice{
+			Index:        choice.Index,
+			Delta:        choice.Message,
+			Text:         choice.Text,
+			FinishReason: choice.FinishReason,
+		})
+
+		if choice.Message != nil {
+			single.Object = chatChunk
+		}
+	}
+
+	return single
+}
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -63,7 +63,8 @@
 		key:       taken.key,
 		answer:    recorder.NewAnswer(),
 	}
-	entry := &run{request: taken.request, sender: sender, answer: sender.answer}
+	entry := &run{request: taken.request, sender: sender, answer: sender.answer, key: taken.key}
+	entry.bodyHash = bodyHash(r.Method, r.URL.Path, body)
 	entry.deliver = n.engineDelivery(entry, gjson.GetBytes(body, "stream").Bool())
 
 	n.serve(w, r, entry)
@@ -73,7 +74,7 @@
 func (n *Node) engineDelivery(entry *run, stream bool) func(http.ResponseWriter, *http.Request, string) {
 	if !stream {
 		return func(w http.ResponseWriter, r *http.Request, _ string) {
-			n.collectAnswer(w, r, entry.request, entry.answer)
+			n.collectAnswer(w, r, entry)
 		}
 	}
 
@@ -85,7 +86,7 @@
 			return
 		}
 
-		n.streamAnswer(w, r, entry.request.ID, entry.answer, from)
+		n.streamAnswer(w, r, entry, from)
 	}
 }
 
--- a/internal/server/engine_answer.go
+++ b/internal/server/engine_answer.go
@@ -13,7 +13,6 @@
 	"github.com/tidwall/gjson"
 	"github.com/tmaxmax/go-sse"
 
-	"quincepath.example/quincepath/internal/dispatcher"
 	"quincepath.example/quincepath/internal/recorder"
 	"quincepath.example/quincepath/pkg/classifier"
 )
@@ -25,6 +24,9 @@
 // callerWriteLimit is how long a caller may take no bytes before its connection counts as dead.
 const callerWriteLimit = 20 * time.Second
 
+// chatChunk is the kind of the events of a chat completion.
+const chatChunk = "chat.completion.chunk"
+
 func eventID(token int) string {
 	return strconv.Itoa(token)
 }
@@ -35,7 +37,9 @@
 }
 
 // streamAnswer follows the answer from the given event on and writes it as server-sent events.
-func (n *Node) streamAnswer(w http.ResponseWriter, r *http.Request, requestID string, answer *recorder.Answer, from int) {
+func (n *Node) streamAnswer(w http.ResponseWriter, r *http.Request, entry *run, from int) {
+	requestID, answer := entry.request.ID, entry.answer
+
 	events, ended, failure := n.firstEvents(r.Context(), answer, from)
 	if failure != nil {
 		writeError(w, requestID, failure)
@@ -47,6 +51,7 @@
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Cache-Control", "no-cache")
 	header.Set(headerRequestID, requestID)
+	entry.markReplayed(header)
 	w.WriteHeader(http.StatusOK)
 
 	stream := newEventWriter(w)
@@ -212,14 +217,17 @@
 }
 
 // collectAnswer waits for the whole answer and writes it as one JSON object.
-func (n *Node) collectAnswer(w http.ResponseWriter, r *http.Request, request dispatcher.Request, answer *recorder.Answer) {
-	events, failure := wholeAnswer(r.Context(), answer)
+func (n *Node) collectAnswer(w http.ResponseWriter, r *http.Request, entry *run) {
+	request := entry.request
+
+	events, failure := wholeAnswer(r.Context(), entry.answer)
 	if failure != nil {
 		writeError(w, request.ID, failure)
 
 		return
 	}
 
+	entry.markReplayed(w.Header())
 	w.Header().Set(headerRequestID, request.ID)
 	w.Header().Set(headerResult, classifier.OK.String())
 	writeJSON(w, assemble(events))
@@ -259,7 +267,7 @@
 			whole.ID = chunk.Get("id").String()
 			whole.Created = chunk.Get("created").Int()
 			whole.Model = chunk.Get("model").String()
-			isChat = chunk.Get("object").String() == "chat.completion.chunk"
+			isChat = chunk.Get("object").String() == chatChunk
 		}
 
 		text.WriteString(chunk.Get("choices.0.delta.content").String())
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -41,7 +41,8 @@
 	}
 
 	sender := newPlainSender(n, taken, r, body)
-	entry := &run{request: taken.request, sender: sender, answer: sender.answer}
+	entry := &run{request: taken.request, sender: sender, answer: sender.answer, key: taken.key}
+	entry.bodyHash = bodyHash(r.Method, sender.path, body)
 	entry.deliver = func(w http.ResponseWriter, r *http.Request, _ string) {
 		if _, failure := wholeAnswer(r.Context(), sender.answer); failure != nil {
 			writeError(w, taken.request.ID, failure)
@@ -49,6 +50,7 @@
 			return
 		}
 
+		entry.markReplayed(w.Header())
 		sender.writeTo(w)
 	}
 
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"quincepath.example/quincepath/internal/claimer"
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/connector"
 )
@@ -21,6 +22,12 @@
 	}
 
 	n.store = store
+	n.claims = claimer.New(n.work, store, claimer.Options{
+		Node:        n.identity.node,
+		Incarnation: n.identity.incarnation,
+		Caller:      n.messages,
+	})
+	n.messages.Handle(claimer.MethodWrite, n.claims.HandleWrite)
 	n.editor = configurer.NewEditor(store, configurer.EditorOptions{})
 
 	return nil
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quincepath.example/quincepath/internal/administrator"
@@ -32,6 +34,11 @@
 	answer  *recorder.Answer
 	// deliver writes the answer to a caller from the event after lastEvent on; "" means from the start.
 	deliver func(w http.ResponseWriter, r *http.Request, lastEvent string)
+	// key is the idempotency key, and bodyHash what it stands for; the key is empty when there is none.
+	key      string
+	bodyHash [sha256.Size]byte
+	// replayed is set when the answer is that of an earlier run.
+	replayed atomic.Bool
 	// resumable says that the caller comes back after a broken connection.
 	resumable bool
 	cancel    context.CancelFunc
@@ -229,13 +236,23 @@
 	})
 }
 
+// runEntry runs the request, with a claim where it must run at most once. A
+// request that is not repeatable and has no key can't be recognised when it
+// comes again; it is sent once and never retried once bytes may have left.
+func (n *Node) runEntry(ctx context.Context, entry *run) (failure *classifier.Error, record func()) {
+	if entry.request.Repeatable || entry.key == "" {
+		return n.dispatch.Run(ctx, entry.request, entry.sender), nil
+	}
+
+	return n.runOnce(ctx, entry)
+}
+
 func (n *Node) runOne(ctx context.Context, entry *run) {
 	defer entry.cancel()
 
 	n.meter.Started(counterName(entry.request))
-	failure := n.dispatch.Run(ctx, entry.request, entry.sender)
+	failure, record := n.runEntry(ctx, entry)
 
-	n.runs.finished()
 	entry.finish(failure)
 	n.requestEnded(entry, failure)
 
@@ -245,6 +262,12 @@
 		entry.answer.End(nil)
 	}
 
+	if record != nil {
+		record()
+	}
+
+	n.runs.finished()
+
 	if !entry.resumable {
 		n.runs.forget(entry.request.ID)
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"quincepath.example/quincepath/internal/certifier"
+	"quincepath.example/quincepath/internal/claimer"
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/connector"
 	"quincepath.example/quincepath/internal/dispatcher"
@@ -38,6 +39,8 @@
 	tree *settingsHolder
 	// editor changes the tree in the platform's store; nil without a platform.
 	editor *configurer.Editor
+	// claims records requests that must run at most once; nil without a platform.
+	claims *claimer.Claimer
 	// store is the platform's key-value service; nil without a platform.
 	store *connector.Client
 
@@ -111,10 +114,6 @@
 		return err
 	}
 
-	if err := n.connectPlatform(); err != nil {
-		return err
-	}
-
 	messages, err := n.newMessages()
 	if err != nil {
 		return err
@@ -123,5 +122,5 @@
 	n.messages = messages
 	n.entryClient = &http.Client{Transport: n.entryTransport()}
 
-	return nil
+	return n.connectPlatform()
 }
--- a/pkg/classifier/classifier.go
+++ b/pkg/classifier/classifier.go
@@ -64,6 +64,7 @@
 	OutcomeUnknown      Code = 53
 	StreamBroken        Code = 54
 	CallerGone          Code = 55
+	AnswerNotKept       Code = 56
 	SettingsInvalid     Code = 70
 	EditConflict        Code = 71
 	EditUnknown         Code = 72
--- a/pkg/classifier/descriptions.go
+++ b/pkg/classifier/descriptions.go
@@ -39,6 +39,7 @@
 	{OutcomeUnknown, "outcome_unknown", http.StatusConflict, RanUnknown, "The earlier run of this idempotency key has no recorded result.", "Check the effect itself; it is not run again."},
 	{StreamBroken, "stream_broken", http.StatusBadGateway, RanYes, "The answer broke off and could not be resumed.", "Repeat it if it may run twice."},
 	{CallerGone, "caller_gone", statusCallerGone, RanUnknown, "The caller closed its connection before the answer ended.", "Nothing."},
+	{AnswerNotKept, "answer_not_kept", http.StatusConflict, RanYes, "The request ran once and its answer is no longer known.", "Check the effect itself; it is not run again."},
 	{SettingsInvalid, "settings_invalid", http.StatusBadRequest, RanNo, "A settings file or branch breaks a rule.", "Correct the line that is named."},
 	{EditConflict, "edit_conflict", http.StatusConflict, RanNo, "The branch changed since the edit was begun.", "Read the difference and edit again."},
 	{EditUnknown, "edit_unknown", http.StatusGatewayTimeout, RanUnknown, "It is not known whether the edit was applied.", "Ask again with the same change id."},
--- a/test/process/faults_test.go
+++ b/test/process/faults_test.go
@@ -24,9 +24,9 @@
 }
 
 // switchOn sets fault switches of a stand-in.
-func switchOn(t *testing.T, standin *process, switches map[string]any) {
-	t.Helper()
-	call(t, http.MethodPost, "http://"+standin.address+"/standin/switches", switches, nil)
+func switchOn(tb testing.TB, standin *process, switches map[string]any) {
+	tb.Helper()
+	call(tb, http.MethodPost, "http://"+standin.address+"/standin/switches", switches, nil)
 }
 
 func runsOf(t *testing.T, engine *process) []engineRun {
@@ -150,12 +150,12 @@
 	assert.Equal(t, booked, 1)
 }
 
-func serviceRuns(t *testing.T, service *process) []serviceRun {
-	t.Helper()
+func serviceRuns(tb testing.TB, service *process) []serviceRun {
+	tb.Helper()
 
 	var runs []serviceRun
 
-	call(t, http.MethodGet, "http://"+service.address+"/standin/runs", nil, &runs)
+	call(tb, http.MethodGet, "http://"+service.address+"/standin/runs", nil, &runs)
 
 	return runs
 }
