Find double runs of requests without an idempotency key

The audit counted runs by key only, so a not repeatable request without a key that a node sent twice would have passed; it is counted by request id now. The test's new case failed before the change.

--- a/internal/replayer/auditor.go
+++ b/internal/replayer/auditor.go
@@ -28,7 +28,7 @@
 	// Unassigned is the number of tokens of runs whose caller never learnt the
 	// request's id, such as when the connection broke before the first byte.
 	Unassigned int
-	// Doubles are the idempotency keys of not repeatable events that ran more than once, by class.
+	// Doubles are the idempotency keys, or else the request ids, of not repeatable events that ran more than once, by class.
 	Doubles map[ClassKey][]string
 	// NotRunButRan has the ids of requests that ran although their caller was told that they did not.
 	NotRunButRan map[ClassKey][]string
@@ -87,7 +87,7 @@
 	// byID and byKey find the caller of a run by its request id or idempotency key.
 	byID, byKey map[string]*Outcome
 	notRun      map[string]bool
-	// counts are the runs of each idempotency key, without resumed ones.
+	// counts are the runs of each idempotency key or request id, without resumed ones.
 	counts map[string]int
 }
 
@@ -151,7 +151,11 @@
 	}
 
 	key := owner.Event.IdempotencyKey
-	if !owner.Event.NotRepeatable || key == "" || run.Offset > 0 {
+	if key == "" {
+		key = run.RequestID
+	}
+
+	if !owner.Event.NotRepeatable || run.Offset > 0 {
 		return
 	}
 
--- a/internal/replayer/player_test.go
+++ b/internal/replayer/player_test.go
@@ -186,17 +186,21 @@
 func TestAuditFindsWhatCallersDoNotSee(t *testing.T) {
 	started := time.Unix(100, 0)
 	booked := tracer.Event{Service: "banco", Class: "booking", Path: "/b", NotRepeatable: true, IdempotencyKey: "k"}
+	unkeyed := tracer.Event{Service: "banco", Class: "charge", Path: "/c", NotRepeatable: true}
 	chat := tracer.Event{Service: "assistente", Class: "chat", PromptTokens: 1, AnswerTokens: 5}
 	result := Result{Started: started, Outcomes: []Outcome{
 		{Event: booked, Ending: Whole, RequestIDs: []string{"r1"}, Run: "banco#1"},
 		{Event: booked, Ending: Missing},
 		{Event: chat, Ending: Whole, RequestIDs: []string{"r2", "r3"}, NotRunIDs: []string{"r2"}},
+		{Event: unkeyed, Ending: Whole, RequestIDs: []string{"r4"}},
 	}}
 	at := started.Add(time.Second)
 
 	audit := compare([]standInRun{
 		{RequestID: "r1", IdempotencyKey: "k", Run: 1, At: at},
 		{RequestID: "unknown", IdempotencyKey: "k", Run: 2, At: at},
+		{RequestID: "r4", Run: 3, At: at},
+		{RequestID: "r4", Run: 4, At: at},
 		{RequestID: "r2", Tokens: 1, StartedAt: at},
 		{RequestID: "r3", Tokens: 5, StartedAt: at},
 		{RequestID: "r9", Tokens: 7, StartedAt: at},
@@ -204,9 +208,9 @@
 	}, result)
 
 	assert.DeepEqual(t, audit, Audit{
-		Produced:     map[ClassKey]int{{"banco", "booking"}: 0, {"assistente", "chat"}: 6},
+		Produced:     map[ClassKey]int{{"banco", "booking"}: 0, {"banco", "charge"}: 0, {"assistente", "chat"}: 6},
 		Unassigned:   7,
-		Doubles:      map[ClassKey][]string{{"banco", "booking"}: {"k"}},
+		Doubles:      map[ClassKey][]string{{"banco", "booking"}: {"k"}, {"banco", "charge"}: {"r4"}},
 		NotRunButRan: map[ClassKey][]string{{"assistente", "chat"}: {"r2"}},
 	})
 }
