Fuzz the YAML editor and the admin bodies; refuse edits that don't read back

Keys are now made texts, which names are, and every edited text is read back and compared before it is returned: an edit of one value can no longer change another one unnoticed.

--- a/internal/administrator/administrator_test.go
+++ b/internal/administrator/administrator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -254,3 +255,30 @@
 	cancel()
 	assert.NilError(t, <-ended)
 }
+
+// FuzzBodies looks for bodies that are answered by anything but JSON with a result code, or that edit unasked.
+func FuzzBodies(f *testing.F) {
+	for _, v := range []string{`{"base_revision":7,"change_id":"c1","author":"lia","content":"a: 1"}`, `{}`, `[]`, `{"base_revision":1e99}`, `null`, "\x00"} {
+		f.Add(v)
+	}
+
+	f.Fuzz(func(t *testing.T, body string) {
+		fake := &fakes{}
+		sum := sha256.Sum256([]byte(operatorKey))
+		server, err := administrator.New(administrator.Options{
+			KeyHashes: []string{hex.EncodeToString(sum[:])}, Status: fake, Tree: fake, Requests: fake,
+			Variables: http.NotFoundHandler(), Logger: zerolog.Nop(),
+		})
+		assert.NilError(t, err)
+
+		for _, v := range [][2]string{{"PUT", "/v1/tree/branches/a"}, {"POST", "/v1/tree/undo"}, {"POST", "/v1/tree/changes/c/settle"}, {"POST", "/v1/upstreams/assistente/e1/leave"}} {
+			w := ask(server.Handler(), operatorKey, v[0], v[1], body)
+			assert.Assert(t, w.Code == 200 || w.Code == 400, "%d", w.Code)
+			assert.Assert(t, json.Valid(w.Body.Bytes()))
+		}
+
+		for _, v := range fake.edits {
+			assert.Assert(t, v.ChangeID != "" && v.Author != "" && v.BaseRevision >= 0)
+		}
+	})
+}
--- a/internal/editor/editor.go
+++ b/internal/editor/editor.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -64,7 +65,7 @@
 		return "", err
 	}
 
-	if d.root, err = set(d.root, path, decoded); err != nil {
+	if d.root, err = set(d.root, path, textKeys(decoded)); err != nil {
 		return "", err
 	}
 
@@ -93,9 +94,29 @@
 		return document{}, errors.Newf("the text is no YAML mapping: %s", yaml.FormatError(err, false, false))
 	}
 
+	d.root, _ = textKeys(d.root).(yaml.MapSlice)
+
 	return d, nil
 }
 
+// textKeys turns keys such as 42 or true into texts, which names are. The
+// library ends the process by a panic when it writes any other key.
+func textKeys(value any) any {
+	switch v := value.(type) {
+	case yaml.MapSlice:
+		for i := range v {
+			v[i].Key = fmt.Sprint(v[i].Key)
+			v[i].Value = textKeys(v[i].Value)
+		}
+	case []any:
+		for i := range v {
+			v[i] = textKeys(v[i])
+		}
+	}
+
+	return value
+}
+
 func (d document) render() (string, error) {
 	if len(d.root) == 0 {
 		return "", nil
@@ -106,6 +127,13 @@
 		return "", errors.Wrap(err, "write the edited YAML")
 	}
 
+	// The library writes some keys and texts so that they read back as something
+	// else. Unnoticed, an edit of one value would change another one.
+	again, err := parse(string(text))
+	if err != nil || !reflect.DeepEqual(again.root, d.root) {
+		return "", errors.New("the text has keys or values that can't be kept in an edit; write the whole branch instead")
+	}
+
 	return string(text), nil
 }
 
--- a/internal/editor/editor_test.go
+++ b/internal/editor/editor_test.go
@@ -60,3 +60,26 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, keys, []string{"organisations", "a.b", "weight"})
 }
+
+// FuzzSet looks for texts that end the process, or that come out as no YAML.
+func FuzzSet(f *testing.F) {
+	for _, v := range []string{branch, "", "{}", "a: {b: [1, 2]}", "a: &x 1\nb: *x\n", "a: |\n  text\nb: >-\n  more\n", "'a': \"b\" # c\n"} {
+		f.Add(v, "classes.booking.tier", "2")
+	}
+
+	f.Fuzz(func(t *testing.T, text, path, value string) {
+		keys, err := editor.SplitPath(path)
+		if err != nil {
+			return
+		}
+
+		edited, err := editor.Set(text, keys, value)
+		if err != nil {
+			return
+		}
+
+		if _, err := editor.Set(edited, []string{"kind"}, "plain"); err != nil {
+			t.Fatalf("%q became %q: %v", text, edited, err)
+		}
+	})
+}
