--- a/internal/administrator/answers.go
+++ b/internal/administrator/answers.go
@@ -65,6 +65,15 @@
 	_ = json.NewEncoder(w).Encode(answer)
 }
 
+// listed returns an empty list for none, as scripts can't go through a null.
+func listed[T any](items []T) []T {
+	if items == nil {
+		return []T{}
+	}
+
+	return items
+}
+
 // readJSON reads one JSON value and refuses unknown fields: a misspelt
 // base_revision would otherwise overwrite a newer branch.
 func readJSON(w http.ResponseWriter, r *http.Request, into any) error {
--- a/internal/administrator/handlers.go
+++ b/internal/administrator/handlers.go
@@ -31,11 +31,13 @@
 }
 
 func (s *Server) handleNodeStatus(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, s.options.Status.NodeStatus())
+	status := s.options.Status.NodeStatus()
+	status.Peers = listed(status.Peers)
+	writeJSON(w, status)
 }
 
 func (s *Server) handleUpstreams(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, upstreamsAnswer{Upstreams: s.options.Status.UpstreamStatuses()})
+	writeJSON(w, upstreamsAnswer{Upstreams: listed(s.options.Status.UpstreamStatuses())})
 }
 
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
--- a/internal/administrator/tree.go
+++ b/internal/administrator/tree.go
@@ -48,7 +48,7 @@
 		return
 	}
 
-	writeJSON(w, branchesAnswer{Branches: branches})
+	writeJSON(w, branchesAnswer{Branches: listed(branches)})
 }
 
 func (s *Server) handleBranch(w http.ResponseWriter, r *http.Request) {
@@ -207,7 +207,7 @@
 		return
 	}
 
-	writeJSON(w, historyAnswer{Changes: changes})
+	writeJSON(w, historyAnswer{Changes: listed(changes)})
 }
 
 func (s *Server) handleChange(w http.ResponseWriter, r *http.Request) {
