--- a/internal/scheduler/estimating.go
+++ b/internal/scheduler/estimating.go
@@ -26,7 +26,7 @@
 // requests of its tier before it: the slot time of all work that is served
 // earlier, divided by the slots that higher tiers leave.
 func (p *Pool) expectedWait(now time.Time, w *waiter, ahead int) time.Duration {
-	slots := p.slots()
+	slots := float64(p.view.slots)
 	if slots == 0 {
 		return 0
 	}
@@ -53,19 +53,6 @@
 	return time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second))
 }
 
-// slots is the sum of the learned limits.
-func (p *Pool) slots() float64 {
-	slots := 0
-
-	for _, s := range p.servers {
-		if p.view.usable(s) {
-			slots += s.slots()
-		}
-	}
-
-	return float64(slots)
-}
-
 // runningMean is the mean slot time of what runs: the pool's slots are free once in this time.
 func (p *Pool) runningMean() float64 {
 	count, sum := 0, 0.0
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -17,6 +17,8 @@
 	anyOpen bool
 	// anySteady is false when all open servers straggle; then tier 1 takes them too.
 	anySteady bool
+	// slots is the sum of the limits of the usable servers.
+	slots int
 	// forLower is the number of free slots that lower tiers may use.
 	forLower int
 	// reserved is true while the servers that don't straggle have no more free slots than the headroom.
@@ -52,6 +54,14 @@
 		v.anySteady = v.anySteady || (open && s.slow <= stragglerRatio)
 	}
 
+	v.slots = 0
+
+	for _, s := range v.pool.servers {
+		if v.usable(s) {
+			v.slots += s.slots()
+		}
+	}
+
 	v.count()
 }
 
