--- a/internal/scheduler/learning.go
+++ b/internal/scheduler/learning.go
@@ -61,6 +61,11 @@
 		v = p.judgeEngine(now, g, report)
 	}
 
+	// An engine that queues does so by priority: only its lowest tier shows whether more would fit.
+	if v == verdictMore && p.service.Kind == configurer.KindEngine && g.class.settings.Tier < g.server.lowestTier(p.classes) {
+		v = verdictHold
+	}
+
 	if !p.options.FixedSlots {
 		g.server.apply(now, g.granted, v)
 	}
@@ -102,7 +107,7 @@
 func (c *class) judge(measure time.Duration) verdict {
 	v := judge(measure.Seconds(), c.settings.Target.Seconds(), c.fast.value, firstExcess)
 	if v == verdictMore && measure.Seconds() > queueExcess*c.fast.value {
-		return verdictHold
+		return verdictQueued
 	}
 
 	return v
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -131,6 +131,19 @@
 	}
 }
 
+// lowestTier is the lowest tier among the running classes.
+func (s *server) lowestTier(classes []*class) int {
+	lowest := topTier
+
+	for i, count := range s.running {
+		if count > 0 {
+			lowest = max(lowest, classes[i].settings.Tier)
+		}
+	}
+
+	return lowest
+}
+
 // strictestGap is the shortest token gap target among the running classes; zero for none.
 func (s *server) strictestGap(classes []*class) time.Duration {
 	var strictest time.Duration
@@ -179,16 +192,22 @@
 const (
 	// The smaller of two verdicts is the more careful one.
 	verdictLess verdict = iota
+	// verdictQueued means that the answer waited inside the engine.
+	verdictQueued
 	verdictHold
 	verdictMore
 )
 
 // apply moves the limit: additive increase while full and on time,
-// multiplicative decrease once for each set of answers granted before it.
+// multiplicative decrease once for each set of answers granted before it. Signs
+// of a queue in the engine take back what was added to the slots of the
+// settings, and no more: a long prompt looks the same.
 func (s *server) apply(now, granted time.Time, v verdict) {
 	switch {
 	case v == verdictMore && s.inFlight >= s.slots():
 		s.limit = min(largestLimit, s.limit+1/s.limit)
+	case v == verdictQueued:
+		s.limit = max(min(s.limit, float64(s.upstream.Slots)), s.limit-1/s.limit, smallestLimit)
 	case v == verdictLess && granted.After(s.lastDecrease):
 		s.limit = max(smallestLimit, s.limit*decreaseFactor)
 		s.lastDecrease = now
