Hold organisations to their limits across all nodes by lent shares

A tenth of each limit is split evenly among the live nodes and used without any message; the rest is lent by the limit's owner (rendezvous hash over the live nodes) for 5 s at a time, max-min fair by reported wants. A node with a loan or unmet wants sends one report a period. A node counts its loan from before its report and the owner from its answer, so no clocks are compared; a smaller loan counts at its old size until the node names it. A next owner renews no more than what nodes say they hold until old loans have ended. Of two divisions by different node lists the smaller counts until all nodes know. Known nodes that don't answer keep their part, so that two sides of a cut together stay within the limit. Without its owner's answers a node keeps its loan to the end, then goes on with limit/N. Where one node decides alone, NewWhole has the limit whole and sends nothing.

Ruled out: a loan of the whole limit (the first request of each node would wait for a message); a new owner that lends nothing for the length of a loan (an organisation within its limit would be refused at each restart); rate.Limiter for tokens (answers are longer than its burst).

Found on the way: with reports every 250 ms while refusing, a round trip above that made every answer stale; after 5 s the node went on with its even part while its loan had been lent on, and 34 of 33 requests ran. Now no report overtakes an answer that is due. A joining node's base share came on top of the others' for up to 2 s; it now waits.

--- /dev/null
+++ b/internal/limiter/cluster_test.go
@@ -0,0 +1,251 @@
+package limiter
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+)
+
+var (
+	start   = time.Date(2026, time.March, 12, 8, 0, 0, 0, time.UTC)
+	testKey = Key{Service: "assistente", Organisation: "catania"}
+)
+
+// TestMain fixes the seed of the property tests, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = seed.Value.Set("20260312")
+	}
+
+	os.Exit(m.Run())
+}
+
+type fixedLimits Amounts
+
+func (f fixedLimits) Limits(key Key) Amounts {
+	if key != testKey {
+		return Amounts{}
+	}
+
+	return Amounts(f)
+}
+
+const tick = 50 * time.Millisecond
+
+// node is one node of a cluster in virtual time.
+type node struct {
+	name    string
+	limiter *Limiter
+	owner   *Owner
+	// running holds the ends of admitted requests.
+	running []time.Time
+	// admitted counts requests let in.
+	admitted int
+}
+
+// cluster runs nodes that exchange reports with losses and delays.
+type cluster struct {
+	now     time.Time
+	random  *rand.Rand
+	limits  Amounts
+	options Options
+	// loss is the share of messages lost each way.
+	loss  float64
+	delay time.Duration
+	// cut nodes reach no other node.
+	cut   map[string]bool
+	nodes map[string]*node
+	later []event
+	lives uint64
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+func newCluster(seed uint64, limits Amounts, size int) *cluster {
+	c := &cluster{
+		now:    start,
+		random: rand.New(rand.NewPCG(seed, 1)),
+		limits: limits,
+		cut:    make(map[string]bool),
+		nodes:  make(map[string]*node),
+	}
+
+	for i := range size {
+		c.add(fmt.Sprintf("n%02d", i))
+	}
+
+	for _, name := range c.names() {
+		c.view(name, c.names())
+	}
+
+	// Past the first grace.
+	c.now = c.now.Add(10 * time.Second)
+
+	return c
+}
+
+func (c *cluster) add(name string) {
+	c.lives++
+	source := fixedLimits(c.limits)
+	c.nodes[name] = &node{
+		name:    name,
+		limiter: New(c.options, source, name, c.lives),
+		owner:   NewOwner(c.now, c.options, source, name),
+	}
+}
+
+func (c *cluster) names() []string {
+	var names []string
+	for name := range c.nodes {
+		names = append(names, name)
+	}
+
+	slices.Sort(names)
+
+	return names
+}
+
+func (c *cluster) view(name string, members []string) {
+	if n := c.nodes[name]; n != nil {
+		n.limiter.SetNodes(c.now, members, len(members))
+		n.owner.SetNodes(c.now, members, len(members))
+	}
+}
+
+// changed lets each node learn of the present members at its own time within Settle.
+func (c *cluster) changed() {
+	members := c.names()
+
+	for _, name := range members {
+		if n := c.nodes[name]; n.limiter.view.current.live == 0 {
+			c.view(name, members)
+
+			continue
+		}
+
+		c.after(time.Duration(c.random.Int64N(int64(2*time.Second))), func() { c.view(name, members) })
+	}
+}
+
+func (c *cluster) after(wait time.Duration, do func()) {
+	c.later = append(c.later, event{c.now.Add(wait), do})
+}
+
+func (c *cluster) ownerName() string {
+	for _, name := range c.names() {
+		if c.nodes[name].owner.owns(testKey) {
+			return name
+		}
+	}
+
+	return ""
+}
+
+// step moves one tick on: due events, ends of requests, arrivals, reports.
+func (c *cluster) step(arrivals func(name string) int, length func() time.Duration, tokens int) {
+	c.now = c.now.Add(tick)
+	due := c.later
+	c.later = nil
+
+	for _, e := range due {
+		if e.at.After(c.now) {
+			c.later = append(c.later, e)
+
+			continue
+		}
+
+		e.do()
+	}
+
+	for _, name := range c.names() {
+		n := c.nodes[name]
+		n.running = slices.DeleteFunc(n.running, func(end time.Time) bool {
+			if end.After(c.now) {
+				return false
+			}
+
+			n.limiter.Done(c.now, testKey.Service, testKey.Organisation, "chat", tokens)
+
+			return true
+		})
+
+		for range arrivals(name) {
+			if ok, _, _ := n.limiter.Admit(c.now, testKey.Service, testKey.Organisation, "chat"); ok {
+				n.admitted++
+				n.running = append(n.running, c.now.Add(length()))
+			}
+		}
+
+		c.exchange(n)
+	}
+}
+
+func (c *cluster) exchange(n *node) {
+	for owner, demands := range n.limiter.Reports(c.now) {
+		c.send(n.name, owner, func() {
+			target := c.nodes[owner]
+			if target == nil {
+				return
+			}
+
+			for _, demand := range demands {
+				share, ok := target.owner.Report(c.now, n.name, demand)
+				if ok {
+					c.send(owner, n.name, func() { n.limiter.Apply(c.now, []Share{share}) })
+				}
+			}
+		})
+	}
+}
+
+func (c *cluster) send(from, to string, do func()) {
+	if from == to {
+		do()
+
+		return
+	}
+
+	if c.random.Float64() < c.loss || c.cut[from] || c.cut[to] {
+		return
+	}
+
+	c.after(time.Duration(c.random.Int64N(int64(c.delay)+1)), do)
+}
+
+// allowed sums the shares in force; alone counts the nodes that go on without
+// their owner, which stand in the sum with their base share.
+func (c *cluster) allowed() (sum, total Amounts, alone int) {
+	for _, n := range c.nodes {
+		share := n.limiter.Allowed(c.now, testKey)
+		total = total.plus(share)
+
+		e := n.limiter.entries[testKey]
+		if e.ownerSilent(c.now, n.limiter.options) {
+			alone++
+
+			share = n.limiter.view.base(c.now, c.limits)
+		}
+
+		sum = sum.plus(share)
+	}
+
+	return sum, total, alone
+}
+
+func (c *cluster) running() int {
+	count := 0
+	for _, n := range c.nodes {
+		count += len(n.running)
+	}
+
+	return count
+}
--- /dev/null
+++ b/internal/limiter/entry.go
@@ -0,0 +1,293 @@
+package limiter
+
+import (
+	"math"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+const (
+	// wantFactor leaves room for demand to grow between two reports.
+	wantFactor = 1.5
+	// wantFade is how much of the last demand still counts when the new one is lower.
+	wantFade = 0.7
+	// silentUse is the part of the base share that a node uses without reporting.
+	silentUse = 0.5
+)
+
+// entry is the state of one limit on one node.
+type entry struct {
+	limits Amounts
+	owner  string
+	// allowed is the share in force: base plus loan, or an even part while the owner is silent.
+	allowed Amounts
+
+	requests *rate.Limiter
+	inFlight int
+	// balance is the number of tokens left; below zero it is a debt that later time
+	// pays. A rate.Limiter can't be used here: it refuses more than its burst at
+	// once, and answers are longer than that.
+	balance   float64
+	balanceAt time.Time
+	// promised is the latest time that a refused caller was told to return at.
+	promised time.Time
+
+	lent      Amounts
+	leaseEnds time.Time
+	number    uint64
+	received  uint64
+	// measuredAt is when the demand was last measured.
+	measuredAt time.Time
+	// sentAt is when the report with the last number was sent; a loan runs from then.
+	sentAt time.Time
+	// silentSince is the time of the first report without an answer; zero when none waits.
+	silentSince time.Time
+
+	// What happened since the last report.
+	attempts, peak, blocked int
+	used                    float64
+	tokensRefused, refused  bool
+
+	wants    Amounts
+	lastUsed time.Time
+}
+
+func newEntry(now time.Time, limits, allowed Amounts) *entry {
+	return &entry{
+		limits:     limits,
+		allowed:    allowed,
+		requests:   rate.NewLimiter(rate.Limit(allowed.Requests), burst(allowed.Requests)),
+		balance:    allowed.Tokens,
+		balanceAt:  now,
+		measuredAt: now,
+		lastUsed:   now,
+	}
+}
+
+// burst is one second's worth, and at least one request.
+func burst(perSecond float64) int {
+	return max(1, int(math.Ceil(perSecond)))
+}
+
+// refresh brings the share up to now. A loan that ended is taken off as of its end.
+func (e *entry) refresh(now time.Time, options Options, view *view) {
+	if e.lent != (Amounts{}) && !now.Before(e.leaseEnds) {
+		e.lent = Amounts{}
+		e.allow(e.leaseEnds, view.base(e.leaseEnds, e.limits))
+	}
+
+	share := view.base(now, e.limits).plus(e.lent)
+
+	if e.ownerSilent(now, options) {
+		share = view.even(now, e.limits)
+	}
+
+	e.allow(now, share.atMost(e.limits))
+}
+
+// ownerSilent says whether the owner has not answered for so long that the node
+// goes on with an even part of the limit. It keeps the loan to its end first.
+func (e *entry) ownerSilent(now time.Time, options Options) bool {
+	return e.lent == (Amounts{}) && !e.silentSince.IsZero() && now.Sub(e.silentSince) >= options.LeaseFor
+}
+
+func (e *entry) allow(at time.Time, share Amounts) {
+	e.settle(at)
+
+	if share == e.allowed {
+		return
+	}
+
+	e.allowed = share
+	e.requests.SetLimitAt(at, rate.Limit(share.Requests))
+	e.requests.SetBurstAt(at, burst(share.Requests))
+	e.balance = min(e.balance, share.Tokens)
+}
+
+// settle adds the tokens that time brought, one second's worth at most.
+func (e *entry) settle(at time.Time) {
+	passed := at.Sub(e.balanceAt).Seconds()
+	if passed <= 0 {
+		return
+	}
+
+	e.balance = min(e.balance+passed*e.allowed.Tokens, max(e.allowed.Tokens, e.balance))
+	e.balanceAt = at
+}
+
+// check says whether a request fits, and counts the attempt as demand.
+func (e *entry) check(now time.Time, options Options) (classifier.Code, time.Duration) {
+	e.attempts++
+	e.lastUsed = now
+
+	if e.limits.Concurrency > 0 && float64(e.inFlight) >= e.allowed.Concurrency {
+		e.blocked++
+		e.refused = true
+
+		return classifier.ConcurrencyLimited, options.Period
+	}
+
+	if e.limits.Tokens > 0 && e.balance <= 0 {
+		e.tokensRefused = true
+		e.refused = true
+
+		return classifier.TokensLimited, e.wait((1-e.balance)/e.likely(e.allowed.Tokens, e.limits.Tokens), options)
+	}
+
+	if e.limits.Requests > 0 && e.requests.TokensAt(now) < 1 {
+		e.refused = true
+
+		return classifier.RateLimited, e.promise(now, options)
+	}
+
+	return classifier.OK, 0
+}
+
+// promise gives each refused caller a time of its own: told the same, they would
+// return as one crowd, of which one gets in.
+func (e *entry) promise(now time.Time, options Options) time.Duration {
+	step := time.Duration(float64(time.Second) / e.likely(e.allowed.Requests, e.limits.Requests))
+	latest := now.Add(options.LongestRetryAfter)
+
+	if e.promised.Before(now) {
+		e.promised = now
+	}
+
+	e.promised = e.promised.Add(min(step, options.LongestRetryAfter))
+	if e.promised.After(latest) {
+		e.promised = latest
+	}
+
+	return max(e.promised.Sub(now), options.Period)
+}
+
+// likely is the rate to expect: a node without a loan will have one after its next report.
+func (e *entry) likely(allowed, limit float64) float64 {
+	if e.lent == (Amounts{}) {
+		return max(allowed, limit/2)
+	}
+
+	return allowed
+}
+
+func (e *entry) wait(seconds float64, options Options) time.Duration {
+	seconds = min(seconds, options.LongestRetryAfter.Seconds())
+
+	return max(time.Duration(seconds*float64(time.Second)), options.Period)
+}
+
+func (e *entry) take(now time.Time) {
+	if e.limits.Requests > 0 {
+		e.requests.AllowN(now, 1)
+	}
+
+	e.inFlight++
+	e.peak = max(e.peak, e.inFlight)
+}
+
+func (e *entry) finish(now time.Time, tokens int) {
+	e.inFlight = max(e.inFlight-1, 0)
+	e.lastUsed = now
+
+	if e.limits.Tokens > 0 {
+		e.balance -= float64(tokens)
+		e.used += float64(tokens)
+	}
+}
+
+// forgettable says whether a new entry would be no more generous than this one.
+func (e *entry) forgettable(now time.Time, options Options) bool {
+	if e.inFlight > 0 || now.Sub(e.lastUsed) < options.Forget {
+		return false
+	}
+
+	paid := e.limits.Tokens == 0 || e.balance >= e.allowed.Tokens
+	full := e.limits.Requests == 0 || e.requests.TokensAt(now) >= float64(e.requests.Burst())
+
+	return paid && full
+}
+
+// due measures the demand once its time has come and says whether the owner
+// must hear of it. While a loan or more than the base share is in use, each
+// period has a report: the owner counts what runs from the reports alone.
+func (e *entry) due(now time.Time, options Options, view *view) bool {
+	passed := now.Sub(e.measuredAt)
+	// A report before the answer to the last one would make that answer stale.
+	urgent := e.refused && e.silentSince.IsZero() && e.lent == (Amounts{})
+
+	if passed < options.Period/4 || (passed < options.Period && !urgent) {
+		return false
+	}
+
+	e.measure(now, options)
+
+	base := view.base(now, e.limits)
+	beyond := e.wants.minus(base.times(silentUse)) != (Amounts{})
+	running := e.limits.Concurrency > 0 && float64(e.inFlight) > base.Concurrency
+
+	if beyond || running || e.lent != (Amounts{}) {
+		return true
+	}
+
+	e.silentSince = time.Time{}
+
+	return false
+}
+
+func (e *entry) measure(now time.Time, options Options) {
+	seconds := now.Sub(e.measuredAt).Seconds()
+	measured := Amounts{
+		Requests:    float64(e.attempts) / seconds,
+		Concurrency: float64(e.peak + e.blocked),
+		Tokens:      e.used / seconds,
+	}
+
+	if e.tokensRefused {
+		measured.Tokens = e.limits.Tokens
+	}
+
+	e.wants = measured.atLeast(e.wants.times(wantFade)).atMost(e.limits)
+
+	if e.inFlight == 0 && now.Sub(e.lastUsed) >= options.LeaseFor {
+		e.wants = Amounts{}
+	}
+
+	e.measuredAt = now
+	e.attempts, e.blocked, e.used = 0, 0, 0
+	e.peak = e.inFlight
+	e.tokensRefused, e.refused = false, false
+}
+
+func (e *entry) report(now time.Time, key Key, incarnation uint64, view *view) Demand {
+	e.number++
+	e.sentAt = now
+
+	if e.silentSince.IsZero() {
+		e.silentSince = now
+	}
+
+	base := view.base(now, e.limits)
+	wants := e.wants.times(wantFactor)
+	wants.Concurrency = math.Ceil(wants.Concurrency)
+
+	return Demand{
+		Key:         key,
+		Incarnation: incarnation,
+		Number:      e.number,
+		Received:    e.received,
+		Wants:       wants.minus(base).brief(),
+		Held:        e.lent,
+		InFlight:    max(e.inFlight-int(base.Concurrency), 0),
+	}
+}
+
+// apply takes the answer to the last report.
+func (e *entry) apply(share Share, options Options) {
+	e.received = share.Number
+	e.silentSince = time.Time{}
+	e.lent = share.Lent
+	e.leaseEnds = e.sentAt.Add(options.LeaseFor)
+}
--- /dev/null
+++ b/internal/limiter/limiter.go
@@ -0,0 +1,205 @@
+package limiter
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// Limiter admits requests on one node within its shares. It is safe for
+// concurrent use and calls nothing but its Source while it holds its lock.
+type Limiter struct {
+	options     Options
+	source      Source
+	self        string
+	incarnation uint64
+
+	mu      sync.Mutex
+	view    view
+	owners  *rendezvous.Rendezvous
+	entries map[Key]*entry
+	// refused counts refusals by result code.
+	refused map[classifier.Code]int64
+}
+
+// New returns a limiter that has no base share until SetNodes has named the live
+// nodes and the loans of before have ended; loans it gets at once. The incarnation must differ between two lives of a node.
+func New(options Options, source Source, self string, incarnation uint64) *Limiter {
+	options = options.withDefaults()
+
+	return &Limiter{
+		options:     options,
+		source:      source,
+		self:        self,
+		incarnation: incarnation,
+		view:        view{options: options},
+		owners:      rendezvous.New([]string{self}, xxhash.Sum64String),
+		entries:     make(map[Key]*entry),
+		refused:     make(map[classifier.Code]int64),
+	}
+}
+
+// NewWhole returns a limiter that has every limit whole, for where one node decides alone.
+func NewWhole(options Options, source Source) *Limiter {
+	l := New(options, source, "", 0)
+	l.view.current.whole = true
+
+	return l
+}
+
+// SetNodes tells which nodes answer, this one included, and how many are known
+// to exist. The part of known nodes that don't answer is left to them.
+func (l *Limiter) SetNodes(now time.Time, live []string, known int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.view.set(now, newDivision(l.options, len(live), known))
+	l.owners = rendezvous.New(live, xxhash.Sum64String)
+
+	for key, e := range l.entries {
+		e.owner = l.owners.Lookup(key.text())
+	}
+}
+
+// Admit takes one request in, or says why not and when to come back. Every
+// admitted request needs one call of Done.
+func (l *Limiter) Admit(now time.Time, service, organisation, class string) (ok bool, code classifier.Code, retryAfter time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	whole := l.find(now, Key{Service: service, Organisation: organisation})
+	byClass := l.find(now, Key{Service: service, Organisation: organisation, Class: class})
+
+	for _, e := range [...]*entry{whole, byClass} {
+		if e == nil {
+			continue
+		}
+
+		if code, retryAfter = e.check(now, l.options); code != classifier.OK {
+			l.refused[code]++
+
+			return false, code, retryAfter
+		}
+	}
+
+	for _, e := range [...]*entry{whole, byClass} {
+		if e != nil {
+			e.take(now)
+		}
+	}
+
+	return true, classifier.OK, 0
+}
+
+// Done ends an admitted request that generated the given number of tokens. They
+// are paid afterwards, since nobody knows the length of an answer in advance.
+func (l *Limiter) Done(now time.Time, service, organisation, class string, tokens int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	for _, name := range [...]string{"", class} {
+		e := l.entries[Key{Service: service, Organisation: organisation, Class: name}]
+		if e != nil {
+			e.refresh(now, l.options, &l.view)
+			e.finish(now, tokens)
+		}
+	}
+}
+
+// Refused returns the number of refusals by code since the start.
+func (l *Limiter) Refused() map[classifier.Code]int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	counts := make(map[classifier.Code]int64, len(l.refused))
+	for code, count := range l.refused {
+		counts[code] = count
+	}
+
+	return counts
+}
+
+// Allowed returns the share that the node has of a limit now.
+func (l *Limiter) Allowed(now time.Time, key Key) Amounts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if e := l.find(now, key); e != nil {
+		return e.allowed
+	}
+
+	return Amounts{}
+}
+
+// find returns the state of a limit with its share brought up to now, or nil when there is no limit.
+func (l *Limiter) find(now time.Time, key Key) *entry {
+	limits := l.source.Limits(key)
+	e := l.entries[key]
+
+	if e == nil {
+		if limits == (Amounts{}) {
+			return nil
+		}
+
+		e = newEntry(now, limits, l.view.base(now, limits))
+		e.owner = l.owners.Lookup(key.text())
+		l.entries[key] = e
+	}
+
+	e.limits = limits
+	e.refresh(now, l.options, &l.view)
+
+	return e
+}
+
+// Reports returns the reports that are due, by the node that owns the limits.
+// It also drops limits that were not used for a while.
+func (l *Limiter) Reports(now time.Time) map[string][]Demand {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	var reports map[string][]Demand
+
+	for key, e := range l.entries {
+		e.refresh(now, l.options, &l.view)
+
+		if e.forgettable(now, l.options) {
+			delete(l.entries, key)
+
+			continue
+		}
+
+		if l.view.current.whole || !e.due(now, l.options, &l.view) {
+			continue
+		}
+
+		if reports == nil {
+			reports = make(map[string][]Demand)
+		}
+
+		reports[e.owner] = append(reports[e.owner], e.report(now, key, l.incarnation, &l.view))
+	}
+
+	return reports
+}
+
+// Apply takes the owner's answers. An answer to any but the last report is dropped.
+func (l *Limiter) Apply(now time.Time, shares []Share) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	for _, share := range shares {
+		e := l.entries[share.Key]
+		if e == nil || share.Number != e.number {
+			continue
+		}
+
+		e.refresh(now, l.options, &l.view)
+		e.apply(share, l.options)
+		e.refresh(now, l.options, &l.view)
+	}
+}
--- /dev/null
+++ b/internal/limiter/owner.go
@@ -0,0 +1,270 @@
+package limiter
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+)
+
+// Owner lends out the limits that this node owns. It is safe for concurrent use.
+//
+// What is lent, plus the base shares of all nodes, never exceeds a limit: a
+// smaller loan counts at its old size until the node says that it knows, or the
+// old loan ends; a node counts its loan from before its report, the owner from
+// its answer, so no clocks are compared. A new owner lends no more than nodes
+// say they hold until its predecessor's loans have ended.
+type Owner struct {
+	options Options
+	source  Source
+	self    string
+
+	mu      sync.Mutex
+	nodes   []string
+	known   int
+	view    view
+	owners  *rendezvous.Rendezvous
+	changed time.Time
+	books   map[Key]*book
+}
+
+// NewOwner returns an owner that lends nothing new until its predecessor's loans have ended.
+func NewOwner(now time.Time, options Options, source Source, self string) *Owner {
+	options = options.withDefaults()
+
+	return &Owner{
+		options: options,
+		source:  source,
+		self:    self,
+		view:    view{options: options},
+		owners:  rendezvous.New(nil, xxhash.Sum64String),
+		changed: now,
+		books:   make(map[Key]*book),
+	}
+}
+
+// SetNodes tells which nodes answer, this one included, and how many are known
+// to exist. Limits that have another owner now are forgotten.
+func (o *Owner) SetNodes(now time.Time, live []string, known int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	if slices.Equal(o.nodes, live) && o.known == known {
+		return
+	}
+
+	o.nodes = slices.Clone(live)
+	o.known = known
+	o.view.set(now, newDivision(o.options, len(live), known))
+	o.owners = rendezvous.New(o.nodes, xxhash.Sum64String)
+	o.changed = now
+
+	for key := range o.books {
+		if !o.owns(key) {
+			delete(o.books, key)
+		}
+	}
+}
+
+func (o *Owner) owns(key Key) bool {
+	return len(o.nodes) > 0 && o.owners.Lookup(key.text()) == o.self
+}
+
+// Report takes a node's demand and returns its loan. It returns false when this
+// node doesn't own the limit in its own view, or knows a later report.
+func (o *Owner) Report(now time.Time, node string, demand Demand) (Share, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	if !o.owns(demand.Key) {
+		return Share{}, false
+	}
+
+	b := o.books[demand.Key]
+	if b == nil {
+		b = &book{loans: make(map[string]*loan), graceEnds: o.changed.Add(o.options.LeaseFor + o.options.Settle)}
+		o.books[demand.Key] = b
+	}
+
+	l := b.loan(node)
+	if !l.update(now, demand) {
+		return Share{}, false
+	}
+
+	pool := o.view.pool(now, o.source.Limits(demand.Key))
+	lent := b.target(now, node, pool).atMost(pool.minus(b.others(now, node)))
+
+	if now.Before(b.graceEnds) {
+		lent = lent.atMost(demand.Held)
+	}
+
+	lent = lent.whole().brief()
+	l.lend(now, lent, o.options.LeaseFor)
+
+	return Share{Key: demand.Key, Number: demand.Number, Lent: lent}, true
+}
+
+// Sweep forgets limits that nobody holds a loan of. It is to be called every few seconds.
+func (o *Owner) Sweep(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	for key, b := range o.books {
+		for node, l := range b.loans {
+			if !now.Before(l.expires) && !now.Before(l.formerExpires) {
+				delete(b.loans, node)
+			}
+		}
+
+		if len(b.loans) == 0 && !now.Before(b.graceEnds) {
+			delete(o.books, key)
+		}
+	}
+}
+
+// book is what one limit has lent.
+type book struct {
+	loans map[string]*loan
+	// graceEnds is when the predecessor's loans have ended.
+	graceEnds time.Time
+}
+
+func (b *book) loan(node string) *loan {
+	l := b.loans[node]
+	if l == nil {
+		l = &loan{}
+		b.loans[node] = l
+	}
+
+	return l
+}
+
+// others is what all nodes but one may hold.
+func (b *book) others(now time.Time, node string) Amounts {
+	var sum Amounts
+
+	for name, l := range b.loans {
+		if name != node {
+			sum = sum.plus(l.counted(now))
+		}
+	}
+
+	return sum
+}
+
+// target is the node's max-min fair part of the pool: small wants are met whole,
+// the rest is split evenly.
+func (b *book) target(now time.Time, node string, pool Amounts) Amounts {
+	var requests, concurrency, tokens []float64
+
+	for name, l := range b.loans {
+		if name != node && !now.Before(l.expires) {
+			continue
+		}
+
+		requests = append(requests, l.wants.Requests)
+		concurrency = append(concurrency, l.wants.Concurrency)
+		tokens = append(tokens, l.wants.Tokens)
+	}
+
+	own := b.loans[node].wants
+
+	return own.atMost(Amounts{
+		Requests:    fairLevel(requests, pool.Requests),
+		Concurrency: math.Ceil(fairLevel(concurrency, pool.Concurrency)),
+		Tokens:      fairLevel(tokens, pool.Tokens),
+	})
+}
+
+// fairLevel is the largest part that anyone may get so that all parts fit the pool.
+func fairLevel(wants []float64, pool float64) float64 {
+	slices.Sort(wants)
+
+	for i, want := range wants {
+		level := pool / float64(len(wants)-i)
+		if want >= level {
+			return level
+		}
+
+		pool -= want
+	}
+
+	return math.Inf(1)
+}
+
+// loan is what one node holds of one limit.
+type loan struct {
+	incarnation uint64
+	number      uint64
+	wants       Amounts
+	// inFlight is what runs on the node beyond its base share; it counts as lent while the loan lasts.
+	inFlight int
+	lent     Amounts
+	expires  time.Time
+	// former is the largest loan that the node may still go by, since it hasn't named a later one.
+	former        Amounts
+	formerExpires time.Time
+}
+
+// update takes a demand in and returns false when a later one is known.
+func (l *loan) update(now time.Time, demand Demand) bool {
+	if demand.Incarnation == l.incarnation && demand.Number <= l.number {
+		return false
+	}
+
+	held := l.counted(now)
+	heldExpires := later(l.expires, l.formerExpires)
+
+	if demand.Incarnation == l.incarnation && l.number > 0 && demand.Received == l.number {
+		held = l.current(now)
+		heldExpires = l.expires
+	}
+
+	l.former, l.formerExpires = held, heldExpires
+	l.incarnation = demand.Incarnation
+	l.number = demand.Number
+	l.wants = demand.Wants
+	l.inFlight = demand.InFlight
+
+	return true
+}
+
+func (l *loan) lend(now time.Time, lent Amounts, length time.Duration) {
+	l.lent = lent
+	l.expires = now.Add(length)
+}
+
+// current is the last loan if it hasn't ended.
+func (l *loan) current(now time.Time) Amounts {
+	if !now.Before(l.expires) {
+		return Amounts{}
+	}
+
+	return l.lent
+}
+
+// counted is the most that the node may hold or have running.
+func (l *loan) counted(now time.Time) Amounts {
+	held := l.current(now)
+
+	if now.Before(l.expires) {
+		held.Concurrency = max(held.Concurrency, float64(l.inFlight))
+	}
+
+	if now.Before(l.formerExpires) {
+		held = held.atLeast(l.former)
+	}
+
+	return held
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+
+	return b
+}
--- /dev/null
+++ b/internal/limiter/rpc_test.go
@@ -0,0 +1,92 @@
+package limiter
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+// wire carries calls to owners as JSON and counts the bytes.
+type wire struct {
+	owners map[string]*Owner
+	bytes  int
+}
+
+var errSilent = errors.New("no answer")
+
+func (w *wire) Call(ctx context.Context, peer, method string, params, result any) error {
+	if w.owners[peer] == nil {
+		<-ctx.Done()
+
+		return errSilent
+	}
+
+	sent, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+
+	answer, err := w.owners[peer].HandleReport(ctx, "b", sent)
+	if err != nil {
+		return err
+	}
+
+	received, err := json.Marshal(answer)
+	if err != nil {
+		return err
+	}
+
+	w.bytes += len(method) + len(sent) + len(received)
+
+	return json.Unmarshal(received, result)
+}
+
+func TestExchange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := fixedLimits{Requests: 40, Concurrency: 20, Tokens: 500}
+		names := []string{"a", "b"}
+		l := New(Options{}, limits, "b", 1)
+		local := NewOwner(time.Now(), Options{}, limits, "b")
+		remote := NewOwner(time.Now(), Options{}, limits, "a")
+
+		l.SetNodes(time.Now(), names, 2)
+		local.SetNodes(time.Now(), names, 2)
+		remote.SetNodes(time.Now(), names, 2)
+		time.Sleep(10 * time.Second)
+
+		calls := &wire{owners: map[string]*Owner{"a": remote}}
+
+		for range 20 {
+			time.Sleep(250 * time.Millisecond)
+
+			for range 10 {
+				l.Admit(time.Now(), testKey.Service, testKey.Organisation, "chat")
+			}
+
+			assert.NilError(t, l.Exchange(t.Context(), calls, local))
+		}
+
+		t.Logf("%d bytes in 5 s for one limit in use", calls.bytes)
+		assert.Assert(t, l.Allowed(time.Now(), testKey).Requests > 30)
+
+		_, err := remote.HandleReport(t.Context(), "b", json.RawMessage("{"))
+		assert.ErrorContains(t, err, "can't be read")
+
+		if l.entries[testKey].owner != "a" {
+			return
+		}
+
+		calls.owners = nil
+		started := time.Now()
+
+		time.Sleep(time.Second)
+		l.Admit(time.Now(), testKey.Service, testKey.Organisation, "chat")
+		assert.ErrorContains(t, l.Exchange(t.Context(), calls, local), "no answer")
+		assert.Assert(t, time.Since(started) <= 1250*time.Millisecond)
+	})
+}
