--- /dev/null
+++ b/internal/scheduler/stats.go
@@ -0,0 +1,83 @@
+package scheduler
+
+import (
+	"maps"
+	"time"
+
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// Stats are the counters of a pool since it was made.
+type Stats struct {
+	// Queued is the number of requests that wait now, by class.
+	Queued map[string]int
+	// InFlight is the number of granted slots, by server.
+	InFlight map[string]int
+	// Limit is the learned number of requests at once, by server.
+	Limit map[string]int
+	// Granted counts by class, Refused by code.
+	Granted map[string]int
+	Refused map[classifier.Code]int
+	// Cancelled counts requests that their entry took back or that ended with it.
+	Cancelled int
+	// Preempted counts slots taken back for tier 1.
+	Preempted int
+	// Oversubscribed counts grants above a learned limit that engine priority allowed.
+	Oversubscribed int
+	// TokensLost counts tokens that an engine has to read again because of preemption.
+	TokensLost int
+	// Reclaimed counts grants freed because their entry didn't know them.
+	Reclaimed int
+	// SlotTime is the time that slots were in use, by server; divided by time
+	// and limit it is the server's busy share.
+	SlotTime map[string]time.Duration
+	// LongestWait is the longest time in the queue until a grant, by class.
+	LongestWait map[string]time.Duration
+}
+
+// counters are the parts of Stats that only grow.
+type counters struct {
+	refused        map[classifier.Code]int
+	cancelled      int
+	preempted      int
+	oversubscribed int
+	tokensLost     int
+	reclaimed      int
+}
+
+func newCounters() counters {
+	return counters{refused: make(map[classifier.Code]int)}
+}
+
+// Stats returns a copy of the counters as of the latest call.
+func (p *Pool) Stats() Stats {
+	stats := Stats{
+		Queued:         make(map[string]int, len(p.classes)),
+		InFlight:       make(map[string]int, len(p.servers)),
+		Limit:          make(map[string]int, len(p.servers)),
+		Granted:        make(map[string]int, len(p.classes)),
+		Refused:        maps.Clone(p.counters.refused),
+		Cancelled:      p.counters.cancelled,
+		Preempted:      p.counters.preempted,
+		Oversubscribed: p.counters.oversubscribed,
+		TokensLost:     p.counters.tokensLost,
+		Reclaimed:      p.counters.reclaimed,
+		SlotTime:       make(map[string]time.Duration, len(p.servers)),
+		LongestWait:    make(map[string]time.Duration, len(p.classes)),
+	}
+
+	for _, c := range p.classes {
+		stats.Queued[c.settings.Name] = c.total
+		stats.Granted[c.settings.Name] = c.granted
+		stats.LongestWait[c.settings.Name] = c.longestWait
+	}
+
+	for _, s := range p.servers {
+		s.count(p.last)
+		stats.InFlight[s.upstream.Name] = s.inFlight
+		stats.Limit[s.upstream.Name] = s.slots()
+		stats.SlotTime[s.upstream.Name] = s.slotTime
+	}
+
+	return stats
+}
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"quincepath.example/quincepath/internal/administrator"
 	"quincepath.example/quincepath/internal/dispatcher"
 	"quincepath.example/quincepath/internal/recorder"
 	"quincepath.example/quincepath/pkg/classifier"
@@ -27,8 +30,87 @@
 // run is one request in flight, or ended and kept for a caller that comes back.
 type run struct {
 	request dispatcher.Request
+	sender  dispatcher.Sender
 	answer  *recorder.Answer
-	cancel  context.CancelFunc
+	// deliver writes the answer to a caller from the event after lastEvent on; "" means from the start.
+	deliver func(w http.ResponseWriter, r *http.Request, lastEvent string)
+	// key is the idempotency key, and bodyHash what it stands for; the key is empty when there is none.
+	key      string
+	bodyHash [sha256.Size]byte
+	// replayed is set when the answer is that of an earlier run.
+	replayed atomic.Bool
+	// resumable says that the caller comes back after a broken connection.
+	resumable bool
+	cancel    context.CancelFunc
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// firstToken is the time from arrival to the first token or answer byte; zero before.
+	firstToken time.Duration
+	attempts   int
+	// upstream is the name of the last attempt's upstream.
+	upstream string
+	// tokens is the number of tokens in the answer after the last attempt.
+	tokens int
+	// ended is set with the final result; failure is nil for a whole answer.
+	ended   bool
+	failure *classifier.Error
+}
+
+// note keeps what an attempt brought.
+func (e *run) note(attempt dispatcher.Attempt, outcome dispatcher.Outcome) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.attempts = attempt.Number
+	e.upstream = attempt.Slot.Upstream.Name
+	e.tokens += outcome.Tokens
+
+	if e.firstToken == 0 && outcome.FirstToken > 0 {
+		e.firstToken = time.Since(e.request.Arrived) - outcome.Duration + outcome.FirstToken
+	}
+}
+
+// finish keeps the final result.
+func (e *run) finish(failure *classifier.Error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.ended = true
+	e.failure = failure
+}
+
+// status describes the request to operators.
+func (e *run) status() administrator.RequestStatus {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	status := administrator.RequestStatus{
+		RequestID:    e.request.ID,
+		Service:      e.request.Service.Name,
+		Class:        e.request.Class.Name,
+		Organisation: e.request.Organisation.Name,
+		State:        "waiting",
+		Upstream:     e.upstream,
+		Attempts:     e.attempts,
+		ArrivedAt:    e.request.Arrived,
+		Tokens:       max(e.tokens, e.answer.Len()),
+	}
+
+	switch {
+	case e.ended && e.failure != nil:
+		status.State = "ended"
+		status.Result = e.failure.Code.String()
+		status.Ran = string(e.failure.Ran)
+	case e.ended:
+		status.State = "ended"
+		status.Result = classifier.OK.String()
+		status.Ran = string(classifier.RanYes)
+	case status.Tokens > 0:
+		status.State = "running"
+	}
+
+	return status
 }
 
 // runs holds the requests of a node by id. It is safe for concurrent use.
@@ -92,10 +174,29 @@
 	return a.inFlight
 }
 
-// start runs a request on the node's workers. It returns at once; the answer tells the rest.
-func (n *Node) start(r *http.Request, request dispatcher.Request, sender dispatcher.Sender, answer *recorder.Answer) *classifier.Error {
+// serve runs a request on the node's workers and writes its answer to the caller.
+func (n *Node) serve(w http.ResponseWriter, r *http.Request, entry *run) {
+	entry.resumable = strings.EqualFold(r.Header.Get(headerResumable), "true")
+
+	if failure := n.start(r.Context(), entry); failure != nil {
+		n.refuse(w, entry.request.ID, failure)
+
+		return
+	}
+
+	if entry.resumable {
+		// The caller must know the id before the first byte of the answer, or it could not come back for it.
+		w.Header().Set(headerRequestID, entry.request.ID)
+		w.WriteHeader(http.StatusEarlyHints)
+	}
+
+	entry.deliver(w, r, "")
+}
+
+// start hands the request to a worker and returns at once; the answer tells the rest.
+func (n *Node) start(caller context.Context, entry *run) *classifier.Error {
 	ctx, cancel := context.WithCancel(n.work)
-	entry := &run{request: request, answer: answer, cancel: cancel}
+	entry.cancel = cancel
 
 	if failure := n.runs.add(entry); failure != nil {
 		cancel()
@@ -103,14 +204,13 @@
 		return failure
 	}
 
-	resumable := strings.EqualFold(r.Header.Get(headerResumable), "true")
-	n.cancelWithCaller(r.Context(), entry, resumable)
+	n.cancelWithCaller(caller, entry)
 
-	err := n.runners.Go(func() { n.runOne(ctx, entry, sender, resumable) })
+	err := n.runners.Go(func() { n.runOne(ctx, entry) })
 	if err != nil {
 		cancel()
 		n.runs.finished()
-		n.runs.forget(request.ID)
+		n.runs.forget(entry.request.ID)
 
 		return classifier.Wrap(err, classifier.NodeFull, "the node's workers are busy").After(fullRetryAfter)
 	}
@@ -120,13 +220,13 @@
 
 // cancelWithCaller ends a run whose caller left. A request that is not
 // repeatable goes on: cancelled halfway, nobody could tell whether it ran.
-func (n *Node) cancelWithCaller(caller context.Context, entry *run, resumable bool) {
+func (n *Node) cancelWithCaller(caller context.Context, entry *run) {
 	if !entry.request.Repeatable {
 		return
 	}
 
 	context.AfterFunc(caller, func() {
-		if !resumable {
+		if !entry.resumable {
 			entry.cancel()
 
 			return
@@ -136,13 +236,25 @@
 	})
 }
 
-func (n *Node) runOne(ctx context.Context, entry *run, sender dispatcher.Sender, resumable bool) {
+// runEntry runs the request, with a claim where it must run at most once. A
+// request that is not repeatable and has no key can't be recognised when it
+// comes again; it is sent once and never retried once bytes may have left.
+func (n *Node) runEntry(ctx context.Context, entry *run) (failure *classifier.Error, record func()) {
+	if entry.request.Repeatable || entry.key == "" {
+		return n.dispatch.Run(ctx, entry.request, entry.sender), nil
+	}
+
+	return n.runOnce(ctx, entry)
+}
+
+func (n *Node) runOne(ctx context.Context, entry *run) {
 	defer entry.cancel()
 
-	failure := n.dispatch.Run(ctx, entry.request, sender)
+	n.meter.Started(counterName(entry.request))
+	failure, record := n.runEntry(ctx, entry)
 
-	n.runs.finished()
-	n.logEnd(entry.request, failure)
+	entry.finish(failure)
+	n.requestEnded(entry, failure)
 
 	if failure != nil {
 		entry.answer.End(failure)
@@ -150,30 +262,17 @@
 		entry.answer.End(nil)
 	}
 
-	if !resumable {
-		n.runs.forget(entry.request.ID)
-
-		return
+	if record != nil {
+		record()
 	}
 
-	time.AfterFunc(resumeWindow, func() { n.runs.forget(entry.request.ID) })
-}
+	n.runs.finished()
 
-func (n *Node) logEnd(request dispatcher.Request, failure *classifier.Error) {
-	event := n.logger.Info()
-	code := classifier.OK
+	if !entry.resumable {
+		n.runs.forget(entry.request.ID)
 
-	if failure != nil {
-		event = n.logger.Warn().Str("reason", failure.Reason)
-		code = failure.Code
+		return
 	}
 
-	event.Str("request_id", request.ID).
-		Str("service", request.Service.Name).
-		Str("class", request.Class.Name).
-		Str("organisation", request.Organisation.Name).
-		Int("result_code", int(code)).
-		Str("result", code.String()).
-		Dur("duration_ms", time.Since(request.Arrived)).
-		Msg("request_ended")
+	time.AfterFunc(resumeWindow, func() { n.runs.forget(entry.request.ID) })
 }
