Hold limits across nodes, budget retries, follow the settings tree

Cause: limits and retry budgets were decided nowhere, and a node kept the settings of its own file. Organisations are now admitted by the limiter, attempts judged by the retrier, and the tree comes from the platform or from peers.

--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -25,6 +25,9 @@
 	headerRan        = "Quincepath-Ran"
 )
 
+// failureRetryAfter is when to come back after a failure that says nothing better.
+const failureRetryAfter = 2 * time.Second
+
 const (
 	maxHeaderBytes = 64 << 10
 	maxKeyBytes    = 200
@@ -96,8 +99,8 @@
 	return organisation, body, failure
 }
 
-// take resolves service, organisation and class of a request.
-func (n *Node) take(r *http.Request, organisationName, serviceName string, kind configurer.Kind) (intake, *classifier.Error) {
+// resolve finds service, organisation and class of a request.
+func (n *Node) resolve(r *http.Request, organisationName, serviceName string, kind configurer.Kind) (intake, *classifier.Error) {
 	service, ok := n.tree.Snapshot().Services[serviceName]
 	if !ok || service.Kind != kind {
 		return intake{}, classifier.New(classifier.UnknownService, "there is no %s service %q", kind, serviceName)
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -40,7 +40,7 @@
 		return
 	}
 
-	taken, failure := n.take(r, organisation, gjson.GetBytes(body, "model").String(), configurer.KindEngine)
+	taken, failure := n.resolve(r, organisation, gjson.GetBytes(body, "model").String(), configurer.KindEngine)
 	if failure != nil {
 		n.refuse(w, "", failure)
 
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -29,6 +29,8 @@
 		return err
 	}
 
+	go n.distributor.Run(n.work)
+	go n.exchangeLimits(n.work)
 	go n.pollLoads(n.work)
 
 	server := &http.Server{
--- /dev/null
+++ b/internal/server/limits.go
@@ -0,0 +1,70 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"quincepath.example/quincepath/internal/dispatcher"
+	"quincepath.example/quincepath/internal/limiter"
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// limitInterval is how often due reports on limits are sent; a quarter of the limiter's period.
+const limitInterval = 250 * time.Millisecond
+
+// limits holds organisations to their limits, as this node's part of the fleet.
+type limits struct {
+	local *limiter.Limiter
+	owner *limiter.Owner
+}
+
+func newLimits(tree *settingsHolder, id *identity) *limits {
+	source := limiter.SnapshotFunc(tree.Snapshot)
+
+	return &limits{
+		local: limiter.New(limiter.Options{}, source, id.node, id.seed()),
+		owner: limiter.NewOwner(time.Now(), limiter.Options{}, source, id.node),
+	}
+}
+
+// setNodes tells both sides which nodes live; known also counts those that may come back.
+func (l *limits) setNodes(live []string, known int) {
+	now := time.Now()
+
+	l.local.SetNodes(now, live, known)
+	l.owner.SetNodes(now, live, known)
+}
+
+// admit returns nil, or why the organisation may not send the request now.
+func (l *limits) admit(request dispatcher.Request) *classifier.Error {
+	ok, code, wait := l.local.Admit(time.Now(), request.Service.Name, request.Organisation.Name, request.Class.Name)
+	if ok {
+		return nil
+	}
+
+	return classifier.New(code, "organisation %q has reached its limit", request.Organisation.Name).After(wait)
+}
+
+func (l *limits) done(request dispatcher.Request, tokens int) {
+	l.local.Done(time.Now(), request.Service.Name, request.Organisation.Name, request.Class.Name, tokens)
+}
+
+// exchangeLimits reports demands to the owners of limits until ctx ends.
+func (n *Node) exchangeLimits(ctx context.Context) {
+	ticker := time.NewTicker(limitInterval)
+	defer ticker.Stop()
+
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+
+		n.limits.setNodes(n.members.Live(), n.members.known())
+
+		if err := n.limits.local.Exchange(ctx, n.messages, n.limits.owner); err != nil {
+			n.logger.Debug().Err(err).Msg("limit_report_failed")
+		}
+	}
+}
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -33,7 +33,7 @@
 		return
 	}
 
-	taken, failure := n.take(r, organisation, r.PathValue("service"), configurer.KindPlain)
+	taken, failure := n.resolve(r, organisation, r.PathValue("service"), configurer.KindPlain)
 	if failure != nil {
 		n.refuse(w, "", failure)
 
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -4,6 +4,7 @@
 	"quincepath.example/quincepath/internal/claimer"
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/connector"
+	"quincepath.example/quincepath/internal/distributor"
 )
 
 // connectPlatform makes the client of the platform's store; it connects when first used.
@@ -32,3 +33,26 @@
 
 	return nil
 }
+
+// newDistributor returns what keeps the settings in force up to date.
+func (n *Node) newDistributor() *distributor.Distributor {
+	options := distributor.Options{
+		Self:    n.members.nodes[0],
+		Caller:  n.messages,
+		Members: treeMembers{n.members},
+		Initial: n.tree.Snapshot(),
+		Logger:  n.logger,
+	}
+
+	// A nil pointer in the interface would not count as no store.
+	if n.store != nil {
+		options.Store = n.store
+	}
+
+	created := distributor.New(options)
+	created.Subscribe(n.tree.set)
+	n.messages.Handle(distributor.MethodPull, created.HandlePull)
+	n.messages.Handle(distributor.MethodAnnounce, created.HandleAnnounce)
+
+	return created
+}
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -198,7 +198,7 @@
 	ctx, cancel := context.WithCancel(n.work)
 	entry.cancel = cancel
 
-	if failure := n.runs.add(entry); failure != nil {
+	if failure := n.take(entry); failure != nil {
 		cancel()
 
 		return failure
@@ -209,6 +209,7 @@
 	err := n.runners.Go(func() { n.runOne(ctx, entry) })
 	if err != nil {
 		cancel()
+		n.limits.done(entry.request, 0)
 		n.runs.finished()
 		n.runs.forget(entry.request.ID)
 
@@ -218,6 +219,21 @@
 	return nil
 }
 
+// take gives the request a place on the node, unless its organisation or the node is at its limit.
+func (n *Node) take(entry *run) *classifier.Error {
+	if failure := n.limits.admit(entry.request); failure != nil {
+		return failure
+	}
+
+	if failure := n.runs.add(entry); failure != nil {
+		n.limits.done(entry.request, 0)
+
+		return failure
+	}
+
+	return nil
+}
+
 // cancelWithCaller ends a run whose caller left. A request that is not
 // repeatable goes on: cancelled halfway, nobody could tell whether it ran.
 func (n *Node) cancelWithCaller(caller context.Context, entry *run) {
@@ -262,6 +278,8 @@
 		entry.answer.End(nil)
 	}
 
+	n.limits.done(entry.request, entry.sender.Progress())
+
 	if record != nil {
 		record()
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,11 +15,13 @@
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/connector"
 	"quincepath.example/quincepath/internal/dispatcher"
+	"quincepath.example/quincepath/internal/distributor"
 	"quincepath.example/quincepath/internal/forwarder"
 	"quincepath.example/quincepath/internal/loader"
 	"quincepath.example/quincepath/internal/messenger"
 	"quincepath.example/quincepath/internal/meter"
 	"quincepath.example/quincepath/internal/placer"
+	"quincepath.example/quincepath/internal/retrier"
 )
 
 const (
@@ -37,6 +39,8 @@
 	identity *identity
 	// tree gives the settings tree in force.
 	tree *settingsHolder
+	// distributor keeps tree up to date from the platform and from peers.
+	distributor *distributor.Distributor
 	// editor changes the tree in the platform's store; nil without a platform.
 	editor *configurer.Editor
 	// claims records requests that must run at most once; nil without a platform.
@@ -58,7 +62,8 @@
 	// entryClient reaches other nodes at their addresses for callers.
 	entryClient *http.Client
 
-	members   *staticMembers
+	members   *members
+	limits    *limits
 	placer    *placer.PowerOfTwo
 	dispatch  *dispatcher.Dispatcher
 	runs      *runs
@@ -93,7 +98,7 @@
 		background: pond.NewPool(backgroundWorkers, pond.WithNonBlocking(true), pond.WithQueueSize(backgroundQueue)),
 		upstream:   forwarder.NewClient(forwarder.Options{BearerKey: settings.Upstreams.BearerKey}),
 		placer:     placer.NewPowerOfTwo(tree, identity.seed()),
-		members:    newStaticMembers(settings),
+		members:    newMembers(settings),
 		runs:       newRuns(settings.Node.MaxInFlight),
 		upstreams:  newUpstreamTable(),
 		meter:      meter.New(),
@@ -105,7 +110,9 @@
 		return nil, err
 	}
 
-	node.dispatch = dispatcher.New(node.newSlotter(), simpleJudge{}, node)
+	node.limits = newLimits(tree, identity)
+	node.distributor = node.newDistributor()
+	node.dispatch = dispatcher.New(node.newSlotter(), retrier.New(retrier.Options{}), node)
 
 	return node, nil
 }
--- a/internal/server/slots.go
+++ b/internal/server/slots.go
@@ -32,25 +32,3 @@
 
 	return router
 }
-
-// staticMembers are the nodes that the settings name; all count as alive.
-type staticMembers struct {
-	names []string
-}
-
-func newStaticMembers(settings loader.Settings) *staticMembers {
-	members := &staticMembers{names: []string{settings.Node.Name}}
-
-	for _, peer := range settings.Peers.Nodes {
-		if peer.Name != settings.Node.Name {
-			members.names = append(members.names, peer.Name)
-		}
-	}
-
-	return members
-}
-
-// Live returns the names of all nodes.
-func (s *staticMembers) Live() []string {
-	return s.names
-}
