--- a/internal/factory/writer.go
+++ b/internal/factory/writer.go
@@ -2,33 +2,32 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"io"
 
 	"github.com/go-logfmt/logfmt"
 	"github.com/rs/zerolog"
+	"github.com/tidwall/gjson"
 )
 
 // eventKey stands in our lines where zerolog writes its message.
 const eventKey = "event"
 
-// field is one key of a log line with its JSON value.
-type field struct {
-	key   string
-	value json.RawMessage
-}
+// firstKeys begin each line, in this order.
+var firstKeys = [...]string{zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName}
 
 // lineWriter turns zerolog's JSON objects into our lines: time, level and
 // event first, then the other keys as they were added.
 type lineWriter struct {
 	out    io.Writer
-	encode func([]field) ([]byte, error)
+	encode func(line *bytes.Buffer, key string, value gjson.Result) error
+	// before, between and after frame the pairs of a line.
+	before, between, after string
 }
 
 func newLineWriter(out io.Writer, format string) io.Writer {
-	w := lineWriter{out: out, encode: encodeKeyValue}
+	w := lineWriter{out: out, encode: encodeKeyValue, between: " ", after: "\n"}
 	if format == "json" {
-		w.encode = encodeJSON
+		w = lineWriter{out: out, encode: encodeJSON, before: "{", between: ",", after: "}\n"}
 	}
 
 	// Without the lock, lines of several goroutines could mix in streams that split writes.
@@ -37,120 +36,96 @@
 
 // Write writes one event. An event that is no JSON object is written as it is.
 func (w lineWriter) Write(event []byte) (int, error) {
-	fields, err := decodeFields(event)
-	if err != nil {
+	parsed := gjson.ParseBytes(event)
+	if !parsed.IsObject() || !gjson.ValidBytes(event) {
 		return w.out.Write(event)
 	}
 
-	line, err := w.encode(ordered(fields))
-	if err != nil {
+	var line bytes.Buffer
+
+	line.Grow(len(event))
+	line.WriteString(w.before)
+
+	if err := w.encodeAll(&line, parsed); err != nil {
 		return w.out.Write(event)
 	}
 
-	if _, err := w.out.Write(append(line, '\n')); err != nil {
+	line.WriteString(w.after)
+
+	if _, err := w.out.Write(line.Bytes()); err != nil {
 		return 0, err
 	}
 
 	return len(event), nil
 }
 
-func decodeFields(event []byte) ([]field, error) {
-	decoder := json.NewDecoder(bytes.NewReader(event))
-	if _, err := decoder.Token(); err != nil {
-		return nil, err
-	}
-
-	var fields []field
+func (w lineWriter) encodeAll(line *bytes.Buffer, event gjson.Result) error {
+	start := line.Len()
 
-	for decoder.More() {
-		key, err := decoder.Token()
-		if err != nil {
-			return nil, err
+	pair := func(key string, value gjson.Result) error {
+		if line.Len() > start {
+			line.WriteString(w.between)
 		}
 
-		var value json.RawMessage
-		if err := decoder.Decode(&value); err != nil {
-			return nil, err
-		}
-
-		name, _ := key.(string)
-		fields = append(fields, field{key: name, value: value})
+		return w.encode(line, key, value)
 	}
 
-	return fields, nil
-}
-
-func ordered(fields []field) []field {
-	sorted := make([]field, 0, len(fields))
-
-	for i := range fields {
-		if fields[i].key == zerolog.MessageFieldName {
-			fields[i].key = eventKey
+	for _, key := range firstKeys {
+		value := event.Get(key)
+		if !value.Exists() {
+			continue
 		}
-	}
 
-	first := []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, eventKey}
-	for _, k := range first {
-		for _, v := range fields {
-			if v.key == k {
-				sorted = append(sorted, v)
-			}
+		if err := pair(shownKey(key), value); err != nil {
+			return err
 		}
 	}
 
-	for _, v := range fields {
-		if v.key != first[0] && v.key != first[1] && v.key != first[2] {
-			sorted = append(sorted, v)
-		}
-	}
+	var failed error
 
-	return sorted
-}
-
-func encodeKeyValue(fields []field) ([]byte, error) {
-	var line bytes.Buffer
-
-	encoder := logfmt.NewEncoder(&line)
-	for _, v := range fields {
-		if err := encoder.EncodeKeyval(v.key, plain(v.value)); err != nil {
-			return nil, err
+	event.ForEach(func(key, value gjson.Result) bool {
+		if !isFirst(key.Str) {
+			failed = pair(key.Str, value)
 		}
-	}
 
-	return line.Bytes(), nil
+		return failed == nil
+	})
+
+	return failed
 }
 
-// plain returns the text of a JSON string, and any other value as it is written.
-func plain(value json.RawMessage) string {
-	var text string
-	if err := json.Unmarshal(value, &text); err == nil && value[0] == '"' {
-		return text
+func shownKey(key string) string {
+	if key == zerolog.MessageFieldName {
+		return eventKey
 	}
 
-	return string(value)
+	return key
 }
 
-func encodeJSON(fields []field) ([]byte, error) {
-	var line bytes.Buffer
-
-	line.WriteByte('{')
-
-	for i, v := range fields {
-		if i > 0 {
-			line.WriteByte(',')
+func isFirst(key string) bool {
+	for _, first := range firstKeys {
+		if key == first {
+			return true
 		}
+	}
 
-		key, err := json.Marshal(v.key)
-		if err != nil {
-			return nil, err
-		}
+	return false
+}
 
-		line.Write(key)
-		line.WriteByte(':')
-		line.Write(v.value)
+// encodeKeyValue writes the text of a JSON string, and any other value as it stands.
+func encodeKeyValue(line *bytes.Buffer, key string, value gjson.Result) error {
+	text := value.Raw
+	if value.Type == gjson.String {
+		text = value.Str
 	}
 
-	line.WriteByte('}')
+	return logfmt.NewEncoder(line).EncodeKeyval(key, text)
+}
+
+func encodeJSON(line *bytes.Buffer, key string, value gjson.Result) error {
+	line.Write(gjson.AppendJSONString(nil, key))
+	line.WriteByte(':')
+	line.WriteString(value.Raw)
 
-	return line.Bytes(), nil
+	return nil
 }
