Let limits find the load that the targets allow

The measures of an empty server drifted with many samples a second, so that after minutes of overload nothing counted as slow. They now follow time.

--- a/internal/scheduler/class.go
+++ b/internal/scheduler/class.go
@@ -17,7 +17,7 @@
 	// creditCap bounds, in requests, how much guaranteed service a class can save up or overdraw.
 	creditCap = 8
 	// fastQuantile is the quantile that stands for an answer without any queueing.
-	fastQuantile = 0.01
+	fastQuantile = 0.05
 	// coldSlotTime bounds the guess of a slot time before anything was measured. The
 	// target of an overnight class would make it wait very long for its first share.
 	coldSlotTime = time.Second
@@ -59,7 +59,7 @@
 		duration:   newLengths(),
 		tokens:     newLengths(),
 		firstToken: newLengths(),
-		fast:       tracked{quantile: fastQuantile},
+		fast:       tracked{quantile: fastQuantile, perSecond: fastPerSecond},
 	}
 }
 
@@ -166,23 +166,47 @@
 	return d.read(now) / d.window.Seconds()
 }
 
-// tracked follows a quantile of a positive measure in constant memory.
+// tracked follows a quantile of a positive measure in constant memory. After the
+// first samples the time between them weighs them: a burst of slow answers
+// must not pass for the usual in a moment, however many there are.
 type tracked struct {
 	quantile float64
-	value    float64
+	// perSecond is the largest relative change in a second, after the first samples.
+	perSecond float64
+	value     float64
+	samples   int
+	at        time.Time
 }
 
-// trackStep is the largest relative change per sample.
-const trackStep = 0.05
+const (
+	// trackStep is the largest relative change with each of the first samples, trackedAtFirst in number.
+	trackStep      = 0.02
+	trackedAtFirst = 50
+	// usualPerSecond suits what is usual now. fastPerSecond suits the measures of
+	// an empty server: an hour of overload raises them by less than half.
+	usualPerSecond = 0.02
+	fastPerSecond  = 0.002
+)
+
+func (t *tracked) add(now time.Time, sample float64) {
+	if sample <= 0 {
+		return
+	}
+
+	step := trackStep
+	if t.samples >= trackedAtFirst {
+		step = t.perSecond * min(max(now.Sub(t.at).Seconds(), 0), 1)
+	}
+
+	t.samples++
+	t.at = now
 
-func (t *tracked) add(sample float64) {
 	switch {
-	case sample <= 0:
 	case t.value == 0:
 		t.value = sample
 	case sample < t.value:
-		t.value *= 1 - trackStep*(1-t.quantile)
+		t.value *= 1 - step*(1-t.quantile)
 	default:
-		t.value *= 1 + trackStep*t.quantile
+		t.value *= 1 + step*t.quantile
 	}
 }
--- a/internal/scheduler/learning.go
+++ b/internal/scheduler/learning.go
@@ -48,6 +48,9 @@
 	p.tiers[g.class.settings.Tier].correct(g.request.Organisation, difference, p.quantum)
 }
 
+// fewTokens is the length below which the mean gap of an answer is mostly noise.
+const fewTokens = 8
+
 // largestOverrun bounds, in estimated costs, what one answer charges to its organisation.
 const largestOverrun = 4
 
@@ -61,9 +64,8 @@
 		v = p.judgeEngine(now, g, report)
 	}
 
-	// An engine that queues does so by priority: only its lowest tier shows whether more would fit.
-	if v == verdictMore && p.service.Kind == configurer.KindEngine && g.class.settings.Tier < g.server.lowestTier(p.classes) {
-		v = verdictHold
+	if p.service.Kind == configurer.KindEngine {
+		v = g.server.heedQueue(now, g.granted, v, g.class.settings.Tier, p.classes)
 	}
 
 	if !p.options.FixedSlots {
@@ -78,25 +80,29 @@
 
 	measure := report.Duration.Seconds()
 	g.server.learnSpeed(now, measure, g.class.duration.mean)
-	g.class.fast.add(measure)
+	g.class.fast.add(now, measure)
 
 	return g.class.judge(report.Duration)
 }
 
 func (p *Pool) judgeEngine(now time.Time, g *grant, report Report) verdict {
 	gap := report.TokenGap.Seconds()
+	if report.Tokens < fewTokens {
+		gap = 0
+	}
+
 	g.server.learnSpeed(now, gap, p.gaps.expected(g.server.inFlight))
-	p.gaps.add(gap, g.server.inFlight)
+	p.gaps.add(now, gap, g.server.inFlight)
 
 	strictest := g.server.strictestGap(p.classes).Seconds()
-	gapVerdict := judge(gap, strictest, p.gaps.fastest.value, gapExcess)
+	gapVerdict := judge(gap, gapMargin*strictest, p.gaps.fastest.value, gapExcess)
 
 	if gapVerdict == verdictLess || report.FirstToken <= 0 || g.request.Progress > 0 {
 		return min(gapVerdict, verdictHold)
 	}
 
 	g.class.firstToken.record(report.FirstToken)
-	g.class.fast.add(report.FirstToken.Seconds())
+	g.class.fast.add(now, report.FirstToken.Seconds())
 
 	return min(gapVerdict, g.class.judge(report.FirstToken))
 }
@@ -105,7 +111,7 @@
 // class's own target. The first token of another class says nothing here: it
 // depends on the length of its prompt.
 func (c *class) judge(measure time.Duration) verdict {
-	v := judge(measure.Seconds(), c.settings.Target.Seconds(), c.fast.value, firstExcess)
+	v := judge(measure.Seconds(), startMargin*c.settings.Target.Seconds(), c.fast.value, firstExcess)
 	if v == verdictMore && measure.Seconds() > queueExcess*c.fast.value {
 		return verdictQueued
 	}
@@ -113,13 +119,13 @@
 	return v
 }
 
-// judge compares a measure in seconds with its target, zero for none, and with
+// judge compares a measure in seconds with its bound, zero for none, and with
 // the fastest such measures. A late answer asks for fewer at once only if it is
 // also slower than those: else company is not the cause, and shrinking would
 // starve the server without helping.
-func judge(measure, target, fastest, excess float64) verdict {
+func judge(measure, bound, fastest, excess float64) verdict {
 	switch {
-	case target <= 0 || measure <= targetMargin*target:
+	case bound <= 0 || measure <= bound:
 		return verdictMore
 	case measure > excess*fastest:
 		return verdictLess
@@ -136,17 +142,17 @@
 }
 
 func newGaps() gaps {
-	g := gaps{fastest: tracked{quantile: fastQuantile}}
+	g := gaps{fastest: tracked{quantile: fastQuantile, perSecond: fastPerSecond}}
 	for i := range g.medians {
-		g.medians[i].quantile = 0.5
+		g.medians[i] = tracked{quantile: 0.5, perSecond: usualPerSecond}
 	}
 
 	return g
 }
 
-func (g *gaps) add(gap float64, running int) {
-	g.fastest.add(gap)
-	g.medians[g.index(running)].add(gap)
+func (g *gaps) add(now time.Time, gap float64, running int) {
+	g.fastest.add(now, gap)
+	g.medians[g.index(running)].add(now, gap)
 }
 
 func (g *gaps) index(running int) int {
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -13,9 +13,11 @@
 	smallestLimit = 1
 	largestLimit  = 256
 	// decreaseFactor shrinks a server's limit when answers come late.
-	decreaseFactor = 0.85
-	// targetMargin times a target is the measure above which a server counts as too full.
-	targetMargin = 0.9
+	decreaseFactor = 0.93
+	// startMargin and gapMargin times a target are the measures above which a server
+	// counts as too full. A gap is a mean over a whole answer and varies less than a first token.
+	startMargin = 0.9
+	gapMargin   = 0.97
 	// firstExcess and gapExcess times the fastest measures is what a late answer has to
 	// exceed too: a long prompt or a small model is slow without any company.
 	firstExcess = 1.5
@@ -23,6 +25,8 @@
 	// queueExcess times the fastest first token shows that the engine itself queues:
 	// more requests at once would bring nothing.
 	queueExcess = 3
+	// roundShare is the part by which a limit grows in one round of increase.
+	roundShare = 0.1
 	// slowWeight is the weight of a new measure in a server's relative speed, and
 	// slowForget the time over which a server without measures is trusted again.
 	slowWeight = 0.3
@@ -58,6 +62,10 @@
 	// slow is the slowness at the time of the present call.
 	slow float64
 
+	// ceiling bounds the present round of increase, and raised is when it began.
+	ceiling float64
+	raised  time.Time
+
 	failures    int
 	lastFailure time.Time
 	closedUntil time.Time
@@ -198,6 +206,31 @@
 	verdictMore
 )
 
+// heedQueue holds the limit while the engine may queue. It queues by priority, so
+// that all but the lowest tier that runs pass its queue unseen. So the limit
+// rises by a round at a time, and the next round needs an answer of the lowest
+// tier that began after the last rise and met no queue.
+func (s *server) heedQueue(now, granted time.Time, v verdict, tier int, classes []*class) verdict {
+	if v == verdictQueued {
+		s.ceiling = s.limit
+	}
+
+	if v != verdictMore {
+		return v
+	}
+
+	if tier >= s.lowestTier(classes) && granted.After(s.raised) && s.limit+1/s.limit > s.ceiling {
+		s.ceiling = s.limit + max(1, roundShare*s.limit)
+		s.raised = now
+	}
+
+	if s.limit+1/s.limit > s.ceiling {
+		return verdictHold
+	}
+
+	return v
+}
+
 // apply moves the limit: additive increase while full and on time,
 // multiplicative decrease once for each set of answers granted before it. Signs
 // of a queue in the engine take back what was added to the slots of the
@@ -206,8 +239,9 @@
 	switch {
 	case v == verdictMore && s.inFlight >= s.slots():
 		s.limit = min(largestLimit, s.limit+1/s.limit)
-	case v == verdictQueued:
-		s.limit = max(min(s.limit, float64(s.upstream.Slots)), s.limit-1/s.limit, smallestLimit)
+	case v == verdictQueued && granted.After(s.lastDecrease):
+		s.limit = max(min(s.limit, float64(s.upstream.Slots)), s.limit-1, smallestLimit)
+		s.lastDecrease = now
 	case v == verdictLess && granted.After(s.lastDecrease):
 		s.limit = max(smallestLimit, s.limit*decreaseFactor)
 		s.lastDecrease = now
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -1,9 +1,3 @@
-// Package scheduler is the exact queue of one pool: the servers of one service
-// that are scheduled together. It decides who gets the next slot, who waits,
-// who is told no and who has to give a slot back.
-//
-// It is plain code over events and time: no goroutines, no locks, no timers.
-// A driver calls it with the present time and carries the decisions out.
 package scheduler
 
 import (
@@ -99,10 +93,12 @@
 type Options struct {
 	// GrantPrefix starts each grant id; it names the holder and its incarnation.
 	GrantPrefix string
-	// EnginePriority grants tier 1 one slot above the learned limit of a server
-	// that runs a lower tier, and leaves it to the engine to set that aside.
-	// Without it, a running lower tier is preempted.
+	// EnginePriority grants tier 1 slots above the learned limit of a server that
+	// runs lower tiers, and leaves it to the engine to set these aside. Without it, a
+	// running lower tier is preempted.
 	EnginePriority bool
+	// Oversubscribe is the number of such slots a server, at most one for each lower answer. Default 4.
+	Oversubscribe int
 	// NoPreemption turns preemption off as well.
 	NoPreemption bool
 	// Headroom is the number of slots that only tier 1 may use. Zero means
@@ -132,6 +128,10 @@
 		o.HeadroomAbsence = 30 * time.Second
 	}
 
+	if o.Oversubscribe == 0 {
+		o.Oversubscribe = 4
+	}
+
 	if o.MaxQueue == 0 {
 		o.MaxQueue = 4096
 	}
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -119,10 +119,14 @@
 	return int(s.limit*v.pool.options.RebuildShare) - s.inFlight
 }
 
-// extraRoom says whether tier 1 may use the server above its limit: the engine
-// then sets one lower answer aside.
-func (v *view) extraRoom(s *server) bool {
-	return v.usable(s) && s.lower > 0 && s.inFlight == s.slots()
+// extraRoom is the number of requests that tier 1 may add above the server's
+// limit: the engine then sets as many lower answers aside.
+func (v *view) extraRoom(s *server) int {
+	if !v.usable(s) {
+		return 0
+	}
+
+	return min(s.lower, v.pool.options.Oversubscribe) - max(0, s.inFlight-s.slots())
 }
 
 // best returns the server that suits the request best, or nil when none has room.
@@ -142,10 +146,7 @@
 
 		room := v.room(s, top)
 		if extra {
-			room = 0
-			if v.extraRoom(s) {
-				room = 1
-			}
+			room = v.extraRoom(s)
 		}
 
 		if room <= 0 {
