--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -27,55 +27,67 @@
 const firstSilenceFactor = 4
 
 func (n *Node) handleEngine(w http.ResponseWriter, r *http.Request) {
-	body, failure := n.readBody(w, r)
+	organisation, body, failure := n.admit(w, r)
 	if failure != nil {
-		writeError(w, "", failure)
+		n.refuse(w, "", failure)
 
 		return
 	}
 
 	if !gjson.ValidBytes(body) {
-		writeError(w, "", classifier.New(classifier.InvalidRequest, "the body is not JSON"))
+		n.refuse(w, "", classifier.New(classifier.InvalidRequest, "the body is not JSON"))
 
 		return
 	}
 
-	taken, failure := n.take(r, gjson.GetBytes(body, "model").String(), configurer.KindEngine)
+	taken, failure := n.resolve(r, organisation, gjson.GetBytes(body, "model").String(), configurer.KindEngine)
 	if failure != nil {
-		writeError(w, "", failure)
+		n.refuse(w, "", failure)
 
 		return
 	}
 
 	prepared, failure := prepareEngineBody(body)
 	if failure != nil {
-		writeError(w, taken.request.ID, failure)
+		n.refuse(w, taken.request.ID, failure)
 
 		return
 	}
 
 	sender := &engineSender{
-		client:  n.upstream,
-		request: taken.request,
-		path:    r.URL.Path,
-		body:    prepared,
-		key:     taken.key,
-		answer:  recorder.NewAnswer(),
+		client:    n.upstream,
+		upstreams: n.upstreams,
+		request:   taken.request,
+		path:      r.URL.Path,
+		body:      prepared,
+		key:       taken.key,
+		answer:    recorder.NewAnswer(),
 	}
+	entry := &run{request: taken.request, sender: sender, answer: sender.answer, key: taken.key}
+	entry.bodyHash = bodyHash(r.Method, r.URL.Path, body)
+	entry.deliver = n.engineDelivery(entry, gjson.GetBytes(body, "stream").Bool())
 
-	if failure := n.start(r, taken.request, sender, sender.answer); failure != nil {
-		writeError(w, taken.request.ID, failure)
+	n.serve(w, r, entry)
+}
 
-		return
+// engineDelivery returns how the answer goes to the caller: as events, or as one object.
+func (n *Node) engineDelivery(entry *run, stream bool) func(http.ResponseWriter, *http.Request, string) {
+	if !stream {
+		return func(w http.ResponseWriter, r *http.Request, _ string) {
+			n.collectAnswer(w, r, entry)
+		}
 	}
 
-	if gjson.GetBytes(body, "stream").Bool() {
-		n.streamAnswer(w, r, taken.request.ID, sender.answer, 0)
+	return func(w http.ResponseWriter, r *http.Request, lastEvent string) {
+		from, ok := entry.answer.Position(lastEvent)
+		if !ok {
+			writeError(w, entry.request.ID, classifier.New(classifier.InvalidRequest, "the answer has no event %q", lastEvent))
 
-		return
-	}
+			return
+		}
 
-	n.collectAnswer(w, r, taken.request, sender.answer)
+		n.streamAnswer(w, r, entry, from)
+	}
 }
 
 // prepareEngineBody makes the engine stream, whatever the caller asked: only a
@@ -103,14 +115,17 @@
 
 // engineSender sends the attempts of one request to engines and gathers the events.
 type engineSender struct {
-	client  *forwarder.Client
-	request dispatcher.Request
-	path    string
-	body    []byte
-	key     string
-	answer  *recorder.Answer
+	client    *forwarder.Client
+	upstreams *upstreamTable
+	request   dispatcher.Request
+	path      string
+	body      []byte
+	key       string
+	answer    *recorder.Answer
 	// tokens is the number of tokens in the answer; only the sending goroutine uses it.
 	tokens int
+	// chunkID is the id of the first chunk, which all others get as well.
+	chunkID string
 }
 
 // Progress implements dispatcher.Sender.
@@ -122,6 +137,8 @@
 func (s *engineSender) Send(ctx context.Context, attempt dispatcher.Attempt) dispatcher.Outcome {
 	started := time.Now()
 
+	defer s.upstreams.attempt(attempt.Slot.Upstream.Address)()
+
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
@@ -255,14 +272,35 @@
 	return nil
 }
 
+// sameID gives chunks of a resumed stream the id of the first stream. Clients
+// check that all chunks of an answer have one id, and engines may make up a new one.
+func (p *eventPump) sameID(data string) string {
+	id := gjson.Get(data, "id").String()
+	if p.sender.chunkID == "" {
+		p.sender.chunkID = id
+	}
+
+	if id == p.sender.chunkID {
+		return data
+	}
+
+	changed, err := sjson.Set(data, "id", p.sender.chunkID)
+	if err != nil {
+		return data
+	}
+
+	return changed
+}
+
 // take adds one event to the answer and says whether it was the last.
 func (p *eventPump) take(event sse.Event) bool {
 	if event.Data == endOfStream {
-		p.sender.answer.Append(recorder.Event{Data: []byte(endOfStream)})
+		p.sender.answer.Append(recorder.Event{Data: endOfStream})
 
 		return true
 	}
 
+	event.Data = p.sameID(event.Data)
 	id := ""
 
 	if carriesToken(event.Data) {
@@ -275,7 +313,7 @@
 		}
 	}
 
-	p.sender.answer.Append(recorder.Event{ID: id, Data: []byte(event.Data)})
+	p.sender.answer.Append(recorder.Event{ID: id, Data: event.Data})
 
 	return false
 }
--- /dev/null
+++ b/internal/server/platform.go
@@ -0,0 +1,58 @@
+package server
+
+import (
+	"quincepath.example/quincepath/internal/claimer"
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/connector"
+	"quincepath.example/quincepath/internal/distributor"
+)
+
+// connectPlatform makes the client of the platform's store; it connects when first used.
+func (n *Node) connectPlatform() error {
+	if len(n.settings.Platform.Addresses) == 0 {
+		return nil
+	}
+
+	store, err := connector.New(connector.Options{
+		Addresses:   n.settings.Platform.Addresses,
+		Token:       n.settings.Platform.Token,
+		CallTimeout: n.settings.Platform.CallTimeout,
+	})
+	if err != nil {
+		return err
+	}
+
+	n.store = store
+	n.claims = claimer.New(n.work, store, claimer.Options{
+		Node:        n.identity.node,
+		Incarnation: n.identity.incarnation,
+		Caller:      n.messages,
+	})
+	n.messages.Handle(claimer.MethodWrite, n.claims.HandleWrite)
+	n.editor = configurer.NewEditor(store, configurer.EditorOptions{})
+
+	return nil
+}
+
+// newDistributor returns what keeps the settings in force up to date.
+func (n *Node) newDistributor() *distributor.Distributor {
+	options := distributor.Options{
+		Self:    n.members.nodes[0],
+		Caller:  n.messages,
+		Members: treeMembers{n.members},
+		Initial: n.tree.Snapshot(),
+		Logger:  n.logger,
+	}
+
+	// A nil pointer in the interface would not count as no store.
+	if n.store != nil {
+		options.Store = n.store
+	}
+
+	created := distributor.New(options)
+	created.Subscribe(n.tree.set)
+	n.messages.Handle(distributor.MethodPull, created.HandlePull)
+	n.messages.Handle(distributor.MethodAnnounce, created.HandleAnnounce)
+
+	return created
+}
