Bound the silence before the first byte by the gap limit as well

Cause: four targets to the first byte are 40 s for a draft and 20 min for a review on an engine that went silent.

--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -23,7 +23,10 @@
 // endOfStream is the payload of the last event of an OpenAI stream.
 const endOfStream = "[DONE]"
 
-// firstSilenceFactor times the class's target is how long an engine may take to the first byte.
+// firstSilenceFactor times the shorter of a class's target and gap limit is how
+// long an engine may take to the first byte. Long targets alone would leave a
+// review on a silent engine for many minutes; the gap limit alone would take
+// low tiers that wait in an engine's own queue for silent.
 const firstSilenceFactor = 4
 
 func (n *Node) handleEngine(w http.ResponseWriter, r *http.Request) {
@@ -158,7 +161,9 @@
 }
 
 func (s *engineSender) firstLimit() time.Duration {
-	return max(s.request.Class.GapLimit, firstSilenceFactor*s.request.Class.Target)
+	class := s.request.Class
+
+	return max(class.GapLimit, firstSilenceFactor*min(class.GapLimit, class.Target))
 }
 
 func (s *engineSender) exchange(ctx context.Context, attempt dispatcher.Attempt, reader *forwarder.GapReader, pump *eventPump) error {
