--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -130,6 +130,64 @@
 	})
 }
 
+// Symptom: a failure domain gets no more changes after two of its nodes are gone.
+// Sequence: both watchers die; the members list them for some time after; the tree changes.
+// Cause: only the two told the others of their domain.
+func TestBothWatchersOfADomainDie(t *testing.T) {
+	run(t, "", func(t *testing.T, f *fleet) {
+		f.change("a")
+		f.startAll(12, 3)
+		f.ready()
+		time.Sleep(10 * time.Second)
+		var dead []string
+		for name, v := range f.nodes {
+			if v.self.FailureDomain == "domain-1" && v.Counters()["tree_watching"] == 1 {
+				dead = append(dead, name)
+			}
+		}
+		assert.Equal(t, len(dead), 2)
+		for _, v := range dead {
+			f.kill(v)
+		}
+		assert.Assert(t, f.until(f.change("a"), time.Minute) < time.Second)
+		for _, v := range dead {
+			f.remove(v)
+		}
+		time.Sleep(3 * time.Second)
+		var watching int64
+		for _, v := range f.nodes {
+			watching += v.Counters()["tree_watching"]
+		}
+		assert.Equal(t, watching, int64(6))
+		assert.Assert(t, f.until(f.change("a"), time.Minute) < time.Second)
+	})
+}
+
+// Symptom: the tree is lost, or falls back, when nodes are replaced while the store is down.
+// Sequence: during an outage all nodes are killed and started anew, one after the other.
+// Cause: a tree that lives only in the store, or a start that doesn't wait for its peers.
+func TestRollingRestartDuringAnOutage(t *testing.T) {
+	run(t, "", func(t *testing.T, f *fleet) {
+		f.change("a")
+		f.startAll(9, 3)
+		f.ready()
+		newest := f.change("a")
+		f.until(newest, time.Minute)
+		f.down.Store(true)
+		for i := range 9 {
+			name := fmt.Sprintf("node-%d", i)
+			f.kill(name)
+			f.remove(name)
+			time.Sleep(time.Second)
+			fresh := f.start(name, fmt.Sprintf("domain-%d", i%3))
+			begun := time.Now()
+			<-fresh.Ready()
+			assert.Equal(t, fresh.Snapshot().Revision, newest)
+			assert.Assert(t, time.Since(begun) < 2*time.Second, "%v", time.Since(begun))
+		}
+	})
+}
+
 // Symptom: a restarted node serves with settings older than others had seen.
 // Sequence: the store is down; most of the peers that it asks missed the last change; one has it.
 // Cause: the first answer is taken, or one is enough.
--- a/internal/distributor/fleet_test.go
+++ b/internal/distributor/fleet_test.go
@@ -94,6 +94,20 @@
 	return n
 }
 
+// kill ends a node; its name stays among the members until remove.
+func (f *fleet) kill(name string) {
+	f.nodes[name].stop()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.nodes, name)
+}
+
+func (f *fleet) remove(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.live = slices.DeleteFunc(slices.Clone(f.live), func(m distributor.Member) bool { return m.Name == name })
+}
+
 func (f *fleet) startAll(count, domains int) {
 	for i := range count {
 		f.start(fmt.Sprintf("node-%d", i), fmt.Sprintf("domain-%d", i%domains))
