--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -25,6 +25,9 @@
 	headerRan        = "Quincepath-Ran"
 )
 
+// failureRetryAfter is when to come back after a failure that says nothing better.
+const failureRetryAfter = 2 * time.Second
+
 const (
 	maxHeaderBytes = 64 << 10
 	maxKeyBytes    = 200
@@ -37,6 +40,7 @@
 	routes.HandleFunc("POST /v1/chat/completions", n.handleEngine)
 	routes.HandleFunc("POST /v1/completions", n.handleEngine)
 	routes.HandleFunc("/services/{service}/{path...}", n.handlePlain)
+	routes.HandleFunc("GET /v1/requests/{id}/answer", n.handleResume)
 
 	return routes
 }
@@ -83,16 +87,28 @@
 	return classifier.Wrap(err, classifier.InvalidRequest, "the body broke off")
 }
 
-// take resolves service, organisation and class of a request.
-func (n *Node) take(r *http.Request, serviceName string, kind configurer.Kind) (intake, *classifier.Error) {
+// admit checks the bearer key, then reads the body: a stranger's body is never read.
+func (n *Node) admit(w http.ResponseWriter, r *http.Request) (organisation string, body []byte, failure *classifier.Error) {
+	organisation, failure = n.tree.authenticate(r)
+	if failure != nil {
+		return "", nil, failure
+	}
+
+	body, failure = n.readBody(w, r)
+
+	return organisation, body, failure
+}
+
+// resolve finds service, organisation and class of a request.
+func (n *Node) resolve(r *http.Request, organisationName, serviceName string, kind configurer.Kind) (intake, *classifier.Error) {
 	service, ok := n.tree.Snapshot().Services[serviceName]
 	if !ok || service.Kind != kind {
 		return intake{}, classifier.New(classifier.UnknownService, "there is no %s service %q", kind, serviceName)
 	}
 
-	organisation, failure := authenticate(r, service)
-	if failure != nil {
-		return intake{}, failure
+	organisation, ok := service.Organisations[organisationName]
+	if !ok {
+		return intake{}, classifier.New(classifier.Forbidden, "organisation %q may not use service %q", organisationName, serviceName)
 	}
 
 	class, failure := classOf(r, service)
@@ -159,6 +175,18 @@
 	}}
 }
 
+// refuse counts, logs and answers a request that doesn't run. Nothing may have been written before.
+func (n *Node) refuse(w http.ResponseWriter, requestID string, failure *classifier.Error) {
+	n.meter.Refused("", failure.Code)
+	n.logger.Info().
+		Str("request_id", requestID).
+		Int("result_code", int(failure.Code)).
+		Str("result", failure.Code.String()).
+		Str("reason", failure.Reason).
+		Msg("request_refused")
+	writeError(w, requestID, failure)
+}
+
 // writeError answers with a numbered result. Nothing may have been written before.
 func writeError(w http.ResponseWriter, requestID string, failure *classifier.Error) {
 	header := w.Header()
--- a/internal/server/engine_answer.go
+++ b/internal/server/engine_answer.go
@@ -7,12 +7,12 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/tidwall/gjson"
 	"github.com/tmaxmax/go-sse"
 
-	"quincepath.example/quincepath/internal/dispatcher"
 	"quincepath.example/quincepath/internal/recorder"
 	"quincepath.example/quincepath/pkg/classifier"
 )
@@ -21,6 +21,12 @@
 // keep middle boxes from dropping the connection and show the caller that it lives.
 const commentInterval = 5 * time.Second
 
+// callerWriteLimit is how long a caller may take no bytes before its connection counts as dead.
+const callerWriteLimit = 20 * time.Second
+
+// chatChunk is the kind of the events of a chat completion.
+const chatChunk = "chat.completion.chunk"
+
 func eventID(token int) string {
 	return strconv.Itoa(token)
 }
@@ -31,7 +37,9 @@
 }
 
 // streamAnswer follows the answer from the given event on and writes it as server-sent events.
-func (n *Node) streamAnswer(w http.ResponseWriter, r *http.Request, requestID string, answer *recorder.Answer, from int) {
+func (n *Node) streamAnswer(w http.ResponseWriter, r *http.Request, entry *run, from int) {
+	requestID, answer := entry.request.ID, entry.answer
+
 	events, ended, failure := n.firstEvents(r.Context(), answer, from)
 	if failure != nil {
 		writeError(w, requestID, failure)
@@ -43,9 +51,11 @@
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Cache-Control", "no-cache")
 	header.Set(headerRequestID, requestID)
+	entry.markReplayed(header)
 	w.WriteHeader(http.StatusOK)
 
-	stream := &eventWriter{writer: w, control: http.NewResponseController(w)}
+	stream := newEventWriter(w)
+	defer stream.stop()
 
 	for {
 		if err := stream.write(events); err != nil || ended {
@@ -56,7 +66,7 @@
 
 		var failed error
 
-		events, ended, failed = nextEvents(r.Context(), answer, from, stream)
+		events, ended, failed = answer.Next(r.Context(), from)
 		if r.Context().Err() != nil {
 			return
 		}
@@ -84,41 +94,48 @@
 	return nil, ended, classifier.From(err)
 }
 
-// nextEvents waits for more events and writes a comment whenever none came for a while.
-func nextEvents(ctx context.Context, answer *recorder.Answer, from int, stream *eventWriter) ([]recorder.Event, bool, error) {
-	for {
-		waiting, cancel := context.WithTimeout(ctx, commentInterval)
-		events, ended, err := answer.Next(waiting, from)
-
-		cancel()
-
-		if ended || len(events) > 0 || ctx.Err() != nil {
-			return events, ended, err
-		}
-
-		if err := stream.comment(); err != nil {
-			return nil, true, nil
-		}
-	}
-}
-
 func errorEvent(requestID string, failure *classifier.Error) recorder.Event {
 	data, err := json.Marshal(newErrorAnswer(requestID, failure))
 	if err != nil {
 		data = []byte(`{"error":{}}`)
 	}
 
-	return recorder.Event{Data: data}
+	return recorder.Event{Data: string(data)}
 }
 
-// eventWriter writes events to one caller.
+// eventWriter writes events to one caller, and a comment whenever none came for a while.
 type eventWriter struct {
 	writer  http.ResponseWriter
 	control *http.ResponseController
-	buffer  bytes.Buffer
+	comment *time.Timer
+
+	// mu guards the fields below and the writer: comments come from a timer.
+	mu     sync.Mutex
+	buffer bytes.Buffer
+	// stopped is set before the handler returns; after it nothing may be written.
+	stopped bool
+}
+
+func newEventWriter(w http.ResponseWriter) *eventWriter {
+	e := &eventWriter{writer: w, control: http.NewResponseController(w)}
+	e.comment = time.AfterFunc(commentInterval, e.writeComment)
+
+	return e
+}
+
+func (e *eventWriter) stop() {
+	e.comment.Stop()
+
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.stopped = true
 }
 
 func (e *eventWriter) write(events []recorder.Event) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
 	e.buffer.Reset()
 
 	for _, event := range events {
@@ -127,30 +144,47 @@
 			message.ID = sse.ID(event.ID)
 		}
 
-		message.AppendData(string(event.Data))
+		message.AppendData(event.Data)
 
 		if _, err := message.WriteTo(&e.buffer); err != nil {
 			return err
 		}
 	}
 
+	e.comment.Reset(commentInterval)
+
 	return e.flush()
 }
 
-func (e *eventWriter) comment() error {
+func (e *eventWriter) writeComment() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	if e.stopped {
+		return
+	}
+
 	e.buffer.Reset()
 
 	message := sse.Message{}
 	message.AppendComment("waiting")
 
 	if _, err := message.WriteTo(&e.buffer); err != nil {
-		return err
+		return
 	}
 
-	return e.flush()
+	// A caller that is gone is noticed by the handler itself.
+	_ = e.flush()
+
+	e.comment.Reset(commentInterval)
 }
 
 func (e *eventWriter) flush() error {
+	// A caller that takes no bytes must not hold its handler for good.
+	if err := e.control.SetWriteDeadline(time.Now().Add(callerWriteLimit)); err != nil {
+		return err
+	}
+
 	if _, err := e.writer.Write(e.buffer.Bytes()); err != nil {
 		return err
 	}
@@ -183,14 +217,17 @@
 }
 
 // collectAnswer waits for the whole answer and writes it as one JSON object.
-func (n *Node) collectAnswer(w http.ResponseWriter, r *http.Request, request dispatcher.Request, answer *recorder.Answer) {
-	events, failure := wholeAnswer(r.Context(), answer)
+func (n *Node) collectAnswer(w http.ResponseWriter, r *http.Request, entry *run) {
+	request := entry.request
+
+	events, failure := wholeAnswer(r.Context(), entry.answer)
 	if failure != nil {
 		writeError(w, request.ID, failure)
 
 		return
 	}
 
+	entry.markReplayed(w.Header())
 	w.Header().Set(headerRequestID, request.ID)
 	w.Header().Set(headerResult, classifier.OK.String())
 	writeJSON(w, assemble(events))
@@ -225,12 +262,12 @@
 	)
 
 	for _, event := range events {
-		chunk := gjson.ParseBytes(event.Data)
+		chunk := gjson.Parse(event.Data)
 		if whole.ID == "" {
 			whole.ID = chunk.Get("id").String()
 			whole.Created = chunk.Get("created").Int()
 			whole.Model = chunk.Get("model").String()
-			isChat = chunk.Get("object").String() == "chat.completion.chunk"
+			isChat = chunk.Get("object").String() == chatChunk
 		}
 
 		text.WriteString(chunk.Get("choices.0.delta.content").String())
