--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -188,32 +188,54 @@
 	})
 }
 
+// divide gives node-2 alone the newest tree, and opens its links to the node late only.
+func divide(f *fleet, nodes int) int64 {
+	f.heartbeat = 0
+	f.change("a")
+	f.startAll(nodes, nodes)
+	f.ready()
+	time.Sleep(10 * time.Second)
+	cut := func(from, to string) bool { return to != "late" && from != "late" }
+	f.cut.Store(&cut)
+	for name, v := range f.nodes {
+		v.down.Store(name != "node-2")
+	}
+	f.store.SilenceWatches(true)
+	newest := f.change("a")
+	time.Sleep(10 * time.Second)
+	f.down.Store(true)
+
+	return newest
+}
+
 // Symptom: a restarted node serves with settings older than others had seen.
 // Sequence: the store is down; most of the peers that it asks missed the last change; one has it.
 // Cause: the first answer is taken, or one is enough.
 func TestStartTakesTheHighestOfItsPeers(t *testing.T) {
 	run(t, "", func(t *testing.T, f *fleet) {
-		f.heartbeat = 0
-		f.change("a")
-		f.startAll(3, 3)
-		f.ready()
-		time.Sleep(10 * time.Second)
-		cut := func(from, to string) bool { return to != "late" && from != "late" }
-		f.cut.Store(&cut)
-		f.nodes["node-0"].down.Store(true)
-		f.nodes["node-1"].down.Store(true)
-		f.store.SilenceWatches(true)
-		newest := f.change("a")
-		time.Sleep(10 * time.Second)
+		newest := divide(f, 3)
 		assert.Assert(t, f.nodes["node-0"].Snapshot().Revision < newest)
 		assert.Equal(t, f.nodes["node-2"].Snapshot().Revision, newest)
-		f.down.Store(true)
 		late := f.start("late", "domain-0")
 		<-late.Ready()
 		assert.Equal(t, late.Snapshot().Revision, newest)
 	})
 }
 
+// Symptom: a restarted node serves with settings older than it could know.
+// Sequence: the peers that it asks missed the last change; a heartbeat tells of it; the peer that has it is slow.
+// Cause: what heartbeats tell isn't looked at before the node serves.
+func TestStartWaitsForARevisionThatItHeardOf(t *testing.T) {
+	run(t, "", func(t *testing.T, f *fleet) {
+		newest := divide(f, 9)
+		f.nodes["node-2"].slow.Store(int64(200 * time.Millisecond))
+		late := f.start("late", "domain-0")
+		late.PeerRevision("node-2", newest)
+		<-late.Ready()
+		assert.Equal(t, late.Snapshot().Revision, newest)
+	})
+}
+
 // Symptom: a node that sees only peers that missed changes, and no store, stays behind or goes back.
 // Sequence: it is cut off with them, restarts among them, and later sees the others again.
 // Cause: an older tree replaces a newer one, or nobody asks when a newer revision shows.
--- a/internal/distributor/fleet_test.go
+++ b/internal/distributor/fleet_test.go
@@ -58,6 +58,8 @@
 	stop  context.CancelFunc
 	// down refuses the calls of this node on the store; deaf makes its new watches silent.
 	down, deaf atomic.Bool
+	// slow delays the answers of this node.
+	slow atomic.Int64
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -175,6 +177,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	time.Sleep(time.Duration(to.slow.Load()))
 	handle := to.HandlePull
 	if method == distributor.MethodAnnounce {
 		handle = to.HandleAnnounce
