Send the lines changed between nodes, not whole branches

A node keeps the lines of the last change of each branch and sends them to a peer that can hold the text before. The peer compares the revision of its text, and asks for the full tree when it holds another one.

Shown to fail first: without the compare TestLinesForAnotherTextAreRefused, without the full tree TestLinesForAnotherTextAreFollowedByTheFullTree.

--- a/internal/configurer/change.go
+++ b/internal/configurer/change.go
@@ -38,7 +38,7 @@
 	Undoes string `json:"undoes,omitempty"`
 
 	// Lines says which lines gave way to which.
-	Lines hunk `json:"lines"`
+	Lines Patch `json:"lines"`
 	// Digest is the hash of the text after the change, by which a repeated change is known.
 	Digest uint64 `json:"digest"`
 }
--- a/internal/configurer/differ.go
+++ b/internal/configurer/differ.go
@@ -8,24 +8,16 @@
 // maxDiffCells bounds the table of a line diff; larger texts are shown as all removed and all added.
 const maxDiffCells = 1 << 20
 
-// hunk says how one text becomes another: at line At, counted from 0, the
+// Patch says how one text becomes another: at line At, counted from 0, the
 // lines Removed give way to the lines Added. It works both ways.
-type hunk struct {
+type Patch struct {
 	At      int      `json:"at"`
 	Removed []string `json:"removed,omitempty"`
 	Added   []string `json:"added,omitempty"`
 }
 
-func splitLines(text string) []string {
-	if text == "" {
-		return nil
-	}
-
-	return strings.SplitAfter(text, "\n")
-}
-
-// newHunk returns the smallest single hunk from before to after.
-func newHunk(before, after string) hunk {
+// NewPatch returns the patch of fewest neighbouring lines from before to after.
+func NewPatch(before, after string) Patch {
 	a, b := splitLines(before), splitLines(after)
 	start := 0
 
@@ -39,25 +31,43 @@
 		endB--
 	}
 
-	return hunk{At: start, Removed: a[start:endA], Added: b[start:endB]}
+	return Patch{At: start, Removed: a[start:endA], Added: b[start:endB]}
 }
 
-// revert returns the text before the hunk, and false when after isn't the text that the hunk made.
-func (h hunk) revert(after string) (string, bool) {
+// Revert returns the text before the patch, and false when after isn't the text that the patch made.
+func (p Patch) Revert(after string) (string, bool) {
 	lines := splitLines(after)
-	end := h.At + len(h.Added)
+	end := p.At + len(p.Added)
 
-	if h.At < 0 || end > len(lines) || strings.Join(lines[h.At:end], "") != strings.Join(h.Added, "") {
+	if p.At < 0 || end > len(lines) || strings.Join(lines[p.At:end], "") != strings.Join(p.Added, "") {
 		return "", false
 	}
 
-	return strings.Join(lines[:h.At], "") + strings.Join(h.Removed, "") + strings.Join(lines[end:], ""), true
+	return ReplaceLines(after, p.At, len(p.Added), p.Removed)
+}
+
+// ReplaceLines puts lines in the place of count lines from line at, counted from 0; false when text lacks those.
+func ReplaceLines(text string, at, count int, lines []string) (string, bool) {
+	old := splitLines(text)
+	if at < 0 || count < 0 || at > len(old) || count > len(old)-at {
+		return "", false
+	}
+
+	return strings.Join(old[:at], "") + strings.Join(lines, "") + strings.Join(old[at+count:], ""), true
+}
+
+func splitLines(text string) []string {
+	if text == "" {
+		return nil
+	}
+
+	return strings.SplitAfter(text, "\n")
 }
 
 // lineDiff returns the lines removed and added from one text to another, each with its number.
 func lineDiff(before, after string) string {
-	h := newHunk(before, after)
-	a, b := h.Removed, h.Added
+	p := NewPatch(before, after)
+	a, b := p.Removed, p.Added
 
 	var out strings.Builder
 
@@ -70,10 +80,10 @@
 			i++
 			j++
 		case i < len(a) && (j == len(b) || common == nil || common[i+1][j] >= common[i][j+1]):
-			fmt.Fprintf(&out, "-%d: %s\n", h.At+i+1, strings.TrimSuffix(a[i], "\n"))
+			fmt.Fprintf(&out, "-%d: %s\n", p.At+i+1, strings.TrimSuffix(a[i], "\n"))
 			i++
 		default:
-			fmt.Fprintf(&out, "+%d: %s\n", h.At+j+1, strings.TrimSuffix(b[j], "\n"))
+			fmt.Fprintf(&out, "+%d: %s\n", p.At+j+1, strings.TrimSuffix(b[j], "\n"))
 			j++
 		}
 	}
--- a/internal/configurer/editor.go
+++ b/internal/configurer/editor.go
@@ -198,7 +198,7 @@
 		BaseRevision: edit.BaseRevision,
 		Deleted:      edit.Delete,
 		Undoes:       edit.Undoes,
-		Lines:        newHunk(string(current.Value), edit.text()),
+		Lines:        NewPatch(string(current.Value), edit.text()),
 		Digest:       edit.digest(),
 	}
 
--- a/internal/configurer/settler.go
+++ b/internal/configurer/settler.go
@@ -133,7 +133,7 @@
 
 	current, exists := tree.Find(change.Branch)
 
-	before, ok := change.Lines.revert(string(current.Value))
+	before, ok := change.Lines.Revert(string(current.Value))
 	if !ok || current.Revision != edit.BaseRevision {
 		return Change{}, e.conflict(ctx, edit, current, exists)
 	}
@@ -183,7 +183,7 @@
 			continue
 		}
 
-		before, ok := v.Lines.revert(text)
+		before, ok := v.Lines.Revert(text)
 		if !ok || (v.Revision != last && last != 0) {
 			break
 		}
--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -236,6 +236,35 @@
 	})
 }
 
+// Symptom: a node stays behind although its peer is up to date and answers.
+// Sequence: the peer missed the revision that the node holds, so the lines that it sends are for another text.
+// Cause: the node doesn't ask for the full tree. With that left out this test fails.
+func TestLinesForAnotherTextAreFollowedByTheFullTree(t *testing.T) {
+	run(t, "", func(t *testing.T, f *fleet) {
+		f.change("a")
+		f.startAll(2, 2)
+		f.ready()
+		time.Sleep(10 * time.Second)
+		f.store.SilenceWatches(true)
+		cut := func(string, string) bool { return true }
+		f.cut.Store(&cut)
+		f.nodes["node-0"].down.Store(true)
+		second := f.change("a")
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, f.nodes["node-1"].Snapshot().Revision, second)
+		f.nodes["node-1"].down.Store(true)
+		third := f.change("a")
+		f.nodes["node-0"].down.Store(false)
+		time.Sleep(15 * time.Second)
+		assert.Equal(t, f.nodes["node-0"].Snapshot().Revision, third)
+		f.down.Store(true)
+		open := func(string, string) bool { return false }
+		f.cut.Store(&open)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, f.nodes["node-1"].Snapshot().Revision, third)
+	})
+}
+
 // Symptom: a node that sees only peers that missed changes, and no store, stays behind or goes back.
 // Sequence: it is cut off with them, restarts among them, and later sees the others again.
 // Cause: an older tree replaces a newer one, or nobody asks when a newer revision shows.
--- a/internal/distributor/fleet_test.go
+++ b/internal/distributor/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -195,7 +196,9 @@
 	return json.Unmarshal(data, result)
 }
 
-const branchText = `kind: engine
+// branchText is long enough to be sent by lines.
+var branchText = "# " + strings.Repeat("-", 300) + `
+kind: engine
 default_class: chat
 classes:
   chat: {tier: 1, target: 1s, gap_limit: 1s, max_wait: 1s}
--- a/internal/distributor/puller.go
+++ b/internal/distributor/puller.go
@@ -57,8 +57,7 @@
 // pullNewer fetches from a peer. A peer that fails is forgotten until it is heard again: it
 // may be dead, and others have what it had.
 func (d *Distributor) pullNewer(ctx context.Context, peer string) bool {
-	result, err := d.pull(ctx, peer)
-	if err == nil && result.Ready && d.apply(result.update, peer) {
+	if d.pullOnce(ctx, peer) {
 		return true
 	}
 
@@ -69,7 +68,27 @@
 	return false
 }
 
-func (d *Distributor) pull(ctx context.Context, peer string) (pullResult, error) {
+// pullOnce fetches the difference, or the full tree when the difference doesn't fit.
+func (d *Distributor) pullOnce(ctx context.Context, peer string) bool {
+	result, err := d.pull(ctx, peer, d.table.Load().revision)
+	if err != nil || !result.Ready {
+		return false
+	}
+
+	if d.apply(result.update, peer) {
+		return true
+	}
+
+	if result.Revision <= d.table.Load().revision {
+		return false
+	}
+
+	result, err = d.pull(ctx, peer, 0)
+
+	return err == nil && result.Ready && d.apply(result.update, peer)
+}
+
+func (d *Distributor) pull(ctx context.Context, peer string, from int64) (pullResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 
@@ -77,7 +96,7 @@
 
 	var result pullResult
 
-	err := d.options.Caller.Call(ctx, peer, MethodPull, pullParams{FromRevision: d.table.Load().revision}, &result)
+	err := d.options.Caller.Call(ctx, peer, MethodPull, pullParams{FromRevision: from}, &result)
 	if err != nil {
 		d.counters.pullFailures.Add(1)
 	}
--- a/internal/distributor/starter.go
+++ b/internal/distributor/starter.go
@@ -105,7 +105,7 @@
 
 	for _, v := range d.somePeers(startPeers) {
 		wg.Go(func() {
-			result, err := d.pull(ctx, v.Name)
+			result, err := d.pull(ctx, v.Name, d.table.Load().revision)
 			if err != nil || !result.Ready {
 				return
 			}
--- a/internal/distributor/table_test.go
+++ b/internal/distributor/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -57,6 +58,30 @@
 	assert.Equal(t, len(next.branches), 0)
 }
 
+// Symptom: a branch's text is mixed from two versions.
+// Sequence: a node at revision 2 asks one that went from 1 to 3 without seeing 2.
+// Cause: the lines changed from 1 to 3 are put into the text of 2.
+func TestLinesForAnotherTextAreRefused(t *testing.T) {
+	stay := strings.Repeat("a line that stays\n", 20)
+	at := func(revision int64, text string) update {
+		return update{Revision: revision, FromRevision: revision - 1, Branches: []updateBranch{{Path: "a", Value: text, Revision: revision}}}
+	}
+	start := at(1, stay+"one\n")
+	start.Full = true
+	common, _ := newTable().apply(start)
+	behind, _ := common.apply(at(2, "two\n"+stay+"one\n"))
+	jump := at(3, "two\n"+stay+"three\n")
+	jump.FromRevision = 1
+	ahead, _ := common.apply(jump)
+
+	refused, newer := behind.apply(ahead.since(2))
+	assert.Assert(t, !newer)
+	assert.Equal(t, refused, behind)
+	next, newer := behind.apply(ahead.since(0))
+	assert.Assert(t, newer)
+	assert.Equal(t, string(next.branches["a"].Value), "two\n"+stay+"three\n")
+}
+
 func applied(rt *rapid.T, to *table, u update) *table {
 	next, newer := to.apply(u)
 	if newer != (next.revision > to.revision) || next.revision < to.revision {
@@ -79,7 +104,7 @@
 		delete(next, path)
 		u.Deleted = []deletion{{Path: path, Revision: revision}}
 	} else {
-		next[path] = fmt.Sprint(revision)
+		next[path] = text(rt, next[path], revision)
 		u.Branches = []updateBranch{{Path: path, Value: next[path], Revision: revision}}
 	}
 	*truth = append(*truth, next)
@@ -87,6 +112,18 @@
 	return u
 }
 
+// text changes, adds or removes a line of a text that is long enough to be sent by lines.
+func text(rt *rapid.T, before string, revision int64) string {
+	if before == "" {
+		before = strings.Repeat("a line that stays\n", 20)
+	}
+	all := strings.SplitAfter(before, "\n")
+	at := rapid.IntRange(0, len(all)-1).Draw(rt, "line")
+	count := rapid.IntRange(0, 1).Draw(rt, "removed")
+
+	return strings.Join(all[:at], "") + fmt.Sprintf("line %d\n", revision) + strings.Join(all[at+count:], "")
+}
+
 func compare(rt *rapid.T, held *table, want map[string]string) {
 	got := map[string]string{}
 	for k, v := range held.branches {
