Test that preemption spares what can't be sent again

With the check of Repeatable in Dispatcher.send taken out (in a scratch copy), TestNotRepeatableIsNotCancelled fails: the attempt is cancelled at 1 s and the request ends without an answer.

--- /dev/null
+++ b/internal/dispatcher/preemption_test.go
@@ -0,0 +1,81 @@
+package dispatcher
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// preempting grants slots that are taken back after a second.
+type preempting struct{ results []Result }
+
+func (p *preempting) Acquire(context.Context, Ask) (Slot, error) {
+	preempted := make(chan struct{})
+	time.AfterFunc(time.Second, func() { close(preempted) })
+
+	return Slot{Upstream: configurer.Upstream{Name: "u"}, Preempted: preempted}, nil
+}
+
+func (p *preempting) Release(Slot, Ask, Outcome) {}
+
+func (p *preempting) Progress() int { return 0 }
+
+func (p *preempting) Send(ctx context.Context, _ Attempt) Outcome {
+	select {
+	case <-ctx.Done():
+		return Outcome{Result: ResultCallerGone}
+	case <-time.After(3 * time.Second):
+		return Outcome{Result: ResultDone}
+	}
+}
+
+func (p *preempting) Decide(_ Request, _ Attempt, outcome Outcome, _ int) Next {
+	p.results = append(p.results, outcome.Result)
+
+	return Next{Again: outcome.Result == ResultPreempted && len(p.results) < 2}
+}
+
+func (p *preempting) AttemptEnded(Request, Attempt, Outcome, Next) {}
+
+// Symptom: a booking gets no answer, and nobody can tell whether it was made.
+// Sequence: its slot is taken back for a higher tier while the service works on it.
+// Cause: an attempt that can't be sent again is cancelled like one that can.
+func TestNotRepeatableIsNotCancelled(t *testing.T) {
+	tests := map[string]struct {
+		repeatable bool
+		results    []Result
+	}{
+		"repeatable":     {true, []Result{ResultPreempted, ResultPreempted}},
+		"not repeatable": {false, []Result{ResultDone}},
+	}
+
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := &preempting{}
+				failure := New(p, p, p).Run(t.Context(), Request{Repeatable: tt.repeatable}, p)
+
+				assert.Assert(t, failure == nil)
+				assert.DeepEqual(t, p.results, tt.results)
+			})
+		})
+	}
+}
+
+func TestCallerGoneBeforeAnyAttemptIsNotRun(t *testing.T) {
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+
+	failure := acquireError(gone, gone.Err(), History{})
+	assert.Equal(t, failure.Code, classifier.CallerGone)
+	assert.Equal(t, failure.Ran, classifier.RanNo)
+
+	failed := History{}.After(Outcome{Result: ResultFailed})
+	assert.Equal(t, acquireError(gone, gone.Err(), failed).Ran, classifier.RanUnknown)
+}
