Start retry budgets full

A class may now save the earnings of its last 100 first attempts (10 at the highest share) and starts with them. Ruled out: resumes free of the budget, since engines that crash after each token would then see four prompts for each request.

The bound over a storm is 0.1 for each first attempt, plus 10 a class and the floor.

--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -10,8 +10,10 @@
 const (
 	// maxRetryBudget is the highest share that a class may set.
 	maxRetryBudget = 0.1
-	// maxCredit bounds the retries that a quiet time saves up for a class on one node.
-	maxCredit = 10.0
+	// creditAttempts is of how many first attempts a class may save up the credit; at the
+	// highest share that is 10 retries. A class starts with it, or the first crash
+	// after a node's start would break off answers that could be resumed.
+	creditAttempts = 100
 )
 
 // Pair names a class of a service.
@@ -31,7 +33,7 @@
 // class would, with many services and many nodes, outgrow the budgets.
 type Budget struct {
 	mu sync.Mutex
-	// credit is in retries and lies in 0 to maxCredit.
+	// credit is in retries, never below zero; a class that isn't in it has all it can save.
 	credit map[Pair]float64
 	floor  *rate.Limiter
 }
@@ -45,22 +47,22 @@
 
 // Earn credits one first attempt; shares outside 0 to 0.1 are cut.
 func (b *Budget) Earn(pair Pair, share float64) {
-	share = min(max(share, 0), maxRetryBudget)
+	share = cutShare(share)
 
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	b.credit[pair] = min(b.credit[pair]+share, maxCredit)
+	b.credit[pair] = min(b.of(pair, share)+share, creditAttempts*share)
 }
 
 // Spend takes one extra attempt from the class's credit, else from the floor.
 // It returns false when neither has one.
-func (b *Budget) Spend(now time.Time, pair Pair) bool {
+func (b *Budget) Spend(now time.Time, pair Pair, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
 	// Ten times 0.1 adds up to a hair less than 1.
-	if credit := b.credit[pair]; credit >= 1-1e-9 {
+	if credit := b.of(pair, cutShare(share)); credit >= 1-1e-9 {
 		b.credit[pair] = max(credit-1, 0)
 
 		return true
@@ -68,3 +70,15 @@
 
 	return b.floor.AllowN(now, 1)
 }
+
+func (b *Budget) of(pair Pair, share float64) float64 {
+	if credit, ok := b.credit[pair]; ok {
+		return credit
+	}
+
+	return creditAttempts * share
+}
+
+func cutShare(share float64) float64 {
+	return min(max(share, 0), maxRetryBudget)
+}
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -66,7 +66,7 @@
 	counters counters
 }
 
-// New returns a retrier with empty budgets and a full floor.
+// New returns a retrier with full budgets and a full floor.
 func New(options Options) *Retrier {
 	options = options.withDefaults()
 
@@ -95,7 +95,7 @@
 
 	why := r.judge(request, attempt, outcome, history)
 	if why == reasonNone {
-		why = r.pay(pair, outcome)
+		why = r.pay(pair, request.Class.RetryBudget, outcome)
 	}
 
 	if why == reasonNone {
@@ -134,12 +134,12 @@
 // pay takes a retry from the class's budget. A preempted attempt is the
 // holder's own decision and an attempt that was not sent put no load on any
 // upstream, so what follows these costs nothing.
-func (r *Retrier) pay(pair Pair, outcome dispatcher.Outcome) reason {
+func (r *Retrier) pay(pair Pair, share float64, outcome dispatcher.Outcome) reason {
 	if outcome.Result == dispatcher.ResultPreempted || outcome.Result == dispatcher.ResultNotSent {
 		return reasonNone
 	}
 
-	if !r.budget.Spend(time.Now(), pair) {
+	if !r.budget.Spend(time.Now(), pair, share) {
 		return endBudget
 	}
 
