Let nodes without a loan serve while owners are new

After a start of all nodes, or of one, organisations far below their limits were refused for up to 7 s: a first view counted only after that time, and a new owner renewed loans but lent nothing. Refusing is worse here than a moment above the limit. Now a node's first view counts at once, an answer of a new owner allows an even part of the limit, and a bucket holds one second of the even part. The sum of shares may reach twice the limit for LeaseFor and Settle (7 s) after the owner changed; otherwise it stays within it.

SetNodes with the same nodes again changes nothing: the server calls it four times a second, and each call kept one more former division for 7 s.

--- a/internal/limiter/entry.go
+++ b/internal/limiter/entry.go
@@ -16,6 +16,8 @@
 	wantFade = 0.7
 	// silentUse is the part of the base share that a node uses without reporting.
 	silentUse = 0.5
+	// graceAnswers is for how many periods an answer of a new owner allows an even part.
+	graceAnswers = 2
 )
 
 // entry is the state of one limit on one node.
@@ -37,6 +39,8 @@
 
 	lent      Amounts
 	leaseEnds time.Time
+	// graceEnds is until when an even part is allowed since the owner is new.
+	graceEnds time.Time
 	number    uint64
 	received  uint64
 	// measuredAt is when the demand was last measured.
@@ -55,11 +59,13 @@
 	lastUsed time.Time
 }
 
-func newEntry(now time.Time, limits, allowed Amounts) *entry {
+func newEntry(now time.Time, limits Amounts, view *view) *entry {
+	allowed := view.base(now, limits)
+
 	return &entry{
 		limits:     limits,
 		allowed:    allowed,
-		requests:   rate.NewLimiter(rate.Limit(allowed.Requests), burst(allowed.Requests)),
+		requests:   rate.NewLimiter(rate.Limit(allowed.Requests), burst(allowed, view.even(now, limits))),
 		balance:    allowed.Tokens,
 		balanceAt:  now,
 		measuredAt: now,
@@ -67,25 +73,28 @@
 	}
 }
 
-// burst is one second's worth, and at least one request.
-func burst(perSecond float64) int {
-	return max(1, int(math.Ceil(perSecond)))
+// burst is one second's worth of the share or, if more, of an even part, and at
+// least one request. By the even part a node without a loan serves until it has one.
+func burst(share, even Amounts) int {
+	return max(1, int(math.Ceil(max(share.Requests, even.Requests))))
 }
 
 // refresh brings the share up to now. A loan that ended is taken off as of its end.
 func (e *entry) refresh(now time.Time, options Options, view *view) {
+	even := view.even(now, e.limits)
+
 	if e.lent != (Amounts{}) && !now.Before(e.leaseEnds) {
 		e.lent = Amounts{}
-		e.allow(e.leaseEnds, view.base(e.leaseEnds, e.limits))
+		e.allow(e.leaseEnds, view.base(e.leaseEnds, e.limits), even)
 	}
 
 	share := view.base(now, e.limits).plus(e.lent)
 
-	if e.ownerSilent(now, options) {
-		share = view.even(now, e.limits)
+	if e.ownerSilent(now, options) || now.Before(e.graceEnds) {
+		share = share.atLeast(even)
 	}
 
-	e.allow(now, share.atMost(e.limits))
+	e.allow(now, share.atMost(e.limits), even)
 }
 
 // ownerSilent says whether the owner has not answered for so long that the node
@@ -94,7 +103,7 @@
 	return e.lent == (Amounts{}) && !e.silentSince.IsZero() && now.Sub(e.silentSince) >= options.LeaseFor
 }
 
-func (e *entry) allow(at time.Time, share Amounts) {
+func (e *entry) allow(at time.Time, share, even Amounts) {
 	e.settle(at)
 
 	if share == e.allowed {
@@ -103,7 +112,7 @@
 
 	e.allowed = share
 	e.requests.SetLimitAt(at, rate.Limit(share.Requests))
-	e.requests.SetBurstAt(at, burst(share.Requests))
+	e.requests.SetBurstAt(at, burst(share, even))
 	e.balance = min(e.balance, share.Tokens)
 }
 
@@ -289,5 +298,11 @@
 	e.received = share.Number
 	e.silentSince = time.Time{}
 	e.lent = share.Lent
+	e.graceEnds = time.Time{}
+
+	if share.Grace {
+		e.graceEnds = e.sentAt.Add(graceAnswers * options.Period)
+	}
+
 	e.leaseEnds = e.sentAt.Add(options.LeaseFor)
 }
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -20,14 +21,14 @@
 
 	mu      sync.Mutex
 	view    view
+	nodes   []string
 	owners  *rendezvous.Rendezvous
 	entries map[Key]*entry
 	// refused counts refusals by result code.
 	refused map[classifier.Code]int64
 }
 
-// New returns a limiter that has no base share until SetNodes has named the live
-// nodes and the loans of before have ended; loans it gets at once. The incarnation must differ between two lives of a node.
+// New returns a limiter without any share until SetNodes names the live nodes. The incarnation must differ between two lives of a node.
 func New(options Options, source Source, self string, incarnation uint64) *Limiter {
 	options = options.withDefaults()
 
@@ -57,7 +58,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	l.view.set(now, newDivision(l.options, len(live), known))
+	division := newDivision(l.options, len(live), known)
+	if slices.Equal(l.nodes, live) && division == l.view.current {
+		return
+	}
+
+	l.nodes = slices.Clone(live)
+	l.view.set(now, division)
 	l.owners = rendezvous.New(live, xxhash.Sum64String)
 
 	for key, e := range l.entries {
@@ -145,7 +152,7 @@
 			return nil
 		}
 
-		e = newEntry(now, limits, l.view.base(now, limits))
+		e = newEntry(now, limits, &l.view)
 		e.owner = l.owners.Lookup(key.text())
 		l.entries[key] = e
 	}
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -99,6 +99,16 @@
 	assert.Equal(t, len(l.entries), 0)
 }
 
+func TestSameNodesAgainChangeNothing(t *testing.T) {
+	l := New(Options{}, fixedLimits(Amounts{Requests: 2}), "a", 1)
+
+	for i := range 10 {
+		l.SetNodes(start.Add(time.Duration(i)*time.Second), []string{"a", "b"}, 2)
+	}
+
+	assert.Equal(t, len(l.view.former), 0)
+}
+
 func BenchmarkAdmit(b *testing.B) {
 	l := NewWhole(Options{}, fixedLimits(Amounts{Requests: 1e9, Concurrency: 1e9, Tokens: 1e9}))
 	now := start
--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -97,14 +97,15 @@
 	pool := o.view.pool(now, o.source.Limits(demand.Key))
 	lent := b.target(now, node, pool).atMost(pool.minus(b.others(now, node)))
 
-	if now.Before(b.graceEnds) {
+	grace := now.Before(b.graceEnds)
+	if grace {
 		lent = lent.atMost(demand.Held)
 	}
 
 	lent = lent.whole().brief()
 	l.lend(now, lent, o.options.LeaseFor)
 
-	return Share{Key: demand.Key, Number: demand.Number, Lent: lent}, true
+	return Share{Key: demand.Key, Number: demand.Number, Lent: lent, Grace: grace}, true
 }
 
 // Sweep forgets limits that nobody holds a loan of. It is to be called every few seconds.
--- a/internal/limiter/types.go
+++ b/internal/limiter/types.go
@@ -159,4 +159,8 @@
 	Number uint64 `json:"number"`
 	// Lent lasts for Options.LeaseFor from before the report was sent.
 	Lent Amounts `json:"lent"`
+	// Grace says that the owner is new and doesn't know all loans yet. The node may
+	// go on with an even part meanwhile, so that no caller is refused for want of an
+	// owner: the sum of shares may reach twice the limit for LeaseFor and Settle.
+	Grace bool `json:"grace,omitempty"`
 }
--- a/internal/limiter/view.go
+++ b/internal/limiter/view.go
@@ -60,7 +60,8 @@
 
 // view is the division in force. Of an old and a new one the smaller amount
 // counts, until all nodes know of the new one and, for the base share, loans by
-// the old one have ended.
+// the old one have ended. A node's first division counts at once: its base share
+// comes on top for that time, which is little, and its first callers aren't refused.
 type view struct {
 	options Options
 	current division
@@ -77,7 +78,10 @@
 		}
 	}
 
-	kept = append(kept, replaced{v.current, now})
+	if v.current.live > 0 {
+		kept = append(kept, replaced{v.current, now})
+	}
+
 	v.former = kept
 	v.current = next
 }
