--- a/internal/granter/batcher.go
+++ b/internal/granter/batcher.go
@@ -122,23 +122,37 @@
 	return result, err
 }
 
-// tell sends a message without asks. If it is lost the holder notices at its next comparisons.
+// tellTries is how often a message without asks is sent until it succeeds.
+const tellTries = 3
+
+// tell sends a message without asks. A lost release holds its slot until the
+// holder's second comparison; so one that fails is sent again, which changes
+// nothing when it had arrived.
 func (b *batcher) tell(peer string, params askParams) {
-	r := b.router
 	if b.local(peer) {
-		r.holder.take(peer, params)
+		b.router.holder.take(peer, params)
 
 		return
 	}
 
 	go func() {
-		ctx, cancel := context.WithTimeout(r.ctx, r.options.ReconcileEvery)
-		defer cancel()
+		for range tellTries {
+			if b.tellOnce(peer, params) == nil || b.router.ctx.Err() != nil {
+				return
+			}
+		}
+	}()
+}
 
-		r.counters.messages.Add(1)
+func (b *batcher) tellOnce(peer string, params askParams) error {
+	r := b.router
 
-		_ = r.caller.Notify(ctx, peer, MethodRelease, params)
-	}()
+	ctx, cancel := context.WithTimeout(r.ctx, r.options.HolderSilence)
+	defer cancel()
+
+	r.counters.messages.Add(1)
+
+	return r.caller.Notify(ctx, peer, MethodRelease, params)
 }
 
 // gather adds to the batch for a holder, and sends it at once or after BatchEvery.
