Decide membership by probes and the order of entry answers

The platform's list lags, so a node that crashed stayed in every answer until the list said so. internal/prober lets each node probe one peer every 500 ms, asks three others before it doubts one, and passes news in the same datagrams; internal/lister orders GET /v1/entries by it.

--- /dev/null
+++ b/internal/prober/codec.go
@@ -0,0 +1,115 @@
+package prober
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// MaxDatagram is the largest datagram in bytes; larger ones are neither sent nor read.
+	MaxDatagram = 1200
+
+	macBytes = 16
+)
+
+// Reasons why a datagram is dropped.
+var (
+	// ErrTooLarge means that a datagram exceeds MaxDatagram.
+	ErrTooLarge = errors.New("datagram too large")
+	// ErrNotAuthentic means that no known credential made the datagram for this node.
+	ErrNotAuthentic = errors.New("datagram not authentic")
+	// ErrMalformed means that an authentic datagram has no readable packet.
+	ErrMalformed = errors.New("datagram malformed")
+)
+
+// Codec writes and reads datagrams: 16 bytes of HMAC-SHA256, then the packet in JSON.
+// The receiver's name is part of what is authenticated, so that a datagram counts for nobody else.
+type Codec struct {
+	// keys are the peers' credentials; the first one signs, all verify.
+	keys [][]byte
+}
+
+// NewCodec returns a codec. More than one credential lets operators replace one without a pause.
+func NewCodec(credentials ...string) (*Codec, error) {
+	c := &Codec{}
+
+	for _, v := range credentials {
+		if v == "" {
+			return nil, errors.New("the peers' credential is empty")
+		}
+
+		c.keys = append(c.keys, []byte(v))
+	}
+
+	if len(c.keys) == 0 {
+		return nil, errors.New("the peers' credential is missing")
+	}
+
+	return c, nil
+}
+
+// Encode returns the datagram for the receiver. News that does not fit is left out from the end.
+func (c *Codec) Encode(to string, packet Packet) ([]byte, error) {
+	for {
+		body, err := json.Marshal(packet)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode packet")
+		}
+
+		if len(body)+macBytes <= MaxDatagram {
+			return append(sign(c.keys[0], to, body), body...), nil
+		}
+
+		if len(packet.News) == 0 {
+			return nil, ErrTooLarge
+		}
+
+		packet.News = packet.News[:len(packet.News)*3/4]
+	}
+}
+
+// Decode returns the packet of a datagram for the receiver.
+func (c *Codec) Decode(to string, datagram []byte) (Packet, error) {
+	if len(datagram) > MaxDatagram {
+		return Packet{}, ErrTooLarge
+	}
+
+	if len(datagram) < macBytes {
+		return Packet{}, ErrMalformed
+	}
+
+	body := datagram[macBytes:]
+	if !c.authentic(to, datagram[:macBytes], body) {
+		return Packet{}, ErrNotAuthentic
+	}
+
+	var packet Packet
+	if err := json.Unmarshal(body, &packet); err != nil {
+		return Packet{}, errors.Mark(errors.Wrap(err, "decode packet"), ErrMalformed)
+	}
+
+	return packet, nil
+}
+
+func (c *Codec) authentic(to string, mac, body []byte) bool {
+	for _, k := range c.keys {
+		if hmac.Equal(mac, sign(k, to, body)) {
+			return true
+		}
+	}
+
+	return false
+}
+
+func sign(key []byte, to string, body []byte) []byte {
+	mac := hmac.New(sha256.New, key)
+	// A zero byte parts the name from the body, so that no other pair gives the same input.
+	mac.Write([]byte(to))
+	mac.Write([]byte{0})
+	mac.Write(body)
+
+	return mac.Sum(nil)[:macBytes:macBytes]
+}
--- /dev/null
+++ b/internal/prober/options.go
@@ -0,0 +1,117 @@
+package prober
+
+import (
+	"math"
+	"time"
+)
+
+// Options are the fixed parameters of a Prober; zero values take the defaults of DefaultOptions.
+type Options struct {
+	// Self names this node; Leaving is ignored.
+	Self VM
+	// Incarnation is the start time of the process in milliseconds, so that it grows with each restart.
+	// A clock that went back is mended by the peers, who tell the incarnation that they know.
+	Incarnation int64
+	// Seed makes the choice of peers repeatable.
+	Seed uint64
+
+	// Period is the time between two rounds of probes.
+	Period time.Duration
+	// ProbesPerPeriod is the number of peers probed in one round.
+	ProbesPerPeriod int
+	// AckTimeout is how long a direct probe waits before others are asked.
+	AckTimeout time.Duration
+	// IndirectTimeout is how long the indirect probes may then take.
+	IndirectTimeout time.Duration
+	// IndirectProbes is the number of peers asked.
+	IndirectProbes int
+	// SuspicionTime is the shortest time for a refutation in a fleet of up to 10 nodes; it grows by the logarithm.
+	SuspicionTime time.Duration
+	// FrozenAfter is the delay of an own tick after which the node doubts itself.
+	FrozenAfter time.Duration
+	// DeadProbePeriod is the time between two probes of dead nodes that the list still names.
+	DeadProbePeriod time.Duration
+	// DeadKeep is how long a dead node that no list names is remembered.
+	DeadKeep time.Duration
+	// HoldTime keeps a node that returned twice within PenaltyHalfLife out of Live; it doubles with each return up to HoldMax.
+	HoldTime        time.Duration
+	HoldMax         time.Duration
+	PenaltyHalfLife time.Duration
+	// IntroduceTime is how long after its start a node tells its addresses in each packet.
+	IntroduceTime time.Duration
+	// NewsPerPacket bounds the news in a packet; one with addresses counts as three.
+	NewsPerPacket int
+	// Retransmissions times the logarithm of the node count bounds how often one piece of news is sent.
+	Retransmissions int
+
+	// Fill returns the digest to send; nil sends an empty one. It is called without locks.
+	Fill func() Digest
+	// Observe receives the digest of each packet accepted; nil ignores it. It is called without locks.
+	Observe func(from string, digest Digest)
+}
+
+// DefaultOptions returns the parameters that the measurements in the tests argue for.
+func DefaultOptions() Options {
+	return Options{
+		Period:          500 * time.Millisecond,
+		ProbesPerPeriod: 1,
+		AckTimeout:      150 * time.Millisecond,
+		IndirectTimeout: 300 * time.Millisecond,
+		IndirectProbes:  3,
+		SuspicionTime:   time.Second,
+		FrozenAfter:     time.Second,
+		DeadProbePeriod: 5 * time.Second,
+		DeadKeep:        time.Minute,
+		HoldTime:        4 * time.Second,
+		HoldMax:         time.Minute,
+		PenaltyHalfLife: time.Minute,
+		IntroduceTime:   30 * time.Second,
+		NewsPerPacket:   12,
+		Retransmissions: 4,
+	}
+}
+
+func (o Options) withDefaults() Options {
+	defaults := DefaultOptions()
+	for _, d := range []struct{ value, fallback *time.Duration }{
+		{&o.Period, &defaults.Period},
+		{&o.AckTimeout, &defaults.AckTimeout},
+		{&o.IndirectTimeout, &defaults.IndirectTimeout},
+		{&o.SuspicionTime, &defaults.SuspicionTime},
+		{&o.FrozenAfter, &defaults.FrozenAfter},
+		{&o.DeadProbePeriod, &defaults.DeadProbePeriod},
+		{&o.DeadKeep, &defaults.DeadKeep},
+		{&o.HoldTime, &defaults.HoldTime},
+		{&o.HoldMax, &defaults.HoldMax},
+		{&o.PenaltyHalfLife, &defaults.PenaltyHalfLife},
+		{&o.IntroduceTime, &defaults.IntroduceTime},
+	} {
+		if *d.value <= 0 {
+			*d.value = *d.fallback
+		}
+	}
+
+	for _, d := range []struct{ value, fallback *int }{
+		{&o.ProbesPerPeriod, &defaults.ProbesPerPeriod},
+		{&o.IndirectProbes, &defaults.IndirectProbes},
+		{&o.NewsPerPacket, &defaults.NewsPerPacket},
+		{&o.Retransmissions, &defaults.Retransmissions},
+	} {
+		if *d.value <= 0 {
+			*d.value = *d.fallback
+		}
+	}
+
+	return o
+}
+
+// suspicionTime is the shortest time until a suspect counts as dead among n nodes.
+// News needs a number of rounds that grows with the logarithm of n to reach the suspect and return.
+func (o Options) suspicionTime(n int) time.Duration {
+	return time.Duration(float64(o.SuspicionTime) * max(1, math.Log10(float64(max(n, 1)))))
+}
+
+// transmissions is how often one piece of news is sent among n nodes.
+func (o Options) transmissions(n int) int {
+	return int(math.Ceil(float64(o.Retransmissions) * math.Log10(float64(n)+1)))
+}
