--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -165,7 +165,7 @@
 	return l.take(chosen, candidates, near)
 }
 
-func (l *Lister) take(chosen, candidates []*candidate, fits func(candidate) bool) []*candidate {
+func (l *Lister) take(chosen, candidates []*candidate, fits func(*candidate) bool) []*candidate {
 	for _, c := range candidates {
 		if len(chosen) >= max(l.options.Max/2, 1) {
 			break
