--- /dev/null
+++ b/internal/drainer/drainer_test.go
@@ -0,0 +1,152 @@
+package drainer_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"quincepath.example/quincepath/internal/drainer"
+)
+
+var start = time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func options() drainer.Options {
+	return drainer.Options{EntryLifetime: 10 * time.Second, DrainTimeout: 30 * time.Second}
+}
+
+// Symptom: a caller that kept its answer is refused, or cut, by a node in a planned stop.
+// Sequence: SIGTERM at 0 s; another node names this one until 2 s; the caller keeps that until 12 s; a request runs until 20 s.
+// Cause: a stop that looks only at what is in flight.
+func TestDrainer_PlannedStop(t *testing.T) {
+	d := drainer.New(options())
+	assert.Assert(t, d.Accepting(at(0)))
+	assert.Assert(t, !d.CloseConnections())
+	assert.Assert(t, d.Begin(at(0)))
+
+	for _, tt := range []struct {
+		second    float64
+		inFlight  int
+		accepting bool
+		due       bool
+		phase     drainer.Phase
+	}{
+		{second: 0, inFlight: 3, accepting: true, phase: drainer.Leaving},
+		{second: 5, inFlight: 0, accepting: true, phase: drainer.Leaving},
+		{second: 11.9, inFlight: 1, accepting: true, phase: drainer.Leaving},
+		{second: 12, inFlight: 1, phase: drainer.Finishing},
+		{second: 19, inFlight: 1, phase: drainer.Finishing},
+		{second: 20, inFlight: 0, due: true, phase: drainer.HandingOver},
+		{second: 21, inFlight: 0, phase: drainer.HandingOver},
+	} {
+		assert.Equal(t, d.Accepting(at(tt.second)), tt.accepting, "at %v s", tt.second)
+		assert.Equal(t, d.HandOverDue(at(tt.second), tt.inFlight), tt.due, "at %v s", tt.second)
+		assert.Equal(t, d.Phase(at(tt.second)), tt.phase, "at %v s", tt.second)
+		assert.Assert(t, d.CloseConnections())
+
+		done, _ := d.Done(at(tt.second), tt.inFlight)
+		assert.Assert(t, !done, "at %v s", tt.second)
+	}
+
+	d.HandedOver()
+
+	done, reason := d.Done(at(21), 0)
+	assert.Assert(t, done)
+	assert.Equal(t, reason, drainer.ReasonDrained)
+}
+
+// Symptom: a node never stops. Sequence: SIGTERM; a stream does not end, or the handover hangs.
+// Cause: a stop without a deadline.
+func TestDrainer_Deadline(t *testing.T) {
+	d := drainer.New(options())
+	d.Begin(at(0))
+
+	done, _ := d.Done(at(29.9), 1)
+	assert.Assert(t, !done)
+
+	done, reason := d.Done(at(30), 1)
+	assert.Assert(t, done)
+	assert.Equal(t, reason, drainer.ReasonDeadline)
+}
+
+// Symptom: the operator's second signal does nothing. Sequence: SIGTERM, and SIGTERM again.
+// Cause: the second signal taken for the first.
+func TestDrainer_SecondSignal(t *testing.T) {
+	d := drainer.New(options())
+	d.Begin(at(0))
+	assert.Assert(t, !d.Begin(at(1)))
+	assert.Assert(t, !d.Accepting(at(1)))
+
+	done, reason := d.Done(at(1), 5)
+	assert.Assert(t, done)
+	assert.Equal(t, reason, drainer.ReasonSecondSignal)
+}
+
+// A stop that ends as drained has cut nothing and refused nobody who held a valid answer.
+func TestDrainer_NothingIsCut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := drainer.New(options())
+		d.Begin(at(0))
+
+		inFlight := rapid.IntRange(0, 5).Draw(t, "in_flight")
+
+		for now := 0.0; now < 40; now += 0.5 {
+			if d.Accepting(at(now)) {
+				inFlight += rapid.IntRange(0, 2).Draw(t, "arrive")
+			} else if now < 12 {
+				t.Fatalf("refused at %v s", now)
+			}
+
+			inFlight -= min(inFlight, rapid.IntRange(0, 3).Draw(t, "finish"))
+
+			if d.HandOverDue(at(now), inFlight) {
+				d.HandedOver()
+			}
+
+			done, reason := d.Done(at(now), inFlight)
+			if !done {
+				continue
+			}
+
+			if reason == drainer.ReasonDrained && inFlight > 0 {
+				t.Fatalf("%d cut", inFlight)
+			}
+
+			return
+		}
+
+		t.Fatal("never done")
+	})
+}
+
+// Symptom: a leaving upstream gets new work. Sequence: its report says leaving; the platform's list lags or is down.
+// Cause: one source's silence taken for a denial.
+func TestUpstreamLeaving_AnySourceHolds(t *testing.T) {
+	u := drainer.NewUpstreamLeaving()
+	u.Mark(at(1), drainer.SourceReport, "a", true)
+	u.Replace(at(2), drainer.SourceList, nil)
+	u.Replace(at(3), drainer.SourceSettings, []string{"b"})
+
+	since, leaving := u.Leaving("a")
+	assert.Assert(t, leaving)
+	assert.Equal(t, since, at(1))
+
+	u.Replace(at(4), drainer.SourceList, []string{"a"})
+	u.Mark(at(5), drainer.SourceReport, "a", false)
+
+	_, leaving = u.Leaving("a")
+	assert.Assert(t, leaving, "the list still marks it")
+
+	u.Replace(at(6), drainer.SourceList, []string{"c"})
+
+	_, leaving = u.Leaving("a")
+	assert.Assert(t, !leaving)
+
+	_, leaving = u.Leaving("b")
+	assert.Assert(t, leaving)
+}
--- /dev/null
+++ b/internal/drainer/upstream.go
@@ -0,0 +1,111 @@
+package drainer
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Source says where a leaving mark came from.
+type Source int
+
+const (
+	// SourceSettings is the settings tree.
+	SourceSettings Source = iota
+	// SourceList is the platform's list of VMs.
+	SourceList
+	// SourceReport is the upstream's own load report.
+	SourceReport
+	sources
+)
+
+// UpstreamLeaving merges the leaving marks of upstreams. It is safe for concurrent use.
+//
+// An upstream gets no new work while any source marks it. A source that falls
+// silent keeps its last word: an outage of the platform must not send work back
+// to a server that is going away. The mark holds from the call on, so the time
+// until an upstream gets nothing new is that of its source alone: the poll of
+// load reports (at most MaxReportAge), the time until a settings change is in
+// force, or the lag of the list, whichever comes first.
+type UpstreamLeaving struct {
+	mu     sync.RWMutex
+	marked [sources]map[string]bool
+	// since is when the first of the present marks came.
+	since map[string]time.Time
+}
+
+// MaxReportAge is the longest time between two load reports of an upstream that
+// still keeps the promise of nothing new within 2 s; the rest is for the slot on its way.
+const MaxReportAge = 1500 * time.Millisecond
+
+// NewUpstreamLeaving returns a tracker without marks.
+func NewUpstreamLeaving() *UpstreamLeaving {
+	u := &UpstreamLeaving{since: make(map[string]time.Time)}
+	for i := range u.marked {
+		u.marked[i] = make(map[string]bool)
+	}
+
+	return u
+}
+
+// Mark takes in what one source says about one upstream.
+func (u *UpstreamLeaving) Mark(now time.Time, source Source, upstream string, leaving bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	u.mark(now, source, upstream, leaving)
+}
+
+// Replace takes in all leaving upstreams that a source names; others lose this source's mark.
+func (u *UpstreamLeaving) Replace(now time.Time, source Source, upstreams []string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	for name := range u.marked[source] {
+		if !slices.Contains(upstreams, name) {
+			u.mark(now, source, name, false)
+		}
+	}
+
+	for _, name := range upstreams {
+		u.mark(now, source, name, true)
+	}
+}
+
+func (u *UpstreamLeaving) mark(now time.Time, source Source, upstream string, leaving bool) {
+	if leaving {
+		u.marked[source][upstream] = true
+
+		if _, ok := u.since[upstream]; !ok {
+			u.since[upstream] = now
+		}
+
+		return
+	}
+
+	delete(u.marked[source], upstream)
+
+	if !u.anyMark(upstream) {
+		delete(u.since, upstream)
+	}
+}
+
+func (u *UpstreamLeaving) anyMark(upstream string) bool {
+	for _, marks := range u.marked {
+		if marks[upstream] {
+			return true
+		}
+	}
+
+	return false
+}
+
+// Leaving says whether the upstream gets no new work, and since when.
+func (u *UpstreamLeaving) Leaving(upstream string) (since time.Time, leaving bool) {
+	u.mu.RLock()
+	defer u.mu.RUnlock()
+
+	since, leaving = u.since[upstream]
+
+	return since, leaving
+}
--- a/internal/prober/options.go
+++ b/internal/prober/options.go
@@ -64,7 +64,7 @@
 		DeadKeep:        time.Minute,
 		HoldTime:        4 * time.Second,
 		HoldMax:         time.Minute,
-		PenaltyHalfLife: time.Minute,
+		PenaltyHalfLife: 5 * time.Minute,
 		IntroduceTime:   30 * time.Second,
 		NewsPerPacket:   12,
 		Retransmissions: 4,
