--- a/internal/prober/member.go
+++ b/internal/prober/member.go
@@ -87,6 +87,7 @@
 	m.Since = now
 	m.suspectedBy = nil
 	m.Silent = false
+	p.changes = append(p.changes, m.view())
 
 	return true
 }
--- a/internal/prober/options.go
+++ b/internal/prober/options.go
@@ -48,6 +48,8 @@
 	Fill func() Digest
 	// Observe receives the digest of each packet accepted; nil ignores it. It is called without locks.
 	Observe func(from string, digest Digest)
+	// Changed receives each member whose state changed; nil ignores it. It is called without locks.
+	Changed func(member Member)
 }
 
 // DefaultOptions returns the parameters that the measurements in the tests argue for.
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -43,6 +43,7 @@
 	lastAck time.Time
 
 	outbox   []Message
+	changes  []Member
 	counters Counters
 }
 
@@ -71,8 +72,13 @@
 
 // Tick does what is due: probes, timeouts, deaths. Call it ten times a second; a late call makes the node doubt itself.
 func (p *Prober) Tick(now time.Time) []Message {
-	digest := p.fill()
+	messages, changes := p.tick(now, p.fill())
+	p.tell(changes)
+
+	return messages
+}
 
+func (p *Prober) tick(now time.Time, digest Digest) ([]Message, []Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
@@ -86,13 +92,14 @@
 		p.round(now)
 	}
 
-	return p.takeOutbox()
+	return p.takeOutbox(), p.takeChanges()
 }
 
 // Receive takes in an authentic packet and returns the answers.
 func (p *Prober) Receive(now time.Time, packet Packet) []Message {
 	digest := p.fill()
-	messages, accepted := p.receive(now, packet, digest)
+	messages, changes, accepted := p.receive(now, packet, digest)
+	p.tell(changes)
 
 	if accepted && p.options.Observe != nil {
 		p.options.Observe(packet.From, packet.Digest)
@@ -101,7 +108,7 @@
 	return messages
 }
 
-func (p *Prober) receive(now time.Time, packet Packet, digest Digest) ([]Message, bool) {
+func (p *Prober) receive(now time.Time, packet Packet, digest Digest) ([]Message, []Member, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
@@ -110,7 +117,7 @@
 
 	sender := p.admit(now, packet)
 	if sender == nil {
-		return p.takeOutbox(), false
+		return p.takeOutbox(), p.takeChanges(), false
 	}
 
 	p.defendDoubt(packet.Doubt)
@@ -121,7 +128,7 @@
 
 	p.answer(now, sender, packet)
 
-	return p.takeOutbox(), true
+	return p.takeOutbox(), p.takeChanges(), true
 }
 
 // answer does what the kind of the packet asks for.
@@ -310,6 +317,23 @@
 	return p.options.Fill()
 }
 
+func (p *Prober) tell(changes []Member) {
+	if p.options.Changed == nil {
+		return
+	}
+
+	for _, m := range changes {
+		p.options.Changed(m)
+	}
+}
+
+func (p *Prober) takeChanges() []Member {
+	changes := p.changes
+	p.changes = nil
+
+	return changes
+}
+
 func (p *Prober) takeOutbox() []Message {
 	messages := p.outbox
 	p.outbox = nil
--- a/internal/prober/types.go
+++ b/internal/prober/types.go
@@ -145,16 +145,16 @@
 
 // Counters count what happened since the start.
 type Counters struct {
-	ProbesSent       int64
-	ProbesFailed     int64
-	IndirectProbes   int64
-	Suspicions       int64
-	Deaths           int64
-	Refutations      int64
-	Freezes          int64
-	SelfDoubts       int64
-	ReplaysDropped   int64
-	OutdatedDropped  int64
-	UnknownSenders   int64
-	MembersForgotten int64
+	ProbesSent       int64 `json:"probes_sent"`
+	ProbesFailed     int64 `json:"probes_failed"`
+	IndirectProbes   int64 `json:"indirect_probes"`
+	Suspicions       int64 `json:"suspicions"`
+	Deaths           int64 `json:"deaths"`
+	Refutations      int64 `json:"refutations"`
+	Freezes          int64 `json:"freezes"`
+	SelfDoubts       int64 `json:"self_doubts"`
+	ReplaysDropped   int64 `json:"replays_dropped"`
+	OutdatedDropped  int64 `json:"outdated_dropped"`
+	UnknownSenders   int64 `json:"unknown_senders"`
+	MembersForgotten int64 `json:"members_forgotten"`
 }
