Probe members, list entries from what answers, drain before a stop

Cause: all nodes of the settings file counted as alive, a stopped node cut what was in flight, and a booking asked again on another node while it ran was told outcome_unknown. Nodes now probe each other by datagrams, tell their run and settings revision in them, list entries from what answers, and stop in steps: announce, serve kept answers, refuse, finish, exit. Load reports are read by a pool's holder only; read by every node they grow with the square of the fleet. Upstreams that the platform's list or their own report marks as leaving get nothing new.

--- a/internal/granter/watcher.go
+++ b/internal/granter/watcher.go
@@ -52,6 +52,20 @@
 	return r.placement.holder(live, pool)
 }
 
+// HoldersOf returns the nodes that hold the pools of a service, each once.
+func (r *Router) HoldersOf(service string) []string {
+	var holders []string
+
+	for part := range poolCount(r.settings.Snapshot().Services[service]) {
+		holder := r.holderOf(poolName(service, part))
+		if holder != "" && !slices.Contains(holders, holder) {
+			holders = append(holders, holder)
+		}
+	}
+
+	return holders
+}
+
 // suspect keeps a silent holder from being asked until it answers again. The
 // next holder is asked meanwhile; two holders cost some balance and no promise.
 func (r *Router) suspect(peer string) {
--- a/internal/prober/types.go
+++ b/internal/prober/types.go
@@ -83,6 +83,8 @@
 	Load int `json:"l,omitempty"`
 	// Leaving says that the sender is in a planned stop.
 	Leaving bool `json:"v,omitempty"`
+	// Run differs between any two starts of the sender; claims and requests name it.
+	Run string `json:"u,omitempty"`
 }
 
 // Kind tells what a packet asks for.
--- a/internal/server/authenticator.go
+++ b/internal/server/authenticator.go
@@ -5,9 +5,11 @@
 	"encoding/hex"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 
 	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/drainer"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
@@ -20,11 +22,17 @@
 
 // settingsHolder gives the settings in force. It is safe for concurrent use.
 type settingsHolder struct {
-	view atomic.Pointer[settingsView]
+	leaving *drainer.UpstreamLeaving
+	view    atomic.Pointer[settingsView]
+
+	// mu makes changes follow each other.
+	mu sync.Mutex
+	// tree is the snapshot without the marks of other sources.
+	tree configurer.Snapshot
 }
 
-func newSettingsHolder(snapshot configurer.Snapshot) *settingsHolder {
-	h := &settingsHolder{}
+func newSettingsHolder(snapshot configurer.Snapshot, leaving *drainer.UpstreamLeaving) *settingsHolder {
+	h := &settingsHolder{leaving: leaving}
 	h.set(snapshot)
 
 	return h
@@ -32,6 +40,23 @@
 
 // set puts a snapshot in force.
 func (h *settingsHolder) set(snapshot configurer.Snapshot) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.tree = snapshot
+	h.publish()
+}
+
+// refresh puts changed marks of leaving upstreams in force.
+func (h *settingsHolder) refresh() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.publish()
+}
+
+func (h *settingsHolder) publish() {
+	snapshot := withLeaving(h.tree, h.leaving)
 	organisations := make(map[string]string)
 
 	for _, service := range snapshot.Services {
--- a/internal/server/entries.go
+++ b/internal/server/entries.go
@@ -4,6 +4,10 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+
+	"quincepath.example/quincepath/internal/lister"
+	"quincepath.example/quincepath/internal/loader"
+	"quincepath.example/quincepath/internal/prober"
 )
 
 // entriesAnswer lists the addresses to use, the best first.
@@ -26,25 +30,63 @@
 		return
 	}
 
-	writeJSON(w, entriesAnswer{Entries: n.entries(), KeepSeconds: n.settings.Node.EntryLifetime.Seconds()})
+	ask := lister.Ask{Service: r.URL.Query().Get("service"), FailureDomain: r.URL.Query().Get("failure_domain")}
+	writeJSON(w, n.entries(ask))
+}
+
+// entries lists the nodes that this caller is to use.
+func (n *Node) entries(ask lister.Ask) entriesAnswer {
+	list := n.lister.List(ask, n.entryNodes())
+	answer := entriesAnswer{KeepSeconds: list.Keep.Seconds()}
+
+	for _, entry := range list.Entries {
+		answer.Entries = append(answer.Entries, entryAddress{
+			Address:       entry.Address,
+			Node:          entry.Node,
+			FailureDomain: entry.FailureDomain,
+		})
+	}
+
+	return answer
 }
 
-func (n *Node) entries() []entryAddress {
-	entries := []entryAddress{{
+// entryNodes are the nodes that callers may be sent to. Nodes that the settings
+// name and that were not heard of yet stand last: a caller that meets a dead one
+// gets a quick error, and a node that just started still names others.
+func (n *Node) entryNodes() []lister.Node {
+	nodes := []lister.Node{{
+		Name:          n.settings.Node.Name,
 		Address:       n.settings.Node.Advertise,
-		Node:          n.settings.Node.Name,
 		FailureDomain: n.settings.Node.FailureDomain,
+		Leaving:       n.drain.CloseConnections(),
+		Load:          n.digest().Load,
 	}}
 
-	for _, peer := range n.settings.Peers.Nodes {
-		if peer.Name == n.settings.Node.Name {
+	for _, member := range n.members.view.Load().all {
+		if member.Name == n.identity.node || member.State == prober.Dead {
 			continue
 		}
 
-		entries = append(entries, entryAddress{Address: peer.EntryAddress, Node: peer.Name, FailureDomain: peer.FailureDomain})
+		nodes = append(nodes, lister.Node{
+			Name:          member.Name,
+			Address:       member.Address,
+			FailureDomain: member.FailureDomain,
+			Suspect:       member.State != prober.Live,
+			Leaving:       member.Leaving,
+			Load:          member.Digest.Load,
+		})
+	}
+
+	return nodes
+}
+
+// Holders implements lister.Holders: callers of a service do best where its pools are held.
+func (n *Node) Holders(service string) []string {
+	if n.router == nil || n.settings.Routing.Policy != loader.PolicyQueueSteered {
+		return nil
 	}
 
-	return entries
+	return n.router.HoldersOf(service)
 }
 
 // modelsAnswer is the OpenAI list of models.
--- /dev/null
+++ b/internal/server/leaving.go
@@ -0,0 +1,143 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/drainer"
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+// drainInterval is how often a stop looks whether its next step is due.
+const drainInterval = 50 * time.Millisecond
+
+// leavingRetryAfter is when a caller that met a stopping node may ask another one.
+const leavingRetryAfter = time.Second
+
+// whileAccepting refuses what comes after the stop's last kept entries answer
+// has run out, and has callers connect elsewhere for their next request before that.
+func (n *Node) whileAccepting(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.drain.CloseConnections() {
+			w.Header().Set("Connection", "close")
+		}
+
+		if !n.drain.Accepting(time.Now()) {
+			n.refuse(w, "", classifier.New(classifier.NodeLeaving, "the node is stopping").After(leavingRetryAfter))
+
+			return
+		}
+
+		next.ServeHTTP(w, r)
+	})
+}
+
+// stop carries out a planned stop: it ends when nothing is in flight, or at the deadline.
+func (n *Node) stop(server *http.Server) error {
+	n.drain.Begin(time.Now())
+	n.members.refresh()
+	n.logger.Info().Msg("node_leaving")
+
+	if n.heartbeats != nil {
+		n.heartbeats.Leave()
+		n.members.refresh()
+	}
+
+	reason := n.waitDrained()
+
+	ctx, cancel := context.WithTimeout(context.Background(), drainInterval)
+	defer cancel()
+
+	err := server.Shutdown(ctx)
+	if err != nil {
+		// Only callers that take no bytes, or rest, are left now.
+		err = server.Close()
+	}
+
+	n.stopWork()
+	n.runners.StopAndWait()
+	n.background.StopAndWait()
+	n.upstream.Close()
+	n.logger.Info().Str("reason", string(reason)).Msg("node_stopped")
+
+	return errors.Wrap(err, "shut down")
+}
+
+// waitDrained returns when the stop is done, and why.
+func (n *Node) waitDrained() drainer.Reason {
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+
+	for now := range ticker.C {
+		inFlight := n.runs.count() + int(n.writing.Load())
+
+		if n.drain.HandOverDue(now, inFlight) {
+			go n.handOver()
+		}
+
+		if done, reason := n.drain.Done(now, inFlight); done {
+			return reason
+		}
+	}
+
+	return drainer.ReasonNone
+}
+
+// handOver waits until the end of every claim is written. Pools need nothing:
+// the others gave them to new holders when they heard that this node leaves.
+func (n *Node) handOver() {
+	defer n.drain.HandedOver()
+
+	if n.claims == nil {
+		return
+	}
+
+	deadline, _ := n.drain.Deadline()
+
+	ctx, cancel := context.WithDeadline(n.work, deadline)
+	defer cancel()
+
+	if err := n.claims.Drain(ctx); err != nil {
+		n.logger.Warn().Err(err).Msg("claims_not_drained")
+	}
+}
+
+// markLeavingUpstreams takes in which VMs a source says are leaving.
+func (n *Node) markLeavingUpstreams(source drainer.Source, leaving map[string]bool) {
+	names := make([]string, 0, len(leaving))
+	for name := range leaving {
+		names = append(names, name)
+	}
+
+	n.leaving.Replace(time.Now(), source, names)
+	n.tree.refresh()
+}
+
+// withLeaving marks the upstreams of a snapshot that other sources than the tree say are leaving.
+// It copies what it changes; the snapshot itself is shared.
+func withLeaving(snapshot configurer.Snapshot, leaving *drainer.UpstreamLeaving) configurer.Snapshot {
+	services := make(map[string]configurer.Service, len(snapshot.Services))
+
+	for name, service := range snapshot.Services {
+		upstreams := make(map[string]configurer.Upstream, len(service.Upstreams))
+
+		for key, upstream := range service.Upstreams {
+			if _, marked := leaving.Leaving(upstream.Name); marked {
+				upstream.Leaving = true
+			}
+
+			upstreams[key] = upstream
+		}
+
+		service.Upstreams = upstreams
+		services[name] = service
+	}
+
+	snapshot.Services = services
+
+	return snapshot
+}
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -29,12 +29,18 @@
 		return err
 	}
 
+	if err := n.probePeers(ctx); err != nil {
+		return err
+	}
+
+	go n.members.follow(n.work)
+	go n.readList(n.work)
 	go n.distributor.Run(n.work)
 	go n.exchangeLimits(n.work)
 	go n.pollLoads(n.work)
 
 	server := &http.Server{
-		Handler:           n.callerRoutes(),
+		Handler:           n.whileAccepting(n.callerRoutes()),
 		ReadHeaderTimeout: n.settings.Node.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -66,17 +72,3 @@
 
 	return listener, nil
 }
-
-func (n *Node) stop(server *http.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Node.DrainTimeout)
-	defer cancel()
-
-	err := server.Shutdown(ctx)
-	n.runners.StopAndWait()
-	n.stopWork()
-	n.background.StopAndWait()
-	n.upstream.Close()
-	n.logger.Info().Msg("node_stopped")
-
-	return errors.Wrap(err, "shut down")
-}
--- a/internal/server/limits.go
+++ b/internal/server/limits.go
@@ -61,6 +61,7 @@
 			return
 		}
 
+		n.limits.owner.Sweep(time.Now())
 		n.limits.setNodes(n.members.Live(), n.members.known())
 
 		if err := n.limits.local.Exchange(ctx, n.messages, n.limits.owner); err != nil {
--- a/internal/server/loads.go
+++ b/internal/server/loads.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-resty/resty/v2"
 
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/drainer"
 	"quincepath.example/quincepath/internal/placer"
 )
 
@@ -19,6 +22,8 @@
 type loadReport struct {
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
+	// Leaving is set by upstreams that are about to stop and say so themselves.
+	Leaving bool `json:"leaving"`
 }
 
 // pollLoads asks every upstream for its load until ctx ends.
@@ -44,16 +49,29 @@
 
 func (n *Node) pollOnce(ctx context.Context, client *resty.Client) {
 	for _, service := range n.tree.Snapshot().Services {
+		if !n.polls(service.Name) {
+			continue
+		}
+
 		for _, upstream := range service.Upstreams {
 			// A pool that is full skips this round; the next comes in a second.
-			_ = n.background.Go(func() { n.pollUpstream(ctx, client, upstream.Address) })
+			_ = n.background.Go(func() { n.pollUpstream(ctx, client, upstream) })
 		}
 	}
 }
 
-func (n *Node) pollUpstream(ctx context.Context, client *resty.Client, address string) {
+// polls says whether this node reads the load reports of a service. With a
+// queue only the holder needs them: polls of every server by every node would
+// grow with the square of the fleet.
+func (n *Node) polls(service string) bool {
+	return n.router == nil || slices.Contains(n.router.HoldersOf(service), n.identity.node)
+}
+
+func (n *Node) pollUpstream(ctx context.Context, client *resty.Client, upstream configurer.Upstream) {
 	var report loadReport
 
+	address := upstream.Address
+
 	response, err := client.R().SetContext(ctx).SetResult(&report).Get(address + "/load")
 	if err != nil || response.IsError() {
 		n.upstreams.pollFailed(address)
@@ -61,6 +79,11 @@
 		return
 	}
 
+	if _, marked := n.leaving.Leaving(upstream.Name); marked || report.Leaving {
+		n.leaving.Mark(time.Now(), drainer.SourceReport, upstream.Name, report.Leaving)
+		n.tree.refresh()
+	}
+
 	n.upstreams.reported(address, report.Running+report.Waiting)
 	n.placer.Report(address, placer.Load{Running: report.Running, Waiting: report.Waiting})
 }
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -1,41 +1,158 @@
 package server
 
 import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quincepath.example/quincepath/internal/administrator"
 	"quincepath.example/quincepath/internal/distributor"
-	"quincepath.example/quincepath/internal/loader"
+	"quincepath.example/quincepath/internal/drainer"
+	"quincepath.example/quincepath/internal/heartbeater"
+	"quincepath.example/quincepath/internal/prober"
 )
 
-// members are the nodes of the fleet. Until they are probed, all that the settings name count as alive.
-type members struct {
+const (
+	// viewInterval is how often the view of live nodes is renewed without a change.
+	viewInterval = time.Second
+	// listInterval is the least time between two reads of the platform's list of VMs by this node.
+	listInterval = 5 * time.Second
+	// listIntervalPerNode stretches it, so that the whole fleet reads at most ten times a second.
+	listIntervalPerNode = 100 * time.Millisecond
+)
+
+// memberView is what the node's parts see of the fleet. It is immutable.
+type memberView struct {
+	// live are the names of nodes that answer and stay, this one included unless it leaves; sorted.
+	live []string
+	// nodes are the same with their failure domains, for the settings tree; leaving ones included.
 	nodes []distributor.Member
-	names []string
+	// all are all members that are known, dead ones included.
+	all []prober.Member
+	// runs maps each live node to its incarnation as requests and claims name it.
+	runs map[string]string
 }
 
-func newMembers(settings loader.Settings) *members {
-	self := distributor.Member{Name: settings.Node.Name, FailureDomain: settings.Node.FailureDomain}
-	m := &members{nodes: []distributor.Member{self}}
+// members knows the nodes of the fleet by probes. It is safe for concurrent use.
+type members struct {
+	prober *prober.Prober
+	self   distributor.Member
+	view   atomic.Pointer[memberView]
+	// changed asks for a new view; it holds at most one.
+	changed chan struct{}
+}
 
-	for _, peer := range settings.Peers.Nodes {
-		if peer.Name != self.Name {
-			m.nodes = append(m.nodes, distributor.Member{Name: peer.Name, FailureDomain: peer.FailureDomain})
-		}
+func (n *Node) newMembers() *members {
+	node := n.settings.Node
+	m := &members{
+		self:    distributor.Member{Name: node.Name, FailureDomain: node.FailureDomain},
+		changed: make(chan struct{}, 1),
 	}
 
-	for _, node := range m.nodes {
-		m.names = append(m.names, node.Name)
+	options := prober.DefaultOptions()
+	options.Self = prober.VM{
+		Name:          node.Name,
+		Address:       node.Advertise,
+		PeerAddress:   node.PeerListen,
+		FailureDomain: node.FailureDomain,
 	}
+	options.Incarnation = n.started.UnixMilli()
+	options.Seed = n.identity.seed()
+	options.Fill = n.digest
+	options.Observe = n.observeDigest
+	options.Changed = func(prober.Member) { m.refreshSoon() }
+
+	m.prober = prober.New(options)
+	m.prober.List(time.Now(), n.listedNodes(nil))
+	m.refresh()
 
 	return m
 }
 
-// Live returns the names of the nodes that answer, this one included.
+// digest is what each heartbeat tells of this node.
+func (n *Node) digest() prober.Digest {
+	return prober.Digest{
+		Revision: n.distributor.Revision(),
+		Load:     100 * n.runs.count() / n.settings.Node.MaxInFlight,
+		Leaving:  n.drain.CloseConnections(),
+		Run:      n.identity.incarnation,
+	}
+}
+
+func (n *Node) observeDigest(from string, digest prober.Digest) {
+	n.distributor.PeerRevision(from, digest.Revision)
+}
+
+func (m *members) refreshSoon() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+// refresh renews the view from the prober.
+func (m *members) refresh() {
+	all := m.prober.Members()
+	view := &memberView{all: all, runs: make(map[string]string)}
+
+	if !m.prober.Self().Leaving {
+		view.live = append(view.live, m.self.Name)
+	}
+
+	view.nodes = append(view.nodes, m.self)
+
+	for _, member := range m.prober.Live(time.Now()) {
+		if member.Name == m.self.Name {
+			continue
+		}
+
+		view.nodes = append(view.nodes, distributor.Member{Name: member.Name, FailureDomain: member.FailureDomain})
+		view.runs[member.Name] = member.Digest.Run
+
+		if !member.Leaving {
+			view.live = append(view.live, member.Name)
+		}
+	}
+
+	slices.Sort(view.live)
+	m.view.Store(view)
+}
+
+// follow renews the view on every change until ctx ends.
+func (m *members) follow(ctx context.Context) {
+	ticker := time.NewTicker(viewInterval)
+	defer ticker.Stop()
+
+	for {
+		select {
+		case <-ticker.C:
+		case <-m.changed:
+		case <-ctx.Done():
+			return
+		}
+
+		m.refresh()
+	}
+}
+
+// Live returns the names of the nodes that answer and stay.
 func (m *members) Live() []string {
-	return m.names
+	return m.view.Load().live
+}
+
+// Alive implements claimer.Makers: it says whether the run of a node that made a claim goes on.
+func (m *members) Alive(node, incarnation string) bool {
+	return m.view.Load().runs[node] == incarnation
 }
 
 // known is the number of nodes that may exist.
 func (m *members) known() int {
-	return len(m.names)
+	return len(m.view.Load().all) + 1
 }
 
 // treeMembers shows the members to the distributor.
@@ -45,5 +162,128 @@
 
 // Live implements distributor.Members.
 func (t treeMembers) Live() []distributor.Member {
-	return t.nodes
+	return t.view.Load().nodes
+}
+
+// listedNodes are the nodes of the settings; those that the platform's list marks are leaving.
+func (n *Node) listedNodes(leaving map[string]bool) []prober.VM {
+	nodes := make([]prober.VM, 0, len(n.settings.Peers.Nodes))
+
+	for _, peer := range n.settings.Peers.Nodes {
+		nodes = append(nodes, prober.VM{
+			Name:          peer.Name,
+			Address:       peer.EntryAddress,
+			PeerAddress:   peer.PeerAddress,
+			FailureDomain: peer.FailureDomain,
+			Leaving:       leaving[peer.Name],
+		})
+	}
+
+	return nodes
+}
+
+// probePeers joins the prober to the network until ctx ends.
+func (n *Node) probePeers(ctx context.Context) error {
+	if n.settings.Node.PeerListen == "" || n.settings.Peers.Credential == "" {
+		return nil
+	}
+
+	codec, err := prober.NewCodec(n.settings.Peers.Credential)
+	if err != nil {
+		return err
+	}
+
+	heartbeats, err := heartbeater.Listen(ctx, heartbeater.Options{
+		Name:   n.identity.node,
+		Listen: n.settings.Node.PeerListen,
+		Codec:  codec,
+		Prober: n.members.prober,
+		Logger: n.logger,
+	})
+	if err != nil {
+		return errors.Wrap(err, "probe peers")
+	}
+
+	n.heartbeats = heartbeats
+
+	go func() {
+		if err := heartbeats.Run(n.work); err != nil {
+			n.logger.Error().Err(err).Msg("heartbeats_failed")
+		}
+	}()
+
+	return nil
+}
+
+// readList takes in the platform's lagging list of VMs until ctx ends.
+func (n *Node) readList(ctx context.Context) {
+	if n.store == nil {
+		return
+	}
+
+	for {
+		n.readListOnce(ctx)
+
+		// Jitter keeps nodes that started together from reading together.
+		pause := max(listInterval, time.Duration(n.members.known())*listIntervalPerNode)
+		pause += time.Duration(rand.Int64N(int64(pause) / 4))
+
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) readListOnce(ctx context.Context) {
+	list, err := n.store.VMs(ctx)
+	if err != nil {
+		n.logger.Debug().Err(err).Msg("vm_list_unreadable")
+
+		return
+	}
+
+	leaving := make(map[string]bool)
+
+	for _, vm := range list.VMs {
+		if vm.State == "leaving" {
+			leaving[vm.Name] = true
+		}
+	}
+
+	n.members.prober.List(time.Now(), n.listedNodes(leaving))
+	n.markLeavingUpstreams(drainer.SourceList, leaving)
+}
+
+// peerStatuses describes the other nodes to operators.
+func (n *Node) peerStatuses() []administrator.PeerStatus {
+	var statuses []administrator.PeerStatus
+
+	for _, member := range n.members.view.Load().all {
+		if member.Name != n.identity.node {
+			statuses = append(statuses, administrator.PeerStatus{
+				Node:          member.Name,
+				FailureDomain: member.FailureDomain,
+				State:         peerState(member),
+			})
+		}
+	}
+
+	slices.SortFunc(statuses, func(a, b administrator.PeerStatus) int { return strings.Compare(a.Node, b.Node) })
+
+	return statuses
+}
+
+func peerState(member prober.Member) string {
+	switch {
+	case member.State == prober.Dead:
+		return "dead"
+	case member.Leaving:
+		return "leaving"
+	case member.State == prober.Live:
+		return "alive"
+	default:
+		return "doubted"
+	}
 }
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -82,6 +82,8 @@
 		FailureDomain: n.settings.Node.FailureDomain,
 		StartedAt:     n.started,
 		Revision:      n.tree.Snapshot().Revision,
+		Leaving:       n.drain.CloseConnections(),
+		Peers:         n.peerStatuses(),
 		InFlight:      n.runs.count(),
 		MaxInFlight:   n.settings.Node.MaxInFlight,
 	}
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -5,6 +5,7 @@
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/connector"
 	"quincepath.example/quincepath/internal/distributor"
+	"quincepath.example/quincepath/internal/limiter"
 )
 
 // connectPlatform makes the client of the platform's store; it connects when first used.
@@ -26,6 +27,7 @@
 	n.claims = claimer.New(n.work, store, claimer.Options{
 		Node:        n.identity.node,
 		Incarnation: n.identity.incarnation,
+		Makers:      n.members,
 		Caller:      n.messages,
 	})
 	n.messages.Handle(claimer.MethodWrite, n.claims.HandleWrite)
@@ -37,7 +39,7 @@
 // newDistributor returns what keeps the settings in force up to date.
 func (n *Node) newDistributor() *distributor.Distributor {
 	options := distributor.Options{
-		Self:    n.members.nodes[0],
+		Self:    n.members.self,
 		Caller:  n.messages,
 		Members: treeMembers{n.members},
 		Initial: n.tree.Snapshot(),
@@ -49,6 +51,8 @@
 		options.Store = n.store
 	}
 
+	n.messages.Handle(limiter.MethodReport, n.limits.owner.HandleReport)
+
 	created := distributor.New(options)
 	created.Subscribe(n.tree.set)
 	n.messages.Handle(distributor.MethodPull, created.HandlePull)
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -190,6 +190,9 @@
 		w.WriteHeader(http.StatusEarlyHints)
 	}
 
+	n.writing.Add(1)
+	defer n.writing.Add(-1)
+
 	entry.deliver(w, r, "")
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -16,7 +17,11 @@
 	"quincepath.example/quincepath/internal/connector"
 	"quincepath.example/quincepath/internal/dispatcher"
 	"quincepath.example/quincepath/internal/distributor"
+	"quincepath.example/quincepath/internal/drainer"
 	"quincepath.example/quincepath/internal/forwarder"
+	"quincepath.example/quincepath/internal/granter"
+	"quincepath.example/quincepath/internal/heartbeater"
+	"quincepath.example/quincepath/internal/lister"
 	"quincepath.example/quincepath/internal/loader"
 	"quincepath.example/quincepath/internal/messenger"
 	"quincepath.example/quincepath/internal/meter"
@@ -62,7 +67,17 @@
 	// entryClient reaches other nodes at their addresses for callers.
 	entryClient *http.Client
 
-	members   *members
+	members *members
+	// heartbeats is nil while the node has no address for peers.
+	heartbeats *heartbeater.Heartbeater
+	lister     *lister.Lister
+	drain      *drainer.Drainer
+	// leaving merges what the platform's list and load reports say of upstreams.
+	leaving *drainer.UpstreamLeaving
+	// writing counts answers that are on their way to callers.
+	writing atomic.Int64
+	// router asks the holders of pools; nil under the baseline policy.
+	router    *granter.Router
 	limits    *limits
 	placer    *placer.PowerOfTwo
 	dispatch  *dispatcher.Dispatcher
@@ -83,7 +98,8 @@
 
 func newNode(settings loader.Settings, logger zerolog.Logger) (*Node, error) {
 	identity := newIdentity(settings.Node.Name)
-	tree := newSettingsHolder(settings.Snapshot())
+	leaving := drainer.NewUpstreamLeaving()
+	tree := newSettingsHolder(settings.Snapshot(), leaving)
 	work, stopWork := context.WithCancel(context.Background())
 
 	node := &Node{
@@ -98,12 +114,19 @@
 		background: pond.NewPool(backgroundWorkers, pond.WithNonBlocking(true), pond.WithQueueSize(backgroundQueue)),
 		upstream:   forwarder.NewClient(forwarder.Options{BearerKey: settings.Upstreams.BearerKey}),
 		placer:     placer.NewPowerOfTwo(tree, identity.seed()),
-		members:    newMembers(settings),
-		runs:       newRuns(settings.Node.MaxInFlight),
-		upstreams:  newUpstreamTable(),
-		meter:      meter.New(),
+		leaving:    leaving,
+		drain: drainer.New(drainer.Options{
+			EntryLifetime: settings.Node.EntryLifetime,
+			DrainTimeout:  settings.Node.DrainTimeout,
+		}),
+		runs:      newRuns(settings.Node.MaxInFlight),
+		upstreams: newUpstreamTable(),
+		meter:     meter.New(),
 	}
 
+	node.members = node.newMembers()
+	node.lister = lister.New(lister.Options{Lifetime: settings.Node.EntryLifetime, Seed: identity.seed(), Holders: node})
+
 	if err := node.connect(); err != nil {
 		stopWork()
 
--- a/internal/server/slots.go
+++ b/internal/server/slots.go
@@ -25,6 +25,7 @@
 	holder := granter.NewHolder(n.work, n.tree, n.members, n.messages, options)
 	router := granter.NewRouter(n.work, holder, n.placer, n.tree, n.members, n.messages, options)
 
+	n.router = router
 	n.messages.Handle(granter.MethodAsk, holder.HandleAsk)
 	n.messages.Handle(granter.MethodRelease, holder.HandleRelease)
 	n.messages.Handle(granter.MethodDecided, router.HandleDecided)
