Rebuild a pool after its holder was out of reach

A holder that was cut off while another granted in its place believed that it alone had granted, and gave the same slots again: 4 of 3 on each server. An entry probes a silent holder with an empty message; the holder now takes that as a sign and begins a rebuild with the pool's next ask.

The same test showed that a late cancel of an ask at the old holder freed the grant that it had adopted from the new one; adopted grants are now out of the cancel's reach. While a pool is rebuilt lower tiers wait for the entries' answers, milliseconds as a rule and RebuildFor at most, in place of half of each server at once: a slot given twice stays so for a whole answer.

--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -173,6 +173,38 @@
 	})
 }
 
+// Symptom: servers ran twice their slots after a holder was cut off. Sequence: no
+// message reaches the holder; another grants in its place; the holder is asked
+// again. Cause: it still believed that it alone had granted.
+func TestReturnedHolderLearnsWhatWasGrantedInItsPlace(t *testing.T) {
+	inVirtualTime(t, 3, 2, 3, fixed(), func(t *testing.T, ctx context.Context, n *network) {
+		entry, cut := n.other(), n.holderNode().name
+		_, err := entry.run(ctx, "chat", time.Millisecond)
+		assert.NilError(t, err)
+
+		n.setCut(cut, true)
+
+		for range 6 {
+			go func() { _, _ = entry.run(ctx, "chat", 20*time.Second) }()
+		}
+
+		time.Sleep(2 * time.Second)
+		n.setCut(cut, false)
+		time.Sleep(500 * time.Millisecond)
+
+		for name, node := range n.nodes {
+			if name != entry.name {
+				go func() { _, _ = node.run(ctx, "chat", time.Second) }()
+			}
+		}
+
+		time.Sleep(10 * time.Second)
+
+		_, most := n.counts()
+		assert.DeepEqual(t, most, map[string]int{"e01": 3, "e02": 3})
+	})
+}
+
 // Symptom: two requests ran too many for each lost message, until the node restarted.
 // Sequence: decisions and releases are lost at random. Cause: grants that nobody uses.
 func TestLostMessagesLoseNoCapacity(t *testing.T) {
--- a/internal/granter/holder.go
+++ b/internal/granter/holder.go
@@ -100,6 +100,10 @@
 // take carries out the asks, releases and cancels of an entry. Releases come
 // first: they free slots for the asks.
 func (h *Holder) take(entry string, params askParams) askResult {
+	if params.empty() {
+		h.doubt()
+	}
+
 	for i := range params.Releases {
 		release := &params.Releases[i]
 		h.drive(h.find(release.Pool), func(now time.Time, p *scheduler.Pool) []scheduler.Decision {
@@ -121,6 +125,18 @@
 	return askResult{Answers: answers}
 }
 
+// doubt makes the next ask of each pool begin a rebuild. An entry probes with an
+// empty message when this node was silent; then others may have granted in its
+// place, and it would grant the same slots again.
+func (h *Holder) doubt() {
+	for _, p := range h.held() {
+		p.mu.Lock()
+		p.mine = false
+		p.lastAsk = time.Time{}
+		p.mu.Unlock()
+	}
+}
+
 // ask submits one ask. The answer takes the ask's own decision along; all others go through the outbox.
 func (h *Holder) ask(entry string, item *askItem) decision {
 	p := h.open(item.Service, item.Part)
--- a/internal/granter/network_test.go
+++ b/internal/granter/network_test.go
@@ -25,7 +25,9 @@
 	mu    sync.Mutex
 	nodes map[string]*node
 	// down nodes take no messages; frozen ones answer none until they thaw.
-	down   map[string]bool
+	down map[string]bool
+	// cut nodes take no messages either, but are still listed as live.
+	cut    map[string]bool
 	frozen map[string]chan struct{}
 	// loss is the share of messages that are lost.
 	loss   float64
@@ -84,7 +86,7 @@
 
 func newNetwork(ctx context.Context, nodes int, s configurer.Service, options Options) *network {
 	n := &network{
-		nodes: map[string]*node{}, down: map[string]bool{}, frozen: map[string]chan struct{}{},
+		nodes: map[string]*node{}, down: map[string]bool{}, cut: map[string]bool{}, frozen: map[string]chan struct{}{},
 		random: rand.New(rand.NewPCG(1, 1)), dropped: map[string]bool{}, messages: map[string]int{}, bytes: map[string]int{},
 		running: map[string]int{}, most: map[string]int{}, failures: map[classifier.Code]int{},
 	}
@@ -168,6 +170,13 @@
 	n.loss = share
 }
 
+func (n *network) setCut(name string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.cut[name] = cut
+}
+
 func (n *network) setDown(name string, down bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -183,7 +192,7 @@
 	defer n.mu.Unlock()
 
 	n.messages[method]++
-	lost := n.nodes[to] == nil || n.down[from] || n.down[to] || n.dropped[method] || n.random.Float64() < n.loss
+	lost := n.nodes[to] == nil || n.down[from] || n.down[to] || n.cut[to] || n.dropped[method] || n.random.Float64() < n.loss
 
 	return n.frozen[to], !lost
 }
--- a/internal/granter/wire.go
+++ b/internal/granter/wire.go
@@ -27,6 +27,10 @@
 	Cancels  []cancelItem  `json:"cancels,omitempty"`
 }
 
+func (p *askParams) empty() bool {
+	return len(p.Asks) == 0 && len(p.Releases) == 0 && len(p.Cancels) == 0
+}
+
 // askItem asks for one slot.
 type askItem struct {
 	ID           string        `json:"id"`
--- a/internal/scheduler/adopting.go
+++ b/internal/scheduler/adopting.go
@@ -87,7 +87,8 @@
 	}
 
 	p.order++
-	p.hold(now, &grant{
+
+	g := &grant{
 		id:      flight.GrantID,
 		request: Request{ID: flight.RequestID, Entry: entry, Class: flight.Class, Organisation: flight.Organisation},
 		class:   c,
@@ -96,7 +97,12 @@
 		granted: flight.Since,
 		cost:    c.cost,
 		lower:   c.settings.Tier > topTier,
-	})
+	}
+
+	// An adopted grant is not in holding: a late cancel of the same ask at this
+	// holder must not free what runs by another's grant.
+	g.server.add(now, c)
+	p.grants[g.id] = g
 }
 
 func (p *Pool) reconcile(now time.Time, g *grant, named bool) {
--- a/internal/scheduler/granting.go
+++ b/internal/scheduler/granting.go
@@ -160,7 +160,9 @@
 		lower:   w.class.settings.Tier > topTier,
 	}
 
-	p.hold(now, g)
+	g.server.add(now, g.class)
+	p.grants[g.id] = g
+	p.holding[g.request.ID] = g
 	p.view.count()
 
 	w.class.granted++
@@ -168,12 +170,6 @@
 	p.decide(g.decision(Grant))
 }
 
-func (p *Pool) hold(now time.Time, g *grant) {
-	g.server.add(now, g.class)
-	p.grants[g.id] = g
-	p.holding[g.request.ID] = g
-}
-
 // free gives the slot of a grant back.
 func (p *Pool) free(now time.Time, g *grant) {
 	g.server.remove(now, g)
--- a/internal/scheduler/learning_test.go
+++ b/internal/scheduler/learning_test.go
@@ -176,7 +176,7 @@
 }
 
 func TestRebuildIsBoundedAndAdoptsOnce(t *testing.T) {
-	p := New(testService(1, 4), Options{Headroom: -1, NoPreemption: true})
+	p := New(testService(1, 4), Options{Headroom: -1, NoPreemption: true, RebuildShare: 0.5})
 	p.Rebuild(epoch, []string{"n1", "n2"})
 	assert.Equal(t, len(fill(p, epoch, "chat", 4)), 2, "lower tiers use RebuildShare")
 	assert.Equal(t, len(fill(p, epoch, "counter", 6)), 6, "tier 1 does not wait for the rebuild")
@@ -242,3 +242,16 @@
 
 	assert.Assert(t, len(waits) > 4)
 }
+
+// Symptom: servers ran twice their slots after a holder's pause. Sequence: an ask
+// is given up at this holder and granted by another; this one adopts the grant;
+// the late cancel of the ask arrives. Cause: it freed the adopted grant.
+func TestCancelSparesWhatAnotherHolderGranted(t *testing.T) {
+	p := New(testService(1, 1), Options{Headroom: -1})
+	flight := InFlight{GrantID: "other/1", RequestID: "r", Upstream: "e01", Class: "chat", Organisation: "a", Since: epoch}
+	p.Adopt(epoch, "n1", []InFlight{flight})
+	p.Submit(epoch, ask("r", "chat"))
+	p.Cancel(epoch, "r")
+	assert.Equal(t, p.Stats().InFlight["e01"], 1)
+	assert.Equal(t, p.Stats().Queued["chat"], 0)
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -54,7 +54,8 @@
 	// tiers is indexed by effective tier; 0 is unused.
 	tiers [lowestTier + 1]*ring
 	wakes wakeHeap
-	// waiting and holding are by request id, grants by grant id. A request is in at most one of the first two.
+	// waiting and holding are by request id, grants by grant id. A request is in at
+	// most one of the first two. Adopted grants are in grants only.
 	waiting map[string]*waiter
 	holding map[string]*grant
 	grants  map[string]*grant
--- a/internal/scheduler/property_test.go
+++ b/internal/scheduler/property_test.go
@@ -257,3 +257,43 @@
 		}
 	})
 }
+
+// TestRoundRobinIsProportional holds that organisations which always wait get
+// slots by their weights, to within one round.
+func TestRoundRobinIsProportional(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(1, 5), 2, 8).Draw(t, "weights")
+		service := testService(1, 1)
+		sum := 0
+
+		for i, weight := range weights {
+			service.Organisations[fmt.Sprintf("o%d", i)] = configurer.Organisation{Weight: weight}
+			sum += weight
+		}
+
+		p := New(service, Options{Headroom: -1, NoEstimates: true, FixedSlots: true})
+		const rounds = 12
+
+		for i := range weights {
+			for j := range rounds*sum + 1 {
+				r := ask(fmt.Sprintf("%d-%d", i, j), "chat")
+				r.Organisation = fmt.Sprintf("o%d", i)
+				p.Submit(epoch, r)
+			}
+		}
+
+		got := make(map[string]int)
+
+		for range rounds * sum {
+			for _, g := range p.grantsOf("n1") {
+				got[g.request.Organisation]++
+				p.Finish(epoch, g.id, Report{Result: dispatcher.ResultDone, Tokens: 1, Duration: time.Second})
+			}
+		}
+
+		for i, weight := range weights {
+			difference := got[fmt.Sprintf("o%d", i)] - rounds*weight
+			assert.Assert(t, difference >= -weight && difference <= weight, "weights %v got %v", weights, got)
+		}
+	})
+}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -117,7 +117,9 @@
 	FixedSlots bool
 	// RebuildFor bounds the time after a takeover in which capacity is unknown. Default 1 s.
 	RebuildFor time.Duration
-	// RebuildShare is the part of each server that lower tiers may use during that time. Default 0.5.
+	// RebuildShare is the part of each server that lower tiers may use during that
+	// time. Zero means that they wait; entries answer within milliseconds, and a
+	// slot given twice stays so for a whole answer.
 	RebuildShare float64
 	// PreemptLead is the time that a cancel takes until its slot is free. Default 50 ms.
 	PreemptLead time.Duration
@@ -144,10 +146,6 @@
 		o.RebuildFor = time.Second
 	}
 
-	if o.RebuildShare == 0 {
-		o.RebuildShare = 0.5
-	}
-
 	if o.PreemptLead == 0 {
 		o.PreemptLead = 50 * time.Millisecond
 	}
