--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -91,7 +91,7 @@
 // TestDecisionAllocatesLittle bounds what a decision allocates: the waiter, the
 // grant, its id and its place in tables, whatever the size of the queue.
 func TestDecisionAllocatesLittle(t *testing.T) {
-	const most = 8
+	const most = 6
 
 	for _, size := range benchSizes {
 		full := newBacklog(size.organisations, size.servers)
