--- a/internal/scheduler/learning_test.go
+++ b/internal/scheduler/learning_test.go
@@ -176,7 +176,7 @@
 }
 
 func TestRebuildIsBoundedAndAdoptsOnce(t *testing.T) {
-	p := New(testService(1, 4), Options{Headroom: -1, NoPreemption: true})
+	p := New(testService(1, 4), Options{Headroom: -1, NoPreemption: true, RebuildShare: 0.5})
 	p.Rebuild(epoch, []string{"n1", "n2"})
 	assert.Equal(t, len(fill(p, epoch, "chat", 4)), 2, "lower tiers use RebuildShare")
 	assert.Equal(t, len(fill(p, epoch, "counter", 6)), 6, "tier 1 does not wait for the rebuild")
@@ -242,3 +242,39 @@
 
 	assert.Assert(t, len(waits) > 4)
 }
+
+// Symptom: servers ran twice their slots after a holder's pause. Sequence: an ask
+// is given up at this holder and granted by another; this one adopts the grant;
+// the late cancel of the ask arrives. Cause: it freed the adopted grant.
+func TestCancelSparesWhatAnotherHolderGranted(t *testing.T) {
+	p := New(testService(1, 1), Options{Headroom: -1})
+	flight := InFlight{GrantID: "other/1", RequestID: "r", Upstream: "e01", Class: "chat", Organisation: "a", Since: epoch}
+	p.Adopt(epoch, "n1", []InFlight{flight})
+	p.Submit(epoch, ask("r", "chat"))
+	p.Cancel(epoch, "r")
+	assert.Equal(t, p.Stats().InFlight["e01"], 1)
+	assert.Equal(t, p.Stats().Queued["chat"], 0)
+}
+
+// Symptom: counter lookups were refused at once while notes ran. Sequence: all
+// slots run notes of twenty seconds; some counter lookups come together.
+// Cause: the estimate waited for the notes to end, which are preempted in truth.
+func TestLongLowerAnswersDoNotShedTierOne(t *testing.T) {
+	p := New(testService(1, 4), Options{Headroom: -1, FixedSlots: true})
+	now := epoch
+
+	for i := range 2 * warmSamples {
+		for class, length := range map[string]time.Duration{"counter": 500 * time.Millisecond, "notes": 20 * time.Second} {
+			decision := p.Submit(now, ask(fmt.Sprintf("%s%d", class, i), class))[0]
+			p.Finish(now.Add(length), decision.GrantID, done(length))
+		}
+
+		now = now.Add(time.Minute)
+	}
+
+	fill(p, now, "notes", 4)
+
+	for i := range 4 {
+		assert.DeepEqual(t, kinds(p.Submit(now, ask(fmt.Sprintf("c%d", i), "counter"))), []string{})
+	}
+}
