--- a/internal/prober/failures_test.go
+++ b/internal/prober/failures_test.go
@@ -26,6 +26,8 @@
 // Sequence: SIGSTOP; answers to its probes lie unread in the socket; SIGCONT; its timeouts are overdue.
 // Cause: a node that blames others for its own pause.
 func TestProber_FrozenNodeDoubtsItself(t *testing.T) {
+	t.Parallel()
+
 	for _, size := range []int{3, 9, 30, 100} {
 		for _, pause := range []time.Duration{1500 * time.Millisecond, 10 * time.Second, time.Minute} {
 			t.Run(fmt.Sprintf("%d_%s", size, pause), func(t *testing.T) {
@@ -244,6 +246,8 @@
 // Sequence: a third (or a twelfth) of all nodes stop at the same moment.
 // Cause: too much news for the packets, and indirect probes through nodes that are gone as well.
 func TestProber_FailureDomainGone(t *testing.T) {
+	t.Parallel()
+
 	for _, tt := range []struct{ size, domains int }{{9, 3}, {30, 3}, {100, 12}, {370, 12}} {
 		t.Run(fmt.Sprintf("%d_of_%d", tt.size, tt.domains), func(t *testing.T) {
 			t.Parallel()
@@ -340,6 +344,8 @@
 // Sequence: SIGTERM; the mark travels only by the slow probes, or a datagram is lost.
 // Cause: no announcement at once, and none repeated.
 func TestProber_LeaveIsKnownAtOnce(t *testing.T) {
+	t.Parallel()
+
 	for _, size := range []int{9, 100, 370} {
 		w := settled(t, size, 12, uint64(size))
 		n := w.nodes[0]
--- a/internal/prober/figures_test.go
+++ b/internal/prober/figures_test.go
@@ -110,6 +110,8 @@
 }
 
 func TestProber_Figures(t *testing.T) {
+	t.Parallel()
+
 	var table strings.Builder
 
 	fmt.Fprintln(&table, "nodes | all seen after start s | B/s until then | sent B/s | sent+received B/s | sent messages/s | largest B | crash: suspected s median/worst | suspected by all s | dead at half s | dead at all s")
@@ -143,6 +145,8 @@
 }
 
 func TestProber_LossFigures(t *testing.T) {
+	t.Parallel()
+
 	var table strings.Builder
 
 	fmt.Fprintln(&table, "nodes | loss | suspicions a node and minute | false deaths seen | probes failed of sent")
--- a/internal/prober/member.go
+++ b/internal/prober/member.go
@@ -47,6 +47,7 @@
 	m := &member{Member: Member{Name: v.Name, Since: now}}
 	m.setVM(v)
 	p.members[v.Name] = m
+	p.inState[m.State]++
 
 	at, _ := slices.BinarySearch(p.names, v.Name)
 	p.names = slices.Insert(p.names, at, v.Name)
@@ -60,6 +61,10 @@
 
 // forget removes dead members that no list names.
 func (p *Prober) forget(now time.Time) {
+	if p.inState[Dead] == 0 {
+		return
+	}
+
 	p.names = slices.DeleteFunc(p.names, func(name string) bool {
 		m := p.members[name]
 		if m.State != Dead || m.Listed || now.Sub(m.Since) < p.options.DeadKeep {
@@ -67,6 +72,7 @@
 		}
 
 		delete(p.members, name)
+		p.inState[Dead]--
 		p.counters.MembersForgotten++
 
 		return true
@@ -83,6 +89,8 @@
 		p.punish(now, m)
 	}
 
+	p.inState[m.State]--
+	p.inState[state]++
 	m.State = state
 	m.Since = now
 	m.suspectedBy = nil
@@ -134,13 +142,5 @@
 
 // size is the number of nodes that are not dead, this one included.
 func (p *Prober) size() int {
-	n := 1
-
-	for _, m := range p.members {
-		if m.State != Dead {
-			n++
-		}
-	}
-
-	return n
+	return 1 + len(p.members) - p.inState[Dead]
 }
--- a/internal/prober/network_test.go
+++ b/internal/prober/network_test.go
@@ -294,7 +294,7 @@
 	}
 
 	for _, n := range up {
-		if len(liveOnly(n.prober.Live(w.now))) != len(up) {
+		if n.prober.Count(prober.Live)+1 != len(up) || len(liveOnly(n.prober.Live(w.now))) != len(up) {
 			return false
 		}
 	}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -20,6 +20,8 @@
 	// members has all nodes but self; names has their names in order.
 	members map[string]*member
 	names   []string
+	// inState counts the members in each state; it spares most walks over all members.
+	inState [Dead + 1]int
 	// ring is a shuffled order of the names; position is the next to probe.
 	ring     []string
 	position int
@@ -280,6 +282,14 @@
 	})
 }
 
+// Count returns the number of members in a state, without this node.
+func (p *Prober) Count(state State) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.inState[state]
+}
+
 // Isolated says that nobody answered this node's probes for a while; what it holds of others is then doubtful.
 func (p *Prober) Isolated(now time.Time) bool {
 	p.mu.Lock()
--- a/internal/prober/probing.go
+++ b/internal/prober/probing.go
@@ -97,6 +97,10 @@
 
 // nextSuspect returns one suspect.
 func (p *Prober) nextSuspect() *member {
+	if p.inState[Suspect] == 0 {
+		return nil
+	}
+
 	return p.nextOf(&p.doubtPosition, func(m *member) bool { return m.State == Suspect })
 }
 
--- a/internal/prober/suspicion.go
+++ b/internal/prober/suspicion.go
@@ -97,7 +97,7 @@
 // expireSuspicions holds those for dead that had their time to refute.
 // A node that nobody answers holds nobody for dead: it can't have heard a refutation.
 func (p *Prober) expireSuspicions(now time.Time) {
-	if p.isolated(now) {
+	if p.inState[Suspect] == 0 || p.isolated(now) {
 		return
 	}
 
--- a/internal/prober/sync.go
+++ b/internal/prober/sync.go
@@ -29,7 +29,7 @@
 
 // requestSync asks a peer for its members, another one when the last did not answer in time.
 func (p *Prober) requestSync(now time.Time) {
-	if !p.sync.wanted && !now.Before(p.sync.next) && p.anyUnknown() {
+	if !p.sync.wanted && !now.Before(p.sync.next) && p.inState[Unknown] > 0 {
 		p.sync.wanted = true
 	}
 
@@ -47,17 +47,6 @@
 	p.send(now, candidates[0], Packet{Kind: KindSync, Target: p.sync.cursor})
 }
 
-// anyUnknown says whether nothing is known yet of a listed member.
-func (p *Prober) anyUnknown() bool {
-	for _, m := range p.members {
-		if m.State == Unknown {
-			return true
-		}
-	}
-
-	return false
-}
-
 func (p *Prober) sendSyncReply(now time.Time, to *member, cursor string) {
 	at, found := slices.BinarySearch(p.names, cursor)
 	if found {
