Tell the holder which requests must not be preempted

Cause: the holder knew only the class, and a single request of a repeatable class can be marked not repeatable; it chose such victims in vain.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -24,6 +24,8 @@
 	Waited time.Duration `json:"waited_ns"`
 	// Progress is the number of tokens that the caller already has; above zero for a resume.
 	Progress int `json:"progress,omitempty"`
+	// Repeatable is false for requests that must not be preempted.
+	Repeatable bool `json:"repeatable,omitempty"`
 }
 
 // Slot is the permission to send one attempt to one upstream.
@@ -184,6 +186,7 @@
 			Exclude:      exclude,
 			Waited:       time.Since(request.Arrived),
 			Progress:     sender.Progress(),
+			Repeatable:   request.Repeatable,
 		}
 
 		slot, err := d.slotter.Acquire(ctx, ask)
