Judge waiting by the usual start, and plain servers by many answers

Cause: the estimate took the 95th percentile of first tokens for the usual one; once that passed the target, any wait at all was hopeless and notes got the slots. Cause: three long answers running made a straggler of a plain server; their speed is now learned from many answers, and tier 1 of a plain service takes a straggler before it waits.

Three tests, each shown to fail on the scheduler before.

--- a/internal/scheduler/class.go
+++ b/internal/scheduler/class.go
@@ -88,6 +88,15 @@
 	return c.firstToken.high(c.settings.Target / 2)
 }
 
+// usualStart is the mean of what start bounds.
+func (c *class) usualStart(kind configurer.Kind) time.Duration {
+	if kind == configurer.KindPlain {
+		return time.Duration(c.duration.mean * float64(time.Second))
+	}
+
+	return time.Duration(c.firstToken.mean * float64(time.Second))
+}
+
 // lengths keeps the histogram of one measure with its mean and 95th percentile at hand.
 type lengths struct {
 	histogram *hdrhistogram.Histogram
--- a/internal/scheduler/estimating.go
+++ b/internal/scheduler/estimating.go
@@ -124,7 +124,7 @@
 		return false
 	}
 
-	start := w.class.start(p.service.Kind)
+	start := w.class.usualStart(p.service.Kind)
 	latest := time.Duration(factor * float64(settings.Target))
 
 	return waited+wait+start > max(latest, start)
--- a/internal/scheduler/learning.go
+++ b/internal/scheduler/learning.go
@@ -89,7 +89,7 @@
 	}
 
 	measure := report.Duration.Seconds()
-	g.server.learnSpeed(now, measure, g.class.duration.mean)
+	g.server.learnSpeed(now, measure, g.class.duration.mean, plainWeight)
 	g.class.fast.add(now, measure)
 
 	return g.class.judge(report.Duration)
@@ -101,7 +101,7 @@
 		gap = 0
 	}
 
-	g.server.learnSpeed(now, gap, p.gaps.expected(g.server.inFlight))
+	g.server.learnSpeed(now, gap, p.gaps.expected(g.server.inFlight), slowWeight)
 	p.gaps.add(now, gap, g.server.inFlight)
 
 	strictest := g.server.strictestGap(p.classes).Seconds()
--- a/internal/scheduler/pool_test.go
+++ b/internal/scheduler/pool_test.go
@@ -296,3 +296,66 @@
 	assert.Assert(t, refused >= 8)
 	assert.Assert(t, latest >= time.Duration(refused)*time.Second, "%d refused, the last for %s", refused, latest)
 }
+
+// Symptom: 3,438 of 3,394 callers' asks were refused at 1.2 times the capacity,
+// within 0.7 s, while notes of tier 4 all met their targets. Sequence: one first
+// token in twenty is later than the target; so the start alone seems to miss it;
+// so any wait at all counts as hopeless.
+// Cause: the estimate took the 95th percentile of the start for the usual one.
+func TestRareLateStartsDoNotMakeWaitingHopeless(t *testing.T) {
+	p := New(testService(1, 1), Options{Headroom: -1, FixedSlots: true})
+	now := epoch
+
+	for i := range 2 * warmSamples {
+		report := Report{Result: dispatcher.ResultDone, FirstToken: 100 * time.Millisecond, Tokens: 10, Duration: 200 * time.Millisecond}
+		if i%8 == 0 {
+			report.FirstToken = 3 * time.Second
+		}
+
+		decisions := p.Submit(now, ask(fmt.Sprintf("warm%d", i), "chat"))
+		now = now.Add(200 * time.Millisecond)
+		p.Finish(now, decisions[0].GrantID, report)
+	}
+
+	fill(p, now, "chat", 1)
+	assert.Equal(t, len(p.Submit(now, ask("q1", "chat"))), 0)
+}
+
+// Symptom: clearances at sites waited up to 0.6 s at 0.6 times the capacity.
+// Sequence: one server has a few long answers running and counts as a
+// straggler; tier 1 leaves it, and waits, for all of a plain service is tier 1.
+// Cause: the time of a plain answer tells of its work more than of its server.
+func TestPlainServerIsNoStragglerByChance(t *testing.T) {
+	service := testService(2, 2)
+	service.Kind = configurer.KindPlain
+	p := New(service, Options{Headroom: -1, FixedSlots: true})
+	now := epoch
+
+	for i := range 40 {
+		took := 50 * time.Millisecond
+		if i >= 37 {
+			took = 200 * time.Millisecond
+		}
+
+		request := ask(fmt.Sprintf("w%d", i), "counter")
+		request.Exclude = []string{"e02"}
+		d := p.Submit(now, request)[0]
+		now = now.Add(took)
+		p.Finish(now, d.GrantID, done(took))
+	}
+
+	slow := p.servers[0].slowness(now)
+	assert.Assert(t, slow <= stragglerRatio, "slow %.2f", slow)
+}
+
+func TestPlainTierOneTakesAStragglerBeforeItWaits(t *testing.T) {
+	service := testService(2, 1)
+	service.Kind = configurer.KindPlain
+	p := New(service, Options{Headroom: -1, FixedSlots: true})
+	first := p.Submit(epoch, ask("c1", "counter"))[0]
+	p.Finish(epoch, first.GrantID, Report{Result: dispatcher.ResultNotSent})
+
+	later := epoch.Add(time.Minute)
+	assert.Assert(t, p.Submit(later, ask("c2", "counter"))[0].Upstream != first.Upstream)
+	assert.Equal(t, p.Submit(later, ask("c3", "counter"))[0].Upstream, first.Upstream)
+}
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -33,7 +33,9 @@
 	// slowWeight is the weight of a new measure in a server's relative speed, and
 	// slowForget the time over which a server without measures is trusted again.
 	slowWeight = 0.3
-	slowForget = time.Minute
+	// plainWeight is smaller: the time of one plain answer tells of its work first.
+	plainWeight = 0.05
+	slowForget  = time.Minute
 	// stragglerRatio is the relative token time at the same fill above which a server is kept from tier 1.
 	stragglerRatio = 1.75
 	// shortestClose and longestClose bound how long a failing server gets nothing.
@@ -186,12 +188,12 @@
 }
 
 // learnSpeed takes one measure relative to what is usual in the pool.
-func (s *server) learnSpeed(now time.Time, sample, usual float64) {
+func (s *server) learnSpeed(now time.Time, sample, usual, weight float64) {
 	if sample <= 0 || usual <= 0 {
 		return
 	}
 
-	s.ratio = s.slowness(now)*(1-slowWeight) + slowWeight*sample/usual
+	s.ratio = s.slowness(now)*(1-weight) + weight*sample/usual
 	s.ratioAt = now
 }
 
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"quincepath.example/quincepath/internal/configurer"
 )
 
 // unlimited is the room of a server for tier 1 while capacity is unknown.
@@ -129,9 +131,22 @@
 	return min(s.lower, v.pool.options.Oversubscribe) - max(0, s.inFlight-s.slots())
 }
 
-// best returns the server that suits the request best, or nil when none has room.
-// Extra looks for room above the limit.
+// best returns the server that suits the request best, or nil when none has
+// room. Extra looks for room above the limit. Tier 1 of a plain service takes a
+// straggler before it waits: there is no lower tier that could make way.
 func (v *view) best(w *waiter, extra bool) *server {
+	top := w.class.settings.Tier == topTier
+
+	found := v.bestOf(w, extra, top)
+	if found == nil && top && v.pool.service.Kind == configurer.KindPlain {
+		found = v.bestOf(w, extra, false)
+	}
+
+	return found
+}
+
+// bestOf leaves stragglers out when steady is set.
+func (v *view) bestOf(w *waiter, extra, steady bool) *server {
 	var (
 		found *server
 		score float64
@@ -140,7 +155,7 @@
 	top := w.class.settings.Tier == topTier
 
 	for _, s := range v.pool.servers {
-		if (top && v.straggles(s)) || s.excluded(&w.request) {
+		if (steady && v.straggles(s)) || s.excluded(&w.request) {
 			continue
 		}
 
