Let engines make way for tier 1 by default; carry what must not be preempted

So engine priority is the default, in the node's settings: routing.engine_priority and routing.oversubscribe. Engines that don't honour a priority need engine_priority false.

Ask.Repeatable now reaches the pool, and the next holder with what runs: TestNotRepeatableIsNoVictim failed before (the flight did not say so).

Router.Report gives the counters of entry and pools with JSON names, and the busy share of each server: its slot time as a part of its learned limit over time.

--- a/internal/bencher/bencher_test.go
+++ b/internal/bencher/bencher_test.go
@@ -19,7 +19,7 @@
 // those of the tables that compare how nodes reach the holder.
 var (
 	tableChoices = []string{baselineName, queueName}
-	roadChoices  = []string{queueName, "queue_batched", "queue_steered", "queue_engine_priority", "queue_no_preemption"}
+	roadChoices  = []string{queueName, "queue_batched", "queue_steered", "queue_preemption", "queue_no_preemption"}
 )
 
 func choice(t *testing.T, name string) Choice {
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -266,6 +266,31 @@
 	})
 }
 
+// Symptom: a draft that is not repeatable was chosen as victim, kept running all
+// the same, and tier 1 waited for its slot. Sequence: an entry asks with
+// Repeatable false; the holder reads the class alone; its next holder adopts the
+// attempt. Cause: neither message said so.
+func TestNotRepeatableIsNoVictim(t *testing.T) {
+	options := fixed()
+	options.Pool.NoPreemption = false
+
+	inVirtualTime(t, 2, 1, 1, options, func(t *testing.T, ctx context.Context, n *network) {
+		entry := n.other()
+		entry.once = true
+		go func() { _, _ = entry.run(ctx, "chat", 3*time.Second) }()
+		time.Sleep(1500 * time.Millisecond)
+
+		adopted := entry.router.inFlight("assistente").inFlight(time.Now(), entry.name)
+		assert.Equal(t, len(adopted), 1)
+		assert.Assert(t, adopted[0].NotRepeatable)
+
+		waited, err := entry.run(ctx, "counter", time.Millisecond)
+		assert.NilError(t, err)
+		assert.Assert(t, waited > time.Second, "%s", waited)
+		assert.Equal(t, n.holderNode().holder.Stats()["assistente"].Preempted, 0)
+	})
+}
+
 func TestLowerTiersStayWithinTheirLastKnownShare(t *testing.T) {
 	inVirtualTime(t, 2, 2, 4, fixed(), func(t *testing.T, ctx context.Context, n *network) {
 		time.Sleep(time.Second)
--- a/internal/granter/network_test.go
+++ b/internal/granter/network_test.go
@@ -49,6 +49,8 @@
 	net    *network
 	holder *Holder
 	router *Router
+	// once makes the node's requests not repeatable.
+	once bool
 }
 
 func service(servers, slots int) configurer.Service {
@@ -241,7 +243,7 @@
 // run carries one request through a node and returns how long it waited for its slot.
 func (n *node) run(ctx context.Context, class string, duration time.Duration) (time.Duration, error) {
 	started := time.Now()
-	ask := dispatcher.Ask{RequestID: "r", Service: "assistente", Class: class, Organisation: "a"}
+	ask := dispatcher.Ask{RequestID: "r", Service: "assistente", Class: class, Organisation: "a", Repeatable: !n.once}
 
 	slot, err := n.router.Acquire(ctx, ask)
 	waited := time.Since(started)
--- a/internal/granter/pending.go
+++ b/internal/granter/pending.go
@@ -47,6 +47,8 @@
 			Upstream:     upstream,
 			Class:        p.item.Class,
 			Organisation: p.item.Organisation,
+
+			NotRepeatable: p.item.NotRepeatable,
 		},
 		pool:      p.pool,
 		peer:      peer,
@@ -70,6 +72,8 @@
 			Organisation: ask.Organisation,
 			Exclude:      ask.Exclude,
 			Progress:     ask.Progress,
+
+			NotRepeatable: !ask.Repeatable,
 		},
 		pool:    pool,
 		class:   service.Classes[ask.Class],
--- a/internal/granter/reconciler.go
+++ b/internal/granter/reconciler.go
@@ -171,6 +171,8 @@
 			Class:        f.Class,
 			Organisation: f.Organisation,
 			Since:        now.Add(-f.Age),
+
+			NotRepeatable: f.NotRepeatable,
 		}
 	}
 
--- a/internal/granter/watcher.go
+++ b/internal/granter/watcher.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"quincepath.example/quincepath/internal/scheduler"
 )
 
 // probeEvery is the time between questions to a silent holder.
@@ -13,11 +15,11 @@
 // RouterCounters count since the router was made.
 type RouterCounters struct {
 	// Messages counts messages sent to holders on other nodes.
-	Messages int64
+	Messages int64 `json:"messages"`
 	// WithoutHolder counts attempts that ran without a holder's grant.
-	WithoutHolder int64
+	WithoutHolder int64 `json:"without_holder"`
 	// Silences counts the times at which a holder became silent.
-	Silences int64
+	Silences int64 `json:"silences"`
 }
 
 type routerCounters struct {
@@ -39,6 +41,19 @@
 	}
 }
 
+// Report is what a node publishes about slots.
+type Report struct {
+	// Entry counts for the requests of this node.
+	Entry RouterCounters `json:"entry"`
+	// Pools holds the counters of the pools that this node holds or held lately, by pool.
+	Pools map[string]scheduler.Stats `json:"pools"`
+}
+
+// Report returns all counters of this node, ready for expvar.
+func (r *Router) Report() Report {
+	return Report{Entry: r.Counters(), Pools: r.holder.Stats()}
+}
+
 // holderOf returns the pool's holder among the live nodes that answer, or "".
 func (r *Router) holderOf(pool string) string {
 	live := r.members.Live()
--- a/internal/granter/wire.go
+++ b/internal/granter/wire.go
@@ -42,6 +42,8 @@
 	Waited       time.Duration `json:"waited_ns"`
 	Queued       time.Duration `json:"queued_ns,omitempty"`
 	Progress     int           `json:"progress,omitempty"`
+	// NotRepeatable keeps the request from being preempted.
+	NotRepeatable bool `json:"not_repeatable,omitempty"`
 }
 
 func (a *askItem) request(entry string) scheduler.Request {
@@ -54,6 +56,8 @@
 		Waited:       a.Waited,
 		Queued:       a.Queued,
 		Progress:     a.Progress,
+
+		NotRepeatable: a.NotRepeatable,
 	}
 }
 
@@ -152,4 +156,6 @@
 	Class        string        `json:"class"`
 	Organisation string        `json:"organisation"`
 	Age          time.Duration `json:"age_ns"`
+	// NotRepeatable keeps the attempt from being preempted by the next holder too.
+	NotRepeatable bool `json:"not_repeatable,omitempty"`
 }
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -48,6 +48,8 @@
 	settings, err := loader.Load("testdata/full.yaml")
 	assert.NilError(t, err)
 
+	assert.DeepEqual(t, settings.Routing, loader.Routing{Policy: loader.PolicyQueueSteered, Oversubscribe: 2})
+
 	got := settings.Snapshot()
 	assert.Equal(t, got.Revision, int64(0))
 	assert.DeepEqual(t, got.Services["assistente"], configurer.Service{
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -110,6 +110,13 @@
 // Routing selects the policy of the node.
 type Routing struct {
 	Policy Policy `yaml:"policy" validate:"oneof=power_of_two queue_per_request queue_credits queue_steered"`
+	// EnginePriority leaves it to the engines to set lower tiers aside for tier 1.
+	// Engines that don't honour a request's priority need false: then a running lower
+	// tier is cancelled and resumed later.
+	EnginePriority bool `yaml:"engine_priority"`
+	// Oversubscribe is the number of tier 1 requests that an engine gets above its
+	// learned limit under EnginePriority.
+	Oversubscribe int `yaml:"oversubscribe" validate:"min=1,max=64"`
 }
 
 // Log selects the least level that is logged and the form of a line.
@@ -131,7 +138,7 @@
 			EntryLifetime: 10 * time.Second,
 		},
 		Platform: Platform{CallTimeout: time.Second},
-		Routing:  Routing{Policy: PolicyQueuePerRequest},
+		Routing:  Routing{Policy: PolicyQueuePerRequest, EnginePriority: true, Oversubscribe: 4},
 		Log:      Log{Level: "info", Format: "keyvalue"},
 	}
 }
--- a/internal/scheduler/adopting.go
+++ b/internal/scheduler/adopting.go
@@ -88,9 +88,12 @@
 
 	p.order++
 
+	request := Request{ID: flight.RequestID, Entry: entry, Class: flight.Class, Organisation: flight.Organisation}
+	request.NotRepeatable = flight.NotRepeatable
+
 	g := &grant{
 		id:      flight.GrantID,
-		request: Request{ID: flight.RequestID, Entry: entry, Class: flight.Class, Organisation: flight.Organisation},
+		request: request,
 		class:   c,
 		server:  s,
 		order:   p.order,
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -80,7 +80,9 @@
 	lastFailure time.Time
 	closedUntil time.Time
 
-	slotTime  time.Duration
+	slotTime time.Duration
+	// limitTime is the time that slots were there to use.
+	limitTime time.Duration
 	countedAt time.Time
 	// affinity orders servers for prefixes.
 	affinity uint64
@@ -119,12 +121,24 @@
 // count adds the slot time since the last change. It is called before inFlight changes.
 func (s *server) count(now time.Time) {
 	if !s.countedAt.IsZero() && now.After(s.countedAt) {
-		s.slotTime += time.Duration(s.inFlight) * now.Sub(s.countedAt)
+		passed := now.Sub(s.countedAt)
+		s.slotTime += time.Duration(s.inFlight) * passed
+		s.limitTime += time.Duration(s.slots()) * passed
 	}
 
 	s.countedAt = now
 }
 
+// busyShare is the part of the limit over time that was in use; above 1 when
+// tier 1 went above the limit.
+func (s *server) busyShare() float64 {
+	if s.limitTime == 0 {
+		return 0
+	}
+
+	return float64(s.slotTime) / float64(s.limitTime)
+}
+
 func (s *server) add(now time.Time, c *class, classes []*class) {
 	s.count(now)
 
--- a/internal/scheduler/stats.go
+++ b/internal/scheduler/stats.go
@@ -10,29 +10,30 @@
 // Stats are the counters of a pool since it was made.
 type Stats struct {
 	// Queued is the number of requests that wait now, by class.
-	Queued map[string]int
+	Queued map[string]int `json:"queued"`
 	// InFlight is the number of granted slots, by server.
-	InFlight map[string]int
+	InFlight map[string]int `json:"in_flight"`
 	// Limit is the learned number of requests at once, by server.
-	Limit map[string]int
+	Limit map[string]int `json:"limit"`
 	// Granted counts by class, Refused by code.
-	Granted map[string]int
-	Refused map[classifier.Code]int
+	Granted map[string]int          `json:"granted"`
+	Refused map[classifier.Code]int `json:"refused"`
 	// Cancelled counts requests that their entry took back or that ended with it.
-	Cancelled int
+	Cancelled int `json:"cancelled"`
 	// Preempted counts slots taken back for tier 1.
-	Preempted int
+	Preempted int `json:"preempted"`
 	// Oversubscribed counts grants above a learned limit that engine priority allowed.
-	Oversubscribed int
+	Oversubscribed int `json:"oversubscribed"`
 	// TokensLost counts tokens that an engine has to read again because of preemption.
-	TokensLost int
+	TokensLost int `json:"tokens_lost"`
 	// Reclaimed counts grants freed because their entry didn't know them.
-	Reclaimed int
-	// SlotTime is the time that slots were in use, by server; divided by time
-	// and limit it is the server's busy share.
-	SlotTime map[string]time.Duration
+	Reclaimed int `json:"reclaimed"`
+	// SlotTime is the time that slots were in use, by server, and BusyShare the part
+	// of the learned limit over time that it amounts to.
+	SlotTime  map[string]time.Duration `json:"slot_time_ns"`
+	BusyShare map[string]float64       `json:"busy_share"`
 	// LongestWait is the longest time in the queue until a grant, by class.
-	LongestWait map[string]time.Duration
+	LongestWait map[string]time.Duration `json:"longest_wait_ns"`
 }
 
 // counters are the parts of Stats that only grow.
@@ -63,6 +64,7 @@
 		TokensLost:     p.counters.tokensLost,
 		Reclaimed:      p.counters.reclaimed,
 		SlotTime:       make(map[string]time.Duration, len(p.servers)),
+		BusyShare:      make(map[string]float64, len(p.servers)),
 		LongestWait:    make(map[string]time.Duration, len(p.classes)),
 	}
 
@@ -77,6 +79,7 @@
 		stats.InFlight[s.upstream.Name] = s.inFlight
 		stats.Limit[s.upstream.Name] = s.slots()
 		stats.SlotTime[s.upstream.Name] = s.slotTime
+		stats.BusyShare[s.upstream.Name] = s.busyShare()
 	}
 
 	return stats
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -85,6 +85,8 @@
 	Upstream     string
 	Class        string
 	Organisation string
+	// NotRepeatable keeps the attempt from being preempted.
+	NotRepeatable bool
 	// Since is the time at which the attempt began.
 	Since time.Time
 }
@@ -95,7 +97,7 @@
 	GrantPrefix string
 	// EnginePriority grants tier 1 slots above the learned limit of a server that
 	// runs lower tiers, and leaves it to the engine to set these aside. Without it, a
-	// running lower tier is preempted.
+	// running lower tier is preempted. The default of a node stands in its settings.
 	EnginePriority bool
 	// Oversubscribe is the number of such slots a server, at most one for each lower answer. Default 4.
 	Oversubscribe int
