--- a/internal/claimer/batch.go
+++ b/internal/claimer/batch.go
@@ -79,6 +79,7 @@
 
 // commitNothing answers a batch that adds nothing, once the journal is known to be up to date.
 func (s *shard) commitNothing(batch []*operation) {
+	s.setTurn(time.Now())
 	err := s.refresh()
 	if err != nil {
 		s.failed(batch, err, false)
