Test a caller that leaves during its claim's write, and a lost segment

The missing segment is caught by two checks; taking out one of them leaves the test passing, so it shows the outcome and not each check.

--- a/internal/claimer/begin_test.go
+++ b/internal/claimer/begin_test.go
@@ -365,6 +365,45 @@
 	}
 }
 
+// Symptom: a key stays claimed though nobody runs it. Sequence: the caller leaves while its claim's
+// write is on its way; the write succeeds. Cause: only lost replies count as possible effects.
+func TestBegin_CallerLeavesDuringWrite(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		c, cancel := w.node("a", func(_ context.Context, call keeper.Call) keeper.Verdict {
+			if call.Kind != "txn" {
+				return keeper.Verdict{}
+			}
+			return keeper.Verdict{DelayBefore: 300 * time.Millisecond, DelayAfter: 300 * time.Millisecond}
+		}, nil)
+		defer cancel()
+		ctx, leave := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer leave()
+		_, err := c.Begin(ctx, claimOf("key", "bath"))
+		assert.Equal(t, classifier.From(err).Ran, classifier.RanNo)
+		time.Sleep(5 * time.Second)
+		mustRun(t, c, "key")
+	})
+}
+
+// Symptom: a key that was claimed runs again. Sequence: a segment of the window is gone from the store,
+// by an operator's hand. Cause: a reader that takes what it finds for the whole window.
+func TestBegin_MissingSegmentRefuses(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		c, cancel := w.node("a", nil, nil)
+		defer cancel()
+		mustRun(t, c, "key")
+		for shard := range claimer.Shards {
+			log := fmt.Sprintf("claims/%02x/log/", shard)
+			_, _, err := w.store.Delete(log, storer.PrefixEnd(log))
+			assert.NilError(t, err)
+		}
+		next, cancel := w.node("b", nil, nil)
+		defer cancel()
+		_, code := begin(t, next, "key", "bath")
+		assert.Equal(t, code, classifier.ClaimUnavailable)
+	})
+}
+
 // Symptom: a planned stop leaves claims without a result. Sequence: results wait for a store that is
 // down while the node stops. Cause: an exit before the queue is empty.
 func TestDrain(t *testing.T) {
