Serve only settings in force; publish the counters of all parts

Cause: a restarted node served the services of its own file until the tree came, which can bring back settings that operators changed. It now listens for callers once the store or a ready peer has told the tree (at the latest after 5 s, then it refuses with settings_unavailable). The ejector weighs upstreams for the placer while no holder answers. Counters of slots, pools, claims, tree, membership and others stand in /debug/vars. Run: go test ./internal/server ./internal/meter ./test/process passes.

--- a/internal/meter/handler.go
+++ b/internal/meter/handler.go
@@ -1,6 +1,7 @@
 package meter
 
 import (
+	"encoding/json"
 	"expvar"
 	"fmt"
 	"net/http"
@@ -9,18 +10,26 @@
 // VariableName is the key of the meter's counters among the process's variables.
 const VariableName = "quincepath"
 
-// Handler answers with the process's expvar variables and the meter's counters.
+// Part returns counters of another part of the node; they are shown as JSON.
+type Part func() any
+
+// Handler answers with the process's expvar variables, the meter's counters,
+// and those of the node's other parts, each under its name.
 //
 // expvar's own handler shows only what was published by a name that is unique in
 // the process and can't be taken back; several nodes in one process, as in tests
 // and demos, would end it by a panic.
-func Handler(m *Meter) http.Handler {
+func Handler(m *Meter, parts map[string]Part) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 
 		// A failed write means that the reader left.
 		_, _ = fmt.Fprintf(w, "{\n%q: %s", VariableName, m)
 
+		for name, part := range parts {
+			_, _ = fmt.Fprintf(w, ",\n%q: %s", name, encoded(part()))
+		}
+
 		expvar.Do(func(v expvar.KeyValue) {
 			if v.Key != VariableName {
 				_, _ = fmt.Fprintf(w, ",\n%q: %s", v.Key, v.Value)
@@ -30,3 +39,13 @@
 		_, _ = fmt.Fprint(w, "\n}\n")
 	})
 }
+
+// encoded returns counters as JSON. Plain numbers always encode; null stands for what doesn't.
+func encoded(counters any) []byte {
+	data, err := json.Marshal(counters)
+	if err != nil {
+		return []byte("null")
+	}
+
+	return data
+}
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -213,7 +213,7 @@
 
 	for m, want := range map[*meter.Meter]int64{first: 1, second: 0} {
 		w := httptest.NewRecorder()
-		meter.Handler(m).ServeHTTP(w, httptest.NewRequest("GET", "/debug/vars", nil))
+		meter.Handler(m, nil).ServeHTTP(w, httptest.NewRequest("GET", "/debug/vars", nil))
 
 		var shown struct {
 			Quincepath meter.Snapshot  `json:"quincepath"`
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -29,9 +29,16 @@
 	Snapshot() configurer.Snapshot
 }
 
+// Weigher says how much of its usual work an upstream should get, from 0 (none) to 1 (all).
+type Weigher interface {
+	Weight(now time.Time, service, upstream string) float64
+}
+
 // PowerOfTwo picks the less loaded of two random upstreams. It is safe for concurrent use.
 type PowerOfTwo struct {
 	settings Snapshotter
+	// weigher is nil when all upstreams count alike.
+	weigher Weigher
 
 	mu sync.Mutex
 	// loads holds the last report of each upstream, by address.
@@ -51,6 +58,11 @@
 	}
 }
 
+// WeighBy has stragglers and failing upstreams get less work. Call it before the first request.
+func (p *PowerOfTwo) WeighBy(weigher Weigher) {
+	p.weigher = weigher
+}
+
 // Report stores a load report.
 func (p *PowerOfTwo) Report(address string, load Load) {
 	p.mu.Lock()
@@ -66,7 +78,7 @@
 		return dispatcher.Slot{}, classifier.New(classifier.UnknownService, "service %q left the settings tree", ask.Service)
 	}
 
-	candidates := usable(service, ask.Exclude)
+	candidates := p.weighed(service.Name, usable(service, ask.Exclude))
 	if len(candidates) == 0 {
 		return dispatcher.Slot{}, classifier.New(classifier.NoUpstream, "no upstream of %q can take the request", ask.Service).After(noUpstreamWait)
 	}
@@ -88,6 +100,28 @@
 	p.sent[slot.Upstream.Address]--
 }
 
+// weighed leaves out upstreams that should get nothing now, unless none would be left.
+func (p *PowerOfTwo) weighed(service string, candidates []configurer.Upstream) []configurer.Upstream {
+	if p.weigher == nil {
+		return candidates
+	}
+
+	now := time.Now()
+	kept := make([]configurer.Upstream, 0, len(candidates))
+
+	for _, upstream := range candidates {
+		if p.weigher.Weight(now, service, upstream.Name) > 0 {
+			kept = append(kept, upstream)
+		}
+	}
+
+	if len(kept) == 0 {
+		return candidates
+	}
+
+	return kept
+}
+
 func (p *PowerOfTwo) choose(candidates []configurer.Upstream) configurer.Upstream {
 	first := candidates[p.random.IntN(len(candidates))]
 	second := candidates[p.random.IntN(len(candidates))]
--- a/internal/server/accounting.go
+++ b/internal/server/accounting.go
@@ -5,6 +5,7 @@
 
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/dispatcher"
+	"quincepath.example/quincepath/internal/ejector"
 	"quincepath.example/quincepath/internal/meter"
 	"quincepath.example/quincepath/pkg/classifier"
 )
@@ -20,6 +21,9 @@
 		entry.note(attempt, outcome)
 	}
 
+	source := ejector.Source{Service: request.Service.Name, Upstream: attempt.Slot.Upstream.Name, Class: request.Class.Name}
+	n.ejector.Observe(time.Now(), source, outcome)
+
 	if next.Again {
 		n.meter.Retried(counterName(request), next.Reason)
 	}
--- a/internal/server/entries.go
+++ b/internal/server/entries.go
@@ -59,7 +59,7 @@
 		Address:       n.settings.Node.Advertise,
 		FailureDomain: n.settings.Node.FailureDomain,
 		Leaving:       n.drain.CloseConnections(),
-		Load:          n.digest().Load,
+		Load:          n.loadPercent(),
 	}}
 
 	for _, member := range n.members.view.Load().all {
--- a/internal/server/leaving.go
+++ b/internal/server/leaving.go
@@ -18,14 +18,23 @@
 // leavingRetryAfter is when a caller that met a stopping node may ask another one.
 const leavingRetryAfter = time.Second
 
-// whileAccepting refuses what comes after the stop's last kept entries answer
-// has run out, and has callers connect elsewhere for their next request before that.
+// whileAccepting refuses what comes before the node knows the settings in
+// force: served by its own file, a restarted node would bring back settings
+// that operators changed since. It also refuses what comes after the
+// last kept entries answer of a stop has run out, and has callers connect
+// elsewhere for their next request before that.
 func (n *Node) whileAccepting(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.drain.CloseConnections() {
 			w.Header().Set("Connection", "close")
 		}
 
+		if !n.distributor.IsReady() {
+			n.refuse(w, "", classifier.New(classifier.SettingsUnavailable, "the node has not read the settings tree yet").After(failureRetryAfter))
+
+			return
+		}
+
 		if !n.drain.Accepting(time.Now()) {
 			n.refuse(w, "", classifier.New(classifier.NodeLeaving, "the node is stopping").After(leavingRetryAfter))
 
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -13,14 +13,12 @@
 // idleTimeout is how long a caller's connection may rest between requests.
 const idleTimeout = 2 * time.Minute
 
+// startGrace is how long a starting node waits for the settings in force before it listens for callers.
+const startGrace = 5 * time.Second
+
 func (n *Node) run(ctx context.Context) error {
 	defer n.stopWork()
 
-	listener, err := n.listenCallers(ctx)
-	if err != nil {
-		return err
-	}
-
 	if err := n.listenPeers(ctx); err != nil {
 		return err
 	}
@@ -39,6 +37,13 @@
 	go n.exchangeLimits(n.work)
 	go n.pollLoads(n.work)
 
+	n.waitReady(ctx)
+
+	listener, err := n.listenCallers(ctx)
+	if err != nil {
+		return err
+	}
+
 	server := &http.Server{
 		Handler:           n.whileAccepting(n.callerRoutes()),
 		ReadHeaderTimeout: n.settings.Node.HeaderTimeout,
@@ -60,6 +65,18 @@
 	return n.stop(server)
 }
 
+// waitReady gives the node a moment to learn the settings in force before
+// callers can reach it: a refused connection sends them to another entry at
+// once, while a node that answers without settings could only turn them away.
+func (n *Node) waitReady(ctx context.Context) {
+	select {
+	case <-n.distributor.Ready():
+	case <-time.After(startGrace):
+		n.logger.Warn().Msg("node_without_settings")
+	case <-ctx.Done():
+	}
+}
+
 func (n *Node) listenCallers(ctx context.Context) (net.Listener, error) {
 	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", n.settings.Node.Listen)
 	if err != nil {
--- a/internal/server/limits.go
+++ b/internal/server/limits.go
@@ -49,6 +49,16 @@
 	l.local.Done(time.Now(), request.Service.Name, request.Organisation.Name, request.Class.Name, tokens)
 }
 
+// refused counts refusals by the name of their result code.
+func (l *limits) refused() map[string]int64 {
+	counts := make(map[string]int64)
+	for code, count := range l.local.Refused() {
+		counts[code.String()] = count
+	}
+
+	return counts
+}
+
 // exchangeLimits reports demands to the owners of limits until ctx ends.
 func (n *Node) exchangeLimits(ctx context.Context) {
 	ticker := time.NewTicker(limitInterval)
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -4,11 +4,14 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+	"github.com/dgryski/go-rendezvous"
 
 	"quincepath.example/quincepath/internal/administrator"
 	"quincepath.example/quincepath/internal/distributor"
@@ -36,6 +39,8 @@
 	all []prober.Member
 	// runs maps each live node to its incarnation as requests and claims name it.
 	runs map[string]string
+	// holders chooses one of live for a name; nil when live is empty.
+	holders *rendezvous.Rendezvous
 }
 
 // members knows the nodes of the fleet by probes. It is safe for concurrent use.
@@ -78,12 +83,17 @@
 func (n *Node) digest() prober.Digest {
 	return prober.Digest{
 		Revision: n.distributor.Revision(),
-		Load:     100 * n.runs.count() / n.settings.Node.MaxInFlight,
+		Load:     n.loadPercent(),
 		Leaving:  n.drain.CloseConnections(),
 		Run:      n.identity.incarnation,
 	}
 }
 
+// loadPercent is how much of the node's places is taken.
+func (n *Node) loadPercent() int {
+	return 100 * n.runs.count() / n.settings.Node.MaxInFlight
+}
+
 func (n *Node) observeDigest(from string, digest prober.Digest) {
 	n.distributor.PeerRevision(from, digest.Revision)
 }
@@ -120,6 +130,11 @@
 	}
 
 	slices.Sort(view.live)
+
+	if len(view.live) > 0 {
+		view.holders = rendezvous.New(view.live, xxhash.Sum64String)
+	}
+
 	m.view.Store(view)
 }
 
@@ -287,3 +302,19 @@
 		return "doubted"
 	}
 }
+
+// shardHolders names the node that writes a shard of claims for all others.
+type shardHolders struct {
+	*members
+}
+
+// Holder implements claimer.Holders. A wrong answer costs a write and breaks
+// nothing: the compare-and-swap of the store decides, not the holder.
+func (s shardHolders) Holder(shard int) string {
+	table := s.view.Load().holders
+	if table == nil {
+		return ""
+	}
+
+	return table.Lookup("claims/" + strconv.Itoa(shard))
+}
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -41,7 +41,7 @@
 		Status:    n,
 		Tree:      n.operatorTree(),
 		Requests:  n,
-		Variables: meter.Handler(n.meter),
+		Variables: meter.Handler(n.meter, n.parts()),
 		Logger:    n.logger,
 		TLS:       n.serverTLS(),
 	})
@@ -58,6 +58,33 @@
 	return nil
 }
 
+// parts are the counters of the node beside those of requests.
+func (n *Node) parts() map[string]meter.Part {
+	parts := map[string]meter.Part{
+		"ejections":  func() any { return n.ejector.Counts() },
+		"limits":     func() any { return n.limits.refused() },
+		"membership": func() any { return n.members.prober.Counters() },
+		"messages":   func() any { return n.messages.Traffic() },
+		"retries":    func() any { return n.retrier.Counts() },
+		"tree":       func() any { return n.distributor.Counters() },
+	}
+
+	if n.claims != nil {
+		parts["claims"] = func() any { return n.claims.Stats() }
+	}
+
+	if n.heartbeats != nil {
+		parts["heartbeats"] = func() any { return n.heartbeats.Counters() }
+	}
+
+	if n.router != nil {
+		parts["slots"] = func() any { return n.router.Counters() }
+		parts["pools"] = func() any { return n.holder.Stats() }
+	}
+
+	return parts
+}
+
 func (n *Node) operatorTree() administrator.Tree {
 	if n.editor == nil {
 		return administrator.NewFixedTree(n.tree)
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -1,6 +1,9 @@
 package server
 
 import (
+	"maps"
+	"slices"
+
 	"quincepath.example/quincepath/internal/claimer"
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/connector"
@@ -28,6 +31,7 @@
 		Node:        n.identity.node,
 		Incarnation: n.identity.incarnation,
 		Makers:      n.members,
+		Holders:     shardHolders{n.members},
 		Caller:      n.messages,
 	})
 	n.messages.Handle(claimer.MethodWrite, n.claims.HandleWrite)
@@ -54,9 +58,22 @@
 	n.messages.Handle(limiter.MethodReport, n.limits.owner.HandleReport)
 
 	created := distributor.New(options)
-	created.Subscribe(n.tree.set)
+	created.Subscribe(n.applyTree)
 	n.messages.Handle(distributor.MethodPull, created.HandlePull)
 	n.messages.Handle(distributor.MethodAnnounce, created.HandleAnnounce)
 
 	return created
 }
+
+// applyTree puts a settings tree in force on this node.
+func (n *Node) applyTree(snapshot configurer.Snapshot) {
+	n.tree.set(snapshot)
+	n.setPools(snapshot)
+}
+
+// setPools tells the ejector which upstreams are compared with each other.
+func (n *Node) setPools(snapshot configurer.Snapshot) {
+	for name, service := range snapshot.Services {
+		n.ejector.SetMembers(name, slices.Sorted(maps.Keys(service.Upstreams)))
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,6 +18,7 @@
 	"quincepath.example/quincepath/internal/dispatcher"
 	"quincepath.example/quincepath/internal/distributor"
 	"quincepath.example/quincepath/internal/drainer"
+	"quincepath.example/quincepath/internal/ejector"
 	"quincepath.example/quincepath/internal/forwarder"
 	"quincepath.example/quincepath/internal/granter"
 	"quincepath.example/quincepath/internal/heartbeater"
@@ -77,9 +78,14 @@
 	// writing counts answers that are on their way to callers.
 	writing atomic.Int64
 	// router asks the holders of pools; nil under the baseline policy.
-	router    *granter.Router
-	limits    *limits
-	placer    *placer.PowerOfTwo
+	router *granter.Router
+	// holder keeps the queues of the pools that this node holds; nil under the baseline policy.
+	holder *granter.Holder
+	limits *limits
+	placer *placer.PowerOfTwo
+	// ejector judges upstreams for the placer, which decides while no holder answers.
+	ejector   *ejector.Ejector
+	retrier   *retrier.Retrier
 	dispatch  *dispatcher.Dispatcher
 	runs      *runs
 	upstreams *upstreamTable
@@ -119,6 +125,7 @@
 			EntryLifetime: settings.Node.EntryLifetime,
 			DrainTimeout:  settings.Node.DrainTimeout,
 		}),
+		ejector:   ejector.New(ejector.Options{}),
 		runs:      newRuns(settings.Node.MaxInFlight),
 		upstreams: newUpstreamTable(),
 		meter:     meter.New(),
@@ -133,9 +140,12 @@
 		return nil, err
 	}
 
+	node.setPools(tree.Snapshot())
 	node.limits = newLimits(tree, identity)
 	node.distributor = node.newDistributor()
-	node.dispatch = dispatcher.New(node.newSlotter(), retrier.New(retrier.Options{}), node)
+	node.placer.WeighBy(node.ejector)
+	node.retrier = retrier.New(retrier.Options{})
+	node.dispatch = dispatcher.New(node.newSlotter(), node.retrier, node)
 
 	return node, nil
 }
--- a/internal/server/slots.go
+++ b/internal/server/slots.go
@@ -26,6 +26,7 @@
 	router := granter.NewRouter(n.work, holder, n.placer, n.tree, n.members, n.messages, options)
 
 	n.router = router
+	n.holder = holder
 	n.messages.Handle(granter.MethodAsk, holder.HandleAsk)
 	n.messages.Handle(granter.MethodRelease, holder.HandleRelease)
 	n.messages.Handle(granter.MethodDecided, router.HandleDecided)
