--- a/internal/server/claims.go
+++ b/internal/server/claims.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"quincepath.example/quincepath/internal/claimer"
 	"quincepath.example/quincepath/internal/recorder"
 	"quincepath.example/quincepath/pkg/classifier"
@@ -130,6 +132,10 @@
 
 // replay implements claimable.
 func (s *plainSender) replay(result claimer.Result) error {
+	if result.Status < http.StatusOK {
+		return errors.Newf("the record has status %d", result.Status)
+	}
+
 	s.status = result.Status
 	s.payload = result.Body
 	s.answered = http.Header{}
