--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -12,6 +12,7 @@
 
 // fleet is a platform, engines, a plain service and nodes, each its own process.
 type fleet struct {
+	shape    shape
 	platform *process
 	engines  []*process
 	service  *process
@@ -20,6 +21,22 @@
 	nodeSpecs []nodeSpec
 }
 
+// shape says how a fleet differs from the usual one; the zero shape is the usual one.
+type shape struct {
+	// nodeLines are further lines of the part node of the settings, each with two spaces before it.
+	nodeLines string
+	// organisation holds further fields of the only organisation, such as "concurrency: 6".
+	organisation string
+	// serviceFlags replace the plain service's flags for its slots and work.
+	serviceFlags []string
+	// emptyTree leaves the services out of the settings files: they come by the platform's tree alone.
+	emptyTree bool
+	// peerVia returns the address at which one node finds another; nil means the other's own.
+	peerVia func(from, to nodeSpec) string
+	// upstreamVia returns the address at which nodes find an upstream; nil means its own.
+	upstreamVia func(address string) string
+}
+
 // nodeSpec is what a node's settings file says.
 type nodeSpec struct {
 	name          string
@@ -34,7 +51,14 @@
 func newFleet(tb testing.TB, nodes int) *fleet {
 	tb.Helper()
 
-	f := &fleet{platform: start(tb, "platform", "standin", "platform", "--listen", "127.0.0.1:0", "--vm-lag", "500ms")}
+	return newFleetOf(tb, nodes, shape{})
+}
+
+// newFleetOf starts a fleet of the given shape.
+func newFleetOf(tb testing.TB, nodes int, s shape) *fleet {
+	tb.Helper()
+
+	f := &fleet{shape: s, platform: start(tb, "platform", "standin", "platform", "--listen", "127.0.0.1:0", "--vm-lag", "500ms")}
 
 	for i, slots := range []string{"2", "4", "6"} {
 		name := fmt.Sprintf("engine-%d", i+1)
@@ -42,7 +66,12 @@
 			"--name", name, "--key", engineKey, "--slots", slots, "--token-step", "2ms", "--load-lag", "200ms"))
 	}
 
-	f.service = start(tb, "banco", "standin", "service", "--name", "banco", "--slots", "8", "--work", "5ms")
+	flags := s.serviceFlags
+	if flags == nil {
+		flags = []string{"--slots", "8", "--work", "5ms"}
+	}
+
+	f.service = start(tb, "banco", "standin", append([]string{"service", "--name", "banco"}, flags...)...)
 
 	f.addNodes(tb, nodes)
 
@@ -94,56 +123,82 @@
   peer_listen: %s
   drain_timeout: 20s
   entry_lifetime: 1s
-platform:
+%splatform:
   addresses: [http://%s]
 peers:
   credential: peer-secret
   nodes:
-`, spec.name, spec.failureDomain, spec.entryAddress, spec.adminAddress, spec.peerAddress, f.platform.address)
+`, spec.name, spec.failureDomain, spec.entryAddress, spec.adminAddress, spec.peerAddress, f.shape.nodeLines, f.platform.address)
 
 	for _, peer := range f.nodeSpecs {
 		fmt.Fprintf(&text, "    - {name: %s, peer_address: %q, entry_address: %q, failure_domain: %s}\n",
-			peer.name, peer.peerAddress, peer.entryAddress, peer.failureDomain)
+			peer.name, f.peerAddress(*spec, peer), peer.entryAddress, peer.failureDomain)
 	}
 
 	fmt.Fprintf(&text, "operators:\n  key_hashes: [%s]\nupstreams:\n  bearer_key: %s\n", callerHash, engineKey)
-	text.WriteString(f.services())
+
+	if !f.shape.emptyTree {
+		text.WriteString("services:\n  assistente:\n" + indented(f.engineBranch()) + "  banco:\n" + indented(f.plainBranch()))
+	}
 
 	spec.file = filepath.Join(tb.TempDir(), spec.name+".yaml")
 	assert.NilError(tb, os.WriteFile(spec.file, []byte(text.String()), 0o600))
 }
 
-func (f *fleet) services() string {
-	var text strings.Builder
+func (f *fleet) peerAddress(from, to nodeSpec) string {
+	if f.shape.peerVia == nil || from.name == to.name {
+		return to.peerAddress
+	}
+
+	return f.shape.peerVia(from, to)
+}
+
+func (f *fleet) upstreamAddress(upstream *process) string {
+	if f.shape.upstreamVia == nil {
+		return upstream.address
+	}
 
-	text.WriteString(`services:
-  assistente:
-    kind: engine
-    default_class: owner_chat
-    classes:
-      counter_lookup: {tier: 1, target: 300ms, token_gap: 50ms, gap_limit: 1s, max_wait: 10s, repeatable: true, retry_budget: 0.1}
-      owner_chat: {tier: 2, target: 2s, token_gap: 100ms, gap_limit: 1s, max_wait: 30s, repeatable: true, retry_budget: 0.1, guaranteed_share: 0.1}
-      care_notes: {tier: 4, target: 60s, token_gap: 1s, gap_limit: 2s, max_wait: 10m, repeatable: true, retry_budget: 0.1, guaranteed_share: 0.1, move_up_after: 60s}
-    organisations:
-      barbagallo: {weight: 1, key_hashes: [` + callerHash + `]}
-    upstreams:
-`)
+	return f.shape.upstreamVia(upstream.address)
+}
+
+// organisations is the YAML of the only organisation.
+func (f *fleet) organisations() string {
+	fields := "weight: 1, key_hashes: [" + callerHash + "]"
+	if f.shape.organisation != "" {
+		fields += ", " + f.shape.organisation
+	}
+
+	return "organisations:\n  barbagallo: {" + fields + "}\n"
+}
+
+// engineBranch is the YAML of the service of engines, as it stands in the tree.
+func (f *fleet) engineBranch() string {
+	text := `kind: engine
+default_class: owner_chat
+classes:
+  counter_lookup: {tier: 1, target: 300ms, token_gap: 50ms, gap_limit: 1s, max_wait: 10s, repeatable: true, retry_budget: 0.1}
+  owner_chat: {tier: 2, target: 2s, token_gap: 100ms, gap_limit: 1s, max_wait: 30s, repeatable: true, retry_budget: 0.1, guaranteed_share: 0.1}
+  care_notes: {tier: 4, target: 60s, token_gap: 1s, gap_limit: 2s, max_wait: 10m, repeatable: true, retry_budget: 0.1, guaranteed_share: 0.1, move_up_after: 60s}
+` + f.organisations() + "upstreams:\n"
 
 	for i, engine := range f.engines {
-		fmt.Fprintf(&text, "      engine-%d: {address: \"http://%s\", failure_domain: catania-sala, slots: 4}\n", i+1, engine.address)
+		text += fmt.Sprintf("  engine-%d: {address: \"http://%s\", failure_domain: catania-sala, slots: 4}\n", i+1, f.upstreamAddress(engine))
 	}
 
-	fmt.Fprintf(&text, `  banco:
-    kind: plain
-    default_class: lookup
-    classes:
-      lookup: {tier: 1, target: 300ms, gap_limit: 1s, max_wait: 10s, repeatable: true, retry_budget: 0.1}
-      booking: {tier: 1, target: 1s, gap_limit: 1s, max_wait: 10s, repeatable: false}
-    organisations:
-      barbagallo: {weight: 1, key_hashes: [%s]}
-    upstreams:
-      banco-1: {address: "http://%s", failure_domain: catania-sala, slots: 8}
-`, callerHash, f.service.address)
-
-	return text.String()
+	return text
+}
+
+// plainBranch is the YAML of the plain service.
+func (f *fleet) plainBranch() string {
+	return `kind: plain
+default_class: lookup
+classes:
+  lookup: {tier: 1, target: 300ms, gap_limit: 1s, max_wait: 10s, repeatable: true, retry_budget: 0.1}
+  booking: {tier: 1, target: 1s, gap_limit: 1s, max_wait: 10s, repeatable: false}
+` + f.organisations() + fmt.Sprintf("upstreams:\n  banco-1: {address: \"http://%s\", failure_domain: catania-sala, slots: 8}\n", f.upstreamAddress(f.service))
+}
+
+// indented moves lines two levels to the right.
+func indented(text string) string {
+	return "    " + strings.ReplaceAll(strings.TrimSuffix(text, "\n"), "\n", "\n    ") + "\n"
 }
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -29,8 +31,10 @@
 const (
 	// startLimit bounds the wait for a process to say its address; it decides no verdict of speed.
 	startLimit = 30 * time.Second
-	callerKey  = "counter-key"
-	engineKey  = "engine-key"
+	// testsAtOnce bounds the tests that run side by side.
+	testsAtOnce = "5"
+	callerKey   = "counter-key"
+	engineKey   = "engine-key"
 	// callerHash is the SHA-256 sum of callerKey.
 	callerHash = "edbd7968212204de4f16847e8aa622c26329f5f074698dc93879d21fdb01711b"
 )
@@ -63,6 +67,15 @@
 
 	programs = folder
 
+	// Each test runs up to some twenty processes; more tests at once would slow one another down.
+	flag.Parse()
+
+	if err := flag.Set("test.parallel", testsAtOnce); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+
+		return 1
+	}
+
 	return m.Run()
 }
 
@@ -192,15 +205,36 @@
 	return text
 }
 
+// Listeners get ports below those that the system gives to outgoing connections:
+// a node that is killed must find its port free when it starts again.
+const (
+	firstPort = 12000
+	lastPort  = 31999
+)
+
+// nextPort counts on from a place that depends on the process, so that tests of other trees on the machine take others.
+var nextPort atomic.Uint32
+
 // freeAddress returns a loopback address that nothing listens on at the moment.
 func freeAddress(tb testing.TB) string {
 	tb.Helper()
 
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(tb, err)
-	assert.NilError(tb, listener.Close())
+	for range lastPort - firstPort {
+		port := firstPort + (uint32(os.Getpid())*97+nextPort.Add(1))%(lastPort-firstPort)
+
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+
+		assert.NilError(tb, listener.Close())
+
+		return listener.Addr().String()
+	}
+
+	tb.Fatal("no port is free")
 
-	return listener.Addr().String()
+	return ""
 }
 
 // call sends a JSON body to a stand-in or a node and decodes the answer.
