--- /dev/null
+++ b/test/process/cuts_test.go
@@ -0,0 +1,182 @@
+package process_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/administrator"
+	"quincepath.example/quincepath/internal/replayer"
+)
+
+// proxies stand between the ends of a fleet. They are made as the fleet's settings are written.
+type proxies struct {
+	tb testing.TB
+
+	mu        sync.Mutex
+	upstreams map[string]*proxy
+	// peers are by the names of the node that calls and the node that is called.
+	peers map[[2]string]*proxy
+}
+
+func newProxies(tb testing.TB) *proxies {
+	tb.Helper()
+
+	return &proxies{tb: tb, upstreams: map[string]*proxy{}, peers: map[[2]string]*proxy{}}
+}
+
+func (p *proxies) upstreamVia(address string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.upstreams[address] == nil {
+		p.upstreams[address] = newProxy(p.tb, address)
+	}
+
+	return p.upstreams[address].address()
+}
+
+func (p *proxies) peerVia(from, to nodeSpec) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	way := [2]string{from.name, to.name}
+	if p.peers[way] == nil {
+		p.peers[way] = newProxy(p.tb, to.peerAddress)
+	}
+
+	return p.peers[way].address()
+}
+
+// checkAllWhole fails for every caller that did not get its whole answer.
+func checkAllWhole(t *testing.T, result replayer.Result) {
+	t.Helper()
+
+	for _, v := range result.Outcomes {
+		assert.Equal(t, v.Ending, replayer.Whole, "%s", describe(v))
+	}
+}
+
+// Symptom: a counter lookup hung while a customer waited with a wet spaniel.
+// Events: during a replay something between nodes and upstreams loses track of all open connections; new ones work.
+// Cause: on such a connection nothing ever comes, no error either; only the gap limit and a new connection help.
+func TestConnectionsToUpstreamsGoSilent(t *testing.T) {
+	t.Parallel()
+
+	between := newProxies(t)
+	f := newFleetOf(t, 2, shape{upstreamVia: between.upstreamVia})
+	options := f.replayOptions()
+	events := mix(300, 40, 5*time.Second)
+	reached := milestones(&options, len(events)/4, len(events)/2)
+	done := inBackground(t, options, events)
+
+	for i := range reached {
+		<-reached[i]
+
+		for _, v := range between.upstreams {
+			v.forget(bothWays)
+		}
+	}
+
+	f.checkPromises(t, <-done)
+}
+
+// Symptom: requests wait for a grant that never comes, or nodes part ways over the settings.
+// Events: during a replay all open connections between nodes go silent; later one node hears its peers no more but is heard, then is heard no more but hears.
+// Cause: a kept connection that takes bytes and gives none back looks well to both ends.
+func TestConnectionsBetweenNodesGoSilent(t *testing.T) {
+	t.Parallel()
+
+	between := newProxies(t)
+	f := newFleetOf(t, 3, shape{peerVia: between.peerVia})
+
+	cuts := []struct {
+		name string
+		cut  func()
+	}{
+		{"open connections forgotten", func() {
+			for _, v := range between.peers {
+				v.forget(bothWays)
+			}
+		}},
+		{"node 1 unheard", func() { between.cutFrom(f, 0, direction{toTarget: true}, direction{fromTarget: true}) }},
+		{"node 1 deaf", func() { between.cutFrom(f, 0, direction{fromTarget: true}, direction{toTarget: true}) }},
+	}
+
+	for i, v := range cuts {
+		options := f.replayOptions()
+		events := mix(uint64(310+i), 40, 3*time.Second)
+		reached := milestones(&options, len(events)/4)
+		done := inBackground(t, options, events)
+
+		<-reached[0]
+		v.cut()
+
+		result := <-done
+
+		for _, v := range between.peers {
+			v.mend()
+		}
+
+		f.checkPromises(t, result)
+		checkAllWhole(t, result)
+		t.Logf("%s: %d events", v.name, len(result.Outcomes))
+	}
+
+	// Every node finds its way back to every other.
+	f.askForRequests(t)
+}
+
+// cutFrom loses bytes between one node and all others: outgoing on the connections that it opened, incoming on the others'.
+func (p *proxies) cutFrom(f *fleet, node int, outgoing, incoming direction) {
+	for way, v := range p.peers {
+		switch f.nodeSpecs[node].name {
+		case way[0]:
+			v.cut(outgoing)
+		case way[1]:
+			v.cut(incoming)
+		}
+	}
+}
+
+// askForRequests asks every node for a request that another one holds.
+func (f *fleet) askForRequests(t *testing.T) {
+	t.Helper()
+
+	for i, owner := range f.nodeSpecs {
+		id := f.resumableRequest(t, owner.entryAddress)
+
+		for k := range f.nodes {
+			if k == i {
+				continue
+			}
+
+			var status administrator.RequestStatus
+
+			waitFor(t, "an answer from "+owner.name+" to "+f.nodeSpecs[k].name, func() bool {
+				return f.query(t, k, &status, "request", "show", id)
+			})
+			assert.Equal(t, status.RequestID, id)
+		}
+	}
+}
+
+// resumableRequest runs a request whose answer its node keeps for a while, and returns the id.
+func (f *fleet) resumableRequest(t *testing.T, address string) string {
+	t.Helper()
+
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/services/banco/price", http.NoBody)
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	request.Header.Set("Quincepath-Resumable", "true")
+
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+
+	return response.Header.Get("Quincepath-Request-Id")
+}
