--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -151,13 +151,26 @@
 	pump := &eventPump{sender: s, started: started, skip: s.tokens}
 	err := s.exchange(ctx, attempt, reader, pump)
 
-	return dispatcher.Outcome{
+	outcome := dispatcher.Outcome{
 		Result:     sendResult(ctx, err, reader),
 		FirstToken: pump.firstToken,
 		Duration:   time.Since(started),
 		Tokens:     pump.delivered,
 		Err:        err,
 	}
+	leaveIdleAfter(outcome, s.client)
+
+	return outcome
+}
+
+// leaveIdleAfter closes the idle connections after a silent attempt. What made one
+// connection silent, such as a middle box that lost its table, mostly made all
+// of that time silent. Kept, each would fail one more request after its gap
+// limit, long after the fault, until the retry budget is spent.
+func leaveIdleAfter(outcome dispatcher.Outcome, client *forwarder.Client) {
+	if outcome.Result == dispatcher.ResultSilent {
+		client.Close()
+	}
 }
 
 func (s *engineSender) firstLimit() time.Duration {
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -118,12 +118,15 @@
 	err := s.exchange(ctx, attempt, reader)
 	duration := time.Since(started)
 
-	return dispatcher.Outcome{
+	outcome := dispatcher.Outcome{
 		Result:     sendResult(ctx, err, reader),
 		FirstToken: duration,
 		Duration:   duration,
 		Err:        err,
 	}
+	leaveIdleAfter(outcome, s.client)
+
+	return outcome
 }
 
 func (s *plainSender) exchange(ctx context.Context, attempt dispatcher.Attempt, reader *forwarder.GapReader) error {
