--- a/internal/server/limits.go
+++ b/internal/server/limits.go
@@ -62,6 +62,7 @@
 		}
 
 		n.limits.setNodes(n.members.Live(), n.members.known())
+		n.limits.owner.Sweep(time.Now())
 
 		if err := n.limits.local.Exchange(ctx, n.messages, n.limits.owner); err != nil {
 			n.logger.Debug().Err(err).Msg("limit_report_failed")
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,6 +17,7 @@
 	"quincepath.example/quincepath/internal/dispatcher"
 	"quincepath.example/quincepath/internal/distributor"
 	"quincepath.example/quincepath/internal/forwarder"
+	"quincepath.example/quincepath/internal/limiter"
 	"quincepath.example/quincepath/internal/loader"
 	"quincepath.example/quincepath/internal/messenger"
 	"quincepath.example/quincepath/internal/meter"
@@ -111,6 +112,7 @@
 	}
 
 	node.limits = newLimits(tree, identity)
+	node.messages.Handle(limiter.MethodReport, node.limits.owner.HandleReport)
 	node.distributor = node.newDistributor()
 	node.dispatch = dispatcher.New(node.newSlotter(), retrier.New(retrier.Options{}), node)
 
--- a/test/process/tree_test.go
+++ b/test/process/tree_test.go
@@ -174,7 +174,9 @@
 			newest := floor
 
 			for !isClosed(stop) {
-				revision, ok := readRevision(t, spec.adminAddress)
+				status, ok := readStatus(t, spec.adminAddress)
+				revision := status.Revision
+
 				if ok && revision != 0 && revision < newest {
 					mu.Lock()
 					problems = append(problems, fmt.Sprintf("%s went from revision %d to %d", spec.name, newest, revision))
@@ -196,27 +198,24 @@
 	}
 }
 
-// readRevision asks a node for its status without a process of its own, so that many calls fit.
-func readRevision(t *testing.T, admin string) (int64, bool) {
+// readStatus asks a node for its status without a process of its own, so that many calls fit.
+func readStatus(t *testing.T, admin string) (administrator.NodeStatus, bool) {
 	t.Helper()
 
+	var status administrator.NodeStatus
+
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+admin+"/v1/node/status", http.NoBody)
 	if err != nil {
-		return 0, false
+		return status, false
 	}
 
 	request.Header.Set("Authorization", "Bearer "+callerKey)
 
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return 0, false
+		return status, false
 	}
 	defer response.Body.Close()
 
-	var status administrator.NodeStatus
-	if json.NewDecoder(response.Body).Decode(&status) != nil {
-		return 0, false
-	}
-
-	return status.Revision, true
+	return status, json.NewDecoder(response.Body).Decode(&status) == nil
 }
