--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -177,6 +177,12 @@
 
 // refuse counts, logs and answers a request that doesn't run. Nothing may have been written before.
 func (n *Node) refuse(w http.ResponseWriter, requestID string, failure *classifier.Error) {
+	n.noteRefusal(requestID, failure)
+	writeError(w, requestID, failure)
+}
+
+// noteRefusal counts and logs a request that doesn't run.
+func (n *Node) noteRefusal(requestID string, failure *classifier.Error) {
 	n.meter.Refused("", failure.Code)
 	n.logger.Info().
 		Str("request_id", requestID).
@@ -184,7 +190,6 @@
 		Str("result", failure.Code.String()).
 		Str("reason", failure.Reason).
 		Msg("request_refused")
-	writeError(w, requestID, failure)
 }
 
 // writeError answers with a numbered result. Nothing may have been written before.
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -34,7 +34,9 @@
 	go n.pollLoads(n.work)
 
 	server := &http.Server{
-		Handler:           n.callerRoutes(),
+		Handler:           markServing(n.callerRoutes()),
+		ConnContext:       keepSender,
+		ConnState:         followState,
 		ReadHeaderTimeout: n.settings.Node.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -64,7 +66,7 @@
 		listener = tls.NewListener(listener, n.certificates.ServerConfig())
 	}
 
-	return listener, nil
+	return senderListener{Listener: listener, node: n}, nil
 }
 
 func (n *Node) stop(server *http.Server) error {
