--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -45,7 +45,9 @@
 	}
 
 	server := &http.Server{
-		Handler:           n.whileAccepting(n.callerRoutes()),
+		Handler:           markServing(n.whileAccepting(n.callerRoutes())),
+		ConnContext:       keepSender,
+		ConnState:         followState,
 		ReadHeaderTimeout: n.settings.Node.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -87,5 +89,5 @@
 		listener = tls.NewListener(listener, n.certificates.ServerConfig())
 	}
 
-	return listener, nil
+	return senderListener{Listener: listener, node: n}, nil
 }
