Keep tier 1 going while two nodes hold one pool; give the retrier a clock

Cause: both holders grant lower tiers, each then counts all of them, so that servers are above their limit by more than Oversubscribe, and tier 1 had no room. Now only the slots that tier 1 itself took above the limit count.

Node.run of the granter's test network now reports tokens by duration: ten for each answer made chats look twenty times slower than lookups, and the servers that ran them like stragglers.

retrier.Options.Now: the bench gives virtual time, so that the retrier's floor refills as in a node.

--- a/internal/bencher/runner.go
+++ b/internal/bencher/runner.go
@@ -14,10 +14,6 @@
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
-// noFloor keeps the retrier's floor, which refills by the real clock, at its first filling:
-// the bench's verdicts must not depend on how fast the machine is.
-const noFloor = 1e-9
-
 // World is what a policy gets at its start.
 type World struct {
 	Shop     Shop
@@ -63,7 +59,7 @@
 		open:     len(events),
 	}
 	for i := range r.judges {
-		r.judges[i] = retrier.New(retrier.Options{FloorPerSecond: noFloor})
+		r.judges[i] = retrier.New(retrier.Options{Now: r.clock.date})
 	}
 
 	r.addServers()
--- a/internal/bencher/table.go
+++ b/internal/bencher/table.go
@@ -67,8 +67,10 @@
 		fmt.Fprintf(&b, " %s=%.4f", c.Class, c.AttainedShare())
 	}
 
-	_, bytes := meanAndMost(r.Traffic.Bytes, r.Length)
-	fmt.Fprintf(&b, " goodput=%.0f wasted=%.4f prefill_again=%d most_bytes_s=%.0f", r.Goodput, r.WastedShare(), r.PrefillAgain, bytes)
+	messages, mostMessages := meanAndMost(r.Traffic.Messages, r.Length)
+	bytes, mostBytes := meanAndMost(r.Traffic.Bytes, r.Length)
+	fmt.Fprintf(&b, " goodput=%.0f wasted=%.4f prefill_again=%d messages_s=%.1f/%.1f bytes_s=%.0f/%.0f",
+		r.Goodput, r.WastedShare(), r.PrefillAgain, messages, mostMessages, bytes, mostBytes)
 
 	return b.String()
 }
--- a/internal/granter/network_test.go
+++ b/internal/granter/network_test.go
@@ -32,6 +32,8 @@
 	// loss is the share of messages that are lost.
 	loss   float64
 	random *rand.Rand
+	// hidden nodes are missed by those with sight for members.
+	hidden map[string]bool
 	// dropped lists methods that are always lost.
 	dropped map[string]bool
 	// messages and bytes count those sent, by method.
@@ -88,7 +90,7 @@
 
 func newNetwork(ctx context.Context, nodes int, s configurer.Service, options Options) *network {
 	n := &network{
-		nodes: map[string]*node{}, down: map[string]bool{}, cut: map[string]bool{}, frozen: map[string]chan struct{}{},
+		nodes: map[string]*node{}, down: map[string]bool{}, hidden: map[string]bool{}, cut: map[string]bool{}, frozen: map[string]chan struct{}{},
 		random: rand.New(rand.NewPCG(1, 1)), dropped: map[string]bool{}, messages: map[string]int{}, bytes: map[string]int{},
 		running: map[string]int{}, most: map[string]int{}, failures: map[classifier.Code]int{},
 	}
@@ -254,7 +256,8 @@
 
 	n.net.occupy(slot.Upstream.Name, 1)
 
-	outcome := dispatcher.Outcome{Result: dispatcher.ResultDone, FirstToken: 10 * time.Millisecond, Duration: duration, Tokens: 10}
+	tokens := 1 + int(duration/(10*time.Millisecond))
+	outcome := dispatcher.Outcome{Result: dispatcher.ResultDone, FirstToken: 10 * time.Millisecond, Duration: duration, Tokens: tokens}
 
 	select {
 	case <-time.After(duration):
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -25,6 +25,8 @@
 	// RetryAfter is the least time that a failed request's caller is told to wait, default 2 s.
 	// Up to the same again is added by request id, so that callers who failed together don't return together.
 	RetryAfter time.Duration
+	// Now is the clock that refills the floor; default time.Now.
+	Now func() time.Time
 }
 
 const (
@@ -56,6 +58,10 @@
 		o.RetryAfter = defaultRetryAfter
 	}
 
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+
 	return o
 }
 
@@ -139,7 +145,7 @@
 		return reasonNone
 	}
 
-	if !r.budget.Spend(time.Now(), pair, share) {
+	if !r.budget.Spend(r.options.Now(), pair, share) {
 		return endBudget
 	}
 
--- a/internal/scheduler/granting.go
+++ b/internal/scheduler/granting.go
@@ -52,7 +52,7 @@
 	}
 
 	p.counters.oversubscribed++
-	p.grant(now, w, p.view.best(w, true))
+	p.grant(now, w, p.view.best(w, true)).takeExtra()
 
 	return true
 }
@@ -141,7 +141,7 @@
 }
 
 // grant gives the request a slot of the server.
-func (p *Pool) grant(now time.Time, w *waiter, s *server) {
+func (p *Pool) grant(now time.Time, w *waiter, s *server) *grant {
 	charged := p.charge(w.class)
 	p.tiers[w.tier].take(w)
 	w.uncount()
@@ -168,6 +168,13 @@
 	w.class.granted++
 	w.class.longestWait = max(w.class.longestWait, now.Sub(w.queued))
 	p.decide(g.decision(Grant))
+
+	return g
+}
+
+func (g *grant) takeExtra() {
+	g.extra = true
+	g.server.extra++
 }
 
 // free gives the slot of a grant back.
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -35,6 +35,8 @@
 	// lower remembers that the class was below tier 1 when the slot was granted.
 	lower     bool
 	preempted bool
+	// extra means that the slot was above the server's limit.
+	extra bool
 	// preemptedAt is when the slot was taken back.
 	preemptedAt time.Time
 	// misses counts reports of the entry running that didn't name the grant.
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -57,6 +57,8 @@
 	// lower is the number of grants below tier 1, and preempted that of grants taken back but not yet free.
 	lower     int
 	preempted int
+	// extra is the number of tier 1 grants that were given above the limit.
+	extra int
 	// running counts grants by class index.
 	running []int
 
@@ -172,6 +174,10 @@
 	if g.preempted {
 		s.preempted--
 	}
+
+	if g.extra {
+		s.extra--
+	}
 }
 
 // lowestTier is the lowest tier among the running classes.
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -122,13 +122,14 @@
 }
 
 // extraRoom is the number of requests that tier 1 may add above the server's
-// limit: the engine then sets as many lower answers aside.
+// limit: the engine then sets as many lower answers aside. What lower tiers have
+// above it, by two holders at once or a limit that fell, doesn't count.
 func (v *view) extraRoom(s *server) int {
 	if !v.usable(s) {
 		return 0
 	}
 
-	return min(s.lower, v.pool.options.Oversubscribe) - max(0, s.inFlight-s.slots())
+	return min(s.lower, v.pool.options.Oversubscribe) - min(s.extra, max(0, s.inFlight-s.slots()))
 }
 
 // best returns the server that suits the request best, or nil when none has
