Tell callers to come back while the maker of a claim may be alive

A listed node that was not heard of counts as possibly alive for 20 s from this node's start. Ruled out: counting every node that is not dead, since a lone survivor never holds its peer for dead and would say key_in_progress for good (TestKilledNode failed so, 30 s).

--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -25,6 +25,8 @@
 	viewInterval = time.Second
 	// listInterval is the least time between two reads of the platform's list of VMs by this node.
 	listInterval = 5 * time.Second
+	// unknownGrace is how long after the start a listed node that was not heard of may be alive.
+	unknownGrace = 20 * time.Second
 	// listIntervalPerNode stretches it, so that the whole fleet reads at most ten times a second.
 	listIntervalPerNode = 100 * time.Millisecond
 )
@@ -37,7 +39,8 @@
 	nodes []distributor.Member
 	// all are all members that are known, dead ones included.
 	all []prober.Member
-	// runs maps each live node to its incarnation as requests and claims name it.
+	// runs maps each live node to its incarnation as requests and claims name
+	// it; "" for nodes that were not heard of since this one started.
 	runs map[string]string
 	// holders chooses one of live for a name; nil when live is empty.
 	holders *rendezvous.Rendezvous
@@ -45,9 +48,10 @@
 
 // members knows the nodes of the fleet by probes. It is safe for concurrent use.
 type members struct {
-	prober *prober.Prober
-	self   distributor.Member
-	view   atomic.Pointer[memberView]
+	started time.Time
+	prober  *prober.Prober
+	self    distributor.Member
+	view    atomic.Pointer[memberView]
 	// changed asks for a new view; it holds at most one.
 	changed chan struct{}
 }
@@ -55,6 +59,7 @@
 func (n *Node) newMembers() *members {
 	node := n.settings.Node
 	m := &members{
+		started: n.started,
 		self:    distributor.Member{Name: node.Name, FailureDomain: node.FailureDomain},
 		changed: make(chan struct{}, 1),
 	}
@@ -110,6 +115,13 @@
 	all := m.prober.Members()
 	view := &memberView{all: all, runs: make(map[string]string)}
 
+	for _, member := range all {
+		// Later, a node that was never heard of is one that is gone.
+		if member.State == prober.Unknown && time.Since(m.started) < unknownGrace {
+			view.runs[member.Name] = ""
+		}
+	}
+
 	if !m.prober.Self().Leaving {
 		view.live = append(view.live, m.self.Name)
 	}
@@ -160,9 +172,13 @@
 	return m.view.Load().live
 }
 
-// Alive implements claimer.Makers: it says whether the run of a node that made a claim goes on.
+// Alive implements claimer.Makers: it says whether the run of a node that made a
+// claim may go on. A node that was not heard of yet may be alive: its caller is
+// told to come back, where "outcome unknown" would be final.
 func (m *members) Alive(node, incarnation string) bool {
-	return m.view.Load().runs[node] == incarnation
+	run, known := m.view.Load().runs[node]
+
+	return known && (run == "" || run == incarnation)
 }
 
 // known is the number of nodes that may exist.
