Wait for a booking that another node runs, also on a fresh node

A node that has just started has heard of no other node. It took the maker of a claim for gone and answered a caller's second ask for a running booking with outcome_unknown; the caller does not ask again after that. Seen first in the rolling restart of 9 nodes: 1 of 1,048 requests ended so ("the node that ran the request is gone") although that node lived. Ruled out: the stop's hand-over (the maker was not stopping) and lost claims (the record had one run).

A node that has not told its incarnation yet counts as alive for 5 s unless it is known to be dead.

--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -23,6 +23,8 @@
 const (
 	// viewInterval is how often the view of live nodes is renewed without a change.
 	viewInterval = time.Second
+	// hearingTime is how long a node may take to hear the incarnation of another that lives.
+	hearingTime = 5 * time.Second
 	// listInterval is the least time between two reads of the platform's list of VMs by this node.
 	listInterval = 5 * time.Second
 	// listIntervalPerNode stretches it, so that the whole fleet reads at most ten times a second.
@@ -39,6 +41,9 @@
 	all []prober.Member
 	// runs maps each live node to its incarnation as requests and claims name it.
 	runs map[string]string
+	// unheard maps nodes that are not known to be dead, and have not told their
+	// incarnation yet, to the time since which this is so.
+	unheard map[string]time.Time
 	// holders chooses one of live for a name; nil when live is empty.
 	holders *rendezvous.Rendezvous
 }
@@ -108,7 +113,13 @@
 // refresh renews the view from the prober.
 func (m *members) refresh() {
 	all := m.prober.Members()
-	view := &memberView{all: all, runs: make(map[string]string)}
+	view := &memberView{all: all, runs: make(map[string]string), unheard: make(map[string]time.Time)}
+
+	for _, member := range all {
+		if member.State != prober.Dead && member.Digest.Run == "" {
+			view.unheard[member.Name] = member.Since
+		}
+	}
 
 	if !m.prober.Self().Leaving {
 		view.live = append(view.live, m.self.Name)
@@ -161,13 +172,25 @@
 }
 
 // Alive implements claimer.Makers: it says whether the run of a node that made a claim goes on.
+//
+// A node that has just started has heard of nobody. Taking the others for gone,
+// it would tell callers that the outcome of a booking is unknown while the
+// booking runs, and the callers would not ask again. So a node that did not
+// tell its incarnation yet counts as alive, for as long as hearing of it takes.
 func (m *members) Alive(node, incarnation string) bool {
-	return m.view.Load().runs[node] == incarnation
+	view := m.view.Load()
+	if run := view.runs[node]; run != "" {
+		return run == incarnation
+	}
+
+	since, unheard := view.unheard[node]
+
+	return unheard && time.Since(since) < hearingTime
 }
 
-// known is the number of nodes that may exist.
+// known is the number of nodes that may exist, this one included.
 func (m *members) known() int {
-	return len(m.view.Load().all) + 1
+	return len(m.view.Load().all)
 }
 
 // treeMembers shows the members to the distributor.
