--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -23,10 +23,10 @@
 const (
 	// viewInterval is how often the view of live nodes is renewed without a change.
 	viewInterval = time.Second
+	// hearingTime is how long a node may take to hear the incarnation of another that lives.
+	hearingTime = 5 * time.Second
 	// listInterval is the least time between two reads of the platform's list of VMs by this node.
 	listInterval = 5 * time.Second
-	// unknownGrace is how long after the start a listed node that was not heard of may be alive.
-	unknownGrace = 20 * time.Second
 	// listIntervalPerNode stretches it, so that the whole fleet reads at most ten times a second.
 	listIntervalPerNode = 100 * time.Millisecond
 )
@@ -39,19 +39,20 @@
 	nodes []distributor.Member
 	// all are all members that are known, dead ones included.
 	all []prober.Member
-	// runs maps each live node to its incarnation as requests and claims name
-	// it; "" for nodes that were not heard of since this one started.
+	// runs maps each live node to its incarnation as requests and claims name it.
 	runs map[string]string
+	// unheard maps nodes that are not known to be dead, and have not told their
+	// incarnation yet, to the time since which this is so.
+	unheard map[string]time.Time
 	// holders chooses one of live for a name; nil when live is empty.
 	holders *rendezvous.Rendezvous
 }
 
 // members knows the nodes of the fleet by probes. It is safe for concurrent use.
 type members struct {
-	started time.Time
-	prober  *prober.Prober
-	self    distributor.Member
-	view    atomic.Pointer[memberView]
+	prober *prober.Prober
+	self   distributor.Member
+	view   atomic.Pointer[memberView]
 	// changed asks for a new view; it holds at most one.
 	changed chan struct{}
 }
@@ -59,7 +60,6 @@
 func (n *Node) newMembers() *members {
 	node := n.settings.Node
 	m := &members{
-		started: n.started,
 		self:    distributor.Member{Name: node.Name, FailureDomain: node.FailureDomain},
 		changed: make(chan struct{}, 1),
 	}
@@ -113,12 +113,11 @@
 // refresh renews the view from the prober.
 func (m *members) refresh() {
 	all := m.prober.Members()
-	view := &memberView{all: all, runs: make(map[string]string)}
+	view := &memberView{all: all, runs: make(map[string]string), unheard: make(map[string]time.Time)}
 
 	for _, member := range all {
-		// Later, a node that was never heard of is one that is gone.
-		if member.State == prober.Unknown && time.Since(m.started) < unknownGrace {
-			view.runs[member.Name] = ""
+		if member.State != prober.Dead && member.Digest.Run == "" {
+			view.unheard[member.Name] = member.Since
 		}
 	}
 
@@ -172,18 +171,26 @@
 	return m.view.Load().live
 }
 
-// Alive implements claimer.Makers: it says whether the run of a node that made a
-// claim may go on. A node that was not heard of yet may be alive: its caller is
-// told to come back, where "outcome unknown" would be final.
+// Alive implements claimer.Makers: it says whether the run of a node that made a claim goes on.
+//
+// A node that has just started has heard of nobody. Taking the others for gone,
+// it would tell callers that the outcome of a booking is unknown while the
+// booking runs, and the callers would not ask again. So a node that did not
+// tell its incarnation yet counts as alive, for as long as hearing of it takes.
 func (m *members) Alive(node, incarnation string) bool {
-	run, known := m.view.Load().runs[node]
+	view := m.view.Load()
+	if run := view.runs[node]; run != "" {
+		return run == incarnation
+	}
+
+	since, unheard := view.unheard[node]
 
-	return known && (run == "" || run == incarnation)
+	return unheard && time.Since(since) < hearingTime
 }
 
-// known is the number of nodes that may exist.
+// known is the number of nodes that may exist, this one included.
 func (m *members) known() int {
-	return len(m.view.Load().all) + 1
+	return len(m.view.Load().all)
 }
 
 // treeMembers shows the members to the distributor.
