Measure what control costs a node

Package gauger starts a fleet before stand-ins and puts a relay before each node's address for peers. The relays cut the streams at the lengths before the messages and count bytes by method and node, datagrams too, so the nodes need no counters of their own and are measured as they are used. Weighed and left out: reading messenger.Traffic (not reachable from outside the node, and without methods), and the interface counters of loopback (other work on the machine counts there as well).

--- /dev/null
+++ b/internal/gauger/fleet.go
@@ -0,0 +1,268 @@
+package gauger
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/connector"
+	"quincepath.example/quincepath/internal/loader"
+	generator "quincepath.example/quincepath/internal/standin/engine"
+	keeper "quincepath.example/quincepath/internal/standin/platform"
+)
+
+// The fleet's shape. Few services and organisations keep the number of
+// connections between nodes below the limit on open files.
+const (
+	services          = 4
+	upstreamsOfEach   = 4
+	organisations     = 4
+	failureDomains    = 3
+	upstreamSlots     = 32
+	tokenStep         = time.Millisecond
+	startLimit        = time.Minute
+	author            = "gauger"
+	upstreamKey       = "gauge-upstream"
+	entryLifetime     = time.Second
+	drainTimeout      = 5 * time.Second
+	platformPerSecond = 100_000
+)
+
+// fleet is a platform, upstreams and nodes with a relay before each.
+type fleet struct {
+	options   Options
+	tally     *tally
+	platform  *standIn
+	upstreams []*standIn
+	editor    *configurer.Editor
+	// entries are the addresses of the nodes for callers.
+	entries []string
+	// running ends when each node has stopped.
+	running sync.WaitGroup
+	failed  chan error
+}
+
+func newFleet(options Options) *fleet {
+	return &fleet{options: options, tally: newTally(), failed: make(chan error, 1)}
+}
+
+func (f *fleet) start(ctx context.Context) error {
+	if err := f.startStandIns(ctx); err != nil {
+		return err
+	}
+
+	if err := f.writeTree(ctx); err != nil {
+		return errors.Wrap(err, "write the first tree")
+	}
+
+	return f.startNodes(ctx)
+}
+
+func (f *fleet) startStandIns(ctx context.Context) error {
+	// The stand-in's own rates would hide what the fleet asks for.
+	keep := keeper.New(keeper.Options{WritesPerSecond: platformPerSecond, ReadsPerSecond: platformPerSecond}, zerolog.Nop())
+
+	platform, err := newStandIn(ctx, keep.Handler())
+	if err != nil {
+		return err
+	}
+
+	f.platform = platform
+
+	for i := range services * upstreamsOfEach {
+		engine := generator.New(generator.Options{
+			Name: fmt.Sprintf("engine-%d", i+1), BearerKey: upstreamKey, Slots: upstreamSlots, TokenStep: tokenStep,
+		})
+
+		upstream, err := newStandIn(ctx, engine.Handler())
+		if err != nil {
+			return err
+		}
+
+		f.upstreams = append(f.upstreams, upstream)
+	}
+
+	store, err := connector.New(connector.Options{Addresses: []string{"http://" + platform.address}})
+	if err != nil {
+		return err
+	}
+
+	f.editor = configurer.NewEditor(store, configurer.EditorOptions{})
+
+	return nil
+}
+
+// writeTree writes the root, the region and a branch for each service.
+func (f *fleet) writeTree(ctx context.Context) error {
+	branches := []struct{ path, text string }{{"", f.root()}, {"gauge", "# The region of all services.\n"}}
+
+	for i := range services {
+		branches = append(branches, struct{ path, text string }{"gauge/" + serviceName(i), f.service(i, 0)})
+	}
+
+	for i, v := range branches {
+		_, err := f.editor.Edit(ctx, configurer.Edit{
+			Branch: v.path, Value: []byte(v.text), ChangeID: fmt.Sprintf("first-%d", i), Author: author,
+		})
+		if err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+// root gives each organisation its key and, where asked for, a limit.
+func (f *fleet) root() string {
+	var text strings.Builder
+
+	text.WriteString("organisations:\n")
+
+	for i := range organisations {
+		sum := sha256.Sum256([]byte(organisationKey(i)))
+		fmt.Fprintf(&text, "  organisation-%d:\n    key_hashes: [%s]\n    weight: 1\n", i+1, hex.EncodeToString(sum[:]))
+
+		if limit := f.options.LimitFactor * f.options.Rate / (services * organisations); limit > 0 {
+			fmt.Fprintf(&text, "    requests_per_second: %g\n", limit)
+		}
+	}
+
+	return text.String()
+}
+
+// service is the text of a service's branch; another version differs in one value.
+func (f *fleet) service(index, version int) string {
+	var text strings.Builder
+
+	fmt.Fprintf(&text, "kind: engine\ndefault_class: lookup\nclasses:\n  lookup: {tier: 1, target: %dms, token_gap: 50ms, gap_limit: 2s, max_wait: 10s, repeatable: true, retry_budget: 0.1}\nupstreams:\n",
+		1000+version)
+
+	for i := range upstreamsOfEach {
+		number := index*upstreamsOfEach + i
+		fmt.Fprintf(&text, "  engine-%d: {address: \"http://%s\", failure_domain: domain-%d, slots: %d}\n",
+			number+1, f.upstreams[number].address, i%failureDomains+1, upstreamSlots)
+	}
+
+	return text.String()
+}
+
+func serviceName(index int) string {
+	return fmt.Sprintf("model-%d", index+1)
+}
+
+func organisationKey(index int) string {
+	return fmt.Sprintf("gauge-key-%d", index+1)
+}
+
+func (f *fleet) startNodes(ctx context.Context) error {
+	settings := loader.Defaults()
+	settings.Platform.Addresses = []string{"http://" + f.platform.address}
+	settings.Peers.Credential = "gauge-peer"
+	settings.Upstreams.BearerKey = upstreamKey
+	settings.Routing.Policy = f.options.Policy
+	settings.Log.Level = "error"
+
+	var nodes []loader.Node
+
+	for i := range f.options.Nodes {
+		addresses, err := freeAddresses(ctx, 2)
+		if err != nil {
+			return err
+		}
+
+		node := settings.Node
+		node.Name = fmt.Sprintf("node-%d", i+1)
+		node.Region = "gauge"
+		node.FailureDomain = fmt.Sprintf("domain-%d", i%failureDomains+1)
+		node.Listen, node.Advertise, node.PeerListen = addresses[0], addresses[0], addresses[1]
+		node.EntryLifetime, node.DrainTimeout = entryLifetime, drainTimeout
+		nodes = append(nodes, node)
+
+		relay, err := newRelay(ctx, f.tally, node.Name, node.PeerListen)
+		if err != nil {
+			return err
+		}
+
+		go relay.run(ctx)
+
+		f.entries = append(f.entries, node.Listen)
+		settings.Peers.Nodes = append(settings.Peers.Nodes, loader.Peer{
+			Name: node.Name, PeerAddress: relay.address(), EntryAddress: node.Listen, FailureDomain: node.FailureDomain,
+		})
+	}
+
+	for _, v := range nodes {
+		own := settings
+		own.Node = v
+
+		f.running.Go(func() { f.serve(ctx, own) })
+	}
+
+	return f.awaitNodes(ctx)
+}
+
+func (f *fleet) serve(ctx context.Context, settings loader.Settings) {
+	err := f.options.Serve(ctx, settings, zerolog.Nop())
+	if err == nil {
+		return
+	}
+
+	select {
+	case f.failed <- errors.Wrap(err, settings.Node.Name):
+	default:
+	}
+}
+
+// awaitNodes waits until each node takes connections.
+func (f *fleet) awaitNodes(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+
+	for _, v := range f.entries {
+		for {
+			connection, err := new(net.Dialer).DialContext(limited, "tcp", v)
+			if err == nil {
+				connection.Close()
+
+				break
+			}
+
+			select {
+			case failure := <-f.failed:
+				return failure
+			case <-limited.Done():
+				return errors.Wrapf(err, "a node did not start at %s", v)
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+	}
+
+	return nil
+}
+
+// freeAddresses returns loopback addresses that nothing listens on at the moment.
+// They are held open together, so that no address comes twice.
+func freeAddresses(ctx context.Context, count int) ([]string, error) {
+	var addresses []string
+
+	for range count {
+		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", anyPort)
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free port")
+		}
+		defer listener.Close()
+
+		addresses = append(addresses, listener.Addr().String())
+	}
+
+	return addresses, nil
+}
