--- a/internal/command/registrar/registrar.go
+++ b/internal/command/registrar/registrar.go
@@ -7,6 +7,7 @@
 	"quincepath.example/quincepath/internal/command/tree/undo"
 	"quincepath.example/quincepath/internal/command/upstream/leave"
 	"quincepath.example/quincepath/internal/factory"
+	"quincepath.example/quincepath/internal/query/bench/control"
 	entries "quincepath.example/quincepath/internal/query/entry/list"
 	"quincepath.example/quincepath/internal/query/node/status"
 	"quincepath.example/quincepath/internal/query/request/show"
@@ -16,13 +17,14 @@
 	upstreams "quincepath.example/quincepath/internal/query/upstream/list"
 )
 
-// Register adds the nouns tree, node, upstream, entry and request to parent.
+// Register adds the nouns tree, node, upstream, entry, request and bench to parent.
 func Register(f *factory.Factory, parent factory.Parent) []factory.Command {
 	tree := parent.Command("tree", "Read and change the settings tree.")
 	node := parent.Command("node", "Look at a node.")
 	upstream := parent.Command("upstream", "Work with the upstreams of services.")
 	entry := parent.Command("entry", "Look at the addresses that callers use.")
 	request := parent.Command("request", "Look at single requests.")
+	bench := parent.Command("bench", "Measure the program itself.")
 
 	return []factory.Command{
 		get.New(f, tree),
@@ -36,5 +38,6 @@
 		leave.New(f, upstream),
 		entries.New(f, entry),
 		show.New(f, request),
+		control.New(f, bench),
 	}
 }
