--- a/internal/distributor/fleet_test.go
+++ b/internal/distributor/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -58,6 +59,8 @@
 	stop  context.CancelFunc
 	// down refuses the calls of this node on the store; deaf makes its new watches silent.
 	down, deaf atomic.Bool
+	// slow delays the answers of this node.
+	slow atomic.Int64
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -94,6 +97,20 @@
 	return n
 }
 
+// kill ends a node; its name stays among the members until remove.
+func (f *fleet) kill(name string) {
+	f.nodes[name].stop()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.nodes, name)
+}
+
+func (f *fleet) remove(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.live = slices.DeleteFunc(slices.Clone(f.live), func(m distributor.Member) bool { return m.Name == name })
+}
+
 func (f *fleet) startAll(count, domains int) {
 	for i := range count {
 		f.start(fmt.Sprintf("node-%d", i), fmt.Sprintf("domain-%d", i%domains))
@@ -161,6 +178,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	time.Sleep(time.Duration(to.slow.Load()))
 	handle := to.HandlePull
 	if method == distributor.MethodAnnounce {
 		handle = to.HandleAnnounce
@@ -178,7 +196,9 @@
 	return json.Unmarshal(data, result)
 }
 
-const branchText = `kind: engine
+// branchText is long enough to be sent by lines.
+var branchText = "# " + strings.Repeat("-", 300) + `
+kind: engine
 default_class: chat
 classes:
   chat: {tier: 1, target: 1s, gap_limit: 1s, max_wait: 1s}
