Give measured nodes ports that outgoing connections never take

A fleet of 100 processes failed to start: node-61 found its port for peers taken (bind: address already in use). Each address was found free while the fleet was laid out, but the ports were from the range that the system gives to outgoing connections, and nodes that had started earlier dialled in between. Ports now come from 12000 to 32000, below that range (32768 to 60999 here).

--- a/internal/gauger/fleet.go
+++ b/internal/gauger/fleet.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -35,6 +36,8 @@
 	entryLifetime     = time.Second
 	drainTimeout      = 5 * time.Second
 	platformPerSecond = 100_000
+	firstPort         = 12_000
+	lastPort          = 32_000
 )
 
 // fleet is a platform, upstreams and nodes with a relay before each.
@@ -49,10 +52,12 @@
 	// running ends when each node has stopped.
 	running sync.WaitGroup
 	failed  chan error
+	// port is the next one to try for a node.
+	port int
 }
 
 func newFleet(options Options) *fleet {
-	return &fleet{options: options, tally: newTally(), failed: make(chan error, 1)}
+	return &fleet{options: options, tally: newTally(), failed: make(chan error, 1), port: firstPort + rand.IntN((lastPort-firstPort)/2)}
 }
 
 func (f *fleet) start(ctx context.Context) error {
@@ -174,7 +179,12 @@
 	var nodes []loader.Node
 
 	for i := range f.options.Nodes {
-		addresses, err := freeAddresses(ctx, 2)
+		listen, err := f.freeAddress(ctx)
+		if err != nil {
+			return err
+		}
+
+		peerListen, err := f.freeAddress(ctx)
 		if err != nil {
 			return err
 		}
@@ -183,7 +193,7 @@
 		node.Name = fmt.Sprintf("node-%d", i+1)
 		node.Region = "gauge"
 		node.FailureDomain = fmt.Sprintf("domain-%d", i%failureDomains+1)
-		node.Listen, node.Advertise, node.PeerListen = addresses[0], addresses[0], addresses[1]
+		node.Listen, node.Advertise, node.PeerListen = listen, listen, peerListen
 		node.EntryLifetime, node.DrainTimeout = entryLifetime, drainTimeout
 		nodes = append(nodes, node)
 
@@ -249,20 +259,22 @@
 	return nil
 }
 
-// freeAddresses returns loopback addresses that nothing listens on at the moment.
-// They are held open together, so that no address comes twice.
-func freeAddresses(ctx context.Context, count int) ([]string, error) {
-	var addresses []string
+// freeAddress returns a loopback address that nothing listens on at the moment.
+//
+// Its port is below those that the system gives to outgoing connections: a node
+// that started later would else find its port taken by another's connection.
+func (f *fleet) freeAddress(ctx context.Context) (string, error) {
+	for f.port < lastPort {
+		address := fmt.Sprintf("127.0.0.1:%d", f.port)
+		f.port++
 
-	for range count {
-		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", anyPort)
+		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
 		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
+			continue
 		}
-		defer listener.Close()
 
-		addresses = append(addresses, listener.Addr().String())
+		return address, errors.Wrap(listener.Close(), "free a port")
 	}
 
-	return addresses, nil
+	return "", errors.New("no port below the system's own is free")
 }
