--- a/internal/gauger/fleet.go
+++ b/internal/gauger/fleet.go
@@ -19,6 +19,7 @@
 	"quincepath.example/quincepath/internal/loader"
 	generator "quincepath.example/quincepath/internal/standin/engine"
 	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 // The fleet's shape. Few services and organisations keep the number of
@@ -29,7 +30,7 @@
 	organisations     = 4
 	failureDomains    = 3
 	upstreamSlots     = 32
-	tokenStep         = time.Millisecond
+	defaultTokenStep  = time.Millisecond
 	startLimit        = time.Minute
 	author            = "gauger"
 	upstreamKey       = "gauge-upstream"
@@ -76,6 +77,8 @@
 	// The stand-in's own rates would hide what the fleet asks for.
 	keep := keeper.New(keeper.Options{WritesPerSecond: platformPerSecond, ReadsPerSecond: platformPerSecond}, zerolog.Nop())
 
+	keep.Store().SetVMs(f.listOfVMs())
+
 	platform, err := newStandIn(ctx, keep.Handler())
 	if err != nil {
 		return err
@@ -85,7 +88,7 @@
 
 	for i := range services * upstreamsOfEach {
 		engine := generator.New(generator.Options{
-			Name: fmt.Sprintf("engine-%d", i+1), BearerKey: upstreamKey, Slots: upstreamSlots, TokenStep: tokenStep,
+			Name: fmt.Sprintf("engine-%d", i+1), BearerKey: upstreamKey, Slots: upstreamSlots, TokenStep: f.options.TokenStep,
 		})
 
 		upstream, err := newStandIn(ctx, engine.Handler())
@@ -106,6 +109,17 @@
 	return nil
 }
 
+// listOfVMs is what the platform tells of the nodes; their addresses are not known yet.
+func (f *fleet) listOfVMs() []storer.VM {
+	var list []storer.VM
+
+	for i := range f.options.Nodes {
+		list = append(list, storer.VM{Name: nodeName(i), Address: "127.0.0.1", FailureDomain: failureDomain(i), State: "live"})
+	}
+
+	return list
+}
+
 // writeTree writes the root, the region and a branch for each service.
 func (f *fleet) writeTree(ctx context.Context) error {
 	branches := []struct{ path, text string }{{"", f.root()}, {"gauge", "# The region of all services.\n"}}
@@ -153,13 +167,21 @@
 
 	for i := range upstreamsOfEach {
 		number := index*upstreamsOfEach + i
-		fmt.Fprintf(&text, "  engine-%d: {address: \"http://%s\", failure_domain: domain-%d, slots: %d}\n",
-			number+1, f.upstreams[number].address, i%failureDomains+1, upstreamSlots)
+		fmt.Fprintf(&text, "  engine-%d: {address: \"http://%s\", failure_domain: %s, slots: %d}\n",
+			number+1, f.upstreams[number].address, failureDomain(i), upstreamSlots)
 	}
 
 	return text.String()
 }
 
+func nodeName(index int) string {
+	return fmt.Sprintf("node-%d", index+1)
+}
+
+func failureDomain(index int) string {
+	return fmt.Sprintf("domain-%d", index%failureDomains+1)
+}
+
 func serviceName(index int) string {
 	return fmt.Sprintf("model-%d", index+1)
 }
@@ -190,9 +212,9 @@
 		}
 
 		node := settings.Node
-		node.Name = fmt.Sprintf("node-%d", i+1)
+		node.Name = nodeName(i)
 		node.Region = "gauge"
-		node.FailureDomain = fmt.Sprintf("domain-%d", i%failureDomains+1)
+		node.FailureDomain = failureDomain(i)
 		node.Listen, node.Advertise, node.PeerListen = listen, listen, peerListen
 		node.EntryLifetime, node.DrainTimeout = entryLifetime, drainTimeout
 		nodes = append(nodes, node)
--- a/internal/gauger/gauger.go
+++ b/internal/gauger/gauger.go
@@ -31,6 +31,8 @@
 	Rate float64
 	// LimitFactor is how many times the requests that it sends an organisation may send; 0 means no limits.
 	LimitFactor float64
+	// TokenStep is the time of each of an answer's 16 tokens; 0 means 1 ms.
+	TokenStep time.Duration
 	// Changes is the number of settings changes made in the phase of changes.
 	Changes int
 	// Policy is how the nodes choose upstreams.
@@ -111,6 +113,10 @@
 		options.Usage = ownUsage
 	}
 
+	if options.TokenStep == 0 {
+		options.TokenStep = defaultTokenStep
+	}
+
 	ctx, cancel := context.WithCancel(ctx)
 	f := newFleet(options)
 
--- a/test/capacity/capacity_test.go
+++ b/test/capacity/capacity_test.go
@@ -34,6 +34,7 @@
 	seconds  = flag.Int("seconds", 10, "length of a phase")
 	rate     = flag.Float64("rate", 200, "requests a second of all callers")
 	limits   = flag.Float64("limits", 0, "limit of each organisation as a multiple of what it sends; 0 means none")
+	step     = flag.Duration("token-step", 0, "time of each of an answer's 16 tokens; 0 means 1 ms")
 	changes  = flag.Int("changes", 3, "settings changes in the last phase")
 )
 
@@ -63,7 +64,7 @@
 
 	all, err := gauger.Gauge(b.Context(), gauger.Options{
 		Serve: h.serve, Nodes: nodes, Duration: time.Duration(*seconds) * time.Second,
-		Rate: *rate, LimitFactor: *limits, Changes: *changes, Policy: policy, Usage: h.usage,
+		Rate: *rate, LimitFactor: *limits, TokenStep: *step, Changes: *changes, Policy: policy, Usage: h.usage,
 	})
 	assert.NilError(b, err)
 
