--- a/internal/gauger/fleet.go
+++ b/internal/gauger/fleet.go
@@ -26,7 +26,7 @@
 // connections between nodes below the limit on open files.
 const (
 	services          = 4
-	upstreamsOfEach   = 4
+	defaultUpstreams  = 4
 	organisations     = 4
 	failureDomains    = 3
 	upstreamSlots     = 32
@@ -86,7 +86,7 @@
 
 	f.platform = platform
 
-	for i := range services * upstreamsOfEach {
+	for i := range services * f.options.Upstreams {
 		engine := generator.New(generator.Options{
 			Name: fmt.Sprintf("engine-%d", i+1), BearerKey: upstreamKey, Slots: upstreamSlots, TokenStep: f.options.TokenStep,
 		})
@@ -165,8 +165,8 @@
 	fmt.Fprintf(&text, "kind: engine\ndefault_class: lookup\nclasses:\n  lookup: {tier: 1, target: %dms, token_gap: 50ms, gap_limit: 2s, max_wait: 10s, repeatable: true, retry_budget: 0.1}\nupstreams:\n",
 		1000+version)
 
-	for i := range upstreamsOfEach {
-		number := index*upstreamsOfEach + i
+	for i := range f.options.Upstreams {
+		number := index*f.options.Upstreams + i
 		fmt.Fprintf(&text, "  engine-%d: {address: \"http://%s\", failure_domain: %s, slots: %d}\n",
 			number+1, f.upstreams[number].address, failureDomain(i), upstreamSlots)
 	}
--- a/internal/gauger/gauger.go
+++ b/internal/gauger/gauger.go
@@ -33,6 +33,8 @@
 	LimitFactor float64
 	// TokenStep is the time of each of an answer's 16 tokens; 0 means 1 ms.
 	TokenStep time.Duration
+	// Upstreams is the number of upstreams of each of the four services; 0 means 4.
+	Upstreams int
 	// Changes is the number of settings changes made in the phase of changes.
 	Changes int
 	// Policy is how the nodes choose upstreams.
@@ -117,6 +119,10 @@
 		options.TokenStep = defaultTokenStep
 	}
 
+	if options.Upstreams == 0 {
+		options.Upstreams = defaultUpstreams
+	}
+
 	ctx, cancel := context.WithCancel(ctx)
 	f := newFleet(options)
 
--- a/test/capacity/capacity_test.go
+++ b/test/capacity/capacity_test.go
@@ -35,6 +35,7 @@
 	rate     = flag.Float64("rate", 200, "requests a second of all callers")
 	limits   = flag.Float64("limits", 0, "limit of each organisation as a multiple of what it sends; 0 means none")
 	step     = flag.Duration("token-step", 0, "time of each of an answer's 16 tokens; 0 means 1 ms")
+	servers  = flag.Int("upstreams", 0, "upstreams of each of the four services; 0 means 4")
 	changes  = flag.Int("changes", 3, "settings changes in the last phase")
 )
 
@@ -64,7 +65,7 @@
 
 	all, err := gauger.Gauge(b.Context(), gauger.Options{
 		Serve: h.serve, Nodes: nodes, Duration: time.Duration(*seconds) * time.Second,
-		Rate: *rate, LimitFactor: *limits, TokenStep: *step, Changes: *changes, Policy: policy, Usage: h.usage,
+		Rate: *rate, LimitFactor: *limits, TokenStep: *step, Upstreams: *servers, Changes: *changes, Policy: policy, Usage: h.usage,
 	})
 	assert.NilError(b, err)
 
