--- a/internal/gauger/offer.go
+++ b/internal/gauger/offer.go
@@ -23,6 +23,7 @@
 	requestTimeout = 15 * time.Second
 	headerResult   = "Quincepath-Result"
 	endBroken      = "broken"
+	endBusy        = "callers_busy"
 	// seed makes the mix of requests the same in each run.
 	seed = 1
 )
@@ -46,6 +47,7 @@
 		begun  = time.Now()
 		ended  = ends{counts: make(map[string]int64)}
 		random = rand.New(rand.NewPCG(seed, seed))
+		steer  = steering{fleet: f, client: client}
 	)
 
 	for number := 0; ; number++ {
@@ -58,18 +60,21 @@
 			return err
 		}
 
+		service, organisation := random.IntN(services), random.IntN(organisations)
+
+		entry, err := steer.entry(ctx, number, service)
+		if err != nil {
+			return err
+		}
+
 		select {
 		case places <- struct{}{}:
 		default:
-			ended.add("callers_busy")
+			ended.add(endBusy)
 
 			continue
 		}
 
-		// The nodes take turns; services and organisations come at random.
-		entry := f.entries[number%len(f.entries)]
-		service, organisation := random.IntN(services), random.IntN(organisations)
-
 		group.Go(func() {
 			defer func() { <-places }()
 
