--- a/internal/scheduler/adopting.go
+++ b/internal/scheduler/adopting.go
@@ -88,9 +88,12 @@
 
 	p.order++
 
+	request := Request{ID: flight.RequestID, Entry: entry, Class: flight.Class, Organisation: flight.Organisation}
+	request.NotRepeatable = flight.NotRepeatable
+
 	g := &grant{
 		id:      flight.GrantID,
-		request: Request{ID: flight.RequestID, Entry: entry, Class: flight.Class, Organisation: flight.Organisation},
+		request: request,
 		class:   c,
 		server:  s,
 		order:   p.order,
@@ -101,7 +104,7 @@
 
 	// An adopted grant is not in holding: a late cancel of the same ask at this
 	// holder must not free what runs by another's grant.
-	g.server.add(now, c)
+	g.server.add(now, c, p.classes)
 	p.grants[g.id] = g
 }
 
