Let late tier 1 requests use servers that they avoid

Cause: tier 1 never took a straggler while another server was open. Now it does once half its target is spent.

TestLateTierOneTakesAStraggler failed before: no grant.

--- a/internal/scheduler/doc.go
+++ b/internal/scheduler/doc.go
@@ -8,7 +8,8 @@
 // The rules, in the order in which they hold:
 //
 //	Tier 1          gets any free slot first, on servers that neither straggle nor failed since
-//	                their last whole answer, while others exist.
+//	                their last whole answer, while others exist; on these too once half its
+//	                target is spent, or when a plain service has no other slot.
 //	Headroom        is a small number of free slots that only tier 1 uses: its largest recent
 //	                burst less the slots that become free while it comes; none after 30 s without it.
 //	Guaranteed share  a class below tier 1 that is owed at least one request of slot time goes next.
--- a/internal/scheduler/granting.go
+++ b/internal/scheduler/granting.go
@@ -21,7 +21,7 @@
 		return true
 	}
 
-	if p.oversubscribe(now) {
+	if p.oversubscribe(now) || p.grantStraggler(now) {
 		return true
 	}
 
@@ -57,6 +57,20 @@
 	return true
 }
 
+// grantStraggler gives a tier 1 request that is late a free slot of a server that
+// tier 1 avoids. Without it, lookups waited to their end beside idle servers when
+// the speeds were judged wrongly.
+func (p *Pool) grantStraggler(now time.Time) bool {
+	w := p.tiers[topTier].pick(p.quantum, p.view.matchLate)
+	if w == nil {
+		return false
+	}
+
+	p.grant(now, w, p.view.bestOf(w, false, false))
+
+	return true
+}
+
 func (p *Pool) nextLower() *waiter {
 	if c := p.owed(); c != nil {
 		if w := p.pickLower(c); w != nil {
--- a/internal/scheduler/learning_test.go
+++ b/internal/scheduler/learning_test.go
@@ -256,6 +256,21 @@
 	assert.Equal(t, p.Stats().Queued["chat"], 0)
 }
 
+// Symptom: counter lookups waited 5 s and were refused beside free slots.
+// Sequence: some servers run answers with slow tokens and count as stragglers;
+// the others are full of tier 1. Cause: tier 1 never took a straggler while another server was open.
+func TestLateTierOneTakesAStraggler(t *testing.T) {
+	p := New(testService(2, 1), Options{Headroom: -1, FixedSlots: true})
+	p.servers[0].ratio, p.servers[0].ratioAt = 5, epoch
+	fill(p, epoch, "counter", 1)
+	assert.Equal(t, p.Stats().InFlight["e02"], 1)
+	assert.Equal(t, len(p.Submit(epoch, ask("late", "counter"))), 0)
+
+	decisions := p.Tick(epoch.Add(150 * time.Millisecond))
+	assert.DeepEqual(t, kinds(decisions), []string{"grant late"})
+	assert.Equal(t, decisions[0].Upstream, "e01")
+}
+
 // Symptom: counter lookups were refused at once while notes ran. Sequence: all
 // slots run notes of twenty seconds; some counter lookups come together.
 // Cause: the estimate waited for the notes to end, which are preempted in truth.
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -9,6 +9,9 @@
 // unlimited is the room of a server for tier 1 while capacity is unknown.
 const unlimited = 1 << 16
 
+// lateShare is the part of its target after which tier 1 takes a straggler.
+const lateShare = 0.5
+
 // view is the state of the servers during one call, with the matching
 // functions that look at it. They are made once, so that a decision allocates nothing for them.
 type view struct {
@@ -28,12 +31,13 @@
 	// class limits matchLower when not nil.
 	class *class
 
-	matchTop, matchExtra, matchLower func(*waiter) bool
+	matchTop, matchExtra, matchLate, matchLower func(*waiter) bool
 }
 
 func (v *view) bind() {
 	v.matchTop = func(w *waiter) bool { return v.best(w, false) != nil }
 	v.matchExtra = func(w *waiter) bool { return v.best(w, true) != nil }
+	v.matchLate = func(w *waiter) bool { return v.late(w) && v.bestOf(w, false, false) != nil }
 	v.matchLower = func(w *waiter) bool {
 		if v.class != nil && w.class != v.class {
 			return false
@@ -146,6 +150,14 @@
 	return found
 }
 
+// late says whether the waiter has spent so much of its target that a straggler is
+// better than a further wait.
+func (v *view) late(w *waiter) bool {
+	waited := v.now.Sub(w.queued) - w.request.Queued + w.request.Waited
+
+	return waited >= time.Duration(lateShare*float64(w.class.settings.Target))
+}
+
 // bestOf leaves stragglers out when steady is set.
 func (v *view) bestOf(w *waiter, extra, steady bool) *server {
 	var (
