Cache prompt prefixes in the stand-in engine; keep hints from its events

The stand-in listed the hash of each prompt's first 256 bytes as stored, and cached nothing: a repeated prompt cost its whole prefill. It now holds blocks of 256 bytes in a bounded cache, least lately used tails first, reads cached tokens for free, tells them in the recorded run (cached_tokens) and publishes evictions too. Events stay late by the load lag and lose one in eight. The answer has the highest number given out, so that a reader sees a restart.

Package prefixer turns such events into hints: hashes that cover all blocks before them, at most 4,096 per upstream. Events may come late, doubled and in any order. After a jump in the numbers hints stay but age: the lost event may have been an eviction of any of them, yet most still hold; 512 lost events later a hint isn't used. Dropping all hints at a jump was ruled out: with one event in eight lost there would never be any.

--- a/internal/command/standin/engine/engine.go
+++ b/internal/command/standin/engine/engine.go
@@ -19,6 +19,7 @@
 	clause.Flag("slots", "Requests to run at once.").Default("4").IntVar(&options.Slots)
 	clause.Flag("token-step", "Time of a token of a lone answer.").Default("10ms").DurationVar(&options.TokenStep)
 	clause.Flag("prefill", "Time before the first token for each token of the prompt.").Default("0s").DurationVar(&options.PrefillPerToken)
+	clause.Flag("cache-blocks", "Memory for prompt prefixes, in blocks of 256 bytes.").Default("1024").IntVar(&options.CacheBlocks)
 	clause.Flag("load-lag", "Age of the load reports and cache events.").Default("1s").DurationVar(&options.LoadLag)
 	clause.Flag("seed", "Seed for the cache events that get lost.").Default("1").Uint64Var(&options.Seed)
 	clause.Flag("check-fencing", "Refuse orders with an old fencing number.").BoolVar(&options.CheckFencing)
--- a/internal/standin/engine/answer.go
+++ b/internal/standin/engine/answer.go
@@ -40,6 +40,8 @@
 // Answer is the whole answer that any run gives to a request.
 type Answer struct {
 	hash uint64
+	// prompt is the text of all messages.
+	prompt string
 	// PromptTokens is the length of the prompt.
 	PromptTokens int
 	// Length is the number of tokens.
@@ -82,7 +84,7 @@
 		return Answer{}, err
 	}
 	h := xxhash.Sum64String(p)
-	a := Answer{hash: h, PromptTokens: len(p)/bytesPerToken + 1}
+	a := Answer{hash: h, prompt: p, PromptTokens: len(p)/bytesPerToken + 1}
 	a.Length = shortestAnswer + int(h%(longestAnswer-shortestAnswer+1))
 	for _, n := range []*int{q.MaxTokens, q.MaxCompletionTokens} {
 		if n != nil {
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -22,6 +22,8 @@
 	Offset int
 	// Length is the number of tokens of the whole answer.
 	Length int
+	// Cached, when not nil, is asked as the prefill begins for the number of prompt tokens that needn't be read.
+	Cached func() int
 }
 
 // Batch runs up to a number of answers at a time. The time of a token grows with the running answers.
@@ -58,8 +60,12 @@
 	if err := b.slots.Await(ctx, t); err != nil {
 		return err
 	}
+	toRead := j.PromptTokens + j.Offset
+	if j.Cached != nil {
+		toRead -= min(j.Cached(), j.PromptTokens)
+	}
 	p := pacer{due: time.Now()}
-	if err := p.wait(ctx, b.prefill*time.Duration(j.PromptTokens+j.Offset)); err != nil {
+	if err := p.wait(ctx, b.prefill*time.Duration(toRead)); err != nil {
 		return err
 	}
 	for o := j.Offset + 1; o <= j.Length; o++ {
--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tmaxmax/go-sse"
 
+	"quincepath.example/quincepath/internal/prefixer"
 	supporter "quincepath.example/quincepath/internal/standin/support"
 )
 
@@ -118,6 +119,7 @@
 		refuse(w, http.StatusBadRequest, "invalid_request_error", "invalid_value", err.Error())
 		return nil
 	}
+	a.blocks = prefixer.Blocks(a.answer.prompt)
 	if !e.orders.serves(a.request.Model) {
 		refuse(w, http.StatusNotFound, "invalid_request_error", "model_not_found", "the model is not loaded: "+a.request.Model)
 		return nil
@@ -143,6 +145,7 @@
 		PromptTokens: a.answer.PromptTokens,
 		Offset:       a.request.ResumeOffset,
 		Length:       a.answer.Length,
+		Cached:       a.cached,
 	}
 	err := e.batch.Run(a.r.Context(), j, a.emit)
 	if err == nil {
@@ -156,9 +159,11 @@
 
 // attempt is one request while it is served, by one goroutine.
 type attempt struct {
-	engine     *Engine
-	form       form
-	request    request
+	engine  *Engine
+	form    form
+	request request
+	// blocks are the hashes of the prompt's prefixes.
+	blocks     []uint64
 	answer     Answer
 	crashAfter int
 	record     *Record
@@ -168,11 +173,16 @@
 	opened     bool
 }
 
+// cached looks the prompt up when its prefill begins, for it may have waited for a slot.
+func (a *attempt) cached() int {
+	n := a.engine.cache.cached(a.blocks)
+	a.engine.runs.Update(a.record, func(r *Record) { r.CachedTokens = n })
+	return n
+}
+
 func (a *attempt) emit(offset int) error {
 	if a.made == 0 {
-		if p, err := a.request.promptText(); err == nil {
-			a.engine.cache.add(p)
-		}
+		a.engine.cache.store(a.blocks)
 	}
 	if err := a.engine.silent.Pass(a.r.Context()); err != nil {
 		return err
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -27,6 +27,8 @@
 	TokenStep time.Duration
 	// PrefillPerToken is the time before the first token for each prompt token.
 	PrefillPerToken time.Duration
+	// CacheBlocks is the memory for prompt prefixes in blocks of 256 bytes; less than 1 means 1,024.
+	CacheBlocks int
 	// LoadLag is the age of the figures of /load and /cache_events.
 	LoadLag time.Duration
 	// Seed selects the prefix events that get lost. The answers don't depend on it.
@@ -48,6 +50,8 @@
 	// Tokens is the number of tokens that this run made, after the offset.
 	Tokens       int `json:"tokens"`
 	PromptTokens int `json:"prompt_tokens"`
+	// CachedTokens of the prompt were in the cache, so that their prefill was saved.
+	CachedTokens int `json:"cached_tokens"`
 	// State is running (also while it waits), finished, cancelled or crashed.
 	State     string    `json:"state"`
 	BodyHash  string    `json:"body_hash"`
@@ -60,7 +64,7 @@
 	batch   *Batch
 	runs    supporter.Runs[Record]
 	silent  supporter.Gate
-	cache   prefixes
+	cache   *prefixes
 	orders  *orders
 
 	mu         sync.Mutex
@@ -73,7 +77,7 @@
 	return &Engine{
 		options: o,
 		batch:   NewBatch(o.Slots, o.TokenStep, o.PrefillPerToken, o.LoadLag),
-		cache:   prefixes{lag: o.LoadLag, seed: o.Seed},
+		cache:   newPrefixes(o),
 		orders:  newOrders(o.Models, o.CheckFencing),
 	}
 }
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -4,11 +4,7 @@
 	"maps"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
-	"time"
-
-	"github.com/cespare/xxhash/v2"
 
 	supporter "quincepath.example/quincepath/internal/standin/support"
 )
@@ -130,59 +126,3 @@
 	}
 	supporter.WriteJSON(w, http.StatusOK, map[string]any{"object": "list", "data": list})
 }
-
-const (
-	prefixBytes  = 256
-	keptPrefixes = 4096
-	lostOneIn    = 8
-)
-
-type prefixEvent struct {
-	Sequence   int       `json:"sequence"`
-	Kind       string    `json:"kind"`
-	PrefixHash string    `json:"prefix_hash"`
-	At         time.Time `json:"at"`
-}
-
-// prefixes lists stored prompt prefixes late, and loses one in eight for good; the sequence numbers show the gaps.
-type prefixes struct {
-	lag  time.Duration
-	seed uint64
-
-	mu     sync.Mutex
-	count  int
-	events []prefixEvent
-}
-
-func (p *prefixes) add(prompt string) {
-	h := strconv.FormatUint(xxhash.Sum64String(prompt[:min(len(prompt), prefixBytes)]), 16)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.count++
-	draw := xxhash.Sum64String(strconv.FormatUint(p.seed, 10) + "/" + strconv.Itoa(p.count))
-	if draw%lostOneIn == 0 {
-		return
-	}
-	if len(p.events) >= keptPrefixes {
-		p.events = p.events[1:]
-	}
-	p.events = append(p.events, prefixEvent{Sequence: p.count, Kind: "stored", PrefixHash: h, At: time.Now()})
-}
-
-func (p *prefixes) after(n int) []prefixEvent {
-	limit := time.Now().Add(-p.lag)
-	out := []prefixEvent{}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, v := range p.events {
-		if v.Sequence > n && !v.At.After(limit) {
-			out = append(out, v)
-		}
-	}
-	return out
-}
-
-func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
-	n, _ := strconv.Atoi(r.URL.Query().Get("after"))
-	supporter.WriteJSON(w, http.StatusOK, map[string]any{"events": e.cache.after(n)})
-}
