Choose between equally good servers by who has the prompt's prefix

The scheduler had a tie-break by PrefixHash that nothing filled, and which a tie never reached: scores are rooms by measured speeds, and two measured speeds are never equal. It goes, and with it the rendezvous hashing.

An entry hashes the prompt's first blocks at depths 1, 2, 4 up to 64 (seven numbers at most) and sends them with its ask. The holder reads the cache events of its own pools' engines each second, beside the load reports. At the grant the scheduler takes, among servers with the same free room as the best and a speed within 10 % of it, the one with the deepest known prefix. Which request goes, and whether any server may take it, is decided before and without hints; so a wrong hint costs a prefill and nothing more.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -26,6 +26,8 @@
 	Progress int `json:"progress,omitempty"`
 	// Repeatable is false for requests that must not be preempted.
 	Repeatable bool `json:"repeatable,omitempty"`
+	// Prefixes are hashes of the prompt's prefixes, sampled by depth; empty without a prompt.
+	Prefixes []uint64 `json:"prefixes,omitempty"`
 }
 
 // Slot is the permission to send one attempt to one upstream.
@@ -151,6 +153,8 @@
 	// Repeatable is false when a second run would do harm.
 	Repeatable bool
 	Arrived    time.Time
+	// Prefixes are hashes of the prompt's prefixes; they choose between equally good upstreams.
+	Prefixes []uint64
 }
 
 // Observer is told of each attempt, for counters and logs.
@@ -187,6 +191,7 @@
 			Waited:       time.Since(request.Arrived),
 			Progress:     sender.Progress(),
 			Repeatable:   request.Repeatable,
+			Prefixes:     request.Prefixes,
 		}
 
 		slot, err := d.slotter.Acquire(ctx, ask)
--- a/internal/granter/pending.go
+++ b/internal/granter/pending.go
@@ -72,6 +72,7 @@
 			Organisation: ask.Organisation,
 			Exclude:      ask.Exclude,
 			Progress:     ask.Progress,
+			Prefixes:     ask.Prefixes,
 
 			NotRepeatable: !ask.Repeatable,
 		},
--- a/internal/granter/wire.go
+++ b/internal/granter/wire.go
@@ -42,6 +42,7 @@
 	Waited       time.Duration `json:"waited_ns"`
 	Queued       time.Duration `json:"queued_ns,omitempty"`
 	Progress     int           `json:"progress,omitempty"`
+	Prefixes     []uint64      `json:"prefixes,omitempty"`
 	// NotRepeatable keeps the request from being preempted.
 	NotRepeatable bool `json:"not_repeatable,omitempty"`
 }
@@ -56,6 +57,7 @@
 		Waited:       a.Waited,
 		Queued:       a.Queued,
 		Progress:     a.Progress,
+		Prefixes:     a.Prefixes,
 
 		NotRepeatable: a.NotRepeatable,
 	}
--- a/internal/scheduler/granting.go
+++ b/internal/scheduler/granting.go
@@ -16,7 +16,7 @@
 	}
 
 	if w := p.tiers[topTier].pick(p.quantum, p.view.matchTop); w != nil {
-		p.grant(now, w, p.view.best(w, false))
+		p.grant(now, w, p.view.choose(w, false))
 
 		return true
 	}
@@ -34,7 +34,7 @@
 		return false
 	}
 
-	p.grant(now, w, p.view.best(w, false))
+	p.grant(now, w, p.view.choose(w, false))
 
 	return true
 }
@@ -52,7 +52,7 @@
 	}
 
 	p.counters.oversubscribed++
-	p.grant(now, w, p.view.best(w, true)).takeExtra()
+	p.grant(now, w, p.view.choose(w, true)).takeExtra()
 
 	return true
 }
--- /dev/null
+++ b/internal/scheduler/hints_test.go
@@ -0,0 +1,93 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"quincepath.example/quincepath/internal/dispatcher"
+)
+
+// fixedHints says what each upstream saves, whatever is asked.
+type fixedHints map[string]int
+
+// Saved implements Hints.
+func (f fixedHints) Saved(_, upstream string, _ []uint64) int { return f[upstream] }
+
+// Symptom: a prompt is read anew although a server with as much room has it in its cache.
+// Events: a request with prefixes is granted while several servers are idle.
+// Cause: the choice between equal servers goes by the order of their names.
+func TestHintsChooseBetweenEqualServers(t *testing.T) {
+	p := New(testService(4, 2), Options{Hints: fixedHints{"e02": 64, "e03": 256}})
+	request := ask("r1", "counter")
+	request.Prefixes = []uint64{1}
+	assert.Equal(t, p.Submit(epoch, request)[0].Upstream, "e03")
+
+	// e03 has less room now.
+	request.ID = "r2"
+	assert.Equal(t, p.Submit(epoch, request)[0].Upstream, "e02")
+
+	request.ID, request.Prefixes = "r3", nil
+	assert.Equal(t, p.Submit(epoch, request)[0].Upstream, "e01")
+}
+
+// Symptom: a request goes to a leaving, straggling, excluded or fuller server for the sake of its prompt cache.
+// Events: cache events were late, doubled or lost, so that any hint may be wrong.
+// Cause: a hint was taken for more than a choice between servers that are as good as each other.
+func TestWrongHintsNeverCostMoreThanAPrefill(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 6).Draw(t, "servers")
+		service := testService(count, rapid.IntRange(1, 4).Draw(t, "slots"))
+		hints := fixedHints{}
+
+		for _, name := range sortedKeys(service.Upstreams) {
+			upstream := service.Upstreams[name]
+			upstream.Leaving = rapid.IntRange(0, 4).Draw(t, "leaving") == 0
+			service.Upstreams[name] = upstream
+			hints[name] = rapid.IntRange(-1, 1<<20).Draw(t, "hint")
+		}
+
+		hints["unknown"] = 1 << 30
+		p := New(service, Options{Hints: hints})
+		now := epoch
+
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			now = now.Add(100 * time.Millisecond)
+			wronglyHinted(t, p, now)
+		}
+	})
+}
+
+// wronglyHinted checks the choice for one request, then grants or finishes something.
+func wronglyHinted(t *rapid.T, p *Pool, now time.Time) {
+	grants := p.grantsOf("n1")
+	if len(grants) > 0 && rapid.Bool().Draw(t, "finish") {
+		g := grants[rapid.IntRange(0, len(grants)-1).Draw(t, "grant")]
+		gap := time.Duration(rapid.IntRange(5, 200).Draw(t, "gap")) * time.Millisecond
+		result := rapid.SampledFrom([]dispatcher.Result{dispatcher.ResultDone, dispatcher.ResultFailed}).Draw(t, "result")
+		p.Finish(now, g.id, Report{Result: result, FirstToken: gap, TokenGap: gap, Tokens: 20, Duration: 20 * gap})
+	}
+
+	request := ask(now.String(), rapid.SampledFrom([]string{"counter", "chat"}).Draw(t, "class"))
+	request.Prefixes = []uint64{1, 2}
+
+	if rapid.Bool().Draw(t, "exclude") {
+		request.Exclude = []string{"e01"}
+	}
+
+	w := &waiter{request: request, class: p.byClass[request.Class], tier: p.byClass[request.Class].settings.Tier}
+	p.view.look(now)
+	best, chosen := p.view.best(w, false), p.view.choose(w, false)
+	assert.Equal(t, best == nil, chosen == nil)
+
+	if chosen != nil {
+		assert.Assert(t, !chosen.upstream.Leaving && !chosen.excluded(&request))
+		assert.Equal(t, p.view.roomFor(w, chosen, false), p.view.roomFor(w, best, false))
+		assert.Assert(t, chosen.slow*(1-tieShare) <= best.slow)
+		assert.Assert(t, w.tier != topTier || !p.view.straggles(chosen))
+	}
+
+	p.Submit(now, request)
+}
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -86,8 +86,6 @@
 	// limitTime is the time that slots were there to use.
 	limitTime time.Duration
 	countedAt time.Time
-	// affinity orders servers for prefixes.
-	affinity uint64
 }
 
 func newServer(upstream configurer.Upstream, kind configurer.Kind) *server {
@@ -98,7 +96,6 @@
 		limit:     limit,
 		ratio:     1,
 		slow:      1,
-		affinity:  hash(upstream.Name),
 		searching: kind == configurer.KindEngine,
 	}
 }
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -30,9 +30,9 @@
 	NotRepeatable bool
 	// Progress is the number of tokens that earlier attempts delivered.
 	Progress int
-	// PrefixHash breaks ties between equally good servers, so that equal
-	// prompt prefixes meet on one server; zero means no preference.
-	PrefixHash uint64
+	// Prefixes are hashes of the prompt's prefixes. They choose between servers
+	// that are as good as each other, and nothing else.
+	Prefixes []uint64
 }
 
 // Report is what the entry measured of a finished attempt.
@@ -126,6 +126,8 @@
 	// time. Zero means that they wait; entries answer within milliseconds, and a
 	// slot given twice stays so for a whole answer.
 	RebuildShare float64
+	// Hints choose between servers that are as good as each other; nil means none.
+	Hints Hints
 	// PreemptLead is the time that a cancel takes until its slot is free. Default 50 ms.
 	PreemptLead time.Duration
 }
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -182,7 +182,7 @@
 		}
 
 		candidate := float64(room) / s.slow
-		if found == nil || candidate > score || (candidate == score && prefers(w.request.PrefixHash, s, found)) {
+		if found == nil || candidate > score {
 			found, score = s, candidate
 		}
 	}
@@ -190,15 +190,6 @@
 	return found
 }
 
-// prefers breaks a tie between equally good servers by rendezvous hashing of the prompt's prefix.
-func prefers(prefix uint64, a, b *server) bool {
-	if prefix == 0 {
-		return false
-	}
-
-	return mix(prefix^a.affinity) > mix(prefix^b.affinity)
-}
-
 func mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -57,6 +57,7 @@
 		return
 	}
 
+	taken.request.Prefixes = prefixesOf(body)
 	sender := &engineSender{
 		client:    n.upstream,
 		upstreams: n.upstreams,
--- a/internal/server/loads.go
+++ b/internal/server/loads.go
@@ -50,9 +50,13 @@
 func (n *Node) pollOnce(ctx context.Context, client *resty.Client) {
 	for _, service := range n.tree.Snapshot().Services {
 		if !n.polls(service.Name) {
+			n.prefixes.Keep(service.Name, func(string) bool { return false })
+
 			continue
 		}
 
+		n.pollPrefixes(ctx, client, service)
+
 		for _, upstream := range service.Upstreams {
 			// A pool that is full skips this round; the next comes in a second.
 			_ = n.background.Go(func() { n.pollUpstream(ctx, client, upstream) })
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -27,6 +27,7 @@
 	"quincepath.example/quincepath/internal/messenger"
 	"quincepath.example/quincepath/internal/meter"
 	"quincepath.example/quincepath/internal/placer"
+	"quincepath.example/quincepath/internal/prefixer"
 	"quincepath.example/quincepath/internal/retrier"
 )
 
@@ -87,7 +88,9 @@
 	dispatch  *dispatcher.Dispatcher
 	runs      *runs
 	upstreams *upstreamTable
-	meter     *meter.Meter
+	// prefixes holds hints about the prompt caches of the engines whose pools this node holds.
+	prefixes *prefixer.Table
+	meter    *meter.Meter
 }
 
 // Run serves until ctx ends and everything in flight is answered.
@@ -126,6 +129,7 @@
 		ejector:   ejector.New(ejector.Options{}),
 		runs:      newRuns(settings.Node.MaxInFlight),
 		upstreams: newUpstreamTable(),
+		prefixes:  prefixer.NewTable(),
 		meter:     meter.New(),
 	}
 
--- a/internal/server/slots.go
+++ b/internal/server/slots.go
@@ -23,6 +23,8 @@
 		},
 	}
 
+	options.Pool.Hints = n.prefixes
+
 	if n.settings.Routing.Policy == loader.PolicyQueueCredits {
 		options.Policy = granter.PolicyBatched
 	}
