Measure what prefix hints save and what balance they cost

Each shop and scenario with and without hints; engines remember 512 blocks, each organisation has eight beginnings of prompts in every class.

Fails with hints ignored: saved share isn't above that without.

--- a/internal/bencher/attempt.go
+++ b/internal/bencher/attempt.go
@@ -53,6 +53,7 @@
 		a.job.prefill, a.job.length = float64(length-1), 1
 	}
 
+	a.runner.prefixes.attach(a)
 	e.submit(a.job)
 	a.watchFirst()
 }
--- a/internal/bencher/caller.go
+++ b/internal/bencher/caller.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/prefixer"
 	"quincepath.example/quincepath/internal/tracer"
 	"quincepath.example/quincepath/pkg/classifier"
 )
@@ -44,6 +45,7 @@
 		Arrived: r.clock.now + clientHop,
 		caller:  c,
 	}
+	q.Prefixes = prefixer.Sample(r.prefixes.blocks(q))
 	c.current = q
 	r.tally.asked(q)
 	r.clock.after(clientHop, func() { r.arrive(q) })
--- a/internal/bencher/choice.go
+++ b/internal/bencher/choice.go
@@ -16,6 +16,7 @@
 	return []Choice{
 		{Name: baselineName, Build: NewBaseline},
 		queueChoice(QueueOptions{Name: "queue", Pool: usual}),
+		queueChoice(QueueOptions{Name: "queue_prefixes", Prefixes: true, Pool: usual}),
 		queueChoice(QueueOptions{Name: "queue_batched", Batched: true, Pool: usual}),
 		queueChoice(QueueOptions{Name: "queue_steered", Steered: true, Pool: usual}),
 		queueChoice(QueueOptions{Name: "queue_preemption"}),
--- a/internal/bencher/engine.go
+++ b/internal/bencher/engine.go
@@ -56,8 +56,10 @@
 	// stalled is when the job stopped getting on; negative while it gets on.
 	stalled time.Duration
 	started bool
-	first   func()
-	end     func()
+	// begin, when not nil, is called once as the job gets its first place in the batch.
+	begin func()
+	first func()
+	end   func()
 	// broken is called when the server dies.
 	broken func()
 }
@@ -189,6 +191,12 @@
 	next := e.waiting[0]
 	e.waiting = slices.Delete(e.waiting, 0, 1)
 	next.stalled = -1
+
+	if next.begin != nil {
+		next.begin()
+		next.begin = nil
+	}
+
 	e.running = append(e.running, next)
 }
 
--- a/internal/bencher/policy.go
+++ b/internal/bencher/policy.go
@@ -25,6 +25,8 @@
 	Exclude []string
 	// Progress is the number of tokens that the caller has.
 	Progress int
+	// Prefixes are sampled hashes of the prompt's prefixes; nil where engines don't cache.
+	Prefixes []uint64
 
 	caller *caller
 	// number counts the attempts from 1.
@@ -49,6 +51,7 @@
 		Waited:       now - r.Arrived,
 		Progress:     r.Progress,
 		Repeatable:   !r.Event.NotRepeatable,
+		Prefixes:     r.Prefixes,
 	}
 }
 
--- a/internal/bencher/queue.go
+++ b/internal/bencher/queue.go
@@ -29,6 +29,8 @@
 	Steered bool
 	// Batched sends the messages between two nodes together, once in batchWindow.
 	Batched bool
+	// Prefixes lets cache events choose between equally good servers.
+	Prefixes bool
 	// Pool is the policy of every pool.
 	Pool scheduler.Options
 }
@@ -59,6 +61,10 @@
 			poolOptions := options.Pool
 			poolOptions.GrantPrefix = name
 
+			if options.Prefixes {
+				poolOptions.Hints = world.Hints
+			}
+
 			q.pools[name] = &heldPool{
 				queue:   q,
 				holder:  holder,
@@ -212,6 +218,7 @@
 		Progress:     ask.Progress,
 
 		NotRepeatable: !ask.Repeatable,
+		Prefixes:      ask.Prefixes,
 	}))
 }
 
--- a/internal/bencher/runner.go
+++ b/internal/bencher/runner.go
@@ -9,6 +9,7 @@
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/dispatcher"
 	"quincepath.example/quincepath/internal/placer"
+	"quincepath.example/quincepath/internal/prefixer"
 	"quincepath.example/quincepath/internal/retrier"
 	"quincepath.example/quincepath/internal/tracer"
 	"quincepath.example/quincepath/pkg/classifier"
@@ -20,6 +21,9 @@
 	Seed     uint64
 	Answerer Answerer
 
+	// Hints are fed from the engines' cache events.
+	Hints *prefixer.Table
+
 	clock *timeline
 }
 
@@ -36,6 +40,8 @@
 	engines map[string]*engine
 	names   map[string][]string
 	tally   *tally
+	// prefixes holds the engines' prompt caches.
+	prefixes *prefixes
 	// open counts callers without their last answer.
 	open int
 	asks int
@@ -63,9 +69,11 @@
 	}
 
 	r.addServers()
-	r.policy = build(World{Shop: shop, Seed: seed, Answerer: r, clock: r.clock})
+	r.prefixes = newPrefixes(r)
+	r.policy = build(World{Shop: shop, Seed: seed, Answerer: r, Hints: r.prefixes.table, clock: r.clock})
 	r.planFaults()
 	r.planReports()
+	r.prefixes.plan()
 
 	for i := range events {
 		c := &caller{runner: r, event: events[i], index: i, class: shop.Settings.Services[events[i].Service].Classes[events[i].Class]}
@@ -76,7 +84,10 @@
 	r.tally.endOfTrace(r.engines, r.policy.Traffic())
 	r.clock.run(scenario.length()+drainLength, func() bool { return r.open == 0 })
 
-	return r.tally.result(shop, scenario, r.policy.Name(), r.engines)
+	result := r.tally.result(shop, scenario, r.policy.Name(), r.engines)
+	result.PrefillSaved, result.PrefillAsked = r.prefixes.saved, r.prefixes.asked
+
+	return result
 }
 
 func (r *runner) addServers() {
@@ -141,6 +152,7 @@
 
 		for _, name := range names[min(f.First, len(names)-count):][:count] {
 			r.engines[name].suffer(f.Kind)
+			r.prefixes.suffer(name, f.Kind)
 		}
 	}
 }
--- a/internal/bencher/scenario.go
+++ b/internal/bencher/scenario.go
@@ -16,6 +16,13 @@
 	ReportLag time.Duration
 	// Crowd makes the callers of the burst classes impatient.
 	Crowd Crowd
+	// Repeated is the part of each class's mean prompt with which all prompts of an
+	// organisation begin. Above zero, engines cache prompt prefixes.
+	Repeated float64
+	// Prompts is the number of different beginnings that an organisation uses in a class.
+	Prompts int
+	// CacheBlocks is the memory of each engine for prefixes, in blocks.
+	CacheBlocks int
 }
 
 func (s Scenario) length() time.Duration {
@@ -107,3 +114,20 @@
 		{Name: "crowd_obeying", Load: 0.8, Bursts: []Burst{burst}, Crowd: Crowd{Classes: []string{bursting}, Obey: true}},
 	}
 }
+
+// PrefixScenarios returns the scenarios by which the use of cache events is
+// measured: each organisation has eight beginnings of prompts in every class,
+// three quarters as long as the mean prompt, and engines remember 512 blocks.
+func PrefixScenarios(s Shop) []Scenario {
+	var list []Scenario
+
+	for _, scenario := range Scenarios(s) {
+		switch scenario.Name {
+		case "steady", "straggler", "third_gone", "several":
+			scenario.Repeated, scenario.Prompts, scenario.CacheBlocks = 0.75, 8, 512
+			list = append(list, scenario)
+		}
+	}
+
+	return list
+}
--- a/internal/bencher/tally.go
+++ b/internal/bencher/tally.go
@@ -69,6 +69,12 @@
 	// Fill is the running answers of engine servers as a part of their batch, mean and least, while the trace lasts.
 	Fill      float64
 	LeastFill float64
+	// MostFill is that of the busiest engine.
+	MostFill float64
+	// PrefillAsked counts the tokens that engines had to read before first tokens, and
+	// PrefillSaved those of them that were in their caches; zero where engines don't cache.
+	PrefillAsked int
+	PrefillSaved int
 	// PutBack counts engine-side preemptions.
 	PutBack int
 	// Unanswered counts callers without a last answer at the end of the run.
@@ -118,6 +124,7 @@
 	unanswered   int
 	fill         float64
 	leastFill    float64
+	mostFill     float64
 	traffic      Traffic
 	last         time.Duration
 	plain        map[string]bool
@@ -276,6 +283,7 @@
 		part := e.fill / float64(e.model.Batch) / t.length.Seconds()
 		t.fill += part
 		t.leastFill = min(t.leastFill, part)
+		t.mostFill = max(t.mostFill, part)
 		count++
 	}
 
@@ -286,7 +294,7 @@
 	r := Result{
 		Shop: shop.Name, Scenario: scenario.Name, Policy: policy,
 		Useful: float64(t.useful), PrefillAgain: t.prefillAgain,
-		Fill: t.fill, LeastFill: t.leastFill,
+		Fill: t.fill, LeastFill: t.leastFill, MostFill: t.mostFill,
 		Unanswered: t.unanswered, Traffic: t.traffic, Ended: t.last, Length: t.length, firstRefused: t.firstRefused,
 	}
 
