Keep cached prompts out of the fastest first tokens

Learned limits judge a first token by the fastest ones of its class. With prompts in the engines' caches these were first tokens without a prefill, and a prompt read whole looked late or like a queue in the engine: limits fell, and goodput with them. Now a grant whose server probably has a part of the prompt tells nothing about the fastest. Estimates of the wait still learn from it.

TestCachedPromptsDontSetTheFastestFirstToken fails without the condition (0.01001 in place of 0.2).

--- a/internal/scheduler/granting.go
+++ b/internal/scheduler/granting.go
@@ -172,6 +172,7 @@
 		cost:    w.class.cost,
 		charged: charged,
 		lower:   w.class.settings.Tier > topTier,
+		cached:  p.view.caches(w, s),
 	}
 
 	g.server.add(now, g.class, p.classes)
--- a/internal/scheduler/hints.go
+++ b/internal/scheduler/hints.go
@@ -54,3 +54,10 @@
 
 	return v.room(s, w.class.settings.Tier == topTier)
 }
+
+// caches says whether the server probably has a part of the prompt in its cache.
+func (v *view) caches(w *waiter, s *server) bool {
+	hints := v.pool.options.Hints
+
+	return hints != nil && len(w.request.Prefixes) > 0 && hints.Saved(v.pool.service.Name, s.upstream.Name, w.request.Prefixes) > 0
+}
--- a/internal/scheduler/hints_test.go
+++ b/internal/scheduler/hints_test.go
@@ -91,3 +91,20 @@
 
 	p.Submit(now, request)
 }
+
+// Symptom: engines get fewer requests at once, and goodput falls, when prompts are in their caches.
+// Events: prompts that are in the cache have fast first tokens, then one comes that isn't.
+// Cause: the fastest first tokens tell what an engine without company does, and were those of cached prompts.
+func TestCachedPromptsDontSetTheFastestFirstToken(t *testing.T) {
+	p := New(testService(1, 8), Options{Hints: fixedHints{"e01": 64}})
+	finish := func(request Request, first time.Duration) {
+		granted := p.Submit(epoch, request)[0].GrantID
+		p.Finish(epoch, granted, Report{Result: dispatcher.ResultDone, FirstToken: first, TokenGap: time.Millisecond, Tokens: 20, Duration: time.Second})
+	}
+
+	cached := ask("r1", "chat")
+	cached.Prefixes = []uint64{1}
+	finish(cached, 10*time.Millisecond)
+	finish(ask("r2", "chat"), 200*time.Millisecond)
+	assert.Equal(t, p.byClass["chat"].fast.value, 0.2)
+}
--- a/internal/scheduler/learning.go
+++ b/internal/scheduler/learning.go
@@ -112,7 +112,9 @@
 	}
 
 	g.class.firstToken.record(report.FirstToken)
-	g.class.fast.add(now, report.FirstToken.Seconds())
+	if !g.cached {
+		g.class.fast.add(now, report.FirstToken.Seconds())
+	}
 
 	return min(gapVerdict, g.class.judge(report.FirstToken))
 }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -37,6 +37,8 @@
 	preempted bool
 	// extra means that the slot was above the server's limit.
 	extra bool
+	// cached means that the server probably had a part of the prompt in its cache.
+	cached bool
 	// preemptedAt is when the slot was taken back.
 	preemptedAt time.Time
 	// misses counts reports of the entry running that didn't name the grant.
