Give answers that an engine set aside more time than dead connections

Cause: with engine priority a review that its engine set aside sends no bytes, as a dead connection does; the demo ended one as no_upstream after every engine had 'gone silent' in turn, and 11 of 729 attempts as silent. Below tier 1 a gap limit is now extended, at most eight times, while the engine sends to others of this node. Ruled out: longer gap limits in the settings, which would also hide dead connections.

--- a/internal/query/bench/policy/policy.go
+++ b/internal/query/bench/policy/policy.go
@@ -35,10 +35,16 @@
 	Check bool
 }
 
+const help = `Compare scheduling policies on generated traces in virtual time.
+
+Examples:
+  quincepath bench policy --shop barbagallo --scenario overload
+  quincepath bench policy --summary --seeds 5 --policy queue --json`
+
 // New registers the query under parent.
 func New(f *factory.Factory, parent factory.Parent) factory.Command {
 	options := Options{Factory: f}
-	clause := parent.Command("policy", "Compare scheduling policies on generated traces in virtual time.")
+	clause := parent.Command("policy", help)
 	clause.Flag("shop", "Deployment: barbagallo, le_goff or all.").Default(all).StringVar(&options.Shop)
 	clause.Flag("scenario", "Name of a scenario, or all.").Default(all).StringVar(&options.Scenario)
 	clause.Flag("policy", "Name of a policy, or all.").Default(all).StringVar(&options.Policy)
--- a/internal/replayer/attempt.go
+++ b/internal/replayer/attempt.go
@@ -87,7 +87,7 @@
 	}
 	defer response.Body.Close()
 
-	reader := forwarder.NewGapReader(silenceLimit, silenceLimit, cancel)
+	reader := forwarder.NewGapReader(forwarder.GapLimits{First: silenceLimit, Next: silenceLimit}, nil, cancel)
 	defer reader.Stop()
 
 	reader.Attach(response.Body)
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -23,6 +23,13 @@
 // endOfStream is the payload of the last event of an OpenAI stream.
 const endOfStream = "[DONE]"
 
+// topTier is served first and never set aside.
+const topTier = 1
+
+// maxGapExtensions is how often an answer below tier 1 gets one more gap limit
+// while its engine sends to others.
+const maxGapExtensions = 8
+
 // firstSilenceFactor times the shorter of a class's target and gap limit is how
 // long an engine may take to the first byte. Long targets alone would leave a
 // review on a silent engine for many minutes; the gap limit alone would take
@@ -145,7 +152,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
-	reader := forwarder.NewGapReader(s.firstLimit(), s.request.Class.GapLimit, cancel)
+	pulse := s.upstreams.pulse(attempt.Slot.Upstream.Address)
+	reader := forwarder.NewGapReader(s.gapLimits(pulse), pulse.beat, cancel)
+
 	defer reader.Stop()
 
 	pump := &eventPump{sender: s, started: started, skip: s.tokens}
@@ -173,10 +182,30 @@
 	}
 }
 
-func (s *engineSender) firstLimit() time.Duration {
+// gapLimits are the limits of silence of one attempt. An engine that sets an
+// answer aside for a higher tier sends nothing on it for a while, as a dead
+// connection does. What tells them apart is that the engine goes on sending to
+// others: while it does, answers below tier 1 get more time. Taken for dead, they
+// would be read again by another engine, and again, until none is left.
+func (s *engineSender) gapLimits(pulse *pulse) forwarder.GapLimits {
 	class := s.request.Class
+	limits := forwarder.GapLimits{
+		First: max(class.GapLimit, firstSilenceFactor*min(class.GapLimit, class.Target)),
+		Next:  class.GapLimit,
+	}
+
+	if class.Tier == topTier {
+		return limits
+	}
+
+	extensions := 0
+	limits.Extend = func() bool {
+		extensions++
+
+		return extensions <= maxGapExtensions && pulse.within(class.GapLimit)
+	}
 
-	return max(class.GapLimit, firstSilenceFactor*min(class.GapLimit, class.Target))
+	return limits
 }
 
 func (s *engineSender) exchange(ctx context.Context, attempt dispatcher.Attempt, reader *forwarder.GapReader, pump *eventPump) error {
--- a/internal/server/loads.go
+++ b/internal/server/loads.go
@@ -104,12 +104,19 @@
 type upstreamTable struct {
 	mu   sync.Mutex
 	rows map[string]upstreamRow
+
+	pulses pulses
 }
 
 func newUpstreamTable() *upstreamTable {
 	return &upstreamTable{rows: make(map[string]upstreamRow)}
 }
 
+// pulse returns what is known of the upstream's last sign of life.
+func (u *upstreamTable) pulse(address string) *pulse {
+	return u.pulses.of(address)
+}
+
 func (u *upstreamTable) row(address string) upstreamRow {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -111,7 +111,7 @@
 	defer cancel()
 
 	limit := s.request.Class.GapLimit
-	reader := forwarder.NewGapReader(limit, limit, cancel)
+	reader := forwarder.NewGapReader(forwarder.GapLimits{First: limit, Next: limit}, nil, cancel)
 
 	defer reader.Stop()
 
