--- a/internal/server/slots.go
+++ b/internal/server/slots.go
@@ -20,11 +20,10 @@
 		Pool: scheduler.Options{
 			EnginePriority: n.settings.Routing.EnginePriority,
 			Oversubscribe:  n.settings.Routing.Oversubscribe,
+			Hints:          n.prefixes,
 		},
 	}
 
-	options.Pool.Hints = n.prefixes
-
 	if n.settings.Routing.Policy == loader.PolicyQueueCredits {
 		options.Policy = granter.PolicyBatched
 	}
