Let the demo's notes wait as long as notes do

Cause: care notes and reviews had a max_wait of 15 s in the demo and were refused after 9 s with the wait ahead of them; told when the queue would be empty, they came back after engines had been idle.

--- a/internal/command/demo/tree.go
+++ b/internal/command/demo/tree.go
@@ -23,7 +23,7 @@
 
 const (
 	gapLimit    = time.Second
-	longWait    = 15 * time.Second
+	longWait    = time.Minute
 	retryBudget = 0.1
 )
 
