--- a/test/process/engines_test.go
+++ b/test/process/engines_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -98,18 +99,44 @@
 	t.Parallel()
 
 	f := newFleet(t, 2)
-	options := f.replayOptions()
-	events := mix(410, 40, 6*time.Second)
-	reached := milestones(&options, len(events)/2)
-	done := inBackground(t, options, events)
+	done := inBackground(t, f.replayOptions(), mix(410, 40, 6*time.Second))
+	whole := make(chan struct{})
 
-	<-reached[0]
-	f.engines[2].kill()
+	go func() {
+		defer close(whole)
 
-	result := <-done
+		f.askEach(t, 6, 900)
+	}()
+
+	busy := f.busyEngine(t)
+	f.engines[busy].kill()
 
 	// Its record is gone with it; the others' and the service's remain.
-	f.engines = f.engines[:2]
+	f.engines = slices.Delete(f.engines, busy, busy+1)
+
+	result := <-done
+
 	f.checkPromises(t, result)
+	<-whole
 	t.Logf("bookings ended %v", endings(result, "booking"))
 }
+
+// busyEngine waits until an engine is in the middle of a long answer and returns its index.
+func (f *fleet) busyEngine(t *testing.T) int {
+	t.Helper()
+
+	busy := -1
+
+	waitFor(t, "a long answer", func() bool {
+		busy = slices.IndexFunc(f.engines, func(engine *process) bool {
+			return slices.ContainsFunc(runsOf(t, engine), func(r engineRun) bool { return r.State == "running" && r.Tokens > longTokens })
+		})
+
+		return busy >= 0
+	})
+
+	return busy
+}
+
+// longTokens is more than any answer of a mix has.
+const longTokens = 150
--- a/test/process/leaving_test.go
+++ b/test/process/leaving_test.go
@@ -1,7 +1,6 @@
 package process_test
 
 import (
-	"net/http"
 	"strconv"
 	"sync"
 	"testing"
@@ -12,23 +11,6 @@
 	"quincepath.example/quincepath/internal/administrator"
 )
 
-// engineRecord is what an engine recorded, with the time at which each run came in.
-type engineRecord struct {
-	engineRun
-
-	StartedAt time.Time `json:"started_at"`
-}
-
-func recordOf(t *testing.T, engine *process) []engineRecord {
-	t.Helper()
-
-	var record []engineRecord
-
-	call(t, http.MethodGet, "http://"+engine.address+"/standin/runs", nil, &record)
-
-	return record
-}
-
 // Symptom: an engine is taken away for repair and callers lose their answers, or it still gets work hours later.
 // Events: long answers run on an engine; an operator says that it leaves; more requests come; the long answers end.
 // Cause: every node has to hear of it, to send nothing new there, and to let what runs go on.
@@ -45,22 +27,22 @@
 		f.askEach(t, 6, 900)
 	}()
 
-	waitFor(t, "long answers on the engine", func() bool { return len(recordOf(t, f.engines[2])) > 0 })
-
-	change := f.change(t, 1, "upstream", "leave", "assistente", "engine-3")
+	busy := f.busyEngine(t)
+	name := "engine-" + strconv.Itoa(busy+1)
+	change := f.change(t, 1, "upstream", "leave", "assistente", name)
 	f.inForce(t, change.Revision)
 
 	for i := range f.nodes {
-		assert.Equal(t, f.stateOf(t, i, "engine-3"), "leaving")
+		assert.Equal(t, f.stateOf(t, i, name), "leaving")
 	}
 
 	// Grants made before the news may still be on their way to an engine.
-	settled := recordOf(t, f.engines[2])
+	settled := runsOf(t, f.engines[busy])
 
 	f.checkPromises(t, replay(t, f.replayOptions(), mix(500, 30, 2*time.Second)))
 	<-done
 
-	last := recordOf(t, f.engines[2])
+	last := runsOf(t, f.engines[busy])
 	assert.Equal(t, len(last), len(settled), "the leaving engine got new work: %+v", last[len(settled):])
 
 	for _, run := range last {
