Send a second attempt beside a slow first one, under the retry budget

Cause: retrier.Hedger and the setting `hedge` were there and unused: a lookup whose engine brought no token waited for that engine alone.

The first attempt of a repeatable request of a class with hedge: true that brought no first token (engine) or answer (plain) within the class's own 95th percentile gets a second one, if a slot is free at once (Ask.Spare: never queued, nobody overtaken, nothing preempted, nothing while capacity is unknown) and the class's retry budget pays. One owner per answer, set by compare under a lock before the first event is added; what comes before the first token (the role) is held until then. The loser is cancelled, its slot released with the new result "superseded", which neither ejector nor pool takes for a failure. The judge sees one outcome per step; the other goes into the history as something that may have run.

Ruled out: releasing unused grants as "not sent" (the pool closes the server for it); leaving superseded attempts out of the percentile (the class would look faster with each hedge, and more would be hedged).

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -26,6 +26,8 @@
 	Progress int `json:"progress,omitempty"`
 	// Repeatable is false for requests that must not be preempted.
 	Repeatable bool `json:"repeatable,omitempty"`
+	// Spare asks only for a slot that is free now and nobody waits for; otherwise the ask is refused at once.
+	Spare bool `json:"spare,omitempty"`
 }
 
 // Slot is the permission to send one attempt to one upstream.
@@ -59,6 +61,9 @@
 	ResultPreempted
 	// ResultCallerGone means that the caller closed its connection.
 	ResultCallerGone
+	// ResultSuperseded means that another attempt of the same request delivered
+	// first, and this one was cancelled. It says nothing of the upstream.
+	ResultSuperseded
 )
 
 var resultNames = map[Result]string{
@@ -70,6 +75,7 @@
 	ResultSilent:     "silent",
 	ResultPreempted:  "preempted",
 	ResultCallerGone: "caller_gone",
+	ResultSuperseded: "superseded",
 }
 
 // String returns the snake-case name that stands in logs and counters.
@@ -86,6 +92,8 @@
 	Duration time.Duration
 	// Tokens is the number of tokens that this attempt delivered to the caller's answer.
 	Tokens int
+	// Wasted is the number of tokens that came and were not delivered, since another attempt owns the answer.
+	Wasted int
 	// Err is the cause for the log, or nil.
 	Err error
 }
@@ -107,7 +115,8 @@
 }
 
 // Sender sends one attempt of a request to an upstream and returns when the
-// attempt is over. It appends what arrives to the request's answer.
+// attempt is over. It appends what arrives to the request's answer, once the
+// attempt owns it. Two attempts may be sent at once; Progress isn't called meanwhile.
 type Sender interface {
 	Send(ctx context.Context, attempt Attempt) Outcome
 	// Progress is the number of tokens that the caller's answer holds so far.
@@ -123,6 +132,22 @@
 	Offset int
 	// History is what the earlier attempts left behind; it doesn't hold this attempt.
 	History History
+	// Hedge is true for the second of two attempts at once.
+	Hedge bool
+	// claim makes the attempt the owner of the answer; nil when no other attempt can be.
+	claim func() bool
+}
+
+// Contested says whether another attempt may own the answer. Then nothing may be
+// added to the answer before Own.
+func (a Attempt) Contested() bool {
+	return a.claim != nil
+}
+
+// Own is called with the first token, or a whole plain answer, in hand. False means that
+// another attempt delivered first; the sender then drops what it has and returns.
+func (a Attempt) Own() bool {
+	return a.claim == nil || a.claim()
 }
 
 // Next is the decision after an attempt.
@@ -163,6 +188,8 @@
 	slotter  Slotter
 	judge    Judge
 	observer Observer
+	// hedger is nil when no request gets a second attempt beside the first.
+	hedger Hedger
 }
 
 // New returns a dispatcher over the given parts.
@@ -177,7 +204,7 @@
 		history History
 	)
 
-	for number := 1; ; number++ {
+	for number := 1; ; {
 		ask := Ask{
 			RequestID:    request.ID,
 			Service:      request.Service.Name,
@@ -195,20 +222,21 @@
 		}
 
 		attempt := Attempt{Number: number, Slot: slot, Offset: sender.Progress(), History: history}
-		outcome := d.send(ctx, request, sender, attempt)
-		d.slotter.Release(slot, ask, outcome)
+		over, failed := d.step(ctx, request, sender, attempt, ask)
+		number = over.last + 1
 
-		next := d.judge.Decide(request, attempt, outcome, sender.Progress())
-		d.observer.AttemptEnded(request, attempt, outcome, next)
+		next := d.judge.Decide(request, over.attempt, over.outcome, sender.Progress())
+		d.observer.AttemptEnded(request, over.attempt, over.outcome, next)
 
 		if !next.Again {
 			return next.Err
 		}
 
-		history = history.After(outcome)
+		history = over.attempt.History.After(over.outcome)
+		exclude = append(exclude, failed...)
 
 		if next.Exclude {
-			exclude = append(exclude, slot.Upstream.Name)
+			exclude = append(exclude, over.attempt.Slot.Upstream.Name)
 		}
 	}
 }
--- a/internal/dispatcher/history.go
+++ b/internal/dispatcher/history.go
@@ -5,7 +5,7 @@
 // History is what the attempts of one request have left behind. The zero value
 // is a request without attempts.
 type History struct {
-	// Reached counts the attempts of which a byte may have arrived at an upstream.
+	// Reached counts the attempts of which a byte may have arrived at an upstream; two at once count as one.
 	Reached int
 	// Preempted counts the attempts that the holder ended; at most Reached.
 	Preempted int
@@ -31,6 +31,15 @@
 	return h
 }
 
+// Beside returns the history with an attempt that ran at the same time as the
+// one that stands for both. It changes what may have run, and is not counted.
+func (h History) Beside(outcome Outcome) History {
+	h.Ran = h.Ran || outcome.Tokens > 0 || outcome.Wasted > 0
+	h.MayHaveRun = h.MayHaveRun || h.Ran || outcome.Result.mayHaveRun()
+
+	return h
+}
+
 // Verdict says what a final answer may claim. "Not run" needs every attempt to
 // be surely not run: a later attempt that was refused doesn't undo an earlier
 // one that broke off.
--- a/internal/granter/pending.go
+++ b/internal/granter/pending.go
@@ -70,6 +70,7 @@
 			Organisation: ask.Organisation,
 			Exclude:      ask.Exclude,
 			Progress:     ask.Progress,
+			Spare:        ask.Spare,
 		},
 		pool:    pool,
 		class:   service.Classes[ask.Class],
--- a/internal/granter/router.go
+++ b/internal/granter/router.go
@@ -82,7 +82,14 @@
 	for {
 		again := r.askAgain(p)
 
-		if !r.askHolder(ctx, p) {
+		answered := r.askHolder(ctx, p)
+		if !answered && ask.Spare {
+			r.abandon(p)
+
+			return dispatcher.Slot{}, classifier.New(classifier.NoUpstream, "no holder of pool %q answered", p.pool).After(noHolderWait)
+		}
+
+		if !answered {
 			slot, ok, err := r.goWithout(ctx, p, ask)
 			if ok || err != nil {
 				return slot, err
--- a/internal/granter/wire.go
+++ b/internal/granter/wire.go
@@ -42,6 +42,7 @@
 	Waited       time.Duration `json:"waited_ns"`
 	Queued       time.Duration `json:"queued_ns,omitempty"`
 	Progress     int           `json:"progress,omitempty"`
+	Spare        bool          `json:"spare,omitempty"`
 }
 
 func (a *askItem) request(entry string) scheduler.Request {
@@ -54,6 +55,7 @@
 		Waited:       a.Waited,
 		Queued:       a.Queued,
 		Progress:     a.Progress,
+		Spare:        a.Spare,
 	}
 }
 
--- a/internal/meter/class.go
+++ b/internal/meter/class.go
@@ -25,6 +25,9 @@
 	tokens        atomic.Int64
 	goodputTokens atomic.Int64
 	wastedTokens  atomic.Int64
+	hedged        atomic.Int64
+	hedgesWon     atomic.Int64
+	hedgeWasted   atomic.Int64
 	// target is in nanoseconds, as of the last request.
 	target  atomic.Int64
 	refused [codeCount]atomic.Int64
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -76,6 +76,23 @@
 	m.class(name).reason(reason).Add(1)
 }
 
+// Hedged counts a second attempt that was sent beside a slow first one, and whether it delivered the answer.
+func (m *Meter) Hedged(name string, won bool) {
+	c := m.class(name)
+	c.hedged.Add(1)
+
+	if won {
+		c.hedgesWon.Add(1)
+	}
+}
+
+// Superseded counts the tokens that came from the slower of two attempts.
+func (m *Meter) Superseded(name string, tokens int) {
+	c := m.class(name)
+	c.wastedTokens.Add(int64(tokens))
+	c.hedgeWasted.Add(int64(tokens))
+}
+
 // Ended counts a request that Started, once. A request that the caller spoilt
 // or its organisation's own limit refused says nothing of the service, and
 // counts neither for nor against attainment.
--- a/internal/meter/snapshot.go
+++ b/internal/meter/snapshot.go
@@ -30,7 +30,11 @@
 	Tokens        int64   `json:"tokens"`
 	GoodputTokens int64   `json:"goodput_tokens"`
 	WastedTokens  int64   `json:"wasted_tokens"`
-	TargetMS      float64 `json:"target_ms"`
+	Hedged        int64   `json:"hedged"`
+	HedgesWon     int64   `json:"hedges_won"`
+	// HedgeTokensWasted is part of WastedTokens.
+	HedgeTokensWasted int64   `json:"hedge_tokens_wasted"`
+	TargetMS          float64 `json:"target_ms"`
 	// Refused has the codes that the class met.
 	Refused    map[string]int64  `json:"refused"`
 	Retried    map[string]int64  `json:"retried"`
@@ -91,9 +95,14 @@
 		Tokens:        c.tokens.Load(),
 		GoodputTokens: c.goodputTokens.Load(),
 		WastedTokens:  c.wastedTokens.Load(),
+		Hedged:        c.hedged.Load(),
+		HedgesWon:     c.hedgesWon.Load(),
 		TargetMS:      milliseconds(time.Duration(c.target.Load())),
 		Refused:       make(map[string]int64),
-		Retried:       make(map[string]int64),
+
+		HedgeTokensWasted: c.hedgeWasted.Load(),
+
+		Retried: make(map[string]int64),
 	}
 
 	if judged := s.Attained + s.Missed; judged > 0 {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -87,6 +87,10 @@
 	defer p.mu.Unlock()
 
 	chosen := p.choose(candidates)
+	if ask.Spare && p.loadOf(chosen) >= chosen.Slots {
+		return dispatcher.Slot{}, classifier.New(classifier.NoUpstream, "no upstream of %q is known to have a free slot", ask.Service).After(noUpstreamWait)
+	}
+
 	p.sent[chosen.Address]++
 
 	return dispatcher.Slot{ID: ask.RequestID, Upstream: chosen, Priority: service.Classes[ask.Class].Tier}, nil
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -183,6 +183,10 @@
 		return p.refuseNew(&request, classifier.NoUpstream, noServerWait)
 	}
 
+	if request.Spare {
+		return p.submitSpare(now, request, c)
+	}
+
 	p.enqueue(now, request, c)
 	p.settle(now)
 	p.review(now, request.ID)
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -28,6 +28,8 @@
 	Queued time.Duration
 	// NotRepeatable keeps the request from being preempted, whatever its class says.
 	NotRepeatable bool
+	// Spare asks only for a slot that is free now and nobody of its tier or above waits for.
+	Spare bool
 	// Progress is the number of tokens that earlier attempts delivered.
 	Progress int
 	// PrefixHash breaks ties between equally good servers, so that equal
--- a/internal/server/accounting.go
+++ b/internal/server/accounting.go
@@ -28,8 +28,10 @@
 		n.meter.Retried(counterName(request), next.Reason)
 	}
 
+	n.countHedge(request, attempt, outcome)
+
 	event := n.logger.Info()
-	if outcome.Result != dispatcher.ResultDone {
+	if outcome.Result != dispatcher.ResultDone && outcome.Result != dispatcher.ResultSuperseded {
 		event = n.logger.Warn().AnErr("cause", outcome.Err)
 	}
 
@@ -38,6 +40,7 @@
 		Str("organisation", request.Organisation.Name).
 		Str("upstream", attempt.Slot.Upstream.Name).
 		Int("attempt", attempt.Number).
+		Bool("hedge", attempt.Hedge).
 		Str("result", outcome.Result.String()).
 		Int("tokens", outcome.Tokens).
 		Dur("first_token_ms", outcome.FirstToken).
@@ -46,6 +49,16 @@
 		Msg("attempt_ended")
 }
 
+func (n *Node) countHedge(request dispatcher.Request, attempt dispatcher.Attempt, outcome dispatcher.Outcome) {
+	if attempt.Hedge {
+		n.meter.Hedged(counterName(request), outcome.Tokens > 0 || outcome.Result == dispatcher.ResultDone)
+	}
+
+	if outcome.Result == dispatcher.ResultSuperseded {
+		n.meter.Superseded(counterName(request), outcome.Wasted)
+	}
+}
+
 // requestEnded counts and logs the end of a request.
 func (n *Node) requestEnded(entry *run, failure *classifier.Error) {
 	request := entry.request
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -125,7 +125,7 @@
 	body      []byte
 	key       string
 	answer    *recorder.Answer
-	// tokens is the number of tokens in the answer; only the sending goroutine uses it.
+	// tokens is the number of tokens in the answer; only the attempt that owns the answer uses it.
 	tokens int
 	// chunkID is the id of the first chunk, which all others get as well.
 	chunkID string
@@ -148,7 +148,7 @@
 	reader := forwarder.NewGapReader(s.firstLimit(), s.request.Class.GapLimit, cancel)
 	defer reader.Stop()
 
-	pump := &eventPump{sender: s, started: started, skip: s.tokens}
+	pump := &eventPump{sender: s, attempt: attempt, owned: !attempt.Contested(), started: started}
 	err := s.exchange(ctx, attempt, reader, pump)
 
 	outcome := dispatcher.Outcome{
@@ -156,6 +156,7 @@
 		FirstToken: pump.firstToken,
 		Duration:   time.Since(started),
 		Tokens:     pump.delivered,
+		Wasted:     pump.wasted,
 		Err:        err,
 	}
 	leaveIdleAfter(outcome, s.client)
@@ -249,17 +250,24 @@
 	}
 }
 
+// errSuperseded marks a stream whose first token came after that of another attempt.
+var errSuperseded = errors.New("another attempt owns the answer")
+
 // errStreamIncomplete marks a stream that ended before its last event.
 var errStreamIncomplete = errors.New("the stream ended before its last event")
 
 // eventPump reads one engine stream into the answer.
 type eventPump struct {
 	sender     *engineSender
+	attempt    dispatcher.Attempt
 	started    time.Time
 	firstToken time.Duration
-	// skip is the number of tokens that the answer had before this attempt.
-	skip      int
-	delivered int
+	delivered  int
+	// owned is true once the attempt may add to the answer; held keeps the events until then.
+	owned bool
+	held  []sse.Event
+	// wasted is the number of tokens that came too late.
+	wasted int
 }
 
 func (p *eventPump) run(reader *forwarder.GapReader) error {
@@ -274,9 +282,9 @@
 			return false
 		}
 
-		done = p.take(event)
+		done, failure = p.take(event)
 
-		return !done
+		return !done && failure == nil
 	})
 
 	if failure != nil {
@@ -310,8 +318,41 @@
 	return changed
 }
 
-// take adds one event to the answer and says whether it was the last.
-func (p *eventPump) take(event sse.Event) bool {
+// take adds one event to the answer and says whether it was the last. Of two
+// attempts at once the first with a token owns the answer; what comes before
+// the token, such as the role, is held until then, or the caller would get it twice.
+func (p *eventPump) take(event sse.Event) (bool, error) {
+	if p.owned {
+		return p.add(event), nil
+	}
+
+	last, token := event.Data == endOfStream, carriesToken(event.Data)
+
+	if !last && !token {
+		p.held = append(p.held, event)
+
+		return false, nil
+	}
+
+	if !p.attempt.Own() {
+		if token {
+			p.wasted++
+		}
+
+		return false, errSuperseded
+	}
+
+	p.owned = true
+
+	for _, earlier := range p.held {
+		p.add(earlier)
+	}
+
+	return p.add(event), nil
+}
+
+// add puts one event into the answer and says whether it was the last.
+func (p *eventPump) add(event sse.Event) bool {
 	if event.Data == endOfStream {
 		p.sender.answer.Append(recorder.Event{Data: endOfStream})
 
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -160,6 +160,10 @@
 		return errors.Newf("the answer is longer than %d bytes", maxPlainAnswerBytes)
 	}
 
+	if !attempt.Own() {
+		return errSuperseded
+	}
+
 	s.status, s.answered, s.payload = response.StatusCode, response.Header, payload
 
 	return nil
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -62,7 +62,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
-	e.attempts = attempt.Number
+	e.attempts = max(e.attempts, attempt.Number)
 	e.upstream = attempt.Slot.Upstream.Name
 	e.tokens += outcome.Tokens
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -146,6 +146,7 @@
 	node.placer.WeighBy(node.ejector)
 	node.retrier = retrier.New(retrier.Options{})
 	node.dispatch = dispatcher.New(node.newSlotter(), node.retrier, node)
+	node.dispatch.HedgeBy(retrier.NewHedger(node.retrier.Budget()))
 
 	return node, nil
 }
--- /dev/null
+++ b/test/process/hedge_test.go
@@ -0,0 +1,149 @@
+package process_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/openai/openai-go/v3/option"
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/meter"
+)
+
+const (
+	// lookupsBefore are enough for a node to know the usual first token of a class.
+	lookupsBefore = 240
+	lookupsSlow   = 360
+	lookupTokens  = 10
+	// lookupsAtOnce fits into the slots of the engines.
+	lookupsAtOnce = 3
+	// savedCopies are the extra runs that a class may have saved up, and floorCopies those of the node's floor.
+	savedCopies = 10
+	floorCopies = 3
+)
+
+// Symptom: lookups miss their target while two engines are idle.
+// Events: one of three engines suddenly needs 200 times as long for each token.
+// Cause: each lookup waits for its own engine alone. A second copy must help
+// without mixing answers, and without more extra runs than the retry budget has.
+func TestLookupsAreHedgedPastStraggler(t *testing.T) {
+	for name, hedge := range map[string]bool{"hedged": true, "not hedged": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 0)
+			f.addHedgingNode(t, hedge)
+
+			askLookups(t, f, lookupsBefore)
+
+			before := lookupCounters(t, f)
+
+			switchOn(t, f.engines[2], map[string]any{"straggle": 200})
+			askLookups(t, f, lookupsSlow)
+
+			after := lookupCounters(t, f)
+			runs, made := lookupRuns(t, f)
+			extra := runs - lookupsBefore - lookupsSlow
+
+			t.Logf("attainment with the straggler %.4f, first token p50 %.0f p95 %.0f p99 %.0f ms, hedged %d, won %d, extra runs %d, tokens made %d, wasted %d",
+				float64(after.Attained-before.Attained)/lookupsSlow, after.FirstToken.P50MS, after.FirstToken.P95MS, after.FirstToken.P99MS,
+				after.Hedged, after.HedgesWon, extra, made, made-lookupTokens*(lookupsBefore+lookupsSlow))
+
+			assert.Equal(t, after.Hedged > 0 && after.HedgesWon > 0, hedge)
+			assert.Assert(t, extra <= (lookupsBefore+lookupsSlow)/10+savedCopies+floorCopies, "%d extra runs", extra)
+			assert.Assert(t, int64(extra) <= after.Hedged, "%d extra runs, %d hedged", extra, after.Hedged)
+		})
+	}
+}
+
+// addHedgingNode starts one node whose lookups may be hedged.
+func (f *fleet) addHedgingNode(t *testing.T, hedge bool) {
+	t.Helper()
+
+	f.nodeSpecs = []nodeSpec{{
+		name: "node-1", failureDomain: "catania-sala",
+		entryAddress: freeAddress(t), peerAddress: freeAddress(t), adminAddress: freeAddress(t),
+	}}
+	f.writeSettings(t, 0)
+
+	file := f.nodeSpecs[0].file
+	text, err := os.ReadFile(file)
+	assert.NilError(t, err)
+
+	changed := strings.Replace(string(text), "counter_lookup: {", fmt.Sprintf("counter_lookup: {hedge: %t, ", hedge), 1)
+	assert.NilError(t, os.WriteFile(file, []byte(changed), 0o600))
+
+	f.nodes = append(f.nodes, f.startNode(t, 0))
+}
+
+// askLookups sends lookups, a few at once, and checks that each answer is whole.
+func askLookups(t *testing.T, f *fleet, count int) {
+	t.Helper()
+
+	ctx, cancel := context.WithTimeout(t.Context(), 4*callLimit)
+	defer cancel()
+
+	var group sync.WaitGroup
+
+	for caller := range lookupsAtOnce {
+		group.Go(func() {
+			client := openaiClient(f.nodeSpecs[0].entryAddress)
+
+			for i := caller; i < count; i += lookupsAtOnce {
+				params := chatParams(fmt.Sprintf("lookup %d of %d", i, count), lookupTokens)
+
+				whole, err := client.Chat.Completions.New(ctx, params, option.WithHeader("Quincepath-Class", "counter_lookup"))
+				if err != nil {
+					t.Errorf("lookup %d: %v", i, err)
+
+					return
+				}
+
+				if got, want := whole.Choices[0].Message.Content, expected(t, params); got != want {
+					t.Errorf("lookup %d: got %q, want %q", i, got, want)
+				}
+			}
+		})
+	}
+
+	group.Wait()
+}
+
+func lookupCounters(t *testing.T, f *fleet) meter.ClassSnapshot {
+	t.Helper()
+
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+f.nodeSpecs[0].adminAddress+"/debug/vars", nil)
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+
+	defer response.Body.Close()
+
+	var shown struct {
+		Quincepath meter.Snapshot `json:"quincepath"`
+	}
+
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&shown))
+
+	return shown.Quincepath.Classes["assistente/counter_lookup"]
+}
+
+// lookupRuns counts what the engines ran and how many tokens they made.
+func lookupRuns(t *testing.T, f *fleet) (runs, tokens int) {
+	t.Helper()
+
+	for _, engine := range f.engines {
+		for _, run := range runsOf(t, engine) {
+			runs++
+			tokens += run.Tokens
+		}
+	}
+
+	return runs, tokens
+}
