Let overtaken attempts show a straggler to its pool

Cause: with hedging on, attempts on a straggler are cancelled before they have a token, and a cancelled attempt told no time.

A superseded attempt that took longer than its class's 95th percentile now counts as twice the usual time in the server's relative speed. Four running without a usual time between make tier 1 leave the server; nothing is closed or ejected. Counting the full time instead was ruled out: one late token would then make a straggler of a well server.

TestOvertakenAttemptsShowStraggler fails without the call, and with the bounds on it taken away.

--- a/internal/scheduler/learning.go
+++ b/internal/scheduler/learning.go
@@ -21,6 +21,10 @@
 			g.server.limit = float64(g.server.upstream.Slots)
 		}
 
+		return
+	case dispatcher.ResultSuperseded:
+		p.learnSuperseded(now, g, report)
+
 		return
 	}
 
--- a/internal/scheduler/spare.go
+++ b/internal/scheduler/spare.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
@@ -41,3 +42,24 @@
 
 	return len(p.waiting) == 0 && p.view.forLower > 0
 }
+
+// supersededRatio is the relative time that a superseded attempt counts as. With
+// it, four running without a usual time between them make a straggler.
+const supersededRatio = 2
+
+// learnSuperseded takes what an attempt tells that another one overtook. All
+// that is known is that it took at least so long. Without this a straggler whose
+// requests are all hedged in time would never show, and each would cost a copy
+// until the budget is spent; then they would miss their target all the same.
+func (p *Pool) learnSuperseded(now time.Time, g *grant, report Report) {
+	if report.Duration <= g.class.start(p.service.Kind) {
+		return
+	}
+
+	usual := g.class.firstToken.mean
+	if p.service.Kind == configurer.KindPlain {
+		usual = g.class.duration.mean
+	}
+
+	g.server.learnSpeed(now, min(report.Duration.Seconds(), supersededRatio*usual), usual)
+}
--- a/internal/scheduler/spare_test.go
+++ b/internal/scheduler/spare_test.go
@@ -82,3 +82,54 @@
 	assert.Equal(t, p.servers[0].failures, 0)
 	assert.Equal(t, p.servers[0].slots(), 2)
 }
+
+// Symptom: lookups miss their target on one server again and again, each after the budget of copies was spent on it.
+// Sequence: the server straggles; copies elsewhere overtake its attempts, which are cancelled before they have a token.
+// Cause: a cancelled attempt tells no time, so that the straggler looks as good as it ever did.
+func TestOvertakenAttemptsShowStraggler(t *testing.T) {
+	p := New(testService(2, 1), Options{FixedSlots: true, Headroom: -1})
+	now := epoch
+
+	end := func(server string, report Report) {
+		t.Helper()
+
+		other := map[string]string{"e01": "e02", "e02": "e01"}[server]
+		now = now.Add(100 * time.Millisecond)
+		decisions := p.Submit(now, Request{ID: now.String(), Entry: "n", Class: "counter", Exclude: []string{other}})
+		p.Finish(now, decisions[0].GrantID, report)
+	}
+
+	for range 64 {
+		end("e01", fakeEngine(1, 1))
+		end("e02", fakeEngine(1, 1))
+	}
+
+	overtaken := Report{Result: dispatcher.ResultSuperseded, Duration: 120 * time.Millisecond}
+
+	for range 10 {
+		end("e01", overtaken)
+		end("e01", fakeEngine(1, 1))
+		end("e01", fakeEngine(1, 1))
+	}
+
+	p.view.look(now)
+	assert.Assert(t, !p.view.straggles(p.server("e01")), "one in three is a matter of luck")
+
+	early := overtaken
+	early.Duration = 30 * time.Millisecond
+
+	for range 10 {
+		end("e02", early)
+	}
+
+	p.view.look(now)
+	assert.Assert(t, !p.view.straggles(p.server("e02")), "it may have been about to deliver")
+
+	for range 4 {
+		end("e01", overtaken)
+	}
+
+	p.view.look(now)
+	assert.Assert(t, p.view.straggles(p.server("e01")))
+	assert.Assert(t, p.server("e01").open(now), "it is no failure")
+}
