--- a/internal/granter/pending.go
+++ b/internal/granter/pending.go
@@ -47,6 +47,8 @@
 			Upstream:     upstream,
 			Class:        p.item.Class,
 			Organisation: p.item.Organisation,
+
+			NotRepeatable: p.item.NotRepeatable,
 		},
 		pool:      p.pool,
 		peer:      peer,
@@ -71,6 +73,8 @@
 			Exclude:      ask.Exclude,
 			Progress:     ask.Progress,
 			Spare:        ask.Spare,
+
+			NotRepeatable: !ask.Repeatable,
 		},
 		pool:    pool,
 		class:   service.Classes[ask.Class],
--- a/internal/granter/wire.go
+++ b/internal/granter/wire.go
@@ -43,6 +43,8 @@
 	Queued       time.Duration `json:"queued_ns,omitempty"`
 	Progress     int           `json:"progress,omitempty"`
 	Spare        bool          `json:"spare,omitempty"`
+	// NotRepeatable keeps the request from being preempted.
+	NotRepeatable bool `json:"not_repeatable,omitempty"`
 }
 
 func (a *askItem) request(entry string) scheduler.Request {
@@ -56,6 +58,8 @@
 		Queued:       a.Queued,
 		Progress:     a.Progress,
 		Spare:        a.Spare,
+
+		NotRepeatable: a.NotRepeatable,
 	}
 }
 
@@ -154,4 +158,6 @@
 	Class        string        `json:"class"`
 	Organisation string        `json:"organisation"`
 	Age          time.Duration `json:"age_ns"`
+	// NotRepeatable keeps the attempt from being preempted by the next holder too.
+	NotRepeatable bool `json:"not_repeatable,omitempty"`
 }
--- a/internal/scheduler/spare.go
+++ b/internal/scheduler/spare.go
@@ -44,7 +44,7 @@
 }
 
 // supersededRatio is the relative time that a superseded attempt counts as. With
-// it, four running without a usual time between them make a straggler.
+// it, four running on an engine without a usual time between them make a straggler.
 const supersededRatio = 2
 
 // learnSuperseded takes what an attempt tells that another one overtook. All
@@ -56,10 +56,10 @@
 		return
 	}
 
-	usual := g.class.firstToken.mean
+	usual, weight := g.class.firstToken.mean, slowWeight
 	if p.service.Kind == configurer.KindPlain {
-		usual = g.class.duration.mean
+		usual, weight = g.class.duration.mean, plainWeight
 	}
 
-	g.server.learnSpeed(now, min(report.Duration.Seconds(), supersededRatio*usual), usual)
+	g.server.learnSpeed(now, min(report.Duration.Seconds(), supersededRatio*usual), usual, weight)
 }
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -87,6 +87,8 @@
 	Upstream     string
 	Class        string
 	Organisation string
+	// NotRepeatable keeps the attempt from being preempted.
+	NotRepeatable bool
 	// Since is the time at which the attempt began.
 	Since time.Time
 }
@@ -97,7 +99,7 @@
 	GrantPrefix string
 	// EnginePriority grants tier 1 slots above the learned limit of a server that
 	// runs lower tiers, and leaves it to the engine to set these aside. Without it, a
-	// running lower tier is preempted.
+	// running lower tier is preempted. The default of a node stands in its settings.
 	EnginePriority bool
 	// Oversubscribe is the number of such slots a server, at most one for each lower answer. Default 4.
 	Oversubscribe int
@@ -111,8 +113,11 @@
 	// MaxQueue is the largest number of waiting requests. Default 4,096.
 	MaxQueue int
 	// GiveUpFactor times its target is the latest estimated first token (plain services: answer)
-	// at which a request is still queued; below zero never gives up on a target. Default 4.
-	GiveUpFactor float64
+	// at which a request of tier 2 or 3 is still queued, and PatientFactor the same for
+	// lower tiers; below zero never gives up on a target. Tier 1 never is by an
+	// estimate. Default 1 and 4.
+	GiveUpFactor  float64
+	PatientFactor float64
 	// NoEstimates turns giving up by estimates off: only MaxWait itself and the queue's length refuse.
 	NoEstimates bool
 	// FixedSlots keeps each server at the slots of its settings, with nothing learned.
@@ -127,6 +132,15 @@
 	PreemptLead time.Duration
 }
 
+// lateFactor is the factor that holds for a tier.
+func (o *Options) lateFactor(tier int) float64 {
+	if tier >= patientTier {
+		return o.PatientFactor
+	}
+
+	return o.GiveUpFactor
+}
+
 func (o Options) withDefaults() Options {
 	if o.HeadroomAbsence == 0 {
 		o.HeadroomAbsence = 30 * time.Second
@@ -141,7 +155,11 @@
 	}
 
 	if o.GiveUpFactor == 0 {
-		o.GiveUpFactor = 4
+		o.GiveUpFactor = 1
+	}
+
+	if o.PatientFactor == 0 {
+		o.PatientFactor = 4
 	}
 
 	if o.RebuildFor == 0 {
