Prove hedged lookups between processes and in both senders

The process test sends 240 lookups, slows one of three engines to 200 times its token time, and sends 360 more, 8 at once: with hedging, with hedging and an empty retry budget, and without, in one run. Each answer is compared with what the engine must give; extra runs at the engines' own records stay within the budget (600/10 + 10 saved + 3 of the floor + 1 in 20 s; with an empty budget 3).

--- a/test/process/hedge_test.go
+++ b/test/process/hedge_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/openai/openai-go/v3/option"
 	"gotest.tools/v3/assert"
@@ -22,10 +23,10 @@
 	lookupsSlow   = 360
 	lookupTokens  = 10
 	// lookupsAtOnce fits into the slots of the engines.
-	lookupsAtOnce = 3
-	// savedCopies are the extra runs that a class may have saved up, and floorCopies those of the node's floor.
-	savedCopies = 10
+	lookupsAtOnce = 8
+	// floorCopies are the extra runs of the node's floor at its start; it gets one more in floorRefill.
 	floorCopies = 3
+	floorRefill = 20 * time.Second
 )
 
 // Symptom: lookups miss their target while two engines are idle.
@@ -33,10 +34,24 @@
 // Cause: each lookup waits for its own engine alone. A second copy must help
 // without mixing answers, and without more extra runs than the retry budget has.
 func TestLookupsAreHedgedPastStraggler(t *testing.T) {
-	for name, hedge := range map[string]bool{"hedged": true, "not hedged": false} {
+	const lookups = lookupsBefore + lookupsSlow
+
+	tests := map[string]struct {
+		settings string
+		wins     bool
+		// budget is what the class may save up and earn.
+		budget int
+	}{
+		"hedged":       {settings: "hedge: true, retry_budget: 0.1", wins: true, budget: 10 + lookups/10},
+		"empty budget": {settings: "hedge: true, retry_budget: 0"},
+		"not hedged":   {settings: "hedge: false, retry_budget: 0.1"},
+	}
+
+	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			started := time.Now()
 			f := newFleet(t, 0)
-			f.addHedgingNode(t, hedge)
+			f.addHedgingNode(t, tt.settings)
 
 			askLookups(t, f, lookupsBefore)
 
@@ -47,21 +62,23 @@
 
 			after := lookupCounters(t, f)
 			runs, made := lookupRuns(t, f)
-			extra := runs - lookupsBefore - lookupsSlow
+			extra := runs - lookups
+			bound := tt.budget + floorCopies + int(time.Since(started)/floorRefill)
 
 			t.Logf("attainment with the straggler %.4f, first token p50 %.0f p95 %.0f p99 %.0f ms, hedged %d, won %d, extra runs %d, tokens made %d, wasted %d",
 				float64(after.Attained-before.Attained)/lookupsSlow, after.FirstToken.P50MS, after.FirstToken.P95MS, after.FirstToken.P99MS,
-				after.Hedged, after.HedgesWon, extra, made, made-lookupTokens*(lookupsBefore+lookupsSlow))
+				after.Hedged, after.HedgesWon, extra, made, made-lookupTokens*lookups)
 
-			assert.Equal(t, after.Hedged > 0 && after.HedgesWon > 0, hedge)
-			assert.Assert(t, extra <= (lookupsBefore+lookupsSlow)/10+savedCopies+floorCopies, "%d extra runs", extra)
+			assert.Assert(t, after.HedgesWon > 0 || !tt.wins)
+			assert.Equal(t, after.Hedged > 0, name != "not hedged")
+			assert.Assert(t, extra <= bound, "%d extra runs, the budget has %d", extra, bound)
 			assert.Assert(t, int64(extra) <= after.Hedged, "%d extra runs, %d hedged", extra, after.Hedged)
 		})
 	}
 }
 
-// addHedgingNode starts one node whose lookups may be hedged.
-func (f *fleet) addHedgingNode(t *testing.T, hedge bool) {
+// addHedgingNode starts one node with the given settings of lookups.
+func (f *fleet) addHedgingNode(t *testing.T, settings string) {
 	t.Helper()
 
 	f.nodeSpecs = []nodeSpec{{
@@ -74,7 +91,7 @@
 	text, err := os.ReadFile(file)
 	assert.NilError(t, err)
 
-	changed := strings.Replace(string(text), "counter_lookup: {", fmt.Sprintf("counter_lookup: {hedge: %t, ", hedge), 1)
+	changed := strings.Replace(string(text), "max_wait: 10s, repeatable: true, retry_budget: 0.1}", "max_wait: 10s, repeatable: true, "+settings+"}", 1)
 	assert.NilError(t, os.WriteFile(file, []byte(changed), 0o600))
 
 	f.nodes = append(f.nodes, f.startNode(t, 0))
