--- a/internal/scheduler/granting.go
+++ b/internal/scheduler/granting.go
@@ -21,7 +21,7 @@
 		return true
 	}
 
-	if p.oversubscribe(now) {
+	if p.oversubscribe(now) || p.grantStraggler(now) {
 		return true
 	}
 
@@ -52,7 +52,21 @@
 	}
 
 	p.counters.oversubscribed++
-	p.grant(now, w, p.view.best(w, true))
+	p.grant(now, w, p.view.best(w, true)).takeExtra()
+
+	return true
+}
+
+// grantStraggler gives a tier 1 request that is late a free slot of a server that
+// tier 1 avoids. Without it, lookups waited to their end beside idle servers when
+// the speeds were judged wrongly.
+func (p *Pool) grantStraggler(now time.Time) bool {
+	w := p.tiers[topTier].pick(p.quantum, p.view.matchLate)
+	if w == nil {
+		return false
+	}
+
+	p.grant(now, w, p.view.bestOf(w, false, false))
 
 	return true
 }
@@ -141,7 +155,7 @@
 }
 
 // grant gives the request a slot of the server.
-func (p *Pool) grant(now time.Time, w *waiter, s *server) {
+func (p *Pool) grant(now time.Time, w *waiter, s *server) *grant {
 	charged := p.charge(w.class)
 	p.tiers[w.tier].take(w)
 	w.uncount()
@@ -168,6 +182,13 @@
 	w.class.granted++
 	w.class.longestWait = max(w.class.longestWait, now.Sub(w.queued))
 	p.decide(g.decision(Grant))
+
+	return g
+}
+
+func (g *grant) takeExtra() {
+	g.extra = true
+	g.server.extra++
 }
 
 // free gives the slot of a grant back.
