--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -206,23 +206,26 @@
 }
 
 // Listeners get ports below those that the system gives to outgoing connections:
-// a node that is killed must find its port free when it starts again.
+// a node that is killed must find its port free when it starts again. Test
+// processes that run side by side on the machine take blocks of their own.
 const (
-	firstPort = 12000
-	lastPort  = 31999
+	firstPort  = 12000
+	portBlocks = 20
+	blockPorts = 1000
 )
 
-// nextPort counts on from a place that depends on the process, so that tests of other trees on the machine take others.
+// nextPort counts on through the block.
 var nextPort atomic.Uint32
 
-// freeAddress returns a loopback address that nothing listens on at the moment.
+// freeAddress returns a loopback address that nothing listens on at the moment. It gives none twice.
 func freeAddress(tb testing.TB) string {
 	tb.Helper()
 
-	for range lastPort - firstPort {
-		port := firstPort + (uint32(os.Getpid())*97+nextPort.Add(1))%(lastPort-firstPort)
+	block := firstPort + os.Getpid()%portBlocks*blockPorts
 
-		if address := fmt.Sprintf("127.0.0.1:%d", port); isFree(address) {
+	for range blockPorts {
+		address := fmt.Sprintf("127.0.0.1:%d", block+int(nextPort.Add(1)%blockPorts))
+		if isFree(address) {
 			return address
 		}
 	}
