Print costs of a request and a change instead of lines through them

Load and changes are now compared with the idle phase of the same fleet and divided by requests and changes; only idle figures have a line. The column "line at 370 nodes" is gone.

--- a/internal/gauger/gauger_test.go
+++ b/internal/gauger/gauger_test.go
@@ -102,11 +102,25 @@
 	assert.Equal(t, slopes[0].Quantity, "peer bytes/s")
 	assert.Equal(t, slopes[0].Least, 106.0)
 	assert.Equal(t, slopes[0].Most, 160.0)
-	assert.Assert(t, slopes[0].At(370) > 839.999 && slopes[0].At(370) < 840.001)
+	assert.Assert(t, slopes[0].Base > 99.999 && slopes[0].Base < 100.001, "%+v", slopes[0])
+	assert.Assert(t, slopes[0].PerNode > 1.999 && slopes[0].PerNode < 2.001, "%+v", slopes[0])
 
 	assert.Equal(t, len(Slopes([]Figures{figures(3, 106), figures(3, 107)})), 0)
 }
 
+func TestCostsAreWhatIdleNodesDoNotSpend(t *testing.T) {
+	costs := Costs([]Figures{
+		{Nodes: 4, Phase: PhaseIdle, Seconds: 8, PeerBytes: 100, PeerMessages: 1, Cores: 0.25},
+		{Nodes: 4, Phase: PhaseLoad, Seconds: 8, PeerBytes: 1100, PeerMessages: 11, Cores: 0.5, Ends: map[string]int64{EndAnswered: 64, "node_full": 3}},
+		{Nodes: 4, Phase: PhaseChanges, Seconds: 8, PeerBytes: 300, PeerMessages: 3, Cores: 0.25, Changes: 2},
+	})
+	assert.DeepEqual(t, costs, []Cost{
+		{Nodes: 4, Of: PhaseLoad, Bytes: 500, Messages: 5, Milliseconds: 125},
+		{Nodes: 4, Of: PhaseChanges, Bytes: 800, Messages: 8},
+	})
+	assert.Equal(t, len(Costs([]Figures{{Phase: PhaseLoad}, {Phase: PhaseChanges}})), 0)
+}
+
 func TestRatesArePerSecondAndNode(t *testing.T) {
 	start := time.Unix(0, 0)
 	begun := observation{at: start, usage: Usage{Processor: time.Second, MemoryBytes: 500}}
--- a/internal/query/bench/control/control.go
+++ b/internal/query/bench/control/control.go
@@ -20,8 +20,9 @@
 
 It runs nodes, upstreams and a platform in this process on loopback: first idle,
 then under requests, then with changes of the settings. It prints the bytes and
-messages between nodes, the calls on the platform, the load reports fetched, and
-a straight line through each against the number of nodes.
+messages between nodes, the calls on the platform, the load reports fetched, what
+one request and one change cost, and lines of the idle figures against the number
+of nodes.
 
 Processor time and memory are those of the whole process divided by the number of
 nodes, with the stand-ins, the callers and the relays that count: an upper bound.
@@ -38,8 +39,6 @@
 	mostRate     = 2000
 	mostChanges  = 100
 	mostLimits   = 1000
-	// designNodes is the size of fleet that the lines are drawn out to.
-	designNodes = 370
 )
 
 // Options are the flags of the query.
@@ -80,6 +79,7 @@
 // answer is what JSON holds.
 type answer struct {
 	Figures []gauger.Figures `json:"figures"`
+	Costs   []gauger.Cost    `json:"costs"`
 	Slopes  []gauger.Slope   `json:"slopes"`
 }
 
@@ -112,6 +112,7 @@
 		result.Figures = append(result.Figures, figures...)
 	}
 
+	result.Costs = gauger.Costs(result.Figures)
 	result.Slopes = gauger.Slopes(result.Figures)
 
 	return options.write(result)
@@ -161,7 +162,11 @@
 
 	format := printer.Choose(false, o.Terminal)
 
-	for i, table := range []printer.Table{figuresTable(result.Figures), methodsTable(result.Figures), slopesTable(result.Slopes)} {
+	tables := []printer.Table{
+		figuresTable(result.Figures), methodsTable(result.Figures), costsTable(result.Costs), slopesTable(result.Slopes),
+	}
+
+	for i, table := range tables {
 		if i > 0 {
 			fmt.Fprintln(out)
 		}
@@ -214,16 +219,29 @@
 	return t
 }
 
+func costsTable(costs []gauger.Cost) printer.Table {
+	t := printer.Table{Columns: []string{"nodes", "one", "B", "messages", "processor ms"}, Empty: "no requests and no changes"}
+
+	for _, v := range costs {
+		one := "request, on all nodes"
+		if v.Of == gauger.PhaseChanges {
+			one = "change, on each node"
+		}
+
+		t.Rows = append(t.Rows, []string{strconv.Itoa(v.Nodes), one, number(v.Bytes), number(v.Messages), number(v.Milliseconds)})
+	}
+
+	return t
+}
+
 func slopesTable(slopes []gauger.Slope) printer.Table {
 	t := printer.Table{
-		Columns: []string{"phase", "quantity", "least", "most", "at 0 nodes", "per node", fmt.Sprintf("line at %d nodes", designNodes)},
+		Columns: []string{"idle", "least", "most", "line at 0 nodes", "per node"},
 		Empty:   "one size of fleet gives no line",
 	}
 
 	for _, v := range slopes {
-		t.Rows = append(t.Rows, []string{
-			string(v.Phase), v.Quantity, number(v.Least), number(v.Most), number(v.Base), number(v.PerNode), number(v.At(designNodes)),
-		})
+		t.Rows = append(t.Rows, []string{v.Quantity, number(v.Least), number(v.Most), number(v.Base), number(v.PerNode)})
 	}
 
 	return t
--- a/internal/query/bench/control/control_test.go
+++ b/internal/query/bench/control/control_test.go
@@ -24,6 +24,9 @@
 		Nodes:   "3, 9", Seconds: 10, Rate: 200, Changes: 3, Policy: string(loader.PolicyQueuePerRequest),
 		Gauge: func(_ context.Context, o gauger.Options) ([]gauger.Figures, error) {
 			return []gauger.Figures{{
+				Nodes: o.Nodes, Policy: o.Policy, Phase: gauger.PhaseIdle, Seconds: o.Duration.Seconds(),
+				PeerBytes: 10 * float64(o.Nodes), Polls: 5, PollBytes: 363, Cores: 0.005, MemoryBytes: 30e6,
+			}, {
 				Nodes: o.Nodes, Policy: o.Policy, Phase: gauger.PhaseLoad, Seconds: o.Duration.Seconds(),
 				Ends: map[string]int64{gauger.EndAnswered: 1990, "node_full": 10}, Changes: o.Changes,
 				PeerBytes: 1000 + 10*float64(o.Nodes), PeerMessages: 12.34, BusiestPeerBytes: 3000, Links: 4,
