--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -57,6 +57,8 @@
 	// lower is the number of grants below tier 1, and preempted that of grants taken back but not yet free.
 	lower     int
 	preempted int
+	// extra is the number of tier 1 grants that were given above the limit.
+	extra int
 	// running counts grants by class index.
 	running []int
 
@@ -84,8 +86,6 @@
 	// limitTime is the time that slots were there to use.
 	limitTime time.Duration
 	countedAt time.Time
-	// affinity orders servers for prefixes.
-	affinity uint64
 }
 
 func newServer(upstream configurer.Upstream, kind configurer.Kind) *server {
@@ -96,7 +96,6 @@
 		limit:     limit,
 		ratio:     1,
 		slow:      1,
-		affinity:  hash(upstream.Name),
 		searching: kind == configurer.KindEngine,
 	}
 }
@@ -172,6 +171,10 @@
 	if g.preempted {
 		s.preempted--
 	}
+
+	if g.extra {
+		s.extra--
+	}
 }
 
 // lowestTier is the lowest tier among the running classes.
--- a/internal/server/loads.go
+++ b/internal/server/loads.go
@@ -50,9 +50,13 @@
 func (n *Node) pollOnce(ctx context.Context, client *resty.Client) {
 	for _, service := range n.tree.Snapshot().Services {
 		if !n.polls(service.Name) {
+			n.prefixes.Keep(service.Name, func(string) bool { return false })
+
 			continue
 		}
 
+		n.pollPrefixes(ctx, client, service)
+
 		for _, upstream := range service.Upstreams {
 			// A pool that is full skips this round; the next comes in a second.
 			_ = n.background.Go(func() { n.pollUpstream(ctx, client, upstream) })
@@ -104,12 +108,19 @@
 type upstreamTable struct {
 	mu   sync.Mutex
 	rows map[string]upstreamRow
+
+	pulses pulses
 }
 
 func newUpstreamTable() *upstreamTable {
 	return &upstreamTable{rows: make(map[string]upstreamRow)}
 }
 
+// pulse returns what is known of the upstream's last sign of life.
+func (u *upstreamTable) pulse(address string) *pulse {
+	return u.pulses.of(address)
+}
+
 func (u *upstreamTable) row(address string) upstreamRow {
 	u.mu.Lock()
 	defer u.mu.Unlock()
