Go back to an upstream when all have failed the request once

Cause: an upstream that failed a request was left out for good, so a lookup at a service with one server ended as no_upstream after one silent connection, though a new connection to it works (found by the process proofs). Once all have failed, only the latest stays out, or none when there is no other; attempts and budget bound it as before.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"quincepath.example/quincepath/internal/configurer"
@@ -214,7 +215,7 @@
 			Service:      request.Service.Name,
 			Class:        request.Class.Name,
 			Organisation: request.Organisation.Name,
-			Exclude:      exclude,
+			Exclude:      leaveOut(request.Service, exclude),
 			Waited:       time.Since(request.Arrived),
 			Progress:     sender.Progress(),
 			Repeatable:   request.Repeatable,
@@ -246,6 +247,40 @@
 	}
 }
 
+// leaveOut returns the upstreams that the next attempt stays away from: those
+// that failed the request, the latest last. Once all have failed it, only the
+// latest stays out, or none when there is no other. A service with one server
+// would else answer "no upstream" after a single connection went silent,
+// although a new connection to the same server works.
+func leaveOut(service configurer.Service, failed []string) []string {
+	if len(failed) == 0 {
+		return nil
+	}
+
+	usable := 0
+
+	for name, upstream := range service.Upstreams {
+		if upstream.Leaving {
+			continue
+		}
+
+		usable++
+
+		if !slices.Contains(failed, name) {
+			return failed
+		}
+	}
+
+	switch usable {
+	case 0:
+		return failed
+	case 1:
+		return nil
+	default:
+		return failed[len(failed)-1:]
+	}
+}
+
 // send runs one attempt and ends it early when the holder takes the slot back.
 // A request that is not repeatable keeps its slot: cancelled halfway it may have
 // run, could not be sent again, and its caller would get no answer at all.
