Count the places before the request that takes one

TestFullNodeLeavesPlacesToHigherTiers failed once in five runs of the package ("a place or a refusal did not happen within 30s"), and once passed only after 8 s. Events: the test sent a request and then read how many the node held; when the request was in already, the count never rose above what was read.

--- a/test/process/senders_test.go
+++ b/test/process/senders_test.go
@@ -113,10 +113,10 @@
 
 	for range count {
 		answered := make(chan *http.Response, 1)
+		taken := f.inFlight(t)
 
 		go func() { answered <- f.chat(t, class) }()
 
-		taken := f.inFlight(t)
 		waitFor(t, "a place or a refusal", func() bool { return len(answered) > 0 || f.inFlight(t) > taken })
 
 		select {
