--- a/internal/granter/pending.go
+++ b/internal/granter/pending.go
@@ -73,6 +73,7 @@
 			Exclude:      ask.Exclude,
 			Progress:     ask.Progress,
 			Prefixes:     ask.Prefixes,
+			Spare:        ask.Spare,
 
 			NotRepeatable: !ask.Repeatable,
 		},
--- a/internal/granter/wire.go
+++ b/internal/granter/wire.go
@@ -43,6 +43,7 @@
 	Queued       time.Duration `json:"queued_ns,omitempty"`
 	Progress     int           `json:"progress,omitempty"`
 	Prefixes     []uint64      `json:"prefixes,omitempty"`
+	Spare        bool          `json:"spare,omitempty"`
 	// NotRepeatable keeps the request from being preempted.
 	NotRepeatable bool `json:"not_repeatable,omitempty"`
 }
@@ -58,6 +59,7 @@
 		Queued:       a.Queued,
 		Progress:     a.Progress,
 		Prefixes:     a.Prefixes,
+		Spare:        a.Spare,
 
 		NotRepeatable: a.NotRepeatable,
 	}
