Settle a change that is asked again on the base it made

Cause: tree set with a change id whose reply was lost reads the base anew when run again, as the command advises, and was told key_conflict, since the base is then the change's own revision. Such a base counts as the same change now.

--- a/internal/configurer/change.go
+++ b/internal/configurer/change.go
@@ -86,7 +86,9 @@
 }
 
 func (c Change) matches(e Edit) bool {
-	same := c.Branch == e.Branch && c.BaseRevision == e.BaseRevision && c.Undoes == e.Undoes
+	// Run again, a command reads the branch as its first run left it and starts from there.
+	sameBase := e.BaseRevision == c.BaseRevision || e.BaseRevision == c.Revision
+	same := c.Branch == e.Branch && sameBase && c.Undoes == e.Undoes
 
 	return same && c.Deleted == e.Delete && c.Digest == e.digest()
 }
