--- a/test/process/cuts_test.go
+++ b/test/process/cuts_test.go
@@ -205,3 +205,17 @@
 
 	return response.Header.Get("Quincepath-Request-Id")
 }
+
+// Symptom: a lookup at the counter fails although the only server of its service is well.
+// Events: the service has one upstream; its open connections go silent; new ones work.
+// Cause: the retry leaves out the upstream of the silent attempt, and there is no other.
+func TestLoneUpstreamIsTriedOnNewConnection(t *testing.T) {
+	t.Parallel()
+
+	between := newProxies(t)
+	f := newFleetOf(t, 1, shape{upstreamVia: between.upstreamVia})
+
+	assert.Equal(t, f.lookUp(t), http.StatusOK)
+	between.upstreams["banco-1"].forget(bothWays)
+	assert.Equal(t, f.lookUp(t), http.StatusOK)
+}
--- a/test/process/tree_test.go
+++ b/test/process/tree_test.go
@@ -219,3 +219,19 @@
 
 	return status, json.NewDecoder(response.Body).Decode(&status) == nil
 }
+
+// Symptom: an operator runs a command again with its change id, as the program advised, and hears that the id belongs to another change.
+// Events: tree set is applied and its answer is lost; the operator runs the same command with the same id.
+// Cause: the second run starts from the branch as the first one left it, so its base differs although it asks for the same.
+func TestRepeatedSetIsTheSameChange(t *testing.T) {
+	t.Parallel()
+
+	f := newTreeFleet(t, 2)
+	command := []string{"tree", "set", plainBranch, "classes.lookup.target=250ms", "--change-id", "raise-the-target"}
+
+	first := f.change(t, 0, command...)
+	again := f.change(t, 1, command...)
+
+	assert.Equal(t, again.Revision, first.Revision)
+	assert.Equal(t, len(f.history(t, plainBranch)), 2)
+}
