Keep the desired state of engines in the settings tree

Orders to engines need a desired state that operators write once and override where it differs. A service has desired (models, adapters, role) and orders (bounds of the orderer); an upstream overrides single fields of desired. A list left out is no order, an empty list orders none to be loaded. Nested structs of a branch are now read like mappings, so inheritance and explanation work field by field.

--- a/internal/configurer/faults.go
+++ b/internal/configurer/faults.go
@@ -39,6 +39,8 @@
 		}
 	}
 
+	faults = append(faults, s.desiredFaults()...)
+
 	if sum > 1+shareSlack {
 		text := fmt.Sprintf("have guaranteed_share values with the sum %.3g; keep it at 1 or less", sum)
 		faults = append(faults, Fault{Path: []string{"classes"}, Text: text})
@@ -46,3 +48,26 @@
 
 	return faults
 }
+
+// desiredFaults refuses a desired state that would never be ordered: an operator would wait for it.
+func (s Service) desiredFaults() []Fault {
+	if s.Kind != KindPlain {
+		return nil
+	}
+
+	const text = "is given; a plain service takes no orders, so remove it"
+
+	var faults []Fault
+
+	if !s.Desired.IsEmpty() {
+		faults = append(faults, Fault{Path: []string{"desired"}, Text: text})
+	}
+
+	for k, v := range s.Upstreams {
+		if !v.Desired.IsEmpty() {
+			faults = append(faults, Fault{Path: []string{"upstreams", k, "desired"}, Text: text})
+		}
+	}
+
+	return faults
+}
--- a/internal/configurer/node.go
+++ b/internal/configurer/node.go
@@ -21,7 +21,9 @@
 	Organisations map[string]Organisation `yaml:"organisations"`
 	Upstreams     map[string]Upstream     `yaml:"upstreams"`
 	// Levels are the service levels that classes name by their key level.
-	Levels map[string]Class `yaml:"levels"`
+	Levels  map[string]Class `yaml:"levels"`
+	Desired Desired          `yaml:"desired"`
+	Orders  Orders           `yaml:"orders"`
 }
 
 type classFields struct {
@@ -130,7 +132,7 @@
 	}
 
 	field := checker.Fields(want)[key]
-	if field.Type.Kind() == reflect.Map {
+	if kind := field.Type.Kind(); kind == reflect.Map || kind == reflect.Struct {
 		return r.mapping(entry.Value, field.Type, path)
 	}
 
--- a/internal/configurer/service.go
+++ b/internal/configurer/service.go
@@ -55,6 +55,8 @@
 		Classes:       t.classes(merged),
 		Organisations: decodeAs[map[string]Organisation](&t.decoder, merged.child("organisations")),
 		Upstreams:     decodeAs[map[string]Upstream](&t.decoder, merged.child("upstreams")),
+		Desired:       decodeAs[Desired](&t.decoder, merged.child("desired")),
+		Orders:        decodeAs[Orders](&t.decoder, merged.child("orders")),
 	}
 
 	if name := leafAs[string](merged.child("service")); name != "" {
--- a/internal/configurer/snapshot.go
+++ b/internal/configurer/snapshot.go
@@ -39,6 +39,58 @@
 	Organisations map[string]Organisation
 	// Upstreams are the servers, by name.
 	Upstreams map[string]Upstream
+	// Desired is what the engines of the service are to hold, unless an upstream says otherwise.
+	Desired Desired
+	// Orders bounds how the engines are brought there.
+	Orders Orders
+}
+
+// DesiredOf returns what an upstream is to hold: each field is its own or, left out, the service's.
+func (s Service) DesiredOf(upstream Upstream) Desired {
+	desired := upstream.Desired
+
+	if desired.Models == nil {
+		desired.Models = s.Desired.Models
+	}
+
+	if desired.Adapters == nil {
+		desired.Adapters = s.Desired.Adapters
+	}
+
+	if desired.Role == "" {
+		desired.Role = s.Desired.Role
+	}
+
+	return desired
+}
+
+// Desired is the state that an engine is ordered into. What is left out is not ordered.
+type Desired struct {
+	// Models and Adapters list all that is to be loaded; an empty list means none, nil means not ordered.
+	Models   []string `yaml:"models" validate:"unique,max=64,dive,name"`
+	Adapters []string `yaml:"adapters" validate:"unique,max=64,dive,name"`
+	// Role is an engine's own word, such as "prefill"; empty means not ordered.
+	Role string `yaml:"role" validate:"omitempty,name"`
+}
+
+// IsEmpty reports whether nothing is ordered.
+func (d Desired) IsEmpty() bool {
+	return d.Models == nil && d.Adapters == nil && d.Role == ""
+}
+
+// Orders bounds the orders to the engines of a service. A zero means the orderer's default.
+type Orders struct {
+	// LoadsPerMinute bounds how many loads from the weight store begin in a minute, evenly spread.
+	LoadsPerMinute float64 `yaml:"loads_per_minute" validate:"min=0,max=100000"`
+	// LoadsAtOnce bounds the loads under way.
+	LoadsAtOnce int `yaml:"loads_at_once" validate:"min=0,max=10000"`
+	// LoadTimeout is how long a load may take before it is ordered again.
+	LoadTimeout time.Duration `yaml:"load_timeout" validate:"min=0s,max=24h"`
+	// Lease is how long an orderer may go on without the platform; whole seconds.
+	Lease time.Duration `yaml:"lease" validate:"min=0s,max=10m"`
+	// LongestPause is the longest pause of a node, or delay of an order, that is allowed for at
+	// engines that do not check fencing numbers.
+	LongestPause time.Duration `yaml:"longest_pause" validate:"min=0s,max=1h"`
 }
 
 // Class is a kind of request with its own latency target and priority.
@@ -92,4 +144,6 @@
 	ChecksFencing bool `yaml:"checks_fencing"`
 	// Slots is the first guess of requests at once, before anything is learned; at least 1.
 	Slots int `yaml:"slots" validate:"min=1,max=1000000"`
+	// Desired overrides fields of the service's.
+	Desired Desired `yaml:"desired"`
 }
--- a/internal/loader/service.go
+++ b/internal/loader/service.go
@@ -15,6 +15,9 @@
 	DefaultClass  string                             `yaml:"default_class" validate:"required"`
 	Organisations map[string]configurer.Organisation `yaml:"organisations" validate:"dive,keys,name,endkeys"`
 	Upstreams     map[string]configurer.Upstream     `yaml:"upstreams" validate:"dive,keys,name,endkeys"`
+	// Desired and Orders are those of the settings tree.
+	Desired configurer.Desired `yaml:"desired"`
+	Orders  configurer.Orders  `yaml:"orders"`
 }
 
 // Snapshot returns the services part as a settings tree with revision 0,
@@ -37,6 +40,8 @@
 		DefaultClass:  s.DefaultClass,
 		Organisations: make(map[string]configurer.Organisation, len(s.Organisations)),
 		Upstreams:     make(map[string]configurer.Upstream, len(s.Upstreams)),
+		Desired:       s.Desired,
+		Orders:        s.Orders,
 	}
 	if resolved.Branch == "" {
 		resolved.Branch = name
