Add the orderer: engines brought into the desired state under a lease

One node at a time orders a service's engines under a platform lease, with a number taken by compare-and-swap that is never deleted.

--- /dev/null
+++ b/internal/orderer/orderer.go
@@ -0,0 +1,166 @@
+package orderer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+
+	"quincepath.example/quincepath/internal/configurer"
+)
+
+// Orderer orders the engines of one service whenever this node is the candidate and holds the lease.
+type Orderer struct {
+	options Options
+	loads   *loadLimiter
+	// delays holds back orders that failed, by upstream and order.
+	delays map[string]*delay
+	// takes counts attempts to take a number.
+	takes int
+	// floor is the highest fencing number that any engine has shown.
+	floor int64
+}
+
+// New returns an Orderer that does nothing before Run.
+func New(options Options) *Orderer {
+	options.fill()
+
+	return &Orderer{options: options, delays: make(map[string]*delay)}
+}
+
+// Run orders until ctx ends. It gives its lease back then.
+func (o *Orderer) Run(ctx context.Context) {
+	failures := newBackOff()
+
+	for ctx.Err() == nil {
+		service, wanted := o.wanted()
+		if !wanted {
+			sleep(ctx, o.options.Interval)
+			continue
+		}
+
+		bounds := filled(service.Orders)
+
+		t, err := o.take(ctx, bounds)
+		if errors.Is(err, errHeld) {
+			sleep(ctx, bounds.Lease/renewals)
+			continue
+		}
+
+		if err != nil {
+			sleep(ctx, failures.NextBackOff())
+			continue
+		}
+
+		failures.Reset()
+		o.options.Counters.TermsTaken.Add(1)
+		o.hold(ctx, t)
+		// After a lost term another node goes first.
+		sleep(ctx, failures.NextBackOff())
+	}
+}
+
+// wanted says whether this node should order the service's engines.
+func (o *Orderer) wanted() (configurer.Service, bool) {
+	service, ok := o.options.Settings.Service(o.options.Service)
+	if !ok || !o.options.Candidates.Candidate(service.Name) {
+		return service, false
+	}
+
+	for _, upstream := range service.Upstreams {
+		if !service.DesiredOf(upstream).IsEmpty() {
+			return service, true
+		}
+	}
+
+	return service, false
+}
+
+// hold orders until the term ends or this node is no longer the candidate.
+func (o *Orderer) hold(ctx context.Context, t *term) {
+	work, cancel := context.WithCancel(ctx)
+
+	var renewing sync.WaitGroup
+
+	renewing.Go(func() { o.renew(work, t) })
+
+	o.loads = newLoadLimiter()
+
+	for t.valid() && work.Err() == nil {
+		service, wanted := o.wanted()
+		if !wanted {
+			break
+		}
+
+		pause := o.options.Interval
+		if o.round(work, t, service) {
+			pause = orderPause
+		}
+
+		sleep(work, max(pause, o.stretch(service)))
+	}
+
+	if !t.valid() {
+		o.options.Counters.TermsLost.Add(1)
+	}
+
+	t.end()
+	cancel()
+	renewing.Wait()
+	o.revoke(ctx, t.lease)
+}
+
+// orderPause is the time between two rounds while orders are due.
+const orderPause = 100 * time.Millisecond
+
+// stretch bounds the reads of engines' states, whatever their number.
+func (o *Orderer) stretch(service configurer.Service) time.Duration {
+	return time.Duration(float64(len(service.Upstreams)) / o.options.ReadsPerSecond * float64(time.Second))
+}
+
+const (
+	firstDelay   = 500 * time.Millisecond
+	longestDelay = 30 * time.Second
+)
+
+// newBackOff returns delays that grow, each drawn at random around its mean.
+func newBackOff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = firstDelay
+	b.MaxInterval = longestDelay
+
+	return b
+}
+
+// delay is how long an order that failed is held back.
+type delay struct {
+	until   time.Time
+	backOff *backoff.ExponentialBackOff
+}
+
+func (o *Orderer) failed(key string) {
+	d := o.delays[key]
+	if d == nil {
+		d = &delay{backOff: newBackOff()}
+		o.delays[key] = d
+	}
+
+	d.until = time.Now().Add(d.backOff.NextBackOff())
+}
+
+func (o *Orderer) delayed(key string) bool {
+	d := o.delays[key]
+
+	return d != nil && time.Now().Before(d.until)
+}
+
+// forgetDelays drops the delays of orders that are no longer due and can't be on their way any more.
+func (o *Orderer) forgetDelays(longestPause time.Duration) {
+	for k, v := range o.delays {
+		if time.Since(v.until) > longestPause {
+			delete(o.delays, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/orderer/types.go
@@ -0,0 +1,192 @@
+// Package orderer brings engines into the state that the settings tree desires:
+// models, adapters and role.
+//
+// One node at a time orders the engines of a service, under a lease of the
+// platform and with a fencing number that only grows. A lease can end while its
+// holder is paused, and the holder may then act as if it still had it. Three
+// things guard against that: the holder looks at its own clock before each
+// order; an engine that checks the number refuses the orders of earlier
+// holders; and, for engines that ignore it, orders are desired states that a
+// later holder reads back and corrects, after it has waited out the longest
+// pause allowed for. Nothing of serving depends on any of it.
+package orderer
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/storer"
+)
+
+// ErrFenced means that an engine has seen a higher fencing number.
+var ErrFenced = errors.New("the engine refused the fencing number")
+
+// Kind names what an order changes.
+type Kind string
+
+// Kinds of orders, in the words of the engines.
+const (
+	LoadModel     Kind = "load_model"
+	UnloadModel   Kind = "unload_model"
+	LoadAdapter   Kind = "load_adapter"
+	UnloadAdapter Kind = "unload_adapter"
+	SetRole       Kind = "set_role"
+)
+
+// Order is one idempotent change of an engine's state.
+type Order struct {
+	Kind Kind
+	// Name is the model, the adapter or the role.
+	Name string
+}
+
+func (o Order) loads() bool {
+	return o.Kind == LoadModel || o.Kind == LoadAdapter
+}
+
+func (o Order) unloads() bool {
+	return o.Kind == UnloadModel || o.Kind == UnloadAdapter
+}
+
+// State is what an engine says that it holds.
+type State struct {
+	Models   []string
+	Adapters []string
+	Role     string
+	// HighestFencing is the highest fencing number that the engine has seen; 0 when it does not tell.
+	HighestFencing int64
+}
+
+// Engines reads engines and sends them orders.
+type Engines interface {
+	State(ctx context.Context, upstream configurer.Upstream) (State, error)
+	// Send returns ErrFenced for an order that the engine refused for its number.
+	// Any other error leaves open whether the order takes effect, now or later.
+	Send(ctx context.Context, upstream configurer.Upstream, order Order, number int64) error
+}
+
+// Store is the part of the platform's key-value service that the lease needs.
+// Its errors are those of package storer.
+type Store interface {
+	Get(ctx context.Context, key string) (storer.KeyValue, int64, error)
+	Txn(ctx context.Context, t storer.Txn) (storer.TxnResult, error)
+	Grant(ctx context.Context, length time.Duration) (int64, error)
+	KeepAlive(ctx context.Context, lease int64) (time.Duration, error)
+	Revoke(ctx context.Context, lease int64) error
+}
+
+// Settings gives the service as the settings tree in force has it.
+type Settings interface {
+	Service(name string) (configurer.Service, bool)
+}
+
+// Candidates says whether this node is the one that should order a service's
+// engines. It only avoids contention: two candidates break nothing.
+type Candidates interface {
+	Candidate(service string) bool
+}
+
+// Loads tells how many requests run on an upstream, as far as this node knows.
+type Loads interface {
+	Running(upstream configurer.Upstream) int
+}
+
+// Counters count what orderers do. They may be shared.
+type Counters struct {
+	// Sent counts orders that left, RefusedByFencing those of them that an engine refused for the number.
+	Sent             atomic.Int64
+	RefusedByFencing atomic.Int64
+	// SendFailed counts orders without a good answer; ReadBackDiffered those that the engine's state did not show.
+	SendFailed       atomic.Int64
+	ReadBackDiffered atomic.Int64
+	// NotSent counts orders that were due when the lease had ended.
+	NotSent atomic.Int64
+	// LoadsHeldBack counts looks at a load that the weight store's limits held back.
+	LoadsHeldBack atomic.Int64
+	// UnloadsHeldBack counts looks at an unload that would have removed the last copy.
+	UnloadsHeldBack atomic.Int64
+	// TermsTaken counts fencing numbers taken, TermsLost leases that ended before they were given up.
+	TermsTaken atomic.Int64
+	TermsLost  atomic.Int64
+}
+
+// Options are the parts and fixed settings of an Orderer. A zero duration or rate means its default.
+type Options struct {
+	Service string
+	// Node and Incarnation name this run of this node; no two runs share both.
+	Node        string
+	Incarnation string
+
+	Store      Store
+	Engines    Engines
+	Settings   Settings
+	Candidates Candidates
+	Loads      Loads
+	Counters   *Counters
+
+	// CallTimeout bounds one call of the store or of an engine; 2 s by default.
+	CallTimeout time.Duration
+	// Interval is the time between two looks at all engines; 2 s by default.
+	Interval time.Duration
+	// ReadsPerSecond stretches Interval for services with many engines; 16 by default.
+	ReadsPerSecond float64
+}
+
+// Defaults of what the settings tree may leave out.
+const (
+	DefaultLease          = 10 * time.Second
+	DefaultLongestPause   = 30 * time.Second
+	DefaultLoadTimeout    = 5 * time.Minute
+	DefaultLoadsPerMinute = 6
+	DefaultLoadsAtOnce    = 2
+
+	defaultCallTimeout    = 2 * time.Second
+	defaultInterval       = 2 * time.Second
+	defaultReadsPerSecond = 16
+)
+
+func (o *Options) fill() {
+	if o.CallTimeout == 0 {
+		o.CallTimeout = defaultCallTimeout
+	}
+
+	if o.Interval == 0 {
+		o.Interval = defaultInterval
+	}
+
+	if o.ReadsPerSecond == 0 {
+		o.ReadsPerSecond = defaultReadsPerSecond
+	}
+}
+
+// filled returns the bounds of a service with the defaults in place of zeros.
+func filled(bounds configurer.Orders) configurer.Orders {
+	if bounds.Lease == 0 {
+		bounds.Lease = DefaultLease
+	}
+
+	// The store counts whole seconds.
+	bounds.Lease = time.Duration(storer.LeaseSeconds(bounds.Lease)) * time.Second
+
+	if bounds.LongestPause == 0 {
+		bounds.LongestPause = DefaultLongestPause
+	}
+
+	if bounds.LoadTimeout == 0 {
+		bounds.LoadTimeout = DefaultLoadTimeout
+	}
+
+	if bounds.LoadsPerMinute == 0 {
+		bounds.LoadsPerMinute = DefaultLoadsPerMinute
+	}
+
+	if bounds.LoadsAtOnce == 0 {
+		bounds.LoadsAtOnce = DefaultLoadsAtOnce
+	}
+
+	return bounds
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -96,6 +96,7 @@
 	m.HandleFunc("GET /cache_events", e.cacheEvents)
 	m.HandleFunc("POST /standin/switches", e.setSwitches)
 	m.HandleFunc("GET /standin/runs", e.listRuns)
+	m.HandleFunc("GET /standin/orders", e.listOrders)
 	m.HandleFunc("DELETE /standin/runs", e.clearRuns)
 	return m
 }
@@ -129,6 +130,11 @@
 	CrashAfterTokens *int     `json:"crash_after_tokens"`
 	Silent           *bool    `json:"silent"`
 	Refuse           *bool    `json:"refuse"`
+	// LateOrders makes that many orders take effect LateMS after they came.
+	LateOrders *int `json:"late_orders"`
+	LateMS     int  `json:"late_ms"`
+	// ForgetOrders puts models, adapters, role and fencing number back, as a restart does.
+	ForgetOrders bool `json:"forget_orders"`
 }
 
 func (e *Engine) setSwitches(w http.ResponseWriter, r *http.Request) {
@@ -142,6 +148,12 @@
 	if s.Silent != nil {
 		e.silent.Set(*s.Silent)
 	}
+	if s.LateOrders != nil {
+		e.orders.setLate(*s.LateOrders, time.Duration(s.LateMS)*time.Millisecond)
+	}
+	if s.ForgetOrders {
+		e.orders.forget(e.options.Models)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if s.CrashAfterTokens != nil {
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -13,6 +13,9 @@
 	supporter "quincepath.example/quincepath/internal/standin/support"
 )
 
+// keptOrders bounds the record of orders.
+const keptOrders = 4096
+
 // orders is what the orders to the engine have set. Highest never falls.
 type orders struct {
 	check   bool
@@ -23,6 +26,11 @@
 	adapters map[string]bool
 	role     string
 	highest  int64
+	refused  int
+	applied  []orderBody
+	// late orders in all are applied that long after they came.
+	late      int
+	lateDelay time.Duration
 }
 
 func newOrders(models []string, check bool) *orders {
@@ -56,6 +64,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.check && b.Fencing < o.highest {
+		o.refused++
 		return http.StatusConflict
 	}
 	switch b.Kind {
@@ -65,15 +74,70 @@
 		delete(o.models, b.Name)
 	case "load_adapter":
 		o.adapters[b.Name] = true
+	case "unload_adapter":
+		delete(o.adapters, b.Name)
 	case "set_role":
 		o.role = b.Name
 	default:
 		return http.StatusBadRequest
 	}
 	o.highest = max(o.highest, b.Fencing)
+	if len(o.applied) < keptOrders {
+		o.applied = append(o.applied, b)
+	}
 	return http.StatusOK
 }
 
+// delay takes one from the late orders.
+func (o *orders) delay() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.late == 0 {
+		return 0
+	}
+	o.late--
+	return o.lateDelay
+}
+
+// setLate makes the next orders late.
+func (o *orders) setLate(count int, delay time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.late, o.lateDelay = count, delay
+}
+
+// forget puts the orders' effects back to how the engine started, as a restart does.
+func (o *orders) forget(models []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	clear(o.models)
+	clear(o.adapters)
+	o.role, o.highest = "", 0
+	for _, m := range models {
+		o.models[m] = true
+	}
+}
+
+// ordersRecord is what the engine tells of the orders that it met.
+type ordersRecord struct {
+	// Applied has the first orders in the order in which they took effect.
+	Applied []orderBody `json:"applied"`
+	// Refused counts orders with an old fencing number.
+	Refused int `json:"refused"`
+	// Late is the number of orders that are still to be made late.
+	Late int `json:"late"`
+}
+
+func (o *orders) record() ordersRecord {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return ordersRecord{Applied: slices.Clone(o.applied), Refused: o.refused, Late: o.late}
+}
+
+func (e *Engine) listOrders(w http.ResponseWriter, _ *http.Request) {
+	supporter.WriteJSON(w, http.StatusOK, e.orders.record())
+}
+
 func (o *orders) state() stateBody {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -96,6 +160,8 @@
 	if !supporter.ReadJSON(w, r, &b) {
 		return
 	}
+	// The sleep goes on when the sender has left: an order on its way can't be called back.
+	time.Sleep(e.orders.delay())
 	switch s := e.orders.apply(b); s {
 	case http.StatusOK:
 		e.state(w, r)
