--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -32,7 +32,7 @@
 
 // Run orders until ctx ends. It gives its lease back then.
 func (o *Orderer) Run(ctx context.Context) {
-	failures := newBackOff()
+	failures := newBackOff(longestTakeDelay)
 
 	for ctx.Err() == nil {
 		service, wanted := o.wanted()
@@ -121,15 +121,18 @@
 }
 
 const (
-	firstDelay   = 500 * time.Millisecond
-	longestDelay = 30 * time.Second
+	firstDelay = 500 * time.Millisecond
+	// longestTakeDelay is the longest mean time between two attempts to take a lease.
+	longestTakeDelay = 10 * time.Second
+	// longestOrderDelay is the longest mean time between two attempts of an order.
+	longestOrderDelay = 30 * time.Second
 )
 
-// newBackOff returns delays that grow, each drawn at random around its mean.
-func newBackOff() *backoff.ExponentialBackOff {
+// newBackOff returns delays that grow, each drawn at random from half its mean to one and a half.
+func newBackOff(longest time.Duration) *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = firstDelay
-	b.MaxInterval = longestDelay
+	b.MaxInterval = longest
 
 	return b
 }
@@ -143,7 +146,7 @@
 func (o *Orderer) failed(key string) {
 	d := o.delays[key]
 	if d == nil {
-		d = &delay{backOff: newBackOff()}
+		d = &delay{backOff: newBackOff(longestOrderDelay)}
 		o.delays[key] = d
 	}
 
