--- a/internal/orderer/world_test.go
+++ b/internal/orderer/world_test.go
@@ -41,6 +41,10 @@
 	checks bool
 	// loadTime is how long a load takes to show.
 	loadTime time.Duration
+	// room is the most models that fit; 0 means any number.
+	room int
+	// hidesNumber keeps the highest number out of the state.
+	hidesNumber bool
 
 	state   orderer.State
 	took    []took
@@ -53,6 +57,10 @@
 		return orderer.ErrFenced
 	}
 
+	if order.Kind == orderer.LoadModel && e.room > 0 && len(e.state.Models) >= e.room {
+		return errors.New("no room")
+	}
+
 	e.state.HighestFencing = max(e.state.HighestFencing, number)
 	e.took = append(e.took, took{order, number, time.Now()})
 
@@ -219,6 +227,10 @@
 	s := e.state
 	s.Models, s.Adapters = nil, slices.Clone(s.Adapters)
 
+	if e.hidesNumber {
+		s.HighestFencing = 0
+	}
+
 	for _, v := range e.state.Models {
 		if e.shown(v) {
 			s.Models = append(s.Models, v)
@@ -266,6 +278,8 @@
 		do(t, func(n *node) { n.run(ctx, &group) })
 		cancel()
 		group.Wait()
+		// Calls that the store got late still end.
+		time.Sleep(time.Hour)
 	})
 }
 
