Join the orderer to the node

One orderer for each service of engines, candidate being the holder of the service's first pool, started with the node's other work and only with a platform. Counters stand under quincepath_orders among the process's variables.

--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -56,7 +56,9 @@
 
 		failures.Reset()
 		o.options.Counters.TermsTaken.Add(1)
+		o.options.Counters.Holding.Add(1)
 		o.hold(ctx, t)
+		o.options.Counters.Holding.Add(-1)
 		// After a lost term another node goes first.
 		sleep(ctx, failures.NextBackOff())
 	}
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -44,6 +45,9 @@
 	play(t, func(t *testing.T, start func(*node)) {
 		w := newWorld([]string{"v1"}, both())
 		wake := make(chan struct{})
+		resume := sync.OnceFunc(func() { close(wake) })
+		defer resume()
+
 		a, b := w.node("a"), w.node("b")
 		w.candidate["b"] = false
 
@@ -68,7 +72,7 @@
 		time.Sleep(converged)
 		checkModels(t, w, "v2")
 
-		close(wake)
+		resume()
 		time.Sleep(converged)
 
 		checkModels(t, w, "v2")
--- a/internal/orderer/types.go
+++ b/internal/orderer/types.go
@@ -109,6 +109,8 @@
 	LoadsHeldBack atomic.Int64
 	// UnloadsHeldBack counts looks at an unload that would have removed the last copy.
 	UnloadsHeldBack atomic.Int64
+	// Holding is the number of services that are ordered now.
+	Holding atomic.Int64
 	// TermsTaken counts fencing numbers taken, TermsLost leases that ended before they were given up.
 	TermsTaken atomic.Int64
 	TermsLost  atomic.Int64
@@ -190,3 +192,19 @@
 
 	return bounds
 }
+
+// Map returns the counters by their names.
+func (c *Counters) Map() map[string]int64 {
+	return map[string]int64{
+		"orders_sent":                c.Sent.Load(),
+		"orders_refused_by_fencing":  c.RefusedByFencing.Load(),
+		"orders_failed":              c.SendFailed.Load(),
+		"orders_not_sent_lease_over": c.NotSent.Load(),
+		"read_backs_differed":        c.ReadBackDiffered.Load(),
+		"loads_held_back":            c.LoadsHeldBack.Load(),
+		"unloads_held_back":          c.UnloadsHeldBack.Load(),
+		"services_held":              c.Holding.Load(),
+		"terms_taken":                c.TermsTaken.Load(),
+		"terms_lost":                 c.TermsLost.Load(),
+	}
+}
--- a/internal/orderer/world_test.go
+++ b/internal/orderer/world_test.go
@@ -275,11 +275,15 @@
 
 		var group sync.WaitGroup
 
+		// Also after a failed check: goroutines left behind would end the whole run by a panic.
+		defer func() {
+			cancel()
+			group.Wait()
+			// Calls that the store got late still end.
+			time.Sleep(time.Hour)
+		}()
+
 		do(t, func(n *node) { n.run(ctx, &group) })
-		cancel()
-		group.Wait()
-		// Calls that the store got late still end.
-		time.Sleep(time.Hour)
 	})
 }
 
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -38,6 +38,7 @@
 	go n.distributor.Run(n.work)
 	go n.exchangeLimits(n.work)
 	go n.pollLoads(n.work)
+	go n.orderEngines(n.work)
 
 	server := &http.Server{
 		Handler:           n.whileAccepting(n.callerRoutes()),
--- /dev/null
+++ b/internal/server/orders.go
@@ -0,0 +1,201 @@
+package server
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/dgryski/go-rendezvous"
+	"github.com/go-resty/resty/v2"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/orderer"
+)
+
+const (
+	// ordersVariable is the key of the orderers' counters among the process's variables.
+	ordersVariable = "quincepath_orders"
+	// ordersInterval is how often new and removed services are looked for.
+	ordersInterval = time.Second
+	// staleReport is the age from which a load report says nothing any more.
+	staleReport = 5 * time.Second
+	// maxStateBytes bounds what an engine may say of its state.
+	maxStateBytes = 1 << 20
+)
+
+// orderCounters are shared by all nodes of a process: expvar takes each name only once.
+var orderCounters = sync.OnceValue(func() *orderer.Counters {
+	counters := new(orderer.Counters)
+	expvar.Publish(ordersVariable, expvar.Func(func() any { return counters.Map() }))
+
+	return counters
+})
+
+// orderEngines runs an orderer for each service of engines until ctx ends.
+// Without a platform there is no lease, and nobody orders.
+func (n *Node) orderEngines(ctx context.Context) {
+	if n.store == nil {
+		return
+	}
+
+	engines := newEngineOrders(n.settings.Upstreams.BearerKey)
+	running := make(map[string]context.CancelFunc)
+	ticker := time.NewTicker(ordersInterval)
+
+	defer ticker.Stop()
+
+	for {
+		n.startOrderers(ctx, engines, running)
+
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) startOrderers(ctx context.Context, engines orderer.Engines, running map[string]context.CancelFunc) {
+	services := n.tree.Snapshot().Services
+
+	for name, stop := range running {
+		if services[name].Kind != configurer.KindEngine {
+			stop()
+			delete(running, name)
+		}
+	}
+
+	for name, service := range services {
+		if service.Kind != configurer.KindEngine || running[name] != nil {
+			continue
+		}
+
+		own, stop := context.WithCancel(ctx)
+		running[name] = stop
+
+		go n.newOrderer(name, engines).Run(own)
+	}
+}
+
+func (n *Node) newOrderer(service string, engines orderer.Engines) *orderer.Orderer {
+	return orderer.New(orderer.Options{
+		Service:     service,
+		Node:        n.identity.node,
+		Incarnation: n.identity.incarnation,
+		Store:       n.store,
+		Engines:     engines,
+		Settings:    orderedServices{n.tree},
+		Candidates:  ordererCandidates{n},
+		Loads:       reportedLoads{n.upstreams},
+		Counters:    orderCounters(),
+	})
+}
+
+// orderedServices implements orderer.Settings.
+type orderedServices struct {
+	tree *settingsHolder
+}
+
+func (o orderedServices) Service(name string) (configurer.Service, bool) {
+	service, ok := o.tree.Snapshot().Services[name]
+
+	return service, ok
+}
+
+// ordererCandidates implements orderer.Candidates: the holder of a service's first pool is the one.
+type ordererCandidates struct {
+	node *Node
+}
+
+func (o ordererCandidates) Candidate(service string) bool {
+	if o.node.router != nil {
+		holders := o.node.router.HoldersOf(service)
+
+		return len(holders) > 0 && holders[0] == o.node.identity.node
+	}
+
+	live := o.node.members.Live()
+
+	return len(live) > 0 && rendezvous.New(live, xxhash.Sum64String).Lookup(service) == o.node.identity.node
+}
+
+// reportedLoads implements orderer.Loads by the engines' load reports, which count the requests of all nodes.
+type reportedLoads struct {
+	upstreams *upstreamTable
+}
+
+// Running counts an upstream without a fresh report as busy.
+func (r reportedLoads) Running(upstream configurer.Upstream) int {
+	row := r.upstreams.row(upstream.Address)
+	if time.Since(row.reportedAt) > staleReport {
+		return max(row.inFlight, 1)
+	}
+
+	return max(row.inFlight, row.load)
+}
+
+// engineOrders implements orderer.Engines over the engines' HTTP interface.
+type engineOrders struct {
+	client *resty.Client
+}
+
+// engineOrder is the body of POST /orders.
+type engineOrder struct {
+	Kind    string `json:"kind"`
+	Name    string `json:"name"`
+	Fencing int64  `json:"fencing"`
+}
+
+// engineState is the answer of GET /state.
+type engineState struct {
+	Models         []string `json:"models"`
+	Adapters       []string `json:"adapters"`
+	Role           string   `json:"role"`
+	HighestFencing int64    `json:"highest_fencing"`
+}
+
+func newEngineOrders(bearerKey string) engineOrders {
+	client := resty.New().SetResponseBodyLimit(maxStateBytes)
+	if bearerKey != "" {
+		client.SetAuthToken(bearerKey)
+	}
+
+	return engineOrders{client: client}
+}
+
+func (e engineOrders) State(ctx context.Context, upstream configurer.Upstream) (orderer.State, error) {
+	var state engineState
+
+	response, err := e.client.R().SetContext(ctx).SetResult(&state).Get(upstream.Address + "/state")
+	if err != nil {
+		return orderer.State{}, errors.Wrap(err, "read the engine's state")
+	}
+
+	if response.IsError() {
+		return orderer.State{}, errors.Newf("read the engine's state: status %d", response.StatusCode())
+	}
+
+	return orderer.State(state), nil
+}
+
+func (e engineOrders) Send(ctx context.Context, upstream configurer.Upstream, order orderer.Order, number int64) error {
+	body := engineOrder{Kind: string(order.Kind), Name: order.Name, Fencing: number}
+
+	response, err := e.client.R().SetContext(ctx).SetBody(body).Post(upstream.Address + "/orders")
+	if err != nil {
+		return errors.Wrap(err, "send the order")
+	}
+
+	switch {
+	case response.StatusCode() == http.StatusConflict:
+		return orderer.ErrFenced
+	case response.IsError():
+		return errors.Newf("send the order: status %d", response.StatusCode())
+	}
+
+	return nil
+}
