Order engines also when the orderer is frozen in a fleet of two nodes

A process-level test froze the orderer of two nodes: the other one only doubted it, since nobody could confirm, stayed no candidate, and nobody ordered for as long as the test waited (30 s, twice). A doubted node no longer counts as candidate; the lease decides between two. The same runs showed an engine emptied of its old model after a load that timed out.

--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -17,6 +17,8 @@
 	loads   *loadLimiter
 	// delays holds back orders that failed, by upstream and order.
 	delays map[string]*delay
+	// swapping names the upstream that may unload before it loads; empty means that any may.
+	swapping string
 	// takes counts attempts to take a number.
 	takes int
 	// floor is the highest fencing number that any engine has shown.
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -444,3 +444,30 @@
 		checkModels(t, w, "v2")
 	})
 }
+
+// Symptom: one server after the other stops serving although nothing was taken from service.
+// Events: an operator mistypes the name of a new model; no engine can load it.
+// Cause: each engine makes room for what never comes.
+func TestModelThatCannotBeLoadedEmptiesOneEngine(t *testing.T) {
+	play(t, func(t *testing.T, start func(*node)) {
+		engines := map[string]*fakeEngine{}
+		for _, name := range []string{"e1", "e2", "e3", "e4"} {
+			engines[name] = &fakeEngine{checks: true, room: 1, state: orderer.State{Models: []string{"v1"}}, unknown: "typo"}
+		}
+
+		w := newWorld([]string{"typo"}, engines)
+		start(w.node("a"))
+		time.Sleep(time.Hour)
+
+		left := 0
+		for name := range engines {
+			left += len(w.models(name))
+		}
+
+		assert.Equal(t, left, 3)
+
+		w.desire("v2")
+		time.Sleep(10 * time.Minute)
+		checkModels(t, w, "v2")
+	})
+}
--- a/internal/orderer/planner.go
+++ b/internal/orderer/planner.go
@@ -1,6 +1,7 @@
 package orderer
 
 import (
+	"context"
 	"slices"
 
 	"quincepath.example/quincepath/internal/configurer"
@@ -133,7 +134,7 @@
 }
 
 // plan returns at most one order for each engine.
-func (p *planner) plan(t *term) []planned {
+func (p *planner) plan(ctx context.Context, t *term) []planned {
 	var due []planned
 
 	for _, e := range p.engines {
@@ -142,7 +143,7 @@
 			continue
 		}
 
-		if next, ok := p.next(t, e); ok {
+		if next, ok := p.next(ctx, t, e); ok {
 			due = append(due, next)
 		}
 	}
@@ -150,7 +151,10 @@
 	return due
 }
 
-func (p *planner) next(t *term, e engine) (planned, bool) {
+func (p *planner) next(ctx context.Context, t *term, e engine) (planned, bool) {
+	// lacking means that a load has failed.
+	lacking := false
+
 	for _, order := range e.differences() {
 		next := planned{engine: e, order: order}
 
@@ -161,10 +165,11 @@
 		// An order that fails does not hold back the next: an engine without room for a
 		// new model has to unload the old one first.
 		if p.orderer.delayed(next.key()) {
+			lacking = lacking || order.loads()
 			continue
 		}
 
-		if order.unloads() && !p.mayUnload(e, order) {
+		if order.unloads() && !(p.maySwap(e, lacking) && p.mayUnload(ctx, e, order)) {
 			p.orderer.options.Counters.UnloadsHeldBack.Add(1)
 			continue
 		}
@@ -201,11 +206,50 @@
 	return next, !p.orderer.delayed(next.key())
 }
 
+// maySwap lets only one engine at a time unload before what it is to hold instead is loaded.
+// Otherwise a mistyped model that no engine can load would empty one engine after the other of
+// the model that serves, down to the last copy.
+func (p *planner) maySwap(e engine, lacking bool) bool {
+	if !lacking {
+		return true
+	}
+
+	if p.orderer.swapping == "" {
+		p.orderer.swapping = e.upstream.Name
+	}
+
+	return p.orderer.swapping == e.upstream.Name
+}
+
+// endSwap lets the next engine unload first once the one that did has all that it is to hold.
+func (o *Orderer) endSwap(service configurer.Service, engines []engine) {
+	upstream, ok := service.Upstreams[o.swapping]
+	if !ok || upstream.Leaving {
+		o.swapping = ""
+	}
+
+	for _, e := range engines {
+		if e.upstream.Name == o.swapping && !slices.ContainsFunc(e.differences(), Order.loads) {
+			o.swapping = ""
+		}
+	}
+}
+
+// busy says whether requests may run on an upstream.
+func (o *Orderer) busy(ctx context.Context, upstream configurer.Upstream) bool {
+	call, cancel := context.WithTimeout(ctx, o.options.CallTimeout)
+	defer cancel()
+
+	running, err := o.options.Engines.Running(call, upstream)
+
+	return err != nil || running > 0
+}
+
 // mayUnload refuses to remove the last copy of what is still desired somewhere or may still be
 // asked for. Requests in flight can't be told apart by model, so any request counts.
-func (p *planner) mayUnload(e engine, order Order) bool {
+func (p *planner) mayUnload(ctx context.Context, e engine, order Order) bool {
 	last := p.copies[order] <= 1
-	if last && (p.desired[order] || p.orderer.options.Loads.Running(e.upstream) > 0) {
+	if last && (p.desired[order] || p.orderer.busy(ctx, e.upstream)) {
 		return false
 	}
 
--- a/internal/orderer/reconciler.go
+++ b/internal/orderer/reconciler.go
@@ -38,7 +38,9 @@
 	o.loads.setBounds(bounds)
 	o.closeLoads(bounds, engines)
 
-	due := o.newPlanner(service, engines).plan(t)
+	o.endSwap(service, engines)
+
+	due := o.newPlanner(service, engines).plan(ctx, t)
 	outcomes := make([]outcome, len(due))
 
 	atOnce(len(due), func(i int) { outcomes[i] = o.carryOut(ctx, t, due[i]) })
--- a/internal/orderer/types.go
+++ b/internal/orderer/types.go
@@ -64,6 +64,8 @@
 // Engines reads engines and sends them orders.
 type Engines interface {
 	State(ctx context.Context, upstream configurer.Upstream) (State, error)
+	// Running returns the number of requests that run or wait at the engine, all nodes' together.
+	Running(ctx context.Context, upstream configurer.Upstream) (int, error)
 	// Send returns ErrFenced for an order that the engine refused for its number.
 	// Any other error leaves open whether the order takes effect, now or later.
 	Send(ctx context.Context, upstream configurer.Upstream, order Order, number int64) error
@@ -90,11 +92,6 @@
 	Candidate(service string) bool
 }
 
-// Loads tells how many requests run on an upstream, as far as this node knows.
-type Loads interface {
-	Running(upstream configurer.Upstream) int
-}
-
 // Counters count what orderers do. They may be shared.
 type Counters struct {
 	// Sent counts orders that left, RefusedByFencing those of them that an engine refused for the number.
@@ -127,7 +124,6 @@
 	Engines    Engines
 	Settings   Settings
 	Candidates Candidates
-	Loads      Loads
 	Counters   *Counters
 
 	// CallTimeout bounds one call of the store or of an engine; 2 s by default.
--- a/internal/orderer/world_test.go
+++ b/internal/orderer/world_test.go
@@ -43,6 +43,8 @@
 	loadTime time.Duration
 	// room is the most models that fit; 0 means any number.
 	room int
+	// unknown is a model that can't be loaded.
+	unknown string
 	// hidesNumber keeps the highest number out of the state.
 	hidesNumber bool
 
@@ -57,7 +59,7 @@
 		return orderer.ErrFenced
 	}
 
-	if order.Kind == orderer.LoadModel && e.room > 0 && len(e.state.Models) >= e.room {
+	if order.Kind == orderer.LoadModel && (order.Name == e.unknown || e.room > 0 && len(e.state.Models) >= e.room) {
 		return errors.New("no room")
 	}
 
@@ -92,7 +94,7 @@
 	return slices.DeleteFunc(slices.Clone(names), func(v string) bool { return v == name })
 }
 
-// world is a store, engines, settings and the nodes that order. It is the Settings and Loads of all nodes.
+// world is a store, engines, settings and the nodes that order. It is the Settings of all nodes.
 type world struct {
 	store *keeper.Store
 
@@ -135,11 +137,11 @@
 	return s, true
 }
 
-func (w *world) Running(upstream configurer.Upstream) int {
+func (w *world) Running(_ context.Context, upstream configurer.Upstream) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	return w.running[upstream.Name]
+	return w.running[upstream.Name], nil
 }
 
 func (w *world) change(do func()) {
@@ -204,7 +206,7 @@
 	})
 	o := orderer.New(orderer.Options{
 		Service: service, Node: n.name, Incarnation: "1", Store: local, Engines: n, Settings: n.world,
-		Candidates: n, Loads: n.world, Counters: &n.counters,
+		Candidates: n, Counters: &n.counters,
 	})
 
 	group.Go(func() { o.Run(ctx) })
--- a/internal/server/orders.go
+++ b/internal/server/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/orderer"
+	"quincepath.example/quincepath/internal/prober"
 )
 
 const (
@@ -21,8 +23,6 @@
 	ordersVariable = "quincepath_orders"
 	// ordersInterval is how often new and removed services are looked for.
 	ordersInterval = time.Second
-	// staleReport is the age from which a load report says nothing any more.
-	staleReport = 5 * time.Second
 	// maxStateBytes bounds what an engine may say of its state.
 	maxStateBytes = 1 << 20
 )
@@ -89,8 +89,7 @@
 		Store:       n.store,
 		Engines:     engines,
 		Settings:    orderedServices{n.tree},
-		Candidates:  ordererCandidates{n},
-		Loads:       reportedLoads{n.upstreams},
+		Candidates:  ordererCandidates{members: n.members, self: n.identity.node},
 		Counters:    orderCounters(),
 	})
 }
@@ -106,36 +105,26 @@
 	return service, ok
 }
 
-// ordererCandidates implements orderer.Candidates: the holder of a service's first pool is the one.
+// ordererCandidates implements orderer.Candidates: as long as all nodes answer, the holder of a
+// service's first pool is the one. A node that is doubted may be frozen with others unable to
+// confirm it, as with two nodes; nobody would order until it wakes. Hence the next one tries as
+// well, and the lease decides.
 type ordererCandidates struct {
-	node *Node
+	members *members
+	self    string
 }
 
 func (o ordererCandidates) Candidate(service string) bool {
-	if o.node.router != nil {
-		holders := o.node.router.HoldersOf(service)
+	view := o.members.view.Load()
+	nodes := slices.Clone(view.live)
 
-		return len(holders) > 0 && holders[0] == o.node.identity.node
-	}
-
-	live := o.node.members.Live()
-
-	return len(live) > 0 && rendezvous.New(live, xxhash.Sum64String).Lookup(service) == o.node.identity.node
-}
-
-// reportedLoads implements orderer.Loads by the engines' load reports, which count the requests of all nodes.
-type reportedLoads struct {
-	upstreams *upstreamTable
-}
-
-// Running counts an upstream without a fresh report as busy.
-func (r reportedLoads) Running(upstream configurer.Upstream) int {
-	row := r.upstreams.row(upstream.Address)
-	if time.Since(row.reportedAt) > staleReport {
-		return max(row.inFlight, 1)
+	for _, member := range view.all {
+		if member.State != prober.Live {
+			nodes = slices.DeleteFunc(nodes, func(name string) bool { return name == member.Name })
+		}
 	}
 
-	return max(row.inFlight, row.load)
+	return len(nodes) > 0 && rendezvous.New(nodes, xxhash.Sum64String).Lookup(service) == o.self
 }
 
 // engineOrders implements orderer.Engines over the engines' HTTP interface.
@@ -170,7 +159,7 @@
 func (e engineOrders) State(ctx context.Context, upstream configurer.Upstream) (orderer.State, error) {
 	var state engineState
 
-	response, err := e.client.R().SetContext(ctx).SetResult(&state).Get(upstream.Address + "/state")
+	response, err := e.client.R().SetContext(ctx).SetResult(&state).ForceContentType("application/json").Get(upstream.Address + "/state")
 	if err != nil {
 		return orderer.State{}, errors.Wrap(err, "read the engine's state")
 	}
@@ -182,6 +171,22 @@
 	return orderer.State(state), nil
 }
 
+// Running reads the engine's own load report, which counts the requests of all nodes and lags.
+func (e engineOrders) Running(ctx context.Context, upstream configurer.Upstream) (int, error) {
+	var report loadReport
+
+	response, err := e.client.R().SetContext(ctx).SetResult(&report).ForceContentType("application/json").Get(upstream.Address + "/load")
+	if err != nil {
+		return 0, errors.Wrap(err, "read the engine's load")
+	}
+
+	if response.IsError() {
+		return 0, errors.Newf("read the engine's load: status %d", response.StatusCode())
+	}
+
+	return report.Running + report.Waiting, nil
+}
+
 func (e engineOrders) Send(ctx context.Context, upstream configurer.Upstream, order orderer.Order, number int64) error {
 	body := engineOrder{Kind: string(order.Kind), Name: order.Name, Fencing: number}
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -130,9 +130,8 @@
 	CrashAfterTokens *int     `json:"crash_after_tokens"`
 	Silent           *bool    `json:"silent"`
 	Refuse           *bool    `json:"refuse"`
-	// LateOrders makes that many orders take effect LateMS after they came.
-	LateOrders *int `json:"late_orders"`
-	LateMS     int  `json:"late_ms"`
+	// HoldOrders makes that many of the next orders wait; 0 releases those that wait.
+	HoldOrders *int `json:"hold_orders"`
 	// ForgetOrders puts models, adapters, role and fencing number back, as a restart does.
 	ForgetOrders bool `json:"forget_orders"`
 }
@@ -148,8 +147,8 @@
 	if s.Silent != nil {
 		e.silent.Set(*s.Silent)
 	}
-	if s.LateOrders != nil {
-		e.orders.setLate(*s.LateOrders, time.Duration(s.LateMS)*time.Millisecond)
+	if s.HoldOrders != nil {
+		e.orders.hold(*s.HoldOrders)
 	}
 	if s.ForgetOrders {
 		e.orders.forget(e.options.Models)
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -1,6 +1,7 @@
 package generator
 
 import (
+	"context"
 	"maps"
 	"net/http"
 	"slices"
@@ -28,9 +29,9 @@
 	highest  int64
 	refused  int
 	applied  []orderBody
-	// late orders in all are applied that long after they came.
-	late      int
-	lateDelay time.Duration
+	// toHold is how many of the next orders wait for the gate.
+	toHold int
+	gate   supporter.Gate
 }
 
 func newOrders(models []string, check bool) *orders {
@@ -88,22 +89,27 @@
 	return http.StatusOK
 }
 
-// delay takes one from the late orders.
-func (o *orders) delay() time.Duration {
+// wait holds an order back until it is released, also when its sender has left:
+// an order on its way can't be called back.
+func (o *orders) wait() {
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.late == 0 {
-		return 0
+	hold := o.toHold > 0
+	if hold {
+		o.toHold--
+	}
+	o.mu.Unlock()
+	if hold {
+		// The background never ends, so that there is no error.
+		_ = o.gate.Pass(context.Background())
 	}
-	o.late--
-	return o.lateDelay
 }
 
-// setLate makes the next orders late.
-func (o *orders) setLate(count int, delay time.Duration) {
+// hold makes the next orders wait.
+func (o *orders) hold(count int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.late, o.lateDelay = count, delay
+	o.toHold = count
+	o.gate.Set(count > 0)
 }
 
 // forget puts the orders' effects back to how the engine started, as a restart does.
@@ -124,14 +130,14 @@
 	Applied []orderBody `json:"applied"`
 	// Refused counts orders with an old fencing number.
 	Refused int `json:"refused"`
-	// Late is the number of orders that are still to be made late.
-	Late int `json:"late"`
+	// ToHold is the number of orders that are still to be held.
+	ToHold int `json:"to_hold"`
 }
 
 func (o *orders) record() ordersRecord {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return ordersRecord{Applied: slices.Clone(o.applied), Refused: o.refused, Late: o.late}
+	return ordersRecord{Applied: slices.Clone(o.applied), Refused: o.refused, ToHold: o.toHold}
 }
 
 func (e *Engine) listOrders(w http.ResponseWriter, _ *http.Request) {
@@ -160,8 +166,7 @@
 	if !supporter.ReadJSON(w, r, &b) {
 		return
 	}
-	// The sleep goes on when the sender has left: an order on its way can't be called back.
-	time.Sleep(e.orders.delay())
+	e.orders.wait()
 	switch s := e.orders.apply(b); s {
 	case http.StatusOK:
 		e.state(w, r)
