--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -14,6 +14,8 @@
 const (
 	topTier    = 1
 	lowestTier = 5
+	// patientTier is the highest tier whose requests rather start late than not.
+	patientTier = 4
 	// noServerWait is what a request is told when no server can take it.
 	noServerWait = 2 * time.Second
 )
@@ -33,6 +35,8 @@
 	// lower remembers that the class was below tier 1 when the slot was granted.
 	lower     bool
 	preempted bool
+	// extra means that the slot was above the server's limit.
+	extra bool
 	// preemptedAt is when the slot was taken back.
 	preemptedAt time.Time
 	// misses counts reports of the entry running that didn't name the grant.
@@ -140,7 +144,7 @@
 	}
 
 	if len(p.servers) < MaxServers {
-		p.servers = append(p.servers, newServer(upstream))
+		p.servers = append(p.servers, newServer(upstream, p.service.Kind))
 	}
 }
 
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -2,11 +2,16 @@
 
 import (
 	"time"
+
+	"quincepath.example/quincepath/internal/configurer"
 )
 
 // unlimited is the room of a server for tier 1 while capacity is unknown.
 const unlimited = 1 << 16
 
+// lateShare is the part of its target after which tier 1 takes a straggler.
+const lateShare = 0.5
+
 // view is the state of the servers during one call, with the matching
 // functions that look at it. They are made once, so that a decision allocates nothing for them.
 type view struct {
@@ -26,12 +31,13 @@
 	// class limits matchLower when not nil.
 	class *class
 
-	matchTop, matchExtra, matchLower func(*waiter) bool
+	matchTop, matchExtra, matchLate, matchLower func(*waiter) bool
 }
 
 func (v *view) bind() {
 	v.matchTop = func(w *waiter) bool { return v.best(w, false) != nil }
 	v.matchExtra = func(w *waiter) bool { return v.best(w, true) != nil }
+	v.matchLate = func(w *waiter) bool { return v.late(w) && v.bestOf(w, false, false) != nil }
 	v.matchLower = func(w *waiter) bool {
 		if v.class != nil && w.class != v.class {
 			return false
@@ -51,7 +57,7 @@
 		s.slow = max(s.slowness(now), 0.1)
 		open := s.open(now)
 		v.anyOpen = v.anyOpen || open
-		v.anySteady = v.anySteady || (open && s.slow <= stragglerRatio)
+		v.anySteady = v.anySteady || (open && s.steady())
 	}
 
 	v.slots = 0
@@ -67,7 +73,7 @@
 
 // straggles says whether tier 1 leaves the server to the others.
 func (v *view) straggles(s *server) bool {
-	return v.anySteady && s.slow > stragglerRatio
+	return v.anySteady && !s.steady()
 }
 
 // count reckons forLower. Headroom counts only on servers that tier 1 uses.
@@ -120,18 +126,40 @@
 }
 
 // extraRoom is the number of requests that tier 1 may add above the server's
-// limit: the engine then sets as many lower answers aside.
+// limit: the engine then sets as many lower answers aside. What lower tiers have
+// above it, by two holders at once or a limit that fell, doesn't count.
 func (v *view) extraRoom(s *server) int {
 	if !v.usable(s) {
 		return 0
 	}
 
-	return min(s.lower, v.pool.options.Oversubscribe) - max(0, s.inFlight-s.slots())
+	return min(s.lower, v.pool.options.Oversubscribe) - min(s.extra, max(0, s.inFlight-s.slots()))
 }
 
-// best returns the server that suits the request best, or nil when none has room.
-// Extra looks for room above the limit.
+// best returns the server that suits the request best, or nil when none has
+// room. Extra looks for room above the limit. Tier 1 of a plain service takes a
+// straggler before it waits: there is no lower tier that could make way.
 func (v *view) best(w *waiter, extra bool) *server {
+	top := w.class.settings.Tier == topTier
+
+	found := v.bestOf(w, extra, top)
+	if found == nil && top && v.pool.service.Kind == configurer.KindPlain {
+		found = v.bestOf(w, extra, false)
+	}
+
+	return found
+}
+
+// late says whether the waiter has spent so much of its target that a straggler is
+// better than a further wait.
+func (v *view) late(w *waiter) bool {
+	waited := v.now.Sub(w.queued) - w.request.Queued + w.request.Waited
+
+	return waited >= time.Duration(lateShare*float64(w.class.settings.Target))
+}
+
+// bestOf leaves stragglers out when steady is set.
+func (v *view) bestOf(w *waiter, extra, steady bool) *server {
 	var (
 		found *server
 		score float64
@@ -140,7 +168,7 @@
 	top := w.class.settings.Tier == topTier
 
 	for _, s := range v.pool.servers {
-		if (top && v.straggles(s)) || s.excluded(&w.request) {
+		if (steady && v.straggles(s)) || s.excluded(&w.request) {
 			continue
 		}
 
