--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"sync"
 	"time"
 
@@ -103,7 +104,7 @@
 			pause = orderPause
 		}
 
-		sleep(work, max(pause, o.stretch(service)))
+		o.rest(work, max(pause, o.stretch(service)), service)
 	}
 
 	if !t.valid() {
@@ -116,6 +117,18 @@
 	o.revoke(ctx, t.lease)
 }
 
+// rest sleeps until the next round, at most an interval longer than until what is desired changes.
+func (o *Orderer) rest(ctx context.Context, length time.Duration, service configurer.Service) {
+	for length > 0 && sleep(ctx, min(length, o.options.Interval)) {
+		length -= o.options.Interval
+
+		now, wanted := o.wanted()
+		if !wanted || !reflect.DeepEqual(now.Desired, service.Desired) || !reflect.DeepEqual(now.Upstreams, service.Upstreams) {
+			return
+		}
+	}
+}
+
 // orderPause is the time between two rounds while orders are due.
 const orderPause = 100 * time.Millisecond
 
--- a/internal/orderer/planner.go
+++ b/internal/orderer/planner.go
@@ -169,7 +169,7 @@
 			continue
 		}
 
-		if order.unloads() && !(p.maySwap(e, lacking) && p.mayUnload(ctx, e, order)) {
+		if order.unloads() && (!p.maySwap(e, lacking) || !p.mayUnload(ctx, e, order)) {
 			p.orderer.options.Counters.UnloadsHeldBack.Add(1)
 			continue
 		}
--- a/internal/orderer/types.go
+++ b/internal/orderer/types.go
@@ -130,7 +130,7 @@
 	CallTimeout time.Duration
 	// Interval is the time between two looks at all engines; 2 s by default.
 	Interval time.Duration
-	// ReadsPerSecond stretches Interval for services with many engines; 16 by default.
+	// ReadsPerSecond stretches Interval for services with many engines; 4 by default.
 	ReadsPerSecond float64
 }
 
@@ -144,7 +144,7 @@
 
 	defaultCallTimeout    = 2 * time.Second
 	defaultInterval       = 2 * time.Second
-	defaultReadsPerSecond = 16
+	defaultReadsPerSecond = 4
 )
 
 func (o *Options) fill() {
--- a/test/process/orders_test.go
+++ b/test/process/orders_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -129,10 +130,13 @@
 
 	f.nodes[frozen].signal(t, syscall.SIGSTOP)
 
+	since := time.Now()
 	other := 1 - frozen
 	f.change(t, other, "tree", "set", engineBranch, "desired.models=[third]")
 	hold(t, checks, "third")
+	t.Logf("the engine that checks was in order again %v after the freeze", time.Since(since))
 	hold(t, ignores, "third")
+	t.Logf("the engine that ignores numbers %v after it", time.Since(since))
 	assert.Equal(t, f.ordererOf(t, other), other)
 
 	// The old orders arrive now, and the old orderer wakes.
@@ -150,9 +154,12 @@
 	assert.Assert(t, !took(ordersOf(t, checks), "second"))
 	assert.Assert(t, slices.IsSortedFunc(ordersOf(t, checks).Applied, func(a, b appliedOrder) int { return int(a.Fencing - b.Fencing) }))
 
+	since = time.Now()
+
 	f.change(t, frozen, "tree", "set", engineBranch, "desired.models=[fourth]")
 	hold(t, checks, "fourth")
 	hold(t, ignores, "fourth")
+	t.Logf("both were in order %v after a change of the tree", time.Since(since))
 }
 
 // took says whether a model was loaded by an order.
