--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -130,8 +130,9 @@
 	CrashAfterTokens *int     `json:"crash_after_tokens"`
 	Silent           *bool    `json:"silent"`
 	Refuse           *bool    `json:"refuse"`
-	// HoldOrders makes that many of the next orders wait; 0 releases those that wait.
-	HoldOrders *int `json:"hold_orders"`
+	// HoldOrders makes that many of the next orders wait until ReleaseOrders.
+	HoldOrders    *int `json:"hold_orders"`
+	ReleaseOrders bool `json:"release_orders"`
 	// ForgetOrders puts models, adapters, role and fencing number back, as a restart does.
 	ForgetOrders bool `json:"forget_orders"`
 }
@@ -150,6 +151,9 @@
 	if s.HoldOrders != nil {
 		e.orders.hold(*s.HoldOrders)
 	}
+	if s.ReleaseOrders {
+		e.orders.gate.Set(false)
+	}
 	if s.ForgetOrders {
 		e.orders.forget(e.options.Models)
 	}
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -29,8 +29,9 @@
 	highest  int64
 	refused  int
 	applied  []orderBody
-	// toHold is how many of the next orders wait for the gate.
+	// toHold is how many of the next orders wait for the gate, held how many wait.
 	toHold int
+	held   int
 	gate   supporter.Gate
 }
 
@@ -96,20 +97,27 @@
 	hold := o.toHold > 0
 	if hold {
 		o.toHold--
+		o.held++
 	}
 	o.mu.Unlock()
-	if hold {
-		// The background never ends, so that there is no error.
-		_ = o.gate.Pass(context.Background())
+	if !hold {
+		return
 	}
+	// The background never ends, so that there is no error.
+	_ = o.gate.Pass(context.Background())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.held--
 }
 
-// hold makes the next orders wait.
+// hold makes the next orders wait. A count of 0 lets further ones pass, but releases none.
 func (o *orders) hold(count int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.toHold = count
-	o.gate.Set(count > 0)
+	if count > 0 {
+		o.gate.Set(true)
+	}
 }
 
 // forget puts the orders' effects back to how the engine started, as a restart does.
@@ -130,14 +138,14 @@
 	Applied []orderBody `json:"applied"`
 	// Refused counts orders with an old fencing number.
 	Refused int `json:"refused"`
-	// ToHold is the number of orders that are still to be held.
-	ToHold int `json:"to_hold"`
+	// Held is the number of orders that wait now.
+	Held int `json:"held"`
 }
 
 func (o *orders) record() ordersRecord {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return ordersRecord{Applied: slices.Clone(o.applied), Refused: o.refused, ToHold: o.toHold}
+	return ordersRecord{Applied: slices.Clone(o.applied), Refused: o.refused, Held: o.held}
 }
 
 func (e *Engine) listOrders(w http.ResponseWriter, _ *http.Request) {
--- a/test/process/orders_test.go
+++ b/test/process/orders_test.go
@@ -21,7 +21,7 @@
 type orderRecord struct {
 	Applied []appliedOrder `json:"applied"`
 	Refused int            `json:"refused"`
-	ToHold  int            `json:"to_hold"`
+	Held    int            `json:"held"`
 }
 
 type appliedOrder struct {
@@ -116,7 +116,7 @@
 
 	for _, engine := range engines {
 		hold(t, engine, "first")
-		switchOn(t, engine, map[string]any{"hold_orders": 1})
+		switchOn(t, engine, map[string]any{"hold_orders": 100})
 	}
 
 	frozen := f.ordererOf(t, 0, 1)
@@ -125,13 +125,19 @@
 	f.change(t, frozen, "tree", "set", engineBranch, "desired.models=[second]")
 
 	for _, engine := range engines {
-		waitFor(t, "the order at "+engine.name, func() bool { return ordersOf(t, engine).ToHold == 0 })
+		waitFor(t, "the order at "+engine.name, func() bool { return ordersOf(t, engine).Held > 0 })
 	}
 
 	f.nodes[frozen].signal(t, syscall.SIGSTOP)
 
 	since := time.Now()
 	other := 1 - frozen
+
+	// What has come stays on its way; what comes from now on passes.
+	for _, engine := range engines {
+		switchOn(t, engine, map[string]any{"hold_orders": 0})
+	}
+
 	f.change(t, other, "tree", "set", engineBranch, "desired.models=[third]")
 	hold(t, checks, "third")
 	t.Logf("the engine that checks was in order again %v after the freeze", time.Since(since))
@@ -141,11 +147,11 @@
 
 	// The old orders arrive now, and the old orderer wakes.
 	for _, engine := range engines {
-		switchOn(t, engine, map[string]any{"hold_orders": 0})
+		switchOn(t, engine, map[string]any{"release_orders": true})
 	}
 
 	f.nodes[frozen].signal(t, syscall.SIGCONT)
-	waitFor(t, "the old order's refusal", func() bool { return ordersOf(t, checks).Refused == 1 })
+	waitFor(t, "the old order's refusal", func() bool { return ordersOf(t, checks).Refused > 0 })
 	waitFor(t, "the old order's effect", func() bool { return took(ordersOf(t, ignores), "second") })
 	waitFor(t, "the end of the old term", func() bool { return f.orderCounts(t, frozen)["terms_lost"] == 1 })
 	hold(t, checks, "third")
