--- a/internal/scheduler/learning.go
+++ b/internal/scheduler/learning.go
@@ -21,6 +21,10 @@
 			g.server.limit = float64(g.server.upstream.Slots)
 		}
 
+		return
+	case dispatcher.ResultSuperseded:
+		p.learnSuperseded(now, g, report)
+
 		return
 	}
 
@@ -112,7 +116,9 @@
 	}
 
 	g.class.firstToken.record(report.FirstToken)
-	g.class.fast.add(now, report.FirstToken.Seconds())
+	if !g.cached {
+		g.class.fast.add(now, report.FirstToken.Seconds())
+	}
 
 	return min(gapVerdict, g.class.judge(report.FirstToken))
 }
