--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -100,6 +100,7 @@
 	m.HandleFunc("GET /cache_events", e.cacheEvents)
 	m.HandleFunc("POST /standin/switches", e.setSwitches)
 	m.HandleFunc("GET /standin/runs", e.listRuns)
+	m.HandleFunc("GET /standin/orders", e.listOrders)
 	m.HandleFunc("DELETE /standin/runs", e.clearRuns)
 	return m
 }
@@ -133,6 +134,11 @@
 	CrashAfterTokens *int     `json:"crash_after_tokens"`
 	Silent           *bool    `json:"silent"`
 	Refuse           *bool    `json:"refuse"`
+	// HoldOrders makes that many of the next orders wait until ReleaseOrders.
+	HoldOrders    *int `json:"hold_orders"`
+	ReleaseOrders bool `json:"release_orders"`
+	// ForgetOrders puts models, adapters, role and fencing number back, as a restart does.
+	ForgetOrders bool `json:"forget_orders"`
 }
 
 func (e *Engine) setSwitches(w http.ResponseWriter, r *http.Request) {
@@ -146,6 +152,15 @@
 	if s.Silent != nil {
 		e.silent.Set(*s.Silent)
 	}
+	if s.HoldOrders != nil {
+		e.orders.hold(*s.HoldOrders)
+	}
+	if s.ReleaseOrders {
+		e.orders.gate.Set(false)
+	}
+	if s.ForgetOrders {
+		e.orders.forget(e.options.Models)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if s.CrashAfterTokens != nil {
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -1,6 +1,7 @@
 package generator
 
 import (
+	"context"
 	"maps"
 	"net/http"
 	"slices"
@@ -9,6 +10,9 @@
 	supporter "quincepath.example/quincepath/internal/standin/support"
 )
 
+// keptOrders bounds the record of orders.
+const keptOrders = 4096
+
 // orders is what the orders to the engine have set. Highest never falls.
 type orders struct {
 	check   bool
@@ -19,6 +23,12 @@
 	adapters map[string]bool
 	role     string
 	highest  int64
+	refused  int
+	applied  []orderBody
+	// toHold is how many of the next orders wait for the gate, held how many wait.
+	toHold int
+	held   int
+	gate   supporter.Gate
 }
 
 func newOrders(models []string, check bool) *orders {
@@ -52,6 +62,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.check && b.Fencing < o.highest {
+		o.refused++
 		return http.StatusConflict
 	}
 	switch b.Kind {
@@ -61,15 +72,82 @@
 		delete(o.models, b.Name)
 	case "load_adapter":
 		o.adapters[b.Name] = true
+	case "unload_adapter":
+		delete(o.adapters, b.Name)
 	case "set_role":
 		o.role = b.Name
 	default:
 		return http.StatusBadRequest
 	}
 	o.highest = max(o.highest, b.Fencing)
+	if len(o.applied) < keptOrders {
+		o.applied = append(o.applied, b)
+	}
 	return http.StatusOK
 }
 
+// wait holds an order back until it is released, also when its sender has left:
+// an order on its way can't be called back.
+func (o *orders) wait() {
+	o.mu.Lock()
+	hold := o.toHold > 0
+	if hold {
+		o.toHold--
+		o.held++
+	}
+	o.mu.Unlock()
+	if !hold {
+		return
+	}
+	// The background never ends, so that there is no error.
+	_ = o.gate.Pass(context.Background())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.held--
+}
+
+// hold makes the next orders wait. A count of 0 lets further ones pass, but releases none.
+func (o *orders) hold(count int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.toHold = count
+	if count > 0 {
+		o.gate.Set(true)
+	}
+}
+
+// forget puts the orders' effects back to how the engine started, as a restart does.
+func (o *orders) forget(models []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	clear(o.models)
+	clear(o.adapters)
+	o.role, o.highest = "", 0
+	for _, m := range models {
+		o.models[m] = true
+	}
+}
+
+// ordersRecord is what the engine tells of the orders that it met.
+type ordersRecord struct {
+	// Applied has the first orders in the order in which they took effect.
+	Applied []orderBody `json:"applied"`
+	// Refused counts orders with an old fencing number.
+	Refused int `json:"refused"`
+	// Held is the number of orders that wait now.
+	Held int `json:"held"`
+}
+
+func (o *orders) record() ordersRecord {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return ordersRecord{Applied: slices.Clone(o.applied), Refused: o.refused, Held: o.held}
+}
+
+func (e *Engine) listOrders(w http.ResponseWriter, _ *http.Request) {
+	supporter.WriteJSON(w, http.StatusOK, e.orders.record())
+}
+
 func (o *orders) state() stateBody {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -92,6 +170,7 @@
 	if !supporter.ReadJSON(w, r, &b) {
 		return
 	}
+	e.orders.wait()
 	switch s := e.orders.apply(b); s {
 	case http.StatusOK:
 		e.state(w, r)
