Choose limit owners and tree watchers by one package

Each of limiter (twice) and distributor built its own rendezvous table with its own hash and its own handling of 'no nodes' and 'same nodes as before'; a reader had to check that all three agree. chooser does that one job: New, Among (keeps the table while the nodes are the same), Choose, Several. limiter no longer keeps a second copy of the node list; distributor no longer has its own 'remove'. Refused() copies by maps.Clone.

The library's own Remove was looked at for Several and ruled out: it indexes past the end of its slice (r.nstr[l], l == len), so a table is made anew.

--- a/internal/distributor/watcher.go
+++ b/internal/distributor/watcher.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"github.com/dgryski/go-rendezvous"
 
+	"quincepath.example/quincepath/internal/chooser"
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/storer"
 )
@@ -32,27 +32,9 @@
 		}
 	}
 
-	for range watchersPerDomain {
-		chosen := rendezvous.New(names, xxhash.Sum64String).Lookup("tree-watcher/" + self.FailureDomain)
-		if chosen == self.Name {
-			return true
-		}
-
-		names = remove(names, chosen)
-	}
-
-	return false
-}
-
-func remove(names []string, name string) []string {
-	kept := make([]string, 0, len(names))
-	for _, v := range names {
-		if v != name {
-			kept = append(kept, v)
-		}
-	}
+	watchers := chooser.New(names).Several("tree-watcher/"+self.FailureDomain, watchersPerDomain)
 
-	return kept
+	return slices.Contains(watchers, self.Name)
 }
 
 // keepRole watches the store for as long as this node is a watcher. The role is kept a few
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -1,13 +1,11 @@
 package limiter
 
 import (
-	"slices"
+	"maps"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
-
+	"quincepath.example/quincepath/internal/chooser"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
@@ -21,14 +19,14 @@
 
 	mu      sync.Mutex
 	view    view
-	nodes   []string
-	owners  *rendezvous.Rendezvous
+	owners  *chooser.Chooser
 	entries map[Key]*entry
 	// refused counts refusals by result code.
 	refused map[classifier.Code]int64
 }
 
-// New returns a limiter without any share until SetNodes names the live nodes. The incarnation must differ between two lives of a node.
+// New returns a limiter without any share until SetNodes names the live nodes.
+// The incarnation must differ between two lives of a node.
 func New(options Options, source Source, self string, incarnation uint64) *Limiter {
 	options = options.withDefaults()
 
@@ -38,7 +36,7 @@
 		self:        self,
 		incarnation: incarnation,
 		view:        view{options: options},
-		owners:      rendezvous.New([]string{self}, xxhash.Sum64String),
+		owners:      chooser.New([]string{self}),
 		entries:     make(map[Key]*entry),
 		refused:     make(map[classifier.Code]int64),
 	}
@@ -59,16 +57,17 @@
 	defer l.mu.Unlock()
 
 	division := newDivision(l.options, len(live), known)
-	if slices.Equal(l.nodes, live) && division == l.view.current {
+	owners := l.owners.Among(live)
+
+	if owners == l.owners && division == l.view.current {
 		return
 	}
 
-	l.nodes = slices.Clone(live)
+	l.owners = owners
 	l.view.set(now, division)
-	l.owners = rendezvous.New(live, xxhash.Sum64String)
 
 	for key, e := range l.entries {
-		e.owner = l.owners.Lookup(key.text())
+		e.owner = l.owners.Choose(key.text())
 	}
 }
 
@@ -122,12 +121,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	counts := make(map[classifier.Code]int64, len(l.refused))
-	for code, count := range l.refused {
-		counts[code] = count
-	}
-
-	return counts
+	return maps.Clone(l.refused)
 }
 
 // Allowed returns the share that the node has of a limit now.
@@ -153,7 +147,7 @@
 		}
 
 		e = newEntry(now, limits, &l.view)
-		e.owner = l.owners.Lookup(key.text())
+		e.owner = l.owners.Choose(key.text())
 		l.entries[key] = e
 	}
 
--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -6,8 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
+	"quincepath.example/quincepath/internal/chooser"
 )
 
 // Owner lends out the limits that this node owns. It is safe for concurrent use.
@@ -23,10 +22,9 @@
 	self    string
 
 	mu      sync.Mutex
-	nodes   []string
 	known   int
 	view    view
-	owners  *rendezvous.Rendezvous
+	owners  *chooser.Chooser
 	changed time.Time
 	books   map[Key]*book
 }
@@ -40,7 +38,7 @@
 		source:  source,
 		self:    self,
 		view:    view{options: options},
-		owners:  rendezvous.New(nil, xxhash.Sum64String),
+		owners:  chooser.New(nil),
 		changed: now,
 		books:   make(map[Key]*book),
 	}
@@ -52,14 +50,15 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 
-	if slices.Equal(o.nodes, live) && o.known == known {
+	owners := o.owners.Among(live)
+
+	if owners == o.owners && o.known == known {
 		return
 	}
 
-	o.nodes = slices.Clone(live)
+	o.owners = owners
 	o.known = known
 	o.view.set(now, newDivision(o.options, len(live), known))
-	o.owners = rendezvous.New(o.nodes, xxhash.Sum64String)
 	o.changed = now
 
 	for key := range o.books {
@@ -70,7 +69,7 @@
 }
 
 func (o *Owner) owns(key Key) bool {
-	return len(o.nodes) > 0 && o.owners.Lookup(key.text()) == o.self
+	return o.owners.Choose(key.text()) == o.self
 }
 
 // Report takes a node's demand and returns its loan. It returns false when this
