Use the standard library for sorted keys, copies and comparisons

scheduler.sortedKeys, configurer.keysOf, lister.contains and a copy loop of ejector each wrapped one call of maps or slices under a name of their own, and two sorts compared by subtracting integers. Their places now read slices.Sorted(maps.Keys(...)), maps.Clone, slices.Contains and cmp.Compare.

Behaviour is unchanged: go test of scheduler, lister, ejector and configurer passes before and after.

--- a/internal/configurer/change.go
+++ b/internal/configurer/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -111,7 +112,7 @@
 		changes = append(changes, c)
 	}
 
-	slices.SortFunc(changes, func(a, b Change) int { return int(b.Revision - a.Revision) })
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(b.Revision, a.Revision) })
 
 	return changes, nil
 }
--- a/internal/configurer/resolver.go
+++ b/internal/configurer/resolver.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"reflect"
 	"slices"
 	"strings"
@@ -222,7 +223,7 @@
 func (t *tree) err() error {
 	var lines []string
 
-	for _, v := range slices.Sorted(keysOf(t.problems)) {
+	for _, v := range slices.Sorted(maps.Keys(t.problems)) {
 		lines = append(lines, checker.Lines(shown(v), t.problems[v])...)
 	}
 
--- a/internal/configurer/service.go
+++ b/internal/configurer/service.go
@@ -1,7 +1,6 @@
 package configurer
 
 import (
-	"iter"
 	"maps"
 	"slices"
 	"strings"
@@ -9,10 +8,6 @@
 	"quincepath.example/quincepath/internal/checker"
 )
 
-func keysOf[V any](from map[string]V) iter.Seq[string] {
-	return maps.Keys(from)
-}
-
 // isService reports whether the branch serves requests: it sets kind itself, and has
 // upstreams, of its own or inherited. A branch that merely inherits a kind is a template or a group.
 func (t *tree) isService(path string) bool {
@@ -99,7 +94,7 @@
 
 	level := merged.child("levels").child(named.text)
 	if level == nil {
-		known := slices.Sorted(keysOf(merged.child("levels").all()))
+		known := slices.Sorted(maps.Keys(merged.child("levels").all()))
 		t.addAt(named, "classes.%s.level is %q; name one of the service levels: %s", name, named.text, strings.Join(known, ", "))
 
 		return plain
@@ -163,7 +158,7 @@
 
 	t.checked[organisations] = true
 
-	for _, k := range slices.Sorted(keysOf(service.Organisations)) {
+	for _, k := range slices.Sorted(maps.Keys(service.Organisations)) {
 		v := service.Organisations[k]
 		t.checkMissing(service, organisations.child(k), []string{"organisations", k}, v)
 		t.checkHashes(v, organisations.child(k))
--- a/internal/ejector/ejector.go
+++ b/internal/ejector/ejector.go
@@ -4,6 +4,7 @@
 package ejector
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -171,12 +172,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
-	counts := make(map[string]int64, len(e.counts))
-	for name, count := range e.counts {
-		counts[name] = count
-	}
-
-	return counts
+	return maps.Clone(e.counts)
 }
 
 // find returns the pool and the member with its state brought up to now, or nil.
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -171,7 +171,7 @@
 			break
 		}
 
-		if c.Suspect || !fits(c) || contains(chosen, c) {
+		if c.Suspect || !fits(c) || slices.Contains(chosen, c) {
 			continue
 		}
 
@@ -193,7 +193,7 @@
 	// Suspects rank behind: they must not take their domain's place from a node that answers.
 	for _, suspect := range []bool{false, true} {
 		for _, c := range candidates {
-			if c.Suspect != suspect || contains(chosen, c) {
+			if c.Suspect != suspect || slices.Contains(chosen, c) {
 				continue
 			}
 
@@ -214,10 +214,6 @@
 	return rest
 }
 
-func contains(list []*candidate, c *candidate) bool {
-	return slices.Contains(list, c)
-}
-
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- a/internal/scheduler/adopting.go
+++ b/internal/scheduler/adopting.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -133,7 +135,7 @@
 		}
 	}
 
-	slices.SortFunc(found, func(a, b *grant) int { return int(a.order) - int(b.order) })
+	slices.SortFunc(found, func(a, b *grant) int { return cmp.Compare(a.order, b.order) })
 
 	return found
 }
@@ -193,5 +195,5 @@
 		entries[w.request.Entry] = true
 	}
 
-	return sortedKeys(entries)
+	return slices.Sorted(maps.Keys(entries))
 }
--- a/internal/scheduler/hints_test.go
+++ b/internal/scheduler/hints_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -42,7 +44,7 @@
 		service := testService(count, rapid.IntRange(1, 4).Draw(t, "slots"))
 		hints := fixedHints{}
 
-		for _, name := range sortedKeys(service.Upstreams) {
+		for _, name := range slices.Sorted(maps.Keys(service.Upstreams)) {
 			upstream := service.Upstreams[name]
 			upstream.Leaving = rapid.IntRange(0, 4).Draw(t, "leaving") == 0
 			service.Upstreams[name] = upstream
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -111,7 +112,7 @@
 func (p *Pool) Update(service configurer.Service) {
 	p.service = service
 
-	for _, name := range sortedKeys(service.Classes) {
+	for _, name := range slices.Sorted(maps.Keys(service.Classes)) {
 		settings := service.Classes[name]
 		settings.Tier = min(max(settings.Tier, topTier), lowestTier)
 
@@ -131,7 +132,7 @@
 		s.gone = !known
 	}
 
-	for _, name := range sortedKeys(service.Upstreams) {
+	for _, name := range slices.Sorted(maps.Keys(service.Upstreams)) {
 		p.updateServer(service.Upstreams[name])
 	}
 
@@ -317,17 +318,6 @@
 	return xxhash.Sum64String(text)
 }
 
-func sortedKeys[V any](values map[string]V) []string {
-	keys := make([]string, 0, len(values))
-	for key := range values {
-		keys = append(keys, key)
-	}
-
-	slices.Sort(keys)
-
-	return keys
-}
-
 func (g *grant) decision(kind Kind) Decision {
 	return Decision{
 		Kind:      kind,
--- a/internal/scheduler/property_test.go
+++ b/internal/scheduler/property_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -197,7 +199,7 @@
 		return
 	}
 
-	request := rapid.SampledFrom(sortedKeys(m.granted)).Draw(m.t, "request")
+	request := rapid.SampledFrom(slices.Sorted(maps.Keys(m.granted))).Draw(m.t, "request")
 	g := m.pool.grants[m.granted[request]]
 	result := rapid.SampledFrom([]dispatcher.Result{
 		dispatcher.ResultDone, dispatcher.ResultDone, dispatcher.ResultDone, dispatcher.ResultFailed, dispatcher.ResultPreempted,
@@ -208,7 +210,7 @@
 }
 
 func (m *model) cancel() {
-	ids := append(sortedKeys(m.open), sortedKeys(m.granted)...)
+	ids := append(slices.Sorted(maps.Keys(m.open)), slices.Sorted(maps.Keys(m.granted))...)
 	if len(ids) == 0 {
 		return
 	}
