Keep one field for the hand-over of a draining node

Drainer had idle and due, set in the same place and never apart, so a reader looked for the state in which one holds without the other. There is none; one field, handingOver, says it. The deadline was worked out in three places and is now in one method.

Behaviour is unchanged: go test ./internal/drainer passes before and after, with its tests untouched.

--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -80,12 +80,12 @@
 
 	mu sync.Mutex
 	// began is the time of the first signal; zero while serving.
-	began      time.Time
-	forced     bool
-	idle       bool
-	handedOver bool
-	// due says that HandOverDue has answered true once.
-	due bool
+	began time.Time
+	// forced says that a second signal came.
+	forced bool
+	// handingOver says that HandOverDue has answered true; it stays so.
+	handingOver bool
+	handedOver  bool
 }
 
 // New returns the stop of a node that serves.
@@ -150,7 +150,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	return d.began.Add(d.options.DrainTimeout), !d.began.IsZero()
+	return d.deadline(), !d.began.IsZero()
+}
+
+func (d *Drainer) deadline() time.Time {
+	return d.began.Add(d.options.DrainTimeout)
 }
 
 // HandOverDue answers true once: when new requests are refused and none is in flight.
@@ -159,12 +163,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	if d.began.IsZero() || d.forced || d.due || d.accepting(now) || inFlight > 0 {
+	if d.began.IsZero() || d.forced || d.handingOver || d.accepting(now) || inFlight > 0 {
 		return false
 	}
 
-	d.due = true
-	d.idle = true
+	d.handingOver = true
 
 	return true
 }
@@ -190,7 +193,7 @@
 		return true, ReasonSecondSignal
 	case d.handedOver && inFlight == 0:
 		return true, ReasonDrained
-	case !now.Before(d.began.Add(d.options.DrainTimeout)):
+	case !now.Before(d.deadline()):
 		return true, ReasonDeadline
 	default:
 		return false, ReasonNone
@@ -205,9 +208,9 @@
 	switch {
 	case d.began.IsZero():
 		return Serving
-	case d.forced || d.handedOver || !now.Before(d.began.Add(d.options.DrainTimeout)):
+	case d.forced || d.handedOver || !now.Before(d.deadline()):
 		return Stopped
-	case d.idle:
+	case d.handingOver:
 		return HandingOver
 	case d.accepting(now):
 		return Leaving
