Name the prober's steps by the terms of the field

vouch, bury, punish and defend were pictures that had to be read up in their bodies; they are recordLive, recordDead, penalise and answerNewsOfSelf, and defendDoubt and passOn are refute and forwardAck. begin did two things under a comment about one of them; the half that follows a freeze is recoverFromFreeze with that comment. The bounds 1.25 and 16 of the penalty have names that say what they are.

Isolated is called by tests alone, which live outside the package, so it stays.

--- a/internal/prober/member.go
+++ b/internal/prober/member.go
@@ -6,6 +6,14 @@
 	"time"
 )
 
+const (
+	// freePenalty is the penalty up to which a node that returned is not held back: that of one
+	// return, and of another when nearly all of the first has faded.
+	freePenalty = 1.25
+	// maxDoublings bounds how often the hold time is doubled.
+	maxDoublings = 16
+)
+
 // member is a peer with what only the Prober needs to know.
 type member struct {
 	Member
@@ -86,7 +94,7 @@
 	}
 
 	if m.State == Dead && state == Live && !m.toldLeaving {
-		p.punish(now, m)
+		p.penalise(now, m)
 	}
 
 	p.inState[m.State]--
@@ -100,22 +108,22 @@
 	return true
 }
 
-// punish holds a member back that dies and returns again and again.
+// penalise holds a member back that dies and returns again and again.
 //
 // A node with a bad link would come and go in the answers to callers, each time
 // with failed requests. The first return is free; each further one within the
 // half-life doubles the time for which the node must stay live before it counts.
-func (p *Prober) punish(now time.Time, m *member) {
+func (p *Prober) penalise(now time.Time, m *member) {
 	halves := now.Sub(m.penaltyAt).Seconds() / p.options.PenaltyHalfLife.Seconds()
 	m.penalty = m.penalty*math.Exp2(-halves) + 1
 	m.penaltyAt = now
 
-	if m.penalty < 1.25 {
+	if m.penalty < freePenalty {
 		return
 	}
 
 	// The exponent is bounded before the multiplication so that it can't overflow.
-	factor := math.Exp2(min(math.Round(m.penalty)-2, 16))
+	factor := math.Exp2(min(math.Round(m.penalty)-2, maxDoublings))
 	hold := time.Duration(float64(p.options.HoldTime) * max(factor, 1))
 	m.HeldUntil = now.Add(min(hold, p.options.HoldMax))
 }
--- a/internal/prober/news.go
+++ b/internal/prober/news.go
@@ -79,13 +79,13 @@
 		m.setVM(*packet.VM)
 	}
 
-	p.vouch(now, m, packet.Incarnation, packet.Digest.Leaving, true)
+	p.recordLive(now, m, packet.Incarnation, packet.Digest.Leaving, true)
 }
 
 // apply takes in news from a peer. News that is spread on goes into the own queue as well.
 func (p *Prober) apply(now time.Time, v News, spread bool) {
 	if v.Node == p.self.Name {
-		p.defend(v)
+		p.answerNewsOfSelf(v)
 
 		return
 	}
@@ -101,17 +101,17 @@
 
 	switch v.State {
 	case Live:
-		p.vouch(now, m, v.Incarnation, v.Leaving, spread)
+		p.recordLive(now, m, v.Incarnation, v.Leaving, spread)
 	case Suspect:
 		p.suspect(now, m, v.Incarnation, v.By)
 	case Dead:
-		p.bury(now, m, v, spread)
+		p.recordDead(now, m, v, spread)
 	case Unknown:
 	}
 }
 
-// vouch records that a member lives in an incarnation. A doubt of the same incarnation outweighs it.
-func (p *Prober) vouch(now time.Time, m *member, incarnation int64, leaving, spread bool) {
+// recordLive records that a member lives in an incarnation. A doubt of the same incarnation outweighs it.
+func (p *Prober) recordLive(now time.Time, m *member, incarnation int64, leaving, spread bool) {
 	if incarnation < m.Incarnation {
 		return
 	}
@@ -136,8 +136,8 @@
 	}
 }
 
-// bury records that a peer holds a member for dead.
-func (p *Prober) bury(now time.Time, m *member, v News, spread bool) {
+// recordDead records that a peer holds a member for dead.
+func (p *Prober) recordDead(now time.Time, m *member, v News, spread bool) {
 	if v.Incarnation < m.Incarnation {
 		return
 	}
@@ -149,8 +149,8 @@
 	}
 }
 
-// defend answers news about this node itself.
-func (p *Prober) defend(v News) {
+// answerNewsOfSelf answers news about this node itself.
+func (p *Prober) answerNewsOfSelf(v News) {
 	if v.State == Live {
 		if v.Incarnation > p.self.Incarnation {
 			p.raiseIncarnation(v.Incarnation)
@@ -159,7 +159,7 @@
 		return
 	}
 
-	p.defendDoubt(v.Incarnation)
+	p.refute(v.Incarnation)
 }
 
 func (p *Prober) enqueueSelf() {
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -122,7 +122,7 @@
 		return p.takeOutbox(), p.takeChanges(), false
 	}
 
-	p.defendDoubt(packet.Doubt)
+	p.refute(packet.Doubt)
 
 	for _, v := range packet.News {
 		p.apply(now, v, packet.Kind != KindSyncReply)
--- a/internal/prober/probing.go
+++ b/internal/prober/probing.go
@@ -195,7 +195,7 @@
 
 // acknowledge ends a probe of this node, or passes the answer on to the node that asked.
 func (p *Prober) acknowledge(now time.Time, sender *member, packet Packet) {
-	if p.passOn(now, sender, packet) {
+	if p.forwardAck(now, sender, packet) {
 		return
 	}
 
@@ -253,7 +253,7 @@
 	p.send(now, target, Packet{Kind: KindProbe, Probe: p.probe})
 }
 
-func (p *Prober) passOn(now time.Time, sender *member, packet Packet) bool {
+func (p *Prober) forwardAck(now time.Time, sender *member, packet Packet) bool {
 	at := slices.IndexFunc(p.relays, func(v relay) bool { return v.number == packet.Probe && v.target == sender.Name })
 	if at < 0 {
 		return false
--- a/internal/prober/suspicion.go
+++ b/internal/prober/suspicion.go
@@ -19,12 +19,7 @@
 	isolatedAfter = 3 * time.Second
 )
 
-// begin notices that this process stood still.
-//
-// A frozen node wakes up with overdue timeouts for answers that lie unread in
-// its socket. It would suspect healthy peers; one would notice suspicions that
-// all come from one node. So it first doubts itself: it drops what is pending,
-// restarts the time of its suspicions, and refutes what others may hold of it.
+// begin comes before anything else that an event does.
 func (p *Prober) begin(now time.Time) {
 	if p.started.IsZero() {
 		p.started = now
@@ -35,10 +30,18 @@
 	late := !p.lastSeen.IsZero() && now.Sub(p.lastSeen) > p.options.FrozenAfter
 	p.lastSeen = now
 
-	if !late {
-		return
+	if late {
+		p.recoverFromFreeze(now)
 	}
+}
 
+// recoverFromFreeze follows a time in which this process stood still.
+//
+// A frozen node wakes up with overdue timeouts for answers that lie unread in
+// its socket. It would suspect healthy peers; one would notice suspicions that
+// all come from one node. So it first doubts itself: it drops what is pending,
+// restarts the time of its suspicions, and refutes what others may hold of it.
+func (p *Prober) recoverFromFreeze(now time.Time) {
 	p.counters.Freezes++
 	p.loseHealth(freezeHealth)
 	p.pending = nil
@@ -128,8 +131,8 @@
 	return time.Duration(float64(least) * (unconfirmedFactor - (unconfirmedFactor-1)*part))
 }
 
-// defendDoubt answers a peer that holds this node for suspect, dead or outdated.
-func (p *Prober) defendDoubt(doubt int64) {
+// refute answers a peer that holds this node for suspect, dead or outdated.
+func (p *Prober) refute(doubt int64) {
 	if doubt < p.self.Incarnation || doubt == 0 {
 		return
 	}
