--- a/internal/limiter/cluster_test.go
+++ b/internal/limiter/cluster_test.go
@@ -224,7 +224,7 @@
 }
 
 // allowed sums the shares in force. Nodes that go on with an even part, since their owner
-// is silent or new, count as alone and stand in the sum with base share and loan.
+// is silent or new, count as alone and stand in the sum with base share and lease.
 // A node that just started stands without the base share that it has on top.
 func (c *cluster) allowed() (sum, total Amounts, alone int) {
 	for _, n := range c.nodes {
--- a/internal/limiter/entry.go
+++ b/internal/limiter/entry.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// roundsPerPeriod is how often in a period reports are sent by Exchange; a node
+	// that refuses without a lease reports in the next round.
+	roundsPerPeriod = 4
 	// wantFactor leaves room for demand to grow between two reports.
 	wantFactor = 1.5
 	// wantFade is how much of the last demand still counts when the new one is lower.
@@ -24,7 +27,7 @@
 type entry struct {
 	limits Amounts
 	owner  string
-	// allowed is the share in force: base plus loan, or an even part while the owner is silent.
+	// allowed is the share in force: base plus lease, or an even part while the owner is silent.
 	allowed Amounts
 
 	requests *rate.Limiter
@@ -45,7 +48,7 @@
 	received  uint64
 	// measuredAt is when the demand was last measured.
 	measuredAt time.Time
-	// sentAt is when the report with the last number was sent; a loan runs from then.
+	// sentAt is when the report with the last number was sent; a lease runs from then.
 	sentAt time.Time
 	// silentSince is the time of the first report without an answer; zero when none waits.
 	silentSince time.Time
@@ -74,12 +77,12 @@
 }
 
 // burst is one second's worth of the share or, if more, of an even part, and at
-// least one request. By the even part a node without a loan serves until it has one.
+// least one request. By the even part a node without a lease serves until it has one.
 func burst(share, even Amounts) int {
 	return max(1, int(math.Ceil(max(share.Requests, even.Requests))))
 }
 
-// refresh brings the share up to now. A loan that ended is taken off as of its end.
+// refresh brings the share up to now. A lease that ended is taken off as of its end.
 func (e *entry) refresh(now time.Time, options Options, view *view) {
 	even := view.even(now, e.limits)
 
@@ -98,7 +101,7 @@
 }
 
 // ownerSilent says whether the owner has not answered for so long that the node
-// goes on with an even part of the limit. It keeps the loan to its end first.
+// goes on with an even part of the limit. It keeps the lease to its end first.
 func (e *entry) ownerSilent(now time.Time, options Options) bool {
 	return e.lent == (Amounts{}) && !e.silentSince.IsZero() && now.Sub(e.silentSince) >= options.LeaseFor
 }
@@ -173,7 +176,7 @@
 	return max(e.promised.Sub(now), options.Period)
 }
 
-// likely is the rate to expect: a node without a loan will have one after its next report.
+// likely is the rate to expect: a node without a lease will have one after its next report.
 func (e *entry) likely(allowed, limit float64) float64 {
 	if e.lent == (Amounts{}) {
 		return max(allowed, limit/2)
@@ -220,14 +223,14 @@
 }
 
 // due measures the demand once its time has come and says whether the owner
-// must hear of it. While a loan or more than the base share is in use, each
+// must hear of it. While a lease or more than the base share is in use, each
 // period has a report: the owner counts what runs from the reports alone.
 func (e *entry) due(now time.Time, options Options, view *view) bool {
 	passed := now.Sub(e.measuredAt)
 	// A report before the answer to the last one would make that answer stale.
 	urgent := e.refused && e.silentSince.IsZero() && e.lent == (Amounts{})
 
-	if passed < options.Period/4 || (passed < options.Period && !urgent) {
+	if passed < options.Period/roundsPerPeriod || (passed < options.Period && !urgent) {
 		return false
 	}
 
--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -12,10 +12,10 @@
 // Owner lends out the limits that this node owns. It is safe for concurrent use.
 //
 // What is lent, plus the base shares of all nodes, never exceeds a limit: a
-// smaller loan counts at its old size until the node says that it knows, or the
-// old loan ends; a node counts its loan from before its report, the owner from
+// smaller lease counts at its old size until the node says that it knows, or the
+// old lease ends; a node counts its lease from before its report, the owner from
 // its answer, so no clocks are compared. A new owner lends no more than nodes
-// say they hold until its predecessor's loans have ended.
+// say they hold until its predecessor's leases have ended.
 type Owner struct {
 	options Options
 	source  Source
@@ -26,10 +26,10 @@
 	view    view
 	owners  *chooser.Chooser
 	changed time.Time
-	books   map[Key]*book
+	leases  map[Key]*leaseSet
 }
 
-// NewOwner returns an owner that lends nothing new until its predecessor's loans have ended.
+// NewOwner returns an owner that lends nothing new until its predecessor's leases have ended.
 func NewOwner(now time.Time, options Options, source Source, self string) *Owner {
 	options = options.withDefaults()
 
@@ -40,7 +40,7 @@
 		view:    view{options: options},
 		owners:  chooser.New(nil),
 		changed: now,
-		books:   make(map[Key]*book),
+		leases:  make(map[Key]*leaseSet),
 	}
 }
 
@@ -61,9 +61,9 @@
 	o.view.set(now, newDivision(o.options, len(live), known))
 	o.changed = now
 
-	for key := range o.books {
+	for key := range o.leases {
 		if !o.owns(key) {
-			delete(o.books, key)
+			delete(o.leases, key)
 		}
 	}
 }
@@ -72,7 +72,7 @@
 	return o.owners.Choose(key.text()) == o.self
 }
 
-// Report takes a node's demand and returns its loan. It returns false when this
+// Report takes a node's demand and returns its lease. It returns false when this
 // node doesn't own the limit in its own view, or knows a later report.
 func (o *Owner) Report(now time.Time, node string, demand Demand) (Share, bool) {
 	o.mu.Lock()
@@ -82,71 +82,71 @@
 		return Share{}, false
 	}
 
-	b := o.books[demand.Key]
-	if b == nil {
-		b = &book{loans: make(map[string]*loan), graceEnds: o.changed.Add(o.options.LeaseFor + o.options.Settle)}
-		o.books[demand.Key] = b
+	s := o.leases[demand.Key]
+	if s == nil {
+		s = &leaseSet{byNode: make(map[string]*lease), graceEnds: o.changed.Add(o.options.LeaseFor + o.options.Settle)}
+		o.leases[demand.Key] = s
 	}
 
-	l := b.loan(node)
+	l := s.of(node)
 	if !l.update(now, demand) {
 		return Share{}, false
 	}
 
 	pool := o.view.pool(now, o.source.Limits(demand.Key))
-	lent := b.target(now, node, pool).atMost(pool.minus(b.others(now, node)))
+	lent := s.target(now, node, pool).atMost(pool.minus(s.others(now, node)))
 
-	grace := now.Before(b.graceEnds)
+	grace := now.Before(s.graceEnds)
 	if grace {
 		lent = lent.atMost(demand.Held)
 	}
 
 	lent = lent.whole().brief()
-	l.lend(now, lent, o.options.LeaseFor)
+	l.grant(now, lent, o.options.LeaseFor)
 
 	return Share{Key: demand.Key, Number: demand.Number, Lent: lent, Grace: grace}, true
 }
 
-// Sweep forgets limits that nobody holds a loan of. It is to be called every few seconds.
+// Sweep forgets limits that nobody holds a lease of. It is to be called every few seconds.
 func (o *Owner) Sweep(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 
-	for key, b := range o.books {
-		for node, l := range b.loans {
+	for key, s := range o.leases {
+		for node, l := range s.byNode {
 			if !now.Before(l.expires) && !now.Before(l.formerExpires) {
-				delete(b.loans, node)
+				delete(s.byNode, node)
 			}
 		}
 
-		if len(b.loans) == 0 && !now.Before(b.graceEnds) {
-			delete(o.books, key)
+		if len(s.byNode) == 0 && !now.Before(s.graceEnds) {
+			delete(o.leases, key)
 		}
 	}
 }
 
-// book is what one limit has lent.
-type book struct {
-	loans map[string]*loan
-	// graceEnds is when the predecessor's loans have ended.
+// leaseSet holds the leases of one limit.
+type leaseSet struct {
+	byNode map[string]*lease
+	// graceEnds is when the predecessor's leases have ended.
 	graceEnds time.Time
 }
 
-func (b *book) loan(node string) *loan {
-	l := b.loans[node]
+func (s *leaseSet) of(node string) *lease {
+	l := s.byNode[node]
 	if l == nil {
-		l = &loan{}
-		b.loans[node] = l
+		l = &lease{}
+		s.byNode[node] = l
 	}
 
 	return l
 }
 
 // others is what all nodes but one may hold.
-func (b *book) others(now time.Time, node string) Amounts {
+func (s *leaseSet) others(now time.Time, node string) Amounts {
 	var sum Amounts
 
-	for name, l := range b.loans {
+	for name, l := range s.byNode {
 		if name != node {
 			sum = sum.plus(l.counted(now))
 		}
@@ -157,10 +157,10 @@
 
 // target is the node's max-min fair part of the pool: small wants are met whole,
 // the rest is split evenly.
-func (b *book) target(now time.Time, node string, pool Amounts) Amounts {
+func (s *leaseSet) target(now time.Time, node string, pool Amounts) Amounts {
 	var requests, concurrency, tokens []float64
 
-	for name, l := range b.loans {
+	for name, l := range s.byNode {
 		if name != node && !now.Before(l.expires) {
 			continue
 		}
@@ -170,7 +170,7 @@
 		tokens = append(tokens, l.wants.Tokens)
 	}
 
-	own := b.loans[node].wants
+	own := s.byNode[node].wants
 
 	return own.atMost(Amounts{
 		Requests:    fairLevel(requests, pool.Requests),
@@ -195,22 +195,22 @@
 	return math.Inf(1)
 }
 
-// loan is what one node holds of one limit.
-type loan struct {
+// lease is what one node holds of one limit.
+type lease struct {
 	incarnation uint64
 	number      uint64
 	wants       Amounts
-	// inFlight is what runs on the node beyond its base share; it counts as lent while the loan lasts.
+	// inFlight is what runs on the node beyond its base share; it counts as lent while the lease lasts.
 	inFlight int
 	lent     Amounts
 	expires  time.Time
-	// former is the largest loan that the node may still go by, since it hasn't named a later one.
+	// former is the largest lease that the node may still go by, since it hasn't named a later one.
 	former        Amounts
 	formerExpires time.Time
 }
 
 // update takes a demand in and returns false when a later one is known.
-func (l *loan) update(now time.Time, demand Demand) bool {
+func (l *lease) update(now time.Time, demand Demand) bool {
 	if demand.Incarnation == l.incarnation && demand.Number <= l.number {
 		return false
 	}
@@ -232,13 +232,13 @@
 	return true
 }
 
-func (l *loan) lend(now time.Time, lent Amounts, length time.Duration) {
+func (l *lease) grant(now time.Time, lent Amounts, length time.Duration) {
 	l.lent = lent
 	l.expires = now.Add(length)
 }
 
-// current is the last loan if it hasn't ended.
-func (l *loan) current(now time.Time) Amounts {
+// current is the last lease if it hasn't ended.
+func (l *lease) current(now time.Time) Amounts {
 	if !now.Before(l.expires) {
 		return Amounts{}
 	}
@@ -247,7 +247,7 @@
 }
 
 // counted is the most that the node may hold or have running.
-func (l *loan) counted(now time.Time) Amounts {
+func (l *lease) counted(now time.Time) Amounts {
 	held := l.current(now)
 
 	if now.Before(l.expires) {
--- a/internal/limiter/rpc.go
+++ b/internal/limiter/rpc.go
@@ -56,7 +56,7 @@
 // silent owner doesn't delay the others. The error is for the log: the limiter
 // itself allows for owners that don't answer.
 func (l *Limiter) Exchange(ctx context.Context, caller Caller, local *Owner) error {
-	ctx, cancel := context.WithTimeout(ctx, l.options.Period/4)
+	ctx, cancel := context.WithTimeout(ctx, l.options.Period/roundsPerPeriod)
 	defer cancel()
 
 	var (
--- a/internal/limiter/shares_test.go
+++ b/internal/limiter/shares_test.go
@@ -18,8 +18,8 @@
 
 // Symptom: an organisation gets several times its limit.
 // Sequence: reports and answers are lost or late, nodes crash, restart and join
-// while loans run, and each node learns of it at another time.
-// Cause: a loan is lent on before its holder has surely stopped using it.
+// while leases run, and each node learns of it at another time.
+// Cause: a lease is given on before its holder has surely stopped using it.
 func TestSharesNeverExceedTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limits := Amounts{Requests: 40, Tokens: 500}
@@ -189,7 +189,7 @@
 
 // Symptom: an organisation within its limit is refused for as long as one node is down.
 // Sequence: the owner of its limit is frozen, still listed, and answers nobody.
-// Cause: the share ends with the loan, and no other share takes its place.
+// Cause: the share ends with the lease, and no other share takes its place.
 func TestSilentOwner(t *testing.T) {
 	c := newCluster(1, Amounts{Requests: 90}, 9)
 	arrivals := func(name string) int { return 1 }
@@ -235,7 +235,7 @@
 }
 
 // Symptom: an organisation within its limit is refused for some seconds whenever a node goes.
-// Sequence: the owner of its limit crashes; the next owner knows no loans and waits for the old ones to end.
+// Sequence: the owner of its limit crashes; the next owner knows no leases and waits for the old ones to end.
 // Cause: the next owner lends nothing meanwhile, not even what nodes say they hold.
 func TestNextOwnerRenewsLoans(t *testing.T) {
 	c := newCluster(1, Amounts{Requests: 90}, 9)
@@ -264,7 +264,7 @@
 }
 
 // Symptom: after a start of all nodes, or of one, organisations far below their limits are refused for seconds.
-// Sequence: no node has a loan, and new owners wait for loans that may be out.
+// Sequence: no node has a lease, and new owners wait for leases that may be out.
 // Cause: nothing is granted until all that could have been lent has ended.
 func TestFreshNodesServeAtOnce(t *testing.T) {
 	tests := map[string]func(c *cluster){
@@ -319,8 +319,8 @@
 }
 
 // Symptom: requests of two nodes together exceed the concurrency limit for a moment.
-// Sequence: a node with a loan falls idle and sends no more reports; just before
-// the loan ends it admits requests; the owner counts the loan as ended and lends
+// Sequence: a node with a lease falls idle and sends no more reports; just before
+// the lease ends it admits requests; the owner counts the lease as ended and lends
 // it to another node, while these requests run.
 // Cause: the owner knows what runs from reports alone, and none came.
 func TestLoanIsReportedOnUntilReturned(t *testing.T) {
@@ -329,7 +329,7 @@
 
 	now := start.Add(10 * time.Second)
 	ok, _, _ := l.Admit(now, testKey.Service, testKey.Organisation, "chat")
-	assert.Assert(t, ok, "a first request needs no loan")
+	assert.Assert(t, ok, "a first request needs no lease")
 	l.Done(now, testKey.Service, testKey.Organisation, "chat", 0)
 
 	for i := range 20 {
@@ -339,7 +339,7 @@
 
 		lent := Amounts{Concurrency: 4}
 
-		// The owner takes the loan back only when the node has been idle for long.
+		// The owner takes the lease back only when the node has been idle for long.
 		if i == 19 {
 			lent = Amounts{}
 		}
@@ -350,7 +350,7 @@
 	assert.Equal(t, len(l.Reports(now.Add(time.Second))), 0)
 }
 
-// Symptom: a node goes by a loan that its owner has given to another.
+// Symptom: a node goes by a lease that its owner has given to another.
 // Sequence: a report overtakes the one before it, or an answer comes after the next report was sent.
 // Cause: the late message is taken for the latest.
 func TestLateMessagesAreDropped(t *testing.T) {
--- a/internal/limiter/types.go
+++ b/internal/limiter/types.go
@@ -103,7 +103,7 @@
 	// BaseShare is the part of a limit that all nodes split evenly without any message, 0 to 1; default 0.1.
 	BaseShare float64
 	// Period is the time between the reports of a node on a limit in use; default 1 s.
-	// A node that had to refuse without a loan reports after a quarter of it.
+	// A node that had to refuse without a lease reports after a quarter of it.
 	Period time.Duration
 	// LeaseFor is how long a lent share lasts, counted by the node from before its
 	// report and by the owner from the answer; default 5 s.
@@ -147,7 +147,7 @@
 	Received uint64 `json:"received,omitempty"`
 	// Wants is what the node could use beyond its base share.
 	Wants Amounts `json:"wants"`
-	// Held is what it holds on loan now. A new owner learns from it what its predecessor lent.
+	// Held is what it holds under lease now. A new owner learns from it what its predecessor lent.
 	Held Amounts `json:"held"`
 	// InFlight is the number of requests that run on the node beyond its base share.
 	InFlight int `json:"in_flight,omitempty"`
@@ -159,7 +159,7 @@
 	Number uint64 `json:"number"`
 	// Lent lasts for Options.LeaseFor from before the report was sent.
 	Lent Amounts `json:"lent"`
-	// Grace says that the owner is new and doesn't know all loans yet. The node may
+	// Grace says that the owner is new and doesn't know all leases yet. The node may
 	// go on with an even part meanwhile, so that no caller is refused for want of an
 	// owner: the sum of shares may reach twice the limit for LeaseFor and Settle.
 	Grace bool `json:"grace,omitempty"`
--- a/internal/limiter/view.go
+++ b/internal/limiter/view.go
@@ -24,7 +24,7 @@
 }
 
 // base is what each node has without asking. One request at once is in it where
-// the limit allows, so that a node's first request needn't wait for a loan.
+// the limit allows, so that a node's first request needn't wait for a lease.
 func (d division) base(limits Amounts) Amounts {
 	if d.whole {
 		return limits
@@ -59,7 +59,7 @@
 }
 
 // view is the division in force. Of an old and a new one the smaller amount
-// counts, until all nodes know of the new one and, for the base share, loans by
+// counts, until all nodes know of the new one and, for the base share, leases by
 // the old one have ended. A node's first division counts at once: its base share
 // comes on top for that time, which is little, and its first callers aren't refused.
 type view struct {
