Type the ejector's decisions and name its bounds

The kinds of decisions were string literals at six places, listed again in a comment; they are constants of type decision now, each explained once. The third, the four spreads, the three members of a median, the scale 1.4826 and the 16 doublings were bare numbers and have names.

Behaviour and counter names are unchanged: go test ./internal/ejector passes before and after, with its tests untouched.

--- a/internal/ejector/ejector.go
+++ b/internal/ejector/ejector.go
@@ -4,7 +4,6 @@
 package ejector
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -53,8 +52,26 @@
 	}
 }
 
-// probationSampleShare of MinSamples is enough to judge an upstream on probation.
-const probationSampleShare = 0.5
+const (
+	// probationSampleShare of MinSamples is enough to judge an upstream on probation.
+	probationSampleShare = 0.5
+	// maxEjectedPart is the part of a pool, one in so many, that may be ejected at once.
+	maxEjectedPart = 3
+)
+
+// decision is a kind of decision as counters name it.
+type decision string
+
+const (
+	ejectedSlow   decision = "ejected_slow"
+	ejectedFailed decision = "ejected_failed"
+	// displacedSlow means that a straggler was readmitted early to make room for an upstream that fails.
+	displacedSlow decision = "displaced_slow"
+	// withheldSlow and withheldFailed mean that no more members of the pool might be ejected.
+	withheldSlow   decision = "withheld_slow"
+	withheldFailed decision = "withheld_failed"
+	readmitted     decision = "readmitted"
+)
 
 // Source says where a measurement comes from.
 type Source struct {
@@ -68,15 +85,14 @@
 type Ejector struct {
 	options Options
 
-	mu    sync.Mutex
-	pools map[string]*pool
-	// counts has one entry for each kind of decision.
-	counts map[string]int64
+	mu     sync.Mutex
+	pools  map[string]*pool
+	counts map[decision]int64
 }
 
 // New returns an ejector without pools.
 func New(options Options) *Ejector {
-	return &Ejector{options: options.withDefaults(), pools: make(map[string]*pool), counts: make(map[string]int64)}
+	return &Ejector{options: options.withDefaults(), pools: make(map[string]*pool), counts: make(map[decision]int64)}
 }
 
 // SetMembers tells which upstreams a service has. Known members keep their
@@ -166,13 +182,17 @@
 	return m.weight(now, e.options)
 }
 
-// Counts returns the number of decisions by kind, in snake case, since the start:
-// ejected_slow, ejected_failed, displaced_slow, withheld_slow, withheld_failed and readmitted.
+// Counts returns the number of decisions by kind, in snake case, since the start. A kind that never came is left out.
 func (e *Ejector) Counts() map[string]int64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
-	return maps.Clone(e.counts)
+	counts := make(map[string]int64, len(e.counts))
+	for kind, count := range e.counts {
+		counts[string(kind)] = count
+	}
+
+	return counts
 }
 
 // find returns the pool and the member with its state brought up to now, or nil.
@@ -192,13 +212,13 @@
 
 func (e *Ejector) refresh(now time.Time, m *member) {
 	if m.refresh(now, e.options) {
-		e.counts["readmitted"]++
+		e.counts[readmitted]++
 	}
 }
 
-// room is how many more members of the pool may be ejected: never more than a third are at once.
+// room is how many more members of the pool may be ejected.
 func (e *Ejector) room(now time.Time, p *pool) int {
-	room := len(p.members) / 3
+	room := len(p.members) / maxEjectedPart
 
 	for _, m := range p.members {
 		e.refresh(now, m)
@@ -224,13 +244,13 @@
 	}
 
 	if e.room(now, p) < 1 && !e.displaceSlow(now, p) {
-		e.counts["withheld_failed"]++
+		e.counts[withheldFailed]++
 
 		return
 	}
 
 	m.eject(now, e.options, false)
-	e.counts["ejected_failed"]++
+	e.counts[ejectedFailed]++
 }
 
 // displaceSlow puts the straggler with the shortest ejection left back on
@@ -249,7 +269,7 @@
 	}
 
 	first.admit(now)
-	e.counts["displaced_slow"]++
+	e.counts[displacedSlow]++
 
 	return true
 }
@@ -263,13 +283,13 @@
 	slow, suspects := p.stragglers(now, e.options)
 
 	if suspects > room {
-		e.counts["withheld_slow"] += int64(len(slow))
+		e.counts[withheldSlow] += int64(len(slow))
 
 		return
 	}
 
 	for _, m := range slow {
 		m.eject(now, e.options, true)
-		e.counts["ejected_slow"]++
+		e.counts[ejectedSlow]++
 	}
 }
--- a/internal/ejector/member.go
+++ b/internal/ejector/member.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// maxDoublings bounds how often the length of an ejection is doubled, so that it can't overflow.
+const maxDoublings = 16
+
 type memberState int
 
 const (
@@ -77,7 +80,7 @@
 }
 
 func (m *member) eject(now time.Time, options Options, slow bool) {
-	length := options.FirstEjection << min(m.strikes, 16)
+	length := options.FirstEjection << min(m.strikes, maxDoublings)
 
 	m.state = stateEjected
 	m.since = now
--- a/internal/ejector/pool.go
+++ b/internal/ejector/pool.go
@@ -6,6 +6,15 @@
 	"time"
 )
 
+const (
+	// spreadFactor times the pool's robust spread is what a straggler must exceed as well.
+	spreadFactor = 4
+	// leastForMedian is the number of members that must serve a class for its median to count.
+	leastForMedian = 3
+	// deviationScale turns a median absolute deviation into the standard deviation of a normal distribution.
+	deviationScale = 1.4826
+)
+
 // pool is the upstreams of one service.
 type pool struct {
 	members map[string]*member
@@ -13,14 +22,14 @@
 }
 
 // stragglers lists the members whose times exceed the pool's median by SlowFactor
-// and by four times the pool's own robust spread, and counts the members that
+// and by spreadFactor times the pool's own robust spread, and counts the members that
 // are at least half way there, on the scale of logarithms.
 func (p *pool) stragglers(now time.Time, options Options) (slow []*member, suspects int) {
 	suspected := make(map[*member]bool)
 
 	for kind := range signalCount {
 		scores := p.scores(now, kind, options)
-		limit := max(math.Log(options.SlowFactor), 4*spread(scores))
+		limit := max(math.Log(options.SlowFactor), spreadFactor*spread(scores))
 
 		for m, s := range scores {
 			if s > limit/2 {
@@ -64,7 +73,7 @@
 	return scores
 }
 
-// medians gives the pool's median logarithm of each class that at least three members serve.
+// medians gives the pool's median logarithm of each class that enough members serve.
 func (p *pool) medians(now time.Time, kind signalKind, options Options) map[string]float64 {
 	byClass := make(map[string][]float64)
 
@@ -79,7 +88,7 @@
 	medians := make(map[string]float64, len(byClass))
 
 	for class, means := range byClass {
-		if len(means) >= 3 {
+		if len(means) >= leastForMedian {
 			medians[class] = lowerMedian(means)
 		}
 	}
@@ -103,7 +112,7 @@
 		values[i] = math.Abs(values[i] - middle)
 	}
 
-	return 1.4826 * lowerMedian(values)
+	return deviationScale * lowerMedian(values)
 }
 
 // lowerMedian sorts values; of two middle values it takes the lower, so that half a small pool can't hide the other half.
