Part the long steps of the settings editor

The package doc named the distribution, which package distributor does.

Behaviour is unchanged: the operations of a transaction keep their order, and go test of configurer (with its golden files and linearizability check) and administrator passes before and after with the tests untouched.

--- a/internal/configurer/change.go
+++ b/internal/configurer/change.go
@@ -150,6 +150,21 @@
 	Undoes string
 }
 
+// change returns the change that the edit makes of a branch's text, as of now.
+func (e Edit) change(before string) Change {
+	return Change{
+		ID:           e.ChangeID,
+		Branch:       e.Branch,
+		Author:       e.Author,
+		Time:         time.Now().UTC(),
+		BaseRevision: e.BaseRevision,
+		Deleted:      e.Delete,
+		Undoes:       e.Undoes,
+		Lines:        NewPatch(before, e.text()),
+		Digest:       e.digest(),
+	}
+}
+
 func (e Edit) digest() uint64 {
 	if e.Delete {
 		return 0
--- a/internal/configurer/editor.go
+++ b/internal/configurer/editor.go
@@ -190,19 +190,7 @@
 		return Change{}, err
 	}
 
-	change := Change{
-		ID:           edit.ChangeID,
-		Branch:       edit.Branch,
-		Author:       edit.Author,
-		Time:         time.Now().UTC(),
-		BaseRevision: edit.BaseRevision,
-		Deleted:      edit.Delete,
-		Undoes:       edit.Undoes,
-		Lines:        NewPatch(string(current.Value), edit.text()),
-		Digest:       edit.digest(),
-	}
-
-	return e.write(ctx, tree, change, branchOp(edit))
+	return e.write(ctx, tree, edit.change(string(current.Value)), branchOp(edit))
 }
 
 func answerAgain(known storer.KeyValue, edit Edit) (Change, error) {
--- a/internal/configurer/snapshot.go
+++ b/internal/configurer/snapshot.go
@@ -1,5 +1,5 @@
 // Package configurer holds the settings tree: its branches, inheritance,
-// checks, edits and the distribution of accepted versions to all nodes.
+// checks and edits. Package distributor brings accepted versions to all nodes.
 package configurer
 
 import "time"
--- a/internal/configurer/writer.go
+++ b/internal/configurer/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,26 +26,18 @@
 		return Change{}, err
 	}
 
-	numbers = head{Sequence: numbers.Sequence + 1, Oldest: oldest}
-
-	record, err := change.encode()
+	records, err := change.records(head{Sequence: numbers.Sequence + 1, Oldest: oldest})
 	if err != nil {
 		return Change{}, err
 	}
 
-	ops = append(ops,
-		storer.Op{Kind: storer.OpPut, Key: HeadKey, Value: encode(numbers)},
-		storer.Op{Kind: storer.OpPut, Key: changePrefix + change.ID, Value: record},
-		storer.Op{Kind: storer.OpPut, Key: sequenceKey(numbers.Sequence), Value: encode(place{ChangeID: change.ID, Time: change.Time})},
-	)
-
 	result, err := e.store.Txn(ctx, storer.Txn{
 		Compares: []storer.Compare{
 			{Key: HeadKey, Target: storer.TargetMod, Number: tree.head.ModRevision},
 			{Key: BranchKey(change.Branch), Target: storer.TargetMod, Number: change.BaseRevision},
 			{Key: changePrefix + change.ID, Target: storer.TargetCreate, Number: 0},
 		},
-		Success: append(ops, removals...),
+		Success: slices.Concat(ops, records, removals),
 	})
 	if err != nil {
 		return Change{}, err
@@ -59,6 +52,20 @@
 	return change, nil
 }
 
+// records returns the operations that move the head to numbers and put the change into the history.
+func (c Change) records(numbers head) ([]storer.Op, error) {
+	record, err := c.encode()
+	if err != nil {
+		return nil, err
+	}
+
+	return []storer.Op{
+		{Kind: storer.OpPut, Key: HeadKey, Value: encode(numbers)},
+		{Kind: storer.OpPut, Key: changePrefix + c.ID, Value: record},
+		{Kind: storer.OpPut, Key: sequenceKey(numbers.Sequence), Value: encode(place{ChangeID: c.ID, Time: c.Time})},
+	}, nil
+}
+
 func readHead(kv storer.KeyValue) (head, error) {
 	numbers := head{Oldest: 1}
 	if kv.Version == 0 {
