--- a/internal/claimer/batch.go
+++ b/internal/claimer/batch.go
@@ -14,19 +14,25 @@
 	if !s.loaded {
 		if err := s.load(); err != nil {
 			s.failed(batch, err, false)
+
 			return
 		}
 	}
+
 	lines, forced := s.lines(batch)
 	if len(lines) == 0 && !forced {
 		s.commitNothing(batch)
+
 		return
 	}
+
 	d, err := newDraft(s.journal, lines, time.Now(), s.claimer.options)
 	if err != nil {
 		s.failed(batch, err, false)
+
 		return
 	}
+
 	s.write(batch, d)
 }
 
@@ -34,27 +40,36 @@
 func (s *shard) lines(batch []*operation) (lines []byte, forced bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
 	options := s.claimer.options
 	size := s.journal.size
 	added := map[string]bool{}
+
 	for _, o := range batch {
 		if o.kind == kindTick {
 			forced = true
+
 			continue
 		}
+
 		if o.finished || added[o.kind.slot(o)] {
 			continue
 		}
+
 		line := o.record(s.journal)
 		if line == nil || len(lines)+len(line) > writeBytes {
 			continue
 		}
+
 		if o.kind == kindClaim && size+len(lines)+len(line) > options.ShardBytes {
 			s.refuseFull(o)
+
 			continue
 		}
+
 		added[o.kind.slot(o)] = true
 		o.writing = true
+
 		lines = append(lines, line...)
 	}
 
@@ -80,11 +95,14 @@
 // commitNothing answers a batch that adds nothing, once the journal is known to be up to date.
 func (s *shard) commitNothing(batch []*operation) {
 	s.setTurn(time.Now())
+
 	err := s.refresh()
 	if err != nil {
 		s.failed(batch, err, false)
+
 		return
 	}
+
 	s.succeeded()
 	s.settle(batch)
 }
@@ -93,17 +111,23 @@
 func (s *shard) settle(batch []*operation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
 	var rest []*operation
+
 	for _, o := range batch {
 		if o.finished {
 			continue
 		}
+
 		if a, ok := s.decided(o); ok {
 			s.finish(o, a)
+
 			continue
 		}
+
 		rest = append(rest, o)
 	}
+
 	s.queue = append(rest, s.queue...)
 }
 
@@ -116,9 +140,11 @@
 	case o.kind != kindClaim:
 		return answer{}, o.record(s.journal) == nil
 	}
+
 	if _, void := s.journal.voided[o.id]; void {
 		return answer{failure: classifier.New(classifier.ClaimUnavailable, "the claim was voided").After(defaultRetryAfter)}, true
 	}
+
 	e := s.journal.keys[o.key]
 	if e == nil {
 		return answer{}, false
--- a/internal/claimer/claim.go
+++ b/internal/claimer/claim.go
@@ -65,6 +65,7 @@
 	if len(r.Body) <= answerBytes {
 		return r
 	}
+
 	r.Body = nil
 	r.Dropped = true
 
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -39,6 +39,7 @@
 	for i := range c.shards {
 		c.shards[i] = newShard(c, i)
 	}
+
 	c.workers.Go(c.maintain)
 
 	return c
@@ -58,32 +59,42 @@
 // When ctx ends, the claim is given up as ClaimUnavailable and voided.
 func (c *Claimer) Begin(ctx context.Context, claim Claim) (Decision, error) {
 	started := time.Now()
+
 	ctx, cancel := context.WithTimeout(ctx, c.options.ClaimTimeout)
 	defer cancel()
+
 	o := c.newClaim(claim)
 	s := c.shards[shardOf(o.key)]
 	c.setOpen(o.id, true)
 	c.stats.claims.Add(1)
+
 	a := c.settleClaim(ctx, s, o)
 	if a.run && time.Since(started) > c.options.Window/lateParts {
 		// The process was stopped in between: the key may be forgotten soon, and the request would then run beside another.
 		s.giveUp(o)
+
 		a = answer{failure: classifier.New(classifier.ClaimUnavailable, "the claim is too old").After(defaultRetryAfter)}
 	}
+
 	if a.run {
 		return Decision{Handle: &Handle{claimer: c, shard: s, id: o.id, key: o.key}}, nil
 	}
+
 	if !s.isVoiding(o) {
 		c.setOpen(o.id, false)
 	}
+
 	if a.failure != nil {
 		return Decision{}, a.failure
 	}
+
 	result, err := s.fetch(ctx, a.replay)
 	if err != nil {
 		failure := classifier.Wrap(err, classifier.KeyInProgress, "the earlier result can't be read now")
+
 		return Decision{}, failure.After(defaultRetryAfter)
 	}
+
 	c.stats.replays.Add(1)
 
 	return Decision{Replay: result, RequestID: a.replay.requestID}, nil
@@ -94,8 +105,10 @@
 	if forwarded {
 		return a
 	}
+
 	lost := s.unsettled(o)
 	s.submit(o)
+
 	a = s.wait(ctx, o)
 	if lost && !a.run {
 		// The holder may yet write the claim, which nobody would run or end.
@@ -108,6 +121,7 @@
 func (s *shard) giveUp(o *operation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
 	s.void(o)
 }
 
@@ -136,19 +150,25 @@
 		return answer{run: true}
 	case e.body != o.body:
 		c.stats.conflicts.Add(1)
+
 		return answer{failure: classifier.New(classifier.KeyConflict, "the idempotency key was used with another body")}
 	case e.result != nil && e.result.Ran == classifier.RanUnknown:
 		c.stats.unknownOutcomes.Add(1)
+
 		return answer{failure: classifier.New(classifier.OutcomeUnknown, "the earlier run broke off")}
 	case e.result != nil:
 		requestID := fullRequest(e.request, node+"."+incarnation+".")
+
 		return answer{replay: &replay{result: e.result, requestID: requestID, id: e.id, stored: e.stored}}
 	case c.alive(e.id, node, incarnation):
 		c.stats.inProgress.Add(1)
+
 		failure := classifier.New(classifier.KeyInProgress, "the request with this idempotency key is running")
+
 		return answer{failure: failure.After(inProgressRetryAfter)}
 	default:
 		c.stats.unknownOutcomes.Add(1)
+
 		return answer{failure: classifier.New(classifier.OutcomeUnknown, "the node that ran the request is gone")}
 	}
 }
@@ -164,16 +184,20 @@
 func (c *Claimer) setOpen(id string, open bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+
 	if !open {
 		delete(c.open, id)
+
 		return
 	}
+
 	c.open[id] = struct{}{}
 }
 
 func (c *Claimer) isOpen(id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+
 	_, open := c.open[id]
 
 	return open
@@ -192,6 +216,7 @@
 func (c *Claimer) Drain(ctx context.Context) error {
 	ticker := time.NewTicker(c.options.WriteInterval)
 	defer ticker.Stop()
+
 	for c.Open() > 0 || c.queued() > 0 {
 		select {
 		case <-ticker.C:
@@ -205,8 +230,10 @@
 
 func (c *Claimer) queued() int {
 	total := 0
+
 	for _, s := range c.shards {
 		s.mu.Lock()
+
 		total += len(s.queue)
 		if s.running {
 			total++
@@ -226,12 +253,14 @@
 func (c *Claimer) maintain() {
 	ticker := time.NewTicker(c.options.TickInterval)
 	defer ticker.Stop()
+
 	for {
 		select {
 		case <-ticker.C:
 		case <-c.ctx.Done():
 			return
 		}
+
 		for _, s := range c.shards {
 			s.maintain(c.holder(s.number) != "")
 		}
@@ -241,6 +270,7 @@
 func (s *shard) maintain(foreign bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
 	idle := time.Since(s.used) > s.claimer.options.TickInterval
 	switch {
 	case !s.loaded || s.running:
--- a/internal/claimer/draft.go
+++ b/internal/claimer/draft.go
@@ -25,10 +25,12 @@
 	d.head.At = j.now(moment)
 	d.head.First = j.expired(d.head.At, options.Window)
 	d.place(j, options)
+
 	encoded, err := json.Marshal(d.head)
 	if err != nil {
 		return draft{}, err
 	}
+
 	d.txn = storer.Txn{
 		Compares: []storer.Compare{{Key: j.headKey(), Target: storer.TargetMod, Number: j.revision}},
 		Success: []storer.Op{
@@ -56,14 +58,18 @@
 		age := d.head.At - j.segments[len(j.segments)-1].opened
 		d.opens = len(j.newest)+len(d.lines) > options.SegmentBytes || age >= options.SegmentAge.Milliseconds()
 	}
+
 	if !d.opens {
 		d.value = slices.Concat(j.newest, d.lines)
+
 		return
 	}
+
 	d.head.Last++
 	if d.head.First == 0 {
 		d.head.First = d.head.Last
 	}
+
 	d.lines = append(record{Opened: &d.head.At}.line(), d.lines...)
 	d.value = d.lines
 }
@@ -72,13 +78,16 @@
 func (d *draft) adopt(j *journal, revision int64) error {
 	j.revision = revision
 	j.head = d.head
+
 	j.seen = d.moment
 	if d.opens {
 		j.segments = append(j.segments, segment{number: d.head.Last})
 	}
+
 	if err := j.appendLines(d.lines, d.value); err != nil {
 		return err
 	}
+
 	j.forget(d.head.First)
 
 	return j.check()
--- a/internal/claimer/handle.go
+++ b/internal/claimer/handle.go
@@ -44,12 +44,16 @@
 	if h.ended.Swap(true) {
 		return errEnded
 	}
+
 	c := h.claimer
+
 	o.key = h.key
 	if a, forwarded := c.forwardEnd(ctx, h.shard, o); forwarded {
 		c.setOpen(h.id, false)
+
 		return a.err()
 	}
+
 	h.shard.submit(o)
 
 	return h.shard.wait(ctx, o).err()
--- a/internal/claimer/journal.go
+++ b/internal/claimer/journal.go
@@ -69,6 +69,7 @@
 	if len(result.Body) <= heldBytes {
 		return
 	}
+
 	held := *result
 	held.Body = nil
 	e.result = &held
@@ -81,6 +82,7 @@
 	if len(parts) < 3 {
 		return e.id, ""
 	}
+
 	last := len(parts) - 1
 
 	return strings.Join(parts[:last-1], "."), parts[last-1]
@@ -156,18 +158,23 @@
 			if err := json.Unmarshal(kv.Value, &j.head); err != nil {
 				return errors.Wrap(err, "decode the head")
 			}
+
 			j.revision = kv.ModRevision
 			j.seen = moment
+
 			continue
 		}
+
 		number, err := j.segmentNumber(kv.Key)
 		if err != nil {
 			return err
 		}
+
 		if err := j.replace(number, kv.Value); err != nil {
 			return err
 		}
 	}
+
 	j.forget(j.head.First)
 
 	return j.check()
@@ -176,10 +183,12 @@
 // replace takes in a segment's value; of the last known segment only what was appended.
 func (j *journal) replace(number int64, value []byte) error {
 	known := 0
+
 	if n := len(j.segments); n > 0 && j.segments[n-1].number == number {
 		if !bytes.HasPrefix(value, j.newest) {
 			return errors.Newf("segment %d was not only appended to", number)
 		}
+
 		known = len(j.newest)
 	} else {
 		j.segments = append(j.segments, segment{number: number})
@@ -191,13 +200,16 @@
 // appendLines applies new lines of the newest segment, whose whole value is given.
 func (j *journal) appendLines(lines, value []byte) error {
 	last := &j.segments[len(j.segments)-1]
+
 	for line := range bytes.Lines(lines) {
 		var r record
 		if err := json.Unmarshal(line, &r); err != nil {
 			return errors.Wrapf(err, "decode segment %d", last.number)
 		}
+
 		j.apply(r, last)
 	}
+
 	j.size += len(value) - last.size
 	last.size = len(value)
 	j.newest = value
@@ -220,6 +232,7 @@
 		}
 	case r.Void != "":
 		j.voided[r.Void] = s.number
+
 		s.voids = append(s.voids, r.Void)
 		if e := j.byID[r.Void]; e != nil {
 			j.drop(e)
@@ -231,6 +244,7 @@
 	if j.byID[e.id] == e {
 		delete(j.byID, e.id)
 	}
+
 	if j.keys[e.key] == e {
 		delete(j.keys, e.key)
 	}
@@ -243,10 +257,12 @@
 		// The slot outlives its removal from the slice; the claims must not.
 		j.segments[0] = segment{}
 		j.segments = j.segments[1:]
+
 		j.size -= oldest.size
 		for _, e := range oldest.claims {
 			j.drop(e)
 		}
+
 		for _, id := range oldest.voids {
 			if j.voided[id] == oldest.number {
 				delete(j.voided, id)
@@ -260,9 +276,11 @@
 	if j.revision == 0 {
 		return nil
 	}
+
 	if int64(len(j.segments)) != j.head.Last-j.head.First+1 {
 		return errors.Newf("%d segments are known of %d to %d", len(j.segments), j.head.First, j.head.Last)
 	}
+
 	for i, s := range j.segments {
 		if s.number != j.head.First+int64(i) {
 			return errors.Newf("segment %d stands in the place of %d", s.number, j.head.First+int64(i))
@@ -275,6 +293,7 @@
 // expired returns the first segment to keep at a shard's time. The newest is always kept.
 func (j *journal) expired(now int64, window time.Duration) int64 {
 	limit := (window + window/driftParts).Milliseconds()
+
 	first := j.head.First
 	for i := 1; i < len(j.segments) && now-j.segments[i].opened >= limit; i++ {
 		first = j.segments[i].number
--- a/internal/claimer/operation.go
+++ b/internal/claimer/operation.go
@@ -79,16 +79,19 @@
 		if _, void := j.voided[o.id]; void || j.keys[o.key] != nil {
 			return nil
 		}
+
 		return record{Claim: o.id, Key: o.key, Body: o.body, Request: o.request}.line()
 	case kindDone:
 		if e := j.byID[o.id]; e == nil || e.result != nil {
 			return nil
 		}
+
 		return record{Done: o.id, Result: o.result}.line()
 	case kindVoid:
 		if _, void := j.voided[o.id]; void {
 			return nil
 		}
+
 		return record{Void: o.id}.line()
 	default:
 		return nil
--- a/internal/claimer/reading.go
+++ b/internal/claimer/reading.go
@@ -15,18 +15,23 @@
 func (s *shard) load() error {
 	ctx, cancel := s.claimer.callContext()
 	defer cancel()
+
 	fresh := newJournal(s.number)
 	s.claimer.stats.reads.Add(1)
+
 	kvs, _, err := s.claimer.store.List(ctx, fresh.prefix)
 	if err != nil {
 		return err
 	}
+
 	fresh.seen = time.Now()
 	if err := fresh.update(kvs, fresh.seen); err != nil {
 		return err
 	}
+
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
 	s.journal = fresh
 	s.loaded = true
 
@@ -38,19 +43,25 @@
 func (s *shard) refresh() error {
 	ctx, cancel := s.claimer.callContext()
 	defer cancel()
+
 	s.claimer.stats.reads.Add(1)
+
 	kv, _, err := s.claimer.store.Get(ctx, s.journal.headKey())
 	if err != nil {
 		return err
 	}
+
 	if kv.ModRevision == s.journal.revision {
 		return nil
 	}
+
 	d, err := newDraft(s.journal, nil, time.Now(), s.claimer.options)
 	if err != nil {
 		return err
 	}
+
 	s.claimer.stats.reads.Add(1)
+
 	result, err := s.claimer.store.Txn(ctx, storer.Txn{Compares: d.txn.Compares, Failure: d.txn.Failure})
 	if err != nil {
 		return storer.NotApplied(err)
@@ -64,6 +75,7 @@
 func (s *shard) change(apply func(*journal) error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
 	err := apply(s.journal)
 	if err != nil {
 		s.loaded = false
@@ -78,21 +90,26 @@
 	if r.stored == 0 {
 		return r.result, nil
 	}
+
 	key := newJournal(s.number).segmentKey(r.stored)
 	s.claimer.stats.reads.Add(1)
+
 	kv, _, err := s.claimer.store.Get(ctx, key)
 	if err != nil {
 		return nil, err
 	}
+
 	for line := range bytes.Lines(kv.Value) {
 		var found record
 		if err := json.Unmarshal(line, &found); err != nil {
 			return nil, errors.Wrapf(err, "decode segment %d", r.stored)
 		}
+
 		if found.Done == r.id && found.Result != nil {
 			return found.Result, nil
 		}
 	}
+
 	dropped := *r.result
 	dropped.Dropped = true
 
--- a/internal/claimer/rpc.go
+++ b/internal/claimer/rpc.go
@@ -51,12 +51,15 @@
 	if err := json.Unmarshal(params, &request); err != nil {
 		return nil, classifier.Wrap(err, classifier.InvalidRequest, "decode the parameters of %s", MethodWrite)
 	}
+
 	o, err := request.operation(from)
 	if err != nil {
 		return nil, err
 	}
+
 	ctx, cancel := context.WithTimeout(ctx, c.options.ForwardTimeout)
 	defer cancel()
+
 	s := c.shards[shardOf(request.Key)]
 	s.submit(o)
 	a := s.wait(ctx, o)
@@ -68,7 +71,9 @@
 	if !strings.HasPrefix(r.ID, from+".") {
 		return nil, classifier.New(classifier.Forbidden, "the claim %q is not one of node %q", r.ID, from)
 	}
+
 	o := newOperation(kind(r.Kind), r.ID)
+
 	o.key, o.body, o.request, o.result, o.foreign = r.Key, r.Body, r.Request, r.Result, true
 	switch {
 	case o.kind == kindClaim || o.kind == kindVoid || o.kind == kindDone && o.result != nil:
@@ -104,6 +109,7 @@
 	case r.Code == 0:
 		return answer{run: r.Run}
 	}
+
 	failure := classifier.New(classifier.Code(r.Code), "%s", r.Reason)
 
 	return answer{failure: failure.After(time.Duration(r.RetryAfterMS) * time.Millisecond)}
@@ -114,6 +120,7 @@
 	if c.options.Holders == nil || c.options.Caller == nil {
 		return ""
 	}
+
 	holder := c.options.Holders.Holder(shard)
 	if holder == c.options.Node {
 		return ""
@@ -129,13 +136,17 @@
 	if holder == "" || s.refusing() {
 		return answer{}, false
 	}
+
 	request := WriteRequest{Kind: string(o.kind), ID: o.id, Key: o.key, Body: o.body, Request: o.request}
+
 	reply, err := c.forward(ctx, holder, request)
 	if err == nil && reply.Settled {
 		return reply.answer(), true
 	}
+
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
 	o.attempted = err != nil || reply.Unsettled
 
 	return answer{}, false
@@ -156,6 +167,7 @@
 	if holder == "" {
 		return answer{}, false
 	}
+
 	request := WriteRequest{Kind: string(o.kind), ID: o.id, Key: o.key, Result: o.result}
 	reply, err := c.forward(ctx, holder, request)
 
@@ -165,10 +177,13 @@
 func (c *Claimer) forward(ctx context.Context, holder string, request WriteRequest) (WriteReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.ForwardTimeout)
 	defer cancel()
+
 	c.stats.forwarded.Add(1)
+
 	var reply WriteReply
 	if err := c.options.Caller.Call(ctx, holder, MethodWrite, request, &reply); err != nil {
 		c.stats.forwardsFailed.Add(1)
+
 		return WriteReply{}, errors.Wrapf(err, "call holder %s", holder)
 	}
 
--- a/internal/claimer/shard.go
+++ b/internal/claimer/shard.go
@@ -63,10 +63,12 @@
 func (s *shard) submit(o *operation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
 	s.used = time.Now()
 	if o.kind == kindClaim && s.answerAtOnce(o) {
 		return
 	}
+
 	s.enqueue(o)
 }
 
@@ -74,14 +76,19 @@
 func (s *shard) answerAtOnce(o *operation) bool {
 	if e := s.journal.keys[o.key]; e != nil && e.result != nil {
 		s.finish(o, s.claimer.answerFor(e, o))
+
 		return true
 	}
+
 	now := time.Now()
+
 	if s.down.IsZero() {
 		return false
 	}
+
 	if now.Before(s.down) {
 		s.refuse(o, nil)
+
 		return true
 	}
 	// One claim tries the store; those that come meanwhile are refused.
@@ -95,6 +102,7 @@
 	if s.running {
 		return
 	}
+
 	s.running = true
 	s.claimer.workers.Go(s.run)
 }
@@ -104,9 +112,11 @@
 	if o.finished {
 		return
 	}
+
 	o.finished = true
 	o.answer = a
 	close(o.settled)
+
 	if o.kind != kindClaim && !o.foreign {
 		s.claimer.setOpen(o.id, false)
 	}
@@ -118,10 +128,12 @@
 	if o.finished {
 		return
 	}
+
 	wait := max(time.Until(s.down), defaultRetryAfter)
 	failure := classifier.Wrap(cause, classifier.ClaimUnavailable, "the claim can't be recorded now")
 	s.finish(o, answer{failure: failure.After(wait)})
 	s.claimer.stats.refused.Add(1)
+
 	if !o.foreign && (o.attempted || o.writing) {
 		s.void(o)
 	}
@@ -132,6 +144,7 @@
 	if o.voiding {
 		return
 	}
+
 	o.voiding = true
 	s.enqueue(newOperation(kindVoid, o.id))
 }
@@ -140,6 +153,7 @@
 func (s *shard) abandon(o *operation, cause error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
 	s.refuse(o, cause)
 }
 
@@ -158,8 +172,10 @@
 		if batch == nil {
 			return
 		}
+
 		s.commit(batch)
 	}
+
 	s.stop()
 }
 
@@ -168,12 +184,15 @@
 	s.mu.Lock()
 	wait := time.Until(s.turn)
 	s.mu.Unlock()
+
 	ctx := s.claimer.ctx
 	if wait <= 0 {
 		return ctx.Err() == nil
 	}
+
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+
 	select {
 	case <-timer.C:
 		return true
@@ -186,7 +205,9 @@
 func (s *shard) take() []*operation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
 	batch := s.queue
+
 	s.queue = nil
 	if len(batch) == 0 {
 		s.running = false
@@ -198,9 +219,11 @@
 func (s *shard) stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
 	for _, o := range s.queue {
 		s.finish(o, answer{failure: classifier.New(classifier.ClaimUnavailable, "the node is stopping")})
 	}
+
 	s.queue = nil
 	s.running = false
 }
@@ -208,31 +231,42 @@
 // write sends a draft. Whatever comes back, the journal is up to date after it or unchanged.
 func (s *shard) write(batch []*operation, d draft) {
 	stats := &s.claimer.stats
+
 	ctx, cancel := s.claimer.callContext()
 	defer cancel()
+
 	s.setTurn(d.moment)
 	stats.writes.Add(1)
 	stats.bytesSent.Add(int64(len(d.value)))
+
 	result, err := s.claimer.store.Txn(ctx, d.txn)
 	if err != nil {
 		unknown := !errors.Is(err, storer.ErrNotApplied)
 		s.written(batch, unknown)
 		s.failed(batch, err, unknown)
+
 		return
 	}
+
 	if result.Succeeded {
 		stats.records.Add(int64(lineCount(d.lines)))
 		stats.bytesKept.Add(int64(len(d.lines)))
+
 		err = s.change(func(j *journal) error { return d.adopt(j, result.Revision) })
 	} else {
 		stats.lost.Add(1)
+
 		err = s.change(func(j *journal) error { return j.update(found(result), time.Now()) })
 	}
+
 	s.written(batch, err != nil)
+
 	if err != nil {
 		s.failed(batch, err, true)
+
 		return
 	}
+
 	s.backAway(!result.Succeeded)
 	s.succeeded()
 	s.settle(batch)
@@ -243,16 +277,20 @@
 func (s *shard) setTurn(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
 	interval := s.claimer.options.WriteInterval
 	if s.rivals > 0 {
 		mean := time.Duration(1+s.rivals) * interval
 		s.turn = now.Add(mean/2 + rand.N(mean))
+
 		return
 	}
+
 	earliest := now.Add(-(writesAtOnce - 1) * interval)
 	if s.turn.Before(earliest) {
 		s.turn = earliest
 	}
+
 	s.turn = s.turn.Add(interval)
 }
 
@@ -263,15 +301,20 @@
 func (s *shard) backAway(lost bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
 	if !lost {
 		if s.losses == 0 {
 			s.rivals = max(s.rivals-1, 0)
 		}
+
 		s.losses = 0
+
 		return
 	}
+
 	s.losses++
 	s.rivals = min(s.rivals+2, maxRivals)
+
 	s.turn = time.Now()
 	if s.losses > 1 {
 		s.turn = s.turn.Add(rand.N(s.claimer.options.WriteInterval))
@@ -282,10 +325,12 @@
 func (s *shard) written(batch []*operation, unknown bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
 	for _, o := range batch {
 		o.attempted = o.attempted || unknown && o.writing
 		o.writing = false
 	}
+
 	if unknown {
 		s.claimer.stats.unknown.Add(1)
 	}
@@ -296,14 +341,18 @@
 func (s *shard) failed(batch []*operation, err error, unknown bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
 	now := time.Now()
 	s.failures++
 	s.claimer.stats.failed.Add(1)
+
 	if !unknown || s.failures > 1 {
 		s.down = now.Add(s.backOff.NextBackOff())
 		s.turn = s.down
 	}
+
 	var rest []*operation
+
 	for _, o := range batch {
 		switch {
 		case o.finished || o.kind == kindTick:
@@ -315,12 +364,14 @@
 			rest = append(rest, o)
 		}
 	}
+
 	s.queue = append(rest, s.queue...)
 }
 
 func (s *shard) succeeded() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
 	s.failures = 0
 	s.down = time.Time{}
 	s.backOff.Reset()
@@ -334,8 +385,10 @@
 		if o.kind != kindClaim {
 			return answer{failure: classifier.Wrap(ctx.Err(), classifier.ClaimUnavailable, "the record is still being written")}
 		}
+
 		s.abandon(o, ctx.Err())
 	}
+
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
--- a/internal/claimer/stats.go
+++ b/internal/claimer/stats.go
@@ -45,6 +45,7 @@
 // Stats returns the present counts.
 func (c *Claimer) Stats() Stats {
 	n := &c.stats
+
 	stats := Stats{
 		Claims: n.claims.Load(), Replays: n.replays.Load(),
 		Refused: n.refused.Load(), Full: n.full.Load(),
--- a/internal/ejector/ejector.go
+++ b/internal/ejector/ejector.go
@@ -269,6 +269,7 @@
 	}
 
 	first.admit(now)
+
 	e.counts[displacedSlow]++
 
 	return true
--- a/internal/scheduler/granting.go
+++ b/internal/scheduler/granting.go
@@ -182,6 +182,7 @@
 
 	w.class.granted++
 	w.class.longestWait = max(w.class.longestWait, now.Sub(w.queued))
+
 	p.decide(g.decision(Grant))
 
 	return g
--- a/internal/scheduler/lane.go
+++ b/internal/scheduler/lane.go
@@ -128,6 +128,7 @@
 	}
 
 	l.push(w)
+
 	r.waiting++
 }
 
@@ -151,6 +152,7 @@
 func (r *ring) remove(w *waiter) {
 	l := w.lane
 	l.remove(w)
+
 	r.waiting--
 
 	if l.length == 0 {
--- a/internal/scheduler/learning.go
+++ b/internal/scheduler/learning.go
@@ -116,6 +116,7 @@
 	}
 
 	g.class.firstToken.record(report.FirstToken)
+
 	if !g.cached {
 		g.class.fast.add(now, report.FirstToken.Seconds())
 	}
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -144,6 +144,7 @@
 	if s.inFlight == 0 || c.settings.Tier > s.lowestTier(classes) {
 		s.lowSince = now
 	}
+
 	s.inFlight++
 
 	for len(s.running) <= c.index {
