Keep the claimer's writing of a shard in a file of its own

Writing and its pace are writing.go, the branch of write that takes a result in is takeIn, and shard's methods stand with shard. rivals, a number without a unit, is contention, the field's term.

Behaviour is unchanged: go test ./internal/claimer passes before and after, linearizability and simulation among it, with the tests untouched.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -118,20 +118,6 @@
 	return a
 }
 
-func (s *shard) giveUp(o *operation) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	s.void(o)
-}
-
-func (s *shard) isVoiding(o *operation) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	return o.voiding
-}
-
 func (c *Claimer) newClaim(claim Claim) *operation {
 	maker := c.options.Node + "." + c.options.Incarnation + "."
 	o := newOperation(kindClaim, maker+strconv.FormatUint(c.last.Add(1), 36))
@@ -266,18 +252,3 @@
 		}
 	}
 }
-
-func (s *shard) maintain(foreign bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	idle := time.Since(s.used) > s.claimer.options.TickInterval
-	switch {
-	case !s.loaded || s.running:
-	case foreign && idle:
-		s.loaded = false
-		s.journal = newJournal(s.number)
-	case !foreign && s.journal.revision > 0:
-		s.enqueue(newOperation(kindTick, ""))
-	}
-}
--- a/internal/claimer/shard.go
+++ b/internal/claimer/shard.go
@@ -2,23 +2,17 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/cockroachdb/errors"
 
-	"quincepath.example/quincepath/internal/storer"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
 const (
 	firstBackOff = 200 * time.Millisecond
 	maxBackOff   = 10 * time.Second
-	// writesAtOnce is how many writes an idle shard may send without waiting between them.
-	writesAtOnce = 4
-	maxRivals    = 12
 	// defaultRetryAfter is when to come back after a refusal for which no better time is known.
 	defaultRetryAfter = time.Second
 )
@@ -43,8 +37,8 @@
 	failures int
 	// losses counts writes in a row that other writers were before.
 	losses int
-	// rivals is a measure of how often that happens, 0 to maxRivals.
-	rivals int
+	// contention rises with such losses and falls with writes that had none, 0 to maxContention.
+	contention int
 	// turn is the earliest time of the next write.
 	turn time.Time
 	used time.Time
@@ -228,169 +222,51 @@
 	s.running = false
 }
 
-// write sends a draft. Whatever comes back, the journal is up to date after it or unchanged.
-func (s *shard) write(batch []*operation, d draft) {
-	stats := &s.claimer.stats
-
-	ctx, cancel := s.claimer.callContext()
-	defer cancel()
-
-	s.setTurn(d.moment)
-	stats.writes.Add(1)
-	stats.bytesSent.Add(int64(len(d.value)))
-
-	result, err := s.claimer.store.Txn(ctx, d.txn)
-	if err != nil {
-		unknown := !errors.Is(err, storer.ErrNotApplied)
-		s.written(batch, unknown)
-		s.failed(batch, err, unknown)
-
-		return
-	}
-
-	if result.Succeeded {
-		stats.records.Add(int64(lineCount(d.lines)))
-		stats.bytesKept.Add(int64(len(d.lines)))
-
-		err = s.change(func(j *journal) error { return d.adopt(j, result.Revision) })
-	} else {
-		stats.lost.Add(1)
-
-		err = s.change(func(j *journal) error { return j.update(found(result), time.Now()) })
-	}
-
-	s.written(batch, err != nil)
-
-	if err != nil {
-		s.failed(batch, err, true)
-
-		return
-	}
-
-	s.backAway(!result.Succeeded)
-	s.succeeded()
-	s.settle(batch)
-}
-
-// setTurn makes room after a write. A shard that was idle may write writesAtOnce
-// times before it waits, so that a claim seldom waits for an earlier one's end.
-func (s *shard) setTurn(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	interval := s.claimer.options.WriteInterval
-	if s.rivals > 0 {
-		mean := time.Duration(1+s.rivals) * interval
-		s.turn = now.Add(mean/2 + rand.N(mean))
-
-		return
-	}
-
-	earliest := now.Add(-(writesAtOnce - 1) * interval)
-	if s.turn.Before(earliest) {
-		s.turn = earliest
-	}
-
-	s.turn = s.turn.Add(interval)
-}
-
-// backAway spreads nodes that write the same shard. The first loss only shows a
-// head that moved since it was read, so the next try follows at once; more mean that
-// others write at this very time. Without it nine nodes that write for themselves
-// would send thousands of writes a second, most of them lost.
-func (s *shard) backAway(lost bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	if !lost {
-		if s.losses == 0 {
-			s.rivals = max(s.rivals-1, 0)
+// wait returns the operation's answer. A claim that isn't answered when ctx ends is given up.
+func (s *shard) wait(ctx context.Context, o *operation) answer {
+	select {
+	case <-o.settled:
+	case <-ctx.Done():
+		if o.kind != kindClaim {
+			return answer{failure: classifier.Wrap(ctx.Err(), classifier.ClaimUnavailable, "the record is still being written")}
 		}
 
-		s.losses = 0
-
-		return
-	}
-
-	s.losses++
-	s.rivals = min(s.rivals+2, maxRivals)
-
-	s.turn = time.Now()
-	if s.losses > 1 {
-		s.turn = s.turn.Add(rand.N(s.claimer.options.WriteInterval))
+		s.abandon(o, ctx.Err())
 	}
-}
 
-// written notes what a batch's write left behind: nothing, or an effect that may yet come.
-func (s *shard) written(batch []*operation, unknown bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	for _, o := range batch {
-		o.attempted = o.attempted || unknown && o.writing
-		o.writing = false
-	}
-
-	if unknown {
-		s.claimer.stats.unknown.Add(1)
-	}
+	return o.answer
 }
 
-// failed refuses the batch's claims and queues the rest again. Claims whose write
-// may have taken effect stay: the next write, or their deadline, decides them.
-func (s *shard) failed(batch []*operation, err error, unknown bool) {
+// giveUp voids a claim whose caller will not send.
+func (s *shard) giveUp(o *operation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	now := time.Now()
-	s.failures++
-	s.claimer.stats.failed.Add(1)
-
-	if !unknown || s.failures > 1 {
-		s.down = now.Add(s.backOff.NextBackOff())
-		s.turn = s.down
-	}
-
-	var rest []*operation
-
-	for _, o := range batch {
-		switch {
-		case o.finished || o.kind == kindTick:
-		case now.Sub(o.started) > s.claimer.options.Window:
-			s.finish(o, answer{failure: classifier.Wrap(err, classifier.ClaimUnavailable, "the window has passed")})
-		case o.kind == kindClaim && !unknown:
-			s.refuse(o, err)
-		default:
-			rest = append(rest, o)
-		}
-	}
-
-	s.queue = append(rest, s.queue...)
+	s.void(o)
 }
 
-func (s *shard) succeeded() {
+func (s *shard) isVoiding(o *operation) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	s.failures = 0
-	s.down = time.Time{}
-	s.backOff.Reset()
+	return o.voiding
 }
 
-// wait returns the operation's answer. A claim that isn't answered when ctx ends is given up.
-func (s *shard) wait(ctx context.Context, o *operation) answer {
-	select {
-	case <-o.settled:
-	case <-ctx.Done():
-		if o.kind != kindClaim {
-			return answer{failure: classifier.Wrap(ctx.Err(), classifier.ClaimUnavailable, "the record is still being written")}
-		}
-
-		s.abandon(o, ctx.Err())
-	}
-
+// maintain queues a write of the idle shard's time, or forgets the journal of one that another node writes.
+func (s *shard) maintain(foreign bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return o.answer
+	idle := time.Since(s.used) > s.claimer.options.TickInterval
+	switch {
+	case !s.loaded || s.running:
+	case foreign && idle:
+		s.loaded = false
+		s.journal = newJournal(s.number)
+	case !foreign && s.journal.revision > 0:
+		s.enqueue(newOperation(kindTick, ""))
+	}
 }
