--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -62,18 +62,26 @@
 	Seed uint64
 }
 
-// Time limits and pauses.
 const (
-	storeTimeout      = time.Second
-	pullTimeout       = 500 * time.Millisecond
-	notifyTimeout     = 500 * time.Millisecond
-	roleInterval      = time.Second
-	roleGrace         = 5 * time.Second
-	pollInterval      = 2 * time.Second
-	silenceGrace      = 250 * time.Millisecond
+	// storeTimeout bounds one call of the store; pullTimeout and notifyTimeout one call of a peer.
+	storeTimeout  = time.Second
+	pullTimeout   = 500 * time.Millisecond
+	notifyTimeout = 500 * time.Millisecond
+	// roleInterval is the time between two looks at whether this node is a watcher, and
+	// roleGrace how long it goes on watching after it no longer is.
+	roleInterval = time.Second
+	roleGrace    = 5 * time.Second
+	// pollInterval is the mean time between two looks at the head beside a watch, and
+	// silenceGrace how long the watch may then take to tell what was seen.
+	pollInterval = 2 * time.Second
+	silenceGrace = 250 * time.Millisecond
+	// longestStorePause and longestPeerPause are the longest mean times between two tries.
 	longestStorePause = 4 * time.Second
 	longestPeerPause  = 2 * time.Second
-	sendWorkers       = 8
+	// pullPause is the mean time after a failed pull until another peer is asked.
+	pullPause = 20 * time.Millisecond
+	// sendWorkers bounds the announcements on their way at once.
+	sendWorkers = 8
 	// startPeers is the number of peers that a starting node asks.
 	startPeers = 3
 	// fanout is the number of peers that hear of a new revision in each round.
