Build the operators' commands in one place

Ruled out: asking in Format itself, since the golden tests choose Terminal without a terminal.

Behaviour is unchanged: TestOutputInEveryFormat and TestFailures of registrar, the tests of root and of test/docs pass before and after, no golden file differs.

--- a/internal/command/tree/set/set.go
+++ b/internal/command/tree/set/set.go
@@ -40,10 +40,7 @@
 	options.Flags.Register(clause)
 	options.ChangeFlags.Register(clause)
 
-	return factory.Command{Clause: clause, Run: func(ctx context.Context) error {
-		options.Terminal = f.IsTerminal()
-		return Run(ctx, options)
-	}}
+	return options.Command(clause, func(ctx context.Context) error { return Run(ctx, options) })
 }
 
 // Run changes the branch in one edit.
--- a/internal/command/tree/undo/undo.go
+++ b/internal/command/tree/undo/undo.go
@@ -33,10 +33,7 @@
 	options.Flags.Register(clause)
 	options.ChangeFlags.Register(clause)
 
-	return factory.Command{Clause: clause, Run: func(ctx context.Context) error {
-		options.Terminal = f.IsTerminal()
-		return Run(ctx, options)
-	}}
+	return options.Command(clause, func(ctx context.Context) error { return Run(ctx, options) })
 }
 
 // Run takes the change back and prints the new change.
--- a/internal/operator/flags.go
+++ b/internal/operator/flags.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"context"
 	"os"
 	"time"
 
@@ -48,6 +49,16 @@
 	clause.Flag("json", "Write JSON.").BoolVar(&f.JSON)
 }
 
+// Command returns the command of a verb that registered these flags. Terminal
+// is set before run is called.
+func (f *Flags) Command(clause *kingpin.CmdClause, run func(ctx context.Context) error) factory.Command {
+	return factory.Command{Clause: clause, Run: func(ctx context.Context) error {
+		f.Terminal = f.Factory.IsTerminal()
+
+		return run(ctx)
+	}}
+}
+
 // Format returns how to write the answer.
 func (f Flags) Format() printer.Format {
 	return printer.Choose(f.JSON, f.Terminal)
--- a/internal/query/request/show/show.go
+++ b/internal/query/request/show/show.go
@@ -31,10 +31,7 @@
 	clause.Arg("id", "Request id.").Required().StringVar(&options.ID)
 	options.Register(clause)
 
-	return factory.Command{Clause: clause, Run: func(ctx context.Context) error {
-		options.Terminal = f.IsTerminal()
-		return Run(ctx, options)
-	}}
+	return options.Command(clause, func(ctx context.Context) error { return Run(ctx, options) })
 }
 
 // Run prints one row for each property.
--- a/internal/query/tree/diff/diff.go
+++ b/internal/query/tree/diff/diff.go
@@ -44,10 +44,7 @@
 	clause.Flag("change", "Id of the change to show.").PlaceHolder("ID").StringVar(&options.Change)
 	options.Register(clause)
 
-	return factory.Command{Clause: clause, Run: func(ctx context.Context) error {
-		options.Terminal = f.IsTerminal()
-		return Run(ctx, options)
-	}}
+	return options.Command(clause, func(ctx context.Context) error { return Run(ctx, options) })
 }
 
 // Run prints the lines of both sides, or nothing when they are equal.
--- a/internal/query/tree/get/get.go
+++ b/internal/query/tree/get/get.go
@@ -37,10 +37,7 @@
 	clause.Flag("explain", "Show each value in force and the branch that gives it.").BoolVar(&options.Explain)
 	options.Register(clause)
 
-	return factory.Command{Clause: clause, Run: func(ctx context.Context) error {
-		options.Terminal = f.IsTerminal()
-		return Run(ctx, options)
-	}}
+	return options.Command(clause, func(ctx context.Context) error { return Run(ctx, options) })
 }
 
 // Run prints the branch's YAML as it is stored, or a table.
--- a/internal/query/tree/history/history.go
+++ b/internal/query/tree/history/history.go
@@ -35,10 +35,7 @@
 	clause.Flag("limit", "Largest number of changes, from 1 to 1000.").Default("20").IntVar(&options.Limit)
 	options.Register(clause)
 
-	return factory.Command{Clause: clause, Run: func(ctx context.Context) error {
-		options.Terminal = f.IsTerminal()
-		return Run(ctx, options)
-	}}
+	return options.Command(clause, func(ctx context.Context) error { return Run(ctx, options) })
 }
 
 // Run prints one row for each change.
--- a/internal/query/upstream/list/list.go
+++ b/internal/query/upstream/list/list.go
@@ -32,10 +32,7 @@
 	clause.Flag("service", "Only the upstreams of this service.").PlaceHolder("NAME").StringVar(&options.Service)
 	options.Register(clause)
 
-	return factory.Command{Clause: clause, Run: func(ctx context.Context) error {
-		options.Terminal = f.IsTerminal()
-		return Run(ctx, options)
-	}}
+	return options.Command(clause, func(ctx context.Context) error { return Run(ctx, options) })
 }
 
 // Run prints one row for each upstream.
