Make the operators' changes in one place

tree edit, tree undo and upstream leave each repeated the same four steps: names with defaults, client, call, printed change. operator.Flags.MakeChange holds them; a verb only gives its call. The order is kept, so that a change without an author still reaches no node. edit.change returned no change but an edit and is called prepare. Filled and PrintChange have no other user left and are unexported.

Behaviour is unchanged: TestOutputInEveryFormat, TestFailures and TestLostReplyIsLookedUp of registrar pass before and after, no golden file differs.

--- a/internal/command/tree/edit/edit.go
+++ b/internal/command/tree/edit/edit.go
@@ -63,30 +63,17 @@
 		return err
 	}
 
-	names, err := options.Filled()
-	if err != nil {
-		return err
-	}
-
-	client, err := options.Client()
-	if err != nil {
-		return err
-	}
-
-	changed, err := change(ctx, client, options)
-	if err != nil {
-		return err
-	}
-
-	changed.ChangeID = names.ChangeID
-	changed.Author = names.Author
+	return options.MakeChange(options.ChangeFlags, func(c *operator.Client, names operator.ChangeFlags) (administrator.Change, error) {
+		prepared, err := prepare(ctx, c, options)
+		if err != nil {
+			return administrator.Change{}, err
+		}
 
-	made, err := client.Apply(ctx, changed)
-	if err != nil {
-		return err
-	}
+		prepared.ChangeID = names.ChangeID
+		prepared.Author = names.Author
 
-	return options.PrintChange(made)
+		return c.Apply(ctx, prepared)
+	})
 }
 
 func check(options Options) error {
@@ -102,7 +89,8 @@
 	return nil
 }
 
-func change(ctx context.Context, client *operator.Client, options Options) (administrator.Edit, error) {
+// prepare returns the edit without its names.
+func prepare(ctx context.Context, client *operator.Client, options Options) (administrator.Edit, error) {
 	if options.File != "" {
 		content, err := operator.ReadFile(options.File, options.Factory.Streams.In)
 		return administrator.Edit{Path: options.Branch, BaseRevision: options.Base, Content: content}, err
--- a/internal/command/tree/undo/undo.go
+++ b/internal/command/tree/undo/undo.go
@@ -38,20 +38,7 @@
 
 // Run takes the change back and prints the new change.
 func Run(ctx context.Context, options Options) error {
-	names, err := options.Filled()
-	if err != nil {
-		return err
-	}
-
-	client, err := options.Client()
-	if err != nil {
-		return err
-	}
-
-	made, err := client.Undo(ctx, administrator.Undo{Undone: options.Undone, ChangeID: names.ChangeID, Author: names.Author})
-	if err != nil {
-		return err
-	}
-
-	return options.PrintChange(made)
+	return options.MakeChange(options.ChangeFlags, func(c *operator.Client, names operator.ChangeFlags) (administrator.Change, error) {
+		return c.Undo(ctx, administrator.Undo{Undone: options.Undone, ChangeID: names.ChangeID, Author: names.Author})
+	})
 }
--- a/internal/command/upstream/leave/leave.go
+++ b/internal/command/upstream/leave/leave.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 
+	"quincepath.example/quincepath/internal/administrator"
 	"quincepath.example/quincepath/internal/factory"
 	"quincepath.example/quincepath/internal/operator"
 )
@@ -38,20 +39,7 @@
 
 // Run marks the upstream as leaving and prints the change.
 func Run(ctx context.Context, options Options) error {
-	names, err := options.Filled()
-	if err != nil {
-		return err
-	}
-
-	client, err := options.Client()
-	if err != nil {
-		return err
-	}
-
-	made, err := client.Leave(ctx, options.Service, options.Upstream, names)
-	if err != nil {
-		return err
-	}
-
-	return options.PrintChange(made)
+	return options.MakeChange(options.ChangeFlags, func(c *operator.Client, names operator.ChangeFlags) (administrator.Change, error) {
+		return c.Leave(ctx, options.Service, options.Upstream, names)
+	})
 }
--- a/internal/operator/changes.go
+++ b/internal/operator/changes.go
@@ -45,8 +45,29 @@
 	return string(data), nil
 }
 
-// PrintChange writes a change: a sentence and its difference for terminals, else one row.
-func (f Flags) PrintChange(change administrator.Change) error {
+// MakeChange fills the names of a change, has it made by a node and writes what
+// came of it. Names come first, so that a call without an author reaches no node.
+func (f Flags) MakeChange(given ChangeFlags, send func(c *Client, names ChangeFlags) (administrator.Change, error)) error {
+	names, err := given.filled()
+	if err != nil {
+		return err
+	}
+
+	client, err := f.Client()
+	if err != nil {
+		return err
+	}
+
+	change, err := send(client, names)
+	if err != nil {
+		return err
+	}
+
+	return f.printChange(change)
+}
+
+// printChange writes a change: a sentence and its difference for terminals, else one row.
+func (f Flags) printChange(change administrator.Change) error {
 	if f.Format() != printer.Terminal {
 		return f.Print(printer.Table{
 			Rows: [][]string{{change.ID, string(change.State), strconv.FormatInt(change.Revision, 10), Shown(change.Path)}},
--- a/internal/operator/flags.go
+++ b/internal/operator/flags.go
@@ -111,8 +111,8 @@
 	clause.Flag("change-id", "Id of a change to try again after an unknown outcome.").PlaceHolder("ID").StringVar(&c.ChangeID)
 }
 
-// Filled returns the flags with their defaults.
-func (c ChangeFlags) Filled() (ChangeFlags, error) {
+// filled returns the flags with their defaults.
+func (c ChangeFlags) filled() (ChangeFlags, error) {
 	if c.Author == "" {
 		c.Author = os.Getenv("USER")
 	}
