Name the largest result code once

The meter's counters had room for 126 codes by a bare number, the classifier's test and doc comment said 125 each for itself: raising one alone would have counted a code as internal_error. classifier.MaxCode says it once, with why it is 125; the test still holds the number itself.

Behaviour is unchanged: the tests of pkg/classifier and internal/meter pass before and after.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -20,8 +20,8 @@
 	maxReasons = 32
 	// overflowName takes what goes beyond a bound, so that the sums stay right.
 	overflowName = "other"
-	// codeCount is one more than the largest result code.
-	codeCount = 126
+	// codeCount is the number of result codes that there can be.
+	codeCount = classifier.MaxCode + 1
 )
 
 // Sample is one ended request.
--- a/pkg/classifier/classifier.go
+++ b/pkg/classifier/classifier.go
@@ -24,9 +24,13 @@
 	RanUnknown Ran = "unknown"
 )
 
-// Code is the number of a result. It fits an exit status: 0 to 125.
+// Code is the number of a result: from 0 to MaxCode.
 type Code int
 
+// MaxCode is the largest exit status that a program may choose; shells use the
+// larger ones for commands that didn't run or were ended by a signal.
+const MaxCode Code = 125
+
 // Result codes. The numbers are part of the public interface and never change.
 const (
 	OK Code = 0
--- a/pkg/classifier/results_test.go
+++ b/pkg/classifier/results_test.go
@@ -54,10 +54,11 @@
 	names := map[string]bool{}
 	descriptions := classifier.Descriptions()
 
+	assert.Equal(t, classifier.MaxCode, classifier.Code(125))
 	assert.Assert(t, slices.IsSortedFunc(descriptions, func(a, b classifier.Description) int { return int(a.Code - b.Code) }))
 
 	for _, v := range descriptions {
-		assert.Assert(t, v.Code >= 0 && v.Code <= 125, "%d is no exit status", v.Code)
+		assert.Assert(t, v.Code >= 0 && v.Code <= classifier.MaxCode, "%d is no exit status", v.Code)
 		assert.Assert(t, !names[v.Name], "%s stands twice", v.Name)
 		assert.Assert(t, v.Meaning != "" && v.Action != "" && v.Name != "", "%d lacks a text", v.Code)
 		names[v.Name] = true
