Hold the report's forms in one type for demo and replay

replay.Options kept Plot and JSON beside the type Output that demo already used for the same two flags, and copied them over before writing. Both commands register them through Output.Register now.

--- a/internal/command/demo/demo.go
+++ b/internal/command/demo/demo.go
@@ -39,8 +39,7 @@
 	clause.Flag("story", "Generated trace to play.").Default("mix").EnumVar(&options.Story, generate.Names()...)
 	clause.Flag("seed", "Seed of the generated trace.").Default("1").Uint64Var(&options.Seed)
 	clause.Flag("expect", "File of stated outcomes; a missed one gives the exit status of expectation_missed.").PlaceHolder("FILE").StringVar(&options.Expect)
-	clause.Flag("plot", "Write an SVG plot of the latencies to this file.").PlaceHolder("FILE").StringVar(&options.Output.Plot)
-	clause.Flag("json", "Print the report as JSON.").BoolVar(&options.Output.JSON)
+	options.Output.Register(clause)
 	clause.Flag("verbose", "Log all events of the nodes and stand-ins.").BoolVar(&options.Verbose)
 
 	return factory.Command{Clause: clause, Run: func(ctx context.Context) error { return Run(ctx, options) }}
--- a/internal/command/replay/output.go
+++ b/internal/command/replay/output.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 
+	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/schollz/progressbar/v3"
 
@@ -19,6 +20,12 @@
 	Plot string
 }
 
+// Register adds the flags to a command.
+func (o *Output) Register(clause *kingpin.CmdClause) {
+	clause.Flag("plot", "Write an SVG plot of the latencies to this file.").PlaceHolder("FILE").StringVar(&o.Plot)
+	clause.Flag("json", "Print the report as JSON.").BoolVar(&o.JSON)
+}
+
 // Write writes the report to the output stream and the plot to its file.
 func (o Output) Write(f *factory.Factory, report reporter.Report, result replayer.Result) error {
 	if o.Plot != "" {
--- a/internal/command/replay/replay.go
+++ b/internal/command/replay/replay.go
@@ -27,10 +27,9 @@
 	Seed  uint64
 	// Settings is the path of a node's settings file with the classes' targets; it may be empty.
 	Settings string
-	// Expect and Plot are paths; they may be empty.
+	// Expect is the path of a file with stated outcomes; it may be empty.
 	Expect string
-	Plot   string
-	JSON   bool
+	Output Output
 	// StandIns are the IP:port addresses of the stand-ins whose records are compared with the answers.
 	StandIns []string
 	Player   replayer.Options
@@ -53,8 +52,7 @@
 	clause.Flag("standin", "IP:port of a stand-in whose runs are compared with the answers; may be repeated; implies --check-answers.").PlaceHolder("ADDRESS").StringsVar(&options.StandIns)
 	clause.Flag("settings", "Settings file with the classes' targets.").PlaceHolder("FILE").StringVar(&options.Settings)
 	clause.Flag("expect", "File of stated outcomes; a missed one gives the exit status of expectation_missed.").PlaceHolder("FILE").StringVar(&options.Expect)
-	clause.Flag("plot", "Write an SVG plot of the latencies to this file.").PlaceHolder("FILE").StringVar(&options.Plot)
-	clause.Flag("json", "Print the report as JSON.").BoolVar(&options.JSON)
+	options.Output.Register(clause)
 
 	return factory.Command{Clause: clause, Run: func(ctx context.Context) error { return Run(ctx, options) }}
 }
@@ -97,8 +95,7 @@
 	report := reporter.New(in)
 	report.Check(expectations)
 
-	output := Output{JSON: options.JSON, Plot: options.Plot}
-	if err := output.Write(options.Factory, report, result); err != nil {
+	if err := options.Output.Write(options.Factory, report, result); err != nil {
 		return err
 	}
 
