Part the checks of bench control

One function looked for a node, read the sizes of the fleets and checked four bounds, and its estimate of the time was 3*seconds+5 without saying of what. Each check has its function, the two numbers have names. The order of the checks and all sentences are the same.

--- a/internal/query/bench/control/control.go
+++ b/internal/query/bench/control/control.go
@@ -32,6 +32,13 @@
   quincepath bench control
   quincepath bench control --nodes 3,9,30 --rate 200 --policy power_of_two --json`
 
+const (
+	// phases are idle, under requests and with changes; startSeconds is about what a fleet takes to start and stop.
+	phases       = 3
+	startSeconds = 5
+)
+
+// Bounds of the flags.
 const (
 	// mostNodes keeps the process below the usual limit of open files and half a small machine's memory.
 	mostNodes    = 100
@@ -85,15 +92,23 @@
 
 // Run measures each size of fleet after the other and prints the figures and their lines.
 func Run(ctx context.Context, options Options) error {
-	sizes, err := options.check()
+	if options.Factory.Serve == nil {
+		return classifier.New(classifier.InternalError, "this program holds no node")
+	}
+
+	sizes, err := options.sizes()
 	if err != nil {
 		return err
 	}
 
+	if err := options.checkBounds(); err != nil {
+		return err
+	}
+
 	var result answer
 
 	for _, nodes := range sizes {
-		fmt.Fprintf(options.Factory.Streams.Err, "%d nodes, about %d seconds\n", nodes, 3*options.Seconds+5)
+		fmt.Fprintf(options.Factory.Streams.Err, "%d nodes, about %d seconds\n", nodes, phases*options.Seconds+startSeconds)
 
 		figures, err := options.Gauge(ctx, gauger.Options{
 			Serve:    options.Factory.Serve,
@@ -118,11 +133,8 @@
 	return options.write(result)
 }
 
-func (o Options) check() ([]int, error) {
-	if o.Factory.Serve == nil {
-		return nil, classifier.New(classifier.InternalError, "this program holds no node")
-	}
-
+// sizes returns the numbers of nodes to measure, in the order given.
+func (o Options) sizes() ([]int, error) {
 	var sizes []int
 
 	for _, text := range strings.Split(o.Nodes, ",") {
@@ -134,6 +146,10 @@
 		sizes = append(sizes, nodes)
 	}
 
+	return sizes, nil
+}
+
+func (o Options) checkBounds() error {
 	bounds := []struct {
 		flag         string
 		value, least float64
@@ -147,11 +163,11 @@
 
 	for _, v := range bounds {
 		if v.value < v.least || v.value > v.most {
-			return nil, classifier.New(classifier.InvalidUsage, "--%s is %g; write a number from %g to %g", v.flag, v.value, v.least, v.most)
+			return classifier.New(classifier.InvalidUsage, "--%s is %g; write a number from %g to %g", v.flag, v.value, v.least, v.most)
 		}
 	}
 
-	return sizes, nil
+	return nil
 }
 
 func (o Options) write(result answer) error {
