Compare the stamps of certificate files by the library

certifier had its own loop over two lists of stamps; slices.EqualFunc with stamp.equal says the same, and the comparison stands beside its type.

Behaviour is unchanged: the tests of internal/certifier pass before and after.

--- a/internal/certifier/certifier.go
+++ b/internal/certifier/certifier.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +43,10 @@
 	size     int64
 }
 
+func (s stamp) equal(other stamp) bool {
+	return s.modified.Equal(other.modified) && s.size == other.size
+}
+
 // Certifier holds the last good certificate. It is safe for concurrent use.
 type Certifier struct {
 	options Options
@@ -141,7 +146,7 @@
 		return c.current
 	}
 
-	if equal(seen, c.seen) {
+	if slices.EqualFunc(seen, c.seen, stamp.equal) {
 		return c.current
 	}
 
@@ -255,17 +260,3 @@
 
 	return found, nil
 }
-
-func equal(a, b []stamp) bool {
-	if len(a) != len(b) {
-		return false
-	}
-
-	for i := range a {
-		if !a[i].modified.Equal(b[i].modified) || a[i].size != b[i].size {
-			return false
-		}
-	}
-
-	return true
-}
