Take the default log settings from one place

Four commands without a settings file wrote the level info and the format keyvalue out, words that loader.Defaults says already. Factory.DefaultLogger takes them from there.

Behaviour is unchanged: the tests of internal/factory, internal/command/... pass before and after; loader's test holds the two words.

--- a/internal/command/demo/demo.go
+++ b/internal/command/demo/demo.go
@@ -64,7 +64,7 @@
 
 	logger := zerolog.Nop()
 	if options.Verbose {
-		logger = options.Factory.Logger("info", "keyvalue")
+		logger = options.Factory.DefaultLogger()
 	}
 
 	ctx, stop := context.WithCancel(ctx)
--- a/internal/command/standin/engine/engine.go
+++ b/internal/command/standin/engine/engine.go
@@ -26,6 +26,6 @@
 	clause.Flag("model", "Model that is loaded at the start; any name is served when left out.").StringsVar(&options.Models)
 
 	return factory.Command{Clause: clause, Run: func(ctx context.Context) error {
-		return generator.Run(ctx, options, f.Logger("info", "keyvalue"))
+		return generator.Run(ctx, options, f.DefaultLogger())
 	}}
 }
--- a/internal/command/standin/platform/platform.go
+++ b/internal/command/standin/platform/platform.go
@@ -20,6 +20,6 @@
 	clause.Flag("vm-lag", "Age of the list of VMs.").Default("2s").DurationVar(&options.VMLag)
 
 	return factory.Command{Clause: clause, Run: func(ctx context.Context) error {
-		return keeper.Run(ctx, options, f.Logger("info", "keyvalue"))
+		return keeper.Run(ctx, options, f.DefaultLogger())
 	}}
 }
--- a/internal/command/standin/service/service.go
+++ b/internal/command/standin/service/service.go
@@ -20,6 +20,6 @@
 	clause.Flag("load-lag", "Age of the load reports.").Default("1s").DurationVar(&options.LoadLag)
 
 	return factory.Command{Clause: clause, Run: func(ctx context.Context) error {
-		return responder.Run(ctx, options, f.Logger("info", "keyvalue"))
+		return responder.Run(ctx, options, f.DefaultLogger())
 	}}
 }
--- a/internal/factory/factory.go
+++ b/internal/factory/factory.go
@@ -63,6 +63,14 @@
 	return zerolog.New(newLineWriter(f.Streams.Err, format)).Level(least).With().Timestamp().Logger()
 }
 
+// DefaultLogger returns the logger of a command without a settings file: that of a
+// node whose file says nothing of its log.
+func (f *Factory) DefaultLogger() zerolog.Logger {
+	log := loader.Defaults().Log
+
+	return f.Logger(log.Level, log.Format)
+}
+
 // AdminClient returns a client for the admin server at base, such as
 // "http://127.0.0.1:9000", that shows the operator's key. A call that takes
 // longer than timeout fails; redirects are refused, so that the key stays with base.
