Delete branches from the command line

Tests: golden files in the three formats; an old base and a node that is gone in TestFailures; the lost reply of a deletion in TestLostReplyIsLookedUp, shown to fail on a scratch copy with the look-up taken out (edit_unknown instead of the change); TestDeletedBranchComesBackByUndo over the stored tree of the platform's stand-in: deleted, asked again with the same id, undone.

--- a/internal/command/registrar/registrar.go
+++ b/internal/command/registrar/registrar.go
@@ -2,6 +2,7 @@
 package registrar
 
 import (
+	remove "quincepath.example/quincepath/internal/command/tree/delete"
 	"quincepath.example/quincepath/internal/command/tree/edit"
 	"quincepath.example/quincepath/internal/command/tree/set"
 	"quincepath.example/quincepath/internal/command/tree/undo"
@@ -34,6 +35,7 @@
 		diff.New(f, tree),
 		history.New(f, tree),
 		undo.New(f, tree),
+		remove.New(f, tree),
 		status.New(f, node),
 		upstreams.New(f, upstream),
 		leave.New(f, upstream),
--- a/internal/command/registrar/registrar_test.go
+++ b/internal/command/registrar/registrar_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -19,10 +20,12 @@
 
 	"quincepath.example/quincepath/internal/administrator"
 	"quincepath.example/quincepath/internal/command/registrar"
+	remove "quincepath.example/quincepath/internal/command/tree/delete"
 	"quincepath.example/quincepath/internal/command/tree/edit"
 	"quincepath.example/quincepath/internal/command/tree/set"
 	"quincepath.example/quincepath/internal/command/tree/undo"
 	"quincepath.example/quincepath/internal/command/upstream/leave"
+	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/factory"
 	"quincepath.example/quincepath/internal/operator"
 	entries "quincepath.example/quincepath/internal/query/entry/list"
@@ -32,6 +35,7 @@
 	"quincepath.example/quincepath/internal/query/tree/get"
 	"quincepath.example/quincepath/internal/query/tree/history"
 	upstreams "quincepath.example/quincepath/internal/query/upstream/list"
+	keeper "quincepath.example/quincepath/internal/standin/platform"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
@@ -43,9 +47,15 @@
 func serve(t *testing.T, n *node) *httptest.Server {
 	t.Helper()
 
+	return serveTree(t, n, n)
+}
+
+func serveTree(t *testing.T, n *node, tree administrator.Tree) *httptest.Server {
+	t.Helper()
+
 	sum := sha256.Sum256([]byte(key))
 	admin, err := administrator.New(administrator.Options{
-		KeyHashes: []string{hex.EncodeToString(sum[:])}, Status: n, Tree: n, Requests: n,
+		KeyHashes: []string{hex.EncodeToString(sum[:])}, Status: n, Tree: tree, Requests: n,
 		Variables: http.NotFoundHandler(), Logger: zerolog.Nop(),
 	})
 	assert.NilError(t, err)
@@ -101,6 +111,9 @@
 
 			return undo.Run(ctx, undo.Options{Flags: f, ChangeFlags: operator.ChangeFlags{Author: "lia", ChangeID: "c4"}, Undone: "c3"})
 		},
+		"tree_delete": func(ctx context.Context, f operator.Flags) error {
+			return remove.Run(ctx, remove.Options{Flags: f, ChangeFlags: change, Branch: service, Base: 41})
+		},
 		"node_status": func(ctx context.Context, f operator.Flags) error {
 			return status.Run(ctx, status.Options{Flags: f})
 		},
@@ -185,6 +198,8 @@
 		{"no such branch", base, "", []string{"tree", "get", "none"}, classifier.UnknownBranch, "there is no branch"},
 		{"no base", base, fileText, []string{"tree", "edit", service, "--file", "-", "--author", "lia"}, classifier.InvalidUsage, "give --base REVISION"},
 		{"old base", base, fileText, []string{"tree", "edit", service, "--file", "-", "--base", "40", "--author", "lia"}, classifier.EditConflict, "changed since:\n-4: tier: 1"},
+		{"delete with an old base", base, "", []string{"tree", "delete", service, "--base", "40", "--author", "lia"}, classifier.EditConflict, "changed since:\n-4: tier: 1"},
+		{"delete at a node that is gone", gone.URL, "", []string{"tree", "delete", service, "--base", "41", "--author", "lia"}, classifier.NodeUnreachable, "name another by --node"},
 		{"nothing to edit", base, "", []string{"tree", "edit", service, "--author", "lia"}, classifier.InvalidUsage, "give either --file"},
 		{"no pair", base, "", []string{"tree", "set", service, "tier", "--author", "lia"}, classifier.InvalidUsage, `"tier" is no change`},
 		{"wrong path", base, "", []string{"tree", "set", service, "a..b=1", "--author", "lia"}, classifier.InvalidUsage, "is no path"},
@@ -233,6 +248,12 @@
 	assert.Equal(t, applied.changes[0].ID, "c9")
 	assert.Equal(t, len(applied.changes), 1)
 
+	deleted := newNode()
+	deleted.err, deleted.lost = unknown, true
+	err = command(t, serve(t, deleted).URL, "", "tree", "delete", service, "--base", "41", "--author", "lia", "--change-id", "c9")
+	assert.NilError(t, err)
+	assert.Equal(t, len(deleted.changes), 1)
+
 	never := newNode()
 	never.err = unknown
 	err = command(t, serve(t, never).URL, "", "tree", "set", service, "kind=plain", "--author", "lia", "--change-id", "c9")
@@ -245,6 +266,30 @@
 	assert.Assert(t, strings.Contains(err.Error(), "run the same command again with --change-id c9"), err.Error())
 }
 
+func TestDeletedBranchComesBackByUndo(t *testing.T) {
+	n := newNode()
+	editor := configurer.NewEditor(keeper.NewLocal(keeper.NewStore(keeper.StoreOptions{}), nil), configurer.EditorOptions{})
+	base := serveTree(t, n, administrator.NewStoredTree(editor, n)).URL
+
+	made, err := editor.Edit(t.Context(), configurer.Edit{Branch: "a", Value: []byte("kind: plain\n"), ChangeID: "c1", Author: "lia"})
+	assert.NilError(t, err)
+
+	remove := []string{"tree", "delete", "a", "--base", strconv.FormatInt(made.Revision, 10), "--author", "lia", "--change-id", "c2"}
+	assert.NilError(t, command(t, base, "", remove...))
+
+	// The same change again, as after an unknown outcome, gets the same answer.
+	assert.NilError(t, command(t, base, "", remove...))
+
+	err = command(t, base, "", "tree", "get", "a")
+	assert.Equal(t, classifier.From(err).Code, classifier.UnknownBranch)
+
+	assert.NilError(t, command(t, base, "", "tree", "undo", "c2", "--author", "lia"))
+
+	tree, err := editor.Tree(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, string(tree.Branches[0].Value), "kind: plain\n")
+}
+
 // Symptom: an operator copies "bench policy --json" from the help and is told that there is no such flag.
 // Sequence: the example is written; the flag is left out or renamed; the help stays.
 // Cause: the help is free text that nothing compared with the flags.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -131,12 +131,24 @@
 	return answer, err
 }
 
-// Apply writes a branch and returns the change that was made.
+// Apply writes or deletes a branch and returns the change that was made.
 func (c *Client) Apply(ctx context.Context, edit administrator.Edit) (administrator.Change, error) {
-	body := putRequest{BaseRevision: edit.BaseRevision, ChangeID: edit.ChangeID, Author: edit.Author, Content: edit.Content}
-	request := c.rest.R().SetContext(ctx).SetBody(body)
+	request := c.rest.R().SetContext(ctx)
+	names := ChangeFlags{Author: edit.Author, ChangeID: edit.ChangeID}
 
-	return c.change(ctx, request, resty.MethodPut, branchPath(edit.Path), ChangeFlags{Author: edit.Author, ChangeID: edit.ChangeID})
+	if edit.Delete {
+		request.SetQueryParams(map[string]string{
+			"base_revision": strconv.FormatInt(edit.BaseRevision, 10),
+			"change_id":     edit.ChangeID,
+			"author":        edit.Author,
+		})
+
+		return c.change(ctx, request, resty.MethodDelete, branchPath(edit.Path), names)
+	}
+
+	request.SetBody(putRequest{BaseRevision: edit.BaseRevision, ChangeID: edit.ChangeID, Author: edit.Author, Content: edit.Content})
+
+	return c.change(ctx, request, resty.MethodPut, branchPath(edit.Path), names)
 }
 
 // Undo takes a change back.
