--- a/internal/server/engine_answer.go
+++ b/internal/server/engine_answer.go
@@ -277,7 +277,7 @@
 			choice.FinishReason = reason
 		}
 
-		if usage := chunk.Get("usage"); usage.IsObject() {
+		if usage := chunk.Get("usage"); usage.IsObject() && gjson.Valid(usage.Raw) {
 			whole.Usage = json.RawMessage(usage.Raw)
 		}
 	}
