Generate a story's trace in one place

trace generate and replay each looked a story up and worded its absence; demo went through replay.Events with an empty file name. generate.Events serves all three.

--- a/internal/command/demo/demo.go
+++ b/internal/command/demo/demo.go
@@ -86,7 +86,7 @@
 }
 
 func (o Options) play(ctx context.Context, c *cluster, expectations reporter.Expectations) (reporter.Report, error) {
-	events, err := replay.Events("", o.Story, o.Seed)
+	events, err := generate.Events(o.Story, o.Seed)
 	if err != nil {
 		return reporter.Report{}, err
 	}
--- a/internal/command/replay/replay.go
+++ b/internal/command/replay/replay.go
@@ -109,12 +109,7 @@
 	}
 
 	if story != "" {
-		found, ok := tracer.Find(story)
-		if !ok {
-			return nil, classifier.New(classifier.InvalidUsage, "there is no story %q", story)
-		}
-
-		return found.Generate(seed), nil
+		return generate.Events(story, seed)
 	}
 
 	file, err := os.Open(trace)
--- a/internal/query/trace/generate/generate.go
+++ b/internal/query/trace/generate/generate.go
@@ -39,10 +39,20 @@
 
 // Run prints the trace.
 func Run(options Options) error {
-	story, ok := tracer.Find(options.Story)
+	events, err := Events(options.Story, options.Seed)
+	if err != nil {
+		return err
+	}
+
+	return tracer.Write(options.Factory.Streams.Out, events)
+}
+
+// Events returns the trace of a story. It fails with classifier.InvalidUsage when there is none of this name.
+func Events(story string, seed uint64) ([]tracer.Event, error) {
+	found, ok := tracer.Find(story)
 	if !ok {
-		return classifier.New(classifier.InvalidUsage, "there is no story %q", options.Story)
+		return nil, classifier.New(classifier.InvalidUsage, "there is no story %q", story)
 	}
 
-	return tracer.Write(options.Factory.Streams.Out, story.Generate(options.Seed))
+	return found.Generate(seed), nil
 }
