Part the start of the demo's cluster

startShop and startNodes were 40 to 50 lines with two and three jobs each. The engines, the plain service and one node's settings have their functions; the peers' credential and the nodes' failure domains stand beside the other fixed values. The stand-ins start in the same order.

Behaviour is unchanged: the tests of internal/command/demo pass before and after.

--- a/internal/command/demo/cluster.go
+++ b/internal/command/demo/cluster.go
@@ -21,6 +21,7 @@
 const (
 	anyPort    = "127.0.0.1:0"
 	engineKey  = "demo-engine"
+	peerKey    = "demo-peer"
 	tokenStep  = 8 * time.Millisecond
 	prefill    = 50 * time.Microsecond
 	plainSlots = 8
@@ -29,6 +30,9 @@
 	startLimit = 10 * time.Second
 )
 
+// nodeFailureDomains hold one node each, in turn.
+var nodeFailureDomains = []string{"catania-sala", "brest", "siracusa-sala"}
+
 // serve runs a node until its context ends.
 type serve func(ctx context.Context, settings loader.Settings, logger zerolog.Logger) error
 
@@ -49,6 +53,7 @@
 func newCluster(serve serve, logger zerolog.Logger) *cluster {
 	settings := loader.Defaults()
 	settings.Upstreams.BearerKey = engineKey
+	settings.Peers.Credential = peerKey
 	settings.Services = map[string]loader.Service{}
 	settings.Node.EntryLifetime = time.Second
 	settings.Node.DrainTimeout = 5 * time.Second
@@ -78,7 +83,15 @@
 }
 
 func (c *cluster) startShop(ctx context.Context, s shop, names map[string][]string) error {
-	engines := s.service(s.engine, configurer.KindEngine, names[s.engine])
+	if err := c.startEngines(ctx, s, names[s.engine]); err != nil {
+		return err
+	}
+
+	return c.startPlain(ctx, s, names[s.plain])
+}
+
+func (c *cluster) startEngines(ctx context.Context, s shop, organisations []string) error {
+	service := s.service(s.engine, configurer.KindEngine, organisations)
 
 	for i, slots := range s.slots {
 		name := fmt.Sprintf("%s-%d", s.engine, i+1)
@@ -97,10 +110,16 @@
 		}
 
 		c.standIns = append(c.standIns, address)
-		engines.Upstreams[name] = configurer.Upstream{Address: "http://" + address, FailureDomain: s.failureDomains[i], Slots: slots}
+		service.Upstreams[name] = configurer.Upstream{Address: "http://" + address, FailureDomain: s.failureDomains[i], Slots: slots}
 	}
 
-	plain := s.service(s.plain, configurer.KindPlain, names[s.plain])
+	c.settings.Services[s.engine] = service
+
+	return nil
+}
+
+func (c *cluster) startPlain(ctx context.Context, s shop, organisations []string) error {
+	service := s.service(s.plain, configurer.KindPlain, organisations)
 	name := s.plain + "-1"
 
 	address, err := c.launch(ctx, name, func(ready func(string)) error {
@@ -113,8 +132,8 @@
 	}
 
 	c.standIns = append(c.standIns, address)
-	plain.Upstreams[name] = configurer.Upstream{Address: "http://" + address, FailureDomain: s.failureDomains[0], Slots: plainSlots}
-	c.settings.Services[s.engine], c.settings.Services[s.plain] = engines, plain
+	service.Upstreams[name] = configurer.Upstream{Address: "http://" + address, FailureDomain: s.failureDomains[0], Slots: plainSlots}
+	c.settings.Services[s.plain] = service
 
 	return nil
 }
@@ -152,32 +171,22 @@
 }
 
 func (c *cluster) startNodes(ctx context.Context, count int) error {
-	domains := []string{"catania-sala", "brest", "siracusa-sala"}
-
-	var listens []loader.Node
-
-	c.settings.Peers.Credential = "demo-peer"
+	nodes := make([]loader.Node, 0, count)
 
 	for i := range count {
-		addresses, err := freeAddresses(ctx, 3)
+		node, err := c.newNode(ctx, i)
 		if err != nil {
 			return err
 		}
 
-		node := c.settings.Node
-		node.Name = fmt.Sprintf("node-%d", i+1)
-		node.Region = "demo"
-		node.FailureDomain = domains[i%len(domains)]
-		node.Listen, node.Advertise = addresses[0], addresses[0]
-		node.PeerListen, node.AdminListen = addresses[1], addresses[2]
-		listens = append(listens, node)
+		nodes = append(nodes, node)
 		c.entries = append(c.entries, node.Listen)
 		c.settings.Peers.Nodes = append(c.settings.Peers.Nodes, loader.Peer{
 			Name: node.Name, PeerAddress: node.PeerListen, EntryAddress: node.Listen, FailureDomain: node.FailureDomain,
 		})
 	}
 
-	for _, v := range listens {
+	for _, v := range nodes {
 		settings := c.settings
 		settings.Node = v
 
@@ -187,6 +196,23 @@
 	return c.awaitNodes(ctx)
 }
 
+// newNode returns the settings of the node with the given index, on free addresses.
+func (c *cluster) newNode(ctx context.Context, index int) (loader.Node, error) {
+	addresses, err := freeAddresses(ctx, 3)
+	if err != nil {
+		return loader.Node{}, err
+	}
+
+	node := c.settings.Node
+	node.Name = fmt.Sprintf("node-%d", index+1)
+	node.Region = "demo"
+	node.FailureDomain = nodeFailureDomains[index%len(nodeFailureDomains)]
+	node.Listen, node.PeerListen, node.AdminListen = addresses[0], addresses[1], addresses[2]
+	node.Advertise = node.Listen
+
+	return node, nil
+}
+
 // awaitNodes waits until each node takes connections.
 func (c *cluster) awaitNodes(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, startLimit)
