Name three bare values and a rule

checker compared a sum's length with 32, which is sha256.Size; version cut a revision at a bare 12; meter left out a range of codes without saying what the range is. checker.neighbour, which returns the key that makes another one needed, is called requiringKey.

Behaviour is unchanged: the tests of checker's users loader and configurer, of meter and of root pass before and after.

--- a/internal/checker/values.go
+++ b/internal/checker/values.go
@@ -1,6 +1,7 @@
 package checker
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 	"net/netip"
@@ -154,7 +155,7 @@
 
 func isSum(text string) bool {
 	sum, err := hex.DecodeString(text)
-	return err == nil && len(sum) == 32 && strings.ToLower(text) == text
+	return err == nil && len(sum) == sha256.Size && strings.ToLower(text) == text
 }
 
 func advice(e validator.FieldError) string {
@@ -178,14 +179,14 @@
 	case "unique":
 		return "keep each name once"
 	case "required_with":
-		return "it is needed together with " + neighbour(e)
+		return "it is needed together with " + requiringKey(e)
 	}
 
 	return "write a value for it"
 }
 
-// neighbour returns the key of the field that a required_with rule names.
-func neighbour(e validator.FieldError) string {
+// requiringKey returns the key of the field that a required_with rule names.
+func requiringKey(e validator.FieldError) string {
 	switch e.Param() {
 	case "KeyFile":
 		return "key_file"
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -119,6 +119,7 @@
 }
 
 // counts says whether a request that ended with the code counts against attainment.
+// The codes from Unauthenticated to KeyTooLong say that the request itself is wrong.
 func counts(code classifier.Code) bool {
 	switch code {
 	case classifier.CallerGone, classifier.RateLimited, classifier.ConcurrencyLimited, classifier.TokensLimited:
--- a/internal/query/version/version.go
+++ b/internal/query/version/version.go
@@ -10,6 +10,9 @@
 	"quincepath.example/quincepath/internal/factory"
 )
 
+// revisionLength is the number of digits of a revision that are shown.
+const revisionLength = 12
+
 // Options are the inputs of the query.
 type Options struct {
 	Factory *factory.Factory
@@ -39,8 +42,8 @@
 	}
 
 	for _, v := range info.Settings {
-		if v.Key == "vcs.revision" && len(v.Value) >= 12 {
-			return v.Value[:12]
+		if v.Key == "vcs.revision" && len(v.Value) >= revisionLength {
+			return v.Value[:revisionLength]
 		}
 	}
 
