Ask the pool that the entry itself holds first

A service of more than 32 servers has several pools, and an ask picked one by a hash of its id.

An entry now takes its own pools first. A pool that queues, or an attempt that excludes upstreams, is spread by the hash as before: one caller that sends everything to one node must not wait while other pools are idle.

The holder of a pool is remembered as long as the live nodes are the same, since an ask looks up one for each pool of its service.

--- a/internal/granter/holder.go
+++ b/internal/granter/holder.go
@@ -206,6 +206,19 @@
 	return h.pools[name]
 }
 
+// queues says whether requests wait in a pool of this node.
+func (h *Holder) queues(name string) bool {
+	p := h.find(name)
+	if p == nil {
+		return false
+	}
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.pool.Queues()
+}
+
 // open returns the pool, made when it is new, with the settings in force; nil when the service is unknown.
 func (h *Holder) open(service string, part int) *heldPool {
 	snapshot := h.settings.Snapshot()
--- a/internal/granter/pending.go
+++ b/internal/granter/pending.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/dispatcher"
 )
@@ -60,7 +62,7 @@
 
 func (r *Router) begin(ask dispatcher.Ask, service configurer.Service) *pending {
 	id := askID(r.options.Node, r.options.Incarnation, r.number.Add(1))
-	pool, part := poolOf(service, id)
+	part := r.partFor(&ask, service, id)
 	now := time.Now()
 
 	p := &pending{
@@ -77,7 +79,7 @@
 
 			NotRepeatable: !ask.Repeatable,
 		},
-		pool:    pool,
+		pool:    poolName(service.Name, part),
 		class:   service.Classes[ask.Class],
 		began:   now,
 		arrived: now.Add(-ask.Waited),
@@ -91,6 +93,38 @@
 	return p
 }
 
+// partFor picks the pool of a service that an ask goes to.
+//
+// A pool of this node that is full, or whose servers may be those that failed an
+// earlier attempt, is not preferred: one caller that sends all to this node
+// would wait here while other pools are idle, and an attempt after a failure
+// would meet the same servers again.
+func (r *Router) partFor(ask *dispatcher.Ask, service configurer.Service, askID string) int {
+	count := poolCount(service)
+	if count == 1 {
+		return 0
+	}
+
+	number := xxhash.Sum64String(askID)
+	spread := int(number % uint64(count))
+
+	if len(ask.Exclude) > 0 {
+		return spread
+	}
+
+	holders := make([]string, count)
+	for part := range holders {
+		holders[part] = r.holderOf(poolName(service.Name, part))
+	}
+
+	part := choosePart(holders, r.options.Node, number)
+	if holders[part] == r.options.Node && r.holder.queues(poolName(service.Name, part)) {
+		return spread
+	}
+
+	return part
+}
+
 // moveTo notes the holder that is asked next and returns the one asked before.
 func (r *Router) moveTo(p *pending, peer string) string {
 	r.mu.Lock()
--- a/internal/granter/placement.go
+++ b/internal/granter/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 
@@ -17,13 +18,52 @@
 	return max(1, (len(service.Upstreams)+scheduler.MaxServers-1)/scheduler.MaxServers)
 }
 
-// poolOf names the pool that an ask goes to. With several pools the ask's id spreads the load.
-func poolOf(service configurer.Service, askID string) (name string, part int) {
-	if count := poolCount(service); count > 1 {
-		part = int(xxhash.Sum64String(askID) % uint64(count))
+// choosePart picks the pool of a service that an ask goes to; holders names the
+// holder of each pool, and number is evenly spread over asks.
+//
+// A node that holds pools of the service takes its own first, so that an ask of
+// a caller that was steered here stays here. Callers are steered evenly between
+// holders, and not between pools: of three pools, two held by one node, the
+// third would get half of all asks. So a node takes for its own pools only their
+// share of the service, as a part of what one holder of several is sent; the
+// rest goes to the holders that are sent less than their pools' share, by how
+// much less. Then all pools get the same. Other nodes spread by the number
+// alone, which is even too, and so do all while no live node is known.
+func choosePart(holders []string, self string, number uint64) int {
+	count := len(holders)
+	parts := partsByHolder(holders)
+	draw, number := int(number%uint64(count)), number/uint64(count)
+
+	own := parts[self]
+	if len(own) == 0 || slices.Contains(holders, "") {
+		return draw
 	}
 
-	return poolName(service.Name, part), part
+	if draw < len(parts)*len(own) {
+		return own[number%uint64(len(own))]
+	}
+
+	lacking := make([]string, 0, count)
+
+	for _, holder := range slices.Sorted(maps.Keys(parts)) {
+		for range len(parts)*len(parts[holder]) - count {
+			lacking = append(lacking, holder)
+		}
+	}
+
+	others := parts[lacking[number%uint64(len(lacking))]]
+
+	return others[number/uint64(len(lacking))%uint64(len(others))]
+}
+
+func partsByHolder(holders []string) map[string][]int {
+	parts := make(map[string][]int)
+
+	for part, holder := range holders {
+		parts[holder] = append(parts[holder], part)
+	}
+
+	return parts
 }
 
 func poolName(service string, part int) string {
@@ -67,6 +107,8 @@
 	mu    sync.Mutex
 	nodes []string
 	table *rendezvous.Rendezvous
+	// found keeps the holders that were looked up among nodes, by pool.
+	found map[string]string
 }
 
 // holder returns the node that holds the pool, or "" without nodes.
@@ -77,7 +119,14 @@
 	if p.table == nil || !slices.Equal(nodes, p.nodes) {
 		p.nodes = slices.Clone(nodes)
 		p.table = rendezvous.New(p.nodes, xxhash.Sum64String)
+		p.found = make(map[string]string)
+	}
+
+	holder, ok := p.found[pool]
+	if !ok {
+		holder = p.table.Lookup(pool)
+		p.found[pool] = holder
 	}
 
-	return p.table.Lookup(pool)
+	return holder
 }
--- a/internal/scheduler/stats.go
+++ b/internal/scheduler/stats.go
@@ -84,3 +84,8 @@
 
 	return stats
 }
+
+// Queues says whether requests wait.
+func (p *Pool) Queues() bool {
+	return len(p.waiting) > 0
+}
