Read load reports of the pools held, not of the whole service

Router.HeldUpstreams names the servers of the pools held here; load reports and cache events are read of these, and hints of others are forgotten.

Nothing else used the rest: the fallback policy of other nodes has no reports either, and a holder's fallback for a silent holder's pool knows as little as before of servers that neither has. What an upstream says of its leaving still reaches the holder of its pool.

TestEachUpstreamIsHeldOnce holds that the nodes' parts cover each server once; it could not be built before, since there was no such query.

--- a/internal/granter/placement_test.go
+++ b/internal/granter/placement_test.go
@@ -73,3 +73,29 @@
 		assert.Assert(t, n.inUse() > 25, "%d", n.inUse())
 	})
 }
+
+// Symptom: load reports cost twice of what is used. Sequence: two nodes hold the
+// two pools of a service; each reads the reports of all 40 servers. Cause: a
+// holder was known by the service, not by the pool.
+func TestEachUpstreamIsHeldOnce(t *testing.T) {
+	inVirtualTime(t, 3, 40, 1, fixed(), func(t *testing.T, _ context.Context, n *network) {
+		counts := make(map[string]int)
+
+		for name, node := range n.nodes {
+			held := node.router.HeldUpstreams("assistente")
+			assert.Equal(t, len(held) > 0, slices.Contains(node.router.HoldersOf("assistente"), name))
+
+			for upstream := range held {
+				counts[upstream]++
+			}
+
+			assert.Equal(t, len(node.router.HeldUpstreams("unknown")), 0)
+		}
+
+		assert.Equal(t, len(counts), 40)
+
+		for upstream, count := range counts {
+			assert.Equal(t, count, 1, upstream)
+		}
+	})
+}
--- a/internal/granter/watcher.go
+++ b/internal/granter/watcher.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/scheduler"
 )
 
@@ -81,6 +83,20 @@
 	return holders
 }
 
+// HeldUpstreams returns the upstreams of a service whose pools this node holds, by name.
+func (r *Router) HeldUpstreams(service string) map[string]configurer.Upstream {
+	settings := r.settings.Snapshot().Services[service]
+	held := make(map[string]configurer.Upstream)
+
+	for part := range poolCount(settings) {
+		if r.holderOf(poolName(service, part)) == r.options.Node {
+			maps.Copy(held, partOf(settings, part).Upstreams)
+		}
+	}
+
+	return held
+}
+
 // suspect keeps a silent holder from being asked until it answers again. The
 // next holder is asked meanwhile; two holders cost some balance and no promise.
 func (r *Router) suspect(peer string) {
--- a/internal/server/loads.go
+++ b/internal/server/loads.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -49,12 +48,7 @@
 
 func (n *Node) pollOnce(ctx context.Context, client *resty.Client) {
 	for _, service := range n.tree.Snapshot().Services {
-		if !n.polls(service.Name) {
-			n.prefixes.Keep(service.Name, func(string) bool { return false })
-
-			continue
-		}
-
+		service.Upstreams = n.polled(service)
 		n.pollPrefixes(ctx, client, service)
 
 		for _, upstream := range service.Upstreams {
@@ -64,11 +58,15 @@
 	}
 }
 
-// polls says whether this node reads the load reports of a service. With a
-// queue only the holder needs them: polls of every server by every node would
-// grow with the square of the fleet.
-func (n *Node) polls(service string) bool {
-	return n.router == nil || slices.Contains(n.router.HoldersOf(service), n.identity.node)
+// polled returns the upstreams whose load reports this node reads. With a queue
+// only the holder of an upstream's pool needs them: polls of every server by
+// every node would grow with the square of the fleet.
+func (n *Node) polled(service configurer.Service) map[string]configurer.Upstream {
+	if n.router == nil {
+		return service.Upstreams
+	}
+
+	return n.router.HeldUpstreams(service.Name)
 }
 
 func (n *Node) pollUpstream(ctx context.Context, client *resty.Client, upstream configurer.Upstream) {
--- a/internal/server/prefixes.go
+++ b/internal/server/prefixes.go
@@ -27,8 +27,8 @@
 	PrefixHash string `json:"prefix_hash"`
 }
 
-// pollPrefixes reads the cache events of the engines of one service. The holder
-// alone uses them, so no other node reads them.
+// pollPrefixes reads the cache events of the engines of one service that this
+// node holds, and forgets the others. The holder alone uses them, so no other node reads them.
 func (n *Node) pollPrefixes(ctx context.Context, client *resty.Client, service configurer.Service) {
 	if n.router == nil || service.Kind != configurer.KindEngine {
 		return
