Let pkg/finder name the service and the failure domain of its caller

Nodes steer the callers of a service to the holders of its pools, but callers by pkg/finder could not say their service, so none of them was steered. Options.Service and Options.FailureDomain go as the query of GET /v1/entries.

TestQuestionNamesServiceAndFailureDomain failed before, with an empty query.

--- a/pkg/finder/answer.go
+++ b/pkg/finder/answer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,7 +39,7 @@
 	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
 	defer cancel()
 
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, f.options.Scheme+"://"+address+"/v1/entries", http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url(address), http.NoBody)
 	if err != nil {
 		return answer{}, errors.Wrap(err, "make the request")
 	}
@@ -63,6 +64,23 @@
 	return decode(data)
 }
 
+// url names what the caller is only if it is known.
+func (f *Finder) url(address string) string {
+	query := make(url.Values)
+
+	if f.options.Service != "" {
+		query.Set("service", f.options.Service)
+	}
+
+	if f.options.FailureDomain != "" {
+		query.Set("failure_domain", f.options.FailureDomain)
+	}
+
+	question := url.URL{Scheme: f.options.Scheme, Host: address, Path: "/v1/entries", RawQuery: query.Encode()}
+
+	return question.String()
+}
+
 // decode drops entries without an IP number and a port, and refuses an answer
 // without a usable one: kept, it would cut the caller off from every node.
 func decode(data []byte) (answer, error) {
--- a/pkg/finder/finder.go
+++ b/pkg/finder/finder.go
@@ -46,6 +46,13 @@
 	Addresses []string
 	// Key is the bearer key of the caller's organisation.
 	Key string
+	// Service is the name of the service that the entries are for: nodes that
+	// serve it best come first. Empty means any; a caller of several services
+	// does best with a Finder for each.
+	Service string
+	// FailureDomain is where the caller runs, empty if unknown: nodes there come
+	// before others that are as good.
+	FailureDomain string
 	// Scheme is "http" or "https"; empty means "http".
 	Scheme string
 	// Transport sends the calls; nil means http.DefaultTransport.
--- a/pkg/finder/finder_test.go
+++ b/pkg/finder/finder_test.go
@@ -24,6 +24,8 @@
 	refused map[string]bool
 	body    string
 	asked   []string
+	// query is that of the last call.
+	query string
 }
 
 const three = `{"entries":[
@@ -39,6 +41,7 @@
 func (f *fleet) RoundTrip(r *http.Request) (*http.Response, error) {
 	f.mu.Lock()
 	f.asked = append(f.asked, r.URL.Host)
+	f.query = r.URL.RawQuery
 	dead, refused, body := f.dead[r.URL.Host], f.refused[r.URL.Host], f.body
 	f.mu.Unlock()
 
@@ -263,3 +266,25 @@
 	assert.NilError(t, err)
 	assert.Equal(t, addresses(t, found), "n1")
 }
+
+// Symptom: callers of a service that nodes could steer were spread over all
+// nodes. Sequence: a caller asks for the entries and gets them in any order.
+// Cause: the question named neither its service nor its failure domain.
+func TestQuestionNamesServiceAndFailureDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, v := range []struct{ service, domain, query string }{
+			{"", "", ""},
+			{"assistente", "", "service=assistente"},
+			{"a&b=c d", "catania-sala", "failure_domain=catania-sala&service=a%26b%3Dc+d"},
+		} {
+			f := newFleet()
+			found, err := finder.New(finder.Options{
+				Addresses: []string{"192.0.2.9:80"}, Key: "key", Transport: f, Service: v.service, FailureDomain: v.domain,
+			})
+			assert.NilError(t, err)
+
+			addresses(t, found)
+			assert.Equal(t, f.query, v.query)
+		}
+	})
+}
