Announce the address that peers reach, not the one listened on

A node with peer_listen 0.0.0.0:7101 told its peers this as its address for probes; they took it over from the news and found the node dead. It announces the peer_address of its own entry in peers.nodes now, as the messenger of its peers uses it already, and peer_listen only without such an entry.

TestNodeAnnouncesTheAddressThatPeersReach failed before with 0.0.0.0:7101.

--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -68,7 +68,7 @@
 	options.Self = prober.VM{
 		Name:          node.Name,
 		Address:       node.Advertise,
-		PeerAddress:   node.PeerListen,
+		PeerAddress:   n.peerAddress(),
 		FailureDomain: node.FailureDomain,
 	}
 	options.Incarnation = n.started.UnixMilli()
@@ -84,6 +84,18 @@
 	return m
 }
 
+// peerAddress is where other nodes reach this one: as the settings list it, else
+// the address that it listens on. That may be 0.0.0.0, which nobody reaches.
+func (n *Node) peerAddress() string {
+	for _, peer := range n.settings.Peers.Nodes {
+		if peer.Name == n.settings.Node.Name {
+			return peer.PeerAddress
+		}
+	}
+
+	return n.settings.Node.PeerListen
+}
+
 // digest is what each heartbeat tells of this node.
 func (n *Node) digest() prober.Digest {
 	return prober.Digest{
