Read the list of VMs on watchers only, and ask them for its marks

Every node read the platform's whole list of VMs, which grows with the fleet: 90 B a VM, 900 B/s a node at the size to design for, to learn which few VMs leave.

Now the two watchers of each failure domain (distributor.Watchers, the role that watches the settings) read it, at the same pace as before, and the other nodes ask their domain's watchers for the names that are marked (vms.leaving), which serves the marks of nodes and those of upstreams alike, on holders and others. A node whose watchers don't answer, or have not read the list yet, reads it itself, no more often than before; a watcher whose platform is out tells what it read last. Others ask four times as often as watchers read, 5 s at least, so a mark reaches them at most a quarter later than it did.

Ruled out: spreading marks by the probers' news, which carry nodes and no upstreams; and watchers calling all nodes, which costs calls when nothing changes.

TestOnlyWatchersReadTheList: 30 nodes of 3 domains read 6 times a round; with every node as a watcher it fails with 30. Reads stay at 6 while the platform is out and while one watcher is silent.

--- a/internal/distributor/watcher.go
+++ b/internal/distributor/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -21,9 +22,10 @@
 	errSilent     = errors.New("the watch is silent although the tree has changed")
 )
 
-// isWatcher reports whether this node is one of its failure domain's watchers. Nodes with
-// the same view of the members agree; with unlike views there are a few more watchers or, until the views meet, fewer.
-func isWatcher(self Member, live []Member) bool {
+// Watchers names the watchers of a node's failure domain, the same first for all
+// nodes with the same view of the members. With unlike views there are a few more
+// watchers or, until the views meet, fewer. They read what else all nodes need of the platform, too.
+func Watchers(self Member, live []Member) []string {
 	names := []string{self.Name}
 
 	for _, v := range live {
@@ -32,16 +34,20 @@
 		}
 	}
 
-	for range watchersPerDomain {
-		chosen := rendezvous.New(names, xxhash.Sum64String).Lookup("tree-watcher/" + self.FailureDomain)
-		if chosen == self.Name {
-			return true
-		}
+	var watchers []string
 
+	for range min(watchersPerDomain, len(names)) {
+		chosen := rendezvous.New(names, xxhash.Sum64String).Lookup("tree-watcher/" + self.FailureDomain)
+		watchers = append(watchers, chosen)
 		names = remove(names, chosen)
 	}
 
-	return false
+	return watchers
+}
+
+// isWatcher reports whether this node is one of its failure domain's watchers.
+func isWatcher(self Member, live []Member) bool {
+	return slices.Contains(Watchers(self, live), self.Name)
 }
 
 func remove(names []string, name string) []string {
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,7 +14,6 @@
 
 	"quincepath.example/quincepath/internal/administrator"
 	"quincepath.example/quincepath/internal/distributor"
-	"quincepath.example/quincepath/internal/drainer"
 	"quincepath.example/quincepath/internal/heartbeater"
 	"quincepath.example/quincepath/internal/prober"
 )
@@ -25,10 +23,6 @@
 	viewInterval = time.Second
 	// hearingTime is how long a node may take to hear the incarnation of another that lives.
 	hearingTime = 5 * time.Second
-	// listInterval is the least time between two reads of the platform's list of VMs by this node.
-	listInterval = 5 * time.Second
-	// listIntervalPerNode stretches it, so that the whole fleet reads at most ten times a second.
-	listIntervalPerNode = 100 * time.Millisecond
 )
 
 // memberView is what the node's parts see of the fleet. It is immutable.
@@ -265,47 +259,6 @@
 	return nil
 }
 
-// readList takes in the platform's lagging list of VMs until ctx ends.
-func (n *Node) readList(ctx context.Context) {
-	if n.store == nil {
-		return
-	}
-
-	for {
-		n.readListOnce(ctx)
-
-		// Jitter keeps nodes that started together from reading together.
-		pause := max(listInterval, time.Duration(n.members.known())*listIntervalPerNode)
-		pause += time.Duration(rand.Int64N(int64(pause) / 4))
-
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (n *Node) readListOnce(ctx context.Context) {
-	list, err := n.store.VMs(ctx)
-	if err != nil {
-		n.logger.Debug().Err(err).Msg("vm_list_unreadable")
-
-		return
-	}
-
-	leaving := make(map[string]bool)
-
-	for _, vm := range list.VMs {
-		if vm.State == "leaving" {
-			leaving[vm.Name] = true
-		}
-	}
-
-	n.members.prober.List(time.Now(), n.listedNodes(leaving))
-	n.markLeavingUpstreams(drainer.SourceList, leaving)
-}
-
 // peerStatuses describes the other nodes to operators.
 func (n *Node) peerStatuses() []administrator.PeerStatus {
 	var statuses []administrator.PeerStatus
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -27,6 +27,7 @@
 	}
 
 	n.store = store
+	n.vms = n.newVMList()
 	n.claims = claimer.New(n.work, store, claimer.Options{
 		Node:        n.identity.node,
 		Incarnation: n.identity.incarnation,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -54,6 +54,8 @@
 	claims *claimer.Claimer
 	// store is the platform's key-value service; nil without a platform.
 	store *connector.Client
+	// vms knows which VMs the platform's list marks as leaving; nil without a platform.
+	vms *vmList
 
 	// work ends when the node has drained; runs outlive their callers' connections but not the node.
 	work     context.Context
