Part the stream reader and the shared attempt code from the engine sender

engine.go had 408 lines and held four matters: the handler, the sender, the reader of one engine's stream, and pieces that plain services use as well (how an attempt ended, closing idle connections after silence). A reader of plain.go had to look for its own logic in the engine's file, and the rule when an attempt needs a new connection stood twice, word for word, without its reason.

--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tidwall/gjson"
 	"github.com/tidwall/sjson"
-	"github.com/tmaxmax/go-sse"
 
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/dispatcher"
@@ -17,12 +16,6 @@
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
-// maxEventBytes is the longest event that is read from an engine.
-const maxEventBytes = 1 << 20
-
-// endOfStream is the payload of the last event of an OpenAI stream.
-const endOfStream = "[DONE]"
-
 // topTier is served first and never set aside.
 const topTier = 1
 
@@ -174,16 +167,6 @@
 	return outcome
 }
 
-// leaveIdleAfter closes the idle connections after a silent attempt. What made one
-// connection silent, such as a middle box that lost its table, mostly made all
-// of that time silent. Kept, each would fail one more request after its gap
-// limit, long after the fault, until the retry budget is spent.
-func leaveIdleAfter(outcome dispatcher.Outcome, client *forwarder.Client) {
-	if outcome.Result == dispatcher.ResultSilent {
-		client.Close()
-	}
-}
-
 // gapLimits are the limits of silence of one attempt. An engine that sets an
 // answer aside for a higher tier sends nothing on it for a while, as a dead
 // connection does. What tells them apart is that the engine goes on sending to
@@ -221,16 +204,12 @@
 		header.Set(forwarder.HeaderKey, s.key)
 	}
 
-	response, err := s.client.Do(ctx, forwarder.Call{
-		Method:          http.MethodPost,
-		URL:             attempt.Slot.Upstream.Address + s.path,
-		Header:          header,
-		Body:            body,
-		RequestID:       s.request.ID,
-		Attempt:         attempt.Number,
-		Priority:        attempt.Slot.Priority,
-		OnNewConnection: attempt.Number > 1 || !s.request.Repeatable,
-	})
+	call := newCall(s.request, attempt, s.path)
+	call.Method = http.MethodPost
+	call.Header = header
+	call.Body = body
+
+	response, err := s.client.Do(ctx, call)
 	if err != nil {
 		return err
 	}
@@ -259,150 +238,3 @@
 
 	return prepared, errors.Wrap(err, "set resume offset")
 }
-
-// sendResult tells how an attempt ended from its error and the state of its reader.
-func sendResult(ctx context.Context, err error, reader *forwarder.GapReader) dispatcher.Result {
-	switch {
-	case err == nil:
-		return dispatcher.ResultDone
-	case errors.Is(err, forwarder.ErrNotSent) && !reader.Silent() && ctx.Err() == nil:
-		return dispatcher.ResultNotSent
-	case errors.Is(err, forwarder.ErrRefused):
-		return dispatcher.ResultRefused
-	case errors.Is(err, forwarder.ErrRejected):
-		return dispatcher.ResultRejected
-	case reader.Silent():
-		return dispatcher.ResultSilent
-	case ctx.Err() != nil:
-		return dispatcher.ResultCallerGone
-	default:
-		return dispatcher.ResultFailed
-	}
-}
-
-// errSuperseded marks a stream whose first token came after that of another attempt.
-var errSuperseded = errors.New("another attempt owns the answer")
-
-// errStreamIncomplete marks a stream that ended before its last event.
-var errStreamIncomplete = errors.New("the stream ended before its last event")
-
-// eventPump reads one engine stream into the answer.
-type eventPump struct {
-	sender     *engineSender
-	attempt    dispatcher.Attempt
-	started    time.Time
-	firstToken time.Duration
-	delivered  int
-	// owned is true once the attempt may add to the answer; held keeps the events until then.
-	owned bool
-	held  []sse.Event
-	// wasted is the number of tokens that came too late.
-	wasted int
-}
-
-func (p *eventPump) run(reader *forwarder.GapReader) error {
-	var failure error
-
-	done := false
-
-	sse.Read(reader, &sse.ReadConfig{MaxEventSize: maxEventBytes})(func(event sse.Event, err error) bool {
-		if err != nil {
-			failure = err
-
-			return false
-		}
-
-		done, failure = p.take(event)
-
-		return !done && failure == nil
-	})
-
-	if failure != nil {
-		return errors.Wrap(failure, "read stream")
-	}
-
-	if !done {
-		return errStreamIncomplete
-	}
-
-	return nil
-}
-
-// sameID gives chunks of a resumed stream the id of the first stream. Clients
-// check that all chunks of an answer have one id, and engines may make up a new one.
-func (p *eventPump) sameID(data string) string {
-	id := gjson.Get(data, "id").String()
-	if p.sender.chunkID == "" {
-		p.sender.chunkID = id
-	}
-
-	if id == p.sender.chunkID {
-		return data
-	}
-
-	changed, err := sjson.Set(data, "id", p.sender.chunkID)
-	if err != nil {
-		return data
-	}
-
-	return changed
-}
-
-// take adds one event to the answer and says whether it was the last. Of two
-// attempts at once the first with a token owns the answer; what comes before
-// the token, such as the role, is held until then, or the caller would get it twice.
-func (p *eventPump) take(event sse.Event) (bool, error) {
-	if p.owned {
-		return p.add(event), nil
-	}
-
-	last, token := event.Data == endOfStream, carriesToken(event.Data)
-
-	if !last && !token {
-		p.held = append(p.held, event)
-
-		return false, nil
-	}
-
-	if !p.attempt.Own() {
-		if token {
-			p.wasted++
-		}
-
-		return false, errSuperseded
-	}
-
-	p.owned = true
-
-	for _, earlier := range p.held {
-		p.add(earlier)
-	}
-
-	return p.add(event), nil
-}
-
-// add puts one event into the answer and says whether it was the last.
-func (p *eventPump) add(event sse.Event) bool {
-	if event.Data == endOfStream {
-		p.sender.answer.Append(recorder.Event{Data: endOfStream})
-
-		return true
-	}
-
-	event.Data = p.sameID(event.Data)
-	id := ""
-
-	if carriesToken(event.Data) {
-		p.sender.tokens++
-		p.delivered++
-		id = eventID(p.sender.tokens)
-
-		if p.delivered == 1 {
-			p.firstToken = time.Since(p.started)
-		}
-	}
-
-	p.sender.answer.Append(recorder.Event{ID: id, Data: event.Data})
-
-	return false
-}
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -130,16 +130,12 @@
 }
 
 func (s *plainSender) exchange(ctx context.Context, attempt dispatcher.Attempt, reader *forwarder.GapReader) error {
-	response, err := s.client.Do(ctx, forwarder.Call{
-		Method:          s.method,
-		URL:             attempt.Slot.Upstream.Address + s.path,
-		Header:          s.header,
-		Body:            s.body,
-		RequestID:       s.request.ID,
-		Attempt:         attempt.Number,
-		Priority:        attempt.Slot.Priority,
-		OnNewConnection: attempt.Number > 1 || !s.request.Repeatable,
-	})
+	call := newCall(s.request, attempt, s.path)
+	call.Method = s.method
+	call.Header = s.header
+	call.Body = s.body
+
+	response, err := s.client.Do(ctx, call)
 	if err != nil {
 		return err
 	}
