--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -69,16 +69,16 @@
 	}
 	entry := &run{request: taken.request, sender: sender, answer: sender.answer, key: taken.key}
 	entry.bodyHash = bodyHash(r.Method, r.URL.Path, body)
-	entry.deliver = n.engineDelivery(entry, gjson.GetBytes(body, "stream").Bool())
+	entry.deliver = engineDelivery(entry, gjson.GetBytes(body, "stream").Bool())
 
 	n.serve(w, r, entry)
 }
 
 // engineDelivery returns how the answer goes to the caller: as events, or as one object.
-func (n *Node) engineDelivery(entry *run, stream bool) func(http.ResponseWriter, *http.Request, string) {
+func engineDelivery(entry *run, stream bool) func(http.ResponseWriter, *http.Request, string) {
 	if !stream {
 		return func(w http.ResponseWriter, r *http.Request, _ string) {
-			n.collectAnswer(w, r, entry)
+			collectAnswer(w, r, entry)
 		}
 	}
 
@@ -90,7 +90,7 @@
 			return
 		}
 
-		n.streamAnswer(w, r, entry, from)
+		streamAnswer(w, r, entry, from)
 	}
 }
 
