Name the caller's connection for what it is

senders.go, senderListener and senderConn are about callers' connections, while engineSender, plainSender and dispatcher.Sender in the same package send to upstreams: a reader met one word for both ends of the node.

The file is connections.go, the types callerListener and callerConn, and the key and the hook follow. Names only; go test ./internal/server passes as before.

--- a/internal/server/senders.go
+++ b/internal/server/connections.go
@@ -19,31 +19,31 @@
 // refusalLimit bounds the writing of a refusal to a caller that takes no bytes.
 const refusalLimit = time.Second
 
-// senderListener makes connections on which also those refusals have a numbered
+// callerListener makes connections on which also those refusals have a numbered
 // result that the HTTP library writes, or leaves out, before any handler runs.
 //
 // The library ends a connection whose headers are too large with a plain text,
 // and one whose headers don't come in time without a word. A caller would see
 // a broken connection and could not tell it from a node that died: it would
 // try the same again on every node.
-type senderListener struct {
+type callerListener struct {
 	net.Listener
 
 	node *Node
 }
 
 // Accept implements net.Listener.
-func (l senderListener) Accept() (net.Conn, error) {
+func (l callerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
 
-	return &senderConn{Conn: conn, node: l.node}, nil
+	return &callerConn{Conn: conn, node: l.node}, nil
 }
 
-// senderConn is one caller's connection.
-type senderConn struct {
+// callerConn is one caller's connection.
+type callerConn struct {
 	net.Conn
 
 	node *Node
@@ -54,7 +54,7 @@
 }
 
 // Read implements net.Conn.
-func (c *senderConn) Read(data []byte) (int, error) {
+func (c *callerConn) Read(data []byte) (int, error) {
 	count, err := c.Conn.Read(data)
 	if count > 0 {
 		c.begun.Store(true)
@@ -69,7 +69,7 @@
 }
 
 // Write implements net.Conn. What is written while no handler runs is the library's own refusal.
-func (c *senderConn) Write(data []byte) (int, error) {
+func (c *callerConn) Write(data []byte) (int, error) {
 	if c.serving.Load() {
 		return c.Conn.Write(data)
 	}
@@ -84,7 +84,7 @@
 }
 
 // CloseWrite lets the library close gracefully, so that a refusal is not lost when the caller still sends.
-func (c *senderConn) CloseWrite() error {
+func (c *callerConn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
@@ -97,7 +97,7 @@
 }
 
 // refuse counts and logs the refusal and writes it as the connection's last answer.
-func (c *senderConn) refuse(failure *classifier.Error) {
+func (c *callerConn) refuse(failure *classifier.Error) {
 	c.node.noteRefusal("", failure)
 
 	body, err := json.Marshal(newErrorAnswer("", failure))
@@ -117,18 +117,18 @@
 	_, _ = c.Conn.Write(answer.Bytes())
 }
 
-// senderKey is the key of a connection in the contexts of its requests.
-type senderKey struct{}
+// connKey is the key of a connection in the contexts of its requests.
+type connKey struct{}
 
-// keepSender hands a connection to the handlers of its requests.
-func keepSender(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, senderKey{}, conn)
+// keepConn hands a connection to the handlers of its requests.
+func keepConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
 }
 
 // markServing tells the connection that what is written from now on is a handler's answer.
 func markServing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := r.Context().Value(senderKey{}).(*senderConn); ok {
+		if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
 			conn.serving.Store(true)
 		}
 
@@ -138,8 +138,8 @@
 
 // followState ends the mark when an answer was written whole.
 func followState(conn net.Conn, state http.ConnState) {
-	if sender, ok := conn.(*senderConn); ok && state == http.StateIdle {
-		sender.begun.Store(false)
-		sender.serving.Store(false)
+	if caller, ok := conn.(*callerConn); ok && state == http.StateIdle {
+		caller.begun.Store(false)
+		caller.serving.Store(false)
 	}
 }
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -47,7 +47,7 @@
 
 	server := &http.Server{
 		Handler:           markServing(n.whileAccepting(n.callerRoutes())),
-		ConnContext:       keepSender,
+		ConnContext:       keepConn,
 		ConnState:         followState,
 		ReadHeaderTimeout: n.settings.Node.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
@@ -90,5 +90,5 @@
 		listener = tls.NewListener(listener, n.certificates.ServerConfig())
 	}
 
-	return senderListener{Listener: listener, node: n}, nil
+	return callerListener{Listener: listener, node: n}, nil
 }
