--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -155,13 +156,7 @@
 		candidates = append(candidates, upstream)
 	}
 
-	slices.SortFunc(candidates, func(a, b configurer.Upstream) int {
-		if a.Name < b.Name {
-			return -1
-		}
-
-		return 1
-	})
+	slices.SortFunc(candidates, func(a, b configurer.Upstream) int { return strings.Compare(a.Name, b.Name) })
 
 	return candidates
 }
