Tell a request's run from an entry node, and its steps from each other

In package server a variable of type *run was called entry in over a hundred places, while an entry is a node that callers connect to (entries.go). Its steps were runOne, runEntry and runOnce, and Run of the dispatcher below them; nobody could tell from the names which one takes the claim.

The one test that made a run follows the names; its assertions are the same.

--- a/internal/server/accounting.go
+++ b/internal/server/accounting.go
@@ -17,8 +17,8 @@
 
 // AttemptEnded implements dispatcher.Observer: it counts and logs one attempt.
 func (n *Node) AttemptEnded(request dispatcher.Request, attempt dispatcher.Attempt, outcome dispatcher.Outcome, next dispatcher.Next) {
-	if entry, ok := n.runs.find(request.ID); ok {
-		entry.note(attempt, outcome)
+	if run, ok := n.runs.find(request.ID); ok {
+		run.note(attempt, outcome)
 	}
 
 	source := ejector.Source{Service: request.Service.Name, Upstream: attempt.Slot.Upstream.Name, Class: request.Class.Name}
@@ -60,9 +60,9 @@
 }
 
 // requestEnded counts and logs the end of a request.
-func (n *Node) requestEnded(entry *run, failure *classifier.Error) {
-	request := entry.request
-	sample := entry.sample(failure)
+func (n *Node) requestEnded(run *requestRun, failure *classifier.Error) {
+	request := run.request
+	sample := run.sample(failure)
 
 	n.meter.Ended(sample)
 
@@ -87,27 +87,27 @@
 }
 
 // sample sums a request up for the counters.
-func (e *run) sample(failure *classifier.Error) meter.Sample {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+func (r *requestRun) sample(failure *classifier.Error) meter.Sample {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 
 	sample := meter.Sample{
-		Class:      counterName(e.request),
+		Class:      counterName(r.request),
 		Code:       classifier.OK,
-		FirstToken: e.firstToken,
-		Duration:   time.Since(e.request.Arrived),
-		Target:     e.request.Class.Target,
+		FirstToken: r.firstToken,
+		Duration:   time.Since(r.request.Arrived),
+		Target:     r.request.Class.Target,
 	}
 
 	if failure != nil {
 		sample.Code = failure.Code
-		sample.WastedTokens = e.sender.Progress()
+		sample.WastedTokens = r.sender.Progress()
 
 		return sample
 	}
 
-	sample.Tokens = e.sender.Progress()
-	sample.Attained = attainedTime(e.request, sample) <= sample.Target
+	sample.Tokens = r.sender.Progress()
+	sample.Attained = attainedTime(r.request, sample) <= sample.Target
 
 	return sample
 }
--- a/internal/server/claims.go
+++ b/internal/server/claims.go
@@ -38,10 +38,10 @@
 	return [sha256.Size]byte(hash.Sum(nil))
 }
 
-// runOnce runs a request that must run at most once. The claim comes before
+// dispatchOnce runs a request that must run at most once. The claim comes before
 // the first byte leaves; whoever finds it later does not run the request again.
 // The returned function records the end; it is nil when there is nothing to record.
-func (n *Node) runOnce(ctx context.Context, entry *run) (failure *classifier.Error, record func()) {
+func (n *Node) dispatchOnce(ctx context.Context, run *requestRun) (failure *classifier.Error, record func()) {
 	if n.claims == nil {
 		unavailable := classifier.New(classifier.ClaimUnavailable, "the node has no platform to record claims in")
 
@@ -49,27 +49,27 @@
 	}
 
 	decision, err := n.claims.Begin(ctx, claimer.Claim{
-		Organisation: entry.request.Organisation.Name,
-		Service:      entry.request.Service.Name,
-		Key:          entry.key,
-		BodyHash:     entry.bodyHash,
-		RequestID:    entry.request.ID,
+		Organisation: run.request.Organisation.Name,
+		Service:      run.request.Service.Name,
+		Key:          run.key,
+		BodyHash:     run.bodyHash,
+		RequestID:    run.request.ID,
 	})
 	if err != nil {
 		return classifier.From(err), nil
 	}
 
 	if decision.Handle == nil {
-		return replayed(entry, *decision.Replay), nil
+		return replayed(run, *decision.Replay), nil
 	}
 
-	failure = n.dispatch.Run(ctx, entry.request, entry.sender)
+	failure = n.dispatch.Run(ctx, run.request, run.sender)
 
-	return failure, func() { n.recordEnd(entry, decision.Handle, failure) }
+	return failure, func() { n.recordEnd(run, decision.Handle, failure) }
 }
 
 // replayed gives the recorded answer, or the recorded failure.
-func replayed(entry *run, result claimer.Result) *classifier.Error {
+func replayed(run *requestRun, result claimer.Result) *classifier.Error {
 	if result.Code != classifier.OK {
 		failure := classifier.New(result.Code, "this is the recorded result of the earlier run")
 		failure.Ran = result.Ran
@@ -81,37 +81,37 @@
 		return classifier.New(classifier.AnswerNotKept, "the request ran once; its answer was too long to keep")
 	}
 
-	if err := entry.sender.(claimable).replay(result); err != nil {
+	if err := run.sender.(claimable).replay(result); err != nil {
 		return classifier.Wrap(err, classifier.AnswerNotKept, "the recorded answer can't be read")
 	}
 
-	entry.replayed.Store(true)
+	run.replayed.Store(true)
 
 	return nil
 }
 
 // markReplayed tells the caller that the answer is that of an earlier run.
-func (e *run) markReplayed(header http.Header) {
-	if e.replayed.Load() {
+func (r *requestRun) markReplayed(header http.Header) {
+	if r.replayed.Load() {
 		header.Set(headerReplayed, "true")
 	}
 }
 
 // recordEnd writes how the run ended, or frees the key when nothing ran.
-func (n *Node) recordEnd(entry *run, handle *claimer.Handle, failure *classifier.Error) {
+func (n *Node) recordEnd(run *requestRun, handle *claimer.Handle, failure *classifier.Error) {
 	ctx, cancel := context.WithTimeout(n.work, recordTimeout)
 	defer cancel()
 
-	err := finishClaim(ctx, entry, handle, failure)
+	err := finishClaim(ctx, run, handle, failure)
 	if err != nil {
-		n.logger.Warn().Err(err).Str("request_id", entry.request.ID).Msg("claim_end_not_recorded")
+		n.logger.Warn().Err(err).Str("request_id", run.request.ID).Msg("claim_end_not_recorded")
 	}
 }
 
-func finishClaim(ctx context.Context, entry *run, handle *claimer.Handle, failure *classifier.Error) error {
+func finishClaim(ctx context.Context, run *requestRun, handle *claimer.Handle, failure *classifier.Error) error {
 	switch {
 	case failure == nil:
-		return handle.Finish(ctx, entry.sender.(claimable).claimResult())
+		return handle.Finish(ctx, run.sender.(claimable).claimResult())
 	case failure.Ran == classifier.RanNo:
 		return handle.Void(ctx)
 	default:
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -67,30 +67,30 @@
 		key:       taken.key,
 		answer:    recorder.NewAnswer(),
 	}
-	entry := &run{request: taken.request, sender: sender, answer: sender.answer, key: taken.key}
-	entry.bodyHash = bodyHash(r.Method, r.URL.Path, body)
-	entry.deliver = engineDelivery(entry, gjson.GetBytes(body, "stream").Bool())
+	run := &requestRun{request: taken.request, sender: sender, answer: sender.answer, key: taken.key}
+	run.bodyHash = bodyHash(r.Method, r.URL.Path, body)
+	run.deliver = engineDelivery(run, gjson.GetBytes(body, "stream").Bool())
 
-	n.serve(w, r, entry)
+	n.serve(w, r, run)
 }
 
 // engineDelivery returns how the answer goes to the caller: as events, or as one object.
-func engineDelivery(entry *run, stream bool) func(http.ResponseWriter, *http.Request, string) {
+func engineDelivery(run *requestRun, stream bool) func(http.ResponseWriter, *http.Request, string) {
 	if !stream {
 		return func(w http.ResponseWriter, r *http.Request, _ string) {
-			collectAnswer(w, r, entry)
+			collectAnswer(w, r, run)
 		}
 	}
 
 	return func(w http.ResponseWriter, r *http.Request, lastEvent string) {
-		from, ok := entry.answer.Position(lastEvent)
+		from, ok := run.answer.Position(lastEvent)
 		if !ok {
-			writeError(w, entry.request.ID, classifier.New(classifier.InvalidRequest, "the answer has no event %q", lastEvent))
+			writeError(w, run.request.ID, classifier.New(classifier.InvalidRequest, "the answer has no event %q", lastEvent))
 
 			return
 		}
 
-		streamAnswer(w, r, entry, from)
+		streamAnswer(w, r, run, from)
 	}
 }
 
--- a/internal/server/engine_answer.go
+++ b/internal/server/engine_answer.go
@@ -23,8 +23,8 @@
 }
 
 // streamAnswer follows the answer from the given event on and writes it as server-sent events.
-func streamAnswer(w http.ResponseWriter, r *http.Request, entry *run, from int) {
-	requestID, answer := entry.request.ID, entry.answer
+func streamAnswer(w http.ResponseWriter, r *http.Request, run *requestRun, from int) {
+	requestID, answer := run.request.ID, run.answer
 
 	events, ended, failure := firstEvents(r.Context(), answer, from)
 	if failure != nil {
@@ -37,7 +37,7 @@
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Cache-Control", "no-cache")
 	header.Set(headerRequestID, requestID)
-	entry.markReplayed(header)
+	run.markReplayed(header)
 	w.WriteHeader(http.StatusOK)
 
 	stream := newEventWriter(w)
@@ -90,17 +90,17 @@
 }
 
 // collectAnswer waits for the whole answer and writes it as one JSON object.
-func collectAnswer(w http.ResponseWriter, r *http.Request, entry *run) {
-	request := entry.request
+func collectAnswer(w http.ResponseWriter, r *http.Request, run *requestRun) {
+	request := run.request
 
-	events, failure := wholeAnswer(r.Context(), entry.answer)
+	events, failure := wholeAnswer(r.Context(), run.answer)
 	if failure != nil {
 		writeError(w, request.ID, failure)
 
 		return
 	}
 
-	entry.markReplayed(w.Header())
+	run.markReplayed(w.Header())
 	w.Header().Set(headerRequestID, request.ID)
 	w.Header().Set(headerResult, classifier.OK.String())
 	writeJSON(w, assemble(events))
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -178,12 +178,12 @@
 }
 
 func (n *Node) ownRequest(id string) (administrator.RequestStatus, error) {
-	entry, ok := n.runs.find(id)
+	run, ok := n.runs.find(id)
 	if !ok {
 		return administrator.RequestStatus{}, classifier.New(classifier.UnknownRequest, "node %q no longer holds the request", n.identity.node)
 	}
 
-	return entry.status(), nil
+	return run.status(), nil
 }
 
 // handleRequestStatus answers another node's question about a request of this one.
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -41,20 +41,20 @@
 	}
 
 	sender := newPlainSender(n, taken, r, body)
-	entry := &run{request: taken.request, sender: sender, answer: sender.answer, key: taken.key}
-	entry.bodyHash = bodyHash(r.Method, sender.path, body)
-	entry.deliver = func(w http.ResponseWriter, r *http.Request, _ string) {
+	run := &requestRun{request: taken.request, sender: sender, answer: sender.answer, key: taken.key}
+	run.bodyHash = bodyHash(r.Method, sender.path, body)
+	run.deliver = func(w http.ResponseWriter, r *http.Request, _ string) {
 		if _, failure := wholeAnswer(r.Context(), sender.answer); failure != nil {
 			writeError(w, taken.request.ID, failure)
 
 			return
 		}
 
-		entry.markReplayed(w.Header())
+		run.markReplayed(w.Header())
 		sender.writeTo(w)
 	}
 
-	n.serve(w, r, entry)
+	n.serve(w, r, run)
 }
 
 // plainSender sends the attempts of one call to a plain service and keeps the whole answer.
--- a/internal/server/refusal_test.go
+++ b/internal/server/refusal_test.go
@@ -116,11 +116,11 @@
 		count := 0
 
 		for {
-			entry := &run{}
-			entry.request.ID = fmt.Sprintf("%d-%d", tier, count)
-			entry.request.Class.Tier = tier
+			run := &requestRun{}
+			run.request.ID = fmt.Sprintf("%d-%d", tier, count)
+			run.request.Class.Tier = tier
 
-			if places.add(entry) != nil {
+			if places.add(run) != nil {
 				return count
 			}
 
--- a/internal/server/resume.go
+++ b/internal/server/resume.go
@@ -32,7 +32,7 @@
 		return
 	}
 
-	entry, found := n.runs.find(id)
+	run, found := n.runs.find(id)
 	if !found || incarnation != n.identity.incarnation {
 		n.refuse(w, id, classifier.New(classifier.UnknownRequest, "node %q no longer holds the answer", owner))
 
@@ -40,7 +40,7 @@
 	}
 
 	organisation, failure := n.tree.authenticate(r)
-	if failure == nil && organisation != entry.request.Organisation.Name {
+	if failure == nil && organisation != run.request.Organisation.Name {
 		failure = classifier.New(classifier.Forbidden, "the request belongs to another organisation")
 	}
 
@@ -50,7 +50,7 @@
 		return
 	}
 
-	entry.deliver(w, r, r.Header.Get(headerLastEvent))
+	run.deliver(w, r, r.Header.Get(headerLastEvent))
 }
 
 // passResume copies the answer of the node that holds it.
