--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -210,17 +210,7 @@
 	)
 
 	for number := 1; ; {
-		ask := Ask{
-			RequestID:    request.ID,
-			Service:      request.Service.Name,
-			Class:        request.Class.Name,
-			Organisation: request.Organisation.Name,
-			Exclude:      leaveOut(request.Service, exclude),
-			Waited:       time.Since(request.Arrived),
-			Progress:     sender.Progress(),
-			Repeatable:   request.Repeatable,
-			Prefixes:     request.Prefixes,
-		}
+		ask := newAsk(request, sender.Progress(), exclude)
 
 		slot, err := d.slotter.Acquire(ctx, ask)
 		if err != nil {
@@ -247,6 +237,23 @@
 	}
 }
 
+// newAsk returns what the next attempt asks the holder for. Progress is the
+// number of tokens that the caller has; failed names the upstreams that failed
+// the request, the latest last.
+func newAsk(request Request, progress int, failed []string) Ask {
+	return Ask{
+		RequestID:    request.ID,
+		Service:      request.Service.Name,
+		Class:        request.Class.Name,
+		Organisation: request.Organisation.Name,
+		Exclude:      leaveOut(request.Service, failed),
+		Waited:       time.Since(request.Arrived),
+		Progress:     progress,
+		Repeatable:   request.Repeatable,
+		Prefixes:     request.Prefixes,
+	}
+}
+
 // leaveOut returns the upstreams that the next attempt stays away from: those
 // that failed the request, the latest last. Once all have failed it, only the
 // latest stays out, or none when there is no other. A service with one server
