Remove what nothing calls from the recorder and the heartbeater

Answer.EndedAt and the field behind it, which every end of an answer took the clock for, have no reader; nor has Heartbeater.Announce a caller.

Behaviour is unchanged: go vet ./... builds every caller, go test of heartbeater and server passes as before; recorder has no tests of its own.

--- a/internal/heartbeater/heartbeater.go
+++ b/internal/heartbeater/heartbeater.go
@@ -18,7 +18,7 @@
 const (
 	// tickPeriod is how often the prober looks at its timeouts.
 	tickPeriod = 100 * time.Millisecond
-	// queueLength bounds the packets that wait for the prober; 370 nodes send some 4 a second to each.
+	// queueLength bounds the packets that wait for the prober. Of 370 nodes each gets some 4 a second.
 	queueLength = 256
 	// readPause keeps a socket that fails at once from turning into a busy loop.
 	readPause = 10 * time.Millisecond
@@ -104,11 +104,6 @@
 	h.send(h.options.Prober.Leave(time.Now()))
 }
 
-// Announce tells the present digest to some random members at once.
-func (h *Heartbeater) Announce(count int) {
-	h.send(h.options.Prober.Announce(time.Now(), count))
-}
-
 // Counters returns the counts since the start.
 func (h *Heartbeater) Counters() Counters {
 	return Counters{
--- a/internal/recorder/answer.go
+++ b/internal/recorder/answer.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 )
 
 // Event is one piece of an answer.
@@ -24,11 +23,11 @@
 	events []Event
 	// ended is set once, after the last event.
 	ended bool
-	err   error
-	// endedAt is the time of the end; zero before.
-	endedAt time.Time
+	// err is the cause of a failed end; nil for a whole answer.
+	err error
 	// grown is closed and replaced whenever events or ended change and somebody waits.
-	grown   chan struct{}
+	grown chan struct{}
+	// waiting is true when somebody waits on grown: without it each event would make a channel for nobody.
 	waiting bool
 }
 
@@ -57,7 +56,6 @@
 
 	a.ended = true
 	a.err = err
-	a.endedAt = time.Now()
 	a.wake()
 }
 
@@ -112,14 +110,7 @@
 	return len(a.events)
 }
 
-// EndedAt returns when the answer ended, or the zero time.
-func (a *Answer) EndedAt() time.Time {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-
-	return a.endedAt
-}
-
+// wake lets those who wait look again; the lock is held.
 func (a *Answer) wake() {
 	if !a.waiting {
 		return
