Part the handshake and the errors of the messenger from its connections

link.go held the outgoing connection and the encoding of numbered results, and had crypto/tls outside the standard group; inbound.handshake did one step of the proof in place and left the other to hello. The doc comments of ServerTLS and ClientTLS overlapped, the one of MessagesOut named another field, the sizes of the workers' pool had none, and the lock order claimed that no lock is held during network calls, while link.mu is held during a dial.

The code is the same.

--- a/internal/messenger/conn.go
+++ b/internal/messenger/conn.go
@@ -28,7 +28,7 @@
 type Traffic struct {
 	BytesIn  int64 `json:"bytes_in"`
 	BytesOut int64 `json:"bytes_out"`
-	// Messages counts writes; the library makes one for each message.
+	// MessagesOut counts writes; the library makes one for each message.
 	MessagesOut int64 `json:"messages_out"`
 }
 
--- a/internal/messenger/inbound.go
+++ b/internal/messenger/inbound.go
@@ -83,8 +83,9 @@
 
 // inbound is one connection that a peer dialled.
 type inbound struct {
-	messenger   *Messenger
-	conn        *countedConn
+	messenger *Messenger
+	conn      *countedConn
+	// nonce is this node's, clientNonce the peer's; nil before its challenge.
 	nonce       []byte
 	clientNonce []byte
 	// peer is the proven name, empty before the proof.
@@ -159,22 +160,11 @@
 	}
 }
 
+// handshake takes the two messages of the proof; any other ends the connection.
 func (i *inbound) handshake(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request, params json.RawMessage) {
 	switch request.Method {
 	case methodChallenge:
-		var challenge challengeParams
-		if err := json.Unmarshal(params, &challenge); err != nil || len(challenge.Nonce) != nonceBytes {
-			_ = conn.Close()
-
-			return
-		}
-
-		i.clientNonce = challenge.Nonce
-		credential := i.messenger.options.Credential
-		reply(ctx, conn, request, challengeAnswer{
-			Nonce: i.nonce,
-			Proof: proof(credential, roleServer, "", i.nonce, i.clientNonce),
-		}, nil)
+		i.challenge(ctx, conn, request, params)
 	case methodHello:
 		i.hello(ctx, conn, request, params)
 	default:
@@ -182,6 +172,23 @@
 	}
 }
 
+// challenge proves this node's knowledge of the credential and asks for the peer's.
+func (i *inbound) challenge(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request, params json.RawMessage) {
+	var asked challengeParams
+	if err := json.Unmarshal(params, &asked); err != nil || len(asked.Nonce) != nonceBytes {
+		_ = conn.Close()
+
+		return
+	}
+
+	i.clientNonce = asked.Nonce
+	reply(ctx, conn, request, challengeAnswer{
+		Nonce: i.nonce,
+		Proof: proof(i.messenger.options.Credential, roleServer, "", i.nonce, i.clientNonce),
+	}, nil)
+}
+
+// hello checks the peer's proof; from then on its other methods are taken.
 func (i *inbound) hello(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request, params json.RawMessage) {
 	var hello helloParams
 
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
+	"crypto/tls"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"crypto/tls"
-
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -17,7 +15,8 @@
 )
 
 const (
-	dialTimeout  = time.Second
+	dialTimeout = time.Second
+	// helloTimeout bounds the proof of the credential, on both ends.
 	helloTimeout = 2 * time.Second
 	// redialWait is how long a peer that could not be dialled counts as unreachable.
 	redialWait = 250 * time.Millisecond
@@ -36,7 +35,7 @@
 	mu sync.Mutex
 	// current is nil when there is no connection.
 	current *dialled
-	// failedAt is the time of the last dial that failed.
+	// failedAt is the time of the last dial that failed, and failedErr its error; nil after a dial that did not.
 	failedAt  time.Time
 	failedErr error
 }
@@ -266,34 +265,3 @@
 	// The peer's own deadline covers an answer that can't be sent.
 	_ = conn.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no methods here"})
 }
-
-// errorData carries a numbered result over the network.
-type errorData struct {
-	ResultCode   int            `json:"result_code"`
-	Ran          classifier.Ran `json:"ran"`
-	RetryAfterNS int64          `json:"retry_after_ns"`
-}
-
-func encodeError(err error) *jsonrpc2.Error {
-	numbered := classifier.From(err)
-	encoded := &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: numbered.Reason}
-	encoded.SetError(errorData{ResultCode: int(numbered.Code), Ran: numbered.Ran, RetryAfterNS: int64(numbered.RetryAfter)})
-
-	return encoded
-}
-
-func decodeError(answered *jsonrpc2.Error) error {
-	if answered.Data == nil {
-		return errors.Newf("peer answered %d: %s", answered.Code, answered.Message)
-	}
-
-	var data errorData
-	if err := json.Unmarshal(*answered.Data, &data); err != nil {
-		return errors.Wrap(err, "decode the peer's error")
-	}
-
-	numbered := classifier.New(classifier.Code(data.ResultCode), "%s", answered.Message)
-	numbered.Ran = data.Ran
-
-	return numbered.After(time.Duration(data.RetryAfterNS))
-}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -21,8 +21,10 @@
 )
 
 const (
+	// handlerWorkers is the number of calls from peers that are answered at once.
 	handlerWorkers = 64
-	handlerQueue   = 8192
+	// handlerQueue is the number of calls that may wait for a worker; more are refused.
+	handlerQueue = 8192
 )
 
 // ErrNotSent marks calls of which no byte can have left this node.
@@ -43,9 +45,10 @@
 	Credential string
 	// Peers maps the name of each node to its IP:port.
 	Peers map[string]string
-	// ServerTLS and ClientTLS encrypt connections; nil means plain TCP.
+	// ServerTLS encrypts the connections that peers dial; nil means plain TCP.
 	ServerTLS *tls.Config
-	// ClientTLS is asked for each connection, since the authorities in it can change.
+	// ClientTLS encrypts the connections that this node dials; nil means plain TCP.
+	// It is asked for each connection, since the authorities in it can change.
 	ClientTLS func() *tls.Config
 	Logger    zerolog.Logger
 	// Dial opens a connection; nil means TCP.
@@ -54,7 +57,8 @@
 
 // Messenger calls peers and answers them. It is safe for concurrent use.
 //
-// Lock order: Messenger.mu before link.mu; neither is held during network calls.
+// Lock order: Messenger.mu before link.mu. Neither is held during calls, but
+// link.mu is while its connection is dialled, so that only one dial runs at a time.
 type Messenger struct {
 	options  Options
 	handlers map[string]Handler
