Report no answer time for a plain attempt without an answer

Outcome.FirstToken is zero when no answer byte came, says its type; engine attempts hold to it. plainSender set it to the attempt's duration also when the attempt failed. The ejector takes it for the time to the answer, in which a server that refuses connections within a millisecond was the fastest of its pool, and the healthy ones were compared with it; the run's own time to the first byte began there too. Ended of the ejector still counts the failure, the pool's own learning looks at whole plain answers only, so neither depends on it.

TestFailedPlainAttemptHasNoAnswerTime failed before the change with '253.965µs (outcome.FirstToken) != 0s', and passes with it; go test ./internal/server passes.

--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -116,14 +116,17 @@
 	defer reader.Stop()
 
 	err := s.exchange(ctx, attempt, reader)
-	duration := time.Since(started)
 
 	outcome := dispatcher.Outcome{
-		Result:     sendResult(ctx, err, reader),
-		FirstToken: duration,
-		Duration:   duration,
-		Err:        err,
+		Result:   sendResult(ctx, err, reader),
+		Duration: time.Since(started),
+		Err:      err,
 	}
+
+	if err == nil {
+		outcome.FirstToken = outcome.Duration
+	}
+
 	leaveIdleAfter(outcome, s.client)
 
 	return outcome
