--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -78,7 +78,7 @@
 			choice.FinishReason = reason
 		}
 
-		if usage := data.Get("usage"); usage.IsObject() {
+		if usage := data.Get("usage"); usage.IsObject() && gjson.Valid(usage.Raw) {
 			whole.Usage = json.RawMessage(usage.Raw)
 		}
 	}
