--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -58,15 +58,7 @@
 	}
 
 	taken.request.Prefixes = prefixesOf(body)
-	sender := &engineSender{
-		client:    n.upstream,
-		upstreams: n.upstreams,
-		request:   taken.request,
-		path:      r.URL.Path,
-		body:      prepared,
-		key:       taken.key,
-		answer:    recorder.NewAnswer(),
-	}
+	sender := newEngineSender(n, taken, r.URL.Path, prepared)
 	run := &requestRun{request: taken.request, sender: sender, answer: sender.answer, key: taken.key}
 	run.bodyHash = bodyHash(r.Method, r.URL.Path, body)
 	run.deliver = engineDelivery(run, gjson.GetBytes(body, "stream").Bool())
@@ -132,6 +124,18 @@
 	chunkID string
 }
 
+func newEngineSender(n *Node, taken intake, path string, body []byte) *engineSender {
+	return &engineSender{
+		client:    n.upstream,
+		upstreams: n.upstreams,
+		request:   taken.request,
+		path:      path,
+		body:      body,
+		key:       taken.key,
+		answer:    recorder.NewAnswer(),
+	}
+}
+
 // Progress implements dispatcher.Sender.
 func (s *engineSender) Progress() int {
 	return s.tokens
--- a/internal/server/orders.go
+++ b/internal/server/orders.go
@@ -158,33 +158,35 @@
 
 func (e engineOrders) State(ctx context.Context, upstream configurer.Upstream) (orderer.State, error) {
 	var state engineState
-
-	response, err := e.client.R().SetContext(ctx).SetResult(&state).ForceContentType("application/json").Get(upstream.Address + "/state")
-	if err != nil {
+	if err := e.read(ctx, upstream.Address+"/state", &state); err != nil {
 		return orderer.State{}, errors.Wrap(err, "read the engine's state")
 	}
 
-	if response.IsError() {
-		return orderer.State{}, errors.Newf("read the engine's state: status %d", response.StatusCode())
-	}
-
 	return orderer.State(state), nil
 }
 
 // Running reads the engine's own load report, which counts the requests of all nodes and lags.
 func (e engineOrders) Running(ctx context.Context, upstream configurer.Upstream) (int, error) {
 	var report loadReport
+	if err := e.read(ctx, upstream.Address+"/load", &report); err != nil {
+		return 0, errors.Wrap(err, "read the engine's load")
+	}
 
-	response, err := e.client.R().SetContext(ctx).SetResult(&report).ForceContentType("application/json").Get(upstream.Address + "/load")
+	return report.Running + report.Waiting, nil
+}
+
+// read decodes the JSON answer of a GET into the given value.
+func (e engineOrders) read(ctx context.Context, url string, into any) error {
+	response, err := e.client.R().SetContext(ctx).SetResult(into).ForceContentType("application/json").Get(url)
 	if err != nil {
-		return 0, errors.Wrap(err, "read the engine's load")
+		return err
 	}
 
 	if response.IsError() {
-		return 0, errors.Newf("read the engine's load: status %d", response.StatusCode())
+		return errors.Newf("status %d", response.StatusCode())
 	}
 
-	return report.Running + report.Waiting, nil
+	return nil
 }
 
 func (e engineOrders) Send(ctx context.Context, upstream configurer.Upstream, order orderer.Order, number int64) error {
