Part a node's start in joining the fleet and serving callers

Node.run had 50 lines: two listeners, the probes, six goroutines, the wait for settings, the callers' listener and the end. joinFleet and serveCallers name the halves; the steps and their order are the same.

--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -16,9 +16,21 @@
 // startGrace is how long a starting node waits for the settings in force before it listens for callers.
 const startGrace = 5 * time.Second
 
+// run serves until ctx ends, then carries out the planned stop.
 func (n *Node) run(ctx context.Context) error {
 	defer n.stopWork()
 
+	if err := n.joinFleet(ctx); err != nil {
+		return err
+	}
+
+	n.waitReady(ctx)
+
+	return n.serveCallers(ctx)
+}
+
+// joinFleet answers peers and operators and starts the work behind requests, all until the node has drained.
+func (n *Node) joinFleet(ctx context.Context) error {
 	if err := n.listenPeers(ctx); err != nil {
 		return err
 	}
@@ -38,8 +50,11 @@
 	go n.pollLoads(n.work)
 	go n.orderEngines(n.work)
 
-	n.waitReady(ctx)
+	return nil
+}
 
+// serveCallers answers callers until ctx ends and the node has drained, or until the listener fails.
+func (n *Node) serveCallers(ctx context.Context) error {
 	listener, err := n.listenCallers(ctx)
 	if err != nil {
 		return err
