--- a/internal/command/demo/demo.go
+++ b/internal/command/demo/demo.go
@@ -39,8 +39,7 @@
 	clause.Flag("story", "Generated trace to play.").Default("mix").EnumVar(&options.Story, generate.Names()...)
 	clause.Flag("seed", "Seed of the generated trace.").Default("1").Uint64Var(&options.Seed)
 	clause.Flag("expect", "File of stated outcomes; a missed one gives the exit status of expectation_missed.").PlaceHolder("FILE").StringVar(&options.Expect)
-	clause.Flag("plot", "Write an SVG plot of the latencies to this file.").PlaceHolder("FILE").StringVar(&options.Output.Plot)
-	clause.Flag("json", "Print the report as JSON.").BoolVar(&options.Output.JSON)
+	options.Output.Register(clause)
 	clause.Flag("verbose", "Log all events of the nodes and stand-ins.").BoolVar(&options.Verbose)
 
 	return factory.Command{Clause: clause, Run: func(ctx context.Context) error { return Run(ctx, options) }}
@@ -65,7 +64,7 @@
 
 	logger := zerolog.Nop()
 	if options.Verbose {
-		logger = options.Factory.Logger("info", "keyvalue")
+		logger = options.Factory.DefaultLogger()
 	}
 
 	ctx, stop := context.WithCancel(ctx)
@@ -87,7 +86,7 @@
 }
 
 func (o Options) play(ctx context.Context, c *cluster, expectations reporter.Expectations) (reporter.Report, error) {
-	events, err := replay.Events("", o.Story, o.Seed)
+	events, err := generate.Events(o.Story, o.Seed)
 	if err != nil {
 		return reporter.Report{}, err
 	}
--- a/internal/command/upstream/leave/leave.go
+++ b/internal/command/upstream/leave/leave.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 
+	"quincepath.example/quincepath/internal/administrator"
 	"quincepath.example/quincepath/internal/factory"
 	"quincepath.example/quincepath/internal/operator"
 )
@@ -33,28 +34,12 @@
 	options.Flags.Register(clause)
 	options.ChangeFlags.Register(clause)
 
-	return factory.Command{Clause: clause, Run: func(ctx context.Context) error {
-		options.Terminal = f.IsTerminal()
-		return Run(ctx, options)
-	}}
+	return options.Command(clause, func(ctx context.Context) error { return Run(ctx, options) })
 }
 
 // Run marks the upstream as leaving and prints the change.
 func Run(ctx context.Context, options Options) error {
-	names, err := options.Filled()
-	if err != nil {
-		return err
-	}
-
-	client, err := options.Client()
-	if err != nil {
-		return err
-	}
-
-	made, err := client.Leave(ctx, options.Service, options.Upstream, names)
-	if err != nil {
-		return err
-	}
-
-	return options.PrintChange(made)
+	return options.MakeChange(options.ChangeFlags, func(c *operator.Client, names operator.ChangeFlags) (administrator.Change, error) {
+		return c.Leave(ctx, options.Service, options.Upstream, names)
+	})
 }
--- a/internal/distributor/watcher.go
+++ b/internal/distributor/watcher.go
@@ -21,9 +21,10 @@
 	errSilent     = errors.New("the watch is silent although the tree has changed")
 )
 
-// isWatcher reports whether this node is one of its failure domain's watchers. Nodes with
-// the same view of the members agree; with unlike views there are a few more watchers or, until the views meet, fewer.
-func isWatcher(self Member, live []Member) bool {
+// Watchers names the watchers of a node's failure domain, the same first for all
+// nodes with the same view of the members. With unlike views there are a few more
+// watchers or, until the views meet, fewer. They read what else all nodes need of the platform, too.
+func Watchers(self Member, live []Member) []string {
 	names := []string{self.Name}
 
 	for _, v := range live {
@@ -32,9 +33,12 @@
 		}
 	}
 
-	watchers := chooser.New(names).Several("tree-watcher/"+self.FailureDomain, watchersPerDomain)
+	return chooser.New(names).Several("tree-watcher/"+self.FailureDomain, watchersPerDomain)
+}
 
-	return slices.Contains(watchers, self.Name)
+// isWatcher reports whether this node is one of its failure domain's watchers.
+func isWatcher(self Member, live []Member) bool {
+	return slices.Contains(Watchers(self, live), self.Name)
 }
 
 // keepRole watches the store for as long as this node is a watcher. The role is kept a few
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -41,20 +41,20 @@
 	}
 
 	sender := newPlainSender(n, taken, r, body)
-	entry := &run{request: taken.request, sender: sender, answer: sender.answer, key: taken.key}
-	entry.bodyHash = bodyHash(r.Method, sender.path, body)
-	entry.deliver = func(w http.ResponseWriter, r *http.Request, _ string) {
+	run := &requestRun{request: taken.request, sender: sender, answer: sender.answer, key: taken.key}
+	run.bodyHash = bodyHash(r.Method, sender.path, body)
+	run.deliver = func(w http.ResponseWriter, r *http.Request, _ string) {
 		if _, failure := wholeAnswer(r.Context(), sender.answer); failure != nil {
 			writeError(w, taken.request.ID, failure)
 
 			return
 		}
 
-		entry.markReplayed(w.Header())
+		run.markReplayed(w.Header())
 		sender.writeTo(w)
 	}
 
-	n.serve(w, r, entry)
+	n.serve(w, r, run)
 }
 
 // plainSender sends the attempts of one call to a plain service and keeps the whole answer.
@@ -116,30 +116,29 @@
 	defer reader.Stop()
 
 	err := s.exchange(ctx, attempt, reader)
-	duration := time.Since(started)
 
 	outcome := dispatcher.Outcome{
-		Result:     sendResult(ctx, err, reader),
-		FirstToken: duration,
-		Duration:   duration,
-		Err:        err,
+		Result:   sendResult(ctx, err, reader),
+		Duration: time.Since(started),
+		Err:      err,
 	}
+
+	if err == nil {
+		outcome.FirstToken = outcome.Duration
+	}
+
 	leaveIdleAfter(outcome, s.client)
 
 	return outcome
 }
 
 func (s *plainSender) exchange(ctx context.Context, attempt dispatcher.Attempt, reader *forwarder.GapReader) error {
-	response, err := s.client.Do(ctx, forwarder.Call{
-		Method:          s.method,
-		URL:             attempt.Slot.Upstream.Address + s.path,
-		Header:          s.header,
-		Body:            s.body,
-		RequestID:       s.request.ID,
-		Attempt:         attempt.Number,
-		Priority:        attempt.Slot.Priority,
-		OnNewConnection: attempt.Number > 1 || !s.request.Repeatable,
-	})
+	call := newCall(s.request, attempt, s.path)
+	call.Method = s.method
+	call.Header = s.header
+	call.Body = s.body
+
+	response, err := s.client.Do(ctx, call)
 	if err != nil {
 		return err
 	}
