Call the filling in of defaults withDefaults everywhere

Five packages call it withDefaults; configurer had filled, orderer both fill and filled for two things. Both options follow now, and a service's bounds come from boundsOf(service). raise, floor and a bare 0.05 needed their comments to be understood: raiseFencing, seenFencing, leastRoom.

Behaviour is unchanged: go test of orderer, lister and configurer passes before and after with the tests untouched.

--- a/internal/configurer/editor.go
+++ b/internal/configurer/editor.go
@@ -33,7 +33,7 @@
 	AttemptTimeout time.Duration
 }
 
-func (o EditorOptions) filled() EditorOptions {
+func (o EditorOptions) withDefaults() EditorOptions {
 	if o.MaxChanges <= 0 {
 		o.MaxChanges = 1000
 	}
@@ -59,7 +59,7 @@
 
 // NewEditor returns an Editor. Any number may work on one store.
 func NewEditor(store Store, options EditorOptions) *Editor {
-	return &Editor{store: store, options: options.filled(), resolver: NewResolver()}
+	return &Editor{store: store, options: options.withDefaults(), resolver: NewResolver()}
 }
 
 // Tree reads the stored tree.
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -64,7 +64,11 @@
 	Keep time.Duration
 }
 
-const defaultMax = 8
+const (
+	defaultMax = 8
+	// leastRoom is the free part that a full node counts with.
+	leastRoom = 0.05
+)
 
 // Lister makes the answers. It is safe for concurrent use.
 type Lister struct {
@@ -146,7 +150,7 @@
 
 // room is the part of a node that is free. A full node keeps a little, since its load is old by seconds.
 func room(load int) float64 {
-	return math.Max(float64(100-load)/100, 0.05)
+	return math.Max(float64(100-load)/100, leastRoom)
 }
 
 // prefer picks up to half of the answer: nodes that hold the service's pools, else nodes of the caller's failure domain.
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -22,15 +22,13 @@
 	swapping string
 	// takes counts attempts to take a number.
 	takes int
-	// floor is the highest fencing number that any engine has shown.
-	floor int64
+	// seenFencing is the highest fencing number that any engine has shown.
+	seenFencing int64
 }
 
 // New returns an Orderer that does nothing before Run.
 func New(options Options) *Orderer {
-	options.fill()
-
-	return &Orderer{options: options, delays: make(map[string]*delay)}
+	return &Orderer{options: options.withDefaults(), delays: make(map[string]*delay)}
 }
 
 // Run orders until ctx ends. It gives its lease back then.
@@ -44,7 +42,7 @@
 			continue
 		}
 
-		bounds := filled(service.Orders)
+		bounds := boundsOf(service)
 
 		t, err := o.take(ctx, bounds)
 		if errors.Is(err, errHeld) {
--- a/internal/orderer/planner.go
+++ b/internal/orderer/planner.go
@@ -90,7 +90,7 @@
 func (o *Orderer) newPlanner(service configurer.Service, engines []engine) *planner {
 	p := &planner{
 		orderer: o,
-		bounds:  filled(service.Orders),
+		bounds:  boundsOf(service),
 		engines: engines,
 		copies:  make(map[Order]int),
 		desired: make(map[Order]bool),
@@ -182,12 +182,12 @@
 		return next, true
 	}
 
-	return p.raise(t, e)
+	return p.raiseFencing(t, e)
 }
 
-// raise shows an engine that checks numbers the one of this term by an order that changes nothing.
+// raiseFencing shows an engine that checks numbers the one of this term by an order that changes nothing.
 // Until then the engine would still take an order of an earlier term that is on its way.
-func (p *planner) raise(t *term, e engine) (planned, bool) {
+func (p *planner) raiseFencing(t *term, e engine) (planned, bool) {
 	if !e.upstream.ChecksFencing || e.desired.IsEmpty() || e.state.HighestFencing >= t.number {
 		return planned{}, false
 	}
--- a/internal/orderer/reconciler.go
+++ b/internal/orderer/reconciler.go
@@ -26,7 +26,7 @@
 
 // round looks at all engines and sends each at most one order. It says whether more may be due at once.
 func (o *Orderer) round(ctx context.Context, t *term, service configurer.Service) bool {
-	bounds := filled(service.Orders)
+	bounds := boundsOf(service)
 	engines := o.read(ctx, service)
 
 	if o.outranked(engines, t) {
@@ -108,11 +108,11 @@
 func (o *Orderer) outranked(engines []engine, t *term) bool {
 	for _, e := range engines {
 		if seen := e.state.HighestFencing; seen < highestLeap {
-			o.floor = max(o.floor, seen)
+			o.seenFencing = max(o.seenFencing, seen)
 		}
 	}
 
-	return o.floor > t.number
+	return o.seenFencing > t.number
 }
 
 // closeLoads ends the loads that the engines show, and those that have taken too long.
--- a/internal/orderer/taking.go
+++ b/internal/orderer/taking.go
@@ -53,7 +53,7 @@
 	o.takes++
 
 	next := record{
-		Number:  max(previous.Number, o.floor) + 1,
+		Number:  max(previous.Number, o.seenFencing) + 1,
 		Take:    fmt.Sprintf("%s.%s.%d", o.options.Node, o.options.Incarnation, o.takes),
 		LeaseMS: bounds.Lease.Milliseconds(),
 	}
--- a/internal/orderer/types.go
+++ b/internal/orderer/types.go
@@ -147,7 +147,7 @@
 	defaultReadsPerSecond = 4
 )
 
-func (o *Options) fill() {
+func (o Options) withDefaults() Options {
 	if o.CallTimeout == 0 {
 		o.CallTimeout = defaultCallTimeout
 	}
@@ -159,10 +159,14 @@
 	if o.ReadsPerSecond == 0 {
 		o.ReadsPerSecond = defaultReadsPerSecond
 	}
+
+	return o
 }
 
-// filled returns the bounds of a service with the defaults in place of zeros.
-func filled(bounds configurer.Orders) configurer.Orders {
+// boundsOf returns the bounds of a service's orders with the defaults in place of zeros.
+func boundsOf(service configurer.Service) configurer.Orders {
+	bounds := service.Orders
+
 	if bounds.Lease == 0 {
 		bounds.Lease = DefaultLease
 	}
