Name the common end of Adopt and Confirm, and the retry budget's slack

The 1e-9 of the budget is creditSlack with the reason at its name.

Behaviour is unchanged: go test of scheduler and retrier passes before and after with the tests untouched.

--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -14,6 +14,8 @@
 	// highest share that is 10 retries. A class starts with it, or the first crash
 	// after a node's start would break off answers that could be resumed.
 	creditAttempts = 100
+	// creditSlack allows for sums such as ten times 0.1, which are a hair less than 1.
+	creditSlack = 1e-9
 )
 
 // Pair names a class of a service.
@@ -52,7 +54,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	b.credit[pair] = min(b.of(pair, share)+share, creditAttempts*share)
+	b.credit[pair] = min(b.creditOf(pair, share)+share, creditAttempts*share)
 }
 
 // Spend takes one extra attempt from the class's credit, else from the floor.
@@ -61,8 +63,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	// Ten times 0.1 adds up to a hair less than 1.
-	if credit := b.of(pair, cutShare(share)); credit >= 1-1e-9 {
+	if credit := b.creditOf(pair, cutShare(share)); credit >= 1-creditSlack {
 		b.credit[pair] = max(credit-1, 0)
 
 		return true
@@ -71,7 +72,7 @@
 	return b.floor.AllowN(now, 1)
 }
 
-func (b *Budget) of(pair Pair, share float64) float64 {
+func (b *Budget) creditOf(pair Pair, share float64) float64 {
 	if credit, ok := b.credit[pair]; ok {
 		return credit
 	}
--- a/internal/scheduler/adopting.go
+++ b/internal/scheduler/adopting.go
@@ -66,7 +66,7 @@
 		p.adopt(now, entry, &flights[i])
 	}
 
-	return p.compared(now, entry, named)
+	return p.reconcileAll(now, entry, named)
 }
 
 // Confirm is Adopt for an entry that has in flight exactly the grants with the
@@ -79,7 +79,7 @@
 		named[id] = true
 	}
 
-	return p.compared(now, entry, named)
+	return p.reconcileAll(now, entry, named)
 }
 
 // GrantIDs lists the ids of the grants of an entry, oldest first.
@@ -94,7 +94,8 @@
 	return ids
 }
 
-func (p *Pool) compared(now time.Time, entry string, named map[string]bool) []Decision {
+// reconcileAll ends a comparison with what an entry has in flight: named holds the ids of its grants.
+func (p *Pool) reconcileAll(now time.Time, entry string, named map[string]bool) []Decision {
 	for _, g := range p.grantsOf(entry) {
 		p.reconcile(now, g, named[g.id])
 	}
