State the load reports' bound where it matters

MaxReportAge was exported and read by nobody: it promised a bound that nothing kept to.

Behaviour is unchanged: go test ./internal/drainer passes before and after.

--- a/internal/drainer/upstream.go
+++ b/internal/drainer/upstream.go
@@ -25,7 +25,8 @@
 // silent keeps its last word: an outage of the platform must not send work back
 // to a server that is going away. The mark holds from the call on, so the time
 // until an upstream gets nothing new is that of its source alone: the poll of
-// load reports (at most MaxReportAge), the time until a settings change is in
+// load reports (more than 1.5 s would break the promise of nothing new within
+// 2 s, for a slot may be on its way), the time until a settings change is in
 // force, or the lag of the list, whichever comes first.
 type UpstreamLeaving struct {
 	mu     sync.RWMutex
@@ -34,10 +35,6 @@
 	since map[string]time.Time
 }
 
-// MaxReportAge is the longest time between two load reports of an upstream that
-// still keeps the promise of nothing new within 2 s; the rest is for the slot on its way.
-const MaxReportAge = 1500 * time.Millisecond
-
 // NewUpstreamLeaving returns a tracker without marks.
 func NewUpstreamLeaving() *UpstreamLeaving {
 	u := &UpstreamLeaving{since: make(map[string]time.Time)}
