Say what the packages of the platform's store do

The package comment of storer named it a client, but it holds only types and errors; the client is connector. The comments of the stand-in's Local pointed to storer.Client, which doesn't exist. The mapping's end of a range stood as a bare zero byte in three places and in two meanings; it has two names: NoEnd and FirstKey.

Behaviour is unchanged: the tests of standin/platform, connector and claimer pass before and after.

--- a/internal/standin/platform/local.go
+++ b/internal/standin/platform/local.go
@@ -47,7 +47,7 @@
 // it runs in the caller's goroutine before anything else.
 type Faults func(ctx context.Context, call Call) Verdict
 
-// Local gives a Store the methods and the errors of storer.Client, without network and with faults.
+// Local gives a Store the methods and the errors of connector.Client, without network and with faults.
 type Local struct {
 	store  *Store
 	faults Faults
@@ -146,7 +146,7 @@
 	})
 }
 
-// Get is storer.Client's Get.
+// Get does what Get of connector.Client does.
 func (l *Local) Get(ctx context.Context, key string) (storer.KeyValue, int64, error) {
 	got, err := l.read(ctx, Call{Kind: "get", Key: key}, Query{Key: key})
 	if err != nil || len(got.found) == 0 {
@@ -156,7 +156,7 @@
 	return got.found[0], got.revision, nil
 }
 
-// List is storer.Client's List.
+// List does what List of connector.Client does.
 func (l *Local) List(ctx context.Context, prefix string) ([]storer.KeyValue, int64, error) {
 	from, end := storer.PrefixRange(prefix)
 	got, err := l.read(ctx, Call{Kind: "list", Key: prefix}, Query{Key: from, RangeEnd: end})
@@ -164,14 +164,14 @@
 	return got.found, got.revision, err
 }
 
-// Put is storer.Client's Put.
+// Put does what Put of connector.Client does.
 func (l *Local) Put(ctx context.Context, key string, value []byte, lease int64) (int64, error) {
 	return perform(ctx, l, Call{Kind: "put", Key: key, Write: true}, func() (int64, error) {
 		return l.store.Put(key, value, lease)
 	})
 }
 
-// Delete is storer.Client's Delete.
+// Delete does what Delete of connector.Client does.
 func (l *Local) Delete(ctx context.Context, key string) (int64, error) {
 	return perform(ctx, l, Call{Kind: "delete", Key: key, Write: true}, func() (int64, error) {
 		deleted, _, err := l.store.Delete(key, "")
@@ -179,7 +179,7 @@
 	})
 }
 
-// Txn is storer.Client's Txn.
+// Txn does what Txn of connector.Client does.
 func (l *Local) Txn(ctx context.Context, t storer.Txn) (storer.TxnResult, error) {
 	return perform(ctx, l, Call{Kind: "txn", Key: firstKey(t), Write: true, Txn: t}, func() (storer.TxnResult, error) {
 		return l.store.Txn(t)
@@ -197,14 +197,14 @@
 	return ""
 }
 
-// Grant is storer.Client's Grant.
+// Grant does what Grant of connector.Client does.
 func (l *Local) Grant(ctx context.Context, length time.Duration) (int64, error) {
 	return perform(ctx, l, Call{Kind: "grant", Write: true}, func() (int64, error) {
 		return l.store.Grant(0, storer.LeaseSeconds(length))
 	})
 }
 
-// KeepAlive is storer.Client's KeepAlive.
+// KeepAlive does what KeepAlive of connector.Client does.
 func (l *Local) KeepAlive(ctx context.Context, lease int64) (time.Duration, error) {
 	return perform(ctx, l, Call{Kind: "keepalive", Write: true}, func() (time.Duration, error) {
 		seconds := l.store.KeepAlive(lease)
@@ -215,7 +215,7 @@
 	})
 }
 
-// Revoke is storer.Client's Revoke.
+// Revoke does what Revoke of connector.Client does.
 func (l *Local) Revoke(ctx context.Context, lease int64) error {
 	_, err := perform(ctx, l, Call{Kind: "revoke", Write: true}, func() (int64, error) {
 		return l.store.Revoke(lease)
@@ -224,14 +224,14 @@
 	return err
 }
 
-// VMs is storer.Client's VMs.
+// VMs does what VMs of connector.Client does.
 func (l *Local) VMs(ctx context.Context) (storer.VMList, error) {
 	return perform(ctx, l, Call{Kind: "vms"}, func() (storer.VMList, error) {
 		return l.store.VMs(), nil
 	})
 }
 
-// Watch is storer.Client's Watch.
+// Watch does what Watch of connector.Client does.
 func (l *Local) Watch(ctx context.Context, prefix string, from int64) (<-chan storer.WatchEvents, error) {
 	call := Call{Kind: "watch", Key: prefix}
 	verdict := l.judge(ctx, call)
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -222,7 +222,7 @@
 		return key == from
 	}
 
-	return key >= from && (end == "\x00" || key < end)
+	return key >= from && (end == storer.NoEnd || key < end)
 }
 
 // write stores a key or removes it (kv.Version 0) and records the event at kv.ModRevision.
--- a/internal/storer/types.go
+++ b/internal/storer/types.go
@@ -1,9 +1,10 @@
-// Package storer is the client of the platform's key-value service and of its list of VMs.
+// Package storer holds the types and errors of calls on the platform's key-value
+// service and its list of VMs, without network code, for every package that makes such calls.
 //
-// The service answers the published HTTP/JSON mapping of the etcd v3 API.
-// The client never repeats a write that may have left this process; its errors
-// say whether a write surely had no effect (ErrNotApplied) or may have had one
-// (ErrUnknown), so that the caller reads back what holds before it goes on.
+// The names are those of the etcd v3 API. Package connector makes the calls; the
+// stand-in's Local makes them in tests. Errors say whether a write surely had no
+// effect (ErrNotApplied) or may have had one (ErrUnknown), so that the caller
+// reads back what holds before it goes on.
 package storer
 
 import "time"
@@ -153,8 +154,15 @@
 	AsOf time.Time `json:"as_of"`
 }
 
+const (
+	// NoEnd as the end of a range stands for "past all keys" in the published mapping.
+	NoEnd = "\x00"
+	// FirstKey is the lowest key that there can be; keys aren't empty.
+	FirstKey = "\x00"
+)
+
 // PrefixEnd returns the first key past all keys that begin with prefix.
-// For an empty prefix it returns the mapping's word for "no end", a zero byte.
+// It returns NoEnd for a prefix that no key can be past, such as an empty one.
 func PrefixEnd(prefix string) string {
 	end := []byte(prefix)
 	for i := len(end) - 1; i >= 0; i-- {
@@ -164,13 +172,13 @@
 		}
 	}
 
-	return "\x00"
+	return NoEnd
 }
 
 // PrefixRange returns the first key and the end of the range of all keys with a prefix.
 func PrefixRange(prefix string) (key, rangeEnd string) {
 	if prefix == "" {
-		return "\x00", "\x00"
+		return FirstKey, NoEnd
 	}
 
 	return prefix, PrefixEnd(prefix)
