--- a/internal/connector/calls.go
+++ b/internal/connector/calls.go
@@ -6,10 +6,10 @@
 	"slices"
 	"time"
 
-	"quincepath.example/quincepath/internal/storer"
-
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
+
+	"quincepath.example/quincepath/internal/storer"
 )
 
 const (
--- a/internal/connector/client.go
+++ b/internal/connector/client.go
@@ -11,11 +11,11 @@
 	"sync/atomic"
 	"time"
 
-	"quincepath.example/quincepath/internal/storer"
-
 	"github.com/cockroachdb/errors"
 	"github.com/go-resty/resty/v2"
 	"golang.org/x/time/rate"
+
+	"quincepath.example/quincepath/internal/storer"
 )
 
 const (
