Say why the mapping's wire types stand twice

Sharing them was weighed and ruled out: a field with a wrong name would be written and read under that name on both sides.

--- a/internal/connector/wire.go
+++ b/internal/connector/wire.go
@@ -2,6 +2,14 @@
 
 import "quincepath.example/quincepath/internal/storer"
 
+// The wire types of the client's side. They resemble those of the platform's
+// stand-in and stay apart from them on purpose: were the types shared, a field
+// with a wrong name would be written and read under that name on both sides, and
+// all tests would pass until the real platform ignored the field. With two
+// spellings of the mapping, TestPlatforms fails instead. The rules differ as well:
+// the client writes numbers as strings and leaves out what is zero; the stand-in
+// takes every form that the mapping allows.
+
 type wireHeader struct {
 	Revision int64 `json:"revision,string"`
 }
--- a/internal/standin/platform/wire.go
+++ b/internal/standin/platform/wire.go
@@ -9,6 +9,10 @@
 	"quincepath.example/quincepath/internal/storer"
 )
 
+// The wire types of the platform's side. They are a second spelling of the
+// published mapping, apart from the client's in package connector on purpose;
+// the comment there says what a shared one would hide.
+
 // number is an int64 that the mapping writes as a string and takes as a string or a number.
 type number int64
 
