Name the client's paths, calls and bounds

Each call was a request literal without field names that ended in a bare true or false, with its path spelled out; Watch opened its stream within itself, 40 lines and three levels deep. read and write say whether a call may change the store, the paths and two bounds have names, and open is a function.

Behaviour is unchanged: same paths, bodies and rules for the next address; the tests of connector (outage, lost reply, timeout, redirect, broken watch) pass before and after.

--- a/internal/connector/calls.go
+++ b/internal/connector/calls.go
@@ -22,7 +22,7 @@
 // Get returns a key and the store's revision; an absent key has Version 0.
 func (c *Client) Get(ctx context.Context, key string) (storer.KeyValue, int64, error) {
 	var reply wireRangeReply
-	err := c.call(ctx, request{http.MethodPost, "/v3/kv/range", wireRange{Key: []byte(key)}, false}, &reply)
+	err := c.read(ctx, pathRange, wireRange{Key: []byte(key)}, &reply)
 	if err != nil || len(reply.KVs) == 0 {
 		return storer.KeyValue{}, reply.Header.Revision, err
 	}
@@ -52,7 +52,7 @@
 	var found []storer.KeyValue
 	for {
 		var reply wireRangeReply
-		if err := c.call(ctx, request{http.MethodPost, "/v3/kv/range", query, false}, &reply); err != nil {
+		if err := c.read(ctx, pathRange, query, &reply); err != nil {
 			return nil, 0, err
 		}
 		found = append(found, reply.keyValues()...)
@@ -70,7 +70,7 @@
 func (c *Client) Put(ctx context.Context, key string, value []byte, lease int64) (int64, error) {
 	var reply wirePutReply
 	body := wirePut{Key: []byte(key), Value: value, Lease: lease}
-	err := c.call(ctx, request{http.MethodPost, "/v3/kv/put", body, true}, &reply)
+	err := c.write(ctx, pathPut, body, &reply)
 
 	return reply.Header.Revision, err
 }
@@ -78,7 +78,7 @@
 // Delete removes a key and returns the number of keys removed, 0 or 1.
 func (c *Client) Delete(ctx context.Context, key string) (int64, error) {
 	var reply wireDeleteReply
-	err := c.call(ctx, request{http.MethodPost, "/v3/kv/deleterange", wireDelete{Key: []byte(key)}, true}, &reply)
+	err := c.write(ctx, pathDelete, wireDelete{Key: []byte(key)}, &reply)
 
 	return reply.Deleted, err
 }
@@ -86,7 +86,7 @@
 // Txn applies a transaction. A transaction that takes its Failure branch is no error.
 func (c *Client) Txn(ctx context.Context, t storer.Txn) (storer.TxnResult, error) {
 	var reply wireTxnReply
-	err := c.call(ctx, request{http.MethodPost, "/v3/kv/txn", toTxn(t), true}, &reply)
+	err := c.write(ctx, pathTxn, toTxn(t), &reply)
 	if err != nil {
 		return storer.TxnResult{}, err
 	}
@@ -98,7 +98,7 @@
 // After ErrUnknown a lease without keys may exist; it ends by itself.
 func (c *Client) Grant(ctx context.Context, length time.Duration) (int64, error) {
 	var reply wireLease
-	err := c.call(ctx, request{http.MethodPost, "/v3/lease/grant", wireLease{TTL: storer.LeaseSeconds(length)}, true}, &reply)
+	err := c.write(ctx, pathGrant, wireLease{TTL: storer.LeaseSeconds(length)}, &reply)
 
 	return reply.ID, err
 }
@@ -107,7 +107,7 @@
 // ErrLeaseNotFound means that it has ended. Measure the time left from before the call.
 func (c *Client) KeepAlive(ctx context.Context, lease int64) (time.Duration, error) {
 	var reply wireKeepAliveReply
-	err := c.call(ctx, request{http.MethodPost, "/v3/lease/keepalive", wireLease{ID: lease}, true}, &reply)
+	err := c.write(ctx, pathKeepAlive, wireLease{ID: lease}, &reply)
 	if err != nil {
 		return 0, err
 	}
@@ -125,13 +125,13 @@
 func (c *Client) Revoke(ctx context.Context, lease int64) error {
 	var reply wirePutReply
 
-	return c.call(ctx, request{http.MethodPost, "/v3/lease/revoke", wireLease{ID: lease}, true}, &reply)
+	return c.write(ctx, pathRevoke, wireLease{ID: lease}, &reply)
 }
 
 // VMs returns the platform's list of VMs, which lags behind the truth.
 func (c *Client) VMs(ctx context.Context) (storer.VMList, error) {
 	var list storer.VMList
-	err := c.call(ctx, request{http.MethodGet, "/vms", nil, false}, &list)
+	err := c.call(ctx, request{method: http.MethodGet, path: pathVMs}, &list)
 
 	return list, err
 }
--- a/internal/connector/client.go
+++ b/internal/connector/client.go
@@ -25,6 +25,21 @@
 	defaultReads          = 200
 	defaultPageSize       = 500
 	maxReplyBytes         = 64 << 20
+	maxErrorBytes         = 64 << 10
+	maxIdleConnections    = 16
+)
+
+// Paths of the calls; all but pathVMs are those of the published mapping.
+const (
+	pathRange     = "/v3/kv/range"
+	pathPut       = "/v3/kv/put"
+	pathDelete    = "/v3/kv/deleterange"
+	pathTxn       = "/v3/kv/txn"
+	pathGrant     = "/v3/lease/grant"
+	pathKeepAlive = "/v3/lease/keepalive"
+	pathRevoke    = "/v3/lease/revoke"
+	pathWatch     = "/v3/watch"
+	pathVMs       = "/vms"
 )
 
 // Options configure a Client.
@@ -88,7 +103,7 @@
 	transport := &http.Transport{
 		DialContext:           (&net.Dialer{Timeout: options.ConnectTimeout}).DialContext,
 		ResponseHeaderTimeout: options.CallTimeout,
-		MaxIdleConnsPerHost:   16,
+		MaxIdleConnsPerHost:   maxIdleConnections,
 		IdleConnTimeout:       time.Minute,
 	}
 	c := &Client{
@@ -131,11 +146,24 @@
 	c.released()
 }
 
+// request is one call before an address is chosen for it.
 type request struct {
 	method string
 	path   string
-	body   any
-	write  bool
+	// body is sent as JSON; nil means none.
+	body any
+	// write says that the call may change the store, so that it must not be sent twice.
+	write bool
+}
+
+// read makes a call that changes nothing.
+func (c *Client) read(ctx context.Context, path string, body, reply any) error {
+	return c.call(ctx, request{method: http.MethodPost, path: path, body: body}, reply)
+}
+
+// write makes a call that may change the store.
+func (c *Client) write(ctx context.Context, path string, body, reply any) error {
+	return c.call(ctx, request{method: http.MethodPost, path: path, body: body, write: true}, reply)
 }
 
 // call tries the addresses in turn, beginning with the one that worked last.
@@ -266,7 +294,18 @@
 	}
 	key, end := storer.PrefixRange(prefix)
 	body := wireWatch{Create: wireWatchCreate{Key: []byte(key), RangeEnd: []byte(end), StartRevision: from}}
-	q := request{method: http.MethodPost, path: "/v3/watch", body: body}
+	stream, err := c.open(ctx, request{method: http.MethodPost, path: pathWatch, body: body})
+	if err != nil {
+		return nil, err
+	}
+	messages := make(chan storer.WatchEvents)
+	go deliver(ctx, stream, messages)
+
+	return messages, nil
+}
+
+// open returns the stream of the first address that answers a watch with one.
+func (c *Client) open(ctx context.Context, q request) (io.ReadCloser, error) {
 	var stream io.ReadCloser
 	err := c.each(ctx, func(base string) (bool, error) {
 		var connected atomic.Bool
@@ -274,22 +313,17 @@
 		if err != nil {
 			return true, storer.NotApplied(err)
 		}
-		stream = response.RawBody()
 		if response.StatusCode() == http.StatusOK {
+			stream = response.RawBody()
 			return false, nil
 		}
-		defer stream.Close()
-		answer, _ := io.ReadAll(io.LimitReader(stream, 64<<10))
+		defer response.RawBody().Close()
+		answer, _ := io.ReadAll(io.LimitReader(response.RawBody(), maxErrorBytes))
 		err = statusError(response.StatusCode(), answer, false)
 		return mayMove(err, q), err
 	})
-	if err != nil {
-		return nil, err
-	}
-	messages := make(chan storer.WatchEvents)
-	go deliver(ctx, stream, messages)
 
-	return messages, nil
+	return stream, err
 }
 
 func deliver(ctx context.Context, stream io.ReadCloser, messages chan<- storer.WatchEvents) {
