--- a/internal/connector/wire.go
+++ b/internal/connector/wire.go
@@ -6,7 +6,7 @@
 // stand-in and stay apart from them on purpose: were the types shared, a field
 // with a wrong name would be written and read under that name on both sides, and
 // all tests would pass until the real platform ignored the field. With two
-// spellings of the mapping, TestPlatforms fails instead. The rules differ as well:
+// spellings of the mapping, TestPlatforms_AnswerAlike fails instead. The rules differ as well:
 // the client writes numbers as strings and leaves out what is zero; the stand-in
 // takes every form that the mapping allows.
 
