Let one piece serve the runs of both stand-ins

The engine's and the service's stand-in had the same two handlers for /standin/runs, and error bodies were bare maps in three places. Runs now has Route, and WriteError writes a typed body. The handlers of /load stay: they ask different things for the same type.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -99,9 +99,8 @@
 	m.HandleFunc("GET /load", e.load)
 	m.HandleFunc("GET /cache_events", e.cacheEvents)
 	m.HandleFunc("POST /standin/switches", e.setSwitches)
-	m.HandleFunc("GET /standin/runs", e.listRuns)
 	m.HandleFunc("GET /standin/orders", e.listOrders)
-	m.HandleFunc("DELETE /standin/runs", e.clearRuns)
+	e.runs.Route(m)
 	return m
 }
 
@@ -120,15 +119,6 @@
 	supporter.WriteJSON(w, http.StatusOK, e.batch.Load())
 }
 
-func (e *Engine) listRuns(w http.ResponseWriter, _ *http.Request) {
-	supporter.WriteJSON(w, http.StatusOK, e.runs.List())
-}
-
-func (e *Engine) clearRuns(w http.ResponseWriter, _ *http.Request) {
-	e.runs.Clear()
-	w.WriteHeader(http.StatusNoContent)
-}
-
 type switches struct {
 	Straggle         *float64 `json:"straggle"`
 	CrashAfterTokens *int     `json:"crash_after_tokens"`
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -77,8 +77,7 @@
 func (s *Service) Handler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("POST /standin/switches", s.setSwitches)
-	m.HandleFunc("GET /standin/runs", s.listRuns)
-	m.HandleFunc("DELETE /standin/runs", s.clearRuns)
+	s.runs.Route(m)
 	m.HandleFunc("/standin/", http.NotFound)
 	m.HandleFunc("/load", s.load)
 	m.HandleFunc("/", s.respond)
@@ -97,12 +96,12 @@
 func (s *Service) respond(w http.ResponseWriter, r *http.Request) {
 	if s.refuses.Load() {
 		w.Header().Set("Retry-After", "1")
-		supporter.WriteJSON(w, http.StatusServiceUnavailable, map[string]string{"error": "the service takes no requests"})
+		supporter.WriteError(w, http.StatusServiceUnavailable, "the service takes no requests")
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, supporter.MaxBody))
 	if err != nil {
-		supporter.WriteJSON(w, http.StatusRequestEntityTooLarge, map[string]string{"error": err.Error()})
+		supporter.WriteError(w, http.StatusRequestEntityTooLarge, err.Error())
 		return
 	}
 	h := xxhash.Sum64(body)
@@ -166,15 +165,6 @@
 	supporter.WriteJSON(w, http.StatusOK, s.slots.Load())
 }
 
-func (s *Service) listRuns(w http.ResponseWriter, _ *http.Request) {
-	supporter.WriteJSON(w, http.StatusOK, s.runs.List())
-}
-
-func (s *Service) clearRuns(w http.ResponseWriter, _ *http.Request) {
-	s.runs.Clear()
-	w.WriteHeader(http.StatusNoContent)
-}
-
 type switches struct {
 	Delay        *float64 `json:"delay"`
 	FailAfterRun *bool    `json:"fail_after_run"`
--- a/internal/standin/support/runs.go
+++ b/internal/standin/support/runs.go
@@ -1,6 +1,9 @@
 package supporter
 
-import "sync"
+import (
+	"net/http"
+	"sync"
+)
 
 // MaxRuns is the number of runs that Runs keeps; the oldest ones go first.
 const MaxRuns = 100_000
@@ -44,6 +47,17 @@
 	return out
 }
 
+// Route answers GET /standin/runs with the records as JSON and DELETE /standin/runs by dropping them.
+func (r *Runs[T]) Route(m *http.ServeMux) {
+	m.HandleFunc("GET /standin/runs", func(w http.ResponseWriter, _ *http.Request) {
+		WriteJSON(w, http.StatusOK, r.List())
+	})
+	m.HandleFunc("DELETE /standin/runs", func(w http.ResponseWriter, _ *http.Request) {
+		r.Clear()
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
+
 // Clear drops all records; the numbers go on.
 func (r *Runs[T]) Clear() {
 	r.mu.Lock()
--- a/internal/standin/support/server.go
+++ b/internal/standin/support/server.go
@@ -63,6 +63,15 @@
 	if err == nil {
 		return true
 	}
-	WriteJSON(w, http.StatusBadRequest, map[string]string{"error": err.Error()})
+	WriteError(w, http.StatusBadRequest, err.Error())
 	return false
 }
+
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+// WriteError answers with a status and a JSON body whose key error has the text.
+func WriteError(w http.ResponseWriter, status int, text string) {
+	WriteJSON(w, status, errorBody{Error: text})
+}
