Type the states of runs and the kinds of orders

The engine's stand-in kept both as bare strings, the states listed in a field comment, the kinds only in a switch. They have a type each.

--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -15,13 +15,6 @@
 	supporter "quincepath.example/quincepath/internal/standin/support"
 )
 
-const (
-	stateRunning   = "running"
-	stateFinished  = "finished"
-	stateCancelled = "cancelled"
-	stateCrashed   = "crashed"
-)
-
 var errCrash = errors.New("crash asked for by a switch")
 
 // form says which of the two completion calls an answer has the shape of.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -41,6 +41,20 @@
 	Ready func(addr string)
 }
 
+// State is how far an attempt got.
+type State string
+
+// States of attempts.
+const (
+	// stateRunning holds also while the attempt waits for a slot.
+	stateRunning  State = "running"
+	stateFinished State = "finished"
+	// stateCancelled means that the connection was closed from the other side.
+	stateCancelled State = "cancelled"
+	// stateCrashed means that the crash_after_tokens switch broke the answer off.
+	stateCrashed State = "crashed"
+)
+
 // Record describes one attempt at an answer.
 type Record struct {
 	RequestID string `json:"request_id"`
@@ -51,11 +65,10 @@
 	Tokens       int `json:"tokens"`
 	PromptTokens int `json:"prompt_tokens"`
 	// CachedTokens of the prompt were in the cache, so that their prefill was saved.
-	CachedTokens int `json:"cached_tokens"`
-	// State is running (also while it waits), finished, cancelled or crashed.
-	State     string    `json:"state"`
-	BodyHash  string    `json:"body_hash"`
-	StartedAt time.Time `json:"started_at"`
+	CachedTokens int       `json:"cached_tokens"`
+	State        State     `json:"state"`
+	BodyHash     string    `json:"body_hash"`
+	StartedAt    time.Time `json:"started_at"`
 }
 
 // Engine serves one engine's API.
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -44,10 +44,21 @@
 	return o
 }
 
+// orderKind says what an order does with its name.
+type orderKind string
+
+const (
+	orderLoadModel     orderKind = "load_model"
+	orderUnloadModel   orderKind = "unload_model"
+	orderLoadAdapter   orderKind = "load_adapter"
+	orderUnloadAdapter orderKind = "unload_adapter"
+	orderSetRole       orderKind = "set_role"
+)
+
 type orderBody struct {
-	Kind    string `json:"kind"`
-	Name    string `json:"name"`
-	Fencing int64  `json:"fencing"`
+	Kind    orderKind `json:"kind"`
+	Name    string    `json:"name"`
+	Fencing int64     `json:"fencing"`
 }
 
 type stateBody struct {
@@ -66,15 +77,15 @@
 		return http.StatusConflict
 	}
 	switch b.Kind {
-	case "load_model":
+	case orderLoadModel:
 		o.models[b.Name] = true
-	case "unload_model":
+	case orderUnloadModel:
 		delete(o.models, b.Name)
-	case "load_adapter":
+	case orderLoadAdapter:
 		o.adapters[b.Name] = true
-	case "unload_adapter":
+	case orderUnloadAdapter:
 		delete(o.adapters, b.Name)
-	case "set_role":
+	case orderSetRole:
 		o.role = b.Name
 	default:
 		return http.StatusBadRequest
