Name the kinds of calls and the store's state in the platform's stand-in

The kinds of calls stood as words at each method and again in a comment; the fields of Store had no comments; two loops ended in their first round; one compare was written by hand. Kinds stay strings, because tests of other packages keep them in string variables.

Behaviour is unchanged: the tests of standin/platform, connector and orderer pass before and after.

--- a/internal/standin/platform/local.go
+++ b/internal/standin/platform/local.go
@@ -12,9 +12,23 @@
 
 var errConnection = errors.New("the connection broke")
 
+// Kinds of calls, one for each method of Local.
+const (
+	CallGet       = "get"
+	CallList      = "list"
+	CallPut       = "put"
+	CallDelete    = "delete"
+	CallTxn       = "txn"
+	CallGrant     = "grant"
+	CallKeepAlive = "keepalive"
+	CallRevoke    = "revoke"
+	CallWatch     = "watch"
+	CallVMs       = "vms"
+)
+
 // Call is one call of a Local, as shown to its faults.
 type Call struct {
-	// Kind is get, list, put, delete, txn, grant, keepalive, revoke, watch or vms.
+	// Kind is one of the constants above, such as CallTxn.
 	Kind string
 	// Key is the key or prefix; of a transaction the first key that it compares or writes.
 	Key string
@@ -148,7 +162,7 @@
 
 // Get does what Get of connector.Client does.
 func (l *Local) Get(ctx context.Context, key string) (storer.KeyValue, int64, error) {
-	got, err := l.read(ctx, Call{Kind: "get", Key: key}, Query{Key: key})
+	got, err := l.read(ctx, Call{Kind: CallGet, Key: key}, Query{Key: key})
 	if err != nil || len(got.found) == 0 {
 		return storer.KeyValue{}, got.revision, err
 	}
@@ -159,21 +173,21 @@
 // List does what List of connector.Client does.
 func (l *Local) List(ctx context.Context, prefix string) ([]storer.KeyValue, int64, error) {
 	from, end := storer.PrefixRange(prefix)
-	got, err := l.read(ctx, Call{Kind: "list", Key: prefix}, Query{Key: from, RangeEnd: end})
+	got, err := l.read(ctx, Call{Kind: CallList, Key: prefix}, Query{Key: from, RangeEnd: end})
 
 	return got.found, got.revision, err
 }
 
 // Put does what Put of connector.Client does.
 func (l *Local) Put(ctx context.Context, key string, value []byte, lease int64) (int64, error) {
-	return perform(ctx, l, Call{Kind: "put", Key: key, Write: true}, func() (int64, error) {
+	return perform(ctx, l, Call{Kind: CallPut, Key: key, Write: true}, func() (int64, error) {
 		return l.store.Put(key, value, lease)
 	})
 }
 
 // Delete does what Delete of connector.Client does.
 func (l *Local) Delete(ctx context.Context, key string) (int64, error) {
-	return perform(ctx, l, Call{Kind: "delete", Key: key, Write: true}, func() (int64, error) {
+	return perform(ctx, l, Call{Kind: CallDelete, Key: key, Write: true}, func() (int64, error) {
 		deleted, _, err := l.store.Delete(key, "")
 		return deleted, err
 	})
@@ -181,17 +195,17 @@
 
 // Txn does what Txn of connector.Client does.
 func (l *Local) Txn(ctx context.Context, t storer.Txn) (storer.TxnResult, error) {
-	return perform(ctx, l, Call{Kind: "txn", Key: firstKey(t), Write: true, Txn: t}, func() (storer.TxnResult, error) {
+	return perform(ctx, l, Call{Kind: CallTxn, Key: firstKey(t), Write: true, Txn: t}, func() (storer.TxnResult, error) {
 		return l.store.Txn(t)
 	})
 }
 
 func firstKey(t storer.Txn) string {
-	for _, c := range t.Compares {
-		return c.Key
+	if len(t.Compares) > 0 {
+		return t.Compares[0].Key
 	}
-	for _, op := range t.Success {
-		return op.Key
+	if len(t.Success) > 0 {
+		return t.Success[0].Key
 	}
 
 	return ""
@@ -199,14 +213,14 @@
 
 // Grant does what Grant of connector.Client does.
 func (l *Local) Grant(ctx context.Context, length time.Duration) (int64, error) {
-	return perform(ctx, l, Call{Kind: "grant", Write: true}, func() (int64, error) {
+	return perform(ctx, l, Call{Kind: CallGrant, Write: true}, func() (int64, error) {
 		return l.store.Grant(0, storer.LeaseSeconds(length))
 	})
 }
 
 // KeepAlive does what KeepAlive of connector.Client does.
 func (l *Local) KeepAlive(ctx context.Context, lease int64) (time.Duration, error) {
-	return perform(ctx, l, Call{Kind: "keepalive", Write: true}, func() (time.Duration, error) {
+	return perform(ctx, l, Call{Kind: CallKeepAlive, Write: true}, func() (time.Duration, error) {
 		seconds := l.store.KeepAlive(lease)
 		if seconds == 0 {
 			return 0, refuse(storer.StatusNotFound, "the lease has ended")
@@ -217,7 +231,7 @@
 
 // Revoke does what Revoke of connector.Client does.
 func (l *Local) Revoke(ctx context.Context, lease int64) error {
-	_, err := perform(ctx, l, Call{Kind: "revoke", Write: true}, func() (int64, error) {
+	_, err := perform(ctx, l, Call{Kind: CallRevoke, Write: true}, func() (int64, error) {
 		return l.store.Revoke(lease)
 	})
 
@@ -226,14 +240,14 @@
 
 // VMs does what VMs of connector.Client does.
 func (l *Local) VMs(ctx context.Context) (storer.VMList, error) {
-	return perform(ctx, l, Call{Kind: "vms"}, func() (storer.VMList, error) {
+	return perform(ctx, l, Call{Kind: CallVMs}, func() (storer.VMList, error) {
 		return l.store.VMs(), nil
 	})
 }
 
 // Watch does what Watch of connector.Client does.
 func (l *Local) Watch(ctx context.Context, prefix string, from int64) (<-chan storer.WatchEvents, error) {
-	call := Call{Kind: "watch", Key: prefix}
+	call := Call{Kind: CallWatch, Key: prefix}
 	verdict := l.judge(ctx, call)
 	if verdict.Refuse != nil {
 		return nil, storer.NotApplied(verdict.Refuse)
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,6 +21,8 @@
 const (
 	defaultHistoryEvents = 10_000
 	defaultHistoryBytes  = 64 << 20
+	// leasesAbove is the number above which the store chooses ids of leases.
+	leasesAbove = 1000
 )
 
 // StatusError is a refusal with a gRPC status code.
@@ -47,11 +50,15 @@
 	VMLag time.Duration
 }
 
+// record is one change in the history.
 type record struct {
-	event    storer.Event
+	event storer.Event
+	// previous is what the change replaced; its Version is 0 when the key was absent.
 	previous storer.KeyValue
 }
 
+// size is the record's part of HistoryBytes, in bytes.
+
 func (r record) size() int {
 	return len(r.event.KeyValue.Key) + len(r.event.KeyValue.Value) + len(r.previous.Value)
 }
@@ -61,18 +68,25 @@
 type Store struct {
 	options StoreOptions
 
-	mu           sync.Mutex
-	revision     int64
-	compacted    int64
-	keys         []string
-	values       map[string]storer.KeyValue
-	history      []record
+	mu       sync.Mutex
+	revision int64
+	// compacted is the oldest revision that can still be read; 0 means all can.
+	compacted int64
+	// keys holds the keys of values in order.
+	keys   []string
+	values map[string]storer.KeyValue
+	// history holds the changes from compacted on, in order of revision.
+	history []record
+	// historyBytes is the sum of the sizes of history.
 	historyBytes int
 	leases       map[int64]*lease
-	lastLease    int64
-	watchers     map[*Watcher]struct{}
-	silent       bool
-	vms          []vmVersion
+	// lastLease is the highest id of a lease that the store chose.
+	lastLease int64
+	watchers  map[*Watcher]struct{}
+	// silent says that further watches tell nothing.
+	silent bool
+	// vms holds the lists of VMs in order of setting, from the one that shows on.
+	vms []vmVersion
 }
 
 // NewStore returns an empty store at revision 1.
@@ -89,7 +103,7 @@
 		revision:  1,
 		values:    map[string]storer.KeyValue{},
 		leases:    map[int64]*lease{},
-		lastLease: 1000,
+		lastLease: leasesAbove,
 		watchers:  map[*Watcher]struct{}{},
 	}
 }
@@ -148,6 +162,7 @@
 	return nil
 }
 
+// limited returns the first keys found, and how many there are in all.
 func limited(found []storer.KeyValue, limit int64) storer.OpResult {
 	result := storer.OpResult{Kind: storer.OpRange, KeyValues: found, Count: int64(len(found))}
 	if limit > 0 && result.Count > limit {
@@ -201,22 +216,11 @@
 	for _, kv := range past {
 		found = append(found, kv)
 	}
-	slices.SortFunc(found, byKey)
+	slices.SortFunc(found, func(a, b storer.KeyValue) int { return strings.Compare(a.Key, b.Key) })
 
 	return found
 }
 
-func byKey(a, b storer.KeyValue) int {
-	if a.Key < b.Key {
-		return -1
-	}
-	if a.Key > b.Key {
-		return 1
-	}
-
-	return 0
-}
-
 func inRange(key, from, end string) bool {
 	if end == "" {
 		return key == from
