Count endings by one type in a class and in the total

ClassReport and Total listed the same eight counts with the same tags, and New (42 lines) gathered outcomes and made the report in one. Counts stands in both and adds itself; summarise gathers.

Behaviour is unchanged: report.json and report.txt are the same, byte for byte (TestReport); the tests of reporter and replayer pass before and after.

--- a/internal/reporter/report.go
+++ b/internal/reporter/report.go
@@ -19,21 +19,43 @@
 	Checks []Check `json:"checks,omitempty"`
 }
 
+// Counts says how requests ended. Asked is the sum of Whole, Refused, Failed, Wrong and Missing.
+type Counts struct {
+	Asked   int `json:"asked"`
+	Whole   int `json:"whole"`
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"`
+	Wrong   int `json:"wrong"`
+	Missing int `json:"missing"`
+	// Double counts idempotency keys of not repeatable requests that ran more than once.
+	Double int `json:"double"`
+	// NotRunButRan counts requests that ran although their caller was told that they did not.
+	NotRunButRan int `json:"not_run_but_ran"`
+}
+
+func (c *Counts) add(more Counts) {
+	c.Asked += more.Asked
+	c.Whole += more.Whole
+	c.Refused += more.Refused
+	c.Failed += more.Failed
+	c.Wrong += more.Wrong
+	c.Missing += more.Missing
+	c.Double += more.Double
+	c.NotRunButRan += more.NotRunButRan
+}
+
+// Broken says whether a promise to a caller was broken: a wrong, missing or
+// double answer, or a run of a request that was said not to have run.
+func (c Counts) Broken() bool {
+	return c.Wrong+c.Missing+c.Double+c.NotRunButRan > 0
+}
+
 // ClassReport holds the figures of one class. Times are in milliseconds and
 // counted from the trace's own times; shares are 0 to 1.
 type ClassReport struct {
 	Service string `json:"service"`
 	Class   string `json:"class"`
-	Asked   int    `json:"asked"`
-	Whole   int    `json:"whole"`
-	Refused int    `json:"refused"`
-	Failed  int    `json:"failed"`
-	Wrong   int    `json:"wrong"`
-	Missing int    `json:"missing"`
-	// Double counts idempotency keys of not repeatable requests that ran more than once.
-	Double int `json:"double"`
-	// NotRunButRan counts requests that ran although their caller was told that they did not.
-	NotRunButRan int `json:"not_run_but_ran"`
+	Counts
 	// TargetMS is the latency target; zero when it is not known.
 	TargetMS float64 `json:"target_ms,omitempty"`
 	// Attained counts whole answers within the target, and all whole answers when no target is known.
@@ -76,14 +98,7 @@
 
 // Total holds the figures of all classes together.
 type Total struct {
-	Asked                int     `json:"asked"`
-	Whole                int     `json:"whole"`
-	Refused              int     `json:"refused"`
-	Failed               int     `json:"failed"`
-	Wrong                int     `json:"wrong"`
-	Missing              int     `json:"missing"`
-	Double               int     `json:"double"`
-	NotRunButRan         int     `json:"not_run_but_ran"`
+	Counts
 	Attained             int     `json:"attained"`
 	GoodTokensPerSecond  float64 `json:"good_tokens_per_second"`
 	GoodAnswersPerSecond float64 `json:"good_answers_per_second"`
@@ -111,32 +126,9 @@
 
 // New computes the figures.
 func New(in Input) Report {
-	classes := map[replayer.ClassKey]*summary{}
-	doubles := in.Result.Doubles()
-	delivered := map[string]bool{}
-
-	for _, v := range in.Result.Outcomes {
-		key := replayer.KeyOf(v)
-		if classes[key] == nil {
-			classes[key] = newSummary(key, in.Targets[key])
-		}
-
-		// Callers who ask again with one key get one answer; it was produced once.
-		again := v.Event.IdempotencyKey != "" && delivered[v.Event.IdempotencyKey]
-		classes[key].add(v, again)
-
-		if v.Ending == replayer.Whole && v.Event.IdempotencyKey != "" {
-			delivered[v.Event.IdempotencyKey] = true
-		}
-
-		if doubles[v.Event.IdempotencyKey] {
-			classes[key].doubles[v.Event.IdempotencyKey] = true
-		}
-	}
-
 	report := Report{Total: Total{TookSeconds: in.Result.Took.Seconds()}}
 
-	for k, v := range classes {
+	for k, v := range summarise(in) {
 		report.Classes = append(report.Classes, v.finish(in.Result.Took, in.Audit, k))
 		report.Total.LateSends += v.late
 		report.Total.MoreTries += v.moreTries
@@ -153,15 +145,37 @@
 	return report
 }
 
+// summarise gathers the outcomes of each class.
+func summarise(in Input) map[replayer.ClassKey]*summary {
+	classes := map[replayer.ClassKey]*summary{}
+	doubles := in.Result.Doubles()
+	// delivered holds the idempotency keys whose answer came whole.
+	delivered := map[string]bool{}
+
+	for _, v := range in.Result.Outcomes {
+		class := replayer.KeyOf(v)
+		if classes[class] == nil {
+			classes[class] = newSummary(class, in.Targets[class])
+		}
+
+		// Callers who ask again with one key get one answer; it was produced once.
+		key := v.Event.IdempotencyKey
+		classes[class].add(v, key != "" && delivered[key])
+
+		if v.Ending == replayer.Whole && key != "" {
+			delivered[key] = true
+		}
+
+		if doubles[key] {
+			classes[class].doubles[key] = true
+		}
+	}
+
+	return classes
+}
+
 func (t *Total) add(c ClassReport) {
-	t.Asked += c.Asked
-	t.Whole += c.Whole
-	t.Refused += c.Refused
-	t.Failed += c.Failed
-	t.Wrong += c.Wrong
-	t.Missing += c.Missing
-	t.Double += c.Double
-	t.NotRunButRan += c.NotRunButRan
+	t.Counts.add(c.Counts)
 	t.Attained += c.Attained
 	t.GoodTokensPerSecond += c.GoodTokensPerSecond
 	t.GoodAnswersPerSecond += c.GoodAnswersPerSecond
@@ -182,12 +196,6 @@
 	t.ProducedTokens, t.WastedTokens, t.UnassignedTokens = &produced, &wasted, a.Unassigned
 }
 
-// Broken says whether a promise to a caller was broken: a wrong, missing or
-// double answer, or a run of a request that was said not to have run.
-func (t *Total) Broken() bool {
-	return t.Wrong+t.Missing+t.Double+t.NotRunButRan > 0
-}
-
 func share(part, whole int) float64 {
 	if whole == 0 {
 		return 0
