Name the bare numbers of the benches' shops and traces

sloped and usual said nothing; the token gap, the retry budget, the spread of prompts and the places of the pools' holders were bare numbers; longestAnswer cut prompts as well; the comment on heldPool.asks told of entries going, which they never do.

--- a/internal/bencher/choice.go
+++ b/internal/bencher/choice.go
@@ -8,17 +8,17 @@
 	Build func(World) Policy
 }
 
-// usual is what a node does by default.
-var usual = scheduler.Options{EnginePriority: true}
+// defaultPool is how a node's pools decide by default.
+var defaultPool = scheduler.Options{EnginePriority: true}
 
 // Choices returns the policies in the order of the tables; the baseline comes first.
 func Choices() []Choice {
 	return []Choice{
 		{Name: baselineName, Build: NewBaseline},
-		queueChoice(QueueOptions{Name: "queue", Pool: usual}),
-		queueChoice(QueueOptions{Name: "queue_prefixes", Prefixes: true, Pool: usual}),
-		queueChoice(QueueOptions{Name: "queue_batched", Batched: true, Pool: usual}),
-		queueChoice(QueueOptions{Name: "queue_steered", Steered: true, Pool: usual}),
+		queueChoice(QueueOptions{Name: "queue", Pool: defaultPool}),
+		queueChoice(QueueOptions{Name: "queue_prefixes", Prefixes: true, Pool: defaultPool}),
+		queueChoice(QueueOptions{Name: "queue_batched", Batched: true, Pool: defaultPool}),
+		queueChoice(QueueOptions{Name: "queue_steered", Steered: true, Pool: defaultPool}),
 		queueChoice(QueueOptions{Name: "queue_preemption"}),
 		queueChoice(QueueOptions{Name: "queue_no_preemption", Pool: scheduler.Options{NoPreemption: true}}),
 	}
--- a/internal/bencher/queue.go
+++ b/internal/bencher/queue.go
@@ -19,6 +19,9 @@
 	headerBytes = 40
 	// batchWindow is how long a batch of messages to one node gathers.
 	batchWindow = 2 * time.Millisecond
+	// firstHolder is the node that holds the first pool; each further pool lies holderStep nodes on.
+	firstHolder = 1
+	holderStep  = 4
 )
 
 // QueueOptions select how entry nodes reach the holder of a pool.
@@ -57,7 +60,7 @@
 		q := &queue{options: options, world: world, pools: make(map[string]*heldPool), batches: make(map[[2]int][]parcel)}
 
 		for i, name := range sortedKeys(world.Shop.Settings.Services) {
-			holder := (1 + 4*i) % nodes
+			holder := (firstHolder + holderStep*i) % nodes
 			poolOptions := options.Pool
 			poolOptions.GrantPrefix = name
 
@@ -201,7 +204,7 @@
 	holder  int
 	service configurer.Service
 	core    *scheduler.Pool
-	// asks holds the requests that wait or run, by ask id.
+	// asks holds all requests of the run by ask id; a late decision may name an ended one.
 	asks map[string]*Request
 	// tick is the time of the planned Tick; zero means none.
 	tick time.Time
--- a/internal/bencher/shop.go
+++ b/internal/bencher/shop.go
@@ -40,14 +40,24 @@
 const plainLoad = 0.5
 
 const (
-	nodes         = 9
-	clientHop     = 3 * time.Millisecond
+	// nodes is the number of entry nodes.
+	nodes = 9
+	// clientHop is the one-way latency between a caller and its entry node.
+	clientHop = 3 * time.Millisecond
+	// sameDomainHop is the one-way latency within a failure domain.
 	sameDomainHop = 200 * time.Microsecond
-	sloped        = 0.04
+	// batchSlowdown is the Slowdown of all servers.
+	batchSlowdown = 0.04
+	// tokenGap is the stated gap between tokens of all classes of engines.
+	tokenGap = 40 * time.Millisecond
+	// retryBudget is the retries of each class as a part of its requests.
+	retryBudget = 0.1
+	// firstSlots is the first guess of requests at once, half of what an engine can run.
+	firstSlots = 8
 )
 
-var engineModel = ServerModel{Batch: 16, Step: 20 * time.Millisecond, Slowdown: sloped, PrefillTokens: 0.01}
-var plainModel = ServerModel{Batch: 4, Step: time.Millisecond, Slowdown: sloped}
+var engineModel = ServerModel{Batch: 16, Step: 20 * time.Millisecond, Slowdown: batchSlowdown, PrefillTokens: 0.01}
+var plainModel = ServerModel{Batch: 4, Step: time.Millisecond, Slowdown: batchSlowdown}
 
 // Barbagallo returns the grooming salons of eastern Sicily: 12 engines, 3 servers of the front application.
 func Barbagallo() Shop {
@@ -123,7 +133,7 @@
 
 func engineService(name string, servers int, domains []string, classes []configurer.Class) configurer.Service {
 	for i := range classes {
-		classes[i].TokenGap = 40 * time.Millisecond
+		classes[i].TokenGap = tokenGap
 	}
 
 	return service(name, configurer.KindEngine, servers, domains, classes)
@@ -145,7 +155,7 @@
 	}
 
 	for i := range classes {
-		classes[i].RetryBudget = 0.1
+		classes[i].RetryBudget = retryBudget
 		s.Classes[classes[i].Name] = classes[i]
 	}
 
@@ -162,9 +172,6 @@
 	return s
 }
 
-// firstSlots is the first guess of requests at once, half of what an engine can run.
-const firstSlots = 8
-
 // organisationShares is the part of the demand that comes from each organisation: a few are large.
 var organisationShares = []float64{0.3, 0.25, 0.15, 0.06, 0.05, 0.05, 0.04, 0.04, 0.03, 0.03}
 
--- a/internal/bencher/trace.go
+++ b/internal/bencher/trace.go
@@ -10,8 +10,12 @@
 	"quincepath.example/quincepath/internal/tracer"
 )
 
-// longestAnswer times the mean is where answers are cut.
-const longestAnswer = 20
+const (
+	// longestLength times the mean is where prompts and answers are cut.
+	longestLength = 20
+	// promptSpread is the sigma of the log-normal distribution of prompts.
+	promptSpread = 0.5
+)
 
 // Generate returns the trace of a scenario, sorted by arrival. The same seed gives the same trace.
 func Generate(shop Shop, scenario Scenario, seed uint64) []tracer.Event {
@@ -75,7 +79,7 @@
 		Service:       demand.Service,
 		Class:         demand.Class,
 		Organisation:  drawOrganisation(random),
-		PromptTokens:  lognormal(demand.Prompt, 0.5, random),
+		PromptTokens:  lognormal(demand.Prompt, promptSpread, random),
 		AnswerTokens:  lognormal(demand.Answer, demand.Spread, random),
 		NotRepeatable: !service.Classes[demand.Class].Repeatable,
 		ComeBack:      true,
@@ -105,7 +109,7 @@
 	return organisationName(len(organisationShares) - 1)
 }
 
-// lognormal draws a length with the given mean, at least 1 and at most longestAnswer means.
+// lognormal draws a length with the given mean, at least 1 and at most longestLength means.
 func lognormal(mean, sigma float64, random *rand.Rand) int {
 	if mean == 0 {
 		return 0
@@ -113,5 +117,5 @@
 
 	value := math.Exp(math.Log(mean) - sigma*sigma/2 + sigma*random.NormFloat64())
 
-	return int(max(1, min(value, longestAnswer*mean)))
+	return int(max(1, min(value, longestLength*mean)))
 }
