Key the benches' classes by a type, and drop the engine's unread name

Maps of the benches were keyed by service+"/"+class, put together in six places, and the results sorted by a comparison that answered 0 for different services and leant on the order before it. classKey and one whole comparison stand for both. engine.name was never read; the default of the reports' lag stood twice; 1e-6 three times without a name.

--- a/internal/bencher/engine.go
+++ b/internal/bencher/engine.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// roundingTokens is the part of a token by which work counts as whole: sums of
+// floating-point numbers fall short of it by less.
+const roundingTokens = 1e-6
+
 // ServerModel is how fast the fake servers of a service work.
 type ServerModel struct {
 	// Batch is the number of answers that run at once; further ones wait in the server.
@@ -23,12 +27,14 @@
 // priority puts back the running one of lowest priority, which keeps its place
 // and goes on later.
 type engine struct {
-	name    string
-	model   ServerModel
-	clock   *timeline
-	factor  float64
-	silent  bool
-	down    bool
+	model ServerModel
+	clock *timeline
+	// factor multiplies the time of a token.
+	factor float64
+	// silent means that no output comes though connections are taken; down means that none are.
+	silent bool
+	down   bool
+	// updated is the time up to which the work of running jobs is counted.
 	updated time.Duration
 	// plan numbers the planned milestone; an event with an older number is void.
 	plan    uint64
@@ -64,13 +70,13 @@
 	broken func()
 }
 
-func newEngine(name string, model ServerModel, clock *timeline) *engine {
-	return &engine{name: name, model: model, clock: clock, factor: 1}
+func newEngine(model ServerModel, clock *timeline) *engine {
+	return &engine{model: model, clock: clock, factor: 1}
 }
 
 // tokens is the number of whole tokens that the job has made.
 func (j *job) tokens() int {
-	return int(max(0, math.Floor(j.done-j.prefill+1e-6)))
+	return int(max(0, math.Floor(j.done-j.prefill+roundingTokens)))
 }
 
 // submit takes a job; the engine must be up.
@@ -264,12 +270,12 @@
 	var told []func()
 
 	for _, j := range slices.Clone(e.running) {
-		if !j.started && j.done+1e-6 >= j.prefill+1 {
+		if !j.started && j.done+roundingTokens >= j.prefill+1 {
 			j.started = true
 			told = append(told, j.first)
 		}
 
-		if j.done+1e-6 >= j.prefill+j.length {
+		if j.done+roundingTokens >= j.prefill+j.length {
 			e.remove(j)
 			told = append(told, j.end)
 		}
--- a/internal/bencher/engine_test.go
+++ b/internal/bencher/engine_test.go
@@ -16,7 +16,7 @@
 // playJobs runs the jobs on one engine and returns their ends in milliseconds.
 func playJobs(batch int, jobs []planned, change func(*engine)) []int64 {
 	clock := &timeline{}
-	e := newEngine("one", ServerModel{Batch: batch, Step: 10 * time.Millisecond, Slowdown: 0.04}, clock)
+	e := newEngine(ServerModel{Batch: batch, Step: 10 * time.Millisecond, Slowdown: 0.04}, clock)
 	ends := make([]int64, len(jobs))
 
 	for i, p := range jobs {
--- a/internal/bencher/policy.go
+++ b/internal/bencher/policy.go
@@ -40,6 +40,10 @@
 	over bool
 }
 
+func (r *Request) classKey() classKey {
+	return classKey{service: r.Service.Name, class: r.Class.Name}
+}
+
 // ask returns what the entry node tells a policy.
 func (r *Request) ask(now time.Duration) dispatcher.Ask {
 	return dispatcher.Ask{
--- a/internal/bencher/prefix.go
+++ b/internal/bencher/prefix.go
@@ -23,10 +23,11 @@
 	table  *prefixer.Table
 	// caches holds a cache for each engine; nil where engines don't cache.
 	caches map[string]*cacher.Cache
-	// shared is the number of leading blocks that an organisation's prompts of a class have in common, by service and class.
-	shared map[string]int
-	asked  int
-	saved  int
+	// shared is the number of leading blocks that an organisation's prompts of a class have in common.
+	shared map[classKey]int
+	// asked counts the tokens that engines had to read, saved those of them that were in caches.
+	asked int
+	saved int
 }
 
 func newPrefixes(r *runner) *prefixes {
@@ -36,12 +37,9 @@
 	}
 
 	p.caches = make(map[string]*cacher.Cache)
-	p.shared = make(map[string]int)
+	p.shared = make(map[classKey]int)
 
-	lag := r.scenario.ReportLag
-	if lag == 0 {
-		lag = defaultReportLag
-	}
+	lag := r.scenario.reportLag()
 
 	for service := range r.names {
 		if r.shop.Settings.Services[service].Kind != configurer.KindEngine {
@@ -54,7 +52,7 @@
 	}
 
 	for _, d := range r.shop.Demands {
-		p.shared[d.Service+"/"+d.Class] = int(d.Prompt*r.scenario.Repeated) / prefixer.BlockTokens
+		p.shared[classKey{d.Service, d.Class}] = int(d.Prompt*r.scenario.Repeated) / prefixer.BlockTokens
 	}
 
 	return p
@@ -66,7 +64,7 @@
 		return nil
 	}
 
-	shared := p.shared[q.Service.Name+"/"+q.Class.Name]
+	shared := p.shared[q.classKey()]
 	count := min(q.Event.PromptTokens/prefixer.BlockTokens, prefixer.MaxBlocks)
 	blocks := make([]uint64, 0, count)
 	prompt := q.caller.index % p.runner.scenario.Prompts
--- a/internal/bencher/refusals.go
+++ b/internal/bencher/refusals.go
@@ -34,7 +34,7 @@
 	var list []Refusals
 
 	for _, c := range result.Classes {
-		refused := result.firstRefused[c.Service+"/"+c.Class]
+		refused := result.firstRefused[classKey{c.Service, c.Class}]
 		judged := Refusals{Class: c.Class, Refused: len(refused), Accepted: c.Requests - len(refused), Late: c.LateFirst}
 
 		for i := 0; i < len(refused) && judged.Replayed < most; i += max(1, len(refused)/most) {
--- a/internal/bencher/runner.go
+++ b/internal/bencher/runner.go
@@ -44,6 +44,7 @@
 	prefixes *prefixes
 	// open counts callers without their last answer.
 	open int
+	// asks counts the requests so far, for their ids.
 	asks int
 }
 
@@ -93,7 +94,7 @@
 func (r *runner) addServers() {
 	for service := range r.shop.Settings.Services {
 		for name := range r.shop.Settings.Services[service].Upstreams {
-			r.engines[name] = newEngine(name, r.shop.Models[service], r.clock)
+			r.engines[name] = newEngine(r.shop.Models[service], r.clock)
 			r.names[service] = append(r.names[service], name)
 		}
 
@@ -103,10 +104,7 @@
 
 // planReports sends the load of each server to the policy, late.
 func (r *runner) planReports() {
-	lag := r.scenario.ReportLag
-	if lag == 0 {
-		lag = defaultReportLag
-	}
+	lag := r.scenario.reportLag()
 
 	for _, service := range sortedKeys(r.shop.Settings.Services) {
 		for _, name := range r.names[service] {
--- a/internal/bencher/scenario.go
+++ b/internal/bencher/scenario.go
@@ -33,6 +33,14 @@
 	return s.Length
 }
 
+func (s Scenario) reportLag() time.Duration {
+	if s.ReportLag == 0 {
+		return defaultReportLag
+	}
+
+	return s.ReportLag
+}
+
 // Burst multiplies one class: its offered work becomes Capacities times the capacity of its service.
 type Burst struct {
 	Class      string
--- a/internal/bencher/tally.go
+++ b/internal/bencher/tally.go
@@ -1,6 +1,7 @@
 package bencher
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -86,8 +87,8 @@
 	// Length is the time in which requests arrived.
 	Length time.Duration
 
-	// firstRefused holds the places in the trace of events whose first ask was refused, by service and class.
-	firstRefused map[string][]int
+	// firstRefused holds the places in the trace of events whose first ask was refused.
+	firstRefused map[classKey][]int
 }
 
 // WastedShare is the part of the generated tokens that no finished answer holds.
@@ -110,35 +111,44 @@
 	return ClassResult{}
 }
 
+// classKey names a class of a service.
+type classKey struct {
+	service, class string
+}
+
 // tally counts during a run.
 type tally struct {
 	// length is the time in which requests arrive.
 	length time.Duration
 	// firstRefused is handed on to the result.
-	firstRefused map[string][]int
-	classes      map[string]*ClassResult
-	useful       int
+	firstRefused map[classKey][]int
+	classes      map[classKey]*ClassResult
+	// useful counts the tokens of finished answers of engines.
+	useful int
 	// inTime is the part of useful that was finished while the trace lasted.
 	inTime       int
 	prefillAgain int
 	unanswered   int
-	fill         float64
-	leastFill    float64
-	mostFill     float64
-	traffic      Traffic
-	last         time.Duration
-	plain        map[string]bool
+	// fill, leastFill and mostFill become those of the result at the end of the trace.
+	fill      float64
+	leastFill float64
+	mostFill  float64
+	traffic   Traffic
+	// last is when the last caller so far had its answer.
+	last time.Duration
+	// plain says which services are plain.
+	plain map[string]bool
 }
 
 func newTally(shop Shop, length time.Duration) *tally {
-	t := &tally{length: length, firstRefused: make(map[string][]int), classes: make(map[string]*ClassResult), plain: make(map[string]bool)}
+	t := &tally{length: length, firstRefused: make(map[classKey][]int), classes: make(map[classKey]*ClassResult), plain: make(map[string]bool)}
 
 	for name := range shop.Settings.Services {
 		service := shop.Settings.Services[name]
 		t.plain[name] = service.Kind == configurer.KindPlain
 
 		for class := range service.Classes {
-			t.classes[name+"/"+class] = &ClassResult{Service: name, Class: class, Tier: service.Classes[class].Tier}
+			t.classes[classKey{name, class}] = &ClassResult{Service: name, Class: class, Tier: service.Classes[class].Tier}
 		}
 	}
 
@@ -146,7 +156,7 @@
 }
 
 func (t *tally) of(q *Request) *ClassResult {
-	return t.classes[q.Service.Name+"/"+q.Class.Name]
+	return t.classes[q.classKey()]
 }
 
 func (t *tally) asked(q *Request) {
@@ -200,7 +210,7 @@
 	c.Shed++
 
 	if q.caller.tries == 1 {
-		key := c.Service + "/" + c.Class
+		key := q.classKey()
 		t.firstRefused[key] = append(t.firstRefused[key], q.caller.index)
 	}
 
@@ -229,7 +239,7 @@
 
 // ended closes the account of a caller.
 func (t *tally) ended(c *caller, failure *classifier.Error) {
-	result := t.classes[c.event.Service+"/"+c.event.Class]
+	result := t.classes[classKey{c.event.Service, c.event.Class}]
 	finished := failure == nil && c.current != nil
 	t.unanswered--
 	t.last = c.runner.clock.now
@@ -298,16 +308,12 @@
 		Unanswered: t.unanswered, Traffic: t.traffic, Ended: t.last, Length: t.length, firstRefused: t.firstRefused,
 	}
 
-	for _, key := range sortedKeys(t.classes) {
-		r.Classes = append(r.Classes, *t.classes[key])
+	for _, c := range t.classes {
+		r.Classes = append(r.Classes, *c)
 	}
 
-	slices.SortStableFunc(r.Classes, func(a, b ClassResult) int {
-		if a.Service != b.Service {
-			return 0
-		}
-
-		return a.Tier - b.Tier
+	slices.SortFunc(r.Classes, func(a, b ClassResult) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Class, b.Class))
 	})
 
 	for _, name := range sortedKeys(engines) {
