Part the gauger's sending and the start of its nodes

offer was 56 lines with a loop, a choice of entry, a bound and goroutines in it; startNodes 51. sender sends the requests of one phase; node makes one node's settings. The region's name, the branches' paths and two times stood as literals.

--- a/internal/gauger/fleet.go
+++ b/internal/gauger/fleet.go
@@ -25,20 +25,26 @@
 // The fleet's shape. Few services and organisations keep the number of
 // connections between nodes below the limit on open files.
 const (
-	services          = 4
-	defaultUpstreams  = 4
-	organisations     = 4
-	failureDomains    = 3
-	upstreamSlots     = 32
-	defaultTokenStep  = time.Millisecond
-	startLimit        = time.Minute
-	author            = "gauger"
-	upstreamKey       = "gauge-upstream"
-	entryLifetime     = time.Second
-	drainTimeout      = 5 * time.Second
+	services         = 4
+	defaultUpstreams = 4
+	organisations    = 4
+	failureDomains   = 3
+	// region is the branch of the settings tree that holds the services.
+	region           = "gauge"
+	upstreamSlots    = 32
+	defaultTokenStep = time.Millisecond
+	entryLifetime    = time.Second
+	drainTimeout     = 5 * time.Second
+	author           = "gauger"
+	upstreamKey      = "gauge-upstream"
+	// platformPerSecond is the rate of the platform's stand-in, for reads and for writes.
 	platformPerSecond = 100_000
-	firstPort         = 12_000
-	lastPort          = 32_000
+	// startLimit bounds the wait for all nodes to take connections.
+	startLimit = time.Minute
+	startPoll  = 10 * time.Millisecond
+	// Nodes listen on ports from firstPort up to lastPort, which is left out.
+	firstPort = 12_000
+	lastPort  = 32_000
 )
 
 // fleet is a platform, upstreams and nodes with a relay before each.
@@ -122,10 +128,10 @@
 
 // writeTree writes the root, the region and a branch for each service.
 func (f *fleet) writeTree(ctx context.Context) error {
-	branches := []struct{ path, text string }{{"", f.root()}, {"gauge", "# The region of all services.\n"}}
+	branches := []struct{ path, text string }{{"", f.root()}, {region, "# The region of all services.\n"}}
 
 	for i := range services {
-		branches = append(branches, struct{ path, text string }{"gauge/" + serviceName(i), f.service(i, 0)})
+		branches = append(branches, struct{ path, text string }{branchName(i), f.service(i, 0)})
 	}
 
 	for i, v := range branches {
@@ -186,10 +192,16 @@
 	return fmt.Sprintf("model-%d", index+1)
 }
 
+// branchName is the path of a service's branch in the settings tree.
+func branchName(index int) string {
+	return region + "/" + serviceName(index)
+}
+
 func organisationKey(index int) string {
 	return fmt.Sprintf("gauge-key-%d", index+1)
 }
 
+// startNodes starts a node behind each relay and waits until all take connections.
 func (f *fleet) startNodes(ctx context.Context) error {
 	settings := loader.Defaults()
 	settings.Platform.Addresses = []string{"http://" + f.platform.address}
@@ -201,24 +213,11 @@
 	var nodes []loader.Node
 
 	for i := range f.options.Nodes {
-		listen, err := f.freeAddress(ctx)
+		node, err := f.node(ctx, i, settings.Node)
 		if err != nil {
 			return err
 		}
 
-		peerListen, err := f.freeAddress(ctx)
-		if err != nil {
-			return err
-		}
-
-		node := settings.Node
-		node.Name = nodeName(i)
-		node.Region = "gauge"
-		node.FailureDomain = failureDomain(i)
-		node.Listen, node.Advertise, node.PeerListen = listen, listen, peerListen
-		node.EntryLifetime, node.DrainTimeout = entryLifetime, drainTimeout
-		nodes = append(nodes, node)
-
 		relay, err := newRelay(ctx, f.tally, node.Name, node.PeerListen)
 		if err != nil {
 			return err
@@ -226,6 +225,7 @@
 
 		go relay.run(ctx)
 
+		nodes = append(nodes, node)
 		f.entries = append(f.entries, node.Listen)
 		settings.Peers.Nodes = append(settings.Peers.Nodes, loader.Peer{
 			Name: node.Name, PeerAddress: relay.address(), EntryAddress: node.Listen, FailureDomain: node.FailureDomain,
@@ -242,6 +242,27 @@
 	return f.awaitNodes(ctx)
 }
 
+// node returns the settings of one node, with free addresses, from the given ones.
+func (f *fleet) node(ctx context.Context, index int, node loader.Node) (loader.Node, error) {
+	listen, err := f.freeAddress(ctx)
+	if err != nil {
+		return loader.Node{}, err
+	}
+
+	peerListen, err := f.freeAddress(ctx)
+	if err != nil {
+		return loader.Node{}, err
+	}
+
+	node.Name = nodeName(index)
+	node.Region = region
+	node.FailureDomain = failureDomain(index)
+	node.Listen, node.Advertise, node.PeerListen = listen, listen, peerListen
+	node.EntryLifetime, node.DrainTimeout = entryLifetime, drainTimeout
+
+	return node, nil
+}
+
 func (f *fleet) serve(ctx context.Context, settings loader.Settings) {
 	err := f.options.Serve(ctx, settings, zerolog.Nop())
 	if err == nil {
@@ -273,7 +294,7 @@
 				return failure
 			case <-limited.Done():
 				return errors.Wrapf(err, "a node did not start at %s", v)
-			case <-time.After(10 * time.Millisecond):
+			case <-time.After(startPoll):
 			}
 		}
 	}
--- a/internal/gauger/offer.go
+++ b/internal/gauger/offer.go
@@ -31,7 +31,7 @@
 // EndAnswered counts requests that were answered whole.
 const EndAnswered = "answered"
 
-// offer sends requests at the rate.
+// offer sends requests at the rate and counts in figures how they ended.
 func (f *fleet) offer(ctx context.Context, figures *Figures) error {
 	if f.options.Rate <= 0 {
 		return sleep(ctx, f.options.Duration)
@@ -40,51 +40,80 @@
 	client := &http.Client{Timeout: requestTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: inFlight}}
 	defer client.CloseIdleConnections()
 
-	var (
-		group  sync.WaitGroup
-		places = make(chan struct{}, inFlight)
-		pause  = time.Duration(float64(time.Second) / f.options.Rate)
-		begun  = time.Now()
-		ended  = ends{counts: make(map[string]int64)}
-		random = rand.New(rand.NewPCG(seed, seed))
-		steer  = steering{fleet: f, client: client}
-	)
+	s := &sender{
+		client:   client,
+		steering: steering{fleet: f, client: client},
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		places:   make(chan struct{}, inFlight),
+		ended:    ends{counts: make(map[string]int64)},
+	}
+	if err := s.run(ctx, f.options.Rate, f.options.Duration); err != nil {
+		return err
+	}
+
+	figures.Ends = s.ended.counts
+
+	return nil
+}
+
+// sender sends the requests of one phase.
+type sender struct {
+	client   *http.Client
+	steering steering
+	random   *rand.Rand
+	// places holds an element for each request that has no answer yet.
+	places chan struct{}
+	group  sync.WaitGroup
+	ended  ends
+}
+
+// run sends rate requests a second, each at its time whatever the earlier ones do, and waits for their ends.
+func (s *sender) run(ctx context.Context, rate float64, length time.Duration) error {
+	pause := time.Duration(float64(time.Second) / rate)
+	begun := time.Now()
 
 	for number := 0; ; number++ {
-		due := begun.Add(time.Duration(number) * pause)
-		if due.Sub(begun) >= f.options.Duration {
+		due := time.Duration(number) * pause
+		if due >= length {
 			break
 		}
 
-		if err := sleep(ctx, time.Until(due)); err != nil {
+		if err := sleep(ctx, time.Until(begun.Add(due))); err != nil {
 			return err
 		}
 
-		service, organisation := random.IntN(services), random.IntN(organisations)
-
-		entry, err := steer.entry(ctx, number, service)
-		if err != nil {
+		if err := s.send(ctx, number); err != nil {
 			return err
 		}
+	}
 
-		select {
-		case places <- struct{}{}:
-		default:
-			ended.add(endBusy)
+	s.group.Wait()
 
-			continue
-		}
+	return nil
+}
 
-		group.Go(func() {
-			defer func() { <-places }()
+// send starts one request unless too many have no answer yet.
+func (s *sender) send(ctx context.Context, number int) error {
+	service, organisation := s.random.IntN(services), s.random.IntN(organisations)
 
-			ended.add(ask(ctx, client, entry, service, organisation))
-		})
+	entry, err := s.steering.entry(ctx, number, service)
+	if err != nil {
+		return err
 	}
 
-	group.Wait()
+	select {
+	case s.places <- struct{}{}:
+	default:
+		s.ended.add(endBusy)
+
+		return nil
+	}
 
-	figures.Ends = ended.counts
+	s.group.Go(func() {
+		defer func() { <-s.places }()
+
+		s.ended.add(ask(ctx, s.client, entry, service, organisation))
+	})
 
 	return nil
 }
@@ -152,7 +181,7 @@
 
 func (f *fleet) changeOne(ctx context.Context, number int) error {
 	index := number % services
-	branch := "gauge/" + serviceName(index)
+	branch := branchName(index)
 
 	tree, err := f.editor.Tree(ctx)
 	if err != nil {
