Say how the traces mark large organisations

The comment promised that the first entry of each list is the large one; it is the one that stands twice, and the third list has none. jurist is a list and gets its plural.

Comments and a name only; the committed traces are the same (TestStoriesGiveTheCommittedTraces).

--- a/internal/tracer/stories.go
+++ b/internal/tracer/stories.go
@@ -35,11 +35,12 @@
 	return Story{}, false
 }
 
-// salons and sites are the organisations of the two shops; the first of each are the large ones.
+// salons, sites and jurists are the organisations of the two shops' classes. One that
+// stands twice is large: it sends twice as much as each other.
 var (
-	salons = []string{"salone-catania", "salone-catania", "salone-siracusa", "salone-acireale"}
-	sites  = []string{"equipe-ronan", "equipe-ronan", "equipe-brest", "equipe-quimper"}
-	jurist = []string{"juristes", "bailleurs"}
+	salons  = []string{"salone-catania", "salone-catania", "salone-siracusa", "salone-acireale"}
+	sites   = []string{"equipe-ronan", "equipe-ronan", "equipe-brest", "equipe-quimper"}
+	jurists = []string{"juristes", "bailleurs"}
 )
 
 var (
@@ -49,8 +50,8 @@
 	priceLookup    = kind{service: "banco", class: "lookup", path: "/price", organisations: salons, comeBack: true}
 	booking        = kind{service: "banco", class: "booking", path: "/bookings", organisations: salons, notRepeatable: true, comeBack: true}
 	crewAnswer     = kind{service: "redacteur", class: "crew_answer", organisations: sites, promptMedian: 50, answerMedian: 20, spread: 0.4, comeBack: true}
-	renewalDraft   = kind{service: "redacteur", class: "renewal_draft", organisations: jurist, promptMedian: 250, answerMedian: 120, spread: 0.5, notRepeatable: true, comeBack: true}
-	contractReview = kind{service: "redacteur", class: "contract_review", organisations: jurist, promptMedian: 800, answerMedian: 250, spread: 0.6, comeBack: true}
+	renewalDraft   = kind{service: "redacteur", class: "renewal_draft", organisations: jurists, promptMedian: 250, answerMedian: 120, spread: 0.5, notRepeatable: true, comeBack: true}
+	contractReview = kind{service: "redacteur", class: "contract_review", organisations: jurists, promptMedian: 800, answerMedian: 250, spread: 0.6, comeBack: true}
 	clearance      = kind{service: "acces-site", class: "clearance", path: "/clearances", organisations: sites, comeBack: true}
 	checkIn        = kind{service: "acces-site", class: "check_in", path: "/check-ins", organisations: sites, notRepeatable: true, comeBack: true}
 )
