--- a/internal/replayer/auditor.go
+++ b/internal/replayer/auditor.go
@@ -16,6 +16,11 @@
 	Service, Class string
 }
 
+// String returns "service/class", as in reports and files of stated outcomes.
+func (k ClassKey) String() string {
+	return k.Service + "/" + k.Class
+}
+
 // KeyOf returns the class of an outcome.
 func KeyOf(o Outcome) ClassKey {
 	return ClassKey{Service: o.Event.Service, Class: o.Event.Class}
--- a/internal/reporter/plot.go
+++ b/internal/reporter/plot.go
@@ -7,7 +7,6 @@
 	"maps"
 	"math"
 	"slices"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"gonum.org/v1/plot"
@@ -36,6 +35,27 @@
 // WritePlot writes an SVG plot of the latency over the trace's time, with one
 // colour for each class. Crosses are requests that got no whole answer, at the time that their ending took.
 func WritePlot(w io.Writer, result replayer.Result) error {
+	p := newPlot()
+	series := pointsOf(result.Outcomes)
+	shades := palette.Rainbow(len(series)+1, palette.Red, palette.Magenta, 1, brightness, 1).Colors()
+
+	for i, name := range slices.Sorted(maps.Keys(series)) {
+		if err := series[name].draw(p, name, shades[i]); err != nil {
+			return errors.Wrapf(err, "plot %s", name)
+		}
+	}
+
+	setRanges(p)
+
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+
+	_, err := canvas.WriteTo(w)
+
+	return errors.Wrap(err, "write the plot")
+}
+
+func newPlot() *plot.Plot {
 	p := plot.New()
 	p.X.Label.Text = "sent (s)"
 	p.Y.Label.Text = "first token or whole plain answer (ms)"
@@ -44,38 +64,33 @@
 	p.Legend.Top, p.Legend.Left = true, true
 	p.Legend.XOffs = plotWidth * legendPlace
 
-	series := map[string]*points{}
-
-	for _, v := range result.Outcomes {
-		name := v.Event.Service + "/" + v.Event.Class
-		if series[name] == nil {
-			series[name] = &points{}
-		}
-
-		series[name].add(v)
-	}
-
-	shades := palette.Rainbow(len(series)+1, palette.Red, palette.Magenta, 1, brightness, 1).Colors()
-
-	for i, name := range slices.Sorted(maps.Keys(series)) {
-		if err := series[name].draw(p, name, shades[i]); err != nil {
-			return errors.Wrapf(err, "plot %s", name)
-		}
-	}
+	return p
+}
 
+// setRanges widens the axes that the points set.
+func setRanges(p *plot.Plot) {
 	p.X.Min = 0
 	p.X.Max = math.Max(p.X.Max, 1) * legendRoom
 
 	// A range of one value has no place on a logarithmic axis.
 	p.Y.Min = math.Min(p.Y.Min, 1)
 	p.Y.Max = math.Max(p.Y.Max, 10)
+}
 
-	canvas := vgsvg.New(plotWidth, plotHeight)
-	p.Draw(draw.New(canvas))
+// pointsOf returns the points of each class by its name.
+func pointsOf(outcomes []replayer.Outcome) map[string]*points {
+	series := map[string]*points{}
 
-	_, err := canvas.WriteTo(w)
+	for _, v := range outcomes {
+		name := replayer.KeyOf(v).String()
+		if series[name] == nil {
+			series[name] = &points{}
+		}
 
-	return errors.Wrap(err, "write the plot")
+		series[name].add(v)
+	}
+
+	return series
 }
 
 // points are the dots and crosses of one class.
@@ -89,7 +104,7 @@
 		length = o.Latency()
 	}
 
-	at := plotter.XY{X: o.Due.Seconds(), Y: math.Max(float64(length)/float64(time.Millisecond), leastPlotted)}
+	at := plotter.XY{X: o.Due.Seconds(), Y: math.Max(milliseconds(length), leastPlotted)}
 
 	if o.Ending == replayer.Whole {
 		s.whole = append(s.whole, at)
--- a/internal/reporter/report.go
+++ b/internal/reporter/report.go
@@ -83,7 +83,7 @@
 
 // Name returns "service/class".
 func (c ClassReport) Name() string {
-	return c.Service + "/" + c.Class
+	return replayer.ClassKey{Service: c.Service, Class: c.Class}.String()
 }
 
 // FinishedShare returns the share of whole answers.
