Part the capacity bench's serve, and name what it reads from /proc

serve wrote settings, started a process, waited and killed in 46 lines; fields 11, 12 and 21 of /proc/PID/stat were bare numbers; held, read and processor said neither of what nor in which unit.

Behaviour is unchanged. BenchmarkHeartbeats was compiled, not run.

--- a/test/capacity/capacity_test.go
+++ b/test/capacity/capacity_test.go
@@ -143,27 +143,35 @@
 	h.running[settings.Node.Name] = command.Process.Pid
 	h.mu.Unlock()
 
-	var failure error
+	failure, ended := await(ctx, command)
+	if ended {
+		return errors.Wrapf(failure, "%s", log.String())
+	}
+
+	return nil
+}
 
-	ended := make(chan struct{})
+// await returns how the process ended by itself, or kills it when ctx ends first.
+func await(ctx context.Context, command *exec.Cmd) (failure error, ended bool) {
+	done := make(chan struct{})
 
 	go func() {
 		failure = command.Wait()
 
-		close(ended)
+		close(done)
 	}()
 
 	select {
-	case <-ended:
-		return errors.Wrapf(failure, "%s", log.String())
+	case <-done:
+		return failure, true
 	case <-ctx.Done():
 	}
 
 	// The figures are taken; a drain would only cost time.
 	_ = command.Process.Kill()
-	<-ended
+	<-done
 
-	return nil
+	return nil, false
 }
 
 // usage adds up processor time and resident memory of all nodes.
@@ -174,7 +182,7 @@
 	var sum gauger.Usage
 
 	for name, id := range h.running {
-		usage, err := read(id)
+		usage, err := readUsage(id)
 		if err != nil {
 			return gauger.Usage{}, errors.Wrap(err, name)
 		}
@@ -193,8 +201,15 @@
 // ticks is the unit of processor time in /proc, as on all Linux systems that Go runs on.
 const ticks = time.Second / 100
 
-// read returns the processor time and resident memory of a process.
-func read(id int) (gauger.Usage, error) {
+// Fields of /proc/PID/stat, counted from 0 behind the name of the program.
+const (
+	fieldUserTicks     = 11
+	fieldSystemTicks   = 12
+	fieldResidentPages = 21
+)
+
+// readUsage returns the processor time and resident memory of a process.
+func readUsage(id int) (gauger.Usage, error) {
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", id))
 	if err != nil {
 		return gauger.Usage{}, err
@@ -202,9 +217,9 @@
 
 	// The name in the second field may hold spaces; the fields after it don't.
 	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
-	user, errUser := strconv.ParseInt(fields[11], 10, 64)
-	system, errSystem := strconv.ParseInt(fields[12], 10, 64)
-	pages, errPages := strconv.ParseInt(fields[21], 10, 64)
+	user, errUser := strconv.ParseInt(fields[fieldUserTicks], 10, 64)
+	system, errSystem := strconv.ParseInt(fields[fieldSystemTicks], 10, 64)
+	pages, errPages := strconv.ParseInt(fields[fieldResidentPages], 10, 64)
 
 	if err := errors.Join(errUser, errSystem, errPages); err != nil {
 		return gauger.Usage{}, err
--- a/test/capacity/heartbeats_test.go
+++ b/test/capacity/heartbeats_test.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// heartbeatStart is the time in which all nodes see each other and their introductions end.
-	heartbeatStart = 75 * time.Second
-	heartbeatTime  = 10 * time.Second
+	// heartbeatWarmUp is the time in which all nodes see each other and their introductions end.
+	heartbeatWarmUp = 75 * time.Second
+	// heartbeatLength is the time over which figures are taken.
+	heartbeatLength = 10 * time.Second
 )
 
 // BenchmarkHeartbeats runs the probes of a whole fleet over real sockets in one process.
@@ -35,17 +36,17 @@
 	ctx, cancel := context.WithCancel(b.Context())
 	defer cancel()
 
-	before := held()
+	before := heldBytes()
 	fleet, probers := startHeartbeats(ctx, b, nodes)
 
-	time.Sleep(heartbeatStart)
+	time.Sleep(heartbeatWarmUp)
 
-	begun, busy, at := countersOf(fleet), processor(b), time.Now()
+	begun, busy, at := countersOf(fleet), processorTime(b), time.Now()
 
-	time.Sleep(heartbeatTime)
+	time.Sleep(heartbeatLength)
 
 	passed := time.Since(at).Seconds() * float64(nodes)
-	spent := (processor(b) - busy).Seconds()
+	spent := (processorTime(b) - busy).Seconds()
 	ended := countersOf(fleet)
 
 	live := 0
@@ -57,7 +58,7 @@
 	b.ReportMetric(float64(ended.ReceivedBytes-begun.ReceivedBytes)/passed, "received_B/s")
 	b.ReportMetric(float64(ended.Sent-begun.Sent)/passed, "sent/s")
 	b.ReportMetric(100*spent/passed, "core_%")
-	b.ReportMetric(float64(held()-before)/float64(nodes)/1e3, "KB/node")
+	b.ReportMetric(float64(heldBytes()-before)/float64(nodes)/1e3, "KB/node")
 	b.ReportMetric(float64(live)/float64(nodes), "live_seen")
 }
 
@@ -132,8 +133,8 @@
 	return sum
 }
 
-// processor is the processor time of this process so far.
-func processor(b *testing.B) time.Duration {
+// processorTime is the processor time of this process so far.
+func processorTime(b *testing.B) time.Duration {
 	b.Helper()
 
 	var usage syscall.Rusage
--- a/test/capacity/state_test.go
+++ b/test/capacity/state_test.go
@@ -24,8 +24,8 @@
 	designNodes         = 370
 )
 
-// held is the memory in use that a collection can't free.
-func held() int64 {
+// heldBytes is the memory in use that a collection can't free.
+func heldBytes() int64 {
 	runtime.GC()
 	runtime.GC()
 
@@ -40,7 +40,7 @@
 func BenchmarkTree(b *testing.B) {
 	for _, part := range []int{10, 3, 1} {
 		b.Run(fmt.Sprintf("share=1of%d", part), func(b *testing.B) {
-			before := held()
+			before := heldBytes()
 			branches := designTree(part)
 			size := 0
 
@@ -51,7 +51,7 @@
 			resolver := configurer.NewResolver()
 			snapshot, err := resolver.Resolve(branches)
 			assert.NilError(b, err)
-			kept := held() - before
+			kept := heldBytes() - before
 			version := 0
 
 			for b.Loop() {
@@ -145,11 +145,11 @@
 
 	go func() { _ = answering.Run(ctx, listener) }()
 
-	before := held()
+	before := heldBytes()
 
 	for name := range peers {
 		assert.NilError(b, asking.Notify(ctx, name, "none", nil))
 	}
 
-	b.ReportMetric(float64(held()-before)/float64(count)/1e3, "KB/link")
+	b.ReportMetric(float64(heldBytes()-before)/float64(count)/1e3, "KB/link")
 }
