--- a/test/process/orders_test.go
+++ b/test/process/orders_test.go
@@ -82,8 +82,8 @@
 	return variables.Orders
 }
 
-// hold waits until the engine holds exactly one model.
-func hold(t *testing.T, engine *process, model string) {
+// waitForModel waits until the engine has loaded exactly one model.
+func waitForModel(t *testing.T, engine *process, model string) {
 	t.Helper()
 	waitFor(t, engine.name+" holds only "+model, func() bool {
 		var state orderedState
@@ -115,7 +115,7 @@
 	engines := []*process{checks, ignores}
 
 	for _, engine := range engines {
-		hold(t, engine, "first")
+		waitForModel(t, engine, "first")
 		switchOn(t, engine, map[string]any{"hold_orders": 100})
 	}
 
@@ -139,9 +139,9 @@
 	}
 
 	f.change(t, other, "tree", "set", engineBranch, "desired.models=[third]")
-	hold(t, checks, "third")
+	waitForModel(t, checks, "third")
 	t.Logf("the engine that checks was in order again %v after the freeze", time.Since(since))
-	hold(t, ignores, "third")
+	waitForModel(t, ignores, "third")
 	t.Logf("the engine that ignores numbers %v after it", time.Since(since))
 	assert.Equal(t, f.ordererOf(t, other), other)
 
@@ -152,24 +152,24 @@
 
 	f.nodes[frozen].signal(t, syscall.SIGCONT)
 	waitFor(t, "the old order's refusal", func() bool { return ordersOf(t, checks).Refused > 0 })
-	waitFor(t, "the old order's effect", func() bool { return took(ordersOf(t, ignores), "second") })
+	waitFor(t, "the old order's effect", func() bool { return wasOrdered(ordersOf(t, ignores), "second") })
 	waitFor(t, "the end of the old term", func() bool { return f.orderCounts(t, frozen)["terms_lost"] == 1 })
-	hold(t, checks, "third")
-	hold(t, ignores, "third")
+	waitForModel(t, checks, "third")
+	waitForModel(t, ignores, "third")
 
-	assert.Assert(t, !took(ordersOf(t, checks), "second"))
+	assert.Assert(t, !wasOrdered(ordersOf(t, checks), "second"))
 	assert.Assert(t, slices.IsSortedFunc(ordersOf(t, checks).Applied, func(a, b appliedOrder) int { return int(a.Fencing - b.Fencing) }))
 
 	since = time.Now()
 
 	f.change(t, frozen, "tree", "set", engineBranch, "desired.models=[fourth]")
-	hold(t, checks, "fourth")
-	hold(t, ignores, "fourth")
+	waitForModel(t, checks, "fourth")
+	waitForModel(t, ignores, "fourth")
 	t.Logf("both were in order %v after a change of the tree", time.Since(since))
 }
 
-// took says whether a model was loaded by an order.
-func took(record orderRecord, model string) bool {
+// wasOrdered says whether an order to load the model took effect.
+func wasOrdered(record orderRecord, model string) bool {
 	for _, v := range record.Applied {
 		if v.Kind == "load_model" && v.Name == model {
 			return true
--- a/test/process/senders_test.go
+++ b/test/process/senders_test.go
@@ -98,15 +98,15 @@
 	f := newFleetOf(t, 1, shape{nodeLines: "  max_in_flight: 20\n"})
 
 	// Tier 4 leaves three times a twentieth of the places to the tiers above it.
-	notes := f.hold(t, "care_notes", places)
+	notes := f.occupy(t, "care_notes", places)
 	assert.Equal(t, notes, 3)
 
-	lookups := f.hold(t, "counter_lookup", 5)
+	lookups := f.occupy(t, "counter_lookup", 5)
 	assert.Equal(t, lookups, 2)
 }
 
-// hold sends requests that stay in flight until the test ends, and returns how many were refused as node_full.
-func (f *fleet) hold(t *testing.T, class string, count int) int {
+// occupy sends requests that stay in flight until the test ends, and returns how many were refused as node_full.
+func (f *fleet) occupy(t *testing.T, class string, count int) int {
 	t.Helper()
 
 	full := 0
