Document the fields and switches of the stand-ins

Tickets, attempts, leases, watchers and the switches of all three stand-ins had fields whose meaning and units stood only in the code that uses them.

Comments and one constant; the tests of standin pass before and after.

--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -156,14 +156,17 @@
 	form    form
 	request request
 	// blocks are the hashes of the prompt's prefixes.
-	blocks     []uint64
-	answer     Answer
+	blocks []uint64
+	answer Answer
+	// crashAfter is the number of tokens after which the answer breaks off; 0 means never.
 	crashAfter int
 	record     *Record
 	w          http.ResponseWriter
 	r          *http.Request
-	made       int
-	opened     bool
+	// made is the number of tokens made so far.
+	made int
+	// opened is true once the header of the stream is set.
+	opened bool
 }
 
 // cached looks the prompt up when its prefill begins, for it may have waited for a slot.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -132,11 +132,16 @@
 	supporter.WriteJSON(w, http.StatusOK, e.batch.Load())
 }
 
+// switches is the body of POST /standin/switches; a key that is left out changes nothing.
 type switches struct {
-	Straggle         *float64 `json:"straggle"`
-	CrashAfterTokens *int     `json:"crash_after_tokens"`
-	Silent           *bool    `json:"silent"`
-	Refuse           *bool    `json:"refuse"`
+	// Straggle multiplies the time of each token; above 0.
+	Straggle *float64 `json:"straggle"`
+	// CrashAfterTokens breaks each answer's connection off after that many tokens; 0 means never.
+	CrashAfterTokens *int `json:"crash_after_tokens"`
+	// Silent stops all output while connections stay open.
+	Silent *bool `json:"silent"`
+	// Refuse answers completions with 503 and Retry-After.
+	Refuse *bool `json:"refuse"`
 	// HoldOrders makes that many of the next orders wait until ReleaseOrders.
 	HoldOrders    *int `json:"hold_orders"`
 	ReleaseOrders bool `json:"release_orders"`
--- a/internal/standin/platform/handlers.go
+++ b/internal/standin/platform/handlers.go
@@ -125,10 +125,15 @@
 	}
 }
 
+// switches are the faults on demand; none is set at the start.
 type switches struct {
-	Outage      bool `json:"outage"`
-	SlowMS      int  `json:"slow_ms"`
-	LoseReplies int  `json:"lose_replies"`
+	// Outage answers all calls with the status "unavailable".
+	Outage bool `json:"outage"`
+	// SlowMS is the time before each call takes effect, in milliseconds.
+	SlowMS int `json:"slow_ms"`
+	// LoseReplies is how many of the next writes are applied and their connections broken off.
+	LoseReplies int `json:"lose_replies"`
+	// DropWatches makes watches silent, as SilenceWatches says.
 	DropWatches bool `json:"drop_watches"`
 }
 
--- a/internal/standin/platform/leases.go
+++ b/internal/standin/platform/leases.go
@@ -12,6 +12,7 @@
 const maxLeaseSeconds = 9_000_000_000
 
 type lease struct {
+	// seconds is the length that a renewal starts anew.
 	seconds int64
 	expires time.Time
 	timer   *time.Timer
@@ -101,6 +102,7 @@
 	}
 }
 
+// vmVersion is a list of VMs and the time at which it was set.
 type vmVersion struct {
 	set time.Time
 	vms []storer.VM
--- a/internal/standin/platform/watcher.go
+++ b/internal/standin/platform/watcher.go
@@ -15,10 +15,14 @@
 	store    *Store
 	key      string
 	rangeEnd string
-	next     int64
-	created  bool
-	silent   bool
-	signal   chan struct{}
+	// next is the first revision that is still to be told.
+	next int64
+	// created is true once the first message was taken.
+	created bool
+	// silent is true for a watch that tells nothing more.
+	silent bool
+	// signal holds an element when the store has changed since the last look.
+	signal chan struct{}
 }
 
 // Watch returns a Watcher of a key or a range from a revision on; 0 means from now. Close it after use.
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -165,11 +165,16 @@
 	supporter.WriteJSON(w, http.StatusOK, s.slots.Load())
 }
 
+// switches is the body of POST /standin/switches; a key that is left out changes nothing.
 type switches struct {
-	Delay        *float64 `json:"delay"`
-	FailAfterRun *bool    `json:"fail_after_run"`
-	Silent       *bool    `json:"silent"`
-	Refuse       *bool    `json:"refuse"`
+	// Delay multiplies the time of each request; above 0.
+	Delay *float64 `json:"delay"`
+	// FailAfterRun breaks the connection off after the work is done and recorded.
+	FailAfterRun *bool `json:"fail_after_run"`
+	// Silent holds answers back after the work is done while connections stay open.
+	Silent *bool `json:"silent"`
+	// Refuse answers with 503 and Retry-After, without a run.
+	Refuse *bool `json:"refuse"`
 }
 
 func (s *Service) setSwitches(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/support/server.go
+++ b/internal/standin/support/server.go
@@ -14,7 +14,10 @@
 // MaxBody is the longest request body in bytes.
 const MaxBody = 4 << 20
 
-const shutdownTime = 5 * time.Second
+const (
+	shutdownTime  = 5 * time.Second
+	headerTimeout = 10 * time.Second
+)
 
 // Serve listens until the context ends, then lets open requests end for up to 5 s.
 // It calls ready (when not nil) with the address in use. It returns nil after the context's end.
@@ -23,7 +26,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", listen)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 1)
 	go func() { failed <- s.Serve(l) }()
 	addr := l.Addr().String()
--- a/internal/standin/support/slots.go
+++ b/internal/standin/support/slots.go
@@ -20,10 +20,14 @@
 // Ticket is one claim to a slot. Its fields are guarded by the lock of its Slots.
 type Ticket struct {
 	priority int
+	// sequence is the order of arrival.
 	sequence uint64
-	held     bool
-	granted  chan struct{}
-	index    int
+	// held is true while the ticket has a place.
+	held bool
+	// granted is closed when the ticket gets a place; one that is put back gets another channel.
+	granted chan struct{}
+	// index is the position in the queue's heap; -1 outside of it.
+	index int
 }
 
 func (t *Ticket) before(u *Ticket) bool {
@@ -39,7 +43,8 @@
 	size    int
 	preempt bool
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// sequence is that of the last ticket.
 	sequence uint64
 	running  map[*Ticket]struct{}
 	waiting  queue
@@ -144,6 +149,7 @@
 	s.history.add(time.Now(), len(s.running), len(s.waiting))
 }
 
+// queue implements heap.Interface; the first is the next to get a place.
 type queue []*Ticket
 
 func (q queue) Len() int           { return len(q) }
