Start nodes in one process in one way

Cause: the demo and the control bench each found ports and waited for nodes by like code, and only the bench kept clear of the ports that the system gives to outgoing connections; the demo could find a node's port taken (read in the code, not reproduced). One package serves both.

--- a/internal/command/demo/cluster.go
+++ b/internal/command/demo/cluster.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/launcher"
 	"quincepath.example/quincepath/internal/loader"
 	generator "quincepath.example/quincepath/internal/standin/engine"
 	keeper "quincepath.example/quincepath/internal/standin/platform"
@@ -45,9 +45,11 @@
 	// failed gets the first error of a part.
 	failed chan error
 
-	settings loader.Settings
-	entries  []string
-	standIns []string
+	// addresses hands out the nodes' addresses.
+	addresses *launcher.Addresses
+	settings  loader.Settings
+	entries   []string
+	standIns  []string
 }
 
 func newCluster(serve serve, logger zerolog.Logger) *cluster {
@@ -58,7 +60,7 @@
 	settings.Node.EntryLifetime = time.Second
 	settings.Node.DrainTimeout = 5 * time.Second
 
-	return &cluster{serve: serve, logger: logger, failed: make(chan error, 1), settings: settings}
+	return &cluster{serve: serve, logger: logger, failed: make(chan error, 1), addresses: launcher.NewAddresses(), settings: settings}
 }
 
 // start starts all parts, the nodes last. They run until ctx ends.
@@ -193,67 +195,26 @@
 		c.run(v.Name, func() error { return c.serve(ctx, settings, c.logger) })
 	}
 
-	return c.awaitNodes(ctx)
+	return launcher.Await(ctx, c.entries, c.failed)
 }
 
 // newNode returns the settings of the node with the given index, on free addresses.
 func (c *cluster) newNode(ctx context.Context, index int) (loader.Node, error) {
-	addresses, err := freeAddresses(ctx, 3)
-	if err != nil {
-		return loader.Node{}, err
-	}
-
 	node := c.settings.Node
 	node.Name = fmt.Sprintf("node-%d", index+1)
 	node.Region = "demo"
 	node.FailureDomain = nodeFailureDomains[index%len(nodeFailureDomains)]
-	node.Listen, node.PeerListen, node.AdminListen = addresses[0], addresses[1], addresses[2]
-	node.Advertise = node.Listen
 
-	return node, nil
-}
-
-// awaitNodes waits until each node takes connections.
-func (c *cluster) awaitNodes(ctx context.Context) error {
-	limited, cancel := context.WithTimeout(ctx, startLimit)
-	defer cancel()
-
-	for _, v := range c.entries {
-		for {
-			connection, err := new(net.Dialer).DialContext(limited, "tcp", v)
-			if err == nil {
-				connection.Close()
-
-				break
-			}
-
-			select {
-			case failure := <-c.failed:
-				return failure
-			case <-limited.Done():
-				return errors.Wrapf(err, "a node did not start at %s", v)
-			case <-time.After(10 * time.Millisecond):
-			}
-		}
-	}
-
-	return nil
-}
-
-// freeAddresses returns loopback addresses that nothing listens on at the moment.
-// They are held open together, so that no address comes twice.
-func freeAddresses(ctx context.Context, count int) ([]string, error) {
-	var addresses []string
-
-	for range count {
-		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", anyPort)
+	for _, listen := range []*string{&node.Listen, &node.PeerListen, &node.AdminListen} {
+		address, err := c.addresses.Next(ctx)
 		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
+			return loader.Node{}, err
 		}
-		defer listener.Close()
 
-		addresses = append(addresses, listener.Addr().String())
+		*listen = address
 	}
 
-	return addresses, nil
+	node.Advertise = node.Listen
+
+	return node, nil
 }
--- a/internal/gauger/fleet.go
+++ b/internal/gauger/fleet.go
@@ -5,8 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"strings"
 	"sync"
 	"time"
@@ -16,6 +14,7 @@
 
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/connector"
+	"quincepath.example/quincepath/internal/launcher"
 	"quincepath.example/quincepath/internal/loader"
 	generator "quincepath.example/quincepath/internal/standin/engine"
 	keeper "quincepath.example/quincepath/internal/standin/platform"
@@ -39,12 +38,6 @@
 	upstreamKey      = "gauge-upstream"
 	// platformPerSecond is the rate of the platform's stand-in, for reads and for writes.
 	platformPerSecond = 100_000
-	// startLimit bounds the wait for all nodes to take connections.
-	startLimit = time.Minute
-	startPoll  = 10 * time.Millisecond
-	// Nodes listen on ports from firstPort up to lastPort, which is left out.
-	firstPort = 12_000
-	lastPort  = 32_000
 )
 
 // fleet is a platform, upstreams and nodes with a relay before each.
@@ -59,12 +52,12 @@
 	// running ends when each node has stopped.
 	running sync.WaitGroup
 	failed  chan error
-	// port is the next one to try for a node.
-	port int
+	// addresses hands out the nodes' addresses.
+	addresses *launcher.Addresses
 }
 
 func newFleet(options Options) *fleet {
-	return &fleet{options: options, tally: newTally(), failed: make(chan error, 1), port: firstPort + rand.IntN((lastPort-firstPort)/2)}
+	return &fleet{options: options, tally: newTally(), failed: make(chan error, 1), addresses: launcher.NewAddresses()}
 }
 
 func (f *fleet) start(ctx context.Context) error {
@@ -239,17 +232,17 @@
 		f.running.Go(func() { f.serve(ctx, own) })
 	}
 
-	return f.awaitNodes(ctx)
+	return launcher.Await(ctx, f.entries, f.failed)
 }
 
 // node returns the settings of one node, with free addresses, from the given ones.
 func (f *fleet) node(ctx context.Context, index int, node loader.Node) (loader.Node, error) {
-	listen, err := f.freeAddress(ctx)
+	listen, err := f.addresses.Next(ctx)
 	if err != nil {
 		return loader.Node{}, err
 	}
 
-	peerListen, err := f.freeAddress(ctx)
+	peerListen, err := f.addresses.Next(ctx)
 	if err != nil {
 		return loader.Node{}, err
 	}
@@ -274,50 +267,3 @@
 	default:
 	}
 }
-
-// awaitNodes waits until each node takes connections.
-func (f *fleet) awaitNodes(ctx context.Context) error {
-	limited, cancel := context.WithTimeout(ctx, startLimit)
-	defer cancel()
-
-	for _, v := range f.entries {
-		for {
-			connection, err := new(net.Dialer).DialContext(limited, "tcp", v)
-			if err == nil {
-				connection.Close()
-
-				break
-			}
-
-			select {
-			case failure := <-f.failed:
-				return failure
-			case <-limited.Done():
-				return errors.Wrapf(err, "a node did not start at %s", v)
-			case <-time.After(startPoll):
-			}
-		}
-	}
-
-	return nil
-}
-
-// freeAddress returns a loopback address that nothing listens on at the moment.
-//
-// Its port is below those that the system gives to outgoing connections: a node
-// that started later would else find its port taken by another's connection.
-func (f *fleet) freeAddress(ctx context.Context) (string, error) {
-	for f.port < lastPort {
-		address := fmt.Sprintf("127.0.0.1:%d", f.port)
-		f.port++
-
-		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
-		if err != nil {
-			continue
-		}
-
-		return address, errors.Wrap(listener.Close(), "free a port")
-	}
-
-	return "", errors.New("no port below the system's own is free")
-}
