--- a/internal/gauger/fleet.go
+++ b/internal/gauger/fleet.go
@@ -5,8 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"strings"
 	"sync"
 	"time"
@@ -16,6 +14,7 @@
 
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/connector"
+	"quincepath.example/quincepath/internal/launcher"
 	"quincepath.example/quincepath/internal/loader"
 	generator "quincepath.example/quincepath/internal/standin/engine"
 	keeper "quincepath.example/quincepath/internal/standin/platform"
@@ -25,20 +24,20 @@
 // The fleet's shape. Few services and organisations keep the number of
 // connections between nodes below the limit on open files.
 const (
-	services          = 4
-	defaultUpstreams  = 4
-	organisations     = 4
-	failureDomains    = 3
-	upstreamSlots     = 32
-	defaultTokenStep  = time.Millisecond
-	startLimit        = time.Minute
-	author            = "gauger"
-	upstreamKey       = "gauge-upstream"
-	entryLifetime     = time.Second
-	drainTimeout      = 5 * time.Second
+	services         = 4
+	defaultUpstreams = 4
+	organisations    = 4
+	failureDomains   = 3
+	// region is the branch of the settings tree that holds the services.
+	region           = "gauge"
+	upstreamSlots    = 32
+	defaultTokenStep = time.Millisecond
+	entryLifetime    = time.Second
+	drainTimeout     = 5 * time.Second
+	author           = "gauger"
+	upstreamKey      = "gauge-upstream"
+	// platformPerSecond is the rate of the platform's stand-in, for reads and for writes.
 	platformPerSecond = 100_000
-	firstPort         = 12_000
-	lastPort          = 32_000
 )
 
 // fleet is a platform, upstreams and nodes with a relay before each.
@@ -53,12 +52,12 @@
 	// running ends when each node has stopped.
 	running sync.WaitGroup
 	failed  chan error
-	// port is the next one to try for a node.
-	port int
+	// addresses hands out the nodes' addresses.
+	addresses *launcher.Addresses
 }
 
 func newFleet(options Options) *fleet {
-	return &fleet{options: options, tally: newTally(), failed: make(chan error, 1), port: firstPort + rand.IntN((lastPort-firstPort)/2)}
+	return &fleet{options: options, tally: newTally(), failed: make(chan error, 1), addresses: launcher.NewAddresses()}
 }
 
 func (f *fleet) start(ctx context.Context) error {
@@ -122,10 +121,10 @@
 
 // writeTree writes the root, the region and a branch for each service.
 func (f *fleet) writeTree(ctx context.Context) error {
-	branches := []struct{ path, text string }{{"", f.root()}, {"gauge", "# The region of all services.\n"}}
+	branches := []struct{ path, text string }{{"", f.root()}, {region, "# The region of all services.\n"}}
 
 	for i := range services {
-		branches = append(branches, struct{ path, text string }{"gauge/" + serviceName(i), f.service(i, 0)})
+		branches = append(branches, struct{ path, text string }{branchName(i), f.service(i, 0)})
 	}
 
 	for i, v := range branches {
@@ -186,10 +185,16 @@
 	return fmt.Sprintf("model-%d", index+1)
 }
 
+// branchName is the path of a service's branch in the settings tree.
+func branchName(index int) string {
+	return region + "/" + serviceName(index)
+}
+
 func organisationKey(index int) string {
 	return fmt.Sprintf("gauge-key-%d", index+1)
 }
 
+// startNodes starts a node behind each relay and waits until all take connections.
 func (f *fleet) startNodes(ctx context.Context) error {
 	settings := loader.Defaults()
 	settings.Platform.Addresses = []string{"http://" + f.platform.address}
@@ -201,24 +206,11 @@
 	var nodes []loader.Node
 
 	for i := range f.options.Nodes {
-		listen, err := f.freeAddress(ctx)
-		if err != nil {
-			return err
-		}
-
-		peerListen, err := f.freeAddress(ctx)
+		node, err := f.node(ctx, i, settings.Node)
 		if err != nil {
 			return err
 		}
 
-		node := settings.Node
-		node.Name = nodeName(i)
-		node.Region = "gauge"
-		node.FailureDomain = failureDomain(i)
-		node.Listen, node.Advertise, node.PeerListen = listen, listen, peerListen
-		node.EntryLifetime, node.DrainTimeout = entryLifetime, drainTimeout
-		nodes = append(nodes, node)
-
 		relay, err := newRelay(ctx, f.tally, node.Name, node.PeerListen)
 		if err != nil {
 			return err
@@ -226,6 +218,7 @@
 
 		go relay.run(ctx)
 
+		nodes = append(nodes, node)
 		f.entries = append(f.entries, node.Listen)
 		settings.Peers.Nodes = append(settings.Peers.Nodes, loader.Peer{
 			Name: node.Name, PeerAddress: relay.address(), EntryAddress: node.Listen, FailureDomain: node.FailureDomain,
@@ -239,7 +232,28 @@
 		f.running.Go(func() { f.serve(ctx, own) })
 	}
 
-	return f.awaitNodes(ctx)
+	return launcher.Await(ctx, f.entries, f.failed)
+}
+
+// node returns the settings of one node, with free addresses, from the given ones.
+func (f *fleet) node(ctx context.Context, index int, node loader.Node) (loader.Node, error) {
+	listen, err := f.addresses.Next(ctx)
+	if err != nil {
+		return loader.Node{}, err
+	}
+
+	peerListen, err := f.addresses.Next(ctx)
+	if err != nil {
+		return loader.Node{}, err
+	}
+
+	node.Name = nodeName(index)
+	node.Region = region
+	node.FailureDomain = failureDomain(index)
+	node.Listen, node.Advertise, node.PeerListen = listen, listen, peerListen
+	node.EntryLifetime, node.DrainTimeout = entryLifetime, drainTimeout
+
+	return node, nil
 }
 
 func (f *fleet) serve(ctx context.Context, settings loader.Settings) {
@@ -253,50 +267,3 @@
 	default:
 	}
 }
-
-// awaitNodes waits until each node takes connections.
-func (f *fleet) awaitNodes(ctx context.Context) error {
-	limited, cancel := context.WithTimeout(ctx, startLimit)
-	defer cancel()
-
-	for _, v := range f.entries {
-		for {
-			connection, err := new(net.Dialer).DialContext(limited, "tcp", v)
-			if err == nil {
-				connection.Close()
-
-				break
-			}
-
-			select {
-			case failure := <-f.failed:
-				return failure
-			case <-limited.Done():
-				return errors.Wrapf(err, "a node did not start at %s", v)
-			case <-time.After(10 * time.Millisecond):
-			}
-		}
-	}
-
-	return nil
-}
-
-// freeAddress returns a loopback address that nothing listens on at the moment.
-//
-// Its port is below those that the system gives to outgoing connections: a node
-// that started later would else find its port taken by another's connection.
-func (f *fleet) freeAddress(ctx context.Context) (string, error) {
-	for f.port < lastPort {
-		address := fmt.Sprintf("127.0.0.1:%d", f.port)
-		f.port++
-
-		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
-		if err != nil {
-			continue
-		}
-
-		return address, errors.Wrap(listener.Close(), "free a port")
-	}
-
-	return "", errors.New("no port below the system's own is free")
-}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -41,6 +41,20 @@
 	Ready func(addr string)
 }
 
+// State is how far an attempt got.
+type State string
+
+// States of attempts.
+const (
+	// stateRunning holds also while the attempt waits for a slot.
+	stateRunning  State = "running"
+	stateFinished State = "finished"
+	// stateCancelled means that the connection was closed from the other side.
+	stateCancelled State = "cancelled"
+	// stateCrashed means that the crash_after_tokens switch broke the answer off.
+	stateCrashed State = "crashed"
+)
+
 // Record describes one attempt at an answer.
 type Record struct {
 	RequestID string `json:"request_id"`
@@ -51,11 +65,10 @@
 	Tokens       int `json:"tokens"`
 	PromptTokens int `json:"prompt_tokens"`
 	// CachedTokens of the prompt were in the cache, so that their prefill was saved.
-	CachedTokens int `json:"cached_tokens"`
-	// State is running (also while it waits), finished, cancelled or crashed.
-	State     string    `json:"state"`
-	BodyHash  string    `json:"body_hash"`
-	StartedAt time.Time `json:"started_at"`
+	CachedTokens int       `json:"cached_tokens"`
+	State        State     `json:"state"`
+	BodyHash     string    `json:"body_hash"`
+	StartedAt    time.Time `json:"started_at"`
 }
 
 // Engine serves one engine's API.
@@ -99,9 +112,8 @@
 	m.HandleFunc("GET /load", e.load)
 	m.HandleFunc("GET /cache_events", e.cacheEvents)
 	m.HandleFunc("POST /standin/switches", e.setSwitches)
-	m.HandleFunc("GET /standin/runs", e.listRuns)
 	m.HandleFunc("GET /standin/orders", e.listOrders)
-	m.HandleFunc("DELETE /standin/runs", e.clearRuns)
+	e.runs.Route(m)
 	return m
 }
 
@@ -120,20 +132,16 @@
 	supporter.WriteJSON(w, http.StatusOK, e.batch.Load())
 }
 
-func (e *Engine) listRuns(w http.ResponseWriter, _ *http.Request) {
-	supporter.WriteJSON(w, http.StatusOK, e.runs.List())
-}
-
-func (e *Engine) clearRuns(w http.ResponseWriter, _ *http.Request) {
-	e.runs.Clear()
-	w.WriteHeader(http.StatusNoContent)
-}
-
+// switches is the body of POST /standin/switches; a key that is left out changes nothing.
 type switches struct {
-	Straggle         *float64 `json:"straggle"`
-	CrashAfterTokens *int     `json:"crash_after_tokens"`
-	Silent           *bool    `json:"silent"`
-	Refuse           *bool    `json:"refuse"`
+	// Straggle multiplies the time of each token; above 0.
+	Straggle *float64 `json:"straggle"`
+	// CrashAfterTokens breaks each answer's connection off after that many tokens; 0 means never.
+	CrashAfterTokens *int `json:"crash_after_tokens"`
+	// Silent stops all output while connections stay open.
+	Silent *bool `json:"silent"`
+	// Refuse answers completions with 503 and Retry-After.
+	Refuse *bool `json:"refuse"`
 	// HoldOrders makes that many of the next orders wait until ReleaseOrders.
 	HoldOrders    *int `json:"hold_orders"`
 	ReleaseOrders bool `json:"release_orders"`
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -77,8 +77,7 @@
 func (s *Service) Handler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("POST /standin/switches", s.setSwitches)
-	m.HandleFunc("GET /standin/runs", s.listRuns)
-	m.HandleFunc("DELETE /standin/runs", s.clearRuns)
+	s.runs.Route(m)
 	m.HandleFunc("/standin/", http.NotFound)
 	m.HandleFunc("/load", s.load)
 	m.HandleFunc("/", s.respond)
@@ -97,12 +96,12 @@
 func (s *Service) respond(w http.ResponseWriter, r *http.Request) {
 	if s.refuses.Load() {
 		w.Header().Set("Retry-After", "1")
-		supporter.WriteJSON(w, http.StatusServiceUnavailable, map[string]string{"error": "the service takes no requests"})
+		supporter.WriteError(w, http.StatusServiceUnavailable, "the service takes no requests")
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, supporter.MaxBody))
 	if err != nil {
-		supporter.WriteJSON(w, http.StatusRequestEntityTooLarge, map[string]string{"error": err.Error()})
+		supporter.WriteError(w, http.StatusRequestEntityTooLarge, err.Error())
 		return
 	}
 	h := xxhash.Sum64(body)
@@ -166,20 +165,16 @@
 	supporter.WriteJSON(w, http.StatusOK, s.slots.Load())
 }
 
-func (s *Service) listRuns(w http.ResponseWriter, _ *http.Request) {
-	supporter.WriteJSON(w, http.StatusOK, s.runs.List())
-}
-
-func (s *Service) clearRuns(w http.ResponseWriter, _ *http.Request) {
-	s.runs.Clear()
-	w.WriteHeader(http.StatusNoContent)
-}
-
+// switches is the body of POST /standin/switches; a key that is left out changes nothing.
 type switches struct {
-	Delay        *float64 `json:"delay"`
-	FailAfterRun *bool    `json:"fail_after_run"`
-	Silent       *bool    `json:"silent"`
-	Refuse       *bool    `json:"refuse"`
+	// Delay multiplies the time of each request; above 0.
+	Delay *float64 `json:"delay"`
+	// FailAfterRun breaks the connection off after the work is done and recorded.
+	FailAfterRun *bool `json:"fail_after_run"`
+	// Silent holds answers back after the work is done while connections stay open.
+	Silent *bool `json:"silent"`
+	// Refuse answers with 503 and Retry-After, without a run.
+	Refuse *bool `json:"refuse"`
 }
 
 func (s *Service) setSwitches(w http.ResponseWriter, r *http.Request) {
