Sleep until a context ends in one place

Behaviour is unchanged: go test of claimer, distributor and orderer passes before and after with their tests untouched.

--- a/internal/claimer/shard.go
+++ b/internal/claimer/shard.go
@@ -7,6 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"quincepath.example/quincepath/internal/sleeper"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
@@ -184,15 +185,7 @@
 		return ctx.Err() == nil
 	}
 
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleeper.Sleep(ctx, wait)
 }
 
 // take returns the waiting operations, or nil after it marked the shard as idle.
--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -263,16 +263,3 @@
 	default:
 	}
 }
-
-// sleep returns false when ctx ends first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/distributor/puller.go
+++ b/internal/distributor/puller.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"quincepath.example/quincepath/internal/sleeper"
 )
 
 // pullLoop fetches newer trees from the peers that are heard to have them, one at a time.
@@ -15,7 +17,7 @@
 		}
 
 		for peer := d.newest(); peer != "" && ctx.Err() == nil; peer = d.newest() {
-			if !d.pullNewer(ctx, peer) && !sleep(ctx, d.jitter(pullPause)) {
+			if !d.pullNewer(ctx, peer) && !sleeper.Sleep(ctx, d.jitter(pullPause)) {
 				return
 			}
 		}
--- a/internal/distributor/starter.go
+++ b/internal/distributor/starter.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/sleeper"
 )
 
 // start gets the first tree and makes the node ready, as Ready tells.
@@ -88,7 +89,7 @@
 			d.becomeReady("peers")
 		case d.options.Store == nil && len(d.somePeers(1)) == 0:
 			d.becomeReady("settings")
-		case !sleep(ctx, pause.NextBackOff()):
+		case !sleeper.Sleep(ctx, pause.NextBackOff()):
 			return
 		}
 	}
--- a/internal/distributor/watcher.go
+++ b/internal/distributor/watcher.go
@@ -10,6 +10,7 @@
 
 	"quincepath.example/quincepath/internal/chooser"
 	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/sleeper"
 	"quincepath.example/quincepath/internal/storer"
 )
 
@@ -59,7 +60,7 @@
 			d.watchWhileChosen(ctx)
 		}
 
-		sleep(ctx, roleInterval)
+		sleeper.Sleep(ctx, roleInterval)
 	}
 }
 
@@ -81,7 +82,7 @@
 
 	lost := time.Now()
 
-	for sleep(ctx, roleInterval) {
+	for sleeper.Sleep(ctx, roleInterval) {
 		if isWatcher(d.options.Self, d.options.Members.Live()) {
 			lost = time.Now()
 		}
@@ -105,7 +106,7 @@
 		// watch may have lost events, or the store may have forgotten them.
 		list = !errors.Is(err, errWatchEnded)
 
-		if !sleep(ctx, pause.NextBackOff()) {
+		if !sleeper.Sleep(ctx, pause.NextBackOff()) {
 			return
 		}
 	}
@@ -227,7 +228,7 @@
 func (w *watchRun) pollHead(ctx context.Context, heads chan<- int64) {
 	d := w.distributor
 
-	for sleep(ctx, d.jitter(pollInterval)) {
+	for sleeper.Sleep(ctx, d.jitter(pollInterval)) {
 		limited, cancel := context.WithTimeout(ctx, storeTimeout)
 		head, _, err := d.options.Store.Get(limited, configurer.HeadKey)
 
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/sleeper"
 )
 
 // Orderer orders the engines of one service whenever this node is the candidate and holds the lease.
@@ -38,7 +39,7 @@
 	for ctx.Err() == nil {
 		service, wanted := o.wanted()
 		if !wanted {
-			sleep(ctx, o.options.Interval)
+			sleeper.Sleep(ctx, o.options.Interval)
 			continue
 		}
 
@@ -46,12 +47,12 @@
 
 		t, err := o.take(ctx, bounds)
 		if errors.Is(err, errHeld) {
-			sleep(ctx, bounds.Lease/renewals)
+			sleeper.Sleep(ctx, bounds.Lease/renewals)
 			continue
 		}
 
 		if err != nil {
-			sleep(ctx, failures.NextBackOff())
+			sleeper.Sleep(ctx, failures.NextBackOff())
 			continue
 		}
 
@@ -61,7 +62,7 @@
 		o.hold(ctx, t)
 		o.options.Counters.Holding.Add(-1)
 		// After a lost term another node goes first.
-		sleep(ctx, failures.NextBackOff())
+		sleeper.Sleep(ctx, failures.NextBackOff())
 	}
 }
 
@@ -117,7 +118,7 @@
 
 // rest sleeps until the next round, at most an interval longer than until what is desired changes.
 func (o *Orderer) rest(ctx context.Context, length time.Duration, service configurer.Service) {
-	for length > 0 && sleep(ctx, min(length, o.options.Interval)) {
+	for length > 0 && sleeper.Sleep(ctx, min(length, o.options.Interval)) {
 		length -= o.options.Interval
 
 		now, wanted := o.wanted()
--- a/internal/orderer/term.go
+++ b/internal/orderer/term.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quincepath.example/quincepath/internal/sleeper"
 	"quincepath.example/quincepath/internal/storer"
 )
 
@@ -77,7 +78,7 @@
 
 // renew keeps the lease until the context ends, the lease is gone, or its time has run out.
 func (o *Orderer) renew(ctx context.Context, t *term) {
-	for sleep(ctx, t.length/renewals) && t.valid() {
+	for sleeper.Sleep(ctx, t.length/renewals) && t.valid() {
 		sent := time.Now()
 		err := o.keepAlive(ctx, t)
 
@@ -98,16 +99,3 @@
 
 	return err
 }
-
-// sleep returns false if the context ended first.
-func sleep(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
