Move writes off an address of the platform that never answers

Cause: a write whose reply is lost is rightly not repeated, but the client also kept the address, so a node that only writes sent every further write and keepalive to the same dead one until a read moved it on (found by reading). TestClient_WritesLeaveASilentAddress failed first: the second put ended as unknown too; it passes now.

--- a/internal/connector/client.go
+++ b/internal/connector/client.go
@@ -204,7 +204,7 @@
 		var next bool
 		next, err = try(c.bases[at])
 		if !next {
-			c.first.CompareAndSwap(first, uint32(at))
+			c.first.CompareAndSwap(first, uint32(c.after(at, err)))
 			return err
 		}
 		if ctx.Err() != nil {
@@ -216,6 +216,17 @@
 	return err
 }
 
+// after returns the address that the next call tries first. A write whose reply
+// is lost is not tried elsewhere, but the next one is: an address that takes
+// connections and never answers would else hold up a client that only writes.
+func (c *Client) after(at int, err error) int {
+	if errors.Is(err, storer.ErrUnknown) {
+		return (at + 1) % len(c.bases)
+	}
+
+	return at
+}
+
 func (c *Client) try(ctx context.Context, base string, q request, reply any) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
--- a/internal/connector/client_test.go
+++ b/internal/connector/client_test.go
@@ -297,3 +297,22 @@
 	assert.ErrorIs(t, err, storer.ErrUnknown)
 	assert.Equal(t, b.counts(t)["put"], int64(0))
 }
+
+// Symptom: a node's leases end while one of two addresses of the platform answers.
+// Events: the first address takes connections and never answers; the node only writes.
+// Cause: a write that may have left is not repeated, and the next one went to the same address.
+func TestClient_WritesLeaveASilentAddress(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+
+	b := start(t, keeper.Options{}, connector.Options{
+		Addresses:   []string{silent.Addr().String()},
+		CallTimeout: 50 * time.Millisecond,
+	})
+	_, err = b.client.Put(t.Context(), "a", nil, 0)
+	assert.ErrorIs(t, err, storer.ErrUnknown)
+	_, err = b.client.Put(t.Context(), "a", nil, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, b.counts(t)["put"], int64(1))
+}
