Mark leaving upstreams by the address that reported it

Cause: load reports marked upstreams by name, and names are unique within a service only: a server of another service with the same name cleared the mark each second, and a mark stayed for good when its pool moved to another holder (both found by reading). TestLeavingReportsGoByAddress covers both; it did not compile before (the report had no function of its own).

--- a/internal/server/leaving.go
+++ b/internal/server/leaving.go
@@ -135,10 +135,10 @@
 		upstreams := make(map[string]configurer.Upstream, len(service.Upstreams))
 
 		for key, upstream := range service.Upstreams {
-			if _, marked := leaving.Leaving(upstream.Name); marked {
-				upstream.Leaving = true
-			}
-
+			// The platform's list names VMs; load reports go by address.
+			_, listed := leaving.Leaving(upstream.Name)
+			_, reported := leaving.Leaving(upstream.Address)
+			upstream.Leaving = upstream.Leaving || listed || reported
 			upstreams[key] = upstream
 		}
 
--- a/internal/server/loads.go
+++ b/internal/server/loads.go
@@ -47,15 +47,42 @@
 }
 
 func (n *Node) pollOnce(ctx context.Context, client *resty.Client) {
+	polled := make(map[string]bool)
+
 	for _, service := range n.tree.Snapshot().Services {
 		service.Upstreams = n.polled(service)
 		n.pollPrefixes(ctx, client, service)
 
 		for _, upstream := range service.Upstreams {
+			polled[upstream.Address] = true
+
 			// A pool that is full skips this round; the next comes in a second.
 			_ = n.background.Go(func() { n.pollUpstream(ctx, client, upstream) })
 		}
 	}
+
+	n.dropUnpolledMarks(polled)
+}
+
+// dropUnpolledMarks takes back what upstreams reported that this node no longer
+// polls. Nothing else would: such an upstream could stay "leaving" here for good
+// after it came back.
+func (n *Node) dropUnpolledMarks(polled map[string]bool) {
+	for _, address := range n.upstreams.leavingOutside(polled) {
+		n.markReported(address, false)
+	}
+}
+
+// markReported takes in what an upstream says of itself. The mark goes by
+// address: names are unique within a service only, and a server of another
+// service that has the same name must neither set the mark nor clear it.
+func (n *Node) markReported(address string, leaving bool) {
+	if !n.upstreams.saysLeaving(address, leaving) {
+		return
+	}
+
+	n.leaving.Mark(time.Now(), drainer.SourceReport, address, leaving)
+	n.tree.refresh()
 }
 
 // polled returns the upstreams whose load reports this node reads. With a queue
@@ -81,11 +108,7 @@
 		return
 	}
 
-	if _, marked := n.leaving.Leaving(upstream.Name); marked || report.Leaving {
-		n.leaving.Mark(time.Now(), drainer.SourceReport, upstream.Name, report.Leaving)
-		n.tree.refresh()
-	}
-
+	n.markReported(address, report.Leaving)
 	n.upstreams.reported(address, report.Running+report.Waiting)
 	n.placer.Report(address, placer.Load{Running: report.Running, Waiting: report.Waiting})
 }
@@ -100,6 +123,8 @@
 	load        int
 	reportedAt  time.Time
 	failedPolls int
+	// leaving is what the upstream last reported of itself.
+	leaving bool
 }
 
 // upstreamTable holds a row for each upstream, by address. It is safe for concurrent use.
@@ -135,6 +160,34 @@
 	u.rows[address] = row
 }
 
+// saysLeaving keeps what an upstream reports of itself and says whether that changed.
+func (u *upstreamTable) saysLeaving(address string, leaving bool) bool {
+	changed := false
+
+	u.change(address, func(r *upstreamRow) {
+		changed = r.leaving != leaving
+		r.leaving = leaving
+	})
+
+	return changed
+}
+
+// leavingOutside returns the upstreams that last reported to be leaving and are not among those named.
+func (u *upstreamTable) leavingOutside(polled map[string]bool) []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	var addresses []string
+
+	for address, row := range u.rows {
+		if row.leaving && !polled[address] {
+			addresses = append(addresses, address)
+		}
+	}
+
+	return addresses
+}
+
 func (u *upstreamTable) reported(address string, load int) {
 	u.change(address, func(r *upstreamRow) {
 		r.load = load
