Choose holders of pools, shards and orders by the one chooser

Cause: rendezvous hashing stood in three more places after the chooser came. Keys and hash are the same, so the choices are; tests of granter, server, limiter and distributor pass unchanged.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -24,9 +24,10 @@
 	return &Chooser{nodes: nodes, table: rendezvous.New(nodes, xxhash.Sum64String)}
 }
 
-// Among returns a chooser among other nodes: c itself when they are the same in the same order.
+// Among returns a chooser among other nodes: c itself when they are the same in
+// the same order. A nil chooser has no nodes yet.
 func (c *Chooser) Among(nodes []string) *Chooser {
-	if slices.Equal(c.nodes, nodes) {
+	if c != nil && slices.Equal(c.nodes, nodes) {
 		return c
 	}
 
--- a/internal/granter/placement.go
+++ b/internal/granter/placement.go
@@ -6,9 +6,7 @@
 	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
-
+	"quincepath.example/quincepath/internal/chooser"
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/scheduler"
 )
@@ -104,9 +102,9 @@
 
 // placement finds the holder of a pool by rendezvous hashing. It is safe for concurrent use.
 type placement struct {
-	mu    sync.Mutex
-	nodes []string
-	table *rendezvous.Rendezvous
+	mu sync.Mutex
+	// nodes is nil before the first look-up.
+	nodes *chooser.Chooser
 	// found keeps the holders that were looked up among nodes, by pool.
 	found map[string]string
 }
@@ -116,15 +114,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	if p.table == nil || !slices.Equal(nodes, p.nodes) {
-		p.nodes = slices.Clone(nodes)
-		p.table = rendezvous.New(p.nodes, xxhash.Sum64String)
+	if among := p.nodes.Among(nodes); among != p.nodes {
+		p.nodes = among
 		p.found = make(map[string]string)
 	}
 
 	holder, ok := p.found[pool]
 	if !ok {
-		holder = p.table.Lookup(pool)
+		holder = p.nodes.Choose(pool)
 		p.found[pool] = holder
 	}
 
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -8,11 +8,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"github.com/dgryski/go-rendezvous"
 
 	"quincepath.example/quincepath/internal/administrator"
+	"quincepath.example/quincepath/internal/chooser"
 	"quincepath.example/quincepath/internal/distributor"
 	"quincepath.example/quincepath/internal/heartbeater"
 	"quincepath.example/quincepath/internal/prober"
@@ -38,8 +37,8 @@
 	// unheard maps nodes that are not known to be dead, and have not told their
 	// incarnation yet, to the time since which this is so.
 	unheard map[string]time.Time
-	// holders chooses one of live for a name; nil when live is empty.
-	holders *rendezvous.Rendezvous
+	// holders chooses one of live for a name.
+	holders *chooser.Chooser
 }
 
 // members knows the nodes of the fleet by probes. It is safe for concurrent use.
@@ -147,10 +146,7 @@
 	}
 
 	slices.Sort(view.live)
-
-	if len(view.live) > 0 {
-		view.holders = rendezvous.New(view.live, xxhash.Sum64String)
-	}
+	view.holders = chooser.New(view.live)
 
 	m.view.Store(view)
 }
@@ -299,10 +295,5 @@
 // Holder implements claimer.Holders. A wrong answer costs a write and breaks
 // nothing: the compare-and-swap of the store decides, not the holder.
 func (s shardHolders) Holder(shard int) string {
-	table := s.view.Load().holders
-	if table == nil {
-		return ""
-	}
-
-	return table.Lookup("claims/" + strconv.Itoa(shard))
+	return s.view.Load().holders.Choose("claims/" + strconv.Itoa(shard))
 }
--- a/internal/server/orders.go
+++ b/internal/server/orders.go
@@ -8,11 +8,10 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"github.com/dgryski/go-rendezvous"
 	"github.com/go-resty/resty/v2"
 
+	"quincepath.example/quincepath/internal/chooser"
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/orderer"
 	"quincepath.example/quincepath/internal/prober"
@@ -124,7 +123,7 @@
 		}
 	}
 
-	return len(nodes) > 0 && rendezvous.New(nodes, xxhash.Sum64String).Lookup(service) == o.self
+	return chooser.New(nodes).Choose(service) == o.self
 }
 
 // engineOrders implements orderer.Engines over the engines' HTTP interface.
