--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -127,10 +127,15 @@
 
 	connection, err := l.dial(ctx)
 	if err != nil {
-		l.failedAt = time.Now()
-		l.failedErr = errors.Mark(classifier.Wrap(err, classifier.NodeUnreachable, "node %q can't be reached", l.peer), ErrNotSent)
+		failure := errors.Mark(classifier.Wrap(err, classifier.NodeUnreachable, "node %q can't be reached", l.peer), ErrNotSent)
 
-		return nil, l.failedErr
+		// A caller that gave up says nothing about the peer.
+		if ctx.Err() == nil {
+			l.failedAt = time.Now()
+			l.failedErr = failure
+		}
+
+		return nil, failure
 	}
 
 	l.failedErr = nil
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -211,7 +211,8 @@
 	}
 
 	if ok {
-		existing.close()
+		// A dial may hold the old link's lock for seconds; calls to other peers must not wait for it.
+		go existing.close()
 	}
 
 	created := newLink(m, peer, address)
--- a/internal/recorder/answer.go
+++ b/internal/recorder/answer.go
@@ -21,6 +21,8 @@
 	mu sync.Mutex
 	// events only grows; an index once handed out stays valid.
 	events []Event
+	// tokens counts the events with an ID.
+	tokens int
 	// ended is set once, after the last event.
 	ended bool
 	// err is the cause of a failed end; nil for a whole answer.
@@ -42,6 +44,13 @@
 	defer a.mu.Unlock()
 
 	a.events = append(a.events, events...)
+
+	for i := range events {
+		if events[i].ID != "" {
+			a.tokens++
+		}
+	}
+
 	a.wake()
 }
 
@@ -102,12 +111,12 @@
 	return 0, false
 }
 
-// Len returns the number of events so far.
-func (a *Answer) Len() int {
+// Tokens returns the number of events that can be resumed after, so far.
+func (a *Answer) Tokens() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	return len(a.events)
+	return a.tokens
 }
 
 // wake lets those who wait look again; the lock is held.
--- a/internal/server/request_run.go
+++ b/internal/server/request_run.go
@@ -26,6 +26,8 @@
 	bodyHash [sha256.Size]byte
 	// replayed is set when the answer is that of an earlier run.
 	replayed atomic.Bool
+	// followers counts the callers that the answer is being written to.
+	followers atomic.Int32
 	// resumable says that the caller comes back after a broken connection.
 	resumable bool
 	cancel    context.CancelFunc
@@ -37,13 +39,26 @@
 	attempts   int
 	// upstream is the name of the last attempt's upstream.
 	upstream string
-	// tokens is the number of tokens in the answer after the last attempt.
-	tokens int
 	// ended is set with the final result; failure is nil for a whole answer.
 	ended   bool
 	failure *classifier.Error
 }
 
+// cancelUnfollowed ends the run after the window, unless somebody follows its
+// answer then; it looks again after each further window. A caller that came back
+// for a long answer would else lose it a window after its first connection broke.
+func (r *requestRun) cancelUnfollowed(window time.Duration) {
+	time.AfterFunc(window, func() {
+		if r.followers.Load() == 0 {
+			r.cancel()
+
+			return
+		}
+
+		r.cancelUnfollowed(window)
+	})
+}
+
 // note keeps what an attempt brought.
 func (r *requestRun) note(attempt dispatcher.Attempt, outcome dispatcher.Outcome) {
 	r.mu.Lock()
@@ -51,7 +66,6 @@
 
 	r.attempts = max(r.attempts, attempt.Number)
 	r.upstream = attempt.Slot.Upstream.Name
-	r.tokens += outcome.Tokens
 
 	if r.firstToken == 0 && outcome.FirstToken > 0 {
 		r.firstToken = time.Since(r.request.Arrived) - outcome.Duration + outcome.FirstToken
@@ -81,7 +95,7 @@
 		Upstream:     r.upstream,
 		Attempts:     r.attempts,
 		ArrivedAt:    r.request.Arrived,
-		Tokens:       max(r.tokens, r.answer.Len()),
+		Tokens:       r.answer.Tokens(),
 	}
 
 	switch {
--- a/internal/server/resume.go
+++ b/internal/server/resume.go
@@ -19,6 +19,14 @@
 func (n *Node) handleResume(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
 
+	// The key comes first: a stranger must not learn which ids exist.
+	organisation, failure := n.tree.authenticate(r)
+	if failure != nil {
+		n.refuse(w, id, failure)
+
+		return
+	}
+
 	owner, incarnation, ok := requestOwner(id)
 	if !ok {
 		n.refuse(w, id, classifier.New(classifier.UnknownRequest, "%q is not a request id", id))
@@ -39,18 +47,13 @@
 		return
 	}
 
-	organisation, failure := n.tree.authenticate(r)
-	if failure == nil && organisation != run.request.Organisation.Name {
-		failure = classifier.New(classifier.Forbidden, "the request belongs to another organisation")
-	}
-
-	if failure != nil {
-		n.refuse(w, id, failure)
+	if organisation != run.request.Organisation.Name {
+		n.refuse(w, id, classifier.New(classifier.Forbidden, "the request belongs to another organisation"))
 
 		return
 	}
 
-	run.deliver(w, r, r.Header.Get(headerLastEvent))
+	n.deliver(run, w, r, r.Header.Get(headerLastEvent))
 }
 
 // passResume copies the answer of the node that holds it.
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -99,10 +99,19 @@
 		w.WriteHeader(http.StatusEarlyHints)
 	}
 
+	n.deliver(run, w, r, "")
+}
+
+// deliver writes the answer after lastEvent to a caller. A stopping node waits
+// for it, and a run whose caller left is not ended while somebody follows it.
+func (n *Node) deliver(run *requestRun, w http.ResponseWriter, r *http.Request, lastEvent string) {
 	n.writing.Add(1)
 	defer n.writing.Add(-1)
 
-	run.deliver(w, r, "")
+	run.followers.Add(1)
+	defer run.followers.Add(-1)
+
+	run.deliver(w, r, lastEvent)
 }
 
 // start hands the request to a worker and returns at once; the answer tells the rest.
@@ -160,7 +169,7 @@
 			return
 		}
 
-		time.AfterFunc(resumeWindow, run.cancel)
+		run.cancelUnfollowed(resumeWindow)
 	})
 }
 
