Replay against nodes that use TLS

Cause: replay spoke plain HTTP only, so an encrypted fleet could not be played against. --ca names the authority, as for entry list; both read the file by one function now.

--- a/internal/command/replay/replay.go
+++ b/internal/command/replay/replay.go
@@ -11,6 +11,7 @@
 
 	"quincepath.example/quincepath/internal/factory"
 	"quincepath.example/quincepath/internal/loader"
+	"quincepath.example/quincepath/internal/operator"
 	"quincepath.example/quincepath/internal/query/trace/generate"
 	"quincepath.example/quincepath/internal/replayer"
 	"quincepath.example/quincepath/internal/reporter"
@@ -25,6 +26,8 @@
 	Trace string
 	Story string
 	Seed  uint64
+	// CA is a PEM file of the authority that signs the nodes' certificates; empty means plain HTTP.
+	CA string
 	// Settings is the path of a node's settings file with the classes' targets; it may be empty.
 	Settings string
 	// Expect is the path of a file with stated outcomes; it may be empty.
@@ -44,6 +47,7 @@
 	clause.Flag("seed", "Seed of the generated trace.").Default("1").Uint64Var(&options.Seed)
 	clause.Flag("entries", "IP:port of a node to start from; may be repeated.").Required().PlaceHolder("ADDRESS").StringsVar(&options.Player.Entries)
 	clause.Flag("key", "Bearer key of an organisation; may be repeated.").Required().PlaceHolder("ORGANISATION=KEY").StringMapVar(&options.Player.Keys)
+	clause.Flag("ca", "PEM file of the authority that signs the nodes' certificates; calls by HTTPS.").PlaceHolder("FILE").StringVar(&options.CA)
 	clause.Flag("speed", "Play the trace that many times as fast.").Default("1").Float64Var(&options.Player.Speed)
 	clause.Flag("workers", "Requests at once; sends beyond it are late.").IntVar(&options.Player.Workers)
 	clause.Flag("answer-limit", "Longest wait of a caller with all its tries.").Default("2m").DurationVar(&options.Player.AnswerLimit)
@@ -69,6 +73,13 @@
 		return err
 	}
 
+	if options.CA != "" {
+		options.Player.TLS, err = operator.Trusting(options.CA)
+		if err != nil {
+			return err
+		}
+	}
+
 	options.Player.StandIns = options.Player.StandIns || len(options.StandIns) > 0
 
 	bar := NewProgress(options.Factory, len(events))
--- a/internal/command/replay/replay_test.go
+++ b/internal/command/replay/replay_test.go
@@ -43,6 +43,7 @@
 		{"empty", replay.Options{Trace: empty}, classifier.InvalidUsage, "the trace has no events"},
 		{"no key", replay.Options{Story: "hung_lookup"}, classifier.InvalidUsage, "no key is given for the organisations [salone-acireale salone-catania salone-siracusa] of the trace"},
 		{"wrong expectation", replay.Options{Story: "mix", Expect: wrong}, classifier.SettingsInvalid, wrong + `:2: classes.a/b.min_finished is "2"; write a share from 0 to 1`},
+		{"wrong authority", replay.Options{Story: "mix", CA: empty}, classifier.InvalidUsage, empty + " holds no certificate in PEM"},
 		{"no node", replay.Options{
 			Story:  "hung_lookup",
 			Player: replayer.Options{Entries: []string{"127.0.0.1:1"}, Keys: map[string]string{"salone-siracusa": "k", "salone-catania": "k", "salone-acireale": "k"}},
--- a/internal/query/entry/list/list.go
+++ b/internal/query/entry/list/list.go
@@ -3,13 +3,11 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"net/http"
-	"os"
 	"time"
 
 	"quincepath.example/quincepath/internal/factory"
+	"quincepath.example/quincepath/internal/operator"
 	"quincepath.example/quincepath/internal/printer"
 	"quincepath.example/quincepath/pkg/classifier"
 	"quincepath.example/quincepath/pkg/finder"
@@ -69,12 +67,12 @@
 	asked := finder.Options{Addresses: options.Nodes, Key: options.Key, Timeout: options.Timeout}
 
 	if options.CA != "" {
-		transport, err := trusting(options.CA)
+		settings, err := operator.Trusting(options.CA)
 		if err != nil {
 			return err
 		}
 
-		asked.Scheme, asked.Transport = "https", transport
+		asked.Scheme, asked.Transport = "https", &http.Transport{TLSClientConfig: settings}
 	}
 
 	found, err := finder.New(asked)
@@ -103,17 +101,3 @@
 
 	return printer.Write(options.Factory.Streams.Out, printer.Choose(options.JSON, options.Terminal), t)
 }
-
-func trusting(file string) (*http.Transport, error) {
-	pem, err := os.ReadFile(file)
-	if err != nil {
-		return nil, classifier.Wrap(err, classifier.InvalidUsage, "can't read the authority's file %s", file)
-	}
-
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, classifier.New(classifier.InvalidUsage, "%s holds no certificate in PEM", file)
-	}
-
-	return &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}, nil
-}
--- a/internal/replayer/attempt.go
+++ b/internal/replayer/attempt.go
@@ -58,7 +58,9 @@
 
 // attempt is one call of one caller.
 type attempt struct {
-	client   Doer
+	client Doer
+	// scheme is "http://" or "https://".
+	scheme   string
 	address  string
 	key      string
 	event    tracer.Event
@@ -104,7 +106,7 @@
 		path = "/services/" + a.event.Service + a.event.Path
 	}
 
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.address+path, bytes.NewReader(a.body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, a.scheme+a.address+path, bytes.NewReader(a.body))
 	if err != nil {
 		return nil, errors.Wrap(err, "build a request")
 	}
--- a/internal/replayer/caller.go
+++ b/internal/replayer/caller.go
@@ -59,6 +59,7 @@
 	address := c.player.directory.pick(c.index + c.hops)
 	a := attempt{
 		client:   c.player.clientFor(c.event),
+		scheme:   c.player.options.scheme(),
 		address:  address,
 		key:      c.player.options.Keys[c.event.Organisation],
 		event:    c.event,
--- a/internal/replayer/directory.go
+++ b/internal/replayer/directory.go
@@ -32,6 +32,8 @@
 // directory holds the entry addresses that callers know. It is safe for concurrent use.
 type directory struct {
 	client Doer
+	// scheme is "http://" or "https://".
+	scheme string
 	key    string
 	given  []string
 
@@ -40,8 +42,8 @@
 	avoided map[string]time.Time
 }
 
-func newDirectory(client Doer, given []string, key string) *directory {
-	return &directory{client: client, key: key, given: given, avoided: map[string]time.Time{}}
+func newDirectory(client Doer, scheme string, given []string, key string) *directory {
+	return &directory{client: client, scheme: scheme, key: key, given: given, avoided: map[string]time.Time{}}
 }
 
 // refresh asks the known addresses, then the given ones, until one answers, and returns how long to keep the answer.
@@ -79,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(ctx, entriesLimit)
 	defer cancel()
 
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/entries", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, d.scheme+address+"/v1/entries", nil)
 	if err != nil {
 		return entriesAnswer{}, errors.Wrapf(err, "entry %s", address)
 	}
--- a/internal/replayer/player.go
+++ b/internal/replayer/player.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"slices"
@@ -43,6 +44,8 @@
 	// AskAgain lets callers repeat a not repeatable request with an idempotency
 	// key after a broken connection, as the key is meant for.
 	AskAgain bool
+	// TLS, if set, has nodes called by HTTPS with these settings.
+	TLS *tls.Config
 	// Client replaces the HTTP client, for tests.
 	Client Doer
 	// Progress, if set, is called after each ending, from many goroutines.
@@ -75,17 +78,27 @@
 
 	p := &Player{options: options, kept: options.Client, fresh: options.Client}
 	if options.Client == nil {
-		p.kept, p.fresh = newClient(options.Workers, true), newClient(options.Workers, false)
+		p.kept, p.fresh = newClient(options, true), newClient(options, false)
 	}
 
 	return p
 }
 
-func newClient(connections int, keepAlive bool) *http.Client {
+// scheme is how nodes are called.
+func (o Options) scheme() string {
+	if o.TLS != nil {
+		return "https://"
+	}
+
+	return "http://"
+}
+
+func newClient(options Options, keepAlive bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialLimit}).DialContext,
-			MaxIdleConnsPerHost: connections,
+			TLSClientConfig:     options.TLS,
+			MaxIdleConnsPerHost: options.Workers,
 			IdleConnTimeout:     idleTimeout,
 			DisableKeepAlives:   !keepAlive,
 			DisableCompression:  true,
@@ -111,7 +124,7 @@
 		return Result{}, err
 	}
 
-	p.directory = newDirectory(p.kept, p.options.Entries, key)
+	p.directory = newDirectory(p.kept, p.options.scheme(), p.options.Entries, key)
 
 	keep, err := p.directory.refresh(ctx)
 	if err != nil {
