--- a/internal/recorder/answer.go
+++ b/internal/recorder/answer.go
@@ -111,6 +111,18 @@
 	return 0, false
 }
 
+// Last returns the latest event, or an empty one before the first.
+func (a *Answer) Last() Event {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	if len(a.events) == 0 {
+		return Event{}
+	}
+
+	return a.events[len(a.events)-1]
+}
+
 // Tokens returns the number of events that can be resumed after, so far.
 func (a *Answer) Tokens() int {
 	a.mu.Lock()
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -163,6 +163,11 @@
 	}
 
 	context.AfterFunc(caller, func() {
+		// The caller has its whole answer; a cancel would only cost the connection to the engine.
+		if run.answer.Last().Data == endOfStream {
+			return
+		}
+
 		if !run.resumable {
 			run.cancel()
 
