--- a/internal/claimer/begin_test.go
+++ b/internal/claimer/begin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -146,9 +147,9 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			inWorld(t, func(t *testing.T, w *world) {
-				down := false
+				var down atomic.Bool
 				c, cancel := w.node("a", func(_ context.Context, call keeper.Call) keeper.Verdict {
-					if !down {
+					if !down.Load() {
 						return keeper.Verdict{}
 					}
 					return tt.verdict
@@ -159,7 +160,7 @@
 					assert.NilError(t, mustRun(t, c, fmt.Sprint(i)).Finish(t.Context(), ranOnce))
 				}
 				time.Sleep(time.Second)
-				down = true
+				down.Store(true)
 				started := time.Now()
 				_, err := c.Begin(t.Context(), claimOf("key", "bath"))
 				failure := classifier.From(err)
@@ -170,7 +171,7 @@
 				decision, _ := begin(t, c, "7", "bath")
 				assert.Assert(t, decision.Replay != nil)
 				time.Sleep(30 * time.Second)
-				down = false
+				down.Store(false)
 				time.Sleep(30 * time.Second)
 				mustRun(t, c, "key")
 			})
@@ -314,27 +315,27 @@
 // down while the node stops. Cause: an exit before the queue is empty.
 func TestDrain(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
-		down := false
+		var down atomic.Bool
 		c, cancel := w.node("a", func(context.Context, keeper.Call) keeper.Verdict {
-			if down {
+			if down.Load() {
 				return keeper.Verdict{Refuse: errors.New("down")}
 			}
 			return keeper.Verdict{}
 		}, nil)
 		defer cancel()
 		handle := mustRun(t, c, "key")
-		down = true
+		down.Store(true)
 		ctx, stop := context.WithTimeout(t.Context(), time.Second)
 		defer stop()
 		assert.ErrorContains(t, handle.Finish(ctx, ranOnce), "still being written")
 		assert.ErrorContains(t, c.Drain(ctx), "1 claims have no recorded end")
-		time.AfterFunc(time.Minute, func() { down = false })
+		time.AfterFunc(time.Minute, func() { down.Store(false) })
 		assert.NilError(t, c.Drain(t.Context()))
 		cancel()
 		c.Wait()
 		next, cancel := w.node("b", nil, nil)
 		defer cancel()
-		down = false
+		down.Store(false)
 		decision, _ := begin(t, next, "key", "bath")
 		assert.Assert(t, decision.Replay != nil)
 	})
