Keep leaving marks in one place; refresh settings only on news

Cause, found by reading the whole change: what an upstream reports of itself stood in the node's table and again in the tracker of marks, and each reading of the list of VMs worked out the whole settings view anew, marks changed or not. The tracker now says whether a mark is news and which marks a source has; the second copy with its two functions is gone. Behaviour is unchanged: the tests of drainer and server and the process tests pass as they were. Looked at and left: wire types of both ends of the platform's API (apart on purpose, the comment says why), options filled by like code, the two error answers (two contracts).

--- a/internal/drainer/upstream.go
+++ b/internal/drainer/upstream.go
@@ -1,6 +1,7 @@
 package drainer
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -45,31 +46,48 @@
 	return u
 }
 
-// Mark takes in what one source says about one upstream.
-func (u *UpstreamLeaving) Mark(now time.Time, source Source, upstream string, leaving bool) {
+// Mark takes in what one source says about one upstream, and reports whether that is news.
+func (u *UpstreamLeaving) Mark(now time.Time, source Source, upstream string, leaving bool) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 
-	u.mark(now, source, upstream, leaving)
+	return u.mark(now, source, upstream, leaving)
 }
 
-// Replace takes in all leaving upstreams that a source names; others lose this source's mark.
-func (u *UpstreamLeaving) Replace(now time.Time, source Source, upstreams []string) {
+// Replace takes in all leaving upstreams that a source names; others lose this
+// source's mark. It reports whether any mark changed.
+func (u *UpstreamLeaving) Replace(now time.Time, source Source, upstreams []string) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 
+	changed := false
+
 	for name := range u.marked[source] {
 		if !slices.Contains(upstreams, name) {
-			u.mark(now, source, name, false)
+			changed = u.mark(now, source, name, false) || changed
 		}
 	}
 
 	for _, name := range upstreams {
-		u.mark(now, source, name, true)
+		changed = u.mark(now, source, name, true) || changed
 	}
+
+	return changed
+}
+
+// Marked returns the upstreams that a source marks, in no order.
+func (u *UpstreamLeaving) Marked(source Source) []string {
+	u.mu.RLock()
+	defer u.mu.RUnlock()
+
+	return slices.Collect(maps.Keys(u.marked[source]))
 }
 
-func (u *UpstreamLeaving) mark(now time.Time, source Source, upstream string, leaving bool) {
+func (u *UpstreamLeaving) mark(now time.Time, source Source, upstream string, leaving bool) bool {
+	if u.marked[source][upstream] == leaving {
+		return false
+	}
+
 	if leaving {
 		u.marked[source][upstream] = true
 
@@ -77,7 +95,7 @@
 			u.since[upstream] = now
 		}
 
-		return
+		return true
 	}
 
 	delete(u.marked[source], upstream)
@@ -85,6 +103,8 @@
 	if !u.anyMark(upstream) {
 		delete(u.since, upstream)
 	}
+
+	return true
 }
 
 func (u *UpstreamLeaving) anyMark(upstream string) bool {
--- a/internal/server/leaving.go
+++ b/internal/server/leaving.go
@@ -122,8 +122,10 @@
 		names = append(names, name)
 	}
 
-	n.leaving.Replace(time.Now(), source, names)
-	n.tree.refresh()
+	// A refresh works out the whole settings view again, which most readings of a list need not.
+	if n.leaving.Replace(time.Now(), source, names) {
+		n.tree.refresh()
+	}
 }
 
 // withLeaving marks the upstreams of a snapshot that other sources than the tree say are leaving.
--- a/internal/server/loads.go
+++ b/internal/server/loads.go
@@ -68,8 +68,10 @@
 // polls. Nothing else would: such an upstream could stay "leaving" here for good
 // after it came back.
 func (n *Node) dropUnpolledMarks(polled map[string]bool) {
-	for _, address := range n.upstreams.leavingOutside(polled) {
-		n.markReported(address, false)
+	for _, address := range n.leaving.Marked(drainer.SourceReport) {
+		if !polled[address] {
+			n.markReported(address, false)
+		}
 	}
 }
 
@@ -77,12 +79,9 @@
 // address: names are unique within a service only, and a server of another
 // service that has the same name must neither set the mark nor clear it.
 func (n *Node) markReported(address string, leaving bool) {
-	if !n.upstreams.saysLeaving(address, leaving) {
-		return
+	if n.leaving.Mark(time.Now(), drainer.SourceReport, address, leaving) {
+		n.tree.refresh()
 	}
-
-	n.leaving.Mark(time.Now(), drainer.SourceReport, address, leaving)
-	n.tree.refresh()
 }
 
 // polled returns the upstreams whose load reports this node reads. With a queue
@@ -123,8 +122,6 @@
 	load        int
 	reportedAt  time.Time
 	failedPolls int
-	// leaving is what the upstream last reported of itself.
-	leaving bool
 }
 
 // upstreamTable holds a row for each upstream, by address. It is safe for concurrent use.
@@ -160,34 +157,6 @@
 	u.rows[address] = row
 }
 
-// saysLeaving keeps what an upstream reports of itself and says whether that changed.
-func (u *upstreamTable) saysLeaving(address string, leaving bool) bool {
-	changed := false
-
-	u.change(address, func(r *upstreamRow) {
-		changed = r.leaving != leaving
-		r.leaving = leaving
-	})
-
-	return changed
-}
-
-// leavingOutside returns the upstreams that last reported to be leaving and are not among those named.
-func (u *upstreamTable) leavingOutside(polled map[string]bool) []string {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-
-	var addresses []string
-
-	for address, row := range u.rows {
-		if row.leaving && !polled[address] {
-			addresses = append(addresses, address)
-		}
-	}
-
-	return addresses
-}
-
 func (u *upstreamTable) reported(address string, load int) {
 	u.change(address, func(r *upstreamRow) {
 		r.load = load
