Silence the suspicions of an isolated node, so that a lone survivor ends them

Sequence: node-1 starts first, its probes of node-2 fail, it suspects node-2; node-2 starts, refutes, and by that doubts itself, which doubles its timeouts; node-1 is killed; node-2 suspects it, but 3 s without an answer make node-2 isolated before the suspicion has run out, and an isolated node ended no suspicion at all. The suspect stayed live for ever: in the list of entries, as holder of pools and shards, and as maker of claims. A busy machine only made the start slow enough. Ruled out: ports shared by two test processes (the log shows one node-1, and the reproduction needs no sockets); the claimer (it asks Alive, which was told so).

Left: the time grows with the nodes, since silent members are probed one after the other.

--- a/internal/prober/failures_test.go
+++ b/internal/prober/failures_test.go
@@ -370,3 +370,47 @@
 	assert.Equal(t, len(live), 1)
 	assert.Assert(t, w.nodes[0].prober.Isolated(w.now))
 }
+
+// Symptom: a booking whose node was killed is told "in progress" for ever, and dead nodes stay in the answers to callers.
+// Sequence: a node starts late and refutes the suspicion of the first, which makes it patient; the first is killed;
+// the late one suspects it, but before the suspicion has run out it is isolated, for nobody else answers.
+// Cause: an isolated node never ended a suspicion that had begun before, so that the suspect counted as live.
+func TestProber_SuspectOfIsolatedNodeIsNotCountedForEver(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newNetwork(t, 2, 2, seed)
+		w.startNode(w.nodes[0], processStart, w.list())
+		w.run(1500 * time.Millisecond)
+		w.startNode(w.nodes[1], processStart, w.list())
+		w.run(200 * time.Millisecond)
+		assert.Equal(t, w.state(w.nodes[1], w.nodes[0]).State, prober.Live)
+		w.nodes[0].down = true
+		w.run(15 * time.Second)
+
+		assert.Equal(t, len(w.nodes[1].prober.Live(w.now)), 1, "seed %d: %+v", seed, w.state(w.nodes[1], w.nodes[0]))
+	}
+}
+
+// Symptom: the only node that is left offers callers nodes that are gone, or holds pools and shards for them.
+// Sequence: all nodes but one are killed at the same moment, in fleets of several sizes; they come back later.
+// Cause: as above; here some suspicions begin before the survivor is isolated and some after.
+func TestProber_LoneSurvivorCountsOnItself(t *testing.T) {
+	for _, size := range []int{2, 3, 9, 30} {
+		for seed := range uint64(5) {
+			w := settled(t, size, 3, seed)
+			for _, n := range w.nodes[1:] {
+				n.down = true
+			}
+
+			gone := w.runUntil(time.Minute, func() bool { return len(w.nodes[0].prober.Live(w.now)) == 1 })
+			assert.Equal(t, len(w.nodes[0].prober.Live(w.now)), 1, "size %d, seed %d", size, seed)
+			t.Logf("%d nodes, seed %d: alone after %s", size, seed, gone)
+
+			for _, n := range w.nodes[1:] {
+				w.startNode(n, processStart+w.now.Sub(w.start).Milliseconds(), w.list())
+			}
+
+			w.runUntil(time.Minute, w.complete)
+			assert.Assert(t, w.complete(), "size %d, seed %d", size, seed)
+		}
+	}
+}
--- a/internal/prober/suspicion.go
+++ b/internal/prober/suspicion.go
@@ -100,7 +100,13 @@
 // expireSuspicions holds those for dead that had their time to refute.
 // A node that nobody answers holds nobody for dead: it can't have heard a refutation.
 func (p *Prober) expireSuspicions(now time.Time) {
-	if p.inState[Suspect] == 0 || p.isolated(now) {
+	if p.inState[Suspect] == 0 {
+		return
+	}
+
+	if p.isolated(now) {
+		p.silenceSuspicions()
+
 		return
 	}
 
@@ -118,6 +124,23 @@
 	}
 }
 
+// silenceSuspicions takes the suspicions from before this node's isolation for
+// silence that may be its own fault.
+//
+// Left as they were, they would never run out while the isolation lasts, and a
+// lone survivor would count dead nodes as live for ever: callers would be sent
+// there and runs of theirs be called in progress. After the isolation they would
+// run out at once, before the suspects could refute them. Silent members stop
+// counting after a while and are live again with their first answer.
+func (p *Prober) silenceSuspicions() {
+	for _, m := range p.members {
+		if m.State == Suspect {
+			m.Silent = true
+			m.suspectedBy = nil
+		}
+	}
+}
+
 // suspicionTime shrinks from unconfirmedFactor times least to least as others confirm.
 func (p *Prober) suspicionTime(m *member, least time.Duration) time.Duration {
 	wanted := min(confirmationsMax, len(p.members)-1)
