Name the wrong values of a settings file beside its unknown keys

Cause: "settings check" says that it names every error, but stopped at unknown keys: a file with a mistyped key and three wrong values showed the key alone, and the rest only after the next try. Values are checked as well now when unknown keys are all that is wrong with the types; a wrong type still ends the pass, since its value can't be read. Strict decoding went, as the check of types finds unknown and the parser duplicate keys (duplicate_key.golden is unchanged). testdata/wrong/unknown_and_range.yaml: 1 of 3 errors named before (test failed), 3 of 3 after. Tests of loader, checker, configurer and examples pass; FuzzParse 15 s without a find.

--- a/internal/checker/document.go
+++ b/internal/checker/document.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 
@@ -19,6 +20,13 @@
 	Line int
 	// Text names the key, its value unless secret, and what would be right.
 	Text string
+	// UnknownKey says that the key is of no use; the values of all others can still be read.
+	UnknownKey bool
+}
+
+// Readable says whether the values of a document with these problems can be read and checked.
+func Readable(problems []Problem) bool {
+	return !slices.ContainsFunc(problems, func(p Problem) bool { return !p.UnknownKey })
 }
 
 // Document parses data as one YAML document. Its body is nil when data holds nothing but comments.
--- a/internal/checker/types.go
+++ b/internal/checker/types.go
@@ -108,7 +108,9 @@
 
 		field, ok := fields[key]
 		if !ok {
-			c.add(v.Key, "%s is unknown; the keys here are %s", join(path, key), knownKeys(fields))
+			text := fmt.Sprintf("%s is unknown; the keys here are %s", join(path, key), knownKeys(fields))
+			c.problems = append(c.problems, Problem{Line: Line(v.Key), Text: text, UnknownKey: true})
+
 			continue
 		}
 
--- a/internal/loader/parser.go
+++ b/internal/loader/parser.go
@@ -50,20 +50,21 @@
 		problems = checker.Types(body, reflect.TypeFor[Settings]())
 	}
 
-	if len(problems) > 0 {
+	if !checker.Readable(problems) {
 		return Settings{}, invalid(name, problems)
 	}
 
 	settings := Defaults()
-	if err := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(&settings); err != nil {
-		return Settings{}, invalid(name, []checker.Problem{checker.Located(err)})
+	if err := yaml.NewDecoder(bytes.NewReader(data)).Decode(&settings); err != nil {
+		return Settings{}, invalid(name, append(problems, checker.Located(err)))
 	}
 
 	if settings.Node.Advertise == "" {
 		settings.Node.Advertise = settings.Node.Listen
 	}
 
-	if problems := checkValues(settings, body); len(problems) > 0 {
+	problems = append(problems, checkValues(settings, body)...)
+	if len(problems) > 0 {
 		return Settings{}, invalid(name, problems)
 	}
 
