Reach nodes that joined after this one started

A node that joined became a holder of pools and shards by the probes' list, and the nodes started before it could send it nothing: asks to it ended as silent, "request show" and resumed answers ended with "not in the settings" until a restart of each. Messenger.SetPeer was there for this and had no caller; a function that asks the members for an address takes its place, and resumed answers use the member's too.

Left: a leaving mark in the platform's list is not applied to joined nodes.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -43,8 +43,10 @@
 	Self string
 	// Credential is shared by all nodes; never empty.
 	Credential string
-	// Peers maps the name of each node to its IP:port.
+	// Peers maps the name of each node of the settings to its IP:port. It must not change any more.
 	Peers map[string]string
+	// Joined finds the IP:port of nodes that Peers lacks; nil means that there are none. It is called without locks.
+	Joined func(node string) (string, bool)
 	// ServerTLS encrypts the connections that peers dial; nil means plain TCP.
 	ServerTLS *tls.Config
 	// ClientTLS encrypts the connections that this node dials; nil means plain TCP.
@@ -70,17 +72,10 @@
 	mu sync.Mutex
 	// links holds one outgoing link for each peer called so far.
 	links map[string]*link
-	// peers starts as Options.Peers and follows SetPeer.
-	peers map[string]string
 }
 
 // New returns a messenger that has no connection yet.
 func New(options Options) *Messenger {
-	peers := make(map[string]string, len(options.Peers))
-	for name, address := range options.Peers {
-		peers[name] = address
-	}
-
 	if options.Dial == nil {
 		options.Dial = dialTCP
 	}
@@ -94,7 +89,6 @@
 		workers:     pond.NewPool(handlerWorkers, pond.WithContext(work), pond.WithQueueSize(handlerQueue), pond.WithNonBlocking(true)),
 		stopWorkers: stop,
 		links:       make(map[string]*link),
-		peers:       peers,
 	}
 }
 
@@ -103,12 +97,18 @@
 	m.handlers[method] = handler
 }
 
-// SetPeer adds a peer or changes its address.
-func (m *Messenger) SetPeer(name, address string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+// address returns where a peer answers. The settings go first: they may name a
+// way to the peer that it doesn't know itself.
+func (m *Messenger) address(peer string) (string, bool) {
+	if address, ok := m.options.Peers[peer]; ok {
+		return address, true
+	}
+
+	if m.options.Joined == nil {
+		return "", false
+	}
 
-	m.peers[name] = address
+	return m.options.Joined(peer)
 }
 
 // Run answers peers on the listener until ctx ends.
@@ -195,16 +195,16 @@
 }
 
 func (m *Messenger) linkTo(peer string) (*link, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-
-	address, ok := m.peers[peer]
+	address, ok := m.address(peer)
 	if !ok {
-		unknown := classifier.New(classifier.NodeUnreachable, "node %q is not in the settings", peer)
+		unknown := classifier.New(classifier.NodeUnreachable, "node %q is not known", peer)
 
 		return nil, errors.Mark(unknown, ErrNotSent)
 	}
 
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
 	existing, ok := m.links[peer]
 	if ok && existing.address == address {
 		return existing, nil
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -190,6 +190,15 @@
 	return unheard && time.Since(since) < hearingTime
 }
 
+// peerAddress returns where a node that is not known to be dead answers other
+// nodes. Nodes that joined after this one started stand in no settings file that
+// it read: only their probes tell where they are.
+func (m *members) peerAddress(node string) (string, bool) {
+	member, ok := m.prober.Member(node)
+
+	return member.PeerAddress, ok && member.State != prober.Dead && member.PeerAddress != ""
+}
+
 // known is the number of nodes that may exist, this one included.
 func (m *members) known() int {
 	return len(m.view.Load().all)
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -20,6 +20,7 @@
 		Self:       n.settings.Node.Name,
 		Credential: n.settings.Peers.Credential,
 		Peers:      peers,
+		Joined:     n.members.peerAddress,
 		Logger:     n.logger,
 	}
 
--- a/internal/server/resume.go
+++ b/internal/server/resume.go
@@ -3,9 +3,7 @@
 import (
 	"io"
 	"net/http"
-	"slices"
 
-	"quincepath.example/quincepath/internal/loader"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
@@ -58,14 +56,14 @@
 
 // passResume copies the answer of the node that holds it.
 func (n *Node) passResume(w http.ResponseWriter, r *http.Request, id, owner string) {
-	holder := slices.IndexFunc(n.settings.Peers.Nodes, func(p loader.Peer) bool { return p.Name == owner })
-	if holder < 0 || r.Header.Get(headerForwarded) != "" {
+	holder, known := n.members.prober.Member(owner)
+	if !known || r.Header.Get(headerForwarded) != "" {
 		n.refuse(w, id, classifier.New(classifier.UnknownRequest, "there is no node %q", owner))
 
 		return
 	}
 
-	request, err := http.NewRequestWithContext(r.Context(), http.MethodGet, n.entryURL(n.settings.Peers.Nodes[holder].EntryAddress)+r.URL.Path, http.NoBody)
+	request, err := http.NewRequestWithContext(r.Context(), http.MethodGet, n.entryURL(holder.Address)+r.URL.Path, http.NoBody)
 	if err != nil {
 		n.refuse(w, id, classifier.Wrap(err, classifier.InvalidRequest, "the request id can't be passed on"))
 
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -80,11 +80,13 @@
 	return f
 }
 
-// addNodes starts nodes that know each other.
+// addNodes starts nodes that know each other and those started before. The settings of these stay as they are.
 func (f *fleet) addNodes(tb testing.TB, nodes int) {
 	tb.Helper()
 
-	for i := range nodes {
+	first := len(f.nodeSpecs)
+
+	for i := first; i < first+nodes; i++ {
 		f.nodeSpecs = append(f.nodeSpecs, nodeSpec{
 			name:          fmt.Sprintf("node-%d", i+1),
 			failureDomain: []string{"catania-sala", "siracusa-sala", "acireale-sala"}[i%3],
@@ -94,7 +96,7 @@
 		})
 	}
 
-	for i := range f.nodeSpecs {
+	for i := first; i < len(f.nodeSpecs); i++ {
 		f.writeSettings(tb, i)
 		f.nodes = append(f.nodes, f.startNode(tb, i))
 	}
