Apply the platform's leaving marks to nodes that joined

TestListMarksNodesThatJoined failed first (Leaving false, wanted true) and passes; a marked VM that is no node stays unknown. Tests of the package pass.

--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -214,11 +214,14 @@
 	return t.view.Load().nodes
 }
 
-// listedNodes are the nodes of the settings; those that the platform's list marks are leaving.
+// listedNodes are the nodes of the settings, and those that joined and that the
+// platform's list marks. Marked nodes are leaving.
 func (n *Node) listedNodes(leaving map[string]bool) []prober.VM {
 	nodes := make([]prober.VM, 0, len(n.settings.Peers.Nodes))
+	named := make(map[string]bool, len(n.settings.Peers.Nodes))
 
 	for _, peer := range n.settings.Peers.Nodes {
+		named[peer.Name] = true
 		nodes = append(nodes, prober.VM{
 			Name:          peer.Name,
 			Address:       peer.EntryAddress,
@@ -228,6 +231,18 @@
 		})
 	}
 
+	for name, marked := range leaving {
+		if member, joined := n.members.prober.Member(name); marked && joined && !named[name] {
+			nodes = append(nodes, prober.VM{
+				Name:          name,
+				Address:       member.Address,
+				PeerAddress:   member.PeerAddress,
+				FailureDomain: member.FailureDomain,
+				Leaving:       true,
+			})
+		}
+	}
+
 	return nodes
 }
 
--- a/internal/server/members_test.go
+++ b/internal/server/members_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"quincepath.example/quincepath/internal/loader"
+	"quincepath.example/quincepath/internal/prober"
 )
 
 // Symptom: nodes that listen on all addresses of their VM were taken for dead.
@@ -34,3 +36,25 @@
 		assert.Equal(t, node.members.prober.Self().PeerAddress, v.announced)
 	}
 }
+
+// Symptom: callers are sent to a VM that the platform is about to take away.
+// Sequence: a node joins that no settings file here names; the platform's list marks its VM as leaving.
+// Cause: marks were applied to the nodes of the settings alone.
+func TestListMarksNodesThatJoined(t *testing.T) {
+	node, _ := newTestNode(t)
+	node.settings.Peers.Nodes = []loader.Peer{{Name: "node-2", PeerAddress: "192.0.2.2:7101"}}
+	joined := prober.VM{Name: "node-9", Address: "192.0.2.9:7100", PeerAddress: "192.0.2.9:7101", FailureDomain: "siracusa-sala"}
+	node.members.prober.Receive(time.Now(), prober.Packet{Kind: prober.KindDigest, From: joined.Name, Incarnation: 1, Sequence: 1, VM: &joined})
+
+	for _, marked := range []bool{true, false} {
+		node.members.prober.List(time.Now(), node.listedNodes(map[string]bool{joined.Name: marked, "node-10": true}))
+
+		member, known := node.members.prober.Member(joined.Name)
+		assert.Assert(t, known)
+		assert.Equal(t, member.Leaving, marked)
+		assert.Equal(t, member.Address, joined.Address)
+	}
+
+	_, known := node.members.prober.Member("node-10")
+	assert.Assert(t, !known, "a VM that is no node became one")
+}
