Keep what a change leaves alone, down to single organisations

A node resolves the tree at each change. Branches whose text stayed were not read again, but much else was: branches merged with nothing were copied, so their upstreams were decoded at each change of the root; decoded values were handed from one tree to the next only if that tree asked for them, so a change without services lost them; all organisations were gone through for keys held twice; a root that changed in one line was new in all.

Now nodes carry what was decoded from them, a part without removals that lies over nothing is shared and not copied, a branch read again takes over the parts that are the same (keep), and sets of organisations are checked only when one of them is new.

Ruled out: reading only the changed lines of a branch. That needs a parser of our own that knows where an entry of a mapping ends; the library reads whole documents. So the text of the changed branch is read whole, and the root of the design size (218 KB) takes most of the time of its change.

TestSnapshotsShareWhatDidNotChange failed before.

--- a/internal/configurer/benchmark_test.go
+++ b/internal/configurer/benchmark_test.go
@@ -43,13 +43,17 @@
 }
 
 func BenchmarkResolveOneChangedBranch(b *testing.B) {
-	branches := largeTree()
-	r := configurer.NewResolver()
-	text := string(branches[5].Value)
-
-	for i := 0; b.Loop(); i++ {
-		branches[5].Value = fmt.Appendf(nil, "%s# %d\n", text, i)
-		_, err := r.Resolve(branches)
-		assert.NilError(b, err)
+	for at, name := range map[int]string{0: "root", 5: "service"} {
+		b.Run(name, func(b *testing.B) {
+			branches := largeTree()
+			r := configurer.NewResolver()
+			text := string(branches[at].Value)
+
+			for i := 0; b.Loop(); i++ {
+				branches[at].Value = fmt.Appendf(nil, "%s# %d\n", text, i)
+				_, err := r.Resolve(branches)
+				assert.NilError(b, err)
+			}
+		})
 	}
 }
--- a/internal/configurer/merger.go
+++ b/internal/configurer/merger.go
@@ -19,7 +19,7 @@
 		return parent
 	}
 
-	if child.children == nil {
+	if child.children == nil || (parent == nil && !child.removes) {
 		return child
 	}
 
@@ -64,62 +64,47 @@
 	return path + "." + key
 }
 
-// decoder fills structs from nodes. Parts that branches share by inheritance are
+// decodeAs fills a struct or map from a node. Parts that branches share by inheritance are
 // decoded once, so that a thousand organisations of the root cost the same for one service as for twenty.
-type decoder struct {
-	done map[*node]reflect.Value
-	// before holds values decoded for an earlier tree.
-	before map[*node]reflect.Value
+func decodeAs[T any](from *node) T {
+	return decode(from, reflect.TypeFor[T]()).Interface().(T)
 }
 
-func decodeAs[T any](d *decoder, from *node) T {
-	return d.decode(from, reflect.TypeFor[T]()).Interface().(T)
-}
-
-func (d *decoder) decode(from *node, want reflect.Type) reflect.Value {
+func decode(from *node, want reflect.Type) reflect.Value {
 	if from == nil {
 		return emptyOf(want)
 	}
 
-	if from.children == nil {
+	if from.children == nil || (from.value.IsValid() && from.value.Type() == want) {
 		return from.value
 	}
 
-	if value, ok := d.done[from]; ok && value.Type() == want {
-		return value
-	}
+	from.value = decodeStruct(from, want)
 
-	value, ok := d.before[from]
-	if !ok || value.Type() != want {
-		value = d.decodeStruct(from, want)
-	}
-
-	d.done[from] = value
-
-	return value
+	return from.value
 }
 
-func (d *decoder) decodeStruct(from *node, want reflect.Type) reflect.Value {
+func decodeStruct(from *node, want reflect.Type) reflect.Value {
 	if want.Kind() == reflect.Map {
-		return d.decodeMap(from, want)
+		return decodeMap(from, want)
 	}
 
 	value := reflect.New(want).Elem()
 	fields := checker.Fields(want)
 
 	for k, v := range from.children {
-		value.FieldByIndex(fields[k].Index).Set(d.decode(v, fields[k].Type))
+		value.FieldByIndex(fields[k].Index).Set(decode(v, fields[k].Type))
 	}
 
 	return value
 }
 
-func (d *decoder) decodeMap(from *node, want reflect.Type) reflect.Value {
+func decodeMap(from *node, want reflect.Type) reflect.Value {
 	value := reflect.MakeMapWithSize(want, len(from.children))
 
 	for k, v := range from.children {
 		element := reflect.New(want.Elem()).Elem()
-		element.Set(d.decode(v, want.Elem()))
+		element.Set(decode(v, want.Elem()))
 
 		if name := element.FieldByName("Name"); name.IsValid() {
 			name.SetString(k)
--- a/internal/configurer/node.go
+++ b/internal/configurer/node.go
@@ -33,15 +33,18 @@
 }
 
 // node is a value of a branch, or of several merged, that knows where it was written.
-// It is never changed after it was made: merged trees share parts with their parents.
+// Merged trees share nodes with their parents and with the trees before them, so what
+// was written is never changed; only value and sound are filled in, under the Resolver's lock.
 type node struct {
 	branch string
 	line   int
-	// removed marks an explicit null.
-	removed bool
+	// removed marks an explicit null, and removes a node with one in it.
+	removed, removes bool
+	// sound says that the struct decoded from the node breaks no rule.
+	sound bool
 	// children is nil for a leaf.
 	children map[string]*node
-	// value is what a leaf holds, in the type of its field.
+	// value is what a leaf holds, in the type of its field; for others what was decoded from them, once it was.
 	value reflect.Value
 	// text is a leaf as it was written.
 	text string
@@ -69,6 +72,44 @@
 	return n
 }
 
+// keep returns old in place of fresh where both hold the same, so that what was worked out
+// from it holds on. What is fresh takes over all parts of old that are the same.
+func keep(old, fresh *node) *node {
+	if old == nil || old == fresh {
+		return fresh
+	}
+
+	same := old.branch == fresh.branch && old.line == fresh.line && old.removed == fresh.removed
+
+	if old.children == nil || fresh.children == nil {
+		if same && old.children == nil && fresh.children == nil && old.holds(fresh) {
+			return old
+		}
+
+		return fresh
+	}
+
+	for k, v := range fresh.children {
+		fresh.children[k] = keep(old.children[k], v)
+		same = same && fresh.children[k] == old.children[k]
+	}
+
+	if same && len(old.children) == len(fresh.children) {
+		return old
+	}
+
+	return fresh
+}
+
+// holds reports whether two leaves have the same value, written alike.
+func (n *node) holds(other *node) bool {
+	if n.text != other.text || n.value.IsValid() != other.value.IsValid() {
+		return false
+	}
+
+	return !n.value.IsValid() || reflect.DeepEqual(n.value.Interface(), other.value.Interface())
+}
+
 // branchReader turns the text of one branch into nodes and finds what is wrong in it alone.
 type branchReader struct {
 	branch   string
@@ -117,6 +158,7 @@
 		entry := r.entry(v, want, key, at)
 		entry.line = checker.Line(v)
 		made.children[key] = entry
+		made.removes = made.removes || entry.removed || entry.removes
 	}
 
 	return made
--- a/internal/configurer/resolver.go
+++ b/internal/configurer/resolver.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"maps"
-	"reflect"
 	"slices"
 	"strings"
 	"sync"
@@ -51,7 +50,9 @@
 		t.addService(snapshot.Services, v)
 	}
 
-	t.forget()
+	t.checkOrganisations()
+	// No chain of old trees is kept.
+	t.previous = nil
 	r.last = t
 
 	for _, v := range branches {
@@ -78,8 +79,8 @@
 
 		got, ok := r.read[v.Path]
 		if !ok || !bytes.Equal(got.text, v.Value) {
-			got.text = v.Value
-			got.root, got.problems = readBranch(v.Path, v.Value)
+			fresh, problems := readBranch(v.Path, v.Value)
+			got = readText{text: v.Value, root: keep(got.root, fresh), problems: problems}
 		}
 
 		kept[v.Path] = got
@@ -101,25 +102,17 @@
 	// bases holds what each branch was merged with, and conflicts what was wrong with that.
 	bases     map[string]*node
 	conflicts map[string][]checker.Problem
-	decoder   decoder
 	// sound holds the services in which nothing is wrong, by branch; flagged is set by every problem found.
 	sound   map[string]Service
 	flagged bool
-	// clean holds nodes that lack no value.
-	clean    map[*node]bool
-	owners   map[string]owner
-	checked  map[*node]bool
-	problems map[string][]checker.Problem
+	// sets are the sets of organisations of all services, each once, in the order of the services' branches.
+	sets               []organisationSet
+	organisationsSound bool
+	problems           map[string][]checker.Problem
 	// previous is the tree from which unchanged parts are taken.
 	previous *tree
 }
 
-// owner is the organisation that a bearer key belongs to.
-type owner struct {
-	organisation string
-	at           *node
-}
-
 func newTree(previous *tree) *tree {
 	if previous == nil {
 		previous = &tree{}
@@ -130,22 +123,12 @@
 		merged:    map[string]*node{},
 		bases:     map[string]*node{},
 		conflicts: map[string][]checker.Problem{},
-		decoder:   decoder{done: map[*node]reflect.Value{}, before: previous.decoder.done},
 		sound:     map[string]Service{},
-		clean:     map[*node]bool{},
-		owners:    map[string]owner{},
-		checked:   map[*node]bool{},
 		problems:  map[string][]checker.Problem{},
 		previous:  previous,
 	}
 }
 
-// forget lets go of the tree before, so that no chain of old trees is kept.
-func (t *tree) forget() {
-	t.previous = nil
-	t.decoder.before = nil
-}
-
 // add keeps each problem once: several services may inherit the same one.
 func (t *tree) add(branch string, problems ...checker.Problem) {
 	for _, v := range problems {
@@ -173,7 +156,7 @@
 	} else {
 		var m merger
 
-		t.merged[path] = m.merge(inherited(base), own, "")
+		t.merged[path] = keep(p.merged[path], m.merge(inherited(base), own, ""))
 		t.conflicts[path] = m.problems
 	}
 
--- a/internal/configurer/resolver_test.go
+++ b/internal/configurer/resolver_test.go
@@ -1,9 +1,11 @@
 package configurer_test
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -96,22 +98,30 @@
 	assert.Equal(t, classifier.From(err).Code, classifier.UnknownBranch)
 }
 
-// Symptom: a node that has run for weeks resolves a tree otherwise than one just started.
+// Symptom: a node that has run for weeks resolves a tree otherwise than one just started, or a
+// request in flight sees its settings change.
 // Sequence: branches change, come and go; parts of the tree before are used again.
-// Cause: a part that is kept although what it inherits has changed.
+// Cause: a part that is kept although what it inherits has changed, or one that is written to again.
 func TestResolverForgetsNothingAndKeepsNothingStale(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		texts := []string{
 			"", "kind: engine\n", "service: named\n", "levels: {gold: {tier: 1, target: 1s, gap_limit: 1s, max_wait: 1s}}\n",
 			"levels: {gold: {tier: 2, target: 2s, gap_limit: 1s, max_wait: 1s}}\nservice: other\n", "levels: {gold: null}\n", "upstreams: {}\n",
 			"kind: plain\nclasses: {chat: {level: gold}}\ndefault_class: chat\nupstreams: {}\n", "classes: {chat: {tier: 3}}\n", "upstreams: {u: {slots: 1}}\n",
+			"organisations: {o: {weight: 1, key_hashes: [H]}, p: {weight: 1}}\n", "organisations: {o: {weight: 2, key_hashes: [H]}, p: {weight: 1}}\n",
+			"# moved\norganisations:\n  p: {weight: 3, key_hashes: [H]}\n", "organisations: {o: null, q: {concurrency: 1}}\n",
+			"kind: engine\nupstreams: {u: {address: \"http://127.0.0.1:1\", failure_domain: d, slots: 1}, v: null}\n", "upstreams: {u: {slots: 2}}\n",
 		}
 		kept := configurer.NewResolver()
 		tree := map[string]string{"": texts[3], "a": texts[7]}
+		var before, wantBefore configurer.Snapshot
 
 		for range rapid.IntRange(1, 20).Draw(rt, "edits") {
 			path := rapid.SampledFrom([]string{"", "a", "a/b", "a/b/c", "d"}).Draw(rt, "path")
-			tree[path] = rapid.SampledFrom(texts).Draw(rt, "text")
+			tree[path] = strings.ReplaceAll(rapid.SampledFrom(texts).Draw(rt, "text"), "H", strings.Repeat("0a", 32))
+			if rapid.IntRange(0, 2).Draw(rt, "more") == 0 {
+				tree[path] += strings.Split(rapid.SampledFrom(texts).Draw(rt, "second"), "\n")[0] + "\n"
+			}
 			if rapid.IntRange(0, 4).Draw(rt, "delete") == 0 {
 				delete(tree, path)
 			}
@@ -125,6 +135,30 @@
 			got, err := kept.Resolve(branches)
 			assert.DeepEqual(rt, got, want)
 			assert.Equal(rt, fmt.Sprint(err), fmt.Sprint(wantErr))
+			assert.DeepEqual(rt, before, wantBefore)
+			before, wantBefore = got, want
 		}
 	})
 }
+
+// Symptom: each change of one branch costs a node as much time and memory as the whole tree.
+// Sequence: one branch of a tree changes, or one organisation at the root; all else stays.
+// Cause: parts that are the same are worked out again, so that snapshots share nothing.
+func TestSnapshotsShareWhatDidNotChange(t *testing.T) {
+	branches := readTree(t, "testdata/full.tree")
+	r := configurer.NewResolver()
+	before, err := r.Resolve(branches)
+	assert.NilError(t, err)
+
+	for i, v := range branches {
+		branches[i].Value = append(bytes.Clone(v.Value), "# seen\n"...)
+		after, err := r.Resolve(branches)
+		assert.NilError(t, err)
+
+		for name, v := range after.Services {
+			assert.Equal(t, reflect.ValueOf(v.Upstreams).Pointer(), reflect.ValueOf(before.Services[name].Upstreams).Pointer())
+			assert.Equal(t, reflect.ValueOf(v.Organisations).Pointer(), reflect.ValueOf(before.Services[name].Organisations).Pointer())
+			assert.Equal(t, reflect.ValueOf(v.Classes).Pointer(), reflect.ValueOf(before.Services[name].Classes).Pointer())
+		}
+	}
+}
--- a/internal/configurer/service.go
+++ b/internal/configurer/service.go
@@ -25,8 +25,8 @@
 
 	service, ok := t.previous.sound[path]
 	if !ok || t.previous.merged[path] != merged {
-		service = t.newService(path, merged)
 		t.flagged = false
+		service = t.newService(path, merged)
 		t.checkService(service)
 		ok = !t.flagged
 	}
@@ -37,7 +37,7 @@
 
 	// These look beyond the service itself.
 	t.checkName(services, service)
-	t.checkOrganisations(service, merged.child("organisations"))
+	t.collect(service, merged.child("organisations"))
 	services[service.Name] = service
 }
 
@@ -47,11 +47,11 @@
 		Branch:        path,
 		Kind:          leafAs[Kind](merged.child("kind")),
 		DefaultClass:  leafAs[string](merged.child("default_class")),
-		Classes:       t.classes(merged),
-		Organisations: decodeAs[map[string]Organisation](&t.decoder, merged.child("organisations")),
-		Upstreams:     decodeAs[map[string]Upstream](&t.decoder, merged.child("upstreams")),
-		Desired:       decodeAs[Desired](&t.decoder, merged.child("desired")),
-		Orders:        decodeAs[Orders](&t.decoder, merged.child("orders")),
+		Classes:       t.classes(path, merged),
+		Organisations: decodeAs[map[string]Organisation](merged.child("organisations")),
+		Upstreams:     decodeAs[map[string]Upstream](merged.child("upstreams")),
+		Desired:       decodeAs[Desired](merged.child("desired")),
+		Orders:        decodeAs[Orders](merged.child("orders")),
 	}
 
 	if name := leafAs[string](merged.child("service")); name != "" {
@@ -71,10 +71,14 @@
 }
 
 // classes lays each class over its service level.
-func (t *tree) classes(merged *node) map[string]Class {
+func (t *tree) classes(path string, merged *node) map[string]Class {
+	if t.keepsClasses(path) {
+		return t.previous.sound[path].Classes
+	}
+
 	made := map[string]Class{}
 	for k := range merged.child("classes").all() {
-		class := decodeAs[Class](&t.decoder, t.levelled(merged, k))
+		class := decodeAs[Class](t.levelled(merged, k))
 		class.Name = k
 		made[k] = class
 	}
@@ -82,6 +86,14 @@
 	return made
 }
 
+// keepsClasses reports whether the classes of a service are those of the tree before, in which nothing was wrong.
+func (t *tree) keepsClasses(path string) bool {
+	_, sound := t.previous.sound[path]
+	before, merged := t.previous.merged[path], t.merged[path]
+
+	return sound && before.child("classes") == merged.child("classes") && before.child("levels") == merged.child("levels")
+}
+
 // levelled returns the fields of a class, those of its service level below its own.
 func (t *tree) levelled(merged *node, name string) *node {
 	class := merged.child("classes").child(name)
@@ -138,11 +150,15 @@
 	}
 
 	for k, v := range service.Classes {
-		t.checkMissing(service, t.levelled(merged, k), []string{"classes", k}, v)
+		if t.keepsClasses(service.Branch) {
+			break
+		}
+
+		t.checkMissing(service.Name, t.levelled(merged, k), []string{"classes", k}, v)
 	}
 
 	for k, v := range service.Upstreams {
-		t.checkMissing(service, merged.child("upstreams").child(k), []string{"upstreams", k}, v)
+		t.checkMissing(service.Name, merged.child("upstreams").child(k), []string{"upstreams", k}, v)
 	}
 
 	for _, v := range service.Faults() {
@@ -150,51 +166,18 @@
 	}
 }
 
-// checkOrganisations looks at a set of organisations once, however many services inherit it.
-func (t *tree) checkOrganisations(service Service, organisations *node) {
-	if organisations == nil || t.checked[organisations] {
-		return
-	}
-
-	t.checked[organisations] = true
-
-	for _, k := range slices.Sorted(maps.Keys(service.Organisations)) {
-		v := service.Organisations[k]
-		t.checkMissing(service, organisations.child(k), []string{"organisations", k}, v)
-		t.checkHashes(v, organisations.child(k))
-	}
-}
-
-// checkHashes refuses a bearer key that belongs to two organisations: which of them a
-// request is counted for would depend on the order in which they are looked at.
-func (t *tree) checkHashes(organisation Organisation, at *node) {
-	for _, v := range organisation.KeyHashes {
-		known, ok := t.owners[v]
-		if !ok {
-			t.owners[v] = owner{organisation: organisation.Name, at: at}
-			continue
-		}
-
-		if known.organisation != organisation.Name {
-			t.addAt(at.nearest([]string{"key_hashes"}), "organisations.%s.key_hashes has %s, which organisation %s has in branch %s, line %d; keep it in one of the two",
-				organisation.Name, v, known.organisation, shown(known.at.branch), known.at.line)
-		}
-	}
-}
-
 // checkMissing reports rules broken by fields that are nowhere written; written ones were checked in their branch.
-func (t *tree) checkMissing(service Service, from *node, path []string, value any) {
-	if t.clean[from] || t.previous.clean[from] {
-		t.clean[from] = true
+func (t *tree) checkMissing(service string, from *node, path []string, value any) {
+	if from.sound {
 		return
 	}
 
 	faults := checker.Struct(value)
-	t.clean[from] = len(faults) == 0
+	from.sound = len(faults) == 0
 
 	for _, v := range faults {
 		if from.child(v.Path[0]) == nil {
-			t.addAt(from, "service %s: %s.%s is missing; %s", service.Name, strings.Join(path, "."), v.Shown, v.Advice)
+			t.addAt(from, "service %s: %s.%s is missing; %s", service, strings.Join(path, "."), v.Shown, v.Advice)
 		}
 	}
 }
