Put a changed tree in force without going through all of it

At each change a node copied the map of upstreams of every service to set marks of leaving ones, went through the organisations of each service for the index of keys (121,000 pairs at the size to design for, of which 1,100 are unlike), and told the ejector the sorted members of all 110 services.

Now the services with marked upstreams alone are copied, organisations that services share are gone through once and not at all while they are the same, and the ejector is told of services whose upstreams changed, and of those that are gone, which it kept for good before.

Ruled out: an index kept by the resolver.

The index grows with the sets of organisations that differ: a service that overrides organisations has a set of its own, as in the resolver. TestKeysFollowTheOrganisations fails if the number of sets alone is compared.

--- a/internal/server/leaving.go
+++ b/internal/server/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"time"
 
@@ -129,26 +130,51 @@
 }
 
 // withLeaving marks the upstreams of a snapshot that other sources than the tree say are leaving.
-// It copies what it changes; the snapshot itself is shared.
+// It copies the services that have such upstreams; the snapshot itself and all others are shared.
 func withLeaving(snapshot configurer.Snapshot, leaving *drainer.UpstreamLeaving) configurer.Snapshot {
-	services := make(map[string]configurer.Service, len(snapshot.Services))
+	marked := make(map[string]bool)
 
-	for name, service := range snapshot.Services {
-		upstreams := make(map[string]configurer.Upstream, len(service.Upstreams))
-
-		for key, upstream := range service.Upstreams {
-			// The platform's list names VMs; load reports go by address.
-			_, listed := leaving.Leaving(upstream.Name)
-			_, reported := leaving.Leaving(upstream.Address)
-			upstream.Leaving = upstream.Leaving || listed || reported
-			upstreams[key] = upstream
+	for _, source := range []drainer.Source{drainer.SourceSettings, drainer.SourceList, drainer.SourceReport} {
+		for _, name := range leaving.Marked(source) {
+			marked[name] = true
 		}
+	}
 
-		service.Upstreams = upstreams
-		services[name] = service
+	if len(marked) == 0 {
+		return snapshot
 	}
 
-	snapshot.Services = services
+	snapshot.Services = maps.Clone(snapshot.Services)
+
+	for name, service := range snapshot.Services {
+		service.Upstreams = withMarks(service.Upstreams, marked)
+		snapshot.Services[name] = service
+	}
 
 	return snapshot
 }
+
+// withMarks returns the upstreams with those leaving that are marked: a copy if there are any.
+func withMarks(upstreams map[string]configurer.Upstream, marked map[string]bool) map[string]configurer.Upstream {
+	var made map[string]configurer.Upstream
+
+	for key, upstream := range upstreams {
+		// The platform's list names VMs; load reports go by address.
+		if upstream.Leaving || (!marked[upstream.Name] && !marked[upstream.Address]) {
+			continue
+		}
+
+		if made == nil {
+			made = maps.Clone(upstreams)
+		}
+
+		upstream.Leaving = true
+		made[key] = upstream
+	}
+
+	if made == nil {
+		return upstreams
+	}
+
+	return made
+}
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"reflect"
 	"slices"
 
 	"quincepath.example/quincepath/internal/claimer"
@@ -68,13 +69,27 @@
 
 // applyTree puts a settings tree in force on this node.
 func (n *Node) applyTree(snapshot configurer.Snapshot) {
-	n.tree.set(snapshot)
-	n.setPools(snapshot)
+	before := n.tree.set(snapshot)
+	n.setPools(before, snapshot)
 }
 
-// setPools tells the ejector which upstreams are compared with each other.
-func (n *Node) setPools(snapshot configurer.Snapshot) {
+// setPools tells the ejector which upstreams are compared with each other, where that
+// is not as it was before. Services that are gone are forgotten.
+func (n *Node) setPools(before, snapshot configurer.Snapshot) {
 	for name, service := range snapshot.Services {
-		n.ejector.SetMembers(name, slices.Sorted(maps.Keys(service.Upstreams)))
+		if !sameMap(before.Services[name].Upstreams, service.Upstreams) {
+			n.ejector.SetMembers(name, slices.Sorted(maps.Keys(service.Upstreams)))
+		}
 	}
+
+	for name := range before.Services {
+		if _, ok := snapshot.Services[name]; !ok {
+			n.ejector.SetMembers(name, nil)
+		}
+	}
+}
+
+// sameMap reports whether two maps are one, which snapshots share while nothing in it changes.
+func sameMap(a, b map[string]configurer.Upstream) bool {
+	return reflect.ValueOf(a).Pointer() == reflect.ValueOf(b).Pointer()
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -144,7 +144,7 @@
 		return nil, err
 	}
 
-	node.setPools(tree.Snapshot())
+	node.setPools(configurer.Snapshot{}, tree.Snapshot())
 	node.limits = newLimits(tree, identity)
 	node.distributor = node.newDistributor()
 	node.placer.WeighBy(node.ejector)
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -16,8 +16,7 @@
 // settingsView is one settings snapshot with what requests look up in it. It is immutable.
 type settingsView struct {
 	snapshot configurer.Snapshot
-	// organisations maps the hash of each bearer key to the name of its organisation.
-	organisations map[string]string
+	keys     *keyIndex
 }
 
 // settingsHolder gives the settings in force. It is safe for concurrent use.
@@ -38,13 +37,16 @@
 	return h
 }
 
-// set puts a snapshot in force.
-func (h *settingsHolder) set(snapshot configurer.Snapshot) {
+// set puts a snapshot in force and returns the one before.
+func (h *settingsHolder) set(snapshot configurer.Snapshot) configurer.Snapshot {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
+	before := h.tree
 	h.tree = snapshot
 	h.publish()
+
+	return before
 }
 
 // refresh puts changed marks of leaving upstreams in force.
@@ -57,17 +59,13 @@
 
 func (h *settingsHolder) publish() {
 	snapshot := withLeaving(h.tree, h.leaving)
-	organisations := make(map[string]string)
-
-	for _, service := range snapshot.Services {
-		for name, organisation := range service.Organisations {
-			for _, hash := range organisation.KeyHashes {
-				organisations[hash] = name
-			}
-		}
+
+	var keys *keyIndex
+	if before := h.view.Load(); before != nil {
+		keys = before.keys
 	}
 
-	h.view.Store(&settingsView{snapshot: snapshot, organisations: organisations})
+	h.view.Store(&settingsView{snapshot: snapshot, keys: keys.of(snapshot)})
 }
 
 // Snapshot returns the settings in force.
@@ -90,7 +88,7 @@
 	// Only hashes are compared, so the time of the look-up tells nothing about a key.
 	sum := sha256.Sum256([]byte(key))
 
-	name, ok := view.organisations[hex.EncodeToString(sum[:])]
+	name, ok := view.keys.organisations[hex.EncodeToString(sum[:])]
 	if !ok {
 		return "", classifier.New(classifier.Unauthenticated, "the bearer key belongs to no organisation")
 	}
