Close unused connections between nodes; send again what did not leave

A node kept a connection to each peer that it ever called: 369 dialled and 369 taken at the design size.

Now a connection that was unused for 30 s is closed by the end that dialled it, and dialled again for the next message. Uses are counted under the connection's lock, and the end is decided under it, so none is closed under a call. A timer that is set when a use begins takes the goroutine's place: without uses nothing runs.

A message on a connection that breaks at that moment is sent once more on a new one, if the connection took no byte since before. It was given up as "may have run", which callers of calls that must not run twice can't repeat.

Ruled out: closing at the end that took the connection. The other end could have written a call into it at that moment, and nobody could tell.

TestUnusedConnectionsEnd and TestCallThatDidNotLeaveIsSentAgain failed before.

--- a/internal/messenger/conn.go
+++ b/internal/messenger/conn.go
@@ -1,16 +1,11 @@
 package messenger
 
 import (
-	"bufio"
-	"encoding/binary"
-	"encoding/json"
-	"io"
 	"net"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/jsonrpc2"
 )
 
 const (
@@ -49,6 +44,8 @@
 	net.Conn
 	traffic *traffic
 	opened  time.Time
+	// taken is the number of bytes that the connection took for sending.
+	taken atomic.Int64
 	// lastRead is the time from opened to the last byte, by the monotonic clock.
 	lastRead atomic.Int64
 	// unproven is the number of bytes that may still come before the proof; negative means no bound.
@@ -89,6 +86,7 @@
 	}
 
 	n, err := c.Conn.Write(p)
+	c.taken.Add(int64(n))
 	c.traffic.bytesOut.Add(int64(n))
 	c.traffic.messagesOut.Add(1)
 
@@ -116,24 +114,3 @@
 	c.unproven.Store(-1)
 	_ = c.SetReadDeadline(time.Time{})
 }
-
-// boundedCodec is the library's length-prefixed codec with a bound on the
-// length: a peer that announces a huge message must not make this node hold it.
-type boundedCodec struct {
-	jsonrpc2.VarintObjectCodec
-	limit uint64
-}
-
-// ReadObject implements jsonrpc2.ObjectCodec.
-func (b boundedCodec) ReadObject(stream *bufio.Reader, v any) error {
-	length, err := binary.ReadUvarint(stream)
-	if err != nil {
-		return err
-	}
-
-	if length > b.limit {
-		return errors.Newf("a message of %d bytes is longer than %d", length, b.limit)
-	}
-
-	return json.NewDecoder(io.LimitReader(stream, int64(length))).Decode(v)
-}
--- /dev/null
+++ b/internal/messenger/dialled.go
@@ -0,0 +1,111 @@
+package messenger
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const (
+	// pingInterval is how often a connection in use asks for a sign of life.
+	pingInterval = 500 * time.Millisecond
+	// silenceLimit is how long a connection in use may bring no bytes.
+	silenceLimit = 1500 * time.Millisecond
+	// idleLimit is how long a connection may be unused before it is closed. Those to the peers
+	// that hear of settings from this node are used every few seconds, and stay.
+	idleLimit = 30 * time.Second
+)
+
+// state is what a tick finds of a connection.
+type state int
+
+const (
+	stateUsed state = iota
+	stateUnused
+	stateSilent
+	stateEnded
+)
+
+// dialled is one open connection of a link.
+//
+// A use begins and an unused connection ends under one lock, so that none is closed under a
+// call: the call would fail although the peer lives, and nobody could tell whether it ran.
+// The link's lock may be held when that of a connection is taken, never the other way round.
+type dialled struct {
+	rpc  *jsonrpc2.Conn
+	conn *countedConn
+	// silent is set before the connection is closed for silence.
+	silent atomic.Bool
+
+	mu sync.Mutex
+	// timer runs the link's tick.
+	timer *time.Timer
+	// uses is the number of calls in flight and of notifications being written.
+	uses int
+	// idleSince is the end of the last use.
+	idleSince time.Time
+	// ended means that the connection takes no use any more.
+	ended bool
+}
+
+// begin begins a use, or returns false when the connection has ended.
+func (d *dialled) begin() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if d.ended || d.isBroken() {
+		return false
+	}
+
+	// While it was unused nobody asked for signs of life, so the silence counts from now on.
+	if d.uses++; d.uses == 1 {
+		d.conn.touch()
+		d.timer.Reset(pingInterval)
+	}
+
+	return true
+}
+
+// end ends a use. The next tick sees it.
+func (d *dialled) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.uses--
+	d.idleSince = time.Now()
+}
+
+// state tells what to do with the connection. It ends one that was unused for long.
+func (d *dialled) state() state {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	left := idleLimit - time.Since(d.idleSince)
+
+	switch {
+	case d.isBroken() || (d.uses == 0 && left <= 0):
+		d.ended = true
+
+		return stateEnded
+	case d.uses == 0:
+		d.timer.Reset(left)
+
+		return stateUnused
+	case d.conn.idle() > silenceLimit:
+		return stateSilent
+	default:
+		return stateUsed
+	}
+}
+
+// isBroken reports whether the connection was closed, at whatever end.
+func (d *dialled) isBroken() bool {
+	select {
+	case <-d.rpc.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/messenger/inbound.go
+++ b/internal/messenger/inbound.go
@@ -108,14 +108,8 @@
 		return
 	}
 
-	stream := jsonrpc2.NewBufferedStream(counted, boundedCodec{limit: maxMessageBytes})
-	rpc := jsonrpc2.NewConn(ctx, stream, in)
-
-	select {
-	case <-rpc.DisconnectNotify():
-	case <-ctx.Done():
-		_ = rpc.Close()
-	}
+	// The library closes the connection when ctx ends.
+	jsonrpc2.NewConn(ctx, newStream(counted), in)
 }
 
 // Handle implements jsonrpc2.Handler. The library calls it for one message after the other.
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,10 +19,8 @@
 	helloTimeout = 2 * time.Second
 	// redialWait is how long a peer that could not be dialled counts as unreachable.
 	redialWait = 250 * time.Millisecond
-	// pingInterval is how often a link with calls in flight asks for a sign of life.
-	pingInterval = 500 * time.Millisecond
-	// silenceLimit is how long a link with calls in flight may bring no bytes.
-	silenceLimit = 1500 * time.Millisecond
+	// sendTries bounds the connections on which a message is tried.
+	sendTries = 2
 )
 
 // link is the outgoing connection to one peer; it is dialled when needed.
@@ -44,26 +41,20 @@
 	return &link{messenger: messenger, peer: peer, address: address}
 }
 
-// dialled is one open connection of a link.
-type dialled struct {
-	rpc  *jsonrpc2.Conn
-	conn *countedConn
-	// calls is the number of calls in flight.
-	calls atomic.Int64
-	// silent is set before the connection is closed for silence.
-	silent atomic.Bool
-}
-
 func (l *link) call(ctx context.Context, method string, params, result any) error {
-	connection, err := l.connect(ctx)
-	if err != nil {
+	connection, waiter, err := l.dispatch(ctx, func(rpc *jsonrpc2.Conn) (jsonrpc2.Waiter, error) {
+		return rpc.DispatchCall(ctx, method, params)
+	})
+	if connection == nil {
 		return err
 	}
 
-	connection.calls.Add(1)
-	defer connection.calls.Add(-1)
+	defer connection.end()
+
+	if err == nil {
+		err = waiter.Wait(ctx, result)
+	}
 
-	err = connection.rpc.Call(ctx, method, params, result)
 	if err == nil {
 		return nil
 	}
@@ -72,12 +63,15 @@
 }
 
 func (l *link) notify(ctx context.Context, method string, params any) error {
-	connection, err := l.connect(ctx)
-	if err != nil {
+	connection, _, err := l.dispatch(ctx, func(rpc *jsonrpc2.Conn) (jsonrpc2.Waiter, error) {
+		return jsonrpc2.Waiter{}, rpc.Notify(ctx, method, params)
+	})
+	if connection == nil {
 		return err
 	}
 
-	err = connection.rpc.Notify(ctx, method, params)
+	defer connection.end()
+
 	if err == nil {
 		return nil
 	}
@@ -87,6 +81,37 @@
 	return errors.Wrapf(err, "notify %s", l.peer)
 }
 
+// dispatch sends a message on the open connection or a new one; the caller ends the use of
+// the connection that it returns. It is nil when the message was surely not sent.
+//
+// The peer may end a kept connection at the moment at which it is used again, by a restart.
+// The message is sent once more then, but only if the connection took no byte since before:
+// a peer that got it may carry it out, and would do so twice.
+func (l *link) dispatch(ctx context.Context, send func(*jsonrpc2.Conn) (jsonrpc2.Waiter, error)) (*dialled, jsonrpc2.Waiter, error) {
+	for try := 1; ; try++ {
+		connection, err := l.connect(ctx)
+		if err != nil {
+			return nil, jsonrpc2.Waiter{}, err
+		}
+
+		taken := connection.conn.taken.Load()
+
+		waiter, err := send(connection.rpc)
+		if err == nil || connection.conn.taken.Load() != taken {
+			return connection, waiter, err
+		}
+
+		connection.end()
+		l.drop(connection)
+
+		if try == sendTries {
+			unreachable := classifier.Wrap(err, classifier.NodeUnreachable, "the connection to node %q broke", l.peer)
+
+			return nil, jsonrpc2.Waiter{}, errors.Mark(unreachable, ErrNotSent)
+		}
+	}
+}
+
 // callError turns an error of the library into one of ours and drops a connection that is of no more use.
 func (l *link) callError(connection *dialled, err error) error {
 	var answered *jsonrpc2.Error
@@ -107,20 +132,17 @@
 	return classifier.Wrap(err, classifier.NodeUnreachable, "the connection to node %q broke", l.peer)
 }
 
-// connect returns the open connection or dials one. Only one dial runs at a time.
+// connect returns the open connection or dials one, with a use begun. Only one dial runs at a time.
 func (l *link) connect(ctx context.Context) (*dialled, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if l.current != nil {
-		select {
-		case <-l.current.rpc.DisconnectNotify():
-			l.current = nil
-		default:
-			return l.current, nil
-		}
+	if l.current != nil && l.current.begin() {
+		return l.current, nil
 	}
 
+	l.current = nil
+
 	if l.failedErr != nil && time.Since(l.failedAt) < redialWait {
 		return nil, l.failedErr
 	}
@@ -157,9 +179,8 @@
 	}
 
 	counted := newCountedConn(raw, l.messenger.traffic)
-	stream := jsonrpc2.NewBufferedStream(counted, boundedCodec{limit: maxMessageBytes})
-	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, refuseAll{})
-	connection := &dialled{rpc: rpc, conn: counted}
+	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(counted), refuseAll{})
+	connection := &dialled{rpc: rpc, conn: counted, uses: 1}
 
 	hello, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
@@ -170,7 +191,10 @@
 		return nil, err
 	}
 
-	go l.watch(connection)
+	connection.mu.Lock()
+	defer connection.mu.Unlock()
+
+	connection.timer = time.AfterFunc(pingInterval, func() { l.tick(connection) })
 
 	return connection, nil
 }
@@ -200,41 +224,32 @@
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
-// watch closes a connection that has calls in flight and brings nothing.
+// tick closes a connection that is in use and brings nothing, and one that is long unused.
 //
-// Open connections can go silent for good while new ones work. Without the
-// watch every call on such a connection would run into its own deadline, one
+// Open connections can go silent for good while new ones work. Without the look at
+// silence every call on such a connection would run into its own deadline, one
 // after the other; with it the next call dials a new connection.
-func (l *link) watch(connection *dialled) {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
-
-	for {
-		select {
-		case <-connection.rpc.DisconnectNotify():
-			return
-		case <-ticker.C:
-		}
-
-		if connection.calls.Load() == 0 {
-			connection.conn.touch()
-
-			continue
-		}
-
-		if connection.conn.idle() > silenceLimit {
-			connection.silent.Store(true)
-			l.drop(connection)
-
-			return
-		}
-
-		if _, err := connection.rpc.DispatchCall(context.Background(), methodPing, struct{}{}); err != nil {
-			l.drop(connection)
+func (l *link) tick(connection *dialled) {
+	switch connection.state() {
+	case stateUnused:
+	case stateEnded:
+		l.drop(connection)
+	case stateSilent:
+		connection.silent.Store(true)
+		l.drop(connection)
+	case stateUsed:
+		l.ping(connection)
+	}
+}
 
-			return
-		}
+// ping asks for a sign of life. It doesn't wait for the answer: the next tick looks at what came.
+func (l *link) ping(connection *dialled) {
+	if _, err := connection.rpc.DispatchCall(context.Background(), methodPing, struct{}{}); err != nil {
+		l.drop(connection)
+		return
 	}
+
+	connection.timer.Reset(pingInterval)
 }
 
 func (l *link) drop(connection *dialled) {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -2,7 +2,8 @@
 // 2.0 over a few kept TCP connections.
 //
 // Each node dials one connection to each peer that it calls and answers on the
-// connections that others dial. Both ends prove that they know the shared
+// connections that others dial. A connection that was unused for a while is closed by the
+// end that dialled it, and dialled again for the next message. Both ends prove that they know the shared
 // credential before any other method is taken.
 package messenger
 
@@ -57,7 +58,7 @@
 
 // Messenger calls peers and answers them. It is safe for concurrent use.
 //
-// Lock order: Messenger.mu before link.mu. Neither is held during calls, but
+// Lock order: Messenger.mu, link.mu, dialled.mu. None is held during calls, but
 // link.mu is while its connection is dialled, so that only one dial runs at a time.
 type Messenger struct {
 	options  Options
@@ -130,7 +131,7 @@
 			return errors.Wrap(err, "accept peer")
 		}
 
-		go m.serve(ctx, conn)
+		m.serve(ctx, conn)
 	}
 }
 
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,10 @@
 	mu        sync.Mutex
 	listeners map[string]chan net.Conn
 	silent    []*silentConn
+	// dialled and closed count connections, served the calls of echo that were carried out.
+	dialled, closed, served atomic.Int64
+	// cut, when positive, has the next write end its connection after cut-1 bytes.
+	cut atomic.Int64
 }
 
 func newMemoryNetwork() *memoryNetwork {
@@ -37,7 +42,8 @@
 	}
 
 	near, far := net.Pipe()
-	conn := &silentConn{Conn: near, hushed: make(chan struct{})}
+	conn := &silentConn{Conn: near, network: n, hushed: make(chan struct{})}
+	n.dialled.Add(1)
 	n.silent = append(n.silent, conn)
 	accept <- far
 
@@ -56,11 +62,26 @@
 // silentConn stays open but brings and takes nothing any more once hushed.
 type silentConn struct {
 	net.Conn
-	once   sync.Once
-	hushed chan struct{}
+	network *memoryNetwork
+	closing sync.Once
+	once    sync.Once
+	hushed  chan struct{}
+}
+
+func (s *silentConn) Close() error {
+	s.closing.Do(func() { s.network.closed.Add(1) })
+
+	return s.Conn.Close()
 }
 
 func (s *silentConn) Write(p []byte) (int, error) {
+	if cut := s.network.cut.Swap(0); cut > 0 {
+		n, _ := s.Conn.Write(p[:cut-1])
+		_ = s.Conn.Close()
+
+		return n, net.ErrClosed
+	}
+
 	select {
 	case <-s.hushed:
 		return len(p), nil
@@ -107,11 +128,18 @@
 	client := messenger.New(messenger.Options{Self: "a", Credential: credential, Peers: peers, Dial: network.dial})
 	server := messenger.New(messenger.Options{Self: "b", Credential: "secret", Peers: peers, Dial: network.dial})
 	server.Handle("echo", func(_ context.Context, from string, params json.RawMessage) (any, error) {
+		network.served.Add(1)
+
 		return from + string(params), nil
 	})
 	server.Handle("refuse", func(context.Context, string, json.RawMessage) (any, error) {
 		return nil, classifier.New(classifier.QueueFull, "full").After(3 * time.Second)
 	})
+	server.Handle("slow", func(context.Context, string, json.RawMessage) (any, error) {
+		time.Sleep(10 * time.Minute)
+
+		return "done", nil
+	})
 	server.Handle("hang", func(ctx context.Context, _ string, _ json.RawMessage) (any, error) {
 		<-ctx.Done()
 
@@ -186,3 +214,64 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Symptom: a node holds a connection to each node that it ever called, or loses calls now and then.
+// Events: connections rest; calls come about when the limit of the rest is over, and last longer than it.
+// Cause: unused connections are kept, or closed while a call is about to use them or waits.
+func TestUnusedConnectionsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		network := newMemoryNetwork()
+		client := newPair(ctx, network, "secret")
+		open := func() int64 { return network.dialled.Load() - network.closed.Load() }
+
+		for i := range 40 {
+			time.Sleep(30*time.Second + time.Duration(i-20)*100*time.Millisecond)
+			assert.NilError(t, client.Call(ctx, "b", "echo", i, nil))
+			assert.Equal(t, network.served.Load(), int64(i+1))
+			assert.NilError(t, client.Notify(ctx, "b", "none", nil))
+			assert.Equal(t, open(), int64(1))
+		}
+
+		assert.Assert(t, network.dialled.Load() > 10)
+		time.Sleep(time.Minute)
+		assert.Equal(t, open(), int64(0))
+
+		before := network.dialled.Load()
+
+		var answer string
+
+		assert.NilError(t, client.Call(ctx, "b", "slow", nil, &answer))
+		assert.Equal(t, answer, "done")
+		assert.Equal(t, network.dialled.Load(), before+1)
+
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+// Symptom: a call fails though its peer is there, or runs twice.
+// Events: the connection breaks at the moment at which a kept one is used again.
+// Cause: the call is given up though no byte of it left, or sent again though some did.
+func TestCallThatDidNotLeaveIsSentAgain(t *testing.T) {
+	for bytes, served := range []int64{2, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			network := newMemoryNetwork()
+			client := newPair(ctx, network, "secret")
+
+			assert.NilError(t, client.Call(ctx, "b", "echo", 1, nil))
+			network.cut.Store(int64(bytes) + 1)
+
+			err := client.Call(ctx, "b", "echo", 2, nil)
+
+			assert.Equal(t, err == nil, bytes == 0, "%v", err)
+			assert.Assert(t, !errors.Is(err, messenger.ErrNotSent))
+			assert.Equal(t, network.served.Load(), served)
+			assert.NilError(t, client.Call(ctx, "b", "echo", 3, nil))
+
+			cancel()
+			time.Sleep(time.Minute)
+		})
+	}
+}
