Announce changes to the next nodes on six rings, not to random ones

Nodes told random peers of each change, so a node soon had used a connection to and from every other one. Random choice also leaves some nodes untold in the first rounds: most changes waited for a later round, 50 or 200 ms, at one node or another.

Now each of six rings has all nodes in an order of its own (hash of the name with the ring's number as seed), and a node tells the next one of three rings in a round, of the other three in the second. Every node is told by as many as it tells, all rounds reach all nodes, and a change of members moves only the neighbours.

Ruled out: three rings for all rounds (three lost predecessors would leave a node to heartbeats); the next nodes by name (names of a rack are neighbours).

The test made a change every 12 s, now every 5, which is the rate of the design size, and asserts at most 15 connections of each kind. TestChangesGoAroundLostNodesAndLinks: with a domain dead but listed, a tenth of the links lost both ways and no heartbeats, a change is in force within a second; with one ring it is not.

--- a/internal/distributor/announcer.go
+++ b/internal/distributor/announcer.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
-// announceLoop tells random peers of each new revision, in several rounds.
+// announceLoop tells peers of each new revision, in several rounds.
 func (d *Distributor) announceLoop(ctx context.Context) {
 	var (
 		round   int
@@ -35,7 +36,7 @@
 		}
 
 		for _, v := range d.audience(round) {
-			d.announceTo(ctx, v.Name, current)
+			d.announceTo(ctx, v, current)
 		}
 
 		if round++; round < len(rounds) {
@@ -44,32 +45,53 @@
 	}
 }
 
-// audience returns the peers to tell in a round: random ones, which is fast, and in the last
-// round the next ones by name. By random choice alone about one node in 8,000 is told by
-// nobody and waits for a heartbeat; by name each node is told by the three before it.
-func (d *Distributor) audience(round int) []Member {
-	if round < len(rounds)-1 {
-		return d.somePeers(fanout)
+// audience returns the peers to tell in a round.
+//
+// They are always the same ones while the members stay: told at random, a node would soon
+// hold a connection to every other one. Each of several rings has all nodes in an order of
+// its own, and a node tells the next one of a ring, so that every node is told by as many
+// others as it tells. Several rings together reach all nodes in few steps.
+func (d *Distributor) audience(round int) []string {
+	var peers []string
+
+	members := d.options.Members.Live()
+
+	for i := range fanout {
+		next := nextOnRing((round*fanout+i)%rings, d.options.Self.Name, members)
+		if next != "" && !slices.Contains(peers, next) {
+			peers = append(peers, next)
+		}
 	}
 
-	var before, after []Member
+	return peers
+}
 
-	for _, v := range d.options.Members.Live() {
-		switch {
-		case v.Name < d.options.Self.Name:
-			before = append(before, v)
-		case v.Name > d.options.Self.Name:
-			after = append(after, v)
-		}
+// nextOnRing returns the member that follows self, or "" when there is no other.
+func nextOnRing(ring int, self string, members []Member) string {
+	var (
+		next    string
+		nearest uint64
+		hash    = xxhash.NewWithSeed(uint64(ring))
+	)
+
+	place := func(name string) uint64 {
+		hash.ResetWithSeed(uint64(ring))
+		// Writes to a hash never fail.
+		_, _ = hash.WriteString(name)
+
+		return hash.Sum64()
 	}
 
-	byName := func(a, b Member) int { return strings.Compare(a.Name, b.Name) }
-	slices.SortFunc(before, byName)
-	slices.SortFunc(after, byName)
+	own := place(self)
 
-	ring := slices.Concat(after, before)
+	for _, v := range members {
+		// The difference wraps around, as the ring does.
+		if distance := place(v.Name) - own; v.Name != self && (next == "" || distance < nearest) {
+			next, nearest = v.Name, distance
+		}
+	}
 
-	return ring[:min(fanout, len(ring))]
+	return next
 }
 
 // announceTo sends without waiting: a peer that doesn't answer must not hold up the others.
--- a/internal/distributor/distributor.go
+++ b/internal/distributor/distributor.go
@@ -86,6 +86,9 @@
 	startPeers = 3
 	// fanout is the number of peers that hear of a new revision in each round.
 	fanout = 3
+	// rings is the number of orders of the nodes in which each tells the next one; several times
+	// fanout. Twice, so that a message lost in one round goes another way in the next.
+	rings = 2 * fanout
 )
 
 // rounds are the times after a new revision at which peers are told of it. A message that is
--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -44,14 +45,17 @@
 			var times []time.Duration
 			for i := range changes {
 				times = append(times, f.until(f.change(fmt.Sprintf("b%d", i%10)), 10*time.Second))
-				time.Sleep(12*time.Second - times[i])
+				// 17,000 changes a day, the size to design for.
+				time.Sleep(5*time.Second - times[i])
 			}
+			dialled, taken := f.connections(keptUnused)
 			slices.Sort(times)
 			changeCalls := f.storeCalls.Load() - f.storePolls.Load() - calls
-			t.Logf("in force p50 %v max %v; store calls: %.1f a minute idle, %.2f a change; messages idle %d; a node and change: %.1f messages, %.0f bytes",
+			t.Logf("in force p50 %v max %v; store calls: %.1f a minute idle, %.2f a change; messages idle %d; a node and change: %.1f messages, %.0f bytes; at most %d connections dialled and %d taken",
 				times[changes/2], times[changes-1], float64(idleCalls)/2, float64(changeCalls)/changes, idleMessages,
-				float64(f.messages.Load())/changes/float64(size.nodes), float64(f.bytes.Load())/changes/float64(size.nodes))
+				float64(f.messages.Load())/changes/float64(size.nodes), float64(f.bytes.Load())/changes/float64(size.nodes), dialled, taken)
 			assert.Assert(t, times[changes-1] < time.Second, "%v", times)
+			assert.Assert(t, dialled <= 15 && taken <= 15)
 			assert.Assert(t, idleCalls <= int64(size.domains*2*2*40))
 		})
 	}
@@ -188,6 +192,31 @@
 	})
 }
 
+// Symptom: some nodes get each change seconds late, always the same ones.
+// Sequence: a failure domain and a tenth of the links are lost, the members still list all; no heartbeat helps out.
+// Cause: a node is told by a fixed set of others, and all of these are lost to it. With one ring this test fails.
+func TestChangesGoAroundLostNodesAndLinks(t *testing.T) {
+	run(t, "", func(t *testing.T, f *fleet) {
+		f.heartbeat = 0
+		f.change("a")
+		f.startAll(120, 12)
+		f.ready()
+		time.Sleep(10 * time.Second)
+		cut := func(from, to string) bool { return (xxhash.Sum64String(from)+xxhash.Sum64String(to))%10 == 0 }
+		f.cut.Store(&cut)
+		for i := range 10 {
+			f.kill(fmt.Sprintf("node-%d", 1+12*i))
+		}
+		for range 5 {
+			took := f.until(f.change("a"), time.Minute)
+			assert.Assert(t, took < time.Second, "%v", took)
+			time.Sleep(5 * time.Second)
+		}
+		dialled, taken := f.connections(keptUnused)
+		assert.Assert(t, dialled <= 12 && taken <= 12, "%d dialled, %d taken", dialled, taken)
+	})
+}
+
 // divide gives node-2 alone the newest tree, and opens its links to the node late only.
 func divide(f *fleet, nodes int) int64 {
 	f.heartbeat = 0
--- a/internal/distributor/fleet_test.go
+++ b/internal/distributor/fleet_test.go
@@ -24,6 +24,8 @@
 const (
 	oneWay      = 1500 * time.Microsecond
 	storeOneWay = time.Millisecond
+	// keptUnused is how long the messenger keeps a connection that nobody uses.
+	keptUnused = 30 * time.Second
 )
 
 // fleet is a set of nodes in one process with a fake network and the stand-in store.
@@ -49,6 +51,8 @@
 	mu    sync.Mutex
 	nodes map[string]*node
 	live  []distributor.Member
+	// used holds when a node last sent a message to another one, by from and to.
+	used  map[[2]string]time.Time
 	edits int
 }
 
@@ -66,7 +70,7 @@
 func newFleet(t *testing.T) *fleet {
 	ctx, cancel := context.WithCancel(t.Context())
 	store := keeper.NewStore(keeper.StoreOptions{})
-	f := &fleet{t: t, ctx: ctx, store: store, nodes: map[string]*node{}, heartbeat: time.Second}
+	f := &fleet{t: t, ctx: ctx, store: store, nodes: map[string]*node{}, used: map[[2]string]time.Time{}, heartbeat: time.Second}
 	f.editor = configurer.NewEditor(keeper.NewLocal(store, nil), configurer.EditorOptions{})
 	f.cut.Store(new(func(string, string) bool { return false }))
 	t.Cleanup(func() {
@@ -172,6 +176,9 @@
 	assert.Check(f.t, err)
 	f.messages.Add(1)
 	f.bytes.Add(int64(len(sent)))
+	f.mu.Lock()
+	f.used[[2]string{n.self.Name, peer}] = time.Now()
+	f.mu.Unlock()
 	time.Sleep(oneWay)
 	to := f.find(peer)
 	if to == nil || (*f.cut.Load())(n.self.Name, peer) {
@@ -221,6 +228,23 @@
 	return done.Revision
 }
 
+// connections returns the most connections that a node has dialled, and that it has taken, if
+// those are kept which were used within the length.
+func (f *fleet) connections(length time.Duration) (dialled, taken int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	counts := [2]map[string]int{{}, {}}
+	for pair, last := range f.used {
+		if time.Since(last) < length {
+			counts[0][pair[0]]++
+			counts[1][pair[1]]++
+			dialled, taken = max(dialled, counts[0][pair[0]]), max(taken, counts[1][pair[1]])
+		}
+	}
+
+	return dialled, taken
+}
+
 func (f *fleet) allAt(revision int64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
