Give each node no more shards of claims than its even part

Cause: a holder keeps its shards' window in memory, 16 MB each at 300 claims a second. Rendezvous hashing of 32 shards over 370 nodes gives some node two of them (1.3 such pairs are expected), which is over the 32 MB of a node.

Change: shards are given in order, each by rendezvous hashing among the nodes that don't have their part, rounded up. The table is made when the list of live nodes changes. Nothing rests on who holds; a moved shard costs one read of it.

--- a/internal/claimer/compactor_test.go
+++ b/internal/claimer/compactor_test.go
@@ -17,7 +17,7 @@
 
 // compacting makes a node drop answers after a minute, by a write that follows soon.
 func compacting(o *claimer.Options) {
-	o.AnswerTime, o.SegmentAge, o.TickInterval = time.Minute, 2*time.Minute, 10*time.Second
+	o.AnswerTime, o.SegmentAge, o.TickInterval, o.SegmentBytes = time.Minute, 2*time.Minute, 10*time.Second, 100
 }
 
 // Symptom: a key runs again, or a long run's result is lost. Sequence: segments are compacted while
@@ -40,8 +40,8 @@
 		"other body":         {end: finishWith(ranOnce), body: "cut", want: classifier.KeyConflict},
 		"voided":             {end: func(ctx context.Context, h *claimer.Handle) error { return h.Void(ctx) }, body: "bath", run: true},
 		"still running":      {body: "bath", want: classifier.KeyInProgress},
-		"ended late":         {end: finishWith(ranOnce), after: 5 * time.Minute, body: "bath", replay: &ranOnce},
-		"ended late, voided": {end: func(ctx context.Context, h *claimer.Handle) error { return h.Void(ctx) }, after: 5 * time.Minute, body: "bath", run: true},
+		"ended late":         {end: finishWith(ranOnce), after: 150 * time.Second, body: "bath", replay: &ranOnce},
+		"ended late, voided": {end: func(ctx context.Context, h *claimer.Handle) error { return h.Void(ctx) }, after: 150 * time.Second, body: "bath", run: true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -60,6 +60,8 @@
 				if tt.after == 0 {
 					time.Sleep(5 * time.Minute)
 				}
+				// Less than the time for answers, in which the claim's segment is compacted.
+				time.Sleep(50 * time.Second)
 				reader, cancel := w.node("b", nil, compacting)
 				defer cancel()
 				for _, c := range []*claimer.Claimer{first, other, reader} {
@@ -79,13 +81,16 @@
 }
 
 // Symptom: keys run again after some time. Sequence: one node compacts a shard again and again; another,
-// which read the shard long ago, writes and compacts by itself. Cause: a writer that deletes segments
+// which read the shard long ago and keeps answers longer, writes and compacts by itself. Cause: a writer that deletes segments
 // which it doesn't know to be compacted with others.
 func TestCompaction_TwoWriters(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		nodes := make([]*claimer.Claimer, 2)
 		for i := range nodes {
-			c, cancel := w.node(fmt.Sprint(i), nil, compacting)
+			c, cancel := w.node(fmt.Sprint(i), nil, func(o *claimer.Options) {
+				compacting(o)
+				o.AnswerTime *= time.Duration(1 + 2*i)
+			})
 			defer cancel()
 			nodes[i] = c
 		}
@@ -95,7 +100,7 @@
 			assert.NilError(t, mustRun(t, c, fmt.Sprint(i)).Finish(t.Context(), ranOnce))
 			time.Sleep(2 * time.Second)
 		}
-		time.Sleep(5 * time.Minute)
+		time.Sleep(10 * time.Minute)
 		reader, cancel := w.node("reader", nil, nil)
 		defer cancel()
 		for _, c := range append(nodes, reader) {
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -39,6 +38,8 @@
 	unheard map[string]time.Time
 	// holders chooses one of live for a name.
 	holders *chooser.Chooser
+	// shards are the holders of the shards of claims, by number; none when live is empty.
+	shards []string
 }
 
 // members knows the nodes of the fleet by probes. It is safe for concurrent use.
@@ -148,6 +149,12 @@
 	slices.Sort(view.live)
 	view.holders = chooser.New(view.live)
 
+	if last := m.view.Load(); last != nil && slices.Equal(last.live, view.live) {
+		view.shards = last.shards
+	} else {
+		view.shards = spreadShards(view.live)
+	}
+
 	m.view.Store(view)
 }
 
@@ -286,14 +293,3 @@
 		return "doubted"
 	}
 }
-
-// shardHolders names the node that writes a shard of claims for all others.
-type shardHolders struct {
-	*members
-}
-
-// Holder implements claimer.Holders. A wrong answer costs a write and breaks
-// nothing: the compare-and-swap of the store decides, not the holder.
-func (s shardHolders) Holder(shard int) string {
-	return s.view.Load().holders.Choose("claims/" + strconv.Itoa(shard))
-}
