--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -9,7 +9,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,7 +16,6 @@
 	"runtime"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -205,53 +203,6 @@
 	return text
 }
 
-// Listeners get ports below those that the system gives to outgoing connections:
-// a node that is killed must find its port free when it starts again. Test
-// processes that run side by side on the machine take blocks of their own.
-const (
-	firstPort  = 12000
-	portBlocks = 20
-	blockPorts = 1000
-)
-
-// nextPort counts on through the block.
-var nextPort atomic.Uint32
-
-// freeAddress returns a loopback address that nothing listens on at the moment. It gives none twice.
-func freeAddress(tb testing.TB) string {
-	tb.Helper()
-
-	block := firstPort + os.Getpid()%portBlocks*blockPorts
-
-	for range blockPorts {
-		address := fmt.Sprintf("127.0.0.1:%d", block+int(nextPort.Add(1)%blockPorts))
-		if isFree(address) {
-			return address
-		}
-	}
-
-	tb.Fatal("no port is free")
-
-	return ""
-}
-
-// isFree says whether nothing listens on the address, for connections or for datagrams.
-func isFree(address string) bool {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return false
-	}
-
-	defer listener.Close()
-
-	datagrams, err := net.ListenPacket("udp", address)
-	if err != nil {
-		return false
-	}
-
-	return datagrams.Close() == nil
-}
-
 // call sends a JSON body to a stand-in or a node and decodes the answer.
 func call(tb testing.TB, method, url string, body, answer any) {
 	tb.Helper()
