Let no probe go past the cuts between nodes in process tests

Cause: the proxies of the process tests stand at the addresses by which the settings name the other nodes, but each node tells its own address with its heartbeats, and probes go there from then on. So "node 1 unheard" and "node 1 deaf" cut messages only, and no node ever doubted another.

A node now tells the address of a relay of its own, which drops what comes from a sender whose way is cut.

--- a/test/process/cuts_test.go
+++ b/test/process/cuts_test.go
@@ -11,20 +11,28 @@
 	"quincepath.example/quincepath/internal/administrator"
 )
 
+// platformName is the platform's among the names of nodes.
+const platformName = "platform"
+
 // proxies stand between the ends of a fleet. They are made as the fleet's settings are written.
 type proxies struct {
 	tb testing.TB
 
 	mu        sync.Mutex
 	upstreams map[string]*proxy
-	// peers are by the names of the node that calls and the node that is called.
+	// peers are by the names of the node that calls and the node, or platform, that is called.
 	peers map[[2]string]*proxy
+	// inboxes take the datagrams for each node: a node's own address, which it tells
+	// the others, is theirs, or probes would go past the cuts between nodes.
+	inboxes map[string]*proxy
+	// names are the nodes' by the addresses that their datagrams come from.
+	names map[string]string
 }
 
 func newProxies(tb testing.TB) *proxies {
 	tb.Helper()
 
-	return &proxies{tb: tb, upstreams: map[string]*proxy{}, peers: map[[2]string]*proxy{}}
+	return &proxies{tb: tb, upstreams: map[string]*proxy{}, peers: map[[2]string]*proxy{}, inboxes: map[string]*proxy{}, names: map[string]string{}}
 }
 
 func (p *proxies) upstreamVia(name, address string) string {
@@ -39,17 +47,67 @@
 }
 
 func (p *proxies) peerVia(from, to nodeSpec) string {
+	if from.name == to.name {
+		return p.inbox(to)
+	}
+
+	return p.between(from.name, to.name, to.peerAddress)
+}
+
+// inbox returns the address that a node tells others as its own.
+func (p *proxies) inbox(of nodeSpec) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.names[of.peerAddress] = of.name
+
+	if p.inboxes[of.name] == nil {
+		p.inboxes[of.name] = newProxy(p.tb, of.peerAddress)
+		p.inboxes[of.name].refuseFrom(func(sender string) bool { return p.losesDatagrams(sender, of.name) })
+	}
+
+	return p.inboxes[of.name].address()
+}
+
+// losesDatagrams says whether the way from a node's address to another node is cut.
+func (p *proxies) losesDatagrams(sender, to string) bool {
+	p.mu.Lock()
+	way := p.peers[[2]string{p.names[sender], to}]
+	p.mu.Unlock()
+
+	return way != nil && way.losing().toTarget
+}
+
+func (p *proxies) platformVia(from nodeSpec, address string) string {
+	return p.between(from.name, platformName, address)
+}
+
+func (p *proxies) between(from, to, address string) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	way := [2]string{from.name, to.name}
+	way := [2]string{from, to}
 	if p.peers[way] == nil {
-		p.peers[way] = newProxy(p.tb, to.peerAddress)
+		p.peers[way] = newProxy(p.tb, address)
 	}
 
 	return p.peers[way].address()
 }
 
+// cutOff loses all bytes between a failure domain and the others, and between it and the platform.
+func (p *proxies) cutOff(f *fleet, failureDomain string) {
+	domains := map[string]string{}
+	for _, v := range f.nodeSpecs {
+		domains[v.name] = v.failureDomain
+	}
+
+	for way, v := range p.peers {
+		if (domains[way[0]] == failureDomain) != (domains[way[1]] == failureDomain) {
+			v.cut(bothWays)
+		}
+	}
+}
+
 // Symptom: a counter lookup hung while a customer waited with a wet spaniel.
 // Events: during a replay something between the nodes and one engine, later one plain upstream, loses track of the open connections; new ones work.
 // Cause: on such a connection nothing ever comes, no error either; only the gap limit and a new connection help.
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -31,8 +31,10 @@
 	serviceFlags []string
 	// emptyTree leaves the services out of the settings files: they come by the platform's tree alone.
 	emptyTree bool
-	// peerVia returns the address at which one node finds another; nil means the other's own.
+	// peerVia returns the address at which one node finds another, or which it tells as its own; nil means the other's own.
 	peerVia func(from, to nodeSpec) string
+	// platformVia returns the address at which a node finds the platform; nil means its own.
+	platformVia func(from nodeSpec, address string) string
 	// upstreamVia returns the address at which nodes find an upstream; nil means its own.
 	upstreamVia func(name, address string) string
 	// twoPlain gives the plain service a second upstream, which leads to the same process.
@@ -130,7 +132,7 @@
 peers:
   credential: peer-secret
   nodes:
-`, spec.name, spec.failureDomain, spec.entryAddress, spec.adminAddress, spec.peerAddress, f.shape.nodeLines, f.platform.address)
+`, spec.name, spec.failureDomain, spec.entryAddress, spec.adminAddress, spec.peerAddress, f.shape.nodeLines, f.platformAddress(*spec))
 
 	for _, peer := range f.nodeSpecs {
 		fmt.Fprintf(&text, "    - {name: %s, peer_address: %q, entry_address: %q, failure_domain: %s}\n",
@@ -148,13 +150,21 @@
 }
 
 func (f *fleet) peerAddress(from, to nodeSpec) string {
-	if f.shape.peerVia == nil || from.name == to.name {
+	if f.shape.peerVia == nil {
 		return to.peerAddress
 	}
 
 	return f.shape.peerVia(from, to)
 }
 
+func (f *fleet) platformAddress(from nodeSpec) string {
+	if f.shape.platformVia == nil {
+		return f.platform.address
+	}
+
+	return f.shape.platformVia(from, f.platform.address)
+}
+
 // upstream is the YAML of one upstream.
 func (f *fleet) upstream(name string, at *process, slots int) string {
 	address := at.address
--- a/test/process/proxy_test.go
+++ b/test/process/proxy_test.go
@@ -21,6 +21,8 @@
 	target    string
 
 	mu sync.Mutex
+	// refuses says which senders' datagrams are lost; nil means none.
+	refuses func(sender string) bool
 	// open are all connections since the start.
 	open []*link
 	// lost is what new connections lose as well.
@@ -142,7 +144,7 @@
 			go p.relayBack(socket, from)
 		}
 
-		if !p.losing().toTarget {
+		if !p.dropsFrom(from) {
 			_, _ = sockets[from].Write(buffer[:count])
 		}
 	}
@@ -167,6 +169,22 @@
 	}
 }
 
+// refuseFrom loses the datagrams of the senders that the function names, beside what is lost anyway.
+func (p *proxy) refuseFrom(refuses func(sender string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.refuses = refuses
+}
+
+func (p *proxy) dropsFrom(sender netip.AddrPort) bool {
+	p.mu.Lock()
+	lost, refuses := p.lost.toTarget, p.refuses
+	p.mu.Unlock()
+
+	return lost || refuses != nil && refuses(sender.String())
+}
+
 func (p *proxy) losing() direction {
 	p.mu.Lock()
 	defer p.mu.Unlock()
