Count a run that was not heard of yet as alive, also on a node known before

Symptom: TestRollingRestartKeepsLimitedOrganisation, and any roll-out: a caller that asks twice for a booking, as it may, is told outcome_unknown ("the node that ran the request is gone"), although the first answer comes.

Incarnations travel with a node's own heartbeats only, so this lasts until the two have met.

An incarnation that was never heard now counts as alive for the time in which hearing of it is due, from the first question on; one that another has followed is gone at once. Ruled out: incarnations that sort by start time, since a clock that goes back would make dead runs alive for good.

Left: at 370 nodes two nodes meet less often than every 5 s; the run would have to travel with the news of a restart.

--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,12 +18,8 @@
 	"quincepath.example/quincepath/internal/prober"
 )
 
-const (
-	// viewInterval is how often the view of live nodes is renewed without a change.
-	viewInterval = time.Second
-	// hearingTime is how long a node may take to hear the incarnation of another that lives.
-	hearingTime = 5 * time.Second
-)
+// viewInterval is how often the view of live nodes is renewed without a change.
+const viewInterval = time.Second
 
 // memberView is what the node's parts see of the fleet. It is immutable.
 type memberView struct {
@@ -34,6 +31,8 @@
 	all []prober.Member
 	// runs maps each live node to its incarnation as requests and claims name it.
 	runs map[string]string
+	// ended maps nodes to the incarnation that was heard before the one in runs, or before silence.
+	ended map[string]string
 	// unheard maps nodes that are not known to be dead, and have not told their
 	// incarnation yet, to the time since which this is so.
 	unheard map[string]time.Time
@@ -48,13 +47,16 @@
 	view   atomic.Pointer[memberView]
 	// changed asks for a new view; it holds at most one.
 	changed chan struct{}
+	// newcomers are incarnations that claims name and the node has not heard of.
+	newcomers newcomers
 }
 
 func (n *Node) newMembers() *members {
 	node := n.settings.Node
 	m := &members{
-		self:    distributor.Member{Name: node.Name, FailureDomain: node.FailureDomain},
-		changed: make(chan struct{}, 1),
+		self:      distributor.Member{Name: node.Name, FailureDomain: node.FailureDomain},
+		changed:   make(chan struct{}, 1),
+		newcomers: newcomers{since: make(map[string]time.Time)},
 	}
 
 	options := prober.DefaultOptions()
@@ -148,6 +150,30 @@
 	slices.Sort(view.live)
 	view.holders = chooser.New(view.live)
 
+	m.put(view)
+}
+
+// put replaces the view and keeps which incarnations it has ended.
+func (m *members) put(view *memberView) {
+	former := m.view.Load()
+	if former == nil {
+		former = &memberView{}
+	}
+
+	view.ended = maps.Clone(former.ended)
+
+	for node, run := range former.runs {
+		if run == "" || view.runs[node] == run {
+			continue
+		}
+
+		if view.ended == nil {
+			view.ended = make(map[string]string)
+		}
+
+		view.ended[node] = run
+	}
+
 	m.view.Store(view)
 }
 
@@ -173,23 +199,6 @@
 	return m.view.Load().live
 }
 
-// Alive implements claimer.Makers: it says whether the run of a node that made a claim goes on.
-//
-// A node that has just started has heard of nobody. Taking the others for gone,
-// it would tell callers that the outcome of a booking is unknown while the
-// booking runs, and the callers would not ask again. So a node that did not
-// tell its incarnation yet counts as alive, for as long as hearing of it takes.
-func (m *members) Alive(node, incarnation string) bool {
-	view := m.view.Load()
-	if run := view.runs[node]; run != "" {
-		return run == incarnation
-	}
-
-	since, unheard := view.unheard[node]
-
-	return unheard && time.Since(since) < hearingTime
-}
-
 // known is the number of nodes that may exist, this one included.
 func (m *members) known() int {
 	return len(m.view.Load().all)
--- a/internal/server/members_test.go
+++ b/internal/server/members_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
@@ -34,3 +36,34 @@
 		assert.Equal(t, node.members.prober.Self().PeerAddress, v.announced)
 	}
 }
+
+// Symptom: during a roll-out a caller that asks twice for a booking, as it may, is told that its outcome is unknown, and the first answer comes a moment later.
+// Sequence: a node starts again and runs a booking; the node that writes the shard of claims has heard from it only before; the caller asks for the same key.
+// Cause: an incarnation other than the one that was heard was taken for an earlier one, which is gone.
+func TestMakerThatJustStartedIsAlive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &members{newcomers: newcomers{since: make(map[string]time.Time)}}
+		heard := func(run string) { m.put(&memberView{runs: map[string]string{"node-2": run}}) }
+
+		heard("first")
+		assert.Assert(t, m.Alive("node-2", "first"))
+		assert.Assert(t, m.Alive("node-2", "second"))
+
+		// What it was before is gone as soon as the next is heard.
+		heard("second")
+		heard("second")
+		assert.Assert(t, m.Alive("node-2", "second"))
+		assert.Assert(t, !m.Alive("node-2", "first"))
+
+		// A run that is never heard doesn't count as alive for good.
+		assert.Assert(t, m.Alive("node-2", "third"))
+		time.Sleep(hearingTime)
+		assert.Assert(t, !m.Alive("node-2", "third"))
+
+		// A node that is dead has no run that goes on, and none of before does when it is back.
+		m.put(&memberView{})
+		assert.Assert(t, !m.Alive("node-2", "second"))
+		heard("fourth")
+		assert.Assert(t, !m.Alive("node-2", "second"))
+	})
+}
