--- a/test/process/load_test.go
+++ b/test/process/load_test.go
@@ -191,6 +191,16 @@
 	}
 }
 
+// callsBeyondFirst counts the calls that callers made since an earlier one brought no answer, or one to come back after.
+func callsBeyondFirst(result replayer.Result) int {
+	count := 0
+	for _, v := range result.Outcomes {
+		count += v.Tries - 1
+	}
+
+	return count
+}
+
 // endings counts the outcomes of a class by what the caller was told.
 func endings(result replayer.Result, class string) map[string]int {
 	counts := map[string]int{}
--- a/test/process/path_test.go
+++ b/test/process/path_test.go
@@ -23,14 +23,16 @@
 
 // entriesAnswer is the answer of GET /v1/entries.
 type entriesAnswer struct {
-	Entries []struct {
-		Address       string `json:"address"`
-		Node          string `json:"node"`
-		FailureDomain string `json:"failure_domain"`
-	} `json:"entries"`
+	Entries     []entry `json:"entries"`
 	KeepSeconds float64 `json:"keep_seconds"`
 }
 
+type entry struct {
+	Address       string `json:"address"`
+	Node          string `json:"node"`
+	FailureDomain string `json:"failure_domain"`
+}
+
 // serviceRun is one row of the plain service's record.
 type serviceRun struct {
 	RequestID      string `json:"request_id"`
--- a/test/process/restarts_test.go
+++ b/test/process/restarts_test.go
@@ -34,11 +34,7 @@
 	f.checkPromises(t, result)
 
 	// The kills must have hit requests, or the test would show nothing.
-	tries := 0
-	for _, v := range result.Outcomes {
-		tries += v.Tries - 1
-	}
-
+	tries := callsBeyondFirst(result)
 	assert.Assert(t, tries > 0, "no caller noticed the kills")
 	t.Logf("bookings ended: %v; calls beyond the first: %d of %d events", endings(result, "booking"), tries, len(events))
 }
--- a/test/process/tree_test.go
+++ b/test/process/tree_test.go
@@ -19,7 +19,15 @@
 func newTreeFleet(t *testing.T, nodes int) *fleet {
 	t.Helper()
 
-	f := newFleetOf(t, nodes, shape{emptyTree: true})
+	return newTreeFleetOf(t, nodes, shape{})
+}
+
+// newTreeFleetOf does so for a fleet of the given shape.
+func newTreeFleetOf(t *testing.T, nodes int, s shape) *fleet {
+	t.Helper()
+
+	s.emptyTree = true
+	f := newFleetOf(t, nodes, s)
 	f.inForce(t, f.putTree(t).Revision)
 
 	return f
