Count the run of a node that just joined as alive until it is heard of

Cause, found while merging joined nodes with the rule for runs not heard of: a booking of a node that joined, asked for again at a node that has not met it, was outcome_unknown at once, though it may run. Such a node is no member here, so neither rule for members applied. TestMakerThatJustStartedIsAlive has the case, failed first, passes; a member that is known to be dead still counts as gone at once.

--- a/internal/server/makers.go
+++ b/internal/server/makers.go
@@ -17,7 +17,8 @@
 // A run of which this node has not heard may have begun a moment ago, here or
 // there. Taken for gone, it would make this node tell callers that the outcome
 // of a booking is unknown while the booking runs, and the callers would not ask
-// again. So such a run counts as alive for as long as hearing of it takes.
+// again. So such a run counts as alive for as long as hearing of it takes, and
+// so does that of a node that joined and is no member here yet.
 func (m *members) Alive(node, incarnation string) bool {
 	view := m.view.Load()
 	run := view.runs[node]
@@ -31,9 +32,11 @@
 		return m.newcomers.mayCome(time.Now(), node, incarnation)
 	}
 
-	since, unheard := view.unheard[node]
+	if since, unheard := view.unheard[node]; unheard {
+		return time.Since(since) < hearingTime
+	}
 
-	return unheard && time.Since(since) < hearingTime
+	return !view.isMember(node) && m.newcomers.mayCome(time.Now(), node, incarnation)
 }
 
 // newcomers are incarnations that were asked for before the node heard of them,
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -41,6 +41,11 @@
 	shards []string
 }
 
+// isMember says whether the node is known, dead or alive.
+func (v *memberView) isMember(node string) bool {
+	return slices.ContainsFunc(v.all, func(m prober.Member) bool { return m.Name == node })
+}
+
 // members knows the nodes of the fleet by probes. It is safe for concurrent use.
 type members struct {
 	prober *prober.Prober
--- a/internal/server/members_test.go
+++ b/internal/server/members_test.go
@@ -83,6 +83,13 @@
 		time.Sleep(hearingTime)
 		assert.Assert(t, !m.Alive("node-2", "third"))
 
+		// A node that just joined runs a booking before this one has heard of it at all.
+		assert.Assert(t, m.Alive("node-9", "first"))
+		time.Sleep(hearingTime)
+		assert.Assert(t, !m.Alive("node-9", "first"))
+		m.put(&memberView{all: []prober.Member{{Name: "node-9", State: prober.Dead}}})
+		assert.Assert(t, !m.Alive("node-9", "second"))
+
 		// A node that is dead has no run that goes on, and none of before does when it is back.
 		m.put(&memberView{})
 		assert.Assert(t, !m.Alive("node-2", "second"))
