Limit organisations by class

Cause: the limiter kept a state for each organisation and class, but no setting reached it (SnapshotFunc returned nothing for a class), so one organisation's bulk work could take its whole limit. NewWhole and its field were reached by tests only.

Now a class or a service level has organisation_requests_per_second, organisation_concurrency and organisation_tokens_per_second. They hold for each organisation by itself, over all nodes, beside its own limits, and are inherited, checked, explained and undone like all fields of a class. Named with the prefix, since classes.chat.concurrency would read as that of the class as a whole; flat and not a mapping, since the explanation of service levels compares whole fields. Refused are numbers with a unit ("write a number without a unit"), values out of range, and tokens in a class of a plain service, which has none. A refusal by class is counted apart (class_rate_limited) and its reason names the class. The limit by class is asked first: what it refuses is no demand on the whole limit.

Ruled out: a limit by class for one organisation alone (organisations.NAME.classes.NAME); nobody asked, and it can be added below.

Removed: NewWhole and division.whole. Tests that used it take a base share of 1 on the only node, which is the same; nothing in them got easier. Refused() counts by reason; Admit returns a Refusal.

--- a/internal/checker/types.go
+++ b/internal/checker/types.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"reflect"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -155,6 +156,10 @@
 		wanted = "text, in quotes if it looks like a number or a truth value"
 	}
 
+	if strings.HasSuffix(wanted, "number") && hasUnit(node) {
+		wanted += " without a unit"
+	}
+
 	if secret {
 		c.add(node, "%s has a value of the wrong kind; write %s", path, wanted)
 		return
@@ -163,6 +168,18 @@
 	c.add(node, "%s is %q; write %s", path, ScalarText(node), wanted)
 }
 
+// hasUnit reports whether something follows a number, as in 5/s.
+func hasUnit(node ast.Node) bool {
+	text := ScalarText(node)
+	if node.Type() != ast.StringType || text == "" || text[0] < '0' || text[0] > '9' {
+		return false
+	}
+
+	_, err := strconv.ParseFloat(text, 64)
+
+	return err != nil
+}
+
 // entries returns the entries of a mapping and reports any other node.
 func (c *typeChecker) entries(node ast.Node, path string) []*ast.MappingValueNode {
 	entries, ok := Mapping(node)
--- a/internal/configurer/faults.go
+++ b/internal/configurer/faults.go
@@ -37,6 +37,11 @@
 			text := fmt.Sprintf("is %s; a plain service has no tokens, so remove it", v.TokenGap)
 			faults = append(faults, Fault{Path: []string{"classes", k, "token_gap"}, Text: text})
 		}
+
+		if v.OrganisationTokensPerSecond > 0 && s.Kind == KindPlain {
+			text := fmt.Sprintf("is %g; a plain service has no tokens, so limit organisation_requests_per_second instead", v.OrganisationTokensPerSecond)
+			faults = append(faults, Fault{Path: []string{"classes", k, "organisation_tokens_per_second"}, Text: text})
+		}
 	}
 
 	faults = append(faults, s.desiredFaults()...)
--- a/internal/configurer/resolver_test.go
+++ b/internal/configurer/resolver_test.go
@@ -48,7 +48,7 @@
 		Name: "assistente", Branch: "sicilia-est/assistente", Kind: configurer.KindEngine, DefaultClass: "chat",
 		Classes: map[string]configurer.Class{
 			"lookup": lookup,
-			"chat":   {Name: "chat", Tier: 4, Target: 20 * time.Second, GapLimit: 10 * time.Second, MaxWait: time.Hour},
+			"chat":   {Name: "chat", Tier: 4, Target: 20 * time.Second, GapLimit: 10 * time.Second, MaxWait: time.Hour, OrganisationRequestsPerSecond: 0.5, OrganisationConcurrency: 4},
 		},
 		Organisations: map[string]configurer.Organisation{"owner": owner},
 		Upstreams: map[string]configurer.Upstream{
--- a/internal/configurer/snapshot.go
+++ b/internal/configurer/snapshot.go
@@ -117,6 +117,12 @@
 	Hedge bool `yaml:"hedge"`
 	// RetryBudget is the share of extra upstream requests that retries may cause, 0 to 0.1.
 	RetryBudget float64 `yaml:"retry_budget" validate:"min=0,max=0.1"`
+	// OrganisationRequestsPerSecond, OrganisationConcurrency and OrganisationTokensPerSecond limit what
+	// each organisation by itself sends in this class, across all nodes and within its own limits; zero
+	// means no limit. Tokens are those generated; a plain service has none.
+	OrganisationRequestsPerSecond float64 `yaml:"organisation_requests_per_second" validate:"min=0,max=1000000000"`
+	OrganisationConcurrency       int     `yaml:"organisation_concurrency" validate:"min=0,max=1000000000"`
+	OrganisationTokensPerSecond   float64 `yaml:"organisation_tokens_per_second" validate:"min=0,max=1000000000"`
 }
 
 // Organisation is a customer of the operators with its own keys, weight and limits.
--- a/internal/limiter/cluster_test.go
+++ b/internal/limiter/cluster_test.go
@@ -176,7 +176,7 @@
 		})
 
 		for range arrivals(name) {
-			if ok, _, _ := n.limiter.Admit(c.now, testKey.Service, testKey.Organisation, "chat"); ok {
+			if _, ok := n.limiter.Admit(c.now, testKey.Service, testKey.Organisation, "chat"); ok {
 				n.admitted++
 				n.running = append(n.running, c.now.Add(length()))
 			}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -21,8 +21,8 @@
 	view    view
 	owners  *chooser.Chooser
 	entries map[Key]*entry
-	// refused counts refusals by result code.
-	refused map[classifier.Code]int64
+	// refused counts refusals by reason.
+	refused map[string]int64
 }
 
 // New returns a limiter without any share until SetNodes names the live nodes.
@@ -38,18 +38,10 @@
 		view:        view{options: options},
 		owners:      chooser.New([]string{self}),
 		entries:     make(map[Key]*entry),
-		refused:     make(map[classifier.Code]int64),
+		refused:     make(map[string]int64),
 	}
 }
 
-// NewWhole returns a limiter that has every limit whole, for where one node decides alone.
-func NewWhole(options Options, source Source) *Limiter {
-	l := New(options, source, "", 0)
-	l.view.current.whole = true
-
-	return l
-}
-
 // SetNodes tells which nodes answer, this one included, and how many are known
 // to exist. The part of known nodes that don't answer is left to them.
 func (l *Limiter) SetNodes(now time.Time, live []string, known int) {
@@ -72,33 +64,35 @@
 }
 
 // Admit takes one request in, or says why not and when to come back. Every
-// admitted request needs one call of Done.
-func (l *Limiter) Admit(now time.Time, service, organisation, class string) (ok bool, code classifier.Code, retryAfter time.Duration) {
+// admitted request needs one call of Done. What the limit by class refuses is no
+// demand on the organisation's whole limit, so the limit by class is asked first.
+func (l *Limiter) Admit(now time.Time, service, organisation, class string) (Refusal, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	whole := l.find(now, Key{Service: service, Organisation: organisation})
 	byClass := l.find(now, Key{Service: service, Organisation: organisation, Class: class})
+	whole := l.find(now, Key{Service: service, Organisation: organisation})
 
-	for _, e := range [...]*entry{whole, byClass} {
+	for _, e := range [...]*entry{byClass, whole} {
 		if e == nil {
 			continue
 		}
 
-		if code, retryAfter = e.check(now, l.options); code != classifier.OK {
-			l.refused[code]++
+		if code, retryAfter := e.check(now, l.options); code != classifier.OK {
+			refusal := Refusal{Code: code, ByClass: e == byClass, RetryAfter: retryAfter}
+			l.refused[refusal.Reason()]++
 
-			return false, code, retryAfter
+			return refusal, false
 		}
 	}
 
-	for _, e := range [...]*entry{whole, byClass} {
+	for _, e := range [...]*entry{byClass, whole} {
 		if e != nil {
 			e.take(now)
 		}
 	}
 
-	return true, classifier.OK, 0
+	return Refusal{}, true
 }
 
 // Done ends an admitted request that generated the given number of tokens. They
@@ -116,8 +110,8 @@
 	}
 }
 
-// Refused returns the number of refusals by code since the start.
-func (l *Limiter) Refused() map[classifier.Code]int64 {
+// Refused returns the number of refusals by reason since the start.
+func (l *Limiter) Refused() map[string]int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -174,7 +168,7 @@
 			continue
 		}
 
-		if l.view.current.whole || !e.due(now, l.options, &l.view) {
+		if !e.due(now, l.options, &l.view) {
 			continue
 		}
 
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -9,6 +9,14 @@
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
+// newAlone returns a limiter of the only node, whose base share is the whole limit.
+func newAlone(source Source) *Limiter {
+	l := New(Options{BaseShare: 1}, source, "a", 1)
+	l.SetNodes(start, []string{"a"}, 1)
+
+	return l
+}
+
 func TestCodesAndRetryAfter(t *testing.T) {
 	tests := map[string]struct {
 		limits Amounts
@@ -21,14 +29,14 @@
 
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			l := NewWhole(Options{}, fixedLimits(tt.limits))
+			l := newAlone(fixedLimits(tt.limits))
 
-			admit := func(now time.Time) (bool, classifier.Code, time.Duration) {
+			admit := func(now time.Time) (Refusal, bool) {
 				return l.Admit(now, testKey.Service, testKey.Organisation, "chat")
 			}
 
 			for range 2 {
-				ok, _, _ := admit(start)
+				_, ok := admit(start)
 				assert.Assert(t, ok)
 			}
 
@@ -36,14 +44,14 @@
 				l.Done(start, testKey.Service, testKey.Organisation, "chat", 60)
 			}
 
-			ok, code, wait := admit(start)
+			refusal, ok := admit(start)
 			assert.Assert(t, !ok)
-			assert.Equal(t, code, tt.code)
-			assert.Equal(t, l.Refused()[tt.code], int64(1))
+			assert.Equal(t, refusal.Code, tt.code)
+			assert.Equal(t, l.Refused()[tt.code.String()], int64(1))
 
 			l.Done(start, testKey.Service, testKey.Organisation, "chat", 0)
 
-			ok, _, _ = admit(start.Add(wait))
+			_, ok = admit(start.Add(refusal.RetryAfter))
 			assert.Assert(t, ok, "a caller who obeys Retry-After gets in")
 		})
 	}
@@ -53,7 +61,7 @@
 // Sequence: 40 callers of an organisation with 2 requests a second come at once.
 // Cause: all are told the same time.
 func TestCrowdGetsInByRetryAfter(t *testing.T) {
-	l := NewWhole(Options{}, fixedLimits(Amounts{Requests: 2}))
+	l := newAlone(fixedLimits(Amounts{Requests: 2}))
 	waiting := make(map[int]time.Time)
 
 	for i := range 40 {
@@ -69,7 +77,7 @@
 				continue
 			}
 
-			admitted, _, wait := l.Admit(now, testKey.Service, testKey.Organisation, "chat")
+			refusal, admitted := l.Admit(now, testKey.Service, testKey.Organisation, "chat")
 			if admitted {
 				delete(waiting, i)
 
@@ -77,7 +85,7 @@
 			}
 
 			refusals++
-			waiting[i] = now.Add(wait)
+			waiting[i] = now.Add(refusal.RetryAfter)
 		}
 	}
 
@@ -87,7 +95,7 @@
 }
 
 func TestMemoryIsBounded(t *testing.T) {
-	l := NewWhole(Options{}, fixedLimits(Amounts{Requests: 2, Tokens: 10}))
+	l := newAlone(fixedLimits(Amounts{Requests: 2, Tokens: 10}))
 
 	l.Admit(start, testKey.Service, testKey.Organisation, "chat")
 	l.Done(start, testKey.Service, testKey.Organisation, "chat", 1000)
@@ -110,7 +118,7 @@
 }
 
 func BenchmarkAdmit(b *testing.B) {
-	l := NewWhole(Options{}, fixedLimits(Amounts{Requests: 1e9, Concurrency: 1e9, Tokens: 1e9}))
+	l := newAlone(fixedLimits(Amounts{Requests: 1e9, Concurrency: 1e9, Tokens: 1e9}))
 	now := start
 	b.ReportAllocs()
 
--- a/internal/limiter/shares_test.go
+++ b/internal/limiter/shares_test.go
@@ -328,7 +328,7 @@
 	l.SetNodes(start, []string{"a", "b"}, 2)
 
 	now := start.Add(10 * time.Second)
-	ok, _, _ := l.Admit(now, testKey.Service, testKey.Organisation, "chat")
+	_, ok := l.Admit(now, testKey.Service, testKey.Organisation, "chat")
 	assert.Assert(t, ok, "a first request needs no lease")
 	l.Done(now, testKey.Service, testKey.Organisation, "chat", 0)
 
--- a/internal/limiter/types.go
+++ b/internal/limiter/types.go
@@ -1,7 +1,6 @@
 // Package limiter holds organisations to their limits on requests, concurrency
-// and tokens across all nodes, without a message for each request. Where one
-// node decides alone (the holder of a pool) it has the whole limit; elsewhere
-// every node has a share, of which the larger part is lent by the limit's owner.
+// and tokens across all nodes, without a message for each request. Every node
+// has a share, of which the larger part is lent by the limit's owner.
 package limiter
 
 import (
@@ -9,6 +8,7 @@
 	"time"
 
 	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/pkg/classifier"
 )
 
 // Key names what a limit applies to.
@@ -83,13 +83,21 @@
 // SnapshotFunc returns the settings in force and takes the limits of organisations from them.
 type SnapshotFunc func() configurer.Snapshot
 
-// Limits implements Source. The settings have no limits by class yet.
+// Limits implements Source. Limits by class are the same for each organisation.
 func (f SnapshotFunc) Limits(key Key) Amounts {
+	service := f().Services[key.Service]
+
 	if key.Class != "" {
-		return Amounts{}
+		class := service.Classes[key.Class]
+
+		return Amounts{
+			Requests:    class.OrganisationRequestsPerSecond,
+			Concurrency: float64(class.OrganisationConcurrency),
+			Tokens:      class.OrganisationTokensPerSecond,
+		}
 	}
 
-	organisation := f().Services[key.Service].Organisations[key.Organisation]
+	organisation := service.Organisations[key.Organisation]
 
 	return Amounts{
 		Requests:    organisation.RequestsPerSecond,
@@ -98,6 +106,24 @@
 	}
 }
 
+// Refusal says why a request may not be sent now.
+type Refusal struct {
+	Code classifier.Code
+	// ByClass says that it is the organisation's limit in the request's class that is reached.
+	ByClass bool
+	// RetryAfter is when to come back.
+	RetryAfter time.Duration
+}
+
+// Reason is the name under which the refusal is counted.
+func (r Refusal) Reason() string {
+	if r.ByClass {
+		return "class_" + r.Code.String()
+	}
+
+	return r.Code.String()
+}
+
 // Options must be the same on all nodes. Zero fields take their defaults.
 type Options struct {
 	// BaseShare is the part of a limit that all nodes split evenly without any message, 0 to 1; default 0.1.
--- a/internal/limiter/view.go
+++ b/internal/limiter/view.go
@@ -11,8 +11,6 @@
 	// reach is the part of the known nodes that answer, 0 to 1. The others may be
 	// alive on the other side of a cut, so their part is left to them.
 	reach float64
-	// whole marks the one node that decides alone.
-	whole bool
 }
 
 func newDivision(options Options, live, known int) division {
@@ -26,10 +24,6 @@
 // base is what each node has without asking. One request at once is in it where
 // the limit allows, so that a node's first request needn't wait for a lease.
 func (d division) base(limits Amounts) Amounts {
-	if d.whole {
-		return limits
-	}
-
 	if d.live == 0 {
 		return Amounts{}
 	}
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -58,6 +58,7 @@
 			Name: "interactive", Tier: 1, Target: 300 * time.Millisecond, TokenGap: 50 * time.Millisecond,
 			GapLimit: 2 * time.Second, GuaranteedShare: 0.4, MaxWait: 5 * time.Second,
 			Repeatable: true, Hedge: true, RetryBudget: 0.1,
+			OrganisationRequestsPerSecond: 5, OrganisationConcurrency: 8, OrganisationTokensPerSecond: 250.5,
 		}},
 		Organisations: map[string]configurer.Organisation{"comune": {
 			Name: "comune", KeyHashes: []string{strings.Repeat("0", 61) + "def"}, Weight: 2,
--- a/internal/server/limits.go
+++ b/internal/server/limits.go
@@ -37,28 +37,22 @@
 
 // admit returns nil, or why the organisation may not send the request now.
 func (l *limits) admit(request dispatcher.Request) *classifier.Error {
-	ok, code, wait := l.local.Admit(time.Now(), request.Service.Name, request.Organisation.Name, request.Class.Name)
+	refusal, ok := l.local.Admit(time.Now(), request.Service.Name, request.Organisation.Name, request.Class.Name)
 	if ok {
 		return nil
 	}
 
-	return classifier.New(code, "organisation %q has reached its limit", request.Organisation.Name).After(wait)
+	if refusal.ByClass {
+		return classifier.New(refusal.Code, "organisation %q has reached its limit of class %q", request.Organisation.Name, request.Class.Name).After(refusal.RetryAfter)
+	}
+
+	return classifier.New(refusal.Code, "organisation %q has reached its limit", request.Organisation.Name).After(refusal.RetryAfter)
 }
 
 func (l *limits) done(request dispatcher.Request, tokens int) {
 	l.local.Done(time.Now(), request.Service.Name, request.Organisation.Name, request.Class.Name, tokens)
 }
 
-// refused counts refusals by the name of their result code.
-func (l *limits) refused() map[string]int64 {
-	counts := make(map[string]int64)
-	for code, count := range l.local.Refused() {
-		counts[code.String()] = count
-	}
-
-	return counts
-}
-
 // exchangeLimits reports demands to the owners of limits until ctx ends.
 func (n *Node) exchangeLimits(ctx context.Context) {
 	ticker := time.NewTicker(limitInterval)
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -62,7 +62,7 @@
 func (n *Node) parts() map[string]meter.Part {
 	parts := map[string]meter.Part{
 		"ejections":  func() any { return n.ejector.Counts() },
-		"limits":     func() any { return n.limits.refused() },
+		"limits":     func() any { return n.limits.local.Refused() },
 		"membership": func() any { return n.members.prober.Counters() },
 		"messages":   func() any { return n.messages.Traffic() },
 		"retries":    func() any { return n.retrier.Counts() },
--- a/internal/server/refusal_test.go
+++ b/internal/server/refusal_test.go
@@ -56,8 +56,8 @@
 	golden.Assert(t, table.String(), "refusals.golden")
 }
 
-// refusedWith sends the request and returns status, code and whether it ran.
-func refusedWith(t *testing.T, base string, v refusal) string {
+// answerTo sends the request; the body is closed with the test.
+func answerTo(t *testing.T, base string, v refusal) *http.Response {
 	t.Helper()
 
 	request, err := http.NewRequestWithContext(t.Context(), v.method, base+v.path, strings.NewReader(v.body))
@@ -73,8 +73,16 @@
 
 	response, err := http.DefaultClient.Do(request)
 	assert.NilError(t, err)
+	t.Cleanup(func() { _ = response.Body.Close() })
+
+	return response
+}
+
+// refusedWith sends the request and returns status, code and whether it ran.
+func refusedWith(t *testing.T, base string, v refusal) string {
+	t.Helper()
 
-	defer response.Body.Close()
+	response := answerTo(t, base, v)
 
 	var answer errorAnswer
 
--- a/internal/server/request_test.go
+++ b/internal/server/request_test.go
@@ -26,7 +26,8 @@
 )
 
 // newTestNode returns a node before one engine that takes no time, and its address.
-func newTestNode(tb testing.TB) (*Node, string) {
+// Each change is made to the settings first.
+func newTestNode(tb testing.TB, changes ...func(*loader.Settings)) (*Node, string) {
 	tb.Helper()
 
 	engine := httptest.NewServer(generator.New(generator.Options{Name: "engine-1", Slots: 64}).Handler())
@@ -45,6 +46,10 @@
 		Upstreams:     map[string]configurer.Upstream{"engine-1": {Address: engine.URL, FailureDomain: "catania-sala", Slots: 64}},
 	}}
 
+	for _, change := range changes {
+		change(&settings)
+	}
+
 	node, err := newNode(settings, zerolog.Nop())
 	assert.NilError(tb, err)
 
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -27,6 +27,8 @@
 	nodeLines string
 	// organisation holds further fields of the only organisation, such as "concurrency: 6".
 	organisation string
+	// lookupClass holds further fields of the plain service's class lookup, each with ", " before it.
+	lookupClass string
 	// serviceFlags replace the plain service's flags for its slots and work.
 	serviceFlags []string
 	// emptyTree leaves the services out of the settings files: they come by the platform's tree alone.
@@ -197,7 +199,7 @@
 	text := `kind: plain
 default_class: lookup
 classes:
-  lookup: {tier: 1, target: 300ms, gap_limit: 1s, max_wait: 10s, repeatable: true, retry_budget: 0.1}
+  lookup: {tier: 1, target: 300ms, gap_limit: 1s, max_wait: 10s, repeatable: true, retry_budget: 0.1` + f.shape.lookupClass + `}
   booking: {tier: 1, target: 1s, gap_limit: 1s, max_wait: 10s, repeatable: false}
 ` + f.organisations() + "upstreams:\n" + f.upstream("banco-1", f.service, 8)
 
--- a/test/process/limits_test.go
+++ b/test/process/limits_test.go
@@ -25,15 +25,27 @@
 }
 
 // Symptom: one organisation crowds out all others although its concurrency is limited.
-// Events: an organisation sends through three nodes at once far more than it may.
+// Events: an organisation sends through three nodes at once far more than it may, as a whole or in one class.
 // Cause: a node knows only its own requests; three nodes that each grant the whole limit grant three times as much.
 func TestConcurrencyLimitHoldsAcrossNodes(t *testing.T) {
 	t.Parallel()
 
-	f := newFleetOf(t, 3, shape{
-		organisation: "concurrency: 6",
-		serviceFlags: []string{"--slots", "64", "--work", serviceWork.String()},
-	})
+	shapes := map[string]shape{
+		"organisation": {organisation: "concurrency: 6"},
+		"class":        {lookupClass: ", organisation_concurrency: 6"},
+	}
+
+	for name, v := range shapes {
+		t.Run(name, func(t *testing.T) { holdConcurrency(t, v) })
+	}
+}
+
+// holdConcurrency sends to three nodes for some seconds and counts what ran at once.
+func holdConcurrency(t *testing.T, v shape) {
+	t.Helper()
+
+	v.serviceFlags = []string{"--slots", "64", "--work", serviceWork.String()}
+	f := newFleetOf(t, 3, v)
 
 	// A node that just began lends and borrows nothing until what may be lent elsewhere has ended.
 	waitFor(t, "loans", func() bool { return f.lookUpAt(t, 0) == "ok" && f.lookUpAt(t, 1) == "ok" && f.lookUpAt(t, 2) == "ok" })
