Hold concurrency through cuts and freezes; report limits on change

Two matters in one change, since the second needs the first's rules.

Cause of 7 for 6 (TestConcurrencyHoldsThroughCuts, which failed first on six of its faults): a node that its owner left without an answer took an even part of the limit, while the owner, alive behind the cut, lent the whole pool to itself; requests ran on after the lease that they were admitted under, and nobody counted them; an owner that was frozen went on with its old books; a new owner let nodes take even parts while others held its predecessor's leases.

Now concurrency has no even part. The owner counts a silent node's concurrency until its lease has ended (LeaseFor from the answer; the node counts from before its report) and RunFor longer. A new owner, and one whose view of the nodes changed, lends nothing on top until all known nodes have reported what they hold to it (it asks them, limit.ask) or lapse() has passed. What a node says it holds counts, whoever lent it. An owner that did not run for Settle begins anew. Rates and tokens keep the even part while an owner is silent.

Reports: no longer one a second for each limit in use, but when a node holds nothing and wants some, wants more than it holds and told, or is asked; else a renewal after 20 s. An owner asks nodes that hold more than their part when another lacks it. Limits of one organisation in one service have one owner, so that they go in one message; amounts are lists.

Ruled out: an even part that the owner keeps free (it would have to hear from each idle node), and leaving out what is held while the owner knows it (one that restarted does not).

--- /dev/null
+++ b/internal/limiter/cuts_test.go
@@ -0,0 +1,196 @@
+package limiter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"quincepath.example/quincepath/internal/chooser"
+)
+
+// Symptom: an organisation runs more requests at once than its limit (7 for 6 in a process test).
+// Sequence: messages between the owner of the limit and the other nodes are lost, while
+// probes still pass, or all nodes of a side are cut off and learn of it at different times.
+// Cause: the owner lends the whole pool to itself, and the nodes that it doesn't hear take an
+// even part of the same limit; what runs on from a lapsed lease is counted by nobody.
+func TestConcurrencyHoldsThroughCuts(t *testing.T) {
+	faults := map[string]func(c *cluster){
+		"messages lost, probes pass":   func(c *cluster) { c.cut[c.ownerName()] = true },
+		"the owner alone on its side":  func(c *cluster) { c.split(func(name string) bool { return name == c.ownerName() }) },
+		"the network falls in two":     func(c *cluster) { c.split(func(name string) bool { return name < "n01" }) },
+		"the owner is frozen":          func(c *cluster) { c.freeze(c.ownerName(), 20*time.Second) },
+		"the owner is frozen for long": func(c *cluster) { c.freeze(c.ownerName(), 2*time.Minute) },
+		"a borrower is frozen":         func(c *cluster) { c.freeze(c.other(), 20*time.Second) },
+		"owner crashes, messages of a borrower are lost": func(c *cluster) {
+			c.cut[c.other()] = true
+			c.crash(c.ownerName())
+		},
+		"the owner is frozen, then its messages are lost": func(c *cluster) {
+			c.cut[c.ownerName()] = true
+			c.freeze(c.ownerName(), 50*time.Second)
+		},
+		"owner crashes, borrower freezes": func(c *cluster) {
+			c.freeze(c.other(), 30*time.Second)
+			c.crash(c.ownerName())
+		},
+	}
+
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(9) {
+				c := newCluster(seed, Amounts{Concurrency: 6}, 3)
+				c.known = 3
+				c.delay = 20 * time.Millisecond
+				c.only = [...]string{"", c.other(), c.ownerName()}[seed%3]
+				c.hold(t, 15*time.Second)
+				c.only = ""
+				fault(c)
+				c.hold(t, 3*time.Minute)
+				c.heal()
+				c.hold(t, time.Minute)
+			}
+		})
+	}
+}
+
+// TestConcurrencyHoldsThroughAnything mixes the faults above at random.
+func TestConcurrencyHoldsThroughAnything(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		size := rapid.IntRange(2, 7).Draw(rt, "nodes")
+		c := newCluster(rapid.Uint64().Draw(rt, "seed"), Amounts{Concurrency: float64(rapid.IntRange(1, 20).Draw(rt, "limit"))}, size)
+		c.known = size
+		c.delay = time.Duration(rapid.IntRange(0, 1000).Draw(rt, "delay_ms")) * time.Millisecond
+		c.loss = rapid.SampledFrom([]float64{0, 0.2}).Draw(rt, "loss")
+
+		for range rapid.IntRange(1, 6).Draw(rt, "phases") {
+			name := fmt.Sprintf("n%02d", rapid.IntRange(0, size-1).Draw(rt, "node"))
+
+			c.only = rapid.SampledFrom([]string{"", "", "n00", "n01"}).Draw(rt, "only")
+
+			switch rapid.IntRange(0, 5).Draw(rt, "fault") {
+			case 0:
+				c.cut[name] = true
+			case 1:
+				c.split(func(other string) bool { return other <= name })
+			case 2:
+				c.freeze(name, time.Duration(rapid.IntRange(1, 200).Draw(rt, "seconds"))*time.Second)
+			case 3:
+				c.crash(name)
+			case 4:
+				c.restart(name)
+			default:
+				c.heal()
+			}
+
+			c.hold(rt, time.Duration(rapid.IntRange(1, 150).Draw(rt, "seconds"))*time.Second)
+		}
+	})
+}
+
+// longestAnswer bounds the requests of the tests above; it is what Options.RunFor allows for.
+const longestAnswer = 25 * time.Second
+
+// hold lets all nodes send more than the limit for a time and checks what runs at once.
+func (c *cluster) hold(t assert.TestingT, length time.Duration) {
+	most := int(c.limits.Concurrency)
+
+	for end := c.now.Add(length); c.now.Before(end); {
+		c.step(c.arrivals, func() time.Duration {
+			return time.Duration(c.random.Int64N(int64(longestAnswer)))
+		}, 0)
+
+		assert.Assert(t, c.running() <= most, "%d of %d run at %s", c.running(), most, c.now.Sub(start))
+	}
+}
+
+func (c *cluster) arrivals(name string) int {
+	if c.only != "" && c.only != name {
+		return 0
+	}
+
+	return c.random.IntN(2)
+}
+
+// learn lets each node see those that it reaches, each at its own time within what detection takes.
+func (c *cluster) learn() {
+	for _, name := range c.names() {
+		c.after(time.Duration(c.random.Int64N(int64(detection))), func() { c.look(name) })
+	}
+}
+
+// detection is how long nodes take at most to learn who answers.
+const detection = 8 * time.Second
+
+// look renews a node's view; a frozen one does so some time after it goes on.
+func (c *cluster) look(name string) {
+	n := c.nodes[name]
+	if n == nil {
+		return
+	}
+
+	if wait := n.frozen.Sub(c.now); wait > 0 {
+		c.after(wait+time.Duration(c.random.Int64N(int64(detection))), func() { c.look(name) })
+
+		return
+	}
+
+	var live []string
+
+	for _, other := range c.names() {
+		if c.sides[other] == c.sides[name] && !c.now.Before(c.nodes[other].frozen) {
+			live = append(live, other)
+		}
+	}
+
+	c.view(name, live)
+}
+
+func (c *cluster) split(first func(name string) bool) {
+	c.sides = make(map[string]int)
+
+	for _, name := range c.names() {
+		if first(name) {
+			c.sides[name] = 1
+		}
+	}
+
+	c.learn()
+}
+
+func (c *cluster) heal() {
+	c.cut = make(map[string]bool)
+	c.split(func(string) bool { return false })
+}
+
+func (c *cluster) freeze(name string, length time.Duration) {
+	if n := c.nodes[name]; n != nil {
+		n.frozen = c.now.Add(length)
+		c.learn()
+		c.after(length, c.learn)
+	}
+}
+
+func (c *cluster) crash(name string) {
+	if len(c.nodes) > 1 {
+		delete(c.nodes, name)
+		c.learn()
+	}
+}
+
+// restart replaces a node under its name; it sees at first what the others saw last.
+func (c *cluster) restart(name string) {
+	c.add(name)
+	c.look(name)
+	c.learn()
+}
+
+// other is the last node that would own the limit.
+func (c *cluster) other() string {
+	names := c.names()
+	chosen := chooser.New(names).Several(testKey.text(), len(names))
+
+	return chosen[len(chosen)-1]
+}
--- a/internal/limiter/entry.go
+++ b/internal/limiter/entry.go
@@ -9,25 +9,16 @@
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
-const (
-	// roundsPerPeriod is how often in a period reports are sent by Exchange; a node
-	// that refuses without a lease reports in the next round.
-	roundsPerPeriod = 4
-	// wantFactor leaves room for demand to grow between two reports.
-	wantFactor = 1.5
-	// wantFade is how much of the last demand still counts when the new one is lower.
-	wantFade = 0.7
-	// silentUse is the part of the base share that a node uses without reporting.
-	silentUse = 0.5
-	// graceAnswers is for how many periods an answer of a new owner allows an even part.
-	graceAnswers = 2
-)
+// silentAfter is how long an owner may leave reports unanswered before a node
+// without a lease goes on with an even part of rates and tokens.
+const silentAfter = 5 * time.Second
 
 // entry is the state of one limit on one node.
 type entry struct {
 	limits Amounts
 	owner  string
-	// allowed is the share in force: base plus lease, or an even part while the owner is silent.
+	// allowed is the share in force: base plus lease, or an even part of rates and
+	// tokens while the owner is silent.
 	allowed Amounts
 
 	requests *rate.Limiter
@@ -42,14 +33,19 @@
 
 	lent      Amounts
 	leaseEnds time.Time
-	// graceEnds is until when an even part is allowed since the owner is new.
-	graceEnds time.Time
 	number    uint64
 	received  uint64
 	// measuredAt is when the demand was last measured.
 	measuredAt time.Time
 	// sentAt is when the report with the last number was sent; a lease runs from then.
 	sentAt time.Time
+	// renewedAt is when the last report was sent that the owner answered.
+	renewedAt time.Time
+	// sent is what the last report says; told what the last answered one said, as
+	// long as the owner still goes by it.
+	sent, told told
+	// asked says that the owner must hear of the limit although nothing changed here.
+	asked bool
 	// silentSince is the time of the first report without an answer; zero when none waits.
 	silentSince time.Time
 
@@ -57,9 +53,13 @@
 	attempts, peak, blocked int
 	used                    float64
 	tokensRefused, refused  bool
+	// hadToRefuse says that the period before ended with a refusal in it.
+	hadToRefuse bool
 
-	wants    Amounts
-	lastUsed time.Time
+	// rate and tokenRate are averages, in requests and tokens a second.
+	rate, tokenRate float64
+	wants           Amounts
+	lastUsed        time.Time
 }
 
 func newEntry(now time.Time, limits Amounts, view *view) *entry {
@@ -86,24 +86,33 @@
 func (e *entry) refresh(now time.Time, options Options, view *view) {
 	even := view.even(now, e.limits)
 
-	if e.lent != (Amounts{}) && !now.Before(e.leaseEnds) {
+	if e.holds() && !now.Before(e.leaseEnds) {
 		e.lent = Amounts{}
+		e.told = told{}
 		e.allow(e.leaseEnds, view.base(e.leaseEnds, e.limits), even)
 	}
 
 	share := view.base(now, e.limits).plus(e.lent)
 
-	if e.ownerSilent(now, options) || now.Before(e.graceEnds) {
+	if e.ownerSilent(now, options) {
+		even.Concurrency = 0
 		share = share.atLeast(even)
 	}
 
 	e.allow(now, share.atMost(e.limits), even)
 }
 
+// holds says whether the owner may go by an earlier report.
+func (e *entry) holds() bool {
+	return e.lent != (Amounts{}) || e.told != (told{})
+}
+
 // ownerSilent says whether the owner has not answered for so long that the node
-// goes on with an even part of the limit. It keeps the lease to its end first.
+// goes on with an even part of rates and tokens. It keeps the lease to its end
+// first. Concurrency has no even part: the owner may be alive behind a cut and
+// lend it whole, so that more than the limit would run at once.
 func (e *entry) ownerSilent(now time.Time, options Options) bool {
-	return e.lent == (Amounts{}) && !e.silentSince.IsZero() && now.Sub(e.silentSince) >= options.LeaseFor
+	return e.lent == (Amounts{}) && !e.silentSince.IsZero() && now.Sub(e.silentSince) >= silentAfter
 }
 
 func (e *entry) allow(at time.Time, share, even Amounts) {
@@ -212,7 +221,7 @@
 
 // forgettable says whether a new entry would be no more generous than this one.
 func (e *entry) forgettable(now time.Time, options Options) bool {
-	if e.inFlight > 0 || now.Sub(e.lastUsed) < options.Forget {
+	if e.inFlight > 0 || e.asked || e.holds() || now.Sub(e.lastUsed) < options.Forget {
 		return false
 	}
 
@@ -221,91 +230,3 @@
 
 	return paid && full
 }
-
-// due measures the demand once its time has come and says whether the owner
-// must hear of it. While a lease or more than the base share is in use, each
-// period has a report: the owner counts what runs from the reports alone.
-func (e *entry) due(now time.Time, options Options, view *view) bool {
-	passed := now.Sub(e.measuredAt)
-	// A report before the answer to the last one would make that answer stale.
-	urgent := e.refused && e.silentSince.IsZero() && e.lent == (Amounts{})
-
-	if passed < options.Period/roundsPerPeriod || (passed < options.Period && !urgent) {
-		return false
-	}
-
-	e.measure(now, options)
-
-	base := view.base(now, e.limits)
-	beyond := e.wants.minus(base.times(silentUse)) != (Amounts{})
-	running := e.limits.Concurrency > 0 && float64(e.inFlight) > base.Concurrency
-
-	if beyond || running || e.lent != (Amounts{}) {
-		return true
-	}
-
-	e.silentSince = time.Time{}
-
-	return false
-}
-
-func (e *entry) measure(now time.Time, options Options) {
-	seconds := now.Sub(e.measuredAt).Seconds()
-	measured := Amounts{
-		Requests:    float64(e.attempts) / seconds,
-		Concurrency: float64(e.peak + e.blocked),
-		Tokens:      e.used / seconds,
-	}
-
-	if e.tokensRefused {
-		measured.Tokens = e.limits.Tokens
-	}
-
-	e.wants = measured.atLeast(e.wants.times(wantFade)).atMost(e.limits)
-
-	if e.inFlight == 0 && now.Sub(e.lastUsed) >= options.LeaseFor {
-		e.wants = Amounts{}
-	}
-
-	e.measuredAt = now
-	e.attempts, e.blocked, e.used = 0, 0, 0
-	e.peak = e.inFlight
-	e.tokensRefused, e.refused = false, false
-}
-
-func (e *entry) report(now time.Time, key Key, incarnation uint64, view *view) Demand {
-	e.number++
-	e.sentAt = now
-
-	if e.silentSince.IsZero() {
-		e.silentSince = now
-	}
-
-	base := view.base(now, e.limits)
-	wants := e.wants.times(wantFactor)
-	wants.Concurrency = math.Ceil(wants.Concurrency)
-
-	return Demand{
-		Key:         key,
-		Incarnation: incarnation,
-		Number:      e.number,
-		Received:    e.received,
-		Wants:       wants.minus(base).brief(),
-		Held:        e.lent,
-		InFlight:    max(e.inFlight-int(base.Concurrency), 0),
-	}
-}
-
-// apply takes the answer to the last report.
-func (e *entry) apply(share Share, options Options) {
-	e.received = share.Number
-	e.silentSince = time.Time{}
-	e.lent = share.Lent
-	e.graceEnds = time.Time{}
-
-	if share.Grace {
-		e.graceEnds = e.sentAt.Add(graceAnswers * options.Period)
-	}
-
-	e.leaseEnds = e.sentAt.Add(options.LeaseFor)
-}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -17,9 +17,14 @@
 	self        string
 	incarnation uint64
 
-	mu      sync.Mutex
-	view    view
-	owners  *chooser.Chooser
+	mu     sync.Mutex
+	known  int
+	view   view
+	owners *chooser.Chooser
+	// number is that of the last report. One series for all limits: a limit that was
+	// forgotten and is used again would else begin anew, and its owner take the
+	// reports for late ones.
+	number  uint64
 	entries map[Key]*entry
 	// refused counts refusals by reason.
 	refused map[string]int64
@@ -50,6 +55,7 @@
 
 	division := newDivision(l.options, len(live), known)
 	owners := l.owners.Among(live)
+	l.known = known
 
 	if owners == l.owners && division == l.view.current {
 		return
@@ -59,7 +65,26 @@
 	l.view.set(now, division)
 
 	for key, e := range l.entries {
-		e.owner = l.owners.Choose(key.text())
+		owner := l.owners.Choose(key.text())
+		if owner == e.owner {
+			continue
+		}
+
+		// The new owner must hear at once of what its predecessor lent.
+		e.asked = e.holds() || e.inFlight > 0
+		e.owner = owner
+	}
+}
+
+// Ask makes the next reports hold the keys, whatever they are used for here.
+func (l *Limiter) Ask(now time.Time, keys []Key) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	for _, key := range keys {
+		if e := l.find(now, key); e != nil {
+			e.asked = true
+		}
 	}
 }
 
@@ -145,7 +170,12 @@
 		l.entries[key] = e
 	}
 
-	e.limits = limits
+	// Leases by other settings are out of date; the owner must not lend by them for long.
+	if e.limits != limits {
+		e.limits = limits
+		e.asked = e.asked || e.holds()
+	}
+
 	e.refresh(now, l.options, &l.view)
 
 	return e
@@ -176,7 +206,11 @@
 			reports = make(map[string][]Demand)
 		}
 
-		reports[e.owner] = append(reports[e.owner], e.report(now, key, l.incarnation, &l.view))
+		l.number++
+		demand := e.report(now, key, l.number, &l.view)
+		demand.Incarnation = l.incarnation
+		demand.Known = l.known
+		reports[e.owner] = append(reports[e.owner], demand)
 	}
 
 	return reports
@@ -194,7 +228,7 @@
 		}
 
 		e.refresh(now, l.options, &l.view)
-		e.apply(share, l.options)
+		e.apply(share, l.options, l.view.even(now, e.limits))
 		e.refresh(now, l.options, &l.view)
 	}
 }
--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -1,8 +1,6 @@
 package limiter
 
 import (
-	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -11,22 +9,34 @@
 
 // Owner lends out the limits that this node owns. It is safe for concurrent use.
 //
-// What is lent, plus the base shares of all nodes, never exceeds a limit: a
-// smaller lease counts at its old size until the node says that it knows, or the
-// old lease ends; a node counts its lease from before its report, the owner from
-// its answer, so no clocks are compared. A new owner lends no more than nodes
-// say they hold until its predecessor's leases have ended.
+// What is lent, plus the base shares of all nodes, never exceeds a limit:
+//   - A smaller lease counts at its old size until the node says that it knows, or
+//     the old lease ends. A node counts its lease from before its report, the
+//     owner from its answer, so the owner's ends later and no clocks are compared.
+//   - The concurrency of a silent node counts for Options.RunFor longer, since
+//     requests run on.
+//   - A new owner lends no more than nodes say they hold, and one whose view of the
+//     nodes changed no more than by the smallest lately, until all known nodes
+//     have reported or nothing can be left of what others lent.
+//   - An owner that was frozen begins anew, after a time in which it learns whether
+//     it still is the owner: others may have lent meanwhile what it counts as free.
 type Owner struct {
 	options Options
 	source  Source
 	self    string
 
-	mu      sync.Mutex
-	known   int
-	view    view
-	owners  *chooser.Chooser
+	mu     sync.Mutex
+	known  int
+	live   []string
+	view   view
+	owners *chooser.Chooser
+	// epoch counts the views of the nodes, changed is when the last came.
+	epoch   uint64
 	changed time.Time
-	leases  map[Key]*leaseSet
+	// seen is when the owner last ran; quietUntil is until when it answers nobody.
+	seen       time.Time
+	quietUntil time.Time
+	leases     map[Key]*leaseSet
 }
 
 // NewOwner returns an owner that lends nothing new until its predecessor's leases have ended.
@@ -40,6 +50,7 @@
 		view:    view{options: options},
 		owners:  chooser.New(nil),
 		changed: now,
+		seen:    now,
 		leases:  make(map[Key]*leaseSet),
 	}
 }
@@ -50,6 +61,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 
+	o.noticeFreeze(now)
+
 	owners := o.owners.Among(live)
 
 	if owners == o.owners && o.known == known {
@@ -57,8 +70,10 @@
 	}
 
 	o.owners = owners
+	o.live = live
 	o.known = known
 	o.view.set(now, newDivision(o.options, len(live), known))
+	o.epoch++
 	o.changed = now
 
 	for key := range o.leases {
@@ -68,203 +83,145 @@
 	}
 }
 
+// noticeFreeze forgets all leases after a pause that others may have noticed.
+func (o *Owner) noticeFreeze(now time.Time) {
+	if now.Sub(o.seen) > o.options.Settle {
+		o.epoch++
+		o.changed = now
+		o.quietUntil = now.Add(o.options.Settle)
+		clear(o.leases)
+	}
+
+	o.seen = now
+}
+
 func (o *Owner) owns(key Key) bool {
 	return o.owners.Choose(key.text()) == o.self
 }
 
 // Report takes a node's demand and returns its lease. It returns false when this
-// node doesn't own the limit in its own view, or knows a later report.
+// node doesn't own the limit in its own view, knows a later report, or was frozen.
 func (o *Owner) Report(now time.Time, node string, demand Demand) (Share, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 
-	if !o.owns(demand.Key) {
+	o.noticeFreeze(now)
+
+	if now.Before(o.quietUntil) || !o.owns(demand.Key) {
 		return Share{}, false
 	}
 
 	s := o.leases[demand.Key]
 	if s == nil {
-		s = &leaseSet{byNode: make(map[string]*lease), graceEnds: o.changed.Add(o.options.LeaseFor + o.options.Settle)}
+		s = newLeaseSet(o.changed.Add(o.options.lapse()))
 		o.leases[demand.Key] = s
 	}
 
 	l := s.of(node)
-	if !l.update(now, demand) {
+	if !l.update(now, demand, o.options) {
 		return Share{}, false
 	}
 
-	pool := o.view.pool(now, o.source.Limits(demand.Key))
-	lent := s.target(now, node, pool).atMost(pool.minus(s.others(now, node)))
+	if demand.Known == o.known {
+		s.hear(node, o.epoch, o.live, o.known)
+	}
+
+	pool := o.pool(now, s, o.source.Limits(demand.Key))
+	lent := s.part(now, l, pool, len(o.live)).atMost(pool.minus(s.others(now, node, o.options)))
 
-	grace := now.Before(s.graceEnds)
-	if grace {
+	if now.Before(s.graceEnds) {
 		lent = lent.atMost(demand.Held)
 	}
 
 	lent = lent.whole().brief()
 	l.grant(now, lent, o.options.LeaseFor)
+	s.unsettled = true
 
-	return Share{Key: demand.Key, Number: demand.Number, Lent: lent, Grace: grace}, true
+	return Share{Key: demand.Key, Number: demand.Number, Lent: lent}, true
 }
 
-// Sweep forgets limits that nobody holds a lease of. It is to be called every few seconds.
-func (o *Owner) Sweep(now time.Time) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-
-	for key, s := range o.leases {
-		for node, l := range s.byNode {
-			if !now.Before(l.expires) && !now.Before(l.formerExpires) {
-				delete(s.byNode, node)
-			}
-		}
-
-		if len(s.byNode) == 0 && !now.Before(s.graceEnds) {
-			delete(o.leases, key)
-		}
+// pool is what may be lent of a limit.
+func (o *Owner) pool(now time.Time, s *leaseSet, limits Amounts) Amounts {
+	if s.complete == o.epoch {
+		return o.view.current.pool(limits)
 	}
-}
 
-// leaseSet holds the leases of one limit.
-type leaseSet struct {
-	byNode map[string]*lease
-	// graceEnds is when the predecessor's leases have ended.
-	graceEnds time.Time
+	return o.view.pool(now, limits)
 }
 
-func (s *leaseSet) of(node string) *lease {
-	l := s.byNode[node]
-	if l == nil {
-		l = &lease{}
-		s.byNode[node] = l
-	}
-
-	return l
-}
+// Asks returns the limits that nodes are to report on, by node, so that some
+// node that wants more can have it: those who hold more than their part, those
+// who may have more, and all who have not reported since the nodes changed.
+func (o *Owner) Asks(now time.Time) map[string][]Key {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 
-// others is what all nodes but one may hold.
-func (s *leaseSet) others(now time.Time, node string) Amounts {
-	var sum Amounts
+	o.noticeFreeze(now)
 
-	for name, l := range s.byNode {
-		if name != node {
-			sum = sum.plus(l.counted(now))
-		}
+	if now.Before(o.quietUntil) {
+		return nil
 	}
 
-	return sum
-}
-
-// target is the node's max-min fair part of the pool: small wants are met whole,
-// the rest is split evenly.
-func (s *leaseSet) target(now time.Time, node string, pool Amounts) Amounts {
-	var requests, concurrency, tokens []float64
+	var asks map[string][]Key
 
-	for name, l := range s.byNode {
-		if name != node && !now.Before(l.expires) {
+	for key, s := range o.leases {
+		if !s.unsettled || now.Before(s.nextAsk) {
 			continue
 		}
 
-		requests = append(requests, l.wants.Requests)
-		concurrency = append(concurrency, l.wants.Concurrency)
-		tokens = append(tokens, l.wants.Tokens)
-	}
-
-	own := s.byNode[node].wants
-
-	return own.atMost(Amounts{
-		Requests:    fairLevel(requests, pool.Requests),
-		Concurrency: math.Ceil(fairLevel(concurrency, pool.Concurrency)),
-		Tokens:      fairLevel(tokens, pool.Tokens),
-	})
-}
+		s.nextAsk = now.Add(o.options.Period)
 
-// fairLevel is the largest part that anyone may get so that all parts fit the pool.
-func fairLevel(wants []float64, pool float64) float64 {
-	slices.Sort(wants)
+		for _, node := range o.toAsk(now, s, o.source.Limits(key)) {
+			if asks == nil {
+				asks = make(map[string][]Key)
+			}
 
-	for i, want := range wants {
-		level := pool / float64(len(wants)-i)
-		if want >= level {
-			return level
+			asks[node] = append(asks[node], key)
 		}
-
-		pool -= want
 	}
 
-	return math.Inf(1)
+	return asks
 }
 
-// lease is what one node holds of one limit.
-type lease struct {
-	incarnation uint64
-	number      uint64
-	wants       Amounts
-	// inFlight is what runs on the node beyond its base share; it counts as lent while the lease lasts.
-	inFlight int
-	lent     Amounts
-	expires  time.Time
-	// former is the largest lease that the node may still go by, since it hasn't named a later one.
-	former        Amounts
-	formerExpires time.Time
-}
+func (o *Owner) toAsk(now time.Time, s *leaseSet, limits Amounts) []string {
+	even := o.view.current.even(limits)
+	s.unsettled = s.short(now, even)
 
-// update takes a demand in and returns false when a later one is known.
-func (l *lease) update(now time.Time, demand Demand) bool {
-	if demand.Incarnation == l.incarnation && demand.Number <= l.number {
-		return false
+	if !s.unsettled {
+		return nil
 	}
 
-	held := l.counted(now)
-	heldExpires := later(l.expires, l.formerExpires)
+	var nodes []string
 
-	if demand.Incarnation == l.incarnation && l.number > 0 && demand.Received == l.number {
-		held = l.current(now)
-		heldExpires = l.expires
+	if s.complete != o.epoch && now.Sub(o.changed) < o.options.lapse() {
+		nodes = s.unheard(o.epoch, o.live)
 	}
 
-	l.former, l.formerExpires = held, heldExpires
-	l.incarnation = demand.Incarnation
-	l.number = demand.Number
-	l.wants = demand.Wants
-	l.inFlight = demand.InFlight
-
-	return true
-}
-
-func (l *lease) grant(now time.Time, lent Amounts, length time.Duration) {
-	l.lent = lent
-	l.expires = now.Add(length)
-}
-
-// current is the last lease if it hasn't ended.
-func (l *lease) current(now time.Time) Amounts {
-	if !now.Before(l.expires) {
-		return Amounts{}
+	if now.Before(s.graceEnds) {
+		return nodes
 	}
 
-	return l.lent
-}
+	pool := o.pool(now, s, limits)
 
-// counted is the most that the node may hold or have running.
-func (l *lease) counted(now time.Time) Amounts {
-	held := l.current(now)
+	return append(nodes, s.misfits(now, s.levels(now, pool), pool.minus(s.others(now, "", o.options)), even)...)
+}
 
-	if now.Before(l.expires) {
-		held.Concurrency = max(held.Concurrency, float64(l.inFlight))
-	}
+// Sweep forgets limits that nobody holds a lease of. It is to be called every few seconds.
+func (o *Owner) Sweep(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 
-	if now.Before(l.formerExpires) {
-		held = held.atLeast(l.former)
-	}
+	o.noticeFreeze(now)
 
-	return held
-}
+	for key, s := range o.leases {
+		for node, l := range s.byNode {
+			if l.counted(now, o.options) == (Amounts{}) && !now.Before(l.expires) {
+				delete(s.byNode, node)
+			}
+		}
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+		if len(s.byNode) == 0 && now.Sub(o.changed) >= o.options.lapse() {
+			delete(o.leases, key)
+		}
 	}
-
-	return b
 }
--- a/internal/limiter/rpc.go
+++ b/internal/limiter/rpc.go
@@ -11,8 +11,12 @@
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
-// MethodReport is the name of the only message between limiters.
-const MethodReport = "limit.report"
+const (
+	// MethodReport is the name of the message from a node to an owner of limits.
+	MethodReport = "limit.report"
+	// MethodAsk is the name of that by which an owner asks for reports.
+	MethodAsk = "limit.ask"
+)
 
 // Caller sends a message to a node and waits for its answer.
 type Caller interface {
@@ -20,13 +24,22 @@
 }
 
 type reportParams struct {
-	Demands []Demand `json:"demands"`
+	Incarnation uint64   `json:"incarnation"`
+	Known       int      `json:"known"`
+	Demands     []Demand `json:"demands"`
 }
 
+// reportResult has a share for each demand, in the same order.
 type reportResult struct {
 	Shares []Share `json:"shares"`
 }
 
+type askParams struct {
+	Keys []Key `json:"keys"`
+}
+
+type askResult struct{}
+
 // HandleReport answers MethodReport from another node.
 func (o *Owner) HandleReport(_ context.Context, from string, params json.RawMessage) (any, error) {
 	var report reportParams
@@ -35,6 +48,11 @@
 		return nil, classifier.Wrap(err, classifier.InvalidRequest, "a limit report can't be read")
 	}
 
+	for i := range report.Demands {
+		report.Demands[i].Incarnation = report.Incarnation
+		report.Demands[i].Known = report.Known
+	}
+
 	return reportResult{Shares: o.reportAll(from, report.Demands)}, nil
 }
 
@@ -43,18 +61,42 @@
 	shares := make([]Share, 0, len(demands))
 
 	for _, demand := range demands {
-		if share, ok := o.Report(now, from, demand); ok {
-			shares = append(shares, share)
-		}
+		share, _ := o.Report(now, from, demand)
+		shares = append(shares, share)
 	}
 
 	return shares
 }
 
-// Exchange sends all due reports and applies the answers. It is to be called
-// every quarter of Options.Period; each call ends within that time, so that one
-// silent owner doesn't delay the others. The error is for the log: the limiter
-// itself allows for owners that don't answer.
+// HandleAsk answers MethodAsk from an owner of limits.
+func (l *Limiter) HandleAsk(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var ask askParams
+
+	if err := json.Unmarshal(params, &ask); err != nil {
+		return nil, classifier.Wrap(err, classifier.InvalidRequest, "a question about limits can't be read")
+	}
+
+	l.Ask(time.Now(), ask.Keys)
+
+	return askResult{}, nil
+}
+
+// applyAll takes the shares that answer the demands.
+func (l *Limiter) applyAll(demands []Demand, shares []Share) {
+	shares = shares[:min(len(shares), len(demands))]
+
+	for i := range shares {
+		shares[i].Key = demands[i].Key
+	}
+
+	l.Apply(time.Now(), shares)
+}
+
+// Exchange asks for the reports that the local owner needs, sends those that are
+// due and applies the answers. It is to be called every quarter of Options.Period;
+// each call ends within that time, so that one silent owner doesn't delay the
+// others. The error is for the log: the limiter itself allows for owners that
+// don't answer.
 func (l *Limiter) Exchange(ctx context.Context, caller Caller, local *Owner) error {
 	ctx, cancel := context.WithTimeout(ctx, l.options.Period/roundsPerPeriod)
 	defer cancel()
@@ -65,9 +107,33 @@
 		failures error
 	)
 
+	call := func(peer, method string, params, result any) bool {
+		err := caller.Call(ctx, peer, method, params, result)
+		if err == nil {
+			return true
+		}
+
+		mu.Lock()
+		defer mu.Unlock()
+
+		failures = errors.CombineErrors(failures, errors.Wrapf(err, "%s to %s", method, peer))
+
+		return false
+	}
+
+	for node, keys := range local.Asks(time.Now()) {
+		if node == l.self {
+			l.Ask(time.Now(), keys)
+
+			continue
+		}
+
+		group.Go(func() { call(node, MethodAsk, askParams{Keys: keys}, &askResult{}) })
+	}
+
 	for owner, demands := range l.Reports(time.Now()) {
 		if owner == l.self {
-			l.Apply(time.Now(), local.reportAll(l.self, demands))
+			l.applyAll(demands, local.reportAll(l.self, demands))
 
 			continue
 		}
@@ -75,17 +141,10 @@
 		group.Go(func() {
 			var result reportResult
 
-			err := caller.Call(ctx, owner, MethodReport, reportParams{Demands: demands}, &result)
-			if err == nil {
-				l.Apply(time.Now(), result.Shares)
-
-				return
+			params := reportParams{Incarnation: demands[0].Incarnation, Known: demands[0].Known, Demands: demands}
+			if call(owner, MethodReport, params, &result) {
+				l.applyAll(demands, result.Shares)
 			}
-
-			mu.Lock()
-			defer mu.Unlock()
-
-			failures = errors.CombineErrors(failures, errors.Wrapf(err, "report limits to %s", owner))
 		})
 	}
 
--- a/internal/limiter/types.go
+++ b/internal/limiter/types.go
@@ -4,9 +4,12 @@
 package limiter
 
 import (
+	"encoding/json"
 	"math"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/pkg/classifier"
 )
@@ -19,19 +22,40 @@
 	Class string `json:"class,omitempty"`
 }
 
+// text is what the owner is chosen by. Limits of one organisation in one service
+// have the same owner, so that one message reports on all of them.
 func (k Key) text() string {
-	return k.Service + "\x00" + k.Organisation + "\x00" + k.Class
+	return k.Service + "\x00" + k.Organisation
 }
 
 // Amounts are quantities of the three limits. In Limits a zero means no limit;
 // everywhere else it means none.
 type Amounts struct {
 	// Requests is in requests per second.
-	Requests float64 `json:"requests,omitempty"`
+	Requests float64
 	// Concurrency is in requests at once and always whole in shares.
-	Concurrency float64 `json:"concurrency,omitempty"`
+	Concurrency float64
 	// Tokens is in generated tokens per second.
-	Tokens float64 `json:"tokens,omitempty"`
+	Tokens float64
+}
+
+// MarshalJSON implements json.Marshaler: a list of requests, concurrency and tokens.
+// Names would make up a third of a report.
+func (a Amounts) MarshalJSON() ([]byte, error) {
+	return json.Marshal([...]float64{a.Requests, a.Concurrency, a.Tokens})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (a *Amounts) UnmarshalJSON(text []byte) error {
+	var list [3]float64
+
+	if err := json.Unmarshal(text, &list); err != nil {
+		return errors.Wrap(err, "read amounts")
+	}
+
+	a.Requests, a.Concurrency, a.Tokens = list[0], list[1], list[2]
+
+	return nil
 }
 
 func (a Amounts) combine(b Amounts, f func(x, y float64) float64) Amounts {
@@ -63,6 +87,11 @@
 	return Amounts{Requests: factor * a.Requests, Concurrency: factor * a.Concurrency, Tokens: factor * a.Tokens}
 }
 
+// matters says whether an amount is enough of a node's even part to be worth a message.
+func (a Amounts) matters(even Amounts) bool {
+	return a.Requests > even.Requests*leastChange || a.Concurrency >= 1 || a.Tokens > even.Tokens*leastChange
+}
+
 // whole cuts the concurrency to whole requests. A sum of shares may lie a hair below a whole number.
 func (a Amounts) whole() Amounts {
 	a.Concurrency = math.Floor(a.Concurrency + 1e-9)
@@ -75,6 +104,9 @@
 	return a.combine(a, func(x, _ float64) float64 { return math.Floor(x*1000+1e-6) / 1000 })
 }
 
+// leastChange is the part of an even part below which a difference is not worth a message.
+const leastChange = 0.05
+
 // Source gives the limits in force; the zero value means none.
 type Source interface {
 	Limits(key Key) Amounts
@@ -128,13 +160,19 @@
 type Options struct {
 	// BaseShare is the part of a limit that all nodes split evenly without any message, 0 to 1; default 0.1.
 	BaseShare float64
-	// Period is the time between the reports of a node on a limit in use; default 1 s.
-	// A node that had to refuse without a lease reports after a quarter of it.
+	// Period is the time over which the demand on a limit is measured, and the
+	// least between two reports on it; default 1 s. A node that had to refuse
+	// without a lease reports after a quarter of it.
 	Period time.Duration
 	// LeaseFor is how long a lent share lasts, counted by the node from before its
-	// report and by the owner from the answer; default 5 s.
+	// report and by the owner from the answer; default 60 s. A node renews it
+	// after a third.
 	LeaseFor time.Duration
-	// Settle is the time in which all nodes learn of a joined or lost node; default 2 s.
+	// RunFor is how long a request may run on after the lease that it was admitted
+	// under; default 30 s. For so long the owner counts the concurrency of a silent node.
+	RunFor time.Duration
+	// Settle is the longest time in which nodes learn who answers, after a crash, a
+	// cut or a freeze; default 10 s. LeaseFor must exceed it by more than half.
 	Settle time.Duration
 	// Forget is the time after which an unused limit leaves the memory; default 60 s.
 	Forget time.Duration
@@ -148,14 +186,27 @@
 	}
 
 	setDefault(&o.Period, time.Second)
-	setDefault(&o.LeaseFor, 5*time.Second)
-	setDefault(&o.Settle, 2*time.Second)
+	setDefault(&o.LeaseFor, time.Minute)
+	setDefault(&o.RunFor, 30*time.Second)
+	setDefault(&o.Settle, 10*time.Second)
 	setDefault(&o.Forget, time.Minute)
 	setDefault(&o.LongestRetryAfter, 30*time.Second)
 
 	return o
 }
 
+// renewAfter is the time between two reports of a node that nothing changes for.
+func (o Options) renewAfter() time.Duration {
+	return o.LeaseFor / 3
+}
+
+// lapse is the time after which nothing is left of what was lent by another view of
+// the nodes: a former owner may lend until it learns of its successor, which takes
+// Settle, and as long again if it was frozen; then leases end, then requests.
+func (o Options) lapse() time.Duration {
+	return o.LeaseFor + o.RunFor + 2*o.Settle
+}
+
 func setDefault(field *time.Duration, value time.Duration) {
 	if *field == 0 {
 		*field = value
@@ -164,29 +215,28 @@
 
 // Demand is a node's report on one limit.
 type Demand struct {
-	Key Key `json:"key"`
+	Key
 	// Incarnation tells two lives of one node apart.
-	Incarnation uint64 `json:"incarnation"`
-	// Number grows by one with each report of an incarnation on the key.
+	Incarnation uint64 `json:"-"`
+	// Known is the number of nodes that the node divides limits by.
+	Known int `json:"-"`
+	// Number grows with each report of an incarnation.
 	Number uint64 `json:"number"`
 	// Received is the Number of the last report whose answer arrived; zero for none.
 	Received uint64 `json:"received,omitempty"`
 	// Wants is what the node could use beyond its base share.
-	Wants Amounts `json:"wants"`
+	Wants Amounts `json:"wants,omitzero"`
 	// Held is what it holds under lease now. A new owner learns from it what its predecessor lent.
-	Held Amounts `json:"held"`
+	Held Amounts `json:"held,omitzero"`
 	// InFlight is the number of requests that run on the node beyond its base share.
 	InFlight int `json:"in_flight,omitempty"`
 }
 
 // Share is the owner's answer to one Demand.
 type Share struct {
-	Key    Key    `json:"key"`
-	Number uint64 `json:"number"`
+	Key Key `json:"-"`
+	// Number is that of the Demand; zero means that the owner has no answer.
+	Number uint64 `json:"number,omitempty"`
 	// Lent lasts for Options.LeaseFor from before the report was sent.
-	Lent Amounts `json:"lent"`
-	// Grace says that the owner is new and doesn't know all leases yet. The node may
-	// go on with an even part meanwhile, so that no caller is refused for want of an
-	// owner: the sum of shares may reach twice the limit for LeaseFor and Settle.
-	Grace bool `json:"grace,omitempty"`
+	Lent Amounts `json:"lent,omitzero"`
 }
--- a/internal/limiter/view.go
+++ b/internal/limiter/view.go
@@ -41,7 +41,7 @@
 	return limits.times(d.reach).whole().minus(d.base(limits).times(float64(d.live))).whole()
 }
 
-// even is what each node has while the owner is silent.
+// even is what each node has of rates and tokens while the owner is silent.
 func (d division) even(limits Amounts) Amounts {
 	return limits.times(d.reach / float64(max(d.live, 1))).whole()
 }
@@ -53,9 +53,9 @@
 }
 
 // view is the division in force. Of an old and a new one the smaller amount
-// counts, until all nodes know of the new one and, for the base share, leases by
-// the old one have ended. A node's first division counts at once: its base share
-// comes on top for that time, which is little, and its first callers aren't refused.
+// counts until nothing is left that was lent by the old one. A node's first
+// division counts at once, so that its first callers aren't refused: the base
+// share of a listed node is kept free for it.
 type view struct {
 	options Options
 	current division
@@ -63,7 +63,7 @@
 }
 
 func (v *view) set(now time.Time, next division) {
-	oldest := now.Add(-v.options.Settle - v.options.LeaseFor)
+	oldest := now.Add(-v.options.lapse())
 	kept := v.former[:0]
 
 	for _, f := range v.former {
@@ -81,22 +81,22 @@
 }
 
 func (v *view) base(now time.Time, limits Amounts) Amounts {
-	return v.least(now, v.options.Settle+v.options.LeaseFor, limits, division.base)
+	return v.least(now, limits, division.base)
 }
 
 func (v *view) even(now time.Time, limits Amounts) Amounts {
-	return v.least(now, v.options.Settle+v.options.LeaseFor, limits, division.even)
+	return v.least(now, limits, division.even)
 }
 
 func (v *view) pool(now time.Time, limits Amounts) Amounts {
-	return v.least(now, v.options.Settle, limits, division.pool)
+	return v.least(now, limits, division.pool)
 }
 
-func (v *view) least(now time.Time, length time.Duration, limits Amounts, amount func(division, Amounts) Amounts) Amounts {
+func (v *view) least(now time.Time, limits Amounts, amount func(division, Amounts) Amounts) Amounts {
 	least := amount(v.current, limits)
 
 	for i := range v.former {
-		if now.Sub(v.former[i].at) < length {
+		if now.Sub(v.former[i].at) < v.options.lapse() {
 			least = least.atMost(amount(v.former[i].division, limits))
 		}
 	}
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -57,6 +57,7 @@
 	}
 
 	n.messages.Handle(limiter.MethodReport, n.limits.owner.HandleReport)
+	n.messages.Handle(limiter.MethodAsk, n.limits.local.HandleAsk)
 
 	created := distributor.New(options)
 	created.Subscribe(n.applyTree)
