--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -17,12 +17,17 @@
 	self        string
 	incarnation uint64
 
-	mu      sync.Mutex
-	view    view
-	owners  *chooser.Chooser
+	mu     sync.Mutex
+	known  int
+	view   view
+	owners *chooser.Chooser
+	// number is that of the last report. One series for all limits: a limit that was
+	// forgotten and is used again would else begin anew, and its owner take the
+	// reports for late ones.
+	number  uint64
 	entries map[Key]*entry
-	// refused counts refusals by result code.
-	refused map[classifier.Code]int64
+	// refused counts refusals by reason.
+	refused map[string]int64
 }
 
 // New returns a limiter without any share until SetNodes names the live nodes.
@@ -38,18 +43,10 @@
 		view:        view{options: options},
 		owners:      chooser.New([]string{self}),
 		entries:     make(map[Key]*entry),
-		refused:     make(map[classifier.Code]int64),
+		refused:     make(map[string]int64),
 	}
 }
 
-// NewWhole returns a limiter that has every limit whole, for where one node decides alone.
-func NewWhole(options Options, source Source) *Limiter {
-	l := New(options, source, "", 0)
-	l.view.current.whole = true
-
-	return l
-}
-
 // SetNodes tells which nodes answer, this one included, and how many are known
 // to exist. The part of known nodes that don't answer is left to them.
 func (l *Limiter) SetNodes(now time.Time, live []string, known int) {
@@ -58,6 +55,7 @@
 
 	division := newDivision(l.options, len(live), known)
 	owners := l.owners.Among(live)
+	l.known = known
 
 	if owners == l.owners && division == l.view.current {
 		return
@@ -67,38 +65,59 @@
 	l.view.set(now, division)
 
 	for key, e := range l.entries {
-		e.owner = l.owners.Choose(key.text())
+		owner := l.owners.Choose(key.text())
+		if owner == e.owner {
+			continue
+		}
+
+		// The new owner must hear at once of what its predecessor lent.
+		e.asked = e.holds() || e.inFlight > 0
+		e.owner = owner
+	}
+}
+
+// Ask makes the next reports hold the keys, whatever they are used for here.
+func (l *Limiter) Ask(now time.Time, keys []Key) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	for _, key := range keys {
+		if e := l.find(now, key); e != nil {
+			e.asked = true
+		}
 	}
 }
 
 // Admit takes one request in, or says why not and when to come back. Every
-// admitted request needs one call of Done.
-func (l *Limiter) Admit(now time.Time, service, organisation, class string) (ok bool, code classifier.Code, retryAfter time.Duration) {
+// admitted request needs one call of Done. What the limit by class refuses is no
+// demand on the organisation's whole limit, so the limit by class is asked first.
+func (l *Limiter) Admit(now time.Time, service, organisation, class string) (Refusal, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	whole := l.find(now, Key{Service: service, Organisation: organisation})
 	byClass := l.find(now, Key{Service: service, Organisation: organisation, Class: class})
+	whole := l.find(now, Key{Service: service, Organisation: organisation})
 
-	for _, e := range [...]*entry{whole, byClass} {
+	for _, e := range [...]*entry{byClass, whole} {
 		if e == nil {
 			continue
 		}
 
-		if code, retryAfter = e.check(now, l.options); code != classifier.OK {
-			l.refused[code]++
+		if code, retryAfter := e.check(now, l.options); code != classifier.OK {
+			refusal := Refusal{Code: code, ByClass: e == byClass, RetryAfter: retryAfter}
+			l.refused[refusal.Reason()]++
 
-			return false, code, retryAfter
+			return refusal, false
 		}
 	}
 
-	for _, e := range [...]*entry{whole, byClass} {
+	for _, e := range [...]*entry{byClass, whole} {
 		if e != nil {
 			e.take(now)
 		}
 	}
 
-	return true, classifier.OK, 0
+	return Refusal{}, true
 }
 
 // Done ends an admitted request that generated the given number of tokens. They
@@ -116,8 +135,8 @@
 	}
 }
 
-// Refused returns the number of refusals by code since the start.
-func (l *Limiter) Refused() map[classifier.Code]int64 {
+// Refused returns the number of refusals by reason since the start.
+func (l *Limiter) Refused() map[string]int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -151,7 +170,12 @@
 		l.entries[key] = e
 	}
 
-	e.limits = limits
+	// Leases by other settings are out of date; the owner must not lend by them for long.
+	if e.limits != limits {
+		e.limits = limits
+		e.asked = e.asked || e.holds()
+	}
+
 	e.refresh(now, l.options, &l.view)
 
 	return e
@@ -174,7 +198,7 @@
 			continue
 		}
 
-		if l.view.current.whole || !e.due(now, l.options, &l.view) {
+		if !e.due(now, l.options, &l.view) {
 			continue
 		}
 
@@ -182,7 +206,11 @@
 			reports = make(map[string][]Demand)
 		}
 
-		reports[e.owner] = append(reports[e.owner], e.report(now, key, l.incarnation, &l.view))
+		l.number++
+		demand := e.report(now, key, l.number, &l.view)
+		demand.Incarnation = l.incarnation
+		demand.Known = l.known
+		reports[e.owner] = append(reports[e.owner], demand)
 	}
 
 	return reports
@@ -200,7 +228,7 @@
 		}
 
 		e.refresh(now, l.options, &l.view)
-		e.apply(share, l.options)
+		e.apply(share, l.options, l.view.even(now, e.limits))
 		e.refresh(now, l.options, &l.view)
 	}
 }
