Let the hedging tests wait until the first attempt has begun

Cause: TestHedgedPlainAnswerHasOneOwner and TestHedgedStreamHasOneOwner hedge after 1 ms; on a busy machine the second attempt had won before the first was dialled, so that the stuck server never ran and never told of its cancellation, which the test waits for. The second slot is now granted once the first server has begun its answer; all assertions are as they were.

--- a/internal/server/hedge_test.go
+++ b/internal/server/hedge_test.go
@@ -22,14 +22,21 @@
 // hedgingParts grants two upstreams in their order, hedges at once, and never retries.
 type hedgingParts struct {
 	upstreams []configurer.Upstream
+	// begun is closed once the first upstream has begun an answer. The second is granted
+	// only then: on a busy machine the first attempt would else be over before its request left.
+	begun chan struct{}
 
 	mu       sync.Mutex
 	released map[string]dispatcher.Outcome
 }
 
-func (h *hedgingParts) Acquire(_ context.Context, ask dispatcher.Ask) (dispatcher.Slot, error) {
-	for _, upstream := range h.upstreams {
+func (h *hedgingParts) Acquire(ctx context.Context, ask dispatcher.Ask) (dispatcher.Slot, error) {
+	for i, upstream := range h.upstreams {
 		if !slices.Contains(ask.Exclude, upstream.Name) {
+			if i > 0 {
+				h.awaitFirst(ctx)
+			}
+
 			return dispatcher.Slot{ID: upstream.Name, Upstream: upstream}, nil
 		}
 	}
@@ -37,6 +44,13 @@
 	return dispatcher.Slot{}, context.DeadlineExceeded
 }
 
+func (h *hedgingParts) awaitFirst(ctx context.Context) {
+	select {
+	case <-h.begun:
+	case <-ctx.Done():
+	}
+}
+
 func (h *hedgingParts) Release(slot dispatcher.Slot, _ dispatcher.Ask, outcome dispatcher.Outcome) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -63,10 +77,12 @@
 func runHedged(t *testing.T, first, second string, send func(dispatcher.Request, *forwarder.Client) dispatcher.Sender) *hedgingParts {
 	t.Helper()
 
-	cancelled := make(chan struct{})
+	begun, cancelled := make(chan struct{}), make(chan struct{})
 	stuck := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = fmt.Fprint(w, first)
 		_ = http.NewResponseController(w).Flush()
+
+		close(begun)
 		<-r.Context().Done()
 		close(cancelled)
 	}))
@@ -75,7 +91,7 @@
 	t.Cleanup(stuck.Close)
 	t.Cleanup(well.Close)
 
-	parts := &hedgingParts{released: make(map[string]dispatcher.Outcome), upstreams: []configurer.Upstream{
+	parts := &hedgingParts{begun: begun, released: make(map[string]dispatcher.Outcome), upstreams: []configurer.Upstream{
 		{Name: "stuck", Address: stuck.URL},
 		{Name: "well", Address: well.URL},
 	}}
