--- a/test/capacity/heartbeats_test.go
+++ b/test/capacity/heartbeats_test.go
@@ -37,7 +37,7 @@
 	defer cancel()
 
 	before := heldBytes()
-	fleet, probers := startHeartbeats(ctx, b, nodes)
+	fleet, probers, _ := startHeartbeats(ctx, b, nodes)
 
 	time.Sleep(heartbeatWarmUp)
 
@@ -62,9 +62,10 @@
 	b.ReportMetric(float64(live)/float64(nodes), "live_seen")
 }
 
-func startHeartbeats(ctx context.Context, b *testing.B, nodes int) ([]*heartbeater.Heartbeater, []*prober.Prober) {
+// startHeartbeats starts so many nodes that know each other and those given besides, and returns the list of all.
+func startHeartbeats(ctx context.Context, b *testing.B, nodes int, besides ...prober.VM) ([]*heartbeater.Heartbeater, []*prober.Prober, []prober.VM) {
 	var (
-		list    []prober.VM
+		list    = besides
 		fleet   []*heartbeater.Heartbeater
 		probers []*prober.Prober
 	)
@@ -102,7 +103,7 @@
 		go func() { _ = h.Run(ctx) }()
 	}
 
-	return fleet, probers
+	return fleet, probers, list
 }
 
 func freeDatagramAddress(ctx context.Context, b *testing.B) string {
