Read equal leaves of a branch once

Now a branch's reader keeps right leaves by kind, text, type and rules, and gives the value and text of the first to all alike. Lists are left out: unlike ones can have one text.

Ruled out: taking leaves from the tree before. It saves the same only where lines did not move, and nothing at the start of a node.

--- a/internal/configurer/node.go
+++ b/internal/configurer/node.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/goccy/go-yaml"
@@ -114,6 +115,16 @@
 type branchReader struct {
 	branch   string
 	problems []checker.Problem
+	// read holds right leaves by what their value depends on. Thousands of servers and
+	// organisations have the same few slots, weights and limits.
+	read map[leafKey]*node
+}
+
+type leafKey struct {
+	kind  ast.NodeType
+	text  string
+	want  reflect.Type
+	rules string
 }
 
 func readBranch(path string, text []byte) (*node, []checker.Problem) {
@@ -132,7 +143,7 @@
 		return empty, problems
 	}
 
-	r := branchReader{branch: path}
+	r := branchReader{branch: path, read: map[leafKey]*node{}}
 	root := r.mapping(body, reflect.TypeFor[branchFields](), "")
 
 	return root, r.problems
@@ -183,6 +194,13 @@
 
 func (r *branchReader) leaf(body ast.Node, field reflect.StructField, path string) *node {
 	made := &node{branch: r.branch, text: leafText(body)}
+	key := leafKey{kind: body.Type(), text: made.text, want: field.Type, rules: field.Tag.Get("validate")}
+
+	if known := r.read[key]; known != nil {
+		made.text, made.value = known.text, known.value
+		return made
+	}
+
 	value := reflect.New(field.Type)
 
 	if err := yaml.NodeToValue(body, value.Interface()); err != nil {
@@ -191,15 +209,27 @@
 	}
 
 	made.value = value.Elem()
-	if tag := field.Tag.Get("validate"); tag != "" {
-		for _, v := range checker.Var(made.value.Interface(), tag) {
+	wrong := len(r.problems)
+
+	if key.rules != "" {
+		for _, v := range checker.Var(made.value.Interface(), key.rules) {
 			r.add(body, "%s%s", path, v)
 		}
 	}
 
+	if len(r.problems) == wrong && key.isWhole() {
+		r.read[key] = made
+	}
+
 	return made
 }
 
+// isWhole reports whether the text tells all of the value. Lists with unlike items can have
+// one text, and anchors and tags have none.
+func (k leafKey) isWhole() bool {
+	return slices.Contains([]ast.NodeType{ast.StringType, ast.IntegerType, ast.FloatType, ast.BoolType}, k.kind)
+}
+
 func leafText(body ast.Node) string {
 	list, ok := body.(*ast.SequenceNode)
 	if !ok {
