--- a/internal/claimer/batch.go
+++ b/internal/claimer/batch.go
@@ -23,7 +23,7 @@
 		}
 	}
 
-	if !s.down.IsZero() {
+	if s.wasDown() {
 		// A read shows whether the store is back. A write that gets no reply would leave
 		// claims behind that have to be voided: one for each try, for hours.
 		if err := s.refresh(); err != nil {
--- a/internal/claimer/shard.go
+++ b/internal/claimer/shard.go
@@ -209,6 +209,14 @@
 	return o.attempted || o.writing
 }
 
+// wasDown says whether the store failed and no call has succeeded since.
+func (s *shard) wasDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return !s.down.IsZero()
+}
+
 // run works until the queue is empty or the claimer ends.
 func (s *shard) run() {
 	for s.waitTurn() {
