--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -72,8 +72,8 @@
 type Claims struct {
 	// Window is how long an idempotency key is kept; it must exceed the longest run.
 	Window time.Duration `yaml:"window" validate:"min=10m,max=720h"`
-	// AnswerTime is how long the answer is kept for callers that ask again.
-	AnswerTime time.Duration `yaml:"answer_time" validate:"min=1s,ltefield=Window"`
+	// AnswerTime is how long the answer is kept for callers that ask again, at most a quarter of the window.
+	AnswerTime time.Duration `yaml:"answer_time" validate:"min=1s,max=24h"`
 }
 
 // Peers lists the other nodes and the credential shared by all.
