Hold an owner to what it may know after a freeze or a change of the list

Cause: of fifteen rules of the owner that were switched off one by one (trial, go test -run 'HoldsThrough|NeverExceed|HoldsAcross'), three were not noticed by any test: the quiet time after a freeze, that a report of a node which divides by another number of nodes doesn't end the grace, and the part of the grace that is for requests running on (its margin for two views covers it). The first two have TestOwnerWaitsForWhatItDoesNotKnow now; the third stays unproved alone.

--- a/internal/limiter/bytes_test.go
+++ b/internal/limiter/bytes_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 
 // traffic is a fleet in virtual time whose messages are encoded and counted.
 type traffic struct {
-	nodes   []*node
+	nodes   map[string]*node
 	names   []string
 	pairs   []Key
 	random  *rand.Rand
@@ -51,7 +52,7 @@
 }
 
 func newTraffic(nodes, pairs int) *traffic {
-	f := &traffic{random: rand.New(rand.NewPCG(1, 2)), now: start}
+	f := &traffic{nodes: make(map[string]*node), random: rand.New(rand.NewPCG(1, 2)), now: start}
 
 	for i := range nodes {
 		f.names = append(f.names, fmt.Sprintf("node-%03d", i))
@@ -61,7 +62,7 @@
 		n := &node{name: name, limiter: New(Options{}, f, name, 1<<62+uint64(i)), owner: NewOwner(start, Options{}, f, name)}
 		n.limiter.SetNodes(start, f.names, nodes)
 		n.owner.SetNodes(start, f.names, nodes)
-		f.nodes = append(f.nodes, n)
+		f.nodes[name] = n
 	}
 
 	for i := range pairs {
@@ -76,26 +77,19 @@
 	for end := f.now.Add(length); f.now.Before(end); {
 		f.now = f.now.Add(250 * time.Millisecond)
 
-		kept := f.done[:0]
-		for _, v := range f.done {
-			if v.at.After(f.now) {
-				kept = append(kept, v)
-
-				continue
+		f.done = slices.DeleteFunc(f.done, func(v finishing) bool {
+			ended := !v.at.After(f.now)
+			if ended {
+				v.node.limiter.Done(f.now, v.key.Service, v.key.Organisation, "chat", pairTokens)
 			}
 
-			v.node.limiter.Done(f.now, v.key.Service, v.key.Organisation, "chat", pairTokens)
-		}
-
-		f.done = kept
-
-		for _, n := range f.nodes {
-			f.arrive(n)
-		}
+			return ended
+		})
 
-		for _, n := range f.nodes {
-			n.owner.Sweep(f.now)
-			f.exchange(n)
+		for _, name := range f.names {
+			f.arrive(f.nodes[name])
+			f.nodes[name].owner.Sweep(f.now)
+			f.exchange(f.nodes[name])
 		}
 	}
 }
@@ -125,7 +119,7 @@
 
 func (f *traffic) exchange(n *node) {
 	for name, keys := range n.owner.Asks(f.now) {
-		f.find(name).limiter.Ask(f.now, keys)
+		f.nodes[name].limiter.Ask(f.now, keys)
 
 		if name != n.name {
 			f.count(MethodAsk, askParams{keys}, askResult{})
@@ -136,7 +130,7 @@
 		shares := make([]Share, len(demands))
 
 		for i, demand := range demands {
-			shares[i], _ = f.find(name).owner.Report(f.now, n.name, demand)
+			shares[i], _ = f.nodes[name].owner.Report(f.now, n.name, demand)
 			shares[i].Key = demand.Key
 		}
 
@@ -149,16 +143,6 @@
 	}
 }
 
-func (f *traffic) find(name string) *node {
-	for _, n := range f.nodes {
-		if n.name == name {
-			return n
-		}
-	}
-
-	return nil
-}
-
 // TestBytesOfLimits bounds what a limit in use costs a node, sent and received,
 // as user and as owner. The bounds are the measured figures and a fifth.
 func TestBytesOfLimits(t *testing.T) {
--- a/internal/limiter/cuts_test.go
+++ b/internal/limiter/cuts_test.go
@@ -117,6 +117,36 @@
 	})
 }
 
+// Symptom: a limit is lent twice after a freeze, or while a node is added to the list.
+// Sequence: an owner goes on after a pause before it hears that it was replaced; or a
+// node that divides by fewer nodes, so has a larger base share, reports to a new owner.
+// Cause: the owner goes by its old books, or takes the report for all there is to know.
+func TestOwnerWaitsForWhatItDoesNotKnow(t *testing.T) {
+	options := Options{}.withDefaults()
+	demand := Demand{Key: testKey, Incarnation: 1, Known: 1, Wants: Amounts{Concurrency: 5}}
+	report := func(o *Owner, now time.Time) (Share, bool) {
+		demand.Number++
+
+		return o.Report(now, "a", demand)
+	}
+
+	for _, known := range []int{1, 2} {
+		o := NewOwner(start, options, fixedLimits{Concurrency: 90}, "a")
+		o.SetNodes(start, []string{"a"}, known)
+
+		share, ok := report(o, start)
+		assert.Assert(t, ok)
+		assert.Equal(t, share.Lent.Concurrency > 0, known == demand.Known)
+
+		frozen := start.Add(options.Settle + time.Second)
+		_, ok = report(o, frozen)
+		assert.Assert(t, !ok, "it doesn't know yet whether it still is the owner")
+
+		_, ok = report(o, frozen.Add(options.Settle))
+		assert.Assert(t, ok)
+	}
+}
+
 // longestAnswer bounds the requests of the tests above; it is what Options.RunFor allows for.
 const longestAnswer = 25 * time.Second
 
