--- a/internal/distributor/fleet_test.go
+++ b/internal/distributor/fleet_test.go
@@ -34,7 +34,9 @@
 	editor *configurer.Editor
 
 	// down refuses all calls on the store; cut drops messages between two nodes.
+	// While apart, no node has those among its members that it can't reach.
 	down       atomic.Bool
+	apart      atomic.Bool
 	cut        atomic.Pointer[func(from, to string) bool]
 	storeCalls atomic.Int64
 	storePolls atomic.Int64
@@ -80,7 +82,7 @@
 func (f *fleet) start(name, domain string) *node {
 	n := &node{fleet: f, self: distributor.Member{Name: name, FailureDomain: domain}}
 	n.Distributor = distributor.New(distributor.Options{
-		Self: n.self, Store: keeper.NewLocal(f.store, n.storeFault), Caller: n, Members: f, Seed: 7,
+		Self: n.self, Store: keeper.NewLocal(f.store, n.storeFault), Caller: n, Members: n, Seed: 7,
 	})
 	if f.subscribe != nil {
 		n.Subscribe(f.subscribe)
@@ -140,6 +142,15 @@
 	return f.live
 }
 
+func (n *node) Live() []distributor.Member {
+	live := n.fleet.Live()
+	if !n.fleet.apart.Load() {
+		return live
+	}
+
+	return slices.DeleteFunc(slices.Clone(live), func(m distributor.Member) bool { return (*n.fleet.cut.Load())(n.self.Name, m.Name) })
+}
+
 func (f *fleet) find(name string) *node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
