--- a/internal/checker/types.go
+++ b/internal/checker/types.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"reflect"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -108,7 +109,9 @@
 
 		field, ok := fields[key]
 		if !ok {
-			c.add(v.Key, "%s is unknown; the keys here are %s", join(path, key), knownKeys(fields))
+			text := fmt.Sprintf("%s is unknown; the keys here are %s", join(path, key), knownKeys(fields))
+			c.problems = append(c.problems, Problem{Line: Line(v.Key), Text: text, UnknownKey: true})
+
 			continue
 		}
 
@@ -155,6 +158,10 @@
 		wanted = "text, in quotes if it looks like a number or a truth value"
 	}
 
+	if strings.HasSuffix(wanted, "number") && hasUnit(node) {
+		wanted += " without a unit"
+	}
+
 	if secret {
 		c.add(node, "%s has a value of the wrong kind; write %s", path, wanted)
 		return
@@ -163,6 +170,18 @@
 	c.add(node, "%s is %q; write %s", path, ScalarText(node), wanted)
 }
 
+// hasUnit reports whether something follows a number, as in 5/s.
+func hasUnit(node ast.Node) bool {
+	text := ScalarText(node)
+	if node.Type() != ast.StringType || text == "" || text[0] < '0' || text[0] > '9' {
+		return false
+	}
+
+	_, err := strconv.ParseFloat(text, 64)
+
+	return err != nil
+}
+
 // entries returns the entries of a mapping and reports any other node.
 func (c *typeChecker) entries(node ast.Node, path string) []*ast.MappingValueNode {
 	entries, ok := Mapping(node)
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -38,6 +37,13 @@
 	unheard map[string]time.Time
 	// holders chooses one of live for a name.
 	holders *chooser.Chooser
+	// shards are the holders of the shards of claims, by number; none when live is empty.
+	shards []string
+}
+
+// isMember says whether the node is known, dead or alive.
+func (v *memberView) isMember(node string) bool {
+	return slices.ContainsFunc(v.all, func(m prober.Member) bool { return m.Name == node })
 }
 
 // members knows the nodes of the fleet by probes. It is safe for concurrent use.
@@ -150,6 +156,12 @@
 	slices.Sort(view.live)
 	view.holders = chooser.New(view.live)
 
+	if last := m.view.Load(); last != nil && slices.Equal(last.live, view.live) {
+		view.shards = last.shards
+	} else {
+		view.shards = spreadShards(view.live)
+	}
+
 	m.put(view)
 }
 
@@ -199,6 +211,15 @@
 	return m.view.Load().live
 }
 
+// peerAddress returns where a node that is not known to be dead answers other
+// nodes. Nodes that joined after this one started stand in no settings file that
+// it read: only their probes tell where they are.
+func (m *members) peerAddress(node string) (string, bool) {
+	member, ok := m.prober.Member(node)
+
+	return member.PeerAddress, ok && member.State != prober.Dead && member.PeerAddress != ""
+}
+
 // known is the number of nodes that may exist, this one included.
 func (m *members) known() int {
 	return len(m.view.Load().all)
@@ -214,11 +235,14 @@
 	return t.view.Load().nodes
 }
 
-// listedNodes are the nodes of the settings; those that the platform's list marks are leaving.
+// listedNodes are the nodes of the settings, and those that joined and that the
+// platform's list marks. Marked nodes are leaving.
 func (n *Node) listedNodes(leaving map[string]bool) []prober.VM {
 	nodes := make([]prober.VM, 0, len(n.settings.Peers.Nodes))
+	named := make(map[string]bool, len(n.settings.Peers.Nodes))
 
 	for _, peer := range n.settings.Peers.Nodes {
+		named[peer.Name] = true
 		nodes = append(nodes, prober.VM{
 			Name:          peer.Name,
 			Address:       peer.EntryAddress,
@@ -228,6 +252,18 @@
 		})
 	}
 
+	for name, marked := range leaving {
+		if member, joined := n.members.prober.Member(name); marked && joined && !named[name] {
+			nodes = append(nodes, prober.VM{
+				Name:          name,
+				Address:       member.Address,
+				PeerAddress:   member.PeerAddress,
+				FailureDomain: member.FailureDomain,
+				Leaving:       true,
+			})
+		}
+	}
+
 	return nodes
 }
 
@@ -295,14 +331,3 @@
 		return "doubted"
 	}
 }
-
-// shardHolders names the node that writes a shard of claims for all others.
-type shardHolders struct {
-	*members
-}
-
-// Holder implements claimer.Holders. A wrong answer costs a write and breaks
-// nothing: the compare-and-swap of the store decides, not the holder.
-func (s shardHolders) Holder(shard int) string {
-	return s.view.Load().holders.Choose("claims/" + strconv.Itoa(shard))
-}
--- a/internal/server/members_test.go
+++ b/internal/server/members_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"quincepath.example/quincepath/internal/loader"
+	"quincepath.example/quincepath/internal/prober"
 )
 
 // Symptom: nodes that listen on all addresses of their VM were taken for dead.
@@ -37,6 +38,28 @@
 	}
 }
 
+// Symptom: callers are sent to a VM that the platform is about to take away.
+// Sequence: a node joins that no settings file here names; the platform's list marks its VM as leaving.
+// Cause: marks were applied to the nodes of the settings alone.
+func TestListMarksNodesThatJoined(t *testing.T) {
+	node, _ := newTestNode(t)
+	node.settings.Peers.Nodes = []loader.Peer{{Name: "node-2", PeerAddress: "192.0.2.2:7101"}}
+	joined := prober.VM{Name: "node-9", Address: "192.0.2.9:7100", PeerAddress: "192.0.2.9:7101", FailureDomain: "siracusa-sala"}
+	node.members.prober.Receive(time.Now(), prober.Packet{Kind: prober.KindDigest, From: joined.Name, Incarnation: 1, Sequence: 1, VM: &joined})
+
+	for _, marked := range []bool{true, false} {
+		node.members.prober.List(time.Now(), node.listedNodes(map[string]bool{joined.Name: marked, "node-10": true}))
+
+		member, known := node.members.prober.Member(joined.Name)
+		assert.Assert(t, known)
+		assert.Equal(t, member.Leaving, marked)
+		assert.Equal(t, member.Address, joined.Address)
+	}
+
+	_, known := node.members.prober.Member("node-10")
+	assert.Assert(t, !known, "a VM that is no node became one")
+}
+
 // Symptom: during a roll-out a caller that asks twice for a booking, as it may, is told that its outcome is unknown, and the first answer comes a moment later.
 // Sequence: a node starts again and runs a booking; the node that writes the shard of claims has heard from it only before; the caller asks for the same key.
 // Cause: an incarnation other than the one that was heard was taken for an earlier one, which is gone.
@@ -60,6 +83,13 @@
 		time.Sleep(hearingTime)
 		assert.Assert(t, !m.Alive("node-2", "third"))
 
+		// A node that just joined runs a booking before this one has heard of it at all.
+		assert.Assert(t, m.Alive("node-9", "first"))
+		time.Sleep(hearingTime)
+		assert.Assert(t, !m.Alive("node-9", "first"))
+		m.put(&memberView{all: []prober.Member{{Name: "node-9", State: prober.Dead}}})
+		assert.Assert(t, !m.Alive("node-9", "second"))
+
 		// A node that is dead has no run that goes on, and none of before does when it is back.
 		m.put(&memberView{})
 		assert.Assert(t, !m.Alive("node-2", "second"))
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -27,6 +27,8 @@
 	nodeLines string
 	// organisation holds further fields of the only organisation, such as "concurrency: 6".
 	organisation string
+	// lookupClass holds further fields of the plain service's class lookup, each with ", " before it.
+	lookupClass string
 	// serviceFlags replace the plain service's flags for its slots and work.
 	serviceFlags []string
 	// emptyTree leaves the services out of the settings files: they come by the platform's tree alone.
@@ -82,11 +84,13 @@
 	return f
 }
 
-// addNodes starts nodes that know each other.
+// addNodes starts nodes that know each other and those started before. The settings of these stay as they are.
 func (f *fleet) addNodes(tb testing.TB, nodes int) {
 	tb.Helper()
 
-	for i := range nodes {
+	first := len(f.nodeSpecs)
+
+	for i := first; i < first+nodes; i++ {
 		f.nodeSpecs = append(f.nodeSpecs, nodeSpec{
 			name:          fmt.Sprintf("node-%d", i+1),
 			failureDomain: []string{"catania-sala", "siracusa-sala", "acireale-sala"}[i%3],
@@ -96,7 +100,7 @@
 		})
 	}
 
-	for i := range f.nodeSpecs {
+	for i := first; i < len(f.nodeSpecs); i++ {
 		f.writeSettings(tb, i)
 		f.nodes = append(f.nodes, f.startNode(tb, i))
 	}
@@ -207,7 +211,7 @@
 	text := `kind: plain
 default_class: lookup
 classes:
-  lookup: {tier: 1, target: 300ms, gap_limit: 1s, max_wait: 10s, repeatable: true, retry_budget: 0.1}
+  lookup: {tier: 1, target: 300ms, gap_limit: 1s, max_wait: 10s, repeatable: true, retry_budget: 0.1` + f.shape.lookupClass + `}
   booking: {tier: 1, target: 1s, gap_limit: 1s, max_wait: 10s, repeatable: false}
 ` + f.organisations() + "upstreams:\n" + f.upstream("banco-1", f.service, 8)
 
