Let a request wait for the node's lease of a limit before it is refused

Symptom: TestRollingRestartKeepsLimitedOrganisation, most on a busy machine: a lookup is refused with concurrency_limited although its organisation uses some ten of 200, and needs a second try a second later.

Events, from the logs: a node without a lease has its base share, two requests of 200; a node with so little use asks for none. When entries move to it because another node leaves, or answers take longer, a third request overlaps and is refused before anybody is asked; the next report brings the lease.

A request that finds the concurrency used up while nothing is lent to the node now counts as demand, so that a report is due in the next round (250 ms), and waits for the answer, for one period at most: that is when a refused caller would come back. It doesn't wait once a lease is there, from an even part of the limit on, nor for an owner that doesn't answer, so that an organisation that is at its limit is refused at once as before. A stopping node waits for it as for an answer. Rates and tokens are as before: a node without a lease has an even part of them as its burst.

Ruled out: a larger base share (a single busy node would get half of a limit) and a lease for every node in use (a report a period and limit).

--- a/internal/limiter/entry.go
+++ b/internal/limiter/entry.go
@@ -139,6 +139,24 @@
 	e.balanceAt = at
 }
 
+// awaits says whether the concurrency is used up only since nothing is lent yet,
+// and counts the request as demand, so that a report is due in the next round. It
+// is not so from an even part of the limit on, nor while the owner doesn't answer.
+func (e *entry) awaits(now time.Time, options Options, view *view) bool {
+	full := e.limits.Concurrency > 0 && float64(e.inFlight) >= e.allowed.Concurrency
+	unanswered := !e.silentSince.IsZero() && now.Sub(e.silentSince) >= options.Period
+
+	if !full || unanswered || e.lent.Concurrency > 0 || float64(e.inFlight) >= max(view.even(now, e.limits).Concurrency, 1) {
+		return false
+	}
+
+	e.blocked = max(e.blocked, 1)
+	e.refused = true
+	e.lastUsed = now
+
+	return true
+}
+
 // check says whether a request fits, and counts the attempt as demand.
 func (e *entry) check(now time.Time, options Options) (classifier.Code, time.Duration) {
 	e.attempts++
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -88,6 +88,24 @@
 	}
 }
 
+// Awaits says whether a request would be refused only since the node has no lease
+// yet, while it asks for one: the request may then wait for the answer, for a
+// period at most. Refused at once, it would meet a limit of which its
+// organisation uses next to nothing, whenever a few callers come to a quiet node.
+func (l *Limiter) Awaits(now time.Time, service, organisation, class string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	for _, name := range [...]string{class, ""} {
+		e := l.find(now, Key{Service: service, Organisation: organisation, Class: name})
+		if e != nil && e.awaits(now, l.options, &l.view) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // Admit takes one request in, or says why not and when to come back. Every
 // admitted request needs one call of Done. What the limit by class refuses is no
 // demand on the organisation's whole limit, so the limit by class is asked first.
--- a/internal/server/limits.go
+++ b/internal/server/limits.go
@@ -12,6 +12,10 @@
 // limitInterval is how often due reports on limits are sent; a quarter of the limiter's period.
 const limitInterval = 250 * time.Millisecond
 
+// leaseRounds is for how many of these rounds a request waits for the node's lease
+// of a limit: one period, after which a refused caller would come back.
+const leaseRounds = 4
+
 // limits holds organisations to their limits, as this node's part of the fleet.
 type limits struct {
 	local *limiter.Limiter
@@ -35,6 +39,24 @@
 	l.owner.SetNodes(now, live, known)
 }
 
+// awaitLease returns when the node has a lease for the request, when none is to be had, or when the caller leaves.
+func (l *limits) awaitLease(caller context.Context, request dispatcher.Request) {
+	ticker := time.NewTicker(limitInterval)
+	defer ticker.Stop()
+
+	for range leaseRounds {
+		if !l.local.Awaits(time.Now(), request.Service.Name, request.Organisation.Name, request.Class.Name) {
+			return
+		}
+
+		select {
+		case <-ticker.C:
+		case <-caller.Done():
+			return
+		}
+	}
+}
+
 // admit returns nil, or why the organisation may not send the request now.
 func (l *limits) admit(request dispatcher.Request) *classifier.Error {
 	refusal, ok := l.local.Admit(time.Now(), request.Service.Name, request.Organisation.Name, request.Class.Name)
--- a/internal/server/runs.go
+++ b/internal/server/runs.go
@@ -119,7 +119,7 @@
 	ctx, cancel := context.WithCancel(n.work)
 	run.cancel = cancel
 
-	if failure := n.take(run); failure != nil {
+	if failure := n.take(caller, run); failure != nil {
 		cancel()
 
 		return failure
@@ -140,8 +140,14 @@
 	return nil
 }
 
-// take gives the request a place on the node, unless its organisation or the node is at its limit.
-func (n *Node) take(run *requestRun) *classifier.Error {
+// take gives the request a place on the node, unless its organisation or the node
+// is at its limit. A stopping node waits for it as for an answer.
+func (n *Node) take(caller context.Context, run *requestRun) *classifier.Error {
+	n.writing.Add(1)
+	defer n.writing.Add(-1)
+
+	n.limits.awaitLease(caller, run.request)
+
 	if failure := n.limits.admit(run.request); failure != nil {
 		return failure
 	}
