Charge a resume what it repeats

With callers steered to the holder, one node resumes all of a pool's answers.

A resume goes on at its offset, so that all it repeats is the time before the first token. It costs that part of the broken attempt now, at least a tenth; what failed without a token, or fell silent, costs 1 as before, and so does a hedged copy. "Load" is time at upstreams: what is read again stays within a tenth of the attempts and the saved credit. The number of extra attempts may be higher than that share, by ten times at most and within the four for each request.

TestThirdOfLongStreamsIsResumed failed before; TestStormOfBrokenStreamsStaysWithinBudget fails if every resume costs a tenth. TestStormStaysWithinBudget is unchanged.

--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -16,6 +16,10 @@
 	creditAttempts = 100
 	// creditSlack allows for sums such as ten times 0.1, which are a hair less than 1.
 	creditSlack = 1e-9
+	// fullCost is what an extra attempt costs that repeats all that the last one did,
+	// leastCost what any costs: without it streams that break often could be resumed without bound.
+	fullCost  = 1
+	leastCost = 0.1
 )
 
 // Pair names a class of a service.
@@ -24,9 +28,10 @@
 	Class   string
 }
 
-// Budget bounds the extra attempts that reach upstreams: over any span at most
-// RetryBudget for each first attempt of a class, plus its saved credit, plus
-// the node's floor. It is safe for concurrent use.
+// Budget bounds the load that extra attempts put on upstreams: over any span
+// their costs add up to at most RetryBudget for each first attempt of a class,
+// plus its saved credit, plus the node's floor. An attempt that repeats all costs
+// 1, and the resume of a broken stream its part. It is safe for concurrent use.
 //
 // Without it, a failure that hits all upstreams multiplies the load by the
 // number of attempts just when capacity is lost; it would show as a load that
@@ -57,14 +62,14 @@
 	b.credit[pair] = min(b.creditOf(pair, share)+share, creditAttempts*share)
 }
 
-// Spend takes one extra attempt from the class's credit, else from the floor.
-// It returns false when neither has one.
-func (b *Budget) Spend(now time.Time, pair Pair, share float64) bool {
+// Spend takes one extra attempt of the given cost, above 0 to 1, from the class's
+// credit, else a whole one from the floor. It returns false when neither has it.
+func (b *Budget) Spend(now time.Time, pair Pair, share, cost float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	if credit := b.creditOf(pair, cutShare(share)); credit >= 1-creditSlack {
-		b.credit[pair] = max(credit-1, 0)
+	if credit := b.creditOf(pair, cutShare(share)); credit >= cost-creditSlack {
+		b.credit[pair] = max(credit-cost, 0)
 
 		return true
 	}
--- a/internal/retrier/hedger.go
+++ b/internal/retrier/hedger.go
@@ -100,7 +100,7 @@
 // Spend takes the second copy from the class's budget. It is to be called right
 // before the copy is sent; false means to go on waiting for the first.
 func (h *Hedger) Spend(now time.Time, service string, class configurer.Class) bool {
-	return mayHedge(class) && h.budget.Spend(now, Pair{Service: service, Class: class.Name}, class.RetryBudget)
+	return mayHedge(class) && h.budget.Spend(now, Pair{Service: service, Class: class.Name}, class.RetryBudget, fullCost)
 }
 
 func mayHedge(class configurer.Class) bool {
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -145,13 +145,27 @@
 		return reasonNone
 	}
 
-	if !r.budget.Spend(r.options.Now(), pair, share) {
+	if !r.budget.Spend(r.options.Now(), pair, share, cost(outcome)) {
 		return endBudget
 	}
 
 	return reasonNone
 }
 
+// cost is the part of the broken attempt that the next one repeats. A stream goes
+// on at its offset, so that it is the time before the first token: the wait and
+// the reading of the prompt. Charged in full, a third of the engines breaks off more
+// long answers of one busy node than it may resume, and these start anew, which
+// is the very load that the budget is there to bound. A silent stream costs all:
+// its time was spent waiting.
+func cost(outcome dispatcher.Outcome) float64 {
+	if outcome.Result != dispatcher.ResultFailed || outcome.Tokens == 0 || outcome.FirstToken <= 0 || outcome.Duration <= 0 {
+		return fullCost
+	}
+
+	return min(max(outcome.FirstToken.Seconds()/outcome.Duration.Seconds(), leastCost), fullCost)
+}
+
 func (r *Retrier) again(outcome dispatcher.Outcome, progress int) dispatcher.Next {
 	why := retryReason(outcome.Result, progress > 0)
 	r.counters.add(why)
