--- a/internal/retrier/cost_test.go
+++ b/internal/retrier/cost_test.go
@@ -19,14 +19,7 @@
 // Sequence: all callers of a service come through one node; a third of the engines crashes under 40 of its reviews.
 // Cause: a resume is charged like a request that starts anew, though all it repeats is the reading.
 func TestThirdOfLongStreamsIsResumed(t *testing.T) {
-	judge := New(Options{})
-
-	for range 40 {
-		play := &script{pool: 3, outcomes: []dispatcher.Outcome{brokenAfter(time.Second, 12*time.Second)}}
-		failure := play.run(judge, true)
-
-		assert.Assert(t, failure == nil, "%v", failure)
-	}
+	allResume(t, 40, brokenAfter(time.Second, 12*time.Second))
 }
 
 // Symptom: upstreams are busier with reading prompts again than the budget allows.
@@ -42,7 +35,15 @@
 
 		synctest.Test(t, func(*testing.T) {
 			began := time.Now()
-			again = playBrokenStreams(firsts, lasted)
+			_, _, again = playStorm(func(i int) []dispatcher.Outcome {
+				var outcomes []dispatcher.Outcome
+				for j := range 3 {
+					first := time.Duration(firsts[(i+j)%len(firsts)]) * time.Millisecond
+					outcomes = append(outcomes, brokenAfter(first, lasted))
+				}
+
+				return outcomes
+			})
 			storm = time.Since(began)
 		})
 
@@ -50,27 +51,3 @@
 		assert.Assert(r, again.Seconds() <= most*lasted.Seconds()+1e-6, "%s of reading again", again)
 	})
 }
-
-// playBrokenStreams runs 600 requests whose streams break three times, and
-// returns how long the resumed ones had read before their first tokens.
-func playBrokenStreams(firsts []int, lasted time.Duration) time.Duration {
-	judge, again := New(Options{}), time.Duration(0)
-
-	for i := range 600 {
-		play := &script{pool: 12}
-		for j := range 3 {
-			first := time.Duration(firsts[(i+j)%len(firsts)]) * time.Millisecond
-			play.outcomes = append(play.outcomes, brokenAfter(first, lasted))
-		}
-
-		_ = play.run(judge, true)
-
-		for j := range len(play.results) - 1 {
-			again += play.outcomes[j].FirstToken
-		}
-
-		time.Sleep(100 * time.Millisecond)
-	}
-
-	return again
-}
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -226,7 +226,7 @@
 
 		synctest.Test(t, func(*testing.T) {
 			started := time.Now()
-			extra, first = playStorm(shares, seed)
+			extra, first, _ = playStorm(func(i int) []dispatcher.Outcome { return storm(&seed, shares[i*len(shares)/600]) })
 			lasted = time.Since(started)
 		})
 
@@ -235,13 +235,13 @@
 	})
 }
 
-// playStorm runs 600 requests and counts their first and extra attempts that reached an upstream.
-func playStorm(shares []int, seed uint64) (extra, first int) {
+// playStorm runs 600 requests. It counts their first and extra attempts that reached
+// an upstream, and adds up for how long those that were followed by another had no token.
+func playStorm(outcomes func(i int) []dispatcher.Outcome) (extra, first int, again time.Duration) {
 	judge := New(Options{})
 
 	for i := range 600 {
-		percent := shares[i*len(shares)/600]
-		play := &script{pool: 12, outcomes: storm(&seed, percent)}
+		play := &script{pool: 12, outcomes: outcomes(i)}
 		_ = play.run(judge, true)
 
 		reached := 0
@@ -252,23 +252,34 @@
 			}
 		}
 
+		for j := range len(play.results) - 1 {
+			again += play.outcomes[j].FirstToken
+		}
+
 		first += min(reached, 1)
 		extra += max(reached-1, 0)
 
 		time.Sleep(100 * time.Millisecond)
 	}
 
-	return extra, first
+	return extra, first, again
 }
 
 // Symptom: callers get half an answer and "retry budget spent" although two engines are well.
 // Sequence: a node has just started; an engine crashes in the middle of several answers.
 // Cause: a budget that starts empty pays for the floor's three resumes only.
 func TestFirstCrashAfterStartIsResumed(t *testing.T) {
+	allResume(t, 8, dispatcher.Outcome{Result: dispatcher.ResultFailed, Tokens: 20})
+}
+
+// allResume breaks the first attempts of as many requests of a new node.
+func allResume(t *testing.T, count int, broken dispatcher.Outcome) {
+	t.Helper()
+
 	judge := New(Options{})
 
-	for range 8 {
-		play := &script{pool: 3, outcomes: []dispatcher.Outcome{{Result: dispatcher.ResultFailed, Tokens: 20}}}
+	for range count {
+		play := &script{pool: 3, outcomes: []dispatcher.Outcome{broken}}
 		failure := play.run(judge, true)
 
 		assert.Assert(t, failure == nil, "%v", failure)
--- a/internal/scheduler/spreading_test.go
+++ b/internal/scheduler/spreading_test.go
@@ -16,22 +16,18 @@
 // Cause: servers are chosen by free slots, whatever would be lost with them.
 func TestNotRepeatableIsSpreadByTimeInFlight(t *testing.T) {
 	for _, c := range []struct {
-		class  string
-		change func(*configurer.Class)
-		once   bool
-		want   string
+		class      string
+		repeatable bool
+		once       bool
+		want       string
 	}{
-		{class: "chat", once: true, want: "e02"},
-		{class: "chat", change: func(c *configurer.Class) { c.Repeatable = false }, want: "e02"},
-		{class: "chat", want: "e01"},
-		{class: "counter", once: true, want: "e01"},
+		{"chat", true, true, "e02"},
+		{"chat", false, false, "e02"},
+		{"chat", true, false, "e01"},
+		{"counter", true, true, "e01"},
 	} {
-		t.Run(fmt.Sprint(c.class, c.once, c.want), func(t *testing.T) {
-			service := testService(2, 4)
-			if c.change != nil {
-				service = withClass(service, c.class, c.change)
-			}
-
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			service := withClass(testService(2, 4), c.class, func(class *configurer.Class) { class.Repeatable = c.repeatable })
 			p := New(service, Options{Headroom: -1, FixedSlots: true})
 			p.Adopt(epoch, "n1", []InFlight{
 				{GrantID: "old", Upstream: "e01", Class: "chat", NotRepeatable: true, Since: epoch.Add(-time.Minute)},
