Compare holder and entry less often while nothing differs

Cause: a holder compared its grants with each entry every second. At the design size that is 220 comparisons a second and node, 74 KB/s, nearly all of which find nothing.

Now the time between two comparisons of a pool with an entry doubles from 1 s to 10 s (Options.ReconcileAtMost) while they agree. It is 1 s again after a difference, an entry that doesn't answer, a decision that couldn't be delivered, a new or doubted holder, and when an entry says so in its ask: one that has just started, or that another holder or none has served meanwhile. Releases and cancels that fail are sent again for 10 s; before, the comparison after three failed tries freed the slot.

Stated time: what either end noticed is set right as before (1 s, capacity counted twice; two comparisons, capacity lost). What neither noticed, such as a release in a connection that broke, lasts 11 s at most. An entry that is listed as live and answers nothing is forgotten 15 s after its last answer at most (before: 5 s).

Ruled out: digests riding on asks and releases. At 0.35 asks a second of a pair of entry and pool, some 35 B more on each ask and release are 76 x 2 x 35 x 2 = 10.6 KB/s a node, more than the 7.4 KB/s of comparisons each 10 s, and a digest differs whenever a grant crosses with it.

The 5 s within which an unknown grant is freed stay for an entry that tells; one that doesn't has the stated 11 s. TestFaultsAtRandomLoseNoCapacity keeps its 5 s.

--- a/internal/granter/batcher.go
+++ b/internal/granter/batcher.go
@@ -122,12 +122,16 @@
 	return result, err
 }
 
-// tellTries is how often a message without asks is sent until it succeeds.
-const tellTries = 3
+const (
+	// tellTries is how often a message without asks is sent at once until it succeeds.
+	tellTries = 3
+	// tellFor is how long it is sent again each probeEvery after that.
+	tellFor = 10 * time.Second
+)
 
 // tell sends a message without asks. A lost release holds its slot until the
-// holder's second comparison; so one that fails is sent again, which changes
-// nothing when it had arrived.
+// holder's second comparison, which may be ReconcileAtMost away; so one that
+// fails is sent again, which changes nothing when it had arrived.
 func (b *batcher) tell(peer string, params askParams) {
 	if b.local(peer) {
 		b.router.holder.take(peer, params)
@@ -136,14 +140,27 @@
 	}
 
 	go func() {
-		for range tellTries {
-			if b.tellOnce(peer, params) == nil || b.router.ctx.Err() != nil {
+		until := time.Now().Add(tellFor)
+
+		for tries := 1; b.tellOnce(peer, params) != nil && time.Now().Before(until); tries++ {
+			if tries >= tellTries {
+				b.pause()
+			}
+
+			if b.router.ctx.Err() != nil {
 				return
 			}
 		}
 	}()
 }
 
+func (b *batcher) pause() {
+	select {
+	case <-time.After(probeEvery):
+	case <-b.router.ctx.Done():
+	}
+}
+
 func (b *batcher) tellOnce(peer string, params askParams) error {
 	r := b.router
 
--- a/internal/granter/holder.go
+++ b/internal/granter/holder.go
@@ -68,6 +68,7 @@
 	// mine says whether this node was the pool's holder when last looked at.
 	mine    bool
 	lastAsk time.Time
+	pacer   *pacer
 	// silent counts, by entry, comparisons running that the entry didn't answer.
 	silent map[string]int
 }
@@ -133,6 +134,7 @@
 		p.mu.Lock()
 		p.mine = false
 		p.lastAsk = time.Time{}
+		p.pacer.hurryAll()
 		p.mu.Unlock()
 	}
 }
@@ -149,6 +151,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
+	if item.Compare {
+		p.pacer.hurry(entry)
+	}
+
 	answer := decision{State: stateQueued, ID: item.ID, Pool: p.name}
 	decisions := p.pool.Submit(time.Now(), item.request(entry))
 
@@ -242,6 +248,7 @@
 			part:     part,
 			pool:     scheduler.New(partOf(settings, part), options),
 			revision: snapshot.Revision,
+			pacer:    newPacer(h.options.ReconcileEvery, h.options.ReconcileAtMost),
 			silent:   make(map[string]int),
 		}
 		p.timer = time.AfterFunc(time.Hour, func() { h.tick(p) })
@@ -279,7 +286,7 @@
 }
 
 // send delivers decisions to an entry. What can't be delivered is made good by
-// the entry's next ask or by the next comparison.
+// the entry's next ask or by the next comparison, which then comes soon.
 func (h *Holder) send(entry string, decisions []decision) {
 	if entry == h.options.Node && h.entry != nil {
 		for _, d := range decisions {
@@ -292,7 +299,15 @@
 	ctx, cancel := context.WithTimeout(h.ctx, h.options.ReconcileEvery)
 	defer cancel()
 
-	_ = h.caller.Notify(ctx, entry, MethodDecided, decidedParams{Decisions: decisions})
+	if h.caller.Notify(ctx, entry, MethodDecided, decidedParams{Decisions: decisions}) == nil {
+		return
+	}
+
+	for _, d := range decisions {
+		if p := h.find(d.Pool); p != nil {
+			p.hurry(entry)
+		}
+	}
 }
 
 // outbox sends the decisions for each entry in their order, without holding up the pools.
--- a/internal/granter/pending.go
+++ b/internal/granter/pending.go
@@ -157,6 +157,10 @@
 
 		if d.State == stateGranted {
 			r.launch(newFlight(p, d.GrantID, d.Upstream, peer))
+
+			if r.known[p.pool] != peer {
+				delete(r.known, p.pool)
+			}
 		}
 
 		p.result <- d
@@ -198,6 +202,9 @@
 		return nil
 	}
 
+	// The next holder that answers hasn't granted this one.
+	delete(r.known, p.pool)
+
 	f := newFlight(p, p.item.ID+"/fallback", "", "")
 	if f.lower && !r.withinShare(p.pool) {
 		return nil
@@ -218,6 +225,22 @@
 	return s != nil && r.lowerOn(pool) < s.known(time.Now())
 }
 
+// knownAt says whether the holder knows all that this node has of the pool.
+// Asked by another holder's entry, it would count that capacity as free until a comparison.
+func (r *Router) knownAt(pool, holder string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.known[pool] == holder
+}
+
+func (r *Router) learnKnown(pool, holder string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.known[pool] = holder
+}
+
 // withdraw ends an ask from this side and tells its holder. It returns false
 // when a decision is already there to be read.
 func (r *Router) withdraw(p *pending) bool {
--- a/internal/granter/reconciler.go
+++ b/internal/granter/reconciler.go
@@ -24,6 +24,11 @@
 	lost := (mine && !p.mine) || (!mine && now.Sub(p.lastAsk) > staleAfter)
 	p.mine = mine
 	p.lastAsk = now
+
+	if lost {
+		p.pacer.hurryAll()
+	}
+
 	p.mu.Unlock()
 
 	if !lost {
@@ -36,10 +41,10 @@
 
 	// What this node itself runs is known at once, before the first grant.
 	if slices.Contains(live, h.options.Node) {
-		h.compareOne(p, h.options.Node)
+		h.compareOne(p, h.options.Node, now)
 	}
 
-	go h.compare(p, live)
+	go h.compare(p, live, now)
 }
 
 // reconcile compares the pool's grants with its entries until the pool is idle and not held here.
@@ -48,8 +53,10 @@
 	defer ticker.Stop()
 
 	for {
+		var now time.Time
+
 		select {
-		case <-ticker.C:
+		case now = <-ticker.C:
 		case <-h.ctx.Done():
 			return
 		}
@@ -57,7 +64,7 @@
 		h.refresh(p)
 
 		entries := h.entriesOf(p)
-		h.compare(p, entries)
+		h.compare(p, h.dueOf(p, entries, now), now)
 
 		if len(entries) == 0 && h.retire(p) {
 			return
@@ -72,6 +79,30 @@
 	return p.pool.Entries()
 }
 
+// dueOf returns those of the pool's entries that the round of this time
+// compares. This node itself costs no message, and of an entry that is no longer
+// live nothing is to be waited for.
+func (h *Holder) dueOf(p *heldPool, entries []string, now time.Time) []string {
+	live := h.members.Live()
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.pacer.keep(entries)
+
+	return slices.DeleteFunc(slices.Clone(entries), func(entry string) bool {
+		return !p.pacer.due(now, entry) && entry != h.options.Node && slices.Contains(live, entry)
+	})
+}
+
+// hurry has the entry compared in the next round.
+func (p *heldPool) hurry(entry string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.pacer.hurry(entry)
+}
+
 // retire drops an idle pool that another node holds, and says whether it did.
 func (h *Holder) retire(p *heldPool) bool {
 	mine := h.placement.holder(h.members.Live(), p.name) == h.options.Node
@@ -93,12 +124,12 @@
 	return true
 }
 
-// compare asks the entries at the same time what they have in flight.
-func (h *Holder) compare(p *heldPool, entries []string) {
+// compare asks the entries at the same time what they have in flight; round is when that began.
+func (h *Holder) compare(p *heldPool, entries []string, round time.Time) {
 	var group sync.WaitGroup
 
 	for _, entry := range entries {
-		group.Go(func() { h.compareOne(p, entry) })
+		group.Go(func() { h.compareOne(p, entry, round) })
 	}
 
 	group.Wait()
@@ -107,7 +138,7 @@
 // compareOne compares the pool's grants with what one entry has in flight. The
 // entry lists it only if it differs from what the holder knew when it asked: in
 // nearly all comparisons nothing differs, and the lists grow with what is in flight.
-func (h *Holder) compareOne(p *heldPool, entry string) {
+func (h *Holder) compareOne(p *heldPool, entry string, round time.Time) {
 	known := h.grantsOf(p, entry)
 
 	result, err := h.flightsOf(entry, p.name, known)
@@ -121,9 +152,13 @@
 		delete(p.silent, entry)
 
 		if result.Same {
+			p.pacer.agreed(round, entry)
+
 			return pool.Confirm(now, entry, known)
 		}
 
+		p.pacer.hurry(entry)
+
 		return pool.Adopt(now, entry, result.inFlight(now, entry))
 	})
 }
@@ -169,6 +204,7 @@
 
 	h.drive(p, func(now time.Time, pool *scheduler.Pool) []scheduler.Decision {
 		p.silent[entry]++
+		p.pacer.hurry(entry)
 
 		if !gone && p.silent[entry] < silentToForget {
 			return nil
--- a/internal/granter/router.go
+++ b/internal/granter/router.go
@@ -42,6 +42,10 @@
 	flights map[string]*flight
 	// shares holds what lower tiers of this node lately had of each pool, by pool.
 	shares map[string]*share
+	// known holds the holder, by pool, that knows all grants which this node has of
+	// the pool as far as this node can tell: none before its first answer, or once
+	// the node ran something without it.
+	known map[string]string
 	// silent holds nodes that didn't answer and have not answered since.
 	silent map[string]bool
 }
@@ -61,6 +65,7 @@
 		pending:   make(map[string]*pending),
 		flights:   make(map[string]*flight),
 		shares:    make(map[string]*share),
+		known:     make(map[string]string),
 		silent:    make(map[string]bool),
 	}
 
@@ -126,6 +131,7 @@
 	item := p.item
 	item.Queued = time.Since(p.began)
 	item.Waited = time.Since(p.arrived)
+	item.Compare = !r.knownAt(p.pool, peer)
 
 	answer, err := r.batcher.ask(ctx, peer, item, p.class.Tier == topTier)
 	if err != nil && ctx.Err() == nil {
@@ -135,6 +141,7 @@
 	}
 
 	if err == nil {
+		r.learnKnown(p.pool, peer)
 		r.decided(peer, answer)
 	}
 
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -12,7 +12,11 @@
 //     whether the ask still waits or was granted.
 //   - The holder compares its grants with what each entry has in flight; what
 //     the entry doesn't know twice running is free again, and what the holder
-//     doesn't know is taken over.
+//     doesn't know is taken over. It does so within ReconcileEvery when either
+//     end noticed that something may differ: a new holder, a silent one that
+//     answers again, an entry that grants of another holder serve, a decision
+//     that didn't arrive. What neither noticed ends by ReconcileAtMost and
+//     ReconcileEvery together.
 //
 // Locks, in the order in which they may be taken: Holder.mu, heldPool.mu,
 // outbox.mu. Router.mu and batcher.mu are taken alone. None is held during a message.
@@ -53,8 +57,11 @@
 	// AskAgainAfter is the time after which a queued ask below tier 1 is sent again;
 	// tier 1 asks again after HolderSilence. Default 5 s.
 	AskAgainAfter time.Duration
-	// ReconcileEvery is the time between comparisons of grants with each entry. Default 1 s.
+	// ReconcileEvery is the time between rounds of comparisons, and between those
+	// with an entry while they differ. Default 1 s.
 	ReconcileEvery time.Duration
+	// ReconcileAtMost is the longest time between comparisons with an entry. Default 10 s.
+	ReconcileAtMost time.Duration
 }
 
 func (o Options) withDefaults() Options {
@@ -78,6 +85,10 @@
 		o.ReconcileEvery = time.Second
 	}
 
+	if o.ReconcileAtMost == 0 {
+		o.ReconcileAtMost = 10 * time.Second
+	}
+
 	return o
 }
 
--- a/internal/granter/wire.go
+++ b/internal/granter/wire.go
@@ -46,6 +46,8 @@
 	Progress     int           `json:"progress,omitempty"`
 	Prefixes     []uint64      `json:"prefixes,omitempty"`
 	Spare        bool          `json:"spare,omitempty"`
+	// Compare says that the entry may have grants of this pool that the holder doesn't know, or the reverse.
+	Compare bool `json:"compare,omitempty"`
 	// NotRepeatable keeps the request from being preempted.
 	NotRepeatable bool `json:"not_repeatable,omitempty"`
 }
