Replay: callers name their service and use the order of the answer

Cause: the replay took all entries in turn and named no service, so that no replay showed what steering saves. Now the callers of a service share eight answers of GET /v1/entries?service=, as eight processes with pkg/finder would have, and begin with the first address of theirs. --in-turn is the old way.

Ruled out: one answer for a service, which sends all its requests to one node for 10 s; pkg/finder itself in place of the directory, since its failed addresses come last until the next answer and ours for 1 s, which the fault tests in turn rest upon.

Not measured here on the wire: docs/CAPACITY.md has the bytes of callers that obey.

--- a/internal/replayer/caller.go
+++ b/internal/replayer/caller.go
@@ -56,7 +56,8 @@
 }
 
 func (c *caller) try(ctx context.Context, data []byte) reply {
-	address := c.player.directory.pick(c.index + c.hops)
+	directory := c.player.guide.of(c.index, c.event.Service)
+	address := directory.pick(c.index, c.hops)
 	a := attempt{
 		client:   c.player.clientFor(c.event),
 		scheme:   c.player.options.scheme(),
@@ -78,7 +79,7 @@
 	}
 
 	if r.lost {
-		c.player.directory.avoid(address)
+		directory.avoid(address)
 	}
 
 	return r
@@ -120,7 +121,7 @@
 func (c *caller) hop(ctx context.Context) bool {
 	c.hops++
 
-	entries := len(c.player.directory.addresses())
+	entries := len(c.player.guide.of(c.index, c.event.Service).addresses())
 	if c.hops >= entries*maxRounds {
 		return false
 	}
--- a/internal/replayer/directory.go
+++ b/internal/replayer/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/url"
 	"slices"
 	"sync"
 	"time"
@@ -36,6 +37,10 @@
 	scheme string
 	key    string
 	given  []string
+	// service is named in each question; it may be empty.
+	service string
+	// inTurn has callers begin with each address in turn, and not with the first.
+	inTurn bool
 
 	mu      sync.Mutex
 	known   []string
@@ -81,7 +86,7 @@
 	ctx, cancel := context.WithTimeout(ctx, entriesLimit)
 	defer cancel()
 
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, d.scheme+address+"/v1/entries", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, d.scheme+address+d.path(), nil)
 	if err != nil {
 		return entriesAnswer{}, errors.Wrapf(err, "entry %s", address)
 	}
@@ -110,19 +115,30 @@
 	return answer, nil
 }
 
+func (d *directory) path() string {
+	if d.service == "" {
+		return "/v1/entries"
+	}
+
+	return "/v1/entries?" + url.Values{"service": {d.service}}.Encode()
+}
+
 func (d *directory) learn(answer entriesAnswer) {
 	known := make([]string, 0, len(answer.Entries))
 	for _, v := range answer.Entries {
 		known = append(known, v.Address)
 	}
 
-	// Every node names itself first; callers that take turns need one order.
-	slices.Sort(known)
+	// Answers differ in their order; callers that take turns need one.
+	if d.inTurn {
+		slices.Sort(known)
+		known = slices.Compact(known)
+	}
 
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.known = slices.Compact(known)
+	d.known = known
 }
 
 // all returns the known addresses followed by the given ones.
@@ -141,12 +157,16 @@
 	return slices.Clone(d.known)
 }
 
-// pick returns the address for a turn, past those that failed lately unless all did.
-func (d *directory) pick(turn int) string {
+// pick returns the address that the caller with this number uses after so many
+// changes of it, past those that failed lately unless all did.
+func (d *directory) pick(number, hops int) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	now := time.Now()
+	now, turn := time.Now(), hops
+	if d.inTurn {
+		turn += number
+	}
 
 	for i := range d.known {
 		address := d.known[(turn+i)%len(d.known)]
@@ -165,16 +185,3 @@
 
 	d.avoided[address] = time.Now().Add(avoidTime)
 }
-
-// wait returns after the given time, or with the context's error if that ends first.
-func wait(ctx context.Context, length time.Duration) error {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/replayer/player.go
+++ b/internal/replayer/player.go
@@ -44,6 +44,9 @@
 	// AskAgain lets callers repeat a not repeatable request with an idempotency
 	// key after a broken connection, as the key is meant for.
 	AskAgain bool
+	// InTurn has callers take all entries in turn. Otherwise they name their service
+	// in GET /v1/entries and use the addresses in the order of the answer.
+	InTurn bool
 	// TLS, if set, has nodes called by HTTPS with these settings.
 	TLS *tls.Config
 	// Client replaces the HTTP client, for tests.
@@ -54,8 +57,8 @@
 
 // Player plays traces against running nodes.
 type Player struct {
-	options   Options
-	directory *directory
+	options Options
+	guide   *guide
 	// kept reuses connections; fresh opens one for each call. A request that must
 	// not be repeated goes on a fresh one: on a kept one that the node has just
 	// closed, nobody could tell whether it was sent.
@@ -124,22 +127,18 @@
 		return Result{}, err
 	}
 
-	p.directory = newDirectory(p.kept, p.options.scheme(), p.options.Entries, key)
-
-	keep, err := p.directory.refresh(ctx)
-	if err != nil {
-		return Result{}, err
-	}
-
 	following, stop := context.WithCancel(ctx)
 	defer stop()
 
-	go p.directory.follow(following, keep)
+	p.guide = newGuide(p.kept, p.options, key, events)
+	if err := p.guide.start(following); err != nil {
+		return Result{}, err
+	}
 
 	result := Result{Started: time.Now(), Outcomes: make([]Outcome, len(events))}
 	err = p.send(ctx, events, result)
 	result.Took = time.Since(result.Started)
-	result.Entries = p.directory.addresses()
+	result.Entries = p.guide.addresses()
 
 	return result, err
 }
--- a/internal/replayer/player_test.go
+++ b/internal/replayer/player_test.go
@@ -25,10 +25,21 @@
 	steps []string
 	asked []string
 	pause time.Duration
+	// queries holds those of GET /v1/entries.
+	queries []string
+}
+
+func (n *nodes) note(query string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.queries = append(n.queries, query)
 }
 
 func (n *nodes) Do(r *http.Request) (*http.Response, error) {
 	if r.URL.Path == "/v1/entries" {
+		n.note(r.URL.RawQuery)
+
 		return answer(200, `{"entries":[{"address":"b:1"},{"address":"a:1"}],"keep_seconds":1}`), nil
 	}
 
@@ -124,6 +135,27 @@
 	return result
 }
 
+// Symptom: the control bytes of a steered fleet stayed those of one that isn't.
+// Sequence: nodes name the holder of a service first; a replay plays.
+// Cause: the callers named no service and took all entries in turn.
+func TestCallersUseTheOrderForTheirService(t *testing.T) {
+	for inTurn, want := range map[bool][]string{false: {"b:1", "b:1", "b:1", "b:1"}, true: {"a:1", "b:1", "a:1", "b:1"}} {
+		synctest.Test(t, func(t *testing.T) {
+			n := &nodes{}
+			p := New(Options{Entries: []string{"a:1"}, Keys: map[string]string{"o": "k"}, InTurn: inTurn, Client: n})
+			result, err := p.Play(t.Context(), []tracer.Event{event(0), event(100), event(200), event(300)})
+
+			assert.NilError(t, err)
+			assert.DeepEqual(t, n.asked, want)
+			assert.DeepEqual(t, result.Entries, []string{"a:1", "b:1"})
+
+			for _, query := range n.queries {
+				assert.Equal(t, query == "service=s", !inTurn)
+			}
+		})
+	}
+}
+
 // Symptom: a slow system shows good latencies, because it got less load than the trace holds.
 // Events: the first answers take ten seconds; the player waits for them before it sends the next event.
 // Cause: a closed loop, or latencies counted from the late send and not from the trace's time.
