Name a loaded holder first to fewer callers

Cause: under queue_steered a holder stood first in the answers for its services however full it was. A holder of two pools, or of a service with many callers, filled its places and refused while other nodes idled.

Now all callers of a service are steered to a holder of it below half of its places in use, none from 90%, and between the two a share that falls with the load. The others get the usual order by room and failure domain; their asks travel. A caller's old answer stays served: no node refuses for being asked in a holder's stead.

Measured in virtual time (go test ./internal/lister -run SteeringLeavesRoom -v): 37 nodes of 2,000 places, 22 pools placed by hash, 2,800 requests a second of 13.9 s, 440 callers with answers kept for 10 s, loads 2 s old: steered always: 1.000 to a holder, 0.185 beyond the node's places below 80%: 0.856, 0.133 below 70%: 0.810, 0.106 below 60%: 0.732, 0.063 below 50%: 0.627, 0.037 Taken: 50%. A small site below half of its places loses nothing by it.

Ruled out: a single threshold (callers go to and fro, loads being seconds old).

--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -42,6 +42,11 @@
 	Seed uint64
 	// Holders may be nil.
 	Holders Holders
+	// SteerBelow is the load in percent up to which a holder is named first to all
+	// callers of its services; 0 means 50. From there to SteerNone ever fewer are.
+	SteerBelow int
+	// SteerNone is the load from which a holder is not preferred; 0 means 90.
+	SteerNone int
 }
 
 // Ask is what a caller tells about itself; both may be empty.
@@ -68,6 +73,9 @@
 	defaultMax = 8
 	// leastRoom is the free part that a full node counts with.
 	leastRoom = 0.05
+
+	defaultSteerBelow = 50
+	defaultSteerNone  = 90
 )
 
 // Lister makes the answers. It is safe for concurrent use.
@@ -84,6 +92,14 @@
 		options.Max = defaultMax
 	}
 
+	if options.SteerBelow <= 0 {
+		options.SteerBelow = defaultSteerBelow
+	}
+
+	if options.SteerNone <= 0 {
+		options.SteerNone = defaultSteerNone
+	}
+
 	return &Lister{options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed))}
 }
 
@@ -92,6 +108,8 @@
 	Node
 	// key is a random number that favours nodes with little load; least first.
 	key float64
+	// steered says whether this caller would be sent to the node as a holder.
+	steered bool
 	// rank is the place of the node in its failure domain.
 	rank int
 }
@@ -140,7 +158,7 @@
 
 	candidates := make([]*candidate, 0, len(nodes))
 	for _, n := range nodes {
-		candidates = append(candidates, &candidate{Node: n, key: l.random.ExpFloat64() / room(n.Load)})
+		candidates = append(candidates, &candidate{Node: n, key: l.random.ExpFloat64() / room(n.Load), steered: l.steers(n.Load)})
 	}
 
 	slices.SortFunc(candidates, func(a, b *candidate) int { return cmp.Compare(a.key, b.key) })
@@ -148,6 +166,23 @@
 	return candidates
 }
 
+// steers says whether a holder with this load is to get one more caller.
+//
+// All callers of a service at its holder would be the least messages, but a
+// service with more callers than its holder has places would fill it, and the
+// holder would refuse them, and those of its other services, while others
+// idle. A single threshold would send all callers to and fro, since loads are
+// seconds old and answers kept longer; so their share falls with the load, and
+// the load settles where the share fits. The caller holds l.mu.
+func (l *Lister) steers(load int) bool {
+	below, none := l.options.SteerBelow, l.options.SteerNone
+	if load < below {
+		return true
+	}
+
+	return load < none && l.random.IntN(none-below) < none-load
+}
+
 // room is the part of a node that is free. A full node keeps a little, since its load is old by seconds.
 func room(load int) float64 {
 	return math.Max(float64(100-load)/100, leastRoom)
@@ -160,7 +195,7 @@
 		holders = l.options.Holders.Holders(ask.Service)
 	}
 
-	held := func(c *candidate) bool { return slices.Contains(holders, c.Name) }
+	held := func(c *candidate) bool { return c.steered && slices.Contains(holders, c.Name) }
 	near := func(c *candidate) bool { return ask.FailureDomain != "" && c.FailureDomain == ask.FailureDomain }
 
 	chosen := l.take(nil, candidates, func(c *candidate) bool { return held(c) && near(c) })
--- /dev/null
+++ b/internal/lister/steering_test.go
@@ -0,0 +1,117 @@
+package lister_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/chooser"
+	"quincepath.example/quincepath/internal/lister"
+)
+
+// A tenth of the size to design for, see docs/CAPACITY.md.
+const (
+	fleetNodes      = 37
+	fleetServices   = 11
+	fleetRate       = 2800.0
+	answerSeconds   = 13.9
+	placesOfNode    = 2000
+	callersOfOne    = 40
+	keptSeconds     = 10
+	reportedSeconds = 2
+)
+
+// crowd is a fleet in steps of a second: each caller has a fixed rate and keeps
+// its entry, and a node's requests end after a mean time.
+type crowd struct {
+	list    *lister.Lister
+	nodes   []lister.Node
+	held    holders
+	entry   [fleetServices][callersOfOne]int
+	inside  [fleetNodes]float64
+	reports [][fleetNodes]float64
+}
+
+func newCrowd(options lister.Options) *crowd {
+	c := &crowd{nodes: nodes(fleetNodes, 12), held: holders{}}
+
+	names := make([]string, 0, fleetNodes)
+	for _, n := range c.nodes {
+		names = append(names, n.Name)
+	}
+
+	choose := chooser.New(names)
+	for s := range fleetServices {
+		c.held[fmt.Sprint(s)] = []string{choose.Choose(fmt.Sprint(s)), choose.Choose(fmt.Sprint(s, "#1"))}
+	}
+
+	options.Holders, options.Seed = c.held, 1
+	c.list = lister.New(options)
+
+	return c
+}
+
+// second moves on by one and returns the shares of requests at a holder and beyond a node's places.
+func (c *crowd) second(now int) (steered, refused float64) {
+	const rate = fleetRate / fleetServices / callersOfOne
+
+	c.reports = append(c.reports, c.inside)
+
+	for i, inside := range c.reports[max(0, now-reportedSeconds)] {
+		c.nodes[i].Load = int(100 * inside / placesOfNode)
+		c.inside[i] -= c.inside[i] / answerSeconds
+	}
+
+	for s := range c.entry {
+		for caller := range c.entry[s] {
+			if now == 0 || (now+caller)%keptSeconds == 0 {
+				first := c.list.List(lister.Ask{Service: fmt.Sprint(s)}, c.nodes).Entries[0].Node
+				c.entry[s][caller] = slices.IndexFunc(c.nodes, func(n lister.Node) bool { return n.Name == first })
+			}
+
+			at := c.entry[s][caller]
+			c.inside[at] += rate
+
+			if slices.Contains(c.held[fmt.Sprint(s)], c.nodes[at].Name) {
+				steered += rate
+			}
+		}
+	}
+
+	for i := range c.inside {
+		refused += max(0, c.inside[i]-placesOfNode)
+		c.inside[i] = min(c.inside[i], placesOfNode)
+	}
+
+	return steered / fleetRate, refused / fleetRate
+}
+
+// Symptom: nodes refused a quarter of their requests while half of the fleet was idle.
+// Sequence: callers obey GET /v1/entries; a node holds two pools of busy services.
+// Cause: a holder was named first however full it was.
+func TestLister_SteeringLeavesRoom(t *testing.T) {
+	const seconds, warm = 120, 60
+
+	refusals := make(map[int]float64)
+
+	for _, below := range []int{1000, 80, 70, 60, 0} {
+		c := newCrowd(lister.Options{SteerBelow: below})
+
+		var steered, refused float64
+
+		for now := range seconds {
+			s, r := c.second(now)
+			if now >= warm {
+				steered, refused = steered+s/(seconds-warm), refused+r/(seconds-warm)
+			}
+		}
+
+		t.Logf("steered below %d: %.3f to a holder, %.3f refused", below, steered, refused)
+		refusals[below] = refused
+	}
+
+	assert.Assert(t, refusals[1000] > 0.15)
+	assert.Assert(t, refusals[0] < 0.05)
+}
