Read load reports every 2 s with a queue

Cause: a holder read its upstreams' load each second, 3.7 KB/s at the design size, though a queue counts what it granted itself. A report still says whether an upstream leaves, and how loaded it is for tier 1 when no holder answers. power_of_two, which chooses by them, keeps 1 s.

--- a/internal/server/loads.go
+++ b/internal/server/loads.go
@@ -13,8 +13,13 @@
 )
 
 const (
+	// loadInterval is the time between load reports when nodes choose upstreams by them.
 	loadInterval = time.Second
-	loadTimeout  = 800 * time.Millisecond
+	// queueLoadInterval is the time between them with a queue, which counts what it
+	// granted itself. There a report says only whether an upstream leaves, and how
+	// loaded it is for the case that no holder answers.
+	queueLoadInterval = 2 * time.Second
+	loadTimeout       = 800 * time.Millisecond
 )
 
 // loadReport is what an upstream publishes about itself; it lags.
@@ -32,7 +37,7 @@
 		client.SetAuthToken(key)
 	}
 
-	ticker := time.NewTicker(loadInterval)
+	ticker := time.NewTicker(n.pollEvery())
 	defer ticker.Stop()
 
 	for {
@@ -46,6 +51,14 @@
 	}
 }
 
+func (n *Node) pollEvery() time.Duration {
+	if n.router == nil {
+		return loadInterval
+	}
+
+	return queueLoadInterval
+}
+
 func (n *Node) pollOnce(ctx context.Context, client *resty.Client) {
 	polled := make(map[string]bool)
 
@@ -56,7 +69,7 @@
 		for _, upstream := range service.Upstreams {
 			polled[upstream.Address] = true
 
-			// A pool that is full skips this round; the next comes in a second.
+			// A pool that is full skips this round; the next comes soon.
 			_ = n.background.Go(func() { n.pollUpstream(ctx, client, upstream) })
 		}
 	}
