Tell a holder that its entry asks elsewhere

Cause, found in review of the slower comparisons: nodes that see others alive take different nodes for a pool's holder for some seconds. And a comparison under way when an entry asked for one could find nothing and slow the pace again.

Now the entry tells the holder that it leaves (one message of some 50 B for each pool and move), and what hurries a comparison brings two: within 2 s both are seen. A pair that agrees costs one more comparison at its start.

--- a/internal/granter/holder.go
+++ b/internal/granter/holder.go
@@ -118,6 +118,12 @@
 		})
 	}
 
+	for _, pool := range params.Elsewhere {
+		if p := h.find(pool); p != nil {
+			p.hurry(entry)
+		}
+	}
+
 	answers := make([]decision, len(params.Asks))
 	for i := range params.Asks {
 		answers[i] = h.ask(entry, &params.Asks[i])
--- a/internal/granter/pacer.go
+++ b/internal/granter/pacer.go
@@ -4,9 +4,10 @@
 
 // pacer says when a holder compares the grants of one pool with which entry.
 //
-// An entry that was just heard of, or whose state differed, is compared at the
-// next round; with each comparison that found nothing the time doubles, from
-// least to most. In a quiet fleet nearly all comparisons find nothing, and at
+// An entry that was just heard of, or whose state differed, is compared in the
+// next two rounds: what hurried the first may begin after it, or while its
+// answer is on the way. With each further comparison that finds nothing the time
+// doubles, from least to most. In a quiet fleet nearly all comparisons find nothing, and at
 // most this long a difference goes unseen that nobody told about. It is guarded
 // by the lock of its pool.
 type pacer struct {
@@ -32,16 +33,16 @@
 
 // agreed notes a comparison that found nothing; now is when its round began.
 func (p *pacer) agreed(now time.Time, entry string) {
-	every := min(p.most, 2*max(p.least, p.paces[entry].every))
+	every := min(p.most, max(p.least, 2*p.paces[entry].every))
 	p.paces[entry] = pace{every: every, next: now.Add(every)}
 }
 
-// hurry has the entry compared in the next round.
+// hurry has the entry compared in the next two rounds.
 func (p *pacer) hurry(entry string) {
 	delete(p.paces, entry)
 }
 
-// hurryAll has each entry compared in the next round.
+// hurryAll has each entry compared in the next two rounds.
 func (p *pacer) hurryAll() {
 	clear(p.paces)
 }
--- a/internal/granter/pending.go
+++ b/internal/granter/pending.go
@@ -1,6 +1,7 @@
 package granter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -234,11 +235,18 @@
 	return r.known[pool] == holder
 }
 
+// learnKnown notes that a holder answered for the pool. The one before may still
+// serve other nodes, which see other nodes alive: it is told, or it would count
+// what the new one grants as free until its next comparison with this node.
 func (r *Router) learnKnown(pool, holder string) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-
+	last := r.known[pool]
 	r.known[pool] = holder
+	r.mu.Unlock()
+
+	if last != "" && last != holder && slices.Contains(r.members.Live(), last) {
+		r.batcher.tell(last, askParams{Elsewhere: []string{pool}})
+	}
 }
 
 // withdraw ends an ask from this side and tells its holder. It returns false
--- a/internal/granter/reconciler.go
+++ b/internal/granter/reconciler.go
@@ -95,7 +95,7 @@
 	})
 }
 
-// hurry has the entry compared in the next round.
+// hurry has the entry compared in the next two rounds.
 func (p *heldPool) hurry(entry string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/granter/wire.go
+++ b/internal/granter/wire.go
@@ -27,10 +27,12 @@
 	Asks     []askItem     `json:"asks,omitempty"`
 	Releases []releaseItem `json:"releases,omitempty"`
 	Cancels  []cancelItem  `json:"cancels,omitempty"`
+	// Elsewhere names pools for which the entry now asks another holder.
+	Elsewhere []string `json:"elsewhere,omitempty"`
 }
 
 func (p *askParams) empty() bool {
-	return len(p.Asks) == 0 && len(p.Releases) == 0 && len(p.Cancels) == 0
+	return len(p.Asks) == 0 && len(p.Releases) == 0 && len(p.Cancels) == 0 && len(p.Elsewhere) == 0
 }
 
 // askItem asks for one slot.
