Bench cache events at the time at which holders read them

Cause: holders read cache events together with load reports, so since these come every 2 s, so do the events.

--- a/internal/bencher/prefix.go
+++ b/internal/bencher/prefix.go
@@ -14,7 +14,7 @@
 )
 
 // eventPeriod is how often the holder reads each engine's cache events.
-const eventPeriod = time.Second
+const eventPeriod = 2 * time.Second
 
 // prefixes are the prompt caches of the engines, and what the holders know of
 // them. Without caches all methods do nothing.
