--- a/internal/granter/placement_test.go
+++ b/internal/granter/placement_test.go
@@ -128,7 +128,8 @@
 			counts[before[pool]]++
 		}
 
-		moved, hashed := 0, 0
+		// Each node goes once, so that each pool is a lost node's own once.
+		moved, hashed := 0, len(before)
 
 		for gone := range nodes {
 			left := slices.Delete(slices.Clone(nodes), gone, gone+1)
@@ -137,18 +138,12 @@
 					moved++
 				}
 			}
-
-			hashed += counts[nodes[gone]]
-		}
-
-		t.Logf("%d pools on %d nodes: at most %d, %d hold any; a lost node moves %.2f, its own are %.2f",
-			len(before), tt.nodes, slices.Max(slices.Collect(maps.Values(counts))), len(counts),
-			float64(moved)/float64(tt.nodes), float64(hashed)/float64(tt.nodes))
-
-		for _, count := range counts {
-			assert.Assert(t, count <= tt.most, "%d", count)
 		}
 
-		assert.Assert(t, moved <= 4*hashed, "%d of %d", moved, hashed)
+		most := slices.Max(slices.Collect(maps.Values(counts)))
+		t.Logf("%d pools on %d nodes: at most %d; a lost node moves %.2f, its own are %.2f",
+			len(before), tt.nodes, most, float64(moved)/float64(tt.nodes), float64(hashed)/float64(tt.nodes))
+		assert.Assert(t, most <= tt.most)
+		assert.Assert(t, moved <= 2*hashed, "%d of %d", moved, hashed)
 	}
 }
--- a/internal/lister/steering_test.go
+++ b/internal/lister/steering_test.go
@@ -69,16 +69,18 @@
 	}
 
 	for s := range c.entry {
+		service := fmt.Sprint(s)
+
 		for caller := range c.entry[s] {
 			if now == 0 || (now+caller)%keptSeconds == 0 {
-				first := c.list.List(lister.Ask{Service: fmt.Sprint(s)}, c.nodes).Entries[0].Node
+				first := c.list.List(lister.Ask{Service: service}, c.nodes).Entries[0].Node
 				c.entry[s][caller] = slices.IndexFunc(c.nodes, func(n lister.Node) bool { return n.Name == first })
 			}
 
 			at := c.entry[s][caller]
 			c.inside[at] += rate
 
-			if slices.Contains(c.held[fmt.Sprint(s)], c.nodes[at].Name) {
+			if slices.Contains(c.held[service], c.nodes[at].Name) {
 				steered += rate
 			}
 		}
@@ -92,31 +94,32 @@
 	return steered / fleetRate, refused / fleetRate
 }
 
+// minute returns the means of the second minute.
+func (c *crowd) minute() (steered, refused float64) {
+	for now := range 120 {
+		if s, r := c.second(now); now >= 60 {
+			steered, refused = steered+s/60, refused+r/60
+		}
+	}
+
+	return steered, refused
+}
+
 // Symptom: nodes refused requests while others idled. Sequence: callers obey GET
 // /v1/entries; the answers of a pool's requests fill nine tenths of its holder's
 // places. Cause: a holder was named first however full it was.
 func TestLister_SteeringLeavesRoom(t *testing.T) {
-	const seconds, warm = 120, 60
-
-	steered, refused := make(map[float64]float64), make(map[float64]float64)
+	steered := make(map[float64]float64)
 
 	for _, places := range []float64{2000, 3000, 4000} {
-		for _, below := range []int{1000, 80, 60, 0} {
-			c := newCrowd(lister.Options{SteerBelow: below}, places)
-			steered[places], refused[places] = 0, 0
-
-			for now := range seconds {
-				s, r := c.second(now)
-				if now >= warm {
-					steered[places] += s / (seconds - warm)
-					refused[places] += r / (seconds - warm)
-				}
-			}
+		var refused float64
 
-			t.Logf("%.0f places, steered below %d: %.3f to a holder, %.3f refused", places, below, steered[places], refused[places])
+		for _, below := range []int{1000, 80, 60, 0} {
+			steered[places], refused = newCrowd(lister.Options{SteerBelow: below}, places).minute()
+			t.Logf("%.0f places, steered below %d: %.3f to a holder, %.3f refused", places, below, steered[places], refused)
 		}
 
-		assert.Assert(t, refused[places] < 0.001)
+		assert.Assert(t, refused < 0.001)
 	}
 
 	assert.Assert(t, steered[2000] > 0.7)
--- a/internal/server/loads_test.go
+++ b/internal/server/loads_test.go
@@ -12,16 +12,12 @@
 )
 
 // Symptom: load reports alone were more than the bytes that a node may spend on
-// control. Sequence: a holder reads each second what its upstreams report of their
-// load. Cause: the rhythm of a policy that chooses by it, in one that doesn't.
-func TestQueuesReadLoadsHalfAsOften(t *testing.T) {
+// control. Sequence: a holder asks each second for its upstreams' load. Cause: the
+// rhythm of a policy that chooses by it, and headers that nobody reads.
+func TestQueuesAskForLoadsBrieflyAndHalfAsOften(t *testing.T) {
 	assert.Equal(t, (&Node{}).pollEvery(), time.Second)
 	assert.Equal(t, (&Node{router: &granter.Router{}}).pollEvery(), 2*time.Second)
-}
 
-// Symptom: a load report of 60 bytes cost 363. Sequence: a holder asks an upstream
-// for its load. Cause: two headers of the call that nobody reads.
-func TestLoadReportsAreAskedForBriefly(t *testing.T) {
 	var asked http.Header
 
 	upstream := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { asked = r.Header }))
