Spread pools by the least loaded of eight nodes, not by a bound

Cause: with a bound on the pools of a node, a lost node moved 4.0 of 8 pools at 10 nodes (its own: 0.8), since with 9 the bound steps from 1 to 2 and displaced pools return to their first choice.

Ruled out: choices by the size of the fleet, which moves 5.8 of 22 pools where the number steps.

--- a/internal/granter/placement.go
+++ b/internal/granter/placement.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 
 	"quincepath.example/quincepath/internal/chooser"
@@ -100,14 +101,20 @@
 	return service
 }
 
-// placement finds the holder of a pool: its first node by rendezvous hashing that
-// holds fewer pools than most.
+// choices is the number of nodes that hashing chooses for a pool. At 370 nodes and
+// 220 pools 2 leave 22 nodes with two pools, 4 leave 7 and 8 leave one.
+const choices = 8
+
+// placement finds the holder of a pool: of some nodes that rendezvous hashing
+// chooses for it, the one that holds the fewest pools placed before.
 //
-// The hash alone gives some nodes three pools and half of the nodes none. Callers
+// One choice gives some nodes four pools and half of the nodes none. Callers
 // that are steered to the holders then fill these nodes, or are sent elsewhere
 // and their asks travel. The price is that a node that comes or goes moves more
-// pools than its own: a pool that gets another holder may take the place of one
-// that is placed after it. It is safe for concurrent use.
+// pools than its own: a pool that gets another holder may turn the choice for
+// one that is placed after it. A bound on the pools of a node moves as few, but
+// half of all pools at once where it steps with the number of nodes. It is safe
+// for concurrent use.
 type placement struct {
 	settings Snapshotter
 
@@ -142,7 +149,7 @@
 
 	if among != p.nodes || !slices.Equal(pools, p.pools) {
 		p.nodes, p.pools = among, pools
-		p.found = place(among, nodes, pools)
+		p.found = place(among, pools)
 	}
 
 	holder, ok := p.found[pool]
@@ -155,31 +162,20 @@
 	return holder
 }
 
-// mostPools is the number of pools that a node holds at most: a quarter more than
-// the even part. A smaller bound would move more pools with each node that goes.
-func mostPools(pools, nodes int) int {
-	return (5*pools + 4*nodes - 1) / (4 * nodes)
-}
-
-func place(among *chooser.Chooser, nodes, pools []string) map[string]string {
-	found := make(map[string]string, len(pools))
-	if len(nodes) == 0 {
-		return found
-	}
-
-	most, held, free := mostPools(len(pools), len(nodes)), make(map[string]int), slices.Clone(nodes)
+func place(among *chooser.Chooser, pools []string) map[string]string {
+	found, held := make(map[string]string, len(pools)), make(map[string]int)
 
 	for _, pool := range pools {
 		holder := among.Choose(pool)
-		if held[holder] >= most {
-			holder = chooser.New(free).Choose(pool)
+
+		for i := 1; i < choices; i++ {
+			if other := among.Choose(pool + "/" + strconv.Itoa(i)); held[other] < held[holder] {
+				holder = other
+			}
 		}
 
 		found[pool] = holder
-
-		if held[holder]++; held[holder] == most {
-			free = slices.DeleteFunc(free, func(node string) bool { return node == holder })
-		}
+		held[holder]++
 	}
 
 	return found
