--- a/internal/claimer/compactor.go
+++ b/internal/claimer/compactor.go
@@ -185,5 +185,5 @@
 		return
 	}
 
-	s.send(nil, now, c.txn, func(j *journal, revision int64) error { return c.adopt(j, revision) })
+	s.send(nil, now, c.txn, c.adopt)
 }
--- a/internal/limiter/awaits_test.go
+++ b/internal/limiter/awaits_test.go
@@ -39,7 +39,8 @@
 
 			c.cut[c.ownerName()] = v.cut
 
-			assert.Assert(t, admit(c, n) && admit(c, n))
+			assert.Assert(t, admit(c, n))
+			assert.Assert(t, admit(c, n))
 			assert.Assert(t, awaits(c, n))
 
 			for range int(n.limiter.options.Period/tick) + int(n.limiter.options.Period/tick)/roundsPerPeriod {
@@ -55,7 +56,9 @@
 	// No more wait than an even part: 22 of 200 at once on one of nine nodes.
 	c := newCluster(1, limits, 9)
 	n := c.nodes[c.names()[0]]
-	assert.Assert(t, admit(c, n) && admit(c, n) && awaits(c, n))
+	assert.Assert(t, admit(c, n))
+	assert.Assert(t, admit(c, n))
+	assert.Assert(t, awaits(c, n))
 
 	n.limiter.entries[testKey].inFlight = 22
 	assert.Assert(t, !awaits(c, n))
--- a/internal/limiter/cluster_test.go
+++ b/internal/limiter/cluster_test.go
@@ -273,7 +273,7 @@
 		options := n.limiter.options
 		base := n.limiter.view.base(c.now, c.limits)
 
-		if e.ownerSilent(c.now, options) {
+		if e.ownerSilent(c.now) {
 			alone++
 
 			share = base.plus(e.lent).atMost(c.limits)
--- a/internal/limiter/entry.go
+++ b/internal/limiter/entry.go
@@ -83,7 +83,7 @@
 }
 
 // refresh brings the share up to now. A lease that ended is taken off as of its end.
-func (e *entry) refresh(now time.Time, options Options, view *view) {
+func (e *entry) refresh(now time.Time, view *view) {
 	even := view.even(now, e.limits)
 
 	if e.holds() && !now.Before(e.leaseEnds) {
@@ -94,7 +94,7 @@
 
 	share := view.base(now, e.limits).plus(e.lent)
 
-	if e.ownerSilent(now, options) {
+	if e.ownerSilent(now) {
 		even.Concurrency = 0
 		share = share.atLeast(even)
 	}
@@ -111,7 +111,7 @@
 // goes on with an even part of rates and tokens. It keeps the lease to its end
 // first. Concurrency has no even part: the owner may be alive behind a cut and
 // lend it whole, so that more than the limit would run at once.
-func (e *entry) ownerSilent(now time.Time, options Options) bool {
+func (e *entry) ownerSilent(now time.Time) bool {
 	return e.lent == (Amounts{}) && !e.silentSince.IsZero() && now.Sub(e.silentSince) >= silentAfter
 }
 
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -147,7 +147,7 @@
 	for _, name := range [...]string{"", class} {
 		e := l.entries[Key{Service: service, Organisation: organisation, Class: name}]
 		if e != nil {
-			e.refresh(now, l.options, &l.view)
+			e.refresh(now, &l.view)
 			e.finish(now, tokens)
 		}
 	}
@@ -194,7 +194,7 @@
 		e.asked = e.asked || e.holds()
 	}
 
-	e.refresh(now, l.options, &l.view)
+	e.refresh(now, &l.view)
 
 	return e
 }
@@ -208,7 +208,7 @@
 	var reports map[string][]Demand
 
 	for key, e := range l.entries {
-		e.refresh(now, l.options, &l.view)
+		e.refresh(now, &l.view)
 
 		if e.forgettable(now, l.options) {
 			delete(l.entries, key)
@@ -245,8 +245,8 @@
 			continue
 		}
 
-		e.refresh(now, l.options, &l.view)
+		e.refresh(now, &l.view)
 		e.apply(share, l.options, l.view.even(now, e.limits))
-		e.refresh(now, l.options, &l.view)
+		e.refresh(now, &l.view)
 	}
 }
