--- a/internal/configurer/snapshot.go
+++ b/internal/configurer/snapshot.go
@@ -115,7 +115,8 @@
 	Repeatable bool `yaml:"repeatable"`
 	// Hedge allows a second copy of a slow request; only with Repeatable.
 	Hedge bool `yaml:"hedge"`
-	// RetryBudget is the share of extra upstream requests that retries may cause, 0 to 0.1.
+	// RetryBudget is the share of extra load that retries may put on upstreams, 0 to 0.1. A request
+	// sent again counts as one, the resume of a stream as the part that it repeats, a tenth at least.
 	RetryBudget float64 `yaml:"retry_budget" validate:"min=0,max=0.1"`
 	// OrganisationRequestsPerSecond, OrganisationConcurrency and OrganisationTokensPerSecond limit what
 	// each organisation by itself sends in this class, across all nodes and within its own limits; zero
