Name the folders of the stand-ins as their packages

Cause: internal/standin/engine held package generator, platform held keeper, service responder and support supporter, so that each import needed an alias and a newcomer looked for the wrong folder. Only paths and imports changed; the tests of the stand-ins, server, claimer, distributor and commands pass.

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -14,7 +14,7 @@
 
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/loader"
-	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/standin/keeper"
 )
 
 const nodes = 9
--- a/internal/administrator/stored_tree_test.go
+++ b/internal/administrator/stored_tree_test.go
@@ -14,7 +14,7 @@
 
 	"quincepath.example/quincepath/internal/administrator"
 	"quincepath.example/quincepath/internal/configurer"
-	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/standin/keeper"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
--- a/internal/claimer/begin_test.go
+++ b/internal/claimer/begin_test.go
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"quincepath.example/quincepath/internal/claimer"
-	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/standin/keeper"
 	"quincepath.example/quincepath/internal/storer"
 	"quincepath.example/quincepath/pkg/classifier"
 )
--- a/internal/claimer/simulation_test.go
+++ b/internal/claimer/simulation_test.go
@@ -15,7 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quincepath.example/quincepath/internal/claimer"
-	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/standin/keeper"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
--- a/internal/command/demo/cluster.go
+++ b/internal/command/demo/cluster.go
@@ -12,9 +12,9 @@
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/launcher"
 	"quincepath.example/quincepath/internal/loader"
-	generator "quincepath.example/quincepath/internal/standin/engine"
-	keeper "quincepath.example/quincepath/internal/standin/platform"
-	responder "quincepath.example/quincepath/internal/standin/service"
+	"quincepath.example/quincepath/internal/standin/generator"
+	"quincepath.example/quincepath/internal/standin/keeper"
+	"quincepath.example/quincepath/internal/standin/responder"
 	"quincepath.example/quincepath/internal/tracer"
 )
 
--- a/internal/command/registrar/registrar_test.go
+++ b/internal/command/registrar/registrar_test.go
@@ -35,7 +35,7 @@
 	"quincepath.example/quincepath/internal/query/tree/get"
 	"quincepath.example/quincepath/internal/query/tree/history"
 	upstreams "quincepath.example/quincepath/internal/query/upstream/list"
-	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/standin/keeper"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
--- a/internal/command/standin/engine/engine.go
+++ b/internal/command/standin/engine/engine.go
@@ -5,7 +5,7 @@
 	"context"
 
 	"quincepath.example/quincepath/internal/factory"
-	generator "quincepath.example/quincepath/internal/standin/engine"
+	"quincepath.example/quincepath/internal/standin/generator"
 )
 
 // New registers the command under parent.
--- a/internal/command/standin/platform/platform.go
+++ b/internal/command/standin/platform/platform.go
@@ -5,7 +5,7 @@
 	"context"
 
 	"quincepath.example/quincepath/internal/factory"
-	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/standin/keeper"
 )
 
 // New registers the command under parent.
--- a/internal/command/standin/service/service.go
+++ b/internal/command/standin/service/service.go
@@ -5,7 +5,7 @@
 	"context"
 
 	"quincepath.example/quincepath/internal/factory"
-	responder "quincepath.example/quincepath/internal/standin/service"
+	"quincepath.example/quincepath/internal/standin/responder"
 )
 
 // New registers the command under parent.
--- a/internal/connector/client_test.go
+++ b/internal/connector/client_test.go
@@ -15,7 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"quincepath.example/quincepath/internal/connector"
-	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/standin/keeper"
 	"quincepath.example/quincepath/internal/storer"
 )
 
--- a/internal/distributor/fleet_test.go
+++ b/internal/distributor/fleet_test.go
@@ -18,7 +18,7 @@
 
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/distributor"
-	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/standin/keeper"
 )
 
 const (
--- a/internal/gauger/fleet.go
+++ b/internal/gauger/fleet.go
@@ -16,8 +16,8 @@
 	"quincepath.example/quincepath/internal/connector"
 	"quincepath.example/quincepath/internal/launcher"
 	"quincepath.example/quincepath/internal/loader"
-	generator "quincepath.example/quincepath/internal/standin/engine"
-	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/standin/generator"
+	"quincepath.example/quincepath/internal/standin/keeper"
 	"quincepath.example/quincepath/internal/storer"
 )
 
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -11,7 +11,7 @@
 
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/orderer"
-	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/standin/keeper"
 )
 
 func TestEnginesReachDesiredState(t *testing.T) {
--- a/internal/orderer/property_test.go
+++ b/internal/orderer/property_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"quincepath.example/quincepath/internal/orderer"
-	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/standin/keeper"
 )
 
 // event is one fault or change of a schedule.
--- a/internal/orderer/term_test.go
+++ b/internal/orderer/term_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"quincepath.example/quincepath/internal/configurer"
-	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/standin/keeper"
 )
 
 // Symptom: two nodes order the same engines, in turns, with different trees.
--- a/internal/orderer/world_test.go
+++ b/internal/orderer/world_test.go
@@ -15,7 +15,7 @@
 
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/orderer"
-	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/standin/keeper"
 )
 
 const (
--- a/internal/replayer/attempt.go
+++ b/internal/replayer/attempt.go
@@ -15,7 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quincepath.example/quincepath/internal/forwarder"
-	generator "quincepath.example/quincepath/internal/standin/engine"
+	"quincepath.example/quincepath/internal/standin/generator"
 	"quincepath.example/quincepath/internal/tracer"
 	"quincepath.example/quincepath/pkg/classifier"
 )
--- a/internal/replayer/player_test.go
+++ b/internal/replayer/player_test.go
@@ -15,7 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
-	generator "quincepath.example/quincepath/internal/standin/engine"
+	"quincepath.example/quincepath/internal/standin/generator"
 	"quincepath.example/quincepath/internal/tracer"
 )
 
--- a/internal/server/prefixes_test.go
+++ b/internal/server/prefixes_test.go
@@ -14,7 +14,7 @@
 
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/prefixer"
-	generator "quincepath.example/quincepath/internal/standin/engine"
+	"quincepath.example/quincepath/internal/standin/generator"
 )
 
 // promptBodies are one prompt of more than two blocks in all forms that engines read.
--- a/internal/server/request_test.go
+++ b/internal/server/request_test.go
@@ -13,7 +13,7 @@
 
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/loader"
-	generator "quincepath.example/quincepath/internal/standin/engine"
+	"quincepath.example/quincepath/internal/standin/generator"
 )
 
 const (
--- a/internal/server/reuse_test.go
+++ b/internal/server/reuse_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"quincepath.example/quincepath/internal/configurer"
-	generator "quincepath.example/quincepath/internal/standin/engine"
+	"quincepath.example/quincepath/internal/standin/generator"
 )
 
 // Symptom: a node adds a third of a millisecond to each answer, and engines see a new connection for each.
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/generator/batch.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	supporter "quincepath.example/quincepath/internal/standin/support"
+	"quincepath.example/quincepath/internal/standin/supporter"
 )
 
 // slowdown is the part of the base token time that each further running answer adds.
--- a/internal/standin/engine/completions.go
+++ b/internal/standin/generator/completions.go
@@ -12,7 +12,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"quincepath.example/quincepath/internal/prefixer"
-	supporter "quincepath.example/quincepath/internal/standin/support"
+	"quincepath.example/quincepath/internal/standin/supporter"
 )
 
 var errCrash = errors.New("crash asked for by a switch")
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/generator/engine.go
@@ -10,7 +10,7 @@
 
 	"github.com/rs/zerolog"
 
-	supporter "quincepath.example/quincepath/internal/standin/support"
+	"quincepath.example/quincepath/internal/standin/supporter"
 )
 
 // Options are the settings of one engine.
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/generator/orders.go
@@ -7,7 +7,7 @@
 	"slices"
 	"sync"
 
-	supporter "quincepath.example/quincepath/internal/standin/support"
+	"quincepath.example/quincepath/internal/standin/supporter"
 )
 
 // keptOrders bounds the record of orders.
--- a/internal/standin/engine/prefixes.go
+++ b/internal/standin/generator/prefixes.go
@@ -8,7 +8,7 @@
 
 	"quincepath.example/quincepath/internal/prefixer"
 	"quincepath.example/quincepath/internal/standin/cacher"
-	supporter "quincepath.example/quincepath/internal/standin/support"
+	"quincepath.example/quincepath/internal/standin/supporter"
 )
 
 // defaultCacheBlocks is the memory for prefixes when the options give none.
--- a/internal/standin/platform/local_test.go
+++ b/internal/standin/keeper/local_test.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
-	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/standin/keeper"
 	"quincepath.example/quincepath/internal/storer"
 	"quincepath.example/quincepath/pkg/classifier"
 )
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/keeper/server_test.go
@@ -10,7 +10,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
-	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/standin/keeper"
 )
 
 func TestRun(t *testing.T) {
--- a/internal/standin/platform/store_test.go
+++ b/internal/standin/keeper/store_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/standin/keeper"
 	"quincepath.example/quincepath/internal/storer"
 )
 
--- a/internal/standin/service/service.go
+++ b/internal/standin/responder/service.go
@@ -14,7 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
-	supporter "quincepath.example/quincepath/internal/standin/support"
+	"quincepath.example/quincepath/internal/standin/supporter"
 )
 
 // jitterParts bounds the jitter: a request takes Work and up to Work/jitterParts more.
--- a/test/capacity/node_test.go
+++ b/test/capacity/node_test.go
@@ -16,7 +16,7 @@
 	"quincepath.example/quincepath/internal/launcher"
 	"quincepath.example/quincepath/internal/loader"
 	"quincepath.example/quincepath/internal/prober"
-	keeper "quincepath.example/quincepath/internal/standin/platform"
+	"quincepath.example/quincepath/internal/standin/keeper"
 )
 
 const (
--- a/test/process/path_test.go
+++ b/test/process/path_test.go
@@ -15,7 +15,7 @@
 	"github.com/tmaxmax/go-sse"
 	"gotest.tools/v3/assert"
 
-	generator "quincepath.example/quincepath/internal/standin/engine"
+	"quincepath.example/quincepath/internal/standin/generator"
 )
 
 // callLimit bounds one call in these tests; it decides no verdict of speed.
