--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -150,8 +150,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
-	pulse := s.upstreams.pulse(attempt.Slot.Upstream.Address)
-	reader := forwarder.NewGapReader(s.gapLimits(pulse), pulse.beat, cancel)
+	activity := s.upstreams.activity(attempt.Slot.Upstream.Address)
+	reader := forwarder.NewGapReader(s.gapLimits(activity), activity.mark, cancel)
 
 	defer reader.Stop()
 
@@ -176,7 +176,7 @@
 // connection does. What tells them apart is that the engine goes on sending to
 // others: while it does, answers below tier 1 get more time. Taken for dead, they
 // would be read again by another engine, and again, until none is left.
-func (s *engineSender) gapLimits(pulse *pulse) forwarder.GapLimits {
+func (s *engineSender) gapLimits(activity *activity) forwarder.GapLimits {
 	class := s.request.Class
 	limits := forwarder.GapLimits{
 		First: max(class.GapLimit, firstSilenceFactor*min(class.GapLimit, class.Target)),
@@ -191,7 +191,7 @@
 	limits.Extend = func() bool {
 		extensions++
 
-		return extensions <= maxGapExtensions && pulse.within(class.GapLimit)
+		return extensions <= maxGapExtensions && activity.within(class.GapLimit)
 	}
 
 	return limits
--- a/internal/server/loads.go
+++ b/internal/server/loads.go
@@ -155,16 +155,16 @@
 	mu   sync.Mutex
 	rows map[string]upstreamRow
 
-	pulses pulses
+	activities activities
 }
 
 func newUpstreamTable() *upstreamTable {
 	return &upstreamTable{rows: make(map[string]upstreamRow)}
 }
 
-// pulse returns what is known of the upstream's last sign of life.
-func (u *upstreamTable) pulse(address string) *pulse {
-	return u.pulses.of(address)
+// activity returns what is known of the upstream's last sign of life.
+func (u *upstreamTable) activity(address string) *activity {
+	return u.activities.of(address)
 }
 
 func (u *upstreamTable) row(address string) upstreamRow {
