Wait by the one sleeper; drop a back-off that nobody used

Cause: replayer and gauger each had a copy of the wait that internal/sleeper is for; connector.NewBackOff had no caller left (each caller of the platform has its own limits).

--- a/internal/connector/calls.go
+++ b/internal/connector/calls.go
@@ -6,18 +6,13 @@
 	"slices"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
 	"quincepath.example/quincepath/internal/storer"
 )
 
-const (
-	firstBackOff = 200 * time.Millisecond
-	maxBackOff   = 10 * time.Second
-	// listAttempts bounds the fresh starts of a List whose revision was compacted under it.
-	listAttempts = 3
-)
+// listAttempts bounds the fresh starts of a List whose revision was compacted under it.
+const listAttempts = 3
 
 // Get returns a key and the store's revision; an absent key has Version 0.
 func (c *Client) Get(ctx context.Context, key string) (storer.KeyValue, int64, error) {
@@ -135,16 +130,3 @@
 
 	return list, err
 }
-
-// NewBackOff returns the waits between a caller's tries to reach the platform: they double from
-// 0.2 s to 10 s, each spread by half around its value, so that nodes that lost the platform at
-// the same time don't come back to it at the same time. Reset it after a success.
-func NewBackOff() *backoff.ExponentialBackOff {
-	made := backoff.NewExponentialBackOff()
-	made.InitialInterval = firstBackOff
-	made.Multiplier = 2
-	made.MaxInterval = maxBackOff
-	made.RandomizationFactor = 0.5
-
-	return made
-}
--- a/internal/connector/client.go
+++ b/internal/connector/client.go
@@ -297,8 +297,8 @@
 // It returns once the platform has answered; the channel closes when ctx ends or after a message
 // with Err. The client doesn't reopen it and can't tell an idle watch from one that silently
 // died: a caller reads the prefix anew from time to time, and opens a new watch from the
-// revision read when that shows a change the watch didn't tell. A new watch after an error
-// waits by NewBackOff.
+// revision read when that shows a change the watch didn't tell. After an error a caller
+// waits, each time longer and for a random time, before it opens a new one.
 func (c *Client) Watch(ctx context.Context, prefix string, from int64) (<-chan storer.WatchEvents, error) {
 	if err := c.turn(ctx, c.reads); err != nil {
 		return nil, err
--- a/internal/gauger/gauger.go
+++ b/internal/gauger/gauger.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"quincepath.example/quincepath/internal/loader"
+	"quincepath.example/quincepath/internal/sleeper"
 )
 
 // Serve runs one node until its context ends.
@@ -183,14 +184,11 @@
 	return all, nil
 }
 
-func sleep(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+// sleep returns the context's error if that ends before the time is over.
+func sleep(ctx context.Context, length time.Duration) error {
+	if !sleeper.Sleep(ctx, length) {
 		return ctx.Err()
 	}
+
+	return nil
 }
--- a/internal/replayer/caller.go
+++ b/internal/replayer/caller.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"quincepath.example/quincepath/internal/sleeper"
 	"quincepath.example/quincepath/internal/tracer"
 	"quincepath.example/quincepath/pkg/classifier"
 )
@@ -95,7 +96,7 @@
 	case c.event.ComeBack && safeToComeBack(r) && r.retryAfter > 0 && c.comeBacks < maxComeBacks:
 		c.comeBacks++
 
-		return wait(ctx, r.retryAfter) == nil
+		return sleeper.Sleep(ctx, r.retryAfter)
 	default:
 		return false
 	}
@@ -130,7 +131,7 @@
 		return ctx.Err() == nil
 	}
 
-	return wait(ctx, roundPause) == nil
+	return sleeper.Sleep(ctx, roundPause)
 }
 
 func (c *caller) end(r reply) {
--- a/internal/replayer/directory.go
+++ b/internal/replayer/directory.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quincepath.example/quincepath/internal/sleeper"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
@@ -74,7 +75,7 @@
 // follow keeps the addresses fresh until ctx ends. While no entry answers, the old ones stay.
 func (d *directory) follow(ctx context.Context, keep time.Duration) {
 	for {
-		if wait(ctx, keep) != nil {
+		if !sleeper.Sleep(ctx, keep) {
 			return
 		}
 
--- a/internal/replayer/guide.go
+++ b/internal/replayer/guide.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -114,16 +113,3 @@
 
 	return slices.Compact(addresses)
 }
-
-// wait returns after the given time, or with the context's error if that ends first.
-func wait(ctx context.Context, length time.Duration) error {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/replayer/player.go
+++ b/internal/replayer/player.go
@@ -12,6 +12,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/cockroachdb/errors"
 
+	"quincepath.example/quincepath/internal/sleeper"
 	"quincepath.example/quincepath/internal/tracer"
 	"quincepath.example/quincepath/pkg/classifier"
 )
@@ -176,8 +177,8 @@
 	for i, v := range events {
 		due := time.Duration(float64(v.AtMS) * float64(time.Millisecond) / p.options.Speed)
 
-		if err := wait(ctx, time.Until(result.Started.Add(due))); err != nil {
-			return errors.CombineErrors(errors.Wrap(err, "the replay was ended"), group.Wait())
+		if !sleeper.Sleep(ctx, time.Until(result.Started.Add(due))) {
+			return errors.CombineErrors(errors.Wrap(ctx.Err(), "the replay was ended"), group.Wait())
 		}
 
 		c := &caller{player: p, index: i, event: v, due: result.Started.Add(due)}
