Let a node save up four seconds of an even part of a rate

A node saved up one second's worth of its share. With 0.8 a second that is less than one more request, and with 240 tokens less than one answer, which then has to be paid off first.

A node now saves up to four seconds' worth of an even part, and never more than one second of the whole limit, so that a lone node is as before; all nodes together may send four seconds' worth of the limit at once, whatever their number. Ruled out: a least burst of some requests for each node, which at 370 nodes would let hundreds through for any limit.

--- a/internal/limiter/bytes_test.go
+++ b/internal/limiter/bytes_test.go
@@ -17,8 +17,8 @@
 	pairRate   = 0.2
 	pairLength = 13900 * time.Millisecond
 	pairTokens = 300
-	// pairFactor is how many times its use an organisation may send.
-	pairFactor = 4
+	// usualFactor is how many times its use an organisation may send.
+	usualFactor = 4
 )
 
 // traffic is a fleet in virtual time whose messages are encoded and counted.
@@ -32,6 +32,9 @@
 	bytes   int
 	reports int
 	refused int
+	taken   int
+	// factor is how many times its use an organisation may send.
+	factor float64
 }
 
 type finishing struct {
@@ -46,13 +49,13 @@
 		return Amounts{}
 	}
 
-	rate := pairFactor * pairRate * float64(len(f.names))
+	rate := f.factor * pairRate * float64(len(f.names))
 
 	return Amounts{Requests: rate, Concurrency: float64(int(rate * pairLength.Seconds())), Tokens: rate * pairTokens}
 }
 
-func newTraffic(nodes, pairs int) *traffic {
-	f := &traffic{nodes: make(map[string]*node), random: rand.New(rand.NewPCG(1, 2)), now: start}
+func newTraffic(nodes, pairs int, factor float64) *traffic {
+	f := &traffic{nodes: make(map[string]*node), random: rand.New(rand.NewPCG(1, 2)), now: start, factor: factor}
 
 	for i := range nodes {
 		f.names = append(f.names, fmt.Sprintf("node-%03d", i))
@@ -106,6 +109,7 @@
 			continue
 		}
 
+		f.taken++
 		f.done = append(f.done, finishing{f.now.Add(time.Duration(f.random.ExpFloat64() * float64(pairLength))), n, key})
 	}
 }
@@ -153,7 +157,7 @@
 
 	for _, tt := range tests {
 		t.Run(fmt.Sprintf("%d nodes, %d pairs", tt.nodes, tt.pairs), func(t *testing.T) {
-			f := newTraffic(tt.nodes, tt.pairs)
+			f := newTraffic(tt.nodes, tt.pairs, usualFactor)
 			f.run(2 * time.Minute)
 			f.bytes, f.reports, f.refused = 0, 0, 0
 
@@ -168,3 +172,27 @@
 		})
 	}
 }
+
+// Symptom: an organisation that uses a quarter of its rate is told at every fourth request that a limit is reached.
+// Sequence: its requests come to nine nodes, at random; two come to one node within a second, or while an answer's tokens are paid off.
+// Cause: a node saved up one second's worth of its small share, which is less than one more request, or than one answer.
+func TestThinlySpreadUseIsNotRefused(t *testing.T) {
+	const (
+		nodes, pairs = 9, 16
+		length       = 5 * time.Minute
+		// savedSeconds are worth of the limit that all nodes together may save up, and one of the rate itself.
+		savedSeconds = 5
+	)
+
+	thin := newTraffic(nodes, pairs, usualFactor)
+	thin.run(length)
+	assert.Assert(t, thin.refused*100 < thin.taken, "%d refused, %d taken", thin.refused, thin.taken)
+
+	// What is saved up must not let more through for long.
+	full := newTraffic(nodes, pairs, 0.25)
+	full.run(length)
+
+	most := full.Limits(full.pairs[0]).Requests * (length.Seconds() + savedSeconds) * pairs
+	assert.Assert(t, full.refused > full.taken)
+	assert.Assert(t, float64(full.taken) <= most, "%d taken, %.0f allowed", full.taken, most)
+}
--- a/internal/limiter/entry.go
+++ b/internal/limiter/entry.go
@@ -13,6 +13,10 @@
 // without a lease goes on with an even part of rates and tokens.
 const silentAfter = 5 * time.Second
 
+// spareSeconds times an even part of a limit is what a node may save up. All
+// nodes together may so send as many seconds' worth of the limit at once.
+const spareSeconds = 4
+
 // entry is the state of one limit on one node.
 type entry struct {
 	limits Amounts
@@ -28,6 +32,8 @@
 	// once, and answers are longer than that.
 	balance   float64
 	balanceAt time.Time
+	// mostTokens is the balance up to which time adds to it.
+	mostTokens float64
 	// promised is the latest time that a refused caller was told to return at.
 	promised time.Time
 
@@ -68,18 +74,29 @@
 	return &entry{
 		limits:     limits,
 		allowed:    allowed,
-		requests:   rate.NewLimiter(rate.Limit(allowed.Requests), burst(allowed, view.even(now, limits))),
+		requests:   rate.NewLimiter(rate.Limit(allowed.Requests), burst(allowed, view.even(now, limits), limits)),
 		balance:    allowed.Tokens,
 		balanceAt:  now,
+		mostTokens: saved(allowed, view.even(now, limits), limits).Tokens,
 		measuredAt: now,
 		lastUsed:   now,
 	}
 }
 
-// burst is one second's worth of the share or, if more, of an even part, and at
-// least one request. By the even part a node without a lease serves until it has one.
-func burst(share, even Amounts) int {
-	return max(1, int(math.Ceil(max(share.Requests, even.Requests))))
+// saved is what a node may save up while nothing comes: one second's worth of its
+// share or, if more, of spareSeconds of an even part, but never of more than the
+// limit. By the even part a node without a lease serves until it has one.
+//
+// One second's worth of a small share is less than one request, or less than one
+// answer's tokens: of requests that come at random, two within a second would then
+// be told that a limit is reached of which their organisation uses a quarter.
+func saved(share, even, limits Amounts) Amounts {
+	return share.atLeast(even.times(spareSeconds).atMost(limits))
+}
+
+// burst is the number of requests that may come at once, one at least.
+func burst(share, even, limits Amounts) int {
+	return max(1, int(math.Ceil(saved(share, even, limits).Requests)))
 }
 
 // refresh brings the share up to now. A lease that ended is taken off as of its end.
@@ -124,18 +141,19 @@
 
 	e.allowed = share
 	e.requests.SetLimitAt(at, rate.Limit(share.Requests))
-	e.requests.SetBurstAt(at, burst(share, even))
-	e.balance = min(e.balance, share.Tokens)
+	e.requests.SetBurstAt(at, burst(share, even, e.limits))
+	e.mostTokens = saved(share, even, e.limits).Tokens
+	e.balance = min(e.balance, e.mostTokens)
 }
 
-// settle adds the tokens that time brought, one second's worth at most.
+// settle adds the tokens that time brought.
 func (e *entry) settle(at time.Time) {
 	passed := at.Sub(e.balanceAt).Seconds()
 	if passed <= 0 {
 		return
 	}
 
-	e.balance = min(e.balance+passed*e.allowed.Tokens, max(e.allowed.Tokens, e.balance))
+	e.balance = min(e.balance+passed*e.allowed.Tokens, max(e.mostTokens, e.balance))
 	e.balanceAt = at
 }
 
