Wait by the one sleeper in four more places; drop a chooser nobody asks

Found by reading the whole change: the retries of a lost release and the wait for a lease wrote a wait for a time or a context's end again, as reading the list of VMs and editing the tree did before; internal/sleeper is for that. The members' view made a chooser of holders at each refresh that nothing reads since shards of claims are spread evenly. Left: shards and pools are spread over nodes by two rules, which could be one; a request asks the limiter twice (awaits, then admits); Prober.Announce is reached by a test only.

--- a/internal/configurer/editor.go
+++ b/internal/configurer/editor.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quincepath.example/quincepath/internal/checker"
+	"quincepath.example/quincepath/internal/sleeper"
 	"quincepath.example/quincepath/internal/storer"
 	"quincepath.example/quincepath/pkg/classifier"
 )
@@ -145,9 +146,7 @@
 			return err
 		}
 
-		select {
-		case <-time.After(pause.NextBackOff()):
-		case <-ctx.Done():
+		if !sleeper.Sleep(ctx, pause.NextBackOff()) {
 			return givenUp(err, unknown)
 		}
 	}
--- a/internal/granter/batcher.go
+++ b/internal/granter/batcher.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"quincepath.example/quincepath/internal/sleeper"
 )
 
 // errNoAnswer marks a holder that answered with fewer decisions than asks.
@@ -144,7 +146,7 @@
 
 		for tries := 1; b.tellOnce(peer, params) != nil && time.Now().Before(until); tries++ {
 			if tries >= tellTries {
-				b.pause()
+				sleeper.Sleep(b.router.ctx, probeEvery)
 			}
 
 			if b.router.ctx.Err() != nil {
@@ -154,13 +156,6 @@
 	}()
 }
 
-func (b *batcher) pause() {
-	select {
-	case <-time.After(probeEvery):
-	case <-b.router.ctx.Done():
-	}
-}
-
 func (b *batcher) tellOnce(peer string, params askParams) error {
 	r := b.router
 
--- a/internal/server/limits.go
+++ b/internal/server/limits.go
@@ -6,6 +6,7 @@
 
 	"quincepath.example/quincepath/internal/dispatcher"
 	"quincepath.example/quincepath/internal/limiter"
+	"quincepath.example/quincepath/internal/sleeper"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
@@ -42,13 +43,8 @@
 // awaitLease returns when the node has a lease for the request, when none is to be had, or when the caller leaves.
 func (l *limits) awaitLease(caller context.Context, request dispatcher.Request) {
 	for range leaseRounds {
-		if !l.local.Awaits(time.Now(), request.Service.Name, request.Organisation.Name, request.Class.Name) {
-			return
-		}
-
-		select {
-		case <-time.After(limitInterval):
-		case <-caller.Done():
+		awaits := l.local.Awaits(time.Now(), request.Service.Name, request.Organisation.Name, request.Class.Name)
+		if !awaits || !sleeper.Sleep(caller, limitInterval) {
 			return
 		}
 	}
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 
 	"quincepath.example/quincepath/internal/administrator"
-	"quincepath.example/quincepath/internal/chooser"
 	"quincepath.example/quincepath/internal/distributor"
 	"quincepath.example/quincepath/internal/heartbeater"
 	"quincepath.example/quincepath/internal/prober"
@@ -35,8 +34,6 @@
 	// unheard maps nodes that are not known to be dead, and have not told their
 	// incarnation yet, to the time since which this is so.
 	unheard map[string]time.Time
-	// holders chooses one of live for a name.
-	holders *chooser.Chooser
 	// shards are the holders of the shards of claims, by number; none when live is empty.
 	shards []string
 }
@@ -154,7 +151,6 @@
 	}
 
 	slices.Sort(view.live)
-	view.holders = chooser.New(view.live)
 
 	if last := m.view.Load(); last != nil && slices.Equal(last.live, view.live) {
 		view.shards = last.shards
--- a/internal/server/vms.go
+++ b/internal/server/vms.go
@@ -10,6 +10,7 @@
 
 	"quincepath.example/quincepath/internal/distributor"
 	"quincepath.example/quincepath/internal/drainer"
+	"quincepath.example/quincepath/internal/sleeper"
 	"quincepath.example/quincepath/internal/storer"
 )
 
@@ -155,9 +156,7 @@
 	for {
 		pause := listPause(n.members.known(), n.readListOnce(ctx))
 
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
+		if !sleeper.Sleep(ctx, pause) {
 			return
 		}
 	}
