--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -26,10 +26,13 @@
 	factory  *factory.Factory
 	kingpin  *kingpin.Application
 	commands []factory.Command
-	// ended is set when the parser itself did all that was asked, such as --help.
-	ended bool
 }
 
+// ended is what the parser panics with when it did all that was asked itself,
+// such as --help. Kingpin goes on parsing and prints its usage again if its
+// terminate function returns, so the function must not return.
+type ended struct{}
+
 // Runners are the long-running parts of the program standin; a nil one makes its verb fail.
 type Runners struct {
 	Engine   engine.Runner
@@ -67,7 +70,7 @@
 	a := &App{factory: f, kingpin: kingpin.New(name, help)}
 	a.kingpin.UsageWriter(f.Streams.Out)
 	a.kingpin.ErrorWriter(f.Streams.Err)
-	a.kingpin.Terminate(func(int) { a.ended = true })
+	a.kingpin.Terminate(func(int) { panic(ended{}) })
 	a.kingpin.HelpFlag.Short('h')
 
 	return a
@@ -96,8 +99,12 @@
 
 // Run parses args and runs the command that they name.
 func (a *App) Run(ctx context.Context, args []string) error {
-	name, err := a.kingpin.Parse(args)
-	if a.ended {
+	if len(args) == 0 {
+		return classifier.New(classifier.InvalidUsage, "a command is needed; see %s --help", a.kingpin.Name)
+	}
+
+	name, done, err := a.parse(args)
+	if done {
 		return nil
 	}
 
@@ -114,6 +121,26 @@
 	return classifier.New(classifier.InvalidUsage, "%s needs a verb; see %s %s --help", name, a.kingpin.Name, name)
 }
 
+// parse returns the full name of the command; done means that the parser left nothing to run.
+func (a *App) parse(args []string) (name string, done bool, err error) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+
+		if _, ok := cause.(ended); !ok {
+			panic(cause)
+		}
+
+		done = true
+	}()
+
+	name, err = a.kingpin.Parse(args)
+
+	return name, false, err
+}
+
 // sentence leaves out the cause where the reason already says it.
 func sentence(e *classifier.Error) string {
 	cause := e.Unwrap()
--- a/internal/factory/writer.go
+++ b/internal/factory/writer.go
@@ -25,14 +25,14 @@
 	encode func([]field) ([]byte, error)
 }
 
-func newLineWriter(out io.Writer, format string) zerolog.LevelWriter {
+func newLineWriter(out io.Writer, format string) io.Writer {
 	w := lineWriter{out: out, encode: encodeKeyValue}
 	if format == "json" {
 		w.encode = encodeJSON
 	}
 
 	// Without the lock, lines of several goroutines could mix in streams that split writes.
-	return zerolog.SyncWriter(w).(zerolog.LevelWriter) //nolint:errcheck // SyncWriter returns a LevelWriter.
+	return zerolog.SyncWriter(w)
 }
 
 // Write writes one event. An event that is no JSON object is written as it is.
--- a/internal/loader/parser.go
+++ b/internal/loader/parser.go
@@ -106,11 +106,16 @@
 
 func yamlProblem(err error) problem {
 	var located yaml.Error
-	if errors.As(err, &located) && located.GetToken() != nil {
-		return problem{line: located.GetToken().Position.Line, text: located.GetMessage()}
+	if !errors.As(err, &located) || located.GetToken() == nil {
+		return problem{line: 1, text: err.Error()}
 	}
 
-	return problem{line: 1, text: err.Error()}
+	text := located.GetMessage()
+	if strings.Contains(text, "already defined") {
+		text += "; keep one of the two"
+	}
+
+	return problem{line: located.GetToken().Position.Line, text: text}
 }
 
 func invalid(name string, problems []problem) error {
--- a/internal/loader/values.go
+++ b/internal/loader/values.go
@@ -17,6 +17,9 @@
 // namePattern keeps names usable in paths, headers, log lines and key-value keys.
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`)
 
+// mapKey finds the keys of mappings in the validator's paths, where they stand in brackets like indexes.
+var mapKey = regexp.MustCompile(`\[([^\]]*[^0-9\]][^\]]*)\]`)
+
 // valueChecker finds values out of range and the lines where they stand.
 type valueChecker struct {
 	body     ast.Node
@@ -48,7 +51,7 @@
 
 	for _, v := range found {
 		path := segments(v.Namespace())
-		shown := strings.TrimPrefix(v.Namespace(), "Settings.")
+		shown := mapKey.ReplaceAllString(strings.TrimPrefix(v.Namespace(), "Settings."), ".$1")
 
 		switch {
 		case v.Tag() == "required" || v.Tag() == "required_with":
