--- a/cmd/quincepath/main.go
+++ b/cmd/quincepath/main.go
@@ -6,8 +6,12 @@
 
 	"quincepath.example/quincepath/internal/command/root"
 	"quincepath.example/quincepath/internal/factory"
+	"quincepath.example/quincepath/internal/server"
 )
 
 func main() {
-	os.Exit(root.Quincepath(factory.New()).Main(os.Args[1:]))
+	f := factory.New()
+	f.Serve = server.Run
+
+	os.Exit(root.Quincepath(f).Main(os.Args[1:]))
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -9,5 +9,5 @@
 )
 
 func main() {
-	os.Exit(root.Standin(factory.New(), root.Runners{}).Main(os.Args[1:]))
+	os.Exit(root.Standin(factory.New()).Main(os.Args[1:]))
 }
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -33,13 +33,6 @@
 // terminate function returns, so the function must not return.
 type ended struct{}
 
-// Runners are the long-running parts of the program standin; a nil one makes its verb fail.
-type Runners struct {
-	Engine   engine.Runner
-	Service  service.Runner
-	Platform platform.Runner
-}
-
 // Quincepath returns the command line of the program quincepath.
 func Quincepath(f *factory.Factory) *App {
 	a := newApp(f, "quincepath", "Routes language-model traffic by service levels and priorities.")
@@ -54,12 +47,12 @@
 }
 
 // Standin returns the command line of the program standin.
-func Standin(f *factory.Factory, runners Runners) *App {
+func Standin(f *factory.Factory) *App {
 	a := newApp(f, "standin", "Runs small stand-ins for the outside systems that quincepath meets.")
 	a.commands = []factory.Command{
-		engine.New(f, a.kingpin, runners.Engine),
-		service.New(f, a.kingpin, runners.Service),
-		platform.New(f, a.kingpin, runners.Platform),
+		engine.New(f, a.kingpin),
+		service.New(f, a.kingpin),
+		platform.New(f, a.kingpin),
 		version.New(f, a.kingpin, "standin"),
 	}
 
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -44,7 +44,6 @@
 // intake is a request that was read and checked but not yet run.
 type intake struct {
 	request dispatcher.Request
-	body    []byte
 	// key is the idempotency key, or empty.
 	key string
 }
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -132,7 +132,7 @@
 	err := s.exchange(ctx, attempt, reader, pump)
 
 	return dispatcher.Outcome{
-		Result:     sendResult(err, reader, ctx),
+		Result:     sendResult(ctx, err, reader),
 		FirstToken: pump.firstToken,
 		Duration:   time.Since(started),
 		Tokens:     pump.delivered,
@@ -195,7 +195,7 @@
 }
 
 // sendResult tells how an attempt ended from its error and the state of its reader.
-func sendResult(err error, reader *forwarder.GapReader, ctx context.Context) dispatcher.Result {
+func sendResult(ctx context.Context, err error, reader *forwarder.GapReader) dispatcher.Result {
 	switch {
 	case err == nil:
 		return dispatcher.ResultDone
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -114,7 +114,7 @@
 	duration := time.Since(started)
 
 	return dispatcher.Outcome{
-		Result:     sendResult(err, reader, ctx),
+		Result:     sendResult(ctx, err, reader),
 		FirstToken: duration,
 		Duration:   duration,
 		Err:        err,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -47,15 +47,10 @@
 
 // Run serves until ctx ends and everything in flight is answered.
 func Run(ctx context.Context, settings loader.Settings, logger zerolog.Logger) error {
-	node, err := newNode(settings, logger)
-	if err != nil {
-		return err
-	}
-
-	return node.run(ctx)
+	return newNode(settings, logger).run(ctx)
 }
 
-func newNode(settings loader.Settings, logger zerolog.Logger) (*Node, error) {
+func newNode(settings loader.Settings, logger zerolog.Logger) *Node {
 	identity := newIdentity(settings.Node.Name)
 	tree := newTreeHolder(settings.Snapshot())
 	work, stopWork := context.WithCancel(context.Background())
@@ -77,11 +72,11 @@
 
 	node.dispatch = dispatcher.New(node.placer, simpleJudge{}, node)
 
-	return node, nil
+	return node
 }
 
 func (n *Node) run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", n.settings.Node.Listen)
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", n.settings.Node.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -233,16 +233,24 @@
 	return &usage{PromptTokens: p, CompletionTokens: n, TotalTokens: p + n}
 }
 
+// answerID stays the same when the rest of an answer is asked for: the request's id, if one was sent.
+func (a *attempt) answerID() string {
+	if a.record.RequestID != "" {
+		return a.record.RequestID
+	}
+	return a.record.BodyHash
+}
+
 func (a *attempt) chunk() completion {
 	c := completion{
-		ID:                "chatcmpl-" + a.record.BodyHash,
+		ID:                "chatcmpl-" + a.answerID(),
 		Object:            "chat.completion.chunk",
 		Created:           a.record.StartedAt.Unix(),
 		Model:             a.request.Model,
 		SystemFingerprint: a.engine.options.Name,
 	}
 	if a.form == textForm {
-		c.ID, c.Object = "cmpl-"+a.record.BodyHash, "text_completion"
+		c.ID, c.Object = "cmpl-"+a.answerID(), "text_completion"
 	}
 	return c
 }
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -83,7 +83,7 @@
 
 // Run serves until ctx ends; open watches end with it.
 func Run(ctx context.Context, options Options, logger zerolog.Logger) error {
-	listener, err := net.Listen("tcp", options.Listen)
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", options.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
@@ -100,7 +100,7 @@
 	if options.Ready != nil {
 		options.Ready(listener.Addr().String())
 	}
-	logger.Info().Str("address", listener.Addr().String()).Msg("platform_stand_in_ready")
+	logger.Info().Str("address", listener.Addr().String()).Msg("standin_listening")
 	err = server.Serve(listener)
 	if !detach() {
 		<-stopped
--- /dev/null
+++ b/test/process/fleet_test.go
@@ -0,0 +1,142 @@
+package process_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// fleet is a platform, engines, a plain service and nodes, each its own process.
+type fleet struct {
+	platform *process
+	engines  []*process
+	service  *process
+	nodes    []*process
+	// addresses are the callers' addresses of the nodes; a node that starts again keeps its own.
+	nodeSpecs []nodeSpec
+}
+
+// nodeSpec is what a node's settings file says.
+type nodeSpec struct {
+	name          string
+	failureDomain string
+	entryAddress  string
+	peerAddress   string
+	adminAddress  string
+	file          string
+}
+
+// newFleet starts three engines with uneven load, one plain service and the given number of nodes.
+func newFleet(t *testing.T, nodes int) *fleet {
+	t.Helper()
+
+	f := &fleet{platform: start(t, "platform", "standin", "platform", "--listen", "127.0.0.1:0", "--vm-lag", "500ms")}
+
+	for i, slots := range []string{"2", "4", "6"} {
+		name := fmt.Sprintf("engine-%d", i+1)
+		f.engines = append(f.engines, start(t, name, "standin", "engine",
+			"--name", name, "--key", engineKey, "--slots", slots, "--token-step", "2ms", "--load-lag", "200ms"))
+	}
+
+	f.service = start(t, "banco", "standin", "service", "--name", "banco", "--slots", "8", "--work", "5ms")
+
+	for i := range nodes {
+		f.nodeSpecs = append(f.nodeSpecs, nodeSpec{
+			name:          fmt.Sprintf("node-%d", i+1),
+			failureDomain: []string{"catania-sala", "siracusa-sala", "acireale-sala"}[i%3],
+			entryAddress:  freeAddress(t),
+			peerAddress:   freeAddress(t),
+			adminAddress:  freeAddress(t),
+		})
+	}
+
+	for i := range f.nodeSpecs {
+		f.writeSettings(t, i)
+		f.nodes = append(f.nodes, f.startNode(t, i))
+	}
+
+	return f
+}
+
+// startNode starts the node with the given index, also after it was killed.
+func (f *fleet) startNode(t *testing.T, index int) *process {
+	t.Helper()
+
+	spec := f.nodeSpecs[index]
+
+	return start(t, spec.name, "quincepath", "serve", "--settings", spec.file)
+}
+
+func (f *fleet) writeSettings(t *testing.T, index int) {
+	t.Helper()
+
+	spec := &f.nodeSpecs[index]
+
+	var text strings.Builder
+
+	fmt.Fprintf(&text, `node:
+  name: %s
+  region: sicilia-est
+  failure_domain: %s
+  listen: %s
+  admin_listen: %s
+  peer_listen: %s
+  drain_timeout: 20s
+  entry_lifetime: 1s
+platform:
+  addresses: [http://%s]
+peers:
+  credential: peer-secret
+  nodes:
+`, spec.name, spec.failureDomain, spec.entryAddress, spec.adminAddress, spec.peerAddress, f.platform.address)
+
+	for _, peer := range f.nodeSpecs {
+		fmt.Fprintf(&text, "    - {name: %s, peer_address: %q, entry_address: %q, failure_domain: %s}\n",
+			peer.name, peer.peerAddress, peer.entryAddress, peer.failureDomain)
+	}
+
+	fmt.Fprintf(&text, "operators:\n  key_hashes: [%s]\nupstreams:\n  bearer_key: %s\n", callerHash, engineKey)
+	text.WriteString(f.services())
+
+	spec.file = filepath.Join(t.TempDir(), spec.name+".yaml")
+	assert.NilError(t, os.WriteFile(spec.file, []byte(text.String()), 0o600))
+}
+
+func (f *fleet) services() string {
+	var text strings.Builder
+
+	text.WriteString(`services:
+  assistente:
+    kind: engine
+    default_class: owner_chat
+    classes:
+      counter_lookup: {tier: 1, target: 300ms, token_gap: 50ms, gap_limit: 1s, max_wait: 10s, repeatable: true, retry_budget: 0.1}
+      owner_chat: {tier: 2, target: 2s, token_gap: 100ms, gap_limit: 1s, max_wait: 30s, repeatable: true, retry_budget: 0.1, guaranteed_share: 0.1}
+      care_notes: {tier: 4, target: 60s, token_gap: 1s, gap_limit: 2s, max_wait: 10m, repeatable: true, retry_budget: 0.1, guaranteed_share: 0.1, move_up_after: 60s}
+    organisations:
+      barbagallo: {weight: 1, key_hashes: [` + callerHash + `]}
+    upstreams:
+`)
+
+	for i, engine := range f.engines {
+		fmt.Fprintf(&text, "      engine-%d: {address: \"http://%s\", failure_domain: catania-sala, slots: 4}\n", i+1, engine.address)
+	}
+
+	fmt.Fprintf(&text, `  banco:
+    kind: plain
+    default_class: lookup
+    classes:
+      lookup: {tier: 1, target: 300ms, gap_limit: 1s, max_wait: 10s, repeatable: true, retry_budget: 0.1}
+      booking: {tier: 1, target: 1s, gap_limit: 1s, max_wait: 10s, repeatable: false}
+    organisations:
+      barbagallo: {weight: 1, key_hashes: [%s]}
+    upstreams:
+      banco-1: {address: "http://%s", failure_domain: catania-sala, slots: 8}
+`, callerHash, f.service.address)
+
+	return text.String()
+}
--- /dev/null
+++ b/test/process/harness_test.go
@@ -0,0 +1,221 @@
+// Package process_test runs the built programs as separate processes on
+// loopback and checks what callers get against what the stand-ins recorded.
+package process_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// startLimit bounds the wait for a process to say its address; it decides no verdict of speed.
+	startLimit = 30 * time.Second
+	callerKey  = "counter-key"
+	engineKey  = "engine-key"
+	// callerHash is the SHA-256 sum of callerKey.
+	callerHash = "edbd7968212204de4f16847e8aa622c26329f5f074698dc93879d21fdb01711b"
+)
+
+var programs string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "quincepath-process")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+
+		return 1
+	}
+	defer os.RemoveAll(folder)
+
+	build := exec.Command("go", "build", "-o", folder, "../../cmd/quincepath", "../../cmd/standin")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, output)
+
+		return 1
+	}
+
+	programs = folder
+
+	return m.Run()
+}
+
+// process is one started program.
+type process struct {
+	name    string
+	command *exec.Cmd
+	address string
+	exited  chan struct{}
+
+	mu  sync.Mutex
+	log bytes.Buffer
+}
+
+// start runs a program and waits until it logs the address that it listens on.
+func start(t *testing.T, name, program string, args ...string) *process {
+	t.Helper()
+
+	p := &process{name: name, command: exec.Command(filepath.Join(programs, program), args...), exited: make(chan struct{})}
+	stderr, err := p.command.StderrPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, p.command.Start())
+
+	ready := make(chan string, 1)
+
+	go p.follow(stderr, ready)
+	t.Cleanup(func() { p.end(t) })
+
+	select {
+	case p.address = <-ready:
+	case <-p.exited:
+		t.Fatalf("%s ended before it listened:\n%s", name, p.logged())
+	case <-time.After(startLimit):
+		t.Fatalf("%s did not listen:\n%s", name, p.logged())
+	}
+
+	return p
+}
+
+func (p *process) follow(stderr io.Reader, ready chan<- string) {
+	defer close(p.exited)
+
+	scanner := bufio.NewScanner(stderr)
+	for scanner.Scan() {
+		line := scanner.Text()
+
+		p.mu.Lock()
+		fmt.Fprintln(&p.log, line)
+		p.mu.Unlock()
+
+		if address, ok := listenAddress(line); ok {
+			select {
+			case ready <- address:
+			default:
+			}
+		}
+	}
+}
+
+// listenAddress finds the address in the line that a program logs once it listens.
+func listenAddress(line string) (string, bool) {
+	if !strings.Contains(line, "_listening") && !strings.Contains(line, "node_started") {
+		return "", false
+	}
+
+	for _, field := range strings.Fields(line) {
+		if address, ok := strings.CutPrefix(field, "address="); ok {
+			return address, true
+		}
+	}
+
+	return "", false
+}
+
+func (p *process) logged() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.log.String()
+}
+
+// signal sends a signal to the process by its id.
+func (p *process) signal(t *testing.T, signal syscall.Signal) {
+	t.Helper()
+	assert.NilError(t, p.command.Process.Signal(signal))
+}
+
+// kill ends the process without warning and waits for its end.
+func (p *process) kill() {
+	_ = p.command.Process.Kill()
+	<-p.exited
+	_ = p.command.Wait()
+}
+
+// stop asks the process to end and waits for it.
+func (p *process) stop(t *testing.T) {
+	t.Helper()
+	p.signal(t, syscall.SIGTERM)
+	<-p.exited
+	_ = p.command.Wait()
+}
+
+func (p *process) end(t *testing.T) {
+	t.Helper()
+
+	if t.Failed() {
+		t.Logf("log of %s:\n%s", p.name, tail(p.logged()))
+	}
+
+	select {
+	case <-p.exited:
+		return
+	default:
+	}
+
+	// A frozen process takes no other signal.
+	_ = p.command.Process.Signal(syscall.SIGCONT)
+	p.kill()
+}
+
+func tail(text string) string {
+	const most = 6000
+	if len(text) > most {
+		return text[len(text)-most:]
+	}
+
+	return text
+}
+
+// freeAddress returns a loopback address that nothing listens on at the moment.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+
+	return listener.Addr().String()
+}
+
+// call sends a JSON body to a stand-in or a node and decodes the answer.
+func call(t *testing.T, method, url string, body, answer any) {
+	t.Helper()
+
+	data, err := json.Marshal(body)
+	assert.NilError(t, err)
+
+	request, err := http.NewRequest(method, url, bytes.NewReader(data))
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+
+	defer response.Body.Close()
+
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, response.StatusCode < 300, "%s %s: %d %s", method, url, response.StatusCode, text)
+
+	if answer != nil {
+		assert.NilError(t, json.Unmarshal(text, answer))
+	}
+}
