--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -143,3 +143,8 @@
 
 	return fmt.Sprintf("%s: %v", e.Reason, cause)
 }
+
+// Model describes the commands and flags, for checks of documents.
+func (a *App) Model() *kingpin.ApplicationModel {
+	return a.kingpin.Model()
+}
