--- /dev/null
+++ b/internal/command/demo/cluster.go
@@ -0,0 +1,233 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/loader"
+	generator "quincepath.example/quincepath/internal/standin/engine"
+	keeper "quincepath.example/quincepath/internal/standin/platform"
+	responder "quincepath.example/quincepath/internal/standin/service"
+	"quincepath.example/quincepath/internal/tracer"
+)
+
+const (
+	anyPort    = "127.0.0.1:0"
+	engineKey  = "demo-engine"
+	tokenStep  = 8 * time.Millisecond
+	prefill    = 50 * time.Microsecond
+	plainSlots = 8
+	plainWork  = 10 * time.Millisecond
+	loadLag    = 300 * time.Millisecond
+	startLimit = 10 * time.Second
+)
+
+// serve runs a node until its context ends.
+type serve func(ctx context.Context, settings loader.Settings, logger zerolog.Logger) error
+
+// cluster is a platform, stand-ins and nodes in this process.
+type cluster struct {
+	serve  serve
+	logger zerolog.Logger
+	// running ends when each part has stopped.
+	running sync.WaitGroup
+	// failed gets the first error of a part.
+	failed chan error
+
+	settings loader.Settings
+	entries  []string
+	standIns []string
+}
+
+func newCluster(serve serve, logger zerolog.Logger) *cluster {
+	settings := loader.Defaults()
+	settings.Upstreams.BearerKey = engineKey
+	settings.Services = map[string]loader.Service{}
+	settings.Node.EntryLifetime = time.Second
+	settings.Node.DrainTimeout = 5 * time.Second
+
+	return &cluster{serve: serve, logger: logger, failed: make(chan error, 1), settings: settings}
+}
+
+// start starts all parts, the nodes last. They run until ctx ends.
+func (c *cluster) start(ctx context.Context, nodes int, events []tracer.Event) error {
+	address, err := c.launch(ctx, "platform", func(ready func(string)) error {
+		return keeper.Run(ctx, keeper.Options{Listen: anyPort, VMLag: loadLag, Ready: ready}, c.logger)
+	})
+	if err != nil {
+		return err
+	}
+
+	c.settings.Platform.Addresses = []string{"http://" + address}
+
+	names := organisations(events)
+	for _, v := range shops() {
+		if err := c.startShop(ctx, v, names); err != nil {
+			return err
+		}
+	}
+
+	return c.startNodes(ctx, nodes)
+}
+
+func (c *cluster) startShop(ctx context.Context, s shop, names map[string][]string) error {
+	engines := s.service(s.engine, configurer.KindEngine, names[s.engine])
+
+	for i, slots := range s.slots {
+		name := fmt.Sprintf("%s-%d", s.engine, i+1)
+		options := generator.Options{
+			Listen: anyPort, Name: name, BearerKey: engineKey, Slots: slots, TokenStep: tokenStep,
+			PrefillPerToken: prefill, LoadLag: loadLag, Seed: uint64(i),
+		}
+
+		address, err := c.launch(ctx, name, func(ready func(string)) error {
+			options.Ready = ready
+
+			return generator.Run(ctx, options, c.logger)
+		})
+		if err != nil {
+			return err
+		}
+
+		c.standIns = append(c.standIns, address)
+		engines.Upstreams[name] = loader.Upstream{Address: "http://" + address, FailureDomain: s.failureDomains[i], Slots: slots}
+	}
+
+	plain := s.service(s.plain, configurer.KindPlain, names[s.plain])
+	name := s.plain + "-1"
+
+	address, err := c.launch(ctx, name, func(ready func(string)) error {
+		options := responder.Options{Listen: anyPort, Name: name, Slots: plainSlots, Work: plainWork, LoadLag: loadLag, Ready: ready}
+
+		return responder.Run(ctx, options, c.logger)
+	})
+	if err != nil {
+		return err
+	}
+
+	c.standIns = append(c.standIns, address)
+	plain.Upstreams[name] = loader.Upstream{Address: "http://" + address, FailureDomain: s.failureDomains[0], Slots: plainSlots}
+	c.settings.Services[s.engine], c.settings.Services[s.plain] = engines, plain
+
+	return nil
+}
+
+// launch runs a part and waits until it tells its address.
+func (c *cluster) launch(ctx context.Context, name string, run func(ready func(string)) error) (string, error) {
+	ready := make(chan string, 1)
+
+	c.run(name, func() error { return run(func(address string) { ready <- address }) })
+
+	select {
+	case address := <-ready:
+		return address, nil
+	case err := <-c.failed:
+		return "", err
+	case <-ctx.Done():
+		return "", ctx.Err()
+	case <-time.After(startLimit):
+		return "", errors.Newf("%s did not start", name)
+	}
+}
+
+func (c *cluster) run(name string, part func() error) {
+	c.running.Go(func() {
+		err := part()
+		if err == nil {
+			return
+		}
+
+		select {
+		case c.failed <- errors.Wrap(err, name):
+		default:
+		}
+	})
+}
+
+func (c *cluster) startNodes(ctx context.Context, count int) error {
+	domains := []string{"catania-sala", "brest", "siracusa-sala"}
+
+	var listens []loader.Node
+
+	c.settings.Peers.Credential = "demo-peer"
+
+	for i := range count {
+		addresses, err := freeAddresses(ctx, 3)
+		if err != nil {
+			return err
+		}
+
+		node := c.settings.Node
+		node.Name = fmt.Sprintf("node-%d", i+1)
+		node.Region = "demo"
+		node.FailureDomain = domains[i%len(domains)]
+		node.Listen, node.Advertise = addresses[0], addresses[0]
+		node.PeerListen, node.AdminListen = addresses[1], addresses[2]
+		listens = append(listens, node)
+		c.entries = append(c.entries, node.Listen)
+		c.settings.Peers.Nodes = append(c.settings.Peers.Nodes, loader.Peer{
+			Name: node.Name, PeerAddress: node.PeerListen, EntryAddress: node.Listen, FailureDomain: node.FailureDomain,
+		})
+	}
+
+	for _, v := range listens {
+		settings := c.settings
+		settings.Node = v
+
+		c.run(v.Name, func() error { return c.serve(ctx, settings, c.logger) })
+	}
+
+	return c.awaitNodes(ctx)
+}
+
+// awaitNodes waits until each node takes connections.
+func (c *cluster) awaitNodes(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+
+	for _, v := range c.entries {
+		for {
+			connection, err := new(net.Dialer).DialContext(limited, "tcp", v)
+			if err == nil {
+				connection.Close()
+
+				break
+			}
+
+			select {
+			case failure := <-c.failed:
+				return failure
+			case <-limited.Done():
+				return errors.Wrapf(err, "a node did not start at %s", v)
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+	}
+
+	return nil
+}
+
+// freeAddresses returns loopback addresses that nothing listens on at the moment.
+// They are held open together, so that no address comes twice.
+func freeAddresses(ctx context.Context, count int) ([]string, error) {
+	var addresses []string
+
+	for range count {
+		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", anyPort)
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free port")
+		}
+		defer listener.Close()
+
+		addresses = append(addresses, listener.Addr().String())
+	}
+
+	return addresses, nil
+}
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -11,12 +11,15 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
 
+	"quincepath.example/quincepath/internal/command/demo"
+	"quincepath.example/quincepath/internal/command/replay"
 	"quincepath.example/quincepath/internal/command/serve"
 	"quincepath.example/quincepath/internal/command/standin/engine"
 	"quincepath.example/quincepath/internal/command/standin/platform"
 	"quincepath.example/quincepath/internal/command/standin/service"
 	"quincepath.example/quincepath/internal/factory"
 	"quincepath.example/quincepath/internal/query/settings/check"
+	"quincepath.example/quincepath/internal/query/trace/generate"
 	"quincepath.example/quincepath/internal/query/version"
 	"quincepath.example/quincepath/pkg/classifier"
 )
@@ -39,7 +42,10 @@
 	settings := a.kingpin.Command("settings", "Work with settings files.")
 	a.commands = []factory.Command{
 		serve.New(f, a.kingpin),
+		demo.New(f, a.kingpin),
+		replay.New(f, a.kingpin),
 		check.New(f, settings),
+		generate.New(f, a.kingpin.Command("trace", "Work with traces.")),
 		version.New(f, a.kingpin, "quincepath"),
 	}
 
