--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quincepath.example/quincepath/internal/command/demo"
+	"quincepath.example/quincepath/internal/command/registrar"
 	"quincepath.example/quincepath/internal/command/replay"
 	"quincepath.example/quincepath/internal/command/serve"
 	"quincepath.example/quincepath/internal/command/standin/engine"
@@ -48,6 +49,7 @@
 		generate.New(f, a.kingpin.Command("trace", "Work with traces.")),
 		version.New(f, a.kingpin, "quincepath"),
 	}
+	a.commands = append(a.commands, registrar.Register(f, a.kingpin)...)
 
 	return a
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -58,6 +58,7 @@
 	// entryClient reaches other nodes at their addresses for callers.
 	entryClient *http.Client
 
+	members   *staticMembers
 	placer    *placer.PowerOfTwo
 	dispatch  *dispatcher.Dispatcher
 	runs      *runs
@@ -92,6 +93,7 @@
 		background: pond.NewPool(backgroundWorkers, pond.WithNonBlocking(true), pond.WithQueueSize(backgroundQueue)),
 		upstream:   forwarder.NewClient(forwarder.Options{BearerKey: settings.Upstreams.BearerKey}),
 		placer:     placer.NewPowerOfTwo(tree, identity.seed()),
+		members:    newStaticMembers(settings),
 		runs:       newRuns(settings.Node.MaxInFlight),
 		upstreams:  newUpstreamTable(),
 		meter:      meter.New(),
@@ -103,7 +105,7 @@
 		return nil, err
 	}
 
-	node.dispatch = dispatcher.New(node.placer, simpleJudge{}, node)
+	node.dispatch = dispatcher.New(node.newSlotter(), simpleJudge{}, node)
 
 	return node, nil
 }
