--- a/internal/command/registrar/registrar.go
+++ b/internal/command/registrar/registrar.go
@@ -8,6 +8,7 @@
 	"quincepath.example/quincepath/internal/command/upstream/leave"
 	"quincepath.example/quincepath/internal/factory"
 	"quincepath.example/quincepath/internal/query/bench/control"
+	"quincepath.example/quincepath/internal/query/bench/policy"
 	entries "quincepath.example/quincepath/internal/query/entry/list"
 	"quincepath.example/quincepath/internal/query/node/status"
 	"quincepath.example/quincepath/internal/query/request/show"
@@ -39,5 +40,6 @@
 		entries.New(f, entry),
 		show.New(f, request),
 		control.New(f, bench),
+		policy.New(f, bench),
 	}
 }
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -19,7 +19,6 @@
 	"quincepath.example/quincepath/internal/command/standin/platform"
 	"quincepath.example/quincepath/internal/command/standin/service"
 	"quincepath.example/quincepath/internal/factory"
-	"quincepath.example/quincepath/internal/query/bench/policy"
 	"quincepath.example/quincepath/internal/query/settings/check"
 	"quincepath.example/quincepath/internal/query/trace/generate"
 	"quincepath.example/quincepath/internal/query/version"
@@ -42,13 +41,11 @@
 func Quincepath(f *factory.Factory) *App {
 	a := newApp(f, "quincepath", "Routes language-model traffic by service levels and priorities.")
 	settings := a.kingpin.Command("settings", "Work with settings files.")
-	bench := a.kingpin.Command("bench", "Measure decisions in virtual time.")
 	a.commands = []factory.Command{
 		serve.New(f, a.kingpin),
 		demo.New(f, a.kingpin),
 		replay.New(f, a.kingpin),
 		check.New(f, settings),
-		policy.New(f, bench),
 		generate.New(f, a.kingpin.Command("trace", "Work with traces.")),
 		version.New(f, a.kingpin, "quincepath"),
 	}
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -78,8 +78,7 @@
 	}
 
 	if n.router != nil {
-		parts["slots"] = func() any { return n.router.Counters() }
-		parts["pools"] = func() any { return n.holder.Stats() }
+		parts["slots"] = func() any { return n.router.Report() }
 	}
 
 	return parts
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -79,8 +79,6 @@
 	writing atomic.Int64
 	// router asks the holders of pools; nil under the baseline policy.
 	router *granter.Router
-	// holder keeps the queues of the pools that this node holds; nil under the baseline policy.
-	holder *granter.Holder
 	limits *limits
 	placer *placer.PowerOfTwo
 	// ejector judges upstreams for the placer, which decides while no holder answers.
--- a/internal/server/slots.go
+++ b/internal/server/slots.go
@@ -4,6 +4,7 @@
 	"quincepath.example/quincepath/internal/dispatcher"
 	"quincepath.example/quincepath/internal/granter"
 	"quincepath.example/quincepath/internal/loader"
+	"quincepath.example/quincepath/internal/scheduler"
 )
 
 // newSlotter returns who grants slots under the node's routing policy.
@@ -16,6 +17,10 @@
 		Node:        n.identity.node,
 		Incarnation: n.identity.incarnation,
 		Policy:      granter.PolicyPerRequest,
+		Pool: scheduler.Options{
+			EnginePriority: n.settings.Routing.EnginePriority,
+			Oversubscribe:  n.settings.Routing.Oversubscribe,
+		},
 	}
 
 	if n.settings.Routing.Policy == loader.PolicyQueueCredits {
@@ -26,7 +31,6 @@
 	router := granter.NewRouter(n.work, holder, n.placer, n.tree, n.members, n.messages, options)
 
 	n.router = router
-	n.holder = holder
 	n.messages.Handle(granter.MethodAsk, holder.HandleAsk)
 	n.messages.Handle(granter.MethodRelease, holder.HandleRelease)
 	n.messages.Handle(granter.MethodDecided, router.HandleDecided)
