Choose upstreams from one view of each pool, held by one node with a standby

Cause: nine nodes that each see their own sends send nine prompts to the same idle engine. A node found by hashing decides for all; a second one is told the same.

--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -24,6 +24,10 @@
 	plainQueue = 8
 	// engineQueue is how many requests may wait at an engine beyond its batch, as a part of the batch.
 	engineQueue = 0.5
+	// endGrace is how long after its limit a request whose end nobody told is still counted.
+	endGrace = time.Second
+	// expireInterval is the time between two looks for such requests.
+	expireInterval = 500 * time.Millisecond
 	// networkTime is the time of the way to a server and back, in milliseconds.
 	networkTime = 3.0
 )
@@ -49,6 +53,8 @@
 	servers []*server
 	// requests holds all running requests by id.
 	requests map[string]*sent
+	// expiredAt is when requests whose end nobody told were last looked for.
+	expiredAt time.Time
 }
 
 // NewPool returns a pool without upstreams.
@@ -87,6 +93,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
+	p.expire(now)
+
 	var (
 		best     *server
 		bestLoss = math.Inf(1)
@@ -116,6 +124,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
+	p.expire(now)
+
 	for _, s := range p.servers {
 		if s.ID == upstream {
 			p.begin(now, s, work)
@@ -134,6 +144,7 @@
 		work:        work,
 		server:      s,
 		at:          now,
+		until:       now.Add(work.Limit + endGrace),
 		reading:     s.reading(&work),
 		expected:    p.expected(now, s, &work),
 		sensitivity: p.sensitivity(&work),
@@ -174,6 +185,23 @@
 	r.server.remove(r, outcome, now)
 }
 
+// expire drops requests that are over although nobody said so: the node that sent them is gone,
+// or its message was lost. They would take up slots for good.
+func (p *Pool) expire(now time.Time) {
+	if now.Sub(p.expiredAt) < expireInterval {
+		return
+	}
+
+	p.expiredAt = now
+
+	for id, r := range p.requests {
+		if now.After(r.until) {
+			delete(p.requests, id)
+			r.server.remove(r, Abandoned, now)
+		}
+	}
+}
+
 // Running is the number of requests that the pool counts.
 func (p *Pool) Running() int {
 	p.mu.Lock()
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -51,6 +51,8 @@
 	// server is where it runs.
 	server *server
 	at     time.Time
+	// until is when the request is over even if nobody says so: its node may be gone.
+	until time.Time
 	// reading is the prompt work in milliseconds that the server still had to do for it.
 	reading float64
 	// expected is the predicted time to the first event in milliseconds.
--- a/internal/gateway/balancer/types.go
+++ b/internal/gateway/balancer/types.go
@@ -36,6 +36,8 @@
 	Target time.Duration `json:"t"`
 	// GapLimit is the longest pause between events; 0 for requests that aren't streams.
 	GapLimit time.Duration `json:"g,omitempty"`
+	// Limit is the time after which the request is over in any case.
+	Limit time.Duration `json:"l"`
 	// Excluded are upstreams that failed the request before.
 	Excluded []string `json:"x,omitempty"`
 }
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -1,25 +1,111 @@
 // Package broker asks for the upstream of each request and tells what became of it.
+//
+// One node holds the pool of a service and decides for all, so that the choice
+// rests on one exact view. A second one, the standby, is told the same and takes
+// over at once. Nodes find both by hashing over the live nodes. A node whose holder doesn't
+// answer asks the standby, and else decides by its own sends: the holder is an
+// efficiency, and two of them for a moment break nothing.
 package broker
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"quincepath.example/quincepath/internal/chooser"
 	"quincepath.example/quincepath/internal/gateway/balancer"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 )
 
+const (
+	// askTimeout bounds a question to a holder. A way and back takes 3 ms between failure domains; the
+	// shortest targets are 100 ms.
+	askTimeout = 25 * time.Millisecond
+	// doubtTime is how long a holder that did not answer isn't asked.
+	doubtTime = 400 * time.Millisecond
+	// placeInterval is the time between two looks at the live nodes.
+	placeInterval = 100 * time.Millisecond
+	// flushInterval is how long reports are gathered.
+	flushInterval = 4 * time.Millisecond
+	// reportQueue bounds the reports that wait for one node; older ones are dropped.
+	reportQueue = 4096
+	// holders is the number of nodes that know a pool: the one that decides and its standby.
+	holders = 2
+)
+
+// Methods between nodes.
+const (
+	// MethodChoose asks a holder for an upstream.
+	MethodChoose = "pool.choose"
+	// MethodReport tells a holder what became of requests.
+	MethodReport = "pool.report"
+)
+
+// Peers reaches other nodes.
+type Peers interface {
+	Call(ctx context.Context, peer, method string, params, result any) error
+	Notify(ctx context.Context, peer, method string, params any) error
+}
+
+// Options are the parts of a Broker; all are required.
+type Options struct {
+	// Self is this node's name.
+	Self string
+	// Live returns the names of the nodes that answer and stay, this one included unless it leaves.
+	Live   func() []string
+	Peers  Peers
+	Logger zerolog.Logger
+}
+
 // Broker keeps one pool for each service. It is safe for concurrent use.
+//
+// Lock order: Broker.mu, then that of a pool. Neither is held during calls.
 type Broker struct {
-	mu    sync.RWMutex
+	options Options
+	out     *outbox
+
+	mu    sync.Mutex
 	pools map[string]*balancer.Pool
+	// nodes chooses among the live nodes; nil before the first look.
+	nodes    *chooser.Chooser
+	live     []string
+	placedAt time.Time
+	// holders caches the choice for each service; it is emptied when the nodes change.
+	holders map[string][]string
+	// doubted maps nodes that did not answer to the time until which they aren't asked.
+	doubted map[string]time.Time
+	// running holds this node's own requests, to tell a new holder of them.
+	running map[string]running
+}
+
+// running is a request that this node sent.
+type running struct {
+	service  string
+	upstream string
+	work     balancer.Work
+	answered bool
+	until    time.Time
 }
 
 // New returns a broker without services.
-func New() *Broker {
-	return &Broker{pools: make(map[string]*balancer.Pool)}
+func New(options Options) *Broker {
+	return &Broker{
+		options: options,
+		out:     newOutbox(options.Peers),
+		pools:   make(map[string]*balancer.Pool),
+		holders: make(map[string][]string),
+		doubted: make(map[string]time.Time),
+		running: make(map[string]running),
+	}
+}
+
+// Run sends reports until ctx ends.
+func (b *Broker) Run(ctx context.Context) {
+	b.out.run(ctx)
 }
 
 // Update takes in the services and upstreams of a state.
@@ -61,38 +147,237 @@
 }
 
 func (b *Broker) pool(service string) *balancer.Pool {
-	b.mu.RLock()
-	pool, ok := b.pools[service]
-	b.mu.RUnlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 
-	if ok {
-		return pool
+	pool, ok := b.pools[service]
+	if !ok {
+		pool = balancer.NewPool()
+		b.pools[service] = pool
 	}
 
+	return pool
+}
+
+// holdersOf returns the nodes that know the service's pool, the one that decides first.
+func (b *Broker) holdersOf(service string) []string {
+	now := time.Now()
+
 	b.mu.Lock()
-	defer b.mu.Unlock()
 
-	if pool, ok := b.pools[service]; ok {
-		return pool
+	var changed bool
+	if now.Sub(b.placedAt) >= placeInterval {
+		b.placedAt = now
+		changed = b.place()
 	}
 
-	pool = balancer.NewPool()
-	b.pools[service] = pool
+	chosen, ok := b.holders[service]
+	if !ok {
+		chosen = b.nodes.Several(service, holders)
+		b.holders[service] = chosen
+	}
+	b.mu.Unlock()
 
-	return pool
+	if changed {
+		b.introduce()
+	}
+
+	return chosen
+}
+
+// place looks at the live nodes and reports whether they changed; b.mu is held.
+func (b *Broker) place() bool {
+	live := b.options.Live()
+	slices.Sort(live)
+
+	if b.nodes != nil && slices.Equal(live, b.live) {
+		return false
+	}
+
+	b.live, b.nodes = live, b.nodes.Among(live)
+	clear(b.holders)
+
+	return true
+}
+
+// introduce tells the holders of all pools what this node has running. A holder that took over
+// would else take busy upstreams for idle ones.
+func (b *Broker) introduce() {
+	now := time.Now()
+	own := make(map[string]running)
+
+	b.mu.Lock()
+	for id, r := range b.running {
+		if now.After(r.until) {
+			delete(b.running, id)
+
+			continue
+		}
+
+		own[id] = r
+	}
+	b.mu.Unlock()
+
+	for id, r := range own {
+		b.tell(r.service, report{Service: r.service, ID: id, Begin: &begin{Upstream: r.upstream, Work: r.work, Answered: r.answered}})
+	}
 }
 
 // Choose implements relayer.Chooser.
-func (b *Broker) Choose(_ context.Context, service string, work balancer.Work) (balancer.Choice, bool) {
-	return b.pool(service).Choose(time.Now(), work)
+func (b *Broker) Choose(ctx context.Context, service string, work balancer.Work) (balancer.Choice, bool) {
+	asked := b.holdersOf(service)
+
+	for i, holder := range asked {
+		if holder != b.options.Self && b.isDoubted(holder) {
+			continue
+		}
+
+		choice, ok, err := b.ask(ctx, holder, service, work)
+		if err != nil {
+			b.doubt(holder, service, err)
+
+			continue
+		}
+
+		if ok {
+			b.begun(service, work, choice, asked, i)
+		}
+
+		return choice, ok
+	}
+
+	choice, ok := b.pool(service).Choose(time.Now(), work)
+	if ok {
+		b.begun(service, work, choice, asked, -1)
+	}
+
+	return choice, ok
+}
+
+// ask lets one holder choose.
+func (b *Broker) ask(ctx context.Context, holder, service string, work balancer.Work) (balancer.Choice, bool, error) {
+	if holder == b.options.Self {
+		choice, ok := b.pool(service).Choose(time.Now(), work)
+
+		return choice, ok, nil
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+
+	var answer chooseAnswer
+	if err := b.options.Peers.Call(ctx, holder, MethodChoose, chooseParams{Service: service, Work: work}, &answer); err != nil {
+		return balancer.Choice{}, false, err
+	}
+
+	return answer.Choice, answer.OK, nil
+}
+
+// begun notes a choice and tells the holders that did not make it.
+func (b *Broker) begun(service string, work balancer.Work, choice balancer.Choice, asked []string, by int) {
+	b.mu.Lock()
+	b.running[work.ID] = running{service: service, upstream: choice.Upstream, work: work, until: time.Now().Add(work.Limit)}
+	b.mu.Unlock()
+
+	if by < 0 || asked[by] != b.options.Self {
+		b.pool(service).Begin(time.Now(), choice.Upstream, work)
+	}
+
+	for i, holder := range asked {
+		if i != by && holder != b.options.Self {
+			b.out.add(holder, report{Service: service, ID: work.ID, Begin: &begin{Upstream: choice.Upstream, Work: work}})
+		}
+	}
+}
+
+// tell reports to the holders of a pool other than this node.
+func (b *Broker) tell(service string, r report) {
+	for _, holder := range b.holdersOf(service) {
+		if holder != b.options.Self {
+			b.out.add(holder, r)
+		}
+	}
 }
 
 // First implements relayer.Chooser.
 func (b *Broker) First(service, id string) {
+	b.mu.Lock()
+	if r, ok := b.running[id]; ok {
+		r.answered = true
+		b.running[id] = r
+	}
+	b.mu.Unlock()
+
 	b.pool(service).First(time.Now(), id)
+	b.tell(service, report{Service: service, ID: id, First: true})
 }
 
 // End implements relayer.Chooser.
 func (b *Broker) End(service, id string, outcome balancer.Outcome) {
+	b.mu.Lock()
+	delete(b.running, id)
+	b.mu.Unlock()
+
 	b.pool(service).End(time.Now(), id, outcome)
+	b.tell(service, report{Service: service, ID: id, End: &outcome})
+}
+
+func (b *Broker) isDoubted(node string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	until, ok := b.doubted[node]
+
+	return ok && time.Now().Before(until)
+}
+
+func (b *Broker) doubt(node, service string, err error) {
+	b.mu.Lock()
+	b.doubted[node] = time.Now().Add(doubtTime)
+	b.mu.Unlock()
+
+	b.options.Logger.Info().Err(err).Str("peer", node).Str("service", service).Msg("holder_doubted")
+}
+
+// HandleChoose answers MethodChoose.
+func (b *Broker) HandleChoose(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var asked chooseParams
+	if err := json.Unmarshal(params, &asked); err != nil {
+		return nil, err
+	}
+
+	choice, ok := b.pool(asked.Service).Choose(time.Now(), asked.Work)
+
+	return chooseAnswer{Choice: choice, OK: ok}, nil
+}
+
+// HandleReport answers MethodReport.
+func (b *Broker) HandleReport(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var told reportParams
+	if err := json.Unmarshal(params, &told); err != nil {
+		return nil, err
+	}
+
+	now := time.Now()
+	for _, r := range told.Reports {
+		b.take(now, r)
+	}
+
+	return struct{}{}, nil
+}
+
+func (b *Broker) take(now time.Time, r report) {
+	pool := b.pool(r.Service)
+
+	if r.Begin != nil {
+		pool.Begin(now, r.Begin.Upstream, r.Begin.Work)
+	}
+
+	if r.First || r.Begin != nil && r.Begin.Answered {
+		pool.First(now, r.ID)
+	}
+
+	if r.End != nil {
+		pool.End(now, r.ID, *r.End)
+	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,7 +100,6 @@
 		protocol: protocol,
 		logger:   logger,
 		catalog:  cataloguer.New(sinceBoot),
-		broker:   broker.New(),
 		dialer:   dialer.New(),
 		counters: &relayer.Counters{},
 	}
@@ -114,6 +113,15 @@
 		Logger: logger,
 	})
 
+	n.broker = broker.New(broker.Options{
+		Self:   settings.Node.PeerListen,
+		Live:   n.live,
+		Peers:  n.messages,
+		Logger: logger,
+	})
+	n.messages.Handle(broker.MethodChoose, n.broker.HandleChoose)
+	n.messages.Handle(broker.MethodReport, n.broker.HandleReport)
+
 	n.follower = follower.New(follower.Options{
 		Catalog: n.catalog,
 		Store:   store,
@@ -188,6 +196,7 @@
 	}
 
 	go n.follower.Run(work)
+	go n.broker.Run(work)
 	go n.followCatalog(work)
 	go n.sweep(work)
 	go n.watchReload(work)
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -147,6 +147,7 @@
 	work := request.work
 	work.ID = request.workID()
 	work.Excluded = request.excluded
+	work.Limit = time.Until(request.limit)
 
 	choice, ok := r.options.Chooser.Choose(ctx, request.service, work)
 	if !ok {
