Give up on a silent attempt by its upstream's signs of life; count engines' memory

Now an attempt is given up on when its whole upstream is silent or three later requests were answered first. Running requests may fill 0.85 of an engine.

--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -28,6 +28,9 @@
 	endGrace = time.Second
 	// expireInterval is the time between two looks for such requests.
 	expireInterval = 500 * time.Millisecond
+	// memoryPart is the part of an engine's memory that running requests may fill. An engine that runs
+	// out of it sets running requests back to where they began.
+	memoryPart = 0.85
 	// networkTime is the time of the way to a server and back, in milliseconds.
 	networkTime = 3.0
 )
@@ -216,12 +219,15 @@
 		return false
 	}
 
-	queue := plainQueue
-	if s.engine.CacheTokens > 0 {
-		queue = int(engineQueue * float64(s.Slots))
+	if s.engine.CacheTokens == 0 {
+		return len(s.running) < s.Slots+plainQueue
+	}
+
+	if len(s.running) > 0 && float64(s.tokens+work.tokens()) > memoryPart*float64(s.engine.CacheTokens) {
+		return false
 	}
 
-	return len(s.running) < s.Slots+queue
+	return len(s.running) < s.Slots+int(engineQueue*float64(s.Slots))
 }
 
 // expected is the predicted time to the first event in milliseconds.
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -69,6 +69,8 @@
 	engine Engine
 	// running holds the requests that were sent there and have not ended.
 	running map[string]*sent
+	// tokens is the memory that they may come to take up.
+	tokens int
 	// backlog is the prompt work in milliseconds of those that have no first event.
 	backlog float64
 	// sensitive sums the values of running streams by gap limit.
@@ -186,6 +188,7 @@
 
 func (s *server) add(r *sent, now time.Time) {
 	s.running[r.work.ID] = r
+	s.tokens += r.work.tokens()
 	s.backlog += r.reading
 	s.recent = s.recentNow(now) + r.reading
 	s.recentAt = now
@@ -213,6 +216,7 @@
 
 func (s *server) remove(r *sent, outcome Outcome, now time.Time) {
 	delete(s.running, r.work.ID)
+	s.tokens -= r.work.tokens()
 
 	if !r.answering {
 		s.backlog = max(0, s.backlog-r.reading)
--- a/internal/gateway/balancer/types.go
+++ b/internal/gateway/balancer/types.go
@@ -42,6 +42,11 @@
 	Excluded []string `json:"x,omitempty"`
 }
 
+// tokens is the memory that the request may come to take up.
+func (w *Work) tokens() int {
+	return w.PromptTokens + w.OutputTokens
+}
+
 // Outcome is how a request ended at its upstream.
 type Outcome int
 
--- a/internal/gateway/relayer/answer.go
+++ b/internal/gateway/relayer/answer.go
@@ -6,6 +6,7 @@
 	"mime"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -37,7 +38,7 @@
 }
 
 // deliver passes the upstream's answer on.
-func (r *Relayer) deliver(ctx context.Context, a *answer, choice balancer.Choice, response *dialer.Response, watch *watch, outcome *balancer.Outcome) verdict {
+func (r *Relayer) deliver(ctx context.Context, a *answer, choice balancer.Choice, sent time.Time, response *dialer.Response, watch *watch, outcome *balancer.Outcome) verdict {
 	if !r.authentic(a.request, response) {
 		*outcome = balancer.Failed
 		r.logAttempt(a.request, choice, "answer_not_authentic", nil)
@@ -46,7 +47,7 @@
 	}
 
 	if isStream(a.request, response) {
-		return r.deliverEvents(ctx, a, choice, response, watch, outcome)
+		return r.deliverEvents(ctx, a, choice, sent, response, watch, outcome)
 	}
 
 	if a.begun {
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -69,6 +69,7 @@
 // Relayer handles the requests of callers. It is safe for concurrent use.
 type Relayer struct {
 	options Options
+	vitals  *vitals
 	// bodies is the number of bytes of request bodies held now.
 	bodies atomic.Int64
 	// inFlight counts the requests that were taken and not ended.
@@ -77,7 +78,7 @@
 
 // New returns a relayer.
 func New(options Options) *Relayer {
-	return &Relayer{options: options}
+	return &Relayer{options: options, vitals: newVitals()}
 }
 
 // InFlight is the number of requests that are being handled.
@@ -237,8 +238,14 @@
 	ctx, watch := newWatch(ctx)
 	defer watch.stop()
 
+	sent := time.Now()
+
 	if request.route.Repeatable() {
-		watch.arm(request.patience())
+		patience := request.patience()
+		watch.arm(patience, func() bool {
+			return request.route.Kind == cataloguer.Idempotent ||
+				r.vitals.lost(choice.Upstream, sent, time.Now(), request.work.Priority, patience)
+		})
 	}
 
 	target := dialer.Target{ID: choice.Upstream, Address: choice.Address}
@@ -257,8 +264,9 @@
 	}
 
 	request.runs++
+	r.vitals.seen(choice.Upstream, time.Now())
 
-	return r.deliver(ctx, a, choice, response, watch, &outcome)
+	return r.deliver(ctx, a, choice, sent, response, watch, &outcome)
 }
 
 // failed judges an exchange without an answer.
--- a/internal/gateway/relayer/stream.go
+++ b/internal/gateway/relayer/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -25,7 +26,7 @@
 
 // deliverEvents passes a stream on event by event, so that a caller never gets
 // part of one and the stream can go on at another upstream after the last whole one.
-func (r *Relayer) deliverEvents(ctx context.Context, a *answer, choice balancer.Choice, response *dialer.Response, watch *watch, outcome *balancer.Outcome) verdict {
+func (r *Relayer) deliverEvents(ctx context.Context, a *answer, choice balancer.Choice, sent time.Time, response *dialer.Response, watch *watch, outcome *balancer.Outcome) verdict {
 	request := a.request
 	events := bufio.NewReaderSize(response.Body, 2<<10)
 	controller := http.NewResponseController(a.writer)
@@ -40,9 +41,11 @@
 		if first {
 			first = false
 			r.options.Chooser.First(request.service, request.workID())
+			r.vitals.answered(choice.Upstream, sent, time.Now(), request.work.Priority)
 		}
 
-		watch.rearm(request.patience())
+		r.vitals.seen(choice.Upstream, time.Now())
+		watch.rearm()
 
 		id := eventID(event)
 		if !follows(request.lastEvent, id) {
--- a/internal/gateway/relayer/watch.go
+++ b/internal/gateway/relayer/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,7 +17,13 @@
 // middlebox that forgot it. Without the watch the caller would wait until its own limit.
 type watch struct {
 	cancel context.CancelCauseFunc
-	timer  *time.Timer
+	// lost says whether the attempt counts as lost; it is asked each time that the patience is over.
+	lost func() bool
+
+	mu       sync.Mutex
+	timer    *time.Timer
+	patience time.Duration
+	stopped  bool
 }
 
 func newWatch(parent context.Context) (context.Context, *watch) {
@@ -25,28 +32,43 @@
 	return ctx, &watch{cancel: cancel}
 }
 
-// arm gives the upstream so much time from now.
-func (w *watch) arm(patience time.Duration) {
-	if w.timer == nil {
-		w.timer = time.AfterFunc(patience, func() { w.cancel(errSilent) })
+// arm gives the upstream so much time from now, and the same again while lost says no.
+func (w *watch) arm(patience time.Duration, lost func() bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.patience, w.lost = patience, lost
+	w.timer = time.AfterFunc(patience, w.expire)
+}
+
+func (w *watch) expire() {
+	if w.lost() {
+		w.cancel(errSilent)
 
 		return
 	}
 
-	w.timer.Reset(patience)
+	w.rearm()
 }
 
-// rearm gives the upstream more time if the watch is armed.
-func (w *watch) rearm(patience time.Duration) {
-	if w.timer != nil {
-		w.timer.Reset(patience)
+// rearm gives the upstream its time anew if the watch is armed.
+func (w *watch) rearm() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if w.timer != nil && !w.stopped {
+		w.timer.Reset(w.patience)
 	}
 }
 
 func (w *watch) stop() {
+	w.mu.Lock()
+	w.stopped = true
+
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	w.mu.Unlock()
 
 	w.cancel(nil)
 }
