--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -104,7 +104,7 @@
 	)
 
 	for _, s := range p.servers {
-		if !s.takes(&work) {
+		if !s.takes(now, &work) {
 			continue
 		}
 
@@ -159,13 +159,20 @@
 	return r
 }
 
-// First records that the first event of the request came.
-func (p *Pool) First(now time.Time, id string) {
+// First records that the first event of the request came, with the load that the server told; nil if none.
+func (p *Pool) First(now time.Time, id string, load *Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	if r, ok := p.requests[id]; ok {
-		r.server.answered(r, now)
+	r, ok := p.requests[id]
+	if !ok {
+		return
+	}
+
+	r.server.answered(r, now)
+
+	if load != nil {
+		r.server.tell(now, *load)
 	}
 }
 
@@ -214,7 +221,7 @@
 }
 
 // takes says whether the server may get the request at all.
-func (s *server) takes(work *Work) bool {
+func (s *server) takes(now time.Time, work *Work) bool {
 	if s.Draining || slices.Contains(work.Excluded, s.ID) {
 		return false
 	}
@@ -223,17 +230,20 @@
 		return len(s.running) < s.Slots+plainQueue
 	}
 
-	if len(s.running) > 0 && float64(s.tokens+work.tokens()) > memoryPart*float64(s.engine.CacheTokens) {
+	foreign := s.foreignNow(now)
+	tokens := float64(s.tokens+work.tokens()) + foreign*s.meanTokens
+
+	if len(s.running) > 0 && tokens > memoryPart*float64(s.engine.CacheTokens) {
 		return false
 	}
 
-	return len(s.running) < s.Slots+int(engineQueue*float64(s.Slots))
+	return float64(len(s.running))+foreign < (1+engineQueue)*float64(s.Slots)
 }
 
 // expected is the predicted time to the first event in milliseconds.
 func (p *Pool) expected(now time.Time, s *server, work *Work) float64 {
 	if s.engine.CacheTokens == 0 {
-		rounds := float64(len(s.running)) / float64(max(s.Slots, 1))
+		rounds := (float64(len(s.running)) + s.foreignNow(now)) / float64(max(s.Slots, 1))
 
 		return networkTime + plainTime*s.speedNow(now)*(1+max(0, rounds-0.5))
 	}
@@ -256,8 +266,8 @@
 		loss += worth * failurePrice
 	}
 
-	if len(s.running) >= s.Slots {
-		loss += worth * fullPrice * float64(len(s.running)-s.Slots+1) / float64(max(s.Slots, 1))
+	if running := float64(len(s.running)) + s.foreignNow(now); running >= float64(s.Slots) {
+		loss += worth * fullPrice * (running - float64(s.Slots) + 1) / float64(max(s.Slots, 1))
 	}
 
 	if s.engine.CacheTokens == 0 {
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -39,6 +39,10 @@
 	unreachableTime = 500 * time.Millisecond
 	// recentTime is the time constant with which finished long work is forgotten.
 	recentTime = 1500 * time.Millisecond
+	// foreignTime is the time in which the count of foreign requests halves without news.
+	foreignTime = 500 * time.Millisecond
+	// meanGain is the weight of one request in the mean memory of requests.
+	meanGain = 0.05
 	// cachePart is the part of an engine's memory that holds prompt parts while requests run.
 	cachePart = 0.8
 	// maxParts bounds the remembered parts of one server; with parts of 250 tokens it passes all caches.
@@ -86,6 +90,12 @@
 	failedAt time.Time
 	// unreachableUntil is when connections are tried again.
 	unreachableUntil time.Time
+	// foreign is the number of requests there that this pool doesn't know, as of foreignAt. Nodes that are
+	// cut off from the holder send by themselves.
+	foreign   float64
+	foreignAt time.Time
+	// meanTokens is the mean memory of one request.
+	meanTokens float64
 	// recent is the prompt work sent there lately, in milliseconds, as of recentAt.
 	recent   float64
 	recentAt time.Time
@@ -99,6 +109,7 @@
 		sensitive: make(map[time.Duration]float64),
 		speed:     1,
 		speedAt:   now,
+		foreignAt: now,
 		failedAt:  now,
 		recentAt:  now,
 	}
@@ -125,6 +136,16 @@
 	return decayed(s.failures, now.Sub(s.failedAt), failureRecovery)
 }
 
+func (s *server) foreignNow(now time.Time) float64 {
+	return decayed(s.foreign, now.Sub(s.foreignAt), foreignTime)
+}
+
+// tell takes in the load that the server told of itself in an answer.
+func (s *server) tell(now time.Time, load Load) {
+	s.foreign = max(float64(load.Running+load.Waiting-len(s.running)), 0)
+	s.foreignAt = now
+}
+
 func (s *server) recentNow(now time.Time) float64 {
 	return decayed(s.recent, now.Sub(s.recentAt), recentTime)
 }
@@ -189,6 +210,7 @@
 func (s *server) add(r *sent, now time.Time) {
 	s.running[r.work.ID] = r
 	s.tokens += r.work.tokens()
+	s.meanTokens += meanGain * (float64(r.work.tokens()) - s.meanTokens)
 	s.backlog += r.reading
 	s.recent = s.recentNow(now) + r.reading
 	s.recentAt = now
--- a/internal/gateway/balancer/types.go
+++ b/internal/gateway/balancer/types.go
@@ -47,6 +47,13 @@
 	return w.PromptTokens + w.OutputTokens
 }
 
+// Load is what a server tells of itself in an answer.
+type Load struct {
+	// Running and Waiting are the numbers of requests there, from all nodes.
+	Running int `json:"r"`
+	Waiting int `json:"w"`
+}
+
 // Outcome is how a request ended at its upstream.
 type Outcome int
 
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -300,7 +300,7 @@
 }
 
 // First implements relayer.Chooser.
-func (b *Broker) First(service, id string) {
+func (b *Broker) First(service, id string, load *balancer.Load) {
 	b.mu.Lock()
 	if r, ok := b.running[id]; ok {
 		r.answered = true
@@ -308,8 +308,8 @@
 	}
 	b.mu.Unlock()
 
-	b.pool(service).First(time.Now(), id)
-	b.tell(service, report{Service: service, ID: id, First: true})
+	b.pool(service).First(time.Now(), id, load)
+	b.tell(service, report{Service: service, ID: id, First: true, Load: load})
 }
 
 // End implements relayer.Chooser.
@@ -374,7 +374,7 @@
 	}
 
 	if r.First || r.Begin != nil && r.Begin.Answered {
-		pool.First(now, r.ID)
+		pool.First(now, r.ID, r.Load)
 	}
 
 	if r.End != nil {
--- a/internal/gateway/broker/outbox.go
+++ b/internal/gateway/broker/outbox.go
@@ -25,8 +25,10 @@
 	ID      string `json:"i"`
 	Begin   *begin `json:"b,omitempty"`
 	// First says that the first event came.
-	First bool              `json:"f,omitempty"`
-	End   *balancer.Outcome `json:"e,omitempty"`
+	First bool `json:"f,omitempty"`
+	// Load is what the upstream told with it.
+	Load *balancer.Load    `json:"l,omitempty"`
+	End  *balancer.Outcome `json:"e,omitempty"`
 }
 
 type begin struct {
--- a/internal/gateway/relayer/headers.go
+++ b/internal/gateway/relayer/headers.go
@@ -28,6 +28,8 @@
 	Priority string
 	// Signature marks an answer as made by an upstream.
 	Signature string
+	// Load holds the numbers of running and waiting requests of an upstream and its slots, separated by commas.
+	Load string
 	// NotRun marks an upstream's answer to a request that it did not run.
 	NotRun string
 	// Reserved are further headers that only nodes may set.
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -41,7 +42,8 @@
 type Chooser interface {
 	// Choose returns an upstream of the service, or false when none can take the request.
 	Choose(ctx context.Context, service string, work balancer.Work) (balancer.Choice, bool)
-	First(service, id string)
+	// First tells that the answer began, and the load that the upstream told of itself; nil if none.
+	First(service, id string, load *balancer.Load)
 	End(service, id string, outcome balancer.Outcome)
 }
 
@@ -292,6 +294,18 @@
 	return unsure
 }
 
+// load returns the load that an upstream told in its answer, nil if it told none.
+func (r *Relayer) load(response *dialer.Response) *balancer.Load {
+	running, rest, found := strings.Cut(response.Header.Get(r.options.Headers.Load), ",")
+	if !found {
+		return nil
+	}
+
+	waiting, _, _ := strings.Cut(rest, ",")
+
+	return &balancer.Load{Running: number(running), Waiting: number(waiting)}
+}
+
 // wasRefused says whether the upstream's answer means that it ran nothing.
 func (r *Relayer) wasRefused(response *dialer.Response) bool {
 	return response.Header.Get(r.options.Headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
