--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -34,10 +34,15 @@
 	storeInterval = 600 * time.Millisecond
 	// peerInterval is the time between two questions to the parent.
 	peerInterval = 400 * time.Millisecond
-	// patience is the age of the proof at which a node that isn't the first reads the store itself.
-	patience = 1300 * time.Millisecond
-	// patienceSpread keeps nodes that lost the first one from reading the store all at once.
-	patienceSpread = 400 * time.Millisecond
+	// patience is the age of the proof at which the second node reads the store itself. It is above what
+	// the first node's interval and the question to it add up to while all is well.
+	patience = 1050 * time.Millisecond
+	// patienceStep is added for each further place, up to patienceSteps: the nodes after the first one
+	// replace it one by one and not all at once.
+	patienceStep  = 120 * time.Millisecond
+	patienceSteps = 5
+	// patienceSpread parts the nodes of the same patience.
+	patienceSpread = 100 * time.Millisecond
 	// storeTimeout bounds one read. A read that takes longer is begun anew on another connection.
 	storeTimeout = 700 * time.Millisecond
 	// peerTimeout bounds one question to a peer.
@@ -102,6 +107,8 @@
 	askedAt time.Duration
 	// announcedAt is when this node last tried to list itself.
 	announcedAt time.Duration
+	// teller is a node that said to have something new and was not asked yet.
+	teller string
 	// reading and asking say that a read or a question is under way.
 	reading, asking bool
 	// storeLost says that the last read of the store failed; it keeps the log at one line for each change.
@@ -187,7 +194,7 @@
 		return false
 	}
 
-	due := rank == 0 || !known || age > patience+rand.N(patienceSpread)
+	due := rank == 0 || !known || age > patienceOf(rank)+rand.N(patienceSpread)
 	if !due {
 		return false
 	}
@@ -197,25 +204,37 @@
 	return true
 }
 
+func patienceOf(rank int) time.Duration {
+	return patience + time.Duration(min(max(rank-1, 0), patienceSteps))*patienceStep
+}
+
 // takeQuestion chooses the peer to ask now: the parent, or anyone while the proof is old.
 func (f *Follower) takeQuestion(order []string, rank int) (string, bool) {
 	now := f.options.Catalog.Now()
 	age, known := f.options.Catalog.Age()
-	stale := !known || age > patience
+	// The first node asks another one as soon as its own reads fail.
+	stale := !known || age > patience || rank == 0 && age > storeInterval+storeTimeout/2
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
 
-	if rank == 0 && !stale {
+	if f.asking {
 		return "", false
 	}
 
-	peer, ok := f.choosePeer(order, rank, stale)
-	if !ok {
-		return "", false
+	if f.teller != "" {
+		peer := f.teller
+		f.teller, f.asking, f.askedAt = "", true, now
+
+		return peer, true
 	}
 
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	if rank == 0 && !stale || now-f.askedAt < peerInterval {
+		return "", false
+	}
 
-	if f.asking || now-f.askedAt < peerInterval {
+	peer, ok := f.choosePeer(order, rank, stale)
+	if !ok {
 		return "", false
 	}
 
@@ -271,7 +290,7 @@
 
 	if changed {
 		f.logConfiguration("store", begun)
-		f.spread(ctx)
+		f.spreadFromStore(ctx)
 	}
 
 	if state := catalog.State(); revision > 0 && revision <= state.Registry.Revision && state.Registry.Kept == 0 {
@@ -292,7 +311,7 @@
 	changed = catalog.Register(registry, afterOutage)
 	if changed {
 		f.logRegistry("store")
-		f.spread(ctx)
+		f.spreadFromStore(ctx)
 	}
 }
 
@@ -377,7 +396,12 @@
 	defer func() {
 		f.mu.Lock()
 		f.asking = false
+		waiting := f.teller != ""
 		f.mu.Unlock()
+
+		if waiting {
+			f.wakeUp()
+		}
 	}()
 
 	catalog := f.options.Catalog
@@ -433,8 +457,29 @@
 
 	first := min(rank*fanOut+1, len(order))
 	last := min(first+fanOut, len(order))
+	f.tell(ctx, order[first:last])
+}
+
+// spreadFromStore tells of a change that this node read itself. Unless it is the first one, those
+// above it in the tree don't know it either: the first one may be cut off from the store.
+func (f *Follower) spreadFromStore(ctx context.Context) {
+	order := Order(f.options.Live())
+	if slices.Index(order, f.options.Self.Name) <= 0 {
+		f.spread(ctx)
+
+		return
+	}
+
+	f.tell(ctx, order[:min(fanOut+1, len(order))])
+	f.spread(ctx)
+}
+
+func (f *Follower) tell(ctx context.Context, peers []string) {
+	for _, peer := range peers {
+		if peer == f.options.Self.Name {
+			continue
+		}
 
-	for _, peer := range order[first:last] {
 		go func() {
 			if err := f.options.Peers.Notify(ctx, peer, MethodChanged, struct{}{}); err != nil {
 				f.options.Logger.Debug().Err(err).Str("peer", peer).Msg("spread_failed")
@@ -470,18 +515,23 @@
 	return answer, nil
 }
 
-// HandleChanged answers MethodChanged: the next question is due at once.
-func (f *Follower) HandleChanged(context.Context, string, json.RawMessage) (any, error) {
+// HandleChanged answers MethodChanged: it asks the teller at once.
+func (f *Follower) HandleChanged(_ context.Context, teller string, _ json.RawMessage) (any, error) {
 	f.mu.Lock()
-	f.askedAt = -time.Hour
+	f.teller = teller
 	f.mu.Unlock()
 
+	f.wakeUp()
+
+	return struct{}{}, nil
+}
+
+// wakeUp makes the next step due at once.
+func (f *Follower) wakeUp() {
 	select {
 	case f.wake <- struct{}{}:
 	default:
 	}
-
-	return struct{}{}, nil
 }
 
 func (f *Follower) logConfiguration(source string, begun time.Duration) {
