Don't condemn a server for one lost request; learn speeds by their logarithm

Now a server is overdue only while it answers nothing, gets a trial request every 700 ms, and speeds are averaged by logarithm, at most 12.

--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -150,6 +150,7 @@
 		until:       now.Add(work.Limit + endGrace),
 		reading:     s.reading(&work),
 		expected:    p.expected(now, s, &work),
+		speed:       s.speedNow(now),
 		sensitivity: p.sensitivity(&work),
 	}
 
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -28,7 +28,14 @@
 	// speedGain is the weight of one observation in a server's learned speed.
 	speedGain = 0.15
 	minSpeed  = 0.7
-	maxSpeed  = 30.0
+	maxSpeed  = 12.0
+	// overdueFactor and overdueSlack, in milliseconds, are what a server may take longer than expected.
+	overdueFactor = 2.0
+	overdueSlack  = 20.0
+	// mostOverdue bounds the time in milliseconds for which a silent server is held against others.
+	mostOverdue = 2000.0
+	// trialInterval is the time after which a silent server is sent one request again.
+	trialInterval = 700 * time.Millisecond
 	// speedRecovery is the time in which a learned slowness halves without new observations, so that a
 	// server that was avoided as slow gets another chance.
 	speedRecovery = 4 * time.Second
@@ -59,8 +66,9 @@
 	until time.Time
 	// reading is the prompt work in milliseconds that the server still had to do for it.
 	reading float64
-	// expected is the predicted time to the first event in milliseconds.
+	// expected is the predicted time to the first event in milliseconds, at the speed of that moment.
 	expected float64
+	speed    float64
 	// answering says that the first event came.
 	answering bool
 	// sensitivity is how much its stream suffers from prompts read beside it, 0 to 1.
@@ -82,6 +90,8 @@
 	// parts holds what its cache has, the least recently used first.
 	parts        *simplelru.LRU[string, int]
 	cachedTokens int
+	// sentAt is when a request was last sent, answeredAt when one was last answered.
+	sentAt, answeredAt time.Time
 	// speed is the learned ratio of real to predicted time, as of speedAt.
 	speed   float64
 	speedAt time.Time
@@ -191,9 +201,16 @@
 	}
 }
 
-// overdue is how much longer than expected the slowest request has been without an answer, in
-// milliseconds. It shows a server that went silent before any of its requests fails.
+// overdue is how much longer than expected the server has answered nothing, in milliseconds. It
+// shows a server that went silent before any of its requests fails.
+//
+// A single lost request says nothing: the server may have answered others since. A server that is
+// left alone for it would never show that it lives, so now and then one request is sent as to any other.
 func (s *server) overdue(now time.Time) float64 {
+	if now.Sub(s.sentAt) > trialInterval {
+		return 0
+	}
+
 	worst := 0.0
 
 	for _, r := range s.running {
@@ -201,14 +218,20 @@
 			continue
 		}
 
-		worst = max(worst, milliseconds(now.Sub(r.at))-2*r.expected-20)
+		since := r.at
+		if s.answeredAt.After(since) {
+			since = s.answeredAt
+		}
+
+		worst = max(worst, milliseconds(now.Sub(since))-overdueFactor*r.expected-overdueSlack)
 	}
 
-	return worst
+	return min(worst, mostOverdue)
 }
 
 func (s *server) add(r *sent, now time.Time) {
 	s.running[r.work.ID] = r
+	s.sentAt = now
 	s.tokens += r.work.tokens()
 	s.meanTokens += meanGain * (float64(r.work.tokens()) - s.meanTokens)
 	s.backlog += r.reading
@@ -230,9 +253,17 @@
 	}
 
 	r.answering = true
+	s.answeredAt = now
 	s.backlog = max(0, s.backlog-r.reading)
-	ratio := milliseconds(now.Sub(r.at)) / max(r.expected/max(s.speedNow(now), minSpeed), 1)
-	s.speed = min(max((1-speedGain)*s.speedNow(now)+speedGain*ratio, minSpeed), maxSpeed)
+	s.learn(now, milliseconds(now.Sub(r.at))/max(r.expected/r.speed, 1))
+}
+
+// learn takes in one ratio of real to predicted time. It is averaged by its logarithm, so that one
+// request that was stuck doesn't make its server look thirty times as slow.
+func (s *server) learn(now time.Time, ratio float64) {
+	ratio = min(max(ratio, minSpeed), maxSpeed)
+	average := (1-speedGain)*math.Log(s.speedNow(now)) + speedGain*math.Log(ratio)
+	s.speed = min(max(math.Exp(average), minSpeed), maxSpeed)
 	s.speedAt = now
 }
 
