--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -22,8 +22,6 @@
 	fullPrice = 2.0
 	// plainQueue is how many calls may wait at a plain server in addition to its slots.
 	plainQueue = 8
-	// engineQueue is how many requests may wait at an engine beyond its batch, as a part of the batch.
-	engineQueue = 0.5
 	// endGrace is how long after its limit a request whose end nobody told is still counted.
 	endGrace = time.Second
 	// expireInterval is the time between two looks for such requests.
@@ -56,6 +54,8 @@
 	servers []*server
 	// requests holds all running requests by id.
 	requests map[string]*sent
+	// queue holds the requests that wait for room.
+	queue []*queued
 	// expiredAt is when requests whose end nobody told were last looked for.
 	expiredAt time.Time
 }
@@ -90,14 +90,9 @@
 	}
 }
 
-// Choose picks the upstream with the least expected loss and counts the request there until End.
-// It returns false when no upstream can take the request.
-func (p *Pool) Choose(now time.Time, work Work) (Choice, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	p.expire(now)
-
+// choose picks the server with the least expected loss and counts the request there; p.mu is held.
+// It returns false when no server has room for it.
+func (p *Pool) choose(now time.Time, work Work) (Choice, bool) {
 	var (
 		best     *server
 		bestLoss = math.Inf(1)
@@ -184,6 +179,8 @@
 
 	r, ok := p.requests[id]
 	if !ok {
+		p.unqueue(id)
+
 		return
 	}
 
@@ -238,7 +235,7 @@
 		return false
 	}
 
-	return float64(len(s.running))+foreign < (1+engineQueue)*float64(s.Slots)
+	return float64(len(s.running))+foreign < float64(s.Slots)
 }
 
 // expected is the predicted time to the first event in milliseconds.
--- /dev/null
+++ b/internal/gateway/balancer/queue.go
@@ -0,0 +1,145 @@
+package balancer
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// agingTime is the waiting time that makes up for one rank, so that no class waits forever.
+	agingTime = 1500 * time.Millisecond
+	// maxQueue bounds the requests that wait for one pool.
+	maxQueue = 2000
+)
+
+// Decision is what became of a request that asked for an upstream.
+type Decision int
+
+const (
+	// Granted requests have an upstream.
+	Granted Decision = iota
+	// Queued requests wait for one.
+	Queued
+	// Refused requests can't get one.
+	Refused
+)
+
+// Grant is an upstream for a request that had waited.
+type Grant struct {
+	ID string
+	// Owner is whoever asked.
+	Owner  string
+	Choice Choice
+}
+
+// queued is a request that waits until a server has room for it.
+type queued struct {
+	work  Work
+	owner string
+	since time.Time
+	until time.Time
+}
+
+// rank orders the queue: lower goes first.
+func (q *queued) rank(now time.Time) float64 {
+	return float64(q.work.Priority) - now.Sub(q.since).Seconds()/agingTime.Seconds()
+}
+
+// Ask picks an upstream for the work, or queues it where none has room now. Asked again for a request
+// that has an upstream or waits already, it says the same again: its answer may have been lost.
+func (p *Pool) Ask(now time.Time, owner string, work Work) (Choice, Decision) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.expire(now)
+
+	if r, ok := p.requests[work.ID]; ok {
+		return Choice{Upstream: r.server.ID, Address: r.server.Address, Waiting: r.expected}, Granted
+	}
+
+	if slices.ContainsFunc(p.queue, func(q *queued) bool { return q.work.ID == work.ID }) {
+		return Choice{}, Queued
+	}
+
+	if !p.mayEver(now, &work) || len(p.queue) >= maxQueue {
+		return Choice{}, Refused
+	}
+
+	if !p.outranked(now, &work) {
+		if choice, ok := p.choose(now, work); ok {
+			return choice, Granted
+		}
+	}
+
+	p.queue = append(p.queue, &queued{work: work, owner: owner, since: now, until: now.Add(work.Limit)})
+
+	return Choice{}, Queued
+}
+
+// mayEver says whether any server may get the request once it has room.
+func (p *Pool) mayEver(now time.Time, work *Work) bool {
+	return slices.ContainsFunc(p.servers, func(s *server) bool {
+		return !s.Draining && !slices.Contains(work.Excluded, s.ID) && !now.Before(s.unreachableUntil)
+	})
+}
+
+// outranked says whether a request that waits goes before the work.
+func (p *Pool) outranked(now time.Time, work *Work) bool {
+	return slices.ContainsFunc(p.queue, func(q *queued) bool { return q.rank(now) <= float64(work.Priority) })
+}
+
+// Next returns the waiting requests for which there is room now.
+func (p *Pool) Next(now time.Time) []Grant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if len(p.queue) == 0 {
+		return nil
+	}
+
+	p.expire(now)
+	slices.SortStableFunc(p.queue, func(a, b *queued) int {
+		return int(math.Copysign(1, a.rank(now)-b.rank(now)))
+	})
+
+	var grants []Grant
+
+	left := p.queue[:0]
+
+	for _, q := range p.queue {
+		if now.After(q.until) {
+			continue
+		}
+
+		work := q.work
+		work.Limit = q.until.Sub(now)
+
+		choice, ok := p.choose(now, work)
+		if !ok {
+			left = append(left, q)
+
+			continue
+		}
+
+		grants = append(grants, Grant{ID: work.ID, Owner: q.owner, Choice: choice})
+	}
+
+	clear(p.queue[len(left):])
+	p.queue = left
+
+	return grants
+}
+
+// Waiting is the number of requests in the queue.
+func (p *Pool) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return len(p.queue)
+}
+
+// unqueue drops a request from the queue; p.mu is held.
+func (p *Pool) unqueue(id string) {
+	p.queue = slices.DeleteFunc(p.queue, func(q *queued) bool { return q.work.ID == id })
+}
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -27,6 +28,12 @@
 	askTimeout = 25 * time.Millisecond
 	// doubtTime is how long a holder that did not answer isn't asked.
 	doubtTime = 400 * time.Millisecond
+	// askAgain is how long a queued request waits before its holder is asked again.
+	askAgain = 400 * time.Millisecond
+	// grantInterval is the time between two looks for room without another reason.
+	grantInterval = 50 * time.Millisecond
+	// waitPart is the part of its time that a request may wait in a queue.
+	waitPart = 0.6
 	// placeInterval is the time between two looks at the live nodes.
 	placeInterval = 100 * time.Millisecond
 	// flushInterval is how long reports are gathered.
@@ -41,6 +48,8 @@
 const (
 	// MethodChoose asks a holder for an upstream.
 	MethodChoose = "pool.choose"
+	// MethodGrant tells a node which upstream a request got that had waited.
+	MethodGrant = "pool.grant"
 	// MethodReport tells a holder what became of requests.
 	MethodReport = "pool.report"
 )
@@ -78,6 +87,8 @@
 	holders map[string][]string
 	// doubted maps nodes that did not answer to the time until which they aren't asked.
 	doubted map[string]time.Time
+	// waiting maps this node's requests that wait in a pool's queue to where their grant goes.
+	waiting map[string]chan balancer.Choice
 	// running holds this node's own requests, to tell a new holder of them.
 	running map[string]running
 }
@@ -99,12 +110,14 @@
 		pools:   make(map[string]*balancer.Pool),
 		holders: make(map[string][]string),
 		doubted: make(map[string]time.Time),
+		waiting: make(map[string]chan balancer.Choice),
 		running: make(map[string]running),
 	}
 }
 
 // Run sends reports until ctx ends.
 func (b *Broker) Run(ctx context.Context) {
+	go b.grantRegularly(ctx)
 	b.out.run(ctx)
 }
 
@@ -133,6 +146,7 @@
 	}
 
 	b.dropOthers(state.Configuration.Services)
+	b.grantAll(now)
 }
 
 func (b *Broker) dropOthers(services []cataloguer.Service) {
@@ -223,43 +237,109 @@
 	}
 }
 
-// Choose implements relayer.Chooser.
+// Choose implements relayer.Chooser. It waits while the request is queued.
 func (b *Broker) Choose(ctx context.Context, service string, work balancer.Work) (balancer.Choice, bool) {
-	asked := b.holdersOf(service)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(float64(work.Limit)*waitPart))
+	defer cancel()
+
+	// A grant may come before the answer that says that the request waits.
+	granted := make(chan balancer.Choice, 1)
+	b.await(work.ID, granted)
+	defer b.unwait(work.ID)
+
+	deadline := time.Now().Add(work.Limit)
+
+	for {
+		asked := b.holdersOf(service)
+		work.Limit = time.Until(deadline)
+
+		choice, decision, by := b.askAny(ctx, asked, service, work)
+
+		switch decision {
+		case balancer.Granted:
+			b.begun(service, work, choice, asked, by)
+
+			return choice, true
+		case balancer.Refused:
+			return choice, false
+		case balancer.Queued:
+		}
+
+		choice, ok := b.waitFor(ctx, granted)
+		if ok {
+			b.begun(service, work, choice, asked, by)
 
+			return choice, true
+		}
+
+		if ctx.Err() != nil {
+			b.End(service, work.ID, balancer.Abandoned)
+
+			return choice, false
+		}
+	}
+}
+
+// waitFor waits for a grant, but not longer than until the holder is to be asked again: it may be gone, or its grant lost.
+func (b *Broker) waitFor(ctx context.Context, granted <-chan balancer.Choice) (balancer.Choice, bool) {
+	timer := time.NewTimer(askAgain)
+	defer timer.Stop()
+
+	select {
+	case choice := <-granted:
+		return choice, true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+
+	return balancer.Choice{}, false
+}
+
+func (b *Broker) await(id string, granted chan balancer.Choice) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.waiting[id] = granted
+}
+
+func (b *Broker) unwait(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	delete(b.waiting, id)
+}
+
+// askAny asks the holders in their order, then this node's own pool. It returns the place of the
+// holder that answered, -1 for the own pool.
+func (b *Broker) askAny(ctx context.Context, asked []string, service string, work balancer.Work) (balancer.Choice, balancer.Decision, int) {
 	for i, holder := range asked {
 		if holder != b.options.Self && b.isDoubted(holder) {
 			continue
 		}
 
-		choice, ok, err := b.ask(ctx, holder, service, work)
-		if err != nil {
-			b.doubt(holder, service, err)
-
-			continue
+		choice, decision, err := b.ask(ctx, holder, service, work)
+		if err == nil {
+			return choice, decision, i
 		}
 
-		if ok {
-			b.begun(service, work, choice, asked, i)
+		if ctx.Err() != nil {
+			break
 		}
 
-		return choice, ok
+		b.doubt(holder, service, err)
 	}
 
-	choice, ok := b.pool(service).Choose(time.Now(), work)
-	if ok {
-		b.begun(service, work, choice, asked, -1)
-	}
+	choice, decision := b.pool(service).Ask(time.Now(), b.options.Self, work)
 
-	return choice, ok
+	return choice, decision, -1
 }
 
 // ask lets one holder choose.
-func (b *Broker) ask(ctx context.Context, holder, service string, work balancer.Work) (balancer.Choice, bool, error) {
+func (b *Broker) ask(ctx context.Context, holder, service string, work balancer.Work) (balancer.Choice, balancer.Decision, error) {
 	if holder == b.options.Self {
-		choice, ok := b.pool(service).Choose(time.Now(), work)
+		choice, decision := b.pool(service).Ask(time.Now(), b.options.Self, work)
 
-		return choice, ok, nil
+		return choice, decision, nil
 	}
 
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
@@ -267,10 +347,10 @@
 
 	var answer chooseAnswer
 	if err := b.options.Peers.Call(ctx, holder, MethodChoose, chooseParams{Service: service, Work: work}, &answer); err != nil {
-		return balancer.Choice{}, false, err
+		return balancer.Choice{}, balancer.Refused, err
 	}
 
-	return answer.Choice, answer.OK, nil
+	return answer.Choice, answer.Decision, nil
 }
 
 // begun notes a choice and tells the holders that did not make it.
@@ -318,7 +398,9 @@
 	delete(b.running, id)
 	b.mu.Unlock()
 
-	b.pool(service).End(time.Now(), id, outcome)
+	now := time.Now()
+	b.pool(service).End(now, id, outcome)
+	b.grant(now, service)
 	b.tell(service, report{Service: service, ID: id, End: &outcome})
 }
 
@@ -340,15 +422,15 @@
 }
 
 // HandleChoose answers MethodChoose.
-func (b *Broker) HandleChoose(_ context.Context, _ string, params json.RawMessage) (any, error) {
+func (b *Broker) HandleChoose(_ context.Context, from string, params json.RawMessage) (any, error) {
 	var asked chooseParams
 	if err := json.Unmarshal(params, &asked); err != nil {
 		return nil, err
 	}
 
-	choice, ok := b.pool(asked.Service).Choose(time.Now(), asked.Work)
+	choice, decision := b.pool(asked.Service).Ask(time.Now(), from, asked.Work)
 
-	return chooseAnswer{Choice: choice, OK: ok}, nil
+	return chooseAnswer{Choice: choice, Decision: decision}, nil
 }
 
 // HandleReport answers MethodReport.
@@ -363,6 +445,8 @@
 		b.take(now, r)
 	}
 
+	b.grantAll(now)
+
 	return struct{}{}, nil
 }
 
@@ -381,3 +465,77 @@
 		pool.End(now, r.ID, *r.End)
 	}
 }
+
+// grantRegularly gives room to requests for which no other event would.
+func (b *Broker) grantRegularly(ctx context.Context) {
+	ticker := time.NewTicker(grantInterval)
+	defer ticker.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			b.grantAll(now)
+		}
+	}
+}
+
+// grantAll looks for room in all pools.
+func (b *Broker) grantAll(now time.Time) {
+	b.mu.Lock()
+	services := slices.Collect(maps.Keys(b.pools))
+	b.mu.Unlock()
+
+	for _, service := range services {
+		b.grant(now, service)
+	}
+}
+
+// grant tells the owners of requests that waited which upstream they got.
+func (b *Broker) grant(now time.Time, service string) {
+	for _, g := range b.pool(service).Next(now) {
+		if g.Owner == b.options.Self {
+			b.deliver(g.ID, g.Choice)
+
+			continue
+		}
+
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), askAgain)
+			defer cancel()
+
+			if err := b.options.Peers.Notify(ctx, g.Owner, MethodGrant, grantParams{ID: g.ID, Choice: g.Choice}); err != nil {
+				b.options.Logger.Info().Err(err).Str("peer", g.Owner).Str("service", service).Msg("grant_not_told")
+			}
+		}()
+	}
+}
+
+// deliver hands a grant to the request that waits for it. One that gave up has told so itself.
+func (b *Broker) deliver(id string, choice balancer.Choice) {
+	b.mu.Lock()
+	granted, ok := b.waiting[id]
+	b.mu.Unlock()
+
+	if !ok {
+		return
+	}
+
+	select {
+	case granted <- choice:
+	default:
+	}
+}
+
+// HandleGrant answers MethodGrant.
+func (b *Broker) HandleGrant(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var told grantParams
+	if err := json.Unmarshal(params, &told); err != nil {
+		return nil, err
+	}
+
+	b.deliver(told.ID, told.Choice)
+
+	return struct{}{}, nil
+}
--- a/internal/gateway/broker/outbox.go
+++ b/internal/gateway/broker/outbox.go
@@ -15,8 +15,13 @@
 }
 
 type chooseAnswer struct {
+	Choice   balancer.Choice   `json:"c"`
+	Decision balancer.Decision `json:"d"`
+}
+
+type grantParams struct {
+	ID     string          `json:"i"`
 	Choice balancer.Choice `json:"c"`
-	OK     bool            `json:"ok"`
 }
 
 // report tells one thing about one request.
