Gather chats on few engines; test the choice of upstreams

Cause, found by TestLongPromptsKeepAwayFromChats (4 engines for 8 chats): a chat's own short prompt counted as the long work beside which chats stall, so chats fled from each other. TestOneLostRequestDoesNotCondemnItsServer failed too: the prompt of a lost request was taken for work that still waits, and its age for silence of the engine.

--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -248,7 +248,7 @@
 
 	step := stepTime + slotTime*float64(len(s.running))
 
-	return networkTime + s.speedNow(now)*(s.backlog+s.reading(work)+step*float64(p.engine.EventTokens))
+	return networkTime + s.speedNow(now)*(s.waitingWork(now)+s.reading(work)+step*float64(p.engine.EventTokens))
 }
 
 // loss is the expected loss of sending the work to the server.
--- /dev/null
+++ b/internal/gateway/balancer/pool_test.go
@@ -0,0 +1,255 @@
+package balancer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/gateway/balancer"
+)
+
+const (
+	chatPriority = iota
+	advicePriority
+	notesPriority
+)
+
+var start = time.Date(2026, time.March, 12, 4, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// engines returns a pool of engines named a, b, c.
+func engines(count, slots int) *balancer.Pool {
+	return newPool(count, slots, balancer.Engine{CacheTokens: 300_000, EventTokens: 3})
+}
+
+func newPool(count, slots int, engine balancer.Engine) *balancer.Pool {
+	p := balancer.NewPool()
+
+	var upstreams []balancer.Upstream
+	for i := range count {
+		upstreams = append(upstreams, balancer.Upstream{ID: string(rune('a' + i)), Slots: slots})
+	}
+
+	p.SetUpstreams(start, upstreams, engine)
+
+	return p
+}
+
+func notes(id string, session string) balancer.Work {
+	return balancer.Work{
+		ID: id, Priority: notesPriority, PromptTokens: 9000, OutputTokens: 60, Limit: 6 * time.Second,
+		Parts:  []balancer.Part{{ID: session, Tokens: 6300}, {ID: id, Tokens: 2700}},
+		Target: 800 * time.Millisecond, GapLimit: 500 * time.Millisecond,
+	}
+}
+
+func chat(id string) balancer.Work {
+	return balancer.Work{
+		ID: id, Priority: chatPriority, PromptTokens: 700, OutputTokens: 300, Limit: 15 * time.Second,
+		Target: 150 * time.Millisecond, GapLimit: 120 * time.Millisecond,
+	}
+}
+
+func granted(t *testing.T, p *balancer.Pool, now time.Time, work balancer.Work) string {
+	t.Helper()
+
+	choice, decision := p.Ask(now, "node", work)
+	assert.Equal(t, decision, balancer.Granted)
+
+	return choice.Upstream
+}
+
+// Symptom: an idle engine is left alone for 12 s while others have queues.
+// Sequence: one request is lost at it (its connection went silent); the others are answered.
+// Cause: the age of the oldest unanswered request was held against the whole engine.
+func TestOneLostRequestDoesNotCondemnItsServer(t *testing.T) {
+	p := engines(2, 48)
+	lost := granted(t, p, at(0), notes("lost", "s0"))
+
+	for i := range 40 {
+		now := at(time.Duration(i+1) * 100 * time.Millisecond)
+		id := fmt.Sprint("r", i)
+		granted(t, p, now, notes(id, fmt.Sprint("s", i)))
+		p.First(now.Add(90*time.Millisecond), id, nil)
+		p.End(now.Add(95*time.Millisecond), id, balancer.Served)
+	}
+
+	used := 0
+
+	for i := range 10 {
+		id := fmt.Sprint("late", i)
+		if granted(t, p, at(5*time.Second), notes(id, fmt.Sprint("l", i))) == lost {
+			used++
+		}
+	}
+
+	assert.Assert(t, used >= 3, "%d of 10 requests went to the engine that lost one", used)
+}
+
+// Symptom: a server that crashed without a word gets request after request.
+// Sequence: it takes connections and answers nothing.
+// Cause: load counted what was sent, not that no answer came.
+func TestSilentServerIsLeftOutBeforeAnyRequestFails(t *testing.T) {
+	p := engines(2, 48)
+	silent := granted(t, p, at(0), chat("first"))
+
+	for i := range 5 {
+		now := at(300*time.Millisecond + time.Duration(i)*10*time.Millisecond)
+		id := fmt.Sprint("r", i)
+		assert.Assert(t, granted(t, p, now, chat(id)) != silent)
+		p.First(now.Add(5*time.Millisecond), id, nil)
+		p.End(now.Add(6*time.Millisecond), id, balancer.Served)
+	}
+
+	// It gets a trial request later on, else nobody would learn that it is back.
+	tried := false
+	for i := range 30 {
+		id := fmt.Sprint("t", i)
+		tried = tried || granted(t, p, at(2*time.Second), chat(id)) == silent
+	}
+
+	assert.Assert(t, tried)
+}
+
+// Symptom: an engine is thought to be thirty times as slow as it is.
+// Sequence: one request was stuck for a second where 30 ms were expected.
+// Cause: speeds were averaged as they are, so one outlier outweighed a hundred others.
+func TestOneStuckRequestHardlyChangesTheSpeed(t *testing.T) {
+	p := engines(1, 48)
+
+	for i := range 20 {
+		now := at(time.Duration(i) * 200 * time.Millisecond)
+		id := fmt.Sprint("r", i)
+		choice, _ := p.Ask(now, "node", notes(id, fmt.Sprint("s", i)))
+		p.First(now.Add(time.Duration(choice.Waiting*float64(time.Millisecond))), id, nil)
+		p.End(now.Add(150*time.Millisecond), id, balancer.Served)
+	}
+
+	before, _ := p.Ask(at(5*time.Second), "node", notes("before", "x"))
+	p.First(at(8*time.Second), "before", nil)
+	p.End(at(8*time.Second), "before", balancer.Served)
+
+	after, _ := p.Ask(at(8*time.Second), "node", notes("after", "y"))
+	assert.Assert(t, after.Waiting < 2*before.Waiting, "%.0f ms before, %.0f ms after", before.Waiting, after.Waiting)
+}
+
+// Load: a burst of long prompts beside short chats, as at the close of a shop's day.
+// Grounds: a prompt of 9,000 tokens takes 82 ms to read; five of them stall a chat over its limit of 120 ms.
+func TestLongPromptsKeepAwayFromChats(t *testing.T) {
+	p := engines(4, 48)
+	chats := map[string]int{}
+
+	for i := range 8 {
+		chats[granted(t, p, at(0), chat(fmt.Sprint("c", i)))]++
+	}
+
+	beside := 0
+
+	for i := range 6 {
+		if chats[granted(t, p, at(50*time.Millisecond), notes(fmt.Sprint("n", i), fmt.Sprint("s", i)))] > 0 {
+			beside++
+		}
+	}
+
+	assert.Assert(t, len(chats) <= 2, "chats spread over %d engines", len(chats))
+	assert.Assert(t, beside <= 1, "%d of 6 long prompts beside chats", beside)
+}
+
+// Load: requests of one session come one after the other.
+// Grounds: 6,300 of 9,000 tokens are shared; read again they cost 57 ms of an engine.
+func TestRequestsOfASessionShareAnEngine(t *testing.T) {
+	p := engines(6, 48)
+	first := granted(t, p, at(0), notes("n0", "session"))
+	p.First(at(100*time.Millisecond), "n0", nil)
+	p.End(at(time.Second), "n0", balancer.Served)
+
+	for i := 1; i < 5; i++ {
+		now := at(time.Duration(i) * time.Second)
+		id := fmt.Sprint("n", i)
+		assert.Equal(t, granted(t, p, now, notes(id, "session")), first)
+		p.First(now.Add(50*time.Millisecond), id, nil)
+		p.End(now.Add(500*time.Millisecond), id, balancer.Served)
+	}
+}
+
+// Symptom: engines set urgent running requests back while less urgent ones run on.
+// Sequence: more requests are sent than the batch holds; a waiting urgent one takes a place.
+// Cause: requests waited at full engines. They wait in the pool's queue now, the urgent ones first.
+func TestRequestsWaitInThePoolByRank(t *testing.T) {
+	p := engines(1, 2)
+	granted(t, p, at(0), notes("r0", "s"))
+	granted(t, p, at(0), notes("r1", "s"))
+
+	_, decision := p.Ask(at(0), "node", notes("low", "s"))
+	assert.Equal(t, decision, balancer.Queued)
+	_, decision = p.Ask(at(time.Millisecond), "node", chat("high"))
+	assert.Equal(t, decision, balancer.Queued)
+	assert.Equal(t, p.Waiting(), 2)
+	assert.Equal(t, len(p.Next(at(2*time.Millisecond))), 0)
+
+	p.End(at(10*time.Millisecond), "r0", balancer.Served)
+	grants := p.Next(at(10 * time.Millisecond))
+	assert.Equal(t, len(grants), 1)
+	assert.Equal(t, grants[0].ID, "high")
+
+	// Its owner may ask again, when the grant was lost on the way.
+	choice, decision := p.Ask(at(20*time.Millisecond), "node", chat("high"))
+	assert.Equal(t, decision, balancer.Granted)
+	assert.Equal(t, choice.Upstream, "a")
+}
+
+// Symptom: long reviews wait forever while chats come.
+// Sequence: the engine is always full and a chat always waits.
+// Cause: rank alone decided; waiting counts now.
+func TestOldRequestsMoveUp(t *testing.T) {
+	p := engines(1, 1)
+	granted(t, p, at(0), chat("r"))
+	_, _ = p.Ask(at(0), "node", notes("old", "s"))
+	_, _ = p.Ask(at(3100*time.Millisecond), "node", chat("new"))
+
+	p.End(at(3200*time.Millisecond), "r", balancer.Served)
+	grants := p.Next(at(3200 * time.Millisecond))
+	assert.Equal(t, grants[0].ID, "old")
+}
+
+// Symptom: slots of an engine stay taken for good.
+// Sequence: a node is killed with requests in flight and tells no end.
+// Cause: only a told end freed a slot.
+func TestRequestsOfALostNodeExpire(t *testing.T) {
+	p := engines(1, 1)
+	granted(t, p, at(0), notes("lost", "s"))
+	_, decision := p.Ask(at(6*time.Second), "node", notes("next", "s"))
+	assert.Equal(t, decision, balancer.Queued)
+
+	assert.Equal(t, len(p.Next(at(8*time.Second))), 1)
+}
+
+// Symptom: engines are overrun while some nodes are cut off from the holder.
+// Sequence: those nodes send by themselves; the engine tells 2 running where the holder knows of 1.
+// Cause: only own requests counted.
+func TestForeignRequestsCount(t *testing.T) {
+	p := engines(1, 3)
+	granted(t, p, at(0), notes("r0", "s"))
+	granted(t, p, at(0), notes("r1", "s"))
+	p.First(at(50*time.Millisecond), "r0", &balancer.Load{Running: 5, Waiting: 1})
+
+	_, decision := p.Ask(at(60*time.Millisecond), "node", notes("r2", "s"))
+	assert.Equal(t, decision, balancer.Queued)
+	assert.Equal(t, len(p.Next(at(3*time.Second))), 1)
+}
+
+func TestNothingGoesToServersThatLeaveOrFailedTheRequest(t *testing.T) {
+	p := newPool(3, 6, balancer.Engine{})
+	p.SetUpstreams(start, []balancer.Upstream{{ID: "a", Slots: 6, Draining: true}, {ID: "b", Slots: 6}, {ID: "c", Slots: 6}}, balancer.Engine{})
+
+	for i := range 5 {
+		work := balancer.Work{ID: fmt.Sprint(i), Target: 100 * time.Millisecond, Limit: time.Second, Excluded: []string{"b"}}
+		assert.Equal(t, granted(t, p, at(0), work), "c")
+	}
+
+	_, decision := p.Ask(at(0), "node", balancer.Work{ID: "x", Limit: time.Second, Excluded: []string{"b", "c"}})
+	assert.Equal(t, decision, balancer.Refused)
+}
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -52,6 +52,10 @@
 	meanGain = 0.05
 	// cachePart is the part of an engine's memory that holds prompt parts while requests run.
 	cachePart = 0.8
+	// shortReading is the prompt work in milliseconds that no stream beside it notices: less than one chunk.
+	shortReading = 15.0
+	// overtakers is the number of later requests that must be answered before an earlier one counts as lost.
+	overtakers = 3
 	// maxParts bounds the remembered parts of one server; with parts of 250 tokens it passes all caches.
 	maxParts = 4096
 )
@@ -69,6 +73,8 @@
 	// expected is the predicted time to the first event in milliseconds, at the speed of that moment.
 	expected float64
 	speed    float64
+	// overtaken counts requests of no higher rank that were sent later and answered before.
+	overtaken int
 	// answering says that the first event came.
 	answering bool
 	// sensitivity is how much its stream suffers from prompts read beside it, 0 to 1.
@@ -201,29 +207,39 @@
 	}
 }
 
+// trialDue says that the server was left alone for so long that it may be judged anew.
+func (s *server) trialDue(now time.Time) bool {
+	return now.Sub(s.sentAt) > trialInterval
+}
+
+// waitingWork is the prompt work in milliseconds that goes before a new request.
+func (s *server) waitingWork(now time.Time) float64 {
+	if s.trialDue(now) {
+		return 0
+	}
+
+	return s.backlog
+}
+
 // overdue is how much longer than expected the server has answered nothing, in milliseconds. It
 // shows a server that went silent before any of its requests fails.
 //
 // A single lost request says nothing: the server may have answered others since. A server that is
 // left alone for it would never show that it lives, so now and then one request is sent as to any other.
 func (s *server) overdue(now time.Time) float64 {
-	if now.Sub(s.sentAt) > trialInterval {
+	if s.trialDue(now) {
 		return 0
 	}
 
 	worst := 0.0
 
 	for _, r := range s.running {
-		if r.answering {
+		// One that was sent before the last answer may be lost alone.
+		if r.answering || r.at.Before(s.answeredAt) {
 			continue
 		}
 
-		since := r.at
-		if s.answeredAt.After(since) {
-			since = s.answeredAt
-		}
-
-		worst = max(worst, milliseconds(now.Sub(since))-overdueFactor*r.expected-overdueSlack)
+		worst = max(worst, milliseconds(now.Sub(r.at))-overdueFactor*r.expected-overdueSlack)
 	}
 
 	return min(worst, mostOverdue)
@@ -235,7 +251,7 @@
 	s.tokens += r.work.tokens()
 	s.meanTokens += meanGain * (float64(r.work.tokens()) - s.meanTokens)
 	s.backlog += r.reading
-	s.recent = s.recentNow(now) + r.reading
+	s.recent = s.recentNow(now) + max(r.reading-shortReading, 0)
 	s.recentAt = now
 
 	if r.sensitivity > 0 {
@@ -256,6 +272,23 @@
 	s.answeredAt = now
 	s.backlog = max(0, s.backlog-r.reading)
 	s.learn(now, milliseconds(now.Sub(r.at))/max(r.expected/r.speed, 1))
+	s.overtake(r)
+}
+
+// overtake takes requests for lost that several later ones went before: their prompts aren't waiting to be read.
+func (s *server) overtake(answered *sent) {
+	for _, r := range s.running {
+		if r.answering || !r.at.Before(answered.at) || r.work.Priority > answered.work.Priority {
+			continue
+		}
+
+		r.overtaken++
+
+		if r.overtaken == overtakers {
+			s.backlog = max(0, s.backlog-r.reading)
+			r.reading = 0
+		}
+	}
 }
 
 // learn takes in one ratio of real to predicted time. It is averaged by its logarithm, so that one
