Test what the gateway keeps: once, whole, unchanged, fresh, one view

Two found faults: a grant could pass the answer that its request waits, and grants outlived their node; they go with the reports now.

--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -48,9 +48,7 @@
 const (
 	// MethodChoose asks a holder for an upstream.
 	MethodChoose = "pool.choose"
-	// MethodGrant tells a node which upstream a request got that had waited.
-	MethodGrant = "pool.grant"
-	// MethodReport tells a holder what became of requests.
+	// MethodReport tells a holder what became of requests, and a node which upstream its request got that waited.
 	MethodReport = "pool.report"
 )
 
@@ -451,6 +449,12 @@
 }
 
 func (b *Broker) take(now time.Time, r report) {
+	if r.Grant != nil {
+		b.deliver(r.ID, *r.Grant)
+
+		return
+	}
+
 	pool := b.pool(r.Service)
 
 	if r.Begin != nil {
@@ -501,14 +505,7 @@
 			continue
 		}
 
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), askAgain)
-			defer cancel()
-
-			if err := b.options.Peers.Notify(ctx, g.Owner, MethodGrant, grantParams{ID: g.ID, Choice: g.Choice}); err != nil {
-				b.options.Logger.Info().Err(err).Str("peer", g.Owner).Str("service", service).Msg("grant_not_told")
-			}
-		}()
+		b.out.add(g.Owner, report{Service: service, ID: g.ID, Grant: &g.Choice})
 	}
 }
 
@@ -527,15 +524,3 @@
 	default:
 	}
 }
-
-// HandleGrant answers MethodGrant.
-func (b *Broker) HandleGrant(_ context.Context, _ string, params json.RawMessage) (any, error) {
-	var told grantParams
-	if err := json.Unmarshal(params, &told); err != nil {
-		return nil, err
-	}
-
-	b.deliver(told.ID, told.Choice)
-
-	return struct{}{}, nil
-}
--- /dev/null
+++ b/internal/gateway/broker/broker_test.go
@@ -0,0 +1,303 @@
+package broker_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/chooser"
+	"quincepath.example/quincepath/internal/gateway/balancer"
+	"quincepath.example/quincepath/internal/gateway/broker"
+	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/sleeper"
+)
+
+const service = "chat"
+
+// fleet joins brokers by messages that take a millisecond.
+type fleet struct {
+	mu    sync.Mutex
+	nodes map[string]*broker.Broker
+	names []string
+	// silent nodes answer nothing; gone ones are not live either.
+	silent, gone map[string]bool
+	// deaf nodes get no reports.
+	deaf map[string]bool
+}
+
+// link is the fleet as one node sees it.
+type link struct {
+	fleet *fleet
+	self  string
+}
+
+func (l link) Call(ctx context.Context, peer, method string, params, result any) error {
+	f := l.fleet
+
+	f.mu.Lock()
+	node, silent := f.nodes[peer], f.silent[peer] || f.silent[l.self] || f.deaf[peer] && method == broker.MethodReport
+	f.mu.Unlock()
+
+	if silent {
+		<-ctx.Done()
+
+		return ctx.Err()
+	}
+
+	if !sleeper.Sleep(ctx, time.Millisecond) {
+		return ctx.Err()
+	}
+
+	data, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+
+	handle, ok := map[string]func(context.Context, string, json.RawMessage) (any, error){
+		broker.MethodChoose: node.HandleChoose, broker.MethodReport: node.HandleReport,
+	}[method]
+	if !ok {
+		return errors.Newf("no method %s", method)
+	}
+
+	answer, err := handle(ctx, l.self, data)
+	if err != nil || result == nil {
+		return err
+	}
+
+	data, err = json.Marshal(answer)
+	if err != nil {
+		return err
+	}
+
+	return json.Unmarshal(data, result)
+}
+
+func (l link) Notify(ctx context.Context, peer, method string, params any) error {
+	return l.Call(ctx, peer, method, params, nil)
+}
+
+func newFleet(ctx context.Context, t *testing.T, count, servers, slots int) *fleet {
+	t.Helper()
+
+	f := &fleet{nodes: map[string]*broker.Broker{}, silent: map[string]bool{}, gone: map[string]bool{}, deaf: map[string]bool{}}
+	state := &cataloguer.State{Configuration: cataloguer.Configuration{Version: 1, Services: []cataloguer.Service{{Name: service}}}}
+
+	for i := range servers {
+		state.Registry.Upstreams = append(state.Registry.Upstreams, cataloguer.Upstream{ID: fmt.Sprint("u", i), Service: service, Slots: slots})
+	}
+
+	for i := range count {
+		name := fmt.Sprint("n", i)
+		f.names = append(f.names, name)
+		node := broker.New(broker.Options{Self: name, Live: f.live, Peers: link{f, name}, Logger: zerolog.Nop()})
+		f.nodes[name] = node
+	}
+
+	for _, node := range f.nodes {
+		node.Update(state)
+		go node.Run(ctx)
+	}
+
+	return f
+}
+
+func (f *fleet) live() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	var live []string
+	for _, name := range f.names {
+		if !f.gone[name] {
+			live = append(live, name)
+		}
+	}
+
+	return live
+}
+
+func (f *fleet) set(marks map[string]bool, name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	marks[name] = true
+}
+
+// holder is the node that decides, others are those that don't know the pool.
+func (f *fleet) holder() (string, []string) {
+	chosen := chooser.New(f.live()).Several(service, 2)
+
+	var others []string
+	for _, name := range f.live() {
+		if name != chosen[0] && name != chosen[1] {
+			others = append(others, name)
+		}
+	}
+
+	return chosen[0], others
+}
+
+func work(id string) balancer.Work {
+	return balancer.Work{ID: id, Limit: 10 * time.Second, Target: 100 * time.Millisecond}
+}
+
+func inFleet(t *testing.T, count, servers, slots int, run func(*testing.T, *fleet)) {
+	t.Helper()
+
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+
+		run(t, newFleet(ctx, t, count, servers, slots))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// choose lets each of the nodes send so many requests and counts them by upstream.
+func choose(f *fleet, nodes []string, each int, prefix string) map[string]int {
+	counts := map[string]int{}
+
+	for i := range each {
+		for _, name := range nodes {
+			choice, ok := f.nodes[name].Choose(context.Background(), service, work(fmt.Sprint(prefix, name, i)))
+			if ok {
+				counts[choice.Upstream]++
+			}
+		}
+	}
+
+	return counts
+}
+
+// Symptom: three nodes send to the same idle server.
+// Cause: each saw its own requests only.
+func TestAllNodesChooseFromOneView(t *testing.T) {
+	inFleet(t, 6, 3, 6, func(t *testing.T, f *fleet) {
+		counts := choose(f, f.names, 3, "r")
+		assert.DeepEqual(t, counts, map[string]int{"u0": 6, "u1": 6, "u2": 6})
+	})
+}
+
+// Symptom: while the holder is frozen, requests wait or pile up on few servers.
+// Sequence: it answers nothing and still counts as live; the standby knows the same.
+func TestStandbyDecidesWhileTheHolderIsSilent(t *testing.T) {
+	inFleet(t, 6, 3, 6, func(t *testing.T, f *fleet) {
+		holder, others := f.holder()
+		choose(f, others, 2, "before")
+
+		for _, name := range others {
+			for i := range 2 {
+				f.nodes[name].First(service, fmt.Sprint("before", name, i), nil)
+			}
+		}
+
+		time.Sleep(20 * time.Millisecond)
+		f.set(f.silent, holder)
+
+		begun := time.Now()
+		counts := choose(f, others, 1, "after")
+		assert.Equal(t, counts["u0"]+counts["u1"]+counts["u2"], 4)
+		assert.Assert(t, time.Since(begun) < 150*time.Millisecond, "%v", time.Since(begun))
+
+		for upstream, count := range counts {
+			assert.Assert(t, count <= 2, "%s got %d", upstream, count)
+		}
+	})
+}
+
+// Symptom: after a holder's end its successor overfills servers.
+// Sequence: both holders die; a node that knew nothing takes over.
+// Cause: requests in flight were told to the former holders only.
+func TestNewHolderIsToldWhatRuns(t *testing.T) {
+	inFleet(t, 8, 1, 4, func(t *testing.T, f *fleet) {
+		holder, others := f.holder()
+		_ = choose(f, others[:4], 1, "running")
+		standby := chooser.New(f.live()).Several(service, 2)[1]
+
+		for _, name := range []string{holder, standby} {
+			f.set(f.silent, name)
+			f.set(f.gone, name)
+		}
+
+		time.Sleep(200 * time.Millisecond)
+		// The first look at the new holders tells them what runs.
+		for _, name := range others[:4] {
+			f.nodes[name].First(service, "running"+name+"0", nil)
+		}
+
+		time.Sleep(200 * time.Millisecond)
+
+		// A plain server takes its slots and eight more; four of these are taken.
+		taken := 0
+
+		for i := range 10 {
+			asked := balancer.Work{ID: fmt.Sprint("new", i), Limit: 100 * time.Millisecond}
+			if _, ok := f.nodes[others[4]].Choose(context.Background(), service, asked); ok {
+				taken++
+			}
+		}
+
+		assert.Equal(t, taken, 8)
+	})
+}
+
+// Symptom: a queued request waits until its limit although there is room.
+// Sequence: the holder's grant is lost on its way.
+// Cause: nobody asked again.
+func TestLostGrantIsAskedForAgain(t *testing.T) {
+	inFleet(t, 5, 1, 1, func(t *testing.T, f *fleet) {
+		_, others := f.holder()
+		f.set(f.deaf, others[1])
+
+		// A plain server takes its slots and eight more; all are taken here.
+		for i := range 9 {
+			_, ok := f.nodes[others[0]].Choose(context.Background(), service, work(fmt.Sprint("r", i)))
+			assert.Assert(t, ok)
+		}
+
+		got := make(chan time.Duration)
+		begun := time.Now()
+
+		go func() {
+			_, ok := f.nodes[others[1]].Choose(context.Background(), service, work("waits"))
+			assert.Check(t, ok)
+			got <- time.Since(begun)
+		}()
+
+		time.Sleep(100 * time.Millisecond)
+		f.nodes[others[0]].End(service, "r0", balancer.Served)
+		took := <-got
+		assert.Assert(t, took < time.Second, "%v", took)
+	})
+}
+
+func TestRequestThatLeftTheQueueGetsNothing(t *testing.T) {
+	inFleet(t, 5, 1, 1, func(t *testing.T, f *fleet) {
+		_, others := f.holder()
+
+		for i := range 9 {
+			_, _ = f.nodes[others[0]].Choose(context.Background(), service, work(fmt.Sprint("r", i)))
+		}
+
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+
+		_, ok := f.nodes[others[1]].Choose(ctx, service, work("gone"))
+		assert.Assert(t, !ok)
+		time.Sleep(20 * time.Millisecond)
+
+		f.nodes[others[0]].End(service, "r0", balancer.Served)
+		time.Sleep(100 * time.Millisecond)
+		_, ok = f.nodes[others[2]].Choose(context.Background(), service, work("next"))
+		assert.Assert(t, ok)
+	})
+}
--- a/internal/gateway/broker/outbox.go
+++ b/internal/gateway/broker/outbox.go
@@ -19,11 +19,6 @@
 	Decision balancer.Decision `json:"d"`
 }
 
-type grantParams struct {
-	ID     string          `json:"i"`
-	Choice balancer.Choice `json:"c"`
-}
-
 // report tells one thing about one request.
 type report struct {
 	Service string `json:"s"`
@@ -34,6 +29,8 @@
 	// Load is what the upstream told with it.
 	Load *balancer.Load    `json:"l,omitempty"`
 	End  *balancer.Outcome `json:"e,omitempty"`
+	// Grant is the upstream that a waiting request of the receiver got.
+	Grant *balancer.Choice `json:"g,omitempty"`
 }
 
 type begin struct {
@@ -68,13 +65,11 @@
 
 func (o *outbox) add(node string, r report) {
 	o.mu.Lock()
-	queue := append(o.waiting[node], r)
+	o.waiting[node] = append(o.waiting[node], r)
 
-	if len(queue) > reportQueue {
-		queue = queue[len(queue)-reportQueue:]
+	if over := len(o.waiting[node]) - reportQueue; over > 0 {
+		o.waiting[node] = o.waiting[node][over:]
 	}
-
-	o.waiting[node] = queue
 	o.mu.Unlock()
 
 	select {
--- a/internal/gateway/dialer/dialer.go
+++ b/internal/gateway/dialer/dialer.go
@@ -199,7 +199,7 @@
 		go func() { written <- writeRequest(c, outgoing) }()
 	}
 
-	answer, err := readAnswer(c.reader, outgoing, request)
+	answer, err := readAnswer(c.reader, outgoing, request) //nolint:bodyclose // Response.Close ends the connection of the body.
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,7 +120,6 @@
 		Logger: logger,
 	})
 	n.messages.Handle(broker.MethodChoose, n.broker.HandleChoose)
-	n.messages.Handle(broker.MethodGrant, n.broker.HandleGrant)
 	n.messages.Handle(broker.MethodReport, n.broker.HandleReport)
 
 	n.follower = follower.New(follower.Options{
--- /dev/null
+++ b/internal/gateway/relayer/relayer_test.go
@@ -0,0 +1,437 @@
+package relayer_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/gateway/balancer"
+	"quincepath.example/quincepath/internal/gateway/budgeter"
+	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/gateway/dialer"
+	"quincepath.example/quincepath/internal/gateway/relayer"
+	"quincepath.example/quincepath/internal/gateway/router"
+)
+
+var names = relayer.Headers{
+	RequestID: "X-Id", Deadline: "X-Deadline", LastEventID: "Last-Event-Id", TokenCounts: "X-Tokens",
+	PromptParts: "X-Parts", Authorization: "Authorization", KeyScheme: "Token", Organisation: "X-Organisation",
+	ExpectUpstream: "X-Expect", Priority: "X-Priority", Signature: "X-Signature", NotRun: "X-Not-Run", Load: "X-Load",
+	Reserved: []string{"X-Hold"},
+}
+
+// upstream is a stand-in that answers by a function and keeps what it got.
+type upstream struct {
+	name    string
+	address string
+
+	mu       sync.Mutex
+	requests []*http.Request
+	bodies   []string
+}
+
+func (u *upstream) count() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	return len(u.requests)
+}
+
+// world is a relayer with upstreams that are chosen in their order.
+type world struct {
+	t         *testing.T
+	upstreams []*upstream
+	server    *httptest.Server
+	catalog   *cataloguer.Catalog
+	now       time.Duration
+	leaving   time.Duration
+
+	mu       sync.Mutex
+	outcomes []string
+}
+
+func newWorld(t *testing.T, extra int) *world {
+	t.Helper()
+
+	w := &world{t: t, now: time.Hour}
+	w.catalog = cataloguer.New(func() time.Duration { return w.now })
+	w.catalog.Configure(configuration(), w.now)
+
+	table := router.New(configuration())
+	handler := relayer.New(relayer.Options{
+		Headers: names, Catalog: w.catalog, Table: func() *router.Table { return table }, Chooser: w, Dialer: dialer.New(),
+		Budget:       budgeter.New(budgeter.Options{Extra: extra, Window: time.Hour, Nodes: func() int { return 1 }}),
+		KeyFreshness: 4 * time.Second, Leaving: func() time.Duration { return w.leaving }, LastRequests: time.Second,
+		BodyMemory: 1 << 20, Counters: &relayer.Counters{}, Logger: zerolog.Nop(),
+	})
+	w.server = httptest.NewServer(handler)
+	t.Cleanup(w.server.Close)
+
+	return w
+}
+
+func configuration() cataloguer.Configuration {
+	shares := []cataloguer.Share{{Service: "s", Weight: 1}}
+	route := func(name string, kind cataloguer.Kind, resumable bool) cataloguer.Route {
+		return cataloguer.Route{
+			Name: name, Host: "shop.example", PathPrefix: "/" + name + "/", Kind: kind, Shares: shares, Attempts: 2,
+			Resumable: resumable, Timeout: 20 * time.Second, Target: 10 * time.Second, GapLimit: 10 * time.Second,
+		}
+	}
+
+	return cataloguer.Configuration{
+		Version: 1,
+		Routes: []cataloguer.Route{
+			route("book", cataloguer.NotRepeatable, false),
+			route("price", cataloguer.Idempotent, false),
+			route("chat", cataloguer.Stream, true),
+			route("advice", cataloguer.Stream, false),
+		},
+		Organisations: []cataloguer.Organisation{{Name: "salon", Keys: []string{"k1"}}},
+		Limits:        cataloguer.Limits{BodyBytes: 1000},
+	}
+}
+
+// add starts an upstream. Its handler may take over the connection.
+func (w *world) add(handle http.HandlerFunc) *upstream {
+	u := &upstream{name: fmt.Sprint("u", len(w.upstreams))}
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+
+		u.mu.Lock()
+		u.requests = append(u.requests, r)
+		u.bodies = append(u.bodies, string(body))
+		u.mu.Unlock()
+
+		rw.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+		handle(rw, r)
+	}))
+	w.t.Cleanup(server.Close)
+	u.address = server.Listener.Addr().String()
+	w.upstreams = append(w.upstreams, u)
+
+	return u
+}
+
+// Choose implements relayer.Chooser.
+func (w *world) Choose(_ context.Context, _ string, work balancer.Work) (balancer.Choice, bool) {
+	for _, u := range w.upstreams {
+		if !strings.Contains(strings.Join(work.Excluded, " "), u.name) {
+			return balancer.Choice{Upstream: u.name, Address: u.address}, true
+		}
+	}
+
+	return balancer.Choice{}, false
+}
+
+// First implements relayer.Chooser.
+func (w *world) First(string, string, *balancer.Load) {}
+
+// End implements relayer.Chooser.
+func (w *world) End(_, _ string, outcome balancer.Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.outcomes = append(w.outcomes, fmt.Sprint(outcome))
+}
+
+func (w *world) send(path string, change func(*http.Request)) (*http.Response, string, error) {
+	request, err := http.NewRequest(http.MethodPost, w.server.URL+path, strings.NewReader("body"))
+	assert.NilError(w.t, err)
+	request.Host = "shop.example"
+	request.Header.Set(names.RequestID, "id-1")
+	request.Header.Set("Authorization", "Token k1")
+
+	if change != nil {
+		change(request)
+	}
+
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+
+	body, err := io.ReadAll(response.Body)
+
+	return response, string(body), err
+}
+
+func sign(rw http.ResponseWriter) { rw.Header().Set(names.Signature, "sig") }
+
+func answers(status int, body string) http.HandlerFunc {
+	return func(rw http.ResponseWriter, _ *http.Request) {
+		sign(rw)
+		rw.WriteHeader(status)
+		_, _ = io.WriteString(rw, body)
+	}
+}
+
+func refuses(status int) http.HandlerFunc {
+	return func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set(names.NotRun, "1")
+		rw.WriteHeader(status)
+	}
+}
+
+// breaks closes the connection without an answer.
+func breaks(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// events streams events with the given ids and then ends soundly or breaks off.
+func events(sound bool, ids ...int) http.HandlerFunc {
+	return func(rw http.ResponseWriter, _ *http.Request) {
+		sign(rw)
+		rw.Header().Set("Content-Type", "text/event-stream")
+
+		for _, id := range ids {
+			_, _ = fmt.Fprintf(rw, "id: %d\ndata: piece %d\n\n", id, id)
+		}
+
+		if !sound {
+			_, _ = io.WriteString(rw, "id: 99\ndata: to")
+			_ = http.NewResponseController(rw).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	w := newWorld(t, 0)
+	u := w.add(answers(http.StatusCreated, "made"))
+
+	response, body, err := w.send("/book/a%2Fb?x=1;y", func(r *http.Request) {
+		r.Header.Set("X-Custom", "kept")
+		r.Header.Set("X-Hold", "forged")
+		r.Header.Set(names.Organisation, "forged")
+		r.Header.Set(names.Priority, "0")
+		r.Header.Set("Connection", "X-Hop")
+		r.Header.Set("X-Hop", "dropped")
+		r.Header.Set(names.Deadline, "5000")
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusCreated)
+	assert.Equal(t, body, "made")
+	assert.Equal(t, response.Header.Get(names.Signature), "sig")
+
+	got := u.requests[0]
+	assert.Equal(t, got.RequestURI, "/book/a%2Fb?x=1;y")
+	assert.Equal(t, got.Host, "shop.example")
+	assert.Equal(t, u.bodies[0], "body")
+	assert.Equal(t, got.Header.Get("X-Custom"), "kept")
+	assert.Equal(t, got.Header.Get(names.Organisation), "salon")
+	assert.Equal(t, got.Header.Get(names.ExpectUpstream), "u0")
+
+	for _, name := range []string{"X-Hold", "X-Hop", "Authorization", names.Priority} {
+		assert.Equal(t, got.Header.Get(name), "", name)
+	}
+}
+
+// Symptom: a booking is made twice.
+// Sequence: an upstream runs it and its answer is lost.
+// Cause: a lost answer was taken for a lost request.
+func TestNotRepeatableRequestIsSentOnceWhenItsAnswerIsLost(t *testing.T) {
+	w := newWorld(t, 10)
+	first, second := w.add(breaks), w.add(answers(http.StatusOK, "twice"))
+
+	response, _, err := w.send("/book/1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+	assert.Equal(t, response.Header.Get("Retry-After"), "")
+	assert.Equal(t, first.count(), 1)
+	assert.Equal(t, second.count(), 0)
+}
+
+func TestNotRepeatableRequestThatWasNotRunIsSentElsewhere(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusMisdirectedRequest} {
+		w := newWorld(t, 10)
+		w.add(refuses(status))
+		second := w.add(answers(http.StatusOK, "once"))
+
+		_, body, err := w.send("/book/1", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "once")
+		assert.Equal(t, second.count(), 1)
+	}
+}
+
+// Symptom: a caller is told that its request has not run, and it runs.
+// Sequence: all upstreams refuse; the node refuses with a time to come back.
+func TestRefusalSaysNotRunOnlyIfNothingRan(t *testing.T) {
+	w := newWorld(t, 10)
+	w.add(refuses(http.StatusServiceUnavailable))
+	response, _, err := w.send("/price/1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, response.Header.Get("Retry-After") != "")
+
+	w = newWorld(t, 10)
+	w.add(breaks)
+	w.add(refuses(http.StatusServiceUnavailable))
+	response, _, err = w.send("/price/1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+}
+
+func TestIdempotentRequestIsRepeatedAfterFailures(t *testing.T) {
+	for name, fails := range map[string]http.HandlerFunc{
+		"error": answers(http.StatusInternalServerError, "oh"), "broken": breaks,
+		"unsigned": func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "not its own") },
+		"torn": func(rw http.ResponseWriter, _ *http.Request) {
+			sign(rw)
+			rw.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(rw, "half")
+			panic(http.ErrAbortHandler)
+		},
+	} {
+		w := newWorld(t, 10)
+		w.add(fails)
+		w.add(answers(http.StatusOK, "whole"))
+
+		_, body, err := w.send("/price/1", nil)
+		assert.NilError(t, err, name)
+		assert.Equal(t, body, "whole", name)
+	}
+}
+
+func TestUpstreamsOwnFailureIsPassedOnWhenNothingElseIsLeft(t *testing.T) {
+	w := newWorld(t, 10)
+	w.add(answers(http.StatusInternalServerError, "first"))
+	w.add(answers(http.StatusInternalServerError, "second"))
+
+	response, body, err := w.send("/price/1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusInternalServerError)
+	assert.Equal(t, body, "second")
+	assert.Equal(t, response.Header.Get(names.Signature), "sig")
+}
+
+func TestSpentBudgetEndsRepeats(t *testing.T) {
+	w := newWorld(t, 0)
+	w.add(answers(http.StatusInternalServerError, "first"))
+	second := w.add(answers(http.StatusOK, "second"))
+
+	_, body, err := w.send("/price/1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "first")
+	assert.Equal(t, second.count(), 0)
+}
+
+// Symptom: a resumed stream has a torn piece, a missing one or one twice.
+// Sequence: an upstream breaks off in the middle of event 99 after event 2; the next one begins again at 2.
+// Cause: bytes were passed on as they came, not event by event.
+func TestBrokenStreamGoesOnAtAnotherUpstream(t *testing.T) {
+	w := newWorld(t, 10)
+	w.add(events(false, 1, 2))
+	second := w.add(events(true, 2, 3, 4))
+
+	response, body, err := w.send("/chat/1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, second.requests[0].Header.Get(names.LastEventID), "2")
+	assert.Equal(t, body, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n")
+}
+
+// Symptom: half a stream looks like a whole one.
+// Sequence: a stream that may not be resumed breaks off.
+func TestBrokenStreamThatMayNotBeResumedIsBrokenForTheCaller(t *testing.T) {
+	w := newWorld(t, 10)
+	w.add(events(false, 1, 2))
+	second := w.add(events(true, 1))
+
+	_, _, err := w.send("/advice/1", nil)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, second.count(), 0)
+}
+
+func TestCallerMayResumeItsStream(t *testing.T) {
+	w := newWorld(t, 10)
+	u := w.add(events(true, 8, 9))
+
+	_, body, err := w.send("/chat/1", func(r *http.Request) { r.Header.Set(names.LastEventID, "7") })
+	assert.NilError(t, err)
+	assert.Equal(t, u.requests[0].Header.Get(names.LastEventID), "7")
+	assert.Assert(t, strings.HasPrefix(body, "id: 8\n"))
+}
+
+func TestRefusals(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		path   string
+		change func(*http.Request)
+		before func(*world)
+		want   int
+	}{
+		{name: "no route", path: "/none/1", want: http.StatusNotFound},
+		{name: "unknown key", path: "/price/1", change: func(r *http.Request) { r.Header.Set("Authorization", "Token k2") }, want: http.StatusUnauthorized},
+		{name: "other scheme", path: "/price/1", change: func(r *http.Request) { r.Header.Set("Authorization", "Bearer k1") }, want: http.StatusUnauthorized},
+		{name: "long body", path: "/price/1", change: func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 2000))), 2000
+		}, want: http.StatusRequestEntityTooLarge},
+		{name: "long body in chunks", path: "/price/1", change: func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 2000))), -1
+		}, want: http.StatusRequestEntityTooLarge},
+		{name: "keys known too long ago", path: "/price/1", before: func(w *world) { w.now += 5 * time.Second }, want: http.StatusServiceUnavailable},
+		{name: "node leaves", path: "/price/1", before: func(w *world) { w.leaving = 2 * time.Second }, want: http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, 10)
+			u := w.add(answers(http.StatusOK, "ran"))
+
+			if c.before != nil {
+				c.before(w)
+			}
+
+			response, _, err := w.send(c.path, c.change)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, c.want)
+			assert.Equal(t, u.count(), 0)
+			assert.Equal(t, response.Header.Get("Retry-After") != "", c.want == http.StatusServiceUnavailable)
+		})
+	}
+}
+
+func TestLeavingNodeServesAndClosesTheConnection(t *testing.T) {
+	w := newWorld(t, 10)
+	w.add(answers(http.StatusOK, "served"))
+	w.leaving = 500 * time.Millisecond
+
+	response, body, err := w.send("/price/1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "served")
+	assert.Assert(t, response.Close)
+}
+
+// Symptom: upstreams work on for callers who left.
+// Sequence: a caller closes its connection while its stream runs.
+func TestUpstreamIsLeftWhenTheCallerLeaves(t *testing.T) {
+	w := newWorld(t, 10)
+	left := make(chan struct{})
+	w.add(func(rw http.ResponseWriter, r *http.Request) {
+		sign(rw)
+		rw.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(rw, "id: 1\ndata: x\n\n")
+		_ = http.NewResponseController(rw).Flush()
+		<-r.Context().Done()
+		close(left)
+	})
+
+	conn, err := net.Dial("tcp", w.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	_, err = io.WriteString(conn, "POST /chat/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: a\r\nAuthorization: Token k1\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = bufio.NewReader(conn).ReadString('\n')
+	assert.NilError(t, err)
+	assert.NilError(t, conn.Close())
+	<-left
+}
