--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -26,6 +26,12 @@
 	endGrace = time.Second
 	// expireInterval is the time between two looks for such requests.
 	expireInterval = 500 * time.Millisecond
+	// engineBacklog is the prompt work in milliseconds that may wait at an engine: enough to keep it busy
+	// for several ways to the holder and back. Urgent requests may add to it.
+	engineBacklog = 130.0
+	urgentBacklog = 260.0
+	// interactiveBacklog is the same for engines that are kept for interactive requests.
+	interactiveBacklog = 70.0
 	// memoryPart is the part of an engine's memory that running requests may fill. An engine that runs
 	// out of it sets running requests back to where they began.
 	memoryPart = 0.85
@@ -56,6 +62,13 @@
 	requests map[string]*sent
 	// queue holds the requests that wait for room.
 	queue []*queued
+	// demands holds what each group asks for; divided says that the engines are assigned to groups, as of dividedAt.
+	demands [groupCount]demand
+	divided bool
+	// pressed says that the demand is near what the engines can do, and was so last at pressedAt.
+	pressed   bool
+	pressedAt time.Time
+	dividedAt time.Time
 	// expiredAt is when requests whose end nobody told were last looked for.
 	expiredAt time.Time
 }
@@ -99,7 +112,7 @@
 	)
 
 	for _, s := range p.servers {
-		if !s.takes(now, &work) {
+		if !p.admits(s, &work) || !p.takes(now, s, &work) {
 			continue
 		}
 
@@ -135,6 +148,7 @@
 
 func (p *Pool) begin(now time.Time, s *server, work Work) *sent {
 	if former, ok := p.requests[work.ID]; ok {
+		p.demands[former.group].running--
 		former.server.remove(former, Abandoned, now)
 	}
 
@@ -149,6 +163,9 @@
 		sensitivity: p.sensitivity(&work),
 	}
 
+	r.group = p.groupOf(&work)
+	p.demands[r.group].running++
+	p.demands[r.group].read(now, r.reading*s.speedNow(now))
 	p.requests[work.ID] = r
 	s.add(r, now)
 
@@ -185,6 +202,7 @@
 	}
 
 	delete(p.requests, id)
+	p.demands[r.group].running--
 
 	if outcome == Served {
 		r.server.answered(r, now)
@@ -205,6 +223,7 @@
 	for id, r := range p.requests {
 		if now.After(r.until) {
 			delete(p.requests, id)
+			p.demands[r.group].running--
 			r.server.remove(r, Abandoned, now)
 		}
 	}
@@ -219,7 +238,7 @@
 }
 
 // takes says whether the server may get the request at all.
-func (s *server) takes(now time.Time, work *Work) bool {
+func (p *Pool) takes(now time.Time, s *server, work *Work) bool {
 	if s.Draining || slices.Contains(work.Excluded, s.ID) {
 		return false
 	}
@@ -228,6 +247,10 @@
 		return len(s.running) < s.Slots+plainQueue
 	}
 
+	if backlog := s.waitingWork(now); p.pressed && !work.Overdue && backlog > 0 && backlog+s.reading(work) > s.mostBacklog(work.Priority) {
+		return false
+	}
+
 	foreign := s.foreignNow(now)
 	tokens := float64(s.tokens+work.tokens()) + foreign*s.meanTokens
 
@@ -238,6 +261,19 @@
 	return float64(len(s.running))+foreign < float64(s.Slots)
 }
 
+// mostBacklog is the prompt work in milliseconds that may wait at an engine. What waits there is read in
+// the order in which it came; what waits in the pool goes by rank, and stalls no stream meanwhile.
+func (s *server) mostBacklog(priority int) float64 {
+	switch {
+	case priority <= 0:
+		return urgentBacklog
+	case s.group == interactive:
+		return interactiveBacklog
+	default:
+		return engineBacklog
+	}
+}
+
 // expected is the predicted time to the first event in milliseconds.
 func (p *Pool) expected(now time.Time, s *server, work *Work) float64 {
 	if s.engine.CacheTokens == 0 {
--- a/internal/gateway/balancer/queue.go
+++ b/internal/gateway/balancer/queue.go
@@ -11,6 +11,10 @@
 	agingTime = 1500 * time.Millisecond
 	// maxQueue bounds the requests that wait for one pool.
 	maxQueue = 2000
+	// overduePart is the part of its time after which a request doesn't wait for the right server any more.
+	overduePart = 0.25
+	// nextTries bounds the waiting requests that are tried in vain each time that there may be room.
+	nextTries = 8
 )
 
 // Decision is what became of a request that asked for an upstream.
@@ -53,6 +57,7 @@
 	defer p.mu.Unlock()
 
 	p.expire(now)
+	p.divide(now)
 
 	if r, ok := p.requests[work.ID]; ok {
 		return Choice{Upstream: r.server.ID, Address: r.server.Address, Waiting: r.expected}, Granted
@@ -86,7 +91,11 @@
 
 // outranked says whether a request that waits goes before the work.
 func (p *Pool) outranked(now time.Time, work *Work) bool {
-	return slices.ContainsFunc(p.queue, func(q *queued) bool { return q.rank(now) <= float64(work.Priority) })
+	own := p.groupOf(work)
+
+	return slices.ContainsFunc(p.queue, func(q *queued) bool {
+		return q.rank(now) <= float64(work.Priority) && (!p.divided || p.groupOf(&q.work) == own)
+	})
 }
 
 // Next returns the waiting requests for which there is room now.
@@ -99,6 +108,12 @@
 	}
 
 	p.expire(now)
+	p.divide(now)
+
+	if !p.hasRoom(now) {
+		return nil
+	}
+
 	slices.SortStableFunc(p.queue, func(a, b *queued) int {
 		return int(math.Copysign(1, a.rank(now)-b.rank(now)))
 	})
@@ -106,6 +121,8 @@
 	var grants []Grant
 
 	left := p.queue[:0]
+	// One group may have room while the other has none.
+	var tries [groupCount]int
 
 	for _, q := range p.queue {
 		if now.After(q.until) {
@@ -114,9 +131,15 @@
 
 		work := q.work
 		work.Limit = q.until.Sub(now)
+		work.Overdue = now.Sub(q.since) > time.Duration(float64(q.until.Sub(q.since))*overduePart)
+
+		choice, ok := Choice{}, false
+		if own := p.groupOf(&work); tries[own] < nextTries {
+			choice, ok = p.choose(now, work)
+		}
 
-		choice, ok := p.choose(now, work)
 		if !ok {
+			tries[p.groupOf(&work)]++
 			left = append(left, q)
 
 			continue
@@ -131,6 +154,11 @@
 	return grants
 }
 
+// hasRoom says whether any server could take one more small request.
+func (p *Pool) hasRoom(now time.Time) bool {
+	return slices.ContainsFunc(p.servers, func(s *server) bool { return p.takes(now, s, &Work{}) })
+}
+
 // Waiting is the number of requests in the queue.
 func (p *Pool) Waiting() int {
 	p.mu.Lock()
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -73,6 +73,7 @@
 	// expected is the predicted time to the first event in milliseconds, at the speed of that moment.
 	expected float64
 	speed    float64
+	group    group
 	// overtaken counts requests of no higher rank that were sent later and answered before.
 	overtaken int
 	// answering says that the first event came.
@@ -85,6 +86,9 @@
 type server struct {
 	Upstream
 	engine Engine
+	// order is the server's place in the division of engines, group the side that it is on.
+	order float64
+	group group
 	// running holds the requests that were sent there and have not ended.
 	running map[string]*sent
 	// tokens is the memory that they may come to take up.
@@ -121,6 +125,8 @@
 	s := &server{
 		Upstream:  upstream,
 		engine:    engine,
+		order:     orderOf(upstream.ID),
+		group:     batch,
 		running:   make(map[string]*sent),
 		sensitive: make(map[time.Duration]float64),
 		speed:     1,
--- a/internal/gateway/balancer/types.go
+++ b/internal/gateway/balancer/types.go
@@ -38,6 +38,8 @@
 	GapLimit time.Duration `json:"g,omitempty"`
 	// Limit is the time after which the request is over in any case.
 	Limit time.Duration `json:"l"`
+	// Overdue says that the request has waited so long that any upstream is better than more waiting.
+	Overdue bool `json:"-"`
 	// Excluded are upstreams that failed the request before.
 	Excluded []string `json:"x,omitempty"`
 }
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -75,8 +75,11 @@
 	options Options
 	out     *outbox
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// pools are named by service and part.
 	pools map[string]*balancer.Pool
+	// layouts holds for each service how its upstreams are parted.
+	layouts map[string]layout
 	// nodes chooses among the live nodes; nil before the first look.
 	nodes    *chooser.Chooser
 	live     []string
@@ -93,7 +96,7 @@
 
 // running is a request that this node sent.
 type running struct {
-	service  string
+	pool     string
 	upstream string
 	work     balancer.Work
 	answered bool
@@ -106,6 +109,7 @@
 		options: options,
 		out:     newOutbox(options.Peers),
 		pools:   make(map[string]*balancer.Pool),
+		layouts: make(map[string]layout),
 		holders: make(map[string][]string),
 		doubted: make(map[string]time.Time),
 		waiting: make(map[string]chan balancer.Choice),
@@ -133,6 +137,7 @@
 	}
 
 	now := time.Now()
+	named := make(map[string]bool)
 
 	for _, service := range state.Configuration.Services {
 		engine := balancer.Engine{}
@@ -140,22 +145,41 @@
 			engine = balancer.Engine{CacheTokens: service.Engine.CacheTokens, EventTokens: service.Engine.EventTokens}
 		}
 
-		b.pool(service.Name).SetUpstreams(now, upstreams[service.Name], engine)
+		parts := split(upstreams[service.Name])
+		b.setLayout(service.Name, newLayout(parts))
+
+		for i, part := range parts {
+			name := poolName(service.Name, i)
+			named[name] = true
+			b.pool(name).SetUpstreams(now, part, engine)
+		}
 	}
 
-	b.dropOthers(state.Configuration.Services)
+	b.dropOthers(named)
 	b.grantAll(now)
 }
 
-func (b *Broker) dropOthers(services []cataloguer.Service) {
+func (b *Broker) setLayout(service string, l layout) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	for name := range b.pools {
-		if !slices.ContainsFunc(services, func(s cataloguer.Service) bool { return s.Name == name }) {
-			delete(b.pools, name)
-		}
-	}
+	b.layouts[service] = l
+}
+
+func (b *Broker) dropOthers(named map[string]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	maps.DeleteFunc(b.pools, func(name string, _ *balancer.Pool) bool { return !named[name] })
+}
+
+// poolOf returns the name of the pool for a request: the same one for requests of one session.
+func (b *Broker) poolOf(service string, work *balancer.Work) string {
+	b.mu.Lock()
+	l := b.layouts[service]
+	b.mu.Unlock()
+
+	return poolName(service, l.part(work))
 }
 
 func (b *Broker) pool(service string) *balancer.Pool {
@@ -231,7 +255,7 @@
 	b.mu.Unlock()
 
 	for id, r := range own {
-		b.tell(r.service, report{Service: r.service, ID: id, Begin: &begin{Upstream: r.upstream, Work: r.work, Answered: r.answered}})
+		b.tell(r.pool, report{Pool: r.pool, ID: id, Begin: &begin{Upstream: r.upstream, Work: r.work, Answered: r.answered}})
 	}
 }
 
@@ -267,6 +291,8 @@
 
 // Choose implements relayer.Chooser. It waits while the request is queued.
 func (b *Broker) Choose(ctx context.Context, service string, work balancer.Work) (balancer.Choice, bool) {
+	pool := b.poolOf(service, &work)
+
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(float64(work.Limit)*waitPart))
 	defer cancel()
 
@@ -278,14 +304,14 @@
 	deadline := time.Now().Add(work.Limit)
 
 	for {
-		asked := b.holdersOf(service)
+		asked := b.holdersOf(pool)
 		work.Limit = time.Until(deadline)
 
-		choice, decision, by := b.askAny(ctx, asked, service, work)
+		choice, decision, by := b.askAny(ctx, asked, pool, work)
 
 		switch decision {
 		case balancer.Granted:
-			b.begun(service, work, choice, asked, by)
+			b.begun(pool, work, choice, asked, by)
 
 			return choice, true
 		case balancer.Refused:
@@ -295,13 +321,13 @@
 
 		choice, ok := b.waitFor(ctx, granted)
 		if ok {
-			b.begun(service, work, choice, asked, by)
+			b.begun(pool, work, choice, asked, by)
 
 			return choice, true
 		}
 
 		if ctx.Err() != nil {
-			b.End(service, work.ID, balancer.Abandoned)
+			b.end(pool, work.ID, balancer.Abandoned)
 
 			return choice, false
 		}
@@ -339,13 +365,13 @@
 
 // askAny asks the holders in their order, then this node's own pool. It returns the place of the
 // holder that answered, -1 for the own pool.
-func (b *Broker) askAny(ctx context.Context, asked []string, service string, work balancer.Work) (balancer.Choice, balancer.Decision, int) {
+func (b *Broker) askAny(ctx context.Context, asked []string, pool string, work balancer.Work) (balancer.Choice, balancer.Decision, int) {
 	for i, holder := range asked {
 		if holder != b.options.Self && b.isDoubted(holder) {
 			continue
 		}
 
-		choice, decision, err := b.ask(ctx, holder, service, work)
+		choice, decision, err := b.ask(ctx, holder, pool, work)
 		if err == nil {
 			return choice, decision, i
 		}
@@ -354,18 +380,18 @@
 			break
 		}
 
-		b.doubt(holder, service, err)
+		b.doubt(holder, pool, err)
 	}
 
-	choice, decision := b.pool(service).Ask(time.Now(), b.options.Self, work)
+	choice, decision := b.pool(pool).Ask(time.Now(), b.options.Self, work)
 
 	return choice, decision, -1
 }
 
 // ask lets one holder choose.
-func (b *Broker) ask(ctx context.Context, holder, service string, work balancer.Work) (balancer.Choice, balancer.Decision, error) {
+func (b *Broker) ask(ctx context.Context, holder, pool string, work balancer.Work) (balancer.Choice, balancer.Decision, error) {
 	if holder == b.options.Self {
-		choice, decision := b.pool(service).Ask(time.Now(), b.options.Self, work)
+		choice, decision := b.pool(pool).Ask(time.Now(), b.options.Self, work)
 
 		return choice, decision, nil
 	}
@@ -374,7 +400,7 @@
 	defer cancel()
 
 	var answer chooseAnswer
-	if err := b.options.Peers.Call(ctx, holder, MethodChoose, chooseParams{Service: service, Work: work}, &answer); err != nil {
+	if err := b.options.Peers.Call(ctx, holder, MethodChoose, chooseParams{Pool: pool, Work: work}, &answer); err != nil {
 		return balancer.Choice{}, balancer.Refused, err
 	}
 
@@ -382,25 +408,25 @@
 }
 
 // begun notes a choice and tells the holders that did not make it.
-func (b *Broker) begun(service string, work balancer.Work, choice balancer.Choice, asked []string, by int) {
+func (b *Broker) begun(pool string, work balancer.Work, choice balancer.Choice, asked []string, by int) {
 	b.mu.Lock()
-	b.running[work.ID] = running{service: service, upstream: choice.Upstream, work: work, until: time.Now().Add(work.Limit)}
+	b.running[work.ID] = running{pool: pool, upstream: choice.Upstream, work: work, until: time.Now().Add(work.Limit)}
 	b.mu.Unlock()
 
 	if by < 0 || asked[by] != b.options.Self {
-		b.pool(service).Begin(time.Now(), choice.Upstream, work)
+		b.pool(pool).Begin(time.Now(), choice.Upstream, work)
 	}
 
 	for i, holder := range asked {
 		if i != by && holder != b.options.Self {
-			b.out.add(holder, report{Service: service, ID: work.ID, Begin: &begin{Upstream: choice.Upstream, Work: work}})
+			b.out.add(holder, report{Pool: pool, ID: work.ID, Begin: &begin{Upstream: choice.Upstream, Work: work}})
 		}
 	}
 }
 
 // tell reports to the holders of a pool other than this node.
-func (b *Broker) tell(service string, r report) {
-	for _, holder := range b.holdersOf(service) {
+func (b *Broker) tell(pool string, r report) {
+	for _, holder := range b.holdersOf(pool) {
 		if holder != b.options.Self {
 			b.out.add(holder, r)
 		}
@@ -408,28 +434,42 @@
 }
 
 // First implements relayer.Chooser.
-func (b *Broker) First(service, id string, load *balancer.Load) {
+func (b *Broker) First(id string, load *balancer.Load) {
 	b.mu.Lock()
-	if r, ok := b.running[id]; ok {
-		r.answered = true
+	r, ok := b.running[id]
+	r.answered = true
+
+	if ok {
 		b.running[id] = r
 	}
 	b.mu.Unlock()
 
-	b.pool(service).First(time.Now(), id, load)
-	b.tell(service, report{Service: service, ID: id, First: true, Load: load})
+	if !ok {
+		return
+	}
+
+	b.pool(r.pool).First(time.Now(), id, load)
+	b.tell(r.pool, report{Pool: r.pool, ID: id, First: true, Load: load})
 }
 
 // End implements relayer.Chooser.
-func (b *Broker) End(service, id string, outcome balancer.Outcome) {
+func (b *Broker) End(id string, outcome balancer.Outcome) {
 	b.mu.Lock()
+	r, ok := b.running[id]
 	delete(b.running, id)
 	b.mu.Unlock()
 
+	if ok {
+		b.end(r.pool, id, outcome)
+	}
+}
+
+// end tells all that know the pool that a request runs or waits no longer.
+func (b *Broker) end(pool, id string, outcome balancer.Outcome) {
 	now := time.Now()
-	b.pool(service).End(now, id, outcome)
-	b.grant(now, service)
-	b.tell(service, report{Service: service, ID: id, End: &outcome})
+	b.pool(pool).End(now, id, outcome)
+	b.grant(now, pool)
+	b.tell(pool, report{Pool: pool, ID: id, End: &outcome})
 }
 
 func (b *Broker) isDoubted(node string) bool {
@@ -441,12 +481,12 @@
 	return ok && time.Now().Before(until)
 }
 
-func (b *Broker) doubt(node, service string, err error) {
+func (b *Broker) doubt(node, pool string, err error) {
 	b.mu.Lock()
 	b.doubted[node] = time.Now().Add(doubtTime)
 	b.mu.Unlock()
 
-	b.options.Logger.Info().Err(err).Str("peer", node).Str("service", service).Msg("holder_doubted")
+	b.options.Logger.Info().Err(err).Str("peer", node).Str("pool", pool).Msg("holder_doubted")
 }
 
 // HandleChoose answers MethodChoose.
@@ -456,7 +496,7 @@
 		return nil, err
 	}
 
-	choice, decision := b.pool(asked.Service).Ask(time.Now(), from, asked.Work)
+	choice, decision := b.pool(asked.Pool).Ask(time.Now(), from, asked.Work)
 
 	return chooseAnswer{Choice: choice, Decision: decision}, nil
 }
@@ -485,7 +525,7 @@
 		return
 	}
 
-	pool := b.pool(r.Service)
+	pool := b.pool(r.Pool)
 
 	if r.Begin != nil {
 		pool.Begin(now, r.Begin.Upstream, r.Begin.Work)
@@ -518,24 +558,24 @@
 // grantAll looks for room in all pools.
 func (b *Broker) grantAll(now time.Time) {
 	b.mu.Lock()
-	services := slices.Collect(maps.Keys(b.pools))
+	pools := slices.Collect(maps.Keys(b.pools))
 	b.mu.Unlock()
 
-	for _, service := range services {
-		b.grant(now, service)
+	for _, pool := range pools {
+		b.grant(now, pool)
 	}
 }
 
 // grant tells the owners of requests that waited which upstream they got.
-func (b *Broker) grant(now time.Time, service string) {
-	for _, g := range b.pool(service).Next(now) {
+func (b *Broker) grant(now time.Time, pool string) {
+	for _, g := range b.pool(pool).Next(now) {
 		if g.Owner == b.options.Self {
 			b.deliver(g.ID, g.Choice)
 
 			continue
 		}
 
-		b.out.add(g.Owner, report{Service: service, ID: g.ID, Grant: &g.Choice})
+		b.out.add(g.Owner, report{Pool: pool, ID: g.ID, Grant: &g.Choice})
 	}
 }
 
--- a/internal/gateway/broker/broker_test.go
+++ b/internal/gateway/broker/broker_test.go
@@ -133,7 +133,7 @@
 
 // holder is the node that decides, others are those that don't know the pool.
 func (f *fleet) holder() (string, []string) {
-	chosen := chooser.New(f.live()).Several(service, 2)
+	chosen := chooser.New(f.live()).Several(service+"/0", 2)
 
 	var others []string
 	for _, name := range f.live() {
@@ -196,7 +196,7 @@
 
 		for _, name := range others {
 			for i := range 2 {
-				f.nodes[name].First(service, fmt.Sprint("before", name, i), nil)
+				f.nodes[name].First(fmt.Sprint("before", name, i), nil)
 			}
 		}
 
@@ -221,7 +221,7 @@
 	inFleet(t, 8, 1, 4, func(t *testing.T, f *fleet) {
 		holder, others := f.holder()
 		_ = choose(f, others[:4], 1, "running")
-		standby := chooser.New(f.live()).Several(service, 2)[1]
+		standby := chooser.New(f.live()).Several(service+"/0", 2)[1]
 
 		for _, name := range []string{holder, standby} {
 			f.set(f.silent, name)
@@ -231,7 +231,7 @@
 		time.Sleep(200 * time.Millisecond)
 		// The first look at the new holders tells them what runs.
 		for _, name := range others[:4] {
-			f.nodes[name].First(service, "running"+name+"0", nil)
+			f.nodes[name].First("running"+name+"0", nil)
 		}
 
 		time.Sleep(200 * time.Millisecond)
@@ -274,7 +274,7 @@
 		}()
 
 		time.Sleep(100 * time.Millisecond)
-		f.nodes[others[0]].End(service, "r0", balancer.Served)
+		f.nodes[others[0]].End("r0", balancer.Served)
 		took := <-got
 		assert.Assert(t, took < time.Second, "%v", took)
 	})
@@ -295,7 +295,7 @@
 		assert.Assert(t, !ok)
 		time.Sleep(20 * time.Millisecond)
 
-		f.nodes[others[0]].End(service, "r0", balancer.Served)
+		f.nodes[others[0]].End("r0", balancer.Served)
 		time.Sleep(100 * time.Millisecond)
 		_, ok = f.nodes[others[2]].Choose(context.Background(), service, work("next"))
 		assert.Assert(t, ok)
--- a/internal/gateway/broker/outbox.go
+++ b/internal/gateway/broker/outbox.go
@@ -10,8 +10,8 @@
 
 // chooseParams and the types below are the messages between nodes.
 type chooseParams struct {
-	Service string        `json:"s"`
-	Work    balancer.Work `json:"w"`
+	Pool string        `json:"s"`
+	Work balancer.Work `json:"w"`
 }
 
 type chooseAnswer struct {
@@ -21,9 +21,9 @@
 
 // report tells one thing about one request.
 type report struct {
-	Service string `json:"s"`
-	ID      string `json:"i"`
-	Begin   *begin `json:"b,omitempty"`
+	Pool  string `json:"s"`
+	ID    string `json:"i"`
+	Begin *begin `json:"b,omitempty"`
 	// First says that the first event came.
 	First bool `json:"f,omitempty"`
 	// Load is what the upstream told with it.
--- a/internal/gateway/cataloguer/types.go
+++ b/internal/gateway/cataloguer/types.go
@@ -119,6 +119,8 @@
 	// Address is the IP:port for callers.
 	Address       string `json:"address"`
 	FailureDomain string `json:"failure_domain"`
+	// Capacity compares the VM with others, by the scarcer of processor and link; 0 means unknown.
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 // Registry is what the store lists beside the configuration.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,8 @@
 	stopPart = 0.93
 	// stopTick is how often a stopping node looks whether it may end.
 	stopTick = 50 * time.Millisecond
+	// linkPerCore is the bandwidth in Mbit/s that a node with one core can use: messages of 300 bytes at 40 us each.
+	linkPerCore = 60.0
 	// sweepInterval is the time between two looks at idle connections.
 	sweepInterval = time.Second
 )
@@ -120,7 +122,7 @@
 
 	n.broker = broker.New(broker.Options{
 		Self:   settings.Node.PeerListen,
-		Live:   n.live,
+		Live:   n.holders,
 		Peers:  n.messages,
 		Logger: logger,
 	})
@@ -179,9 +181,19 @@
 		Name:          n.settings.Node.PeerListen,
 		Address:       n.settings.Node.Advertise,
 		FailureDomain: n.settings.Node.FailureDomain,
+		Capacity:      capacity(n.settings.Gateway),
 	}
 }
 
+// capacity compares VMs by the scarcer of processor and link. A core keeps up with some linkPerCore.
+func capacity(settings loader.Gateway) float64 {
+	if settings.LinkMbps == 0 {
+		return settings.Cores
+	}
+
+	return min(settings.Cores, settings.LinkMbps/linkPerCore)
+}
+
 // leaving is how long ago the planned stop began; 0 before.
 func (n *Node) leaving() time.Duration {
 	at := n.leavingAt.Load()
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -14,6 +14,9 @@
 	"quincepath.example/quincepath/internal/prober"
 )
 
+// strongPart is the part of the strongest node's capacity that a node needs to decide for others.
+const strongPart = 0.6
+
 func (n *Node) newProber() *prober.Prober {
 	node := n.settings.Node
 	options := prober.DefaultOptions()
@@ -60,6 +63,37 @@
 	return names
 }
 
+// holders returns the live nodes that are strong enough to decide for others. A weak node that decides
+// for a large pool answers late, and all others would wait for it before they go on alone.
+func (n *Node) holders() []string {
+	live := n.live()
+	capacities := make(map[string]float64, len(live))
+
+	for _, node := range n.catalog.State().Registry.Nodes {
+		capacities[node.Name] = node.Capacity
+	}
+
+	most := 0.0
+	for _, name := range live {
+		most = max(most, capacities[name])
+	}
+
+	strong := slices.DeleteFunc(slices.Clone(live), func(name string) bool {
+		return capacities[name] < strongPart*most
+	})
+
+	// One that leaves is not live but still counts itself.
+	if n.leaving() > 0 {
+		strong = slices.DeleteFunc(strong, func(name string) bool { return name == n.settings.Node.PeerListen })
+	}
+
+	if len(strong) == 0 {
+		return live
+	}
+
+	return strong
+}
+
 // known is the number of nodes that may exist; at least 1.
 func (n *Node) known() int {
 	return max(len(n.prober.Members()), 1)
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -47,8 +47,8 @@
 	// Choose returns an upstream of the service, or false when none can take the request.
 	Choose(ctx context.Context, service string, work balancer.Work) (balancer.Choice, bool)
 	// First tells that the answer began, and the load that the upstream told of itself; nil if none.
-	First(service, id string, load *balancer.Load)
-	End(service, id string, outcome balancer.Outcome)
+	First(id string, load *balancer.Load)
+	End(id string, outcome balancer.Outcome)
 }
 
 // Options are the parts of a Relayer; all are required.
@@ -250,7 +250,7 @@
 	id := request.workID()
 	outcome := balancer.Abandoned
 
-	defer func() { r.options.Chooser.End(request.service, id, outcome) }()
+	defer func() { r.options.Chooser.End(id, outcome) }()
 
 	request.sends++
 
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -138,10 +138,10 @@
 }
 
 // First implements relayer.Chooser.
-func (w *world) First(string, string, *balancer.Load) {}
+func (w *world) First(string, *balancer.Load) {}
 
 // End implements relayer.Chooser.
-func (w *world) End(_, _ string, outcome balancer.Outcome) {
+func (w *world) End(_ string, outcome balancer.Outcome) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
--- a/internal/gateway/relayer/stream.go
+++ b/internal/gateway/relayer/stream.go
@@ -41,7 +41,7 @@
 
 		if first {
 			first = false
-			r.options.Chooser.First(request.service, request.workID(), r.load(response))
+			r.options.Chooser.First(request.workID(), r.load(response))
 			r.vitals.answered(choice.Upstream, sent, time.Now(), request.work.Priority)
 		}
 
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -148,6 +148,10 @@
 	RetryExtra int `yaml:"retry_extra" validate:"min=0,max=1000000"`
 	// RetryWindow is the span over which both hold.
 	RetryWindow time.Duration `yaml:"retry_window" validate:"min=100ms,max=1h"`
+	// Cores is the VM's processor for this process in cores; 0 means that it isn't known.
+	Cores float64 `yaml:"cores" validate:"min=0,max=1024"`
+	// LinkMbps is the bandwidth of the VM's link in Mbit/s; 0 means that it isn't known.
+	LinkMbps float64 `yaml:"link_mbps" validate:"min=0,max=1000000"`
 	// MemoryMB is the memory of the VM for this process; 0 means that none is set.
 	MemoryMB int `yaml:"memory_mb" validate:"min=0,max=1048576"`
 }
