--- a/internal/gateway/balancer/queue.go
+++ b/internal/gateway/balancer/queue.go
@@ -13,8 +13,10 @@
 	maxQueue = 2000
 	// overduePart is the part of its time after which a request doesn't wait for the right server any more.
 	overduePart = 0.25
-	// nextTries bounds the waiting requests that are tried in vain each time that there may be room.
-	nextTries = 8
+	// matchWindow is the number of waiting requests among which room is given, and matchRank how much further
+	// back in rank than the first of them one may be: two thirds of agingTime.
+	matchWindow = 64
+	matchRank   = 0.67
 )
 
 // Decision is what became of a request that asked for an upstream.
@@ -118,40 +120,93 @@
 		return int(math.Copysign(1, a.rank(now)-b.rank(now)))
 	})
 
+	p.queue = slices.DeleteFunc(p.queue, func(q *queued) bool { return now.After(q.until) })
+
 	var grants []Grant
 
-	left := p.queue[:0]
-	// One group may have room while the other has none.
-	var tries [groupCount]int
+	for {
+		q, ok := p.nextMatch(now)
+		if !ok {
+			return grants
+		}
+
+		choice, ok := p.choose(now, q.work)
+		if !ok {
+			return grants
+		}
+
+		p.unqueue(q.work.ID)
+		grants = append(grants, Grant{ID: q.work.ID, Owner: q.owner, Choice: choice})
+	}
+}
+
+// nextMatch returns the request that is to get the room that there is: of those with the priority of the
+// first one that fits and about its waiting time, the one of whose prompt the servers with room need to read least.
+//
+// Under overload the room is always at one server only. Taken strictly in turn, a request would hardly
+// ever meet the server that has read its session before.
+func (p *Pool) nextMatch(now time.Time) (*queued, bool) {
+	var (
+		open       []*server
+		head, best *queued
+		// least is what the best request's prompt takes, seen the number of requests that had room.
+		least = math.Inf(1)
+		seen  = 0
+	)
+
+	for _, s := range p.servers {
+		if p.takes(now, s, &Work{}) {
+			open = append(open, s)
+		}
+	}
+
+	if len(open) == 0 {
+		return nil, false
+	}
 
 	for _, q := range p.queue {
-		if now.After(q.until) {
+		// Only requests of the first one's priority compete with it.
+		if head != nil && q.work.Priority != head.work.Priority {
 			continue
 		}
 
-		work := q.work
-		work.Limit = q.until.Sub(now)
-		work.Overdue = now.Sub(q.since) > time.Duration(float64(q.until.Sub(q.since))*overduePart)
-
-		choice, ok := Choice{}, false
-		if own := p.groupOf(&work); tries[own] < nextTries {
-			choice, ok = p.choose(now, work)
+		if seen == matchWindow || head != nil && q.rank(now) > head.rank(now)+matchRank {
+			break
 		}
 
-		if !ok {
-			tries[p.groupOf(&work)]++
-			left = append(left, q)
+		q.work.Limit = q.until.Sub(now)
+		q.work.Overdue = now.Sub(q.since) > time.Duration(float64(q.until.Sub(q.since))*overduePart)
 
+		reading, ok := p.leastReading(now, open, &q.work)
+		if !ok {
 			continue
 		}
 
-		grants = append(grants, Grant{ID: work.ID, Owner: q.owner, Choice: choice})
+		if head == nil {
+			head = q
+		}
+
+		seen++
+
+		if reading < least {
+			best, least = q, reading
+		}
 	}
 
-	clear(p.queue[len(left):])
-	p.queue = left
+	return best, best != nil
+}
+
+// leastReading is the shortest prompt work of the request at any of the servers that take it.
+func (p *Pool) leastReading(now time.Time, open []*server, work *Work) (float64, bool) {
+	least, found := math.Inf(1), false
+
+	for _, s := range open {
+		if p.admits(s, work) && p.takes(now, s, work) {
+			least, found = min(least, s.reading(work)), true
+		}
+	}
 
-	return grants
+	return least, found
 }
 
 // hasRoom says whether any server could take one more small request.
