--- a/internal/gateway/balancer/overload_test.go
+++ b/internal/gateway/balancer/overload_test.go
@@ -10,82 +10,90 @@
 	"quincepath.example/quincepath/internal/gateway/balancer"
 )
 
-// overload sends ten times the long prompts that the engines can read, with a chat every 50 ms, for
-// five seconds, and returns how many long prompts were read, and how many of them beside chats.
-func overload(p *balancer.Pool, engines int) (long, beside int) {
-	type running struct {
-		id   string
-		end  time.Time
-		chat bool
-	}
-
-	var active []running
+// shop is a pool under load with what its requests are doing.
+type shop struct {
+	pool   *balancer.Pool
+	active []visit
+	// chats counts the running chats of each engine.
+	chats map[string]int
+	// long counts the long prompts that were read, beside those that were read beside chats.
+	long, beside int
+}
 
-	chats := map[string]int{}
-	where := map[string]string{}
-	step := 10 * time.Millisecond
+type visit struct {
+	id, engine string
+	end        time.Time
+	chat       bool
+}
 
-	place := func(now time.Time, id, upstream string, chat bool) {
-		where[id] = upstream
-		length := 900 * time.Millisecond
+func (s *shop) place(now time.Time, id, engine string, isChat bool) {
+	length := 900 * time.Millisecond
 
-		if chat {
-			chats[upstream]++
-			length = 2 * time.Second
-		} else if now.Sub(start) > time.Second {
-			long++
+	switch {
+	case isChat:
+		s.chats[engine]++
+		length = 2 * time.Second
+	case now.Sub(start) > time.Second:
+		s.long++
 
-			if chats[upstream] > 0 {
-				beside++
-			}
+		if s.chats[engine] > 0 {
+			s.beside++
 		}
-
-		p.First(now.Add(80*time.Millisecond), id, nil)
-		active = append(active, running{id: id, end: now.Add(length), chat: chat})
 	}
 
-	for i := range 500 {
-		now := at(time.Duration(i) * step)
-		left := active[:0]
+	s.pool.First(now.Add(80*time.Millisecond), id, nil)
+	s.active = append(s.active, visit{id: id, engine: engine, end: now.Add(length), chat: isChat})
+}
 
-		for _, r := range active {
-			if now.Before(r.end) {
-				left = append(left, r)
+// finish ends what is over and gives the room to what waits.
+func (s *shop) finish(now time.Time) {
+	left := s.active[:0]
 
-				continue
-			}
+	for _, v := range s.active {
+		if now.Before(v.end) {
+			left = append(left, v)
 
-			if r.chat {
-				chats[where[r.id]]--
-			}
+			continue
+		}
 
-			p.End(now, r.id, balancer.Served)
+		if v.chat {
+			s.chats[v.engine]--
 		}
 
-		active = left
+		s.pool.End(now, v.id, balancer.Served)
+	}
 
-		for _, g := range p.Next(now) {
-			place(now, g.ID, g.Choice.Upstream, g.ID[0] == 'c')
-		}
+	s.active = left
+
+	for _, g := range s.pool.Next(now) {
+		s.place(now, g.ID, g.Choice.Upstream, g.ID[0] == 'c')
+	}
+}
+
+func (s *shop) ask(now time.Time, work balancer.Work, isChat bool) {
+	if choice, decision := s.pool.Ask(now, "node", work); decision == balancer.Granted {
+		s.place(now, work.ID, choice.Upstream, isChat)
+	}
+}
+
+// overload sends several times the long prompts that the engines can read, with a chat every 50 ms, for five seconds.
+func overload(p *balancer.Pool, engines int) *shop {
+	s := &shop{pool: p, chats: map[string]int{}}
+
+	for i := range 500 {
+		now := at(time.Duration(i) * 10 * time.Millisecond)
+		s.finish(now)
 
 		for j := range engines / 2 {
-			work := notes(fmt.Sprintf("n%d.%d", i, j), fmt.Sprint("s", (i*7+j)%200))
-			if choice, decision := p.Ask(now, "node", work); decision == balancer.Granted {
-				place(now, work.ID, choice.Upstream, false)
-			}
+			s.ask(now, notes(fmt.Sprintf("n%d.%d", i, j), fmt.Sprint("s", (i*7+j)%200)), false)
 		}
 
 		if i%5 == 0 {
-			work := chat(fmt.Sprint("c", i))
-			choice, decision := p.Ask(now, "node", work)
-
-			if decision == balancer.Granted {
-				place(now, work.ID, choice.Upstream, true)
-			}
+			s.ask(now, chat(fmt.Sprint("c", i)), true)
 		}
 	}
 
-	return long, beside
+	return s
 }
 
 // Load: long prompts at several times what the engines can read, beside chats.
@@ -93,10 +101,10 @@
 // on one that is kept for short targets it begins after 50 ms.
 func TestChatsHaveEnginesOfTheirOwnUnderOverload(t *testing.T) {
 	p := engines(10, 12)
-	long, beside := overload(p, 10)
+	s := overload(p, 10)
 
-	assert.Assert(t, long > 200, "%d long prompts in all", long)
-	assert.Assert(t, beside < long/4, "%d of %d long prompts were read beside chats", beside, long)
+	assert.Assert(t, s.long > 200, "%d long prompts in all", s.long)
+	assert.Assert(t, s.beside < s.long/4, "%d of %d long prompts were read beside chats", s.beside, s.long)
 }
 
 // Load: a queue of requests of many sessions at engines that are full.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -258,15 +258,16 @@
 func (n *Node) apply(state *cataloguer.State) {
 	n.listMembers(state.Registry.Nodes)
 
-	if !state.Known() {
+	// Routes without upstreams would only refuse.
+	if !state.Known() || state.Registry.Revision == 0 {
 		return
 	}
 
+	n.broker.Update(state)
+
 	if table := n.table.Load(); table == nil || table.Version < state.Configuration.Version {
 		n.table.Store(router.New(state.Configuration))
 	}
-
-	n.broker.Update(state)
 }
 
 // sweep closes connections that are of no more use.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -39,7 +39,7 @@
 
 func (n *Node) beliefs() beliefs {
 	state := n.catalog.State()
-	age := time.Duration(-time.Millisecond)
+	age := -time.Millisecond
 
 	if known, ok := n.catalog.Age(); ok {
 		age = known
--- a/internal/gateway/relayer/answer.go
+++ b/internal/gateway/relayer/answer.go
@@ -96,7 +96,7 @@
 			*outcome = balancer.Failed
 		}
 
-		r.logAttempt(a.request, choice, "answer_broken", err)
+		r.logAttempt(a.request, choice, "answer_broken", causeOf(ctx, err))
 
 		return unsure
 	}
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -310,7 +310,7 @@
 		*outcome = balancer.Failed
 	}
 
-	r.logAttempt(request, choice, "no_answer", err)
+	r.logAttempt(request, choice, "no_answer", causeOf(ctx, err))
 
 	return unsure
 }
@@ -327,6 +327,15 @@
 	return &balancer.Load{Running: number(running), Waiting: number(waiting)}
 }
 
+// causeOf tells why an attempt ended: a cancelled context shows on the connection as a mere timeout.
+func causeOf(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+
+	return err
+}
+
 // wasRefused says whether the upstream's answer means that it ran nothing.
 func (r *Relayer) wasRefused(response *dialer.Response) bool {
 	return response.Header.Get(r.options.Headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
@@ -369,6 +378,10 @@
 	request := a.request
 
 	switch {
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		a.account.code = classifier.CallerGone
+		r.options.Meter.Refused(request.route.Name, classifier.CallerGone)
+		panic(http.ErrAbortHandler)
 	case a.begun:
 		// Headers have left: only a broken connection tells the caller that the answer isn't whole.
 		a.account.code = classifier.StreamBroken
@@ -376,10 +389,6 @@
 		r.options.Logger.Warn().Str("request_id", request.id).Str("route", request.route.Name).
 			Int("sends", request.sends).Str("last_event", request.lastEvent).Msg("stream_broken")
 		panic(http.ErrAbortHandler)
-	case errors.Is(context.Cause(ctx), context.Canceled):
-		a.account.code = classifier.CallerGone
-		r.options.Meter.Refused(request.route.Name, classifier.CallerGone)
-		panic(http.ErrAbortHandler)
 	case a.kept != nil:
 		a.account.code = classifier.UpstreamFailed
 		a.writeKept()
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,6 +14,7 @@
 	"quincepath.example/quincepath/internal/gateway/balancer"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/router"
+	"quincepath.example/quincepath/internal/sleeper"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
@@ -21,6 +23,10 @@
 	defaultLimit = 30 * time.Second
 	// defaultBody bounds a body while the configuration names no bound.
 	defaultBody = 4 << 20
+	// startPatience is how long requests wait for a node that has just started to learn its routes, and
+	// startTick how often they look.
+	startPatience = 300 * time.Millisecond
+	startTick     = 5 * time.Millisecond
 	// leastPatience keeps a short target from giving up on an upstream that is merely busy.
 	leastPatience = 400 * time.Millisecond
 )
@@ -67,7 +73,7 @@
 
 // accept reads the request and checks that it may run.
 func (r *Relayer) accept(incoming *http.Request, arrived time.Time) (*request, *classifier.Error) {
-	table := r.options.Table()
+	table := r.awaitTable(incoming.Context())
 	if table == nil {
 		return nil, classifier.New(classifier.SettingsUnavailable, "the node knows no configuration yet").After(later())
 	}
@@ -127,6 +133,23 @@
 	return accepted, nil
 }
 
+// awaitTable returns the routes in force. A node that has just started learns them within a few milliseconds;
+// after a loss of all nodes a refusal would send all callers away for longer than that.
+func (r *Relayer) awaitTable(ctx context.Context) *router.Table {
+	ctx, cancel := context.WithTimeout(ctx, startPatience)
+	defer cancel()
+
+	for {
+		if table := r.options.Table(); table != nil {
+			return table
+		}
+
+		if !sleeper.Sleep(ctx, startTick) {
+			return nil
+		}
+	}
+}
+
 // authenticate finds the organisation of the caller's key. What is known of keys must be fresh: a
 // node that could not learn that a key was taken away would go on serving it.
 func (r *Relayer) authenticate(table *router.Table, route *cataloguer.Route, incoming *http.Request) (*cataloguer.Organisation, *classifier.Error) {
--- a/internal/gateway/relayer/stream.go
+++ b/internal/gateway/relayer/stream.go
@@ -90,7 +90,7 @@
 		*outcome = balancer.Failed
 	}
 
-	r.logAttempt(a.request, choice, "stream_broken_off", err)
+	r.logAttempt(a.request, choice, "stream_broken_off", causeOf(ctx, err))
 
 	return unsure
 }
