Serve the requests that can still be on time; refuse those without prospect at once

Cause: as soon as the queue was as long as the target, strictly in turn every request was late (worth a third), and waited for most of its time to be refused. Late requests go 1.5 ranks behind, and more of them than will be served in 0.7 s are refused with a time to come back. Interactive requests prefer the engines kept for them.

--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -18,6 +18,8 @@
 	longWork = 600.0
 	// gatherPrice draws sensitive streams together, so that servers without any are left for long prompts.
 	gatherPrice = 0.1
+	// otherSidePrice is the loss of an interactive request on an engine that always has prompts to read.
+	otherSidePrice = 0.5
 	// fullPrice is the loss of waiting at a server whose batch is full.
 	fullPrice = 2.0
 	// plainQueue is how many calls may wait at a plain server in addition to its slots.
@@ -65,6 +67,9 @@
 	// demands holds what each group asks for; divided says that the engines are assigned to groups, as of dividedAt.
 	demands [groupCount]demand
 	divided bool
+	// granted counts requests that got an upstream, forgotten with grantTime, as of grantedAt.
+	granted   float64
+	grantedAt time.Time
 	// pressed says that the demand is near what the engines can do, and was so last at pressedAt.
 	pressed   bool
 	pressedAt time.Time
@@ -126,6 +131,8 @@
 	}
 
 	r := p.begin(now, best, work)
+	p.granted = decayed(p.granted, now.Sub(p.grantedAt), grantTime) + 1
+	p.grantedAt = now
 
 	return Choice{Upstream: best.ID, Address: best.Address, Loss: bestLoss, Waiting: r.expected}, true
 }
@@ -308,6 +315,10 @@
 		return loss
 	}
 
+	if p.divided && s.group == batch && p.groupOf(work) == interactive {
+		loss += worth * otherSidePrice
+	}
+
 	return loss + p.disturbance(now, s, work)
 }
 
--- a/internal/gateway/balancer/queue.go
+++ b/internal/gateway/balancer/queue.go
@@ -11,6 +11,15 @@
 	agingTime = 1500 * time.Millisecond
 	// maxQueue bounds the requests that wait for one pool.
 	maxQueue = 2000
+	// lateWait is the part of its target that a request can wait and still meet it: the rest is for the
+	// engine's backlog, its prompt and the first event. lateRank is what it loses in rank after that.
+	lateWait = 0.55
+	lateRank = 1.5
+	// lateQueue is the number of late requests that may go on waiting, in seconds of what the pool grants.
+	// They are worth serving once the burst is over; more of them would only wait for their refusal.
+	lateQueue = 0.7
+	// grantTime is the time constant of the measured grants.
+	grantTime = 2 * time.Second
 	// overduePart is the part of its time after which a request doesn't wait for the right server any more.
 	overduePart = 0.25
 	// matchWindow is the number of waiting requests among which room is given, and matchRank how much further
@@ -37,6 +46,8 @@
 	// Owner is whoever asked.
 	Owner  string
 	Choice Choice
+	// Refused says that there is no upstream: the request has no prospect to be served in time.
+	Refused bool
 }
 
 // queued is a request that waits until a server has room for it.
@@ -47,9 +58,20 @@
 	until time.Time
 }
 
-// rank orders the queue: lower goes first.
+// rank orders the queue: lower goes first. One that will be late in any case goes behind those that won't:
+// strictly in turn, all would be late as soon as the queue is as long as their target.
 func (q *queued) rank(now time.Time) float64 {
-	return float64(q.work.Priority) - now.Sub(q.since).Seconds()/agingTime.Seconds()
+	rank := float64(q.work.Priority) - now.Sub(q.since).Seconds()/agingTime.Seconds()
+	if q.late(now) {
+		rank += lateRank
+	}
+
+	return rank
+}
+
+// late says that the request has waited too long to meet its target.
+func (q *queued) late(now time.Time) bool {
+	return q.work.Target > 0 && now.Sub(q.since) > time.Duration(lateWait*float64(q.work.Target))
 }
 
 // Ask picks an upstream for the work, or queues it where none has room now. Asked again for a request
@@ -112,17 +134,11 @@
 	p.expire(now)
 	p.divide(now)
 
-	if !p.hasRoom(now) {
-		return nil
-	}
-
 	slices.SortStableFunc(p.queue, func(a, b *queued) int {
 		return int(math.Copysign(1, a.rank(now)-b.rank(now)))
 	})
 
-	p.queue = slices.DeleteFunc(p.queue, func(q *queued) bool { return now.After(q.until) })
-
-	var grants []Grant
+	grants := p.shed(now)
 
 	for {
 		q, ok := p.nextMatch(now)
@@ -140,6 +156,46 @@
 	}
 }
 
+// shed drops the requests that have no prospect: those whose time is over, and the oldest of those that are
+// late, as far as they are more than will be served soon. They learn it at once, so that they can come back.
+func (p *Pool) shed(now time.Time) []Grant {
+	late := 0
+
+	for _, q := range p.queue {
+		if q.late(now) {
+			late++
+		}
+	}
+
+	excess := late - int(lateQueue*p.grantRate(now)) - len(p.servers)
+
+	var refused []Grant
+
+	// The queue is in order of rank: of those that are late the oldest come first.
+	p.queue = slices.DeleteFunc(p.queue, func(q *queued) bool {
+		hopeless := now.After(q.until)
+
+		if !hopeless && excess > 0 && q.late(now) {
+			excess--
+
+			hopeless = true
+		}
+
+		if hopeless {
+			refused = append(refused, Grant{ID: q.work.ID, Owner: q.owner, Refused: true})
+		}
+
+		return hopeless
+	})
+
+	return refused
+}
+
+// grantRate is the number of requests that got an upstream in a second, as of late.
+func (p *Pool) grantRate(now time.Time) float64 {
+	return decayed(p.granted, now.Sub(p.grantedAt), grantTime) * math.Ln2 / grantTime.Seconds()
+}
+
 // nextMatch returns the request that is to get the room that there is: of those with the priority of the
 // first one that fits and about its waiting time, the one of whose prompt the servers with room need to read least.
 //
@@ -209,11 +265,6 @@
 	return least, found
 }
 
-// hasRoom says whether any server could take one more small request.
-func (p *Pool) hasRoom(now time.Time) bool {
-	return slices.ContainsFunc(p.servers, func(s *server) bool { return p.takes(now, s, &Work{}) })
-}
-
 // Waiting is the number of requests in the queue.
 func (p *Pool) Waiting() int {
 	p.mu.Lock()
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -89,7 +89,7 @@
 	// doubted maps nodes that did not answer to the time until which they aren't asked.
 	doubted map[string]time.Time
 	// waiting maps this node's requests that wait in a pool's queue to where their grant goes.
-	waiting map[string]chan balancer.Choice
+	waiting map[string]chan balancer.Grant
 	// running holds this node's own requests, to tell a new holder of them.
 	running map[string]running
 }
@@ -112,7 +112,7 @@
 		layouts: make(map[string]layout),
 		holders: make(map[string][]string),
 		doubted: make(map[string]time.Time),
-		waiting: make(map[string]chan balancer.Choice),
+		waiting: make(map[string]chan balancer.Grant),
 		running: make(map[string]running),
 	}
 }
@@ -297,7 +297,7 @@
 	defer cancel()
 
 	// A grant may come before the answer that says that the request waits.
-	granted := make(chan balancer.Choice, 1)
+	granted := make(chan balancer.Grant, 1)
 	b.await(work.ID, granted)
 	defer b.unwait(work.ID)
 
@@ -319,11 +319,15 @@
 		case balancer.Queued:
 		}
 
-		choice, ok := b.waitFor(ctx, granted)
+		grant, ok := b.waitFor(ctx, granted)
+		if ok && grant.Refused {
+			return choice, false
+		}
+
 		if ok {
-			b.begun(pool, work, choice, asked, by)
+			b.begun(pool, work, grant.Choice, asked, by)
 
-			return choice, true
+			return grant.Choice, true
 		}
 
 		if ctx.Err() != nil {
@@ -335,21 +339,21 @@
 }
 
 // waitFor waits for a grant, but not longer than until the holder is to be asked again: it may be gone, or its grant lost.
-func (b *Broker) waitFor(ctx context.Context, granted <-chan balancer.Choice) (balancer.Choice, bool) {
+func (b *Broker) waitFor(ctx context.Context, granted <-chan balancer.Grant) (balancer.Grant, bool) {
 	timer := time.NewTimer(askAgain)
 	defer timer.Stop()
 
 	select {
-	case choice := <-granted:
-		return choice, true
+	case grant := <-granted:
+		return grant, true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 
-	return balancer.Choice{}, false
+	return balancer.Grant{}, false
 }
 
-func (b *Broker) await(id string, granted chan balancer.Choice) {
+func (b *Broker) await(id string, granted chan balancer.Grant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -520,7 +524,7 @@
 
 func (b *Broker) take(now time.Time, r report) {
 	if r.Grant != nil {
-		b.deliver(r.ID, *r.Grant)
+		b.deliver(*r.Grant)
 
 		return
 	}
@@ -570,19 +574,19 @@
 func (b *Broker) grant(now time.Time, pool string) {
 	for _, g := range b.pool(pool).Next(now) {
 		if g.Owner == b.options.Self {
-			b.deliver(g.ID, g.Choice)
+			b.deliver(g)
 
 			continue
 		}
 
-		b.out.add(g.Owner, report{Pool: pool, ID: g.ID, Grant: &g.Choice})
+		b.out.add(g.Owner, report{Pool: pool, ID: g.ID, Grant: &g})
 	}
 }
 
 // deliver hands a grant to the request that waits for it. One that gave up has told so itself.
-func (b *Broker) deliver(id string, choice balancer.Choice) {
+func (b *Broker) deliver(grant balancer.Grant) {
 	b.mu.Lock()
-	granted, ok := b.waiting[id]
+	granted, ok := b.waiting[grant.ID]
 	b.mu.Unlock()
 
 	if !ok {
@@ -590,7 +594,7 @@
 	}
 
 	select {
-	case granted <- choice:
+	case granted <- grant:
 	default:
 	}
 }
--- a/internal/gateway/broker/outbox.go
+++ b/internal/gateway/broker/outbox.go
@@ -29,8 +29,8 @@
 	// Load is what the upstream told with it.
 	Load *balancer.Load    `json:"l,omitempty"`
 	End  *balancer.Outcome `json:"e,omitempty"`
-	// Grant is the upstream that a waiting request of the receiver got.
-	Grant *balancer.Choice `json:"g,omitempty"`
+	// Grant is what became of a waiting request of the receiver.
+	Grant *balancer.Grant `json:"g,omitempty"`
 }
 
 type begin struct {
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -27,6 +27,9 @@
 	// startTick how often they look.
 	startPatience = 300 * time.Millisecond
 	startTick     = 5 * time.Millisecond
+	// comeBackPart is the part of its time left that a caller is told to wait at most. Callers don't wait longer
+	// than for a third of it.
+	comeBackPart = 0.3
 	// leastPatience keeps a short target from giving up on an upstream that is merely busy.
 	leastPatience = 400 * time.Millisecond
 )
@@ -71,6 +74,15 @@
 	return max(leastPatience, 3*r.route.Target)
 }
 
+// comeBack is when a request that found no upstream should come again: after as long as it had to wait, so
+// that callers return more slowly the longer the queue is, but early enough for its caller to do it.
+func (r *request) comeBack() time.Duration {
+	waited := time.Since(r.arrived)
+	most := time.Duration(comeBackPart * float64(time.Until(r.limit)))
+
+	return max(min(later()+waited, most), comeBackSoon)
+}
+
 // accept reads the request and checks that it may run.
 func (r *Relayer) accept(incoming *http.Request, arrived time.Time) (*request, *classifier.Error) {
 	table := r.awaitTable(incoming.Context())
