--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -33,7 +33,7 @@
 	engineBacklog = 130.0
 	urgentBacklog = 260.0
 	// interactiveBacklog is the same for engines that are kept for interactive requests.
-	interactiveBacklog = 70.0
+	interactiveBacklog = 45.0
 	// memoryPart is the part of an engine's memory that running requests may fill. An engine that runs
 	// out of it sets running requests back to where they began.
 	memoryPart = 0.85
@@ -64,6 +64,9 @@
 	requests map[string]*sent
 	// queue holds the requests that wait for room.
 	queue []*queued
+	// queuedIDs are the ids of the requests in queue, which was last sorted at sortedAt.
+	queuedIDs map[string]bool
+	sortedAt  time.Time
 	// demands holds what each group asks for; divided says that the engines are assigned to groups, as of dividedAt.
 	demands [groupCount]demand
 	divided bool
@@ -80,7 +83,7 @@
 
 // NewPool returns a pool without upstreams.
 func NewPool() *Pool {
-	return &Pool{requests: make(map[string]*sent)}
+	return &Pool{requests: make(map[string]*sent), queuedIDs: make(map[string]bool)}
 }
 
 // SetUpstreams takes in the upstreams that exist now. What is known of those that stay is kept.
--- a/internal/gateway/balancer/queue.go
+++ b/internal/gateway/balancer/queue.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -18,6 +19,8 @@
 	// lateQueue is the number of late requests that may go on waiting, in seconds of what the pool grants.
 	// They are worth serving once the burst is over; more of them would only wait for their refusal.
 	lateQueue = 0.7
+	// sortInterval is the longest time for which the order of a queue without room is left as it is.
+	sortInterval = 20 * time.Millisecond
 	// grantTime is the time constant of the measured grants.
 	grantTime = 2 * time.Second
 	// overduePart is the part of its time after which a request doesn't wait for the right server any more.
@@ -56,6 +59,8 @@
 	owner string
 	since time.Time
 	until time.Time
+	// place is the rank as of the last sorting.
+	place float64
 }
 
 // rank orders the queue: lower goes first. One that will be late in any case goes behind those that won't:
@@ -87,7 +92,7 @@
 		return Choice{Upstream: r.server.ID, Address: r.server.Address, Waiting: r.expected}, Granted
 	}
 
-	if slices.ContainsFunc(p.queue, func(q *queued) bool { return q.work.ID == work.ID }) {
+	if p.queuedIDs[work.ID] {
 		return Choice{}, Queued
 	}
 
@@ -101,7 +106,10 @@
 		}
 	}
 
-	p.queue = append(p.queue, &queued{work: work, owner: owner, since: now, until: now.Add(work.Limit)})
+	q := &queued{work: work, owner: owner, since: now, until: now.Add(work.Limit)}
+	q.place = q.rank(now)
+	p.queue = append(p.queue, q)
+	p.queuedIDs[work.ID] = true
 
 	return Choice{}, Queued
 }
@@ -118,11 +126,11 @@
 	own := p.groupOf(work)
 
 	return slices.ContainsFunc(p.queue, func(q *queued) bool {
-		return q.rank(now) <= float64(work.Priority) && (!p.divided || p.groupOf(&q.work) == own)
+		return q.place <= float64(work.Priority) && (!p.divided || p.groupOf(&q.work) == own)
 	})
 }
 
-// Next returns the waiting requests for which there is room now.
+// Next returns the waiting requests for which there is room now, and those that are refused.
 func (p *Pool) Next(now time.Time) []Grant {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -134,10 +142,12 @@
 	p.expire(now)
 	p.divide(now)
 
-	slices.SortStableFunc(p.queue, func(a, b *queued) int {
-		return int(math.Copysign(1, a.rank(now)-b.rank(now)))
-	})
+	// Most calls find no room; sorting the queue each time would take up the holder's processor.
+	if len(p.open(now)) == 0 && now.Sub(p.sortedAt) < sortInterval {
+		return nil
+	}
 
+	p.sort(now)
 	grants := p.shed(now)
 
 	for {
@@ -156,6 +166,30 @@
 	}
 }
 
+// sort puts the queue in order of rank.
+func (p *Pool) sort(now time.Time) {
+	p.sortedAt = now
+
+	for _, q := range p.queue {
+		q.place = q.rank(now)
+	}
+
+	slices.SortStableFunc(p.queue, func(a, b *queued) int { return cmp.Compare(a.place, b.place) })
+}
+
+// open returns the servers that could take one more small request.
+func (p *Pool) open(now time.Time) []*server {
+	var open []*server
+
+	for _, s := range p.servers {
+		if p.takes(now, s, &Work{}) {
+			open = append(open, s)
+		}
+	}
+
+	return open
+}
+
 // shed drops the requests that have no prospect: those whose time is over, and the oldest of those that are
 // late, as far as they are more than will be served soon. They learn it at once, so that they can come back.
 func (p *Pool) shed(now time.Time) []Grant {
@@ -182,6 +216,7 @@
 		}
 
 		if hopeless {
+			delete(p.queuedIDs, q.work.ID)
 			refused = append(refused, Grant{ID: q.work.ID, Owner: q.owner, Refused: true})
 		}
 
@@ -203,19 +238,13 @@
 // ever meet the server that has read its session before.
 func (p *Pool) nextMatch(now time.Time) (*queued, bool) {
 	var (
-		open       []*server
 		head, best *queued
 		// least is what the best request's prompt takes, seen the number of requests that had room.
 		least = math.Inf(1)
 		seen  = 0
 	)
 
-	for _, s := range p.servers {
-		if p.takes(now, s, &Work{}) {
-			open = append(open, s)
-		}
-	}
-
+	open := p.open(now)
 	if len(open) == 0 {
 		return nil, false
 	}
@@ -226,7 +255,7 @@
 			continue
 		}
 
-		if seen == matchWindow || head != nil && q.rank(now) > head.rank(now)+matchRank {
+		if seen == matchWindow || head != nil && q.place > head.place+matchRank {
 			break
 		}
 
@@ -275,5 +304,10 @@
 
 // unqueue drops a request from the queue; p.mu is held.
 func (p *Pool) unqueue(id string) {
+	if !p.queuedIDs[id] {
+		return
+	}
+
+	delete(p.queuedIDs, id)
 	p.queue = slices.DeleteFunc(p.queue, func(q *queued) bool { return q.work.ID == id })
 }
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -25,7 +25,7 @@
 const (
 	// askTimeout bounds a question to a holder. A way and back takes 3 ms between failure domains; the
 	// shortest targets are 100 ms.
-	askTimeout = 25 * time.Millisecond
+	askTimeout = 50 * time.Millisecond
 	// doubtTime is how long a holder that did not answer isn't asked.
 	doubtTime = 400 * time.Millisecond
 	// askAgain is how long a queued request waits before its holder is asked again.
@@ -513,11 +513,16 @@
 	}
 
 	now := time.Now()
+	pools := make(map[string]bool)
+
 	for _, r := range told.Reports {
 		b.take(now, r)
+		pools[r.Pool] = true
 	}
 
-	b.grantAll(now)
+	for pool := range pools {
+		b.grant(now, pool)
+	}
 
 	return struct{}{}, nil
 }
