--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -249,7 +249,7 @@
 
 // takes says whether the server may get the request at all.
 func (p *Pool) takes(now time.Time, s *server, work *Work) bool {
-	if s.Draining || slices.Contains(work.Excluded, s.ID) {
+	if s.Draining || now.Before(s.unreachableUntil) || slices.Contains(work.Excluded, s.ID) {
 		return false
 	}
 
@@ -306,10 +306,6 @@
 	loss := worth * (late(expected/target) + slopePrice*expected/target)
 	loss += worth * failurePrice * s.failuresNow(now)
 
-	if now.Before(s.unreachableUntil) {
-		loss += worth * failurePrice
-	}
-
 	if running := float64(len(s.running)) + s.foreignNow(now); running >= float64(s.Slots) {
 		loss += worth * fullPrice * (running - float64(s.Slots) + 1) / float64(max(s.Slots, 1))
 	}
--- a/internal/gateway/balancer/pool_test.go
+++ b/internal/gateway/balancer/pool_test.go
@@ -253,3 +253,31 @@
 	_, decision := p.Ask(at(0), "node", balancer.Work{ID: "x", Limit: time.Second, Excluded: []string{"b", "c"}})
 	assert.Equal(t, decision, balancer.Refused)
 }
+
+// Symptom: under overload thousands of requests fail at servers that crashed.
+// Sequence: a server takes no connections; its slots are empty; all others are full.
+// Cause: being unreachable only added to the loss, and empty slots drew all that waited.
+func TestUnreachableServerGetsNothingForAWhile(t *testing.T) {
+	p := newPool(2, 6, balancer.Engine{})
+	call := func(id string) balancer.Work {
+		return balancer.Work{ID: id, Target: 2 * time.Second, Limit: 5 * time.Second}
+	}
+
+	down := granted(t, p, at(0), call("first"))
+	p.End(at(time.Millisecond), "first", balancer.Unreachable)
+
+	waiting := 0
+
+	for i := range 30 {
+		choice, decision := p.Ask(at(10*time.Millisecond), "node", call(fmt.Sprint("r", i)))
+		assert.Assert(t, choice.Upstream != down)
+
+		if decision == balancer.Queued {
+			waiting++
+		}
+	}
+
+	assert.Equal(t, waiting, 30-6-8)
+	assert.Equal(t, len(p.Next(at(200*time.Millisecond))), 0)
+	assert.Assert(t, len(p.Next(at(400*time.Millisecond))) > 0)
+}
--- a/internal/gateway/balancer/queue.go
+++ b/internal/gateway/balancer/queue.go
@@ -100,7 +100,7 @@
 		return Choice{}, Refused
 	}
 
-	if !p.outranked(now, &work) {
+	if !p.outranked(&work) {
 		if choice, ok := p.choose(now, work); ok {
 			return choice, Granted
 		}
@@ -122,7 +122,7 @@
 }
 
 // outranked says whether a request that waits goes before the work.
-func (p *Pool) outranked(now time.Time, work *Work) bool {
+func (p *Pool) outranked(work *Work) bool {
 	own := p.groupOf(work)
 
 	return slices.ContainsFunc(p.queue, func(q *queued) bool {
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -43,7 +43,9 @@
 	failureRecovery = 2 * time.Second
 	failureGain     = 0.25
 	// unreachableTime is how long a server that took no connection is left out.
-	unreachableTime = 500 * time.Millisecond
+	// It doubles with each further time up to mostUnreachable. Its empty slots would else draw all that waits.
+	unreachableTime = 300 * time.Millisecond
+	mostUnreachable = 2 * time.Second
 	// recentTime is the time constant with which finished long work is forgotten.
 	recentTime = 1500 * time.Millisecond
 	// foreignTime is the time in which the count of foreign requests halves without news.
@@ -110,6 +112,8 @@
 	failedAt time.Time
 	// unreachableUntil is when connections are tried again.
 	unreachableUntil time.Time
+	// unreachableFor is how long it was left out last; 0 after a sound answer.
+	unreachableFor time.Duration
 	// foreign is the number of requests there that this pool doesn't know, as of foreignAt. Nodes that are
 	// cut off from the holder send by themselves.
 	foreign   float64
@@ -337,8 +341,13 @@
 		failed = 1
 	case Unreachable:
 		failed = 1
-		s.unreachableUntil = now.Add(unreachableTime)
+		// Attempts that failed together count once.
+		if now.After(s.unreachableUntil) {
+			s.unreachableFor = min(max(2*s.unreachableFor, unreachableTime), mostUnreachable)
+			s.unreachableUntil = now.Add(s.unreachableFor)
+		}
 	case Served:
+		s.unreachableFor = 0
 	}
 
 	s.failures = (1-failureGain)*s.failuresNow(now) + failureGain*failed
--- /dev/null
+++ b/internal/gateway/broker/placing.go
@@ -0,0 +1,87 @@
+package broker
+
+import (
+	"slices"
+	"time"
+)
+
+// holdersOf returns the nodes that know the service's pool, the one that decides first.
+func (b *Broker) holdersOf(service string) []string {
+	now := time.Now()
+
+	b.mu.Lock()
+
+	var changed bool
+	if now.Sub(b.placedAt) >= placeInterval {
+		b.placedAt = now
+		changed = b.place()
+	}
+
+	chosen, ok := b.holders[service]
+	if !ok {
+		chosen = b.nodes.Several(service, holders)
+		b.holders[service] = chosen
+	}
+	b.mu.Unlock()
+
+	if changed {
+		b.introduce()
+	}
+
+	return chosen
+}
+
+// place looks at the live nodes and reports whether they changed; b.mu is held.
+func (b *Broker) place() bool {
+	live := b.options.Live()
+	slices.Sort(live)
+
+	if b.nodes != nil && slices.Equal(live, b.live) {
+		return false
+	}
+
+	b.live, b.nodes = live, b.nodes.Among(live)
+	clear(b.holders)
+
+	return true
+}
+
+// introduce tells the holders of all pools what this node has running. A holder that took over
+// would else take busy upstreams for idle ones.
+func (b *Broker) introduce() {
+	now := time.Now()
+	own := make(map[string]running)
+
+	b.mu.Lock()
+	for id, r := range b.running {
+		if now.After(r.until) {
+			delete(b.running, id)
+
+			continue
+		}
+
+		own[id] = r
+	}
+	b.mu.Unlock()
+
+	for id, r := range own {
+		b.tell(r.pool, report{Pool: r.pool, ID: id, Begin: &begin{Upstream: r.upstream, Work: r.work, Answered: r.answered}})
+	}
+}
+
+func (b *Broker) isDoubted(node string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	until, ok := b.doubted[node]
+
+	return ok && time.Now().Before(until)
+}
+
+func (b *Broker) doubt(node, pool string, err error) {
+	b.mu.Lock()
+	b.doubted[node] = time.Now().Add(doubtTime)
+	b.mu.Unlock()
+
+	b.options.Logger.Info().Err(err).Str("peer", node).Str("pool", pool).Msg("holder_doubted")
+}
--- a/internal/gateway/dialer/dialer.go
+++ b/internal/gateway/dialer/dialer.go
@@ -9,14 +9,8 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
-	"io"
 	"net"
-	"net/http"
-	"net/url"
-	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -61,32 +55,6 @@
 	Address string
 }
 
-// Request is one request; it may be sent several times.
-type Request struct {
-	Method string
-	// Host and URI are sent as they are.
-	Host string
-	URI  string
-	// Header must not be changed while an exchange runs.
-	Header http.Header
-	Body   []byte
-	// IDHeader names the header that the upstream repeats in its answer; ID is its value.
-	IDHeader string
-	ID       string
-}
-
-// Response is an answer whose header was read. Close must be called.
-type Response struct {
-	*http.Response
-	conn     *conn
-	dialer   *Dialer
-	target   Target
-	stop     func() bool
-	complete bool
-	// unwritten says that the answer came before the request was sent whole.
-	unwritten func() bool
-}
-
 // Dialer keeps connections to upstreams. It is safe for concurrent use.
 //
 // Lock order: Dialer.mu alone; it is not held during input or output.
@@ -207,77 +175,6 @@
 	return &Response{Response: answer, unwritten: func() bool { return !done() }}, nil
 }
 
-// outgoing returns the request as net/http writes it.
-func (r *Request) outgoing() (*http.Request, error) {
-	target := &url.URL{Scheme: "http", Host: r.Host, Opaque: r.URI}
-
-	if strings.HasPrefix(r.URI, "//") || !strings.HasPrefix(r.URI, "/") {
-		parsed, err := url.ParseRequestURI(r.URI)
-		if err != nil {
-			return nil, errors.Wrap(err, "parse the path")
-		}
-
-		target = parsed
-	}
-
-	outgoing := &http.Request{Method: r.Method, URL: target, Host: r.Host, Header: r.Header, ProtoMajor: 1, ProtoMinor: 1}
-
-	if len(r.Body) > 0 {
-		outgoing.Body = io.NopCloser(bytes.NewReader(r.Body))
-		outgoing.ContentLength = int64(len(r.Body))
-	}
-
-	return outgoing, nil
-}
-
-func writeRequest(c *conn, outgoing *http.Request) error {
-	writer := bufio.NewWriterSize(c, readBuffer)
-	if err := outgoing.Write(writer); err != nil {
-		return err
-	}
-
-	return writer.Flush()
-}
-
-// readAnswer reads the answer to the request. An upstream may send a second answer to an earlier
-// request; taken for the next one's it would give a caller somebody else's answer. The id tells.
-func readAnswer(reader *bufio.Reader, outgoing *http.Request, request *Request) (*http.Response, error) {
-	for range strayAnswers + 1 {
-		answer, err := readFinal(reader, outgoing)
-		if err != nil {
-			return nil, err
-		}
-
-		if id := answer.Header.Get(request.IDHeader); id == "" || id == request.ID {
-			return answer, nil
-		}
-
-		if n, err := io.Copy(io.Discard, io.LimitReader(answer.Body, strayBytes)); err != nil || n == strayBytes {
-			return nil, errors.New("the answer to another request is too long")
-		}
-	}
-
-	return nil, errors.New("the upstream answers other requests")
-}
-
-// readFinal skips interim answers.
-func readFinal(reader *bufio.Reader, outgoing *http.Request) (*http.Response, error) {
-	for {
-		answer, err := http.ReadResponse(reader, outgoing)
-		if err != nil {
-			return nil, errors.Wrap(err, "read answer")
-		}
-
-		if answer.StatusCode >= http.StatusOK {
-			return answer, nil
-		}
-
-		if answer.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("the upstream switches protocols")
-		}
-	}
-}
-
 // connect returns a kept connection that is still sound, or a new one.
 func (d *Dialer) connect(ctx context.Context, target Target) (*conn, error) {
 	for {
@@ -369,41 +266,3 @@
 		_ = c.Close()
 	}
 }
-
-// Close ends the exchange. The connection is kept only when the answer was read whole, the
-// request was sent whole, and neither end wants to close it.
-func (r *Response) Close() {
-	stopped := r.stop()
-
-	if !stopped || !r.complete || r.Response.Close || r.unwritten() || r.conn.reader.Buffered() > 0 {
-		_ = r.conn.Close()
-
-		return
-	}
-
-	r.conn.until = time.Now().Add(keepTime(r.Header.Get("Keep-Alive")))
-	r.dialer.keep(r.target.ID, r.conn)
-}
-
-// bodyReader notes the sound end of a body.
-type bodyReader struct {
-	response *Response
-	body     io.ReadCloser
-}
-
-// Read implements io.Reader.
-func (b *bodyReader) Read(p []byte) (int, error) {
-	n, err := b.body.Read(p)
-
-	switch {
-	case errors.Is(err, io.EOF):
-		b.response.complete = true
-	case err != nil && errors.Is(err, os.ErrDeadlineExceeded):
-		err = errors.Mark(err, ErrBroken)
-	}
-
-	return n, err
-}
-
-// Close implements io.Closer; the connection is closed with the response.
-func (b *bodyReader) Close() error { return nil }
--- /dev/null
+++ b/internal/gateway/relayer/attempt.go
@@ -0,0 +1,175 @@
+package relayer
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"quincepath.example/quincepath/internal/gateway/balancer"
+	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/gateway/dialer"
+)
+
+// verdict is what is known after one attempt.
+type verdict int
+
+// String returns the snake-case name of the verdict.
+func (v verdict) String() string {
+	switch v {
+	case done:
+		return "done"
+	case unsent:
+		return "unsent"
+	case notRun:
+		return "not_run"
+	default:
+		return "unsure"
+	}
+}
+
+// attempt sends the request to one upstream.
+func (r *Relayer) attempt(ctx context.Context, a *answer, choice balancer.Choice) verdict {
+	request := a.request
+	id := request.workID()
+	outcome := balancer.Abandoned
+
+	defer func() { r.options.Chooser.End(id, outcome) }()
+
+	request.sends++
+
+	if request.sends == 1 {
+		r.options.Budget.First(time.Now(), request.service)
+	}
+
+	ctx, watch := newWatch(ctx)
+	defer watch.stop()
+
+	sent := time.Now()
+
+	if request.route.Repeatable() {
+		patience := request.patience()
+		watch.arm(patience, func() bool {
+			return request.route.Kind == cataloguer.Idempotent ||
+				r.vitals.lost(choice.Upstream, sent, time.Now(), request.work.Priority, patience)
+		})
+	}
+
+	target := dialer.Target{ID: choice.Upstream, Address: choice.Address}
+	response, err := r.options.Dialer.Exchange(ctx, target, r.outgoing(request, choice))
+
+	if err != nil {
+		return r.failed(ctx, request, choice, err, &outcome)
+	}
+	defer response.Close()
+
+	if r.wasRefused(response) {
+		outcome = balancer.Rejected
+		r.logAttempt(request, choice, "refused_by_upstream", nil)
+
+		return notRun
+	}
+
+	request.runs++
+	r.vitals.seen(choice.Upstream, time.Now())
+
+	return r.deliver(ctx, a, choice, sent, response, watch, &outcome)
+}
+
+// failed judges an exchange without an answer.
+func (r *Relayer) failed(ctx context.Context, request *request, choice balancer.Choice, err error, outcome *balancer.Outcome) verdict {
+	if errors.Is(err, dialer.ErrNotSent) {
+		if ctx.Err() == nil {
+			*outcome = balancer.Unreachable
+		}
+
+		r.logAttempt(request, choice, "not_sent", err)
+
+		return unsent
+	}
+
+	request.runs++
+
+	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
+		*outcome = balancer.Failed
+	}
+
+	r.logAttempt(request, choice, "no_answer", causeOf(ctx, err))
+
+	return unsure
+}
+
+// load returns the load that an upstream told in its answer, nil if it told none.
+func (r *Relayer) load(response *dialer.Response) *balancer.Load {
+	running, rest, found := strings.Cut(response.Header.Get(r.options.Headers.Load), ",")
+	if !found {
+		return nil
+	}
+
+	waiting, _, _ := strings.Cut(rest, ",")
+
+	return &balancer.Load{Running: number(running), Waiting: number(waiting)}
+}
+
+// causeOf tells why an attempt ended: a cancelled context shows on the connection as a mere timeout.
+func causeOf(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+
+	return err
+}
+
+// wasRefused says whether the upstream's answer means that it ran nothing.
+func (r *Relayer) wasRefused(response *dialer.Response) bool {
+	return response.Header.Get(r.options.Headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
+}
+
+// outgoing returns the request as this upstream gets it.
+func (r *Relayer) outgoing(request *request, choice balancer.Choice) *dialer.Request {
+	names := &r.options.Headers
+	header := request.header.Clone()
+
+	header[names.ExpectUpstream] = []string{choice.Upstream}
+	left := max(time.Until(request.limit).Milliseconds(), 1)
+	header[names.Deadline] = []string{strconv.FormatInt(left, 10)}
+
+	if request.organisation != "" {
+		header[names.Organisation] = []string{request.organisation}
+	}
+
+	if request.work.PromptTokens > 0 {
+		header[names.Priority] = []string{strconv.Itoa(min(max(request.work.Priority, 0), 9))}
+	}
+
+	if request.lastEvent != "" {
+		header[names.LastEventID] = []string{request.lastEvent}
+	}
+
+	return &dialer.Request{
+		Method:   request.method,
+		Host:     request.host,
+		URI:      request.uri,
+		Header:   header,
+		Body:     request.body,
+		IDHeader: names.RequestID,
+		ID:       request.id,
+	}
+}
+
+func (r *Relayer) logAttempt(request *request, choice balancer.Choice, result string, err error) {
+	r.options.Attempts.Add(result, 1)
+	r.options.Logger.Info().
+		Str("request_id", request.id).
+		Str("route", request.route.Name).
+		Str("upstream", choice.Upstream).
+		Int("send", request.sends).
+		Int("runs", request.runs).
+		Dur("age_ms", time.Since(request.arrived)).
+		Str("result", result).
+		AnErr("reason", err).
+		Msg("attempt_failed")
+}
