--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,9 @@
 	// memoryPart is the part of the VM's memory that the runtime may fill before it collects harder.
 	// The rest is for stacks, buffers of the system and bytes that wait unread in sockets.
 	memoryPart = 0.65
+	// collectPercent is how much the heap may grow between collections. The processor is idle, while
+	// memory is paid for at its peak.
+	collectPercent = 40
 	// bodyPart is the part of the memory that request bodies may take.
 	bodyPart = 0.15
 	// defaultBodyMemory is used where the VM's memory isn't set.
@@ -96,6 +99,8 @@
 func newNode(settings loader.Settings, store follower.Store, protocol Protocol, logger zerolog.Logger) *Node {
 	bodyMemory := int64(defaultBodyMemory)
 
+	debug.SetGCPercent(collectPercent)
+
 	if limit := settings.Gateway.MemoryMB; limit > 0 {
 		debug.SetMemoryLimit(int64(float64(limit<<20) * memoryPart))
 		bodyMemory = int64(float64(limit<<20) * bodyPart)
