--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,205 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/gateway"
+	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/gateway/relayer"
+	"quincepath.example/quincepath/internal/loader"
+)
+
+// store is a stand-in for the platform's store.
+type store struct {
+	mu       sync.Mutex
+	revision int64
+	address  string
+	nodes    []cataloguer.Node
+}
+
+func (s *store) Configuration(context.Context) (cataloguer.Configuration, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return cataloguer.Configuration{
+		Version: 1,
+		Routes: []cataloguer.Route{{
+			Name: "price", Host: "shop.example", PathPrefix: "/", Kind: cataloguer.Idempotent, Attempts: 1,
+			Shares: []cataloguer.Share{{Service: "desk", Weight: 1}}, Timeout: 20 * time.Second, Target: 10 * time.Second,
+		}},
+		Services: []cataloguer.Service{{Name: "desk"}},
+	}, s.revision, nil
+}
+
+func (s *store) Registry(context.Context) (cataloguer.Registry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return cataloguer.Registry{
+		Revision:  s.revision,
+		Upstreams: []cataloguer.Upstream{{ID: "u", Service: "desk", Address: s.address, Slots: 6}},
+		Nodes:     append([]cataloguer.Node(nil), s.nodes...),
+	}, nil
+}
+
+func (s *store) Announce(_ context.Context, node cataloguer.Node) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.revision++
+	s.nodes = append(s.nodes, node)
+
+	return nil
+}
+
+// host is an address of the loopback network that no other test uses.
+func host(number int) string {
+	pid := os.Getpid()
+
+	return fmt.Sprintf("127.%d.%d.%d", 100+pid>>16&63, pid>>8&255, (pid&63)<<2+number)
+}
+
+func start(t *testing.T, s *store, number int) (settings loader.Settings, stop context.CancelFunc, ended chan error) {
+	t.Helper()
+
+	ip := host(number)
+	settings = loader.Defaults()
+	settings.Node.Name = fmt.Sprint("n", number)
+	settings.Node.FailureDomain = "d"
+	settings.Node.Listen, settings.Node.Advertise, settings.Node.PeerListen = ip+":7301", ip+":7301", ip+":7302"
+	settings.Node.DrainTimeout = 10 * time.Second
+	settings.Node.EntryLifetime = time.Second
+	settings.Peers.Credential = "secret"
+	settings.Gateway.ReadyListen, settings.Gateway.EntriesListen, settings.Gateway.MetricsListen = ip+":7303", ip+":7304", ip+":7305"
+
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+
+	ended = make(chan error, 1)
+	protocol := gateway.Protocol{
+		Headers:     relayer.Headers{RequestID: "X-Id", Signature: "X-Signature", Authorization: "Authorization"},
+		ReadyPath:   "/ready",
+		EntriesPath: "/entries",
+		EncodeEntries: func(addresses []string, _ time.Duration) ([]byte, error) {
+			return json.Marshal(addresses)
+		},
+	}
+
+	go func() { ended <- gateway.Run(ctx, settings, s, protocol, zerolog.Nop()) }()
+
+	return settings, stop, ended
+}
+
+func get(address, path string) (int, string, bool) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+path, http.NoBody)
+	if err != nil {
+		return 0, "", false
+	}
+
+	request.Host = "shop.example"
+	request.Header.Set("X-Id", "r1")
+
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", false
+	}
+	defer response.Body.Close()
+
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, "", false
+	}
+
+	return response.StatusCode, string(body), response.Close
+}
+
+// until waits for a condition; the test's own limit ends a vain wait.
+func until(condition func() bool) {
+	for !condition() {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Symptom of what this guards: a planned stop cuts requests, or callers go on coming to a node that is gone.
+// Sequence: two nodes serve; one is told to stop while it has a request in flight and callers know it.
+func TestPlannedStopOfOneOfTwoNodes(t *testing.T) {
+	release := make(chan struct{})
+	arrived := make(chan struct{}, 1)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("X-Signature", "sig")
+
+		if r.URL.Path == "/slow" {
+			arrived <- struct{}{}
+			<-release
+		}
+
+		_, _ = io.WriteString(w, "answer")
+	}))
+	t.Cleanup(upstream.Close)
+
+	s := &store{revision: 1, address: upstream.Listener.Addr().String()}
+	first, stopFirst, firstEnded := start(t, s, 1)
+	second, stopSecond, secondEnded := start(t, s, 2)
+
+	both := fmt.Sprintf(`["%s","%s"]`, first.Node.Advertise, second.Node.Advertise)
+	until(func() bool {
+		_, entries, _ := get(first.Gateway.EntriesListen, "/entries")
+		_, others, _ := get(second.Gateway.EntriesListen, "/entries")
+
+		return entries == both && others == both
+	})
+
+	status, body, _ := get(first.Node.Listen, "/fast")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "answer")
+
+	slow := make(chan string, 1)
+
+	go func() {
+		_, body, _ := get(first.Node.Listen, "/slow")
+		slow <- body
+	}()
+
+	<-arrived
+	stopFirst()
+
+	// It is not ready at once, and the other node names only itself.
+	until(func() bool {
+		status, _, _ := get(first.Gateway.ReadyListen, "/ready")
+		_, entries, _ := get(second.Gateway.EntriesListen, "/entries")
+
+		return status == http.StatusServiceUnavailable && entries == fmt.Sprintf(`["%s"]`, second.Node.Advertise)
+	})
+
+	// Callers that still know it are served, and told to use another connection.
+	status, _, closing := get(first.Node.Listen, "/fast")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, closing)
+
+	close(release)
+	assert.Equal(t, <-slow, "answer")
+	assert.NilError(t, <-firstEnded)
+
+	status, _, _ = get(second.Node.Listen, "/fast")
+	assert.Equal(t, status, http.StatusOK)
+
+	_, counters, _ := get(second.Gateway.MetricsListen, gateway.MetricsPath)
+	assert.Assert(t, strings.Contains(counters, `"pools"`), counters)
+
+	stopSecond()
+	assert.NilError(t, <-secondEnded)
+}
