--- a/internal/gateway/broker/placing.go
+++ b/internal/gateway/broker/placing.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// holdersOf returns the nodes that know the service's pool, the one that decides first.
-func (b *Broker) holdersOf(service string) []string {
+// holdersOf returns the nodes that know the pool, the one that decides first.
+func (b *Broker) holdersOf(pool string) []string {
 	now := time.Now()
 
 	b.mu.Lock()
@@ -17,10 +17,10 @@
 		changed = b.place()
 	}
 
-	chosen, ok := b.holders[service]
+	chosen, ok := b.holders[pool]
 	if !ok {
-		chosen = b.nodes.Several(service, holders)
-		b.holders[service] = chosen
+		chosen = b.nodes.Several(pool, holders)
+		b.holders[pool] = chosen
 	}
 	b.mu.Unlock()
 
--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -17,6 +17,17 @@
 // verdict is what is known after one attempt.
 type verdict int
 
+const (
+	// done attempts were answered, or their caller is gone.
+	done verdict = iota
+	// unsent requests never left this node.
+	unsent
+	// notRun requests were refused by the upstream.
+	notRun
+	// unsure requests may have run.
+	unsure
+)
+
 // String returns the snake-case name of the verdict.
 func (v verdict) String() string {
 	switch v {
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -214,17 +214,6 @@
 	return true
 }
 
-const (
-	// done attempts were answered, or their caller is gone.
-	done verdict = iota
-	// unsent requests never left this node.
-	unsent
-	// notRun requests were refused by the upstream.
-	notRun
-	// unsure requests may have run.
-	unsure
-)
-
 // giveUp gives the final answer to a request that no upstream answered.
 func (r *Relayer) giveUp(ctx context.Context, a *answer) {
 	request := a.request
