--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -105,6 +105,10 @@
 	askedAt time.Duration
 	// announcedAt is when this node last tried to list itself.
 	announcedAt time.Duration
+	// fresh is the peer that answered last with a fresh proof; empty if none did.
+	fresh string
+	// turn counts the questions of a stale node, so that it asks all others one after the other.
+	turn int
 	// teller is a node that said to have something new and was not asked yet.
 	teller string
 	// reading and asking say that a read or a question is under way.
--- a/internal/gateway/follower/pulling.go
+++ b/internal/gateway/follower/pulling.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -17,6 +16,11 @@
 	// The first node asks another one as soon as its own reads fail.
 	stale := !known || age > patience || rank == 0 && age > storeInterval+storeTimeout/2
 
+	interval := peerInterval
+	if stale {
+		interval /= 2
+	}
+
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
@@ -31,7 +35,7 @@
 		return peer, true
 	}
 
-	if rank == 0 && !stale || now-f.askedAt < peerInterval {
+	if rank == 0 && !stale || now-f.askedAt < interval {
 		return "", false
 	}
 
@@ -57,7 +61,13 @@
 		return "", false
 	}
 
-	return candidates[rand.IntN(len(candidates))], true
+	// Where one node in many reaches the store, asking at random would find it too seldom.
+	f.turn++
+	if f.fresh != "" && f.turn%2 == 0 {
+		return f.fresh, true
+	}
+
+	return candidates[f.turn%len(candidates)], true
 }
 
 // pullParams are what the asker knows.
@@ -105,6 +115,8 @@
 		return
 	}
 
+	f.noteFreshness(peer, answer)
+
 	if answer.Version == 0 || answer.AgeMS < 0 {
 		return
 	}
@@ -112,6 +124,19 @@
 	f.take(ctx, answer, begun)
 }
 
+// noteFreshness remembers a peer whose proof is fresh.
+func (f *Follower) noteFreshness(peer string, answer pullAnswer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	switch {
+	case answer.AgeMS >= 0 && time.Duration(answer.AgeMS)*time.Millisecond < patience+patienceSteps*patienceStep:
+		f.fresh = peer
+	case f.fresh == peer:
+		f.fresh = ""
+	}
+}
+
 // take takes in a peer's answer to a question that was sent at begun.
 func (f *Follower) take(ctx context.Context, answer pullAnswer, begun time.Duration) {
 	catalog := f.options.Catalog
