--- a/internal/gateway/dialer/dialer_test.go
+++ b/internal/gateway/dialer/dialer_test.go
@@ -23,6 +23,8 @@
 	address     string
 	connections atomic.Int64
 	requests    atomic.Int64
+	// hold keeps the upstream from reading the rest of a body until it is closed; nil doesn't.
+	hold atomic.Pointer[chan struct{}]
 }
 
 // serve starts an upstream. Answer gets each request with its number on the connection and
@@ -69,6 +71,10 @@
 			return
 		}
 
+		if hold := s.hold.Load(); hold != nil {
+			<-*hold
+		}
+
 		_, _ = io.Copy(io.Discard, request.Body)
 	}
 }
@@ -180,6 +186,10 @@
 	s := serve(t, func(r *http.Request, _ int) (string, bool) { return reply(r.Header.Get(idHeader), "early"), false })
 	d := dialer.New()
 
+	hold := make(chan struct{})
+	s.hold.Store(&hold)
+	t.Cleanup(func() { close(hold) })
+
 	long := get("one")
 	long.Method, long.Body = http.MethodPost, make([]byte, 8<<20)
 	_, _ = exchange(d, s, long)
