--- a/internal/gateway/balancer/division.go
+++ b/internal/gateway/balancer/division.go
@@ -135,7 +135,7 @@
 	slots := 0
 
 	for _, s := range p.servers {
-		if s.Draining || now.Before(s.unreachableUntil) {
+		if !s.usable(now) {
 			continue
 		}
 
--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -239,17 +239,14 @@
 	}
 }
 
-// Running is the number of requests that the pool counts.
-func (p *Pool) Running() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	return len(p.requests)
+// usable says whether the server gets new requests at all.
+func (s *server) usable(now time.Time) bool {
+	return !s.Draining && !now.Before(s.unreachableUntil)
 }
 
 // takes says whether the server may get the request at all.
 func (p *Pool) takes(now time.Time, s *server, work *Work) bool {
-	if s.Draining || now.Before(s.unreachableUntil) || slices.Contains(work.Excluded, s.ID) {
+	if !s.usable(now) || slices.Contains(work.Excluded, s.ID) {
 		return false
 	}
 
--- a/internal/gateway/balancer/queue.go
+++ b/internal/gateway/balancer/queue.go
@@ -117,7 +117,7 @@
 // mayEver says whether any server may get the request once it has room.
 func (p *Pool) mayEver(now time.Time, work *Work) bool {
 	return slices.ContainsFunc(p.servers, func(s *server) bool {
-		return !s.Draining && !slices.Contains(work.Excluded, s.ID) && !now.Before(s.unreachableUntil)
+		return s.usable(now) && !slices.Contains(work.Excluded, s.ID)
 	})
 }
 
--- a/internal/gateway/relayer/answer.go
+++ b/internal/gateway/relayer/answer.go
@@ -92,7 +92,7 @@
 	}
 
 	if err != nil {
-		if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
+		if blamesUpstream(ctx) {
 			*outcome = balancer.Failed
 		}
 
--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -104,7 +104,7 @@
 
 	request.runs++
 
-	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
+	if blamesUpstream(ctx) {
 		*outcome = balancer.Failed
 	}
 
@@ -125,6 +125,12 @@
 	return &balancer.Load{Running: number(running), Waiting: number(waiting)}
 }
 
+// blamesUpstream says whether an attempt that failed is the upstream's fault: a caller that left or
+// whose time is over says nothing of it.
+func blamesUpstream(ctx context.Context) bool {
+	return ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent)
+}
+
 // causeOf tells why an attempt ended: a cancelled context shows on the connection as a mere timeout.
 func causeOf(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
--- a/internal/gateway/relayer/stream.go
+++ b/internal/gateway/relayer/stream.go
@@ -86,7 +86,7 @@
 		return done
 	}
 
-	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
+	if blamesUpstream(ctx) {
 		*outcome = balancer.Failed
 	}
 
