Bound callers' connections, headers and slow bodies by the operators' limits

Cause: the gateway closed resting connections after a fixed 40 s and headers after a fixed 10 s, whatever the operators' configuration said; nothing bounded the number of callers' connections, the time for a body, or bodies that were announced and not yet there. http.Server's own times were ruled out: they are fixed at the start and would be read and written at once. ConnState alone was too: it tells that a request began only once its header is whole, so the first byte is noted on the connection. Before: TestSlowBodyIsCutWhenTheRequestsTimeIsOver waits 2 s in vain on the earlier code.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
+	"quincepath.example/quincepath/internal/gateway/acceptor"
 	"quincepath.example/quincepath/internal/gateway/broker"
 	"quincepath.example/quincepath/internal/gateway/budgeter"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
@@ -78,6 +79,7 @@
 	broker   *broker.Broker
 	dialer   *dialer.Dialer
 	relayer  *relayer.Relayer
+	acceptor *acceptor.Acceptor
 	meter    *meter.Meter
 	// attempts counts failed attempts by their result.
 	attempts *expvar.Map
@@ -116,6 +118,7 @@
 		attempts: new(expvar.Map),
 	}
 
+	n.acceptor = acceptor.New(mostCallers(settings.Gateway.Descriptors), n.callerTimes)
 	n.prober = n.newProber()
 	n.messages = messenger.New(messenger.Options{
 		Self:       settings.Node.PeerListen,
--- a/internal/gateway/listening.go
+++ b/internal/gateway/listening.go
@@ -10,14 +10,23 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"quincepath.example/quincepath/internal/gateway/acceptor"
 )
 
 const (
-	// idleTimeout is how long a caller's connection may rest. It is longer than what operators allow
-	// callers, so that no request crosses the close of its connection.
+	// idleTimeout is how long a caller's connection may rest while the operators name no time.
 	idleTimeout = 40 * time.Second
-	// maxHeaderBytes bounds the header of a request.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes bounds the memory for a header that is being read. The operators' bound is checked
+	// when it is whole.
+	maxHeaderBytes = 1 << 20
+	// reservedDescriptors are kept for files, the store, peers and questions for entries, and callersPart
+	// is the part of the others that callers' connections may take. The rest is for upstreams: a request
+	// that runs takes one of each.
+	reservedDescriptors = 400
+	callersPart         = 0.5
+	// defaultDescriptors is used where the VM's bound isn't set; it is the usual one of a login session.
+	defaultDescriptors = 1024
 	// probeTimeout bounds the header of a question for entries or readiness.
 	probeTimeout = 5 * time.Second
 )
@@ -28,12 +37,8 @@
 	probes.HandleFunc("GET "+n.protocol.ReadyPath, n.handleReady)
 	probes.HandleFunc("GET "+n.protocol.EntriesPath, n.handleEntries)
 
-	callers := &http.Server{
-		Handler:           n.relayer,
-		ReadHeaderTimeout: n.settings.Node.HeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	// The acceptor bounds the times of callers' connections.
+	callers := &http.Server{Handler: n.relayer, MaxHeaderBytes: maxHeaderBytes}
 	ready := &http.Server{Handler: probes, ReadHeaderTimeout: probeTimeout}
 	entries := &http.Server{Handler: probes, ReadHeaderTimeout: probeTimeout}
 
@@ -58,7 +63,12 @@
 		}
 
 		go func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			serve := server.Serve
+			if server == callers {
+				serve = func(l net.Listener) error { return n.acceptor.Serve(callers, l) }
+			}
+
+			if err := serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				failed <- err
 			}
 		}()
@@ -76,6 +86,35 @@
 	return order, failed, nil
 }
 
+// mostCallers is the number of callers' connections that a process with so many descriptors takes.
+func mostCallers(descriptors int) int {
+	if descriptors == 0 {
+		descriptors = defaultDescriptors
+	}
+
+	return int(callersPart * float64(max(descriptors-reservedDescriptors, 2)))
+}
+
+// callerTimes are the bounds of callers' connections: the operators', or the node's own before it knows them.
+func (n *Node) callerTimes() acceptor.Times {
+	times := acceptor.Times{Header: n.settings.Node.HeaderTimeout, Idle: idleTimeout}
+
+	table := n.table.Load()
+	if table == nil {
+		return times
+	}
+
+	if table.Limits.HeaderTimeout > 0 {
+		times.Header = table.Limits.HeaderTimeout
+	}
+
+	if table.Limits.IdleTimeout > 0 {
+		times.Idle = table.Limits.IdleTimeout
+	}
+
+	return times
+}
+
 // ready says whether the node takes requests.
 func (n *Node) ready() bool {
 	return n.leaving() == 0 && n.table.Load() != nil
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -30,6 +30,7 @@
 	return meter.Handler(n.meter, map[string]meter.Part{
 		"beliefs":     func() any { return n.beliefs() },
 		"attempts":    func() any { return n.failedAttempts() },
+		"callers":     func() any { return n.acceptor.Counters() },
 		"connections": func() any { return n.dialer.Counters() },
 		"pools":       func() any { return n.broker.Stats(time.Now()) },
 		"members":     func() any { return n.prober.Counters() },
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -108,13 +108,15 @@
 		w.Header().Set("Connection", "close")
 	}
 
-	request, failure := r.accept(incoming, arrived)
+	held := &reservation{total: &r.bodies, most: r.options.BodyMemory}
+	defer held.release()
+
+	request, failure := r.accept(w, incoming, arrived, held)
 	if failure != nil {
 		r.refuse(w, incoming.Header.Get(r.options.Headers.RequestID), nil, failure)
 
 		return
 	}
-	defer r.bodies.Add(-int64(len(request.body)))
 
 	ctx, cancel := context.WithDeadline(incoming.Context(), request.limit)
 	defer cancel()
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -58,6 +58,8 @@
 	catalog   *cataloguer.Catalog
 	now       time.Duration
 	leaving   time.Duration
+	// bodies is what the relayer may hold of request bodies.
+	bodies int64
 
 	mu       sync.Mutex
 	outcomes []string
@@ -66,7 +68,13 @@
 func newWorld(t *testing.T, extra int) *world {
 	t.Helper()
 
-	w := &world{t: t, now: time.Hour}
+	return startWorld(t, extra, 1<<20)
+}
+
+func startWorld(t *testing.T, extra int, bodies int64) *world {
+	t.Helper()
+
+	w := &world{t: t, now: time.Hour, bodies: bodies}
 	w.catalog = cataloguer.New(func() time.Duration { return w.now })
 	w.catalog.Configure(configuration(), w.now)
 
@@ -75,7 +83,7 @@
 		Headers: names, Catalog: w.catalog, Table: func() *router.Table { return table }, Chooser: w, Dialer: dialer.New(),
 		Budget:       budgeter.New(budgeter.Options{Extra: extra, Window: time.Hour, Nodes: func() int { return 1 }}),
 		KeyFreshness: 4 * time.Second, Leaving: func() time.Duration { return w.leaving }, LastRequests: time.Second,
-		BodyMemory: 1 << 20, Meter: meter.New(), Attempts: new(expvar.Map), Logger: zerolog.Nop(),
+		BodyMemory: w.bodies, Meter: meter.New(), Attempts: new(expvar.Map), Logger: zerolog.Nop(),
 	})
 	w.server = httptest.NewServer(handler)
 	t.Cleanup(w.server.Close)
@@ -101,7 +109,7 @@
 			route("advice", cataloguer.Stream, false),
 		},
 		Organisations: []cataloguer.Organisation{{Name: "salon", Keys: []string{"k1"}}},
-		Limits:        cataloguer.Limits{BodyBytes: 1000},
+		Limits:        cataloguer.Limits{BodyBytes: 1000, HeaderBytes: 2000},
 	}
 }
 
@@ -377,6 +385,9 @@
 		{name: "no route", path: "/none/1", want: http.StatusNotFound},
 		{name: "unknown key", path: "/price/1", change: func(r *http.Request) { r.Header.Set("Authorization", "Token k2") }, want: http.StatusUnauthorized},
 		{name: "other scheme", path: "/price/1", change: func(r *http.Request) { r.Header.Set("Authorization", "Bearer k1") }, want: http.StatusUnauthorized},
+		{name: "long header", path: "/price/1", change: func(r *http.Request) {
+			r.Header.Set("X-Long", strings.Repeat("x", 2000))
+		}, want: http.StatusRequestHeaderFieldsTooLarge},
 		{name: "long body", path: "/price/1", change: func(r *http.Request) {
 			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 2000))), 2000
 		}, want: http.StatusRequestEntityTooLarge},
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"quincepath.example/quincepath/internal/gateway/balancer"
@@ -21,8 +19,6 @@
 const (
 	// defaultLimit is the time of a request whose caller and route name none.
 	defaultLimit = 30 * time.Second
-	// defaultBody bounds a body while the configuration names no bound.
-	defaultBody = 4 << 20
 	// startPatience is how long requests wait for a node that has just started to learn its routes, and
 	// startTick how often they look.
 	startPatience = 300 * time.Millisecond
@@ -47,6 +43,8 @@
 	// header has no field that concerns one connection or that only nodes may set.
 	header http.Header
 	body   []byte
+	// held is the memory that the body takes.
+	held *reservation
 	// limit is when the final answer is due.
 	limit time.Time
 	work  balancer.Work
@@ -84,7 +82,7 @@
 }
 
 // accept reads the request and checks that it may run.
-func (r *Relayer) accept(incoming *http.Request, arrived time.Time) (*request, *classifier.Error) {
+func (r *Relayer) accept(w http.ResponseWriter, incoming *http.Request, arrived time.Time, held *reservation) (*request, *classifier.Error) {
 	table := r.awaitTable(incoming.Context())
 	if table == nil {
 		return nil, classifier.New(classifier.SettingsUnavailable, "the node knows no configuration yet").After(later())
@@ -94,6 +92,10 @@
 		return nil, classifier.New(classifier.NodeLeaving, "the node is stopping").After(comeBackSoon)
 	}
 
+	if bound := table.Limits.HeaderBytes; bound > 0 && headerBytes(incoming) > bound {
+		return nil, classifier.New(classifier.HeadersTooLarge, "the header has more than %d bytes", bound)
+	}
+
 	route, ok := table.Route(incoming.Host, incoming.URL.Path)
 	if !ok {
 		return nil, classifier.New(classifier.UnknownService, "no route has this host and path")
@@ -108,6 +110,7 @@
 		uri:     incoming.RequestURI,
 		header:  r.options.Headers.outgoing(incoming.Header),
 		unique:  uuid.NewString(),
+		held:    held,
 		// A caller that has part of a stream tells how far it got.
 		lastEvent: incoming.Header.Get(r.options.Headers.LastEventID),
 	}
@@ -138,7 +141,7 @@
 	accepted.limit = arrived.Add(r.timeLimit(route, incoming))
 	accepted.work = r.work(route, priority, incoming.Header)
 
-	if failure := r.readBody(accepted, table.Limits, incoming); failure != nil {
+	if failure := r.readBody(w, accepted, table.Limits, incoming); failure != nil {
 		return nil, failure
 	}
 
@@ -235,44 +238,3 @@
 
 	return max(n, 0)
 }
-
-// readBody reads the whole body, which is needed to send it again.
-func (r *Relayer) readBody(accepted *request, limits cataloguer.Limits, incoming *http.Request) *classifier.Error {
-	bound := limits.BodyBytes
-	if bound == 0 {
-		bound = defaultBody
-	}
-
-	if incoming.ContentLength > bound {
-		return classifier.New(classifier.BodyTooLarge, "the body has %d bytes; %d are taken", incoming.ContentLength, bound)
-	}
-
-	if r.bodies.Load()+max(incoming.ContentLength, 0) > r.options.BodyMemory {
-		return classifier.New(classifier.NodeFull, "the node holds as many bytes as it may").After(later())
-	}
-
-	var (
-		body []byte
-		err  error
-	)
-
-	if incoming.ContentLength >= 0 {
-		body = make([]byte, incoming.ContentLength)
-		_, err = io.ReadFull(incoming.Body, body)
-	} else {
-		body, err = io.ReadAll(io.LimitReader(incoming.Body, bound+1))
-	}
-
-	if err != nil && !errors.Is(err, io.EOF) {
-		return classifier.Wrap(err, classifier.SlowSender, "the body did not arrive")
-	}
-
-	if int64(len(body)) > bound {
-		return classifier.New(classifier.BodyTooLarge, "the body is longer than %d bytes", bound)
-	}
-
-	accepted.body = body
-	r.bodies.Add(int64(len(body)))
-
-	return nil
-}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -154,6 +154,8 @@
 	LinkMbps float64 `yaml:"link_mbps" validate:"min=0,max=1000000"`
 	// MemoryMB is the memory of the VM for this process; 0 means that none is set.
 	MemoryMB int `yaml:"memory_mb" validate:"min=0,max=1048576"`
+	// Descriptors is the number of files and sockets that this process may open; 0 means that it isn't known.
+	Descriptors int `yaml:"descriptors" validate:"min=0,max=10000000"`
 }
 
 // Enabled says whether the node is a gateway.
