Read the settings again on SIGHUP and when their file has changed

Cause: SIGHUP was logged and nothing else; the platform may also change the file without a signal. A watch by inotify was ruled out: the platform doesn't offer it. Before: TestSettingsAreReadAgainWhenTheirFileChanges would wait for the second lifetime in vain (nothing read the file).

--- a/internal/gateway/budgeter/budgeter.go
+++ b/internal/gateway/budgeter/budgeter.go
@@ -49,6 +49,14 @@
 	return &Budgeter{options: options, started: time.Now(), services: make(map[string]*window)}
 }
 
+// SetBounds replaces the ratio and the extra attempts; what was counted stays.
+func (b *Budgeter) SetBounds(ratio float64, extra int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.options.Ratio, b.options.Extra = ratio, extra
+}
+
 // First counts a request's first attempt.
 func (b *Budgeter) First(now time.Time, service string) {
 	b.mu.Lock()
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -85,7 +85,7 @@
 	// Self is how this node announces itself.
 	Self cataloguer.Node
 	// Seeds are peers to ask while no others are known; they may be gone.
-	Seeds []string
+	Seeds func() []string
 	// Live returns the names of the nodes that answer, this one included, in any order.
 	Live   func() []string
 	Logger zerolog.Logger
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -65,7 +65,7 @@
 	m.catalog = cataloguer.New(func() time.Duration { return time.Hour + time.Since(begun) })
 	m.follower = follower.New(follower.Options{
 		Catalog: m.catalog, Store: m, Peers: m, Self: cataloguer.Node{Name: name},
-		Seeds: seeds, Live: f.live, Logger: zerolog.Nop(),
+		Seeds: func() []string { return seeds }, Live: f.live, Logger: zerolog.Nop(),
 	})
 
 	f.mu.Lock()
--- a/internal/gateway/follower/pulling.go
+++ b/internal/gateway/follower/pulling.go
@@ -54,7 +54,7 @@
 		return order[(rank-1)/fanOut], true
 	}
 
-	candidates := slices.Concat(order, f.options.Seeds)
+	candidates := slices.Concat(order, f.options.Seeds())
 	candidates = slices.DeleteFunc(candidates, func(name string) bool { return name == f.options.Self.Name })
 
 	if len(candidates) == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,7 +69,9 @@
 
 // Node is one running gateway.
 type Node struct {
+	// settings are those of the start; current are the same with what was reloaded since.
 	settings loader.Settings
+	current  atomic.Pointer[loader.Settings]
 	protocol Protocol
 	logger   zerolog.Logger
 
@@ -80,6 +82,7 @@
 	dialer   *dialer.Dialer
 	relayer  *relayer.Relayer
 	acceptor *acceptor.Acceptor
+	budget   *budgeter.Budgeter
 	meter    *meter.Meter
 	// attempts counts failed attempts by their result.
 	attempts *expvar.Map
@@ -118,6 +121,13 @@
 		attempts: new(expvar.Map),
 	}
 
+	n.current.Store(&settings)
+	n.budget = budgeter.New(budgeter.Options{
+		Ratio:  settings.Gateway.RetryRatio,
+		Extra:  settings.Gateway.RetryExtra,
+		Window: settings.Gateway.RetryWindow,
+		Nodes:  n.known,
+	})
 	n.acceptor = acceptor.New(mostCallers(settings.Gateway.Descriptors), n.callerTimes)
 	n.prober = n.newProber()
 	n.messages = messenger.New(messenger.Options{
@@ -142,7 +152,7 @@
 		Store:   store,
 		Peers:   n.messages,
 		Self:    n.self(),
-		Seeds:   settings.Gateway.Seeds,
+		Seeds:   func() []string { return n.current.Load().Gateway.Seeds },
 		Live:    n.live,
 		Logger:  logger,
 	})
@@ -150,18 +160,13 @@
 	n.messages.Handle(follower.MethodChanged, n.follower.HandleChanged)
 
 	n.relayer = relayer.New(relayer.Options{
-		Headers: protocol.Headers,
-		Catalog: n.catalog,
-		Table:   n.table.Load,
-		Chooser: n.broker,
-		Dialer:  n.dialer,
-		Budget: budgeter.New(budgeter.Options{
-			Ratio:  settings.Gateway.RetryRatio,
-			Extra:  settings.Gateway.RetryExtra,
-			Window: settings.Gateway.RetryWindow,
-			Nodes:  n.known,
-		}),
-		KeyFreshness: time.Duration(float64(settings.Gateway.KeyLifetime) * keyMargin),
+		Headers:      protocol.Headers,
+		Catalog:      n.catalog,
+		Table:        n.table.Load,
+		Chooser:      n.broker,
+		Dialer:       n.dialer,
+		Budget:       n.budget,
+		KeyFreshness: n.keyFreshness,
 		Leaving:      n.leaving,
 		LastRequests: lastRequests,
 		BodyMemory:   bodyMemory,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -75,8 +76,17 @@
 func start(t *testing.T, s *store, number int) (settings loader.Settings, stop context.CancelFunc, ended chan error) {
 	t.Helper()
 
+	settings = settingsOf(number)
+	stop, ended = run(t, s, settings, func(addresses []string, _ time.Duration) ([]byte, error) {
+		return json.Marshal(addresses)
+	})
+
+	return settings, stop, ended
+}
+
+func settingsOf(number int) loader.Settings {
 	ip := host(number)
-	settings = loader.Defaults()
+	settings := loader.Defaults()
 	settings.Node.Name = fmt.Sprint("n", number)
 	settings.Node.FailureDomain = "d"
 	settings.Node.Listen, settings.Node.Advertise, settings.Node.PeerListen = ip+":7301", ip+":7301", ip+":7302"
@@ -85,22 +95,27 @@
 	settings.Peers.Credential = "secret"
 	settings.Gateway.ReadyListen, settings.Gateway.EntriesListen, settings.Gateway.MetricsListen = ip+":7303", ip+":7304", ip+":7305"
 
+	return settings
+}
+
+// run starts a node whose answers for entries are made by encode.
+func run(t *testing.T, s *store, settings loader.Settings, encode func([]string, time.Duration) ([]byte, error)) (stop context.CancelFunc, ended chan error) {
+	t.Helper()
+
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
 
 	ended = make(chan error, 1)
 	protocol := gateway.Protocol{
-		Headers:     relayer.Headers{RequestID: "X-Id", Signature: "X-Signature", Authorization: "Authorization"},
-		ReadyPath:   "/ready",
-		EntriesPath: "/entries",
-		EncodeEntries: func(addresses []string, _ time.Duration) ([]byte, error) {
-			return json.Marshal(addresses)
-		},
+		Headers:       relayer.Headers{RequestID: "X-Id", Signature: "X-Signature", Authorization: "Authorization"},
+		ReadyPath:     "/ready",
+		EntriesPath:   "/entries",
+		EncodeEntries: encode,
 	}
 
 	go func() { ended <- gateway.Run(ctx, settings, s, protocol, zerolog.Nop()) }()
 
-	return settings, stop, ended
+	return stop, ended
 }
 
 func get(address, path string) (int, string, bool) {
@@ -203,3 +218,39 @@
 	stopSecond()
 	assert.NilError(t, <-secondEnded)
 }
+
+// Symptom: a change of the settings file has no effect until the node is restarted.
+// Sequence: the file changes without a signal, then it is spoilt, then it changes again.
+// Cause: settings were read at the start only.
+func TestSettingsAreReadAgainWhenTheirFileChanges(t *testing.T) {
+	settings := settingsOf(1)
+	settings.Path = filepath.Join(t.TempDir(), "node.yaml")
+
+	write := func(lifetime string) {
+		text := fmt.Sprintf("node:\n  name: n1\n  region: r\n  failure_domain: d\n  listen: %s\n  entry_lifetime: %s\n", settings.Node.Listen, lifetime)
+		assert.NilError(t, os.WriteFile(settings.Path, []byte(text), 0o600))
+	}
+
+	write("1s")
+
+	stop, ended := run(t, &store{revision: 1}, settings, func(_ []string, keep time.Duration) ([]byte, error) {
+		return []byte(keep.String()), nil
+	})
+
+	told := func(lifetime string) func() bool {
+		return func() bool {
+			_, body, _ := get(settings.Gateway.EntriesListen, "/entries")
+
+			return body == lifetime
+		}
+	}
+
+	until(told("1s"))
+	write("2s")
+	until(told("2s"))
+	write("long")
+	write("3s # and a comment, so that its size differs")
+	until(told("3s"))
+	stop()
+	assert.NilError(t, <-ended)
+}
--- a/internal/gateway/listening.go
+++ b/internal/gateway/listening.go
@@ -4,9 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -97,7 +94,7 @@
 
 // callerTimes are the bounds of callers' connections: the operators', or the node's own before it knows them.
 func (n *Node) callerTimes() acceptor.Times {
-	times := acceptor.Times{Header: n.settings.Node.HeaderTimeout, Idle: idleTimeout}
+	times := acceptor.Times{Header: n.current.Load().Node.HeaderTimeout, Idle: idleTimeout}
 
 	table := n.table.Load()
 	if table == nil {
@@ -138,7 +135,7 @@
 		return
 	}
 
-	body, err := n.protocol.EncodeEntries(addresses, n.settings.Node.EntryLifetime)
+	body, err := n.protocol.EncodeEntries(addresses, n.current.Load().Node.EntryLifetime)
 	if err != nil {
 		n.logger.Error().Err(err).Msg("entries_not_encoded")
 		w.WriteHeader(http.StatusInternalServerError)
@@ -158,7 +155,7 @@
 	n.heartbeats.Leave()
 	n.logger.Info().Int64("in_flight", n.relayer.InFlight()).Msg("node_stopping")
 
-	last := time.Duration(float64(n.settings.Node.DrainTimeout) * stopPart)
+	last := time.Duration(float64(n.current.Load().Node.DrainTimeout) * stopPart)
 	shut := false
 
 	for n.leaving() < last {
@@ -186,19 +183,3 @@
 		_ = server.Close()
 	}
 }
-
-// watchReload keeps SIGHUP from ending the process. The settings are read at the start only.
-func (n *Node) watchReload(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-
-	for {
-		select {
-		case <-signals:
-			n.logger.Info().Msg("settings_reload_ignored")
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -59,7 +59,7 @@
 	Dialer  *dialer.Dialer
 	Budget  *budgeter.Budgeter
 	// KeyFreshness is the greatest age of what is known of keys at which they are still honoured.
-	KeyFreshness time.Duration
+	KeyFreshness func() time.Duration
 	// Leaving says since when the node is in a planned stop; zero means that it isn't.
 	Leaving func() time.Duration
 	// LastRequests is how long after the begin of a planned stop requests are still taken.
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -173,7 +173,7 @@
 	}
 
 	age, known := r.options.Catalog.Age()
-	if !known || age > r.options.KeyFreshness {
+	if !known || age > r.options.KeyFreshness() {
 		return nil, classifier.New(classifier.SettingsUnavailable, "what the node knows of keys is too old").After(later())
 	}
 
--- a/internal/loader/parser.go
+++ b/internal/loader/parser.go
@@ -36,7 +36,10 @@
 		return Settings{}, unreadable(path, err)
 	}
 
-	return Parse(path, data)
+	settings, err := Parse(path, data)
+	settings.Path = path
+
+	return settings, err
 }
 
 // Parse checks data like Load; name stands for the file in errors.
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -10,6 +10,9 @@
 
 // Settings is the whole content of a settings file, with all defaults filled in.
 type Settings struct {
+	// Path is the file that was read; empty for settings that were made otherwise.
+	Path string `yaml:"-"`
+
 	Node      Node               `yaml:"node"`
 	TLS       TLS                `yaml:"tls"`
 	Platform  Platform           `yaml:"platform"`
