Remove nodes that are gone for good from the store

Cause: entries of nodes were written and never removed, so each replaced VM was probed for good. The first node removes, once a minute in one write, those that were dead for ten minutes; a node that was removed although it lives lists itself again. Leases were ruled out before: they lapse in outages of the store. Before: no node was ever removed. After: TestNodesThatAreGoneAreWithdrawn passes (virtual time).

--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -49,6 +49,9 @@
 	fanOut = 16
 	// announceInterval is the time between two tries to list this node in the store.
 	announceInterval = 2 * time.Second
+	// withdrawInterval is the time between two looks for nodes that are gone for good. It costs the first
+	// node a comparison, and the store one write for all that are found.
+	withdrawInterval = time.Minute
 	// outageTime is the time without a sound read after which entries may have lapsed in the store.
 	outageTime = 2500 * time.Millisecond
 )
@@ -69,6 +72,8 @@
 	Registry(ctx context.Context) (cataloguer.Registry, error)
 	// Announce lists this node in the registry.
 	Announce(ctx context.Context, node cataloguer.Node) error
+	// Withdraw removes nodes from the registry.
+	Withdraw(ctx context.Context, names []string) error
 }
 
 // Peers reaches other nodes.
@@ -87,7 +92,9 @@
 	// Seeds are peers to ask while no others are known; they may be gone.
 	Seeds func() []string
 	// Live returns the names of the nodes that answer, this one included, in any order.
-	Live   func() []string
+	Live func() []string
+	// Gone returns the names of listed nodes that were not reached for so long that they won't come back.
+	Gone   func() []string
 	Logger zerolog.Logger
 }
 
@@ -105,6 +112,8 @@
 	askedAt time.Duration
 	// announcedAt is when this node last tried to list itself.
 	announcedAt time.Duration
+	// withdrawnAt is when this node last looked for nodes that are gone.
+	withdrawnAt time.Duration
 	// fresh is the peer that answered last with a fresh proof; empty if none did.
 	fresh string
 	// turn counts the questions of a stale node, so that it asks all others one after the other.
@@ -126,6 +135,7 @@
 		soundAt:     -time.Hour,
 		askedAt:     -time.Hour,
 		announcedAt: -time.Hour,
+		withdrawnAt: -time.Hour,
 	}
 }
 
@@ -162,6 +172,10 @@
 	if f.takeAnnouncement() {
 		go f.announce(ctx)
 	}
+
+	if gone := f.takeWithdrawal(rank); len(gone) > 0 {
+		go f.withdraw(ctx, gone)
+	}
 }
 
 // Order sorts nodes so that all nodes agree on it without a message and a name says nothing of the place.
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -35,6 +35,8 @@
 	// held delays each answer between nodes.
 	held  time.Duration
 	parts map[string]*member
+	// dead are the nodes that all others take for gone.
+	dead []string
 }
 
 type member struct {
@@ -65,7 +67,7 @@
 	m.catalog = cataloguer.New(func() time.Duration { return time.Hour + time.Since(begun) })
 	m.follower = follower.New(follower.Options{
 		Catalog: m.catalog, Store: m, Peers: m, Self: cataloguer.Node{Name: name},
-		Seeds: func() []string { return seeds }, Live: f.live, Logger: zerolog.Nop(),
+		Seeds: func() []string { return seeds }, Live: f.live, Gone: f.gone, Logger: zerolog.Nop(),
 	})
 
 	f.mu.Lock()
@@ -89,6 +91,13 @@
 	return names
 }
 
+func (f *fleet) gone() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return slices.Clone(f.dead)
+}
+
 func (f *fleet) change(do func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -177,6 +186,18 @@
 	return nil
 }
 
+func (m *member) Withdraw(ctx context.Context, names []string) error {
+	if err := m.read(ctx); err != nil {
+		return err
+	}
+
+	m.fleet.change(func() {
+		m.fleet.nodes = slices.DeleteFunc(m.fleet.nodes, func(n cataloguer.Node) bool { return slices.Contains(names, n.Name) })
+	})
+
+	return nil
+}
+
 func (m *member) Call(ctx context.Context, peer, method string, params, result any) error {
 	m.fleet.mu.Lock()
 	other, held := m.fleet.parts[peer], m.fleet.held
@@ -350,3 +371,37 @@
 		assert.Equal(t, started.catalog.State().Configuration.Version, int64(1))
 	})
 }
+
+// Symptom: the list of nodes grows with each VM that is replaced, and all are probed for good.
+// Sequence: a node is gone for good; another one is taken for gone although it lives.
+// Cause: entries were written and never removed.
+func TestNodesThatAreGoneAreWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9)
+		defer f.end()
+
+		time.Sleep(10 * time.Second)
+		f.parts["n3"].stop()
+		f.mu.Lock()
+		delete(f.parts, "n3")
+		f.dead = []string{"n3", "n5", "never-listed"}
+		f.mu.Unlock()
+		time.Sleep(90 * time.Second)
+
+		f.mu.Lock()
+		f.dead = nil
+		f.mu.Unlock()
+		time.Sleep(10 * time.Second)
+
+		f.mu.Lock()
+		defer f.mu.Unlock()
+
+		var listed []string
+		for _, node := range f.nodes {
+			listed = append(listed, node.Name)
+		}
+
+		slices.Sort(listed)
+		assert.DeepEqual(t, listed, []string{"n0", "n1", "n2", "n4", "n5", "n6", "n7", "n8"})
+	})
+}
--- a/internal/gateway/follower/reading.go
+++ b/internal/gateway/follower/reading.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -115,37 +114,6 @@
 	}
 }
 
-// takeAnnouncement says whether this node is to list itself in the store now. A registry without
-// it was read before its first announcement, or its announcement failed.
-func (f *Follower) takeAnnouncement() bool {
-	now := f.options.Catalog.Now()
-	registry := f.options.Catalog.State().Registry
-
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	if registry.Revision == 0 || now-f.announcedAt < announceInterval || slices.Contains(registry.Nodes, f.options.Self) {
-		return false
-	}
-
-	f.announcedAt = now
-
-	return true
-}
-
-func (f *Follower) announce(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-
-	if err := f.options.Store.Announce(ctx, f.options.Self); err != nil {
-		f.options.Logger.Warn().Err(err).Msg("announce_failed")
-
-		return
-	}
-
-	f.options.Logger.Info().Str("node", f.options.Self.Name).Msg("node_announced")
-}
-
 func (f *Follower) logConfiguration(source string, begun time.Duration) {
 	state := f.options.Catalog.State()
 	f.options.Logger.Info().
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,6 +154,7 @@
 		Self:    n.self(),
 		Seeds:   func() []string { return n.current.Load().Gateway.Seeds },
 		Live:    n.live,
+		Gone:    n.gone,
 		Logger:  logger,
 	})
 	n.messages.Handle(follower.MethodPull, n.follower.HandlePull)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -66,6 +66,8 @@
 	return nil
 }
 
+func (s *store) Withdraw(context.Context, []string) error { return nil }
+
 // host is an address of the loopback network that no other test uses.
 func host(number int) string {
 	pid := os.Getpid()
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -14,6 +14,9 @@
 	"quincepath.example/quincepath/internal/prober"
 )
 
+// goneTime is how long a node is dead before its entry is removed from the store: longer than any restart of a VM.
+const goneTime = 10 * time.Minute
+
 // strongPart is the part of the strongest node's capacity that a node needs to decide for others.
 const strongPart = 0.6
 
@@ -63,6 +66,25 @@
 	return names
 }
 
+// gone returns the names of nodes that have been dead for so long that they won't come back. A node that
+// reaches nobody knows of none.
+func (n *Node) gone() []string {
+	now := time.Now()
+	if n.prober.Isolated(now) {
+		return nil
+	}
+
+	var names []string
+
+	for _, member := range n.prober.Members() {
+		if member.State == prober.Dead && now.Sub(member.Since) > goneTime {
+			names = append(names, member.Name)
+		}
+	}
+
+	return names
+}
+
 // holders returns the live nodes that are strong enough to decide for others. A weak node that decides
 // for a large pool answers late, and all others would wait for it before they go on alone.
 func (n *Node) holders() []string {
