Rank by class then organisation; leave out replaced upstreams; holders learn before they decide

The organisation now decides among equals. - engines that had started again were listed under their old id and refused 2,650 attempts in three seconds. - a holder that came back decided at once, by a part of what runs.

--- a/internal/gateway/balancer/bench_test.go
+++ b/internal/gateway/balancer/bench_test.go
@@ -25,3 +25,51 @@
 		})
 	}
 }
+
+// BenchmarkFullQueue is what a holder spends on one request while hundreds wait: it asks, waits, gets
+// room, its first event comes, and it ends.
+func BenchmarkFullQueue(b *testing.B) {
+	const (
+		waiting = 600
+		// step is the time between two requests at 600 a second.
+		step = 1600 * time.Microsecond
+	)
+
+	p := engines(30, 16)
+	now := at(0)
+
+	var running []string
+
+	place := func(id string) {
+		p.First(now, id, nil)
+		running = append(running, id)
+	}
+
+	ask := func(i int) {
+		work := notes(fmt.Sprint("r", i), fmt.Sprint("s", i%600))
+		work.Limit = time.Hour
+		work.Target = 0
+
+		if _, decision := p.Ask(now, "node", work); decision == balancer.Granted {
+			place(work.ID)
+		}
+	}
+
+	next := 0
+	for ; p.Waiting() < waiting; next++ {
+		ask(next)
+	}
+
+	for b.Loop() {
+		now = now.Add(step)
+		ask(next)
+		next++
+
+		p.End(now, running[0], balancer.Served)
+		running = running[1:]
+
+		for _, g := range p.Next(now) {
+			place(g.ID)
+		}
+	}
+}
--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -146,6 +146,8 @@
 	defer p.mu.Unlock()
 
 	p.expire(now)
+	// It may wait here too: it asked this node before it got its upstream from another one.
+	p.unqueue(work.ID)
 
 	for _, s := range p.servers {
 		if s.ID == upstream {
--- a/internal/gateway/balancer/pool_test.go
+++ b/internal/gateway/balancer/pool_test.go
@@ -281,3 +281,18 @@
 	assert.Equal(t, len(p.Next(at(200*time.Millisecond))), 0)
 	assert.Assert(t, len(p.Next(at(400*time.Millisecond))) > 0)
 }
+
+// Symptom: after a crash of a quarter of the engines each request is refused up to four times by
+// engines that had started again, and the retry budget is spent.
+// Sequence: an engine starts again with another id; the old id is listed for seconds more; all others are full.
+// Cause: its refusals only added to the loss, and its empty slots drew all that waited.
+func TestReplacedServerGetsNothingUntilItMayBeListedNoMore(t *testing.T) {
+	p := newPool(2, 2, balancer.Engine{})
+	replaced := granted(t, p, at(0), balancer.Work{ID: "first", Limit: 5 * time.Second})
+	p.End(at(time.Millisecond), "first", balancer.Replaced)
+
+	for i := range 10 {
+		choice, _ := p.Ask(at(1500*time.Millisecond), "node", balancer.Work{ID: fmt.Sprint("r", i), Limit: 5 * time.Second})
+		assert.Assert(t, choice.Upstream != replaced)
+	}
+}
--- a/internal/gateway/balancer/queue.go
+++ b/internal/gateway/balancer/queue.go
@@ -16,6 +16,10 @@
 	// engine's backlog, its prompt and the first event. lateRank is what it loses in rank after that.
 	lateWait = 0.55
 	lateRank = 1.5
+	// orderRank is what each place in the order of organisations counts beside a priority; all places together
+	// stay within one, so that no organisation goes before a more urgent class.
+	orderRank     = 0.3
+	mostOrderRank = 0.9
 	// lateQueue is the number of late requests that may go on waiting, in seconds of what the pool grants.
 	// They are worth serving once the burst is over; more of them would only wait for their refusal.
 	lateQueue = 0.7
@@ -66,7 +70,7 @@
 // rank orders the queue: lower goes first. One that will be late in any case goes behind those that won't:
 // strictly in turn, all would be late as soon as the queue is as long as their target.
 func (q *queued) rank(now time.Time) float64 {
-	rank := float64(q.work.Priority) - now.Sub(q.since).Seconds()/agingTime.Seconds()
+	rank := baseRank(&q.work) - now.Sub(q.since).Seconds()/agingTime.Seconds()
 	if q.late(now) {
 		rank += lateRank
 	}
@@ -74,6 +78,11 @@
 	return rank
 }
 
+// baseRank is the rank of a request that has not waited.
+func baseRank(work *Work) float64 {
+	return float64(work.Priority) + min(orderRank*float64(work.Order), mostOrderRank)
+}
+
 // late says that the request has waited too long to meet its target.
 func (q *queued) late(now time.Time) bool {
 	return q.work.Target > 0 && now.Sub(q.since) > time.Duration(lateWait*float64(q.work.Target))
@@ -126,7 +135,7 @@
 	own := p.groupOf(work)
 
 	return slices.ContainsFunc(p.queue, func(q *queued) bool {
-		return q.place <= float64(work.Priority) && (!p.divided || p.groupOf(&q.work) == own)
+		return q.place <= baseRank(work) && (!p.divided || p.groupOf(&q.work) == own)
 	})
 }
 
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -343,9 +343,14 @@
 		failed = 1
 		// Attempts that failed together count once.
 		if now.After(s.unreachableUntil) {
-			s.unreachableFor = min(max(2*s.unreachableFor, unreachableTime), mostUnreachable)
-			s.unreachableUntil = now.Add(s.unreachableFor)
+			s.leaveOut(now, min(max(2*s.unreachableFor, unreachableTime), mostUnreachable))
 		}
+	case Replaced:
+		// A server that crashed and started again is listed under its old id until its lease ends, seconds
+		// later. Meanwhile it answers at once that it isn't the one that was meant: with its empty slots it
+		// would draw, and refuse, all that waits.
+		failed = 1
+		s.leaveOut(now, mostUnreachable)
 	case Served:
 		s.unreachableFor = 0
 	}
@@ -354,6 +359,12 @@
 	s.failedAt = now
 }
 
+// leaveOut keeps new requests from the server for the given time.
+func (s *server) leaveOut(now time.Time, time time.Duration) {
+	s.unreachableFor = time
+	s.unreachableUntil = now.Add(time)
+}
+
 func milliseconds(d time.Duration) float64 {
 	return float64(d) / float64(time.Millisecond)
 }
--- a/internal/gateway/balancer/types.go
+++ b/internal/gateway/balancer/types.go
@@ -24,8 +24,10 @@
 type Work struct {
 	// ID is unique among the requests of all nodes.
 	ID string `json:"id"`
-	// Priority is the rank, 0 first.
+	// Priority is that of the request's class, 0 first.
 	Priority int `json:"p"`
+	// Order decides among requests of one priority, 0 first.
+	Order int `json:"r,omitempty"`
 	// Parts are the prompt's parts in their order; empty for plain services.
 	Parts []Part `json:"c,omitempty"`
 	// PromptTokens counts all of the prompt; at least the sum of Parts.
@@ -70,6 +72,8 @@
 	Unreachable
 	// Abandoned requests ended for a reason that says nothing of the upstream.
 	Abandoned
+	// Replaced upstreams are gone: another server answers at their address.
+	Replaced
 )
 
 // Upstream is one server of a pool.
--- a/internal/gateway/broker/asking.go
+++ b/internal/gateway/broker/asking.go
@@ -88,45 +88,70 @@
 // askAny asks the holders in their order, then this node's own pool. It returns the place of the
 // holder that answered, -1 for the own pool.
 func (b *Broker) askAny(ctx context.Context, asked []string, pool string, work balancer.Work) (balancer.Choice, balancer.Decision, int) {
+	// unready is the place of the first holder that has too little of a view to decide before others.
+	unready := -1
+
 	for i, holder := range asked {
 		if holder != b.options.Self && b.isDoubted(holder) {
 			continue
 		}
 
-		choice, decision, err := b.ask(ctx, holder, pool, work)
-		if err == nil {
-			return choice, decision, i
+		answer, err := b.ask(ctx, holder, chooseParams{Pool: pool, Work: work})
+
+		switch {
+		case err == nil && !answer.Unready:
+			return answer.Choice, answer.Decision, i
+		case err == nil && unready < 0:
+			unready = i
+		case err == nil:
+		case ctx.Err() != nil:
+			return b.askSelf(pool, work)
+		default:
+			b.doubt(holder, pool, err)
 		}
+	}
 
-		if ctx.Err() != nil {
-			break
+	if unready >= 0 {
+		answer, err := b.ask(ctx, asked[unready], chooseParams{Pool: pool, Work: work, Forced: true})
+		if err == nil {
+			return answer.Choice, answer.Decision, unready
 		}
-
-		b.doubt(holder, pool, err)
 	}
 
+	return b.askSelf(pool, work)
+}
+
+// askSelf lets this node's own view decide.
+func (b *Broker) askSelf(pool string, work balancer.Work) (balancer.Choice, balancer.Decision, int) {
 	choice, decision := b.pool(pool).Ask(time.Now(), b.options.Self, work)
 
 	return choice, decision, -1
 }
 
 // ask lets one holder choose.
-func (b *Broker) ask(ctx context.Context, holder, pool string, work balancer.Work) (balancer.Choice, balancer.Decision, error) {
+func (b *Broker) ask(ctx context.Context, holder string, params chooseParams) (chooseAnswer, error) {
 	if holder == b.options.Self {
-		choice, decision := b.pool(pool).Ask(time.Now(), b.options.Self, work)
-
-		return choice, decision, nil
+		return b.answer(holder, params), nil
 	}
 
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 
 	var answer chooseAnswer
-	if err := b.options.Peers.Call(ctx, holder, MethodChoose, chooseParams{Pool: pool, Work: work}, &answer); err != nil {
-		return balancer.Choice{}, balancer.Refused, err
+	err := b.options.Peers.Call(ctx, holder, MethodChoose, params, &answer)
+
+	return answer, err
+}
+
+// answer decides for the node that asks, unless this node's view is too young.
+func (b *Broker) answer(from string, params chooseParams) chooseAnswer {
+	if !params.Forced && !b.isReady(params.Pool) {
+		return chooseAnswer{Unready: true}
 	}
 
-	return answer.Choice, answer.Decision, nil
+	choice, decision := b.pool(params.Pool).Ask(time.Now(), from, params.Work)
+
+	return chooseAnswer{Choice: choice, Decision: decision}
 }
 
 // begun notes a choice and tells the holders that did not make it.
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -39,6 +39,10 @@
 	flushInterval = 4 * time.Millisecond
 	// reportQueue bounds the reports that wait for one node; older ones are dropped.
 	reportQueue = 4096
+	// warmUp is how long a node knows of a pool before it decides for others: until then the other nodes learn that
+	// it lives and tell it what they have running. A node that came back would else take all upstreams for idle,
+	// and fill them beside the one that held the pool meanwhile. News of a node take some two seconds to reach all.
+	warmUp = 2500 * time.Millisecond
 	// holders is the number of nodes that know a pool: the one that decides and its standby.
 	holders = 2
 )
@@ -85,6 +89,8 @@
 	placedAt time.Time
 	// holders caches the choice for each service; it is emptied when the nodes change.
 	holders map[string][]string
+	// knownSince is when this node became one of those that know a pool.
+	knownSince map[string]time.Time
 	// doubted maps nodes that did not answer to the time until which they aren't asked.
 	doubted map[string]time.Time
 	// waiting maps this node's requests that wait in a pool's queue to where their grant goes.
@@ -110,9 +116,11 @@
 		pools:   make(map[string]*balancer.Pool),
 		layouts: make(map[string]layout),
 		holders: make(map[string][]string),
-		doubted: make(map[string]time.Time),
-		waiting: make(map[string]chan balancer.Grant),
-		running: make(map[string]running),
+
+		knownSince: make(map[string]time.Time),
+		doubted:    make(map[string]time.Time),
+		waiting:    make(map[string]chan balancer.Grant),
+		running:    make(map[string]running),
 	}
 }
 
--- a/internal/gateway/broker/outbox.go
+++ b/internal/gateway/broker/outbox.go
@@ -12,11 +12,15 @@
 type chooseParams struct {
 	Pool string        `json:"s"`
 	Work balancer.Work `json:"w"`
+	// Forced asks for a choice also from a holder that isn't ready: no other one is.
+	Forced bool `json:"f,omitempty"`
 }
 
 type chooseAnswer struct {
 	Choice   balancer.Choice   `json:"c"`
 	Decision balancer.Decision `json:"d"`
+	// Unready says that another holder is to be asked first, and that nothing was decided.
+	Unready bool `json:"u,omitempty"`
 }
 
 // report tells one thing about one request.
--- a/internal/gateway/broker/placing.go
+++ b/internal/gateway/broker/placing.go
@@ -21,6 +21,7 @@
 	if !ok {
 		chosen = b.nodes.Several(pool, holders)
 		b.holders[pool] = chosen
+		b.noteKnown(pool, chosen, now)
 	}
 	b.mu.Unlock()
 
@@ -31,6 +32,31 @@
 	return chosen
 }
 
+// noteKnown notes since when this node is told of the pool; b.mu is held.
+func (b *Broker) noteKnown(pool string, chosen []string, now time.Time) {
+	if !slices.Contains(chosen, b.options.Self) {
+		delete(b.knownSince, pool)
+
+		return
+	}
+
+	if _, known := b.knownSince[pool]; !known {
+		b.knownSince[pool] = now
+	}
+}
+
+// isReady says whether this node's view of the pool is old enough to decide by.
+func (b *Broker) isReady(pool string) bool {
+	_ = b.holdersOf(pool)
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	since, known := b.knownSince[pool]
+
+	return known && time.Since(since) >= warmUp
+}
+
 // place looks at the live nodes and reports whether they changed; b.mu is held.
 func (b *Broker) place() bool {
 	live := b.options.Live()
--- a/internal/gateway/broker/reporting.go
+++ b/internal/gateway/broker/reporting.go
@@ -65,13 +65,11 @@
 		return nil, err
 	}
 
-	choice, decision := b.pool(asked.Pool).Ask(time.Now(), from, asked.Work)
-
-	return chooseAnswer{Choice: choice, Decision: decision}, nil
+	return b.answer(from, asked), nil
 }
 
 // HandleReport answers MethodReport.
-func (b *Broker) HandleReport(_ context.Context, _ string, params json.RawMessage) (any, error) {
+func (b *Broker) HandleReport(_ context.Context, from string, params json.RawMessage) (any, error) {
 	var told reportParams
 	if err := json.Unmarshal(params, &told); err != nil {
 		return nil, err
@@ -81,7 +79,7 @@
 	pools := make(map[string]bool)
 
 	for _, r := range told.Reports {
-		b.take(now, r)
+		b.take(now, from, r)
 		pools[r.Pool] = true
 	}
 
@@ -92,9 +90,11 @@
 	return struct{}{}, nil
 }
 
-func (b *Broker) take(now time.Time, r report) {
+func (b *Broker) take(now time.Time, from string, r report) {
 	if r.Grant != nil {
-		b.deliver(*r.Grant)
+		if !b.deliver(*r.Grant) && !r.Grant.Refused {
+			b.giveBack(from, r.Pool, r.ID)
+		}
 
 		return
 	}
@@ -136,6 +136,8 @@
 	b.mu.Unlock()
 
 	for _, pool := range pools {
+		// A node that nobody asks must also notice that it became a holder, and tell new holders what it runs.
+		_ = b.holdersOf(pool)
 		b.grant(now, pool)
 	}
 }
@@ -144,7 +146,9 @@
 func (b *Broker) grant(now time.Time, pool string) {
 	for _, g := range b.pool(pool).Next(now) {
 		if g.Owner == b.options.Self {
-			b.deliver(g)
+			if !b.deliver(g) && !g.Refused {
+				b.pool(pool).End(now, g.ID, balancer.Abandoned)
+			}
 
 			continue
 		}
@@ -153,18 +157,30 @@
 	}
 }
 
-// deliver hands a grant to the request that waits for it. One that gave up has told so itself.
-func (b *Broker) deliver(grant balancer.Grant) {
+// deliver hands a grant to the request that waits for it, and reports whether one does.
+func (b *Broker) deliver(grant balancer.Grant) bool {
 	b.mu.Lock()
-	granted, ok := b.waiting[grant.ID]
-	b.mu.Unlock()
+	defer b.mu.Unlock()
 
+	granted, ok := b.waiting[grant.ID]
 	if !ok {
-		return
+		// A request that runs already may be granted a second time after a change of holders.
+		_, ok = b.running[grant.ID]
+
+		return ok
 	}
 
 	select {
 	case granted <- grant:
 	default:
 	}
+
+	return true
+}
+
+// giveBack tells a holder that nobody waits for its grant any more: the request went elsewhere or ended while
+// another node held the pool. Its slot would else count as taken until the request's limit.
+func (b *Broker) giveBack(holder, pool, id string) {
+	outcome := balancer.Abandoned
+	b.out.add(holder, report{Pool: pool, ID: id, End: &outcome})
 }
--- a/internal/gateway/relayer/account.go
+++ b/internal/gateway/relayer/account.go
@@ -62,7 +62,7 @@
 		Str("request_id", request.id).
 		Str("route", request.route.Name).
 		Str("upstream", account.choice.Upstream).
-		Int("priority", request.work.Priority).
+		Int("rank", request.rank).
 		Int("sends", request.sends).
 		Dur("queued_ms", account.queued).
 		Float64("expected_ms", account.choice.Waiting).
--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -77,9 +77,16 @@
 	}
 	defer response.Close()
 
-	if r.wasRefused(response) {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		outcome = balancer.Replaced
+		r.logAttempt(request, choice, "upstream_replaced", nil)
+
+		return notRun
+	}
+
+	if response.Header.Get(r.options.Headers.NotRun) != "" {
 		outcome = balancer.Rejected
-		r.logAttempt(request, choice, "refused_by_upstream", nil)
+		r.logAttempt(request, choice, "refused_by_upstream", errors.Newf("status %d", response.StatusCode))
 
 		return notRun
 	}
@@ -140,11 +147,6 @@
 	return err
 }
 
-// wasRefused says whether the upstream's answer means that it ran nothing.
-func (r *Relayer) wasRefused(response *dialer.Response) bool {
-	return response.Header.Get(r.options.Headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
-}
-
 // outgoing returns the request as this upstream gets it.
 func (r *Relayer) outgoing(request *request, choice balancer.Choice) *dialer.Request {
 	names := &r.options.Headers
@@ -159,7 +161,7 @@
 	}
 
 	if request.work.PromptTokens > 0 {
-		header[names.Priority] = []string{strconv.Itoa(min(max(request.work.Priority, 0), 9))}
+		header[names.Priority] = []string{strconv.Itoa(request.rank)}
 	}
 
 	if request.lastEvent != "" {
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -48,6 +48,8 @@
 	// limit is when the final answer is due.
 	limit time.Time
 	work  balancer.Work
+	// rank is what engines are told.
+	rank int
 
 	// unique tells requests apart whose callers gave them the same id.
 	unique string
@@ -120,13 +122,8 @@
 		return nil, failure
 	}
 
-	priority := route.Priority
-
 	if organisation != nil {
 		accepted.organisation = organisation.Name
-		if organisation.Priority != nil {
-			priority = *organisation.Priority
-		}
 	}
 
 	if table.NeedsKey(route) || organisation != nil {
@@ -139,7 +136,8 @@
 	}
 
 	accepted.limit = arrived.Add(r.timeLimit(route, incoming))
-	accepted.work = r.work(route, priority, incoming.Header)
+	accepted.rank = table.Rank(route, organisation).Engine
+	accepted.work = r.work(route, table.Rank(route, organisation), incoming.Header)
 
 	if failure := r.readBody(w, accepted, table.Limits, incoming); failure != nil {
 		return nil, failure
@@ -206,8 +204,8 @@
 }
 
 // work describes the request to the balancer.
-func (r *Relayer) work(route *cataloguer.Route, priority int, header http.Header) balancer.Work {
-	work := balancer.Work{Priority: priority, Target: route.Target, GapLimit: route.GapLimit}
+func (r *Relayer) work(route *cataloguer.Route, rank router.Rank, header http.Header) balancer.Work {
+	work := balancer.Work{Priority: rank.Tier, Order: rank.Order, Target: route.Target, GapLimit: route.GapLimit}
 
 	prompt, output, _ := strings.Cut(header.Get(r.options.Headers.TokenCounts), ",")
 	work.PromptTokens = number(prompt)
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -27,6 +27,8 @@
 	keys map[[sha256.Size]byte]*cataloguer.Organisation
 	// keyed says that requests need a key unless their route is anonymous.
 	keyed bool
+	// organisationLevels and routeLevels are the priorities that occur, the most urgent first.
+	organisationLevels, routeLevels []int
 }
 
 // New returns the table of a configuration.
@@ -53,6 +55,8 @@
 		t.services[service.Name] = service
 	}
 
+	t.organisationLevels, t.routeLevels = levels(configuration)
+
 	for i := range configuration.Organisations {
 		for _, key := range configuration.Organisations[i].Keys {
 			t.keys[sha256.Sum256([]byte(key))] = &configuration.Organisations[i]
@@ -92,6 +96,59 @@
 	return organisation, ok
 }
 
+// Ranks is the number of ranks that engines tell apart.
+const Ranks = 10
+
+// Rank is the urgency of a request.
+type Rank struct {
+	// Tier is the place of its route's priority among those of all routes, 0 first.
+	Tier int
+	// Order is the place of its organisation's priority among those of all organisations, 0 first.
+	Order int
+	// Engine combines both for engines: from 0, the first, to Ranks-1.
+	Engine int
+}
+
+// Rank returns the urgency of a request of an organisation, which may be nil. The route's priority goes first, the
+// organisation's decides among equals. Were the organisation's put in place of the route's, or before it, engines
+// would set chats back while long drafts run on.
+func (t *Table) Rank(route *cataloguer.Route, organisation *cataloguer.Organisation) Rank {
+	// Who has no priority comes with the last of those who have.
+	orders := max(len(t.organisationLevels), 1)
+	rank := Rank{Order: orders - 1}
+
+	if organisation != nil && organisation.Priority != nil {
+		rank.Order, _ = slices.BinarySearch(t.organisationLevels, *organisation.Priority)
+	}
+
+	rank.Tier, _ = slices.BinarySearch(t.routeLevels, route.Priority)
+	rank.Engine = rank.Tier*orders + rank.Order
+
+	if total := orders * len(t.routeLevels); total > Ranks {
+		rank.Engine = rank.Engine * Ranks / total
+	}
+
+	return rank
+}
+
+// levels returns the priorities of organisations and of routes that occur, in order.
+func levels(configuration cataloguer.Configuration) (organisations, routes []int) {
+	for _, organisation := range configuration.Organisations {
+		if organisation.Priority != nil {
+			organisations = append(organisations, *organisation.Priority)
+		}
+	}
+
+	for _, route := range configuration.Routes {
+		routes = append(routes, route.Priority)
+	}
+
+	slices.Sort(organisations)
+	slices.Sort(routes)
+
+	return slices.Compact(organisations), slices.Compact(routes)
+}
+
 // Pick returns the service for a request of the route: the same one for the same
 // request id, in proportion to the weights. It returns "" for a route without services.
 func Pick(route *cataloguer.Route, requestID string) string {
--- a/internal/gateway/router/router_test.go
+++ b/internal/gateway/router/router_test.go
@@ -78,3 +78,46 @@
 	assert.Equal(t, router.Pick(route, "same"), router.Pick(route, "same"))
 	assert.Equal(t, router.Pick(&cataloguer.Route{}, "none"), "")
 }
+
+// Symptom: engines set chats back while long drafts run on.
+// Sequence: every organisation has a priority, as on all deployments; chats and drafts come from the same one.
+// Cause: the organisation's priority stood in place of the route's, so that both had the same rank.
+func TestRankGoesByRouteThenOrganisation(t *testing.T) {
+	first, second := 0, 1
+	chat, draft := cataloguer.Route{Name: "chat", Priority: 0}, cataloguer.Route{Name: "draft", Priority: 2}
+	large, small := cataloguer.Organisation{Name: "large", Priority: &first}, cataloguer.Organisation{Name: "small", Priority: &second}
+	none := cataloguer.Organisation{Name: "none"}
+	table := router.New(cataloguer.Configuration{
+		Routes:        []cataloguer.Route{chat, draft},
+		Organisations: []cataloguer.Organisation{small, large, none},
+	})
+
+	assert.Equal(t, table.Rank(&chat, &large), router.Rank{Tier: 0, Order: 0, Engine: 0})
+	assert.Equal(t, table.Rank(&chat, &small), router.Rank{Tier: 0, Order: 1, Engine: 1})
+	assert.Equal(t, table.Rank(&draft, &large), router.Rank{Tier: 1, Order: 0, Engine: 2})
+	assert.Equal(t, table.Rank(&draft, &small), router.Rank{Tier: 1, Order: 1, Engine: 3})
+	assert.Equal(t, table.Rank(&chat, &none).Engine, 1)
+	assert.Equal(t, table.Rank(&draft, nil).Engine, 3)
+}
+
+func TestRanksFitEnginesWhereThereAreMany(t *testing.T) {
+	configuration := cataloguer.Configuration{}
+
+	for i := range 6 {
+		configuration.Routes = append(configuration.Routes, cataloguer.Route{Priority: i})
+		configuration.Organisations = append(configuration.Organisations, cataloguer.Organisation{Priority: &configuration.Routes[i].Priority})
+	}
+
+	table := router.New(configuration)
+	last := 0
+
+	for i := range configuration.Routes {
+		for j := range configuration.Organisations {
+			rank := table.Rank(&configuration.Routes[i], &configuration.Organisations[j]).Engine
+			assert.Assert(t, rank >= last && rank < router.Ranks, "rank %d after %d", rank, last)
+			last = rank
+		}
+	}
+
+	assert.Equal(t, last, router.Ranks-1)
+}
