--- a/internal/gateway/balancer/division.go
+++ b/internal/gateway/balancer/division.go
@@ -23,6 +23,11 @@
 	// batchFill and batchReading are the same for the others.
 	batchFill    = 0.9
 	batchReading = 0.75
+	// refusedTime is the time in which the count of refused requests halves.
+	refusedTime = 500 * time.Millisecond
+	// residenceGain is the weight of one request in the mean time at an engine, leastResidence its least value in seconds.
+	residenceGain  = 0.02
+	leastResidence = 0.005
 	// demandTime is the time constant of the measured demand.
 	demandTime = 2 * time.Second
 	// divideInterval is the time between two divisions. Engines that change sides lose their cached parts' use.
@@ -51,6 +56,36 @@
 	// reading is the prompt work of the last demandTime in milliseconds, as of readingAt.
 	reading   float64
 	readingAt time.Time
+	// granted counts requests that got an upstream, forgotten with grantTime, as of grantedAt.
+	granted   float64
+	grantedAt time.Time
+	// refused counts requests that were refused, forgotten with refusedTime, as of refusedAt: they ask for engines
+	// as those do that wait.
+	refused   float64
+	refusedAt time.Time
+	// residence is the mean time in seconds that a request spends at an engine; 0 before the first has ended.
+	residence float64
+}
+
+func (d *demand) refuse(now time.Time) {
+	d.refused = decayed(d.refused, now.Sub(d.refusedAt), refusedTime) + 1
+	d.refusedAt = now
+}
+
+// stayed takes in the time that a request spent at an engine.
+func (d *demand) stayed(seconds float64) {
+	if d.residence == 0 {
+		d.residence = seconds
+
+		return
+	}
+
+	d.residence += residenceGain * (seconds - d.residence)
+}
+
+func (d *demand) grant(now time.Time) {
+	d.granted = decayed(d.granted, now.Sub(d.grantedAt), grantTime) + 1
+	d.grantedAt = now
 }
 
 // readingRate is the number of engines that would do nothing but read the group's prompts.
@@ -68,7 +103,8 @@
 
 // engines is the number of engines that the group needs.
 func (d *demand) engines(now time.Time, slots int, fill, reading float64) int {
-	bySlots := float64(d.running+d.waiting) / (fill * float64(max(slots, 1)))
+	asking := float64(d.running+d.waiting) + decayed(d.refused, now.Sub(d.refusedAt), refusedTime)
+	bySlots := asking / (fill * float64(max(slots, 1)))
 	byReading := d.readingRate(now) / reading
 
 	return int(math.Ceil(max(bySlots, byReading)))
--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -20,6 +20,8 @@
 	gatherPrice = 0.1
 	// otherSidePrice is the loss of an interactive request on an engine that always has prompts to read.
 	otherSidePrice = 0.5
+	// waitingPart is the part of the loss at a server with room that a busy one must stay under to be waited for.
+	waitingPart = 0.4
 	// fullPrice is the loss of waiting at a server whose batch is full.
 	fullPrice = 2.0
 	// plainQueue is how many calls may wait at a plain server in addition to its slots.
@@ -70,9 +72,6 @@
 	// demands holds what each group asks for; divided says that the engines are assigned to groups, as of dividedAt.
 	demands [groupCount]demand
 	divided bool
-	// granted counts requests that got an upstream, forgotten with grantTime, as of grantedAt.
-	granted   float64
-	grantedAt time.Time
 	// pressed says that the demand is near what the engines can do, and was so last at pressedAt.
 	pressed   bool
 	pressedAt time.Time
@@ -117,25 +116,33 @@
 	var (
 		best     *server
 		bestLoss = math.Inf(1)
+		// busyLoss is the least loss at a server that has room but enough prompts to read for now.
+		busyLoss = math.Inf(1)
 	)
 
 	for _, s := range p.servers {
-		if !p.admits(s, &work) || !p.takes(now, s, &work) {
+		if !p.admits(s, &work) || !p.hasRoom(now, s, &work) {
 			continue
 		}
 
-		if loss := p.loss(now, s, &work); loss < bestLoss {
+		loss := p.loss(now, s, &work)
+
+		switch {
+		case p.isBusy(now, s, &work):
+			busyLoss = min(busyLoss, loss)
+		case loss < bestLoss:
 			best, bestLoss = s, loss
 		}
 	}
 
-	if best == nil {
+	// Rather than to an engine with chats, or to one that would read its session anew, the request waits for the
+	// other one, which is no later than if it waited there.
+	if best == nil || busyLoss < waitingPart*bestLoss {
 		return Choice{}, false
 	}
 
 	r := p.begin(now, best, work)
-	p.granted = decayed(p.granted, now.Sub(p.grantedAt), grantTime) + 1
-	p.grantedAt = now
+	p.demands[r.group].grant(now)
 
 	return Choice{Upstream: best.ID, Address: best.Address, Loss: bestLoss, Waiting: r.expected}, true
 }
@@ -218,6 +225,7 @@
 
 	if outcome == Served {
 		r.server.answered(r, now)
+		p.demands[r.group].stayed(now.Sub(r.at).Seconds())
 	}
 
 	r.server.remove(r, outcome, now)
@@ -246,8 +254,24 @@
 	return !s.Draining && !now.Before(s.unreachableUntil)
 }
 
-// takes says whether the server may get the request at all.
+// takes says whether the server may get the request now.
 func (p *Pool) takes(now time.Time, s *server, work *Work) bool {
+	return p.hasRoom(now, s, work) && !p.isBusy(now, s, work)
+}
+
+// isBusy says whether as many prompts wait at the engine as it needs for the next moments.
+func (p *Pool) isBusy(now time.Time, s *server, work *Work) bool {
+	if s.engine.CacheTokens == 0 || work.Overdue {
+		return false
+	}
+
+	backlog := s.waitingWork(now)
+
+	return backlog > 0 && backlog+s.reading(work) > s.mostBacklog(work.Priority)
+}
+
+// hasRoom says whether the server has a place and memory for the request.
+func (p *Pool) hasRoom(now time.Time, s *server, work *Work) bool {
 	if !s.usable(now) || slices.Contains(work.Excluded, s.ID) {
 		return false
 	}
@@ -256,10 +280,6 @@
 		return len(s.running) < s.Slots+plainQueue
 	}
 
-	if backlog := s.waitingWork(now); p.pressed && !work.Overdue && backlog > 0 && backlog+s.reading(work) > s.mostBacklog(work.Priority) {
-		return false
-	}
-
 	foreign := s.foreignNow(now)
 	tokens := float64(s.tokens+work.tokens()) + foreign*s.meanTokens
 
--- a/internal/gateway/balancer/queue.go
+++ b/internal/gateway/balancer/queue.go
@@ -23,12 +23,16 @@
 	// lateQueue is the number of late requests that may go on waiting, in seconds of what the pool grants.
 	// They are worth serving once the burst is over; more of them would only wait for their refusal.
 	lateQueue = 0.7
+	// patiencePart is the part of its time that a request which can't meet its target may wait.
+	patiencePart = 0.15
 	// sortInterval is the longest time for which the order of a queue without room is left as it is.
 	sortInterval = 20 * time.Millisecond
 	// grantTime is the time constant of the measured grants.
 	grantTime = 2 * time.Second
-	// overduePart is the part of its time after which a request doesn't wait for the right server any more.
-	overduePart = 0.25
+	// mostDeclined bounds the work of one look for room: a choice looks at all servers.
+	mostDeclined = 8
+	// overduePart is the part of its patience after which a request doesn't wait for the right server any more.
+	overduePart = 0.5
 	// matchWindow is the number of waiting requests among which room is given, and matchRank how much further
 	// back in rank than the first of them one may be: two thirds of agingTime.
 	matchWindow = 64
@@ -62,7 +66,8 @@
 	work  Work
 	owner string
 	since time.Time
-	until time.Time
+	// until is when it is refused, deadline when its time is over if it gets room before.
+	until, deadline time.Time
 	// place is the rank as of the last sorting.
 	place float64
 }
@@ -115,7 +120,13 @@
 		}
 	}
 
-	q := &queued{work: work, owner: owner, since: now, until: now.Add(work.Limit)}
+	if wait, ok := p.prospect(now, &work); !ok {
+		p.demands[p.groupOf(&work)].refuse(now)
+
+		return Choice{Waiting: milliseconds(wait)}, Refused
+	}
+
+	q := &queued{work: work, owner: owner, since: now, until: now.Add(patience(&work)), deadline: now.Add(work.Limit)}
 	q.place = q.rank(now)
 	p.queue = append(p.queue, q)
 	p.queuedIDs[work.ID] = true
@@ -123,6 +134,78 @@
 	return Choice{}, Queued
 }
 
+// prospect says whether a request that has to wait may join the queue, and else how long the queue takes to drain. It
+// may while it can get room early enough for its target, or while few of those that can't are waiting.
+//
+// Under overload it would else wait until it is late, only to be refused for the room that there isn't. Refused at
+// once, its caller can go elsewhere or come back when the queue is shorter.
+func (p *Pool) prospect(now time.Time, work *Work) (time.Duration, bool) {
+	if work.Target == 0 {
+		return 0, true
+	}
+
+	rank, own := baseRank(work), p.groupOf(work)
+	ahead, waiting := 0, 0
+
+	for _, q := range p.queue {
+		if p.divided && p.groupOf(&q.work) != own {
+			continue
+		}
+
+		waiting++
+
+		if q.place <= rank && !q.late(now) {
+			ahead++
+		}
+	}
+
+	rate, known := p.serviceRate(now, own)
+	if !known {
+		return 0, true
+	}
+
+	inTime := lateWait * work.Target.Seconds() * rate
+	if float64(ahead) <= inTime || float64(waiting) <= patience(work).Seconds()*rate {
+		return 0, true
+	}
+
+	return time.Duration(float64(waiting) / max(rate, 1) * float64(time.Second)), false
+}
+
+// patience is how long the request may wait: as long as it can meet its target, or else for a small part of its time. One
+// that waits for longer is hardly ever served and learns late that it won't be; refused early, its caller may come
+// back in time.
+func patience(work *Work) time.Duration {
+	if work.Target == 0 {
+		return work.Limit
+	}
+
+	return time.Duration(max(lateWait*float64(work.Target), patiencePart*float64(work.Limit)))
+}
+
+// serviceRate is the number of requests that can get room in a second: what the pool grants, or what its running requests
+// amount to if that is more, since little is granted while little is asked for. It isn't known before any has ended.
+func (p *Pool) serviceRate(now time.Time, own group) (float64, bool) {
+	rate, known := 0.0, false
+
+	for g := range groupCount {
+		if p.divided && g != own {
+			continue
+		}
+
+		d := &p.demands[g]
+		known = known || d.residence > 0
+		rate += max(p.groupRate(now, g), float64(d.running)/max(d.residence, leastResidence))
+	}
+
+	return rate, known
+}
+
+// mostLate is the number of late requests that may wait while so many requests get room in a second.
+func (p *Pool) mostLate(rate float64) int {
+	return int(lateQueue*rate) + len(p.servers)
+}
+
 // mayEver says whether any server may get the request once it has room.
 func (p *Pool) mayEver(now time.Time, work *Work) bool {
 	return slices.ContainsFunc(p.servers, func(s *server) bool {
@@ -159,20 +242,27 @@
 	p.sort(now)
 	grants := p.shed(now)
 
-	for {
-		q, ok := p.nextMatch(now)
+	// declined are the requests that wait for a better server than those that have room.
+	declined := make(map[*queued]bool)
+
+	for len(declined) < mostDeclined {
+		q, ok := p.nextMatch(now, declined)
 		if !ok {
 			return grants
 		}
 
 		choice, ok := p.choose(now, q.work)
 		if !ok {
-			return grants
+			declined[q] = true
+
+			continue
 		}
 
 		p.unqueue(q.work.ID)
 		grants = append(grants, Grant{ID: q.work.ID, Owner: q.owner, Choice: choice})
 	}
+
+	return grants
 }
 
 // sort puts the queue in order of rank.
@@ -210,7 +300,7 @@
 		}
 	}
 
-	excess := late - int(lateQueue*p.grantRate(now)) - len(p.servers)
+	excess := late - p.mostLate(p.grantRate(now))
 
 	var refused []Grant
 
@@ -237,7 +327,14 @@
 
 // grantRate is the number of requests that got an upstream in a second, as of late.
 func (p *Pool) grantRate(now time.Time) float64 {
-	return decayed(p.granted, now.Sub(p.grantedAt), grantTime) * math.Ln2 / grantTime.Seconds()
+	return p.groupRate(now, interactive) + p.groupRate(now, batch)
+}
+
+// groupRate is the same for the requests of one group.
+func (p *Pool) groupRate(now time.Time, g group) float64 {
+	d := &p.demands[g]
+
+	return decayed(d.granted, now.Sub(d.grantedAt), grantTime) * math.Ln2 / grantTime.Seconds()
 }
 
 // nextMatch returns the request that is to get the room that there is: of those with the priority of the
@@ -245,7 +342,7 @@
 //
 // Under overload the room is always at one server only. Taken strictly in turn, a request would hardly
 // ever meet the server that has read its session before.
-func (p *Pool) nextMatch(now time.Time) (*queued, bool) {
+func (p *Pool) nextMatch(now time.Time, declined map[*queued]bool) (*queued, bool) {
 	var (
 		head, best *queued
 		// least is what the best request's prompt takes, seen the number of requests that had room.
@@ -259,6 +356,10 @@
 	}
 
 	for _, q := range p.queue {
+		if declined[q] {
+			continue
+		}
+
 		// Only requests of the first one's priority compete with it.
 		if head != nil && q.work.Priority != head.work.Priority {
 			continue
@@ -268,7 +369,7 @@
 			break
 		}
 
-		q.work.Limit = q.until.Sub(now)
+		q.work.Limit = q.deadline.Sub(now)
 		q.work.Overdue = now.Sub(q.since) > time.Duration(float64(q.until.Sub(q.since))*overduePart)
 
 		reading, ok := p.leastReading(now, open, &q.work)
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -84,6 +84,11 @@
 	sensitivity float64
 }
 
+// overdue is how much longer than expected the request has waited for its first event, in milliseconds; negative before.
+func (r *sent) overdue(now time.Time) float64 {
+	return milliseconds(now.Sub(r.at)) - overdueFactor*r.expected - overdueSlack
+}
+
 // server is what the pool knows of one upstream.
 type server struct {
 	Upstream
@@ -249,7 +254,7 @@
 			continue
 		}
 
-		worst = max(worst, milliseconds(now.Sub(r.at))-overdueFactor*r.expected-overdueSlack)
+		worst = max(worst, r.overdue(now))
 	}
 
 	return min(worst, mostOverdue)
@@ -282,11 +287,12 @@
 	s.answeredAt = now
 	s.backlog = max(0, s.backlog-r.reading)
 	s.learn(now, milliseconds(now.Sub(r.at))/max(r.expected/r.speed, 1))
-	s.overtake(r)
+	s.overtake(r, now)
 }
 
-// overtake takes requests for lost that several later ones went before: their prompts aren't waiting to be read.
-func (s *server) overtake(answered *sent) {
+// overtake takes requests for lost that several later ones went before, or one when they are overdue: their prompts
+// aren't waiting to be read.
+func (s *server) overtake(answered *sent, now time.Time) {
 	for _, r := range s.running {
 		if r.answering || !r.at.Before(answered.at) || r.work.Priority > answered.work.Priority {
 			continue
@@ -294,7 +300,7 @@
 
 		r.overtaken++
 
-		if r.overtaken == overtakers {
+		if r.overtaken >= overtakers || r.overdue(now) > 0 {
 			s.backlog = max(0, s.backlog-r.reading)
 			r.reading = 0
 		}
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -56,6 +56,8 @@
 	// sends counts attempts, runs those that may have run.
 	sends, runs int
 	excluded    []string
+	// queueAhead is how long the queue that refused the request takes to drain.
+	queueAhead time.Duration
 	// lastEvent is the id of the last event that the caller has; empty before the first.
 	lastEvent string
 }
@@ -74,13 +76,14 @@
 	return max(leastPatience, 3*r.route.Target)
 }
 
-// comeBack is when a request that found no upstream should come again: after as long as it had to wait, so
-// that callers return more slowly the longer the queue is, but early enough for its caller to do it.
+// comeBack is when a request that found no upstream should come again: when the queue that it met is through, or
+// after as long as it had to wait, so that callers return more slowly the longer the queue is, but early enough
+// for its caller to do it.
 func (r *request) comeBack() time.Duration {
-	waited := time.Since(r.arrived)
+	wait := max(time.Since(r.arrived), r.queueAhead)
 	most := time.Duration(comeBackPart * float64(time.Until(r.limit)))
 
-	return max(min(later()+waited, most), comeBackSoon)
+	return max(min(later()+wait, most), comeBackSoon)
 }
 
 // accept reads the request and checks that it may run.
