--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -21,7 +21,7 @@
 	// otherSidePrice is the loss of an interactive request on an engine that always has prompts to read.
 	otherSidePrice = 0.5
 	// waitingPart is the part of the loss at a server with room that a busy one must stay under to be waited for.
-	waitingPart = 0.4
+	waitingPart = 0.7
 	// fullPrice is the loss of waiting at a server whose batch is full.
 	fullPrice = 2.0
 	// plainQueue is how many calls may wait at a plain server in addition to its slots.
--- a/internal/gateway/relayer/body_test.go
+++ b/internal/gateway/relayer/body_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -47,17 +48,7 @@
 	w := startWorld(t, 10, 1000)
 	w.add(answers(http.StatusOK, "ran"))
 
-	slow := w.open("20000")
-
-	for status := 0; status != http.StatusServiceUnavailable; {
-		response, _, err := w.send("/price/1", func(r *http.Request) {
-			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 200))), 200
-		})
-		assert.NilError(t, err)
-
-		// The node may not have begun to read the first one yet.
-		status = response.StatusCode
-	}
+	slow := w.slowBeside(200)
 
 	_, err := io.WriteString(slow, strings.Repeat("x", 895))
 	assert.NilError(t, err)
@@ -74,3 +65,34 @@
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 }
+
+// slowBeside returns a connection whose slow body leaves no room for another one of so many bytes.
+func (w *world) slowBeside(bytes int) net.Conn {
+	w.t.Helper()
+
+	for range 1000 {
+		slow := w.open("20000")
+		for w.relayer.InFlight() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+
+		response, _, err := w.send("/price/1", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", bytes))), int64(bytes)
+		})
+		assert.NilError(w.t, err)
+
+		if response.StatusCode == http.StatusServiceUnavailable {
+			return slow
+		}
+
+		// The short one was counted before the slow one, which found no room then.
+		assert.NilError(w.t, slow.Close())
+		for w.relayer.InFlight() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+
+	w.t.Fatal("a body found room beside one that takes nearly all")
+
+	return nil
+}
--- a/internal/gateway/relayer/refusal.go
+++ b/internal/gateway/relayer/refusal.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"quincepath.example/quincepath/pkg/classifier"
 )
@@ -47,7 +48,9 @@
 	}
 
 	if request != nil {
-		event = event.Str("route", request.route.Name).Int("sends", request.sends).Int("runs", request.runs)
+		event = event.Str("route", request.route.Name).Str("service", request.service).Int("rank", request.rank).
+			Int("sends", request.sends).Int("runs", request.runs).Strs("excluded", request.excluded).
+			Dur("age_ms", time.Since(request.arrived)).Dur("queue_ms", request.queueAhead)
 	}
 
 	event.Msg("request_refused")
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -176,7 +176,8 @@
 	choice, ok := r.options.Chooser.Choose(ctx, request.service, work)
 	if !ok {
 		request.queueAhead = time.Duration(choice.Waiting * float64(time.Millisecond))
-		r.options.Logger.Info().Str("request_id", request.id).Str("service", request.service).
+		// The final answer has a line of its own; under overload two for each refusal would double the log.
+		r.options.Logger.Debug().Str("request_id", request.id).Str("service", request.service).
 			Strs("excluded", request.excluded).Float64("queue_ms", choice.Waiting).Msg("no_upstream")
 
 		return choice, false
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -55,6 +55,7 @@
 	t         *testing.T
 	upstreams []*upstream
 	server    *httptest.Server
+	relayer   *relayer.Relayer
 	catalog   *cataloguer.Catalog
 	now       time.Duration
 	leaving   time.Duration
@@ -85,6 +86,7 @@
 		KeyFreshness: func() time.Duration { return 4 * time.Second }, Leaving: func() time.Duration { return w.leaving }, LastRequests: time.Second,
 		BodyMemory: w.bodies, Meter: meter.New(), Attempts: new(expvar.Map), Logger: zerolog.Nop(),
 	})
+	w.relayer = handler
 	w.server = httptest.NewServer(handler)
 	t.Cleanup(w.server.Close)
 
