--- a/internal/gateway/dialer/dialer.go
+++ b/internal/gateway/dialer/dialer.go
@@ -44,6 +44,8 @@
 var (
 	// ErrNotSent marks failures before any byte of the request can have left.
 	ErrNotSent = errors.New("the request was not sent")
+	// ErrFull says that this process has as many connections as it may, and all are in use.
+	ErrFull = errors.New("all connections to upstreams are in use")
 	// ErrBroken marks failures after which the request may have run.
 	ErrBroken = errors.New("the connection to the upstream broke")
 )
@@ -60,9 +62,13 @@
 // Lock order: Dialer.mu alone; it is not held during input or output.
 type Dialer struct {
 	dial net.Dialer
+	// most is the largest number of connections, those that are being made included.
+	most int
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// open counts connections; at most that many.
+	open int
 	// opened counts connections made, reused those used again.
 	opened, reused int64
 }
@@ -72,18 +78,29 @@
 	Opened int64 `json:"opened"`
 	Reused int64 `json:"reused"`
 	Idle   int64 `json:"idle"`
+	Open   int64 `json:"open"`
 }
 
 type conn struct {
 	net.Conn
+	dialer *Dialer
+	closed sync.Once
 	reader *bufio.Reader
 	// until is when the upstream may close the idle connection.
 	until time.Time
 }
 
-// New returns a dialer without connections.
-func New() *Dialer {
+// Close implements net.Conn and frees the connection's place.
+func (c *conn) Close() error {
+	c.closed.Do(c.dialer.release)
+
+	return c.Conn.Close()
+}
+
+// New returns a dialer without connections. It makes so many at most.
+func New(most int) *Dialer {
 	return &Dialer{
+		most: most,
 		dial: net.Dialer{
 			Timeout: dialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{
@@ -103,7 +120,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	counters := Counters{Opened: d.opened, Reused: d.reused}
+	counters := Counters{Opened: d.opened, Reused: d.reused, Open: int64(d.open)}
 	for _, kept := range d.idle {
 		counters.Idle += int64(len(kept))
 	}
@@ -194,8 +211,14 @@
 		_ = kept.Close()
 	}
 
+	if !d.reserve() {
+		return nil, ErrFull
+	}
+
 	raw, err := d.dial.DialContext(ctx, "tcp", target.Address)
 	if err != nil {
+		d.release()
+
 		return nil, errors.Wrapf(err, "connect to upstream %s", target.ID)
 	}
 
@@ -203,7 +226,49 @@
 	d.opened++
 	d.mu.Unlock()
 
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	return &conn{Conn: raw, dialer: d, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+// reserve takes the place of a new connection; where there is none left, an idle one makes room. Without a bound
+// a process that runs out of descriptors could reach neither its peers nor the store.
+func (d *Dialer) reserve() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if d.open >= d.most && !d.closeIdle() {
+		return false
+	}
+
+	d.open++
+
+	return true
+}
+
+// closeIdle gives up one idle connection and its place; d.mu is held.
+func (d *Dialer) closeIdle() bool {
+	for id, kept := range d.idle {
+		if len(kept) == 0 {
+			continue
+		}
+
+		victim := kept[0]
+		d.idle[id] = kept[1:]
+		d.open--
+		victim.closed.Do(func() {})
+
+		go func() { _ = victim.Conn.Close() }()
+
+		return true
+	}
+
+	return false
+}
+
+func (d *Dialer) release() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.open--
 }
 
 func (d *Dialer) take(id string) *conn {
--- a/internal/gateway/dialer/dialer_test.go
+++ b/internal/gateway/dialer/dialer_test.go
@@ -105,7 +105,7 @@
 
 func TestConnectionsAreKept(t *testing.T) {
 	s := serve(t, func(r *http.Request, _ int) (string, bool) { return reply(r.Header.Get(idHeader), r.RequestURI), false })
-	d := dialer.New()
+	d := dialer.New(1000)
 
 	for i := range 5 {
 		body, err := exchange(d, s, get(fmt.Sprint(i)))
@@ -114,7 +114,7 @@
 	}
 
 	assert.Equal(t, s.connections.Load(), int64(1))
-	assert.DeepEqual(t, d.Counters(), dialer.Counters{Opened: 1, Reused: 4, Idle: 1})
+	assert.DeepEqual(t, d.Counters(), dialer.Counters{Opened: 1, Reused: 4, Idle: 1, Open: 1})
 	d.Sweep(func(string) bool { return false })
 	assert.Equal(t, d.Counters().Idle, int64(0))
 }
@@ -131,7 +131,7 @@
 
 		return text, false
 	})
-	d := dialer.New()
+	d := dialer.New(1000)
 
 	_, err := exchange(d, s, get("one"))
 	assert.NilError(t, err)
@@ -148,7 +148,7 @@
 
 		return text + text, false
 	})
-	d := dialer.New()
+	d := dialer.New(1000)
 
 	for i := range 3 {
 		body, err := exchange(d, s, get(fmt.Sprint(i)))
@@ -170,7 +170,7 @@
 
 		return reply(r.Header.Get(idHeader), "x"), false
 	})
-	d := dialer.New()
+	d := dialer.New(1000)
 
 	_, err := exchange(d, s, get("one"))
 	assert.NilError(t, err)
@@ -184,7 +184,7 @@
 // Cause: the answer's end was taken for the end of the exchange.
 func TestConnectionOfAnEarlyAnswerIsNotUsedAgain(t *testing.T) {
 	s := serve(t, func(r *http.Request, _ int) (string, bool) { return reply(r.Header.Get(idHeader), "early"), false })
-	d := dialer.New()
+	d := dialer.New(1000)
 
 	hold := make(chan struct{})
 	s.hold.Store(&hold)
@@ -207,7 +207,7 @@
 		return reply(r.Header.Get(idHeader), "whole answer")[:65], true
 	})
 
-	_, err := exchange(dialer.New(), s, get("one"))
+	_, err := exchange(dialer.New(1000), s, get("one"))
 	assert.Assert(t, err != nil)
 }
 
@@ -216,7 +216,7 @@
 	assert.NilError(t, err)
 	assert.NilError(t, listener.Close())
 
-	_, err = exchange(dialer.New(), &script{address: listener.Addr().String()}, get("one"))
+	_, err = exchange(dialer.New(1000), &script{address: listener.Addr().String()}, get("one"))
 	assert.Assert(t, errors.Is(err, dialer.ErrNotSent))
 }
 
@@ -243,7 +243,37 @@
 		close(gone)
 	}()
 
-	_, err = dialer.New().Exchange(ctx, dialer.Target{ID: "u", Address: listener.Addr().String()}, get("one"))
+	_, err = dialer.New(1000).Exchange(ctx, dialer.Target{ID: "u", Address: listener.Addr().String()}, get("one"))
 	assert.Assert(t, errors.Is(err, dialer.ErrBroken))
 	<-gone
 }
+
+// Symptom: a node under load reaches neither its peers nor the store.
+// Sequence: it opens a connection for each request that waits at slow upstreams, until it has no descriptor left.
+// Cause: nothing bounded its connections. An idle one makes room; else the request is told that it was not sent.
+func TestConnectionsAreBounded(t *testing.T) {
+	answer := func(request *http.Request, _ int) (string, bool) {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", idHeader, request.Header.Get(idHeader)), false
+	}
+	first, second := serve(t, answer), serve(t, answer)
+	d := dialer.New(1)
+
+	response, err := d.Exchange(context.Background(), dialer.Target{ID: "first", Address: first.address}, get("one"))
+	assert.NilError(t, err)
+
+	_, err = d.Exchange(context.Background(), dialer.Target{ID: "second", Address: second.address}, get("two"))
+	assert.Assert(t, errors.Is(err, dialer.ErrFull))
+	assert.Assert(t, errors.Is(err, dialer.ErrNotSent))
+
+	_, err = io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	response.Close()
+	assert.Equal(t, d.Counters().Idle, int64(1))
+
+	response, err = d.Exchange(context.Background(), dialer.Target{ID: "second", Address: second.address}, get("three"))
+	assert.NilError(t, err)
+	assert.Equal(t, d.Counters().Open, int64(1))
+	assert.Equal(t, d.Counters().Idle, int64(0))
+	response.Close()
+	assert.Equal(t, d.Counters().Open, int64(0))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,7 +116,7 @@
 		protocol: protocol,
 		logger:   logger,
 		catalog:  cataloguer.New(sinceBoot),
-		dialer:   dialer.New(),
+		dialer:   dialer.New(mostConnections(settings.Gateway.Descriptors)),
 		meter:    meter.New(),
 		attempts: new(expvar.Map),
 	}
@@ -128,7 +128,7 @@
 		Window: settings.Gateway.RetryWindow,
 		Nodes:  n.known,
 	})
-	n.acceptor = acceptor.New(mostCallers(settings.Gateway.Descriptors), n.callerTimes)
+	n.acceptor = acceptor.New(mostConnections(settings.Gateway.Descriptors), n.callerTimes)
 	n.prober = n.newProber()
 	n.messages = messenger.New(messenger.Options{
 		Self:       settings.Node.PeerListen,
--- a/internal/gateway/listening.go
+++ b/internal/gateway/listening.go
@@ -18,7 +18,7 @@
 	// when it is whole.
 	maxHeaderBytes = 1 << 20
 	// reservedDescriptors are kept for files, the store, peers and questions for entries, and callersPart
-	// is the part of the others that callers' connections may take. The rest is for upstreams: a request
+	// is the part of the others that callers' connections may take. Upstreams may take as many: a request
 	// that runs takes one of each.
 	reservedDescriptors = 400
 	callersPart         = 0.5
@@ -83,8 +83,9 @@
 	return order, failed, nil
 }
 
-// mostCallers is the number of callers' connections that a process with so many descriptors takes.
-func mostCallers(descriptors int) int {
+// mostConnections is the number of connections that callers may have to a process with so many descriptors, and
+// that it may have to upstreams.
+func mostConnections(descriptors int) int {
 	if descriptors == 0 {
 		descriptors = defaultDescriptors
 	}
--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -100,7 +100,8 @@
 // failed judges an exchange without an answer.
 func (r *Relayer) failed(ctx context.Context, request *request, choice balancer.Choice, err error, outcome *balancer.Outcome) verdict {
 	if errors.Is(err, dialer.ErrNotSent) {
-		if ctx.Err() == nil {
+		// That this node has no connection left says nothing of the upstream.
+		if ctx.Err() == nil && !errors.Is(err, dialer.ErrFull) {
 			*outcome = balancer.Unreachable
 		}
 
