--- a/internal/gateway/balancer/overload_test.go
+++ b/internal/gateway/balancer/overload_test.go
@@ -224,3 +224,20 @@
 	_, decision := p.Ask(at(1002*time.Millisecond), "node", chat("chat"))
 	assert.Equal(t, decision, balancer.Queued)
 }
+
+// Symptom: under overload the longest prompts are refused though shorter ones that came later are served.
+// Sequence: engines always have some work waiting; each time that there is room for a usual prompt, one takes it.
+// Cause: only an engine with nothing to read took a prompt that is longer than what may wait there.
+func TestLongPromptsAreNotPassedForever(t *testing.T) {
+	p := engines(1, 16)
+	small := balancer.Work{ID: "first", Priority: notesPriority, PromptTokens: 4000, Limit: 6 * time.Second, Target: 800 * time.Millisecond}
+	granted(t, p, at(0), small)
+
+	// 36 ms wait at the engine, of 130 that may; this one takes 270.
+	long := balancer.Work{ID: "long", Priority: notesPriority, PromptTokens: 30_000, Limit: 6 * time.Second, Target: 800 * time.Millisecond}
+	granted(t, p, at(time.Millisecond), long)
+
+	small.ID = "second"
+	_, decision := p.Ask(at(2*time.Millisecond), "node", small)
+	assert.Equal(t, decision, balancer.Queued)
+}
--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -244,9 +244,10 @@
 		return false
 	}
 
-	backlog := s.waitingWork(now)
+	backlog, most := s.waitingWork(now), s.mostBacklog(work.Priority)
 
-	return backlog > 0 && backlog+s.reading(work) > s.mostBacklog(work.Priority)
+	// A prompt longer than that would wait for an engine without any, and always be passed by shorter ones.
+	return backlog > 0 && backlog+min(s.reading(work), most/2) > most
 }
 
 // hasRoom says whether the server has a place and memory for the request.
