--- a/internal/gateway/balancer/matching.go
+++ b/internal/gateway/balancer/matching.go
@@ -7,12 +7,12 @@
 
 const (
 	// mostDeclined bounds the work of one look for room: a choice looks at all servers.
-	mostDeclined = 8
+	mostDeclined = 2
 	// overduePart is the part of its patience after which a request doesn't wait for the right server any more.
 	overduePart = 0.5
 	// matchWindow is the number of waiting requests among which room is given, and matchRank how much further
 	// back in rank than the first of them one may be: two thirds of agingTime.
-	matchWindow = 128
+	matchWindow = 64
 	matchRank   = 0.67
 )
 
--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -8,6 +8,8 @@
 )
 
 const (
+	// longPart is the part of what may wait at an engine that a longer prompt counts for.
+	longPart = 0.7
 	// waitingPart is the part of the loss at a server with room that a busy one must stay under to be waited for.
 	waitingPart = 0.7
 	// plainQueue is how many calls may wait at a plain server in addition to its slots.
@@ -46,7 +48,7 @@
 	// queue holds the requests that wait for room.
 	queue []*queued
 	// queuedIDs are the ids of the requests in queue, which was last sorted at sortedAt.
-	queuedIDs map[string]bool
+	queuedIDs map[string]*queued
 	sortedAt  time.Time
 	// demands holds what each group asks for; divided says that the engines are assigned to groups, as of dividedAt.
 	demands [groupCount]demand
@@ -61,7 +63,7 @@
 
 // NewPool returns a pool without upstreams.
 func NewPool() *Pool {
-	return &Pool{requests: make(map[string]*sent), queuedIDs: make(map[string]bool)}
+	return &Pool{requests: make(map[string]*sent), queuedIDs: make(map[string]*queued)}
 }
 
 // SetUpstreams takes in the upstreams that exist now. What is known of those that stay is kept.
@@ -247,7 +249,7 @@
 	backlog, most := s.waitingWork(now), s.mostBacklog(work.Priority)
 
 	// A prompt longer than that would wait for an engine without any, and always be passed by shorter ones.
-	return backlog > 0 && backlog+min(s.reading(work), most/2) > most
+	return backlog > 0 && backlog+min(s.reading(work), longPart*most) > most
 }
 
 // hasRoom says whether the server has a place and memory for the request.
--- a/internal/gateway/balancer/queue.go
+++ b/internal/gateway/balancer/queue.go
@@ -21,6 +21,8 @@
 	mostOrderRank = 0.9
 	// sortInterval is the longest time for which the order of a queue without room is left as it is.
 	sortInterval = 20 * time.Millisecond
+	// resortInterval is the same while there is room.
+	resortInterval = 4 * time.Millisecond
 )
 
 // Decision is what became of a request that asked for an upstream.
@@ -90,7 +92,7 @@
 		return Choice{Upstream: r.server.ID, Address: r.server.Address, Waiting: r.expected}, Granted
 	}
 
-	if p.queuedIDs[work.ID] {
+	if p.queuedIDs[work.ID] != nil {
 		return Choice{}, Queued
 	}
 
@@ -113,7 +115,7 @@
 	q := &queued{work: work, owner: owner, since: now, until: now.Add(patience(&work)), deadline: now.Add(work.Limit)}
 	q.place = q.rank(now)
 	p.queue = append(p.queue, q)
-	p.queuedIDs[work.ID] = true
+	p.queuedIDs[work.ID] = q
 
 	return Choice{}, Queued
 }
@@ -131,12 +133,17 @@
 	p.divide(now)
 
 	// Most calls find no room; sorting the queue each time would take up the holder's processor.
-	if len(p.open(now)) == 0 && now.Sub(p.sortedAt) < sortInterval {
+	hasRoom := len(p.open(now)) > 0
+	if !hasRoom && now.Sub(p.sortedAt) < sortInterval {
 		return nil
 	}
 
-	p.sort(now)
-	grants := p.shed(now)
+	var grants []Grant
+
+	if now.Sub(p.sortedAt) >= resortInterval {
+		p.sort(now)
+		grants = p.shed(now)
+	}
 
 	// declined are the requests that wait for a better server than those that have room.
 	declined := make(map[*queued]bool)
@@ -182,10 +189,13 @@
 
 // unqueue drops a request from the queue; p.mu is held.
 func (p *Pool) unqueue(id string) {
-	if !p.queuedIDs[id] {
+	q, ok := p.queuedIDs[id]
+	if !ok {
 		return
 	}
 
 	delete(p.queuedIDs, id)
-	p.queue = slices.DeleteFunc(p.queue, func(q *queued) bool { return q.work.ID == id })
+
+	i := slices.Index(p.queue, q)
+	p.queue = slices.Delete(p.queue, i, i+1)
 }
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -151,6 +151,11 @@
 }
 
 func decayed(value float64, since, halfLife time.Duration) float64 {
+	// Most counts are 0, and holders ask for them thousands of times a second.
+	if value == 0 {
+		return 0
+	}
+
 	return value * math.Exp2(-since.Seconds()/halfLife.Seconds())
 }
 
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -45,6 +45,9 @@
 	warmUp = 2500 * time.Millisecond
 	// holders is the number of nodes that know a pool: the one that decides and its standby.
 	holders = 2
+	// holderCandidates is the number of nodes among which the holder of a pool is found. Holders are few
+	// beside nodes, so one of them nearly always holds less than its part.
+	holderCandidates = 8
 )
 
 // Methods between nodes.
@@ -170,6 +173,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
+	if len(b.layouts[service].ends) != len(l.ends) {
+		clear(b.holders)
+	}
+
 	b.layouts[service] = l
 }
 
--- a/internal/gateway/broker/broker_test.go
+++ b/internal/gateway/broker/broker_test.go
@@ -389,3 +389,36 @@
 		assert.Equal(t, taken, 1)
 	})
 }
+
+// Symptom: on some days the nodes that send most of the requests time out at the one that decides.
+// Sequence: five pools and six strong nodes; hashing gives one node three of the pools.
+// Cause: each pool's holder was chosen without regard to the others.
+func TestPoolsAreSpreadOverNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := &cataloguer.State{Configuration: cataloguer.Configuration{Version: 1}}
+		for i := range 5 {
+			state.Configuration.Services = append(state.Configuration.Services, cataloguer.Service{Name: fmt.Sprint("service", i)})
+		}
+
+		live := []string{"n0", "n1", "n2", "n3", "n4", "n5"}
+		node := broker.New(broker.Options{Self: "n0", Live: func() []string { return live }, Peers: link{}, Logger: zerolog.Nop()})
+		node.Update(state)
+
+		held := map[string]int{}
+		for _, stats := range node.Stats(time.Now()) {
+			held[stats.Holder]++
+		}
+
+		assert.Equal(t, len(held), 5, "%v", held)
+
+		live = live[:2]
+		time.Sleep(time.Second)
+		clear(held)
+
+		for _, stats := range node.Stats(time.Now()) {
+			held[stats.Holder]++
+		}
+
+		assert.Assert(t, held["n0"] >= 2 && held["n1"] >= 2, "%v", held)
+	})
+}
--- a/internal/gateway/broker/placing.go
+++ b/internal/gateway/broker/placing.go
@@ -17,6 +17,10 @@
 		changed = b.place()
 	}
 
+	if len(b.holders) == 0 {
+		b.assign(now)
+	}
+
 	chosen, ok := b.holders[pool]
 	if !ok {
 		chosen = b.nodes.Several(pool, holders)
@@ -32,6 +36,42 @@
 	return chosen
 }
 
+// assign chooses the holders of all pools; b.mu is held. By hashing alone one node may hold several while others hold
+// none, and a holder at its processor's limit answers late: all nodes would then decide for themselves. So a
+// node that holds its even part is passed over. Its successor in the order is the standby, which knows the pool.
+func (b *Broker) assign(now time.Time) {
+	var pools []string
+
+	for service, l := range b.layouts {
+		for part := range max(len(l.ends), 1) {
+			pools = append(pools, poolName(service, part))
+		}
+	}
+
+	slices.Sort(pools)
+
+	held := make(map[string]int)
+	most := (len(pools) + len(b.live) - 1) / max(len(b.live), 1)
+
+	for _, pool := range pools {
+		order := b.nodes.Several(pool, holderCandidates)
+		free := slices.IndexFunc(order, func(node string) bool { return held[node] < most })
+
+		if free > 0 {
+			chosen := order[free]
+			order = slices.Insert(slices.Delete(order, free, free+1), 0, chosen)
+		}
+
+		order = order[:min(len(order), holders)]
+		if len(order) > 0 {
+			held[order[0]]++
+		}
+
+		b.holders[pool] = order
+		b.noteKnown(pool, order, now)
+	}
+}
+
 // noteKnown notes since when this node is told of the pool; b.mu is held.
 func (b *Broker) noteKnown(pool string, chosen []string, now time.Time) {
 	if !slices.Contains(chosen, b.options.Self) {
