--- a/internal/gateway/balancer/overload_test.go
+++ b/internal/gateway/balancer/overload_test.go
@@ -241,3 +241,26 @@
 	_, decision := p.Ask(at(2*time.Millisecond), "node", small)
 	assert.Equal(t, decision, balancer.Queued)
 }
+
+// Symptom: of the longest prompts half as many are served as of all.
+// Sequence: many wait; an engine has room for one at a time.
+// Cause: room went to the prompt that took the least time to read.
+func TestRoomIsGivenWithoutRegardToLength(t *testing.T) {
+	p := engines(1, 1)
+	granted(t, p, at(0), notes("r", "other"))
+	p.First(at(50*time.Millisecond), "r", nil)
+
+	long := notes("long", "s0")
+	long.PromptTokens = 30_000
+	_, _ = p.Ask(at(60*time.Millisecond), "node", long)
+
+	for i := range 5 {
+		_, _ = p.Ask(at(61*time.Millisecond), "node", notes(fmt.Sprint("usual", i), fmt.Sprint("s", i+1)))
+	}
+
+	p.End(at(100*time.Millisecond), "r", balancer.Served)
+
+	grants := p.Next(at(100 * time.Millisecond))
+	assert.Equal(t, len(grants), 1)
+	assert.Equal(t, grants[0].ID, "long")
+}
--- a/internal/gateway/broker/layout.go
+++ b/internal/gateway/broker/layout.go
@@ -9,8 +9,9 @@
 )
 
 // partSize is the number of upstreams for which one node decides. A decision looks at all of
-// them, so a holder's work grows with both the requests and the upstreams of its part.
-const partSize = 30
+// them, so a holder's work grows with both the requests and the upstreams of its part: with 30 the busiest
+// node used 0.36 of a core on the mean of a heavy day and answered late in its bursts, with 15 it used 0.26.
+const partSize = 15
 
 // layout says how the upstreams of a service are parted. The zero layout has one part.
 type layout struct {
