--- a/internal/gateway/balancer/matching.go
+++ b/internal/gateway/balancer/matching.go
@@ -15,19 +15,22 @@
 	// engine knows gets room before its patience is over.
 	matchWindow = 64
 	matchRank   = 0.3
+	// missingPart is what a token that must still be read counts against one that is known. Shorter prompts let more
+	// requests be served, but with a whole part half as many of the longest tenth as of all were.
+	missingPart = 0.35
 )
 
 // nextMatch returns the request that is to get the room that there is: of those with the priority of the
-// first one that fits and about its waiting time, the one of whose prompt the servers with room have read most.
+// first one that fits and about its waiting time, the one that fits the servers with room best.
 //
 // Under overload the room is always at one server only. Taken strictly in turn, a request would hardly
-// ever meet the server that has read its session before. What must still be read is no measure: the
-// longest prompts would never get room.
+// ever meet the server that has read its session before. By what must still be read
+// alone the longest prompts would never get room.
 func (p *Pool) nextMatch(now time.Time, declined map[*queued]bool) (*queued, bool) {
 	var (
 		head, best *queued
-		// most is what was read of the best request's prompt, seen the number of requests that had room.
-		most = math.Inf(-1)
+		bestFit    = math.Inf(-1)
+		// seen is the number of requests that had room.
 		seen = 0
 	)
 
@@ -53,7 +56,7 @@
 		q.work.Limit = q.deadline.Sub(now)
 		q.work.Overdue = now.Sub(q.since) > time.Duration(float64(q.until.Sub(q.since))*overduePart)
 
-		known, ok := p.mostKnown(now, open, &q.work)
+		fit, ok := p.bestFit(now, open, &q.work)
 		if !ok {
 			continue
 		}
@@ -64,25 +67,27 @@
 
 		seen++
 
-		if known > most {
-			best, most = q, known
+		if fit > bestFit {
+			best, bestFit = q, fit
 		}
 	}
 
 	return best, best != nil
 }
 
-// mostKnown is the largest number of prompt tokens that one of the servers that take the request has read.
-func (p *Pool) mostKnown(now time.Time, open []*server, work *Work) (float64, bool) {
-	most, found := math.Inf(-1), false
+// bestFit tells how well the request goes with the best of the servers that take it, in prompt tokens: what it has
+// read of the prompt, less a part of what it must still read.
+func (p *Pool) bestFit(now time.Time, open []*server, work *Work) (float64, bool) {
+	best, found := math.Inf(-1), false
 
 	for _, s := range open {
 		if p.admits(s, work) && p.takes(now, s, work) {
-			most, found = max(most, float64(work.PromptTokens-s.missingTokens(work))), true
+			missing := float64(s.missingTokens(work))
+			best, found = max(best, float64(work.PromptTokens)-missing-missingPart*missing), true
 		}
 	}
 
-	return most, found
+	return best, found
 }
 
 // open returns the servers that could take one more small request.
