--- /dev/null
+++ b/internal/gateway/broker/bench_test.go
@@ -0,0 +1,51 @@
+package broker_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"quincepath.example/quincepath/internal/gateway/broker"
+	"quincepath.example/quincepath/internal/gateway/cataloguer"
+)
+
+// BenchmarkAssign is what a node spends on finding all holders after the live nodes changed, at the design size.
+func BenchmarkAssign(b *testing.B) {
+	const (
+		nodes     = 370
+		upstreams = 3800
+	)
+
+	state := &cataloguer.State{Configuration: cataloguer.Configuration{Version: 1, Services: []cataloguer.Service{{Name: service}}}}
+	for i := range upstreams {
+		state.Registry.Upstreams = append(state.Registry.Upstreams, cataloguer.Upstream{ID: fmt.Sprint("u", i), Service: service, Slots: 16})
+	}
+
+	var live []string
+	for i := range nodes {
+		live = append(live, fmt.Sprint("n", i))
+	}
+
+	question := json.RawMessage(`{"s":"chat/0","w":{"id":"r"}}`)
+	lost := 0
+	node := broker.New(broker.Options{Self: "n0", Live: func() []string { return live[:nodes-lost] }, Peers: link{}, Logger: zerolog.Nop()})
+	node.Update(state)
+
+	for b.Loop() {
+		// A look at the live nodes is due after 100 ms.
+		b.StopTimer()
+		time.Sleep(101 * time.Millisecond)
+
+		lost = 1 - lost
+		b.StartTimer()
+
+		// Any question looks for the holders first.
+		if _, err := node.HandleChoose(context.Background(), "n1", question); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
