--- a/internal/gateway/balancer/matching.go
+++ b/internal/gateway/balancer/matching.go
@@ -16,7 +16,7 @@
 	matchWindow = 64
 	matchRank   = 0.3
 	// missingPart is what a token that must still be read counts against one that is known. Shorter prompts let more
-	// requests be served, but with a whole part half as many of the longest tenth as of all were.
+	// requests be served; by length alone 0.36 of the longest tenth were, and 0.78 of all.
 	missingPart = 0.35
 )
 
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -370,10 +370,10 @@
 	s.failedAt = now
 }
 
-// leaveOut keeps new requests from the server for the given time.
-func (s *server) leaveOut(now time.Time, time time.Duration) {
-	s.unreachableFor = time
-	s.unreachableUntil = now.Add(time)
+// leaveOut keeps new requests from the server for a span of time.
+func (s *server) leaveOut(now time.Time, span time.Duration) {
+	s.unreachableFor = span
+	s.unreachableUntil = now.Add(span)
 }
 
 func milliseconds(d time.Duration) float64 {
