--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -82,7 +82,9 @@
 
 	for _, upstream := range upstreams {
 		s, ok := former[upstream.ID]
-		if !ok {
+		// One that started again has an empty cache, runs nothing and may be as fast as any other. What is told of
+		// its requests from before goes to the server that they were sent to, which nobody asks any more.
+		if !ok || s.Born != upstream.Born {
 			s = newServer(upstream, engine, now)
 		}
 
--- a/internal/gateway/balancer/pool_test.go
+++ b/internal/gateway/balancer/pool_test.go
@@ -340,3 +340,34 @@
 		assert.Assert(t, choice.Upstream != replaced)
 	}
 }
+
+// Symptom: a server that started again gets the requests of sessions that it has to read anew, and is avoided as full.
+// Sequence: a server runs two requests, starts again under its id, and its entry tells the new start; then the
+// answers of its first life come late.
+// Cause: what was known of the id was kept: its cache, its running requests, its failures.
+func TestServerThatStartedAgainIsUnknown(t *testing.T) {
+	engine := balancer.Engine{CacheTokens: 300_000, EventTokens: 3}
+	first := balancer.Upstream{ID: "a", Slots: 2, Born: 1000}
+	p := balancer.NewPool()
+	p.SetUpstreams(start, []balancer.Upstream{first}, engine)
+
+	granted(t, p, at(0), notes("r1", "s"))
+	granted(t, p, at(0), chat("r2"))
+
+	second := first
+	second.Born = 2000
+	p.SetUpstreams(at(time.Second), []balancer.Upstream{second}, engine)
+	assert.Equal(t, p.Report(at(time.Second))[0].Running, 0)
+
+	p.First(at(1100*time.Millisecond), "r1", nil)
+	p.End(at(1200*time.Millisecond), "r1", balancer.Failed)
+	report := p.Report(at(1200 * time.Millisecond))[0]
+	assert.Equal(t, report.Running, 0)
+	assert.Equal(t, report.Failures, 0.0)
+	assert.Equal(t, report.BacklogMS, 0.0)
+
+	choice, decision := p.Ask(at(1300*time.Millisecond), "node", notes("r3", "s"))
+	assert.Equal(t, decision, balancer.Granted)
+	// All of the prompt must be read: 9,000 tokens and more.
+	assert.Assert(t, choice.Waiting > 80, "%.0f ms", choice.Waiting)
+}
--- a/internal/gateway/balancer/types.go
+++ b/internal/gateway/balancer/types.go
@@ -78,8 +78,10 @@
 
 // Upstream is one server of a pool.
 type Upstream struct {
-	ID       string
-	Address  string
+	ID      string
+	Address string
+	// Born tells two starts of one ID apart; 0 if it isn't known.
+	Born     int64
 	Slots    int
 	Draining bool
 }
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -141,6 +141,7 @@
 		upstreams[upstream.Service] = append(upstreams[upstream.Service], balancer.Upstream{
 			ID:       upstream.ID,
 			Address:  upstream.Address,
+			Born:     upstream.Born,
 			Slots:    upstream.Slots,
 			Draining: upstream.Draining,
 		})
--- a/internal/gateway/cataloguer/catalog.go
+++ b/internal/gateway/cataloguer/catalog.go
@@ -121,6 +121,7 @@
 		return false
 	}
 
+	keepNewestStarts(state.Registry.Upstreams, &registry)
 	c.addMissing(state.Registry.Upstreams, &registry, afterOutage)
 	next := &State{Configuration: state.Configuration, Registry: registry}
 
@@ -135,6 +136,23 @@
 	return true
 }
 
+// keepNewestStarts keeps the entry of a server's newest start where the registry has one of an earlier start. What the
+// process before wrote may become visible late; its address may belong to another server by now.
+func keepNewestStarts(former []Upstream, registry *Registry) {
+	newest := make(map[string]Upstream, len(former))
+	for _, upstream := range former {
+		newest[upstream.ID] = upstream
+	}
+
+	registry.Upstreams = slices.Clone(registry.Upstreams)
+
+	for i, upstream := range registry.Upstreams {
+		if known, ok := newest[upstream.ID]; ok && upstream.Born > 0 && upstream.Born < known.Born {
+			registry.Upstreams[i] = known
+		}
+	}
+}
+
 // addMissing adds the former upstreams that still count although the registry lacks them.
 func (c *Catalog) addMissing(former []Upstream, registry *Registry, afterOutage bool) {
 	now := c.now()
@@ -145,8 +163,6 @@
 		delete(c.missing, upstream.ID)
 	}
 
-	registry.Upstreams = slices.Clone(registry.Upstreams)
-
 	for _, upstream := range former {
 		if present[upstream.ID] {
 			continue
--- a/internal/gateway/cataloguer/catalog_test.go
+++ b/internal/gateway/cataloguer/catalog_test.go
@@ -145,3 +145,22 @@
 	default:
 	}
 }
+
+// Symptom: requests go to an address where the server isn't any more, although it has told its new one.
+// Sequence: a server starts again under its id; then its entry of the start before becomes visible.
+// Cause: entries of one id were told apart by the time of their arrival only.
+func TestEntryOfAnEarlierStartIsDropped(t *testing.T) {
+	c, _ := newCatalog()
+	listed := func(revision, born int64, address string) cataloguer.Registry {
+		return cataloguer.Registry{Revision: revision, Upstreams: []cataloguer.Upstream{{ID: "a", Born: born, Address: address}}}
+	}
+
+	c.Register(listed(1, 100, "old"), false)
+	c.Register(listed(2, 200, "new"), false)
+	c.Register(listed(3, 100, "old"), false)
+	assert.Equal(t, c.State().Registry.Upstreams[0].Address, "new")
+
+	// One that doesn't tell its start replaces what is known.
+	c.Register(listed(4, 0, "other"), false)
+	assert.Equal(t, c.State().Registry.Upstreams[0].Address, "other")
+}
--- a/internal/gateway/cataloguer/types.go
+++ b/internal/gateway/cataloguer/types.go
@@ -100,9 +100,12 @@
 	Limits        Limits         `json:"limits"`
 }
 
-// Upstream is one start of a server; a restarted one has another ID.
+// Upstream is one start of a server.
 type Upstream struct {
-	ID            string `json:"id"`
+	// ID may stay when the server is started again.
+	ID string `json:"id"`
+	// Born is the Unix millisecond of the start, which tells two starts of one ID apart; 0 if the server doesn't tell.
+	Born          int64  `json:"born,omitempty"`
 	Service       string `json:"service"`
 	Address       string `json:"address"`
 	FailureDomain string `json:"failure_domain"`
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,8 @@
 	messages   *messenger.Messenger
 	prober     *prober.Prober
 	heartbeats *heartbeater.Heartbeater
+	// starts holds when each listed upstream was born; only followCatalog uses it.
+	starts map[string]int64
 	// leavingAt is when the planned stop began, by the catalog's clock; 0 before.
 	leavingAt atomic.Int64
 }
@@ -277,6 +279,7 @@
 		return
 	}
 
+	n.forgetRestarted(state.Registry.Upstreams)
 	n.broker.Update(state)
 
 	if table := n.table.Load(); table == nil || table.Version < state.Configuration.Version {
@@ -284,6 +287,23 @@
 	}
 }
 
+// forgetRestarted drops what is known of upstreams that started again under their id. Only followCatalog calls it.
+func (n *Node) forgetRestarted(upstreams []cataloguer.Upstream) {
+	starts := make(map[string]int64, len(upstreams))
+
+	for _, upstream := range upstreams {
+		starts[upstream.ID] = upstream.Born
+
+		if former, known := n.starts[upstream.ID]; known && former != upstream.Born {
+			n.logger.Info().Str("upstream", upstream.ID).Int64("born", upstream.Born).Int64("former", former).Msg("upstream_restarted")
+			n.dialer.Forget(upstream.ID)
+			n.relayer.Forget(upstream.ID)
+		}
+	}
+
+	n.starts = starts
+}
+
 // sweep closes connections that are of no more use.
 func (n *Node) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -96,6 +96,12 @@
 	return r.inFlight.Load()
 }
 
+// Forget drops what is known of an upstream that started again: signs of life from before say nothing of the requests
+// that it has lost.
+func (r *Relayer) Forget(upstream string) {
+	r.vitals.forget(upstream)
+}
+
 // ServeHTTP implements http.Handler.
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, incoming *http.Request) {
 	r.inFlight.Add(1)
--- a/internal/gateway/relayer/vitals.go
+++ b/internal/gateway/relayer/vitals.go
@@ -64,6 +64,14 @@
 	}
 }
 
+// forget drops the signs of life of an upstream.
+func (v *vitals) forget(upstream string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	delete(v.upstreams, upstream)
+}
+
 func (v *vitals) of(upstream string, now time.Time) *vital {
 	if now.Sub(v.sweptAt) > vitalsKept {
 		v.sweptAt = now
