--- a/internal/gateway/broker/asking.go
+++ b/internal/gateway/broker/asking.go
@@ -49,7 +49,7 @@
 		}
 
 		if ctx.Err() != nil {
-			b.end(pool, work.ID, balancer.Abandoned)
+			b.end(pool, work.ID, balancer.Abandoned, nil)
 
 			return choice, false
 		}
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -110,6 +110,8 @@
 	work     balancer.Work
 	answered bool
 	until    time.Time
+	// pauses is set once a stream has come whole.
+	pauses *balancer.Pauses
 }
 
 // New returns a broker without services.
--- a/internal/gateway/broker/outbox.go
+++ b/internal/gateway/broker/outbox.go
@@ -32,7 +32,7 @@
 	First bool `json:"f,omitempty"`
 	// Load is what the upstream told with it.
 	Load *balancer.Load `json:"l,omitempty"`
-	// Pauses tell how the events of the request's stream came.
+	// Pauses come with the end of a whole stream.
 	Pauses *balancer.Pauses  `json:"p,omitempty"`
 	End    *balancer.Outcome `json:"e,omitempty"`
 	// Grant is what became of a waiting request of the receiver.
--- a/internal/gateway/broker/reporting.go
+++ b/internal/gateway/broker/reporting.go
@@ -41,15 +41,13 @@
 // Paused implements relayer.Chooser.
 func (b *Broker) Paused(id string, pauses balancer.Pauses) {
 	b.mu.Lock()
-	r, ok := b.running[id]
-	b.mu.Unlock()
+	defer b.mu.Unlock()
 
-	if !ok {
-		return
+	// It is told with the end, in one message.
+	if r, ok := b.running[id]; ok {
+		r.pauses = &pauses
+		b.running[id] = r
 	}
-
-	b.pool(r.pool).Paused(id, pauses)
-	b.tell(r.pool, report{Pool: r.pool, ID: id, Pauses: &pauses})
 }
 
 // End implements relayer.Chooser.
@@ -60,16 +58,16 @@
 	b.mu.Unlock()
 
 	if ok {
-		b.end(r.pool, id, outcome)
+		b.end(r.pool, id, outcome, r.pauses)
 	}
 }
 
-// end tells all that know the pool that a request runs or waits no longer.
-func (b *Broker) end(pool, id string, outcome balancer.Outcome) {
+// end tells all that know the pool that a request runs or waits no longer, and how its events came if it was a whole stream.
+func (b *Broker) end(pool, id string, outcome balancer.Outcome, pauses *balancer.Pauses) {
 	now := time.Now()
-	b.pool(pool).End(now, id, outcome)
+	b.take(now, b.options.Self, report{Pool: pool, ID: id, End: &outcome, Pauses: pauses})
 	b.grant(now, pool)
-	b.tell(pool, report{Pool: pool, ID: id, End: &outcome})
+	b.tell(pool, report{Pool: pool, ID: id, End: &outcome, Pauses: pauses})
 }
 
 // HandleChoose answers MethodChoose.
--- a/internal/gateway/broker/size_test.go
+++ b/internal/gateway/broker/size_test.go
@@ -30,7 +30,7 @@
 		"answer": chooseAnswer{Choice: choice},
 		"begin":  reportParams{Reports: []report{{Pool: "huvo11a/0", ID: id, Begin: &begin{Upstream: choice.Upstream, Work: work}}}},
 		"first":  reportParams{Reports: []report{{Pool: "huvo11a/0", ID: id, First: true, Load: &balancer.Load{Running: 12, Waiting: 1}}}},
-		"end":    reportParams{Reports: []report{{Pool: "huvo11a/0", ID: id, End: &served}}},
+		"end":    reportParams{Reports: []report{{Pool: "huvo11a/0", ID: id, End: &served, Pauses: &balancer.Pauses{Events: 20, Mean: 64.3, Longest: 131.8}}}},
 	} {
 		data, err := json.Marshal(message)
 		assert.NilError(t, err)
--- a/internal/gateway/relayer/pace.go
+++ b/internal/gateway/relayer/pace.go
@@ -24,12 +24,15 @@
 	p.last = now
 }
 
-func (p *pace) pauses() balancer.Pauses {
-	const millisecond = float64(time.Millisecond)
+// tenths returns milliseconds to one place, which is short in messages and exact enough.
+func tenths(d time.Duration) float64 {
+	return float64(d.Round(100*time.Microsecond).Microseconds()) / 1000
+}
 
+func (p *pace) pauses() balancer.Pauses {
 	return balancer.Pauses{
 		Events:  p.events,
-		Mean:    float64(p.last.Sub(p.first)) / millisecond / float64(max(p.events-1, 1)),
-		Longest: float64(p.longest) / millisecond,
+		Mean:    tenths(p.last.Sub(p.first) / time.Duration(max(p.events-1, 1))),
+		Longest: tenths(p.longest),
 	}
 }
--- /dev/null
+++ b/internal/gateway/relayer/pace_test.go
@@ -0,0 +1,22 @@
+package relayer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/gateway/balancer"
+)
+
+func TestPauses(t *testing.T) {
+	begun := time.Date(2026, time.March, 12, 4, 0, 0, 0, time.UTC)
+	p := &pace{}
+	assert.Equal(t, p.pauses(), balancer.Pauses{})
+
+	for _, at := range []time.Duration{0, 10 * time.Millisecond, 150 * time.Millisecond, 160 * time.Millisecond} {
+		p.event(begun.Add(at))
+	}
+
+	assert.Equal(t, p.pauses(), balancer.Pauses{Events: 4, Mean: 53.3, Longest: 140})
+}
