--- a/internal/gateway/balancer/overload_test.go
+++ b/internal/gateway/balancer/overload_test.go
@@ -14,8 +14,6 @@
 type shop struct {
 	pool   *balancer.Pool
 	active []visit
-	// chats counts the running chats of each engine.
-	chats map[string]int
 	// long counts the long prompts that were read.
 	long    int
 	refused int
@@ -27,17 +25,15 @@
 }
 
 type visit struct {
-	id, engine string
-	end        time.Time
-	chat       bool
+	id  string
+	end time.Time
 }
 
-func (s *shop) place(now time.Time, id, engine string, isChat bool) {
+func (s *shop) place(now time.Time, id string, isChat bool) {
 	length := 900 * time.Millisecond
 
 	switch {
 	case isChat:
-		s.chats[engine]++
 		s.waits = append(s.waits, now.Sub(s.asked[id]))
 
 		length = 2 * time.Second
@@ -47,7 +43,7 @@
 
 	s.placed[id] = true
 	s.pool.First(now.Add(80*time.Millisecond), id, nil)
-	s.active = append(s.active, visit{id: id, engine: engine, end: now.Add(length), chat: isChat})
+	s.active = append(s.active, visit{id: id, end: now.Add(length)})
 }
 
 // finish ends what is over and gives the room to what waits.
@@ -61,10 +57,6 @@
 			continue
 		}
 
-		if v.chat {
-			s.chats[v.engine]--
-		}
-
 		s.pool.End(now, v.id, balancer.Served)
 	}
 
@@ -77,7 +69,7 @@
 			continue
 		}
 
-		s.place(now, g.ID, g.Choice.Upstream, g.ID[0] == 'c')
+		s.place(now, g.ID, g.ID[0] == 'c')
 	}
 }
 
@@ -86,14 +78,14 @@
 		s.asked[work.ID] = now
 	}
 
-	if choice, decision := s.pool.Ask(now, "node", work); decision == balancer.Granted {
-		s.place(now, work.ID, choice.Upstream, isChat)
+	if _, decision := s.pool.Ask(now, "node", work); decision == balancer.Granted {
+		s.place(now, work.ID, isChat)
 	}
 }
 
 // overload sends several times the long prompts that the engines can read, with a chat every 50 ms, for five seconds.
 func overload(p *balancer.Pool, engines int) *shop {
-	s := &shop{pool: p, chats: map[string]int{}, placed: map[string]bool{}, asked: map[string]time.Time{}}
+	s := &shop{pool: p, placed: map[string]bool{}, asked: map[string]time.Time{}}
 
 	for i := range 500 {
 		now := at(time.Duration(i) * 10 * time.Millisecond)
@@ -267,7 +259,7 @@
 // Cause: room went to the prompt that took the least time to read.
 func TestLongPromptsGetRoomUnderOverload(t *testing.T) {
 	p := engines(4, 8)
-	s := &shop{pool: p, chats: map[string]int{}, placed: map[string]bool{}, asked: map[string]time.Time{}}
+	s := &shop{pool: p, placed: map[string]bool{}, asked: map[string]time.Time{}}
 	asked, served := map[bool]int{}, map[bool]int{}
 	kinds := map[string]bool{}
 
--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -159,7 +159,7 @@
 	}
 
 	r.answering = true
-	r.server.backlog = max(0, r.server.backlog-r.reading)
+	r.server.dropBacklog(r)
 	r.readBefore = r.server.given
 }
 
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -276,6 +276,11 @@
 	}
 }
 
+// dropBacklog takes a request's prompt out of what waits to be read.
+func (s *server) dropBacklog(r *sent) {
+	s.backlog = max(0, s.backlog-r.reading)
+}
+
 func (s *server) answered(r *sent, now time.Time) {
 	if r.answering {
 		return
@@ -283,7 +288,7 @@
 
 	r.answering = true
 	s.answeredAt = now
-	s.backlog = max(0, s.backlog-r.reading)
+	s.dropBacklog(r)
 	s.learn(now, milliseconds(now.Sub(r.at))/max(r.expected/r.speed, 1))
 	s.overtake(r, now)
 }
@@ -299,7 +304,7 @@
 		r.overtaken++
 
 		if r.overtaken >= overtakers || r.overdue(now) > 0 {
-			s.backlog = max(0, s.backlog-r.reading)
+			s.dropBacklog(r)
 			r.reading = 0
 		}
 	}
@@ -328,7 +333,7 @@
 	s.tokens -= s.added(&r.work)
 
 	if !r.answering {
-		s.backlog = max(0, s.backlog-r.reading)
+		s.dropBacklog(r)
 	}
 
 	if r.sensitivity > 0 {
--- a/internal/gateway/broker/reporting.go
+++ b/internal/gateway/broker/reporting.go
@@ -65,9 +65,11 @@
 // end tells all that know the pool that a request runs or waits no longer, and how its events came if it was a whole stream.
 func (b *Broker) end(pool, id string, outcome balancer.Outcome, pauses *balancer.Pauses) {
 	now := time.Now()
-	b.take(now, b.options.Self, report{Pool: pool, ID: id, End: &outcome, Pauses: pauses})
+	ended := report{Pool: pool, ID: id, End: &outcome, Pauses: pauses}
+
+	b.take(now, b.options.Self, ended)
 	b.grant(now, pool)
-	b.tell(pool, report{Pool: pool, ID: id, End: &outcome, Pauses: pauses})
+	b.tell(pool, ended)
 }
 
 // HandleChoose answers MethodChoose.
--- a/internal/gateway/dialer/dialer.go
+++ b/internal/gateway/dialer/dialer.go
@@ -303,19 +303,6 @@
 	d.idle[id] = append(d.idle[id], c)
 }
 
-// Forget closes the idle connections to an upstream that started again. One that went away without a word leaves
-// them open, and each would cost a request its time.
-func (d *Dialer) Forget(id string) {
-	d.mu.Lock()
-	closing := d.idle[id]
-	delete(d.idle, id)
-	d.mu.Unlock()
-
-	for _, c := range closing {
-		_ = c.Close()
-	}
-}
-
 // Sweep closes idle connections whose time is over and those to upstreams that aren't listed any more.
 func (d *Dialer) Sweep(listed func(id string) bool) {
 	now := time.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -290,18 +290,25 @@
 // forgetRestarted drops what is known of upstreams that started again under their id. Only followCatalog calls it.
 func (n *Node) forgetRestarted(upstreams []cataloguer.Upstream) {
 	starts := make(map[string]int64, len(upstreams))
+	restarted := make(map[string]bool)
 
 	for _, upstream := range upstreams {
 		starts[upstream.ID] = upstream.Born
 
 		if former, known := n.starts[upstream.ID]; known && former != upstream.Born {
 			n.logger.Info().Str("upstream", upstream.ID).Int64("born", upstream.Born).Int64("former", former).Msg("upstream_restarted")
-			n.dialer.Forget(upstream.ID)
 			n.relayer.Forget(upstream.ID)
+
+			restarted[upstream.ID] = true
 		}
 	}
 
 	n.starts = starts
+
+	// One that went away without a word leaves its connections open, and each would cost a request its time.
+	if len(restarted) > 0 {
+		n.dialer.Sweep(func(id string) bool { return !restarted[id] })
+	}
 }
 
 // sweep closes connections that are of no more use.
--- a/internal/gateway/relayer/account.go
+++ b/internal/gateway/relayer/account.go
@@ -15,26 +15,16 @@
 	queued time.Duration
 	// first is the time from arrival to the first byte for the caller; 0 before it.
 	first time.Duration
-	// lastEvent is when the last event went to the caller, worstGap the longest pause between two.
-	lastEvent time.Time
-	worstGap  time.Duration
+	// pace follows the events that went to the caller.
+	pace pace
 	// choice is the last upstream.
 	choice balancer.Choice
 }
 
-// event records that an event goes to the caller.
-func (c *account) event(now time.Time) {
-	if !c.lastEvent.IsZero() {
-		c.worstGap = max(c.worstGap, now.Sub(c.lastEvent))
-	}
-
-	c.lastEvent = now
-}
-
 // attained says whether the answer was whole and on time.
 func (c *account) attained(request *request) bool {
 	onTime := c.first <= request.route.Target || request.route.Target == 0
-	steady := c.worstGap <= request.route.GapLimit || request.route.GapLimit == 0
+	steady := c.pace.longest <= request.route.GapLimit || request.route.GapLimit == 0
 
 	return c.code == classifier.OK && onTime && steady
 }
@@ -68,7 +58,7 @@
 		Float64("expected_ms", account.choice.Waiting).
 		Dur("first_ms", account.first).
 		Dur("target_ms", request.route.Target).
-		Dur("worst_gap_ms", account.worstGap).
+		Dur("worst_gap_ms", account.pace.longest).
 		Dur("gap_limit_ms", request.route.GapLimit).
 		Dur("took_ms", duration).
 		Msg("request_late")
--- a/internal/gateway/relayer/pace.go
+++ b/internal/gateway/relayer/pace.go
@@ -6,7 +6,7 @@
 	"quincepath.example/quincepath/internal/gateway/balancer"
 )
 
-// pace follows the events of one stream as they come from the upstream.
+// pace follows the events of a stream: those of one attempt as they come, or those of an answer as they go to the caller.
 type pace struct {
 	events      int
 	first, last time.Time
--- a/internal/gateway/relayer/stream.go
+++ b/internal/gateway/relayer/stream.go
@@ -44,15 +44,16 @@
 			return r.endEvents(ctx, a, choice, err, outcome)
 		}
 
-		pace.event(time.Now())
+		now := time.Now()
+		pace.event(now)
 
 		if first {
 			first = false
 			r.options.Chooser.First(request.workID(), r.load(response))
-			r.vitals.answered(choice.Upstream, sent, time.Now(), request.work.Priority)
+			r.vitals.answered(choice.Upstream, sent, now, request.work.Priority)
 		}
 
-		r.vitals.seen(choice.Upstream, time.Now())
+		r.vitals.seen(choice.Upstream, now)
 		watch.rearm()
 
 		id := eventID(event)
@@ -68,7 +69,7 @@
 			a.begin(response.StatusCode, endToEnd(response.Header), -1)
 		}
 
-		a.account.event(time.Now())
+		a.account.pace.event(now)
 
 		if _, err := a.writer.Write(event); err != nil {
 			return r.endCaller(a)
