Take bounds that are fractions; add up parts of an extra attempt

Cause: gateway.retry_extra and gateway.memory_mb were whole numbers, so a limit given for a part of a fleet (33.16) stopped every node at start with exit 70. And the budget cut each node's part of the extra attempts to a whole number before adding the ratio of its requests: with more nodes than extra attempts a node had none. Change: both settings are fractions, seconds and milliseconds of the template already were; the budget adds both parts before it cuts. Number of descriptors stays whole. Tests: TestBoundsMayBeFractions didn't compile on the code before (whole numbers); TestPartsOfAnAttemptAddUp, TestNodesStayBelowABoundThatIsAFraction.

--- a/internal/gateway/budgeter/budgeter.go
+++ b/internal/gateway/budgeter/budgeter.go
@@ -2,7 +2,9 @@
 //
 // All nodes together may send a service a ratio of its requests and some more in any
 // window. Each node holds to the ratio of its own requests and to an even part of
-// the rest, so the sum holds without a message. Without a bound a failure that hits
+// the rest, so the sum holds without a message. Both are added before they are cut to a
+// whole number: with more nodes than extra attempts, a part of less than one would else
+// be none, and no node could try again at low traffic although the bound allows it. Without a bound a failure that hits
 // all upstreams multiplies the load just when capacity is lost.
 package budgeter
 
@@ -15,12 +17,15 @@
 // any span of a window's length is covered.
 const parts = 10
 
+// rounding is what the sum of two bounds may lack of a whole attempt, in attempts: 0.2 requests of five add up to less than one.
+const rounding = 1e-9
+
 // Options bound extra attempts.
 type Options struct {
 	// Ratio is the number of extra attempts for each request.
 	Ratio float64
-	// Extra is how many more all nodes together may send in one window.
-	Extra int
+	// Extra is how many more all nodes together may send in one window; a fraction is allowed.
+	Extra float64
 	// Window is the span over which both hold.
 	Window time.Duration
 	// Nodes returns the number of nodes that share Extra; at least 1.
@@ -50,7 +55,7 @@
 }
 
 // SetBounds replaces the ratio and the extra attempts; what was counted stays.
-func (b *Budgeter) SetBounds(ratio float64, extra int) {
+func (b *Budgeter) SetBounds(ratio float64, extra float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -79,8 +84,8 @@
 		extras += w.extras[i]
 	}
 
-	allowed := int(b.options.Ratio*float64(firsts)) + b.options.Extra/max(b.options.Nodes(), 1)
-	if extras >= allowed {
+	allowed := b.options.Ratio*float64(firsts) + b.options.Extra/float64(max(b.options.Nodes(), 1))
+	if float64(extras+1) > allowed+rounding {
 		return false
 	}
 
--- a/internal/gateway/budgeter/budgeter_test.go
+++ b/internal/gateway/budgeter/budgeter_test.go
@@ -9,7 +9,7 @@
 	"quincepath.example/quincepath/internal/gateway/budgeter"
 )
 
-func newBudgeter(extra, nodes int) *budgeter.Budgeter {
+func newBudgeter(extra float64, nodes int) *budgeter.Budgeter {
 	return budgeter.New(budgeter.Options{Ratio: 0.2, Extra: extra, Window: 10 * time.Second, Nodes: func() int { return nodes }})
 }
 
@@ -55,3 +55,34 @@
 	assert.Assert(t, !b.Spend(now, "chat"))
 	assert.Assert(t, b.Spend(now, "desk"))
 }
+
+// Symptom: in a fleet of many VMs no failed request is tried again while there is little traffic.
+// Sequence: 370 nodes share 200 extra attempts; a node has served five requests in its window when one fails.
+// Cause: the node's part of the extra attempts was cut to a whole number, none, before the ratio of its requests was added.
+func TestPartsOfAnAttemptAddUp(t *testing.T) {
+	b := newBudgeter(200, 370)
+	now := time.Now()
+
+	for range 3 {
+		b.First(now, "chat")
+	}
+
+	// 0.54 of the extra attempts and 0.6 for the requests.
+	assert.Equal(t, spend(b, now), 1)
+}
+
+// A bound that was given for a part of a fleet may be a fraction. All nodes together must stay below it.
+func TestNodesStayBelowABoundThatIsAFraction(t *testing.T) {
+	const (
+		extra = 33.2
+		nodes = 24
+	)
+
+	allowed := 0
+	for range nodes {
+		allowed += spend(newBudgeter(extra, nodes), time.Now())
+	}
+
+	assert.Assert(t, allowed > 0)
+	assert.Assert(t, float64(allowed) <= extra, "%d extra attempts", allowed)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,8 @@
 	collectPercent = 40
 	// bodyPart is the part of the memory that request bodies may take.
 	bodyPart = 0.15
+	// megabyte is the unit of the settings for memory, in bytes.
+	megabyte = 1 << 20
 	// defaultBodyMemory is used where the VM's memory isn't set.
 	defaultBodyMemory = 64 << 20
 	// lastRequests is how long after the begin of a planned stop requests are still taken. Callers keep
@@ -109,8 +111,8 @@
 	debug.SetGCPercent(collectPercent)
 
 	if limit := settings.Gateway.MemoryMB; limit > 0 {
-		debug.SetMemoryLimit(int64(float64(limit<<20) * memoryPart))
-		bodyMemory = int64(float64(limit<<20) * bodyPart)
+		debug.SetMemoryLimit(int64(limit * megabyte * memoryPart))
+		bodyMemory = int64(limit * megabyte * bodyPart)
 	}
 
 	n := &Node{
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -82,7 +82,7 @@
 	table := router.New(configuration())
 	handler := relayer.New(relayer.Options{
 		Headers: names, Catalog: w.catalog, Table: func() *router.Table { return table }, Chooser: w, Dialer: dialer.New(1000),
-		Budget:       budgeter.New(budgeter.Options{Extra: extra, Window: time.Hour, Nodes: func() int { return 1 }}),
+		Budget:       budgeter.New(budgeter.Options{Extra: float64(extra), Window: time.Hour, Nodes: func() int { return 1 }}),
 		KeyFreshness: func() time.Duration { return 4 * time.Second }, Leaving: func() time.Duration { return w.leaving }, LastRequests: time.Second,
 		BodyMemory: w.bodies, Meter: meter.New(), Attempts: new(expvar.Map), Logger: zerolog.Nop(),
 	})
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -44,6 +44,29 @@
 	assert.Equal(t, got.Log.Format, "keyvalue")
 }
 
+// Symptom: no node of a fleet starts; each ends with an error about its settings.
+// Sequence: the platform gives a bound for a part of a fleet, which need not be whole; each node reads it.
+// Cause: the bound for extra attempts, and the VM's memory, were read as whole numbers.
+func TestBoundsMayBeFractions(t *testing.T) {
+	const gateway = `gateway:
+  key_lifetime: 4999.5ms
+  retry_ratio: 0.25
+  retry_extra: 33.1578947368421
+  retry_window: 9.5s
+  cores: 0.192
+  link_mbps: 12.5
+  memory_mb: 111.6
+`
+
+	got, err := loader.Parse("settings.yaml", []byte(minimal+gateway))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.Gateway, loader.Gateway{
+		KeyLifetime: 4999500 * time.Microsecond,
+		RetryRatio:  0.25, RetryExtra: 33.1578947368421, RetryWindow: 9500 * time.Millisecond,
+		Cores: 0.192, LinkMbps: 12.5, MemoryMB: 111.6,
+	})
+}
+
 func TestSnapshotHoldsEveryField(t *testing.T) {
 	settings, err := loader.Load("testdata/full.yaml")
 	assert.NilError(t, err)
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -147,8 +147,9 @@
 	KeyLifetime time.Duration `yaml:"key_lifetime" validate:"min=100ms,max=1h"`
 	// RetryRatio is the number of extra attempts for each request of a service.
 	RetryRatio float64 `yaml:"retry_ratio" validate:"min=0,max=1"`
-	// RetryExtra is how many more extra attempts all nodes together may send a service in one window.
-	RetryExtra int `yaml:"retry_extra" validate:"min=0,max=1000000"`
+	// RetryExtra is how many more extra attempts all nodes together may send a service in one window. A
+	// bound that was given for a part of a fleet may be a fraction.
+	RetryExtra float64 `yaml:"retry_extra" validate:"min=0,max=1000000"`
 	// RetryWindow is the span over which both hold.
 	RetryWindow time.Duration `yaml:"retry_window" validate:"min=100ms,max=1h"`
 	// Cores is the VM's processor for this process in cores; 0 means that it isn't known.
@@ -156,7 +157,7 @@
 	// LinkMbps is the bandwidth of the VM's link in Mbit/s; 0 means that it isn't known.
 	LinkMbps float64 `yaml:"link_mbps" validate:"min=0,max=1000000"`
 	// MemoryMB is the memory of the VM for this process; 0 means that none is set.
-	MemoryMB int `yaml:"memory_mb" validate:"min=0,max=1048576"`
+	MemoryMB float64 `yaml:"memory_mb" validate:"min=0,max=1048576"`
 	// Descriptors is the number of files and sockets that this process may open; 0 means that it isn't known.
 	Descriptors int `yaml:"descriptors" validate:"min=0,max=10000000"`
 }
