Count what keeping up to date costs a node

Cause: from outside a node nobody could tell who reads the store, how often in vain, and how many bytes come from peers; a fleet's calls could only be found by logging.

--- a/internal/gateway/follower/announcing.go
+++ b/internal/gateway/follower/announcing.go
@@ -146,6 +146,8 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 
+	f.count(func(c *Counters) { c.Listings++ })
+
 	if err := f.options.Store.Announce(ctx, nodes); err != nil {
 		f.options.Logger.Warn().Err(err).Int("nodes", len(nodes)).Msg("announce_failed")
 
--- /dev/null
+++ b/internal/gateway/follower/counters.go
@@ -0,0 +1,34 @@
+package follower
+
+// Counters are totals since the start, to tell from outside what keeping up to date costs and who pays for it.
+type Counters struct {
+	// StoreReads are reads of the store that were begun, each of one or two calls; WholeReads are those of them that read all.
+	StoreReads int64 `json:"store_reads"`
+	WholeReads int64 `json:"whole_reads"`
+	// FailedReads are those that the store didn't answer or turned away.
+	FailedReads int64 `json:"failed_reads"`
+	// Listings are writes that listed nodes, whether they succeeded or not.
+	Listings int64 `json:"listings"`
+	// Questions are those to peers; FailedQuestions had no answer in time.
+	Questions       int64 `json:"questions"`
+	FailedQuestions int64 `json:"failed_questions"`
+	// Pages are pieces of configurations and registries that came from peers, PageBytes what they hold.
+	Pages     int64 `json:"pages"`
+	PageBytes int64 `json:"page_bytes"`
+}
+
+// Counters returns the totals.
+func (f *Follower) Counters() Counters {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.counters
+}
+
+// count changes the totals.
+func (f *Follower) count(change func(*Counters)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	change(&f.counters)
+}
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -105,6 +105,7 @@
 	grown       *tree
 	grownLive   []string
 	grownDigest uint64
+	counters    Counters
 	// random spreads nodes over time; its seed is the node's name.
 	random *rand.Rand
 	// readAt is when the last read of the store was begun, by the catalog's clock; negative before the first.
--- a/internal/gateway/follower/pulling.go
+++ b/internal/gateway/follower/pulling.go
@@ -80,6 +80,7 @@
 	}
 
 	f.asking, f.askedAt = true, now
+	f.counters.Questions++
 
 	return question{peer: peer, timeout: peerTimeout << min(f.failedAsks, mostPeerDoublings)}
 }
@@ -247,12 +248,20 @@
 
 	if err != nil {
 		f.failedAsks++
+		f.counters.FailedQuestions++
 
 		return
 	}
 
 	f.failedAsks, f.heardAt = 0, begun
 
+	for _, page := range []*offer{answer.Configuration, answer.Registry} {
+		if page != nil {
+			f.counters.Pages++
+			f.counters.PageBytes += int64(len(page.Data))
+		}
+	}
+
 	switch {
 	case answer.AgeMS >= 0 && answer.age() < alonePatience:
 		f.fresh = peer
--- a/internal/gateway/follower/reading.go
+++ b/internal/gateway/follower/reading.go
@@ -68,6 +68,7 @@
 	}
 
 	f.reading, f.readAt = true, now
+	f.counters.StoreReads++
 
 	return min(storeTimeout*time.Duration(1+f.failedReads), mostStoreTimeout), true
 }
@@ -233,6 +234,8 @@
 	reading, cancel := context.WithTimeout(ctx, wholeTimeout)
 	defer cancel()
 
+	f.count(func(c *Counters) { c.WholeReads++ })
+
 	configuration, revision, err := f.options.Store.Configuration(reading)
 	if err != nil {
 		return err
@@ -299,6 +302,7 @@
 	defer f.mu.Unlock()
 
 	f.failedReads++
+	f.counters.FailedReads++
 	f.substitute = false
 
 	if !f.storeLost {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -31,6 +31,7 @@
 func (n *Node) metrics() http.Handler {
 	return meter.Handler(n.meter, map[string]meter.Part{
 		"beliefs":     func() any { return n.beliefs() },
+		"follower":    func() any { return n.follower.Counters() },
 		"attempts":    func() any { return n.failedAttempts() },
 		"callers":     func() any { return n.acceptor.Counters() },
 		"connections": func() any { return n.dialer.Counters() },
