Follower and store client: one file a job

Change: moves only; questions, answers and what is taken in stand apart, and the store's list of changes too.

--- a/internal/gateway/follower/pulling.go
+++ b/internal/gateway/follower/pulling.go
@@ -2,14 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"time"
-
-	"github.com/cockroachdb/errors"
-
-	"quincepath.example/quincepath/internal/gateway/cataloguer"
-	"quincepath.example/quincepath/internal/gateway/packer"
 )
 
 const (
@@ -25,9 +19,6 @@
 	firstPlaces = 8
 )
 
-// MethodPull asks a peer for what it knows beyond the asker's versions.
-const MethodPull = "catalog.pull"
-
 // question is a question to a peer that is due.
 type question struct {
 	peer    string
@@ -128,46 +119,6 @@
 	return age > patience+lag(t)
 }
 
-// pullParams are what the asker knows.
-type pullParams struct {
-	Version int64 `json:"version"`
-	// Revision, Kept and Digest are those of the asker's registry.
-	Revision int64  `json:"revision"`
-	Kept     int    `json:"kept,omitempty"`
-	Digest   uint64 `json:"digest,omitempty"`
-	// Held is what the asker has of a parcel that is coming in pages.
-	Held packer.Part `json:"held,omitzero"`
-}
-
-// offer is a page of a parcel.
-type offer struct {
-	// Base is the version or digest that the parcel changes; 0 if it is whole.
-	Base uint64 `json:"base,omitempty"`
-	packer.Page
-}
-
-// pullAnswer is what the peer knows beyond that.
-type pullAnswer struct {
-	// Version is the peer's; AgeMS the age of its proof, negative without one.
-	Version int64 `json:"version"`
-	AgeMS   int64 `json:"age_ms"`
-	// Reader is the node that read that proof from the store.
-	Reader string `json:"reader,omitempty"`
-	// Revision, Kept and Digest are those of the peer's registry.
-	Revision int64  `json:"revision,omitempty"`
-	Kept     int    `json:"kept,omitempty"`
-	Digest   uint64 `json:"digest,omitempty"`
-	// Configuration goes before Registry: that one is left out until the first has come whole, since keys and
-	// routes bind more than upstreams that come.
-	Configuration *offer `json:"configuration,omitempty"`
-	Registry      *offer `json:"registry,omitempty"`
-}
-
-// age is that of the peer's proof; there must be one.
-func (a *pullAnswer) age() time.Duration {
-	return time.Duration(a.AgeMS) * time.Millisecond
-}
-
 // ask asks one peer for what it knows.
 func (f *Follower) ask(ctx context.Context, q question) {
 	// What is told to others when the answer is in must not end with the question.
@@ -282,156 +233,3 @@
 		f.substitute = false
 	}
 }
-
-// take takes in a peer's answer to a question that was sent at begun. It reports whether more of it is to come.
-func (f *Follower) take(ctx context.Context, answer pullAnswer, begun time.Duration) (bool, error) {
-	catalog := f.options.Catalog
-	at := begun - answer.age()
-	more, changed := false, false
-
-	if answer.Configuration != nil {
-		configuration, whole, err := f.unpackConfiguration(*answer.Configuration)
-		if err != nil {
-			return false, err
-		}
-
-		if whole && catalog.Configure(configuration, at) {
-			f.logConfiguration("peer", begun)
-
-			changed = true
-		}
-
-		more = !whole
-	}
-
-	catalog.Prove(answer.Version, at)
-
-	// A registry that is newer than the configuration would hide the changes between them from the next read of the store.
-	if catalog.State().Configuration.Version >= answer.Version {
-		catalog.Confirm(answer.Digest, answer.Revision, answer.Kept)
-
-		if answer.Registry != nil {
-			registry, whole, err := f.unpackRegistry(*answer.Registry)
-			if err != nil {
-				return false, err
-			}
-
-			if whole && catalog.Register(registry, false) {
-				f.logRegistry("peer")
-
-				changed = true
-			}
-
-			more = more || !whole
-		}
-	}
-
-	if changed {
-		f.spread(ctx)
-	}
-
-	return more, nil
-}
-
-// unpackConfiguration takes in a page; it returns the configuration once that is whole.
-func (f *Follower) unpackConfiguration(page offer) (cataloguer.Configuration, bool, error) {
-	parcel, whole, err := f.pages.Add(page.Page)
-	if err != nil || !whole {
-		return cataloguer.Configuration{}, false, err
-	}
-
-	if page.Base == 0 {
-		var configuration cataloguer.Configuration
-
-		return configuration, true, parcel.Unpack(&configuration)
-	}
-
-	base := f.options.Catalog.State().Configuration
-	if uint64(base.Version) != page.Base {
-		// Another answer was faster; the next question says so.
-		return cataloguer.Configuration{}, false, nil
-	}
-
-	var change cataloguer.ConfigurationChange
-	if err := parcel.Unpack(&change); err != nil {
-		return cataloguer.Configuration{}, false, err
-	}
-
-	return change.Apply(&base), true, nil
-}
-
-// unpackRegistry takes in a page; it returns the registry once that is whole.
-func (f *Follower) unpackRegistry(page offer) (cataloguer.Registry, bool, error) {
-	parcel, whole, err := f.pages.Add(page.Page)
-	if err != nil || !whole {
-		return cataloguer.Registry{}, false, err
-	}
-
-	if page.Base == 0 {
-		var registry cataloguer.Registry
-
-		return registry, true, parcel.Unpack(&registry)
-	}
-
-	state := f.options.Catalog.State()
-	if state.Digest != page.Base {
-		return cataloguer.Registry{}, false, nil
-	}
-
-	var change cataloguer.RegistryChange
-	if err := parcel.Unpack(&change); err != nil {
-		return cataloguer.Registry{}, false, err
-	}
-
-	return change.Apply(&state.Registry), true, nil
-}
-
-// HandlePull answers MethodPull.
-func (f *Follower) HandlePull(_ context.Context, asker string, params json.RawMessage) (any, error) {
-	var asked pullParams
-	if err := json.Unmarshal(params, &asked); err != nil {
-		return nil, err
-	}
-
-	// The age is read first: what is known then can only be newer.
-	answer := pullAnswer{AgeMS: -1}
-	if age, known := f.options.Catalog.Age(); known {
-		answer.AgeMS = age.Milliseconds() + 1
-	}
-
-	f.mu.Lock()
-	answer.Reader = f.reader
-	f.mu.Unlock()
-
-	state := f.options.Catalog.State()
-	answer.Version = state.Configuration.Version
-	answer.Revision, answer.Kept, answer.Digest = state.Registry.Revision, state.Registry.Kept, state.Digest
-
-	if state.Configuration.Version > asked.Version {
-		parcel, base, err := f.parcels.configuration(state, asked.Version)
-		if err != nil {
-			return nil, errors.Wrap(err, "pack the configuration")
-		}
-
-		answer.Configuration = &offer{Base: base, Page: parcel.Page(asked.Held)}
-	}
-
-	if state.Configuration.Version < asked.Version {
-		// A seed that the store turns away at its start knows nobody yet: it learns from those that ask it.
-		f.askNext(asker)
-		f.wakeUp()
-	}
-
-	configured := answer.Configuration == nil || answer.Configuration.Last()
-
-	if configured && state.Digest != asked.Digest && state.Registry.Newer(asked.Revision, asked.Kept) {
-		parcel, base, err := f.parcels.registry(state, asked.Digest)
-		if err != nil {
-			return nil, errors.Wrap(err, "pack the registry")
-		}
-
-		answer.Registry = &offer{Base: base, Page: parcel.Page(asked.Held)}
-	}
-
-	return answer, nil
-}
