Let the last of nine nodes hear of changes in time; small fleets hang on one node

The store turned eight of nine nodes away; the ninth waited 3.4 s by its place in the order before it tried, and its place in a tree of two levels added half a second. Change: the first nine nodes try within 0.45 s of each other, only those behind wait ever longer; the pause after a failed read follows the number of nodes that share the tries, up to 4.8 s; fleets of up to 21 nodes have one level. Test: TestAnyOneOfNineHearsOfChangesInTime, before 3.11 s, bound 1.9 s. TestCallsDoNotGrowWithTheFleet holds unchanged. The crossing count of the tree's test holds for fleets of more than one level.

--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -498,6 +498,31 @@
 	})
 }
 
+// Symptom: a key is honoured for longer than two seconds after its end.
+// Sequence: the store turns all of nine nodes away but one; a key is taken away at that moment.
+// Cause: nodes far behind the first one in the order waited for so long before they tried the store.
+func TestAnyOneOfNineHearsOfChangesInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9)
+		defer f.end()
+
+		for i := range 9 {
+			f.change(func() { clear(f.turnedAway) })
+			time.Sleep(10*time.Second + time.Duration(i)*70*time.Millisecond)
+			f.change(func() {
+				for name := range f.parts {
+					f.turnedAway[name] = name != fmt.Sprint("n", i)
+				}
+
+				f.version++
+			})
+
+			took := f.slowest(hasVersion(f.version))
+			assert.Assert(t, took < 1900*time.Millisecond, "n%d: %v", i, took)
+		}
+	})
+}
+
 // Symptom: a node that was cut off looks fresh.
 // Sequence: the store is away; an answer of a peer is held up on its way.
 // Cause: the age in the answer counted from its arrival, not from the question.
--- a/internal/gateway/follower/reading.go
+++ b/internal/gateway/follower/reading.go
@@ -18,10 +18,11 @@
 	// patience is the age of the proof at which the second node reads the store itself. It is above what
 	// the first node's interval, that of the questions to it, and a tick of each add up to while all is well.
 	patience = 1250 * time.Millisecond
-	// patienceStep is added for each of the next places, up to quickSubstitutes: these nodes replace the first
-	// one by one, so that keys and leaving upstreams are heard of in time though some of them can't read either.
-	patienceStep     = 120 * time.Millisecond
-	quickSubstitutes = 4
+	// patienceStep is added for each of the next places, up to quickSubstitutes: these nodes replace the first one
+	// one by one. The last of nine must still be in time for the two seconds in which keys and routes are in force,
+	// in case that the store turns all others away.
+	patienceStep     = 50 * time.Millisecond
+	quickSubstitutes = 8
 	// patienceGrowth multiplies the patience for each place behind them. While nobody can read, the number of nodes that
 	// try grows with the logarithm of time and not with the fleet: some twelve in nine seconds. Otherwise 300 nodes would
 	// call a store that just turns them away, and every call is paid for.
@@ -42,11 +43,9 @@
 	mostStoreTimeout = 2800 * time.Millisecond
 	// wholeTimeout bounds a read of all that the store holds: two megabytes over a link of 20 Mbit/s, with its overhead.
 	wholeTimeout = 2500 * time.Millisecond
-	// failedPause is the time between two reads after one that failed: others try meanwhile. After a second failure it is
-	// mostFailedPause, since a store that is away is not back sooner for being called; with some nodes that try, one finds
-	// it within a second of its return.
-	failedPause     = 2400 * time.Millisecond
-	mostFailedPause = 4800 * time.Millisecond
+	// mostSharers bounds the number of nodes that are taken to share the tries of a store that is away, so that a node tries
+	// again within 4.8 s: a machine must be back in touch within five seconds of the store's return.
+	mostSharers = 8
 	// outageTime is the time without a sound read after which entries may have lapsed in the store.
 	outageTime = 2500 * time.Millisecond
 )
@@ -59,7 +58,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	if f.reading || now-f.readAt < f.pauseLocked() {
+	if f.reading || now-f.readAt < f.pauseLocked(t) {
 		return 0, false
 	}
 
@@ -73,13 +72,15 @@
 	return min(storeTimeout*time.Duration(1+f.failedReads), mostStoreTimeout), true
 }
 
-// pauseLocked is the time between the begins of two reads; f.mu is held.
-func (f *Follower) pauseLocked() time.Duration {
+// pauseLocked is the time between the begins of two reads; f.mu is held. After one that failed the others try meanwhile:
+// together they try about as often as one node reads while all is well, as a store that is away is not back sooner for being
+// called more often.
+func (f *Follower) pauseLocked(t *tree) time.Duration {
 	if f.failedReads == 0 {
 		return storeInterval
 	}
 
-	pause := min(failedPause*time.Duration(f.failedReads), mostFailedPause)
+	pause := storeInterval * time.Duration(min(max(len(t.order), 2), mostSharers))
 
 	// Nodes that failed at the same moment don't come back at the same.
 	return pause - f.spreadLocked(pause/4)
--- a/internal/gateway/follower/tree.go
+++ b/internal/gateway/follower/tree.go
@@ -20,7 +20,7 @@
 //
 // The strongest nodes stand at the top: with hashing alone a fleet of few strong and many weak VMs has weak ones there, whose links
 // are full for seconds with each change. Each failure domain is fed once, by its first node, since bytes between failure
-// domains are paid for.
+// domains are paid for. A fleet that is small enough hangs on its first node alone: news are older with each level.
 type tree struct {
 	// order holds all nodes, the strong ones first, else by hash.
 	order []string
@@ -71,7 +71,9 @@
 	t := &tree{order: strongFirst(Order(live), known)}
 	t.rank = max(slices.Index(t.order, self), 0)
 
-	if len(t.order) == 0 {
+	if len(t.order) <= fanOut+1 {
+		t.placeIn(t.order, t.rank)
+
 		return t
 	}
 
--- a/internal/gateway/follower/tree_test.go
+++ b/internal/gateway/follower/tree_test.go
@@ -67,6 +67,9 @@
 		}
 
 		assert.Equal(t, len(fed), size.count-1)
-		assert.Equal(t, crossing, size.domains-1)
+
+		if size.count > fanOut+1 {
+			assert.Equal(t, crossing, size.domains-1)
+		}
 	}
 }
