Take turns in trying a store that is away

Trace: the store was silent until 25.6 s; all nine nodes had failed within half a second and waited for 3.6 to 4.8 s, so nobody read until 28.1 s; from 27.8 s it turned eight away. Change: after failed reads each node's next try comes by its place in the order, so that one node tries every 0.6 s; each of nine tries again after 1.8 s, each of many after 4.8 s. Nodes behind the first nine wait 1.5 times as long as the one before, so that calls stay bound.

--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -523,6 +523,26 @@
 	})
 }
 
+// Symptom: routes are refused that have been there for over two seconds, and keys honoured that are gone.
+// Sequence: the store is away for some seconds; it is back for two, in which operators write; then it turns all nodes away but one.
+// Cause: all nodes had failed at nearly the same moment and waited for equally long, so nobody noticed the return.
+func TestReturnOfTheStoreIsNoticedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9)
+		defer f.end()
+
+		for i := range 20 {
+			time.Sleep(10 * time.Second)
+			f.change(func() { f.down = true })
+			time.Sleep(4*time.Second + time.Duration(i)*250*time.Millisecond)
+			f.change(func() { f.down = false; f.version++ })
+
+			took := f.slowest(hasVersion(f.version))
+			assert.Assert(t, took < 1300*time.Millisecond, "outage %d: %v", i, took)
+		}
+	})
+}
+
 // Symptom: a node that was cut off looks fresh.
 // Sequence: the store is away; an answer of a peer is held up on its way.
 // Cause: the age in the answer counted from its arrival, not from the question.
--- a/internal/gateway/follower/reading.go
+++ b/internal/gateway/follower/reading.go
@@ -24,9 +24,9 @@
 	patienceStep     = 50 * time.Millisecond
 	quickSubstitutes = 8
 	// patienceGrowth multiplies the patience for each place behind them. While nobody can read, the number of nodes that
-	// try grows with the logarithm of time and not with the fleet: some twelve in nine seconds. Otherwise 300 nodes would
+	// try grows with the logarithm of time and not with the fleet: some twelve in eight seconds. Otherwise 300 nodes would
 	// call a store that just turns them away, and every call is paid for.
-	patienceGrowth = 1.25
+	patienceGrowth = 1.5
 	// alonePatience is that of a node that no peer answers: nobody else can help it.
 	alonePatience = patience + quickSubstitutes*patienceStep
 	// startPatience is that of a node that just started and whose peers know no configuration either: the seeds read the store first.
@@ -43,8 +43,10 @@
 	mostStoreTimeout = 2800 * time.Millisecond
 	// wholeTimeout bounds a read of all that the store holds: two megabytes over a link of 20 Mbit/s, with its overhead.
 	wholeTimeout = 2500 * time.Millisecond
-	// mostSharers bounds the number of nodes that are taken to share the tries of a store that is away, so that a node tries
-	// again within 4.8 s: a machine must be back in touch within five seconds of the store's return.
+	// sharerPart is the part of the nodes that take turns in trying a store that is away, and mostSharers the most of them. A
+	// node of nine then tries every 1.8 s, so that a store that comes back for it alone is noticed within the two seconds in
+	// which keys and routes are in force; one of many tries every 4.8 s, where operators allow for longer.
+	sharerPart  = 3
 	mostSharers = 8
 	// outageTime is the time without a sound read after which entries may have lapsed in the store.
 	outageTime = 2500 * time.Millisecond
@@ -72,18 +74,20 @@
 	return min(storeTimeout*time.Duration(1+f.failedReads), mostStoreTimeout), true
 }
 
-// pauseLocked is the time between the begins of two reads; f.mu is held. After one that failed the others try meanwhile:
-// together they try about as often as one node reads while all is well, as a store that is away is not back sooner for being
-// called more often.
+// pauseLocked is the time between the begins of two reads; f.mu is held. After reads that failed nodes take turns, by their
+// places in the order: the first tries of all come within half a second, and if the next ones did too, a store that
+// returned right after them would not be noticed for a whole round.
 func (f *Follower) pauseLocked(t *tree) time.Duration {
-	if f.failedReads == 0 {
+	sharers := min(max(len(t.order)/sharerPart, 2), mostSharers)
+
+	switch f.failedReads {
+	case 0:
 		return storeInterval
+	case 1:
+		return time.Duration(1+t.rank%sharers) * storeInterval
+	default:
+		return time.Duration(sharers) * storeInterval
 	}
-
-	pause := storeInterval * time.Duration(min(max(len(t.order), 2), mostSharers))
-
-	// Nodes that failed at the same moment don't come back at the same.
-	return pause - f.spreadLocked(pause/4)
 }
 
 // spreadLocked returns a random time below the limit; f.mu is held.
