Give a change the revision of the answer that brings it

Cause, found by reading: encoded changes are kept by what they change and lead to. Where a parent's registry held the same again at a later revision, the kept change bore the earlier one; a child whose own registry was newer than that took it for older and dropped it, each time anew, and would have gone on sending to an upstream that left until the next change. Change: a registry that came whole takes revision and number of kept upstreams from the answer, which are its digest's. The last tree's fields are named lastTree, lastLive, lastDigest. Test: TestChangeBearsTheRevisionOfTheAnswer, before: the child kept both upstreams. TestRegistryThatIsTheSameAgainIsTakenIn passed before as well and guards the whole way.

--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -101,11 +101,11 @@
 	stored cataloguer.Registry
 
 	mu sync.Mutex
-	// grown is the last tree, over the nodes in grownLive and the registry with grownDigest. It isn't changed once made.
-	grown       *tree
-	grownLive   []string
-	grownDigest uint64
-	counters    Counters
+	// lastTree is over the nodes in lastLive and the registry with lastDigest. It isn't changed once made.
+	lastTree   *tree
+	lastLive   []string
+	lastDigest uint64
+	counters   Counters
 	// random spreads nodes over time; its seed is the node's name.
 	random *rand.Rand
 	// readAt is when the last read of the store was begun, by the catalog's clock; negative before the first.
@@ -217,12 +217,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	if f.grown == nil || f.grownDigest != state.Digest || !slices.Equal(f.grownLive, live) {
-		f.grown = newTree(f.options.Self.Name, live, state.Registry.Nodes)
-		f.grownLive, f.grownDigest = live, state.Digest
+	if f.lastTree == nil || f.lastDigest != state.Digest || !slices.Equal(f.lastLive, live) {
+		f.lastTree = newTree(f.options.Self.Name, live, state.Registry.Nodes)
+		f.lastLive, f.lastDigest = live, state.Digest
 	}
 
-	return f.grown
+	return f.lastTree
 }
 
 // age is how old the proof is; before the first one, how long the node waits for it.
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -543,6 +543,81 @@
 	})
 }
 
+// Symptom: a node goes on sending to an upstream that left, though its parent knows.
+// Sequence: an upstream leaves, comes back the same, and leaves again; a child misses the first time and hears of the second.
+// Cause: the parent's encoded change bore the revision of the first time, so the child took it for an older registry than its own.
+func TestRegistryThatIsTheSameAgainIsTakenIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.end()
+
+		time.Sleep(10 * time.Second)
+
+		for i := range 12 {
+			f.change(func() { f.ids = []string{"a", "b"}[:1+i%2] })
+			want := len(f.ids)
+			took := f.slowest(func(s *cataloguer.State) bool { return len(s.Registry.Upstreams) == want })
+			assert.Assert(t, took < 1700*time.Millisecond, "change %d: %v", i, took)
+			time.Sleep(time.Duration(i) * 90 * time.Millisecond)
+		}
+	})
+}
+
+// The parent's answers, with the change encoded at an earlier time at which its registry held the same.
+func TestChangeBearsTheRevisionOfTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := func() time.Duration { return time.Hour }
+		parent, child := cataloguer.New(now), cataloguer.New(now)
+		alone := &fleet{version: 1, parts: map[string]*member{}, turnedAway: map[string]bool{}, listed: map[string]cataloguer.Node{}}
+		m := &member{fleet: alone, name: "parent", catalog: parent}
+		m.follower = follower.New(follower.Options{
+			Catalog: parent, Store: m, Peers: m, Self: cataloguer.Node{Name: "parent"},
+			Seeds: func() []string { return nil }, Live: m.live, Gone: alone.gone, Logger: zerolog.Nop(),
+		})
+		alone.parts["parent"] = m
+
+		both := []cataloguer.Upstream{{ID: "a"}, {ID: "b"}}
+		register := func(c *cataloguer.Catalog, revision int64, upstreams []cataloguer.Upstream) {
+			c.Configure(cataloguer.Configuration{Version: 1}, time.Hour)
+			c.Register(cataloguer.Registry{Revision: revision, Upstreams: upstreams}, false)
+		}
+
+		register(parent, 9, both)
+		register(parent, 10, both[:1])
+
+		// Another child had the change at revision 10; the parent then missed that b came back for a moment.
+		other := cataloguer.New(now)
+		register(other, 9, both)
+		pullOnce(t, m, other)
+		parent.Confirm(parent.State().Digest, 20, 0)
+
+		register(child, 12, both)
+		pullOnce(t, m, child)
+		assert.Equal(t, len(child.State().Registry.Upstreams), 1)
+		assert.Equal(t, child.State().Registry.Revision, int64(20))
+	})
+}
+
+// pullOnce lets a node with the catalog ask another one once.
+func pullOnce(t *testing.T, asked *member, catalog *cataloguer.Catalog) {
+	t.Helper()
+
+	child := &member{fleet: asked.fleet, name: "child", catalog: catalog}
+	child.follower = follower.New(follower.Options{
+		Catalog: catalog, Store: child, Peers: child, Self: cataloguer.Node{Name: "child"},
+		Seeds: func() []string { return nil }, Live: child.live, Gone: asked.fleet.gone, Logger: zerolog.Nop(),
+	})
+
+	_, err := child.follower.HandleChanged(t.Context(), asked.name, nil)
+	assert.NilError(t, err)
+
+	ctx, stop := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer stop()
+
+	child.follower.Run(ctx)
+	synctest.Wait()
+}
+
 // Symptom: a node that was cut off looks fresh.
 // Sequence: the store is away; an answer of a peer is held up on its way.
 // Cause: the age in the answer counted from its arrival, not from the question.
--- a/internal/gateway/follower/taking.go
+++ b/internal/gateway/follower/taking.go
@@ -40,6 +40,9 @@
 				return false, err
 			}
 
+			// The parcel may be from an earlier time at which the peer's registry held the same.
+			registry.Revision, registry.Kept = answer.Revision, answer.Kept
+
 			if whole && catalog.Register(registry, false) {
 				f.logRegistry("peer")
 
