--- a/internal/gateway/follower/reading.go
+++ b/internal/gateway/follower/reading.go
@@ -25,7 +25,7 @@
 	quickSubstitutes = 8
 	// patienceGrowth multiplies the patience for each place behind them. While nobody can read, the number of nodes that
 	// try grows with the logarithm of time and not with the fleet: some twelve in eight seconds. Otherwise 300 nodes would
-	// call a store that just turns them away, and every call is paid for.
+	// call a store that turns them away, and every call is paid for.
 	patienceGrowth = 1.5
 	// alonePatience is that of a node that no peer answers: nobody else can help it.
 	alonePatience = patience + quickSubstitutes*patienceStep
--- a/internal/gateway/follower/tree.go
+++ b/internal/gateway/follower/tree.go
@@ -28,7 +28,7 @@
 	rank int
 	// parent is the node to ask; empty for the first one.
 	parent string
-	// depth is the number of nodes between this one and the store, less one.
+	// depth is the number of nodes between this one and the store; 0 for the first.
 	depth int
 	// children are the nodes that ask this one.
 	children []string
