Let one piece of code tell strong nodes from weak ones

Cause: the rule that parts nodes by capacity, with its constant, stood twice: for holders of pools (members.go) and for the tree (tree.go). Behaviour as it was, tests untouched.

--- a/internal/gateway/follower/tree.go
+++ b/internal/gateway/follower/tree.go
@@ -8,12 +8,8 @@
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 )
 
-const (
-	// fanOut is the number of nodes of a failure domain that ask the same parent. Three levels reach 4,000 nodes.
-	fanOut = 20
-	// strongPart is the part of the strongest node's capacity that a node needs to stand at the top.
-	strongPart = 0.6
-)
+// fanOut is the number of nodes of a failure domain that ask the same parent. Three levels reach 4,000 nodes.
+const fanOut = 20
 
 // tree is the way of changes from the store to all nodes, as one node sees it. Each node computes it from the live ones,
 // so nobody has to be elected.
@@ -68,7 +64,8 @@
 		known[node.Name] = node
 	}
 
-	t := &tree{order: strongFirst(Order(live), known)}
+	strong, weak := cataloguer.SplitByCapacity(Order(live), listed)
+	t := &tree{order: append(strong, weak...)}
 	t.rank = max(slices.Index(t.order, self), 0)
 
 	if len(t.order) <= fanOut+1 {
@@ -127,23 +124,3 @@
 		t.depth++
 	}
 }
-
-// strongFirst moves the weak nodes behind the others.
-func strongFirst(order []string, known map[string]cataloguer.Node) []string {
-	most := 0.0
-	for _, name := range order {
-		most = max(most, known[name].Capacity)
-	}
-
-	var strong, weak []string
-
-	for _, name := range order {
-		if known[name].Capacity >= strongPart*most {
-			strong = append(strong, name)
-		} else {
-			weak = append(weak, name)
-		}
-	}
-
-	return append(strong, weak...)
-}
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -17,9 +17,6 @@
 // goneTime is how long a node is dead before its entry is removed from the store: longer than any restart of a VM.
 const goneTime = 10 * time.Minute
 
-// strongPart is the part of the strongest node's capacity that a node needs to decide for others.
-const strongPart = 0.6
-
 func (n *Node) newProber() *prober.Prober {
 	node := n.settings.Node
 	options := prober.DefaultOptions()
@@ -89,20 +86,7 @@
 // for a large pool answers late, and all others would wait for it before they go on alone.
 func (n *Node) holders() []string {
 	live := n.live()
-	capacities := make(map[string]float64, len(live))
-
-	for _, node := range n.catalog.State().Registry.Nodes {
-		capacities[node.Name] = node.Capacity
-	}
-
-	most := 0.0
-	for _, name := range live {
-		most = max(most, capacities[name])
-	}
-
-	strong := slices.DeleteFunc(slices.Clone(live), func(name string) bool {
-		return capacities[name] < strongPart*most
-	})
+	strong, _ := cataloguer.SplitByCapacity(live, n.catalog.State().Registry.Nodes)
 
 	// One that leaves is not live but still counts itself.
 	if n.leaving() > 0 {
