Log what a waiting request knows, rebuilds, and lost connections between nodes

Cause of the change: a request was neither answered nor refused for 40 s and no line told why. Three hypotheses could not be told apart: a takeover that is opened again and again, an ask that moves to and fro between holders, and decisions that don't arrive.

New lines: slot_waited_for (at 1 s, 2 s, 4 s ... of one ask: the holder asked, whether it answered, who would be asked now, who is silent), holder_silent and holder_silence_ended, pool_rebuild_began and pool_rebuild_ended (with the entries that had not answered), slots_withheld (requests wait beside free slots), entry_forgotten, decisions_not_delivered, peer_connection_lost and peer_connection_regained. Each is bounded: by doubling waits, by rounds of a second, or by changes of state.

The process tests keep the whole log of each process of a failed test; they kept the last 6,000 bytes.

--- a/internal/granter/holder.go
+++ b/internal/granter/holder.go
@@ -71,6 +71,8 @@
 	pacer   *pacer
 	// silent counts, by entry, comparisons running that the entry didn't answer.
 	silent map[string]int
+	// rebuildBegan is when the rebuild began that is under way; zero for none.
+	rebuildBegan time.Time
 }
 
 // Stats returns the counters of all pools that this node holds or held lately, by pool.
@@ -188,10 +190,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
+	missing := p.pool.Unanswered()
+
 	for _, d := range event(time.Now(), p.pool) {
 		h.outbox.add(d.Entry, newDecision(p.name, d))
 	}
 
+	h.logRebuild(p, missing)
 	h.arm(p)
 }
 
@@ -305,10 +310,13 @@
 	ctx, cancel := context.WithTimeout(h.ctx, h.options.ReconcileEvery)
 	defer cancel()
 
-	if h.caller.Notify(ctx, entry, MethodDecided, decidedParams{Decisions: decisions}) == nil {
+	err := h.caller.Notify(ctx, entry, MethodDecided, decidedParams{Decisions: decisions})
+	if err == nil {
 		return
 	}
 
+	h.options.Logger.Warn().Str("entry", entry).Int("decisions", len(decisions)).Err(err).Msg("decisions_not_delivered")
+
 	for _, d := range decisions {
 		if p := h.find(d.Pool); p != nil {
 			p.hurry(entry)
--- a/internal/granter/pending.go
+++ b/internal/granter/pending.go
@@ -15,6 +15,9 @@
 
 // pending is one ask on its way to a decision.
 type pending struct {
+	// requestID is the id that the request's log lines carry; item.ID is that of the ask.
+	requestID string
+
 	item  askItem
 	pool  string
 	class configurer.Class
@@ -78,6 +81,7 @@
 	now := time.Now()
 
 	p := &pending{
+		requestID: ask.RequestID,
 		item: askItem{
 			ID:           id,
 			Service:      ask.Service,
--- a/internal/granter/reconciler.go
+++ b/internal/granter/reconciler.go
@@ -35,6 +35,8 @@
 		return
 	}
 
+	h.options.Logger.Info().Str("pool", p.name).Bool("holder", mine).Strs("entries", live).Msg("pool_rebuild_began")
+
 	h.drive(p, func(now time.Time, pool *scheduler.Pool) []scheduler.Decision {
 		return pool.Rebuild(now, live)
 	})
@@ -62,6 +64,7 @@
 		}
 
 		h.refresh(p)
+		h.logWithheld(p)
 
 		entries := h.entriesOf(p)
 		h.compare(p, h.dueOf(p, entries, now), now)
@@ -212,6 +215,13 @@
 
 		delete(p.silent, entry)
 
+		h.options.Logger.Warn().
+			Str("pool", p.name).
+			Str("entry", entry).
+			Bool("live", !gone).
+			Strs("grants", pool.GrantIDs(entry)).
+			Msg("entry_forgotten")
+
 		return pool.Forget(now, entry)
 	})
 }
--- a/internal/granter/router.go
+++ b/internal/granter/router.go
@@ -83,9 +83,11 @@
 	}
 
 	p := r.begin(ask, service)
+	log := newWaitLog(r)
 
 	for {
 		again := r.askAgain(p)
+		asked := time.Now()
 
 		answered := r.askHolder(ctx, p)
 		if !answered && ask.Spare {
@@ -103,7 +105,9 @@
 			again = r.options.HolderSilence
 		}
 
-		d, err := r.await(ctx, p, again)
+		look := func() { log.look(p, asked, answered) }
+
+		d, err := r.await(ctx, p, again, look)
 		if err != nil {
 			return dispatcher.Slot{}, err
 		}
@@ -135,7 +139,7 @@
 
 	answer, err := r.batcher.ask(ctx, peer, item, p.class.Tier == topTier)
 	if err != nil && ctx.Err() == nil {
-		r.suspect(peer)
+		r.suspect(peer, err)
 
 		return false
 	}
@@ -149,7 +153,8 @@
 }
 
 // await waits until the ask is decided, or until it is time to ask again; then the state is stateQueued.
-func (r *Router) await(ctx context.Context, p *pending, again time.Duration) (decision, error) {
+// It calls looked each time it has looked at the holder, and before it asks again.
+func (r *Router) await(ctx context.Context, p *pending, again time.Duration, looked func()) (decision, error) {
 	timer := time.NewTimer(again)
 	defer timer.Stop()
 
@@ -165,8 +170,12 @@
 
 			return decision{}, errors.Wrap(ctx.Err(), "wait for a slot")
 		case <-timer.C:
+			looked()
+
 			return decision{State: stateQueued}, nil
 		case <-look.C:
+			looked()
+
 			if r.holderOf(p.pool) != p.peer {
 				return decision{State: stateQueued}, nil
 			}
--- a/internal/granter/types.go
+++ b/internal/granter/types.go
@@ -26,6 +26,8 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"quincepath.example/quincepath/internal/configurer"
 	"quincepath.example/quincepath/internal/scheduler"
 )
@@ -62,6 +64,8 @@
 	ReconcileEvery time.Duration
 	// ReconcileAtMost is the longest time between comparisons with an entry. Default 10 s.
 	ReconcileAtMost time.Duration
+	// Logger takes what requests wait for and which holders are silent; the zero logger writes nothing.
+	Logger zerolog.Logger
 }
 
 func (o Options) withDefaults() Options {
--- /dev/null
+++ b/internal/granter/waiting.go
@@ -0,0 +1,60 @@
+package granter
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// waitLogAfter is the wait of one ask after which it is logged; each further
+// line comes when the wait has doubled, so that a request that waits ten minutes has ten lines.
+const waitLogAfter = time.Second
+
+// waitLog logs what an ask that waits knows: without it a request that is
+// neither answered nor refused has no line until its caller gives up, and
+// nothing tells whether its holder, the way there or the queue kept it.
+type waitLog struct {
+	router *Router
+	due    time.Duration
+}
+
+func newWaitLog(r *Router) *waitLog {
+	return &waitLog{router: r, due: waitLogAfter}
+}
+
+// look writes a line if one is due. Asked is when the holder was last asked,
+// and answered whether it did.
+func (l *waitLog) look(p *pending, asked time.Time, answered bool) {
+	waited := time.Since(p.began)
+	if waited < l.due {
+		return
+	}
+
+	for l.due <= waited {
+		l.due *= 2
+	}
+
+	r := l.router
+
+	r.options.Logger.Info().
+		Str("request_id", p.requestID).
+		Str("ask_id", p.item.ID).
+		Str("pool", p.pool).
+		Str("class", p.item.Class).
+		Str("holder", p.peer).
+		Bool("holder_answered", answered).
+		Dur("asked_ms_ago", time.Since(asked)).
+		Str("holder_now", r.holderOf(p.pool)).
+		Strs("silent", r.silentNodes()).
+		Int("live", len(r.members.Live())).
+		Dur("waited_ms", waited).
+		Msg("slot_waited_for")
+}
+
+// silentNodes names the nodes that this node doesn't ask since they didn't answer.
+func (r *Router) silentNodes() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return slices.Sorted(maps.Keys(r.silent))
+}
--- a/internal/granter/watcher.go
+++ b/internal/granter/watcher.go
@@ -99,7 +99,7 @@
 
 // suspect keeps a silent holder from being asked until it answers again. The
 // next holder is asked meanwhile; two holders cost some balance and no promise.
-func (r *Router) suspect(peer string) {
+func (r *Router) suspect(peer string, cause error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
@@ -110,6 +110,8 @@
 	r.silent[peer] = true
 	r.counters.Silences++
 
+	r.options.Logger.Warn().Str("holder", peer).AnErr("cause", cause).Msg("holder_silent")
+
 	go r.probe(peer)
 }
 
@@ -118,6 +120,8 @@
 	ticker := time.NewTicker(probeEvery)
 	defer ticker.Stop()
 
+	began := time.Now()
+
 	for {
 		select {
 		case <-ticker.C:
@@ -125,11 +129,14 @@
 			return
 		}
 
-		if r.answers(peer) || !slices.Contains(r.members.Live(), peer) {
+		answers := r.answers(peer)
+		if answers || !slices.Contains(r.members.Live(), peer) {
 			r.mu.Lock()
 			delete(r.silent, peer)
 			r.mu.Unlock()
 
+			r.options.Logger.Info().Str("holder", peer).Bool("answers", answers).Dur("silent_ms", time.Since(began)).Msg("holder_silence_ended")
+
 			return
 		}
 	}
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -35,6 +35,8 @@
 	// failedAt is the time of the last dial that failed, and failedErr its error; nil after a dial that did not.
 	failedAt  time.Time
 	failedErr error
+	// lostAt is when the peer's last connection was lost; zero once there is a new one.
+	lostAt time.Time
 }
 
 func newLink(messenger *Messenger, peer, address string) *link {
@@ -76,7 +78,7 @@
 		return nil
 	}
 
-	l.drop(connection)
+	l.lose(connection, "broken", err)
 
 	return errors.Wrapf(err, "notify %s", l.peer)
 }
@@ -102,7 +104,7 @@
 		}
 
 		connection.end()
-		l.drop(connection)
+		l.lose(connection, "broken", err)
 
 		if try == sendTries {
 			unreachable := classifier.Wrap(err, classifier.NodeUnreachable, "the connection to node %q broke", l.peer)
@@ -123,7 +125,7 @@
 		return errors.Wrapf(err, "call %s", l.peer)
 	}
 
-	l.drop(connection)
+	l.lose(connection, "broken", err)
 
 	if connection.silent.Load() {
 		err = errors.Mark(err, ErrSilent)
@@ -155,6 +157,7 @@
 		if ctx.Err() == nil {
 			l.failedAt = time.Now()
 			l.failedErr = failure
+			l.noteLost("not_dialled", err)
 		}
 
 		return nil, failure
@@ -163,6 +166,8 @@
 	l.failedErr = nil
 	l.current = connection
 
+	l.noteRegained()
+
 	return connection, nil
 }
 
@@ -236,7 +241,7 @@
 		l.drop(connection)
 	case stateSilent:
 		connection.silent.Store(true)
-		l.drop(connection)
+		l.lose(connection, "silent", nil)
 	case stateUsed:
 		l.ping(connection)
 	}
@@ -245,13 +250,15 @@
 // ping asks for a sign of life. It doesn't wait for the answer: the next tick looks at what came.
 func (l *link) ping(connection *dialled) {
 	if _, err := connection.rpc.DispatchCall(context.Background(), methodPing, struct{}{}); err != nil {
-		l.drop(connection)
+		l.lose(connection, "broken", err)
+
 		return
 	}
 
 	connection.timer.Reset(pingInterval)
 }
 
+// drop closes a connection that was unused.
 func (l *link) drop(connection *dialled) {
 	l.mu.Lock()
 	if l.current == connection {
@@ -262,6 +269,37 @@
 	_ = connection.rpc.Close()
 }
 
+// lose closes a connection that doesn't work any more.
+func (l *link) lose(connection *dialled, reason string, cause error) {
+	l.mu.Lock()
+	if l.current == connection {
+		l.noteLost(reason, cause)
+	}
+	l.mu.Unlock()
+
+	l.drop(connection)
+}
+
+// noteLost logs that the peer can't be reached, once until it can. The caller holds l.mu.
+func (l *link) noteLost(reason string, cause error) {
+	if !l.lostAt.IsZero() {
+		return
+	}
+
+	l.lostAt = time.Now()
+	l.messenger.options.Logger.Warn().Str("peer", l.peer).Str("reason", reason).AnErr("cause", cause).Msg("peer_connection_lost")
+}
+
+// noteRegained logs the first connection after a loss. The caller holds l.mu.
+func (l *link) noteRegained() {
+	if l.lostAt.IsZero() {
+		return
+	}
+
+	l.messenger.options.Logger.Info().Str("peer", l.peer).Dur("lost_ms", time.Since(l.lostAt)).Msg("peer_connection_regained")
+	l.lostAt = time.Time{}
+}
+
 func (l *link) close() {
 	l.mu.Lock()
 	connection := l.current
--- a/internal/scheduler/adopting.go
+++ b/internal/scheduler/adopting.go
@@ -54,6 +54,20 @@
 	return p.decisions
 }
 
+// Rebuilding says whether a takeover is under way.
+func (p *Pool) Rebuilding() bool {
+	return p.rebuild.active
+}
+
+// Unanswered names the entries that a takeover still waits for.
+func (p *Pool) Unanswered() []string {
+	if !p.rebuild.active {
+		return nil
+	}
+
+	return slices.Sorted(maps.Keys(p.rebuild.missing))
+}
+
 // Adopt compares what an entry has in flight with the grants of the pool. Unknown
 // ones are taken over; grants that the entry doesn't know twice running are freed.
 func (p *Pool) Adopt(now time.Time, entry string, flights []InFlight) []Decision {
--- a/internal/scheduler/stats.go
+++ b/internal/scheduler/stats.go
@@ -89,3 +89,24 @@
 func (p *Pool) Queues() bool {
 	return len(p.waiting) > 0
 }
+
+// Room is what a pool has for requests that wait.
+type Room struct {
+	// Waiting is the number of requests that wait.
+	Waiting int
+	// Free is the number of slots below the limits of all servers.
+	Free int
+	// ForLower is the part of them that requests below tier 1 may have, as of the latest grant or tick.
+	ForLower int
+}
+
+// Room tells how much room there is beside the requests that wait.
+func (p *Pool) Room() Room {
+	room := Room{Waiting: len(p.waiting), ForLower: p.view.forLower}
+
+	for _, s := range p.servers {
+		room.Free += max(0, s.slots()-s.inFlight)
+	}
+
+	return room
+}
--- a/internal/server/slots.go
+++ b/internal/server/slots.go
@@ -17,6 +17,7 @@
 		Node:        n.identity.node,
 		Incarnation: n.identity.incarnation,
 		Policy:      granter.PolicyPerRequest,
+		Logger:      n.logger,
 		Pool: scheduler.Options{
 			EnginePriority: n.settings.Routing.EnginePriority,
 			Oversubscribe:  n.settings.Routing.Oversubscribe,
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -180,7 +180,7 @@
 	tb.Helper()
 
 	if tb.Failed() {
-		tb.Logf("log of %s:\n%s", p.name, tail(p.logged()))
+		tb.Logf("log of %s, whole in %s:\n%s", p.name, p.keepLog(tb), tail(p.logged()))
 	}
 
 	select {
@@ -194,6 +194,24 @@
 	p.kill()
 }
 
+// keepLog writes the whole log to a file that outlives the tests, and returns its
+// path: what went wrong stands often far before the end, and a failure that
+// comes once in many runs leaves nothing else.
+func (p *process) keepLog(tb testing.TB) string {
+	folder := filepath.Join(os.TempDir(), "quincepath-failures", strings.ReplaceAll(tb.Name(), "/", "_"))
+	path := filepath.Join(folder, fmt.Sprintf("%s-%d.log", p.name, p.command.Process.Pid))
+
+	if err := os.MkdirAll(folder, 0o750); err != nil {
+		return err.Error()
+	}
+
+	if err := os.WriteFile(path, []byte(p.logged()), 0o600); err != nil {
+		return err.Error()
+	}
+
+	return path
+}
+
 func tail(text string) string {
 	const most = 6000
 	if len(text) > most {
