Show that short calls and notifications keep a silent connection alive

Two failing tests, in virtual time: a kept connection between two nodes goes silent without a close, then only calls that end by a deadline of 150 ms, or only notifications, use it. The connection is never given up, although a new one would work; one patient call finds it silent in 2 s (the test beside).

Measured: both fail each time (go test -run 'UnderShortCalls|UnderNotifications' ./internal/messenger), the first with pauses of 0 between its calls already.

--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -215,6 +215,75 @@
 	})
 }
 
+// Symptom: a node that can be reached again stays silent for the one that calls it, for as long as it calls.
+// Events: a kept connection loses its path without a close; short calls, each of which ends by its own deadline, follow one another.
+func TestSilentConnectionIsReplacedUnderShortCalls(t *testing.T) {
+	const (
+		deadline = 150 * time.Millisecond
+		limit    = 3 * time.Second
+	)
+
+	for _, pause := range []time.Duration{0, time.Millisecond, 100 * time.Millisecond, time.Second, 5 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			network := newMemoryNetwork()
+			client := newPair(ctx, network, "secret")
+
+			assert.NilError(t, client.Call(ctx, "b", "echo", 1, nil))
+			network.hush()
+
+			lost := time.Now()
+
+			for {
+				short, stop := context.WithTimeout(ctx, deadline)
+				err := client.Call(short, "b", "echo", 2, nil)
+
+				stop()
+
+				if err == nil {
+					break
+				}
+
+				assert.Assert(t, time.Since(lost) < limit+pause, "calls with pauses of %s still meet the silent connection", pause)
+				time.Sleep(pause)
+			}
+
+			cancel()
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
+// Symptom: what a node tells another is lost, one message after the other, though the way is whole again.
+// Events: a kept connection loses its path without a close; only notifications follow, which have no answer.
+func TestSilentConnectionIsReplacedUnderNotifications(t *testing.T) {
+	const limit = 3 * time.Second
+
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		network := newMemoryNetwork()
+		client := newPair(ctx, network, "secret")
+
+		assert.NilError(t, client.Notify(ctx, "b", "echo", 1))
+		synctest.Wait()
+		network.hush()
+
+		for range 8 {
+			assert.NilError(t, client.Notify(ctx, "b", "echo", 2))
+			time.Sleep(limit / 8)
+		}
+
+		before := network.served.Load()
+
+		assert.NilError(t, client.Notify(ctx, "b", "echo", 3))
+		synctest.Wait()
+		assert.Equal(t, network.served.Load(), before+1)
+
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
 // Symptom: a node holds a connection to each node that it ever called, or loses calls now and then.
 // Events: connections rest; calls come about when the limit of the rest is over, and last longer than it.
 // Cause: unused connections are kept, or closed while a call is about to use them or waits.
