Let a grant that did not arrive be made good by the next ask

What callers saw: a request below tier 1 queued at a node that can't reach its entry waited for as long as the way was cut, 40 s and more, beside idle engines.

Cause: an ask is sent again after 5 s and gets then what was granted meanwhile. But an entry that answers no comparison was forgotten after five of them, 5 s too, with its grants; asked again, the holder begins a rebuild where it only serves in another's place, which takes 1 s when entries don't answer, so that the grant can't go with the answer; it is made anew, lost, and forgotten again.

How often that loop met an even number of rounds decided between 6 s and 40 s.

Mend: an entry is forgotten only once it has given no sign of life, an ask or an answer, for two times the pause between asks. So an ask of one that waits finds its grant. One that is no longer among the live nodes is forgotten at once, as before; one that is listed and silent holds its slots for 10 s in place of 5.

--- a/internal/granter/faults_test.go
+++ b/internal/granter/faults_test.go
@@ -1,8 +1,13 @@
 package granter
 
 import (
+	"context"
 	"math/rand/v2"
+	"slices"
+	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 func (n *network) freeze(name string) {
@@ -77,3 +82,41 @@
 		wait()
 	}
 }
+
+// Symptom: a note waited until its caller gave up, 40 s and more, though every engine was idle.
+// Sequence: the holder is silent, so a request is queued at another node, which
+// can't reach the entry that asks; it grants, and the grant is lost on the way; it forgets the entry after
+// five comparisons without an answer, 5 s, when the entry is about to ask again; asked, it rebuilds
+// for 1 s, since nobody answers it, and only then grants anew.
+// Cause: the entry was forgotten in the time after which it asks again, though its asks showed that it lived. Seen
+// as pool_rebuild_began each 5 s at a node with holder=false, and slots_withheld beside free slots after each.
+func TestGrantThatDidNotArriveIsMadeGoodByTheNextAsk(t *testing.T) {
+	inVirtualTime(t, 3, 2, 4, fixed(), func(t *testing.T, ctx context.Context, n *network) {
+		time.Sleep(time.Second)
+
+		silent := n.holderNode().name
+		others := slices.DeleteFunc(n.Live(), func(name string) bool { return name == silent })
+		next := newPlacement(n.tree).holder(others, "assistente")
+		entry := n.nodes[others[(slices.Index(others, next)+1)%len(others)]]
+		n.setCut(silent, true)
+
+		n.mu.Lock()
+		n.dropped[MethodDecided] = true
+		n.dropped[MethodInFlight] = true
+		n.mu.Unlock()
+
+		options := entry.router.options
+
+		for i := range 20 {
+			// Requests at other moments of the comparisons, which come each second.
+			time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+
+			bounded, stop := context.WithTimeout(ctx, 40*time.Second)
+			waited, err := entry.run(bounded, "chat", time.Millisecond)
+
+			stop()
+			assert.NilError(t, err, "request %d waited %s", i, waited)
+			assert.Assert(t, waited <= options.AskAgainAfter+2*time.Second, "request %d waited %s", i, waited)
+		}
+	})
+}
--- a/internal/granter/holder.go
+++ b/internal/granter/holder.go
@@ -69,8 +69,8 @@
 	mine    bool
 	lastAsk time.Time
 	pacer   *pacer
-	// silent counts, by entry, comparisons running that the entry didn't answer.
-	silent map[string]int
+	// heard is when each entry with grants or requests last asked or answered a comparison.
+	heard map[string]time.Time
 	// rebuildBegan is when the rebuild began that is under way; zero for none.
 	rebuildBegan time.Time
 }
@@ -159,6 +159,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
+	p.heard[entry] = time.Now()
+
 	if item.Compare {
 		p.pacer.hurry(entry)
 	}
@@ -260,7 +262,7 @@
 			pool:     scheduler.New(partOf(settings, part), options),
 			revision: snapshot.Revision,
 			pacer:    newPacer(h.options.ReconcileEvery, h.options.ReconcileAtMost),
-			silent:   make(map[string]int),
+			heard:    make(map[string]time.Time),
 		}
 		p.timer = time.AfterFunc(time.Hour, func() { h.tick(p) })
 		p.timer.Stop()
--- a/internal/granter/reconciler.go
+++ b/internal/granter/reconciler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -9,9 +10,14 @@
 	"quincepath.example/quincepath/internal/scheduler"
 )
 
-// silentToForget is the number of unanswered comparisons running after which an
-// entry counts as gone even while the list of live nodes still names it.
-const silentToForget = 5
+// asksToForget times AskAgainAfter is how long an entry may give no sign of life until it
+// counts as gone, even while the list of live nodes still names it.
+//
+// An entry that waits asks again each AskAgainAfter, and gets then what it was granted
+// meanwhile, if the decision was lost. Forgotten before, the grant would be made anew,
+// be lost as well, and so on for as long as the way to the entry is cut: its caller would get neither
+// an answer nor a refusal beside idle servers. One ask of two may be lost too.
+const asksToForget = 2
 
 // claim begins a rebuild when this node has just become the pool's holder, or
 // serves it in another's place after a time without asks: meanwhile others may have granted.
@@ -92,6 +98,7 @@
 	defer p.mu.Unlock()
 
 	p.pacer.keep(entries)
+	maps.DeleteFunc(p.heard, func(entry string, _ time.Time) bool { return !slices.Contains(entries, entry) })
 
 	return slices.DeleteFunc(slices.Clone(entries), func(entry string) bool {
 		return !p.pacer.due(now, entry) && entry != h.options.Node && slices.Contains(live, entry)
@@ -152,7 +159,7 @@
 	}
 
 	h.drive(p, func(now time.Time, pool *scheduler.Pool) []scheduler.Decision {
-		delete(p.silent, entry)
+		p.heard[entry] = now
 
 		if result.Same {
 			p.pacer.agreed(round, entry)
@@ -197,7 +204,7 @@
 	return result, err
 }
 
-// missed counts an entry that didn't answer and forgets it when it is gone.
+// missed notes that an entry didn't answer, and forgets it when it is gone.
 func (h *Holder) missed(p *heldPool, entry string) {
 	if h.ctx.Err() != nil {
 		return
@@ -206,14 +213,17 @@
 	gone := !slices.Contains(h.members.Live(), entry)
 
 	h.drive(p, func(now time.Time, pool *scheduler.Pool) []scheduler.Decision {
-		p.silent[entry]++
 		p.pacer.hurry(entry)
 
-		if !gone && p.silent[entry] < silentToForget {
+		if _, known := p.heard[entry]; !known {
+			p.heard[entry] = now
+		}
+
+		if !gone && now.Sub(p.heard[entry]) < asksToForget*h.options.AskAgainAfter {
 			return nil
 		}
 
-		delete(p.silent, entry)
+		delete(p.heard, entry)
 
 		h.options.Logger.Warn().
 			Str("pool", p.name).
