End the wait for another call's dial with the caller's own deadline

What callers see: where a peer takes connections and is silent, as behind a cut, an ask for a slot that gives its holder 150 ms waits until the dial of a call with a longer deadline is over: 1 s behind a comparison, 2 s behind others, and again behind the next one. A counter lookup (target 300 ms) waits with it.

Cause: a link dialled under its lock, and the lock knows no deadline.

Shown by: TestCallDoesNotWaitForADialBeyondItsDeadline before the mend doesn't end: virtual time stands while the ask is in sync.Mutex.Lock below link.connect.

Mend: the turn to dial is a channel that is waited for together with the context; the lock is held for a few statements. A link that was closed during a dial doesn't keep the connection.

--- a/internal/messenger/conn.go
+++ b/internal/messenger/conn.go
@@ -13,7 +13,7 @@
 	maxMessageBytes = 16 << 20
 	// unprovenBytes is what a connection may send before it has proved the credential.
 	unprovenBytes = 4 << 10
-	// writeTimeout bounds one write, so that a silent peer can't hold the link's lock.
+	// writeTimeout bounds one write, so that a silent peer can't hold up all that is sent to it.
 	writeTimeout = 2 * time.Second
 )
 
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -23,13 +23,19 @@
 	sendTries = 2
 )
 
+var errLinkClosed = errors.New("the link is closed")
+
 // link is the outgoing connection to one peer; it is dialled when needed.
 type link struct {
 	messenger *Messenger
 	peer      string
 	address   string
+	// dialling holds a value while a dial runs.
+	dialling chan struct{}
 
 	mu sync.Mutex
+	// closed means that no connection is kept any more.
+	closed bool
 	// current is nil when there is no connection.
 	current *dialled
 	// failedAt is the time of the last dial that failed, and failedErr its error; nil after a dial that did not.
@@ -40,7 +46,7 @@
 }
 
 func newLink(messenger *Messenger, peer, address string) *link {
-	return &link{messenger: messenger, peer: peer, address: address}
+	return &link{messenger: messenger, peer: peer, address: address, dialling: make(chan struct{}, 1)}
 }
 
 func (l *link) call(ctx context.Context, method string, params, result any) error {
@@ -135,7 +141,38 @@
 }
 
 // connect returns the open connection or dials one, with a use begun. Only one dial runs at a time.
+//
+// The wait for another call's dial ends with ctx as well. Where a peer takes connections and
+// is silent, a dial lasts as long as its call lets it; were it waited for under a lock, an ask
+// that gives its holder 150 ms would wait for seconds, and a counter lookup with it.
 func (l *link) connect(ctx context.Context) (*dialled, error) {
+	if connection, err := l.known(); connection != nil || err != nil {
+		return connection, err
+	}
+
+	select {
+	case l.dialling <- struct{}{}:
+	case <-ctx.Done():
+		return nil, l.unreachable(ctx.Err())
+	}
+
+	defer func() { <-l.dialling }()
+
+	// The dial that was waited for may have brought a connection, or failed.
+	if connection, err := l.known(); connection != nil || err != nil {
+		return connection, err
+	}
+
+	connection, err := l.dial(ctx)
+	if err != nil {
+		return nil, l.noteFailure(ctx, err)
+	}
+
+	return l.keep(connection)
+}
+
+// known returns the open connection with a use begun, or why there is none; neither when one is to be dialled.
+func (l *link) known() (*dialled, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -149,28 +186,49 @@
 		return nil, l.failedErr
 	}
 
-	connection, err := l.dial(ctx)
-	if err != nil {
-		failure := errors.Mark(classifier.Wrap(err, classifier.NodeUnreachable, "node %q can't be reached", l.peer), ErrNotSent)
+	return nil, nil
+}
 
-		// A caller that gave up says nothing about the peer.
-		if ctx.Err() == nil {
-			l.failedAt = time.Now()
-			l.failedErr = failure
-			l.noteLost("not_dialled", err)
-		}
+// keep makes a new connection the open one, unless the link was closed meanwhile.
+func (l *link) keep(connection *dialled) (*dialled, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 
-		return nil, failure
+	if l.closed {
+		_ = connection.rpc.Close()
+
+		return nil, l.unreachable(errLinkClosed)
 	}
 
 	l.failedErr = nil
 	l.current = connection
-
 	l.noteRegained()
 
 	return connection, nil
 }
 
+// noteFailure returns the error of a dial, and remembers it if it says something about the peer: a call that gave up doesn't.
+func (l *link) noteFailure(ctx context.Context, err error) error {
+	failure := l.unreachable(err)
+	if ctx.Err() != nil {
+		return failure
+	}
+
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.failedAt = time.Now()
+	l.failedErr = failure
+	l.noteLost("not_dialled", err)
+
+	return failure
+}
+
+// unreachable is the error of a call for which there is no connection.
+func (l *link) unreachable(cause error) error {
+	return errors.Mark(classifier.Wrap(cause, classifier.NodeUnreachable, "node %q can't be reached", l.peer), ErrNotSent)
+}
+
 // dial opens a connection and proves the credential. It outlives ctx, which only bounds the wait.
 func (l *link) dial(ctx context.Context) (*dialled, error) {
 	raw, err := l.messenger.options.Dial(ctx, l.address)
@@ -306,6 +364,7 @@
 	l.mu.Lock()
 	connection := l.current
 	l.current = nil
+	l.closed = true
 	l.mu.Unlock()
 
 	if connection != nil {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -60,8 +60,7 @@
 
 // Messenger calls peers and answers them. It is safe for concurrent use.
 //
-// Lock order: Messenger.mu, link.mu, dialled.mu. None is held during calls, but
-// link.mu is while its connection is dialled, so that only one dial runs at a time.
+// Lock order: Messenger.mu, link.mu, dialled.mu. None is held during calls or dials.
 type Messenger struct {
 	options  Options
 	handlers map[string]Handler
@@ -212,7 +211,7 @@
 	}
 
 	if ok {
-		// A dial may hold the old link's lock for seconds; calls to other peers must not wait for it.
+		// Closing an encrypted connection may wait for a write; calls to other peers must not.
 		go existing.close()
 	}
 
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -288,6 +288,43 @@
 	})
 }
 
+// Symptom: a counter lookup waits for a second or more at a node that gives a silent holder 150 ms.
+// Events: the way to a peer is cut; a call with a longer deadline dials it; an ask with a short one comes.
+// Cause: the ask waits for the dial of the other call at a lock, and its own deadline doesn't end that wait. Shown by
+// this test before the mend: it never ended, with the ask in sync.Mutex.Lock below link.connect.
+func TestCallDoesNotWaitForADialBeyondItsDeadline(t *testing.T) {
+	const deadline = 150 * time.Millisecond
+
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		network := newMemoryNetwork()
+		client := newPair(ctx, network, "secret")
+
+		// It takes connections and never answers.
+		network.listen("b")
+
+		go func() {
+			patient, stop := context.WithTimeout(ctx, 10*time.Second)
+			defer stop()
+
+			_ = client.Call(patient, "b", "echo", 1, nil)
+		}()
+
+		synctest.Wait()
+
+		began := time.Now()
+		short, stop := context.WithTimeout(ctx, deadline)
+		err := client.Call(short, "b", "echo", 2, nil)
+
+		stop()
+		assert.Assert(t, errors.Is(err, messenger.ErrNotSent), "%v", err)
+		assert.Assert(t, time.Since(began) <= deadline, "the call took %s", time.Since(began))
+
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
 // Symptom: a node holds a connection to each node that it ever called, or loses calls now and then.
 // Events: connections rest; calls come about when the limit of the rest is over, and last longer than it.
 // Cause: unused connections are kept, or closed while a call is about to use them or waits.
