--- a/internal/granter/pending.go
+++ b/internal/granter/pending.go
@@ -10,9 +10,6 @@
 	"quincepath.example/quincepath/internal/dispatcher"
 )
 
-// shareWindow is the time over which the share of a pool is remembered, once more at most.
-const shareWindow = 10 * time.Second
-
 // pending is one ask on its way to a decision.
 type pending struct {
 	// requestID is the id that the request's log lines carry; item.ID is that of the ask.
@@ -30,51 +27,6 @@
 	result chan decision
 }
 
-// flight is one running attempt.
-type flight struct {
-	item flightItem
-	pool string
-	// peer is the holder that granted, or empty.
-	peer  string
-	lower bool
-	since time.Time
-	// inner is the fallback's slot, or nil.
-	inner     *dispatcher.Slot
-	preempted chan struct{}
-	// preemptors are the holders that preempted the attempt; preempted is closed once there is one.
-	preemptors []string
-}
-
-// holders lists who reckons with the attempt: the holder that granted it, the
-// present one, which has adopted it if it took the pool over, and those that
-// preempted it. While nodes take different nodes for the holder, the last may be
-// none of the others, and would wait for the slot until the next comparisons.
-func (f *flight) holders(present string) []string {
-	all := append([]string{f.peer, present}, f.preemptors...)
-	slices.Sort(all)
-
-	return slices.DeleteFunc(slices.Compact(all), func(name string) bool { return name == "" })
-}
-
-func newFlight(p *pending, grantID, upstream, peer string) *flight {
-	return &flight{
-		item: flightItem{
-			GrantID:      grantID,
-			ID:           p.item.ID,
-			Upstream:     upstream,
-			Class:        p.item.Class,
-			Organisation: p.item.Organisation,
-
-			NotRepeatable: p.item.NotRepeatable,
-		},
-		pool:      p.pool,
-		peer:      peer,
-		lower:     p.class.Tier != topTier,
-		since:     time.Now(),
-		preempted: make(chan struct{}),
-	}
-}
-
 func (r *Router) begin(ask dispatcher.Ask, service configurer.Service) *pending {
 	id := askID(r.options.Node, r.options.Incarnation, r.number.Add(1))
 	part := r.partFor(&ask, service, id)
@@ -200,23 +152,6 @@
 	}
 }
 
-// launch notes a running attempt. The caller holds r.mu.
-func (r *Router) launch(f *flight) {
-	r.flights[f.item.GrantID] = f
-
-	if !f.lower {
-		return
-	}
-
-	s := r.shares[f.pool]
-	if s == nil {
-		s = &share{}
-		r.shares[f.pool] = s
-	}
-
-	s.note(time.Now(), r.lowerOn(f.pool))
-}
-
 // leave ends an ask that goes without its holder and reserves its flight.
 // It returns nil when a decision is already there to be read, or when a lower
 // tier already runs as many attempts as this node lately had.
@@ -243,14 +178,6 @@
 	return f
 }
 
-// withinShare says whether this node runs fewer lower-tier attempts on the pool
-// than it lately did. The caller holds r.mu.
-func (r *Router) withinShare(pool string) bool {
-	s := r.shares[pool]
-
-	return s != nil && r.lowerOn(pool) < s.known(time.Now())
-}
-
 // knownAt says whether the holder knows all that this node has of the pool.
 // Asked by another holder's entry, it would count that capacity as free until a comparison.
 func (r *Router) knownAt(pool, holder string) bool {
@@ -321,81 +248,3 @@
 		r.batcher.cancel(peer, cancelItem{Pool: p.pool, ID: p.item.ID})
 	}
 }
-
-// lowerOn counts this node's running attempts below tier 1. The caller holds r.mu.
-func (r *Router) lowerOn(pool string) int {
-	count := 0
-
-	for _, f := range r.flights {
-		if f.lower && f.pool == pool {
-			count++
-		}
-	}
-
-	return count
-}
-
-// inFlight answers what this node runs on a pool.
-func (r *Router) inFlight(pool string) inFlightResult {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-
-	var result inFlightResult
-
-	for _, f := range r.flights {
-		if f.pool != pool {
-			continue
-		}
-
-		item := f.item
-		item.Age = time.Since(f.since)
-		result.Flights = append(result.Flights, item)
-	}
-
-	return result
-}
-
-// compare answers what this node runs on a pool, or only that its holder knows it.
-func (r *Router) compare(pool string, known digest) inFlightResult {
-	result := r.inFlight(pool)
-
-	var own digest
-	for i := range result.Flights {
-		own.add(result.Flights[i].GrantID)
-	}
-
-	if own == known {
-		return inFlightResult{Same: true}
-	}
-
-	return result
-}
-
-// share remembers the largest number of lower-tier attempts at once in this window and the last.
-type share struct {
-	start         time.Time
-	present, last int
-}
-
-func (s *share) note(now time.Time, count int) {
-	s.turn(now)
-	s.present = max(s.present, count)
-}
-
-func (s *share) known(now time.Time) int {
-	s.turn(now)
-
-	return max(s.present, s.last)
-}
-
-// turn begins a new window when the present one is over. Without new grants
-// the last counts stay: a holder may be silent for longer than a window.
-func (s *share) turn(now time.Time) {
-	if now.Sub(s.start) < shareWindow || s.present == 0 {
-		return
-	}
-
-	s.start = now
-	s.last = s.present
-	s.present = 0
-}
--- /dev/null
+++ b/internal/messenger/dialling.go
@@ -0,0 +1,173 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"quincepath.example/quincepath/pkg/classifier"
+)
+
+const (
+	// dialTimeout bounds a connect; within a region it takes a few milliseconds.
+	dialTimeout = time.Second
+	// helloTimeout bounds the proof of the credential, on both ends.
+	helloTimeout = 2 * time.Second
+	// redialWait is how long a peer that could not be dialled counts as unreachable.
+	redialWait = 250 * time.Millisecond
+)
+
+var errLinkClosed = errors.New("the link is closed")
+
+// connect returns the open connection or dials one, with a use begun. Only one dial runs at a time.
+//
+// The wait for another call's dial ends with ctx as well. Where a peer takes connections and
+// is silent, a dial lasts as long as its call lets it; were it waited for under a lock, an ask
+// that gives its holder 150 ms would wait for seconds, and a counter lookup with it.
+func (l *link) connect(ctx context.Context) (*dialled, error) {
+	if connection, err := l.known(); connection != nil || err != nil {
+		return connection, err
+	}
+
+	select {
+	case l.dialling <- struct{}{}:
+	case <-ctx.Done():
+		return nil, l.unreachable(ctx.Err())
+	}
+
+	defer func() { <-l.dialling }()
+
+	// The dial that was waited for may have brought a connection, or failed.
+	if connection, err := l.known(); connection != nil || err != nil {
+		return connection, err
+	}
+
+	connection, err := l.dial(ctx)
+	if err != nil {
+		return nil, l.noteFailure(ctx, err)
+	}
+
+	return l.keep(connection)
+}
+
+// known returns the open connection with a use begun, or why there is none; neither when one is to be dialled.
+func (l *link) known() (*dialled, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if l.current != nil && l.current.begin() {
+		return l.current, nil
+	}
+
+	l.current = nil
+
+	if l.failedErr != nil && time.Since(l.failedAt) < redialWait {
+		return nil, l.failedErr
+	}
+
+	return nil, nil
+}
+
+// keep makes a new connection the open one, unless the link was closed meanwhile.
+func (l *link) keep(connection *dialled) (*dialled, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if l.closed {
+		_ = connection.rpc.Close()
+
+		return nil, l.unreachable(errLinkClosed)
+	}
+
+	l.failedErr = nil
+	l.current = connection
+	l.noteRegained()
+
+	return connection, nil
+}
+
+// noteFailure returns the error of a dial, and remembers it if it says something about the peer: a call that gave up doesn't.
+func (l *link) noteFailure(ctx context.Context, err error) error {
+	failure := l.unreachable(err)
+	if ctx.Err() != nil {
+		return failure
+	}
+
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.failedAt = time.Now()
+	l.failedErr = failure
+	l.noteLost(lossNotDialled, err)
+
+	return failure
+}
+
+// unreachable is the error of a call for which there is no connection.
+func (l *link) unreachable(cause error) error {
+	return errors.Mark(classifier.Wrap(cause, classifier.NodeUnreachable, "node %q can't be reached", l.peer), ErrNotSent)
+}
+
+// dial opens a connection and proves the credential. It outlives ctx, which only bounds the wait.
+func (l *link) dial(ctx context.Context) (*dialled, error) {
+	raw, err := l.messenger.options.Dial(ctx, l.address)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+
+	raw, err = l.encrypt(raw)
+	if err != nil {
+		return nil, err
+	}
+
+	counted := newCountedConn(raw, l.messenger.traffic)
+	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(counted), refuseAll{})
+	connection := &dialled{rpc: rpc, conn: counted, uses: 1}
+
+	hello, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+
+	if err := l.messenger.sayHello(hello, rpc); err != nil {
+		_ = rpc.Close()
+
+		return nil, err
+	}
+
+	connection.mu.Lock()
+	defer connection.mu.Unlock()
+
+	connection.heard = counted.heard.Load()
+	connection.timer = time.AfterFunc(pingInterval, func() { l.tick(connection) })
+	connection.watch()
+
+	return connection, nil
+}
+
+// encrypt puts TLS on a connection where the settings ask for it.
+func (l *link) encrypt(raw net.Conn) (net.Conn, error) {
+	if l.messenger.options.ClientTLS == nil {
+		return raw, nil
+	}
+
+	host, _, err := net.SplitHostPort(l.address)
+	if err != nil {
+		_ = raw.Close()
+
+		return nil, errors.Wrap(err, "peer address")
+	}
+
+	config := l.messenger.options.ClientTLS()
+	config.ServerName = host
+
+	return tls.Client(raw, config), nil
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+
+	return dialer.DialContext(ctx, "tcp", address)
+}
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"net"
 	"sync"
 	"time"
 
@@ -13,17 +11,8 @@
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
-const (
-	dialTimeout = time.Second
-	// helloTimeout bounds the proof of the credential, on both ends.
-	helloTimeout = 2 * time.Second
-	// redialWait is how long a peer that could not be dialled counts as unreachable.
-	redialWait = 250 * time.Millisecond
-	// sendTries bounds the connections on which a message is tried.
-	sendTries = 2
-)
-
-var errLinkClosed = errors.New("the link is closed")
+// sendTries bounds the connections on which a message is tried.
+const sendTries = 2
 
 // link is the outgoing connection to one peer; it is dialled when needed.
 type link struct {
@@ -84,7 +73,7 @@
 		return nil
 	}
 
-	l.lose(connection, "broken", err)
+	l.lose(connection, lossBroken, err)
 
 	return errors.Wrapf(err, "notify %s", l.peer)
 }
@@ -110,7 +99,7 @@
 		}
 
 		connection.end()
-		l.lose(connection, "broken", err)
+		l.lose(connection, lossBroken, err)
 
 		if try == sendTries {
 			unreachable := classifier.Wrap(err, classifier.NodeUnreachable, "the connection to node %q broke", l.peer)
@@ -131,7 +120,7 @@
 		return errors.Wrapf(err, "call %s", l.peer)
 	}
 
-	l.lose(connection, "broken", err)
+	l.lose(connection, lossBroken, err)
 
 	if connection.silent.Load() {
 		err = errors.Mark(err, ErrSilent)
@@ -140,226 +129,6 @@
 	return classifier.Wrap(err, classifier.NodeUnreachable, "the connection to node %q broke", l.peer)
 }
 
-// connect returns the open connection or dials one, with a use begun. Only one dial runs at a time.
-//
-// The wait for another call's dial ends with ctx as well. Where a peer takes connections and
-// is silent, a dial lasts as long as its call lets it; were it waited for under a lock, an ask
-// that gives its holder 150 ms would wait for seconds, and a counter lookup with it.
-func (l *link) connect(ctx context.Context) (*dialled, error) {
-	if connection, err := l.known(); connection != nil || err != nil {
-		return connection, err
-	}
-
-	select {
-	case l.dialling <- struct{}{}:
-	case <-ctx.Done():
-		return nil, l.unreachable(ctx.Err())
-	}
-
-	defer func() { <-l.dialling }()
-
-	// The dial that was waited for may have brought a connection, or failed.
-	if connection, err := l.known(); connection != nil || err != nil {
-		return connection, err
-	}
-
-	connection, err := l.dial(ctx)
-	if err != nil {
-		return nil, l.noteFailure(ctx, err)
-	}
-
-	return l.keep(connection)
-}
-
-// known returns the open connection with a use begun, or why there is none; neither when one is to be dialled.
-func (l *link) known() (*dialled, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
-	if l.current != nil && l.current.begin() {
-		return l.current, nil
-	}
-
-	l.current = nil
-
-	if l.failedErr != nil && time.Since(l.failedAt) < redialWait {
-		return nil, l.failedErr
-	}
-
-	return nil, nil
-}
-
-// keep makes a new connection the open one, unless the link was closed meanwhile.
-func (l *link) keep(connection *dialled) (*dialled, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
-	if l.closed {
-		_ = connection.rpc.Close()
-
-		return nil, l.unreachable(errLinkClosed)
-	}
-
-	l.failedErr = nil
-	l.current = connection
-	l.noteRegained()
-
-	return connection, nil
-}
-
-// noteFailure returns the error of a dial, and remembers it if it says something about the peer: a call that gave up doesn't.
-func (l *link) noteFailure(ctx context.Context, err error) error {
-	failure := l.unreachable(err)
-	if ctx.Err() != nil {
-		return failure
-	}
-
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
-	l.failedAt = time.Now()
-	l.failedErr = failure
-	l.noteLost("not_dialled", err)
-
-	return failure
-}
-
-// unreachable is the error of a call for which there is no connection.
-func (l *link) unreachable(cause error) error {
-	return errors.Mark(classifier.Wrap(cause, classifier.NodeUnreachable, "node %q can't be reached", l.peer), ErrNotSent)
-}
-
-// dial opens a connection and proves the credential. It outlives ctx, which only bounds the wait.
-func (l *link) dial(ctx context.Context) (*dialled, error) {
-	raw, err := l.messenger.options.Dial(ctx, l.address)
-	if err != nil {
-		return nil, errors.Wrap(err, "dial")
-	}
-
-	raw, err = l.encrypt(raw)
-	if err != nil {
-		return nil, err
-	}
-
-	counted := newCountedConn(raw, l.messenger.traffic)
-	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(counted), refuseAll{})
-	connection := &dialled{rpc: rpc, conn: counted, uses: 1}
-
-	hello, cancel := context.WithTimeout(ctx, helloTimeout)
-	defer cancel()
-
-	if err := l.messenger.sayHello(hello, rpc); err != nil {
-		_ = rpc.Close()
-
-		return nil, err
-	}
-
-	connection.mu.Lock()
-	defer connection.mu.Unlock()
-
-	connection.heard = counted.heard.Load()
-	connection.timer = time.AfterFunc(pingInterval, func() { l.tick(connection) })
-	connection.watch()
-
-	return connection, nil
-}
-
-// encrypt puts TLS on a connection where the settings ask for it.
-func (l *link) encrypt(raw net.Conn) (net.Conn, error) {
-	if l.messenger.options.ClientTLS == nil {
-		return raw, nil
-	}
-
-	host, _, err := net.SplitHostPort(l.address)
-	if err != nil {
-		_ = raw.Close()
-
-		return nil, errors.Wrap(err, "peer address")
-	}
-
-	config := l.messenger.options.ClientTLS()
-	config.ServerName = host
-
-	return tls.Client(raw, config), nil
-}
-
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-
-	return dialer.DialContext(ctx, "tcp", address)
-}
-
-// tick closes a connection that is watched and brings nothing, and one that is long unused.
-//
-// Open connections can go silent for good while new ones work. Without the look at
-// silence every call on such a connection would run into its own deadline, one
-// after the other; with it the next call dials a new connection.
-func (l *link) tick(connection *dialled) {
-	switch connection.state() {
-	case stateUnused:
-	case stateEnded:
-		l.drop(connection)
-	case stateSilent:
-		connection.silent.Store(true)
-		l.lose(connection, "silent", nil)
-	case stateUsed:
-		l.ping(connection)
-	}
-}
-
-// ping asks for a sign of life. It doesn't wait for the answer: the next tick looks at what came.
-func (l *link) ping(connection *dialled) {
-	if _, err := connection.rpc.DispatchCall(context.Background(), methodPing, struct{}{}); err != nil {
-		l.lose(connection, "broken", err)
-
-		return
-	}
-
-	connection.timer.Reset(pingInterval)
-}
-
-// drop closes a connection that was unused.
-func (l *link) drop(connection *dialled) {
-	l.mu.Lock()
-	if l.current == connection {
-		l.current = nil
-	}
-	l.mu.Unlock()
-
-	_ = connection.rpc.Close()
-}
-
-// lose closes a connection that doesn't work any more.
-func (l *link) lose(connection *dialled, reason string, cause error) {
-	l.mu.Lock()
-	if l.current == connection {
-		l.noteLost(reason, cause)
-	}
-	l.mu.Unlock()
-
-	l.drop(connection)
-}
-
-// noteLost logs that the peer can't be reached, once until it can. The caller holds l.mu.
-func (l *link) noteLost(reason string, cause error) {
-	if !l.lostAt.IsZero() {
-		return
-	}
-
-	l.lostAt = time.Now()
-	l.messenger.options.Logger.Warn().Str("peer", l.peer).Str("reason", reason).AnErr("cause", cause).Msg("peer_connection_lost")
-}
-
-// noteRegained logs the first connection after a loss. The caller holds l.mu.
-func (l *link) noteRegained() {
-	if l.lostAt.IsZero() {
-		return
-	}
-
-	l.messenger.options.Logger.Info().Str("peer", l.peer).Dur("lost_ms", time.Since(l.lostAt)).Msg("peer_connection_regained")
-	l.lostAt = time.Time{}
-}
-
 func (l *link) close() {
 	l.mu.Lock()
 	connection := l.current
