--- a/internal/administrator/answers.go
+++ b/internal/administrator/answers.go
@@ -3,46 +3,24 @@
 import (
 	"encoding/json"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
 
+	"quincepath.example/quincepath/internal/refuser"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
-// errorAnswer is the body of every failure; its shape is that of the callers' side.
-type errorAnswer struct {
-	Error errorBody `json:"error"`
-}
-
-type errorBody struct {
-	Message           string         `json:"message"`
-	Type              string         `json:"type"`
-	Code              string         `json:"code"`
-	ResultCode        int            `json:"result_code"`
-	Ran               classifier.Ran `json:"ran"`
-	RetryAfterSeconds float64        `json:"retry_after_seconds,omitempty"`
-}
-
 func (s *Server) writeError(w http.ResponseWriter, r *http.Request, err error) {
 	s.writeStatus(w, r, classifier.Describe(classifier.From(err).Code).Status, err)
 }
 
 func (s *Server) writeStatus(w http.ResponseWriter, r *http.Request, status int, err error) {
 	failure := classifier.From(err)
-	body := errorBody{
-		Message:           failure.Reason,
-		Type:              "quincepath_error",
-		Code:              failure.Code.String(),
-		ResultCode:        int(failure.Code),
-		Ran:               failure.Ran,
-		RetryAfterSeconds: failure.RetryAfter.Seconds(),
-	}
 
 	if failure.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(failure.RetryAfter.Seconds()))))
+		w.Header().Set("Retry-After", strconv.Itoa(refuser.WholeSeconds(failure.RetryAfter)))
 	}
 
 	s.options.Logger.Warn().
@@ -56,7 +34,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	// A failed write means that the operator left; the connection ends with the handler.
-	_ = json.NewEncoder(w).Encode(errorAnswer{Error: body})
+	_ = json.NewEncoder(w).Encode(refuser.New("", failure))
 }
 
 // answer writes what a call returned: its value, or the error in its place.
--- a/internal/server/answers.go
+++ b/internal/server/answers.go
@@ -4,38 +4,11 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"time"
 
+	"quincepath.example/quincepath/internal/refuser"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
-// errorAnswer is the body of every refusal and failure; its outer shape is that of the OpenAI API.
-type errorAnswer struct {
-	Error errorBody `json:"error"`
-}
-
-type errorBody struct {
-	Message           string         `json:"message"`
-	Type              string         `json:"type"`
-	Code              string         `json:"code"`
-	ResultCode        int            `json:"result_code"`
-	Ran               classifier.Ran `json:"ran"`
-	RetryAfterSeconds float64        `json:"retry_after_seconds,omitempty"`
-	RequestID         string         `json:"request_id,omitempty"`
-}
-
-func newErrorAnswer(requestID string, failure *classifier.Error) errorAnswer {
-	return errorAnswer{Error: errorBody{
-		Message:           failure.Reason,
-		Type:              "quincepath_error",
-		Code:              failure.Code.String(),
-		ResultCode:        int(failure.Code),
-		Ran:               failure.Ran,
-		RetryAfterSeconds: failure.RetryAfter.Seconds(),
-		RequestID:         requestID,
-	}}
-}
-
 // refuse counts, logs and answers a request that doesn't run. Nothing may have been written before.
 func (n *Node) refuse(w http.ResponseWriter, requestID string, failure *classifier.Error) {
 	n.noteRefusal(requestID, failure)
@@ -65,17 +38,12 @@
 	}
 
 	if failure.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(wholeSeconds(failure.RetryAfter)))
+		header.Set("Retry-After", strconv.Itoa(refuser.WholeSeconds(failure.RetryAfter)))
 	}
 
 	w.WriteHeader(classifier.Describe(failure.Code).Status)
 	// A failed write means that the caller left; its connection ends with the handler.
-	_ = json.NewEncoder(w).Encode(newErrorAnswer(requestID, failure))
-}
-
-// wholeSeconds rounds up, as the Retry-After header has no fractions.
-func wholeSeconds(wait time.Duration) int {
-	return int((wait + time.Second - 1) / time.Second)
+	_ = json.NewEncoder(w).Encode(refuser.New(requestID, failure))
 }
 
 // writeJSON answers with status 200. The headers of the answer must be set before.
--- a/internal/server/connections.go
+++ b/internal/server/connections.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quincepath.example/quincepath/internal/refuser"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
@@ -100,7 +101,7 @@
 func (c *callerConn) refuse(failure *classifier.Error) {
 	c.node.noteRefusal("", failure)
 
-	body, err := json.Marshal(newErrorAnswer("", failure))
+	body, err := json.Marshal(refuser.New("", failure))
 	if err != nil {
 		return
 	}
--- a/internal/server/engine_answer.go
+++ b/internal/server/engine_answer.go
@@ -9,6 +9,7 @@
 	"github.com/tidwall/gjson"
 
 	"quincepath.example/quincepath/internal/recorder"
+	"quincepath.example/quincepath/internal/refuser"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
@@ -87,7 +88,7 @@
 }
 
 func errorEvent(requestID string, failure *classifier.Error) recorder.Event {
-	data, err := json.Marshal(newErrorAnswer(requestID, failure))
+	data, err := json.Marshal(refuser.New(requestID, failure))
 	if err != nil {
 		data = []byte(`{"error":{}}`)
 	}
--- a/internal/server/refusal_test.go
+++ b/internal/server/refusal_test.go
@@ -12,6 +12,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
+
+	"quincepath.example/quincepath/internal/refuser"
 )
 
 // refusal is one request that a node must refuse at once, with a code.
@@ -84,7 +86,7 @@
 
 	response := answerTo(t, base, v)
 
-	var answer errorAnswer
+	var answer refuser.Answer
 
 	assert.NilError(t, json.NewDecoder(response.Body).Decode(&answer))
 	assert.Equal(t, response.Header.Get(headerResult), answer.Error.Code)
