Bound the new lines in length, name fields alike, and test what they tell

A rebuild's line named all live nodes (3 KB at 370) and was made up for each event while it ran: the names that had not answered are now read once, at its end, eight at most with their number. The field holder held a name in one line and a truth value in another; that one is is_holder.

--- a/internal/granter/explaining.go
+++ b/internal/granter/explaining.go
@@ -1,19 +1,25 @@
 package granter
 
-import "time"
+import (
+	"time"
 
-// logRebuild logs the end of a rebuild, with the entries that had not answered
-// before. The caller holds p.mu.
-func (h *Holder) logRebuild(p *heldPool, missing []string) {
+	"github.com/rs/zerolog"
+)
+
+// loggedNames bounds the names in one line; a large fleet that is cut in two would fill kilobytes with them.
+const loggedNames = 8
+
+// logRebuild logs the end of a rebuild, with the entries that it ended without.
+// The caller holds p.mu.
+func (h *Holder) logRebuild(p *heldPool) {
 	rebuilding := p.pool.Rebuilding()
 
 	switch {
 	case rebuilding && p.rebuildBegan.IsZero():
 		p.rebuildBegan = time.Now()
 	case !rebuilding && !p.rebuildBegan.IsZero():
-		h.options.Logger.Info().
+		addUnanswered(h.options.Logger.Info(), p).
 			Str("pool", p.name).
-			Strs("unanswered", missing).
 			Dur("duration_ms", time.Since(p.rebuildBegan)).
 			Msg("pool_rebuild_ended")
 
@@ -33,11 +39,21 @@
 		return
 	}
 
-	h.options.Logger.Info().
-		Str("pool", p.name).
+	line := h.options.Logger.Info()
+	if p.pool.Rebuilding() {
+		line = addUnanswered(line, p)
+	}
+
+	line.Str("pool", p.name).
 		Int("waiting", room.Waiting).
 		Int("free", room.Free).
 		Int("free_for_lower_tiers", room.ForLower).
-		Strs("unanswered", p.pool.Unanswered()).
 		Msg("slots_withheld")
 }
+
+// addUnanswered adds the entries that a rebuild waits for, or ended without. The caller holds p.mu.
+func addUnanswered(line *zerolog.Event, p *heldPool) *zerolog.Event {
+	names := p.pool.Unanswered()
+
+	return line.Int("unanswered_count", len(names)).Strs("unanswered", names[:min(len(names), loggedNames)])
+}
--- a/internal/granter/faults_test.go
+++ b/internal/granter/faults_test.go
@@ -89,7 +89,7 @@
 // five comparisons without an answer, 5 s, when the entry is about to ask again; asked, it rebuilds
 // for 1 s, since nobody answers it, and only then grants anew.
 // Cause: the entry was forgotten in the time after which it asks again, though its asks showed that it lived. Seen
-// as pool_rebuild_began each 5 s at a node with holder=false, and slots_withheld beside free slots after each.
+// as pool_rebuild_began each 5 s at a node with is_holder=false, and slots_withheld beside free slots after each.
 func TestGrantThatDidNotArriveIsMadeGoodByTheNextAsk(t *testing.T) {
 	inVirtualTime(t, 3, 2, 4, fixed(), func(t *testing.T, ctx context.Context, n *network) {
 		time.Sleep(time.Second)
--- a/internal/granter/holder.go
+++ b/internal/granter/holder.go
@@ -192,13 +192,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	missing := p.pool.Unanswered()
-
 	for _, d := range event(time.Now(), p.pool) {
 		h.outbox.add(d.Entry, newDecision(p.name, d))
 	}
 
-	h.logRebuild(p, missing)
+	h.logRebuild(p)
 	h.arm(p)
 }
 
--- a/internal/granter/reconciler.go
+++ b/internal/granter/reconciler.go
@@ -41,7 +41,7 @@
 		return
 	}
 
-	h.options.Logger.Info().Str("pool", p.name).Bool("holder", mine).Strs("entries", live).Msg("pool_rebuild_began")
+	h.options.Logger.Info().Str("pool", p.name).Bool("is_holder", mine).Int("entries", len(live)).Msg("pool_rebuild_began")
 
 	h.drive(p, func(now time.Time, pool *scheduler.Pool) []scheduler.Decision {
 		return pool.Rebuild(now, live)
@@ -229,7 +229,7 @@
 			Str("pool", p.name).
 			Str("entry", entry).
 			Bool("live", !gone).
-			Strs("grants", pool.GrantIDs(entry)).
+			Int("grants", len(pool.GrantIDs(entry))).
 			Msg("entry_forgotten")
 
 		return pool.Forget(now, entry)
--- a/internal/granter/waiting.go
+++ b/internal/granter/waiting.go
@@ -35,6 +35,7 @@
 	}
 
 	r := l.router
+	silent := r.silentNodes()
 
 	r.options.Logger.Info().
 		Str("request_id", p.requestID).
@@ -45,7 +46,8 @@
 		Bool("holder_answered", answered).
 		Dur("asked_ms_ago", time.Since(asked)).
 		Str("holder_now", r.holderOf(p.pool)).
-		Strs("silent", r.silentNodes()).
+		Int("silent_count", len(silent)).
+		Strs("silent", silent[:min(len(silent), loggedNames)]).
 		Int("live", len(r.members.Live())).
 		Dur("waited_ms", waited).
 		Msg("slot_waited_for")
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -1,6 +1,7 @@
 package messenger_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"quincepath.example/quincepath/internal/messenger"
@@ -24,6 +26,8 @@
 	silent    []*silentConn
 	// dialled and closed count connections, served the calls of echo that were carried out.
 	dialled, closed, served atomic.Int64
+	// logger is that of the node that calls.
+	logger zerolog.Logger
 	// cut, when positive, has the next write end its connection after cut-1 bytes.
 	cut atomic.Int64
 }
@@ -125,7 +129,7 @@
 
 func newPair(ctx context.Context, network *memoryNetwork, credential string) *messenger.Messenger {
 	peers := map[string]string{"a": "a", "b": "b"}
-	client := messenger.New(messenger.Options{Self: "a", Credential: credential, Peers: peers, Dial: network.dial})
+	client := messenger.New(messenger.Options{Self: "a", Credential: credential, Peers: peers, Dial: network.dial, Logger: network.logger})
 	server := messenger.New(messenger.Options{Self: "b", Credential: "secret", Peers: peers, Dial: network.dial})
 	server.Handle("echo", func(_ context.Context, from string, params json.RawMessage) (any, error) {
 		network.served.Add(1)
@@ -325,6 +329,40 @@
 	})
 }
 
+// Symptom: requests fail for as long as a connection between two nodes is silent, and no line tells of it.
+// Events: a kept connection goes silent; the next call dials a new one.
+// Cause: lost and regained connections were not logged.
+func TestLostConnectionIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+
+		ctx, cancel := context.WithCancel(t.Context())
+		network := newMemoryNetwork()
+		network.logger = zerolog.New(&log)
+		client := newPair(ctx, network, "secret")
+
+		assert.NilError(t, client.Call(ctx, "b", "echo", 1, nil))
+		assert.Equal(t, log.String(), "")
+		network.hush()
+
+		patient, stop := context.WithTimeout(ctx, time.Hour)
+		err := client.Call(patient, "b", "hang", 2, nil)
+
+		stop()
+		assert.Assert(t, errors.Is(err, messenger.ErrSilent), "%v", err)
+		assert.Equal(t, log.String(), `{"level":"warn","peer":"b","reason":"silent","message":"peer_connection_lost"}`+"\n")
+
+		log.Reset()
+		time.Sleep(time.Second)
+
+		assert.NilError(t, client.Call(ctx, "b", "echo", 3, nil))
+		assert.Equal(t, log.String(), `{"level":"info","peer":"b","lost_ms":1000,"message":"peer_connection_regained"}`+"\n")
+
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
 // Symptom: a node holds a connection to each node that it ever called, or loses calls now and then.
 // Events: connections rest; calls come about when the limit of the rest is over, and last longer than it.
 // Cause: unused connections are kept, or closed while a call is about to use them or waits.
--- a/internal/scheduler/adopting.go
+++ b/internal/scheduler/adopting.go
@@ -24,13 +24,13 @@
 	active bool
 	// until is zero when not active.
 	until time.Time
-	// missing holds the entries that have not answered.
+	// missing holds the entries that have not answered; it stays after the end, for who asks why it took so long.
 	missing map[string]bool
 }
 
 func (r *rebuild) check(now time.Time) {
 	if r.active && (len(r.missing) == 0 || !now.Before(r.until)) {
-		*r = rebuild{}
+		*r = rebuild{missing: r.missing}
 	}
 }
 
@@ -59,12 +59,8 @@
 	return p.rebuild.active
 }
 
-// Unanswered names the entries that a takeover still waits for.
+// Unanswered names the entries that the present takeover waits for, or that the last one ended without.
 func (p *Pool) Unanswered() []string {
-	if !p.rebuild.active {
-		return nil
-	}
-
 	return slices.Sorted(maps.Keys(p.rebuild.missing))
 }
 
