Bound the lines of rebuilds and of decisions that can't be sent

A doubted holder rebuilds at each ask that follows a probe, and an entry that can't be reached goes on asking: with many nodes both wrote a line for each ask.

--- a/internal/granter/explaining.go
+++ b/internal/granter/explaining.go
@@ -9,14 +9,21 @@
 // loggedNames bounds the names in one line; a large fleet that is cut in two would fill kilobytes with them.
 const loggedNames = 8
 
-// logRebuild logs the end of a rebuild, with the entries that it ended without.
-// The caller holds p.mu.
+// logRebuild logs the begin of a rebuild and its end, with the entries that it ended
+// without. Rebuilds that overlap have one line each for all: many nodes can doubt a
+// holder at once, and each doubt begins another. The caller holds p.mu.
 func (h *Holder) logRebuild(p *heldPool) {
 	rebuilding := p.pool.Rebuilding()
 
 	switch {
 	case rebuilding && p.rebuildBegan.IsZero():
 		p.rebuildBegan = time.Now()
+
+		h.options.Logger.Info().
+			Str("pool", p.name).
+			Bool("is_holder", p.mine).
+			Int("entries", len(p.pool.Unanswered())).
+			Msg("pool_rebuild_began")
 	case !rebuilding && !p.rebuildBegan.IsZero():
 		addUnanswered(h.options.Logger.Info(), p).
 			Str("pool", p.name).
--- a/internal/granter/holder.go
+++ b/internal/granter/holder.go
@@ -315,7 +315,8 @@
 		return
 	}
 
-	h.options.Logger.Warn().Str("entry", entry).Int("decisions", len(decisions)).Err(err).Msg("decisions_not_delivered")
+	// An entry that can't be reached goes on asking; a line for each of its asks is for level debug only.
+	h.options.Logger.Debug().Str("entry", entry).Int("decisions", len(decisions)).Err(err).Msg("decisions_not_delivered")
 
 	for _, d := range decisions {
 		if p := h.find(d.Pool); p != nil {
--- a/internal/granter/reconciler.go
+++ b/internal/granter/reconciler.go
@@ -41,8 +41,6 @@
 		return
 	}
 
-	h.options.Logger.Info().Str("pool", p.name).Bool("is_holder", mine).Int("entries", len(live)).Msg("pool_rebuild_began")
-
 	h.drive(p, func(now time.Time, pool *scheduler.Pool) []scheduler.Decision {
 		return pool.Rebuild(now, live)
 	})
