Say rightly what was measured of the turns

From the return of the store to the first read: 1.3 s before, 0.7 s with turns in each outage (nine nodes, 60 times 20 outages in a scratch test). The first outage alone was not measured.

--- a/internal/gateway/follower/reading.go
+++ b/internal/gateway/follower/reading.go
@@ -83,7 +83,7 @@
 //
 // A node that reads only while others can't has no sound read of its own between two outages. With the count of the
 // last outage all such nodes wait equally long from their first read on, in place of taking turns: from the second
-// outage on, nobody calls the store for up to 1.3 s, where it is 0.7 s in the first (nine nodes, twenty outages, virtual time).
+// outage on, a store that returned is called after up to 1.3 s; with turns, after 0.7 s (nine nodes, 1,200 outages, virtual time).
 //
 // It isn't for the nodes that read without patience: one that the store turns away, while it serves others, would call it each storeInterval.
 func (f *Follower) forgetOutageLocked(provenAt time.Duration) {
