--- a/internal/messenger/dialling.go
+++ b/internal/messenger/dialling.go
@@ -125,7 +125,7 @@
 	}
 
 	counted := newCountedConn(raw, l.messenger.traffic)
-	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(counted), refuseAll{})
+	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(counted), refuseAll{}, inEvents(l.messenger.options.Logger))
 	connection := &dialled{rpc: rpc, conn: counted, uses: 1}
 
 	hello, cancel := context.WithTimeout(ctx, helloTimeout)
--- a/internal/messenger/inbound.go
+++ b/internal/messenger/inbound.go
@@ -109,7 +109,7 @@
 	}
 
 	// The library closes the connection when ctx ends.
-	jsonrpc2.NewConn(ctx, newStream(counted), in)
+	jsonrpc2.NewConn(ctx, newStream(counted), in, inEvents(m.options.Logger))
 }
 
 // Handle implements jsonrpc2.Handler. The library calls it for one message after the other.
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -363,6 +363,29 @@
 	})
 }
 
+// Symptom: lines without an event stand among those of a node, hundreds of them in a cut.
+// Events: a peer's connection ends before it has proved the credential.
+// Cause: the library wrote to the error stream by itself.
+func TestLinesOfTheLibraryAreEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+
+		ctx, cancel := context.WithCancel(t.Context())
+		network := newMemoryNetwork()
+		network.logger = zerolog.New(&log)
+		newPair(ctx, network, "secret")
+
+		_, err := network.dial(ctx, "a")
+		assert.NilError(t, err)
+		time.Sleep(10 * time.Second)
+
+		assert.Equal(t, log.String(), `{"level":"debug","cause":"jsonrpc2: protocol error: read pipe: i/o timeout","message":"peer_connection_ended"}`+"\n")
+
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
 // Symptom: a node holds a connection to each node that it ever called, or loses calls now and then.
 // Events: connections rest; calls come about when the limit of the rest is over, and last longer than it.
 // Cause: unused connections are kept, or closed while a call is about to use them or waits.
