--- a/internal/granter/holder.go
+++ b/internal/granter/holder.go
@@ -69,8 +69,8 @@
 	mine    bool
 	lastAsk time.Time
 	pacer   *pacer
-	// heard is when each entry with grants or requests last asked or answered a comparison.
-	heard map[string]time.Time
+	// heardAt is when each entry with grants or requests last asked or answered a comparison.
+	heardAt map[string]time.Time
 	// rebuildBegan is when the rebuild began that is under way; zero for none.
 	rebuildBegan time.Time
 }
@@ -159,7 +159,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	p.heard[entry] = time.Now()
+	p.heardAt[entry] = time.Now()
 
 	if item.Compare {
 		p.pacer.hurry(entry)
@@ -260,7 +260,7 @@
 			pool:     scheduler.New(partOf(settings, part), options),
 			revision: snapshot.Revision,
 			pacer:    newPacer(h.options.ReconcileEvery, h.options.ReconcileAtMost),
-			heard:    make(map[string]time.Time),
+			heardAt:  make(map[string]time.Time),
 		}
 		p.timer = time.AfterFunc(time.Hour, func() { h.tick(p) })
 		p.timer.Stop()
--- a/internal/granter/reconciler.go
+++ b/internal/granter/reconciler.go
@@ -96,7 +96,7 @@
 	defer p.mu.Unlock()
 
 	p.pacer.keep(entries)
-	maps.DeleteFunc(p.heard, func(entry string, _ time.Time) bool { return !slices.Contains(entries, entry) })
+	maps.DeleteFunc(p.heardAt, func(entry string, _ time.Time) bool { return !slices.Contains(entries, entry) })
 
 	return slices.DeleteFunc(slices.Clone(entries), func(entry string) bool {
 		return !p.pacer.due(now, entry) && entry != h.options.Node && slices.Contains(live, entry)
@@ -157,7 +157,7 @@
 	}
 
 	h.drive(p, func(now time.Time, pool *scheduler.Pool) []scheduler.Decision {
-		p.heard[entry] = now
+		p.heardAt[entry] = now
 
 		if result.Same {
 			p.pacer.agreed(round, entry)
@@ -213,15 +213,15 @@
 	h.drive(p, func(now time.Time, pool *scheduler.Pool) []scheduler.Decision {
 		p.pacer.hurry(entry)
 
-		if _, known := p.heard[entry]; !known {
-			p.heard[entry] = now
+		if _, known := p.heardAt[entry]; !known {
+			p.heardAt[entry] = now
 		}
 
-		if !gone && now.Sub(p.heard[entry]) < asksToForget*h.options.AskAgainAfter {
+		if !gone && now.Sub(p.heardAt[entry]) < asksToForget*h.options.AskAgainAfter {
 			return nil
 		}
 
-		delete(p.heard, entry)
+		delete(p.heardAt, entry)
 
 		h.options.Logger.Warn().
 			Str("pool", p.name).
--- a/internal/messenger/dialled.go
+++ b/internal/messenger/dialled.go
@@ -47,8 +47,8 @@
 	// watched means that the silence counts and signs of life are asked for: from the
 	// first use until a tick finds no use and that bytes came since the last one began.
 	watched bool
-	// heard is how many bytes had come when the last use began.
-	heard int64
+	// heardAtUse is how many bytes had come when the last use began.
+	heardAtUse int64
 	// idleSince is the end of the last use.
 	idleSince time.Time
 	// ended means that the connection takes no use any more.
@@ -65,7 +65,7 @@
 	}
 
 	d.uses++
-	d.heard = d.conn.heard.Load()
+	d.heardAtUse = d.conn.heard.Load()
 	d.watch()
 
 	return true
@@ -103,7 +103,7 @@
 	defer d.mu.Unlock()
 
 	left := idleLimit - time.Since(d.idleSince)
-	answered := d.conn.heard.Load() != d.heard
+	answered := d.conn.heard.Load() != d.heardAtUse
 
 	switch {
 	case d.isBroken() || (d.uses == 0 && left <= 0):
--- a/internal/messenger/dialling.go
+++ b/internal/messenger/dialling.go
@@ -140,7 +140,7 @@
 	connection.mu.Lock()
 	defer connection.mu.Unlock()
 
-	connection.heard = counted.heard.Load()
+	connection.heardAtUse = counted.heard.Load()
 	connection.timer = time.AfterFunc(pingInterval, func() { l.tick(connection) })
 	connection.watch()
 
