--- a/internal/messenger/dialled.go
+++ b/internal/messenger/dialled.go
@@ -77,7 +77,7 @@
 // from now on. It must not begin anew with each use: an ask for a slot ends by its own
 // deadline after a tenth of silenceLimit, and one such ask after the other, or notifications, which
 // wait for nothing, would keep a connection that lost its way for ever. One would notice it by a node that
-// counts as silent for those that call it, though it is alive and others reach it.
+// counts as silent for those that call it, though it is alive and a new connection would reach it.
 func (d *dialled) watch() {
 	if d.watched {
 		return
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -221,8 +221,8 @@
 
 // Symptom: a node that can be reached again stays silent for the one that calls it, for as long as it calls.
 // Events: a kept connection loses its path without a close; short calls, each of which ends by its own deadline, follow one another.
-// Cause: each use of the connection began to count its silence anew. Seen after a cut that had healed: holder_silent for a node that
-// answered others at once, no holder_silence_ended and no peer_connection_lost for it in 40 s.
+// Cause: each use of the connection began to count its silence anew. Seen after a cut that had healed: holder_silent at six nodes for
+// one that all showed as alive, no holder_silence_ended and no peer_connection_lost for it in 40 s.
 func TestSilentConnectionIsReplacedUnderShortCalls(t *testing.T) {
 	const (
 		deadline = 150 * time.Millisecond
