--- a/internal/granter/explaining_test.go
+++ b/internal/granter/explaining_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -72,16 +71,7 @@
 	inVirtualTime(t, 3, 2, 4, options, func(t *testing.T, ctx context.Context, n *network) {
 		time.Sleep(time.Second)
 
-		silent := n.holderNode().name
-		others := slices.DeleteFunc(n.Live(), func(name string) bool { return name == silent })
-		next := newPlacement(n.tree).holder(others, "assistente")
-		entry := n.nodes[others[(slices.Index(others, next)+1)%len(others)]]
-		n.setCut(silent, true)
-
-		n.mu.Lock()
-		n.dropped[MethodDecided] = true
-		n.dropped[MethodInFlight] = true
-		n.mu.Unlock()
+		silent, next, entry := n.silenceHolder()
 
 		_, err := entry.run(ctx, "chat", time.Millisecond)
 		assert.NilError(t, err)
--- a/internal/granter/faults_test.go
+++ b/internal/granter/faults_test.go
@@ -46,6 +46,24 @@
 	n.down[name] = down
 }
 
+// silenceHolder cuts the holder off and loses what a holder sends by itself, so that the
+// one asked in its place reaches no entry. It returns both names and a node that is neither.
+func (n *network) silenceHolder() (silent, next string, entry *node) {
+	silent = n.holderNode().name
+	others := slices.DeleteFunc(n.Live(), func(name string) bool { return name == silent })
+	next = newPlacement(n.tree).holder(others, "assistente")
+	entry = n.nodes[others[(slices.Index(others, next)+1)%len(others)]]
+	n.setCut(silent, true)
+
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.dropped[MethodDecided] = true
+	n.dropped[MethodInFlight] = true
+
+	return silent, next, entry
+}
+
 // disturb freezes, cuts off and mends one node after the other, and loses messages, until stop.
 // A cut node still answers its own callers; it is not named as live meanwhile.
 func (n *network) disturb(random *rand.Rand, stop chan struct{}) {
@@ -94,16 +112,7 @@
 	inVirtualTime(t, 3, 2, 4, fixed(), func(t *testing.T, ctx context.Context, n *network) {
 		time.Sleep(time.Second)
 
-		silent := n.holderNode().name
-		others := slices.DeleteFunc(n.Live(), func(name string) bool { return name == silent })
-		next := newPlacement(n.tree).holder(others, "assistente")
-		entry := n.nodes[others[(slices.Index(others, next)+1)%len(others)]]
-		n.setCut(silent, true)
-
-		n.mu.Lock()
-		n.dropped[MethodDecided] = true
-		n.dropped[MethodInFlight] = true
-		n.mu.Unlock()
+		_, _, entry := n.silenceHolder()
 
 		options := entry.router.options
 
