Keep what the log of a wait needs in the ask itself

A type, a closure for each turn of the loop and an allocation for each request held three values that only the asking goroutine uses; they are fields of the ask now.

--- a/internal/granter/pending.go
+++ b/internal/granter/pending.go
@@ -22,6 +22,11 @@
 	began, arrived time.Time
 	// peer is the holder asked last; Router.mu guards it, and only the asking goroutine writes it.
 	peer string
+	// asked is when the holder was last asked, answered whether it did, and logDue the wait
+	// at which the next line is due; only the asking goroutine uses them.
+	asked    time.Time
+	answered bool
+	logDue   time.Duration
 	// result takes the decision that ends the ask. Only the one who removes the
 	// ask from Router.pending sends, so that there is one at most.
 	result chan decision
@@ -51,6 +56,7 @@
 		class:   service.Classes[ask.Class],
 		began:   now,
 		arrived: now.Add(-ask.Waited),
+		logDue:  waitLogAfter,
 		result:  make(chan decision, 1),
 	}
 
--- a/internal/granter/router.go
+++ b/internal/granter/router.go
@@ -83,20 +83,19 @@
 	}
 
 	p := r.begin(ask, service)
-	log := newWaitLog(r)
 
 	for {
 		again := r.askAgain(p)
-		asked := time.Now()
+		p.asked = time.Now()
 
-		answered := r.askHolder(ctx, p)
-		if !answered && ask.Spare {
+		p.answered = r.askHolder(ctx, p)
+		if !p.answered && ask.Spare {
 			r.abandon(p)
 
 			return dispatcher.Slot{}, classifier.New(classifier.NoUpstream, "no holder of pool %q answered", p.pool).After(noHolderWait)
 		}
 
-		if !answered {
+		if !p.answered {
 			slot, ok, err := r.goWithout(ctx, p, ask)
 			if ok || err != nil {
 				return slot, err
@@ -105,9 +104,7 @@
 			again = r.options.HolderSilence
 		}
 
-		look := func() { log.look(p, asked, answered) }
-
-		d, err := r.await(ctx, p, again, look)
+		d, err := r.await(ctx, p, again)
 		if err != nil {
 			return dispatcher.Slot{}, err
 		}
@@ -153,8 +150,7 @@
 }
 
 // await waits until the ask is decided, or until it is time to ask again; then the state is stateQueued.
-// It calls looked each time it has looked at the holder, and before it asks again.
-func (r *Router) await(ctx context.Context, p *pending, again time.Duration, looked func()) (decision, error) {
+func (r *Router) await(ctx context.Context, p *pending, again time.Duration) (decision, error) {
 	timer := time.NewTimer(again)
 	defer timer.Stop()
 
@@ -170,11 +166,11 @@
 
 			return decision{}, errors.Wrap(ctx.Err(), "wait for a slot")
 		case <-timer.C:
-			looked()
+			r.logWait(p)
 
 			return decision{State: stateQueued}, nil
 		case <-look.C:
-			looked()
+			r.logWait(p)
 
 			if r.holderOf(p.pool) != p.peer {
 				return decision{State: stateQueued}, nil
--- a/internal/granter/waiting.go
+++ b/internal/granter/waiting.go
@@ -10,31 +10,19 @@
 // line comes when the wait has doubled, so that a request that waits ten minutes has ten lines.
 const waitLogAfter = time.Second
 
-// waitLog logs what an ask that waits knows: without it a request that is
-// neither answered nor refused has no line until its caller gives up, and
+// logWait logs what an ask that waits knows, if a line is due: without it a request
+// that is neither answered nor refused has no line until its caller gives up, and
 // nothing tells whether its holder, the way there or the queue kept it.
-type waitLog struct {
-	router *Router
-	due    time.Duration
-}
-
-func newWaitLog(r *Router) *waitLog {
-	return &waitLog{router: r, due: waitLogAfter}
-}
-
-// look writes a line if one is due. Asked is when the holder was last asked,
-// and answered whether it did.
-func (l *waitLog) look(p *pending, asked time.Time, answered bool) {
+func (r *Router) logWait(p *pending) {
 	waited := time.Since(p.began)
-	if waited < l.due {
+	if waited < p.logDue {
 		return
 	}
 
-	for l.due <= waited {
-		l.due *= 2
+	for p.logDue <= waited {
+		p.logDue *= 2
 	}
 
-	r := l.router
 	silent := r.silentNodes()
 
 	r.options.Logger.Info().
@@ -43,8 +31,8 @@
 		Str("pool", p.pool).
 		Str("class", p.item.Class).
 		Str("holder", p.peer).
-		Bool("holder_answered", answered).
-		Dur("asked_ms_ago", time.Since(asked)).
+		Bool("holder_answered", p.answered).
+		Dur("asked_ms_ago", time.Since(p.asked)).
 		Str("holder_now", r.holderOf(p.pool)).
 		Int("silent_count", len(silent)).
 		Strs("silent", silent[:min(len(silent), loggedNames)]).
