Log what a request asks for, not only its id

A caller that sends a request again gives it another id, so no line told whether two requests that broke with two upstreams were the same. request_key, a digest of organisation, method, host, path and body, stands on attempt_failed and request_refused now.

--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -184,6 +184,7 @@
 	r.options.Attempts.Add(result, 1)
 	r.options.Logger.Info().
 		Str("request_id", request.id).
+		Stringer("request_key", request.key).
 		Str("route", request.route.Name).
 		Str("upstream", choice.Upstream).
 		Int("send", request.sends).
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -12,6 +12,7 @@
 	"quincepath.example/quincepath/internal/gateway/balancer"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/router"
+	"quincepath.example/quincepath/internal/quarantiner"
 	"quincepath.example/quincepath/internal/sleeper"
 	"quincepath.example/quincepath/pkg/classifier"
 )
@@ -51,6 +52,8 @@
 	// rank is what engines are told.
 	rank int
 
+	// key is the same for each attempt of a caller at the same request.
+	key quarantiner.Key
 	// unique tells requests apart whose callers gave them the same id.
 	unique string
 	// sends counts attempts, runs those that may have run.
@@ -146,6 +149,8 @@
 		return nil, failure
 	}
 
+	accepted.key = quarantiner.KeyOf(accepted.organisation, accepted.method, accepted.host, accepted.uri, accepted.body)
+
 	return accepted, nil
 }
 
--- /dev/null
+++ b/internal/quarantiner/key_test.go
@@ -0,0 +1,44 @@
+package quarantiner_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/quarantiner"
+)
+
+func TestKeyTellsRequestsApart(t *testing.T) {
+	key := quarantiner.KeyOf("salon", "POST", "shop.example", "/chat/1?x=2", []byte("body"))
+
+	assert.Equal(t, quarantiner.KeyOf("salon", "POST", "shop.example", "/chat/1?x=2", []byte("body")), key)
+
+	others := []quarantiner.Key{
+		quarantiner.KeyOf("studio", "POST", "shop.example", "/chat/1?x=2", []byte("body")),
+		quarantiner.KeyOf("salon", "PUT", "shop.example", "/chat/1?x=2", []byte("body")),
+		quarantiner.KeyOf("salon", "POST", "desk.example", "/chat/1?x=2", []byte("body")),
+		quarantiner.KeyOf("salon", "POST", "shop.example", "/chat/1?x=3", []byte("body")),
+		quarantiner.KeyOf("salon", "POST", "shop.example", "/chat/1?x=2", []byte("bodies")),
+		// The same bytes, parted in another way.
+		quarantiner.KeyOf("salon", "POST", "shop.example/chat", "/1?x=2", []byte("body")),
+	}
+	for _, other := range others {
+		assert.Assert(t, other != key)
+	}
+}
+
+func TestKeyIsReadBack(t *testing.T) {
+	key := quarantiner.KeyOf("salon", "POST", "shop.example", "/chat/1", nil)
+
+	data, err := json.Marshal(key)
+	assert.NilError(t, err)
+
+	var read quarantiner.Key
+	assert.NilError(t, json.Unmarshal(data, &read))
+	assert.Equal(t, read, key)
+
+	for _, text := range []string{`"ab"`, `"` + "zz" + key.String()[2:] + `"`} {
+		assert.Assert(t, json.Unmarshal([]byte(text), &read) != nil, text)
+	}
+}
