--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -87,7 +87,7 @@
 	return fmt.Sprintf("127.%d.%d.%d", 100+pid>>16&63, pid>>8&255, (pid&63)<<2+number)
 }
 
-func start(t *testing.T, s *store, number int) (settings loader.Settings, stop context.CancelFunc, ended chan error) {
+func start(t *testing.T, s follower.Store, number int) (settings loader.Settings, stop context.CancelFunc, ended chan error) {
 	t.Helper()
 
 	settings = settingsOf(number)
@@ -113,7 +113,7 @@
 }
 
 // run starts a node whose answers for entries are made by encode.
-func run(t *testing.T, s *store, settings loader.Settings, encode func([]string, time.Duration) ([]byte, error)) (stop context.CancelFunc, ended chan error) {
+func run(t *testing.T, s follower.Store, settings loader.Settings, encode func([]string, time.Duration) ([]byte, error)) (stop context.CancelFunc, ended chan error) {
 	t.Helper()
 
 	ctx, stop := context.WithCancel(context.Background())
