Heed what upstreams say in their answers: that they leave, or want rest

Callers' requests reached a server for ten seconds after the answer to another one had told the node that it leaves; those that run when it ends break off. A server that had turned a node away and asked for three seconds without requests got five in that time.

Cause: a node knew what upstreams want from the list alone. While the store is away the list goes on naming a leaving server as ready, and it never tells of rest; a 503 counted as any other failure and was forgotten within seconds. Shown by one node alone, so that nobody's missing news is needed for it.

Change: the relayer reads both from each answer (but that of another server at the address), keeps them by upstream and start, names these upstreams as excluded in each ask, and declines a choice that was made before. Leaving is told to the nodes that decide, so that nobody sends there. Both end with another start of the upstream or with the rest; a leaving one whose entry lapses is remembered for a minute, since the entry may return. Where all of a service rest, the refusal says when the first of them can be tried.

The id of an ask counts asks in place of failed upstreams: after a declined choice a holder would else hear the end of the first ask after the begin of the next.

--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -226,6 +226,18 @@
 	}
 }
 
+// Leave keeps new requests from an upstream, until it is listed with another start.
+func (p *Pool) Leave(upstream string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	for _, s := range p.servers {
+		if s.ID == upstream {
+			s.leaving = true
+		}
+	}
+}
+
 // End records that the request left its upstream.
 func (p *Pool) End(now time.Time, id string, outcome Outcome) {
 	p.mu.Lock()
@@ -270,7 +282,7 @@
 
 // usable says whether the server gets new requests at all.
 func (s *server) usable(now time.Time) bool {
-	return !s.Draining && !now.Before(s.unreachableUntil)
+	return !s.Draining && !s.leaving && !now.Before(s.unreachableUntil)
 }
 
 // takes says whether the server may get the request now.
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -55,6 +55,8 @@
 	engine Engine
 	// model holds how fast the pool's servers are.
 	model *estimator.Estimator
+	// leaving says that it told a node so in an answer; the list may not say it yet.
+	leaving bool
 	// running holds the requests that were sent there and have not ended.
 	running map[string]*sent
 	// tokens is the memory that they may come to take up; a part that several of them share counts once.
--- a/internal/gateway/broker/outbox.go
+++ b/internal/gateway/broker/outbox.go
@@ -32,6 +32,8 @@
 	First bool `json:"f,omitempty"`
 	// Load is what the upstream told with it.
 	Load *balancer.Load `json:"l,omitempty"`
+	// Leaving is an upstream that said that it leaves.
+	Leaving string `json:"v,omitempty"`
 	// Pauses come with the end of a whole stream.
 	Pauses *balancer.Pauses  `json:"p,omitempty"`
 	End    *balancer.Outcome `json:"e,omitempty"`
--- a/internal/gateway/broker/reporting.go
+++ b/internal/gateway/broker/reporting.go
@@ -50,6 +50,18 @@
 	}
 }
 
+// Leaving implements relayer.Chooser.
+func (b *Broker) Leaving(id string) {
+	b.mu.Lock()
+	r, ok := b.running[id]
+	b.mu.Unlock()
+
+	if ok {
+		b.pool(r.pool).Leave(r.upstream)
+		b.tell(r.pool, report{Pool: r.pool, ID: id, Leaving: r.upstream})
+	}
+}
+
 // End implements relayer.Chooser.
 func (b *Broker) End(id string, outcome balancer.Outcome) {
 	b.mu.Lock()
@@ -126,6 +138,10 @@
 		pool.First(now, r.ID, r.Load)
 	}
 
+	if r.Leaving != "" {
+		pool.Leave(r.Leaving)
+	}
+
 	if r.Pauses != nil {
 		pool.Paused(r.ID, *r.Pauses)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -309,6 +309,7 @@
 	n.forgetRestarted(state.Registry.Upstreams)
 	// A node that just started takes no request before it knows which ones must not run.
 	n.updateQuarantine(state.Registry)
+	n.relayer.UpdateUpstreams(state.Registry.Upstreams)
 	n.broker.Update(state)
 
 	if table := n.table.Load(); table == nil || table.Version < state.Configuration.Version {
--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -84,6 +85,8 @@
 		return notRun
 	}
 
+	r.heed(request, choice, response)
+
 	if response.Header.Get(r.options.Headers.NotRun) != "" {
 		outcome = balancer.Rejected
 		r.logAttempt(request, choice, "refused_by_upstream", errors.Newf("status %d", response.StatusCode))
@@ -97,6 +100,36 @@
 	return r.deliver(ctx, a, choice, sent, response, watch, &outcome)
 }
 
+// heed notes what the upstream's answer says of its wish for requests.
+func (r *Relayer) heed(request *request, choice balancer.Choice, response *dialer.Response) {
+	now := time.Now()
+
+	if leaving := response.Header.Get(r.options.Headers.Leaving); leaving != "" && leaving != "0" {
+		// The others learn it from those that decide; this node may not send there by anyone's decision.
+		if r.avoider.leave(request.service, choice.Upstream, r.bornAt(choice.Upstream)) {
+			r.options.Logger.Info().Str("upstream", choice.Upstream).Str("service", request.service).Msg("upstream_leaving")
+			r.options.Chooser.Leaving(request.workID())
+		}
+	}
+
+	if rest, ok := restOf(response.Response, now); ok {
+		r.avoider.rest(request.service, choice.Upstream, r.bornAt(choice.Upstream), now.Add(rest))
+		r.options.Logger.Info().Str("upstream", choice.Upstream).Str("service", request.service).Dur("rest_ms", rest).Msg("upstream_resting")
+	}
+}
+
+// bornAt is when the upstream was started, as it is listed; 0 if that isn't known.
+func (r *Relayer) bornAt(upstream string) int64 {
+	listed := r.options.Catalog.State().Registry.Upstreams
+
+	i := slices.IndexFunc(listed, func(u cataloguer.Upstream) bool { return u.ID == upstream })
+	if i < 0 {
+		return 0
+	}
+
+	return listed[i].Born
+}
+
 // failed judges an exchange without an answer.
 func (r *Relayer) failed(ctx context.Context, request *request, choice balancer.Choice, err error, outcome *balancer.Outcome) verdict {
 	if errors.Is(err, dialer.ErrNotSent) {
--- a/internal/gateway/relayer/headers.go
+++ b/internal/gateway/relayer/headers.go
@@ -30,6 +30,8 @@
 	Signature string
 	// Load holds the numbers of running and waiting requests of an upstream and its slots, separated by commas.
 	Load string
+	// Leaving marks the answers of an upstream that wants no further requests.
+	Leaving string
 	// NotRun marks an upstream's answer to a request that it did not run.
 	NotRun string
 	// Reserved are further headers that only nodes may set.
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -11,6 +11,7 @@
 	"expvar"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,8 @@
 	// comeBackLater is told where something must recover first. A random part is added, so that
 	// callers that were refused together don't return together.
 	comeBackLater = 250 * time.Millisecond
+	// mostDeclined bounds the choices of one request that are declined, since their upstreams want no requests.
+	mostDeclined = 4
 	// lateLines bounds the lines of late requests in a second.
 	lateLines = 20
 	// writeGrace is how long an answer may take to reach the caller after the request's time is over.
@@ -50,6 +53,8 @@
 	// Paused tells how the events of a whole stream came. It comes before the end.
 	Paused(id string, pauses balancer.Pauses)
 	End(id string, outcome balancer.Outcome)
+	// Leaving tells that the request's upstream said that it leaves. It comes before the end.
+	Leaving(id string)
 }
 
 // Quarantine keeps requests that crash upstreams from running.
@@ -91,6 +96,7 @@
 type Relayer struct {
 	options Options
 	vitals  *vitals
+	avoider *avoider
 	// late takes the lines of late requests; under overload nearly all are late, and some of them tell enough.
 	late zerolog.Logger
 	// bodies is the number of bytes of request bodies held now.
@@ -103,7 +109,7 @@
 func New(options Options) *Relayer {
 	sampler := &zerolog.BurstSampler{Burst: lateLines, Period: time.Second}
 
-	return &Relayer{options: options, vitals: newVitals(), late: options.Logger.Sample(sampler)}
+	return &Relayer{options: options, vitals: newVitals(), avoider: newAvoider(), late: options.Logger.Sample(sampler)}
 }
 
 // InFlight is the number of requests that are being handled.
@@ -117,6 +123,16 @@
 	r.vitals.forget(upstream)
 }
 
+// UpdateUpstreams takes in the list of upstreams.
+func (r *Relayer) UpdateUpstreams(listed []cataloguer.Upstream) {
+	r.avoider.update(listed, time.Now())
+}
+
+// Avoided counts the upstreams that have asked this node for no more requests.
+func (r *Relayer) Avoided() Avoided {
+	return r.avoider.counts(time.Now())
+}
+
 // ServeHTTP implements http.Handler.
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, incoming *http.Request) {
 	r.inFlight.Add(1)
@@ -181,6 +197,19 @@
 			break
 		}
 
+		if r.avoider.avoids(choice.Upstream, time.Now()) {
+			// The choice was made before the upstream said so, or by a node that doesn't know.
+			r.options.Chooser.End(request.workID(), balancer.Abandoned)
+			r.options.Attempts.Add("choice_declined", 1)
+
+			request.declined++
+			if request.declined == mostDeclined {
+				break
+			}
+
+			continue
+		}
+
 		verdict := r.attempt(ctx, a, choice)
 		if verdict == done {
 			return
@@ -202,17 +231,21 @@
 
 // choose asks for an upstream and counts the request there.
 func (r *Relayer) choose(ctx context.Context, request *request) (balancer.Choice, bool) {
+	avoided, rest := r.avoider.list(request.service, time.Now())
+
+	request.asks++
+
 	work := request.work
 	work.ID = request.workID()
-	work.Excluded = request.excluded
+	work.Excluded = slices.Concat(request.excluded, avoided)
 	work.Limit = time.Until(request.limit)
 
 	choice, ok := r.options.Chooser.Choose(ctx, request.service, work)
 	if !ok {
-		request.queueAhead = time.Duration(choice.Waiting * float64(time.Millisecond))
+		request.queueAhead = max(time.Duration(choice.Waiting*float64(time.Millisecond)), rest)
 		// The final answer has a line of its own; under overload two for each refusal would double the log.
 		r.options.Logger.Debug().Str("request_id", request.id).Str("service", request.service).
-			Strs("excluded", request.excluded).Float64("queue_ms", choice.Waiting).Msg("no_upstream")
+			Strs("excluded", work.Excluded).Float64("queue_ms", choice.Waiting).Msg("no_upstream")
 
 		return choice, false
 	}
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -30,7 +30,7 @@
 var names = relayer.Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", LastEventID: "Last-Event-Id", TokenCounts: "X-Tokens",
 	PromptParts: "X-Parts", Authorization: "Authorization", KeyScheme: "Token", Organisation: "X-Organisation",
-	ExpectUpstream: "X-Expect", Priority: "X-Priority", Signature: "X-Signature", NotRun: "X-Not-Run", Load: "X-Load",
+	ExpectUpstream: "X-Expect", Priority: "X-Priority", Signature: "X-Signature", NotRun: "X-Not-Run", Leaving: "X-Leaving", Load: "X-Load",
 	Reserved: []string{"X-Hold"},
 }
 
@@ -60,9 +60,15 @@
 	catalog   *cataloguer.Catalog
 	now       time.Duration
 	leaving   time.Duration
+	// blind says that the chooser doesn't heed what is excluded.
+	blind      bool
+	quarantine relayer.Quarantine
 	// bodies is what the relayer may hold of request bodies.
 	bodies int64
 
+	// extra is the number of extra attempts.
+	extra int
+
 	mu       sync.Mutex
 	outcomes []string
 }
@@ -76,23 +82,27 @@
 func startWorld(t *testing.T, extra int, bodies int64) *world {
 	t.Helper()
 
-	w := &world{t: t, now: time.Hour, bodies: bodies}
+	w := &world{t: t, now: time.Hour, bodies: bodies, extra: extra, quarantine: noQuarantine{}}
 	w.catalog = cataloguer.New(func() time.Duration { return w.now })
 	w.catalog.Configure(configuration(), w.now)
+	w.restart()
 
+	return w
+}
+
+// restart starts a relayer that remembers nothing.
+func (w *world) restart() {
 	table := router.New(configuration())
 	handler := relayer.New(relayer.Options{
 		Headers: names, Catalog: w.catalog, Table: func() *router.Table { return table }, Chooser: w, Dialer: dialer.New(1000),
-		Budget:       budgeter.New(budgeter.Options{Extra: float64(extra), Window: time.Hour, Nodes: func() int { return 1 }}),
-		Quarantine:   noQuarantine{},
+		Budget:       budgeter.New(budgeter.Options{Extra: float64(w.extra), Window: time.Hour, Nodes: func() int { return 1 }}),
+		Quarantine:   w.quarantine,
 		KeyFreshness: func() time.Duration { return 4 * time.Second }, Leaving: func() time.Duration { return w.leaving }, LastRequests: time.Second,
 		BodyMemory: w.bodies, Meter: meter.New(), Attempts: new(expvar.Map), Logger: zerolog.Nop(),
 	})
 	w.relayer = handler
 	w.server = httptest.NewServer(handler)
-	t.Cleanup(w.server.Close)
-
-	return w
+	w.t.Cleanup(w.server.Close)
 }
 
 // noQuarantine lets every request run.
@@ -153,7 +163,7 @@
 // Choose implements relayer.Chooser.
 func (w *world) Choose(_ context.Context, _ string, work balancer.Work) (balancer.Choice, bool) {
 	for _, u := range w.upstreams {
-		if !strings.Contains(strings.Join(work.Excluded, " "), u.name) {
+		if w.blind || !strings.Contains(strings.Join(work.Excluded, " "), u.name) {
 			return balancer.Choice{Upstream: u.name, Address: u.address}, true
 		}
 	}
@@ -167,6 +177,9 @@
 // Paused implements relayer.Chooser.
 func (w *world) Paused(string, balancer.Pauses) {}
 
+// Leaving implements relayer.Chooser.
+func (w *world) Leaving(string) {}
+
 // End implements relayer.Chooser.
 func (w *world) End(_ string, outcome balancer.Outcome) {
 	w.mu.Lock()
@@ -467,3 +480,75 @@
 	assert.NilError(t, conn.Close())
 	<-left
 }
+
+// Guards against: a choice that was made before the upstream said that it leaves is used after it.
+func TestChoiceOfALeavingUpstreamIsDeclined(t *testing.T) {
+	w := newWorld(t, 9)
+	w.blind = true
+	leaving := w.add(func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set(names.Leaving, "1")
+		answers(http.StatusOK, "last")(rw, nil)
+	})
+
+	_, body, err := w.send("/price/1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "last")
+
+	// Whoever chooses doesn't know; the request is refused and was not sent.
+	response, _, err := w.send("/price/1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, response.Header.Get("Retry-After") != "")
+	assert.Equal(t, leaving.count(), 1)
+	assert.Equal(t, w.outcomes[len(w.outcomes)-1], fmt.Sprint(balancer.Abandoned))
+}
+
+// Guards against: the rest of a broken stream is fetched from an upstream that leaves or wants rest.
+func TestBrokenStreamGoesOnWhereItIsWanted(t *testing.T) {
+	w := newWorld(t, 9)
+
+	resting := w.add(func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Retry-After", "30")
+		refuses(http.StatusServiceUnavailable)(rw, nil)
+	})
+	w.add(events(false, 1, 2))
+	w.add(events(true, 3, 4))
+
+	for range 2 {
+		_, body, err := w.send("/chat/1", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, strings.Count(body, "data: piece"), 4)
+	}
+
+	assert.Equal(t, resting.count(), 1)
+	assert.Equal(t, w.relayer.Avoided(), relayer.Avoided{Resting: 1})
+}
+
+// Guards against: a request that is found to crash upstreams while it waits is sent all the same, or told to have run.
+func TestRequestThatIsQuarantinedWhileItWaitsIsNotSent(t *testing.T) {
+	w := newWorld(t, 9)
+	u := w.add(answers(http.StatusOK, "never"))
+	w.quarantine = &quarantineAfter{checks: 1}
+	w.restart()
+
+	response, body, err := w.send("/price/1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, response.Header.Get("Retry-After"), "60.000")
+	assert.Assert(t, strings.Contains(body, `"ran":"not_run"`), body)
+	assert.Equal(t, u.count(), 0)
+}
+
+// quarantineAfter holds every request from some check on.
+type quarantineAfter struct {
+	noQuarantine
+
+	checks int
+}
+
+// Check implements relayer.Quarantine.
+func (q *quarantineAfter) Check(quarantiner.Key) (time.Duration, bool) {
+	q.checks--
+
+	return time.Minute, q.checks < 0
+}
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -60,7 +60,9 @@
 	unique string
 	// sends counts attempts, runs those that may have run.
 	sends, runs int
-	excluded    []string
+	// asks counts the times that an upstream was asked for, declined the choices that were not used.
+	asks, declined int
+	excluded       []string
 	// queueAhead is how long the queue that refused the request takes to drain.
 	queueAhead time.Duration
 	// lastEvent is the id of the last event that the caller has; empty before the first.
@@ -69,7 +71,7 @@
 
 // workID names the present attempt.
 func (r *request) workID() string {
-	return r.unique + "." + strconv.Itoa(len(r.excluded))
+	return r.unique + "." + strconv.Itoa(r.asks)
 }
 
 // patience is how long the request waits for a sign of life of its upstream before another one is tried.
