Count each crash of an upstream that keeps its id

An upstream that is started again under the same id, and whose start nobody tells, could crash once only: a second crash within ten minutes counted as the first, so that a request which crashes the only server of a service was never found out. Where the start isn't known, crashes more than three seconds apart are two.

--- a/internal/quarantiner/crashing.go
+++ b/internal/quarantiner/crashing.go
@@ -45,7 +45,7 @@
 	}
 
 	instance := Instance{Upstream: upstream, Born: listed.Born}
-	s, known := q.find(instance)
+	s, known := q.find(instance, now)
 
 	if !known {
 		q.expire(now)
@@ -61,8 +61,8 @@
 }
 
 // find returns what was seen of an instance lately; q.mu is held.
-func (q *Quarantiner) find(instance Instance) (*seen, bool) {
-	i := slices.IndexFunc(q.crashes, func(s *seen) bool { return s.instance.same(instance) })
+func (q *Quarantiner) find(instance Instance, now time.Time) (*seen, bool) {
+	i := slices.IndexFunc(q.crashes, func(s *seen) bool { return s.instance.isSame(instance, now.Sub(s.at)) })
 	if i < 0 {
 		return nil, false
 	}
@@ -153,14 +153,20 @@
 
 	for _, s := range q.crashes {
 		listed, ok := q.listed[s.instance.Upstream]
-		if now.Sub(s.at) <= confirmTime && (!ok || !listed.same(s.instance)) {
+		if now.Sub(s.at) <= confirmTime && (!ok || listed.Born != 0 && s.instance.Born != 0 && listed.Born != s.instance.Born) {
 			q.confirm(s, "not_listed")
 		}
 	}
 }
 
+// report is what is told of a crash now.
+type report struct {
+	*seen
+	crashReport
+}
+
 // takeReports returns what the judges weren't told of yet, and notes that they are told now.
-func (q *Quarantiner) takeReports(now time.Time) []crashReport {
+func (q *Quarantiner) takeReports(now time.Time) []report {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
@@ -168,11 +174,14 @@
 		return nil
 	}
 
-	var reports []crashReport
+	var reports []report
 
 	for _, s := range q.crashes {
 		if s.crashed && s.told < len(s.keys) {
-			reports = append(reports, crashReport{Instance: s.instance, AgeMS: now.Sub(s.at).Milliseconds(), Keys: slices.Clone(s.keys[s.told:])})
+			reports = append(reports, report{
+				seen:        s,
+				crashReport: crashReport{Instance: s.instance, AgeMS: now.Sub(s.at).Milliseconds(), Keys: slices.Clone(s.keys[s.told:])},
+			})
 		}
 	}
 
@@ -182,20 +191,25 @@
 }
 
 // sendReports tells the judges of crashes. What didn't reach all of them is told once more.
-func (q *Quarantiner) sendReports(ctx context.Context, chosen []string, reports []crashReport) {
+func (q *Quarantiner) sendReports(ctx context.Context, chosen []string, reports []report) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 
 	reached := true
+	crashes := make([]crashReport, 0, len(reports))
+
+	for _, r := range reports {
+		crashes = append(crashes, r.crashReport)
+	}
 
 	for _, node := range chosen {
 		if node == q.options.Self {
-			q.takeIn(reports)
+			q.takeIn(crashes)
 
 			continue
 		}
 
-		if err := q.options.Peers.Notify(ctx, node, MethodReport, reportParams{Crashes: reports}); err != nil {
+		if err := q.options.Peers.Notify(ctx, node, MethodReport, reportParams{Crashes: crashes}); err != nil {
 			q.options.Logger.Info().Err(err).Str("peer", node).Msg("crash_report_failed")
 
 			reached = false
@@ -212,8 +226,6 @@
 	}
 
 	for _, r := range reports {
-		if s, ok := q.find(r.Instance); ok {
-			s.told += len(r.Keys)
-		}
+		r.seen.told += len(r.Keys)
 	}
 }
--- a/internal/quarantiner/judge.go
+++ b/internal/quarantiner/judge.go
@@ -16,6 +16,8 @@
 	settleTime = 250 * time.Millisecond
 	// crashLife is how long a crash counts.
 	crashLife = 10 * time.Minute
+	// sameCrashTime is how far apart two reports of one crash may lie where the upstream's start isn't known.
+	sameCrashTime = 3 * time.Second
 	// mostMarks bounds the requests that are remembered over all crashes; the oldest crashes are dropped.
 	mostMarks = 8192
 )
@@ -27,9 +29,18 @@
 	Born int64 `json:"born,omitempty"`
 }
 
-// same says whether both name one start, as far as is known: a node whose list lacks the upstream doesn't know when it was born.
-func (i Instance) same(other Instance) bool {
-	return i.Upstream == other.Upstream && (i.Born == other.Born || i.Born == 0 || other.Born == 0)
+// isSame says whether two ends of connections, so far apart, are those of one start. Where one doesn't know when the
+// upstream was started, the time tells: the same upstream may have crashed before.
+func (i Instance) isSame(other Instance, apart time.Duration) bool {
+	if i.Upstream != other.Upstream {
+		return false
+	}
+
+	if i.Born != 0 && other.Born != 0 {
+		return i.Born == other.Born
+	}
+
+	return apart.Abs() <= sameCrashTime
 }
 
 // crash is one upstream that ended with what it ran.
@@ -91,7 +102,7 @@
 
 // of returns the crash of an instance; j.mu is held.
 func (j *judge) of(now, at time.Time, instance Instance) *crash {
-	i := slices.IndexFunc(j.crashes, func(c *crash) bool { return c.instance.same(instance) })
+	i := slices.IndexFunc(j.crashes, func(c *crash) bool { return c.instance.isSame(instance, at.Sub(c.at)) })
 	if i >= 0 {
 		return j.crashes[i]
 	}
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -376,6 +376,21 @@
 	})
 }
 
+// Guards against: where an upstream keeps its id over its starts, its second crash counts as its first.
+func TestCrashesOfOneUpstreamCountEachTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+
+		for range 3 {
+			f.add("only")
+			f.crash("only", key("culprit"), key("culprit"))
+			time.Sleep(5 * time.Second)
+		}
+
+		assert.Equal(t, f.held(key("culprit")), 3)
+	})
+}
+
 // Guards against: a node that starts while the store is away lets the request run.
 func TestNodeThatStartsWhileTheStoreIsAwayLearnsOfIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
