--- a/internal/quarantiner/crashing.go
+++ b/internal/quarantiner/crashing.go
@@ -226,6 +226,6 @@
 	}
 
 	for _, r := range reports {
-		r.seen.told += len(r.Keys)
+		r.told += len(r.Keys)
 	}
 }
