Own interface: keep requests from running that crash each upstream

Callers saw broken answers: a request that crashes its upstream was run by one after the other, on engines, lookups and bookings alike, by the node's own repeats and by those of its caller under other idempotency keys.

Cause: as at the gateway, a failure was held against the upstream (ejector) and against the one request (retrier), and nothing of it outlived that request.

Change: the dispatcher asks the quarantine before it asks for a slot, once it has one and before a second attempt beside a slow first, and tells it how each attempt ended that was not superseded. The judgement is that of the gateway's package. Upstreams are told apart by address; one that leaves doesn't count. A claim of a request that was not run is given back as for any refusal, and one that ran before it was found out ends as upstream_failed. Only the first judge repeats what the store doesn't list, so that a fleet isn't told twice.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/quarantiner"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
@@ -181,6 +182,8 @@
 	Arrived    time.Time
 	// Prefixes are hashes of the prompt's prefixes; they choose between equally good upstreams.
 	Prefixes []uint64
+	// Key is the same each time that a caller sends the same request.
+	Key quarantiner.Key
 }
 
 // Observer is told of each attempt, for counters and logs.
@@ -195,6 +198,8 @@
 	observer Observer
 	// hedger is nil when no request gets a second attempt beside the first.
 	hedger Hedger
+	// quarantine is nil when every request may run.
+	quarantine Quarantine
 }
 
 // New returns a dispatcher over the given parts.
@@ -210,6 +215,10 @@
 	)
 
 	for number := 1; ; {
+		if failure := d.quarantined(request, history); failure != nil {
+			return failure
+		}
+
 		ask := newAsk(request, sender.Progress(), exclude)
 
 		slot, err := d.slotter.Acquire(ctx, ask)
@@ -217,6 +226,13 @@
 			return acquireError(ctx, err, history)
 		}
 
+		// It may have been found out while the request waited.
+		if failure := d.quarantined(request, history); failure != nil {
+			d.slotter.Release(slot, ask, Outcome{Result: ResultSuperseded})
+
+			return failure
+		}
+
 		attempt := Attempt{Number: number, Slot: slot, Offset: sender.Progress(), History: history}
 		over, failed := d.step(ctx, request, sender, attempt, ask)
 		number = over.last + 1
--- a/internal/dispatcher/hedging.go
+++ b/internal/dispatcher/hedging.go
@@ -31,6 +31,7 @@
 		outcome := d.send(ctx, request, sender, first)
 		d.slotter.Release(first.Slot, ask, outcome)
 		d.observe(request, first, outcome)
+		d.tellEnd(request, first, outcome)
 
 		return ended{attempt: first, outcome: outcome, last: first.Number}, nil
 	}
@@ -178,6 +179,7 @@
 
 	r.dispatcher.slotter.Release(attempt.Slot, ask, outcome)
 	r.dispatcher.observe(r.request, attempt, outcome)
+	r.dispatcher.tellEnd(r.request, attempt, outcome)
 
 	return ended{attempt: attempt, outcome: outcome, last: attempt.Number}
 }
@@ -208,7 +210,7 @@
 	}
 
 	second := Attempt{Number: first.Number + 1, Slot: slot, History: first.History, Hedge: true}
-	if r.pay() && r.launch(ctx, second, ask) {
+	if _, held := r.dispatcher.held(r.request); !held && r.pay() && r.launch(ctx, second, ask) {
 		return
 	}
 
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -51,6 +51,8 @@
 	observed []dispatcher.Outcome
 	decided  int
 	judge    dispatcher.Judge
+	// quarantine is nil when every request may run.
+	quarantine dispatcher.Quarantine
 }
 
 func (w *world) Acquire(ctx context.Context, ask dispatcher.Ask) (dispatcher.Slot, error) {
@@ -193,6 +195,10 @@
 	d := dispatcher.New(w, w, w)
 	d.HedgeBy(hedger)
 
+	if w.quarantine != nil {
+		d.QuarantineBy(w.quarantine)
+	}
+
 	return d.Run(ctx, dispatcher.Request{
 		ID:         "r",
 		Service:    configurer.Service{Name: "assistente"},
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,7 @@
 
 const (
 	dialTimeout     = 2 * time.Second
+	checkTimeout    = 400 * time.Millisecond
 	keepAlive       = 15 * time.Second
 	idleTimeout     = 30 * time.Second
 	idlePerUpstream = 256
@@ -167,3 +169,20 @@
 
 	return n, nil
 }
+
+// IsDown says whether nothing takes a new connection at a base URL. It returns false where ctx ends first.
+func IsDown(ctx context.Context, address string) bool {
+	base, err := url.Parse(address)
+	if err != nil {
+		return false
+	}
+
+	connection, err := (&net.Dialer{Timeout: checkTimeout}).DialContext(ctx, "tcp", base.Host)
+	if err != nil {
+		return !errors.Is(err, context.Canceled)
+	}
+
+	_ = connection.Close()
+
+	return false
+}
--- a/internal/quarantiner/judging.go
+++ b/internal/quarantiner/judging.go
@@ -137,7 +137,7 @@
 }
 
 // repeat makes quarantines known to nodes that started meanwhile while the store doesn't list them.
-func (q *Quarantiner) repeat(ctx context.Context, workers pond.Pool, records bool) {
+func (q *Quarantiner) repeat(ctx context.Context, workers pond.Pool) {
 	defer func() {
 		q.mu.Lock()
 		q.repeating = false
@@ -150,10 +150,7 @@
 	}
 
 	q.spread(ctx, workers, entries)
-
-	if records {
-		q.record(ctx, entries)
-	}
+	q.record(ctx, entries)
 }
 
 func (q *Quarantiner) takeSweep(now time.Time) bool {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -181,16 +181,12 @@
 		go q.sendReports(ctx, chosen, reports)
 	}
 
-	if !slices.Contains(chosen, q.options.Self) {
+	if len(chosen) == 0 || chosen[0] != q.options.Self {
 		return
 	}
 
 	if q.takeRepeat(now) {
-		go q.repeat(ctx, workers, chosen[0] == q.options.Self)
-	}
-
-	if chosen[0] != q.options.Self {
-		return
+		go q.repeat(ctx, workers)
 	}
 
 	if suspects := q.takeSuspects(now); len(suspects) > 0 {
--- a/internal/server/accounting.go
+++ b/internal/server/accounting.go
@@ -36,6 +36,7 @@
 	}
 
 	event.Str("request_id", request.ID).
+		Stringer("request_key", request.Key).
 		Str("class", request.Class.Name).
 		Str("organisation", request.Organisation.Name).
 		Str("upstream", attempt.Slot.Upstream.Name).
@@ -75,6 +76,7 @@
 	}
 
 	event.Str("request_id", request.ID).
+		Stringer("request_key", request.Key).
 		Str("service", request.Service.Name).
 		Str("class", request.Class.Name).
 		Str("organisation", request.Organisation.Name).
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -58,6 +58,7 @@
 	}
 
 	taken.request.Prefixes = prefixesOf(body)
+	taken.request.Key = requestKey(taken.request, r.Method, r.URL.Path, body)
 	sender := newEngineSender(n, taken, r.URL.Path, prepared)
 	run := &requestRun{request: taken.request, sender: sender, answer: sender.answer, key: taken.key}
 	run.bodyHash = bodyHash(r.Method, r.URL.Path, body)
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -65,6 +65,7 @@
 		"limits":     func() any { return n.limits.local.Refused() },
 		"membership": func() any { return n.members.prober.Counters() },
 		"messages":   func() any { return n.messages.Traffic() },
+		"quarantine": func() any { return n.quarantine.Counters() },
 		"retries":    func() any { return n.retrier.Counts() },
 		"tree":       func() any { return n.distributor.Counters() },
 	}
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -40,6 +40,7 @@
 		return
 	}
 
+	taken.request.Key = requestKey(taken.request, r.Method, plainPath(r), body)
 	sender := newPlainSender(n, taken, r, body)
 	run := &requestRun{request: taken.request, sender: sender, answer: sender.answer, key: taken.key}
 	run.bodyHash = bodyHash(r.Method, sender.path, body)
@@ -73,12 +74,17 @@
 	payload  []byte
 }
 
-func newPlainSender(n *Node, taken intake, r *http.Request, body []byte) *plainSender {
+// plainPath is the path, with the query, that the service is called by.
+func plainPath(r *http.Request) string {
 	path := "/" + r.PathValue("path")
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
 
+	return path
+}
+
+func newPlainSender(n *Node, taken intake, r *http.Request, body []byte) *plainSender {
 	header := r.Header.Clone()
 	for _, name := range hopHeaders {
 		header.Del(name)
@@ -89,7 +95,7 @@
 		upstreams: n.upstreams,
 		request:   taken.request,
 		method:    r.Method,
-		path:      path,
+		path:      plainPath(r),
 		header:    header,
 		body:      body,
 		answer:    recorder.NewAnswer(),
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -85,11 +85,13 @@
 	limits *limits
 	placer *placer.PowerOfTwo
 	// ejector judges upstreams for the placer, which decides while no holder answers.
-	ejector   *ejector.Ejector
-	retrier   *retrier.Retrier
-	dispatch  *dispatcher.Dispatcher
-	runs      *runs
-	upstreams *upstreamTable
+	ejector  *ejector.Ejector
+	retrier  *retrier.Retrier
+	dispatch *dispatcher.Dispatcher
+	// quarantine keeps requests that crash upstreams from running.
+	quarantine *quarantine
+	runs       *runs
+	upstreams  *upstreamTable
 	// prefixes holds hints about the prompt caches of the engines whose pools this node holds.
 	prefixes *prefixer.Table
 	meter    *meter.Meter
@@ -151,6 +153,8 @@
 	node.retrier = retrier.New(retrier.Options{})
 	node.dispatch = dispatcher.New(node.newSlotter(), node.retrier, node)
 	node.dispatch.HedgeBy(retrier.NewHedger(node.retrier.Budget()))
+	node.quarantine = node.newQuarantine()
+	node.dispatch.QuarantineBy(node.quarantine)
 
 	return node, nil
 }
