Test, failing: the own interface heeds the rest that upstreams ask for

A refusal closes an upstream for half a second, whatever it asks for.

Leaving is told to the own interface by load reports, which holders read each 2 s; nothing there reads it from answers, nor do the own engines tell it so.

--- /dev/null
+++ b/internal/server/resting_test.go
@@ -0,0 +1,181 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/launcher"
+	"quincepath.example/quincepath/internal/loader"
+)
+
+const (
+	// restingUpstreams is the number of upstreams of the service.
+	restingUpstreams = 3
+	// restWave is the number of requests that are sent at once: more than two upstreams take.
+	restWave = 24
+	// upstreamRest is what an upstream asks for that turns a request away.
+	upstreamRest = 3 * time.Second
+	// restWork is how long an upstream works on a request.
+	restWork = 10 * time.Millisecond
+	// requestsInRest is the number of requests that an upstream may get within its rest.
+	requestsInRest = 2
+)
+
+// Seen: an upstream that had turned a request away and asked for rest got more requests from the same node in that time.
+// Sequence: an upstream is full for a moment; its answer has a Retry-After; the node's requests go on.
+// Cause: the same as at the gateway: a refusal was no reason to stay away, and its time was not read.
+// Proof: with the time kept, none is sent there until it is over, and then they are.
+func TestUpstreamThatAsksForRestGetsIt(t *testing.T) {
+	for _, kind := range []string{"engine", "plain"} {
+		t.Run(kind, func(t *testing.T) {
+			var (
+				full     atomic.Bool
+				requests atomic.Int64
+			)
+
+			full.Store(true)
+
+			service := loader.Service{
+				Kind:         kind,
+				DefaultClass: "usual",
+				Classes: map[string]configurer.Class{"usual": {
+					Tier: 1, Target: time.Second, GapLimit: time.Second, MaxWait: 5 * time.Second, Repeatable: true, RetryBudget: 1,
+				}},
+				Organisations: map[string]configurer.Organisation{"barbagallo": {Weight: 1, KeyHashes: []string{testKeyHash}}},
+				Upstreams:     make(map[string]configurer.Upstream),
+			}
+
+			for i := range restingUpstreams {
+				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+
+					if i == 0 {
+						requests.Add(1)
+
+						if full.Load() {
+							w.Header().Set("Retry-After", fmt.Sprint(upstreamRest.Seconds()))
+							w.WriteHeader(http.StatusServiceUnavailable)
+
+							return
+						}
+					}
+
+					time.Sleep(restWork)
+					w.Header().Set("Content-Type", "text/event-stream")
+					_, _ = io.WriteString(w, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"fine\"}}]}\n\ndata: [DONE]\n\n")
+				}))
+				t.Cleanup(server.Close)
+
+				service.Upstreams[fmt.Sprint("u", i)] = configurer.Upstream{Address: server.URL, FailureDomain: "catania-sala", Slots: 6}
+			}
+
+			base := startAlone(t, map[string]loader.Service{"assistente": service})
+
+			wave := func() {
+				var sending sync.WaitGroup
+
+				for range restWave {
+					sending.Go(func() { assert.Check(t, askKind(base, kind) == http.StatusOK) })
+				}
+
+				sending.Wait()
+			}
+
+			for requests.Load() == 0 {
+				wave()
+			}
+
+			full.Store(false)
+
+			before := requests.Load()
+			for started := time.Now(); time.Since(started) < upstreamRest*4/5; {
+				wave()
+			}
+
+			inRest := requests.Load() - before
+			assert.Check(t, inRest <= requestsInRest, "%d requests reached the upstream", inRest)
+
+			time.Sleep(upstreamRest)
+
+			before = requests.Load()
+			for requests.Load() == before {
+				wave()
+			}
+		})
+	}
+}
+
+// startAlone runs one node without a platform and returns its address for callers.
+func startAlone(t *testing.T, services map[string]loader.Service) string {
+	ctx, stop := context.WithCancel(context.Background())
+	addresses := launcher.NewAddresses()
+
+	settings := loader.Defaults()
+	settings.Services = services
+	settings.Peers.Credential = "secret"
+	settings.Node.Name, settings.Node.Region, settings.Node.FailureDomain = "node-1", "r", "catania-sala"
+	settings.Node.DrainTimeout = 5 * time.Second
+
+	for _, listen := range []*string{&settings.Node.Listen, &settings.Node.PeerListen, &settings.Node.AdminListen} {
+		address, err := addresses.Next(ctx)
+		assert.NilError(t, err)
+
+		*listen = address
+	}
+
+	settings.Node.Advertise = settings.Node.Listen
+	settings.Peers.Nodes = []loader.Peer{{
+		Name: "node-1", PeerAddress: settings.Node.PeerListen, EntryAddress: settings.Node.Listen, FailureDomain: "catania-sala",
+	}}
+
+	ended := make(chan error, 1)
+
+	go func() { ended <- Run(ctx, settings, zerolog.Nop()) }()
+
+	t.Cleanup(func() {
+		stop()
+		assert.NilError(t, <-ended)
+	})
+	assert.NilError(t, launcher.Await(ctx, []string{settings.Node.Listen}, ended))
+
+	return "http://" + settings.Node.Listen
+}
+
+// askKind sends a request to a service of the kind and returns its status, 0 if the answer broke off.
+func askKind(base, kind string) int {
+	path := "/v1/chat/completions"
+	if kind == "plain" {
+		path = "/services/assistente/1"
+	}
+
+	request, err := http.NewRequest(http.MethodPost, base+path, strings.NewReader(`{"model":"assistente","messages":[],"max_tokens":4}`))
+	if err != nil {
+		return 0
+	}
+
+	request.Header.Set("Authorization", "Bearer "+testKey)
+
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+
+	if _, err := io.ReadAll(response.Body); err != nil {
+		return 0
+	}
+
+	return response.StatusCode
+}
