Own interface: give upstreams the rest that they ask for

A node went on sending to an upstream that had turned a request away with 503 and Retry-After: 3.

Cause: a refusal closes an upstream for half a second at the holder of its pool, whatever it asks for, and nobody read the header.

Change: the refusal carries the time that its Retry-After names (one reading for the gateway and the own interface, forwarder.RestOf); the dispatcher keeps it by address, names such upstreams as excluded in each ask, gives back a slot that was granted before, and hedges nowhere that rests.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -98,6 +98,8 @@
 	Tokens int
 	// Wasted is the number of tokens that came and were not delivered, since another attempt owns the answer.
 	Wasted int
+	// Rest is for how long an upstream that refused the attempt wants no other from this node; 0 if it didn't say.
+	Rest time.Duration
 	// Err is the cause for the log, or nil.
 	Err error
 }
@@ -200,6 +202,7 @@
 	hedger Hedger
 	// quarantine is nil when every request may run.
 	quarantine Quarantine
+	rests      rests
 }
 
 // New returns a dispatcher over the given parts.
@@ -210,8 +213,9 @@
 // Run carries the request to its end and returns nil or a numbered result.
 func (d *Dispatcher) Run(ctx context.Context, request Request, sender Sender) *classifier.Error {
 	var (
-		exclude []string
-		history History
+		exclude  []string
+		history  History
+		declined int
 	)
 
 	for number := 1; ; {
@@ -220,6 +224,7 @@
 		}
 
 		ask := newAsk(request, sender.Progress(), exclude)
+		ask.Exclude = slices.Concat(ask.Exclude, d.rests.names(time.Now(), request.Service))
 
 		slot, err := d.slotter.Acquire(ctx, ask)
 		if err != nil {
@@ -233,6 +238,18 @@
 			return failure
 		}
 
+		// The slot was granted before the upstream asked for rest.
+		if left := d.rests.left(time.Now(), slot.Upstream.Address); left > 0 {
+			d.slotter.Release(slot, ask, Outcome{Result: ResultSuperseded})
+
+			declined++
+			if declined == mostDeclined {
+				return restingError(history, left)
+			}
+
+			continue
+		}
+
 		attempt := Attempt{Number: number, Slot: slot, Offset: sender.Progress(), History: history}
 		over, failed := d.step(ctx, request, sender, attempt, ask)
 		number = over.last + 1
@@ -308,6 +325,15 @@
 // A request that is not repeatable keeps its slot: cancelled halfway it may have
 // run, could not be sent again, and its caller would get no answer at all.
 func (d *Dispatcher) send(ctx context.Context, request Request, sender Sender, attempt Attempt) Outcome {
+	outcome := d.sendUntilPreempted(ctx, request, sender, attempt)
+	if outcome.Rest > 0 {
+		d.rests.note(time.Now(), attempt.Slot.Upstream.Address, outcome.Rest)
+	}
+
+	return outcome
+}
+
+func (d *Dispatcher) sendUntilPreempted(ctx context.Context, request Request, sender Sender, attempt Attempt) Outcome {
 	if attempt.Slot.Preempted == nil || !request.Repeatable {
 		return sender.Send(ctx, attempt)
 	}
@@ -339,6 +365,14 @@
 	return outcome
 }
 
+// restingError ends a request whose slots were all at upstreams that rest.
+func restingError(history History, left time.Duration) *classifier.Error {
+	failure := classifier.New(classifier.NoUpstream, "the upstreams want no requests now").After(left)
+	failure.Ran = history.Verdict()
+
+	return failure
+}
+
 // acquireError turns a failed Acquire into the final result. A slotter runs
 // nothing, so whether the request ran follows from its attempts alone.
 func acquireError(ctx context.Context, err error, history History) *classifier.Error {
--- a/internal/dispatcher/hedging.go
+++ b/internal/dispatcher/hedging.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -200,7 +201,8 @@
 		return
 	}
 
-	ask.Exclude = append(append([]string(nil), ask.Exclude...), first.Slot.Upstream.Name)
+	ask.Exclude = append(slices.Clone(ask.Exclude), first.Slot.Upstream.Name)
+	ask.Exclude = append(ask.Exclude, r.dispatcher.rests.names(time.Now(), r.request.Service)...)
 	ask.Waited = time.Since(r.request.Arrived)
 	ask.Spare = true
 
@@ -210,7 +212,8 @@
 	}
 
 	second := Attempt{Number: first.Number + 1, Slot: slot, History: first.History, Hedge: true}
-	if _, held := r.dispatcher.held(r.request); !held && r.pay() && r.launch(ctx, second, ask) {
+	rests := r.dispatcher.rests.left(time.Now(), slot.Upstream.Address) > 0
+	if _, held := r.dispatcher.held(r.request); !rests && !held && r.pay() && r.launch(ctx, second, ask) {
 		return
 	}
 
--- a/internal/forwarder/status.go
+++ b/internal/forwarder/status.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -29,6 +30,10 @@
 
 	switch {
 	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		if rest, ok := RestOf(response, time.Now()); ok {
+			err = &restError{error: err, rest: rest}
+		}
+
 		return errors.Mark(err, ErrRefused)
 	case status >= 400 && status < 500:
 		return errors.Mark(err, ErrRejected)
--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quincepath.example/quincepath/internal/forwarder"
 	"quincepath.example/quincepath/internal/gateway/balancer"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/dialer"
@@ -112,7 +113,7 @@
 		}
 	}
 
-	if rest, ok := restOf(response.Response, now); ok {
+	if rest, ok := forwarder.RestOf(response.Response, now); ok {
 		r.avoider.rest(request.service, choice.Upstream, r.bornAt(choice.Upstream), now.Add(rest))
 		r.options.Logger.Info().Str("upstream", choice.Upstream).Str("service", request.service).Dur("rest_ms", rest).Msg("upstream_resting")
 	}
--- a/internal/gateway/relayer/avoider.go
+++ b/internal/gateway/relayer/avoider.go
@@ -1,20 +1,14 @@
 package relayer
 
 import (
-	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 )
 
-const (
-	// unlistedLife is how long an upstream that left the list is remembered: its entry may only have lapsed, and return.
-	unlistedLife = time.Minute
-	// mostRest bounds the rest that an upstream can ask for.
-	mostRest = time.Hour
-)
+// unlistedLife is how long an upstream that left the list is remembered: its entry may only have lapsed, and return.
+const unlistedLife = time.Minute
 
 // avoider remembers the upstreams that have asked this node for no more requests. It is safe for concurrent use.
 //
@@ -171,22 +165,3 @@
 
 	return counts
 }
-
-// restOf returns the rest that an answer asks for; false if it asks for none.
-func restOf(response *http.Response, now time.Time) (time.Duration, bool) {
-	if response.StatusCode != http.StatusServiceUnavailable && response.StatusCode != http.StatusTooManyRequests {
-		return 0, false
-	}
-
-	text := response.Header.Get("Retry-After")
-
-	var rest time.Duration
-
-	if seconds, err := strconv.ParseFloat(text, 64); err == nil && seconds > 0 {
-		rest = time.Duration(min(seconds, mostRest.Seconds()) * float64(time.Second))
-	} else if at, err := http.ParseTime(text); err == nil {
-		rest = min(at.Sub(now), mostRest)
-	}
-
-	return rest, rest > 0
-}
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -165,6 +165,7 @@
 		Duration:   time.Since(started),
 		Tokens:     pump.delivered,
 		Wasted:     pump.wasted,
+		Rest:       forwarder.RestIn(err),
 		Err:        err,
 	}
 	leaveIdleAfter(outcome, s.client)
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -126,6 +126,7 @@
 	outcome := dispatcher.Outcome{
 		Result:   sendResult(ctx, err, reader),
 		Duration: time.Since(started),
+		Rest:     forwarder.RestIn(err),
 		Err:      err,
 	}
 
