--- a/internal/orderer/world_test.go
+++ b/internal/orderer/world_test.go
@@ -23,6 +23,8 @@
 	// lease and pause are the bounds that the tests' settings give.
 	lease = 5 * time.Second
 	pause = 10 * time.Second
+	// downTime is how long an engine that crashed answers nothing.
+	downTime = 5 * time.Second
 	// converged is the stated time in which all engines are as desired once faults are over: the
 	// longest delay of a take, the old lease until it is seen gone, the wait before engines that
 	// ignore numbers are ordered, the longest delay of a failed order, and ten seconds of looks.
@@ -45,6 +47,12 @@
 	room int
 	// unknown is a model that can't be loaded.
 	unknown string
+	// crashing is a model whose load crashes the engine after crashTime; it answers nothing for downTime and has lost all then.
+	crashing  string
+	crashTime time.Duration
+	crashes   int
+	// crashAt is when it crashes; zero means never. downUntil is when it answers after its last crash.
+	crashAt, downUntil time.Time
 	// hidesNumber keeps the highest number out of the state.
 	hidesNumber bool
 
@@ -53,6 +61,18 @@
 	refused int
 }
 
+// isDown lets a crash that is due happen, and says whether the engine answers nothing.
+func (e *fakeEngine) isDown() bool {
+	now := time.Now()
+
+	if !e.crashAt.IsZero() && !now.Before(e.crashAt) {
+		e.state = orderer.State{}
+		e.crashAt, e.downUntil = time.Time{}, e.crashAt.Add(downTime)
+	}
+
+	return now.Before(e.downUntil)
+}
+
 func (e *fakeEngine) apply(order orderer.Order, number int64) error {
 	if e.checks && number < e.state.HighestFencing {
 		e.refused++
@@ -63,6 +83,13 @@
 		return errors.New("no room")
 	}
 
+	if order == (orderer.Order{Kind: orderer.LoadModel, Name: e.crashing}) {
+		e.crashes++
+		e.crashAt = time.Now().Add(e.crashTime)
+
+		return nil
+	}
+
 	e.state.HighestFencing = max(e.state.HighestFencing, number)
 	e.took = append(e.took, took{order, number, time.Now()})
 
@@ -226,6 +253,10 @@
 	defer n.mu.Unlock()
 
 	e := n.engines[upstream.Name]
+	if e.isDown() {
+		return orderer.State{}, errors.New("connection refused")
+	}
+
 	s := e.state
 	s.Models, s.Adapters = nil, slices.Clone(s.Adapters)
 
@@ -266,7 +297,12 @@
 		return nil
 	}
 
-	return n.engines[upstream.Name].apply(order, number)
+	e := n.engines[upstream.Name]
+	if e.isDown() {
+		return errors.New("connection refused")
+	}
+
+	return e.apply(order, number)
 }
 
 // play runs the nodes under virtual time until do returns.
