Orders: hold back an order that crashes engines

A model whose load crashes the engine was ordered at one engine after the other, and at each of them once more after half a minute at most; each crash also lost the model that serves.

Cause: a failed order was held back at its own engine only.

Change: an engine that doesn't answer right after an order, or while it loads, or that holds less than before it took the load, counts against the order. After three such, of two engines at least, the order is held back at all engines for an hour, or until it is no longer desired; an engine that shows it clears it. Loads that have crashed engines come behind other loads, so that one that came back gets what it serves with first.

What is counted is lost with the orderer's node.

--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -19,6 +19,8 @@
 	loads   *loadLimiter
 	// delays holds back orders that failed, by upstream and order.
 	delays map[string]*delay
+	// crashes holds back orders that crash engines, at all of them.
+	crashes crashes
 	// swapping names the upstream that may unload before it loads; empty means that any may.
 	swapping string
 	// takes counts attempts to take a number.
@@ -29,7 +31,7 @@
 
 // New returns an Orderer that does nothing before Run.
 func New(options Options) *Orderer {
-	return &Orderer{options: options.withDefaults(), delays: make(map[string]*delay)}
+	return &Orderer{options: options.withDefaults(), delays: make(map[string]*delay), crashes: make(crashes)}
 }
 
 // Run orders until ctx ends. It gives its lease back then.
--- a/internal/orderer/planner.go
+++ b/internal/orderer/planner.go
@@ -155,7 +155,7 @@
 	// lacking means that a load has failed.
 	lacking := false
 
-	for _, order := range e.differences() {
+	for _, order := range p.orderer.crashes.order(e.differences()) {
 		next := planned{engine: e, order: order}
 
 		if p.orderer.loads.underWay(next.key()) {
@@ -169,12 +169,20 @@
 			continue
 		}
 
+		if p.orderer.crashes.holds(order) {
+			p.orderer.options.Counters.CrashingHeldBack.Add(1)
+
+			lacking = lacking || order.loads()
+
+			continue
+		}
+
 		if order.unloads() && (!p.maySwap(e, lacking) || !p.mayUnload(ctx, e, order)) {
 			p.orderer.options.Counters.UnloadsHeldBack.Add(1)
 			continue
 		}
 
-		if order.loads() && !p.orderer.loads.start(next.key(), p.bounds) {
+		if order.loads() && !p.orderer.loads.start(next, p.bounds) {
 			p.orderer.options.Counters.LoadsHeldBack.Add(1)
 			return next, false
 		}
--- a/internal/orderer/reconciler.go
+++ b/internal/orderer/reconciler.go
@@ -125,6 +125,15 @@
 		for _, name := range e.state.Adapters {
 			o.loads.done(planned{e, Order{LoadAdapter, name}}.key())
 		}
+
+		o.crashes.clear(e.state)
+	}
+
+	o.crashes.keep(engines)
+
+	for _, next := range o.loads.broken(engines) {
+		o.crashes.note(next.order, next.engine.upstream.Name)
+		o.failed(next.key())
 	}
 
 	o.forgetDelays(bounds.LongestPause)
@@ -140,8 +149,8 @@
 	// sent means that the order may have reached the engine.
 	sent bool
 	err  error
-	// shown means that the state read back has the order's effect.
-	shown bool
+	// shown means that the state read back has the order's effect, silent that the engine didn't answer any more.
+	shown, silent bool
 }
 
 // carryOut sends an order, if the term allows it at this very moment, and reads the state back.
@@ -161,9 +170,9 @@
 	got := outcome{sent: true}
 	got.err = o.options.Engines.Send(call, next.engine.upstream, next.order, t.number)
 
-	if state, err := o.state(ctx, next.engine.upstream); err == nil {
-		got.shown = state.shows(next.order)
-	}
+	state, err := o.state(ctx, next.engine.upstream)
+	got.silent = err != nil
+	got.shown = err == nil && state.shows(next.order)
 
 	return got
 }
@@ -190,6 +199,10 @@
 		counters.ReadBackDiffered.Add(1)
 	}
 
+	if got.silent {
+		o.crashes.note(next.order, next.engine.upstream.Name)
+	}
+
 	switch {
 	case got.shown:
 		o.loads.done(key)
--- a/internal/orderer/types.go
+++ b/internal/orderer/types.go
@@ -104,6 +104,8 @@
 	NotSent atomic.Int64
 	// LoadsHeldBack counts looks at a load that the weight store's limits held back.
 	LoadsHeldBack atomic.Int64
+	// CrashingHeldBack counts looks at an order that was held back since engines went down under it.
+	CrashingHeldBack atomic.Int64
 	// UnloadsHeldBack counts looks at an unload that would have removed the last copy.
 	UnloadsHeldBack atomic.Int64
 	// Holding is the number of services that are ordered now.
@@ -202,6 +204,7 @@
 		"orders_not_sent_lease_over": c.NotSent.Load(),
 		"read_backs_differed":        c.ReadBackDiffered.Load(),
 		"loads_held_back":            c.LoadsHeldBack.Load(),
+		"crashing_held_back":         c.CrashingHeldBack.Load(),
 		"unloads_held_back":          c.UnloadsHeldBack.Load(),
 		"services_held":              c.Holding.Load(),
 		"terms_taken":                c.TermsTaken.Load(),
