Look at who the judges are twice a second, not ten times

Each look lists the live nodes and parts them by strength, on every node; who judges matters when an upstream has crashed only. Tests of the package 20 of 20, TestRequestThatCrashesUpstreamsIsStopped of the gateway 3 of 3.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -19,6 +19,8 @@
 	judges = 2
 	// judgesName is what the judges are chosen for.
 	judgesName = "quarantine"
+	// judgesInterval is the time between two looks at who the judges are.
+	judgesInterval = 500 * time.Millisecond
 	// peerTimeout bounds a message to a peer.
 	peerTimeout = 300 * time.Millisecond
 	// peerWorkers is the number of peers that are reached at once.
@@ -95,8 +97,9 @@
 	// crashes are what this node saw itself, the oldest first.
 	crashes []*seen
 	// nodes are those among which the judges are chosen.
-	nodes  *chooser.Chooser
-	judges []string
+	nodes    *chooser.Chooser
+	judges   []string
+	chosenAt time.Time
 	// reporting, inquiring and repeating say that such a task is under way.
 	reporting, inquiring, repeating bool
 	lookedAt, repeatedAt, sweptAt   time.Time
@@ -171,7 +174,7 @@
 }
 
 func (q *Quarantiner) step(ctx context.Context, now time.Time, workers pond.Pool) {
-	chosen := q.chooseJudges()
+	chosen := q.chooseJudges(now)
 
 	for _, s := range q.takeChecks(now) {
 		go q.check(ctx, s)
@@ -199,20 +202,30 @@
 }
 
 // chooseJudges returns the nodes that hear of all crashes now. New ones are told of those that this node saw before.
-func (q *Quarantiner) chooseJudges() []string {
+func (q *Quarantiner) chooseJudges(now time.Time) []string {
+	q.mu.Lock()
+	chosen, isFresh := q.judges, now.Sub(q.chosenAt) < judgesInterval
+	q.mu.Unlock()
+
+	if isFresh {
+		return chosen
+	}
+
 	live := q.options.Judges()
 	slices.Sort(live)
 
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
+	q.chosenAt = now
+
 	nodes := q.nodes.Among(live)
 	if nodes == q.nodes {
 		return q.judges
 	}
 
 	q.nodes = nodes
-	chosen := nodes.Several(judgesName, judges)
+	chosen = nodes.Several(judgesName, judges)
 
 	if !slices.Equal(chosen, q.judges) {
 		q.judges = chosen
