--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -23,9 +23,9 @@
 	Crashes int `json:"crashes"`
 }
 
-// left is how much longer it holds; not above 0 once it is over.
+// left is how much longer it holds; not above 0 once it is over. The clock of the node that began it may be ahead.
 func (q *Quarantine) left(now time.Time) time.Duration {
-	return quarantineTime - now.Sub(time.UnixMilli(q.Since))
+	return min(quarantineTime-now.Sub(time.UnixMilli(q.Since)), quarantineTime)
 }
 
 // table holds the requests in quarantine. It is safe for concurrent use.
