--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -225,6 +225,15 @@
 	time.Sleep(time.Second)
 }
 
+// crashThree crashes three upstreams one after the other under a request.
+func (f *fleet) crashThree(name string) {
+	f.add("a", "b", "c")
+
+	for _, upstream := range []string{"a", "b", "c"} {
+		f.crash(upstream, key(name))
+	}
+}
+
 // recorded is the number of quarantines that the store holds.
 func (f *fleet) recorded() int {
 	f.mu.Lock()
@@ -396,11 +405,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
 		f.away = true
-		f.add("a", "b", "c")
-
-		for _, upstream := range []string{"a", "b", "c"} {
-			f.crash(upstream, key("culprit"))
-		}
+		f.crashThree("culprit")
 
 		f.start("late")
 		time.Sleep(2 * time.Second)
@@ -418,11 +423,7 @@
 func TestQuarantineOutlastsAllNodes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
-		f.add("a", "b", "c")
-
-		for _, upstream := range []string{"a", "b", "c"} {
-			f.crash(upstream, key("culprit"))
-		}
+		f.crashThree("culprit")
 
 		for _, name := range f.live() {
 			f.kill(name)
@@ -466,11 +467,7 @@
 func TestQuarantineEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
-		f.add("a", "b", "c")
-
-		for _, upstream := range []string{"a", "b", "c"} {
-			f.crash(upstream, key("culprit"))
-		}
+		f.crashThree("culprit")
 
 		f.list()
 		left, held := f.nodes["n0"].Check(key("culprit"))
@@ -486,11 +483,7 @@
 func TestQuarantineThatTheStoreListsNoMoreIsLifted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
-		f.add("a", "b", "c")
-
-		for _, upstream := range []string{"a", "b", "c"} {
-			f.crash(upstream, key("culprit"))
-		}
+		f.crashThree("culprit")
 
 		f.list()
 		f.mu.Lock()
@@ -523,10 +516,7 @@
 		}
 
 		// The newest still count.
-		for _, upstream := range []string{"a", "b", "c"} {
-			f.crash(upstream, key("culprit"))
-		}
-
+		f.crashThree("culprit")
 		assert.Equal(t, f.held(key("culprit")), 2)
 	})
 }
