Quarantine: blame a request that was being answered later than one that wasn't

TestRequestBesideTwoCulpritsIsNotBlamed failed before (blamed on 3 of 3 nodes).

Change: a node tells of each request whether part of its answer had come when the upstream crashed. Tests of the package 10 of 10, also with the race detector; both tests of TestRequestThatCrashesUpstreamsIsStopped pass.

--- a/internal/gateway/relayer/answer.go
+++ b/internal/gateway/relayer/answer.go
@@ -92,7 +92,7 @@
 	}
 
 	if err != nil {
-		r.judgeBreak(ctx, a.request, choice, outcome)
+		r.judgeBreak(ctx, a.request, choice, outcome, len(body) > 0)
 		r.logAttempt(a.request, choice, "answer_broken", causeOf(ctx, err))
 
 		return unsure
@@ -128,7 +128,7 @@
 	}
 
 	if err != nil {
-		r.judgeBreak(ctx, a.request, choice, outcome)
+		r.judgeBreak(ctx, a.request, choice, outcome, true)
 		a.account.code = classifier.StreamBroken
 		r.logAttempt(a.request, choice, "answer_broken", err)
 		panic(http.ErrAbortHandler)
--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -146,20 +146,20 @@
 
 	request.runs++
 
-	r.judgeBreak(ctx, request, choice, outcome)
+	r.judgeBreak(ctx, request, choice, outcome, false)
 	r.logAttempt(request, choice, "no_answer", causeOf(ctx, err))
 
 	return unsure
 }
 
 // judgeBreak judges an exchange that broke while the upstream may have run the request.
-func (r *Relayer) judgeBreak(ctx context.Context, request *request, choice balancer.Choice, outcome *balancer.Outcome) {
+func (r *Relayer) judgeBreak(ctx context.Context, request *request, choice balancer.Choice, outcome *balancer.Outcome, answering bool) {
 	if !blamesUpstream(ctx) {
 		return
 	}
 
 	*outcome = balancer.Failed
-	r.options.Quarantine.Broke(request.key, choice.Upstream, choice.Address)
+	r.options.Quarantine.Broke(request.key, choice.Upstream, choice.Address, answering)
 }
 
 // load returns the load that an upstream told in its answer, nil if it told none.
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -63,8 +63,8 @@
 	Check(key quarantiner.Key) (time.Duration, bool)
 	// Answered tells that an upstream answered the request whole.
 	Answered(key quarantiner.Key)
-	// Broke tells that an upstream broke off while it may have run the request.
-	Broke(key quarantiner.Key, upstream, address string)
+	// Broke tells that an upstream broke off while it may have run the request; answering says that part of the answer had come.
+	Broke(key quarantiner.Key, upstream, address string, answering bool)
 }
 
 // Options are the parts of a Relayer; all are required.
--- a/internal/gateway/relayer/stream.go
+++ b/internal/gateway/relayer/stream.go
@@ -41,7 +41,7 @@
 				r.options.Chooser.Paused(request.workID(), pace.pauses())
 			}
 
-			return r.endEvents(ctx, a, choice, err, outcome)
+			return r.endEvents(ctx, a, choice, err, !first, outcome)
 		}
 
 		now := time.Now()
@@ -62,7 +62,7 @@
 				continue
 			}
 
-			return r.endEvents(ctx, a, choice, errOrder, outcome)
+			return r.endEvents(ctx, a, choice, errOrder, true, outcome)
 		}
 
 		if !a.begun {
@@ -85,8 +85,8 @@
 	}
 }
 
-// endEvents judges the end of a stream.
-func (r *Relayer) endEvents(ctx context.Context, a *answer, choice balancer.Choice, err error, outcome *balancer.Outcome) verdict {
+// endEvents judges the end of a stream; answering says that an event of it had come.
+func (r *Relayer) endEvents(ctx context.Context, a *answer, choice balancer.Choice, err error, answering bool, outcome *balancer.Outcome) verdict {
 	if errors.Is(err, io.EOF) && a.begun {
 		*outcome = balancer.Served
 		r.served(a, choice)
@@ -94,7 +94,7 @@
 		return done
 	}
 
-	r.judgeBreak(ctx, a.request, choice, outcome)
+	r.judgeBreak(ctx, a.request, choice, outcome, answering)
 	r.logAttempt(a.request, choice, "stream_broken_off", causeOf(ctx, err))
 
 	return unsure
--- a/internal/quarantiner/crashing.go
+++ b/internal/quarantiner/crashing.go
@@ -22,18 +22,26 @@
 type seen struct {
 	instance Instance
 	at       time.Time
-	// keys are the requests; the judges were told of the first ones.
-	keys    []Key
-	told    int
-	address string
+	address  string
+	// runs are the requests; the judges were told of the first ones.
+	runs []run
+	told int
 	// checked says that it was looked at, or is being.
 	checked bool
 	// crashed says that the upstream is known to have crashed, and not only broke off these requests.
 	crashed bool
 }
 
-// Broke notes that a request's connection broke while an upstream ran it, or that the upstream fell silent.
-func (q *Quarantiner) Broke(key Key, upstream, address string) {
+// run is one request that broke off.
+type run struct {
+	key Key
+	// answering says that part of its answer had come.
+	answering bool
+}
+
+// Broke notes that a request's connection broke while an upstream ran it, or that the upstream fell silent. Answering says
+// that part of its answer had come.
+func (q *Quarantiner) Broke(key Key, upstream, address string, answering bool) {
 	now := time.Now()
 
 	q.mu.Lock()
@@ -54,8 +62,8 @@
 		q.crashes = append(q.crashes, s)
 	}
 
-	if len(s.keys) < mostKeys && !slices.Contains(s.keys, key) {
-		s.keys = append(s.keys, key)
+	if len(s.runs) < mostKeys && !slices.ContainsFunc(s.runs, func(r run) bool { return r.key == key }) {
+		s.runs = append(s.runs, run{key: key, answering: answering})
 		q.bound()
 	}
 }
@@ -90,7 +98,7 @@
 func (q *Quarantiner) seen() int {
 	count := 0
 	for _, s := range q.crashes {
-		count += len(s.keys)
+		count += len(s.runs)
 	}
 
 	return count
@@ -143,7 +151,7 @@
 	s.crashed = true
 	q.counters.Crashes++
 	q.options.Logger.Info().Str("upstream", s.instance.Upstream).Int64("born", s.instance.Born).
-		Int("requests", len(s.keys)).Str("evidence", evidence).Msg("upstream_crashed")
+		Int("requests", len(s.runs)).Str("evidence", evidence).Msg("upstream_crashed")
 }
 
 // confirmUnlisted takes upstreams for crashed that left the list, or started again, right after their connections broke; q.mu
@@ -177,11 +185,8 @@
 	var reports []report
 
 	for _, s := range q.crashes {
-		if s.crashed && s.told < len(s.keys) {
-			reports = append(reports, report{
-				seen:        s,
-				crashReport: crashReport{Instance: s.instance, AgeMS: now.Sub(s.at).Milliseconds(), Keys: slices.Clone(s.keys[s.told:])},
-			})
+		if s.crashed && s.told < len(s.runs) {
+			reports = append(reports, report{seen: s, crashReport: newCrashReport(s, now)})
 		}
 	}
 
@@ -226,6 +231,6 @@
 	}
 
 	for _, r := range reports {
-		r.told += len(r.Keys)
+		r.told += len(r.Waiting) + len(r.Answering)
 	}
 }
--- a/internal/quarantiner/messages.go
+++ b/internal/quarantiner/messages.go
@@ -16,7 +16,24 @@
 	Instance
 	// AgeMS is how long ago that was.
 	AgeMS int64 `json:"age_ms"`
-	Keys  []Key `json:"keys"`
+	// Answering are those of which part of the answer had come, Waiting the others.
+	Waiting   []Key `json:"waiting,omitempty"`
+	Answering []Key `json:"answering,omitempty"`
+}
+
+// newCrashReport returns what the judges weren't told of a crash.
+func newCrashReport(s *seen, now time.Time) crashReport {
+	report := crashReport{Instance: s.instance, AgeMS: now.Sub(s.at).Milliseconds()}
+
+	for _, r := range s.runs[s.told:] {
+		if r.answering {
+			report.Answering = append(report.Answering, r.key)
+		} else {
+			report.Waiting = append(report.Waiting, r.key)
+		}
+	}
+
+	return report
 }
 
 type testifyParams struct {
@@ -60,7 +77,7 @@
 
 	for _, r := range reports {
 		at := now.Add(-time.Duration(r.AgeMS) * time.Millisecond)
-		q.judge.report(now, at, r.Instance, r.Keys, quarantined)
+		q.judge.report(now, at, r, quarantined)
 	}
 }
 
