Test, failing: many nodes hear of changes where the store serves few of them

Where the store turns 57 of 65 nodes away, nodes that it serves may stand so far back in the order that none of them tries within 20 s.

--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -530,6 +530,35 @@
 	})
 }
 
+// Guards against: a key is honoured for longer than three seconds after its end, where the store turns most of many nodes away
+// and those that it serves stand far behind the first one.
+func TestAnyEighthOfManyHearsOfChangesInTime(t *testing.T) {
+	const (
+		nodes = 65
+		part  = 8
+	)
+
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, nodes)
+		defer f.end()
+
+		for i := range part {
+			f.change(func() { clear(f.turnedAway) })
+			time.Sleep(15*time.Second + time.Duration(i)*70*time.Millisecond)
+			f.change(func() {
+				for j := range nodes {
+					f.turnedAway[fmt.Sprint("n", j)] = j%part != i
+				}
+
+				f.version++
+			})
+
+			took := f.slowest(hasVersion(f.version))
+			assert.Check(t, took < 3*time.Second, "every %dth from n%d: %v", part, i, took)
+		}
+	})
+}
+
 // Symptom: routes are refused that have been there for over two seconds, and keys honoured that are gone.
 // Sequence: the store is away for some seconds; it is back for two, in which operators write; then it turns all nodes away but one.
 // Cause: all nodes had failed at nearly the same moment and waited for equally long, so nobody noticed the return.
