Quarantine: look at an upstream anew when it breaks off once more

Found on reading: an upstream that broke off one answer and lived on was not looked at again for ten seconds. One that loses answers now and then, and then crashes under a request, was noticed by its leaving the list only. TestCrashSoonAfterABrokenAnswerCounts failed before (held at 0 of 2 nodes).

Change: what broke off before an upstream took a connection is dropped when it breaks off more, and it is looked at once more, at most once a second.

--- a/internal/quarantiner/counters.go
+++ b/internal/quarantiner/counters.go
@@ -26,7 +26,7 @@
 	defer q.mu.Unlock()
 
 	counters := q.counters
-	counters.Held, counters.Seen, counters.Marks = q.table.size(), q.seen(), q.judge.size()
+	counters.Held, counters.Seen, counters.Marks = q.table.size(), q.runCount(), q.judge.size()
 
 	return counters
 }
--- a/internal/quarantiner/crashing.go
+++ b/internal/quarantiner/crashing.go
@@ -9,7 +9,9 @@
 const (
 	// checkDelay is how long after a connection broke the upstream is looked at: its process may be ending still.
 	checkDelay = 50 * time.Millisecond
-	// checkTimeout bounds that look.
+	// checkInterval is the least time between two looks at one upstream.
+	checkInterval = time.Second
+	// checkTimeout bounds a look.
 	checkTimeout = 500 * time.Millisecond
 	// confirmTime is how long an upstream whose connections broke is watched for leaving the list.
 	confirmTime = 10 * time.Second
@@ -26,8 +28,10 @@
 	// runs are the requests; the judges were told of the first ones.
 	runs []run
 	told int
-	// checked says that it was looked at, or is being.
-	checked bool
+	// checkedAt is when it was last looked at; zero before.
+	checkedAt time.Time
+	// alive says that it took a connection then.
+	alive bool
 	// crashed says that the upstream is known to have crashed, and not only broke off these requests.
 	crashed bool
 }
@@ -62,6 +66,11 @@
 		q.crashes = append(q.crashes, s)
 	}
 
+	if s.alive {
+		// It has outlived what broke off before.
+		s.alive, s.at, s.runs = false, now, nil
+	}
+
 	if len(s.runs) < mostKeys && !slices.ContainsFunc(s.runs, func(r run) bool { return r.key == key }) {
 		s.runs = append(s.runs, run{key: key, answering: answering})
 		q.bound()
@@ -89,13 +98,13 @@
 
 // bound forgets the oldest crashes beyond the bound; q.mu is held.
 func (q *Quarantiner) bound() {
-	for q.seen() > mostSeen {
+	for q.runCount() > mostSeen {
 		q.crashes = slices.Delete(q.crashes, 0, 1)
 	}
 }
 
-// seen is the number of requests over all crashes; q.mu is held.
-func (q *Quarantiner) seen() int {
+// runCount is the number of requests over all crashes; q.mu is held.
+func (q *Quarantiner) runCount() int {
 	count := 0
 	for _, s := range q.crashes {
 		count += len(s.runs)
@@ -112,8 +121,9 @@
 	var due []*seen
 
 	for _, s := range q.crashes {
-		if !s.checked && now.Sub(s.at) >= checkDelay {
-			s.checked = true
+		isBroken := !s.crashed && !s.alive && s.checkedAt.Before(s.at)
+		if isBroken && now.Sub(s.at) >= checkDelay && now.Sub(s.checkedAt) >= checkInterval {
+			s.checkedAt = now
 			due = append(due, s)
 		}
 	}
@@ -138,6 +148,7 @@
 	}
 
 	if !s.crashed {
+		s.alive = true
 		q.counters.BrokeOff++
 	}
 }
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -400,6 +400,24 @@
 	})
 }
 
+// Guards against: an upstream that broke off an answer and lived on isn't looked at when it crashes soon after.
+func TestCrashSoonAfterABrokenAnswerCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		f.add("a", "b", "c")
+
+		for _, upstream := range []string{"a", "b", "c"} {
+			f.nodes["n0"].Broke(key("unlucky"), upstream, upstream, false)
+			time.Sleep(2 * time.Second)
+			f.crash(upstream, key("culprit"))
+			time.Sleep(time.Second)
+		}
+
+		assert.Equal(t, f.held(key("culprit")), 2)
+		assert.Equal(t, f.held(key("unlucky")), 0)
+	})
+}
+
 // Guards against: an upstream that is started again at once counts as one that lives on.
 func TestUpstreamThatReturnsAtOnceCountsAsCrashed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
