--- a/internal/quarantiner/judge.go
+++ b/internal/quarantiner/judge.go
@@ -62,7 +62,7 @@
 	crashes int
 	// since is when the first of them happened.
 	since time.Time
-	// decided says that it is quarantined unless it was answered; else another request ran in all of its crashes too.
+	// decided says that it is quarantined unless it was answered; the others may be parted from the culprit by the next crash.
 	decided bool
 }
 
@@ -143,7 +143,8 @@
 	j.crashes = j.crashes[1:]
 }
 
-// settled says whether crashes that were reported after the last look have settled. A look goes through all marks.
+// settled says whether crashes have settled that were reported since the last look. A look goes through all marks, so it
+// isn't taken without need.
 func (j *judge) settled(now, lookedAt time.Time) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
