Quarantine: where nothing parts two requests, blame the one that waited

Of two requests that ran in the same five crashes, the one whose key sorts first was blamed, which explained the crashes of the other: in half of the cases a long stream in place of the culprit, which then went on.

--- a/internal/quarantiner/judge.go
+++ b/internal/quarantiner/judge.go
@@ -60,6 +60,8 @@
 type suspect struct {
 	key     Key
 	crashes int
+	// answering is the number of them in which it was being answered.
+	answering int
 	// since is when the first of them happened.
 	since time.Time
 	// decided says that it is quarantined unless it was answered; the others may be parted from the culprit by the next crash.
@@ -154,7 +156,7 @@
 	return !j.reportedAt.IsZero() && !now.Before(at) && lookedAt.Before(at)
 }
 
-// suspects returns the requests that ran in enough crashes, those with the most first.
+// suspects returns the requests that ran in enough crashes, the most suspicious first.
 func (j *judge) suspects(now time.Time) []suspect {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -182,32 +184,35 @@
 		}
 
 		first := slices.MinFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+		answering := answeringIn(key, crashes)
+		isProven := 2*answering <= len(crashes) || len(crashes) >= answeringCrashes
 		found = append(found, suspect{
-			key:     key,
-			crashes: len(crashes),
-			since:   first.at,
-			decided: len(crashes) >= mostCrashes || isProven(key, crashes) && !hasRival(key, crashes),
+			key:       key,
+			crashes:   len(crashes),
+			answering: answering,
+			since:     first.at,
+			decided:   len(crashes) >= mostCrashes || isProven && !hasRival(key, crashes),
 		})
 	}
 
 	slices.SortFunc(found, func(a, b suspect) int {
-		return cmp.Or(cmp.Compare(b.crashes, a.crashes), slices.Compare(a.key[:], b.key[:]))
+		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.answering, b.answering), slices.Compare(a.key[:], b.key[:]))
 	})
 
 	return found
 }
 
-// isProven says whether the crashes are enough, given in how many of them the request was being answered.
-func isProven(key Key, crashes []*crash) bool {
-	answering := 0
+// answeringIn is the number of the crashes in which the request was being answered.
+func answeringIn(key Key, crashes []*crash) int {
+	count := 0
 
 	for _, c := range crashes {
 		if c.keys[key] {
-			answering++
+			count++
 		}
 	}
 
-	return 2*answering <= len(crashes) || len(crashes) >= answeringCrashes
+	return count
 }
 
 // hasRival says whether another request ran in all of the crashes too.
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -322,6 +322,26 @@
 	})
 }
 
+// Guards against: of two requests that ran in the same crashes up to the last, the one that was being answered is blamed, and
+// the other goes on.
+func TestOfTwoThatNothingPartsTheOneThatWaitedIsBlamed(t *testing.T) {
+	for i := range 8 {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 3)
+			culprit, long := key(fmt.Sprint("culprit", i)), key(fmt.Sprint("long", i))
+			f.answering[long] = true
+
+			for _, upstream := range []string{"a", "b", "c", "d", "e"} {
+				f.add(upstream)
+				f.crash(upstream, long, culprit)
+			}
+
+			assert.Equal(t, f.held(culprit), 3)
+			assert.Equal(t, f.held(long), 0)
+		})
+	}
+}
+
 // Guards against: a request that crashes upstreams in the middle of its answers goes on for ever.
 func TestCulpritThatIsBeingAnsweredIsQuarantinedLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
