Follower: name the age of the proof as such

substituteAge, aloneReadAge, startReadAge and readAge in place of patience and its kin, since the file is part of this change; no behaviour changes.

--- a/internal/gateway/follower/pulling.go
+++ b/internal/gateway/follower/pulling.go
@@ -116,7 +116,7 @@
 
 // isStale says whether a proof is older than it gets while all is well.
 func isStale(t *tree, age time.Duration) bool {
-	return age > patience+lag(t)
+	return age > substituteAge+lag(t)
 }
 
 // ask asks one peer for what it knows.
@@ -214,7 +214,7 @@
 	}
 
 	switch {
-	case answer.AgeMS >= 0 && answer.age() < alonePatience:
+	case answer.AgeMS >= 0 && answer.age() < aloneReadAge:
 		f.fresh = peer
 	case f.fresh == peer:
 		f.fresh = ""
@@ -229,7 +229,7 @@
 	}
 
 	// One that goes before this node reads the store again, so one of them is enough.
-	if f.substitute && answer.age() < patience && t.isBefore(answer.Reader, f.options.Self.Name) {
+	if f.substitute && answer.age() < substituteAge && t.isBefore(answer.Reader, f.options.Self.Name) {
 		f.substitute = false
 	}
 }
--- a/internal/gateway/follower/reading.go
+++ b/internal/gateway/follower/reading.go
@@ -16,26 +16,26 @@
 	// storeInterval is the time between two reads of the node that reads for all. Changes are in force after
 	// it, a call and the way through the tree: well within the two seconds that operators get.
 	storeInterval = 600 * time.Millisecond
-	// patience is the age of the proof at which the second node reads the store itself. It is above what
+	// substituteAge is the age of the proof at which the second node reads the store itself. It is above what
 	// the first node's interval, that of the questions to it, and a tick of each add up to while all is well.
-	patience = 1250 * time.Millisecond
-	// patienceStep is added for each of the next places, up to quickSubstitutes: these nodes replace the first one
+	substituteAge = 1250 * time.Millisecond
+	// substituteAgeStep is added for each of the next places, up to quickSubstitutes: these nodes replace the first one
 	// one by one. The last of nine must still be in time for the two seconds in which keys and routes are in force,
 	// in case that the store turns all others away.
-	patienceStep     = 50 * time.Millisecond
-	quickSubstitutes = 8
-	// patienceGrowth multiplies the patience for each place behind them. While nobody can read, the number of nodes that
+	substituteAgeStep = 50 * time.Millisecond
+	quickSubstitutes  = 8
+	// substituteAgeGrowth multiplies that age for each place behind them. While nobody can read, the number of nodes that
 	// try grows with the logarithm of time and not with the fleet: some twelve in eight seconds. Otherwise 300 nodes would
 	// call a store that turns them away, and every call is paid for.
-	patienceGrowth = 1.5
-	// alonePatience is that of a node that no peer answers: nobody else can help it.
-	alonePatience = patience + quickSubstitutes*patienceStep
-	// startPatience is that of a node that just started and whose peers know no configuration either: the seeds read the store first.
+	substituteAgeGrowth = 1.5
+	// aloneReadAge is that of a node that no peer answers: nobody else can help it.
+	aloneReadAge = substituteAge + quickSubstitutes*substituteAgeStep
+	// startReadAge is that of a node that just started and whose peers know no configuration either: the seeds read the store first.
 	// Some of the others do, spread over startSpread, in case that the store turns all seeds away.
-	startPatience = 2 * alonePatience
-	startSpread   = alonePatience
-	// patienceSpread parts nodes that become due at the same time.
-	patienceSpread = 100 * time.Millisecond
+	startReadAge = 2 * aloneReadAge
+	startSpread  = aloneReadAge
+	// readAgeSpread parts nodes that become due at the same time.
+	readAgeSpread = 100 * time.Millisecond
 	// aloneTime is the time without an answer of a peer after which a node takes itself to be alone.
 	aloneTime = 1500 * time.Millisecond
 	// storeTimeout bounds the first try of a read. One that takes longer is begun anew on another connection, with
@@ -65,12 +65,12 @@
 		return 0, false
 	}
 
-	patience := f.patienceLocked(t, now)
-	if age <= patience {
+	readAge := f.readAgeLocked(t, now)
+	if age <= readAge {
 		return 0, false
 	}
 
-	if patience > 0 {
+	if readAge > 0 {
 		f.forgetOutageLocked(now - age)
 	}
 
@@ -86,7 +86,7 @@
 // last outage all such nodes wait equally long from their first read on, in place of taking turns: from the second
 // outage on, a store that returned is called after up to 1.3 s; with turns, after 0.7 s (nine nodes, 1,200 outages, virtual time).
 //
-// It isn't for the nodes that read without patience: one that the store turns away, while it serves others, would call it each storeInterval.
+// It isn't for the nodes that read at once: one that the store turns away, while it serves others, would call it each storeInterval.
 func (f *Follower) forgetOutageLocked(provenAt time.Duration) {
 	if provenAt > f.readAt {
 		f.failedReads = 0
@@ -114,8 +114,8 @@
 	return time.Duration(f.random.Int64N(int64(limit)))
 }
 
-// patienceLocked is the age of the proof above which this node reads the store itself; f.mu is held.
-func (f *Follower) patienceLocked(t *tree, now time.Duration) time.Duration {
+// readAgeLocked is the age of the proof above which this node reads the store itself; f.mu is held.
+func (f *Follower) readAgeLocked(t *tree, now time.Duration) time.Duration {
 	state := f.options.Catalog.State()
 	seeds := f.options.Seeds()
 	isSeed := len(seeds) == 0 || slices.Contains(seeds, f.options.Self.Name)
@@ -127,26 +127,26 @@
 	case f.substitute || state.Known() && isFirst || !state.Known() && isSeed:
 		return 0
 	case isAlone:
-		return alonePatience + f.spreadLocked(patienceSpread)
+		return aloneReadAge + f.spreadLocked(readAgeSpread)
 	case !state.Known():
-		return startPatience + f.spreadLocked(startSpread)
+		return startReadAge + f.spreadLocked(startSpread)
 	case len(t.order) == 1:
 		// It just started: peers answer it, but it doesn't know yet which of them live.
-		return alonePatience + f.spreadLocked(patienceSpread)
+		return aloneReadAge + f.spreadLocked(readAgeSpread)
 	default:
-		return patienceOf(t.rank) + lag(t) + f.spreadLocked(patienceSpread)
+		return substituteAgeOf(t.rank) + lag(t) + f.spreadLocked(readAgeSpread)
 	}
 }
 
-// patienceOf is the patience of a node by its rank in the order of all.
-func patienceOf(rank int) time.Duration {
-	quick := patience + time.Duration(min(max(rank-1, 0), quickSubstitutes))*patienceStep
+// substituteAgeOf is the read age of a node by its rank in the order of all.
+func substituteAgeOf(rank int) time.Duration {
+	quick := substituteAge + time.Duration(min(max(rank-1, 0), quickSubstitutes))*substituteAgeStep
 	behind := max(rank-1-quickSubstitutes, 0)
 
 	// Above an hour the exact time says nothing, and more would not fit in a duration.
 	const mostBehind = 40
 
-	return time.Duration(float64(quick) * math.Pow(patienceGrowth, float64(min(behind, mostBehind))))
+	return time.Duration(float64(quick) * math.Pow(substituteAgeGrowth, float64(min(behind, mostBehind))))
 }
 
 // lag is by how much the proof of a node is older than that of the nodes right below the first one.
--- a/internal/gateway/relayer/vitals_test.go
+++ b/internal/gateway/relayer/vitals_test.go
@@ -10,8 +10,8 @@
 )
 
 // Symptom: under overload a tenth of the requests are read twice by engines.
-// Sequence: requests wait for their turn at a busy engine longer than their patience.
-// Cause: the patience was for one request; now its whole upstream must be silent.
+// Sequence: requests wait for their turn at a busy engine longer than their attempt timeout.
+// Cause: the timeout was for one request; now its whole upstream must be silent.
 func TestWaitingAtABusyUpstreamIsNotLost(t *testing.T) {
 	v := newVitals()
 	start := time.Now()
