Gateway: log each retry, and each service's retry budget

A retry that was sent left no line, and no line or counter told what a node counted and allowed: the record of the exceeded budget could not be counted. request_retried names each further attempt; retry_budget and the counters under retries give firsts, extras, refusals and the bound by service. No decision changes.

--- a/internal/gateway/budgeter/budgeter.go
+++ b/internal/gateway/budgeter/budgeter.go
@@ -9,6 +9,8 @@
 package budgeter
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -42,11 +44,28 @@
 	services map[string]*window
 }
 
+// Usage is what a node has counted for one service, and what it allows now.
+type Usage struct {
+	Service string `json:"service"`
+	// Firsts, Extras and Refused count first attempts, extra attempts and extra attempts that the budget refused, since the start.
+	Firsts  int64 `json:"firsts"`
+	Extras  int64 `json:"extras"`
+	Refused int64 `json:"refused"`
+	// WindowFirsts and WindowExtras are those that count now, Bound the extras that the node allows for them.
+	WindowFirsts int     `json:"window_firsts"`
+	WindowExtras int     `json:"window_extras"`
+	Bound        float64 `json:"bound"`
+	// Nodes is the number of nodes by which the node divides the extra attempts that all share.
+	Nodes int `json:"nodes"`
+}
+
 type window struct {
 	// slot is the number of the part of time to which the counts were last moved on.
 	slot   int64
 	firsts [parts + 1]int
 	extras [parts + 1]int
+	// totals count since the start.
+	totals struct{ firsts, extras, refused int64 }
 }
 
 // New returns a budgeter that has counted nothing.
@@ -69,6 +88,7 @@
 
 	w := b.window(now, service)
 	w.firsts[w.slot%(parts+1)]++
+	w.totals.firsts++
 }
 
 // Spend takes one extra attempt, or returns false when the budget is spent.
@@ -77,23 +97,59 @@
 	defer b.mu.Unlock()
 
 	w := b.window(now, service)
-	firsts, extras := 0, 0
 
-	for i := range w.firsts {
-		firsts += w.firsts[i]
-		extras += w.extras[i]
-	}
+	firsts, extras := w.sums()
+	if float64(extras+1) > b.bound(firsts)+rounding {
+		w.totals.refused++
 
-	allowed := b.options.Ratio*float64(firsts) + b.options.Extra/float64(max(b.options.Nodes(), 1))
-	if float64(extras+1) > allowed+rounding {
 		return false
 	}
 
 	w.extras[w.slot%(parts+1)]++
+	w.totals.extras++
 
 	return true
 }
 
+// Usage returns what was counted, by service in their order.
+func (b *Budgeter) Usage(now time.Time) []Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	usage := make([]Usage, 0, len(b.services))
+
+	for _, service := range slices.Sorted(maps.Keys(b.services)) {
+		w := b.window(now, service)
+		firsts, extras := w.sums()
+		usage = append(usage, Usage{
+			Service:      service,
+			Firsts:       w.totals.firsts,
+			Extras:       w.totals.extras,
+			Refused:      w.totals.refused,
+			WindowFirsts: firsts,
+			WindowExtras: extras,
+			Bound:        b.bound(firsts),
+			Nodes:        b.options.Nodes(),
+		})
+	}
+
+	return usage
+}
+
+// bound is the number of extra attempts that so many first ones allow; b.mu is held.
+func (b *Budgeter) bound(firsts int) float64 {
+	return b.options.Ratio*float64(firsts) + b.options.Extra/float64(max(b.options.Nodes(), 1))
+}
+
+func (w *window) sums() (firsts, extras int) {
+	for i := range w.firsts {
+		firsts += w.firsts[i]
+		extras += w.extras[i]
+	}
+
+	return firsts, extras
+}
+
 // window returns the counts of a service, moved on to now; b.mu is held.
 func (b *Budgeter) window(now time.Time, service string) *window {
 	slot := int64(now.Sub(b.started) / (b.options.Window / parts))
@@ -105,7 +161,7 @@
 	}
 
 	if slot-w.slot > parts {
-		*w = window{slot: slot}
+		*w = window{slot: slot, totals: w.totals}
 	}
 
 	for w.slot < slot {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -260,6 +260,7 @@
 	go n.quarantine.Run(work)
 	go n.followCatalog(work)
 	go n.sweep(work)
+	go n.logRetries(work)
 	go n.watchReload(work)
 
 	servers, failed, err := n.listen(ctx)
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -281,6 +281,8 @@
 	}
 
 	r.options.Meter.Retried(request.route.Name, verdict.String())
+	r.options.Logger.Info().Str("request_id", request.id).Str("route", request.route.Name).Str("service", request.service).
+		Int("send", request.sends+1).Stringer("verdict", verdict).Msg("request_retried")
 
 	return true
 }
