Catalog: know how old the list of nodes is

A node's proof is that of the configuration. Where the registry comes from a peer in pages, or the peer's own lags, the configuration is proven before the registry has come: nothing told how old a node's list of nodes is. What nodes divide among themselves must not be more than the whole, so a node has to know whom it may not know yet.

Peers tell by how much the proof of the registry lags behind the other one (left out while it doesn't).

--- a/internal/gateway/cataloguer/catalog.go
+++ b/internal/gateway/cataloguer/catalog.go
@@ -48,6 +48,8 @@
 	state atomic.Pointer[State]
 	// proven is the time of the newest read of the configuration; negative before the first.
 	proven atomic.Int64
+	// registryProven is the same for the registry.
+	registryProven atomic.Int64
 
 	mu sync.Mutex
 	// configurations and registries are states with the newest earlier ones, the oldest first.
@@ -62,6 +64,7 @@
 	c := &Catalog{now: now, missing: make(map[string]time.Duration), changed: make(chan struct{})}
 	c.state.Store(&State{})
 	c.proven.Store(-1)
+	c.registryProven.Store(-1)
 
 	return c
 }
@@ -86,6 +89,31 @@
 	return c.now() - time.Duration(proven), true
 }
 
+// RegistryAge is how old the newest proof of the registry is; false means that there is none.
+func (c *Catalog) RegistryAge() (time.Duration, bool) {
+	proven := c.registryProven.Load()
+	if proven < 0 {
+		return 0, false
+	}
+
+	return c.now() - time.Duration(proven), true
+}
+
+// ProveRegistry records that the registry had all that stood in the store at the given time.
+func (c *Catalog) ProveRegistry(at time.Duration) {
+	raise(&c.registryProven, int64(at))
+}
+
+// raise sets a value that never falls.
+func raise(value *atomic.Int64, to int64) {
+	for {
+		former := value.Load()
+		if to <= former || value.CompareAndSwap(former, to) {
+			return
+		}
+	}
+}
+
 // Changed is closed at the next change of the state.
 func (c *Catalog) Changed() <-chan struct{} {
 	c.mu.Lock()
@@ -100,12 +128,7 @@
 		return
 	}
 
-	for {
-		proven := c.proven.Load()
-		if int64(at) <= proven || c.proven.CompareAndSwap(proven, int64(at)) {
-			return
-		}
-	}
+	raise(&c.proven, int64(at))
 }
 
 // Configure takes in a configuration that was read at the given time. An older one is
--- a/internal/gateway/follower/answering.go
+++ b/internal/gateway/follower/answering.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/packer"
 )
 
@@ -42,6 +43,8 @@
 	Revision int64  `json:"revision,omitempty"`
 	Kept     int    `json:"kept,omitempty"`
 	Digest   uint64 `json:"digest,omitempty"`
+	// RegistryLagMS is by how much the proof of the registry is older than AgeMS; negative without one.
+	RegistryLagMS int64 `json:"registry_lag_ms,omitempty"`
 	// Configuration goes before Registry: that one is left out until the first has come whole, since keys and
 	// routes bind more than upstreams that come.
 	Configuration *offer `json:"configuration,omitempty"`
@@ -53,6 +56,24 @@
 	return time.Duration(a.AgeMS) * time.Millisecond
 }
 
+// registryProvenAt is when the peer's registry had all that stood in the store, by the clock of an asker for which its proof
+// of the configuration is from the given time; false if that isn't known.
+func (a *pullAnswer) registryProvenAt(proven time.Duration) (time.Duration, bool) {
+	return proven - time.Duration(a.RegistryLagMS)*time.Millisecond, a.RegistryLagMS >= 0
+}
+
+// registryLag returns the value of RegistryLagMS.
+func registryLag(catalog *cataloguer.Catalog) int64 {
+	age, known := catalog.Age()
+	registryAge, registryKnown := catalog.RegistryAge()
+
+	if !known || !registryKnown {
+		return -1
+	}
+
+	return max(registryAge.Milliseconds()+1-age.Milliseconds(), 0)
+}
+
 // HandlePull answers MethodPull.
 func (f *Follower) HandlePull(_ context.Context, asker string, params json.RawMessage) (any, error) {
 	var asked pullParams
@@ -66,6 +87,8 @@
 		answer.AgeMS = age.Milliseconds() + 1
 	}
 
+	answer.RegistryLagMS = registryLag(f.options.Catalog)
+
 	f.mu.Lock()
 	answer.Reader = f.reader
 	f.mu.Unlock()
--- a/internal/gateway/follower/reading.go
+++ b/internal/gateway/follower/reading.go
@@ -222,7 +222,7 @@
 	}
 
 	f.options.Catalog.Prove(f.options.Catalog.State().Configuration.Version, begun)
-	f.takeStored(ctx, afterOutage)
+	f.takeStored(ctx, begun, afterOutage)
 
 	return nil
 }
@@ -282,7 +282,7 @@
 	// The lists are newer than the configuration, so changes must be read from where that one was.
 	registry.Revision = revision
 	f.stored = registry
-	f.takeStored(ctx, afterOutage)
+	f.takeStored(ctx, begun, afterOutage)
 
 	return nil
 }
@@ -294,12 +294,14 @@
 	}
 }
 
-// takeStored takes in the registry as the store has it.
-func (f *Follower) takeStored(ctx context.Context, afterOutage bool) {
+// takeStored takes in the registry as the store had it at begun.
+func (f *Follower) takeStored(ctx context.Context, begun time.Duration, afterOutage bool) {
 	if f.options.Catalog.Register(f.stored, afterOutage) {
 		f.logRegistry("store")
 		f.spreadFromStore(ctx)
 	}
+
+	f.options.Catalog.ProveRegistry(begun)
 }
 
 // noteSound records a sound read that was begun at the given time.
--- a/internal/gateway/follower/taking.go
+++ b/internal/gateway/follower/taking.go
@@ -51,6 +51,10 @@
 
 			more = more || !whole
 		}
+
+		if provenAt, ok := answer.registryProvenAt(at); ok && catalog.State().Registry.Revision >= answer.Revision {
+			catalog.ProveRegistry(provenAt)
+		}
 	}
 
 	if changed {
