Retry budget: hold the bound over all nodes, and lend what isn't needed

Cause: each process kept a window of its own and took the sum for kept. (1) Firsts and extras were counted over up to 11 s, and only the present span was looked at, so sound nodes exceeded the bound together. (2) A process that started had its whole part of the shared extras at once, on top of what the one before it had sent, and any number of nodes that it happened to know. (3) What was paid for and not sent was never given back, which hid both.

Change: an extra attempt counts in each window in which it may have arrived: from when it is paid for until it is answered, or for half a window more where it or one before it got no answer; one that was not sent is given back. For a window the mean of the requests in it and in the one before it counts, alike on all nodes, so bounds add up; each window that is not over is looked at. Requests count when they arrive, not when they are first sent, and not right after the process stood still. A node's part of the shared extras is the apportioner's. A node that is out of its own borrows from others what they are not likely to need; the lender counts it.

--- a/internal/gateway/budgeter/budgeter.go
+++ b/internal/gateway/budgeter/budgeter.go
@@ -1,11 +1,12 @@
-// Package budgeter bounds the attempts that a node adds to the first ones.
+// Package budgeter bounds the attempts that nodes add to the first ones of requests.
 //
-// All nodes together may send a service a ratio of its requests and some more in any
-// window. Each node holds to the ratio of its own requests and to an even part of
-// the rest, so the sum holds without a message. Both are added before they are cut to a
-// whole number: with more nodes than extra attempts, a part of less than one would else
-// be none, and no node could try again at low traffic although the bound allows it. Without a bound a failure that hits
-// all upstreams multiplies the load just when capacity is lost.
+// In any window, all nodes together send a service at most a ratio of its requests and Extra more. Each node keeps within the
+// ratio of its own requests and its part of Extra, so the sum is kept without a message. A node that needs more borrows from
+// others what they don't need; the lender counts it as its own.
+//
+// What counts for a window is the mean of the requests in it and in the one before it. All nodes count alike: bounds of single
+// nodes that each took the larger of the two would not add up. An extra attempt counts in each window in which it may have
+// arrived.
 package budgeter
 
 import (
@@ -13,14 +14,9 @@
 	"slices"
 	"sync"
 	"time"
-)
 
-// parts is the number of parts into which the window is cut; one more is counted, so that
-// any span of a window's length is covered.
-const parts = 10
-
-// rounding is what the sum of two bounds may lack of a whole attempt, in attempts: 0.2 requests of five add up to less than one.
-const rounding = 1e-9
+	"github.com/rs/zerolog"
+)
 
 // Options bound extra attempts.
 type Options struct {
@@ -30,145 +26,197 @@
 	Extra float64
 	// Window is the span over which both hold.
 	Window time.Duration
-	// Nodes returns the number of nodes that share Extra; at least 1.
-	Nodes func() int
+	// Part returns this node's part of Extra, 0 to 1. Those of all nodes whose attempts can arrive in one window add up to at most 1.
+	Part func() float64
+	// Now is a clock that counts suspensions.
+	Now func() time.Duration
+	// Peers reaches the nodes that may lend; nil if there are none.
+	Peers Peers
+	// Live returns the names of the nodes that answer, this one included.
+	Live func() []string
+	// Self is this node's name.
+	Self   string
+	Logger zerolog.Logger
 }
 
 // Budgeter counts attempts by service. It is safe for concurrent use.
+//
+// Lock order: Budgeter.mu alone; it is not held during calls of Options.
 type Budgeter struct {
 	options Options
-	// started is the origin of slots: its monotonic reading keeps steps of the wall clock out.
-	started time.Time
+	loans   loans
 
 	mu       sync.Mutex
-	services map[string]*window
-}
-
-// Usage is what a node has counted for one service, and what it allows now.
-type Usage struct {
-	Service string `json:"service"`
-	// Firsts, Extras and Refused count first attempts, extra attempts and extra attempts that the budget refused, since the start.
-	Firsts  int64 `json:"firsts"`
-	Extras  int64 `json:"extras"`
-	Refused int64 `json:"refused"`
-	// WindowFirsts and WindowExtras are those that count now, Bound the extras that the node allows for them.
-	WindowFirsts int     `json:"window_firsts"`
-	WindowExtras int     `json:"window_extras"`
-	Bound        float64 `json:"bound"`
-	// Nodes is the number of nodes by which the node divides the extra attempts that all share.
-	Nodes int `json:"nodes"`
-}
-
-type window struct {
-	// slot is the number of the part of time to which the counts were last moved on.
-	slot   int64
-	firsts [parts + 1]int
-	extras [parts + 1]int
-	// totals count since the start.
-	totals struct{ firsts, extras, refused int64 }
+	services map[string]*ledger
+	// ratio and extra are the bounds in force.
+	ratio, extra float64
+	// beatAt is when the process was last seen to run, and heldUpUntil the end of the time in which requests may
+	// have been sent long before they are read.
+	beatAt, heldUpUntil time.Duration
 }
 
 // New returns a budgeter that has counted nothing.
 func New(options Options) *Budgeter {
-	return &Budgeter{options: options, started: time.Now(), services: make(map[string]*window)}
+	return &Budgeter{
+		options:  options,
+		loans:    newLoans(),
+		services: make(map[string]*ledger),
+		ratio:    options.Ratio,
+		extra:    options.Extra,
+		beatAt:   options.Now(),
+	}
 }
 
 // SetBounds replaces the ratio and the extra attempts; what was counted stays.
-func (b *Budgeter) SetBounds(ratio float64, extra float64) {
+func (b *Budgeter) SetBounds(ratio, extra float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	b.options.Ratio, b.options.Extra = ratio, extra
+	b.ratio, b.extra = ratio, extra
 }
 
-// First counts a request's first attempt.
-func (b *Budgeter) First(now time.Time, service string) {
+// First counts a request when it arrives.
+func (b *Budgeter) First(service string) {
+	now := b.options.Now()
+
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	w := b.window(now, service)
-	w.firsts[w.slot%(parts+1)]++
-	w.totals.firsts++
+	b.beatLocked(now)
+
+	l := b.ledger(now, service)
+	l.totals.firsts++
+
+	if now >= b.heldUpUntil {
+		l.firsts.add(l.slot, 1)
+	}
 }
 
-// Spend takes one extra attempt, or returns false when the budget is spent.
-func (b *Budgeter) Spend(now time.Time, service string) bool {
+// Beat tells that the process runs. It must be called several times in each stallTime.
+func (b *Budgeter) Beat() {
+	now := b.options.Now()
+
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	w := b.window(now, service)
+	b.beatLocked(now)
+}
+
+// beatLocked finds out whether the process stood still; b.mu is held.
+func (b *Budgeter) beatLocked(now time.Duration) {
+	if now-b.beatAt > stallTime {
+		b.heldUpUntil = now + stallGrace
+	}
 
-	firsts, extras := w.sums()
-	if float64(extras+1) > b.bound(firsts)+rounding {
-		w.totals.refused++
+	b.beatAt = now
+}
 
+// take takes so much of an extra attempt from this node's own budget if it is left.
+func (b *Budgeter) take(service string, amount float64) bool {
+	part := b.options.Part()
+	now := b.options.Now()
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	l := b.ledger(now, service)
+	if l.room(b.ratio, b.extra*part) < amount-rounding {
 		return false
 	}
 
-	w.extras[w.slot%(parts+1)]++
-	w.totals.extras++
+	l.open += amount
 
 	return true
 }
 
-// Usage returns what was counted, by service in their order.
-func (b *Budgeter) Usage(now time.Time) []Usage {
+// want counts an extra attempt that this node needs, and returns how much of one its own budget has left.
+func (b *Budgeter) want(service string) float64 {
+	part := b.options.Part()
+	now := b.options.Now()
+
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	usage := make([]Usage, 0, len(b.services))
-
-	for _, service := range slices.Sorted(maps.Keys(b.services)) {
-		w := b.window(now, service)
-		firsts, extras := w.sums()
-		usage = append(usage, Usage{
-			Service:      service,
-			Firsts:       w.totals.firsts,
-			Extras:       w.totals.extras,
-			Refused:      w.totals.refused,
-			WindowFirsts: firsts,
-			WindowExtras: extras,
-			Bound:        b.bound(firsts),
-			Nodes:        b.options.Nodes(),
-		})
-	}
+	l := b.ledger(now, service)
+	l.wanted.add(l.slot, 1)
 
-	return usage
+	return max(l.room(b.ratio, b.extra*part), 0)
 }
 
-// bound is the number of extra attempts that so many first ones allow; b.mu is held.
-func (b *Budgeter) bound(firsts int) float64 {
-	return b.options.Ratio*float64(firsts) + b.options.Extra/float64(max(b.options.Nodes(), 1))
+func (b *Budgeter) count(service string, change func(*totals)) {
+	now := b.options.Now()
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	change(&b.ledger(now, service).totals)
 }
 
-func (w *window) sums() (firsts, extras int) {
-	for i := range w.firsts {
-		firsts += w.firsts[i]
-		extras += w.extras[i]
+// ledger returns the counts of a service, moved on to now; b.mu is held.
+func (b *Budgeter) ledger(now time.Duration, service string) *ledger {
+	l, ok := b.services[service]
+	if !ok {
+		l = &ledger{times: timesOf(b.options.Window)}
+		b.services[service] = l
 	}
 
-	return firsts, extras
+	l.advance(now)
+
+	return l
+}
+
+// Usage is what a node has counted for one service, and what it allows now.
+type Usage struct {
+	Service string `json:"service"`
+	// Firsts and Extras count requests and the extra attempts that may have arrived, since the start.
+	Firsts int64 `json:"firsts"`
+	Extras int64 `json:"extras"`
+	// Refused counts extra attempts for which nothing was left, Unused those that were paid for and not sent.
+	Refused int64 `json:"refused"`
+	Unused  int64 `json:"unused"`
+	// Borrowed and Lent are what peers paid for this node, and this node for peers, in attempts.
+	Borrowed float64 `json:"borrowed"`
+	Lent     float64 `json:"lent"`
+	// WindowFirsts and WindowExtras are those that count for the window that begins now; WindowExtras has what was lent.
+	WindowFirsts float64 `json:"window_firsts"`
+	WindowExtras float64 `json:"window_extras"`
+	// Bound is the extra attempts that the node may pay for in that window, Left how many it may still pay for in all
+	// windows, Part its part of those that all nodes share.
+	Bound float64 `json:"bound"`
+	Left  float64 `json:"left"`
+	Part  float64 `json:"part"`
 }
 
-// window returns the counts of a service, moved on to now; b.mu is held.
-func (b *Budgeter) window(now time.Time, service string) *window {
-	slot := int64(now.Sub(b.started) / (b.options.Window / parts))
+// Usage returns what was counted, by service in their order.
+func (b *Budgeter) Usage() []Usage {
+	part := b.options.Part()
+	now := b.options.Now()
 
-	w, ok := b.services[service]
-	if !ok {
-		w = &window{slot: slot}
-		b.services[service] = w
-	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 
-	if slot-w.slot > parts {
-		*w = window{slot: slot, totals: w.totals}
-	}
+	usage := make([]Usage, 0, len(b.services))
 
-	for w.slot < slot {
-		w.slot++
-		w.firsts[w.slot%(parts+1)] = 0
-		w.extras[w.slot%(parts+1)] = 0
+	for _, service := range slices.Sorted(maps.Keys(b.services)) {
+		l := b.ledger(now, service)
+		u := l.totals.usage(service)
+		u.WindowFirsts, u.WindowExtras = l.present()
+		u.Bound = b.ratio*u.WindowFirsts + b.extra*part
+		u.Left, u.Part = max(l.room(b.ratio, b.extra*part), 0), part
+		usage = append(usage, u)
 	}
 
-	return w
+	return usage
+}
+
+// totals count since the start.
+type totals struct {
+	firsts, extras, refused, unused int64
+	borrowed, lent                  float64
+}
+
+func (t *totals) usage(service string) Usage {
+	return Usage{
+		Service: service, Firsts: t.firsts, Extras: t.extras, Refused: t.refused, Unused: t.unused, Borrowed: t.borrowed, Lent: t.lent,
+	}
 }
--- /dev/null
+++ b/internal/gateway/budgeter/charge.go
@@ -0,0 +1,99 @@
+package budgeter
+
+import (
+	"context"
+	"time"
+)
+
+// Charge is one extra attempt that was paid for. It counts in each window until it is over. Its methods may be called on nil,
+// which stands for an attempt that costs nothing, but not concurrently.
+type Charge struct {
+	budgeter *Budgeter
+	service  string
+	// own and borrowed add up to one attempt.
+	own, borrowed float64
+	// expires is when what was borrowed may not be used any more.
+	expires time.Duration
+	over    bool
+}
+
+// Acquire pays for one extra attempt, from this node's own budget or from those of others; false if nothing is left.
+func (b *Budgeter) Acquire(ctx context.Context, service string) (*Charge, bool) {
+	own := b.want(service)
+	if own >= 1-rounding && b.take(service, 1) {
+		return &Charge{budgeter: b, service: service, own: 1}, true
+	}
+
+	if charge, ok := b.borrow(ctx, service, min(own, 1)); ok {
+		return charge, true
+	}
+
+	b.count(service, func(t *totals) { t.refused++ })
+
+	return nil, false
+}
+
+// Usable says whether the attempt may still be sent.
+func (c *Charge) Usable() bool {
+	return c == nil || !c.over && (c.borrowed == 0 || c.budgeter.options.Now() <= c.expires)
+}
+
+// Borrowed is the part of the attempt that other nodes pay for.
+func (c *Charge) Borrowed() float64 {
+	if c == nil {
+		return 0
+	}
+
+	return c.borrowed
+}
+
+// Cancel gives back an attempt that was not sent. After Settle it does nothing.
+func (c *Charge) Cancel() {
+	if c == nil || c.over {
+		return
+	}
+
+	c.over = true
+
+	b := c.budgeter
+	now := b.options.Now()
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	l := b.ledger(now, c.service)
+	l.open -= c.own
+	l.totals.unused++
+}
+
+// Settle ends an attempt that was sent. Arrived says that it and those before it of the same request surely have arrived.
+func (c *Charge) Settle(arrived bool) {
+	if c == nil || c.over {
+		return
+	}
+
+	c.over = true
+
+	b := c.budgeter
+	now := b.options.Now()
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	l := b.ledger(now, c.service)
+	l.open -= c.own
+	l.totals.extras++
+
+	last := now
+	if !arrived {
+		last += l.late
+	}
+
+	amount := c.own
+	if c.borrowed > 0 && last > c.expires+l.late {
+		// It took longer than its lender counts it.
+		amount = 1
+	}
+
+	l.extras.add(l.at(last), amount)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"quincepath.example/quincepath/internal/gateway/acceptor"
+	"quincepath.example/quincepath/internal/gateway/apportioner"
 	"quincepath.example/quincepath/internal/gateway/broker"
 	"quincepath.example/quincepath/internal/gateway/budgeter"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
@@ -92,6 +93,8 @@
 	relayer  *relayer.Relayer
 	acceptor *acceptor.Acceptor
 	budget   *budgeter.Budgeter
+	// apportioner tells this node's part of the extra attempts that all nodes share.
+	apportioner *apportioner.Apportioner
 	// quarantine keeps requests that crash upstreams from running.
 	quarantine *quarantiner.Quarantiner
 	meter      *meter.Meter
@@ -135,11 +138,11 @@
 	}
 
 	n.current.Store(&settings)
-	n.budget = budgeter.New(budgeter.Options{
-		Ratio:  settings.Gateway.RetryRatio,
-		Extra:  settings.Gateway.RetryExtra,
-		Window: settings.Gateway.RetryWindow,
-		Nodes:  n.known,
+	n.apportioner = apportioner.New(apportioner.Options{
+		Self:    settings.Node.PeerListen,
+		Fresh:   settings.Gateway.RetryWindow,
+		Lasting: budgeter.Lasting(settings.Gateway.RetryWindow),
+		Now:     n.catalog.Now,
 	})
 	n.acceptor = acceptor.New(mostConnections(settings.Gateway.Descriptors), n.callerTimes)
 	n.prober = n.newProber()
@@ -151,6 +154,19 @@
 		Logger: logger,
 	})
 
+	n.budget = budgeter.New(budgeter.Options{
+		Ratio:  settings.Gateway.RetryRatio,
+		Extra:  settings.Gateway.RetryExtra,
+		Window: settings.Gateway.RetryWindow,
+		Part:   func() float64 { return n.apportioner.Part(n.catalog.RegistryAge()) },
+		Now:    n.catalog.Now,
+		Self:   settings.Node.PeerListen,
+		Live:   n.live,
+		Peers:  n.messages,
+		Logger: logger,
+	})
+	n.messages.Handle(budgeter.MethodBorrow, n.budget.HandleBorrow)
+
 	n.broker = broker.New(broker.Options{
 		Self:   settings.Node.PeerListen,
 		Live:   n.holders,
@@ -260,7 +276,7 @@
 	go n.quarantine.Run(work)
 	go n.followCatalog(work)
 	go n.sweep(work)
-	go n.logRetries(work)
+	go n.watchRetries(work)
 	go n.watchReload(work)
 
 	servers, failed, err := n.listen(ctx)
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -38,7 +38,10 @@
 // listMembers tells the prober which nodes may exist.
 func (n *Node) listMembers(nodes []cataloguer.Node) {
 	vms := make([]prober.VM, 0, len(nodes))
+	names := make([]string, 0, len(nodes))
+
 	for _, node := range nodes {
+		names = append(names, node.Name)
 		vms = append(vms, prober.VM{
 			Name:          node.Name,
 			Address:       node.Address,
@@ -48,6 +51,7 @@
 	}
 
 	n.prober.List(time.Now(), vms)
+	n.apportioner.Update(names)
 }
 
 // live returns the names of the nodes that answer and stay, this one included.
@@ -100,11 +104,6 @@
 	return strong
 }
 
-// known is the number of nodes that may exist; at least 1.
-func (n *Node) known() int {
-	return max(len(n.prober.Members()), 1)
-}
-
 // entries returns the addresses that callers should use, this node's own among them unless it leaves.
 func (n *Node) entries() []string {
 	var addresses []string
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"expvar"
 	"net/http"
 	"time"
@@ -9,9 +8,6 @@
 	"quincepath.example/quincepath/internal/meter"
 )
 
-// retriesInterval is the time between two lines of a service's retry budget.
-const retriesInterval = time.Second
-
 // MetricsPath answers all counters as one JSON object.
 const MetricsPath = "/debug/vars"
 
@@ -42,7 +38,7 @@
 		"connections": func() any { return n.dialer.Counters() },
 		"pools":       func() any { return n.broker.Stats(time.Now()) },
 		"quarantine":  func() any { return n.quarantine.Counters() },
-		"retries":     func() any { return n.budget.Usage(time.Now()) },
+		"retries":     func() any { return n.budget.Usage() },
 		"members":     func() any { return n.prober.Counters() },
 		"messages":    func() any { return n.messages.Traffic() },
 	})
@@ -68,40 +64,6 @@
 	}
 }
 
-// logRetries logs, at intervals until ctx ends, the retry budget of each service that was drawn on since the last line.
-func (n *Node) logRetries(ctx context.Context) {
-	ticker := time.NewTicker(retriesInterval)
-	defer ticker.Stop()
-
-	drawn := make(map[string]int64)
-
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-
-		for _, u := range n.budget.Usage(time.Now()) {
-			if u.Extras+u.Refused == drawn[u.Service] {
-				continue
-			}
-
-			drawn[u.Service] = u.Extras + u.Refused
-			n.logger.Info().
-				Str("service", u.Service).
-				Int64("firsts", u.Firsts).
-				Int64("extras", u.Extras).
-				Int64("refused", u.Refused).
-				Int("window_firsts", u.WindowFirsts).
-				Int("window_extras", u.WindowExtras).
-				Float64("bound", u.Bound).
-				Int("nodes", u.Nodes).
-				Msg("retry_budget")
-		}
-	}
-}
-
 func (n *Node) failedAttempts() map[string]int64 {
 	counts := make(map[string]int64)
 	n.attempts.Do(func(v expvar.KeyValue) {
--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -54,8 +54,10 @@
 
 	request.sends++
 
-	if request.sends == 1 {
-		r.options.Budget.First(time.Now(), request.service)
+	if request.sends > 1 {
+		r.options.Logger.Info().Str("request_id", request.id).Str("route", request.route.Name).Str("service", request.service).
+			Str("upstream", choice.Upstream).Int("send", request.sends).Bool("extra", request.arrivals > 0).
+			Float64("borrowed", request.extra.Borrowed()).Msg("request_retried")
 	}
 
 	ctx, watch := newWatch(ctx)
@@ -73,6 +75,7 @@
 
 	target := dialer.Target{ID: choice.Upstream, Address: choice.Address}
 	response, err := r.options.Dialer.Exchange(ctx, target, r.outgoing(request, choice))
+	request.settleExtra(err)
 
 	if err != nil {
 		return r.failed(ctx, request, choice, err, &outcome)
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -155,6 +155,8 @@
 		return
 	}
 
+	r.options.Budget.First(request.service)
+
 	if r.quarantined(request) {
 		r.refuse(w, request.id, request, quarantiner.Refusal(request.quarantined))
 
@@ -178,6 +180,8 @@
 func (r *Relayer) relay(ctx context.Context, a *answer) {
 	request := a.request
 
+	defer func() { request.extra.Cancel() }()
+
 	for request.sends < maxSends {
 		asked := time.Now()
 
@@ -210,6 +214,12 @@
 			continue
 		}
 
+		if !r.renewExtra(ctx, request) {
+			r.options.Chooser.End(request.workID(), balancer.Abandoned)
+
+			break
+		}
+
 		verdict := r.attempt(ctx, a, choice)
 		if verdict == done {
 			return
@@ -272,21 +282,45 @@
 		return false
 	}
 
-	// A request of which no byte left cost the upstream nothing.
-	if verdict != unsent && !r.options.Budget.Spend(time.Now(), request.service) {
+	if !r.payExtra(ctx, request) {
+		return false
+	}
+
+	r.options.Meter.Retried(request.route.Name, verdict.String())
+
+	return true
+}
+
+// payExtra pays for one more attempt of a request. One of which no byte has left yet cost the upstreams nothing.
+func (r *Relayer) payExtra(ctx context.Context, request *request) bool {
+	if request.arrivals == 0 {
+		return true
+	}
+
+	charge, ok := r.options.Budget.Acquire(ctx, request.service)
+	if !ok {
 		r.options.Meter.Refused(request.route.Name, classifier.RetryBudgetSpent)
 		r.options.Logger.Warn().Str("request_id", request.id).Str("service", request.service).Msg("retry_budget_spent")
 
 		return false
 	}
 
-	r.options.Meter.Retried(request.route.Name, verdict.String())
-	r.options.Logger.Info().Str("request_id", request.id).Str("route", request.route.Name).Str("service", request.service).
-		Int("send", request.sends+1).Stringer("verdict", verdict).Msg("request_retried")
+	request.extra = charge
 
 	return true
 }
 
+// renewExtra pays anew where what was borrowed for the attempt ran out while it waited for an upstream.
+func (r *Relayer) renewExtra(ctx context.Context, request *request) bool {
+	if request.extra.Usable() {
+		return true
+	}
+
+	request.extra.Cancel()
+
+	return r.payExtra(ctx, request)
+}
+
 // giveUp gives the final answer to a request that no upstream answered.
 func (r *Relayer) giveUp(ctx context.Context, a *answer) {
 	request := a.request
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -95,7 +95,9 @@
 	table := router.New(configuration())
 	handler := relayer.New(relayer.Options{
 		Headers: names, Catalog: w.catalog, Table: func() *router.Table { return table }, Chooser: w, Dialer: dialer.New(1000),
-		Budget:       budgeter.New(budgeter.Options{Extra: float64(w.extra), Window: time.Hour, Nodes: func() int { return 1 }}),
+		Budget: budgeter.New(budgeter.Options{
+			Extra: float64(w.extra), Window: time.Hour, Part: func() float64 { return 1 }, Now: func() time.Duration { return w.now },
+		}),
 		Quarantine:   w.quarantine,
 		KeyFreshness: func() time.Duration { return 4 * time.Second }, Leaving: func() time.Duration { return w.leaving }, LastRequests: time.Second,
 		BodyMemory: w.bodies, Meter: meter.New(), Attempts: new(expvar.Map), Logger: zerolog.Nop(),
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -7,10 +7,13 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"quincepath.example/quincepath/internal/gateway/balancer"
+	"quincepath.example/quincepath/internal/gateway/budgeter"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/gateway/dialer"
 	"quincepath.example/quincepath/internal/gateway/router"
 	"quincepath.example/quincepath/internal/quarantiner"
 	"quincepath.example/quincepath/internal/sleeper"
@@ -60,6 +63,12 @@
 	unique string
 	// sends counts attempts, runs those that may have run.
 	sends, runs int
+	// arrivals counts the attempts that may have reached an upstream. Each but the first is an extra one.
+	arrivals int
+	// late says that one of them got no answer, so that it may arrive after those behind it.
+	late bool
+	// extra pays for the next attempt; nil if that costs nothing.
+	extra *budgeter.Charge
 	// asks counts the times that an upstream was asked for, declined the choices that were not used.
 	asks, declined int
 	excluded       []string
@@ -74,6 +83,21 @@
 	return r.unique + "." + strconv.Itoa(r.asks)
 }
 
+// settleExtra tells the budget how an attempt went.
+func (r *request) settleExtra(err error) {
+	if errors.Is(err, dialer.ErrNotSent) {
+		r.extra.Cancel()
+		r.extra = nil
+
+		return
+	}
+
+	r.arrivals++
+	r.late = r.late || err != nil
+	r.extra.Settle(!r.late)
+	r.extra = nil
+}
+
 // attemptTimeout is how long the request waits for a sign of life of its upstream before another one is tried.
 func (r *request) attemptTimeout() time.Duration {
 	if r.route.Kind == cataloguer.Stream {
