Own interface: nodes share the retry credit with which they start

Classes may add a tenth of their requests; but each node began with ten retries a class and the floor of three, also when it had just spent them. Nine nodes that restart one after the other while all requests fail sent 126 extra attempts for 180 requests, where a tenth of them, one node's saved credit and floor allow 31.

A node now begins with its part of one node's credit and floor, by the number of nodes that may exist; what its requests earn is its own as before. A node alone keeps all of it, so that the first crash after its start is resumed (TestFirstCrashAfterStartIsResumed, unchanged). Hedges draw on the same budget.

--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -11,8 +11,8 @@
 	// maxRetryBudget is the highest share that a class may set.
 	maxRetryBudget = 0.1
 	// creditAttempts is of how many first attempts a class may save up the credit; at the
-	// highest share that is 10 retries. A class starts with it, or the first crash
-	// after a node's start would break off answers that could be resumed.
+	// highest share that is 10 retries. The classes of all nodes start with it together, or the
+	// first crash after a node's start would break off answers that could be resumed.
 	creditAttempts = 100
 	// creditSlack allows for sums such as ten times 0.1, which are a hair less than 1.
 	creditSlack = 1e-9
@@ -38,15 +38,24 @@
 // stays up after the fault is over. The floor lets a class with little traffic
 // retry at all. All classes of the node share the floor: a floor for each
 // class would, with many services and many nodes, outgrow the budgets.
+//
+// A node starts with its part of one node's credit and floor: it may have spent its own
+// just before, and when all nodes are restarted these would add up.
 type Budget struct {
+	// nodes returns the number of nodes that may exist.
+	nodes func() int
+
 	mu sync.Mutex
-	// credit is in retries, never below zero; a class that isn't in it has all it can save.
+	// credit is in retries, never below zero; a class that isn't in it has its part of what it can save.
 	credit map[Pair]float64
 	floor  *rate.Limiter
+	// floorCut says that the floor was cut to the node's part of it.
+	floorCut bool
 }
 
-func newBudget(floorPerSecond float64, floorBurst int) *Budget {
+func newBudget(floorPerSecond float64, floorBurst int, nodes func() int) *Budget {
 	return &Budget{
+		nodes:  nodes,
 		credit: make(map[Pair]float64),
 		floor:  rate.NewLimiter(rate.Limit(floorPerSecond), floorBurst),
 	}
@@ -74,15 +83,33 @@
 		return true
 	}
 
+	b.cutFloor(now)
+
 	return b.floor.AllowN(now, 1)
 }
 
+// cutFloor leaves the node its part of the floor with which it starts; b.mu is held.
+func (b *Budget) cutFloor(now time.Time) {
+	if b.floorCut {
+		return
+	}
+
+	b.floorCut = true
+	burst := b.floor.Burst()
+	b.floor.AllowN(now, burst-burst/b.nodeCount())
+}
+
+// nodeCount is the number of nodes that may exist, at least 1; b.mu is held.
+func (b *Budget) nodeCount() int {
+	return max(b.nodes(), 1)
+}
+
 func (b *Budget) creditOf(pair Pair, share float64) float64 {
 	if credit, ok := b.credit[pair]; ok {
 		return credit
 	}
 
-	return creditAttempts * share
+	return creditAttempts * share / float64(b.nodeCount())
 }
 
 func cutShare(share float64) float64 {
--- /dev/null
+++ b/internal/retrier/restart_test.go
@@ -0,0 +1,46 @@
+package retrier_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/dispatcher"
+	"quincepath.example/quincepath/internal/retrier"
+)
+
+// Guards against a fleet whose nodes restart and have the whole saved credit and floor once more each.
+func TestRestartsOfAllNodesAddOneNodesCredit(t *testing.T) {
+	const (
+		nodes  = 9
+		budget = 0.1
+		// saved is what one node may save up of the class's credit and of the floor.
+		saved = 100*budget + 3
+	)
+
+	now := time.Unix(0, 0)
+	options := retrier.Options{Nodes: func() int { return nodes }, Now: func() time.Time { return now }}
+	request := dispatcher.Request{Class: configurer.Class{Name: "chat", RetryBudget: budget}, Repeatable: true}
+	failed := dispatcher.Outcome{Result: dispatcher.ResultFailed}
+	extra := 0
+
+	// Each node starts, has 20 requests that all fail, and is gone.
+	for range nodes {
+		node := retrier.New(options)
+
+		for range 20 {
+			attempt := dispatcher.Attempt{Number: 1}
+			for node.Decide(request, attempt, failed, 0).Again {
+				extra++
+				attempt.Number++
+				attempt.History = attempt.History.After(failed)
+			}
+		}
+	}
+
+	allowed := budget*20*nodes + saved
+	assert.Assert(t, float64(extra) <= allowed, "%d extra attempts, %.1f allowed", extra, allowed)
+	assert.Assert(t, extra > 0)
+}
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -27,6 +27,8 @@
 	RetryAfter time.Duration
 	// Now is the clock that refills the floor; default time.Now.
 	Now func() time.Time
+	// Nodes returns the number of nodes that may exist, which divide among them what no request has earned; default 1.
+	Nodes func() int
 }
 
 const (
@@ -62,6 +64,10 @@
 		o.Now = time.Now
 	}
 
+	if o.Nodes == nil {
+		o.Nodes = func() int { return 1 }
+	}
+
 	return o
 }
 
@@ -72,11 +78,11 @@
 	counters counters
 }
 
-// New returns a retrier with full budgets and a full floor.
+// New returns a retrier with the node's part of full budgets and of a full floor.
 func New(options Options) *Retrier {
 	options = options.withDefaults()
 
-	return &Retrier{options: options, budget: newBudget(options.FloorPerSecond, options.FloorBurst)}
+	return &Retrier{options: options, budget: newBudget(options.FloorPerSecond, options.FloorBurst, options.Nodes)}
 }
 
 // Budget returns the budget that retries share with hedged requests.
