Orders: count the loads that an earlier orderer left under way

An orderer that takes over began with an empty list of loads under way.

Loads are now written to the platform's store, under the lease, before they are ordered; the next orderer counts those that are not overdue. One write for each load, none in a quiet hour (TestCallsOfAQuietHour, unchanged).

--- a/internal/orderer/loads_test.go
+++ b/internal/orderer/loads_test.go
@@ -29,6 +29,28 @@
 	return times
 }
 
+// unshownLoadsOf returns the times at which loads were ordered from engines that did not show the model yet, in order.
+func unshownLoadsOf(w *world, loadTime time.Duration) []time.Time {
+	var times []time.Time
+
+	for _, e := range w.engines {
+		var shown time.Time
+
+		for _, v := range e.took {
+			if v.order.Kind != orderer.LoadModel || !shown.IsZero() && !v.at.Before(shown) {
+				continue
+			}
+
+			times = append(times, v.at)
+			shown = times[len(times)-1].Add(loadTime)
+		}
+	}
+
+	slices.SortFunc(times, time.Time.Compare)
+
+	return times
+}
+
 // Symptom: the weight store refuses loads, and none of them ends in time.
 // Events: an operator desires a new model at twelve engines at once.
 // Cause: loads that are not spread; all engines fetch the same weights at the same moment.
@@ -176,3 +198,37 @@
 		assert.Assert(t, a.dropped["checks"] == 0 || a.dropped["other"] == 0, "both copies were ordered away: %v", a.dropped)
 	})
 }
+
+// Guards against a new orderer that doesn't know of its predecessor's loads and exceeds the loads at once with its own.
+func TestLoadsAtOnceHoldThroughAChangeOfTheOrderer(t *testing.T) {
+	const (
+		atOnce   = 2
+		loadTime = 2 * time.Minute
+	)
+
+	play(t, func(t *testing.T, start func(*node)) {
+		engines := map[string]*fakeEngine{}
+		for i := range 12 {
+			engines[fmt.Sprintf("e%02d", i)] = &fakeEngine{checks: true, loadTime: loadTime}
+		}
+
+		w := newWorld([]string{"v1"}, engines)
+		w.current.Orders.LoadsPerMinute, w.current.Orders.LoadsAtOnce, w.current.Orders.LoadTimeout = 60, atOnce, 10*time.Minute
+		former, next := w.node("a"), w.node("b")
+		w.change(func() { w.candidate["b"] = false })
+		start(former)
+		start(next)
+		time.Sleep(30 * time.Second)
+
+		w.change(func() { w.candidate["a"], w.candidate["b"] = false, true })
+		time.Sleep(30 * time.Minute)
+
+		// Orders that only show an engine the new fencing number load nothing.
+		times := unshownLoadsOf(w, loadTime)
+		assert.Equal(t, len(times), 12)
+
+		for i := atOnce; i < len(times); i++ {
+			assert.Assert(t, times[i].Sub(times[i-atOnce]) >= loadTime, "more than %d loads at once", atOnce)
+		}
+	})
+}
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -93,6 +93,9 @@
 	renewing.Go(func() { o.renew(work, t) })
 
 	o.loads = newLoadLimiter()
+	if service, wanted := o.wanted(); wanted {
+		o.loads.adopt(t.former, boundsOf(service).LoadTimeout)
+	}
 
 	for t.valid() && work.Err() == nil {
 		service, wanted := o.wanted()
--- a/internal/orderer/reconciler.go
+++ b/internal/orderer/reconciler.go
@@ -40,7 +40,7 @@
 
 	o.endSwap(service, engines)
 
-	due := o.newPlanner(service, engines).plan(ctx, t)
+	due := o.withRecordedLoads(ctx, t, o.newPlanner(service, engines).plan(ctx, t))
 	outcomes := make([]outcome, len(due))
 
 	atOnce(len(due), func(i int) { outcomes[i] = o.carryOut(ctx, t, due[i]) })
@@ -52,6 +52,27 @@
 	return len(due) > 0
 }
 
+// withRecordedLoads returns the orders that may leave: loads only once they are written down for the next orderer.
+func (o *Orderer) withRecordedLoads(ctx context.Context, t *term, due []planned) []planned {
+	isLoad := func(p planned) bool { return p.order.loads() }
+	if !slices.ContainsFunc(due, isLoad) {
+		return due
+	}
+
+	if err := o.recordLoads(ctx, t); err == nil {
+		return due
+	}
+
+	for _, next := range due {
+		if isLoad(next) {
+			o.options.Counters.NotSent.Add(1)
+			o.loads.done(next.key())
+		}
+	}
+
+	return slices.DeleteFunc(due, isLoad)
+}
+
 // read returns the engines that answer, in order of their names.
 func (o *Orderer) read(ctx context.Context, service configurer.Service) []engine {
 	names := slices.Sorted(maps.Keys(service.Upstreams))
--- a/internal/orderer/taking.go
+++ b/internal/orderer/taking.go
@@ -58,14 +58,27 @@
 		LeaseMS: bounds.Lease.Milliseconds(),
 	}
 
-	if err := o.write(ctx, last, next, lease); err != nil {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the fencing number")
+	}
+
+	t := newTerm(lease, bounds.Lease, sent)
+	t.number, t.record = next.Number, value
+
+	if err := o.write(ctx, last, next, t); err != nil {
+		o.revoke(ctx, lease)
+
+		return nil, err
+	}
+
+	t.former, err = o.formerLoads(ctx)
+	if err != nil {
 		o.revoke(ctx, lease)
 
 		return nil, err
 	}
 
-	t := newTerm(lease, bounds.Lease, sent)
-	t.number = next.Number
 	// The lease key is gone, but a store that lost leases, or whose clock leapt, may have
 	// dropped it early: the earlier orderer's own count is what has to run out.
 	earlier := max(time.Duration(previous.LeaseMS)*time.Millisecond, bounds.Lease)
@@ -99,12 +112,7 @@
 }
 
 // write takes the number if nobody took one since it was read and nobody holds the lease.
-func (o *Orderer) write(ctx context.Context, last storer.KeyValue, next record, lease int64) error {
-	value, err := json.Marshal(next)
-	if err != nil {
-		return errors.Wrap(err, "encode the fencing number")
-	}
-
+func (o *Orderer) write(ctx context.Context, last storer.KeyValue, next record, t *term) error {
 	service := o.options.Service
 
 	call, cancel := context.WithTimeout(ctx, o.options.CallTimeout)
@@ -116,8 +124,8 @@
 			{Key: leaseKey(service), Target: storer.TargetCreate, Number: 0},
 		},
 		Success: []storer.Op{
-			{Kind: storer.OpPut, Key: numberKey(service), Value: value},
-			{Kind: storer.OpPut, Key: leaseKey(service), Value: value, Lease: lease},
+			{Kind: storer.OpPut, Key: numberKey(service), Value: t.record},
+			{Kind: storer.OpPut, Key: leaseKey(service), Value: t.record, Lease: t.lease},
 		},
 	})
 
--- a/internal/orderer/term.go
+++ b/internal/orderer/term.go
@@ -24,6 +24,10 @@
 	number int64
 	lease  int64
 	length time.Duration
+	// record is the value of the lease's key.
+	record []byte
+	// former are loads that an earlier orderer may have left under way.
+	former []loadRecord
 	// settled is when engines that ignore the number may be ordered.
 	settled time.Time
 
