--- a/internal/gateway/budgeter/borrowing.go
+++ b/internal/gateway/budgeter/borrowing.go
@@ -18,8 +18,8 @@
 	// mostAsking is the number of attempts for which peers are asked at once.
 	mostAsking = 8
 	// askTimeout bounds the answer of a peer, borrowTimeout those of all of them and the wait for a place.
-	askTimeout    = 100 * time.Millisecond
-	borrowTimeout = 250 * time.Millisecond
+	askTimeout    = 50 * time.Millisecond
+	borrowTimeout = 100 * time.Millisecond
 	// leastPause is how long no peer is asked after none had anything left; it doubles up to mostPause.
 	leastPause = 250 * time.Millisecond
 	mostPause  = 2 * time.Second
