Follower: refused readers hand over to nodes further back

A node that the store refuses at once asks the one nine places behind it to try, up to the 64th; that one tries while its own proof is old. A silent store is taken for away and nobody hands over, so TestCallsDoNotGrowWithTheFleet holds unchanged.

--- a/internal/gateway/follower/counters.go
+++ b/internal/gateway/follower/counters.go
@@ -7,6 +7,8 @@
 	WholeReads int64 `json:"whole_reads"`
 	// FailedReads are those that the store didn't answer or turned away.
 	FailedReads int64 `json:"failed_reads"`
+	// HandOvers are nodes that this one asked to read the store, which refused it.
+	HandOvers int64 `json:"hand_overs"`
 	// Listings are writes that listed nodes, whether they succeeded or not.
 	Listings int64 `json:"listings"`
 	// Questions are those to peers; FailedQuestions had no answer in time.
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -144,6 +144,8 @@
 	turn int
 	// teller is a node that said to have something new and was not asked yet.
 	teller string
+	// askedToReadAt is when a node that the store refuses asked this one to try; negative before the first did.
+	askedToReadAt time.Duration
 	// reading and asking say that a read or a question is under way.
 	reading, asking bool
 	// storeLost says that the last read of the store failed; it keeps the log at one line for each change.
@@ -153,19 +155,20 @@
 // New returns a follower that has asked nobody yet.
 func New(options Options) *Follower {
 	return &Follower{
-		options:     options,
-		wake:        make(chan struct{}, 1),
-		startedAt:   options.Catalog.Now(),
-		random:      rand.New(rand.NewPCG(xxhash.Sum64String(options.Self.Name), 0)),
-		parcels:     newParcels(options.Catalog),
-		arrivals:    make(map[string]cataloguer.Node),
-		readAt:      -time.Hour,
-		soundAt:     -time.Hour,
-		provenAt:    -time.Hour,
-		heardAt:     -time.Hour,
-		askedAt:     -time.Hour,
-		announcedAt: -time.Hour,
-		withdrawnAt: -time.Hour,
+		options:       options,
+		wake:          make(chan struct{}, 1),
+		startedAt:     options.Catalog.Now(),
+		random:        rand.New(rand.NewPCG(xxhash.Sum64String(options.Self.Name), 0)),
+		parcels:       newParcels(options.Catalog),
+		arrivals:      make(map[string]cataloguer.Node),
+		readAt:        -time.Hour,
+		soundAt:       -time.Hour,
+		provenAt:      -time.Hour,
+		heardAt:       -time.Hour,
+		askedAt:       -time.Hour,
+		askedToReadAt: -time.Hour,
+		announcedAt:   -time.Hour,
+		withdrawnAt:   -time.Hour,
 	}
 }
 
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -358,6 +358,7 @@
 		follower.MethodPull:     other.follower.HandlePull,
 		follower.MethodChanged:  other.follower.HandleChanged,
 		follower.MethodAnnounce: other.follower.HandleAnnounce,
+		follower.MethodRead:     other.follower.HandleRead,
 	}
 
 	answer, err := handlers[method](ctx, m.name, data)
--- a/internal/gateway/follower/reading.go
+++ b/internal/gateway/follower/reading.go
@@ -66,7 +66,7 @@
 	}
 
 	readAge := f.readAgeLocked(t, now)
-	if age <= readAge {
+	if age <= readAge && !f.isHandedOverLocked(now, age) {
 		return 0, false
 	}
 
@@ -176,6 +176,7 @@
 
 	if err != nil {
 		f.noteStore(err)
+		f.handOver(ctx, catalog.Now()-begun, timeout)
 
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -189,6 +189,7 @@
 	n.messages.Handle(follower.MethodPull, n.follower.HandlePull)
 	n.messages.Handle(follower.MethodChanged, n.follower.HandleChanged)
 	n.messages.Handle(follower.MethodAnnounce, n.follower.HandleAnnounce)
+	n.messages.Handle(follower.MethodRead, n.follower.HandleRead)
 
 	n.quarantine = quarantiner.New(quarantiner.Options{
 		Self:     settings.Node.PeerListen,
