Follower: hand over only after the first nine have tried

The node that was asked tried as soon as its proof was old, beside the first nodes that try by themselves and of which most are served. It now waits until all nine have tried.

--- a/internal/gateway/follower/handover.go
+++ b/internal/gateway/follower/handover.go
@@ -11,6 +11,8 @@
 	handOverStep = quickSubstitutes + 1
 	// mostHandOvers is the number of places of the order in which nodes are asked to try. Each call of the store is paid for.
 	mostHandOvers = 64
+	// handOverAge is the age of the proof at which a node that was asked tries: the first nine have, if they were not served.
+	handOverAge = substituteAge + quickSubstitutes*substituteAgeStep + readAgeSpread
 	// handOverPause is the time between two such tries of one node while the store answers nobody.
 	handOverPause = 10 * time.Second
 )
@@ -50,13 +52,13 @@
 	return struct{}{}, nil
 }
 
-// isHandedOverLocked says whether another node asked this one to read the store, nobody has been answered since, and the proof
-// is old; f.mu is held.
-func (f *Follower) isHandedOverLocked(now, age time.Duration) bool {
+// isHandedOverLocked says whether another node asked this one to read the store, nobody has been answered since, and those that
+// try by themselves have tried; f.mu is held.
+func (f *Follower) isHandedOverLocked(t *tree, now, age time.Duration) bool {
 	proven := now - age
 	if proven >= f.askedToReadAt || f.readAt >= f.askedToReadAt {
 		return false
 	}
 
-	return age > substituteAge && (proven > f.readAt || now-f.readAt >= handOverPause)
+	return age > handOverAge+lag(t) && (proven > f.readAt || now-f.readAt >= handOverPause)
 }
--- a/internal/gateway/follower/reading.go
+++ b/internal/gateway/follower/reading.go
@@ -66,7 +66,7 @@
 	}
 
 	readAge := f.readAgeLocked(t, now)
-	if age <= readAge && !f.isHandedOverLocked(now, age) {
+	if age <= readAge && !f.isHandedOverLocked(t, now, age) {
 		return 0, false
 	}
 
