--- a/internal/gateway/budgeter/borrowing.go
+++ b/internal/gateway/budgeter/borrowing.go
@@ -26,7 +26,7 @@
 	// leastLoan is the least part of an attempt that is lent.
 	leastLoan = 0.05
 	// mostServices bounds the services for which something is lent.
-	mostServices = 10_000
+	mostServices = 1_000
 )
 
 var errAmount = errors.New("at most one attempt can be borrowed")
@@ -178,7 +178,7 @@
 
 // gather borrows what is missing of an attempt, or a part of it.
 func (b *Budgeter) gather(ctx context.Context, service string, missing float64) loan {
-	now, loanTime := b.options.Now(), timesOf(b.options.Window).loan
+	now, loanTime := b.options.Now(), durationsOf(b.options.Window).loan
 
 	borrowed := b.loans.takePart(now, loanTime/2, service)
 	if borrowed.amount == 0 {
@@ -253,7 +253,7 @@
 
 	l := b.ledger(now, service)
 
-	spare := l.room(b.ratio, b.extra*part) - l.demand()
+	spare := l.available(b.ratio, b.extra*part) - l.demand()
 	if spare < min(amount, leastLoan) {
 		return 0
 	}
--- a/internal/gateway/budgeter/budgeter.go
+++ b/internal/gateway/budgeter/budgeter.go
@@ -50,9 +50,9 @@
 	services map[string]*ledger
 	// ratio and extra are the bounds in force.
 	ratio, extra float64
-	// beatAt is when the process was last seen to run, and heldUpUntil the end of the time in which requests may
-	// have been sent long before they are read.
-	beatAt, heldUpUntil time.Duration
+	// beatAt is when the process was last seen to run, and backlogUntil the end of the time after a stall in which
+	// requests are read that may have been sent long before.
+	beatAt, backlogUntil time.Duration
 }
 
 // New returns a budgeter that has counted nothing.
@@ -87,7 +87,7 @@
 	l := b.ledger(now, service)
 	l.totals.firsts++
 
-	if now >= b.heldUpUntil {
+	if now >= b.backlogUntil {
 		l.firsts.add(l.slot, 1)
 	}
 }
@@ -102,10 +102,10 @@
 	b.beatLocked(now)
 }
 
-// beatLocked finds out whether the process stood still; b.mu is held.
+// beatLocked finds out whether the process was stalled; b.mu is held.
 func (b *Budgeter) beatLocked(now time.Duration) {
 	if now-b.beatAt > stallTime {
-		b.heldUpUntil = now + stallGrace
+		b.backlogUntil = now + stallGrace
 	}
 
 	b.beatAt = now
@@ -120,11 +120,11 @@
 	defer b.mu.Unlock()
 
 	l := b.ledger(now, service)
-	if l.room(b.ratio, b.extra*part) < amount-rounding {
+	if l.available(b.ratio, b.extra*part) < amount-rounding {
 		return false
 	}
 
-	l.open += amount
+	l.inFlight += amount
 
 	return true
 }
@@ -140,7 +140,7 @@
 	l := b.ledger(now, service)
 	l.wanted.add(l.slot, 1)
 
-	return max(l.room(b.ratio, b.extra*part), 0)
+	return max(l.available(b.ratio, b.extra*part), 0)
 }
 
 func (b *Budgeter) count(service string, change func(*totals)) {
@@ -156,7 +156,7 @@
 func (b *Budgeter) ledger(now time.Duration, service string) *ledger {
 	l, ok := b.services[service]
 	if !ok {
-		l = &ledger{times: timesOf(b.options.Window)}
+		l = &ledger{durations: durationsOf(b.options.Window)}
 		b.services[service] = l
 	}
 
@@ -202,7 +202,7 @@
 		u := l.totals.usage(service)
 		u.WindowFirsts, u.WindowExtras = l.present()
 		u.Bound = b.ratio*u.WindowFirsts + b.extra*part
-		u.Left, u.Part = max(l.room(b.ratio, b.extra*part), 0), part
+		u.Left, u.Part = max(l.available(b.ratio, b.extra*part), 0), part
 		usage = append(usage, u)
 	}
 
--- a/internal/gateway/budgeter/charge.go
+++ b/internal/gateway/budgeter/charge.go
@@ -49,25 +49,30 @@
 
 // Cancel gives back an attempt that was not sent. After Settle it does nothing.
 func (c *Charge) Cancel() {
-	if c == nil || c.over {
-		return
-	}
-
-	c.over = true
-
-	b := c.budgeter
-	now := b.options.Now()
-
-	b.mu.Lock()
-	defer b.mu.Unlock()
-
-	l := b.ledger(now, c.service)
-	l.open -= c.own
-	l.totals.unused++
+	c.end(func(l *ledger, _ time.Duration) { l.totals.unused++ })
 }
 
 // Settle ends an attempt that was sent. Arrived says that it and those before it of the same request surely have arrived.
 func (c *Charge) Settle(arrived bool) {
+	c.end(func(l *ledger, now time.Duration) {
+		last := now
+		if !arrived {
+			last += l.late
+		}
+
+		amount := c.own
+		if c.borrowed > 0 && last > c.expires+l.late {
+			// It took longer than its lender counts it.
+			amount = 1
+		}
+
+		l.extras.add(l.at(last), amount)
+		l.totals.extras++
+	})
+}
+
+// end closes the charge once, and records how.
+func (c *Charge) end(record func(l *ledger, now time.Duration)) {
 	if c == nil || c.over {
 		return
 	}
@@ -81,19 +86,6 @@
 	defer b.mu.Unlock()
 
 	l := b.ledger(now, c.service)
-	l.open -= c.own
-	l.totals.extras++
-
-	last := now
-	if !arrived {
-		last += l.late
-	}
-
-	amount := c.own
-	if c.borrowed > 0 && last > c.expires+l.late {
-		// It took longer than its lender counts it.
-		amount = 1
-	}
-
-	l.extras.add(l.at(last), amount)
+	l.inFlight -= c.own
+	record(l, now)
 }
--- a/internal/gateway/budgeter/fleet_test.go
+++ b/internal/gateway/budgeter/fleet_test.go
@@ -78,12 +78,12 @@
 	parts   *apportioner.Apportioner
 	viewAt  time.Duration
 	startAt time.Duration
-	// away, cut and frozen say that the node is down, reaches nobody but callers and upstreams, or stands still.
+	// away, cut and frozen say that the node is down, reaches nobody but callers and upstreams, or is frozen.
 	away, cut, frozen bool
 	// listed says that the node is listed in the store, known is how many of those that are it knows.
 	listed bool
 	known  int
-	// waiting is the requests that came while it stood still.
+	// waiting is the requests that came while it was frozen.
 	waiting int
 	life    int
 }
--- a/internal/gateway/budgeter/ledger.go
+++ b/internal/gateway/budgeter/ledger.go
@@ -17,7 +17,7 @@
 	lateArrival = 5 * time.Second
 	// loanTime is how long a borrowed attempt may be used, in a window of ten seconds or more; in a shorter one it is a tenth of it.
 	loanTime = time.Second
-	// stallTime is the pause after which the process counts as having stood still.
+	// stallTime is the pause after which the process counts as having been stalled.
 	stallTime = time.Second
 	// stallGrace is how long it then takes to read what arrived meanwhile.
 	stallGrace = 250 * time.Millisecond
@@ -27,18 +27,18 @@
 
 // Lasting is how long after it was taken for the last time a node's part of the extra attempts counts in a window.
 func Lasting(window time.Duration) time.Duration {
-	t := timesOf(window)
+	t := durationsOf(window)
 
 	return window + t.late + t.loan + 2*t.slot
 }
 
-// times are the spans of a budget, by its window.
-type times struct {
+// durations are the times of a budget, by its window.
+type durations struct {
 	slot, late, loan time.Duration
 }
 
-func timesOf(window time.Duration) times {
-	return times{
+func durationsOf(window time.Duration) durations {
+	return durations{
 		slot: max(window/slots, time.Nanosecond),
 		late: min(lateArrival, window/2),
 		loan: min(loanTime, window/10),
@@ -46,7 +46,7 @@
 }
 
 // at returns the number of the slot that holds a moment.
-func (t times) at(moment time.Duration) int64 {
+func (t durations) at(moment time.Duration) int64 {
 	return int64(moment / t.slot)
 }
 
@@ -67,7 +67,7 @@
 
 // ledger is what was counted for one service.
 type ledger struct {
-	times
+	durations
 
 	// slot is the present one, and now the moment to which the counts were moved on.
 	slot int64
@@ -76,9 +76,9 @@
 	firsts, wanted series
 	// extras are attempts by the last slot in which they may have arrived; it may lie ahead.
 	extras series
-	// open are those that were paid for and are not over. They count in each window.
-	open   float64
-	totals totals
+	// inFlight are those that were paid for and are not over. They count in each window.
+	inFlight float64
+	totals   totals
 }
 
 // advance moves the counts on to a moment.
@@ -96,20 +96,19 @@
 	l.slot = next
 }
 
-// room is how many extra attempts may still be paid for now: the least that any window allows that has not ended yet.
-func (l *ledger) room(ratio, share float64) float64 {
-	extras := l.open + l.pending()
+// available is how many extra attempts may still be paid for now: the least that any window allows that has not ended yet.
+func (l *ledger) available(ratio, share float64) float64 {
+	extras := l.inFlight + l.pending()
 	firsts := l.firstsFrom(l.slot)
-	room := math.Inf(1)
+	least := math.Inf(1)
 
 	for k := l.slot; k >= l.slot-slots; k-- {
 		extras += l.extras.of(k)
-		room = min(room, ratio*firsts/spans+share-extras)
-
+		least = min(least, ratio*firsts/spans+share-extras)
 		firsts += l.firsts.of(k - slots)
 	}
 
-	return room
+	return least
 }
 
 // pending is the extras that may still arrive although they got no answer.
@@ -135,7 +134,7 @@
 
 // present returns the firsts and extras of the window that begins now.
 func (l *ledger) present() (firsts, extras float64) {
-	return l.firstsFrom(l.slot) / spans, l.open + l.pending() + l.extras.of(l.slot)
+	return l.firstsFrom(l.slot) / spans, l.inFlight + l.pending() + l.extras.of(l.slot)
 }
 
 // demand is the extra attempts that this node needed within the last window.
