Retry budget: the first node of a deployment uses its part at once

That wait covers what a former process or other nodes may have used. Where no node was ever listed nobody can have used anything: the first node of a deployment need not wait, if there is only one.

It is the one that writes the key 'founder' in the platform's store under the condition that there is none, after a fresh list without nodes; only seeds try, once, before they take requests. All others wait as before and count it. The registry's proof is set before those that wait for the registry go on.

--- a/internal/gateway/apportioner/apportioner.go
+++ b/internal/gateway/apportioner/apportioner.go
@@ -2,6 +2,7 @@
 //
 // The nodes are those that the platform's store lists. A node uses its part only while its list is fresh, and only after it
 // has been listed for so long that all others that use theirs count it. Its part is then one of as many as there are nodes.
+// Only the first node that a deployment ever has need not wait.
 //
 // This holds without a message: a node that uses its part at some moment has a list that is younger than Fresh. One that
 // began to use its part before that had been listed for longer, so it is on that list.
@@ -13,6 +14,9 @@
 	"time"
 )
 
+// founderGrace is how long the first node of a deployment may use its part before it is listed.
+const founderGrace = 5 * time.Second
+
 // Options are the parts of an Apportioner; all are required.
 type Options struct {
 	// Self is this node's name.
@@ -30,6 +34,9 @@
 	options Options
 
 	mu sync.Mutex
+	// founder says that no node was ever listed before this one started, and that no other is told so; since foundedAt.
+	founder   bool
+	foundedAt time.Duration
 	// listed says that this node is on the list, since listedAt.
 	listed   bool
 	listedAt time.Duration
@@ -44,6 +51,16 @@
 	return &Apportioner{options: options}
 }
 
+// Found tells that this node is the first one of its deployment ever: nobody has used anything, and all others wait.
+func (a *Apportioner) Found() {
+	now := a.options.Now()
+
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.founder, a.foundedAt = true, now
+}
+
 // Update takes in the names of the listed nodes.
 func (a *Apportioner) Update(names []string) {
 	now := a.options.Now()
@@ -56,6 +73,10 @@
 		a.listedAt = now
 	}
 
+	if !listed && a.listed {
+		a.founder = false
+	}
+
 	a.listed = listed
 
 	a.lowerLocked(now)
@@ -91,9 +112,18 @@
 
 	a.lowerLocked(now)
 
-	if !known || age > a.options.Fresh || !a.listed || now-a.listedAt <= a.settling() {
+	if !known || age > a.options.Fresh || !a.mayUseLocked(now) {
 		return 0
 	}
 
 	return 1 / float64(max(a.count, 1))
 }
+
+// mayUseLocked says whether all others that use their parts count this node; a.mu is held.
+func (a *Apportioner) mayUseLocked(now time.Duration) bool {
+	if a.founder {
+		return a.listed || now-a.foundedAt <= founderGrace
+	}
+
+	return a.listed && now-a.listedAt > a.settling()
+}
--- a/internal/gateway/apportioner/apportioner_test.go
+++ b/internal/gateway/apportioner/apportioner_test.go
@@ -103,3 +103,23 @@
 	c.pass(settled)
 	assert.Equal(t, a.Part(0, true), 1.0/9)
 }
+
+// Guards against the first node of a deployment that goes on without being listed, so that others can't count it.
+func TestFirstNodeUsesItsPartAtOnce(t *testing.T) {
+	c := &clock{}
+	a := newNode(c)
+	a.Update(nil)
+	a.Found()
+	assert.Equal(t, a.Part(0, true), 1.0)
+
+	c.pass(5*time.Second + time.Millisecond)
+	assert.Equal(t, a.Part(0, true), 0.0)
+
+	a.Update(names(3))
+	assert.Equal(t, a.Part(0, true), 1.0/3)
+
+	// It is no longer the first one once it was removed.
+	a.Update(names(3)[1:])
+	a.Update(names(3))
+	assert.Equal(t, a.Part(0, true), 0.0)
+}
--- a/internal/gateway/budgeter/budgeter_test.go
+++ b/internal/gateway/budgeter/budgeter_test.go
@@ -185,6 +185,29 @@
 	}
 }
 
+// Guards against a deployment whose requests are not retried in its first seconds, and against one whose first node leaves nothing to others.
+func TestFirstNodeOfADeploymentHasItsPartAtOnce(t *testing.T) {
+	plays := map[string]func(*fleet){"alone": steady, "others join": joinMany, "it restarts": restartInTurn}
+
+	for name, play := range plays {
+		for _, nodes := range []int{1, 9} {
+			t.Run(fmt.Sprint(name, nodes), func(t *testing.T) {
+				f := newFleet(1, nodes, 10)
+				f.run(step)
+
+				charge, ok := f.nodes[0].budget.Acquire(t.Context(), "chat")
+				assert.Assert(t, ok)
+				charge.Cancel()
+
+				play(f)
+
+				worst := f.worst()
+				assert.Assert(t, float64(worst.extras) <= worst.allowed, worst.String())
+			})
+		}
+	}
+}
+
 // Guards against a peer's question that costs more than one attempt or makes room for it.
 func TestBorrowedAmountIsChecked(t *testing.T) {
 	a := newAlone(10, 1)
--- a/internal/gateway/budgeter/fleet_test.go
+++ b/internal/gateway/budgeter/fleet_test.go
@@ -95,6 +95,8 @@
 		f.join(rate)
 	}
 
+	f.nodes[0].parts.Found()
+
 	return f
 }
 
--- a/internal/gateway/cataloguer/catalog.go
+++ b/internal/gateway/cataloguer/catalog.go
@@ -155,6 +155,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
+	return c.registerLocked(registry, afterOutage)
+}
+
+// RegisterProven is Register and ProveRegistry in one: whoever waits for the change finds the proof.
+func (c *Catalog) RegisterProven(registry Registry, afterOutage bool, at time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	changed := c.registerLocked(registry, afterOutage)
+	c.ProveRegistry(at)
+
+	return changed
+}
+
+func (c *Catalog) registerLocked(registry Registry, afterOutage bool) bool {
 	state := c.state.Load()
 	if registry.Revision < state.Registry.Revision {
 		return false
--- a/internal/gateway/follower/reading.go
+++ b/internal/gateway/follower/reading.go
@@ -297,12 +297,10 @@
 
 // takeStored takes in the registry as the store had it at begun.
 func (f *Follower) takeStored(ctx context.Context, begun time.Duration, afterOutage bool) {
-	if f.options.Catalog.Register(f.stored, afterOutage) {
+	if f.options.Catalog.RegisterProven(f.stored, afterOutage, begun) {
 		f.logRegistry("store")
 		f.spreadFromStore(ctx)
 	}
-
-	f.options.Catalog.ProveRegistry(begun)
 }
 
 // noteSound records a sound read that was begun at the given time.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,8 @@
 type Store interface {
 	follower.Store
 	quarantiner.Recorder
+	// Found records the node as the first one that the deployment ever had; false if there was one before.
+	Found(ctx context.Context, name string) (bool, error)
 }
 
 // Node is one running gateway.
@@ -106,6 +108,9 @@
 	heartbeats *heartbeater.Heartbeater
 	// starts holds when each listed upstream was born; only followCatalog uses it.
 	starts map[string]int64
+	// store records the first node of the deployment; started says that a registry was seen. Only followCatalog uses them.
+	store   Store
+	started bool
 	// leavingAt is when the planned stop began, by the catalog's clock; 0 before.
 	leavingAt atomic.Int64
 }
@@ -130,6 +135,7 @@
 	n := &Node{
 		settings: settings,
 		protocol: protocol,
+		store:    store,
 		logger:   logger,
 		catalog:  cataloguer.New(sinceBoot),
 		dialer:   dialer.New(mostConnections(settings.Gateway.Descriptors)),
@@ -306,7 +312,7 @@
 func (n *Node) followCatalog(ctx context.Context) {
 	for {
 		changed := n.catalog.Changed()
-		n.apply(n.catalog.State())
+		n.apply(ctx, n.catalog.State())
 
 		select {
 		case <-changed:
@@ -316,7 +322,7 @@
 	}
 }
 
-func (n *Node) apply(state *cataloguer.State) {
+func (n *Node) apply(ctx context.Context, state *cataloguer.State) {
 	n.listMembers(state.Registry.Nodes)
 
 	// Routes without upstreams would only refuse.
@@ -324,6 +330,11 @@
 		return
 	}
 
+	if !n.started {
+		n.started = true
+		n.found(ctx, state.Registry.Nodes)
+	}
+
 	n.forgetRestarted(state.Registry.Upstreams)
 	// A node that just started takes no request before it knows which ones must not run.
 	n.updateQuarantine(state.Registry)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -33,6 +33,7 @@
 	nodes    []cataloguer.Node
 
 	quarantined []quarantiner.Quarantine
+	founded     bool
 }
 
 func (s *store) Configuration(context.Context) (cataloguer.Configuration, int64, error) {
@@ -81,6 +82,17 @@
 	return nil
 }
 
+// Found implements gateway.Store.
+func (s *store) Found(context.Context, string) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	first := !s.founded
+	s.founded = true
+
+	return first, nil
+}
+
 func (s *store) Withdraw(context.Context, []string) error { return nil }
 
 // Record implements quarantiner.Recorder.
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -14,6 +14,13 @@
 	"quincepath.example/quincepath/internal/prober"
 )
 
+const (
+	// foundAge is the greatest age of an empty list of nodes by which a node may be the first one.
+	foundAge = 2 * time.Second
+	// foundTimeout bounds the write that makes it so.
+	foundTimeout = 300 * time.Millisecond
+)
+
 // goneTime is how long a node is dead before its entry is removed from the store: longer than any restart of a VM.
 const goneTime = 10 * time.Minute
 
@@ -54,6 +61,35 @@
 	n.apportioner.Update(names)
 }
 
+// found makes this node the first one of its deployment if nobody is or was listed. It may then use its part of what nodes
+// share at once. That is settled before requests are taken, since the first ones would else do without.
+func (n *Node) found(ctx context.Context, listed []cataloguer.Node) {
+	age, known := n.catalog.RegistryAge()
+	if len(listed) > 0 || !known || age > foundAge {
+		return
+	}
+
+	// One of them is enough; hundreds of nodes that start together would else make as many writes.
+	if seeds := n.current.Load().Gateway.Seeds; len(seeds) > 0 && !slices.Contains(seeds, n.settings.Node.PeerListen) {
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, foundTimeout)
+	defer cancel()
+
+	first, err := n.store.Found(ctx, n.settings.Node.PeerListen)
+	if err != nil {
+		n.logger.Warn().Err(err).Msg("found_failed")
+
+		return
+	}
+
+	if first {
+		n.apportioner.Found()
+		n.logger.Info().Msg("deployment_founded")
+	}
+}
+
 // live returns the names of the nodes that answer and stay, this one included.
 func (n *Node) live() []string {
 	names := []string{n.settings.Node.PeerListen}
