--- a/internal/gateway/apportioner/apportioner.go
+++ b/internal/gateway/apportioner/apportioner.go
@@ -14,8 +14,8 @@
 	"time"
 )
 
-// founderGrace is how long the first node of a deployment may use its part before it is listed.
-const founderGrace = 5 * time.Second
+// firstGrace is how long the first node of a deployment may use its part before it is listed.
+const firstGrace = 5 * time.Second
 
 // Options are the parts of an Apportioner; all are required.
 type Options struct {
@@ -34,9 +34,9 @@
 	options Options
 
 	mu sync.Mutex
-	// founder says that no node was ever listed before this one started, and that no other is told so; since foundedAt.
-	founder   bool
-	foundedAt time.Duration
+	// first says that no node was ever listed before this one started, and that no other is told so; since firstAt.
+	first   bool
+	firstAt time.Duration
 	// listed says that this node is on the list, since listedAt.
 	listed   bool
 	listedAt time.Duration
@@ -51,14 +51,14 @@
 	return &Apportioner{options: options}
 }
 
-// Found tells that this node is the first one of its deployment ever: nobody has used anything, and all others wait.
-func (a *Apportioner) Found() {
+// SetFirst tells that this node is the first one of its deployment ever: nobody has used anything, and all others wait.
+func (a *Apportioner) SetFirst() {
 	now := a.options.Now()
 
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	a.founder, a.foundedAt = true, now
+	a.first, a.firstAt = true, now
 }
 
 // Update takes in the names of the listed nodes.
@@ -74,7 +74,7 @@
 	}
 
 	if !listed && a.listed {
-		a.founder = false
+		a.first = false
 	}
 
 	a.listed = listed
@@ -121,8 +121,8 @@
 
 // mayUseLocked says whether all others that use their parts count this node; a.mu is held.
 func (a *Apportioner) mayUseLocked(now time.Duration) bool {
-	if a.founder {
-		return a.listed || now-a.foundedAt <= founderGrace
+	if a.first {
+		return a.listed || now-a.firstAt <= firstGrace
 	}
 
 	return a.listed && now-a.listedAt > a.settling()
--- a/internal/gateway/apportioner/apportioner_test.go
+++ b/internal/gateway/apportioner/apportioner_test.go
@@ -109,7 +109,7 @@
 	c := &clock{}
 	a := newNode(c)
 	a.Update(nil)
-	a.Found()
+	a.SetFirst()
 	assert.Equal(t, a.Part(0, true), 1.0)
 
 	c.pass(5*time.Second + time.Millisecond)
--- a/internal/gateway/budgeter/fleet_test.go
+++ b/internal/gateway/budgeter/fleet_test.go
@@ -95,7 +95,7 @@
 		f.join(rate)
 	}
 
-	f.nodes[0].parts.Found()
+	f.nodes[0].parts.SetFirst()
 
 	return f
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,8 +75,8 @@
 type Store interface {
 	follower.Store
 	quarantiner.Recorder
-	// Found records the node as the first one that the deployment ever had; false if there was one before.
-	Found(ctx context.Context, name string) (bool, error)
+	// RecordFirst records the node as the first one that the deployment ever had; false if there was one before.
+	RecordFirst(ctx context.Context, name string) (bool, error)
 }
 
 // Node is one running gateway.
@@ -332,7 +332,7 @@
 
 	if !n.started {
 		n.started = true
-		n.found(ctx, state.Registry.Nodes)
+		n.becomeFirst(ctx, state.Registry.Nodes)
 	}
 
 	n.forgetRestarted(state.Registry.Upstreams)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -33,7 +33,7 @@
 	nodes    []cataloguer.Node
 
 	quarantined []quarantiner.Quarantine
-	founded     bool
+	hasFirst    bool
 }
 
 func (s *store) Configuration(context.Context) (cataloguer.Configuration, int64, error) {
@@ -82,13 +82,13 @@
 	return nil
 }
 
-// Found implements gateway.Store.
-func (s *store) Found(context.Context, string) (bool, error) {
+// RecordFirst implements gateway.Store.
+func (s *store) RecordFirst(context.Context, string) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	first := !s.founded
-	s.founded = true
+	first := !s.hasFirst
+	s.hasFirst = true
 
 	return first, nil
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// foundAge is the greatest age of an empty list of nodes by which a node may be the first one.
-	foundAge = 2 * time.Second
-	// foundTimeout bounds the write that makes it so.
-	foundTimeout = 300 * time.Millisecond
+	// emptyListAge is the greatest age of an empty list of nodes by which a node may be the first one.
+	emptyListAge = 2 * time.Second
+	// firstTimeout bounds the write that makes it so.
+	firstTimeout = 300 * time.Millisecond
 )
 
 // goneTime is how long a node is dead before its entry is removed from the store: longer than any restart of a VM.
@@ -61,11 +61,11 @@
 	n.apportioner.Update(names)
 }
 
-// found makes this node the first one of its deployment if nobody is or was listed. It may then use its part of what nodes
+// becomeFirst makes this node the first one of its deployment if nobody is or was listed. It may then use its part of what nodes
 // share at once. That is settled before requests are taken, since the first ones would else do without.
-func (n *Node) found(ctx context.Context, listed []cataloguer.Node) {
+func (n *Node) becomeFirst(ctx context.Context, listed []cataloguer.Node) {
 	age, known := n.catalog.RegistryAge()
-	if len(listed) > 0 || !known || age > foundAge {
+	if len(listed) > 0 || !known || age > emptyListAge {
 		return
 	}
 
@@ -74,19 +74,19 @@
 		return
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, foundTimeout)
+	ctx, cancel := context.WithTimeout(ctx, firstTimeout)
 	defer cancel()
 
-	first, err := n.store.Found(ctx, n.settings.Node.PeerListen)
+	first, err := n.store.RecordFirst(ctx, n.settings.Node.PeerListen)
 	if err != nil {
-		n.logger.Warn().Err(err).Msg("found_failed")
+		n.logger.Warn().Err(err).Msg("first_node_not_recorded")
 
 		return
 	}
 
 	if first {
-		n.apportioner.Found()
-		n.logger.Info().Msg("deployment_founded")
+		n.apportioner.SetFirst()
+		n.logger.Info().Msg("first_node")
 	}
 }
 
