Retry budget: one way to a ledger, bounds kept once

Reading the change again: five methods repeated clock, lock and ledger, the bounds stood in the options and beside them, an extra attempt looked through all windows twice (once to see what is left, once to take it), the two ages of the catalog were written twice, and the test's store repeated its neighbour's configuration and registry.

Budgeter.update runs a change on a service's ledger; take returns what is left where that is too little; Catalog.since serves both ages; the test's store is built on the others. Looking and taking are one step now, so a budget that another request takes in between no longer pauses the questions to peers. Else behaviour, bounds and assertions are as before.

--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -33,30 +32,14 @@
 
 // budgetStore lists upstreams of one service, whose requests may run three times.
 type budgetStore struct {
-	store
-
-	upstreams []cataloguer.Upstream
-}
-
-func (s *budgetStore) Configuration(context.Context) (cataloguer.Configuration, int64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	return cataloguer.Configuration{
-		Version: 1,
-		Routes: []cataloguer.Route{{
-			Name: "price", Host: "shop.example", PathPrefix: "/", Kind: cataloguer.Idempotent, Attempts: 3,
-			Shares: []cataloguer.Share{{Service: "desk", Weight: 1}}, Timeout: 20 * time.Second, Target: 10 * time.Second,
-		}},
-		Services: []cataloguer.Service{{Name: "desk"}},
-	}, s.revision, nil
+	crashStore
 }
 
-func (s *budgetStore) Registry(context.Context) (cataloguer.Registry, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (s *budgetStore) Configuration(ctx context.Context) (cataloguer.Configuration, int64, error) {
+	configuration, revision, err := s.store.Configuration(ctx)
+	configuration.Routes[0].Attempts = 3
 
-	return cataloguer.Registry{Revision: s.revision, Upstreams: slices.Clone(s.upstreams), Nodes: slices.Clone(s.nodes)}, nil
+	return configuration, revision, err
 }
 
 // arrivals records the requests that callers sent and the attempts that reached upstreams.
@@ -144,7 +127,7 @@
 // Guards against nodes that restart and have their whole retry budget once more.
 func TestRetriesStayWithinTheBudgetThroughRestarts(t *testing.T) {
 	a := &arrivals{reached: make(map[string]bool)}
-	s := &budgetStore{store: store{revision: 1}}
+	s := &budgetStore{crashStore{store: store{revision: 1}}}
 
 	for i := range 8 {
 		upstream := httptest.NewServer(a)
--- a/internal/gateway/budgeter/borrowing.go
+++ b/internal/gateway/budgeter/borrowing.go
@@ -165,8 +165,8 @@
 
 	borrowed := b.gather(ctx, service, 1-own)
 	charge := &Charge{budgeter: b, service: service, own: max(1-borrowed.amount, 0), borrowed: borrowed.amount, expires: borrowed.expires}
-	ok := b.take(service, charge.own)
 
+	_, ok := b.take(service, charge.own)
 	if !ok {
 		b.loans.keepPart(service, borrowed)
 	}
@@ -195,7 +195,7 @@
 
 		amount := b.ask(ctx, b.loans.next(peers), borrowParams{Service: service, Amount: missing - borrowed.amount})
 		borrowed.amount += amount
-		b.count(service, func(t *totals) { t.borrowed += amount })
+		b.update(service, func(l *ledger) { l.totals.borrowed += amount })
 	}
 
 	return borrowed
@@ -253,7 +253,7 @@
 
 	l := b.ledger(now, service)
 
-	spare := l.available(b.ratio, b.extra*part) - l.demand()
+	spare := b.available(l, part) - l.demand()
 	if spare < min(amount, leastLoan) {
 		return 0
 	}
--- a/internal/gateway/budgeter/budgeter.go
+++ b/internal/gateway/budgeter/budgeter.go
@@ -43,13 +43,12 @@
 //
 // Lock order: Budgeter.mu alone; it is not held during calls of Options.
 type Budgeter struct {
+	// options holds the bounds in force; these two are read and replaced under mu.
 	options Options
 	loans   loans
 
 	mu       sync.Mutex
 	services map[string]*ledger
-	// ratio and extra are the bounds in force.
-	ratio, extra float64
 	// beatAt is when the process was last seen to run, and backlogUntil the end of the time after a stall in which
 	// requests are read that may have been sent long before.
 	beatAt, backlogUntil time.Duration
@@ -61,8 +60,6 @@
 		options:  options,
 		loans:    newLoans(),
 		services: make(map[string]*ledger),
-		ratio:    options.Ratio,
-		extra:    options.Extra,
 		beatAt:   options.Now(),
 	}
 }
@@ -72,24 +69,20 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	b.ratio, b.extra = ratio, extra
+	b.options.Ratio, b.options.Extra = ratio, extra
 }
 
 // First counts a request when it arrives.
 func (b *Budgeter) First(service string) {
-	now := b.options.Now()
-
-	b.mu.Lock()
-	defer b.mu.Unlock()
-
-	b.beatLocked(now)
+	b.update(service, func(l *ledger) {
+		b.beatLocked(l.now)
 
-	l := b.ledger(now, service)
-	l.totals.firsts++
+		l.totals.firsts++
 
-	if now >= b.backlogUntil {
-		l.firsts.add(l.slot, 1)
-	}
+		if l.now >= b.backlogUntil {
+			l.firsts.add(l.slot, 1)
+		}
+	})
 }
 
 // Beat tells that the process runs. It must be called several times in each stallTime.
@@ -111,45 +104,35 @@
 	b.beatAt = now
 }
 
-// take takes so much of an extra attempt from this node's own budget if it is left.
-func (b *Budgeter) take(service string, amount float64) bool {
+// take takes so much of an extra attempt from this node's own budget, or returns how much is left if that is less.
+func (b *Budgeter) take(service string, amount float64) (left float64, ok bool) {
 	part := b.options.Part()
-	now := b.options.Now()
 
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	b.update(service, func(l *ledger) {
+		left = max(b.available(l, part), 0)
+		ok = left >= amount-rounding
 
-	l := b.ledger(now, service)
-	if l.available(b.ratio, b.extra*part) < amount-rounding {
-		return false
-	}
-
-	l.inFlight += amount
+		if ok {
+			l.inFlight += amount
+		}
+	})
 
-	return true
+	return left, ok
 }
 
-// want counts an extra attempt that this node needs, and returns how much of one its own budget has left.
-func (b *Budgeter) want(service string) float64 {
-	part := b.options.Part()
+// update changes the ledger of a service, moved on to now.
+func (b *Budgeter) update(service string, change func(l *ledger)) {
 	now := b.options.Now()
 
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	l := b.ledger(now, service)
-	l.wanted.add(l.slot, 1)
-
-	return max(l.available(b.ratio, b.extra*part), 0)
+	change(b.ledger(now, service))
 }
 
-func (b *Budgeter) count(service string, change func(*totals)) {
-	now := b.options.Now()
-
-	b.mu.Lock()
-	defer b.mu.Unlock()
-
-	change(&b.ledger(now, service).totals)
+// available is how many extra attempts this node may still pay for, with its part of those that all share; b.mu is held.
+func (b *Budgeter) available(l *ledger, part float64) float64 {
+	return l.available(b.options.Ratio, b.options.Extra*part)
 }
 
 // ledger returns the counts of a service, moved on to now; b.mu is held.
@@ -201,8 +184,8 @@
 		l := b.ledger(now, service)
 		u := l.totals.usage(service)
 		u.WindowFirsts, u.WindowExtras = l.present()
-		u.Bound = b.ratio*u.WindowFirsts + b.extra*part
-		u.Left, u.Part = max(l.available(b.ratio, b.extra*part), 0), part
+		u.Bound = b.options.Ratio*u.WindowFirsts + b.options.Extra*part
+		u.Left, u.Part = max(b.available(l, part), 0), part
 		usage = append(usage, u)
 	}
 
--- a/internal/gateway/budgeter/charge.go
+++ b/internal/gateway/budgeter/charge.go
@@ -19,16 +19,18 @@
 
 // Acquire pays for one extra attempt, from this node's own budget or from those of others; false if nothing is left.
 func (b *Budgeter) Acquire(ctx context.Context, service string) (*Charge, bool) {
-	own := b.want(service)
-	if own >= 1-rounding && b.take(service, 1) {
+	b.update(service, func(l *ledger) { l.wanted.add(l.slot, 1) })
+
+	own, ok := b.take(service, 1)
+	if ok {
 		return &Charge{budgeter: b, service: service, own: 1}, true
 	}
 
-	if charge, ok := b.borrow(ctx, service, min(own, 1)); ok {
+	if charge, ok := b.borrow(ctx, service, own); ok {
 		return charge, true
 	}
 
-	b.count(service, func(t *totals) { t.refused++ })
+	b.update(service, func(l *ledger) { l.totals.refused++ })
 
 	return nil, false
 }
@@ -49,13 +51,13 @@
 
 // Cancel gives back an attempt that was not sent. After Settle it does nothing.
 func (c *Charge) Cancel() {
-	c.end(func(l *ledger, _ time.Duration) { l.totals.unused++ })
+	c.end(func(l *ledger) { l.totals.unused++ })
 }
 
 // Settle ends an attempt that was sent. Arrived says that it and those before it of the same request surely have arrived.
 func (c *Charge) Settle(arrived bool) {
-	c.end(func(l *ledger, now time.Duration) {
-		last := now
+	c.end(func(l *ledger) {
+		last := l.now
 		if !arrived {
 			last += l.late
 		}
@@ -72,20 +74,15 @@
 }
 
 // end closes the charge once, and records how.
-func (c *Charge) end(record func(l *ledger, now time.Duration)) {
+func (c *Charge) end(record func(l *ledger)) {
 	if c == nil || c.over {
 		return
 	}
 
 	c.over = true
 
-	b := c.budgeter
-	now := b.options.Now()
-
-	b.mu.Lock()
-	defer b.mu.Unlock()
-
-	l := b.ledger(now, c.service)
-	l.inFlight -= c.own
-	record(l, now)
+	c.budgeter.update(c.service, func(l *ledger) {
+		l.inFlight -= c.own
+		record(l)
+	})
 }
--- a/internal/gateway/cataloguer/catalog.go
+++ b/internal/gateway/cataloguer/catalog.go
@@ -81,22 +81,22 @@
 
 // Age is how old the newest proof of the configuration is; false means that there is none.
 func (c *Catalog) Age() (time.Duration, bool) {
-	proven := c.proven.Load()
-	if proven < 0 {
-		return 0, false
-	}
-
-	return c.now() - time.Duration(proven), true
+	return c.since(&c.proven)
 }
 
 // RegistryAge is how old the newest proof of the registry is; false means that there is none.
 func (c *Catalog) RegistryAge() (time.Duration, bool) {
-	proven := c.registryProven.Load()
-	if proven < 0 {
+	return c.since(&c.registryProven)
+}
+
+// since is how long ago a proof was made; false means that there is none.
+func (c *Catalog) since(proven *atomic.Int64) (time.Duration, bool) {
+	at := proven.Load()
+	if at < 0 {
 		return 0, false
 	}
 
-	return c.now() - time.Duration(proven), true
+	return c.now() - time.Duration(at), true
 }
 
 // ProveRegistry records that the registry had all that stood in the store at the given time.
