Fencer: the terms of the orderer become a package that others can use

Duties that one node makes for all need the same term as orders to engines: a lease taken by compare and swap, a number from a key that is never deleted, the end counted from before the call, a look before each act. A second copy of that would drift, so the code moves out of the orderer into internal/fencer; the orderer keeps what is its own (loads that a former orderer left, the wait before engines that ignore the number).

--- a/internal/orderer/handover.go
+++ b/internal/orderer/handover.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/fencer"
 	"quincepath.example/quincepath/internal/storer"
 )
 
@@ -28,7 +29,7 @@
 }
 
 func loadsKey(service string) string {
-	return keyPrefix + service + "/loads"
+	return servicePrefix(service) + "loads"
 }
 
 // recordLoads writes down the loads under way. It must succeed before a new one is ordered.
@@ -42,7 +43,7 @@
 	defer cancel()
 
 	result, err := o.options.Store.Txn(call, storer.Txn{
-		Compares: []storer.Compare{{Key: leaseKey(o.options.Service), Target: storer.TargetValue, Value: t.record}},
+		Compares: []storer.Compare{{Key: fencer.LeaseKey(servicePrefix(o.options.Service)), Target: storer.TargetValue, Value: t.Record}},
 		Success:  []storer.Op{{Kind: storer.OpPut, Key: loadsKey(o.options.Service), Value: value}},
 	})
 	if err == nil && !result.Succeeded {
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -10,12 +10,14 @@
 	"github.com/cockroachdb/errors"
 
 	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/fencer"
 	"quincepath.example/quincepath/internal/sleeper"
 )
 
 // Orderer orders the engines of one service whenever this node is the candidate and holds the lease.
 type Orderer struct {
 	options Options
+	fencer  *fencer.Fencer
 	loads   *loadLimiter
 	// delays holds back orders that failed, by upstream and order.
 	delays map[string]*delay
@@ -23,15 +25,26 @@
 	crashes crashes
 	// swapping names the upstream that may unload before it loads; empty means that any may.
 	swapping string
-	// takes counts attempts to take a number.
-	takes int
 	// seenFencing is the highest fencing number that any engine has shown.
 	seenFencing int64
 }
 
 // New returns an Orderer that does nothing before Run.
 func New(options Options) *Orderer {
-	return &Orderer{options: options.withDefaults(), delays: make(map[string]*delay), crashes: make(crashes)}
+	options = options.withDefaults()
+
+	return &Orderer{
+		options: options,
+		fencer: fencer.New(fencer.Options{
+			Store:       options.Store,
+			Prefix:      servicePrefix(options.Service),
+			Node:        options.Node,
+			Incarnation: options.Incarnation,
+			CallTimeout: options.CallTimeout,
+		}),
+		delays:  make(map[string]*delay),
+		crashes: make(crashes),
+	}
 }
 
 // Run orders until ctx ends. It gives its lease back then.
@@ -48,8 +61,8 @@
 		bounds := boundsOf(service)
 
 		t, err := o.take(ctx, bounds)
-		if errors.Is(err, errHeld) {
-			sleeper.Sleep(ctx, bounds.Lease/renewals)
+		if errors.Is(err, fencer.ErrHeld) {
+			sleeper.Sleep(ctx, bounds.Lease/fencer.Renewals)
 			continue
 		}
 
@@ -90,14 +103,14 @@
 
 	var renewing sync.WaitGroup
 
-	renewing.Go(func() { o.renew(work, t) })
+	renewing.Go(func() { t.Renew(work) })
 
 	o.loads = newLoadLimiter()
 	if service, wanted := o.wanted(); wanted {
 		o.loads.adopt(t.former, boundsOf(service).LoadTimeout)
 	}
 
-	for t.valid() && work.Err() == nil {
+	for t.Valid() && work.Err() == nil {
 		service, wanted := o.wanted()
 		if !wanted {
 			break
@@ -111,14 +124,14 @@
 		o.rest(work, max(pause, o.stretch(service)), service)
 	}
 
-	if !t.valid() {
+	if !t.Valid() {
 		o.options.Counters.TermsLost.Add(1)
 	}
 
-	t.end()
+	t.End()
 	cancel()
 	renewing.Wait()
-	o.revoke(ctx, t.lease)
+	t.Release(ctx)
 }
 
 // rest sleeps until the next round, at most an interval longer than until what is desired changes.
--- a/internal/orderer/planner.go
+++ b/internal/orderer/planner.go
@@ -196,7 +196,7 @@
 // raiseFencing shows an engine that checks numbers the one of this term by an order that changes nothing.
 // Until then the engine would still take an order of an earlier term that is on its way.
 func (p *planner) raiseFencing(t *term, e engine) (planned, bool) {
-	if !e.upstream.ChecksFencing || e.desired.IsEmpty() || e.state.HighestFencing >= t.number {
+	if !e.upstream.ChecksFencing || e.desired.IsEmpty() || e.state.HighestFencing >= t.Number {
 		return planned{}, false
 	}
 
--- a/internal/orderer/reconciler.go
+++ b/internal/orderer/reconciler.go
@@ -30,7 +30,7 @@
 	engines := o.read(ctx, service)
 
 	if o.outranked(engines, t) {
-		t.end()
+		t.End()
 
 		return false
 	}
@@ -133,7 +133,7 @@
 		}
 	}
 
-	return o.seenFencing > t.number
+	return o.seenFencing > t.Number
 }
 
 // closeLoads ends the loads that the engines show, and those that have taken too long.
@@ -176,7 +176,7 @@
 
 // carryOut sends an order, if the term allows it at this very moment, and reads the state back.
 func (o *Orderer) carryOut(ctx context.Context, t *term, next planned) outcome {
-	left := t.left()
+	left := t.Left()
 	if left <= 0 {
 		o.options.Counters.NotSent.Add(1)
 
@@ -189,7 +189,7 @@
 	o.options.Counters.Sent.Add(1)
 
 	got := outcome{sent: true}
-	got.err = o.options.Engines.Send(call, next.engine.upstream, next.order, t.number)
+	got.err = o.options.Engines.Send(call, next.engine.upstream, next.order, t.Number)
 
 	state, err := o.state(ctx, next.engine.upstream)
 	got.silent = err != nil
@@ -211,7 +211,7 @@
 	case errors.Is(got.err, ErrFenced):
 		counters.RefusedByFencing.Add(1)
 		o.loads.done(key)
-		t.end()
+		t.End()
 
 		return
 	case got.err != nil:
--- a/internal/orderer/types.go
+++ b/internal/orderer/types.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quincepath.example/quincepath/internal/configurer"
+	"quincepath.example/quincepath/internal/fencer"
 	"quincepath.example/quincepath/internal/storer"
 )
 
@@ -71,16 +72,6 @@
 	Send(ctx context.Context, upstream configurer.Upstream, order Order, number int64) error
 }
 
-// Store is the part of the platform's key-value service that the lease needs.
-// Its errors are those of package storer.
-type Store interface {
-	Get(ctx context.Context, key string) (storer.KeyValue, int64, error)
-	Txn(ctx context.Context, t storer.Txn) (storer.TxnResult, error)
-	Grant(ctx context.Context, length time.Duration) (int64, error)
-	KeepAlive(ctx context.Context, lease int64) (time.Duration, error)
-	Revoke(ctx context.Context, lease int64) error
-}
-
 // Settings gives the service as the settings tree in force has it.
 type Settings interface {
 	Service(name string) (configurer.Service, bool)
@@ -122,7 +113,7 @@
 	Node        string
 	Incarnation string
 
-	Store      Store
+	Store      fencer.Store
 	Engines    Engines
 	Settings   Settings
 	Candidates Candidates
