Duties of one node: usage of organisations and orders of upstreams

- tallier: each node counts by window of true time and hands its counts out in numbered batches until they are kept.
- collector: the holder adds them up in one account that lies in the store and is replaced only by whoever read its last state, so that a window is closed once and reported the same whoever sends it.
True time is the middle of the nodes' clocks.
- leader: holds a term of package fencer, by the clock that counts suspensions; looks once more when the body is written; waits for a lease before its first call, so that no two holders act in turns within one.
- scaler: the first version of a plan, spot upstreams in place of regular ones.

--- a/internal/fencer/term.go
+++ b/internal/fencer/term.go
@@ -83,7 +83,7 @@
 // Renew keeps the lease until the context ends or the lease is gone. A lease that the store still had when a renewal
 // arrived has never ended, so the term is valid once more even if it wasn't meanwhile.
 func (t *Term) Renew(ctx context.Context) {
-	for sleeper.Sleep(ctx, t.length/Renewals) && !t.isOver() {
+	for sleeper.Sleep(ctx, t.length/Renewals) && !t.Over() {
 		sent := t.fencer.options.Now()
 
 		switch err := t.keepAlive(ctx); {
@@ -95,7 +95,8 @@
 	}
 }
 
-func (t *Term) isOver() bool {
+// Over says that the term is over for good: it was ended, or its lease is gone.
+func (t *Term) Over() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
--- a/internal/gateway/cataloguer/types.go
+++ b/internal/gateway/cataloguer/types.go
@@ -67,6 +67,8 @@
 	ConnectionLimit int `json:"connection_limit"`
 	// Engine is nil for plain services.
 	Engine *Engine `json:"engine,omitempty"`
+	// Scaling is nil where the number of upstreams can't be ordered.
+	Scaling *Scaling `json:"scaling,omitempty"`
 }
 
 // Engine describes the language-model upstreams of a service.
@@ -116,6 +118,8 @@
 	FailureDomain string `json:"failure_domain"`
 	// Draining upstreams get nothing new.
 	Draining bool `json:"draining,omitempty"`
+	// Spot upstreams cost less and may be taken away, all of a failure domain at once.
+	Spot bool `json:"spot,omitempty"`
 	// Slots is the number of requests that it works on at once.
 	Slots int `json:"slots"`
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
+	"quincepath.example/quincepath/internal/fencer"
 	"quincepath.example/quincepath/internal/gateway/acceptor"
 	"quincepath.example/quincepath/internal/gateway/apportioner"
 	"quincepath.example/quincepath/internal/gateway/broker"
@@ -22,8 +23,10 @@
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/dialer"
 	"quincepath.example/quincepath/internal/gateway/follower"
+	"quincepath.example/quincepath/internal/gateway/leader"
 	"quincepath.example/quincepath/internal/gateway/relayer"
 	"quincepath.example/quincepath/internal/gateway/router"
+	"quincepath.example/quincepath/internal/gateway/tallier"
 	"quincepath.example/quincepath/internal/heartbeater"
 	"quincepath.example/quincepath/internal/loader"
 	"quincepath.example/quincepath/internal/messenger"
@@ -79,6 +82,12 @@
 	RecordFirst(ctx context.Context, name string) (bool, error)
 }
 
+// Duties are the parts for what one node at a time does for all; they are used only where the settings name duties.
+type Duties struct {
+	Store    fencer.Store
+	Platform leader.Platform
+}
+
 // Node is one running gateway.
 type Node struct {
 	// settings are those of the start; current are the same with what was reloaded since.
@@ -100,6 +109,9 @@
 	// quarantine keeps requests that crash upstreams from running.
 	quarantine *quarantiner.Quarantiner
 	meter      *meter.Meter
+	// tallier counts the usage of organisations; leader carries out the platform's duties, nil if there are none.
+	tallier *tallier.Tallier
+	leader  *leader.Leader
 	// attempts counts failed attempts by their result.
 	attempts *expvar.Map
 
@@ -116,8 +128,9 @@
 }
 
 // Run serves until ctx ends and the planned stop is over.
-func Run(ctx context.Context, settings loader.Settings, store Store, protocol Protocol, logger zerolog.Logger) error {
+func Run(ctx context.Context, settings loader.Settings, store Store, duties Duties, protocol Protocol, logger zerolog.Logger) error {
 	node := newNode(settings, store, protocol, logger)
+	node.addDuties(duties)
 
 	return node.run(ctx)
 }
@@ -210,6 +223,9 @@
 	n.messages.Handle(quarantiner.MethodTestify, n.quarantine.HandleTestify)
 	n.messages.Handle(quarantiner.MethodQuarantine, n.quarantine.HandleQuarantine)
 
+	n.tallier = n.newTallier()
+	n.messages.Handle(tallier.MethodCollect, n.tallier.HandleCollect)
+
 	n.relayer = relayer.New(relayer.Options{
 		Headers:      protocol.Headers,
 		Catalog:      n.catalog,
@@ -218,6 +234,7 @@
 		Dialer:       n.dialer,
 		Budget:       n.budget,
 		Quarantine:   n.quarantine,
+		Usage:        n.tallier,
 		KeyFreshness: n.keyFreshness,
 		Leaving:      n.leaving,
 		LastRequests: lastRequests,
@@ -286,6 +303,10 @@
 	go n.watchRetries(work)
 	go n.watchReload(work)
 
+	if n.leader != nil {
+		go n.leader.Run(work)
+	}
+
 	servers, failed, err := n.listen(ctx)
 	if err != nil {
 		return err
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -156,7 +156,7 @@
 		EncodeEntries: encode,
 	}
 
-	go func() { ended <- gateway.Run(ctx, settings, s, protocol, zerolog.Nop()) }()
+	go func() { ended <- gateway.Run(ctx, settings, s, gateway.Duties{}, protocol, zerolog.Nop()) }()
 
 	return stop, ended
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,7 +29,7 @@
 }
 
 func (n *Node) metrics() http.Handler {
-	return meter.Handler(n.meter, map[string]meter.Part{
+	parts := map[string]meter.Part{
 		"beliefs":     func() any { return n.beliefs() },
 		"follower":    func() any { return n.follower.Counters() },
 		"attempts":    func() any { return n.failedAttempts() },
@@ -41,7 +41,13 @@
 		"retries":     func() any { return n.budget.Usage() },
 		"members":     func() any { return n.prober.Counters() },
 		"messages":    func() any { return n.messages.Traffic() },
-	})
+	}
+
+	if n.leader != nil {
+		parts["duties"] = func() any { return n.leader.Status() }
+	}
+
+	return meter.Handler(n.meter, parts)
 }
 
 func (n *Node) beliefs() beliefs {
--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -78,7 +78,7 @@
 	request.settleExtra(err)
 
 	if err != nil {
-		return r.failed(ctx, request, choice, err, &outcome)
+		return r.failed(ctx, request, choice, sent, err, &outcome)
 	}
 	defer response.Close()
 
@@ -98,7 +98,7 @@
 		return notRun
 	}
 
-	request.runs++
+	r.countRun(request, sent)
 	r.vitals.seen(choice.Upstream, time.Now())
 
 	return r.deliver(ctx, a, choice, sent, response, watch, &outcome)
@@ -135,7 +135,7 @@
 }
 
 // failed judges an exchange without an answer.
-func (r *Relayer) failed(ctx context.Context, request *request, choice balancer.Choice, err error, outcome *balancer.Outcome) verdict {
+func (r *Relayer) failed(ctx context.Context, request *request, choice balancer.Choice, sent time.Time, err error, outcome *balancer.Outcome) verdict {
 	if errors.Is(err, dialer.ErrNotSent) {
 		// That this node has no connection left says nothing of the upstream.
 		if ctx.Err() == nil && !errors.Is(err, dialer.ErrFull) {
@@ -147,14 +147,27 @@
 		return unsent
 	}
 
-	request.runs++
-
+	r.countRun(request, sent)
 	r.judgeBreak(ctx, request, choice, outcome, false)
 	r.logAttempt(request, choice, "no_answer", causeOf(ctx, err))
 
 	return unsure
 }
 
+// countRun counts an attempt that may have run; an organisation's usage counts each request once. A stream begins to run with
+// its first event, which is on its way when the answer begins; anything else when it is sent.
+func (r *Relayer) countRun(request *request, sent time.Time) {
+	request.runs++
+
+	switch {
+	case request.runs > 1:
+	case request.route.Kind == cataloguer.Stream:
+		r.options.Usage.Count(request.organisation, 0)
+	default:
+		r.options.Usage.Count(request.organisation, time.Since(sent))
+	}
+}
+
 // judgeBreak judges an exchange that broke while the upstream may have run the request.
 func (r *Relayer) judgeBreak(ctx context.Context, request *request, choice balancer.Choice, outcome *balancer.Outcome, answering bool) {
 	if !blamesUpstream(ctx) {
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -67,6 +67,12 @@
 	Broke(key quarantiner.Key, upstream, address string, answering bool)
 }
 
+// Usage counts the requests of organisations that began to run.
+type Usage interface {
+	// Count counts a request that began to run so long ago.
+	Count(organisation string, ago time.Duration)
+}
+
 // Options are the parts of a Relayer; all are required.
 type Options struct {
 	Headers Headers
@@ -78,6 +84,7 @@
 	Budget  *budgeter.Budgeter
 	// Quarantine judges the requests by their content.
 	Quarantine Quarantine
+	Usage      Usage
 	// KeyFreshness is the greatest age of what is known of keys at which they are still honoured.
 	KeyFreshness func() time.Duration
 	// Leaving says since when the node is in a planned stop; zero means that it isn't.
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -63,6 +63,7 @@
 	// blind says that the chooser doesn't heed what is excluded.
 	blind      bool
 	quarantine relayer.Quarantine
+	usage      *usage
 	// bodies is what the relayer may hold of request bodies.
 	bodies int64
 
@@ -82,7 +83,7 @@
 func startWorld(t *testing.T, extra int, bodies int64) *world {
 	t.Helper()
 
-	w := &world{t: t, now: time.Hour, bodies: bodies, extra: extra, quarantine: noQuarantine{}}
+	w := &world{t: t, now: time.Hour, bodies: bodies, extra: extra, quarantine: noQuarantine{}, usage: &usage{counts: make(map[string]int)}}
 	w.catalog = cataloguer.New(func() time.Duration { return w.now })
 	w.catalog.Configure(configuration(), w.now)
 	w.restart()
@@ -99,6 +100,7 @@
 			Extra: float64(w.extra), Window: time.Hour, Part: func() float64 { return 1 }, Now: func() time.Duration { return w.now },
 		}),
 		Quarantine:   w.quarantine,
+		Usage:        w.usage,
 		KeyFreshness: func() time.Duration { return 4 * time.Second }, Leaving: func() time.Duration { return w.leaving }, LastRequests: time.Second,
 		BodyMemory: w.bodies, Meter: meter.New(), Attempts: new(expvar.Map), Logger: zerolog.Nop(),
 	})
@@ -107,6 +109,20 @@
 	w.t.Cleanup(w.server.Close)
 }
 
+// usage counts requests that began to run by organisation.
+type usage struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+// Count implements relayer.Usage.
+func (u *usage) Count(organisation string, _ time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	u.counts[organisation]++
+}
+
 // noQuarantine lets every request run.
 type noQuarantine struct{}
 
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -64,6 +64,7 @@
 		KeyLifetime: 4999500 * time.Microsecond,
 		RetryRatio:  0.25, RetryExtra: 33.1578947368421, RetryWindow: 9500 * time.Millisecond,
 		Cores: 0.192, LinkMbps: 12.5, MemoryMB: 111.6,
+		Duties: loader.Defaults().Gateway.Duties,
 	})
 }
 
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -6,7 +6,10 @@
 // settings at all.
 package loader
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Settings is the whole content of a settings file, with all defaults filled in.
 type Settings struct {
@@ -160,6 +163,37 @@
 	MemoryMB float64 `yaml:"memory_mb" validate:"min=0,max=1048576"`
 	// Descriptors is the number of files and sockets that this process may open; 0 means that it isn't known.
 	Descriptors int `yaml:"descriptors" validate:"min=0,max=10000000"`
+	// Duties are calls of the platform that one node at a time makes for all.
+	Duties Duties `yaml:"duties"`
+}
+
+// Duties says which calls of the platform one node at a time makes for all, and under which bounds.
+type Duties struct {
+	// Address is the IP:port that takes them; empty means that there are none.
+	Address string `yaml:"address" validate:"omitempty,ip_port,reachable"`
+	// Kinds are the duties that the platform expects: usage, scale.
+	Kinds []string `yaml:"kinds" validate:"unique,dive,oneof=usage scale"`
+	// Lease is the length of a term; no two nodes act in turns within it.
+	Lease time.Duration `yaml:"lease" validate:"min=1s,max=10m"`
+	// CallsPerSecond is what the platform accepts from all nodes together.
+	CallsPerSecond float64 `yaml:"calls_per_second" validate:"gt=0,max=1000000"`
+	// UsageWindow is the length of a window of usage, and UsageDue how long after its end its report is due.
+	UsageWindow time.Duration `yaml:"usage_window" validate:"min=1s,max=24h"`
+	UsageDue    time.Duration `yaml:"usage_due" validate:"min=1s,max=24h"`
+	// OrderUpstreams is off where the node shall leave the numbers of upstreams as they are.
+	OrderUpstreams bool `yaml:"order_upstreams"`
+	// RegularUpstreams are kept in each failure domain beside spot ones.
+	RegularUpstreams int `yaml:"regular_upstreams" validate:"min=0,max=100000"`
+}
+
+// ReportsUsage says whether usage is to be reported.
+func (d Duties) ReportsUsage() bool {
+	return d.Address != "" && slices.Contains(d.Kinds, "usage")
+}
+
+// Scales says whether upstreams are to be ordered.
+func (d Duties) Scales() bool {
+	return d.Address != "" && d.OrderUpstreams && slices.Contains(d.Kinds, "scale")
 }
 
 // Enabled says whether the node is a gateway.
@@ -188,7 +222,12 @@
 		Platform: Platform{CallTimeout: time.Second},
 		Claims:   Claims{Window: 24 * time.Hour, AnswerTime: 10 * time.Minute},
 		Routing:  Routing{Policy: PolicyQueuePerRequest, EnginePriority: true, Oversubscribe: 4},
-		Gateway:  Gateway{KeyLifetime: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second},
-		Log:      Log{Level: "info", Format: "keyvalue"},
+		Gateway: Gateway{
+			KeyLifetime: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
+			Duties: Duties{
+				Lease: 3 * time.Second, CallsPerSecond: 10, UsageWindow: time.Minute, UsageDue: time.Minute, OrderUpstreams: true,
+			},
+		},
+		Log: Log{Level: "info", Format: "keyvalue"},
 	}
 }
