--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -181,7 +181,7 @@
 func (p *Pool) begin(now time.Time, s *server, work Work) *sent {
 	if former, ok := p.requests[work.ID]; ok {
 		p.demand.running--
-		former.server.remove(former, Abandoned, now)
+		former.server.remove(former, Abandoned, now, false)
 	}
 
 	r := &sent{
@@ -259,7 +259,7 @@
 		p.demand.stayed(now.Sub(r.at).Seconds())
 	}
 
-	r.server.remove(r, outcome, now)
+	r.server.remove(r, outcome, now, outcome == Failed && p.mayEject(now))
 }
 
 // expire drops requests that are over although nobody said so: the node that sent them is gone,
@@ -275,14 +275,27 @@
 		if now.After(r.until) {
 			delete(p.requests, id)
 			p.demand.running--
-			r.server.remove(r, Abandoned, now)
+			r.server.remove(r, Abandoned, now, false)
 		}
 	}
 }
 
 // usable says whether the server gets new requests at all.
 func (s *server) usable(now time.Time) bool {
-	return !s.Draining && !s.leaving && !now.Before(s.unreachableUntil)
+	return !s.Draining && !s.leaving && !now.Before(s.ejectedUntil)
+}
+
+// mayEject says whether one more server may be left out for its failures. Where many fail, what they fail is no fault of one.
+func (p *Pool) mayEject(now time.Time) bool {
+	ejected := 0
+
+	for _, s := range p.servers {
+		if s.onTrial() || now.Before(s.ejectedUntil) {
+			ejected++
+		}
+	}
+
+	return float64(ejected+1) <= ejectedPart*float64(len(p.servers))
 }
 
 // takes says whether the server may get the request now.
@@ -312,7 +325,7 @@
 
 // hasRoom says whether the server has a place and memory for the request.
 func (p *Pool) hasRoom(now time.Time, s *server, work *Work) bool {
-	if !s.usable(now) || slices.Contains(work.Excluded, s.ID) {
+	if !s.usable(now) || slices.Contains(work.Excluded, s.ID) || s.onTrial() && len(s.running) > 0 {
 		return false
 	}
 
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -27,10 +27,14 @@
 	// failureRecovery is the time in which the share of failures halves.
 	failureRecovery = 2 * time.Second
 	failureGain     = 0.25
-	// unreachableTime is how long a server that took no connection is left out.
-	// It doubles with each further time up to mostUnreachable. Its empty slots would else draw all that waits.
-	unreachableTime = 300 * time.Millisecond
-	mostUnreachable = 2 * time.Second
+	// failingPart is the share of failures from which a server is left out, ejectedPart the greatest part of a pool's servers
+	// that is left out for it.
+	failingPart = 0.7
+	ejectedPart = 1.0 / 3
+	// leastEjection is how long a server is left out that took no connection or fails nearly all requests.
+	// It doubles with each further time up to mostEjection. Its empty slots would else draw all that waits.
+	leastEjection = 300 * time.Millisecond
+	mostEjection = 2 * time.Second
 	// recentTime is the time constant with which finished long work is forgotten.
 	recentTime = 1500 * time.Millisecond
 	// foreignTime is the time in which the count of foreign requests halves without news.
@@ -78,10 +82,10 @@
 	// failures is the recent share of failed requests, as of failedAt.
 	failures float64
 	failedAt time.Time
-	// unreachableUntil is when connections are tried again.
-	unreachableUntil time.Time
-	// unreachableFor is how long it was left out last; 0 after a sound answer.
-	unreachableFor time.Duration
+	// ejectedUntil is until when it is left out.
+	ejectedUntil time.Time
+	// ejectedFor is how long it was left out last; 0 after a sound answer.
+	ejectedFor time.Duration
 	// foreign is the number of requests there that this pool doesn't know, as of foreignAt. Nodes that are
 	// cut off from the holder send by themselves.
 	foreign   float64
@@ -290,6 +294,7 @@
 
 	r.answering = true
 	s.answeredAt = now
+	s.ejectedFor = 0
 	s.dropBacklog(r)
 	s.learn(now, milliseconds(now.Sub(r.at))/max(r.expected/r.speed, 1))
 	s.overtake(r, now)
@@ -321,7 +326,7 @@
 	s.speedAt = now
 }
 
-func (s *server) remove(r *sent, outcome Outcome, now time.Time) {
+func (s *server) remove(r *sent, outcome Outcome, now time.Time, mayEject bool) {
 	delete(s.running, r.work.ID)
 	for _, part := range r.work.Parts {
 		s.sharers[part.ID]--
@@ -349,10 +354,11 @@
 		clear(s.sensitive)
 	}
 
-	s.judge(outcome, now)
+	s.judge(outcome, now, mayEject)
 }
 
-func (s *server) judge(outcome Outcome, now time.Time) {
+// judge learns from how a request ended. A server that fails nearly all of its requests is left out if it may be.
+func (s *server) judge(outcome Outcome, now time.Time, mayEject bool) {
 	failed := 0.0
 
 	switch outcome {
@@ -363,27 +369,42 @@
 	case Unreachable:
 		failed = 1
 		// Attempts that failed together count once.
-		if now.After(s.unreachableUntil) {
-			s.eject(now, min(max(2*s.unreachableFor, unreachableTime), mostUnreachable))
-		}
+		s.ejectLonger(now)
 	case Replaced:
 		// A server that crashed and started again is listed under its old id until its lease ends, seconds
 		// later. Meanwhile it answers at once that it isn't the one that was meant: with its empty slots it
 		// would draw, and refuse, all that waits.
 		failed = 1
-		s.eject(now, mostUnreachable)
+		s.eject(now, mostEjection)
 	case Served:
-		s.unreachableFor = 0
+		s.ejectedFor = 0
 	}
 
 	s.failures = (1-failureGain)*s.failuresNow(now) + failureGain*failed
 	s.failedAt = now
+
+	// The places of a server that fails at once are always free, so that it would draw all that waits for the others.
+	if outcome == Failed && mayEject && (s.ejectedFor > 0 || s.failures > failingPart) {
+		s.ejectLonger(now)
+	}
+}
+
+// ejectLonger leaves the server out for twice as long as the last time.
+func (s *server) ejectLonger(now time.Time) {
+	if now.After(s.ejectedUntil) {
+		s.eject(now, min(max(2*s.ejectedFor, leastEjection), mostEjection))
+	}
+}
+
+// onTrial says whether the server was left out and has answered nothing since.
+func (s *server) onTrial() bool {
+	return s.ejectedFor > 0
 }
 
 // eject keeps new requests from the server for a span of time.
 func (s *server) eject(now time.Time, span time.Duration) {
-	s.unreachableFor = span
-	s.unreachableUntil = now.Add(span)
+	s.ejectedFor = span
+	s.ejectedUntil = now.Add(span)
 }
 
 func milliseconds(d time.Duration) float64 {
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"quincepath.example/quincepath/internal/gateway/leader"
+	"quincepath.example/quincepath/internal/gateway/scaler"
 	"quincepath.example/quincepath/internal/gateway/tallier"
 	"quincepath.example/quincepath/internal/prober"
 )
@@ -47,7 +48,7 @@
 		Lease:          settings.Lease,
 		CallsPerSecond: settings.CallsPerSecond,
 		Scales:         settings.Scales(),
-		Regular:        settings.RegularUpstreams,
+		Policy:         scaler.Policy{Regular: settings.RegularUpstreams, LeastPart: settings.LeastPart},
 		Now:            n.catalog.Now,
 		Logger:         n.logger,
 	}
--- a/internal/gateway/leader/leader.go
+++ b/internal/gateway/leader/leader.go
@@ -76,9 +76,9 @@
 	// Window is the length of a window of usage, Due how long after its end its report is due. No usage is reported if
 	// Window is 0.
 	Window, Due time.Duration
-	// Scales says that upstreams are ordered, with so many regular ones to keep in each failure domain.
-	Scales  bool
-	Regular int
+	// Scales says that upstreams are ordered, by Policy.
+	Scales bool
+	Policy scaler.Policy
 	// Now is a clock that counts suspensions and that nobody sets.
 	Now    func() time.Duration
 	Logger zerolog.Logger
--- a/internal/gateway/leader/scaling.go
+++ b/internal/gateway/leader/scaling.go
@@ -12,11 +12,13 @@
 
 const (
 	// planInterval is the time between two looks at what stands.
-	planInterval = time.Second
+	planInterval = 250 * time.Millisecond
 	// repeatInterval is the time after which an order that holds is sent once more.
 	repeatInterval = 10 * time.Second
 	// unavailablePause is how long an order isn't repeated for which none were available.
-	unavailablePause = 2 * time.Second
+	unavailablePause = time.Second
+	// failedPause is how long an order isn't repeated that the platform didn't answer well.
+	failedPause = time.Second
 )
 
 // subject is what an order is about.
@@ -33,7 +35,7 @@
 
 // orderUpstreams orders upstreams until ctx ends or the term is over.
 func (l *Leader) orderUpstreams(ctx context.Context, t *tenure) {
-	planner := scaler.New(l.options.Regular)
+	planner := scaler.New(l.options.Policy)
 	sent := make(map[subject]ordered)
 
 	for ctx.Err() == nil && !t.Over() {
@@ -76,7 +78,7 @@
 		next = l.options.Now() + unavailablePause
 	case err != nil:
 		line = l.options.Logger.Warn()
-		next = l.options.Now() + planInterval
+		next = l.options.Now() + failedPause
 	}
 
 	sent[about] = ordered{count: order.Count, next: next}
--- a/internal/gateway/scaler/scaler.go
+++ b/internal/gateway/scaler/scaler.go
@@ -5,7 +5,7 @@
 
 import (
 	"cmp"
-	"maps"
+	"math"
 	"slices"
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
@@ -65,19 +65,27 @@
 	return standing
 }
 
+// Policy says what a planner keeps.
+type Policy struct {
+	// Regular is the number of regular upstreams to keep in each pool beside spot ones.
+	Regular int
+	// LeastPart is the part of a service's maximum over all failure domains that is to stand, 0 to 1. Where spot upstreams
+	// are taken away, regular ones are ordered up to it.
+	LeastPart float64
+}
+
 // Planner plans the orders of one holder of the duty. It is not safe for concurrent use.
 type Planner struct {
-	// base is the number of regular upstreams to keep in a pool beside spot ones.
-	base int
-	// regular is the greatest number of regular upstreams that stood in each pool.
+	policy Policy
+	// regular is the greatest number of regular upstreams that stood in each pool before they were replaced.
 	regular map[Pool]int
 	// moved are the pools whose regular upstreams have been replaced by spot ones.
 	moved map[Pool]bool
 }
 
-// New returns a planner that keeps so many regular upstreams in each pool.
-func New(base int) *Planner {
-	return &Planner{base: base, regular: make(map[Pool]int), moved: make(map[Pool]bool)}
+// New returns a planner that has seen nothing.
+func New(policy Policy) *Planner {
+	return &Planner{policy: policy, regular: make(map[Pool]int), moved: make(map[Pool]bool)}
 }
 
 // Plan returns the orders that should hold now, in the order of their pools.
@@ -85,38 +93,91 @@
 	var orders []Order
 
 	for pool, s := range standing {
-		p.regular[pool] = max(p.regular[pool], s.Regular)
+		if !p.moved[pool] {
+			p.regular[pool] = max(p.regular[pool], s.Regular)
+		}
 	}
 
-	// Also a pool that has lost all its upstreams is planned for.
-	pools := slices.SortedFunc(maps.Keys(p.regular), func(a, b Pool) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.FailureDomain, b.FailureDomain))
+	for _, service := range services {
+		if service.Scaling != nil && service.Scaling.SpotPrice != nil {
+			orders = append(orders, p.planService(service, standing)...)
+		}
+	}
+
+	return orders
+}
+
+// poolsOf returns the pools of a service where upstreams stand or stood, the cheapest first.
+func (p *Planner) poolsOf(service cataloguer.Service) []Pool {
+	var pools []Pool
+
+	for pool := range p.regular {
+		if pool.Service == service.Name {
+			pools = append(pools, pool)
+		}
+	}
+
+	prices := service.Scaling.DomainPrices
+	slices.SortFunc(pools, func(a, b Pool) int {
+		return cmp.Or(cmp.Compare(prices[a.FailureDomain], prices[b.FailureDomain]), cmp.Compare(a.FailureDomain, b.FailureDomain))
 	})
 
+	return pools
+}
+
+func (p *Planner) planService(service cataloguer.Service, standing map[Pool]Standing) []Order {
+	var orders []Order
+
+	limits := *service.Scaling
+	pools := p.poolsOf(service)
+	missing := p.missing(pools, limits, standing)
+
 	for _, pool := range pools {
-		i := slices.IndexFunc(services, func(s cataloguer.Service) bool { return s.Name == pool.Service })
-		if i < 0 || services[i].Scaling == nil || services[i].Scaling.SpotPrice == nil {
-			continue
+		s := standing[pool]
+
+		// While the pool is replaced, a regular upstream goes for each spot one that stands.
+		regular := max(p.base(limits), p.regular[pool]-s.Spot)
+
+		if p.hasMoved(pool, limits, s) {
+			extra := min(missing, max(limits.Maximum-p.base(limits)-s.Spot, 0))
+			missing -= extra
+			regular = p.base(limits) + extra
+		}
+
+		if p.moved[pool] || regular < p.regular[pool] {
+			orders = append(orders, Order{Pool: pool, Count: regular})
 		}
 
-		orders = append(orders, p.plan(pool, *services[i].Scaling, standing[pool])...)
+		orders = append(orders, Order{Pool: pool, Spot: true, Count: max(limits.Maximum-max(regular, s.Regular), 0)})
 	}
 
 	return orders
 }
 
-// plan replaces regular upstreams by spot ones: new ones come first, and regular ones go when as many stand in their place
-// as the limits allow.
-func (p *Planner) plan(pool Pool, limits cataloguer.Scaling, standing Standing) []Order {
-	regular := p.regular[pool]
-	base := max(min(p.base, regular, limits.Maximum), limits.Minimum)
+// base is the number of regular upstreams that a pool keeps in any case.
+func (p *Planner) base(limits cataloguer.Scaling) int {
+	return max(min(p.policy.Regular, limits.Maximum), limits.Minimum)
+}
+
+// hasMoved says whether spot upstreams stand in the place of a pool's regular ones.
+func (p *Planner) hasMoved(pool Pool, limits cataloguer.Scaling, s Standing) bool {
+	p.moved[pool] = p.moved[pool] || s.Spot >= p.regular[pool]-p.base(limits)
 
-	if !p.moved[pool] && standing.Spot < min(limits.Maximum-regular, regular-base) {
-		return []Order{{Pool: pool, Spot: true, Count: max(limits.Maximum-regular, 0)}}
-	}
+	return p.moved[pool]
+}
+
+// missing is how many regular upstreams beyond the base ones are needed so that enough stand.
+func (p *Planner) missing(pools []Pool, limits cataloguer.Scaling, standing map[Pool]Standing) int {
+	stands := 0
 
-	p.moved[pool] = true
-	spot := Order{Pool: pool, Spot: true, Count: limits.Maximum - max(base, min(standing.Regular, limits.Maximum))}
+	for _, pool := range pools {
+		if !p.moved[pool] {
+			// Its regular upstreams stay for now.
+			return 0
+		}
+
+		stands += p.base(limits) + standing[pool].Spot
+	}
 
-	return []Order{{Pool: pool, Count: base}, spot}
+	return max(int(math.Ceil(p.policy.LeastPart*float64(limits.Maximum*len(pools))))-stands, 0)
 }
