--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -48,7 +48,9 @@
 		Lease:          settings.Lease,
 		CallsPerSecond: settings.CallsPerSecond,
 		Scales:         settings.Scales(),
-		Policy:         scaler.Policy{Regular: settings.RegularUpstreams, LeastPart: settings.LeastPart},
+		Policy: scaler.Policy{
+			Regular: settings.RegularUpstreams, MostPart: settings.MostPart, LeastPart: settings.LeastPart,
+		},
 		Now:            n.catalog.Now,
 		Logger:         n.logger,
 	}
--- a/internal/gateway/scaler/scaler.go
+++ b/internal/gateway/scaler/scaler.go
@@ -69,6 +69,8 @@
 type Policy struct {
 	// Regular is the number of regular upstreams to keep in each pool beside spot ones.
 	Regular int
+	// MostPart is the part of a pool's maximum that is ordered, 0 to 1, but not less than the regular upstreams that stood there.
+	MostPart float64
 	// LeastPart is the part of a service's maximum over all failure domains that is to stand, 0 to 1. Where spot upstreams
 	// are taken away, regular ones are ordered up to it.
 	LeastPart float64
@@ -148,7 +150,9 @@
 			orders = append(orders, Order{Pool: pool, Count: regular})
 		}
 
-		orders = append(orders, Order{Pool: pool, Spot: true, Count: max(limits.Maximum-max(regular, s.Regular), 0)})
+		most := max(int(math.Ceil(p.policy.MostPart*float64(limits.Maximum))), p.regular[pool])
+		room := limits.Maximum - max(regular, s.Regular)
+		orders = append(orders, Order{Pool: pool, Spot: true, Count: max(min(room, most-p.base(limits)), 0)})
 	}
 
 	return orders
--- a/internal/gateway/scaler/scaler_test.go
+++ b/internal/gateway/scaler/scaler_test.go
@@ -72,7 +72,7 @@
 
 // Guards against a moment with fewer upstreams than before while regular ones are replaced by spot ones.
 func TestReplacementKeepsWhatStands(t *testing.T) {
-	m := newMarket(scaler.Policy{Regular: 1, LeastPart: 0.5}, 30)
+	m := newMarket(scaler.Policy{Regular: 1, MostPart: 1, LeastPart: 0.5}, 30)
 
 	for range 6 {
 		assert.Assert(t, m.step(t) >= 90)
@@ -86,7 +86,7 @@
 // Load: the spot upstreams of two of three failure domains are taken away at once, and no others are to be had. Guards
 // against a service that stays without them for as long.
 func TestRegularUpstreamsReplaceReclaimedOnes(t *testing.T) {
-	m := newMarket(scaler.Policy{Regular: 1, LeastPart: 0.5}, 30)
+	m := newMarket(scaler.Policy{Regular: 1, MostPart: 1, LeastPart: 0.5}, 30)
 
 	for range 6 {
 		m.step(t)
@@ -118,7 +118,7 @@
 func TestNewPlannerStartsFromWhatStands(t *testing.T) {
 	for regular := range 61 {
 		t.Run(fmt.Sprint(regular), func(t *testing.T) {
-			m := newMarket(scaler.Policy{Regular: 1, LeastPart: 0.5}, regular)
+			m := newMarket(scaler.Policy{Regular: 1, MostPart: 1, LeastPart: 0.5}, regular)
 			before := m.total()
 
 			for range 6 {
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -184,6 +184,8 @@
 	OrderUpstreams bool `yaml:"order_upstreams"`
 	// RegularUpstreams are kept in each failure domain beside spot ones.
 	RegularUpstreams int `yaml:"regular_upstreams" validate:"min=0,max=100000"`
+	// MostPart is the part of a service's maximum that is ordered.
+	MostPart float64 `yaml:"most_part" validate:"min=0,max=1"`
 	// LeastPart is the part of a service's maximum over all failure domains that is to stand even where spot upstreams are
 	// taken away.
 	LeastPart float64 `yaml:"least_part" validate:"min=0,max=1"`
@@ -229,7 +231,7 @@
 			KeyLifetime: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
 			Duties: Duties{
 				Lease: 3 * time.Second, CallsPerSecond: 10, UsageWindow: time.Minute, UsageDue: time.Minute, OrderUpstreams: true,
-				LeastPart: 0.5,
+				MostPart: 1, LeastPart: 0.5,
 			},
 		},
 		Log: Log{Level: "info", Format: "keyvalue"},
