--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -34,7 +34,7 @@
 	// leastEjection is how long a server is left out that took no connection or fails nearly all requests.
 	// It doubles with each further time up to mostEjection. Its empty slots would else draw all that waits.
 	leastEjection = 300 * time.Millisecond
-	mostEjection = 2 * time.Second
+	mostEjection  = 2 * time.Second
 	// recentTime is the time constant with which finished long work is forgotten.
 	recentTime = 1500 * time.Millisecond
 	// foreignTime is the time in which the count of foreign requests halves without news.
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -51,8 +51,8 @@
 		Policy: scaler.Policy{
 			Regular: settings.RegularUpstreams, MostPart: settings.MostPart, LeastPart: settings.LeastPart,
 		},
-		Now:            n.catalog.Now,
-		Logger:         n.logger,
+		Now:    n.catalog.Now,
+		Logger: n.logger,
 	}
 
 	if settings.ReportsUsage() {
