--- a/internal/gateway/leader/status.go
+++ b/internal/gateway/leader/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"quincepath.example/quincepath/internal/gateway/collector"
 	"quincepath.example/quincepath/internal/gateway/scaler"
@@ -12,6 +13,8 @@
 	// Holds says that this node holds the duties, under Number.
 	Holds  bool  `json:"holds"`
 	Number int64 `json:"number"`
+	// Since is when the last term of this process began; zero if it had none.
+	Since time.Time `json:"since,omitzero"`
 	// Terms counts the terms of this process.
 	Terms int64            `json:"terms"`
 	Usage collector.Status `json:"usage"`
@@ -39,7 +42,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	s.present.Holds, s.present.Number = true, number
+	s.present.Holds, s.present.Number, s.present.Since = true, number, time.Now()
 	s.present.Terms++
 }
 
