--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,11 +16,14 @@
 	"quincepath.example/quincepath/internal/prober"
 )
 
+// lifeBase keeps the names of processes short, which the account of usage repeats for each node.
+const lifeBase = 36
+
 // mostCandidates is the number of nodes that stand for the platform's duties at once.
 const mostCandidates = 4
 
 func (n *Node) newTallier() *tallier.Tallier {
-	options := tallier.Options{Life: uuid.NewString(), Now: n.catalog.Now, TimeOfDay: time.Now}
+	options := tallier.Options{Life: strconv.FormatUint(rand.Uint64(), lifeBase), Now: n.catalog.Now, TimeOfDay: time.Now}
 
 	if settings := n.settings.Gateway.Duties; settings.ReportsUsage() {
 		options.Window = settings.UsageWindow
@@ -48,11 +53,9 @@
 		Lease:          settings.Lease,
 		CallsPerSecond: settings.CallsPerSecond,
 		Scales:         settings.Scales(),
-		Policy: scaler.Policy{
-			Regular: settings.RegularUpstreams, MostPart: settings.MostPart, LeastPart: settings.LeastPart,
-		},
-		Now:    n.catalog.Now,
-		Logger: n.logger,
+		Policy:         n.scalingPolicy,
+		Now:            n.catalog.Now,
+		Logger:         n.logger,
 	}
 
 	if settings.ReportsUsage() {
@@ -62,6 +65,15 @@
 	n.leader = leader.New(options)
 }
 
+// scalingPolicy returns what is to be kept of upstreams; false while nothing shall be ordered.
+func (n *Node) scalingPolicy() (scaler.Policy, bool) {
+	settings := n.current.Load().Gateway.Duties
+
+	return scaler.Policy{
+		Regular: settings.RegularUpstreams, MostPart: settings.MostPart, LeastPart: settings.LeastPart,
+	}, settings.OrderUpstreams
+}
+
 // isCandidate says whether this node is one of those that should take the duties. Only strong nodes do, in an order that
 // all nodes know; it differs from that of the names, so that the duties don't lie where other work does.
 func (n *Node) isCandidate() bool {
--- a/internal/gateway/leader/authority.go
+++ b/internal/gateway/leader/authority.go
@@ -1,11 +1,6 @@
 package leader
 
-import (
-	"bytes"
-	"io"
-
-	"github.com/cockroachdb/errors"
-)
+import "github.com/cockroachdb/errors"
 
 var errTermOver = errors.New("the term ended before the call left")
 
@@ -15,26 +10,15 @@
 	Holder string
 	// Number is the fencing number.
 	Number int64
-	// Valid is asked right before the first byte leaves; if it returns false the call isn't made.
+	// Valid says whether the term lasts.
 	Valid func() bool
 }
 
-// Guard returns a reader of the data that fails once the authority isn't valid any more. A transport reads a body after it
-// has dialled and before it writes a byte, if header and body fit into its buffer.
-func (a Authority) Guard(data []byte) io.Reader {
-	return &guardedReader{data: bytes.NewReader(data), valid: a.Valid}
-}
-
-type guardedReader struct {
-	data  *bytes.Reader
-	valid func() bool
-}
-
-// Read implements io.Reader.
-func (g *guardedReader) Read(p []byte) (int, error) {
-	if !g.valid() {
-		return 0, errTermOver
+// Check is asked right before the first byte of a call leaves; with an error the call isn't made.
+func (a Authority) Check() error {
+	if !a.Valid() {
+		return errTermOver
 	}
 
-	return g.data.Read(p)
+	return nil
 }
--- a/internal/gateway/leader/leader.go
+++ b/internal/gateway/leader/leader.go
@@ -76,9 +76,10 @@
 	// Window is the length of a window of usage, Due how long after its end its report is due. No usage is reported if
 	// Window is 0.
 	Window, Due time.Duration
-	// Scales says that upstreams are ordered, by Policy.
+	// Scales says that the platform takes orders of upstreams.
 	Scales bool
-	Policy scaler.Policy
+	// Policy returns what is to be kept; false while nothing shall be ordered.
+	Policy func() (scaler.Policy, bool)
 	// Now is a clock that counts suspensions and that nobody sets.
 	Now    func() time.Duration
 	Logger zerolog.Logger
--- a/internal/gateway/leader/scaling.go
+++ b/internal/gateway/leader/scaling.go
@@ -35,22 +35,30 @@
 
 // orderUpstreams orders upstreams until ctx ends or the term is over.
 func (l *Leader) orderUpstreams(ctx context.Context, t *tenure) {
-	planner := scaler.New(l.options.Policy)
+	planner := scaler.New()
 	sent := make(map[subject]ordered)
 
 	for ctx.Err() == nil && !t.Over() {
-		state := l.options.State()
-		if state.Known() && state.Registry.Revision > 0 {
-			standing := scaler.Count(state.Configuration.Services, state.Registry.Upstreams)
-			orders := planner.Plan(state.Configuration.Services, standing)
-			l.status.plan(standing, orders)
+		l.planRound(ctx, t, planner, sent)
+		sleeper.Sleep(ctx, planInterval)
+	}
+}
 
-			for _, order := range orders {
-				l.order(ctx, t, sent, order, standing[order.Pool])
-			}
-		}
+// planRound looks at what stands and sends the orders that are due.
+func (l *Leader) planRound(ctx context.Context, t *tenure, planner *scaler.Planner, sent map[subject]ordered) {
+	policy, on := l.options.Policy()
+	state := l.options.State()
 
-		sleeper.Sleep(ctx, planInterval)
+	if !on || !state.Known() || state.Registry.Revision == 0 {
+		return
+	}
+
+	standing := scaler.Count(state.Configuration.Services, state.Registry.Upstreams)
+	orders := planner.Plan(policy, state.Configuration.Services, standing)
+	l.status.plan(standing, orders)
+
+	for _, order := range orders {
+		l.order(ctx, t, sent, order, standing[order.Pool])
 	}
 }
 
--- a/internal/gateway/leader/usage.go
+++ b/internal/gateway/leader/usage.go
@@ -13,7 +13,9 @@
 
 const (
 	// collectInterval is the time between two questions to all nodes. What a node counted since the last one is lost with it.
+	// It is longer where more than collectRate nodes would be asked in a second.
 	collectInterval = time.Second
+	collectRate     = 200
 	// collectTimeout bounds the answer of a node.
 	collectTimeout = 300 * time.Millisecond
 	// collectWorkers is the number of nodes that are asked at once.
@@ -27,7 +29,7 @@
 	for ctx.Err() == nil && !t.Over() {
 		l.usageRound(ctx, t)
 
-		pause := collectInterval
+		pause := max(collectInterval, time.Duration(len(l.options.Nodes()))*time.Second/collectRate)
 		if left, known := l.usage.Deadline(); known {
 			pause = max(min(pause, left), leastPause)
 		}
--- a/internal/gateway/leader/world_test.go
+++ b/internal/gateway/leader/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -114,7 +113,8 @@
 		Nodes:     m.names,
 		State:     func() *cataloguer.State { return state },
 		Lease:     lease, CallsPerSecond: 50, Window: window, Due: due, Scales: true,
-		Now: m.sinceStart, Logger: zerolog.Nop(),
+		Policy: func() (scaler.Policy, bool) { return scaler.Policy{MostPart: 1}, true },
+		Now:    m.sinceStart, Logger: zerolog.Nop(),
 	})
 
 	m.mu.Lock()
@@ -244,7 +244,7 @@
 		return errCut
 	}
 
-	if _, err := io.ReadAll(authority.Guard([]byte("{}"))); err != nil {
+	if err := authority.Check(); err != nil {
 		return err
 	}
 
--- a/internal/gateway/reloading.go
+++ b/internal/gateway/reloading.go
@@ -95,6 +95,10 @@
 	settings.Gateway.KeyLifetime = loaded.Gateway.KeyLifetime
 	settings.Gateway.RetryRatio = loaded.Gateway.RetryRatio
 	settings.Gateway.RetryExtra = loaded.Gateway.RetryExtra
+	settings.Gateway.Duties.OrderUpstreams = loaded.Gateway.Duties.OrderUpstreams
+	settings.Gateway.Duties.RegularUpstreams = loaded.Gateway.Duties.RegularUpstreams
+	settings.Gateway.Duties.MostPart = loaded.Gateway.Duties.MostPart
+	settings.Gateway.Duties.LeastPart = loaded.Gateway.Duties.LeastPart
 
 	return settings
 }
--- a/internal/gateway/scaler/scaler.go
+++ b/internal/gateway/scaler/scaler.go
@@ -78,6 +78,7 @@
 
 // Planner plans the orders of one holder of the duty. It is not safe for concurrent use.
 type Planner struct {
+	// policy is that of the present plan.
 	policy Policy
 	// regular is the greatest number of regular upstreams that stood in each pool before they were replaced.
 	regular map[Pool]int
@@ -86,14 +87,16 @@
 }
 
 // New returns a planner that has seen nothing.
-func New(policy Policy) *Planner {
-	return &Planner{policy: policy, regular: make(map[Pool]int), moved: make(map[Pool]bool)}
+func New() *Planner {
+	return &Planner{regular: make(map[Pool]int), moved: make(map[Pool]bool)}
 }
 
 // Plan returns the orders that should hold now, in the order of their pools.
-func (p *Planner) Plan(services []cataloguer.Service, standing map[Pool]Standing) []Order {
+func (p *Planner) Plan(policy Policy, services []cataloguer.Service, standing map[Pool]Standing) []Order {
 	var orders []Order
 
+	p.policy = policy
+
 	for pool, s := range standing {
 		if !p.moved[pool] {
 			p.regular[pool] = max(p.regular[pool], s.Regular)
--- a/internal/gateway/scaler/scaler_test.go
+++ b/internal/gateway/scaler/scaler_test.go
@@ -13,6 +13,7 @@
 // market is a platform that carries out orders at once, within the limits, unless there are no spot upstreams.
 type market struct {
 	planner  *scaler.Planner
+	policy   scaler.Policy
 	services []cataloguer.Service
 	standing map[scaler.Pool]scaler.Standing
 	dry      bool
@@ -21,7 +22,8 @@
 func newMarket(policy scaler.Policy, regular int) *market {
 	spot := 0.15
 	m := &market{
-		planner: scaler.New(policy),
+		planner: scaler.New(),
+		policy:  policy,
 		services: []cataloguer.Service{{Name: "engines", Scaling: &cataloguer.Scaling{
 			Minimum: 1, Maximum: 60, SpotPrice: &spot, DomainPrices: map[string]float64{"a": 0.85, "b": 1.2, "c": 1},
 		}}, {Name: "calls"}},
@@ -43,7 +45,7 @@
 func (m *market) step(t *testing.T) int {
 	t.Helper()
 
-	for _, order := range m.planner.Plan(m.services, m.standing) {
+	for _, order := range m.planner.Plan(m.policy, m.services, m.standing) {
 		s := m.standing[order.Pool]
 
 		switch {
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -196,9 +196,9 @@
 	return d.Address != "" && slices.Contains(d.Kinds, "usage")
 }
 
-// Scales says whether upstreams are to be ordered.
+// Scales says whether the platform takes orders of upstreams.
 func (d Duties) Scales() bool {
-	return d.Address != "" && d.OrderUpstreams && slices.Contains(d.Kinds, "scale")
+	return d.Address != "" && slices.Contains(d.Kinds, "scale")
 }
 
 // Enabled says whether the node is a gateway.
@@ -231,7 +231,7 @@
 			KeyLifetime: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
 			Duties: Duties{
 				Lease: 3 * time.Second, CallsPerSecond: 10, UsageWindow: time.Minute, UsageDue: time.Minute, OrderUpstreams: true,
-				MostPart: 1, LeastPart: 0.5,
+				MostPart: 1, LeastPart: 0.75,
 			},
 		},
 		Log: Log{Level: "info", Format: "keyvalue"},
