--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -364,6 +364,52 @@
 	}
 }
 
+// Guards against usage that counts a request for each of its attempts, or leaves out one that ran and failed.
+func TestUsageCountsARequestOnceIfItMayHaveRun(t *testing.T) {
+	tests := map[string]struct {
+		path  string
+		first http.HandlerFunc
+		want  int
+	}{
+		"served":            {"/price/1", answers(http.StatusOK, "whole"), 1},
+		"failed and sent":   {"/price/1", answers(http.StatusInternalServerError, "oh"), 1},
+		"broken and sent":   {"/price/1", breaks, 1},
+		"failed for good":   {"/book/1", answers(http.StatusInternalServerError, "oh"), 1},
+		"refused and sent":  {"/book/1", refuses(http.StatusServiceUnavailable), 1},
+		"answer was lost":   {"/book/1", breaks, 1},
+		"key of nobody":     {"/price/1", nil, 0},
+		"refused elsewhere": {"/price/1", refuses(http.StatusServiceUnavailable), 0},
+	}
+
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 10)
+
+			if test.first != nil {
+				w.add(test.first)
+			}
+
+			if test.want > 0 {
+				w.add(answers(http.StatusOK, "whole"))
+			}
+
+			_, _, err := w.send(test.path, func(r *http.Request) {
+				if test.first == nil {
+					r.Header.Set("Authorization", "Token other")
+				}
+			})
+			assert.NilError(t, err)
+
+			total := 0
+			for _, count := range w.usage.counts {
+				total += count
+			}
+
+			assert.Equal(t, total, test.want)
+		})
+	}
+}
+
 func TestUpstreamsOwnFailureIsPassedOnWhenNothingElseIsLeft(t *testing.T) {
 	w := newWorld(t, 10)
 	w.add(answers(http.StatusInternalServerError, "first"))
