--- a/internal/gateway/leader/leader_test.go
+++ b/internal/gateway/leader/leader_test.go
@@ -48,14 +48,14 @@
 
 	play(t, func(t *testing.T, ctx context.Context) {
 		w := newWorld(machines...)
-		for _, name := range machines {
-			w.machines[name].begin(ctx, name)
-		}
-
 		// One of six clocks is off all the time, and another one steps.
 		w.machines["b"].step, w.machines["b"].stepped = 2*time.Second, time.Now().Add(time.Hour)
 		w.machines["c"].step, w.machines["c"].stepped = -2*time.Second, time.Now().Add(17*time.Second)
 
+		for _, name := range machines {
+			w.machines[name].begin(ctx, name)
+		}
+
 		time.Sleep(3 * time.Second)
 
 		for i := range 4_000 {
