--- a/internal/gateway/collector/collector.go
+++ b/internal/gateway/collector/collector.go
@@ -65,14 +65,14 @@
 	// offset is the true time since 1970 less Now; valid if timed is true.
 	offset time.Duration
 	timed  bool
-	// answered holds the last answer of each node.
-	answered map[string]answered
+	// answers holds the last answer of each node.
+	answers map[string]answer
 	// heard is when a batch of each life last came.
 	heard map[string]time.Duration
 }
 
-// answered is the last answer of a node.
-type answered struct {
+// answer is the last answer of a node.
+type answer struct {
 	life string
 	// at is when it was asked for, or when the node was read from the account if it never answered this collector.
 	at    time.Duration
@@ -83,7 +83,7 @@
 func New(options Options) *Collector {
 	return &Collector{
 		options: options,
-		clocks:  make(map[string]clock), answered: make(map[string]answered), heard: make(map[string]time.Duration),
+		clocks:  make(map[string]clock), answers: make(map[string]answer), heard: make(map[string]time.Duration),
 	}
 }
 
@@ -115,8 +115,8 @@
 			c.heard[name] = now
 		}
 
-		if _, known := c.answered[run.Node]; !known {
-			c.answered[run.Node] = answered{life: name, at: now, never: true}
+		if _, known := c.answers[run.Node]; !known {
+			c.answers[run.Node] = answer{life: name, at: now, never: true}
 		}
 	}
 
@@ -128,7 +128,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	life := c.answered[node].life
+	life := c.answers[node].life
 	params := tallier.CollectParams{Life: life, Kept: c.kept.Lives[life].Sequence}
 
 	if c.timed {
@@ -139,22 +139,22 @@
 }
 
 // Take takes in a node's answer to a question that was asked at the given time.
-func (c *Collector) Take(node string, asked time.Duration, answer tallier.CollectAnswer) {
+func (c *Collector) Take(node string, asked time.Duration, told tallier.CollectAnswer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
 	now := c.options.Now()
-	c.clocks[node] = clock{offset: time.Duration(answer.TimeMS)*time.Millisecond - (asked+now)/2, readAt: now}
-	c.answered[node] = answered{life: answer.Life, at: asked}
-	c.heard[answer.Life] = now
+	c.clocks[node] = clock{offset: time.Duration(told.TimeMS)*time.Millisecond - (asked+now)/2, readAt: now}
+	c.answers[node] = answer{life: told.Life, at: asked}
+	c.heard[told.Life] = now
 
 	if !c.loaded {
 		return
 	}
 
-	before := c.present.Lives[answer.Life].Sequence
-	c.present.add(node, answer)
-	c.changed = c.changed || c.present.Lives[answer.Life].Sequence != before
+	before := c.present.Lives[told.Life].Sequence
+	c.present.add(node, told)
+	c.changed = c.changed || c.present.Lives[told.Life].Sequence != before
 }
 
 // SetTime finds the true time where more than half of so many nodes have told theirs.
@@ -208,7 +208,7 @@
 
 // awaitsLocked says whether a node that may hold counts has not answered a question asked since; c.mu is held.
 func (c *Collector) awaitsLocked(now, since time.Duration) bool {
-	for _, last := range c.answered {
+	for _, last := range c.answers {
 		if (last.never || last.at < since) && now-last.at < 2*c.options.Window {
 			return true
 		}
@@ -289,9 +289,9 @@
 		}
 	}
 
-	for node, last := range c.answered {
+	for node, last := range c.answers {
 		if now-last.at > lifeTime {
-			delete(c.answered, node)
+			delete(c.answers, node)
 		}
 	}
 }
--- /dev/null
+++ b/internal/gateway/collector/collector_test.go
@@ -0,0 +1,120 @@
+package collector_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/gateway/collector"
+	"quincepath.example/quincepath/internal/gateway/tallier"
+	"quincepath.example/quincepath/internal/standin/keeper"
+)
+
+const (
+	window = 5 * time.Second
+	due    = 10 * time.Second
+	// first is a window that begins at the clock's zero.
+	first = 200_000
+)
+
+// fleet is a store, nodes and their common clock.
+type fleet struct {
+	store    *keeper.Store
+	now      time.Duration
+	talliers map[string]*tallier.Tallier
+}
+
+func newFleet(names ...string) *fleet {
+	f := &fleet{store: keeper.NewStore(keeper.StoreOptions{}), talliers: make(map[string]*tallier.Tallier)}
+	for _, name := range names {
+		f.talliers[name] = tallier.New(tallier.Options{
+			Life: name + ".1", Window: window, Now: func() time.Duration { return f.now }, TimeOfDay: f.timeOfDay,
+		})
+	}
+
+	return f
+}
+
+func (f *fleet) timeOfDay() time.Time {
+	return time.Unix(0, 0).Add(first*window + f.now)
+}
+
+func (f *fleet) collector(t *testing.T) *collector.Collector {
+	t.Helper()
+
+	c := collector.New(collector.Options{
+		Store: keeper.NewLocal(f.store, nil), Window: window, Due: due, Now: func() time.Duration { return f.now },
+	})
+	assert.NilError(t, c.Load(t.Context()))
+
+	return c
+}
+
+// round asks the named nodes and closes and saves what it can.
+func (f *fleet) round(t *testing.T, c *collector.Collector, names ...string) error {
+	t.Helper()
+
+	for _, name := range names {
+		c.Take(name, f.now, f.talliers[name].Collect(c.Question(name)))
+	}
+
+	c.SetTime(len(f.talliers))
+	c.Close()
+
+	return c.Save(t.Context())
+}
+
+// Guards against a report without the counts of a node that is cut off for a moment, and against one that waits for it too long.
+func TestWindowWaitsForNodesThatHoldCounts(t *testing.T) {
+	f := newFleet("a", "b", "c")
+	c := f.collector(t)
+	assert.NilError(t, f.round(t, c, "a", "b", "c"))
+	f.talliers["c"].Count("salon", 0)
+
+	f.now = window + time.Second
+	assert.NilError(t, f.round(t, c, "a", "b"))
+	assert.Equal(t, len(c.Due()), 0)
+
+	f.now = window + 3*time.Second
+	assert.NilError(t, f.round(t, c, "a", "b", "c"))
+	assert.DeepEqual(t, c.Due(), []collector.Report{{Window: first, Counts: map[string]int64{"salon": 1}}})
+	c.Sent(first)
+
+	f.now = 2*window + 7*time.Second
+	assert.NilError(t, f.round(t, c, "a", "b"))
+	assert.DeepEqual(t, c.Due(), []collector.Report{{Window: first + 1, Counts: map[string]int64{}}})
+}
+
+// Guards against a window that two nodes close with different counts.
+func TestSecondWriterTakesWhatTheFirstHasWritten(t *testing.T) {
+	f := newFleet("a", "b")
+	one, other := f.collector(t), f.collector(t)
+	assert.NilError(t, f.round(t, one, "a", "b"))
+	f.talliers["a"].Count("salon", 0)
+	f.talliers["b"].Count("salon", 0)
+
+	f.now = window + time.Second
+	assert.ErrorIs(t, f.round(t, other, "a"), collector.ErrReplaced)
+	assert.Equal(t, len(other.Due()), 0)
+	assert.NilError(t, f.round(t, one, "a", "b"))
+
+	assert.NilError(t, other.Load(t.Context()))
+	assert.DeepEqual(t, other.Due(), one.Due())
+	assert.DeepEqual(t, one.Due(), []collector.Report{{Window: first, Counts: map[string]int64{"salon": 2}}})
+}
+
+// Guards against true time by one clock, or by fewer clocks than half.
+func TestTimeIsThatOfMostNodes(t *testing.T) {
+	f := newFleet("a", "b", "c", "d")
+	c := f.collector(t)
+	assert.NilError(t, f.round(t, c, "a", "b"))
+
+	_, known := c.Deadline()
+	assert.Assert(t, !known)
+
+	assert.NilError(t, f.round(t, c, "a", "b", "c"))
+
+	_, known = c.Deadline()
+	assert.Assert(t, known)
+}
--- a/internal/gateway/leader/leader.go
+++ b/internal/gateway/leader/leader.go
@@ -201,7 +201,7 @@
 }
 
 // call makes one call of the platform under the term, if the term and the rate allow it.
-func (l *Leader) call(ctx context.Context, t *tenure, make func(ctx context.Context) error) error {
+func (l *Leader) call(ctx context.Context, t *tenure, send func(ctx context.Context) error) error {
 	if l.options.Now() < t.settled || !t.Valid() {
 		return errNotYet
 	}
@@ -214,7 +214,7 @@
 	ctx, cancel := context.WithTimeout(ctx, min(callTimeout, t.Left()))
 	defer cancel()
 
-	err := make(ctx)
+	err := send(ctx)
 
 	switch {
 	case err == nil || errors.Is(err, ErrUnavailable):
