--- a/internal/gateway/balancer/failing_test.go
+++ b/internal/gateway/balancer/failing_test.go
@@ -57,19 +57,7 @@
 }
 
 func (f *failingPool) settleGrants(now time.Time) {
-	left := f.active[:0]
-
-	for _, v := range f.active {
-		if now.Before(v.end) {
-			left = append(left, v)
-
-			continue
-		}
-
-		f.pool.End(now, v.id, balancer.Served)
-	}
-
-	f.active = left
+	f.endDue(now)
 
 	for _, g := range f.pool.Next(now) {
 		if !g.Refused {
--- a/internal/gateway/balancer/overload_test.go
+++ b/internal/gateway/balancer/overload_test.go
@@ -46,8 +46,8 @@
 	s.active = append(s.active, visit{id: id, end: now.Add(length)})
 }
 
-// finish ends what is over and gives the room to what waits.
-func (s *shop) finish(now time.Time) {
+// endDue ends what is over.
+func (s *shop) endDue(now time.Time) {
 	left := s.active[:0]
 
 	for _, v := range s.active {
@@ -61,6 +61,11 @@
 	}
 
 	s.active = left
+}
+
+// finish ends what is over and gives the room to what waits.
+func (s *shop) finish(now time.Time) {
+	s.endDue(now)
 
 	for _, g := range s.pool.Next(now) {
 		if g.Refused {
--- a/internal/gateway/leader/leader_test.go
+++ b/internal/gateway/leader/leader_test.go
@@ -18,7 +18,7 @@
 
 		for i := range 6 {
 			machine := w.awaitAct()
-			machine.leave()
+			machine.end(false)
 			machine.begin(ctx, fmt.Sprintf("%s.%d", machine.name, i+1))
 		}
 
@@ -129,7 +129,7 @@
 				time.Sleep(2100 * time.Millisecond)
 
 				for _, machine := range killed {
-					w.machines[machine].kill()
+					w.machines[machine].end(true)
 				}
 
 				time.Sleep(500 * time.Millisecond)
--- a/internal/gateway/leader/property_test.go
+++ b/internal/gateway/leader/property_test.go
@@ -44,7 +44,7 @@
 	}
 
 	until := time.Now().Add(e.length)
-	again := func() {
+	restart := func() {
 		time.AfterFunc(e.length, func() {
 			if ctx.Err() == nil {
 				m.begin(ctx, life)
@@ -53,12 +53,9 @@
 	}
 
 	switch e.kind {
-	case "kill":
-		m.kill()
-		again()
-	case "leave":
-		m.leave()
-		again()
+	case "kill", "leave":
+		m.end(e.kind == "kill")
+		restart()
 	default:
 		w.mu.Lock()
 		defer w.mu.Unlock()
--- a/internal/gateway/leader/world_test.go
+++ b/internal/gateway/leader/world_test.go
@@ -308,14 +308,14 @@
 	return w.machines[other]
 }
 
-// kill ends the process of a machine at once.
-func (m *machine) kill() {
+// end ends the process of a machine: at once if it is killed, else in an orderly way.
+func (m *machine) end(killed bool) {
 	m.mu.Lock()
 	p := m.process
 	m.process = nil
 
 	if p != nil {
-		p.dead = true
+		p.dead = killed
 	}
 	m.mu.Unlock()
 
@@ -324,18 +324,6 @@
 	}
 }
 
-// leave ends the process of a machine in an orderly way.
-func (m *machine) leave() {
-	m.mu.Lock()
-	p := m.process
-	m.process = nil
-	m.mu.Unlock()
-
-	if p != nil {
-		p.stop()
-	}
-}
-
 // play runs a world until do returns, and then ends all processes.
 func play(t *testing.T, do func(t *testing.T, ctx context.Context)) {
 	t.Helper()
