Chooser: several nodes for a name in one pass

Several made a chooser of all remaining nodes for each node that it returned, with a map of them. The choice is the same (TestSeveralAreThoseChosenOneAfterTheOther compares both ways; holders must not differ between nodes of two versions).

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -14,14 +14,22 @@
 // Chooser chooses among fixed nodes. It is immutable, so safe for concurrent use.
 type Chooser struct {
 	nodes []string
-	table *rendezvous.Rendezvous
+	// hashes are those of the nodes, in their order.
+	hashes []uint64
+	table  *rendezvous.Rendezvous
 }
 
 // New returns a chooser among the nodes, whose order doesn't matter.
 func New(nodes []string) *Chooser {
 	nodes = slices.Clone(nodes)
 
-	return &Chooser{nodes: nodes, table: rendezvous.New(nodes, xxhash.Sum64String)}
+	hashes := make([]uint64, len(nodes))
+
+	for i, node := range nodes {
+		hashes[i] = xxhash.Sum64String(node)
+	}
+
+	return &Chooser{nodes: nodes, hashes: hashes, table: rendezvous.New(nodes, xxhash.Sum64String)}
 }
 
 // Among returns a chooser among other nodes: c itself when they are the same in
@@ -42,17 +50,44 @@
 // Several returns up to count different nodes for a name, that of Choose first.
 // If one of them goes, the others stay chosen.
 func (c *Chooser) Several(name string, count int) []string {
-	var chosen []string
+	type ranked struct {
+		node  string
+		score uint64
+	}
+
+	best := make([]ranked, 0, count+1)
+	key := xxhash.Sum64String(name)
 
-	rest := c
+	for i, node := range c.nodes {
+		next := ranked{node: node, score: score(key ^ c.hashes[i])}
+		if len(best) == count && (count == 0 || next.score <= best[count-1].score) {
+			continue
+		}
 
-	for len(chosen) < count && len(rest.nodes) > 0 {
-		next := rest.Choose(name)
-		chosen = append(chosen, next)
+		place := len(best)
+		for place > 0 && best[place-1].score < next.score {
+			place--
+		}
 
-		// The library's Remove indexes past the end of its nodes, so the table is made anew.
-		rest = New(slices.DeleteFunc(slices.Clone(rest.nodes), func(v string) bool { return v == next }))
+		best = slices.Insert(best, place, next)
+		best = best[:min(len(best), count)]
+	}
+
+	chosen := make([]string, 0, len(best))
+	for _, b := range best {
+		chosen = append(chosen, b.node)
 	}
 
 	return chosen
 }
+
+// score is the library's rank of a node for a name, from the hashes of both. Several has to agree with Choose.
+func score(x uint64) uint64 {
+	const multiplier = 2685821657736338717
+
+	x ^= x >> 12
+	x ^= x << 25
+	x ^= x >> 27
+
+	return x * multiplier
+}
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -1,6 +1,7 @@
 package chooser
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -35,3 +36,29 @@
 		}
 	})
 }
+
+// Guards against holders on which nodes disagree: several nodes must be those that are chosen one after the other.
+func TestSeveralAreThoseChosenOneAfterTheOther(t *testing.T) {
+	for size := range 12 {
+		var nodes []string
+		for i := range size {
+			nodes = append(nodes, fmt.Sprint("node", i))
+		}
+
+		for i := range 200 {
+			name := fmt.Sprint("pool", i)
+			rest := slices.Clone(nodes)
+
+			var want []string
+
+			for len(want) < 8 && len(rest) > 0 {
+				next := New(rest).Choose(name)
+				want = append(want, next)
+				rest = slices.DeleteFunc(rest, func(node string) bool { return node == next })
+			}
+
+			got := New(nodes).Several(name, 8)
+			assert.Assert(t, slices.Equal(got, want), "%d nodes, %s: %v, want %v", size, name, got, want)
+		}
+	}
+}
