--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -24,17 +24,6 @@
 	// speedRecovery is the time in which a learned slowness halves without new observations, so that a
 	// server that was avoided as slow gets another chance.
 	speedRecovery = 4 * time.Second
-	// failureRecovery is the time in which the share of failures halves.
-	failureRecovery = 2 * time.Second
-	failureGain     = 0.25
-	// failingPart is the share of failures from which a server is left out, ejectedPart the greatest part of a pool's servers
-	// that is left out for it.
-	failingPart = 0.7
-	ejectedPart = 1.0 / 3
-	// leastEjection is how long a server is left out that took no connection or fails nearly all requests.
-	// It doubles with each further time up to mostEjection. Its empty slots would else draw all that waits.
-	leastEjection = 300 * time.Millisecond
-	mostEjection  = 2 * time.Second
 	// recentTime is the time constant with which finished long work is forgotten.
 	recentTime = 1500 * time.Millisecond
 	// foreignTime is the time in which the count of foreign requests halves without news.
@@ -357,56 +346,6 @@
 	s.judge(outcome, now, mayEject)
 }
 
-// judge learns from how a request ended. A server that fails nearly all of its requests is left out if it may be.
-func (s *server) judge(outcome Outcome, now time.Time, mayEject bool) {
-	failed := 0.0
-
-	switch outcome {
-	case Abandoned:
-		return
-	case Failed, Rejected:
-		failed = 1
-	case Unreachable:
-		failed = 1
-		// Attempts that failed together count once.
-		s.ejectLonger(now)
-	case Replaced:
-		// A server that crashed and started again is listed under its old id until its lease ends, seconds
-		// later. Meanwhile it answers at once that it isn't the one that was meant: with its empty slots it
-		// would draw, and refuse, all that waits.
-		failed = 1
-		s.eject(now, mostEjection)
-	case Served:
-		s.ejectedFor = 0
-	}
-
-	s.failures = (1-failureGain)*s.failuresNow(now) + failureGain*failed
-	s.failedAt = now
-
-	// The places of a server that fails at once are always free, so that it would draw all that waits for the others.
-	if outcome == Failed && mayEject && (s.ejectedFor > 0 || s.failures > failingPart) {
-		s.ejectLonger(now)
-	}
-}
-
-// ejectLonger leaves the server out for twice as long as the last time.
-func (s *server) ejectLonger(now time.Time) {
-	if now.After(s.ejectedUntil) {
-		s.eject(now, min(max(2*s.ejectedFor, leastEjection), mostEjection))
-	}
-}
-
-// onTrial says whether the server was left out and has answered nothing since.
-func (s *server) onTrial() bool {
-	return s.ejectedFor > 0
-}
-
-// eject keeps new requests from the server for a span of time.
-func (s *server) eject(now time.Time, span time.Duration) {
-	s.ejectedFor = span
-	s.ejectedUntil = now.Add(span)
-}
-
 func milliseconds(d time.Duration) float64 {
 	return float64(d) / float64(time.Millisecond)
 }
