Fencer: say rightly what it asks of a store

The comment on Txn held for all callers, but the orderer compares values on the same store too. The platform's adapter takes only what package fencer and the collector use. A comment only; tests of orderer, leader and collector pass.

--- a/internal/fencer/fencer.go
+++ b/internal/fencer/fencer.go
@@ -23,7 +23,8 @@
 // Store is the part of the platform's key-value service that terms need. Its errors are those of package storer.
 type Store interface {
 	Get(ctx context.Context, key string) (storer.KeyValue, int64, error)
-	// Txn is called with compares of creation and modification revisions and with puts only.
+	// Txn is called here with compares of modification revisions, of a creation with 0, and with puts only. A store that is
+	// used for terms alone needs to support no others.
 	Txn(ctx context.Context, t storer.Txn) (storer.TxnResult, error)
 	Grant(ctx context.Context, length time.Duration) (int64, error)
 	KeepAlive(ctx context.Context, lease int64) (time.Duration, error)
