--- a/internal/gateway/relayer/headers.go
+++ b/internal/gateway/relayer/headers.go
@@ -32,6 +32,8 @@
 	Load string
 	// Leaving marks the responses of an upstream that is shutting down and accepts no further requests.
 	Leaving string
+	// RateLimit is the number of requests per second that an upstream accepts from all nodes together.
+	RateLimit string
 	// NotRun marks an upstream's response to a request that it did not run.
 	NotRun string
 	// Reserved lists further headers that only nodes may set.
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -41,6 +41,8 @@
 	maxDeclined = 4
 	// maxLateLogsPerSecond limits the log lines about late requests.
 	maxLateLogsPerSecond = 20
+	// maxLimitLogsPerSecond limits the log lines about rate limits that upstreams name.
+	maxLimitLogsPerSecond = 5
 	// writeGrace is how long writing a response to the caller may continue after the request's deadline.
 	writeGrace = time.Second
 )
@@ -108,6 +110,8 @@
 	avoidList *avoidList
 	// lateLogger samples the log lines about late requests: under overload nearly all are late, and some lines suffice.
 	lateLogger zerolog.Logger
+	// limitLogger samples the log lines about rate limits that upstreams name, as each of their responses names them.
+	limitLogger zerolog.Logger
 	// bodyBytes is the current size of all request bodies in memory.
 	bodyBytes atomic.Int64
 	// inFlight is the number of requests being handled.
@@ -116,9 +120,17 @@
 
 // New returns a Relayer without known upstream activity.
 func New(options Options) *Relayer {
-	sampler := &zerolog.BurstSampler{Burst: maxLateLogsPerSecond, Period: time.Second}
+	sample := func(perSecond uint32) zerolog.Logger {
+		return options.Logger.Sample(&zerolog.BurstSampler{Burst: perSecond, Period: time.Second})
+	}
 
-	return &Relayer{options: options, activity: newActivityTracker(), avoidList: newAvoidList(), lateLogger: options.Logger.Sample(sampler)}
+	return &Relayer{
+		options:     options,
+		activity:    newActivityTracker(),
+		avoidList:   newAvoidList(),
+		lateLogger:  sample(maxLateLogsPerSecond),
+		limitLogger: sample(maxLimitLogsPerSecond),
+	}
 }
 
 // InFlight returns the number of requests being handled.
