--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -150,7 +150,7 @@
 
 	ended = make(chan error, 1)
 	protocol := gateway.Protocol{
-		Headers:       relayer.Headers{RequestID: "X-Id", Signature: "X-Signature", Authorization: "Authorization"},
+		Headers:       relayer.Headers{RequestID: "X-Id", Signature: "X-Signature", Authorization: "Authorization", RateLimit: "X-Limit"},
 		ReadyPath:     "/ready",
 		EntriesPath:   "/entries",
 		EncodeEntries: encode,
