--- a/internal/gateway/broker/limiting_test.go
+++ b/internal/gateway/broker/limiting_test.go
@@ -88,7 +88,7 @@
 
 	for i := range upstreams {
 		f.upstreams = append(f.upstreams, &limitedUpstream{})
-		f.state.Registry.Upstreams = append(f.state.Registry.Upstreams, cataloguer.Upstream{ID: fmt.Sprint("u", i), Service: service, Slots: 1000})
+		f.state.Registry.Upstreams = append(f.state.Registry.Upstreams, cataloguer.Upstream{ID: fmt.Sprint("u", i), Born: 1, Service: service, Slots: 1000})
 	}
 
 	for range nodes {
@@ -699,3 +699,96 @@
 
 	return 6
 }
+
+// Guards against a limit that nodes don't follow when it changes or ends, or when its upstream starts anew.
+func TestChangedRateIsFollowed(t *testing.T) {
+	withLimitFleet(t, 1, 9, 1, func(t *testing.T, f *limitFleet) {
+		got := func(perSecond float64, d time.Duration) float64 {
+			before := f.count(0)
+			f.run(perSecond, d)
+
+			return float64(f.count(0)-before) / d.Seconds()
+		}
+
+		f.setRate(0, 10)
+		f.run(60, limitSettlingTime)
+		assert.Assert(t, got(60, 10*time.Second) > 9)
+
+		f.setRate(0, 2)
+		f.run(60, limitSettlingTime)
+		assert.Assert(t, got(60, 10*time.Second) < 2.5)
+
+		f.setRate(0, 20)
+		f.run(60, limitSettlingTime)
+		assert.Assert(t, got(60, 10*time.Second) > 17)
+
+		f.setRate(0, 0)
+		f.run(60, limitSettlingTime)
+		assert.Assert(t, got(60, 10*time.Second) > 50)
+
+		f.setRate(0, 0.2)
+		f.run(60, limitSettlingTime)
+
+		// The server starts anew.
+		f.mu.Lock()
+		f.state.Registry.Upstreams = slices.Clone(f.state.Registry.Upstreams)
+		f.state.Registry.Upstreams[0].Born = 7
+		f.upstreams[0].rate = 0
+		f.mu.Unlock()
+
+		time.Sleep(2 * storeDelay)
+		assert.Assert(t, got(60, 10*time.Second) > 50)
+	})
+}
+
+// Guards against callers that are told to come back before the limits admit them, or are not told when.
+func TestRefusedRequestIsToldWhenTheLimitsAdmitIt(t *testing.T) {
+	withLimitFleet(t, 1, 6, 2, func(t *testing.T, f *limitFleet) {
+		f.setRate(0, 0.25)
+		f.setRate(1, 0.25)
+		f.run(40, limitSettlingTime)
+
+		f.mu.Lock()
+		f.refusals, f.waits = 0, nil
+		f.mu.Unlock()
+
+		f.run(40, 10*time.Second)
+
+		for _, wait := range f.waits {
+			assert.Assert(t, wait > 0)
+			// Each upstream admits a request every four seconds. Only requests that get one within 300 ms wait; this one goes
+			// after them.
+			assert.Assert(t, wait <= 4300, "%v ms", wait)
+		}
+
+		assert.Assert(t, len(f.waits) > 300)
+
+		// After the longest wait that was told, a request is admitted.
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, f.send(f.nodes[0]))
+	})
+}
+
+// Guards against a node that uses a choice by a holder which doesn't know of the limit.
+func TestChoiceWithoutTheLimitIsNotUsed(t *testing.T) {
+	withLimitFleet(t, 1, 3, 1, func(t *testing.T, f *limitFleet) {
+		n := f.nodes[0]
+		choice, ok := n.Choose(f.ctx, service, balancer.Request{ID: "a", TimeLimit: time.Second})
+		assert.Assert(t, ok && choice.Limit == nil)
+
+		_, changed := n.RecordRateLimit("a", 2, true)
+		assert.Assert(t, changed)
+		assert.Assert(t, !n.MayUse(choice))
+		n.RecordEnd("a", balancer.Served)
+		time.Sleep(time.Second)
+
+		choice, ok = n.Choose(f.ctx, service, balancer.Request{ID: "b", TimeLimit: time.Second})
+		assert.Assert(t, ok && choice.Limit.PerSecond == 2)
+		assert.Assert(t, n.MayUse(choice))
+
+		// A frozen node would send what was admitted long ago.
+		time.Sleep(1100 * time.Millisecond)
+		assert.Assert(t, !n.MayUse(choice))
+		assert.DeepEqual(t, n.LimitCounters(), throttler.Counters{Active: 1, Named: 1, Changed: 1, Declined: 1, Expired: 1})
+	})
+}
