--- a/internal/gateway/balancer/limiting.go
+++ b/internal/gateway/balancer/limiting.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"quincepath.example/quincepath/internal/gateway/throttler"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 // noShareWait is how long a request has to wait if this node may use no part of the limits: after that time a node that
--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"quincepath.example/quincepath/internal/gateway/estimator"
-	"quincepath.example/quincepath/internal/gateway/throttler"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 const (
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -7,7 +7,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"quincepath.example/quincepath/internal/gateway/estimator"
-	"quincepath.example/quincepath/internal/gateway/throttler"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 const (
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -21,7 +21,7 @@
 	"quincepath.example/quincepath/internal/gateway/balancer"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/estimator"
-	"quincepath.example/quincepath/internal/gateway/throttler"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 const (
--- a/internal/gateway/broker/limiting.go
+++ b/internal/gateway/broker/limiting.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"quincepath.example/quincepath/internal/gateway/balancer"
-	"quincepath.example/quincepath/internal/gateway/throttler"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 // RecordRateLimit implements relayer.Chooser.
--- a/internal/gateway/broker/limiting_test.go
+++ b/internal/gateway/broker/limiting_test.go
@@ -18,8 +18,8 @@
 	"quincepath.example/quincepath/internal/gateway/balancer"
 	"quincepath.example/quincepath/internal/gateway/broker"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
-	"quincepath.example/quincepath/internal/gateway/throttler"
 	"quincepath.example/quincepath/internal/sleeper"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 const (
--- a/internal/gateway/broker/outbox.go
+++ b/internal/gateway/broker/outbox.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"quincepath.example/quincepath/internal/gateway/balancer"
-	"quincepath.example/quincepath/internal/gateway/throttler"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 // chooseParams and the types below are the messages between nodes. Their JSON keys are short because of the volume.
--- a/internal/gateway/cataloguer/catalog.go
+++ b/internal/gateway/cataloguer/catalog.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"quincepath.example/quincepath/internal/gateway/throttler"
 	"quincepath.example/quincepath/internal/quarantiner"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 // outageGracePeriod is how long upstreams that are missing after a store outage are retained. Entries that expired
--- a/internal/gateway/cataloguer/change.go
+++ b/internal/gateway/cataloguer/change.go
@@ -7,8 +7,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"quincepath.example/quincepath/internal/gateway/throttler"
 	"quincepath.example/quincepath/internal/quarantiner"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 // ListDelta is the difference between two lists of named entries.
--- a/internal/gateway/cataloguer/types.go
+++ b/internal/gateway/cataloguer/types.go
@@ -8,8 +8,8 @@
 	"slices"
 	"time"
 
-	"quincepath.example/quincepath/internal/gateway/throttler"
 	"quincepath.example/quincepath/internal/quarantiner"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 // Kind classifies requests by whether they may be repeated.
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -24,8 +24,8 @@
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/packer"
-	"quincepath.example/quincepath/internal/gateway/throttler"
 	"quincepath.example/quincepath/internal/quarantiner"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 // tickInterval is how often a node checks for due work.
--- a/internal/gateway/follower/store_reading.go
+++ b/internal/gateway/follower/store_reading.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
-	"quincepath.example/quincepath/internal/gateway/throttler"
 	"quincepath.example/quincepath/internal/quarantiner"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 const (
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,13 +27,13 @@
 	"quincepath.example/quincepath/internal/gateway/relayer"
 	"quincepath.example/quincepath/internal/gateway/router"
 	"quincepath.example/quincepath/internal/gateway/tallier"
-	"quincepath.example/quincepath/internal/gateway/throttler"
 	"quincepath.example/quincepath/internal/heartbeater"
 	"quincepath.example/quincepath/internal/loader"
 	"quincepath.example/quincepath/internal/messenger"
 	"quincepath.example/quincepath/internal/meter"
 	"quincepath.example/quincepath/internal/prober"
 	"quincepath.example/quincepath/internal/quarantiner"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 const (
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -21,9 +21,9 @@
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/follower"
 	"quincepath.example/quincepath/internal/gateway/relayer"
-	"quincepath.example/quincepath/internal/gateway/throttler"
 	"quincepath.example/quincepath/internal/loader"
 	"quincepath.example/quincepath/internal/quarantiner"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 // store is a fake of the platform's store.
--- a/internal/gateway/rate_limits.go
+++ b/internal/gateway/rate_limits.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"quincepath.example/quincepath/internal/gateway/throttler"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 const (
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -23,9 +23,9 @@
 	"quincepath.example/quincepath/internal/gateway/dialer"
 	"quincepath.example/quincepath/internal/gateway/relayer"
 	"quincepath.example/quincepath/internal/gateway/router"
-	"quincepath.example/quincepath/internal/gateway/throttler"
 	"quincepath.example/quincepath/internal/meter"
 	"quincepath.example/quincepath/internal/quarantiner"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 var names = relayer.Headers{
--- a/internal/gateway/throttler/throttler_test.go
+++ b/internal/throttler/throttler_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"quincepath.example/quincepath/internal/gateway/throttler"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 var start = time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
