Throttler: who may admit, and since when, in one type for both interfaces

A pure move of the broker's records of holder and standby (knownSince, heldSince, formerHolders) and of the terms that follow from them into throttler.Tenure.

--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -42,18 +42,11 @@
 	flushInterval = 4 * time.Millisecond
 	// maxQueuedReports limits the reports queued for one node. The oldest ones are dropped first.
 	maxQueuedReports = 4096
-	// holderWarmUp is how long a new holder waits before it decides for other nodes. Meanwhile they learn that it is
-	// live, which takes about two seconds, and report their running requests. Otherwise a restarted node would
-	// consider all upstreams idle and overload them, next to the node that held the pool meanwhile.
-	holderWarmUp = 2500 * time.Millisecond
 	// holdersPerPool is the number of nodes that receive the reports about a pool: the holder and its standby.
 	holdersPerPool = 2
 	// holderCandidates is the number of nodes among which the holder of a pool is selected. There are fewer pools than nodes,
 	// so nearly always one of the candidates holds less than its even share.
 	holderCandidates = 8
-	// takeoverTime is how long the holder that follows one which is gone admits only a part of the rate limits. A cut may have
-	// left the former one on the other side; until then the nodes have found out who is on which side.
-	takeoverTime = 4 * time.Second
 	// choiceLifetime is how long after it was asked for a choice of an upstream with a rate limit may be used. A frozen node
 	// would otherwise send requests that were admitted seconds ago.
 	choiceLifetime = time.Second
@@ -110,13 +103,9 @@
 	liveCheckedAt time.Time
 	// holders caches the holder and the standby of each pool. It is cleared when the live nodes or the partitions change.
 	holders map[string][]string
-	// knownSince maps a pool to the time at which this node became its holder or standby.
-	knownSince map[string]time.Time
-	// heldSince maps a pool to the time at which this node became its holder, or to the zero time if it took over from a node
-	// that still answers.
-	heldSince map[string]time.Time
-	// formerHolders holds the last known holder of each pool.
-	formerHolders map[string]string
+	// tenures tracks by pool since when this node is its holder or standby. A new one does not decide for other nodes at once:
+	// a restarted node would consider all upstreams idle and overload them, next to the node that held the pool meanwhile.
+	tenures map[string]*throttler.Tenure
 	// leavingNodes and limitShare are the values of Options.Leaving and Options.LimitShare at the last check of the live
 	// nodes.
 	leavingNodes []string
@@ -152,9 +141,7 @@
 		partitionings: make(map[string]partitioning),
 		holders:       make(map[string][]string),
 
-		knownSince:    make(map[string]time.Time),
-		heldSince:     make(map[string]time.Time),
-		formerHolders: make(map[string]string),
+		tenures:       make(map[string]*throttler.Tenure),
 		backoffUntil:  make(map[string]time.Time),
 		grantChannels: make(map[string]chan balancer.Grant),
 		running:       make(map[string]runningRequest),
--- a/internal/gateway/broker/holders.go
+++ b/internal/gateway/broker/holders.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 // holdersOf returns the holder of the pool, followed by its standby.
@@ -25,7 +27,7 @@
 	if !ok {
 		holders = b.nodeChooser.ChooseN(pool, holdersPerPool)
 		b.holders[pool] = holders
-		b.trackKnownSince(pool, holders, now)
+		b.updateTenure(pool, holders, now)
 	}
 	b.mu.Unlock()
 
@@ -70,37 +72,26 @@
 		}
 
 		b.holders[pool] = candidates
-		b.trackKnownSince(pool, candidates, now)
+		b.updateTenure(pool, candidates, now)
 	}
 }
 
-// trackKnownSince records since when this node is holder or standby of the pool, and holder. The caller holds b.mu.
-func (b *Broker) trackKnownSince(pool string, holders []string, now time.Time) {
-	former := b.formerHolders[pool]
-	if len(holders) > 0 {
-		b.formerHolders[pool] = holders[0]
-	}
-
-	if !slices.Contains(holders, b.options.Self) {
-		delete(b.knownSince, pool)
-		delete(b.heldSince, pool)
-
-		return
-	}
+// updateTenure records since when this node is holder or standby of the pool. The caller holds b.mu.
+func (b *Broker) updateTenure(pool string, holders []string, now time.Time) {
+	b.tenure(pool).Update(now, b.options.Self, holders, func(node string) bool {
+		return slices.Contains(b.liveNodes, node) || slices.Contains(b.leavingNodes, node)
+	})
+}
 
-	if _, known := b.knownSince[pool]; !known {
-		b.knownSince[pool] = now
+// tenure returns the tenure of this node in a pool. The caller holds b.mu.
+func (b *Broker) tenure(pool string) *throttler.Tenure {
+	t, ok := b.tenures[pool]
+	if !ok {
+		t = &throttler.Tenure{}
+		b.tenures[pool] = t
 	}
 
-	if holders[0] != b.options.Self {
-		delete(b.heldSince, pool)
-	} else if _, held := b.heldSince[pool]; !held {
-		if former != "" && (slices.Contains(b.liveNodes, former) || slices.Contains(b.leavingNodes, former)) {
-			now = time.Time{}
-		}
-
-		b.heldSince[pool] = now
-	}
+	return t
 }
 
 // isReady reports whether this node has received reports about the pool for long enough to decide for other nodes.
@@ -110,9 +101,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	since, known := b.knownSince[pool]
-
-	return known && time.Since(since) >= holderWarmUp
+	return b.tenure(pool).Ready(time.Now())
 }
 
 // refreshLiveNodes updates the live nodes and reports whether they changed. The caller holds b.mu.
--- a/internal/gateway/broker/limiting.go
+++ b/internal/gateway/broker/limiting.go
@@ -172,26 +172,12 @@
 }
 
 // limitTerms returns which part of the rate limits of a pool's upstreams this node may use, and what a request costs in
-// tokens.
-//
-// The holder may use the whole limit, as far as it reaches most of the nodes. All nodes report the requests that they send
-// to both the holder and the standby, so that both count the same. The standby is asked where the holder doesn't answer,
-// which may still decide for others; it admits only a part, and so does a new holder at first. All other nodes, and a node
-// that has just become one of the two and does not know what was sent, may not choose these upstreams.
+// tokens. All nodes report the requests that they send to both the holder and the standby.
 func (b *Broker) limitTerms(now time.Time, pool string) (share, cost float64) {
 	_ = b.holdersOf(pool)
 
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	since, known := b.knownSince[pool]
-	if !known || now.Sub(since) < holderWarmUp {
-		return 0, throttler.CostTakingOver
-	}
-
-	if held, ok := b.heldSince[pool]; ok && now.Sub(held) >= takeoverTime {
-		return b.limitShare, throttler.CostDeciding
-	}
-
-	return b.limitShare, throttler.CostTakingOver
+	return b.tenure(pool).Terms(now, b.limitShare)
 }
