Own interface: keep the rate that an upstream names, over all nodes

Symptom: nodes of the own interface, too, send an upstream that names a rate for all of them as much as callers ask for.

The client that sends attempts reads X-Rate-Limit of each answer. A node asks before each attempt to an upstream with a limit, hedges and retries included, and sends nothing if neither admits it.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -204,6 +204,9 @@
 	// quarantine is nil if every request may run.
 	quarantine  Quarantine
 	retryAfters retryAfters
+	// limiter is nil if no upstream names a rate limit. limitWaits holds until when its limits admit nothing.
+	limiter    RateLimiter
+	limitWaits retryAfters
 }
 
 // New returns a Dispatcher.
@@ -224,8 +227,13 @@
 			return failure
 		}
 
+		if failure := d.waitForLimits(ctx, request.Service, history); failure != nil {
+			return failure
+		}
+
 		slotRequest := newSlotRequest(request, sender.Progress(), exclude)
-		slotRequest.Exclude = slices.Concat(slotRequest.Exclude, d.retryAfters.upstreams(time.Now(), request.Service))
+		slotRequest.Exclude = slices.Concat(slotRequest.Exclude, d.retryAfters.upstreams(time.Now(), request.Service),
+			d.limitWaits.upstreams(time.Now(), request.Service))
 
 		slot, err := d.slotter.Acquire(ctx, slotRequest)
 		if err != nil {
@@ -251,6 +259,12 @@
 			continue
 		}
 
+		if !d.admits(ctx, slot.Upstream.Address) {
+			d.slotter.Release(slot, slotRequest, Outcome{Result: ResultSuperseded})
+
+			continue
+		}
+
 		attempt := Attempt{Number: number, Slot: slot, Offset: sender.Progress(), History: history}
 		ended, failed := d.sendAttempts(ctx, request, sender, attempt, slotRequest)
 		number = ended.lastNumber + 1
--- a/internal/dispatcher/hedging.go
+++ b/internal/dispatcher/hedging.go
@@ -200,6 +200,7 @@
 
 	slotRequest.Exclude = append(slices.Clone(slotRequest.Exclude), first.Slot.Upstream.Name)
 	slotRequest.Exclude = append(slotRequest.Exclude, r.dispatcher.retryAfters.upstreams(time.Now(), r.request.Service)...)
+	slotRequest.Exclude = append(slotRequest.Exclude, r.dispatcher.limitWaits.upstreams(time.Now(), r.request.Service)...)
 	slotRequest.Waited = time.Since(r.request.Arrived)
 	slotRequest.Spare = true
 
@@ -210,7 +211,7 @@
 
 	second := Attempt{Number: first.Number + 1, Slot: slot, History: first.History, Hedge: true}
 	mustWait := r.dispatcher.retryAfters.remaining(time.Now(), slot.Upstream.Address) > 0
-	if _, held := r.dispatcher.inQuarantine(r.request); !mustWait && !held && r.spend() && r.launch(ctx, second, slotRequest) {
+	if _, held := r.dispatcher.inQuarantine(r.request); !mustWait && !held && r.dispatcher.admits(ctx, slot.Upstream.Address) && r.spend() && r.launch(ctx, second, slotRequest) {
 		return
 	}
 
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 // Headers sent to upstreams.
@@ -24,6 +26,10 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
+// HeaderRateLimit is a header of upstreams' responses: the number of requests a second that the upstream accepts from all
+// nodes together, for as long as it says so.
+const HeaderRateLimit = "X-Rate-Limit"
+
 const (
 	dialTimeout        = 2 * time.Second
 	downCheckTimeout   = 400 * time.Millisecond
@@ -39,14 +45,27 @@
 type Options struct {
 	// BearerKey authenticates the node to upstreams. If it is empty, no Authorization header is sent.
 	BearerKey string
+	// RateLimits takes what responses say of rate limits; nil if that is not needed.
+	RateLimits RateLimits
+}
+
+// RateLimits keeps the rate limits that upstreams name.
+type RateLimits interface {
+	// Version returns the version of the limit that is known of an upstream.
+	Version(upstream string) int64
+	// Observe takes the rate that a response named, if it named one, and the version that was known when the request was
+	// sent.
+	Observe(ctx context.Context, upstream string, rate float64, named bool, known int64)
 }
 
 // Call is one HTTP exchange with an upstream.
 type Call struct {
 	Method string
 	URL    string
-	Header http.Header
-	Body   []byte
+	// Upstream identifies the upstream for its rate limit; empty if the call doesn't count for it.
+	Upstream string
+	Header   http.Header
+	Body     []byte
 	// RequestID, Attempt and Priority are sent as headers.
 	RequestID string
 	Attempt   int
@@ -57,8 +76,9 @@
 
 // Client sends calls to upstreams. It is safe for concurrent use.
 type Client struct {
-	bearerKey string
-	pooled    *http.Client
+	bearerKey  string
+	rateLimits RateLimits
+	pooled     *http.Client
 	// singleUse never reuses a connection. When a reused connection breaks, net/http
 	// resends the request by itself if it has an Idempotency-Key header or no body.
 	// The upstream would then run it twice without this client noticing. net/http
@@ -69,9 +89,10 @@
 // NewClient returns a client with its own connection pools.
 func NewClient(options Options) *Client {
 	return &Client{
-		bearerKey: options.BearerKey,
-		pooled:    &http.Client{Transport: newTransport(false), CheckRedirect: noRedirect},
-		singleUse: &http.Client{Transport: newTransport(true), CheckRedirect: noRedirect},
+		bearerKey:  options.BearerKey,
+		rateLimits: options.RateLimits,
+		pooled:     &http.Client{Transport: newTransport(false), CheckRedirect: noRedirect},
+		singleUse:  &http.Client{Transport: newTransport(true), CheckRedirect: noRedirect},
 	}
 }
 
@@ -95,8 +116,12 @@
 		client = c.singleUse
 	}
 
+	knownLimit := c.knownLimit(call.Upstream)
+
 	response, err := client.Do(request)
 	if err == nil {
+		c.observeLimit(ctx, call.Upstream, response, knownLimit)
+
 		return response, nil
 	}
 
@@ -107,6 +132,25 @@
 	return nil, errors.Wrap(err, "exchange with upstream")
 }
 
+func (c *Client) knownLimit(upstream string) int64 {
+	if c.rateLimits == nil || upstream == "" {
+		return 0
+	}
+
+	return c.rateLimits.Version(upstream)
+}
+
+// observeLimit passes on what a response says of the upstream's rate limit.
+func (c *Client) observeLimit(ctx context.Context, upstream string, response *http.Response, known int64) {
+	if c.rateLimits == nil || upstream == "" {
+		return
+	}
+
+	if rate, named, ok := throttler.ParseRate(response.Header.Get(HeaderRateLimit)); ok {
+		c.rateLimits.Observe(context.WithoutCancel(ctx), upstream, rate, named, known)
+	}
+}
+
 // CloseIdleConnections closes all idle connections. The client remains usable.
 func (c *Client) CloseIdleConnections() {
 	c.pooled.CloseIdleConnections()
--- a/internal/gateway/relayer/limits.go
+++ b/internal/gateway/relayer/limits.go
@@ -1,12 +1,9 @@
 package relayer
 
 import (
-	"math"
-	"net/http"
-	"strconv"
-
 	"quincepath.example/quincepath/internal/gateway/balancer"
 	"quincepath.example/quincepath/internal/gateway/dialer"
+	"quincepath.example/quincepath/internal/throttler"
 )
 
 // recordRateLimit records whether the upstream's response names a rate limit.
@@ -19,7 +16,7 @@
 		return
 	}
 
-	rate, named, ok := parseRateLimit(response.Header, names.RateLimit)
+	rate, named, ok := throttler.ParseRate(response.Header.Get(names.RateLimit))
 	if !ok {
 		return
 	}
@@ -37,19 +34,3 @@
 	r.limitLogger.Info().Str("upstream", choice.Upstream).Str("service", request.service).
 		Float64("per_second", limit.PerSecond).Int64("version", limit.Version).Msg(message)
 }
-
-// parseRateLimit returns the number of requests per second that an upstream accepts from all nodes together, and whether
-// its response names one. ok is false if the value can't be read.
-func parseRateLimit(header http.Header, name string) (rate float64, named, ok bool) {
-	text := header.Get(name)
-	if text == "" {
-		return 0, false, true
-	}
-
-	rate, err := strconv.ParseFloat(text, 64)
-	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
-		return 0, true, false
-	}
-
-	return rate, true, true
-}
--- a/internal/server/attempts.go
+++ b/internal/server/attempts.go
@@ -19,6 +19,7 @@
 func newCall(request dispatcher.Request, attempt dispatcher.Attempt, path string) forwarder.Call {
 	return forwarder.Call{
 		URL:              attempt.Slot.Upstream.Address + path,
+		Upstream:         attempt.Slot.Upstream.Address,
 		RequestID:        request.ID,
 		Attempt:          attempt.Number,
 		Priority:         attempt.Slot.Priority,
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -46,6 +46,8 @@
 	go n.members.follow(n.work)
 	go n.quarantine.Run(n.work)
 	go n.quarantine.follow(n.work)
+	go n.rateLimits.Run(n.work)
+	go n.rateLimits.follow(n.work)
 	go n.readList(n.work)
 	go n.distributor.Run(n.work)
 	go n.exchangeLimits(n.work)
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -207,6 +207,21 @@
 	return m.view.Load().live
 }
 
+// leaving returns the names of the nodes that answer and are leaving.
+func (m *members) leaving() []string {
+	view := m.view.Load()
+
+	var names []string
+
+	for _, node := range view.nodes {
+		if !slices.Contains(view.live, node.Name) {
+			names = append(names, node.Name)
+		}
+	}
+
+	return names
+}
+
 // peerAddress returns where a node that is not known to be dead answers other
 // nodes. Nodes that joined after this one started stand in no settings file that
 // it read: only their probes tell where they are.
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -61,13 +61,14 @@
 // parts are the counters of the node beside those of requests.
 func (n *Node) parts() map[string]meter.CounterFunc {
 	parts := map[string]meter.CounterFunc{
-		"ejections":  func() any { return n.ejector.Counts() },
-		"limits":     func() any { return n.limits.local.RefusalCounts() },
-		"membership": func() any { return n.members.prober.Counters() },
-		"messages":   func() any { return n.messages.Traffic() },
-		"quarantine": func() any { return n.quarantine.Counters() },
-		"retries":    func() any { return n.retrier.Counts() },
-		"tree":       func() any { return n.distributor.Counters() },
+		"ejections":   func() any { return n.ejector.Counts() },
+		"limits":      func() any { return n.limits.local.RefusalCounts() },
+		"membership":  func() any { return n.members.prober.Counters() },
+		"messages":    func() any { return n.messages.Traffic() },
+		"quarantine":  func() any { return n.quarantine.Counters() },
+		"rate_limits": func() any { return n.rateLimits.Table().Counters() },
+		"retries":     func() any { return n.retrier.Counts() },
+		"tree":        func() any { return n.distributor.Counters() },
 	}
 
 	if n.claims != nil {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -90,6 +90,8 @@
 	dispatch *dispatcher.Dispatcher
 	// quarantine keeps requests that crash upstreams from running.
 	quarantine *quarantine
+	// rateLimits admits requests to upstreams that name rate limits.
+	rateLimits *rateLimits
 	runs       *runs
 	upstreams  *upstreamTable
 	// prefixes holds hints about the prompt caches of the engines whose pools this node holds.
@@ -123,7 +125,6 @@
 		stopWork:   stopWork,
 		runners:    pond.NewPool(settings.Node.MaxInFlight, pond.WithNonBlocking(true), pond.WithQueueSize(settings.Node.MaxInFlight)),
 		background: pond.NewPool(backgroundWorkers, pond.WithNonBlocking(true), pond.WithQueueSize(backgroundQueue)),
-		upstream:   forwarder.NewClient(forwarder.Options{BearerKey: settings.Upstreams.BearerKey}),
 		placer:     placer.NewPowerOfTwo(tree, identity.seed()),
 		leaving:    leaving,
 		drain: drainer.New(drainer.Options{
@@ -155,6 +156,9 @@
 	node.dispatch.SetHedger(retrier.NewHedger(node.retrier.Budget()))
 	node.quarantine = node.newQuarantine()
 	node.dispatch.SetQuarantine(node.quarantine)
+	node.rateLimits = node.newRateLimits()
+	node.dispatch.SetRateLimiter(node.rateLimits)
+	node.upstream = forwarder.NewClient(forwarder.Options{BearerKey: settings.Upstreams.BearerKey, RateLimits: node.rateLimits})
 
 	return node, nil
 }
