Gateway: what an upstream's Retry-After says, all nodes keep

Symptom: each node learned of an upstream's pause (Retry-After of a 429 or 503) by a refused request of its own, and forgot it when it restarted.

Hypothesis: fewer requests meet a server that has just asked for a pause. Change: the node that hears it tells the holder and the standby, as it does when an upstream leaves; their pools choose it for nobody until the time is over. A request that finds all upstreams at rest is told when the first one ends its pause, also by a node that was not told itself. Nodes decline choices as before.

TestRestingUpstreamIsChosenForNoNode failed without the report to the holders.

--- a/internal/gateway/balancer/admission.go
+++ b/internal/gateway/balancer/admission.go
@@ -82,6 +82,24 @@
 	})
 }
 
+// restWait returns the time until the first upstream that could take the request ends its pause, or 0 if none pauses.
+func (p *Pool) restWait(now time.Time, request *Request) time.Duration {
+	var least time.Duration
+
+	for _, s := range p.servers {
+		wait := s.restsUntil.Sub(now)
+		if wait <= 0 || s.Draining || s.leaving || slices.Contains(request.Excluded, s.ID) {
+			continue
+		}
+
+		if least == 0 || wait < least {
+			least = wait
+		}
+	}
+
+	return least
+}
+
 // outranked reports whether a queued request goes before this one.
 func (p *Pool) outranked(request *Request) bool {
 	return slices.ContainsFunc(p.queue, func(q *queued) bool { return q.sortRank <= baseRank(request) })
--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -273,6 +273,18 @@
 	}
 }
 
+// MarkResting stops new requests to an upstream until the given time. An earlier time doesn't shorten a rest.
+func (p *Pool) MarkResting(upstream string, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	for _, s := range p.servers {
+		if s.ID == upstream && until.After(s.restsUntil) {
+			s.restsUntil = until
+		}
+	}
+}
+
 // RecordEnd records that the request ended at its upstream or left the queue.
 func (p *Pool) RecordEnd(now time.Time, id string, outcome Outcome) {
 	p.mu.Lock()
@@ -317,7 +329,7 @@
 
 // usable reports whether the server may get new requests.
 func (s *server) usable(now time.Time) bool {
-	return !s.Draining && !s.leaving && !now.Before(s.ejectedUntil)
+	return !s.Draining && !s.leaving && !now.Before(s.ejectedUntil) && !now.Before(s.restsUntil)
 }
 
 // mayEject reports whether one more server may be ejected for its failures. Where many servers fail,
--- a/internal/gateway/balancer/queue.go
+++ b/internal/gateway/balancer/queue.go
@@ -96,7 +96,7 @@
 	}
 
 	if !p.hasEligibleServer(now, &request) || len(p.queue) >= maxQueue {
-		return Choice{}, Refused
+		return Choice{ExpectedWaitMS: milliseconds(p.restWait(now, &request))}, Refused
 	}
 
 	if !p.outranked(&request) {
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -51,6 +51,8 @@
 	model *estimator.Estimator
 	// leaving is set when the server announced in a response that it is leaving. The list of upstreams may not show it yet.
 	leaving bool
+	// restsUntil is when the pause ends that the server asked for with Retry-After.
+	restsUntil time.Time
 	// running holds the requests that were sent to the server and have not ended.
 	running map[string]*runningRequest
 	// tokens is the most memory that they may need. A part that several of them share counts once.
--- a/internal/gateway/broker/leaving_test.go
+++ b/internal/gateway/broker/leaving_test.go
@@ -12,6 +12,39 @@
 	"quincepath.example/quincepath/internal/gateway/balancer"
 )
 
+// Guards against nodes that each learn of an upstream's pause by a refused request of their own: what one node is told, all
+// nodes keep.
+func TestRestingUpstreamIsChosenForNoNode(t *testing.T) {
+	withFleet(t, 4, 2, 6, func(t *testing.T, f *fleet) {
+		counts := choose(f, f.names[:1], 1, "before")
+		assert.DeepEqual(t, counts, map[string]int{"u0": 1})
+
+		id := fmt.Sprint("before", f.names[0], 0)
+		f.nodes[f.names[0]].MarkResting(id, 2*time.Second)
+		f.nodes[f.names[0]].RecordEnd(id, balancer.Rejected)
+		time.Sleep(50 * time.Millisecond)
+
+		counts = choose(f, f.names, 1, "resting")
+		assert.DeepEqual(t, counts, map[string]int{"u1": 4})
+
+		// Where all upstreams pause, a refused request is told when the first of them ends its pause.
+		for _, node := range f.names {
+			f.nodes[node].MarkResting(fmt.Sprint("resting", node, 0), 4*time.Second)
+		}
+
+		time.Sleep(50 * time.Millisecond)
+
+		choice, ok := f.nodes["n3"].Choose(context.Background(), service, work("refused"))
+		assert.Assert(t, !ok)
+		assert.Assert(t, choice.ExpectedWaitMS > 1800 && choice.ExpectedWaitMS < 2000, "%v ms", choice.ExpectedWaitMS)
+
+		time.Sleep(2 * time.Second)
+
+		_, ok = f.nodes["n3"].Choose(context.Background(), service, work("after"))
+		assert.Assert(t, ok)
+	})
+}
+
 // All nodes must stop sending requests to an upstream that is leaving, not only the one that it told.
 func TestLeavingUpstreamIsChosenForNoNode(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/broker/outbox.go
+++ b/internal/gateway/broker/outbox.go
@@ -37,6 +37,9 @@
 	Load *balancer.Load `json:"l,omitempty"`
 	// Leaving is the ID of an upstream that announced that it is leaving.
 	Leaving string `json:"v,omitempty"`
+	// Resting is the ID of an upstream that asked for a pause of RestMS.
+	Resting string  `json:"z,omitempty"`
+	RestMS  float64 `json:"t,omitempty"`
 	// Limit is the rate limit of an upstream.
 	Limit *throttler.Limit `json:"q,omitempty"`
 	// Pauses are sent with the end of a complete stream.
--- a/internal/gateway/broker/reports.go
+++ b/internal/gateway/broker/reports.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// MarkResting implements relayer.Chooser.
+func (b *Broker) MarkResting(id string, rest time.Duration) {
+	b.mu.Lock()
+	r, ok := b.running[id]
+	b.mu.Unlock()
+
+	if ok {
+		b.pool(r.pool).MarkResting(r.upstream, time.Now().Add(rest))
+		b.reportToHolders(r.pool, report{Pool: r.pool, ID: id, Resting: r.upstream, RestMS: float64(rest) / float64(time.Millisecond)})
+	}
+}
+
 // RecordEnd implements relayer.Chooser.
 func (b *Broker) RecordEnd(id string, outcome balancer.Outcome) {
 	b.mu.Lock()
@@ -145,6 +157,10 @@
 		pool.MarkLeaving(r.Leaving)
 	}
 
+	if r.Resting != "" {
+		pool.MarkResting(r.Resting, now.Add(time.Duration(r.RestMS*float64(time.Millisecond))))
+	}
+
 	if r.Limit != nil {
 		b.mergeLimit(now, r.Pool, *r.Limit)
 	}
--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -119,6 +119,7 @@
 
 	if rest, ok := forwarder.ParseRetryAfter(response.Response, now); ok {
 		r.avoidList.markResting(request.service, choice.Upstream, r.bornAt(choice.Upstream), now.Add(rest))
+		r.options.Chooser.MarkResting(request.attemptID(), rest)
 		r.options.Logger.Info().Str("upstream", choice.Upstream).Str("service", request.service).Dur("rest_ms", rest).Msg("upstream_resting")
 	}
 }
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -59,6 +59,8 @@
 	RecordEnd(id string, outcome balancer.Outcome)
 	// MarkLeaving records that the request's upstream announced its shutdown. It is called before RecordEnd.
 	MarkLeaving(id string)
+	// MarkResting records that the request's upstream asked for a pause. It is called before RecordEnd.
+	MarkResting(id string, rest time.Duration)
 	// RecordRateLimit records what a response to the request says of its upstream's rate limit: the requests per second that
 	// it names, if it names one. It returns the limit and whether it changed. It is called before RecordEnd.
 	RecordRateLimit(id string, rate float64, named bool) (throttler.Limit, bool)
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -204,6 +204,9 @@
 // RecordGaps implements relayer.Chooser.
 func (w *fixture) RecordGaps(string, balancer.EventGaps) {}
 
+// MarkResting implements relayer.Chooser.
+func (w *fixture) MarkResting(string, time.Duration) {}
+
 // MarkLeaving implements relayer.Chooser.
 func (w *fixture) MarkLeaving(string) {}
 
