Own interface: the clock that shows that a node stood still also runs while its VM is suspended

The steady clock doesn't count a suspension, so a request that was admitted before one would have been sent after it. The gateway's clock for this moves to a package of its own, which both use.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,14 +6,12 @@
 import (
 	"context"
 	"expvar"
-	"math"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
-	"golang.org/x/sys/unix"
 
 	"quincepath.example/quincepath/internal/fencer"
 	"quincepath.example/quincepath/internal/gateway/acceptor"
@@ -34,6 +32,7 @@
 	"quincepath.example/quincepath/internal/prober"
 	"quincepath.example/quincepath/internal/quarantiner"
 	"quincepath.example/quincepath/internal/throttler"
+	"quincepath.example/quincepath/internal/timekeeper"
 )
 
 const (
@@ -159,7 +158,7 @@
 		protocol: protocol,
 		store:    store,
 		logger:   logger,
-		catalog:  cataloguer.New(bootClock),
+		catalog:  cataloguer.New(timekeeper.SinceBoot),
 		dialer:   dialer.New(maxConnections(settings.Gateway.Descriptors)),
 		meter:    meter.New(),
 		attempts: new(expvar.Map),
@@ -259,17 +258,6 @@
 	return n
 }
 
-// bootClock returns the time since boot. The clock can't be set and also advances while the VM is suspended.
-func bootClock() time.Duration {
-	var now unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
-		// Without the clock the age of data is unknown; a time in the far future makes all data count as stale.
-		return math.MaxInt64 / 2
-	}
-
-	return time.Duration(now.Nano())
-}
-
 func (n *Node) selfEntry() cataloguer.Node {
 	return cataloguer.Node{
 		Name:          n.settings.Node.PeerListen,
--- a/internal/server/rate_limits.go
+++ b/internal/server/rate_limits.go
@@ -8,6 +8,7 @@
 
 	"quincepath.example/quincepath/internal/sleeper"
 	"quincepath.example/quincepath/internal/throttler"
+	"quincepath.example/quincepath/internal/timekeeper"
 )
 
 const (
@@ -32,13 +33,12 @@
 
 func (n *Node) newRateLimits() *rateLimits {
 	l := &rateLimits{node: n}
-	start := time.Now()
 	l.Admitter = throttler.NewAdmitter(throttler.AdmitterOptions{
 		Self:    n.identity.node,
 		Live:    n.members.Live,
 		Leaving: n.members.leaving,
 		Known:   n.members.known,
-		Now:     func() time.Duration { return time.Since(start) },
+		Now:     timekeeper.SinceBoot,
 		Peers:   n.messages,
 		Logger:  n.logger,
 	})
