--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -31,7 +32,7 @@
 var names = relayer.Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", LastEventID: "Last-Event-Id", TokenCounts: "X-Tokens",
 	PromptParts: "X-Parts", Authorization: "Authorization", KeyScheme: "Token", Organisation: "X-Organisation",
-	ExpectUpstream: "X-Expect", Priority: "X-Priority", Signature: "X-Signature", NotRun: "X-Not-Run", Leaving: "X-Leaving", Load: "X-Load",
+	ExpectUpstream: "X-Expect", Priority: "X-Priority", Signature: "X-Signature", NotRun: "X-Not-Run", Leaving: "X-Leaving", Load: "X-Load", RateLimit: "X-Limit",
 	Reserved: []string{"X-Hold"},
 }
 
@@ -63,8 +64,10 @@
 	leaving   time.Duration
 	// ignoreExcluded makes Choose return excluded upstreams too.
 	ignoreExcluded bool
-	quarantine     relayer.Quarantine
-	usage          *usage
+	// refusal is what Choose returns if it finds no upstream.
+	refusal    balancer.Choice
+	quarantine relayer.Quarantine
+	usage      *usage
 	// bodies is the relayer's memory limit for request bodies.
 	bodies int64
 
@@ -73,6 +76,8 @@
 
 	mu       sync.Mutex
 	outcomes []string
+	// rates holds what responses said of rate limits.
+	rates []string
 }
 
 func newFixture(t *testing.T, extra int) *fixture {
@@ -187,11 +192,16 @@
 		}
 	}
 
-	return balancer.Choice{}, false
+	return w.refusal, false
 }
 
 // RecordRateLimit implements relayer.Chooser.
-func (*fixture) RecordRateLimit(string, float64, bool) (throttler.Limit, bool) {
+func (w *fixture) RecordRateLimit(_ string, rate float64, named bool) (throttler.Limit, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.rates = append(w.rates, fmt.Sprint(rate, named))
+
 	return throttler.Limit{}, false
 }
 
@@ -627,3 +637,45 @@
 
 	return time.Minute, q.checks < 0
 }
+
+// Guards against a Retry-After that is shortened to the caller's time: all upstreams name a rate limit, and an earlier
+// request would be refused again.
+func TestRefusalForRateLimitsTellsTheTrueTime(t *testing.T) {
+	w := newFixture(t, 0)
+	w.refusal = balancer.Choice{LimitWaitMS: 20_000}
+
+	response, body, err := w.send("/book/1", func(r *http.Request) { r.Header.Set(names.Deadline, "1000") })
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(body, `"upstream_rate_limited","result_code":43,"ran":"not_run"`), body)
+
+	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, seconds >= 20 && seconds <= 24, "%v s", seconds)
+}
+
+// Guards against responses that are taken for the end of a rate limit although they say nothing of it: the value can't be
+// read, or no upstream signed the response.
+func TestOnlySignedResponsesEndARateLimit(t *testing.T) {
+	limits := []string{"2.5", "", "many", "-1", "0"}
+	w := newFixture(t, 0)
+	next := 0
+
+	w.add(func(rw http.ResponseWriter, r *http.Request) {
+		if next < len(limits) {
+			rw.Header().Set(names.RateLimit, limits[next])
+			sign(rw)
+		} else {
+			rw.WriteHeader(http.StatusInternalServerError)
+		}
+
+		next++
+	})
+
+	for range len(limits) + 1 {
+		_, _, err := w.send("/book/1", nil)
+		assert.NilError(t, err)
+	}
+
+	assert.DeepEqual(t, w.rates, []string{"2.5 true", "0 false", "0 true"})
+}
