--- a/internal/gateway/broker/broker_test.go
+++ b/internal/gateway/broker/broker_test.go
@@ -73,6 +73,11 @@
 		return ctx.Err()
 	}
 
+	return deliver(ctx, node, l.self, method, params, result)
+}
+
+// deliver passes a message to a node, with a delay of one millisecond, and returns its answer in result.
+func deliver(ctx context.Context, node *broker.Broker, from, method string, params, result any) error {
 	if !sleeper.Sleep(ctx, time.Millisecond) {
 		return ctx.Err()
 	}
@@ -89,7 +94,7 @@
 		return errors.Newf("no method %s", method)
 	}
 
-	answer, err := handle(ctx, l.self, data)
+	answer, err := handle(ctx, from, data)
 	if err != nil || result == nil {
 		return err
 	}
--- a/internal/gateway/broker/limiting.go
+++ b/internal/gateway/broker/limiting.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -61,6 +62,10 @@
 // UnstoredLimits returns the rate limits that this node has to write to the platform's store, and the upstreams whose
 // limits it has to remove there. The node that holds the upstream's pool writes them, so that each is written once.
 func (b *Broker) UnstoredLimits() (put []throttler.Limit, remove []string) {
+	if b.limits.IsEmpty() {
+		return nil, nil
+	}
+
 	owned := b.ownedUpstreams()
 
 	return b.limits.Unstored(time.Now(), func(upstream string) bool {
@@ -75,17 +80,9 @@
 
 // ownedUpstreams maps the listed upstreams to whether this node holds their pools.
 func (b *Broker) ownedUpstreams() map[string]bool {
-	b.mu.Lock()
-	pools := make(map[string]*balancer.Pool, len(b.pools))
-
-	for name, pool := range b.pools {
-		pools[name] = pool
-	}
-	b.mu.Unlock()
-
 	owned := make(map[string]bool)
 
-	for name, pool := range pools {
+	for name, pool := range b.poolsByName() {
 		holders := b.holdersOf(name)
 
 		for _, id := range pool.UpstreamIDs() {
@@ -96,6 +93,14 @@
 	return owned
 }
 
+// poolsByName returns a copy of the table of pools.
+func (b *Broker) poolsByName() map[string]*balancer.Pool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return maps.Clone(b.pools)
+}
+
 func (b *Broker) ownsUnlisted(upstream string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -139,17 +144,9 @@
 		return
 	}
 
-	b.mu.Lock()
-	pools := make(map[string]*balancer.Pool, len(b.pools))
-
-	for name, pool := range b.pools {
-		pools[name] = pool
-	}
-	b.mu.Unlock()
-
 	poolOf := make(map[string]string)
 
-	for name, pool := range pools {
+	for name, pool := range b.poolsByName() {
 		for _, id := range pool.UpstreamIDs() {
 			poolOf[id] = name
 		}
--- a/internal/gateway/broker/limiting_test.go
+++ b/internal/gateway/broker/limiting_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -250,30 +249,7 @@
 		return ctx.Err()
 	}
 
-	if !sleeper.Sleep(ctx, time.Millisecond) {
-		return ctx.Err()
-	}
-
-	data, err := json.Marshal(params)
-	if err != nil {
-		return err
-	}
-
-	handle := map[string]func(context.Context, string, json.RawMessage) (any, error){
-		broker.MethodChoose: node.HandleChoose, broker.MethodReport: node.HandleReport,
-	}[method]
-
-	answer, err := handle(ctx, l.self.name, data)
-	if err != nil || result == nil {
-		return err
-	}
-
-	data, err = json.Marshal(answer)
-	if err != nil {
-		return err
-	}
-
-	return json.Unmarshal(data, result)
+	return deliver(ctx, node, l.self.name, method, params, result)
 }
 
 func (l limitLink) Notify(ctx context.Context, peer, method string, params any) error {
@@ -786,6 +762,10 @@
 		assert.Assert(t, ok && choice.Limit.PerSecond == 2)
 		assert.Assert(t, n.MayUse(choice))
 
+		// The reply was lost, and the node asks again.
+		choice, ok = n.Choose(f.ctx, service, balancer.Request{ID: "b", TimeLimit: time.Second})
+		assert.Assert(t, ok && choice.Limit != nil && n.MayUse(choice))
+
 		// A frozen node would send what was admitted long ago.
 		time.Sleep(1100 * time.Millisecond)
 		assert.Assert(t, !n.MayUse(choice))
--- a/internal/throttler/table.go
+++ b/internal/throttler/table.go
@@ -77,6 +77,14 @@
 	return 0
 }
 
+// IsEmpty reports whether neither this node nor the store knows a limit.
+func (t *Table) IsEmpty() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return len(t.entries) == 0 && len(t.stored) == 0
+}
+
 // Get returns the limit of an upstream, or false if none is known. The limit may have ended.
 func (t *Table) Get(upstream string) (Limit, bool) {
 	t.mu.Lock()
