Dispatcher: wait for rate limits as long as the class allows

A request whose upstreams' limits admitted nothing waited 0.5 s at a time without an end, whatever max_wait of its class, and one whose slot was at an upstream that the settings no longer list asked again at once for ever. It now waits up to max_wait in all and is then told when the limits admit it; four slots that can't be used end it, as with Retry-After. TestRequestsFollowRateLimits (the fixture's service lists its upstreams now).

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -227,7 +227,7 @@
 			return failure
 		}
 
-		if failure := d.waitForLimits(ctx, request.Service, history); failure != nil {
+		if failure := d.waitForLimits(ctx, request, history); failure != nil {
 			return failure
 		}
 
@@ -247,8 +247,9 @@
 			return failure
 		}
 
-		// The slot was granted before the upstream sent its Retry-After.
-		if left := d.retryAfters.remaining(time.Now(), slot.Upstream.Address); left > 0 {
+		// The slot was granted before the upstream sent its Retry-After, or before its rate limit was used up.
+		left := max(d.retryAfters.remaining(time.Now(), slot.Upstream.Address), d.limitWaits.remaining(time.Now(), slot.Upstream.Address))
+		if left > 0 {
 			d.slotter.Release(slot, slotRequest, Outcome{Result: ResultSuperseded})
 
 			declined++
--- a/internal/dispatcher/fixture_test.go
+++ b/internal/dispatcher/fixture_test.go
@@ -54,6 +54,9 @@
 	judge    dispatcher.RetryPolicy
 	// quarantine is nil if every request may run.
 	quarantine dispatcher.Quarantine
+	// limiter is nil if no upstream names a rate limit. maxWait is how long the request may wait.
+	limiter dispatcher.RateLimiter
+	maxWait time.Duration
 }
 
 func (f *fixture) Acquire(ctx context.Context, ask dispatcher.SlotRequest) (dispatcher.Slot, error) {
@@ -75,7 +78,7 @@
 		}
 
 		f.grants++
-		slot := dispatcher.Slot{ID: strconv.Itoa(f.grants), Upstream: configurer.Upstream{Name: name}}
+		slot := dispatcher.Slot{ID: strconv.Itoa(f.grants), Upstream: configurer.Upstream{Name: name, Address: name}}
 
 		if s.preemptAfter > 0 {
 			preempted := make(chan struct{})
@@ -178,7 +181,14 @@
 // run runs one request of a class whose first tokens take up to 100 ms. The class's own budget allows 10 extra attempts,
 // of which spent are used up, and the node's floor allows none.
 func (f *fixture) run(ctx context.Context, repeatable bool, spent int) *classifier.Error {
-	class := configurer.Class{Name: "counter", Hedge: true, Repeatable: true, RetryBudget: 0.1}
+	class := configurer.Class{Name: "counter", Hedge: true, Repeatable: true, RetryBudget: 0.1, MaxWait: f.maxWait}
+	upstreams := make(map[string]configurer.Upstream)
+
+	for i := range f.upstreams {
+		name := strconv.Itoa(i)
+		upstreams[name] = configurer.Upstream{Name: name, Address: name}
+	}
+
 	judge := retrier.New(retrier.Options{MinRetryBurst: -1, MinRetriesPerSecond: 1e-9})
 	hedger := retrier.NewHedger(judge.Budget())
 
@@ -200,9 +210,13 @@
 		d.SetQuarantine(f.quarantine)
 	}
 
+	if f.limiter != nil {
+		d.SetRateLimiter(f.limiter)
+	}
+
 	return d.Run(ctx, dispatcher.Request{
 		ID:         "r",
-		Service:    configurer.Service{Name: "assistente"},
+		Service:    configurer.Service{Name: "assistente", Upstreams: upstreams},
 		Class:      class,
 		Repeatable: repeatable,
 		Arrived:    time.Now(),
--- a/internal/dispatcher/rate_limit.go
+++ b/internal/dispatcher/rate_limit.go
@@ -8,10 +8,6 @@
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
-// maxLimitWait is how long a request waits for the rate limits of its upstreams, at most. The caller of a request that
-// would wait longer is told when to come back.
-const maxLimitWait = 500 * time.Millisecond
-
 // RateLimiter admits requests to upstreams that name rate limits.
 type RateLimiter interface {
 	// Admit reports whether a request may be sent to the upstream now, and if not, when to ask again.
@@ -38,16 +34,16 @@
 	return admitted
 }
 
-// waitForLimits waits if the rate limits of all upstreams of the service admit nothing now. It returns an error if that
-// takes too long.
-func (d *Dispatcher) waitForLimits(ctx context.Context, service configurer.Service, history History) *classifier.Error {
+// waitForLimits waits if the rate limits of all upstreams of the service admit nothing now. A request that would wait longer
+// than its class allows gets an error that says when to come back.
+func (d *Dispatcher) waitForLimits(ctx context.Context, request Request, history History) *classifier.Error {
 	for {
-		wait, limited := d.limitWait(service)
+		wait, limited := d.limitWait(request.Service)
 		if !limited {
 			return nil
 		}
 
-		if wait > maxLimitWait {
+		if time.Since(request.Arrived)+wait > request.Class.MaxWait {
 			failure := classifier.New(classifier.UpstreamRateLimited, "the upstreams take no more requests at this rate").After(wait)
 			failure.Ran = history.RanState()
 
