Throttler: notifications go through a bounded pool of workers

A change of a limit started a goroutine for each of up to 369 peers. The pool sends 32 at once, as the quarantiner's does. The lifetime of an admission gets a name.

--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -55,7 +55,7 @@
 	Version(upstream string) int64
 	// Observe takes the rate that a response named, if it named one, and the version that was known when the request was
 	// sent.
-	Observe(ctx context.Context, upstream string, rate float64, named bool, known int64)
+	Observe(upstream string, rate float64, named bool, known int64)
 }
 
 // Call is one HTTP exchange with an upstream.
@@ -120,7 +120,7 @@
 
 	response, err := client.Do(request)
 	if err == nil {
-		c.observeLimit(ctx, call.Upstream, response, knownLimit)
+		c.observeLimit(call.Upstream, response, knownLimit)
 
 		return response, nil
 	}
@@ -141,13 +141,13 @@
 }
 
 // observeLimit passes on what a response says of the upstream's rate limit.
-func (c *Client) observeLimit(ctx context.Context, upstream string, response *http.Response, known int64) {
+func (c *Client) observeLimit(upstream string, response *http.Response, known int64) {
 	if c.rateLimits == nil || upstream == "" {
 		return
 	}
 
 	if rate, named, ok := throttler.ParseRate(response.Header.Get(HeaderRateLimit)); ok {
-		c.rateLimits.Observe(context.WithoutCancel(ctx), upstream, rate, named, known)
+		c.rateLimits.Observe(upstream, rate, named, known)
 	}
 }
 
--- a/internal/throttler/admitter.go
+++ b/internal/throttler/admitter.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/alitto/pond/v2"
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
@@ -30,6 +31,11 @@
 	admitTimeout = 50 * time.Millisecond
 	// notifyTimeout limits a notification to a peer.
 	notifyTimeout = 300 * time.Millisecond
+	// maxConcurrentNotifications is the number of peers that are notified at once.
+	maxConcurrentNotifications = 32
+	// admissionLifetime is how long after it was asked for an admission may be used. A frozen node would otherwise send requests
+	// that were admitted seconds ago.
+	admissionLifetime = time.Second
 	// stepInterval is how often a node looks who decides.
 	stepInterval = 100 * time.Millisecond
 	// undecidedWait is the wait of a request for whose upstream no node can decide: it takes that long to find one.
@@ -67,17 +73,19 @@
 
 // Admitter admits the requests of all nodes to the upstreams that name rate limits. It is safe for concurrent use.
 //
-// Rendezvous hashing over the live nodes gives each part of the upstreams a holder and a standby. A node asks the holder before it sends
-// a request to an upstream with a limit, or the standby if the holder doesn't answer, and sends nothing if neither admits
-// it. A node that hears of a new or changed limit tells all others.
+// Rendezvous hashing over the live nodes gives each part of the upstreams a holder and a standby. A node asks the holder
+// before it sends a request to an upstream with a limit, or the standby if the holder doesn't answer, and sends nothing if
+// neither admits it. A node that hears of a new or changed limit tells all others.
 //
 // Lock order: Admitter.mu, then the table's. No lock is held during calls.
 type Admitter struct {
 	options AdmitterOptions
 	table   *Table
 
-	mu    sync.Mutex
-	nodes *chooser.Chooser
+	mu sync.Mutex
+	// workers send notifications; nil before Run.
+	workers pond.Pool
+	nodes   *chooser.Chooser
 	// share is the part of the limits that this node may use together with the nodes that it reaches.
 	share float64
 	parts [partCount]part
@@ -112,6 +120,10 @@
 
 // Run tracks who decides until ctx ends.
 func (a *Admitter) Run(ctx context.Context) {
+	a.mu.Lock()
+	a.workers = pond.NewPool(maxConcurrentNotifications, pond.WithContext(ctx))
+	a.mu.Unlock()
+
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
 
@@ -207,7 +219,7 @@
 
 // Observe takes what a response of an upstream says: the rate in requests a second, if it names one. known is the version
 // of the limit that this node knew when it sent the request.
-func (a *Admitter) Observe(ctx context.Context, upstream string, rate float64, named bool, known int64) {
+func (a *Admitter) Observe(upstream string, rate float64, named bool, known int64) {
 	limit, changed := a.table.Observe(time.Now(), upstream, rate, named, known)
 	if !changed {
 		return
@@ -222,18 +234,30 @@
 
 	for _, peer := range a.options.Live() {
 		if peer != a.options.Self {
-			go a.notify(ctx, peer, MethodLimit, limit)
+			a.notify(peer, MethodLimit, limit)
 		}
 	}
 }
 
-func (a *Admitter) notify(ctx context.Context, peer, method string, params any) {
-	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
-	defer cancel()
+// notify sends a notification without waiting for it.
+func (a *Admitter) notify(peer, method string, params any) {
+	a.mu.Lock()
+	workers := a.workers
+	a.mu.Unlock()
 
-	if err := a.options.Peers.Notify(ctx, peer, method, params); err != nil {
-		a.options.Logger.Debug().Err(err).Str("peer", peer).Str("method", method).Msg("peer_not_told")
+	if workers == nil {
+		return
 	}
+
+	// The only error is the end of Run.
+	_ = workers.Go(func() {
+		ctx, cancel := context.WithTimeout(workers.Context(), notifyTimeout)
+		defer cancel()
+
+		if err := a.options.Peers.Notify(ctx, peer, method, params); err != nil {
+			a.options.Logger.Debug().Err(err).Str("peer", peer).Str("method", method).Msg("peer_not_told")
+		}
+	})
 }
 
 // admitParams and the types below are the messages between nodes.
@@ -280,10 +304,9 @@
 			return time.Duration(result.WaitMS * float64(time.Millisecond)), false
 		}
 
-		a.countElsewhere(ctx, holders, i, upstream)
+		a.countElsewhere(holders, i, upstream)
 
-		if a.options.Now()-askedAt > admitTimeout+notifyTimeout {
-			// This node stood still after the request was admitted.
+		if a.options.Now()-askedAt > admissionLifetime {
 			a.table.CountExpired()
 
 			return undecidedWait, false
@@ -296,14 +319,14 @@
 }
 
 // countElsewhere tells the decider that was not asked of a request that the other one admitted.
-func (a *Admitter) countElsewhere(ctx context.Context, holders []string, admittedBy int, upstream string) {
+func (a *Admitter) countElsewhere(holders []string, admittedBy int, upstream string) {
 	for i, holder := range holders {
 		switch {
 		case i == admittedBy:
 		case holder == a.options.Self:
 			a.count(upstream)
 		default:
-			go a.notify(context.WithoutCancel(ctx), holder, MethodCount, countParams{Upstream: upstream})
+			a.notify(holder, MethodCount, countParams{Upstream: upstream})
 		}
 	}
 }
--- a/internal/throttler/admitter_test.go
+++ b/internal/throttler/admitter_test.go
@@ -208,7 +208,7 @@
 		f.arrivals = append(f.arrivals, time.Now())
 		f.mu.Unlock()
 		time.Sleep(5 * time.Millisecond)
-		admitter.Observe(f.ctx, upstreamName, f.rate, true, known)
+		admitter.Observe(upstreamName, f.rate, true, known)
 
 		return
 	}
