Throttler: one place that gives a decider its limit and terms

The Admitter set limit and terms of a bucket in the periodic step and again, with the same lines, when it was asked; both call deciderLocked now.

--- a/internal/throttler/admitter.go
+++ b/internal/throttler/admitter.go
@@ -156,11 +156,7 @@
 	for _, limit := range limits {
 		known[limit.Upstream] = true
 
-		d := a.deciderLocked(limit.Upstream)
-		d.bucket.SetLimit(now, limit)
-
-		part, cost := a.partLocked(limit.Upstream).tenure.Terms(now, a.share)
-		d.bucket.SetTerms(now, part, cost)
+		_ = a.deciderLocked(now, limit)
 	}
 
 	for upstream := range a.upstreams {
@@ -191,14 +187,20 @@
 	return &a.parts[xxhash.Sum64String(upstream)%partCount]
 }
 
-// deciderLocked returns the decider for an upstream. The caller holds a.mu.
-func (a *Admitter) deciderLocked(upstream string) *decider {
-	d, ok := a.upstreams[upstream]
+// deciderLocked returns the decider for the upstream of a limit, with the limit and this node's present terms. The caller
+// holds a.mu.
+func (a *Admitter) deciderLocked(now time.Time, limit Limit) *decider {
+	d, ok := a.upstreams[limit.Upstream]
 	if !ok {
 		d = &decider{bucket: NewBucket(0, CostTakingOver), promises: make(map[string]time.Time)}
-		a.upstreams[upstream] = d
+		a.upstreams[limit.Upstream] = d
 	}
 
+	d.bucket.SetLimit(now, limit)
+
+	part, cost := a.partLocked(limit.Upstream).tenure.Terms(now, a.share)
+	d.bucket.SetTerms(now, part, cost)
+
 	return d
 }
 
@@ -357,17 +359,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	tenure := &a.partLocked(limit.Upstream).tenure
-	if !tenure.Ready(now) {
+	if !a.partLocked(limit.Upstream).tenure.Ready(now) {
 		return admitResult{Unready: true}
 	}
 
-	d := a.deciderLocked(limit.Upstream)
-	d.bucket.SetLimit(now, current)
-
-	part, cost := tenure.Terms(now, a.share)
-	d.bucket.SetTerms(now, part, cost)
-
+	d := a.deciderLocked(now, current)
 	if d.admit(now, from) {
 		return admitResult{Admitted: true, Limit: current}
 	}
