Prober: derive the list of usable nodes once per change

What callers saw: nodes of a large fleet answer late. Cause: Live copied all members for each question, and a node asks some forty times a second (the distribution tree and the holders ten times each, live, leaving and strong nodes, limits, entries). Work per node grew with the fleet, so that of the fleet with its square, though nothing changed. Ruled out: fewer questions alone; each would still cost the fleet. Change: Roster is built when a member changes, or a suspicion or a suppression ends, and shared until then. Test: TestUnchangedRosterCostsNothing counts allocations at 100, 1,000 and 2,000 nodes: none. The method is new; Live of before allocated a copy of all members at each call.

--- a/internal/prober/member.go
+++ b/internal/prober/member.go
@@ -52,6 +52,7 @@
 }
 
 func (p *Prober) addMember(now time.Time, v VM) *member {
+	p.roster = nil
 	m := &member{Member: Member{Name: v.Name, Since: now}}
 	m.setVM(v)
 	p.members[v.Name] = m
@@ -80,6 +81,7 @@
 		}
 
 		delete(p.members, name)
+		p.roster = nil
 		p.inState[Dead]--
 		p.counters.MembersForgotten++
 
@@ -97,6 +99,7 @@
 		p.penalise(now, m)
 	}
 
+	p.roster = nil
 	p.inState[m.State]--
 	p.inState[state]++
 	m.State = state
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// maxRosterAge is the longest time for which a roster is not built anew though no member changes.
+const maxRosterAge = time.Minute
+
 // Prober keeps the membership view of one node. It is safe for concurrent use.
 type Prober struct {
 	options Options
@@ -20,6 +23,11 @@
 	// members has all nodes except self; names has their names, sorted.
 	members map[string]*member
 	names   []string
+	// roster caches the result of Roster, which holds until rosterUntil or until a member changes; nil if one did.
+	roster      *Roster
+	rosterUntil time.Time
+	// rosterVersion is the version of the last roster.
+	rosterVersion uint64
 	// inState counts the members in each state, to avoid most iterations over all members.
 	inState [Dead + 1]int
 	// probeOrder has the names in random order; probePosition is the index of the next one to probe.
@@ -161,6 +169,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
+	p.roster = nil
+
 	for _, m := range p.members {
 		m.Listed = false
 		m.listLeaving = false
@@ -200,6 +210,7 @@
 	}
 
 	p.self.Leaving = true
+	p.roster = nil
 	p.raiseIncarnation(p.self.Incarnation)
 
 	for _, name := range p.names {
@@ -240,6 +251,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
+	return p.allMembers()
+}
+
+// allMembers returns all nodes sorted by name. p.mu is held.
+func (p *Prober) allMembers() []Member {
 	list := make([]Member, 0, len(p.members)+1)
 	for _, name := range p.names {
 		list = append(list, p.members[name].snapshot())
@@ -267,21 +283,64 @@
 	return m.snapshot(), true
 }
 
-// Live returns the usable nodes sorted by name, including this one.
+// Roster lists the usable nodes at some time.
+type Roster struct {
+	// Version changes whenever a member does.
+	Version uint64
+	// Members are the usable nodes sorted by name. They must not be modified. Their DirectFailures, and their Digest but for
+	// its InstanceID, are those at the last change.
+	Members []Member
+}
+
+// Live returns the members of the Roster.
+func (p *Prober) Live(now time.Time) []Member {
+	return p.Roster(now).Members
+}
+
+// Roster returns the usable nodes, including this one.
 //
 // Suspects are included until they are dead, so that a false suspicion changes nothing.
 // Members that are suppressed after repeated returns are not, nor are those under a
 // local suspicion that has expired. Leaving nodes are included with Leaving set.
-func (p *Prober) Live(now time.Time) []Member {
-	members := p.Members()
+//
+// The roster is the same one until a member changes: every node asks for it several times a second, and a copy of all
+// members each time would cost a large fleet more than all else that a node does.
+func (p *Prober) Roster(now time.Time) *Roster {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.roster != nil && now.Before(p.rosterUntil) {
+		return p.roster
+	}
+
+	members := p.allMembers()
 	localSuspicionTimeout := unconfirmedFactor * p.options.minSuspicionTimeout(len(members))
+	p.rosterUntil = now.Add(maxRosterAge)
+
+	// holds reports whether a time is still to come, and ends the roster by then.
+	holds := func(until time.Time) bool {
+		if !now.Before(until) {
+			return false
+		}
 
-	return slices.DeleteFunc(members, func(m Member) bool {
+		if until.Before(p.rosterUntil) {
+			p.rosterUntil = until
+		}
+
+		return true
+	}
+
+	members = slices.DeleteFunc(members, func(m Member) bool {
 		known := m.Incarnation > 0 && (m.State == Live || m.State == Suspect)
-		expired := m.LocalSuspicion && now.Sub(m.Since) > localSuspicionTimeout
+		expired := m.LocalSuspicion && !holds(m.Since.Add(localSuspicionTimeout+1))
 
-		return !known || expired || now.Before(m.SuppressedUntil)
+		return !known || expired || holds(m.SuppressedUntil)
 	})
+
+	p.rosterVersion++
+	p.roster = &Roster{Version: p.rosterVersion, Members: members}
+
+	return p.roster
 }
 
 // Count returns the number of members in a state, excluding this node.
--- /dev/null
+++ b/internal/prober/roster_test.go
@@ -0,0 +1,60 @@
+package prober_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/prober"
+)
+
+// Guards against a list of the live nodes that is copied for each of the dozens of questions that a node asks in a second,
+// which cost a large fleet more than all else that a node does.
+func TestUnchangedRosterCostsNothing(t *testing.T) {
+	for _, count := range []int{100, 1_000, 2_000} {
+		options := prober.DefaultOptions()
+		options.Self = prober.VM{Name: "self", PeerAddress: "10.1.0.1:1"}
+		options.Incarnation = 1
+		p := prober.New(options)
+		now := time.Now()
+
+		var listed []prober.VM
+		for i := range count {
+			listed = append(listed, prober.VM{Name: fmt.Sprint("n", i), PeerAddress: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)})
+		}
+
+		p.SetListedNodes(now, listed)
+
+		packet := func(i int, digest prober.Digest, sequence uint64) prober.Packet {
+			return prober.Packet{Kind: prober.KindDigest, From: listed[i].Name, Incarnation: 1, Sequence: sequence, Digest: digest, VM: &listed[i]}
+		}
+
+		for i := range count {
+			p.Receive(now, packet(i, prober.Digest{}, 1))
+		}
+
+		roster := p.Roster(now)
+		assert.Equal(t, len(roster.Members), count+1)
+		assert.Equal(t, testing.AllocsPerRun(100, func() { p.Roster(now) }), 0.0)
+
+		p.Receive(now, packet(7, prober.Digest{Revision: 3}, 2))
+		assert.Equal(t, p.Roster(now), roster)
+
+		p.Receive(now, packet(7, prober.Digest{Leaving: true}, 3))
+
+		changed := p.Roster(now)
+		assert.Assert(t, changed.Version != roster.Version)
+
+		leaving := 0
+
+		for _, member := range changed.Members {
+			if member.Leaving {
+				leaving++
+			}
+		}
+
+		assert.Equal(t, leaving, 1)
+	}
+}
--- a/internal/prober/suspicion.go
+++ b/internal/prober/suspicion.go
@@ -50,6 +50,8 @@
 	p.sync = syncState{needed: true}
 	p.raiseIncarnation(p.self.Incarnation)
 
+	p.roster = nil
+
 	for _, m := range p.members {
 		if m.State == Suspect {
 			m.Since = now
@@ -75,6 +77,7 @@
 	m.Incarnation = incarnation
 
 	if isNew {
+		p.roster = nil
 		p.setState(now, m, Suspect)
 		m.Since = now
 		m.LocalSuspicion = false
@@ -134,7 +137,8 @@
 // local suspicion after a while; their first ack makes them live again.
 func (p *Prober) makeSuspicionsLocal() {
 	for _, m := range p.members {
-		if m.State == Suspect {
+		if m.State == Suspect && !m.LocalSuspicion {
+			p.roster = nil
 			m.LocalSuspicion = true
 			m.suspectedBy = nil
 		}
@@ -172,6 +176,7 @@
 		return
 	}
 
+	p.roster = nil
 	p.self.Incarnation = max(p.self.Incarnation, above+1)
 	p.enqueueSelf()
 }
--- a/internal/prober/updates.go
+++ b/internal/prober/updates.go
@@ -72,11 +72,19 @@
 }
 
 func (p *Prober) recordSender(now time.Time, m *member, packet Packet) {
+	if m.Digest.InstanceID != packet.Digest.InstanceID {
+		p.roster = nil
+	}
+
 	m.Digest = packet.Digest
 
 	if packet.VM != nil && packet.VM.Name == m.Name && packet.VM.PeerAddress != "" {
 		m.selfReported = true
-		m.setVM(*packet.VM)
+
+		if *m.vm() != *packet.VM {
+			p.roster = nil
+			m.setVM(*packet.VM)
+		}
 	}
 
 	p.recordLive(now, m, packet.Incarnation, packet.Digest.Leaving, true)
@@ -118,6 +126,10 @@
 
 	if incarnation == m.Incarnation && m.State != Unknown {
 		leftNow := leaving && !m.reportedLeaving
+		if leftNow {
+			p.roster = nil
+		}
+
 		m.reportedLeaving = m.reportedLeaving || leaving
 
 		if leftNow && forward {
@@ -127,6 +139,7 @@
 		return
 	}
 
+	p.roster = nil
 	m.Incarnation = incarnation
 	p.setState(now, m, Live)
 	m.reportedLeaving = leaving
@@ -142,6 +155,7 @@
 		return
 	}
 
+	p.roster = nil
 	m.Incarnation = v.Incarnation
 
 	if p.setState(now, m, Dead) && forward {
