Follower: nodes that start together pass the state on to each other

Cause: a node that starts knows nobody but three seeds. Each seed sent the state of the whole fleet, half a megabyte at 10,000 upstreams, to a third of the fleet at once, over a link of 20 Mbit/s that one such state takes 0.27 s of: a time that grows with nodes times upstreams. Nobody finished before most had, a change of the registry meanwhile made all begin again, and nodes that had waited 1.65 s (no answer) or 3.3 s read the whole store, all of them. Change: a node sends its whole state to two others at once and keeps a list of those that wait. Who has received the state takes over half of that list and invites them, so that the number of senders doubles again and again. Who is turned away is told when to ask again, by the length of the list; unanswered nodes ask ever later. A whole registry that is being sent stays the same for those that are receiving it, and the changes since then follow. Who lacks the state reads the store by a rank drawn from its name among those that wait, some ten of any number, and not while a peer told it to wait. New on the wire between nodes: retry_ms, waiting and delegated in the answer of a pull, and catalog.invite; nodes of before ignore the first and refuse the last, and are then served when they ask again.

--- a/internal/gateway/broker/change_cost_test.go
+++ b/internal/gateway/broker/change_cost_test.go
@@ -53,7 +53,9 @@
 		now := time.Hour
 		catalog := cataloguer.New(func() time.Duration { return now })
 		node := broker.New(nodeOptions("n0", func() []string { return []string{"n0"} }, link{}))
-		update := func() { node.Update(&cataloguer.State{Configuration: serviceState(cataloguer.Listing{}).Configuration, Registry: catalog.State().Registry}) }
+		update := func() {
+			node.Update(&cataloguer.State{Configuration: serviceState(cataloguer.Listing{}).Configuration, Registry: catalog.State().Registry})
+		}
 
 		held := heldBy(func() {
 			catalog.ApplyRegistry(cataloguer.NewRegistry(listing), false)
--- a/internal/gateway/follower/applying.go
+++ b/internal/gateway/follower/applying.go
@@ -41,9 +41,12 @@
 				return false, err
 			}
 
-			// The payload may have been encoded at an earlier revision at which the peer's registry had the same
-			// content.
-			registry.Revision, registry.RetainedUpstreams = response.Revision, response.RetainedUpstreams
+			isCurrent := complete && registry.Digest() == response.Digest
+			if isCurrent {
+				// The payload may have been encoded at an earlier revision at which the peer's registry had the same
+				// content.
+				registry.Revision, registry.RetainedUpstreams = response.Revision, response.RetainedUpstreams
+			}
 
 			if complete && catalog.ApplyRegistry(registry, false) {
 				f.logRegistry("peer")
@@ -51,7 +54,8 @@
 				changed = true
 			}
 
-			more = more || !complete
+			// A whole registry may be followed by the changes since it was encoded.
+			more = more || !isCurrent
 		}
 
 		if registryFreshAt, ok := response.registryFreshAt(freshAt); ok && catalog.State().Registry.Revision >= response.Revision {
--- a/internal/gateway/follower/counters.go
+++ b/internal/gateway/follower/counters.go
@@ -15,6 +15,8 @@
 	// Pulls counts pulls from peers; FailedPulls counts those that failed or timed out.
 	Pulls       int64 `json:"questions"`
 	FailedPulls int64 `json:"failed_questions"`
+	// TurnedAway counts pulls of peers that got nothing, since too many others were receiving the whole state.
+	TurnedAway int64 `json:"turned_away"`
 	// Pages counts pages of configurations and registries received from peers, PageBytes their content.
 	Pages     int64 `json:"pages"`
 	PageBytes int64 `json:"page_bytes"`
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -150,6 +150,17 @@
 	// handoverRequestedAt is when a node that the store rejects last asked this one to read it; negative before the
 	// first request.
 	handoverRequestedAt time.Duration
+	// transfers limits the nodes that receive the whole state from this one.
+	transfers *transfers
+	// retryAt is when this node may ask again after a peer turned it away, and waitingNodes the largest number of nodes that
+	// waited for a peer.
+	retryAt      time.Duration
+	waitingNodes int
+	// transferPeer is the node that sends the whole state to this one, transferredAt when it last did or offered to.
+	transferPeer  string
+	transferredAt time.Duration
+	// unansweredPulls counts the pulls that failed since any peer last answered.
+	unansweredPulls int
 	// reading and pulling say that a read or a pull is in progress.
 	reading, pulling bool
 	// storeUnavailable says that the last read of the store failed; it limits the log to one line per transition.
@@ -158,11 +169,14 @@
 
 // New returns a follower that has not contacted the store or any peer.
 func New(options Options) *Follower {
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(options.Self.Name), 0))
+
 	return &Follower{
 		options:             options,
 		wake:                make(chan struct{}, 1),
 		createdAt:           options.Catalog.Now(),
-		random:              rand.New(rand.NewPCG(xxhash.Sum64String(options.Self.Name), 0)),
+		random:              random,
+		transfers:           newTransfers(),
 		payloads:            newPayloadCache(options.Catalog),
 		pendingNodes:        make(map[string]cataloguer.Node),
 		lastReadAt:          -time.Hour,
@@ -206,6 +220,8 @@
 		go f.pull(ctx, p)
 	}
 
+	f.inviteWaiting(ctx)
+
 	if peer, ok := f.scheduleAnnouncement(t); ok {
 		go f.announce(ctx, peer)
 	}
@@ -236,9 +252,17 @@
 	return f.lastTree
 }
 
-// age returns the age of the configuration, or the time since the follower was created if there is none yet.
+// hasState reports whether this node has received a configuration and a registry.
+func (f *Follower) hasState() bool {
+	state := f.options.Catalog.State()
+
+	return state.HasConfiguration() && state.Registry.Revision > 0
+}
+
+// age returns the age of the configuration, or the time since the follower was created if it has not received the whole
+// state yet.
 func (f *Follower) age() time.Duration {
-	if age, known := f.options.Catalog.ConfigurationAge(); known {
+	if age, known := f.options.Catalog.ConfigurationAge(); known && f.hasState() {
 		return age
 	}
 
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -57,10 +57,17 @@
 	nodeInfo map[string]cataloguer.Node
 	// sentBytes counts the bytes of responses between nodes; crossDomainBytes those between failure domains.
 	sentBytes, crossDomainBytes int
+	// sentBy counts the responses and their bytes by node.
+	sentBy map[string]traffic
 	// linkBytesPerMS is the bandwidth of each node's link in bytes per millisecond; 0 means unlimited.
 	linkBytesPerMS float64
 }
 
+// traffic counts the responses of one node.
+type traffic struct {
+	responses, bytes int
+}
+
 type member struct {
 	fleet    *fleet
 	name     string
@@ -76,7 +83,7 @@
 
 	f := &fleet{
 		version: 1, revision: 1, upstreamIDs: []string{"a"}, rejected: map[string]bool{}, members: map[string]*member{},
-		pastUpstreamIDs: map[string]bool{}, pastNodes: map[string]bool{}, nodeInfo: map[string]cataloguer.Node{},
+		pastUpstreamIDs: map[string]bool{}, pastNodes: map[string]bool{}, nodeInfo: map[string]cataloguer.Node{}, sentBy: map[string]traffic{},
 	}
 	for i := range count {
 		f.start(t, fmt.Sprint("n", i), nil)
@@ -358,6 +365,7 @@
 		follower.MethodPull:      other.follower.HandlePull,
 		follower.MethodChanged:   other.follower.HandleChanged,
 		follower.MethodAnnounce:  other.follower.HandleAnnounce,
+		follower.MethodInvite:    other.follower.HandleInvite,
 		follower.MethodReadStore: other.follower.HandleReadStore,
 	}
 
@@ -389,6 +397,9 @@
 	defer m.fleet.mu.Unlock()
 
 	m.fleet.sentBytes += bytes
+	sent := m.fleet.sentBy[from.name]
+	m.fleet.sentBy[from.name] = traffic{responses: sent.responses + 1, bytes: sent.bytes + bytes}
+
 	if m.fleet.nodeInfo[m.name].FailureDomain != m.fleet.nodeInfo[from.name].FailureDomain {
 		m.fleet.crossDomainBytes += bytes
 	}
@@ -461,7 +472,9 @@
 
 		for i := range 20 {
 			f.update(func() { f.upstreamIDs = []string{fmt.Sprint("u", i)} })
-			took := f.timeUntilAll(func(s *cataloguer.State) bool { return s.Registry.Upstreams.Contains(fmt.Sprint("u", i)) && s.Registry.Upstreams.Len() == 1 })
+			took := f.timeUntilAll(func(s *cataloguer.State) bool {
+				return s.Registry.Upstreams.Contains(fmt.Sprint("u", i)) && s.Registry.Upstreams.Len() == 1
+			})
 			assert.Assert(t, took < 1700*time.Millisecond, "change %d: %v", i, took)
 			time.Sleep(130 * time.Millisecond)
 		}
@@ -638,7 +651,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		now := func() time.Duration { return time.Hour }
 		parent, child := cataloguer.New(now), cataloguer.New(now)
-		singleNode := &fleet{version: 1, members: map[string]*member{}, rejected: map[string]bool{}, nodeInfo: map[string]cataloguer.Node{}}
+		singleNode := &fleet{version: 1, members: map[string]*member{}, rejected: map[string]bool{}, nodeInfo: map[string]cataloguer.Node{}, sentBy: map[string]traffic{}}
 		m := &member{fleet: singleNode, name: "parent", catalog: parent}
 		m.follower = follower.New(follower.Options{
 			Catalog: parent, Store: m, Peers: m, Self: cataloguer.Node{Name: "parent"},
--- a/internal/gateway/follower/large_fleet_test.go
+++ b/internal/gateway/follower/large_fleet_test.go
@@ -34,10 +34,16 @@
 // startLarge starts the nodes of a large fleet with three seeds.
 func (f *fleet) startLarge(t *testing.T) {
 	t.Helper()
+	f.startNodes(t, largeFleetSize)
+}
+
+// startNodes starts nodes in five failure domains with three seeds.
+func (f *fleet) startNodes(t *testing.T, count int) {
+	t.Helper()
 
 	seeds := []string{"n000", "n001", "n002"}
 
-	for i := range largeFleetSize {
+	for i := range count {
 		name := fmt.Sprintf("n%03d", i)
 		node := cataloguer.Node{Name: name, FailureDomain: fmt.Sprint("d", i%domainCount), Capacity: 0.2}
 
--- a/internal/gateway/follower/notifying.go
+++ b/internal/gateway/follower/notifying.go
@@ -40,8 +40,12 @@
 
 // HandleChanged answers MethodChanged: it schedules an immediate pull from the peer.
 func (f *Follower) HandleChanged(_ context.Context, peer string, _ json.RawMessage) (any, error) {
+	lacksState := !f.hasState()
+
 	f.mu.Lock()
-	f.nextPeer = peer
+	if !lacksState || !f.isTransferringLocked() {
+		f.nextPeer = peer
+	}
 	f.mu.Unlock()
 
 	f.wakeLoop()
--- a/internal/gateway/follower/payload_cache.go
+++ b/internal/gateway/follower/payload_cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/packer"
@@ -11,6 +12,9 @@
 // nodes below this one still have.
 const maxCachedPayloads = 8
 
+// wholeRegistryAge is how long a node begins to send the same whole registry, followed by what changed since.
+const wholeRegistryAge = 2 * time.Second
+
 // payloadCache encodes a catalog's state for peers, once for each state from which peers update. It is safe for
 // concurrent use. Its lock is acquired before the catalog's.
 type payloadCache struct {
@@ -23,6 +27,15 @@
 	configurations map[uint64]packer.Payload
 	digest         uint64
 	registries     map[uint64]packer.Payload
+	// whole and formerWhole are the latest whole registries. They may be older than digest.
+	whole, formerWhole wholeRegistry
+}
+
+// wholeRegistry is the payload of a whole registry.
+type wholeRegistry struct {
+	payload  packer.Payload
+	digest   uint64
+	packedAt time.Duration
 }
 
 func newPayloadCache(catalog *cataloguer.Catalog) *payloadCache {
@@ -53,9 +66,10 @@
 	return packCached(p.configurations, 0, state.Configuration)
 }
 
-// registry returns the payload that updates a peer to the state's registry, and its base digest; 0 if it is the full
-// registry.
-func (p *payloadCache) registry(state *cataloguer.State, from uint64) (packer.Payload, uint64, error) {
+// registry returns the payload that updates a peer to the state's registry, and its base digest; 0 if it is a whole
+// registry. If the peer is receiving the whole registry with the given payload ID, it gets the rest of that one as long as a
+// delta leads on from there: during a release the registry changes several times while a slow link transfers it once.
+func (p *payloadCache) registry(state *cataloguer.State, from, transferring uint64) (packer.Payload, uint64, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
@@ -72,7 +86,39 @@
 		return packCached(p.registries, from, delta)
 	}
 
-	return packCached(p.registries, 0, state.Registry)
+	return p.wholeRegistry(state, transferring)
+}
+
+func (p *payloadCache) wholeRegistry(state *cataloguer.State, transferring uint64) (packer.Payload, uint64, error) {
+	now := p.catalog.Now()
+
+	if p.formerWhole.payload.ID == transferring && p.formerWhole.leadsTo(state) {
+		return p.formerWhole.payload, 0, nil
+	}
+
+	if p.whole.leadsTo(state) && (p.whole.payload.ID == transferring || now-p.whole.packedAt < wholeRegistryAge) {
+		return p.whole.payload, 0, nil
+	}
+
+	payload, err := packer.Pack(state.Registry)
+	if err != nil {
+		return packer.Payload{}, 0, err
+	}
+
+	p.formerWhole, p.whole = p.whole, wholeRegistry{payload: payload, digest: state.Digest, packedAt: now}
+
+	return payload, 0, nil
+}
+
+// leadsTo reports whether a peer that receives this registry can update from it to the state.
+func (w *wholeRegistry) leadsTo(state *cataloguer.State) bool {
+	if w.payload.ID == 0 {
+		return false
+	}
+
+	_, ok := state.Registry.DeltaSince(w.digest)
+
+	return ok
 }
 
 // packCached returns the cached payload for base, or encodes and caches value.
--- a/internal/gateway/follower/pull_handler.go
+++ b/internal/gateway/follower/pull_handler.go
@@ -49,6 +49,12 @@
 	// routes matter more than new upstreams.
 	Configuration *payloadPage `json:"configuration,omitempty"`
 	Registry      *payloadPage `json:"registry,omitempty"`
+	// RetryMS is set if the caller gets nothing now: it should not ask again before, unless it is invited. Waiting is the
+	// number of nodes that wait for this peer.
+	RetryMS int64 `json:"retry_ms,omitempty"`
+	Waiting int   `json:"waiting,omitempty"`
+	// Delegated are waiting nodes that the caller should send the state to, which it has now.
+	Delegated []string `json:"delegated,omitempty"`
 }
 
 // age returns the age of the peer's configuration. AgeMS must not be negative.
@@ -97,31 +103,107 @@
 	response.Version = state.Configuration.Version
 	response.Revision, response.RetainedUpstreams, response.Digest = state.Registry.Revision, state.Registry.RetainedUpstreams, state.Digest
 
+	if state.Configuration.Version < request.Version {
+		// A seed that the store rejects at its start knows no peers yet, so it pulls from those that contact it.
+		f.setNextPeer(peer)
+		f.wakeLoop()
+	}
+
+	return &response, f.addPayloads(&response, state, peer, request)
+}
+
+// addPayloads adds the next page of what the peer lacks to the response, or turns the peer away.
+func (f *Follower) addPayloads(response *pullResponse, state *cataloguer.State, peer string, request pullParams) error {
+	if !state.HasConfiguration() && request.Version == 0 {
+		f.turnAway(response, peer)
+
+		return nil
+	}
+
 	if state.Configuration.Version > request.Version {
 		payload, base, err := f.payloads.configuration(state, request.Version)
 		if err != nil {
-			return nil, errors.Wrap(err, "pack configuration")
+			return errors.Wrap(err, "pack configuration")
 		}
 
-		response.Configuration = &payloadPage{Base: base, Page: payload.Page(request.Progress)}
+		if response.Configuration = f.nextPage(payload, base, peer, request.Progress); response.Configuration == nil {
+			f.turnAway(response, peer)
+
+			return nil
+		}
+
+		if !response.Configuration.IsLast() {
+			return nil
+		}
 	}
 
-	if state.Configuration.Version < request.Version {
-		// A seed that the store rejects at its start knows no peers yet, so it pulls from those that contact it.
-		f.setNextPeer(peer)
-		f.wakeLoop()
+	if state.Digest == request.Digest || !state.Registry.IsNewerThan(request.Revision, request.RetainedUpstreams) {
+		f.finishTransfer(response, peer, false)
+
+		return nil
 	}
 
-	hasConfiguration := response.Configuration == nil || response.Configuration.IsLast()
+	known := request.Digest
+	if request.Revision == 0 {
+		known = 0
+	}
 
-	if hasConfiguration && state.Digest != request.Digest && state.Registry.IsNewerThan(request.Revision, request.RetainedUpstreams) {
-		payload, base, err := f.payloads.registry(state, request.Digest)
-		if err != nil {
-			return nil, errors.Wrap(err, "pack registry")
+	payload, base, err := f.payloads.registry(state, known, request.Progress.ID)
+	if err != nil {
+		return errors.Wrap(err, "pack registry")
+	}
+
+	if response.Registry = f.nextPage(payload, base, peer, request.Progress); response.Registry == nil {
+		if response.Configuration == nil {
+			f.turnAway(response, peer)
 		}
 
-		response.Registry = &payloadPage{Base: base, Page: payload.Page(request.Progress)}
+		return nil
+	}
+
+	if response.Registry.IsLast() {
+		f.finishTransfer(response, peer, base == 0)
+	}
+
+	return nil
+}
+
+// nextPage returns the next page of a payload for the peer, or nil if the payload is a whole state and too many peers are
+// receiving one.
+func (f *Follower) nextPage(payload packer.Payload, base uint64, peer string, progress packer.Progress) *payloadPage {
+	page := &payloadPage{Base: base, Page: payload.Page(progress)}
+	if base != 0 || page.Offset == 0 && page.IsLast() {
+		return page
+	}
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if !f.transfers.admit(peer, page.Offset > 0, f.options.Catalog.Now()) {
+		return nil
 	}
 
-	return response, nil
+	return page
+}
+
+// turnAway tells the peer to come back later or to ask others.
+func (f *Follower) turnAway(response *pullResponse, peer string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	response.RetryMS = f.transfers.turnAway(peer, f.options.Catalog.Now()).Milliseconds()
+	response.Waiting = len(f.transfers.waiting)
+	f.counters.TurnedAway++
+}
+
+// finishTransfer records that the peer has what it needs, and leaves waiting nodes to it if it received the whole state.
+func (f *Follower) finishTransfer(response *pullResponse, peer string, received bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	response.Delegated = f.transfers.finish(peer, received)
+
+	if len(f.transfers.waiting) > 0 {
+		f.wakeLoop()
+	}
 }
--- a/internal/gateway/follower/pulling.go
+++ b/internal/gateway/follower/pulling.go
@@ -29,7 +29,8 @@
 // schedulePull selects the peer to pull from now: the parent, or any node while the configuration is stale.
 func (f *Follower) schedulePull(t *tree) (duePull, bool) {
 	now := f.options.Catalog.Now()
-	age, known := f.options.Catalog.ConfigurationAge()
+	age := f.age()
+	known := f.hasState()
 	// The root pulls from another node as soon as its own reads fail.
 	stale := !known || isStale(t, age) || t.rank == 0 && age > storeReadInterval+storeTimeout/2
 
@@ -45,6 +46,11 @@
 		return duePull{}, false
 	}
 
+	if !known && len(t.order) == 1 {
+		// Nodes that know only the seeds must not overwhelm them.
+		interval <<= min(f.unansweredPulls, maxTimeoutDoublings)
+	}
+
 	if f.nextPeer != "" {
 		peer := f.nextPeer
 		f.nextPeer = ""
@@ -57,6 +63,15 @@
 		return duePull{}, false
 	}
 
+	if !known && f.isTransferringLocked() {
+		// A page was lost. The rest comes from the same peer, as others may send another state.
+		return f.newPullLocked(f.transferPeer, now), true
+	}
+
+	if now < f.retryAt {
+		return duePull{}, false
+	}
+
 	peer, ok := f.choosePeer(t, parent, stale)
 	if !ok {
 		return duePull{}, false
@@ -154,6 +169,10 @@
 	err := f.options.Peers.Call(callCtx, p.peer, MethodPull, params, &response)
 	f.recordPull(p.peer, response, startedAt, err)
 
+	if err == nil && response.RetryMS > 0 {
+		f.recordTurnedAway(response)
+	}
+
 	if err != nil {
 		f.options.Logger.Debug().Err(err).Str("peer", p.peer).Msg("pull_failed")
 
@@ -172,15 +191,38 @@
 	}
 
 	if more {
+		f.recordTransfer(p.peer)
 		f.setNextPeer(p.peer)
 	}
 
+	f.takeOver(ctx, response.Delegated)
+
 	// The children can't tell that pulling is useful again.
 	if t := f.tree(); wasStale && !isStale(t, f.age()) {
 		f.notify(ctx, t.children)
 	}
 }
 
+// recordTurnedAway records that a peer has nothing for this node now.
+func (f *Follower) recordTurnedAway(response pullResponse) {
+	now := f.options.Catalog.Now()
+	delay := time.Duration(response.RetryMS) * time.Millisecond
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.retryAt = now + delay/2 + f.jitterLocked(delay)
+	f.waitingNodes = max(f.waitingNodes, response.Waiting)
+}
+
+// recordTransfer records that a peer has sent a page and has more.
+func (f *Follower) recordTransfer(peer string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.transferPeer, f.transferredAt = peer, f.options.Catalog.Now()
+}
+
 // setNextPeer makes a peer the next one to pull from, unless another is already set.
 func (f *Follower) setNextPeer(peer string) {
 	f.mu.Lock()
@@ -200,12 +242,13 @@
 
 	if err != nil {
 		f.failedPulls++
+		f.unansweredPulls++
 		f.counters.FailedPulls++
 
 		return
 	}
 
-	f.failedPulls, f.lastAnsweredPullAt = 0, startedAt
+	f.failedPulls, f.unansweredPulls, f.lastAnsweredPullAt = 0, 0, startedAt
 
 	for _, page := range []*payloadPage{response.Configuration, response.Registry} {
 		if page != nil {
--- a/internal/gateway/follower/store_reading.go
+++ b/internal/gateway/follower/store_reading.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
@@ -34,10 +35,8 @@
 	// isolatedReadAge is the read age of a node that no peer answers, as no other node can help it.
 	isolatedReadAge = substituteAge + linearSubstitutes*substituteAgeStep
 	// startReadAge is the read age of a node that just started and whose peers have no configuration either: the
-	// seeds read the store first. Some of the others follow, spread over startReadJitter, in case the store rejects
-	// all seeds.
-	startReadAge    = 2 * isolatedReadAge
-	startReadJitter = isolatedReadAge
+	// seeds read the store first. The others follow by their rank, in case the store rejects all seeds.
+	startReadAge = 2 * isolatedReadAge
 	// readAgeJitter separates nodes that become due at the same time.
 	readAgeJitter = 100 * time.Millisecond
 	// isolationTimeout is the time without an answered pull after which a node considers itself isolated.
@@ -130,15 +129,18 @@
 	isSeed := len(seeds) == 0 || slices.Contains(seeds, f.options.Self.Name)
 	// A node that just started knows few others, so having the lowest rank among them doesn't make it the root.
 	isFirst := t.rank == 0 && 2*len(t.order) > state.Registry.Nodes.Len() && (len(t.order) > 1 || isSeed)
-	isIsolated := now-max(f.lastAnsweredPullAt, f.createdAt) > isolationTimeout
+	// A node that a peer told to wait is not isolated meanwhile.
+	isIsolated := now-max(f.lastAnsweredPullAt, f.createdAt, f.retryAt) > isolationTimeout
+
+	hasState := f.hasState()
 
 	switch {
-	case f.isSubstitute || state.HasConfiguration() && isFirst || !state.HasConfiguration() && isSeed:
+	case f.isSubstitute || hasState && isFirst || !hasState && isSeed:
 		return 0
 	case isIsolated:
 		return isolatedReadAge + f.jitterLocked(readAgeJitter)
-	case !state.HasConfiguration():
-		return startReadAge + f.jitterLocked(startReadJitter)
+	case !hasState:
+		return startReadAge + f.startRankAge() + f.jitterLocked(readAgeJitter)
 	case len(t.order) == 1:
 		// The node just started: peers answer it, but it doesn't know yet which of them are live.
 		return isolatedReadAge + f.jitterLocked(readAgeJitter)
@@ -147,6 +149,17 @@
 	}
 }
 
+// startRankAge returns how much longer than others a node waits that just started and whose peers have no configuration
+// either. The nodes don't know each other yet, so each takes a rank among those that wait by the hash of its name. f.mu must
+// be held.
+func (f *Follower) startRankAge() time.Duration {
+	const bits = 53
+
+	fraction := float64(xxhash.Sum64String(f.options.Self.Name)>>(64-bits)) / (1 << bits)
+
+	return substituteAgeForRank(1+int(fraction*float64(f.waitingNodes))) - substituteAge
+}
+
 // substituteAgeForRank returns the read age of a node by its rank.
 func substituteAgeForRank(rank int) time.Duration {
 	linear := substituteAge + time.Duration(min(max(rank-1, 0), linearSubstitutes))*substituteAgeStep
--- a/internal/gateway/follower/tree.go
+++ b/internal/gateway/follower/tree.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,22 +35,24 @@
 // SortByHash returns the nodes sorted by the hash of their names. All nodes agree on this order without
 // communication, and similar names don't get adjacent positions.
 func SortByHash(nodes []string) []string {
-	order := slices.Clone(nodes)
-
-	slices.SortFunc(order, func(a, b string) int {
-		left, right := xxhash.Sum64String(a), xxhash.Sum64String(b)
-
-		switch {
-		case left < right:
-			return -1
-		case left > right:
-			return 1
-		default:
-			return 0
-		}
-	})
+	type hashed struct {
+		name string
+		hash uint64
+	}
+
+	order := make([]hashed, 0, len(nodes))
+	for _, name := range nodes {
+		order = append(order, hashed{name: name, hash: xxhash.Sum64String(name)})
+	}
+
+	slices.SortFunc(order, func(a, b hashed) int { return cmp.Compare(a.hash, b.hash) })
+
+	names := make([]string, 0, len(order))
+	for _, node := range order {
+		names = append(names, node.name)
+	}
 
-	return order
+	return names
 }
 
 // precedes reports whether a live node comes before another one in the order.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -223,6 +223,7 @@
 	n.messages.Handle(follower.MethodPull, n.follower.HandlePull)
 	n.messages.Handle(follower.MethodChanged, n.follower.HandleChanged)
 	n.messages.Handle(follower.MethodAnnounce, n.follower.HandleAnnounce)
+	n.messages.Handle(follower.MethodInvite, n.follower.HandleInvite)
 	n.messages.Handle(follower.MethodReadStore, n.follower.HandleReadStore)
 
 	n.quarantine = quarantiner.New(quarantiner.Options{
