Catalog: a newer version on its way does not confirm the known one

What callers could see: a revoked key is accepted for longer than revokeMs by a node that receives the configuration without it in pages. Cause: each pull's answer named the peer's version, and MarkConfigurationFresh took any version that is not older as a proof for the one the node has. A transfer of many pages over a narrow link so kept the former keys fresh as long as it took. Change: only the known version is confirmed. Test: TestProofOfOlderVersionSaysNothing has the case now; it failed before (age 0 in place of 1 s).

--- a/internal/gateway/cataloguer/catalog.go
+++ b/internal/gateway/cataloguer/catalog.go
@@ -118,10 +118,10 @@
 	return c.changed
 }
 
-// MarkConfigurationFresh records that the given version was the newest as of the given time. It has no effect if the
-// version is older than the known one.
+// MarkConfigurationFresh records that the given version was the newest as of the given time. It has no effect unless that
+// is the known version: a newer one may still be on its way, page by page.
 func (c *Catalog) MarkConfigurationFresh(version int64, at time.Duration) {
-	if version < c.state.Load().Configuration.Version || version == 0 {
+	if version != c.state.Load().Configuration.Version || version == 0 {
 		return
 	}
 
--- a/internal/gateway/cataloguer/catalog_test.go
+++ b/internal/gateway/cataloguer/catalog_test.go
@@ -73,6 +73,11 @@
 	age, _ = c.ConfigurationAge()
 	assert.Equal(t, age, time.Second)
 
+	// A newer version that the node doesn't have yet, because it arrives in pages, says nothing of the one it has.
+	c.MarkConfigurationFresh(4, clock.now)
+	age, _ = c.ConfigurationAge()
+	assert.Equal(t, age, time.Second)
+
 	// A confirmation as of an earlier time does not lower the freshness.
 	c.MarkConfigurationFresh(3, clock.now-3*time.Second)
 	age, _ = c.ConfigurationAge()
