Follower: a read of the whole store may take as long as it is large

What callers would see: nobody is served after a start of a fleet of 20,000 servers. Test: TestLongListOverANarrowLinkIsRead, 2, 20 and 40 pages.

--- a/internal/gateway/crashing_request_test.go
+++ b/internal/gateway/crashing_request_test.go
@@ -60,7 +60,7 @@
 	return configuration, s.revision, nil
 }
 
-func (s *crashStore) Registry(context.Context) (cataloguer.Listing, error) {
+func (s *crashStore) Registry(context.Context, func()) (cataloguer.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -40,8 +40,9 @@
 	Revision(ctx context.Context) (int64, error)
 	// Configuration returns the configuration in force, version 0 if there is none, and the store's revision.
 	Configuration(ctx context.Context) (cataloguer.Configuration, int64, error)
-	// Registry returns the upstreams, the nodes, the quarantined requests and the upstreams' rate limits.
-	Registry(ctx context.Context) (cataloguer.Listing, error)
+	// Registry returns the upstreams, the nodes, the quarantined requests and the upstreams' rate limits. It calls progress
+	// after each part that it has received.
+	Registry(ctx context.Context, progress func()) (cataloguer.Listing, error)
 	// Changes returns the changes after a revision, or ErrHistoryCompacted. It may lack the newest changes.
 	Changes(ctx context.Context, after int64) (Changes, error)
 	// Announce adds nodes to the registry.
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -59,6 +59,9 @@
 	sentBytes, crossDomainBytes int
 	// sentBy counts the responses and their bytes by node.
 	sentBy map[string]traffic
+	// registryPages is the number of parts in which the store lists the registry, each after pageDelay.
+	registryPages int
+	pageDelay     time.Duration
 	// linkBytesPerMS is the bandwidth of each node's link in bytes per millisecond; 0 means unlimited.
 	linkBytesPerMS float64
 }
@@ -303,9 +306,17 @@
 	return m.fleet.configurationLocked(), m.fleet.revision, nil
 }
 
-func (m *member) Registry(ctx context.Context) (cataloguer.Listing, error) {
-	if err := m.callStore(ctx); err != nil {
-		return cataloguer.Listing{}, err
+func (m *member) Registry(ctx context.Context, progress func()) (cataloguer.Listing, error) {
+	for range max(m.fleet.registryPages, 1) {
+		if err := m.callStore(ctx); err != nil {
+			return cataloguer.Listing{}, err
+		}
+
+		if !sleeper.Sleep(ctx, m.fleet.pageDelay) {
+			return cataloguer.Listing{}, ctx.Err()
+		}
+
+		progress()
 	}
 
 	m.fleet.mu.Lock()
--- a/internal/gateway/follower/start_test.go
+++ b/internal/gateway/follower/start_test.go
@@ -76,3 +76,20 @@
 		})
 	}
 }
+
+// Guards against a time limit for the whole list that a fleet outgrows: a node on a narrow link that read the list of 20,000
+// upstreams gave up after 2.5 s and began again, without end.
+func TestLongListOverANarrowLinkIsRead(t *testing.T) {
+	for _, pages := range []int{2, 20, 40} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 0)
+			defer f.stop()
+
+			f.registryPages, f.pageDelay = pages, 150*time.Millisecond
+			f.start(t, "n0", nil)
+
+			took := f.timeUntilAll(func(s *cataloguer.State) bool { return s.Registry.Revision > 0 })
+			assert.Assert(t, took < time.Duration(pages)*200*time.Millisecond+time.Second, "%d pages: %v", pages, took)
+		})
+	}
+}
--- a/internal/gateway/follower/store_reading.go
+++ b/internal/gateway/follower/store_reading.go
@@ -45,8 +45,9 @@
 	// more time, as its data may exceed what a slow link transfers in the first attempt.
 	storeTimeout    = 700 * time.Millisecond
 	maxStoreTimeout = 2800 * time.Millisecond
-	// fullReadTimeout bounds a read of the whole store: two megabytes over a 20 Mbit/s link, with overhead.
-	fullReadTimeout = 2500 * time.Millisecond
+	// partTimeout bounds the time between two parts of a read of the whole store. The whole may take as long as it is large:
+	// 10,000 upstreams are 4 MB, nearly two seconds over a 20 Mbit/s link.
+	partTimeout = 1500 * time.Millisecond
 	// nodesPerRetrySlot and maxRetrySlots set the number of slots in which nodes take turns to retry an unavailable
 	// store. A node of nine retries every 1.8 s, so that a store that returns for it alone is noticed within the two
 	// seconds in which changes of keys and routes take effect; one of many retries every 4.8 s, where operators allow
@@ -283,9 +284,12 @@
 
 // readAll reads the whole content of the store.
 func (f *Follower) readAll(ctx context.Context, startedAt time.Duration, afterOutage bool) error {
-	readCtx, cancel := context.WithTimeout(ctx, fullReadTimeout)
+	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
+	timer := time.AfterFunc(partTimeout, cancel)
+	defer timer.Stop()
+
 	f.count(func(c *Counters) { c.FullReads++ })
 
 	configuration, revision, err := f.options.Store.Configuration(readCtx)
@@ -299,8 +303,9 @@
 	}
 
 	f.applyConfiguration(ctx, configuration, startedAt)
+	timer.Reset(partTimeout)
 
-	listing, err := f.options.Store.Registry(readCtx)
+	listing, err := f.options.Store.Registry(readCtx, func() { timer.Reset(partTimeout) })
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -53,7 +53,7 @@
 	}, s.revision, nil
 }
 
-func (s *store) Registry(context.Context) (cataloguer.Listing, error) {
+func (s *store) Registry(context.Context, func()) (cataloguer.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
