Relayer: a load that can't be read says nothing

Cause of the fault: a figure that is no number counted as 0, so that a full upstream that reports "x,40,16" was taken for an empty one. Change: the first two figures have to be whole numbers from 0 to 65,536, else the report changes nothing and is counted (load_unreadable); all that follows is ignored. Before, "x,0,8" was read as 0 running.

--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -176,16 +176,46 @@
 	r.options.Quarantine.Broke(request.key, choice.Upstream, choice.Address, responseStarted)
 }
 
-// parseLoad returns the load that the upstream reports in its response, or nil if it reports none.
-func (r *Relayer) parseLoad(response *dialer.Response) *balancer.Load {
-	running, rest, found := strings.Cut(response.Header.Get(r.options.Headers.Load), ",")
-	if !found {
+// reportedLoad returns the load that the upstream reports in its response, or nil if it reports none that can be read.
+func (r *Relayer) reportedLoad(response *dialer.Response) *balancer.Load {
+	text := response.Header.Get(r.options.Headers.Load)
+	if text == "" {
 		return nil
 	}
 
-	waiting, _, _ := strings.Cut(rest, ",")
+	load, ok := parseLoad(text)
+	if !ok {
+		r.options.FailedAttempts.Add("load_unreadable", 1)
 
-	return &balancer.Load{Running: parseCount(running), Waiting: parseCount(waiting)}
+		return nil
+	}
+
+	return load
+}
+
+// maxReportedRequests is the number of requests from which a reported load is an error.
+const maxReportedRequests = 1 << 16
+
+// parseLoad parses the load that an upstream reports: the requests that run and that wait there, separated by commas. What
+// follows (its slots, how long work takes) is ignored.
+func parseLoad(text string) (*balancer.Load, bool) {
+	figures := strings.Split(text, ",")
+	if len(figures) < 2 {
+		return nil, false
+	}
+
+	var counts [2]int
+
+	for i := range counts {
+		count, err := strconv.Atoi(strings.TrimSpace(figures[i]))
+		if err != nil || count < 0 || count > maxReportedRequests {
+			return nil, false
+		}
+
+		counts[i] = count
+	}
+
+	return &balancer.Load{Running: counts[0], Waiting: counts[1]}, true
 }
 
 // isUpstreamFault reports whether a failed attempt is the upstream's fault: a caller that disconnected or
--- a/internal/gateway/relayer/stream.go
+++ b/internal/gateway/relayer/stream.go
@@ -48,7 +48,7 @@
 
 		if first {
 			first = false
-			r.options.Chooser.RecordFirstEvent(request.attemptID(), r.parseLoad(response))
+			r.options.Chooser.RecordFirstEvent(request.attemptID(), r.reportedLoad(response))
 			r.activity.recordResponse(choice.Upstream, sent, now, request.poolRequest.Priority)
 		}
 
