Gateway: each caller of a large fleet gets 64 nodes of its own

A response to the question where to connect holds up to 64 addresses, and ours held all nodes, sorted by address. If callers take the first 64, 985 nodes work with 64 of one failure domain, most of them weak; if they take all, each answer is 20 KB. Cause: what holds only while the fleet has at most 64 nodes. Change: callers of a larger fleet get 64 nodes by weighted rendezvous hashing of the caller's address and question: over all callers each node is used in proportion to its capacity, and a caller's nodes change only as nodes come and go, since callers drop their connections to an address that is missing from a new response. Fleets of up to 64 nodes answer as before.

--- /dev/null
+++ b/internal/gateway/entries_test.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/prober"
+)
+
+const maxTestEntries = 64
+
+// rosterOf returns the roster of a fleet of which every twentieth node has four times the capacity of the others, without
+// the nodes that are lost.
+func rosterOf(size int, lost ...int) *roster {
+	var (
+		listing cataloguer.Listing
+		members []prober.Member
+	)
+
+	for i := range size {
+		capacity := 0.2
+		if i%20 == 0 {
+			capacity = 0.8
+		}
+
+		name := fmt.Sprintf("10.0.%d.%d:7", i/250, i%250)
+		listing.Nodes = append(listing.Nodes, cataloguer.Node{Name: name, Address: name + "0", Capacity: capacity})
+
+		if i > 0 && !slices.Contains(lost, i) {
+			members = append(members, prober.Member{Name: name, Address: name + "0", State: prober.Live, Incarnation: 1})
+		}
+	}
+
+	r := &roster{nodes: cataloguer.NewRegistry(listing).Nodes, ready: true}
+	r.derive(members, "10.0.0.0:7", "10.0.0.0:70")
+
+	return r
+}
+
+// Guards against a large fleet whose callers use few of its nodes: they take 64 addresses from a response, and all
+// responses began with the same ones.
+func TestCallersAreSpreadOverAllNodesByCapacity(t *testing.T) {
+	for _, size := range []int{100, 1_000, 2_000} {
+		r := rosterOf(size)
+		used := make(map[string]float64)
+
+		const callers = 2_000
+
+		for caller := range callers {
+			addresses := r.entriesFor(fmt.Sprint("10.9.0.", caller), maxTestEntries)
+			assert.Equal(t, len(addresses), maxTestEntries)
+
+			for _, address := range addresses {
+				used[address]++
+			}
+		}
+
+		assert.Equal(t, len(used), size)
+
+		strong, weak := 0.0, 0.0
+		strongest, weakest := 0.0, math.Inf(1)
+
+		for _, e := range r.entries {
+			if e.weight > 0.5 {
+				strong += used[e.address] / float64(size/20)
+			} else {
+				weak += used[e.address] / float64(size-size/20)
+				strongest, weakest = max(strongest, used[e.address]), min(weakest, used[e.address])
+			}
+		}
+
+		t.Logf("%d nodes: a strong one is used by %.0f callers, a weak one by %.0f (%.0f to %.0f)", size, strong, weak, weakest, strongest)
+		assert.Check(t, strong > weak)
+		assert.Check(t, strong < 4.4*weak)
+		assert.Check(t, strongest < 1.6*weak)
+
+		if size >= 1_000 {
+			// With 100 nodes, most of which each caller gets, the strong ones can't be in more lists than all.
+			assert.Check(t, strong > 3*weak)
+		}
+	}
+}
+
+// Guards against callers who drop their connections each time that they ask: they stop using an address that is missing from
+// a new response.
+func TestAddressesOfACallerStay(t *testing.T) {
+	before, after := rosterOf(1_000), rosterOf(1_000, 7, 400, 813)
+
+	for caller := range 500 {
+		name := fmt.Sprint("10.9.0.", caller)
+		kept := before.entriesFor(name, maxTestEntries)
+		assert.DeepEqual(t, kept, before.entriesFor(name, maxTestEntries))
+
+		now := after.entriesFor(name, maxTestEntries)
+		missing := 0
+
+		for _, address := range kept {
+			if !slices.Contains(now, address) {
+				missing++
+				assert.Assert(t, slices.Contains([]string{"10.0.0.7:70", "10.0.1.150:70", "10.0.3.63:70"}, address), address)
+			}
+		}
+
+		assert.Assert(t, missing <= 3)
+	}
+}
+
+func TestSmallFleetsOfferAllNodes(t *testing.T) {
+	assert.Equal(t, len(rosterOf(64).entriesFor("a", maxTestEntries)), 64)
+	assert.Equal(t, len(rosterOf(65).entriesFor("a", maxTestEntries)), 64)
+	assert.Equal(t, len(rosterOf(300).entriesFor("a", 0)), 300)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,8 @@
 	ReadyPath string
 	// EntriesPath responds with the addresses of the nodes to use.
 	EntriesPath string
+	// MaxEntries is the number of addresses that callers take from a response of EntriesPath; 0 means all.
+	MaxEntries int
 	// EncodeEntries returns the response body of EntriesPath; keep is how long callers may cache it.
 	EncodeEntries func(addresses []string, keep time.Duration) ([]byte, error)
 }
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -21,8 +21,8 @@
 	live, others []string
 	// strong are the live nodes with enough capacity to decide for others, sorted by name.
 	strong []string
-	// addresses are the addresses that callers should use, sorted.
-	addresses []string
+	// entries are the nodes that callers may use.
+	entries []entry
 	// limitShare is the part of the upstreams' rate limits that this node may use together with those that it reaches.
 	limitShare float64
 }
@@ -56,7 +56,7 @@
 	}
 
 	if r.ready {
-		r.addresses = append(r.addresses, address)
+		r.addEntry(self, address)
 	}
 
 	for _, member := range members {
@@ -68,6 +68,10 @@
 			listed++
 		}
 
+		if isEntry(&member) {
+			r.addEntry(member.Name, member.Address)
+		}
+
 		if member.Leaving {
 			r.others = append(r.others, member.Name)
 
@@ -75,14 +79,9 @@
 		}
 
 		r.live = append(r.live, member.Name)
-
-		if member.State == prober.Live {
-			r.addresses = append(r.addresses, member.Address)
-		}
 	}
 
-	slices.Sort(r.addresses)
-
+	r.weighUnknown()
 	r.limitShare = throttler.Share(listed, r.nodes.Len())
 	r.strong = r.strongNodes(self)
 }
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -130,8 +130,8 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (n *Node) handleEntries(w http.ResponseWriter, _ *http.Request) {
-	addresses := n.currentRoster().addresses
+func (n *Node) handleEntries(w http.ResponseWriter, request *http.Request) {
+	addresses := n.currentRoster().entriesFor(callerKey(request), n.protocol.MaxEntries)
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 
@@ -151,6 +151,17 @@
 	_, _ = w.Write(body)
 }
 
+// callerKey returns a text that stays the same for a caller and differs between callers as far as that is known: the
+// caller's address without its port, and what it asks for.
+func callerKey(request *http.Request) string {
+	host, _, err := net.SplitHostPort(request.RemoteAddr)
+	if err != nil {
+		host = request.RemoteAddr
+	}
+
+	return host + "?" + request.URL.RawQuery
+}
+
 // drain performs the planned stop: the node removes itself from the entries immediately, accepts requests while callers
 // may still have its address cached, and returns when nothing is in flight or drainFraction of the drain timeout is over.
 func (n *Node) drain(servers []*http.Server) {
