--- a/internal/prober/mass_failure_test.go
+++ b/internal/prober/mass_failure_test.go
@@ -30,40 +30,14 @@
 			lost := make(map[*node]bool)
 
 			for i, n := range w.nodes {
-				if i%10 < 3 {
-					lost[n] = true
-				}
-			}
-
-			w.cut = func(from, to *node) bool { return lost[from] != lost[to] }
-
-			for _, n := range w.nodes {
 				n.sent = traffic{}
+				lost[n] = i%10 < 3
 			}
 
-			// offered returns the fraction of the lost nodes to which the others send callers.
-			offered := func() float64 {
-				pairs, live := 0, 0
-
-				for _, n := range w.nodes {
-					if lost[n] {
-						continue
-					}
-
-					pairs += len(lost)
-
-					for _, m := range n.prober.Live(w.now) {
-						if lost[w.byName[m.Name]] && m.State == prober.Live {
-							live++
-						}
-					}
-				}
-
-				return float64(live) / float64(pairs)
-			}
+			w.cut = func(from, to *node) bool { return lost[from] != lost[to] }
 
-			half := w.runUntil(time.Minute, func() bool { return offered() < 0.5 })
-			nearlyAll := half + w.runUntil(time.Minute, func() bool { return offered() < 0.02 })
+			half := w.runUntil(time.Minute, func() bool { return w.offered(lost) < 0.5 })
+			nearlyAll := half + w.runUntil(time.Minute, func() bool { return w.offered(lost) < 0.02 })
 
 			bytes := 0
 			for _, n := range w.nodes {
@@ -76,3 +50,28 @@
 		})
 	}
 }
+
+// offered returns the fraction of the lost nodes to which the others send callers.
+func (w *network) offered(lost map[*node]bool) float64 {
+	pairs, live := 0, 0
+
+	for _, n := range w.nodes {
+		if lost[n] {
+			continue
+		}
+
+		for _, m := range n.prober.Live(w.now) {
+			if lost[w.byName[m.Name]] && m.State == prober.Live {
+				live++
+			}
+		}
+
+		for _, isLost := range lost {
+			if isLost {
+				pairs++
+			}
+		}
+	}
+
+	return float64(live) / float64(pairs)
+}
