Follower: a long delta goes on while the registry changes

What callers would see: nodes on narrow links learn of no server while thousands start or leave. Cause: each change of the registry gave peers that were in the middle of a delta of many pages a new one from its first page. A delta that takes longer than the time between two changes never ended. Deltas grow with the fleet, the time between changes doesn't. Change: payloads of several pages are kept, 4 MB at most, and a peer gets the rest of the one that it is receiving, as a whole registry already did; the changes since follow. Test: TestLongDeltasArriveWhileTheRegistryChanges; before, the node knew none of eight changes.

--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -33,7 +33,9 @@
 	organisations []cataloguer.Organisation
 	nodes         []cataloguer.Node
 	upstreamIDs   []string
-	reads         int
+	// addresses holds the addresses of upstreams that have one.
+	addresses map[string]string
+	reads     int
 	// calls counts all calls to the store, including writes.
 	calls int
 	// lastReader is the node that made the last call.
@@ -272,7 +274,7 @@
 	changes := follower.Changes{Revision: f.revision, Configuration: &configuration, Nodes: slices.Clone(f.nodes)}
 
 	for _, id := range f.upstreamIDs {
-		changes.Upstreams = append(changes.Upstreams, cataloguer.Upstream{ID: id})
+		changes.Upstreams = append(changes.Upstreams, cataloguer.Upstream{ID: id, Address: f.addresses[id]})
 	}
 
 	for id := range f.pastUpstreamIDs {
@@ -324,7 +326,7 @@
 
 	listing := cataloguer.Listing{Revision: m.fleet.revision, Nodes: slices.Clone(m.fleet.nodes)}
 	for _, id := range m.fleet.upstreamIDs {
-		listing.Upstreams = append(listing.Upstreams, cataloguer.Upstream{ID: id})
+		listing.Upstreams = append(listing.Upstreams, cataloguer.Upstream{ID: id, Address: m.fleet.addresses[id]})
 	}
 
 	return listing, nil
--- a/internal/gateway/follower/payload_cache.go
+++ b/internal/gateway/follower/payload_cache.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,9 @@
 // wholeRegistryAge is how long a node begins to send the same whole registry, followed by what changed since.
 const wholeRegistryAge = 2 * time.Second
 
+// maxPagedBytes limits the payloads that are kept for peers that are receiving them.
+const maxPagedBytes = 4 << 20
+
 // payloadCache encodes a catalog's state for peers, once for each state from which peers update. It is safe for
 // concurrent use. Its lock is acquired before the catalog's.
 type payloadCache struct {
@@ -27,15 +31,17 @@
 	configurations map[uint64]packer.Payload
 	digest         uint64
 	registries     map[uint64]packer.Payload
-	// whole and formerWhole are the latest whole registries. They may be older than digest.
-	whole, formerWhole wholeRegistry
+	// whole is the latest whole registry, encoded at wholeAt. It may be older than digest.
+	whole   registryPayload
+	wholeAt time.Duration
+	// paged holds the latest payloads of several pages, newest first, which peers may be receiving.
+	paged []registryPayload
 }
 
-// wholeRegistry is the payload of a whole registry.
-type wholeRegistry struct {
-	payload  packer.Payload
-	digest   uint64
-	packedAt time.Duration
+// registryPayload is the payload that leads from a base, 0 for none, to the registry with the given digest.
+type registryPayload struct {
+	packer.Payload
+	base, digest uint64
 }
 
 func newPayloadCache(catalog *cataloguer.Catalog) *payloadCache {
@@ -67,12 +73,19 @@
 }
 
 // registry returns the payload that updates a peer to the state's registry, and its base digest; 0 if it is a whole
-// registry. If the peer is receiving the whole registry with the given payload ID, it gets the rest of that one as long as a
-// delta leads on from there: during a release the registry changes several times while a slow link transfers it once.
+// registry. A peer that is receiving the payload with the given ID gets the rest of that one as long as a delta leads on from
+// there: during a release the registry changes several times while a slow link transfers it once, and a transfer that began
+// anew with each change would not end before the release.
 func (p *payloadCache) registry(state *cataloguer.State, from, transferring uint64) (packer.Payload, uint64, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
+	for _, paged := range p.paged {
+		if paged.ID == transferring && (paged.base == 0 || paged.base == from) && leadsTo(paged.digest, state) {
+			return paged.Payload, paged.base, nil
+		}
+	}
+
 	if p.digest != state.Digest {
 		p.digest = state.Digest
 		clear(p.registries)
@@ -83,21 +96,20 @@
 	}
 
 	if delta, ok := state.Registry.DeltaSince(from); ok {
-		return packCached(p.registries, from, delta)
+		payload, base, err := packCached(p.registries, from, delta)
+		p.keepPaged(registryPayload{Payload: payload, base: base, digest: state.Digest})
+
+		return payload, base, err
 	}
 
-	return p.wholeRegistry(state, transferring)
+	return p.wholeRegistry(state)
 }
 
-func (p *payloadCache) wholeRegistry(state *cataloguer.State, transferring uint64) (packer.Payload, uint64, error) {
+func (p *payloadCache) wholeRegistry(state *cataloguer.State) (packer.Payload, uint64, error) {
 	now := p.catalog.Now()
 
-	if p.formerWhole.payload.ID == transferring && p.formerWhole.leadsTo(state) {
-		return p.formerWhole.payload, 0, nil
-	}
-
-	if p.whole.leadsTo(state) && (p.whole.payload.ID == transferring || now-p.whole.packedAt < wholeRegistryAge) {
-		return p.whole.payload, 0, nil
+	if p.whole.ID != 0 && now-p.wholeAt < wholeRegistryAge && leadsTo(p.whole.digest, state) {
+		return p.whole.Payload, 0, nil
 	}
 
 	payload, err := packer.Pack(state.Registry)
@@ -105,18 +117,33 @@
 		return packer.Payload{}, 0, err
 	}
 
-	p.formerWhole, p.whole = p.whole, wholeRegistry{payload: payload, digest: state.Digest, packedAt: now}
+	p.whole, p.wholeAt = registryPayload{Payload: payload, digest: state.Digest}, now
+	p.keepPaged(p.whole)
 
 	return payload, 0, nil
 }
 
-// leadsTo reports whether a peer that receives this registry can update from it to the state.
-func (w *wholeRegistry) leadsTo(state *cataloguer.State) bool {
-	if w.payload.ID == 0 {
-		return false
+// keepPaged keeps a payload of several pages for the peers that will receive it.
+func (p *payloadCache) keepPaged(payload registryPayload) {
+	if payload.ID == 0 || payload.Page(packer.Progress{}).IsLast() {
+		return
 	}
 
-	_, ok := state.Registry.DeltaSince(w.digest)
+	p.paged = slices.Insert(p.paged, 0, payload)
+	bytes := 0
+
+	for i, paged := range p.paged {
+		if bytes += paged.Size(); bytes > maxPagedBytes && i > 0 {
+			p.paged = slices.Clip(p.paged[:i])
+
+			return
+		}
+	}
+}
+
+// leadsTo reports whether a peer that has the registry with the given digest can update from it to the state.
+func leadsTo(digest uint64, state *cataloguer.State) bool {
+	_, ok := state.Registry.DeltaSince(digest)
 
 	return ok
 }
--- a/internal/gateway/follower/start_test.go
+++ b/internal/gateway/follower/start_test.go
@@ -93,3 +93,45 @@
 		})
 	}
 }
+
+// Guards against a delta of many pages that begins anew with each change of the registry, so that a node on a narrow link
+// gets nothing as long as the registry goes on changing, as it does while thousands of upstreams start.
+func TestLongDeltasArriveWhileTheRegistryChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		defer f.stop()
+
+		f.upstreamIDs = []string{"u0", "u1", "u2", "u3", "u4", "u5", "marker"}
+		f.addresses = make(map[string]string)
+
+		time.Sleep(10 * time.Second)
+
+		// A delta of a change is three or four pages of 33 KB, 0.9 s over this link; the reader finds a change each 0.6 s.
+		f.mu.Lock()
+		f.linkBytesPerMS = narrowLinkBytesPerMS / 18
+		f.mu.Unlock()
+
+		random := rand.New(rand.NewPCG(3, 4))
+
+		for i := range 40 {
+			addresses := map[string]string{"marker": fmt.Sprintf("change%05d", i)}
+
+			for _, id := range f.upstreamIDs[:6] {
+				data := make([]byte, 12<<10)
+				for j := range data {
+					data[j] = byte(random.Uint32())
+				}
+
+				addresses[id] = base64.StdEncoding.EncodeToString(data)
+			}
+
+			f.update(func() { f.addresses = addresses })
+			time.Sleep(600 * time.Millisecond)
+
+			for name, m := range f.members {
+				marker, _ := m.catalog.State().Registry.Upstreams.Get("marker")
+				assert.Assert(t, i < 8 || marker.Address >= fmt.Sprintf("change%05d", i-8), "%s knows %s after change %d", name, marker.Address, i)
+			}
+		}
+	})
+}
--- a/internal/gateway/packer/packer.go
+++ b/internal/gateway/packer/packer.go
@@ -71,6 +71,11 @@
 	return Payload{ID: xxhash.Sum64(data), data: data}
 }
 
+// Size returns the length of the payload in bytes.
+func (p Payload) Size() int {
+	return len(p.data)
+}
+
 // Unpack decodes the payload into value.
 func (p Payload) Unpack(value any) error {
 	if len(p.data) == 0 {
