--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -99,7 +99,7 @@
 
 // leavingNodes returns the names of the other nodes that respond and are leaving.
 func (n *Node) leavingNodes() []string {
-	return n.currentRoster().others
+	return n.currentRoster().departing
 }
 
 // departedNodes returns the names of nodes that have been dead for so long that they are not expected to return. An
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -17,8 +17,8 @@
 	nodes          cataloguer.Index[cataloguer.Node]
 	leaving, ready bool
 
-	// live are the nodes that respond and are not leaving, this one first; others leave.
-	live, others []string
+	// live are the nodes that respond and are not leaving, this one first; departing are the others that respond and are leaving.
+	live, departing []string
 	// strong are the live nodes with enough capacity to decide for others, sorted by name.
 	strong []string
 	// entries are the nodes that callers may use.
@@ -73,7 +73,7 @@
 		}
 
 		if member.Leaving {
-			r.others = append(r.others, member.Name)
+			r.departing = append(r.departing, member.Name)
 
 			continue
 		}
