Relayer: events that a caller has taken no longer count to the node's memory

What callers could see: a stream whose caller is always a little behind counted all that was ever sent as held, until its queue was empty once. Long streams so used up the memory for bodies, and requests of others were refused. Found on rereading; not seen in a run. Cause: the reservation was released only when the queue was empty. Change: each event is released once it is written. Test: TestTakenEventsCountForNothing; before, 69,632 bytes counted where at most 65,536 are held, and growing. Besides, the comment of listedUpstreams named the rate limits, which have a type of their own.

--- a/internal/gateway/relayer/body.go
+++ b/internal/gateway/relayer/body.go
@@ -40,8 +40,14 @@
 }
 
 func (m *memoryReservation) release() {
-	m.used.Add(-m.reserved)
-	m.reserved = 0
+	m.releaseSome(m.reserved)
+}
+
+// releaseSome releases up to the given number of reserved bytes.
+func (m *memoryReservation) releaseSome(bytes int64) {
+	bytes = min(bytes, m.reserved)
+	m.used.Add(-bytes)
+	m.reserved -= bytes
 }
 
 // reservingReader reserves memory for the bytes it reads.
--- a/internal/gateway/relayer/event_queue.go
+++ b/internal/gateway/relayer/event_queue.go
@@ -122,9 +122,7 @@
 	q.bytes -= bytes
 	q.err = err
 
-	if len(q.events) == 0 {
-		q.memory.release()
-	}
-
+	// An event that lay outside the memory's limit was not reserved.
+	q.memory.releaseSome(int64(bytes))
 	q.changed.Broadcast()
 }
--- a/internal/gateway/relayer/event_queue_test.go
+++ b/internal/gateway/relayer/event_queue_test.go
@@ -124,3 +124,22 @@
 		assert.Equal(t, used.Load(), int64(0))
 	})
 }
+
+// Guards against a caller who is always a little behind and for whose stream all that was ever sent counts as held: the node
+// then refuses the bodies of other requests.
+func TestTakenEventsCountForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var used atomic.Int64
+
+		caller := &slowCaller{interval: 10 * time.Millisecond}
+		queue := newEventQueue(caller, caller.flush, memoryReservation{used: &used, limit: 1 << 20})
+
+		for range 2_000 {
+			assert.NilError(t, queue.push(make([]byte, 4<<10)))
+			assert.Assert(t, used.Load() <= maxQueuedBytes, "%d bytes", used.Load())
+		}
+
+		queue.close()
+		assert.Equal(t, used.Load(), int64(0))
+	})
+}
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -9,7 +9,7 @@
 	"quincepath.example/quincepath/internal/quarantiner"
 )
 
-// listedUpstreams are the upstreams of a registry as the quarantine and the rate limits need them.
+// listedUpstreams are the upstreams of a registry as the quarantine needs them.
 type listedUpstreams struct {
 	index cataloguer.Index[cataloguer.Upstream]
 }
