Chooser: one place for weighted rendezvous hashing

The entries of a caller and the partition of a request each had the fraction of a hash and the weighted score, line for line. Both call chooser.WeightedScore now; scores are computed as before.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -5,6 +5,7 @@
 package chooser
 
 import (
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -106,3 +107,16 @@
 
 	return x * multiplier
 }
+
+// Fraction maps a hash to a number above 0 and below 1.
+func Fraction(hash uint64) float64 {
+	const bits = 53
+
+	return (float64(hash>>(64-bits)) + 0.5) / (1 << bits)
+}
+
+// WeightedScore returns the score of a candidate for a name from a hash of both. The candidate with the highest score wins
+// with a probability proportional to its weight (weighted rendezvous hashing).
+func WeightedScore(weight float64, hash uint64) float64 {
+	return weight / -math.Log(Fraction(hash))
+}
--- a/internal/gateway/broker/partitions.go
+++ b/internal/gateway/broker/partitions.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -10,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-jump"
 
+	"quincepath.example/quincepath/internal/chooser"
 	"quincepath.example/quincepath/internal/gateway/balancer"
 )
 
@@ -182,9 +182,7 @@
 	for i, weight := range weights {
 		binary.LittleEndian.PutUint64(key[8:], uint64(i))
 
-		// Weighted rendezvous hashing: with a uniform u from 0 to 1, the highest weight / -ln(u) wins with a probability
-		// proportional to its weight.
-		if score := weight / -math.Log(hashFraction(xxhash.Sum64(key[:]))); score > bestScore {
+		if score := chooser.WeightedScore(weight, xxhash.Sum64(key[:])); score > bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -192,13 +190,6 @@
 	return best
 }
 
-// hashFraction maps a hash to a number above 0 and below 1.
-func hashFraction(hash uint64) float64 {
-	const bits = 53
-
-	return (float64(hash>>(64-bits)) + 0.5) / (1 << bits)
-}
-
 func poolName(service string, partition int) string {
 	return service + "/" + strconv.Itoa(partition)
 }
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"quincepath.example/quincepath/internal/chooser"
 	"quincepath.example/quincepath/internal/prober"
 )
 
@@ -56,7 +57,7 @@
 
 	for _, e := range r.entries {
 		binary.LittleEndian.PutUint64(key[8:], e.hash)
-		all = append(all, scored{entry: e, score: e.weight / -math.Log(uniform(xxhash.Sum64(key[:])))})
+		all = append(all, scored{entry: e, score: chooser.WeightedScore(e.weight, xxhash.Sum64(key[:]))})
 	}
 
 	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
@@ -69,13 +70,6 @@
 	return chosen
 }
 
-// uniform maps a hash to a number above 0 and below 1.
-func uniform(hash uint64) float64 {
-	const bits = 53
-
-	return (float64(hash>>(64-bits)) + 0.5) / (1 << bits)
-}
-
 // addEntry adds a node that callers may use.
 func (r *roster) addEntry(name, address string) {
 	listed, _ := r.nodes.Get(name)
