Gateway: a stopped node has released its peer address

What callers saw: nothing on VMs, where the process ends.

Cause: Run returned once its work was cancelled, while the peer listener and the heartbeat socket were closed by goroutines that it didn't wait for. A node started right after it in the same process could find its address in use and ended; TestNodesKeepTheRateThatAnUpstreamNames then waited without bound for it.

Change: run waits for the two goroutines. waitUntil ends a test that has failed, and a node that ends with an error fails its test, so that such a fault is named instead of a hang.

--- a/internal/gateway/crashing_request_test.go
+++ b/internal/gateway/crashing_request_test.go
@@ -198,7 +198,7 @@
 
 	nodes := []loader.Settings{startNode(t, s, 1), startNode(t, s, 2)}
 
-	waitUntil(func() bool {
+	waitUntil(t, func() bool {
 		return !slices.ContainsFunc(nodes, func(n loader.Settings) bool { return post(n, "lookup", "fine") != http.StatusOK })
 	})
 
@@ -214,7 +214,7 @@
 	// This node starts after the crashes.
 	late := startNode(t, s, 3)
 	nodes = append(nodes, late)
-	waitUntil(func() bool { return post(late, "lookup", "fine") == http.StatusOK })
+	waitUntil(t, func() bool { return post(late, "lookup", "fine") == http.StatusOK })
 
 	for _, route := range crashRoutes() {
 		work.Go(func() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"expvar"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -129,6 +130,8 @@
 	// roster caches currentRoster.
 	roster     atomic.Pointer[roster]
 	heartbeats *heartbeater.Heartbeater
+	// peerServers are the goroutines that use the node's peer address.
+	peerServers sync.WaitGroup
 	// applied is the registry that was last applied, members the nodes that the prober knows to be listed. Only watchCatalog
 	// uses them.
 	applied cataloguer.Registry
@@ -296,6 +299,9 @@
 
 // run serves requests until ctx is cancelled, then drains the node.
 func (n *Node) run(ctx context.Context) error {
+	// Deferred calls run in reverse order: work is stopped first.
+	defer n.peerServers.Wait()
+
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -191,7 +192,12 @@
 		EncodeEntries: encode,
 	}
 
-	go func() { ended <- gateway.Run(ctx, settings, s, gateway.DutyBackends{}, protocol, zerolog.Nop()) }()
+	go func() {
+		err := gateway.Run(ctx, settings, s, gateway.DutyBackends{}, protocol, zerolog.Nop())
+		// waitUntil ends a test that has failed.
+		assert.Check(t, err)
+		ended <- err
+	}()
 
 	return stop, ended
 }
@@ -219,9 +225,15 @@
 	return response.StatusCode, string(body), response.Close
 }
 
-// waitUntil waits for a condition. If it never holds, the test times out.
-func waitUntil(condition func() bool) {
+// waitUntil waits for a condition, at most until the test has failed, as it does when a node ends with an error.
+func waitUntil(t *testing.T, condition func() bool) {
+	t.Helper()
+
 	for !condition() {
+		if t.Failed() {
+			t.FailNow()
+		}
+
 		time.Sleep(10 * time.Millisecond)
 	}
 }
@@ -249,7 +261,7 @@
 	second, stopSecond, secondEnded := startWithEntries(t, s, 2)
 
 	both := fmt.Sprintf(`["%s","%s"]`, first.Node.Advertise, second.Node.Advertise)
-	waitUntil(func() bool {
+	waitUntil(t, func() bool {
 		_, entries, _ := get(first.Gateway.EntriesListen, "/entries")
 		_, others, _ := get(second.Gateway.EntriesListen, "/entries")
 
@@ -271,7 +283,7 @@
 	stopFirst()
 
 	// The node stops being ready immediately, and the other node lists only itself.
-	waitUntil(func() bool {
+	waitUntil(t, func() bool {
 		status, _, _ := get(first.Gateway.ReadyListen, "/ready")
 		_, entries, _ := get(second.Gateway.EntriesListen, "/entries")
 
@@ -322,12 +334,37 @@
 		}
 	}
 
-	waitUntil(serves("1s"))
+	waitUntil(t, serves("1s"))
 	write("2s")
-	waitUntil(serves("2s"))
+	waitUntil(t, serves("2s"))
 	write("long")
 	write("3s # and a comment, so that its size differs")
-	waitUntil(serves("3s"))
+	waitUntil(t, serves("3s"))
 	stop()
 	assert.NilError(t, <-ended)
 }
+
+// Guards against a node that has stopped and still has the address where peers reach it, so that a node started right after
+// it in the same process ends.
+func TestStoppedNodeHasReleasedItsAddresses(t *testing.T) {
+	for range 3 {
+		settings, stop, ended := startWithEntries(t, &store{revision: 1}, 1)
+		waitUntil(t, func() bool {
+			status, _, _ := get(settings.Gateway.ReadyListen, "/ready")
+
+			return status == http.StatusOK
+		})
+		stop()
+		assert.NilError(t, <-ended)
+
+		for _, address := range []string{settings.Node.Listen, settings.Node.PeerListen, settings.Gateway.EntriesListen} {
+			listener, err := net.Listen("tcp", address)
+			assert.NilError(t, err)
+			assert.NilError(t, listener.Close())
+		}
+
+		heartbeats, err := net.ListenPacket("udp", settings.Node.PeerListen)
+		assert.NilError(t, err)
+		assert.NilError(t, heartbeats.Close())
+	}
+}
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -126,7 +126,8 @@
 	return n.currentRoster().strong
 }
 
-// joinFleet starts to serve peers and to exchange heartbeats with them until ctx is cancelled.
+// joinFleet starts to serve peers and to exchange heartbeats with them until ctx is cancelled; n.peerServers then waits until
+// their addresses have been released.
 func (n *Node) joinFleet(ctx context.Context) error {
 	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", n.settings.Node.PeerListen)
 	if err != nil {
@@ -149,17 +150,17 @@
 		return err
 	}
 
-	go func() {
+	n.peerServers.Go(func() {
 		if err := n.heartbeats.Run(ctx); err != nil {
 			n.logger.Error().Err(err).Msg("heartbeats_failed")
 		}
-	}()
+	})
 
-	go func() {
+	n.peerServers.Go(func() {
 		if err := n.messages.Run(ctx, listener); err != nil {
 			n.logger.Error().Err(err).Msg("peer_listener_failed")
 		}
-	}()
+	})
 
 	return nil
 }
--- a/internal/gateway/rate_limit_test.go
+++ b/internal/gateway/rate_limit_test.go
@@ -110,7 +110,7 @@
 	}
 
 	for _, n := range nodes {
-		waitUntil(func() bool { return sendOnce(n.settings) })
+		waitUntil(t, func() bool { return sendOnce(n.settings) })
 	}
 
 	ctx, stop := context.WithCancel(context.Background())
@@ -127,7 +127,7 @@
 	for _, n := range nodes {
 		n.stop()
 		n.start()
-		waitUntil(func() bool { return sendOnce(n.settings) })
+		waitUntil(t, func() bool { return sendOnce(n.settings) })
 	}
 
 	time.Sleep(limitedTime / 2)
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -148,7 +148,7 @@
 	}
 
 	for _, n := range nodes {
-		waitUntil(func() bool { return sendOnce(n.settings) })
+		waitUntil(t, func() bool { return sendOnce(n.settings) })
 	}
 
 	ctx, stop := context.WithCancel(context.Background())
@@ -166,7 +166,7 @@
 		n.stop()
 		time.Sleep(budgetDownTime)
 		n.start()
-		waitUntil(func() bool { return sendOnce(n.settings) })
+		waitUntil(t, func() bool { return sendOnce(n.settings) })
 	}
 
 	time.Sleep(budgetFailingTime - budgetWindow/4 - budgetNodes*budgetDownTime)
