--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -145,11 +145,11 @@
 // Release implements quarantiner.Recorder.
 func (s *store) Release(context.Context, []quarantiner.Key) error { return nil }
 
-// loopbackIP returns a loopback address that no other test process uses.
+// loopbackIP returns a loopback address that no other test process uses. The number is from 1 to 3.
 func loopbackIP(number int) string {
 	pid := os.Getpid()
 
-	return fmt.Sprintf("127.%d.%d.%d", 100+pid>>16&63, pid>>8&255, (pid&63)<<2+number)
+	return fmt.Sprintf("127.%d.%d.%d", 100+pid>>14&127, pid>>6&255, (pid&63)<<2+number)
 }
 
 func startWithEntries(t *testing.T, s gateway.Store, number int) (settings loader.Settings, stop context.CancelFunc, ended chan error) {
