Follower: a node that isn't listed yet pulls within its failure domain

Cause: newTree looked up the failure domain of the node itself among the listed nodes. A node that had the state and wasn't listed yet took itself for the head of the failure domain "" and pulled from the root; so did hundreds that started with it, the root's narrow link was busy for seconds, nodes that it didn't answer for 1.5 s counted as isolated and read the store.

Change: the node's own entry tells its failure domain.

TestUnlistedNodesPullWithinTheirFailureDomain failed before.

--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -246,7 +246,7 @@
 	defer f.mu.Unlock()
 
 	if f.lastTree == nil || !f.lastListed.Equal(&state.Registry.Nodes) || !slices.Equal(f.lastLive, live) {
-		f.lastTree = newTree(f.options.Self.Name, live, &state.Registry.Nodes)
+		f.lastTree = newTree(f.options.Self, live, &state.Registry.Nodes)
 		f.lastLive, f.lastListed = live, state.Registry.Nodes
 	}
 
--- a/internal/gateway/follower/tree.go
+++ b/internal/gateway/follower/tree.go
@@ -62,9 +62,15 @@
 	return position >= 0 && position < slices.Index(t.order, other)
 }
 
-// newTree returns the tree of the live nodes as seen by the node named self. Unlisted nodes count as weak.
-func newTree(self string, live []string, listed *cataloguer.Index[cataloguer.Node]) *tree {
+// newTree returns the tree of the live nodes as seen by one of them. Unlisted nodes count as weak. The failure domain of self
+// is known before it is listed: if it weren't, each of hundreds of nodes that start together would take itself for the head
+// of a failure domain of its own and pull from the root.
+func newTree(self cataloguer.Node, live []string, listed *cataloguer.Index[cataloguer.Node]) *tree {
 	domainOf := func(name string) string {
+		if name == self.Name {
+			return self.FailureDomain
+		}
+
 		node, _ := listed.Get(name)
 
 		return node.FailureDomain
@@ -72,7 +78,7 @@
 
 	strong, weak := cataloguer.SplitByCapacity(SortByHash(live), listed)
 	t := &tree{order: append(strong, weak...)}
-	t.rank = max(slices.Index(t.order, self), 0)
+	t.rank = max(slices.Index(t.order, self.Name), 0)
 
 	if len(t.order) <= fanOut+1 {
 		t.setDomainPosition(t.order, t.rank)
@@ -84,7 +90,7 @@
 	// their domain.
 	var domainHeads, domainNodes []string
 
-	domain := domainOf(self)
+	domain := self.FailureDomain
 	seen := make(map[string]bool)
 
 	for _, name := range t.order {
@@ -100,7 +106,7 @@
 		}
 	}
 
-	position := max(slices.Index(domainNodes, self), 0)
+	position := max(slices.Index(domainNodes, self.Name), 0)
 	t.setDomainPosition(domainNodes, position)
 
 	switch {
--- a/internal/gateway/follower/tree_test.go
+++ b/internal/gateway/follower/tree_test.go
@@ -36,8 +36,8 @@
 		listed := cataloguer.NewRegistry(cataloguer.Listing{Nodes: nodes}).Nodes
 		trees := make(map[string]*tree, len(names))
 
-		for _, name := range names {
-			trees[name] = newTree(name, names, &listed)
+		for _, node := range nodes {
+			trees[node.Name] = newTree(node, names, &listed)
 		}
 
 		hasParent, crossDomain := map[string]int{}, 0
@@ -74,3 +74,28 @@
 		}
 	}
 }
+
+// Guards against nodes that all pull from the root until they are listed, each as the head of a failure domain of its own:
+// after a start of 1,000 nodes the root's link was busy for seconds and those that it didn't answer read the store.
+func TestUnlistedNodesPullWithinTheirFailureDomain(t *testing.T) {
+	const domains = 12
+
+	for _, count := range []int{100, 1000, 2000} {
+		names, nodes := fleetNodes(count, domains, 2)
+		listedCount := count / 4
+		listed := cataloguer.NewRegistry(cataloguer.Listing{Nodes: nodes[:listedCount]}).Nodes
+		rootDomain, pullFromRoot := "", 0
+
+		for _, node := range nodes[listedCount:] {
+			nodeTree := newTree(node, append(slices.Clone(names[:listedCount]), node.Name), &listed)
+			root, _ := listed.Get(nodeTree.order[0])
+			rootDomain = root.FailureDomain
+
+			if node.FailureDomain != rootDomain && nodeTree.parent == root.Name {
+				pullFromRoot++
+			}
+		}
+
+		assert.Assert(t, pullFromRoot < domains, "%d nodes: %d unlisted nodes outside failure domain %s pull from the root", count, pullFromRoot, rootDomain)
+	}
+}
