Follower: a node that has just started doesn't take its rank among few for its rank among all

What callers saw: nothing measured on a full fleet. Known red TestStartOfAllNodesGrowsWithTheLogarithmOfTheFleet: 225 calls of the store at 1,000 nodes in one of 16 runs, where 200 are allowed.

Cause: while 1,000 nodes start, each has a list of the 12 to 500 that are listed so far. The first nine ranks of the nodes that one knows read the store within half a second of each other when its state gets old; a node that isn't listed, or knows few of the listed nodes to be live, has such a rank only in its own eyes. The shorter the list, the more of the fleet read.

Change: such a node waits like one without the state, by a rank among all that it takes from the hash of its name, for at most 10 s after its start.

Result: 16 runs at 1,000 nodes: 69 to 87 calls (81 to 225 before), all have the state after 4.38 to 5.03 s (4.49 to 4.84 before). TestNodesThatKnowFewOthersLeaveTheStoreToThem failed before: 54, 741 and 1,490 readers at 100, 1,000 and 2,000 nodes, none after.

Dropped: counting the age from the arrival of the state. Tried first and on the old tree, it didn't change the number of calls.

--- a/internal/gateway/follower/store_reading.go
+++ b/internal/gateway/follower/store_reading.go
@@ -34,9 +34,12 @@
 	substituteAgeGrowth = 1.5
 	// isolatedReadAge is the read age of a node that no peer answers, as no other node can help it.
 	isolatedReadAge = substituteAge + linearSubstitutes*substituteAgeStep
-	// startReadAge is the read age of a node that just started and whose peers have no configuration either: the
-	// seeds read the store first. The others follow by their rank, in case the store rejects all seeds.
+	// startReadAge is the read age of a node that just started and whose peers have no configuration either, or that
+	// can't know its rank yet: the seeds read the store first. The others follow by their rank, in case the store
+	// rejects all seeds.
 	startReadAge = 2 * isolatedReadAge
+	// startTime is how long after its start a node may know too few others to know its rank.
+	startTime = 10 * time.Second
 	// readAgeJitter separates nodes that become due at the same time.
 	readAgeJitter = 100 * time.Millisecond
 	// isolationTimeout is the time without an answered pull after which a node considers itself isolated.
@@ -140,25 +143,31 @@
 		return 0
 	case isIsolated:
 		return isolatedReadAge + f.jitterLocked(readAgeJitter)
-	case !hasState:
-		return startReadAge + f.startRankAge() + f.jitterLocked(readAgeJitter)
+	case !hasState || now-f.createdAt < startTime && f.isRankUnknown(t, state):
+		return startReadAge + f.startRankAge(state.Registry.Nodes.Len()) + f.jitterLocked(readAgeJitter)
 	case len(t.order) == 1:
-		// The node just started: peers answer it, but it doesn't know yet which of them are live.
+		// Peers answer this node, but it doesn't know which of them are live.
 		return isolatedReadAge + f.jitterLocked(readAgeJitter)
 	default:
 		return substituteAgeForRank(t.rank) + propagationLag(t) + f.jitterLocked(readAgeJitter)
 	}
 }
 
-// startRankAge returns how much longer than others a node waits that just started and whose peers have no configuration
-// either. The nodes don't know each other yet, so each takes a rank among those that wait by the hash of its name. f.mu must
-// be held.
-func (f *Follower) startRankAge() time.Duration {
+// isRankUnknown reports whether this node's rank among the nodes that it knows says little about its rank among all: it is
+// not listed, as the others that start with it, or it knows less than half of the listed nodes to be live. At a start of
+// 1,000 nodes hundreds of them would be among the first nine of the few that each one knows, and read the store.
+func (f *Follower) isRankUnknown(t *tree, state *cataloguer.State) bool {
+	return !state.Registry.Nodes.Contains(f.options.Self.Name) || 2*len(t.order) <= state.Registry.Nodes.Len()
+}
+
+// startRankAge returns how much longer than others a node waits that just started. The nodes don't know each other yet, so
+// each takes a rank among those that wait or are listed by the hash of its name. f.mu must be held.
+func (f *Follower) startRankAge(listed int) time.Duration {
 	const bits = 53
 
 	fraction := float64(xxhash.Sum64String(f.options.Self.Name)>>(64-bits)) / (1 << bits)
 
-	return substituteAgeForRank(1+int(fraction*float64(f.waitingNodes))) - substituteAge
+	return substituteAgeForRank(1+int(fraction*float64(max(f.waitingNodes, listed)))) - substituteAge
 }
 
 // substituteAgeForRank returns the read age of a node by its rank.
