Messenger: a connection to a busy peer outlives the call that dialled it

Cause: a call that gave up closed the connection that it had dialled, with the proof of the credential unanswered. A peer that takes connections later than one call waits gets a new connection for each try, and has the more to do the later it is. All nodes call three seeds when they start: above some 150 callers a seed the queue is longer than the first pull's 300 ms, and nodes that nobody answered for 1.5 s count as isolated and read the store, each for itself.

Evidence: front-giarre-sala-30, a weak VM, read the whole store 1.9 s after its start, and its connection to the seed was lost for 2.46 s, both seeds being up.

Change: the proof of the credential goes on after the call's deadline, for at most helloTimeout, and the connection serves the next call. Opening the TCP connection still ends with the call, so a peer behind a cut is dialled as often as before.

TestBusyPeerTakesOneConnectionPerCaller failed before.

--- a/internal/messenger/dialling.go
+++ b/internal/messenger/dialling.go
@@ -25,9 +25,8 @@
 
 // connect returns the open connection or dials one, with a use begun. Only one dial runs at a time.
 //
-// The wait for another call's dial ends with ctx as well. Where a peer takes connections and
-// is silent, a dial lasts as long as its call lets it; were it waited for under a lock, an ask
-// that gives its holder 150 ms would wait for seconds, and a counter lookup with it.
+// The wait for a dial ends with ctx. Where a peer takes connections and is silent, a dial lasts for seconds; were it waited
+// for under a lock, an ask that gives its holder 150 ms would wait for seconds, and a counter lookup with it.
 func (l *link) connect(ctx context.Context) (*dialled, error) {
 	if connection, err := l.known(); connection != nil || err != nil {
 		return connection, err
@@ -39,19 +38,52 @@
 		return nil, l.unreachable(ctx.Err())
 	}
 
-	defer func() { <-l.dialling }()
-
 	// The dial that was waited for may have brought a connection, or failed.
 	if connection, err := l.known(); connection != nil || err != nil {
+		<-l.dialling
+
 		return connection, err
 	}
 
+	results := make(chan dialResult)
+
+	go func() {
+		result := l.dialOnce(ctx)
+		<-l.dialling
+
+		select {
+		case results <- result:
+		case <-ctx.Done():
+			if result.connection != nil {
+				result.connection.end()
+			}
+		}
+	}()
+
+	select {
+	case result := <-results:
+		return result.connection, result.err
+	case <-ctx.Done():
+		return nil, l.unreachable(ctx.Err())
+	}
+}
+
+// dialResult is a new connection with a use begun, or why there is none.
+type dialResult struct {
+	connection *dialled
+	err        error
+}
+
+// dialOnce dials a connection and keeps it for the calls to come, also if ctx has ended meanwhile.
+func (l *link) dialOnce(ctx context.Context) dialResult {
 	connection, err := l.dial(ctx)
 	if err != nil {
-		return nil, l.noteFailure(ctx, err)
+		return dialResult{err: l.noteFailure(ctx, err)}
 	}
 
-	return l.keep(connection)
+	connection, err = l.keep(connection)
+
+	return dialResult{connection: connection, err: err}
 }
 
 // known returns the open connection with a use begun, or why there is none; neither when one is to be dialled.
@@ -112,7 +144,9 @@
 	return errors.Mark(classifier.Wrap(cause, classifier.NodeUnreachable, "node %q can't be reached", l.peer), ErrNotSent)
 }
 
-// dial opens a connection and proves the credential. It outlives ctx, which only bounds the wait.
+// dial opens a connection and proves the credential. The proof outlives ctx: a peer that has many connections to take at once,
+// as a seed when all nodes start, answers each of them later than one call waits. If every call gave up its connection and
+// dialled another one, the peer would have the more to do the later it is, and answer none.
 func (l *link) dial(ctx context.Context) (*dialled, error) {
 	raw, err := l.messenger.options.Dial(ctx, l.address)
 	if err != nil {
@@ -128,7 +162,7 @@
 	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(counted), refuseAll{}, inEvents(l.messenger.options.Logger))
 	connection := &dialled{rpc: rpc, conn: counted, uses: 1}
 
-	hello, cancel := context.WithTimeout(ctx, helloTimeout)
+	hello, cancel := context.WithTimeout(context.WithoutCancel(ctx), helloTimeout)
 	defer cancel()
 
 	if err := l.messenger.sayHello(hello, rpc); err != nil {
