--- a/internal/gateway/follower/store_reading.go
+++ b/internal/gateway/follower/store_reading.go
@@ -81,6 +81,7 @@
 
 	if readAge > 0 {
 		f.resetFailedReadsLocked(now - age)
+		f.logStoreReader(t, now, age)
 	}
 
 	f.reading, f.lastReadAt = true, now
@@ -89,6 +90,18 @@
 	return min(storeTimeout*time.Duration(1+f.failedReads), maxStoreTimeout), true
 }
 
+// logStoreReader logs that this node reads the store although it isn't expected to, and why that may be. f.mu must be held.
+func (f *Follower) logStoreReader(t *tree, now, age time.Duration) {
+	f.options.Logger.Info().
+		Int("rank", t.rank).
+		Int("live", len(t.order)).
+		Str("parent", t.parent).
+		Dur("age_ms", age).
+		Dur("unanswered_ms", now-max(f.lastAnsweredPullAt, f.createdAt)).
+		Int("failed_pulls", f.unansweredPulls).
+		Msg("store_reader")
+}
+
 // resetFailedReadsLocked resets the count of failed reads if the store answered any node since this node's last read.
 // f.mu must be held.
 //
