Messenger tests: the busy listener is the memory listener with a delay

busyListener repeated Accept, Close and Addr of memoryListener in the same package. It embeds it now and adds the time that taking a connection needs. The test's sizes and assertions are unchanged; it passes.

--- a/internal/messenger/busy_peer_test.go
+++ b/internal/messenger/busy_peer_test.go
@@ -18,43 +18,31 @@
 
 // busyListener takes one connection after the other, each in acceptTime.
 type busyListener struct {
-	waiting    chan net.Conn
-	closed     chan struct{}
-	once       sync.Once
+	memoryListener
 	acceptTime time.Duration
 	accepted   atomic.Int64
 }
 
 func (l *busyListener) dial(context.Context, string) (net.Conn, error) {
 	near, far := net.Pipe()
-	l.waiting <- far
+	l.accept <- far
 
 	return near, nil
 }
 
 // Accept implements net.Listener.
 func (l *busyListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.waiting:
-		time.Sleep(l.acceptTime)
-		l.accepted.Add(1)
-
-		return conn, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
+	conn, err := l.memoryListener.Accept()
+	if err != nil {
+		return nil, err
 	}
-}
 
-// Close implements net.Listener.
-func (l *busyListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
+	time.Sleep(l.acceptTime)
+	l.accepted.Add(1)
 
-	return nil
+	return conn, nil
 }
 
-// Addr implements net.Listener.
-func (l *busyListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // Guards against calls that each give up the connection they dialled when a peer with many callers is late: the peer then gets
 // a new connection for each try, is later still, and answers nobody. All nodes of a fleet call its seeds when they start.
 func TestBusyPeerTakesOneConnectionPerCaller(t *testing.T) {
@@ -72,7 +60,10 @@
 
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
-				l := &busyListener{waiting: make(chan net.Conn, 100*callers), closed: make(chan struct{}), acceptTime: acceptTime}
+				l := &busyListener{
+					memoryListener: memoryListener{accept: make(chan net.Conn, 100*callers), closed: make(chan struct{})},
+					acceptTime:     acceptTime,
+				}
 				server := messenger.New(messenger.Options{Self: "seed", Credential: "secret"})
 				server.Handle("echo", func(context.Context, string, json.RawMessage) (any, error) { return "echo", nil })
 
