Catalog: whether a state is complete, and whether a registry is remembered, asked in one place

Three places asked for both a configuration and a registry, each by itself; they call State.IsComplete. Each page of a payload built the whole delta since that payload only to see whether there is one; Registry.Remembers looks at the history alone. DecodeStream decodes into the registry, without a listing between. HandleChanged asks whether the node has the state, not whether it doesn't lack it. No behaviour changes; no test's assertion is touched.

--- a/internal/gateway/cataloguer/catalog.go
+++ b/internal/gateway/cataloguer/catalog.go
@@ -30,6 +30,11 @@
 	return s.Configuration.Version > 0
 }
 
+// IsComplete reports whether a configuration and a registry have been received.
+func (s *State) IsComplete() bool {
+	return s.HasConfiguration() && s.Registry.Revision > 0
+}
+
 // Catalog holds the newest state known to a node. It is safe for concurrent use.
 //
 // A node's state is fresh as of the time at which the store read that returned it was sent. Peers forward the state
--- a/internal/gateway/cataloguer/registry.go
+++ b/internal/gateway/cataloguer/registry.go
@@ -160,6 +160,11 @@
 	return delta
 }
 
+// Remembers reports whether DeltaSince knows the registry with the given digest.
+func (r *Registry) Remembers(digest uint64) bool {
+	return digest == r.Digest() || slices.ContainsFunc(r.history, func(change registryChange) bool { return change.from == digest })
+}
+
 // DeltaSince returns the difference from the registry with the given digest to r, or false if r doesn't remember that
 // registry. It takes time in proportion to the changes since then.
 func (r *Registry) DeltaSince(digest uint64) (RegistryDelta, bool) {
@@ -211,8 +216,6 @@
 		return err
 	}
 
-	var listing Listing
-
 	values := make(map[string]string)
 
 	for decoder.More() {
@@ -239,11 +242,11 @@
 		case "rate_limits":
 			err = decodeList(decoder, func(l throttler.Limit) { r.Limits.insert(l.Upstream, l) })
 		case "revision":
-			err = decoder.Decode(&listing.Revision)
+			err = decoder.Decode(&r.Revision)
 		case "kept":
-			err = decoder.Decode(&listing.RetainedUpstreams)
+			err = decoder.Decode(&r.RetainedUpstreams)
 		case "unreadable":
-			err = decoder.Decode(&listing.UnreadableEntries)
+			err = decoder.Decode(&r.UnreadableEntries)
 		default:
 			// Written by a newer version.
 			var ignored json.RawMessage
@@ -256,8 +259,6 @@
 		}
 	}
 
-	r.Revision, r.RetainedUpstreams, r.UnreadableEntries = listing.Revision, listing.RetainedUpstreams, listing.UnreadableEntries
-
 	return expectDelimiter(decoder, '}')
 }
 
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -170,13 +170,11 @@
 
 // New returns a follower that has not contacted the store or any peer.
 func New(options Options) *Follower {
-	random := rand.New(rand.NewPCG(xxhash.Sum64String(options.Self.Name), 0))
-
 	return &Follower{
 		options:             options,
 		wake:                make(chan struct{}, 1),
 		createdAt:           options.Catalog.Now(),
-		random:              random,
+		random:              rand.New(rand.NewPCG(xxhash.Sum64String(options.Self.Name), 0)),
 		transfers:           newTransfers(),
 		payloads:            newPayloadCache(options.Catalog),
 		pendingNodes:        make(map[string]cataloguer.Node),
@@ -255,9 +253,7 @@
 
 // hasState reports whether this node has received a configuration and a registry.
 func (f *Follower) hasState() bool {
-	state := f.options.Catalog.State()
-
-	return state.HasConfiguration() && state.Registry.Revision > 0
+	return f.options.Catalog.State().IsComplete()
 }
 
 // age returns the age of the configuration, or the time since the follower was created if it has not received the whole
--- a/internal/gateway/follower/notifying.go
+++ b/internal/gateway/follower/notifying.go
@@ -40,10 +40,10 @@
 
 // HandleChanged answers MethodChanged: it schedules an immediate pull from the peer.
 func (f *Follower) HandleChanged(_ context.Context, peer string, _ json.RawMessage) (any, error) {
-	lacksState := !f.hasState()
+	hasState := f.hasState()
 
 	f.mu.Lock()
-	if !lacksState || !f.isTransferringLocked() {
+	if hasState || !f.isTransferringLocked() {
 		f.nextPeer = peer
 	}
 	f.mu.Unlock()
--- a/internal/gateway/follower/payload_cache.go
+++ b/internal/gateway/follower/payload_cache.go
@@ -81,7 +81,7 @@
 	defer p.mu.Unlock()
 
 	for _, paged := range p.paged {
-		if paged.ID == transferring && (paged.base == 0 || paged.base == from) && leadsTo(paged.digest, state) {
+		if paged.ID == transferring && (paged.base == 0 || paged.base == from) && state.Registry.Remembers(paged.digest) {
 			return paged.Payload, paged.base, nil
 		}
 	}
@@ -108,7 +108,7 @@
 func (p *payloadCache) wholeRegistry(state *cataloguer.State) (packer.Payload, uint64, error) {
 	now := p.catalog.Now()
 
-	if p.whole.ID != 0 && now-p.wholeAt < wholeRegistryAge && leadsTo(p.whole.digest, state) {
+	if p.whole.ID != 0 && now-p.wholeAt < wholeRegistryAge && state.Registry.Remembers(p.whole.digest) {
 		return p.whole.Payload, 0, nil
 	}
 
@@ -141,13 +141,6 @@
 	}
 }
 
-// leadsTo reports whether a peer that has the registry with the given digest can update from it to the state.
-func leadsTo(digest uint64, state *cataloguer.State) bool {
-	_, ok := state.Registry.DeltaSince(digest)
-
-	return ok
-}
-
 // packCached returns the cached payload for base, or encodes and caches value.
 func packCached(cache map[uint64]packer.Payload, base uint64, value any) (packer.Payload, uint64, error) {
 	if payload, ok := cache[base]; ok {
--- a/internal/gateway/follower/start_test.go
+++ b/internal/gateway/follower/start_test.go
@@ -22,17 +22,22 @@
 	var ids []string
 
 	for range 10 {
-		data := make([]byte, 12<<10)
-		for i := range data {
-			data[i] = byte(random.Uint32())
-		}
-
-		ids = append(ids, base64.StdEncoding.EncodeToString(data))
+		ids = append(ids, longText(random))
 	}
 
 	return ids
 }
 
+// longText returns a text of 16 KB that can hardly be compressed.
+func longText(random *rand.Rand) string {
+	data := make([]byte, 12<<10)
+	for i := range data {
+		data[i] = byte(random.Uint32())
+	}
+
+	return base64.StdEncoding.EncodeToString(data)
+}
+
 // Guards against a start of all nodes at once in which the time until the last one has the state grows with the square of
 // the fleet: each of three seeds sent the state of the whole fleet to a third of it over its narrow link, and the nodes
 // whose time was up read the whole store, all of them at once.
@@ -117,12 +122,7 @@
 			addresses := map[string]string{"marker": fmt.Sprintf("change%05d", i)}
 
 			for _, id := range f.upstreamIDs[:6] {
-				data := make([]byte, 12<<10)
-				for j := range data {
-					data[j] = byte(random.Uint32())
-				}
-
-				addresses[id] = base64.StdEncoding.EncodeToString(data)
+				addresses[id] = longText(random)
 			}
 
 			f.update(func() { f.addresses = addresses })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -365,7 +365,7 @@
 	}
 
 	// Routes without upstreams would reject every request.
-	if !state.HasConfiguration() || state.Registry.Revision == 0 {
+	if !state.IsComplete() {
 		return
 	}
 
--- a/internal/gateway/leader/scaling.go
+++ b/internal/gateway/leader/scaling.go
@@ -49,7 +49,7 @@
 	policy, enabled := l.options.Policy()
 	state := l.options.State()
 
-	if !enabled || !state.HasConfiguration() || state.Registry.Revision == 0 {
+	if !enabled || !state.IsComplete() {
 		return
 	}
 
