--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -186,7 +186,10 @@
 
 	ended = make(chan error, 1)
 	protocol := gateway.Protocol{
-		Headers:       relayer.Headers{RequestID: "X-Id", Signature: "X-Signature", Authorization: "Authorization", RateLimit: "X-Limit"},
+		Headers: relayer.Headers{
+			RequestID: "X-Id", Signature: "X-Signature", Authorization: "Authorization", RateLimit: "X-Limit", Brittle: "X-Brittle",
+			NotRun: "X-Not-Run",
+		},
 		ReadyPath:     "/ready",
 		EntriesPath:   "/entries",
 		EncodeEntries: encode,
--- a/internal/gateway/relayer/headers.go
+++ b/internal/gateway/relayer/headers.go
@@ -34,6 +34,8 @@
 	Leaving string
 	// RateLimit is the number of requests per second that an upstream accepts from all nodes together.
 	RateLimit string
+	// Brittle is the number of requests that an upstream can reject in a second without falling over.
+	Brittle string
 	// NotRun marks an upstream's response to a request that it did not run.
 	NotRun string
 	// Reserved lists further headers that only nodes may set.
