--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -197,7 +197,10 @@
 
 	ended = make(chan error, 1)
 	protocol := gateway.Protocol{
-		Headers:       relayer.Headers{RequestID: "X-Id", Signature: "X-Signature", Authorization: "Authorization", RateLimit: "X-Limit"},
+		Headers: relayer.Headers{
+			RequestID: "X-Id", Signature: "X-Signature", Authorization: "Authorization", RateLimit: "X-Limit", Brittle: "X-Brittle",
+			NotRun: "X-Not-Run",
+		},
 		ReadyPath:     "/ready",
 		EntriesPath:   "/entries",
 		EncodeEntries: encode,
