Acceptor: a request that crosses the close of its connection is not handled

Cause: the acceptor chose an idle connection (idle timeout, header timeout, or eviction at the connection limit), took it out of its table, and closed it after releasing the lock. A read that had just returned the next request's bytes changed nothing on a connection that was no longer in the table, so net/http ran the handler. The relayer sent the request to an upstream, while the close cancelled the request's context, which the relayer takes for a caller that left: it aborts without an answer.

Change: a connection that was chosen to be closed is in a phase of its own. A read that returns bytes then fails, and a handler whose header was complete before doesn't run. Both are decided under the lock that chooses the connection, so that either the request is handled and its connection stays, or the connection is closed and nothing is passed on. crossed_close counts the latter.

--- a/internal/gateway/acceptor/acceptor.go
+++ b/internal/gateway/acceptor/acceptor.go
@@ -32,6 +32,8 @@
 	// closed immediately because no connection was idle.
 	Evicted  int64 `json:"closed_for_room"`
 	Rejected int64 `json:"turned_away"`
+	// Crossed counts requests that were read while their connection was being closed. They are not handled.
+	Crossed int64 `json:"crossed_close"`
 }
 
 // Acceptor tracks the connections of one http.Server. It is safe for concurrent use.
@@ -59,6 +61,8 @@
 	readingHeader
 	// active connections have a request in progress.
 	active
+	// closed connections are closed, or are about to be, and handle no further request.
+	closed
 )
 
 // connection is one caller's connection. Its fields other than Conn are guarded by Acceptor.mu.
@@ -78,8 +82,8 @@
 // detected here.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.acceptor.transition(c, readingHeader, func() bool { return c.phase == idle })
+	if n > 0 && !c.acceptor.startReading(c) {
+		return 0, net.ErrClosed
 	}
 
 	return n, err
@@ -104,8 +108,8 @@
 func (a *Acceptor) Serve(server *http.Server, listener net.Listener) error {
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connectionContextKey{}).(*connection); ok {
-			a.transition(c, active, always)
+		if c, ok := r.Context().Value(connectionContextKey{}).(*connection); ok && !a.startHandling(c) {
+			panic(http.ErrAbortHandler)
 		}
 
 		handler.ServeHTTP(w, r)
@@ -159,8 +163,12 @@
 	case http.StateNew:
 		a.admit(c)
 	case http.StateIdle:
-		a.transition(c, idle, always)
-	case http.StateClosed, http.StateHijacked:
+		a.startIdling(c)
+	case http.StateClosed:
+		a.mu.Lock()
+		a.retire(c)
+		a.mu.Unlock()
+	case http.StateHijacked:
 		a.mu.Lock()
 		a.remove(c)
 		a.mu.Unlock()
@@ -178,6 +186,7 @@
 	if closing == nil && len(a.connections) >= a.maxConnections {
 		closing = c
 		a.counters.Rejected++
+		a.retire(c)
 	}
 
 	if closing != c {
@@ -204,21 +213,54 @@
 	}
 
 	c, _ := oldest.Value.(*connection)
-	a.remove(c)
+	a.retire(c)
 	a.counters.Evicted++
 
 	return c
 }
 
-func always() bool { return true }
+// startReading records that bytes were read. It returns false if the connection is being closed.
+func (a *Acceptor) startReading(c *connection) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	switch c.phase {
+	case idle:
+		a.enter(c, readingHeader)
+	case closed:
+		a.counters.Crossed++
+
+		return false
+	case readingHeader, active:
+	}
+
+	return true
+}
+
+// startHandling records that a request's header is complete. It returns false if the connection is being closed: its caller
+// would get no answer.
+func (a *Acceptor) startHandling(c *connection) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	if c.phase == closed {
+		a.counters.Crossed++
+
+		return false
+	}
+
+	a.enter(c, active)
 
-// transition moves a tracked connection to another phase if the condition is true.
-func (a *Acceptor) transition(c *connection, to phase, condition func() bool) {
+	return true
+}
+
+// startIdling records that a request was answered.
+func (a *Acceptor) startIdling(c *connection) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	if _, known := a.connections[c]; known && condition() {
-		a.enter(c, to)
+	if c.phase != closed {
+		a.enter(c, idle)
 	}
 }
 
@@ -234,7 +276,7 @@
 		a.closeAfter(c, timeouts.Idle, &a.counters.ClosedIdle)
 	case readingHeader:
 		a.closeAfter(c, timeouts.Header, &a.counters.ClosedHeader)
-	case active:
+	case active, closed:
 	}
 }
 
@@ -262,7 +304,7 @@
 
 		expired := c.generation == generation
 		if expired {
-			a.remove(c)
+			a.retire(c)
 			*counter++
 		}
 		a.mu.Unlock()
@@ -273,6 +315,13 @@
 	})
 }
 
+// retire stops tracking a connection that is closed, or is closed next without holding a.mu, which must be held. No further
+// request on it is handled.
+func (a *Acceptor) retire(c *connection) {
+	a.remove(c)
+	c.phase = closed
+}
+
 // remove stops tracking a connection; a.mu must be held.
 func (a *Acceptor) remove(c *connection) {
 	a.leave(c)
--- a/internal/gateway/acceptor/acceptor_test.go
+++ b/internal/gateway/acceptor/acceptor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -156,3 +157,117 @@
 		assert.Equal(t, a.Counters().Rejected, int64(1))
 	})
 }
+
+// heldConn delays the return of a Read that has got bytes, as a slow machine does.
+type heldConn struct {
+	net.Conn
+	hold func(read []byte)
+}
+
+func (h heldConn) Read(p []byte) (int, error) {
+	n, err := h.Conn.Read(p)
+	if n > 0 {
+		h.hold(p[:n])
+	}
+
+	return n, err
+}
+
+// runHeld runs a server of at most one connection, which keeps the bytes of a request's end for a time that exceeds both
+// timeouts. It returns how many requests reached the handler and how many of them the caller got an answer to, and the counters.
+func runHeld(t *testing.T, send func(t *testing.T, listener pipeListener, caller net.Conn) error) (handled, answered int, counters acceptor.Counters) {
+	t.Helper()
+
+	synctest.Test(t, func(t *testing.T) {
+		a := acceptor.New(1, func() acceptor.Timeouts { return acceptor.Timeouts{Header: headerTimeout, Idle: idleTimeout} })
+		server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			handled++
+			// Passing the request on ends with the caller's connection.
+			select {
+			case <-r.Context().Done():
+				panic(http.ErrAbortHandler)
+			case <-time.After(time.Second):
+			}
+		})}
+
+		listener := make(pipeListener)
+		go func() { _ = a.Serve(server, listener) }()
+
+		near, far := net.Pipe()
+		listener <- heldConn{Conn: far, hold: func(read []byte) {
+			if bytes.Contains(read, []byte("X-Held")) {
+				time.Sleep(2 * idleTimeout)
+			}
+		}}
+
+		assert.NilError(t, get(t, near, "/"))
+
+		answered = 1
+		if send(t, listener, near) == nil {
+			answered++
+		}
+
+		time.Sleep(time.Minute)
+
+		counters = a.Counters()
+
+		close(listener)
+		assert.NilError(t, server.Close())
+		synctest.Wait()
+	})
+
+	return handled, answered, counters
+}
+
+// exchange sends a request in parts, with an interval between them, and reads the answer.
+func exchange(c net.Conn, interval time.Duration, parts ...string) error {
+	for _, part := range parts {
+		time.Sleep(interval)
+
+		if _, err := io.WriteString(c, part); err != nil {
+			return err
+		}
+	}
+
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+
+	return response.Body.Close()
+}
+
+// Guards against a request that is handled, and passed on, though the idle timeout has closed its connection meanwhile.
+func TestRequestThatCrossesTheIdleTimeoutIsNotHandled(t *testing.T) {
+	handled, answered, counters := runHeld(t, func(_ *testing.T, _ pipeListener, caller net.Conn) error {
+		return exchange(caller, 0, "GET / HTTP/1.1\r\nHost: a\r\nX-Held: 1\r\n\r\n")
+	})
+	assert.Equal(t, handled, answered)
+	assert.Equal(t, counters, acceptor.Counters{ClosedIdle: 1, Crossed: 1})
+}
+
+// Guards against a request that is handled, and passed on, though the header timeout has closed its connection meanwhile.
+func TestRequestThatCrossesTheHeaderTimeoutIsNotHandled(t *testing.T) {
+	handled, answered, counters := runHeld(t, func(_ *testing.T, _ pipeListener, caller net.Conn) error {
+		return exchange(caller, time.Second, "GET / HTTP/1.1\r\nHost: a\r\n", "X-Held: 1\r\n\r\n")
+	})
+	assert.Equal(t, handled, answered)
+	assert.Equal(t, counters, acceptor.Counters{ClosedHeader: 1, Crossed: 1})
+}
+
+// Guards against a request that is handled, and passed on, though its connection was closed meanwhile to make room.
+func TestRequestThatCrossesAnEvictionIsNotHandled(t *testing.T) {
+	handled, answered, counters := runHeld(t, func(t *testing.T, listener pipeListener, caller net.Conn) error {
+		t.Helper()
+
+		go func() {
+			time.Sleep(time.Second)
+			listener.open()
+		}()
+
+		return exchange(caller, 0, "GET / HTTP/1.1\r\nHost: a\r\nX-Held: 1\r\n\r\n")
+	})
+	assert.Equal(t, handled, answered)
+	assert.Equal(t, counters.Evicted, int64(1))
+	assert.Equal(t, counters.Crossed, int64(1))
+}
