Relayer: a long answer is not broken off by the attempt timeout

Cause: answers of that length are relayed while they arrive, but the attempt's watchdog ran on. For idempotent routes it ends the attempt at three times the latency target after it was sent, for streams when the upstream is silent. Before the header is sent this lets another upstream answer; afterwards nothing can replace the answer, and the relayer closes the caller's connection.

Change: before the header of such an answer is sent, the watchdog is disarmed, and the answer has until the request's deadline. If the watchdog has cancelled the attempt before, the header is not sent and the request is retried as before.

--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -150,9 +150,18 @@
 		}
 	}
 
+	quick := func(name string, kind cataloguer.Kind, resumable bool) cataloguer.Route {
+		r := route(name, kind, resumable)
+		r.Target, r.GapLimit = 100*time.Millisecond, 100*time.Millisecond
+
+		return r
+	}
+
 	return cataloguer.Configuration{
 		Version: 1,
 		Routes: []cataloguer.Route{
+			quick("quote", cataloguer.Idempotent, false),
+			quick("talk", cataloguer.Stream, true),
 			route("book", cataloguer.NotRepeatable, false),
 			route("price", cataloguer.Idempotent, false),
 			route("chat", cataloguer.Stream, true),
--- a/internal/gateway/relayer/response.go
+++ b/internal/gateway/relayer/response.go
@@ -70,7 +70,7 @@
 		return attemptUnknown
 	}
 
-	return r.deliverBuffered(ctx, out, choice, response, outcome)
+	return r.deliverBuffered(ctx, out, choice, response, watch, outcome)
 }
 
 // isAuthentic reports whether the response was made by the upstream for this request.
@@ -95,13 +95,16 @@
 }
 
 // deliverBuffered reads the complete body before sending the response, unless the body is too long.
-func (r *Relayer) deliverBuffered(ctx context.Context, out *callerResponse, choice balancer.Choice, response *dialer.Response, outcome *balancer.Outcome) attemptResult {
+func (r *Relayer) deliverBuffered(ctx context.Context, out *callerResponse, choice balancer.Choice, response *dialer.Response, watch *watchdog, outcome *balancer.Outcome) attemptResult {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
-	if err == nil && len(body) == maxBufferedBytes {
+	long := err == nil && len(body) == maxBufferedBytes
+
+	// A started answer can't be repeated, so its upstream has until the request's deadline.
+	if long && watch.disarm() {
 		return r.deliverUnbuffered(ctx, out, choice, response, body, outcome)
 	}
 
-	if err != nil {
+	if err != nil || long {
 		r.recordInterruption(ctx, out.request, choice, outcome, len(body) > 0)
 		r.logFailedAttempt(out.request, choice, "answer_broken", causeOf(ctx, err))
 
--- a/internal/gateway/relayer/watchdog.go
+++ b/internal/gateway/relayer/watchdog.go
@@ -25,6 +25,8 @@
 	timer   *time.Timer
 	timeout time.Duration
 	stopped bool
+	// expired is true once the attempt was cancelled because of the timeout.
+	expired bool
 }
 
 func newWatchdog(parent context.Context) (context.Context, *watchdog) {
@@ -43,13 +45,38 @@
 }
 
 func (w *watchdog) expire() {
-	if w.isLost() {
-		w.cancel(errAttemptTimeout)
+	if !w.isLost() {
+		w.reset()
 
 		return
 	}
 
-	w.reset()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if !w.stopped {
+		w.expired = true
+		w.cancel(errAttemptTimeout)
+	}
+}
+
+// disarm lets the attempt go on until its deadline. It returns false if the attempt was cancelled before.
+func (w *watchdog) disarm() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.stopTimer()
+
+	return !w.expired
+}
+
+// stopTimer stops the timeout; w.mu must be held.
+func (w *watchdog) stopTimer() {
+	w.stopped = true
+
+	if w.timer != nil {
+		w.timer.Stop()
+	}
 }
 
 // reset restarts the timeout if the watchdog was started and not stopped.
@@ -64,11 +91,7 @@
 
 func (w *watchdog) stop() {
 	w.mu.Lock()
-	w.stopped = true
-
-	if w.timer != nil {
-		w.timer.Stop()
-	}
+	w.stopTimer()
 	w.mu.Unlock()
 
 	w.cancel(nil)
