Relayer: a started stream is not broken off at a silence in its last attempt

Cause: the watchdog of an attempt cancels it after a silence (at least 1 s for streams) so that another upstream may continue the stream. It did so also when the request had no attempt left: nothing could continue it, and the relayer closed the caller's connection.

Evidence: two upstreams that each send an event, pause for 1.5 s and go on, on a route with two attempts: the caller got an unexpected end after the second one's first event.

Change: an attempt that is the last one has no watchdog once the caller has a part of the stream; it ends at the request's deadline, when the upstream ends or breaks it, or when the caller leaves. Attempts that may be followed by another keep it.

--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -64,7 +64,8 @@
 
 	sent := time.Now()
 
-	if request.route.Repeatable() {
+	// A started stream whose attempts are used up would only be broken off.
+	if request.route.Repeatable() && (!out.headerSent || !isLastRun(request)) {
 		timeout := request.attemptTimeout()
 		watch.start(timeout, func() bool {
 			return request.route.Kind == cataloguer.Idempotent ||
@@ -104,6 +105,11 @@
 	return r.deliver(ctx, out, choice, sent, response, watch, &outcome)
 }
 
+// isLastRun reports whether the request may not be run again after the attempt that is about to start.
+func isLastRun(request *request) bool {
+	return request.runs+1 >= request.route.Attempts || request.sends >= maxSends
+}
+
 // recordAvailability records whether the upstream's response announces a shutdown or asks for a pause.
 func (r *Relayer) recordAvailability(request *request, choice balancer.Choice, response *dialer.Response) {
 	now := time.Now()
--- a/internal/gateway/relayer/long_answer_test.go
+++ b/internal/gateway/relayer/long_answer_test.go
@@ -1,7 +1,9 @@
 package relayer_test
 
 import (
+	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -32,3 +34,27 @@
 	assert.Equal(t, len(body), 2*longAnswerBytes)
 	assert.Equal(t, first.count(), 1)
 }
+
+// Guards against a stream that is broken off at a short silence of its upstream, though no other upstream may continue it.
+func TestStreamOutlastsASilenceInItsLastAttempt(t *testing.T) {
+	w := newFixture(t, 10)
+	pausing := func(rw http.ResponseWriter, r *http.Request) {
+		sign(rw)
+		rw.Header().Set("Content-Type", "text/event-stream")
+
+		from, _ := strconv.Atoi(r.Header.Get(names.LastEventID))
+		_, _ = fmt.Fprintf(rw, "id: %d\ndata: a\n\n", from+1)
+		_ = http.NewResponseController(rw).Flush()
+		// Longer than the timeout of an attempt of a stream.
+		time.Sleep(1500 * time.Millisecond)
+
+		_, _ = fmt.Fprintf(rw, "id: %d\ndata: b\n\n", from+2)
+	}
+	first, second := w.add(pausing), w.add(pausing)
+
+	_, body, err := w.send("/talk/1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "id: 1\ndata: a\n\nid: 2\ndata: a\n\nid: 3\ndata: b\n\n")
+	assert.Equal(t, first.count(), 1)
+	assert.Equal(t, second.count(), 1)
+}
--- a/internal/gateway/relayer/stream.go
+++ b/internal/gateway/relayer/stream.go
@@ -64,8 +64,8 @@
 			return r.finishStream(ctx, out, choice, errEventOrder, true, outcome)
 		}
 
-		if !out.headerSent {
-			out.sendHeader(response.StatusCode, endToEndHeader(response.Header), -1)
+		if !out.headerSent && !r.startStream(ctx, out, response, watch) {
+			return r.finishStream(ctx, out, choice, errAttemptTimeout, true, outcome)
 		}
 
 		out.stats.gaps.record(now)
@@ -85,6 +85,18 @@
 	}
 }
 
+// startStream sends the header, unless the attempt timed out and was the last one. In the last one, the upstream may be silent
+// until the request's deadline from then on.
+func (r *Relayer) startStream(ctx context.Context, out *callerResponse, response *dialer.Response, watch *watchdog) bool {
+	if !r.mayRepeat(ctx, out.request) && !watch.disarm() {
+		return false
+	}
+
+	out.sendHeader(response.StatusCode, endToEndHeader(response.Header), -1)
+
+	return true
+}
+
 // finishStream handles the end of an upstream's stream; responseStarted is true if an event of it was received.
 func (r *Relayer) finishStream(ctx context.Context, out *callerResponse, choice balancer.Choice, err error, responseStarted bool, outcome *balancer.Outcome) attemptResult {
 	if errors.Is(err, io.EOF) && out.headerSent {
