Dialer: a second of an upstream's silence no longer breaks the requests in progress there

Callers of requests that may not be repeated got a failure, and streams were broken off, when a sound upstream's machine was silent for a second or so.

Cause: one TCP_USER_TIMEOUT of 1.5 s stood for both idle connections and those with a request in progress. On Linux it overrides the number of keep-alive probes, and the times of probes are whole seconds, so that 500 ms counted as 1 s: the one probe after 1 s had to be answered before 2 s, or the connection ended, whatever keepAliveProbes (3) said. Class: one time-out for two questions, whether a connection may be used and whether a request is lost.

A single lost probe breaks the connection (the probes that fall into one silence span 0 s), and unacknowledged data is last retransmitted after 1.4 s.

Change: the timeout is derived from a number of probes. With a request in progress three probes have to be unanswered, after 1, 2 and 3 s (given up after 4 s; data is retransmitted for 3 s). An idle connection is given up with one, after 2 s as before, so that from 3 s after the start of a partition no request is sent on it. The option is set anew when a connection becomes idle and when it is taken again, one system call each.

No other socket of ours sets a user timeout, and no library that is linked does.

What has got slower: the caller of a request that is in progress at an upstream that is cut off is told after 4 s rather than 2 s, unless its time limit ends before.

--- a/internal/gateway/dialer/dialer.go
+++ b/internal/gateway/dialer/dialer.go
@@ -21,13 +21,6 @@
 	// dialTimeout bounds a TCP connect. Within a region a connect takes a few milliseconds; a lost SYN is only
 	// retransmitted after a second.
 	dialTimeout = 400 * time.Millisecond
-	// unackedTimeout is how long sent data may stay unacknowledged before the connection is considered
-	// broken. Nothing else detects a partition or a middlebox that dropped its connection state.
-	unackedTimeout = 1500 * time.Millisecond
-	// keepAliveInterval is the time between TCP keep-alive probes of a connection without traffic.
-	keepAliveInterval = 500 * time.Millisecond
-	// keepAliveProbes is the number of unanswered probes after which the connection is considered broken.
-	keepAliveProbes = 3
 	// defaultIdleTimeout is how long an idle connection is kept when the upstream sends no Keep-Alive timeout.
 	defaultIdleTimeout = 4 * time.Second
 	// maxIdleTimeout bounds the timeout from a Keep-Alive header. In a large fleet, many seconds pass between the
@@ -107,14 +100,9 @@
 	return &Dialer{
 		maxOpen: maxOpen,
 		dial: net.Dialer{
-			Timeout: dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable:   true,
-				Idle:     keepAliveInterval,
-				Interval: keepAliveInterval,
-				Count:    keepAliveProbes,
-			},
-			Control: setUnackedTimeout,
+			Timeout:         dialTimeout,
+			KeepAliveConfig: keepAliveConfig(exchangeProbes),
+			Control:         controlSocket,
 		},
 		idle: make(map[string][]*conn),
 	}
@@ -206,7 +194,7 @@
 			break
 		}
 
-		if time.Now().Before(c.idleUntil) && c.reader.Buffered() == 0 && isIdle(c.Conn) {
+		if time.Now().Before(c.idleUntil) && c.reader.Buffered() == 0 && isIdle(c.Conn) && limitProbes(c.Conn, exchangeProbes) == nil {
 			d.mu.Lock()
 			d.reused++
 			d.mu.Unlock()
@@ -318,6 +306,12 @@
 }
 
 func (d *Dialer) putIdle(id string, c *conn) {
+	if limitProbes(c.Conn, idleProbes) != nil {
+		_ = c.Close()
+
+		return
+	}
+
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
