Balancer: a less urgent request doesn't exceed the backlog limit while more urgent ones wait

Cause: an engine takes no request that would raise its prompt backlog above a limit. A queued request that has used up half of its patience may go beyond that limit if it still meets its target there. Long, less urgent requests have targets of 800 ms and meet them at a backlog of 25,000 tokens; short, more urgent ones, with 300 ms of which they have waited half, don't. So the less urgent ones raised the backlog to twice the limit, and the urgent ones waited for it to shrink until they were refused. The class of fault: an exception for those that waited, which is granted without regard to who waits as well.

Evidence: a pool of 15 engines that loses 8 of them, in virtual time, the urgent class needing 63 of the 112 slots that are left: of the refused urgent requests none was refused on arrival, all after 450 ms in the queue, with three engines at a backlog of 13,000 to 27,000 tokens, held by less urgent requests alone.

Change: only requests of the most urgent class in the queue may exceed the limit.

--- a/internal/gateway/balancer/matching.go
+++ b/internal/gateway/balancer/matching.go
@@ -8,7 +8,8 @@
 const (
 	// maxDeclined limits the work of one GrantQueued call, as each choice examines all servers.
 	maxDeclined = 2
-	// acceptAnyFraction is the fraction of its patience after which a request no longer waits for the best server.
+	// acceptAnyFraction is the fraction of its patience after which a request no longer waits for the best server, if no more
+	// urgent one waits.
 	acceptAnyFraction = 0.5
 	// matchWindow is the number of queued requests that compete for free room. matchRankRange is how much higher
 	// than the first one's rank theirs may be: equivalent to 450 ms of waiting, so that a request whose session
@@ -39,6 +40,8 @@
 		return nil, false
 	}
 
+	mostUrgent := p.mostUrgentPriority()
+
 	for _, q := range p.queue {
 		if declined[q] {
 			continue
@@ -55,7 +58,9 @@
 
 		q.request.TimeLimit = q.deadline.Sub(now)
 		q.request.Waited = now.Sub(q.queuedAt)
-		q.request.AcceptAny = q.request.Waited > time.Duration(float64(q.refuseAt.Sub(q.queuedAt))*acceptAnyFraction)
+		// Beyond the backlog limit, a less urgent request would hold up more urgent ones, which wait for the backlog to shrink.
+		q.request.AcceptAny = q.request.Priority == mostUrgent &&
+			q.request.Waited > time.Duration(float64(q.refuseAt.Sub(q.queuedAt))*acceptAnyFraction)
 
 		fit, ok := p.bestFit(now, open, &q.request)
 		if !ok {
@@ -76,6 +81,16 @@
 	return best, best != nil
 }
 
+// mostUrgentPriority returns the priority of the most urgent queued request.
+func (p *Pool) mostUrgentPriority() int {
+	priority := math.MaxInt
+	for _, q := range p.queue {
+		priority = min(priority, q.request.Priority)
+	}
+
+	return priority
+}
+
 // bestFit returns how well the request fits the best server that accepts it, in prompt tokens: the cached ones
 // minus a fraction of the uncached ones.
 func (p *Pool) bestFit(now time.Time, open []*server, request *Request) (float64, bool) {
--- a/internal/gateway/balancer/pool_test.go
+++ b/internal/gateway/balancer/pool_test.go
@@ -27,15 +27,19 @@
 
 func newPool(count, slots int, engine balancer.Engine) *balancer.Pool {
 	p := balancer.NewPool()
+	p.SetUpstreams(start, engineList(count, slots), engine)
 
+	return p
+}
+
+// engineList returns upstreams named a, b, c and so on.
+func engineList(count, slots int) []balancer.Upstream {
 	var upstreams []balancer.Upstream
 	for i := range count {
 		upstreams = append(upstreams, balancer.Upstream{ID: string(rune('a' + i)), Slots: slots})
 	}
 
-	p.SetUpstreams(start, upstreams, engine)
-
-	return p
+	return upstreams
 }
 
 func notes(id string, session string) balancer.Request {
--- a/internal/gateway/balancer/types.go
+++ b/internal/gateway/balancer/types.go
@@ -40,7 +40,7 @@
 	// TimeLimit is the time after which the request ends in any case.
 	TimeLimit time.Duration `json:"l"`
 	// AcceptAny is set once the request has waited so long that any upstream that meets
-	// its target is better than waiting for the best one.
+	// its target is better than waiting for the best one, and no more urgent request waits.
 	AcceptAny bool `json:"-"`
 	// Waited is the time that the request has spent in the queue.
 	Waited time.Duration `json:"-"`
