--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"quincepath.example/quincepath/internal/gateway"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/loader"
 )
@@ -178,7 +179,7 @@
 // restartableNode is a node that can be stopped and started again.
 type restartableNode struct {
 	t        *testing.T
-	store    *budgetStore
+	store    gateway.Store
 	settings loader.Settings
 	cancel   context.CancelFunc
 	ended    chan error
