Relayer: a silent upstream is only given up once another attempt can be made

Callers of repeatable requests got 502 upstream_failed, and resumable streams were broken off, when a sound upstream was silent for a second or so and no other upstream could take the request, the retry budget was spent, or no attempt was left, though the upstream would have gone on.

Cause: the watchdog cancelled the attempt first, and only then it was asked whether another one may follow (attempts of the route, retry budget) and which upstream takes it. Class: what one has is given up before its replacement is certain.

Change: when the watchdog expires, it acquires the permit of the retry budget and an upstream for the next attempt first, and cancels the silent attempt once it has both. Activity of the upstream ends the search and releases what it reserved. Where the request may not be sent again, no watchdog runs.

An upstream that is silent for good and can't be replaced now holds its requests until its connection is given up, or their time limit ends.

--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -46,7 +47,7 @@
 // attempt sends the request to the chosen upstream and relays the response.
 func (r *Relayer) attempt(ctx context.Context, out *callerResponse, choice balancer.Choice) attemptResult {
 	request := out.request
-	id := request.attemptID()
+	id := request.attemptID
 	outcome := balancer.Abandoned
 
 	defer func() { r.options.Chooser.RecordEnd(id, outcome) }()
@@ -60,11 +61,20 @@
 	}
 
 	ctx, watch := newWatchdog(ctx)
-	defer watch.stop()
+	next := &nextAttempt{relayer: r, request: request, excluded: append(slices.Clone(request.excluded), choice.Upstream)}
+	watch.replacement = next
+
+	defer func() {
+		watch.stop()
+
+		if next.found {
+			request.next = next
+		}
+	}()
 
 	sent := time.Now()
 
-	if request.route.Repeatable() {
+	if request.mayBeFollowed() {
 		timeout := request.attemptTimeout()
 		watch.start(timeout, func() bool {
 			return request.route.Kind == cataloguer.Idempotent ||
@@ -112,13 +122,13 @@
 		// Other nodes learn of it from the pool's holders; this node must decline any choice of the upstream.
 		if r.avoidList.markLeaving(request.service, choice.Upstream, r.bornAt(choice.Upstream)) {
 			r.options.Logger.Info().Str("upstream", choice.Upstream).Str("service", request.service).Msg("upstream_leaving")
-			r.options.Chooser.MarkLeaving(request.attemptID())
+			r.options.Chooser.MarkLeaving(request.attemptID)
 		}
 	}
 
 	if rest, ok := forwarder.ParseRetryAfter(response.Response, now); ok {
 		r.avoidList.markResting(request.service, choice.Upstream, r.bornAt(choice.Upstream), now.Add(rest))
-		r.options.Chooser.MarkResting(request.attemptID(), rest)
+		r.options.Chooser.MarkResting(request.attemptID, rest)
 		r.options.Logger.Info().Str("upstream", choice.Upstream).Str("service", request.service).Dur("rest_ms", rest).Msg("upstream_resting")
 	}
 }
--- a/internal/gateway/relayer/limits.go
+++ b/internal/gateway/relayer/limits.go
@@ -21,7 +21,7 @@
 		return
 	}
 
-	limit, changed := r.options.Chooser.RecordRateLimit(request.attemptID(), rate, named)
+	limit, changed := r.options.Chooser.RecordRateLimit(request.attemptID, rate, named)
 	if !changed {
 		return
 	}
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -211,7 +211,13 @@
 func (r *Relayer) relay(ctx context.Context, out *callerResponse) {
 	request := out.request
 
-	defer func() { request.retryPermit.Cancel() }()
+	defer func() {
+		request.retryPermit.Cancel()
+
+		if request.next != nil {
+			request.next.discard()
+		}
+	}()
 
 	for request.sends < maxSends {
 		chooseStart := time.Now()
@@ -227,7 +233,7 @@
 
 		if r.quarantined(request) {
 			// It was quarantined while it waited for an upstream.
-			r.options.Chooser.RecordEnd(request.attemptID(), balancer.Abandoned)
+			r.options.Chooser.RecordEnd(request.attemptID, balancer.Abandoned)
 
 			break
 		}
@@ -235,7 +241,7 @@
 		if r.avoidList.contains(choice.Upstream, time.Now()) || !r.options.Chooser.MayUse(choice) {
 			// The choice was made before the upstream asked for no more requests, or for fewer, or by a node that doesn't know
 			// of it.
-			r.options.Chooser.RecordEnd(request.attemptID(), balancer.Abandoned)
+			r.options.Chooser.RecordEnd(request.attemptID, balancer.Abandoned)
 			r.options.FailedAttempts.Add("choice_declined", 1)
 
 			request.declined++
@@ -247,7 +253,7 @@
 		}
 
 		if !r.renewRetryPermit(ctx, request) {
-			r.options.Chooser.RecordEnd(request.attemptID(), balancer.Abandoned)
+			r.options.Chooser.RecordEnd(request.attemptID, balancer.Abandoned)
 
 			break
 		}
@@ -271,16 +277,16 @@
 	r.giveUp(ctx, out)
 }
 
-// choose requests an upstream for the next attempt.
+// choose requests an upstream for the next attempt, unless it was found during the last one.
 func (r *Relayer) choose(ctx context.Context, request *request) (balancer.Choice, bool) {
-	avoided, restRemaining := r.avoidList.unavailable(request.service, time.Now())
+	if next := request.next; next != nil {
+		request.next, request.attemptID = nil, next.id
 
-	request.chooseCalls++
+		return next.choice, true
+	}
 
-	poolRequest := request.poolRequest
-	poolRequest.ID = request.attemptID()
-	poolRequest.Excluded = slices.Concat(request.excluded, avoided)
-	poolRequest.TimeLimit = time.Until(request.deadline)
+	request.attemptID = request.newAttemptID()
+	poolRequest, restRemaining := r.poolRequest(request, request.attemptID, request.excluded)
 
 	choice, ok := r.options.Chooser.Choose(ctx, request.service, poolRequest)
 	if !ok {
@@ -301,6 +307,18 @@
 	return choice, true
 }
 
+// poolRequest describes an attempt to the balancer. It also returns the shortest rest that upstreams asked for.
+func (r *Relayer) poolRequest(request *request, id string, excluded []string) (balancer.Request, time.Duration) {
+	avoided, restRemaining := r.avoidList.unavailable(request.service, time.Now())
+
+	poolRequest := request.poolRequest
+	poolRequest.ID = id
+	poolRequest.Excluded = slices.Concat(excluded, avoided)
+	poolRequest.TimeLimit = time.Until(request.deadline)
+
+	return poolRequest, restRemaining
+}
+
 // mayRepeat reports whether a request that may have run may be run again.
 func (r *Relayer) mayRepeat(ctx context.Context, request *request) bool {
 	return request.route.Repeatable() && request.runs < request.route.Attempts && request.sends < maxSends && ctx.Err() == nil
@@ -332,6 +350,12 @@
 		return true
 	}
 
+	if request.next != nil {
+		request.retryPermit = request.next.permit
+
+		return true
+	}
+
 	charge, ok := r.options.RetryBudget.Acquire(ctx, request.service)
 	if !ok {
 		r.options.Meter.Refused(request.route.Name, classifier.RetryBudgetSpent)
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -157,12 +157,21 @@
 			route("price", cataloguer.Idempotent, false),
 			route("chat", cataloguer.Stream, true),
 			route("advice", cataloguer.Stream, false),
+			impatient(route("quote", cataloguer.Idempotent, false)),
+			impatient(route("note", cataloguer.Stream, true)),
 		},
 		Organisations: []cataloguer.Organisation{{Name: "salon", Keys: []string{"k1"}}},
 		Limits:        cataloguer.Limits{BodyBytes: 1000, HeaderBytes: 2000},
 	}
 }
 
+// impatient returns the route with the shortest attempt timeouts: 400 ms, 1 s for streams.
+func impatient(route cataloguer.Route) cataloguer.Route {
+	route.Target, route.GapLimit = 50*time.Millisecond, 50*time.Millisecond
+
+	return route
+}
+
 // add starts an upstream with the handler.
 func (w *fixture) add(handle http.HandlerFunc) *fakeUpstream {
 	u := &fakeUpstream{name: fmt.Sprint("u", len(w.upstreams))}
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -73,9 +73,14 @@
 	unanswered bool
 	// retryPermit covers the next attempt in the retry budget; nil if none is needed.
 	retryPermit *budgeter.Permit
-	// chooseCalls counts the requests for an upstream, declined the choices that were not used.
+	// chooseCalls counts the requests for an upstream, declined the choices that were not used. During an attempt, only
+	// the search for the next one uses chooseCalls.
 	chooseCalls, declined int
-	excluded              []string
+	// attemptID identifies the current attempt among those of all nodes.
+	attemptID string
+	// next is the attempt that was found to follow a silent one; nil if there is none.
+	next     *nextAttempt
+	excluded []string
 	// queueDrainTime is how long the queue that refused the request takes to drain.
 	queueDrainTime time.Duration
 	// limitWait is how long the upstreams' rate limits made the request wait when it was refused; 0 if they did not.
@@ -84,11 +89,18 @@
 	lastEventID string
 }
 
-// attemptID returns the ID of the current attempt, which is unique among all nodes.
-func (r *request) attemptID() string {
+// newAttemptID returns an ID for another attempt.
+func (r *request) newAttemptID() string {
+	r.chooseCalls++
+
 	return r.uniqueID + "." + strconv.Itoa(r.chooseCalls)
 }
 
+// mayBeFollowed reports whether the current attempt, even if it runs, leaves another one.
+func (r *request) mayBeFollowed() bool {
+	return r.route.Repeatable() && r.runs+1 < r.route.Attempts && r.sends < maxSends
+}
+
 // settleRetryPermit reports the result of an attempt to the retry budget.
 func (r *request) settleRetryPermit(err error) {
 	if errors.Is(err, dialer.ErrNotSent) {
--- a/internal/gateway/relayer/stream.go
+++ b/internal/gateway/relayer/stream.go
@@ -37,7 +37,7 @@
 		event, err := readEvent(events)
 		if err != nil {
 			if errors.Is(err, io.EOF) {
-				r.options.Chooser.RecordGaps(request.attemptID(), gaps.eventGaps())
+				r.options.Chooser.RecordGaps(request.attemptID, gaps.eventGaps())
 			}
 
 			return r.finishStream(ctx, out, choice, err, !first, outcome)
@@ -48,7 +48,7 @@
 
 		if first {
 			first = false
-			r.options.Chooser.RecordFirstEvent(request.attemptID(), r.reportedLoad(response))
+			r.options.Chooser.RecordFirstEvent(request.attemptID, r.reportedLoad(response))
 			r.activity.recordResponse(choice.Upstream, sent, now, request.poolRequest.Priority)
 		}
 
--- a/internal/gateway/relayer/watchdog.go
+++ b/internal/gateway/relayer/watchdog.go
@@ -20,11 +20,26 @@
 	cancel context.CancelCauseFunc
 	// isLost reports whether the attempt counts as lost; it is called each time that the timeout expires.
 	isLost func() bool
+	// replacement is what takes the place of a lost attempt. Until it is found, the attempt isn't cancelled. It may be nil.
+	replacement replacement
+	// searches counts the calls of expire in progress.
+	searches sync.WaitGroup
 
 	mu      sync.Mutex
 	timer   *time.Timer
 	timeout time.Duration
 	stopped bool
+	// searching is true while a replacement is searched for. stopSearch ends the search.
+	searching  bool
+	stopSearch context.CancelFunc
+}
+
+// replacement finds another attempt. Its methods are called by one goroutine at a time, and by none once stop has returned.
+type replacement interface {
+	// find reports whether another attempt can be made.
+	find(ctx context.Context) bool
+	// discard releases what find reserved.
+	discard()
 }
 
 func newWatchdog(parent context.Context) (context.Context, *watchdog) {
@@ -33,7 +48,7 @@
 	return ctx, &watchdog{cancel: cancel}
 }
 
-// start starts the timeout, which restarts each time that isLost returns false.
+// start starts the timeout, which restarts each time that isLost returns false or no replacement is found.
 func (w *watchdog) start(timeout time.Duration, isLost func() bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -43,20 +58,70 @@
 }
 
 func (w *watchdog) expire() {
-	if w.isLost() {
-		w.cancel(errAttemptTimeout)
-
+	ctx, ok := w.beginSearch()
+	if !ok {
 		return
 	}
+	defer w.searches.Done()
+
+	if w.isLost() && (w.replacement == nil || w.replacement.find(ctx)) {
+		if w.cancelUnlessActive(ctx) {
+			return
+		}
+
+		if w.replacement != nil {
+			w.replacement.discard()
+		}
+	}
+
+	w.mu.Lock()
+	w.searching = false
+	w.mu.Unlock()
 
 	w.reset()
 }
 
+// beginSearch returns a context that ends with the watchdog, or when the upstream sends something. It returns false if the
+// watchdog was stopped, or if a search is in progress, which restarts the timeout at its end.
+func (w *watchdog) beginSearch() (context.Context, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if w.stopped || w.searching {
+		return nil, false
+	}
+
+	ctx, cancel := context.WithCancel(context.Background())
+	w.searching, w.stopSearch = true, cancel
+	w.searches.Add(1)
+
+	return ctx, true
+}
+
+// cancelUnlessActive cancels the attempt unless it ended, or the upstream sent something, during the search. It reports
+// whether it did.
+func (w *watchdog) cancelUnlessActive(search context.Context) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if search.Err() != nil {
+		return false
+	}
+
+	w.cancel(errAttemptTimeout)
+
+	return true
+}
+
 // reset restarts the timeout if the watchdog was started and not stopped.
 func (w *watchdog) reset() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
+	if w.stopSearch != nil {
+		w.stopSearch()
+	}
+
 	if w.timer != nil && !w.stopped {
 		w.timer.Reset(w.timeout)
 	}
@@ -66,10 +131,15 @@
 	w.mu.Lock()
 	w.stopped = true
 
+	if w.stopSearch != nil {
+		w.stopSearch()
+	}
+
 	if w.timer != nil {
 		w.timer.Stop()
 	}
 	w.mu.Unlock()
 
 	w.cancel(nil)
+	w.searches.Wait()
 }
--- /dev/null
+++ b/internal/gateway/relayer/watchdog_test.go
@@ -0,0 +1,86 @@
+package relayer
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// slowReplacement finds another attempt after a time.
+type slowReplacement struct {
+	after                     time.Duration
+	searches, found, discards int
+}
+
+// find implements replacement.
+func (r *slowReplacement) find(ctx context.Context) bool {
+	r.searches++
+
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(r.after):
+		r.found++
+
+		return true
+	}
+}
+
+// discard implements replacement.
+func (r *slowReplacement) discard() { r.discards++ }
+
+// Guards against a stream that is broken off although its upstream went on while another one was searched for.
+func TestActivityEndsTheSearchForAReplacement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		replacement := &slowReplacement{after: 500 * time.Millisecond}
+		ctx, watch := newWatchdog(context.Background())
+		watch.replacement = replacement
+		watch.start(time.Second, func() bool { return true })
+
+		time.Sleep(1200 * time.Millisecond)
+		watch.reset()
+		time.Sleep(900 * time.Millisecond)
+		assert.NilError(t, ctx.Err())
+
+		watch.stop()
+		assert.Equal(t, replacement.searches, 1)
+		assert.Equal(t, replacement.found, replacement.discards)
+	})
+}
+
+// Guards against a search, and what it reserved, that outlives its attempt.
+func TestStopWaitsForTheSearch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		replacement := &slowReplacement{after: time.Hour}
+		ctx, watch := newWatchdog(context.Background())
+		watch.replacement = replacement
+		watch.start(time.Second, func() bool { return true })
+
+		time.Sleep(2 * time.Second)
+		watch.stop()
+		assert.Equal(t, context.Cause(ctx), context.Canceled)
+		assert.Equal(t, replacement.searches, 1)
+		assert.Equal(t, replacement.found, replacement.discards)
+	})
+}
+
+// Guards against an attempt that is cancelled before another one can be made.
+func TestLostAttemptIsCancelledOnceAReplacementIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		replacement := &slowReplacement{after: 500 * time.Millisecond}
+		ctx, watch := newWatchdog(context.Background())
+		defer watch.stop()
+
+		watch.replacement = replacement
+		watch.start(time.Second, func() bool { return true })
+		<-ctx.Done()
+
+		assert.Equal(t, context.Cause(ctx), errAttemptTimeout)
+		assert.Equal(t, time.Since(begun), 1500*time.Millisecond)
+		assert.Equal(t, replacement.discards, 0)
+	})
+}
