Relayer: a started stream is not broken off at a silence when the retry budget is spent

Cause: the watchdog cancelled the attempt, and only then did the relayer ask the retry budget for the attempt that was to continue the stream. Without a permit it closed the caller's connection.

Evidence: an upstream that is silent for 2.5 s between two events, with an empty retry budget: the caller got an unexpected end.

Change: once the caller has a part of a stream, the watchdog acquires the next attempt's permit before it cancels the attempt, and lets it go on if there is none; it asks again after the next silence. The permit passes to the retry, or is given back if the attempt ended meanwhile.

--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -11,6 +11,7 @@
 
 	"quincepath.example/quincepath/internal/forwarder"
 	"quincepath.example/quincepath/internal/gateway/balancer"
+	"quincepath.example/quincepath/internal/gateway/budgeter"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/dialer"
 )
@@ -60,12 +61,20 @@
 	}
 
 	ctx, watch := newWatchdog(ctx)
-	defer watch.stop()
+	defer func() {
+		if permit := watch.stop(); permit != nil {
+			request.retryPermit = permit
+		}
+	}()
 
 	sent := time.Now()
 
 	// A started stream whose attempts are used up would only be broken off.
 	if request.route.Repeatable() && (!out.headerSent || !isLastRun(request)) {
+		if out.headerSent {
+			watch.requirePermit(r.nextPermit(ctx, request))
+		}
+
 		timeout := request.attemptTimeout()
 		watch.start(timeout, func() bool {
 			return request.route.Kind == cataloguer.Idempotent ||
@@ -105,6 +114,11 @@
 	return r.deliver(ctx, out, choice, sent, response, watch, &outcome)
 }
 
+// nextPermit returns a function that acquires a permit for another attempt from the retry budget.
+func (r *Relayer) nextPermit(ctx context.Context, request *request) func() (*budgeter.Permit, bool) {
+	return func() (*budgeter.Permit, bool) { return r.options.RetryBudget.Acquire(ctx, request.service) }
+}
+
 // isLastRun reports whether the request may not be run again after the attempt that is about to start.
 func isLastRun(request *request) bool {
 	return request.runs+1 >= request.route.Attempts || request.sends >= maxSends
--- a/internal/gateway/relayer/long_answer_test.go
+++ b/internal/gateway/relayer/long_answer_test.go
@@ -58,3 +58,25 @@
 	assert.Equal(t, first.count(), 1)
 	assert.Equal(t, second.count(), 1)
 }
+
+// Guards against a stream that is broken off at a short silence of its upstream, though the retry budget allows no other attempt.
+func TestStreamOutlastsASilenceWithoutRetryBudget(t *testing.T) {
+	w := newFixture(t, 0)
+	first := w.add(func(rw http.ResponseWriter, _ *http.Request) {
+		sign(rw)
+		rw.Header().Set("Content-Type", "text/event-stream")
+		_, _ = fmt.Fprint(rw, "id: 1\ndata: a\n\n")
+		_ = http.NewResponseController(rw).Flush()
+		// Longer than the timeout of an attempt of a stream.
+		time.Sleep(2500 * time.Millisecond)
+
+		_, _ = fmt.Fprint(rw, "id: 2\ndata: b\n\n")
+	})
+	second := w.add(streamEvents(true, 2))
+
+	_, body, err := w.send("/talk/1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	assert.Equal(t, first.count(), 1)
+	assert.Equal(t, second.count(), 0)
+}
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -316,7 +316,8 @@
 		return false
 	}
 
-	if !r.acquireRetryPermit(ctx, request) {
+	// The watchdog may have acquired the permit.
+	if request.retryPermit == nil && !r.acquireRetryPermit(ctx, request) {
 		return false
 	}
 
--- a/internal/gateway/relayer/stream.go
+++ b/internal/gateway/relayer/stream.go
@@ -85,16 +85,21 @@
 	}
 }
 
-// startStream sends the header, unless the attempt timed out and was the last one. In the last one, the upstream may be silent
-// until the request's deadline from then on.
+// startStream sends the header, unless the attempt timed out before. From then on only another attempt could continue the
+// stream, so the upstream may be silent until the request's deadline if none is allowed.
 func (r *Relayer) startStream(ctx context.Context, out *callerResponse, response *dialer.Response, watch *watchdog) bool {
-	if !r.mayRepeat(ctx, out.request) && !watch.disarm() {
-		return false
+	var inTime bool
+	if r.mayRepeat(ctx, out.request) {
+		inTime = watch.requirePermit(r.nextPermit(ctx, out.request))
+	} else {
+		inTime = watch.disarm()
 	}
 
-	out.sendHeader(response.StatusCode, endToEndHeader(response.Header), -1)
+	if inTime {
+		out.sendHeader(response.StatusCode, endToEndHeader(response.Header), -1)
+	}
 
-	return true
+	return inTime
 }
 
 // finishStream handles the end of an upstream's stream; responseStarted is true if an event of it was received.
--- a/internal/gateway/relayer/watchdog.go
+++ b/internal/gateway/relayer/watchdog.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"quincepath.example/quincepath/internal/gateway/budgeter"
 )
 
 // errAttemptTimeout is the cancellation cause of an attempt whose upstream sent nothing in time. docs/OPERATIONS.md quotes
@@ -21,8 +23,12 @@
 	// isLost reports whether the attempt counts as lost; it is called each time that the timeout expires.
 	isLost func() bool
 
-	mu      sync.Mutex
-	timer   *time.Timer
+	mu    sync.Mutex
+	timer *time.Timer
+	// acquire acquires the permit for the next attempt, without which the attempt isn't cancelled; nil if it doesn't need one yet.
+	acquire func() (*budgeter.Permit, bool)
+	// permit is what acquire returned for the cancelled attempt.
+	permit  *budgeter.Permit
 	timeout time.Duration
 	stopped bool
 	// expired is true once the attempt was cancelled because of the timeout.
@@ -51,13 +57,59 @@
 		return
 	}
 
+	acquire, done := w.cancelFreely()
+	if done {
+		return
+	}
+
+	permit, ok := acquire()
+	if !ok {
+		w.reset()
+
+		return
+	}
+
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	if !w.stopped {
-		w.expired = true
-		w.cancel(errAttemptTimeout)
+	if w.stopped {
+		permit.Cancel()
+
+		return
 	}
+
+	w.expired, w.permit = true, permit
+	w.cancel(errAttemptTimeout)
+}
+
+// cancelFreely cancels the attempt if that needs no permit. Otherwise it returns the function that acquires one.
+func (w *watchdog) cancelFreely() (acquire func() (*budgeter.Permit, bool), done bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if w.stopped {
+		return nil, true
+	}
+
+	if w.acquire != nil {
+		return w.acquire, false
+	}
+
+	w.expired = true
+	w.cancel(errAttemptTimeout)
+
+	return nil, true
+}
+
+// requirePermit makes the attempt go on from now on unless a permit for the next one can be acquired. It returns false if the
+// attempt was cancelled before.
+func (w *watchdog) requirePermit(acquire func() (*budgeter.Permit, bool)) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.acquire = acquire
+
+	return !w.expired
 }
 
 // disarm lets the attempt go on until its deadline. It returns false if the attempt was cancelled before.
@@ -89,10 +141,13 @@
 	}
 }
 
-func (w *watchdog) stop() {
+// stop ends the attempt. It returns the permit for the next one if the watchdog has acquired it.
+func (w *watchdog) stop() *budgeter.Permit {
 	w.mu.Lock()
-	w.stopTimer()
-	w.mu.Unlock()
+	defer w.mu.Unlock()
 
+	w.stopTimer()
 	w.cancel(nil)
+
+	return w.permit
 }
