Broker: a log line at the holder when one node's report ejects an upstream

attempt_failed tells a connect that failed (not_sent, with the reason: refused or timed out) from an exchange that broke (no_answer: reset, the upstream went silent, the caller left). What no line told was why the nodes in touch got 503 no_upstream for upstreams that were sound.

upstream_ejected names the upstream, the pool, the outcome, the node that reported it and for how long, at the holder only; ten lines a second at most. No decision changes.

--- a/internal/gateway/balancer/ejection.go
+++ b/internal/gateway/balancer/ejection.go
@@ -16,6 +16,12 @@
 	maxEjection = 2 * time.Second
 )
 
+// Ejection says that a server gets no requests for a time, because one failed there.
+type Ejection struct {
+	Upstream string
+	Duration time.Duration
+}
+
 // recordOutcome updates the failure fraction. A server that fails nearly all of its requests is ejected if mayEject is set.
 func (s *server) recordOutcome(outcome Outcome, now time.Time, mayEject bool) {
 	failed := 0.0
--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -285,8 +285,8 @@
 	}
 }
 
-// RecordEnd records that the request ended at its upstream or left the queue.
-func (p *Pool) RecordEnd(now time.Time, id string, outcome Outcome) {
+// RecordEnd records that the request ended at its upstream or left the queue. It returns true if that ejects the upstream.
+func (p *Pool) RecordEnd(now time.Time, id string, outcome Outcome) (Ejection, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
@@ -294,7 +294,7 @@
 	if !ok {
 		p.unqueue(id)
 
-		return
+		return Ejection{}, false
 	}
 
 	delete(p.requests, id)
@@ -306,7 +306,10 @@
 		p.demand.recordResidence(now.Sub(r.sentAt).Seconds())
 	}
 
+	former := r.server.ejectedUntil
 	r.server.remove(r, outcome, now, outcome == Failed && p.mayEject(now))
+
+	return Ejection{Upstream: r.server.ID, Duration: r.server.lastEjection}, r.server.ejectedUntil.After(former)
 }
 
 // expire removes requests whose time limit has passed without a report of their end: the node that sent them
--- a/internal/gateway/balancer/types.go
+++ b/internal/gateway/balancer/types.go
@@ -78,6 +78,24 @@
 	Replaced
 )
 
+// String returns the name that is used in logs.
+func (o Outcome) String() string {
+	switch o {
+	case Served:
+		return "served"
+	case Failed:
+		return "failed"
+	case Rejected:
+		return "rejected"
+	case Unreachable:
+		return "unreachable"
+	case Replaced:
+		return "replaced"
+	default:
+		return "abandoned"
+	}
+}
+
 // Upstream is one server of a pool.
 type Upstream struct {
 	ID      string
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -48,6 +48,8 @@
 	// choiceLifetime is how long after it was asked for a choice of an upstream with a rate limit may be used. A frozen node
 	// would otherwise send requests that were admitted seconds ago.
 	choiceLifetime = time.Second
+	// maxEjectionLogsPerSecond limits the log lines about ejections.
+	maxEjectionLogsPerSecond = 10
 )
 
 // Methods of the messages between nodes.
@@ -89,6 +91,8 @@
 	outbox  *outbox
 	// limits holds the rate limits that the upstreams name.
 	limits *throttler.Table
+	// ejectionLogger samples the log lines about ejections, which are many where one node reaches no upstream.
+	ejectionLogger zerolog.Logger
 
 	mu sync.Mutex
 	// registry is the registry that was last applied.
@@ -151,17 +155,18 @@
 // New returns a Broker without services.
 func New(options Options) *Broker {
 	return &Broker{
-		options:       options,
-		outbox:        newOutbox(options.Peers),
-		limits:        throttler.NewTable(),
-		services:      make(map[string]*serviceUpstreams),
-		pools:         make(map[string]*usedPool),
-		ranking:       chooser.NewRanking(holderCandidates),
-		holders:       make(map[string][]string),
-		tenures:       make(map[string]*throttler.Tenure),
-		backoffUntil:  make(map[string]time.Time),
-		grantChannels: make(map[string]chan balancer.Grant),
-		running:       make(map[string]runningRequest),
+		options:        options,
+		ejectionLogger: options.Logger.Sample(&zerolog.BurstSampler{Burst: maxEjectionLogsPerSecond, Period: time.Second}),
+		outbox:         newOutbox(options.Peers),
+		limits:         throttler.NewTable(),
+		services:       make(map[string]*serviceUpstreams),
+		pools:          make(map[string]*usedPool),
+		ranking:        chooser.NewRanking(holderCandidates),
+		holders:        make(map[string][]string),
+		tenures:        make(map[string]*throttler.Tenure),
+		backoffUntil:   make(map[string]time.Time),
+		grantChannels:  make(map[string]chan balancer.Grant),
+		running:        make(map[string]runningRequest),
 	}
 }
 
--- a/internal/gateway/broker/reports.go
+++ b/internal/gateway/broker/reports.go
@@ -168,8 +168,20 @@
 	}
 
 	if r.End != nil {
-		pool.RecordEnd(now, r.ID, *r.End)
+		if ejection, ok := pool.RecordEnd(now, r.ID, *r.End); ok {
+			b.logEjection(from, r, ejection)
+		}
+	}
+}
+
+// logEjection logs that the holder of a pool takes an upstream from all nodes because of one node's report.
+func (b *Broker) logEjection(from string, r report, ejection balancer.Ejection) {
+	if holders := b.holdersOf(r.Pool); len(holders) == 0 || holders[0] != b.options.Self {
+		return
 	}
+
+	b.ejectionLogger.Info().Str("upstream", ejection.Upstream).Str("pool", r.Pool).Stringer("outcome", *r.End).
+		Str("reporter", from).Dur("ejected_ms", ejection.Duration).Msg("upstream_ejected")
 }
 
 // grantPeriodically grants queued requests that no other event would grant, until ctx ends.
