Balancer: a node that can't reach a server takes it from no other node

Cause: the holder of a pool took each Unreachable as a fact about the upstream. One report ejected it for all nodes, at once and without the limit that failed requests have. After the ejection a single request was the trial, and it mostly came from a node cut off, which doubled the ejection. The class: one observer's view of its own path is kept as the state of what it looks at.

Change: a failure ejects the upstream for the requests of the node that reported it. It is ejected for all nodes only when a second node has begun to fail there and no node was answered for 300 ms; an answer to any node ends that where connects were the reason. Nodes that haven't failed are the first to try again, aren't kept waiting by a trial that hangs at another, and may use upstreams that only others can't connect to where none is left. Repeated failures of a node no longer raise the upstream's failure fraction for the others.

Why it works: evidence against an upstream has to come from nodes that aren't contradicted by others. Nothing is remembered longer than ten seconds after an ejection, and a new holder that has heard no reports starts with all upstreams (part of the test). An upstream that is really down costs each node at most one connect that fails before it is left out for all.

--- a/internal/gateway/balancer/admission.go
+++ b/internal/gateway/balancer/admission.go
@@ -78,7 +78,7 @@
 // hasEligibleServer reports whether any server could take the request once it has room.
 func (p *Pool) hasEligibleServer(now time.Time, request *Request) bool {
 	return slices.ContainsFunc(p.servers, func(s *server) bool {
-		return s.usable(now) && !slices.Contains(request.Excluded, s.ID)
+		return s.usable(now, request) && !slices.Contains(request.Excluded, s.ID)
 	})
 }
 
@@ -100,9 +100,21 @@
 	return least
 }
 
-// outranked reports whether a queued request goes before this one.
-func (p *Pool) outranked(request *Request) bool {
-	return slices.ContainsFunc(p.queue, func(q *queued) bool { return q.sortRank <= baseRank(request) })
+// outranked reports whether a queued request goes before this one. A request whose node can't reach the servers that are open
+// to this one doesn't.
+func (p *Pool) outranked(now time.Time, request *Request) bool {
+	if len(p.queue) == 0 {
+		return false
+	}
+
+	open := p.openServers(now, request)
+	isBlocked := func(q *queued) bool {
+		return len(open) > 0 && !slices.ContainsFunc(open, func(s *server) bool { return !s.isBlocked(now, &q.request) })
+	}
+
+	return slices.ContainsFunc(p.queue, func(q *queued) bool {
+		return q.sortRank <= baseRank(request) && (q.request.Node == request.Node || !isBlocked(q))
+	})
 }
 
 // shed removes requests that won't be served in time: those whose waiting time is over, and the surplus of late
--- a/internal/gateway/balancer/ejection.go
+++ b/internal/gateway/balancer/ejection.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// failureHalfLife is the half-life of the failure fraction.
@@ -14,16 +17,146 @@
 	// further ejection is twice as long, up to maxEjection. Otherwise its empty slots would attract all queued requests.
 	minEjection = 300 * time.Millisecond
 	maxEjection = 2 * time.Second
+	// minFailingNodes is the number of nodes that must have failed at a server since its last answer before it is ejected for
+	// all nodes: one node alone may have lost its path to the server.
+	minFailingNodes = 2
+	// minSilence is how long it must have answered no node then. Answers to nodes that reach it come more often.
+	minSilence = 300 * time.Millisecond
+	// failingNodeRetention is how long a node that failed at a server is remembered after its ejection.
+	failingNodeRetention = 10 * time.Second
 )
 
-// Ejection says that a server gets no requests for a time, because one failed there.
+// Ejection says that a server gets no requests for a time, because some failed there.
 type Ejection struct {
 	Upstream string
 	Duration time.Duration
+	// ForAll is set if the server gets no requests of any node, else only those of the node that failed.
+	ForAll bool
+}
+
+// ejection is a time in which a server gets no requests.
+type ejection struct {
+	until time.Time
+	// span is the duration of the last ejection; 0 after a successful response.
+	span time.Duration
+}
+
+// begin begins an ejection of the given duration.
+func (e *ejection) begin(now time.Time, span time.Duration) {
+	e.until, e.span = now.Add(span), span
+}
+
+// repeat begins an ejection that is twice as long as the last one, unless one is in force: attempts that failed together cause
+// one ejection.
+func (e *ejection) repeat(now time.Time) {
+	if now.After(e.until) {
+		e.begin(now, min(max(2*e.span, minEjection), maxEjection))
+	}
+}
+
+// nodeEjection is the ejection for one node.
+type nodeEjection struct {
+	ejection
+	// failing is set from a failed request until one is answered.
+	failing bool
+}
+
+// failureState is what the failures at a server say about it.
+//
+// Failures of one node keep only that node's requests away: it may have lost its path to a server that is sound. Once several
+// nodes have failed and none is answered any more, no node's requests go there.
+type failureState struct {
+	// fraction is the recent fraction of failed requests, as of at. Further failures of a node that can't reach the server
+	// don't count.
+	fraction float64
+	at       time.Time
+	// shared holds for all nodes, byNode for those that failed.
+	shared ejection
+	byNode map[string]*nodeEjection
+	// failingNodes is the number of nodes that began to fail since the last answer, which came at answeredAt.
+	failingNodes int
+	answeredAt   time.Time
+	// refused is set if the shared ejection is due to connections that failed.
+	refused bool
+}
+
+// isEjected reports whether the server gets no requests of the node. If ownOnly is set, connections of other nodes that failed
+// don't count.
+func (f *failureState) isEjected(now time.Time, node string, ownOnly bool) bool {
+	own := f.byNode[node]
+
+	return now.Before(f.shared.until) && (!ownOnly || !f.refused) || own != nil && now.Before(own.until)
+}
+
+// isOnTrial reports whether requests of the node failed and none has been answered since.
+func (f *failureState) isOnTrial(node string) bool {
+	own := f.byNode[node]
+
+	return own != nil && own.span > 0
+}
+
+// recordAnswer records that the server answered a request of the node.
+func (f *failureState) recordAnswer(now time.Time, node string) {
+	f.answeredAt = now
+	f.failingNodes = 0
+	f.shared.span = 0
+
+	// The server accepts connections, so those that failed couldn't reach it.
+	if f.refused {
+		f.shared.until = time.Time{}
+	}
+
+	if own := f.byNode[node]; own != nil {
+		own.span, own.failing = 0, false
+
+		if !now.Before(own.until) {
+			delete(f.byNode, node)
+		}
+	}
 }
 
-// recordOutcome updates the failure fraction. A server that fails nearly all of its requests is ejected if mayEject is set.
-func (s *server) recordOutcome(outcome Outcome, now time.Time, mayEject bool) {
+// eject ejects the server for the node, and for all nodes if several fail.
+func (f *failureState) eject(now time.Time, node string, outcome Outcome) {
+	own := f.byNode[node]
+	if own == nil {
+		f.forgetNodes(now)
+
+		own = &nodeEjection{}
+		f.byNode[node] = own
+	}
+
+	if !own.failing {
+		own.failing = true
+		f.failingNodes++
+	}
+
+	own.repeat(now)
+
+	if f.failingNodes < minFailingNodes || now.Sub(f.answeredAt) < minSilence || now.Before(f.shared.until) {
+		return
+	}
+
+	f.refused = outcome == Unreachable
+	f.shared.repeat(now)
+
+	// Nodes that haven't failed are the first to try again.
+	for _, e := range f.byNode {
+		if first := f.shared.until.Add(minEjection); e.failing && first.After(e.until) {
+			e.until = first
+		}
+	}
+}
+
+// forgetNodes forgets nodes that have not tried the server for long, as they may be gone.
+func (f *failureState) forgetNodes(now time.Time) {
+	maps.DeleteFunc(f.byNode, func(_ string, e *nodeEjection) bool { return now.Sub(e.until) > failingNodeRetention })
+}
+
+// recordOutcome updates what failures say about the server. A server that fails nearly all of its requests is ejected if
+// mayEject is set.
+func (s *server) recordOutcome(outcome Outcome, node string, now time.Time, mayEject bool) {
+	f := &s.failures
+	wasOnTrial := f.isOnTrial(node)
 	failed := 0.0
 
 	switch outcome {
@@ -33,41 +166,58 @@
 		failed = 1
 	case Unreachable:
 		failed = 1
-		// Attempts that failed together cause one ejection.
-		s.ejectWithBackoff(now)
+		f.eject(now, node, outcome)
 	case Replaced:
 		// A server that crashed and restarted is listed under its old ID until its lease ends, seconds later. Until
 		// then it immediately answers that it is not the requested instance; with its empty slots it would attract and
 		// refuse all queued requests.
 		failed = 1
-		s.eject(now, maxEjection)
+		f.shared.begin(now, maxEjection)
+		f.refused = false
 	case Served:
-		s.lastEjection = 0
+		f.recordAnswer(now, node)
 	}
 
-	s.failures = (1-failureGain)*s.failuresNow(now) + failureGain*failed
-	s.failedAt = now
+	if failed == 0 || !wasOnTrial {
+		f.fraction = (1-failureGain)*s.failuresNow(now) + failureGain*failed
+		f.at = now
+	}
 
 	// The slots of a server that fails immediately are always free, so it would attract all queued requests.
-	if outcome == Failed && mayEject && (s.lastEjection > 0 || s.failures > ejectionThreshold) {
-		s.ejectWithBackoff(now)
+	if outcome == Failed && mayEject && (wasOnTrial || f.shared.span > 0 || f.fraction > ejectionThreshold) {
+		f.eject(now, node, outcome)
 	}
 }
 
-// ejectWithBackoff ejects the server for twice as long as the last time.
-func (s *server) ejectWithBackoff(now time.Time) {
-	if now.After(s.ejectedUntil) {
-		s.eject(now, min(max(2*s.lastEjection, minEjection), maxEjection))
-	}
+// isBlocked reports whether failures keep the request from the server.
+func (s *server) isBlocked(now time.Time, request *Request) bool {
+	return s.failures.isEjected(now, request.Node, request.ownFailuresOnly) || s.isTried(request)
 }
 
-// onTrial reports whether the server was ejected and has answered nothing since.
-func (s *server) onTrial() bool {
-	return s.lastEjection > 0
+// isTried reports whether a running request is to show whether the server works again, so that this one has to wait.
+func (s *server) isTried(request *Request) bool {
+	f, own := &s.failures, s.failures.byNode[request.Node]
+
+	switch {
+	case own != nil && own.failing && f.shared.span > 0:
+		return len(s.running) > 0
+	case f.isOnTrial(request.Node):
+		return s.isRunning(func(node string) bool { return node == request.Node })
+	case f.shared.span > 0 && (!request.ownFailuresOnly || !f.refused):
+		// A connect of a node that can't reach the server may hang for long.
+		return s.isRunning(func(node string) bool { return f.byNode[node] == nil || !f.byNode[node].failing })
+	default:
+		return false
+	}
 }
 
-// eject stops new requests to the server for the given time.
-func (s *server) eject(now time.Time, span time.Duration) {
-	s.lastEjection = span
-	s.ejectedUntil = now.Add(span)
+// isRunning reports whether a request of such a node runs at the server.
+func (s *server) isRunning(ofNode func(node string) bool) bool {
+	for _, r := range s.running {
+		if ofNode(r.request.Node) {
+			return true
+		}
+	}
+
+	return false
 }
--- a/internal/gateway/balancer/ejection_test.go
+++ b/internal/gateway/balancer/ejection_test.go
@@ -106,3 +106,170 @@
 
 	assert.Assert(t, used == 10 && total > 400, "%d requests at %d engines", total, used)
 }
+
+// call returns a request of a plain service.
+func call(id string) balancer.Request {
+	return balancer.Request{ID: id, Target: time.Second, TimeLimit: 5 * time.Second}
+}
+
+const (
+	// sendInterval is the time between two requests, answerSteps how many of these intervals a response takes.
+	sendInterval = 8 * time.Millisecond
+	answerSteps  = 6
+	// hangSteps is the number of intervals after which a connect that hangs fails.
+	hangSteps = 50
+)
+
+// partitionedPool is a pool of sound servers that some nodes can't reach. All nodes send the same number of requests.
+type partitionedPool struct {
+	pool  *balancer.Pool
+	nodes int
+	// reaches reports whether a node reaches the server at a time.
+	reaches func(node int, server string, now time.Time) bool
+	// failSteps is the number of intervals after which a connect fails.
+	failSteps int
+	step      int
+	// events are the functions to call by step.
+	events map[int][]func(now time.Time)
+	// asked holds the requests that wait or run by ID.
+	asked map[string]*askedRequest
+	// sent, served and failed count requests by node, failed attempts included.
+	sent, served, failed map[int]int
+}
+
+// askedRequest is a request of a node, with the number of its attempts.
+type askedRequest struct {
+	balancer.Request
+
+	node, attempts int
+}
+
+func newPartitionedPool(nodes, failSteps int, reaches func(node int, server string, now time.Time) bool) *partitionedPool {
+	return &partitionedPool{
+		pool: newPool(8, 6, balancer.Engine{}), nodes: nodes, reaches: reaches, failSteps: failSteps,
+		events: map[int][]func(now time.Time){}, asked: map[string]*askedRequest{},
+		sent: map[int]int{}, served: map[int]int{}, failed: map[int]int{},
+	}
+}
+
+// run sends requests until the given time.
+func (p *partitionedPool) run(to time.Duration) {
+	for ; time.Duration(p.step)*sendInterval < to; p.step++ {
+		now := at(time.Duration(p.step) * sendInterval)
+
+		for _, event := range p.events[p.step] {
+			event(now)
+		}
+
+		delete(p.events, p.step)
+
+		for _, g := range p.pool.GrantQueued(now) {
+			if r := p.asked[g.ID]; !g.Refused {
+				p.begin(now, r, g.Choice.Upstream)
+			}
+		}
+
+		r := &askedRequest{node: p.step % p.nodes}
+		p.sent[r.node]++
+		p.ask(now, r)
+	}
+}
+
+// ask asks for a server, at most three times for a request.
+func (p *partitionedPool) ask(now time.Time, r *askedRequest) {
+	if r.attempts == 3 {
+		return
+	}
+
+	r.attempts++
+	excluded := r.Excluded
+	r.Request = call(fmt.Sprint(p.step, ".", r.node, ".", r.attempts))
+	r.Excluded = excluded
+	p.asked[r.ID] = r
+
+	if choice, decision := p.pool.Acquire(now, fmt.Sprint("node", r.node), r.Request); decision == balancer.Granted {
+		p.begin(now, r, choice.Upstream)
+	}
+}
+
+func (p *partitionedPool) begin(now time.Time, r *askedRequest, server string) {
+	id := r.ID
+
+	if p.reaches(r.node, server, now) {
+		p.served[r.node]++
+		p.events[p.step+answerSteps] = append(p.events[p.step+answerSteps], func(now time.Time) {
+			p.pool.RecordEnd(now, id, balancer.Served)
+		})
+
+		return
+	}
+
+	p.failed[r.node]++
+	p.events[p.step+p.failSteps] = append(p.events[p.step+p.failSteps], func(now time.Time) {
+		p.pool.RecordEnd(now, id, balancer.Unreachable)
+
+		r.Excluded = append(r.Excluded, server)
+		p.ask(now, r)
+	})
+}
+
+// Guards against nodes that lost their paths to sound servers and eject these for the nodes that reach them.
+func TestNodesThatReachServersKeepThem(t *testing.T) {
+	for _, fleet := range []struct{ nodes, cutOff, failSteps int }{
+		{3, 1, 1}, {3, 2, 1}, {9, 3, 1}, {9, 6, 1}, {30, 20, 1}, {30, 25, 1},
+		{3, 1, hangSteps}, {3, 2, hangSteps}, {9, 6, hangSteps}, {30, 20, hangSteps},
+	} {
+		p := newPartitionedPool(fleet.nodes, fleet.failSteps, func(node int, _ string, now time.Time) bool {
+			return node >= fleet.cutOff || now.Before(at(time.Second)) || now.After(at(11*time.Second))
+		})
+		// The bounds hold from 3 s after the cut began.
+		p.run(4 * time.Second)
+		clear(p.sent)
+		clear(p.served)
+		p.run(7 * time.Second)
+
+		// Another node takes over, which has heard no reports.
+		p.pool = newPool(8, 6, balancer.Engine{})
+		p.run(11 * time.Second)
+
+		sent, served := 0, 0
+		for node := fleet.cutOff; node < fleet.nodes; node++ {
+			sent += p.sent[node]
+			served += p.served[node]
+		}
+
+		assert.Check(t, float64(served) >= 0.95*float64(sent), "%+v: nodes in touch serve %d of %d", fleet, served, sent)
+
+		// All nodes use the servers again 2 s after the cut.
+		p.run(13 * time.Second)
+		clear(p.sent)
+		clear(p.served)
+		p.run(15 * time.Second)
+
+		sent, served = 0, 0
+		for node := range fleet.nodes {
+			sent += p.sent[node]
+			served += p.served[node]
+		}
+
+		assert.Check(t, float64(served) >= 0.95*float64(sent), "%+v: all nodes serve %d of %d after the cut", fleet, served, sent)
+	}
+}
+
+// Guards against many nodes that each keep trying a server that is down.
+func TestServerThatIsDownIsEjectedForAllNodes(t *testing.T) {
+	p := newPartitionedPool(30, 1, func(_ int, server string, _ time.Time) bool { return server != "a" })
+	p.run(10 * time.Second)
+
+	failed := 0
+	for _, count := range p.failed {
+		failed += count
+	}
+
+	// One of each node, then one trial every 2 seconds, and as many again while the ejection time grows.
+	assert.Assert(t, failed <= p.nodes+8, "%d requests failed", failed)
+
+	for node := range p.nodes {
+		assert.Assert(t, p.served[node] >= p.sent[node]-1, "node %d serves %d of %d", node, p.served[node], p.sent[node])
+	}
+}
--- a/internal/gateway/balancer/limiting.go
+++ b/internal/gateway/balancer/limiting.go
@@ -70,7 +70,7 @@
 	rate, admitted, limited := 0.0, 0.0, false
 
 	for _, s := range p.servers {
-		if !s.usable(now) || slices.Contains(request.Excluded, s.ID) {
+		if !s.usable(now, request) || slices.Contains(request.Excluded, s.ID) {
 			continue
 		}
 
--- a/internal/gateway/balancer/matching.go
+++ b/internal/gateway/balancer/matching.go
@@ -34,7 +34,7 @@
 		fitting = 0
 	)
 
-	open := p.openServers(now)
+	open := p.openServers(now, &Request{})
 	if len(open) == 0 {
 		return nil, false
 	}
@@ -91,12 +91,12 @@
 	return best, found
 }
 
-// openServers returns the servers that could accept one more small request.
-func (p *Pool) openServers(now time.Time) []*server {
+// openServers returns the servers that could accept the request.
+func (p *Pool) openServers(now time.Time, request *Request) []*server {
 	var open []*server
 
 	for _, s := range p.servers {
-		if p.accepts(now, s, &Request{}) {
+		if p.accepts(now, s, request) {
 			open = append(open, s)
 		}
 	}
--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -306,10 +306,20 @@
 		p.demand.recordResidence(now.Sub(r.sentAt).Seconds())
 	}
 
-	former := r.server.ejectedUntil
-	r.server.remove(r, outcome, now, outcome == Failed && p.mayEject(now))
+	failures := &r.server.failures
+	wasShared, wasEjected := now.Before(failures.shared.until), failures.isEjected(now, r.request.Node, false)
+	r.server.remove(r, outcome, now, outcome == Failed && p.mayEject(now, r.request.Node))
 
-	return Ejection{Upstream: r.server.ID, Duration: r.server.lastEjection}, r.server.ejectedUntil.After(former)
+	ejected := Ejection{Upstream: r.server.ID}
+
+	switch {
+	case !wasShared && now.Before(failures.shared.until):
+		ejected.Duration, ejected.ForAll = failures.shared.until.Sub(now), true
+	case !wasEjected && failures.isEjected(now, r.request.Node, false):
+		ejected.Duration = failures.byNode[r.request.Node].until.Sub(now)
+	}
+
+	return ejected, ejected.Duration > 0
 }
 
 // expire removes requests whose time limit has passed without a report of their end: the node that sent them
@@ -330,18 +340,18 @@
 	}
 }
 
-// usable reports whether the server may get new requests.
-func (s *server) usable(now time.Time) bool {
-	return !s.Draining && !s.leaving && !now.Before(s.ejectedUntil) && !now.Before(s.restsUntil)
+// usable reports whether the server may get the request, or will once it has room.
+func (s *server) usable(now time.Time, request *Request) bool {
+	return !s.Draining && !s.leaving && !s.failures.isEjected(now, request.Node, request.ownFailuresOnly) && !now.Before(s.restsUntil)
 }
 
-// mayEject reports whether one more server may be ejected for its failures. Where many servers fail,
+// mayEject reports whether one more server may be ejected for its failures of a node's requests. Where many servers fail,
 // the failures are not the fault of one of them.
-func (p *Pool) mayEject(now time.Time) bool {
+func (p *Pool) mayEject(now time.Time, node string) bool {
 	ejected := 0
 
 	for _, s := range p.servers {
-		if s.onTrial() || now.Before(s.ejectedUntil) {
+		if f := &s.failures; f.shared.span > 0 || f.isOnTrial(node) || f.isEjected(now, node, false) {
 			ejected++
 		}
 	}
@@ -378,7 +388,7 @@
 
 // hasRoom reports whether the server has a slot and memory for the request.
 func (p *Pool) hasRoom(now time.Time, s *server, request *Request) bool {
-	if !s.usable(now) || slices.Contains(request.Excluded, s.ID) || s.onTrial() && len(s.running) > 0 {
+	if !s.usable(now, request) || slices.Contains(request.Excluded, s.ID) || s.isTried(request) {
 		return false
 	}
 
--- a/internal/gateway/balancer/queue.go
+++ b/internal/gateway/balancer/queue.go
@@ -85,6 +85,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
+	request.Node = owner
+
 	p.expire(now)
 
 	if r, ok := p.requests[request.ID]; ok {
@@ -95,11 +97,14 @@
 		return Choice{}, Queued
 	}
 
-	if !p.hasEligibleServer(now, &request) || len(p.queue) >= maxQueue {
+	// A node that reaches the servers isn't refused because others don't.
+	request.ownFailuresOnly = !p.hasEligibleServer(now, &request)
+
+	if request.ownFailuresOnly && !p.hasEligibleServer(now, &request) || len(p.queue) >= maxQueue {
 		return Choice{ExpectedWaitMS: milliseconds(p.restWait(now, &request))}, Refused
 	}
 
-	if !p.outranked(&request) {
+	if !p.outranked(now, &request) {
 		if choice, ok := p.choose(now, request); ok {
 			return choice, Granted
 		}
@@ -130,7 +135,7 @@
 	p.expire(now)
 
 	// Most calls find no server with room; sorting the queue each time would use too much of the holder's CPU.
-	hasRoom := len(p.openServers(now)) > 0
+	hasRoom := len(p.openServers(now, &Request{})) > 0
 	if !hasRoom && now.Sub(p.sortedAt) < sortInterval {
 		return nil
 	}
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -71,13 +71,8 @@
 	// slowdown is the learned ratio of real to predicted time, as of slowdownAt.
 	slowdown   float64
 	slowdownAt time.Time
-	// failures is the recent fraction of failed requests, as of failedAt.
-	failures float64
-	failedAt time.Time
-	// ejectedUntil is when the ejection ends.
-	ejectedUntil time.Time
-	// lastEjection is the duration of the last ejection; 0 after a successful response.
-	lastEjection time.Duration
+	// failures is what failed requests say about the server.
+	failures failureState
 	// foreign is the number of requests at the server that this pool doesn't know of, as of foreignAt: nodes
 	// that can't reach the holder choose by themselves.
 	foreign   float64
@@ -104,7 +99,7 @@
 		slowdown:         1,
 		slowdownAt:       now,
 		foreignAt:        now,
-		failedAt:         now,
+		failures:         failureState{at: now, byNode: make(map[string]*nodeEjection)},
 		recentAt:         now,
 	}
 
@@ -132,7 +127,7 @@
 }
 
 func (s *server) failuresNow(now time.Time) float64 {
-	return decayed(s.failures, now.Sub(s.failedAt), failureHalfLife)
+	return decayed(s.failures.fraction, now.Sub(s.failures.at), failureHalfLife)
 }
 
 func (s *server) foreignNow(now time.Time) float64 {
@@ -289,7 +284,7 @@
 
 	r.answering = true
 	s.answeredAt = now
-	s.lastEjection = 0
+	s.failures.recordAnswer(now, r.request.Node)
 	s.dropBacklog(r)
 	s.observeSlowdown(now, milliseconds(now.Sub(r.sentAt))/max(r.expectedMS/r.slowdown, 1))
 	s.markOvertaken(r, now)
@@ -349,7 +344,7 @@
 		clear(s.sensitiveStreams)
 	}
 
-	s.recordOutcome(outcome, now, mayEject)
+	s.recordOutcome(outcome, r.request.Node, now, mayEject)
 }
 
 func milliseconds(d time.Duration) float64 {
--- a/internal/gateway/balancer/types.go
+++ b/internal/gateway/balancer/types.go
@@ -23,6 +23,8 @@
 type Request struct {
 	// ID is unique across all nodes.
 	ID string `json:"id"`
+	// Node is the node that sends the request. It isn't sent to other nodes, which know who asks or reports.
+	Node string `json:"-"`
 	// Priority is the priority of the request's class; 0 is the most urgent.
 	Priority int `json:"p"`
 	// OrganisationRank orders requests of the same priority; 0 goes first.
@@ -46,6 +48,8 @@
 	Waited time.Duration `json:"-"`
 	// Excluded lists upstreams that failed the request before.
 	Excluded []string `json:"x,omitempty"`
+	// ownFailuresOnly is set if servers that other nodes can't connect to are better than none.
+	ownFailuresOnly bool
 }
 
 // tokens returns the most memory that the request may need, in tokens.
--- a/internal/gateway/broker/choosing.go
+++ b/internal/gateway/broker/choosing.go
@@ -167,6 +167,7 @@
 		b.mergeLimit(time.Now(), pool, *choice.Limit)
 	}
 
+	work.Node = b.options.Self
 	r := runningRequest{
 		pool:         pool,
 		upstream:     choice.Upstream,
--- a/internal/gateway/broker/reports.go
+++ b/internal/gateway/broker/reports.go
@@ -138,6 +138,10 @@
 
 	pool := b.pool(r.Pool)
 
+	if r.Begin != nil {
+		r.Begin.Work.Node = from
+	}
+
 	switch {
 	case r.Begin != nil && r.Begin.Answered:
 		pool.AddAnswering(now, r.Begin.Upstream, r.Begin.Work)
@@ -174,14 +178,14 @@
 	}
 }
 
-// logEjection logs that the holder of a pool takes an upstream from all nodes because of one node's report.
+// logEjection logs that the holder of a pool ejects an upstream because of a node's report.
 func (b *Broker) logEjection(from string, r report, ejection balancer.Ejection) {
 	if holders := b.holdersOf(r.Pool); len(holders) == 0 || holders[0] != b.options.Self {
 		return
 	}
 
 	b.ejectionLogger.Info().Str("upstream", ejection.Upstream).Str("pool", r.Pool).Stringer("outcome", *r.End).
-		Str("reporter", from).Dur("ejected_ms", ejection.Duration).Msg("upstream_ejected")
+		Str("reporter", from).Bool("for_all", ejection.ForAll).Dur("ejected_ms", ejection.Duration).Msg("upstream_ejected")
 }
 
 // grantPeriodically grants queued requests that no other event would grant, until ctx ends.
