--- a/internal/gateway/dialer/dialer.go
+++ b/internal/gateway/dialer/dialer.go
@@ -66,7 +66,8 @@
 //
 // Lock order: only Dialer.mu, which is not held during I/O.
 type Dialer struct {
-	dial net.Dialer
+	// DialContext opens TCP connections to upstreams. It must not be changed once the Dialer is in use.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	// maxOpen is the maximum number of connections, including those being established.
 	maxOpen int
 
@@ -104,19 +105,21 @@
 
 // New returns a dialer that opens at most maxOpen connections.
 func New(maxOpen int) *Dialer {
-	return &Dialer{
-		maxOpen: maxOpen,
-		dial: net.Dialer{
-			Timeout: dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable:   true,
-				Idle:     keepAliveInterval,
-				Interval: keepAliveInterval,
-				Count:    keepAliveProbes,
-			},
-			Control: setUnackedTimeout,
+	direct := &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveInterval,
+			Interval: keepAliveInterval,
+			Count:    keepAliveProbes,
 		},
-		idle: make(map[string][]*conn),
+		Control: setUnackedTimeout,
+	}
+
+	return &Dialer{
+		DialContext: direct.DialContext,
+		maxOpen:     maxOpen,
+		idle:        make(map[string][]*conn),
 	}
 }
 
@@ -226,7 +229,7 @@
 		return nil, ErrTooManyConnections
 	}
 
-	tcp, err := d.dial.DialContext(ctx, "tcp", upstream.Address)
+	tcp, err := d.DialContext(ctx, "tcp", upstream.Address)
 	if err != nil {
 		d.release()
 
