Dialer: an upstream that the node can't reach itself is reached through a peer

A connection is now opened by the first of several ways that succeeds: directly, and if that fails or takes longer than 100 ms through up to six peers, of the own failure domain and others in turn. No byte of a request is sent before, so this holds for requests that may run only once. Two peers in touch that don't reach the upstream either, or 380 ms, end the attempt; an upstream that no one reached is asked of no peer for 300 ms.

A path that is lost is remembered by upstream, and after three different upstreams that weren't reached, with none in between, for all. Then peers go first, and idle direct connections are closed, as they may lead nowhere. Run tries lost paths every 200 to 400 ms and returns to them when one works.

--- a/internal/gateway/dialer/dialer.go
+++ b/internal/gateway/dialer/dialer.go
@@ -11,10 +11,12 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -68,6 +70,13 @@
 type Dialer struct {
 	// DialContext opens TCP connections to upstreams. It must not be changed once the Dialer is in use.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	// Detour reaches upstreams that this node doesn't reach itself; nil means that there is no other way. It must not be
+	// changed once the Dialer is in use.
+	Detour Detour
+	// direct opens TCP connections; DialContext may be replaced.
+	direct *net.Dialer
+	// paths is what is known of the ways to upstreams.
+	paths *paths
 	// maxOpen is the maximum number of connections, including those being established.
 	maxOpen int
 
@@ -89,7 +98,9 @@
 
 type conn struct {
 	net.Conn
-	dialer      *Dialer
+	dialer *Dialer
+	// peer carries the connection; empty for a direct one.
+	peer        string
 	releaseOnce sync.Once
 	reader      *bufio.Reader
 	// idleUntil is when the idle connection must no longer be reused, as the upstream may close it.
@@ -103,6 +114,16 @@
 	return c.Conn.Close()
 }
 
+// buffered returns the number of received bytes that were not read.
+func (c *conn) buffered() int {
+	buffered := c.reader.Buffered()
+	if tunnel, ok := c.Conn.(interface{ Buffered() int }); ok {
+		buffered += tunnel.Buffered()
+	}
+
+	return buffered
+}
+
 // New returns a dialer that opens at most maxOpen connections.
 func New(maxOpen int) *Dialer {
 	direct := &net.Dialer{
@@ -118,11 +139,43 @@
 
 	return &Dialer{
 		DialContext: direct.DialContext,
+		direct:      direct,
+		paths:       newPaths(),
 		maxOpen:     maxOpen,
 		idle:        make(map[string][]*conn),
 	}
 }
 
+// SetLogger sets where changes of paths are logged. It must not be called once the Dialer is in use.
+func (d *Dialer) SetLogger(logger zerolog.Logger) {
+	d.paths.logger = logger.Sample(&zerolog.BurstSampler{Burst: maxPathLogsPerSecond, Period: time.Second})
+}
+
+// DialPeer opens a connection to a peer, with the same detection of broken connections as to upstreams.
+func (d *Dialer) DialPeer(ctx context.Context, address string) (net.Conn, error) {
+	return d.direct.DialContext(ctx, "tcp", address)
+}
+
+// DetectBreaks makes a connection that was accepted detect a broken path like those to upstreams.
+func (d *Dialer) DetectBreaks(c net.Conn) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+
+	// A connection without these options only takes longer to be found broken.
+	_ = tcp.SetKeepAliveConfig(d.direct.KeepAliveConfig)
+
+	if raw, err := tcp.SyscallConn(); err == nil {
+		_ = d.direct.Control("", "", raw)
+	}
+}
+
+// PathCounters returns the statistics of the ways to upstreams.
+func (d *Dialer) PathCounters() PathCounters {
+	return d.paths.snapshot()
+}
+
 // Counters returns the connection statistics.
 func (d *Dialer) Counters() Counters {
 	d.mu.Lock()
@@ -209,7 +262,7 @@
 			break
 		}
 
-		if time.Now().Before(c.idleUntil) && c.reader.Buffered() == 0 && isIdle(c.Conn) {
+		if time.Now().Before(c.idleUntil) && c.buffered() == 0 && isIdle(c.Conn) {
 			d.mu.Lock()
 			d.reused++
 			d.mu.Unlock()
@@ -223,38 +276,17 @@
 	return d.openConn(ctx, upstream)
 }
 
-// openConn opens a new connection to the upstream.
-func (d *Dialer) openConn(ctx context.Context, upstream Upstream) (*conn, error) {
-	if !d.reserve() {
-		return nil, ErrTooManyConnections
-	}
-
-	tcp, err := d.DialContext(ctx, "tcp", upstream.Address)
-	if err != nil {
-		d.release()
-
-		return nil, errors.Wrapf(err, "connect to upstream %s", upstream.ID)
-	}
-
-	d.mu.Lock()
-	d.opened++
-	d.mu.Unlock()
-
-	return &conn{Conn: tcp, dialer: d, reader: bufio.NewReaderSize(tcp, bufferBytes)}, nil
-}
-
-// IsDown reports whether the upstream accepts no new connection, or false if that can't be determined. It opens a new
-// connection because an idle one doesn't show that an upstream lost power.
+// IsDown reports whether the upstream accepts no new connection, neither from this node nor from peers, or false if that
+// can't be determined. It opens a new connection because an idle one doesn't show that an upstream lost power.
 func (d *Dialer) IsDown(ctx context.Context, upstream Upstream) bool {
 	c, err := d.openConn(ctx, upstream)
 
 	switch {
 	case err == nil:
-		c.idleUntil = time.Now().Add(defaultIdleTimeout)
-		d.putIdle(upstream.ID, c)
+		d.keepIdle(upstream.ID, c)
 
 		return false
-	case errors.Is(err, ErrTooManyConnections), errors.Is(err, context.Canceled):
+	case errors.Is(err, ErrTooManyConnections), errors.Is(err, ErrPathLost), errors.Is(err, context.Canceled):
 		return false
 	default:
 		return true
@@ -333,10 +365,34 @@
 	d.idle[id] = append(d.idle[id], c)
 }
 
-// CloseStale closes the idle connections that have expired and those to upstreams that are no longer listed.
+// CloseStale closes the idle connections that have expired, those to upstreams that are no longer listed, and those through
+// peers that are gone or leaving.
 func (d *Dialer) CloseStale(listed func(id string) bool) {
 	now := time.Now()
+	carriers := d.carriers()
+
+	d.closeIdle(func(id string, c *conn) bool {
+		return !listed(id) || !now.Before(c.idleUntil) || c.peer != "" && !carriers[c.peer]
+	})
+	d.paths.forgetUnlisted(listed, now)
+}
 
+// carriers returns the peers that may carry connections.
+func (d *Dialer) carriers() map[string]bool {
+	carriers := make(map[string]bool)
+
+	if d.Detour != nil && d.paths.snapshot().Lost > 0 {
+		near, far := d.Detour.Peers()
+		for _, peer := range slices.Concat(near, far) {
+			carriers[peer] = true
+		}
+	}
+
+	return carriers
+}
+
+// closeIdle closes the idle connections for which isStale returns true.
+func (d *Dialer) closeIdle(isStale func(id string, c *conn) bool) {
 	var stale []*conn
 
 	d.mu.Lock()
@@ -344,10 +400,10 @@
 		remaining := conns[:0]
 
 		for _, c := range conns {
-			if listed(id) && now.Before(c.idleUntil) {
-				remaining = append(remaining, c)
-			} else {
+			if isStale(id, c) {
 				stale = append(stale, c)
+			} else {
+				remaining = append(remaining, c)
 			}
 		}
 
--- a/internal/gateway/dialer/response.go
+++ b/internal/gateway/dialer/response.go
@@ -26,7 +26,7 @@
 func (r *Response) Close() {
 	stopped := r.stopWatching()
 
-	if !stopped || !r.bodyComplete || r.Response.Close || r.requestPending() || r.conn.reader.Buffered() > 0 {
+	if !stopped || !r.bodyComplete || r.Response.Close || r.requestPending() || r.conn.buffered() > 0 {
 		_ = r.conn.Close()
 
 		return
