Gateway: nodes cut off from upstreams send their requests through others

Cause: a node took its own way to an upstream for the only one, and its failure for the upstream's.

Each node now carries tunnels for its peers at its peer address, and its dialer uses theirs.

--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/loader"
 	"quincepath.example/quincepath/internal/prober"
 )
 
@@ -37,7 +38,7 @@
 	}
 
 	r := &roster{nodes: cataloguer.NewRegistry(listing).Nodes, ready: true}
-	r.derive(members, "10.0.0.0:7", "10.0.0.0:70")
+	r.derive(members, loader.Node{PeerListen: "10.0.0.0:7", Advertise: "10.0.0.0:70"})
 
 	return r
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"quincepath.example/quincepath/internal/gateway/relayer"
 	"quincepath.example/quincepath/internal/gateway/router"
 	"quincepath.example/quincepath/internal/gateway/tallier"
+	"quincepath.example/quincepath/internal/gateway/tunneler"
 	"quincepath.example/quincepath/internal/heartbeater"
 	"quincepath.example/quincepath/internal/loader"
 	"quincepath.example/quincepath/internal/messenger"
@@ -113,7 +114,9 @@
 	dialer   *dialer.Dialer
 	relayer  *relayer.Relayer
 	acceptor *acceptor.Acceptor
-	budget   *budgeter.Budgeter
+	// tunnels carries connections to upstreams for other nodes.
+	tunnels *tunneler.Tunneler
+	budget  *budgeter.Budgeter
 	// apportioner computes this node's share of the extra attempts that all nodes share.
 	apportioner *apportioner.Apportioner
 	// quarantine blocks requests that crash upstreams.
@@ -174,6 +177,8 @@
 	}
 
 	n.current.Store(&settings)
+	n.dialer.SetLogger(logger)
+	n.tunnels = n.newTunneler()
 	n.apportioner = apportioner.New(apportioner.Options{
 		Self:       settings.Node.PeerListen,
 		MaxListAge: settings.Gateway.RetryWindow,
@@ -314,6 +319,7 @@
 	go n.quarantine.Run(work)
 	go n.watchCatalog(work)
 	go n.closeStaleConnections(work)
+	go n.dialer.Run(work)
 	go n.watchRetryBudgets(work)
 	go n.storeRateLimits(work)
 	go n.watchReload(work)
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/gateway/tunneler"
 	"quincepath.example/quincepath/internal/heartbeater"
 	"quincepath.example/quincepath/internal/prober"
 )
@@ -150,6 +151,8 @@
 		return err
 	}
 
+	messages, tunnels := tunneler.Split(listener)
+
 	n.peerServers.Go(func() {
 		if err := n.heartbeats.Run(ctx); err != nil {
 			n.logger.Error().Err(err).Msg("heartbeats_failed")
@@ -157,10 +160,16 @@
 	})
 
 	n.peerServers.Go(func() {
-		if err := n.messages.Run(ctx, listener); err != nil {
+		if err := n.messages.Run(ctx, messages); err != nil {
 			n.logger.Error().Err(err).Msg("peer_listener_failed")
 		}
 	})
 
+	n.peerServers.Go(func() {
+		if err := n.tunnels.Run(ctx, tunnels); err != nil {
+			n.logger.Error().Err(err).Msg("tunnel_listener_failed")
+		}
+	})
+
 	return nil
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -36,11 +36,13 @@
 		"avoided":     func() any { return n.relayer.AvoidedUpstreams() },
 		"callers":     func() any { return n.acceptor.Counters() },
 		"connections": func() any { return n.dialer.Counters() },
+		"paths":       func() any { return n.dialer.PathCounters() },
 		"pools":       func() any { return n.broker.Stats(time.Now()) },
 		"quarantine":  func() any { return n.quarantine.Counters() },
 		"retries":     func() any { return n.budget.Usage() },
 		"rate_limits": func() any { return n.broker.LimitCounters() },
 		"members":     func() any { return n.prober.Counters() },
+		"tunnels":     func() any { return n.tunnels.Counters() },
 		"messages":    func() any { return n.messages.Traffic() },
 	}
 
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/loader"
 	"quincepath.example/quincepath/internal/prober"
 	"quincepath.example/quincepath/internal/throttler"
 )
@@ -19,6 +20,8 @@
 
 	// live are the nodes that respond and are not leaving, this one first; departing are the others that respond and are leaving.
 	live, departing []string
+	// near are the other live nodes in this node's failure domain, far those in others.
+	near, far []string
 	// strong are the live nodes with enough capacity to decide for others, sorted by name.
 	strong []string
 	// entries are the nodes that callers may use.
@@ -40,14 +43,15 @@
 	}
 
 	next := &roster{version: members.Version, nodes: nodes, leaving: leaving, ready: ready}
-	next.derive(members.Members, n.settings.Node.PeerListen, n.settings.Node.Advertise)
+	next.derive(members.Members, n.settings.Node)
 	n.roster.Store(next)
 
 	return next
 }
 
 // derive sets the fields that follow from the inputs.
-func (r *roster) derive(members []prober.Member, self, address string) {
+func (r *roster) derive(members []prober.Member, node loader.Node) {
+	self := node.PeerListen
 	r.live = []string{self}
 	listed := 0
 
@@ -56,7 +60,7 @@
 	}
 
 	if r.ready {
-		r.addEntry(self, address)
+		r.addEntry(self, node.Advertise)
 	}
 
 	for _, member := range members {
@@ -79,6 +83,12 @@
 		}
 
 		r.live = append(r.live, member.Name)
+
+		if member.FailureDomain == node.FailureDomain {
+			r.near = append(r.near, member.Name)
+		} else {
+			r.far = append(r.far, member.Name)
+		}
 	}
 
 	r.weighUnknown()
