Relayer: an exchange that broke with its node's path is no failure of the upstream

After an exchange broke, the dialer now opens a connection in all ways. If only a peer reaches the upstream, also at a second direct attempt, the outcome is Abandoned and the quarantine isn't told. An upstream that starts again refuses the first direct connect and accepts the second, so a crash still counts.

A connect that failed says nothing about the upstream either if the node missed three upstreams in a row and no peer could try for it (ErrPathLost).

Counter attempts.path_lost.

--- a/internal/gateway/dialer/opening.go
+++ b/internal/gateway/dialer/opening.go
@@ -379,11 +379,7 @@
 			defer close(check.done)
 
 			// The result also applies to other requests.
-			c, err := d.openConn(context.WithoutCancel(ctx), upstream)
-			if err == nil {
-				check.lost = c.peer != ""
-				d.keepIdle(upstream.ID, c)
-			}
+			check.lost = d.isPathLost(context.WithoutCancel(ctx), upstream)
 		}()
 	}
 
@@ -395,6 +391,26 @@
 	}
 }
 
+// isPathLost opens a connection to find out whether only a peer reaches the upstream.
+func (d *Dialer) isPathLost(ctx context.Context, upstream Upstream) bool {
+	c, err := d.openConn(ctx, upstream)
+	if err != nil {
+		return false
+	}
+
+	d.keepIdle(upstream.ID, c)
+
+	if c.peer == "" {
+		return false
+	}
+
+	// An upstream that was just starting again refused the direct connection, and accepted the peer's.
+	confirmCtx, cancel := context.WithTimeout(ctx, stagger)
+	defer cancel()
+
+	return !d.checkPath(confirmCtx, upstream)
+}
+
 // OpenForPeer opens a direct connection to the upstream for a peer's tunnel. It fails with ErrPathLost if this node itself
 // reaches the upstream only through others.
 func (d *Dialer) OpenForPeer(ctx context.Context, upstream Upstream) (net.Conn, error) {
--- a/internal/gateway/dialer/paths_test.go
+++ b/internal/gateway/dialer/paths_test.go
@@ -426,13 +426,27 @@
 
 		checks.Wait()
 
+		// One dial was before the cut, and a lost path is confirmed by another one.
 		dials, connects, _ := n.counts("a")
-		assert.Equal(t, dials, 2)
+		assert.Equal(t, dials, 3)
 		assert.Equal(t, connects, 1)
 		assert.Assert(t, !d.IsDown(context.Background(), upstreamOf("a")))
 	})
 }
 
+// Guards against a crash that isn't counted because the upstream started again between the direct connect and the peer's.
+func TestUpstreamThatStartsAgainIsNoLostPath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, d := newNetwork([]string{"near"}, nil)
+		defer closeAll(d)
+
+		n.cut(wayRefused, "a")
+		time.AfterFunc(connectTime+connectTime/2, func() { n.cut(wayOpen, "a") })
+		assert.Assert(t, !d.IsPathLost(context.Background(), upstreamOf("a")))
+		assert.Equal(t, d.PathCounters().Lost, 0)
+	})
+}
+
 // Guards against requests on tunnels of a peer that stops.
 func TestTunnelsOfALeavingPeerAreNotReused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -49,7 +49,7 @@
 	id := request.attemptID()
 	outcome := balancer.Abandoned
 
-	defer func() { r.options.Chooser.RecordEnd(id, outcome) }()
+	defer func() { r.recordEnd(id, request, outcome) }()
 
 	request.sends++
 
@@ -133,8 +133,8 @@
 // handleExchangeError classifies an exchange that got no response.
 func (r *Relayer) handleExchangeError(ctx context.Context, request *request, choice balancer.Choice, sent time.Time, err error, outcome *balancer.Outcome) attemptResult {
 	if errors.Is(err, dialer.ErrNotSent) {
-		// A connection limit of this node says nothing about the upstream.
-		if ctx.Err() == nil && !errors.Is(err, dialer.ErrTooManyConnections) {
+		// A connection limit of this node says nothing about the upstream, nor does a path that leads to none.
+		if ctx.Err() == nil && !errors.Is(err, dialer.ErrTooManyConnections) && !errors.Is(err, dialer.ErrPathLost) {
 			*outcome = balancer.Unreachable
 		}
 
@@ -173,7 +173,12 @@
 	}
 
 	*outcome = balancer.Failed
-	r.options.Quarantine.Broke(request.key, choice.Upstream, choice.Address, responseStarted)
+	request.interruption = &interruption{
+		attemptID:       request.attemptID(),
+		key:             request.key,
+		target:          dialer.Upstream{ID: choice.Upstream, Address: choice.Address},
+		responseStarted: responseStarted,
+	}
 }
 
 // reportedLoad returns the load that the upstream reports in its response, or nil if it reports none that can be read.
--- /dev/null
+++ b/internal/gateway/relayer/interruption.go
@@ -0,0 +1,47 @@
+package relayer
+
+import (
+	"context"
+
+	"quincepath.example/quincepath/internal/gateway/balancer"
+	"quincepath.example/quincepath/internal/gateway/dialer"
+	"quincepath.example/quincepath/internal/quarantiner"
+)
+
+// interruption is an exchange that failed while the upstream may have been running the request.
+type interruption struct {
+	attemptID string
+	key       quarantiner.Key
+	target    dialer.Upstream
+	// responseStarted is true if part of the response had arrived.
+	responseStarted bool
+}
+
+// recordEnd records the outcome of the request's current attempt.
+func (r *Relayer) recordEnd(id string, request *request, outcome balancer.Outcome) {
+	broken := request.interruption
+	request.interruption = nil
+
+	switch {
+	case broken == nil:
+		r.options.Chooser.RecordEnd(id, outcome)
+	case r.options.Dialer.Detour == nil:
+		r.judge(context.Background(), broken)
+	default:
+		// The request's next attempt doesn't wait for the check, which has a time limit of its own.
+		go r.judge(context.Background(), broken)
+	}
+}
+
+// judge records an interruption as the upstream's failure, unless only this node's path to the upstream is at fault.
+func (r *Relayer) judge(ctx context.Context, broken *interruption) {
+	if r.options.Dialer.IsPathLost(ctx, broken.target) {
+		r.options.FailedAttempts.Add("path_lost", 1)
+		r.options.Chooser.RecordEnd(broken.attemptID, balancer.Abandoned)
+
+		return
+	}
+
+	r.options.Quarantine.Broke(broken.key, broken.target.ID, broken.target.Address, broken.responseStarted)
+	r.options.Chooser.RecordEnd(broken.attemptID, balancer.Failed)
+}
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -21,7 +21,6 @@
 	"quincepath.example/quincepath/internal/gateway/balancer"
 	"quincepath.example/quincepath/internal/gateway/budgeter"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
-	"quincepath.example/quincepath/internal/gateway/dialer"
 	"quincepath.example/quincepath/internal/gateway/relayer"
 	"quincepath.example/quincepath/internal/gateway/router"
 	"quincepath.example/quincepath/internal/meter"
@@ -68,6 +67,8 @@
 	refusal    balancer.Choice
 	quarantine relayer.Quarantine
 	usage      *usage
+	// paths are the ways to upstreams; nil if there are only direct ones.
+	paths *fakePaths
 	// bodies is the relayer's memory limit for request bodies.
 	bodies int64
 
@@ -101,7 +102,7 @@
 func (w *fixture) restart() {
 	table := router.New(configuration())
 	handler := relayer.New(relayer.Options{
-		Headers: names, Catalog: w.catalog, Table: func() *router.Table { return table }, Chooser: w, Dialer: dialer.New(1000),
+		Headers: names, Catalog: w.catalog, Table: func() *router.Table { return table }, Chooser: w, Dialer: w.newDialer(),
 		RetryBudget: budgeter.New(budgeter.Options{
 			Extra: float64(w.extra), Window: time.Hour, Share: func() float64 { return 1 }, Now: func() time.Duration { return w.now },
 		}),
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -80,6 +80,8 @@
 	queueDrainTime time.Duration
 	// limitWait is how long the upstreams' rate limits made the request wait when it was refused; 0 if they did not.
 	limitWait time.Duration
+	// interruption is set by an attempt that broke off; nil otherwise.
+	interruption *interruption
 	// lastEventID is the ID of the last event that the caller received; empty before the first.
 	lastEventID string
 }
