Dialer: two peers in touch settle that an upstream is down, whatever a frozen one does

A refused connect, two peers that were refused too and a third that is frozen took 380 ms, as the opening waited for the last one. The new test failed before.

--- a/internal/gateway/dialer/opening.go
+++ b/internal/gateway/dialer/opening.go
@@ -124,7 +124,7 @@
 			o.recordFailure(ctx, &result)
 			o.tryNext(ctx)
 
-			if o.pending == 0 {
+			if o.pending == 0 || o.isDown() {
 				return nil, o.failure(ctx)
 			}
 
@@ -160,6 +160,11 @@
 	go func() { o.results <- o.dialer.openWay(ctx, peer, o.upstream) }()
 }
 
+// isDown reports whether neither this node nor enough peers reached the upstream.
+func (o *opening) isDown() bool {
+	return o.directErr != nil && o.refusals >= maxPeerRefusals
+}
+
 // dropPeers drops the ways through peers.
 func (o *opening) dropPeers() {
 	o.ways = nil
--- a/internal/gateway/dialer/paths_test.go
+++ b/internal/gateway/dialer/paths_test.go
@@ -344,6 +344,22 @@
 	}
 }
 
+// Guards against requests that wait for a frozen peer although others say that the upstream is down.
+func TestFrozenPeerDoesNotDelayTheResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, d := newNetwork([]string{"n1"}, []string{"f1", "f2"})
+		defer closeAll(d)
+
+		n.cut(wayRefused, "a")
+		n.setPeers(wayHanging, "n1")
+		n.setPeers(wayRefused, "f1", "f2")
+
+		took, err := ask(d, "a")
+		assert.Assert(t, errors.Is(err, dialer.ErrNotSent))
+		assert.Assert(t, took < 150*time.Millisecond, "took %v", took)
+	})
+}
+
 // Guards against upstreams that are taken from all nodes because one node reaches neither them nor peers that could.
 func TestNodeWithoutHelpBlamesNoUpstream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
