Dialer: an opening that ends before any way has failed is an error

A node whose path to an upstream is lost starts with peers. If the request's time, or openTimeout, ended before a peer had answered and before the direct way was tried, failure returned the error of the last failed way: nil. Exchange then used a nil connection, and the whole process ended.

Seen in TestNodesCutOffFromUpstreams with -race on beside other runs: nil pointer dereference in Exchange's watch of its context. The test in virtual time panicked the same way before.

--- a/internal/gateway/dialer/opening.go
+++ b/internal/gateway/dialer/opening.go
@@ -243,7 +243,7 @@
 		return ErrTooManyConnections
 	case o.directErr != nil:
 		return o.directErr
-	case o.directTried && ctx.Err() != nil:
+	case o.lastErr == nil, o.directTried && ctx.Err() != nil:
 		return errNoConnectInTime
 	default:
 		return o.lastErr
--- a/internal/gateway/dialer/paths_test.go
+++ b/internal/gateway/dialer/paths_test.go
@@ -507,6 +507,30 @@
 	})
 }
 
+// Guards against a nil connection for a request whose time ends before any way to an upstream has failed.
+func TestOpeningThatEndsBeforeAnyWayFailsIsAnError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, d := newNetwork([]string{"near"}, []string{"far"})
+		defer closeAll(d)
+
+		n.cut(wayRefused, "a")
+
+		// A connection in use keeps the next request from reusing it, and the path is known as lost.
+		held, err := d.Exchange(context.Background(), upstreamOf("a"), getRequest("held"))
+		assert.NilError(t, err)
+
+		defer held.Close()
+
+		n.setPeers(wayHanging, "near", "far")
+
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+
+		_, err = d.Exchange(ctx, upstreamOf("a"), getRequest("one"))
+		assert.Assert(t, errors.Is(err, dialer.ErrNotSent))
+	})
+}
+
 // Guards against a node that runs out of descriptors with tunnels for others, and against tunnels that end at a node that is
 // cut off itself.
 func TestConnectionsForPeersAreBounded(t *testing.T) {
