Dialer: slow peers are waited for, and don't make an upstream count as down

Where a path is lost and the peers are slow, an opening ended after 380 ms, and for 300 ms peers weren't asked any more, although none had said that the upstream is down. Such an opening now lasts up to 800 ms, and only a peer in touch that doesn't reach the upstream stops further questions. While all openings fail that time isn't renewed either, so that peers are asked again.

At most three ways are tried at once: a fourth one came to nothing within the 380 ms.

--- a/internal/gateway/dialer/opening.go
+++ b/internal/gateway/dialer/opening.go
@@ -19,6 +19,8 @@
 	// openTimeout bounds the opening of a connection over all ways. It is below the shortest time after which an attempt of a
 	// request is given up, so that an upstream that isn't reached is reported.
 	openTimeout = 380 * time.Millisecond
+	// lostOpenTimeout applies instead if the direct path is known as lost: then peers that are slow are the only way.
+	lostOpenTimeout = 800 * time.Millisecond
 	// peerDialTimeout bounds a connect for a peer's tunnel, so that the peer learns its result within openTimeout.
 	peerDialTimeout = 200 * time.Millisecond
 	// maxPeers is the number of peers that are tried for one connection. Once maxPeerRefusals of them that reach other
@@ -28,7 +30,7 @@
 	// peersBeforeDirect is the number of peers that are tried before a direct path that is known as lost.
 	peersBeforeDirect = 2
 	// maxConcurrentWays is the number of ways that are tried at the same time for one connection.
-	maxConcurrentWays = 4
+	maxConcurrentWays = 3
 )
 
 // openResult is the result of opening a connection in one way.
@@ -62,17 +64,21 @@
 // openConn opens a new connection to the upstream, directly or through a peer. The error is marked with ErrPathLost if this
 // node seems to be cut off from all upstreams and no peer says that the upstream is down.
 func (d *Dialer) openConn(ctx context.Context, upstream Upstream) (*conn, error) {
-	limited, cancel := context.WithTimeout(ctx, openTimeout)
-	defer cancel()
-
 	o := &opening{dialer: d, upstream: upstream, results: make(chan openResult, maxPeers+1)}
+	timeout := openTimeout
+
 	if d.Detour != nil && d.paths.isLost(upstream.ID, time.Now()) {
+		timeout = lostOpenTimeout
+
 		o.addPeers()
 		o.ways = slices.Insert(o.ways, min(len(o.ways), peersBeforeDirect), "")
 	} else {
 		o.ways = []string{""}
 	}
 
+	limited, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+
 	c, err := o.run(limited)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -265,7 +271,7 @@
 		return errors.Mark(err, ErrPathLost)
 	}
 
-	o.dialer.paths.recordDown(o.upstream.ID, now)
+	o.dialer.paths.recordDown(o.upstream.ID, now, o.refusals > 0)
 
 	return err
 }
--- a/internal/gateway/dialer/paths.go
+++ b/internal/gateway/dialer/paths.go
@@ -84,7 +84,7 @@
 	unreached map[string]time.Time
 	// avoided holds peers that could not help, with the time until which others are preferred.
 	avoided map[string]time.Time
-	// down holds the upstreams that were reached in no way, with the time until which peers aren't asked for them.
+	// down holds the upstreams that this node and a peer in touch did not reach, with the time until which peers aren't asked for them.
 	down map[string]time.Time
 	// broken holds the checks after broken exchanges.
 	broken map[string]*breakCheck
@@ -212,13 +212,16 @@
 	}
 }
 
-// recordDown records that the upstream was reached in no way.
-func (p *paths) recordDown(id string, now time.Time) {
+// recordDown records that the upstream was reached in no way. isConfirmed is true if a peer that reaches others didn't reach it.
+func (p *paths) recordDown(id string, now time.Time, isConfirmed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
 	p.counters.Unreachable++
-	p.down[id] = now.Add(downRetention)
+
+	if isConfirmed {
+		p.down[id] = now.Add(downRetention)
+	}
 }
 
 // peers returns up to maxPeers peers in the order in which they are to be tried for an upstream: the one that reached it
