Broker: a limit that the node knows reaches its pool before the next choice

Callers got 503 no_upstream with a Retry-After of 0.27 to 0.52 s for a few requests of a wave while a server's rate was learned, though other servers had room: the known red TestServerThatNamesARateGetsNoMore.

Cause: a node keeps a limit twice, in its table and in the bucket of its pool. RecordRateLimit writes the table first. Until it has written the pool, which on a busy machine takes longer than a choice, MayUse declines by the table what the pool chooses again, as the declined server is the idlest; the fourth declined choice ends the request. The limits that go with the next request didn't help where the node itself holds the pool, or where the holder had just learned of it: they were only applied if the table changed. Class: two copies of one fact, where the reader of one retries faster than the other is written.

Evidence: the log line choice_declined, new here, in the test with its logger on: one request, four lines for the same upstream, limit_known_to_holder false, then no_upstream.

Change: a limit that comes with a message, or by which a choice is declined, is applied to the pool also where the table knew it already. As the order of these writes is open, a bucket keeps the newer limit.

--- a/internal/gateway/broker/limiting.go
+++ b/internal/gateway/broker/limiting.go
@@ -41,6 +41,10 @@
 		b.limits.CountDeclined()
 		b.limits.MarkNews(time.Now(), choice.Upstream)
 
+		if pool, ok := b.poolOf(choice.Upstream); ok {
+			b.applyLimit(time.Now(), pool, choice.Upstream)
+		}
+
 		return false
 	}
 
@@ -91,7 +95,14 @@
 
 // mergeLimit takes a rate limit that another node knows.
 func (b *Broker) mergeLimit(now time.Time, pool string, limit throttler.Limit) {
-	if b.limits.Merge(limit) {
+	b.limits.Merge(limit)
+	b.applyLimit(now, pool, limit.Upstream)
+}
+
+// applyLimit sets the limit that this node knows of an upstream in the pool, also if it was already known: another goroutine
+// may have learned it and not told the pool yet, which would choose the upstream again for each choice that is declined.
+func (b *Broker) applyLimit(now time.Time, pool, upstream string) {
+	if limit, ok := b.limits.Get(upstream); ok {
 		b.pool(pool).SetLimit(now, limit)
 	}
 }
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -243,6 +243,8 @@
 			// of it.
 			r.options.Chooser.RecordEnd(request.attemptID, balancer.Abandoned)
 			r.options.FailedAttempts.Add("choice_declined", 1)
+			r.limitLogger.Info().Str("request_id", request.id).Str("upstream", choice.Upstream).
+				Int("declined", request.declined+1).Bool("limit_known_to_holder", choice.Limit != nil).Msg("choice_declined")
 
 			request.declined++
 			if request.declined == maxDeclined {
--- a/internal/throttler/bucket.go
+++ b/internal/throttler/bucket.go
@@ -28,8 +28,13 @@
 	return Bucket{share: share, cost: cost}
 }
 
-// SetLimit changes the limit. A bucket that had none starts empty: another node may just have used what it would allow.
+// SetLimit changes the limit, unless it is older than the current one. A bucket that had none starts empty: another node may
+// just have used what it would allow.
 func (b *Bucket) SetLimit(now time.Time, limit Limit) {
+	if b.limit.supersedes(&limit) {
+		return
+	}
+
 	if !b.limit.Active() || b.limit.isOtherRun(limit.Born) {
 		b.tokens, b.at = 0, now
 	}
--- a/internal/throttler/throttler_test.go
+++ b/internal/throttler/throttler_test.go
@@ -185,3 +185,16 @@
 	assert.Equal(t, throttler.Share(3, 6), 0.25)
 	assert.Equal(t, throttler.Share(1, 0), 1.0)
 }
+
+// Guards against an older limit that replaces a newer one because the goroutine that learned it was delayed.
+func TestBucketKeepsTheNewerLimit(t *testing.T) {
+	now := time.Now()
+	bucket := throttler.NewBucket(1, 1)
+
+	bucket.SetLimit(now, throttler.Limit{Upstream: "u", PerSecond: 1, Version: 2})
+	bucket.SetLimit(now, throttler.Limit{Upstream: "u", PerSecond: 8, Version: 1})
+	assert.Equal(t, bucket.Rate(), 1.0)
+
+	bucket.SetLimit(now, throttler.Limit{Upstream: "u", PerSecond: 8, Version: 3})
+	assert.Equal(t, bucket.Rate(), 8.0)
+}
