Relayer: searches for a replacement of a silent attempt become rarer

A request whose upstream is silent and that no other upstream takes asked the retry budget, which may ask other nodes for a loan, and the pool's holder anew after each attempt timeout, from 400 ms on, until its time limit. While a machine is cut off from many upstreams that is each of its requests. Class: retries at a fixed pace against what has just refused.

Change: the timeout doubles with each search without success, four times at most, and starts anew once the upstream sends something.

--- a/internal/gateway/relayer/watchdog.go
+++ b/internal/gateway/relayer/watchdog.go
@@ -12,6 +12,9 @@
 // its text.
 var errAttemptTimeout = errors.New("the upstream went silent")
 
+// maxTimeoutDoublings is how often the timeout doubles while no replacement is found.
+const maxTimeoutDoublings = 4
+
 // watchdog cancels an attempt's context when its upstream sends nothing for too long.
 //
 // A connection can stall forever without an error: a frozen server, a network partition, a
@@ -29,6 +32,8 @@
 	timer   *time.Timer
 	timeout time.Duration
 	stopped bool
+	// failedSearches counts the searches without success since the upstream last sent something.
+	failedSearches int
 	// searching is true while a replacement is searched for. stopSearch ends the search.
 	searching  bool
 	stopSearch context.CancelFunc
@@ -58,14 +63,15 @@
 }
 
 func (w *watchdog) expire() {
-	ctx, ok := w.beginSearch()
+	search, ok := w.beginSearch()
 	if !ok {
 		return
 	}
 	defer w.searches.Done()
 
-	if w.isLost() && (w.replacement == nil || w.replacement.find(ctx)) {
-		if w.cancelUnlessActive(ctx) {
+	lost := w.isLost()
+	if lost && (w.replacement == nil || w.replacement.find(search)) {
+		if w.cancelUnlessActive(search) {
 			return
 		}
 
@@ -75,10 +81,14 @@
 	}
 
 	w.mu.Lock()
+	defer w.mu.Unlock()
+
 	w.searching = false
-	w.mu.Unlock()
+	if lost && search.Err() == nil {
+		w.failedSearches++
+	}
 
-	w.reset()
+	w.restart()
 }
 
 // beginSearch returns a context that ends with the watchdog, or when the upstream sends something. It returns false if the
@@ -118,12 +128,19 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
+	w.failedSearches = 0
+
 	if w.stopSearch != nil {
 		w.stopSearch()
 	}
 
+	w.restart()
+}
+
+// restart restarts the timeout, which doubles with each failed search: a search may ask other nodes. w.mu is held.
+func (w *watchdog) restart() {
 	if w.timer != nil && !w.stopped {
-		w.timer.Reset(w.timeout)
+		w.timer.Reset(w.timeout << min(w.failedSearches, maxTimeoutDoublings))
 	}
 }
 
--- a/internal/gateway/relayer/watchdog_test.go
+++ b/internal/gateway/relayer/watchdog_test.go
@@ -84,3 +84,39 @@
 		assert.Equal(t, replacement.discards, 0)
 	})
 }
+
+// noReplacement never finds another attempt.
+type noReplacement struct{ searches int }
+
+// find implements replacement.
+func (r *noReplacement) find(context.Context) bool {
+	r.searches++
+
+	return false
+}
+
+// discard implements replacement.
+func (*noReplacement) discard() {}
+
+// Guards against nodes that ask each other all the time for requests whose upstreams are silent for long, and against an
+// upstream that went on and is found silent late.
+func TestSearchesForAReplacementBecomeRarer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		replacement := &noReplacement{}
+		ctx, watch := newWatchdog(context.Background())
+		defer watch.stop()
+
+		watch.replacement = replacement
+		watch.start(time.Second, func() bool { return true })
+
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		assert.NilError(t, ctx.Err())
+		assert.Equal(t, replacement.searches, 3)
+
+		watch.reset()
+		time.Sleep(1100 * time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, replacement.searches, 4)
+	})
+}
