Dialer: one check a second of an upstream at which exchanges break

Each check may open a connection in two ways. At an upstream that resets what is beyond its connection limit, nodes would have opened twice as many as the check of the quarantine, which is made once a second.

Test: a peer that runs a program without tunnels closes the connection at once and counts as one that can't help.

--- a/internal/gateway/dialer/paths.go
+++ b/internal/gateway/dialer/paths.go
@@ -30,7 +30,7 @@
 	// downRetention is how long an upstream that neither this node nor peers reached is not tried through peers again.
 	downRetention = 300 * time.Millisecond
 	// breakCheckInterval is the time for which a check after a broken exchange applies to further ones at the upstream.
-	breakCheckInterval = 500 * time.Millisecond
+	breakCheckInterval = time.Second
 	// maxPathLogsPerSecond limits the log lines about paths.
 	maxPathLogsPerSecond = 10
 )
--- a/internal/gateway/tunneler/tunneler_test.go
+++ b/internal/gateway/tunneler/tunneler_test.go
@@ -15,6 +15,7 @@
 
 	"quincepath.example/quincepath/internal/gateway/dialer"
 	"quincepath.example/quincepath/internal/gateway/tunneler"
+	"quincepath.example/quincepath/internal/messenger"
 )
 
 // upstreamID is the ID of the only listed upstream.
@@ -365,3 +366,22 @@
 	_, err = c.messages.Accept()
 	assert.Assert(t, errors.Is(err, net.ErrClosed))
 }
+
+// Guards against requests that wait for a peer that runs a program without tunnels, as in a rolling upgrade.
+func TestPeerWithoutTunnelsIsNoHelp(t *testing.T) {
+	upstream := startUpstream(t, echo)
+	listener := listen(t)
+	peer := messenger.New(messenger.Options{Self: "old", Credential: "secret", Logger: zerolog.Nop()})
+
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+
+	go func() { ended <- peer.Run(ctx, listener) }()
+
+	_, err := connect(options(upstream), &carrier{address: listener.Addr().String()}, upstream)
+	assert.Assert(t, errors.Is(err, dialer.ErrPeerUnavailable))
+	assert.ErrorContains(t, err, "ask peer for a tunnel")
+	assert.Assert(t, !errors.Is(err, context.DeadlineExceeded))
+	stop()
+	assert.NilError(t, <-ended)
+}
