Dialer: idle connections through a peer are kept for two seconds

A node keeps up to 48 idle connections to an upstream for up to 30 s. Kept as long through a peer, they would hold the places for tunnels where few nodes carry the connections of many, and requests would be turned away. The new test failed before.

--- a/internal/gateway/dialer/dialer.go
+++ b/internal/gateway/dialer/dialer.go
@@ -35,6 +35,9 @@
 	// maxIdleTimeout bounds the timeout from a Keep-Alive header. In a large fleet, many seconds pass between the
 	// requests of one node to one upstream; a shorter bound would force a new connection for most of them.
 	maxIdleTimeout = 30 * time.Second
+	// tunnelIdleTimeout is how long an idle connection through a peer is kept. Few nodes may carry the connections of many, and
+	// each takes two places there.
+	tunnelIdleTimeout = 2 * time.Second
 	// maxIdlePerUpstream bounds the idle connections to one upstream.
 	maxIdlePerUpstream = 48
 	// bufferBytes is the size of a connection's read buffer and of its write buffer.
@@ -283,7 +286,7 @@
 
 	switch {
 	case err == nil:
-		d.keepIdle(upstream.ID, c)
+		d.keepIdle(upstream.ID, c, defaultIdleTimeout)
 
 		return false
 	case errors.Is(err, ErrTooManyConnections), errors.Is(err, ErrPathLost), errors.Is(err, context.Canceled):
@@ -352,6 +355,16 @@
 	return last
 }
 
+// keepIdle makes a connection available to other requests for the given time.
+func (d *Dialer) keepIdle(id string, c *conn, timeout time.Duration) {
+	if c.peer != "" {
+		timeout = min(timeout, tunnelIdleTimeout)
+	}
+
+	c.idleUntil = time.Now().Add(timeout)
+	d.putIdle(id, c)
+}
+
 func (d *Dialer) putIdle(id string, c *conn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/gateway/dialer/opening.go
+++ b/internal/gateway/dialer/opening.go
@@ -291,7 +291,7 @@
 			case result.err != nil:
 			case result.peer == "":
 				o.dialer.recordDirect(o.upstream.ID, true)
-				o.dialer.keepIdle(o.upstream.ID, result.conn)
+				o.dialer.keepIdle(o.upstream.ID, result.conn, defaultIdleTimeout)
 			default:
 				_ = result.conn.Close()
 			}
@@ -366,17 +366,11 @@
 	}
 
 	d.recordDirect(upstream.ID, true)
-	d.keepIdle(upstream.ID, result.conn)
+	d.keepIdle(upstream.ID, result.conn, defaultIdleTimeout)
 
 	return true
 }
 
-// keepIdle makes a connection that was opened for a check available to requests.
-func (d *Dialer) keepIdle(id string, c *conn) {
-	c.idleUntil = time.Now().Add(defaultIdleTimeout)
-	d.putIdle(id, c)
-}
-
 // IsPathLost reports whether this node can't reach the upstream itself while another node can. It is for exchanges that
 // broke: such a break says nothing about the upstream.
 func (d *Dialer) IsPathLost(ctx context.Context, upstream Upstream) bool {
@@ -409,7 +403,7 @@
 		return false
 	}
 
-	d.keepIdle(upstream.ID, c)
+	d.keepIdle(upstream.ID, c, defaultIdleTimeout)
 
 	if c.peer == "" {
 		return false
--- a/internal/gateway/dialer/paths_test.go
+++ b/internal/gateway/dialer/paths_test.go
@@ -523,6 +523,30 @@
 	})
 }
 
+// Guards against a peer that turns nodes away because its tunnels are held by idle connections.
+func TestIdleTunnelsAreClosedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const maxIdleTime = 2 * time.Second
+
+		n, d := newNetwork([]string{"near"}, nil)
+		defer closeAll(d)
+
+		n.cut(wayRefused, "a")
+
+		for _, id := range []string{"a", "b"} {
+			_, err := ask(d, id)
+			assert.NilError(t, err)
+		}
+
+		assert.Equal(t, d.Counters().Idle, int64(2))
+		time.Sleep(maxIdleTime)
+		d.CloseStale(func(string) bool { return true })
+
+		// The direct connection stays.
+		assert.Equal(t, d.Counters().Idle, int64(1))
+	})
+}
+
 // Guards against requests on tunnels of a peer that stops.
 func TestTunnelsOfALeavingPeerAreNotReused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/dialer/response.go
+++ b/internal/gateway/dialer/response.go
@@ -4,7 +4,6 @@
 	"io"
 	"net/http"
 	"os"
-	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -32,8 +31,7 @@
 		return
 	}
 
-	r.conn.idleUntil = time.Now().Add(idleTimeout(r.Header.Get("Keep-Alive")))
-	r.dialer.putIdle(r.upstream.ID, r.conn)
+	r.dialer.keepIdle(r.upstream.ID, r.conn, idleTimeout(r.Header.Get("Keep-Alive")))
 }
 
 // bodyReader records when a body has been read completely.
