Broker tests: callers and faults draw from one random source safely

TestRateLimitHoldsOnRandomDays draws its requests and its faults from one rand.Rand in two goroutines, so the race detector ends it:

--- a/internal/gateway/broker/limiting_test.go
+++ b/internal/gateway/broker/limiting_test.go
@@ -81,8 +81,22 @@
 	waits    []float64
 }
 
+// lockedSource is a random source for callers and faults at once.
+type lockedSource struct {
+	mu     sync.Mutex
+	source rand.Source
+}
+
+// Uint64 implements rand.Source.
+func (s *lockedSource) Uint64() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.source.Uint64()
+}
+
 func newLimitFleet(ctx context.Context, seed uint64, nodes, upstreams int) *limitFleet {
-	f := &limitFleet{ctx: ctx, random: rand.New(rand.NewPCG(seed, 1))}
+	f := &limitFleet{ctx: ctx, random: rand.New(&lockedSource{source: rand.NewPCG(seed, 1)})}
 	f.listing.Revision = 1
 
 	for i := range upstreams {
