Brittle upstreams get only what surely finds a free slot

Callers saw: with 336 requests a second of the 360 that eight brittle upstreams can do, one upstream after the other fell over; 198 of 2,035 requests were served and 1,676 refused (24 falls where 2 are allowed, TestBrittleUpstreamsStayUp).

Cause: nobody read that an upstream is brittle, so the pool filled up to eight requests beyond its slots, which it has to reject then; those rejected, and the load of the one that fell, went to the next ones at once. The class: admission by estimated room where a rejection is costly.

Change: - The nodes read the header and report it to holder and standby, choices carry it to the others, and it is announced to new holders. An upstream that has not answered since the others of its pool said so counts as brittle. A signed response without it ends it, ten seconds without any response too. - The pool sends a brittle upstream a request only if what runs there (its own count, the reported load, and what callers gave up on lately) is less than the slots but one, and within 15 ms, the time until it hears of a rejection, no more than the upstream can reject in a second. All else waits in the queue. - After half of the allowed rejections within a second it gets nothing for a second; each halves what it gets at once, served ones raise that again. One that starts gets as many as it can reject, until it has served some. - The terms of rate limits hold: only holder and standby admit, after 2.5 s in office; one that takes over, and half or less of the nodes, use a part. A choice that is a second old isn't used (a frozen node).

--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -54,6 +54,8 @@
 	LimitWaitMS float64 `json:"k,omitempty"`
 	// AskedAt is when this node asked for the choice, by a clock that also advances while the system is suspended.
 	AskedAt time.Duration `json:"-"`
+	// Brittle is set if the upstream said that it is brittle.
+	Brittle *Brittleness `json:"b,omitempty"`
 }
 
 // Pool chooses among the upstreams of one service. It is safe for concurrent use.
@@ -78,6 +80,10 @@
 	expiredAt time.Time
 	// limitShare is the part of the servers' rate limits that this node may use, limitCost the cost of a request in tokens.
 	limitShare, limitCost float64
+	// brittleAt is when one of the servers last said that it is brittle, brittleRejections how many requests it said that it
+	// can reject in a second.
+	brittleAt         time.Time
+	brittleRejections int
 }
 
 // NewPool returns a pool without upstreams.
@@ -116,6 +122,7 @@
 		if !ok || s.Born != upstream.Born {
 			s = newServer(upstream, engine, p.model, now)
 			s.bucket = throttler.NewBucket(p.limitShare, p.limitCost)
+			p.startBrittle(now, s)
 		}
 
 		s.Upstream, s.engine, s.model = upstream, engine, p.model
@@ -158,7 +165,10 @@
 	p.demand.recordGrant(now)
 	best.bucket.Take(now)
 
-	return Choice{Upstream: best.ID, Address: best.Address, Loss: bestLoss, ExpectedWaitMS: r.expectedMS, Limit: best.namedLimit()}, true
+	return Choice{
+		Upstream: best.ID, Address: best.Address, Loss: bestLoss, ExpectedWaitMS: r.expectedMS,
+		Limit: best.namedLimit(), Brittle: best.namedBrittleness(now),
+	}, true
 }
 
 // AddRunning counts a request that another node's pool sent to the upstream.
@@ -299,6 +309,7 @@
 
 	delete(p.requests, id)
 	p.demand.running--
+	p.recordBrittleEnd(now, r, outcome)
 
 	if outcome == Served {
 		p.observeFirst(r, now)
@@ -379,7 +390,7 @@
 		return false
 	}
 
-	if !s.bucket.Admits(now) {
+	if !s.bucket.Admits(now) || !p.fitsBrittle(now, s) {
 		return false
 	}
 
--- a/internal/gateway/balancer/queue.go
+++ b/internal/gateway/balancer/queue.go
@@ -88,7 +88,10 @@
 	p.expire(now)
 
 	if r, ok := p.requests[request.ID]; ok {
-		return Choice{Upstream: r.server.ID, Address: r.server.Address, ExpectedWaitMS: r.expectedMS, Limit: r.server.namedLimit()}, Granted
+		return Choice{
+			Upstream: r.server.ID, Address: r.server.Address, ExpectedWaitMS: r.expectedMS,
+			Limit: r.server.namedLimit(), Brittle: r.server.namedBrittleness(now),
+		}, Granted
 	}
 
 	if p.queuedIDs[request.ID] != nil {
--- a/internal/gateway/balancer/report.go
+++ b/internal/gateway/balancer/report.go
@@ -25,6 +25,9 @@
 	// node's account. Both are 0 without a limit.
 	LimitPerSecond float64 `json:"limit_per_second,omitempty"`
 	LimitTokens    float64 `json:"limit_tokens,omitempty"`
+	// Brittle is set if the server falls over when it has to reject too many requests; it then gets BrittleRoom at once.
+	Brittle     bool    `json:"brittle,omitempty"`
+	BrittleRoom float64 `json:"brittle_room,omitempty"`
 }
 
 // Estimates returns the estimated performance of the pool's servers.
@@ -57,6 +60,10 @@
 			report.LimitPerSecond, report.LimitTokens = limit.PerSecond, s.bucket.Requests(now)
 		}
 
+		if _, brittle := p.isBrittle(now, s); brittle {
+			report.Brittle, report.BrittleRoom = true, p.brittleRoom(s)
+		}
+
 		reports = append(reports, report)
 	}
 
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -86,6 +86,8 @@
 	meanTokens float64
 	// bucket admits requests at the rate that the server names.
 	bucket throttler.Bucket
+	// brittle is what is known of the server's brittleness.
+	brittle brittleness
 	// sentTokens is the number of prompt tokens ever sent to the server.
 	sentTokens float64
 	// recentTokens counts the recently sent prompt tokens in excess of shortPromptChunks each, as of recentAt.
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -121,6 +121,7 @@
 	grantChannels map[string]chan balancer.Grant
 	// running holds this node's running requests, which are reported to new holders.
 	running map[string]runningRequest
+	brittle BrittleCounters
 }
 
 // runningRequest is a request that this node sent to an upstream.
--- a/internal/gateway/broker/choosing.go
+++ b/internal/gateway/broker/choosing.go
@@ -167,6 +167,10 @@
 		b.mergeLimit(time.Now(), pool, *choice.Limit)
 	}
 
+	if choice.Brittle != nil {
+		_ = b.pool(pool).SetBrittle(time.Now(), *choice.Brittle)
+	}
+
 	r := runningRequest{
 		pool:         pool,
 		upstream:     choice.Upstream,
--- a/internal/gateway/broker/holders.go
+++ b/internal/gateway/broker/holders.go
@@ -44,6 +44,7 @@
 	if changed {
 		b.announceRunning()
 		b.announceLimits()
+		b.announceBrittle(now)
 	}
 }
 
--- a/internal/gateway/broker/limiting.go
+++ b/internal/gateway/broker/limiting.go
@@ -31,6 +31,12 @@
 
 // MayUse implements relayer.Chooser.
 func (b *Broker) MayUse(choice balancer.Choice) bool {
+	if choice.Brittle != nil && b.options.Now()-choice.AskedAt > choiceLifetime {
+		b.countBrittle(func(c *BrittleCounters) { c.Expired++ })
+
+		return false
+	}
+
 	limit, known := b.limits.Get(choice.Upstream)
 	if !known || !limit.Active() {
 		return true
--- a/internal/gateway/broker/limiting_test.go
+++ b/internal/gateway/broker/limiting_test.go
@@ -68,6 +68,8 @@
 type limitFleet struct {
 	ctx    context.Context
 	random *rand.Rand
+	// sendOne sends a request through a node.
+	sendOne func(n *limitNode) bool
 
 	mu        sync.Mutex
 	nodes     []*limitNode
@@ -97,6 +99,7 @@
 
 func newLimitFleet(ctx context.Context, seed uint64, nodes, upstreams int) *limitFleet {
 	f := &limitFleet{ctx: ctx, random: rand.New(&lockedSource{source: rand.NewPCG(seed, 1)})}
+	f.sendOne = f.send
 	f.listing.Revision = 1
 
 	for i := range upstreams {
@@ -340,7 +343,7 @@
 		pause := time.Duration(f.random.ExpFloat64() / perSecond * float64(time.Second))
 		f.mu.Unlock()
 
-		pending.Go(func() { f.send(n) })
+		pending.Go(func() { f.sendOne(n) })
 		time.Sleep(pause)
 	}
 
--- a/internal/gateway/broker/outbox.go
+++ b/internal/gateway/broker/outbox.go
@@ -42,6 +42,8 @@
 	RestMS  float64 `json:"t,omitempty"`
 	// Limit is the rate limit of an upstream.
 	Limit *throttler.Limit `json:"q,omitempty"`
+	// Brittle says whether an upstream is brittle.
+	Brittle *balancer.Brittleness `json:"x,omitempty"`
 	// Pauses are sent with the end of a complete stream.
 	Pauses *balancer.EventGaps `json:"p,omitempty"`
 	End    *balancer.Outcome   `json:"e,omitempty"`
--- a/internal/gateway/broker/reports.go
+++ b/internal/gateway/broker/reports.go
@@ -163,6 +163,10 @@
 		b.mergeLimit(now, r.Pool, *r.Limit)
 	}
 
+	if r.Brittle != nil {
+		_ = pool.SetBrittle(now, *r.Brittle)
+	}
+
 	if r.Pauses != nil {
 		pool.RecordGaps(r.ID, *r.Pauses)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -40,6 +40,7 @@
 		"quarantine":  func() any { return n.quarantine.Counters() },
 		"retries":     func() any { return n.budget.Usage() },
 		"rate_limits": func() any { return n.broker.LimitCounters() },
+		"brittle":     func() any { return n.broker.BrittleCounters() },
 		"members":     func() any { return n.prober.Counters() },
 		"messages":    func() any { return n.messages.Traffic() },
 	}
--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -90,6 +90,7 @@
 
 	r.recordAvailability(request, choice, response)
 	r.recordRateLimit(request, choice, response)
+	r.recordBrittle(request, choice, response)
 
 	if response.Header.Get(r.options.Headers.NotRun) != "" {
 		outcome = balancer.Rejected
--- a/internal/gateway/relayer/limits.go
+++ b/internal/gateway/relayer/limits.go
@@ -1,6 +1,9 @@
 package relayer
 
 import (
+	"strconv"
+	"strings"
+
 	"quincepath.example/quincepath/internal/gateway/balancer"
 	"quincepath.example/quincepath/internal/gateway/dialer"
 	"quincepath.example/quincepath/internal/throttler"
@@ -10,9 +13,7 @@
 func (r *Relayer) recordRateLimit(request *request, choice balancer.Choice, response *dialer.Response) {
 	names := &r.options.Headers
 
-	// A spoiled response, or one that no upstream signed, doesn't end a limit.
-	if len(response.Header.Values(names.RateLimit)) == 0 &&
-		(response.Header.Get(names.Signature) == "" || !r.isAuthentic(request, response)) {
+	if !r.tells(request, response, names.RateLimit) {
 		return
 	}
 
@@ -34,3 +35,37 @@
 	r.limitLogger.Info().Str("upstream", choice.Upstream).Str("service", request.service).
 		Float64("per_second", limit.PerSecond).Int64("version", limit.Version).Msg(message)
 }
+
+// recordBrittle records whether the upstream's response says that it is brittle.
+func (r *Relayer) recordBrittle(request *request, choice balancer.Choice, response *dialer.Response) {
+	names := &r.options.Headers
+
+	if !r.tells(request, response, names.Brittle) {
+		return
+	}
+
+	text := strings.TrimSpace(response.Header.Get(names.Brittle))
+	// A number that can't be read says nothing of how many rejections the upstream bears.
+	rejections, err := strconv.Atoi(text)
+	if err != nil || rejections < 0 {
+		rejections = 0
+	}
+
+	if !r.options.Chooser.RecordBrittle(request.attemptID(), rejections, text != "") {
+		return
+	}
+
+	message := "upstream_brittle"
+	if text == "" {
+		message = "upstream_brittle_ended"
+	}
+
+	r.limitLogger.Info().Str("upstream", choice.Upstream).Str("service", request.service).Int("rejections", rejections).Msg(message)
+}
+
+// tells reports whether the response tells if the named header applies to its upstream. A spoiled response, or one that no
+// upstream signed, doesn't tell by lacking it.
+func (r *Relayer) tells(request *request, response *dialer.Response, name string) bool {
+	return len(response.Header.Values(name)) > 0 ||
+		response.Header.Get(r.options.Headers.Signature) != "" && r.isAuthentic(request, response)
+}
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -64,6 +64,9 @@
 	// RecordRateLimit records what a response to the request says of its upstream's rate limit: the requests per second that
 	// it names, if it names one. It returns the limit and whether it changed. It is called before RecordEnd.
 	RecordRateLimit(id string, rate float64, named bool) (throttler.Limit, bool)
+	// RecordBrittle records whether a response to the request says that its upstream is brittle, and how many requests that
+	// can reject in a second. It returns whether that changed. It is called before RecordEnd.
+	RecordBrittle(id string, rejections int, named bool) bool
 	// MayUse reports whether a choice complies with the rate limit of its upstream.
 	MayUse(choice balancer.Choice) bool
 }
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -195,6 +195,9 @@
 	return w.refusal, false
 }
 
+// RecordBrittle implements relayer.Chooser.
+func (w *fixture) RecordBrittle(string, int, bool) bool { return false }
+
 // RecordRateLimit implements relayer.Chooser.
 func (w *fixture) RecordRateLimit(_ string, rate float64, named bool) (throttler.Limit, bool) {
 	w.mu.Lock()
