Relayer tests: which responses say that an upstream is brittle

A number that can't be read and a rejection that is not signed count as brittle; a response that no upstream signed doesn't end it.

--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -32,7 +32,7 @@
 var names = relayer.Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", LastEventID: "Last-Event-Id", TokenCounts: "X-Tokens",
 	PromptParts: "X-Parts", Authorization: "Authorization", KeyScheme: "Token", Organisation: "X-Organisation",
-	ExpectUpstream: "X-Expect", Priority: "X-Priority", Signature: "X-Signature", NotRun: "X-Not-Run", Leaving: "X-Leaving", Load: "X-Load", RateLimit: "X-Limit",
+	ExpectUpstream: "X-Expect", Priority: "X-Priority", Signature: "X-Signature", NotRun: "X-Not-Run", Leaving: "X-Leaving", Load: "X-Load", RateLimit: "X-Limit", Brittle: "X-Brittle",
 	Reserved: []string{"X-Hold"},
 }
 
@@ -78,6 +78,8 @@
 	outcomes []string
 	// rates holds what responses said of rate limits.
 	rates []string
+	// brittle holds what responses said of their upstreams' brittleness.
+	brittle []string
 }
 
 func newFixture(t *testing.T, extra int) *fixture {
@@ -196,7 +198,14 @@
 }
 
 // RecordBrittle implements relayer.Chooser.
-func (w *fixture) RecordBrittle(string, int, bool) bool { return false }
+func (w *fixture) RecordBrittle(_ string, rejections int, named bool) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.brittle = append(w.brittle, fmt.Sprint(rejections, named))
+
+	return false
+}
 
 // RecordRateLimit implements relayer.Chooser.
 func (w *fixture) RecordRateLimit(_ string, rate float64, named bool) (throttler.Limit, bool) {
@@ -682,3 +691,37 @@
 
 	assert.DeepEqual(t, w.rates, []string{"2.5 true", "0 false", "0 true"})
 }
+
+// Guards against brittle upstreams that are taken for sound: a number can't be read, a rejection is not signed, or a response
+// that no upstream signed lacks the header.
+func TestOnlySignedResponsesEndBrittleness(t *testing.T) {
+	headers := []string{"2", "", "many", "-1", "0"}
+	w := newFixture(t, 0)
+	next := 0
+
+	w.add(func(rw http.ResponseWriter, r *http.Request) {
+		switch {
+		case next < len(headers):
+			if headers[next] != "" {
+				rw.Header().Set(names.Brittle, headers[next])
+			}
+
+			sign(rw)
+		case next == len(headers):
+			rw.Header().Set(names.Brittle, "3")
+			rw.Header().Set(names.NotRun, "1")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			rw.WriteHeader(http.StatusInternalServerError)
+		}
+
+		next++
+	})
+
+	for range len(headers) + 2 {
+		_, _, err := w.send("/book/1", nil)
+		assert.NilError(t, err)
+	}
+
+	assert.DeepEqual(t, w.brittle, []string{"2 true", "0 false", "0 true", "0 true", "0 true", "3 true"})
+}
