--- a/internal/gateway/broker/limiting_test.go
+++ b/internal/gateway/broker/limiting_test.go
@@ -68,6 +68,8 @@
 type limitFleet struct {
 	ctx    context.Context
 	random *rand.Rand
+	// sendOne sends a request through a node.
+	sendOne func(n *limitNode) bool
 
 	mu        sync.Mutex
 	nodes     []*limitNode
@@ -81,8 +83,23 @@
 	waits    []float64
 }
 
+// lockedSource is a random source for callers and faults at once.
+type lockedSource struct {
+	mu     sync.Mutex
+	source rand.Source
+}
+
+// Uint64 implements rand.Source.
+func (s *lockedSource) Uint64() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.source.Uint64()
+}
+
 func newLimitFleet(ctx context.Context, seed uint64, nodes, upstreams int) *limitFleet {
-	f := &limitFleet{ctx: ctx, random: rand.New(rand.NewPCG(seed, 1))}
+	f := &limitFleet{ctx: ctx, random: rand.New(&lockedSource{source: rand.NewPCG(seed, 1)})}
+	f.sendOne = f.send
 	f.listing.Revision = 1
 
 	for i := range upstreams {
@@ -326,7 +343,7 @@
 		pause := time.Duration(f.random.ExpFloat64() / perSecond * float64(time.Second))
 		f.mu.Unlock()
 
-		pending.Go(func() { f.send(n) })
+		pending.Go(func() { f.sendOne(n) })
 		time.Sleep(pause)
 	}
 
