Balancer: an engine that breaks streams of several nodes is ejected for all

Found by reading again. An engine that begins responses and then breaks them shows its first events to all nodes, and each counted as an answer after which the failures of others are no evidence.

Requests that fail (Failed) at a server now eject it for all nodes once those of a second node have failed since one was last served; that a response began says nothing against it. Connects that fail are judged as before.

--- a/internal/gateway/balancer/ejection.go
+++ b/internal/gateway/balancer/ejection.go
@@ -76,6 +76,9 @@
 	// failingNodes is the number of nodes that began to fail since the last answer, which came at answeredAt.
 	failingNodes int
 	answeredAt   time.Time
+	// failedNode is the last node whose request failed since one was served, severalFailed is set if others' failed too.
+	failedNode    string
+	severalFailed bool
 	// refused is set if the shared ejection is due to connections that failed.
 	refused bool
 }
@@ -132,7 +135,13 @@
 
 	own.repeat(now)
 
-	if f.failingNodes < minFailingNodes || now.Sub(f.answeredAt) < minSilence || now.Before(f.shared.until) {
+	// Responses that begin say nothing against failures of others.
+	forAll := f.severalFailed
+	if outcome == Unreachable {
+		forAll = f.failingNodes >= minFailingNodes && now.Sub(f.answeredAt) >= minSilence
+	}
+
+	if !forAll || now.Before(f.shared.until) {
 		return
 	}
 
@@ -162,7 +171,11 @@
 	switch outcome {
 	case Abandoned:
 		return
-	case Failed, Rejected:
+	case Failed:
+		failed = 1
+		f.severalFailed = f.severalFailed || f.failedNode != "" && f.failedNode != node
+		f.failedNode = node
+	case Rejected:
 		failed = 1
 	case Unreachable:
 		failed = 1
@@ -176,6 +189,7 @@
 		f.refused = false
 	case Served:
 		f.recordAnswer(now, node)
+		f.failedNode, f.severalFailed = "", false
 	}
 
 	if failed == 0 || !wasOnTrial {
--- a/internal/gateway/balancer/ejection_test.go
+++ b/internal/gateway/balancer/ejection_test.go
@@ -16,6 +16,10 @@
 
 	// fails reports whether an upstream fails its next request.
 	fails func(upstream string) bool
+	// nodes is the number of nodes that send requests in turn.
+	nodes int
+	// starts is set if upstreams begin a response before they fail the request.
+	starts bool
 	// sent and failed count the requests by upstream, after the first second.
 	sent, failed map[string]int
 }
@@ -37,6 +41,10 @@
 		f.failed[upstream]++
 	}
 
+	if f.starts {
+		f.pool.RecordFirstEvent(now.Add(4*time.Millisecond), id, nil)
+	}
+
 	f.pool.RecordEnd(now.Add(5*time.Millisecond), id, balancer.Failed)
 }
 
@@ -49,7 +57,7 @@
 		for j := range engines {
 			id := fmt.Sprintf("n%d.%d", i, j)
 
-			if choice, decision := f.pool.Acquire(now, "node", notes(id, fmt.Sprint("s", (i*7+j)%200))); decision == balancer.Granted {
+			if choice, decision := f.pool.Acquire(now, fmt.Sprint("node", (i*engines+j)%f.nodes), notes(id, fmt.Sprint("s", (i*7+j)%200))); decision == balancer.Granted {
 				f.settle(now, id, choice.Upstream)
 			}
 		}
@@ -69,7 +77,7 @@
 func newFailingPool(p *balancer.Pool, fails func(upstream string) bool) *failingPool {
 	return &failingPool{
 		simulation: &simulation{pool: p, placed: map[string]bool{}, asked: map[string]time.Time{}},
-		fails:      fails, sent: map[string]int{}, failed: map[string]int{},
+		fails:      fails, nodes: 1, sent: map[string]int{}, failed: map[string]int{},
 	}
 }
 
@@ -84,6 +92,25 @@
 	assert.Assert(t, f.sent["b"] > 10)
 }
 
+// Guards against an engine that draws a request of each of many nodes again and again.
+func TestFailingEngineDrawsLittleFromManyNodes(t *testing.T) {
+	for _, starts := range []bool{false, true} {
+		f := newFailingPool(engines(10, 12), func(upstream string) bool { return upstream == "a" })
+		f.nodes, f.starts = 30, starts
+		f.run(10)
+
+		// One trial every 2 seconds and as many again while the ejection time grows, or one after each of the shortest ejections
+		// where responses begin: 4 s in 300 ms.
+		limit := 8
+		if starts {
+			limit = 4000/300 + 1
+		}
+
+		assert.Check(t, f.failed["a"] <= limit, "starts %t: %d requests failed", starts, f.failed["a"])
+		assert.Check(t, f.sent["b"] > 10)
+	}
+}
+
 // When all engines fail half of their requests under overload, they must not all be ejected.
 func TestEnginesThatAllFailHalfAreUsed(t *testing.T) {
 	turn := 0
@@ -256,6 +283,28 @@
 	}
 }
 
+// Guards against an upstream that gets nothing of any node because one node's requests end there without a response.
+func TestFailuresOfOneNodeEjectNothingForOthers(t *testing.T) {
+	for _, outcome := range []balancer.Outcome{balancer.Failed, balancer.Unreachable} {
+		p := newPool(3, 6, balancer.Engine{})
+
+		for i := range 30 {
+			id := fmt.Sprint("one", i)
+
+			if _, decision := p.Acquire(at(0), "one", call(id)); decision == balancer.Granted {
+				p.RecordEnd(at(time.Duration(i)*time.Millisecond), id, outcome)
+			}
+		}
+
+		for i, others := range [][]string{{"b", "c"}, {"a", "c"}, {"a", "b"}} {
+			work := call(fmt.Sprint("other", i))
+			work.Excluded = others
+			_, decision := p.Acquire(at(50*time.Millisecond), "other", work)
+			assert.Check(t, decision == balancer.Granted, "%v: without %v", outcome, others)
+		}
+	}
+}
+
 // Guards against many nodes that each keep trying a server that is down.
 func TestServerThatIsDownIsEjectedForAllNodes(t *testing.T) {
 	p := newPartitionedPool(30, 1, func(_ int, server string, _ time.Time) bool { return server != "a" })
