--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -174,7 +174,6 @@
 
 	*outcome = balancer.Failed
 	request.interruption = &interruption{
-		attemptID:       request.attemptID(),
 		key:             request.key,
 		target:          dialer.Upstream{ID: choice.Upstream, Address: choice.Address},
 		responseStarted: responseStarted,
--- a/internal/gateway/relayer/interruption.go
+++ b/internal/gateway/relayer/interruption.go
@@ -10,9 +10,8 @@
 
 // interruption is an exchange that failed while the upstream may have been running the request.
 type interruption struct {
-	attemptID string
-	key       quarantiner.Key
-	target    dialer.Upstream
+	key    quarantiner.Key
+	target dialer.Upstream
 	// responseStarted is true if part of the response had arrived.
 	responseStarted bool
 }
@@ -26,22 +25,22 @@
 	case broken == nil:
 		r.options.Chooser.RecordEnd(id, outcome)
 	case r.options.Dialer.Detour == nil:
-		r.judge(context.Background(), broken)
+		r.judge(context.Background(), id, broken)
 	default:
 		// The request's next attempt doesn't wait for the check, which has a time limit of its own.
-		go r.judge(context.Background(), broken)
+		go r.judge(context.Background(), id, broken)
 	}
 }
 
-// judge records an interruption as the upstream's failure, unless only this node's path to the upstream is at fault.
-func (r *Relayer) judge(ctx context.Context, broken *interruption) {
+// judge records the interruption of an attempt as the upstream's failure, unless only this node's path to the upstream is at fault.
+func (r *Relayer) judge(ctx context.Context, id string, broken *interruption) {
 	if r.options.Dialer.IsPathLost(ctx, broken.target) {
 		r.options.FailedAttempts.Add("path_lost", 1)
-		r.options.Chooser.RecordEnd(broken.attemptID, balancer.Abandoned)
+		r.options.Chooser.RecordEnd(id, balancer.Abandoned)
 
 		return
 	}
 
 	r.options.Quarantine.Broke(broken.key, broken.target.ID, broken.target.Address, broken.responseStarted)
-	r.options.Chooser.RecordEnd(broken.attemptID, balancer.Failed)
+	r.options.Chooser.RecordEnd(id, balancer.Failed)
 }
