Relayer: a silent upstream is not given up for a permit that expired in the queue

Callers saw 502 for a request whose silent upstream would have answered a second later, though another node's budget had covered the next attempt.

Cause: nextAttempt.find acquires the permit and then waits for an upstream. A borrowed permit may be used for a second (maxLoanTime), and the wait may last as long as the queue. relay then renews the permit after the silent attempt has been cancelled, and finds no budget.

Change: find renews an expired permit once the upstream is found; without one it returns the choice, and the silent upstream is waited for.

Measured: TestSilentUpstreamIsWaitedForWhenThePermitExpiresInTheSearch got 502 before, and gets the late answer. It works because all that the next attempt needs is certain at the moment at which the silent one is cancelled.

--- a/internal/gateway/relayer/next_attempt.go
+++ b/internal/gateway/relayer/next_attempt.go
@@ -44,6 +44,19 @@
 		return false
 	}
 
+	// A borrowed permit may have expired in the queue for an upstream.
+	if !permit.Usable() {
+		permit.Cancel()
+
+		permit, ok = n.relayer.options.RetryBudget.Acquire(ctx, n.request.service)
+		if !ok {
+			n.relayer.options.Chooser.RecordEnd(id, balancer.Abandoned)
+			n.relayer.options.FailedAttempts.Add("silence_without_budget", 1)
+
+			return false
+		}
+	}
+
 	n.found, n.id, n.choice, n.permit = true, id, choice, permit
 
 	return true
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -72,8 +72,11 @@
 	// bodies is the relayer's memory limit for request bodies.
 	bodies int64
 
-	// extra is the number of extra attempts in the retry budget.
+	// extra is the number of extra attempts in the retry budget. peer lends others; nil if there is none.
 	extra int
+	peer  *lender
+	// onChoose is called while an upstream is chosen; it may be nil.
+	onChoose func()
 
 	mu       sync.Mutex
 	outcomes []string
@@ -101,14 +104,20 @@
 // restart starts a new relayer without any state.
 func (w *fixture) restart() {
 	table := router.New(configuration())
+	budget := budgeter.Options{
+		Extra: float64(w.extra), Window: time.Hour, Share: func() float64 { return 1 }, Now: func() time.Duration { return w.now },
+	}
+
+	if w.peer != nil {
+		budget.Self, budget.Peers, budget.Live = "self", w.peer, func() []string { return []string{"peer", "self"} }
+	}
+
 	handler := relayer.New(relayer.Options{
 		Headers: names, Catalog: w.catalog, Table: func() *router.Table { return table }, Chooser: w, Dialer: w.newDialer(),
-		RetryBudget: budgeter.New(budgeter.Options{
-			Extra: float64(w.extra), Window: time.Hour, Share: func() float64 { return 1 }, Now: func() time.Duration { return w.now },
-		}),
-		Quarantine: w.quarantine,
-		Usage:      w.usage,
-		MaxKeyAge:  func() time.Duration { return 4 * time.Second }, LeavingFor: func() time.Duration { return w.leaving }, LeavingGrace: time.Second,
+		RetryBudget: budgeter.New(budget),
+		Quarantine:  w.quarantine,
+		Usage:       w.usage,
+		MaxKeyAge:   func() time.Duration { return 4 * time.Second }, LeavingFor: func() time.Duration { return w.leaving }, LeavingGrace: time.Second,
 		MaxBodyMemory: w.bodies, Meter: meter.New(), FailedAttempts: new(expvar.Map), Logger: zerolog.Nop(),
 	})
 	w.relayer = handler
@@ -197,6 +206,10 @@
 
 // Choose implements relayer.Chooser.
 func (w *fixture) Choose(_ context.Context, _ string, work balancer.Request) (balancer.Choice, bool) {
+	if w.onChoose != nil {
+		w.onChoose()
+	}
+
 	for _, u := range w.upstreams {
 		if w.ignoreExcluded || !strings.Contains(strings.Join(work.Excluded, " "), u.name) {
 			return balancer.Choice{Upstream: u.name, Address: u.address}, true
--- a/internal/gateway/relayer/silence_test.go
+++ b/internal/gateway/relayer/silence_test.go
@@ -1,6 +1,8 @@
 package relayer_test
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -102,3 +104,48 @@
 	assert.Equal(t, first.count(), 1)
 	assert.Equal(t, second.count(), 1)
 }
+
+// lender is a peer that lends what it is asked for, or nothing. It implements budgeter.Peers.
+type lender struct{ lends bool }
+
+func (l *lender) Call(_ context.Context, _, _ string, params, result any) error {
+	if !l.lends {
+		return nil
+	}
+
+	data, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+
+	return json.Unmarshal(data, result)
+}
+
+// Guards against a request that fails because its silent upstream was given up for an attempt whose borrowed permit had expired
+// while an upstream was searched for.
+func TestSilentUpstreamIsWaitedForWhenThePermitExpiresInTheSearch(t *testing.T) {
+	w := newFixture(t, 0)
+	first := w.add(func(rw http.ResponseWriter, r *http.Request) {
+		time.Sleep(soundSilence)
+		respondWith(http.StatusOK, "late")(rw, r)
+	})
+	second := w.add(respondWith(http.StatusOK, "elsewhere"))
+
+	choices := 0
+	w.peer = &lender{lends: true}
+	w.onChoose = func() {
+		if choices++; choices == 2 {
+			// Longer than a borrowed permit may be used; nobody lends another.
+			w.now += time.Minute
+			w.peer.lends = false
+		}
+	}
+	w.restart()
+
+	response, body, err := w.send("/quote/1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, body, "late")
+	assert.Equal(t, first.count(), 1)
+	assert.Equal(t, second.count(), 0)
+}
