Relayer: a silent upstream is not given up for one whose rate limit forbids its use

Callers saw 502 for a request whose silent upstream would have answered a second later, where the only other upstream had no room in its rate limit as this node knows it.

Cause: relay declines a choice that the avoid list or the rate limit forbids, but nextAttempt.find took any choice as certain, and the silent attempt was cancelled for it.

Change: find applies the same check (mayUse) and returns the permit and the choice if it fails.

Measured: TestSilentUpstreamIsWaitedForWhereTheOtherMayNotBeUsed got 502 before, and gets the late answer.

--- a/internal/gateway/relayer/next_attempt.go
+++ b/internal/gateway/relayer/next_attempt.go
@@ -44,6 +44,14 @@
 		return false
 	}
 
+	if !n.relayer.mayUse(choice) {
+		permit.Cancel()
+		n.relayer.options.Chooser.RecordEnd(id, balancer.Abandoned)
+		n.relayer.options.FailedAttempts.Add("choice_declined", 1)
+
+		return false
+	}
+
 	// A borrowed permit may have expired in the queue for an upstream.
 	if !permit.Usable() {
 		permit.Cancel()
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -238,9 +238,7 @@
 			break
 		}
 
-		if r.avoidList.contains(choice.Upstream, time.Now()) || !r.options.Chooser.MayUse(choice) {
-			// The choice was made before the upstream asked for no more requests, or for fewer, or by a node that doesn't know
-			// of it.
+		if !r.mayUse(choice) {
 			r.options.Chooser.RecordEnd(request.attemptID, balancer.Abandoned)
 			r.options.FailedAttempts.Add("choice_declined", 1)
 
@@ -307,6 +305,12 @@
 	return choice, true
 }
 
+// mayUse reports whether a choice may be used. It may have been made before the upstream asked for no more requests, or for
+// fewer, or by a node that doesn't know of it.
+func (r *Relayer) mayUse(choice balancer.Choice) bool {
+	return !r.avoidList.contains(choice.Upstream, time.Now()) && r.options.Chooser.MayUse(choice)
+}
+
 // poolRequest describes an attempt to the balancer. It also returns the shortest rest that upstreams asked for.
 func (r *Relayer) poolRequest(request *request, id string, excluded []string) (balancer.Request, time.Duration) {
 	avoided, restRemaining := r.avoidList.unavailable(request.service, time.Now())
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -75,6 +75,8 @@
 	// extra is the number of extra attempts in the retry budget. peer lends others; nil if there is none.
 	extra int
 	peer  *lender
+	// rateLimited is the upstream whose rate limit forbids its use; empty if there is none.
+	rateLimited string
 	// onChoose is called while an upstream is chosen; it may be nil.
 	onChoose func()
 
@@ -230,7 +232,7 @@
 }
 
 // MayUse implements relayer.Chooser.
-func (*fixture) MayUse(balancer.Choice) bool { return true }
+func (w *fixture) MayUse(choice balancer.Choice) bool { return choice.Upstream != w.rateLimited }
 
 // RecordFirstEvent implements relayer.Chooser.
 func (w *fixture) RecordFirstEvent(string, *balancer.Load) {}
--- a/internal/gateway/relayer/silence_test.go
+++ b/internal/gateway/relayer/silence_test.go
@@ -125,11 +125,7 @@
 // while an upstream was searched for.
 func TestSilentUpstreamIsWaitedForWhenThePermitExpiresInTheSearch(t *testing.T) {
 	w := newFixture(t, 0)
-	first := w.add(func(rw http.ResponseWriter, r *http.Request) {
-		time.Sleep(soundSilence)
-		respondWith(http.StatusOK, "late")(rw, r)
-	})
-	second := w.add(respondWith(http.StatusOK, "elsewhere"))
+	first, second := w.add(silentBefore(respondWith(http.StatusOK, "late"))), w.add(respondWith(http.StatusOK, "elsewhere"))
 
 	choices := 0
 	w.peer = &lender{lends: true}
@@ -149,3 +145,17 @@
 	assert.Equal(t, first.count(), 1)
 	assert.Equal(t, second.count(), 0)
 }
+
+// Guards against a request that fails because its silent upstream was given up for one whose rate limit forbids its use.
+func TestSilentUpstreamIsWaitedForWhereTheOtherMayNotBeUsed(t *testing.T) {
+	w := newFixture(t, 10)
+	first, second := w.add(silentBefore(respondWith(http.StatusOK, "late"))), w.add(respondWith(http.StatusOK, "elsewhere"))
+	w.rateLimited = second.name
+
+	response, body, err := w.send("/quote/1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, body, "late")
+	assert.Equal(t, first.count(), 1)
+	assert.Equal(t, second.count(), 0)
+}
