Tests: a long answer isn't broken off where another upstream could take the request

TestLongAnswerOutlastsTheAttemptTimeout had one upstream. Since a silent attempt is only cancelled once another can be made, it passed without the watchdog's disarm in deliverBuffered too (shown on a scratch copy), so it no longer guarded against that fault. With a second upstream it fails without the disarm (unexpected EOF), and passes with it.

--- a/internal/gateway/relayer/long_answer_test.go
+++ b/internal/gateway/relayer/long_answer_test.go
@@ -27,12 +27,14 @@
 			time.Sleep(time.Second)
 		}
 	})
+	second := w.add(respondWith(http.StatusOK, "elsewhere"))
 
 	response, body, err := w.send("/quote/1", nil)
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 	assert.Equal(t, len(body), 2*longAnswerBytes)
 	assert.Equal(t, first.count(), 1)
+	assert.Equal(t, second.count(), 0)
 }
 
 // Guards against a stream that is broken off at a short silence of its upstream, though no other upstream may continue it.
