Gateway: a planned stop waits until answers are written

Callers that read slowly lost the end of an answer that the node had, when the node was stopped.

Cause: drain saw nothing in flight once the relayer's handler had returned, and closed the server. net/http writes up to the last 4 KiB of an answer after the handler, and starts the handler only after it has read the request, so both a request before its handler and an answer after it met server.Close.

Change: drain waits for Acceptor.Busy, the connections with a request from its first byte until its answer is written, within the same limit (drainFraction of the drain timeout). A header that never ends is cut by the header timeout.

The planned-stop tests and the test of kept connections pass with -race.

--- a/internal/gateway/acceptor/acceptor.go
+++ b/internal/gateway/acceptor/acceptor.go
@@ -133,6 +133,14 @@
 	return counters
 }
 
+// Busy returns the number of connections with a request, from the first byte of its header until its answer is written.
+func (a *Acceptor) Busy() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return len(a.connections) - a.idle.Len()
+}
+
 // connectionContextKey is the key of a request's connection in its context.
 type connectionContextKey struct{}
 
--- a/internal/gateway/acceptor/acceptor_test.go
+++ b/internal/gateway/acceptor/acceptor_test.go
@@ -271,3 +271,29 @@
 	assert.Equal(t, counters.Evicted, int64(1))
 	assert.Equal(t, counters.Crossed, int64(1))
 }
+
+// Guards against a stop that cuts off an answer which the handler has returned but the caller has not read yet.
+func TestConnectionIsBusyUntilItsAnswerIsWritten(t *testing.T) {
+	runServer(t, 10, func(t *testing.T, listener pipeListener, a *acceptor.Acceptor, _ *acceptor.Timeouts) {
+		c := listener.open()
+		synctest.Wait()
+		assert.Equal(t, a.Busy(), 0)
+
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\n")
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.Equal(t, a.Busy(), 1)
+
+		// The handler returns at once. A pipe holds no bytes, so the answer waits for its reader.
+		_, err = io.WriteString(c, "Host: a\r\n\r\n")
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.Equal(t, a.Busy(), 1)
+
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		synctest.Wait()
+		assert.Equal(t, a.Busy(), 0)
+	})
+}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 
 	"github.com/rs/zerolog"
 
@@ -19,3 +20,26 @@
 
 	return node.run(ctx)
 }
+
+// ServeAndDrain serves callers on a listener with a handler that takes the place of the relayer, and performs a planned stop
+// once ctx ends.
+func ServeAndDrain(ctx context.Context, settings loader.Settings, store Store, protocol Protocol, handler http.Handler, listener net.Listener) error {
+	node := newNode(settings, store, protocol, zerolog.Nop())
+	defer node.peerServers.Wait()
+
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+
+	if err := node.joinFleet(work); err != nil {
+		return err
+	}
+
+	server := &http.Server{Handler: handler}
+
+	go func() { _ = node.acceptor.Serve(server, listener) }()
+
+	<-ctx.Done()
+	node.drain([]*http.Server{server})
+
+	return nil
+}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -163,7 +163,8 @@
 }
 
 // drain performs the planned stop: the node removes itself from the entries immediately, accepts requests while callers
-// may still have its address cached, and returns when nothing is in flight, for itself and for others, or drainFraction of the drain timeout is over.
+// may still have its address cached, and returns when all answers are written and nothing is in flight for others, or
+// drainFraction of the drain timeout is over.
 func (n *Node) drain(servers []*http.Server) {
 	n.leavingAt.Store(int64(n.catalog.Now()))
 	n.heartbeats.Leave()
@@ -184,7 +185,8 @@
 				_ = servers[0].Shutdown(cancelled)
 			}
 
-			if n.relayer.InFlight() == 0 && n.tunnels.Open() == 0 {
+			// The server starts a handler after it has read the request, and writes the last bytes after the handler.
+			if n.acceptor.Busy() == 0 && n.tunnels.Open() == 0 {
 				break
 			}
 		}
