--- a/internal/gateway/relayer/next_attempt.go
+++ b/internal/gateway/relayer/next_attempt.go
@@ -44,6 +44,27 @@
 		return false
 	}
 
+	if !n.relayer.mayUse(choice) {
+		permit.Cancel()
+		n.relayer.options.Chooser.RecordEnd(id, balancer.Abandoned)
+		n.relayer.options.FailedAttempts.Add("choice_declined", 1)
+
+		return false
+	}
+
+	// A borrowed permit may have expired in the queue for an upstream.
+	if !permit.Usable() {
+		permit.Cancel()
+
+		permit, ok = n.relayer.options.RetryBudget.Acquire(ctx, n.request.service)
+		if !ok {
+			n.relayer.options.Chooser.RecordEnd(id, balancer.Abandoned)
+			n.relayer.options.FailedAttempts.Add("silence_without_budget", 1)
+
+			return false
+		}
+	}
+
 	n.found, n.id, n.choice, n.permit = true, id, choice, permit
 
 	return true
