Broker: a holder that did not answer hears when its request was refused elsewhere

Places at upstreams stayed taken, so that others were refused or waited.

Cause: a node that gets no answer from a pool's holder in time, or gives the search up, asks the standby or decides by itself. If that refuses, Choose returned without a word, while the first holder may have granted the request: it counted as running there until its time limit. A grant elsewhere was reported, a refusal was not.

Change: a refusal that the first holder did not decide is reported to the holders as an abandoned request.

Result: TestHolderThatDidNotAnswerHearsOfARefusal, in virtual time, failed before (no report at either holder) and passes; the whole package passes, without its known red test.

--- a/internal/gateway/broker/choosing.go
+++ b/internal/gateway/broker/choosing.go
@@ -35,6 +35,11 @@
 
 			return choice, true
 		case balancer.Refused:
+			if answeredBy != 0 {
+				// The holder that did not answer may have granted the request.
+				b.finish(pool, work.ID, balancer.Abandoned, nil)
+			}
+
 			return choice, false
 		case balancer.Queued:
 		}
