Relayer: log the shared prompt parts of attempts that failed

The logs of the incident name a request by the hash of its whole content, so they can't tell whether requests that broke off on crashing upstreams have a part of their prompts in common. attempt_failed lists the first eight shared parts now.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -199,7 +199,7 @@
 	protocol := gateway.Protocol{
 		Headers: relayer.Headers{
 			RequestID: "X-Id", LastEventID: "Last-Event-Id", Resumes: "Resumes", Signature: "X-Signature", Authorization: "Authorization",
-			RateLimit: "X-Limit", Brittle: "X-Brittle", NotRun: "X-Not-Run",
+			RateLimit: "X-Limit", Brittle: "X-Brittle", NotRun: "X-Not-Run", PromptParts: "X-Parts",
 		},
 		ReadyPath:     "/ready",
 		EntriesPath:   "/entries",
--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -288,6 +288,7 @@
 	r.options.Logger.Info().
 		Str("request_id", request.id).
 		Stringer("request_key", request.key).
+		Strs("prompt_parts", sharedPartIDs(request.poolRequest.PromptParts)).
 		Str("route", request.route.Name).
 		Str("upstream", choice.Upstream).
 		Str("software_version", r.softwareVersion(choice.Upstream)).
@@ -299,3 +300,21 @@
 		AnErr("reason", err).
 		Msg("attempt_failed")
 }
+
+// maxLoggedParts and maxLoggedPartBytes limit the prompt parts in a log line: callers choose their number and IDs.
+const (
+	maxLoggedParts     = 8
+	maxLoggedPartBytes = 64
+)
+
+// sharedPartIDs returns the IDs of the prompt parts that other requests may share, at most maxLoggedParts: all but the last, which
+// is the request's own.
+func sharedPartIDs(parts []balancer.PromptPart) []string {
+	var ids []string
+
+	for i := 0; i < len(parts)-1 && i < maxLoggedParts; i++ {
+		ids = append(ids, parts[i].ID[:min(len(parts[i].ID), maxLoggedPartBytes)])
+	}
+
+	return ids
+}
