Quarantiner: an answer that ends with its connection proves nothing while its upstream may be gone

What callers see: a stream with neither a length nor chunks ends with its connection. If the upstream crashes between two events, it looks whole, so a prompt part that crashes upstreams was acquitted by each of its crashes.

Evidence: the new case of TestPromptPartThatCrashesUpstreamsIsStopped failed before: 52 crashes, 33 late sends, 109 of 160 sound requests began.

Change: such an answer counts as answered once its upstream has sent something else 150 ms later, and as broken off if the upstream takes no connection or leaves the list without draining. No connection is opened for that.

Result: 7 crashes, no late send, 160 of 160.

--- a/internal/gateway/crashing_part_test.go
+++ b/internal/gateway/crashing_part_test.go
@@ -57,6 +57,8 @@
 	beforeAnyByte crashPoint = iota
 	afterHeader
 	afterFirstEvent
+	// betweenEvents is after the first event of a stream with neither a length nor chunks, which therefore ends like a whole one.
+	betweenEvents
 )
 
 // partStore lists upstreams of one service behind one route. While it is away, nothing can be read or written.
@@ -219,6 +221,12 @@
 
 	_, _ = io.Copy(io.Discard, r.Body)
 
+	if f.point == betweenEvents {
+		answerUntilClose(w, r, isDeadly, crash)
+
+		return
+	}
+
 	w.Header().Set("X-Id", r.Header.Get("X-Id"))
 	w.Header().Set("X-Signature", "sig")
 
@@ -251,6 +259,30 @@
 	}
 }
 
+// answerUntilClose writes a stream with neither a length nor chunks.
+func answerUntilClose(w http.ResponseWriter, r *http.Request, isDeadly bool, crash func()) {
+	connection, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer connection.Close()
+
+	_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: sig\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("X-Id"))
+
+	for i := range partEvents {
+		time.Sleep(partEventDelay)
+
+		if isDeadly && i > 0 {
+			_ = connection.Close()
+
+			crash()
+		}
+
+		_, _ = fmt.Fprintf(buffer, "id: %d\ndata: word\n\n", i+1)
+		_ = buffer.Flush()
+	}
+}
+
 // send sends a request with a new ID whose second part is given, and reports whether its answer began.
 func (f *partFleetTest) send(n *restartableNode, part string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -423,6 +455,7 @@
 	return []partCase{
 		{name: "after the header", kind: cataloguer.Stream, point: afterHeader},
 		{name: "after the first event", kind: cataloguer.Stream, point: afterFirstEvent},
+		{name: "between two events of a stream that ends with its connection", kind: cataloguer.Stream, point: betweenEvents},
 		{name: "before any byte", kind: cataloguer.Idempotent, point: beforeAnyByte},
 		{
 			name: "after the header while nodes restart", kind: cataloguer.Stream, point: afterHeader,
--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -14,7 +14,6 @@
 	"quincepath.example/quincepath/internal/gateway/balancer"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/dialer"
-	"quincepath.example/quincepath/internal/quarantiner"
 )
 
 // attemptResult is what is known about the request after an attempt.
@@ -114,11 +113,17 @@
 	}
 
 	r.countRun(request, sent)
-	r.activity.recordActivity(choice.Upstream, time.Now())
+	r.recordActivity(choice.Upstream, time.Now())
 
 	return r.deliver(ctx, out, choice, sent, response, watch, &outcome)
 }
 
+// recordActivity records that an upstream sent data.
+func (r *Relayer) recordActivity(upstream string, now time.Time) {
+	r.activity.recordActivity(upstream, now)
+	r.options.Quarantine.Alive(upstream)
+}
+
 // recordAvailability records whether the upstream's response announces a shutdown or asks for a pause.
 func (r *Relayer) recordAvailability(request *request, choice balancer.Choice, response *dialer.Response) {
 	now := time.Now()
@@ -151,6 +156,7 @@
 		// A connection limit of this node says nothing about the upstream, nor does a path that leads to none.
 		if ctx.Err() == nil && !errors.Is(err, dialer.ErrTooManyConnections) && !errors.Is(err, dialer.ErrPathLost) {
 			*outcome = balancer.Unreachable
+			r.options.Quarantine.Unreachable(choice.Upstream)
 		}
 
 		r.logFailedAttempt(request, choice, "not_sent", err)
@@ -190,10 +196,7 @@
 	*outcome = balancer.Failed
 	request.brokeAt = append(request.brokeAt, time.Now())
 	request.interruption = &interruption{
-		run: quarantiner.Run{
-			Traits: request.traits, Service: request.service, Upstream: choice.Upstream, Address: choice.Address,
-			SentAt: request.sentAt, Answering: responseStarted,
-		},
+		run:    request.run(choice, responseStarted),
 		target: dialer.Upstream{ID: choice.Upstream, Address: choice.Address},
 	}
 }
--- a/internal/gateway/relayer/options.go
+++ b/internal/gateway/relayer/options.go
@@ -51,6 +51,11 @@
 	IsSuspected(parts []quarantiner.Part, brokeAt []time.Time) bool
 	// Answered records that an upstream responded to the request completely, and successfully.
 	Answered(traits quarantiner.Traits, service string)
+	// AnsweredUntilClose records the same of a response that ended with its connection, which a crash may have ended.
+	AnsweredUntilClose(run quarantiner.Run)
+	// Alive records that an upstream sent something, Unreachable that it took no connection.
+	Alive(upstream string)
+	Unreachable(upstream string)
 	// Failed records that an upstream responded to the request with an error.
 	Failed(traits quarantiner.Traits)
 	// Survived records that an upstream has been responding to the request for survivalTime.
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -167,6 +167,15 @@
 // Answered implements relayer.Quarantine.
 func (noQuarantine) Answered(quarantiner.Traits, string) {}
 
+// AnsweredUntilClose implements relayer.Quarantine.
+func (noQuarantine) AnsweredUntilClose(quarantiner.Run) {}
+
+// Alive implements relayer.Quarantine.
+func (noQuarantine) Alive(string) {}
+
+// Unreachable implements relayer.Quarantine.
+func (noQuarantine) Unreachable(string) {}
+
 // Failed implements relayer.Quarantine.
 func (noQuarantine) Failed(quarantiner.Traits) {}
 
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -102,6 +102,13 @@
 	origin atomic.Pointer[pinner.Origin]
 }
 
+// run describes the current attempt to the quarantine.
+func (r *request) run(choice balancer.Choice, answering bool) quarantiner.Run {
+	return quarantiner.Run{
+		Traits: r.traits, Service: r.service, Upstream: choice.Upstream, Address: choice.Address, SentAt: r.sentAt, Answering: answering,
+	}
+}
+
 // newAttemptID returns an ID for another attempt.
 func (r *request) newAttemptID() string {
 	r.chooseCalls++
--- a/internal/gateway/relayer/response.go
+++ b/internal/gateway/relayer/response.go
@@ -126,7 +126,7 @@
 	*outcome = balancer.Served
 	out.buffered = buffered
 	out.writeBuffered()
-	r.recordSuccess(out, choice, buffered.status)
+	r.recordSuccess(out, choice, response)
 
 	return attemptDone
 }
@@ -148,7 +148,7 @@
 	}
 
 	*outcome = balancer.Served
-	r.recordSuccess(out, choice, response.StatusCode)
+	r.recordSuccess(out, choice, response)
 
 	return attemptDone
 }
@@ -190,12 +190,16 @@
 }
 
 // recordSuccess records a complete response.
-func (r *Relayer) recordSuccess(out *callerResponse, choice balancer.Choice, status int) {
+func (r *Relayer) recordSuccess(out *callerResponse, choice balancer.Choice, response *dialer.Response) {
 	out.stats.code = classifier.OK
-	if status < http.StatusMultipleChoices {
-		r.options.Quarantine.Answered(out.request.traits, out.request.service)
-	} else {
+
+	switch {
+	case response.StatusCode >= http.StatusMultipleChoices:
 		r.options.Quarantine.Failed(out.request.traits)
+	case response.ContentLength < 0 && len(response.TransferEncoding) == 0:
+		r.options.Quarantine.AnsweredUntilClose(out.request.run(choice, true))
+	default:
+		r.options.Quarantine.Answered(out.request.traits, out.request.service)
 	}
 
 	r.options.Logger.Debug().Str("request_id", out.request.id).Str("upstream", choice.Upstream).Msg("request_served")
--- a/internal/gateway/relayer/stream.go
+++ b/internal/gateway/relayer/stream.go
@@ -42,7 +42,7 @@
 				r.options.Chooser.RecordGaps(request.attemptID, gaps.eventGaps())
 			}
 
-			return r.finishStream(ctx, out, choice, err, !first, outcome)
+			return r.finishStream(ctx, out, choice, response, err, !first, outcome)
 		}
 
 		now := time.Now()
@@ -59,7 +59,7 @@
 			r.options.Quarantine.Survived(request.traits, request.service)
 		}
 
-		r.activity.recordActivity(choice.Upstream, now)
+		r.recordActivity(choice.Upstream, now)
 		watch.reset()
 
 		id := eventID(event)
@@ -68,11 +68,11 @@
 				continue
 			}
 
-			return r.finishStream(ctx, out, choice, errEventOrder, true, outcome)
+			return r.finishStream(ctx, out, choice, response, errEventOrder, true, outcome)
 		}
 
 		if !out.headerSent && !r.startStream(ctx, out, choice, response, watch) {
-			return r.finishStream(ctx, out, choice, errAttemptTimeout, true, outcome)
+			return r.finishStream(ctx, out, choice, response, errAttemptTimeout, true, outcome)
 		}
 
 		out.stats.gaps.record(now)
@@ -109,10 +109,10 @@
 }
 
 // finishStream handles the end of an upstream's stream; responseStarted is true if an event of it was received.
-func (r *Relayer) finishStream(ctx context.Context, out *callerResponse, choice balancer.Choice, err error, responseStarted bool, outcome *balancer.Outcome) attemptResult {
+func (r *Relayer) finishStream(ctx context.Context, out *callerResponse, choice balancer.Choice, response *dialer.Response, err error, responseStarted bool, outcome *balancer.Outcome) attemptResult {
 	if errors.Is(err, io.EOF) && out.headerSent {
 		*outcome = balancer.Served
-		r.recordSuccess(out, choice, http.StatusOK)
+		r.recordSuccess(out, choice, response)
 
 		return attemptDone
 	}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -133,6 +134,8 @@
 	// answeredParts are the prompt parts that were answered.
 	answeredParts *answeredParts
 
+	// closedAnswerCount is the number of closedAnswers; it is read without the lock.
+	closedAnswerCount atomic.Int64
 	// crashed receives a value when this node finds that an upstream crashed.
 	crashed chan struct{}
 
@@ -140,6 +143,8 @@
 	counters Counters
 	// listed are the listed upstreams.
 	listed Upstreams
+	// closedAnswers are answers of which nothing tells yet whether they were complete, oldest first.
+	closedAnswers []closedAnswer
 	// failures are the upstreams on which this node's own requests broke off, oldest first.
 	failures []*upstreamFailure
 	// candidates are the nodes among which the coordinators are chosen.
@@ -239,10 +244,16 @@
 		q.onQuarantined(added, "store")
 	}
 
+	q.mu.Lock()
+	former := q.listed
+	q.listed = listed
+	q.mu.Unlock()
+
+	q.breakUnlisted(former, listed)
+
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	q.listed = listed
 	q.confirmUnlisted()
 }
 
