--- a/internal/dispatcher/fixture_test.go
+++ b/internal/dispatcher/fixture_test.go
@@ -42,6 +42,8 @@
 	spare       bool
 	spareAnyway bool
 	spareWait   time.Duration
+	// spareRefusals is how many requests for a second slot are refused before.
+	spareRefusals int
 	// maxRunning is the largest number of concurrent attempts.
 	maxRunning int
 
@@ -62,6 +64,12 @@
 }
 
 func (f *fixture) Acquire(ctx context.Context, ask dispatcher.SlotRequest) (dispatcher.Slot, error) {
+	if ask.Spare && f.spareRefusals > 0 {
+		f.spareRefusals--
+
+		return dispatcher.Slot{}, classifier.New(classifier.NoUpstream, "no slot is free")
+	}
+
 	if ask.Spare && !f.spare {
 		return dispatcher.Slot{}, classifier.New(classifier.NoUpstream, "no slot is free")
 	}
--- a/internal/dispatcher/hedging.go
+++ b/internal/dispatcher/hedging.go
@@ -182,31 +182,24 @@
 	return endedAttempt{attempt: attempt, outcome: outcome, lastNumber: attempt.Number}
 }
 
-// hedge sends a second attempt if the first has delivered nothing in time, a slot is free and the budget allows it. It
-// returns as soon as that is decided.
+// hedge sends a second attempt if the first has delivered nothing in time, a slot is free and the budget allows it. While no slot
+// is free it tries again after twice the time: the first attempt may wait for seconds, and slots become free meanwhile. It
+// returns as soon as it is decided.
 func (r *race) hedge(ctx context.Context, after time.Duration, first Attempt, slotRequest SlotRequest) {
-	timer := time.NewTimer(after)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-	case <-r.owned:
-		return
-	case ended := <-r.ended:
-		r.ended <- ended
+	slotRequest.Spare = true
+	excluded := append(slices.Clone(slotRequest.Exclude), first.Slot.Upstream.Name)
 
-		return
-	}
+	var slot Slot
 
-	slotRequest.Exclude = append(slices.Clone(slotRequest.Exclude), first.Slot.Upstream.Name)
-	slotRequest.Exclude = append(slotRequest.Exclude, r.dispatcher.retryAfters.upstreams(time.Now(), r.request.Service)...)
-	slotRequest.Exclude = append(slotRequest.Exclude, r.dispatcher.limitWaits.upstreams(time.Now(), r.request.Service)...)
-	slotRequest.Waited = time.Since(r.request.Arrived)
-	slotRequest.Spare = true
+	for hasSlot := false; !hasSlot; after *= 2 {
+		if !r.wait(ctx, after) {
+			return
+		}
 
-	slot, ok := r.acquireSpare(ctx, slotRequest)
-	if !ok {
-		return
+		slotRequest.Exclude = slices.Concat(excluded, r.dispatcher.retryAfters.upstreams(time.Now(), r.request.Service),
+			r.dispatcher.limitWaits.upstreams(time.Now(), r.request.Service))
+		slotRequest.Waited = time.Since(r.request.Arrived)
+		slot, hasSlot = r.acquireSpare(ctx, slotRequest)
 	}
 
 	second := Attempt{Number: first.Number + 1, Slot: slot, History: first.History, Hedge: true}
@@ -218,6 +211,25 @@
 	r.dispatcher.slotter.Release(slot, slotRequest, Outcome{Result: ResultSuperseded})
 }
 
+// wait reports whether the first attempt has neither delivered nor ended after the given time.
+func (r *race) wait(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+		return true
+	case <-r.owned:
+		return false
+	case ended := <-r.ended:
+		r.ended <- ended
+
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // acquireSpare acquires a second slot, and gives up once the first attempt delivers or ends.
 func (r *race) acquireSpare(ctx context.Context, slotRequest SlotRequest) (Slot, bool) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/dispatcher/hedging_test.go
+++ b/internal/dispatcher/hedging_test.go
@@ -29,6 +29,7 @@
 		noSpare   bool
 		anyway    bool
 		spareWait time.Duration
+		refusals  int
 		spent     int
 		once      bool
 		leaves    time.Duration
@@ -41,6 +42,7 @@
 		"the first wins":                  {upstreams: []script{{first: 150 * ms, gap: ms}, slow}, results: []string{"done", "superseded"}, under: 200 * ms},
 		"no need":                         {upstreams: []script{fast, fast}, results: []string{"done"}, under: 50 * ms},
 		"no slot is free":                 {upstreams: []script{slow, fast}, noSpare: true, results: []string{"done"}, under: 3 * time.Second},
+		"a slot is free later":            {upstreams: []script{slow, fast}, refusals: 2, results: []string{"superseded", "done"}, under: time.Second},
 		"the slot comes too late":         {upstreams: []script{{first: 150 * ms}, fast}, spareWait: time.Second, results: []string{"done"}, under: 200 * ms},
 		"the slot comes all the same":     {upstreams: []script{{first: 150 * ms}, fast}, spareWait: time.Second, anyway: true, results: []string{"done", "superseded"}, under: 200 * ms},
 		"the budget is empty":             {upstreams: []script{slow, fast}, spent: 10, results: []string{"done", "superseded"}, under: 3 * time.Second},
@@ -66,7 +68,7 @@
 					time.AfterFunc(tt.leaves, cancel)
 				}
 
-				w := &fixture{upstreams: tt.upstreams, spare: !tt.noSpare, spareAnyway: tt.anyway, spareWait: tt.spareWait}
+				w := &fixture{upstreams: tt.upstreams, spare: !tt.noSpare, spareAnyway: tt.anyway, spareWait: tt.spareWait, spareRefusals: tt.refusals}
 				started := time.Now()
 				failure := w.run(ctx, !tt.once, tt.spent)
 
