--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -40,6 +40,8 @@
 	softwareVersions map[string]string
 	versions         map[cataloguer.ServiceVersion]bool
 	versionsRejected bool
+	// versionsHang makes each write of versions hang until its caller gives up.
+	versionsHang bool
 	reads            int
 	// calls counts all calls to the store, including writes.
 	calls int
--- a/internal/gateway/follower/versions_test.go
+++ b/internal/gateway/follower/versions_test.go
@@ -16,7 +16,17 @@
 const spreadTime = 3 * time.Second
 
 // RecordVersions implements follower.VersionStore.
-func (m *member) RecordVersions(_ context.Context, versions []cataloguer.ServiceVersion) error {
+func (m *member) RecordVersions(ctx context.Context, versions []cataloguer.ServiceVersion) error {
+	m.fleet.mu.Lock()
+	hangs := m.fleet.versionsHang
+	m.fleet.mu.Unlock()
+
+	if hangs {
+		<-ctx.Done()
+
+		return ctx.Err()
+	}
+
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
 
@@ -128,6 +138,33 @@
 	})
 }
 
+// Guards against a configuration that takes effect late because the node which reads the store waits for a write of versions. The
+// bound is that in which operators are promised it: two seconds.
+func TestConfigurationDoesNotWaitForVersions(t *testing.T) {
+	for _, count := range []int{1, 9, 65} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newVersionFleet(t, count)
+			defer f.stop()
+
+			f.update(func() { f.versionsHang = true })
+			f.list("b", "v2")
+
+			var most time.Duration
+
+			for i := range 40 {
+				time.Sleep(50*time.Millisecond + time.Duration(i)*17*time.Millisecond)
+				f.update(func() { f.version++ })
+
+				version := f.version
+				most = max(most, f.timeUntilAll(func(s *cataloguer.State) bool { return s.Configuration.Version >= version }))
+			}
+
+			t.Logf("%d nodes: %s at most", count, most)
+			assert.Assert(t, most <= 2*time.Second, "%d nodes: %s", count, most)
+		})
+	}
+}
+
 // Guards against versions that are kept for ever, so that no service has one version only after its first release, and against
 // one that isn't recorded again when it returns.
 func TestVersionIsForgottenAnHourAfterItsLastUpstream(t *testing.T) {
