Quarantiner: nodes ask the store for a trial at random times

While a part in quarantine is due, each node that got a request with it asked the store in the same moment, 985 at the size of now, and again each 100 ms while the store didn't answer. A node waits up to 20 ms for each live node now, and doesn't ask if another has got the trial. Parts without an ID are left out: they would be told from whole requests by nothing.

--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -42,7 +42,7 @@
 	versionsRejected bool
 	// versionsHang makes each write of versions hang until its caller gives up.
 	versionsHang bool
-	reads            int
+	reads        int
 	// calls counts all calls to the store, including writes.
 	calls int
 	// lastReader is the node that made the last call.
--- a/internal/quarantiner/benchmark_test.go
+++ b/internal/quarantiner/benchmark_test.go
@@ -16,7 +16,7 @@
 func BenchmarkCheckOfParts(b *testing.B) {
 	for _, count := range []int{3, 300} {
 		b.Run(fmt.Sprint(count, " parts"), func(b *testing.B) {
-			q := quarantiner.New(quarantiner.Options{Logger: zerolog.Nop()})
+			q := quarantiner.New(quarantiner.Options{Live: func() []string { return nil }, Logger: zerolog.Nop()})
 			_, err := q.HandleQuarantine(context.Background(), "peer", []byte(`{"entries":[{"key":"00000000000000000000000000000001","since":4102444800000,"part":"p"}]}`))
 			assert.NilError(b, err)
 
--- a/internal/quarantiner/key_test.go
+++ b/internal/quarantiner/key_test.go
@@ -42,3 +42,15 @@
 		assert.Assert(t, json.Unmarshal([]byte(text), &read) != nil, text)
 	}
 }
+
+func TestPartsAreThoseThatOthersMayShare(t *testing.T) {
+	assert.Equal(t, len(quarantiner.NewParts("salon", nil)), 0)
+	assert.Equal(t, len(quarantiner.NewParts("salon", []string{"own"})), 0)
+
+	parts := quarantiner.NewParts("salon", []string{"a", "", "b", "own"})
+	assert.Equal(t, len(parts), 2)
+	assert.Equal(t, parts[1].ID, "b")
+	assert.Equal(t, parts[0].Key, quarantiner.NewParts("salon", []string{"x", "a", "own"})[1].Key)
+	assert.Assert(t, parts[0].Key != quarantiner.NewParts("studio", []string{"a", "own"})[0].Key)
+	assert.Assert(t, parts[0].Key != parts[1].Key)
+}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -154,14 +154,12 @@
 	// reporting, evaluating and resending are true while such a task runs.
 	reporting, evaluating, resending bool
 	evaluatedAt, resentAt, sweptAt   time.Time
-	// trials are the parts of which this node may let one request through, renewing those for which it asks the store.
-	trials   map[Key]Quarantine
-	renewing map[Key]bool
-	// dueRenewals are the parts that were asked for since they were due. releases are the quarantines that this node found to be
-	// wrong and that are not removed from the store yet.
-	dueRenewals []Quarantine
-	releases    []Quarantine
-	releasing   bool
+	// trials are the parts of which this node may let one request through, renewAt when it asks the store for others.
+	trials  map[Key]Quarantine
+	renewAt map[Key]time.Time
+	// releases are the quarantines that this node found to be wrong and that are not removed from the store yet.
+	releases  []Quarantine
+	releasing bool
 }
 
 // New returns a Quarantiner without quarantined requests.
@@ -175,7 +173,7 @@
 		crashed:       make(chan struct{}, 1),
 		listed:        upstreamsByID{},
 		trials:        make(map[Key]Quarantine),
-		renewing:      make(map[Key]bool),
+		renewAt:       make(map[Key]time.Time),
 	}
 }
 
@@ -213,7 +211,12 @@
 
 	q.count(func(c *Counters) { c.Refused++ })
 
-	return Verdict{Remaining: max(found.remaining(now), trialRetryAfter), Part: found.Part}, false
+	remaining := found.remaining(now)
+	if remaining <= 0 {
+		remaining = q.maxRenewalDelay() + trialRetryAfter
+	}
+
+	return Verdict{Remaining: remaining, Part: found.Part}, false
 }
 
 // Answered records that an upstream answered a request completely, and successfully.
@@ -300,7 +303,7 @@
 		go q.sendReleases(ctx, workers, releases)
 	}
 
-	for _, due := range q.startRenewals() {
+	for _, due := range q.startRenewals(now) {
 		go q.renew(ctx, due)
 	}
 
--- a/internal/quarantiner/traits.go
+++ b/internal/quarantiner/traits.go
@@ -39,6 +39,10 @@
 	parts := make([]Part, 0, len(ids))
 
 	for _, id := range ids {
+		if id == "" {
+			continue
+		}
+
 		parts = append(parts, Part{Key: partKey(caller, id), ID: id[:min(len(id), maxPartIDBytes)]})
 	}
 
--- a/internal/quarantiner/trials.go
+++ b/internal/quarantiner/trials.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -18,9 +19,12 @@
 // that ran already when the part was quarantined is answered.
 
 const (
-	// trialRetryAfter is when to come back after a refusal if a trial is due: by then a node has renewed the quarantine, and its next
-	// request is the trial.
+	// trialRetryAfter is when to come back at the earliest after a refusal if a trial is due: by then a node has renewed the
+	// quarantine, and its next request is the trial.
 	trialRetryAfter = 2 * time.Second
+	// renewalDelayPerNode, times the number of live nodes, is the longest time that a node waits before it asks the store for a
+	// trial. Nodes that wait at random ask at most 50 times a second together, and stop when they hear that one of them got it.
+	renewalDelayPerNode = 20 * time.Millisecond
 	// renewTimeout is the time limit of a call to the store for a trial or a release.
 	renewTimeout = 2 * time.Second
 )
@@ -41,14 +45,18 @@
 		}
 	}
 
-	if held.remaining(now) <= 0 && !q.renewing[held.Key] {
-		q.renewing[held.Key] = true
-		q.dueRenewals = append(q.dueRenewals, held)
+	if _, isPlanned := q.renewAt[held.Key]; !isPlanned && held.remaining(now) <= 0 {
+		q.renewAt[held.Key] = now.Add(rand.N(q.maxRenewalDelay()))
 	}
 
 	return false
 }
 
+// maxRenewalDelay returns the longest time that a node waits before it asks the store for a trial.
+func (q *Quarantiner) maxRenewalDelay() time.Duration {
+	return time.Duration(max(len(q.options.Live()), 1)) * renewalDelayPerNode
+}
+
 // ReturnTrial gives back a trial whose request reached no upstream.
 func (q *Quarantiner) ReturnTrial(key Key) {
 	found, ok := q.table.find(time.Now(), key)
@@ -62,13 +70,24 @@
 	q.trials[key] = found
 }
 
-// startRenewals returns the parts that were asked for since they were due.
-func (q *Quarantiner) startRenewals() []Quarantine {
+// startRenewals returns the parts for which this node asks the store now. Another node may have got the trial meanwhile.
+func (q *Quarantiner) startRenewals(now time.Time) []Quarantine {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	due := q.dueRenewals
-	q.dueRenewals = nil
+	var due []Quarantine
+
+	for key, at := range q.renewAt {
+		if now.Before(at) {
+			continue
+		}
+
+		delete(q.renewAt, key)
+
+		if held, ok := q.table.find(now, key); ok && held.remaining(now) <= 0 {
+			due = append(due, held)
+		}
+	}
 
 	return due
 }
@@ -84,8 +103,6 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	delete(q.renewing, due.Key)
-
 	if err != nil || !isRenewed {
 		// Another node lets a request through, or nobody may while the store is away.
 		q.options.Logger.Info().Err(err).Str("prompt_part", due.Part).Bool("renewed_elsewhere", err == nil).Msg("trial_not_granted")
