--- a/pkg/classifier/descriptions.go
+++ b/pkg/classifier/descriptions.go
@@ -34,7 +34,7 @@
 	{RetryBudgetSpent, "retry_budget_spent", http.StatusBadGateway, RanUnknown, "An upstream failed and the class's retry budget is spent.", "Come back after the time given."},
 	{SettingsUnavailable, "settings_unavailable", http.StatusServiceUnavailable, RanNo, "The node has no settings tree yet.", "Try another entry."},
 	{ClaimsFull, "claims_full", http.StatusServiceUnavailable, RanNo, "The store holds as many claims of requests that are not repeatable as it may.", "Come back after the time given."},
-	{RequestQuarantined, "request_quarantined", http.StatusServiceUnavailable, RanNo, "Upstreams crashed each time that they ran this request.", "Change the request; it runs no sooner than after the time given."},
+	{RequestQuarantined, "request_quarantined", http.StatusServiceUnavailable, RanNo, "Upstreams crashed each time that they ran this request, or a request with the prompt part that the reason names.", "Change the request, or leave out the part; it runs no sooner than after the time given."},
 	{UpstreamRateLimited, "upstream_rate_limited", http.StatusServiceUnavailable, RanNo, "All upstreams that could take the request name a rate limit, and it is used up.", "Come back after the time given."},
 	{StreamUnknown, "stream_unknown", http.StatusServiceUnavailable, RanNo, "No node knows which software version began the stream that the request resumes.", "Come back after the time given; if none is given, begin the stream anew."},
 	{StreamVersionGone, "stream_version_gone", http.StatusServiceUnavailable, RanNo, "No upstream runs the software version that began the stream that the request resumes.", "Come back after the time given; if none is given, begin the stream anew."},
