Quarantiner: a suspected part is found without a pass over all requests that broke off

IsSuspected is on the path of each repeatable request. With callers that name 64 parts of their own in each request it compared up to 16,384 parts for each of the request's, under the lock. Each crash keeps its parts by key now.

--- a/internal/quarantiner/failures.go
+++ b/internal/quarantiner/failures.go
@@ -34,6 +34,8 @@
 	// requests are those that broke off; the first of them, as many as reported, were sent to the coordinators.
 	requests []brokenRequest
 	reported int
+	// parts are the prompt parts that these requests named.
+	parts map[Key]bool
 	// checkedAt is the time of the last check; zero before the first.
 	checkedAt time.Time
 	// isUp is true if the upstream accepted a connection at that check.
@@ -69,17 +71,22 @@
 	if !known {
 		q.expire(now)
 
-		failure = &upstreamFailure{instance: instance, at: now, address: run.Address, service: run.Service}
+		failure = &upstreamFailure{instance: instance, at: now, address: run.Address, service: run.Service, parts: make(map[Key]bool)}
 		q.failures = append(q.failures, failure)
 	}
 
 	if failure.isUp {
 		// The upstream survived the earlier interruptions, so these are no crash.
-		failure.isUp, failure.at, failure.requests = false, now, nil
+		failure.isUp, failure.at, failure.requests, failure.parts = false, now, nil, make(map[Key]bool)
 	}
 
 	if len(failure.requests) < maxKeysPerCrash && !slices.ContainsFunc(failure.requests, func(r brokenRequest) bool { return r.Content == run.Content }) {
 		failure.requests = append(failure.requests, brokenRequest{Traits: run.Traits, sentAt: run.SentAt, answering: run.Answering})
+
+		for _, part := range run.Parts {
+			failure.parts[part.Key] = true
+		}
+
 		q.dropExcess()
 	}
 }
@@ -145,7 +152,7 @@
 		var first time.Time
 
 		for _, failure := range q.failures {
-			if !failure.isUp && failure.names(part.Key) {
+			if !failure.isUp && failure.parts[part.Key] {
 				count++
 
 				if first.IsZero() {
@@ -158,13 +165,6 @@
 	})
 }
 
-// names reports whether one of the requests that broke off named a prompt part.
-func (s *upstreamFailure) names(key Key) bool {
-	return slices.ContainsFunc(s.requests, func(r brokenRequest) bool {
-		return slices.ContainsFunc(r.Parts, func(p Part) bool { return p.Key == key })
-	})
-}
-
 // startDueChecks returns the failures whose upstreams are to be checked now, and records the time of the check.
 func (q *Quarantiner) startDueChecks(now time.Time) []*upstreamFailure {
 	q.mu.Lock()
