Quarantiner: an event of a stream doesn't visit the answers of all upstreams

Found in review. While answers that ended with their connections wait for a sign of life of their upstreams, each event of each stream passed over all of them, up to 2,048, under the quarantine's lock. They are kept by upstream and under a lock of their own now. What is taken, and when, stays as it was.

--- a/internal/quarantiner/benchmark_test.go
+++ b/internal/quarantiner/benchmark_test.go
@@ -31,3 +31,15 @@
 		})
 	}
 }
+
+// BenchmarkAlive measures what each event of a stream costs while answers of other upstreams aren't known to be complete yet.
+func BenchmarkAlive(b *testing.B) {
+	q := quarantiner.New(quarantiner.Options{Logger: zerolog.Nop()})
+	for i := range 2000 {
+		q.AnsweredUntilClose(quarantiner.Run{Upstream: fmt.Sprint("u", i%20)})
+	}
+
+	for b.Loop() {
+		q.Alive("other")
+	}
+}
--- a/internal/quarantiner/closed_answers.go
+++ b/internal/quarantiner/closed_answers.go
@@ -1,7 +1,10 @@
 package quarantiner
 
 import (
+	"maps"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,80 +26,123 @@
 	at time.Time
 }
 
-// AnsweredUntilClose records that an upstream answered a request successfully, and that nothing but the end of the connection told
-// that the answer was complete.
-func (q *Quarantiner) AnsweredUntilClose(run Run) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-
-	now := time.Now()
-	q.closedAnswers = slices.DeleteFunc(q.closedAnswers, func(a closedAnswer) bool { return now.Sub(a.at) > confirmWindow })
+// closedAnswers holds such answers by upstream. It is safe for concurrent use. Each event of a stream asks it, so it must not visit
+// the answers of other upstreams then.
+type closedAnswers struct {
+	// count is the number of answers; it is read without the lock.
+	count atomic.Int64
 
-	if len(q.closedAnswers) >= maxClosedAnswers {
-		q.closedAnswers = slices.Delete(q.closedAnswers, 0, 1)
-	}
+	mu sync.Mutex
+	// byUpstream holds the answers of each upstream that has some, oldest first.
+	byUpstream map[string][]closedAnswer
+}
 
-	q.closedAnswers = append(q.closedAnswers, closedAnswer{Run: run, at: now})
-	q.closedAnswerCount.Store(int64(len(q.closedAnswers)))
+func newClosedAnswers() *closedAnswers {
+	return &closedAnswers{byUpstream: make(map[string][]closedAnswer)}
 }
 
-// Alive records that an upstream sent something.
-func (q *Quarantiner) Alive(upstream string) {
-	if q.closedAnswerCount.Load() == 0 {
-		return
-	}
+func (c *closedAnswers) add(now time.Time, run Run) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 
-	now := time.Now()
+	for upstream := range c.byUpstream {
+		c.remove(upstream, func(a *closedAnswer) bool { return now.Sub(a.at) > confirmWindow })
+	}
 
-	for _, a := range q.takeClosedAnswers(func(a *closedAnswer) bool { return a.Upstream == upstream && now.Sub(a.at) >= aliveDelay }) {
-		q.Answered(a.Traits, a.Service)
+	if c.count.Load() >= maxClosedAnswers {
+		c.dropOldest()
 	}
+
+	c.byUpstream[run.Upstream] = append(c.byUpstream[run.Upstream], closedAnswer{Run: run, at: now})
+	c.count.Add(1)
 }
 
-// Unreachable records that an upstream took no connection: the answers that ended since it last sent something were broken off if
-// it crashed.
-func (q *Quarantiner) Unreachable(upstream string) {
-	if q.closedAnswerCount.Load() == 0 {
-		return
-	}
+// dropOldest drops the oldest answer; c.mu is held.
+func (c *closedAnswers) dropOldest() {
+	oldest := slices.MinFunc(slices.Collect(maps.Values(c.byUpstream)), func(a, b []closedAnswer) int { return a[0].at.Compare(b[0].at) })[0]
+	c.remove(oldest.Upstream, func(a *closedAnswer) bool { return a.at.Equal(oldest.at) })
+}
 
-	for _, a := range q.takeClosedAnswers(func(a *closedAnswer) bool { return a.Upstream == upstream }) {
-		q.Broke(a.Run)
+// take removes and returns the answers of an upstream that ended at the given time or before.
+func (c *closedAnswers) take(upstream string, until time.Time) []Run {
+	if c.count.Load() == 0 {
+		return nil
 	}
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.remove(upstream, func(a *closedAnswer) bool { return !a.at.After(until) })
 }
 
-// breakUnlisted records answers as broken off whose upstreams left the list. One that was draining left by plan.
-func (q *Quarantiner) breakUnlisted(former, listed Upstreams) {
-	if q.closedAnswerCount.Load() == 0 {
-		return
-	}
+// takeUnlisted removes and returns the answers of upstreams that aren't listed.
+func (c *closedAnswers) takeUnlisted(listed Upstreams) []Run {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 
-	unlisted := q.takeClosedAnswers(func(a *closedAnswer) bool { _, ok := listed.Upstream(a.Upstream); return !ok })
-	for _, a := range unlisted {
-		if before, ok := former.Upstream(a.Upstream); ok && before.Draining {
-			q.Answered(a.Traits, a.Service)
-		} else {
-			q.Broke(a.Run)
+	var taken []Run
+
+	for upstream := range c.byUpstream {
+		if _, ok := listed.Upstream(upstream); !ok {
+			taken = append(taken, c.remove(upstream, func(*closedAnswer) bool { return true })...)
 		}
 	}
-}
 
-// takeClosedAnswers removes and returns the answers that match.
-func (q *Quarantiner) takeClosedAnswers(matches func(*closedAnswer) bool) []closedAnswer {
-	q.mu.Lock()
-	defer q.mu.Unlock()
+	return taken
+}
 
-	var taken []closedAnswer
+// remove removes and returns the answers of an upstream that match; c.mu is held.
+func (c *closedAnswers) remove(upstream string, matches func(*closedAnswer) bool) []Run {
+	var removed []Run
 
-	q.closedAnswers = slices.DeleteFunc(q.closedAnswers, func(a closedAnswer) bool {
+	kept := slices.DeleteFunc(c.byUpstream[upstream], func(a closedAnswer) bool {
 		isMatch := matches(&a)
 		if isMatch {
-			taken = append(taken, a)
+			removed = append(removed, a.Run)
 		}
 
 		return isMatch
 	})
-	q.closedAnswerCount.Store(int64(len(q.closedAnswers)))
 
-	return taken
+	if len(kept) == 0 {
+		delete(c.byUpstream, upstream)
+	} else {
+		c.byUpstream[upstream] = kept
+	}
+
+	c.count.Add(-int64(len(removed)))
+
+	return removed
+}
+
+// AnsweredUntilClose records that an upstream answered a request successfully, and that nothing but the end of the connection told
+// that the answer was complete.
+func (q *Quarantiner) AnsweredUntilClose(run Run) {
+	q.closedAnswers.add(time.Now(), run)
+}
+
+// Alive records that an upstream sent something.
+func (q *Quarantiner) Alive(upstream string) {
+	for _, run := range q.closedAnswers.take(upstream, time.Now().Add(-aliveDelay)) {
+		q.Answered(run.Traits, run.Service)
+	}
+}
+
+// Unreachable records that an upstream took no connection: the answers that ended since it last sent something were broken off if
+// it crashed.
+func (q *Quarantiner) Unreachable(upstream string) {
+	for _, run := range q.closedAnswers.take(upstream, time.Now()) {
+		q.Broke(run)
+	}
+}
+
+// breakUnlisted records answers as broken off whose upstreams left the list. One that was draining left by plan.
+func (q *Quarantiner) breakUnlisted(former, listed Upstreams) {
+	for _, run := range q.closedAnswers.takeUnlisted(listed) {
+		if before, ok := former.Upstream(run.Upstream); ok && before.Draining {
+			q.Answered(run.Traits, run.Service)
+		} else {
+			q.Broke(run)
+		}
+	}
 }
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -125,7 +124,8 @@
 // if it has not. If the suspect was not answered, it is quarantined: all nodes are told, and it is written to the platform's
 // store, from which nodes that start later read it. A part in quarantine is tried again some time later, see trials.go.
 //
-// Lock order: Quarantiner.mu, then the detector's, then the table's. No lock is held during calls.
+// Lock order: Quarantiner.mu, then the detector's, then the table's; that of closedAnswers is held alone. No lock is held during
+// calls.
 type Quarantiner struct {
 	options     Options
 	table       *table
@@ -133,9 +133,8 @@
 	answeredLog *answeredLog
 	// answeredParts are the prompt parts that were answered.
 	answeredParts *answeredParts
-
-	// closedAnswerCount is the number of closedAnswers; it is read without the lock.
-	closedAnswerCount atomic.Int64
+	// closedAnswers are answers of which nothing tells yet whether they were complete.
+	closedAnswers *closedAnswers
 	// crashed receives a value when this node finds that an upstream crashed.
 	crashed chan struct{}
 
@@ -143,8 +142,6 @@
 	counters Counters
 	// listed are the listed upstreams.
 	listed Upstreams
-	// closedAnswers are answers of which nothing tells yet whether they were complete, oldest first.
-	closedAnswers []closedAnswer
 	// failures are the upstreams on which this node's own requests broke off, oldest first.
 	failures []*upstreamFailure
 	// candidates are the nodes among which the coordinators are chosen.
@@ -170,6 +167,7 @@
 		detector:      &detector{},
 		answeredLog:   &answeredLog{},
 		answeredParts: newAnsweredParts(),
+		closedAnswers: newClosedAnswers(),
 		crashed:       make(chan struct{}, 1),
 		listed:        upstreamsByID{},
 		trials:        make(map[Key]Quarantine),
