Quarantiner, relayer: one piece of code where two were nearly alike

Found in review, behaviour as it was. Suspects are collected, explained and compared by one pass over a crash's requests and parts, in place of one for each. A quarantine is lifted by one method, whoever saw the answer; its line names the source and the crashes in both cases now. The log takes the parts that the quarantine made of the header, in place of cutting them again. A request keeps its trial apart from the latest verdict, which it had to be copied into.

--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -14,6 +14,7 @@
 	"quincepath.example/quincepath/internal/gateway/balancer"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/dialer"
+	"quincepath.example/quincepath/internal/quarantiner"
 )
 
 // attemptResult is what is known about the request after an attempt.
@@ -296,7 +297,7 @@
 	r.options.Logger.Info().
 		Str("request_id", request.id).
 		Stringer("request_key", request.traits.Content).
-		Strs("prompt_parts", sharedPartIDs(request.poolRequest.PromptParts)).
+		Strs("prompt_parts", loggedPartIDs(request.traits.Parts)).
 		Str("route", request.route.Name).
 		Str("upstream", choice.Upstream).
 		Str("software_version", r.softwareVersion(choice.Upstream)).
@@ -309,19 +310,15 @@
 		Msg("attempt_failed")
 }
 
-// maxLoggedParts and maxLoggedPartBytes limit the prompt parts in a log line: callers choose their number and IDs.
-const (
-	maxLoggedParts     = 8
-	maxLoggedPartBytes = 64
-)
+// maxLoggedParts limits the prompt parts in a log line: callers choose their number.
+const maxLoggedParts = 8
 
-// sharedPartIDs returns the IDs of the prompt parts that other requests may share, at most maxLoggedParts: all but the last, which
-// is the request's own.
-func sharedPartIDs(parts []balancer.PromptPart) []string {
+// loggedPartIDs returns the IDs of the first of the prompt parts.
+func loggedPartIDs(parts []quarantiner.Part) []string {
 	var ids []string
 
-	for i := 0; i < len(parts)-1 && i < maxLoggedParts; i++ {
-		ids = append(ids, parts[i].ID[:min(len(parts[i].ID), maxLoggedPartBytes)])
+	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, part.ID)
 	}
 
 	return ids
--- a/internal/gateway/relayer/prompt_parts_test.go
+++ b/internal/gateway/relayer/prompt_parts_test.go
@@ -1,25 +1,34 @@
 package relayer
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
-	"quincepath.example/quincepath/internal/gateway/balancer"
+	"quincepath.example/quincepath/internal/quarantiner"
 )
 
 // Guards against logs that don't tell which parts of their prompts the requests that broke off had in common, and against
 // callers that fill the log with parts.
 func TestLoggedPartsAreTheSharedOnes(t *testing.T) {
-	assert.Equal(t, len(sharedPartIDs(nil)), 0)
-	assert.Equal(t, len(sharedPartIDs([]balancer.PromptPart{{ID: "own"}})), 0)
-	assert.DeepEqual(t, sharedPartIDs([]balancer.PromptPart{{ID: "a"}, {ID: "b"}, {ID: "own"}}), []string{"a", "b"})
+	const maxLoggedPartBytes = 64
 
-	many := make([]balancer.PromptPart, 300)
-	many[0].ID = strings.Repeat("f", 1000)
+	loggedOf := func(ids ...string) []string { return loggedPartIDs(quarantiner.NewParts("", ids)) }
 
-	logged := sharedPartIDs(many)
+	assert.Equal(t, len(loggedOf()), 0)
+	assert.Equal(t, len(loggedOf("own")), 0)
+	assert.DeepEqual(t, loggedOf("a", "b", "own"), []string{"a", "b"})
+
+	many := make([]string, 300)
+	for i := range many {
+		many[i] = fmt.Sprint(i)
+	}
+
+	many[0] = strings.Repeat("f", 1000)
+
+	logged := loggedOf(many...)
 	assert.Equal(t, len(logged), maxLoggedParts)
 	assert.Equal(t, len(logged[0]), maxLoggedPartBytes)
 }
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -384,10 +384,9 @@
 // and holds on all nodes: callers send such requests with other IDs to any node, and each run crashes an upstream with all
 // requests running there.
 func (r *Relayer) isQuarantined(request *request) bool {
-	verdict, mayRun := r.options.Quarantine.Check(request.traits, request.verdict.Trial)
-	if verdict.Trial == (quarantiner.Key{}) {
-		// A trial that is quarantined for another reason is still to be returned.
-		verdict.Trial = request.verdict.Trial
+	verdict, mayRun := r.options.Quarantine.Check(request.traits, request.trial)
+	if mayRun {
+		request.trial = verdict.Trial
 	}
 
 	request.verdict, request.quarantined = verdict, !mayRun
@@ -397,14 +396,14 @@
 
 // returnTrial gives back the trial of a request that no upstream ran.
 func (r *Relayer) returnTrial(request *request) {
-	if request.verdict.Trial != (quarantiner.Key{}) && request.runs == 0 {
-		r.options.Quarantine.ReturnTrial(request.verdict.Trial)
+	if request.isTrial() && request.runs == 0 {
+		r.options.Quarantine.ReturnTrial(request.trial)
 	}
 }
 
 // mayCrashUpstreams reports whether the request is better not sent to another upstream after one failed.
 func (r *Relayer) mayCrashUpstreams(request *request) bool {
-	return request.verdict.Trial != (quarantiner.Key{}) || r.options.Quarantine.IsSuspected(request.traits.Parts, request.brokeAt)
+	return request.isTrial() || r.options.Quarantine.IsSuspected(request.traits.Parts, request.brokeAt)
 }
 
 // jitteredRetryAfter returns longRetryAfter plus random jitter.
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -66,6 +66,8 @@
 	// verdict is that of the quarantine; quarantined is true if the request must not run.
 	verdict     quarantiner.Verdict
 	quarantined bool
+	// trial is the key of the prompt part of which the request is the trial; the zero Key if it is none.
+	trial quarantiner.Key
 	// uniqueID distinguishes requests to which callers gave the same ID.
 	uniqueID string
 	// sends counts attempts, runs the attempts that an upstream may have run.
@@ -102,6 +104,11 @@
 	origin atomic.Pointer[pinner.Origin]
 }
 
+// isTrial reports whether the request runs to find out whether a prompt part still crashes upstreams.
+func (r *request) isTrial() bool {
+	return r.trial != quarantiner.Key{}
+}
+
 // run describes the current attempt to the quarantine.
 func (r *request) run(choice balancer.Choice, answering bool) quarantiner.Run {
 	return quarantiner.Run{
--- a/internal/quarantiner/detector.go
+++ b/internal/quarantiner/detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"sync"
 	"time"
@@ -94,6 +95,33 @@
 	return len(c.explainedBy) > 0
 }
 
+// traits iterates over the requests and parts that ran in the crash.
+func (c *crash) traits() iter.Seq[Key] {
+	return func(yield func(Key) bool) {
+		for key := range c.keys {
+			if !yield(key) {
+				return
+			}
+		}
+
+		for key := range c.parts {
+			if !yield(key) {
+				return
+			}
+		}
+	}
+}
+
+// ranBeside reports whether another request or part ran in the crash beside a suspect. If the suspect is a request, parts that only
+// it named don't count.
+func (c *crash) ranBeside(other, suspect Key) bool {
+	if run, ok := c.parts[other]; ok {
+		return run.request != suspect
+	}
+
+	return c.ran(other)
+}
+
 // ran reports whether a request, or one that names the part, ran in the crash.
 func (c *crash) ran(key Key) bool {
 	_, isRequest := c.keys[key]
@@ -148,13 +176,7 @@
 		d.addPart(now, c, part)
 	}
 
-	for key := range c.keys {
-		if quarantined(key) {
-			c.explain(key)
-		}
-	}
-
-	for key := range c.parts {
+	for key := range c.traits() {
 		if quarantined(key) {
 			c.explain(key)
 		}
--- a/internal/quarantiner/suspects.go
+++ b/internal/quarantiner/suspects.go
@@ -72,36 +72,34 @@
 
 	d.expire(now)
 
-	// requests and parts hold the unexplained crashes of each.
-	requests, parts := make(map[Key][]*crash), make(map[Key][]*crash)
+	// ran holds the unexplained crashes of each request and part.
+	ran := make(map[Key][]*crash)
 
 	for _, c := range d.crashes {
 		if c.isExplained() || now.Sub(c.firstReportedAt) < settleDelay {
 			continue
 		}
 
-		for key := range c.keys {
-			requests[key] = append(requests[key], c)
-		}
-
-		for key := range c.parts {
-			parts[key] = append(parts[key], c)
+		for key := range c.traits() {
+			ran[key] = append(ran[key], c)
 		}
 	}
 
 	var found []suspect
 
-	for key, crashes := range requests {
-		if len(crashes) >= minCrashes {
-			found = append(found, requestSuspect(key, crashes))
+	for key, crashes := range ran {
+		_, isPart := crashes[0].parts[key]
+		if isPart {
+			crashes = d.withCredited(key, crashes)
 		}
-	}
 
-	for key, crashes := range parts {
-		crashes = d.withCredited(key, crashes)
-		// With fewer crashes than minPartCrashes it is asked for too, as it may shield the request that is the cause.
-		if len(crashes) >= minCrashes {
+		// A part with fewer crashes than minPartCrashes is asked for too, as it may shield the request that is the cause.
+		switch {
+		case len(crashes) < minCrashes:
+		case isPart:
 			found = append(found, partSuspect(key, crashes))
+		default:
+			found = append(found, requestSuspect(key, crashes))
 		}
 	}
 
@@ -135,7 +133,7 @@
 	}
 
 	isProven := 2*s.answering <= len(crashes) || len(crashes) >= minAnsweringCrashes
-	s.confirmed = len(crashes) >= minAmbiguousCrashes || isProven && !hasRivalRequest(key, crashes) && !hasRivalPart(key, crashes)
+	s.confirmed = len(crashes) >= minAmbiguousCrashes || isProven && !hasRival(key, crashes)
 
 	return s
 }
@@ -153,7 +151,7 @@
 	s.successive = countSuccessive(key, crashes)
 	isProven := len(crashes) >= minPartCrashes && s.successive >= minSuccessiveCrashes && len(addresses) >= minCrashedAddresses &&
 		!isOfOneRequest(key, crashes)
-	s.confirmed = isProven && (len(crashes) >= minAmbiguousCrashes || !hasRivalRequest(key, crashes) && !hasRivalPart(key, crashes))
+	s.confirmed = isProven && (len(crashes) >= minAmbiguousCrashes || !hasRival(key, crashes))
 
 	return s
 }
@@ -210,30 +208,10 @@
 	return request != Key{} && !slices.ContainsFunc(crashes, func(c *crash) bool { return c.parts[key].request != request })
 }
 
-// hasRivalRequest reports whether another request ran in all of the crashes too.
-func hasRivalRequest(key Key, crashes []*crash) bool {
-	for other := range crashes[0].keys {
-		if other == key {
-			continue
-		}
-
-		if !slices.ContainsFunc(crashes, func(c *crash) bool { _, ran := c.keys[other]; return !ran }) {
-			return true
-		}
-	}
-
-	return false
-}
-
-// hasRivalPart reports whether another part ran in all of the crashes too. If the suspect is a request, parts that only it named
-// don't count.
-func hasRivalPart(key Key, crashes []*crash) bool {
-	for other := range crashes[0].parts {
-		if other == key {
-			continue
-		}
-
-		if !slices.ContainsFunc(crashes, func(c *crash) bool { run, ran := c.parts[other]; return !ran || run.request == key }) {
+// hasRival reports whether another request or part ran in all of the crashes too.
+func hasRival(key Key, crashes []*crash) bool {
+	for other := range crashes[0].traits() {
+		if other != key && !slices.ContainsFunc(crashes, func(c *crash) bool { return !c.ranBeside(other, key) }) {
 			return true
 		}
 	}
--- a/internal/quarantiner/trials.go
+++ b/internal/quarantiner/trials.go
@@ -148,15 +148,10 @@
 
 // startRelease lifts the quarantine of a part which an upstream answered, at this node at once.
 func (q *Quarantiner) startRelease(wrong Quarantine) {
-	if !q.table.release(time.Now(), wrong) {
+	if !q.lift(wrong, q.options.Self) {
 		return
 	}
 
-	q.detector.unexplain(wrong.Key)
-	q.detector.clear(wrong.Key)
-	q.options.Logger.Info().Str("prompt_part", wrong.Part).Int("crashes", wrong.Crashes).Int("trials", wrong.Trials).
-		Msg("quarantine_released")
-
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
@@ -164,6 +159,20 @@
 	q.releases = append(q.releases, wrong)
 }
 
+// lift lifts a quarantine at this node, as the node in source saw an answer. It returns false if it wasn't in force.
+func (q *Quarantiner) lift(wrong Quarantine, source string) bool {
+	if !q.table.release(time.Now(), wrong) {
+		return false
+	}
+
+	q.detector.unexplain(wrong.Key)
+	q.detector.clear(wrong.Key)
+	q.options.Logger.Info().Str("prompt_part", wrong.Part).Int("crashes", wrong.Crashes).Int("trials", wrong.Trials).
+		Str("source", source).Msg("quarantine_released")
+
+	return true
+}
+
 // startReleases returns the quarantines that the other nodes and the store are to lift, and marks the release as running.
 func (q *Quarantiner) startReleases() []Quarantine {
 	q.mu.Lock()
@@ -216,11 +225,7 @@
 	}
 
 	for _, released := range told.Entries {
-		if q.table.release(time.Now(), released) {
-			q.detector.unexplain(released.Key)
-			q.detector.clear(released.Key)
-			q.options.Logger.Info().Str("prompt_part", released.Part).Str("source", from).Msg("quarantine_released")
-		}
+		q.lift(released, from)
 	}
 
 	return struct{}{}, nil
