Tests: the fleets of two tests of the gateway are started and restarted by one type

Found in review: the tests of software versions and of prompt parts started, awaited, stopped and restarted their nodes by the same lines. Assertions, bounds and seeds are untouched; both tests pass, ten cases.

--- a/internal/gateway/crashing_part_test.go
+++ b/internal/gateway/crashing_part_test.go
@@ -109,9 +109,9 @@
 
 // partFleetTest is three nodes before upstreams that crash under requests with the deadly part.
 type partFleetTest struct {
-	t     *testing.T
+	*restartableFleet
+
 	store *partStore
-	nodes []*restartableNode
 	point crashPoint
 
 	nextID atomic.Int64
@@ -132,41 +132,19 @@
 func newPartFleet(t *testing.T, fleet int, kind cataloguer.Kind, point crashPoint) *partFleetTest {
 	t.Helper()
 
-	f := &partFleetTest{t: t, store: &partStore{crashStore: crashStore{store: store{revision: 1}}, kind: kind}, point: point}
-
-	for i := range partNodes {
-		f.nodes = append(f.nodes, &restartableNode{t: t, store: f.store, settings: cutNodeSettings(fleet, i, partNodes)})
-	}
+	f := &partFleetTest{store: &partStore{crashStore: crashStore{store: store{revision: 1}}, kind: kind}, point: point}
+	f.restartableFleet = newRestartableFleet(t, f.store, fleet, partNodes)
+	f.isServing = func(n *restartableNode) bool { return f.send(n, "b0") }
 
 	for range partUpstreams {
 		f.addUpstream()
 	}
 
-	for _, n := range f.nodes {
-		n.start()
-	}
-
-	t.Cleanup(func() {
-		var stops sync.WaitGroup
-		defer stops.Wait()
-
-		for _, n := range f.nodes {
-			stops.Go(n.stop)
-		}
-	})
-
-	for _, n := range f.nodes {
-		f.waitUntilServing(n)
-		waitUntil(t, func() bool { return liveNodes(n) == partNodes })
-	}
+	f.startNodes()
 
 	return f
 }
 
-func (f *partFleetTest) waitUntilServing(n *restartableNode) {
-	waitUntil(f.t, func() bool { return f.send(n, "b0") })
-}
-
 // addUpstream starts an upstream and lists it.
 func (f *partFleetTest) addUpstream() {
 	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -425,19 +403,6 @@
 		"of the sound requests %d of %d began before, and %d of %d after", begunBefore, sentBefore, begunAfter, sentAfter)
 }
 
-// restartInTurn restarts one node after the other.
-func (f *partFleetTest) restartInTurn(ctx context.Context) {
-	for _, n := range f.nodes {
-		if ctx.Err() != nil {
-			return
-		}
-
-		n.stop()
-		n.start()
-		f.waitUntilServing(n)
-	}
-}
-
 // takeStoreAway makes all calls to the store fail.
 func (f *partFleetTest) takeStoreAway(context.Context) {
 	f.store.away.Store(true)
--- a/internal/gateway/stream_versions_test.go
+++ b/internal/gateway/stream_versions_test.go
@@ -92,9 +92,9 @@
 
 // versionFleetTest is three nodes before upstreams of three software versions.
 type versionFleetTest struct {
-	t           *testing.T
+	*restartableFleet
+
 	store       *versionStore
-	nodes       []*restartableNode
 	disconnects bool
 	breakShare  float64
 
@@ -115,12 +115,14 @@
 	t.Helper()
 
 	f := &versionFleetTest{
-		t: t, store: &versionStore{crashStore{store: store{revision: 1}}}, mu: new(sync.Mutex),
+		store: &versionStore{crashStore{store: store{revision: 1}}}, mu: new(sync.Mutex),
 		random: rand.New(rand.NewPCG(seed, 51)), upstream: make(map[string]*httptest.Server),
 	}
+	f.restartableFleet = newRestartableFleet(t, f.store, fleet, versionNodes)
+	f.isServing = func(n *restartableNode) bool {
+		events, _ := f.try(n, versionAttempt{id: fmt.Sprint("probe-", time.Now().UnixNano())}, 1)
 
-	for i := range versionNodes {
-		f.nodes = append(f.nodes, &restartableNode{t: t, store: f.store, settings: cutNodeSettings(fleet, i, versionNodes)})
+		return len(events) > 0
 	}
 
 	return f
@@ -166,23 +168,7 @@
 		}
 	}
 
-	for _, n := range f.nodes {
-		n.start()
-	}
-
-	f.t.Cleanup(func() {
-		var stops sync.WaitGroup
-		defer stops.Wait()
-
-		for _, n := range f.nodes {
-			stops.Go(n.stop)
-		}
-	})
-
-	for _, n := range f.nodes {
-		f.waitUntilServing(n)
-		waitUntil(f.t, func() bool { return liveNodes(n) == versionNodes })
-	}
+	f.startNodes()
 }
 
 // liveNodes returns how many live nodes a node knows of.
@@ -202,14 +188,6 @@
 	return metrics.Beliefs.Live
 }
 
-func (f *versionFleetTest) waitUntilServing(n *restartableNode) {
-	waitUntil(f.t, func() bool {
-		events, _ := f.try(n, versionAttempt{id: fmt.Sprint("probe-", time.Now().UnixNano())}, 1)
-
-		return len(events) > 0
-	})
-}
-
 // versionAttempt is one attempt of a caller.
 type versionAttempt struct {
 	id string
@@ -410,19 +388,6 @@
 		f.streams, f.mixed, f.mixedInAnswer, f.broken, f.resumed, f.tries)
 }
 
-// restartInTurn restarts one node after the other.
-func (f *versionFleetTest) restartInTurn(ctx context.Context) {
-	for _, n := range f.nodes {
-		if ctx.Err() != nil {
-			return
-		}
-
-		n.stop()
-		n.start()
-		f.waitUntilServing(n)
-	}
-}
-
 // replaceAll replaces all upstreams by ones of a fourth version, one by one.
 func (f *versionFleetTest) replaceAll(context.Context) {
 	for range 3 * upstreamsPerVersion {
