--- a/internal/gateway/follower/versions_test.go
+++ b/internal/gateway/follower/versions_test.go
@@ -115,8 +115,7 @@
 			assert.Equal(t, f.knowing("c"), count)
 
 			// The node that read it is gone; others must not take what it gave them for the whole list.
-			delete(f.members, f.lastReader)
-			f.update(func() { f.versionsRejected = false })
+			f.update(func() { delete(f.members, f.lastReader); f.versionsRejected = false })
 			time.Sleep(spreadTime)
 
 			assert.Equal(t, f.knowing("b"), len(f.members))
