--- a/internal/gateway/follower/store_reading.go
+++ b/internal/gateway/follower/store_reading.go
@@ -162,6 +162,8 @@
 	}
 
 	if revision < f.storeRegistry.Revision {
+		f.options.Logger.Warn().Int64("revision_before", f.storeRegistry.Revision).Int64("revision", revision).Msg("store_went_back")
+
 		return ErrHistoryCompacted
 	}
 
