--- a/internal/storer/types.go
+++ b/internal/storer/types.go
@@ -20,6 +20,8 @@
 	Version int64
 	// Lease is the ID of the lease that the key is attached to and deleted with; 0 means none.
 	Lease int64
+	// Era is the era of the store in which the key was read; 0 if the store names none.
+	Era int64
 }
 
 // Target is the field of a key that a Compare checks. The values are those of the etcd API's JSON mapping.
@@ -82,6 +84,8 @@
 // Txn is applied atomically in one revision: the operations of Success if all compares are true, else those of Failure.
 // No key may be written twice in one branch.
 type Txn struct {
+	// Era is the era in which the revisions of Compares were read. In any other era none of the compares is true.
+	Era      int64
 	Compares []Compare
 	Success  []Op
 	Failure  []Op
