Fencer: numbers rise and terms don't overlap where the store returned from a copy

Callers of the platform could have seen one fencing number from two holders: a store that returns from an older copy has lost the latest numbers and leases, so the next holder took a number that had been used, beside a holder whose lease was lost. Numbers of a later era are now higher than all of earlier ones, and a node that sees a new era waits for the length of a lease before it takes the term. Without eras nothing changes.

--- a/internal/fencer/fencer.go
+++ b/internal/fencer/fencer.go
@@ -54,6 +54,10 @@
 	attempts int
 	// lastAttempt identifies the last attempt that succeeded.
 	lastAttempt string
+	// era is the era of the store as this process last read it, seen first at eraSince. sawReturn says that it saw another one before.
+	era       int64
+	eraSince  time.Duration
+	sawReturn bool
 }
 
 // New returns a Fencer. It makes no calls to the store.
@@ -72,8 +76,14 @@
 	// Attempt identifies the attempt that claimed the number.
 	Attempt string `json:"take"`
 	LeaseMS int64  `json:"lease_ms"`
+	// Era is the era of the store in which the number was claimed.
+	Era int64 `json:"era,omitempty"`
 }
 
+// numbersPerEra is the distance between the first numbers of two eras of the store. A store that returns from an older copy has lost the
+// latest numbers, and all that it grants from then on must be higher than those.
+const numbersPerEra = 1 << 32
+
 // NumberKey returns the key of the last number that was claimed.
 func NumberKey(prefix string) string {
 	return prefix + "number"
@@ -85,13 +95,17 @@
 }
 
 // Acquire starts a term with a lease of the given length and a number above floor. It returns ErrLeaseHeld while another
-// holder has an unexpired lease.
+// holder has an unexpired lease, or may have one that the store has lost.
 func (f *Fencer) Acquire(ctx context.Context, length time.Duration, floor int64) (*Term, error) {
 	stored, previous, err := f.readNumber(ctx)
 	if err != nil {
 		return nil, err
 	}
 
+	if f.mayBeHeld(previous, length) {
+		return nil, ErrLeaseHeld
+	}
+
 	sentAt := f.options.Now()
 
 	lease, err := f.grant(ctx, length)
@@ -102,7 +116,8 @@
 	f.attempts++
 
 	next := leaseRecord{
-		Number:  max(previous.Number, floor) + 1,
+		Number:  max(previous.Number, floor, stored.Era*numbersPerEra) + 1,
+		Era:     stored.Era,
 		Attempt: fmt.Sprintf("%s.%s.%d", f.options.Node, f.options.Incarnation, f.attempts),
 		LeaseMS: length.Milliseconds(),
 	}
@@ -131,6 +146,23 @@
 	return t, nil
 }
 
+// observeEra records the era in which the store was read.
+func (f *Fencer) observeEra(era int64) {
+	if era != f.era {
+		f.sawReturn = f.era > 0
+		f.era, f.eraSince = era, f.options.Now()
+	}
+}
+
+// mayBeHeld reports whether another holder may have a lease that the store lost when it returned from an older copy. Such a lease ends
+// at most its length after this process first saw the new era. length is that of leases if the previous one isn't known.
+func (f *Fencer) mayBeHeld(previous leaseRecord, length time.Duration) bool {
+	wasHeld := f.sawReturn || previous.Number > 0
+	longest := max(length, time.Duration(previous.LeaseMS)*time.Millisecond)
+
+	return f.era > 0 && previous.Era != f.era && wasHeld && f.options.Now()-f.eraSince < longest
+}
+
 // readNumber returns the stored fencing number, or ErrLeaseHeld.
 func (f *Fencer) readNumber(ctx context.Context) (storer.KeyValue, leaseRecord, error) {
 	var previous leaseRecord
@@ -140,6 +172,8 @@
 		return held, previous, err
 	}
 
+	f.observeEra(held.Era)
+
 	if held.Version > 0 {
 		return held, previous, ErrLeaseHeld
 	}
@@ -163,6 +197,7 @@
 	defer cancel()
 
 	result, err := f.options.Store.Txn(callCtx, storer.Txn{
+		Era: stored.Era,
 		Compares: []storer.Compare{
 			{Key: number, Target: storer.TargetMod, Number: stored.ModRevision},
 			{Key: lease, Target: storer.TargetCreate, Number: 0},
