Collector, tallier: usage survives a store that lost the account

Where the store returned from an older copy, requests that the lost account had included were counted by nobody, as nodes drop their batches once these are stored. Nodes keep stored batches for twenty seconds and hand them out again to a collector that knows less; a collector that had stored an account writes it again if the store's is behind it, so that windows which it had closed keep their counts.

--- a/internal/gateway/collector/account.go
+++ b/internal/gateway/collector/account.go
@@ -61,6 +61,21 @@
 	return copied
 }
 
+// isAheadOf reports whether the account holds more than other, an earlier state of it or a later one.
+func (a *account) isAheadOf(other *account) bool {
+	if a.NextWindow != other.NextWindow {
+		return a.NextWindow > other.NextWindow
+	}
+
+	for name, known := range a.Incarnations {
+		if known.Sequence > other.Incarnations[name].Sequence {
+			return true
+		}
+	}
+
+	return false
+}
+
 // addBatches adds the batches of a node that weren't added before.
 func (a *account) addBatches(node string, result tallier.CollectResult) {
 	known := a.Incarnations[result.Incarnation]
--- a/internal/gateway/collector/collector.go
+++ b/internal/gateway/collector/collector.go
@@ -60,9 +60,11 @@
 	// stored is the account in the store at revision; current also includes what was collected since.
 	stored, current account
 	revision        int64
-	loaded          bool
-	dirty           bool
-	clocks          map[string]clockReading
+	// era is the era of the store in which the account was read or written.
+	era    int64
+	loaded bool
+	dirty  bool
+	clocks map[string]clockReading
 	// offset is the true time since the Unix epoch minus the time of Now; valid if hasOffset is true.
 	offset    time.Duration
 	hasOffset bool
@@ -89,7 +91,8 @@
 	}
 }
 
-// Load reads the account. Nodes repeat what was collected but not saved.
+// Load reads the account. Nodes repeat what was collected but not saved. If the store returned from an older copy and nobody has written
+// the account since, the one that this node stored before is written again.
 func (c *Collector) Load(ctx context.Context) error {
 	found, _, err := c.options.Store.Get(ctx, accountKey)
 	if err != nil {
@@ -107,8 +110,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.stored, c.current, c.revision = decoded, decoded.clone(), found.ModRevision
-	c.loaded, c.dirty = true, false
+	hasLost := found.Era > c.era && c.stored.isAheadOf(&decoded)
+
+	current := decoded.clone()
+	if hasLost {
+		current = c.stored.clone()
+	}
+
+	c.stored, c.current, c.revision, c.era = decoded, current, found.ModRevision, found.Era
+	c.loaded, c.dirty = true, hasLost
 
 	now := c.options.Now()
 
@@ -237,7 +247,7 @@
 func (c *Collector) Save(ctx context.Context) error {
 	c.mu.Lock()
 	c.pruneLocked()
-	saved, revision, dirty := c.current.clone(), c.revision, c.dirty && c.loaded
+	saved, revision, era, dirty := c.current.clone(), c.revision, c.era, c.dirty && c.loaded
 	c.dirty = false
 	c.mu.Unlock()
 
@@ -245,7 +255,7 @@
 		return nil
 	}
 
-	err := c.write(ctx, saved, revision)
+	err := c.write(ctx, saved, revision, era)
 	if err != nil {
 		c.mu.Lock()
 		c.loaded = false
@@ -255,13 +265,14 @@
 	return err
 }
 
-func (c *Collector) write(ctx context.Context, saved account, revision int64) error {
+func (c *Collector) write(ctx context.Context, saved account, revision, era int64) error {
 	value, err := json.Marshal(saved)
 	if err != nil {
 		return errors.Wrap(err, "encode the usage account")
 	}
 
 	result, err := c.options.Store.Txn(ctx, storer.Txn{
+		Era:      era,
 		Compares: []storer.Compare{{Key: accountKey, Target: storer.TargetMod, Number: revision}},
 		Success:  []storer.Op{{Kind: storer.OpPut, Key: accountKey, Value: value}},
 	})
--- a/internal/gateway/tallier/tallier.go
+++ b/internal/gateway/tallier/tallier.go
@@ -20,6 +20,9 @@
 	MethodCollect = "usage.collect"
 	// maxWindows is the maximum number of windows in a batch; the oldest are dropped.
 	maxWindows = 12
+	// storedRetention is how long batches are kept after they were stored. A store that returns from a copy some seconds old has lost
+	// the account that includes them.
+	storedRetention = 20 * time.Second
 	// maxBatches is the maximum number of batches that are kept until they are stored.
 	maxBatches = 120
 )
@@ -87,6 +90,16 @@
 	unbatched Counts
 	batches   []Batch
 	sequence  int64
+	// stored holds the batches that were stored a short while ago, storedSequence is the sequence number of the last one ever.
+	stored         []storedBatch
+	storedSequence int64
+}
+
+// storedBatch is a batch that a collector said to be stored, at the given time.
+type storedBatch struct {
+	Batch
+
+	at time.Duration
 }
 
 // New returns a Tallier without counts.
@@ -133,7 +146,7 @@
 	}
 
 	if params.Incarnation == t.options.Incarnation {
-		t.batches = slices.DeleteFunc(t.batches, func(b Batch) bool { return b.Sequence <= params.StoredSequence })
+		t.updateStoredLocked(params.StoredSequence)
 	}
 
 	if len(t.unbatched) > 0 && len(t.batches) < maxBatches {
@@ -149,6 +162,38 @@
 	}
 }
 
+// updateStoredLocked takes over which batches are stored. A number below an earlier one means that the store has lost the account
+// that included the batches in between. t.mu must be held.
+func (t *Tallier) updateStoredLocked(sequence int64) {
+	now := t.options.Now()
+	t.stored = slices.DeleteFunc(t.stored, func(b storedBatch) bool { return now-b.at > storedRetention })
+
+	if sequence < t.storedSequence {
+		var lost []Batch
+
+		for _, b := range t.stored {
+			if b.Sequence > sequence {
+				lost = append(lost, b.Batch)
+			}
+		}
+
+		t.batches = slices.Concat(lost, t.batches)
+		t.stored = slices.DeleteFunc(t.stored, func(b storedBatch) bool { return b.Sequence > sequence })
+	}
+
+	t.storedSequence = sequence
+
+	t.batches = slices.DeleteFunc(t.batches, func(b Batch) bool {
+		if b.Sequence > sequence {
+			return false
+		}
+
+		t.stored = append(t.stored, storedBatch{Batch: b, at: now})
+
+		return true
+	})
+}
+
 // HandleCollect handles MethodCollect for a peer.
 func (t *Tallier) HandleCollect(_ context.Context, _ string, params json.RawMessage) (any, error) {
 	var request CollectParams
