Quarantiner: a quarantine that the store lost is kept and stored again

A store that returned from an older copy lists no longer, or as of before its last trial, what was quarantined since; nodes took that for operators who lift it, and the request went on to crash upstreams. In a later era of the store nodes keep what they know, and the coordinators write it again within a second; what was lifted and is listed again is removed. The three tests fail without the change.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -239,9 +239,9 @@
 	}
 }
 
-// Update replaces the listed upstreams and the quarantines that the store holds.
-func (q *Quarantiner) Update(listed Upstreams, quarantined []Quarantine) {
-	for _, added := range q.table.replace(quarantined) {
+// Update replaces the listed upstreams and the quarantines that the store holds in an era.
+func (q *Quarantiner) Update(listed Upstreams, quarantined []Quarantine, era int64) {
+	for _, added := range q.table.replace(quarantined, era) {
 		q.onQuarantined(added, "store")
 	}
 
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -21,7 +21,9 @@
 
 // fleet is several nodes in one process, with the upstreams that they know and a store.
 type fleet struct {
-	t *testing.T
+	// era is the store's.
+	era int64
+	t   *testing.T
 
 	mu    sync.Mutex
 	nodes map[string]*node
@@ -302,7 +304,7 @@
 	f.mu.Unlock()
 
 	for _, n := range nodes {
-		n.Update(quarantiner.List(upstreams), stored)
+		n.Update(quarantiner.List(upstreams), stored, f.era)
 	}
 }
 
@@ -517,7 +519,7 @@
 				{Instance: quarantiner.Instance{Upstream: "a"}, Draining: true},
 				{Instance: quarantiner.Instance{Upstream: "b"}, Draining: true},
 				{Instance: quarantiner.Instance{Upstream: "c"}, Draining: true},
-			}), nil)
+			}), nil, 0)
 		}
 
 		time.Sleep(20 * time.Second)
--- /dev/null
+++ b/internal/quarantiner/store_return_test.go
@@ -0,0 +1,106 @@
+package quarantiner_test
+
+import (
+	"maps"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/quarantiner"
+)
+
+// returnFromCopy makes the store hold what it held before, in the next era.
+func (f *fleet) returnFromCopy(stored map[quarantiner.Key]quarantiner.Quarantine) {
+	f.mu.Lock()
+	f.stored = maps.Clone(stored)
+	f.era++
+	f.mu.Unlock()
+	f.list()
+}
+
+func (f *fleet) copyOfStore() map[quarantiner.Key]quarantiner.Quarantine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return maps.Clone(f.stored)
+}
+
+// Guards against a request that crashes upstreams again since the store lost its quarantine.
+func TestQuarantineThatTheStoreLostIsStoredAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 5)
+		f.era = 1
+		loss := f.copyOfStore()
+		f.crashThree()
+		time.Sleep(5 * time.Second)
+		f.list()
+		assert.Equal(t, f.recorded(), 1)
+
+		f.returnFromCopy(loss)
+		assert.Equal(t, f.held(key("culprit")), 5)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, f.recorded(), 1)
+
+		f.list()
+		assert.Equal(t, f.held(key("culprit")), 5)
+
+		// Operators lift it.
+		f.mu.Lock()
+		clear(f.stored)
+		f.mu.Unlock()
+		f.list()
+		assert.Equal(t, f.held(key("culprit")), 0)
+	})
+}
+
+// Guards against a part that is tried more often than it may, since the store holds its quarantine as of before the last trial.
+func TestTrialThatTheStoreLostIsStoredAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		f.era = 1
+		part := quarantiner.Quarantine{Key: key("part"), Since: time.Now().UnixMilli(), Crashes: 5, Part: "part"}
+		f.stored[part.Key] = part
+		f.list()
+
+		loss := f.copyOfStore()
+		tried := part
+		tried.Since, tried.Trials = part.Since+1000, 1
+		f.mu.Lock()
+		f.stored[part.Key] = tried
+		f.mu.Unlock()
+		f.list()
+
+		f.returnFromCopy(loss)
+		time.Sleep(3 * time.Second)
+
+		assert.Equal(t, f.copyOfStore()[part.Key], tried)
+	})
+}
+
+// Guards against a quarantine that was lifted and comes back with the copy, for nodes that start later.
+func TestLiftedQuarantineThatTheStoreHoldsAgainIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		f.era = 1
+		part := quarantiner.Quarantine{Key: key("part"), Since: time.Now().UnixMilli(), Crashes: 5, Part: "part"}
+		f.stored[part.Key] = part
+		f.list()
+
+		loss := f.copyOfStore()
+		f.nodes["n0"].Survived(quarantiner.Traits{Parts: []quarantiner.Part{{Key: part.Key, ID: part.Part}}}, "s")
+		time.Sleep(3 * time.Second)
+		f.list()
+		assert.Equal(t, f.recorded(), 0)
+
+		f.returnFromCopy(loss)
+
+		for range 3 {
+			time.Sleep(30 * time.Second)
+			f.list()
+		}
+
+		assert.Equal(t, f.recorded(), 0)
+	})
+}
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -71,8 +71,12 @@
 type table struct {
 	mu      sync.RWMutex
 	entries map[Key]entry
-	// released are the quarantines that were lifted because an upstream answered.
-	released map[Key]releasedEntry
+	// released are the quarantines that were lifted because an upstream answered, listedAgain those of them that the store still lists
+	// or lists again.
+	released    map[Key]releasedEntry
+	listedAgain []Key
+	// era is the era of the store in which it listed the quarantines.
+	era int64
 }
 
 type entry struct {
@@ -160,31 +164,41 @@
 	return true
 }
 
-// replace takes over the entries that the store lists and returns the new ones. An entry that the store listed before
-// and no longer lists is removed, so that operators can lift a quarantine.
-func (t *table) replace(listed []Quarantine) []Quarantine {
+// replace takes over the entries that the store lists in an era and returns the new ones. An entry that the store listed before
+// and no longer lists is removed, so that operators can lift a quarantine. In a later era the store may have lost it, or hold it as it was
+// before its last trial: then it is kept and stored again.
+func (t *table) replace(listed []Quarantine, era int64) []Quarantine {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	former := t.entries
+	former, hasReturned := t.entries, era > t.era
 	t.entries = make(map[Key]entry, len(listed))
+	t.era, t.listedAgain = era, nil
 
 	var added []Quarantine
 
 	for _, q := range listed {
 		if t.isReleased(&q) {
+			t.listedAgain = append(t.listedAgain, q.Key)
+
 			continue
 		}
 
-		if _, known := former[q.Key]; !known {
+		known, isKnown := former[q.Key]
+		if !isKnown {
 			added = append(added, q)
 		}
 
+		if known.Since > q.Since && (hasReturned || !known.stored) {
+			continue
+		}
+
 		t.entries[q.Key] = entry{Quarantine: q, stored: true}
 	}
 
 	for key, e := range former {
-		if _, known := t.entries[key]; !known && !e.stored {
+		if _, known := t.entries[key]; !known && (hasReturned || !e.stored) {
+			e.stored = false
 			t.entries[key] = e
 		}
 	}
@@ -207,13 +221,16 @@
 	return t.filter(func(e entry) bool { return !e.stored && !e.isOver(now) })
 }
 
-// expired returns the expired entries that the store still lists, and drops all other expired ones.
+// expired returns the expired and the lifted entries that the store still lists, and drops all other expired ones.
 func (t *table) expired(now time.Time) []Key {
 	t.mu.Lock()
 	maps.DeleteFunc(t.entries, func(_ Key, e entry) bool { return !e.stored && e.isOver(now) })
 	t.mu.Unlock()
 
-	var keys []Key
+	t.mu.RLock()
+	keys := slices.Clone(t.listedAgain)
+	t.mu.RUnlock()
+
 	for _, q := range t.filter(func(e entry) bool { return e.isOver(now) }) {
 		keys = append(keys, q.Key)
 	}
--- a/internal/quarantiner/trials.go
+++ b/internal/quarantiner/trials.go
@@ -139,6 +139,7 @@
 	}
 
 	result, err := q.options.Store.Txn(ctx, storer.Txn{
+		Era:      found.Era,
 		Compares: []storer.Compare{{Key: name, Target: storer.TargetMod, Number: found.ModRevision}},
 		Success:  []storer.Op{{Kind: storer.OpPut, Key: name, Value: value}},
 	})
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -125,7 +125,7 @@
 		entries = append(entries, entry)
 	}
 
-	q.Update(quarantiner.List(q.upstreams()), entries)
+	q.Update(quarantiner.List(q.upstreams()), entries, 0)
 }
 
 // upstreams returns all of the settings in force.
