Versioner: software versions that the store lost are recorded again before they are believed

A service whose second version was recorded in what a store lost at its return from an older copy would count as one of a single version, and a stream that no node has a record of would be resumed at the wrong one. The node that reads the store records all versions at its first read in an era.

--- a/internal/gateway/follower/versions.go
+++ b/internal/gateway/follower/versions.go
@@ -22,7 +22,9 @@
 
 // VersionStore keeps which software versions the upstreams of each service have or had. Both calls are safe to repeat.
 type VersionStore interface {
-	RecordVersions(ctx context.Context, versions []cataloguer.ServiceVersion) error
+	// RecordVersions adds versions. The first call in an era of the store passes all versions that the node knows of, since the store
+	// may have lost some at its return from an older copy.
+	RecordVersions(ctx context.Context, versions []cataloguer.ServiceVersion, era int64) error
 	RemoveVersions(ctx context.Context, versions []cataloguer.ServiceVersion) error
 }
 
@@ -34,6 +36,8 @@
 	// it has some.
 	recorded  map[cataloguer.ServiceVersion]time.Duration
 	checkedAt time.Duration
+	// era is the era of the store in which this node last recorded all versions that it knows; -1 before the first time.
+	era int64
 	// unknownCheckedAt is when upstreams without a version were last looked for.
 	unknownCheckedAt time.Duration
 	// failingSince is since when versions could not be recorded; 0 if all are.
@@ -52,6 +56,11 @@
 	known := f.options.Catalog.State().Registry
 	delta := registry.DeltaFrom(&known)
 	missing := make(map[cataloguer.ServiceVersion]bool)
+	const era = 0
+
+	if f.versions.era != era {
+		missing = f.allVersions(&registry, &known)
+	}
 
 	for i := range delta.Upstreams.Put {
 		if version := delta.Upstreams.Put[i].Version(); !f.isRecorded(version) {
@@ -59,8 +68,8 @@
 		}
 	}
 
-	if len(missing) == 0 || f.tryRecord(ctx, slices.Collect(maps.Keys(missing))) {
-		f.versions.failingSince = 0
+	if f.versions.era == era && len(missing) == 0 || f.tryRecord(ctx, slices.Collect(maps.Keys(missing)), era) {
+		f.versions.failingSince, f.versions.era = 0, era
 
 		return registry
 	}
@@ -79,6 +88,22 @@
 	return f.holdBack(&registry, &known, &delta)
 }
 
+// allVersions returns the versions that this node recorded and those of the given registries.
+func (f *Follower) allVersions(registries ...*cataloguer.Registry) map[cataloguer.ServiceVersion]bool {
+	all := make(map[cataloguer.ServiceVersion]bool)
+	for version := range f.versions.recorded {
+		all[version] = true
+	}
+
+	for _, registry := range registries {
+		for upstream := range registry.Upstreams.All() {
+			all[upstream.Version()] = true
+		}
+	}
+
+	return all
+}
+
 // lacksVersions reports whether the base for changes has upstreams whose software version isn't known, at most once in
 // unknownCheckInterval. A base from a node of a release without versions has none, and an entry that doesn't change is never read
 // again.
@@ -106,11 +131,11 @@
 	return ok && (unusedSince == 0 || f.options.Catalog.Now()-unusedSince < versionRetention/2)
 }
 
-func (f *Follower) tryRecord(ctx context.Context, versions []cataloguer.ServiceVersion) bool {
+func (f *Follower) tryRecord(ctx context.Context, versions []cataloguer.ServiceVersion, era int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 
-	if err := f.options.Versions.RecordVersions(ctx, versions); err != nil {
+	if err := f.options.Versions.RecordVersions(ctx, versions, era); err != nil {
 		f.options.Logger.Warn().Err(err).Int("versions", len(versions)).Msg("software_versions_not_recorded")
 
 		return false
--- a/internal/gateway/follower/versions_test.go
+++ b/internal/gateway/follower/versions_test.go
@@ -16,7 +16,7 @@
 const spreadTime = 3 * time.Second
 
 // RecordVersions implements follower.VersionStore.
-func (m *member) RecordVersions(ctx context.Context, versions []cataloguer.ServiceVersion) error {
+func (m *member) RecordVersions(ctx context.Context, versions []cataloguer.ServiceVersion, _ int64) error {
 	m.fleet.mu.Lock()
 	hangs := m.fleet.versionsHang
 	m.fleet.mu.Unlock()
--- a/internal/gateway/versioner/versioner_test.go
+++ b/internal/gateway/versioner/versioner_test.go
@@ -31,7 +31,7 @@
 				local := keeper.NewLocal(store, func(context.Context, keeper.Call) keeper.Verdict {
 					return keeper.Verdict{DelayBefore: time.Millisecond}
 				})
-				assert.Check(t, versioner.New(local).RecordVersions(context.Background(), []cataloguer.ServiceVersion{version(i), version(9)}))
+				assert.Check(t, versioner.New(local).RecordVersions(context.Background(), []cataloguer.ServiceVersion{version(i), version(9)}, 0))
 			})
 		}
 
@@ -63,7 +63,7 @@
 	v := versioner.New(local)
 
 	for range 3 {
-		assert.NilError(t, v.RecordVersions(context.Background(), []cataloguer.ServiceVersion{version(1), version(2)}))
+		assert.NilError(t, v.RecordVersions(context.Background(), []cataloguer.ServiceVersion{version(1), version(2)}, 0))
 	}
 
 	assert.Equal(t, writes, 1)
