--- a/internal/gateway/broker/change_cost_test.go
+++ b/internal/gateway/broker/change_cost_test.go
@@ -10,6 +10,7 @@
 
 	"quincepath.example/quincepath/internal/gateway/broker"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 // allocatedBy returns the bytes that a function allocates.
@@ -67,7 +68,7 @@
 			for i := range int64(changes) {
 				registry := catalog.State().Registry
 				delta := cataloguer.RegistryDelta{
-					Revision:  i + 1,
+					Position:  storer.Position{Revision: i + 1},
 					Upstreams: cataloguer.ListDelta[cataloguer.Upstream]{Put: []cataloguer.Upstream{{ID: fmt.Sprint("u", i*17), Service: service, Born: i + 1, Slots: 16}}},
 				}
 				catalog.ApplyRegistry(registry.Apply(&delta), false)
--- a/internal/gateway/broker/limit_race_test.go
+++ b/internal/gateway/broker/limit_race_test.go
@@ -11,6 +11,7 @@
 
 	"quincepath.example/quincepath/internal/gateway/balancer"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 // Guards against requests that are refused while a rate limit is learned: between the moments at which the node and its pool
@@ -25,7 +26,7 @@
 		b.Update(&cataloguer.State{
 			Configuration: cataloguer.Configuration{Version: 1, Services: []cataloguer.Service{{Name: "s"}}},
 			Registry: cataloguer.NewRegistry(cataloguer.Listing{
-				Revision: 1, Upstreams: []cataloguer.Upstream{{ID: "u0", Service: "s", Slots: 9}},
+				Position: storer.Position{Revision: 1}, Upstreams: []cataloguer.Upstream{{ID: "u0", Service: "s", Slots: 9}},
 			}),
 		})
 
--- a/internal/gateway/cataloguer/catalog.go
+++ b/internal/gateway/cataloguer/catalog.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"quincepath.example/quincepath/internal/storer"
 )
 
 // outageGracePeriod is how long upstreams that are missing after a store outage are retained. Entries that expired
@@ -18,7 +20,7 @@
 
 // State is an immutable snapshot of a catalog.
 type State struct {
-	// Configuration is at least as new as the registry's revision.
+	// Configuration is at least as new as the registry's position.
 	Configuration Configuration
 	Registry      Registry
 	// Digest is the digest of Registry.
@@ -32,7 +34,7 @@
 
 // IsComplete reports whether a configuration and a registry have been received.
 func (s *State) IsComplete() bool {
-	return s.HasConfiguration() && s.Registry.Revision > 0
+	return s.HasConfiguration() && s.Registry.Position.IsKnown()
 }
 
 // Catalog holds the newest state known to a node. It is safe for concurrent use.
@@ -55,12 +57,18 @@
 	previousConfigurations []*State
 	// graceEnds maps the IDs of upstreams that an outage may have removed to the time until which they are retained.
 	graceEnds map[string]time.Duration
-	changed   chan struct{}
+	// departures are the upstreams that were removed lately.
+	departures departures
+	// storeReturns are the returns of the store from older copies that nobody has taken yet, returnCount is their number since the
+	// start.
+	storeReturns []StoreReturn
+	returnCount  int64
+	changed      chan struct{}
 }
 
 // New returns an empty catalog. The clock now must include the time for which the VM is suspended.
 func New(now func() time.Duration) *Catalog {
-	c := &Catalog{now: now, graceEnds: make(map[string]time.Duration), changed: make(chan struct{})}
+	c := &Catalog{now: now, graceEnds: make(map[string]time.Duration), departures: newDepartures(), changed: make(chan struct{})}
 
 	empty := Registry{}
 	c.state.Store(&State{Registry: empty, Digest: empty.Digest()})
@@ -174,18 +182,33 @@
 
 func (c *Catalog) applyRegistryLocked(registry Registry, afterOutage bool) bool {
 	state := c.state.Load()
-	if registry.Revision < state.Registry.Revision {
+	if registry.Position.IsBefore(state.Registry.Position) {
 		return false
 	}
 
+	isReturn := state.Registry.isStoreReturn(registry.Position)
 	delta := registry.DeltaFrom(&state.Registry)
+	noticed := StoreReturn{
+		From: state.Registry.Position, To: registry.Position, LostUpstreams: len(delta.Upstreams.Remove), LostNodes: len(delta.Nodes.Remove),
+		LostQuarantined: len(delta.Quarantined.Remove), LostLimits: len(delta.Limits.Remove),
+	}
+
 	dropEarlierStarts(&state.Registry, &delta)
-	c.retainMissing(&registry, &delta, afterOutage)
+	c.departures.update(c.now(), &registry)
+	noticed.KeptDraining, noticed.HeldDeparted = keepDraining(&state.Registry, &delta), c.holdDeparted(&delta)
+	delta.RetainedUpstreams += noticed.KeptDraining + noticed.HeldDeparted
+	c.retainMissing(&registry, &delta, afterOutage || isReturn)
+	c.rememberDeparted(&state.Registry, &delta)
+
+	if isReturn {
+		c.recordReturnLocked(noticed)
+	}
 
 	next := &State{Configuration: state.Configuration, Registry: state.Registry.Apply(&delta)}
 	next.Digest = next.Registry.Digest()
 
-	if next.Digest == state.Digest {
+	// What the store lists of itself may have to be written again, also where nothing is lost.
+	if next.Digest == state.Digest && !isReturn {
 		c.state.Store(next)
 
 		return false
@@ -196,19 +219,41 @@
 	return true
 }
 
-// AdvanceRegistryRevision records that the registry with the given digest was unchanged at a later store revision.
-// Otherwise the node would keep its earlier revision and accept an older registry of a peer as newer.
-func (c *Catalog) AdvanceRegistryRevision(digest uint64, revision int64, kept int) {
+// recordReturnLocked records a return of the store from an older copy. c.mu must be held.
+func (c *Catalog) recordReturnLocked(noticed StoreReturn) {
+	c.storeReturns = append(c.storeReturns, noticed)
+	c.returnCount++
+}
+
+// StoreReturnCount returns the number of returns of the store from older copies that were noticed since the start.
+func (c *Catalog) StoreReturnCount() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.returnCount
+}
+
+// AdvanceRegistry records that the registry with the given digest was unchanged at a later position of the store. Otherwise the
+// node would keep its earlier position and accept an older registry of a peer as newer.
+func (c *Catalog) AdvanceRegistry(digest uint64, position storer.Position, kept int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
 	state := c.state.Load()
-	if state.Digest != digest || revision < state.Registry.Revision {
+	if state.Digest != digest || position.IsBefore(state.Registry.Position) {
 		return
 	}
 
 	next := *state
-	next.Registry.Revision, next.Registry.RetainedUpstreams = revision, kept
+	next.Registry.Position, next.Registry.RetainedUpstreams = position, kept
+
+	if state.Registry.isStoreReturn(position) {
+		c.recordReturnLocked(StoreReturn{From: state.Registry.Position, To: position})
+		c.publishLocked(&next)
+
+		return
+	}
+
 	c.state.Store(&next)
 }
 
--- a/internal/gateway/cataloguer/catalog_test.go
+++ b/internal/gateway/cataloguer/catalog_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 // fakeClock is a clock that tests set manually.
@@ -27,7 +28,7 @@
 }
 
 func registry(revision int64, ids ...string) cataloguer.Registry {
-	listing := cataloguer.Listing{Revision: revision}
+	listing := cataloguer.Listing{Position: storer.Position{Revision: revision}}
 	for _, id := range ids {
 		listing.Upstreams = append(listing.Upstreams, cataloguer.Upstream{ID: id})
 	}
@@ -116,12 +117,15 @@
 // A reader may drop a retained upstream while the store's revision is unchanged. Peers must accept its registry as
 // newer, or they keep listing that upstream.
 func TestRegistryWithFewerKeptUpstreamsIsNewer(t *testing.T) {
-	r := cataloguer.Registry{Revision: 5, RetainedUpstreams: 1}
-
-	assert.Assert(t, r.IsNewerThan(4, 0))
-	assert.Assert(t, r.IsNewerThan(5, 2))
-	assert.Assert(t, !r.IsNewerThan(5, 1))
-	assert.Assert(t, !r.IsNewerThan(6, 3))
+	r := cataloguer.Registry{Position: storer.Position{Era: 2, Revision: 5}, RetainedUpstreams: 1}
+	at := func(revision int64) storer.Position { return storer.Position{Era: 2, Revision: revision} }
+
+	assert.Assert(t, r.IsNewerThan(at(4), 0))
+	assert.Assert(t, r.IsNewerThan(at(5), 2))
+	assert.Assert(t, !r.IsNewerThan(at(5), 1))
+	assert.Assert(t, !r.IsNewerThan(at(6), 3))
+	assert.Assert(t, r.IsNewerThan(storer.Position{Era: 1, Revision: 9}, 0))
+	assert.Assert(t, !r.IsNewerThan(storer.Position{Era: 3, Revision: 1}, 9))
 }
 
 func TestChangedIsClosedAtEachChange(t *testing.T) {
@@ -151,7 +155,7 @@
 func TestEntryOfAnEarlierStartIsDropped(t *testing.T) {
 	c, _ := newCatalog()
 	listed := func(revision, born int64, address string) cataloguer.Registry {
-		return cataloguer.NewRegistry(cataloguer.Listing{Revision: revision, Upstreams: []cataloguer.Upstream{{ID: "a", Born: born, Address: address}}})
+		return cataloguer.NewRegistry(cataloguer.Listing{Position: storer.Position{Revision: revision}, Upstreams: []cataloguer.Upstream{{ID: "a", Born: born, Address: address}}})
 	}
 	address := func() string {
 		upstream, _ := c.State().Registry.Upstreams.Get("a")
--- a/internal/gateway/cataloguer/change.go
+++ b/internal/gateway/cataloguer/change.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"quincepath.example/quincepath/internal/quarantiner"
+	"quincepath.example/quincepath/internal/storer"
 	"quincepath.example/quincepath/internal/throttler"
 )
 
@@ -29,7 +30,8 @@
 
 // RegistryDelta is the difference between two registries.
 type RegistryDelta struct {
-	Revision          int64               `json:"revision"`
+	storer.Position
+
 	RetainedUpstreams int                 `json:"kept,omitempty"`
 	UnreadableEntries int                 `json:"unreadable,omitempty"`
 	Upstreams         ListDelta[Upstream] `json:"upstreams,omitzero"`
--- a/internal/gateway/cataloguer/change_test.go
+++ b/internal/gateway/cataloguer/change_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 func drawConfiguration(t *rapid.T, version int64) cataloguer.Configuration {
@@ -91,9 +92,9 @@
 	c.ApplyRegistry(registry(10, "new"), false)
 
 	state := c.State()
-	c.AdvanceRegistryRevision(state.Digest, 20, 0)
+	c.AdvanceRegistry(state.Digest, storer.Position{Revision: 20}, 0)
 	c.ApplyRegistry(registry(15, "old"), false)
 
 	assert.DeepEqual(t, ids(c), []string{"new"})
-	assert.Equal(t, c.State().Registry.Revision, int64(20))
+	assert.Equal(t, c.State().Registry.Position.Revision, int64(20))
 }
--- /dev/null
+++ b/internal/gateway/cataloguer/departures.go
@@ -0,0 +1,143 @@
+package cataloguer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// departureRetention is how long an upstream that is no longer listed is remembered. A copy of the store is some seconds old.
+	departureRetention = time.Minute
+	// departureHold is how long an upstream that was listed no more, and never said that it leaves, is held back after an older copy of
+	// the store lists it again. An entry that stands for so long is renewed by an upstream that lives: one that is silent loses its
+	// entry after some four seconds.
+	departureHold = 10 * time.Second
+	// maxDepartures limits the upstreams that are remembered, maxSentDepartures those that a node tells one that has just started.
+	maxDepartures     = 4096
+	maxSentDepartures = 512
+)
+
+// Departure is an upstream that is no longer listed.
+type Departure struct {
+	ID string `json:"id"`
+	// Born is the start time of the run that ended, see Upstream.
+	Born int64 `json:"born,omitempty"`
+	// Era is the era of the store in which it was removed.
+	Era int64 `json:"era,omitempty"`
+	// Draining says that it had said that it leaves.
+	Draining bool `json:"draining,omitempty"`
+	// AgeMS is how long ago it was removed.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// departure is a Departure as a catalog keeps it.
+type departure struct {
+	Departure
+
+	at time.Duration
+	// listedAgainAt is when a later era first listed it; negative if none does.
+	listedAgainAt time.Duration
+}
+
+// departures remembers upstreams that are no longer listed, so that an older copy of the store doesn't bring them back. It is not
+// safe for concurrent use.
+type departures struct {
+	byID *simplelru.LRU[string, departure]
+	// held are the IDs of those that a later era lists.
+	held map[string]bool
+}
+
+func newDepartures() departures {
+	// The only possible error is a limit below 1.
+	byID, err := simplelru.NewLRU[string, departure](maxDepartures, nil)
+	if err != nil {
+		panic(err)
+	}
+
+	return departures{byID: byID, held: make(map[string]bool)}
+}
+
+// add remembers an upstream that is removed in an era.
+func (d *departures) add(now time.Duration, upstream *Upstream, era int64) {
+	d.byID.Add(upstream.ID, departure{
+		Departure: Departure{ID: upstream.ID, Born: upstream.Born, Era: era, Draining: upstream.Draining}, at: now, listedAgainAt: -1,
+	})
+}
+
+// isHeld reports whether an upstream that the given era lists is held back, since this run of it had left in an earlier one.
+func (d *departures) isHeld(now time.Duration, upstream *Upstream, era int64) bool {
+	found, ok := d.byID.Peek(upstream.ID)
+	if !ok || found.Era >= era || found.Born != upstream.Born {
+		return false
+	}
+
+	if found.listedAgainAt < 0 {
+		if now-found.at > departureRetention {
+			return false
+		}
+
+		found.listedAgainAt = now
+		d.byID.Add(upstream.ID, found)
+		d.held[upstream.ID] = true
+	}
+
+	return found.Draining || now-found.listedAgainAt < departureHold
+}
+
+// update takes over that a registry no longer lists an upstream that a later era had listed again: its removal was written again.
+func (d *departures) update(now time.Duration, registry *Registry) {
+	for id := range d.held {
+		if registry.Upstreams.Contains(id) {
+			continue
+		}
+
+		delete(d.held, id)
+
+		if found, ok := d.byID.Peek(id); ok {
+			found.Era, found.at, found.listedAgainAt = registry.Position.Era, now, -1
+			d.byID.Add(id, found)
+		}
+	}
+}
+
+// list returns the latest departures, for a node that has just started.
+func (d *departures) list(now time.Duration) []Departure {
+	var all []Departure
+
+	for _, found := range slices.Backward(d.byID.Values()) {
+		if found.listedAgainAt < 0 && now-found.at > departureRetention || len(all) == maxSentDepartures {
+			break
+		}
+
+		found.AgeMS = (now - found.at).Milliseconds()
+		all = append(all, found.Departure)
+	}
+
+	return all
+}
+
+// Departures returns upstreams that were removed lately.
+func (c *Catalog) Departures() []Departure {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.departures.list(c.now())
+}
+
+// AddDepartures takes over what another node remembers of removed upstreams.
+func (c *Catalog) AddDepartures(added []Departure) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	now := c.now()
+
+	// The newest are the first.
+	for _, told := range slices.Backward(added) {
+		if known, ok := c.departures.byID.Peek(told.ID); !ok || known.Era < told.Era {
+			at := now - time.Duration(told.AgeMS)*time.Millisecond
+			c.departures.byID.Add(told.ID, departure{Departure: told, at: at, listedAgainAt: -1})
+		}
+	}
+}
--- a/internal/gateway/cataloguer/registry.go
+++ b/internal/gateway/cataloguer/registry.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quincepath.example/quincepath/internal/quarantiner"
+	"quincepath.example/quincepath/internal/storer"
 	"quincepath.example/quincepath/internal/throttler"
 )
 
@@ -24,11 +25,11 @@
 // Registry holds the entries of the store other than the configuration. It is immutable: Apply returns a changed one,
 // which shares the unchanged entries. The zero Registry is empty.
 type Registry struct {
-	// Revision is the store's revision when reading the list began; it never decreases.
-	Revision int64
+	// Position is the store's position when reading the list began; it never goes back.
+	Position storer.Position
 	// RetainedUpstreams is the number of upstreams in which the registry differs from the store's: those that are listed although
 	// the store lacks them after an outage, and those that are held back until their software version is recorded. While the
-	// revision is unchanged it only decreases.
+	// position is unchanged it only decreases.
 	RetainedUpstreams int
 	// UnreadableEntries is the number of entries that could not be read; they count as absent.
 	UnreadableEntries int
@@ -68,7 +69,7 @@
 // NewRegistry returns the registry of the entries in a listing.
 func NewRegistry(listing Listing) Registry {
 	return Registry{
-		Revision:          listing.Revision,
+		Position:          listing.Position,
 		RetainedUpstreams: listing.RetainedUpstreams,
 		UnreadableEntries: listing.UnreadableEntries,
 		Upstreams:         newIndex(listing.Upstreams, upstreamID),
@@ -81,7 +82,7 @@
 // Listing returns all entries, sorted by name.
 func (r *Registry) Listing() Listing {
 	return Listing{
-		Revision:          r.Revision,
+		Position:          r.Position,
 		RetainedUpstreams: r.RetainedUpstreams,
 		UnreadableEntries: r.UnreadableEntries,
 		Upstreams:         r.Upstreams.List(),
@@ -91,9 +92,9 @@
 	}
 }
 
-// IsNewerThan reports whether the registry supersedes one with the given revision and number of retained upstreams.
-func (r *Registry) IsNewerThan(revision int64, kept int) bool {
-	return r.Revision > revision || r.Revision == revision && r.RetainedUpstreams < kept
+// IsNewerThan reports whether the registry supersedes one with the given position and number of retained upstreams.
+func (r *Registry) IsNewerThan(position storer.Position, kept int) bool {
+	return position.IsBefore(r.Position) || position == r.Position && r.RetainedUpstreams < kept
 }
 
 // Digest returns a hash of the registry's entries. Two nodes with the same digest list the same entries.
@@ -110,7 +111,7 @@
 // Apply returns the registry with the delta applied.
 func (r *Registry) Apply(delta *RegistryDelta) Registry {
 	next := Registry{
-		Revision:          delta.Revision,
+		Position:          delta.Position,
 		RetainedUpstreams: delta.RetainedUpstreams,
 		UnreadableEntries: delta.UnreadableEntries,
 		history:           r.history,
@@ -195,7 +196,7 @@
 }
 
 func (r *Registry) emptyDelta() RegistryDelta {
-	return RegistryDelta{Revision: r.Revision, RetainedUpstreams: r.RetainedUpstreams, UnreadableEntries: r.UnreadableEntries}
+	return RegistryDelta{Position: r.Position, RetainedUpstreams: r.RetainedUpstreams, UnreadableEntries: r.UnreadableEntries}
 }
 
 // unique returns the names sorted and without repetitions.
@@ -242,8 +243,10 @@
 			err = decodeList(decoder, func(q quarantiner.Quarantine) { r.Quarantined.insert(quarantineKey(&q), q) })
 		case "rate_limits":
 			err = decodeList(decoder, func(l throttler.Limit) { r.Limits.insert(l.Upstream, l) })
+		case "era":
+			err = decoder.Decode(&r.Position.Era)
 		case "revision":
-			err = decoder.Decode(&r.Revision)
+			err = decoder.Decode(&r.Position.Revision)
 		case "kept":
 			err = decoder.Decode(&r.RetainedUpstreams)
 		case "unreadable":
--- a/internal/gateway/cataloguer/registry_test.go
+++ b/internal/gateway/cataloguer/registry_test.go
@@ -11,12 +11,13 @@
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/packer"
+	"quincepath.example/quincepath/internal/storer"
 	"quincepath.example/quincepath/internal/throttler"
 )
 
 // drawListing draws up to 12 upstreams, 6 nodes and 3 rate limits.
 func drawListing(t *rapid.T, revision int64) cataloguer.Listing {
-	listing := cataloguer.Listing{Revision: revision, UnreadableEntries: rapid.IntRange(0, 1).Draw(t, "unreadable")}
+	listing := cataloguer.Listing{Position: storer.Position{Revision: revision}, UnreadableEntries: rapid.IntRange(0, 1).Draw(t, "unreadable")}
 
 	for i := range 12 {
 		if rapid.Bool().Draw(t, "upstream") {
@@ -90,7 +91,7 @@
 	var registry cataloguer.Registry
 
 	assert.NilError(t, payload.Unpack(&registry))
-	assert.DeepEqual(t, registry.Listing(), cataloguer.Listing{Revision: 7, RetainedUpstreams: 2, Upstreams: []cataloguer.Upstream{{ID: "u", Service: "s"}}})
+	assert.DeepEqual(t, registry.Listing(), cataloguer.Listing{Position: storer.Position{Revision: 7}, RetainedUpstreams: 2, Upstreams: []cataloguer.Upstream{{ID: "u", Service: "s"}}})
 }
 
 // A peer that lags behind by a few changes must get those changes, not the whole registry, and one that lags far behind
--- a/internal/gateway/cataloguer/types.go
+++ b/internal/gateway/cataloguer/types.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"quincepath.example/quincepath/internal/quarantiner"
+	"quincepath.example/quincepath/internal/storer"
 	"quincepath.example/quincepath/internal/throttler"
 )
 
@@ -173,8 +174,9 @@
 
 // Listing lists the entries of a Registry. It is what the store and peers transfer.
 type Listing struct {
-	// Revision, RetainedUpstreams and UnreadableEntries are those of the Registry.
-	Revision  int64      `json:"revision"`
+	// Position, RetainedUpstreams and UnreadableEntries are those of the Registry.
+	storer.Position
+
 	Upstreams []Upstream `json:"upstreams"`
 	Nodes     []Node     `json:"nodes"`
 	// Quarantined are requests that no node may run.
--- a/internal/gateway/cataloguer/version_test.go
+++ b/internal/gateway/cataloguer/version_test.go
@@ -9,16 +9,17 @@
 	"gotest.tools/v3/assert"
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 // Guards against the software version of an upstream that is lost on its way between nodes, or kept for an entry that a node of
 // an older release sent without one: such an entry is of an unknown version, not of the same.
 func TestSoftwareVersionIsPartOfAnEntry(t *testing.T) {
 	upstream := cataloguer.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", Slots: 1, SoftwareVersion: "v1"}
-	with := cataloguer.NewRegistry(cataloguer.Listing{Revision: 1, Upstreams: []cataloguer.Upstream{upstream}})
+	with := cataloguer.NewRegistry(cataloguer.Listing{Position: storer.Position{Revision: 1}, Upstreams: []cataloguer.Upstream{upstream}})
 
 	upstream.SoftwareVersion = ""
-	without := cataloguer.NewRegistry(cataloguer.Listing{Revision: 2, Upstreams: []cataloguer.Upstream{upstream}})
+	without := cataloguer.NewRegistry(cataloguer.Listing{Position: storer.Position{Revision: 2}, Upstreams: []cataloguer.Upstream{upstream}})
 
 	assert.Assert(t, with.Digest() != without.Digest())
 
--- a/internal/gateway/crashing_part_test.go
+++ b/internal/gateway/crashing_part_test.go
@@ -19,6 +19,7 @@
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/quarantiner"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 const (
@@ -71,9 +72,9 @@
 
 var errAway = errors.New("store away")
 
-func (s *partStore) Configuration(ctx context.Context) (cataloguer.Configuration, int64, error) {
+func (s *partStore) Configuration(ctx context.Context) (cataloguer.Configuration, storer.Position, error) {
 	if s.away.Load() {
-		return cataloguer.Configuration{}, 0, errAway
+		return cataloguer.Configuration{}, storer.Position{}, errAway
 	}
 
 	configuration, revision, err := s.store.Configuration(ctx)
@@ -91,12 +92,12 @@
 	return s.crashStore.Registry(ctx, progress)
 }
 
-func (s *partStore) Revision(ctx context.Context) (int64, error) {
+func (s *partStore) Position(ctx context.Context) (storer.Position, error) {
 	if s.away.Load() {
-		return 0, errAway
+		return storer.Position{}, errAway
 	}
 
-	return s.crashStore.Revision(ctx)
+	return s.crashStore.Position(ctx)
 }
 
 func (s *partStore) Record(ctx context.Context, entries []quarantiner.Quarantine) error {
--- a/internal/gateway/crashing_request_test.go
+++ b/internal/gateway/crashing_request_test.go
@@ -19,6 +19,7 @@
 	"quincepath.example/quincepath/internal/gateway"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/loader"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 const (
@@ -43,7 +44,7 @@
 	upstreams []cataloguer.Upstream
 }
 
-func (s *crashStore) Configuration(context.Context) (cataloguer.Configuration, int64, error) {
+func (s *crashStore) Configuration(context.Context) (cataloguer.Configuration, storer.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -57,7 +58,7 @@
 		configuration.Services = append(configuration.Services, cataloguer.Service{Name: route.Name})
 	}
 
-	return configuration, s.revision, nil
+	return configuration, storer.Position{Revision: s.revision}, nil
 }
 
 func (s *crashStore) Registry(context.Context, func()) (cataloguer.Listing, error) {
@@ -65,7 +66,7 @@
 	defer s.mu.Unlock()
 
 	return cataloguer.Listing{
-		Revision:    s.revision,
+		Position:    storer.Position{Revision: s.revision},
 		Upstreams:   slices.Clone(s.upstreams),
 		Nodes:       slices.Clone(s.nodes),
 		Quarantined: slices.Clone(s.quarantined),
--- a/internal/gateway/follower/announcing.go
+++ b/internal/gateway/follower/announcing.go
@@ -47,7 +47,7 @@
 		interval = announceRetryInterval
 	}
 
-	if registry.Revision == 0 || now-f.lastAnnouncementAt < interval || f.isListed(&registry) {
+	if !registry.Position.IsKnown() || now-f.lastAnnouncementAt < interval || f.isListed(&registry) {
 		return "", false
 	}
 
--- a/internal/gateway/follower/applying.go
+++ b/internal/gateway/follower/applying.go
@@ -33,7 +33,7 @@
 	// A registry that is newer than the configuration would hide the changes between them from the next read of the
 	// store.
 	if catalog.State().Configuration.Version >= response.Version {
-		catalog.AdvanceRegistryRevision(response.Digest, response.Revision, response.RetainedUpstreams)
+		catalog.AdvanceRegistry(response.Digest, response.Position, response.RetainedUpstreams)
 
 		if response.Registry != nil {
 			registry, complete, err := f.unpackRegistry(*response.Registry)
@@ -43,9 +43,9 @@
 
 			isCurrent := complete && registry.Digest() == response.Digest
 			if isCurrent {
-				// The payload may have been encoded at an earlier revision at which the peer's registry had the same
+				// The payload may have been encoded at an earlier position at which the peer's registry had the same
 				// content.
-				registry.Revision, registry.RetainedUpstreams = response.Revision, response.RetainedUpstreams
+				registry.Position, registry.RetainedUpstreams = response.Position, response.RetainedUpstreams
 			}
 
 			if complete && catalog.ApplyRegistry(registry, false) {
@@ -58,12 +58,12 @@
 			more = more || !isCurrent
 		}
 
-		if registryFreshAt, ok := response.registryFreshAt(freshAt); ok && catalog.State().Registry.Revision >= response.Revision {
+		if registryFreshAt, ok := response.registryFreshAt(freshAt); ok && !catalog.State().Registry.Position.IsBefore(response.Position) {
 			catalog.MarkRegistryFresh(registryFreshAt)
 		}
 	}
 
-	if changed {
+	if returned := f.logStoreReturns("peer"); changed || returned {
 		f.notifyChildren(ctx)
 	}
 
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -25,36 +25,37 @@
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/packer"
 	"quincepath.example/quincepath/internal/quarantiner"
+	"quincepath.example/quincepath/internal/storer"
 	"quincepath.example/quincepath/internal/throttler"
 )
 
 // tickInterval is how often a node checks for due work.
 const tickInterval = 100 * time.Millisecond
 
-// ErrHistoryCompacted says that the store no longer has the changes since a revision.
+// ErrHistoryCompacted says that the store doesn't have the changes since a position, or no longer.
 var ErrHistoryCompacted = errors.New("the store has compacted the requested history")
 
-// Store reads and writes the platform's store. Revision and Configuration are linearizable reads.
+// Store reads and writes the platform's store. Position and Configuration are linearizable reads.
 type Store interface {
-	// Revision returns the store's revision, which increases with each change. It is the cheapest read.
-	Revision(ctx context.Context) (int64, error)
-	// Configuration returns the configuration in force, version 0 if there is none, and the store's revision.
-	Configuration(ctx context.Context) (cataloguer.Configuration, int64, error)
+	// Position returns the store's position, which each change moves on. It is the cheapest read.
+	Position(ctx context.Context) (storer.Position, error)
+	// Configuration returns the configuration in force, version 0 if there is none, and the store's position.
+	Configuration(ctx context.Context) (cataloguer.Configuration, storer.Position, error)
 	// Registry returns the upstreams, the nodes, the quarantined requests and the upstreams' rate limits. It calls progress
 	// after each part that it has received.
 	Registry(ctx context.Context, progress func()) (cataloguer.Listing, error)
-	// Changes returns the changes after a revision, or ErrHistoryCompacted. It may lack the newest changes.
-	Changes(ctx context.Context, after int64) (Changes, error)
+	// Changes returns the changes after a position, or ErrHistoryCompacted. It may lack the newest changes.
+	Changes(ctx context.Context, after storer.Position) (Changes, error)
 	// Announce adds nodes to the registry.
 	Announce(ctx context.Context, nodes []cataloguer.Node) error
 	// Withdraw removes nodes from the registry.
 	Withdraw(ctx context.Context, names []string) error
 }
 
-// Changes holds what was written to the store after a revision.
+// Changes holds what was written to the store after a position.
 type Changes struct {
-	// Revision is the revision of the newest change; 0 if there is none.
-	Revision int64
+	// Position is that of the newest change; its revision is 0 if there is none.
+	Position storer.Position
 	// Configuration is nil if it was not written.
 	Configuration *cataloguer.Configuration
 	// Upstreams, Nodes, Quarantined and Limits are entries that were written. GoneUpstreams (IDs), GoneNodes (names),
@@ -105,7 +106,7 @@
 	// assembler holds the payload that is being received; it is used only by the one pull in progress.
 	assembler packer.Assembler
 	// storeRegistry is the registry as of the last read of the store, without expired entries that the catalog
-	// retains; it is used only by the one read in progress. Its revision is 0 before the first read.
+	// retains; it is used only by the one read in progress. Its position is unknown before the first read.
 	storeRegistry cataloguer.Registry
 	versions      versionRecorder
 
@@ -125,6 +126,10 @@
 	failedReads int
 	// isSubstitute says that this node reads the store in place of the root.
 	isSubstitute bool
+	// statefulPeerAt is when a peer that had a state last answered; negative before the first.
+	statefulPeerAt time.Duration
+	// peerLacksEra says that the peer that answered last names no era of the store though this node knows one.
+	peerLacksEra bool
 	// reader is the node that read the freshest known state from the store, at freshAt.
 	reader  string
 	freshAt time.Duration
@@ -186,6 +191,7 @@
 		lastGoodReadAt:      -time.Hour,
 		freshAt:             -time.Hour,
 		lastAnsweredPullAt:  -time.Hour,
+		statefulPeerAt:      -time.Hour,
 		lastPullAt:          -time.Hour,
 		handoverRequestedAt: -time.Hour,
 		lastAnnouncementAt:  -time.Hour,
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -19,6 +19,7 @@
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/follower"
 	"quincepath.example/quincepath/internal/sleeper"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 var errUnavailable = errors.New("away")
@@ -28,6 +29,9 @@
 	mu       sync.Mutex
 	version  int64
 	revision int64
+	// era is the store's; 0 if it names none. Nodes that are behind get answers of the era before.
+	era    int64
+	behind map[string]bool
 	// routes and organisations are part of the configuration in force.
 	routes        []cataloguer.Route
 	organisations []cataloguer.Organisation
@@ -251,18 +255,23 @@
 	return nil
 }
 
-func (m *member) Revision(ctx context.Context) (int64, error) {
+func (m *member) Position(ctx context.Context) (storer.Position, error) {
 	if err := m.callStore(ctx); err != nil {
-		return 0, err
+		return storer.Position{}, err
 	}
 
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
 
-	return m.fleet.revision, nil
+	position := m.fleet.positionLocked()
+	if m.fleet.behind[m.name] {
+		position.Era--
+	}
+
+	return position, nil
 }
 
-func (m *member) Changes(ctx context.Context, after int64) (follower.Changes, error) {
+func (m *member) Changes(ctx context.Context, after storer.Position) (follower.Changes, error) {
 	if err := m.callStore(ctx); err != nil {
 		return follower.Changes{}, err
 	}
@@ -270,7 +279,7 @@
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
 
-	if after < m.fleet.oldestRevision {
+	if after.Revision < m.fleet.oldestRevision || after.Era != m.fleet.era || after.Revision > m.fleet.revision {
 		return follower.Changes{}, follower.ErrHistoryCompacted
 	}
 
@@ -284,7 +293,7 @@
 // changesLocked reports all current entries as written and all past ones as removed. f.mu must be held.
 func (f *fleet) changesLocked() follower.Changes {
 	configuration := f.configurationLocked()
-	changes := follower.Changes{Revision: f.revision, Configuration: &configuration, Nodes: slices.Clone(f.nodes)}
+	changes := follower.Changes{Position: f.positionLocked(), Configuration: &configuration, Nodes: slices.Clone(f.nodes)}
 
 	for _, id := range f.upstreamIDs {
 		changes.Upstreams = append(changes.Upstreams, cataloguer.Upstream{ID: id, Address: f.addresses[id], SoftwareVersion: f.softwareVersions[id]})
@@ -305,20 +314,25 @@
 	return changes
 }
 
+// positionLocked returns the store's position. f.mu must be held.
+func (f *fleet) positionLocked() storer.Position {
+	return storer.Position{Era: f.era, Revision: f.revision}
+}
+
 // configurationLocked returns the configuration in force. f.mu must be held.
 func (f *fleet) configurationLocked() cataloguer.Configuration {
 	return cataloguer.Configuration{Version: f.version, Routes: f.routes, Organisations: f.organisations}
 }
 
-func (m *member) Configuration(ctx context.Context) (cataloguer.Configuration, int64, error) {
+func (m *member) Configuration(ctx context.Context) (cataloguer.Configuration, storer.Position, error) {
 	if err := m.callStore(ctx); err != nil {
-		return cataloguer.Configuration{}, 0, err
+		return cataloguer.Configuration{}, storer.Position{}, err
 	}
 
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
 
-	return m.fleet.configurationLocked(), m.fleet.revision, nil
+	return m.fleet.configurationLocked(), m.fleet.positionLocked(), nil
 }
 
 func (m *member) Registry(ctx context.Context, progress func()) (cataloguer.Listing, error) {
@@ -337,7 +351,7 @@
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
 
-	listing := cataloguer.Listing{Revision: m.fleet.revision, Nodes: slices.Clone(m.fleet.nodes)}
+	listing := cataloguer.Listing{Position: m.fleet.positionLocked(), Nodes: slices.Clone(m.fleet.nodes)}
 	for _, id := range m.fleet.upstreamIDs {
 		listing.Upstreams = append(listing.Upstreams, cataloguer.Upstream{ID: id, Address: m.fleet.addresses[id], SoftwareVersion: m.fleet.softwareVersions[id]})
 	}
@@ -688,7 +702,7 @@
 		both := []cataloguer.Upstream{{ID: "a"}, {ID: "b"}}
 		register := func(c *cataloguer.Catalog, revision int64, upstreams []cataloguer.Upstream) {
 			c.ApplyConfiguration(cataloguer.Configuration{Version: 1}, time.Hour)
-			c.ApplyRegistry(cataloguer.NewRegistry(cataloguer.Listing{Revision: revision, Upstreams: upstreams}), false)
+			c.ApplyRegistry(cataloguer.NewRegistry(cataloguer.Listing{Position: storer.Position{Revision: revision}, Upstreams: upstreams}), false)
 		}
 
 		register(parent, 9, both)
@@ -698,12 +712,12 @@
 		other := cataloguer.New(now)
 		register(other, 9, both)
 		pullOnce(t, m, other)
-		parent.AdvanceRegistryRevision(parent.State().Digest, 20, 0)
+		parent.AdvanceRegistry(parent.State().Digest, storer.Position{Revision: 20}, 0)
 
 		register(child, 12, both)
 		pullOnce(t, m, child)
 		assert.Equal(t, child.State().Registry.Upstreams.Len(), 1)
-		assert.Equal(t, child.State().Registry.Revision, int64(20))
+		assert.Equal(t, child.State().Registry.Position.Revision, int64(20))
 	})
 }
 
--- a/internal/gateway/follower/pull_handler.go
+++ b/internal/gateway/follower/pull_handler.go
@@ -9,6 +9,7 @@
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/packer"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 // MethodPull requests what a peer knows beyond the caller's versions.
@@ -17,8 +18,9 @@
 // pullParams describes the caller's state.
 type pullParams struct {
 	Version int64 `json:"version"`
-	// Revision, RetainedUpstreams and Digest describe the caller's registry.
-	Revision          int64  `json:"revision"`
+	// Position, RetainedUpstreams and Digest describe the caller's registry. A node of an older release names no era.
+	storer.Position
+
 	RetainedUpstreams int    `json:"kept,omitempty"`
 	Digest            uint64 `json:"digest,omitempty"`
 	// Progress is how much the caller has of a payload that is transferred in pages.
@@ -39,8 +41,9 @@
 	AgeMS   int64 `json:"age_ms"`
 	// Reader is the node that read this state from the store.
 	Reader string `json:"reader,omitempty"`
-	// Revision, RetainedUpstreams and Digest describe the peer's registry.
-	Revision          int64  `json:"revision,omitempty"`
+	// Position, RetainedUpstreams and Digest describe the peer's registry. A node of an older release names no era.
+	storer.Position
+
 	RetainedUpstreams int    `json:"kept,omitempty"`
 	Digest            uint64 `json:"digest,omitempty"`
 	// RegistryLagMS is by how much the age of the registry exceeds AgeMS; negative if either is unknown.
@@ -53,6 +56,8 @@
 	// number of nodes that wait for this peer.
 	RetryMS int64 `json:"retry_ms,omitempty"`
 	Waiting int   `json:"waiting,omitempty"`
+	// Departures are upstreams that were removed lately, for a caller without a registry.
+	Departures []cataloguer.Departure `json:"departures,omitempty"`
 	// Delegated are waiting nodes that the caller should send the state to, which it has now.
 	Delegated []string `json:"delegated,omitempty"`
 }
@@ -101,7 +106,11 @@
 
 	state := f.options.Catalog.State()
 	response.Version = state.Configuration.Version
-	response.Revision, response.RetainedUpstreams, response.Digest = state.Registry.Revision, state.Registry.RetainedUpstreams, state.Digest
+	response.Position, response.RetainedUpstreams, response.Digest = state.Registry.Position, state.Registry.RetainedUpstreams, state.Digest
+
+	if !request.Position.IsKnown() && request.Progress.ID == 0 {
+		response.Departures = f.options.Catalog.Departures()
+	}
 
 	if state.Configuration.Version < request.Version {
 		// A seed that the store rejects at its start knows no peers yet, so it pulls from those that contact it.
@@ -137,14 +146,14 @@
 		}
 	}
 
-	if state.Digest == request.Digest || !state.Registry.IsNewerThan(request.Revision, request.RetainedUpstreams) {
+	if state.Digest == request.Digest || !state.Registry.IsNewerThan(request.Position, request.RetainedUpstreams) {
 		f.finishTransfer(response, peer, false)
 
 		return nil
 	}
 
 	known := request.Digest
-	if request.Revision == 0 {
+	if !request.Position.IsKnown() {
 		known = 0
 	}
 
--- a/internal/gateway/follower/pulling.go
+++ b/internal/gateway/follower/pulling.go
@@ -158,7 +158,7 @@
 	wasStale := isStale(f.tree(), f.age())
 	params := pullParams{
 		Version:           state.Configuration.Version,
-		Revision:          state.Registry.Revision,
+		Position:          state.Registry.Position,
 		RetainedUpstreams: state.Registry.RetainedUpstreams,
 		Digest:            state.Digest,
 		Progress:          f.assembler.Progress(),
@@ -183,6 +183,8 @@
 		return
 	}
 
+	catalog.AddDepartures(response.Departures)
+
 	more, err := f.applyPull(ctx, response, startedAt)
 	if err != nil {
 		f.options.Logger.Warn().Err(err).Str("peer", p.peer).Msg("pull_unreadable")
@@ -264,10 +266,14 @@
 		f.freshPeer = ""
 	}
 
+	f.peerLacksEra = response.Era == 0 && response.Position.IsKnown() && f.options.Catalog.State().Registry.Position.Era > 0
+
 	if response.AgeMS < 0 {
 		return
 	}
 
+	f.statefulPeerAt = startedAt
+
 	if freshAt := startedAt - response.age(); freshAt > f.freshAt {
 		f.freshAt, f.reader = freshAt, response.Reader
 	}
--- a/internal/gateway/follower/read_age.go
+++ b/internal/gateway/follower/read_age.go
@@ -31,6 +31,10 @@
 	// can't know its rank yet: the seeds read the store first. The others follow by their rank, in case the store
 	// rejects all seeds.
 	startReadAge = 2 * isolatedReadAge
+	// firstAnswerTime is how long a seed that has just started waits for an answer of a node that has a state: for two pulls.
+	firstAnswerTime = 2*peerTimeout + tickInterval
+	// statefulPeerTime is how long after such an answer a node without a state goes on asking its peers.
+	statefulPeerTime = 3 * time.Second
 	// startTime is how long after its start a node may know too few others to know its rank.
 	startTime = 10 * time.Second
 	// readAgeJitter separates nodes that become due at the same time.
@@ -50,10 +54,16 @@
 	isIsolated := now-max(f.lastAnsweredPullAt, f.createdAt, f.retryAt) > isolationTimeout
 
 	hasState := state.IsComplete()
+	// An older copy of the store may lack what the other nodes know, so a seed that has just started asks them first.
+	startsAlone := isSeed && now-f.statefulPeerAt > statefulPeerTime
 
 	switch {
-	case f.isSubstitute || hasState && isFirst || !hasState && isSeed:
+	case f.isSubstitute || f.peerLacksEra || hasState && isFirst:
 		return 0
+	case !hasState && startsAlone && !f.hasPeers(t, seeds):
+		return 0
+	case !hasState && startsAlone:
+		return firstAnswerTime
 	case isIsolated:
 		return isolatedReadAge + f.jitterLocked(readAgeJitter)
 	case !hasState || now-f.createdAt < startTime && f.isRankUnknown(t, state):
@@ -66,6 +76,11 @@
 	}
 }
 
+// hasPeers reports whether this node knows any other to ask.
+func (f *Follower) hasPeers(t *tree, seeds []string) bool {
+	return len(t.order) > 1 || slices.ContainsFunc(seeds, func(name string) bool { return name != f.options.Self.Name })
+}
+
 // isRankUnknown reports whether this node's rank among the nodes that it knows says little about its rank among all: it is
 // not listed, as the others that start with it, or it knows less than half of the listed nodes to be live. At a start of
 // 1,000 nodes hundreds of them would be among the first nine of the few that each one knows, and read the store.
--- a/internal/gateway/follower/start_test.go
+++ b/internal/gateway/follower/start_test.go
@@ -93,7 +93,7 @@
 			f.registryPages, f.pageDelay = pages, 150*time.Millisecond
 			f.start(t, "n0", nil)
 
-			took := f.timeUntilAll(func(s *cataloguer.State) bool { return s.Registry.Revision > 0 })
+			took := f.timeUntilAll(func(s *cataloguer.State) bool { return s.Registry.Position.Revision > 0 })
 			assert.Assert(t, took < time.Duration(pages)*200*time.Millisecond+time.Second, "%d pages: %v", pages, took)
 		})
 	}
--- a/internal/gateway/follower/store_reading.go
+++ b/internal/gateway/follower/store_reading.go
@@ -8,6 +8,7 @@
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/quarantiner"
+	"quincepath.example/quincepath/internal/storer"
 	"quincepath.example/quincepath/internal/throttler"
 )
 
@@ -156,26 +157,29 @@
 	readCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 
-	revision, err := f.options.Store.Revision(readCtx)
+	position, err := f.options.Store.Position(readCtx)
 	if err != nil {
 		return err
 	}
 
-	if revision < f.storeRegistry.Revision {
-		f.options.Logger.Warn().Int64("revision_before", f.storeRegistry.Revision).Int64("revision", revision).Msg("store_went_back")
+	if err := f.checkEra(position); err != nil {
+		return err
+	}
 
+	// After a return from an older copy the revisions that this node knows may stand for other changes.
+	if position.Era != f.storeRegistry.Position.Era || position.IsBefore(f.storeRegistry.Position) {
 		return ErrHistoryCompacted
 	}
 
-	if revision > f.storeRegistry.Revision {
-		changes, err := f.options.Store.Changes(readCtx, f.storeRegistry.Revision)
+	if f.storeRegistry.Position.IsBefore(position) {
+		changes, err := f.options.Store.Changes(readCtx, f.storeRegistry.Position)
 		if err != nil {
 			return err
 		}
 
 		// The list of changes may lag behind the store. Without this check the old configuration would be marked as
 		// fresh, and a revoked key accepted for longer than allowed.
-		if changes.Revision < revision {
+		if changes.Position.IsBefore(position) {
 			return ErrHistoryCompacted
 		}
 
@@ -188,16 +192,25 @@
 	return nil
 }
 
+// checkEra returns an error if a read is from an earlier era than one that this node knows from other nodes.
+func (f *Follower) checkEra(read storer.Position) error {
+	if known := f.options.Catalog.State().Registry.Position; read.Era < known.Era {
+		return errors.Wrapf(storer.ErrEarlierEra, "era %d after %d", read.Era, known.Era)
+	}
+
+	return nil
+}
+
 // selectBase selects the base to which changes are applied: the last read or, if it is newer, the registry from
 // peers. It reports whether there is one.
 func (f *Follower) selectBase() bool {
 	state := f.options.Catalog.State()
 	// Expired entries that the catalog retains are not in the store.
-	if state.Registry.RetainedUpstreams == 0 && state.Registry.Revision > f.storeRegistry.Revision {
+	if state.Registry.RetainedUpstreams == 0 && f.storeRegistry.Position.IsBefore(state.Registry.Position) {
 		f.storeRegistry = state.Registry
 	}
 
-	return state.HasConfiguration() && f.storeRegistry.Revision > 0
+	return state.HasConfiguration() && f.storeRegistry.Position.IsKnown()
 }
 
 // applyChanges applies the changes that were read from the store.
@@ -207,7 +220,7 @@
 	}
 
 	delta := cataloguer.RegistryDelta{
-		Revision:          changes.Revision,
+		Position:          changes.Position,
 		UnreadableEntries: f.storeRegistry.UnreadableEntries,
 		Upstreams:         cataloguer.ListDelta[cataloguer.Upstream]{Put: changes.Upstreams, Remove: changes.GoneUpstreams},
 		Nodes:             cataloguer.ListDelta[cataloguer.Node]{Put: changes.Nodes, Remove: changes.GoneNodes},
@@ -228,17 +241,23 @@
 
 	f.count(func(c *Counters) { c.FullReads++ })
 
-	configuration, revision, err := f.options.Store.Configuration(readCtx)
+	configuration, position, err := f.options.Store.Configuration(readCtx)
 	if err != nil {
 		return err
 	}
 
-	if configuration.Version == 0 {
+	if err := f.checkEra(position); err != nil {
+		return err
+	}
+
+	if configuration.Version == 0 && !f.options.Catalog.State().HasConfiguration() {
 		// The operators have not written a configuration yet, so there is nothing to serve.
 		return nil
 	}
 
 	f.applyConfiguration(ctx, configuration, startedAt)
+	// An older copy of the store may hold an older configuration until the operators have written theirs again.
+	f.options.Catalog.MarkConfigurationFresh(max(configuration.Version, f.options.Catalog.State().Configuration.Version), startedAt)
 	timer.Reset(partTimeout)
 
 	listing, err := f.options.Store.Registry(readCtx, func() { timer.Reset(partTimeout) })
@@ -246,8 +265,12 @@
 		return err
 	}
 
-	// The lists are newer than the configuration, so the next changes must be read from the configuration's revision.
-	listing.Revision = revision
+	if listing.Era != position.Era {
+		return storer.ErrEraChanged
+	}
+
+	// The lists are newer than the configuration, so the next changes must be read from the configuration's position.
+	listing.Position = position
 	f.storeRegistry = cataloguer.NewRegistry(listing)
 	f.applyStoreRegistry(ctx, startedAt, afterOutage)
 
@@ -264,12 +287,36 @@
 // applyStoreRegistry applies the registry as of the read that started at startedAt.
 func (f *Follower) applyStoreRegistry(ctx context.Context, startedAt time.Duration, afterOutage bool) {
 	registry := f.recordVersions(ctx, f.storeRegistry)
-	if f.options.Catalog.ApplyFreshRegistry(registry, afterOutage, startedAt) {
+	changed := f.options.Catalog.ApplyFreshRegistry(registry, afterOutage, startedAt)
+	returned := f.logStoreReturns("store")
+
+	if changed {
 		f.logRegistry("store")
+	}
+
+	if changed || returned {
 		f.notifyStoreChange(ctx)
 	}
 }
 
+// logStoreReturns logs each return of the store from an older copy that this node has noticed, and reports whether there was one.
+func (f *Follower) logStoreReturns(source string) bool {
+	returns := f.options.Catalog.TakeStoreReturns()
+	for _, r := range returns {
+		f.options.Logger.Warn().
+			Int64("era_before", r.From.Era).Int64("revision_before", r.From.Revision).
+			Int64("era", r.To.Era).Int64("revision", r.To.Revision).
+			Int("lost_upstreams", r.LostUpstreams).Int("lost_nodes", r.LostNodes).
+			Int("lost_quarantines", r.LostQuarantined).Int("lost_rate_limits", r.LostLimits).
+			Int("kept_leaving", r.KeptDraining).Int("held_departed", r.HeldDeparted).
+			Int64("version", f.options.Catalog.State().Configuration.Version).
+			Str("source", source).
+			Msg("store_returned_from_copy")
+	}
+
+	return len(returns) > 0
+}
+
 // recordReadSuccess records a successful read that started at startedAt.
 func (f *Follower) recordReadSuccess(startedAt time.Duration) {
 	f.mu.Lock()
@@ -318,7 +365,8 @@
 func (f *Follower) logRegistry(source string) {
 	registry := f.options.Catalog.State().Registry
 	f.options.Logger.Info().
-		Int64("revision", registry.Revision).
+		Int64("era", registry.Position.Era).
+		Int64("revision", registry.Position.Revision).
 		Int("upstreams", registry.Upstreams.Len()).
 		Int("nodes", registry.Nodes.Len()).
 		Str("source", source).
--- a/internal/gateway/follower/store_reading_test.go
+++ b/internal/gateway/follower/store_reading_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 // readersAt returns how many nodes of a fleet read the store at the given configuration age. They have just started and have
@@ -33,7 +34,7 @@
 		})
 
 		catalog.ApplyConfiguration(cataloguer.Configuration{Version: 1}, now)
-		catalog.ApplyFreshRegistry(cataloguer.NewRegistry(cataloguer.Listing{Revision: 1, Nodes: listed}), false, now)
+		catalog.ApplyFreshRegistry(cataloguer.NewRegistry(cataloguer.Listing{Position: storer.Position{Revision: 1}, Nodes: listed}), false, now)
 
 		now += age
 		f.lastAnsweredPullAt = now
--- a/internal/gateway/follower/versions.go
+++ b/internal/gateway/follower/versions.go
@@ -56,7 +56,7 @@
 	known := f.options.Catalog.State().Registry
 	delta := registry.DeltaFrom(&known)
 	missing := make(map[cataloguer.ServiceVersion]bool)
-	const era = 0
+	era := registry.Position.Era
 
 	if f.versions.era != era {
 		missing = f.allVersions(&registry, &known)
@@ -151,7 +151,7 @@
 // holdBack returns the registry with the entries of the known one in place of those whose versions aren't recorded.
 func (f *Follower) holdBack(registry, known *cataloguer.Registry, delta *cataloguer.RegistryDelta) cataloguer.Registry {
 	back := cataloguer.RegistryDelta{
-		Revision: registry.Revision, RetainedUpstreams: registry.RetainedUpstreams, UnreadableEntries: registry.UnreadableEntries,
+		Position: registry.Position, RetainedUpstreams: registry.RetainedUpstreams, UnreadableEntries: registry.UnreadableEntries,
 	}
 
 	for i := range delta.Upstreams.Put {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -25,6 +25,7 @@
 	"quincepath.example/quincepath/internal/gateway/relayer"
 	"quincepath.example/quincepath/internal/loader"
 	"quincepath.example/quincepath/internal/quarantiner"
+	"quincepath.example/quincepath/internal/storer"
 	"quincepath.example/quincepath/internal/throttler"
 )
 
@@ -41,7 +42,7 @@
 	limits map[string]throttler.Limit
 }
 
-func (s *store) Configuration(context.Context) (cataloguer.Configuration, int64, error) {
+func (s *store) Configuration(context.Context) (cataloguer.Configuration, storer.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -52,7 +53,7 @@
 			Shares: []cataloguer.Share{{Service: "desk", Weight: 1}}, Timeout: 20 * time.Second, Target: 10 * time.Second,
 		}},
 		Services: []cataloguer.Service{{Name: "desk"}},
-	}, s.revision, nil
+	}, storer.Position{Revision: s.revision}, nil
 }
 
 func (s *store) Registry(context.Context, func()) (cataloguer.Listing, error) {
@@ -60,20 +61,20 @@
 	defer s.mu.Unlock()
 
 	return cataloguer.Listing{
-		Revision:  s.revision,
+		Position:  storer.Position{Revision: s.revision},
 		Upstreams: []cataloguer.Upstream{{ID: "u", Service: "desk", Address: s.address, Slots: 6}},
 		Nodes:     append([]cataloguer.Node(nil), s.nodes...),
 	}, nil
 }
 
-func (s *store) Revision(context.Context) (int64, error) {
+func (s *store) Position(context.Context) (storer.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return s.revision, nil
+	return storer.Position{Revision: s.revision}, nil
 }
 
-func (s *store) Changes(context.Context, int64) (follower.Changes, error) {
+func (s *store) Changes(context.Context, storer.Position) (follower.Changes, error) {
 	return follower.Changes{}, follower.ErrHistoryCompacted
 }
 
--- a/internal/gateway/kept_connections_test.go
+++ b/internal/gateway/kept_connections_test.go
@@ -20,6 +20,7 @@
 	"gotest.tools/v3/assert"
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 const (
@@ -60,12 +61,12 @@
 	return s.away
 }
 
-func (s *keptStore) Configuration(context.Context) (cataloguer.Configuration, int64, error) {
+func (s *keptStore) Configuration(context.Context) (cataloguer.Configuration, storer.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	if s.away {
-		return cataloguer.Configuration{}, 0, errStoreAway
+		return cataloguer.Configuration{}, storer.Position{}, errStoreAway
 	}
 
 	configuration := cataloguer.Configuration{
@@ -81,7 +82,7 @@
 		})
 	}
 
-	return configuration, s.revision, nil
+	return configuration, storer.Position{Revision: s.revision}, nil
 }
 
 func (s *keptStore) Registry(ctx context.Context, progress func()) (cataloguer.Listing, error) {
@@ -92,12 +93,12 @@
 	return s.crashStore.Registry(ctx, progress)
 }
 
-func (s *keptStore) Revision(ctx context.Context) (int64, error) {
+func (s *keptStore) Position(ctx context.Context) (storer.Position, error) {
 	if s.isAway() {
-		return 0, errStoreAway
+		return storer.Position{}, errStoreAway
 	}
 
-	return s.crashStore.Revision(ctx)
+	return s.crashStore.Position(ctx)
 }
 
 // keptUpstreams are upstreams that record the requests that reached them. Some answers are slow or long, and some break.
--- a/internal/gateway/leader/cluster_test.go
+++ b/internal/gateway/leader/cluster_test.go
@@ -17,6 +17,7 @@
 	"quincepath.example/quincepath/internal/gateway/scaler"
 	"quincepath.example/quincepath/internal/gateway/tallier"
 	"quincepath.example/quincepath/internal/standin/keeper"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 const (
@@ -103,7 +104,7 @@
 	upstreams := []cataloguer.Upstream{{ID: "e", Service: "engines", FailureDomain: "z"}}
 	state := &cataloguer.State{
 		Configuration: cataloguer.Configuration{Version: 1, Services: services},
-		Registry:      cataloguer.NewRegistry(cataloguer.Listing{Revision: 1, Upstreams: upstreams}),
+		Registry:      cataloguer.NewRegistry(cataloguer.Listing{Position: storer.Position{Revision: 1}, Upstreams: upstreams}),
 	}
 	p.leader = leader.New(leader.Options{
 		Node: m.name, Self: m.name, Incarnation: incarnation,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,9 +17,12 @@
 	Version int64 `json:"version"`
 	// AgeMS is the time since the configuration was last confirmed as current; negative if it never was.
 	AgeMS int64 `json:"age_ms"`
-	// Revision is the revision of the registry.
+	// Era and Revision are the position of the registry in the store.
+	Era       int64 `json:"era"`
 	Revision  int64 `json:"revision"`
 	Upstreams int   `json:"upstreams"`
+	// StoreReturns counts the returns of the store from older copies that the node has noticed.
+	StoreReturns int64 `json:"store_returns"`
 	// RetainedUpstreams is the number of upstreams that are retained after a store outage although the store no longer lists them.
 	RetainedUpstreams int `json:"kept"`
 	// UnreadableEntries is the number of registry entries that could not be decoded.
@@ -67,7 +70,9 @@
 	return catalogMetrics{
 		Version:           state.Configuration.Version,
 		AgeMS:             age.Milliseconds(),
-		Revision:          state.Registry.Revision,
+		Era:               state.Registry.Position.Era,
+		Revision:          state.Registry.Position.Revision,
+		StoreReturns:      n.catalog.StoreReturnCount(),
 		Upstreams:         state.Registry.Upstreams.Len(),
 		RetainedUpstreams: state.Registry.RetainedUpstreams,
 		UnreadableEntries: state.Registry.UnreadableEntries,
--- a/internal/gateway/relayer/resume_test.go
+++ b/internal/gateway/relayer/resume_test.go
@@ -12,6 +12,7 @@
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/pinner"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 // fakePins remembers what began streams.
@@ -73,7 +74,7 @@
 
 // list lists the upstreams with their software versions.
 func (w *fixture) list() {
-	listing := cataloguer.Listing{Revision: w.catalog.State().Registry.Revision + 1}
+	listing := cataloguer.Listing{Position: storer.Position{Revision: w.catalog.State().Registry.Position.Revision + 1}}
 	for _, u := range w.upstreams {
 		listing.Upstreams = append(listing.Upstreams, cataloguer.Upstream{ID: u.name, Service: "s", Address: u.address, Slots: 1, SoftwareVersion: u.version})
 	}
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -15,6 +15,7 @@
 	"quincepath.example/quincepath/internal/gateway"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/loader"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 const (
@@ -36,7 +37,7 @@
 	crashStore
 }
 
-func (s *budgetStore) Configuration(ctx context.Context) (cataloguer.Configuration, int64, error) {
+func (s *budgetStore) Configuration(ctx context.Context) (cataloguer.Configuration, storer.Position, error) {
 	configuration, revision, err := s.store.Configuration(ctx)
 	configuration.Routes[0].Attempts = 3
 
--- a/internal/gateway/stream_versions_test.go
+++ b/internal/gateway/stream_versions_test.go
@@ -19,6 +19,7 @@
 
 	"quincepath.example/quincepath/internal/gateway"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 const (
@@ -47,7 +48,7 @@
 	crashStore
 }
 
-func (s *versionStore) Configuration(ctx context.Context) (cataloguer.Configuration, int64, error) {
+func (s *versionStore) Configuration(ctx context.Context) (cataloguer.Configuration, storer.Position, error) {
 	configuration, revision, err := s.store.Configuration(ctx)
 	route := &configuration.Routes[0]
 	route.Name, route.Kind, route.Resumable, route.Attempts = "chat", cataloguer.Stream, true, 3
--- a/internal/gateway/upstream_cut_test.go
+++ b/internal/gateway/upstream_cut_test.go
@@ -22,6 +22,7 @@
 	"quincepath.example/quincepath/internal/gateway"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/loader"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 const (
@@ -243,7 +244,7 @@
 	crashStore
 }
 
-func (s *cutStore) Configuration(ctx context.Context) (cataloguer.Configuration, int64, error) {
+func (s *cutStore) Configuration(ctx context.Context) (cataloguer.Configuration, storer.Position, error) {
 	configuration, revision, err := s.store.Configuration(ctx)
 	configuration.Routes[0].Attempts = 3
 	configuration.Routes[0].Timeout, configuration.Routes[0].Target = 5*time.Second, time.Second
