Follower: a store that goes back without naming an era has returned from a copy

Its reads are linearizable, so a revision below one that was known before the read began proves a return. Positions count these as resets within an era; a node that missed one hears of it from whoever asks it. Where the revisions have overtaken the known ones before any node reads, nothing tells such a return; a store that names eras is told apart.

--- a/internal/gateway/cataloguer/catalog.go
+++ b/internal/gateway/cataloguer/catalog.go
@@ -25,6 +25,8 @@
 	Registry      Registry
 	// Digest is the digest of Registry.
 	Digest uint64
+	// StoreReturns counts the returns of the store from older copies that this node has noticed.
+	StoreReturns int64
 }
 
 // HasConfiguration reports whether a configuration has been received.
@@ -59,11 +61,11 @@
 	graceEnds map[string]time.Duration
 	// departures are the upstreams that were removed lately.
 	departures departures
-	// storeReturns are the returns of the store from older copies that nobody has taken yet, returnCount is their number since the
-	// start.
+	// storeReturns are the returns of the store from older copies that nobody has taken yet.
 	storeReturns []StoreReturn
-	returnCount  int64
-	changed      chan struct{}
+	// returnCount is the number of returns that were noticed.
+	returnCount int64
+	changed     chan struct{}
 }
 
 // New returns an empty catalog. The clock now must include the time for which the VM is suspended.
@@ -150,7 +152,9 @@
 
 	if newer {
 		c.previousConfigurations = appendBounded(c.previousConfigurations, state, maxPreviousConfigurations)
-		c.publishLocked(&State{Configuration: configuration, Registry: state.Registry, Digest: state.Digest})
+		next := *state
+		next.Configuration = configuration
+		c.publishLocked(&next)
 	}
 	c.mu.Unlock()
 
@@ -204,7 +208,7 @@
 		c.recordReturnLocked(noticed)
 	}
 
-	next := &State{Configuration: state.Configuration, Registry: state.Registry.Apply(&delta)}
+	next := &State{Configuration: state.Configuration, Registry: state.Registry.Apply(&delta), StoreReturns: c.returnCount}
 	next.Digest = next.Registry.Digest()
 
 	// What the store lists of itself may have to be written again, also where nothing is lost.
@@ -225,14 +229,6 @@
 	c.returnCount++
 }
 
-// StoreReturnCount returns the number of returns of the store from older copies that were noticed since the start.
-func (c *Catalog) StoreReturnCount() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	return c.returnCount
-}
-
 // AdvanceRegistry records that the registry with the given digest was unchanged at a later position of the store. Otherwise the
 // node would keep its earlier position and accept an older registry of a peer as newer.
 func (c *Catalog) AdvanceRegistry(digest uint64, position storer.Position, kept int) {
@@ -249,6 +245,7 @@
 
 	if state.Registry.isStoreReturn(position) {
 		c.recordReturnLocked(StoreReturn{From: state.Registry.Position, To: position})
+		next.StoreReturns = c.returnCount
 		c.publishLocked(&next)
 
 		return
--- a/internal/gateway/cataloguer/departures.go
+++ b/internal/gateway/cataloguer/departures.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"quincepath.example/quincepath/internal/storer"
 )
 
 const (
@@ -24,8 +26,9 @@
 	ID string `json:"id"`
 	// Born is the start time of the run that ended, see Upstream.
 	Born int64 `json:"born,omitempty"`
-	// Era is the era of the store in which it was removed.
-	Era int64 `json:"era,omitempty"`
+	// Position is that of the store at which it was removed.
+	storer.Position
+
 	// Draining says that it had said that it leaves.
 	Draining bool `json:"draining,omitempty"`
 	// AgeMS is how long ago it was removed.
@@ -37,7 +40,7 @@
 	Departure
 
 	at time.Duration
-	// listedAgainAt is when a later era first listed it; negative if none does.
+	// listedAgainAt is when the store first listed it after its return; negative if it doesn't.
 	listedAgainAt time.Duration
 }
 
@@ -45,7 +48,7 @@
 // safe for concurrent use.
 type departures struct {
 	byID *simplelru.LRU[string, departure]
-	// held are the IDs of those that a later era lists.
+	// held are the IDs of those that the store lists again.
 	held map[string]bool
 }
 
@@ -59,17 +62,18 @@
 	return departures{byID: byID, held: make(map[string]bool)}
 }
 
-// add remembers an upstream that is removed in an era.
-func (d *departures) add(now time.Duration, upstream *Upstream, era int64) {
+// add remembers an upstream that is removed at a position.
+func (d *departures) add(now time.Duration, upstream *Upstream, position storer.Position) {
 	d.byID.Add(upstream.ID, departure{
-		Departure: Departure{ID: upstream.ID, Born: upstream.Born, Era: era, Draining: upstream.Draining}, at: now, listedAgainAt: -1,
+		Departure: Departure{ID: upstream.ID, Born: upstream.Born, Position: position, Draining: upstream.Draining}, at: now, listedAgainAt: -1,
 	})
 }
 
-// isHeld reports whether an upstream that the given era lists is held back, since this run of it had left in an earlier one.
-func (d *departures) isHeld(now time.Duration, upstream *Upstream, era int64) bool {
+// isHeld reports whether an upstream that the store lists is held back, since this run of it had left before the store returned from a
+// copy.
+func (d *departures) isHeld(now time.Duration, upstream *Upstream, position storer.Position) bool {
 	found, ok := d.byID.Peek(upstream.ID)
-	if !ok || found.Era >= era || found.Born != upstream.Born {
+	if !ok || !found.IsOfEarlierHistory(position) || found.Born != upstream.Born {
 		return false
 	}
 
@@ -86,7 +90,7 @@
 	return found.Draining || now-found.listedAgainAt < departureHold
 }
 
-// update takes over that a registry no longer lists an upstream that a later era had listed again: its removal was written again.
+// update takes over that a registry no longer lists an upstream that the store had listed again: its removal was written again.
 func (d *departures) update(now time.Duration, registry *Registry) {
 	for id := range d.held {
 		if registry.Upstreams.Contains(id) {
@@ -96,7 +100,7 @@
 		delete(d.held, id)
 
 		if found, ok := d.byID.Peek(id); ok {
-			found.Era, found.at, found.listedAgainAt = registry.Position.Era, now, -1
+			found.Position, found.at, found.listedAgainAt = registry.Position, now, -1
 			d.byID.Add(id, found)
 		}
 	}
@@ -135,7 +139,7 @@
 
 	// The newest are the first.
 	for _, told := range slices.Backward(added) {
-		if known, ok := c.departures.byID.Peek(told.ID); !ok || known.Era < told.Era {
+		if known, ok := c.departures.byID.Peek(told.ID); !ok || known.IsOfEarlierHistory(told.Position) {
 			at := now - time.Duration(told.AgeMS)*time.Millisecond
 			c.departures.byID.Add(told.ID, departure{Departure: told, at: at, listedAgainAt: -1})
 		}
--- a/internal/gateway/cataloguer/store_return.go
+++ b/internal/gateway/cataloguer/store_return.go
@@ -6,8 +6,8 @@
 	"quincepath.example/quincepath/internal/storer"
 )
 
-// StoreReturn describes the return of the store from an older copy, as a node notices it by a position of a later era. What the
-// store had acknowledged before may be lost.
+// StoreReturn describes the return of the store from an older copy, as a node notices it by a position of a later history. What
+// the store had acknowledged before may be lost.
 type StoreReturn struct {
 	From, To storer.Position
 	// LostUpstreams, LostNodes, LostQuarantined and LostLimits count the known entries that the store lacks after its return.
@@ -19,7 +19,7 @@
 
 // isStoreReturn reports whether a registry at the given position shows that the store has returned from a copy since this one.
 func (r *Registry) isStoreReturn(next storer.Position) bool {
-	return r.Position.IsKnown() && next.Era > r.Position.Era
+	return r.Position.IsKnown() && r.Position.IsOfEarlierHistory(next)
 }
 
 // TakeStoreReturns returns the returns of the store that were noticed since the last call, oldest first.
@@ -57,7 +57,7 @@
 	now, before := c.now(), len(delta.Upstreams.Put)
 
 	delta.Upstreams.Put = slices.DeleteFunc(delta.Upstreams.Put, func(upstream Upstream) bool {
-		return c.departures.isHeld(now, &upstream, delta.Era)
+		return c.departures.isHeld(now, &upstream, delta.Position)
 	})
 
 	return before - len(delta.Upstreams.Put)
@@ -67,7 +67,7 @@
 func (c *Catalog) rememberDeparted(known *Registry, delta *RegistryDelta) {
 	for _, id := range delta.Upstreams.Remove {
 		if upstream, ok := known.Upstreams.Get(id); ok {
-			c.departures.add(c.now(), &upstream, delta.Era)
+			c.departures.add(c.now(), &upstream, delta.Position)
 		}
 	}
 }
--- a/internal/gateway/cataloguer/store_return_test.go
+++ b/internal/gateway/cataloguer/store_return_test.go
@@ -63,7 +63,7 @@
 	assert.Equal(t, len(returns), 2)
 	assert.Equal(t, returns[0].From, storer.Position{Era: 1, Revision: 90})
 	assert.Equal(t, returns[1].To, storer.Position{Era: 3, Revision: 2})
-	assert.Equal(t, r.StoreReturnCount(), int64(2))
+	assert.Equal(t, r.State().StoreReturns, int64(2))
 	assert.Equal(t, len(r.TakeStoreReturns()), 0)
 }
 
--- a/internal/gateway/follower/applying.go
+++ b/internal/gateway/follower/applying.go
@@ -33,31 +33,13 @@
 	// A registry that is newer than the configuration would hide the changes between them from the next read of the
 	// store.
 	if catalog.State().Configuration.Version >= response.Version {
-		catalog.AdvanceRegistry(response.Digest, response.Position, response.RetainedUpstreams)
-
-		if response.Registry != nil {
-			registry, complete, err := f.unpackRegistry(*response.Registry)
-			if err != nil {
-				return false, err
-			}
-
-			isCurrent := complete && registry.Digest() == response.Digest
-			if isCurrent {
-				// The payload may have been encoded at an earlier position at which the peer's registry had the same
-				// content.
-				registry.Position, registry.RetainedUpstreams = response.Position, response.RetainedUpstreams
-			}
-
-			if complete && catalog.ApplyRegistry(registry, false) {
-				f.logRegistry("peer")
-
-				changed = true
-			}
-
-			// A whole registry may be followed by the changes since it was encoded.
-			more = more || !isCurrent
+		isCurrent, isNew, err := f.applyPulledRegistry(response)
+		if err != nil {
+			return false, err
 		}
 
+		more, changed = more || !isCurrent, changed || isNew
+
 		if registryFreshAt, ok := response.registryFreshAt(freshAt); ok && !catalog.State().Registry.Position.IsBefore(response.Position) {
 			catalog.MarkRegistryFresh(registryFreshAt)
 		}
@@ -70,6 +52,37 @@
 	return more, nil
 }
 
+// applyPulledRegistry applies the registry of a peer's response. It reports whether nothing of it is left to transfer, and whether any entry
+// changed.
+func (f *Follower) applyPulledRegistry(response pullResponse) (isCurrent, changed bool, err error) {
+	catalog := f.options.Catalog
+	catalog.AdvanceRegistry(response.Digest, response.Position, response.RetainedUpstreams)
+
+	if response.Registry == nil {
+		return true, false, nil
+	}
+
+	registry, complete, err := f.unpackRegistry(*response.Registry)
+	if err != nil {
+		return false, false, err
+	}
+
+	// A whole registry may be followed by the changes since it was encoded.
+	isCurrent = complete && registry.Digest() == response.Digest
+	if isCurrent {
+		// The payload may have been encoded at an earlier position at which the peer's registry had the same content.
+		registry.Position, registry.RetainedUpstreams = response.Position, response.RetainedUpstreams
+	}
+
+	if complete && catalog.ApplyRegistry(registry, false) {
+		f.logRegistry("peer")
+
+		changed = true
+	}
+
+	return isCurrent, changed, nil
+}
+
 // unpackConfiguration adds a page and returns the configuration once it is complete.
 func (f *Follower) unpackConfiguration(page payloadPage) (cataloguer.Configuration, bool, error) {
 	payload, complete, err := f.assembler.Add(page.Page)
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -186,7 +186,7 @@
 		transfers:           newTransfers(),
 		payloads:            newPayloadCache(options.Catalog),
 		pendingNodes:        make(map[string]cataloguer.Node),
-		versions:            versionRecorder{recorded: make(map[cataloguer.ServiceVersion]time.Duration), era: -1},
+		versions:            versionRecorder{recorded: make(map[cataloguer.ServiceVersion]time.Duration)},
 		lastReadAt:          -time.Hour,
 		lastGoodReadAt:      -time.Hour,
 		freshAt:             -time.Hour,
--- a/internal/gateway/follower/pull_handler.go
+++ b/internal/gateway/follower/pull_handler.go
@@ -108,12 +108,12 @@
 	response.Version = state.Configuration.Version
 	response.Position, response.RetainedUpstreams, response.Digest = state.Registry.Position, state.Registry.RetainedUpstreams, state.Digest
 
-	if !request.Position.IsKnown() && request.Progress.ID == 0 {
+	if !request.IsKnown() && request.Progress.ID == 0 {
 		response.Departures = f.options.Catalog.Departures()
 	}
 
-	if state.Configuration.Version < request.Version {
-		// A seed that the store rejects at its start knows no peers yet, so it pulls from those that contact it.
+	if state.Configuration.Version < request.Version || state.Registry.Position.IsOfEarlierHistory(request.Position) {
+		// The caller knows of a return of the store that this node has missed, or a seed that the store rejects at its start knows no peers yet, so it pulls from those that contact it.
 		f.setNextPeer(peer)
 		f.wakeLoop()
 	}
@@ -153,7 +153,7 @@
 	}
 
 	known := request.Digest
-	if !request.Position.IsKnown() {
+	if !request.IsKnown() {
 		known = 0
 	}
 
--- a/internal/gateway/follower/pulling.go
+++ b/internal/gateway/follower/pulling.go
@@ -266,7 +266,7 @@
 		f.freshPeer = ""
 	}
 
-	f.peerLacksEra = response.Era == 0 && response.Position.IsKnown() && f.options.Catalog.State().Registry.Position.Era > 0
+	f.peerLacksEra = response.Era == 0 && response.IsKnown() && f.options.Catalog.State().Registry.Position.Era > 0
 
 	if response.AgeMS < 0 {
 		return
--- a/internal/gateway/follower/store_reading.go
+++ b/internal/gateway/follower/store_reading.go
@@ -166,17 +166,22 @@
 		return err
 	}
 
+	base := f.storeRegistry.Position
+	position.Resets = base.Resets
+
 	// After a return from an older copy the revisions that this node knows may stand for other changes.
-	if position.Era != f.storeRegistry.Position.Era || position.IsBefore(f.storeRegistry.Position) {
+	if !position.HasHistoryOf(base) || position.IsBefore(base) {
 		return ErrHistoryCompacted
 	}
 
-	if f.storeRegistry.Position.IsBefore(position) {
-		changes, err := f.options.Store.Changes(readCtx, f.storeRegistry.Position)
+	if base.IsBefore(position) {
+		changes, err := f.options.Store.Changes(readCtx, base)
 		if err != nil {
 			return err
 		}
 
+		changes.Position.Resets = base.Resets
+
 		// The list of changes may lag behind the store. Without this check the old configuration would be marked as
 		// fresh, and a revoked key accepted for longer than allowed.
 		if changes.Position.IsBefore(position) {
@@ -201,6 +206,20 @@
 	return nil
 }
 
+// continued returns the position of a read that began when base was known. A store whose reads are linearizable never goes back but by
+// a return from an older copy, also if it doesn't name its eras.
+func continued(base, read storer.Position) storer.Position {
+	if read.Era == base.Era {
+		read.Resets = base.Resets
+
+		if read.IsBefore(base) {
+			read.Resets++
+		}
+	}
+
+	return read
+}
+
 // selectBase selects the base to which changes are applied: the last read or, if it is newer, the registry from
 // peers. It reports whether there is one.
 func (f *Follower) selectBase() bool {
@@ -241,6 +260,8 @@
 
 	f.count(func(c *Counters) { c.FullReads++ })
 
+	base := f.options.Catalog.State().Registry.Position
+
 	configuration, position, err := f.options.Store.Configuration(readCtx)
 	if err != nil {
 		return err
@@ -250,6 +271,8 @@
 		return err
 	}
 
+	position = continued(base, position)
+
 	if configuration.Version == 0 && !f.options.Catalog.State().HasConfiguration() {
 		// The operators have not written a configuration yet, so there is nothing to serve.
 		return nil
@@ -265,7 +288,7 @@
 		return err
 	}
 
-	if listing.Era != position.Era {
+	if listing.Era != position.Era || listing.Revision < position.Revision {
 		return storer.ErrEraChanged
 	}
 
@@ -305,7 +328,7 @@
 	for _, r := range returns {
 		f.options.Logger.Warn().
 			Int64("era_before", r.From.Era).Int64("revision_before", r.From.Revision).
-			Int64("era", r.To.Era).Int64("revision", r.To.Revision).
+			Int64("era", r.To.Era).Int64("revision", r.To.Revision).Int64("resets", r.To.Resets).
 			Int("lost_upstreams", r.LostUpstreams).Int("lost_nodes", r.LostNodes).
 			Int("lost_quarantines", r.LostQuarantined).Int("lost_rate_limits", r.LostLimits).
 			Int("kept_leaving", r.KeptDraining).Int("held_departed", r.HeldDeparted).
--- a/internal/gateway/follower/store_return_test.go
+++ b/internal/gateway/follower/store_return_test.go
@@ -37,55 +37,71 @@
 	defer f.mu.Unlock()
 
 	f.version, f.revision, f.upstreamIDs, f.nodes = loss.version, loss.revision, slices.Clone(loss.upstreamIDs), slices.Clone(loss.nodes)
-	f.era++
+
+	if f.era > 0 {
+		f.era++
+	}
 }
 
 // knowsAfterReturn reports whether a node knows the version and the upstream that were written after the store's return.
 func knowsAfterReturn(s *cataloguer.State) bool {
-	return s.Configuration.Version == 7 && s.Registry.Upstreams.Contains("new") && s.Registry.Position.Era == 2
+	return s.Configuration.Version == 7 && s.Registry.Upstreams.Contains("new") && s.StoreReturns == 1
 }
 
 // Guards against changes that no node hears of, since they have revisions which the store had given out before it returned from a copy.
 func TestChangesAfterTheStoreReturned(t *testing.T) {
-	for _, count := range []int{1, 9, 40} {
+	for _, test := range []struct {
+		nodes int
 		// otherWrites are changes before the first read after the return.
-		for _, otherWrites := range []int{0, 3, 50} {
-			t.Run(fmt.Sprint(count, " nodes, ", otherWrites, " other writes"), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					f := newFleet(t, count)
-					defer f.stop()
-
-					f.update(func() { f.era = 1 })
-					time.Sleep(15 * time.Second)
-
-					loss := f.takeCopy()
-					f.update(func() { f.version = 5 })
-					f.update(func() { f.upstreamIDs = append(f.upstreamIDs, "lost") })
-					f.update(func() {})
-					time.Sleep(5 * time.Second)
+		otherWrites int
+		era         int64
+	}{
+		{nodes: 1, era: 1},
+		{nodes: 9, era: 1},
+		{nodes: 9, otherWrites: 3, era: 1},
+		{nodes: 9, otherWrites: 50, era: 1},
+		{nodes: 40, otherWrites: 50, era: 1},
+		// A store that names no era, and whose revision is below the former one when it is read.
+		{nodes: 1},
+		{nodes: 9},
+		{nodes: 40},
+	} {
+		t.Run(fmt.Sprintf("%+v", test), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, test.nodes)
+				defer f.stop()
 
-					f.update(func() { f.down = true })
-					time.Sleep(500 * time.Millisecond)
-					f.restore(loss)
-					f.update(func() { f.version, f.down, f.upstreamIDs = 7, false, append(f.upstreamIDs, "new") })
+				f.update(func() { f.era = test.era })
+				time.Sleep(15 * time.Second)
 
-					for range otherWrites {
-						f.update(func() {})
-					}
+				loss := f.takeCopy()
+				f.update(func() { f.version = 5 })
+				f.update(func() { f.upstreamIDs = append(f.upstreamIDs, "lost") })
+				f.update(func() {})
+				f.update(func() {})
+				time.Sleep(5 * time.Second)
 
-					took := f.timeUntilAll(knowsAfterReturn)
-					assert.Assert(t, took <= returnedWithin, "%s", took)
+				f.update(func() { f.down = true })
+				time.Sleep(500 * time.Millisecond)
+				f.restore(loss)
+				f.update(func() { f.version, f.down, f.upstreamIDs = 7, false, append(f.upstreamIDs, "new") })
+
+				for range test.otherWrites {
+					f.update(func() {})
+				}
 
-					for name, m := range f.members {
-						assert.Equal(t, m.catalog.StoreReturnCount(), int64(1), name)
-					}
+				took := f.timeUntilAll(knowsAfterReturn)
+				assert.Assert(t, took <= returnedWithin, "%s", took)
 
-					// What the copy lacks and nobody writes again is gone after a while.
-					time.Sleep(4 * time.Second)
-					assert.Equal(t, f.knowing("lost"), 0)
-				})
+				for name, m := range f.members {
+					assert.Equal(t, m.catalog.State().StoreReturns, int64(1), name)
+				}
+
+				// What the copy lacks and nobody writes again is gone after a while.
+				time.Sleep(4 * time.Second)
+				assert.Equal(t, f.knowing("lost"), 0)
 			})
-		}
+		})
 	}
 }
 
--- a/internal/gateway/follower/versions.go
+++ b/internal/gateway/follower/versions.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 const (
@@ -22,8 +23,8 @@
 
 // VersionStore keeps which software versions the upstreams of each service have or had. Both calls are safe to repeat.
 type VersionStore interface {
-	// RecordVersions adds versions. The first call in an era of the store passes all versions that the node knows of, since the store
-	// may have lost some at its return from an older copy.
+	// RecordVersions adds versions. The first call after a return of the store from an older copy passes all versions that the node knows
+	// of, since the store may have lost some.
 	RecordVersions(ctx context.Context, versions []cataloguer.ServiceVersion, era int64) error
 	RemoveVersions(ctx context.Context, versions []cataloguer.ServiceVersion) error
 }
@@ -36,8 +37,8 @@
 	// it has some.
 	recorded  map[cataloguer.ServiceVersion]time.Duration
 	checkedAt time.Duration
-	// era is the era of the store in which this node last recorded all versions that it knows; -1 before the first time.
-	era int64
+	// recordedAt is the position of the store at which this node last recorded all versions that it knows.
+	recordedAt storer.Position
 	// unknownCheckedAt is when upstreams without a version were last looked for.
 	unknownCheckedAt time.Duration
 	// failingSince is since when versions could not be recorded; 0 if all are.
@@ -56,9 +57,9 @@
 	known := f.options.Catalog.State().Registry
 	delta := registry.DeltaFrom(&known)
 	missing := make(map[cataloguer.ServiceVersion]bool)
-	era := registry.Position.Era
+	isFirst := !f.versions.recordedAt.IsKnown() || !f.versions.recordedAt.HasHistoryOf(registry.Position)
 
-	if f.versions.era != era {
+	if isFirst {
 		missing = f.allVersions(&registry, &known)
 	}
 
@@ -68,8 +69,8 @@
 		}
 	}
 
-	if f.versions.era == era && len(missing) == 0 || f.tryRecord(ctx, slices.Collect(maps.Keys(missing)), era) {
-		f.versions.failingSince, f.versions.era = 0, era
+	if !isFirst && len(missing) == 0 || f.tryRecord(ctx, slices.Collect(maps.Keys(missing)), registry.Position.Era) {
+		f.versions.failingSince, f.versions.recordedAt = 0, registry.Position
 
 		return registry
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -412,7 +412,7 @@
 
 	// The quarantine comes first: a node that has just started must not accept a request before it knows which ones are
 	// quarantined.
-	n.quarantine.Update(listedUpstreams{state.Registry.Upstreams}, state.Registry.Quarantined.List(), state.Registry.Position.Era)
+	n.quarantine.Update(listedUpstreams{state.Registry.Upstreams}, state.Registry.Quarantined.List(), state.StoreReturns)
 	n.relayer.UpdateUpstreams(&state.Registry.Upstreams)
 	n.broker.Update(state)
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -72,7 +72,7 @@
 		AgeMS:             age.Milliseconds(),
 		Era:               state.Registry.Position.Era,
 		Revision:          state.Registry.Position.Revision,
-		StoreReturns:      n.catalog.StoreReturnCount(),
+		StoreReturns:      state.StoreReturns,
 		Upstreams:         state.Registry.Upstreams.Len(),
 		RetainedUpstreams: state.Registry.RetainedUpstreams,
 		UnreadableEntries: state.Registry.UnreadableEntries,
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -239,9 +239,9 @@
 	}
 }
 
-// Update replaces the listed upstreams and the quarantines that the store holds in an era.
-func (q *Quarantiner) Update(listed Upstreams, quarantined []Quarantine, era int64) {
-	for _, added := range q.table.replace(quarantined, era) {
+// Update replaces the listed upstreams and the quarantines that the store holds. storeReturns counts its returns from older copies.
+func (q *Quarantiner) Update(listed Upstreams, quarantined []Quarantine, storeReturns int64) {
+	for _, added := range q.table.replace(quarantined, storeReturns) {
 		q.onQuarantined(added, "store")
 	}
 
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -21,9 +21,9 @@
 
 // fleet is several nodes in one process, with the upstreams that they know and a store.
 type fleet struct {
-	// era is the store's.
-	era int64
-	t   *testing.T
+	// storeReturns counts the returns of the store from copies.
+	storeReturns int64
+	t            *testing.T
 
 	mu    sync.Mutex
 	nodes map[string]*node
@@ -304,7 +304,7 @@
 	f.mu.Unlock()
 
 	for _, n := range nodes {
-		n.Update(quarantiner.List(upstreams), stored, f.era)
+		n.Update(quarantiner.List(upstreams), stored, f.storeReturns)
 	}
 }
 
--- a/internal/quarantiner/store_return_test.go
+++ b/internal/quarantiner/store_return_test.go
@@ -11,11 +11,11 @@
 	"quincepath.example/quincepath/internal/quarantiner"
 )
 
-// returnFromCopy makes the store hold what it held before, in the next era.
+// returnFromCopy makes the store hold what it held before.
 func (f *fleet) returnFromCopy(stored map[quarantiner.Key]quarantiner.Quarantine) {
 	f.mu.Lock()
 	f.stored = maps.Clone(stored)
-	f.era++
+	f.storeReturns++
 	f.mu.Unlock()
 	f.list()
 }
@@ -31,7 +31,6 @@
 func TestQuarantineThatTheStoreLostIsStoredAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 5)
-		f.era = 1
 		loss := f.copyOfStore()
 		f.crashThree()
 		time.Sleep(5 * time.Second)
@@ -59,7 +58,6 @@
 func TestTrialThatTheStoreLostIsStoredAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
-		f.era = 1
 		part := quarantiner.Quarantine{Key: key("part"), Since: time.Now().UnixMilli(), Crashes: 5, Part: "part"}
 		f.stored[part.Key] = part
 		f.list()
@@ -83,7 +81,6 @@
 func TestLiftedQuarantineThatTheStoreHoldsAgainIsRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
-		f.era = 1
 		part := quarantiner.Quarantine{Key: key("part"), Since: time.Now().UnixMilli(), Crashes: 5, Part: "part"}
 		f.stored[part.Key] = part
 		f.list()
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -75,8 +75,8 @@
 	// or lists again.
 	released    map[Key]releasedEntry
 	listedAgain []Key
-	// era is the era of the store in which it listed the quarantines.
-	era int64
+	// storeReturns counts the returns of the store from older copies until it listed the quarantines.
+	storeReturns int64
 }
 
 type entry struct {
@@ -164,16 +164,16 @@
 	return true
 }
 
-// replace takes over the entries that the store lists in an era and returns the new ones. An entry that the store listed before
-// and no longer lists is removed, so that operators can lift a quarantine. In a later era the store may have lost it, or hold it as it was
-// before its last trial: then it is kept and stored again.
-func (t *table) replace(listed []Quarantine, era int64) []Quarantine {
+// replace takes over the entries that the store lists and returns the new ones. An entry that the store listed before and no longer
+// lists is removed, so that operators can lift a quarantine. After a return from an older copy the store may have lost it, or hold it as it
+// was before its last trial: then it is kept and stored again.
+func (t *table) replace(listed []Quarantine, storeReturns int64) []Quarantine {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	former, hasReturned := t.entries, era > t.era
+	former, hasReturned := t.entries, storeReturns > t.storeReturns
 	t.entries = make(map[Key]entry, len(listed))
-	t.era, t.listedAgain = era, nil
+	t.storeReturns, t.listedAgain = storeReturns, nil
 
 	var added []Quarantine
 
--- a/internal/storer/position.go
+++ b/internal/storer/position.go
@@ -25,13 +25,29 @@
 type Position struct {
 	// Era increases with each return from a copy; 0 if the store names none.
 	Era int64 `json:"era,omitempty"`
-	// Revision increases with each change during an era.
+	// Resets counts the returns in an era that were noticed by the revision alone, since the store doesn't name them.
+	Resets int64 `json:"resets,omitempty"`
+	// Revision increases with each change between two returns.
 	Revision int64 `json:"revision"`
 }
 
 // Compare returns a negative number if p is before other, 0 if they are the same, and a positive number if p is after it.
 func (p Position) Compare(other Position) int {
-	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Revision, other.Revision))
+	return cmp.Or(p.compareHistory(other), cmp.Compare(p.Revision, other.Revision))
+}
+
+func (p Position) compareHistory(other Position) int {
+	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Resets, other.Resets))
+}
+
+// HasHistoryOf reports whether the store hasn't returned from a copy between the two positions.
+func (p Position) HasHistoryOf(other Position) bool {
+	return p.compareHistory(other) == 0
+}
+
+// IsOfEarlierHistory reports whether the store has returned from a copy between p and other.
+func (p Position) IsOfEarlierHistory(other Position) bool {
+	return p.compareHistory(other) < 0
 }
 
 // IsBefore reports whether p is before other.
--- a/internal/storer/position_test.go
+++ b/internal/storer/position_test.go
@@ -17,6 +17,8 @@
 		{storer.Position{Revision: 900}, storer.Position{Era: 1, Revision: 3}},
 		{storer.Position{Era: 4, Revision: 900}, storer.Position{Era: 5, Revision: 3}},
 		{storer.Position{Era: 4, Revision: 3}, storer.Position{Era: 4, Revision: 4}},
+		{storer.Position{Revision: 900}, storer.Position{Resets: 1, Revision: 3}},
+		{storer.Position{Resets: 3, Revision: 900}, storer.Position{Era: 1, Revision: 3}},
 	} {
 		assert.Assert(t, test.older.IsBefore(test.newer), "%v", test)
 		assert.Assert(t, !test.newer.IsBefore(test.older), "%v", test)
