Throttler: a rate limit that the store lost is kept and stored again

A node takes a limit that the store no longer has for one that ended, so after a return of the store from an older copy nodes that had not heard the limit from the upstream itself forgot it, and the upstream could get more than the rate that it named. After a return only what the store has had again can end. TestLimitThatTheStoreLostIsStoredAgain fails without the change: the limit is known with rate 0. Also a test that a node which the store lost is listed again; it passed before.

--- a/internal/gateway/broker/upstreams.go
+++ b/internal/gateway/broker/upstreams.go
@@ -32,7 +32,7 @@
 // Update applies the services and upstreams of a state.
 func (b *Broker) Update(state *cataloguer.State) {
 	now := time.Now()
-	b.limits.Update(now, startTimes{state.Registry.Upstreams}, state.Registry.Limits.List())
+	b.limits.Update(now, startTimes{state.Registry.Upstreams}, state.Registry.Limits.List(), state.StoreReturns)
 
 	b.mu.Lock()
 	delta := state.Registry.DeltaFrom(&b.registry)
--- a/internal/gateway/follower/store_return_test.go
+++ b/internal/gateway/follower/store_return_test.go
@@ -139,6 +139,27 @@
 	})
 }
 
+// Guards against a node that nobody counts in since the store lost its entry.
+func TestNodeThatTheStoreLostIsListedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 5)
+		defer f.stop()
+
+		f.update(func() { f.era = 1 })
+		time.Sleep(15 * time.Second)
+
+		loss := f.takeCopy()
+		f.start(t, "late", []string{"n0"})
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, f.members["n4"].catalog.State().Registry.Nodes.Contains("late"))
+
+		f.restore(loss)
+
+		took := f.timeUntilAll(func(s *cataloguer.State) bool { return s.StoreReturns == 1 && s.Registry.Nodes.Contains("late") })
+		assert.Assert(t, took <= 4*time.Second, "%s", took)
+	})
+}
+
 // Guards against a node that is answered by what was there before the store's return, and takes the others back to it.
 func TestAnswersFromBeforeTheReturnChangeNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/server/rate_limits.go
+++ b/internal/server/rate_limits.go
@@ -73,7 +73,7 @@
 // read reads the limits in the store and reports whether it could.
 func (l *rateLimits) read(ctx context.Context) bool {
 	if l.node.store == nil {
-		l.Table().Update(time.Now(), l.upstreams(), nil)
+		l.Table().Update(time.Now(), l.upstreams(), nil, 0)
 
 		return true
 	}
@@ -101,7 +101,7 @@
 		limits = append(limits, limit)
 	}
 
-	l.Table().Update(time.Now(), l.upstreams(), limits)
+	l.Table().Update(time.Now(), l.upstreams(), limits, 0)
 
 	return true
 }
--- a/internal/throttler/table.go
+++ b/internal/throttler/table.go
@@ -25,6 +25,8 @@
 	entries map[string]*entry
 	// stored holds the limits in the store by upstream.
 	stored map[string]Limit
+	// storeReturns counts the returns of the store from older copies until it listed stored.
+	storeReturns int64
 	// removedAt maps upstreams in stored to the time at which they were last given to be removed without an entry.
 	removedAt map[string]time.Time
 	// listed are the listed upstreams.
@@ -227,12 +229,17 @@
 	return limits
 }
 
-// Update takes the listed upstreams and the limits in the store.
-func (t *Table) Update(now time.Time, listed Upstreams, stored []Limit) {
+// Update takes the listed upstreams and the limits in the store. storeReturns counts the store's returns from older copies: after one, a limit
+// that it no longer has may be lost, and is stored again.
+func (t *Table) Update(now time.Time, listed Upstreams, stored []Limit, storeReturns int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
 	former := t.stored
+	if storeReturns > t.storeReturns {
+		former, t.storeReturns = nil, storeReturns
+	}
+
 	t.listed, t.stored = listed, make(map[string]Limit, len(stored))
 
 	for _, limit := range stored {
--- a/internal/throttler/throttler_test.go
+++ b/internal/throttler/throttler_test.go
@@ -77,12 +77,12 @@
 // Guards against a limit that outlives the run of the upstream that named it.
 func TestLimitEndsWithTheRunOfItsUpstream(t *testing.T) {
 	table := throttler.NewTable()
-	table.Update(start, throttler.StartTimes{"u": 100}, nil)
+	table.Update(start, throttler.StartTimes{"u": 100}, nil, 0)
 
 	limit, _ := table.Observe(start, "u", 4, true, 0)
 	assert.Equal(t, limit.Born, int64(100))
 
-	table.Update(start, throttler.StartTimes{"u": 200}, []throttler.Limit{limit})
+	table.Update(start, throttler.StartTimes{"u": 200}, []throttler.Limit{limit}, 0)
 
 	_, known := table.Get("u")
 	assert.Assert(t, !known)
@@ -95,17 +95,17 @@
 func TestLimitIsKeptWhileItsUpstreamIsUnlisted(t *testing.T) {
 	table := throttler.NewTable()
 	listed := throttler.StartTimes{"u": 0}
-	table.Update(start, listed, nil)
+	table.Update(start, listed, nil, 0)
 	table.Observe(start, "u", 4, true, 0)
 
-	table.Update(start.Add(time.Second), throttler.StartTimes{}, nil)
-	table.Update(start.Add(40*time.Second), listed, nil)
+	table.Update(start.Add(time.Second), throttler.StartTimes{}, nil, 0)
+	table.Update(start.Add(40*time.Second), listed, nil, 0)
 
 	limit, _ := table.Get("u")
 	assert.Assert(t, limit.Active())
 
-	table.Update(start.Add(time.Minute), throttler.StartTimes{}, nil)
-	table.Update(start.Add(3*time.Minute), throttler.StartTimes{}, nil)
+	table.Update(start.Add(time.Minute), throttler.StartTimes{}, nil, 0)
+	table.Update(start.Add(3*time.Minute), throttler.StartTimes{}, nil, 0)
 
 	_, known := table.Get("u")
 	assert.Assert(t, !known)
@@ -116,7 +116,7 @@
 	all := func(string) bool { return true }
 	table := throttler.NewTable()
 	listed := throttler.StartTimes{"u": 0}
-	table.Update(start, listed, nil)
+	table.Update(start, listed, nil, 0)
 
 	limit, _ := table.Observe(start, "u", 4, true, 0)
 	put, _ := table.Unstored(start, all)
@@ -128,10 +128,10 @@
 	put, _ = table.Unstored(start.Add(4*time.Second), all)
 	assert.Equal(t, len(put), 1)
 
-	table.Update(start, listed, put)
+	table.Update(start, listed, put, 0)
 
 	restarted := throttler.NewTable()
-	restarted.Update(start, listed, put)
+	restarted.Update(start, listed, put, 0)
 
 	known, _ := restarted.Get("u")
 	assert.Equal(t, known, limit)
@@ -141,12 +141,36 @@
 	assert.DeepEqual(t, remove, []string{"u"})
 
 	// Other nodes learn from the store that it ended.
-	restarted.Update(start, listed, nil)
+	restarted.Update(start, listed, nil, 0)
 
 	known, _ = restarted.Get("u")
 	assert.Assert(t, !known.Active())
 }
 
+// Guards against a limit that ends since the store lost it, at a node that didn't hear it from the upstream.
+func TestLimitThatTheStoreLostIsStoredAgain(t *testing.T) {
+	all := func(string) bool { return true }
+	listed := throttler.StartTimes{"u": 0}
+	limit := throttler.Limit{Upstream: "u", PerSecond: 4, Version: 1}
+	table := throttler.NewTable()
+
+	table.Update(start, listed, []throttler.Limit{limit}, 0)
+	table.Update(start, listed, nil, 1)
+
+	known, _ := table.Get("u")
+	assert.Equal(t, known, limit)
+
+	put, _ := table.Unstored(start, all)
+	assert.DeepEqual(t, put, []throttler.Limit{limit})
+
+	// It ends once the store has had it again.
+	table.Update(start, listed, put, 1)
+	table.Update(start, listed, nil, 1)
+
+	known, _ = table.Get("u")
+	assert.Assert(t, !known.Active())
+}
+
 // Guards against a new holder that admits at once what the former one has just admitted.
 func TestBucketStartsEmpty(t *testing.T) {
 	limit := throttler.Limit{Upstream: "u", PerSecond: 2, Version: 1}
