--- a/internal/gateway/follower/store_return_test.go
+++ b/internal/gateway/follower/store_return_test.go
@@ -139,6 +139,42 @@
 	})
 }
 
+// Guards against nodes that wait for one another once all have lost power while the store returned: nobody has a state, or a disk.
+func TestAllNodesLosePowerAsTheStoreReturns(t *testing.T) {
+	const recovery = 12 * time.Second
+
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 0)
+		defer f.stop()
+
+		f.era = 1
+		seeds := []string{"n0", "n1"}
+
+		for i := range 9 {
+			f.start(t, fmt.Sprint("n", i), seeds)
+		}
+
+		time.Sleep(15 * time.Second)
+
+		loss := f.takeCopy()
+		f.update(func() { f.version = 5 })
+		time.Sleep(2 * time.Second)
+		f.stop()
+		f.restore(loss)
+
+		for i := range 9 {
+			f.start(t, fmt.Sprint("n", i), seeds)
+		}
+
+		took := f.timeUntilAll(func(s *cataloguer.State) bool { return s.IsComplete() })
+		assert.Assert(t, took <= recovery, "%s", took)
+
+		f.update(func() { f.version = 7 })
+		took = f.timeUntilAll(func(s *cataloguer.State) bool { return s.Configuration.Version == 7 })
+		assert.Assert(t, took <= returnedWithin, "%s", took)
+	})
+}
+
 // Guards against a node that nobody counts in since the store lost its entry.
 func TestNodeThatTheStoreLostIsListedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
