Follower: seeds that start ask each other for 0.15 s at most before they read the store

A starting seed now asks the other seeds at once, one after the other with 60 ms each, and reads the store when each has answered or not. TestNodeThatStartsAfterTheStoreReturned AsksTheOthers passes unchanged.

--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -126,6 +126,8 @@
 	failedReads int
 	// isSubstitute says that this node reads the store in place of the root.
 	isSubstitute bool
+	// startPulls counts the pulls that ended while this node had no state.
+	startPulls int
 	// statefulPeerAt is when a peer that had a state last answered; negative before the first.
 	statefulPeerAt time.Duration
 	// peerLacksEra says that the peer that answered last names no era of the store though this node knows one.
--- a/internal/gateway/follower/pulling.go
+++ b/internal/gateway/follower/pulling.go
@@ -12,6 +12,9 @@
 	// peerTimeout bounds the first pull from a peer. The timeout doubles for the next pull from the same peer, which
 	// may only have been slow: a response that times out is requested again.
 	peerTimeout = 300 * time.Millisecond
+	// startTimeout bounds each of the first pulls of a node that has just started. Seeds that don't run, or start as well, don't answer,
+	// and all requests wait for the first state.
+	startTimeout = 60 * time.Millisecond
 	// maxTimeoutDoublings limits the timeout to 1.2 s, which is below the time after which a silent connection is
 	// closed.
 	maxTimeoutDoublings = 2
@@ -46,7 +49,9 @@
 		return duePull{}, false
 	}
 
-	if !known && len(t.order) == 1 {
+	if !known && !f.hasAskedSeedsLocked() {
+		interval = 0
+	} else if !known && len(t.order) == 1 {
 		// Nodes that know only the seeds must not overwhelm them.
 		interval <<= min(f.unansweredPulls, maxTimeoutDoublings)
 	}
@@ -89,6 +94,10 @@
 	f.pulling, f.lastPullAt = true, now
 	f.counters.Pulls++
 
+	if !f.hasState() && !f.hasAskedSeedsLocked() {
+		return duePull{peer: peer, timeout: startTimeout}
+	}
+
 	return duePull{peer: peer, timeout: peerTimeout << min(f.failedPulls, maxTimeoutDoublings)}
 }
 
@@ -145,6 +154,12 @@
 		f.mu.Lock()
 		f.pulling = false
 		hasNext := f.nextPeer != ""
+
+		if !f.hasState() {
+			f.startPulls++
+			// The next seed is asked, or the store read, at once.
+			hasNext = true
+		}
 		f.mu.Unlock()
 
 		if hasNext {
--- a/internal/gateway/follower/read_age.go
+++ b/internal/gateway/follower/read_age.go
@@ -31,8 +31,8 @@
 	// can't know its rank yet: the seeds read the store first. The others follow by their rank, in case the store
 	// rejects all seeds.
 	startReadAge = 2 * isolatedReadAge
-	// firstAnswerTime is how long a seed that has just started waits for an answer of a node that has a state: for two pulls.
-	firstAnswerTime = 2*peerTimeout + tickInterval
+	// firstAnswerTime is how long a seed that has just started waits at most for the answers of the other seeds.
+	firstAnswerTime = 150 * time.Millisecond
 	// statefulPeerTime is how long after such an answer a node without a state goes on asking its peers.
 	statefulPeerTime = 3 * time.Second
 	// startTime is how long after its start a node may know too few others to know its rank.
@@ -60,7 +60,7 @@
 	switch {
 	case f.isSubstitute || f.peerLacksEra || hasState && isFirst:
 		return 0
-	case !hasState && startsAlone && !f.hasPeers(t, seeds):
+	case !hasState && startsAlone && f.hasAskedSeedsLocked():
 		return 0
 	case !hasState && startsAlone:
 		return firstAnswerTime
@@ -76,9 +76,17 @@
 	}
 }
 
-// hasPeers reports whether this node knows any other to ask.
-func (f *Follower) hasPeers(t *tree, seeds []string) bool {
-	return len(t.order) > 1 || slices.ContainsFunc(seeds, func(name string) bool { return name != f.options.Self.Name })
+// hasAskedSeedsLocked reports whether each other seed has answered this node since its start, or failed to. f.mu must be held.
+func (f *Follower) hasAskedSeedsLocked() bool {
+	others := 0
+
+	for _, seed := range f.options.Seeds() {
+		if seed != f.options.Self.Name {
+			others++
+		}
+	}
+
+	return f.startPulls >= others
 }
 
 // isRankUnknown reports whether this node's rank among the nodes that it knows says little about its rank among all: it is
