--- a/internal/gateway/follower/read_age.go
+++ b/internal/gateway/follower/read_age.go
@@ -76,17 +76,12 @@
 	}
 }
 
-// hasAskedSeedsLocked reports whether each other seed has answered this node since its start, or failed to. f.mu must be held.
+// hasAskedSeedsLocked reports whether each other seed has answered this seed since its start, or failed to. Other nodes don't read the
+// store at their start, so they have nothing to ask before. f.mu must be held.
 func (f *Follower) hasAskedSeedsLocked() bool {
-	others := 0
-
-	for _, seed := range f.options.Seeds() {
-		if seed != f.options.Self.Name {
-			others++
-		}
-	}
+	seeds := f.options.Seeds()
 
-	return f.startPulls >= others
+	return !slices.Contains(seeds, f.options.Self.Name) || f.startPulls >= len(seeds)-1
 }
 
 // isRankUnknown reports whether this node's rank among the nodes that it knows says little about its rank among all: it is
