Catalog, follower: the number of returns stands once; departures go with the registry alone

Read once more, no behaviour that callers see changes. The catalog counted the returns of the store twice, in itself and in its state; the state's is kept. Departed upstreams, up to 512 of some 60 bytes, went with every answer to a node without a registry, also with the ones that turn it away or bring a page of the configuration; they are listed and sent now with the first page of a whole registry, where they are used. The tests of cataloguer, follower, quarantiner and platform, formatter, vet and linter pass.

--- a/internal/gateway/cataloguer/catalog.go
+++ b/internal/gateway/cataloguer/catalog.go
@@ -63,9 +63,7 @@
 	departures departures
 	// storeReturns are the returns of the store from older copies that nobody has taken yet.
 	storeReturns []StoreReturn
-	// returnCount is the number of returns that were noticed.
-	returnCount int64
-	changed     chan struct{}
+	changed      chan struct{}
 }
 
 // New returns an empty catalog. The clock now must include the time for which the VM is suspended.
@@ -204,13 +202,13 @@
 	c.retainMissing(&registry, &delta, afterOutage || isReturn)
 	c.rememberDeparted(&state.Registry, &delta)
 
+	next := &State{Configuration: state.Configuration, Registry: state.Registry.Apply(&delta), StoreReturns: state.StoreReturns}
+	next.Digest = next.Registry.Digest()
+
 	if isReturn {
-		c.recordReturnLocked(noticed)
+		c.recordReturnLocked(next, noticed)
 	}
 
-	next := &State{Configuration: state.Configuration, Registry: state.Registry.Apply(&delta), StoreReturns: c.returnCount}
-	next.Digest = next.Registry.Digest()
-
 	// What the store lists of itself may have to be written again, also where nothing is lost.
 	if next.Digest == state.Digest && !isReturn {
 		c.state.Store(next)
@@ -223,10 +221,10 @@
 	return true
 }
 
-// recordReturnLocked records a return of the store from an older copy. c.mu must be held.
-func (c *Catalog) recordReturnLocked(noticed StoreReturn) {
+// recordReturnLocked records that the next state is the first after a return of the store from an older copy. c.mu must be held.
+func (c *Catalog) recordReturnLocked(next *State, noticed StoreReturn) {
 	c.storeReturns = append(c.storeReturns, noticed)
-	c.returnCount++
+	next.StoreReturns++
 }
 
 // AdvanceRegistry records that the registry with the given digest was unchanged at a later position of the store. Otherwise the
@@ -244,8 +242,7 @@
 	next.Registry.Position, next.Registry.RetainedUpstreams = position, kept
 
 	if state.Registry.isStoreReturn(position) {
-		c.recordReturnLocked(StoreReturn{From: state.Registry.Position, To: position})
-		next.StoreReturns = c.returnCount
+		c.recordReturnLocked(&next, StoreReturn{From: state.Registry.Position, To: position})
 		c.publishLocked(&next)
 
 		return
--- a/internal/gateway/follower/pull_handler.go
+++ b/internal/gateway/follower/pull_handler.go
@@ -56,7 +56,7 @@
 	// number of nodes that wait for this peer.
 	RetryMS int64 `json:"retry_ms,omitempty"`
 	Waiting int   `json:"waiting,omitempty"`
-	// Departures are upstreams that were removed lately, for a caller without a registry.
+	// Departures are upstreams that were removed lately. They come with the first page of a whole registry.
 	Departures []cataloguer.Departure `json:"departures,omitempty"`
 	// Delegated are waiting nodes that the caller should send the state to, which it has now.
 	Delegated []string `json:"delegated,omitempty"`
@@ -108,10 +108,6 @@
 	response.Version = state.Configuration.Version
 	response.Position, response.RetainedUpstreams, response.Digest = state.Registry.Position, state.Registry.RetainedUpstreams, state.Digest
 
-	if !request.IsKnown() && request.Progress.ID == 0 {
-		response.Departures = f.options.Catalog.Departures()
-	}
-
 	if state.Configuration.Version < request.Version || state.Registry.Position.IsOfEarlierHistory(request.Position) {
 		// The caller knows of a return of the store that this node has missed, or a seed that the store rejects at its start knows no peers yet, so it pulls from those that contact it.
 		f.setNextPeer(peer)
@@ -170,6 +166,10 @@
 		return nil
 	}
 
+	if base == 0 && response.Registry.Offset == 0 {
+		response.Departures = f.options.Catalog.Departures()
+	}
+
 	if response.Registry.IsLast() {
 		f.finishTransfer(response, peer, base == 0)
 	}
