--- a/internal/gateway/follower/store_return_test.go
+++ b/internal/gateway/follower/store_return_test.go
@@ -105,22 +105,27 @@
 	}
 }
 
+// newSeededFleet returns a fleet that has been running for a while with a store that names its era, and its seeds.
+func newSeededFleet(t *testing.T, count int) (f *fleet, seeds []string) {
+	f, seeds = newFleet(t, 0), []string{"n0", "n1"}
+	f.era = 1
+
+	for i := range count {
+		f.start(t, fmt.Sprint("n", i), seeds)
+	}
+
+	time.Sleep(15 * time.Second)
+
+	return f, seeds
+}
+
 // Guards against a node that starts just after the store's return, and believes an older configuration of the copy though the others
 // know the newer one.
 func TestNodeThatStartsAfterTheStoreReturnedAsksTheOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 0)
+		f, seeds := newSeededFleet(t, 5)
 		defer f.stop()
 
-		f.era = 1
-		seeds := []string{"n0", "n1"}
-
-		for i := range 5 {
-			f.start(t, fmt.Sprint("n", i), seeds)
-		}
-
-		time.Sleep(15 * time.Second)
-
 		loss := f.takeCopy()
 		f.update(func() { f.version = 5 })
 		time.Sleep(3 * time.Second)
@@ -144,18 +149,9 @@
 	const recovery = 12 * time.Second
 
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 0)
+		f, seeds := newSeededFleet(t, 9)
 		defer f.stop()
 
-		f.era = 1
-		seeds := []string{"n0", "n1"}
-
-		for i := range 9 {
-			f.start(t, fmt.Sprint("n", i), seeds)
-		}
-
-		time.Sleep(15 * time.Second)
-
 		loss := f.takeCopy()
 		f.update(func() { f.version = 5 })
 		time.Sleep(2 * time.Second)
--- a/internal/quarantiner/store_return_test.go
+++ b/internal/quarantiner/store_return_test.go
@@ -20,6 +20,18 @@
 	f.list()
 }
 
+// storePart makes the store hold the quarantine of a part, and all nodes know it.
+func (f *fleet) storePart() quarantiner.Quarantine {
+	part := quarantiner.Quarantine{Key: key("part"), Since: time.Now().UnixMilli(), Crashes: 5, Part: "part"}
+
+	f.mu.Lock()
+	f.stored[part.Key] = part
+	f.mu.Unlock()
+	f.list()
+
+	return part
+}
+
 func (f *fleet) copyOfStore() map[quarantiner.Key]quarantiner.Quarantine {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -58,10 +70,7 @@
 func TestTrialThatTheStoreLostIsStoredAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
-		part := quarantiner.Quarantine{Key: key("part"), Since: time.Now().UnixMilli(), Crashes: 5, Part: "part"}
-		f.stored[part.Key] = part
-		f.list()
-
+		part := f.storePart()
 		loss := f.copyOfStore()
 		tried := part
 		tried.Since, tried.Trials = part.Since+1000, 1
@@ -81,10 +90,7 @@
 func TestLiftedQuarantineThatTheStoreHoldsAgainIsRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
-		part := quarantiner.Quarantine{Key: key("part"), Since: time.Now().UnixMilli(), Crashes: 5, Part: "part"}
-		f.stored[part.Key] = part
-		f.list()
-
+		part := f.storePart()
 		loss := f.copyOfStore()
 		f.nodes["n0"].Survived(quarantiner.Traits{Parts: []quarantiner.Part{{Key: part.Key, ID: part.Part}}}, "s")
 		time.Sleep(3 * time.Second)
