--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -31,16 +31,12 @@
 	foreignHalfLife = 500 * time.Millisecond
 	// meanTokensGain is the weight of one request in the mean memory of requests.
 	meanTokensGain = 0.05
-	// cacheFraction is the fraction of an engine's memory that holds cached prompt parts while requests run.
-	cacheFraction = 0.8
 	// chunkTokens is the default number of prompt tokens that an engine reads between two decode steps.
 	chunkTokens = 2048
 	// shortPromptChunks is the prompt length in chunks that doesn't disturb streams on the same engine.
 	shortPromptChunks = 0.8
 	// lostAfterOvertaken is the number of later requests that must be answered before an earlier one counts as lost.
 	lostAfterOvertaken = 3
-	// maxCachedParts limits the prompt parts tracked for one server. With parts of 250 tokens it exceeds any cache.
-	maxCachedParts = 4096
 )
 
 // server is the state of one upstream.
@@ -146,31 +142,6 @@
 	return decayed(s.recentTokens, now.Sub(s.recentAt), recentHalfLife)
 }
 
-// uncachedTokens returns the number of prompt tokens that the server would have to read. A cached part can
-// be used only if all parts before it are cached.
-func (s *server) uncachedTokens(request *Request) int {
-	missing := request.PromptTokens
-
-	for _, part := range request.PromptParts {
-		if !s.cachedParts.Contains(part.ID) {
-			break
-		}
-
-		missing -= part.Tokens
-	}
-
-	return max(missing, 1)
-}
-
-// prefillTokens returns the number of prompt tokens that the server must read for the request. A call of a plain service counts as 1.
-func (s *server) prefillTokens(request *Request) float64 {
-	if s.engine.CacheTokens == 0 {
-		return 1
-	}
-
-	return float64(s.uncachedTokens(request))
-}
-
 // prefillMS returns the time to read the tokens at a server without slowdown.
 func (s *server) prefillMS(tokens float64) float64 {
 	if s.engine.CacheTokens == 0 {
@@ -180,22 +151,6 @@
 	return tokens / s.model.Estimates().PrefillTokensPerMS
 }
 
-// addToCache records that the server caches the parts of a prompt.
-func (s *server) addToCache(request *Request) {
-	for _, part := range request.PromptParts {
-		if !s.cachedParts.Contains(part.ID) {
-			s.cachedTokens += part.Tokens
-		}
-
-		s.cachedParts.Add(part.ID, part.Tokens)
-	}
-
-	limit := int(cacheFraction * float64(s.engine.CacheTokens))
-	for s.cachedTokens > limit && s.cachedParts.Len() > 0 {
-		s.cachedParts.RemoveOldest()
-	}
-}
-
 // trialDue reports whether the server has had no request for so long that it may be tried again.
 func (s *server) trialDue(now time.Time) bool {
 	return now.Sub(s.sentAt) > trialInterval
