--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -46,6 +46,8 @@
 
 // Pool chooses among the upstreams of one service. It is safe for concurrent use.
 type Pool struct {
+	options Options
+
 	mu      sync.Mutex
 	engine  Engine
 	servers []*server
@@ -73,8 +75,9 @@
 }
 
 // NewPool returns a pool without upstreams.
-func NewPool() *Pool {
+func NewPool(options Options) *Pool {
 	return &Pool{
+		options:    options,
 		requests:   make(map[string]*runningRequest),
 		queuedIDs:  make(map[string]*queued),
 		model:      estimator.New(0),
--- a/internal/gateway/balancer/pool_test.go
+++ b/internal/gateway/balancer/pool_test.go
@@ -26,7 +26,7 @@
 }
 
 func newPool(count, slots int, engine balancer.Engine) *balancer.Pool {
-	p := balancer.NewPool()
+	p := balancer.NewPool(balancer.Options{})
 	p.SetUpstreams(start, engineList(count, slots), engine)
 
 	return p
@@ -340,7 +340,7 @@
 func TestServerThatStartedAgainIsUnknown(t *testing.T) {
 	engine := balancer.Engine{CacheTokens: 300_000, EventTokens: 3}
 	first := balancer.Upstream{ID: "a", Slots: 2, Born: 1000}
-	p := balancer.NewPool()
+	p := balancer.NewPool(balancer.Options{})
 	p.SetUpstreams(start, []balancer.Upstream{first}, engine)
 
 	granted(t, p, at(0), notes("r1", "s"))
--- a/internal/gateway/balancer/version_test.go
+++ b/internal/gateway/balancer/version_test.go
@@ -17,7 +17,7 @@
 		upstreams[i].SoftwareVersion = version
 	}
 
-	p := balancer.NewPool()
+	p := balancer.NewPool(balancer.Options{})
 	p.SetUpstreams(start, upstreams, balancer.Engine{CacheTokens: 300_000, EventTokens: 3})
 
 	return p
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -63,7 +63,7 @@
 	Notify(ctx context.Context, peer, method string, params any) error
 }
 
-// Options configures a Broker. All fields are required.
+// Options configures a Broker. All fields but Scheduling are required.
 type Options struct {
 	// Self is this node's name.
 	Self string
@@ -78,6 +78,8 @@
 	Now    func() time.Duration
 	Peers  Peers
 	Logger zerolog.Logger
+	// Scheduling selects the pools' optional decisions.
+	Scheduling balancer.Options
 }
 
 // Broker keeps the pools of all services. It is safe for concurrent use.
--- a/internal/gateway/broker/upstreams.go
+++ b/internal/gateway/broker/upstreams.go
@@ -185,7 +185,7 @@
 		return pool.Pool
 	}
 
-	pool := balancer.NewPool()
+	pool := balancer.NewPool(b.options.Scheduling)
 
 	service, partition, ok := splitPoolName(name)
 	if !ok || b.services[service] == nil || partition >= len(b.services[service].partitions) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"quincepath.example/quincepath/internal/fencer"
 	"quincepath.example/quincepath/internal/gateway/acceptor"
 	"quincepath.example/quincepath/internal/gateway/apportioner"
+	"quincepath.example/quincepath/internal/gateway/balancer"
 	"quincepath.example/quincepath/internal/gateway/broker"
 	"quincepath.example/quincepath/internal/gateway/budgeter"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
@@ -223,6 +224,7 @@
 		Now:        n.catalog.Now,
 		Peers:      n.messages,
 		Logger:     logger,
+		Scheduling: schedulingOptions(settings.Gateway.Scheduling),
 	})
 	n.messages.Handle(broker.MethodChoose, n.broker.HandleChoose)
 	n.messages.Handle(broker.MethodReport, n.broker.HandleReport)
@@ -307,6 +309,14 @@
 	}
 }
 
+func schedulingOptions(settings loader.Scheduling) balancer.Options {
+	return balancer.Options{
+		ServerPace:    settings.ServerPace,
+		WorkAdmission: settings.WorkAdmission,
+		CacheTracking: settings.CacheTracking,
+	}
+}
+
 // capacity returns a node's capacity in cores, limited by the scarcer of CPU and network link. One core can handle about
 // linkMbpsPerCore.
 func capacity(settings loader.Gateway) float64 {
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -165,6 +165,19 @@
 	Descriptors int `yaml:"descriptors" validate:"min=0,max=10000000"`
 	// Duties are calls of the platform that one node at a time makes for all.
 	Duties Duties `yaml:"duties"`
+	// Scheduling selects optional decisions about which upstream gets a request, and when.
+	Scheduling Scheduling `yaml:"scheduling"`
+}
+
+// Scheduling selects optional decisions; all are off by default.
+type Scheduling struct {
+	// ServerPace estimates the pace of each server, by the load that it reports and by its answers, and keeps long prompts
+	// away from streams whose gap limit they would exceed.
+	ServerPace bool `yaml:"server_pace"`
+	// WorkAdmission measures scarce room in work instead of requests and shares it among organisations.
+	WorkAdmission bool `yaml:"work_admission"`
+	// CacheTracking asks engines which prompt parts they hold, for services whose engines answer such calls.
+	CacheTracking bool `yaml:"cache_tracking"`
 }
 
 // Duties says which calls of the platform one node at a time makes for all, and under which bounds.
@@ -189,6 +202,8 @@
 	// LeastPart is the part of a service's maximum over all failure domains that is to stand even where spot upstreams are
 	// taken away.
 	LeastPart float64 `yaml:"least_part" validate:"min=0,max=1"`
+	// OrderByNeed orders as many upstreams as the measured work needs, within the other bounds.
+	OrderByNeed bool `yaml:"order_by_need"`
 }
 
 // ReportsUsage says whether usage is to be reported.
