Follower: nodes start while no seed answers (gateway.start_without_seeds)

Cause: only the seeds read the store at a start. They came back 0.4 s after the others, waited for each other, and took 0.36 s for a configuration of 1,481 routes; the others asked them again after 0.8 s. Change: a node that no seed answers within 0.1 to 0.4 s lists the nodes with one call of the store, the first eight of the list (strong ones first) read the store, and each offers its first state to the others by the transfers that are there: each receiver takes over half. The tests fail with the setting off.

--- a/internal/gateway/follower/counters.go
+++ b/internal/gateway/follower/counters.go
@@ -8,6 +8,8 @@
 	FullReads  int64 `json:"whole_reads"`
 	// FailedReads counts reads that the store rejected or didn't answer.
 	FailedReads int64 `json:"failed_reads"`
+	// StartListings counts listings of the nodes at a start without seeds.
+	StartListings int64 `json:"start_listings"`
 	// Handovers counts requests to other nodes to read the store, which rejected this node.
 	Handovers int64 `json:"hand_overs"`
 	// AnnounceWrites counts writes that list nodes, whether they succeeded or not.
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -77,7 +77,7 @@
 	Notify(ctx context.Context, peer, method string, params any) error
 }
 
-// Options configures a Follower; all fields are required.
+// Options configures a Follower; all fields but Versions and NodeLister are required.
 type Options struct {
 	Catalog *cataloguer.Catalog
 	Store   Store
@@ -93,7 +93,9 @@
 	DepartedNodes func() []string
 	// Versions is nil if software versions aren't recorded.
 	Versions VersionStore
-	Logger   zerolog.Logger
+	// NodeLister lets nodes start while no seed answers; nil if they wait for the seeds.
+	NodeLister NodeLister
+	Logger     zerolog.Logger
 }
 
 // Follower keeps one catalog up to date. It is safe for concurrent use.
@@ -126,6 +128,7 @@
 	failedReads int
 	// isSubstitute says that this node reads the store in place of the root.
 	isSubstitute bool
+	starting     starting
 	// startPulls counts the pulls that ended while this node had no state.
 	startPulls int
 	// statefulPeerAt is when a peer that had a state last answered; negative before the first.
@@ -206,6 +209,11 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 
+	if f.options.NodeLister != nil {
+		timer := time.AfterFunc(listDelayOf(f.options.Self.Name), f.wakeLoop)
+		defer timer.Stop()
+	}
+
 	for {
 		f.startDueWork(ctx)
 
@@ -231,6 +239,10 @@
 		go f.pull(ctx, p)
 	}
 
+	if f.scheduleListing() {
+		go f.listNodes(ctx)
+	}
+
 	f.inviteWaiting(ctx)
 
 	if peer, ok := f.scheduleAnnouncement(t); ok {
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -75,6 +75,11 @@
 	// registryPages is the number of parts in which the store lists the registry, each after pageDelay.
 	registryPages int
 	pageDelay     time.Duration
+	// startsWithoutSeeds lets nodes start while no seed answers; listings counts how often they list the nodes.
+	startsWithoutSeeds bool
+	listings           int
+	// absentHang makes calls to nodes that don't run hang until their caller gives up.
+	absentHang bool
 	// linkBytesPerMS is the bandwidth of each node's link in bytes per millisecond; 0 means unlimited.
 	linkBytesPerMS float64
 }
@@ -124,6 +129,10 @@
 		options.Versions = m
 	}
 
+	if f.startsWithoutSeeds {
+		options.NodeLister = m
+	}
+
 	m.follower = follower.New(options)
 
 	f.mu.Lock()
@@ -335,6 +344,19 @@
 	return m.fleet.configurationLocked(), m.fleet.positionLocked(), nil
 }
 
+func (m *member) Nodes(ctx context.Context) ([]cataloguer.Node, error) {
+	if err := m.callStore(ctx); err != nil {
+		return nil, err
+	}
+
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+
+	m.fleet.listings++
+
+	return slices.Clone(m.fleet.nodes), nil
+}
+
 func (m *member) Registry(ctx context.Context, progress func()) (cataloguer.Listing, error) {
 	for range max(m.fleet.registryPages, 1) {
 		if err := m.callStore(ctx); err != nil {
@@ -393,6 +415,10 @@
 	m.fleet.mu.Unlock()
 
 	if other == nil {
+		if m.fleet.absentHang {
+			<-ctx.Done()
+		}
+
 		return errUnavailable
 	}
 
--- a/internal/gateway/follower/read_age.go
+++ b/internal/gateway/follower/read_age.go
@@ -58,7 +58,7 @@
 	startsAlone := isSeed && now-f.statefulPeerAt > statefulPeerTime
 
 	switch {
-	case f.isSubstitute || f.peerLacksEra || hasState && isFirst:
+	case f.isSubstitute || f.peerLacksEra || hasState && isFirst || !hasState && f.starting.reads:
 		return 0
 	case !hasState && startsAlone && f.hasAskedSeedsLocked():
 		return 0
--- a/internal/gateway/follower/store_reading.go
+++ b/internal/gateway/follower/store_reading.go
@@ -126,6 +126,7 @@
 	age, known := catalog.ConfigurationAge()
 	afterOutage := known && age > outageThreshold
 	wasStale := isStale(f.tree(), f.age())
+	hadState := f.hasState()
 
 	err := f.readChanges(ctx, timeout, startedAt, afterOutage)
 	if errors.Is(err, ErrHistoryCompacted) {
@@ -145,6 +146,10 @@
 		// Other nodes don't expect this node to have newer state than they do.
 		f.notifyStoreChange(ctx)
 	}
+
+	if f.options.NodeLister != nil && !hadState && f.hasState() {
+		f.offerState(ctx)
+	}
 }
 
 // readChanges updates the catalog to the store's current revision. It returns ErrHistoryCompacted if a full read is
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,7 @@
 // Store is the part of the platform's store that a node uses.
 type Store interface {
 	follower.Store
+	follower.NodeLister
 	quarantiner.Recorder
 	// RecordFirstNode records the node as the first one that the deployment ever had. It returns false if one is
 	// already recorded.
@@ -239,6 +240,11 @@
 		recorder, reader = versions, versions
 	}
 
+	var lister follower.NodeLister
+	if settings.Gateway.StartWithoutSeeds {
+		lister = store
+	}
+
 	n.follower = follower.New(follower.Options{
 		Catalog:       n.catalog,
 		Store:         store,
@@ -248,6 +254,7 @@
 		LiveNodes:     n.liveNodes,
 		DepartedNodes: n.departedNodes,
 		Versions:      recorder,
+		NodeLister:    lister,
 		Logger:        logger,
 	})
 	n.messages.Handle(follower.MethodPull, n.follower.HandlePull)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -88,6 +88,14 @@
 	return nil
 }
 
+// Nodes implements follower.NodeLister.
+func (s *store) Nodes(context.Context) ([]cataloguer.Node, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return append([]cataloguer.Node(nil), s.nodes...), nil
+}
+
 // RecordFirstNode implements gateway.Store.
 func (s *store) RecordFirstNode(context.Context, string) (bool, error) {
 	s.mu.Lock()
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -146,6 +146,9 @@
 	MetricsListen string `yaml:"metrics_listen" validate:"omitempty,ip_port"`
 	// Seeds are peer addresses to ask while no other node is known; they may be gone.
 	Seeds []string `yaml:"seeds" validate:"dive,ip_port,reachable"`
+	// StartWithoutSeeds lets nodes that no seed answers at their start list the nodes in the store; some of them read the
+	// store and pass it on.
+	StartWithoutSeeds bool `yaml:"start_without_seeds"`
 	// KeyLifetime is the time after which a key that was taken away must not be honoured anywhere.
 	KeyLifetime time.Duration `yaml:"key_lifetime" validate:"min=100ms,max=1h"`
 	// RetryRatio is the number of extra attempts for each request of a service.
