--- a/internal/gateway/follower/read_age.go
+++ b/internal/gateway/follower/read_age.go
@@ -58,7 +58,7 @@
 	startsAlone := isSeed && now-f.statefulPeerAt > statefulPeerTime
 
 	switch {
-	case f.isSubstitute || f.peerLacksEra || hasState && isFirst || !hasState && f.starting.reads:
+	case f.readsAtOnceLocked(hasState, isFirst):
 		return 0
 	case !hasState && startsAlone && f.hasAskedSeedsLocked():
 		return 0
@@ -76,6 +76,15 @@
 	}
 }
 
+// readsAtOnceLocked reports whether this node reads the store whatever the age of its configuration. f.mu must be held.
+func (f *Follower) readsAtOnceLocked(hasState, isFirst bool) bool {
+	if !hasState && f.starting.reads {
+		return true
+	}
+
+	return f.isSubstitute || f.peerLacksEra || hasState && isFirst
+}
+
 // hasAskedSeedsLocked reports whether each other seed has answered this seed since its start, or failed to. Other nodes don't read the
 // store at their start, so they have nothing to ask before. f.mu must be held.
 func (f *Follower) hasAskedSeedsLocked() bool {
