Broker: the standby's reports are gathered; holders can be spread, hand over when late and be doubted for longer

Cause: each report went to the standby in a message of its own, a third of all messages of a request.

Change: reports for the standby wait up to 50 ms (the time after which a node asks the standby at the earliest), except those about limits, brittle, resting and leaving upstreams; a doubt sends them at once. holder_doubted is sampled. With gateway.scheduling.spread_holders (off): holders by weighted rendezvous hashing over nodes with 0.3 of the strongest's capacity, pools per node in proportion to it; a holder whose periodic task ran 25 ms late twice of three times says so in its answers, and is asked after its standby for 1 s; each doubt after another lasts twice as long, to 3.2 s, while the standby answers. Counters: holders.

The two changes are in one commit as they share the code of holders.go and choosing.go.

--- a/internal/chooser/ranking_test.go
+++ b/internal/chooser/ranking_test.go
@@ -59,3 +59,42 @@
 		assert.Assert(t, perChange < 10*size, "%d nodes: %d scores for a node that goes and returns", size, perChange)
 	}
 }
+
+// Guards against a ranking that depends on the way to the current nodes and weights, so that two nodes choose differently, and
+// against choices that are not in proportion to the weights.
+func TestWeightedRanking(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := make(map[string]float64)
+		weight := func(node string) float64 { return weights[node] }
+		ranking := NewWeightedRanking(3, weight)
+
+		for range rapid.IntRange(1, 6).Draw(t, "changes") {
+			nodes := rapid.SliceOfNDistinct(rapid.StringMatching(`n[0-9]{1,2}`), 0, 12, rapid.ID[string]).Draw(t, "nodes")
+			pools := rapid.SliceOfNDistinct(rapid.StringMatching(`p[0-9]`), 0, 6, rapid.ID[string]).Draw(t, "pools")
+
+			slices.Sort(nodes)
+
+			for _, node := range nodes {
+				weights[node] = float64(rapid.IntRange(0, 3).Draw(t, "weight"))
+			}
+
+			ranking.Update(nodes, pools)
+
+			for _, pool := range append(pools, "unknown") {
+				fresh := NewWeightedRanking(3, weight)
+				fresh.Update(nodes, nil)
+				assert.DeepEqual(t, ranking.Best(pool), fresh.Best(pool))
+			}
+		}
+	})
+
+	ranking := NewWeightedRanking(1, func(node string) float64 { return map[string]float64{"a": 1, "b": 3}[node] })
+	ranking.Update([]string{"a", "b", "c"}, nil)
+
+	counts := make(map[string]int)
+	for i := range 4000 {
+		counts[ranking.Best(fmt.Sprint("p", i))[0]]++
+	}
+
+	assert.Assert(t, counts["c"] == 0 && counts["b"] > 2850 && counts["b"] < 3150, "%v", counts)
+}
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -27,8 +27,13 @@
 	// chooseTimeout limits a call to a holder. A round trip between failure domains takes 3 ms; the
 	// shortest latency targets are 100 ms.
 	chooseTimeout = 50 * time.Millisecond
+	// standbyDelay is how long reports for the standby are gathered. The standby decides only for nodes that have waited
+	// chooseTimeout for the holder or doubt it, so what it knows then is as recent as without the delay.
+	standbyDelay = chooseTimeout
 	// holderBackoff is how long a holder isn't asked after it failed to answer.
 	holderBackoff = 400 * time.Millisecond
+	// maxDoubtDoublings limits the time without asking a holder that failed repeatedly, to 3.2 s.
+	maxDoubtDoublings = 3
 	// queuedRetryInterval is how long a queued request waits for a grant before the holders are asked again.
 	queuedRetryInterval = 400 * time.Millisecond
 	// grantInterval is the time between periodic attempts to grant queued requests an upstream.
@@ -47,6 +52,8 @@
 	choiceLifetime = time.Second
 	// maxEjectionLogsPerSecond limits the log lines about ejections.
 	maxEjectionLogsPerSecond = 10
+	// maxDoubtLogsPerSecond limits the log lines about holders that don't answer.
+	maxDoubtLogsPerSecond = 10
 )
 
 // Methods of the messages between nodes.
@@ -63,7 +70,7 @@
 	Notify(ctx context.Context, peer, method string, params any) error
 }
 
-// Options configures a Broker. All fields but Scheduling are required.
+// Options configures a Broker. All fields up to Logger are required.
 type Options struct {
 	// Self is this node's name.
 	Self string
@@ -80,6 +87,11 @@
 	Logger zerolog.Logger
 	// Scheduling selects the pools' optional decisions.
 	Scheduling balancer.Options
+	// SpreadHolders chooses holders in proportion to their capacity, has those that run late hand over, and doubts those that
+	// fail repeatedly for longer.
+	SpreadHolders bool
+	// Capacity returns the capacity of a node relative to others, 0 if it isn't known. It is required with SpreadHolders.
+	Capacity func(node string) float64
 }
 
 // Broker keeps the pools of all services. It is safe for concurrent use.
@@ -92,6 +104,8 @@
 	limits *throttler.Table
 	// ejectionLogger samples the log lines about ejections, which are many where one node reaches no upstream.
 	ejectionLogger zerolog.Logger
+	// doubtLogger samples the log lines about holders that don't answer: a starved holder would cause one for each request.
+	doubtLogger zerolog.Logger
 
 	mu sync.Mutex
 	// registry is the registry that was last applied.
@@ -120,11 +134,17 @@
 	limitShare   float64
 	// backoffUntil maps nodes that did not answer to the time until which they aren't asked.
 	backoffUntil map[string]time.Time
+	// doubts counts the failures in a row of nodes that did not answer, up to maxDoubtDoublings; it is empty unless holders are
+	// spread. lateUntil maps nodes that said that they run late to the time until which that holds.
+	doubts    map[string]int
+	lateUntil map[string]time.Time
+	lateness  lateness
 	// grantChannels maps the ids of this node's requests that may be queued to the channels for their grants.
 	grantChannels map[string]chan balancer.Grant
 	// running holds this node's running requests, which are reported to new holders.
-	running map[string]runningRequest
-	brittle BrittleCounters
+	running        map[string]runningRequest
+	brittle        BrittleCounters
+	holderCounters HolderCounters
 }
 
 // runningRequest is a request that this node sent to an upstream.
@@ -154,9 +174,15 @@
 
 // New returns a Broker without services.
 func New(options Options) *Broker {
+	ranking := chooser.NewRanking(holderCandidates)
+	if options.SpreadHolders {
+		ranking = chooser.NewWeightedRanking(holderCandidates, options.Capacity)
+	}
+
 	return &Broker{
 		options:        options,
 		ejectionLogger: options.Logger.Sample(&zerolog.BurstSampler{Burst: maxEjectionLogsPerSecond, Period: time.Second}),
+		doubtLogger:    options.Logger.Sample(&zerolog.BurstSampler{Burst: maxDoubtLogsPerSecond, Period: time.Second}),
 		outbox: batcher.New(func(ctx context.Context, node string, batch []report) {
 			// Errors are ignored: a node that can't be reached has no use for the reports later.
 			_ = options.Peers.Notify(ctx, node, MethodReport, reportParams{Reports: batch})
@@ -164,10 +190,12 @@
 		limits:        throttler.NewTable(),
 		services:      make(map[string]*serviceUpstreams),
 		pools:         make(map[string]*usedPool),
-		ranking:       chooser.NewRanking(holderCandidates),
+		ranking:       ranking,
 		holders:       make(map[string][]string),
 		tenures:       make(map[string]*throttler.Tenure),
 		backoffUntil:  make(map[string]time.Time),
+		doubts:        make(map[string]int),
+		lateUntil:     make(map[string]time.Time),
 		grantChannels: make(map[string]chan balancer.Grant),
 		running:       make(map[string]runningRequest),
 	}
--- a/internal/gateway/broker/choosing.go
+++ b/internal/gateway/broker/choosing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"quincepath.example/quincepath/internal/gateway/balancer"
+	"quincepath.example/quincepath/internal/gateway/batcher"
 )
 
 // Choose implements relayer.Chooser. It waits while the request is queued.
@@ -124,7 +125,8 @@
 	// firstUnready is the index of the first holder that is still warming up. It decides only if no other holder does.
 	firstUnready := -1
 
-	for i, holder := range holders {
+	for _, i := range b.askOrder(time.Now(), holders) {
+		holder := holders[i]
 		if holder != b.options.Self && b.isBackedOff(holder) {
 			continue
 		}
@@ -133,6 +135,8 @@
 
 		switch {
 		case err == nil && !result.Unready:
+			b.recordAnswer(time.Now(), holder, result.Late)
+
 			return result.Choice, result.Decision, i
 		case err == nil && firstUnready < 0:
 			firstUnready = i
@@ -156,6 +160,10 @@
 
 // decideLocally chooses an upstream from this node's own view of the pool.
 func (b *Broker) decideLocally(pool string, work balancer.Request) (balancer.Choice, balancer.Decision, int) {
+	b.mu.Lock()
+	b.holderCounters.Alone++
+	b.mu.Unlock()
+
 	choice, decision := b.poolForChoice(time.Now(), pool).Acquire(time.Now(), b.options.Self, work)
 
 	return choice, decision, -1
@@ -188,7 +196,10 @@
 
 	choice, decision := b.poolForChoice(time.Now(), params.Pool).Acquire(time.Now(), from, params.Work)
 
-	return chooseResult{Choice: choice, Decision: decision}
+	result := chooseResult{Choice: choice, Decision: decision}
+	result.Late = b.saysLate(time.Now(), &result)
+
+	return result
 }
 
 // recordStart records a choice and reports it to the holders that did not make it.
@@ -220,8 +231,17 @@
 	}
 
 	for i, holder := range holders {
-		if i != answeredBy && holder != b.options.Self {
-			b.outbox.Add(holder, report{Pool: pool, ID: work.ID, Begin: &beginReport{Upstream: choice.Upstream, Work: work}})
+		if i == answeredBy || holder == b.options.Self {
+			continue
 		}
+
+		begin := report{Pool: pool, ID: work.ID, Begin: &beginReport{Upstream: choice.Upstream, Work: work}}
+
+		delay := reportDelay(i, begin)
+		if choice.Limit != nil || choice.Brittle != nil {
+			delay = batcher.FlushInterval
+		}
+
+		b.outbox.AddWithin(holder, begin, delay)
 	}
 }
--- a/internal/gateway/broker/holder_cost_test.go
+++ b/internal/gateway/broker/holder_cost_test.go
@@ -53,77 +53,31 @@
 	messages.Handle(broker.MethodReport, node.HandleReport)
 }
 
+// benchAskers is the number of nodes that ask. Each asks 25 times per second, which is more often than in a large fleet.
+const benchAskers = 12
+
 // BenchmarkHolder measures the processor time of all nodes for one request: the ask, the decision and its answer, and the reports
 // to the holder and the standby. The two nodes that hold the pools have the label role=holder in a profile.
 func BenchmarkHolder(b *testing.B) {
-	const askers = 12
-
 	for _, servers := range []int{12, 30, 90} {
 		b.Run(fmt.Sprint(servers, "-servers"), func(b *testing.B) {
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 
-			state := serviceState(cataloguer.Listing{})
-			state.Configuration.Services[0].Engine = &cataloguer.Engine{CacheTokens: 200_000, EventTokens: 5}
-
-			var listing cataloguer.Listing
-			for i := range servers {
-				listing.Upstreams = append(listing.Upstreams, cataloguer.Upstream{ID: fmt.Sprint("i-7f3a91c2", i), Address: "10.128.0.9:8080", Service: service, Slots: 64})
-			}
-
-			state.Registry = cataloguer.NewRegistry(listing)
-
-			var (
-				listeners []net.Listener
-				live      []string
-				nodes     []wiredNode
-			)
-
-			for range askers + 2 {
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
-				if err != nil {
-					b.Fatal(err)
-				}
-
-				listeners = append(listeners, listener)
-				live = append(live, listener.Addr().String())
-			}
-
-			live = live[:2]
-
-			for i, listener := range listeners {
-				role := "asker"
-				if i < 2 {
-					role = "holder"
-				}
-
-				nodes = append(nodes, startWired(ctx, b, role, listener, live, state))
-			}
-
-			// A new holder decides only after its warm-up.
-			_, _ = nodes[0].Choose(ctx, service, holderRequest(-1))
-			_, _ = nodes[1].Choose(ctx, service, holderRequest(-1))
-			time.Sleep(2600 * time.Millisecond)
-
-			before := processorTime()
-			sent := messagesOut(nodes)
+			nodes := startBenchFleet(ctx, b, servers)
+			before, sent := processorTime(), messagesOut(nodes)
 			next := time.Now()
 			declined := 0
 
 			b.ResetTimer()
 
 			for i := range b.N {
-				asker := nodes[2+i%askers]
-				work := holderRequest(i)
-
 				pprof.Do(ctx, pprof.Labels("role", "asker"), func(ctx context.Context) {
-					if _, ok := asker.Choose(ctx, service, work); !ok {
+					if _, ok := askerOf(nodes, i).Choose(ctx, service, holderRequest(i)); !ok {
 						declined++
 					}
 
-					nodes[2+(i+askers-5)%askers].RecordFirstEvent(holderRequest(i-5).ID, &balancer.Load{Running: 12, Waiting: 1})
-					nodes[2+(i+10*askers-50)%askers].RecordGaps(holderRequest(i-50).ID, balancer.EventGaps{Events: 20, MeanMS: 64.3, LongestMS: 131.8})
-					nodes[2+(i+10*askers-50)%askers].RecordEnd(holderRequest(i-50).ID, balancer.Served)
+					recordProgress(nodes, i)
 				})
 
 				next = next.Add(decisionInterval)
@@ -138,6 +92,72 @@
 	}
 }
 
+// startBenchFleet starts two nodes that hold the pools of all servers, followed by those that ask, and warms them up.
+func startBenchFleet(ctx context.Context, b *testing.B, servers int) []wiredNode {
+	b.Helper()
+
+	var listing cataloguer.Listing
+	for i := range servers {
+		listing.Upstreams = append(listing.Upstreams, cataloguer.Upstream{ID: fmt.Sprint("i-7f3a91c2", i), Address: "10.128.0.9:8080", Service: service, Slots: 64})
+	}
+
+	state := serviceState(listing)
+	state.Configuration.Services[0].Engine = &cataloguer.Engine{CacheTokens: 200_000, EventTokens: 5}
+
+	var (
+		listeners []net.Listener
+		live      []string
+		nodes     []wiredNode
+	)
+
+	for i := range benchAskers + 2 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+
+		listeners = append(listeners, listener)
+
+		if i < 2 {
+			live = append(live, listener.Addr().String())
+		}
+	}
+
+	for i, listener := range listeners {
+		role := "asker"
+		if i < 2 {
+			role = "holder"
+		}
+
+		nodes = append(nodes, startWired(ctx, b, role, listener, live, state))
+	}
+
+	// A new holder decides only after its warm-up.
+	_, _ = nodes[0].Choose(ctx, service, holderRequest(-1))
+	_, _ = nodes[1].Choose(ctx, service, holderRequest(-1))
+	time.Sleep(2600 * time.Millisecond)
+
+	return nodes
+}
+
+// askerOf returns the node that sends a request.
+func askerOf(nodes []wiredNode, request int) wiredNode {
+	return nodes[2+(request+benchAskers*10)%benchAskers]
+}
+
+// recordProgress reports the first event and the end of requests that were sent before a request.
+func recordProgress(nodes []wiredNode, request int) {
+	const firstAfter, endAfter = 5, 50
+
+	askerOf(nodes, request-firstAfter).RecordFirstEvent(holderRequest(request-firstAfter).ID, &balancer.Load{Running: 12, Waiting: 1})
+
+	ended := askerOf(nodes, request-endAfter)
+	id := holderRequest(request - endAfter).ID
+
+	ended.RecordGaps(id, balancer.EventGaps{Events: 20, MeanMS: 64.3, LongestMS: 131.8})
+	ended.RecordEnd(id, balancer.Served)
+}
+
 func holderRequest(i int) balancer.Request {
 	return balancer.Request{
 		ID: fmt.Sprintf("0b8f6a52-9c41-4d07-be2a-%012d.0", i+1000), Priority: 2, PromptTokens: 2368, OutputTokens: 60, TimeLimit: 6 * time.Second,
--- a/internal/gateway/broker/holders.go
+++ b/internal/gateway/broker/holders.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -58,11 +59,11 @@
 	b.ranking.Update(b.liveNodes, pools)
 
 	heldBy := make(map[string]int)
-	maxHeld := (len(pools) + len(b.liveNodes) - 1) / max(len(b.liveNodes), 1)
+	maxHeld := b.evenShares(len(pools))
 
 	for _, pool := range pools {
 		candidates := b.ranking.Best(pool)
-		free := slices.IndexFunc(candidates, func(node string) bool { return heldBy[node] < maxHeld })
+		free := slices.IndexFunc(candidates, func(node string) bool { return heldBy[node] < maxHeld(node) })
 
 		if free > 0 {
 			holder := candidates[free]
@@ -79,6 +80,25 @@
 	}
 }
 
+// evenShares returns the number of pools that a node may hold of the given number: the same for all nodes, or in proportion to their
+// capacity where holders are spread. The caller holds b.mu.
+func (b *Broker) evenShares(pools int) func(node string) int {
+	even := (pools + len(b.liveNodes) - 1) / max(len(b.liveNodes), 1)
+	total := 0.0
+
+	if b.options.SpreadHolders {
+		for _, node := range b.liveNodes {
+			total += b.options.Capacity(node)
+		}
+	}
+
+	if total == 0 {
+		return func(string) int { return even }
+	}
+
+	return func(node string) int { return int(math.Ceil(float64(pools) * b.options.Capacity(node) / total)) }
+}
+
 // updateTenure records since when this node is holder or standby of the pool. The caller holds b.mu.
 func (b *Broker) updateTenure(pool string, holders []string, now time.Time) {
 	b.tenure(pool).Update(now, b.options.Self, holders, func(node string) bool {
@@ -160,8 +180,16 @@
 
 func (b *Broker) backOff(node, pool string, err error) {
 	b.mu.Lock()
-	b.backoffUntil[node] = time.Now().Add(holderBackoff)
+	now := time.Now()
+	b.holderCounters.Doubted++
+	b.backoffUntil[node] = now.Add(b.doubtTime(node))
+	b.shortenDoubts(now, b.holders[pool])
 	b.mu.Unlock()
 
-	b.options.Logger.Info().Err(err).Str("peer", node).Str("pool", pool).Msg("holder_doubted")
+	// The standby decides now.
+	for _, holder := range b.holdersOf(pool) {
+		b.outbox.Hurry(holder)
+	}
+
+	b.doubtLogger.Info().Err(err).Str("peer", node).Str("pool", pool).Msg("holder_doubted")
 }
--- a/internal/gateway/broker/messages.go
+++ b/internal/gateway/broker/messages.go
@@ -1,7 +1,10 @@
 package broker
 
 import (
+	"time"
+
 	"quincepath.example/quincepath/internal/gateway/balancer"
+	"quincepath.example/quincepath/internal/gateway/batcher"
 	"quincepath.example/quincepath/internal/throttler"
 )
 
@@ -20,6 +23,8 @@
 	Decision balancer.Decision `json:"d"`
 	// Unready is set if the holder is still warming up: it decided nothing, and other holders should be asked first.
 	Unready bool `json:"u,omitempty"`
+	// Late is set if the holder runs late, so that the standby should be asked for a while.
+	Late bool `json:"l,omitempty"`
 }
 
 // report is one event of one request.
@@ -58,3 +63,13 @@
 type reportParams struct {
 	Reports []report `json:"r"`
 }
+
+// reportDelay returns how long a report may be gathered with others for the holder at the given index. What an upstream says about
+// itself, and requests sent to upstreams with a rate limit, which both holders count, are not delayed.
+func reportDelay(holder int, r report) time.Duration {
+	if holder == 0 || r.Leaving != "" || r.Resting != "" || r.Limit != nil || r.Brittle != nil {
+		return batcher.FlushInterval
+	}
+
+	return standbyDelay
+}
--- a/internal/gateway/broker/reports.go
+++ b/internal/gateway/broker/reports.go
@@ -10,9 +10,9 @@
 
 // reportToHolders queues a report for the holder and the standby of a pool, except for this node.
 func (b *Broker) reportToHolders(pool string, r report) {
-	for _, holder := range b.holdersOf(pool) {
+	for i, holder := range b.holdersOf(pool) {
 		if holder != b.options.Self {
-			b.outbox.Add(holder, r)
+			b.outbox.AddWithin(holder, r, reportDelay(i, r))
 		}
 	}
 }
@@ -202,6 +202,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			b.recordTick(time.Now())
 			b.grantAllPools(now)
 		}
 	}
--- /dev/null
+++ b/internal/gateway/broker/spread_test.go
@@ -0,0 +1,222 @@
+package broker
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/chooser"
+	"quincepath.example/quincepath/internal/gateway/balancer"
+)
+
+// scriptedPeers answers requests for an upstream, and counts messages by node.
+type scriptedPeers struct {
+	mu sync.Mutex
+	// asked counts requests for an upstream, reported the messages with reports.
+	asked, reported map[string]int
+	silent, late    map[string]bool
+}
+
+func newScriptedPeers() *scriptedPeers {
+	return &scriptedPeers{asked: map[string]int{}, reported: map[string]int{}, silent: map[string]bool{}, late: map[string]bool{}}
+}
+
+func (p *scriptedPeers) Call(ctx context.Context, peer, _ string, _, result any) error {
+	p.mu.Lock()
+	p.asked[peer]++
+	silent, late := p.silent[peer], p.late[peer]
+	p.mu.Unlock()
+
+	if silent {
+		<-ctx.Done()
+
+		return ctx.Err()
+	}
+
+	answer, ok := result.(*chooseResult)
+	if !ok {
+		return errors.New("no result")
+	}
+
+	*answer = chooseResult{Choice: balancer.Choice{Upstream: "u"}, Late: late}
+
+	return nil
+}
+
+func (p *scriptedPeers) Notify(_ context.Context, peer, _ string, _ any) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.reported[peer]++
+
+	return nil
+}
+
+func (p *scriptedPeers) set(marked map[string]bool, peer string, value bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	marked[peer] = value
+}
+
+// askFor sends a request every 100 ms, and returns how many went to the holder and the standby.
+func (p *scriptedPeers) askFor(t *testing.T, b *Broker, duration time.Duration, pool []string) (holder, standby int) {
+	t.Helper()
+	p.mu.Lock()
+	clear(p.asked)
+	p.mu.Unlock()
+
+	for i := range int(duration / (100 * time.Millisecond)) {
+		next := time.Now().Add(100 * time.Millisecond)
+		_, _ = b.Choose(t.Context(), "s", balancer.Request{ID: fmt.Sprint(time.Now().UnixNano(), i), TimeLimit: time.Second})
+
+		time.Sleep(time.Until(next))
+	}
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.asked[pool[0]], p.asked[pool[1]]
+}
+
+// withScript runs a node that asks the holder and the standby of a pool, which are given in this order.
+func withScript(t *testing.T, spread bool, run func(t *testing.T, b *Broker, peers *scriptedPeers, holders []string)) {
+	t.Helper()
+
+	synctest.Test(t, func(t *testing.T) {
+		start, peers := time.Now(), newScriptedPeers()
+		live := []string{"h1", "h2"}
+		b := New(Options{
+			Self: "n", Live: func() []string { return live }, Leaving: func() []string { return nil },
+			LimitShare: func() float64 { return 1 }, Now: func() time.Duration { return time.Since(start) }, Peers: peers, Logger: zerolog.Nop(),
+			SpreadHolders: spread, Capacity: func(string) float64 { return 1 },
+		})
+
+		ctx, cancel := context.WithCancel(t.Context())
+		go b.Run(ctx)
+
+		run(t, b, peers, chooser.New(live).ChooseN("s/0", 2))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a starved holder that each node asks again every 400 ms, which costs a request 50 ms each time and has two nodes
+// decide in turns; and against a holder that is avoided for seconds although its standby doesn't answer either.
+func TestSilentHolderIsAvoidedWhileTheStandbyAnswers(t *testing.T) {
+	for _, spread := range []bool{false, true} {
+		withScript(t, spread, func(t *testing.T, b *Broker, peers *scriptedPeers, holders []string) {
+			peers.set(peers.silent, holders[0], true)
+
+			asked, _ := peers.askFor(t, b, 5*time.Second, holders)
+			if spread {
+				assert.Assert(t, asked <= 4, "asked %d times", asked)
+			} else {
+				assert.Assert(t, asked >= 9, "asked %d times", asked)
+			}
+
+			// Neither answers from now on, then both do.
+			peers.set(peers.silent, holders[1], true)
+			_, _ = peers.askFor(t, b, time.Second, holders)
+			peers.set(peers.silent, holders[0], false)
+			peers.set(peers.silent, holders[1], false)
+			_, _ = peers.askFor(t, b, 500*time.Millisecond, holders)
+			asked, _ = peers.askFor(t, b, time.Second, holders)
+			assert.Equal(t, asked, 10)
+		})
+	}
+}
+
+// Guards against a holder that is asked until it fails to answer although it knows that it runs late, and against two late nodes that
+// hand over to each other.
+func TestLateHolderHandsOver(t *testing.T) {
+	withScript(t, true, func(t *testing.T, b *Broker, peers *scriptedPeers, holders []string) {
+		peers.set(peers.late, holders[0], true)
+
+		holder, standby := peers.askFor(t, b, 2*time.Second, holders)
+		assert.Assert(t, holder <= 3 && standby >= 17, "%d and %d", holder, standby)
+		assert.Equal(t, b.HolderCounters().HandedOver, int64(standby))
+
+		peers.set(peers.late, holders[1], true)
+		_, _ = peers.askFor(t, b, time.Second, holders)
+		holder, standby = peers.askFor(t, b, 2*time.Second, holders)
+		assert.Assert(t, holder >= 17, "%d and %d", holder, standby)
+
+		peers.set(peers.late, holders[0], false)
+		peers.set(peers.late, holders[1], false)
+		_, _ = peers.askFor(t, b, 2*time.Second, holders)
+		holder, standby = peers.askFor(t, b, time.Second, holders)
+		assert.Assert(t, holder == 10 && standby == 0, "%d and %d", holder, standby)
+	})
+}
+
+// Without the setting, nothing that a holder says about itself changes who is asked.
+func TestLateHolderIsAskedWithoutTheSetting(t *testing.T) {
+	withScript(t, false, func(t *testing.T, b *Broker, peers *scriptedPeers, holders []string) {
+		peers.set(peers.late, holders[0], true)
+
+		holder, standby := peers.askFor(t, b, time.Second, holders)
+		assert.Assert(t, holder == 10 && standby == 0, "%d and %d", holder, standby)
+	})
+}
+
+// Guards against a node that says that it runs late after one pause, and against one that doesn't while it gets a third of the
+// processor time that it needs.
+func TestLatenessNeedsTwoLateRuns(t *testing.T) {
+	now := time.Now()
+	l := lateness{}
+
+	run := func(gap time.Duration) bool {
+		now = now.Add(gap)
+
+		return l.recordRun(now, grantInterval)
+	}
+
+	for _, gap := range []time.Duration{time.Second, 50, 60, 2 * time.Second, 50, 50, 50} {
+		if gap < time.Second {
+			gap *= time.Millisecond
+		}
+
+		assert.Assert(t, !run(gap))
+		assert.Assert(t, !l.isLate(now))
+	}
+
+	assert.Assert(t, !run(150*time.Millisecond))
+	assert.Assert(t, run(150*time.Millisecond))
+	assert.Assert(t, !run(150*time.Millisecond), "it is late already")
+	assert.Assert(t, l.isLate(now.Add(lateTime-1)))
+	assert.Assert(t, !l.isLate(now.Add(lateTime)))
+}
+
+// Guards against one message for each report to the standby: it needs them no sooner than it may be asked.
+func TestStandbyGetsFewerMessages(t *testing.T) {
+	withScript(t, false, func(t *testing.T, b *Broker, peers *scriptedPeers, holders []string) {
+		const requests = 100
+
+		served := balancer.Served
+
+		for i := range requests {
+			id := fmt.Sprint("r", i)
+			_, ok := b.Choose(t.Context(), "s", balancer.Request{ID: id, TimeLimit: time.Minute})
+			assert.Assert(t, ok)
+			time.Sleep(10 * time.Millisecond)
+			b.RecordFirstEvent(id, nil)
+			time.Sleep(10 * time.Millisecond)
+			b.RecordEnd(id, served)
+		}
+
+		time.Sleep(time.Second)
+		peers.mu.Lock()
+		defer peers.mu.Unlock()
+
+		assert.Equal(t, peers.reported[holders[0]], 2*requests)
+		assert.Assert(t, peers.reported[holders[1]] <= requests/2, "%d messages", peers.reported[holders[1]])
+	})
+}
--- a/internal/gateway/cataloguer/capacity.go
+++ b/internal/gateway/cataloguer/capacity.go
@@ -5,9 +5,22 @@
 // all others would wait for it.
 const strongCapacityRatio = 0.6
 
+// spreadCapacityRatio is the minimum where holders are chosen in proportion to their capacity, so that a weak node holds a pool more
+// rarely than a strong one.
+const spreadCapacityRatio = 0.3
+
 // SplitByCapacity splits nodes into strong and weak ones, preserving their order. Unlisted nodes count as weak unless
 // none is listed.
 func SplitByCapacity(names []string, listed *Index[Node]) (strong, weak []string) {
+	return splitByCapacity(names, listed, strongCapacityRatio)
+}
+
+// SplitForSpreading splits nodes as SplitByCapacity does, with a lower bound for strong ones.
+func SplitForSpreading(names []string, listed *Index[Node]) (strong, weak []string) {
+	return splitByCapacity(names, listed, spreadCapacityRatio)
+}
+
+func splitByCapacity(names []string, listed *Index[Node], ratio float64) (strong, weak []string) {
 	capacities := make([]float64, len(names))
 	highest := 0.0
 
@@ -19,7 +32,7 @@
 	}
 
 	for i, name := range names {
-		if capacities[i] >= strongCapacityRatio*highest {
+		if capacities[i] >= ratio*highest {
 			strong = append(strong, name)
 		} else {
 			weak = append(weak, name)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -225,6 +225,9 @@
 		Peers:      n.messages,
 		Logger:     logger,
 		Scheduling: schedulingOptions(settings.Gateway.Scheduling),
+
+		SpreadHolders: settings.Gateway.Scheduling.SpreadHolders,
+		Capacity:      n.nodeCapacity,
 	})
 	n.messages.HandleInline(broker.MethodChoose, n.broker.HandleChoose)
 	n.messages.Handle(broker.MethodReport, n.broker.HandleReport)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,6 +47,7 @@
 		"resumes":     func() any { return n.relayer.ResumeCounts() },
 		"rate_limits": func() any { return n.broker.LimitCounters() },
 		"brittle":     func() any { return n.broker.BrittleCounters() },
+		"holders":     func() any { return n.broker.HolderCounters() },
 		"members":     func() any { return n.prober.Counters() },
 		"tunnels":     func() any { return n.tunnels.Counters() },
 		"messages":    func() any { return n.messages.Traffic() },
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -17,6 +17,8 @@
 	version        uint64
 	nodes          cataloguer.Index[cataloguer.Node]
 	leaving, ready bool
+	// spread is true if weaker nodes are strong enough too.
+	spread bool
 
 	// live are the nodes that respond and are not leaving, this one first; departing are the others that respond and are leaving.
 	live, departing []string
@@ -47,6 +49,7 @@
 	}
 
 	next := &roster{version: members.Version, nodes: nodes, leaving: leaving, ready: ready}
+	next.spread = n.settings.Gateway.Scheduling.SpreadHolders
 	next.derive(members.Members, n.settings.Node)
 	n.roster.Store(next)
 
@@ -109,7 +112,12 @@
 // strongNodes returns the live nodes with enough capacity to decide for others. A weak node that decides for a large
 // pool responds late, and all others would wait for it before they continue alone.
 func (r *roster) strongNodes(self string) []string {
-	strong, _ := cataloguer.SplitByCapacity(r.live, &r.nodes)
+	split := cataloguer.SplitByCapacity
+	if r.spread {
+		split = cataloguer.SplitForSpreading
+	}
+
+	strong, _ := split(r.live, &r.nodes)
 
 	// live always includes this node, also while it is leaving.
 	if r.leaving {
@@ -124,3 +132,11 @@
 
 	return strong
 }
+
+// nodeCapacity returns the capacity of a node, 0 if it isn't known.
+func (n *Node) nodeCapacity(name string) float64 {
+	nodes := n.catalog.State().Registry.Nodes
+	node, _ := nodes.Get(name)
+
+	return node.Capacity
+}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -178,6 +178,9 @@
 	WorkAdmission bool `yaml:"work_admission"`
 	// CacheTracking asks engines which prompt parts they hold, for services whose engines answer such calls.
 	CacheTracking bool `yaml:"cache_tracking"`
+	// SpreadHolders lets more nodes decide for others, in proportion to their capacity, and has holders that run late hand over
+	// to their standby.
+	SpreadHolders bool `yaml:"spread_holders"`
 }
 
 // Duties says which calls of the platform one node at a time makes for all, and under which bounds.
