--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -120,9 +120,11 @@
 	// nodeChooser chooses among the live nodes. It is nil before the first check of the live nodes.
 	nodeChooser *chooser.Chooser
 	// ranking holds the nodes among which the holder of each pool is selected.
-	ranking       *chooser.Ranking
-	liveNodes     []string
-	liveCheckedAt time.Time
+	ranking   *chooser.Ranking
+	liveNodes []string
+	// liveCapacities are the capacities of liveNodes, nil unless holders are spread.
+	liveCapacities []float64
+	liveCheckedAt  time.Time
 	// holders caches the holder and the standby of each pool. It is cleared when the live nodes or the partitions change.
 	holders map[string][]string
 	// tenures tracks by pool since when this node is its holder or standby. A new one does not decide for other nodes at once:
--- a/internal/gateway/broker/holders.go
+++ b/internal/gateway/broker/holders.go
@@ -86,10 +86,8 @@
 	even := (pools + len(b.liveNodes) - 1) / max(len(b.liveNodes), 1)
 	total := 0.0
 
-	if b.options.SpreadHolders {
-		for _, node := range b.liveNodes {
-			total += b.options.Capacity(node)
-		}
+	for _, capacity := range b.liveCapacities {
+		total += capacity
 	}
 
 	if total == 0 {
@@ -136,16 +134,31 @@
 
 	b.leavingNodes, b.limitShare = b.options.Leaving(), b.options.LimitShare()
 
-	if b.nodeChooser != nil && slices.Equal(live, b.liveNodes) {
+	capacities := b.capacitiesOf(live)
+	if b.nodeChooser != nil && slices.Equal(live, b.liveNodes) && slices.Equal(capacities, b.liveCapacities) {
 		return false
 	}
 
-	b.liveNodes, b.nodeChooser = live, b.nodeChooser.WithNodes(live)
+	b.liveNodes, b.liveCapacities, b.nodeChooser = live, capacities, b.nodeChooser.WithNodes(live)
 	clear(b.holders)
 
 	return true
 }
 
+// capacitiesOf returns the capacities of nodes, or nil if holders are chosen without regard to them.
+func (b *Broker) capacitiesOf(nodes []string) []float64 {
+	if !b.options.SpreadHolders {
+		return nil
+	}
+
+	capacities := make([]float64, len(nodes))
+	for i, node := range nodes {
+		capacities[i] = b.options.Capacity(node)
+	}
+
+	return capacities
+}
+
 // announceRunning reports this node's running requests to the holders of all pools. Otherwise a new holder would consider
 // busy upstreams idle.
 func (b *Broker) announceRunning() {
--- a/internal/gateway/broker/spread_test.go
+++ b/internal/gateway/broker/spread_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 
 	"quincepath.example/quincepath/internal/chooser"
 	"quincepath.example/quincepath/internal/gateway/balancer"
+	"quincepath.example/quincepath/internal/gateway/cataloguer"
 )
 
 // scriptedPeers answers requests for an upstream, and counts messages by node.
@@ -220,3 +222,73 @@
 		assert.Assert(t, peers.reported[holders[1]] <= requests/2, "%d messages", peers.reported[holders[1]])
 	})
 }
+
+// Guards against pools that are held by few nodes although many could, and by weak nodes as often as by strong ones: 78 nodes of
+// 0.144 to 0.8 cores, of which the nodes with 0.6 (0.3) of the strongest's capacity may hold pools.
+func TestPoolsAreHeldInProportionToCapacity(t *testing.T) {
+	const nodes = 78
+
+	capacities := make(map[string]float64)
+	capacityOf := func(node string) float64 { return capacities[node] }
+
+	var (
+		listing cataloguer.Listing
+		names   []string
+	)
+
+	for i := range nodes {
+		name := fmt.Sprintf("10.0.0.%d:7000", i)
+		// Few nodes are strong.
+		capacities[name] = 0.144 + (0.8-0.144)*math.Pow(float64(i)/(nodes-1), 5)
+		names = append(names, name)
+		listing.Nodes = append(listing.Nodes, cataloguer.Node{Name: name, Capacity: capacities[name]})
+	}
+
+	for i := range 30 {
+		for upstream := range 90 {
+			listing.Upstreams = append(listing.Upstreams, cataloguer.Upstream{ID: fmt.Sprint("u", i, "-", upstream), Service: fmt.Sprint("s", i)})
+		}
+	}
+
+	state := &cataloguer.State{Registry: cataloguer.NewRegistry(listing)}
+	for i := range 30 {
+		state.Configuration.Services = append(state.Configuration.Services, cataloguer.Service{Name: fmt.Sprint("s", i)})
+	}
+
+	// heldBy returns the number of pools by holder.
+	heldBy := func(strong []string, spread bool) map[string]int {
+		start := time.Now()
+		b := New(Options{
+			Self: "n", Live: func() []string { return strong }, Leaving: func() []string { return nil }, LimitShare: func() float64 { return 1 },
+			Now: func() time.Duration { return time.Since(start) }, Peers: newScriptedPeers(), Logger: zerolog.Nop(),
+			SpreadHolders: spread, Capacity: capacityOf,
+		})
+		b.Update(state)
+
+		held := make(map[string]int)
+		for _, stats := range b.Stats(start) {
+			held[stats.Holder]++
+		}
+
+		return held
+	}
+
+	nodesByName := state.Registry.Nodes
+	strong, _ := cataloguer.SplitByCapacity(names, &nodesByName)
+	wider, _ := cataloguer.SplitForSpreading(names, &nodesByName)
+	before, after := heldBy(strong, false), heldBy(wider, true)
+
+	assert.Assert(t, len(after) >= 2*len(before), "%d holders, before %d", len(after), len(before))
+
+	mostBefore, mostAfter := 0.0, 0.0
+	for node, held := range before {
+		mostBefore = max(mostBefore, float64(held)/capacities[node])
+	}
+
+	for node, held := range after {
+		mostAfter = max(mostAfter, float64(held)/capacities[node])
+	}
+
+	t.Logf("%d holders with up to %.1f pools per core, before %d with up to %.1f", len(after), mostAfter, len(before), mostBefore)
+	assert.Assert(t, mostAfter < 0.7*mostBefore, "%.1f pools per core, before %.1f", mostAfter, mostBefore)
+}
