Broker: a standby that decides is told at once

While the holder doesn't answer or runs late, the standby's reports are no longer gathered by the nodes that ask it: its servers looked busy 50 ms longer than they were. The test failed before.

--- a/internal/gateway/broker/choosing.go
+++ b/internal/gateway/broker/choosing.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"quincepath.example/quincepath/internal/gateway/balancer"
-	"quincepath.example/quincepath/internal/gateway/batcher"
 )
 
 // Choose implements relayer.Chooser. It waits while the request is queued.
@@ -230,18 +229,6 @@
 		b.pool(pool).AddRunning(time.Now(), choice.Upstream, work)
 	}
 
-	for i, holder := range holders {
-		if i == answeredBy || holder == b.options.Self {
-			continue
-		}
-
-		begin := report{Pool: pool, ID: work.ID, Begin: &beginReport{Upstream: choice.Upstream, Work: work}}
-
-		delay := reportDelay(i, begin)
-		if choice.Limit != nil || choice.Brittle != nil {
-			delay = batcher.FlushInterval
-		}
-
-		b.outbox.AddWithin(holder, begin, delay)
-	}
+	begin := report{Pool: pool, ID: work.ID, Begin: &beginReport{Upstream: choice.Upstream, Work: work}}
+	b.reportTo(holders, begin, answeredBy, choice.Limit != nil || choice.Brittle != nil)
 }
--- a/internal/gateway/broker/holders.go
+++ b/internal/gateway/broker/holders.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"quincepath.example/quincepath/internal/gateway/batcher"
 	"quincepath.example/quincepath/internal/throttler"
 )
 
@@ -159,6 +160,33 @@
 	return capacities
 }
 
+// reportTo queues a report for the holder and the standby, except for this node and the one at the index that knows already, which may
+// be -1. The standby gets it later, unless it is urgent or this node asks the standby now.
+func (b *Broker) reportTo(holders []string, r report, knows int, urgent bool) {
+	for i, holder := range holders {
+		if i == knows || holder == b.options.Self {
+			continue
+		}
+
+		delay := batcher.FlushInterval
+		if i > 0 && !urgent && !b.isAvoided(holders[0]) {
+			delay = standbyDelay
+		}
+
+		b.outbox.AddWithin(holder, r, delay)
+	}
+}
+
+// isAvoided reports whether this node asks the standby first, since the holder didn't answer or runs late.
+func (b *Broker) isAvoided(holder string) bool {
+	now := time.Now()
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return now.Before(b.backoffUntil[holder]) || now.Before(b.lateUntil[holder])
+}
+
 // announceRunning reports this node's running requests to the holders of all pools. Otherwise a new holder would consider
 // busy upstreams idle.
 func (b *Broker) announceRunning() {
--- a/internal/gateway/broker/messages.go
+++ b/internal/gateway/broker/messages.go
@@ -1,10 +1,7 @@
 package broker
 
 import (
-	"time"
-
 	"quincepath.example/quincepath/internal/gateway/balancer"
-	"quincepath.example/quincepath/internal/gateway/batcher"
 	"quincepath.example/quincepath/internal/throttler"
 )
 
@@ -64,12 +61,8 @@
 	Reports []report `json:"r"`
 }
 
-// reportDelay returns how long a report may be gathered with others for the holder at the given index. What an upstream says about
-// itself, and requests sent to upstreams with a rate limit, which both holders count, are not delayed.
-func reportDelay(holder int, r report) time.Duration {
-	if holder == 0 || r.Leaving != "" || r.Resting != "" || r.Limit != nil || r.Brittle != nil {
-		return batcher.FlushInterval
-	}
-
-	return standbyDelay
+// isUrgent reports whether a report may not be delayed for the standby: what an upstream says about itself, and requests sent to
+// upstreams with a rate limit, which both holders count.
+func (r *report) isUrgent() bool {
+	return r.Leaving != "" || r.Resting != "" || r.Limit != nil || r.Brittle != nil
 }
--- a/internal/gateway/broker/reports.go
+++ b/internal/gateway/broker/reports.go
@@ -10,11 +10,7 @@
 
 // reportToHolders queues a report for the holder and the standby of a pool, except for this node.
 func (b *Broker) reportToHolders(pool string, r report) {
-	for i, holder := range b.holdersOf(pool) {
-		if holder != b.options.Self {
-			b.outbox.AddWithin(holder, r, reportDelay(i, r))
-		}
-	}
+	b.reportTo(b.holdersOf(pool), r, -1, r.isUrgent())
 }
 
 // RecordFirstEvent implements relayer.Chooser.
--- a/internal/gateway/broker/spread_test.go
+++ b/internal/gateway/broker/spread_test.go
@@ -223,6 +223,27 @@
 	})
 }
 
+// Guards against a standby that decides and hears 50 ms late that a request has ended, so that its servers look busy.
+func TestStandbyThatDecidesHearsAtOnce(t *testing.T) {
+	withScript(t, false, func(t *testing.T, b *Broker, peers *scriptedPeers, holders []string) {
+		peers.set(peers.silent, holders[0], true)
+
+		_, ok := b.Choose(t.Context(), "s", balancer.Request{ID: "r", TimeLimit: time.Minute})
+		assert.Assert(t, ok)
+		time.Sleep(100 * time.Millisecond)
+		peers.mu.Lock()
+		before := peers.reported[holders[1]]
+		peers.mu.Unlock()
+
+		b.RecordEnd("r", balancer.Served)
+		time.Sleep(10 * time.Millisecond)
+		peers.mu.Lock()
+		defer peers.mu.Unlock()
+
+		assert.Equal(t, peers.reported[holders[1]], before+1)
+	})
+}
+
 // Guards against pools that are held by few nodes although many could, and by weak nodes as often as by strong ones: 78 nodes of
 // 0.144 to 0.8 cores, of which the nodes with 0.6 (0.3) of the strongest's capacity may hold pools.
 func TestPoolsAreHeldInProportionToCapacity(t *testing.T) {
