--- a/internal/gateway/broker/holders.go
+++ b/internal/gateway/broker/holders.go
@@ -1,9 +1,11 @@
 package broker
 
 import (
+	"math"
 	"slices"
 	"time"
 
+	"quincepath.example/quincepath/internal/gateway/batcher"
 	"quincepath.example/quincepath/internal/throttler"
 )
 
@@ -58,11 +60,11 @@
 	b.ranking.Update(b.liveNodes, pools)
 
 	heldBy := make(map[string]int)
-	maxHeld := (len(pools) + len(b.liveNodes) - 1) / max(len(b.liveNodes), 1)
+	maxHeld := b.evenShares(len(pools))
 
 	for _, pool := range pools {
 		candidates := b.ranking.Best(pool)
-		free := slices.IndexFunc(candidates, func(node string) bool { return heldBy[node] < maxHeld })
+		free := slices.IndexFunc(candidates, func(node string) bool { return heldBy[node] < maxHeld(node) })
 
 		if free > 0 {
 			holder := candidates[free]
@@ -79,6 +81,23 @@
 	}
 }
 
+// evenShares returns the number of pools that a node may hold of the given number: the same for all nodes, or in proportion to their
+// capacity where holders are spread. The caller holds b.mu.
+func (b *Broker) evenShares(pools int) func(node string) int {
+	even := (pools + len(b.liveNodes) - 1) / max(len(b.liveNodes), 1)
+	total := 0.0
+
+	for _, capacity := range b.liveCapacities {
+		total += capacity
+	}
+
+	if total == 0 {
+		return func(string) int { return even }
+	}
+
+	return func(node string) int { return int(math.Ceil(float64(pools) * b.options.Capacity(node) / total)) }
+}
+
 // updateTenure records since when this node is holder or standby of the pool. The caller holds b.mu.
 func (b *Broker) updateTenure(pool string, holders []string, now time.Time) {
 	b.tenure(pool).Update(now, b.options.Self, holders, func(node string) bool {
@@ -116,16 +135,58 @@
 
 	b.leavingNodes, b.limitShare = b.options.Leaving(), b.options.LimitShare()
 
-	if b.nodeChooser != nil && slices.Equal(live, b.liveNodes) {
+	capacities := b.capacitiesOf(live)
+	if b.nodeChooser != nil && slices.Equal(live, b.liveNodes) && slices.Equal(capacities, b.liveCapacities) {
 		return false
 	}
 
-	b.liveNodes, b.nodeChooser = live, b.nodeChooser.WithNodes(live)
+	b.liveNodes, b.liveCapacities, b.nodeChooser = live, capacities, b.nodeChooser.WithNodes(live)
 	clear(b.holders)
 
 	return true
 }
 
+// capacitiesOf returns the capacities of nodes, or nil if holders are chosen without regard to them.
+func (b *Broker) capacitiesOf(nodes []string) []float64 {
+	if !b.options.SpreadHolders {
+		return nil
+	}
+
+	capacities := make([]float64, len(nodes))
+	for i, node := range nodes {
+		capacities[i] = b.options.Capacity(node)
+	}
+
+	return capacities
+}
+
+// reportTo queues a report for the holder and the standby, except for this node and the one at the index that knows already, which may
+// be -1. The standby gets it later, unless it is urgent or this node asks the standby now.
+func (b *Broker) reportTo(holders []string, r report, knows int, urgent bool) {
+	for i, holder := range holders {
+		if i == knows || holder == b.options.Self {
+			continue
+		}
+
+		delay := batcher.FlushInterval
+		if i > 0 && !urgent && !b.isAvoided(holders[0]) {
+			delay = standbyDelay
+		}
+
+		b.outbox.AddWithin(holder, r, delay)
+	}
+}
+
+// isAvoided reports whether this node asks the standby first, since the holder didn't answer or runs late.
+func (b *Broker) isAvoided(holder string) bool {
+	now := time.Now()
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return now.Before(b.backoffUntil[holder]) || now.Before(b.lateUntil[holder])
+}
+
 // announceRunning reports this node's running requests to the holders of all pools. Otherwise a new holder would consider
 // busy upstreams idle.
 func (b *Broker) announceRunning() {
@@ -160,8 +221,16 @@
 
 func (b *Broker) backOff(node, pool string, err error) {
 	b.mu.Lock()
-	b.backoffUntil[node] = time.Now().Add(holderBackoff)
+	now := time.Now()
+	b.holderCounters.Doubted++
+	b.backoffUntil[node] = now.Add(b.doubtTime(node))
+	b.shortenDoubts(now, b.holders[pool])
 	b.mu.Unlock()
 
-	b.options.Logger.Info().Err(err).Str("peer", node).Str("pool", pool).Msg("holder_doubted")
+	// The standby decides now.
+	for _, holder := range b.holdersOf(pool) {
+		b.outbox.Hurry(holder)
+	}
+
+	b.doubtLogger.Info().Err(err).Str("peer", node).Str("pool", pool).Msg("holder_doubted")
 }
--- a/internal/gateway/broker/messages.go
+++ b/internal/gateway/broker/messages.go
@@ -20,6 +20,8 @@
 	Decision balancer.Decision `json:"d"`
 	// Unready is set if the holder is still warming up: it decided nothing, and other holders should be asked first.
 	Unready bool `json:"u,omitempty"`
+	// Late is set if the holder runs late, so that the standby should be asked for a while.
+	Late bool `json:"l,omitempty"`
 }
 
 // report is one event of one request.
@@ -58,3 +60,9 @@
 type reportParams struct {
 	Reports []report `json:"r"`
 }
+
+// isUrgent reports whether a report may not be delayed for the standby: what an upstream says about itself, and requests sent to
+// upstreams with a rate limit, which both holders count.
+func (r *report) isUrgent() bool {
+	return r.Leaving != "" || r.Resting != "" || r.Limit != nil || r.Brittle != nil
+}
--- a/internal/gateway/broker/reports.go
+++ b/internal/gateway/broker/reports.go
@@ -10,11 +10,7 @@
 
 // reportToHolders queues a report for the holder and the standby of a pool, except for this node.
 func (b *Broker) reportToHolders(pool string, r report) {
-	for _, holder := range b.holdersOf(pool) {
-		if holder != b.options.Self {
-			b.outbox.Add(holder, r)
-		}
-	}
+	b.reportTo(b.holdersOf(pool), r, -1, r.isUrgent())
 }
 
 // RecordFirstEvent implements relayer.Chooser.
@@ -97,8 +93,8 @@
 
 // HandleChoose handles MethodChoose.
 func (b *Broker) HandleChoose(_ context.Context, from string, params json.RawMessage) (any, error) {
-	var request chooseParams
-	if err := json.Unmarshal(params, &request); err != nil {
+	request, err := decodeChoose(params)
+	if err != nil {
 		return nil, err
 	}
 
@@ -107,8 +103,8 @@
 
 // HandleReport handles MethodReport.
 func (b *Broker) HandleReport(_ context.Context, from string, params json.RawMessage) (any, error) {
-	var batch reportParams
-	if err := json.Unmarshal(params, &batch); err != nil {
+	batch, err := decodeReports(params)
+	if err != nil {
 		return nil, err
 	}
 
@@ -202,6 +198,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			b.recordTick(time.Now())
 			b.grantAllPools(now)
 		}
 	}
