Balancer: server_pace keeps prompts away from streams whose gap limit they would exceed

Cause: chats are late because of one gap over their limit: a prompt is prefilled on the same engine, worse on slow engines. Change: with the setting, a pool learns the lasting pace of each server from the mean gaps of its complete streams and its first events, and the distribution of longest gaps by gap limit. The loss of a choice includes the probability that streams there exceed their limits; a prompt that costs more urgent streams more than it is worth counts a server as busy. With the setting off, the digest of the decisions is unchanged. Why it works: chats go to engines that are fast enough also while they prefill, and prompts that would stall them go elsewhere.

--- a/internal/gateway/balancer/loss.go
+++ b/internal/gateway/balancer/loss.go
@@ -62,6 +62,10 @@
 
 // interferenceLoss returns the loss from prefill that delays streams, and the cost of the prefill work itself.
 func (p *Pool) interferenceLoss(now time.Time, s *server, request *Request) float64 {
+	if s.pace != nil {
+		return p.gapLoss(now, s, request)
+	}
+
 	prefillTokens := s.prefillTokens(request)
 	loss := chunkLoss * prefillTokens / chunkTokens * s.slowdownNow(now)
 
--- a/internal/gateway/balancer/observation.go
+++ b/internal/gateway/balancer/observation.go
@@ -35,9 +35,13 @@
 	// Prompts that were in the backlog at the first event count as read during the stream, as they may have been.
 	prefilledDuring := r.server.sentTokens - r.prefilledAtFirst
 
+	if r.server.pace != nil {
+		p.observePace(r, gaps, prefilledDuring)
+	}
+
 	switch {
 	case prefilledDuring <= 0:
-		p.model.ObserveStep(gaps.MeanMS / float64(max(p.engine.EventTokens, 1)))
+		p.model.ObserveStep(gaps.MeanMS / float64(max(p.engine.EventTokens, 1)) / r.server.lastingPace(r.firstAt))
 	case prefilledDuring >= interferingChunks*chunkTokens:
 		p.model.ObservePrefillGap(gaps.LongestMS)
 	}
@@ -60,11 +64,13 @@
 	}
 
 	// The remaining backlog is read while this stream runs.
-	r.prefilledAtFirst = r.server.sentTokens - max(r.server.backlog-r.prefillTokens, 0)
+	r.firstAt = now
+	r.peakBacklog = max(r.server.backlog-r.prefillTokens, 0)
+	r.prefilledAtFirst = r.server.sentTokens - r.peakBacklog
 
 	if r.prefillTokens < minObservedChunks*chunkTokens || r.backlogAhead > maxAheadRatio*r.prefillTokens {
 		return
 	}
 
-	p.model.ObservePrefill(r.prefillTokens+r.backlogAhead, max(elapsedMS-p.eventGapMS(), 0))
+	p.model.ObservePrefill(r.prefillTokens+r.backlogAhead, max(elapsedMS/r.server.lastingPace(now)-p.eventGapMS(), 0))
 }
--- a/internal/gateway/balancer/pace_test.go
+++ b/internal/gateway/balancer/pace_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
 	"quincepath.example/quincepath/internal/gateway/balancer"
@@ -30,3 +31,38 @@
 	log := strings.Join(l.decisions, "\n")
 	golden.Assert(t, fmt.Sprintf("decisions %d, refused %v, sha256 %x\n", len(l.decisions), l.refused, sha256.Sum256([]byte(log))), "decisions_without_pace.golden")
 }
+
+// playUneven plays the load of the tests on 18 engines and returns it with the counts of all seeds.
+func playUneven(seeds uint64, options balancer.Options, reports bool) *paceLoad {
+	all := newPaceLoad(0, options, paceClasses(12, 52, 57), nil, false)
+
+	for seed := range seeds {
+		l := newPaceLoad(seed, options, paceClasses(12, 52, 57), unevenSpeeds(18), true)
+		l.settled, l.closed, l.reports = 2000, 10_000, reports
+		l.play(14_000)
+
+		for class := range l.classes {
+			all.sent[class] += l.sent[class]
+			all.stalled[class] += l.stalled[class]
+			all.inTime[class] += l.inTime[class]
+			all.refused[class] += l.refused[class]
+		}
+	}
+
+	return all
+}
+
+// Guards against long prompts beside chats, whose events then stall for longer than their gap limit: engines of uneven speed
+// get bursts of long prompts and have slow phases. Prompts must not be late or refused in turn.
+func TestPromptsKeepAwayFromStreams(t *testing.T) {
+	before := playUneven(4, balancer.Options{}, false)
+	after := playUneven(4, balancer.Options{ServerPace: true}, false)
+
+	t.Logf("before: sent %v, stalled %v, refused %v, in time %v", before.sent, before.stalled, before.refused, before.inTime)
+	t.Logf("after: sent %v, stalled %v, refused %v, in time %v", after.sent, after.stalled, after.refused, after.inTime)
+	assert.Assert(t, 2*after.stalled[0] <= before.stalled[0], "chats with too long a gap")
+
+	for class := range after.classes {
+		assert.Assert(t, after.inTime[class] >= before.inTime[class], "requests of class %d in time", class)
+	}
+}
--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -111,6 +111,7 @@
 		if !ok || s.Born != upstream.Born {
 			s = newServer(upstream, engine, p.model, now)
 			s.bucket = throttler.NewBucket(p.limitShare, p.limitCost)
+			s.pace = p.newPace(now)
 			p.startBrittle(now, s)
 		}
 
--- a/internal/gateway/balancer/running_request.go
+++ b/internal/gateway/balancer/running_request.go
@@ -25,6 +25,10 @@
 	answering bool
 	// sensitivity is how much prefill on the same engine disturbs the stream, from 0 to 1.
 	sensitivity float64
+	// firstAt is when the first event arrived.
+	firstAt time.Time
+	// peakBacklog is the largest prompt backlog at the server during the stream, in tokens.
+	peakBacklog float64
 }
 
 // overdueMS returns how much longer than expected the request has waited for its first event; negative if it is in time.
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -79,6 +79,8 @@
 	bucket throttler.Bucket
 	// brittle is what is known of the server's brittleness.
 	brittle brittleness
+	// pace is the estimated pace of the server; nil if the pool keeps none.
+	pace *pace
 	// sentTokens is the number of prompt tokens ever sent to the server.
 	sentTokens float64
 	// recentTokens counts the recently sent prompt tokens in excess of shortPromptChunks each, as of recentAt.
@@ -117,6 +119,10 @@
 
 // slowdownNow returns the learned slowdown, which decays towards 1 without observations.
 func (s *server) slowdownNow(now time.Time) float64 {
+	if s.pace != nil {
+		return s.pace.now(now)
+	}
+
 	if s.slowdown <= 1 {
 		return s.slowdown
 	}
@@ -220,7 +226,9 @@
 	s.recentTokens = s.recentTokensNow(now) + max(r.prefillTokens-shortPromptChunks*chunkTokens, 0)
 	s.recentAt = now
 
-	if r.sensitivity > 0 {
+	if s.pace != nil {
+		s.pace.addStream(r, s, now)
+	} else if r.sensitivity > 0 {
 		s.sensitiveStreams[r.request.GapLimit] += r.sensitivity * priorityWeight(r.request.Priority)
 	}
 
@@ -243,7 +251,14 @@
 	s.answeredAt = now
 	s.failures.recordAnswer(now, r.request.Node)
 	s.dropBacklog(r)
-	s.observeSlowdown(now, milliseconds(now.Sub(r.sentAt))/max(r.expectedMS/r.slowdown, 1))
+
+	ratio := milliseconds(now.Sub(r.sentAt)) / max(r.expectedMS/r.slowdown, 1)
+	if s.pace != nil {
+		s.pace.observeFirst(now, r, ratio)
+	} else {
+		s.observeSlowdown(now, ratio)
+	}
+
 	s.markOvertaken(r, now)
 }
 
@@ -290,7 +305,9 @@
 		s.dropBacklog(r)
 	}
 
-	if r.sensitivity > 0 {
+	if s.pace != nil {
+		s.pace.removeStream(r)
+	} else if r.sensitivity > 0 {
 		s.sensitiveStreams[r.request.GapLimit] -= r.sensitivity * priorityWeight(r.request.Priority)
 	}
 
--- a/internal/gateway/balancer/types.go
+++ b/internal/gateway/balancer/types.go
@@ -69,6 +69,10 @@
 	// Running and Waiting count the requests at the server, from all nodes.
 	Running int `json:"r"`
 	Waiting int `json:"w"`
+	// Slots is the number of requests that the server runs at once; 0 if unknown.
+	Slots int `json:"s,omitempty"`
+	// WorkTime is how long work takes on the server's machine at the moment, in percent of the usual time; 0 if unknown.
+	WorkTime float64 `json:"t,omitempty"`
 }
 
 // Outcome is how a request ended at its upstream.
--- a/internal/gateway/estimator/estimator.go
+++ b/internal/gateway/estimator/estimator.go
@@ -53,6 +53,7 @@
 // Estimator keeps the estimates of one pool. It is not safe for concurrent use.
 type Estimator struct {
 	prefillMSPerToken, stepMS, prefillGapMS, plainCallMS quantile
+	gaps                                                 *Gaps
 }
 
 // New returns an estimator with initial values for engines that send the given number of tokens per event; 0 for plain services.
@@ -64,6 +65,7 @@
 		stepMS:            newQuantile(median, initialStepMS),
 		prefillGapMS:      newQuantile(highQuantile, events*(initialStepMS+initialChunkMS)),
 		plainCallMS:       newQuantile(median, initialPlainCallMS),
+		gaps:              newGaps(events * (initialStepMS + initialChunkMS)),
 	}
 }
 
@@ -83,6 +85,9 @@
 // ObservePlainCall takes the time in milliseconds of one call of a plain service that got a slot immediately.
 func (e *Estimator) ObservePlainCall(callMS float64) { e.plainCallMS.observe(callMS) }
 
+// Gaps returns the estimates of longest gaps.
+func (e *Estimator) Gaps() *Gaps { return e.gaps }
+
 // Estimates returns the current estimates.
 func (e *Estimator) Estimates() Estimates {
 	return Estimates{
@@ -102,6 +107,9 @@
 	count int
 	// run is the number of consecutive observations above the estimate, or the negative number below it.
 	run int
+	// steady is set if steps don't lengthen in a run. Most observations are below a high quantile, so that runs are no
+	// sign of a change.
+	steady bool
 }
 
 func newQuantile(share, first float64) quantile {
@@ -127,6 +135,10 @@
 
 // runFactor returns the factor that lengthens a step when many consecutive observations are on the same side.
 func (q *quantile) runFactor() float64 {
+	if q.steady {
+		return 1
+	}
+
 	run := max(q.run, -q.run)
 
 	return 1 + runGain*float64(max(run-maxChanceRun, 0))
