Balancer: a decision with server_pace computes each server's pace once

Cause: with 90 servers, the pace and the loss of streams were computed several times for each server in one decision. Change: both are kept for the time of the decision; the weights of priorities stand in a table. A benchmark with 90 servers.

--- a/internal/gateway/balancer/loss.go
+++ b/internal/gateway/balancer/loss.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"math"
 	"time"
 )
 
@@ -24,9 +23,12 @@
 	networkMS = 3.0
 )
 
-// priorityWeight returns the weight of a request in the loss. It halves with each priority.
+// priorityWeights holds the weights of the priorities in the loss. Each is half of the one before.
+var priorityWeights = [...]float64{4, 2, 1, 1. / 2, 1. / 4, 1. / 8, 1. / 16, 1. / 32, 1. / 64, 1. / 128}
+
+// priorityWeight returns the weight of a request in the loss.
 func priorityWeight(priority int) float64 {
-	return 4 * math.Exp2(-float64(min(max(priority, 0), 9)))
+	return priorityWeights[min(max(priority, 0), len(priorityWeights)-1)]
 }
 
 // expectedMS returns the predicted time to the first event.
--- a/internal/gateway/balancer/pace.go
+++ b/internal/gateway/balancer/pace.go
@@ -50,6 +50,12 @@
 	// slowness is the recent ratio of real times to those at the lasting pace, as of slownessAt.
 	slowness   float64
 	slownessAt time.Time
+	// cachedAt is the time for which cachedLasting, cachedSlowness and cachedNow hold: a decision needs them many times.
+	cachedAt                                 time.Time
+	cachedLasting, cachedSlowness, cachedNow float64
+	// lossKey says for what streamLoss was last computed, losses what it returned.
+	lossKey streamLossKey
+	losses  streamLosses
 	// groups holds the running streams that have a gap limit.
 	groups []streamGroup
 	// peakBacklog is the largest recent prompt backlog, as of peakAt.
@@ -57,6 +63,19 @@
 	peakAt      time.Time
 }
 
+// streamLossKey identifies a computation of streamLosses at a server.
+type streamLossKey struct {
+	at              time.Time
+	backlog, tokens float64
+	priority        int
+}
+
+// streamLosses is the expected loss of the streams at a server if its backlog grows.
+type streamLosses struct {
+	// all counts all streams, urgent those more urgent than the request.
+	all, urgent float64
+}
+
 // newPace returns the pace of a server that isn't known yet; nil if the pool keeps none.
 func (p *Pool) newPace(now time.Time) *pace {
 	if !p.options.ServerPace {
@@ -75,8 +94,45 @@
 	return s.pace.lasting(now)
 }
 
+// update computes the values at the given time.
+func (v *pace) update(now time.Time) {
+	if v.cachedAt == now {
+		return
+	}
+
+	v.cachedAt = now
+	v.cachedLasting = v.lastingAt(now)
+	v.cachedSlowness = v.slownessAtTime(now)
+	v.cachedNow = min(max(v.cachedLasting*v.cachedSlowness, minPace), maxPace)
+}
+
 // lasting returns the lasting pace.
 func (v *pace) lasting(now time.Time) float64 {
+	v.update(now)
+
+	return v.cachedLasting
+}
+
+// slownessNow returns the momentary slowness, relative to the lasting pace.
+func (v *pace) slownessNow(now time.Time) float64 {
+	v.update(now)
+
+	return v.cachedSlowness
+}
+
+// now returns the ratio of the server's times to the usual ones at the moment.
+func (v *pace) now(now time.Time) float64 {
+	v.update(now)
+
+	return v.cachedNow
+}
+
+// forget drops the computed values after an observation.
+func (v *pace) forget() {
+	v.cachedAt, v.lossKey = time.Time{}, streamLossKey{}
+}
+
+func (v *pace) lastingAt(now time.Time) float64 {
 	fade := decayed(1, now.Sub(v.at), paceHalfLife)
 
 	return math.Exp(v.logSum * fade / (v.weight*fade + priorSeconds))
@@ -92,23 +148,19 @@
 	v.logSum = v.logSum*fade + seconds*math.Log(min(max(ratio, minPace), maxPace))
 	v.weight = v.weight*fade + seconds
 	v.at = now
+	v.forget()
 }
 
-// slownessNow returns the momentary slowness, relative to the lasting pace.
-func (v *pace) slownessNow(now time.Time) float64 {
+func (v *pace) slownessAtTime(now time.Time) float64 {
 	return 1 + decayed(v.slowness-1, now.Sub(v.slownessAt), slownessHalfLife)
 }
 
-// now returns the ratio of the server's times to the usual ones at the moment.
-func (v *pace) now(now time.Time) float64 {
-	return min(max(v.lasting(now)*v.slownessNow(now), minPace), maxPace)
-}
-
 // observeFirst takes the ratio of the real to the usual time to a first event.
 func (v *pace) observeFirst(now time.Time, r *runningRequest, ratio float64) {
 	relative := min(max(ratio/v.lasting(now), minPace), maxPace)
 	v.slowness = math.Exp((1-slownessGain)*math.Log(v.slownessNow(now)) + slownessGain*math.Log(relative))
 	v.slownessAt = now
+	v.forget()
 
 	// Urgent prompts pass those ahead of them, so that their time says little about the server.
 	if r.backlogAhead <= maxAheadRatio*r.prefillTokens {
@@ -131,6 +183,8 @@
 		}
 	}
 
+	v.forget()
+
 	if added.request.GapLimit == 0 || s.engine.EventTokens == 0 {
 		return
 	}
@@ -143,6 +197,8 @@
 }
 
 func (v *pace) removeStream(r *runningRequest) {
+	v.forget()
+
 	if group := v.group(&r.request); group != nil {
 		group.count--
 		v.groups = slices.DeleteFunc(v.groups, func(g streamGroup) bool { return g.count == 0 })
@@ -184,7 +240,7 @@
 	p.model.Gaps().Observe(r.request.GapLimit, gaps.LongestMS/lasting, explained)
 }
 
-// missProbability returns the probability that a stream with the given limit has too long a gap at the server while the
+// gapMissProbability returns the probability that a stream with the given limit has too long a gap at the server while the
 // backlog there is as large as given.
 func (p *Pool) gapMissProbability(now time.Time, s *server, limit time.Duration, backlog float64) float64 {
 	spread := p.model.Gaps().Spread(limit)
@@ -200,7 +256,7 @@
 	prefillTokens := s.prefillTokens(request)
 	// The cost of the work counts in tokens, whatever the pace: counted in time, prompts waited for fast servers with a full
 	// backlog while slow ones were idle.
-	loss := chunkLoss*prefillTokens/chunkTokens + p.streamLoss(now, s, prefillTokens, math.MaxInt)
+	loss := chunkLoss*prefillTokens/chunkTokens + p.streamLosses(now, s, prefillTokens, request.Priority).all
 
 	if request.GapLimit == 0 || p.engine.EventTokens == 0 {
 		return loss
@@ -216,25 +272,36 @@
 	return loss
 }
 
-// streamLoss returns the expected loss of the running streams more urgent than the given priority if the backlog grows by
-// the tokens.
-func (p *Pool) streamLoss(now time.Time, s *server, tokens float64, priority int) float64 {
-	loss := 0.0
+// streamLosses returns the expected loss of the running streams if the backlog grows by the tokens of a request with the
+// given priority.
+func (p *Pool) streamLosses(now time.Time, s *server, tokens float64, priority int) streamLosses {
+	key := streamLossKey{at: now, backlog: s.backlog, tokens: tokens, priority: priority}
+	if s.pace.lossKey == key {
+		return s.pace.losses
+	}
+
+	var losses streamLosses
 
 	for _, g := range s.pace.groups {
-		if g.priority >= priority {
+		after := p.gapMissProbability(now, s, g.limit, s.backlog+tokens)
+		if after == 0 {
 			continue
 		}
 
-		before := p.gapMissProbability(now, s, g.limit, s.backlog)
-		after := p.gapMissProbability(now, s, g.limit, s.backlog+tokens)
-		loss += stalledStreamLoss * float64(g.count) * priorityWeight(g.priority) * (after - before)
+		loss := stalledStreamLoss * float64(g.count) * priorityWeight(g.priority) * (after - p.gapMissProbability(now, s, g.limit, s.backlog))
+		losses.all += loss
+
+		if g.priority < priority {
+			losses.urgent += loss
+		}
 	}
 
-	return loss
+	s.pace.lossKey, s.pace.losses = key, losses
+
+	return losses
 }
 
 // stallsStreams reports whether the prompt costs more urgent streams at the server more than the request is worth.
 func (p *Pool) stallsStreams(now time.Time, s *server, request *Request) bool {
-	return p.streamLoss(now, s, s.prefillTokens(request), request.Priority) > priorityWeight(request.Priority)
+	return p.streamLosses(now, s, s.prefillTokens(request), request.Priority).urgent > priorityWeight(request.Priority)
 }
--- a/internal/gateway/balancer/pace_test.go
+++ b/internal/gateway/balancer/pace_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
@@ -66,3 +67,41 @@
 		assert.Assert(t, after.inTime[class] >= before.inTime[class], "requests of class %d in time", class)
 	}
 }
+
+// BenchmarkPacedDecision measures a holder's cost of one request at servers that serve streams of several gap limits.
+func BenchmarkPacedDecision(b *testing.B) {
+	for _, paced := range []bool{false, true} {
+		b.Run(fmt.Sprint("90-servers-paced-", paced), func(b *testing.B) {
+			p := balancer.NewPool(balancer.Options{ServerPace: paced})
+			p.SetUpstreams(start, engineList(90, 48), balancer.Engine{CacheTokens: 300_000, EventTokens: 9})
+
+			requests := []balancer.Request{chat(""), notes("", "s"), notes("", "s")}
+			requests[2].Priority, requests[2].GapLimit = advicePriority, 250*time.Millisecond
+
+			var running []string
+
+			for i := 0; b.Loop(); i++ {
+				now := at(time.Duration(i) * 2 * time.Millisecond)
+				request := requests[i%len(requests)]
+				request.ID = fmt.Sprint("r", i)
+				request.PromptParts = []balancer.PromptPart{{ID: fmt.Sprint("s", i%300), Tokens: 600}}
+
+				if _, decision := p.Acquire(now, "node", request); decision != balancer.Granted {
+					b.Fatal("the request was not granted")
+				}
+
+				if running = append(running, request.ID); len(running) > 30 {
+					p.RecordFirstEvent(now, running[len(running)-30], nil)
+				}
+
+				if len(running) < 700 {
+					continue
+				}
+
+				p.RecordGaps(running[0], balancer.EventGaps{Events: 10, MeanMS: 40, LongestMS: 90})
+				p.RecordEnd(now, running[0], balancer.Served)
+				running = running[1:]
+			}
+		})
+	}
+}
