Balancer: the pool report shows each server's pace

Cause: operators could not see what server_pace decides by. Change: lasting pace, momentary slowness, the reported work time and slots, and how often prompts were held back.

--- a/internal/gateway/balancer/report.go
+++ b/internal/gateway/balancer/report.go
@@ -28,6 +28,15 @@
 	// Brittle is set if the server falls over when it has to reject too many requests; it then gets BrittleRoom at once.
 	Brittle     bool    `json:"brittle,omitempty"`
 	BrittleRoom float64 `json:"brittle_room,omitempty"`
+	// Pace is the lasting ratio of the server's times to those of the pool's usual server, Slowness the momentary ratio to its
+	// lasting ones, WorkTime what it last reported, in percent. Slots is the number of slots that it reported. All are 0 if the
+	// pool keeps no pace, or if nothing is known.
+	Pace     float64 `json:"pace,omitempty"`
+	Slowness float64 `json:"slowness,omitempty"`
+	WorkTime float64 `json:"work_time,omitempty"`
+	Slots    int     `json:"reported_slots,omitempty"`
+	// HeldBack counts how often the server counted as busy for a request, since that would have stalled more urgent streams.
+	HeldBack int `json:"held_back,omitempty"`
 }
 
 // Estimates returns the estimated performance of the pool's servers.
@@ -64,6 +73,11 @@
 			report.Brittle, report.BrittleRoom = true, p.brittleRoom(s)
 		}
 
+		if v := s.pace; v != nil {
+			report.Pace, report.Slowness, report.WorkTime = v.lasting(now), v.slownessNow(now), v.reported
+			report.Slots, report.HeldBack = v.slots, v.heldBack
+		}
+
 		reports = append(reports, report)
 	}
 
