--- a/internal/gateway/broker/broker_test.go
+++ b/internal/gateway/broker/broker_test.go
@@ -38,6 +38,8 @@
 	restarted map[string]bool
 	// dropsReports holds the nodes that receive no reports.
 	dropsReports map[string]bool
+	// scheduling is the options of the pools of nodes that are started.
+	scheduling balancer.Options
 }
 
 // nodeOptions returns the options of a node in a fleet in which no node is leaving or cut off.
@@ -140,7 +142,9 @@
 
 // start starts a node that knows of no running requests.
 func (f *fleet) start(ctx context.Context, name string) {
-	node := broker.New(nodeOptions(name, func() []string { return f.liveSeenBy(name) }, link{f, name}))
+	options := nodeOptions(name, func() []string { return f.liveSeenBy(name) }, link{f, name})
+	options.Scheduling = f.scheduling
+	node := broker.New(options)
 	node.Update(serviceState(f.listing))
 
 	f.mu.Lock()
