Balancer: a decision looks only at unanswered requests for silent servers, and keeps the lasting pace for a second

Cause: half of a decision with 90 servers went through all running requests and computed paces that change within minutes. Change: requests sent since the last answer stand in a slice; the lasting pace is computed again after an observation or 1 s.

--- a/internal/gateway/balancer/pace.go
+++ b/internal/gateway/balancer/pace.go
@@ -14,6 +14,8 @@
 	maxPaceSeconds = 30.0
 	// paceHalfLife is the half-life of that weight without observations. A lasting pace rarely changes.
 	paceHalfLife = time.Minute
+	// lastingInterval is how long a lasting pace holds without new observations: it only fades within minutes.
+	lastingInterval = time.Second
 	// maxFirstSeconds limits the weight of one first event. It says less than a stream: the cached part of its prompt and the
 	// order at the server are estimates.
 	maxFirstSeconds = 0.1
@@ -39,7 +41,8 @@
 	// peakHalfLife is the half-life of the largest recent backlog: about the length of a long stream.
 	peakHalfLife = 1500 * time.Millisecond
 	// stalledStreamLoss is the loss of a running stream that exceeds its gap limit, relative to its weight: what was spent on
-	// it is lost too. At 1, 103 of 785 chats exceeded their limit instead of 71 (load of TestPromptsKeepAwayFromStreams).
+	// it is lost too. At 1, 103 of 785 chats exceeded their limit instead of 71 (load of TestPromptsKeepAwayFromStreams,
+	// 8 seeds).
 	stalledStreamLoss = 3.0
 	// saturatedFraction is the fraction of a stream's time from which prefill beside it counts as continuous. The rest is
 	// the time of decode steps.
@@ -73,6 +76,8 @@
 	// cachedAt is the time for which cachedLasting, cachedSlowness and cachedNow hold: a decision needs them many times.
 	cachedAt                                 time.Time
 	cachedLasting, cachedSlowness, cachedNow float64
+	// lastingFrom is when cachedLasting was computed.
+	lastingFrom time.Time
 	// lossKey says for what streamLoss was last computed, losses what it returned.
 	lossKey streamLossKey
 	losses  streamLosses
@@ -121,7 +126,11 @@
 	}
 
 	v.cachedAt = now
-	v.cachedLasting = v.lastingAt(now)
+
+	if now.Sub(v.lastingFrom) > lastingInterval {
+		v.cachedLasting, v.lastingFrom = v.lastingAt(now), now
+	}
+
 	v.cachedSlowness = v.slownessAtTime(now)
 	v.cachedNow = min(max(v.cachedLasting*v.cachedSlowness, minPace), maxPace)
 }
@@ -168,7 +177,7 @@
 	fade := decayed(1, now.Sub(v.at), paceHalfLife) * min(1, maxPaceSeconds/(v.weight+seconds))
 	v.logSum = v.logSum*fade + seconds*math.Log(min(max(ratio, minPace), maxPace))
 	v.weight = v.weight*fade + seconds
-	v.at = now
+	v.at, v.lastingFrom = now, time.Time{}
 	v.forget()
 }
 
--- a/internal/gateway/balancer/running_request.go
+++ b/internal/gateway/balancer/running_request.go
@@ -23,6 +23,8 @@
 	overtaken int
 	// answering is set once the first event arrived.
 	answering bool
+	// ended is set once the request no longer runs.
+	ended bool
 	// sensitivity is how much prefill on the same engine disturbs the stream, from 0 to 1.
 	sensitivity float64
 	// firstAt is when the first event arrived.
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -51,6 +52,8 @@
 	restsUntil time.Time
 	// running holds the requests that were sent to the server and have not ended.
 	running map[string]*runningRequest
+	// unanswered holds those of them that were sent after the last answer, and others that dropAnswered has yet to drop.
+	unanswered []*runningRequest
 	// tokens is the most memory that they may need. A part that several of them share counts once.
 	tokens int
 	// partUsers counts the running requests by the parts of their prompts.
@@ -187,18 +190,23 @@
 
 	worst := 0.0
 
-	for _, r := range s.running {
-		// A request that was sent before the last answer may be lost alone.
-		if r.answering || r.sentAt.Before(s.answeredAt) {
-			continue
-		}
+	s.dropAnswered()
 
+	for _, r := range s.unanswered {
 		worst = max(worst, r.overdueMS(now))
 	}
 
 	return min(worst, maxOverdueMS)
 }
 
+// dropAnswered removes the requests that don't show whether the server is silent: one that was sent before the last answer may
+// be lost alone.
+func (s *server) dropAnswered() {
+	s.unanswered = slices.DeleteFunc(s.unanswered, func(r *runningRequest) bool {
+		return r.answering || r.ended || r.sentAt.Before(s.answeredAt)
+	})
+}
+
 // additionalTokens returns the memory that the request needs in addition to the running ones. Counted in full
 // for each request, prompts that share 4/5 filled an engine with room for three times as many, and went to
 // engines that had to read them again.
@@ -216,6 +224,13 @@
 
 func (s *server) add(r *runningRequest, now time.Time) {
 	s.running[r.request.ID] = r
+
+	// A standby takes no decisions, which would drop them.
+	if len(s.unanswered) >= 2*len(s.running) {
+		s.dropAnswered()
+	}
+
+	s.unanswered = append(s.unanswered, r)
 	s.sentAt = now
 	added := s.additionalTokens(&r.request)
 	s.tokens += added
@@ -294,6 +309,7 @@
 
 func (s *server) remove(r *runningRequest, outcome Outcome, now time.Time, mayEject bool) {
 	delete(s.running, r.request.ID)
+	r.ended = true
 	for _, part := range r.request.PromptParts {
 		s.partUsers[part.ID]--
 
