--- a/internal/gateway/balancer/running_request.go
+++ b/internal/gateway/balancer/running_request.go
@@ -23,8 +23,14 @@
 	overtaken int
 	// answering is set once the first event arrived.
 	answering bool
+	// ended is set once the request no longer runs.
+	ended bool
 	// sensitivity is how much prefill on the same engine disturbs the stream, from 0 to 1.
 	sensitivity float64
+	// firstAt is when the first event arrived.
+	firstAt time.Time
+	// peakBacklog is the largest prompt backlog at the server during the stream, in tokens.
+	peakBacklog float64
 }
 
 // overdueMS returns how much longer than expected the request has waited for its first event; negative if it is in time.
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -51,6 +52,8 @@
 	restsUntil time.Time
 	// running holds the requests that were sent to the server and have not ended.
 	running map[string]*runningRequest
+	// unanswered holds those of them that were sent after the last answer, and others that dropAnswered has yet to drop.
+	unanswered []*runningRequest
 	// tokens is the most memory that they may need. A part that several of them share counts once.
 	tokens int
 	// partUsers counts the running requests by the parts of their prompts.
@@ -79,6 +82,8 @@
 	bucket throttler.Bucket
 	// brittle is what is known of the server's brittleness.
 	brittle brittleness
+	// pace is the estimated pace of the server; nil if the pool keeps none.
+	pace *pace
 	// sentTokens is the number of prompt tokens ever sent to the server.
 	sentTokens float64
 	// recentTokens counts the recently sent prompt tokens in excess of shortPromptChunks each, as of recentAt.
@@ -117,6 +122,10 @@
 
 // slowdownNow returns the learned slowdown, which decays towards 1 without observations.
 func (s *server) slowdownNow(now time.Time) float64 {
+	if s.pace != nil {
+		return s.pace.now(now)
+	}
+
 	if s.slowdown <= 1 {
 		return s.slowdown
 	}
@@ -136,6 +145,10 @@
 func (s *server) recordLoad(now time.Time, load Load) {
 	s.foreign = max(float64(load.Running+load.Waiting-len(s.running)), 0)
 	s.foreignAt = now
+
+	if s.pace != nil {
+		s.pace.observeLoad(now, load)
+	}
 }
 
 func (s *server) recentTokensNow(now time.Time) float64 {
@@ -177,18 +190,23 @@
 
 	worst := 0.0
 
-	for _, r := range s.running {
-		// A request that was sent before the last answer may be lost alone.
-		if r.answering || r.sentAt.Before(s.answeredAt) {
-			continue
-		}
+	s.dropAnswered()
 
+	for _, r := range s.unanswered {
 		worst = max(worst, r.overdueMS(now))
 	}
 
 	return min(worst, maxOverdueMS)
 }
 
+// dropAnswered removes the requests that don't show whether the server is silent: one that was sent before the last answer may
+// be lost alone.
+func (s *server) dropAnswered() {
+	s.unanswered = slices.DeleteFunc(s.unanswered, func(r *runningRequest) bool {
+		return r.answering || r.ended || r.sentAt.Before(s.answeredAt)
+	})
+}
+
 // additionalTokens returns the memory that the request needs in addition to the running ones. Counted in full
 // for each request, prompts that share 4/5 filled an engine with room for three times as many, and went to
 // engines that had to read them again.
@@ -206,6 +224,13 @@
 
 func (s *server) add(r *runningRequest, now time.Time) {
 	s.running[r.request.ID] = r
+
+	// A standby takes no decisions, which would drop them.
+	if len(s.unanswered) >= 2*len(s.running) {
+		s.dropAnswered()
+	}
+
+	s.unanswered = append(s.unanswered, r)
 	s.sentAt = now
 	added := s.additionalTokens(&r.request)
 	s.tokens += added
@@ -220,7 +245,9 @@
 	s.recentTokens = s.recentTokensNow(now) + max(r.prefillTokens-shortPromptChunks*chunkTokens, 0)
 	s.recentAt = now
 
-	if r.sensitivity > 0 {
+	if s.pace != nil {
+		s.pace.addStream(r, s, now)
+	} else if r.sensitivity > 0 {
 		s.sensitiveStreams[r.request.GapLimit] += r.sensitivity * priorityWeight(r.request.Priority)
 	}
 
@@ -243,7 +270,14 @@
 	s.answeredAt = now
 	s.failures.recordAnswer(now, r.request.Node)
 	s.dropBacklog(r)
-	s.observeSlowdown(now, milliseconds(now.Sub(r.sentAt))/max(r.expectedMS/r.slowdown, 1))
+
+	ratio := milliseconds(now.Sub(r.sentAt)) / max(r.expectedMS/r.slowdown, 1)
+	if s.pace != nil {
+		s.pace.observeFirst(now, r, ratio)
+	} else {
+		s.observeSlowdown(now, ratio)
+	}
+
 	s.markOvertaken(r, now)
 }
 
@@ -275,6 +309,7 @@
 
 func (s *server) remove(r *runningRequest, outcome Outcome, now time.Time, mayEject bool) {
 	delete(s.running, r.request.ID)
+	r.ended = true
 	for _, part := range r.request.PromptParts {
 		s.partUsers[part.ID]--
 
@@ -290,7 +325,9 @@
 		s.dropBacklog(r)
 	}
 
-	if r.sensitivity > 0 {
+	if s.pace != nil {
+		s.pace.removeStream(r)
+	} else if r.sensitivity > 0 {
 		s.sensitiveStreams[r.request.GapLimit] -= r.sensitivity * priorityWeight(r.request.Priority)
 	}
 
