Balancer: the reported cache of an engine replaces the estimate while it is fresh

The pool guessed what engines have cached from what it had sent, which a new holder doesn't know. ReplaceCache and ApplyCacheEvents take what the engines report; the estimate goes on beside it and applies again when the last answer is too old. The loss of work that is read again grows with the use of the pool's prefill capacity, and a request waits for a busy engine only while it can meet its target there.

--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -72,6 +72,8 @@
 	// can reject in a second.
 	brittleAt         time.Time
 	brittleRejections int
+	// cache is what is known of the use of the servers' caches.
+	cache cacheUse
 }
 
 // NewPool returns a pool without upstreams.
@@ -123,8 +125,8 @@
 // room for the request. The caller holds p.mu.
 func (p *Pool) choose(now time.Time, request Request) (Choice, bool) {
 	var (
-		best     *server
-		bestLoss = math.Inf(1)
+		best, busy *server
+		bestLoss   = math.Inf(1)
 		// busyLoss is the least loss among servers that have room but a full prompt backlog.
 		busyLoss = math.Inf(1)
 	)
@@ -138,7 +140,9 @@
 
 		switch {
 		case p.isBusy(now, s, &request):
-			busyLoss = min(busyLoss, loss)
+			if loss < busyLoss {
+				busy, busyLoss = s, loss
+			}
 		case loss < bestLoss:
 			best, bestLoss = s, loss
 		}
@@ -146,7 +150,7 @@
 
 	// Waiting for the busy server is better than sending the request to an engine that serves chats, or to one that
 	// would have to prefill its session again. It takes no longer than waiting at the busy server itself.
-	if best == nil || busyLoss < waitLossRatio*bestLoss {
+	if best == nil || busyLoss < waitLossRatio*bestLoss && p.isWorthWaiting(now, busy, best, &request) {
 		return Choice{}, false
 	}
 
@@ -237,6 +241,7 @@
 	}
 
 	p.requests[request.ID] = r
+	p.recordCacheUse(now, s, &request)
 	s.add(r, now)
 
 	return r
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -62,6 +62,8 @@
 	// cachedParts holds the prompt parts in the server's cache, least recently used first.
 	cachedParts  *simplelru.LRU[string, int]
 	cachedTokens int
+	// reported is the cache as the engine reports it; nil if it doesn't or its last answer is too old.
+	reported *reportedCache
 	// sentAt is when a request was last sent, answeredAt when one was last answered.
 	sentAt, answeredAt time.Time
 	// slowdown is the learned ratio of real to predicted time, as of slowdownAt.
