Cache tracker: the holder of a pool asks its engines which prompt parts they have cached

A new holder knew nothing of the engines' caches, and every holder guessed. Off unless the setting, the service's configuration and the protocol call for it.

--- a/internal/gateway/balancer/cache.go
+++ b/internal/gateway/balancer/cache.go
@@ -269,15 +269,20 @@
 	c.set(event.Part.ID, reportedPart{tokens: event.Part.Tokens, number: event.Number})
 }
 
+// tracksCaches reports whether the engines' reports of their caches are used. The caller holds p.mu.
+func (p *Pool) tracksCaches() bool {
+	return p.options.CacheTracking && p.engine.ReportsCache && p.engine.CacheTokens > 0
+}
+
 // trackedServer returns the engine in the given lifetime, or nil if the pool has none or doesn't track caches. The caller holds
 // p.mu.
 func (p *Pool) trackedServer(id string, born int64) *server {
-	if !p.options.CacheTracking {
+	if !p.tracksCaches() {
 		return nil
 	}
 
 	for _, s := range p.servers {
-		if s.ID == id && s.Born == born && s.engine.CacheTokens > 0 {
+		if s.ID == id && s.Born == born {
 			return s
 		}
 	}
@@ -285,6 +290,35 @@
 	return nil
 }
 
+// CachingUpstream is an engine whose cache can be asked for.
+type CachingUpstream struct {
+	ID, Address string
+	Born        int64
+	// Running is the number of requests at the engine.
+	Running int
+}
+
+// CachingUpstreams returns the engines to ask for their caches: those that get new requests. It returns none if the pool
+// doesn't use reports.
+func (p *Pool) CachingUpstreams() []CachingUpstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if !p.tracksCaches() {
+		return nil
+	}
+
+	upstreams := make([]CachingUpstream, 0, len(p.servers))
+
+	for _, s := range p.servers {
+		if !s.Draining && !s.leaving {
+			upstreams = append(upstreams, CachingUpstream{ID: s.ID, Address: s.Address, Born: s.Born, Running: len(s.running)})
+		}
+	}
+
+	return upstreams
+}
+
 // ExpireCaches returns to the estimate for engines whose last answer is too old, and forgets parts that were sent and never
 // reported. It must be called several times a second while caches are tracked; decisions don't look at the age again.
 func (p *Pool) ExpireCaches(now time.Time) {
@@ -426,7 +460,7 @@
 // recordCacheUse counts what a choice of the engine assumes to be cached, and the work that it adds. It must be called before
 // the request is added to the server. The caller holds p.mu.
 func (p *Pool) recordCacheUse(now time.Time, s *server, request *Request) {
-	if !p.options.CacheTracking || s.engine.CacheTokens == 0 {
+	if !p.tracksCaches() {
 		return
 	}
 
@@ -480,7 +514,7 @@
 // the pool is to its capacity, the more a request has to gain in time there to be worth the work. A part that many
 // requests share gets more engines when those that have it would be late.
 func (p *Pool) rereadFactor(now time.Time) float64 {
-	if !p.options.CacheTracking {
+	if !p.tracksCaches() {
 		return 1
 	}
 
@@ -494,7 +528,7 @@
 // isWorthWaiting reports whether a request should wait for a busy engine at which its loss is lower: only while it can meet
 // its target there, or would meet it at no other engine either.
 func (p *Pool) isWorthWaiting(now time.Time, busy, best *server, request *Request) bool {
-	if !p.options.CacheTracking || p.meetsTarget(now, busy, request) {
+	if !p.tracksCaches() || p.meetsTarget(now, busy, request) {
 		return true
 	}
 
--- a/internal/gateway/balancer/types.go
+++ b/internal/gateway/balancer/types.go
@@ -123,4 +123,6 @@
 type Engine struct {
 	CacheTokens int
 	EventTokens int
+	// ReportsCache is set if the engines can be asked which prompt parts they have cached.
+	ReportsCache bool
 }
--- a/internal/gateway/broker/upstreams.go
+++ b/internal/gateway/broker/upstreams.go
@@ -56,7 +56,9 @@
 		engine := balancer.Engine{}
 
 		if service.Engine != nil {
-			engine = balancer.Engine{CacheTokens: service.Engine.CacheTokens, EventTokens: service.Engine.EventTokens}
+			engine = balancer.Engine{
+				CacheTokens: service.Engine.CacheTokens, EventTokens: service.Engine.EventTokens, ReportsCache: service.Engine.CacheCalls > 0,
+			}
 		}
 
 		known, ok := b.services[service.Name]
--- a/internal/gateway/cataloguer/types.go
+++ b/internal/gateway/cataloguer/types.go
@@ -100,6 +100,8 @@
 	CacheTokens int `json:"cache_tokens"`
 	// EventTokens is the number of tokens in one event of a stream; at least 1.
 	EventTokens int `json:"event_tokens"`
+	// CacheCalls is the number of calls that one engine holds while they wait for changes of its cache; 0 if it reports none.
+	CacheCalls int `json:"cache_calls,omitempty"`
 }
 
 // Organisation is a customer with its API keys.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,8 @@
 	"quincepath.example/quincepath/internal/gateway/balancer"
 	"quincepath.example/quincepath/internal/gateway/broker"
 	"quincepath.example/quincepath/internal/gateway/budgeter"
+	"quincepath.example/quincepath/internal/gateway/cachetracker"
+	"quincepath.example/quincepath/internal/gateway/cachetracker/fetcher"
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/dialer"
 	"quincepath.example/quincepath/internal/gateway/follower"
@@ -80,6 +82,8 @@
 	MaxEntries int
 	// EncodeEntries returns the response body of EntriesPath; keep is how long callers may cache it.
 	EncodeEntries func(addresses []string, keep time.Duration) ([]byte, error)
+	// EngineCache defines the calls of engines about their caches; nil if there are none.
+	EngineCache fetcher.Protocol
 }
 
 // Store is the part of the platform's store that a node uses.
@@ -117,6 +121,8 @@
 	table    atomic.Pointer[router.Table]
 	follower *follower.Follower
 	broker   *broker.Broker
+	// caches asks engines about their caches; nil if that is off.
+	caches   *cachetracker.Tracker
 	dialer   *dialer.Dialer
 	relayer  *relayer.Relayer
 	acceptor *acceptor.Acceptor
@@ -229,6 +235,10 @@
 	n.messages.Handle(broker.MethodChoose, n.broker.HandleChoose)
 	n.messages.Handle(broker.MethodReport, n.broker.HandleReport)
 
+	if settings.Gateway.Scheduling.CacheTracking && protocol.EngineCache != nil {
+		n.caches = cachetracker.New(&fetcher.Fetcher{Exchanger: n.dialer, Protocol: protocol.EngineCache}, logger)
+	}
+
 	var (
 		recorder follower.VersionStore
 		reader   pinner.VersionStore
@@ -360,6 +370,10 @@
 	go n.storeRateLimits(work)
 	go n.watchReload(work)
 
+	if n.caches != nil {
+		go n.broker.TrackCaches(work, n.caches)
+	}
+
 	if n.leader != nil {
 		go n.leader.Run(work)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -52,6 +52,11 @@
 		"messages":    func() any { return n.messages.Traffic() },
 	}
 
+	if n.caches != nil {
+		parts["cache_calls"] = func() any { return n.caches.Counters() }
+		parts["cache_reports"] = func() any { return n.broker.CacheCounters() }
+	}
+
 	if n.leader != nil {
 		parts["duties"] = func() any { return n.leader.Status() }
 	}
