--- a/internal/storer/errors.go
+++ b/internal/storer/errors.go
@@ -1,6 +1,8 @@
 package storer
 
 import (
+	"net/http"
+
 	"github.com/cockroachdb/errors"
 
 	"quincepath.example/quincepath/pkg/classifier"
@@ -90,6 +92,23 @@
 	return NotApplied(cause)
 }
 
+// FromHTTPStatus returns the Error for the HTTP status of a write, or nil for 200. The cause describes the call. A rejected call
+// had no effect in the store.
+func FromHTTPStatus(status int, cause error) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return FromStatus(StatusNotFound, cause.Error(), true)
+	case http.StatusTooManyRequests:
+		return Throttled(cause)
+	case http.StatusServiceUnavailable:
+		return NotApplied(cause)
+	default:
+		return Unknown(cause)
+	}
+}
+
 // Error returns the classification and the cause.
 func (e *Error) Error() string {
 	return e.cause.Error()
