--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -72,6 +72,8 @@
 	// can reject in a second.
 	brittleAt         time.Time
 	brittleRejections int
+	// cache counts what the servers report of their caches.
+	cache CacheCounters
 }
 
 // NewPool returns a pool without upstreams.
@@ -147,7 +149,7 @@
 
 	// Waiting for the busy server is better than sending the request to an engine that serves chats, or to one that
 	// would have to prefill its session again. It takes no longer than waiting at the busy server itself.
-	if best == nil || busyLoss < waitLossRatio*bestLoss {
+	if best == nil || busyLoss < waitLossRatio*bestLoss && p.mayWait(now, best, &request) {
 		return Choice{}, false
 	}
 
@@ -238,6 +240,7 @@
 	}
 
 	p.requests[request.ID] = r
+	p.recordCacheUse(s, &request)
 	s.add(r, now)
 
 	return r
