Balancer: the pace of a server stays a number after a change of its pool's holder

Cause: a request whose first event came before the pool was told of it had no time of its first event. The end of its stream was then recorded at the year 1, the next decay ran over 292 years backwards, and the paces of all servers became NaN, which no comparison of losses survives. Change: the time at which the pool is told of it stands in. The test fails without it (queued, not granted).

--- a/internal/gateway/balancer/pace_test.go
+++ b/internal/gateway/balancer/pace_test.go
@@ -199,3 +199,31 @@
 
 	assert.Assert(t, 2*long[true] < long[false])
 }
+
+// Guards against a pool that has no upstream for anyone after a change of its holder: the pace of a server must stay a number
+// when a stream ends whose first event came before the pool was told of it.
+func TestPaceAfterAStreamThatAnotherHolderBegan(t *testing.T) {
+	p := balancer.NewPool(balancer.Options{ServerPace: true})
+	p.SetUpstreams(start, engineList(1, 16), balancer.Engine{CacheTokens: 100_000, EventTokens: 5})
+
+	chat := balancer.Request{ID: "early", PromptTokens: 700, OutputTokens: 100, Target: time.Second, GapLimit: 200 * time.Millisecond, TimeLimit: 10 * time.Second}
+	p.AddAnswering(start, "a", chat)
+
+	for i := range 3 {
+		id := fmt.Sprint("r", i)
+		next := chat
+		next.ID = id
+
+		_, decision := p.Acquire(at(time.Second), "node", next)
+		assert.Equal(t, decision, balancer.Granted)
+		p.RecordFirstEvent(at(time.Second+50*time.Millisecond), id, nil)
+	}
+
+	p.RecordGaps("early", balancer.EventGaps{Events: 20, MeanMS: 30, LongestMS: 60})
+	p.RecordEnd(at(2*time.Second), "early", balancer.Served)
+
+	next := chat
+	next.ID = "next"
+	_, decision := p.Acquire(at(2*time.Second), "node", next)
+	assert.Equal(t, decision, balancer.Granted)
+}
--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -196,6 +196,7 @@
 	}
 
 	r.answering = true
+	r.firstAt = now
 	r.server.dropBacklog(r)
 	r.prefilledAtFirst = r.server.sentTokens
 }
