Balancer: a stalled stream counts at its own weight, and no engine counts as busy because of its streams

Cause: engines with a chat counted as busy for prompts, and a stalled chat was counted three times. Under overload nearly every engine has a chat.

--- a/internal/gateway/balancer/pace.go
+++ b/internal/gateway/balancer/pace.go
@@ -40,10 +40,6 @@
 	reportHalfLife = 300 * time.Millisecond
 	// peakHalfLife is the half-life of the largest recent backlog: about the length of a long stream.
 	peakHalfLife = 1500 * time.Millisecond
-	// stalledStreamLoss is the loss of a running stream that exceeds its gap limit, relative to its weight: what was spent on
-	// it is lost too. At 1, 103 of 785 chats exceeded their limit instead of 71 (load of TestPromptsKeepAwayFromStreams,
-	// 8 seeds).
-	stalledStreamLoss = 3.0
 	// saturatedFraction is the fraction of a stream's time from which prefill beside it counts as continuous. The rest is
 	// the time of decode steps.
 	saturatedFraction = 0.85
@@ -71,16 +67,14 @@
 	reportedAt             time.Time
 	// slots is the number of slots that the server reported; 0 before.
 	slots int
-	// heldBack counts the requests for which the server counted as busy because of its streams.
-	heldBack int
 	// cachedAt is the time for which cachedLasting, cachedSlowness and cachedNow hold: a decision needs them many times.
 	cachedAt                                 time.Time
 	cachedLasting, cachedSlowness, cachedNow float64
 	// lastingFrom is when cachedLasting was computed.
 	lastingFrom time.Time
-	// lossKey says for what streamLoss was last computed, losses what it returned.
+	// lossKey says for what streamLoss was last computed, loss what it returned.
 	lossKey streamLossKey
-	losses  streamLosses
+	loss    float64
 	// groups holds the running streams that have a gap limit.
 	groups []streamGroup
 	// peakBacklog is the largest recent prompt backlog, as of peakAt.
@@ -88,17 +82,10 @@
 	peakAt      time.Time
 }
 
-// streamLossKey identifies a computation of streamLosses at a server.
+// streamLossKey identifies a computation of streamLoss at a server.
 type streamLossKey struct {
 	at              time.Time
 	backlog, tokens float64
-	priority        int
-}
-
-// streamLosses is the expected loss of the streams at a server if its backlog grows.
-type streamLosses struct {
-	// all counts all streams, urgent those more urgent than the request.
-	all, urgent float64
 }
 
 // newPace returns the pace of a server that isn't known yet; nil if the pool keeps none.
@@ -320,7 +307,7 @@
 	prefillTokens := s.prefillTokens(request)
 	// The cost of the work counts in tokens, whatever the pace: counted in time, prompts waited for fast servers with a full
 	// backlog while slow ones were idle.
-	loss := chunkLoss*prefillTokens/chunkTokens + p.streamLosses(now, s, prefillTokens, request.Priority).all
+	loss := chunkLoss*prefillTokens/chunkTokens + p.streamLoss(now, s, prefillTokens)
 
 	if request.GapLimit == 0 || p.engine.EventTokens == 0 {
 		return loss
@@ -336,33 +323,26 @@
 	return loss
 }
 
-// streamLosses returns the expected loss of the running streams if the backlog grows by the tokens of a request with the
-// given priority.
-func (p *Pool) streamLosses(now time.Time, s *server, tokens float64, priority int) streamLosses {
-	key := streamLossKey{at: now, backlog: s.backlog, tokens: tokens, priority: priority}
+// streamLoss returns the expected loss of the running streams if the backlog grows by the given tokens. A stream that exceeds
+// its gap limit loses what it is worth: counted three times, prompts found no engine under overload.
+func (p *Pool) streamLoss(now time.Time, s *server, tokens float64) float64 {
+	key := streamLossKey{at: now, backlog: s.backlog, tokens: tokens}
 	if s.pace.lossKey == key {
-		return s.pace.losses
+		return s.pace.loss
 	}
 
-	var losses streamLosses
+	loss := 0.0
 
 	for _, g := range s.pace.groups {
 		after := p.gapMissProbability(now, s, g.limit, s.backlog+tokens)
-		if after == 0 {
-			continue
-		}
-
-		loss := stalledStreamLoss * float64(g.count) * priorityWeight(g.priority) * (after - p.gapMissProbability(now, s, g.limit, s.backlog))
-		losses.all += loss
-
-		if g.priority < priority {
-			losses.urgent += loss
+		if after > 0 {
+			loss += float64(g.count) * priorityWeight(g.priority) * (after - p.gapMissProbability(now, s, g.limit, s.backlog))
 		}
 	}
 
-	s.pace.lossKey, s.pace.losses = key, losses
+	s.pace.lossKey, s.pace.loss = key, loss
 
-	return losses
+	return loss
 }
 
 // plainRequests returns the number of requests at a server of a plain service, with those of nodes that chose it by
@@ -374,13 +354,3 @@
 
 	return len(s.running) + int(math.Ceil(s.foreignNow(now)-foreignSlack))
 }
-
-// stallsStreams reports whether the prompt costs more urgent streams at the server more than the request is worth.
-func (p *Pool) stallsStreams(now time.Time, s *server, request *Request) bool {
-	stalls := p.streamLosses(now, s, s.prefillTokens(request), request.Priority).urgent > priorityWeight(request.Priority)
-	if stalls {
-		s.pace.heldBack++
-	}
-
-	return stalls
-}
--- a/internal/gateway/balancer/report.go
+++ b/internal/gateway/balancer/report.go
@@ -35,8 +35,6 @@
 	Slowness float64 `json:"slowness,omitempty"`
 	WorkTime float64 `json:"work_time,omitempty"`
 	Slots    int     `json:"reported_slots,omitempty"`
-	// HeldBack counts how often the server counted as busy for a request, since that would have stalled more urgent streams.
-	HeldBack int `json:"held_back,omitempty"`
 }
 
 // Estimates returns the estimated performance of the pool's servers.
@@ -75,7 +73,7 @@
 
 		if v := s.pace; v != nil {
 			report.Pace, report.Slowness, report.WorkTime = v.lasting(now), v.slownessNow(now), v.reported
-			report.Slots, report.HeldBack = v.slots, v.heldBack
+			report.Slots = v.slots
 		}
 
 		reports = append(reports, report)
--- a/internal/gateway/balancer/room.go
+++ b/internal/gateway/balancer/room.go
@@ -81,10 +81,6 @@
 
 	backlog, limit := s.backlogNow(now), maxBacklogTokens(request.Priority)
 
-	if s.pace != nil && p.stallsStreams(now, s, request) {
-		return true
-	}
-
 	// Without the cap, a prompt longer than the limit would need an engine without any backlog, and shorter
 	// prompts would always pass it.
 	return backlog > 0 && backlog+min(s.prefillTokens(request), longPromptFraction*limit) > limit
