--- a/internal/gateway/broker/decoding.go
+++ b/internal/gateway/broker/decoding.go
@@ -182,6 +182,10 @@
 			return setInt(&load.Running, value)
 		case "w":
 			return setInt(&load.Waiting, value)
+		case "s":
+			return setInt(&load.Slots, value)
+		case "t":
+			return setFloat(&load.WorkTime, value)
 		default:
 			return false
 		}
