--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -72,6 +72,8 @@
 	// can reject in a second.
 	brittleAt         time.Time
 	brittleRejections int
+	// prefillMeter is used by Utilization.
+	prefillMeter prefillMeter
 }
 
 // NewPool returns a pool without upstreams.
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -125,6 +125,8 @@
 	// running holds this node's running requests, which are reported to new holders.
 	running map[string]runningRequest
 	brittle BrittleCounters
+	// refusals is used by Utilization.
+	refusals refusalCounter
 }
 
 // runningRequest is a request that this node sent to an upstream.
--- a/internal/gateway/broker/choosing.go
+++ b/internal/gateway/broker/choosing.go
@@ -187,6 +187,7 @@
 	}
 
 	choice, decision := b.poolForChoice(time.Now(), params.Pool).Acquire(time.Now(), from, params.Work)
+	b.refusals.record(params.Pool, decision == balancer.Refused)
 
 	return chooseResult{Choice: choice, Decision: decision}
 }
--- a/internal/gateway/broker/reports.go
+++ b/internal/gateway/broker/reports.go
@@ -223,6 +223,8 @@
 // grantQueued sends grants to the nodes whose queued requests got an upstream or were refused.
 func (b *Broker) grantQueued(now time.Time, pool string) {
 	for _, g := range b.poolForChoice(now, pool).GrantQueued(now) {
+		b.refusals.record(pool, g.Refused)
+
 		if g.Owner == b.options.Self {
 			if !b.deliverGrant(g) && !g.Refused {
 				b.pool(pool).RecordEnd(now, g.ID, balancer.Abandoned)
