Scaler: plans by need, with a margin for a reclaim during a burst

Plans always ordered the most spot upstreams, whatever the load. With Policy.ByNeed the number follows from measured work, its trend over the boot time, its recent peak and a margin; it rises at once and falls slowly. Without ByNeed the replay test's plans are unchanged.

--- a/internal/gateway/scaler/replay_test.go
+++ b/internal/gateway/scaler/replay_test.go
@@ -29,7 +29,7 @@
 				p.planner = scaler.New()
 			}
 
-			orders := p.planner.Plan(p.policy, p.services, p.sizes)
+			orders := p.planner.Plan(0, p.policy, p.services, p.sizes)
 			fmt.Fprintf(&plans, "%d.%d", run, step)
 
 			for _, order := range orders {
--- a/internal/gateway/scaler/scaler.go
+++ b/internal/gateway/scaler/scaler.go
@@ -1,13 +1,14 @@
 // Package scaler decides how many upstreams of each kind are ordered for a service in each failure domain.
 //
-// Plans depend only on the configuration, the current pool sizes and the sizes seen before. Orders are absolute numbers, so
-// that repeating one is harmless.
+// Plans depend on the configuration, the current pool sizes and the sizes seen before and, if the policy says so, on the
+// measured work. Orders are absolute numbers, so that repeating one is harmless.
 package scaler
 
 import (
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 )
@@ -76,6 +77,8 @@
 	// MinFraction is the fraction of a service's maximum over all failure domains that must be running, from 0 to 1. If spot
 	// upstreams are reclaimed, regular ones are ordered up to it.
 	MinFraction float64
+	// ByNeed orders as many upstreams as the measured work needs, within the other bounds.
+	ByNeed bool
 }
 
 // Planner plans the orders of one holder of the duties. It is not safe for concurrent use.
@@ -86,15 +89,18 @@
 	peakRegular map[Pool]int
 	// replaced holds the pools whose regular upstreams have been replaced by spot ones.
 	replaced map[Pool]bool
+	// needs holds what is known about the need of each service that was measured or planned by need.
+	needs map[string]*serviceNeed
 }
 
 // New returns a Planner that has not seen any pools.
 func New() *Planner {
-	return &Planner{peakRegular: make(map[Pool]int), replaced: make(map[Pool]bool)}
+	return &Planner{peakRegular: make(map[Pool]int), replaced: make(map[Pool]bool), needs: make(map[string]*serviceNeed)}
 }
 
-// Plan returns the orders that should be in effect, grouped by pool.
-func (p *Planner) Plan(policy Policy, services []cataloguer.Service, sizes map[Pool]PoolSize) []Order {
+// Plan returns the orders that should be in effect, grouped by pool. now is the time of any monotonic clock that is also that
+// of Observe.
+func (p *Planner) Plan(now time.Duration, policy Policy, services []cataloguer.Service, sizes map[Pool]PoolSize) []Order {
 	var orders []Order
 
 	p.policy = policy
@@ -107,7 +113,7 @@
 
 	for _, service := range services {
 		if service.Scaling != nil && service.Scaling.SpotPrice != nil {
-			orders = append(orders, p.planService(service, sizes)...)
+			orders = append(orders, p.planService(now, service, sizes)...)
 		}
 	}
 
@@ -132,20 +138,32 @@
 	return pools
 }
 
-func (p *Planner) planService(service cataloguer.Service, sizes map[Pool]PoolSize) []Order {
+func (p *Planner) planService(now time.Duration, service cataloguer.Service, sizes map[Pool]PoolSize) []Order {
 	var orders []Order
 
 	scaling := *service.Scaling
 	pools := p.poolsByPrice(service)
-	missing := p.missingRegular(pools, scaling, sizes)
+	s := p.needForPlan(now, service.Name, pools, &scaling, sizes)
+	missing := p.missingRegular(pools, scaling, sizes, s)
 
 	for _, pool := range pools {
 		size := sizes[pool]
+		// wanted is the number of upstreams to reach, kept the number that remain while regular ones are replaced.
+		wanted, kept := p.maxOrdered(pool, &scaling), p.peakRegular[pool]
+
+		if s != nil {
+			wanted = min(s.targets[pool].Count, wanted)
+			kept = min(wanted, kept)
+		}
 
 		// During the replacement, each running spot upstream replaces one regular upstream.
-		regular := max(p.clampedMinRegular(scaling), p.peakRegular[pool]-size.Spot)
+		regular := max(p.clampedMinRegular(scaling), kept-size.Spot)
+		if s != nil {
+			// A new holder of the duties may find the replacement half done.
+			regular = max(p.clampedMinRegular(scaling), min(p.peakRegular[pool], wanted-size.Spot))
+		}
 
-		if p.checkReplaced(pool, scaling, size) {
+		if p.checkReplaced(pool, scaling, size, kept) {
 			extra := min(missing, max(scaling.Maximum-p.clampedMinRegular(scaling)-size.Spot, 0))
 			missing -= extra
 			regular = p.clampedMinRegular(scaling) + extra
@@ -155,29 +173,34 @@
 			orders = append(orders, Order{Pool: pool, Count: regular})
 		}
 
-		maxOrdered := max(int(math.Ceil(p.policy.MaxFraction*float64(scaling.Maximum))), p.peakRegular[pool])
 		free := scaling.Maximum - max(regular, size.Regular)
-		orders = append(orders, Order{Pool: pool, Spot: true, Count: max(min(free, maxOrdered-p.clampedMinRegular(scaling)), 0)})
+		orders = append(orders, Order{Pool: pool, Spot: true, Count: max(min(free, wanted-p.clampedMinRegular(scaling)), 0)})
 	}
 
 	return orders
 }
 
+// maxOrdered returns the largest number of upstreams that is ordered in a pool.
+func (p *Planner) maxOrdered(pool Pool, scaling *cataloguer.Scaling) int {
+	return max(int(math.Ceil(p.policy.MaxFraction*float64(scaling.Maximum))), p.peakRegular[pool])
+}
+
 // minRegular returns the number of regular upstreams that a pool always keeps.
 func (p *Planner) clampedMinRegular(scaling cataloguer.Scaling) int {
 	return max(min(p.policy.MinRegular, scaling.Maximum), scaling.Minimum)
 }
 
 // checkReplaced reports whether spot upstreams have replaced a pool's regular ones, and records it if so.
-func (p *Planner) checkReplaced(pool Pool, scaling cataloguer.Scaling, size PoolSize) bool {
-	p.replaced[pool] = p.replaced[pool] || size.Spot >= p.peakRegular[pool]-p.clampedMinRegular(scaling)
+// kept is the number of upstreams that remain during the replacement.
+func (p *Planner) checkReplaced(pool Pool, scaling cataloguer.Scaling, size PoolSize, kept int) bool {
+	p.replaced[pool] = p.replaced[pool] || size.Spot >= kept-p.clampedMinRegular(scaling)
 
 	return p.replaced[pool]
 }
 
 // missingRegular returns how many regular upstreams are needed beyond those that pools always keep, so that the minimum
-// fraction is running.
-func (p *Planner) missingRegular(pools []Pool, scaling cataloguer.Scaling, sizes map[Pool]PoolSize) int {
+// fraction is running, or what is needed if that is less. s is nil if that isn't known.
+func (p *Planner) missingRegular(pools []Pool, scaling cataloguer.Scaling, sizes map[Pool]PoolSize, s *serviceNeed) int {
 	running := 0
 
 	for _, pool := range pools {
@@ -189,5 +212,10 @@
 		running += p.clampedMinRegular(scaling) + sizes[pool].Spot
 	}
 
-	return max(int(math.Ceil(p.policy.MinFraction*float64(scaling.Maximum*len(pools))))-running, 0)
+	least := int(math.Ceil(p.policy.MinFraction * float64(scaling.Maximum*len(pools))))
+	if s != nil {
+		least = min(least, s.need.surviving)
+	}
+
+	return max(least-running, 0)
 }
--- a/internal/gateway/scaler/scaler_test.go
+++ b/internal/gateway/scaler/scaler_test.go
@@ -45,7 +45,7 @@
 func (p *fakePlatform) applyPlan(t *testing.T) int {
 	t.Helper()
 
-	for _, order := range p.planner.Plan(p.policy, p.services, p.sizes) {
+	for _, order := range p.planner.Plan(0, p.policy, p.services, p.sizes) {
 		s := p.sizes[order.Pool]
 
 		switch {
