Leader: orders by need, with the demand kept in the store

The holder of the duties measures the demand once a second, keeps what it learned under the key demand, and sends at most one order a second for each pool and kind, none that changes nothing. It is off unless gateway.duties.order_by_need is set. Until the former holder's state is read, orders stay as they are.

--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -54,6 +55,7 @@
 		CallsPerSecond: settings.CallsPerSecond,
 		Scales:         settings.Scales(),
 		Policy:         n.scalingPolicy,
+		MeasureDemand:  n.measureDemand,
 		Now:            n.catalog.Now,
 		Logger:         n.logger,
 	}
@@ -71,9 +73,25 @@
 
 	return scaler.Policy{
 		MinRegular: settings.RegularUpstreams, MaxFraction: settings.MostPart, MinFraction: settings.LeastPart,
+		ByNeed: settings.OrderByNeed,
 	}, settings.OrderUpstreams
 }
 
+// measureDemand returns the demand of services. An engine both reads prompts and generates tokens, while its memory limits the
+// requests that it holds.
+func (n *Node) measureDemand(ctx context.Context, services []string) map[string]scaler.Demand {
+	demands := make(map[string]scaler.Demand, len(services))
+
+	for service, u := range n.broker.Utilization(ctx, services) {
+		demands[service] = scaler.Demand{
+			Work: max(u.PrefillLoad+u.SlotLoad, u.MemoryLoad), Running: u.Servers,
+			Queued: u.Queued, Late: u.Late, Refused: u.Refused, InProgress: u.InProgress,
+		}
+	}
+
+	return demands
+}
+
 // isDutyCandidate reports whether this node should compete for the duties. The candidates are the first strong nodes in
 // a hash order that is the same on all nodes and differs from the order of the names, so that the duties don't fall to
 // nodes that already have other work.
--- a/internal/gateway/leader/leader.go
+++ b/internal/gateway/leader/leader.go
@@ -55,7 +55,7 @@
 	Call(ctx context.Context, peer, method string, params, result any) error
 }
 
-// Options configures a Leader; all fields are required.
+// Options configures a Leader. All fields are required, but MeasureDemand only for a policy by need.
 type Options struct {
 	// Node is the node's name for the platform, Self its name among peers. Incarnation identifies this run of the process.
 	Node, Self, Incarnation string
@@ -80,6 +80,8 @@
 	Scales bool
 	// Policy returns the scaling policy, and false while no upstreams must be ordered.
 	Policy func() (scaler.Policy, bool)
+	// MeasureDemand returns the present demand of the given services, by name. Services whose demand is unknown are left out.
+	MeasureDemand func(ctx context.Context, services []string) map[string]scaler.Demand
 	// Now returns the time of a monotonic clock that includes suspensions.
 	Now    func() time.Duration
 	Logger zerolog.Logger
@@ -176,7 +178,10 @@
 	}
 
 	if l.options.Scales {
-		workers.Go(func() { l.orderUpstreams(workCtx, t) })
+		exchange := &demandExchange{}
+
+		workers.Go(func() { l.measureDemand(workCtx, t, exchange) })
+		workers.Go(func() { l.orderUpstreams(workCtx, t, exchange) })
 	}
 
 	for !term.Ended() && !l.isPaused() && !l.options.IsLeaving() && sleeper.Sleep(workCtx, candidacyInterval) {
--- a/internal/gateway/leader/scaling.go
+++ b/internal/gateway/leader/scaling.go
@@ -19,6 +19,10 @@
 	unavailableDelay = time.Second
 	// failureDelay is the time until a failed order is sent again.
 	failureDelay = time.Second
+	// minOrderInterval is the minimum time between two orders for a pool and a kind where they follow the need.
+	minOrderInterval = time.Second
+	// demandLogInterval is the minimum time between two log lines about the demand.
+	demandLogInterval = time.Second
 )
 
 // orderKey identifies the pool and the kind of upstreams that an order is for.
@@ -27,71 +31,145 @@
 	spot bool
 }
 
-// sentOrder is the last order for a key and when it may be sent again.
+// sentOrder is the last order for a key, when it was sent and when it may be sent again.
 type sentOrder struct {
-	count    int
-	resendAt time.Duration
+	count            int
+	sentAt, resendAt time.Duration
+}
+
+// orderTerm orders upstreams in one term. It is not safe for concurrent use.
+type orderTerm struct {
+	*Leader
+	*activeTerm
+
+	planner  *scaler.Planner
+	sent     map[orderKey]sentOrder
+	exchange *demandExchange
+	// restored is set once the planner has the state of the former holder.
+	restored bool
+	// loggedTargets holds the numbers of upstreams that were last logged by service, loggedAt when.
+	loggedTargets map[string]int
+	loggedAt      time.Duration
 }
 
 // orderUpstreams orders upstreams until ctx is done or the term has ended.
-func (l *Leader) orderUpstreams(ctx context.Context, t *activeTerm) {
-	planner := scaler.New()
-	sent := make(map[orderKey]sentOrder)
+func (l *Leader) orderUpstreams(ctx context.Context, t *activeTerm, exchange *demandExchange) {
+	o := &orderTerm{
+		Leader: l, activeTerm: t, planner: scaler.New(), sent: make(map[orderKey]sentOrder), exchange: exchange, loggedTargets: make(map[string]int),
+	}
 
 	for ctx.Err() == nil && !t.Ended() {
-		l.sendDueOrders(ctx, t, planner, sent)
+		o.sendDueOrders(ctx)
 		sleeper.Sleep(ctx, planInterval)
 	}
 }
 
-// sendDueOrders plans orders for the current upstreams and sends those that are due.
-func (l *Leader) sendDueOrders(ctx context.Context, t *activeTerm, planner *scaler.Planner, sent map[orderKey]sentOrder) {
-	policy, enabled := l.options.Policy()
-	state := l.options.State()
+// sendDueOrders plans and sends the orders that are due.
+func (o *orderTerm) sendDueOrders(ctx context.Context) {
+	policy, enabled := o.options.Policy()
+	state := o.options.State()
 
 	if !enabled || !state.IsComplete() {
 		return
 	}
 
+	if policy.ByNeed {
+		o.restored = o.exchange.pass(o.options.Now(), o.planner) || o.restored
+		if !o.restored {
+			// What the former holder ordered stands until it is known why.
+			return
+		}
+	}
+
 	sizes := scaler.CountUpstreams(state.Configuration.Services, &state.Registry.Upstreams)
-	orders := planner.Plan(policy, state.Configuration.Services, sizes)
-	l.status.setPools(sizes, orders)
+	orders := o.planner.Plan(o.options.Now(), policy, state.Configuration.Services, sizes)
+	o.status.setPools(sizes, orders)
+
+	if policy.ByNeed {
+		o.exchange.setCurrent(o.planner.State())
+		o.reportDemand()
+	}
 
 	for _, order := range orders {
-		l.sendOrder(ctx, t, sent, order, sizes[order.Pool])
+		if !o.isDue(order, sizes[order.Pool], policy.ByNeed) {
+			continue
+		}
+
+		o.sendOrder(ctx, order, sizes[order.Pool])
 	}
 }
 
-// sendOrder sends an order unless the same one was sent recently.
-func (l *Leader) sendOrder(ctx context.Context, t *activeTerm, sent map[orderKey]sentOrder, order scaler.Order, size scaler.PoolSize) {
-	key := orderKey{Pool: order.Pool, spot: order.Spot}
+// reportDemand shows the demand to operators, and logs changes of the numbers of upstreams to reach.
+func (o *orderTerm) reportDemand() {
+	now := o.options.Now()
+	statuses := o.planner.Status(now)
+	o.status.setDemand(statuses)
 
-	last, known := sent[key]
-	if known && last.count == order.Count && l.options.Now() < last.resendAt {
+	if now-o.loggedAt < demandLogInterval {
 		return
 	}
 
-	err := l.call(ctx, t, func(ctx context.Context) error {
-		return l.options.Platform.OrderUpstreams(ctx, t.authority, order)
+	for service, s := range statuses {
+		if o.loggedTargets[service] == s.Target {
+			continue
+		}
+
+		o.loggedTargets[service], o.loggedAt = s.Target, now
+		o.options.Logger.Info().Str("service", service).Int("target", s.Target).Int("needed", s.Needed).Int("surviving", s.Surviving).
+			Float64("work", s.Demand.Work).Float64("mean", s.Mean).Float64("peak", s.Peak).Int("late", s.Demand.Late).
+			Int("refused", s.Demand.Refused).Bool("pressing", s.Pressing).Int64("number", o.Number).Msg("upstreams_needed")
+	}
+}
+
+// isDue reports whether an order must be sent now. The same one is repeated after a while in any case, as it may have been
+// lost; where upstreams are ordered by need, only while it would change something, and at most once a second.
+func (o *orderTerm) isDue(order scaler.Order, size scaler.PoolSize, byNeed bool) bool {
+	now := o.options.Now()
+	last, known := o.sent[orderKey{Pool: order.Pool, spot: order.Spot}]
+	isRepeated := known && last.count == order.Count
+
+	if isRepeated && now < last.resendAt {
+		return false
+	}
+
+	if !byNeed {
+		return true
+	}
+
+	standing := size.Regular
+	if order.Spot {
+		standing = size.Spot
+	}
+
+	return (known && !isRepeated || standing != order.Count) && (!known || now-last.sentAt >= minOrderInterval)
+}
+
+// sendOrder sends an order.
+func (o *orderTerm) sendOrder(ctx context.Context, order scaler.Order, size scaler.PoolSize) {
+	sentAt := o.options.Now()
+
+	err := o.call(ctx, o.activeTerm, func(ctx context.Context) error {
+		return o.options.Platform.OrderUpstreams(ctx, o.authority, order)
 	})
 	if errors.Is(err, errCallNotAllowed) {
 		return
 	}
 
-	event := l.options.Logger.Info()
-	resendAt := l.options.Now() + resendInterval
+	event := o.options.Logger.Info()
+	resendAt := o.options.Now() + resendInterval
 
 	switch {
 	case errors.Is(err, ErrUnavailable):
-		resendAt = l.options.Now() + unavailableDelay
+		resendAt = o.options.Now() + unavailableDelay
 	case err != nil:
-		event = l.options.Logger.Warn()
-		resendAt = l.options.Now() + failureDelay
+		event = o.options.Logger.Warn()
+		resendAt = o.options.Now() + failureDelay
 	}
 
-	sent[key] = sentOrder{count: order.Count, resendAt: resendAt}
+	o.sent[orderKey{Pool: order.Pool, spot: order.Spot}] = sentOrder{count: order.Count, sentAt: sentAt, resendAt: resendAt}
+	o.status.countOrder(err)
 
 	event.AnErr("reason", err).Str("service", order.Service).Str("failure_domain", order.FailureDomain).
 		Bool("spot", order.Spot).Int("count", order.Count).Int("regular", size.Regular).Int("spot_standing", size.Spot).
-		Int("leaving", size.Draining).Int64("number", t.Number).Msg("upstreams_ordered")
+		Int("leaving", size.Draining).Int64("number", o.Number).Msg("upstreams_ordered")
 }
--- a/internal/gateway/leader/status.go
+++ b/internal/gateway/leader/status.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"quincepath.example/quincepath/internal/gateway/collector"
 	"quincepath.example/quincepath/internal/gateway/scaler"
 )
@@ -20,6 +22,20 @@
 	Usage collector.Status `json:"usage"`
 	// Pools lists the current and ordered sizes of pools; empty on nodes that don't hold the duties.
 	Pools []PoolStatus `json:"pools,omitempty"`
+	// Demand describes the services whose upstreams are ordered by need, by name; empty on nodes that don't hold the duties.
+	Demand map[string]scaler.ServiceStatus `json:"demand,omitempty"`
+	Orders OrderCounters                   `json:"orders,omitzero"`
+}
+
+// OrderCounters counts what the duties of this process did about orders.
+type OrderCounters struct {
+	// Sent counts the orders that the platform accepted, Unavailable those that it had no upstreams for, Failed all others.
+	Sent        int64 `json:"sent"`
+	Unavailable int64 `json:"unavailable"`
+	Failed      int64 `json:"failed"`
+	// Measured and Unknown count the measurements of the demand of one service, and those that failed.
+	Measured int64 `json:"measured"`
+	Unknown  int64 `json:"unknown"`
 }
 
 // PoolStatus holds the current and ordered sizes of a pool.
@@ -50,7 +66,36 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	s.current.Holds, s.current.Pools = false, nil
+	s.current.Holds, s.current.Pools, s.current.Demand = false, nil, nil
+}
+
+func (s *status) countMeasurements(measured, unknown int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.current.Orders.Measured += int64(measured)
+	s.current.Orders.Unknown += int64(unknown)
+}
+
+func (s *status) countOrder(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	switch {
+	case err == nil:
+		s.current.Orders.Sent++
+	case errors.Is(err, ErrUnavailable):
+		s.current.Orders.Unavailable++
+	default:
+		s.current.Orders.Failed++
+	}
+}
+
+func (s *status) setDemand(demand map[string]scaler.ServiceStatus) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.current.Demand = demand
 }
 
 func (s *status) setPools(sizes map[scaler.Pool]scaler.PoolSize, orders []scaler.Order) {
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -99,6 +99,7 @@
 	settings.Gateway.Duties.RegularUpstreams = loaded.Gateway.Duties.RegularUpstreams
 	settings.Gateway.Duties.MostPart = loaded.Gateway.Duties.MostPart
 	settings.Gateway.Duties.LeastPart = loaded.Gateway.Duties.LeastPart
+	settings.Gateway.Duties.OrderByNeed = loaded.Gateway.Duties.OrderByNeed
 
 	return settings
 }
