Scaler, leader: late requests count only in busy pools; raises go first and are written down at once

Requests of a crashed engine or node are late whatever the number of upstreams, and would have ordered as many as possible. Calls wait for the platform's rate limit, so that a reduction could have delayed a raise. A new holder of the duties would have ordered fewer than the former one had raised to since its last write.

--- a/internal/gateway/balancer/utilization.go
+++ b/internal/gateway/balancer/utilization.go
@@ -8,6 +8,8 @@
 	minUtilizationInterval = 400 * time.Millisecond
 	// maxUtilizationInterval is the longest such time. After it, the rate says nothing about the present, and is unknown.
 	maxUtilizationInterval = 5 * time.Second
+	// busyFraction is the load of a pool, relative to its servers, from which chance makes requests wait for each other.
+	busyFraction = 0.4
 )
 
 // Utilization describes how much work a pool's servers have. Loads are in servers: 2.5 means the whole work of two and a
@@ -33,6 +35,16 @@
 	Refused int `json:"r,omitempty"`
 }
 
+// Load returns the work of all requests, in servers that it keeps fully busy.
+func (u *Utilization) Load() float64 {
+	return max(u.PrefillLoad+u.SlotLoad, u.MemoryLoad)
+}
+
+// IsBusy reports whether requests may be late or refused because there are too few servers.
+func (u *Utilization) IsBusy() bool {
+	return u.Queued > 0 || u.Load() >= busyFraction*float64(u.Servers)
+}
+
 // prefillMeter measures the rate of prompt tokens sent to servers.
 type prefillMeter struct {
 	// sent holds Server.sentTokens of each server at the time at, load the load since the time before.
--- a/internal/gateway/broker/utilization.go
+++ b/internal/gateway/broker/utilization.go
@@ -105,7 +105,8 @@
 }
 
 // Utilization asks the holders for the utilization of the pools of the given services, and the standbys for that of pools
-// whose holders don't know it. A service is left out unless all of its pools are known. It takes at most twice
+// whose holders don't know it. A service is left out unless all of its pools are known. Late and refused requests count only
+// in pools that are busy. It takes at most twice
 // utilizationTimeout and some more where there are more holders than workers.
 func (b *Broker) Utilization(ctx context.Context, services []string) map[string]balancer.Utilization {
 	pools := make(map[string]string)
@@ -131,6 +132,12 @@
 	for name, service := range pools {
 		u, ok := measured[name]
 		unknown[service] = unknown[service] || !ok
+
+		if !u.IsBusy() {
+			// These are late for other reasons, such as a crash of their server or node, and need no more servers.
+			u.Late, u.Refused = 0, 0
+		}
+
 		sums[service] = addUtilization(sums[service], u)
 	}
 
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -77,14 +77,13 @@
 	}, settings.OrderUpstreams
 }
 
-// measureDemand returns the demand of services. An engine both reads prompts and generates tokens, while its memory limits the
-// requests that it holds.
+// measureDemand returns the demand of services.
 func (n *Node) measureDemand(ctx context.Context, services []string) map[string]scaler.Demand {
 	demands := make(map[string]scaler.Demand, len(services))
 
 	for service, u := range n.broker.Utilization(ctx, services) {
 		demands[service] = scaler.Demand{
-			Work: max(u.PrefillLoad+u.SlotLoad, u.MemoryLoad), Running: u.Servers,
+			Work: u.Load(), Running: u.Servers,
 			Queued: u.Queued, Late: u.Late, Refused: u.Refused, InProgress: u.InProgress,
 		}
 	}
--- a/internal/gateway/leader/demand.go
+++ b/internal/gateway/leader/demand.go
@@ -23,7 +23,8 @@
 	measureInterval = time.Second
 	// measureTimeout is the timeout of a measurement. The demand of services that take longer is unknown.
 	measureTimeout = 900 * time.Millisecond
-	// demandSaveInterval is the minimum time between two writes of the demand to the store.
+	// demandSaveInterval is the minimum time between two writes of the demand to the store, unless more upstreams are to run
+	// than before: the next holder must not order fewer.
 	demandSaveInterval = 5 * time.Second
 )
 
@@ -120,13 +121,14 @@
 
 	l.measureOnce(ctx, exchange)
 
-	if !t.Valid() || l.options.Now()-record.savedAt < demandSaveInterval {
+	state := exchange.currentState()
+	if !t.Valid() || l.options.Now()-record.savedAt < demandSaveInterval && !state.IsAbove(record.state) {
 		return
 	}
 
 	record.savedAt = l.options.Now()
 
-	err := l.withStoreTimeout(ctx, func(ctx context.Context) error { return record.save(ctx, exchange.currentState()) })
+	err := l.withStoreTimeout(ctx, func(ctx context.Context) error { return record.save(ctx, state) })
 	if err != nil {
 		l.options.Logger.Warn().Err(err).Msg("demand_not_kept")
 	}
@@ -165,8 +167,9 @@
 	store collector.Store
 	// restored is set once the state of the former holder was read.
 	restored bool
-	// saved is the value in the store at revision in era; loaded is false if it isn't known.
+	// saved is the value in the store at revision in era; loaded is false if it isn't known. state is what was written last.
 	saved         []byte
+	state         scaler.State
 	revision, era int64
 	loaded        bool
 	savedAt       time.Duration
@@ -185,7 +188,7 @@
 		state = make(scaler.State)
 	}
 
-	r.saved, r.revision, r.era, r.loaded, r.restored = found.Value, found.ModRevision, found.Era, true, true
+	r.saved, r.revision, r.era, r.loaded, r.restored, r.state = found.Value, found.ModRevision, found.Era, true, true, state
 
 	return state, nil
 }
@@ -222,7 +225,7 @@
 		return errors.New("another node wrote the demand")
 	}
 
-	r.saved, r.revision, r.loaded = value, result.Revision, true
+	r.saved, r.revision, r.loaded, r.state = value, result.Revision, true, state
 
 	return nil
 }
--- a/internal/gateway/leader/scaling.go
+++ b/internal/gateway/leader/scaling.go
@@ -1,7 +1,9 @@
 package leader
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +15,8 @@
 const (
 	// planInterval is the time between two plans.
 	planInterval = 250 * time.Millisecond
+	// restoreInterval is the time between two looks for the state of the former holder, before the first plan by need.
+	restoreInterval = 25 * time.Millisecond
 	// resendInterval is the time after which an unchanged order is sent again.
 	resendInterval = 10 * time.Second
 	// unavailableDelay is the time until an order is sent again for which no upstreams were available.
@@ -60,10 +64,19 @@
 
 	for ctx.Err() == nil && !t.Ended() {
 		o.sendDueOrders(ctx)
-		sleeper.Sleep(ctx, planInterval)
+		sleeper.Sleep(ctx, o.pause())
 	}
 }
 
+// pause returns the time until the next plan.
+func (o *orderTerm) pause() time.Duration {
+	if policy, enabled := o.options.Policy(); enabled && policy.ByNeed && !o.restored {
+		return restoreInterval
+	}
+
+	return planInterval
+}
+
 // sendDueOrders plans and sends the orders that are due.
 func (o *orderTerm) sendDueOrders(ctx context.Context) {
 	policy, enabled := o.options.Policy()
@@ -90,13 +103,36 @@
 		o.reportDemand()
 	}
 
+	if policy.ByNeed {
+		// Calls wait for the rate limit, so those that add upstreams go first.
+		slices.SortStableFunc(orders, func(a, b scaler.Order) int {
+			return cmp.Compare(reduces(a, sizes[a.Pool]), reduces(b, sizes[b.Pool]))
+		})
+	}
+
 	for _, order := range orders {
-		if !o.isDue(order, sizes[order.Pool], policy.ByNeed) {
-			continue
+		if o.isDue(order, sizes[order.Pool], policy.ByNeed) {
+			o.sendOrder(ctx, order, sizes[order.Pool])
 		}
+	}
+}
 
-		o.sendOrder(ctx, order, sizes[order.Pool])
+// reduces returns 1 if an order leaves fewer upstreams of its kind than there are, or else 0.
+func reduces(order scaler.Order, size scaler.PoolSize) int {
+	if order.Count < standing(order, size) {
+		return 1
 	}
+
+	return 0
+}
+
+// standing returns the number of upstreams of an order's kind in its pool.
+func standing(order scaler.Order, size scaler.PoolSize) int {
+	if order.Spot {
+		return size.Spot
+	}
+
+	return size.Regular
 }
 
 // reportDemand shows the demand to operators, and logs changes of the numbers of upstreams to reach.
@@ -136,12 +172,7 @@
 		return true
 	}
 
-	standing := size.Regular
-	if order.Spot {
-		standing = size.Spot
-	}
-
-	return (known && !isRepeated || standing != order.Count) && (!known || now-last.sentAt >= minOrderInterval)
+	return (known && !isRepeated || standing(order, size) != order.Count) && (!known || now-last.sentAt >= minOrderInterval)
 }
 
 // sendOrder sends an order.
--- a/internal/gateway/scaler/need.go
+++ b/internal/gateway/scaler/need.go
@@ -18,8 +18,8 @@
 	reduceDelay = 10 * time.Second
 	// reduceInterval is the time between two reductions of a pool, reducePart the part of its maximum by which it is
 	// reduced, at least one upstream. Each one that drains takes cached prompt parts with it.
-	reduceInterval = time.Second
-	reducePart     = 0.02
+	reduceInterval = 3 * time.Second
+	reducePart     = 0.05
 	// bootSlack is how much longer than the boot time ordered upstreams may take before they count as unavailable.
 	bootSlack = 2 * time.Second
 	// unknownDelay is how long the upstreams that are there are kept, at the start of a deployment, until the demand is known.
@@ -109,6 +109,8 @@
 	// raisedAt is when the number last rose, reducedAt when it last fell, and lowSince since when less is needed; negative
 	// if it isn't.
 	raisedAt, reducedAt, lowSince time.Duration
+	// restored is set until the first plan after the target was restored.
+	restored bool
 }
 
 // follow moves the number towards a needed one: up at once, down slowly.
@@ -159,10 +161,19 @@
 	}
 
 	for _, pool := range pools {
-		if s.targets[pool] == nil {
+		size := sizes[pool]
+		standing := size.Regular + size.Spot
+		t := s.targets[pool]
+
+		switch {
+		case t == nil:
 			// What is there remains until something else is known to be needed.
-			size := sizes[pool]
-			s.targets[pool] = &target{Count: size.Regular + size.Spot, raisedAt: now, lowSince: -1}
+			s.targets[pool] = &target{Count: standing, raisedAt: now, lowSince: -1}
+		case t.restored && size.Regular <= p.clampedMinRegular(*scaling):
+			// The former holder may have raised the number after it last wrote it down.
+			t.Count, t.restored = max(t.Count, standing), false
+		default:
+			t.restored = false
 		}
 	}
 
--- a/internal/gateway/scaler/state.go
+++ b/internal/gateway/scaler/state.go
@@ -14,6 +14,19 @@
 	Targets map[string]int `json:"targets"`
 }
 
+// IsAbove reports whether a target is higher than in another state.
+func (s State) IsAbove(other State) bool {
+	for service, current := range s {
+		for domain, count := range current.Targets {
+			if count > other[service].Targets[domain] {
+				return true
+			}
+		}
+	}
+
+	return false
+}
+
 // State returns what the planner has learned about the services whose demand is known.
 func (p *Planner) State() State {
 	state := make(State)
@@ -42,7 +55,7 @@
 
 		for domain, count := range former.Targets {
 			pool := Pool{Service: name, FailureDomain: domain}
-			s.targets[pool] = &target{Count: max(count, 0), raisedAt: now, lowSince: -1}
+			s.targets[pool] = &target{Count: max(count, 0), raisedAt: now, lowSince: -1, restored: true}
 			// A pool may be empty at the moment, if its spot upstreams were reclaimed.
 			p.peakRegular[pool] = max(p.peakRegular[pool], 0)
 		}
