--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -72,7 +72,7 @@
 	// can reject in a second.
 	brittleAt         time.Time
 	brittleRejections int
-	// prefillMeter is used by Utilization.
+	// prefillMeter is used by Utilisation.
 	prefillMeter prefillMeter
 }
 
--- a/internal/gateway/balancer/utilization.go
+++ b/internal/gateway/balancer/utilization.go
@@ -3,18 +3,18 @@
 import "time"
 
 const (
-	// minUtilizationInterval is the shortest time over which the rate of sent prompt tokens is measured. Earlier calls return
+	// minUtilisationInterval is the shortest time over which the rate of sent prompt tokens is measured. Earlier calls return
 	// the last rate, so that two nodes that ask in turns get the same figures.
-	minUtilizationInterval = 400 * time.Millisecond
-	// maxUtilizationInterval is the longest such time. After it, the rate says nothing about the present, and is unknown.
-	maxUtilizationInterval = 5 * time.Second
+	minUtilisationInterval = 400 * time.Millisecond
+	// maxUtilisationInterval is the longest such time. After it, the rate says nothing about the present, and is unknown.
+	maxUtilisationInterval = 5 * time.Second
 	// busyFraction is the load of a pool, relative to its servers, from which chance makes requests wait for each other.
 	busyFraction = 0.4
 )
 
-// Utilization describes how much work a pool's servers have. Loads are in servers: 2.5 means the whole work of two and a
+// Utilisation describes how much work a pool's servers have. Loads are in servers: 2.5 means the whole work of two and a
 // half servers. An engine both reads prompts and generates tokens, so that PrefillLoad and SlotLoad add up.
-type Utilization struct {
+type Utilisation struct {
 	// Servers is the number of servers that accept new requests.
 	Servers int `json:"n"`
 	// PrefillLoad is the rate of prompt tokens that were sent to engines and not cached there, relative to the learned
@@ -36,12 +36,12 @@
 }
 
 // Load returns the work of all requests, in servers that it keeps fully busy.
-func (u *Utilization) Load() float64 {
+func (u *Utilisation) Load() float64 {
 	return max(u.PrefillLoad+u.SlotLoad, u.MemoryLoad)
 }
 
 // IsBusy reports whether requests may be late or refused because there are too few servers.
-func (u *Utilization) IsBusy() bool {
+func (u *Utilisation) IsBusy() bool {
 	return u.Queued > 0 || u.Load() >= busyFraction*float64(u.Servers)
 }
 
@@ -57,7 +57,7 @@
 // update measures the load since the last update. Servers that were not listed then count with all tokens that they got.
 func (m *prefillMeter) update(now time.Time, servers []*server, tokensPerSecond float64) {
 	elapsed := now.Sub(m.at)
-	if m.sent != nil && elapsed < minUtilizationInterval {
+	if m.sent != nil && elapsed < minUtilisationInterval {
 		return
 	}
 
@@ -69,21 +69,21 @@
 		tokens += s.sentTokens - m.sent[s]
 	}
 
-	m.known = m.sent != nil && elapsed <= maxUtilizationInterval
+	m.known = m.sent != nil && elapsed <= maxUtilisationInterval
 	m.load = tokens / elapsed.Seconds() / tokensPerSecond
 	m.sent, m.at = sent, now
 }
 
-// Utilization returns the work of the pool's servers, or false if the rate of sent prompt tokens isn't known yet. Callers
+// Utilisation returns the work of the pool's servers, or false if the rate of sent prompt tokens isn't known yet. Callers
 // should ask about once a second.
-func (p *Pool) Utilization(now time.Time) (Utilization, bool) {
+func (p *Pool) Utilisation(now time.Time) (Utilisation, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
 	p.expire(now)
 	p.prefillMeter.update(now, p.servers, p.model.Estimates().PrefillTokensPerMS*milliseconds(time.Second))
 
-	u := Utilization{InProgress: len(p.requests), Queued: len(p.queue), Late: p.countLate(now)}
+	u := Utilisation{InProgress: len(p.requests), Queued: len(p.queue), Late: p.countLate(now)}
 
 	for _, s := range p.servers {
 		if !s.Draining && !s.leaving && !now.Before(s.restsUntil) {
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -125,7 +125,7 @@
 	// running holds this node's running requests, which are reported to new holders.
 	running map[string]runningRequest
 	brittle BrittleCounters
-	// refusals is used by Utilization.
+	// refusals is used by Utilisation.
 	refusals refusalCounter
 }
 
--- a/internal/gateway/broker/broker_test.go
+++ b/internal/gateway/broker/broker_test.go
@@ -90,7 +90,7 @@
 
 	handle, ok := map[string]func(context.Context, string, json.RawMessage) (any, error){
 		broker.MethodChoose: node.HandleChoose, broker.MethodReport: node.HandleReport,
-		broker.MethodUtilization: node.HandleUtilization,
+		broker.MethodUtilisation: node.HandleUtilisation,
 	}[method]
 	if !ok {
 		return errors.Newf("no method %s", method)
--- a/internal/gateway/broker/utilization.go
+++ b/internal/gateway/broker/utilization.go
@@ -12,24 +12,24 @@
 )
 
 const (
-	// MethodUtilization asks a holder for the utilization of its pools.
-	MethodUtilization = "pool.utilization"
-	// utilizationTimeout limits a call of MethodUtilization.
-	utilizationTimeout = 300 * time.Millisecond
-	// utilizationWorkers is the number of holders that are asked concurrently.
-	utilizationWorkers = 16
+	// MethodUtilisation asks a holder for the utilisation of its pools.
+	MethodUtilisation = "pool.utilisation"
+	// utilisationTimeout limits a call of MethodUtilisation.
+	utilisationTimeout = 300 * time.Millisecond
+	// utilisationWorkers is the number of holders that are asked concurrently.
+	utilisationWorkers = 16
 	// refusalRetention is how long refusals are kept for the next call. A node that becomes the holder of a pool doesn't
 	// tell of those that it made on its own long before.
 	refusalRetention = 3 * time.Second
 )
 
-type utilizationParams struct {
+type utilisationParams struct {
 	Pools []string `json:"p"`
 }
 
-// utilizationResult holds the utilization of the pools that the node has known for long enough, by name.
-type utilizationResult struct {
-	Pools map[string]balancer.Utilization `json:"u"`
+// utilisationResult holds the utilisation of the pools that the node has known for long enough, by name.
+type utilisationResult struct {
+	Pools map[string]balancer.Utilisation `json:"u"`
 }
 
 // refusalCounter counts the requests that this node refused as the holder of pools. The zero value is ready for use. It is
@@ -76,9 +76,9 @@
 	return taken.count
 }
 
-// HandleUtilization handles MethodUtilization.
-func (b *Broker) HandleUtilization(_ context.Context, _ string, params json.RawMessage) (any, error) {
-	var request utilizationParams
+// HandleUtilisation handles MethodUtilisation.
+func (b *Broker) HandleUtilisation(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var request utilisationParams
 	if err := json.Unmarshal(params, &request); err != nil {
 		return nil, err
 	}
@@ -86,16 +86,16 @@
 	return b.measureOwn(request.Pools), nil
 }
 
-// measureOwn returns the utilization of the pools that this node receives all reports of. Others are left out.
-func (b *Broker) measureOwn(pools []string) utilizationResult {
-	result := utilizationResult{Pools: make(map[string]balancer.Utilization, len(pools))}
+// measureOwn returns the utilisation of the pools that this node receives all reports of. Others are left out.
+func (b *Broker) measureOwn(pools []string) utilisationResult {
+	result := utilisationResult{Pools: make(map[string]balancer.Utilisation, len(pools))}
 
 	for _, name := range pools {
 		if !b.isReady(name) {
 			continue
 		}
 
-		if u, known := b.pool(name).Utilization(time.Now()); known {
+		if u, known := b.pool(name).Utilisation(time.Now()); known {
 			u.Refused = b.refusals.take(name)
 			result.Pools[name] = u
 		}
@@ -104,11 +104,11 @@
 	return result
 }
 
-// Utilization asks the holders for the utilization of the pools of the given services, and the standbys for that of pools
+// Utilisation asks the holders for the utilisation of the pools of the given services, and the standbys for that of pools
 // whose holders don't know it. A service is left out unless all of its pools are known. Late and refused requests count only
 // in pools that are busy. It takes at most twice
-// utilizationTimeout and some more where there are more holders than workers.
-func (b *Broker) Utilization(ctx context.Context, services []string) map[string]balancer.Utilization {
+// utilisationTimeout and some more where there are more holders than workers.
+func (b *Broker) Utilisation(ctx context.Context, services []string) map[string]balancer.Utilisation {
 	pools := make(map[string]string)
 
 	b.mu.Lock()
@@ -121,12 +121,12 @@
 	}
 	b.mu.Unlock()
 
-	measured := make(map[string]balancer.Utilization, len(pools))
+	measured := make(map[string]balancer.Utilisation, len(pools))
 	for rank := range holdersPerPool {
 		b.measure(ctx, rank, pools, measured)
 	}
 
-	sums := make(map[string]balancer.Utilization)
+	sums := make(map[string]balancer.Utilisation)
 	unknown := make(map[string]bool)
 
 	for name, service := range pools {
@@ -138,7 +138,7 @@
 			u.Late, u.Refused = 0, 0
 		}
 
-		sums[service] = addUtilization(sums[service], u)
+		sums[service] = addUtilisation(sums[service], u)
 	}
 
 	for service := range unknown {
@@ -150,9 +150,9 @@
 	return sums
 }
 
-// measure adds the utilization of the pools that aren't measured yet. It asks the nodes of a rank: 0 for the holders, 1 for
+// measure adds the utilisation of the pools that aren't measured yet. It asks the nodes of a rank: 0 for the holders, 1 for
 // the standbys.
-func (b *Broker) measure(ctx context.Context, rank int, pools map[string]string, measured map[string]balancer.Utilization) {
+func (b *Broker) measure(ctx context.Context, rank int, pools map[string]string, measured map[string]balancer.Utilisation) {
 	byNode := make(map[string][]string)
 
 	for name := range pools {
@@ -170,11 +170,11 @@
 
 	var mu sync.Mutex
 
-	calls := pond.NewPool(utilizationWorkers, pond.WithContext(ctx)).NewGroup()
+	calls := pond.NewPool(utilisationWorkers, pond.WithContext(ctx)).NewGroup()
 
 	for node, names := range byNode {
 		calls.Submit(func() {
-			result := b.askUtilization(ctx, node, names)
+			result := b.askUtilisation(ctx, node, names)
 
 			mu.Lock()
 			defer mu.Unlock()
@@ -191,27 +191,27 @@
 	_ = calls.Wait()
 }
 
-func (b *Broker) askUtilization(ctx context.Context, node string, pools []string) utilizationResult {
+func (b *Broker) askUtilisation(ctx context.Context, node string, pools []string) utilisationResult {
 	if node == b.options.Self {
 		return b.measureOwn(pools)
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, utilizationTimeout)
+	ctx, cancel := context.WithTimeout(ctx, utilisationTimeout)
 	defer cancel()
 
-	var result utilizationResult
+	var result utilisationResult
 
-	if err := b.options.Peers.Call(ctx, node, MethodUtilization, utilizationParams{Pools: pools}, &result); err != nil {
-		b.options.Logger.Debug().Err(err).Str("peer", node).Msg("utilization_not_told")
+	if err := b.options.Peers.Call(ctx, node, MethodUtilisation, utilisationParams{Pools: pools}, &result); err != nil {
+		b.options.Logger.Debug().Err(err).Str("peer", node).Msg("utilisation_not_told")
 
-		return utilizationResult{}
+		return utilisationResult{}
 	}
 
 	return result
 }
 
-func addUtilization(a, b balancer.Utilization) balancer.Utilization {
-	return balancer.Utilization{
+func addUtilisation(a, b balancer.Utilisation) balancer.Utilisation {
+	return balancer.Utilisation{
 		Servers:     a.Servers + b.Servers,
 		PrefillLoad: a.PrefillLoad + b.PrefillLoad,
 		SlotLoad:    a.SlotLoad + b.SlotLoad,
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -81,7 +81,7 @@
 func (n *Node) measureDemand(ctx context.Context, services []string) map[string]scaler.Demand {
 	demands := make(map[string]scaler.Demand, len(services))
 
-	for service, u := range n.broker.Utilization(ctx, services) {
+	for service, u := range n.broker.Utilisation(ctx, services) {
 		demands[service] = scaler.Demand{
 			Work: u.Load(), Running: u.Servers,
 			Queued: u.Queued, Late: u.Late, Refused: u.Refused, InProgress: u.InProgress,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -228,7 +228,7 @@
 	})
 	n.messages.Handle(broker.MethodChoose, n.broker.HandleChoose)
 	n.messages.Handle(broker.MethodReport, n.broker.HandleReport)
-	n.messages.Handle(broker.MethodUtilization, n.broker.HandleUtilization)
+	n.messages.Handle(broker.MethodUtilisation, n.broker.HandleUtilisation)
 
 	var (
 		recorder follower.VersionStore
--- a/internal/gateway/scaler/need.go
+++ b/internal/gateway/scaler/need.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// burstUtilization is the utilization up to which upstreams answer in time during a burst. Above it, prompts wait for
+	// burstUtilisation is the utilisation up to which upstreams answer in time during a burst. Above it, prompts wait for
 	// others and delay streams on the same engine.
-	burstUtilization = 0.6
-	// reclaimUtilization is the utilization that a burst may cause while the spot upstreams of one failure domain are gone.
-	reclaimUtilization = 0.7
+	burstUtilisation = 0.6
+	// reclaimUtilisation is the utilisation that a burst may cause while the spot upstreams of one failure domain are gone.
+	reclaimUtilisation = 0.7
 	// reduceDelay is how long a pool must have needed less before it is reduced.
 	reduceDelay = 10 * time.Second
 	// reduceInterval is the time between two reductions of a pool, reducePart the part of its maximum by which it is
@@ -45,7 +45,7 @@
 
 	burst := l.burst(bootTime)
 
-	return need{total: int(math.Ceil(burst / burstUtilization)), surviving: int(math.Ceil(burst / reclaimUtilization))}
+	return need{total: int(math.Ceil(burst / burstUtilisation)), surviving: int(math.Ceil(burst / reclaimUtilisation))}
 }
 
 // domain is what can be ordered in one failure domain.
--- a/internal/gateway/scaler/need_test.go
+++ b/internal/gateway/scaler/need_test.go
@@ -114,7 +114,7 @@
 	m.sizes[key.Pool] = s
 }
 
-// serve counts the requests in time: all up to a utilization of 0.6, nine in ten at 1, and above it what the upstreams do.
+// serve counts the requests in time: all up to a utilisation of 0.6, nine in ten at 1, and above it what the upstreams do.
 func (m *model) serve(now time.Duration, load float64) {
 	running := 0
 
@@ -129,14 +129,14 @@
 	}
 
 	load *= 1 + 0.1*m.random.NormFloat64()
-	utilization := load / float64(running)
+	utilisation := load / float64(running)
 	share := 1.0
 
 	switch {
-	case utilization > 1:
-		share = 0.9 / utilization
-	case utilization > 0.6:
-		share = 1 - 0.1*(utilization-0.6)*(utilization-0.6)/0.16
+	case utilisation > 1:
+		share = 0.9 / utilisation
+	case utilisation > 0.6:
+		share = 1 - 0.1*(utilisation-0.6)*(utilisation-0.6)/0.16
 	}
 
 	m.arrived += load
