--- a/internal/gateway/scaler/need.go
+++ b/internal/gateway/scaler/need.go
@@ -165,6 +165,12 @@
 		standing := size.Regular + size.Spot
 		t := s.targets[pool]
 
+		if t != nil && t.restored && size.Regular > p.clampedMinRegular(*scaling) && size.Spot+size.Draining == 0 {
+			// The upstreams may have been started anew since the target was written down.
+			p.replaced[pool] = false
+			p.peakRegular[pool] = size.Regular
+		}
+
 		switch {
 		case t == nil:
 			// What is there remains until something else is known to be needed.
--- a/internal/gateway/scaler/need_test.go
+++ b/internal/gateway/scaler/need_test.go
@@ -253,6 +253,18 @@
 	}
 }
 
+// Guards against a record that says that regular upstreams were replaced where all upstreams were started anew.
+func TestStoredReplacementThatIsNoLongerTrue(t *testing.T) {
+	former := newModel(true)
+	former.run(0, 30*time.Second, -1, steady)
+
+	m := newModel(true)
+	m.planner.Restore(0, former.planner.State(30*time.Second))
+	m.run(0, 40*time.Second, -1, steady)
+	t.Logf("in time %.5f, least %d", m.share(), m.least)
+	assert.Equal(t, m.share(), 1.0)
+}
+
 // Guards against a failure domain that is used although cheaper ones suffice, and against one that is spared although the
 // others could not do without it.
 func TestMostExpensiveFailureDomainIsUsedLast(t *testing.T) {
--- a/internal/gateway/scaler/scaler.go
+++ b/internal/gateway/scaler/scaler.go
@@ -206,14 +206,17 @@
 	running := 0
 
 	for _, pool := range pools {
-		if !p.replaced[pool] {
+		spot := sizes[pool].Spot
+
+		switch {
+		case !p.replaced[pool] && s == nil:
 			// The pool still keeps its regular upstreams.
 			return 0
-		}
-
-		spot := sizes[pool].Spot
+		case !p.replaced[pool]:
+			running += max(sizes[pool].Regular+spot, min(s.targets[pool].Count, p.maxOrdered(pool, scaling)))
 
-		if s != nil && !p.isShort(now, s.targets[pool], pool, scaling, sizes[pool]) {
+			continue
+		case s != nil && !p.isShort(now, s.targets[pool], pool, scaling, sizes[pool]):
 			// Spot upstreams that boot run as soon as regular ones that would be ordered now.
 			spot = max(spot, min(s.targets[pool].Count, p.maxOrdered(pool, scaling))-p.clampedMinRegular(*scaling))
 		}
