--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -74,6 +74,8 @@
 	brittleRejections int
 	// cache counts what the servers report of their caches.
 	cache CacheCounters
+	// prefillMeter is used by Utilisation.
+	prefillMeter prefillMeter
 }
 
 // NewPool returns a pool without upstreams.
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -147,6 +147,8 @@
 	running        map[string]runningRequest
 	brittle        BrittleCounters
 	holderCounters HolderCounters
+	// refusals is used by Utilisation.
+	refusals refusalCounter
 }
 
 // runningRequest is a request that this node sent to an upstream.
--- a/internal/gateway/broker/choosing.go
+++ b/internal/gateway/broker/choosing.go
@@ -194,6 +194,7 @@
 	}
 
 	choice, decision := b.poolForChoice(time.Now(), params.Pool).Acquire(time.Now(), from, params.Work)
+	b.refusals.record(params.Pool, decision == balancer.Refused)
 
 	result := chooseResult{Choice: choice, Decision: decision}
 	result.Late = b.saysLate(time.Now(), &result)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -238,6 +238,7 @@
 	})
 	n.messages.HandleInline(broker.MethodChoose, n.broker.HandleChoose)
 	n.messages.Handle(broker.MethodReport, n.broker.HandleReport)
+	n.messages.Handle(broker.MethodUtilisation, n.broker.HandleUtilisation)
 
 	if settings.Gateway.Scheduling.CacheTracking && protocol.EngineCache != nil {
 		n.caches = cachetracker.New(&fetcher.Fetcher{Exchanger: n.dialer, Protocol: protocol.EngineCache}, logger)
