--- a/internal/gateway/balancer/admission.go
+++ b/internal/gateway/balancer/admission.go
@@ -20,7 +20,16 @@
 //
 // Under overload it would otherwise wait until it is late and then be refused. After an immediate refusal, the
 // caller can go elsewhere or come back when the queue is shorter.
-func (p *Pool) admit(now time.Time, request *Request) (Choice, bool) {
+func (p *Pool) admit(now time.Time, joining *queued) (Choice, bool) {
+	if p.options.WorkAdmission {
+		if joining.share == nil {
+			p.prepare(now, joining)
+		}
+
+		return p.admitByWork(now, joining)
+	}
+
+	request := &joining.request
 	rank, waiting := baseRank(request), len(p.queue)
 	ahead, aheadInTime := 0, 0
 
@@ -102,11 +111,25 @@
 
 // outranked reports whether a queued request goes before this one. A request that can't go to the servers which are open to
 // this one doesn't, as its node doesn't reach them or their software has another version.
-func (p *Pool) outranked(now time.Time, request *Request) bool {
+func (p *Pool) outranked(now time.Time, joining *queued) bool {
 	if len(p.queue) == 0 {
 		return false
 	}
 
+	request := &joining.request
+	goesFirst := func(q *queued) bool { return q.sortRank <= baseRank(request) }
+
+	if p.options.WorkAdmission {
+		p.prepare(now, joining)
+
+		goesFirst = func(q *queued) bool { return compareWork(q, joining) <= 0 }
+
+		// The queue is in order.
+		if !goesFirst(p.queue[0]) {
+			return false
+		}
+	}
+
 	open := p.openServers(now, request)
 	isBlocked := func(q *queued) bool {
 		return len(open) > 0 && !slices.ContainsFunc(open, func(s *server) bool {
@@ -114,12 +137,16 @@
 		})
 	}
 
-	return slices.ContainsFunc(p.queue, func(q *queued) bool { return q.sortRank <= baseRank(request) && !isBlocked(q) })
+	return slices.ContainsFunc(p.queue, func(q *queued) bool { return goesFirst(q) && !isBlocked(q) })
 }
 
 // shed removes requests that won't be served in time: those whose waiting time is over, and the surplus of late
 // ones, least urgent first and oldest first among these. They are refused at once, so that callers can come back.
 func (p *Pool) shed(now time.Time) []Grant {
+	if p.options.WorkAdmission {
+		return p.shedByWork(now)
+	}
+
 	surplus := p.surplus(now)
 
 	var refused []Grant
--- a/internal/gateway/balancer/demand.go
+++ b/internal/gateway/balancer/demand.go
@@ -20,6 +20,8 @@
 	// granted is a count of requests that got an upstream, decayed with grantHalfLife, as of grantedAt.
 	granted   float64
 	grantedAt time.Time
+	// work measures the requests by their work; it stays zero unless Options.WorkAdmission is set.
+	work workDemand
 	// residenceSeconds is the mean time that a request spends at a server; 0 before the first has ended.
 	residenceSeconds float64
 }
@@ -35,6 +37,16 @@
 	d.residenceSeconds += residenceGain * (seconds - d.residenceSeconds)
 }
 
+// removeRunning removes a request that is no longer at a server.
+func (d *demand) removeRunning(r *runningRequest) {
+	d.running--
+	d.work.running = max(d.work.running-r.work, 0)
+
+	if d.running == 0 {
+		d.work.running = 0
+	}
+}
+
 func (d *demand) recordGrant(now time.Time) {
 	d.granted = decayed(d.granted, now.Sub(d.grantedAt), grantHalfLife) + 1
 	d.grantedAt = now
--- a/internal/gateway/balancer/matching.go
+++ b/internal/gateway/balancer/matching.go
@@ -28,6 +28,10 @@
 // get the server that has cached its session. Ordered by uncached tokens alone, the longest prompts
 // would never be served.
 func (p *Pool) nextMatch(now time.Time, declined map[*queued]bool) (*queued, bool) {
+	if p.options.WorkAdmission {
+		return p.nextMatchByWork(now, declined)
+	}
+
 	var (
 		head, best *queued
 		bestFit    = math.Inf(-1)
--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -38,6 +38,9 @@
 	// Degraded is set if the request is refused and many of the pool's upstreams are left out, so that other pools of the service
 	// may have more room.
 	Degraded bool `json:"d,omitempty"`
+	// ReturnMS is set if the request is refused and Options.WorkAdmission is set: the time after which the caller should
+	// come back. The pool spreads these times, so they need no jitter.
+	ReturnMS float64 `json:"e,omitempty"`
 	// AskedAt is when this node asked for the choice, by a clock that also advances while the system is suspended.
 	AskedAt time.Duration `json:"-"`
 	// Brittle is set if the upstream said that it is brittle.
@@ -72,6 +75,8 @@
 	// can reject in a second.
 	brittleAt         time.Time
 	brittleRejections int
+	// admission shares scarce room by work. It isn't used unless Options.WorkAdmission is set.
+	admission admission
 }
 
 // NewPool returns a pool without upstreams.
@@ -83,6 +88,7 @@
 		model:      estimator.New(0),
 		limitShare: 1,
 		limitCost:  throttler.CostDeciding,
+		admission:  newAdmission(),
 	}
 }
 
@@ -130,7 +136,7 @@
 	)
 
 	for _, s := range p.servers {
-		if !p.hasRoom(now, s, &request) {
+		if !p.hasRoom(now, s, &request) || p.isWarmingUp(now, s, &request) {
 			continue
 		}
 
@@ -214,7 +220,7 @@
 
 func (p *Pool) begin(now time.Time, s *server, request Request) *runningRequest {
 	if former, ok := p.requests[request.ID]; ok {
-		p.demand.running--
+		p.demand.removeRunning(former)
 		former.server.remove(former, Abandoned, now, false)
 	}
 
@@ -230,6 +236,12 @@
 		backlogAhead:  s.backlog,
 	}
 
+	if p.options.WorkAdmission {
+		r.work = p.workAt(s, &request, r.prefillTokens)
+		p.admission.charge(&request, r.work)
+		p.demand.work.recordStart(now, request.Priority, r.work)
+	}
+
 	p.demand.running++
 
 	if request.Priority <= 0 {
@@ -297,13 +309,14 @@
 	}
 
 	delete(p.requests, id)
-	p.demand.running--
+	p.demand.removeRunning(r)
 	p.recordBrittleEnd(now, r, outcome)
 
 	if outcome == Served {
 		p.observeFirst(r, now)
 		r.server.recordAnswer(r, now)
 		p.demand.recordResidence(now.Sub(r.sentAt).Seconds())
+		p.demand.work.recordResidence(r.work, now.Sub(r.sentAt).Seconds())
 	}
 
 	failures := &r.server.failures
@@ -330,11 +343,12 @@
 	}
 
 	p.expiredAt = now
+	p.admission.expireReturns(now)
 
 	for id, r := range p.requests {
 		if now.After(r.expiresAt) {
 			delete(p.requests, id)
-			p.demand.running--
+			p.demand.removeRunning(r)
 			r.server.remove(r, Abandoned, now, false)
 		}
 	}
--- a/internal/gateway/balancer/queue.go
+++ b/internal/gateway/balancer/queue.go
@@ -56,6 +56,16 @@
 	refuseAt, deadline time.Time
 	// sortRank is the rank at the time of the last sort.
 	sortRank float64
+
+	// The fields below are set if Options.WorkAdmission is set. work is the request's work, and tier and share are what its
+	// organisation gets. latestStart is when it must get a server to meet its target, isLate whether that time had passed at
+	// the last sort. level is how far it is ahead of its organisation's share.
+	work        float64
+	tier        *tier
+	share       *share
+	latestStart time.Time
+	isLate      bool
+	level       int
 }
 
 // rank orders the queue, lowest first. A request that will miss its target in any case goes behind those that
@@ -76,6 +86,10 @@
 
 // late reports whether the request has waited too long to meet its target.
 func (q *queued) late(now time.Time) bool {
+	if q.share != nil {
+		return now.After(q.latestStart)
+	}
+
 	return q.request.Target > 0 && now.Sub(q.queuedAt) > time.Duration(lateAfterFraction*float64(q.request.Target))
 }
 
@@ -100,32 +114,59 @@
 		return Choice{}, Queued
 	}
 
+	if p.options.WorkAdmission {
+		p.beginAdmission(now, &request)
+	}
+
 	// A node that reaches the servers isn't refused because others don't.
 	request.ownFailuresOnly = !p.hasEligibleServer(now, &request)
 
-	if request.ownFailuresOnly && !p.hasEligibleServer(now, &request) || len(p.queue) >= maxQueue {
+	if request.ownFailuresOnly && !p.hasEligibleServer(now, &request) || p.isQueueFull(&request) {
 		return Choice{ExpectedWaitMS: milliseconds(p.restWait(now, &request)), Degraded: p.isDegraded(now, owner)}, Refused
 	}
 
-	if !p.outranked(now, &request) {
+	q := &queued{request: request, owner: owner, queuedAt: now, refuseAt: now.Add(patience(&request)), deadline: now.Add(request.TimeLimit)}
+
+	if !p.outranked(now, q) {
 		if choice, ok := p.choose(now, request); ok {
 			return choice, Granted
 		}
 	}
 
-	delay, ok := p.admit(now, &request)
+	delay, ok := p.admit(now, q)
 	if !ok {
 		delay.Degraded = p.isDegraded(now, owner)
 
 		return delay, Refused
 	}
 
-	q := &queued{request: request, owner: owner, queuedAt: now, refuseAt: now.Add(patience(&request)), deadline: now.Add(request.TimeLimit)}
+	p.enqueue(now, q)
+
+	return delay, Queued
+}
+
+// enqueue adds a request to the queue.
+func (p *Pool) enqueue(now time.Time, q *queued) {
+	p.queuedIDs[q.request.ID] = q
+
+	if p.options.WorkAdmission {
+		p.insertByWork(q)
+
+		return
+	}
+
 	q.sortRank = q.rank(now)
 	p.queue = append(p.queue, q)
-	p.queuedIDs[request.ID] = q
+}
 
-	return delay, Queued
+// isQueueFull reports whether the queue has no place for the request.
+func (p *Pool) isQueueFull(request *Request) bool {
+	if len(p.queue) < maxQueue {
+		return false
+	}
+
+	// The less urgent requests that fill the queue are the last to get servers.
+	return !p.options.WorkAdmission || len(p.queue) >= 2*maxQueue || p.queue[len(p.queue)-1].request.Priority <= request.Priority
 }
 
 // GrantQueued returns the queued requests that get a server now, and those that are refused.
@@ -179,6 +220,12 @@
 func (p *Pool) sort(now time.Time) {
 	p.sortedAt = now
 
+	if p.options.WorkAdmission {
+		p.sortByWork(now)
+
+		return
+	}
+
 	for _, q := range p.queue {
 		q.sortRank = q.rank(now)
 	}
@@ -213,6 +260,10 @@
 
 	delete(p.queuedIDs, id)
 
+	if q.share != nil {
+		q.share.dequeue(q.work)
+	}
+
 	i := slices.Index(p.queue, q)
 	p.queue = slices.Delete(p.queue, i, i+1)
 }
--- a/internal/gateway/balancer/running_request.go
+++ b/internal/gateway/balancer/running_request.go
@@ -12,6 +12,8 @@
 	expiresAt time.Time
 	// prefillTokens is the number of prompt tokens that the server had to read for the request.
 	prefillTokens float64
+	// work is the work of the request, in prompt tokens; 0 unless Options.WorkAdmission is set.
+	work float64
 	// backlogAhead is the prompt backlog at the server when the request was sent, in tokens.
 	backlogAhead float64
 	// prefilledAtFirst is the number of all sent prompt tokens that the server had read when the first event arrived.
--- a/internal/gateway/balancer/types.go
+++ b/internal/gateway/balancer/types.go
@@ -35,6 +35,15 @@
 	PromptTokens int `json:"n,omitempty"`
 	// OutputTokens is the maximum number of tokens to generate.
 	OutputTokens int `json:"o,omitempty"`
+	// LengthHint is the caller's estimate of the tokens to generate; 0 if it gave none.
+	LengthHint int `json:"h,omitempty"`
+	// Organisation is the name of the caller's organisation; empty if it showed no key.
+	Organisation string `json:"o2,omitempty"`
+	// Content identifies the request by its content, also when the caller sends it again; 0 if it isn't known.
+	Content uint64 `json:"k,omitempty"`
+	// Returned is set by the pool if it refused the request before and the caller came back when it was told to. It isn't
+	// sent to other nodes: only the pool that gave the time can tell.
+	Returned bool `json:"-"`
 	// Target is the time limit for the first event, or for the response if it isn't a stream.
 	Target time.Duration `json:"t"`
 	// GapLimit is the longest acceptable gap between events; 0 if the request isn't a stream.
--- /dev/null
+++ b/internal/gateway/balancer/work_queue.go
@@ -0,0 +1,402 @@
+package balancer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// maxWaitFraction and minWaitFraction limit the time that a request may wait for a server, as fractions of its target.
+	// The most leaves room for variation of the server's time, the least lets a prompt wait whose own time takes all of its
+	// target.
+	maxWaitFraction = 0.75
+	minWaitFraction = 0.1
+	// typicalBacklogFraction is the part of the backlog limit that a request finds at the server that it gets.
+	typicalBacklogFraction = 0.5
+	// plainRounds is the number of calls at a plain server that a call waits for, its own included.
+	plainRounds = 2.0
+	// shedMargin is by how much of its allowed wait a queued request may be expected to exceed it before it is refused. The
+	// estimate of the wait varies by about this much.
+	shedMargin = 0.5
+	// windowFraction is the part of its allowed wait after which no other request passes the first one of the queue, for
+	// prompt parts that a server has cached.
+	windowFraction = 0.6
+	// maxBlocked limits the requests without room that keep less urgent ones from the servers that they wait for.
+	maxBlocked = 4
+	// warmUp is the time in which a pool that knows nothing of its servers' load gives them more and more requests, and
+	// warmUpFraction the part of their slots with which it begins.
+	warmUp         = 500 * time.Millisecond
+	warmUpFraction = 0.25
+)
+
+// prepare fills in what work admission needs to know of a request that has to wait.
+func (p *Pool) prepare(now time.Time, q *queued) {
+	request := &q.request
+	q.tier = p.admission.tier(request.Priority)
+	q.share = q.tier.share(request)
+	uncached, server := p.leastUncached(now, request)
+
+	if server != nil {
+		q.work = p.workAt(server, request, uncached)
+	}
+
+	allowed := allowedWait(request, p.responseMS(request, uncached))
+	q.latestStart = now.Add(allowed)
+	q.refuseAt = now.Add(max(allowed, patience(request)))
+
+	ahead := q.share.queued
+	if request.Returned {
+		ahead = 0
+	} else {
+		ahead += q.share.promisedUntil(now, q.latestStart)
+	}
+
+	q.level = q.tier.level(q.share, ahead)
+}
+
+// allowedWait returns how long a request may wait for a server that then takes the given time.
+func allowedWait(request *Request, responseMS float64) time.Duration {
+	if request.Target == 0 {
+		return request.TimeLimit
+	}
+
+	target := float64(request.Target)
+
+	return time.Duration(min(max(target-responseMS*float64(time.Millisecond), minWaitFraction*target), maxWaitFraction*target))
+}
+
+// responseMS returns the time to the first event at a server with a typical backlog.
+func (p *Pool) responseMS(request *Request, uncached float64) float64 {
+	estimates := p.model.Estimates()
+	if p.engine.CacheTokens == 0 {
+		return networkMS + p.admission.slowdown*plainRounds*estimates.PlainCallMS
+	}
+
+	tokens := uncached + typicalBacklogFraction*maxBacklogTokens(request.Priority)
+
+	return networkMS + p.admission.slowdown*(tokens/estimates.PrefillTokensPerMS+p.eventGapMS())
+}
+
+// leastUncached returns the fewest prompt tokens that a server which may get the request would have to read.
+func (p *Pool) leastUncached(now time.Time, request *Request) (float64, *server) {
+	var best *server
+
+	least := math.Inf(1)
+
+	for _, s := range p.servers {
+		if !s.usable(now, request) {
+			continue
+		}
+
+		if tokens := s.prefillTokens(request); tokens < least {
+			best, least = s, tokens
+		}
+	}
+
+	if best == nil {
+		return float64(request.PromptTokens), nil
+	}
+
+	return least, best
+}
+
+// compareWork orders queued requests: by priority, those that can be in time, by organisations' shares, those that came back as
+// told, and by the time at which they must get a server.
+func compareWork(a, b *queued) int {
+	return cmp.Or(
+		cmp.Compare(a.request.Priority, b.request.Priority),
+		compareTrue(b.isLate, a.isLate),
+		cmp.Compare(a.level, b.level),
+		compareTrue(a.request.Returned, b.request.Returned),
+		a.latestStart.Compare(b.latestStart),
+	)
+}
+
+// compareTrue orders true before false.
+func compareTrue(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// sameRank reports whether only latency and cached prompt parts decide which of two requests goes first.
+func sameRank(a, b *queued) bool {
+	return a.request.Priority == b.request.Priority && a.isLate == b.isLate && (a.level == b.level || a.share == b.share) &&
+		a.request.Returned == b.request.Returned
+}
+
+// insertByWork adds a request to the queue at its place.
+func (p *Pool) insertByWork(q *queued) {
+	i, _ := slices.BinarySearchFunc(p.queue, q, func(a, b *queued) int { return cmp.Or(compareWork(a, b), -1) })
+	p.queue = slices.Insert(p.queue, i, q)
+	q.tier.enqueue(q.share, q.work)
+	p.admission.counters.Queued++
+}
+
+// sortByWork brings the queue into order again.
+func (p *Pool) sortByWork(now time.Time) {
+	p.admission.counters.Organisations = 0
+
+	for priority, t := range p.admission.tiers {
+		p.admission.counters.Organisations += t.refresh(now, p.classRate(now, priority))
+	}
+
+	p.updateSlowdown(now)
+
+	for _, q := range p.queue {
+		q.isLate = now.After(q.latestStart)
+		q.level = 0
+	}
+
+	// Within an organisation, its share goes to those that came back, and then to the most urgent.
+	slices.SortStableFunc(p.queue, compareWork)
+
+	for _, q := range p.queue {
+		q.level = q.tier.level(q.share, q.share.ahead)
+		q.share.ahead += q.work
+	}
+
+	slices.SortStableFunc(p.queue, compareWork)
+}
+
+// updateSlowdown updates the mean slowdown of the servers.
+func (p *Pool) updateSlowdown(now time.Time) {
+	if len(p.servers) == 0 {
+		return
+	}
+
+	sum := 0.0
+	for _, s := range p.servers {
+		sum += s.slowdownNow(now)
+	}
+
+	p.admission.slowdown = sum / float64(len(p.servers))
+}
+
+// admitByWork reports whether a request may join the queue: whether the work that goes before it leaves it a server in time.
+func (p *Pool) admitByWork(now time.Time, q *queued) (Choice, bool) {
+	ahead, requests := 0.0, 0
+
+	for _, other := range p.queue {
+		if compareWork(other, q) <= 0 {
+			ahead += other.work
+			requests++
+		}
+	}
+
+	delay := Choice{LimitWaitMS: p.limitWaitMS(now, &q.request, len(p.queue))}
+	if p.limitWaitMS(now, &q.request, requests) > milliseconds(patience(&q.request)) {
+		return delay, false
+	}
+
+	rate := p.classRate(now, q.request.Priority)
+	if !q.request.Returned {
+		ahead += q.share.promisedUntil(now, q.latestStart)
+	}
+
+	wait := time.Duration(ahead / rate * float64(time.Second))
+	if wait <= q.latestStart.Sub(now) {
+		return delay, true
+	}
+
+	delay.ExpectedWaitMS = milliseconds(wait)
+	p.refuse(now, q, &delay)
+	p.admission.counters.Refused++
+
+	return delay, false
+}
+
+// refuse tells a request when to come back.
+func (p *Pool) refuse(now time.Time, q *queued, choice *Choice) {
+	if q.request.Returned {
+		p.admission.counters.RefusedAgain++
+	}
+
+	if choice.LimitWaitMS > 0 {
+		return
+	}
+
+	request := q.request
+	request.TimeLimit = q.deadline.Sub(now)
+	wait, _ := p.admission.promiseRoom(now, &request, q.work, p.classRate(now, request.Priority))
+	choice.ReturnMS = milliseconds(wait)
+}
+
+// shedByWork removes the requests that won't be served in time, so that their callers can come back.
+func (p *Pool) shedByWork(now time.Time) []Grant {
+	surplus := p.surplus(now)
+
+	var refused []*queued
+
+	p.queue = slices.DeleteFunc(p.queue, func(q *queued) bool {
+		if !surplus[q] && !now.After(q.refuseAt) {
+			return false
+		}
+
+		refused = append(refused, q)
+
+		return true
+	})
+
+	refused = append(refused, p.shedHopeless(now)...)
+	grants := make([]Grant, 0, len(refused))
+
+	for _, q := range refused {
+		delete(p.queuedIDs, q.request.ID)
+		q.share.dequeue(q.work)
+
+		choice := Choice{LimitWaitMS: p.limitWaitMS(now, &q.request, len(p.queue))}
+		p.refuse(now, q, &choice)
+		p.admission.counters.Shed++
+
+		grants = append(grants, Grant{ID: q.request.ID, Owner: q.owner, Refused: true, Choice: choice})
+	}
+
+	return grants
+}
+
+// shedHopeless removes the requests that are expected to get a server much too late.
+func (p *Pool) shedHopeless(now time.Time) []*queued {
+	var refused []*queued
+
+	ahead, rates := 0.0, make(map[int]float64)
+
+	p.queue = slices.DeleteFunc(p.queue, func(q *queued) bool {
+		rate, ok := rates[q.request.Priority]
+		if !ok {
+			rate = p.classRate(now, q.request.Priority)
+			rates[q.request.Priority] = rate
+		}
+
+		left := q.latestStart.Sub(now).Seconds() + shedMargin*q.latestStart.Sub(q.queuedAt).Seconds()
+		if q.isLate || q.request.Target == 0 || ahead/rate <= left {
+			ahead += q.work
+
+			return false
+		}
+
+		refused = append(refused, q)
+
+		return true
+	})
+
+	return refused
+}
+
+// nextMatchByWork returns the queued request to which the free room goes: of those that have the rank of the first one that
+// fits, the one that best fits the servers with room, unless the first one has waited too long for that.
+func (p *Pool) nextMatchByWork(now time.Time, declined map[*queued]bool) (*queued, bool) {
+	open := p.openServers(now, &Request{})
+
+	var (
+		head, best *queued
+		bestFit    = math.Inf(-1)
+		fitting    = 0
+		// blocked are the first requests without room. Less urgent ones leave them the servers for which they wait.
+		blocked []*queued
+	)
+
+	mostUrgent := p.mostUrgentPriority()
+
+	for _, q := range p.queue {
+		if len(open) == 0 || fitting == matchWindow || head != nil && !sameRank(head, q) {
+			break
+		}
+
+		if declined[q] {
+			continue
+		}
+
+		if len(blocked) > 0 && blocked[0].request.Priority < q.request.Priority {
+			open = withoutAwaited(now, open, blocked)
+			blocked = nil
+		}
+
+		q.request.TimeLimit = q.deadline.Sub(now)
+		q.request.Waited = now.Sub(q.queuedAt)
+		q.request.AcceptAny = q.request.Priority == mostUrgent && q.hasUsed(acceptAnyFraction)
+
+		fit, ok := p.bestFit(now, open, &q.request)
+		if !ok {
+			if len(blocked) < maxBlocked {
+				blocked = append(blocked, q)
+			}
+
+			continue
+		}
+
+		if head == nil {
+			head = q
+
+			if q.hasUsed(windowFraction) {
+				return q, true
+			}
+		}
+
+		fitting++
+
+		if fit > bestFit {
+			best, bestFit = q, fit
+		}
+	}
+
+	if best != nil && best != head {
+		p.admission.counters.Reordered++
+	}
+
+	return best, best != nil
+}
+
+// hasUsed reports whether the request has waited for a fraction of the time that it may wait.
+func (q *queued) hasUsed(fraction float64) bool {
+	return float64(q.request.Waited) > fraction*float64(q.latestStart.Sub(q.queuedAt))
+}
+
+// withoutAwaited returns the servers for which none of the requests waits.
+func withoutAwaited(now time.Time, open []*server, waiting []*queued) []*server {
+	return slices.DeleteFunc(open, func(s *server) bool {
+		return slices.ContainsFunc(waiting, func(q *queued) bool {
+			return s.usable(now, &q.request) && !slices.Contains(q.request.Excluded, s.ID)
+		})
+	})
+}
+
+// isWarmingUp reports whether the request must leave the server free because the pool began shortly before. After a loss of all
+// nodes, all callers come back at once and the servers' speeds are unknown.
+func (p *Pool) isWarmingUp(now time.Time, s *server, request *Request) bool {
+	if !p.options.WorkAdmission || request.Priority <= 0 {
+		return false
+	}
+
+	since := now.Sub(p.admission.startedAt)
+	if since >= warmUp {
+		return false
+	}
+
+	fraction := warmUpFraction + (1-warmUpFraction)*since.Seconds()/warmUp.Seconds()
+
+	return float64(len(s.running)) >= math.Ceil(fraction*float64(s.Slots))
+}
+
+// beginAdmission notes that a request asks for a server.
+func (p *Pool) beginAdmission(now time.Time, request *Request) {
+	if p.admission.startedAt.IsZero() {
+		p.admission.startedAt = now
+		// A pool that was told of running requests knows the load.
+		if len(p.requests) > 0 {
+			p.admission.startedAt = now.Add(-warmUp)
+		}
+
+		// Until urgent requests have come, or not, slots are kept for them.
+		p.urgentAt = now
+	}
+
+	request.Returned = p.admission.takePromise(now, request)
+}
--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -186,6 +186,8 @@
 	Waiting int                     `json:"waiting"`
 	Figures estimator.Estimates     `json:"figures"`
 	Servers []balancer.ServerReport `json:"servers"`
+	// Admission is set if the pool shares scarce room by work.
+	Admission *balancer.AdmissionCounters `json:"admission,omitempty"`
 }
 
 // Stats returns the state of all pools by name. Only those that this node used lately have more than a holder.
@@ -196,7 +198,7 @@
 	for _, name := range b.poolNames() {
 		var s Stats
 		if pool, ok := used[name]; ok {
-			s = Stats{Waiting: pool.QueueLength(), Figures: pool.Estimates(), Servers: pool.Report(now)}
+			s = Stats{Waiting: pool.QueueLength(), Figures: pool.Estimates(), Servers: pool.Report(now), Admission: pool.AdmissionCounters()}
 		}
 
 		if holders := b.holdersOf(name); len(holders) > 0 {
--- a/internal/gateway/relayer/headers.go
+++ b/internal/gateway/relayer/headers.go
@@ -17,6 +17,8 @@
 	Resumes string
 	// TokenCounts is the number of prompt tokens and the maximum number of tokens to generate, separated by a comma.
 	TokenCounts string
+	// LengthHint is the caller's estimate of the number of tokens to generate.
+	LengthHint string
 	// PromptParts lists the parts of the prompt as id:tokens, separated by commas.
 	PromptParts string
 	// Authorization is the caller's API key, preceded by KeyScheme and a space.
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -241,6 +241,7 @@
 	choice, ok := r.options.Chooser.Choose(ctx, request.service, poolRequest)
 	if !ok {
 		request.queueDrainTime = max(time.Duration(choice.ExpectedWaitMS*float64(time.Millisecond)), restRemaining)
+		request.returnAfter = time.Duration(choice.ReturnMS * float64(time.Millisecond))
 		request.limitWait = time.Duration(choice.LimitWaitMS * float64(time.Millisecond))
 		// Logged at debug level, since the final response is logged as well: under overload, two lines for each refusal
 		// would double the log.
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
@@ -88,6 +89,8 @@
 	excluded []string
 	// queueDrainTime is how long the queue that refused the request takes to drain.
 	queueDrainTime time.Duration
+	// returnAfter is when the pool that refused the request has room for it; 0 if it did not say.
+	returnAfter time.Duration
 	// limitWait is how long the upstreams' rate limits made the request wait when it was refused; 0 if they did not.
 	limitWait time.Duration
 	// sentAt is when the current attempt was sent.
@@ -162,7 +165,14 @@
 // retryAfter returns the Retry-After of a request that found no upstream: at least the time until the queue drains and
 // the time that the request has waited, so that callers return more slowly the longer the queue is. It is bounded so
 // that the caller can still retry within its time.
+//
+// If the pool said when it has room, that is the Retry-After, without jitter and also if the caller can't wait that long: the
+// pool spreads these times, and an earlier retry would be refused again.
 func (r *request) retryAfter() time.Duration {
+	if r.returnAfter > 0 {
+		return max(r.returnAfter, shortRetryAfter)
+	}
+
 	wait := max(time.Since(r.arrived), r.queueDrainTime)
 	maxWait := time.Duration(maxRetryAfterFraction * float64(time.Until(r.deadline)))
 
@@ -236,14 +246,29 @@
 		return nil, failure
 	}
 
+	accepted.poolRequest.Organisation = accepted.organisation
 	accepted.traits = quarantiner.Traits{
 		Content: quarantiner.KeyOf(accepted.organisation, accepted.method, accepted.host, accepted.uri, accepted.body),
 		Parts:   quarantiner.NewParts(accepted.organisation, partIDs(accepted.poolRequest.PromptParts)),
 	}
+	accepted.poolRequest.Content = contentHash(accepted.traits)
 
 	return accepted, nil
 }
 
+// contentHash returns a hash by which a pool recognises a request that it refused. Bodies may be alike where only the prompt
+// parts differ.
+func contentHash(traits quarantiner.Traits) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.Write(traits.Content[:])
+
+	for _, part := range traits.Parts {
+		_, _ = digest.Write(part.Key[:])
+	}
+
+	return digest.Sum64()
+}
+
 // waitForRoutes returns the routes in force, or nil after a timeout. A newly started node loads them within a few
 // milliseconds; refusing requests until then would, after a restart of all nodes, delay all callers by more than that.
 func (r *Relayer) waitForRoutes(ctx context.Context) *router.Table {
@@ -308,6 +333,7 @@
 	prompt, output, _ := strings.Cut(header.Get(r.options.Headers.TokenCounts), ",")
 	poolRequest.PromptTokens = parseCount(prompt)
 	poolRequest.OutputTokens = parseCount(output)
+	poolRequest.LengthHint = parseCount(header.Get(r.options.Headers.LengthHint))
 
 	listed := header.Get(r.options.Headers.PromptParts)
 	if listed == "" {
