--- a/internal/gateway/balancer/shares.go
+++ b/internal/gateway/balancer/shares.go
@@ -11,7 +11,7 @@
 	// levelSeconds is the part of the pool's work by which an organisation may be ahead of its share before the requests of
 	// others go first. Requests within it compete by latency and cached prompt parts. It is less than half of the shortest
 	// targets.
-	levelSeconds = 0.1
+	levelSeconds = 0.2
 	// maxLevel limits levels, so that they stay exact.
 	maxLevel = 1 << 20
 )
--- a/internal/gateway/balancer/work_admission_test.go
+++ b/internal/gateway/balancer/work_admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"os"
@@ -310,32 +311,35 @@
 	if os.Getenv("PRINT_LOADS") == "" {
 		t.Skip()
 	}
-	for _, heavy := range []float64{0, 7} {
-		for _, on := range []bool{false, true} {
-			for seed := range uint64(3) {
-				load := fakeLoad{options: balancer.Options{WorkAdmission: on}, seed: seed, organisations: 10, heavy: heavy, burst: burstFactor}
-				prefilled, busy = 0, 0
+	long := ofKind("long")
+	groups := map[string]func(r *fakeRequest) bool{
+		"1long": long,
+		"2large": func(r *fakeRequest) bool { return long(r) && r.work.PromptTokens > 19000 },
+		"3others": func(r *fakeRequest) bool { return long(r) && r.work.Organisation != "org0" },
+		"4returned": func(r *fakeRequest) bool { return long(r) && r.attempt > 0 && r.result != "refused" },
+		"5medium": ofKind("medium"), "6chat": ofKind("chat"),
+	}
+	for _, c := range []struct{ heavy, burst float64 }{{0, 2.5}, {0, 3.5}, {7, 1}, {7, 2}} {
+		for _, on := range []bool{true} {
+			line := fmt.Sprintf("%v %5v", c, on)
+			sum := map[string]float64{}
+			const seeds = 6
+			for seed := range uint64(seeds) {
+				load := fakeLoad{options: balancer.Options{WorkAdmission: on}, seed: seed, organisations: 10, heavy: c.heavy, burst: c.burst}
 				all := load.run()
-				fmt.Printf("  prefilled %d busy %.0f  ", prefilled, busy/15)
-				for _, kind := range []string{"chat", "medium", "long"} {
-					line := fmt.Sprintf("heavy %v on %5v seed %d %6s:", heavy, on, seed, kind)
-					for _, result := range []string{"in time", "late", "refused", "refused twice", ""} {
-						v, n := share(all, ofKind(kind), result)
-						line += fmt.Sprintf(" %s %.3f (%d)", result, v, n)
-					}
-					fmt.Println(line)
-				}
-				long := ofKind("long")
-				large := func(r *fakeRequest) bool { return long(r) && r.work.PromptTokens > 19000 }
-				others := func(r *fakeRequest) bool { return long(r) && r.work.Organisation != "org0" }
-				back := func(r *fakeRequest) bool { return long(r) && r.attempt > 0 && r.result != "refused" }
-				for name, f := range map[string]func(r *fakeRequest) bool{"large": large, "others": others, "returned": back, "long": long} {
-					v, n := share(all, f, "in time", "late")
+				for name, f := range groups {
+					v, _ := share(all, f, "in time", "late")
 					w, _ := share(all, f, "in time")
-					fmt.Printf("   %s served %.3f in time %.3f of %d", name, v, w, n)
+					x, _ := share(all, f, "refused twice")
+					sum[name+"s"] += v / seeds
+					sum[name+"t"] += w / seeds
+					sum[name+"x"] += x / seeds
 				}
-				fmt.Println()
 			}
+			for _, name := range slices.Sorted(maps.Keys(groups)) {
+				line += fmt.Sprintf(" %s %.3f/%.3f/%.3f", name[1:], sum[name+"s"], sum[name+"t"], sum[name+"x"])
+			}
+			fmt.Println(line)
 		}
 	}
 }
--- a/internal/gateway/balancer/work_queue.go
+++ b/internal/gateway/balancer/work_queue.go
@@ -17,6 +17,14 @@
 	typicalBacklogFraction = 0.5
 	// plainRounds is the number of calls at a plain server that a call waits for, its own included.
 	plainRounds = 2.0
+	// largeWorkRatio is the ratio to the mean work from which a request's work makes its admission harder, minLargeFraction the
+	// least part of its allowed wait up to which a request is admitted. Under an overload of 2 the largest tenth of the
+	// prompts is then served three quarters as often as all.
+	largeWorkRatio   = 2.0
+	minLargeFraction = 0.3
+	// workDelayFraction is the part of its target by which a request with the work of workDelayTokens goes later.
+	workDelayFraction = 0.1
+	workDelayTokens   = 5000.0
 	// shedMargin is by how much of its allowed wait a queued request may be expected to exceed it before it is refused. The
 	// estimate of the wait varies by about this much.
 	shedMargin = 0.5
@@ -110,10 +118,16 @@
 		compareTrue(b.isLate, a.isLate),
 		cmp.Compare(a.level, b.level),
 		compareTrue(a.request.Returned, b.request.Returned),
-		a.latestStart.Compare(b.latestStart),
+		a.orderTime().Compare(b.orderTime()),
 	)
 }
 
+// orderTime is the time by which a request must get a server, plus a delay by its work: room goes to more requests if those
+// with little work go first.
+func (q *queued) orderTime() time.Time {
+	return q.latestStart.Add(time.Duration(workDelayFraction * q.work / workDelayTokens * float64(q.request.Target)))
+}
+
 // compareTrue orders true before false.
 func compareTrue(a, b bool) int {
 	switch {
@@ -202,7 +216,7 @@
 	}
 
 	wait := time.Duration(ahead / rate * float64(time.Second))
-	if wait <= q.latestStart.Sub(now) {
+	if float64(wait) <= float64(q.latestStart.Sub(now))*p.admissionFraction(q) {
 		return delay, true
 	}
 
@@ -213,6 +227,17 @@
 	return delay, false
 }
 
+// admissionFraction returns the part of its allowed wait up to which the request is admitted. Requests with much work are refused
+// at a shorter queue, as each takes the room of several others, but not if they were refused before.
+func (p *Pool) admissionFraction(q *queued) float64 {
+	mean := p.demand.work.meanWork
+	if mean == 0 || q.work <= largeWorkRatio*mean || q.request.Returned {
+		return 1
+	}
+
+	return max(largeWorkRatio*mean/q.work, minLargeFraction)
+}
+
 // refuse tells a request when to come back.
 func (p *Pool) refuse(now time.Time, q *queued, choice *Choice) {
 	if q.request.Returned {
