--- a/internal/gateway/balancer/observation.go
+++ b/internal/gateway/balancer/observation.go
@@ -32,6 +32,8 @@
 		return
 	}
 
+	r.generatedTokens = gaps.Events * p.engine.EventTokens
+
 	// Prompts that were in the backlog at the first event count as read during the stream, as they may have been.
 	prefilledDuring := r.server.sentTokens - r.prefilledAtFirst
 
--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -311,6 +311,7 @@
 	delete(p.requests, id)
 	p.demand.removeRunning(r)
 	p.recordBrittleEnd(now, r, outcome)
+	p.correctCharge(r)
 
 	if outcome == Served {
 		p.observeFirst(r, now)
--- a/internal/gateway/balancer/returns.go
+++ b/internal/gateway/balancer/returns.go
@@ -20,6 +20,8 @@
 	promiseUnit = 50 * time.Millisecond
 	// maxPromises limits the requests that a pool remembers to have refused.
 	maxPromises = 8192
+	// minKept is the least fraction of callers that are assumed to come back, so that times stay spread.
+	minKept = 0.2
 	// keptGain is the weight of one promise in the fraction of callers that come back.
 	keptGain = 0.02
 )
@@ -62,6 +64,10 @@
 	s.returnAt = at.Add(time.Duration(a.kept * work / (returnFraction * part * rate) * float64(time.Second)))
 	a.counters.Told++
 
+	if former, ok := a.returns[request.Content]; ok {
+		a.forget(request.Content, former)
+	}
+
 	if request.Content != 0 && len(a.returns) < maxPromises {
 		a.returns[request.Content] = promise{at: at, work: work, key: promiseKey{request.Priority, request.Organisation}}
 		s.promised[unitOf(at)] += work
@@ -115,7 +121,7 @@
 	for content, given := range a.returns {
 		if now.After(given.at.Add(returnWindow)) {
 			a.forget(content, given)
-			a.kept -= keptGain * a.kept
+			a.kept = max(a.kept-keptGain*a.kept, minKept)
 		}
 	}
 }
--- a/internal/gateway/balancer/running_request.go
+++ b/internal/gateway/balancer/running_request.go
@@ -14,6 +14,8 @@
 	prefillTokens float64
 	// work is the work of the request, in prompt tokens; 0 unless Options.WorkAdmission is set.
 	work float64
+	// generatedTokens is the number of tokens that a complete stream had; 0 before its end.
+	generatedTokens int
 	// backlogAhead is the prompt backlog at the server when the request was sent, in tokens.
 	backlogAhead float64
 	// prefilledAtFirst is the number of all sent prompt tokens that the server had read when the first event arrived.
--- a/internal/gateway/balancer/shares.go
+++ b/internal/gateway/balancer/shares.go
@@ -28,8 +28,12 @@
 	kept float64
 	// startedAt is when the pool was first asked for an upstream.
 	startedAt time.Time
-	// slowdown is the mean slowdown of the servers at the last sort.
-	slowdown float64
+	// modelled is the result of Pool.modelledRate as of modelledAt, slowdown the mean slowdown of the servers then.
+	modelled   float64
+	modelledAt time.Time
+	slowdown   float64
+	// slots is the number of the servers' slots.
+	slots    float64
 	counters AdmissionCounters
 }
 
--- a/internal/gateway/balancer/work.go
+++ b/internal/gateway/balancer/work.go
@@ -8,9 +8,10 @@
 const (
 	// maxPriorities is the number of priorities whose work is measured separately. Less urgent ones count with the last.
 	maxPriorities = 8
-	// generationFraction is the part of an engine that works on prompts while streams run, as an estimate before any request
-	// has ended.
+	// generationFraction is the least part of its speed in reading prompts that an engine achieves with full slots.
 	generationFraction = 0.5
+	// modelledInterval is the time between updates of what the servers can do by their estimated speed.
+	modelledInterval = 100 * time.Millisecond
 	// minClassFraction is the least fraction of the pool's rate that a class is assumed to get, however much work more
 	// urgent classes send: their recent work may have been a burst.
 	minClassFraction = 0.05
@@ -27,6 +28,8 @@
 	// residenceSeconds is the mean time that a request spends at a server, weighted by its work; 0 before the first has ended.
 	// The work at the servers divided by this time is the work that they complete in a second (Little's law).
 	residenceSeconds, meanWork float64
+	// ended is the number of requests in these means, up to 1/residenceGain.
+	ended float64
 }
 
 func (d *workDemand) recordStart(now time.Time, priority int, work float64) {
@@ -45,14 +48,10 @@
 		return
 	}
 
-	if d.residenceSeconds == 0 {
-		d.residenceSeconds, d.meanWork = seconds, work
-
-		return
-	}
-
-	d.meanWork += residenceGain * (work - d.meanWork)
-	d.residenceSeconds += min(residenceGain*work/d.meanWork, 1) * (seconds - d.residenceSeconds)
+	// The first requests count alike, so that the very first doesn't decide for seconds.
+	d.ended = min(d.ended+1, 1/residenceGain)
+	d.meanWork += (work - d.meanWork) / d.ended
+	d.residenceSeconds += min(work/d.meanWork/d.ended, 1) * (seconds - d.residenceSeconds)
 }
 
 // rates returns the work a second that requests got a server for, and the part of it of requests more urgent than the
@@ -83,9 +82,26 @@
 		return 1
 	}
 
+	return prefillTokens + float64(request.expectedOutput())*p.generationWork(s)
+}
+
+// generationWork returns the work of generating a token at a server.
+func (p *Pool) generationWork(s *server) float64 {
 	estimates := p.model.Estimates()
 
-	return prefillTokens + float64(request.expectedOutput())*estimates.StepMS*estimates.PrefillTokensPerMS/float64(max(s.Slots, 1))
+	return estimates.StepMS * estimates.PrefillTokensPerMS / float64(max(s.Slots, 1))
+}
+
+// correctCharge charges the organisation for the tokens that a stream had instead of those that its caller expected. Otherwise
+// an organisation with too low hints would get more than its share.
+func (p *Pool) correctCharge(r *runningRequest) {
+	if r.work == 0 || r.generatedTokens == 0 {
+		return
+	}
+
+	if s, ok := p.admission.tier(r.request.Priority).shares[r.request.Organisation]; ok {
+		s.finish += float64(r.generatedTokens-r.request.expectedOutput()) * p.generationWork(r.server) / s.weight
+	}
 }
 
 // expectedOutput returns the number of tokens that the request is expected to generate.
@@ -105,34 +121,48 @@
 func (p *Pool) classRate(now time.Time, priority int) float64 {
 	granted, urgent := p.demand.work.rates(now, priority)
 
-	rate := granted
+	// The work that runs says nothing of the part of the slots that are free.
+	rate := max(granted, p.modelledRate(now))
 	if p.demand.work.residenceSeconds > 0 {
+		rate = max(granted, p.modelledRate(now)*(1-float64(p.demand.running)/max(p.admission.slots, 1)))
 		rate = max(rate, p.demand.work.running/max(p.demand.work.residenceSeconds, minResidenceSeconds))
-	} else {
-		rate = max(rate, p.modelledRate(now))
 	}
 
 	return max(rate-urgent, minClassFraction*rate, 1)
 }
 
-// modelledRate returns the work a second that the pool's servers can do by the estimates of their speed. It is used before any
-// request has ended.
+// modelledRate returns a lower bound of the work a second that the pool's servers can do by the estimates of their speed. It is
+// updated every modelledInterval.
 func (p *Pool) modelledRate(now time.Time) float64 {
+	if now.Sub(p.admission.modelledAt) < modelledInterval {
+		return p.admission.modelled
+	}
+
 	estimates := p.model.Estimates()
-	rate, anyRequest := 0.0, Request{}
 
-	for _, s := range p.servers {
-		if !s.usable(now, &anyRequest) {
-			continue
-		}
+	perSecond := 1000 * generationFraction * estimates.PrefillTokensPerMS
+	if p.engine.CacheTokens == 0 {
+		perSecond = 1000 / max(estimates.PlainCallMS, 1)
+	}
 
-		perSecond := generationFraction * estimates.PrefillTokensPerMS
-		if p.engine.CacheTokens == 0 {
-			perSecond = float64(max(s.Slots, 1)) / max(estimates.PlainCallMS, 1)
-		}
+	servers, slots, slowdowns, anyRequest := 0.0, 0.0, 0.0, Request{}
 
-		rate += 1000 * perSecond / s.slowdownNow(now)
+	for _, s := range p.servers {
+		slowdowns += s.slowdownNow(now)
+		slots += float64(s.Slots)
+
+		switch {
+		case !s.usable(now, &anyRequest):
+		case p.engine.CacheTokens == 0:
+			servers += float64(max(s.Slots, 1)) / s.slowdownNow(now)
+		default:
+			servers += 1 / s.slowdownNow(now)
+		}
 	}
 
-	return rate
+	p.admission.modelledAt, p.admission.modelled = now, servers*perSecond
+	p.admission.slots = slots
+	p.admission.slowdown = slowdowns / float64(max(len(p.servers), 1))
+
+	return p.admission.modelled
 }
--- a/internal/gateway/balancer/work_admission_test.go
+++ b/internal/gateway/balancer/work_admission_test.go
@@ -56,9 +56,8 @@
 	tokens  int
 	unread  int
 	made    int
-	// result is "in time", "late", "refused" or "refused twice"; returned is set if the second attempt was served.
-	result   string
-	returned bool
+	// result is one of the constants below.
+	result string
 }
 
 func (e *fakeEngine) add(now time.Duration, r *fakeRequest) {
@@ -183,105 +182,126 @@
 	return arrivals
 }
 
+// fakeFleet runs a load against a pool and its engines.
+type fakeFleet struct {
+	load     *fakeLoad
+	pool     *balancer.Pool
+	engines  []*fakeEngine
+	random   *rand.Rand
+	arrivals map[int][]*fakeRequest
+	// all lists the requests, known the attempts by ID.
+	all   []*fakeRequest
+	known map[string]*fakeRequest
+}
+
 // run sends the load to a pool and returns all requests with their results.
 func (l *fakeLoad) run() []*fakeRequest {
-	p := balancer.NewPool(l.options)
-	p.SetUpstreams(start, engineList(fakeEngines, fakeSlots), balancer.Engine{CacheTokens: fakeCacheTokens, EventTokens: fakeEventTokens})
-
-	engines := make([]*fakeEngine, fakeEngines)
-	for i := range engines {
-		engines[i] = &fakeEngine{factor: []float64{0.6, 1, 1, 1.6}[i%4]}
+	f := &fakeFleet{
+		load: l, pool: balancer.NewPool(l.options), random: rand.New(rand.NewPCG(l.seed, 2)), arrivals: l.requests(), known: make(map[string]*fakeRequest),
 	}
+	f.pool.SetUpstreams(start, engineList(fakeEngines, fakeSlots), balancer.Engine{CacheTokens: fakeCacheTokens, EventTokens: fakeEventTokens})
 
-	random := rand.New(rand.NewPCG(l.seed, 2))
-	arrivals, all, known := l.requests(), []*fakeRequest(nil), make(map[string]*fakeRequest)
-
-	place := func(now time.Duration, r *fakeRequest, choice balancer.Choice) {
-		l.record(r, choice.Upstream)
-		engines[choice.Upstream[0]-'a'].add(now+networkDelay, r)
+	for i := range fakeEngines {
+		f.engines = append(f.engines, &fakeEngine{factor: []float64{0.6, 1, 1, 1.6}[i%4]})
 	}
 
-	refuse := func(now time.Duration, r *fakeRequest, choice balancer.Choice) {
-		l.record(r, "")
+	for ms := range 20_000 {
+		now := time.Duration(ms) * tick
+		changed := f.advance(now)
 
-		left := r.work.TimeLimit - (now - r.arrived)
-		after := time.Duration(choice.ReturnMS * float64(time.Millisecond))
+		for _, r := range f.arrivals[ms] {
+			f.ask(now, r)
+		}
 
-		if after == 0 {
-			wait := max(now-r.arrived, time.Duration(choice.ExpectedWaitMS*float64(time.Millisecond)))
-			after = max(min(250*time.Millisecond+time.Duration(random.Int64N(int64(250*time.Millisecond)))+wait, time.Duration(0.3*float64(left))), 50*time.Millisecond)
+		if !changed && now%fakeGrantEvery != 0 {
+			continue
 		}
 
-		r.attempt++
-
-		switch {
-		case r.attempt > 1:
-			r.result = "refused twice"
-		case float64(after) > callerWaits*float64(left):
-			r.result = "refused"
-		default:
-			r.work.TimeLimit = left - after
-			back := int((now + after + time.Duration(random.IntN(5))*time.Millisecond) / tick)
-			arrivals[back] = append(arrivals[back], r)
+		for _, g := range f.pool.GrantQueued(at(now)) {
+			if r := f.known[g.ID]; g.Refused {
+				f.refuse(now, r, g.Choice)
+			} else {
+				f.place(now, r, g.Choice)
+			}
 		}
 	}
 
-	for ms := range 20_000 {
-		now := time.Duration(ms) * tick
-		changed := now%fakeGrantEvery == 0
-
-		for _, e := range engines {
-			first, ended := e.step(now)
-			for _, r := range first {
-				r.result = "late"
-				if now-r.arrived <= r.work.Target {
-					r.result = "in time"
-				}
-
-				r.returned = r.attempt > 0
-				p.RecordFirstEvent(at(now), r.work.ID, nil)
-			}
+	return f.all
+}
 
-			for _, r := range ended {
-				p.RecordGaps(r.work.ID, balancer.EventGaps{Events: r.tokens / fakeEventTokens, MeanMS: 9 * fakeStepMS, LongestMS: 9 * fakeStepMS})
-				p.RecordEnd(at(now), r.work.ID, balancer.Served)
+// advance runs the engines and reports whether one has room that it didn't have.
+func (f *fakeFleet) advance(now time.Duration) (changed bool) {
+	for _, e := range f.engines {
+		first, ended := e.step(now)
+		for _, r := range first {
+			r.result = late
+			if now-r.arrived <= r.work.Target {
+				r.result = inTime
 			}
 
-			changed = changed || len(first)+len(ended) > 0
+			f.pool.RecordFirstEvent(at(now), r.work.ID, nil)
 		}
 
-		for _, r := range arrivals[ms] {
-			if r.attempt == 0 {
-				all = append(all, r)
-			}
+		for _, r := range ended {
+			f.pool.RecordGaps(r.work.ID, balancer.EventGaps{Events: r.tokens / fakeEventTokens, MeanMS: 9 * fakeStepMS, LongestMS: 9 * fakeStepMS})
+			f.pool.RecordEnd(at(now), r.work.ID, balancer.Served)
+		}
 
-			r.work.ID = fmt.Sprint(r.work.ID, ".", r.attempt)
-			r.arrived = now
-			known[r.work.ID] = r
+		changed = changed || len(first)+len(ended) > 0
+	}
 
-			switch choice, decision := p.Acquire(at(now), "node", r.work); decision {
-			case balancer.Granted:
-				place(now, r, choice)
-			case balancer.Refused:
-				refuse(now, r, choice)
-			case balancer.Queued:
-			}
-		}
+	return changed
+}
 
-		if !changed {
-			continue
-		}
+func (f *fakeFleet) ask(now time.Duration, r *fakeRequest) {
+	if r.attempt == 0 {
+		f.all = append(f.all, r)
+	}
 
-		for _, g := range p.GrantQueued(at(now)) {
-			if r := known[g.ID]; g.Refused {
-				refuse(now, r, g.Choice)
-			} else {
-				place(now, r, g.Choice)
-			}
-		}
+	r.work.ID = fmt.Sprint(r.work.ID, ".", r.attempt)
+	r.arrived = now
+	f.known[r.work.ID] = r
+
+	switch choice, decision := f.pool.Acquire(at(now), "node", r.work); decision {
+	case balancer.Granted:
+		f.place(now, r, choice)
+	case balancer.Refused:
+		f.refuse(now, r, choice)
+	case balancer.Queued:
+	}
+}
+
+func (f *fakeFleet) place(now time.Duration, r *fakeRequest, choice balancer.Choice) {
+	f.load.record(r, choice.Upstream)
+	f.engines[choice.Upstream[0]-'a'].add(now+networkDelay, r)
+}
+
+// refuse lets the caller come back once, if it is told to within a third of its time. Without work admission, the time to come
+// back is that of relayer.retryAfter.
+func (f *fakeFleet) refuse(now time.Duration, r *fakeRequest, choice balancer.Choice) {
+	f.load.record(r, "")
+
+	left := r.work.TimeLimit - (now - r.arrived)
+	after := time.Duration(choice.ReturnMS * float64(time.Millisecond))
+
+	if after == 0 {
+		wait := max(now-r.arrived, time.Duration(choice.ExpectedWaitMS*float64(time.Millisecond)))
+		after = 250*time.Millisecond + time.Duration(f.random.Int64N(int64(250*time.Millisecond)))
+		after = max(min(after+wait, time.Duration(0.3*float64(left))), 50*time.Millisecond)
 	}
 
-	return all
+	r.attempt++
+
+	switch {
+	case r.attempt > 1:
+		r.result = refusedTwice
+	case float64(after) > callerWaits*float64(left):
+		r.result = refused
+	default:
+		r.work.TimeLimit = left - after
+		back := int((now + after + time.Duration(f.random.IntN(5))*time.Millisecond) / tick)
+		f.arrivals[back] = append(f.arrivals[back], r)
+	}
 }
 
 func (l *fakeLoad) record(r *fakeRequest, upstream string) {
@@ -314,8 +334,9 @@
 }
 
 const (
-	inTime, late, refusedTwice = "in time", "late", "refused twice"
-	loadSeeds                  = 4
+	inTime, late, refused, refusedTwice = "in time", "late", "refused", "refused twice"
+
+	loadSeeds = 4
 )
 
 // runAll returns the requests of the load for several seeds together.
@@ -387,7 +408,7 @@
 	large := func(r *fakeRequest) bool {
 		return r.kind == "long" && r.work.PromptTokens > lengths[int(largePercentile*float64(len(lengths)))]
 	}
-	back := func(r *fakeRequest) bool { return r.kind == "long" && r.attempt > 0 && r.result != "refused" }
+	back := func(r *fakeRequest) bool { return r.kind == "long" && r.attempt > 0 && r.result != refused }
 	ratio := func(all []*fakeRequest, selected func(r *fakeRequest) bool) float64 {
 		return fraction(all, selected, inTime, late) / fraction(all, ofKind("long"), inTime, late)
 	}
--- a/internal/gateway/balancer/work_queue.go
+++ b/internal/gateway/balancer/work_queue.go
@@ -163,8 +163,6 @@
 		p.admission.counters.Organisations += t.refresh(now, p.classRate(now, priority))
 	}
 
-	p.updateSlowdown(now)
-
 	for _, q := range p.queue {
 		q.isLate = now.After(q.latestStart)
 		q.level = 0
@@ -181,20 +179,6 @@
 	slices.SortStableFunc(p.queue, compareWork)
 }
 
-// updateSlowdown updates the mean slowdown of the servers.
-func (p *Pool) updateSlowdown(now time.Time) {
-	if len(p.servers) == 0 {
-		return
-	}
-
-	sum := 0.0
-	for _, s := range p.servers {
-		sum += s.slowdownNow(now)
-	}
-
-	p.admission.slowdown = sum / float64(len(p.servers))
-}
-
 // admitByWork reports whether a request may join the queue: whether the work that goes before it leaves it a server in time.
 func (p *Pool) admitByWork(now time.Time, q *queued) (Choice, bool) {
 	ahead, requests := 0.0, 0
@@ -351,9 +335,7 @@
 			continue
 		}
 
-		q.request.TimeLimit = q.deadline.Sub(now)
-		q.request.Waited = now.Sub(q.queuedAt)
-		q.request.AcceptAny = q.request.Priority == mostUrgent && q.hasUsed(acceptAnyFraction)
+		q.updateRequest(now, mostUrgent)
 
 		fit, ok := p.bestFit(now, open, &q.request)
 		if !ok {
@@ -386,6 +368,13 @@
 	return best, best != nil
 }
 
+// updateRequest updates what the choice of a server depends on.
+func (q *queued) updateRequest(now time.Time, mostUrgent int) {
+	q.request.TimeLimit = q.deadline.Sub(now)
+	q.request.Waited = now.Sub(q.queuedAt)
+	q.request.AcceptAny = q.request.Priority == mostUrgent && q.hasUsed(acceptAnyFraction)
+}
+
 // hasUsed reports whether the request has waited for a fraction of the time that it may wait.
 func (q *queued) hasUsed(fraction float64) bool {
 	return float64(q.request.Waited) > fraction*float64(q.latestStart.Sub(q.queuedAt))
