--- a/internal/gateway/balancer/queue.go
+++ b/internal/gateway/balancer/queue.go
@@ -64,8 +64,10 @@
 	tier        *tier
 	share       *share
 	latestStart time.Time
-	isLate      bool
-	level       int
+	// orderAt orders requests of the same rank: latestStart plus a delay by the request's work.
+	orderAt time.Time
+	isLate  bool
+	level   int
 }
 
 // rank orders the queue, lowest first. A request that will miss its target in any case goes behind those that
@@ -181,7 +183,7 @@
 	p.expire(now)
 
 	// Most calls find no server with room; sorting the queue each time would use too much of the holder's CPU.
-	hasRoom := len(p.openServers(now, &Request{})) > 0
+	hasRoom := slices.ContainsFunc(p.servers, func(s *server) bool { return p.accepts(now, s, &Request{}) })
 	if !hasRoom && now.Sub(p.sortedAt) < sortInterval {
 		return nil
 	}
--- a/internal/gateway/balancer/work_bench_test.go
+++ b/internal/gateway/balancer/work_bench_test.go
@@ -36,6 +36,11 @@
 				}
 			}
 
+			// The reserve for urgent requests at the start has ended.
+			ask()
+
+			now = now.Add(warm)
+
 			for p.QueueLength() < 300 {
 				now = now.Add(time.Millisecond)
 				ask()
@@ -48,9 +53,6 @@
 				running = running[1:]
 
 				for _, g := range p.GrantQueued(now) {
-					if g.Refused {
-						continue
-					}
 					place(g.ID)
 				}
 			}
--- a/internal/gateway/balancer/work_queue.go
+++ b/internal/gateway/balancer/work_queue.go
@@ -33,6 +33,9 @@
 	windowFraction = 0.6
 	// maxBlocked limits the requests without room that keep less urgent ones from the servers that they wait for.
 	maxBlocked = 4
+	// maxBusyTries limits the requests for which servers with a full backlog are examined at once. Requests further back have
+	// waited less, so that they can wait for a server without.
+	maxBusyTries = 8
 	// warmUp is the time in which a pool that knows nothing of its servers' load gives them more and more requests, and
 	// warmUpFraction the part of their slots with which it begins.
 	warmUp         = 500 * time.Millisecond
@@ -53,6 +56,8 @@
 
 	allowed := allowedWait(request, p.responseMS(request, uncached))
 	q.latestStart = now.Add(allowed)
+	// Room goes to more requests if those with little work go first.
+	q.orderAt = q.latestStart.Add(time.Duration(workDelayFraction * q.work / workDelayTokens * float64(request.Target)))
 	q.refuseAt = now.Add(max(allowed, patience(request)))
 
 	ahead := q.share.queued
@@ -119,16 +124,10 @@
 		compareTrue(b.isLate, a.isLate),
 		cmp.Compare(a.level, b.level),
 		compareTrue(a.request.Returned, b.request.Returned),
-		a.orderTime().Compare(b.orderTime()),
+		a.orderAt.Compare(b.orderAt),
 	)
 }
 
-// orderTime is the time by which a request must get a server, plus a delay by its work: room goes to more requests if those
-// with little work go first.
-func (q *queued) orderTime() time.Time {
-	return q.latestStart.Add(time.Duration(workDelayFraction * q.work / workDelayTokens * float64(q.request.Target)))
-}
-
 // compareTrue orders true before false.
 func compareTrue(a, b bool) int {
 	switch {
@@ -307,9 +306,8 @@
 		head, best *queued
 		bestFit    = math.Inf(-1)
 		fitting    = 0
-		// open are the servers that could accept a request of the priority.
-		open     []*server
-		priority = math.MinInt
+		room       candidates
+		priority   = math.MinInt
 		// blocked are the first requests without room. Less urgent ones leave them the servers for which they wait.
 		blocked []*queued
 	)
@@ -327,16 +325,16 @@
 
 		if q.request.Priority != priority {
 			priority = q.request.Priority
-			open = withoutAwaited(now, p.openServers(now, &Request{Priority: priority, AcceptAny: true, Target: time.Hour}), blocked)
+			room = p.candidates(now, priority, priority == mostUrgent, blocked)
 		}
 
-		// No request of this priority has room.
+		q.updateRequest(now, mostUrgent)
+
+		open := room.forRequest(&q.request)
 		if len(open) == 0 {
 			continue
 		}
 
-		q.updateRequest(now, mostUrgent)
-
 		fit, ok := p.bestFit(now, open, &q.request)
 		if !ok {
 			if len(blocked) < maxBlocked {
@@ -368,6 +366,47 @@
 	return best, best != nil
 }
 
+// candidates are the servers that could accept a request of one priority.
+type candidates struct {
+	// free have a prompt backlog below the limit, any also those above it.
+	free, any []*server
+	// tries is the number of further requests for which the latter are examined.
+	tries int
+}
+
+// candidates returns the servers that could accept a request of a priority, without those for which more urgent ones wait.
+func (p *Pool) candidates(now time.Time, priority int, mostUrgent bool, waiting []*queued) candidates {
+	found := candidates{tries: maxBusyTries}
+
+	for _, s := range p.servers {
+		request := Request{Priority: priority}
+		if !p.hasRoom(now, s, &request) || isAwaited(now, s, waiting) {
+			continue
+		}
+
+		if !p.isBusy(now, s, &request) {
+			found.free = append(found.free, s)
+		}
+
+		if mostUrgent {
+			found.any = append(found.any, s)
+		}
+	}
+
+	return found
+}
+
+// forRequest returns the servers that could accept the request.
+func (c *candidates) forRequest(request *Request) []*server {
+	if !request.AcceptAny || c.tries == 0 {
+		return c.free
+	}
+
+	c.tries--
+
+	return c.any
+}
+
 // updateRequest updates what the choice of a server depends on.
 func (q *queued) updateRequest(now time.Time, mostUrgent int) {
 	q.request.TimeLimit = q.deadline.Sub(now)
@@ -380,12 +419,10 @@
 	return float64(q.request.Waited) > fraction*float64(q.latestStart.Sub(q.queuedAt))
 }
 
-// withoutAwaited returns the servers for which none of the requests waits.
-func withoutAwaited(now time.Time, open []*server, waiting []*queued) []*server {
-	return slices.DeleteFunc(open, func(s *server) bool {
-		return slices.ContainsFunc(waiting, func(q *queued) bool {
-			return s.usable(now, &q.request) && !slices.Contains(q.request.Excluded, s.ID)
-		})
+// isAwaited reports whether one of the requests waits for room at the server.
+func isAwaited(now time.Time, s *server, waiting []*queued) bool {
+	return slices.ContainsFunc(waiting, func(q *queued) bool {
+		return s.usable(now, &q.request) && !slices.Contains(q.request.Excluded, s.ID)
 	})
 }
 
