Balancer: one scan for servers with room per round of grants

Cause: with work admission on, a round scanned all servers for each grant; the benchmark with 300 queued requests and 90 servers took a sixth longer than without.

--- a/internal/gateway/balancer/queue.go
+++ b/internal/gateway/balancer/queue.go
@@ -183,7 +183,7 @@
 	p.expire(now)
 
 	// Most calls find no server with room; sorting the queue each time would use too much of the holder's CPU.
-	hasRoom := slices.ContainsFunc(p.servers, func(s *server) bool { return p.accepts(now, s, &Request{}) })
+	hasRoom := p.findOpen(now)
 	if !hasRoom && now.Sub(p.sortedAt) < sortInterval {
 		return nil
 	}
--- a/internal/gateway/balancer/shares.go
+++ b/internal/gateway/balancer/shares.go
@@ -28,6 +28,8 @@
 	kept float64
 	// startedAt is when the pool was first asked for an upstream.
 	startedAt time.Time
+	// open are the servers that had room at the begin of GrantQueued.
+	open []*server
 	// modelled is the result of Pool.modelledRate as of modelledAt, slowdown the mean slowdown of the servers then.
 	modelled   float64
 	modelledAt time.Time
--- a/internal/gateway/balancer/work_queue.go
+++ b/internal/gateway/balancer/work_queue.go
@@ -319,15 +319,15 @@
 			break
 		}
 
-		if declined[q] {
-			continue
-		}
-
 		if q.request.Priority != priority {
 			priority = q.request.Priority
 			room = p.candidates(now, priority, priority == mostUrgent, blocked)
 		}
 
+		if room.isEmpty() || declined[q] {
+			continue
+		}
+
 		q.updateRequest(now, mostUrgent)
 
 		open := room.forRequest(&q.request)
@@ -378,7 +378,7 @@
 func (p *Pool) candidates(now time.Time, priority int, mostUrgent bool, waiting []*queued) candidates {
 	found := candidates{tries: maxBusyTries}
 
-	for _, s := range p.servers {
+	for _, s := range p.admission.open {
 		request := Request{Priority: priority}
 		if !p.hasRoom(now, s, &request) || isAwaited(now, s, waiting) {
 			continue
@@ -396,6 +396,30 @@
 	return found
 }
 
+// findOpen looks for the servers that have room for any request at the begin of GrantQueued, and reports whether one of them
+// has no full backlog.
+func (p *Pool) findOpen(now time.Time) bool {
+	if !p.options.WorkAdmission {
+		return slices.ContainsFunc(p.servers, func(s *server) bool { return p.accepts(now, s, &Request{}) })
+	}
+
+	p.admission.open = p.admission.open[:0]
+	free := false
+
+	for _, s := range p.servers {
+		if p.hasRoom(now, s, &Request{}) {
+			p.admission.open = append(p.admission.open, s)
+			free = free || !p.isBusy(now, s, &Request{})
+		}
+	}
+
+	return free
+}
+
+func (c *candidates) isEmpty() bool {
+	return len(c.free) == 0 && (len(c.any) == 0 || c.tries == 0)
+}
+
 // forRequest returns the servers that could accept the request.
 func (c *candidates) forRequest(request *Request) []*server {
 	if !request.AcceptAny || c.tries == 0 {
