--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -30,7 +30,7 @@
 )
 
 var names = relayer.Headers{
-	RequestID: "X-Id", Deadline: "X-Deadline", LastEventID: "Last-Event-Id", TokenCounts: "X-Tokens",
+	RequestID: "X-Id", Deadline: "X-Deadline", LastEventID: "Last-Event-Id", TokenCounts: "X-Tokens", LengthHint: "X-Hint",
 	PromptParts: "X-Parts", Authorization: "Authorization", KeyScheme: "Token", Organisation: "X-Organisation",
 	Resumes: "X-Resumes", ExpectUpstream: "X-Expect", Priority: "X-Priority", Signature: "X-Signature", NotRun: "X-Not-Run", Leaving: "X-Leaving", Load: "X-Load", RateLimit: "X-Limit", Brittle: "X-Brittle",
 	Reserved: []string{"X-Hold"},
@@ -83,6 +83,8 @@
 	peer  *lender
 	// rateLimited is the upstream whose rate limit forbids its use; empty if there is none.
 	rateLimited string
+	// asked is the last request for which an upstream was chosen.
+	asked balancer.Request
 	// onChoose is called while an upstream is chosen; it may be nil.
 	onChoose func()
 
@@ -252,6 +254,10 @@
 		w.onChoose()
 	}
 
+	w.mu.Lock()
+	w.asked = work
+	w.mu.Unlock()
+
 	for _, u := range w.upstreams {
 		if !w.ignoreVersions && work.SoftwareVersion != "" && work.SoftwareVersion != u.version {
 			continue
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -251,19 +251,20 @@
 		Content: quarantiner.KeyOf(accepted.organisation, accepted.method, accepted.host, accepted.uri, accepted.body),
 		Parts:   quarantiner.NewParts(accepted.organisation, partIDs(accepted.poolRequest.PromptParts)),
 	}
-	accepted.poolRequest.Content = contentHash(accepted.traits)
+	accepted.poolRequest.Content = contentHash(accepted.traits.Content, accepted.poolRequest.PromptParts)
 
 	return accepted, nil
 }
 
 // contentHash returns a hash by which a pool recognises a request that it refused. Bodies may be alike where only the prompt
 // parts differ.
-func contentHash(traits quarantiner.Traits) uint64 {
+func contentHash(content quarantiner.Key, parts []balancer.PromptPart) uint64 {
 	digest := xxhash.New()
-	_, _ = digest.Write(traits.Content[:])
+	_, _ = digest.Write(content[:])
 
-	for _, part := range traits.Parts {
-		_, _ = digest.Write(part.Key[:])
+	for _, part := range parts {
+		_, _ = digest.WriteString(part.ID)
+		_, _ = digest.Write([]byte{0})
 	}
 
 	return digest.Sum64()
