--- a/internal/gateway/balancer/work_queue.go
+++ b/internal/gateway/balancer/work_queue.go
@@ -36,10 +36,10 @@
 	// maxBusyTries limits the requests for which servers with a full backlog are examined at once. Requests further back have
 	// waited less, so that they can wait for a server without.
 	maxBusyTries = 8
-	// warmUp is the time in which a pool that knows nothing of its servers' load gives them more and more requests, and
-	// warmUpFraction the part of their slots with which it begins.
+	// warmUp is the time in which a pool that knows nothing of its engines' load gives them more and more requests, and
+	// warmUpFraction the part of their slots with which it begins. Prompts in half of the slots keep an engine busy.
 	warmUp         = 500 * time.Millisecond
-	warmUpFraction = 0.25
+	warmUpFraction = 0.5
 )
 
 // prepare fills in what work admission needs to know of a request that has to wait.
@@ -337,9 +337,7 @@
 
 		fit, ok := p.bestFit(now, open, &q.request)
 		if !ok {
-			if len(blocked) < maxBlocked {
-				blocked = append(blocked, q)
-			}
+			blocked = append(blocked, q)[:min(len(blocked)+1, maxBlocked)]
 
 			continue
 		}
@@ -453,7 +451,7 @@
 // isWarmingUp reports whether the request must leave the server free because the pool began shortly before. After a loss of all
 // nodes, all callers come back at once and the servers' speeds are unknown.
 func (p *Pool) isWarmingUp(now time.Time, s *server, request *Request) bool {
-	if !p.options.WorkAdmission || request.Priority <= 0 {
+	if !p.options.WorkAdmission || request.Priority <= 0 || s.engine.CacheTokens == 0 {
 		return false
 	}
 
