--- a/internal/gateway/balancer/cache_comparison_test.go
+++ b/internal/gateway/balancer/cache_comparison_test.go
@@ -250,7 +250,7 @@
 		}
 
 		most := min(int(math.Ceil(loadFactor*float64(running)/comparedEngines)), comparedSlots)
-		hash := rand.New(rand.NewPCG(uint64(len(work.PromptParts[0].ID)), fnv(work.PromptParts[0].ID))).IntN(comparedEngines)
+		hash := rand.New(rand.NewPCG(uint64(len(work.PromptParts[0].ID)), hashOf(work.PromptParts[0].ID))).IntN(comparedEngines)
 
 		for i := range comparedEngines {
 			if engine := (hash + i) % comparedEngines; r.engines[engine].running < most {
@@ -264,7 +264,7 @@
 	})
 }
 
-func fnv(text string) uint64 {
+func hashOf(text string) uint64 {
 	hash := uint64(14695981039346656037)
 	for _, c := range []byte(text) {
 		hash = (hash ^ uint64(c)) * 1099511628211
--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -38,6 +38,9 @@
 	// Degraded is set if the request is refused and many of the pool's upstreams are left out, so that other pools of the service
 	// may have more room.
 	Degraded bool `json:"d,omitempty"`
+	// ReturnMS is set if the request is refused and Options.WorkAdmission is set: the time after which the caller should
+	// come back. The pool spreads these times, so they need no jitter.
+	ReturnMS float64 `json:"e,omitempty"`
 	// AskedAt is when this node asked for the choice, by a clock that also advances while the system is suspended.
 	AskedAt time.Duration `json:"-"`
 	// Brittle is set if the upstream said that it is brittle.
@@ -76,6 +79,8 @@
 	cache CacheCounters
 	// prefillMeter is used by Utilisation.
 	prefillMeter prefillMeter
+	// admission shares scarce room by work. It isn't used unless Options.WorkAdmission is set.
+	admission admission
 }
 
 // NewPool returns a pool without upstreams.
@@ -87,6 +92,7 @@
 		model:      estimator.New(0),
 		limitShare: 1,
 		limitCost:  throttler.CostDeciding,
+		admission:  newAdmission(),
 	}
 }
 
@@ -135,7 +141,7 @@
 	)
 
 	for _, s := range p.servers {
-		if !p.hasRoom(now, s, &request) {
+		if !p.hasRoom(now, s, &request) || p.isWarmingUp(now, s, &request) {
 			continue
 		}
 
@@ -220,7 +226,7 @@
 
 func (p *Pool) begin(now time.Time, s *server, request Request) *runningRequest {
 	if former, ok := p.requests[request.ID]; ok {
-		p.demand.running--
+		p.demand.removeRunning(former)
 		former.server.remove(former, Abandoned, now, false)
 	}
 
@@ -236,6 +242,12 @@
 		backlogAhead:  s.backlog,
 	}
 
+	if p.options.WorkAdmission {
+		r.work = p.workAt(s, &request, r.prefillTokens)
+		p.admission.charge(&request, r.work)
+		p.demand.work.recordStart(now, request.Priority, r.work)
+	}
+
 	p.demand.running++
 
 	if request.Priority <= 0 {
@@ -304,13 +316,15 @@
 	}
 
 	delete(p.requests, id)
-	p.demand.running--
+	p.demand.removeRunning(r)
 	p.recordBrittleEnd(now, r, outcome)
+	p.correctCharge(r)
 
 	if outcome == Served {
 		p.observeFirst(r, now)
 		r.server.recordAnswer(r, now)
 		p.demand.recordResidence(now.Sub(r.sentAt).Seconds())
+		p.demand.work.recordResidence(r.work, now.Sub(r.sentAt).Seconds())
 	}
 
 	failures := &r.server.failures
@@ -337,11 +351,12 @@
 	}
 
 	p.expiredAt = now
+	p.admission.expireReturns(now)
 
 	for id, r := range p.requests {
 		if now.After(r.expiresAt) {
 			delete(p.requests, id)
-			p.demand.running--
+			p.demand.removeRunning(r)
 			r.server.remove(r, Abandoned, now, false)
 		}
 	}
--- a/internal/gateway/broker/choosing.go
+++ b/internal/gateway/broker/choosing.go
@@ -19,6 +19,11 @@
 
 	deadline := time.Now().Add(work.TimeLimit)
 
+	if !b.options.Scheduling.WorkAdmission {
+		// No holder uses them, so they needn't be sent.
+		work.LengthHint, work.Organisation, work.Content = 0, "", 0
+	}
+
 	var refusal balancer.Choice
 
 	for i, pool := range b.poolNamesFor(service, &work) {
--- a/internal/gateway/broker/decoding.go
+++ b/internal/gateway/broker/decoding.go
@@ -157,11 +157,25 @@
 		case "s":
 			return setString(&request.SoftwareVersion, value)
 		default:
-			return false
+			return setAdmissionField(request, key, value)
 		}
 	})
 }
 
+// setAdmissionField sets a field that only admission by work uses.
+func setAdmissionField(request *balancer.Request, key string, value gjson.Result) bool {
+	switch key {
+	case "h":
+		return setInt(&request.LengthHint, value)
+	case "o2":
+		return setString(&request.Organisation, value)
+	case "k":
+		return json.Unmarshal([]byte(value.Raw), &request.Content) == nil
+	default:
+		return false
+	}
+}
+
 func setPart(part *balancer.PromptPart, value gjson.Result) bool {
 	return setFields(value, func(key string, value gjson.Result) bool {
 		switch key {
