--- a/internal/gateway/broker/decoding_test.go
+++ b/internal/gateway/broker/decoding_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"reflect"
 	"testing"
 
@@ -31,6 +32,9 @@
 		v.SetBool(true)
 	case reflect.Float64:
 		v.SetFloat(1.25)
+	case reflect.Uint64:
+		// A float would round it.
+		v.SetUint(math.MaxUint64)
 	default:
 		v.SetInt(3)
 	}
