Balancer, follower, scaler: one piece of code where the change had two; a memo without a reader is gone

The memo of a server's stream loss had two readers until the rule that held prompts back was removed; the one that is left asks once for each server and decision, so it never hit. Whether a node is a seed, the order of nodes by strength and hash, and whether spot upstreams can be ordered stood twice each; isSeed, orderNodes and Scaling.HasSpot serve both places.

--- a/internal/gateway/balancer/pace.go
+++ b/internal/gateway/balancer/pace.go
@@ -72,9 +72,6 @@
 	cachedLasting, cachedSlowness, cachedNow float64
 	// lastingFrom is when cachedLasting was computed.
 	lastingFrom time.Time
-	// lossKey says for what streamLoss was last computed, loss what it returned.
-	lossKey streamLossKey
-	loss    float64
 	// groups holds the running streams that have a gap limit.
 	groups []streamGroup
 	// peakBacklog is the largest recent prompt backlog, as of peakAt.
@@ -82,12 +79,6 @@
 	peakAt      time.Time
 }
 
-// streamLossKey identifies a computation of streamLoss at a server.
-type streamLossKey struct {
-	at              time.Time
-	backlog, tokens float64
-}
-
 // newPace returns the pace of a server that isn't known yet; nil if the pool keeps none.
 func (p *Pool) newPace(now time.Time) *pace {
 	if !p.options.ServerPace {
@@ -145,7 +136,7 @@
 
 // forget drops the computed values after an observation.
 func (v *pace) forget() {
-	v.cachedAt, v.lossKey = time.Time{}, streamLossKey{}
+	v.cachedAt = time.Time{}
 }
 
 // lastingAt computes the lasting pace.
@@ -326,11 +317,6 @@
 // streamLoss returns the expected loss of the running streams if the backlog grows by the given tokens. A stream that exceeds
 // its gap limit loses what it is worth: counted three times, prompts found no engine under overload.
 func (p *Pool) streamLoss(now time.Time, s *server, tokens float64) float64 {
-	key := streamLossKey{at: now, backlog: s.backlog, tokens: tokens}
-	if s.pace.lossKey == key {
-		return s.pace.loss
-	}
-
 	loss := 0.0
 
 	for _, g := range s.pace.groups {
@@ -340,8 +326,6 @@
 		}
 	}
 
-	s.pace.lossKey, s.pace.loss = key, loss
-
 	return loss
 }
 
--- a/internal/gateway/broker/utilization.go
+++ b/internal/gateway/broker/utilization.go
@@ -106,8 +106,7 @@
 
 // Utilisation asks the holders for the utilisation of the pools of the given services, and the standbys for that of pools
 // whose holders don't know it. A service is left out unless all of its pools are known. Late and refused requests count only
-// in pools that are busy. It takes at most twice
-// utilisationTimeout and some more where there are more holders than workers.
+// in pools that are busy. It takes at most twice utilisationTimeout, and some more where there are more holders than workers.
 func (b *Broker) Utilisation(ctx context.Context, services []string) map[string]balancer.Utilisation {
 	pools := make(map[string]string)
 
--- a/internal/gateway/cataloguer/scaling.go
+++ b/internal/gateway/cataloguer/scaling.go
@@ -21,6 +21,11 @@
 	DomainPrices map[string]float64 `json:"domain_prices,omitempty"`
 }
 
+// HasSpot reports whether spot upstreams can be ordered; false for nil.
+func (s *Scaling) HasSpot() bool {
+	return s != nil && s.SpotPrice != nil
+}
+
 // DropInvalidScaling removes contradictory scaling settings and returns an error with the path of each. The service
 // keeps its present upstreams, and its routes and all keys stay in force.
 func (c *Configuration) DropInvalidScaling() []error {
--- a/internal/gateway/follower/read_age.go
+++ b/internal/gateway/follower/read_age.go
@@ -46,8 +46,7 @@
 // readAgeLocked returns the configuration age above which this node reads the store itself. f.mu must be held.
 func (f *Follower) readAgeLocked(t *tree, now time.Duration) time.Duration {
 	state := f.options.Catalog.State()
-	seeds := f.options.Seeds()
-	isSeed := len(seeds) == 0 || slices.Contains(seeds, f.options.Self.Name)
+	isSeed := f.isSeed()
 	// A node that just started knows few others, so having the lowest rank among them doesn't make it the root.
 	isFirst := t.rank == 0 && knowsMost(t, state) && (len(t.order) > 1 || isSeed)
 	// A node that a peer told to wait is not isolated meanwhile.
@@ -76,6 +75,13 @@
 	}
 }
 
+// isSeed reports whether this node is a seed, as each node is if the settings name none.
+func (f *Follower) isSeed() bool {
+	seeds := f.options.Seeds()
+
+	return len(seeds) == 0 || slices.Contains(seeds, f.options.Self.Name)
+}
+
 // readsAtOnceLocked reports whether this node reads the store whatever the age of its configuration. f.mu must be held.
 func (f *Follower) readsAtOnceLocked(hasState, isFirst bool) bool {
 	if !hasState && f.starting.reads {
--- a/internal/gateway/follower/starting.go
+++ b/internal/gateway/follower/starting.go
@@ -52,7 +52,7 @@
 
 // scheduleListing reports whether this node should list the nodes now, and records that it does.
 func (f *Follower) scheduleListing() bool {
-	if f.options.NodeLister == nil || f.hasState() {
+	if f.options.NodeLister == nil || f.hasState() || f.isSeed() {
 		return false
 	}
 
@@ -65,11 +65,6 @@
 		return false
 	}
 
-	seeds := f.options.Seeds()
-	if len(seeds) == 0 || slices.Contains(seeds, f.options.Self.Name) {
-		return false
-	}
-
 	f.starting.listed = true
 
 	return true
@@ -104,9 +99,8 @@
 	}
 
 	registry := cataloguer.NewRegistry(cataloguer.Listing{Nodes: nodes})
-	strong, weak := cataloguer.SplitByCapacity(SortByHash(names), &registry.Nodes)
 
-	return slices.Index(append(strong, weak...), self)
+	return slices.Index(orderNodes(names, &registry.Nodes), self)
 }
 
 // offerState offers the first state that this node has read to other listed nodes. Each that receives it takes over half of
--- a/internal/gateway/follower/tree.go
+++ b/internal/gateway/follower/tree.go
@@ -55,6 +55,13 @@
 	return names
 }
 
+// orderNodes returns the nodes in the order of the tree: the strong ones first, each group sorted by hash.
+func orderNodes(nodes []string, listed *cataloguer.Index[cataloguer.Node]) []string {
+	strong, weak := cataloguer.SplitByCapacity(SortByHash(nodes), listed)
+
+	return append(strong, weak...)
+}
+
 // precedes reports whether a live node comes before another one in the order.
 func (t *tree) precedes(name, other string) bool {
 	position := slices.Index(t.order, name)
@@ -76,8 +83,7 @@
 		return node.FailureDomain
 	}
 
-	strong, weak := cataloguer.SplitByCapacity(SortByHash(live), listed)
-	t := &tree{order: append(strong, weak...)}
+	t := &tree{order: orderNodes(live, listed)}
 	t.rank = max(slices.Index(t.order, self.Name), 0)
 
 	if len(t.order) <= fanOut+1 {
--- a/internal/gateway/leader/demand.go
+++ b/internal/gateway/leader/demand.go
@@ -154,7 +154,7 @@
 	var names []string
 
 	for _, service := range state.Configuration.Services {
-		if service.Scaling != nil && service.Scaling.SpotPrice != nil {
+		if service.Scaling.HasSpot() {
 			names = append(names, service.Name)
 		}
 	}
--- a/internal/gateway/scaler/scaler.go
+++ b/internal/gateway/scaler/scaler.go
@@ -112,7 +112,7 @@
 	}
 
 	for _, service := range services {
-		if service.Scaling != nil && service.Scaling.SpotPrice != nil {
+		if service.Scaling.HasSpot() {
 			orders = append(orders, p.planService(now, service, sizes)...)
 		}
 	}
