Relayer: decisions are logged by what decided them; accepted requests leave a trace after a change

A refusal named the version and the age as they were when its line was written, not those that had decided, and an accepted request had no line.

Change: version, newest version received and age are read once for a decision and logged with it, also for a refusal that comes later. Accepted requests have a line for a second after the version changed or was confirmed again, at most 200 a second. Counted: requests judged by an older version than the newest received; the time from the receipt of a version until requests are judged by it. No decision changes.

--- a/internal/gateway/cataloguer/catalog.go
+++ b/internal/gateway/cataloguer/catalog.go
@@ -22,6 +22,8 @@
 type State struct {
 	// Configuration is at least as new as the registry's position.
 	Configuration Configuration
+	// ReceivedAt is when the node received Configuration, by the catalog's clock.
+	ReceivedAt time.Duration
 	Registry      Registry
 	// Digest is the digest of Registry.
 	Digest uint64
@@ -151,7 +153,7 @@
 	if newer {
 		c.previousConfigurations = appendBounded(c.previousConfigurations, state, maxPreviousConfigurations)
 		next := *state
-		next.Configuration = configuration
+		next.Configuration, next.ReceivedAt = configuration, c.now()
 		c.publishLocked(&next)
 	}
 	c.mu.Unlock()
@@ -202,7 +204,8 @@
 	c.retainMissing(&registry, &delta, afterOutage || isReturn)
 	c.rememberDeparted(&state.Registry, &delta)
 
-	next := &State{Configuration: state.Configuration, Registry: state.Registry.Apply(&delta), StoreReturns: state.StoreReturns}
+	next := new(*state)
+	next.Registry = state.Registry.Apply(&delta)
 	next.Digest = next.Registry.Digest()
 
 	if isReturn {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,6 +142,8 @@
 	leader  *leader.Leader
 	// attempts counts failed attempts by result.
 	attempts *expvar.Map
+	// useDelays are the times from the receipt of a version of the configuration until requests are judged by it.
+	useDelays meter.Histogram
 
 	messages *messenger.Messenger
 	prober   *prober.Prober
@@ -453,5 +455,9 @@
 
 	if table := n.table.Load(); table == nil || table.Version < state.Configuration.Version {
 		n.table.Store(router.New(state.Configuration))
+
+		delay := n.catalog.Now() - state.ReceivedAt
+		n.useDelays.Record(delay)
+		n.logger.Info().Int64("version", state.Configuration.Version).Dur("delay_ms", delay).Msg("configuration_used")
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"quincepath.example/quincepath/internal/gateway/relayer"
 	"quincepath.example/quincepath/internal/meter"
 )
 
@@ -31,11 +32,22 @@
 	Live              int `json:"live"`
 }
 
+// configurationMetrics describes how the configuration is used.
+type configurationMetrics struct {
+	relayer.JudgementCounts
+
+	// UseDelay is the time from the receipt of a version until requests are judged by it.
+	UseDelay meter.HistogramSnapshot `json:"use_delay"`
+}
+
 func (n *Node) metrics() http.Handler {
 	parts := map[string]meter.CounterFunc{
-		"beliefs":     func() any { return n.catalogMetrics() },
-		"follower":    func() any { return n.follower.Counters() },
-		"attempts":    func() any { return n.failedAttempts() },
+		"beliefs":  func() any { return n.catalogMetrics() },
+		"follower": func() any { return n.follower.Counters() },
+		"attempts": func() any { return n.failedAttempts() },
+		"configuration": func() any {
+			return configurationMetrics{JudgementCounts: n.relayer.JudgementCounts(), UseDelay: n.useDelays.Snapshot()}
+		},
 		"avoided":     func() any { return n.relayer.AvoidedUpstreams() },
 		"callers":     func() any { return n.acceptor.Counters() },
 		"connections": func() any { return n.dialer.Counters() },
--- /dev/null
+++ b/internal/gateway/relayer/basis.go
@@ -0,0 +1,123 @@
+package relayer
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"quincepath.example/quincepath/internal/gateway/router"
+)
+
+const (
+	// traceTime is how long accepted requests are logged after the configuration that they are judged by has changed, or was
+	// confirmed again after it had been older than staleAge.
+	traceTime = time.Second
+	staleAge  = 2 * time.Second
+	// maxTracedPerSecond limits these log lines.
+	maxTracedPerSecond = 200
+)
+
+// basis is what a request is judged by: a version of the configuration, and how old it was when the decision was made. Later
+// versions and confirmations don't change it.
+type basis struct {
+	// version is the version of the routes and keys, 0 if the node has none.
+	version int64
+	// newest is the newest version that the node had received.
+	newest int64
+	// age is the time since the configuration was last confirmed as current. It is valid only if known is true.
+	age   time.Duration
+	known bool
+}
+
+// basisOf returns the basis of a decision that is made now by the table, which may be nil.
+func (r *Relayer) basisOf(table *router.Table) basis {
+	if table == nil {
+		return basis{}
+	}
+
+	decided := basis{version: table.Version, newest: r.options.Catalog.State().Configuration.Version}
+	decided.age, decided.known = r.options.Catalog.ConfigurationAge()
+
+	if decided.newest > decided.version {
+		r.judgements.byOlder.Add(1)
+	}
+
+	return decided
+}
+
+// addTo adds the basis to a log line.
+func (b *basis) addTo(event *zerolog.Event) *zerolog.Event {
+	if b.version > 0 {
+		event = event.Int64("version", b.version).Int64("newest_version", b.newest)
+	}
+
+	if b.known {
+		event = event.Dur("configuration_age_ms", b.age)
+	}
+
+	return event
+}
+
+// JudgementCounts counts what requests were judged by.
+type JudgementCounts struct {
+	// ByOlder counts the requests that were judged by an older version of the configuration than the newest that the node had
+	// received.
+	ByOlder int64 `json:"by_older"`
+	// Traced counts the accepted requests of which a line was to be logged.
+	Traced int64 `json:"traced"`
+}
+
+// judgementCounters are the counters behind JudgementCounts.
+type judgementCounters struct {
+	byOlder, traced atomic.Int64
+}
+
+// JudgementCounts returns what requests were judged by.
+func (r *Relayer) JudgementCounts() JudgementCounts {
+	return JudgementCounts{ByOlder: r.judgements.byOlder.Load(), Traced: r.judgements.traced.Load()}
+}
+
+// decisionTrace selects the accepted requests that are logged: those right after the configuration changed or was confirmed
+// again. An accepted request has no log line otherwise, so nothing would tell by what it was accepted. It is safe for concurrent use.
+type decisionTrace struct {
+	logger zerolog.Logger
+
+	mu sync.Mutex
+	// version is the version of the last decision, wasStale says whether it was made by a configuration older than staleAge.
+	version  int64
+	wasStale bool
+	until    time.Time
+}
+
+// selects reports whether a request that was accepted now is logged.
+func (t *decisionTrace) selects(decided *basis, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	isStale := !decided.known || decided.age > staleAge
+
+	if decided.version != t.version || t.wasStale && !isStale {
+		t.until = now.Add(traceTime)
+	}
+
+	t.version, t.wasStale = decided.version, isStale
+
+	return now.Before(t.until) || decided.newest > decided.version
+}
+
+// traceAccepted logs an accepted request if it is selected.
+func (r *Relayer) traceAccepted(request *request) {
+	if !r.trace.selects(&request.decided, request.arrived) {
+		return
+	}
+
+	r.judgements.traced.Add(1)
+	request.decided.addTo(r.trace.logger.Info().Str("request_id", request.id)).
+		Str("organisation", request.organisation).
+		Str("route", request.route.Name).
+		Str("service", request.service).
+		Dur("age_ms", time.Since(request.arrived)).
+		Msg("request_accepted")
+}
--- a/internal/gateway/relayer/refusal.go
+++ b/internal/gateway/relayer/refusal.go
@@ -21,11 +21,12 @@
 // fail ends an accepted request with an error response.
 func (r *Relayer) fail(out *callerResponse, failure *classifier.Error) {
 	out.stats.code = failure.Code
-	r.refuse(out.writer, out.request.id, out.request, failure)
+	r.refuse(out.writer, out.request.id, out.request.decided, out.request, failure)
 }
 
-// refuse counts, logs and writes an error response of this node. The request is nil if it was not accepted.
-func (r *Relayer) refuse(w http.ResponseWriter, id string, request *request, failure *classifier.Error) {
+// refuse counts, logs and writes an error response of this node. The request is nil if it was not accepted; decided is what it was
+// judged by.
+func (r *Relayer) refuse(w http.ResponseWriter, id string, decided basis, request *request, failure *classifier.Error) {
 	name := ""
 	if request != nil {
 		name = request.route.Name
@@ -39,13 +40,7 @@
 		Str("result", failure.Code.String()).
 		Str("reason", failure.Reason)
 
-	if table := r.options.Table(); table != nil {
-		event = event.Int64("version", table.Version)
-	}
-
-	if age, known := r.options.Catalog.ConfigurationAge(); known {
-		event = event.Dur("configuration_age_ms", age)
-	}
+	event = decided.addTo(event)
 
 	if request != nil {
 		event = event.Stringer("request_key", request.traits.Content).Str("prompt_part", request.verdict.Part).Str("route", request.route.Name).Str("service", request.service).Int("rank", request.engineRank).
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -56,6 +56,9 @@
 	resumes      resumeCounters
 	// limitLogger samples the log lines about rate limits that upstreams name, as each of their responses names them.
 	limitLogger zerolog.Logger
+	// trace logs some accepted requests.
+	trace      decisionTrace
+	judgements judgementCounters
 	// bodyBytes is the current size of all request bodies in memory.
 	bodyBytes atomic.Int64
 	// inFlight is the number of requests being handled.
@@ -75,6 +78,7 @@
 		lateLogger:   sample(maxLateLogsPerSecond),
 		resumeLogger: sample(maxResumeLogsPerSecond),
 		limitLogger:  sample(maxLimitLogsPerSecond),
+		trace:        decisionTrace{logger: sample(maxTracedPerSecond)},
 	}
 }
 
@@ -114,18 +118,23 @@
 	memory := &memoryReservation{used: &r.bodyBytes, limit: r.options.MaxBodyMemory}
 	defer memory.release()
 
-	request, failure := r.accept(w, incoming, arrived, memory)
+	table := r.waitForRoutes(incoming.Context())
+	decided := r.basisOf(table)
+
+	request, failure := r.accept(w, incoming, arrived, memory, table, decided)
 	if failure != nil {
-		r.refuse(w, incoming.Header.Get(r.options.Headers.RequestID), nil, failure)
+		r.refuse(w, incoming.Header.Get(r.options.Headers.RequestID), decided, nil, failure)
 
 		return
 	}
 
+	r.traceAccepted(request)
+
 	ctx, cancel := context.WithDeadline(incoming.Context(), request.deadline)
 	defer cancel()
 
 	if failure := r.pinResumed(ctx, request); failure != nil {
-		r.refuse(w, request.id, request, failure)
+		r.refuse(w, request.id, decided, request, failure)
 
 		return
 	}
@@ -133,7 +142,7 @@
 	r.options.RetryBudget.CountRequest(request.service)
 
 	if r.isQuarantined(request) {
-		r.refuse(w, request.id, request, quarantiner.Refusal(request.verdict))
+		r.refuse(w, request.id, decided, request, quarantiner.Refusal(request.verdict))
 
 		return
 	}
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -43,8 +43,10 @@
 
 // request is a caller's request that was accepted.
 type request struct {
-	id           string
-	arrived      time.Time
+	id      string
+	arrived time.Time
+	// decided is what the request was accepted by.
+	decided      basis
 	route        *cataloguer.Route
 	service      string
 	organisation string
@@ -185,9 +187,10 @@
 	return r.limitWait + time.Duration(limitJitterFraction*rand.Float64()*float64(r.limitWait))
 }
 
-// accept reads and validates the caller's request.
-func (r *Relayer) accept(w http.ResponseWriter, incoming *http.Request, arrived time.Time, memory *memoryReservation) (*request, *classifier.Error) {
-	table := r.waitForRoutes(incoming.Context())
+// accept reads and validates the caller's request by the table.
+func (r *Relayer) accept(
+	w http.ResponseWriter, incoming *http.Request, arrived time.Time, memory *memoryReservation, table *router.Table, decided basis,
+) (*request, *classifier.Error) {
 	if table == nil {
 		return nil, classifier.New(classifier.SettingsUnavailable, "the node knows no configuration yet").After(jitteredRetryAfter())
 	}
@@ -208,6 +211,7 @@
 	accepted := &request{
 		id:         incoming.Header.Get(r.options.Headers.RequestID),
 		arrived:    arrived,
+		decided:    decided,
 		route:      route,
 		method:     incoming.Method,
 		host:       incoming.Host,
@@ -220,7 +224,7 @@
 		resumes:     incoming.Header.Get(r.options.Headers.Resumes),
 	}
 
-	organisation, failure := r.authenticate(table, route, incoming)
+	organisation, failure := r.authenticate(table, decided, route, incoming)
 	if failure != nil {
 		return nil, failure
 	}
@@ -289,13 +293,14 @@
 
 // authenticate returns the organisation of the caller's API key. It refuses all keys if the configuration is too old:
 // the node would otherwise continue to accept a key whose revocation it could not learn of.
-func (r *Relayer) authenticate(table *router.Table, route *cataloguer.Route, incoming *http.Request) (*cataloguer.Organisation, *classifier.Error) {
+func (r *Relayer) authenticate(
+	table *router.Table, decided basis, route *cataloguer.Route, incoming *http.Request,
+) (*cataloguer.Organisation, *classifier.Error) {
 	if !table.NeedsKey(route) {
 		return nil, nil
 	}
 
-	age, known := r.options.Catalog.ConfigurationAge()
-	if !known || age > r.options.MaxKeyAge() {
+	if !decided.known || decided.age > r.options.MaxKeyAge() {
 		return nil, classifier.New(classifier.SettingsUnavailable, "what the node knows of keys is too old").After(jitteredRetryAfter())
 	}
 
