Catalog: freshness belongs to the content that it is of, and what is received is in force at once

Cause: a request was judged by the table of routes and keys, and the age that admits its key was the catalog's. The table followed the catalog in a goroutine of its own, the age at once. After a pause hundreds of requests were ready to run before that goroutine: the key was looked up in the version from before the pause and admitted by the age of the one after it. Class: content and the time as of which it is true are kept apart, so that a reader gets the one of one time and the other of another.

Change: a Freshness belongs to one content and is published with it. Newer content gets one of its own, which starts as that of the older, since it lacks nothing of it. Whoever takes content takes its freshness: the router's table, the apportioner's list of nodes, the first node's record. The catalog calls the node with each change before the call that brought it returns, in place of the goroutine, so that the gap costs no caller a refusal: the members, quarantines, upstreams and routes that a node has received are in force. Catalog.Changed has no user left; the test of its channel is replaced by one of the calls.

Why it works: a confirmation is recorded with the content that was confirmed, and is read before the clock. Whatever runs or stands still between two instructions, the age that a request sees is that of the keys in its hands, or more.

--- a/internal/gateway/apportioner/apportioner.go
+++ b/internal/gateway/apportioner/apportioner.go
@@ -32,11 +32,19 @@
 	Now func() time.Duration
 }
 
+// Freshness is that of a list of nodes.
+type Freshness interface {
+	// Age returns the time since the list was last confirmed as the newest, or false if it never was.
+	Age() (time.Duration, bool)
+}
+
 // Apportioner computes this node's share from the list of nodes. It is safe for concurrent use.
 type Apportioner struct {
 	options Options
 
 	mu sync.Mutex
+	// freshness is that of the last list; nil before the first.
+	freshness Freshness
 	// firstNode is set on the only node that starts in a deployment where no node was ever listed;
 	// it was set at firstNodeAt.
 	firstNode   bool
@@ -66,13 +74,15 @@
 	a.firstNode, a.firstNodeAt = true, now
 }
 
-// Update sets the names of the listed nodes.
-func (a *Apportioner) Update(names []string) {
+// Update sets the names of the listed nodes, with the freshness of that list. A newer list has one of its own.
+func (a *Apportioner) Update(names []string, freshness Freshness) {
 	now := a.options.Now()
 
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
+	a.freshness = freshness
+
 	listed := slices.Contains(names, a.options.Self)
 	if listed && !a.listed {
 		a.listedAt = now
@@ -108,8 +118,8 @@
 	return a.options.MaxListAge + a.options.Retention
 }
 
-// Share returns this node's share of the limit, from 0 to 1. age is the age of the list; known is false if the age is unknown.
-func (a *Apportioner) Share(age time.Duration, known bool) float64 {
+// Share returns this node's share of the limit, from 0 to 1.
+func (a *Apportioner) Share() float64 {
 	now := a.options.Now()
 
 	a.mu.Lock()
@@ -117,13 +127,24 @@
 
 	a.applyLowerCountLocked(now)
 
-	if !known || age > a.options.MaxListAge || !a.mayUseShareLocked(now) {
+	if !a.isListFreshLocked() || !a.mayUseShareLocked(now) {
 		return 0
 	}
 
 	return 1 / float64(max(a.nodeCount, 1))
 }
 
+// isListFreshLocked reports whether the list is recent enough to use a share. The caller holds a.mu.
+func (a *Apportioner) isListFreshLocked() bool {
+	if a.freshness == nil {
+		return false
+	}
+
+	age, known := a.freshness.Age()
+
+	return known && age <= a.options.MaxListAge
+}
+
 // mayUseShareLocked reports whether all other nodes that use a share count this node. The caller holds a.mu.
 func (a *Apportioner) mayUseShareLocked(now time.Duration) bool {
 	if a.firstNode {
--- a/internal/gateway/budgeter/fleet_test.go
+++ b/internal/gateway/budgeter/fleet_test.go
@@ -114,13 +114,18 @@
 	clock := func() time.Duration { return f.now }
 	shares := apportioner.New(apportioner.Options{Self: n.name, MaxListAge: window, Retention: budgeter.Retention(window), Now: clock})
 	n.shares = shares
+	// The list that the node reads first may be empty.
+	n.shares.Update(nil, n)
 	n.budget = budgeter.New(budgeter.Options{
 		Ratio: ratio, Extra: f.extra, Window: window, Now: clock,
-		Share: func() float64 { return shares.Share(f.now-n.viewAt, n.viewAt >= 0) },
+		Share: shares.Share,
 		Peers: f, Self: n.name, Live: f.live, Logger: zerolog.Nop(),
 	})
 }
 
+// Age implements apportioner.Freshness.
+func (n *node) Age() (time.Duration, bool) { return n.fleet.now - n.viewAt, n.viewAt >= 0 }
+
 // stop ends the node's process.
 func (n *node) stop() {
 	n.down = true
@@ -238,7 +243,7 @@
 		names = append(names, l.name)
 	}
 
-	n.shares.Update(names)
+	n.shares.Update(names, n)
 }
 
 // request handles a request of a caller. If the node is down, the caller sends it again to another node.
--- a/internal/gateway/cataloguer/catalog.go
+++ b/internal/gateway/cataloguer/catalog.go
@@ -18,13 +18,17 @@
 // short series; one with 2,000 routes takes about 400 KB of memory.
 const maxPreviousConfigurations = 4
 
-// State is an immutable snapshot of a catalog.
+// State is an immutable snapshot of a catalog, but for its freshness, which later confirmations of the same content raise.
 type State struct {
 	// Configuration is at least as new as the registry's position.
 	Configuration Configuration
+	// ConfigurationFreshness is that of Configuration; never nil.
+	ConfigurationFreshness *Freshness
 	// ReceivedAt is when the node received Configuration, by the catalog's clock.
 	ReceivedAt time.Duration
-	Registry      Registry
+	Registry   Registry
+	// RegistryFreshness is that of Registry; never nil.
+	RegistryFreshness *Freshness
 	// Digest is the digest of Registry.
 	Digest uint64
 	// StoreReturns counts the returns of the store from older copies that this node has noticed.
@@ -47,14 +51,15 @@
 // together with its age. Without this, a node that is cut off would keep accepting revoked keys, seen as requests
 // that run long after their key was revoked. The clock must include the time for which the VM is suspended; a
 // monotonic clock that stops would hide a suspension.
+//
+// Decisions take content and freshness from one State: the age of the newest state says nothing about an earlier one.
 type Catalog struct {
 	now   func() time.Duration
 	state atomic.Pointer[State]
-	// configurationFreshAt is the time of the newest read that confirmed the configuration; negative before the
-	// first.
-	configurationFreshAt atomic.Int64
-	// registryFreshAt is the time of the newest read that confirmed the registry; negative before the first.
-	registryFreshAt atomic.Int64
+	// apply is called with each new state.
+	apply func(*State)
+	// applying is held while apply is called. No other lock is acquired before it.
+	applying sync.Mutex
 
 	mu sync.Mutex
 	// previousConfigurations are the states with the most recent earlier configurations, oldest first.
@@ -65,21 +70,39 @@
 	departures departures
 	// storeReturns are the returns of the store from older copies that nobody has taken yet.
 	storeReturns []StoreReturn
-	changed      chan struct{}
 }
 
 // New returns an empty catalog. The clock now must include the time for which the VM is suspended.
 func New(now func() time.Duration) *Catalog {
-	c := &Catalog{now: now, graceEnds: make(map[string]time.Duration), departures: newDepartures(), changed: make(chan struct{})}
+	c := &Catalog{now: now, graceEnds: make(map[string]time.Duration), departures: newDepartures()}
 
 	empty := Registry{}
-	c.state.Store(&State{Registry: empty, Digest: empty.Digest()})
-	c.configurationFreshAt.Store(-1)
-	c.registryFreshAt.Store(-1)
+	c.state.Store(&State{
+		Registry: empty, Digest: empty.Digest(), ConfigurationFreshness: newFreshness(now), RegistryFreshness: newFreshness(now),
+	})
 
 	return c
 }
 
+// OnChange makes the catalog call apply with the newest state after each change, before the call that brought the change returns. A separate
+// goroutine would run later than requests that wait for a processor, as they do after a pause of the node, and these would be judged
+// by the state before. It must be called before the first change. Calls don't overlap, and apply must not change the catalog.
+func (c *Catalog) OnChange(apply func(*State)) {
+	c.apply = apply
+}
+
+// applyNewest calls apply with the newest state. c.mu must not be held.
+func (c *Catalog) applyNewest() {
+	if c.apply == nil {
+		return
+	}
+
+	c.applying.Lock()
+	defer c.applying.Unlock()
+
+	c.apply(c.state.Load())
+}
+
 // State returns the newest state. The caller must not modify it.
 func (c *Catalog) State() *State {
 	return c.state.Load()
@@ -90,104 +113,111 @@
 	return c.now()
 }
 
-// ConfigurationAge returns the time since the configuration was last confirmed as current, or false if it never was.
+// ConfigurationAge returns the time since the newest configuration was last confirmed as current, or false if it never was.
 func (c *Catalog) ConfigurationAge() (time.Duration, bool) {
-	return c.elapsedSince(&c.configurationFreshAt)
+	return c.state.Load().ConfigurationFreshness.Age()
 }
 
-// RegistryAge returns the time since the registry was last confirmed as current, or false if it never was.
+// RegistryAge returns the time since the newest registry was last confirmed as current, or false if it never was.
 func (c *Catalog) RegistryAge() (time.Duration, bool) {
-	return c.elapsedSince(&c.registryFreshAt)
-}
-
-// elapsedSince returns the time since freshAt, or false if freshAt is unset.
-func (c *Catalog) elapsedSince(freshAt *atomic.Int64) (time.Duration, bool) {
-	at := freshAt.Load()
-	if at < 0 {
-		return 0, false
-	}
-
-	return c.now() - time.Duration(at), true
+	return c.state.Load().RegistryFreshness.Age()
 }
 
 // MarkRegistryFresh records that the registry was complete as of the given time.
 func (c *Catalog) MarkRegistryFresh(at time.Duration) {
-	storeMax(&c.registryFreshAt, int64(at))
-}
-
-// storeMax atomically raises value to candidate; it never lowers it.
-func storeMax(value *atomic.Int64, candidate int64) {
-	for {
-		current := value.Load()
-		if candidate <= current || value.CompareAndSwap(current, candidate) {
-			return
-		}
-	}
-}
-
-// Changed returns a channel that is closed at the next change of the state.
-func (c *Catalog) Changed() <-chan struct{} {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	return c.changed
+	c.state.Load().RegistryFreshness.confirm(at)
 }
 
 // MarkConfigurationFresh records that the given version was the newest as of the given time. It has no effect unless that
 // is the known version: a newer one may still be on its way, page by page.
 func (c *Catalog) MarkConfigurationFresh(version int64, at time.Duration) {
-	if version != c.state.Load().Configuration.Version || version == 0 {
+	state := c.state.Load()
+	if version != state.Configuration.Version || version == 0 {
 		return
 	}
 
-	storeMax(&c.configurationFreshAt, int64(at))
+	state.ConfigurationFreshness.confirm(at)
 }
 
 // ApplyConfiguration applies a configuration that was read at the given time. Older versions are ignored, so a node
 // never reverts. It reports whether the version is new.
 func (c *Catalog) ApplyConfiguration(configuration Configuration, at time.Duration) bool {
+	if !c.publishConfiguration(configuration, at) {
+		c.MarkConfigurationFresh(configuration.Version, at)
+
+		return false
+	}
+
+	c.applyNewest()
+
+	return true
+}
+
+// publishConfiguration publishes a configuration with its freshness if it is newer, and reports whether it is.
+func (c *Catalog) publishConfiguration(configuration Configuration, at time.Duration) bool {
 	c.mu.Lock()
-	state := c.state.Load()
-	newer := configuration.Version > state.Configuration.Version
+	defer c.mu.Unlock()
 
-	if newer {
-		c.previousConfigurations = appendBounded(c.previousConfigurations, state, maxPreviousConfigurations)
-		next := *state
-		next.Configuration, next.ReceivedAt = configuration, c.now()
-		c.publishLocked(&next)
+	state := c.state.Load()
+	if configuration.Version <= state.Configuration.Version {
+		return false
 	}
-	c.mu.Unlock()
 
-	c.MarkConfigurationFresh(configuration.Version, at)
+	c.previousConfigurations = appendBounded(c.previousConfigurations, state, maxPreviousConfigurations)
+
+	next := *state
+	next.Configuration, next.ReceivedAt = configuration, c.now()
+	next.ConfigurationFreshness = state.ConfigurationFreshness.next()
+	next.ConfigurationFreshness.confirm(at)
+	c.state.Store(&next)
 
-	return newer
+	return true
 }
 
 // ApplyRegistry applies a registry. The afterOutage flag says that the store was recently unavailable. An older
 // registry is ignored. It reports whether any entry changed.
 func (c *Catalog) ApplyRegistry(registry Registry, afterOutage bool) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	changed := c.publishRegistry(registry, afterOutage, nil)
+	if changed {
+		c.applyNewest()
+	}
 
-	return c.applyRegistryLocked(registry, afterOutage)
+	return changed
 }
 
-// ApplyFreshRegistry combines ApplyRegistry and MarkRegistryFresh, so that a waiter for the change also sees the new
+// ApplyFreshRegistry combines ApplyRegistry and MarkRegistryFresh, so that whoever learns of the change also sees the new
 // freshness.
 func (c *Catalog) ApplyFreshRegistry(registry Registry, afterOutage bool, at time.Duration) bool {
+	changed := c.publishRegistry(registry, afterOutage, &at)
+	if changed {
+		c.applyNewest()
+	}
+
+	return changed
+}
+
+// publishRegistry publishes a registry unless it is older, and reports whether any entry changed. If confirmedAt isn't nil, the resulting
+// registry was complete as of that time.
+func (c *Catalog) publishRegistry(registry Registry, afterOutage bool, confirmedAt *time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	changed := c.applyRegistryLocked(registry, afterOutage)
-	c.MarkRegistryFresh(at)
+	next, changed := c.nextStateLocked(registry, afterOutage)
+
+	if confirmedAt != nil {
+		next.RegistryFreshness.confirm(*confirmedAt)
+	}
+
+	c.state.Store(next)
 
 	return changed
 }
 
-func (c *Catalog) applyRegistryLocked(registry Registry, afterOutage bool) bool {
+// nextStateLocked returns the state that follows from a registry, and whether any entry changed. c.mu must be held.
+func (c *Catalog) nextStateLocked(registry Registry, afterOutage bool) (next *State, changed bool) {
 	state := c.state.Load()
 	if registry.Position.IsBefore(state.Registry.Position) {
-		return false
+		return state, false
 	}
 
 	isReturn := state.Registry.isStoreReturn(registry.Position)
@@ -204,7 +234,7 @@
 	c.retainMissing(&registry, &delta, afterOutage || isReturn)
 	c.rememberDeparted(&state.Registry, &delta)
 
-	next := new(*state)
+	next = new(*state)
 	next.Registry = state.Registry.Apply(&delta)
 	next.Digest = next.Registry.Digest()
 
@@ -214,14 +244,12 @@
 
 	// What the store lists of itself may have to be written again, also where nothing is lost.
 	if next.Digest == state.Digest && !isReturn {
-		c.state.Store(next)
-
-		return false
+		return next, false
 	}
 
-	c.publishLocked(next)
+	next.RegistryFreshness = state.RegistryFreshness.next()
 
-	return true
+	return next, true
 }
 
 // recordReturnLocked records that the next state is the first after a return of the store from an older copy. c.mu must be held.
@@ -233,25 +261,32 @@
 // AdvanceRegistry records that the registry with the given digest was unchanged at a later position of the store. Otherwise the
 // node would keep its earlier position and accept an older registry of a peer as newer.
 func (c *Catalog) AdvanceRegistry(digest uint64, position storer.Position, kept int) {
+	if c.advanceRegistry(digest, position, kept) {
+		c.applyNewest()
+	}
+}
+
+// advanceRegistry advances the registry and reports whether that is a return of the store from an older copy.
+func (c *Catalog) advanceRegistry(digest uint64, position storer.Position, kept int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
 	state := c.state.Load()
 	if state.Digest != digest || position.IsBefore(state.Registry.Position) {
-		return
+		return false
 	}
 
 	next := *state
 	next.Registry.Position, next.Registry.RetainedUpstreams = position, kept
 
-	if state.Registry.isStoreReturn(position) {
+	isReturn := state.Registry.isStoreReturn(position)
+	if isReturn {
 		c.recordReturnLocked(&next, StoreReturn{From: state.Registry.Position, To: position})
-		c.publishLocked(&next)
-
-		return
 	}
 
 	c.state.Store(&next)
+
+	return isReturn
 }
 
 // PreviousConfiguration returns an earlier configuration by its version, or false if it is no longer kept.
@@ -309,10 +344,3 @@
 		return true
 	})
 }
-
-// publishLocked stores a changed state and wakes its waiters. c.mu must be held.
-func (c *Catalog) publishLocked(state *State) {
-	c.state.Store(state)
-	close(c.changed)
-	c.changed = make(chan struct{})
-}
--- a/internal/gateway/cataloguer/catalog_test.go
+++ b/internal/gateway/cataloguer/catalog_test.go
@@ -128,26 +128,78 @@
 	assert.Assert(t, !r.IsNewerThan(storer.Position{Era: 3, Revision: 1}, 9))
 }
 
-func TestChangedIsClosedAtEachChange(t *testing.T) {
+// Guards against a state that is confirmed and not in force yet, as what puts it in force waits for a processor.
+func TestEachChangeIsAppliedBeforeItsCallReturns(t *testing.T) {
 	c, clock := newCatalog()
-	changed := c.Changed()
 
-	c.ApplyConfiguration(version(1), clock.now)
+	var applied []*cataloguer.State
 
-	select {
-	case <-changed:
-	default:
-		t.Fatal("a new configuration did not close the channel")
-	}
+	c.OnChange(func(state *cataloguer.State) { applied = append(applied, state) })
+
+	c.ApplyConfiguration(version(1), clock.now)
+	assert.Equal(t, len(applied), 1)
+	assert.Equal(t, applied[0], c.State())
 
-	changed = c.Changed()
 	c.ApplyRegistry(registry(1), false)
+	assert.Equal(t, len(applied), 1, "an unchanged registry was applied")
+
+	c.ApplyFreshRegistry(registry(2, "a"), false, clock.now)
+	assert.Equal(t, len(applied), 2)
+	assert.Equal(t, applied[1], c.State())
+
+	age, known := applied[1].RegistryFreshness.Age()
+	assert.Assert(t, known)
+	assert.Equal(t, age, time.Duration(0))
+}
+
+// Guards against an older configuration, or an older list, that appears fresh because a newer one was confirmed.
+func TestConfirmationOfNewerContentSaysNothingOfOlder(t *testing.T) {
+	c, clock := newCatalog()
+	c.ApplyConfiguration(version(1), clock.now)
+	c.ApplyFreshRegistry(registry(1, "a"), false, clock.now)
+	older := c.State()
 
-	select {
-	case <-changed:
-		t.Fatal("an unchanged registry closed the channel")
-	default:
+	clock.now += 7 * time.Second
+	c.ApplyConfiguration(version(2), clock.now)
+	c.MarkConfigurationFresh(2, clock.now)
+	c.ApplyFreshRegistry(registry(2, "a", "b"), false, clock.now)
+	c.MarkRegistryFresh(clock.now)
+
+	for _, freshness := range []*cataloguer.Freshness{older.ConfigurationFreshness, older.RegistryFreshness} {
+		age, known := freshness.Age()
+		assert.Assert(t, known)
+		assert.Equal(t, age, 7*time.Second)
 	}
+
+	for _, freshness := range []*cataloguer.Freshness{c.State().ConfigurationFreshness, c.State().RegistryFreshness} {
+		age, _ := freshness.Age()
+		assert.Equal(t, age, time.Duration(0))
+	}
+}
+
+// Newer content lacks nothing that older content has, so it is as fresh as that from the start.
+func TestNewerContentIsAsFreshAsOlder(t *testing.T) {
+	c, clock := newCatalog()
+	c.ApplyConfiguration(version(1), clock.now)
+	c.ApplyFreshRegistry(registry(1, "a"), false, clock.now)
+	clock.now += time.Second
+
+	// A peer's answer that was on its way for long.
+	c.ApplyConfiguration(version(2), clock.now-5*time.Second)
+	c.ApplyRegistry(registry(2, "a", "b"), false)
+
+	age, _ := c.ConfigurationAge()
+	assert.Equal(t, age, time.Second)
+
+	age, _ = c.RegistryAge()
+	assert.Equal(t, age, time.Second)
+
+	// A registry without changes keeps the freshness of the one that it equals.
+	c.ApplyFreshRegistry(registry(3, "a", "b"), false, clock.now)
+	c.AdvanceRegistry(c.State().Digest, storer.Position{Revision: 4}, 0)
+
+	age, _ = c.RegistryAge()
+	assert.Equal(t, age, time.Duration(0))
 }
 
 // A server restarts under its ID, and then the entry of its previous start becomes visible. If entries are ordered
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/loader"
 )
 
@@ -43,3 +44,18 @@
 
 	return nil
 }
+
+// NewCatalog returns the catalog of a node that doesn't run, and a function that returns the version by which it judges requests, 0 if it has
+// none.
+func NewCatalog(settings loader.Settings, store Store, protocol Protocol) (catalog *cataloguer.Catalog, version func() int64) {
+	node := newNode(settings, store, DutyBackends{}, protocol, zerolog.Nop())
+	node.applyChanges(context.Background())
+
+	return node.catalog, func() int64 {
+		if table := node.table.Load(); table != nil {
+			return table.Version
+		}
+
+		return 0
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,12 +152,14 @@
 	heartbeats *heartbeater.Heartbeater
 	// peerServers are the goroutines that use the node's peer address.
 	peerServers sync.WaitGroup
-	// applied is the registry that was last applied, members the nodes that the prober knows to be listed. Only watchCatalog
+	// applied is the registry that was last applied, members the nodes that the prober knows to be listed. Only applyState
 	// uses them.
 	applied cataloguer.Registry
 	members cataloguer.Index[cataloguer.Node]
+	// memberNames are the names of members.
+	memberNames []string
 	// store records the first node of the deployment; registrySeen is set once a registry was received. Only
-	// watchCatalog uses them.
+	// applyState uses them.
 	store        Store
 	registrySeen bool
 	// leavingAt is when the planned stop began, by the catalog's clock; 0 before that.
@@ -216,7 +218,7 @@
 		Ratio:  settings.Gateway.RetryRatio,
 		Extra:  settings.Gateway.RetryExtra,
 		Window: settings.Gateway.RetryWindow,
-		Share:  func() float64 { return n.apportioner.Share(n.catalog.RegistryAge()) },
+		Share:  n.apportioner.Share,
 		Now:    n.catalog.Now,
 		Self:   settings.Node.PeerListen,
 		Live:   n.liveNodes,
@@ -372,11 +374,12 @@
 		return err
 	}
 
+	n.applyChanges(work)
+
 	go n.follower.Run(work)
 	go n.broker.Run(work)
 	go n.quarantine.Run(work)
 	go n.pins.Run(work)
-	go n.watchCatalog(work)
 	go n.closeStaleConnections(work)
 	go n.dialer.Run(work)
 	go n.watchRetryBudgets(work)
@@ -413,26 +416,21 @@
 	return nil
 }
 
-// watchCatalog applies each new state of the catalog until ctx is cancelled.
-func (n *Node) watchCatalog(ctx context.Context) {
-	for {
-		changed := n.catalog.Changed()
-		n.applyState(ctx, n.catalog.State())
-
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
-	}
+// applyChanges puts each new state of the catalog in force from now on.
+func (n *Node) applyChanges(ctx context.Context) {
+	n.catalog.OnChange(func(state *cataloguer.State) { n.applyState(ctx, state) })
 }
 
+// applyState puts a state of the catalog in force: members, quarantines, upstreams, and the routes last, so that no route is in force
+// before its upstreams.
 func (n *Node) applyState(ctx context.Context, state *cataloguer.State) {
 	if !state.Registry.Nodes.Equal(&n.members) {
 		n.members = state.Registry.Nodes
 		n.updateMembers(&n.members)
 	}
 
+	n.apportioner.Update(n.memberNames, state.RegistryFreshness)
+
 	// Routes without upstreams would reject every request.
 	if !state.IsComplete() {
 		return
@@ -440,7 +438,7 @@
 
 	if !n.registrySeen {
 		n.registrySeen = true
-		n.recordFirstNode(ctx, &state.Registry.Nodes)
+		n.recordFirstNode(ctx, state)
 	}
 
 	delta := state.Registry.DeltaFrom(&n.applied)
@@ -454,7 +452,7 @@
 	n.broker.Update(state)
 
 	if table := n.table.Load(); table == nil || table.Version < state.Configuration.Version {
-		n.table.Store(router.New(state.Configuration))
+		n.table.Store(router.New(state.Configuration, state.ConfigurationFreshness))
 
 		delay := n.catalog.Now() - state.ReceivedAt
 		n.useDelays.Record(delay)
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -44,13 +44,13 @@
 	return prober.New(options)
 }
 
-// updateMembers passes the listed nodes to the prober and the apportioner.
+// updateMembers passes the listed nodes to the prober and sets memberNames.
 func (n *Node) updateMembers(nodes *cataloguer.Index[cataloguer.Node]) {
 	vms := make([]prober.VM, 0, nodes.Len())
-	names := make([]string, 0, nodes.Len())
+	n.memberNames = make([]string, 0, nodes.Len())
 
 	for node := range nodes.All() {
-		names = append(names, node.Name)
+		n.memberNames = append(n.memberNames, node.Name)
 		vms = append(vms, prober.VM{
 			Name:          node.Name,
 			Address:       node.Address,
@@ -60,15 +60,14 @@
 	}
 
 	n.prober.SetListedNodes(time.Now(), vms)
-	n.apportioner.Update(names)
 }
 
 // recordFirstNode records this node as the first one of its deployment if no node is or was listed. It can then use its
 // share of the retry budget immediately. This happens before requests are accepted, since the first ones would otherwise
 // have no retry budget.
-func (n *Node) recordFirstNode(ctx context.Context, listed *cataloguer.Index[cataloguer.Node]) {
-	age, known := n.catalog.RegistryAge()
-	if listed.Len() > 0 || !known || age > maxEmptyListAge {
+func (n *Node) recordFirstNode(ctx context.Context, state *cataloguer.State) {
+	age, known := state.RegistryFreshness.Age()
+	if state.Registry.Nodes.Len() > 0 || !known || age > maxEmptyListAge {
 		return
 	}
 
--- a/internal/gateway/relayer/basis.go
+++ b/internal/gateway/relayer/basis.go
@@ -26,7 +26,7 @@
 	version int64
 	// newest is the newest version that the node had received.
 	newest int64
-	// age is the time since the configuration was last confirmed as current. It is valid only if known is true.
+	// age is the time since that version was last confirmed as current. It is valid only if known is true.
 	age   time.Duration
 	known bool
 }
@@ -38,7 +38,7 @@
 	}
 
 	decided := basis{version: table.Version, newest: r.options.Catalog.State().Configuration.Version}
-	decided.age, decided.known = r.options.Catalog.ConfigurationAge()
+	decided.age, decided.known = table.Freshness.Age()
 
 	if decided.newest > decided.version {
 		r.judgements.byOlder.Add(1)
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -115,7 +115,7 @@
 
 // restart starts a new relayer without any state.
 func (w *fixture) restart() {
-	table := router.New(configuration())
+	table := router.New(configuration(), w.catalog.State().ConfigurationFreshness)
 	budget := budgeter.Options{
 		Extra: float64(w.extra), Window: time.Hour, Share: func() float64 { return 1 }, Now: func() time.Duration { return w.now },
 	}
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -15,11 +15,13 @@
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 )
 
-// Table finds the routes and organisations of one configuration. It is immutable.
+// Table finds the routes and organisations of one configuration. It is immutable, but for its freshness.
 type Table struct {
 	// Version is the version of the configuration.
 	Version int64
-	Limits  cataloguer.Limits
+	// Freshness is that of the configuration, not of a newer one that the node may have received meanwhile.
+	Freshness *cataloguer.Freshness
+	Limits    cataloguer.Limits
 	// hosts holds the routes of each host, longest path prefix first.
 	hosts    map[string][]cataloguer.Route
 	services map[string]cataloguer.Service
@@ -31,10 +33,11 @@
 	organisationLevels, routeLevels []int
 }
 
-// New returns the table of a configuration.
-func New(configuration cataloguer.Configuration) *Table {
+// New returns the table of a configuration with the given freshness.
+func New(configuration cataloguer.Configuration, freshness *cataloguer.Freshness) *Table {
 	t := &Table{
 		Version:      configuration.Version,
+		Freshness:    freshness,
 		Limits:       configuration.Limits,
 		hosts:        make(map[string][]cataloguer.Route),
 		services:     make(map[string]cataloguer.Service, len(configuration.Services)),
--- a/internal/gateway/router/router_test.go
+++ b/internal/gateway/router/router_test.go
@@ -25,7 +25,7 @@
 			{Name: "salon", Keys: []string{"key-1", "key-2"}, Priority: &first},
 			{Name: "desk", Keys: []string{"key-3"}},
 		},
-	})
+	}, nil)
 }
 
 func TestLongestPrefixOfTheHostWins(t *testing.T) {
@@ -89,7 +89,7 @@
 	table := router.New(cataloguer.Configuration{
 		Routes:        []cataloguer.Route{chat, draft},
 		Organisations: []cataloguer.Organisation{small, large, none},
-	})
+	}, nil)
 
 	assert.Equal(t, table.Rank(&chat, &large), router.Rank{Priority: 0, OrganisationRank: 0, EngineRank: 0})
 	assert.Equal(t, table.Rank(&chat, &small), router.Rank{Priority: 0, OrganisationRank: 1, EngineRank: 1})
@@ -107,7 +107,7 @@
 		configuration.Organisations = append(configuration.Organisations, cataloguer.Organisation{Priority: &configuration.Routes[i].Priority})
 	}
 
-	table := router.New(configuration)
+	table := router.New(configuration, nil)
 	last := 0
 
 	for i := range configuration.Routes {
