Tests: bytes without end take a node's memory (failing, known red)

What callers would see: every VM of a deployment ends, one after the other, as each sends requests to the same server, whose status line or header line never ends.

All 8 MB of a head are read on connections to servers and to peers, all 64 MB on calls of the platform.

--- a/internal/gateway/tunneler/tunneler_test.go
+++ b/internal/gateway/tunneler/tunneler_test.go
@@ -1,6 +1,7 @@
 package tunneler_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -385,3 +386,45 @@
 	stop()
 	assert.NilError(t, <-ended)
 }
+
+// Guards against a peer whose answer to a request for a tunnel takes a node's memory, as its head never ends.
+func TestEndlessAnswerOfAPeerEndsAtItsBound(t *testing.T) {
+	const (
+		// headBound is the most that may be read of a head, endlessBytes ends what the peer sends.
+		headBound    = 16<<10 + 4<<10
+		endlessBytes = 8 << 20
+	)
+
+	for name, begin := range map[string]string{"status line": "HTTP/1.1 407 ", "header line": "HTTP/1.1 407 Denied\r\nX-A: ", "no line": ""} {
+		t.Run(name, func(t *testing.T) {
+			near, far := net.Pipe()
+			defer far.Close()
+
+			sent := make(chan int, 1)
+
+			go func() {
+				_, _ = bufio.NewReader(far).ReadString('\n')
+
+				// The rest of the request must not block the node.
+				go func() { _, _ = io.Copy(io.Discard, far) }()
+
+				count, err := io.WriteString(far, begin)
+				for n := 0; err == nil && count < endlessBytes; count += n {
+					n, err = io.WriteString(far, "xxxxxxxxxxxxxxxx")
+				}
+
+				sent <- count
+				_ = far.Close()
+			}()
+
+			o := options(dialer.Upstream{ID: upstreamID, Address: "10.0.0.1:80"})
+			o.DialPeer = func(context.Context, string) (net.Conn, error) { return near, nil }
+
+			_, err := tunneler.New(o).Connect(context.Background(), "peer", dialer.Upstream{ID: upstreamID, Address: "10.0.0.1:80"})
+			assert.Assert(t, errors.Is(err, dialer.ErrPeerUnavailable), "%v", err)
+
+			count := <-sent
+			assert.Assert(t, count <= headBound, "%d bytes were read", count)
+		})
+	}
+}
