Heads of messages have a bound, and share a memory; so do events and buffered answers

What callers would see: one server whose status line or header line never ends takes every VM that sends it requests, one after the other.

Cause: http.ReadResponse reads a head of any length. net/http bounds heads only in its own client and server, and the node reads answers of servers, of peers that carry tunnels and of the duties' API by itself. Callers' headers had a bound of 1 MB each and none together; incomplete events of 1 MB and buffered answers of 256 KB counted nowhere.

Change: headreader reads a connection with a bound of 64 KB on a head, interim answers included, and what heads take beyond 4 KB each comes from a memory that all connections share. Callers' headers wait for that memory, under their timeout; an answer that finds none, or is too long, breaks its attempt, whose request may have run: it is sent again only where it may be repeated, and the server counts as failed. Incomplete events and buffered answers take their memory from that of request bodies. Clients of net/http get the same bound of 64 KB in place of 10 MB; entries, readiness and metrics 4 KB in place of 1 MB.

Why it works: nothing reads a head but under a bound and a shared budget, so the memory depends on neither the number of connections in that state nor on what they send.

--- a/internal/connector/client.go
+++ b/internal/connector/client.go
@@ -15,6 +15,7 @@
 	"github.com/go-resty/resty/v2"
 	"golang.org/x/time/rate"
 
+	"quincepath.example/quincepath/internal/headreader"
 	"quincepath.example/quincepath/internal/storer"
 )
 
@@ -105,6 +106,8 @@
 		ResponseHeaderTimeout: options.CallTimeout,
 		MaxIdleConnsPerHost:   maxIdleConnections,
 		IdleConnTimeout:       time.Minute,
+
+		MaxResponseHeaderBytes: headreader.MaxBytes,
 	}
 	c := &Client{
 		options:  options,
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quincepath.example/quincepath/internal/headreader"
 	"quincepath.example/quincepath/internal/throttler"
 )
 
@@ -194,6 +195,8 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableKeepAlives:   disableReuse,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: headreader.MaxBytes,
 	}
 }
 
--- a/internal/gateway/acceptor/acceptor.go
+++ b/internal/gateway/acceptor/acceptor.go
@@ -1,5 +1,5 @@
-// Package acceptor accepts the connections of callers and limits their number, the time to read a request header, and the
-// time that they may be idle.
+// Package acceptor accepts the connections of callers and limits their number, the time to read a request header, the memory that
+// headers may take while they are read, and the time that connections may be idle.
 //
 // The timeouts of net/http's server are fixed, while operators can change them with each configuration, also for connections
 // that are open.
@@ -12,8 +12,13 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"quincepath.example/quincepath/internal/headreader"
 )
 
+// memoryPollInterval is how often a header that waits for memory checks whether there is some.
+const memoryPollInterval = 10 * time.Millisecond
+
 // Timeouts are the configured timeouts of a connection, both above zero.
 type Timeouts struct {
 	// Header is the maximum time from the first byte of a request to the end of its header.
@@ -34,6 +39,8 @@
 	Rejected int64 `json:"turned_away"`
 	// Crossed counts requests that were read while their connection was being closed. They are not handled.
 	Crossed int64 `json:"crossed_close"`
+	// WaitedForMemory counts headers that had to wait until others were read.
+	WaitedForMemory int64 `json:"waited_for_memory"`
 }
 
 // Acceptor tracks the connections of one http.Server. It is safe for concurrent use.
@@ -43,6 +50,8 @@
 	// maxConnections is the maximum number of open connections.
 	maxConnections int
 	timeouts       func() Timeouts
+	// headMemory is the memory that long headers may take while they are read.
+	headMemory *headreader.Memory
 
 	mu          sync.Mutex
 	connections map[*connection]struct{}
@@ -76,13 +85,17 @@
 	generation int
 	// element is the connection's element in Acceptor.idle, or nil in other phases.
 	element *list.Element
+	// headBytes is the number of bytes that were read in the phase readingHeader, headMemory what they take of
+	// Acceptor.headMemory.
+	headBytes  int
+	headMemory headreader.Reservation
 }
 
 // Read implements net.Conn. The server reports the start of a request only after its header is complete, so the first byte is
 // detected here.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.acceptor.startReading(c) {
+	if n > 0 && !c.acceptor.recordRead(c, n) {
 		return 0, net.ErrClosed
 	}
 
@@ -98,9 +111,13 @@
 	return nil
 }
 
-// New returns an Acceptor of at most maxConnections connections. The timeouts function returns the current timeouts.
-func New(maxConnections int, timeouts func() Timeouts) *Acceptor {
-	return &Acceptor{maxConnections: maxConnections, timeouts: timeouts, connections: make(map[*connection]struct{}), idle: list.New()}
+// New returns an Acceptor of at most maxConnections connections. The timeouts function returns the current timeouts. Long headers
+// share headMemory while they are read.
+func New(maxConnections int, timeouts func() Timeouts, headMemory *headreader.Memory) *Acceptor {
+	return &Acceptor{
+		maxConnections: maxConnections, timeouts: timeouts, headMemory: headMemory,
+		connections: make(map[*connection]struct{}), idle: list.New(),
+	}
 }
 
 // Serve serves the listener's connections with the server until the listener or the server is closed. It changes the server,
@@ -157,7 +174,7 @@
 		return nil, err
 	}
 
-	return &connection{Conn: c, acceptor: w.acceptor, phase: active}, nil
+	return &connection{Conn: c, acceptor: w.acceptor, phase: active, headMemory: headreader.NewReservation(w.acceptor.headMemory)}, nil
 }
 
 // trackState is the ConnState hook of the server.
@@ -227,8 +244,26 @@
 	return c
 }
 
-// startReading records that bytes were read. It returns false if the connection is being closed.
-func (a *Acceptor) startReading(c *connection) bool {
+// recordRead records that bytes were read. While a header is read, it waits until there is memory for it, so that the caller's next bytes stay
+// where they are; the timeout for headers bounds that. It returns false if the connection is being closed.
+func (a *Acceptor) recordRead(c *connection, bytes int) bool {
+	if !a.startReading(c, bytes) {
+		return false
+	}
+
+	for waited := false; ; waited = true {
+		reserved, open := a.reserveHead(c, !waited)
+		if reserved || !open {
+			return open
+		}
+
+		time.Sleep(memoryPollInterval)
+	}
+}
+
+// startReading records that bytes were read, which begin a header if the connection was idle. It returns false if the connection is
+// being closed.
+func (a *Acceptor) startReading(c *connection, bytes int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
@@ -242,9 +277,29 @@
 	case readingHeader, active:
 	}
 
+	if c.phase == readingHeader {
+		c.headBytes += bytes
+	}
+
 	return true
 }
 
+// reserveHead reserves the memory of the header that is being read, if any. It also reports whether the connection is open.
+func (a *Acceptor) reserveHead(c *connection, isFirst bool) (reserved, open bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	if c.phase != readingHeader || c.headMemory.Grow(c.headBytes) {
+		return true, c.phase != closed
+	}
+
+	if isFirst {
+		a.counters.WaitedForMemory++
+	}
+
+	return false, true
+}
+
 // startHandling records that a request's header is complete. It returns false if the connection is being closed: its caller
 // would get no answer.
 func (a *Acceptor) startHandling(c *connection) bool {
@@ -291,6 +346,8 @@
 // leave ends the current phase; a.mu must be held.
 func (a *Acceptor) leave(c *connection) {
 	c.generation++
+	c.headBytes = 0
+	c.headMemory.Release()
 
 	if c.timer != nil {
 		c.timer.Stop()
--- a/internal/gateway/acceptor/acceptor_test.go
+++ b/internal/gateway/acceptor/acceptor_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"quincepath.example/quincepath/internal/gateway/acceptor"
+	"quincepath.example/quincepath/internal/headreader"
 )
 
 const (
@@ -49,7 +51,7 @@
 
 	synctest.Test(t, func(t *testing.T) {
 		timeouts := &acceptor.Timeouts{Header: headerTimeout, Idle: idleTimeout}
-		a := acceptor.New(maxConnections, func() acceptor.Timeouts { return *timeouts })
+		a := acceptor.New(maxConnections, func() acceptor.Timeouts { return *timeouts }, headreader.NewMemory(1<<20))
 		server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			if wait, err := time.ParseDuration(r.URL.Path[1:]); err == nil {
 				time.Sleep(wait)
@@ -179,7 +181,7 @@
 	t.Helper()
 
 	synctest.Test(t, func(t *testing.T) {
-		a := acceptor.New(1, func() acceptor.Timeouts { return acceptor.Timeouts{Header: headerTimeout, Idle: idleTimeout} })
+		a := acceptor.New(1, func() acceptor.Timeouts { return acceptor.Timeouts{Header: headerTimeout, Idle: idleTimeout} }, headreader.NewMemory(1<<20))
 		server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			handled++
 			// Passing the request on ends with the caller's connection.
@@ -297,3 +299,50 @@
 		assert.Equal(t, a.Busy(), 0)
 	})
 }
+
+// Guards against callers that take a node's memory by headers that are within their bound and don't end: a caller beyond it waits until others
+// have sent theirs, or were cut.
+func TestLongHeadersShareTheirMemory(t *testing.T) {
+	const (
+		// long is the length of a header that is not complete; four of them fit into the memory.
+		long  = 60 << 10
+		count = 4
+	)
+
+	begin := "GET / HTTP/1.1\r\nHost: a\r\nX-A: " + strings.Repeat("a", long)
+
+	runServer(t, 10, func(t *testing.T, listener pipeListener, a *acceptor.Acceptor, _ *acceptor.Timeouts) {
+		var first net.Conn
+
+		for range count {
+			first = listener.open()
+			_, err := io.WriteString(first, begin)
+			assert.NilError(t, err)
+		}
+
+		served := make(chan error, 1)
+		waiting := listener.open()
+
+		go func() {
+			_, err := io.WriteString(waiting, begin+"\r\n\r\n")
+			if err == nil {
+				_, err = http.ReadResponse(bufio.NewReader(waiting), nil)
+			}
+
+			served <- err
+		}()
+
+		time.Sleep(headerTimeout / 2)
+		assert.Equal(t, a.Counters().WaitedForMemory, int64(1))
+
+		// A short header needs none of that memory.
+		assert.NilError(t, get(t, listener.open(), "/"))
+
+		_, err := io.WriteString(first, "\r\n\r\n")
+		assert.NilError(t, err)
+		assert.NilError(t, <-served)
+
+		time.Sleep(headerTimeout)
+		assert.Equal(t, a.Counters().ClosedHeader, int64(count-1))
+	})
+}
--- a/internal/gateway/dialer/dialer.go
+++ b/internal/gateway/dialer/dialer.go
@@ -17,6 +17,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+
+	"quincepath.example/quincepath/internal/headreader"
 )
 
 const (
@@ -42,6 +44,8 @@
 	maxStaleResponses = 2
 	// maxStaleResponseBytes bounds the body of a skipped response.
 	maxStaleResponseBytes = 256 << 10
+	// defaultHeadMemory is the number of bytes that long response heads may take together.
+	defaultHeadMemory = 4 << 20
 )
 
 var (
@@ -69,6 +73,8 @@
 	// Detour reaches upstreams that this node doesn't reach itself; nil means that there is no other way. It must not be
 	// changed once the Dialer is in use.
 	Detour Detour
+	// HeadMemory is the memory that long response heads may take together. It must not be changed once the Dialer is in use.
+	HeadMemory *headreader.Memory
 	// direct opens TCP connections; DialContext may be replaced.
 	direct *net.Dialer
 	// paths is what is known of the ways to upstreams.
@@ -98,7 +104,9 @@
 	// peer carries the connection; empty for a direct one.
 	peer        string
 	releaseOnce sync.Once
-	reader      *bufio.Reader
+	// head bounds the response heads that reader reads from the connection.
+	head   *headreader.Reader
+	reader *bufio.Reader
 	// idleUntil is when the idle connection must no longer be reused, as the upstream may close it.
 	idleUntil time.Time
 }
@@ -110,6 +118,13 @@
 	return c.Conn.Close()
 }
 
+// newConn returns a connection that a peer carries, or a direct one if peer is empty.
+func (d *Dialer) newConn(raw net.Conn, peer string) *conn {
+	head := headreader.New(raw, headreader.MaxBytes, d.HeadMemory)
+
+	return &conn{Conn: raw, dialer: d, peer: peer, head: head, reader: bufio.NewReaderSize(head, bufferBytes)}
+}
+
 // buffered returns the number of received bytes that were not read.
 func (c *conn) buffered() int {
 	buffered := c.reader.Buffered()
@@ -126,6 +141,7 @@
 
 	return &Dialer{
 		DialContext: direct.DialContext,
+		HeadMemory:  headreader.NewMemory(defaultHeadMemory),
 		direct:      direct,
 		paths:       newPaths(),
 		maxOpen:     maxOpen,
@@ -188,6 +204,7 @@
 
 	response, err := d.exchange(c, request)
 	if err != nil {
+		c.head.Release()
 		stopWatching()
 		_ = c.Close()
 
@@ -233,7 +250,7 @@
 		go func() { written <- writeRequest(c, outgoing) }()
 	}
 
-	response, err := readResponse(c.reader, outgoing, request) //nolint:bodyclose // Response.Close closes or reuses the connection.
+	response, err := c.readResponse(outgoing, request) //nolint:bodyclose // Response.Close closes or reuses the connection.
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/dialer/opening.go
+++ b/internal/gateway/dialer/opening.go
@@ -1,7 +1,6 @@
 package dialer
 
 import (
-	"bufio"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -203,7 +202,7 @@
 		return openResult{peer: peer, err: err}
 	}
 
-	return openResult{peer: peer, conn: &conn{Conn: tcp, dialer: d, peer: peer, reader: bufio.NewReaderSize(tcp, bufferBytes)}}
+	return openResult{peer: peer, conn: d.newConn(tcp, peer)}
 }
 
 func (o *opening) recordSuccess(result *openResult) {
--- a/internal/gateway/dialer/request.go
+++ b/internal/gateway/dialer/request.go
@@ -59,9 +59,14 @@
 
 // readResponse reads the response to the request and skips responses with another request ID. An upstream may send
 // a duplicate response to an earlier request; without the check, a caller could receive another caller's response.
-func readResponse(reader *bufio.Reader, outgoing *http.Request, request *Request) (*http.Response, error) {
+func (c *conn) readResponse(outgoing *http.Request, request *Request) (*http.Response, error) {
 	for range maxStaleResponses + 1 {
-		response, err := readFinalResponse(reader, outgoing)
+		c.head.Begin()
+
+		response, err := c.readFinalResponse(outgoing)
+
+		c.head.End()
+
 		if err != nil {
 			return nil, err
 		}
@@ -78,10 +83,10 @@
 	return nil, errors.New("too many responses to other requests")
 }
 
-// readFinalResponse reads a response and skips interim (1xx) ones.
-func readFinalResponse(reader *bufio.Reader, outgoing *http.Request) (*http.Response, error) {
+// readFinalResponse reads a response and skips interim (1xx) ones, which count as parts of its head.
+func (c *conn) readFinalResponse(outgoing *http.Request) (*http.Response, error) {
 	for {
-		response, err := http.ReadResponse(reader, outgoing)
+		response, err := http.ReadResponse(c.reader, outgoing)
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
--- a/internal/gateway/dialer/response.go
+++ b/internal/gateway/dialer/response.go
@@ -24,6 +24,7 @@
 // completely, neither end wants to close it, and no further bytes have arrived.
 func (r *Response) Close() {
 	stopped := r.stopWatching()
+	r.conn.head.Release()
 
 	if !stopped || !r.bodyComplete || r.Response.Close || r.requestPending() || r.conn.buffered() > 0 {
 		_ = r.conn.Close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"quincepath.example/quincepath/internal/gateway/tallier"
 	"quincepath.example/quincepath/internal/gateway/tunneler"
 	"quincepath.example/quincepath/internal/gateway/versioner"
+	"quincepath.example/quincepath/internal/headreader"
 	"quincepath.example/quincepath/internal/heartbeater"
 	"quincepath.example/quincepath/internal/loader"
 	"quincepath.example/quincepath/internal/messenger"
@@ -52,12 +53,17 @@
 	// gcPercent is the value of GOGC. It is below the default because CPU time is spare, while memory is paid for at
 	// its peak.
 	gcPercent = 40
+	// headMemoryFraction is the fraction of the VM's memory that long heads of requests, and as much again long heads of responses, may
+	// take.
+	headMemoryFraction = 0.04
 	// bodyMemoryFraction is the fraction of the VM's memory that request bodies may use.
 	bodyMemoryFraction = 0.15
 	// megabyte is the number of bytes in the unit of the memory settings.
 	megabyte = 1 << 20
-	// defaultBodyMemory is the number of bytes that request bodies may use if the VM's memory isn't set.
+	// defaultBodyMemory and defaultHeadMemory are the numbers of bytes that request bodies and each kind of heads may use if the VM's
+	// memory isn't set.
 	defaultBodyMemory = 64 << 20
+	defaultHeadMemory = 16 << 20
 	// leavingGrace is how long the node accepts requests after a planned stop begins. Callers cache an entries
 	// response for up to three times its TTL.
 	leavingGrace = 2800 * time.Millisecond
@@ -175,13 +181,14 @@
 }
 
 func newNode(settings loader.Settings, store Store, duties DutyBackends, protocol Protocol, logger zerolog.Logger) *Node {
-	bodyMemory := int64(defaultBodyMemory)
+	bodyMemory, headMemory := int64(defaultBodyMemory), int64(defaultHeadMemory)
 
 	debug.SetGCPercent(gcPercent)
 
 	if limit := settings.Gateway.MemoryMB; limit > 0 {
 		debug.SetMemoryLimit(int64(limit * megabyte * memoryLimitFraction))
 		bodyMemory = int64(limit * megabyte * bodyMemoryFraction)
+		headMemory = int64(limit * megabyte * headMemoryFraction)
 	}
 
 	n := &Node{
@@ -197,6 +204,7 @@
 
 	n.current.Store(&settings)
 	n.dialer.SetLogger(logger)
+	n.dialer.HeadMemory = headreader.NewMemory(headMemory)
 	n.tunnels = n.newTunneler()
 	n.apportioner = apportioner.New(apportioner.Options{
 		Self:       settings.Node.PeerListen,
@@ -204,7 +212,7 @@
 		Retention:  budgeter.Retention(settings.Gateway.RetryWindow),
 		Now:        n.catalog.Now,
 	})
-	n.acceptor = acceptor.New(maxConnections(settings.Gateway.Descriptors), n.callerTimeouts)
+	n.acceptor = acceptor.New(maxConnections(settings.Gateway.Descriptors), n.callerTimeouts, headreader.NewMemory(headMemory))
 	n.prober = n.newProber()
 	n.messages = messenger.New(messenger.Options{
 		Self:       settings.Node.PeerListen,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -51,6 +51,7 @@
 		"avoided":     func() any { return n.relayer.AvoidedUpstreams() },
 		"callers":     func() any { return n.acceptor.Counters() },
 		"connections": func() any { return n.dialer.Counters() },
+		"long_heads":  func() any { return n.dialer.HeadMemory.Counters() },
 		"paths":       func() any { return n.dialer.PathCounters() },
 		"pools":       func() any { return n.broker.Stats(time.Now()) },
 		"quarantine":  func() any { return n.quarantine.Counters() },
--- a/internal/gateway/poster/client.go
+++ b/internal/gateway/poster/client.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-resty/resty/v2"
+
+	"quincepath.example/quincepath/internal/headreader"
 )
 
 const (
@@ -22,6 +24,8 @@
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: headreader.MaxBytes,
 	}
 
 	return resty.NewWithClient(&http.Client{Transport: transport}).
--- a/internal/gateway/poster/poster.go
+++ b/internal/gateway/poster/poster.go
@@ -11,8 +11,13 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"quincepath.example/quincepath/internal/headreader"
 )
 
+// headMemory is the memory that the head of a response may take, in bytes.
+const headMemory = 256 << 10
+
 // Call is one POST call with a JSON body.
 type Call struct {
 	// Address is the IP:port of the server.
@@ -53,7 +58,10 @@
 		return 0, errors.Wrap(err, call.Path)
 	}
 
-	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	head := headreader.New(connection, headreader.MaxBytes, headreader.NewMemory(headMemory))
+	head.Begin()
+
+	response, err := http.ReadResponse(bufio.NewReader(head), nil)
 	if err != nil {
 		return 0, errors.Wrap(err, call.Path)
 	}
--- a/internal/gateway/relayer/body.go
+++ b/internal/gateway/relayer/body.go
@@ -19,7 +19,7 @@
 // errBodyMemoryFull is returned when a body doesn't fit into the memory for request bodies.
 var errBodyMemoryFull = errors.New("memory limit for request bodies reached")
 
-// memoryReservation is the share of one body in the memory for all request bodies. If the body's length is known, memory
+// memoryReservation is the share of one body in the memory for all bodies that the node holds. If the body's length is known, memory
 // is reserved before the body is read: counted afterwards, many slow bodies at once would exceed the limit.
 type memoryReservation struct {
 	used     *atomic.Int64
@@ -27,6 +27,11 @@
 	reserved int64
 }
 
+// newMemoryReservation returns an empty reservation in the memory for bodies.
+func (r *Relayer) newMemoryReservation() memoryReservation {
+	return memoryReservation{used: &r.bodyBytes, limit: r.options.MaxBodyMemory}
+}
+
 func (m *memoryReservation) reserve(bytes int64) bool {
 	if m.used.Add(bytes) > m.limit {
 		m.used.Add(-bytes)
@@ -39,6 +44,11 @@
 	return true
 }
 
+// growTo extends the reservation to the given number of bytes. It returns false, and changes nothing, if there is no memory left.
+func (m *memoryReservation) growTo(bytes int64) bool {
+	return bytes <= m.reserved || m.reserve(bytes-m.reserved)
+}
+
 func (m *memoryReservation) release() {
 	m.releaseSome(m.reserved)
 }
--- a/internal/gateway/relayer/options.go
+++ b/internal/gateway/relayer/options.go
@@ -101,7 +101,7 @@
 	LeavingFor func() time.Duration
 	// LeavingGrace is how long after the start of a graceful shutdown requests are still accepted.
 	LeavingGrace time.Duration
-	// MaxBodyMemory limits the bytes of all request bodies in memory.
+	// MaxBodyMemory limits the bytes of all request bodies, buffered responses and events in memory.
 	MaxBodyMemory int64
 	// Meter counts requests by route; FailedAttempts counts failed attempts by result.
 	Meter          *meter.Meter
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -59,7 +59,7 @@
 	// trace logs some accepted requests.
 	trace      decisionTrace
 	judgements judgementCounters
-	// bodyBytes is the current size of all request bodies in memory.
+	// bodyBytes is the current size of all bodies and incomplete events in memory.
 	bodyBytes atomic.Int64
 	// inFlight is the number of requests being handled.
 	inFlight atomic.Int64
@@ -115,13 +115,13 @@
 		w.Header().Set("Connection", "close")
 	}
 
-	memory := &memoryReservation{used: &r.bodyBytes, limit: r.options.MaxBodyMemory}
+	memory := r.newMemoryReservation()
 	defer memory.release()
 
 	table := r.waitForRoutes(incoming.Context())
 	decided := r.basisOf(table)
 
-	request, failure := r.accept(w, incoming, arrived, memory, table, decided)
+	request, failure := r.accept(w, incoming, arrived, &memory, table, decided)
 	if failure != nil {
 		r.refuse(w, incoming.Header.Get(r.options.Headers.RequestID), decided, nil, failure)
 
--- a/internal/gateway/relayer/response.go
+++ b/internal/gateway/relayer/response.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"mime"
@@ -94,17 +95,51 @@
 	return err == nil && media == eventStreamMediaType
 }
 
+// errTooLongToBuffer says that a response body is longer than maxBufferedBytes, or than the memory that is left.
+var errTooLongToBuffer = errors.New("response body is too long to be buffered")
+
+// readBuffered returns a response body, or its beginning with errTooLongToBuffer.
+func readBuffered(reader io.Reader, memory *memoryReservation) ([]byte, error) {
+	body := make([]byte, 0, bytes.MinRead)
+
+	for {
+		if len(body) == cap(body) {
+			// The buffer grows by half at a time, up to the limit.
+			next := min(cap(body)+max(cap(body)/2, bytes.MinRead), maxBufferedBytes)
+			if next == cap(body) || !memory.growTo(int64(next)) {
+				return body, errTooLongToBuffer
+			}
+
+			body = append(make([]byte, 0, next), body...)
+		}
+
+		n, err := reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+
+		if err != nil {
+			return body, err
+		}
+	}
+}
+
 // deliverBuffered reads the complete body before sending the response, unless the body is too long.
 func (r *Relayer) deliverBuffered(ctx context.Context, out *callerResponse, choice balancer.Choice, response *dialer.Response, watch *watchdog, outcome *balancer.Outcome) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
-	long := err == nil && len(body) == maxBufferedBytes
+	memory := r.newMemoryReservation()
+	defer memory.release()
+
+	body, err := readBuffered(response.Body, &memory)
+	long := errors.Is(err, errTooLongToBuffer)
 
 	// A started answer can't be repeated, so its upstream has until the request's deadline.
 	if long && watch.disarm() {
 		return r.deliverUnbuffered(ctx, out, choice, response, body, outcome)
 	}
 
-	if err != nil || long {
+	if err != nil {
 		r.recordInterruption(ctx, out.request, choice, outcome, len(body) > 0)
 		r.logFailedAttempt(out.request, choice, "answer_broken", causeOf(ctx, err))
 
--- a/internal/gateway/relayer/stream.go
+++ b/internal/gateway/relayer/stream.go
@@ -16,11 +16,16 @@
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
-// maxEventBytes is the maximum size of an event; a longer one is treated as malformed.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the maximum size of an event; a longer one is treated as malformed.
+	maxEventBytes = 1 << 20
+	// freeEventBytes are those of an incomplete event that take no shared memory.
+	freeEventBytes = 4 << 10
+)
 
 var (
 	errTruncatedEvent = errors.New("stream ended in the middle of an event")
+	errEventMemory    = errors.New("an incomplete event found no memory")
 	errEventTooLong   = errors.New("event is too long")
 	errEventOrder     = errors.New("event is missing or out of order")
 )
@@ -29,14 +34,16 @@
 // a partial event and the stream can be resumed at another upstream after the last complete one.
 func (r *Relayer) deliverEvents(ctx context.Context, out *callerResponse, choice balancer.Choice, sent time.Time, response *dialer.Response, watch *watchdog, outcome *balancer.Outcome) attemptResult {
 	request := out.request
-	events := bufio.NewReaderSize(response.Body, 2<<10)
+	reader := &eventReader{reader: bufio.NewReaderSize(response.Body, 2<<10), memory: r.newMemoryReservation()}
+	defer reader.memory.release()
+
 	first := true
 	gaps := &gapTracker{}
 
 	survival := &survivalTimer{}
 
 	for {
-		event, err := readEvent(events)
+		event, err := reader.next()
 		if err != nil {
 			if errors.Is(err, io.EOF) {
 				r.options.Chooser.RecordGaps(request.attemptID, gaps.eventGaps())
@@ -78,8 +85,7 @@
 		out.stats.gaps.record(now)
 
 		if out.events == nil {
-			memory := memoryReservation{used: &r.bodyBytes, limit: r.options.MaxBodyMemory}
-			out.events = newEventQueue(out.writer, http.NewResponseController(out.writer).Flush, memory)
+			out.events = newEventQueue(out.writer, http.NewResponseController(out.writer).Flush, r.newMemoryReservation())
 		}
 
 		if err := out.events.push(event); err != nil {
@@ -132,13 +138,21 @@
 	return attemptDone
 }
 
-// readEvent returns the next event including the blank line that ends it. It returns io.EOF if the stream ended
-// between events.
-func readEvent(reader *bufio.Reader) ([]byte, error) {
+// eventReader reads the events of a stream.
+type eventReader struct {
+	reader *bufio.Reader
+	// memory is that of the last event, as far as it exceeds freeEventBytes.
+	memory memoryReservation
+}
+
+// next returns the next event including the blank line that ends it. It returns io.EOF if the stream ended between events.
+func (r *eventReader) next() ([]byte, error) {
 	var event []byte
 
+	r.memory.release()
+
 	for {
-		line, err := reader.ReadSlice('\n')
+		line, err := r.reader.ReadSlice('\n')
 		event = append(event, line...)
 
 		switch {
@@ -156,6 +170,10 @@
 		if len(event) > maxEventBytes {
 			return nil, errEventTooLong
 		}
+
+		if !r.memory.growTo(int64(cap(event) - freeEventBytes)) {
+			return nil, errEventMemory
+		}
 	}
 }
 
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -9,14 +9,17 @@
 	"github.com/cockroachdb/errors"
 
 	"quincepath.example/quincepath/internal/gateway/acceptor"
+	"quincepath.example/quincepath/internal/headreader"
 )
 
 const (
 	// defaultIdleTimeout is how long a caller's connection may be idle if the operators' configuration sets no timeout.
 	defaultIdleTimeout = 40 * time.Second
-	// maxHeaderBytes limits the memory used to read a request header. The operators' limit is checked once the header
-	// is complete.
-	maxHeaderBytes = 1 << 20
+	// maxHeaderBytes limits a request header, also where the operators' limit is higher. That one is checked once the header is
+	// complete.
+	maxHeaderBytes = headreader.MaxBytes
+	// maxProbeHeaderBytes limits the header of a request for entries, readiness or metrics.
+	maxProbeHeaderBytes = headreader.FreeBytes
 	// reservedDescriptors is the number of file descriptors kept for files, the store, peers and requests for entries.
 	reservedDescriptors = 400
 	// callerConnectionFraction is the fraction of the other descriptors for callers' connections. Connections to
@@ -37,8 +40,8 @@
 
 	// The acceptor enforces the timeouts of callers' connections.
 	callers := &http.Server{Handler: n.relayer, MaxHeaderBytes: maxHeaderBytes}
-	ready := &http.Server{Handler: probes, ReadHeaderTimeout: probeHeaderTimeout}
-	entries := &http.Server{Handler: probes, ReadHeaderTimeout: probeHeaderTimeout}
+	ready := &http.Server{Handler: probes, ReadHeaderTimeout: probeHeaderTimeout, MaxHeaderBytes: maxProbeHeaderBytes}
+	entries := &http.Server{Handler: probes, ReadHeaderTimeout: probeHeaderTimeout, MaxHeaderBytes: maxProbeHeaderBytes}
 
 	servers := map[*http.Server]string{
 		callers: n.settings.Node.Listen,
@@ -49,7 +52,7 @@
 	if address := n.settings.Gateway.MetricsListen; address != "" {
 		mux := http.NewServeMux()
 		mux.Handle("GET "+MetricsPath, n.metrics())
-		servers[&http.Server{Handler: mux, ReadHeaderTimeout: probeHeaderTimeout}] = address
+		servers[&http.Server{Handler: mux, ReadHeaderTimeout: probeHeaderTimeout, MaxHeaderBytes: maxProbeHeaderBytes}] = address
 	}
 
 	failed := make(chan error, len(servers))
--- a/internal/gateway/tunneler/connecting.go
+++ b/internal/gateway/tunneler/connecting.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"quincepath.example/quincepath/internal/gateway/dialer"
+	"quincepath.example/quincepath/internal/headreader"
 )
 
 // maxReasonBytes bounds the reason that is read from a peer's refusal.
@@ -28,7 +29,9 @@
 	}
 
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
-	c := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferBytes)}
+	// The heads of a peer's answers fit into what needs no shared memory.
+	head := headreader.New(raw, maxHeaderBytes, headreader.NewMemory(0))
+	c := &conn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, bufferBytes)}
 	err = t.request(c, upstream)
 
 	if !stop() && err == nil {
@@ -107,7 +110,12 @@
 		return answer{}, errors.Mark(errors.Wrap(err, "ask peer for a tunnel"), dialer.ErrPeerUnavailable)
 	}
 
+	c.head.Begin()
+
 	response, err := http.ReadResponse(c.reader, request)
+
+	c.head.End()
+
 	if err != nil {
 		return answer{}, errors.Mark(errors.Wrap(err, "ask peer for a tunnel"), dialer.ErrPeerUnavailable)
 	}
--- a/internal/gateway/tunneler/frames.go
+++ b/internal/gateway/tunneler/frames.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+
+	"quincepath.example/quincepath/internal/headreader"
 )
 
 const (
@@ -52,6 +54,8 @@
 // conn is the node's end of a tunnel.
 type conn struct {
 	net.Conn
+	// head bounds the heads of the peer's answers to the request for the tunnel.
+	head   *headreader.Reader
 	reader *bufio.Reader
 	// remaining is the number of bytes of the current frame that have not been read.
 	remaining int
--- a/internal/gateway/tunneler/tunneler.go
+++ b/internal/gateway/tunneler/tunneler.go
@@ -26,7 +26,7 @@
 const (
 	// handshakeTimeout bounds the time until a peer has sent a valid request for a tunnel.
 	handshakeTimeout = 2 * time.Second
-	// maxHeaderBytes bounds the header of a request for a tunnel.
+	// maxHeaderBytes bounds the header of a request for a tunnel, and that of an answer to it.
 	maxHeaderBytes = 4 << 10
 	// lingerTimeout is how long the node may take to read the rest after the upstream closed its connection. Closing
 	// earlier could discard bytes that it hasn't received.
--- /dev/null
+++ b/internal/headreader/headreader_test.go
@@ -0,0 +1,97 @@
+package headreader_test
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/headreader"
+)
+
+// endless returns an x at each read.
+type endless struct{}
+
+// Read implements io.Reader.
+func (endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+
+	return len(p), nil
+}
+
+// Guards against connections that stay within the bound of a head each and take a node's memory together.
+func TestHeadsShareTheirMemory(t *testing.T) {
+	const limit = 1 << 20
+
+	memory := headreader.NewMemory(limit)
+
+	var readers []*headreader.Reader
+
+	read := 0
+
+	for {
+		reader := headreader.New(endless{}, headreader.MaxBytes, memory)
+		reader.Begin()
+
+		n, err := io.Copy(io.Discard, reader)
+		read += int(n) - headreader.FreeBytes
+
+		readers = append(readers, reader)
+
+		if errors.Is(err, headreader.ErrNoMemory) {
+			break
+		}
+
+		assert.Assert(t, errors.Is(err, headreader.ErrTooLong))
+		assert.Equal(t, int(n), headreader.MaxBytes)
+	}
+
+	assert.Assert(t, len(readers) > 2 && read <= limit/2, "%d connections, %d bytes", len(readers), read)
+
+	for _, reader := range readers {
+		reader.Release()
+	}
+
+	assert.Equal(t, memory.Counters(), headreader.Counters{LimitBytes: limit, TooLong: int64(len(readers) - 1), NoMemory: 1})
+}
+
+// Guards against a bound on heads that ends a body: what follows a head has no bound.
+func TestBodyAfterALongHeadIsWhole(t *testing.T) {
+	body := strings.Repeat("body ", 1<<20)
+	head := "HTTP/1.1 200 OK\r\nX-A: " + strings.Repeat("a", headreader.MaxBytes-100) + "\r\nConnection: close\r\n\r\n"
+	memory := headreader.NewMemory(1 << 20)
+	reader := headreader.New(strings.NewReader(head+body), headreader.MaxBytes, memory)
+	buffer := bufio.NewReader(reader)
+
+	reader.Begin()
+
+	response, err := http.ReadResponse(buffer, nil)
+	assert.NilError(t, err)
+	reader.End()
+	assert.Assert(t, memory.Counters().UsedBytes > 0)
+
+	received, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Assert(t, bytes.Equal(received, []byte(body)))
+
+	reader.Release()
+	assert.Equal(t, memory.Counters().UsedBytes, int64(0))
+}
+
+// A head that fits into the buffer of its connection needs no shared memory, so that others' long heads don't stop it.
+func TestShortHeadNeedsNoSharedMemory(t *testing.T) {
+	reader := headreader.New(strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), headreader.MaxBytes, headreader.NewMemory(0))
+	reader.Begin()
+
+	response, err := http.ReadResponse(bufio.NewReader(reader), nil)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+}
--- a/internal/server/certificates.go
+++ b/internal/server/certificates.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"quincepath.example/quincepath/internal/certifier"
+	"quincepath.example/quincepath/internal/headreader"
 )
 
 // loadCertificates reads the files that the settings name, if they name any.
@@ -39,6 +40,8 @@
 // entryTransport reaches other nodes' addresses for callers.
 func (n *Node) entryTransport() http.RoundTripper {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = headreader.MaxBytes
+
 	if n.checksPeers() {
 		transport.DialTLSContext = n.dialEntry
 	}
