Relayer: an old configuration refuses nothing for good

What callers would see: 404 and 401 on routes and with keys that an acknowledged version has, from a node that was paused or cut off and hasn't heard of it.

What a configuration lacks was taken for what doesn't exist, whatever the age of that configuration.

Change: 404 and 401 are given by a configuration that was confirmed within three seconds, the age up to which the list of upstreams counts as current. By an older one the caller gets 503, not run, and when to come back.

Why it works: the age is that of the version which lacks the route or key, so a newer one's confirmation doesn't make it current.

--- a/internal/gateway/relayer/basis.go
+++ b/internal/gateway/relayer/basis.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"quincepath.example/quincepath/internal/gateway/router"
+	"quincepath.example/quincepath/pkg/classifier"
 )
 
 const (
@@ -47,6 +48,16 @@
 	return decided
 }
 
+// refuseForGood returns the refusal of what the configuration lacks. If that is too old, a newer one may have it: then the refusal says when to
+// come back instead.
+func (b *basis) refuseForGood(failure *classifier.Error) *classifier.Error {
+	if b.known && b.age <= maxCurrentAge {
+		return failure
+	}
+
+	return classifier.New(classifier.SettingsUnavailable, "what the node knows is too old to say that %s", failure.Reason).After(jitteredRetryAfter())
+}
+
 // addTo adds the basis to a log line.
 func (b *basis) addTo(event *zerolog.Event) *zerolog.Event {
 	if b.version > 0 {
--- a/internal/gateway/relayer/resume.go
+++ b/internal/gateway/relayer/resume.go
@@ -11,9 +11,9 @@
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
-// maxCurrentListAge is the age of the list of upstreams up to which a software version that it lacks counts as gone. Nodes read
-// the list every 0.6 s, and what they read takes a second to reach all.
-const maxCurrentListAge = 3 * time.Second
+// maxCurrentAge is the age of the configuration and of the list of upstreams up to which what they lack doesn't exist. Nodes read
+// them every 0.6 s, and what they read takes a second to reach all.
+const maxCurrentAge = 3 * time.Second
 
 // ResumeCounts counts what resumes a stream.
 type ResumeCounts struct {
@@ -175,7 +175,7 @@
 func (r *Relayer) versionGone(request *request) *classifier.Error {
 	failure := classifier.New(classifier.StreamVersionGone, "no upstream runs the version %q that began the stream", request.origin.Load().SoftwareVersion)
 
-	if age, known := r.options.Catalog.RegistryAge(); !known || age > maxCurrentListAge {
+	if age, known := r.options.Catalog.RegistryAge(); !known || age > maxCurrentAge {
 		return failure.After(jitteredRetryAfter())
 	}
 
