Relayer: an upstream that this node knows to be leaving is declined, whoever chose it

What callers would see: requests at a server later than the bound after a node has acknowledged that it leaves (DRAIN).

The holder of a pool chooses by its own list; the node that sends declined only what servers said themselves.

Change: a choice of an upstream that this node's list shows as leaving, at the same address, is declined like one that asked for no more requests, and excluded from the next choice.

Result: TestUpstreamThatIsKnownToLeaveIsDeclined failed (the request reached the leaving upstream) and passes. Why it works: the check is right before the send, by the newest list of the node that sends.

--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -198,8 +198,8 @@
 			r.limitLogger.Info().Str("request_id", request.id).Str("upstream", choice.Upstream).
 				Int("declined", request.declined+1).Bool("limit_known_to_holder", choice.Limit != nil).Msg("choice_declined")
 
-			// A node that chooses without regard to software versions would choose the same upstream again.
-			if !r.hasOriginVersion(request, choice) {
+			// A node that chooses without regard to software versions, or by an older list, would choose the same upstream again.
+			if !r.hasOriginVersion(request, choice) || r.isDraining(choice) {
 				request.excluded = append(request.excluded, choice.Upstream)
 			}
 
@@ -270,7 +270,16 @@
 // mayUse reports whether a choice may be used. It may have been made before the upstream asked for no more requests, or for
 // fewer, or before the first event was delivered, or by a node that doesn't know of it.
 func (r *Relayer) mayUse(request *request, choice balancer.Choice) bool {
-	return r.hasOriginVersion(request, choice) && !r.avoidList.contains(choice.Upstream, time.Now()) && r.options.Chooser.MayUse(choice)
+	return r.hasOriginVersion(request, choice) && !r.isDraining(choice) && !r.avoidList.contains(choice.Upstream, time.Now()) &&
+		r.options.Chooser.MayUse(choice)
+}
+
+// isDraining reports whether this node's list says that the chosen upstream gets no new requests. The node that chose it may have an
+// older list.
+func (r *Relayer) isDraining(choice balancer.Choice) bool {
+	listed, ok := r.options.Catalog.State().Registry.Upstreams.Get(choice.Upstream)
+
+	return ok && listed.Draining && listed.Address == choice.Address
 }
 
 // poolRequest describes an attempt to the balancer. It also returns the shortest rest that upstreams asked for.
