Headreader: the first 4 KB of a head need no shared memory, in however many segments they come

Read once more: a read was charged for the room in its buffer, so that the third segment of a short head could ask for shared memory, and find none beside endless heads. Entries, readiness and metrics take headers of 16 KB instead of 4 KB: callers' limits reach that far.

--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -19,7 +19,7 @@
 	// complete.
 	maxHeaderBytes = headreader.MaxBytes
 	// maxProbeHeaderBytes limits the header of a request for entries, readiness or metrics.
-	maxProbeHeaderBytes = headreader.FreeBytes
+	maxProbeHeaderBytes = 16 << 10
 	// reservedDescriptors is the number of file descriptors kept for files, the store, peers and requests for entries.
 	reservedDescriptors = 400
 	// callerConnectionFraction is the fraction of the other descriptors for callers' connections. Connections to
--- a/internal/headreader/headreader.go
+++ b/internal/headreader/headreader.go
@@ -138,6 +138,10 @@
 	p = p[:min(len(p), r.maxBytes-r.read)]
 	memory := r.reservation.memory
 
+	if free := FreeBytes - r.read; free > 0 {
+		p = p[:min(len(p), free)]
+	}
+
 	if len(p) == 0 {
 		memory.tooLong.Add(1)
 
