Follower tests: no node vouches for versions that it lacks, whoever stands still with an answer in hand

It fails where the age counts from the time at which a peer's answer, or a read of the store, was applied (tried both, and put back), so it can tell.

--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -63,7 +63,9 @@
 	down     bool
 	// callDelay delays each response between nodes.
 	callDelay time.Duration
-	members   map[string]*member
+	// pauses draws for how long a node stands still with a response in its hands, of the store or of a node; nil if none does.
+	pauses  func() time.Duration
+	members map[string]*member
 	// departedNodes are reported as departed to all nodes.
 	departedNodes []string
 	// nodeInfo holds the announced entries of nodes that announce more than their name.
@@ -277,9 +279,24 @@
 		position.Era--
 	}
 
+	m.fleet.mu.Unlock()
+	m.fleet.pause()
+	m.fleet.mu.Lock()
+
 	return position, nil
 }
 
+// pause lets a node stand still. Nothing that it waits for can end that.
+func (f *fleet) pause() {
+	f.mu.Lock()
+	pauses := f.pauses
+	f.mu.Unlock()
+
+	if pauses != nil {
+		time.Sleep(pauses())
+	}
+}
+
 func (m *member) Changes(ctx context.Context, after storer.Position) (follower.Changes, error) {
 	if err := m.callStore(ctx); err != nil {
 		return follower.Changes{}, err
@@ -296,7 +313,13 @@
 		return follower.Changes{}, nil
 	}
 
-	return m.fleet.changesLocked(), nil
+	changes := m.fleet.changesLocked()
+
+	m.fleet.mu.Unlock()
+	m.fleet.pause()
+	m.fleet.mu.Lock()
+
+	return changes, nil
 }
 
 // changesLocked reports all current entries as written and all past ones as removed. f.mu must be held.
@@ -445,6 +468,8 @@
 		return err
 	}
 
+	m.fleet.pause()
+
 	if !sleeper.Sleep(ctx, time.Millisecond+held+m.transferTime(other, len(data))) {
 		return ctx.Err()
 	}
