--- a/internal/gateway/cataloguer/catalog.go
+++ b/internal/gateway/cataloguer/catalog.go
@@ -234,7 +234,8 @@
 	c.retainMissing(&registry, &delta, afterOutage || isReturn)
 	c.rememberDeparted(&state.Registry, &delta)
 
-	next = new(*state)
+	next = new(State)
+	*next = *state
 	next.Registry = state.Registry.Apply(&delta)
 	next.Digest = next.Registry.Digest()
 
--- a/internal/gateway/relayer/basis.go
+++ b/internal/gateway/relayer/basis.go
@@ -23,11 +23,11 @@
 // basis is what a request is judged by: a version of the configuration, and how old it was when the decision was made. Later
 // versions and confirmations don't change it.
 type basis struct {
-	// version is the version of the routes and keys, 0 if the node has none.
-	version int64
+	// table holds the routes and keys; nil if the node has none. The other fields are valid only if it isn't nil.
+	table *router.Table
 	// newest is the newest version that the node had received.
 	newest int64
-	// age is the time since that version was last confirmed as current. It is valid only if known is true.
+	// age is the time since the table's version was last confirmed as current. It is valid only if known is true.
 	age   time.Duration
 	known bool
 }
@@ -38,16 +38,21 @@
 		return basis{}
 	}
 
-	decided := basis{version: table.Version, newest: r.options.Catalog.State().Configuration.Version}
+	decided := basis{table: table, newest: r.options.Catalog.State().Configuration.Version}
 	decided.age, decided.known = table.Freshness.Age()
 
-	if decided.newest > decided.version {
+	if decided.isOlder() {
 		r.judgements.byOlder.Add(1)
 	}
 
 	return decided
 }
 
+// isOlder reports whether the node had received a newer version than the table's.
+func (b *basis) isOlder() bool {
+	return b.newest > b.table.Version
+}
+
 // refuseForGood returns the refusal of what the configuration lacks. If that is too old, a newer one may have it: then the refusal says when to
 // come back instead.
 func (b *basis) refuseForGood(failure *classifier.Error) *classifier.Error {
@@ -60,8 +65,8 @@
 
 // addTo adds the basis to a log line.
 func (b *basis) addTo(event *zerolog.Event) *zerolog.Event {
-	if b.version > 0 {
-		event = event.Int64("version", b.version).Int64("newest_version", b.newest)
+	if b.table != nil {
+		event = event.Int64("version", b.table.Version).Int64("newest_version", b.newest)
 	}
 
 	if b.known {
@@ -109,13 +114,13 @@
 
 	isStale := !decided.known || decided.age > staleAge
 
-	if decided.version != t.version || t.wasStale && !isStale {
+	if decided.table.Version != t.version || t.wasStale && !isStale {
 		t.until = now.Add(traceTime)
 	}
 
-	t.version, t.wasStale = decided.version, isStale
+	t.version, t.wasStale = decided.table.Version, isStale
 
-	return now.Before(t.until) || decided.newest > decided.version
+	return now.Before(t.until) || decided.isOlder()
 }
 
 // traceAccepted logs an accepted request if it is selected.
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -118,10 +118,9 @@
 	memory := r.newMemoryReservation()
 	defer memory.release()
 
-	table := r.waitForRoutes(incoming.Context())
-	decided := r.basisOf(table)
+	decided := r.basisOf(r.waitForRoutes(incoming.Context()))
 
-	request, failure := r.accept(w, incoming, arrived, &memory, table, decided)
+	request, failure := r.accept(w, incoming, arrived, &memory, decided)
 	if failure != nil {
 		r.refuse(w, incoming.Header.Get(r.options.Headers.RequestID), decided, nil, failure)
 
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -187,10 +187,11 @@
 	return r.limitWait + time.Duration(limitJitterFraction*rand.Float64()*float64(r.limitWait))
 }
 
-// accept reads and validates the caller's request by the table.
+// accept reads and validates the caller's request.
 func (r *Relayer) accept(
-	w http.ResponseWriter, incoming *http.Request, arrived time.Time, memory *memoryReservation, table *router.Table, decided basis,
+	w http.ResponseWriter, incoming *http.Request, arrived time.Time, memory *memoryReservation, decided basis,
 ) (*request, *classifier.Error) {
+	table := decided.table
 	if table == nil {
 		return nil, classifier.New(classifier.SettingsUnavailable, "the node knows no configuration yet").After(jitteredRetryAfter())
 	}
@@ -224,7 +225,7 @@
 		resumes:     incoming.Header.Get(r.options.Headers.Resumes),
 	}
 
-	organisation, failure := r.authenticate(table, decided, route, incoming)
+	organisation, failure := r.authenticate(decided, route, incoming)
 	if failure != nil {
 		return nil, failure
 	}
@@ -293,10 +294,8 @@
 
 // authenticate returns the organisation of the caller's API key. It refuses all keys if the configuration is too old:
 // the node would otherwise continue to accept a key whose revocation it could not learn of.
-func (r *Relayer) authenticate(
-	table *router.Table, decided basis, route *cataloguer.Route, incoming *http.Request,
-) (*cataloguer.Organisation, *classifier.Error) {
-	if !table.NeedsKey(route) {
+func (r *Relayer) authenticate(decided basis, route *cataloguer.Route, incoming *http.Request) (*cataloguer.Organisation, *classifier.Error) {
+	if !decided.table.NeedsKey(route) {
 		return nil, nil
 	}
 
@@ -309,7 +308,7 @@
 		return nil, decided.refuseForGood(classifier.New(classifier.Unauthenticated, "the request shows no key"))
 	}
 
-	organisation, ok := table.Organisation(strings.TrimSpace(key))
+	organisation, ok := decided.table.Organisation(strings.TrimSpace(key))
 	if !ok {
 		return nil, decided.refuseForGood(classifier.New(classifier.Unauthenticated, "the key belongs to nobody"))
 	}
--- a/internal/gateway/relayer/response.go
+++ b/internal/gateway/relayer/response.go
@@ -104,7 +104,6 @@
 
 	for {
 		if len(body) == cap(body) {
-			// The buffer grows by half at a time, up to the limit.
 			next := min(cap(body)+max(cap(body)/2, bytes.MinRead), maxBufferedBytes)
 			if next == cap(body) || !memory.growTo(int64(next)) {
 				return body, errTooLongToBuffer
