--- a/internal/gateway/cataloguer/catalog.go
+++ b/internal/gateway/cataloguer/catalog.go
@@ -85,8 +85,8 @@
 }
 
 // OnChange makes the catalog call apply with the newest state after each change, before the call that brought the change returns. A separate
-// goroutine would run later than requests that wait for a processor, as they do after a pause of the node, and these would be judged
-// by the state before. It must be called before the first change. Calls don't overlap, and apply must not change the catalog.
+// goroutine would run only after requests that wait for a processor, as many do after a pause of the node, and the state before
+// would decide about these. It must be called before the first change. Calls don't overlap, and apply must not change the catalog.
 func (c *Catalog) OnChange(apply func(*State)) {
 	c.apply = apply
 }
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -45,7 +45,7 @@
 	return nil
 }
 
-// NewCatalog returns the catalog of a node that doesn't run, and a function that returns the version by which it judges requests, 0 if it has
+// NewCatalog returns the catalog of a node that doesn't run, and a function that returns the version that decides about requests, 0 if it has
 // none.
 func NewCatalog(settings loader.Settings, store Store, protocol Protocol) (catalog *cataloguer.Catalog, version func() int64) {
 	node := newNode(settings, store, DutyBackends{}, protocol, zerolog.Nop())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,7 +148,7 @@
 	leader  *leader.Leader
 	// attempts counts failed attempts by result.
 	attempts *expvar.Map
-	// useDelays are the times from the receipt of a version of the configuration until requests are judged by it.
+	// useDelays are the times from the receipt of a version of the configuration until it decides about requests.
 	useDelays meter.Histogram
 
 	messages *messenger.Messenger
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,9 +34,9 @@
 
 // configurationMetrics describes how the configuration is used.
 type configurationMetrics struct {
-	relayer.JudgementCounts
+	relayer.DecisionCounts
 
-	// UseDelay is the time from the receipt of a version until requests are judged by it.
+	// UseDelay is the time from the receipt of a version until it decides about requests.
 	UseDelay meter.HistogramSnapshot `json:"use_delay"`
 }
 
@@ -46,7 +46,7 @@
 		"follower": func() any { return n.follower.Counters() },
 		"attempts": func() any { return n.failedAttempts() },
 		"configuration": func() any {
-			return configurationMetrics{JudgementCounts: n.relayer.JudgementCounts(), UseDelay: n.useDelays.Snapshot()}
+			return configurationMetrics{DecisionCounts: n.relayer.DecisionCounts(), UseDelay: n.useDelays.Snapshot()}
 		},
 		"avoided":     func() any { return n.relayer.AvoidedUpstreams() },
 		"callers":     func() any { return n.acceptor.Counters() },
--- a/internal/gateway/received_state_test.go
+++ b/internal/gateway/received_state_test.go
@@ -11,7 +11,7 @@
 	"quincepath.example/quincepath/internal/storer"
 )
 
-// Guards against requests that are judged by an older version for as long as they keep a goroutine waiting that takes the newer one.
+// Guards against requests that an older version decides about for as long as they keep a goroutine waiting that takes the newer one.
 func TestReceivedConfigurationIsUsedAtOnce(t *testing.T) {
 	catalog, version := gateway.NewCatalog(nodeSettings(1), &store{revision: 1}, gateway.Protocol{})
 
--- a/internal/gateway/relayer/basis.go
+++ b/internal/gateway/relayer/basis.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// traceTime is how long accepted requests are logged after the configuration that they are judged by has changed, or was
+	// traceTime is how long accepted requests are logged after the configuration that decides about them has changed, or was
 	// confirmed again after it had been older than staleAge.
 	traceTime = time.Second
 	staleAge  = 2 * time.Second
@@ -20,7 +20,7 @@
 	maxTracedPerSecond = 200
 )
 
-// basis is what a request is judged by: a version of the configuration, and how old it was when the decision was made. Later
+// basis is what a decision on a request is based on: a version of the configuration, and how old it was when the decision was made. Later
 // versions and confirmations don't change it.
 type basis struct {
 	// table holds the routes and keys; nil if the node has none. The other fields are valid only if it isn't nil.
@@ -42,7 +42,7 @@
 	decided.age, decided.known = table.Freshness.Age()
 
 	if decided.isOlder() {
-		r.judgements.byOlder.Add(1)
+		r.decisions.byOlder.Add(1)
 	}
 
 	return decided
@@ -53,9 +53,9 @@
 	return b.newest > b.table.Version
 }
 
-// refuseForGood returns the refusal of what the configuration lacks. If that is too old, a newer one may have it: then the refusal says when to
+// finalRefusal returns the refusal of what the configuration lacks. If that is too old, a newer one may have it: then the refusal says when to
 // come back instead.
-func (b *basis) refuseForGood(failure *classifier.Error) *classifier.Error {
+func (b *basis) finalRefusal(failure *classifier.Error) *classifier.Error {
 	if b.known && b.age <= maxCurrentAge {
 		return failure
 	}
@@ -76,23 +76,22 @@
 	return event
 }
 
-// JudgementCounts counts what requests were judged by.
-type JudgementCounts struct {
-	// ByOlder counts the requests that were judged by an older version of the configuration than the newest that the node had
-	// received.
+// DecisionCounts counts decisions on requests by what they were based on.
+type DecisionCounts struct {
+	// ByOlder counts those based on an older version of the configuration than the newest that the node had received.
 	ByOlder int64 `json:"by_older"`
 	// Traced counts the accepted requests of which a line was to be logged.
 	Traced int64 `json:"traced"`
 }
 
-// judgementCounters are the counters behind JudgementCounts.
-type judgementCounters struct {
+// decisionCounters are the counters behind DecisionCounts.
+type decisionCounters struct {
 	byOlder, traced atomic.Int64
 }
 
-// JudgementCounts returns what requests were judged by.
-func (r *Relayer) JudgementCounts() JudgementCounts {
-	return JudgementCounts{ByOlder: r.judgements.byOlder.Load(), Traced: r.judgements.traced.Load()}
+// DecisionCounts returns the counts of decisions on requests.
+func (r *Relayer) DecisionCounts() DecisionCounts {
+	return DecisionCounts{ByOlder: r.decisions.byOlder.Load(), Traced: r.decisions.traced.Load()}
 }
 
 // decisionTrace selects the accepted requests that are logged: those right after the configuration changed or was confirmed
@@ -129,7 +128,7 @@
 		return
 	}
 
-	r.judgements.traced.Add(1)
+	r.decisions.traced.Add(1)
 	request.decided.addTo(r.trace.logger.Info().Str("request_id", request.id)).
 		Str("organisation", request.organisation).
 		Str("route", request.route.Name).
--- a/internal/gateway/relayer/refusal.go
+++ b/internal/gateway/relayer/refusal.go
@@ -24,8 +24,8 @@
 	r.refuse(out.writer, out.request.id, out.request.decided, out.request, failure)
 }
 
-// refuse counts, logs and writes an error response of this node. The request is nil if it was not accepted; decided is what it was
-// judged by.
+// refuse counts, logs and writes an error response of this node. The request is nil if it was not accepted; decided is the basis of the
+// decision.
 func (r *Relayer) refuse(w http.ResponseWriter, id string, decided basis, request *request, failure *classifier.Error) {
 	name := ""
 	if request != nil {
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -57,8 +57,8 @@
 	// limitLogger samples the log lines about rate limits that upstreams name, as each of their responses names them.
 	limitLogger zerolog.Logger
 	// trace logs some accepted requests.
-	trace      decisionTrace
-	judgements judgementCounters
+	trace     decisionTrace
+	decisions decisionCounters
 	// bodyBytes is the current size of all bodies and incomplete events in memory.
 	bodyBytes atomic.Int64
 	// inFlight is the number of requests being handled.
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -206,7 +206,7 @@
 
 	route, ok := table.Route(incoming.Host, incoming.URL.Path)
 	if !ok {
-		return nil, decided.refuseForGood(classifier.New(classifier.UnknownService, "no route has this host and path"))
+		return nil, decided.finalRefusal(classifier.New(classifier.UnknownService, "no route has this host and path"))
 	}
 
 	accepted := &request{
@@ -305,12 +305,12 @@
 
 	scheme, key, _ := strings.Cut(incoming.Header.Get(r.options.Headers.Authorization), " ")
 	if !strings.EqualFold(scheme, r.options.Headers.KeyScheme) {
-		return nil, decided.refuseForGood(classifier.New(classifier.Unauthenticated, "the request shows no key"))
+		return nil, decided.finalRefusal(classifier.New(classifier.Unauthenticated, "the request shows no key"))
 	}
 
 	organisation, ok := decided.table.Organisation(strings.TrimSpace(key))
 	if !ok {
-		return nil, decided.refuseForGood(classifier.New(classifier.Unauthenticated, "the key belongs to nobody"))
+		return nil, decided.finalRefusal(classifier.New(classifier.Unauthenticated, "the key belongs to nobody"))
 	}
 
 	return organisation, nil
