Relayer tests: the memory of bodies is counted once the handlers have ended

TestResponseThatFindsNoMemoryIsNotBuffered failed once in a run of the package beside load, and again once of twelve when it was traced: 4 bytes, those of the request's body, were still taken. A handler returns its memory after the caller has read the whole response, so the count was read too early: the test's own fault.

--- a/internal/gateway/relayer/endless_body_test.go
+++ b/internal/gateway/relayer/endless_body_test.go
@@ -47,5 +47,7 @@
 		assert.Equal(t, len(body), size)
 	}
 
+	// Waits for the handlers, which end after their responses.
+	w.server.Close()
 	assert.Equal(t, w.relayer.BodyMemory(), int64(0))
 }
