Cataloguer tests: an upstream that has left returns from a node that stood still (failing, known red)

What callers would see: requests at a server up to 4 s after the store has acknowledged that it leaves (DRAIN).

A node whose configuration is older than 2.5 s takes its next read for one after an outage of the store and retains what that lacks for 2.2 s, as it knew it before. Here the node itself had stood still, and its list went to all others, as it is the newer one by position.

The test has these events without a clock: it fails.

--- a/internal/gateway/cataloguer/store_return_test.go
+++ b/internal/gateway/cataloguer/store_return_test.go
@@ -152,3 +152,21 @@
 	r.now += 300 * time.Millisecond
 	assert.DeepEqual(t, r.apply(2, 10, a), []string{"a"})
 }
+
+// Guards against an upstream that has left and gets requests again: a node that stood still meanwhile takes its next read for one after an
+// outage, retains the upstream as it knew it, and passes it on at a newer position.
+func TestUpstreamThatLeftDoesNotReturnFromANodeThatStoodStill(t *testing.T) {
+	node, _ := newCatalog()
+	paused, _ := newCatalog()
+
+	node.ApplyRegistry(registry(24, "a", "b"), false)
+	paused.ApplyRegistry(registry(24, "a", "b"), false)
+
+	// b leaves while the other node stands still.
+	node.ApplyRegistry(registry(35, "a"), false)
+	assert.DeepEqual(t, ids(node), []string{"a"})
+
+	paused.ApplyRegistry(registry(36, "a"), true)
+	node.ApplyRegistry(paused.State().Registry, false)
+	assert.DeepEqual(t, ids(node), []string{"a"})
+}
