Observability: pauses of the process, closes with unread bytes, answers lost after a silence

- pausedetector measures for how long the process stood still; process_paused is logged, pauses is a metric.
- callers: closed_unread, closed_early, closed_waiting_for_memory, each as of the decision to close.
- attempts: lost_after_silence; silences on stream_broken and request_refused, caller_wait_ms on attempt_failed.

--- a/internal/gateway/acceptor/acceptor.go
+++ b/internal/gateway/acceptor/acceptor.go
@@ -41,6 +41,11 @@
 	Crossed int64 `json:"crossed_close"`
 	// WaitedForMemory counts headers that had to wait until others were read.
 	WaitedForMemory int64 `json:"waited_for_memory"`
+	// ClosedUnread counts connections that were closed while bytes of their caller lay unread in the socket, ClosedEarly those that
+	// were closed before the timeout that was in force then, ClosedWaiting those whose header waited for memory.
+	ClosedUnread  int64 `json:"closed_unread"`
+	ClosedEarly   int64 `json:"closed_early"`
+	ClosedWaiting int64 `json:"closed_waiting_for_memory"`
 }
 
 // Acceptor tracks the connections of one http.Server. It is safe for concurrent use.
@@ -85,6 +90,10 @@
 	generation int
 	// element is the connection's element in Acceptor.idle, or nil in other phases.
 	element *list.Element
+	// enteredAt is when the current phase began.
+	enteredAt time.Time
+	// isWaiting is true while the header waits for memory.
+	isWaiting bool
 	// headBytes is the number of bytes that were read in the phase readingHeader, headMemory what they take of
 	// Acceptor.headMemory.
 	headBytes  int
@@ -238,6 +247,7 @@
 	}
 
 	c, _ := oldest.Value.(*connection)
+	a.countUnread(c)
 	a.retire(c)
 	a.counters.Evicted++
 
@@ -290,9 +300,12 @@
 	defer a.mu.Unlock()
 
 	if c.phase != readingHeader || c.headMemory.Grow(c.headBytes) {
+		c.isWaiting = false
+
 		return true, c.phase != closed
 	}
 
+	c.isWaiting = true
 	if isFirst {
 		a.counters.WaitedForMemory++
 	}
@@ -330,7 +343,7 @@
 // enter starts a phase and its timeout; a.mu must be held.
 func (a *Acceptor) enter(c *connection, to phase) {
 	a.leave(c)
-	c.phase = to
+	c.phase, c.enteredAt = to, time.Now()
 	timeouts := a.timeouts()
 
 	switch to {
@@ -346,7 +359,7 @@
 // leave ends the current phase; a.mu must be held.
 func (a *Acceptor) leave(c *connection) {
 	c.generation++
-	c.headBytes = 0
+	c.headBytes, c.isWaiting = 0, false
 	c.headMemory.Release()
 
 	if c.timer != nil {
@@ -369,6 +382,8 @@
 
 		expired := c.generation == generation
 		if expired {
+			a.countUnread(c)
+			a.countCause(c)
 			a.retire(c)
 			*counter++
 		}
@@ -380,6 +395,31 @@
 	})
 }
 
+// countUnread counts a connection that is about to be closed while bytes of its caller lie unread; a.mu must be held.
+func (a *Acceptor) countUnread(c *connection) {
+	if c.hasUnread() {
+		a.counters.ClosedUnread++
+	}
+}
+
+// countCause counts a connection that is about to be closed for its timeout, but not for its caller's delay; a.mu must be held.
+func (a *Acceptor) countCause(c *connection) {
+	timeouts := a.timeouts()
+
+	timeout := timeouts.Idle
+	if c.phase == readingHeader {
+		timeout = timeouts.Header
+	}
+
+	if time.Since(c.enteredAt) < timeout {
+		a.counters.ClosedEarly++
+	}
+
+	if c.isWaiting {
+		a.counters.ClosedWaiting++
+	}
+}
+
 // retire stops tracking a connection that is closed, or is closed next without holding a.mu, which must be held. No further
 // request on it is handled.
 func (a *Acceptor) retire(c *connection) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,7 @@
 	"quincepath.example/quincepath/internal/loader"
 	"quincepath.example/quincepath/internal/messenger"
 	"quincepath.example/quincepath/internal/meter"
+	"quincepath.example/quincepath/internal/pausedetector"
 	"quincepath.example/quincepath/internal/prober"
 	"quincepath.example/quincepath/internal/quarantiner"
 	"quincepath.example/quincepath/internal/throttler"
@@ -143,6 +144,8 @@
 	// pins remembers which software version began each resumable stream.
 	pins  *pinner.Pinner
 	meter *meter.Meter
+	// pauses measures for how long the process stood still.
+	pauses *pausedetector.Detector
 	// tallier counts usage by organisation; leader performs the platform's duties, nil if there are none.
 	tallier *tallier.Tallier
 	leader  *leader.Leader
@@ -200,6 +203,7 @@
 		dialer:   dialer.New(maxConnections(settings.Gateway.Descriptors)),
 		meter:    meter.New(),
 		attempts: new(expvar.Map),
+		pauses:   pausedetector.New(timekeeper.SinceBoot, logger),
 	}
 
 	n.current.Store(&settings)
@@ -384,6 +388,7 @@
 
 	n.applyChanges(work)
 
+	go n.pauses.Run(work)
 	go n.follower.Run(work)
 	go n.broker.Run(work)
 	go n.quarantine.Run(work)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -64,6 +64,7 @@
 		"members":     func() any { return n.prober.Counters() },
 		"tunnels":     func() any { return n.tunnels.Counters() },
 		"messages":    func() any { return n.messages.Traffic() },
+		"pauses":      func() any { return n.pauses.Counters() },
 	}
 
 	if n.caches != nil {
--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -195,6 +195,10 @@
 		return
 	}
 
+	if errors.Is(context.Cause(ctx), errAttemptTimeout) {
+		request.silences++
+	}
+
 	*outcome = balancer.Failed
 	request.brokeAt = append(request.brokeAt, time.Now())
 	request.interruption = &interruption{
@@ -363,6 +367,7 @@
 		Int("send", request.sends).
 		Int("runs", request.runs).
 		Dur("age_ms", time.Since(request.arrived)).
+		Dur("caller_wait_ms", request.callerWait).
 		Str("result", result).
 		AnErr("reason", err).
 		Msg("attempt_failed")
--- a/internal/gateway/relayer/refusal.go
+++ b/internal/gateway/relayer/refusal.go
@@ -44,7 +44,7 @@
 
 	if request != nil {
 		event = event.Stringer("request_key", request.traits.Content).Str("prompt_part", request.verdict.Part).Str("route", request.route.Name).Str("service", request.service).Int("rank", request.engineRank).
-			Int("sends", request.sends).Int("runs", request.runs).Strs("excluded", request.excluded).
+			Int("sends", request.sends).Int("runs", request.runs).Int("silences", request.silences).Strs("excluded", request.excluded).
 			Dur("age_ms", time.Since(request.arrived)).Dur("queue_ms", request.queueDrainTime).
 			Dur("return_ms", request.returnAfter)
 	}
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -368,6 +368,10 @@
 func (r *Relayer) giveUp(ctx context.Context, out *callerResponse) {
 	request := out.request
 
+	if request.silences > 0 {
+		r.options.FailedAttempts.Add("lost_after_silence", 1)
+	}
+
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		out.stats.code = classifier.CallerGone
@@ -378,7 +382,7 @@
 		out.stats.code = classifier.StreamBroken
 		r.options.Meter.Refused(request.route.Name, classifier.StreamBroken)
 		r.options.Logger.Warn().Str("request_id", request.id).Str("route", request.route.Name).
-			Int("sends", request.sends).Str("last_event", request.lastEventID).Msg("stream_broken")
+			Int("sends", request.sends).Int("silences", request.silences).Str("last_event", request.lastEventID).Msg("stream_broken")
 		panic(http.ErrAbortHandler)
 	case out.buffered != nil:
 		out.stats.code = classifier.UpstreamFailed
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -97,6 +97,10 @@
 	limitWait time.Duration
 	// sentAt is when the current attempt was sent.
 	sentAt time.Time
+	// silences counts the attempts that this node ended because their upstream sent nothing.
+	silences int
+	// callerWait is for how long events waited until the caller had taken earlier ones. The upstream isn't read meanwhile.
+	callerWait time.Duration
 	// brokeAt is when attempts broke off.
 	brokeAt []time.Time
 	// interruption is set by an attempt that broke off; nil otherwise.
--- a/internal/gateway/relayer/stream.go
+++ b/internal/gateway/relayer/stream.go
@@ -88,7 +88,11 @@
 			out.events = newEventQueue(out.writer, http.NewResponseController(out.writer).Flush, r.newMemoryReservation())
 		}
 
-		if err := out.events.push(event); err != nil {
+		pushed := time.Now()
+		err = out.events.push(event)
+		request.callerWait += time.Since(pushed)
+
+		if err != nil {
 			return r.handleCallerGone(out)
 		}
 
