Acceptor: what a caller sent in time is read before its connection is closed

Cause: the timer of a connection closes it at the moment it runs. A process that had no processor time runs the timers that came due before it reads what callers sent meanwhile, and a close with unread bytes resets the connection. The header timer did the same, and so did the eviction at the connection limit, at any time.

Change: one reaper takes the place of a timer for each connection. It walks queues that are ordered by when connections entered their phase, and closes a connection only if its caller is late: the server waits in Read for bytes, and none lie unread in the socket. For a header, the bytes that lie unread when its timeout is over still count, and later ones don't, so a caller that sends a byte at a time gains nothing. An eviction passes over connections with unread bytes; without another idle one, the new connection is turned away.

Why it works: a whole request lies unread in the socket, or in the hands of the server, until its read is recorded; in both cases isCallerLate is false. Once it is recorded the phase has changed.

--- a/internal/gateway/acceptor/acceptor.go
+++ b/internal/gateway/acceptor/acceptor.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quincepath.example/quincepath/internal/headreader"
@@ -41,10 +42,11 @@
 	Crossed int64 `json:"crossed_close"`
 	// WaitedForMemory counts headers that had to wait until others were read.
 	WaitedForMemory int64 `json:"waited_for_memory"`
-	// ClosedUnread counts connections that were closed while bytes of their caller lay unread in the socket, ClosedEarly those that
-	// were closed before the timeout that was in force then, ClosedWaiting those whose header waited for memory.
-	ClosedUnread  int64 `json:"closed_unread"`
-	ClosedEarly   int64 `json:"closed_early"`
+	// Postponed counts connections that exceeded a timeout while bytes that came in time weren't read yet. ClosedUnread counts those that
+	// were closed while bytes of their caller lay unread in the socket, since these came after the timeout.
+	Postponed    int64 `json:"close_postponed"`
+	ClosedUnread int64 `json:"closed_unread"`
+	// ClosedWaiting counts connections whose header waited for memory when its timeout was over.
 	ClosedWaiting int64 `json:"closed_waiting_for_memory"`
 }
 
@@ -60,8 +62,15 @@
 
 	mu          sync.Mutex
 	connections map[*connection]struct{}
-	// idle holds the connections without a request, the longest idle one first.
-	idle     *list.List
+	// idle and headers hold the connections in the phases idle and readingHeader, the longest in its phase first.
+	idle, headers *list.List
+	// overdue holds the connections of both phases that exceeded their timeout while the server had not read what their callers had sent,
+	// the one that is judged first at the front.
+	overdue                *list.List
+	idleLimit, headerLimit limit
+	// reaper runs at reapAt, or is not set if that is zero.
+	reaper   *time.Timer
+	reapAt   time.Time
 	counters Counters
 }
 
@@ -84,14 +93,17 @@
 	net.Conn
 	acceptor *Acceptor
 	phase    phase
-	// timer closes the connection when the current phase exceeds its timeout.
-	timer *time.Timer
-	// generation counts the phases, so that a timer of an earlier phase is ignored.
-	generation int
-	// element is the connection's element in Acceptor.idle, or nil in other phases.
+	// queue is the list of the acceptor that holds the connection as element; nil in other phases than idle and readingHeader.
+	queue   *list.List
 	element *list.Element
 	// enteredAt is when the current phase began.
 	enteredAt time.Time
+	// judgeAt is when a connection in Acceptor.overdue is judged again.
+	judgeAt time.Time
+	// headBytesInTime is the number of bytes of a header that came within its timeout; 0 before that is over.
+	headBytesInTime int
+	// isReading is true while the server waits for bytes. It isn't guarded.
+	isReading atomic.Bool
 	// isWaiting is true while the header waits for memory.
 	isWaiting bool
 	// headBytes is the number of bytes that were read in the phase readingHeader, headMemory what they take of
@@ -103,7 +115,10 @@
 // Read implements net.Conn. The server reports the start of a request only after its header is complete, so the first byte is
 // detected here.
 func (c *connection) Read(p []byte) (int, error) {
+	c.isReading.Store(true)
 	n, err := c.Conn.Read(p)
+	c.isReading.Store(false)
+
 	if n > 0 && !c.acceptor.recordRead(c, n) {
 		return 0, net.ErrClosed
 	}
@@ -125,7 +140,7 @@
 func New(maxConnections int, timeouts func() Timeouts, headMemory *headreader.Memory) *Acceptor {
 	return &Acceptor{
 		maxConnections: maxConnections, timeouts: timeouts, headMemory: headMemory,
-		connections: make(map[*connection]struct{}), idle: list.New(),
+		connections: make(map[*connection]struct{}), idle: list.New(), headers: list.New(), overdue: list.New(),
 	}
 }
 
@@ -234,26 +249,6 @@
 	}
 }
 
-// evictIdle removes the longest idle connection if the maximum is reached, and returns it for the caller to close; a.mu must
-// be held.
-func (a *Acceptor) evictIdle() *connection {
-	if len(a.connections) < a.maxConnections {
-		return nil
-	}
-
-	oldest := a.idle.Front()
-	if oldest == nil {
-		return nil
-	}
-
-	c, _ := oldest.Value.(*connection)
-	a.countUnread(c)
-	a.retire(c)
-	a.counters.Evicted++
-
-	return c
-}
-
 // recordRead records that bytes were read. While a header is read, it waits until there is memory for it, so that the caller's next bytes stay
 // where they are; the timeout for headers bounds that. It returns false if the connection is being closed.
 func (a *Acceptor) recordRead(c *connection, bytes int) bool {
@@ -344,80 +339,22 @@
 func (a *Acceptor) enter(c *connection, to phase) {
 	a.leave(c)
 	c.phase, c.enteredAt = to, time.Now()
-	timeouts := a.timeouts()
+	a.updateLimits(c.enteredAt)
 
 	switch to {
 	case idle:
-		c.element = a.idle.PushBack(c)
-		a.closeAfter(c, timeouts.Idle, &a.counters.ClosedIdle)
+		a.enqueue(c, a.idle, &a.idleLimit)
 	case readingHeader:
-		a.closeAfter(c, timeouts.Header, &a.counters.ClosedHeader)
+		a.enqueue(c, a.headers, &a.headerLimit)
 	case active, closed:
 	}
 }
 
 // leave ends the current phase; a.mu must be held.
 func (a *Acceptor) leave(c *connection) {
-	c.generation++
-	c.headBytes, c.isWaiting = 0, false
+	a.dequeue(c)
+	c.headBytes, c.headBytesInTime, c.isWaiting = 0, 0, false
 	c.headMemory.Release()
-
-	if c.timer != nil {
-		c.timer.Stop()
-		c.timer = nil
-	}
-
-	if c.element != nil {
-		a.idle.Remove(c.element)
-		c.element = nil
-	}
-}
-
-// closeAfter closes the connection if its phase exceeds the timeout; a.mu must be held.
-func (a *Acceptor) closeAfter(c *connection, timeout time.Duration, counter *int64) {
-	generation := c.generation
-
-	c.timer = time.AfterFunc(timeout, func() {
-		a.mu.Lock()
-
-		expired := c.generation == generation
-		if expired {
-			a.countUnread(c)
-			a.countCause(c)
-			a.retire(c)
-			*counter++
-		}
-		a.mu.Unlock()
-
-		if expired {
-			_ = c.Close()
-		}
-	})
-}
-
-// countUnread counts a connection that is about to be closed while bytes of its caller lie unread; a.mu must be held.
-func (a *Acceptor) countUnread(c *connection) {
-	if c.hasUnread() {
-		a.counters.ClosedUnread++
-	}
-}
-
-// countCause counts a connection that is about to be closed for its timeout, but not for its caller's delay; a.mu must be held.
-func (a *Acceptor) countCause(c *connection) {
-	timeouts := a.timeouts()
-
-	timeout := timeouts.Idle
-	if c.phase == readingHeader {
-		timeout = timeouts.Header
-	}
-
-	if time.Since(c.enteredAt) < timeout {
-		a.counters.ClosedEarly++
-	}
-
-	if c.isWaiting {
-		a.counters.ClosedWaiting++
-	}
 }
 
 // retire stops tracking a connection that is closed, or is closed next without holding a.mu, which must be held. No further
--- a/internal/gateway/acceptor/unread.go
+++ b/internal/gateway/acceptor/unread.go
@@ -6,28 +6,33 @@
 	"golang.org/x/sys/unix"
 )
 
-// hasUnread reports whether the caller has sent bytes that are in the socket and weren't read yet. It is false for connections
-// that are no sockets, and for those that the caller has closed.
-func (c *connection) hasUnread() bool {
-	if tester, ok := c.Conn.(interface{ HasUnread() bool }); ok {
-		return tester.HasUnread()
+// unread returns how many bytes that the caller has sent are in the socket and weren't read yet. It is 0 for connections that are no
+// sockets.
+func (c *connection) unread() int {
+	if counter, ok := c.Conn.(interface{ Unread() int }); ok {
+		return counter.Unread()
 	}
 
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return 0
 	}
 
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return 0
 	}
 
-	unread := false
+	bytes := 0
+
 	err = raw.Control(func(descriptor uintptr) {
-		n, _, err := unix.Recvfrom(int(descriptor), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		unread = err == nil && n > 0
+		if n, err := unix.IoctlGetInt(int(descriptor), unix.SIOCINQ); err == nil {
+			bytes = n
+		}
 	})
+	if err != nil {
+		return 0
+	}
 
-	return err == nil && unread
+	return bytes
 }
