Acceptor: connections that are open go by the timeouts of the newest configuration

Where the timeout falls, connections stayed for the old one.

Cause: enter read the timeouts once and set a timer by them. Now a new configuration and reloaded settings wake it (Refresh).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -466,6 +466,7 @@
 
 	if table := n.table.Load(); table == nil || table.Version < state.Configuration.Version {
 		n.table.Store(router.New(state.Configuration, state.ConfigurationFreshness))
+		n.acceptor.Refresh()
 
 		delay := n.catalog.Now() - state.ReceivedAt
 		n.useDelays.Record(delay)
--- a/internal/gateway/kept_connections_test.go
+++ b/internal/gateway/kept_connections_test.go
@@ -318,3 +318,33 @@
 	assert.Assert(t, answered > 0)
 	assert.Assert(t, len(lost) == 0, "%v", lost)
 }
+
+// Guards against connections that stay open by the idle timeout of an earlier configuration.
+func TestShorterIdleTimeoutClosesConnectionsThatAreOpen(t *testing.T) {
+	u := &keptUpstreams{random: rand.New(rand.NewPCG(0, 0)), arrived: make(map[string]bool)}
+	upstream := httptest.NewServer(u)
+	t.Cleanup(upstream.Close)
+
+	s := &keptStore{crashStore: crashStore{store: store{revision: 1}}, version: 1, idle: time.Hour, header: time.Hour}
+	s.upstreams = []cataloguer.Upstream{{ID: "u", Service: "lookup", Address: upstream.Listener.Addr().String(), Slots: 20}}
+
+	n := &restartableNode{t: t, store: s, settings: nodeSettings(1)}
+	n.settings.Node.DrainTimeout = time.Second
+	n.start()
+	t.Cleanup(n.stop)
+	waitUntil(t, func() bool { return post(n.settings, "lookup", "fine") == http.StatusOK })
+
+	conn, err := net.Dial("tcp", n.settings.Node.Listen)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+
+	s.change(func() {
+		s.version++
+		s.revision++
+		s.idle = time.Second
+	})
+
+	_ = conn.SetReadDeadline(time.Now().Add(time.Minute))
+	_, err = conn.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
+}
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -75,6 +75,7 @@
 	previous := n.current.Load()
 	next := applyReloadable(*previous, loaded)
 	n.current.Store(&next)
+	n.acceptor.Refresh()
 	n.budget.SetBounds(next.Gateway.RetryRatio, next.Gateway.RetryExtra)
 
 	n.logger.Info().
