Acceptor: a header that finds no memory is refused, and its wait isn't its caller's time

Callers whose long header waited for memory of the node got the end of their connection at the header timeout: neither an answer nor a refusal. And callers that sent their header in time, but for the wait, were cut.

Cause: reserveHead waited in the phase that the header timeout limits, and nothing else limited the wait.

Change: the timeout is suspended while a header waits, and goes on afterwards where it was. The refusal is counted in the meter and logged as request_refused, and refused_for_memory takes the place of closed_waiting_for_memory, which nothing counts any more.

A read on a connection that is being closed now ends with an error that net/http doesn't answer: by net.ErrClosed it could write 400 on a connection that is about to be closed, which tells the caller that its request was wrong.

--- a/internal/gateway/acceptor/acceptor.go
+++ b/internal/gateway/acceptor/acceptor.go
@@ -15,10 +15,11 @@
 	"time"
 
 	"quincepath.example/quincepath/internal/headreader"
+	"quincepath.example/quincepath/pkg/classifier"
 )
 
-// memoryPollInterval is how often a header that waits for memory checks whether there is some.
-const memoryPollInterval = 10 * time.Millisecond
+// errClosing ends a read of a connection that is being closed. The server answers other errors than those of a read.
+var errClosing = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
 
 // Timeouts are the configured timeouts of a connection, both above zero.
 type Timeouts struct {
@@ -40,20 +41,22 @@
 	Rejected int64 `json:"turned_away"`
 	// Crossed counts requests that were read while their connection was being closed. They are not handled.
 	Crossed int64 `json:"crossed_close"`
-	// WaitedForMemory counts headers that had to wait until others were read.
+	// WaitedForMemory counts headers that had to wait until others were read, Refused those that were refused as there was no memory.
 	WaitedForMemory int64 `json:"waited_for_memory"`
+	Refused         int64 `json:"refused_for_memory"`
 	// Postponed counts connections that exceeded a timeout while bytes that came in time weren't read yet. ClosedUnread counts those that
 	// were closed while bytes of their caller lay unread in the socket, since these came after the timeout.
 	Postponed    int64 `json:"close_postponed"`
 	ClosedUnread int64 `json:"closed_unread"`
-	// ClosedWaiting counts connections whose header waited for memory when its timeout was over.
-	ClosedWaiting int64 `json:"closed_waiting_for_memory"`
 }
 
 // Acceptor tracks the connections of one http.Server. It is safe for concurrent use.
 //
 // No other lock is taken while Acceptor.mu is held, and connections are closed without holding it.
 type Acceptor struct {
+	// OnRefusal, if not nil, is called for each request that is refused before its header was read. It is set before Serve.
+	OnRefusal func(*classifier.Error)
+
 	// maxConnections is the maximum number of open connections.
 	maxConnections int
 	timeouts       func() Timeouts
@@ -93,7 +96,8 @@
 	net.Conn
 	acceptor *Acceptor
 	phase    phase
-	// queue is the list of the acceptor that holds the connection as element; nil in other phases than idle and readingHeader.
+	// queue is the list of the acceptor that holds the connection as element. It is nil in other phases than idle and readingHeader, and
+	// while a header waits for memory.
 	queue   *list.List
 	element *list.Element
 	// enteredAt is when the current phase began.
@@ -104,8 +108,6 @@
 	headBytesInTime int
 	// isReading is true while the server waits for bytes. It isn't guarded.
 	isReading atomic.Bool
-	// isWaiting is true while the header waits for memory.
-	isWaiting bool
 	// headBytes is the number of bytes that were read in the phase readingHeader, headMemory what they take of
 	// Acceptor.headMemory.
 	headBytes  int
@@ -119,8 +121,21 @@
 	n, err := c.Conn.Read(p)
 	c.isReading.Store(false)
 
-	if n > 0 && !c.acceptor.recordRead(c, n) {
-		return 0, net.ErrClosed
+	if n == 0 {
+		return n, err
+	}
+
+	if !c.acceptor.startReading(c, n) {
+		return 0, errClosing
+	}
+
+	reserved, open := c.acceptor.reserveHead(c)
+	if !reserved {
+		open = c.acceptor.awaitMemory(c, p)
+	}
+
+	if !open {
+		return 0, errClosing
 	}
 
 	return n, err
@@ -249,23 +264,6 @@
 	}
 }
 
-// recordRead records that bytes were read. While a header is read, it waits until there is memory for it, so that the caller's next bytes stay
-// where they are; the timeout for headers bounds that. It returns false if the connection is being closed.
-func (a *Acceptor) recordRead(c *connection, bytes int) bool {
-	if !a.startReading(c, bytes) {
-		return false
-	}
-
-	for waited := false; ; waited = true {
-		reserved, open := a.reserveHead(c, !waited)
-		if reserved || !open {
-			return open
-		}
-
-		time.Sleep(memoryPollInterval)
-	}
-}
-
 // startReading records that bytes were read, which begin a header if the connection was idle. It returns false if the connection is
 // being closed.
 func (a *Acceptor) startReading(c *connection, bytes int) bool {
@@ -289,25 +287,6 @@
 	return true
 }
 
-// reserveHead reserves the memory of the header that is being read, if any. It also reports whether the connection is open.
-func (a *Acceptor) reserveHead(c *connection, isFirst bool) (reserved, open bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-
-	if c.phase != readingHeader || c.headMemory.Grow(c.headBytes) {
-		c.isWaiting = false
-
-		return true, c.phase != closed
-	}
-
-	c.isWaiting = true
-	if isFirst {
-		a.counters.WaitedForMemory++
-	}
-
-	return false, true
-}
-
 // startHandling records that a request's header is complete. It returns false if the connection is being closed: its caller
 // would get no answer.
 func (a *Acceptor) startHandling(c *connection) bool {
@@ -353,7 +332,7 @@
 // leave ends the current phase; a.mu must be held.
 func (a *Acceptor) leave(c *connection) {
 	a.dequeue(c)
-	c.headBytes, c.headBytesInTime, c.isWaiting = 0, 0, false
+	c.headBytes, c.headBytesInTime = 0, 0
 	c.headMemory.Release()
 }
 
--- a/internal/gateway/acceptor/change_test.go
+++ b/internal/gateway/acceptor/change_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -19,6 +20,8 @@
 		assert.Check(t, get(t, c, "/"))
 
 		time.Sleep(idleTimeout - time.Second)
+		synctest.Wait()
+
 		times.Idle = 4 * idleTimeout
 		a.Refresh()
 
@@ -47,6 +50,8 @@
 		later := listener.open()
 		assert.Check(t, get(t, later, "/"))
 
+		synctest.Wait()
+
 		times.Idle = idleTimeout
 		a.Refresh()
 
@@ -74,6 +79,8 @@
 		time.Sleep(time.Minute)
 
 		for _, timeout := range []time.Duration{2 * idleTimeout, idleTimeout} {
+			synctest.Wait()
+
 			times.Idle = timeout
 			a.Refresh()
 			time.Sleep(time.Second)
@@ -90,6 +97,8 @@
 		_, err := io.WriteString(c, "GET / HTTP/1.1\r\n")
 		assert.Check(t, err)
 
+		synctest.Wait()
+
 		times.Header = 2 * headerTimeout
 		a.Refresh()
 
--- a/internal/gateway/acceptor/reaper.go
+++ b/internal/gateway/acceptor/reaper.go
@@ -138,10 +138,6 @@
 // isCallerLate reports whether a connection exceeded its timeout by its caller's delay; a.mu must be held. A process that stood still, or is
 // busy, finds timeouts due before it has read what came in time.
 func (a *Acceptor) isCallerLate(c *connection) bool {
-	if c.isWaiting {
-		return true
-	}
-
 	// The server has bytes that it hasn't looked at.
 	if !c.isReading.Load() {
 		return false
@@ -183,10 +179,6 @@
 	if c.unread() > 0 {
 		a.counters.ClosedUnread++
 	}
-
-	if c.isWaiting {
-		a.counters.ClosedWaiting++
-	}
 }
 
 // evictIdle retires the longest idle connection without unread bytes if the maximum is reached, and returns it for the caller to close;
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -217,6 +217,7 @@
 		Now:        n.catalog.Now,
 	})
 	n.acceptor = acceptor.New(maxConnections(settings.Gateway.Descriptors), n.callerTimeouts, headreader.NewMemory(headMemory))
+	n.acceptor.OnRefusal = n.recordRefusal
 	n.prober = n.newProber()
 	n.messages = messenger.New(messenger.Options{
 		Self:       settings.Node.PeerListen,
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -10,6 +10,7 @@
 
 	"quincepath.example/quincepath/internal/gateway/acceptor"
 	"quincepath.example/quincepath/internal/headreader"
+	"quincepath.example/quincepath/pkg/classifier"
 )
 
 const (
@@ -118,6 +119,16 @@
 	return times
 }
 
+// recordRefusal counts and logs a request that was refused before its header was read.
+func (n *Node) recordRefusal(failure *classifier.Error) {
+	n.meter.Refused("", failure.Code)
+	n.logger.Info().
+		Int("result_code", int(failure.Code)).
+		Str("result", failure.Code.String()).
+		Str("reason", failure.Reason).
+		Msg("request_refused")
+}
+
 // ready reports whether the node accepts requests.
 func (n *Node) ready() bool {
 	return n.leavingFor() == 0 && n.table.Load() != nil
