--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -217,6 +217,7 @@
 		Now:        n.catalog.Now,
 	})
 	n.acceptor = acceptor.New(maxConnections(settings.Gateway.Descriptors), n.callerTimeouts, headreader.NewMemory(headMemory))
+	n.acceptor.OnRefusal = n.recordRefusal
 	n.prober = n.newProber()
 	n.messages = messenger.New(messenger.Options{
 		Self:       settings.Node.PeerListen,
@@ -466,6 +467,7 @@
 
 	if table := n.table.Load(); table == nil || table.Version < state.Configuration.Version {
 		n.table.Store(router.New(state.Configuration, state.ConfigurationFreshness))
+		n.acceptor.Refresh()
 
 		delay := n.catalog.Now() - state.ReceivedAt
 		n.useDelays.Record(delay)
