Cataloguer, follower: a node's own pause is no outage of the store

Cause: a read of the store counted as the first one after an outage if this node's configuration was older than 2.5 s. A node that stood still has such a configuration as well. It retained the upstreams that its first read lacked for 2.2 s and passed them on at a newer position, so that nodes which had seen them leave listed them again. Nothing ended a retention before its time.

Change: - An outage is what nodes saw, not the age of what one has. A node whose read lacks upstreams, after a time without an answer of the store that it knows of, asks up to four peers for how long the store has answered all the while. If one was in touch, there was no outage. If others answer and none was, there was one. If none answers, the node goes by what it saw itself: reads that failed while it ran, or more than 2.5 s without an answer of the store while it ran. - What peers remember of departures comes with their answers. An upstream that another node saw leave after this one last knew it isn't retained, whatever else is. - A node that pulls a registry in which a peer retains upstreams doesn't list those that it has seen leave. It tells the peer so with its next pull, which ends the retention there. The same run of an upstream that registers again meanwhile waits for 2.2 s at most. - A node that reads for the first time since an outage, after another one did, retains what that one does, until 2.2 s after the end of the outage. It dropped these upstreams before, since its configuration was fresh by then, and all nodes followed it.

Why it works: evidence of an outage is that the store answered nobody, and at least one node that ran would know that it did. The simulated fleet of the follower's tests can let nodes stand still: such a node does nothing and answers nobody.

--- a/internal/gateway/cataloguer/catalog.go
+++ b/internal/gateway/cataloguer/catalog.go
@@ -1,7 +1,6 @@
 package cataloguer
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -10,10 +9,6 @@
 	"quincepath.example/quincepath/internal/storer"
 )
 
-// outageGracePeriod is how long upstreams that are missing after a store outage are retained. Entries that expired
-// during the outage reappear within two seconds if the upstream is alive.
-const outageGracePeriod = 2200 * time.Millisecond
-
 // maxPreviousConfigurations limits the earlier configurations kept as bases for deltas. Operators write them in
 // short series; one with 2,000 routes takes about 400 KB of memory.
 const maxPreviousConfigurations = 4
@@ -64,8 +59,8 @@
 	mu sync.Mutex
 	// previousConfigurations are the states with the most recent earlier configurations, oldest first.
 	previousConfigurations []*State
-	// graceEnds maps the IDs of upstreams that an outage may have removed to the time until which they are retained.
-	graceEnds map[string]time.Duration
+	// graces holds the upstreams that are retained because an outage may have removed them, by ID.
+	graces map[string]grace
 	// departures are the upstreams that were removed lately.
 	departures departures
 	// storeReturns are the returns of the store from older copies that nobody has taken yet.
@@ -74,7 +69,7 @@
 
 // New returns an empty catalog. The clock now must include the time for which the VM is suspended.
 func New(now func() time.Duration) *Catalog {
-	c := &Catalog{now: now, graceEnds: make(map[string]time.Duration), departures: newDepartures()}
+	c := &Catalog{now: now, graces: make(map[string]grace), departures: newDepartures()}
 
 	empty := Registry{}
 	c.state.Store(&State{
@@ -174,10 +169,10 @@
 	return true
 }
 
-// ApplyRegistry applies a registry. The afterOutage flag says that the store was recently unavailable. An older
+// ApplyRegistry applies a registry of a peer. The afterOutage flag says that the store was recently unavailable. An older
 // registry is ignored. It reports whether any entry changed.
 func (c *Catalog) ApplyRegistry(registry Registry, afterOutage bool) bool {
-	changed := c.publishRegistry(registry, afterOutage, nil)
+	changed := c.publishRegistry(registry, c.graceEnd(afterOutage), nil)
 	if changed {
 		c.applyNewest()
 	}
@@ -185,10 +180,15 @@
 	return changed
 }
 
-// ApplyFreshRegistry combines ApplyRegistry and MarkRegistryFresh, so that whoever learns of the change also sees the new
-// freshness.
+// Lacks reports whether the registry lacks upstreams that this node lists.
+func (c *Catalog) Lacks(registry *Registry) bool {
+	return len(registry.DeltaFrom(&c.state.Load().Registry).Upstreams.Remove) > 0
+}
+
+// ApplyFreshRegistry applies a registry that this node read from the store at the given time. It combines ApplyRegistry and
+// MarkRegistryFresh, so that whoever learns of the change also sees the new freshness.
 func (c *Catalog) ApplyFreshRegistry(registry Registry, afterOutage bool, at time.Duration) bool {
-	changed := c.publishRegistry(registry, afterOutage, &at)
+	changed := c.publishRegistry(registry, c.graceEnd(afterOutage), &at)
 	if changed {
 		c.applyNewest()
 	}
@@ -196,16 +196,26 @@
 	return changed
 }
 
-// publishRegistry publishes a registry unless it is older, and reports whether any entry changed. If confirmedAt isn't nil, the resulting
-// registry was complete as of that time.
-func (c *Catalog) publishRegistry(registry Registry, afterOutage bool, confirmedAt *time.Duration) bool {
+// ApplyRegistryAfterOutage does as ApplyFreshRegistry after an outage of the store that ended at the given time.
+func (c *Catalog) ApplyRegistryAfterOutage(registry Registry, endedAt, at time.Duration) bool {
+	changed := c.publishRegistry(registry, endedAt+outageGracePeriod, &at)
+	if changed {
+		c.applyNewest()
+	}
+
+	return changed
+}
+
+// publishRegistry publishes a registry unless it is older, and reports whether any entry changed. If readAt isn't nil, this node read it
+// from the store at that time, as of which it was complete; else it is a peer's. Missing upstreams are retained until graceEnd.
+func (c *Catalog) publishRegistry(registry Registry, graceEnd time.Duration, readAt *time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	next, changed := c.nextStateLocked(registry, afterOutage)
+	next, changed := c.nextStateLocked(registry, graceEnd, readAt == nil)
 
-	if confirmedAt != nil {
-		next.RegistryFreshness.confirm(*confirmedAt)
+	if readAt != nil {
+		next.RegistryFreshness.confirm(*readAt)
 	}
 
 	c.state.Store(next)
@@ -214,7 +224,7 @@
 }
 
 // nextStateLocked returns the state that follows from a registry, and whether any entry changed. c.mu must be held.
-func (c *Catalog) nextStateLocked(registry Registry, afterOutage bool) (next *State, changed bool) {
+func (c *Catalog) nextStateLocked(registry Registry, graceEnd time.Duration, isPeers bool) (next *State, changed bool) {
 	state := c.state.Load()
 	if registry.Position.IsBefore(state.Registry.Position) {
 		return state, false
@@ -229,9 +239,14 @@
 
 	dropEarlierStarts(&state.Registry, &delta)
 	c.departures.update(c.now(), &registry)
+
+	if isPeers {
+		c.dropRetainedByPeer(&delta)
+	}
+
 	noticed.KeptDraining, noticed.HeldDeparted = keepDraining(&state.Registry, &delta), c.holdDeparted(&delta)
 	delta.RetainedUpstreams += noticed.KeptDraining + noticed.HeldDeparted
-	c.retainMissing(&registry, &delta, afterOutage || isReturn)
+	c.retainMissing(&state.Registry, &registry, &delta, max(graceEnd, c.graceEnd(isReturn)))
 	c.rememberDeparted(&state.Registry, &delta)
 
 	next = new(State)
@@ -319,29 +334,3 @@
 		return ok && upstream.Born > 0 && upstream.Born < newest.Born
 	})
 }
-
-// retainMissing drops the removals of upstreams that are still within their grace period from the delta. The registry is
-// the one to which the delta leads.
-func (c *Catalog) retainMissing(registry *Registry, delta *RegistryDelta, afterOutage bool) {
-	now := c.now()
-
-	maps.DeleteFunc(c.graceEnds, func(id string, _ time.Duration) bool { return registry.Upstreams.Contains(id) })
-
-	delta.Upstreams.Remove = slices.DeleteFunc(delta.Upstreams.Remove, func(id string) bool {
-		until, inGrace := c.graceEnds[id]
-		if !inGrace && afterOutage {
-			until, inGrace = now+outageGracePeriod, true
-			c.graceEnds[id] = until
-		}
-
-		if !inGrace || now >= until {
-			delete(c.graceEnds, id)
-
-			return false
-		}
-
-		delta.RetainedUpstreams++
-
-		return true
-	})
-}
--- a/internal/gateway/cataloguer/departures.go
+++ b/internal/gateway/cataloguer/departures.go
@@ -40,7 +40,8 @@
 	Departure
 
 	at time.Duration
-	// listedAgainAt is when the store first listed it after its return; negative if it doesn't.
+	// listedAgainAt is when the store first listed it after its return, or when a peer that retains upstreams first did; negative if
+	// neither does.
 	listedAgainAt time.Duration
 }
 
@@ -48,7 +49,7 @@
 // safe for concurrent use.
 type departures struct {
 	byID *simplelru.LRU[string, departure]
-	// held are the IDs of those that the store lists again.
+	// held are the IDs of those that the store, or a peer that retains upstreams, lists again.
 	held map[string]bool
 }
 
@@ -90,6 +91,34 @@
 	return found.Draining || now-found.listedAgainAt < departureHold
 }
 
+// isRetainedByPeer reports whether an upstream that a peer lists at a position, and that this node doesn't, is one that the peer retains
+// although it had left. Which ones a peer retains isn't told, but none for longer than the grace period.
+func (d *departures) isRetainedByPeer(now time.Duration, upstream *Upstream, position storer.Position) bool {
+	found, ok := d.byID.Peek(upstream.ID)
+	if !ok || found.Born != upstream.Born || !found.HasHistoryOf(position) || !found.IsBefore(position) {
+		return false
+	}
+
+	if found.listedAgainAt < 0 {
+		if now-found.at > departureRetention {
+			return false
+		}
+
+		found.listedAgainAt = now
+		d.byID.Add(upstream.ID, found)
+		d.held[upstream.ID] = true
+	}
+
+	return now-found.listedAgainAt < outageGracePeriod
+}
+
+// hasLeftSince reports whether this run of an upstream is known to have been removed after a position at which it was listed.
+func (d *departures) hasLeftSince(upstream *Upstream, listedAt storer.Position) bool {
+	found, ok := d.byID.Peek(upstream.ID)
+
+	return ok && found.Born == upstream.Born && listedAt.IsBefore(found.Position)
+}
+
 // update takes over that a registry no longer lists an upstream that the store had listed again: its removal was written again.
 func (d *departures) update(now time.Duration, registry *Registry) {
 	for id := range d.held {
@@ -122,6 +151,26 @@
 	return all
 }
 
+// HeldDepartures returns the departures of upstreams that a peer retains and that this node doesn't list for that reason.
+func (c *Catalog) HeldDepartures() []Departure {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	registry := &c.state.Load().Registry
+
+	var held []Departure
+
+	for id := range c.departures.held {
+		found, ok := c.departures.byID.Peek(id)
+		if ok && found.HasHistoryOf(registry.Position) && !registry.Upstreams.Contains(id) && len(held) < maxSentDepartures {
+			found.AgeMS = (c.now() - found.at).Milliseconds()
+			held = append(held, found.Departure)
+		}
+	}
+
+	return held
+}
+
 // Departures returns upstreams that were removed lately.
 func (c *Catalog) Departures() []Departure {
 	c.mu.Lock()
@@ -139,7 +188,8 @@
 
 	// The newest are the first.
 	for _, told := range slices.Backward(added) {
-		if known, ok := c.departures.byID.Peek(told.ID); !ok || known.IsOfEarlierHistory(told.Position) {
+		known, ok := c.departures.byID.Peek(told.ID)
+		if !ok || known.IsOfEarlierHistory(told.Position) || known.listedAgainAt < 0 && known.IsBefore(told.Position) {
 			at := now - time.Duration(told.AgeMS)*time.Millisecond
 			c.departures.byID.Add(told.ID, departure{Departure: told, at: at, listedAgainAt: -1})
 		}
--- a/internal/gateway/follower/applying.go
+++ b/internal/gateway/follower/applying.go
@@ -135,3 +135,24 @@
 
 	return state.Registry.Apply(&delta), true, nil
 }
+
+func (f *Follower) logConfiguration(source string, startedAt time.Duration) {
+	state := f.options.Catalog.State()
+	f.options.Logger.Info().
+		Int64("version", state.Configuration.Version).
+		Int("routes", len(state.Configuration.Routes)).
+		Str("source", source).
+		Dur("took_ms", f.options.Catalog.Now()-startedAt).
+		Msg("configuration_applied")
+}
+
+func (f *Follower) logRegistry(source string) {
+	registry := f.options.Catalog.State().Registry
+	f.options.Logger.Info().
+		Int64("era", registry.Position.Era).
+		Int64("revision", registry.Position.Revision).
+		Int("upstreams", registry.Upstreams.Len()).
+		Int("nodes", registry.Nodes.Len()).
+		Str("source", source).
+		Msg("registry_applied")
+}
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -77,7 +77,7 @@
 	Notify(ctx context.Context, peer, method string, params any) error
 }
 
-// Options configures a Follower; all fields but Versions and NodeLister are required.
+// Options configures a Follower; all fields but Versions, NodeLister and Paused are required.
 type Options struct {
 	Catalog *cataloguer.Catalog
 	Store   Store
@@ -95,7 +95,9 @@
 	Versions VersionStore
 	// NodeLister lets nodes start while no seed answers; nil if they wait for the seeds.
 	NodeLister NodeLister
-	Logger     zerolog.Logger
+	// Paused returns the total time that the process stood still; nil if it isn't known.
+	Paused func() time.Duration
+	Logger zerolog.Logger
 }
 
 // Follower keeps one catalog up to date. It is safe for concurrent use.
@@ -138,6 +140,7 @@
 	// reader is the node that read the freshest known state from the store, at freshAt.
 	reader  string
 	freshAt time.Duration
+	contact contact
 	// lastAnsweredPullAt is when the last pull that a peer answered was sent; negative before the first.
 	lastAnsweredPullAt time.Duration
 	// lastPullAt is when the last pull was sent.
@@ -195,6 +198,7 @@
 		lastReadAt:          -time.Hour,
 		lastGoodReadAt:      -time.Hour,
 		freshAt:             -time.Hour,
+		contact:             contact{freshAt: -1, since: -1, before: -1},
 		lastAnsweredPullAt:  -time.Hour,
 		statefulPeerAt:      -time.Hour,
 		lastPullAt:          -time.Hour,
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -82,6 +82,10 @@
 	listings           int
 	// absentHang makes calls to nodes that don't run hang until their caller gives up.
 	absentHang bool
+	// frozen holds the nodes that stand still, each with a channel that is closed when it goes on. frozenFor is the total time that
+	// nodes have stood still.
+	frozen    map[string]chan struct{}
+	frozenFor map[string]time.Duration
 	// linkBytesPerMS is the bandwidth of each node's link in bytes per millisecond; 0 means unlimited.
 	linkBytesPerMS float64
 }
@@ -124,7 +128,7 @@
 	m.catalog = cataloguer.New(func() time.Duration { return time.Hour + time.Since(startedAt) })
 	options := follower.Options{
 		Catalog: m.catalog, Store: m, Peers: m, Self: f.node(name),
-		Seeds: func() []string { return seeds }, LiveNodes: m.live, DepartedNodes: f.departed, Logger: zerolog.Nop(),
+		Seeds: func() []string { return seeds }, LiveNodes: m.live, DepartedNodes: f.departed, Paused: m.paused, Logger: zerolog.Nop(),
 	}
 
 	if f.versions != nil {
@@ -161,6 +165,7 @@
 func (m *member) live() []string {
 	names := []string{m.name}
 
+	m.fleet.awaitThaw(m.name)
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
 
@@ -240,10 +245,14 @@
 }
 
 func (m *member) callStore(ctx context.Context) error {
+	m.fleet.awaitThaw(m.name)
+
 	if !sleeper.Sleep(ctx, 4*time.Millisecond) {
 		return ctx.Err()
 	}
 
+	m.fleet.awaitThaw(m.name)
+
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
 
@@ -445,6 +454,12 @@
 		return errUnavailable
 	}
 
+	m.fleet.awaitThaw(m.name)
+
+	if !m.fleet.awaitThawUntil(ctx, peer) {
+		return ctx.Err()
+	}
+
 	data, err := json.Marshal(params)
 	if err != nil {
 		return err
@@ -469,6 +484,7 @@
 	}
 
 	m.fleet.pause()
+	m.fleet.awaitThaw(m.name)
 
 	if !sleeper.Sleep(ctx, time.Millisecond+held+m.transferTime(other, len(data))) {
 		return ctx.Err()
--- a/internal/gateway/follower/pull_handler.go
+++ b/internal/gateway/follower/pull_handler.go
@@ -25,6 +25,10 @@
 	Digest            uint64 `json:"digest,omitempty"`
 	// Progress is how much the caller has of a payload that is transferred in pages.
 	Progress packer.Progress `json:"held,omitzero"`
+	// IsWitness asks for no more than InTouchMS and Departures.
+	IsWitness bool `json:"witness,omitempty"`
+	// Departures are upstreams that the peer retains and that the caller has seen leave.
+	Departures []cataloguer.Departure `json:"departures,omitempty"`
 }
 
 // payloadPage is a page of a payload with its base.
@@ -56,7 +60,10 @@
 	// number of nodes that wait for this peer.
 	RetryMS int64 `json:"retry_ms,omitempty"`
 	Waiting int   `json:"waiting,omitempty"`
-	// Departures are upstreams that were removed lately. They come with the first page of a whole registry.
+	// InTouchMS is for how long the store is known to have answered all the while, up to now; 0 if it didn't, or if that is unknown. A
+	// witness sends it.
+	InTouchMS int64 `json:"in_touch_ms,omitempty"`
+	// Departures are upstreams that were removed lately. They come with the first page of a whole registry and from a witness.
 	Departures []cataloguer.Departure `json:"departures,omitempty"`
 	// Delegated are waiting nodes that the caller should send the state to, which it has now.
 	Delegated []string `json:"delegated,omitempty"`
@@ -104,6 +111,14 @@
 
 	response.describe(state)
 
+	if request.IsWitness {
+		f.testify(&response)
+
+		return &response, nil
+	}
+
+	f.options.Catalog.AddDepartures(request.Departures)
+
 	f.mu.Lock()
 	response.Reader = f.reader
 	f.mu.Unlock()
--- a/internal/gateway/follower/pulling.go
+++ b/internal/gateway/follower/pulling.go
@@ -177,6 +177,7 @@
 		RetainedUpstreams: state.Registry.RetainedUpstreams,
 		Digest:            state.Digest,
 		Progress:          f.assembler.Progress(),
+		Departures:        catalog.HeldDepartures(),
 	}
 
 	var response pullResponse
@@ -252,7 +253,7 @@
 
 // recordPull records whether a peer answered and whether its state is fresh.
 func (f *Follower) recordPull(peer string, response pullResponse, startedAt time.Duration, err error) {
-	t := f.tree()
+	t, paused := f.tree(), f.paused()
 
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -291,6 +292,7 @@
 
 	if freshAt := startedAt - response.age(); freshAt > f.freshAt {
 		f.freshAt, f.reader = freshAt, response.Reader
+		f.contact.confirm(freshAt, paused)
 	}
 
 	// A node with a lower rank reads the store again, and one reader is enough.
--- a/internal/gateway/follower/store_reading.go
+++ b/internal/gateway/follower/store_reading.go
@@ -30,8 +30,6 @@
 	// more time.
 	nodesPerRetrySlot = 3
 	maxRetrySlots     = 8
-	// outageThreshold is the time without a successful read after which entries may have expired in the store.
-	outageThreshold = 2500 * time.Millisecond
 )
 
 // scheduleRead reports whether this node is due to read the store, and records that the read starts. It returns the
@@ -122,19 +120,19 @@
 
 	catalog := f.options.Catalog
 	startedAt := catalog.Now()
-	// No node reached the store for a while, so expired entries may reappear.
-	age, known := catalog.ConfigurationAge()
-	afterOutage := known && age > outageThreshold
+	pausedBefore := f.paused()
+	// The age is 0 if there is no configuration.
+	age, _ := catalog.ConfigurationAge()
 	wasStale := isStale(f.tree(), f.age())
 	hadState := f.hasState()
 
-	err := f.readChanges(ctx, timeout, startedAt, afterOutage)
+	err := f.readChanges(ctx, timeout, startedAt, age)
 	if errors.Is(err, ErrHistoryCompacted) {
-		err = f.readAll(ctx, startedAt, afterOutage)
+		err = f.readAll(ctx, startedAt, age)
 	}
 
 	if err != nil {
-		f.recordReadFailure(err)
+		f.recordReadFailure(err, f.paused() > pausedBefore)
 		f.requestHandover(ctx, catalog.Now()-startedAt, timeout)
 
 		return
@@ -154,7 +152,7 @@
 
 // readChanges updates the catalog to the store's current revision. It returns ErrHistoryCompacted if a full read is
 // needed.
-func (f *Follower) readChanges(ctx context.Context, timeout, startedAt time.Duration, afterOutage bool) error {
+func (f *Follower) readChanges(ctx context.Context, timeout, startedAt, age time.Duration) error {
 	if !f.selectBase() || f.lacksVersions(startedAt) {
 		return ErrHistoryCompacted
 	}
@@ -197,7 +195,7 @@
 	}
 
 	f.options.Catalog.MarkConfigurationFresh(f.options.Catalog.State().Configuration.Version, startedAt)
-	f.applyStoreRegistry(ctx, startedAt, afterOutage)
+	f.applyStoreRegistry(ctx, startedAt, age)
 
 	return nil
 }
@@ -256,7 +254,7 @@
 }
 
 // readAll reads the whole content of the store.
-func (f *Follower) readAll(ctx context.Context, startedAt time.Duration, afterOutage bool) error {
+func (f *Follower) readAll(ctx context.Context, startedAt, age time.Duration) error {
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
@@ -300,7 +298,7 @@
 	// The lists are newer than the configuration, so the next changes must be read from the configuration's position.
 	listing.Position = position
 	f.storeRegistry = cataloguer.NewRegistry(listing)
-	f.applyStoreRegistry(ctx, startedAt, afterOutage)
+	f.applyStoreRegistry(ctx, startedAt, age)
 
 	return nil
 }
@@ -312,10 +310,18 @@
 	}
 }
 
-// applyStoreRegistry applies the registry as of the read that started at startedAt.
-func (f *Follower) applyStoreRegistry(ctx context.Context, startedAt time.Duration, afterOutage bool) {
+// applyStoreRegistry applies the registry as of the read that started at startedAt, when the configuration had the given age.
+func (f *Follower) applyStoreRegistry(ctx context.Context, startedAt, age time.Duration) {
 	registry := f.recordVersions(ctx, f.storeRegistry)
-	changed := f.options.Catalog.ApplyFreshRegistry(registry, afterOutage, startedAt)
+
+	var changed bool
+
+	if outage, ok := f.outageBefore(ctx, &registry, startedAt, age); ok {
+		changed = f.options.Catalog.ApplyRegistryAfterOutage(registry, outage.end, startedAt)
+	} else {
+		changed = f.options.Catalog.ApplyFreshRegistry(registry, false, startedAt)
+	}
+
 	returned := f.logStoreReturns("store")
 
 	if changed {
@@ -347,6 +353,8 @@
 
 // recordReadSuccess records a successful read that started at startedAt.
 func (f *Follower) recordReadSuccess(startedAt time.Duration) {
+	paused := f.paused()
+
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
@@ -363,14 +371,20 @@
 
 	f.lastGoodReadAt, f.failedReads = startedAt, 0
 	f.reader, f.freshAt = f.options.Self.Name, startedAt
+	f.contact.confirm(startedAt, paused)
 	f.isSubstitute = f.options.Catalog.State().HasConfiguration()
 }
 
-func (f *Follower) recordReadFailure(err error) {
+// recordReadFailure records a failed read. If the process stood still meanwhile, the store may have answered in time.
+func (f *Follower) recordReadFailure(err error, stoodStill bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
 	f.failedReads++
+	if !stoodStill {
+		f.contact.failedReads++
+	}
+
 	f.counters.FailedReads++
 	f.isSubstitute = false
 
@@ -379,24 +393,3 @@
 		f.options.Logger.Warn().Err(err).Msg("store_lost")
 	}
 }
-
-func (f *Follower) logConfiguration(source string, startedAt time.Duration) {
-	state := f.options.Catalog.State()
-	f.options.Logger.Info().
-		Int64("version", state.Configuration.Version).
-		Int("routes", len(state.Configuration.Routes)).
-		Str("source", source).
-		Dur("took_ms", f.options.Catalog.Now()-startedAt).
-		Msg("configuration_applied")
-}
-
-func (f *Follower) logRegistry(source string) {
-	registry := f.options.Catalog.State().Registry
-	f.options.Logger.Info().
-		Int64("era", registry.Position.Era).
-		Int64("revision", registry.Position.Revision).
-		Int("upstreams", registry.Upstreams.Len()).
-		Int("nodes", registry.Nodes.Len()).
-		Str("source", source).
-		Msg("registry_applied")
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -285,6 +285,7 @@
 		DepartedNodes: n.departedNodes,
 		Versions:      recorder,
 		NodeLister:    lister,
+		Paused:        n.pauses.Paused,
 		Logger:        logger,
 	})
 	n.messages.Handle(follower.MethodPull, n.follower.HandlePull)
