Acceptor: an idle connection with unread bytes isn't closed while a read takes them

TestOnlySilentCallersAreClosedAfterAPause failed under the race detector, 3 of 5 runs seen: 1 of 100 requests that lay unread ended with its connection. Between the return of a read and the moment when it is recorded, the bytes are no longer unread and the phase hasn't changed. A look of the reaper at that moment, every 10 ms after a pause, took the caller for a silent one.

For headers the bytes that were seen unread already had to be recorded before a caller counted as late. The same rule now holds for idle connections: one that had unread bytes changes its phase before it is closed.

--- a/internal/gateway/acceptor/acceptor.go
+++ b/internal/gateway/acceptor/acceptor.go
@@ -104,7 +104,8 @@
 	enteredAt time.Time
 	// judgeAt is when a connection in Acceptor.overdue is judged again.
 	judgeAt time.Time
-	// headBytesInTime is the number of bytes of a header that came within its timeout; 0 before that is over.
+	// headBytesInTime is the number of bytes of a header that had come when the connection was first looked at to close it; 0 before that,
+	// or if none had.
 	headBytesInTime int
 	// isReading is true while the server waits for bytes. It isn't guarded.
 	isReading atomic.Bool
--- a/internal/gateway/acceptor/reaper.go
+++ b/internal/gateway/acceptor/reaper.go
@@ -143,14 +143,9 @@
 		return false
 	}
 
-	unread := c.unread()
-	if c.phase == idle {
-		return unread == 0
-	}
-
-	// Bytes that come from now on are late.
+	// Bytes that come from now on are late. Those that lie unread now may be in the hands of a read at the next look.
 	if c.headBytesInTime == 0 {
-		c.headBytesInTime = c.headBytes + unread
+		c.headBytesInTime = c.headBytes + c.unread()
 	}
 
 	return c.headBytes >= c.headBytesInTime
