Gateway: a planned stop reads what callers have sent before it closes their connections

A whole request that lay unread, or whose header had come in part, when a stopping node closed its idle connections ended with its connection, without an answer or a refusal. So did requests that were read after that moment.

Cause: http.Server.Shutdown closes each connection that the server takes for idle; for it that is also one with unread bytes, and one whose header it is reading. And after it, the server drops each request that it reads (shuttingDown in conn.serve). Then drain saw no busy connection and ended the process.

Change: Acceptor.Shutdown takes its place. It closes the listener and turns keep-alive off, which puts Connection: close on answers that aren't written yet; the server then also closes what it takes for idle, and the acceptor doesn't carry that out. The reaper closes idle connections as at a timeout of 0: only where nothing lies unread. After Shutdown, Busy counts all connections, so drain ends once each was answered or closed; a header that doesn't end is cut at its timeout, and all of it at the drain timeout, as before. Acceptor.Close closes what is left.

TestShutdownReadsWhatCallersHaveSent failed on with the old calls in place of Shutdown (a request that lay unread: unexpected EOF; one whose header was on its way: closed pipe), TestPlannedStopReadsWhatCallersHaveSent as well (unexpected EOF). Both pass now.

--- a/internal/gateway/acceptor/acceptor.go
+++ b/internal/gateway/acceptor/acceptor.go
@@ -71,6 +71,12 @@
 	// the one that is judged first at the front.
 	overdue                *list.List
 	idleLimit, headerLimit limit
+	// listener is that of Serve; nil before.
+	listener net.Listener
+	// isStopping is true from Shutdown on: connections may no longer be idle.
+	isStopping bool
+	// isSweeping is true while the server closes the connections that it takes for idle. They stay open.
+	isSweeping bool
 	// reaper runs at reapAt, or is not set if that is zero.
 	reaper   *time.Timer
 	reapAt   time.Time
@@ -176,7 +182,22 @@
 	}
 	server.ConnState = a.trackState
 
-	return server.Serve(&trackingListener{Listener: listener, acceptor: a})
+	tracking := &trackingListener{Listener: listener, acceptor: a, close: sync.OnceValue(listener.Close)}
+
+	a.mu.Lock()
+	a.listener = tracking
+	a.mu.Unlock()
+
+	err := server.Serve(tracking)
+
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	if a.isStopping {
+		return http.ErrServerClosed
+	}
+
+	return err
 }
 
 // Counters returns the number of open connections and the counts since the start.
@@ -190,11 +211,16 @@
 	return counters
 }
 
-// Busy returns the number of connections with a request, from the first byte of its header until its answer is written.
+// Busy returns the number of connections with a request, from the first byte of its header until its answer is written. After Shutdown,
+// it is the number of all, since a request may still be read from those that look idle.
 func (a *Acceptor) Busy() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
+	if a.isStopping {
+		return len(a.connections)
+	}
+
 	return len(a.connections) - a.idle.Len()
 }
 
@@ -205,6 +231,13 @@
 type trackingListener struct {
 	net.Listener
 	acceptor *Acceptor
+	// close closes the listener once.
+	close func() error
+}
+
+// Close implements net.Listener. Both Shutdown and the server call it.
+func (w *trackingListener) Close() error {
+	return w.close()
 }
 
 // Accept implements net.Listener.
@@ -233,6 +266,9 @@
 		a.mu.Lock()
 		a.retire(c)
 		a.mu.Unlock()
+
+		// The server's own close may have been left to the reaper.
+		_ = c.Conn.Close()
 	case http.StateHijacked:
 		a.mu.Lock()
 		a.remove(c)
@@ -323,9 +359,9 @@
 
 	switch to {
 	case idle:
-		a.enqueue(c, a.idle, &a.idleLimit)
+		a.enqueue(c, a.idle)
 	case readingHeader:
-		a.enqueue(c, a.headers, &a.headerLimit)
+		a.enqueue(c, a.headers)
 	case active, closed:
 	}
 }
--- a/internal/gateway/acceptor/head_memory.go
+++ b/internal/gateway/acceptor/head_memory.go
@@ -77,7 +77,7 @@
 
 	if c.phase == readingHeader {
 		c.enteredAt = c.enteredAt.Add(time.Since(suspendedAt))
-		a.enqueue(c, a.headers, &a.headerLimit)
+		a.enqueue(c, a.headers)
 	}
 
 	return c.phase != closed
--- a/internal/gateway/acceptor/reaper.go
+++ b/internal/gateway/acceptor/reaper.go
@@ -15,7 +15,7 @@
 )
 
 // enqueue adds a connection to the queue of its phase, which is ordered by the time at which the phase began; a.mu must be held.
-func (a *Acceptor) enqueue(c *connection, queue *list.List, limit *limit) {
+func (a *Acceptor) enqueue(c *connection, queue *list.List) {
 	after := queue.Back()
 	for after != nil && mustConnection(after).enteredAt.After(c.enteredAt) {
 		after = after.Prev()
@@ -28,7 +28,7 @@
 	}
 
 	c.queue = queue
-	a.wakeReaper(limit.endOf(c.enteredAt))
+	a.wakeReaper(a.dueAt(c))
 }
 
 // dequeue removes a connection from its queue, if any; a.mu must be held.
@@ -130,6 +130,8 @@
 		return c.judgeAt
 	case c.phase == readingHeader:
 		return a.headerLimit.endOf(c.enteredAt)
+	case a.isStopping:
+		return c.enteredAt
 	default:
 		return a.idleLimit.endOf(c.enteredAt)
 	}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -191,12 +191,7 @@
 		if n.leavingFor() >= leavingGrace {
 			if !closed {
 				closed = true
-				// Shutdown closes the listener and idle connections. The cancelled context keeps it from waiting for
-				// responses in progress.
-				cancelled, cancel := context.WithCancel(context.Background())
-				cancel()
-
-				_ = servers[0].Shutdown(cancelled)
+				n.acceptor.Shutdown(servers[0])
 			}
 
 			// The server starts a handler after it has read the request, and writes the last bytes after the handler.
@@ -210,6 +205,8 @@
 
 	n.logger.Info().Int64("in_flight", n.relayer.InFlight()).Dur("took_ms", n.leavingFor()).Msg("node_stopped")
 
+	n.acceptor.Close()
+
 	for _, server := range servers {
 		_ = server.Close()
 	}
