--- a/internal/gateway/acceptor/reaper.go
+++ b/internal/gateway/acceptor/reaper.go
@@ -15,7 +15,7 @@
 )
 
 // enqueue adds a connection to the queue of its phase, which is ordered by the time at which the phase began; a.mu must be held.
-func (a *Acceptor) enqueue(c *connection, queue *list.List, limit *limit) {
+func (a *Acceptor) enqueue(c *connection, queue *list.List) {
 	after := queue.Back()
 	for after != nil && mustConnection(after).enteredAt.After(c.enteredAt) {
 		after = after.Prev()
@@ -28,7 +28,7 @@
 	}
 
 	c.queue = queue
-	a.wakeReaper(limit.endOf(c.enteredAt))
+	a.wakeReaper(a.dueAt(c))
 }
 
 // dequeue removes a connection from its queue, if any; a.mu must be held.
@@ -130,6 +130,8 @@
 		return c.judgeAt
 	case c.phase == readingHeader:
 		return a.headerLimit.endOf(c.enteredAt)
+	case a.isStopping:
+		return c.enteredAt
 	default:
 		return a.idleLimit.endOf(c.enteredAt)
 	}
@@ -143,14 +145,9 @@
 		return false
 	}
 
-	unread := c.unread()
-	if c.phase == idle {
-		return unread == 0
-	}
-
-	// Bytes that come from now on are late.
+	// Bytes that come from now on are late. Those that lie unread now may be in the hands of a read at the next look.
 	if c.headBytesInTime == 0 {
-		c.headBytesInTime = c.headBytes + unread
+		c.headBytesInTime = c.headBytes + c.unread()
 	}
 
 	return c.headBytes >= c.headBytesInTime
