--- a/internal/gateway/relayer/interruption_test.go
+++ b/internal/gateway/relayer/interruption_test.go
@@ -28,6 +28,10 @@
 // newDialer returns the dialer of the relayer.
 func (w *fixture) newDialer() *dialer.Dialer {
 	d := dialer.New(1000)
+	if w.network != nil {
+		d.DialContext = w.network.dial
+	}
+
 	if w.paths == nil {
 		return d
 	}
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -60,6 +60,7 @@
 	t         *testing.T
 	upstreams []*fakeUpstream
 	server    *httptest.Server
+	client    *http.Client
 	relayer   *relayer.Relayer
 	catalog   *cataloguer.Catalog
 	now       time.Duration
@@ -75,6 +76,10 @@
 	pins       *fakePins
 	// paths are the ways to upstreams; nil if there are only direct ones.
 	paths *fakePaths
+	// network connects the servers in memory; nil if they listen on the loopback interface.
+	network *memoryNetwork
+	// attempts holds the relayer's counters.
+	attempts *expvar.Map
 	// bodies is the relayer's memory limit for request bodies.
 	bodies int64
 
@@ -105,7 +110,7 @@
 func newFixtureWithBodyMemory(t *testing.T, extra int, bodies int64) *fixture {
 	t.Helper()
 
-	w := &fixture{t: t, now: time.Hour, bodies: bodies, extra: extra, quarantine: noQuarantine{}, usage: &usage{counts: make(map[string]int)}, pins: newFakePins()}
+	w := &fixture{t: t, now: time.Hour, bodies: bodies, extra: extra, quarantine: noQuarantine{}, usage: &usage{counts: make(map[string]int)}, pins: newFakePins(), client: http.DefaultClient}
 	w.catalog = cataloguer.New(func() time.Duration { return w.now })
 	w.catalog.ApplyConfiguration(configuration(), w.now)
 	w.restart()
@@ -124,6 +129,7 @@
 		budget.Self, budget.Peers, budget.Live = "self", w.peer, func() []string { return []string{"peer", "self"} }
 	}
 
+	w.attempts = new(expvar.Map)
 	handler := relayer.New(relayer.Options{
 		Headers: names, Catalog: w.catalog, Table: w.tableFunc(table), Chooser: w, Dialer: w.newDialer(),
 		RetryBudget: budgeter.New(budget),
@@ -131,10 +137,10 @@
 		Usage:       w.usage,
 		Pins:        w.pins,
 		MaxKeyAge:   func() time.Duration { return 4 * time.Second }, LeavingFor: func() time.Duration { return w.leaving }, LeavingGrace: time.Second,
-		MaxBodyMemory: w.bodies, Meter: meter.New(), FailedAttempts: new(expvar.Map), Logger: zerolog.Nop(),
+		MaxBodyMemory: w.bodies, Meter: meter.New(), FailedAttempts: w.attempts, Logger: zerolog.Nop(),
 	})
 	w.relayer = handler
-	w.server = httptest.NewServer(handler)
+	w.server = w.newServer(handler)
 	w.t.Cleanup(w.server.Close)
 }
 
@@ -241,7 +247,7 @@
 // add starts an upstream with the handler.
 func (w *fixture) add(handle http.HandlerFunc) *fakeUpstream {
 	u := &fakeUpstream{name: fmt.Sprint("u", len(w.upstreams)), version: "v1"}
-	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+	server := w.newServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 
 		u.mu.Lock()
@@ -338,7 +344,7 @@
 		change(request)
 	}
 
-	response, err := http.DefaultClient.Do(request)
+	response, err := w.client.Do(request)
 	if err != nil {
 		return nil, "", err
 	}
