Relayer: tests of two attempts that overlap

Each test in virtual time also checks at its end that every attempt ended exactly once and that no memory is left reserved; synctest fails on goroutines that are left.

--- a/internal/gateway/relayer/overlap_test.go
+++ b/internal/gateway/relayer/overlap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"io"
 	"net"
@@ -107,7 +108,8 @@
 	return server
 }
 
-// inVirtualTime runs a test with a fixture in virtual time.
+// inVirtualTime runs a test with a fixture in virtual time. At its end, each attempt must have ended once, and nothing may be left in
+// memory.
 func inVirtualTime(t *testing.T, extra int, test func(t *testing.T, w *fixture)) {
 	t.Helper()
 
@@ -120,9 +122,39 @@
 		w.restart()
 
 		test(t, w)
+
+		// Waits for the handlers.
+		w.server.Close()
+		assert.Equal(t, w.relayer.BodyMemory(), int64(0))
+		assert.Equal(t, len(w.ends), len(w.chosen))
+
+		for _, id := range w.chosen {
+			assert.Equal(t, len(w.ends[id]), 1, "%s ended as %v", id, w.ends[id])
+		}
 	})
 }
 
+// outcomesOf returns the outcomes of the attempts in the order in which they got an upstream.
+func (w *fixture) outcomesOf() []string {
+	w.server.Close()
+
+	var outcomes []string
+	for _, id := range w.chosen {
+		outcomes = append(outcomes, strings.Join(w.ends[id], " "))
+	}
+
+	return outcomes
+}
+
+// counter returns one of the relayer's counters.
+func (w *fixture) counter(name string) int64 {
+	if value, ok := w.attempts.Get(name).(*expvar.Int); ok {
+		return value.Value()
+	}
+
+	return 0
+}
+
 // sendEvents sends events with the given IDs.
 func sendEvents(rw http.ResponseWriter, ids ...int) {
 	for _, id := range ids {
@@ -200,6 +232,8 @@
 				assert.NilError(t, err)
 				assert.Equal(t, body, eventsOf(1, 6))
 				assert.Equal(t, first.count(), 1)
+				assert.Equal(t, w.counter("replacement_sent"), int64(1))
+				assert.Equal(t, w.counter("replacement_failed"), int64(1))
 			})
 		})
 	}
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -95,6 +95,9 @@
 
 	mu       sync.Mutex
 	outcomes []string
+	// chosen holds the IDs of the attempts that got an upstream, ends the outcomes by ID.
+	chosen []string
+	ends   map[string][]string
 	// rates holds what responses said of rate limits.
 	rates []string
 	// brittle holds what responses said of their upstreams' brittleness.
@@ -110,7 +113,7 @@
 func newFixtureWithBodyMemory(t *testing.T, extra int, bodies int64) *fixture {
 	t.Helper()
 
-	w := &fixture{t: t, now: time.Hour, bodies: bodies, extra: extra, quarantine: noQuarantine{}, usage: &usage{counts: make(map[string]int)}, pins: newFakePins(), client: http.DefaultClient}
+	w := &fixture{t: t, now: time.Hour, bodies: bodies, extra: extra, quarantine: noQuarantine{}, usage: &usage{counts: make(map[string]int)}, pins: newFakePins(), client: http.DefaultClient, ends: make(map[string][]string)}
 	w.catalog = cataloguer.New(func() time.Duration { return w.now })
 	w.catalog.ApplyConfiguration(configuration(), w.now)
 	w.restart()
@@ -223,6 +226,7 @@
 			impatient(route("quote", cataloguer.Idempotent, false)),
 			impatient(route("note", cataloguer.Stream, true)),
 			impatient(route("talk", cataloguer.Stream, true)),
+			threeTimes(impatient(route("letter", cataloguer.Stream, true))),
 			moved(route("moved", cataloguer.Stream, true)),
 		},
 		Organisations: []cataloguer.Organisation{{Name: "salon", Keys: []string{"k1"}}},
@@ -237,6 +241,13 @@
 	return route
 }
 
+// threeTimes returns the route with three attempts.
+func threeTimes(route cataloguer.Route) cataloguer.Route {
+	route.Attempts = 3
+
+	return route
+}
+
 // impatient returns the route with the shortest attempt timeouts: 400 ms, 1 s for streams.
 func impatient(route cataloguer.Route) cataloguer.Route {
 	route.Target, route.GapLimit = 50*time.Millisecond, 50*time.Millisecond
@@ -281,6 +292,10 @@
 		}
 
 		if w.ignoreExcluded || !strings.Contains(strings.Join(work.Excluded, " "), u.name) {
+			w.mu.Lock()
+			w.chosen = append(w.chosen, work.ID)
+			w.mu.Unlock()
+
 			return balancer.Choice{Upstream: u.name, Address: u.address, SoftwareVersion: u.version}, true
 		}
 	}
@@ -326,15 +341,22 @@
 func (w *fixture) MarkLeaving(string) {}
 
 // RecordEnd implements relayer.Chooser.
-func (w *fixture) RecordEnd(_ string, outcome balancer.Outcome) {
+func (w *fixture) RecordEnd(id string, outcome balancer.Outcome) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
+	w.ends[id] = append(w.ends[id], fmt.Sprint(outcome))
+
 	w.outcomes = append(w.outcomes, fmt.Sprint(outcome))
 }
 
 func (w *fixture) send(path string, change func(*http.Request)) (*http.Response, string, error) {
-	request, err := http.NewRequest(http.MethodPost, w.server.URL+path, strings.NewReader("body"))
+	return w.sendIn(context.Background(), path, change)
+}
+
+// sendIn sends a request whose caller leaves when ctx ends.
+func (w *fixture) sendIn(ctx context.Context, path string, change func(*http.Request)) (*http.Response, string, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, w.server.URL+path, strings.NewReader("body"))
 	assert.NilError(w.t, err)
 	request.Host = "shop.example"
 	request.Header.Set(names.RequestID, "id-1")
