--- a/internal/gateway/relayer/overlap_limits_test.go
+++ b/internal/gateway/relayer/overlap_limits_test.go
@@ -48,7 +48,7 @@
 
 		_, body, err := w.send("/note/1", nil)
 		assert.NilError(t, err)
-		assert.Equal(t, body, eventsOf(1, 6))
+		assert.Equal(t, body, sixEvents())
 		assert.Equal(t, second.count(), 1)
 		assert.DeepEqual(t, w.outcomesOf(), []string{"served", "abandoned"})
 		synctest.Wait()
@@ -70,7 +70,7 @@
 
 		_, body, err := w.send("/note/1", nil)
 		assert.NilError(t, err)
-		assert.Equal(t, body, eventsOf(1, 6))
+		assert.Equal(t, body, sixEvents())
 		assert.Equal(t, second.requests[0].Header.Get(names.LastEventID), "3")
 		synctest.Wait()
 		assert.Equal(t, silent.after, 1200*time.Millisecond)
@@ -87,7 +87,7 @@
 
 			_, body, err := w.send("/note/1", nil)
 			assert.NilError(t, err)
-			assert.Equal(t, body, eventsOf(1, 6))
+			assert.Equal(t, body, sixEvents())
 			assert.Equal(t, w.counter("replacement_took_over")+w.counter("replacement_unneeded"), int64(1))
 		})
 	}
@@ -145,7 +145,7 @@
 
 				_, body, err := w.send(c.path, nil)
 				assert.NilError(t, err)
-				assert.Equal(t, body, eventsOf(1, 6))
+				assert.Equal(t, body, sixEvents())
 				assert.Equal(t, len(w.chosen), c.sends)
 				assert.Equal(t, w.counter("replacement_failed"), int64(c.sends-1))
 			})
@@ -164,7 +164,7 @@
 
 		_, body, err := w.send("/note/1", nil)
 		assert.NilError(t, err)
-		assert.Equal(t, body, eventsOf(1, 6))
+		assert.Equal(t, body, sixEvents())
 		assert.Equal(t, len(w.chosen), 4)
 	})
 }
@@ -186,7 +186,7 @@
 
 		_, body, err := w.send("/letter/1", nil)
 		assert.NilError(t, err)
-		assert.Equal(t, body, eventsOf(1, 6))
+		assert.Equal(t, body, sixEvents())
 		synctest.Wait()
 		assert.Equal(t, first.after, 2*time.Second)
 		assert.Equal(t, second.after, 2*time.Second)
@@ -287,7 +287,7 @@
 
 				_, body, err := w.send(path, nil)
 				assert.NilError(t, err)
-				assert.Equal(t, body, eventsOf(1, 6))
+				assert.Equal(t, body, sixEvents())
 				assert.Equal(t, second.count(), 1)
 				assert.DeepEqual(t, w.outcomesOf(), []string{"failed", "served"})
 			})
--- a/internal/gateway/relayer/overlap_test.go
+++ b/internal/gateway/relayer/overlap_test.go
@@ -171,11 +171,11 @@
 	_ = http.NewResponseController(rw).Flush()
 }
 
-// eventsOf returns a stream of the events from first to last.
-func eventsOf(first, last int) string {
+// sixEvents returns a stream of the events from 1 to 6.
+func sixEvents() string {
 	var text strings.Builder
-	for id := first; id <= last; id++ {
-		fmt.Fprintf(&text, "id: %d\ndata: piece %d\n\n", id, id)
+	for id := range 6 {
+		fmt.Fprintf(&text, "id: %d\ndata: piece %d\n\n", id+1, id+1)
 	}
 
 	return text.String()
@@ -230,7 +230,7 @@
 
 				_, body, err := w.send("/note/1", nil)
 				assert.NilError(t, err)
-				assert.Equal(t, body, eventsOf(1, 6))
+				assert.Equal(t, body, sixEvents())
 				assert.Equal(t, first.count(), 1)
 				assert.Equal(t, w.counter("replacement_sent"), int64(1))
 				assert.Equal(t, w.counter("replacement_failed"), int64(1))
