Relayer: an attempt that was merely overtaken is no failure of its upstream

What callers saw: nothing by itself; a sound upstream that is silent for a second or so was reported as failed to its pool, and its requests and their prompt parts as broken off to the quarantine, which then asks whether the upstream takes a connection, in the middle of the silence. Failures that several nodes report eject it for all.

Cause: recordInterruption made no difference between an exchange that broke and one that this node ended since another upstream was faster.

Change: such an attempt ends as abandoned, and counts neither as a break of the request (brokeAt) nor in the quarantine, unless the upstream has been silent for maxSoundSilence (2 s). That time is counted over overlapping attempts of this node, without its own pauses, and ends with anything that the upstream sends. So an upstream that hangs for good fails each attempt that is overtaken later than 2 s after it fell silent, is ejected by its pool as before, and is sound again with its first answer. The quarantine is told of an overtaken attempt only if nothing came from the upstream until these 2 s were over: a request that takes a machine down without a reset must not pass for harmless.

Result: TestOvertakenAttemptIsNoFailure, TestUpstreamThatHangsForLongFails and TestQuarantineLearnsOfALongSilence pass.

--- a/internal/gateway/relayer/activity.go
+++ b/internal/gateway/relayer/activity.go
@@ -29,6 +29,9 @@
 type upstreamActivity struct {
 	// lastSeen is when the upstream last sent anything.
 	lastSeen time.Time
+	// silentSince is since when it has sent nothing to any of the attempts that were given up for its silence and overlapped; zero if
+	// there are none. The last one of these was given up at silentUntil.
+	silentSince, silentUntil time.Time
 	// responses holds the requests that most recently got a response.
 	responses []respondedRequest
 }
@@ -47,7 +50,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	t.entry(upstream, now).lastSeen = now
+	known := t.entry(upstream, now)
+	known.lastSeen, known.silentSince = now, time.Time{}
 }
 
 // recordResponse records the first event of a request's response, with the time at which the request was sent.
@@ -56,7 +60,7 @@
 	defer t.mu.Unlock()
 
 	known := t.entry(upstream, now)
-	known.lastSeen = now
+	known.lastSeen, known.silentSince = now, time.Time{}
 	known.responses = append(known.responses, respondedRequest{sent: sent, priority: priority})
 
 	if len(known.responses) > maxRecentResponses {
@@ -64,6 +68,36 @@
 	}
 }
 
+// recordSilence records that an attempt is given up now that has heard nothing since the given time. It returns since when the upstream
+// has been silent, by all such attempts. Time in which none of them waited for it proves nothing.
+func (t *activityTracker) recordSilence(upstream string, since, now time.Time) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	known := t.entry(upstream, now)
+	if known.silentSince.IsZero() || since.After(known.silentUntil) {
+		known.silentSince = since
+	}
+
+	if known.lastSeen.After(known.silentSince) {
+		known.silentSince = known.lastSeen
+	}
+
+	known.silentUntil = now
+
+	return known.silentSince
+}
+
+// isSilent reports whether an upstream has sent nothing since the given time.
+func (t *activityTracker) isSilent(upstream string, since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	known, ok := t.upstreams[upstream]
+
+	return ok && !known.lastSeen.After(since)
+}
+
 // forget discards the recorded activity of an upstream.
 func (t *activityTracker) forget(upstream string) {
 	t.mu.Lock()
--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -227,10 +227,7 @@
 
 	r.recordResume(a, counts.sends)
 
-	if a.watch.paused != nil {
-		a.pausedBefore = a.watch.paused()
-	}
-
+	a.pausedBefore = a.watch.pausedInAll()
 	a.sentAt = time.Now()
 	a.heardAt = a.sentAt
 
@@ -301,6 +298,11 @@
 	}
 }
 
+// pausedSinceSent returns for how long the process has stood still since the attempt was sent.
+func (a *attempt) pausedSinceSent() time.Duration {
+	return a.watch.pausedInAll() - a.pausedBefore
+}
+
 // isUnneeded reports whether the attempt was ended because the silent one that it was to replace went on.
 func (a *attempt) isUnneeded() bool {
 	return a.replaces && a.outer.Err() != nil && a.next.ctx.Err() == nil
--- a/internal/gateway/relayer/interruption.go
+++ b/internal/gateway/relayer/interruption.go
@@ -11,10 +11,18 @@
 	"quincepath.example/quincepath/internal/quarantiner"
 )
 
+// maxSoundSilence is how long a sound upstream may be silent.
+const maxSoundSilence = 2 * time.Second
+
 // interruption is an exchange that failed while the upstream may have been running the request.
 type interruption struct {
 	run    quarantiner.Run
 	target dialer.Upstream
+	// overtaken is set if the attempt was only given up since another one was faster than the end of the upstream's silence, which
+	// has lasted from silentSince for less than maxSoundSilence. remaining is the rest of that time.
+	overtaken   bool
+	silentSince time.Time
+	remaining   time.Duration
 }
 
 // recordInterruption records an exchange that failed while the upstream may have been running the request, unless the
@@ -24,16 +32,31 @@
 		return
 	}
 
+	a.interruption = &interruption{
+		run:    a.run(responseStarted),
+		target: dialer.Upstream{ID: a.choice.Upstream, Address: a.choice.Address},
+	}
+
 	if errors.Is(context.Cause(a.ctx), errAttemptTimeout) {
 		a.request.progress.recordSilence()
+
+		if r.isOvertaken(a, a.interruption) {
+			return
+		}
 	}
 
 	a.request.progress.recordBreak(time.Now())
 	a.outcome = balancer.Failed
-	a.interruption = &interruption{
-		run:    a.run(responseStarted),
-		target: dialer.Upstream{ID: a.choice.Upstream, Address: a.choice.Address},
-	}
+}
+
+// isOvertaken reports whether the upstream of an attempt that is given up for its silence may still be sound.
+func (r *Relayer) isOvertaken(a *attempt, broken *interruption) bool {
+	now := time.Now()
+	broken.silentSince = r.activity.recordSilence(a.choice.Upstream, a.heardAt, now)
+	broken.remaining = maxSoundSilence - now.Sub(broken.silentSince) + a.pausedSinceSent()
+	broken.overtaken = broken.remaining > 0
+
+	return broken.overtaken
 }
 
 // recordEnd records the outcome of an attempt.
@@ -41,6 +64,9 @@
 	switch {
 	case a.interruption == nil:
 		r.options.Chooser.RecordEnd(a.id, a.outcome)
+	case a.interruption.overtaken:
+		r.options.Chooser.RecordEnd(a.id, a.outcome)
+		r.judgeLater(a.interruption)
 	case r.options.Dialer.Detour == nil:
 		r.judge(context.Background(), a.id, a.interruption)
 	default:
@@ -49,6 +75,16 @@
 	}
 }
 
+// judgeLater tells the quarantine of an attempt that was overtaken, unless its upstream sends something within maxSoundSilence. A
+// request that crashes whole machines would otherwise leave no trace. The quarantine checks whether the upstream is gone.
+func (r *Relayer) judgeLater(broken *interruption) {
+	time.AfterFunc(broken.remaining, func() {
+		if r.activity.isSilent(broken.target.ID, broken.silentSince) && !r.options.Dialer.IsPathLost(context.Background(), broken.target) {
+			r.options.Quarantine.Broke(broken.run)
+		}
+	})
+}
+
 // judge records the interruption of an attempt as the upstream's failure, unless only this node's path to the upstream is at fault.
 func (r *Relayer) judge(ctx context.Context, id string, broken *interruption) {
 	if r.options.Dialer.IsPathLost(ctx, broken.target) {
--- /dev/null
+++ b/internal/gateway/relayer/overlap_end_test.go
@@ -0,0 +1,126 @@
+package relayer_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/quarantiner"
+)
+
+// suspicions records when requests broke off by what the relayer says of them.
+type suspicions struct {
+	brokenExchanges
+
+	breaks atomic.Int64
+}
+
+// IsSuspected implements relayer.Quarantine.
+func (s *suspicions) IsSuspected(_ []quarantiner.Part, brokeAt []time.Time) bool {
+	s.breaks.Add(int64(len(brokeAt)))
+
+	return false
+}
+
+// hangs is silent until the relayer leaves.
+func hangs(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// Guards against sound upstreams that are ejected, and requests that count as crashing them, because another upstream was faster
+// than the end of a short silence.
+func TestOvertakenAttemptIsNoFailure(t *testing.T) {
+	for name, path := range map[string]string{"stream": "/letter/1", "short answer": "/quote/1"} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, 10, func(t *testing.T, w *fixture) {
+				broken := &suspicions{}
+				w.quarantine = broken
+				w.restart()
+				w.add(hangs)
+				w.add(resumesAfter(0))
+
+				_, body, err := w.send(path, nil)
+				assert.NilError(t, err)
+				assert.Equal(t, body, sixEvents())
+				synctest.Wait()
+				assert.Equal(t, len(broken.list()), 0)
+				assert.Equal(t, broken.breaks.Load(), int64(0))
+				assert.DeepEqual(t, w.outcomesOf(), []string{"abandoned", "served"})
+			})
+		})
+	}
+}
+
+// Guards against an upstream that hangs for good and keeps getting requests, since each of them is merely overtaken, and against one
+// that stays avoided once it answers.
+func TestUpstreamThatHangsForLongFails(t *testing.T) {
+	inVirtualTime(t, 1000, func(t *testing.T, w *fixture) {
+		var hanging atomic.Bool
+
+		hanging.Store(true)
+		w.add(func(rw http.ResponseWriter, r *http.Request) {
+			if hanging.Load() {
+				hangs(rw, r)
+			}
+
+			respondWith(http.StatusOK, "answer")(rw, r)
+		})
+		w.add(respondWith(http.StatusOK, "answer"))
+
+		// Requests every 0.2 s, each of which is overtaken after 0.4 s.
+		outcomesFor := func(span time.Duration) map[string]int {
+			w.mu.Lock()
+			from := len(w.chosen)
+			w.mu.Unlock()
+
+			for range span / (200 * time.Millisecond) {
+				go func() { _, _, _ = w.send("/quote/1", nil) }()
+
+				time.Sleep(200 * time.Millisecond)
+			}
+
+			time.Sleep(time.Second)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+
+			outcomes := make(map[string]int)
+			for _, id := range w.chosen[from:] {
+				outcomes[w.ends[id][0]]++
+			}
+
+			return outcomes
+		}
+
+		outcomes := outcomesFor(4 * time.Second)
+		assert.Equal(t, outcomes["abandoned"], 8, "%v", outcomes)
+		assert.Equal(t, outcomes["failed"], 12, "%v", outcomes)
+
+		hanging.Store(false)
+		assert.DeepEqual(t, outcomesFor(time.Second), map[string]int{"served": 5})
+
+		hanging.Store(true)
+		assert.DeepEqual(t, outcomesFor(time.Second), map[string]int{"served": 5, "abandoned": 5})
+	})
+}
+
+// Guards against a request that crashes machines without a trace, as each of its attempts is overtaken before the upstream is known
+// to be gone: the quarantine learns of it once a sound upstream would have gone on.
+func TestQuarantineLearnsOfALongSilence(t *testing.T) {
+	inVirtualTime(t, 10, func(t *testing.T, w *fixture) {
+		broken := &brokenExchanges{}
+		w.quarantine = broken
+		w.restart()
+		w.add(hangs)
+		w.add(respondWith(http.StatusOK, "answer"))
+
+		_, _, err := w.send("/quote/1", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, len(broken.list()), 0)
+
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		assert.DeepEqual(t, broken.list(), []string{"u0"})
+	})
+}
--- a/internal/gateway/relayer/watchdog.go
+++ b/internal/gateway/relayer/watchdog.go
@@ -77,10 +77,7 @@
 }
 
 func (w *watchdog) expire() {
-	paused := time.Duration(0)
-	if w.paused != nil {
-		paused = w.paused()
-	}
+	paused := w.pausedInAll()
 
 	search, ok := w.beginSearch(paused)
 	if !ok {
@@ -110,6 +107,15 @@
 	w.restart()
 }
 
+// pausedInAll returns for how long the process has stood still in all.
+func (w *watchdog) pausedInAll() time.Duration {
+	if w.paused == nil {
+		return 0
+	}
+
+	return w.paused()
+}
+
 // disarm lets the attempt go on until its deadline. It returns false if the attempt was cancelled before.
 func (w *watchdog) disarm() bool {
 	w.mu.Lock()
