Relayer: the time in which the process stood still is no silence of upstreams

What callers saw: after a node stood still (stopped, or without processor time) all of its upstreams looked silent at once, and their requests were sent a second time, or their attempts given up.

Cause: the watchdog's timer and the time since an upstream was last heard include the pause, and both are looked at before what came in time is read.

Change: Options.Paused, from pausedetector, wired in the gateway.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -328,6 +328,7 @@
 		MaxKeyAge:      n.maxKeyAge,
 		LeavingFor:     n.leavingFor,
 		LeavingGrace:   leavingGrace,
+		Paused:         n.pauses.Paused,
 		MaxBodyMemory:  bodyMemory,
 		Meter:          n.meter,
 		FailedAttempts: n.attempts,
--- a/internal/gateway/relayer/watchdog_test.go
+++ b/internal/gateway/relayer/watchdog_test.go
@@ -122,3 +122,35 @@
 		assert.Equal(t, replacement.searches, 4)
 	})
 }
+
+// Guards against upstreams that are taken for silent because the process stood still and could not read what they sent.
+func TestPauseOfTheProcessIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		replacement := &slowReplacement{}
+		ctx, watch := newWatchdog(context.Background())
+		defer watch.stop()
+
+		watch.replacement = replacement
+		// Before the start, and from 0.5 to 1.1 s after it.
+		watch.paused = func() time.Duration {
+			if time.Since(begun) < 500*time.Millisecond {
+				return time.Minute
+			}
+
+			return time.Minute + min(time.Since(begun)-500*time.Millisecond, 600*time.Millisecond)
+		}
+
+		var paused time.Duration
+
+		watch.start(time.Second, time.Minute, func(p time.Duration) bool {
+			paused = p
+
+			return true
+		})
+		<-ctx.Done()
+
+		assert.Equal(t, time.Since(begun), 1600*time.Millisecond)
+		assert.Equal(t, paused, 600*time.Millisecond)
+	})
+}
