Relayer: tests of callers who read slowly

What callers saw: a caller who reads slowly makes eventQueue.push wait; the upstream isn't read meanwhile, and the watchdog took that for the upstream's silence: the stream went on at another upstream, at the cost of the retry budget.

--- a/internal/gateway/relayer/watchdog_test.go
+++ b/internal/gateway/relayer/watchdog_test.go
@@ -154,3 +154,27 @@
 		assert.Equal(t, paused, 600*time.Millisecond)
 	})
 }
+
+// Guards against a caller who reads slowly and makes its upstream look silent.
+func TestSuspendedWatchdogDoesNotSearch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		replacement := &noReplacement{}
+		ctx, watch := newWatchdog(context.Background())
+		defer watch.stop()
+
+		watch.replacement = replacement
+		watch.start(time.Second, 0, func(time.Duration) bool { return true })
+
+		time.Sleep(900 * time.Millisecond)
+		assert.Assert(t, watch.suspend())
+		time.Sleep(time.Minute)
+		watch.resume()
+		time.Sleep(900 * time.Millisecond)
+		assert.Equal(t, replacement.searches, 0)
+
+		time.Sleep(200 * time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, replacement.searches, 1)
+		assert.NilError(t, ctx.Err())
+	})
+}
