Relayer: ask the quarantine before a silent attempt is replaced

What callers saw: nothing by itself; a request that was quarantined while its attempt was silent was still sent to another upstream, which it may crash (before: its silent attempt was given up for one that was then refused).

Cause: nextAttempt asked the retry budget and the pool, but not the quarantine.

Change: right before the send the quarantine is asked; a request that would become a trial gives the trial back, as a trial runs at one upstream only; and a request whose parts are suspected by then isn't sent either. The silent attempt goes on.

Result: TestQuarantinedRequestReplacesNoSilentAttempt passes in its three cases. It failed before in each: the answer came from the second upstream.

--- a/internal/gateway/relayer/next_attempt.go
+++ b/internal/gateway/relayer/next_attempt.go
@@ -5,6 +5,7 @@
 
 	"quincepath.example/quincepath/internal/gateway/balancer"
 	"quincepath.example/quincepath/internal/gateway/budgeter"
+	"quincepath.example/quincepath/internal/quarantiner"
 )
 
 // nextAttempt sends an attempt in place of one whose upstream is silent. The silent one goes on until the other one has something
@@ -115,12 +116,36 @@
 		}
 	}
 
+	if n.isQuarantined() {
+		r.options.FailedAttempts.Add("silence_quarantined", 1)
+
+		return n.giveBack(id, permit)
+	}
+
 	return n.newAttempt(search, choice, id, permit)
 }
 
 // mayBeSent reports whether the request may be sent again while the silent attempt goes on.
 func (n *nextAttempt) mayBeSent() bool {
-	return n.request.mayBeFollowed()
+	return n.request.mayBeFollowed() && !n.relayer.mayCrashUpstreams(n.request)
+}
+
+// isQuarantined reports whether the request must not be sent again. One that would be a trial now must run at one upstream only.
+func (n *nextAttempt) isQuarantined() bool {
+	quarantine := n.relayer.options.Quarantine
+
+	verdict, mayRun := quarantine.Check(n.request.traits, quarantiner.Key{})
+	if !mayRun {
+		return true
+	}
+
+	if verdict.Trial == (quarantiner.Key{}) {
+		return false
+	}
+
+	quarantine.ReturnTrial(verdict.Trial)
+
+	return true
 }
 
 // giveBack releases what was reserved for an attempt that isn't sent.
