--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -57,11 +57,11 @@
 	replaces bool
 	// usageFrom is when the request began to run if this attempt is the first that is known to have run it.
 	usageFrom time.Time
-	// ctx ends the exchange. outer is its parent, which also ends if the attempt isn't needed any more; cancel ends outer.
+	// ctx ends the exchange. outer is its parent, which also ends if the attempt isn't needed any more.
 	ctx, outer context.Context
-	cancel     context.CancelFunc
-	// unbind makes outer independent of the search in which the attempt was sent. It returns false if that had ended before. It is
-	// nil unless replaces is set.
+	// cancel ends outer. unbind makes that independent of the search in which the attempt was sent, and returns false if the search
+	// had ended before. Both are nil unless replaces is set.
+	cancel context.CancelFunc
 	unbind func() bool
 	watch  *watchdog
 	// next is the search for the attempt that takes the place of this one if it is silent.
@@ -99,9 +99,8 @@
 // newAttempt returns an attempt that is about to be sent to the chosen upstream. outer ends it; ctx is the request's, which also
 // covers the attempts that follow.
 func (r *Relayer) newAttempt(ctx, outer context.Context, request *request, choice balancer.Choice, id string, excluded []string) *attempt {
-	a := &attempt{request: request, id: id, choice: choice, outcome: balancer.Abandoned, memory: r.newMemoryReservation()}
-	a.outer, a.cancel = context.WithCancel(outer)
-	a.ctx, a.watch = newWatchdog(a.outer)
+	a := &attempt{request: request, id: id, choice: choice, outer: outer, outcome: balancer.Abandoned, memory: r.newMemoryReservation()}
+	a.ctx, a.watch = newWatchdog(outer)
 	a.next = &nextAttempt{relayer: r, ctx: ctx, request: request, silent: a, excluded: append(slices.Clone(excluded), choice.Upstream)}
 	a.watch.replacement, a.watch.paused = a.next, r.options.Paused
 
@@ -160,7 +159,10 @@
 
 	// An attempt that is under way in place of this one is not given up with it.
 	a.watch.join()
-	a.cancel()
+
+	if a.cancel != nil {
+		a.cancel()
+	}
 
 	return a.next.take()
 }
--- a/internal/gateway/relayer/next_attempt.go
+++ b/internal/gateway/relayer/next_attempt.go
@@ -158,9 +158,11 @@
 
 // newAttempt returns an attempt that ends with the search until it is unbound.
 func (n *nextAttempt) newAttempt(search context.Context, choice balancer.Choice, id string, permit *budgeter.Permit) *attempt {
-	a := n.relayer.newAttempt(n.ctx, n.ctx, n.request, choice, id, n.excluded)
+	outer, cancel := context.WithCancel(n.ctx)
+
+	a := n.relayer.newAttempt(n.ctx, outer, n.request, choice, id, n.excluded)
 	a.permit, a.replaces, a.usageFrom = permit, true, n.silent.usageFrom
-	a.unbind = context.AfterFunc(search, a.cancel)
+	a.cancel, a.unbind = cancel, context.AfterFunc(search, cancel)
 
 	return a
 }
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -57,7 +57,7 @@
 
 // fixture is a relayer with upstreams, which are chosen in the order in which they were added.
 type fixture struct {
-	t         *testing.T
+	t         testing.TB
 	upstreams []*fakeUpstream
 	server    *httptest.Server
 	client    *http.Client
@@ -106,13 +106,13 @@
 	brittle []string
 }
 
-func newFixture(t *testing.T, extra int) *fixture {
+func newFixture(t testing.TB, extra int) *fixture {
 	t.Helper()
 
 	return newFixtureWithBodyMemory(t, extra, 1<<20)
 }
 
-func newFixtureWithBodyMemory(t *testing.T, extra int, bodies int64) *fixture {
+func newFixtureWithBodyMemory(t testing.TB, extra int, bodies int64) *fixture {
 	t.Helper()
 
 	w := &fixture{t: t, now: time.Hour, bodies: bodies, extra: extra, quarantine: noQuarantine{}, usage: &usage{counts: make(map[string]int)}, pins: newFakePins(), client: http.DefaultClient, ends: make(map[string][]string)}
