--- a/internal/gateway/relayer/watchdog.go
+++ b/internal/gateway/relayer/watchdog.go
@@ -86,16 +86,17 @@
 	defer w.searches.Done()
 
 	lost := w.isLost(paused - w.pausedAtStart)
-	if lost && (w.replacement == nil || w.replacement.find(search)) {
-		if w.cancelUnlessActive(search) {
-			return
-		}
-
-		if w.replacement != nil {
-			w.replacement.discard()
-		}
+	found := lost && (w.replacement == nil || w.replacement.find(search))
+
+	if found && !w.cancelUnlessActive(search) && w.replacement != nil {
+		w.replacement.discard()
 	}
 
+	w.endSearch(search, lost)
+}
+
+// endSearch restarts the timeout after a search, unless the attempt was cancelled.
+func (w *watchdog) endSearch(search context.Context, lost bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
@@ -104,6 +105,7 @@
 		w.failedSearches++
 	}
 
+	w.stopSearch()
 	w.restart()
 }
 
@@ -207,7 +209,7 @@
 
 // restart restarts the timeout, which doubles with each failed search: a search may ask other nodes. w.mu is held.
 func (w *watchdog) restart() {
-	if w.timer != nil && !w.stopped {
+	if w.timer != nil && !w.stopped && !w.expired {
 		w.timer.Reset(w.timeout << min(w.failedSearches, maxTimeoutDoublings))
 	}
 }
