--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -279,7 +279,16 @@
 }
 
 // Choose implements relayer.Chooser.
-func (w *fixture) Choose(_ context.Context, _ string, work balancer.Request) (balancer.Choice, bool) {
+func (w *fixture) Choose(_ context.Context, _ string, work balancer.Request) (_ balancer.Choice, ok bool) {
+	defer func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+
+		if ok {
+			w.chosen = append(w.chosen, work.ID)
+		}
+	}()
+
 	if w.onChoose != nil {
 		w.onChoose()
 	}
@@ -294,10 +303,6 @@
 		}
 
 		if w.ignoreExcluded || !strings.Contains(strings.Join(work.Excluded, " "), u.name) {
-			w.mu.Lock()
-			w.chosen = append(w.chosen, work.ID)
-			w.mu.Unlock()
-
 			return balancer.Choice{Upstream: u.name, Address: u.address, SoftwareVersion: u.version}, true
 		}
 	}
