--- a/internal/gateway/relayer/watchdog.go
+++ b/internal/gateway/relayer/watchdog.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// errAttemptTimeout is the cancellation cause of an attempt whose upstream sent nothing in time. docs/OPERATIONS.md quotes
+// errAttemptTimeout is the cancellation cause of an attempt that was overtaken while its upstream sent nothing. docs/OPERATIONS.md quotes
 // its text.
 var errAttemptTimeout = errors.New("the upstream went silent")
 
@@ -51,11 +51,11 @@
 	stopSearch context.CancelFunc
 }
 
-// replacement finds another attempt. Its methods are called by one goroutine at a time, and by none once stop has returned.
+// replacement is another attempt. A watchdog calls its methods from one goroutine at a time, and not after stop or join has returned.
 type replacement interface {
-	// find reports whether another attempt can be made.
+	// find makes another attempt, and reports whether that has something for the caller.
 	find(ctx context.Context) bool
-	// discard releases what find reserved.
+	// discard ends the attempt that find made.
 	discard()
 }
 
