--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -57,9 +57,10 @@
 
 // fixture is a relayer with upstreams, which are chosen in the order in which they were added.
 type fixture struct {
-	t         *testing.T
+	t         testing.TB
 	upstreams []*fakeUpstream
 	server    *httptest.Server
+	client    *http.Client
 	relayer   *relayer.Relayer
 	catalog   *cataloguer.Catalog
 	now       time.Duration
@@ -75,6 +76,12 @@
 	pins       *fakePins
 	// paths are the ways to upstreams; nil if there are only direct ones.
 	paths *fakePaths
+	// paused is for how long the process stood still; nil means never.
+	paused func() time.Duration
+	// network connects the servers in memory; nil if they listen on the loopback interface.
+	network *memoryNetwork
+	// attempts holds the relayer's counters.
+	attempts *expvar.Map
 	// bodies is the relayer's memory limit for request bodies.
 	bodies int64
 
@@ -90,22 +97,25 @@
 
 	mu       sync.Mutex
 	outcomes []string
+	// chosen holds the IDs of the attempts that got an upstream, ends the outcomes by ID.
+	chosen []string
+	ends   map[string][]string
 	// rates holds what responses said of rate limits.
 	rates []string
 	// brittle holds what responses said of their upstreams' brittleness.
 	brittle []string
 }
 
-func newFixture(t *testing.T, extra int) *fixture {
+func newFixture(t testing.TB, extra int) *fixture {
 	t.Helper()
 
 	return newFixtureWithBodyMemory(t, extra, 1<<20)
 }
 
-func newFixtureWithBodyMemory(t *testing.T, extra int, bodies int64) *fixture {
+func newFixtureWithBodyMemory(t testing.TB, extra int, bodies int64) *fixture {
 	t.Helper()
 
-	w := &fixture{t: t, now: time.Hour, bodies: bodies, extra: extra, quarantine: noQuarantine{}, usage: &usage{counts: make(map[string]int)}, pins: newFakePins()}
+	w := &fixture{t: t, now: time.Hour, bodies: bodies, extra: extra, quarantine: noQuarantine{}, usage: &usage{counts: make(map[string]int)}, pins: newFakePins(), client: http.DefaultClient, ends: make(map[string][]string)}
 	w.catalog = cataloguer.New(func() time.Duration { return w.now })
 	w.catalog.ApplyConfiguration(configuration(), w.now)
 	w.restart()
@@ -124,6 +134,7 @@
 		budget.Self, budget.Peers, budget.Live = "self", w.peer, func() []string { return []string{"peer", "self"} }
 	}
 
+	w.attempts = new(expvar.Map)
 	handler := relayer.New(relayer.Options{
 		Headers: names, Catalog: w.catalog, Table: w.tableFunc(table), Chooser: w, Dialer: w.newDialer(),
 		RetryBudget: budgeter.New(budget),
@@ -131,10 +142,10 @@
 		Usage:       w.usage,
 		Pins:        w.pins,
 		MaxKeyAge:   func() time.Duration { return 4 * time.Second }, LeavingFor: func() time.Duration { return w.leaving }, LeavingGrace: time.Second,
-		MaxBodyMemory: w.bodies, Meter: meter.New(), FailedAttempts: new(expvar.Map), Logger: zerolog.Nop(),
+		MaxBodyMemory: w.bodies, Paused: w.paused, Meter: meter.New(), FailedAttempts: w.attempts, Logger: zerolog.Nop(),
 	})
 	w.relayer = handler
-	w.server = httptest.NewServer(handler)
+	w.server = w.newServer(handler)
 	w.t.Cleanup(w.server.Close)
 }
 
@@ -217,6 +228,7 @@
 			impatient(route("quote", cataloguer.Idempotent, false)),
 			impatient(route("note", cataloguer.Stream, true)),
 			impatient(route("talk", cataloguer.Stream, true)),
+			threeTimes(impatient(route("letter", cataloguer.Stream, true))),
 			moved(route("moved", cataloguer.Stream, true)),
 		},
 		Organisations: []cataloguer.Organisation{{Name: "salon", Keys: []string{"k1"}}},
@@ -231,6 +243,13 @@
 	return route
 }
 
+// threeTimes returns the route with three attempts.
+func threeTimes(route cataloguer.Route) cataloguer.Route {
+	route.Attempts = 3
+
+	return route
+}
+
 // impatient returns the route with the shortest attempt timeouts: 400 ms, 1 s for streams.
 func impatient(route cataloguer.Route) cataloguer.Route {
 	route.Target, route.GapLimit = 50*time.Millisecond, 50*time.Millisecond
@@ -241,7 +260,7 @@
 // add starts an upstream with the handler.
 func (w *fixture) add(handle http.HandlerFunc) *fakeUpstream {
 	u := &fakeUpstream{name: fmt.Sprint("u", len(w.upstreams)), version: "v1"}
-	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+	server := w.newServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 
 		u.mu.Lock()
@@ -260,7 +279,16 @@
 }
 
 // Choose implements relayer.Chooser.
-func (w *fixture) Choose(_ context.Context, _ string, work balancer.Request) (balancer.Choice, bool) {
+func (w *fixture) Choose(_ context.Context, _ string, work balancer.Request) (_ balancer.Choice, ok bool) {
+	defer func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+
+		if ok {
+			w.chosen = append(w.chosen, work.ID)
+		}
+	}()
+
 	if w.onChoose != nil {
 		w.onChoose()
 	}
@@ -320,15 +348,22 @@
 func (w *fixture) MarkLeaving(string) {}
 
 // RecordEnd implements relayer.Chooser.
-func (w *fixture) RecordEnd(_ string, outcome balancer.Outcome) {
+func (w *fixture) RecordEnd(id string, outcome balancer.Outcome) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
+	w.ends[id] = append(w.ends[id], fmt.Sprint(outcome))
+
 	w.outcomes = append(w.outcomes, fmt.Sprint(outcome))
 }
 
 func (w *fixture) send(path string, change func(*http.Request)) (*http.Response, string, error) {
-	request, err := http.NewRequest(http.MethodPost, w.server.URL+path, strings.NewReader("body"))
+	return w.sendIn(context.Background(), path, change)
+}
+
+// sendIn sends a request whose caller leaves when ctx ends.
+func (w *fixture) sendIn(ctx context.Context, path string, change func(*http.Request)) (*http.Response, string, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, w.server.URL+path, strings.NewReader("body"))
 	assert.NilError(w.t, err)
 	request.Host = "shop.example"
 	request.Header.Set(names.RequestID, "id-1")
@@ -338,7 +373,7 @@
 		change(request)
 	}
 
-	response, err := http.DefaultClient.Do(request)
+	response, err := w.client.Do(request)
 	if err != nil {
 		return nil, "", err
 	}
