Relayer: a choice of an upstream that this node knows to have left is declined

Cause: a node declined the holder's choice only if its own list shows the upstream as draining. One that its newer list no longer has was used, since a new upstream that only the holder has heard of looks the same.

Change: a choice names the run of its upstream by when it was born, 20 bytes in the answer of the holder, and the catalog, which remembers departures, tells whether that run has left. One that this node has never heard of is used, and so is a later run under the same ID, also before this node hears of it. An earlier run than the listed one, at another address, has left. Upstreams that don't say when they were born are told apart by their addresses, where these are known. A node of an older release doesn't name the run; its choices are declined for upstreams that don't say it either.

The choice of TestMessagesOfARequestAreShort names its run, too; the bound is as before.

The same run that registers again is declined by a node until that one hears of it, as its own list is the older one then: for as long as a change takes to all nodes. Other upstreams of the service take its requests meanwhile.

--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -23,6 +23,8 @@
 type Choice struct {
 	Upstream string `json:"u"`
 	Address  string `json:"a"`
+	// Born identifies the run of the upstream, see Upstream; 0 if it isn't known, as from a node of an older release.
+	Born int64 `json:"o,omitempty"`
 	// SoftwareVersion is the version of the upstream's software; empty if it isn't known.
 	SoftwareVersion string `json:"v,omitempty"`
 	// Loss is the expected loss, for the log.
@@ -166,7 +168,7 @@
 	best.bucket.Take(now)
 
 	return Choice{
-		Upstream: best.ID, Address: best.Address, SoftwareVersion: best.SoftwareVersion, Loss: bestLoss, ExpectedWaitMS: r.expectedMS,
+		Upstream: best.ID, Address: best.Address, Born: best.Born, SoftwareVersion: best.SoftwareVersion, Loss: bestLoss, ExpectedWaitMS: r.expectedMS,
 		Limit: best.namedLimit(), Brittle: best.namedBrittleness(now),
 	}, true
 }
--- a/internal/gateway/balancer/queue.go
+++ b/internal/gateway/balancer/queue.go
@@ -109,8 +109,8 @@
 
 	if r, ok := p.requests[request.ID]; ok {
 		return Choice{
-			Upstream: r.server.ID, Address: r.server.Address, SoftwareVersion: r.server.SoftwareVersion, ExpectedWaitMS: r.expectedMS,
-			Limit: r.server.namedLimit(), Brittle: r.server.namedBrittleness(now),
+			Upstream: r.server.ID, Address: r.server.Address, Born: r.server.Born, SoftwareVersion: r.server.SoftwareVersion,
+			ExpectedWaitMS: r.expectedMS, Limit: r.server.namedLimit(), Brittle: r.server.namedBrittleness(now),
 		}, Granted
 	}
 
--- a/internal/gateway/broker/message_size_test.go
+++ b/internal/gateway/broker/message_size_test.go
@@ -22,7 +22,7 @@
 		GapLimit:    500 * time.Millisecond,
 		PromptParts: []balancer.PromptPart{{ID: "5c1e07a2", Tokens: 2520}, {ID: "91bd3f06", Tokens: 3780}, {ID: "e4402b7d", Tokens: 2890}},
 	}
-	choice := balancer.Choice{Upstream: "i-7f3a91c2ab", Address: "10.128.0.9:8080", Loss: 0.1234567890123456, ExpectedWaitMS: 123.4567890123456}
+	choice := balancer.Choice{Upstream: "i-7f3a91c2ab", Address: "10.128.0.9:8080", Born: 1796400000000, Loss: 0.1234567890123456, ExpectedWaitMS: 123.4567890123456}
 	total := 0
 
 	for name, message := range map[string]any{
--- a/internal/gateway/cataloguer/departures.go
+++ b/internal/gateway/cataloguer/departures.go
@@ -40,6 +40,8 @@
 	Departure
 
 	at time.Duration
+	// address is empty if another node told of it.
+	address string
 	// listedAgainAt is when the store first listed it after its return, or when a peer that retains upstreams first did; negative if
 	// neither does.
 	listedAgainAt time.Duration
@@ -66,7 +68,8 @@
 // add remembers an upstream that is removed at a position.
 func (d *departures) add(now time.Duration, upstream *Upstream, position storer.Position) {
 	d.byID.Add(upstream.ID, departure{
-		Departure: Departure{ID: upstream.ID, Born: upstream.Born, Position: position, Draining: upstream.Draining}, at: now, listedAgainAt: -1,
+		Departure: Departure{ID: upstream.ID, Born: upstream.Born, Position: position, Draining: upstream.Draining},
+		at:        now, address: upstream.Address, listedAgainAt: -1,
 	})
 }
 
@@ -151,6 +154,21 @@
 	return all
 }
 
+// HasDeparted reports whether this node knows that the run of an upstream that was born at the given time, 0 if unknown, has left. One that
+// this node neither lists nor remembers may be new, and known to other nodes first.
+func (c *Catalog) HasDeparted(id string, born int64, address string) bool {
+	if listed, ok := c.state.Load().Registry.Upstreams.Get(id); ok {
+		return born < listed.Born && born > 0 && address != listed.Address
+	}
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	found, ok := c.departures.byID.Peek(id)
+
+	return ok && found.Born == born && (found.address == "" || found.address == address)
+}
+
 // HeldDepartures returns the departures of upstreams that a peer retains and that this node doesn't list for that reason.
 func (c *Catalog) HeldDepartures() []Departure {
 	c.mu.Lock()
--- a/internal/gateway/cataloguer/retention_test.go
+++ b/internal/gateway/cataloguer/retention_test.go
@@ -113,3 +113,37 @@
 		assert.DeepEqual(t, ids(c), []string{"b", "c"})
 	})
 }
+
+// Guards against a new upstream, or a new run of one, that is taken for one that has left, and against one that has left and is not known
+// for it.
+func TestDepartedRunIsKnown(t *testing.T) {
+	c, _ := newCatalog()
+	run := func(born int64, address string) cataloguer.Upstream {
+		return cataloguer.Upstream{ID: "a", Born: born, Address: address}
+	}
+
+	assert.Assert(t, !c.HasDeparted("a", 5, "x"), "never heard of")
+	c.ApplyRegistry(listing(1, 0, run(5, "x")), false)
+	assert.Assert(t, !c.HasDeparted("a", 5, "x"), "listed")
+	assert.Assert(t, !c.HasDeparted("a", 6, "y"), "a later run that others know first")
+
+	c.ApplyRegistry(listing(2, 0), false)
+	assert.Assert(t, c.HasDeparted("a", 5, "x"), "gone")
+	assert.Assert(t, !c.HasDeparted("a", 6, "x"), "a later run that others know first")
+
+	c.ApplyRegistry(listing(3, 0, run(6, "y")), false)
+	assert.Assert(t, c.HasDeparted("a", 5, "x"), "a former run at another address")
+	assert.Assert(t, !c.HasDeparted("a", 0, "x"), "an unknown run")
+	assert.Assert(t, !c.HasDeparted("a", 6, "y"), "listed")
+
+	// Upstreams that don't say when they were born are told apart by their addresses, where these are known.
+	c.ApplyRegistry(listing(4, 0, run(0, "z")), false)
+	c.ApplyRegistry(listing(5, 0), false)
+	assert.Assert(t, c.HasDeparted("a", 0, "z"))
+	assert.Assert(t, !c.HasDeparted("a", 0, "x"))
+
+	told, _ := newCatalog()
+	told.AddDepartures(c.Departures())
+	assert.Assert(t, told.HasDeparted("a", 0, "z"))
+	assert.Assert(t, !told.HasDeparted("a", 7, "z"))
+}
--- a/internal/gateway/relayer/relayer.go
+++ b/internal/gateway/relayer/relayer.go
@@ -273,12 +273,15 @@
 		r.options.Chooser.MayUse(choice)
 }
 
-// isDraining reports whether this node's list says that the chosen upstream gets no new requests. The node that chose it may have an
-// older list.
+// isDraining reports whether this node knows that the chosen upstream gets no new requests, or has left. The node that chose it may have
+// an older list.
 func (r *Relayer) isDraining(choice balancer.Choice) bool {
 	listed, ok := r.options.Catalog.State().Registry.Upstreams.Get(choice.Upstream)
+	if ok && listed.Draining && listed.Address == choice.Address {
+		return true
+	}
 
-	return ok && listed.Draining && listed.Address == choice.Address
+	return r.options.Catalog.HasDeparted(choice.Upstream, choice.Born, choice.Address)
 }
 
 // poolRequest describes an attempt to the balancer. It also returns the shortest rest that upstreams asked for.
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -42,6 +42,8 @@
 	address string
 	// version is the software version that Choose reports; empty if it isn't known.
 	version string
+	// born is what Choose reports; 0 if it isn't known.
+	born int64
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -275,7 +277,7 @@
 		}
 
 		if w.ignoreExcluded || !strings.Contains(strings.Join(work.Excluded, " "), u.name) {
-			return balancer.Choice{Upstream: u.name, Address: u.address, SoftwareVersion: u.version}, true
+			return balancer.Choice{Upstream: u.name, Address: u.address, Born: u.born, SoftwareVersion: u.version}, true
 		}
 	}
 
