Balancer: a silence of a second or so ejects no upstream for all nodes

What callers saw: after a sound upstream had been silent for a second or so, no node used it for 0.3 to 2 s, also those whose requests it had answered all the time, so its room was missing and its pool's other upstreams got its load.

Cause: an attempt that is given up for silence ended as Failed, like a connection that broke. Several failures of two nodes eject an upstream for all, and an answer doesn't end that ejection.

Change: Silent is an outcome of its own. It ejects the upstream for the node whose request was given up, as before, and for all nodes only if it has been silent to several for 2 s. The first answer to anyone ends these ejections.

Why it works: a sound upstream is silent for less than 2 s, so that a silence that ejects for all is a hang. A server that hangs is still ejected for all (TestServerThatHangsIsEjectedForAll).

--- a/internal/gateway/balancer/ejection.go
+++ b/internal/gateway/balancer/ejection.go
@@ -22,6 +22,9 @@
 	minFailingNodes = 2
 	// minSilence is how long it must have answered no node then. Answers to nodes that reach it come more often.
 	minSilence = 300 * time.Millisecond
+	// minHang is how long it must have been silent before silences alone eject it for all nodes. A sound server may be silent for a
+	// second or so.
+	minHang = 2 * time.Second
 	// failingNodeRetention is how long a node that failed at a server is remembered after its ejection.
 	failingNodeRetention = 10 * time.Second
 )
@@ -59,6 +62,8 @@
 	ejection
 	// failing is set from a failed request until one is answered.
 	failing bool
+	// silent is set if the ejection is due to silence.
+	silent bool
 }
 
 // failureState is what the failures at a server say about it.
@@ -79,8 +84,13 @@
 	// failedNode is the last node whose request failed since one was served, severalFailed is set if others' failed too.
 	failedNode    string
 	severalFailed bool
-	// refused is set if the shared ejection is due to connections that failed.
-	refused bool
+	// silentNode and severalSilent are the same for requests to which the server was silent, silentSince is when the silence of the
+	// first of these began; the zero time if there is none.
+	silentNode    string
+	severalSilent bool
+	silentSince   time.Time
+	// refused is set if the shared ejection is due to connections that failed, hung if it is due to silence.
+	refused, hung bool
 }
 
 // isEjected reports whether the server gets no requests of the node. If ownOnly is set, connections of other nodes that failed
@@ -103,9 +113,10 @@
 	f.answeredAt = now
 	f.failingNodes = 0
 	f.shared.span = 0
+	f.endSilence()
 
-	// The server accepts connections, so those that failed couldn't reach it.
-	if f.refused {
+	// The server accepts connections, so those that failed couldn't reach it, and it is silent no longer.
+	if f.refused || f.hung {
 		f.shared.until = time.Time{}
 	}
 
@@ -118,6 +129,27 @@
 	}
 }
 
+// recordSilence records that a request of the node was given up, to which the server had been silent since the given time.
+func (f *failureState) recordSilence(node string, since time.Time) {
+	f.severalSilent = f.severalSilent || f.silentNode != "" && f.silentNode != node
+	f.silentNode = node
+
+	if f.silentSince.IsZero() || since.Before(f.silentSince) {
+		f.silentSince = since
+	}
+}
+
+// endSilence ends the ejections that are due to silence, as the server goes on.
+func (f *failureState) endSilence() {
+	if f.silentNode == "" {
+		return
+	}
+
+	f.silentNode, f.severalSilent, f.silentSince = "", false, time.Time{}
+
+	maps.DeleteFunc(f.byNode, func(_ string, e *nodeEjection) bool { return e.silent })
+}
+
 // eject ejects the server for the node, and for all nodes if several fail.
 func (f *failureState) eject(now time.Time, node string, outcome Outcome) {
 	own := f.byNode[node]
@@ -133,19 +165,27 @@
 		f.failingNodes++
 	}
 
+	if outcome != Silent || now.After(own.until) {
+		own.silent = outcome == Silent
+	}
+
 	own.repeat(now)
 
 	// Responses that begin say nothing against failures of others.
 	forAll := f.severalFailed
-	if outcome == Unreachable {
+
+	switch outcome {
+	case Unreachable:
 		forAll = f.failingNodes >= minFailingNodes && now.Sub(f.answeredAt) >= minSilence
+	case Silent:
+		forAll = f.severalSilent && now.Sub(f.silentSince) >= minHang
 	}
 
 	if !forAll || now.Before(f.shared.until) {
 		return
 	}
 
-	f.refused = outcome == Unreachable
+	f.refused, f.hung = outcome == Unreachable, outcome == Silent
 	f.shared.repeat(now)
 
 	// Nodes that haven't failed are the first to try again.
@@ -162,7 +202,7 @@
 }
 
 // recordOutcome updates what failures say about the server. A server that fails nearly all of its requests is ejected if
-// mayEject is set.
+// mayEject is set, which it is only for requests that failed or to which the server was silent.
 func (s *server) recordOutcome(outcome Outcome, node string, now time.Time, mayEject bool) {
 	f := &s.failures
 	wasOnTrial := f.isOnTrial(node)
@@ -171,6 +211,8 @@
 	switch outcome {
 	case Abandoned:
 		return
+	case Silent:
+		failed = 1
 	case Failed:
 		failed = 1
 		f.severalFailed = f.severalFailed || f.failedNode != "" && f.failedNode != node
@@ -186,7 +228,7 @@
 		// refuse all queued requests.
 		failed = 1
 		f.shared.begin(now, maxEjection)
-		f.refused = false
+		f.refused, f.hung = false, false
 	case Served:
 		f.recordAnswer(now, node)
 		f.failedNode, f.severalFailed = "", false
@@ -198,7 +240,7 @@
 	}
 
 	// The slots of a server that fails immediately are always free, so it would attract all queued requests.
-	if outcome == Failed && mayEject && (wasOnTrial || f.shared.span > 0 || f.fraction > ejectionThreshold) {
+	if mayEject && (wasOnTrial || f.shared.span > 0 || f.fraction > ejectionThreshold) {
 		f.eject(now, node, outcome)
 	}
 }
--- a/internal/gateway/balancer/pool.go
+++ b/internal/gateway/balancer/pool.go
@@ -329,7 +329,7 @@
 
 	failures := &r.server.failures
 	wasShared, wasEjected := now.Before(failures.shared.until), failures.isEjected(now, r.request.Node, false)
-	r.server.remove(r, outcome, now, outcome == Failed && p.mayEject(now, r.request.Node))
+	r.server.remove(r, outcome, now, (outcome == Failed || outcome == Silent) && p.mayEject(now, r.request.Node))
 
 	ejected := Ejection{Upstream: r.server.ID}
 
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -340,6 +340,15 @@
 		clear(s.sensitiveStreams)
 	}
 
+	if outcome == Silent {
+		since := now
+		if !r.answering {
+			since = r.sentAt
+		}
+
+		s.failures.recordSilence(r.request.Node, since)
+	}
+
 	s.recordOutcome(outcome, r.request.Node, now, mayEject)
 }
 
--- a/internal/gateway/balancer/types.go
+++ b/internal/gateway/balancer/types.go
@@ -100,6 +100,8 @@
 	Abandoned
 	// Replaced means that another server answers at the upstream's address.
 	Replaced
+	// Silent means that the upstream sent nothing for so long that the request was given up there. It may go on at any time.
+	Silent
 )
 
 // String returns the name that is used in logs.
@@ -115,6 +117,8 @@
 		return "unreachable"
 	case Replaced:
 		return "replaced"
+	case Silent:
+		return "silent"
 	default:
 		return "abandoned"
 	}
--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -195,7 +195,8 @@
 		return
 	}
 
-	if errors.Is(context.Cause(ctx), errAttemptTimeout) {
+	silent := errors.Is(context.Cause(ctx), errAttemptTimeout)
+	if silent {
 		request.silences++
 	}
 
@@ -204,6 +205,7 @@
 	request.interruption = &interruption{
 		run:    request.run(choice, responseStarted),
 		target: dialer.Upstream{ID: choice.Upstream, Address: choice.Address},
+		silent: silent,
 	}
 }
 
