Dialer: a pause of the process is no evidence against an upstream or a path

What callers saw: nothing was sent, but after a pause of the process by 0.4 s or more the upstreams to which it was connecting were reported as unreachable (0.3 to 2 s without requests, for all nodes where two stood still), their paths as lost with all idle connections closed, and a check after a broken connection confirmed a crash with all requests that had run there. Asked by a peer, the node answered that the upstream is down.

Cause: the deadlines of connects run out while the process stands still, before it sees that the connection was made.

Evidence: TestPauseIsNoEvidenceAgainstAnUpstream printed "connect to upstream a: no connection in time" and "IsDown is true", TestPauseIsNoLostPath 1 loss, TestPauseOfAPeerIsNoEvidenceAgainstAnUpstream "context deadline exceeded" in place of ErrPathLost.

Change: an opening whose time ran out while the process stood still is tried again, at most twice, as nothing of the request was sent; its timeouts are recorded neither against the path nor the upstream. Refused connections count as before.

Result: the tests above pass, with those of dialer and tunneler under -race.

--- a/internal/gateway/dialer/dialer.go
+++ b/internal/gateway/dialer/dialer.go
@@ -73,6 +73,9 @@
 	// Detour reaches upstreams that this node doesn't reach itself; nil means that there is no other way. It must not be
 	// changed once the Dialer is in use.
 	Detour Detour
+	// Paused returns for how long the process has stood still since its start; nil means that it never did. It must not be changed
+	// once the Dialer is in use.
+	Paused func() time.Duration
 	// HeadMemory is the memory that long response heads may take together. It must not be changed once the Dialer is in use.
 	HeadMemory *headreader.Memory
 	// direct opens TCP connections; DialContext may be replaced.
@@ -283,12 +286,15 @@
 // IsDown reports whether the upstream accepts no new connection, neither from this node nor from peers, or false if that
 // can't be determined. It opens a new connection because an idle one doesn't show that an upstream lost power.
 func (d *Dialer) IsDown(ctx context.Context, upstream Upstream) bool {
+	mark := d.markPause()
 	c, err := d.openConn(ctx, upstream)
 
 	switch {
 	case err == nil:
 		d.keepIdle(upstream.ID, c, defaultIdleTimeout)
 
+		return false
+	case mark.isInconclusive(err):
 		return false
 	case errors.Is(err, ErrTooManyConnections), errors.Is(err, ErrPathLost), errors.Is(err, context.Canceled):
 		return false
--- a/internal/gateway/dialer/opening.go
+++ b/internal/gateway/dialer/opening.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +42,8 @@
 type opening struct {
 	dialer   *Dialer
 	upstream Upstream
+	// mark is from the beginning of the opening.
+	mark pauseMark
 	// ways are the ways that have not been tried, in order; an empty peer is the direct way.
 	ways []string
 	// peersAdded is true once ways has included the peers.
@@ -63,22 +63,22 @@
 // openConn opens a new connection to the upstream, directly or through a peer. The error is marked with ErrPathLost if this
 // node seems to be cut off from all upstreams and no peer says that the upstream is down.
 func (d *Dialer) openConn(ctx context.Context, upstream Upstream) (*conn, error) {
-	o := &opening{dialer: d, upstream: upstream, results: make(chan openResult, maxPeers+1)}
-	timeout := openTimeout
+	var (
+		o   *opening
+		c   *conn
+		err error
+	)
 
-	if d.Detour != nil && d.paths.isLost(upstream.ID, time.Now()) {
-		timeout = lostOpenTimeout
+	// Nothing of the request has been sent, so that an opening may be tried again.
+	for range 1 + maxReopenings {
+		o = &opening{dialer: d, upstream: upstream, results: make(chan openResult, maxPeers+1), mark: d.markPause()}
+		c, err = o.open(ctx)
 
-		o.addPeers()
-		o.ways = slices.Insert(o.ways, min(len(o.ways), peersBeforeDirect), "")
-	} else {
-		o.ways = []string{""}
+		if err == nil || ctx.Err() != nil || !o.mark.isInconclusive(err) {
+			break
+		}
 	}
 
-	limited, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-
-	c, err := o.run(limited)
 	if err != nil {
 		if ctx.Err() == nil {
 			err = o.recordDown(err)
@@ -94,6 +94,25 @@
 	return c, nil
 }
 
+// open tries the ways to the upstream within the time for them.
+func (o *opening) open(ctx context.Context) (*conn, error) {
+	timeout := openTimeout
+
+	if o.dialer.Detour != nil && o.dialer.paths.isLost(o.upstream.ID, time.Now()) {
+		timeout = lostOpenTimeout
+
+		o.addPeers()
+		o.ways = slices.Insert(o.ways, min(len(o.ways), peersBeforeDirect), "")
+	} else {
+		o.ways = []string{""}
+	}
+
+	limited, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+
+	return o.run(limited)
+}
+
 // addPeers adds the ways through peers.
 func (o *opening) addPeers() {
 	o.peersAdded = true
@@ -213,6 +232,11 @@
 	}
 
 	if o.directTried && o.directErr == nil {
+		// A direct connection may have been made while the process stood still.
+		if o.mark.stoodStill() {
+			return
+		}
+
 		o.directErr = errNoConnectInTime
 		o.dialer.recordDirect(o.upstream.ID, false)
 	}
@@ -227,6 +251,7 @@
 	case ctx.Err() != nil:
 	case errors.Is(result.err, ErrTooManyConnections):
 		o.limited = true
+	case result.peer == "" && o.mark.isInconclusive(result.err):
 	case result.peer == "":
 		o.directErr = result.err
 		o.dialer.recordDirect(o.upstream.ID, false)
@@ -261,6 +286,10 @@
 		return err
 	}
 
+	if o.mark.isInconclusive(err) {
+		return errors.Mark(err, ErrPathLost)
+	}
+
 	if o.directTried && o.directErr == nil {
 		o.dialer.recordDirect(o.upstream.ID, false)
 	}
@@ -316,145 +345,3 @@
 	all := d.paths.isAllLost(time.Now())
 	d.closeIdle(func(owner string, c *conn) bool { return c.peer == "" && (all || owner == upstream.ID) })
 }
-
-// Run checks until ctx is cancelled whether lost paths work again.
-func (d *Dialer) Run(ctx context.Context) {
-	for {
-		select {
-		case <-time.After(pathCheckInterval + rand.N(pathCheckInterval)):
-		case <-ctx.Done():
-			return
-		}
-
-		d.checkPaths(ctx)
-	}
-}
-
-// checkPaths tries some of the lost paths.
-func (d *Dialer) checkPaths(ctx context.Context) {
-	var (
-		checks  sync.WaitGroup
-		mu      sync.Mutex
-		healing bool
-	)
-
-	for _, upstream := range d.paths.nextChecks() {
-		checks.Go(func() {
-			if d.checkPath(ctx, upstream) {
-				mu.Lock()
-				defer mu.Unlock()
-
-				healing = true
-			}
-		})
-	}
-
-	checks.Wait()
-	d.paths.setHealing(healing)
-}
-
-// checkPath tries the direct path to an upstream and reports whether it works.
-func (d *Dialer) checkPath(ctx context.Context, upstream Upstream) bool {
-	result := d.openWay(ctx, "", upstream)
-	if result.err != nil {
-		if ctx.Err() == nil && !errors.Is(result.err, ErrTooManyConnections) {
-			d.recordDirect(upstream.ID, false)
-		}
-
-		return false
-	}
-
-	d.recordDirect(upstream.ID, true)
-	d.keepIdle(upstream.ID, result.conn, defaultIdleTimeout)
-
-	return true
-}
-
-// IsPathLost reports whether this node can't reach the upstream itself while another node can. It is for exchanges that
-// broke: such a break says nothing about the upstream.
-func (d *Dialer) IsPathLost(ctx context.Context, upstream Upstream) bool {
-	if d.Detour == nil {
-		return false
-	}
-
-	check, isNew := d.paths.startBreakCheck(upstream.ID, time.Now())
-	if isNew {
-		go func() {
-			defer close(check.done)
-
-			// The result also applies to other requests.
-			check.lost = d.isPathLost(context.WithoutCancel(ctx), upstream)
-		}()
-	}
-
-	select {
-	case <-check.done:
-		return check.lost
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// isPathLost opens a connection to find out whether only a peer reaches the upstream.
-func (d *Dialer) isPathLost(ctx context.Context, upstream Upstream) bool {
-	c, err := d.openConn(ctx, upstream)
-	if err != nil {
-		return false
-	}
-
-	d.keepIdle(upstream.ID, c, defaultIdleTimeout)
-
-	if c.peer == "" {
-		return false
-	}
-
-	// An upstream that was just starting again refused the direct connection, and accepted the peer's.
-	confirmCtx, cancel := context.WithTimeout(ctx, stagger)
-	defer cancel()
-
-	return !d.checkPath(confirmCtx, upstream)
-}
-
-// OpenForPeer opens a direct connection to the upstream for a peer's tunnel. It fails with ErrPathLost if this node itself
-// reaches the upstream only through others.
-func (d *Dialer) OpenForPeer(ctx context.Context, upstream Upstream) (net.Conn, error) {
-	if d.paths.isLost(upstream.ID, time.Now()) {
-		return nil, ErrPathLost
-	}
-
-	ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
-	defer cancel()
-
-	// The peer's connection takes a place as well.
-	if !d.reserve() {
-		return nil, ErrTooManyConnections
-	}
-
-	result := d.openWay(ctx, "", upstream)
-	if result.err != nil {
-		d.release()
-
-		if !errors.Is(ctx.Err(), context.Canceled) && !errors.Is(result.err, ErrTooManyConnections) {
-			d.recordDirect(upstream.ID, false)
-		}
-
-		return nil, result.err
-	}
-
-	d.recordDirect(upstream.ID, true)
-
-	return &carriedConn{conn: result.conn}, nil
-}
-
-// carriedConn is a connection for a peer's tunnel. It takes two places, one of them for the peer's connection.
-type carriedConn struct {
-	*conn
-	releaseOnce sync.Once
-}
-
-// Close implements net.Conn.
-func (c *carriedConn) Close() error {
-	c.releaseOnce.Do(c.dialer.release)
-
-	return c.conn.Close()
-}
--- /dev/null
+++ b/internal/gateway/dialer/pause.go
@@ -0,0 +1,45 @@
+package dialer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxReopenings is how often the opening of a connection is tried again because the process stood still meanwhile.
+const maxReopenings = 2
+
+// pauseMark tells whether the process stood still since it was made.
+type pauseMark struct {
+	dialer *Dialer
+	paused time.Duration
+}
+
+func (d *Dialer) markPause() pauseMark {
+	return pauseMark{dialer: d, paused: d.paused()}
+}
+
+func (d *Dialer) paused() time.Duration {
+	if d.Paused == nil {
+		return 0
+	}
+
+	return d.Paused()
+}
+
+// stoodStill reports whether the process stood still since the mark was made.
+func (m pauseMark) stoodStill() bool {
+	return m.dialer.paused() > m.paused
+}
+
+// isInconclusive reports whether an error says nothing about a path or an upstream: time ran out while the process stood still,
+// and a connection that was made in time is found after its deadline.
+func (m pauseMark) isInconclusive(err error) bool {
+	var timeout net.Error
+
+	isTimeout := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errNoConnectInTime) || errors.As(err, &timeout) && timeout.Timeout()
+
+	return isTimeout && m.stoodStill()
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -208,6 +208,7 @@
 
 	n.current.Store(&settings)
 	n.dialer.SetLogger(logger)
+	n.dialer.Paused = n.pauses.Paused
 	n.dialer.HeadMemory = headreader.NewMemory(headMemory)
 	n.tunnels = n.newTunneler()
 	n.apportioner = apportioner.New(apportioner.Options{
