Prober: a pause of less than a second blames no peer

What callers saw: a node that stood still for 0.45 to 1 s suspected the peer that it had just probed, and declared a peer dead that others had begun to suspect, though its refutation lay unread: the node then took over its pools and duties, and left it out of the entries, until the next packet.

Cause: only pauses of over FreezeThreshold, 1 s, were taken as such. Timers run before what arrived is read.

Change: a gap of over 0.2 s between two events, where ticks come each 0.1 s, extends the timeouts of probes and suspicions by its length, less the 0.1 s that one tick counts, so that a node that is always late still finds failures.

--- a/internal/prober/roster.go
+++ b/internal/prober/roster.go
@@ -34,6 +34,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
+	// After a pause of this process, what arrived meanwhile has not been read.
+	if latest := p.lastEvent.Add(lateEvent); !p.lastEvent.IsZero() && now.After(latest) {
+		now = latest
+	}
+
 	if p.roster != nil && now.Before(p.rosterUntil) {
 		return p.roster
 	}
--- a/internal/prober/suspicion.go
+++ b/internal/prober/suspicion.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// tickInterval is the longest usual time between two events, lateEvent the time from which this process was paused.
+	tickInterval = 100 * time.Millisecond
+	lateEvent    = 2 * tickInterval
 	// maxHealthScore limits the health score; timeouts are multiplied by the score plus 1.
 	maxHealthScore = 8
 	// freezeHealthCost is added to the health score after a freeze.
@@ -27,11 +30,36 @@
 		p.enqueueSelf()
 	}
 
-	late := !p.lastEvent.IsZero() && now.Sub(p.lastEvent) > p.options.FreezeThreshold
+	gap := now.Sub(p.lastEvent)
+	isFirst := p.lastEvent.IsZero()
 	p.lastEvent = now
 
-	if late {
+	switch {
+	case isFirst:
+	case gap > p.options.FreezeThreshold:
 		p.recoverFromFreeze(now)
+	case gap > lateEvent:
+		p.extendTimeouts(gap - tickInterval)
+	}
+}
+
+// extendTimeouts extends all timeouts by the length of a short pause of this process: what arrived meanwhile has not been read.
+func (p *Prober) extendTimeouts(pause time.Duration) {
+	p.roster = nil
+	p.lastAck = p.lastAck.Add(pause)
+
+	for _, v := range p.pending {
+		v.started, v.indirectAt, v.failAt = v.started.Add(pause), v.indirectAt.Add(pause), v.failAt.Add(pause)
+	}
+
+	for i := range p.relays {
+		p.relays[i].expires = p.relays[i].expires.Add(pause)
+	}
+
+	for _, m := range p.members {
+		if m.State == Suspect {
+			m.Since = m.Since.Add(pause)
+		}
 	}
 }
 
