--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -195,8 +195,7 @@
 		return
 	}
 
-	silent := errors.Is(context.Cause(ctx), errAttemptTimeout)
-	if silent {
+	if errors.Is(context.Cause(ctx), errAttemptTimeout) {
 		request.silences++
 	}
 
@@ -205,7 +204,6 @@
 	request.interruption = &interruption{
 		run:    request.run(choice, responseStarted),
 		target: dialer.Upstream{ID: choice.Upstream, Address: choice.Address},
-		silent: silent,
 	}
 }
 
--- a/internal/gateway/relayer/interruption.go
+++ b/internal/gateway/relayer/interruption.go
@@ -12,8 +12,6 @@
 type interruption struct {
 	run    quarantiner.Run
 	target dialer.Upstream
-	// silent is set if the exchange was given up since the upstream sent nothing.
-	silent bool
 }
 
 // recordEnd records the outcome of the request's current attempt.
@@ -41,11 +39,6 @@
 		return
 	}
 
-	outcome := balancer.Failed
-	if broken.silent {
-		outcome = balancer.Silent
-	}
-
 	r.options.Quarantine.Broke(broken.run)
-	r.options.Chooser.RecordEnd(id, outcome)
+	r.options.Chooser.RecordEnd(id, balancer.Failed)
 }
