Quarantiner: an upstream that lives on after a silence and is drained has not crashed

What callers saw: requests, and sound prompt parts with them, that were refused as crashing upstreams, after upstreams to which they ran were silent or broke them off, answered again and were stopped by plan within 10 s, as at a change of the configuration.

Cause: an upstream that leaves the list within 10 s after a request broke off there counts as crashed. That is meant for one that crashes and returns at once at the same address, and took no notice of a planned stop in between: Draining was looked at only when the request broke off.

Evidence: TestUpstreamThatLivesOnAndIsDrainedSoonDoesNotCount printed "2 (int) != 0 (int)": the request was quarantined at both nodes.

Change: an upstream that accepted a connection at the check and was listed as draining afterwards, by the same start, leaves by plan.

Why it works: one that crashes while it drains and was not yet checked, or that starts again, counts as before (TestUpstreamThatReturnsAtOnceCountsAsCrashed, TestCrashSoonAfterABrokenAnswerCounts).

--- a/internal/quarantiner/failures.go
+++ b/internal/quarantiner/failures.go
@@ -40,6 +40,8 @@
 	checkedAt time.Time
 	// isUp is true if the upstream accepted a connection at that check.
 	isUp bool
+	// leaves is true if the upstream accepted a connection at that check and was drained afterwards, so that its end is planned.
+	leaves bool
 	// crashed is true if the upstream is known to have crashed, rather than to have broken off only these requests.
 	crashed bool
 }
@@ -224,13 +226,16 @@
 }
 
 // confirmUnlisted marks upstreams as crashed that left the list, or were started again, within confirmWindow after their
-// connections broke; q.mu is held.
+// connections broke, unless they lived on and were drained; q.mu is held.
 func (q *Quarantiner) confirmUnlisted() {
 	now := time.Now()
 
 	for _, s := range q.failures {
 		listed, ok := q.listed.Upstream(s.instance.Upstream)
-		if now.Sub(s.at) <= confirmWindow && (!ok || listed.Born != 0 && s.instance.Born != 0 && listed.Born != s.instance.Born) {
+		isSame := ok && (listed.Born == 0 || s.instance.Born == 0 || listed.Born == s.instance.Born)
+		s.leaves = s.isUp && (s.leaves && !ok || isSame && listed.Draining)
+
+		if now.Sub(s.at) <= confirmWindow && !s.leaves && !isSame {
 			q.confirmCrash(s, "not_listed")
 		}
 	}
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -707,3 +707,30 @@
 		assert.Equal(t, f.held(key("culprit")), 2)
 	})
 }
+
+// Guards against counting an upstream as crashed that was silent to a request, or broke one off, lived on and was then drained: its
+// leaving is planned.
+func TestUpstreamThatLivesOnAndIsDrainedSoonDoesNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+
+		for _, upstream := range []string{"a", "b", "c", "d", "e"} {
+			f.add(upstream)
+			f.nodes["n0"].Broke(brokenRun(key("unlucky"), upstream, false))
+			time.Sleep(2 * time.Second)
+
+			for _, n := range f.nodes {
+				n.Update(quarantiner.List([]quarantiner.Upstream{{Instance: quarantiner.Instance{Upstream: upstream}, Draining: true}}), nil, 0)
+			}
+
+			time.Sleep(time.Second)
+			f.mu.Lock()
+			delete(f.alive, upstream)
+			f.mu.Unlock()
+			f.list()
+			time.Sleep(time.Second)
+		}
+
+		assert.Equal(t, f.held(key("unlucky")), 0)
+	})
+}
