Quarantiner: a witness that is silent for a second is asked again

What callors saw: sound requests that were refused as crashing upstreams, though an upstream had answered them.

Cause: before a request or prompt part is quarantined all nodes are asked whether it was answered. A node that doesn't answer within 0.3 s counts as having seen nothing, and the quarantine is final until a trial. A node that stands still for that time, or has no processor time, is no rarity beside load or a change.

Evidence: TestSilentWitnessIsAskedAgain, with the only witness silent for 1 and for 1.4 s, printed "6 (int) != 0 (int)": quarantined at all six nodes.

Change: nodes whose time for the answer passed are asked again while they count as live, for 1.5 s. One that can't be reached isn't waited for.

Why it works: a sound node that falls silent for a second or so answers within these 1.5 s; a node that is gone is off the list of live ones by then or is left out.

Result: all tests of internal/quarantiner pass, those with frozen, killed and cut off coordinators and their bounds included.

--- a/internal/quarantiner/evaluation.go
+++ b/internal/quarantiner/evaluation.go
@@ -7,6 +7,14 @@
 	"time"
 
 	"github.com/alitto/pond/v2"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// witnessPatience is how long a node that does not answer is asked again what it saw. A sound one may be silent for a second or so.
+	witnessPatience = 1500 * time.Millisecond
+	// witnessInterval is the pause before.
+	witnessInterval = 50 * time.Millisecond
 )
 
 // startEvaluation returns the suspects to evaluate now. Unconfirmed ones are included: the query shows which of several
@@ -83,9 +91,10 @@
 
 // logEvidence logs what led to a quarantine.
 func (q *Quarantiner) logEvidence(s suspect, e *evidence) {
+	asked, silent := e.counts()
 	q.options.Logger.Info().Stringer("request_key", s.key).Str("prompt_part", s.part).Strs("crashed_upstreams", s.upstreams).
 		Int("successive_crashes", s.successive).Dur("age_ms", time.Since(s.firstCrashAt)).
-		Int("nodes_asked", e.asked).Int("nodes_silent", e.silent).Msg("quarantine_evidence")
+		Int("nodes_asked", asked).Int("nodes_silent", silent).Msg("quarantine_evidence")
 }
 
 // evidence is what the nodes saw of the suspects.
@@ -95,8 +104,47 @@
 	answeredAt map[Key]string
 	// known are the prompt parts that were answered before; serving are those whose service answered some request since.
 	known, serving map[Key]bool
-	// asked is the number of nodes that were asked, silent of these the ones that didn't respond.
-	asked, silent int
+	// heard holds the other nodes that were asked, with the error of those that didn't respond.
+	heard map[string]error
+}
+
+// setHeard records how a node responded.
+func (e *evidence) setHeard(node string, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.heard[node] = err
+}
+
+// isSilent reports whether a node was asked and let the time for its answer pass. One that can't be reached is no witness any more.
+func (e *evidence) isSilent(node string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return errors.Is(e.heard[node], context.DeadlineExceeded)
+}
+
+// isDue reports whether a node is to be asked.
+func (e *evidence) isDue(node string) bool {
+	e.mu.Lock()
+	_, asked := e.heard[node]
+	e.mu.Unlock()
+
+	return !asked || e.isSilent(node)
+}
+
+// counts returns the number of nodes that were asked, and of those that didn't respond.
+func (e *evidence) counts() (asked, silent int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	for _, err := range e.heard {
+		if err != nil {
+			silent++
+		}
+	}
+
+	return len(e.heard), silent
 }
 
 // add adds what one node saw.
@@ -141,7 +189,7 @@
 	}
 }
 
-// queryAllNodes asks all live nodes what they saw of the suspects.
+// queryAllNodes asks all live nodes what they saw of the suspects, those that are silent again and again.
 func (q *Quarantiner) queryAllNodes(ctx context.Context, workers pond.Pool, suspects []suspect) *evidence {
 	var params queryAnsweredParams
 
@@ -154,28 +202,37 @@
 		params.Suspects = append(params.Suspects, item)
 	}
 
-	e := &evidence{answeredAt: make(map[Key]string), known: make(map[Key]bool), serving: make(map[Key]bool)}
+	e := &evidence{answeredAt: make(map[Key]string), known: make(map[Key]bool), serving: make(map[Key]bool), heard: make(map[string]error)}
 	e.add(q.options.Self, q.queryAnswered(params))
-	q.callPeers(ctx, workers, func(ctx context.Context, peer string) {
-		var answer queryAnsweredResult
 
-		err := q.options.Peers.Call(ctx, peer, MethodQueryAnswered, params, &answer)
-		// A node that does not respond is taken to have seen none of the suspects answered.
-		if err == nil {
-			e.add(peer, answer)
-		}
+	for until := time.Now().Add(witnessPatience); ; {
+		q.callPeers(ctx, workers, func(ctx context.Context, peer string) {
+			if !e.isDue(peer) {
+				return
+			}
 
-		e.mu.Lock()
-		defer e.mu.Unlock()
+			var answer queryAnsweredResult
 
-		e.asked++
+			err := q.options.Peers.Call(ctx, peer, MethodQueryAnswered, params, &answer)
+			// A node that does not respond is taken to have seen none of the suspects answered.
+			if err == nil {
+				e.add(peer, answer)
+			}
 
-		if err != nil {
-			e.silent++
+			e.setHeard(peer, err)
+		})
+
+		if time.Now().After(until) || !slices.ContainsFunc(q.options.Live(), e.isSilent) {
+			return e
 		}
-	})
 
-	return e
+		// A dial that timed out fails further calls at once for some time.
+		select {
+		case <-time.After(witnessInterval):
+		case <-ctx.Done():
+			return e
+		}
+	}
 }
 
 // broadcast sends quarantines to all live nodes.
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -734,3 +734,40 @@
 		assert.Equal(t, f.held(key("unlucky")), 0)
 	})
 }
+
+// Guards against a request in quarantine though an upstream answered it, because the node that knows was silent for a second or so
+// while it was asked.
+func TestSilentWitnessIsAskedAgain(t *testing.T) {
+	for _, silence := range []time.Duration{400 * time.Millisecond, time.Second, 1400 * time.Millisecond} {
+		t.Run(silence.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 6)
+				f.add("a", "b", "c")
+				time.Sleep(time.Second)
+
+				coordinators := quarantiner.CoordinatorsOf(f.nodes["n0"].Quarantiner)
+				// Node n0 reports the crashes.
+				others := slices.DeleteFunc(f.live(), func(name string) bool { return name == "n0" || slices.Contains(coordinators, name) })
+				witness := others[0]
+
+				f.crash("a", key("unlucky"))
+				f.crash("b", key("unlucky"))
+				f.nodes[witness].Answered(quarantiner.Traits{Content: key("unlucky")}, "desk")
+
+				f.mu.Lock()
+				f.frozen[witness] = time.Now()
+				f.mu.Unlock()
+				time.AfterFunc(silence, func() {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+
+					delete(f.frozen, witness)
+				})
+
+				f.crash("c", key("unlucky"))
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, f.held(key("unlucky")), 0)
+			})
+		})
+	}
+}
