Quarantiner: an upstream that is dark for a second has not crashed

What callers saw: sound requests that were refused as crashing upstreams, after upstreams that answered them until the close of the connection took no connection for a second or so.

Cause: whether an upstream crashed was decided by one check, 50 ms after the first sign. A crashed process refuses connections; a machine that is only silent neither accepts nor refuses them, and counted all the same.

Evidence: TestUpstreamThatIsDarkForASecondDoesNotCount/sound, with five upstreams dark for 1.5 s each, printed "2 (int) != 0 (int)": the request was quarantined at both nodes.

Change: IsDown says whether the upstream is silent. Such a one is checked once more 2 s after the sign, and counts only if it takes no connection then either, or has left the list. Until then its requests aren't suspected.

Why it works: a sound upstream is silent for less than 2 s. One whose machine is gone counts 2 s later than before ("crashed" in the test); one whose process is gone refuses connections and counts at once, so that the bounds of the tests for prompt parts hold.

--- a/internal/gateway/dialer/dialer.go
+++ b/internal/gateway/dialer/dialer.go
@@ -284,8 +284,9 @@
 }
 
 // IsDown reports whether the upstream accepts no new connection, neither from this node nor from peers, or false if that
-// can't be determined. It opens a new connection because an idle one doesn't show that an upstream lost power.
-func (d *Dialer) IsDown(ctx context.Context, upstream Upstream) bool {
+// can't be determined. silent is set if it refuses none either, as while it is only silent. It opens a new connection because an
+// idle one doesn't show that an upstream lost power.
+func (d *Dialer) IsDown(ctx context.Context, upstream Upstream) (down, silent bool) {
 	mark := d.markPause()
 	c, err := d.openConn(ctx, upstream)
 
@@ -293,13 +294,13 @@
 	case err == nil:
 		d.keepIdle(upstream.ID, c, defaultIdleTimeout)
 
-		return false
+		return false, false
 	case mark.isInconclusive(err):
-		return false
+		return false, false
 	case errors.Is(err, ErrTooManyConnections), errors.Is(err, ErrPathLost), errors.Is(err, context.Canceled):
-		return false
+		return false, false
 	default:
-		return true
+		return true, isTimeout(err)
 	}
 }
 
--- a/internal/gateway/dialer/paths_test.go
+++ b/internal/gateway/dialer/paths_test.go
@@ -365,7 +365,9 @@
 				assert.Assert(t, connects <= 3, "%d connects at peers", connects)
 
 				// Peers that said so are not asked again at once.
-				assert.Assert(t, d.IsDown(context.Background(), upstreamOf("a")))
+				down, silent := d.IsDown(context.Background(), upstreamOf("a"))
+				assert.Assert(t, down)
+				assert.Equal(t, silent, test.node == wayHanging)
 
 				_, again, _ := n.counts("a")
 				assert.Assert(t, again == connects || test.peers == wayHanging, "%d connects at peers", again)
@@ -506,7 +508,8 @@
 		dials, connects, _ := n.counts("a")
 		assert.Equal(t, dials, 3)
 		assert.Equal(t, connects, 1)
-		assert.Assert(t, !d.IsDown(context.Background(), upstreamOf("a")))
+		down, _ := d.IsDown(context.Background(), upstreamOf("a"))
+		assert.Assert(t, !down)
 	})
 }
 
--- a/internal/gateway/dialer/pause.go
+++ b/internal/gateway/dialer/pause.go
@@ -37,9 +37,12 @@
 // isInconclusive reports whether an error says nothing about a path or an upstream: time ran out while the process stood still,
 // and a connection that was made in time is found after its deadline.
 func (m pauseMark) isInconclusive(err error) bool {
-	var timeout net.Error
+	return isTimeout(err) && m.stoodStill()
+}
 
-	isTimeout := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errNoConnectInTime) || errors.As(err, &timeout) && timeout.Timeout()
+// isTimeout reports whether an error means that nothing answered in time.
+func isTimeout(err error) bool {
+	var timeout net.Error
 
-	return isTimeout && m.stoodStill()
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errNoConnectInTime) || errors.As(err, &timeout) && timeout.Timeout()
 }
--- a/internal/gateway/dialer/pause_test.go
+++ b/internal/gateway/dialer/pause_test.go
@@ -61,7 +61,8 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 		defer cancel()
 
-		assert.Assert(t, !d.IsDown(ctx, upstreamOf("a")))
+		down, _ := d.IsDown(ctx, upstreamOf("a"))
+		assert.Assert(t, !down)
 	})
 }
 
--- a/internal/quarantiner/failures.go
+++ b/internal/quarantiner/failures.go
@@ -11,6 +11,8 @@
 	checkDelay = 50 * time.Millisecond
 	// checkInterval is the minimum time between two checks of one upstream.
 	checkInterval = time.Second
+	// maxSoundSilence is how long an upstream may neither accept nor refuse connections before it counts as crashed.
+	maxSoundSilence = 2 * time.Second
 	// checkTimeout is the time limit of a check.
 	checkTimeout = 500 * time.Millisecond
 	// confirmWindow is how long after its connections broke an upstream that leaves the list counts as crashed.
@@ -40,6 +42,8 @@
 	checkedAt time.Time
 	// isUp is true if the upstream accepted a connection at that check.
 	isUp bool
+	// isSilent is true if it neither accepted nor refused a connection at that check.
+	isSilent bool
 	// leaves is true if the upstream accepted a connection at that check and was drained afterwards, so that its end is planned.
 	leaves bool
 	// crashed is true if the upstream is known to have crashed, rather than to have broken off only these requests.
@@ -79,7 +83,7 @@
 
 	if failure.isUp {
 		// The upstream survived the earlier interruptions, so these are no crash.
-		failure.isUp, failure.at, failure.requests, failure.parts = false, now, nil, make(map[Key]bool)
+		failure.isUp, failure.isSilent, failure.at, failure.requests, failure.parts = false, false, now, nil, make(map[Key]bool)
 	}
 
 	if len(failure.requests) < maxKeysPerCrash && !slices.ContainsFunc(failure.requests, func(r brokenRequest) bool { return r.Content == run.Content }) {
@@ -154,7 +158,7 @@
 		var first time.Time
 
 		for _, failure := range q.failures {
-			if !failure.isUp && failure.parts[part.Key] {
+			if !failure.isUp && (failure.crashed || !failure.isSilent) && failure.parts[part.Key] {
 				count++
 
 				if first.IsZero() {
@@ -175,8 +179,10 @@
 	var due []*upstreamFailure
 
 	for _, s := range q.failures {
-		isBroken := !s.crashed && !s.isUp && s.checkedAt.Before(s.at)
-		if isBroken && now.Sub(s.at) >= checkDelay && now.Sub(s.checkedAt) >= checkInterval {
+		isBroken := !s.crashed && !s.isUp && s.checkedAt.Before(s.at) && now.Sub(s.at) >= checkDelay
+		isSilent := !s.crashed && s.isSilent && now.Sub(s.at) >= maxSoundSilence
+
+		if (isBroken || isSilent) && now.Sub(s.checkedAt) >= checkInterval {
 			s.checkedAt = now
 			due = append(due, s)
 		}
@@ -190,11 +196,18 @@
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 
-	down := q.options.IsDown(ctx, failure.instance.Upstream, failure.address)
+	down, silent := q.options.IsDown(ctx, failure.instance.Upstream, failure.address)
 
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
+	if down && silent && !failure.isSilent {
+		// A sound upstream may be silent for a second or so, and it is checked once more then.
+		failure.isSilent = true
+
+		return
+	}
+
 	if down {
 		q.confirmCrash(failure, "takes_no_connection")
 
@@ -202,7 +215,7 @@
 	}
 
 	if !failure.crashed {
-		failure.isUp = true
+		failure.isUp, failure.isSilent = true, false
 		q.counters.Interruptions++
 	}
 }
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -29,6 +29,8 @@
 	nodes map[string]*node
 	// alive are the upstreams that accept connections.
 	alive map[string]bool
+	// dark are the upstreams that neither accept nor refuse connections.
+	dark map[string]bool
 	// stored is what the store holds; while storeDown is true, writes to the store fail.
 	stored    map[quarantiner.Key]quarantiner.Quarantine
 	storeDown bool
@@ -51,7 +53,7 @@
 }
 
 func newFleet(t *testing.T, nodes int) *fleet {
-	f := &fleet{t: t, nodes: make(map[string]*node), alive: make(map[string]bool), stored: make(map[quarantiner.Key]quarantiner.Quarantine), answering: make(map[quarantiner.Key]bool), frozen: make(map[string]time.Time), cutOff: make(map[string]time.Time)}
+	f := &fleet{t: t, nodes: make(map[string]*node), alive: make(map[string]bool), dark: make(map[string]bool), stored: make(map[quarantiner.Key]quarantiner.Quarantine), answering: make(map[quarantiner.Key]bool), frozen: make(map[string]time.Time), cutOff: make(map[string]time.Time)}
 
 	for i := range nodes {
 		f.start(fmt.Sprint("n", i))
@@ -256,11 +258,11 @@
 func (f *fleet) start(name string) {
 	q := quarantiner.New(quarantiner.Options{
 		Self: name, Live: f.live, CoordinatorCandidates: f.live, Peers: peers{fleet: f, self: name},
-		IsDown: func(_ context.Context, upstream, _ string) bool {
+		IsDown: func(_ context.Context, upstream, _ string) (down, silent bool) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 
-			return !f.alive[upstream]
+			return !f.alive[upstream] || f.dark[upstream], f.dark[upstream]
 		},
 		Recorder: f, Store: f, Logger: zerolog.New(&lockedWriter{fleet: f}),
 	})
@@ -771,3 +773,40 @@
 		})
 	}
 }
+
+// Guards against an upstream that counts as crashed because it was silent for a second or so, and took no connection meanwhile, when
+// it was checked.
+func TestUpstreamThatIsDarkForASecondDoesNotCount(t *testing.T) {
+	for name, dark := range map[string]time.Duration{"sound": 1500 * time.Millisecond, "crashed": time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 2)
+				upstreams := []string{"a", "b", "c", "d", "e"}
+				f.add(upstreams...)
+
+				for _, upstream := range upstreams {
+					f.mu.Lock()
+					f.dark[upstream] = true
+					f.mu.Unlock()
+					time.AfterFunc(dark, func() {
+						f.mu.Lock()
+						defer f.mu.Unlock()
+
+						delete(f.dark, upstream)
+					})
+					// An answer that ended with its connection, and a request that finds the upstream dark.
+					f.nodes["n0"].AnsweredUntilClose(brokenRun(key("ended"), upstream, true))
+					f.nodes["n0"].Unreachable(upstream)
+					time.Sleep(3 * time.Second)
+				}
+
+				want := 0
+				if name == "crashed" {
+					want = 2
+				}
+
+				assert.Equal(t, f.held(key("ended")), want)
+			})
+		})
+	}
+}
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -42,9 +42,11 @@
 		Live:                  n.members.Live,
 		CoordinatorCandidates: n.members.Live,
 		Peers:                 n.messages,
-		IsDown:                func(ctx context.Context, _, address string) bool { return forwarder.IsDown(ctx, address) },
-		Recorder:              q,
-		Logger:                n.logger,
+		IsDown: func(ctx context.Context, _, address string) (down, silent bool) {
+			return forwarder.IsDown(ctx, address), false
+		},
+		Recorder: q,
+		Logger:   n.logger,
 	})
 	n.messages.Handle(quarantiner.MethodReport, q.HandleReport)
 	n.messages.Handle(quarantiner.MethodQueryAnswered, q.HandleQueryAnswered)
