Forwarder: a pause of the process is no silence of an engine

What callers saw: at nodes of internal/server (the gateway on the users' platform relays by itself): after a pause longer than a class's gap limit all answers of the node were cut from their engines at once and resumed elsewhere, though their bytes lay unread.

Cause: GapReader.expire runs before what came meanwhile is read.

Change: GapLimits.Paused; a limit that expires is extended by the pauses since the last look. The node of internal/server detects its pauses and passes them to its exchanges and to its messenger.

--- a/internal/forwarder/gap_reader.go
+++ b/internal/forwarder/gap_reader.go
@@ -15,6 +15,9 @@
 	Next  time.Duration
 	// Extend is called when a limit expires; true extends it by Next. Nil never extends.
 	Extend func() bool
+	// Paused returns for how long the process has stood still since its start. That time doesn't count, since what came meanwhile
+	// has not been read. Nil means that it never did.
+	Paused func() time.Duration
 }
 
 // GapReader cancels an exchange when its body delivers no bytes for too long.
@@ -30,15 +33,22 @@
 	onRead func()
 	silent atomic.Bool
 
-	// mu guards timer, which its own callback resets.
+	// mu guards timer, which its own callback resets, and paused.
 	mu    sync.Mutex
 	timer *time.Timer
+	// paused is for how long the process had stood still when that was last looked at: first at the start, then only when a limit
+	// expires. A pause before the last read thus extends the next limit once.
+	paused time.Duration
 }
 
 // NewGapReader returns a reader whose first limit starts now. cancel ends the
 // exchange; onRead, if not nil, is called after each read that returned bytes.
 func NewGapReader(limits GapLimits, onRead func(), cancel context.CancelFunc) *GapReader {
-	g := &GapReader{limits: limits, onRead: onRead, cancel: cancel}
+	if limits.Paused == nil {
+		limits.Paused = func() time.Duration { return 0 }
+	}
+
+	g := &GapReader{paused: limits.Paused(), limits: limits, onRead: onRead, cancel: cancel}
 
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -49,6 +59,10 @@
 }
 
 func (g *GapReader) expire() {
+	if g.extendByPause() {
+		return
+	}
+
 	if g.limits.Extend != nil && g.limits.Extend() {
 		g.restart()
 
@@ -59,6 +73,22 @@
 	g.cancel()
 }
 
+// extendByPause extends the limit by the time that the process stood still since the last look, if it did.
+func (g *GapReader) extendByPause() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	paused := g.limits.Paused()
+	pause := paused - g.paused
+	g.paused = paused
+
+	if pause > 0 {
+		g.timer.Reset(pause)
+	}
+
+	return pause > 0
+}
+
 func (g *GapReader) restart() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -120,6 +120,8 @@
 	body      []byte
 	key       string
 	answer    *recorder.EventBuffer
+	// paused returns for how long this process has stood still; it may be nil.
+	paused func() time.Duration
 	// tokens is the number of tokens in the answer; only the attempt that owns the answer uses it.
 	tokens int
 	// chunkID is the id of the first chunk, which all others get as well.
@@ -135,6 +137,7 @@
 		body:      body,
 		key:       taken.key,
 		answer:    recorder.NewEventBuffer(),
+		paused:    n.pauses.Paused,
 	}
 }
 
@@ -182,8 +185,9 @@
 func (s *engineSender) gapLimits(activity *activity) forwarder.GapLimits {
 	class := s.request.Class
 	limits := forwarder.GapLimits{
-		First: max(class.GapLimit, firstSilenceFactor*min(class.GapLimit, class.Target)),
-		Next:  class.GapLimit,
+		First:  max(class.GapLimit, firstSilenceFactor*min(class.GapLimit, class.Target)),
+		Next:   class.GapLimit,
+		Paused: s.paused,
 	}
 
 	if class.Tier == topTier {
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -43,6 +43,7 @@
 		return err
 	}
 
+	go n.pauses.Run(n.work)
 	go n.members.follow(n.work)
 	go n.quarantine.Run(n.work)
 	go n.quarantine.follow(n.work)
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -22,6 +22,7 @@
 		Peers:      peers,
 		Joined:     n.members.peerAddress,
 		Logger:     n.logger,
+		Paused:     n.pauses.Paused,
 	}
 
 	if n.checksPeers() {
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -69,6 +69,8 @@
 	header    http.Header
 	body      []byte
 	answer    *recorder.EventBuffer
+	// paused returns for how long this process has stood still; it may be nil.
+	paused func() time.Duration
 	// status and answered are set once, before the answer ends.
 	status   int
 	answered http.Header
@@ -100,6 +102,7 @@
 		header:    header,
 		body:      body,
 		answer:    recorder.NewEventBuffer(),
+		paused:    n.pauses.Paused,
 	}
 }
 
@@ -118,7 +121,7 @@
 	defer cancel()
 
 	limit := s.request.Class.GapLimit
-	reader := forwarder.NewGapReader(forwarder.GapLimits{First: limit, Next: limit}, nil, cancel)
+	reader := forwarder.NewGapReader(forwarder.GapLimits{First: limit, Next: limit, Paused: s.paused}, nil, cancel)
 
 	defer reader.Stop()
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -26,9 +26,11 @@
 	"quincepath.example/quincepath/internal/loader"
 	"quincepath.example/quincepath/internal/messenger"
 	"quincepath.example/quincepath/internal/meter"
+	"quincepath.example/quincepath/internal/pausedetector"
 	"quincepath.example/quincepath/internal/placer"
 	"quincepath.example/quincepath/internal/prefixer"
 	"quincepath.example/quincepath/internal/retrier"
+	"quincepath.example/quincepath/internal/timekeeper"
 )
 
 const (
@@ -57,6 +59,9 @@
 	// vms knows which VMs the platform's list marks as leaving; nil without a platform.
 	vms *vmList
 
+	// pauses measures for how long the process stood still.
+	pauses *pausedetector.Detector
+
 	// work ends when the node has drained; runs outlive their callers' connections but not the node.
 	work     context.Context
 	stopWork context.CancelFunc
@@ -121,6 +126,7 @@
 		started:    time.Now(),
 		identity:   identity,
 		tree:       tree,
+		pauses:     pausedetector.New(timekeeper.SinceBoot, logger),
 		work:       work,
 		stopWork:   stopWork,
 		runners:    pond.NewPool(settings.Node.MaxInFlight, pond.WithNonBlocking(true), pond.WithQueueSize(settings.Node.MaxInFlight)),
