Throttler: limits hold while nodes stand still in turn

No fault: a new scenario of TestAdmittersKeepALimitTogether, in which each node in turn stands still for 1.5 or 5 s while others decide, and goes on with what it knew before.

--- a/internal/throttler/admitter_test.go
+++ b/internal/throttler/admitter_test.go
@@ -39,6 +39,8 @@
 	cancel context.CancelFunc
 	down   bool
 	side   int
+	// pauses counts the times when the process stood still.
+	pauses int
 	// seenDown and seenSide are what the others believe.
 	seenDown bool
 	seenSide int
@@ -106,6 +108,32 @@
 	}()
 }
 
+// pause makes the process of a node stand still, which the others notice if it lasts.
+func (f *admitFleet) pause(n *admitNode) {
+	f.mu.Lock()
+	n.down = true
+	n.pauses++
+	pause := n.pauses
+	f.mu.Unlock()
+
+	go func() {
+		time.Sleep(detectionTime)
+
+		f.mu.Lock()
+		defer f.mu.Unlock()
+
+		n.seenDown = n.down && n.pauses == pause
+	}()
+}
+
+// resume ends the pause of a node. The others notice at once.
+func (f *admitFleet) resume(n *admitNode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	n.down, n.seenDown = false, false
+}
+
 func (f *admitFleet) move(n *admitNode, side int) {
 	f.mu.Lock()
 	n.side = side
@@ -253,6 +281,15 @@
 			f.load(time.Second)
 		}
 	},
+	// A node that has stood still decides on, with what it knew before.
+	"nodes stand still in turn": func(f *admitFleet) {
+		for i, n := range f.nodes {
+			f.pause(n)
+			f.load([]time.Duration{1500 * time.Millisecond, 5 * time.Second}[i%2])
+			f.resume(n)
+			f.load(time.Second)
+		}
+	},
 	"all nodes restart": func(f *admitFleet) {
 		limit, _ := f.nodes[0].Table().Get(upstreamName)
 
