Balancer: a request that is given up for silence keeps its slot at a brittle upstream

Cause: the outcome Silent of was missing where a request may run on after its connection was closed, so a brittle upstream could get more requests than it takes.

Evidence: TestRequestThatWasGivenUpKeepsItsSlotAtABrittleUpstream, now with the outcomes abandoned, failed and silent, failed for the last, with requests granted at once in place of none.

--- a/internal/gateway/balancer/brittle.go
+++ b/internal/gateway/balancer/brittle.go
@@ -202,7 +202,7 @@
 		}
 	case Rejected:
 		s.recordRejection(now, r, rejections)
-	case Abandoned, Failed:
+	case Abandoned, Failed, Silent:
 		// The server may go on with a request after its connection was closed.
 		s.brittle.lingering = append(s.brittle.lingering, now.Add(time.Duration(p.demand.residenceSeconds*float64(time.Second))))
 	case Unreachable, Replaced:
--- a/internal/gateway/balancer/brittle_test.go
+++ b/internal/gateway/balancer/brittle_test.go
@@ -112,25 +112,29 @@
 
 // Guards against requests that were given up and still run at a brittle upstream.
 func TestRequestThatWasGivenUpKeepsItsSlotAtABrittleUpstream(t *testing.T) {
-	p := newBrittlePool(1, 2)
+	for _, outcome := range []balancer.Outcome{balancer.Abandoned, balancer.Failed, balancer.Silent} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			p := newBrittlePool(1, 2)
 
-	first, _ := p.fill(at(0))
-	for _, id := range first {
-		p.RecordEnd(at(400*time.Millisecond), id, balancer.Served)
-	}
+			first, _ := p.fill(at(0))
+			for _, id := range first {
+				p.RecordEnd(at(400*time.Millisecond), id, balancer.Served)
+			}
 
-	second, _ := p.fill(at(500 * time.Millisecond))
-	assert.Equal(t, len(second), brittleSlots-1)
+			second, _ := p.fill(at(500 * time.Millisecond))
+			assert.Equal(t, len(second), brittleSlots-1)
 
-	for _, id := range second {
-		p.RecordEnd(at(610*time.Millisecond), id, balancer.Abandoned)
-	}
+			for _, id := range second {
+				p.RecordEnd(at(610*time.Millisecond), id, outcome)
+			}
 
-	atOnce, _ := p.fill(at(620 * time.Millisecond))
-	assert.Equal(t, len(atOnce), 0)
+			atOnce, _ := p.fill(at(620 * time.Millisecond))
+			assert.Equal(t, len(atOnce), 0)
 
-	later, _ := p.fill(at(2 * time.Second))
-	assert.Equal(t, len(later), brittleSlots-1)
+			later, _ := p.fill(at(2 * time.Second))
+			assert.Equal(t, len(later), brittleSlots-1)
+		})
+	}
 }
 
 // Guards against upstreams that count as brittle after they no longer say it, and the reverse.
