--- a/internal/messenger/pause_test.go
+++ b/internal/messenger/pause_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -216,3 +217,43 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against a peer that counts as unreachable because the process stood still while it dialled.
+func TestDialAcrossAPauseIsNotRemembered(t *testing.T) {
+	for name, pauses := range map[string]bool{"pause": true, "none": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				network, process := newMemoryNetwork(), &pausedProcess{}
+				_ = newPair(ctx, network, "secret")
+
+				dials := 0
+				client := messenger.New(messenger.Options{
+					Self: "c", Credential: "secret", Peers: map[string]string{"b": "b"}, Paused: process.paused,
+					Dial: func(ctx context.Context, address string) (net.Conn, error) {
+						if dials++; dials > 1 {
+							return network.dial(ctx, address)
+						}
+
+						if pauses {
+							process.pause()
+							defer process.resume()
+						}
+
+						time.Sleep(time.Second)
+
+						return nil, os.ErrDeadlineExceeded
+					},
+				})
+
+				assert.Check(t, client.Call(ctx, "b", "echo", 1, nil) != nil)
+
+				err := client.Call(ctx, "b", "echo", 2, nil)
+				assert.Check(t, (err == nil) == pauses, "%v", err)
+
+				cancel()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
