--- a/internal/gateway/cataloguer/catalog.go
+++ b/internal/gateway/cataloguer/catalog.go
@@ -198,7 +198,7 @@
 
 // ApplyRegistryAfterOutage does as ApplyFreshRegistry after an outage of the store that ended at the given time.
 func (c *Catalog) ApplyRegistryAfterOutage(registry Registry, endedAt, at time.Duration) bool {
-	changed := c.publishRegistry(registry, endedAt+outageGracePeriod, &at)
+	changed := c.publishRegistry(registry, endedAt+OutageGracePeriod, &at)
 	if changed {
 		c.applyNewest()
 	}
--- a/internal/gateway/cataloguer/departures.go
+++ b/internal/gateway/cataloguer/departures.go
@@ -112,7 +112,7 @@
 		d.held[upstream.ID] = true
 	}
 
-	return now-found.listedAgainAt < outageGracePeriod
+	return now-found.listedAgainAt < OutageGracePeriod
 }
 
 // hasLeftSince reports whether this run of an upstream is known to have been removed after a position at which it was listed.
--- a/internal/gateway/cataloguer/retention.go
+++ b/internal/gateway/cataloguer/retention.go
@@ -8,9 +8,9 @@
 	"quincepath.example/quincepath/internal/storer"
 )
 
-// outageGracePeriod is how long upstreams that are missing after a store outage are retained. Entries that expired
+// OutageGracePeriod is how long upstreams that are missing after a store outage are retained. Entries that expired
 // during the outage reappear within two seconds if the upstream is alive.
-const outageGracePeriod = 2200 * time.Millisecond
+const OutageGracePeriod = 2200 * time.Millisecond
 
 // grace is the time for which an upstream is retained that an outage may have removed.
 type grace struct {
@@ -25,7 +25,7 @@
 		return 0
 	}
 
-	return c.now() + outageGracePeriod
+	return c.now() + OutageGracePeriod
 }
 
 // retainMissing drops the removals of upstreams that are still within their grace period from the delta, unless it is known that they
--- a/internal/gateway/follower/outage.go
+++ b/internal/gateway/follower/outage.go
@@ -101,7 +101,7 @@
 		return outage{after: startedAt - age, end: startedAt, isSeen: isSeen}, true
 	}
 
-	isFirstRead := c.before >= 0 && f.lastGoodReadAt < c.since
+	isFirstRead := c.before >= 0 && f.lastGoodReadAt < c.since && startedAt-c.since < cataloguer.OutageGracePeriod
 
 	return outage{after: c.before, end: c.since, isSeen: c.failedInGap > 0 || c.ranFor > outageThreshold}, isFirstRead
 }
