--- a/internal/gateway/acceptor/acceptor.go
+++ b/internal/gateway/acceptor/acceptor.go
@@ -11,13 +11,15 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quincepath.example/quincepath/internal/headreader"
+	"quincepath.example/quincepath/pkg/classifier"
 )
 
-// memoryPollInterval is how often a header that waits for memory checks whether there is some.
-const memoryPollInterval = 10 * time.Millisecond
+// errClosing ends a read of a connection that is being closed. The server answers other errors than those of a read.
+var errClosing = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
 
 // Timeouts are the configured timeouts of a connection, both above zero.
 type Timeouts struct {
@@ -39,19 +41,22 @@
 	Rejected int64 `json:"turned_away"`
 	// Crossed counts requests that were read while their connection was being closed. They are not handled.
 	Crossed int64 `json:"crossed_close"`
-	// WaitedForMemory counts headers that had to wait until others were read.
+	// WaitedForMemory counts headers that had to wait until others were read, Refused those that were refused as there was no memory.
 	WaitedForMemory int64 `json:"waited_for_memory"`
-	// ClosedUnread counts connections that were closed while bytes of their caller lay unread in the socket, ClosedEarly those that
-	// were closed before the timeout that was in force then, ClosedWaiting those whose header waited for memory.
-	ClosedUnread  int64 `json:"closed_unread"`
-	ClosedEarly   int64 `json:"closed_early"`
-	ClosedWaiting int64 `json:"closed_waiting_for_memory"`
+	Refused         int64 `json:"refused_for_memory"`
+	// Postponed counts connections that exceeded a timeout while bytes that came in time weren't read yet. ClosedUnread counts those that
+	// were closed while bytes of their caller lay unread in the socket, since these came after the timeout.
+	Postponed    int64 `json:"close_postponed"`
+	ClosedUnread int64 `json:"closed_unread"`
 }
 
 // Acceptor tracks the connections of one http.Server. It is safe for concurrent use.
 //
 // No other lock is taken while Acceptor.mu is held, and connections are closed without holding it.
 type Acceptor struct {
+	// OnRefusal, if not nil, is called for each request that is refused before its header was read. It is set before Serve.
+	OnRefusal func(*classifier.Error)
+
 	// maxConnections is the maximum number of open connections.
 	maxConnections int
 	timeouts       func() Timeouts
@@ -60,8 +65,21 @@
 
 	mu          sync.Mutex
 	connections map[*connection]struct{}
-	// idle holds the connections without a request, the longest idle one first.
-	idle     *list.List
+	// idle and headers hold the connections in the phases idle and readingHeader, the longest in its phase first.
+	idle, headers *list.List
+	// overdue holds the connections of both phases that exceeded their timeout while the server had not read what their callers had sent,
+	// the one that is judged first at the front.
+	overdue                *list.List
+	idleLimit, headerLimit limit
+	// listener is that of Serve; nil before.
+	listener net.Listener
+	// isStopping is true from Shutdown on: connections may no longer be idle.
+	isStopping bool
+	// isSweeping is true while the server closes the connections that it takes for idle. They stay open.
+	isSweeping bool
+	// reaper runs at reapAt, or is not set if that is zero.
+	reaper   *time.Timer
+	reapAt   time.Time
 	counters Counters
 }
 
@@ -84,16 +102,19 @@
 	net.Conn
 	acceptor *Acceptor
 	phase    phase
-	// timer closes the connection when the current phase exceeds its timeout.
-	timer *time.Timer
-	// generation counts the phases, so that a timer of an earlier phase is ignored.
-	generation int
-	// element is the connection's element in Acceptor.idle, or nil in other phases.
+	// queue is the list of the acceptor that holds the connection as element. It is nil in other phases than idle and readingHeader, and
+	// while a header waits for memory.
+	queue   *list.List
 	element *list.Element
 	// enteredAt is when the current phase began.
 	enteredAt time.Time
-	// isWaiting is true while the header waits for memory.
-	isWaiting bool
+	// judgeAt is when a connection in Acceptor.overdue is judged again.
+	judgeAt time.Time
+	// headBytesInTime is the number of bytes of a header that had come when the connection was first looked at to close it; 0 before that,
+	// or if none had.
+	headBytesInTime int
+	// isReading is true while the server waits for bytes. It isn't guarded.
+	isReading atomic.Bool
 	// headBytes is the number of bytes that were read in the phase readingHeader, headMemory what they take of
 	// Acceptor.headMemory.
 	headBytes  int
@@ -103,9 +124,25 @@
 // Read implements net.Conn. The server reports the start of a request only after its header is complete, so the first byte is
 // detected here.
 func (c *connection) Read(p []byte) (int, error) {
+	c.isReading.Store(true)
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.acceptor.recordRead(c, n) {
-		return 0, net.ErrClosed
+	c.isReading.Store(false)
+
+	if n == 0 {
+		return n, err
+	}
+
+	if !c.acceptor.startReading(c, n) {
+		return 0, errClosing
+	}
+
+	reserved, open := c.acceptor.reserveHead(c)
+	if !reserved {
+		open = c.acceptor.awaitMemory(c, p)
+	}
+
+	if !open {
+		return 0, errClosing
 	}
 
 	return n, err
@@ -125,7 +162,7 @@
 func New(maxConnections int, timeouts func() Timeouts, headMemory *headreader.Memory) *Acceptor {
 	return &Acceptor{
 		maxConnections: maxConnections, timeouts: timeouts, headMemory: headMemory,
-		connections: make(map[*connection]struct{}), idle: list.New(),
+		connections: make(map[*connection]struct{}), idle: list.New(), headers: list.New(), overdue: list.New(),
 	}
 }
 
@@ -145,7 +182,22 @@
 	}
 	server.ConnState = a.trackState
 
-	return server.Serve(&trackingListener{Listener: listener, acceptor: a})
+	tracking := &trackingListener{Listener: listener, acceptor: a, close: sync.OnceValue(listener.Close)}
+
+	a.mu.Lock()
+	a.listener = tracking
+	a.mu.Unlock()
+
+	err := server.Serve(tracking)
+
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	if a.isStopping {
+		return http.ErrServerClosed
+	}
+
+	return err
 }
 
 // Counters returns the number of open connections and the counts since the start.
@@ -159,11 +211,16 @@
 	return counters
 }
 
-// Busy returns the number of connections with a request, from the first byte of its header until its answer is written.
+// Busy returns the number of connections with a request, from the first byte of its header until its answer is written. After Shutdown,
+// it is the number of all, since a request may still be read from those that look idle.
 func (a *Acceptor) Busy() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
+	if a.isStopping {
+		return len(a.connections)
+	}
+
 	return len(a.connections) - a.idle.Len()
 }
 
@@ -174,6 +231,13 @@
 type trackingListener struct {
 	net.Listener
 	acceptor *Acceptor
+	// close closes the listener once.
+	close func() error
+}
+
+// Close implements net.Listener. Both Shutdown and the server call it.
+func (w *trackingListener) Close() error {
+	return w.close()
 }
 
 // Accept implements net.Listener.
@@ -202,6 +266,9 @@
 		a.mu.Lock()
 		a.retire(c)
 		a.mu.Unlock()
+
+		// The server's own close may have been left to the reaper.
+		_ = c.Conn.Close()
 	case http.StateHijacked:
 		a.mu.Lock()
 		a.remove(c)
@@ -234,43 +301,6 @@
 	}
 }
 
-// evictIdle removes the longest idle connection if the maximum is reached, and returns it for the caller to close; a.mu must
-// be held.
-func (a *Acceptor) evictIdle() *connection {
-	if len(a.connections) < a.maxConnections {
-		return nil
-	}
-
-	oldest := a.idle.Front()
-	if oldest == nil {
-		return nil
-	}
-
-	c, _ := oldest.Value.(*connection)
-	a.countUnread(c)
-	a.retire(c)
-	a.counters.Evicted++
-
-	return c
-}
-
-// recordRead records that bytes were read. While a header is read, it waits until there is memory for it, so that the caller's next bytes stay
-// where they are; the timeout for headers bounds that. It returns false if the connection is being closed.
-func (a *Acceptor) recordRead(c *connection, bytes int) bool {
-	if !a.startReading(c, bytes) {
-		return false
-	}
-
-	for waited := false; ; waited = true {
-		reserved, open := a.reserveHead(c, !waited)
-		if reserved || !open {
-			return open
-		}
-
-		time.Sleep(memoryPollInterval)
-	}
-}
-
 // startReading records that bytes were read, which begin a header if the connection was idle. It returns false if the connection is
 // being closed.
 func (a *Acceptor) startReading(c *connection, bytes int) bool {
@@ -294,25 +324,6 @@
 	return true
 }
 
-// reserveHead reserves the memory of the header that is being read, if any. It also reports whether the connection is open.
-func (a *Acceptor) reserveHead(c *connection, isFirst bool) (reserved, open bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-
-	if c.phase != readingHeader || c.headMemory.Grow(c.headBytes) {
-		c.isWaiting = false
-
-		return true, c.phase != closed
-	}
-
-	c.isWaiting = true
-	if isFirst {
-		a.counters.WaitedForMemory++
-	}
-
-	return false, true
-}
-
 // startHandling records that a request's header is complete. It returns false if the connection is being closed: its caller
 // would get no answer.
 func (a *Acceptor) startHandling(c *connection) bool {
@@ -344,80 +355,22 @@
 func (a *Acceptor) enter(c *connection, to phase) {
 	a.leave(c)
 	c.phase, c.enteredAt = to, time.Now()
-	timeouts := a.timeouts()
+	a.updateLimits(c.enteredAt)
 
 	switch to {
 	case idle:
-		c.element = a.idle.PushBack(c)
-		a.closeAfter(c, timeouts.Idle, &a.counters.ClosedIdle)
+		a.enqueue(c, a.idle)
 	case readingHeader:
-		a.closeAfter(c, timeouts.Header, &a.counters.ClosedHeader)
+		a.enqueue(c, a.headers)
 	case active, closed:
 	}
 }
 
 // leave ends the current phase; a.mu must be held.
 func (a *Acceptor) leave(c *connection) {
-	c.generation++
-	c.headBytes, c.isWaiting = 0, false
+	a.dequeue(c)
+	c.headBytes, c.headBytesInTime = 0, 0
 	c.headMemory.Release()
-
-	if c.timer != nil {
-		c.timer.Stop()
-		c.timer = nil
-	}
-
-	if c.element != nil {
-		a.idle.Remove(c.element)
-		c.element = nil
-	}
-}
-
-// closeAfter closes the connection if its phase exceeds the timeout; a.mu must be held.
-func (a *Acceptor) closeAfter(c *connection, timeout time.Duration, counter *int64) {
-	generation := c.generation
-
-	c.timer = time.AfterFunc(timeout, func() {
-		a.mu.Lock()
-
-		expired := c.generation == generation
-		if expired {
-			a.countUnread(c)
-			a.countCause(c)
-			a.retire(c)
-			*counter++
-		}
-		a.mu.Unlock()
-
-		if expired {
-			_ = c.Close()
-		}
-	})
-}
-
-// countUnread counts a connection that is about to be closed while bytes of its caller lie unread; a.mu must be held.
-func (a *Acceptor) countUnread(c *connection) {
-	if c.hasUnread() {
-		a.counters.ClosedUnread++
-	}
-}
-
-// countCause counts a connection that is about to be closed for its timeout, but not for its caller's delay; a.mu must be held.
-func (a *Acceptor) countCause(c *connection) {
-	timeouts := a.timeouts()
-
-	timeout := timeouts.Idle
-	if c.phase == readingHeader {
-		timeout = timeouts.Header
-	}
-
-	if time.Since(c.enteredAt) < timeout {
-		a.counters.ClosedEarly++
-	}
-
-	if c.isWaiting {
-		a.counters.ClosedWaiting++
-	}
 }
 
 // retire stops tracking a connection that is closed, or is closed next without holding a.mu, which must be held. No further
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -29,6 +29,8 @@
 	nodes map[string]*node
 	// alive are the upstreams that accept connections.
 	alive map[string]bool
+	// dark are the upstreams that neither accept nor refuse connections.
+	dark map[string]bool
 	// stored is what the store holds; while storeDown is true, writes to the store fail.
 	stored    map[quarantiner.Key]quarantiner.Quarantine
 	storeDown bool
@@ -51,7 +53,7 @@
 }
 
 func newFleet(t *testing.T, nodes int) *fleet {
-	f := &fleet{t: t, nodes: make(map[string]*node), alive: make(map[string]bool), stored: make(map[quarantiner.Key]quarantiner.Quarantine), answering: make(map[quarantiner.Key]bool), frozen: make(map[string]time.Time), cutOff: make(map[string]time.Time)}
+	f := &fleet{t: t, nodes: make(map[string]*node), alive: make(map[string]bool), dark: make(map[string]bool), stored: make(map[quarantiner.Key]quarantiner.Quarantine), answering: make(map[quarantiner.Key]bool), frozen: make(map[string]time.Time), cutOff: make(map[string]time.Time)}
 
 	for i := range nodes {
 		f.start(fmt.Sprint("n", i))
@@ -256,11 +258,11 @@
 func (f *fleet) start(name string) {
 	q := quarantiner.New(quarantiner.Options{
 		Self: name, Live: f.live, CoordinatorCandidates: f.live, Peers: peers{fleet: f, self: name},
-		IsDown: func(_ context.Context, upstream, _ string) bool {
+		IsDown: func(_ context.Context, upstream, _ string) (down, silent bool) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 
-			return !f.alive[upstream]
+			return !f.alive[upstream] || f.dark[upstream], f.dark[upstream]
 		},
 		Recorder: f, Store: f, Logger: zerolog.New(&lockedWriter{fleet: f}),
 	})
@@ -707,3 +709,104 @@
 		assert.Equal(t, f.held(key("culprit")), 2)
 	})
 }
+
+// Guards against counting an upstream as crashed that was silent to a request, or broke one off, lived on and was then drained: its
+// leaving is planned.
+func TestUpstreamThatLivesOnAndIsDrainedSoonDoesNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+
+		for _, upstream := range []string{"a", "b", "c", "d", "e"} {
+			f.add(upstream)
+			f.nodes["n0"].Broke(brokenRun(key("unlucky"), upstream, false))
+			time.Sleep(2 * time.Second)
+
+			for _, n := range f.nodes {
+				n.Update(quarantiner.List([]quarantiner.Upstream{{Instance: quarantiner.Instance{Upstream: upstream}, Draining: true}}), nil, 0)
+			}
+
+			time.Sleep(time.Second)
+			f.mu.Lock()
+			delete(f.alive, upstream)
+			f.mu.Unlock()
+			f.list()
+			time.Sleep(time.Second)
+		}
+
+		assert.Equal(t, f.held(key("unlucky")), 0)
+	})
+}
+
+// Guards against a request in quarantine though an upstream answered it, because the node that knows was silent for a second or so
+// while it was asked.
+func TestSilentWitnessIsAskedAgain(t *testing.T) {
+	for _, silence := range []time.Duration{400 * time.Millisecond, time.Second, 1400 * time.Millisecond} {
+		t.Run(silence.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 6)
+				f.add("a", "b", "c")
+				time.Sleep(time.Second)
+
+				coordinators := quarantiner.CoordinatorsOf(f.nodes["n0"].Quarantiner)
+				// Node n0 reports the crashes.
+				others := slices.DeleteFunc(f.live(), func(name string) bool { return name == "n0" || slices.Contains(coordinators, name) })
+				witness := others[0]
+
+				f.crash("a", key("unlucky"))
+				f.crash("b", key("unlucky"))
+				f.nodes[witness].Answered(quarantiner.Traits{Content: key("unlucky")}, "desk")
+
+				f.mu.Lock()
+				f.frozen[witness] = time.Now()
+				f.mu.Unlock()
+				time.AfterFunc(silence, func() {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+
+					delete(f.frozen, witness)
+				})
+
+				f.crash("c", key("unlucky"))
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, f.held(key("unlucky")), 0)
+			})
+		})
+	}
+}
+
+// Guards against an upstream that counts as crashed because it was silent for a second or so, and took no connection meanwhile, when
+// it was checked.
+func TestUpstreamThatIsDarkForASecondDoesNotCount(t *testing.T) {
+	for name, dark := range map[string]time.Duration{"sound": 1500 * time.Millisecond, "crashed": time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 2)
+				upstreams := []string{"a", "b", "c", "d", "e"}
+				f.add(upstreams...)
+
+				for _, upstream := range upstreams {
+					f.mu.Lock()
+					f.dark[upstream] = true
+					f.mu.Unlock()
+					time.AfterFunc(dark, func() {
+						f.mu.Lock()
+						defer f.mu.Unlock()
+
+						delete(f.dark, upstream)
+					})
+					// An answer that ended with its connection, and a request that finds the upstream dark.
+					f.nodes["n0"].AnsweredUntilClose(brokenRun(key("ended"), upstream, true))
+					f.nodes["n0"].Unreachable(upstream)
+					time.Sleep(3 * time.Second)
+				}
+
+				want := 0
+				if name == "crashed" {
+					want = 2
+				}
+
+				assert.Equal(t, f.held(key("ended")), want)
+			})
+		})
+	}
+}
