--- a/internal/gateway/acceptor/refusal_test.go
+++ b/internal/gateway/acceptor/refusal_test.go
@@ -120,3 +120,22 @@
 		assert.Check(t, is.Equal(a.Counters().WaitedForMemory, int64(1)))
 	})
 }
+
+// Guards against a refusal that doesn't reach its caller, while the rest of the header lies unread in the socket.
+func TestRefusalReachesACallerThatHasSentMore(t *testing.T) {
+	listener := listen(t)
+	serveWithMemory(t, 10, acceptor.Timeouts{Header: time.Hour, Idle: time.Hour}, listener, 0)
+
+	c := dial(t, listener)
+	_, err := io.WriteString(c, longHeader()+"\r\n\r\n")
+	assert.NilError(t, err)
+
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, int64(len(body)), response.ContentLength)
+}
--- a/internal/gateway/acceptor/unread_test.go
+++ b/internal/gateway/acceptor/unread_test.go
@@ -150,7 +150,14 @@
 func serve(t testing.TB, maxConnections int, timeouts acceptor.Timeouts, listener net.Listener) *acceptor.Acceptor {
 	t.Helper()
 
-	a := acceptor.New(maxConnections, func() acceptor.Timeouts { return timeouts }, headreader.NewMemory(1<<20))
+	return serveWithMemory(t, maxConnections, timeouts, listener, 1<<20)
+}
+
+// serveWithMemory is serve with so many bytes for long headers.
+func serveWithMemory(t testing.TB, maxConnections int, timeouts acceptor.Timeouts, listener net.Listener, memory int64) *acceptor.Acceptor {
+	t.Helper()
+
+	a := acceptor.New(maxConnections, func() acceptor.Timeouts { return timeouts }, headreader.NewMemory(memory))
 	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 	ended := make(chan struct{})
 
