Relayer: an attempt that was overtaken ends as silent

The balancer knows silences since: they keep an upstream from the node that saw them, and from all nodes only after two seconds; the first answer ends both. So an upstream that hangs is avoided from its first overtaken attempts on, not only 2 s later, and comes back at once. The outcome is recorded after the check of the path, as for other interruptions: a node that is cut off says nothing of upstreams. A long silence isn't reported to the quarantine either if the upstream has left the list.

--- a/internal/gateway/relayer/interruption.go
+++ b/internal/gateway/relayer/interruption.go
@@ -39,7 +39,10 @@
 		target: dialer.Upstream{ID: a.choice.Upstream, Address: a.choice.Address},
 	}
 
+	a.outcome = balancer.Failed
+
 	if errors.Is(context.Cause(a.ctx), errAttemptTimeout) {
+		a.outcome = balancer.Silent
 		a.request.progress.recordSilence()
 
 		if r.isOvertaken(a, a.interruption) {
@@ -48,7 +51,6 @@
 	}
 
 	a.request.progress.recordBreak(time.Now())
-	a.outcome = balancer.Failed
 }
 
 // isOvertaken reports whether the upstream of an attempt that is given up for its silence may still be sound.
@@ -67,14 +69,11 @@
 	switch {
 	case a.interruption == nil:
 		r.options.Chooser.RecordEnd(a.id, a.outcome)
-	case a.interruption.overtaken:
-		r.options.Chooser.RecordEnd(a.id, a.outcome)
-		r.judgeLater(a.interruption)
 	case r.options.Dialer.Detour == nil:
-		r.judge(context.Background(), a.id, a.interruption)
+		r.judge(context.Background(), a.id, a.outcome, a.interruption)
 	default:
 		// The request's next attempt doesn't wait for the check, which has a time limit of its own.
-		go r.judge(context.Background(), a.id, a.interruption)
+		go r.judge(context.Background(), a.id, a.outcome, a.interruption)
 	}
 }
 
@@ -100,8 +99,8 @@
 	return ok && !listed.Draining && listed.Born == broken.born && listed.Address == broken.target.Address
 }
 
-// judge records the interruption of an attempt as the upstream's failure, unless only this node's path to the upstream is at fault.
-func (r *Relayer) judge(ctx context.Context, id string, broken *interruption) {
+// judge records the interruption of an attempt with its outcome, unless only this node's path to the upstream is at fault.
+func (r *Relayer) judge(ctx context.Context, id string, outcome balancer.Outcome, broken *interruption) {
 	if r.options.Dialer.IsPathLost(ctx, broken.target) {
 		r.options.FailedAttempts.Add("path_lost", 1)
 		r.options.Chooser.RecordEnd(id, balancer.Abandoned)
@@ -109,6 +108,13 @@
 		return
 	}
 
-	r.options.Quarantine.Broke(broken.run)
-	r.options.Chooser.RecordEnd(id, balancer.Failed)
+	switch {
+	case broken.overtaken:
+		r.judgeLater(broken)
+	case outcome == balancer.Silent && !r.isStillListed(broken):
+	default:
+		r.options.Quarantine.Broke(broken.run)
+	}
+
+	r.options.Chooser.RecordEnd(id, outcome)
 }
