Balancer: silences that are long apart say nothing together

What callers saw: nothing yet; found by the review. Two nodes that found a sound upstream silent for a second each, a minute apart, ejected it for all nodes, if no request was answered there between.

Cause: the beginning of the first silence was kept until the next answer, however long ago the last request was given up.

Change: a silence that begins more than failingNodeRetention (10 s) after the last one was observed is another. An upstream that hangs is tried again every 2 s at least while it has requests, so its silence is still one.

--- a/internal/gateway/balancer/ejection.go
+++ b/internal/gateway/balancer/ejection.go
@@ -25,7 +25,8 @@
 	// minHang is how long it must have been silent before silences alone eject it for all nodes. A sound server may be silent for a
 	// second or so.
 	minHang = 2 * time.Second
-	// failingNodeRetention is how long a node that failed at a server is remembered after its ejection.
+	// failingNodeRetention is how long a node that failed at a server is remembered after its ejection, and how long a silence after it
+	// was last observed: a later one is another.
 	failingNodeRetention = 10 * time.Second
 )
 
@@ -84,11 +85,11 @@
 	// failedNode is the last node whose request failed since one was served, severalFailed is set if others' failed too.
 	failedNode    string
 	severalFailed bool
-	// silentNode and severalSilent are the same for requests to which the server was silent, silentSince is when the silence of the
-	// first of these began; the zero time if there is none.
-	silentNode    string
-	severalSilent bool
-	silentSince   time.Time
+	// silentNode and severalSilent are the same for requests to which the server was silent. silentSince is when the silence of the
+	// first of these began, silentUntil when the last one was given up; zero times if there is none.
+	silentNode               string
+	severalSilent            bool
+	silentSince, silentUntil time.Time
 	// refused is set if the shared ejection is due to connections that failed, hung if it is due to silence.
 	refused, hung bool
 }
@@ -130,7 +131,12 @@
 }
 
 // recordSilence records that a request of the node was given up, to which the server had been silent since the given time.
-func (f *failureState) recordSilence(node string, since time.Time) {
+func (f *failureState) recordSilence(now time.Time, node string, since time.Time) {
+	if since.Sub(f.silentUntil) > failingNodeRetention {
+		f.silentNode, f.severalSilent, f.silentSince = "", false, time.Time{}
+	}
+
+	f.silentUntil = now
 	f.severalSilent = f.severalSilent || f.silentNode != "" && f.silentNode != node
 	f.silentNode = node
 
--- a/internal/gateway/balancer/server.go
+++ b/internal/gateway/balancer/server.go
@@ -346,7 +346,7 @@
 			since = r.sentAt
 		}
 
-		s.failures.recordSilence(r.request.Node, since)
+		s.failures.recordSilence(now, r.request.Node, since)
 	}
 
 	s.recordOutcome(outcome, r.request.Node, now, mayEject)
