Acceptor: a second look before a close, and a bound for callers that take no refusal

Callers that send a malformed header and don't read the server's 400 kept their connection for ever: the server, which writes, doesn't read, and the reaper took that for bytes that it has yet to look at.

Change: a connection is closed at the second of two looks 10 ms apart, so that a read that was under way is recorded between; and not reading is an excuse for 500 looks, 5 s in which the process runs. A planned stop closes at its first look as before.

TestCallerThatTakesNoRefusalIsCut (by the review) failed before (1 connection open after ten header timeouts). All tests of the acceptor pass, three times under the race detector. The review's other test, of a read that pauses alone for 30 s while the reaper runs on, isn't taken over: no process pauses like that, and it can't be told from a caller that sends nothing.

--- a/internal/gateway/acceptor/acceptor.go
+++ b/internal/gateway/acceptor/acceptor.go
@@ -108,8 +108,10 @@
 	element *list.Element
 	// enteredAt is when the current phase began.
 	enteredAt time.Time
-	// judgeAt is when a connection in Acceptor.overdue is judged again.
-	judgeAt time.Time
+	// judgeAt is when a connection in Acceptor.overdue is judged again, busyLooks how often the server was found not to read from it
+	// in this phase.
+	judgeAt   time.Time
+	busyLooks int
 	// headBytesInTime is the number of bytes of a header that had come when the connection was first looked at to close it; 0 before that,
 	// or if none had.
 	headBytesInTime int
@@ -369,7 +371,7 @@
 // leave ends the current phase; a.mu must be held.
 func (a *Acceptor) leave(c *connection) {
 	a.dequeue(c)
-	c.headBytes, c.headBytesInTime = 0, 0
+	c.headBytes, c.headBytesInTime, c.busyLooks = 0, 0, 0
 	c.headMemory.Release()
 }
 
--- a/internal/gateway/acceptor/reaper.go
+++ b/internal/gateway/acceptor/reaper.go
@@ -6,8 +6,11 @@
 )
 
 const (
-	// judgeInterval is the time between two looks at a connection that exceeded a timeout while its bytes weren't read yet.
+	// judgeInterval is the time between two looks at a connection that exceeded a timeout.
 	judgeInterval = 10 * time.Millisecond
+	// maxBusyLooks is the number of looks at which the server doesn't read from the connection, 5 s in which the process runs. A caller
+	// that doesn't take a refusal keeps the server from reading.
+	maxBusyLooks = 500
 	// reapBatch is the number of connections that are chosen before they are closed, so that a caller's request seldom arrives between.
 	reapBatch = 16
 	// maxRoomChecks is the number of idle connections that are looked at to make room for a new one.
@@ -101,8 +104,12 @@
 				break
 			}
 
-			if !a.isCallerLate(c) {
-				a.postpone(c, now)
+			late := a.isCallerLate(c)
+			// At the first look after a pause, the server may have taken bytes that it hasn't recorded yet.
+			isFirstLook := c.queue != a.overdue && !a.isStopping
+
+			if isFirstLook || !late && c.busyLooks < maxBusyLooks {
+				a.postpone(c, now, late)
 
 				continue
 			}
@@ -153,12 +160,16 @@
 	return c.headBytes >= c.headBytesInTime
 }
 
-// postpone lets the server read what the caller of an overdue connection has sent; a.mu must be held.
-func (a *Acceptor) postpone(c *connection, now time.Time) {
-	if c.queue != a.overdue {
+// postpone lets the server read what the caller of an overdue connection has sent, if anything; a.mu must be held.
+func (a *Acceptor) postpone(c *connection, now time.Time, late bool) {
+	if !late && c.queue != a.overdue {
 		a.counters.Postponed++
 	}
 
+	if !c.isReading.Load() {
+		c.busyLooks++
+	}
+
 	a.dequeue(c)
 	c.judgeAt = now.Add(judgeInterval)
 	c.queue, c.element = a.overdue, a.overdue.PushBack(c)
