--- a/internal/gateway/relayer/interruption.go
+++ b/internal/gateway/relayer/interruption.go
@@ -23,6 +23,8 @@
 	overtaken   bool
 	silentSince time.Time
 	remaining   time.Duration
+	// born is the listed start of the upstream in Unix milliseconds; 0 if it isn't known.
+	born int64
 }
 
 // recordInterruption records an exchange that failed while the upstream may have been running the request, unless the
@@ -37,7 +39,10 @@
 		target: dialer.Upstream{ID: a.choice.Upstream, Address: a.choice.Address},
 	}
 
+	a.outcome = balancer.Failed
+
 	if errors.Is(context.Cause(a.ctx), errAttemptTimeout) {
+		a.outcome = balancer.Silent
 		a.request.progress.recordSilence()
 
 		if r.isOvertaken(a, a.interruption) {
@@ -46,7 +51,6 @@
 	}
 
 	a.request.progress.recordBreak(time.Now())
-	a.outcome = balancer.Failed
 }
 
 // isOvertaken reports whether the upstream of an attempt that is given up for its silence may still be sound.
@@ -55,6 +59,7 @@
 	broken.silentSince = r.activity.recordSilence(a.choice.Upstream, a.heardAt, now)
 	broken.remaining = maxSoundSilence - now.Sub(broken.silentSince) + a.pausedSinceSent()
 	broken.overtaken = broken.remaining > 0
+	broken.born = r.bornAt(a.choice.Upstream)
 
 	return broken.overtaken
 }
@@ -64,14 +69,11 @@
 	switch {
 	case a.interruption == nil:
 		r.options.Chooser.RecordEnd(a.id, a.outcome)
-	case a.interruption.overtaken:
-		r.options.Chooser.RecordEnd(a.id, a.outcome)
-		r.judgeLater(a.interruption)
 	case r.options.Dialer.Detour == nil:
-		r.judge(context.Background(), a.id, a.interruption)
+		r.judge(context.Background(), a.id, a.outcome, a.interruption)
 	default:
 		// The request's next attempt doesn't wait for the check, which has a time limit of its own.
-		go r.judge(context.Background(), a.id, a.interruption)
+		go r.judge(context.Background(), a.id, a.outcome, a.interruption)
 	}
 }
 
@@ -79,14 +81,26 @@
 // request that crashes whole machines would otherwise leave no trace. The quarantine checks whether the upstream is gone.
 func (r *Relayer) judgeLater(broken *interruption) {
 	time.AfterFunc(broken.remaining, func() {
-		if r.activity.isSilent(broken.target.ID, broken.silentSince) && !r.options.Dialer.IsPathLost(context.Background(), broken.target) {
+		if !r.isStillListed(broken) || !r.activity.isSilent(broken.target.ID, broken.silentSince) {
+			return
+		}
+
+		if !r.options.Dialer.IsPathLost(context.Background(), broken.target) {
 			r.options.Quarantine.Broke(broken.run)
 		}
 	})
 }
 
-// judge records the interruption of an attempt as the upstream's failure, unless only this node's path to the upstream is at fault.
-func (r *Relayer) judge(ctx context.Context, id string, broken *interruption) {
+// isStillListed reports whether the upstream is listed as it was when the exchange ended. One that has left by plan since then can't be
+// told from one that crashed.
+func (r *Relayer) isStillListed(broken *interruption) bool {
+	listed, ok := r.options.Catalog.State().Registry.Upstreams.Get(broken.target.ID)
+
+	return ok && !listed.Draining && listed.Born == broken.born && listed.Address == broken.target.Address
+}
+
+// judge records the interruption of an attempt with its outcome, unless only this node's path to the upstream is at fault.
+func (r *Relayer) judge(ctx context.Context, id string, outcome balancer.Outcome, broken *interruption) {
 	if r.options.Dialer.IsPathLost(ctx, broken.target) {
 		r.options.FailedAttempts.Add("path_lost", 1)
 		r.options.Chooser.RecordEnd(id, balancer.Abandoned)
@@ -94,6 +108,13 @@
 		return
 	}
 
-	r.options.Quarantine.Broke(broken.run)
-	r.options.Chooser.RecordEnd(id, balancer.Failed)
+	switch {
+	case broken.overtaken:
+		r.judgeLater(broken)
+	case outcome == balancer.Silent && !r.isStillListed(broken):
+	default:
+		r.options.Quarantine.Broke(broken.run)
+	}
+
+	r.options.Chooser.RecordEnd(id, outcome)
 }
