Relayer: whether another attempt is left is decided when it is needed

What callers saw: a stream ended after 1 of 6 events though the route had an attempt left, and a request got 504 though a third upstream was sound.

Cause: both decisions were made too early. And an attempt that was sent as the last one got no watchdog, also if the attempt before it turned out not to have run.

Change: the watchdog of a repeatable request always runs, and the search asks whether another attempt may be sent (mayBeSent), as it did already.

--- a/internal/gateway/relayer/attempt.go
+++ b/internal/gateway/relayer/attempt.go
@@ -173,7 +173,8 @@
 	request := a.request
 	r.recordSend(a)
 
-	if request.mayBeFollowed() && !r.mayCrashUpstreams(request) {
+	// Whether another attempt is left is known only when it is needed: one that is under way may be refused.
+	if request.route.Repeatable() {
 		r.startWatchdog(a)
 	}
 
--- a/internal/gateway/relayer/stream.go
+++ b/internal/gateway/relayer/stream.go
@@ -129,8 +129,8 @@
 
 // deliverEvent passes an event on to the caller. It returns false and the result of the attempt if that ends with it.
 func (r *Relayer) deliverEvent(out *callerResponse, a *attempt, event []byte, id string) (attemptResult, bool) {
-	if !out.headerSent && !r.startStream(out, a) {
-		return r.failStream(a, errAttemptTimeout), false
+	if !out.headerSent {
+		r.startStream(out, a)
 	}
 
 	now := time.Now()
@@ -153,20 +153,10 @@
 	return attemptDone, true
 }
 
-// startStream sends the header and pins the stream to the software version of its upstream, unless the attempt timed out and
-// was the last one. In the last one, the upstream may be silent until the request's deadline from then on.
-func (r *Relayer) startStream(out *callerResponse, a *attempt) bool {
-	origin := r.originOf(out.request, a.choice)
-
-	mayFollow := origin.IsKnown() && r.mayRepeat(a.ctx, out.request)
-	if !mayFollow && !a.watch.disarm() {
-		return false
-	}
-
-	r.pin(out.request, origin)
+// startStream sends the header and pins the stream to the software version of its upstream.
+func (r *Relayer) startStream(out *callerResponse, a *attempt) {
+	r.pin(out.request, r.originOf(out.request, a.choice))
 	out.sendHeader(a.response.StatusCode, endToEndHeader(a.response.Header), -1)
-
-	return true
 }
 
 // finishStream handles the end of an upstream's stream.
