Relayer: a long error response doesn't end the silent attempt that it was to replace

What callers saw: an upstream's 500 in place of the answer of a sound upstream that was silent for a second, if the body of the 500 exceeds 256 KB.

Cause: only a failure that fits into the buffer counted as one; a longer one opened the replacement. Change: a replacement with a status of 500 or more fails in each case. One that is too long to be kept is no fallback answer.

TestLongErrorResponseWaitsForTheSilentUpstream failed before (500 instead of 200, stream and short answer) and passes.

--- a/internal/gateway/relayer/response.go
+++ b/internal/gateway/relayer/response.go
@@ -157,12 +157,17 @@
 
 	a.buffered = &bufferedResponse{status: a.response.StatusCode, header: endToEndHeader(a.response.Header), body: body}
 
-	if !a.tooLong && a.buffered.status >= http.StatusInternalServerError {
+	// A replacement that failed must not end the silent attempt, also if its response is too long to be kept for later.
+	if a.buffered.status >= http.StatusInternalServerError && (!a.tooLong || a.replaces) {
 		a.outcome = balancer.Failed
 		// The request failed without crashing the upstream.
 		r.options.Quarantine.Failed(a.request.traits)
 		r.logFailedAttempt(a, "failed_by_upstream", errors.Newf("status %d", a.buffered.status))
 
+		if a.tooLong {
+			a.buffered, a.tooLong = nil, false
+		}
+
 		return attemptUnknown
 	}
 
