Dialer: upstreams that crash in series are no cut of a node that others answer

What callers saw: requests with a prompt part that crashes upstreams went on crashing one after the other, beside load until none of the service was left; then no sound request began.

Cause: three upstreams in a row that refuse new connections within 2 s make a node count as cut off from all upstreams, unless a new connection to another one is opened in between. Requests on kept connections open none. All nodes see the same crashes, so none helps the others, and IsDown says "not known" for each further crash. The quarantine takes that for an upstream that lives: the crash doesn't count, and without the store nothing else tells of it.

TestUpstreamsThatCrashInSeriesAreNoCut printed "expression is false: down && !silent: u2" and so on to u5.

Change: an answer on a direct connection shows, as a new connection does, that this node isn't cut off.

Why it works: a node that is cut off reads no answers. One that reads answers between two refusals counts the refusals from anew.

--- a/internal/gateway/dialer/dialer.go
+++ b/internal/gateway/dialer/dialer.go
@@ -258,6 +258,10 @@
 		return nil, err
 	}
 
+	if c.peer == "" {
+		d.paths.recordAnswer()
+	}
+
 	return &Response{Response: response, requestPending: func() bool { return !fullyWritten() }}, nil
 }
 
--- a/internal/gateway/dialer/paths.go
+++ b/internal/gateway/dialer/paths.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,8 +14,8 @@
 )
 
 const (
-	// minUnreached is the number of upstreams that must fail in a row, without one that is reached, before this node counts
-	// as cut off from all upstreams.
+	// minUnreached is the number of upstreams that must fail in a row, without one that is reached or answers, before this node
+	// counts as cut off from all upstreams.
 	minUnreached = 3
 	// maxUnreached bounds the upstreams that are remembered for that, and unreachedRetention how long they are.
 	maxUnreached       = 64
@@ -80,8 +81,10 @@
 	mu sync.Mutex
 	// lost holds the upstreams that this node reaches only through peers, by ID.
 	lost map[string]*lostPath
-	// unreached holds the upstreams that were not reached directly since one was, with the time of the last attempt.
+	// unreached holds the upstreams that were not reached directly since one was or answered, with the time of the last attempt.
 	unreached map[string]time.Time
+	// hasUnreached is true if unreached has entries. It is read without the lock.
+	hasUnreached atomic.Bool
 	// avoided holds peers that could not help, with the time until which others are preferred.
 	avoided map[string]time.Time
 	// down holds the upstreams that this node and a peer in touch did not reach, with the time until which peers aren't asked for them.
@@ -156,12 +159,13 @@
 	if !reached {
 		if _, known := p.unreached[id]; known || len(p.unreached) < maxUnreached {
 			p.unreached[id] = time.Now()
+			p.hasUnreached.Store(true)
 		}
 
 		return false
 	}
 
-	clear(p.unreached)
+	p.clearUnreached()
 	delete(p.down, id)
 
 	path := p.lost[id]
@@ -176,6 +180,25 @@
 	return true
 }
 
+// recordAnswer records that an upstream answered on a direct connection: this node isn't cut off from all of them, even if it opens no
+// new connection to one that lives.
+func (p *paths) recordAnswer() {
+	if !p.hasUnreached.Load() {
+		return
+	}
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.clearUnreached()
+}
+
+// clearUnreached records that this node reaches an upstream; p.mu is held.
+func (p *paths) clearUnreached() {
+	clear(p.unreached)
+	p.hasUnreached.Store(false)
+}
+
 // recordTunnel records that a peer reached the upstream, and reports whether this node lost its own path with that. reason
 // is why this node doesn't reach it.
 func (p *paths) recordTunnel(upstream Upstream, peer string, reason error) bool {
--- a/internal/gateway/dialer/paths_test.go
+++ b/internal/gateway/dialer/paths_test.go
@@ -439,6 +439,36 @@
 	})
 }
 
+// Guards against upstreams that crash in series and aren't found to be down: nodes that answers reach take them for a cut of their own
+// paths, since they open no new connection to an upstream that lives.
+func TestUpstreamsThatCrashInSeriesAreNoCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, d := newNetwork([]string{"near"}, []string{"far"})
+		defer closeAll(d)
+
+		// The peers say of themselves that they are cut off, as they saw the same crashes.
+		n.setPeers(wayUnavailable, "near", "far")
+
+		_, err := ask(d, "sound")
+		assert.NilError(t, err)
+
+		for i := range 6 {
+			crashed := fmt.Sprint("u", i)
+			n.cut(wayRefused, crashed)
+
+			down, silent := d.IsDown(context.Background(), upstreamOf(crashed))
+			assert.Check(t, down && !silent, crashed)
+
+			_, err := ask(d, "sound")
+			assert.NilError(t, err)
+		}
+
+		dials, _, _ := n.counts("sound")
+		assert.Equal(t, dials, 1)
+		assert.Assert(t, !d.PathCounters().AllLost)
+	})
+}
+
 // Guards against a node that burdens its peers after its paths work again.
 func TestHealedPathsAreUsedAgain(t *testing.T) {
 	for name, how := range map[string]way{"refused": wayRefused, "hanging": wayHanging} {
