Quarantiner: a check that tells nothing isn't a sign of life

Cause: IsDown returned false both for an upstream that takes connections and where that can't be told (the node is cut off, stood still, or is at its connection limit). The quarantine took both for an upstream that lives, and never checked it again.

Evidence: TestCrashThatIsNotKnownAtFirstCounts/crashed printed "0 (int) != 2 (c.want int)".

Change: IsDown returns an error where nothing is known. The check is repeated each second for the ten seconds in which a failure can become a crash. Until then the requests are neither reported nor suspected, as before.

Why it works: only a check with a result settles a failure. Upstreams that live count as before (the other two cases of the test).

--- a/internal/gateway/dialer/checking.go
+++ b/internal/gateway/dialer/checking.go
@@ -65,6 +65,38 @@
 	return true
 }
 
+// breakCheck is a check of the paths to an upstream after an exchange broke.
+type breakCheck struct {
+	started time.Time
+	// done is closed when lost is set.
+	done chan struct{}
+	lost bool
+}
+
+func (c *breakCheck) isDone() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// startBreakCheck returns the check that applies to an exchange that broke now, and true if the caller is to carry it out.
+func (p *paths) startBreakCheck(id string, now time.Time) (*breakCheck, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if check := p.broken[id]; check != nil && (!check.isDone() || now.Sub(check.started) < breakCheckInterval) {
+		return check, false
+	}
+
+	check := &breakCheck{started: now, done: make(chan struct{})}
+	p.broken[id] = check
+
+	return check, true
+}
+
 // IsPathLost reports whether this node can't reach the upstream itself while another node can. It is for exchanges that
 // broke: such a break says nothing about the upstream.
 func (d *Dialer) IsPathLost(ctx context.Context, upstream Upstream) bool {
--- a/internal/gateway/dialer/dialer.go
+++ b/internal/gateway/dialer/dialer.go
@@ -287,10 +287,10 @@
 	return d.openConn(ctx, upstream)
 }
 
-// IsDown reports whether the upstream accepts no new connection, neither from this node nor from peers, or false if that
+// IsDown reports whether the upstream accepts no new connection, neither from this node nor from peers, or an error if that
 // can't be determined. silent is set if it refuses none either, as while it is only silent. It opens a new connection because an
 // idle one doesn't show that an upstream lost power.
-func (d *Dialer) IsDown(ctx context.Context, upstream Upstream) (down, silent bool) {
+func (d *Dialer) IsDown(ctx context.Context, upstream Upstream) (down, silent bool, err error) {
 	mark := d.markPause()
 	c, err := d.openConn(ctx, upstream)
 
@@ -298,13 +298,13 @@
 	case err == nil:
 		d.keepIdle(upstream.ID, c, defaultIdleTimeout)
 
-		return false, false
+		return false, false, nil
 	case mark.isInconclusive(err):
-		return false, false
+		return false, false, err
 	case errors.Is(err, ErrTooManyConnections), errors.Is(err, ErrPathLost), errors.Is(err, context.Canceled):
-		return false, false
+		return false, false, err
 	default:
-		return true, isTimeout(err)
+		return true, isTimeout(err), nil
 	}
 }
 
--- a/internal/gateway/dialer/paths.go
+++ b/internal/gateway/dialer/paths.go
@@ -103,14 +103,6 @@
 	peer string
 }
 
-// breakCheck is a check of the paths to an upstream after an exchange broke.
-type breakCheck struct {
-	started time.Time
-	// done is closed when lost is set.
-	done chan struct{}
-	lost bool
-}
-
 func newPaths() *paths {
 	return &paths{
 		logger:    zerolog.Nop(),
@@ -369,30 +361,6 @@
 	}
 }
 
-// startBreakCheck returns the check that applies to an exchange that broke now, and true if the caller is to carry it out.
-func (p *paths) startBreakCheck(id string, now time.Time) (*breakCheck, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	if check := p.broken[id]; check != nil && (!check.isDone() || now.Sub(check.started) < breakCheckInterval) {
-		return check, false
-	}
-
-	check := &breakCheck{started: now, done: make(chan struct{})}
-	p.broken[id] = check
-
-	return check, true
-}
-
-func (c *breakCheck) isDone() bool {
-	select {
-	case <-c.done:
-		return true
-	default:
-		return false
-	}
-}
-
 func (p *paths) snapshot() PathCounters {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/dialer/paths_test.go
+++ b/internal/gateway/dialer/paths_test.go
@@ -365,7 +365,8 @@
 				assert.Assert(t, connects <= 3, "%d connects at peers", connects)
 
 				// Peers that said so are not asked again at once.
-				down, silent := d.IsDown(context.Background(), upstreamOf("a"))
+				down, silent, err := d.IsDown(context.Background(), upstreamOf("a"))
+				assert.NilError(t, err)
 				assert.Assert(t, down)
 				assert.Equal(t, silent, test.node == wayHanging)
 
@@ -436,6 +437,9 @@
 			assert.Assert(t, errors.Is(err, dialer.ErrNotSent))
 			assert.Equal(t, errors.Is(err, dialer.ErrPathLost), i >= 2)
 		}
+
+		down, _, err := d.IsDown(context.Background(), upstreamOf("u5"))
+		assert.Assert(t, !down && errors.Is(err, dialer.ErrPathLost))
 	})
 }
 
@@ -456,10 +460,11 @@
 			crashed := fmt.Sprint("u", i)
 			n.cut(wayRefused, crashed)
 
-			down, silent := d.IsDown(context.Background(), upstreamOf(crashed))
+			down, silent, err := d.IsDown(context.Background(), upstreamOf(crashed))
+			assert.NilError(t, err)
 			assert.Check(t, down && !silent, crashed)
 
-			_, err := ask(d, "sound")
+			_, err = ask(d, "sound")
 			assert.NilError(t, err)
 		}
 
@@ -538,7 +543,8 @@
 		dials, connects, _ := n.counts("a")
 		assert.Equal(t, dials, 3)
 		assert.Equal(t, connects, 1)
-		down, _ := d.IsDown(context.Background(), upstreamOf("a"))
+		down, _, err := d.IsDown(context.Background(), upstreamOf("a"))
+		assert.NilError(t, err)
 		assert.Assert(t, !down)
 	})
 }
--- a/internal/gateway/dialer/pause_test.go
+++ b/internal/gateway/dialer/pause_test.go
@@ -61,8 +61,8 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 		defer cancel()
 
-		down, _ := d.IsDown(ctx, upstreamOf("a"))
-		assert.Assert(t, !down)
+		down, _, err := d.IsDown(ctx, upstreamOf("a"))
+		assert.Assert(t, !down && err != nil)
 	})
 }
 
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -24,7 +24,7 @@
 	}, ok
 }
 
-func (n *Node) isDown(ctx context.Context, upstream, address string) (down, silent bool) {
+func (n *Node) isDown(ctx context.Context, upstream, address string) (down, silent bool, err error) {
 	return n.dialer.IsDown(ctx, dialer.Upstream{ID: upstream, Address: address})
 }
 
--- a/internal/quarantiner/failures.go
+++ b/internal/quarantiner/failures.go
@@ -44,6 +44,8 @@
 	isUp bool
 	// isSilent is true if it neither accepted nor refused a connection at that check.
 	isSilent bool
+	// isUnknown is true if that check told nothing.
+	isUnknown bool
 	// leaves is true if the upstream accepted a connection at that check and was drained afterwards, so that its end is planned.
 	leaves bool
 	// crashed is true if the upstream is known to have crashed, rather than to have broken off only these requests.
@@ -158,7 +160,7 @@
 		var first time.Time
 
 		for _, failure := range q.failures {
-			if !failure.isUp && (failure.crashed || !failure.isSilent) && failure.parts[part.Key] {
+			if !failure.isUp && (failure.crashed || !failure.isSilent && !failure.isUnknown) && failure.parts[part.Key] {
 				count++
 
 				if first.IsZero() {
@@ -180,9 +182,10 @@
 
 	for _, s := range q.failures {
 		isBroken := !s.crashed && !s.isUp && s.checkedAt.Before(s.at) && now.Sub(s.at) >= checkDelay
+		isUnknown := !s.crashed && s.isUnknown && now.Sub(s.at) <= confirmWindow
 		isSilent := !s.crashed && s.isSilent && now.Sub(s.at) >= maxSoundSilence
 
-		if (isBroken || isSilent) && now.Sub(s.checkedAt) >= checkInterval {
+		if (isBroken || isSilent || isUnknown) && now.Sub(s.checkedAt) >= checkInterval {
 			s.checkedAt = now
 			due = append(due, s)
 		}
@@ -196,11 +199,16 @@
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 
-	down, silent := q.options.IsDown(ctx, failure.instance.Upstream, failure.address)
+	down, silent, err := q.options.IsDown(ctx, failure.instance.Upstream, failure.address)
 
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
+	failure.isUnknown = err != nil
+	if failure.isUnknown {
+		return
+	}
+
 	if down && silent && !failure.isSilent {
 		// A sound upstream may be silent for a second or so, and it is checked once more then.
 		failure.isSilent = true
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -77,9 +77,9 @@
 	// CoordinatorCandidates returns the names of the nodes among which the coordinators are chosen.
 	CoordinatorCandidates func() []string
 	Peers                 Peers
-	// IsDown reports whether an upstream accepts no connection. It returns false if that is not known. silent is set if it refuses
-	// none either, so that it may only be silent.
-	IsDown   func(ctx context.Context, upstream, address string) (down, silent bool)
+	// IsDown reports whether an upstream accepts no connection, or an error if that is not known. silent is set if it refuses none
+	// either, so that it may only be silent.
+	IsDown   func(ctx context.Context, upstream, address string) (down, silent bool, err error)
 	Recorder Recorder
 	// Store renews the quarantines of prompt parts; nil if requests have none.
 	Store  Store
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -31,6 +31,8 @@
 	alive map[string]bool
 	// dark are the upstreams that neither accept nor refuse connections.
 	dark map[string]bool
+	// unknownUntil is when the nodes can tell again which upstreams accept connections.
+	unknownUntil time.Time
 	// stored is what the store holds; while storeDown is true, writes to the store fail.
 	stored    map[quarantiner.Key]quarantiner.Quarantine
 	storeDown bool
@@ -258,11 +260,15 @@
 func (f *fleet) start(name string) {
 	q := quarantiner.New(quarantiner.Options{
 		Self: name, Live: f.live, CoordinatorCandidates: f.live, Peers: peers{fleet: f, self: name},
-		IsDown: func(_ context.Context, upstream, _ string) (down, silent bool) {
+		IsDown: func(_ context.Context, upstream, _ string) (down, silent bool, err error) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 
-			return !f.alive[upstream] || f.dark[upstream], f.dark[upstream]
+			if time.Now().Before(f.unknownUntil) {
+				return false, false, errors.New("not known")
+			}
+
+			return !f.alive[upstream] || f.dark[upstream], f.dark[upstream], nil
 		},
 		Recorder: f, Store: f, Logger: zerolog.New(&lockedWriter{fleet: f}),
 	})
@@ -810,3 +816,44 @@
 		})
 	}
 }
+
+// Guards against a crash that never counts because the nodes couldn't tell at first whether the upstream was gone, and against requests
+// that count as crashing upstreams that live.
+func TestCrashThatIsNotKnownAtFirstCounts(t *testing.T) {
+	for name, c := range map[string]struct {
+		alive, dark bool
+		want        int
+	}{
+		"crashed":       {want: 2},
+		"alive":         {alive: true},
+		"silent before": {alive: true, dark: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 2)
+				upstreams := []string{"a", "b", "c"}
+				f.add(upstreams...)
+
+				for _, upstream := range upstreams {
+					f.mu.Lock()
+					f.alive[upstream], f.dark[upstream] = c.alive, c.dark
+					f.unknownUntil = time.Now().Add(1500 * time.Millisecond)
+					f.mu.Unlock()
+					time.AfterFunc(2500*time.Millisecond, func() {
+						f.mu.Lock()
+						defer f.mu.Unlock()
+
+						delete(f.dark, upstream)
+					})
+
+					f.nodes["n0"].Broke(brokenRun(key("culprit"), upstream, false))
+					time.Sleep(time.Second)
+					assert.Equal(t, f.held(key("culprit")), 0)
+					time.Sleep(4 * time.Second)
+				}
+
+				assert.Equal(t, f.held(key("culprit")), c.want)
+			})
+		})
+	}
+}
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -42,8 +42,8 @@
 		Live:                  n.members.Live,
 		CoordinatorCandidates: n.members.Live,
 		Peers:                 n.messages,
-		IsDown: func(ctx context.Context, _, address string) (down, silent bool) {
-			return forwarder.IsDown(ctx, address), false
+		IsDown: func(ctx context.Context, _, address string) (down, silent bool, err error) {
+			return forwarder.IsDown(ctx, address), false, nil
 		},
 		Recorder: q,
 		Logger:   n.logger,
