--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -208,6 +208,7 @@
 
 	n.current.Store(&settings)
 	n.dialer.SetLogger(logger)
+	n.dialer.Paused = n.pauses.Paused
 	n.dialer.HeadMemory = headreader.NewMemory(headMemory)
 	n.tunnels = n.newTunneler()
 	n.apportioner = apportioner.New(apportioner.Options{
@@ -217,6 +218,7 @@
 		Now:        n.catalog.Now,
 	})
 	n.acceptor = acceptor.New(maxConnections(settings.Gateway.Descriptors), n.callerTimeouts, headreader.NewMemory(headMemory))
+	n.acceptor.OnRefusal = n.recordRefusal
 	n.prober = n.newProber()
 	n.messages = messenger.New(messenger.Options{
 		Self:       settings.Node.PeerListen,
@@ -224,6 +226,7 @@
 		// The name of a peer is its address.
 		Joined: func(name string) (string, bool) { return name, true },
 		Logger: logger,
+		Paused: n.pauses.Paused,
 	})
 
 	n.budget = budgeter.New(budgeter.Options{
@@ -285,6 +288,7 @@
 		DepartedNodes: n.departedNodes,
 		Versions:      recorder,
 		NodeLister:    lister,
+		Paused:        n.pauses.Paused,
 		Logger:        logger,
 	})
 	n.messages.Handle(follower.MethodPull, n.follower.HandlePull)
@@ -328,6 +332,7 @@
 		MaxKeyAge:      n.maxKeyAge,
 		LeavingFor:     n.leavingFor,
 		LeavingGrace:   leavingGrace,
+		Paused:         n.pauses.Paused,
 		MaxBodyMemory:  bodyMemory,
 		Meter:          n.meter,
 		FailedAttempts: n.attempts,
@@ -466,6 +471,7 @@
 
 	if table := n.table.Load(); table == nil || table.Version < state.Configuration.Version {
 		n.table.Store(router.New(state.Configuration, state.ConfigurationFreshness))
+		n.acceptor.Refresh()
 
 		delay := n.catalog.Now() - state.ReceivedAt
 		n.useDelays.Record(delay)
--- a/internal/gateway/relayer/watchdog_test.go
+++ b/internal/gateway/relayer/watchdog_test.go
@@ -38,10 +38,11 @@
 		replacement := &slowReplacement{after: 500 * time.Millisecond}
 		ctx, watch := newWatchdog(context.Background())
 		watch.replacement = replacement
-		watch.start(time.Second, func() bool { return true })
+		watch.start(time.Second, 0, func(time.Duration) bool { return true })
 
 		time.Sleep(1200 * time.Millisecond)
-		watch.reset()
+		watch.suspend()
+		watch.resume()
 		time.Sleep(900 * time.Millisecond)
 		assert.NilError(t, ctx.Err())
 
@@ -57,7 +58,7 @@
 		replacement := &slowReplacement{after: time.Hour}
 		ctx, watch := newWatchdog(context.Background())
 		watch.replacement = replacement
-		watch.start(time.Second, func() bool { return true })
+		watch.start(time.Second, 0, func(time.Duration) bool { return true })
 
 		time.Sleep(2 * time.Second)
 		watch.stop()
@@ -76,7 +77,7 @@
 		defer watch.stop()
 
 		watch.replacement = replacement
-		watch.start(time.Second, func() bool { return true })
+		watch.start(time.Second, 0, func(time.Duration) bool { return true })
 		<-ctx.Done()
 
 		assert.Equal(t, context.Cause(ctx), errAttemptTimeout)
@@ -107,16 +108,72 @@
 		defer watch.stop()
 
 		watch.replacement = replacement
-		watch.start(time.Second, func() bool { return true })
+		watch.start(time.Second, 0, func(time.Duration) bool { return true })
 
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
 		assert.NilError(t, ctx.Err())
 		assert.Equal(t, replacement.searches, 3)
 
-		watch.reset()
+		watch.suspend()
+		watch.resume()
 		time.Sleep(1100 * time.Millisecond)
 		synctest.Wait()
 		assert.Equal(t, replacement.searches, 4)
 	})
 }
+
+// Guards against upstreams that are taken for silent because the process stood still and could not read what they sent.
+func TestPauseOfTheProcessIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		replacement := &slowReplacement{}
+		ctx, watch := newWatchdog(context.Background())
+		defer watch.stop()
+
+		watch.replacement = replacement
+		// Before the start, and from 0.5 to 1.1 s after it.
+		watch.paused = func() time.Duration {
+			if time.Since(begun) < 500*time.Millisecond {
+				return time.Minute
+			}
+
+			return time.Minute + min(time.Since(begun)-500*time.Millisecond, 600*time.Millisecond)
+		}
+
+		var paused time.Duration
+
+		watch.start(time.Second, time.Minute, func(p time.Duration) bool {
+			paused = p
+
+			return true
+		})
+		<-ctx.Done()
+
+		assert.Equal(t, time.Since(begun), 1600*time.Millisecond)
+		assert.Equal(t, paused, 600*time.Millisecond)
+	})
+}
+
+// Guards against a caller who reads slowly and makes its upstream look silent.
+func TestSuspendedWatchdogDoesNotSearch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		expired := make(chan time.Duration, 1)
+		_, watch := newWatchdog(context.Background())
+		defer watch.stop()
+
+		watch.start(time.Second, 0, func(time.Duration) bool {
+			expired <- time.Since(begun)
+
+			return false
+		})
+
+		time.Sleep(900 * time.Millisecond)
+		assert.Assert(t, watch.suspend())
+		time.Sleep(time.Minute)
+		watch.resume()
+
+		assert.Equal(t, <-expired, time.Minute+1900*time.Millisecond)
+	})
+}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -10,6 +10,7 @@
 
 	"quincepath.example/quincepath/internal/gateway/acceptor"
 	"quincepath.example/quincepath/internal/headreader"
+	"quincepath.example/quincepath/pkg/classifier"
 )
 
 const (
@@ -118,6 +119,16 @@
 	return times
 }
 
+// recordRefusal counts and logs a request that was refused before its header was read.
+func (n *Node) recordRefusal(failure *classifier.Error) {
+	n.meter.Refused("", failure.Code)
+	n.logger.Info().
+		Int("result_code", int(failure.Code)).
+		Str("result", failure.Code.String()).
+		Str("reason", failure.Reason).
+		Msg("request_refused")
+}
+
 // ready reports whether the node accepts requests.
 func (n *Node) ready() bool {
 	return n.leavingFor() == 0 && n.table.Load() != nil
@@ -180,12 +191,7 @@
 		if n.leavingFor() >= leavingGrace {
 			if !closed {
 				closed = true
-				// Shutdown closes the listener and idle connections. The cancelled context keeps it from waiting for
-				// responses in progress.
-				cancelled, cancel := context.WithCancel(context.Background())
-				cancel()
-
-				_ = servers[0].Shutdown(cancelled)
+				n.acceptor.Shutdown(servers[0])
 			}
 
 			// The server starts a handler after it has read the request, and writes the last bytes after the handler.
@@ -199,6 +205,8 @@
 
 	n.logger.Info().Int64("in_flight", n.relayer.InFlight()).Dur("took_ms", n.leavingFor()).Msg("node_stopped")
 
+	n.acceptor.Close()
+
 	for _, server := range servers {
 		_ = server.Close()
 	}
--- a/internal/quarantiner/failures.go
+++ b/internal/quarantiner/failures.go
@@ -11,6 +11,8 @@
 	checkDelay = 50 * time.Millisecond
 	// checkInterval is the minimum time between two checks of one upstream.
 	checkInterval = time.Second
+	// maxSoundSilence is how long an upstream may neither accept nor refuse connections before it counts as crashed.
+	maxSoundSilence = 2 * time.Second
 	// checkTimeout is the time limit of a check.
 	checkTimeout = 500 * time.Millisecond
 	// confirmWindow is how long after its connections broke an upstream that leaves the list counts as crashed.
@@ -40,6 +42,10 @@
 	checkedAt time.Time
 	// isUp is true if the upstream accepted a connection at that check.
 	isUp bool
+	// isSilent is true if it neither accepted nor refused a connection at that check.
+	isSilent bool
+	// leaves is true if the upstream accepted a connection at that check and was drained afterwards, so that its end is planned.
+	leaves bool
 	// crashed is true if the upstream is known to have crashed, rather than to have broken off only these requests.
 	crashed bool
 }
@@ -77,7 +83,7 @@
 
 	if failure.isUp {
 		// The upstream survived the earlier interruptions, so these are no crash.
-		failure.isUp, failure.at, failure.requests, failure.parts = false, now, nil, make(map[Key]bool)
+		failure.isUp, failure.isSilent, failure.at, failure.requests, failure.parts = false, false, now, nil, make(map[Key]bool)
 	}
 
 	if len(failure.requests) < maxKeysPerCrash && !slices.ContainsFunc(failure.requests, func(r brokenRequest) bool { return r.Content == run.Content }) {
@@ -152,7 +158,7 @@
 		var first time.Time
 
 		for _, failure := range q.failures {
-			if !failure.isUp && failure.parts[part.Key] {
+			if !failure.isUp && (failure.crashed || !failure.isSilent) && failure.parts[part.Key] {
 				count++
 
 				if first.IsZero() {
@@ -173,8 +179,10 @@
 	var due []*upstreamFailure
 
 	for _, s := range q.failures {
-		isBroken := !s.crashed && !s.isUp && s.checkedAt.Before(s.at)
-		if isBroken && now.Sub(s.at) >= checkDelay && now.Sub(s.checkedAt) >= checkInterval {
+		isBroken := !s.crashed && !s.isUp && s.checkedAt.Before(s.at) && now.Sub(s.at) >= checkDelay
+		isSilent := !s.crashed && s.isSilent && now.Sub(s.at) >= maxSoundSilence
+
+		if (isBroken || isSilent) && now.Sub(s.checkedAt) >= checkInterval {
 			s.checkedAt = now
 			due = append(due, s)
 		}
@@ -188,11 +196,18 @@
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 
-	down := q.options.IsDown(ctx, failure.instance.Upstream, failure.address)
+	down, silent := q.options.IsDown(ctx, failure.instance.Upstream, failure.address)
 
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
+	if down && silent && !failure.isSilent {
+		// A sound upstream may be silent for a second or so, and it is checked once more then.
+		failure.isSilent = true
+
+		return
+	}
+
 	if down {
 		q.confirmCrash(failure, "takes_no_connection")
 
@@ -200,7 +215,7 @@
 	}
 
 	if !failure.crashed {
-		failure.isUp = true
+		failure.isUp, failure.isSilent = true, false
 		q.counters.Interruptions++
 	}
 }
@@ -224,13 +239,16 @@
 }
 
 // confirmUnlisted marks upstreams as crashed that left the list, or were started again, within confirmWindow after their
-// connections broke; q.mu is held.
+// connections broke, unless they lived on and were drained; q.mu is held.
 func (q *Quarantiner) confirmUnlisted() {
 	now := time.Now()
 
 	for _, s := range q.failures {
 		listed, ok := q.listed.Upstream(s.instance.Upstream)
-		if now.Sub(s.at) <= confirmWindow && (!ok || listed.Born != 0 && s.instance.Born != 0 && listed.Born != s.instance.Born) {
+		isSame := ok && (listed.Born == 0 || s.instance.Born == 0 || listed.Born == s.instance.Born)
+		s.leaves = s.isUp && (s.leaves && !ok || isSame && listed.Draining)
+
+		if now.Sub(s.at) <= confirmWindow && !s.leaves && !isSame {
 			q.confirmCrash(s, "not_listed")
 		}
 	}
