--- a/internal/gateway/dialer/paths.go
+++ b/internal/gateway/dialer/paths.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,8 +14,8 @@
 )
 
 const (
-	// minUnreached is the number of upstreams that must fail in a row, without one that is reached, before this node counts
-	// as cut off from all upstreams.
+	// minUnreached is the number of upstreams that must fail in a row, without one that is reached or answers, before this node
+	// counts as cut off from all upstreams.
 	minUnreached = 3
 	// maxUnreached bounds the upstreams that are remembered for that, and unreachedRetention how long they are.
 	maxUnreached       = 64
@@ -80,8 +81,10 @@
 	mu sync.Mutex
 	// lost holds the upstreams that this node reaches only through peers, by ID.
 	lost map[string]*lostPath
-	// unreached holds the upstreams that were not reached directly since one was, with the time of the last attempt.
+	// unreached holds the upstreams that were not reached directly since one was or answered, with the time of the last attempt.
 	unreached map[string]time.Time
+	// hasUnreached is true if unreached has entries. It is read without the lock.
+	hasUnreached atomic.Bool
 	// avoided holds peers that could not help, with the time until which others are preferred.
 	avoided map[string]time.Time
 	// down holds the upstreams that this node and a peer in touch did not reach, with the time until which peers aren't asked for them.
@@ -100,14 +103,6 @@
 	peer string
 }
 
-// breakCheck is a check of the paths to an upstream after an exchange broke.
-type breakCheck struct {
-	started time.Time
-	// done is closed when lost is set.
-	done chan struct{}
-	lost bool
-}
-
 func newPaths() *paths {
 	return &paths{
 		logger:    zerolog.Nop(),
@@ -156,12 +151,13 @@
 	if !reached {
 		if _, known := p.unreached[id]; known || len(p.unreached) < maxUnreached {
 			p.unreached[id] = time.Now()
+			p.hasUnreached.Store(true)
 		}
 
 		return false
 	}
 
-	clear(p.unreached)
+	p.clearUnreached()
 	delete(p.down, id)
 
 	path := p.lost[id]
@@ -176,6 +172,25 @@
 	return true
 }
 
+// recordAnswer records that an upstream answered on a direct connection: this node isn't cut off from all of them, even if it opens no
+// new connection to one that lives.
+func (p *paths) recordAnswer() {
+	if !p.hasUnreached.Load() {
+		return
+	}
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.clearUnreached()
+}
+
+// clearUnreached records that this node reaches an upstream; p.mu is held.
+func (p *paths) clearUnreached() {
+	clear(p.unreached)
+	p.hasUnreached.Store(false)
+}
+
 // recordTunnel records that a peer reached the upstream, and reports whether this node lost its own path with that. reason
 // is why this node doesn't reach it.
 func (p *paths) recordTunnel(upstream Upstream, peer string, reason error) bool {
@@ -346,30 +361,6 @@
 	}
 }
 
-// startBreakCheck returns the check that applies to an exchange that broke now, and true if the caller is to carry it out.
-func (p *paths) startBreakCheck(id string, now time.Time) (*breakCheck, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	if check := p.broken[id]; check != nil && (!check.isDone() || now.Sub(check.started) < breakCheckInterval) {
-		return check, false
-	}
-
-	check := &breakCheck{started: now, done: make(chan struct{})}
-	p.broken[id] = check
-
-	return check, true
-}
-
-func (c *breakCheck) isDone() bool {
-	select {
-	case <-c.done:
-		return true
-	default:
-		return false
-	}
-}
-
 func (p *paths) snapshot() PathCounters {
 	p.mu.Lock()
 	defer p.mu.Unlock()
