Acceptor: a planned stop accepts the connections that wait before it closes the listener

Cause: Shutdown closed the listener at once. The system resets what waits in its backlog, with the whole requests that lie there.

Shutdown waits for the second look, so that silent connections are closed when it returns, as before. The server's closes are left to the reaper only while keep-alive is being turned off.

--- a/internal/gateway/acceptor/acceptor.go
+++ b/internal/gateway/acceptor/acceptor.go
@@ -72,7 +72,7 @@
 	overdue                *list.List
 	idleLimit, headerLimit limit
 	// listener is that of Serve; nil before.
-	listener net.Listener
+	listener *trackingListener
 	// isStopping is true from Shutdown on: connections may no longer be idle.
 	isStopping bool
 	// isSweeping is true while the server closes the connections that it takes for idle. They stay open.
@@ -184,7 +184,7 @@
 	}
 	server.ConnState = a.trackState
 
-	tracking := &trackingListener{Listener: listener, acceptor: a, close: sync.OnceValue(listener.Close)}
+	tracking := newTrackingListener(listener, a)
 
 	a.mu.Lock()
 	a.listener = tracking
@@ -229,29 +229,6 @@
 // connectionContextKey is the key of a request's connection in its context.
 type connectionContextKey struct{}
 
-// trackingListener wraps the connections of a listener so that the acceptor can track them.
-type trackingListener struct {
-	net.Listener
-	acceptor *Acceptor
-	// close closes the listener once.
-	close func() error
-}
-
-// Close implements net.Listener. Both Shutdown and the server call it.
-func (w *trackingListener) Close() error {
-	return w.close()
-}
-
-// Accept implements net.Listener.
-func (w *trackingListener) Accept() (net.Conn, error) {
-	c, err := w.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-
-	return &connection{Conn: c, acceptor: w.acceptor, phase: active, headMemory: headreader.NewReservation(w.acceptor.headMemory)}, nil
-}
-
 // trackState is the ConnState hook of the server.
 func (a *Acceptor) trackState(raw net.Conn, state http.ConnState) {
 	c, ok := raw.(*connection)
--- a/internal/gateway/acceptor/reaper.go
+++ b/internal/gateway/acceptor/reaper.go
@@ -105,8 +105,8 @@
 			}
 
 			late := a.isCallerLate(c)
-			// At the first look after a pause, the server may have taken bytes that it hasn't recorded yet.
-			isFirstLook := c.queue != a.overdue && !a.isStopping
+			// At the first look, the server may have taken bytes that it hasn't recorded yet.
+			isFirstLook := c.queue != a.overdue
 
 			if isFirstLook || !late && c.busyLooks < maxBusyLooks {
 				a.postpone(c, now, late)
--- a/internal/gateway/acceptor/shutdown.go
+++ b/internal/gateway/acceptor/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 )
 
 // Close implements net.Conn.
@@ -23,29 +24,36 @@
 	return a.isSweeping && isTracked
 }
 
-// Shutdown closes the listener and each idle connection, once what its caller has sent was read. Other connections are closed after their
-// answers, for which it doesn't wait.
+// Shutdown accepts the connections that wait and closes the listener, then each idle connection, once what its caller has sent was read.
+// Other connections are closed after their answers, for which it doesn't wait.
 //
 // http.Server.Shutdown takes connections for idle whose request lies unread or has been read in part, and drops requests that are read
 // later.
 func (a *Acceptor) Shutdown(server *http.Server) {
 	a.mu.Lock()
-	a.isStopping, a.isSweeping = true, true
+	a.isStopping = true
 	listener := a.listener
 	a.mu.Unlock()
 
 	if listener != nil {
-		_ = listener.Close()
+		listener.drain()
 	}
 
 	// Answers say from now on that their connection ends. The server also closes the connections that it takes for idle.
+	a.setSweeping(true)
 	server.SetKeepAlivesEnabled(false)
+	a.setSweeping(false)
 
+	a.reap()
+	time.Sleep(judgeInterval)
+	a.reap()
+}
+
+func (a *Acceptor) setSweeping(sweeping bool) {
 	a.mu.Lock()
-	a.isSweeping = false
-	a.mu.Unlock()
+	defer a.mu.Unlock()
 
-	a.reap()
+	a.isSweeping = sweeping
 }
 
 // Close closes all connections, also those that the server no longer knows after Shutdown.
--- a/internal/gateway/acceptor/shutdown_test.go
+++ b/internal/gateway/acceptor/shutdown_test.go
@@ -1,8 +1,11 @@
 package acceptor_test
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,3 +76,60 @@
 
 	return nil
 }
+
+// starvedListener is the listener of a process that accepts nothing before it is about to stop.
+type starvedListener struct {
+	*net.TCPListener
+	stopping chan struct{}
+	stop     func()
+}
+
+func (s *starvedListener) Accept() (net.Conn, error) {
+	<-s.stopping
+
+	return s.TCPListener.Accept()
+}
+
+func (s *starvedListener) SetDeadline(at time.Time) error {
+	defer s.stop()
+
+	return s.TCPListener.SetDeadline(at)
+}
+
+func (s *starvedListener) Close() error {
+	defer s.stop()
+
+	return s.TCPListener.Close()
+}
+
+// Guards against a planned stop that resets connections which wait to be accepted, with the requests that their callers have sent.
+func TestShutdownAcceptsWhatWaits(t *testing.T) {
+	socket, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+
+	stopping := make(chan struct{})
+	listener := &starvedListener{TCPListener: socket, stopping: stopping, stop: sync.OnceFunc(func() { close(stopping) })}
+	timeouts := acceptor.Timeouts{Header: headerTimeout, Idle: time.Hour}
+	a := acceptor.New(10, func() acceptor.Timeouts { return timeouts }, headreader.NewMemory(1<<20))
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ReadHeaderTimeout: time.Minute}
+	ended := make(chan error, 1)
+
+	caller, err := net.Dial("tcp", socket.Addr().String())
+	assert.NilError(t, err)
+
+	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+
+	go func() { ended <- a.Serve(server, listener) }()
+
+	for !a.IsServing() {
+		runtime.Gosched()
+	}
+
+	a.Shutdown(server)
+	assert.Check(t, exchange(caller, 0))
+	assert.Check(t, is.ErrorIs(<-ended, http.ErrServerClosed))
+
+	a.Close()
+	assert.Check(t, server.Close())
+}
