--- a/internal/gateway/cataloguer/departures.go
+++ b/internal/gateway/cataloguer/departures.go
@@ -81,17 +81,7 @@
 		return false
 	}
 
-	if found.listedAgainAt < 0 {
-		if now-found.at > departureRetention {
-			return false
-		}
-
-		found.listedAgainAt = now
-		d.byID.Add(upstream.ID, found)
-		d.held[upstream.ID] = true
-	}
-
-	return found.Draining || now-found.listedAgainAt < departureHold
+	return d.hold(now, upstream.ID, &found) && (found.Draining || now-found.listedAgainAt < departureHold)
 }
 
 // isRetainedByPeer reports whether an upstream that a peer lists at a position, and that this node doesn't, is one that the peer retains
@@ -102,17 +92,25 @@
 		return false
 	}
 
-	if found.listedAgainAt < 0 {
-		if now-found.at > departureRetention {
-			return false
-		}
+	return d.hold(now, upstream.ID, &found) && now-found.listedAgainAt < OutageGracePeriod
+}
 
-		found.listedAgainAt = now
-		d.byID.Add(upstream.ID, found)
-		d.held[upstream.ID] = true
+// hold records that a departed upstream is listed again, unless that was recorded before. It returns false if the departure is too old to
+// hold it back.
+func (d *departures) hold(now time.Duration, id string, found *departure) bool {
+	if found.listedAgainAt >= 0 {
+		return true
 	}
 
-	return now-found.listedAgainAt < OutageGracePeriod
+	if now-found.at > departureRetention {
+		return false
+	}
+
+	found.listedAgainAt = now
+	d.byID.Add(id, *found)
+	d.held[id] = true
+
+	return true
 }
 
 // hasLeftSince reports whether this run of an upstream is known to have been removed after a position at which it was listed.
