Gateway tests: entries are expected in the order of their addresses

Its addresses come from the process ID; for one ID in 64 they are ...9 and ...10, which the entries hold in the order of texts, and the test waited for the other order for ever. It is as strict as before: both addresses, in the order that the node gives them.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -304,7 +304,9 @@
 	first, stopFirst, firstEnded := startWithEntries(t, s, 1)
 	second, stopSecond, secondEnded := startWithEntries(t, s, 2)
 
-	both := fmt.Sprintf(`["%s","%s"]`, first.Node.Advertise, second.Node.Advertise)
+	// Entries are in the order of their addresses.
+	addresses := slices.Sorted(slices.Values([]string{first.Node.Advertise, second.Node.Advertise}))
+	both := fmt.Sprintf(`["%s","%s"]`, addresses[0], addresses[1])
 	waitUntil(t, func() bool {
 		_, entries, _ := get(first.Gateway.EntriesListen, "/entries")
 		_, others, _ := get(second.Gateway.EntriesListen, "/entries")
