--- a/internal/gateway/acceptor/acceptor.go
+++ b/internal/gateway/acceptor/acceptor.go
@@ -67,8 +67,8 @@
 	connections map[*connection]struct{}
 	// idle and headers hold the connections in the phases idle and readingHeader, the longest in its phase first.
 	idle, headers *list.List
-	// overdue holds the connections of both phases that exceeded their timeout while the server had not read what their callers had sent,
-	// the one that is judged first at the front.
+	// overdue holds the connections of both phases that exceeded their timeout and are looked at again before they are closed, the one
+	// that is judged first at the front.
 	overdue                *list.List
 	idleLimit, headerLimit limit
 	// listener is that of Serve; nil before.
