Usage: logs tell who closed a window, with which counts, and which account of the store holds it

Closing, sending and reading the account now name a hash of the counts, the node that closed the window, and the era and revision of the account; an account that is behind the one that this node knew is a warning. No change of what is reported.

--- a/internal/gateway/collector/account.go
+++ b/internal/gateway/collector/account.go
@@ -1,10 +1,14 @@
 package collector
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"quincepath.example/quincepath/internal/gateway/tallier"
 )
 
@@ -23,6 +27,30 @@
 	Counts map[string]int64 `json:"counts,omitempty"`
 	// Reported is true once the platform has accepted the report.
 	Reported bool `json:"sent,omitempty"`
+	// ClosedBy is the node that closed the window; empty if a node of an earlier release did.
+	ClosedBy string `json:"closed_by,omitempty"`
+}
+
+// Fingerprint returns a hash of the counts, by which two reports of a window can be compared in logs.
+func (r Report) Fingerprint() string {
+	hash := xxhash.New()
+
+	for _, organisation := range slices.Sorted(maps.Keys(r.Counts)) {
+		// A hash never returns an error.
+		_, _ = fmt.Fprintf(hash, "%q:%d ", organisation, r.Counts[organisation])
+	}
+
+	return strconv.FormatUint(hash.Sum64(), 16)
+}
+
+// Requests returns the number of requests in the report.
+func (r Report) Requests() int64 {
+	var requests int64
+	for _, n := range r.Counts {
+		requests += n
+	}
+
+	return requests
 }
 
 // account holds what was collected and reported. It is stored as a single value and replaced only by compare-and-swap, so
@@ -105,13 +133,13 @@
 }
 
 // closeNextWindow closes the first open window and adds its report.
-func (a *account) closeNextWindow() {
+func (a *account) closeNextWindow(closedBy string) {
 	counts := a.OpenWindows[a.NextWindow]
 	if counts == nil {
 		counts = make(map[string]int64)
 	}
 
-	a.Reports = append(a.Reports, Report{Window: a.NextWindow, Counts: counts})
+	a.Reports = append(a.Reports, Report{Window: a.NextWindow, Counts: counts, ClosedBy: closedBy})
 	delete(a.OpenWindows, a.NextWindow)
 	a.NextWindow++
 
--- a/internal/gateway/collector/collector.go
+++ b/internal/gateway/collector/collector.go
@@ -45,6 +45,8 @@
 
 // Options configures a Collector; all fields are required.
 type Options struct {
+	// Node is the name of this node, for the reports of the windows that it closes.
+	Node  string
 	Store Store
 	// Window is the length of a window. ReportDeadline is how long after the end of a window its report is due.
 	Window, ReportDeadline time.Duration
@@ -91,25 +93,39 @@
 	}
 }
 
+// LoadResult describes an account that was read.
+type LoadResult struct {
+	// Position is that of the account in the store.
+	Position storer.Position
+	// NextWindow is the first window that the account doesn't hold as closed; 0 if there is no account. KnownNextWindow is that of
+	// the account that this process last stored or read; a higher one means that the store has lost the account.
+	NextWindow, KnownNextWindow int64
+}
+
 // Load reads the account. Nodes repeat what was collected but not saved. If the store returned from an older copy and nobody has written
 // the account since, the one that this node stored before is written again.
-func (c *Collector) Load(ctx context.Context) error {
+func (c *Collector) Load(ctx context.Context) (LoadResult, error) {
 	found, _, err := c.options.Store.Get(ctx, accountKey)
 	if err != nil {
-		return err
+		return LoadResult{}, err
 	}
 
 	decoded := newAccount()
 
 	if found.Version > 0 {
 		if err := json.Unmarshal(found.Value, &decoded); err != nil {
-			return errors.Wrap(err, "decode the usage account")
+			return LoadResult{}, errors.Wrap(err, "decode the usage account")
 		}
 	}
 
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
+	result := LoadResult{
+		Position:   storer.Position{Era: found.Era, Revision: found.ModRevision},
+		NextWindow: decoded.NextWindow, KnownNextWindow: c.stored.NextWindow,
+	}
+
 	hasLost := found.Era > c.era && c.stored.isAheadOf(&decoded)
 
 	current := decoded.clone()
@@ -132,7 +148,7 @@
 		}
 	}
 
-	return nil
+	return result, nil
 }
 
 // CollectParams returns the parameters of the next collection from a node.
@@ -187,15 +203,18 @@
 	}
 }
 
-// CloseWindows closes the windows for which all counts are known or the maximum wait is over.
-func (c *Collector) CloseWindows() {
+// CloseWindows closes the windows for which all counts are known or the maximum wait is over, and returns their reports. They must not be
+// sent before Save has stored them.
+func (c *Collector) CloseWindows() []Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
 	if !c.hasOffset || !c.loaded {
-		return
+		return nil
 	}
 
+	var closed []Report
+
 	now := c.options.Now()
 	trueTime := now + c.offset
 
@@ -213,9 +232,12 @@
 			break
 		}
 
-		c.current.closeNextWindow()
+		c.current.closeNextWindow(c.options.Node)
+		closed = append(closed, c.current.Reports[len(c.current.Reports)-1])
 		c.dirty = true
 	}
+
+	return closed
 }
 
 // isWaitingLocked reports whether a node that may hold counts has not answered a request made at since or later; c.mu must be
@@ -311,6 +333,14 @@
 	}
 }
 
+// Position returns the position of the account in the store, as it was last read or written.
+func (c *Collector) Position() storer.Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return storer.Position{Era: c.era, Revision: c.revision}
+}
+
 // Loaded reports whether the account has been read.
 func (c *Collector) Loaded() bool {
 	c.mu.Lock()
--- a/internal/gateway/collector/collector_test.go
+++ b/internal/gateway/collector/collector_test.go
@@ -46,7 +46,8 @@
 	c := collector.New(collector.Options{
 		Store: keeper.NewLocal(f.store, nil), Window: window, ReportDeadline: due, Now: func() time.Duration { return f.now },
 	})
-	assert.NilError(t, c.Load(t.Context()))
+	_, err := c.Load(t.Context())
+	assert.NilError(t, err)
 
 	return c
 }
@@ -100,7 +101,8 @@
 	assert.Equal(t, len(other.PendingReports()), 0)
 	assert.NilError(t, f.round(t, one, "a", "b"))
 
-	assert.NilError(t, other.Load(t.Context()))
+	_, err := other.Load(t.Context())
+	assert.NilError(t, err)
 	assert.DeepEqual(t, other.PendingReports(), one.PendingReports())
 	assert.DeepEqual(t, one.PendingReports(), []collector.Report{{Window: first, Counts: map[string]int64{"salon": 2}}})
 }
--- a/internal/gateway/leader/leader.go
+++ b/internal/gateway/leader/leader.go
@@ -107,7 +107,7 @@
 			CallTimeout: storeTimeout, Now: options.Now,
 		}),
 		usage: collector.New(collector.Options{
-			Store: options.Store, Window: options.Window, ReportDeadline: options.ReportDeadline, Now: options.Now,
+			Node: options.Node, Store: options.Store, Window: options.Window, ReportDeadline: options.ReportDeadline, Now: options.Now,
 		}),
 		limit: rate.NewLimiter(rate.Limit(options.CallsPerSecond*rateShare), 1),
 	}
--- a/internal/gateway/leader/usage.go
+++ b/internal/gateway/leader/usage.go
@@ -6,7 +6,9 @@
 
 	"github.com/alitto/pond/v2"
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
+	"quincepath.example/quincepath/internal/gateway/collector"
 	"quincepath.example/quincepath/internal/gateway/tallier"
 	"quincepath.example/quincepath/internal/sleeper"
 )
@@ -40,15 +42,16 @@
 
 func (l *Leader) collectAndReport(ctx context.Context, t *activeTerm) {
 	if !l.usage.Loaded() {
-		if err := l.withStoreTimeout(ctx, l.usage.Load); err != nil {
-			l.options.Logger.Warn().Err(err).Msg("usage_not_read")
-		}
+		l.loadUsage(ctx, t)
 	}
 
 	nodes := l.options.Nodes()
 	l.collectFromAll(ctx, nodes)
 	l.usage.UpdateTime(len(nodes))
-	l.usage.CloseWindows()
+
+	for _, report := range l.usage.CloseWindows() {
+		l.describe(l.options.Logger.Info(), t, report).Msg("usage_window_closed")
+	}
 
 	if err := l.withStoreTimeout(ctx, l.usage.Save); err != nil {
 		l.options.Logger.Warn().Err(err).Msg("usage_not_kept")
@@ -60,16 +63,48 @@
 		})
 		if err != nil {
 			if !errors.Is(err, errCallNotAllowed) {
-				l.options.Logger.Warn().Err(err).Int64("window", report.Window).Msg("usage_not_reported")
+				l.describe(l.options.Logger.Warn().Err(err), t, report).Msg("usage_not_reported")
 			}
 
 			return
 		}
 
 		l.usage.MarkReported(report.Window)
-		l.options.Logger.Info().Int64("window", report.Window).Int("organisations", len(report.Counts)).
-			Int64("number", t.Number).Msg("usage_reported")
+		l.describe(l.options.Logger.Info(), t, report).Msg("usage_reported")
+	}
+}
+
+// loadUsage reads the account.
+func (l *Leader) loadUsage(ctx context.Context, t *activeTerm) {
+	var loaded collector.LoadResult
+
+	err := l.withStoreTimeout(ctx, func(ctx context.Context) (err error) {
+		loaded, err = l.usage.Load(ctx)
+
+		return err
+	})
+	if err != nil {
+		l.options.Logger.Warn().Err(err).Msg("usage_not_read")
+
+		return
+	}
+
+	event := l.options.Logger.Info()
+	if loaded.NextWindow < loaded.KnownNextWindow {
+		event = l.options.Logger.Warn()
 	}
+
+	event.Int64("store_era", loaded.Position.Era).Int64("store_revision", loaded.Position.Revision).Int64("next_window", loaded.NextWindow).
+		Int64("known_next_window", loaded.KnownNextWindow).Int64("number", t.Number).Msg("usage_read")
+}
+
+// describe adds to an event what tells two reports of a window apart: the counts, who closed it, and the account that has it.
+func (l *Leader) describe(event *zerolog.Event, t *activeTerm, report collector.Report) *zerolog.Event {
+	position := l.usage.Position()
+
+	return event.Int64("window", report.Window).Int("organisations", len(report.Counts)).Int64("requests", report.Requests()).
+		Str("counts_hash", report.Fingerprint()).Str("closed_by", report.ClosedBy).Int64("store_era", position.Era).
+		Int64("store_revision", position.Revision).Int64("number", t.Number)
 }
 
 func (l *Leader) withStoreTimeout(ctx context.Context, do func(ctx context.Context) error) error {
