Keeper: the stand-in of the store returns from a copy, in an era of its own

Tests of decisions in virtual time had no store that loses what it has acknowledged; only the emulator with its network calls did. Reads, transactions and leases follow what the platform's adapter does with eras. Without StoreOptions.NamesEras nothing changes.

--- a/internal/standin/keeper/leases.go
+++ b/internal/standin/keeper/leases.go
@@ -31,10 +31,7 @@
 	if s.leases[id] != nil {
 		return 0, refuse(storer.StatusFailedPrecondition, "etcdserver: lease already exists")
 	}
-	length := time.Duration(seconds) * time.Second
-	l := &lease{seconds: seconds, expires: time.Now().Add(length), keys: map[string]struct{}{}}
-	l.timer = time.AfterFunc(length, func() { s.expire(id, l) })
-	s.leases[id] = l
+	s.startLease(id, seconds)
 
 	return id, nil
 }
--- a/internal/standin/keeper/local.go
+++ b/internal/standin/keeper/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -65,15 +66,18 @@
 type Local struct {
 	store  *Store
 	faults Faults
+	eras   storer.Eras
 
 	mu    sync.Mutex
 	calls int
+	// leaseEras maps leases to the eras in which they were granted. In a later one the same lease may be another node's.
+	leaseEras map[int64]int64
 }
 
 // NewLocal returns a Local on the store; nil faults mean none. Several Locals may share a store,
 // one for each node of a test.
 func NewLocal(store *Store, faults Faults) *Local {
-	return &Local{store: store, faults: faults}
+	return &Local{store: store, faults: faults, leaseEras: make(map[int64]int64)}
 }
 
 func (l *Local) judge(ctx context.Context, call Call) Verdict {
@@ -91,6 +95,8 @@
 type reply[T any] struct {
 	value T
 	err   error
+	// era is the era of the store in which the call was carried out.
+	era int64
 }
 
 func perform[T any](ctx context.Context, l *Local, call Call, apply func() (T, error)) (T, error) {
@@ -103,31 +109,33 @@
 		return none, storer.NotApplied(err)
 	}
 	if verdict.DelayBefore == 0 && verdict.DelayAfter == 0 {
-		done := carry(verdict, call, apply)
-		return done.value, done.err
+		return observe(l, carry(l.store, verdict, call, apply), call)
 	}
 	replies := make(chan reply[T], 1)
 	go func() {
 		time.Sleep(verdict.DelayBefore)
-		done := carry(verdict, call, apply)
+		done := carry(l.store, verdict, call, apply)
 		time.Sleep(verdict.DelayAfter)
 		replies <- done
 	}()
 	select {
 	case done := <-replies:
-		return done.value, done.err
+		return observe(l, done, call)
 	case <-ctx.Done():
 		return none, lost(call, ctx.Err())
 	}
 }
 
-func carry[T any](verdict Verdict, call Call, apply func() (T, error)) reply[T] {
+func carry[T any](store *Store, verdict Verdict, call Call, apply func() (T, error)) reply[T] {
 	var done reply[T]
 	if verdict.LoseRequest {
 		done.err = lost(call, errConnection)
 		return done
 	}
+	store.returning.RLock()
 	value, err := apply()
+	era := store.Era()
+	store.returning.RUnlock()
 	if verdict.LoseReply {
 		done.err = lost(call, errConnection)
 		return done
@@ -137,7 +145,19 @@
 		err = storer.FromStatus(status.Code, status.Message, call.Write)
 	}
 
-	return reply[T]{value: value, err: err}
+	return reply[T]{value: value, err: err, era: era}
+}
+
+// observe returns a reply, or an error if it is of an earlier era than another one.
+func observe[T any](l *Local, done reply[T], call Call) (T, error) {
+	if done.era == 0 {
+		return done.value, done.err
+	}
+	if _, err := l.eras.Observe(strconv.FormatInt(done.era, 10)); err != nil {
+		return done.value, lost(call, err)
+	}
+
+	return done.value, done.err
 }
 
 func lost(call Call, cause error) error {
@@ -151,12 +171,13 @@
 type located struct {
 	found    []storer.KeyValue
 	revision int64
+	era      int64
 }
 
 func (l *Local) read(ctx context.Context, call Call, q Query) (located, error) {
 	return perform(ctx, l, call, func() (located, error) {
 		result, revision, err := l.store.Range(q)
-		return located{result.KeyValues, revision}, err
+		return located{result.KeyValues, revision, l.store.Era()}, err
 	})
 }
 
@@ -164,10 +185,12 @@
 func (l *Local) Get(ctx context.Context, key string) (storer.KeyValue, int64, error) {
 	got, err := l.read(ctx, Call{Kind: CallGet, Key: key}, Query{Key: key})
 	if err != nil || len(got.found) == 0 {
-		return storer.KeyValue{}, got.revision, err
+		return storer.KeyValue{Era: got.era}, got.revision, err
 	}
+	found := got.found[0]
+	found.Era = got.era
 
-	return got.found[0], got.revision, nil
+	return found, got.revision, nil
 }
 
 // List does what List of connector.Client does.
@@ -193,11 +216,21 @@
 	})
 }
 
-// Txn does what Txn of connector.Client does.
+// Txn does what Txn of connector.Client does. In a store that names eras, it does what platform.DutyStore does.
 func (l *Local) Txn(ctx context.Context, t storer.Txn) (storer.TxnResult, error) {
-	return perform(ctx, l, Call{Kind: CallTxn, Key: firstKey(t), Write: true, Txn: t}, func() (storer.TxnResult, error) {
+	if t.Era != l.eras.Latest() {
+		return storer.TxnResult{}, nil
+	}
+	era := t.Era
+	result, err := perform(ctx, l, Call{Kind: CallTxn, Key: firstKey(t), Write: true, Txn: t}, func() (storer.TxnResult, error) {
+		era = l.store.Era()
 		return l.store.Txn(t)
 	})
+	if err == nil && era != t.Era {
+		return storer.TxnResult{}, storer.Unknown(storer.ErrEraChanged)
+	}
+
+	return result, err
 }
 
 func firstKey(t storer.Txn) string {
@@ -213,25 +246,57 @@
 
 // Grant does what Grant of connector.Client does.
 func (l *Local) Grant(ctx context.Context, length time.Duration) (int64, error) {
-	return perform(ctx, l, Call{Kind: CallGrant, Write: true}, func() (int64, error) {
-		return l.store.Grant(0, storer.LeaseSeconds(length))
+	got, err := perform(ctx, l, Call{Kind: CallGrant, Write: true}, func() (grantedLease, error) {
+		id, err := l.store.Grant(0, storer.LeaseSeconds(length))
+		return grantedLease{id: id, era: l.store.Era()}, err
 	})
+	if err == nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.leaseEras[got.id] = got.era
+	}
+
+	return got.id, err
+}
+
+type grantedLease struct {
+	id, era int64
 }
 
-// KeepAlive does what KeepAlive of connector.Client does.
+// isLost reports whether the store has begun a new era since it granted a lease.
+func (l *Local) isLost(lease int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.leaseEras[lease] != l.eras.Latest()
+}
+
+// KeepAlive does what KeepAlive of connector.Client does. In a store that names eras, it does what platform.DutyStore does.
 func (l *Local) KeepAlive(ctx context.Context, lease int64) (time.Duration, error) {
-	return perform(ctx, l, Call{Kind: CallKeepAlive, Write: true}, func() (time.Duration, error) {
+	length, err := perform(ctx, l, Call{Kind: CallKeepAlive, Write: true}, func() (time.Duration, error) {
 		seconds := l.store.KeepAlive(lease)
 		if seconds == 0 {
 			return 0, refuse(storer.StatusNotFound, "the lease has ended")
 		}
 		return time.Duration(seconds) * time.Second, nil
 	})
+	if l.eras.Latest() > 0 && l.isLost(lease) {
+		return 0, storer.FromStatus(storer.StatusNotFound, storer.ErrEraChanged.Error(), true)
+	}
+
+	return length, err
 }
 
-// Revoke does what Revoke of connector.Client does.
+// Revoke does what Revoke of connector.Client does. In a store that names eras, it ends no lease of an earlier one.
 func (l *Local) Revoke(ctx context.Context, lease int64) error {
 	_, err := perform(ctx, l, Call{Kind: CallRevoke, Write: true}, func() (int64, error) {
+		if era := l.store.Era(); era > 0 {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			if l.leaseEras[lease] != era {
+				return 0, refuse(storer.StatusNotFound, storer.ErrEraChanged.Error())
+			}
+		}
 		return l.store.Revoke(lease)
 	})
 
--- a/internal/standin/keeper/store.go
+++ b/internal/standin/keeper/store.go
@@ -48,6 +48,8 @@
 	HistoryBytes int
 	// VMLag is the time after which a list of VMs set is seen.
 	VMLag time.Duration
+	// NamesEras says that answers name the store's era, from 1 on.
+	NamesEras bool
 }
 
 // record is one change in the history.
@@ -67,8 +69,12 @@
 // All methods are safe for concurrent use; values passed in and out are shared and never changed.
 type Store struct {
 	options StoreOptions
+	// returning is held for reading by calls that name the era in which they were carried out. It is locked before mu.
+	returning sync.RWMutex
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// era counts the returns from a copy; 0 if the store names none.
+	era      int64
 	revision int64
 	// compacted is the oldest revision that can still be read; 0 means all can.
 	compacted int64
@@ -98,8 +104,14 @@
 		options.HistoryBytes = defaultHistoryBytes
 	}
 
+	var era int64
+	if options.NamesEras {
+		era = 1
+	}
+
 	return &Store{
 		options:   options,
+		era:       era,
 		revision:  1,
 		values:    map[string]storer.KeyValue{},
 		leases:    map[int64]*lease{},
@@ -116,6 +128,14 @@
 	return s.revision
 }
 
+// Era returns the store's present era; 0 if it names none.
+func (s *Store) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.era
+}
+
 // Query is a read of one key or of a range.
 type Query struct {
 	Key      string
