--- a/internal/gateway/leader/cluster_test.go
+++ b/internal/gateway/leader/cluster_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -50,6 +52,46 @@
 	// expected counts the requests that started, by window and organisation.
 	expected tallier.Counts
 	group    sync.WaitGroup
+	log      clusterLog
+}
+
+// clusterLog keeps the lines that all processes log. It is safe for concurrent use.
+type clusterLog struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+// Write implements io.Writer.
+func (l *clusterLog) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.lines = append(l.lines, string(line))
+
+	return len(line), nil
+}
+
+// find returns the lines that contain any of the given texts.
+func (l *clusterLog) find(texts ...string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	var found []string
+
+	for _, line := range l.lines {
+		if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) }) {
+			found = append(found, line)
+		}
+	}
+
+	return found
+}
+
+// logger returns the logger of a process, whose lines name the machine and the time since the start.
+func (m *machine) logger() zerolog.Logger {
+	return zerolog.New(&m.log).Hook(zerolog.HookFunc(func(e *zerolog.Event, _ zerolog.Level, _ string) {
+		e.Str("machine", m.name).Dur("at_ms", m.monotonicTime())
+	}))
 }
 
 func newCluster(names ...string) *cluster {
@@ -65,6 +107,11 @@
 	return c
 }
 
+// nameEras makes the store name its eras. It must be called before any machine starts.
+func (c *cluster) nameEras() {
+	c.store = keeper.NewStore(keeper.StoreOptions{NamesEras: true})
+}
+
 // monotonicTime returns the time of the monotonic clock, which is shared by all machines.
 func (c *cluster) monotonicTime() time.Duration { return time.Since(c.startedAt) }
 
@@ -116,7 +163,7 @@
 		State:       func() *cataloguer.State { return state },
 		Lease:       lease, CallsPerSecond: 50, Window: window, ReportDeadline: reportDeadline, Scales: true,
 		Policy: func() (scaler.Policy, bool) { return scaler.Policy{MaxFraction: 1}, true },
-		Now:    m.monotonicTime, Logger: zerolog.Nop(),
+		Now:    m.monotonicTime, Logger: m.logger(),
 	})
 
 	m.mu.Lock()
