Headreader: a head that found no memory for its middle stays ended

Cause: a Reader between Begin and End failed with ErrNoMemory once and read on at the next call, when another head had released its memory. net/http reads heads by bufio.Reader.ReadLine, which drops an error that comes behind a part of a line and reads again. If the memory was short right at the end of a line, the CRLF that came next was the empty line, the end of the head: Content-Length or Transfer-Encoding became part of the body, and the answer ended with its connection. At any other place a line was torn in two.

Change: the first failure of a head, of the bounds or of the connection, is that of all reads until the next Begin. The caller's side (acceptor) keeps a refused connection at its end already.

Evidence: TestHeadWithoutMemoryForItsMiddleIsNotWhole failed before: status 200, length -1, body "Content-Length: 6\r\n\r\nanswer".

--- a/internal/headreader/headreader.go
+++ b/internal/headreader/headreader.go
@@ -105,6 +105,8 @@
 	inHead      bool
 	read        int
 	reservation Reservation
+	// failure ends the current head; nil while it may go on. It is kept, since a reader that got a part of a line reads on after an error.
+	failure error
 }
 
 // New returns a reader of heads of at most maxBytes, which share the memory with others.
@@ -115,7 +117,7 @@
 // Begin says that a head follows, and releases the memory of the one before.
 func (r *Reader) Begin() {
 	r.reservation.Release()
-	r.inHead, r.read = true, 0
+	r.inHead, r.read, r.failure = true, 0, nil
 }
 
 // End says that the head has been read. Its memory stays reserved.
@@ -135,6 +137,10 @@
 		return r.source.Read(p)
 	}
 
+	if r.failure != nil {
+		return 0, r.failure
+	}
+
 	p = p[:min(len(p), r.maxBytes-r.read)]
 	memory := r.reservation.memory
 
@@ -144,18 +150,21 @@
 
 	if len(p) == 0 {
 		memory.tooLong.Add(1)
+		r.failure = ErrTooLong
 
-		return 0, ErrTooLong
+		return 0, r.failure
 	}
 
 	if !r.reservation.Grow(r.read + len(p)) {
 		memory.refused.Add(1)
+		r.failure = ErrNoMemory
 
-		return 0, ErrNoMemory
+		return 0, r.failure
 	}
 
 	n, err := r.source.Read(p)
 	r.read += n
+	r.failure = err
 
 	return n, err
 }
--- a/internal/headreader/headreader_test.go
+++ b/internal/headreader/headreader_test.go
@@ -115,3 +115,45 @@
 	assert.NilError(t, err)
 	assert.NilError(t, response.Body.Close())
 }
+
+// yielding returns the memory of another head once a reader found none.
+type yielding struct {
+	*headreader.Reader
+	other *headreader.Reader
+}
+
+// Read implements io.Reader.
+func (y yielding) Read(p []byte) (int, error) {
+	n, err := y.Reader.Read(p)
+	if errors.Is(err, headreader.ErrNoMemory) {
+		y.other.Release()
+	}
+
+	return n, err
+}
+
+// Guards against a head that found no memory for its middle passing for one that ends there: net/http reads on after an error behind a
+// part of a line, and takes the end of the line for the end of the head.
+func TestHeadWithoutMemoryForItsMiddleIsNotWhole(t *testing.T) {
+	memory := headreader.NewMemory(4 * (headreader.MaxBytes - headreader.FreeBytes))
+	other := headreader.New(endless{}, headreader.MaxBytes, memory)
+	other.Begin()
+
+	_, err := io.Copy(io.Discard, other)
+	assert.ErrorIs(t, err, headreader.ErrTooLong)
+
+	begin := "HTTP/1.1 200 OK\r\nX-A: "
+	begin += strings.Repeat("a", headreader.FreeBytes-len(begin))
+	reader := headreader.New(strings.NewReader(begin+"\r\nContent-Length: 6\r\n\r\nanswer"), headreader.MaxBytes, memory)
+	reader.Begin()
+
+	response, err := http.ReadResponse(bufio.NewReaderSize(yielding{Reader: reader, other: other}, headreader.FreeBytes), nil)
+	if err == nil {
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		t.Fatalf("status %d, length %d, body %q", response.StatusCode, response.ContentLength, body)
+	}
+
+	assert.ErrorIs(t, err, headreader.ErrNoMemory)
+	assert.Equal(t, memory.Counters().NoMemory, int64(1))
+}
