--- a/internal/gateway/tunneler/tunneler_test.go
+++ b/internal/gateway/tunneler/tunneler_test.go
@@ -192,6 +192,45 @@
 	}
 }
 
+// Guards against a peer that takes a reset of the upstream for its close, as the error went to the write of the request: a response without
+// a length would look complete to the node.
+func TestResetWhileTheRequestIsCarriedIsNoClose(t *testing.T) {
+	const begin, tries = "ans", 100
+
+	reset := make(chan struct{})
+	upstream := startUpstream(t, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, begin)
+		<-reset
+		_, _ = conn.SetLinger(0), conn.Close()
+	})
+
+	o := options(upstream)
+	o.Dial = dialer.New(2 * tries).OpenForPeer
+	c := startCarrier(t, o)
+	request := bytes.Repeat([]byte("x"), 16<<20)
+	clean := 0
+
+	for range tries {
+		tunnel, err := connect(o, c, upstream)
+		assert.NilError(t, err)
+
+		go func() { _, _ = tunnel.Write(request) }()
+
+		_, err = io.ReadFull(tunnel, make([]byte, len(begin)))
+		assert.NilError(t, err)
+
+		reset <- struct{}{}
+
+		if _, err := io.ReadAll(tunnel); err == nil {
+			clean++
+		}
+
+		assert.NilError(t, tunnel.Close())
+	}
+
+	assert.Equal(t, clean, 0, "of %d tunnels whose upstream reset its connection", tries)
+}
+
 // Guards against an upstream that works on for a caller that is gone: the node closes its end of the tunnel.
 func TestUpstreamConnectionClosesWithTheTunnel(t *testing.T) {
 	closed := make(chan struct{})
