Fencer: a lease whose ID the store granted again isn't kept

Two nodes called the platform side by side under the same term of a lease: where the store returns from an older copy and names no era, it grants the IDs of lost leases again, and a holder that had lost its lease renewed the next holder's one and went on. When it gave up, it revoked the other's lease. With eras, the adapter refuses such a renewal; without, nothing did.

Each renewal is now confirmed by a read of the lease key, which only the holder's attempt has written. A term that lost its lease doesn't revoke it. The orderer of engines, whose store isn't replaced by copies, doesn't ask for the read (TestCallsOfAQuietHour stays as it is). The cost is one read of the store a second for a whole deployment, none where the store names eras.

TestLeaseThatWasGrantedAgainIsNotKept failed before: the lost term hadn't ended after a minute.

--- a/internal/fencer/fencer.go
+++ b/internal/fencer/fencer.go
@@ -31,7 +31,7 @@
 	Revoke(ctx context.Context, lease int64) error
 }
 
-// Options configures a Fencer. All fields but Now are required.
+// Options configures a Fencer. All fields but Now and ConfirmRenewals are required.
 type Options struct {
 	Store Store
 	// Prefix is the prefix of the number key and the lease key; it ends with a slash.
@@ -45,6 +45,9 @@
 	// that was suspended; otherwise the next holder has to wait for the longest possible suspension. By default it is the
 	// process's monotonic clock.
 	Now func() time.Duration
+	// ConfirmRenewals makes each renewal confirm by a read that the lease is still the term's. A store that returns from an older copy and
+	// names no eras may have granted its ID to another holder.
+	ConfirmRenewals bool
 }
 
 // Fencer acquires terms for one process. Its methods are not safe for concurrent use; its terms are.
--- a/internal/fencer/term.go
+++ b/internal/fencer/term.go
@@ -1,6 +1,7 @@
 package fencer
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"time"
@@ -45,6 +46,8 @@
 	// expiresAt is when the term ends by the fencer's clock.
 	expiresAt time.Duration
 	ended     bool
+	// isLost is true once the store has no lease of this term. It may have granted its ID to another holder since.
+	isLost bool
 }
 
 // extend measures the lease from when the call that granted or renewed it was sent. The store starts its measurement later,
@@ -94,11 +97,19 @@
 		case err == nil:
 			t.extend(sentAt)
 		case errors.Is(err, storer.ErrLeaseNotFound):
-			t.End()
+			t.lose()
 		}
 	}
 }
 
+// lose ends the term since its lease is gone.
+func (t *Term) lose() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.ended, t.isLost = true, true
+}
+
 // Ended reports whether the term has ended for good, because End was called or the lease is gone.
 func (t *Term) Ended() bool {
 	t.mu.Lock()
@@ -111,14 +122,31 @@
 	callCtx, cancel := context.WithTimeout(ctx, min(t.fencer.options.CallTimeout, t.length/RenewalsPerLease))
 	defer cancel()
 
-	_, err := t.fencer.options.Store.KeepAlive(callCtx, t.lease)
+	store := t.fencer.options.Store
+
+	_, err := store.KeepAlive(callCtx, t.lease)
+	if err != nil || !t.fencer.options.ConfirmRenewals || t.Era > 0 {
+		return err
+	}
+
+	held, _, err := store.Get(callCtx, LeaseKey(t.fencer.options.Prefix))
+	if err == nil && !bytes.Equal(held.Value, t.LeaseValue) {
+		err = storer.ErrLeaseNotFound
+	}
 
 	return err
 }
 
 // Release ends the term and revokes its lease, even if ctx is done. If the revocation fails, the lease expires.
 func (t *Term) Release(ctx context.Context) {
-	t.End()
+	t.mu.Lock()
+	t.ended = true
+	isLost := t.isLost
+	t.mu.Unlock()
+
+	if isLost {
+		return
+	}
 
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), t.fencer.options.CallTimeout)
 	defer cancel()
--- a/internal/gateway/leader/leader.go
+++ b/internal/gateway/leader/leader.go
@@ -104,7 +104,7 @@
 		options: options,
 		fencer: fencer.New(fencer.Options{
 			Store: options.Store, Node: options.Self, Incarnation: options.Incarnation,
-			CallTimeout: storeTimeout, Now: options.Now,
+			CallTimeout: storeTimeout, Now: options.Now, ConfirmRenewals: true,
 		}),
 		usage: collector.New(collector.Options{
 			Node: options.Node, Store: options.Store, Window: options.Window, ReportDeadline: options.ReportDeadline, Now: options.Now,
