Leader: a fencing number that the store lost isn't sent again

The platform got calls of two machines with the same fence number, and of holders in the order A, B, A, where the store returned from an older copy and named no era: numbers rested on the store's key alone, and numbersPerEra only helps where an era is named.

A number that was sent may not depend on a key that can be lost: - A fencer remembers the highest number that it read, from the lease key too, so each candidate knows the present holder's number within a second. The next one is above it. - Nodes remember the highest number that a collector named (usage.collect, one field each way). A new holder asks them before its first call; where one knows a number of another process that isn't lower, the term ends and the next one begins above it. Nodes of an older release name none. - A read at a lower revision than before, or of a lower number, shows the return: as after a new era, nobody takes the duties for the length of a lease.

Without a return, the first call of a first or continued term waits for one collection, 0.3 s where a node doesn't answer.

One of the rows makes revisions overtake the known ones before anyone reads, so that only numbers show the return.

What remains: a store that names no era and all of whose nodes are killed at once, before any has read the store again. Nobody is left who knows the number.

--- a/internal/fencer/fencer.go
+++ b/internal/fencer/fencer.go
@@ -22,6 +22,7 @@
 
 // Store is the part of the platform's key-value service that terms require. It returns the errors of package storer.
 type Store interface {
+	// Get returns the key and the revision of the store; 0 if that isn't known.
 	Get(ctx context.Context, key string) (storer.KeyValue, int64, error)
 	// Txn is called only with puts and with compares of a modification revision, or of a creation revision with 0. A store
 	// that is used for terms alone need not support anything else.
@@ -61,6 +62,14 @@
 	era       int64
 	eraSince  time.Duration
 	sawReturn bool
+	// revision is the highest revision that the store named in this era.
+	revision int64
+	// highest is the highest number that this process read or claimed. isBehind is true while the store has a lower one.
+	highest  int64
+	isBehind bool
+	// resetAt is when this process last noticed that the store returned without naming another era; valid if sawReset is true.
+	resetAt  time.Duration
+	sawReset bool
 }
 
 // New returns a Fencer. It makes no calls to the store.
@@ -118,8 +127,9 @@
 
 	f.attempts++
 
+	known := max(f.highest, floor)
 	next := leaseRecord{
-		Number:  max(previous.Number, floor, stored.Era*numbersPerEra) + 1,
+		Number:  max(previous.Number, known, stored.Era*numbersPerEra) + 1,
 		Era:     stored.Era,
 		Attempt: fmt.Sprintf("%s.%s.%d", f.options.Node, f.options.Incarnation, f.attempts),
 		LeaseMS: length.Milliseconds(),
@@ -132,8 +142,8 @@
 
 	t := &Term{
 		Number: next.Number, LeaseValue: value, fencer: f, lease: lease, length: length,
-		IsFirst:        previous.Number == 0,
-		IsContinuation: previous.Attempt != "" && previous.Attempt == f.lastAttempt,
+		IsFirst:        max(previous.Number, known) == 0,
+		IsContinuation: previous.Attempt != "" && previous.Attempt == f.lastAttempt && previous.Number >= known,
 		PreviousLease:  time.Duration(previous.LeaseMS) * time.Millisecond,
 		Era:            stored.Era,
 	}
@@ -149,6 +159,7 @@
 	t.Guard = storer.Compare{Key: NumberKey(f.options.Prefix), Target: storer.TargetMod, Number: revision}
 
 	f.lastAttempt = next.Attempt
+	f.observeNumber(next.Number)
 
 	return t, nil
 }
@@ -158,21 +169,44 @@
 	return f.era, f.eraSince
 }
 
-// observeEra records the era in which the store was read.
-func (f *Fencer) observeEra(era int64) {
-	if era != f.era {
+// observePosition records the era and the revision at which the store was read; the revision is 0 if it isn't known. Reads are
+// linearizable and made one after the other, so a lower revision in the same era means that the store returned from an older copy.
+func (f *Fencer) observePosition(era, revision int64) {
+	switch {
+	case era != f.era:
 		f.sawReturn = f.era > 0
-		f.era, f.eraSince = era, f.options.Now()
+		f.era, f.eraSince, f.revision = era, f.options.Now(), revision
+	case revision > 0 && revision < f.revision:
+		f.noteReset()
+		f.revision = revision
+	default:
+		f.revision = max(f.revision, revision)
+	}
+}
+
+// observeNumber records a number that was read or claimed.
+func (f *Fencer) observeNumber(number int64) {
+	switch {
+	case number >= f.highest:
+		f.highest, f.isBehind = number, false
+	case !f.isBehind:
+		f.isBehind = true
+		f.noteReset()
 	}
 }
 
+func (f *Fencer) noteReset() {
+	f.resetAt, f.sawReset = f.options.Now(), true
+}
+
 // mayBeHeld reports whether another holder may have a lease that the store lost when it returned from an older copy. Such a lease ends
-// at most its length after this process first saw the new era. length is that of leases if the previous one isn't known.
+// at most its length after this process first noticed the return. length is that of leases if the previous one isn't known.
 func (f *Fencer) mayBeHeld(previous leaseRecord, length time.Duration) bool {
+	now := f.options.Now()
 	wasHeld := f.sawReturn || previous.Number > 0
 	longest := max(length, time.Duration(previous.LeaseMS)*time.Millisecond)
 
-	return f.era > 0 && previous.Era != f.era && wasHeld && f.options.Now()-f.eraSince < longest
+	return f.era > 0 && previous.Era != f.era && wasHeld && now-f.eraSince < longest || f.sawReset && now-f.resetAt < longest
 }
 
 // readNumber returns the stored fencing number, or ErrLeaseHeld.
@@ -184,21 +218,30 @@
 		return held, previous, err
 	}
 
-	f.observeEra(held.Era)
-
 	if held.Version > 0 {
+		// A holder of another release may write what can't be decoded; the lease is held all the same.
+		if json.Unmarshal(held.Value, &previous) == nil {
+			f.observeNumber(previous.Number)
+		}
+
 		return held, previous, ErrLeaseHeld
 	}
 
 	stored, err := f.get(ctx, NumberKey(f.options.Prefix))
-	if err != nil || stored.Version == 0 {
+	if err != nil {
 		return stored, previous, err
 	}
 
-	// An unreadable number must not be treated as 0, since numbers would be reused.
-	err = json.Unmarshal(stored.Value, &previous)
+	if stored.Version > 0 {
+		// An unreadable number must not be treated as 0, since numbers would be reused.
+		if err := json.Unmarshal(stored.Value, &previous); err != nil {
+			return stored, previous, errors.Wrap(err, "decode the fencing number")
+		}
+	}
+
+	f.observeNumber(previous.Number)
 
-	return stored, previous, errors.Wrap(err, "decode the fencing number")
+	return stored, previous, nil
 }
 
 // claimNumber writes the number and the lease key if the number is unchanged since it was read and no lease is held. It returns the
@@ -259,7 +302,10 @@
 	callCtx, cancel := context.WithTimeout(ctx, f.options.CallTimeout)
 	defer cancel()
 
-	found, _, err := f.options.Store.Get(callCtx, key)
+	found, revision, err := f.options.Store.Get(callCtx, key)
+	if err == nil {
+		f.observePosition(found.Era, revision)
+	}
 
 	return found, err
 }
--- a/internal/fencer/store_return_test.go
+++ b/internal/fencer/store_return_test.go
@@ -39,6 +39,57 @@
 	return term
 }
 
+// Guards against a fencing number that a process uses again though it has read it, since the store lost it and names no era.
+func TestNumbersThatWereReadAreNotUsedAgain(t *testing.T) {
+	store := keeper.NewStore(keeper.StoreOptions{})
+	one, other := newCandidate(store, "one"), newCandidate(store, "other")
+	loss := store.TakeCopy()
+
+	lost := one.acquire(t)
+	assert.Assert(t, lost.IsFirst)
+
+	_, err := other.Acquire(t.Context(), lease, 0)
+	assert.ErrorIs(t, err, fencer.ErrLeaseHeld)
+
+	store.Restore(loss, false)
+
+	// The lost lease may still be in use.
+	_, err = other.Acquire(t.Context(), lease, 0)
+	assert.ErrorIs(t, err, fencer.ErrLeaseHeld)
+
+	other.now += lease
+	next := other.acquire(t)
+	assert.Equal(t, next.Number, lost.Number+1)
+	assert.Assert(t, !next.IsFirst)
+}
+
+// Guards against a term that counts as the continuation of an earlier one of its process, though the store has lost one in between.
+func TestLostTermEndsAContinuation(t *testing.T) {
+	store := keeper.NewStore(keeper.StoreOptions{})
+	one, other := newCandidate(store, "one"), newCandidate(store, "other")
+
+	one.acquire(t).Release(t.Context())
+
+	continued := one.acquire(t)
+	assert.Assert(t, continued.IsContinuation)
+	continued.Release(t.Context())
+
+	loss := store.TakeCopy()
+	lost := other.acquire(t)
+	_, err := one.Acquire(t.Context(), lease, 0)
+	assert.ErrorIs(t, err, fencer.ErrLeaseHeld)
+
+	store.Restore(loss, false)
+	one.now += lease
+	_, err = one.Acquire(t.Context(), lease, 0)
+	assert.ErrorIs(t, err, fencer.ErrLeaseHeld)
+
+	one.now += lease
+	next := one.acquire(t)
+	assert.Equal(t, next.Number, lost.Number+1)
+	assert.Assert(t, !next.IsContinuation)
+}
+
 // Guards against a holder that goes on by, or gives up, a lease that the store has granted to another one since it returned.
 func TestLeaseThatWasGrantedAgainIsNotKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/leader/cluster_test.go
+++ b/internal/gateway/leader/cluster_test.go
@@ -129,7 +129,9 @@
 	// lostWrites is the number of next writes to the store that are applied after writeDelay and whose replies are lost.
 	lostWrites int
 	writeDelay time.Duration
-	process    *process
+	// abstains is true if the machine never takes the duties.
+	abstains bool
+	process  *process
 }
 
 // process is one run of a machine's process.
@@ -157,7 +159,7 @@
 		Node: m.name, Self: m.name, Incarnation: incarnation,
 		Store:    keeper.NewLocal(m.store, p.storeFault),
 		Platform: p, Peers: p,
-		IsCandidate: func() bool { return true },
+		IsCandidate: func() bool { return !m.abstains },
 		IsLeaving:   func() bool { return false },
 		Nodes:       m.nodeNames,
 		State:       func() *cataloguer.State { return state },
--- a/internal/gateway/leader/leader.go
+++ b/internal/gateway/leader/leader.go
@@ -96,6 +96,8 @@
 	status  status
 	// pausedUntil is until when this node is not a candidate, by Options.Now.
 	pausedUntil atomic.Int64
+	// floor is the highest number of another process's term that a node told this one though the store didn't know it.
+	floor atomic.Int64
 }
 
 // New returns a Leader that doesn't hold the duties.
@@ -125,7 +127,7 @@
 			continue
 		}
 
-		term, err := l.fencer.Acquire(ctx, l.options.Lease, 0)
+		term, err := l.fencer.Acquire(ctx, l.options.Lease, l.floor.Load())
 		l.usage.ObserveEra(l.fencer.EraSince())
 
 		switch {
@@ -154,6 +156,8 @@
 	// callsAllowedAt is when the first call may be sent. This node may also have been the holder before the previous one. If
 	// it called immediately, the platform could see calls from this node, another and this one again within one lease.
 	callsAllowedAt time.Duration
+	// hasAsked is true once the nodes were asked for the terms that they know. A call before that might have a number that was used.
+	hasAsked atomic.Bool
 	// failingSince is when calls to the platform began to fail; 0 if the last one succeeded.
 	failingSince atomic.Int64
 }
@@ -176,6 +180,8 @@
 
 	if l.options.Window > 0 {
 		workers.Go(func() { l.reportUsage(workCtx, t) })
+	} else {
+		t.hasAsked.Store(true)
 	}
 
 	if l.options.Scales {
@@ -208,7 +214,7 @@
 
 // call makes one call to the platform under the term, if the term allows it, and waits for the rate limit.
 func (l *Leader) call(ctx context.Context, t *activeTerm, send func(ctx context.Context) error) error {
-	if l.options.Now() < t.callsAllowedAt || !t.Valid() {
+	if l.options.Now() < t.callsAllowedAt || !t.hasAsked.Load() || !t.Valid() {
 		return errCallNotAllowed
 	}
 
--- a/internal/gateway/leader/store_return_test.go
+++ b/internal/gateway/leader/store_return_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"quincepath.example/quincepath/internal/standin/keeper"
 )
 
 const (
@@ -33,6 +35,8 @@
 	kinds []string
 	// hidesEra is true if the store doesn't name its era.
 	hidesEra bool
+	// overtakes is true if others write so much after each return that no later revision is below an earlier one.
+	overtakes bool
 	// keepsLeases is true if the copies have the leases.
 	keepsLeases bool
 	// killsAll is true if all processes are killed at each return, and at the same times in histories without returns.
@@ -54,6 +58,13 @@
 		{name: "mixed", kinds: mixed},
 		{name: "mixed, copies with leases", kinds: mixed, keepsLeases: true},
 		{name: "all nodes killed", kinds: mixed, killsAll: true},
+		{name: "no eras", hidesEra: true},
+		{name: "no eras, planned stops", kinds: []string{"leave"}, hidesEra: true},
+		{name: "no eras, kills", kinds: []string{"kill"}, hidesEra: true},
+		{name: "no eras, late writes and kills", kinds: []string{"lose", "kill", "lose", "freeze"}, hidesEra: true},
+		{name: "no eras, mixed", kinds: mixed, hidesEra: true},
+		{name: "no eras, mixed, revisions overtaken", kinds: mixed, hidesEra: true, overtakes: true},
+		{name: "no eras, mixed, copies with leases", kinds: mixed, hidesEra: true, keepsLeases: true},
 	}
 }
 
@@ -118,7 +129,7 @@
 
 				time.AfterFunc(age, func() {
 					if storeReturns {
-						c.store.Restore(loss, h.keepsLeases)
+						c.returnFromCopy(t, h, loss)
 					}
 
 					if h.killsAll {
@@ -145,6 +156,29 @@
 	return result
 }
 
+// returnFromCopy makes the store return from a copy.
+func (c *cluster) returnFromCopy(t *testing.T, h returnCase, loss *keeper.Copy) {
+	t.Helper()
+
+	before := c.revision(t)
+	c.store.Restore(loss, h.keepsLeases)
+
+	for h.overtakes && c.revision(t) < before {
+		_, err := c.store.Put("servers/s", nil, 0)
+		assert.NilError(t, err)
+	}
+}
+
+// revision returns the revision of the store.
+func (c *cluster) revision(t *testing.T) int64 {
+	t.Helper()
+
+	_, revision, err := c.store.Range(keeper.Query{Key: "servers/s"})
+	assert.NilError(t, err)
+
+	return revision
+}
+
 // restartAll kills all processes and starts them again half a second later.
 func (c *cluster) restartAll(ctx context.Context, incarnation string) {
 	for name, m := range c.machines {
@@ -242,3 +276,24 @@
 		})
 	}
 }
+
+// Guards against a fencing number that a node sends again which started after a store without eras had lost it.
+func TestNumberThatTheStoreLostIsNotSentAgain(t *testing.T) {
+	runSimulation(t, func(t *testing.T, ctx context.Context) {
+		c := newCluster("a", "b", "c")
+		c.machines["c"].abstains = true
+		c.machines["c"].start(ctx, "c.0")
+
+		loss := c.store.TakeCopy()
+
+		c.machines["a"].start(ctx, "a.0")
+		assert.Equal(t, c.waitForOrder().name, "a")
+		c.machines["a"].stop(true)
+		c.store.Restore(loss, false)
+
+		c.machines["b"].start(ctx, "b.0")
+		assert.Equal(t, c.waitForOrder().name, "b")
+		time.Sleep(lease)
+		assert.DeepEqual(t, c.checker.violations, []string(nil))
+	})
+}
--- a/internal/gateway/leader/usage.go
+++ b/internal/gateway/leader/usage.go
@@ -46,7 +46,8 @@
 	}
 
 	nodes := l.options.Nodes()
-	l.collectFromAll(ctx, nodes)
+	l.collectFromAll(ctx, t, nodes)
+	t.hasAsked.Store(true)
 	l.usage.UpdateTime(len(nodes))
 
 	for _, report := range l.usage.CloseWindows() {
@@ -58,7 +59,7 @@
 		l.options.Logger.Warn().Err(err).Msg("usage_not_kept")
 	}
 
-	l.collectFromAll(ctx, l.usage.HandOut(l.options.Self, nodes))
+	l.collectFromAll(ctx, t, l.usage.HandOut(l.options.Self, nodes))
 
 	for _, report := range l.usage.PendingReports() {
 		err := l.call(ctx, t, func(ctx context.Context) error {
@@ -120,33 +121,55 @@
 }
 
 // collectFromAll collects the counts of all nodes.
-func (l *Leader) collectFromAll(ctx context.Context, nodes []string) {
+func (l *Leader) collectFromAll(ctx context.Context, t *activeTerm, nodes []string) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 
 	requests := pond.NewPool(collectWorkers, pond.WithContext(ctx)).NewGroup()
 
 	for _, node := range nodes {
-		requests.Submit(func() { l.collectFrom(ctx, node) })
+		requests.Submit(func() { l.collectFrom(ctx, t, node) })
 	}
 
 	// The only possible error is that ctx is done.
 	_ = requests.Wait()
 }
 
-func (l *Leader) collectFrom(ctx context.Context, node string) {
+func (l *Leader) collectFrom(ctx context.Context, t *activeTerm, node string) {
 	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
 	defer cancel()
 
 	askedAt := l.options.Now()
 
+	params := l.usage.CollectParams(node)
+	params.Term = tallier.Term{Number: t.Number, Incarnation: l.options.Incarnation}
+
 	var result tallier.CollectResult
 
-	if err := l.options.Peers.Call(ctx, node, tallier.MethodCollect, l.usage.CollectParams(node), &result); err != nil {
+	if err := l.options.Peers.Call(ctx, node, tallier.MethodCollect, params, &result); err != nil {
 		l.options.Logger.Debug().Err(err).Str("peer", node).Msg("usage_not_collected")
 
 		return
 	}
 
+	l.endIfNumberIsUsed(t, node, result.Term)
 	l.usage.AddResult(node, askedAt, result)
 }
+
+// endIfNumberIsUsed ends a term if a node knows another one whose number isn't lower: the store has lost that one. The next term of this
+// process gets a higher number.
+func (l *Leader) endIfNumberIsUsed(t *activeTerm, node string, known tallier.Term) {
+	if known.Number < t.Number || known.Incarnation == l.options.Incarnation {
+		return
+	}
+
+	for floor := l.floor.Load(); floor < known.Number && !l.floor.CompareAndSwap(floor, known.Number); {
+		floor = l.floor.Load()
+	}
+
+	if !t.Ended() {
+		l.options.Logger.Warn().Int64("number", t.Number).Int64("known_number", known.Number).Str("peer", node).Msg("fencing_number_used")
+	}
+
+	t.End()
+}
--- a/internal/gateway/tallier/tallier.go
+++ b/internal/gateway/tallier/tallier.go
@@ -63,6 +63,16 @@
 	Reports []Report `json:"reports,omitempty"`
 	// Recall asks for the reports that the node remembers.
 	Recall bool `json:"recall,omitempty"`
+	// Term is the term under which the collector acts, for the node to remember.
+	Term Term `json:"term,omitzero"`
+}
+
+// Term identifies a term of the platform's duties.
+type Term struct {
+	// Number is its fencing number.
+	Number int64 `json:"number,omitempty"`
+	// Incarnation identifies the run of its holder's process.
+	Incarnation string `json:"incarnation,omitempty"`
 }
 
 // CollectResult is the result of MethodCollect.
@@ -77,6 +87,8 @@
 	Account AccountVersion `json:"account,omitzero"`
 	// Reports are the reports that the node remembers, if they were asked for.
 	Reports []Report `json:"reports,omitempty"`
+	// Term is the term with the highest number that the node was told before.
+	Term Term `json:"term,omitzero"`
 }
 
 // AccountVersion identifies a state of the usage account. The zero AccountVersion is before any other.
@@ -129,6 +141,7 @@
 	stored         []storedBatch
 	storedSequence int64
 	account        AccountVersion
+	term           Term
 	// reports holds the reports that collectors handed out, by window.
 	reports map[int64]Report
 }
@@ -198,6 +211,7 @@
 		TimeMS:      t.options.TimeOfDay().UnixMilli(),
 		Batches:     slices.Clone(t.batches),
 		Account:     t.account,
+		Term:        t.term,
 	}
 
 	t.rememberLocked(params)
@@ -209,9 +223,13 @@
 	return result
 }
 
-// rememberLocked remembers what a collector says of the account. The first report of a window stays: it may have been sent.
-// t.mu must be held.
+// rememberLocked remembers what a collector says of the account and of its term. The first report of a window stays: it may have been
+// sent. t.mu must be held.
 func (t *Tallier) rememberLocked(params CollectParams) {
+	if params.Term.Number > t.term.Number {
+		t.term = params.Term
+	}
+
 	if params.Account.Compare(t.account) > 0 {
 		t.account = params.Account
 	}
