Orders: a new holder lets stand what the former one ordered until it is there

The platform got an order of fewer spot upstreams than had just been ordered, while these still booted. The demand that explains an order is in the store alone, written after it. A holder that was killed before that, or a store that returned from an older copy, leaves the next holder an older record; it took the larger of that and of what stands when its term began, three seconds after the end of the former one's, with a boot time of four.

A holder that isn't the first plans by need only once everything that was ordered before its term is registered: after the boot time and two seconds of slack, as elsewhere in the planner. What stands then is in the registry, which no return takes back, so nothing depends on the record. The cost is that a new holder's first order comes 6 s after it took the duties where it came after 3 s, at a boot time of 4 s.

--- a/internal/gateway/leader/demand_test.go
+++ b/internal/gateway/leader/demand_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -29,8 +30,14 @@
 	orders []receivedOrder
 	// work is the measured work; negative while it is unknown.
 	work float64
+	// storeDown is true while the store gets no calls.
+	storeDown bool
 	// stuck is true while the platform accepts orders without carrying them out.
 	stuck bool
+	// bootTime is how long an ordered upstream takes to run.
+	bootTime time.Duration
+	// ordered holds the last orders.
+	ordered map[scaler.Order]int
 }
 
 type receivedOrder struct {
@@ -41,7 +48,8 @@
 
 func newScaledFleet() *scaledFleet {
 	f := &scaledFleet{
-		store: keeper.NewStore(keeper.StoreOptions{}), startedAt: time.Now(), sizes: make(map[scaler.Pool]scaler.PoolSize), work: 10,
+		store: keeper.NewStore(keeper.StoreOptions{NamesEras: true}), startedAt: time.Now(),
+		sizes: make(map[scaler.Pool]scaler.PoolSize), work: 10, ordered: make(map[scaler.Order]int),
 	}
 
 	for _, domain := range []string{"x", "y", "z"} {
@@ -61,18 +69,35 @@
 
 	size := f.sizes[order.Pool]
 	f.orders = append(f.orders, receivedOrder{order, time.Now(), size})
+	f.ordered[scaler.Order{Pool: order.Pool, Spot: order.Spot}] = order.Count
 
-	switch {
+	switch standing := map[bool]int{true: size.Spot, false: size.Regular}[order.Spot]; {
 	case f.stuck:
-	case order.Spot:
-		size.Spot = order.Count
+	case order.Count <= standing || f.bootTime == 0:
+		f.resizeLocked(order)
 	default:
+		time.AfterFunc(f.bootTime, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+
+			order.Count = min(order.Count, f.ordered[scaler.Order{Pool: order.Pool, Spot: order.Spot}])
+			f.resizeLocked(order)
+		})
+	}
+
+	return nil
+}
+
+// resizeLocked carries out an order; f.mu must be held.
+func (f *scaledFleet) resizeLocked(order scaler.Order) {
+	size := f.sizes[order.Pool]
+	if order.Spot {
+		size.Spot = order.Count
+	} else {
 		size.Regular = order.Count
 	}
 
 	f.sizes[order.Pool] = size
-
-	return nil
 }
 
 func (f *scaledFleet) state() *cataloguer.State {
@@ -109,6 +134,13 @@
 	return map[string]scaler.Demand{"engines": {Work: f.work, Running: 90}}
 }
 
+func (f *scaledFleet) storeFault(context.Context, keeper.Call) keeper.Verdict {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return keeper.Verdict{LoseRequest: f.storeDown}
+}
+
 func (f *scaledFleet) setWork(work float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -145,7 +177,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	l := leader.New(leader.Options{
 		Node: name, Self: name, Incarnation: name,
-		Store:    keeper.NewLocal(f.store, func(context.Context, keeper.Call) keeper.Verdict { return keeper.Verdict{} }),
+		Store:    keeper.NewLocal(f.store, f.storeFault),
 		Platform: f, Peers: nil,
 		IsCandidate:   func() bool { return true },
 		IsLeaving:     func() bool { return false },
@@ -234,3 +266,80 @@
 		assert.Assert(t, orders >= 6 && orders <= 12, "%d", orders)
 	})
 }
+
+// Guards against a new holder that takes back what the former one ordered, since the store lost the demand, or never got it, and the
+// ordered upstreams don't run yet.
+func TestOrdersStandThoughTheDemandIsLost(t *testing.T) {
+	tests := map[string]struct{ killed, returns bool }{
+		"holder killed":                      {killed: true},
+		"store returns":                      {returns: true},
+		"holder killed and store returns":    {killed: true, returns: true},
+		"neither, and the demand is written": {},
+	}
+
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			runSimulation(t, func(t *testing.T, ctx context.Context) {
+				f := newScaledFleet()
+				f.bootTime = 4 * time.Second
+				stop := f.start(ctx, "a")
+
+				time.Sleep(2 * time.Minute)
+
+				loss := f.store.TakeCopy()
+
+				f.takeOrders()
+				f.setWork(30)
+
+				for len(f.takeOrders()) == 0 {
+					time.Sleep(10 * time.Millisecond)
+				}
+
+				time.Sleep(300 * time.Millisecond)
+
+				if test.killed {
+					// Nothing is written, and the lease isn't given up.
+					f.setStoreDown(true)
+					stop()
+					f.setStoreDown(false)
+				}
+
+				if test.returns {
+					f.store.Restore(loss, false)
+				}
+
+				f.setWork(10)
+				defer f.start(ctx, "b")()
+
+				highest := f.lastOrders()
+
+				for range 90 {
+					time.Sleep(100 * time.Millisecond)
+
+					for key, count := range f.lastOrders() {
+						assert.Assert(t, !key.Spot || count >= highest[key], "%+v: %d after %d", key, count, highest[key])
+						highest[key] = count
+					}
+				}
+
+				if !test.killed {
+					stop()
+				}
+			})
+		})
+	}
+}
+
+func (f *scaledFleet) lastOrders() map[scaler.Order]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return maps.Clone(f.ordered)
+}
+
+func (f *scaledFleet) setStoreDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.storeDown = down
+}
--- a/internal/gateway/leader/scaling.go
+++ b/internal/gateway/leader/scaling.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/scaler"
 	"quincepath.example/quincepath/internal/sleeper"
 )
@@ -25,6 +26,8 @@
 	failureDelay = time.Second
 	// minOrderInterval is the minimum time between two orders for a pool and a kind where they follow the need.
 	minOrderInterval = time.Second
+	// bootSlack is how much longer than the boot time of its service an ordered upstream may take until it is registered.
+	bootSlack = 2 * time.Second
 	// demandLogInterval is the minimum time between two log lines about the demand.
 	demandLogInterval = time.Second
 )
@@ -50,7 +53,8 @@
 	sent     map[orderKey]sentOrder
 	exchange *demandExchange
 	// restored is set once the planner has the state of the former holder.
-	restored bool
+	restored  bool
+	startedAt time.Duration
 	// loggedTargets holds the numbers of upstreams that were last logged by service, loggedAt when.
 	loggedTargets map[string]int
 	loggedAt      time.Duration
@@ -60,6 +64,7 @@
 func (l *Leader) orderUpstreams(ctx context.Context, t *activeTerm, exchange *demandExchange) {
 	o := &orderTerm{
 		Leader: l, activeTerm: t, planner: scaler.New(), sent: make(map[orderKey]sentOrder), exchange: exchange, loggedTargets: make(map[string]int),
+		startedAt: l.options.Now(),
 	}
 
 	for ctx.Err() == nil && !t.Ended() {
@@ -88,7 +93,7 @@
 
 	if policy.ByNeed {
 		o.restored = o.exchange.pass(o.options.Now(), o.planner) || o.restored
-		if !o.restored {
+		if !o.restored || o.options.Now() < o.formerOrdersStandAt(state.Configuration.Services) {
 			// What the former holder ordered stands until it is known why.
 			return
 		}
@@ -117,6 +122,24 @@
 	}
 }
 
+// formerOrdersStandAt returns when the upstreams that the former holder ordered are registered. The demand that it last ordered for may not
+// be in the store: it was not written yet, or was lost.
+func (o *orderTerm) formerOrdersStandAt(services []cataloguer.Service) time.Duration {
+	if o.IsFirst {
+		return o.startedAt
+	}
+
+	var longest time.Duration
+
+	for _, service := range services {
+		if service.Scaling.HasSpot() {
+			longest = max(longest, service.Scaling.BootTime)
+		}
+	}
+
+	return o.startedAt + longest + bootSlack
+}
+
 // reduces returns 1 if an order leaves fewer upstreams of its kind than there are, or else 0.
 func reduces(order scaler.Order, size scaler.PoolSize) int {
 	if order.Count < standing(order, size) {
