Relayer: a stream is bound to its version whatever this node's configuration says

Cause: the search for what began the stream was left out on such routes, and the request went with its Last-Event-Id to any upstream.

Evidence: TestStreamIsBoundWhereItsRouteIsNotResumable failed before: the first upstream, of another version than the record's, got the request (1 where 0 is wanted).

Change: whoever sends Resumes, or the last event of a stream, takes a stream up, whatever the route allows. A stream that nobody knows is refused, as on other routes, and has not run.

Why it works: the record is found by organisation and request ID, which don't depend on the configuration; the nodes that began the stream wrote it by theirs.

Run: go test ./internal/gateway/relayer, ok.

--- a/internal/gateway/relayer/resume.go
+++ b/internal/gateway/relayer/resume.go
@@ -39,7 +39,9 @@
 // pinResumed finds out which software version began the stream that the request resumes, if it resumes one. Without it, the
 // request must not run: events of two versions don't fit together, and upstreams don't check it.
 func (r *Relayer) pinResumed(ctx context.Context, request *request) *classifier.Error {
-	if !request.route.Resumable || request.route.Kind != cataloguer.Stream || request.progress.read().lastEventID == "" && request.resumes == "" {
+	// Another configuration than this node's may say that the route's streams may be resumed.
+	hasEvents := request.route.Kind == cataloguer.Stream && request.progress.read().lastEventID != ""
+	if !hasEvents && request.resumes == "" {
 		return nil
 	}
 
--- a/internal/gateway/relayer/resume_test.go
+++ b/internal/gateway/relayer/resume_test.go
@@ -266,6 +266,22 @@
 	}
 }
 
+// Guards against a stream that goes on at any version, at a node whose configuration doesn't say yet, or no longer, that it may be resumed.
+func TestStreamIsBoundWhereItsRouteIsNotResumable(t *testing.T) {
+	for version, want := range map[string]int{"v2": http.StatusOK, "v9": http.StatusServiceUnavailable} {
+		w := newFixture(t, 10)
+		first := w.add(streamEvents(true, 8, 9))
+		w.add(streamEvents(true, 8, 9)).version = "v2"
+		w.list()
+		w.began("s", version)
+
+		response, _, err := w.send("/advice/1", resume)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, want)
+		assert.Equal(t, first.count(), 0)
+	}
+}
+
 // Guards against a stream that goes on at a service to which the configuration in force gives none of the route's requests.
 func TestStreamDoesNotGoOnAtAServiceWithoutWeight(t *testing.T) {
 	w := newFixture(t, 10)
