Relayer: a node out of step doesn't vouch for a service's only version

What may be joined (ORDER): a caller takes a stream up at a node that stood still or was cut off, no node that answers has a record of it, and the store lists one version of the route's service. The node refuted that by its own list of upstreams, and chose the service by its own routes, whatever their age. So a version that the store didn't take, whose servers joined while the node was out of step, wasn't seen, and a route that had been moved led to the version of another service.

Evidence: three cases of TestCallersStreamGoesOnAtItsVersionOnly failed before: the upstream got the request (1 where 0 is wanted), with a list that was old, one that got old while the store was read, and old routes.

Change: the proof holds only if the list of upstreams, at the time of the proof, and the configuration, at that of the decision, were confirmed within 3 s, as for final refusals. Else the request is refused with Retry-After and hasn't run. The age is taken after the store was read, so a pause between any two steps counts.

Why it costs nothing where the store is away: the proof needs the store anyway.

Run: go test ./internal/gateway/relayer, ok.

--- a/internal/gateway/relayer/basis.go
+++ b/internal/gateway/relayer/basis.go
@@ -53,10 +53,15 @@
 	return b.newest > b.table.Version
 }
 
+// isCurrent reports whether the decision was made by a configuration that lacked nothing.
+func (b *basis) isCurrent() bool {
+	return b.known && b.age <= maxCurrentAge
+}
+
 // finalRefusal returns the refusal of what the configuration lacks. If that is too old, a newer one may have it: then the refusal says when to
 // come back instead.
 func (b *basis) finalRefusal(failure *classifier.Error) *classifier.Error {
-	if b.known && b.age <= maxCurrentAge {
+	if b.isCurrent() {
 		return failure
 	}
 
--- a/internal/gateway/relayer/resume.go
+++ b/internal/gateway/relayer/resume.go
@@ -110,17 +110,28 @@
 	}
 
 	origin, finding := r.options.Pins.Sole(ctx, service)
-	if finding == pinner.Found && r.listsOtherVersion(origin) {
+	if finding != pinner.Found {
+		return origin, finding
+	}
+
+	state := r.options.Catalog.State()
+	age, known := state.RegistryFreshness.Age()
+
+	switch {
+	case listsOtherVersion(state, origin):
 		// Nodes of an older release don't record versions.
 		return pinner.Origin{}, pinner.NotFound
+	case !known || age > maxCurrentAge || !request.decided.isCurrent():
+		// The stream may be from an upstream or by a route that only other nodes have heard of.
+		return pinner.Origin{}, pinner.Unavailable
 	}
 
 	return origin, finding
 }
 
 // listsOtherVersion reports whether the service has an upstream of another software version, or of one that isn't known.
-func (r *Relayer) listsOtherVersion(origin pinner.Origin) bool {
-	for upstream := range r.options.Catalog.State().Registry.Upstreams.All() {
+func listsOtherVersion(state *cataloguer.State, origin pinner.Origin) bool {
+	for upstream := range state.Registry.Upstreams.All() {
 		if upstream.Service == origin.Service && upstream.SoftwareVersion != origin.SoftwareVersion {
 			return true
 		}
--- a/internal/gateway/relayer/resume_test.go
+++ b/internal/gateway/relayer/resume_test.go
@@ -24,6 +24,8 @@
 	// archived is what Archived returns, if it is known, archiveFinding else.
 	archived       pinner.Origin
 	archiveFinding pinner.Finding
+	// onSole is called while Sole runs; it may be nil.
+	onSole func()
 
 	mu      sync.Mutex
 	origins map[pinner.Key]pinner.Origin
@@ -62,6 +64,10 @@
 
 // Sole implements relayer.Pins.
 func (p *fakePins) Sole(_ context.Context, service string) (pinner.Origin, pinner.Finding) {
+	if p.onSole != nil {
+		p.onSole()
+	}
+
 	if p.sole.Service == service {
 		return p.sole, pinner.Found
 	}
@@ -94,9 +100,9 @@
 	w.catalog.ApplyFreshRegistry(cataloguer.NewRegistry(listing), false, w.now)
 }
 
-// soleVersion makes a software version the only one that the service ever had.
-func (w *fixture) soleVersion(version string) {
-	w.pins.sole = pinner.Origin{Service: "s", SoftwareVersion: version}
+// soleVersion makes v2 the only software version that the service ever had.
+func (w *fixture) soleVersion() {
+	w.pins.sole = pinner.Origin{Service: "s", SoftwareVersion: "v2"}
 	// The first upstream leaves.
 	w.upstreams = w.upstreams[1:]
 	w.list()
@@ -195,10 +201,10 @@
 			prepare: func(w *fixture) { w.upstreams[0].version = "v2"; w.list() }, want: "stream_lost",
 		},
 		"nobody knows, and the service had one version only": {
-			prepare: func(w *fixture) { w.soleVersion("v2") },
+			prepare: func(w *fixture) { w.soleVersion() },
 		},
 		"the request doesn't say, and the service had one version only": {
-			prepare: func(w *fixture) { w.soleVersion("v2") },
+			prepare: func(w *fixture) { w.soleVersion() },
 			change:  func(r *http.Request) { r.Header.Del(names.Resumes) },
 		},
 		"nobody knows, and another version is listed than the only one recorded": {
@@ -229,6 +235,29 @@
 			want: "stream_version_gone", retryAfter: true,
 		},
 		"the route leads elsewhere": {prepare: func(w *fixture) { w.began("other", "v2") }, want: "stream_version_gone"},
+		"the service had one version only, by a node whose list is old": {
+			prepare: func(w *fixture) {
+				w.soleVersion()
+				w.now += time.Minute
+				w.catalog.MarkConfigurationFresh(1, w.now)
+			},
+			want: "stream_unknown", retryAfter: true,
+		},
+		"the service had one version only, by a node whose list gets old while it reads that": {
+			prepare: func(w *fixture) {
+				w.soleVersion()
+				w.pins.onSole = func() { w.now += time.Minute }
+			},
+			want: "stream_unknown", retryAfter: true,
+		},
+		"the service had one version only, by a node whose routes are old": {
+			prepare: func(w *fixture) {
+				w.soleVersion()
+				w.now += 3500 * time.Millisecond
+				w.catalog.MarkRegistryFresh(w.now)
+			},
+			want: "stream_unknown", retryAfter: true,
+		},
 	}
 
 	for name, test := range tests {
