Follower: an upstream that restarted isn't listed with its former version

For up to five seconds all nodes went on with the former entry. A stream of the former version that was taken up then went to the new one: the ID is all that a request asks for. Streams that began there were recorded as of the former version.

Cause: upstreams of versions that aren't recorded are held back by the known entry, also where that names another version, which the node knows to be wrong.

Evidence: TestRestartedUpstreamDoesNotKeepItsFormerVersion failed before: 9 of 9 nodes listed the upstream as of its former version.

Change: such an upstream is left out until its version is recorded, as a new one is, or for five seconds.

Run: go test ./internal/gateway/follower, ok.

--- a/internal/gateway/follower/versions.go
+++ b/internal/gateway/follower/versions.go
@@ -168,7 +168,8 @@
 	return true
 }
 
-// holdBack returns the registry with the entries of the known one in place of those whose versions aren't recorded.
+// holdBack returns the registry with the entries of the known one in place of those whose versions aren't recorded. An upstream that has
+// changed its version is left out: whoever runs under its ID now isn't of the known one.
 func (f *Follower) holdBack(registry, known *cataloguer.Registry, delta *cataloguer.RegistryDelta) cataloguer.Registry {
 	back := cataloguer.RegistryDelta{
 		Position: registry.Position, RetainedUpstreams: registry.RetainedUpstreams, UnreadableEntries: registry.UnreadableEntries,
@@ -180,7 +181,7 @@
 			continue
 		}
 
-		if former, ok := known.Upstreams.Get(upstream.ID); ok {
+		if former, ok := known.Upstreams.Get(upstream.ID); ok && former.Version() == upstream.Version() {
 			back.Upstreams.Put = append(back.Upstreams.Put, former)
 		} else {
 			back.Upstreams.Remove = append(back.Upstreams.Remove, upstream.ID)
--- a/internal/gateway/follower/versions_test.go
+++ b/internal/gateway/follower/versions_test.go
@@ -126,6 +126,23 @@
 	}
 }
 
+// Guards against a server that starts again under its ID with a version that isn't recorded yet, and that meanwhile counts as one of its
+// former version: streams of that version would go on there.
+func TestRestartedUpstreamDoesNotKeepItsFormerVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVersionFleet(t, 9)
+		defer f.stop()
+
+		f.update(func() { f.versionsRejected, f.softwareVersions["a"] = true, "v2" })
+		time.Sleep(spreadTime)
+		assert.Equal(t, f.knowing("a"), 0)
+
+		f.update(func() { f.versionsRejected = false })
+		time.Sleep(spreadTime)
+		assert.Equal(t, f.knowing("a"), 9)
+	})
+}
+
 // Guards against upstreams that nobody ever uses, since the store doesn't take their version.
 func TestNewVersionIsUsedIfItCanNotBeRecorded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
