Pinner: the store's only version is refuted by another that the node has seen

What may be joined (ORDER): the store lists one version of a service, and a stream without a record is from another one that the store lacks: one that it didn't take for five seconds, so that its upstreams were used all the same, one that was removed too early, or one that went with an older copy of a store that names no eras. The node refuted that only by the upstreams that it listed at that moment, so that a version whose last upstream had left didn't count.

Evidence: TestSoleVersionIsRefutedByWhatTheNodeSaw failed before, at the step that lists both versions.

Change: a node remembers the versions that its list of upstreams has had, for as long as a stream may be taken up, and takes no other one for the only one. What it read from the store doesn't count here: the store is asked in any case.

What remains: a node that has started since, or that never listed the version, has nothing to refute it with.

Run: go test ./internal/gateway/{pinner,archiver,versioner}, ok.

--- a/internal/gateway/pinner/archiving.go
+++ b/internal/gateway/pinner/archiving.go
@@ -63,6 +63,9 @@
 
 	now := p.options.Now()
 
+	p.seen.update(now, inUse)
+	p.seen.forget(now - p.options.StreamLifetime())
+
 	for _, service := range p.history.update(now, inUse) {
 		p.archiveServiceLocked(service, now)
 	}
--- a/internal/gateway/pinner/pinner.go
+++ b/internal/gateway/pinner/pinner.go
@@ -144,6 +144,8 @@
 	backlog []Entry
 	// unwritten are the records that this node is to write, oldest first.
 	unwritten []Entry
+	// seen holds the software versions that this node's list of upstreams has or had.
+	seen versionHistory
 	// history holds the software versions as far as this node knows; hasReadHistory is set once it knows those from before its start.
 	history        versionHistory
 	hasReadHistory bool
@@ -163,7 +165,7 @@
 	p := &Pinner{options: options, ranking: chooser.NewRanking(maxAsked), transfers: make(map[string][]Entry)}
 	p.outbox = batcher.New(p.sendRecords)
 	p.archiveOutbox = batcher.New(p.sendToArchive)
-	p.history.endedAt = make(map[string]map[string]time.Duration)
+	p.history.endedAt, p.seen.endedAt = make(map[string]map[string]time.Duration), make(map[string]map[string]time.Duration)
 
 	if options.VersionStore != nil {
 		p.versions = coalescer.New(options.VersionStore.Versions, versionReadTimeout, versionReadPause)
--- a/internal/gateway/pinner/versions.go
+++ b/internal/gateway/pinner/versions.go
@@ -46,7 +46,7 @@
 		}
 	}
 
-	if count != 1 || !sole.IsKnown() {
+	if count != 1 || !sole.IsKnown() || p.hasSeenOther(sole) {
 		return Origin{}, NotFound
 	}
 
@@ -55,6 +55,20 @@
 	return sole, Found
 }
 
+// hasSeenOther reports whether this node has seen another version of the service, from which a stream may be. The store may lack it.
+func (p *Pinner) hasSeenOther(origin Origin) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	for version, endedAt := range p.seen.endedAt[origin.Service] {
+		if version != origin.SoftwareVersion && (endedAt == versionInUse || p.options.Now()-endedAt < p.options.StreamLifetime()) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // versionHistory holds the software versions that each service has, or had for as long as the node knows. It is not safe for concurrent
 // use.
 type versionHistory struct {
--- a/internal/gateway/pinner/versions_test.go
+++ b/internal/gateway/pinner/versions_test.go
@@ -76,6 +76,48 @@
 	assert.Equal(t, finding, NotFound)
 }
 
+// Guards against a service that counts as one of a single version though this node has seen another: one that the store didn't take, that a
+// node removed too early, or that went with an older copy.
+func TestSoleVersionIsRefutedByWhatTheNodeSaw(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		p := New(Options{
+			VersionStore:   &fakeVersions{versions: []cataloguer.ServiceVersion{{Service: "s", SoftwareVersion: "v1"}}},
+			Now:            func() time.Duration { return time.Since(began) },
+			StreamLifetime: func() time.Duration { return testLifetime },
+		})
+		list := func(versions ...string) {
+			var listing cataloguer.Listing
+			for _, version := range versions {
+				listing.Upstreams = append(listing.Upstreams, cataloguer.Upstream{ID: version, Service: "s", SoftwareVersion: version})
+			}
+
+			registry := cataloguer.NewRegistry(listing)
+			p.UpdateVersions(&registry.Upstreams)
+		}
+
+		for _, step := range []struct {
+			listed []string
+			after  time.Duration
+			want   Finding
+		}{
+			{listed: []string{"v1"}, want: Found},
+			{listed: []string{"v1", "v2"}, want: NotFound},
+			{listed: []string{"v1"}, after: testLifetime / 2, want: NotFound},
+			{listed: []string{"v1"}, after: testLifetime, want: Found},
+		} {
+			time.Sleep(step.after)
+			list(step.listed...)
+
+			_, finding := p.Sole(t.Context(), "s")
+			assert.Equal(t, finding, step.want)
+		}
+
+		// The reader ends.
+		time.Sleep(2 * versionReadPause)
+	})
+}
+
 // Guards against a read that began before the request, and so may not see the version of its stream, and one for each request.
 func TestSoleVersionIsReadAfterTheRequestCame(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
