Router: the service to which a route was moved doesn't tell what began a stream

What may be joined (ORDER): a caller names the stream that it takes up, no node has a record of it (they were killed, or this one is cut off from them), and the operators had moved its route to another service since it began. The only version of the new service counted as proof, and the stream went on there.

Cause: the proof took the service from the route in force, and not from the one by which the stream began.

Evidence: the case 'the route led to another before' of TestCallersStreamGoesOnAtItsVersionOnly failed before (1 request where 0 is wanted).

A request that names no stream is judged as before: it can't be told from one that began after the move, and has no other proof.

What remains: a node that has started since the move doesn't know of it, nor one that missed a version of the configuration.

Run: go test ./internal/gateway/{router,relayer,cataloguer}, ok.

--- a/internal/gateway/cataloguer/types.go
+++ b/internal/gateway/cataloguer/types.go
@@ -67,18 +67,19 @@
 	return slices.ContainsFunc(r.Shares, func(share Share) bool { return share.Service == service && share.Weight > 0 })
 }
 
-// SoleService returns the service to which the route leads, or false if it leads to several.
-func (r *Route) SoleService() (string, bool) {
-	service, count := "", 0
+// Services returns the services to which requests of the route may go, sorted.
+func (r *Route) Services() []string {
+	var services []string
 
 	for _, share := range r.Shares {
 		if share.Weight > 0 {
-			service = share.Service
-			count++
+			services = append(services, share.Service)
 		}
 	}
 
-	return service, count == 1
+	slices.Sort(services)
+
+	return slices.Compact(services)
 }
 
 // Service is a group of upstreams that serve the same requests.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -479,8 +479,13 @@
 		n.pins.UpdateVersions(&state.Registry.Upstreams)
 	}
 
-	if table := n.table.Load(); table == nil || table.Version < state.Configuration.Version {
-		n.table.Store(router.New(state.Configuration, state.ConfigurationFreshness))
+	if former := n.table.Load(); former == nil || former.Version < state.Configuration.Version {
+		table := router.New(state.Configuration, state.ConfigurationFreshness)
+		if former != nil {
+			table.Succeed(former, n.catalog.Now())
+		}
+
+		n.table.Store(table)
 		n.acceptor.Refresh()
 
 		delay := n.catalog.Now() - state.ReceivedAt
--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -80,6 +80,8 @@
 	paths *fakePaths
 	// paused is for how long the process stood still; nil means never.
 	paused func() time.Duration
+	// former holds the routes before those of the relayer; nil if there are none.
+	former *router.Table
 	// network connects the servers in memory; nil if they listen on the loopback interface.
 	network *memoryNetwork
 	// attempts holds the relayer's counters.
@@ -128,6 +130,10 @@
 // restart starts a new relayer without any state.
 func (w *fixture) restart() {
 	table := router.New(configuration(), w.catalog.State().ConfigurationFreshness)
+	if w.former != nil {
+		table.Succeed(w.former, w.now)
+	}
+
 	budget := budgeter.Options{
 		Extra: float64(w.extra), Window: time.Hour, Share: func() float64 { return 1 }, Now: func() time.Duration { return w.now },
 	}
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -50,6 +50,7 @@
 	organisation string
 	method       string
 	host         string
+	path         string
 	uri          string
 	// header excludes hop-by-hop fields and those that only nodes may set.
 	header http.Header
@@ -184,6 +185,7 @@
 		route:      route,
 		method:     incoming.Method,
 		host:       incoming.Host,
+		path:       incoming.URL.Path,
 		uri:        incoming.RequestURI,
 		header:     r.options.Headers.forUpstream(incoming.Header),
 		uniqueID:   uuid.NewString(),
--- a/internal/gateway/relayer/resume.go
+++ b/internal/gateway/relayer/resume.go
@@ -67,7 +67,7 @@
 }
 
 // findOrigin returns what began the stream that the request resumes: by the record that nodes have of it, or if there is none, since the
-// route leads to one service whose upstreams had one software version only, or else by the record that outlasts the nodes.
+// path leads and led to one service whose upstreams had one software version only, or else by the record that outlasts the nodes.
 func (r *Relayer) findOrigin(ctx context.Context, request *request) (pinner.Origin, pinner.Finding) {
 	if request.resumes == "" {
 		r.resumes.unnamed.Add(1)
@@ -102,9 +102,17 @@
 	}
 }
 
-// soleOrigin returns what began any stream of the request's route, if it leads to one service whose upstreams had one software version.
+// soleOrigin returns what began any stream on the request's path, if that leads and led to one service whose upstreams had one software version.
 func (r *Relayer) soleOrigin(ctx context.Context, request *request) (pinner.Origin, pinner.Finding) {
-	service, ok := request.route.SoleService()
+	since := r.options.Catalog.Now()
+
+	// A request that names no stream can't be told from one whose stream began after a move of its route, and nothing else tells of it.
+	if request.resumes != "" {
+		configuration := r.options.Catalog.State().Configuration
+		since -= configuration.StreamLifetime()
+	}
+
+	service, ok := request.decided.table.SoleService(request.host, request.path, since)
 	if !ok {
 		return pinner.Origin{}, pinner.NotFound
 	}
--- a/internal/gateway/relayer/resume_test.go
+++ b/internal/gateway/relayer/resume_test.go
@@ -12,6 +12,7 @@
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/pinner"
+	"quincepath.example/quincepath/internal/gateway/router"
 	"quincepath.example/quincepath/internal/storer"
 )
 
@@ -235,6 +236,19 @@
 			want: "stream_version_gone", retryAfter: true,
 		},
 		"the route leads elsewhere": {prepare: func(w *fixture) { w.began("other", "v2") }, want: "stream_version_gone"},
+		"the service had one version only, and the route led to another before": {
+			prepare: func(w *fixture) {
+				routes := configuration()
+				for i := range routes.Routes {
+					routes.Routes[i].Shares = []cataloguer.Share{{Service: "other", Weight: 1}}
+				}
+
+				w.former = router.New(routes, nil)
+				w.restart()
+				w.soleVersion()
+			},
+			want: "stream_lost",
+		},
 		"the service had one version only, by a node whose list is old": {
 			prepare: func(w *fixture) {
 				w.soleVersion()
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -23,7 +23,9 @@
 	Freshness *cataloguer.Freshness
 	Limits    cataloguer.Limits
 	// hosts holds the routes of each host, longest path prefix first.
-	hosts    map[string][]cataloguer.Route
+	hosts map[string][]cataloguer.Route
+	// past holds by host the routes of earlier configurations that led elsewhere, oldest first.
+	past     map[string][]pastRoutes
 	services map[string]cataloguer.Service
 	// keys maps the hash of an API key to its organisation. Looking up a hash doesn't reveal by its timing how much of a guessed key is right.
 	keys map[[sha256.Size]byte]*cataloguer.Organisation
