--- a/internal/gateway/relayer/resume.go
+++ b/internal/gateway/relayer/resume.go
@@ -39,7 +39,9 @@
 // pinResumed finds out which software version began the stream that the request resumes, if it resumes one. Without it, the
 // request must not run: events of two versions don't fit together, and upstreams don't check it.
 func (r *Relayer) pinResumed(ctx context.Context, request *request) *classifier.Error {
-	if !request.route.Resumable || request.route.Kind != cataloguer.Stream || request.progress.read().lastEventID == "" && request.resumes == "" {
+	// Another configuration than this node's may say that the route's streams may be resumed.
+	hasEvents := request.route.Kind == cataloguer.Stream && request.progress.read().lastEventID != ""
+	if !hasEvents && request.resumes == "" {
 		return nil
 	}
 
@@ -65,7 +67,7 @@
 }
 
 // findOrigin returns what began the stream that the request resumes: by the record that nodes have of it, or if there is none, since the
-// route leads to one service whose upstreams had one software version only, or else by the record that outlasts the nodes.
+// path leads and led to one service whose upstreams had one software version only, or else by the record that outlasts the nodes.
 func (r *Relayer) findOrigin(ctx context.Context, request *request) (pinner.Origin, pinner.Finding) {
 	if request.resumes == "" {
 		r.resumes.unnamed.Add(1)
@@ -100,25 +102,44 @@
 	}
 }
 
-// soleOrigin returns what began any stream of the request's route, if it leads to one service whose upstreams had one software version.
+// soleOrigin returns what began any stream on the request's path, if that leads and led to one service whose upstreams had one software version.
 func (r *Relayer) soleOrigin(ctx context.Context, request *request) (pinner.Origin, pinner.Finding) {
-	service, ok := request.route.SoleService()
+	since := r.options.Catalog.Now()
+
+	// A request that names no stream can't be told from one whose stream began after a move of its route, and nothing else tells of it.
+	if request.resumes != "" {
+		configuration := r.options.Catalog.State().Configuration
+		since -= configuration.StreamLifetime()
+	}
+
+	service, ok := request.decided.table.SoleService(request.host, request.path, since)
 	if !ok {
 		return pinner.Origin{}, pinner.NotFound
 	}
 
 	origin, finding := r.options.Pins.Sole(ctx, service)
-	if finding == pinner.Found && r.listsOtherVersion(origin) {
+	if finding != pinner.Found {
+		return origin, finding
+	}
+
+	state := r.options.Catalog.State()
+	age, known := state.RegistryFreshness.Age()
+
+	switch {
+	case listsOtherVersion(state, origin):
 		// Nodes of an older release don't record versions.
 		return pinner.Origin{}, pinner.NotFound
+	case !known || age > maxCurrentAge || !request.decided.isCurrent():
+		// The stream may be from an upstream or by a route that only other nodes have heard of.
+		return pinner.Origin{}, pinner.Unavailable
 	}
 
 	return origin, finding
 }
 
 // listsOtherVersion reports whether the service has an upstream of another software version, or of one that isn't known.
-func (r *Relayer) listsOtherVersion(origin pinner.Origin) bool {
-	for upstream := range r.options.Catalog.State().Registry.Upstreams.All() {
+func listsOtherVersion(state *cataloguer.State, origin pinner.Origin) bool {
+	for upstream := range state.Registry.Upstreams.All() {
 		if upstream.Service == origin.Service && upstream.SoftwareVersion != origin.SoftwareVersion {
 			return true
 		}
--- a/internal/gateway/relayer/resume_test.go
+++ b/internal/gateway/relayer/resume_test.go
@@ -12,6 +12,7 @@
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/pinner"
+	"quincepath.example/quincepath/internal/gateway/router"
 	"quincepath.example/quincepath/internal/storer"
 )
 
@@ -24,6 +25,8 @@
 	// archived is what Archived returns, if it is known, archiveFinding else.
 	archived       pinner.Origin
 	archiveFinding pinner.Finding
+	// onSole is called while Sole runs; it may be nil.
+	onSole func()
 
 	mu      sync.Mutex
 	origins map[pinner.Key]pinner.Origin
@@ -62,6 +65,10 @@
 
 // Sole implements relayer.Pins.
 func (p *fakePins) Sole(_ context.Context, service string) (pinner.Origin, pinner.Finding) {
+	if p.onSole != nil {
+		p.onSole()
+	}
+
 	if p.sole.Service == service {
 		return p.sole, pinner.Found
 	}
@@ -94,9 +101,9 @@
 	w.catalog.ApplyFreshRegistry(cataloguer.NewRegistry(listing), false, w.now)
 }
 
-// soleVersion makes a software version the only one that the service ever had.
-func (w *fixture) soleVersion(version string) {
-	w.pins.sole = pinner.Origin{Service: "s", SoftwareVersion: version}
+// soleVersion makes v2 the only software version that the service ever had.
+func (w *fixture) soleVersion() {
+	w.pins.sole = pinner.Origin{Service: "s", SoftwareVersion: "v2"}
 	// The first upstream leaves.
 	w.upstreams = w.upstreams[1:]
 	w.list()
@@ -195,10 +202,10 @@
 			prepare: func(w *fixture) { w.upstreams[0].version = "v2"; w.list() }, want: "stream_lost",
 		},
 		"nobody knows, and the service had one version only": {
-			prepare: func(w *fixture) { w.soleVersion("v2") },
+			prepare: func(w *fixture) { w.soleVersion() },
 		},
 		"the request doesn't say, and the service had one version only": {
-			prepare: func(w *fixture) { w.soleVersion("v2") },
+			prepare: func(w *fixture) { w.soleVersion() },
 			change:  func(r *http.Request) { r.Header.Del(names.Resumes) },
 		},
 		"nobody knows, and another version is listed than the only one recorded": {
@@ -229,6 +236,42 @@
 			want: "stream_version_gone", retryAfter: true,
 		},
 		"the route leads elsewhere": {prepare: func(w *fixture) { w.began("other", "v2") }, want: "stream_version_gone"},
+		"the service had one version only, and the route led to another before": {
+			prepare: func(w *fixture) {
+				routes := configuration()
+				for i := range routes.Routes {
+					routes.Routes[i].Shares = []cataloguer.Share{{Service: "other", Weight: 1}}
+				}
+
+				w.former = router.New(routes, nil)
+				w.restart()
+				w.soleVersion()
+			},
+			want: "stream_lost",
+		},
+		"the service had one version only, by a node whose list is old": {
+			prepare: func(w *fixture) {
+				w.soleVersion()
+				w.now += time.Minute
+				w.catalog.MarkConfigurationFresh(1, w.now)
+			},
+			want: "stream_unknown", retryAfter: true,
+		},
+		"the service had one version only, by a node whose list gets old while it reads that": {
+			prepare: func(w *fixture) {
+				w.soleVersion()
+				w.pins.onSole = func() { w.now += time.Minute }
+			},
+			want: "stream_unknown", retryAfter: true,
+		},
+		"the service had one version only, by a node whose routes are old": {
+			prepare: func(w *fixture) {
+				w.soleVersion()
+				w.now += 3500 * time.Millisecond
+				w.catalog.MarkRegistryFresh(w.now)
+			},
+			want: "stream_unknown", retryAfter: true,
+		},
 	}
 
 	for name, test := range tests {
@@ -266,6 +309,22 @@
 	}
 }
 
+// Guards against a stream that goes on at any version, at a node whose configuration doesn't say yet, or no longer, that it may be resumed.
+func TestStreamIsBoundWhereItsRouteIsNotResumable(t *testing.T) {
+	for version, want := range map[string]int{"v2": http.StatusOK, "v9": http.StatusServiceUnavailable} {
+		w := newFixture(t, 10)
+		first := w.add(streamEvents(true, 8, 9))
+		w.add(streamEvents(true, 8, 9)).version = "v2"
+		w.list()
+		w.began("s", version)
+
+		response, _, err := w.send("/advice/1", resume)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, want)
+		assert.Equal(t, first.count(), 0)
+	}
+}
+
 // Guards against a stream that goes on at a service to which the configuration in force gives none of the route's requests.
 func TestStreamDoesNotGoOnAtAServiceWithoutWeight(t *testing.T) {
 	w := newFixture(t, 10)
