Fencer: in a store that names its eras, a lower revision is no return

A lower revision or number in the same era held all candidates back for the length of a lease, in stores that name their eras, too. There the era tells of a return, so a lower revision can only be a read that was answered from an older state.

--- a/internal/fencer/fencer.go
+++ b/internal/fencer/fencer.go
@@ -169,8 +169,8 @@
 	return f.era, f.eraSince
 }
 
-// observePosition records the era and the revision at which the store was read; the revision is 0 if it isn't known. Reads are
-// linearizable and made one after the other, so a lower revision in the same era means that the store returned from an older copy.
+// observePosition records the era and the revision at which the store was read; the revision is 0 if it isn't known. Where the store names
+// no era, reads are linearizable and made one after the other, so a lower revision means that it returned from an older copy.
 func (f *Fencer) observePosition(era, revision int64) {
 	switch {
 	case era != f.era:
@@ -196,7 +196,10 @@
 }
 
 func (f *Fencer) noteReset() {
-	f.resetAt, f.sawReset = f.options.Now(), true
+	// A store that names its eras tells of returns by these; what it reads behind is stale.
+	if f.era == 0 {
+		f.resetAt, f.sawReset = f.options.Now(), true
+	}
 }
 
 // mayBeHeld reports whether another holder may have a lease that the store lost when it returned from an older copy. Such a lease ends
