Relayer: a close right behind the head doesn't end a stream that went on

A stream broke off after its second event and went on at another upstream, which sent the head of an answer with neither a length nor chunks and closed. The caller got the two events and the end of the body.

Cause: a stream that goes on may have nothing left, so an answer without events was taken for its end, however that was told. An answer that ends with its connection tells nothing: an upstream that crashes closes it too. For a replacement of a silent upstream this was so already.

Change: without an event, only a length or the last chunk ends a stream that went on. Else the attempt has broken off: another upstream is tried, or the caller's answer breaks off and can be taken up.

Evidence: TestResponsesThatServersCutOffAreNotWhole sends requests through the relayer while an upstream's answers are cut at each byte, in six framings, closed or reset: not repeatable, repeated elsewhere, streams that can't go on, that go on elsewhere, that went on, that a caller takes up. Before, 'stream that went on' failed (ended by its connection, closed after the head: the body is events 1 and 2); the other five passed. Now all pass, with the package's tests. What is cut between two events of such an answer can't be told from its end.

--- a/internal/gateway/relayer/stream.go
+++ b/internal/gateway/relayer/stream.go
@@ -36,7 +36,7 @@
 		event, err := r.nextEvent(a)
 
 		switch {
-		case errors.Is(err, io.EOF) && a.started && (!a.replaces || !a.endsWithConnection()):
+		case errors.Is(err, io.EOF) && a.started && !a.endsWithConnection():
 			a.open = true
 
 			return attemptDone
