Connector: a refusal of a watch that was cut off is no other refusal

What callers saw: nothing. The distributor of settings reads all anew after any error of a watch; the error was only the wrong one, 'refused', which no retry mends, for 'compacted'.

Cause: the body of a watch's refusal was read without looking at the error of the read. Cut off, it holds no code, and its HTTP status 400 alone counts as 'refused'. All other calls look at that error.

Change: a refusal that doesn't arrive whole is a failed read, and the next address is tried.

Evidence: TestClient_RefusalOfAWatchThatIsCutOff failed before (length, closed behind the head: 'status 3: Bad Request' is ErrRefused).

--- a/internal/connector/client.go
+++ b/internal/connector/client.go
@@ -332,7 +332,10 @@
 			return false, nil
 		}
 		defer response.RawBody().Close()
-		answer, _ := io.ReadAll(io.LimitReader(response.RawBody(), maxErrorBytes))
+		answer, err := io.ReadAll(io.LimitReader(response.RawBody(), maxErrorBytes))
+		if err != nil {
+			return true, storer.NotApplied(errors.Wrap(err, "reply"))
+		}
 		err = statusError(response.StatusCode(), answer, false)
 		return mayMove(err, q), err
 	})
