Breakdetector: a reset that a write took is no end of a response on the own interface either

Change: what the dialer's connection does is a package now, breakdetector, and the connections of the forwarder's Transport use it too.

--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quincepath.example/quincepath/internal/breakdetector"
 	"quincepath.example/quincepath/internal/headreader"
 	"quincepath.example/quincepath/internal/throttler"
 )
@@ -189,7 +190,14 @@
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
 
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+
+			return &conn{Conn: c}, nil
+		},
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     idleConnTimeout,
@@ -200,6 +208,18 @@
 	}
 }
 
+// conn is a connection to an upstream.
+type conn struct {
+	net.Conn
+	breaks breakdetector.Detector
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) { return c.breaks.Read(c.Conn, p) }
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) { return c.breaks.Write(c.Conn, p) }
+
 // singleUseBody is a request body that net/http can't rewind, and therefore can't resend by itself.
 type singleUseBody struct {
 	data []byte
--- a/internal/gateway/dialer/dialer.go
+++ b/internal/gateway/dialer/dialer.go
@@ -10,17 +10,15 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
-	"os"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"quincepath.example/quincepath/internal/breakdetector"
 	"quincepath.example/quincepath/internal/headreader"
 )
 
@@ -69,7 +67,7 @@
 
 // Dialer manages the connections to upstreams. It is safe for concurrent use.
 //
-// Lock order: only Dialer.mu, which is not held during I/O, and the lock of a connection's write, which is.
+// Lock order: only Dialer.mu, which is not held during I/O.
 type Dialer struct {
 	// DialContext opens TCP connections to upstreams. It must not be changed once the Dialer is in use.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
@@ -115,51 +113,26 @@
 	reader *bufio.Reader
 	// idleUntil is when the idle connection must no longer be reused, as the upstream may close it.
 	idleUntil time.Time
-
-	// writing is held during a write, which Read ends before it waits for it. It guards writeErr, the error of a write that ended a
-	// direct connection.
-	writing  sync.Mutex
-	writeErr error
-}
-
-// Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) {
-	c.writing.Lock()
-	defer c.writing.Unlock()
-
-	n, err := c.Conn.Write(p)
-	if c.peer == "" && isBreak(err) {
-		c.writeErr = err
-	}
-
-	return n, err
+	// breaks reads and writes a direct connection. Through a peer, frames tell the end of the stream.
+	breaks breakdetector.Detector
 }
 
-// Read implements net.Conn. It returns io.EOF only if the other end closed the connection: the system reports a break once, and if a
-// concurrent write got that error, a read sees the end of the stream.
+// Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if !errors.Is(err, io.EOF) {
-		return n, err
+	if c.peer != "" {
+		return c.Conn.Read(p)
 	}
 
-	// Ends a write in progress.
-	_ = c.SetWriteDeadline(time.Unix(1, 0))
-
-	c.writing.Lock()
-	defer c.writing.Unlock()
+	return c.breaks.Read(c.Conn, p)
+}
 
-	if c.writeErr != nil {
-		return n, c.writeErr
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.peer != "" {
+		return c.Conn.Write(p)
 	}
 
-	return n, err
-}
-
-// isBreak reports whether the error of a write shows that the connection broke before the other end closed it. After that end's close,
-// the error is EPIPE.
-func isBreak(err error) bool {
-	return err != nil && !errors.IsAny(err, syscall.EPIPE, os.ErrDeadlineExceeded, net.ErrClosed)
+	return c.breaks.Write(c.Conn, p)
 }
 
 // Close implements net.Conn and releases the connection's place under maxOpen.
