--- a/internal/gateway/relayer/cut_test.go
+++ b/internal/gateway/relayer/cut_test.go
@@ -108,6 +108,41 @@
 	}
 }
 
+// Guards against a response that is too long to be held, of which callers have a part when its server breaks off, and that ends for them as
+// if it were whole.
+func TestLongResponsesThatServersCutOffAreNotWhole(t *testing.T) {
+	body := strings.Repeat("x", 300<<10)
+	w := newFixture(t, 1<<20)
+
+	server, err := cutter.Listen(t.Context())
+	assert.NilError(t, err)
+
+	w.upstreams = append(w.upstreams, &fakeUpstream{name: "cut", version: "v1", address: server.Address()})
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: id-1\r\n%s: sig\r\nConnection: close\r\n", names.RequestID, names.Signature)
+
+	for _, response := range cutter.Responses(head, body) {
+		size := len(response.Head + response.Body)
+
+		for _, bytes := range []int{size - 40<<10, size - 3, size - 2, size - 1, size} {
+			for _, end := range []cutter.End{cutter.Close, cutter.Reset} {
+				cut := cutter.Cut{Response: response, Bytes: bytes, End: end}
+				server.Answer(cut)
+
+				response, received, err := w.send("/price/1", nil)
+
+				switch {
+				case err != nil || response.StatusCode != http.StatusOK:
+					assert.Assert(t, !cut.IsWhole(), "%s, %d of %d bytes, %v: %v", cut.Framing, bytes, size, end, err)
+				case cut.EndsWithConnection:
+					assert.Assert(t, cut.LooksWhole() && strings.HasPrefix(body, received), "%s, %d of %d bytes, %v", cut.Framing, bytes, size, end)
+				default:
+					assert.Assert(t, cut.LooksWhole() && received == body, "%s, %d of %d bytes, %v", cut.Framing, bytes, size, end)
+				}
+			}
+		}
+	}
+}
+
 // takeUp makes a request take up a stream of which its caller has the first two events.
 func takeUp(r *http.Request) {
 	r.Header.Set(names.LastEventID, "2")
