--- a/internal/gateway/tunneler/tunneler_test.go
+++ b/internal/gateway/tunneler/tunneler_test.go
@@ -193,42 +193,57 @@
 }
 
 // Guards against a peer that takes a reset of the upstream for its close, as the error went to the write of the request: a response without
-// a length would look complete to the node.
+// a length would look complete to the node. A close while the request is written stays one.
 func TestResetWhileTheRequestIsCarriedIsNoClose(t *testing.T) {
 	const begin, tries = "ans", 100
 
-	reset := make(chan struct{})
-	upstream := startUpstream(t, func(conn *net.TCPConn) {
-		_, _ = io.WriteString(conn, begin)
-		<-reset
-		_, _ = conn.SetLinger(0), conn.Close()
-	})
+	for _, test := range []struct {
+		name  string
+		end   func(conn *net.TCPConn)
+		clean int
+	}{
+		{name: "reset", end: func(conn *net.TCPConn) { _, _ = conn.SetLinger(0), conn.Close() }},
+		{name: "closed", end: func(conn *net.TCPConn) { _ = conn.CloseWrite() }, clean: tries},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			end := make(chan struct{})
+			upstream := startUpstream(t, func(conn *net.TCPConn) {
+				defer conn.Close()
 
-	o := options(upstream)
-	o.Dial = dialer.New(2 * tries).OpenForPeer
-	c := startCarrier(t, o)
-	request := bytes.Repeat([]byte("x"), 16<<20)
-	clean := 0
+				_, _ = io.WriteString(conn, begin)
+				<-end
+				test.end(conn)
+				<-t.Context().Done()
+			})
 
-	for range tries {
-		tunnel, err := connect(o, c, upstream)
-		assert.NilError(t, err)
+			o := options(upstream)
+			o.MaxTunnels = tries
+			o.Dial = dialer.New(2 * tries).OpenForPeer
+			c := startCarrier(t, o)
+			request := bytes.Repeat([]byte("x"), 16<<20)
+			clean := 0
 
-		go func() { _, _ = tunnel.Write(request) }()
+			for range tries {
+				tunnel, err := connect(o, c, upstream)
+				assert.NilError(t, err)
 
-		_, err = io.ReadFull(tunnel, make([]byte, len(begin)))
-		assert.NilError(t, err)
+				go func() { _, _ = tunnel.Write(request) }()
 
-		reset <- struct{}{}
+				_, err = io.ReadFull(tunnel, make([]byte, len(begin)))
+				assert.NilError(t, err)
 
-		if _, err := io.ReadAll(tunnel); err == nil {
-			clean++
-		}
+				end <- struct{}{}
 
-		assert.NilError(t, tunnel.Close())
-	}
+				if _, err := io.ReadAll(tunnel); err == nil {
+					clean++
+				}
 
-	assert.Equal(t, clean, 0, "of %d tunnels whose upstream reset its connection", tries)
+				assert.NilError(t, tunnel.Close())
+			}
+
+			assert.Equal(t, clean, test.clean, "of %d tunnels", tries)
+		})
+	}
 }
 
 // Guards against an upstream that works on for a caller that is gone: the node closes its end of the tunnel.
