Orders: the demand is written under its term only

The next holder could go on with a demand that a former one had sent to the store before its end and that arrived after it: the write compared the revision of its own key alone. It now depends on the term, as that of the usage account does (Term.Guard), and isn't sent in another era than the term's.

TestDemandOfAnEarlierTermIsNotWritten failed before, 20 of 20 runs, and passes 20 of 20.

--- a/internal/gateway/leader/demand.go
+++ b/internal/gateway/leader/demand.go
@@ -128,7 +128,7 @@
 
 	record.savedAt = l.options.Now()
 
-	err := l.withStoreTimeout(ctx, func(ctx context.Context) error { return record.save(ctx, state) })
+	err := l.withStoreTimeout(ctx, func(ctx context.Context) error { return record.save(ctx, t, state) })
 	if err != nil {
 		l.options.Logger.Warn().Err(err).Msg("demand_not_kept")
 	}
@@ -193,8 +193,9 @@
 	return state, nil
 }
 
-// save writes the record if it has changed. After an error it is read again first, as the write may have been applied.
-func (r *demandRecord) save(ctx context.Context, state scaler.State) error {
+// save writes the record if it has changed and no other term has begun. After an error it is read again first, as the write may have been
+// applied.
+func (r *demandRecord) save(ctx context.Context, t *activeTerm, state scaler.State) error {
 	value, err := json.Marshal(state)
 	if err != nil {
 		return errors.Wrap(err, "encode the demand")
@@ -212,9 +213,13 @@
 
 	r.loaded = false
 
+	if r.era != t.Era {
+		return collector.ErrTermOfEarlierEra
+	}
+
 	result, err := r.store.Txn(ctx, storer.Txn{
 		Era:      r.era,
-		Compares: []storer.Compare{{Key: demandKey, Target: storer.TargetMod, Number: r.revision}},
+		Compares: []storer.Compare{{Key: demandKey, Target: storer.TargetMod, Number: r.revision}, t.Guard},
 		Success:  []storer.Op{{Kind: storer.OpPut, Key: demandKey, Value: value}},
 	})
 
@@ -222,7 +227,7 @@
 	case err != nil:
 		return err
 	case !result.Succeeded:
-		return errors.New("another node wrote the demand")
+		return errors.New("another node wrote the demand, or holds the duties since")
 	}
 
 	r.saved, r.revision, r.loaded, r.state = value, result.Revision, true, state
--- a/internal/gateway/leader/demand_test.go
+++ b/internal/gateway/leader/demand_test.go
@@ -30,8 +30,9 @@
 	orders []receivedOrder
 	// work is the measured work; negative while it is unknown.
 	work float64
-	// storeDown is true while the store gets no calls.
-	storeDown bool
+	// storeDown is true while the store gets no calls. Writes of the demand arrive after demandDelay.
+	storeDown   bool
+	demandDelay time.Duration
 	// stuck is true while the platform accepts orders without carrying them out.
 	stuck bool
 	// bootTime is how long an ordered upstream takes to run.
@@ -134,11 +135,16 @@
 	return map[string]scaler.Demand{"engines": {Work: f.work, Running: 90}}
 }
 
-func (f *scaledFleet) storeFault(context.Context, keeper.Call) keeper.Verdict {
+func (f *scaledFleet) storeFault(_ context.Context, call keeper.Call) keeper.Verdict {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	return keeper.Verdict{LoseRequest: f.storeDown}
+	verdict := keeper.Verdict{LoseRequest: f.storeDown}
+	if call.Kind == keeper.CallTxn && call.Key == "demand" {
+		verdict.DelayBefore = f.demandDelay
+	}
+
+	return verdict
 }
 
 func (f *scaledFleet) setWork(work float64) {
@@ -311,16 +317,7 @@
 				f.setWork(10)
 				defer f.start(ctx, "b")()
 
-				highest := f.lastOrders()
-
-				for range 90 {
-					time.Sleep(100 * time.Millisecond)
-
-					for key, count := range f.lastOrders() {
-						assert.Assert(t, !key.Spot || count >= highest[key], "%+v: %d after %d", key, count, highest[key])
-						highest[key] = count
-					}
-				}
+				f.checkOrdersStand(t)
 
 				if !test.killed {
 					stop()
@@ -330,6 +327,22 @@
 	}
 }
 
+// checkOrdersStand fails if less is ordered than before within nine seconds: the planner reduces orders after ten.
+func (f *scaledFleet) checkOrdersStand(t *testing.T) {
+	t.Helper()
+
+	highest := f.lastOrders()
+
+	for range 90 {
+		time.Sleep(100 * time.Millisecond)
+
+		for key, count := range f.lastOrders() {
+			assert.Assert(t, !key.Spot || count >= highest[key], "%+v: %d after %d", key, count, highest[key])
+			highest[key] = count
+		}
+	}
+}
+
 func (f *scaledFleet) lastOrders() map[scaler.Order]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -343,3 +356,45 @@
 
 	f.storeDown = down
 }
+
+// Guards against a demand that a former holder wrote and that arrives in the term of the next one.
+func TestDemandOfAnEarlierTermIsNotWritten(t *testing.T) {
+	runSimulation(t, func(t *testing.T, ctx context.Context) {
+		f := newScaledFleet()
+		stop := f.start(ctx, "a")
+
+		time.Sleep(2 * time.Minute)
+
+		// The next holder doesn't see from the upstreams what this one orders.
+		f.delayDemand(10*time.Second, true)
+		f.setWork(30)
+		time.Sleep(4 * time.Second)
+		stop()
+		f.delayDemand(0, true)
+
+		before := f.storedDemand(t)
+
+		// The next holder measures nothing, so it writes nothing.
+		f.setWork(-1)
+		defer f.start(ctx, "b")()
+
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, f.storedDemand(t), before)
+	})
+}
+
+func (f *scaledFleet) delayDemand(delay time.Duration, stuck bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.demandDelay, f.stuck = delay, stuck
+}
+
+func (f *scaledFleet) storedDemand(t *testing.T) string {
+	t.Helper()
+
+	found, _, err := keeper.NewLocal(f.store, nil).Get(t.Context(), "demand")
+	assert.NilError(t, err)
+
+	return string(found.Value)
+}
