Quarantine: a trial that the store lost isn't granted again

A request with a part that crashes its upstream ran twice where one trial was due: the renewal that grants a trial was known to the node that got it and to the store alone, until the others read it, 0.6 s later at most. A store that returned from a copy without it granted the trial again.

The node that gets a trial tells the others first, by the message that spreads a quarantine, and lets the request through after that.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -303,7 +303,7 @@
 	}
 
 	for _, due := range q.startRenewals(now) {
-		go q.renew(ctx, due)
+		go q.renew(ctx, workers, due)
 	}
 
 	standby := slices.Index(coordinators, q.options.Self)
--- a/internal/quarantiner/store_return_test.go
+++ b/internal/quarantiner/store_return_test.go
@@ -107,3 +107,36 @@
 		assert.Equal(t, f.recorded(), 0)
 	})
 }
+
+// Guards against a trial that is granted twice, since the store lost the first one before any other node read it.
+func TestTrialThatTheStoreLostIsNotGrantedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 5)
+		part := f.storePart()
+		loss := f.copyOfStore()
+		request := quarantiner.Traits{Parts: []quarantiner.Part{{Key: part.Key, ID: part.Part}}}
+		trials := func(seconds int) int {
+			granted := 0
+
+			for range seconds {
+				for _, n := range f.nodes {
+					if _, mayRun := n.Check(request, quarantiner.Key{}); mayRun {
+						granted++
+					}
+				}
+
+				if granted > 0 && seconds > 60 {
+					break
+				}
+
+				time.Sleep(time.Second)
+			}
+
+			return granted
+		}
+
+		assert.Equal(t, trials(2*3600), 1)
+		f.returnFromCopy(loss)
+		assert.Equal(t, trials(60), 0)
+	})
+}
--- a/internal/quarantiner/trials.go
+++ b/internal/quarantiner/trials.go
@@ -92,14 +92,20 @@
 	return due
 }
 
-// renew renews the quarantine of a part in the store, so that this node may let one request with it through.
-func (q *Quarantiner) renew(ctx context.Context, due Quarantine) {
+// renew renews the quarantine of a part in the store, so that this node may let one request with it through. The other nodes are told
+// first: the store may lose the renewal before they read it, and would grant the trial again.
+func (q *Quarantiner) renew(ctx context.Context, workers pond.Pool, due Quarantine) {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 
 	renewed := due.renewed(time.Now())
 	isRenewed, err := q.writeRenewal(ctx, due, renewed)
 
+	if err == nil && isRenewed {
+		q.table.add(time.Now(), renewed)
+		q.broadcast(ctx, workers, []Quarantine{renewed})
+	}
+
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
@@ -110,7 +116,6 @@
 		return
 	}
 
-	q.table.add(time.Now(), renewed)
 	q.trials[due.Key] = renewed
 	q.options.Logger.Info().Str("prompt_part", due.Part).Int("trials", renewed.Trials).Msg("trial_granted")
 }
