Pinner: test of a node that is out of step while a release joins

Nothing had to change for it. With a trial change that takes the only version from the node's own list, the three cases of a cut fail.

--- a/internal/gateway/pinner/archiving_test.go
+++ b/internal/gateway/pinner/archiving_test.go
@@ -393,3 +393,76 @@
 		})
 	}
 }
+
+// Guards against a node that was out of step in a release, and takes streams of the new version for ones of the version that it knows.
+func TestNodeOutOfStepInAReleaseDoesNotGuess(t *testing.T) {
+	const streams = 99
+
+	for name, test := range map[string]struct {
+		// leaveStep and rejoin are what happens to the node before the release, and before callers take the streams up there.
+		leaveStep, rejoin func(f *fleet, n *node)
+		want              map[Finding]int
+	}{
+		"stood still":             {leaveStep: freeze(true), rejoin: freeze(false), want: map[Finding]int{Found: streams}},
+		"cut off from the others": {leaveStep: cutOff, want: map[Finding]int{Found: streams}},
+		"cut off from the others and the store": {
+			leaveStep: cutOff, rejoin: func(f *fleet, _ *node) { f.archive.setAway(true); f.versions.err = errStore },
+			want: map[Finding]int{Unavailable: streams},
+		},
+		"cut off while it stood still": {
+			leaveStep: freeze(true), rejoin: func(f *fleet, n *node) { freeze(false)(f, n); cutOff(f, n); time.Sleep(lossTime) },
+			want: map[Finding]int{Found: streams},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inArchivedFleet(t, 5, []string{"v0"}, func(f *fleet) {
+				n := f.nodes["n002"]
+				test.leaveStep(f, n)
+
+				// It doesn't hear of the new versions.
+				f.change(func() { delete(f.nodes, n.name) })
+				f.setVersions("v0", "v1", "v2")
+				f.change(func() { f.nodes[n.name] = n })
+
+				f.record("n000", 0, streams)
+				time.Sleep(lossTime)
+
+				if test.rejoin != nil {
+					test.rejoin(f, n)
+				}
+
+				assert.DeepEqual(t, f.origins(n, streams), test.want)
+			})
+		})
+	}
+}
+
+func freeze(frozen bool) func(f *fleet, n *node) {
+	return func(f *fleet, n *node) { f.change(func() { n.frozen = frozen }) }
+}
+
+func cutOff(f *fleet, n *node) {
+	f.change(func() { f.side[n.name] = 1 })
+	f.updateViews()
+}
+
+// origins counts the results of a search for what began streams, in all places where a node looks. A wrong origin fails the test.
+func (f *fleet) origins(n *node, streams int) map[Finding]int {
+	counts := make(map[Finding]int)
+
+	for i := range streams {
+		origin, finding := n.pinner.Find(f.t.Context(), keyOf(i))
+		if finding != Found {
+			origin, finding = n.pinner.Sole(f.t.Context(), "s")
+		}
+
+		if finding != Found {
+			origin, finding = n.pinner.Archived(f.t.Context(), keyOf(i))
+		}
+
+		counts[finding]++
+		assert.Check(f.t, finding != Found || origin == originOf(i), "stream %d is taken for one of %v", i, origin)
+	}
+
+	return counts
+}
