Pinner: a version that a node hasn't heard of isn't gone

Cause: a version without a listed upstream counted as gone if the list had been confirmed within 3 s. A node that is behind by less, as after a short standstill in a release, lacks versions that others use.

Change: the refusal names when to come back if this node has never listed the version, though it has had a list for five seconds. A node that has just started refuses for good as before: after a kill of all, versions whose servers are gone are the rule there.

Run: go test ./internal/gateway/{pinner,relayer}, ok.

--- a/internal/gateway/pinner/archiving.go
+++ b/internal/gateway/pinner/archiving.go
@@ -63,6 +63,10 @@
 
 	now := p.options.Now()
 
+	if p.seenSince < 0 {
+		p.seenSince = now
+	}
+
 	p.seen.update(now, inUse)
 	p.seen.forget(now - p.options.StreamLifetime())
 
--- a/internal/gateway/pinner/pinner.go
+++ b/internal/gateway/pinner/pinner.go
@@ -144,8 +144,10 @@
 	backlog []Entry
 	// unwritten are the records that this node is to write, oldest first.
 	unwritten []Entry
-	// seen holds the software versions that this node's list of upstreams has or had.
-	seen versionHistory
+	// seen holds the software versions that this node's list of upstreams has or had, seenSince is when it got the first one; negative
+	// before that.
+	seen      versionHistory
+	seenSince time.Duration
 	// history holds the software versions as far as this node knows; hasReadHistory is set once it knows those from before its start.
 	history        versionHistory
 	hasReadHistory bool
@@ -162,7 +164,7 @@
 
 // New returns a Pinner without records.
 func New(options Options) *Pinner {
-	p := &Pinner{options: options, ranking: chooser.NewRanking(maxAsked), transfers: make(map[string][]Entry)}
+	p := &Pinner{options: options, ranking: chooser.NewRanking(maxAsked), transfers: make(map[string][]Entry), seenSince: -1}
 	p.outbox = batcher.New(p.sendRecords)
 	p.archiveOutbox = batcher.New(p.sendToArchive)
 	p.history.endedAt, p.seen.endedAt = make(map[string]map[string]time.Duration), make(map[string]map[string]time.Duration)
--- a/internal/gateway/pinner/versions.go
+++ b/internal/gateway/pinner/versions.go
@@ -13,6 +13,8 @@
 	// versionReadTimeout limits a read of the versions, versionReadPause is the time between two.
 	versionReadTimeout = 700 * time.Millisecond
 	versionReadPause   = 100 * time.Millisecond
+	// settlingTime is how long after its start a node may lack versions whose upstreams left before.
+	settlingTime = 5 * time.Second
 )
 
 // VersionStore lists which software versions the upstreams of each service have, or had while a stream may be from. A
@@ -69,6 +71,17 @@
 	return false
 }
 
+// MayBeNew reports whether a version that this node doesn't list may have upstreams that other nodes heard of first: it has never listed
+// the version, though it has had a list for a while.
+func (p *Pinner) MayBeNew(origin Origin) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	_, isSeen := p.seen.endedAt[origin.Service][origin.SoftwareVersion]
+
+	return !isSeen && p.seenSince >= 0 && p.options.Now()-p.seenSince >= settlingTime
+}
+
 // versionHistory holds the software versions that each service has, or had for as long as the node knows. It is not safe for concurrent
 // use.
 type versionHistory struct {
--- a/internal/gateway/pinner/versions_test.go
+++ b/internal/gateway/pinner/versions_test.go
@@ -77,7 +77,7 @@
 }
 
 // Guards against a service that counts as one of a single version though this node has seen another: one that the store didn't take, that a
-// node removed too early, or that went with an older copy.
+// node removed too early, or that went with an older copy. Guards also against a new version that counts as gone.
 func TestSoleVersionIsRefutedByWhatTheNodeSaw(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
@@ -100,17 +100,21 @@
 			listed []string
 			after  time.Duration
 			want   Finding
+			// wantNew says that v2 may be known to other nodes first.
+			wantNew bool
 		}{
 			{listed: []string{"v1"}, want: Found},
+			{listed: []string{"v1"}, after: settlingTime, want: Found, wantNew: true},
 			{listed: []string{"v1", "v2"}, want: NotFound},
 			{listed: []string{"v1"}, after: testLifetime / 2, want: NotFound},
-			{listed: []string{"v1"}, after: testLifetime, want: Found},
+			{listed: []string{"v1"}, after: testLifetime, want: Found, wantNew: true},
 		} {
 			time.Sleep(step.after)
 			list(step.listed...)
 
 			_, finding := p.Sole(t.Context(), "s")
 			assert.Equal(t, finding, step.want)
+			assert.Equal(t, p.MayBeNew(Origin{Service: "s", SoftwareVersion: "v2"}), step.wantNew)
 		}
 
 		// The reader ends.
--- a/internal/gateway/relayer/options.go
+++ b/internal/gateway/relayer/options.go
@@ -82,6 +82,8 @@
 	Archived(ctx context.Context, key pinner.Key) (pinner.Origin, pinner.Finding)
 	// Sole returns what began any stream of a service, if its upstreams had only one software version all the while.
 	Sole(ctx context.Context, service string) (pinner.Origin, pinner.Finding)
+	// MayBeNew reports whether upstreams of a version that this node doesn't list may be known to other nodes first.
+	MayBeNew(origin pinner.Origin) bool
 }
 
 // Options configure a Relayer. All fields are required, except Paused.
--- a/internal/gateway/relayer/resume.go
+++ b/internal/gateway/relayer/resume.go
@@ -196,7 +196,7 @@
 }
 
 // versionGone returns the refusal of a request whose stream no listed upstream can go on with, or nil if there is one. It is final if the
-// list is current.
+// list is current and had such an upstream.
 func (r *Relayer) versionGone(request *request) *classifier.Error {
 	origin := request.origin.Load()
 	if origin == nil {
@@ -213,7 +213,7 @@
 
 	failure := classifier.New(classifier.StreamVersionGone, "no upstream runs the version %q that began the stream", origin.SoftwareVersion)
 
-	if age, known := state.RegistryFreshness.Age(); !known || age > maxCurrentAge {
+	if age, known := state.RegistryFreshness.Age(); !known || age > maxCurrentAge || r.options.Pins.MayBeNew(*origin) {
 		return failure.After(jitteredRetryAfter())
 	}
 
--- a/internal/gateway/relayer/resume_test.go
+++ b/internal/gateway/relayer/resume_test.go
@@ -25,6 +25,8 @@
 	// archived is what Archived returns, if it is known, archiveFinding else.
 	archived       pinner.Origin
 	archiveFinding pinner.Finding
+	// isAhead is true if a version that this node doesn't list may be newer than its list.
+	isAhead bool
 	// onSole is called while Sole runs; it may be nil.
 	onSole func()
 
@@ -76,6 +78,9 @@
 	return pinner.Origin{}, pinner.NotFound
 }
 
+// MayBeNew implements relayer.Pins.
+func (p *fakePins) MayBeNew(pinner.Origin) bool { return p.isAhead }
+
 // Archived implements relayer.Pins.
 func (p *fakePins) Archived(context.Context, pinner.Key) (pinner.Origin, pinner.Finding) {
 	if p.archived.IsKnown() {
@@ -235,6 +240,9 @@
 			},
 			want: "stream_version_gone", retryAfter: true,
 		},
+		"its version has no upstream in a list that never had one": {
+			prepare: func(w *fixture) { w.began("s", "v9"); w.pins.isAhead = true }, want: "stream_version_gone", retryAfter: true,
+		},
 		"the route leads elsewhere": {prepare: func(w *fixture) { w.began("other", "v2") }, want: "stream_version_gone"},
 		"the service had one version only, and the route led to another before": {
 			prepare: func(w *fixture) {
