--- a/internal/gateway/stream_versions_test.go
+++ b/internal/gateway/stream_versions_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -397,6 +398,32 @@
 	}
 }
 
+// restartAll restarts all upstreams one by one, with a fourth version. They keep their IDs and addresses.
+func (f *versionFleetTest) restartAll(context.Context) {
+	for number := range 3 * upstreamsPerVersion {
+		id := fmt.Sprint("u", number+1)
+		address := f.upstream[id].Listener.Addr().String()
+
+		f.upstream[id].CloseClientConnections()
+		f.upstream[id].Close()
+
+		listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+		assert.Check(f.t, err)
+
+		f.upstream[id] = &httptest.Server{
+			Listener: listener,
+			Config:   &http.Server{Handler: &versionUpstream{version: "v3", breakShare: f.breakShare, mu: f.mu, random: f.random}},
+		}
+		f.upstream[id].Start()
+		f.t.Cleanup(f.upstream[id].Close)
+
+		f.store.update(func() {
+			f.store.upstreams[number].SoftwareVersion, f.store.upstreams[number].Born = "v3", time.Now().UnixMilli()
+		})
+		time.Sleep(versionReplaceInterval)
+	}
+}
+
 // versionCase is what happens while streams are sent.
 type versionCase struct {
 	name        string
@@ -417,6 +444,10 @@
 			name: "both while upstreams are replaced", breakShare: versionBreakShare, disconnects: true,
 			trouble: func(f *versionFleetTest) func(context.Context) { return f.replaceAll },
 		},
+		{
+			name: "both while upstreams restart in place", breakShare: versionBreakShare, disconnects: true,
+			trouble: func(f *versionFleetTest) func(context.Context) { return f.restartAll },
+		},
 	}
 }
 
