Server: an answer that another node breaks off breaks off for the caller too

Cause: a caller may take up its answer at any node, which passes on what the node that holds it sends. The copy ended without a word when that node broke off, closed or was killed, and net/http sent the last chunk.

Change: what isn't read to its end, or can't be written, aborts the caller's answer.

Evidence: TestAnswersThatTheirHolderCutsOffAreNotWhole cuts the holder's answer at each byte, in six framings, closed or reset. Before: 200 with an empty body, framed as whole, after "Transfer- Encoding: chunked" and the empty line. Now only what looks whole is passed on as such.

--- a/internal/server/cut_test.go
+++ b/internal/server/cut_test.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	"quincepath.example/quincepath/internal/dispatcher"
 	"quincepath.example/quincepath/internal/forwarder"
 	"quincepath.example/quincepath/internal/orderer"
+	"quincepath.example/quincepath/internal/prober"
 	"quincepath.example/quincepath/internal/recorder"
 	"quincepath.example/quincepath/internal/standin/cutter"
 )
@@ -127,3 +130,45 @@
 		assert.Assert(t, err == nil || !cut.IsWhole(), "%v: %v", cut, err)
 	})
 }
+
+// Guards against an answer that a node passes on for another one and that ends for the caller as if it were whole, though that node broke
+// it off.
+func TestAnswersThatTheirHolderCutsOffAreNotWhole(t *testing.T) {
+	node, base := newTestNode(t)
+	server, err := cutter.Listen(t.Context())
+	assert.NilError(t, err)
+
+	holder := prober.VM{Name: "node-9", Address: server.Address(), PeerAddress: "192.0.2.9:7101"}
+	node.members.prober.Receive(time.Now(), prober.Packet{Kind: prober.KindDigest, From: holder.Name, Incarnation: 1, Sequence: 1, VM: &holder})
+
+	const body = "data: a\n\ndata: [DONE]\n\n"
+
+	for cut := range cutter.Cuts(cutter.Responses("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n", body)) {
+		server.Answer(cut)
+
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, base+"/v1/requests/node-9.x.1/answer", http.NoBody)
+		assert.NilError(t, err)
+		request.Header.Set("Authorization", "Bearer "+testKey)
+
+		received, isOK, err := readAnswer(request)
+		if isOK && err == nil {
+			assert.Assert(t, cut.LooksWhole(), "%v: %q", cut, received)
+			assert.Assert(t, received == body || cut.EndsWithConnection && strings.HasPrefix(body, received), "%v: %q", cut, received)
+		}
+
+		assert.Assert(t, isOK && err == nil || !cut.IsWhole(), "%v: %v", cut, err)
+	}
+}
+
+// readAnswer sends a request, reads the answer, and reports whether its status is 200.
+func readAnswer(request *http.Request) (body string, isOK bool, err error) {
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return "", false, err
+	}
+	defer response.Body.Close()
+
+	data, err := io.ReadAll(response.Body)
+
+	return string(data), response.StatusCode == http.StatusOK, err
+}
--- a/internal/server/resume.go
+++ b/internal/server/resume.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
@@ -89,7 +91,11 @@
 	}
 
 	w.WriteHeader(response.StatusCode)
-	copyFlushing(w, response.Body)
+
+	if err := copyFlushing(w, response.Body); err != nil {
+		// A return would end the answer as if it were whole.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // entryURL returns the base URL of another node's address for callers.
@@ -102,7 +108,7 @@
 }
 
 // copyFlushing copies a stream and sends each piece on at once.
-func copyFlushing(w http.ResponseWriter, stream io.Reader) {
+func copyFlushing(w http.ResponseWriter, stream io.Reader) error {
 	control := http.NewResponseController(w)
 	buffer := make([]byte, 16<<10)
 
@@ -110,16 +116,20 @@
 		count, err := stream.Read(buffer)
 		if count > 0 {
 			if _, failed := w.Write(buffer[:count]); failed != nil {
-				return
+				return failed
 			}
 
 			if failed := control.Flush(); failed != nil {
-				return
+				return failed
 			}
 		}
 
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+
 		if err != nil {
-			return
+			return err
 		}
 	}
 }
