Acceptor: an aborted response looks whole to no caller of HTTP 1.0

The platform's callers speak HTTP 1.1.

Cause: a stream that breaks off, or an answer too long to be held, is aborted, and net/http closes the connection. In HTTP 1.1 the last chunk or the length is missing then; an answer in HTTP 1.0 ends with its connection, so that a close is its end.

Change: such a connection is reset.

A response that isn't aborted still ends by a close.

--- a/internal/gateway/acceptor/acceptor.go
+++ b/internal/gateway/acceptor/acceptor.go
@@ -159,6 +159,15 @@
 	return nil
 }
 
+// resetOnClose makes a close reset the connection. A response of HTTP 1.0 may end with its connection, so that a close would make one that
+// was aborted look whole.
+func (c *connection) resetOnClose() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// The close follows either way.
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // New returns an Acceptor of at most maxConnections connections. The timeouts function returns the current timeouts. Long headers
 // share headMemory while they are read.
 func New(maxConnections int, timeouts func() Timeouts, headMemory *headreader.Memory) *Acceptor {
@@ -173,11 +182,22 @@
 func (a *Acceptor) Serve(server *http.Server, listener net.Listener) error {
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connectionContextKey{}).(*connection); ok && !a.startHandling(c) {
+		c, ok := r.Context().Value(connectionContextKey{}).(*connection)
+		if ok && !a.startHandling(c) {
 			panic(http.ErrAbortHandler)
 		}
 
+		aborted := true
+
+		defer func() {
+			if ok && aborted && !r.ProtoAtLeast(1, 1) {
+				c.resetOnClose()
+			}
+		}()
+
 		handler.ServeHTTP(w, r)
+
+		aborted = false
 	})
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connectionContextKey{}, c)
