Quarantine: what operators lifted doesn't come back with the store

Operators lift a quarantine by removing its key, which the store acknowledges. A store that returned from a copy with the key brought it back, on all nodes, for up to an hour, a part for longer: nodes remembered for ten minutes only what upstreams' answers had lifted.

Nodes now remember as long what the store no longer listed. After a return, such an entry of the copy counts as released: it isn't in force, and the first coordinator removes it within a minute. In a store that hasn't returned, an entry that is written again is in force, as before. Released entries are dropped after ten minutes unless the store still lists them, no longer only at the next release.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -242,7 +242,7 @@
 
 // Update replaces the listed upstreams and the quarantines that the store holds. storeReturns counts its returns from older copies.
 func (q *Quarantiner) Update(listed Upstreams, quarantined []Quarantine, storeReturns int64) {
-	for _, added := range q.table.replace(quarantined, storeReturns) {
+	for _, added := range q.table.replace(time.Now(), quarantined, storeReturns) {
 		q.onQuarantined(added, "store")
 	}
 
--- a/internal/quarantiner/store_return_test.go
+++ b/internal/quarantiner/store_return_test.go
@@ -108,6 +108,39 @@
 	})
 }
 
+// Guards against a quarantine that operators lifted and that comes back with the copy.
+func TestLiftingByOperatorsIsNotForgottenWithTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		part := f.storePart()
+		loss := f.copyOfStore()
+		f.mu.Lock()
+		clear(f.stored)
+		f.mu.Unlock()
+		f.list()
+		assert.Equal(t, f.held(part.Key), 0)
+
+		f.returnFromCopy(loss)
+		assert.Equal(t, f.held(part.Key), 0)
+
+		for range 3 {
+			time.Sleep(30 * time.Second)
+			f.list()
+		}
+
+		assert.Equal(t, f.recorded(), 0)
+
+		// What is written long after counts.
+		time.Sleep(11 * time.Minute)
+		f.list()
+		f.mu.Lock()
+		f.stored[part.Key] = part
+		f.mu.Unlock()
+		f.list()
+		assert.Equal(t, f.held(part.Key), 3)
+	})
+}
+
 // Guards against a trial that is granted twice, since the store lost the first one before any other node read it.
 func TestTrialThatTheStoreLostIsNotGrantedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -75,6 +75,8 @@
 	// or lists again.
 	released    map[Key]releasedEntry
 	listedAgain []Key
+	// removed are the quarantines that the store no longer listed, as operators lifted them or they were over.
+	removed map[Key]releasedEntry
 	// storeReturns counts the returns of the store from older copies until it listed the quarantines.
 	storeReturns int64
 }
@@ -92,7 +94,7 @@
 }
 
 func newTable() *table {
-	return &table{entries: make(map[Key]entry), released: make(map[Key]releasedEntry)}
+	return &table{entries: make(map[Key]entry), released: make(map[Key]releasedEntry), removed: make(map[Key]releasedEntry)}
 }
 
 // find returns the quarantine of a request or part, and false if it is in none.
@@ -150,7 +152,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	maps.DeleteFunc(t.released, func(_ Key, r releasedEntry) bool { return now.Sub(r.at) > releaseRetention })
+	dropOld(now, t.released)
 
 	t.released[lifted.Key] = releasedEntry{since: lifted.Since, at: now}
 
@@ -164,16 +166,35 @@
 	return true
 }
 
+// dropOld drops the entries that need not be remembered any more.
+func dropOld(now time.Time, entries map[Key]releasedEntry) {
+	maps.DeleteFunc(entries, func(_ Key, r releasedEntry) bool { return now.Sub(r.at) > releaseRetention })
+}
+
 // replace takes over the entries that the store lists and returns the new ones. An entry that the store listed before and no longer
 // lists is removed, so that operators can lift a quarantine. After a return from an older copy the store may have lost it, or hold it as it
-// was before its last trial: then it is kept and stored again.
-func (t *table) replace(listed []Quarantine, storeReturns int64) []Quarantine {
+// was before its last trial: then it is kept and stored again. It may also list one that was removed, which then counts as released.
+func (t *table) replace(now time.Time, listed []Quarantine, storeReturns int64) []Quarantine {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
 	former, hasReturned := t.entries, storeReturns > t.storeReturns
 	t.entries = make(map[Key]entry, len(listed))
-	t.storeReturns, t.listedAgain = storeReturns, nil
+	t.storeReturns = storeReturns
+
+	dropOld(now, t.removed)
+
+	if len(t.listedAgain) == 0 {
+		dropOld(now, t.released)
+	}
+
+	if hasReturned {
+		for key, r := range t.removed {
+			t.released[key] = releasedEntry{since: max(r.since, t.released[key].since), at: now}
+		}
+	}
+
+	t.listedAgain = nil
 
 	var added []Quarantine
 
@@ -197,9 +218,15 @@
 	}
 
 	for key, e := range former {
-		if _, known := t.entries[key]; !known && (hasReturned || !e.stored) {
+		_, isListed := t.entries[key]
+
+		switch {
+		case isListed:
+		case hasReturned || !e.stored:
 			e.stored = false
 			t.entries[key] = e
+		default:
+			t.removed[key] = releasedEntry{since: e.Since, at: now}
 		}
 	}
 
