Fencer: a term after a number that another process had isn't a continuation

A holder called the platform at once under a number that it had just been given because a node knew its former one from another process: its own last claim was that former number, so the term counted as the continuation of its last one and didn't wait for the length of a lease.

A term continues the last one only if its number is above the floor, too. TestNumberOfAnotherEndsAContinuation failed before.

--- a/internal/fencer/fencer.go
+++ b/internal/fencer/fencer.go
@@ -106,8 +106,8 @@
 	return prefix + "lease"
 }
 
-// Acquire starts a term with a lease of the given length and a number above floor. It returns ErrLeaseHeld while another
-// holder has an unexpired lease, or may have one that the store has lost.
+// Acquire starts a term with a lease of the given length and a number above floor, which others are known to have used. It returns
+// ErrLeaseHeld while another holder has an unexpired lease, or may have one that the store has lost.
 func (f *Fencer) Acquire(ctx context.Context, length time.Duration, floor int64) (*Term, error) {
 	stored, previous, err := f.readNumber(ctx)
 	if err != nil {
@@ -127,9 +127,8 @@
 
 	f.attempts++
 
-	known := max(f.highest, floor)
 	next := leaseRecord{
-		Number:  max(previous.Number, known, stored.Era*numbersPerEra) + 1,
+		Number:  max(previous.Number, f.highest, floor, stored.Era*numbersPerEra) + 1,
 		Era:     stored.Era,
 		Attempt: fmt.Sprintf("%s.%s.%d", f.options.Node, f.options.Incarnation, f.attempts),
 		LeaseMS: length.Milliseconds(),
@@ -142,8 +141,8 @@
 
 	t := &Term{
 		Number: next.Number, LeaseValue: value, fencer: f, lease: lease, length: length,
-		IsFirst:        max(previous.Number, known) == 0,
-		IsContinuation: previous.Attempt != "" && previous.Attempt == f.lastAttempt && previous.Number >= known,
+		IsFirst:        max(previous.Number, f.highest, floor) == 0,
+		IsContinuation: previous.Attempt != "" && previous.Attempt == f.lastAttempt && previous.Number >= f.highest && previous.Number > floor,
 		PreviousLease:  time.Duration(previous.LeaseMS) * time.Millisecond,
 		Era:            stored.Era,
 	}
--- a/internal/fencer/store_return_test.go
+++ b/internal/fencer/store_return_test.go
@@ -90,6 +90,18 @@
 	assert.Assert(t, !next.IsContinuation)
 }
 
+// Guards against a term that counts as the continuation of one whose number another process had, too.
+func TestNumberOfAnotherEndsAContinuation(t *testing.T) {
+	one := newCandidate(keeper.NewStore(keeper.StoreOptions{}), "one")
+
+	former := one.acquire(t)
+	former.Release(t.Context())
+
+	next, err := one.Acquire(t.Context(), lease, former.Number)
+	assert.NilError(t, err)
+	assert.Assert(t, !next.IsContinuation)
+}
+
 // Guards against a holder that goes on by, or gives up, a lease that the store has granted to another one since it returned.
 func TestLeaseThatWasGrantedAgainIsNotKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
