Pinner: the archive's writer keeps what others need, though it hasn't heard of the release

What callers would see: all nodes are killed after a release, and streams can't be taken up though their version has servers (LOST); none is joined.

Causes, both of a writer that is behind in a release (it stood still, or its list is as old as lists are): 1. It dropped records of a service that has one version by its own list, though their sender knew of two. 2. Where it first read the versions from the store then, its list brought nothing new later, so that it never sent the records of which it is the first holder.

Change: a record on its way to the archive says whether its sender knows of several versions, and is then written; versions that are read from the store count as news as those of the list do. A node of an older release sets no mark, and its records are judged as before.

--- a/internal/gateway/pinner/archiving.go
+++ b/internal/gateway/pinner/archiving.go
@@ -37,6 +37,8 @@
 	Origin *Origin
 	// Keep is for how much longer the record is kept.
 	Keep time.Duration
+	// IsNeeded is set on the way to the archive if the sender knows of several software versions of the service.
+	IsNeeded bool
 }
 
 // Archive keeps records where they outlast all nodes. Find is safe for concurrent use, the others are called by one goroutine.
@@ -88,7 +90,7 @@
 
 		for key, r := range records {
 			if r.origin != nil && r.origin.Service == service && now < r.expires {
-				p.backlog = append(p.backlog, Entry{Key: key, Origin: r.origin, Keep: r.expires - now})
+				p.backlog = append(p.backlog, Entry{Key: key, Origin: r.origin, Keep: r.expires - now, IsNeeded: true})
 			}
 		}
 	}
@@ -113,7 +115,9 @@
 
 // archiveLocked sends the record of a stream that this node delivers to the node that writes, unless it isn't needed. p.mu must be held.
 func (p *Pinner) archiveLocked(entry Entry) {
-	if p.options.Archive != nil && (entry.Origin == nil || p.mayHaveSeveralLocked(entry.Origin.Service, p.options.Now())) {
+	entry.IsNeeded = entry.Origin == nil || p.history.hasSeveral(entry.Origin.Service)
+
+	if p.options.Archive != nil && (entry.IsNeeded || p.mayHaveSeveralLocked(entry.Origin.Service, p.options.Now())) {
 		p.archiveOutbox.AddWithin(p.writer, entry, p.gatherTimeLocked())
 	}
 }
@@ -256,7 +260,7 @@
 	return nil
 }
 
-// needed returns the entries of services that have or lately had several software versions.
+// needed returns the entries of services that have or lately had several software versions. The sender may have heard of these first.
 func (p *Pinner) needed(entries []Entry) []Entry {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -265,7 +269,7 @@
 	needed := make([]Entry, 0, len(entries))
 
 	for _, entry := range entries {
-		if entry.Origin == nil || p.mayHaveSeveralLocked(entry.Origin.Service, now) {
+		if entry.IsNeeded || entry.Origin == nil || p.mayHaveSeveralLocked(entry.Origin.Service, now) {
 			needed = append(needed, entry)
 		}
 	}
@@ -299,7 +303,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	p.history.add(p.options.Now(), versions)
+	now := p.options.Now()
+
+	for _, service := range p.history.add(now, versions) {
+		p.archiveServiceLocked(service, now)
+	}
+
 	p.hasReadHistory = true
 
 	return nil
--- a/internal/gateway/pinner/archiving_test.go
+++ b/internal/gateway/pinner/archiving_test.go
@@ -418,12 +418,7 @@
 			inArchivedFleet(t, 5, []string{"v0"}, func(f *fleet) {
 				n := f.nodes["n002"]
 				test.leaveStep(f, n)
-
-				// It doesn't hear of the new versions.
-				f.change(func() { delete(f.nodes, n.name) })
-				f.setVersions("v0", "v1", "v2")
-				f.change(func() { f.nodes[n.name] = n })
-
+				f.release(n, "v0", "v1", "v2")
 				f.record("n000", 0, streams)
 				time.Sleep(lossTime)
 
@@ -466,3 +461,58 @@
 
 	return counts
 }
+
+// Guards against streams that are lost with all nodes since the node that writes was out of step in the release before, and took their
+// records for ones of a service with one version.
+func TestWriterOutOfStepWritesWhatOthersNeed(t *testing.T) {
+	for name, hasReadHistory := range map[string]bool{"it knew the versions before": true, "it reads the versions then": false} {
+		t.Run(name, func(t *testing.T) { testWriterOutOfStep(t, hasReadHistory) })
+	}
+}
+
+func testWriterOutOfStep(t *testing.T, hasReadHistory bool) {
+	t.Helper()
+
+	inArchivedFleet(t, 5, []string{"v0"}, func(f *fleet) {
+		if hasReadHistory {
+			f.record("n000", 60, 61)
+		}
+
+		time.Sleep(2 * testLifetime)
+		f.record("n000", 0, 30)
+		time.Sleep(lossTime)
+
+		writer := f.nodes["n000"].pinner.writer
+		n := f.nodes[writer]
+
+		freeze(true)(f, n)
+		f.release(n, "v0", "v1", "v2")
+
+		other := f.names()[0]
+		if other == writer {
+			other = f.names()[1]
+		}
+
+		f.record(other, 30, 60)
+		time.Sleep(lossTime)
+		freeze(false)(f, n)
+		time.Sleep(lossTime)
+
+		// It hears of the release, and all nodes are killed.
+		n.pinner.UpdateVersions(&f.upstreams)
+		time.Sleep(lossTime)
+		f.restartAll()
+		assert.DeepEqual(t, f.archived(other, 30, 60), map[Finding]int{Found: 30})
+
+		for i := range 10 {
+			assert.DeepEqual(t, f.archived(other, 3*i, 3*i+1), map[Finding]int{Found: 1})
+		}
+	})
+}
+
+// release sets the versions of the upstreams. A node doesn't hear of it.
+func (f *fleet) release(unaware *node, versions ...string) {
+	f.change(func() { delete(f.nodes, unaware.name) })
+	f.setVersions(versions...)
+	f.change(func() { f.nodes[unaware.name] = unaware })
+}
--- a/internal/gateway/pinner/messages.go
+++ b/internal/gateway/pinner/messages.go
@@ -40,6 +40,8 @@
 	Origin int `json:"o"`
 	// KeepS is for how many more seconds the record is kept.
 	KeepS int `json:"t"`
+	// IsNeeded is that of the Entry.
+	IsNeeded bool `json:"n,omitempty"`
 }
 
 type findParams struct {
@@ -91,7 +93,9 @@
 			index = known
 		}
 
-		params.Records = append(params.Records, recordEntry{Key: encodeKey(entry.Key), Origin: index, KeepS: int(entry.Keep / time.Second)})
+		params.Records = append(params.Records, recordEntry{
+			Key: encodeKey(entry.Key), Origin: index, KeepS: int(entry.Keep / time.Second), IsNeeded: entry.IsNeeded,
+		})
 	}
 
 	return params
@@ -117,7 +121,7 @@
 			return nil, err
 		}
 
-		entry := Entry{Key: key, Keep: min(time.Duration(received.KeepS)*time.Second, maxRetention)}
+		entry := Entry{Key: key, Keep: min(time.Duration(received.KeepS)*time.Second, maxRetention), IsNeeded: received.IsNeeded}
 		if received.Origin >= 0 && received.Origin < len(origins) && origins[received.Origin].IsKnown() {
 			entry.Origin = origins[received.Origin]
 		}
--- a/internal/gateway/pinner/versions.go
+++ b/internal/gateway/pinner/versions.go
@@ -127,13 +127,18 @@
 	return slices.Collect(maps.Keys(changed))
 }
 
-// add takes over versions that are known to have been in use until some time ago.
-func (h *versionHistory) add(now time.Duration, versions []cataloguer.ServiceVersion) {
+// add takes over versions that are known to have been in use until some time ago, and returns the services that have got another version
+// beside theirs.
+func (h *versionHistory) add(now time.Duration, versions []cataloguer.ServiceVersion) []string {
+	changed := make(map[string]bool)
+
 	for _, version := range versions {
-		if _, ok := h.endedAt[version.Service][version.SoftwareVersion]; !ok {
-			h.set(version, now)
+		if _, ok := h.endedAt[version.Service][version.SoftwareVersion]; !ok && h.set(version, now) && h.hasSeveral(version.Service) {
+			changed[version.Service] = true
 		}
 	}
+
+	return slices.Collect(maps.Keys(changed))
 }
 
 // forget removes the versions that ended before the given time.
