Broker: an upstream has no more slots than its service allows

What callers would see: one entry with far more slots than its server has drew nearly all requests, which then waited or failed there. The bound of the entry itself (65,536) is far above that of a service.

The operators' configuration says how many connections one upstream takes and how many requests an engine has in a batch; the lower of these bounds what an entry says. Where entries keep to the configuration nothing changes.

--- a/internal/gateway/broker/broker.go
+++ b/internal/gateway/broker/broker.go
@@ -169,6 +169,8 @@
 // serviceUpstreams are the upstreams of one service.
 type serviceUpstreams struct {
 	engine balancer.Engine
+	// maxSlots is the largest number of requests that one upstream can run at once, whatever its entry says.
+	maxSlots int
 	partitioning
 }
 
--- a/internal/gateway/broker/upstreams.go
+++ b/internal/gateway/broker/upstreams.go
@@ -62,13 +62,14 @@
 		}
 
 		known, ok := b.services[service.Name]
+		maxSlots := service.MaxSlots()
 
 		switch {
 		case !ok:
 			added[service.Name] = true
-			b.services[service.Name] = &serviceUpstreams{engine: engine}
-		case known.engine != engine:
-			known.engine = engine
+			b.services[service.Name] = &serviceUpstreams{engine: engine, maxSlots: maxSlots}
+		case known.engine != engine || known.maxSlots != maxSlots:
+			known.engine, known.maxSlots = engine, maxSlots
 			for partition := range known.partitions {
 				b.refreshPool(now, service.Name, partition)
 			}
@@ -163,7 +164,7 @@
 			ID:              upstream.ID,
 			Address:         upstream.Address,
 			Born:            upstream.Born,
-			Slots:           upstream.Slots,
+			Slots:           min(upstream.Slots, b.services[service].maxSlots),
 			Draining:        upstream.Draining,
 			SoftwareVersion: upstream.SoftwareVersion,
 		})
--- a/internal/gateway/cataloguer/types.go
+++ b/internal/gateway/cataloguer/types.go
@@ -92,6 +92,20 @@
 	Scaling *Scaling `json:"scaling,omitempty"`
 }
 
+// MaxSlots returns the largest number of requests that one upstream can run at once. Each takes a connection, and engines have batches.
+func (s *Service) MaxSlots() int {
+	most := maxSlots
+	if s.ConnectionLimit > 0 {
+		most = min(most, s.ConnectionLimit)
+	}
+
+	if s.Engine != nil && s.Engine.Slots > 0 {
+		most = min(most, s.Engine.Slots)
+	}
+
+	return most
+}
+
 // Engine describes the language-model upstreams of a service.
 type Engine struct {
 	// Slots is the maximum number of requests in one batch.
