Follower: a peer's answer with a time out of range doesn't end the node

What operators would see: a process that ends with "panic: invalid argument to Int64N" on each answer of one peer, or a node that takes what it has for current for ever and so accepts keys that were revoked.

Cause: milliseconds that a peer sends were multiplied unchecked.

TestOddAnswerOfAPeer failed before: the panic, "age >= time.Minute: -2562047h46m6.85s", and an age of 399 ms for the largest. Now times are bounded when they are read, and a wait by the longest that a node asks for. Its other cases (pages that fit nothing, departures, other types, depth 9,000) passed before.

Only a peer at fault sends this: peers aren't other writers.

--- a/internal/gateway/follower/outage.go
+++ b/internal/gateway/follower/outage.go
@@ -187,7 +187,7 @@
 // wasInTouch reports whether the peer, whose answer was received at receivedAt, knows that the store answered all the while since the
 // given time.
 func (a *pullResponse) wasInTouch(since, receivedAt time.Duration) bool {
-	inTouchSince := receivedAt - time.Duration(a.InTouchMS)*time.Millisecond
+	inTouchSince := receivedAt - milliseconds(a.InTouchMS)
 
 	return a.InTouchMS > 0 && inTouchSince-since <= outageThreshold
 }
--- a/internal/gateway/follower/pull_handler.go
+++ b/internal/gateway/follower/pull_handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -69,15 +70,21 @@
 	Delegated []string `json:"delegated,omitempty"`
 }
 
+// milliseconds returns a duration that a peer sent. One that is too long for a time.Duration would become negative, and an age a time to
+// come.
+func milliseconds(count int64) time.Duration {
+	return time.Duration(min(count, math.MaxInt64/int64(2*time.Millisecond))) * time.Millisecond
+}
+
 // age returns the age of the peer's configuration. AgeMS must not be negative.
 func (a *pullResponse) age() time.Duration {
-	return time.Duration(a.AgeMS) * time.Millisecond
+	return milliseconds(a.AgeMS)
 }
 
 // registryFreshAt returns the time as of which the peer's registry was complete, by the clock of a caller for which
 // the peer's configuration is fresh as of configurationFreshAt; false if it is unknown.
 func (a *pullResponse) registryFreshAt(configurationFreshAt time.Duration) (time.Duration, bool) {
-	return configurationFreshAt - time.Duration(a.RegistryLagMS)*time.Millisecond, a.RegistryLagMS >= 0
+	return configurationFreshAt - milliseconds(a.RegistryLagMS), a.RegistryLagMS >= 0
 }
 
 // describe sets the fields for the versions and ages of a state.
--- a/internal/gateway/follower/pulling.go
+++ b/internal/gateway/follower/pulling.go
@@ -224,7 +224,7 @@
 // recordTurnedAway records that a peer has nothing for this node now.
 func (f *Follower) recordTurnedAway(response pullResponse) {
 	now := f.options.Catalog.Now()
-	delay := time.Duration(response.RetryMS) * time.Millisecond
+	delay := min(milliseconds(response.RetryMS), maxRetryDelay)
 
 	f.mu.Lock()
 	defer f.mu.Unlock()
