--- a/internal/gateway/router/past.go
+++ b/internal/gateway/router/past.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
@@ -75,10 +74,8 @@
 
 // servicesFor returns the services of the first of the routes that matches a path.
 func servicesFor(routes []cataloguer.Route, path string) []string {
-	for i := range routes {
-		if strings.HasPrefix(path, routes[i].PathPrefix) {
-			return routes[i].Services()
-		}
+	if route, ok := match(routes, path); ok {
+		return route.Services()
 	}
 
 	return nil
--- a/internal/gateway/router/router.go
+++ b/internal/gateway/router/router.go
@@ -73,8 +73,11 @@
 
 // Route returns the route of the host with the longest path prefix that matches.
 func (t *Table) Route(host, path string) (*cataloguer.Route, bool) {
-	routes := t.hosts[canonicalHost(host)]
+	return match(t.hosts[canonicalHost(host)], path)
+}
 
+// match returns the first of the routes that matches a path.
+func match(routes []cataloguer.Route, path string) (*cataloguer.Route, bool) {
 	for i := range routes {
 		if strings.HasPrefix(path, routes[i].PathPrefix) {
 			return &routes[i], true
