Rate limits: a limit that no node can have written holds nothing back

What callers would see: a server that gets no request any more.

Cause: minRate bounded what an upstream names, not what the store or a peer says.

--- a/internal/throttler/limit.go
+++ b/internal/throttler/limit.go
@@ -11,12 +11,17 @@
 import (
 	"cmp"
 	"math"
+
+	"github.com/cockroachdb/errors"
 )
 
 // minRate is the lowest rate that is kept, in requests a second. An upstream that got no request at all could never say
 // that its limit has ended.
 const minRate = 1.0 / 60
 
+// maxVersion is more changes than any limit has.
+const maxVersion = 1 << 53
+
 // Limit is the request rate that an upstream named.
 type Limit struct {
 	// Upstream is the ID of the upstream.
@@ -35,6 +40,22 @@
 	return l.PerSecond > 0
 }
 
+// Validate returns an error if no node can have written the limit: its rate is so low that its upstream never gets a request whose response
+// ends the limit, or its version has none after it.
+func (l *Limit) Validate() error {
+	switch {
+	case l.Upstream == "":
+		return errors.New("upstream: empty")
+	case l.Version < 1 || l.Version > maxVersion:
+		return errors.Newf("version: %d is out of range", l.Version)
+	// The comparisons are false for NaN.
+	case l.PerSecond == 0 || l.PerSecond >= minRate:
+		return nil
+	default:
+		return errors.Newf("rate: %g is neither 0 nor at least %g", l.PerSecond, minRate)
+	}
+}
+
 // supersedes reports whether the limit replaces another one of the same upstream. Of two changes that nodes made at the
 // same time the lower rate holds, since the next response decides between them.
 func (l *Limit) supersedes(other *Limit) bool {
--- a/internal/throttler/table.go
+++ b/internal/throttler/table.go
@@ -173,7 +173,7 @@
 }
 
 func (t *Table) mergeLocked(limit Limit) bool {
-	if limit.Upstream == "" || limit.Version < 1 || limit.isOtherRun(t.bornLocked(limit.Upstream)) {
+	if limit.Validate() != nil || limit.isOtherRun(t.bornLocked(limit.Upstream)) {
 		return false
 	}
 
