--- a/internal/gateway/cataloguer/scaling.go
+++ b/internal/gateway/cataloguer/scaling.go
@@ -6,6 +6,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// maxUpstreams is more than any failure domain has. Sums and products of it with the number of domains stay in range.
+const maxUpstreams = 1 << 20
+
 // Scaling defines how many upstreams may be ordered for a service, and their prices.
 type Scaling struct {
 	// Minimum and Maximum bound the number of upstreams in one failure domain, regular and spot ones together; 0 <=
@@ -52,6 +55,8 @@
 		return errors.Newf("minimum: %d is negative", s.Minimum)
 	case s.Maximum < s.Minimum:
 		return errors.Newf("maximum: %d is below the minimum %d", s.Maximum, s.Minimum)
+	case s.Maximum > maxUpstreams:
+		return errors.Newf("maximum: %d is above %d", s.Maximum, maxUpstreams)
 	case s.BootTime < 0:
 		return errors.Newf("boot time: %s is negative", s.BootTime)
 	case s.SpotPrice != nil && *s.SpotPrice < 0:
--- a/internal/gateway/cataloguer/scaling_test.go
+++ b/internal/gateway/cataloguer/scaling_test.go
@@ -17,6 +17,7 @@
 	}{
 		"minimum above maximum": {cataloguer.Scaling{Minimum: 3, Maximum: 2}, "services.chat.scaling: maximum: 2 is below the minimum 3"},
 		"negative minimum":      {cataloguer.Scaling{Minimum: -1}, "services.chat.scaling: minimum: -1 is negative"},
+		"maximum out of range":  {cataloguer.Scaling{Maximum: 1 << 62}, "services.chat.scaling: maximum: 4611686018427387904 is above 1048576"},
 		"negative boot time":    {cataloguer.Scaling{BootTime: -1}, "services.chat.scaling: boot time: -1ns is negative"},
 		"negative spot price":   {cataloguer.Scaling{SpotPrice: &negative}, "services.chat.scaling: spot price: -0.1 is negative"},
 		"negative price": {
