Packer tests: payloads of a peer that nobody would send

Fuzz seeds that run as plain cases: encodings that don't exist, depths of 200,000 at each place where one may stand, numbers out of range, lists of another type, 64 MB behind 64 KB, sizes and offsets below zero and of 2^62.

--- a/internal/gateway/packer/packer_test.go
+++ b/internal/gateway/packer/packer_test.go
@@ -1,12 +1,16 @@
 package packer_test
 
 import (
+	"bytes"
+	"compress/flate"
 	"strings"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"quincepath.example/quincepath/internal/gateway/cataloguer"
 	"quincepath.example/quincepath/internal/gateway/packer"
 )
 
@@ -109,3 +113,53 @@
 	assert.Assert(t, page.IsLast())
 	assert.Assert(t, page.Size < 60_000, "%d bytes", page.Size)
 }
+
+// Guards against nodes that end or take endless memory for a payload that a peer sends.
+func FuzzPages(f *testing.F) {
+	deep := strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000)
+	for _, seed := range []string{
+		"", "p", "c", "x{}", "p{}", "p" + deep, `p{"upstreams":` + deep + `}`, `p{"upstreams":[` + deep + `]}`, `p{"upstreams":[{"slots":1e400}]}`, `p{"upstreams":{}}`,
+		`p{"upstreams":[{"id":"a","slots":9223372036854775808}]}`, `p{"nodes":[{"capacity":1e400}],"revision":1e30}`, `p{"more":` + deep + `}`, `p{"upstreams":[`, "p7", "pnull", "c\xff\xff\xff",
+		string(deflated(`{"more":"` + strings.Repeat("x", 64<<20))), string(deflated(strings.Repeat(" ", 1<<20))), string(deflated(`{"upstreams":[` + strings.Repeat(`{"id":"a"},`, 100_000) + `{}]}`)),
+	} {
+		f.Add([]byte(seed), len(seed), 0)
+	}
+
+	f.Add([]byte("p{}"), 1<<62, 0)
+	f.Add([]byte("p{}"), -1, -1)
+	f.Add([]byte("p{}"), 1, 0)
+
+	f.Fuzz(func(t *testing.T, data []byte, size, offset int) {
+		var assembler packer.Assembler
+
+		payload, complete, err := assembler.Add(packer.Page{ID: xxhash.Sum64(data), Size: size, Offset: offset, Data: data})
+		if err != nil || !complete {
+			return
+		}
+
+		var (
+			registry      cataloguer.Registry
+			delta         cataloguer.RegistryDelta
+			configuration cataloguer.Configuration
+		)
+
+		for _, value := range []any{&registry, &delta, &configuration} {
+			_ = payload.Unpack(value)
+		}
+
+		_ = registry.Digest()
+		_ = registry.Apply(&delta)
+	})
+}
+
+// deflated returns a compressed payload.
+func deflated(text string) []byte {
+	packed := bytes.NewBuffer([]byte("c"))
+
+	// A buffer takes all, and the level is one of the package's.
+	writer, _ := flate.NewWriter(packed, flate.BestSpeed)
+	_, _ = writer.Write([]byte(text))
+	_ = writer.Close()
+
+	return packed.Bytes()
+}
