Collector: an account of an era that the store hasn't reached withholds no window for ever

Callers: the platform gets no usage report again, each window is withheld. Cause: a version that a node or the account itself names with a later era than the store's (the store was replaced, or went back to a release without eras) is above anything that can be written, so each account that is read counts as behind a lost one. Evidence: TestReportsGoOnAfterAnAccountOfALaterEra, without the change in each of four cases 0 of 4 windows are reported and 6 withheld. Change: versions of eras that the store hasn't reached aren't taken over; an account of a later era counts as lost when it is read. A store's real later era is seen by the read itself, and a write names its era, so nothing rests on the version there.

--- a/internal/gateway/collector/collector.go
+++ b/internal/gateway/collector/collector.go
@@ -186,9 +186,9 @@
 	c.isLost, c.isNoted, c.lostAt = false, false, 0
 
 	switch {
-	case found.Era != decoded.Era:
+	case found.Era > decoded.Era:
 		c.isLost, c.lostAt = true, c.eraSince
-	case hasVersion && decoded.Compare(c.newest) < 0:
+	case found.Era < decoded.Era || hasVersion && decoded.Compare(c.newest) < 0:
 		c.isLost, c.lostAt = true, now
 	}
 
@@ -217,8 +217,10 @@
 	return result, nil
 }
 
+// learnVersionLocked takes over a version that somebody knows. One of an era that the store hasn't reached is of another store, and
+// would make each account seem to be behind; c.mu must be held.
 func (c *Collector) learnVersionLocked(version tallier.AccountVersion) {
-	if version.Compare(c.newest) > 0 {
+	if version.Era <= c.era && version.Compare(c.newest) > 0 {
 		c.newest = version
 	}
 }
