Fencer: a term in a later era than the first one isn't the first term

Cause: the store returns from a copy of before the first term; a process that started since finds no number, takes its term for the first one and calls at once, while the lost holder, whose lease the store no longer has, calls until its next renewal. Change: in an era after the first one a candidate waits for the length of a lease though it finds no number. The era alone tells of the return; nobody else needs to be asked. A store whose first era is above 1 costs the first start of a deployment one lease.

--- a/internal/fencer/fencer.go
+++ b/internal/fencer/fencer.go
@@ -96,6 +96,9 @@
 // latest numbers, and all that it grants from then on must be higher than those.
 const numbersPerEra = 1 << 32
 
+// firstEra is the era of a store that never returned from a copy.
+const firstEra = 1
+
 // NumberKey returns the key of the last number that was claimed.
 func NumberKey(prefix string) string {
 	return prefix + "number"
@@ -205,7 +208,7 @@
 // at most its length after this process first noticed the return. length is that of leases if the previous one isn't known.
 func (f *Fencer) mayBeHeld(previous leaseRecord, length time.Duration) bool {
 	now := f.options.Now()
-	wasHeld := f.sawReturn || previous.Number > 0
+	wasHeld := f.sawReturn || previous.Number > 0 || f.era > firstEra
 	longest := max(length, time.Duration(previous.LeaseMS)*time.Millisecond)
 
 	return f.era > 0 && previous.Era != f.era && wasHeld && now-f.eraSince < longest || f.sawReset && now-f.resetAt < longest
