Collector tests: a lost window closed anew by a node alone whose clock is behind (fails)

The store names eras. lostAt is a time by the steady clock and is turned into a window by the present true time.

--- a/internal/gateway/collector/lost_account_test.go
+++ b/internal/gateway/collector/lost_account_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"quincepath.example/quincepath/internal/gateway/collector"
+	"quincepath.example/quincepath/internal/gateway/tallier"
 	"quincepath.example/quincepath/internal/standin/keeper"
 )
 
@@ -107,3 +108,31 @@
 	assert.DeepEqual(t, other.PendingReports(), one.PendingReports())
 	assert.Assert(t, other.PendingReports()[0].Counts != nil)
 }
+
+// Guards against a second report of a window by a node that sees no other one and whose clock is behind: by that clock the window hadn't
+// ended when the store returned.
+func TestLostWindowIsNotClosedAnewByAClockThatIsBehind(t *testing.T) {
+	f := newFleet("a", "b")
+	f.store = keeper.NewStore(keeper.StoreOptions{NamesEras: true})
+	loss := f.closeFirstWindow(t, f.collector(t))
+	f.store.Restore(loss, false)
+
+	behind := tallier.New(tallier.Options{
+		Incarnation: "c.1", Window: window, Now: func() time.Duration { return f.now },
+		TimeOfDay: func() time.Time { return f.timeOfDay().Add(-2 * time.Second) },
+	})
+	c := f.collector(t)
+
+	for range 24 {
+		c.AddResult("c", f.now, behind.Collect(c.CollectParams("c")))
+		c.UpdateTime(1)
+		c.CloseWindows()
+		assert.NilError(t, c.Save(t.Context(), noTerm, f.store.Era()))
+
+		for _, report := range c.PendingReports() {
+			assert.Assert(t, report.Window != first, "reported again: %v, and before with 2 requests", report.Counts)
+		}
+
+		f.now += 500 * time.Millisecond
+	}
+}
