--- a/internal/gateway/collector/lost_account_test.go
+++ b/internal/gateway/collector/lost_account_test.go
@@ -9,6 +9,7 @@
 	"quincepath.example/quincepath/internal/gateway/collector"
 	"quincepath.example/quincepath/internal/gateway/tallier"
 	"quincepath.example/quincepath/internal/standin/keeper"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 // closeFirstWindow lets a collector on node a close and hand out the first window, and returns a copy of the store from before that.
@@ -136,3 +137,46 @@
 		f.now += 500 * time.Millisecond
 	}
 }
+
+// Guards against a late write of a former holder: the account is written only while its term is the latest and began in the present era.
+func TestAccountIsWrittenUnderThePresentTermOnly(t *testing.T) {
+	f := newFleet("a", "b")
+	f.store = keeper.NewStore(keeper.StoreOptions{NamesEras: true})
+	c := f.collector(t)
+	assert.NilError(t, f.round(t, c, "a", "b"))
+
+	save := func(guard storer.Compare, era int64) error {
+		f.now = window + time.Second
+		_, err := c.Load(t.Context())
+		assert.NilError(t, err)
+
+		for _, name := range []string{"a", "b"} {
+			c.AddResult(name, f.now, f.talliers[name].Collect(c.CollectParams(name)))
+		}
+
+		assert.Equal(t, len(c.CloseWindows()), 1)
+
+		return c.Save(t.Context(), guard, era)
+	}
+
+	_, err := f.store.Put("number", nil, 0)
+	assert.NilError(t, err)
+	assert.ErrorIs(t, save(noTerm, 1), collector.ErrConflict)
+	assert.Equal(t, len(c.PendingReports()), 0)
+
+	guard := storer.Compare{Key: "number", Target: storer.TargetMod, Number: f.store.Revision()}
+	f.store.Restore(f.store.TakeCopy(), false)
+	assert.ErrorIs(t, save(guard, 1), collector.ErrTermOfEarlierEra)
+	assert.Equal(t, len(c.PendingReports()), 0)
+	assert.NilError(t, save(guard, 2))
+}
+
+// Guards against a remembered report without counts that is sent in another encoding than before.
+func TestRememberedReportWithoutCountsIsTheSame(t *testing.T) {
+	f := newFleet("a", "b")
+	f.talliers["b"].Collect(tallier.CollectParams{Reports: []tallier.Report{{Window: first, ClosedBy: "b"}}})
+
+	c := f.collector(t)
+	assert.NilError(t, f.round(t, c, "a", "b"))
+	assert.DeepEqual(t, c.PendingReports(), []collector.Report{{Window: first, Counts: map[string]int64{}, ClosedBy: "b"}})
+}
