--- a/internal/gateway/collector/lost_account_test.go
+++ b/internal/gateway/collector/lost_account_test.go
@@ -7,7 +7,9 @@
 	"gotest.tools/v3/assert"
 
 	"quincepath.example/quincepath/internal/gateway/collector"
+	"quincepath.example/quincepath/internal/gateway/tallier"
 	"quincepath.example/quincepath/internal/standin/keeper"
+	"quincepath.example/quincepath/internal/storer"
 )
 
 // closeFirstWindow lets a collector on node a close and hand out the first window, and returns a copy of the store from before that.
@@ -107,3 +109,74 @@
 	assert.DeepEqual(t, other.PendingReports(), one.PendingReports())
 	assert.Assert(t, other.PendingReports()[0].Counts != nil)
 }
+
+// Guards against a second report of a window by a node that sees no other one and whose clock is behind: by that clock the window hadn't
+// ended when the store returned.
+func TestLostWindowIsNotClosedAnewByAClockThatIsBehind(t *testing.T) {
+	f := newFleet("a", "b")
+	f.store = keeper.NewStore(keeper.StoreOptions{NamesEras: true})
+	loss := f.closeFirstWindow(t, f.collector(t))
+	f.store.Restore(loss, false)
+
+	behind := tallier.New(tallier.Options{
+		Incarnation: "c.1", Window: window, Now: func() time.Duration { return f.now },
+		TimeOfDay: func() time.Time { return f.timeOfDay().Add(-2 * time.Second) },
+	})
+	c := f.collector(t)
+
+	for range 24 {
+		c.AddResult("c", f.now, behind.Collect(c.CollectParams("c")))
+		c.UpdateTime(1)
+		c.CloseWindows()
+		assert.NilError(t, c.Save(t.Context(), noTerm, f.store.Era()))
+
+		for _, report := range c.PendingReports() {
+			assert.Assert(t, report.Window != first, "reported again: %v, and before with 2 requests", report.Counts)
+		}
+
+		f.now += 500 * time.Millisecond
+	}
+}
+
+// Guards against a late write of a former holder: the account is written only while its term is the latest and began in the present era.
+func TestAccountIsWrittenUnderThePresentTermOnly(t *testing.T) {
+	f := newFleet("a", "b")
+	f.store = keeper.NewStore(keeper.StoreOptions{NamesEras: true})
+	c := f.collector(t)
+	assert.NilError(t, f.round(t, c, "a", "b"))
+
+	save := func(guard storer.Compare, era int64) error {
+		f.now = window + time.Second
+		_, err := c.Load(t.Context())
+		assert.NilError(t, err)
+
+		for _, name := range []string{"a", "b"} {
+			c.AddResult(name, f.now, f.talliers[name].Collect(c.CollectParams(name)))
+		}
+
+		assert.Equal(t, len(c.CloseWindows()), 1)
+
+		return c.Save(t.Context(), guard, era)
+	}
+
+	_, err := f.store.Put("number", nil, 0)
+	assert.NilError(t, err)
+	assert.ErrorIs(t, save(noTerm, 1), collector.ErrConflict)
+	assert.Equal(t, len(c.PendingReports()), 0)
+
+	guard := storer.Compare{Key: "number", Target: storer.TargetMod, Number: f.store.Revision()}
+	f.store.Restore(f.store.TakeCopy(), false)
+	assert.ErrorIs(t, save(guard, 1), collector.ErrTermOfEarlierEra)
+	assert.Equal(t, len(c.PendingReports()), 0)
+	assert.NilError(t, save(guard, 2))
+}
+
+// Guards against a remembered report without counts that is sent in another encoding than before.
+func TestRememberedReportWithoutCountsIsTheSame(t *testing.T) {
+	f := newFleet("a", "b")
+	f.talliers["b"].Collect(tallier.CollectParams{Reports: []tallier.Report{{Window: first, ClosedBy: "b"}}})
+
+	c := f.collector(t)
+	assert.NilError(t, f.round(t, c, "a", "b"))
+	assert.DeepEqual(t, c.PendingReports(), []collector.Report{{Window: first, Counts: map[string]int64{}, ClosedBy: "b"}})
+}
