Collector: a node that reads no clock but its own allows for one that is behind

The return is known by the steady clock, the window by true time; with fewer than two clocks, true time may be behind. Such a node takes the windows of five more seconds for ones that may have been reported. A clock that is further behind isn't covered.

--- a/internal/gateway/collector/collector.go
+++ b/internal/gateway/collector/collector.go
@@ -40,6 +40,10 @@
 	maxReports = 12
 	// maxKnownReports is the maximum number of reports that a collector remembers.
 	maxKnownReports = 2 * maxReports
+	// minClocks is the number of clocks of which the median isn't behind true time though one of them is; of two, the later one counts. With
+	// fewer, true time may be behind by maxClockError.
+	minClocks     = 2
+	maxClockError = 5 * time.Second
 	// reportCopies is the number of nodes, beside its own, to which a collector hands a report before it is sent.
 	reportCopies = 8
 	// incarnationRetention is how long an incarnation is kept after its last result.
@@ -101,6 +105,8 @@
 	// offset is the true time since the Unix epoch minus the time of Now; valid if hasOffset is true.
 	offset    time.Duration
 	hasOffset bool
+	// clocksRead is the number of clocks from which offset was computed.
+	clocksRead int
 	// lastResults holds the last result of each node.
 	lastResults map[string]nodeResult
 	// lastSeen is when each incarnation last returned a result.
@@ -303,7 +309,7 @@
 	}
 
 	if 2*len(c.clocks) > nodes {
-		c.offset, c.hasOffset = medianOffset(c.clocks), true
+		c.offset, c.hasOffset, c.clocksRead = medianOffset(c.clocks), true, len(c.clocks)
 	}
 }
 
@@ -331,7 +337,12 @@
 	if c.isLost && !c.isNoted {
 		c.isNoted = true
 
-		for _, report := range c.current.reopenLost(int64((c.lostAt + c.offset) / c.options.Window)) {
+		lostAt := c.lostAt + c.offset
+		if c.clocksRead < minClocks {
+			lostAt += maxClockError
+		}
+
+		for _, report := range c.current.reopenLost(int64(lostAt / c.options.Window)) {
 			c.rememberLocked(report)
 		}
 	}
