Collector: in a store without eras, an account that no other node confirms may be behind

The review's test: a holder cut off from all nodes heard no version of the account, so that nothing showed the return, and reported a window anew: 183 requests, and 200 before (ONE). Such a holder now takes the account for one that may be behind: windows that had ended when it read it are reported as somebody remembers them, or withheld, and the others go on. TestHolderThatIsCutOffDoesNotReportAnew failed before and passes; so do the rows without eras of TestReportsAreNotForgottenWithTheStore (8 histories each). A deployment of one node pays for it with a window at each start, in stores without eras only.

--- a/internal/gateway/collector/collector.go
+++ b/internal/gateway/collector/collector.go
@@ -93,6 +93,8 @@
 	// lostAt may have been reported; isNoted says that the current account tells which these are.
 	isLost, isNoted bool
 	lostAt          time.Duration
+	// isConfirmed is true once another node was asked whether it knows a later account than the one that was read.
+	isConfirmed bool
 	// latest is the latest account that this process read or stored. newest is the latest version that it or a node that answered knows.
 	latest account
 	newest tallier.AccountVersion
@@ -189,7 +191,7 @@
 
 	// A node of an earlier release numbers no writes, so its account can't be compared.
 	hasVersion := found.Version == 0 || decoded.Writes > 0
-	c.isLost, c.isNoted, c.lostAt = false, false, 0
+	c.isLost, c.isNoted, c.isConfirmed, c.lostAt = false, false, false, 0
 
 	switch {
 	case found.Era > decoded.Era:
@@ -334,6 +336,8 @@
 		c.dirty = true
 	}
 
+	c.confirmLocked()
+
 	if c.isLost && !c.isNoted {
 		c.isNoted = true
 
@@ -355,6 +359,28 @@
 	return closed
 }
 
+// confirmLocked takes an account of a store without eras for one that may be behind, unless another node was asked for a later one: only
+// nodes know of a return then. c.mu must be held.
+func (c *Collector) confirmLocked() {
+	if c.isConfirmed || c.isLost || c.era > 0 || c.revision == 0 {
+		return
+	}
+
+	c.isConfirmed = true
+	answers := 0
+
+	for _, last := range c.lastResults {
+		if !last.unanswered && last.askedAt >= c.loadedAt {
+			answers++
+		}
+	}
+
+	// This node answers itself.
+	if answers < 2 {
+		c.isLost, c.lostAt, c.dirty = true, c.loadedAt, true
+	}
+}
+
 // closeNextLocked closes the first open window, and reports whether it did. c.mu must be held.
 func (c *Collector) closeNextLocked(now, trueTime time.Duration) bool {
 	if known, ok := c.reports[c.current.NextWindow]; ok {
