--- a/internal/gateway/collector/lost_account_test.go
+++ b/internal/gateway/collector/lost_account_test.go
@@ -180,3 +180,40 @@
 	assert.NilError(t, f.round(t, c, "a", "b"))
 	assert.DeepEqual(t, c.PendingReports(), []collector.Report{{Window: first, Counts: map[string]int64{}, ClosedBy: "b"}})
 }
+
+// Guards against a window that is closed anew where the store names no eras: nodes know a later version of the account, though not its
+// reports.
+func TestVersionThatANodeKnowsShowsALostAccount(t *testing.T) {
+	f := newFleet("a", "b")
+	c := f.collector(t)
+	assert.NilError(t, f.round(t, c, "a", "b"))
+	f.talliers["a"].Count("salon", 0)
+
+	loss := f.store.TakeCopy()
+	f.now = window + time.Second
+	assert.NilError(t, f.round(t, c, "a", "b"))
+	f.talliers["b"].Collect(c.CollectParams("b"))
+	f.store.Restore(loss, false)
+	f.start("a", "a.2")
+
+	c = f.collector(t)
+	reported := f.reportFor(t, c, 3)
+	assert.Assert(t, len(reported) > 0 && reported[0] == first+1, reported)
+	assert.Equal(t, c.Status().WithheldWindows, int64(1))
+}
+
+// Guards against a report that is sent from the account of an earlier era, before the nodes were asked and the account is stored again.
+func TestNothingIsSentBeforeALostAccountIsStored(t *testing.T) {
+	f := newFleet("a", "b")
+	f.store = keeper.NewStore(keeper.StoreOptions{NamesEras: true})
+	c := f.collector(t)
+	f.closeFirstWindow(t, c)
+	assert.Equal(t, len(c.PendingReports()), 1)
+	f.store.Restore(f.store.TakeCopy(), false)
+
+	_, err := c.Load(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(c.PendingReports()), 0)
+	assert.NilError(t, f.round(t, c, "a", "b"))
+	assert.Equal(t, len(c.PendingReports()), 1)
+}
