--- a/internal/gateway/leader/cluster_test.go
+++ b/internal/gateway/leader/cluster_test.go
@@ -159,7 +159,7 @@
 		Node: m.name, Self: m.name, Incarnation: incarnation,
 		Store:    keeper.NewLocal(m.store, p.storeFault),
 		Platform: p, Peers: p,
-		IsCandidate: func() bool { return !m.abstains },
+		IsCandidate: func() bool { return !m.abstaining() },
 		IsLeaving:   func() bool { return false },
 		Nodes:       m.nodeNames,
 		State:       func() *cataloguer.State { return state },
@@ -175,6 +175,20 @@
 	m.group.Go(func() { p.leader.Run(ctx) })
 }
 
+func (m *machine) abstaining() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return m.abstains
+}
+
+func (m *machine) setAbstains(abstains bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	m.abstains = abstains
+}
+
 func (c *cluster) nodeNames() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/leader/cut_holder_test.go
+++ b/internal/gateway/leader/cut_holder_test.go
@@ -35,7 +35,8 @@
 
 		// The other one learns the true time as the first holder, and loses the duties.
 		pass(8 * time.Second)
-		one.abstains, other.abstains = false, true
+		one.setAbstains(false)
+		other.setAbstains(true)
 		cut(&other.storeCut, 4*time.Second)
 		pass(14 * time.Second)
 
@@ -51,7 +52,7 @@
 		one.stop(true)
 		c.store.Restore(loss, false)
 
-		other.abstains = false
+		other.setAbstains(false)
 
 		pass(30 * time.Second)
 
