--- a/internal/fencer/fencer.go
+++ b/internal/fencer/fencer.go
@@ -142,6 +142,7 @@
 		return nil, errors.Wrap(err, "encode the fencing number")
 	}
 
+	// A number that is known, though the store has lost it, is of an earlier term, which may have been another process's.
 	t := &Term{
 		Number: next.Number, LeaseValue: value, fencer: f, lease: lease, length: length,
 		IsFirst:        max(previous.Number, f.highest, floor) == 0,
--- a/internal/gateway/collector/collector.go
+++ b/internal/gateway/collector/collector.go
@@ -44,7 +44,8 @@
 	// fewer, true time may be behind by maxClockError.
 	minClocks     = 2
 	maxClockError = 5 * time.Second
-	// reportCopies is the number of nodes, beside its own, to which a collector hands a report before it is sent.
+	// reportCopies is the number of nodes, beside its own, to which a collector hands a report before it is sent. That all of them are gone
+	// with the holder, and others aren't, costs a window.
 	reportCopies = 8
 	// incarnationRetention is how long an incarnation is kept after its last result.
 	incarnationRetention = time.Minute
@@ -76,6 +77,10 @@
 }
 
 // Collector collects usage on the node that holds the duties. It is safe for concurrent use.
+//
+// It is in one of three states. Without an account (loaded is false), it only reads clocks and remembers reports. With an account that may be
+// behind a lost one (isLost), it closes windows, and sends nothing until the account is stored; that needs the true time (isNoted). With an
+// account of the present era it closes, stores and sends.
 type Collector struct {
 	options Options
 
@@ -271,7 +276,8 @@
 		return
 	}
 
-	// Another node wrote the account since it was read, or the store has lost what it wrote. Reading it again tells.
+	// If a later version is known, another node wrote the account since it was read, or the store has lost what it wrote: reading it again
+	// tells. While a loss is being settled a later one is expected, and beside a node of an earlier release versions tell nothing.
 	c.learnVersionLocked(result.Account)
 	c.loaded = c.isLost || c.stored.Writes == 0 && c.revision > 0 || c.newest.Compare(c.stored.AccountVersion) <= 0
 
