Cutter: one stand-in for a connection whose other end is killed

The tests of cut tunnels and of cut answers of peers each had the same type. Both use the one beside the other stand-ins for cuts; their cases and assertions are unchanged.

--- a/internal/gateway/tunneler/cut_test.go
+++ b/internal/gateway/tunneler/cut_test.go
@@ -33,24 +33,6 @@
 	return d.tunnels.Connect(ctx, peer, upstream)
 }
 
-// cutConn is a connection to a peer that is killed after it has sent some bytes.
-type cutConn struct {
-	net.Conn
-	left int
-}
-
-// Read implements net.Conn.
-func (c *cutConn) Read(p []byte) (int, error) {
-	if c.left == 0 {
-		return 0, io.EOF
-	}
-
-	n, err := c.Conn.Read(p[:min(len(p), c.left)])
-	c.left -= n
-
-	return n, err
-}
-
 // cutFixture is a node that reaches an upstream only through a peer.
 type cutFixture struct {
 	upstream dialer.Upstream
@@ -127,7 +109,7 @@
 	f.options.DialPeer = func(ctx context.Context, address string) (net.Conn, error) {
 		conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
 
-		return &cutConn{Conn: conn, left: left}, err
+		return &cutter.Conn{Conn: conn, Left: left}, err
 	}
 
 	for i, response := range cutter.Responses("HTTP/1.1 200 OK\r\n", cutBody) {
--- a/internal/messenger/cut_test.go
+++ b/internal/messenger/cut_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"strings"
 	"testing"
@@ -12,26 +11,9 @@
 	"gotest.tools/v3/assert"
 
 	"quincepath.example/quincepath/internal/messenger"
+	"quincepath.example/quincepath/internal/standin/cutter"
 )
 
-// cutConn is a connection to a peer that is killed after it has sent some bytes.
-type cutConn struct {
-	net.Conn
-	left int
-}
-
-// Read implements net.Conn.
-func (c *cutConn) Read(p []byte) (int, error) {
-	if c.left == 0 {
-		return 0, io.EOF
-	}
-
-	n, err := c.Conn.Read(p[:min(len(p), c.left)])
-	c.left -= n
-
-	return n, err
-}
-
 // Guards against an answer of a peer that was cut off and counts as a whole one, or as an empty one, and against a call that is carried
 // out twice because of it.
 func TestAnswersThatPeersCutOffAreErrors(t *testing.T) {
@@ -57,7 +39,7 @@
 						Dial: func(ctx context.Context, address string) (net.Conn, error) {
 							conn, err := network.dial(ctx, address)
 
-							return &cutConn{Conn: conn, left: left}, err
+							return &cutter.Conn{Conn: conn, Left: left}, err
 						},
 					})
 					served := network.served.Load()
