Review case 4: changes of a large configuration are too much for one answer, and no node hears of anything for 20 s (CONFIG)

A script with three nodes: 25 versions of a configuration of 1,897 routes in 2 s, and a kill of the node that reads the store.

--- a/review/cases/changes.go
+++ b/review/cases/changes.go
@@ -88,7 +88,7 @@
 
 	time.Sleep(calmTime)
 
-	i := slices.IndexFunc(f.nodes, func(n *node) bool { return n.name == s.lastReader() })
+	i := slices.IndexFunc(f.nodes, func(n *node) bool { return n.name == s.reader() })
 	if i < 0 {
 		return false, errors.New("no node has read the store")
 	}
--- a/review/cases/standins.go
+++ b/review/cases/standins.go
@@ -14,6 +14,9 @@
 	"quincepath.example/quincepath/platform/emulator"
 )
 
+// latestReads is the number of reads that tell which node reads the store.
+const latestReads = 8
+
 // host is the host of all routes.
 const host = "shop.example"
 
@@ -22,7 +25,7 @@
 	*emulator.Store
 
 	mu sync.Mutex
-	// readers are the nodes whose reads were answered last, the latest one at the end.
+	// readers are the nodes that read the store, the latest one at the end.
 	readers []string
 }
 
@@ -47,16 +50,23 @@
 	}))
 }
 
-// lastReader returns the node that read the store last.
-func (s *store) lastReader() string {
+// reader returns the node that reads the store for all: most of the latest reads are its own.
+func (s *store) reader() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	if len(s.readers) == 0 {
-		return ""
+	counts := make(map[string]int)
+	found := ""
+
+	for _, node := range s.readers[max(len(s.readers)-latestReads, 0):] {
+		counts[node]++
+
+		if counts[node] > counts[found] {
+			found = node
+		}
 	}
 
-	return s.readers[len(s.readers)-1]
+	return found
 }
 
 // listen serves a handler on a free port of 127.0.0.1 until ctx ends, and returns its address.
