Review 83: the cases' program lies in review/ and names cases by number

The folder review/cases/ is gone: beside the numbered cases stand only Go test files, with no test in them. REVIEW_CASE is 4 or 6.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 
 cd "$(dirname "$0")/.."
 mkdir -p target
-go test -c -o target/review-cases ./review/cases
+go test -c -o target/review-cases ./review
--- a/review/cases/main_test.go
+++ b/review/main_test.go
@@ -1,7 +1,7 @@
-// Package cases_test plays a scripted case of the review of issue 83 against processes of the built program, with stand-ins for the platform's
+// Package review_test plays a scripted case of the review of issue 83 against processes of the built program, with stand-ins for the platform's
 // store, servers and requesters. It has no test: built by review/build-2.sh, it plays the case that REVIEW_CASE names, and exits with 1 if the
 // rule of the case was broken, with 0 if it held, and with 2 if the case couldn't run.
-package cases_test
+package review_test
 
 import (
 	"context"
@@ -42,8 +42,8 @@
 type play func(ctx context.Context, r *record, trouble bool) (broken bool, err error)
 
 var cases = map[string]play{
-	"changes":   playChanges,
-	"anonymous": playAnonymous,
+	"4": playChanges,
+	"6": playAnonymous,
 }
 
 // names are the names of the users' pages, which stand in no Go file outside platform/.
--- a/review/cases/standins_test.go
+++ b/review/standins_test.go
@@ -1,4 +1,4 @@
-package cases_test
+package review_test
 
 import (
 	"context"
