--- a/internal/gateway/relayer/relayer_test.go
+++ b/internal/gateway/relayer/relayer_test.go
@@ -65,8 +65,10 @@
 	client    *http.Client
 	relayer   *relayer.Relayer
 	catalog   *cataloguer.Catalog
-	now       time.Duration
-	leaving   time.Duration
+	// configuration holds the routes in force.
+	configuration cataloguer.Configuration
+	now           time.Duration
+	leaving       time.Duration
 	// ignoreExcluded makes Choose return excluded upstreams too.
 	ignoreExcluded bool
 	// ignoreVersions makes Choose return upstreams of other software versions too, as a node of an older release does.
@@ -119,7 +121,7 @@
 func newFixtureWithBodyMemory(t testing.TB, extra int, bodies int64) *fixture {
 	t.Helper()
 
-	w := &fixture{t: t, now: time.Hour, bodies: bodies, extra: extra, quarantine: noQuarantine{}, usage: &usage{counts: make(map[string]int)}, pins: newFakePins(), client: http.DefaultClient, ends: make(map[string][]string)}
+	w := &fixture{t: t, now: time.Hour, configuration: configuration(), bodies: bodies, extra: extra, quarantine: noQuarantine{}, usage: &usage{counts: make(map[string]int)}, pins: newFakePins(), client: http.DefaultClient, ends: make(map[string][]string)}
 	w.catalog = cataloguer.New(func() time.Duration { return w.now })
 	w.catalog.ApplyConfiguration(configuration(), w.now)
 	w.restart()
@@ -129,7 +131,7 @@
 
 // restart starts a new relayer without any state.
 func (w *fixture) restart() {
-	table := router.New(configuration(), w.catalog.State().ConfigurationFreshness)
+	table := router.New(w.configuration, w.catalog.State().ConfigurationFreshness)
 	if w.former != nil {
 		table.Succeed(w.former, w.now)
 	}
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -4,10 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
+	"unicode"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
@@ -205,9 +207,7 @@
 		accepted.organisation = organisation.Name
 	}
 
-	if table.NeedsKey(route) || organisation != nil {
-		delete(accepted.header, r.options.Headers.Authorization)
-	}
+	r.withholdKeys(table, route, accepted.header)
 
 	accepted.service = router.PickService(route, accepted.id)
 	if accepted.service == "" {
@@ -287,6 +287,40 @@
 	return organisation, nil
 }
 
+// withholdKeys removes what shows an API key from the headers for the upstream. On routes that need no key, callers may still show
+// one, as those do that don't know yet that the route needs none; the credentials that remain there are meant for the upstream.
+func (r *Relayer) withholdKeys(table *router.Table, route *cataloguer.Route, header http.Header) {
+	name := r.options.Headers.Authorization
+
+	var forwarded []string
+
+	if !table.NeedsKey(route) {
+		forwarded = slices.DeleteFunc(header[name], func(value string) bool { return r.showsKey(table, value) })
+	}
+
+	if len(forwarded) == 0 {
+		delete(header, name)
+
+		return
+	}
+
+	header[name] = forwarded
+}
+
+// showsKey reports whether credentials are an API key: they name its scheme, whether or not anybody holds the key, or contain a key
+// that an organisation holds.
+func (r *Relayer) showsKey(table *router.Table, credentials string) bool {
+	isSeparator := func(c rune) bool { return c == ',' || unicode.IsSpace(c) }
+
+	for word := range strings.FieldsFuncSeq(credentials, isSeparator) {
+		if _, isHeld := table.Organisation(word); isHeld || strings.EqualFold(word, r.options.Headers.KeyScheme) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // callerTimeout returns the time limit of the request, from the route and the caller's deadline header.
 func (r *Relayer) callerTimeout(route *cataloguer.Route, incoming *http.Request) time.Duration {
 	timeout := defaultTimeout
