--- a/internal/gateway/relayer/credentials_test.go
+++ b/internal/gateway/relayer/credentials_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
 
 	"quincepath.example/quincepath/internal/gateway/cataloguer"
+	"quincepath.example/quincepath/internal/gateway/pinner"
 )
 
 // openConfiguration returns a configuration whose routes need no key: they are anonymous or, without organisations, no route needs one.
@@ -106,3 +109,52 @@
 		assert.Equal(t, u.requests[0].Header.Get("Authorization"), "")
 	}
 }
+
+// Guards against an upstream that is told no organisation, or one that the caller claims to be, though the request shows a valid key.
+func TestOrganisationOnRoutesWithoutKeys(t *testing.T) {
+	cases := map[string]struct {
+		key, want string
+		before    func(*fixture)
+	}{
+		"valid key":                {key: "Token k1", want: "salon"},
+		"key of nobody":            {key: "Token k2"},
+		"no key":                   {},
+		"keys known too long ago":  {key: "Token k1", before: func(w *fixture) { w.now += 5 * time.Second }},
+		"valid key, other scheme":  {key: "Bearer k1"},
+		"credentials for upstream": {key: "Basic dTpw"},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newOpenFixture(t, true)
+			u := w.add(respondWith(http.StatusOK, "ran"))
+
+			if c.before != nil {
+				c.before(w)
+			}
+
+			response, _, err := w.send("/price/1", func(r *http.Request) {
+				r.Header.Del("Authorization")
+				r.Header.Set(names.Organisation, "forged")
+
+				if c.key != "" {
+					r.Header.Set("Authorization", c.key)
+				}
+			})
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+			assert.Equal(t, u.requests[0].Header.Get(names.Organisation), c.want)
+		})
+	}
+}
+
+// Guards against a stream that can't be resumed because its route has needed no key since it began, though the caller goes on showing it.
+func TestCallerResumesOnARouteThatNeedsNoKeySince(t *testing.T) {
+	w := newOpenFixture(t, true)
+	w.pins.origins[pinner.KeyOf("salon", began)] = pinner.Origin{Service: "s", SoftwareVersion: "v1"}
+	w.add(streamEvents(true, 8, 9))
+
+	_, body, err := w.send("/chat/1", resume)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(body, "id: 8\n"), body)
+}
--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -263,13 +263,21 @@
 	}
 }
 
-// authenticate returns the organisation of the caller's API key. It refuses all keys if the configuration is too old:
-// the node would otherwise continue to accept a key whose revocation it could not learn of.
+// authenticate returns the organisation of the caller, nil if the route needs no key and the caller shows no valid one. A caller that shows
+// its key is known on such a route too: upstreams are told its organisation, and a stream that it began before the route needed no key
+// can be resumed.
 func (r *Relayer) authenticate(decided basis, route *cataloguer.Route, incoming *http.Request) (*cataloguer.Organisation, *classifier.Error) {
-	if !decided.table.NeedsKey(route) {
-		return nil, nil
+	organisation, failure := r.identify(decided, incoming)
+	if failure != nil && decided.table.NeedsKey(route) {
+		return nil, failure
 	}
 
+	return organisation, nil
+}
+
+// identify returns the organisation of the caller's API key. It refuses all keys if the configuration is too old: the node would
+// otherwise continue to accept a key whose revocation it could not learn of.
+func (r *Relayer) identify(decided basis, incoming *http.Request) (*cataloguer.Organisation, *classifier.Error) {
 	if !decided.known || decided.age > r.options.MaxKeyAge() {
 		return nil, classifier.New(classifier.SettingsUnavailable, "what the node knows of keys is too old").After(jitteredRetryAfter())
 	}
