--- a/internal/gateway/follower/store_reading.go
+++ b/internal/gateway/follower/store_reading.go
@@ -63,9 +63,14 @@
 
 // logStoreReader logs that this node reads the store although it isn't expected to, and why that may be. f.mu must be held.
 func (f *Follower) logStoreReader(t *tree, now, age time.Duration) {
+	state := f.options.Catalog.State()
+
 	f.options.Logger.Info().
 		Int("rank", t.rank).
+		Bool("rank_unknown", f.isRankUnknown(t, state)).
 		Int("live", len(t.order)).
+		Int("listed", state.Registry.Nodes.Len()).
+		Dur("running_ms", now-f.createdAt).
 		Str("parent", t.parent).
 		Dur("age_ms", age).
 		Dur("unanswered_ms", now-max(f.lastAnsweredPullAt, f.createdAt)).
