--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -43,6 +43,21 @@
 	return r
 }
 
+// Guards against leaving nodes that count as possibly live.
+func TestLeavingAndDeadNodesAreAbsent(t *testing.T) {
+	r := rosterOf(9, 5, 6, 7, 8)
+	r.dead = 4
+
+	leaving := []prober.Member{
+		{Name: "10.0.0.1:7", State: prober.Live, Incarnation: 1, Leaving: true},
+		{Name: "unlisted", State: prober.Live, Incarnation: 1, Leaving: true},
+		{Name: "10.0.0.2:7", State: prober.Live, Incarnation: 1},
+	}
+
+	r.derive(leaving, loader.Node{PeerListen: "10.0.0.0:7", Advertise: "10.0.0.0:70"})
+	assert.Equal(t, r.absent, 5)
+}
+
 // Guards against a large fleet whose callers use few of its nodes: they take 64 addresses from a response, and all
 // responses began with the same ones.
 func TestCallersAreSpreadOverAllNodesByCapacity(t *testing.T) {
--- a/internal/gateway/follower/follower.go
+++ b/internal/gateway/follower/follower.go
@@ -77,7 +77,7 @@
 	Notify(ctx context.Context, peer, method string, params any) error
 }
 
-// Options configures a Follower; all fields but Versions, NodeLister and Paused are required.
+// Options configures a Follower; all fields but AbsentNodes, Versions, NodeLister and Paused are required.
 type Options struct {
 	Catalog *cataloguer.Catalog
 	Store   Store
@@ -88,6 +88,9 @@
 	Seeds func() []string
 	// LiveNodes returns the names of the responsive nodes, including this one, in any order.
 	LiveNodes func() []string
+	// AbsentNodes returns the number of listed nodes that are known to be dead or leaving, whether or not they are expected to return;
+	// nil if it isn't known.
+	AbsentNodes func() int
 	// DepartedNodes returns the names of listed nodes that were unreachable for so long that they are not expected to
 	// return.
 	DepartedNodes func() []string
--- a/internal/gateway/follower/follower_test.go
+++ b/internal/gateway/follower/follower_test.go
@@ -66,6 +66,8 @@
 	// pauses draws for how long a node stands still with a response in its hands, of the store or of a node; nil if none does.
 	pauses  func() time.Duration
 	members map[string]*member
+	// stoppedAt holds the nodes that were stopped by stopNode.
+	stoppedAt map[string]time.Time
 	// departedNodes are reported as departed to all nodes.
 	departedNodes []string
 	// nodeInfo holds the announced entries of nodes that announce more than their name.
@@ -103,6 +105,7 @@
 	stop     context.CancelFunc
 	// linkFreeAt is when the node's link has sent all queued bytes.
 	linkFreeAt time.Time
+	startedAt  time.Time
 }
 
 func newFleet(t *testing.T, count int) *fleet {
@@ -111,6 +114,7 @@
 	f := &fleet{
 		version: 1, revision: 1, upstreamIDs: []string{"a"}, rejected: map[string]bool{}, members: map[string]*member{},
 		pastUpstreamIDs: map[string]bool{}, pastNodes: map[string]bool{}, nodeInfo: map[string]cataloguer.Node{}, sentBy: map[string]traffic{},
+		stoppedAt: map[string]time.Time{},
 	}
 	for i := range count {
 		f.start(t, fmt.Sprint("n", i), nil)
@@ -124,11 +128,11 @@
 
 	startedAt := time.Now()
 	ctx, stop := context.WithCancel(t.Context())
-	m := &member{fleet: f, name: name, stop: stop}
+	m := &member{fleet: f, name: name, stop: stop, startedAt: startedAt}
 	m.catalog = cataloguer.New(func() time.Duration { return time.Hour + time.Since(startedAt) })
 	options := follower.Options{
 		Catalog: m.catalog, Store: m, Peers: m, Self: f.node(name),
-		Seeds: func() []string { return seeds }, LiveNodes: m.live, DepartedNodes: f.departed, Paused: m.paused, Logger: zerolog.Nop(),
+		Seeds: func() []string { return seeds }, LiveNodes: m.live, AbsentNodes: m.absent, DepartedNodes: f.departed, Paused: m.paused, Logger: zerolog.Nop(),
 	}
 
 	if f.versions != nil {
@@ -143,6 +147,7 @@
 
 	f.mu.Lock()
 	f.members[name] = m
+	delete(f.stoppedAt, name)
 	f.mu.Unlock()
 
 	go m.follower.Run(ctx)
--- a/internal/gateway/follower/read_age.go
+++ b/internal/gateway/follower/read_age.go
@@ -48,7 +48,7 @@
 	state := f.options.Catalog.State()
 	isSeed := f.isSeed()
 	// A node that just started knows few others, so having the lowest rank among them doesn't make it the root.
-	isFirst := t.rank == 0 && knowsMost(t, state) && (len(t.order) > 1 || isSeed)
+	isFirst := t.rank == 0 && f.knowsMost(t, state) && (len(t.order) > 1 || isSeed || f.absentNodes() > 0)
 	// A node that a peer told to wait is not isolated meanwhile.
 	isIsolated := now-max(f.lastAnsweredPullAt, f.createdAt, f.retryAt) > isolationTimeout
 
@@ -100,15 +100,25 @@
 }
 
 // isRankUnknown reports whether this node's rank among the nodes that it knows says little about its rank among all: it is
-// not listed, as the others that start with it, or it knows less than half of the listed nodes to be live. At a start of
+// not listed, as the others that start with it, or it knows less than half of the listed nodes that may be live. At a start of
 // 1,000 nodes hundreds of them would be among the first nine of the few that each one knows, and read the store.
 func (f *Follower) isRankUnknown(t *tree, state *cataloguer.State) bool {
-	return !state.Registry.Nodes.Contains(f.options.Self.Name) || !knowsMost(t, state)
+	return !state.Registry.Nodes.Contains(f.options.Self.Name) || !f.knowsMost(t, state)
 }
 
-// knowsMost reports whether more than half as many nodes are known to be live as are listed.
-func knowsMost(t *tree, state *cataloguer.State) bool {
-	return 2*len(t.order) > state.Registry.Nodes.Len()
+// knowsMost reports whether more than half as many nodes are known to be live as are listed and may be live. Nodes that were removed stay
+// listed for long: if they counted, the few that are left of many would never know most.
+func (f *Follower) knowsMost(t *tree, state *cataloguer.State) bool {
+	return 2*len(t.order) > state.Registry.Nodes.Len()-f.absentNodes()
+}
+
+// absentNodes returns the number of listed nodes that are known to be dead or leaving.
+func (f *Follower) absentNodes() int {
+	if f.options.AbsentNodes == nil {
+		return 0
+	}
+
+	return f.options.AbsentNodes()
 }
 
 // startRankAge returns how much longer than others a node waits that just started. The nodes don't know each other yet, so
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -289,6 +289,7 @@
 		Self:          n.selfEntry(),
 		Seeds:         func() []string { return n.current.Load().Gateway.Seeds },
 		LiveNodes:     n.liveNodes,
+		AbsentNodes:   n.absentNodes,
 		DepartedNodes: n.departedNodes,
 		Versions:      recorder,
 		NodeLister:    lister,
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -102,6 +102,11 @@
 	return n.currentRoster().departing
 }
 
+// absentNodes returns the number of listed nodes that are known to be dead or leaving.
+func (n *Node) absentNodes() int {
+	return n.currentRoster().absent
+}
+
 // departedNodes returns the names of nodes that have been dead for so long that they are not expected to return. An
 // isolated node returns none, since all others appear dead to it.
 func (n *Node) departedNodes() []string {
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -12,10 +12,11 @@
 
 // roster is what a node derives from its view of the other nodes. It is immutable.
 type roster struct {
-	// version, nodes, leaving and ready are the inputs: the version of the prober's roster, the listed nodes, and whether
-	// this node is leaving and accepts requests.
+	// version, nodes, dead, leaving and ready are the inputs: the version of the prober's roster, the listed nodes, how many of them are
+	// known to be dead, and whether this node is leaving and accepts requests.
 	version        uint64
 	nodes          cataloguer.Index[cataloguer.Node]
+	dead           int
 	leaving, ready bool
 	// spread is true if weaker nodes are strong enough too.
 	spread bool
@@ -28,6 +29,8 @@
 	strong []string
 	// entries are the nodes that callers may use.
 	entries []entry
+	// absent is the number of listed nodes that are known to be dead or leaving.
+	absent int
 	// limitShare is the part of the upstreams' rate limits that this node may use together with those that it reaches.
 	limitShare float64
 	// listed are the names of the listed nodes, sorted.
@@ -48,7 +51,7 @@
 		return known
 	}
 
-	next := &roster{version: members.Version, nodes: nodes, leaving: leaving, ready: ready}
+	next := &roster{version: members.Version, nodes: nodes, leaving: leaving, ready: ready, dead: members.Dead}
 	next.spread = n.settings.Gateway.Scheduling.SpreadHolders
 	next.derive(members.Members, n.settings.Node)
 	n.roster.Store(next)
@@ -65,6 +68,7 @@
 	}
 
 	r.live = []string{self}
+	r.absent = r.dead
 	listed := 0
 
 	if r.nodes.Contains(self) {
@@ -91,6 +95,10 @@
 		if member.Leaving {
 			r.departing = append(r.departing, member.Name)
 
+			if r.nodes.Contains(member.Name) {
+				r.absent++
+			}
+
 			continue
 		}
 
--- a/internal/prober/roster.go
+++ b/internal/prober/roster.go
@@ -15,6 +15,8 @@
 	// Members are the usable nodes sorted by name. They must not be modified. Their DirectFailures, and their Digest but for
 	// its InstanceID, are those at the last change.
 	Members []Member
+	// Dead is the number of listed nodes that are known to be dead.
+	Dead int
 }
 
 // Live returns the members of the Roster.
@@ -60,7 +62,13 @@
 		return true
 	}
 
+	dead := 0
+
 	members = slices.DeleteFunc(members, func(m Member) bool {
+		if m.Listed && m.State == Dead {
+			dead++
+		}
+
 		known := m.Incarnation > 0 && (m.State == Live || m.State == Suspect)
 		expired := m.LocalSuspicion && !holds(m.Since.Add(localSuspicionTimeout+1))
 
@@ -68,7 +76,7 @@
 	})
 
 	p.rosterVersion++
-	p.roster = &Roster{Version: p.rosterVersion, Members: members}
+	p.roster = &Roster{Version: p.rosterVersion, Members: members, Dead: dead}
 
 	return p.roster
 }
--- a/internal/prober/roster_test.go
+++ b/internal/prober/roster_test.go
@@ -58,3 +58,33 @@
 		assert.Equal(t, leaving, 1)
 	}
 }
+
+// Guards against listed nodes that count as possibly live though all nodes know that they are dead.
+func TestRosterCountsListedDeadNodes(t *testing.T) {
+	options := prober.DefaultOptions()
+	options.Self = prober.VM{Name: "self", PeerAddress: "10.1.0.1:1"}
+	options.Incarnation = 1
+	p := prober.New(options)
+	now := time.Now()
+
+	var listed []prober.VM
+	for i := range 5 {
+		listed = append(listed, prober.VM{Name: fmt.Sprint("n", i), PeerAddress: fmt.Sprintf("10.0.0.%d:1", i)})
+	}
+
+	receive := func(sequence uint64, updates ...prober.Update) {
+		p.Receive(now, prober.Packet{Kind: prober.KindDigest, From: "n0", Incarnation: 1, Sequence: sequence, VM: &listed[0], Updates: updates})
+	}
+
+	p.SetListedNodes(now, listed)
+	assert.Equal(t, p.Roster(now).Dead, 0)
+
+	receive(1, prober.Update{Node: "n1", State: prober.Dead, Incarnation: 3}, prober.Update{Node: "n2", State: prober.Dead})
+	assert.Equal(t, p.Roster(now).Dead, 2)
+
+	receive(2, prober.Update{Node: "n1", State: prober.Live, Incarnation: 4})
+	assert.Equal(t, p.Roster(now).Dead, 1)
+
+	p.SetListedNodes(now, listed[:2])
+	assert.Equal(t, p.Roster(now).Dead, 0)
+}
