--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -58,6 +59,28 @@
 	assert.Equal(t, r.absent, 5)
 }
 
+// Guards against nodes that were removed by plan and hold shares of limits for ten minutes, and against ones that are withdrawn while they
+// restart.
+func TestDeparturesOfNodes(t *testing.T) {
+	now := time.Now()
+
+	for _, c := range []struct {
+		member prober.Member
+		dead   time.Duration
+		want   bool
+	}{
+		{member: prober.Member{State: prober.Dead}, dead: 9 * time.Minute},
+		{member: prober.Member{State: prober.Dead}, dead: 11 * time.Minute, want: true},
+		{member: prober.Member{State: prober.Dead, Leaving: true}, dead: 50 * time.Second},
+		{member: prober.Member{State: prober.Dead, Leaving: true}, dead: 70 * time.Second, want: true},
+		{member: prober.Member{State: prober.Live, Leaving: true}, dead: time.Hour},
+		{member: prober.Member{State: prober.Suspect, Leaving: true}, dead: time.Hour},
+	} {
+		c.member.Since = now.Add(-c.dead)
+		assert.Check(t, hasDeparted(&c.member, now) == c.want, "%+v", c)
+	}
+}
+
 // Guards against a large fleet whose callers use few of its nodes: they take 64 addresses from a response, and all
 // responses began with the same ones.
 func TestCallersAreSpreadOverAllNodesByCapacity(t *testing.T) {
--- a/internal/gateway/membership.go
+++ b/internal/gateway/membership.go
@@ -22,9 +22,14 @@
 	firstNodeTimeout = 300 * time.Millisecond
 )
 
-// departureTime is how long a node must be dead before its entry is removed from the store. It is longer than any
-// restart of a VM.
-const departureTime = 10 * time.Minute
+const (
+	// departureTime is how long a node must be dead before its entry is removed from the store. It is longer than any
+	// restart of a VM.
+	departureTime = 10 * time.Minute
+	// plannedDepartureTime is that time for a node that announced its stop. It is longer than a restart of its process. While it is
+	// listed, its share of limits is left unused; a node that returns later is listed again.
+	plannedDepartureTime = time.Minute
+)
 
 func (n *Node) newProber() *prober.Prober {
 	node := n.settings.Node
@@ -118,7 +123,7 @@
 	var names []string
 
 	for _, member := range n.prober.Members() {
-		if member.State == prober.Dead && now.Sub(member.Since) > departureTime {
+		if hasDeparted(&member, now) {
 			names = append(names, member.Name)
 		}
 	}
@@ -126,6 +131,16 @@
 	return names
 }
 
+// hasDeparted reports whether a node has been dead for so long that it isn't expected to return.
+func hasDeparted(member *prober.Member, now time.Time) bool {
+	limit := departureTime
+	if member.Leaving {
+		limit = plannedDepartureTime
+	}
+
+	return member.State == prober.Dead && now.Sub(member.Since) > limit
+}
+
 // strongNodes returns the live nodes with enough capacity to decide for others, sorted by name.
 func (n *Node) strongNodes() []string {
 	return n.currentRoster().strong
--- a/internal/prober/roster_test.go
+++ b/internal/prober/roster_test.go
@@ -88,3 +88,27 @@
 	p.SetListedNodes(now, listed[:2])
 	assert.Equal(t, p.Roster(now).Dead, 0)
 }
+
+// Guards against a node that learns of a death from others, and not that it was planned.
+func TestPlannedStopsAreKnownFromOthers(t *testing.T) {
+	options := prober.DefaultOptions()
+	options.Self = prober.VM{Name: "self", PeerAddress: "10.1.0.1:1"}
+	options.Incarnation = 1
+	p := prober.New(options)
+	now := time.Now()
+	listed := []prober.VM{{Name: "n0", PeerAddress: "10.0.0.1:1"}, {Name: "n1", PeerAddress: "10.0.0.2:1"}}
+
+	receive := func(sequence uint64, update prober.Update) prober.Member {
+		p.Receive(now, prober.Packet{Kind: prober.KindDigest, From: "n0", Incarnation: 1, Sequence: sequence, VM: &listed[0], Updates: []prober.Update{update}})
+
+		member, ok := p.Member("n1")
+		assert.Assert(t, ok)
+
+		return member
+	}
+
+	p.SetListedNodes(now, listed)
+	assert.Assert(t, receive(1, prober.Update{Node: "n1", State: prober.Dead, Incarnation: 3, Leaving: true}).Leaving)
+	assert.Assert(t, !receive(2, prober.Update{Node: "n1", State: prober.Live, Incarnation: 4}).Leaving)
+	assert.Assert(t, !receive(3, prober.Update{Node: "n1", State: prober.Dead, Incarnation: 4}).Leaving)
+}
--- a/internal/prober/updates.go
+++ b/internal/prober/updates.go
@@ -172,6 +172,7 @@
 
 	p.roster = nil
 	m.Incarnation = v.Incarnation
+	m.reportedLeaving = m.reportedLeaving || v.Leaving
 
 	if p.setState(now, m, Dead) && forward {
 		p.enqueueFailure(m, "")
