--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -122,6 +122,12 @@
 
 	response, err := client.Do(request)
 	if err == nil {
+		if err := headreader.CheckStatus(response.StatusCode); err != nil {
+			_ = response.Body.Close()
+
+			return nil, errors.Wrap(err, "exchange with upstream")
+		}
+
 		c.observeLimit(call.Upstream, response, knownLimit)
 
 		return response, nil
--- a/internal/gateway/dialer/request.go
+++ b/internal/gateway/dialer/request.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"quincepath.example/quincepath/internal/headreader"
 )
 
 // Request is an HTTP request that can be sent several times.
@@ -63,12 +65,12 @@
 	for range maxStaleResponses + 1 {
 		c.head.Begin()
 
-		response, err := c.readFinalResponse(outgoing)
+		response, err := headreader.ReadResponse(c.reader, outgoing)
 
 		c.head.End()
 
 		if err != nil {
-			return nil, err
+			return nil, errors.Wrap(err, "read response")
 		}
 
 		if id := response.Header.Get(request.IDHeader); id == "" || id == request.ID {
@@ -82,21 +84,3 @@
 
 	return nil, errors.New("too many responses to other requests")
 }
-
-// readFinalResponse reads a response and skips interim (1xx) ones, which count as parts of its head.
-func (c *conn) readFinalResponse(outgoing *http.Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(c.reader, outgoing)
-		if err != nil {
-			return nil, errors.Wrap(err, "read response")
-		}
-
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("upstream switched protocols")
-		}
-	}
-}
--- a/internal/gateway/poster/poster.go
+++ b/internal/gateway/poster/poster.go
@@ -61,25 +61,14 @@
 	head := headreader.New(connection, headreader.MaxBytes, headreader.NewMemory(headMemory))
 	head.Begin()
 
-	status, err := readStatus(bufio.NewReader(head))
-
-	return status, errors.Wrap(err, call.Path)
-}
-
-// readStatus returns the status of the response, and skips interim (1xx) responses.
-func readStatus(reader *bufio.Reader) (int, error) {
-	for {
-		response, err := http.ReadResponse(reader, nil)
-		if err != nil {
-			return 0, err
-		}
+	response, err := headreader.ReadResponse(bufio.NewReader(head), nil)
+	if err != nil {
+		return 0, errors.Wrap(err, call.Path)
+	}
 
-		_ = response.Body.Close()
+	_ = response.Body.Close()
 
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			return response.StatusCode, nil
-		}
-	}
+	return response.StatusCode, nil
 }
 
 // encode returns the HTTP request as bytes.
--- a/internal/server/resume.go
+++ b/internal/server/resume.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"quincepath.example/quincepath/internal/headreader"
 	"quincepath.example/quincepath/pkg/classifier"
 )
 
@@ -78,7 +79,7 @@
 
 	request.Header.Set(headerForwarded, n.identity.node)
 
-	response, err := n.entryClient.Do(request)
+	response, err := n.askEntry(request)
 	if err != nil {
 		n.refuse(w, id, classifier.Wrap(err, classifier.NodeUnreachable, "node %q holds the answer and can't be reached", owner).After(failureRetryAfter))
 
@@ -98,6 +99,22 @@
 	}
 }
 
+// askEntry sends a request to another node's address for callers.
+func (n *Node) askEntry(request *http.Request) (*http.Response, error) {
+	response, err := n.entryClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+
+	if err := headreader.CheckStatus(response.StatusCode); err != nil {
+		_ = response.Body.Close()
+
+		return nil, err
+	}
+
+	return response, nil
+}
+
 // entryURL returns the base URL of another node's address for callers.
 func (n *Node) entryURL(address string) string {
 	if n.settings.TLS.CertificateFile != "" {
--- a/internal/standin/cutter/cutter.go
+++ b/internal/standin/cutter/cutter.go
@@ -15,15 +15,20 @@
 	Close End = iota
 	// Reset resets it.
 	Reset
+	// Stay leaves it open until the client closes it.
+	Stay
 )
 
 // String implements fmt.Stringer.
 func (e End) String() string {
-	if e == Reset {
+	switch e {
+	case Reset:
 		return "reset"
+	case Stay:
+		return "left open"
+	default:
+		return "closed"
 	}
-
-	return "closed"
 }
 
 // Response is a response as the server would have sent it.
@@ -68,6 +73,8 @@
 	// Bytes is the number of bytes that are sent.
 	Bytes int
 	End   End
+	// Early says that they are sent before the body of the request is read, and that the connection ends while it is still sent.
+	Early bool
 }
 
 // Cuts returns the responses cut at each byte, and whole, with both ends of their connections.
--- a/internal/standin/cutter/server.go
+++ b/internal/standin/cutter/server.go
@@ -7,8 +7,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
+// earlyTime is the time between an early response and the end of its connection, in which its client goes on sending.
+const earlyTime = 20 * time.Millisecond
+
 // Server sends a cut response to the first request on each connection and ends the connection. It is safe for concurrent use.
 type Server struct {
 	listener net.Listener
@@ -66,7 +70,7 @@
 	}
 }
 
-// serve reads a request whole, since the system resets a connection that is closed before.
+// serve reads a request whole, unless the response is early, since the system resets a connection that is closed before.
 func (s *Server) serve(conn net.Conn) {
 	defer conn.Close()
 
@@ -75,18 +79,28 @@
 		return
 	}
 
-	if _, err := io.Copy(io.Discard, request.Body); err != nil {
-		return
-	}
-
 	s.mu.Lock()
 	cut := s.cut
 	s.requests = append(s.requests, request.Method+" "+request.URL.Path)
 	s.mu.Unlock()
 
+	if !cut.Early {
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+	}
+
 	// A failed write means that the client is gone.
 	_, _ = io.WriteString(conn, cut.Sent())
 
+	if cut.End == Stay {
+		_, _ = io.Copy(io.Discard, conn)
+	}
+
+	if cut.Early {
+		time.Sleep(earlyTime)
+	}
+
 	if tcp, ok := conn.(*net.TCPConn); ok && cut.End == Reset {
 		_ = tcp.SetLinger(0)
 	}
