Relayer: the end of a node refuses uploads also where the drain timeout is short

With a drain timeout below some 3 s no wait is ended before the node's end, so that an upload was still cut off there. Abort ends the waits too. TestUploadIsRefusedAtTheEndOfTheNode; it wasn't run without the change.

--- a/internal/gateway/relayer/request.go
+++ b/internal/gateway/relayer/request.go
@@ -55,8 +55,9 @@
 	path         string
 	uri          string
 	// header excludes hop-by-hop fields and those that only nodes may set.
-	header  http.Header
-	body    []byte
+	header http.Header
+	body   []byte
+	// handled is the request as a planned stop of the node sees it.
 	handled *handledRequest
 	// bodyMemory is the memory reserved for the body.
 	bodyMemory *memoryReservation
--- a/internal/gateway/relayer/stopping.go
+++ b/internal/gateway/relayer/stopping.go
@@ -25,6 +25,17 @@
 	isLate bool
 }
 
+// endWaitLocked ends the wait of the request, if it waits. plannedStop.mu must be held.
+func (h *handledRequest) endWaitLocked() {
+	if h.endWait == nil {
+		return
+	}
+
+	h.isLate = true
+	h.endWait()
+	h.endWait = nil
+}
+
 // plannedStop ends the requests that a planned stop doesn't wait for, so that their callers get an answer. Otherwise the end of the process
 // would cut them off, also those that no upstream has run. It is safe for concurrent use.
 type plannedStop struct {
@@ -65,7 +76,7 @@
 	defer s.mu.Unlock()
 
 	h.leadTime, h.endWait = leadTime, endWait
-	s.endLateWait(h)
+	s.endLateWaitLocked(h)
 
 	return !h.isLate
 }
@@ -80,15 +91,11 @@
 	return !h.isLate
 }
 
-// endLateWait ends a wait that is over too late for what follows it. s.mu must be held.
-func (s *plannedStop) endLateWait(h *handledRequest) {
-	if h.endWait == nil || s.end.IsZero() || time.Until(s.end) >= min(h.leadTime, s.maxLeadTime) {
-		return
+// endLateWaitLocked ends a wait that is over too late for what follows it. s.mu must be held.
+func (s *plannedStop) endLateWaitLocked(h *handledRequest) {
+	if !s.end.IsZero() && time.Until(s.end) < min(h.leadTime, s.maxLeadTime) {
+		h.endWaitLocked()
 	}
-
-	h.isLate = true
-	h.endWait()
-	h.endWait = nil
 }
 
 // isLate reports whether the request waited too long.
@@ -117,7 +124,7 @@
 	defer r.stop.mu.Unlock()
 
 	for h := range r.stop.handled {
-		r.stop.endLateWait(h)
+		r.stop.endLateWaitLocked(h)
 	}
 }
 
@@ -127,6 +134,7 @@
 	defer r.stop.mu.Unlock()
 
 	for h := range r.stop.handled {
+		h.endWaitLocked()
 		h.abort(errNodeStops)
 	}
 }
--- a/internal/gateway/relayer/stopping_test.go
+++ b/internal/gateway/relayer/stopping_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -51,3 +52,28 @@
 		assert.Equal(t, u.count(), 1)
 	}
 }
+
+// Guards against an upload that ends without an answer as the node ends.
+func TestUploadIsRefusedAtTheEndOfTheNode(t *testing.T) {
+	w := newFixture(t, 9)
+	u := w.add(respondWith(http.StatusOK, "ran"))
+	body, upload := io.Pipe()
+
+	go func() {
+		// Written once the request's head has been sent.
+		_, _ = io.WriteString(upload, "begin")
+
+		for range 20 {
+			time.Sleep(50 * time.Millisecond)
+			w.relayer.Abort()
+		}
+
+		_ = upload.Close()
+	}()
+
+	response, text, err := w.send("/book/1", func(r *http.Request) { r.Body, r.ContentLength = body, 100 })
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(text, "node_leaving"), text)
+	assert.Equal(t, u.count(), 0)
+}
